--- /dev/null
+++ b/pollenstile/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that the command line runs."""
--- /dev/null
+++ b/pollenstile/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests at most once, from any entry host."""
--- /dev/null
+++ b/pollenstile/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: HTTP faces, assembly and shutdown."""
--- /dev/null
+++ b/pollenstile/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration in force and membership of upstreams."""
--- /dev/null
+++ b/pollenstile/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Who may start now: feasibility, fair sharing, concurrency."""
--- /dev/null
+++ b/pollenstile/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, command line, events and metrics."""
--- /dev/null
+++ b/pollenstile/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entry hosts."""
--- /dev/null
+++ b/pollenstile/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""How one request runs: stages, deadlines, attempts, outcomes."""
--- /dev/null
+++ b/pollenstile/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, fencing numbers and orders to engines."""
--- /dev/null
+++ b/pollenstile/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API, host list and weight store."""
--- /dev/null
+++ b/pollenstile/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream takes a call: load, affinity, ejection."""
--- /dev/null
+++ b/pollenstile/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of each outside system."""
--- /dev/null
+++ b/pollenstile/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to engines, stage pools and plain services."""
--- /dev/null
+++ b/tools/check.py
@@ -0,0 +1,118 @@
+"""Runs every check of the project and prints one verdict.
+
+Explanation
+===========
+
+``check.py`` runs the formatter, the linter, the doctests, behave and the
+specification; ``check.py NAME ...`` runs just these. Each step prints its own
+output; the last line is ``N passed, N failed``. Lines of ``KNOWN-RED.txt``
+that name a scenario are printed and passed over.
+"""
+
+import os
+import pathlib
+import re
+import subprocess  # noqa: S404
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = pathlib.Path(sys.executable).parent
+SOURCES = ('pollenstile', 'features', 'tools', 'spec')
+MODULES = re.compile(r'(\d+) modules passed, (\d+) failed')
+SUMMARY = re.compile(r'(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?')
+
+
+def _output(command):
+    environment = dict(os.environ, PYTHONHASHSEED='0', TZ='UTC')
+    completed = subprocess.run(
+        command,
+        cwd=ROOT,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        check=False,
+    )
+    print(completed.stdout, end='')
+    return completed.returncode, completed.stdout
+
+
+def _single(command):
+    code, _ = _output(command)
+    return (1, 0) if code == 0 else (0, 1)
+
+
+def check_format():
+    """Return passed and failed of the formatter."""
+    return _single([str(BIN / 'ruff'), 'format', '--check', *SOURCES])
+
+
+def check_lint():
+    """Return passed and failed of the linter."""
+    return _single([str(BIN / 'flake8'), *SOURCES])
+
+
+def check_doctest():
+    """Return passed and failed of the examples in docstrings."""
+    code, text = _output([sys.executable, 'tools/doctests.py'])
+    found = MODULES.search(text)
+    if not found:
+        return 0, max(code, 1)
+    return int(found.group(1)), int(found.group(2))
+
+
+def check_behave():
+    """Return passed and failed scenarios, known red ones apart."""
+    command = [str(BIN / 'behave'), '--format', 'progress', '--no-capture']
+    code, text = _output([*command, 'features'])
+    found = SUMMARY.search(text)
+    if not found:
+        return 0, max(code, 1)
+    passed, failed, errors = (int(part or 0) for part in found.groups())
+    return passed, failed + errors
+
+
+def check_spec():
+    """Return passed and failed of the checked specification."""
+    script = ROOT / 'spec' / 'run.py'
+    if not script.exists():
+        return 0, 0
+    return _single([sys.executable, str(script)])
+
+
+CHECKS = (
+    ('format', check_format),
+    ('lint', check_lint),
+    ('doctest', check_doctest),
+    ('behave', check_behave),
+    ('spec', check_spec),
+)
+
+
+def _known_red():
+    page = ROOT / 'KNOWN-RED.txt'
+    if not page.exists():
+        return []
+    return [line for line in page.read_text().splitlines() if line.strip()]
+
+
+def main(names):
+    """Run the named checks, all when none is named; return the exit code."""
+    passed = 0
+    failed = 0
+    for name, check in CHECKS:
+        if names and name not in names:
+            continue
+        print(f'== {name}', flush=True)
+        good, bad = check()
+        print(f'== {name}: {good} passed, {bad} failed', flush=True)
+        passed += good
+        failed += bad
+    for line in _known_red():
+        print(f'known red: {line}')
+    print(f'{passed} passed, {failed} failed')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
