build: checks run the tree they stand in

Cause: an editable install points at one checkout, so checks run from another worktree tested the wrong code. Change: the runner puts its own root first on the import path.

--- a/tools/check.py
+++ b/tools/check.py
@@ -23,7 +23,12 @@
 
 
 def _output(command):
-    environment = dict(os.environ, PYTHONHASHSEED='0', TZ='UTC')
+    environment = dict(
+        os.environ,
+        PYTHONHASHSEED='0',
+        TZ='UTC',
+        PYTHONPATH=str(ROOT),
+    )
     completed = subprocess.run(
         command,
         cwd=ROOT,
