--- a/pollenstile/pipeline/__init__.py
+++ b/pollenstile/pipeline/__init__.py
@@ -1,1 +1,7 @@
 """How one request runs: stages, deadlines, attempts, outcomes."""
+
+from pollenstile.pipeline._core import Core
+from pollenstile.pipeline._ledger import Ledger
+from pollenstile.pipeline._request import Request
+from pollenstile.pipeline._run import outcome_of
+from pollenstile.outcomes import Answered, Failed, Refused, Unknown
--- /dev/null
+++ b/pollenstile/pipeline/_core.py
@@ -0,0 +1,60 @@
+"""What running a request depends on."""
+
+from dataclasses import dataclass
+
+from pollenstile.ops.logs import silent_log
+
+
+def _count_nothing(name, number=1):
+    """Count nothing."""
+
+
+@dataclass(slots=True)
+class Core:
+    """Parts of one entry host that requests share.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Real, or virtual under test.
+    rng : random.Random
+        Seeded under test.
+    host : str
+        The host's name, part of request identifiers.
+    domain : str
+        The host's failure domain.
+    transport : function
+        Starts a call; see :mod:`pollenstile.upstream`.
+    tracker : Tracker
+        State of upstreams and times of stages.
+    retries : RetryBudget
+        Shared by retries and hedges.
+    ledger : Ledger
+        Asserts the invariants.
+    admission : Admission
+        Lets requests start.
+    claims : function or None
+        ``await claims(request)`` returns None when the caller's key is now
+        claimed by this request, or the outcome to answer with instead.
+    log : function
+        Writes events.
+    count : function
+        Takes a metric's name and a number.
+    timing : function
+        Takes a metric's name and milliseconds.
+    """
+
+    clock: object
+    rng: object
+    host: str
+    domain: str
+    transport: object
+    tracker: object
+    retries: object
+    ledger: object
+    admission: object
+    claims: object = None
+    log: object = silent_log
+    count: object = _count_nothing
+    timing: object = _count_nothing
--- /dev/null
+++ b/pollenstile/standin/engine.py
@@ -0,0 +1,214 @@
+"""Stand-in of a model engine."""
+
+import xxhash
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from pollenstile.ops.http import abort, answer_json, answer_problem
+from pollenstile.standin._slots import Slots
+from pollenstile.standin.faults import Faults
+from pollenstile.upstream import wire
+
+_MS = 1000
+
+
+def token(prompt, offset):
+    """Return the token at an offset, the same from every engine.
+
+    Examples
+    ========
+
+    >>> from pollenstile.standin.engine import token
+    >>> token(b'leak', 0) == token(b'leak', 0) != token(b'leak', 1)
+    True
+    """
+    return f'{xxhash.xxh32(prompt, seed=offset).hexdigest()} '
+
+
+class Engine:
+    """State of one stand-in.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Real or virtual.
+    name : str
+        For its log.
+    first : float
+        Seconds until the first token.
+    gap : float
+        Seconds between tokens.
+    most : int
+        Calls side by side.
+
+    Attributes
+    ==========
+
+    runs : list of str
+        Attempts that ran.
+    cancelled : list of str
+        Attempts that were stopped before their end.
+    """
+
+    __slots__ = (
+        'cancelled',
+        'clock',
+        'faults',
+        'first',
+        'gap',
+        'name',
+        'runs',
+        'slots',
+    )
+
+    def __init__(self, clock, name, first=0.05, gap=0.01, most=8):
+        self.clock = clock
+        self.name = name
+        self.first = first
+        self.gap = gap
+        self.slots = Slots(most, name)
+        self.faults = Faults()
+        self.runs = []
+        self.cancelled = []
+
+    def load(self):
+        """Return the load to state."""
+        return self.slots.report(leaving=self.faults.leaving)
+
+
+class EngineResource(Resource):
+    """``POST /v1/completions`` and ``GET /v1/load`` of an engine."""
+
+    isLeaf = True
+
+    def __init__(self, engine):
+        super().__init__()
+        self.engine = engine
+
+    def render_GET(self, request):
+        """State the load; called by twisted."""
+        return answer_json(request, self.engine.load())
+
+    def render_POST(self, request):
+        """Stream one completion; called by twisted."""
+        if self.engine.faults.refusing:
+            return answer_problem(request, 503, 'refusing', wire.NOT_RUN)
+        try:
+            call = wire.completion_call(request.content.read())
+        except wire.DecodeError as error:
+            return answer_problem(request, 400, str(error), wire.NOT_RUN)
+        _Stream(self.engine, request, call).begin()
+        return NOT_DONE_YET
+
+
+class _Stream:
+    """One completion from queue to its last token."""
+
+    __slots__ = (
+        'attempt',
+        'call',
+        'ended',
+        'engine',
+        'http',
+        'offset',
+        'prompt',
+        'sent',
+        'started',
+        'timer',
+    )
+
+    def __init__(self, engine, http, call):
+        self.engine = engine
+        self.http = http
+        self.call = call
+        self.attempt = (http.getHeader(wire.ATTEMPT_HEADER) or '').strip()
+        self.prompt = wire.encoded(call.prompt)
+        self.offset = call.resume_offset
+        self.sent = 0
+        self.started = 0.0
+        self.timer = None
+        self.ended = False
+
+    def begin(self):
+        """Wait for a slot."""
+        self.http.notifyFinish().addErrback(self.disconnected)
+        self.engine.slots.take(self.work)
+
+    def work(self):
+        """Start to generate."""
+        self.engine.runs.append(self.attempt)
+        self.started = self.engine.clock.seconds()
+        if self.engine.faults.foreign:
+            self.attempt = 'other/call/1'
+        self.http.setHeader(b'content-type', b'text/event-stream')
+        if not self.engine.faults.frozen:
+            self.wait(self.engine.first)
+
+    def wait(self, seconds):
+        """Generate the next token after a time."""
+        clock = self.engine.clock
+        self.timer = clock.callLater(
+            seconds * self.engine.faults.slow,
+            self.advance,
+        )
+
+    def advance(self):
+        """Send the next token, or the end."""
+        self.timer = None
+        if self.engine.faults.frozen:
+            return
+        if self.sent == self.engine.faults.cut_after:
+            self.stop()
+            abort(self.http)
+            return
+        if self.offset >= self.call.max_tokens:
+            self.finish()
+            return
+        text = token(self.prompt, self.offset)
+        self.write(wire.CompletionEvent(
+            self.attempt,
+            [wire.Choice(text)],
+            self.offset,
+        ))
+        self.offset += 1
+        self.sent += 1
+        self.wait(self.engine.gap)
+
+    def write(self, event):
+        """Send one event."""
+        self.http.write(b'data: %s\n\n' % wire.encoded(event))
+
+    def finish(self):
+        """Send usage, load and the end mark."""
+        self.stop()
+        busy = (self.engine.clock.seconds() - self.started) * _MS
+        self.write(wire.CompletionEvent(
+            self.attempt,
+            [wire.Choice('', 'length')],
+            self.offset,
+            wire.Usage(self.offset, busy),
+            self.engine.load(),
+        ))
+        self.http.write(b'data: %s\n\n' % wire.DONE)
+        self.http.finish()
+
+    def stop(self):
+        """Give the slot back once."""
+        if self.ended:
+            return
+        self.ended = True
+        self.engine.slots.free()
+
+    def disconnected(self, failure):
+        """Stop a completion that nobody waits for."""
+        if self.ended:
+            return
+        self.engine.cancelled.append(self.attempt)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.engine.slots.drop(self.work):
+            self.ended = True
+            return
+        self.stop()
--- /dev/null
+++ b/pollenstile/upstream/wire.py
@@ -0,0 +1,101 @@
+"""The documents that go to and come from upstreams.
+
+Explanation
+===========
+
+Engines speak the usual protocol of model servers: a POST to
+``/v1/completions`` answered by server-sent events. Stage pools and plain
+services take a POST to ``/v1/call``. ``docs/PROTOCOLS.md`` describes both.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+COMPLETIONS_PATH = '/v1/completions'
+CALL_PATH = '/v1/call'
+ATTEMPT_HEADER = 'x-attempt-id'
+DEADLINE_HEADER = 'x-deadline-ms'
+KEY_HEADER = 'idempotency-key'
+OUTCOME_HEADER = 'x-outcome'
+NOT_RUN = 'not-run'
+DONE = b'[DONE]'
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """Load as an upstream states it."""
+
+    running: int = 0
+    queued: int = 0
+    leaving: bool = False
+    incarnation: str = ''
+
+
+@dataclass(slots=True)
+class CompletionCall:
+    """What an engine is asked."""
+
+    model: str
+    prompt: Any
+    max_tokens: int
+    priority: str = 'normal'
+    stream: bool = True
+    resume_offset: int = 0
+    resume_text: str = ''
+
+
+@dataclass(slots=True)
+class Choice:
+    """The only choice of a completion event."""
+
+    text: str = ''
+    finish_reason: str | None = None
+
+
+@dataclass(slots=True)
+class Usage:
+    """What a completion took."""
+
+    completion_tokens: int = 0
+    busy_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class CompletionEvent:
+    """One server-sent event of an engine; ``id`` is the attempt."""
+
+    id: str
+    choices: list[Choice]
+    offset: int = 0
+    usage: Usage | None = None
+    load: LoadReport | None = None
+
+
+@dataclass(slots=True)
+class PlainCall:
+    """What a stage pool or a plain service is asked."""
+
+    attempt: str
+    step: str
+    content: Any
+    team: str = ''
+
+
+@dataclass(slots=True)
+class PlainReply:
+    """What it answers."""
+
+    attempt: str
+    output: Any
+    busy_ms: float = 0.0
+    load: LoadReport = field(default_factory=LoadReport)
+
+
+encoded = msgspec.json.encode
+completion_event = msgspec.json.Decoder(CompletionEvent).decode
+completion_call = msgspec.json.Decoder(CompletionCall).decode
+plain_call = msgspec.json.Decoder(PlainCall).decode
+plain_reply = msgspec.json.Decoder(PlainReply).decode
+DecodeError = msgspec.MsgspecError
