--- a/pollenstile/manifest/_model.py
+++ b/pollenstile/manifest/_model.py
@@ -105,6 +105,8 @@
         The pool that serves it.
     model : str
         Model to ask for; engine pools only.
+    adapter : str
+        Adapter of the model to ask for; none when empty.
     needs : list of str
         Stages whose results it reads; the stage before it when empty.
     idempotent : bool
@@ -122,6 +124,7 @@
     name: str
     pool: str
     model: str = ''
+    adapter: str = ''
     needs: list[str] = field(default_factory=list)
     idempotent: bool = True
     attempts: int = 2
