--- /dev/null
+++ b/pollenstile/entry/_daemon.py
@@ -0,0 +1,115 @@
+"""The daemon: listening, flushing, leaving."""
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall, deferLater
+
+from pollenstile.entry import events
+from pollenstile.entry._admin import AdminFace
+from pollenstile.entry._face import CallerFace
+from pollenstile.fleet import config_poll
+from pollenstile.ops.http import site_for
+
+_FLUSH_PERIOD = 1.0
+_MS = 1000
+
+
+class Daemon:
+    """A host that listens.
+
+    Parameters
+    ==========
+
+    reactor : IReactorTCP and IReactorTime
+        Makes ports and timers.
+    node : Node
+        What is served.
+    settings : Settings
+        Where to listen.
+    store : Store or None
+        The platform's object API.
+    statsd : statsd.StatsClient or None
+        Where metrics go.
+    """
+
+    __slots__ = (
+        'admin_port',
+        'caller_port',
+        'loops',
+        'node',
+        'reactor',
+        'settings',
+        'statsd',
+        'store',
+    )
+
+    def __init__(self, reactor, node, settings, store=None, statsd=None):
+        self.reactor = reactor
+        self.node = node
+        self.settings = settings
+        self.store = store
+        self.statsd = statsd
+        self.loops = []
+        self.caller_port = None
+        self.admin_port = None
+
+    def start(self):
+        """Listen, read the configuration, flush metrics."""
+        self.caller_port = self._listen(
+            self.settings.listen,
+            CallerFace(self.node),
+        )
+        self.admin_port = self._listen(
+            self.settings.admin,
+            AdminFace(self.node),
+        )
+        flush = LoopingCall(self.node.metrics.flush, self.statsd)
+        flush.clock = self.reactor
+        flush.start(_FLUSH_PERIOD, now=False)
+        self.loops.append(flush)
+        if self.store is not None:
+            self.loops.append(
+                config_poll(self.reactor, self.store, self.node.in_force),
+            )
+        self.node.core.log(
+            events.STARTED,
+            listen=address_of(self.caller_port),
+            admin=address_of(self.admin_port),
+            domain=self.settings.domain,
+        )
+
+    def _listen(self, address, resource):
+        host, port = address
+        site = site_for(resource, self.reactor)
+        return self.reactor.listenTCP(port, site, interface=host)
+
+    def stop(self):
+        """Leave: return a Deferred that fires when all is finished.
+
+        Explanation
+        ===========
+
+        The platform's balancer learns late that a host leaves. The host says
+        at once that it is not ready, listens on for the declared lame-duck
+        time, refuses what is new, and finishes what is in flight.
+        """
+        self.node.leaving = True
+        self.node.core.log(events.LEAVING, in_flight=self.node.in_flight)
+        return Deferred.fromCoroutine(self._stopped())
+
+    async def _stopped(self):
+        snapshot = self.node.in_force.snapshot
+        wait = snapshot.manifest.policy.lame_duck_ms / _MS if snapshot else 0
+        await deferLater(self.reactor, wait)
+        await self.node.idle()
+        for loop in self.loops:
+            loop.stop()
+        await self.caller_port.stopListening()
+        await self.admin_port.stopListening()
+        self.node.metrics.flush(self.statsd)
+        self.node.core.log(events.STOPPED)
+
+
+def address_of(port):
+    """Return ``IP:PORT`` of a listening port."""
+    host = port.getHost()
+    return f'{host.host}:{host.port}'
--- a/pollenstile/fleet/_snapshot.py
+++ b/pollenstile/fleet/_snapshot.py
@@ -1,5 +1,11 @@
 """One version of the configuration, ready for use."""
 
+import xxhash
+
+from pollenstile.manifest import text_from_manifest
+
+_BUCKET = 4
+
 
 class Snapshot:
     """A manifest in force and what is looked up in it often.
@@ -17,18 +23,25 @@
 
     >>> from pollenstile.fleet import Snapshot
     >>> from pollenstile.manifest import Manifest, Team
-    >>> team = Team(key_digests=['ab'])
+    >>> team = Team(key_digests=['abcdef'])
     >>> manifest = Manifest('demo', {}, {}, {}, {'dispatch': team})
-    >>> Snapshot(3, manifest).team_of_digest
-    {'ab': 'dispatch'}
+    >>> Snapshot(3, manifest).candidates('abcd00')
+    [('abcdef', 'dispatch')]
     """
 
-    __slots__ = ('manifest', 'team_of_digest', 'version')
+    __slots__ = ('buckets', 'digest', 'manifest', 'version')
 
     def __init__(self, version, manifest):
         self.version = version
         self.manifest = manifest
-        self.team_of_digest = {}
+        text = text_from_manifest(manifest)
+        self.digest = xxhash.xxh3_64_hexdigest(text.encode())
+        self.buckets = {}
         for name, team in manifest.teams.items():
             for digest in team.key_digests:
-                self.team_of_digest[digest] = name
+                bucket = self.buckets.setdefault(digest[:_BUCKET], [])
+                bucket.append((digest, name))
+
+    def candidates(self, digest):
+        """Return digests and teams that share a digest's first characters."""
+        return self.buckets.get(digest[:_BUCKET], [])
--- /dev/null
+++ b/pollenstile/ops/_entrycmd.py
@@ -0,0 +1,59 @@
+"""``pollenstile entry``: the daemon."""
+
+import random
+
+import statsd
+
+from pollenstile.entry import Daemon, built_node
+from pollenstile.ops.exits import GOOD
+from pollenstile.ops.logs import configure_logs, event_log
+from pollenstile.ops.settings import ENTRY, add_flags, settings_from
+from pollenstile.platform import HttpStore
+from pollenstile.upstream import http_transport
+
+_PREFIX = 'pollenstile'
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser('entry', help='run one entry host')
+    add_flags(parser, ENTRY)
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Run the daemon until SIGTERM or SIGINT; return the exit code."""
+    settings = settings_from(arguments, ENTRY)
+    configure_logs(settings.log_level)
+    # The one place where the global reactor is taken.
+    from twisted.internet import reactor  # noqa: WPS433
+
+    daemon = built_daemon(reactor, settings)
+    reactor.callWhenRunning(daemon.start)
+    reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
+    reactor.run()
+    return GOOD
+
+
+def built_daemon(reactor, settings):
+    """Return a daemon with real connections, store and metrics."""
+    rng = random.Random(settings.seed or None)
+    log = event_log(host=settings.host)
+    node = built_node(
+        reactor,
+        rng,
+        settings,
+        http_transport(reactor),
+        log=log,
+    )
+    store = None
+    if settings.platform is not None:
+        store = HttpStore(reactor, settings.platform)
+    return Daemon(reactor, node, settings, store, _statsd(settings))
+
+
+def _statsd(settings):
+    if settings.statsd is None:
+        return None
+    host, port = settings.statsd
+    return statsd.StatsClient(host, port, prefix=f'{_PREFIX}.{settings.host}')
--- /dev/null
+++ b/pollenstile/ops/_standincmd.py
@@ -0,0 +1,83 @@
+"""``pollenstile standin``: small fakes of the outside systems."""
+
+from pollenstile.entry import address_of
+from pollenstile.ops.exits import GOOD
+from pollenstile.ops.http import site_for
+from pollenstile.ops.settings import SettingsError, address
+from pollenstile.standin.engine import Engine, EngineResource
+from pollenstile.standin.fleet import started_upstreams
+from pollenstile.standin.objectapi import MemoryStore, objectapi_resource
+from pollenstile.standin.plain import PlainResource, PlainServer
+
+_MS = 1000
+_VALUE_LIMIT = 2097152
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        'standin',
+        help='run a stand-in of an outside system',
+    )
+    kinds = parser.add_subparsers(dest='kind', required=True)
+    for kind in ('objectapi', 'engine', 'stage', 'service'):
+        one = kinds.add_parser(kind, help=f'a stand-in of kind {kind}')
+        one.add_argument('--listen', default='127.0.0.1:0', help='IP:PORT')
+        one.add_argument('--name', default=kind, help='stated in answers')
+        one.add_argument('--slots', type=int, default=8, help='calls at once')
+        one.add_argument(
+            '--work-ms',
+            type=float,
+            default=20,
+            help='time of a call, or until the first token',
+        )
+        one.add_argument(
+            '--gap-ms',
+            type=float,
+            default=5,
+            help='time between tokens',
+        )
+    whole = kinds.add_parser('fleet', help='every upstream of a manifest')
+    whole.add_argument('manifest', help='file')
+    whole.add_argument('--scale', type=float, default=1.0, help='of all times')
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Run the stand-in until it is told to stop."""
+    from twisted.internet import reactor  # noqa: WPS433
+
+    if arguments.kind == 'fleet':
+        started_upstreams(reactor, arguments.manifest, arguments.scale)
+    else:
+        port = _listening(reactor, arguments)
+        print(f'{arguments.kind} listens on {address_of(port)}', flush=True)
+    reactor.run()
+    return GOOD
+
+
+def _listening(reactor, arguments):
+    try:
+        host, number = address(arguments.listen)
+    except ValueError as error:
+        raise SettingsError([f'--listen: {error}']) from None
+    resource = _resource(reactor, arguments)
+    site = site_for(resource, reactor, most_body=_VALUE_LIMIT)
+    return reactor.listenTCP(number, site, interface=host)
+
+
+def _resource(reactor, arguments):
+    work = arguments.work_ms / _MS
+    if arguments.kind == 'objectapi':
+        return objectapi_resource(MemoryStore(reactor), reactor)
+    if arguments.kind == 'engine':
+        engine = Engine(
+            reactor,
+            arguments.name,
+            work,
+            arguments.gap_ms / _MS,
+            arguments.slots,
+        )
+        return EngineResource(engine)
+    server = PlainServer(reactor, arguments.name, work, arguments.slots)
+    return PlainResource(server)
--- /dev/null
+++ b/pollenstile/ops/_validatecmd.py
@@ -0,0 +1,58 @@
+"""``pollenstile validate``: checks manifests without applying them."""
+
+import sys
+
+from pollenstile.manifest import (
+    ManifestError,
+    manifest_from_text,
+    manifest_schema,
+)
+from pollenstile.ops.exits import BAD_INPUT, GOOD
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser('validate', help='check manifests')
+    parser.add_argument('files', nargs='*', help='YAML or JSON documents')
+    parser.add_argument(
+        '--schema',
+        action='store_true',
+        help='print the JSON Schema of manifests',
+    )
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Check each file; return the exit code."""
+    if arguments.schema:
+        print(manifest_schema())
+        return GOOD
+    if not arguments.files:
+        sys.stderr.write('pollenstile validate: name a file or --schema\n')
+        return BAD_INPUT
+    codes = [_checked(path) for path in arguments.files]
+    return max(codes)
+
+
+def _checked(path):
+    text = text_of_file(path)
+    if text is None:
+        return BAD_INPUT
+    try:
+        manifest_from_text(text)
+    except ManifestError as error:
+        for mistake in error.mistakes:
+            sys.stderr.write(f'{path}: {mistake.path}: {mistake.text}\n')
+        return BAD_INPUT
+    print(f'{path}: ok')
+    return GOOD
+
+
+def text_of_file(path):
+    """Return a file's text, or None after one line on standard error."""
+    try:
+        with open(path, encoding='utf-8') as source:
+            return source.read()
+    except (OSError, UnicodeDecodeError) as error:
+        sys.stderr.write(f'{path}: {error}\n')
+    return None
--- a/pollenstile/ops/http.py
+++ b/pollenstile/ops/http.py
@@ -21,11 +21,10 @@
     and its connection closed, before it is read whole.
     """
 
-    too_large = False
-    received = 0
-
     def gotLength(self, length):
         """Prepare for a body of a stated length; called by twisted."""
+        self.too_large = False
+        self.received = 0
         self.content = BytesIO()
         if length is not None and length > self.channel.site.most_body:
             self._refuse()
@@ -141,4 +140,3 @@
     connection break before the last chunk of the body.
     """
     request.channel.forceAbortClient()
-
--- /dev/null
+++ b/pollenstile/ops/main.py
@@ -0,0 +1,70 @@
+"""The command ``pollenstile``."""
+
+import argparse
+import sys
+
+import pollenstile
+from pollenstile.ops import (
+    _applycmd,
+    _benchcmd,
+    _callcmd,
+    _democmd,
+    _entrycmd,
+    _standincmd,
+    _validatecmd,
+)
+from pollenstile.ops.exits import BAD_INPUT
+from pollenstile.ops.settings import SettingsError
+
+_EPILOG = """exit codes:
+  0  done
+  1  the thing asked for was not reached: a refusal, a conflict, a failed check
+  2  the command, a setting or a document is wrong
+  3  nothing answered"""
+
+_COMMANDS = (
+    _entrycmd,
+    _standincmd,
+    _validatecmd,
+    _applycmd,
+    _callcmd,
+    _democmd,
+    _benchcmd,
+)
+
+
+def built_parser():
+    """Return the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog='pollenstile',
+        description='Serving system for multi-stage model pipelines.',
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        '--version',
+        action='version',
+        version=pollenstile.__version__,
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    for module in _COMMANDS:
+        module.add_parser(commands)
+    return parser
+
+
+def main(arguments=None):
+    """Run the command line; return the exit code.
+
+    Parameters
+    ==========
+
+    arguments : list of str or None
+        ``sys.argv`` without the program when None.
+    """
+    parsed = built_parser().parse_args(arguments)
+    try:
+        return parsed.run(parsed)
+    except SettingsError as error:
+        for mistake in error.mistakes:
+            sys.stderr.write(f'pollenstile {parsed.command}: {mistake}\n')
+        return BAD_INPUT
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -1,5 +1,7 @@
 """One request from admission to its final outcome."""
 
+from twisted.internet.defer import CancelledError
+
 from pollenstile.limits import expected_time
 from pollenstile.pipeline import events
 from pollenstile.pipeline._decisions import stage_budget
@@ -34,14 +36,21 @@
         The final outcome.
     """
     core.ledger.accept(request)
+    try:
+        outcome = await _admitted_outcome(core, request, on_token)
+    except CancelledError:
+        outcome = Failed('the caller is gone', 'caller', '')
+    return _finished(core, request, outcome)
+
+
+async def _admitted_outcome(core, request, on_token):
     refusal = await core.admission.entered(request)
     if refusal is not None:
-        return _finished(core, request, refusal)
+        return refusal
     try:
-        outcome = await _claimed_outcome(core, request, on_token)
+        return await _claimed_outcome(core, request, on_token)
     finally:
         core.admission.leave(request)
-    return _finished(core, request, outcome)
 
 
 async def _claimed_outcome(core, request, on_token):
@@ -107,7 +116,9 @@
 
 def _stage_end(core, request, later):
     now = core.clock.seconds()
-    times = [expected_time(request.name, stage, core.tracker) for stage in later]
+    times = [
+        expected_time(request.name, stage, core.tracker) for stage in later
+    ]
     return now + stage_budget(request.deadline - now, times)
 
 
--- a/pollenstile/standin/engine.py
+++ b/pollenstile/standin/engine.py
@@ -166,11 +166,13 @@
             self.finish()
             return
         text = token(self.prompt, self.offset)
-        self.write(wire.CompletionEvent(
-            self.attempt,
-            [wire.Choice(text)],
-            self.offset,
-        ))
+        self.write(
+            wire.CompletionEvent(
+                self.attempt,
+                [wire.Choice(text)],
+                self.offset,
+            )
+        )
         self.offset += 1
         self.sent += 1
         self.wait(self.engine.gap)
@@ -183,13 +185,15 @@
         """Send usage, load and the end mark."""
         self.stop()
         busy = (self.engine.clock.seconds() - self.started) * _MS
-        self.write(wire.CompletionEvent(
-            self.attempt,
-            [wire.Choice('', 'length')],
-            self.offset,
-            wire.Usage(self.offset, busy),
-            self.engine.load(),
-        ))
+        self.write(
+            wire.CompletionEvent(
+                self.attempt,
+                [wire.Choice('', 'length')],
+                self.offset,
+                wire.Usage(self.offset, busy),
+                self.engine.load(),
+            )
+        )
         self.http.write(b'data: %s\n\n' % wire.DONE)
         self.http.finish()
 
--- a/pollenstile/upstream/_bodies.py
+++ b/pollenstile/upstream/_bodies.py
@@ -76,7 +76,9 @@
             return
         load = load_from_wire(reply.load)
         self.end(
-            Reply(reply.attempt, reply.output, busy_ms=reply.busy_ms, load=load),
+            Reply(
+                reply.attempt, reply.output, busy_ms=reply.busy_ms, load=load
+            ),
         )
 
 
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -1,12 +1,11 @@
 """Calls over HTTP, by twisted.web's client."""
 
 from twisted.internet import error
-from twisted.internet.defer import CancelledError, succeed
+from twisted.internet.defer import CancelledError
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
+from pollenstile.ops.body import BytesProducer
 from pollenstile.upstream import wire
 from pollenstile.upstream._bodies import StreamBody, WholeBody
 from pollenstile.upstream._types import Lost, NotRun, Rejected
@@ -83,31 +82,6 @@
         self.body.abort()
 
 
-@implementer(IBodyProducer)
-class _WholeProducer:
-    """Writes a small body at once."""
-
-    __slots__ = ('content', 'length')
-
-    def __init__(self, content):
-        self.content = content
-        self.length = len(content)
-
-    def startProducing(self, consumer):
-        """Write all; called by twisted."""
-        consumer.write(self.content)
-        return succeed(None)
-
-    def pauseProducing(self):
-        """Do nothing: all is written."""
-
-    def resumeProducing(self):
-        """Do nothing: all is written."""
-
-    def stopProducing(self):
-        """Do nothing: all is written."""
-
-
 def _drop_event(event):
     """Take the event of a body that nobody reads."""
 
@@ -124,11 +98,13 @@
 
 
 def _headers(call):
-    headers = Headers({
-        'content-type': ['application/json'],
-        wire.ATTEMPT_HEADER: [call.attempt],
-        wire.DEADLINE_HEADER: [str(call.timeout_ms)],
-    })
+    headers = Headers(
+        {
+            'content-type': ['application/json'],
+            wire.ATTEMPT_HEADER: [call.attempt],
+            wire.DEADLINE_HEADER: [str(call.timeout_ms)],
+        }
+    )
     if call.key:
         headers.addRawHeader(wire.KEY_HEADER, call.key)
     return headers
@@ -192,7 +168,7 @@
             b'POST',
             uri.encode(),
             _headers(call),
-            _WholeProducer(wire.encoded(_document(call))),
+            BytesProducer(wire.encoded(_document(call))),
         )
         exchange.response.addCallback(exchange.headers_came, call.kind)
         exchange.response.addErrback(exchange.failed)
--- a/pollenstile/upstream/_sse.py
+++ b/pollenstile/upstream/_sse.py
@@ -23,7 +23,9 @@
 
     >>> from pollenstile.upstream._sse import EventSplitter
     >>> splitter = EventSplitter(100)
-    >>> splitter.events(b'data: a\\n\\nda'), splitter.events(b'ta: b\\r\\n')
+    >>> newline = bytes([10])
+    >>> first = splitter.events(b'data: a' + newline + newline + b'da')
+    >>> first, splitter.events(b'ta: b' + newline)
     ([b'a'], [b'b'])
     """
 
