platform: client with budget, back-off, watch loop and settled writes

Cause: every part calls the object API, which counts calls, has outages and loses answers; each of them would need the same care. Change: a paced store (token bucket with classes, full jitter back-off), a watch loop, settled conditional writes, the store, host list and weight store over HTTP, and the stand-ins of the latter two.

--- a/pollenstile/platform/__init__.py
+++ b/pollenstile/platform/__init__.py
@@ -1,5 +1,31 @@
 """The platform's object API, host list and weight store."""
 
+from pollenstile.platform._brownout import (
+    PACES,
+    PATIENCE,
+    Brownout,
+    ClassPace,
+    call_answered,
+    call_failed,
+    seconds_blocked,
+)
+from pollenstile.platform._budget import (
+    SHARES,
+    Budget,
+    CallClass,
+    ClassShare,
+    class_of_kind,
+    seconds_to_next,
+    taken,
+)
+from pollenstile.platform._hosts import HostEntry, HostList, listed_hosts
+from pollenstile.platform._http import Broken, Caller, Reply
+from pollenstile.platform._httpstore import HttpStore
+from pollenstile.platform._known import (
+    Known,
+    news_of_events,
+    news_of_listing,
+)
 from pollenstile.platform._outcome import (
     Absent,
     Change,
@@ -14,9 +40,15 @@
     Unavailable,
     Written,
 )
+from pollenstile.platform._paced import PacedStore
+from pollenstile.platform._pages import listed_whole
+from pollenstile.platform._pause import paused, pauses, unpaused
+from pollenstile.platform._settle import field_mark, settled_put
 from pollenstile.platform._store import (
     PAGE_LIMIT,
     POLL_SECONDS,
     VALUE_LIMIT,
     Store,
 )
+from pollenstile.platform._watch import Watch, WatchTiming, watch
+from pollenstile.platform._weights import Throttled, Ticket, weight_ticket
--- a/pollenstile/platform/_outcome.py
+++ b/pollenstile/platform/_outcome.py
@@ -84,7 +84,7 @@
         Whether another page follows, after the last name of this one.
     """
 
-    objects: tuple
+    objects: tuple[Found, ...]
     revision: int
     more: bool = False
 
@@ -99,7 +99,8 @@
     kind, name : str
         Which object.
     version : int
-        Its version after the write.
+        Its version after the write. Of a deletion that only a list has
+        shown, the list's revision, which is no lower.
     value : object
         Decoded JSON; ``None`` when the object was deleted.
     revision : int
@@ -118,7 +119,7 @@
     """What a watch has answered: changes up to a revision, maybe none."""
 
     revision: int
-    events: tuple = ()
+    events: tuple[Change, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/pollenstile/platform/_paced.py
@@ -0,0 +1,180 @@
+"""The one place that decides whether a call to the object API is sent."""
+
+from collections import Counter
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.platform._brownout import (
+    PATIENCE,
+    Brownout,
+    call_answered,
+    call_failed,
+    seconds_blocked,
+)
+from pollenstile.platform._budget import (
+    class_of_kind,
+    seconds_to_next,
+    taken,
+)
+from pollenstile.platform._outcome import InDoubt, NotApplied, Unavailable
+from pollenstile.platform._store import PAGE_LIMIT, POLL_SECONDS
+from pollenstile.platform.events import (
+    BUDGET_REFUSED,
+    STORE_ANSWERS,
+    STORE_BACKING_OFF,
+)
+
+_WRITES = frozenset(('put', 'delete'))
+_OVERLOADED = frozenset(('status 429', 'status 503'))
+
+
+class PacedStore:
+    """A store whose calls keep a budget and back off in brown-outs.
+
+    Explanation
+    ===========
+
+    A call that may not go now is refused at once, as ``NotApplied`` or
+    ``Unavailable`` with ``retry_after``; nothing is queued, since its caller
+    knows best whether it can wait. No call is sent twice.
+
+    Parameters
+    ==========
+
+    store : Store
+        Where the calls go.
+    clock : twisted.internet.interfaces.IReactorTime
+        Gives the time.
+    random : random.Random
+        Source of the jitter.
+    budget : Budget
+        Calls of this host.
+    log : function
+        Takes an event and its fields.
+    """
+
+    __slots__ = (
+        'brownout',
+        'budget',
+        'clock',
+        'log',
+        'outcomes',
+        'random',
+        'refused',
+        'store',
+    )
+
+    def __init__(self, store, clock, random, budget, log):
+        self.store = store
+        self.clock = clock
+        self.random = random
+        self.budget = budget
+        self.log = log
+        self.brownout = Brownout()
+        self.outcomes = Counter()
+        self.refused = Counter()
+
+    async def get(self, kind, name):
+        """Return ``Found``, ``Absent`` or ``Unavailable``."""
+        return self._refusal('get', kind) or await self._call(
+            kind,
+            self.store.get(kind, name),
+        )
+
+    async def put(self, kind, name, value, if_version=None):
+        """Return ``Written``, ``Conflict``, ``NotApplied`` or ``InDoubt``."""
+        return self._refusal('put', kind) or await self._call(
+            kind,
+            self.store.put(kind, name, value, if_version),
+        )
+
+    async def delete(self, kind, name, if_version=None):
+        """Return ``Written``, ``Conflict``, ``NotApplied`` or ``InDoubt``."""
+        return self._refusal('delete', kind) or await self._call(
+            kind,
+            self.store.delete(kind, name, if_version),
+        )
+
+    async def listed(self, kind, prefix='', after='', limit=PAGE_LIMIT):
+        """Return ``Listing`` or ``Unavailable``."""
+        return self._refusal('list', kind) or await self._call(
+            kind,
+            self.store.listed(kind, prefix, after, limit),
+        )
+
+    async def watched(self, kind, since, prefix='', timeout=POLL_SECONDS):
+        """Return ``Changes``, ``Compacted`` or ``Unavailable``.
+
+        A watch waits for long by design, so it holds up no other call of its
+        class while the store is tried again.
+        """
+        return self._refusal('watch', kind) or await self._answered(
+            self.store.watched(kind, since, prefix, timeout),
+        )
+
+    def _refusal(self, step, kind):
+        call_class = class_of_kind(kind)
+        now = self.clock.seconds()
+        blocked = seconds_blocked(self.brownout, call_class, now)
+        if blocked > 0:
+            return self._refused(step, call_class, 'backing-off', blocked)
+        if taken(self.budget, call_class, now):
+            return None
+        wait = seconds_to_next(self.budget, call_class)
+        self.log(
+            BUDGET_REFUSED,
+            level='warning',
+            step=step,
+            kind=kind,
+            retry_after=round(wait, 3),
+        )
+        return self._refused(step, call_class, 'budget', wait)
+
+    def _refused(self, step, call_class, reason, wait):
+        self.refused[call_class, reason] += 1
+        outcome = NotApplied if step in _WRITES else Unavailable
+        return outcome(step, 'object API', reason, wait)
+
+    def _call(self, kind, call):
+        call_class = class_of_kind(kind)
+        self.brownout.in_flight[call_class] += 1
+        answer = Deferred.fromCoroutine(self._answered(call))
+        return answer.addBoth(self._landed, call_class)
+
+    def _landed(self, outcome, call_class):
+        self.brownout.in_flight[call_class] -= 1
+        return outcome
+
+    async def _answered(self, call):
+        started = self.clock.seconds()
+        outcome = await call
+        self.outcomes[type(outcome).__name__] += 1
+        if _store_failed(outcome):
+            self._count_failure(started, outcome)
+            return outcome
+        if self.brownout.failures >= PATIENCE:
+            self.log(STORE_ANSWERS, failures=self.brownout.failures)
+        call_answered(self.brownout)
+        return outcome
+
+    def _count_failure(self, started, outcome):
+        now = self.clock.seconds()
+        before = self.brownout.failures
+        call_failed(self.brownout, started, now, self.random)
+        if before < PATIENCE <= self.brownout.failures:
+            self.log(
+                STORE_BACKING_OFF,
+                level='warning',
+                step=outcome.step,
+                peer=outcome.peer,
+                reason=outcome.reason,
+            )
+
+
+def _store_failed(outcome):
+    if isinstance(outcome, InDoubt):
+        return True
+    if not isinstance(outcome, (NotApplied, Unavailable)):
+        return False
+    refused_call = outcome.reason.startswith('status 4')
+    return outcome.reason in _OVERLOADED or not refused_call
--- a/pollenstile/standin/_memory.py
+++ b/pollenstile/standin/_memory.py
@@ -45,6 +45,8 @@
         That many next writes are lost, and their callers can't know.
     silent_watches : bool
         Watches are never answered, neither waiting nor new ones.
+    deaf_watches : bool
+        Watches are answered after their poll time that nothing changed.
     stale_watches : int
         That many next watches are answered with the whole history.
     calls : collections.Counter
@@ -72,6 +74,7 @@
     __slots__ = (
         'calls',
         'clock',
+        'deaf_watches',
         'down',
         'latency',
         'lose_answers',
@@ -94,6 +97,7 @@
         self.lose_answers = 0
         self.lose_requests = 0
         self.silent_watches = False
+        self.deaf_watches = False
         self.stale_watches = 0
         self.calls = Counter()
         self.waiting = {}
@@ -148,10 +152,10 @@
             self.stale_watches -= 1
             old = self.objects.changes(kind, self.objects.compacted, prefix)
             return Changes(since, old.events)
-        outcome = self.objects.changes(kind, since, prefix)
+        outcome = self._seen(kind, since, prefix)
         if isinstance(outcome, Changes) and not outcome.events:
             await self._woken(kind, since, prefix, timeout)
-            outcome = self.objects.changes(kind, since, prefix)
+            outcome = self._seen(kind, since, prefix)
         await _pause(self.clock, self.latency)
         return _refusal('watch', self.peer) if self.down else outcome
 
@@ -189,6 +193,11 @@
             return None
         return outcome
 
+    def _seen(self, kind, since, prefix):
+        if self.deaf_watches:
+            return Changes(self.objects.revision)
+        return self.objects.changes(kind, since, prefix)
+
     async def _woken(self, kind, since, prefix, timeout):
         woken = Deferred()
         self.waiting[woken] = (kind, since, prefix)
@@ -207,7 +216,7 @@
         return result
 
     def _wake(self):
-        if self.silent_watches or self.down:
+        if self.silent_watches or self.deaf_watches or self.down:
             return
         for woken, watch in tuple(self.waiting.items()):
             found = self.objects.changes(*watch)
