manifest: checks across fields, diff, digest, schema and report

Cause: only unknown pools were checked; YAML read `no` as false, kept the last of two equal keys and expanded aliases without bound. Change: checks by subject in private modules; typed and cross-field mistakes in one run by placeholders for what does not decode; bounded YAML 1.2 loader; manifest_diff, manifest_digest, report_lines, reference table and described JSON Schema; Stage.adapter checked against its model.

--- a/pollenstile/manifest/__init__.py
+++ b/pollenstile/manifest/__init__.py
@@ -1,10 +1,11 @@
 """What operators declare: model, decoding and checks."""
 
 from pollenstile.manifest._decode import (
+    manifest_digest,
     manifest_from_text,
-    manifest_schema,
     text_from_manifest,
 )
+from pollenstile.manifest._diff import Change, diff_lines, manifest_diff
 from pollenstile.manifest._mistake import ManifestError, Mistake
 from pollenstile.manifest._model import (
     Domain,
@@ -17,3 +18,7 @@
     Team,
     Upstream,
 )
+from pollenstile.manifest._reference import manifest_reference
+from pollenstile.manifest._report import manifest_warnings, report_lines
+from pollenstile.manifest._schema import manifest_schema
+from pollenstile.manifest._walk import stage_needs
--- a/pollenstile/manifest/_checks.py
+++ b/pollenstile/manifest/_checks.py
@@ -1,17 +1,24 @@
 """Checks across a manifest's fields."""
 
-from pollenstile.manifest._mistake import Mistake
-
-
-def _unknown_pools(manifest):
-    mistakes = []
-    for name, pipeline in manifest.pipelines.items():
-        for place, stage in enumerate(pipeline.stages):
-            if stage.pool in manifest.pools:
-                continue
-            path = f'pipelines.{name}.stages.{place}.pool'
-            mistakes.append(Mistake(path, f'no pool is named {stage.pool!r}'))
-    return mistakes
+from pollenstile.manifest._addresses import address_mistakes
+from pollenstile.manifest._engines import engine_mistakes
+from pollenstile.manifest._keys import key_mistakes
+from pollenstile.manifest._names import name_mistakes
+from pollenstile.manifest._order import order_mistakes
+from pollenstile.manifest._references import reference_mistakes
+from pollenstile.manifest._repeats import repeat_mistakes
+from pollenstile.manifest._timing import timing_mistakes
+
+_CHECKS = (
+    name_mistakes,
+    reference_mistakes,
+    address_mistakes,
+    engine_mistakes,
+    key_mistakes,
+    order_mistakes,
+    repeat_mistakes,
+    timing_mistakes,
+)
 
 
 def semantic_mistakes(manifest):
@@ -29,4 +36,7 @@
     list of Mistake
         Empty when the manifest can be served.
     """
-    return _unknown_pools(manifest)
+    mistakes = []
+    for check in _CHECKS:
+        mistakes.extend(check(manifest))
+    return mistakes
--- /dev/null
+++ b/pollenstile/manifest/_fields.py
@@ -0,0 +1,41 @@
+"""What the classes' docstrings say of their fields."""
+
+import dataclasses
+import inspect
+import re
+
+_ROLE = re.compile(r':class:`(\w+)`')
+_ENTRY = re.compile(r'^(\w+) : (.+)$')
+
+
+def summary(kind):
+    """Return the first line of a class's docstring."""
+    return inspect.getdoc(kind).splitlines()[0]
+
+
+def _plain(text):
+    return _ROLE.sub(r'\1', text).replace('``', '`')
+
+
+def field_texts(kind):
+    """Return name to description, from a class's ``Parameters`` section.
+
+    Examples
+    ========
+
+    >>> from pollenstile.manifest._model import Domain
+    >>> field_texts(Domain)
+    {'region': 'The region it lies in.'}
+    """
+    texts = {}
+    name = ''
+    for line in inspect.getdoc(kind).splitlines():
+        entry = _ENTRY.match(line)
+        if entry:
+            name = entry.group(1)
+            texts[name] = ''
+            continue
+        if name and line.startswith('    '):
+            texts[name] = _plain(f'{texts[name]} {line.strip()}'.strip())
+    names = [one.name for one in dataclasses.fields(kind)]
+    return {name: texts[name] for name in names}
--- a/pollenstile/manifest/_model.py
+++ b/pollenstile/manifest/_model.py
@@ -1,22 +1,46 @@
 """The manifest's plain data classes."""
 
 from dataclasses import dataclass, field
-from typing import Literal
 
 from pydantic import ConfigDict
 
-PoolKind = Literal['engine', 'stage', 'service']
-Urgency = Literal['urgent', 'normal', 'batch']
-Fencing = Literal['checked', 'ignored']
-
-_STRICT = ConfigDict(extra='forbid', str_strip_whitespace=True)
+from pollenstile.manifest._types import (
+    Attempts,
+    Cost,
+    Count,
+    Digest,
+    Fencing,
+    Milliseconds,
+    Name,
+    PoolKind,
+    Ratio,
+    Text,
+    Urgency,
+    Weight,
+    Window,
+)
+
+# Strict, so that `slots: true` or `weight: '4'` is a mistake and not a guess.
+_STRICT = ConfigDict(
+    extra='forbid',
+    strict=True,
+    allow_inf_nan=False,
+    str_strip_whitespace=True,
+)
 
 
 @dataclass(slots=True, frozen=True)
 class Domain:
-    """A failure domain and the region it lies in."""
+    """A failure domain.
+
+    Parameters
+    ==========
 
-    region: str
+    region : str
+        The region it lies in.
+    """
+
+    region: Name
     __pydantic_config__ = _STRICT
 
 
@@ -35,9 +59,9 @@
         Adapters that may be loaded beside it.
     """
 
-    version: str
-    memory_mb: int = 1
-    adapters: list[str] = field(default_factory=list)
+    version: Text
+    memory_mb: Count = 1
+    adapters: list[Name] = field(default_factory=list)
     __pydantic_config__ = _STRICT
 
 
@@ -60,11 +84,11 @@
         Accelerator memory, in megabytes; engines only.
     """
 
-    domain: str
-    address: str
-    slots: int = 8
+    domain: Name
+    address: Text
+    slots: Count = 8
     fencing: Fencing = 'ignored'
-    memory_mb: int = 80000
+    memory_mb: Count = 80000
     __pydantic_config__ = _STRICT
 
 
@@ -86,9 +110,9 @@
     """
 
     kind: PoolKind
-    upstreams: dict[str, Upstream]
-    models: list[str] = field(default_factory=list)
-    cost: float = 1.0
+    upstreams: dict[Name, Upstream]
+    models: list[Name] = field(default_factory=list)
+    cost: Cost = 1.0
     __pydantic_config__ = _STRICT
 
 
@@ -112,25 +136,26 @@
     idempotent : bool
         Whether a call may be sent again.
     attempts : int
-        Calls at most, the first included.
+        Calls at most, the first included; 1 when not idempotent.
     hedge : bool
-        Whether a straggling call is sent to a second upstream as well.
+        Whether a straggling call is sent to a second upstream as well;
+        idempotent stages only.
     expect_ms : int
         Usual time, in milliseconds, until measured quantiles replace it.
     max_tokens : int
         Tokens at most; engine pools only.
     """
 
-    name: str
-    pool: str
+    name: Name
+    pool: Name
     model: str = ''
     adapter: str = ''
-    needs: list[str] = field(default_factory=list)
+    needs: list[Name] = field(default_factory=list)
     idempotent: bool = True
-    attempts: int = 2
+    attempts: Attempts = 2
     hedge: bool = False
-    expect_ms: int = 100
-    max_tokens: int = 64
+    expect_ms: Milliseconds = 100
+    max_tokens: Count = 64
     __pydantic_config__ = _STRICT
 
 
@@ -146,7 +171,7 @@
     teams : list of str
         Teams that may call it.
     stages : list of Stage
-        In the order in which they run.
+        In the order in which they run; a non-idempotent one is the last.
     urgency : {'urgent', 'normal', 'batch'}
         Class that admission orders by.
     idempotent : bool
@@ -157,13 +182,13 @@
         How long a key is remembered, in seconds.
     """
 
-    deadline_ms: int
-    teams: list[str]
+    deadline_ms: Milliseconds
+    teams: list[Name]
     stages: list[Stage]
     urgency: Urgency = 'normal'
     idempotent: bool = True
     upstream_dedupes: bool = False
-    claim_window_s: int = 86400
+    claim_window_s: Window = 86400
     __pydantic_config__ = _STRICT
 
 
@@ -175,13 +200,13 @@
     ==========
 
     key_digests : list of str
-        SHA-256 of each valid key, in hexadecimal.
+        SHA-256 of each valid key, 64 lowercase hexadecimal digits.
     weight : float
         Its share of capacity beside other teams.
     """
 
-    key_digests: list[str]
-    weight: float = 1.0
+    key_digests: list[Digest]
+    weight: Weight = 1.0
     __pydantic_config__ = _STRICT
 
 
@@ -204,23 +229,42 @@
         Time a leaving entry host still listens, in milliseconds.
     """
 
-    max_body_bytes: int = 262144
-    max_queue: int = 2000
-    retry_ratio: float = 0.1
-    silence_ms: int = 1000
-    lame_duck_ms: int = 2000
+    max_body_bytes: Count = 262144
+    max_queue: Count = 2000
+    retry_ratio: Ratio = 0.1
+    silence_ms: Milliseconds = 1000
+    lame_duck_ms: Milliseconds = 2000
     __pydantic_config__ = _STRICT
 
 
 @dataclass(slots=True, frozen=True)
 class Manifest:
-    """Everything that operators declare."""
-
-    name: str
-    domains: dict[str, Domain]
-    pools: dict[str, Pool]
-    pipelines: dict[str, Pipeline]
-    teams: dict[str, Team]
-    models: dict[str, Model] = field(default_factory=dict)
+    """Everything that operators declare.
+
+    Parameters
+    ==========
+
+    name : str
+        Name of the deployment.
+    domains : dict
+        Name to :class:`Domain`.
+    pools : dict
+        Name to :class:`Pool`.
+    pipelines : dict
+        Name to :class:`Pipeline`.
+    teams : dict
+        Name to :class:`Team`.
+    models : dict
+        Name to :class:`Model`.
+    policy : Policy
+        Limits of every entry host.
+    """
+
+    name: Name
+    domains: dict[Name, Domain]
+    pools: dict[Name, Pool]
+    pipelines: dict[Name, Pipeline]
+    teams: dict[Name, Team]
+    models: dict[Name, Model] = field(default_factory=dict)
     policy: Policy = field(default_factory=Policy)
     __pydantic_config__ = _STRICT
--- /dev/null
+++ b/pollenstile/manifest/_names.py
@@ -0,0 +1,52 @@
+"""Checks of names.
+
+Explanation
+===========
+
+Names stand in URLs, metric names, log lines and object names of the platform,
+so that one narrow alphabet is safe in all of them.
+"""
+
+import re
+
+from pollenstile.manifest._mistake import Mistake
+from pollenstile.manifest._types import NAME_PATTERN
+from pollenstile.manifest._walk import each_stage
+
+_NAME = re.compile(NAME_PATTERN.replace('$', r'\Z'))
+_RULE = 'is no name: 1 to 63 of a-z, 0-9 and -'
+_SECTIONS = ('domains', 'models', 'pools', 'pipelines', 'teams')
+
+
+def _keyed(manifest):
+    named = []
+    for section in _SECTIONS:
+        for name in getattr(manifest, section):
+            named.append((f'{section}.{name}', name))
+    for pool_name, pool in manifest.pools.items():
+        for name in pool.upstreams:
+            named.append((f'pools.{pool_name}.upstreams.{name}', name))
+    return named
+
+
+def _written(manifest):
+    named = [('name', manifest.name)]
+    for domain_name, domain in manifest.domains.items():
+        named.append((f'domains.{domain_name}.region', domain.region))
+    for model_name, model in manifest.models.items():
+        for place, adapter in enumerate(model.adapters):
+            named.append((f'models.{model_name}.adapters.{place}', adapter))
+    for path, stage in each_stage(manifest):
+        named.append((f'{path}.name', stage.name))
+    return named
+
+
+def name_mistakes(manifest):
+    """Return a mistake for each name that is not safe everywhere."""
+    mistakes = []
+    named = _keyed(manifest) + _written(manifest)
+    for path, name in named:
+        if _NAME.match(name):
+            continue
+        mistakes.append(Mistake(path, f'{name!r} {_RULE}'))
+    return mistakes
