--- /dev/null
+++ b/pollenstile/bench/floor.py
@@ -0,0 +1,261 @@
+"""``pollenstile bench floor``: processor time beside a bare forwarder.
+
+Explanation
+===========
+
+Callers, upstreams, the forwarder and the entry host share one process, so the
+processor time of a direct call is taken off first: what is left is the
+forwarder's or the entry host's own. Rounds of the three ways take turns, and
+the median of each is kept.
+"""
+
+import hashlib
+import random
+import statistics
+import time
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+
+from pollenstile.bench.forwarder import forwarder_site
+from pollenstile.entry import CallerFace, address_of, built_node
+from pollenstile.manifest import (
+    Domain,
+    Manifest,
+    Model,
+    Pipeline,
+    Pool,
+    Stage,
+    Team,
+    Upstream,
+    text_from_manifest,
+)
+from pollenstile.ops.body import BytesProducer
+from pollenstile.ops.exits import GOOD
+from pollenstile.ops.http import site_for
+from pollenstile.ops.logs import configure_logs, event_log
+from pollenstile.ops.running import result_of
+from pollenstile.ops.settings import ENTRY, settings_from
+from pollenstile.standin.engine import Engine, EngineResource
+from pollenstile.standin.plain import PlainResource, PlainServer
+from pollenstile.upstream import http_transport, wire
+
+_LOCAL = '127.0.0.1'
+_KEY = 'floor-key'
+_FEW_TOKENS = 16
+_MANY_TOKENS = 144
+_SLOTS = 1024
+_SEED = 1
+_MICRO = 1000000
+_WAYS = ('direct', 'forwarder', 'entry')
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """Where one way's requests go, and what they carry."""
+
+    uri: bytes
+    document: bytes
+
+
+def add_parser(benches):
+    """Add the bench."""
+    parser = benches.add_parser('floor', help='entry beside a bare forwarder')
+    parser.add_argument('--requests', type=int, default=400, help='a round')
+    parser.add_argument('--rounds', type=int, default=7, help='of each way')
+    parser.add_argument('--side-by-side', type=int, default=8, help='callers')
+    parser.add_argument(
+        '--log-level',
+        default='info',
+        choices=('info', 'error'),
+        help='level of the entry host; lines go to the null device',
+    )
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Measure and print the ratios; return the exit code."""
+    from twisted.internet import reactor  # noqa: WPS433
+
+    with open('/dev/null', 'w', encoding='utf-8') as sink:
+        configure_logs(arguments.log_level, sink)
+        lines = result_of(reactor, lambda: _measured(reactor, arguments))
+    for line in lines:
+        print(line)
+    return GOOD
+
+
+def _listening(reactor, site):
+    port = reactor.listenTCP(0, site, interface=_LOCAL)
+    return address_of(port)
+
+
+def _manifest(plain, engine):
+    stages = {
+        'call': Stage('call', 'plain', expect_ms=5),
+        'few': Stage(
+            'few',
+            'engines',
+            model='demo',
+            expect_ms=5,
+            max_tokens=_FEW_TOKENS,
+        ),
+        'many': Stage(
+            'many',
+            'engines',
+            model='demo',
+            expect_ms=5,
+            max_tokens=_MANY_TOKENS,
+        ),
+    }
+    pipelines = {}
+    for name, stage in stages.items():
+        pipelines[name] = Pipeline(30000, ['floor'], [stage])
+    digest = hashlib.sha256(_KEY.encode()).hexdigest()
+    return Manifest(
+        name='floor',
+        domains={'here': Domain('here')},
+        models={'demo': Model('1')},
+        pools={
+            'plain': Pool('stage', {'p1': Upstream('here', plain, _SLOTS)}),
+            'engines': Pool(
+                'engine',
+                {'e1': Upstream('here', engine, _SLOTS)},
+                models=['demo'],
+            ),
+        },
+        pipelines=pipelines,
+        teams={'floor': Team([digest])},
+    )
+
+
+def _entry_address(reactor, manifest):
+    environment = {'POLLENSTILE_HOST': 'floor', 'POLLENSTILE_DOMAIN': 'here'}
+    settings = settings_from(None, ENTRY, environment)
+    node = built_node(
+        reactor,
+        random.Random(_SEED),
+        settings,
+        http_transport(reactor),
+        log=event_log(host='floor'),
+    )
+    node.in_force.offer(1, text_from_manifest(manifest), 'bench')
+    return _listening(reactor, site_for(CallerFace(node), reactor))
+
+
+def _upstreams(reactor):
+    """Return addresses of a stage's server and of an engine."""
+    plain = PlainServer(reactor, 'p1', work=0, most=_SLOTS)
+    engine = Engine(reactor, 'e1', 0, 0, _SLOTS)
+    return (
+        _listening(reactor, site_for(PlainResource(plain), reactor)),
+        _listening(reactor, site_for(EngineResource(engine), reactor)),
+    )
+
+
+def _targets(reactor):
+    """Return the targets of each kind of request, by way."""
+    plain, engine = _upstreams(reactor)
+    entry = _entry_address(reactor, _manifest(plain, engine))
+    call = wire.PlainCall('r/call/1', 'call', 'a leak under the sink')
+    documents = {
+        'call': (f'{plain}/v1/call', wire.encoded(call)),
+        'few': (f'{engine}/v1/completions', _completion(_FEW_TOKENS)),
+        'many': (f'{engine}/v1/completions', _completion(_MANY_TOKENS)),
+    }
+    targets = {}
+    for kind, (direct, document) in documents.items():
+        uri = f'http://{direct}'.encode()
+        targets[kind] = {
+            'direct': Target(uri, document),
+            'forwarder': _forwarded(reactor, uri, document),
+            'entry': Target(
+                f'http://{entry}/v1/pipelines/{kind}'.encode(),
+                wire.encoded({'input': 'a leak under the sink'}),
+            ),
+        }
+    return targets
+
+
+def _forwarded(reactor, uri, document):
+    address = _listening(reactor, forwarder_site(reactor, uri, document))
+    return Target(f'http://{address}/'.encode(), document)
+
+
+def _completion(tokens):
+    return wire.encoded(wire.CompletionCall('demo', 'a leak', tokens))
+
+
+async def _measured(reactor, arguments):
+    targets = _targets(reactor)
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = arguments.side_by_side
+    agent = Agent(reactor, pool=pool)
+    own = {}
+    for kind in targets:
+        own[kind] = await _own_times(agent, targets[kind], arguments)
+    chunks = _MANY_TOKENS - _FEW_TOKENS
+    request = own['call']
+    chunk = {}
+    for way in _WAYS[1:]:
+        chunk[way] = (own['many'][way] - own['few'][way]) / chunks
+    return [
+        _told('request', request),
+        _told('streamed chunk', chunk),
+    ]
+
+
+def _told(name, own):
+    ratio = own['entry'] / own['forwarder']
+    return (
+        f'{name}: entry {own["entry"] * _MICRO:.0f} us, '
+        f'forwarder {own["forwarder"] * _MICRO:.0f} us, ratio {ratio:.2f}'
+    )
+
+
+async def _own_times(agent, targets, arguments):
+    """Return processor seconds of one request, direct calls taken off."""
+    times = {way: [] for way in _WAYS}
+    for number in range(arguments.rounds + 1):
+        for way in _WAYS:
+            took = await _round(agent, targets[way], arguments)
+            # The first round opens connections and fills caches.
+            if number:
+                times[way].append(took)
+    direct = statistics.median(times['direct'])
+    own = {}
+    for way in _WAYS[1:]:
+        own[way] = statistics.median(times[way]) - direct
+    return own
+
+
+async def _round(agent, target, arguments):
+    started = time.process_time()
+    callers = []
+    share = arguments.requests // arguments.side_by_side
+    for _ in range(arguments.side_by_side):
+        callers.append(Deferred.fromCoroutine(_caller(agent, target, share)))
+    await gatherResults(callers)
+    total = share * arguments.side_by_side
+    return (time.process_time() - started) / total
+
+
+async def _caller(agent, target, total):
+    headers = Headers(
+        {
+            'authorization': [f'Bearer {_KEY}'],
+            'accept': ['text/event-stream'],
+        }
+    )
+    for _ in range(total):
+        response = await agent.request(
+            b'POST',
+            target.uri,
+            headers,
+            BytesProducer(target.document),
+        )
+        body = await readBody(response)
+        if response.code != 200:
+            raise RuntimeError(f'{target.uri}: {response.code} {body[:200]}')
--- a/pollenstile/entry/__init__.py
+++ b/pollenstile/entry/__init__.py
@@ -2,4 +2,5 @@
 
 from pollenstile.entry._assembly import built_node
 from pollenstile.entry._daemon import Daemon, address_of
+from pollenstile.entry._face import CallerFace
 from pollenstile.entry._node import Node
--- a/pollenstile/fleet/_snapshot.py
+++ b/pollenstile/fleet/_snapshot.py
@@ -1,8 +1,6 @@
 """One version of the configuration, ready for use."""
 
-import xxhash
-
-from pollenstile.manifest import text_from_manifest
+from pollenstile.manifest import manifest_digest
 
 _BUCKET = 4
 
@@ -34,8 +32,7 @@
     def __init__(self, version, manifest):
         self.version = version
         self.manifest = manifest
-        text = text_from_manifest(manifest)
-        self.digest = xxhash.xxh3_64_hexdigest(text.encode())
+        self.digest = manifest_digest(manifest)
         self.buckets = {}
         for name, team in manifest.teams.items():
             for digest in team.key_digests:
--- a/pollenstile/ops/_applycmd.py
+++ b/pollenstile/ops/_applycmd.py
@@ -5,11 +5,12 @@
 
 from pollenstile.fleet import CONFIG_KIND, CONFIG_NAME
 from pollenstile.manifest import ManifestError, manifest_from_text
+from pollenstile.ops._stores import store_at
 from pollenstile.ops._validatecmd import text_of_file
 from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD, UNREACHED
 from pollenstile.ops.running import result_of
 from pollenstile.ops.settings import SettingsError, address
-from pollenstile.platform import Conflict, HttpStore, Written
+from pollenstile.platform import Conflict, Written
 
 _MARK_BYTES = 8
 
@@ -47,7 +48,7 @@
             sys.stderr.write(f'{mistake.text}\n')
         return BAD_INPUT
     try:
-        store = HttpStore(reactor, address(arguments.platform))
+        store = store_at(reactor, address(arguments.platform))
     except ValueError as error:
         raise SettingsError([f'--platform: {error}']) from None
     value = {'text': text, 'apply': secrets.token_hex(_MARK_BYTES)}
--- /dev/null
+++ b/pollenstile/ops/_benchcmd.py
@@ -0,0 +1,13 @@
+"""``pollenstile bench``: measurements."""
+
+from pollenstile.bench import floor
+
+_BENCHES = (floor,)
+
+
+def add_parser(commands):
+    """Add the subcommand and one for each bench."""
+    parser = commands.add_parser('bench', help='run a measurement')
+    benches = parser.add_subparsers(dest='bench', required=True)
+    for bench in _BENCHES:
+        bench.add_parser(benches)
--- a/pollenstile/ops/_democmd.py
+++ b/pollenstile/ops/_democmd.py
@@ -1,11 +1,11 @@
 """``pollenstile demo``: the whole path in one process."""
 
 import random
-from dataclasses import replace
-from importlib import resources
 
-from pollenstile.bench._load import Load, run_load
-from pollenstile.bench._summary import summary_lines
+from twisted.internet.task import deferLater
+
+from pollenstile.bench.load import Load, run_load
+from pollenstile.bench.summary import summary_lines
 from pollenstile.entry import address_of
 from pollenstile.fleet import CONFIG_KIND, CONFIG_NAME
 from pollenstile.manifest import manifest_from_text, text_from_manifest
@@ -13,12 +13,94 @@
 from pollenstile.ops._validatecmd import text_of_file
 from pollenstile.ops.client import caller_for
 from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD
-from pollenstile.ops.http import site_for
 from pollenstile.ops.logs import configure_logs
 from pollenstile.ops.running import result_of
-from pollenstile.ops.settings import ENTRY, Settings, settings_from
+from pollenstile.ops.settings import ENTRY, settings_from
 from pollenstile.standin.fleet import started_anywhere
-from pollenstile.standin.objectapi import MemoryStore, objectapi_resource
+from pollenstile.standin.objectapi import MemoryStore, platform_site
 
 _KEY_SUFFIX = '-example-key'
-_MOST_VALUE = 2097152
+_LOCAL = '127.0.0.1'
+_SEED = 20
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        'demo',
+        help='stand-ins, two entry hosts and a mixed load in one process',
+    )
+    parser.add_argument(
+        '--manifest',
+        default='examples/kowalczyk.yaml',
+        help='file whose teams have the example keys',
+    )
+    parser.add_argument('--total', type=int, default=200, help='requests')
+    parser.add_argument('--rate', type=float, default=20, help='a second')
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Run the demo and print its summary; return the exit code."""
+    from twisted.internet import reactor  # noqa: WPS433
+
+    configure_logs('error')
+    text = text_of_file(arguments.manifest)
+    if text is None:
+        return BAD_INPUT
+    manifest = manifest_from_text(text)
+    load = result_of(reactor, lambda: _demo(reactor, manifest, arguments))
+    for line in summary_lines(manifest, load.results):
+        print(line)
+    answered = [one for one in load.results if one.answer.status == 200]
+    return GOOD if answered else BAD_RESULT
+
+
+async def _demo(reactor, manifest, arguments):
+    _, placed = started_anywhere(reactor, manifest)
+    store = MemoryStore(reactor)
+    port = reactor.listenTCP(0, platform_site(store), interface=_LOCAL)
+    value = {'text': text_from_manifest(placed), 'apply': 'demo'}
+    await store.put(CONFIG_KIND, CONFIG_NAME, value, if_version=0)
+    daemons = []
+    for number, domain in enumerate(list(manifest.domains)[:2]):
+        daemons.append(_entry(reactor, number, domain, address_of(port)))
+    await _ready(reactor, daemons)
+    load = Load(
+        bases=[f'http://{address_of(one.caller_port)}' for one in daemons],
+        kinds=_kinds(manifest),
+        rate=arguments.rate,
+        total=arguments.total,
+    )
+    rng = random.Random(_SEED)
+    await run_load(reactor, rng, caller_for(reactor), load)
+    return load
+
+
+def _entry(reactor, number, domain, platform):
+    environment = {
+        'POLLENSTILE_HOST': f'{domain}-{number}',
+        'POLLENSTILE_DOMAIN': domain,
+        'POLLENSTILE_LISTEN': f'{_LOCAL}:0',
+        'POLLENSTILE_ADMIN': f'{_LOCAL}:0',
+        'POLLENSTILE_PEER_LISTEN': f'{_LOCAL}:0',
+        'POLLENSTILE_PLATFORM': platform,
+    }
+    settings = settings_from(None, ENTRY, environment)
+    daemon = built_daemon(reactor, settings)
+    daemon.start()
+    return daemon
+
+
+async def _ready(reactor, daemons):
+    for daemon in daemons:
+        while daemon.node.refusal() is not None:
+            await deferLater(reactor, 0.02)
+
+
+def _kinds(manifest):
+    kinds = []
+    for name, pipeline in manifest.pipelines.items():
+        for team in pipeline.teams:
+            kinds.append((team, team + _KEY_SUFFIX, name))
+    return kinds
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -8,7 +8,7 @@
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.logs import configure_logs, event_log
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
-from pollenstile.platform import HttpStore
+from pollenstile.ops._stores import store_at
 from pollenstile.upstream import http_transport
 
 _PREFIX = 'pollenstile'
@@ -48,7 +48,7 @@
     )
     store = None
     if settings.platform is not None:
-        store = HttpStore(reactor, settings.platform)
+        store = store_at(reactor, settings.platform)
     return Daemon(reactor, node, settings, store, _statsd(settings))
 
 
--- a/pollenstile/ops/_standincmd.py
+++ b/pollenstile/ops/_standincmd.py
@@ -6,11 +6,11 @@
 from pollenstile.ops.settings import SettingsError, address
 from pollenstile.standin.engine import Engine, EngineResource
 from pollenstile.standin.fleet import started_upstreams
-from pollenstile.standin.objectapi import MemoryStore, objectapi_resource
+from pollenstile.standin.objectapi import MemoryStore, platform_site
 from pollenstile.standin.plain import PlainResource, PlainServer
 
 _MS = 1000
-_VALUE_LIMIT = 2097152
+_MOST_BODY = 2097152
 
 
 def add_parser(commands):
@@ -61,15 +61,21 @@
         host, number = address(arguments.listen)
     except ValueError as error:
         raise SettingsError([f'--listen: {error}']) from None
-    resource = _resource(reactor, arguments)
-    site = site_for(resource, reactor, most_body=_VALUE_LIMIT)
-    return reactor.listenTCP(number, site, interface=host)
+    return reactor.listenTCP(
+        number,
+        _site(reactor, arguments),
+        interface=host,
+    )
+
+
+def _site(reactor, arguments):
+    if arguments.kind == 'objectapi':
+        return platform_site(MemoryStore(reactor))
+    return site_for(_resource(reactor, arguments), reactor, _MOST_BODY)
 
 
 def _resource(reactor, arguments):
     work = arguments.work_ms / _MS
-    if arguments.kind == 'objectapi':
-        return objectapi_resource(MemoryStore(reactor), reactor)
     if arguments.kind == 'engine':
         engine = Engine(
             reactor,
--- a/pollenstile/ops/_validatecmd.py
+++ b/pollenstile/ops/_validatecmd.py
@@ -2,11 +2,7 @@
 
 import sys
 
-from pollenstile.manifest import (
-    ManifestError,
-    manifest_from_text,
-    manifest_schema,
-)
+from pollenstile.manifest import manifest_schema, report_lines
 from pollenstile.ops.exits import BAD_INPUT, GOOD
 
 
@@ -38,14 +34,11 @@
     text = text_of_file(path)
     if text is None:
         return BAD_INPUT
-    try:
-        manifest_from_text(text)
-    except ManifestError as error:
-        for mistake in error.mistakes:
-            sys.stderr.write(f'{path}: {mistake.path}: {mistake.text}\n')
-        return BAD_INPUT
-    print(f'{path}: ok')
-    return GOOD
+    lines, code = report_lines(path, text)
+    stream = sys.stderr if code else sys.stdout
+    for line in lines:
+        stream.write(f'{line}\n')
+    return code
 
 
 def text_of_file(path):
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -90,10 +90,12 @@
         deadline_ms=0,
         on_bytes=_ignore_bytes,
     ):
-        headers = Headers({
-            'authorization': [f'Bearer {key}'],
-            'content-type': ['application/json'],
-        })
+        headers = Headers(
+            {
+                'authorization': [f'Bearer {key}'],
+                'content-type': ['application/json'],
+            }
+        )
         if stream:
             headers.addRawHeader('accept', 'text/event-stream')
         if idempotency_key:
--- a/pollenstile/standin/fleet.py
+++ b/pollenstile/standin/fleet.py
@@ -1,6 +1,6 @@
 """Stand-ins of every upstream that a manifest names."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pollenstile.manifest import manifest_from_text
 from pollenstile.ops.http import site_for
@@ -11,6 +11,7 @@
 _FIRST_TOKEN = 0.05
 _TOKEN_GAP = 0.005
 _MOST_BODY = 1048576
+_LOCAL = '127.0.0.1'
 
 
 @dataclass(slots=True)
@@ -26,11 +27,16 @@
     """Return stand-ins that listen at the addresses of a manifest's file."""
     with open(path, encoding='utf-8') as source:
         manifest = manifest_from_text(source.read())
-    return started_pools(reactor, manifest, scale)
+    started = []
+    for pool in manifest.pools.values():
+        for name, upstream in pool.upstreams.items():
+            port = int(upstream.address.rpartition(':')[-1])
+            started.append(_started(reactor, name, pool, scale, port))
+    return started
 
 
-def started_pools(reactor, manifest, scale=1.0):
-    """Return stand-ins of every upstream of a manifest, listening.
+def started_anywhere(reactor, manifest, scale=1.0):
+    """Start stand-ins on free ports.
 
     Parameters
     ==========
@@ -38,32 +44,44 @@
     reactor : IReactorTCP and IReactorTime
         Listens, and times the work.
     manifest : Manifest
-        Names pools and addresses.
+        Names pools and upstreams.
     scale : float
         Factor on all times.
+
+    Returns
+    =======
+
+    tuple
+        The stand-ins by name, and the manifest with their real addresses.
     """
-    started = []
-    for pool in manifest.pools.values():
+    started = {}
+    pools = {}
+    for pool_name, pool in manifest.pools.items():
+        upstreams = {}
         for name, upstream in pool.upstreams.items():
-            started.append(_started(reactor, name, upstream, pool, scale))
-    return started
+            standin = _started(reactor, name, pool, scale, 0)
+            started[name] = standin
+            number = standin.port.getHost().port
+            upstreams[name] = replace(upstream, address=f'{_LOCAL}:{number}')
+        pools[pool_name] = replace(pool, upstreams=upstreams)
+    return started, replace(manifest, pools=pools)
 
 
-def _started(reactor, name, upstream, pool, scale):
+def _started(reactor, name, pool, scale, number):
+    slots = pool.upstreams[name].slots
     if pool.kind == 'engine':
         server = Engine(
             reactor,
             name,
             _FIRST_TOKEN * scale,
             _TOKEN_GAP * scale,
-            upstream.slots,
+            slots,
         )
         resource = EngineResource(server)
     else:
         work = _WORK[pool.kind] * scale
-        server = PlainServer(reactor, name, work, upstream.slots)
+        server = PlainServer(reactor, name, work, slots)
         resource = PlainResource(server)
-    host, _, number = upstream.address.rpartition(':')
     site = site_for(resource, reactor, most_body=_MOST_BODY)
-    port = reactor.listenTCP(int(number), site, interface=host)
+    port = reactor.listenTCP(number, site, interface=_LOCAL)
     return Standin(name, server, port)
