platform: scenarios of lost answers, brown-outs, watches and real HTTP

Cause: the client's guards had not been shown to hold under their failures. The small buckets of the lower classes now count within the burst; before, three calls more than the burst could go at once.

--- /dev/null
+++ b/features/platform_http.feature
@@ -0,0 +1,45 @@
+Feature: platform client and stand-ins over real HTTP
+
+  Scenario: The platform's object API over loopback keeps its promises
+    Given a platform server on the loopback
+    Then over HTTP the platform store creates, conflicts, reads and deletes
+    And over HTTP the platform store lists pages and names with slashes
+    And over HTTP a platform watch sees a change while it waits
+    And over HTTP a compacted platform watch is told so
+    And over HTTP a platform value above the limit is refused
+
+  Scenario: A platform write over HTTP whose answer is lost is settled
+    The server applies the write and its connection breaks before the answer.
+    The client sees a broken connection and has to read back.
+    Given a platform server on the loopback
+    And the platform store loses the next answer
+    Then a bare platform put over HTTP is "InDoubt" and a settled one "Written"
+
+  Scenario: A refused platform connection is not in doubt
+    Nobody listens: no byte was sent, and the caller may be told so.
+    Given a platform server on the loopback that has ended
+    Then a bare platform put over HTTP is "NotApplied"
+    And a platform read over HTTP is "Unavailable"
+
+  Scenario: A platform server that takes calls and never answers
+    The connection opens and goes silent. A write may have arrived; a read
+    just failed. Both come back when the client's own clock says so, and the
+    silent connections are aborted.
+    Given a silent platform server on the loopback
+    Then platform calls over HTTP time out as "InDoubt" and "Unavailable"
+    And the silent platform server has lost its connections
+
+  Scenario: A balancer's own page is no platform answer
+    A balancer without a route answers 404 with a page of its own. Taken for
+    the object's absence, it would make a host drop its configuration.
+    Given a platform server that answers 404 with a page of its own
+    Then a platform read over HTTP is "Unavailable"
+
+  Scenario: A platform answer without end is cut off
+    Given a platform server that answers 200 with 5 million bytes
+    Then a platform read over HTTP is "Unavailable"
+
+  Scenario: Host list and weight store over loopback
+    Given a platform server on the loopback
+    Then over HTTP the platform's host list shows a change after its lag
+    And over HTTP the platform's weight store throttles by its rate
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,232 @@
+"""Steps of writes, budget and brown-outs of the platform client."""
+
+from behave import given, then, when
+
+from features.builders.loop import advanced, kept_result
+from features.builders.platform import World
+
+_KINDS = ('claims', 'leases', 'config', 'status')
+
+
+def _name(kept):
+    assert kept, 'no outcome yet'
+    return type(kept[0]).__name__
+
+
+@given('a platform store with the manifest of "{writer}"')
+def step_store(context, writer):
+    context.world = World()
+    kept_result(context.world.settled(writer, 0))
+
+
+@given('the platform store loses the next answer')
+def step_lose_answer(context):
+    context.world.store.lose_answers = 1
+
+
+@given('the platform store loses the next {count:d} answers')
+def step_lose_answers(context, count):
+    context.world.store.lose_answers = count
+
+
+@given('the platform store loses the next request')
+def step_lose_request(context):
+    context.world.store.lose_requests = 1
+
+
+@given('the platform store takes {seconds:g} seconds for each call')
+def step_latency(context, seconds):
+    context.world.store.latency = seconds
+
+
+@when('writer "{writer}" puts the manifest over its version')
+@when('writer "{writer}" starts to put the manifest over its version')
+def step_put(context, writer):
+    context.results = kept_result(context.world.settled(writer, 1))
+
+
+@when('the platform store answers at once again after {seconds:g} seconds')
+def step_fast_again(context, seconds):
+    advanced(context.world.clock, seconds)
+    assert not context.results
+    context.world.store.latency = 0
+
+
+@when('{seconds:g} platform seconds pass')
+def step_pass(context, seconds):
+    advanced(context.world.clock, seconds)
+
+
+@when('writer "{one}" and writer "{other}" put the manifest over its version')
+def step_race(context, one, other):
+    world = context.world
+    world.store.latency = 0.01
+    context.racing = [
+        kept_result(world.settled(one, 1)),
+        kept_result(world.settled(other, 1)),
+    ]
+    advanced(world.clock, 10)
+
+
+@when('writer "{one}" puts the manifest and "{other}" follows before it reads')
+def step_follow(context, one, other):
+    world = context.world
+    world.store.latency = 0.1
+    context.results = kept_result(world.settled(one, 1))
+    world.clock.advance(0.06)
+    kept_result(world.settled(other, world.store.objects.revision))
+    advanced(world.clock, 10)
+
+
+@when('writer "{writer}" puts the manifest and the store goes down')
+def step_put_down(context, writer):
+    world = context.world
+    world.store.latency = 0.1
+    context.results = kept_result(world.settled(writer, 1))
+    world.clock.advance(0.06)
+    world.store.down = True
+    advanced(world.clock, 30)
+
+
+@then('the platform write ends as "{name}"')
+def step_ends(context, name):
+    assert _name(context.results) == name, context.results
+
+
+@then('the racing platform writes end as "{one}" and "{other}"')
+def step_racing_end(context, one, other):
+    ends = [_name(kept) for kept in context.racing]
+    assert ends == [one, other], context.racing
+
+
+@then(
+    'the platform store has the manifest of "{writer}", written {count:d} times'
+)
+def step_stands(context, writer, count):
+    objects = context.world.store.objects
+    assert objects.found('config', 'manifest').value['writer'] == writer
+    assert objects.revision == count, objects.revision
+
+
+@given('a paced platform client')
+def step_paced(context):
+    context.world = World()
+    context.clients = [context.world.paced()]
+
+
+@given('{count:d} paced platform clients')
+def step_paced_many(context, count):
+    context.world = World()
+    context.clients = [context.world.paced(seed=seed) for seed in range(count)]
+
+
+@given(
+    'a paced platform client of {rate:d} calls a second and a burst of {burst:d}'
+)
+def step_paced_budget(context, rate, burst):
+    context.world = World()
+    context.clients = [context.world.paced(rate, burst)]
+
+
+def _demand(context, seconds, rate):
+    world = context.world
+    context.calls = []
+    context.ticks = []
+    context.pending = []
+    for tick in range(round(seconds * rate)):
+        before = world.store.calls.total()
+        for number, client in enumerate(context.clients):
+            kind = _KINDS[(tick + number) % len(_KINDS)]
+            put = client.put(kind, 'one', tick)
+            context.calls.append((kind, kept_result(put)))
+        world.clock.advance(1 / rate)
+        context.ticks.append(world.store.calls.total() - before)
+        context.pending.append(
+            sum(not kept for _, kept in context.calls[-500:])
+        )
+
+
+def _served(calls):
+    return {kind for kind, kept in calls if kept and _name(kept) == 'Written'}
+
+
+@when(
+    'the platform store is down for {seconds:d} seconds of {rate:d} calls a second'
+)
+def step_down(context, seconds, rate):
+    context.world.store.down = True
+    _demand(context, seconds, rate)
+
+
+@when(
+    'the platform store is slow for {seconds:d} seconds of {rate:d} calls a second'
+)
+def step_slow(context, seconds, rate):
+    _demand(context, seconds, rate)
+
+
+@when(
+    '"{one}" asks {often:d} and "{other}" {less:d} times a second for {seconds:d} seconds'
+)
+def step_two_kinds(context, one, often, other, less, seconds):
+    world = context.world
+    client = context.clients[0]
+    context.calls = []
+    for tick in range(seconds * often):
+        kinds = [one]
+        if tick % (often // less) == 0:
+            kinds.append(other)
+        for kind in kinds:
+            put = client.put(kind, 'one', tick)
+            context.calls.append((kind, kept_result(put)))
+        world.clock.advance(1 / often)
+
+
+@then('the platform store saw at most {count:d} calls meanwhile')
+def step_saw(context, count):
+    seen = context.world.store.calls.total()
+    assert 0 < seen <= count, seen
+
+
+@then('each platform call got its answer at once or within its timeout')
+def step_all_answered(context):
+    assert all(kept for _, kept in context.calls)
+    assert not _served(context.calls)
+
+
+@then('the platform client logged "{name}" once')
+def step_logged(context, name):
+    events = context.world.recorder.events
+    assert events.count(name) == 1, events
+
+
+@then(
+    '{seconds:d} seconds after the platform store is back each kind is served'
+)
+def step_back(context, seconds):
+    context.world.store.down = False
+    context.world.store.latency = 0
+    _demand(context, seconds, 50)
+    assert _served(context.calls) == set(_KINDS), _served(context.calls)
+
+
+@then(
+    'the platform store had at most {count:d} calls in flight after 20 seconds'
+)
+def step_in_flight(context, count):
+    settled = context.pending[20 * 50 :]
+    assert 0 < max(settled) <= count, max(settled)
+
+
+@then(
+    'no platform tick of a quarter second after 20 seconds saw {count:d} calls'
+)
+def step_no_burst(context, count):
+    settled = context.ticks[20 * 4 :]
+    assert 0 < max(settled) < count, max(settled)
+
+
+@then('platform calls of "{kind}" were all sent')
+def step_all_sent(context, kind):
+    names = [_name(kept) for one, kept in context.calls if one == kind]
+    assert names and set(names) == {'Written'}, names
--- /dev/null
+++ b/features/steps/platform_watch_steps.py
@@ -0,0 +1,139 @@
+"""Steps of the platform client's watch loop."""
+
+from behave import given, then, when
+
+from features.builders.loop import advanced, kept_result
+from features.builders.platform import SplitStore, World
+from pollenstile.standin.objectapi import MemoryStore
+
+
+def _put(store, name, writer):
+    kept_result(store.put('config', name, {'writer': writer}))
+
+
+@given('a platform watch on a store with the manifest of "{writer}"')
+def step_watch(context, writer):
+    context.world = World()
+    _put(context.world.store, 'manifest', writer)
+    context.watch = context.world.watching()
+
+
+@given('watches of the platform store fall silent')
+def step_silent(context):
+    context.world.store.silent_watches = True
+
+
+@given('watches of the platform store go deaf')
+def step_deaf(context):
+    context.world.store.deaf_watches = True
+
+
+@given('the watched platform store has an extra object')
+def step_extra(context):
+    _put(context.world.store, 'extra', 'extra')
+    advanced(context.world.clock, 1)
+
+
+@given('a replica of the watched platform store that stands still')
+def step_replica(context):
+    context.replica = MemoryStore(context.world.clock)
+    _put(context.replica, 'manifest', 'first')
+
+
+@given('the taker of the platform watch fails on "{writer}"')
+def step_failing_taker(context, writer):
+    take = context.watch.callback
+
+    def failing(change):
+        if change.value['writer'] == writer:
+            raise ValueError(writer)
+        take(change)
+
+    context.watch.callback = failing
+
+
+@given('{count:d} further platform watches')
+def step_more_watches(context, count):
+    for _ in range(count):
+        context.world.watching()
+
+
+@when('the manifest of "{writer}" is put on the watched platform store')
+def step_change(context, writer):
+    _put(context.world.store, 'manifest', writer)
+
+
+@when('watches of the platform store work again')
+def step_work_again(context):
+    assert len(context.world.recorder.changes) == 1
+    context.world.store.silent_watches = False
+
+
+@when('the platform store is down for {seconds:d} seconds')
+def step_outage(context, seconds):
+    context.world.store.down = True
+    advanced(context.world.clock, seconds)
+    context.world.store.down = False
+
+
+@when('the platform store is down for {seconds:d} seconds and compacts changes')
+def step_outage_compacts(context, seconds):
+    store = context.world.store
+    store.down = True
+    advanced(context.world.clock, seconds)
+    store.objects.delete('config', 'extra', None)
+    store.objects.put('config', 'manifest', b'{"writer":"second"}', None)
+    store.objects.compact()
+    store.down = False
+
+
+@when('the next {count:d} platform watches are answered with old events')
+def step_stale(context, count):
+    context.world.store.stale_watches = count
+
+
+@when('the platform lists come from the replica for {seconds:d} seconds')
+def step_old_lists(context, seconds):
+    context.watch.store = SplitStore(context.replica, context.world.store)
+    advanced(context.world.clock, seconds)
+    assert context.replica.calls['list']
+
+
+@when('the platform watch is stopped')
+def step_stop(context):
+    context.watch.stop()
+
+
+@then('the platform watch showed the writers "{writers}"')
+def step_showed(context, writers):
+    shown = [
+        change.value['writer'] if change.value else 'gone'
+        for change in context.world.recorder.changes
+    ]
+    assert shown == writers.split(', '), shown
+    assert not context.world.store.stale_watches
+
+
+@then('the watched platform store saw at most {count:d} calls')
+def step_few_calls(context, count):
+    seen = context.world.store.calls.total()
+    assert seen <= count, seen
+
+
+@then('no platform tick of 10 milliseconds sees more than {count:d} watches')
+def step_spread(context, count):
+    world = context.world
+    world.clock.advance(0)
+    ticks = []
+    for _ in range(50):
+        before = world.store.calls['watch']
+        world.clock.advance(0.01)
+        ticks.append(world.store.calls['watch'] - before)
+    assert sum(ticks) >= 200, ticks
+    assert max(ticks) <= count, ticks
+
+
+@then('no platform call is waiting on the clock')
+def step_nothing_waits(context):
+    assert not context.world.clock.getDelayedCalls()
+    assert not context.world.store.waiting
--- a/pollenstile/platform/_budget.py
+++ b/pollenstile/platform/_budget.py
@@ -71,38 +71,42 @@
     rate : float
         Calls a second of this host, all classes together.
     burst : float
-        Calls that may go at once after a quiet time; at least 2.
+        Calls that may go at once after a quiet time; at least 5.
     now : float
         Seconds on the clock of all later calls.
 
     Examples
     ========
 
-    >>> budget = Budget(rate=10, burst=4, now=0.0)
+    >>> budget = Budget(rate=10, burst=7, now=0.0)
     >>> [taken(budget, CallClass.REST, 0.0) for _ in range(4)]
     [True, True, True, False]
     >>> [taken(budget, CallClass.CLAIMS, 0.0) for _ in range(3)]
     [True, True, False]
     """
 
-    __slots__ = ('burst', 'filled', 'floors', 'rate', 'tokens')
+    __slots__ = ('common', 'filled', 'floors', 'rate', 'tokens')
 
     def __init__(self, rate, burst, now):
         self.rate = rate
-        self.burst = burst
         self.filled = now
-        self.tokens = burst
-        self.floors = dict.fromkeys(SHARES, 1.0)
+        self.floors = {
+            call_class: 1.0
+            for call_class, share in SHARES.items()
+            if share.floor
+        }
+        self.common = burst - len(self.floors)
+        self.tokens = self.common
 
 
 def taken(budget, call_class, now):
     """Take one call from the budget; return whether there was one."""
     _refill(budget, now)
     share = SHARES[call_class]
-    if budget.tokens - 1 >= share.reserve * budget.burst:
+    if budget.tokens - 1 >= share.reserve * budget.common:
         budget.tokens -= 1
         return True
-    if share.floor and budget.floors[call_class] >= 1:
+    if budget.floors.get(call_class, 0) >= 1:
         budget.floors[call_class] -= 1
         return True
     return False
@@ -111,7 +115,7 @@
 def seconds_to_next(budget, call_class):
     """Return after how many seconds the class can draw, if none else does."""
     share = SHARES[call_class]
-    missing = share.reserve * budget.burst + 1 - budget.tokens
+    missing = share.reserve * budget.common + 1 - budget.tokens
     wait = missing / (budget.rate * _COMMON)
     if share.floor:
         own = 1 - budget.floors[call_class]
@@ -122,7 +126,7 @@
 def _refill(budget, now):
     gained = max(now - budget.filled, 0.0) * budget.rate
     budget.filled = max(now, budget.filled)
-    budget.tokens = min(budget.tokens + gained * _COMMON, budget.burst)
-    for call_class, share in SHARES.items():
-        own = budget.floors[call_class] + gained * share.floor
+    budget.tokens = min(budget.tokens + gained * _COMMON, budget.common)
+    for call_class, own in budget.floors.items():
+        own += gained * SHARES[call_class].floor
         budget.floors[call_class] = min(own, 1.0)
