--- a/features/platform.feature
+++ b/features/platform.feature
@@ -57,6 +57,16 @@
     When writer "second" puts the manifest and the store goes down
     Then the platform write ends as "InDoubt"
 
+  Scenario: A platform write in doubt stays so when the budget is spent
+    The request is lost. The read shows that nothing was applied yet, but the
+    host's budget has no call left for the second put. The first may still be
+    on its way: to say not applied would be a guess.
+    Given a platform store with the manifest of "first"
+    And the platform store loses the next request
+    When writer "second" puts the manifest with a budget of 2 calls
+    Then the platform write ends as "InDoubt"
+    And the platform client logged "store-budget-refused" at least once
+
   Scenario: A platform store that is down sees few calls and is found again
     The store is down for ten minutes while a host goes on asking for all its
     kinds fifty times a second. All hosts that hammer it would keep it down.
@@ -80,7 +90,7 @@
     Fifty hosts have lost the store at one instant. With equal pauses all
     would come back in the same moments and push it down again.
     Given 50 paced platform clients
-    When the platform store is down for 60 seconds of 4 calls a second
+    When the platform store is down for 60 seconds of 4 claims a second
     Then no platform tick of a quarter second after 20 seconds saw 25 calls
 
   Scenario: Platform claims pass while the budget of the rest is spent
--- a/features/platform_http.feature
+++ b/features/platform_http.feature
@@ -36,8 +36,11 @@
     Then a platform read over HTTP is "Unavailable"
 
   Scenario: A platform answer without end is cut off
+    Something on the way answers with bytes that never end. Kept until the
+    end, they would fill the host's memory.
     Given a platform server that answers 200 with 5 million bytes
-    Then a platform read over HTTP is "Unavailable"
+    Then a raw platform call over HTTP is broken off
+    And a platform read over HTTP is "Unavailable"
 
   Scenario: Host list and weight store over loopback
     Given a platform server on the loopback
--- a/features/platform_watch.feature
+++ b/features/platform_watch.feature
@@ -54,6 +54,16 @@
     When the platform lists come from the replica for 100 seconds
     Then the platform watch showed the writers "first, extra"
 
+  Scenario: An old list of a platform watch brings nothing back
+    An object is deleted, and a whole list has confirmed it. Then a replica
+    that lags by minutes answers the next list and still shows the object.
+    Given a replica of the watched platform store that stands still
+    And the platform replica and the watched store have an extra object
+    When the extra object is deleted from the watched platform store
+    And 100 platform seconds pass
+    And the platform lists come from the replica for 100 seconds
+    Then the platform watch showed the writers "first, extra, gone"
+
   Scenario: A platform watch survives an outage of minutes
     When the platform store is down for 300 seconds
     And the manifest of "second" is put on the watched platform store
--- a/features/steps/platform_http_steps.py
+++ b/features/steps/platform_http_steps.py
@@ -16,6 +16,7 @@
 from pollenstile.platform import (
     VALUE_LIMIT,
     Absent,
+    Broken,
     Changes,
     Compacted,
     Conflict,
@@ -168,6 +169,12 @@
     assert type(outcome).__name__ == name, outcome
 
 
+@then('a raw platform call over HTTP is broken off')
+def step_broken(context):
+    outcome = result_of(context.http.caller.call('GET', '/v1/any'))
+    assert isinstance(outcome, Broken) and outcome.connected, type(outcome)
+
+
 @then('platform calls over HTTP time out as "{write}" and "{read}"')
 def step_time_out(context, write, read):
     kept = [
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -88,6 +88,21 @@
     advanced(world.clock, 30)
 
 
+@when('writer "{writer}" puts the manifest with a budget of 2 calls')
+def step_put_budget(context, writer):
+    world = context.world
+    before = world.store.calls.total()
+    paced = world.paced(rate=0.001, burst=5)
+    context.results = kept_result(world.settled(writer, 1, paced))
+    advanced(world.clock, 30)
+    assert world.store.calls.total() - before == 2, world.store.calls
+
+
+@then('the platform client logged "{name}" at least once')
+def step_logged_some(context, name):
+    assert name in context.world.recorder.events
+
+
 @then('the platform write ends as "{name}"')
 def step_ends(context, name):
     assert _name(context.results) == name, context.results
@@ -128,7 +143,7 @@
     context.clients = [context.world.paced(rate, burst)]
 
 
-def _demand(context, seconds, rate):
+def _demand(context, seconds, rate, kinds=_KINDS):
     world = context.world
     context.calls = []
     context.ticks = []
@@ -136,7 +151,7 @@
     for tick in range(round(seconds * rate)):
         before = world.store.calls.total()
         for number, client in enumerate(context.clients):
-            kind = _KINDS[(tick + number) % len(_KINDS)]
+            kind = kinds[(tick + number) % len(kinds)]
             put = client.put(kind, 'one', tick)
             context.calls.append((kind, kept_result(put)))
         world.clock.advance(1 / rate)
@@ -158,6 +173,15 @@
     _demand(context, seconds, rate)
 
 
+@when(
+    'the platform store is down for {seconds:d} seconds of {rate:d} claims'
+    ' a second',
+)
+def step_down_claims(context, seconds, rate):
+    context.world.store.down = True
+    _demand(context, seconds, rate, ('claims',))
+
+
 @when(
     'the platform store is slow for {seconds:d} seconds of {rate:d} calls a second'
 )
--- a/features/steps/platform_watch_steps.py
+++ b/features/steps/platform_watch_steps.py
@@ -40,6 +40,17 @@
     _put(context.replica, 'manifest', 'first')
 
 
+@given('the platform replica and the watched store have an extra object')
+def step_extra_in_both(context):
+    _put(context.replica, 'extra', 'extra')
+    step_extra(context)
+
+
+@when('the extra object is deleted from the watched platform store')
+def step_delete_extra(context):
+    kept_result(context.world.store.delete('config', 'extra'))
+
+
 @given('the taker of the platform watch fails on "{writer}"')
 def step_failing_taker(context, writer):
     take = context.watch.callback
--- a/pollenstile/platform/_brownout.py
+++ b/pollenstile/platform/_brownout.py
@@ -102,6 +102,16 @@
         When the failed call was sent.
     random : random.Random
         Source of the jitter.
+
+    Examples
+    ========
+
+    >>> import random
+    >>> state = Brownout()
+    >>> for _ in range(20):
+    ...     call_failed(state, started=0.0, now=2.0, random=random.Random(1))
+    >>> state.failures == PATIENCE
+    True
     """
     if state.failures >= PATIENCE and started < state.stepped:
         return
--- a/pollenstile/platform/_known.py
+++ b/pollenstile/platform/_known.py
@@ -51,17 +51,23 @@
     ===========
 
     A list that is older than one before, as a lagging replica gives it, has
-    nothing to say. A name that is known but not listed was deleted, unless
-    it was written after the list.
+    nothing to say: it would bring deleted objects back. A name that is known but not listed was deleted, unless
+    it was written after the list: then the deletion counts as old.
+
+    Returns
+    =======
+
+    list of Change or None
+        ``None`` for such an older list.
     """
     if listing.revision < known.floor:
-        return []
+        return None
+    revision = listing.revision
     names = {found.name for found in listing.objects}
     events = [_change_of(found) for found in listing.objects]
-    for name, (kind, version) in known.live.items():
-        if name in names or version > listing.revision:
+    for name, (kind, _) in known.live.items():
+        if name in names:
             continue
-        revision = listing.revision
         events.append(Change(kind, name, revision, None, revision))
     known.floor = 0
     news = news_of_events(known, events)
--- a/pollenstile/platform/_watch.py
+++ b/pollenstile/platform/_watch.py
@@ -187,10 +187,10 @@
         return False
     now = state.clock.seconds()
     state.list_at = now + timing.list_every * state.random.uniform(0.5, 1.5)
-    if listing.revision < state.known.floor:
+    news = news_of_listing(state.known, listing)
+    if news is None:
         _log(state, WATCH_STALE, revision=listing.revision)
         return False
-    news = news_of_listing(state.known, listing)
     answered = state.revision or 0
     missed = [change for change in news if change.version <= answered]
     if missed:
