--- a/features/platform.feature
+++ b/features/platform.feature
@@ -101,6 +101,14 @@
     Then platform calls of "claims" were all sent
     And the platform store saw at most 610 calls meanwhile
 
+  Scenario: Platform writes keep a budget of their own
+    The object API takes several times as many reads as writes. A host that
+    writes as often as it may read would crowd out the writes of the others.
+    Given a paced platform client of 100 calls and 5 writes a second
+    When "claims" asks 50 and "leases" 1 times a second for 30 seconds
+    Then the platform store saw at most 158 calls meanwhile
+    And a platform read is served at once
+
   Scenario: A flood of platform claims can't stop leases for good
     Claims alone want more than the whole budget for a long time. A lease
     whose renewals never pass would be lost.
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,6 +4,7 @@
 
 from features.builders.loop import advanced, kept_result
 from features.builders.platform import World
+from pollenstile.platform import Budget
 
 _KINDS = ('claims', 'leases', 'config', 'status')
 
@@ -143,6 +144,21 @@
     context.clients = [context.world.paced(rate, burst)]
 
 
+@given(
+    'a paced platform client of {rate:d} calls and {writes:d} writes a second'
+)
+def step_paced_writes(context, rate, writes):
+    context.world = World()
+    context.clients = [context.world.paced(rate, rate)]
+    context.clients[0].write_budget = Budget(writes, 8, 0.0)
+
+
+@then('a platform read is served at once')
+def step_read_served(context):
+    kept = kept_result(context.clients[0].get('claims', 'one'))
+    assert _name(kept) == 'Found', kept
+
+
 def _demand(context, seconds, rate, kinds=_KINDS):
     world = context.world
     context.calls = []
--- a/pollenstile/platform/_known.py
+++ b/pollenstile/platform/_known.py
@@ -51,8 +51,9 @@
     ===========
 
     A list that is older than one before, as a lagging replica gives it, has
-    nothing to say: it would bring deleted objects back. A name that is known but not listed was deleted, unless
-    it was written after the list: then the deletion counts as old.
+    nothing to say: it would bring deleted objects back. A name that is known
+    but not listed was deleted, unless it was written after the list: then
+    the deletion counts as old.
 
     Returns
     =======
--- a/pollenstile/platform/_paced.py
+++ b/pollenstile/platform/_paced.py
@@ -48,9 +48,12 @@
     random : random.Random
         Source of the jitter.
     budget : Budget
-        Calls of this host.
+        Calls of this host, writes included.
     log : function
         Takes an event and its fields.
+    write_budget : Budget or None
+        Writes of this host, of which the platform takes fewer than reads; no
+        limit of their own when ``None``.
     """
 
     __slots__ = (
@@ -62,13 +65,15 @@
         'random',
         'refused',
         'store',
+        'write_budget',
     )
 
-    def __init__(self, store, clock, random, budget, log):
+    def __init__(self, store, clock, random, budget, log, write_budget=None):
         self.store = store
         self.clock = clock
         self.random = random
         self.budget = budget
+        self.write_budget = write_budget
         self.log = log
         self.brownout = Brownout()
         self.outcomes = Counter()
@@ -118,9 +123,19 @@
         blocked = seconds_blocked(self.brownout, call_class, now)
         if blocked > 0:
             return self._refused(step, call_class, 'backing-off', blocked)
-        if taken(self.budget, call_class, now):
-            return None
-        wait = seconds_to_next(self.budget, call_class)
+        for budget in self._budgets(step):
+            if taken(budget, call_class, now):
+                continue
+            wait = seconds_to_next(budget, call_class)
+            return self._over_budget(step, kind, wait)
+        return None
+
+    def _budgets(self, step):
+        if step in _WRITES and self.write_budget is not None:
+            return (self.write_budget, self.budget)
+        return (self.budget,)
+
+    def _over_budget(self, step, kind, wait):
         self.log(
             BUDGET_REFUSED,
             level='warning',
@@ -128,7 +143,7 @@
             kind=kind,
             retry_after=round(wait, 3),
         )
-        return self._refused(step, call_class, 'budget', wait)
+        return self._refused(step, class_of_kind(kind), 'budget', wait)
 
     def _refused(self, step, call_class, reason, wait):
         self.refused[call_class, reason] += 1
