spec: claims as requests with releases and forwarding; quicker questions

Cause: the claims' first model knew neither releases nor claims that another host appends, which pollenstile.claims has; building each step anew in Python took most of the time. Change: requests with owners, releases and forwarded claims; the step's relation is built once and renamed by z3. Conclusion: the marks of batches are not needed for at-most-once, since who holds a key is read from the log's order; they serve to tell won from lost.

--- a/spec/claims.py
+++ b/spec/claims.py
@@ -3,70 +3,89 @@
 Explanation
 ===========
 
-Callers hand a key to any host at any time, again and again. Hosts put keys
-into batches and append each batch by creating the object at the first position
-they have not read. The answer may be lost, the write may be applied late or
-never, hosts may crash at any moment and remember nothing. Variables:
+Callers hand a key to any host at any time, again and again; each time is a
+request of its own, with an owner: the host that would run it. Claims wait in
+the queue of their owner or of a host that they were forwarded to, go into a
+batch, and the batch is appended by creating the object at the first position
+that its writer has not read. The answer may be lost, the write may be applied
+late or never, hosts may crash at any moment and remember nothing. The first
+claim of a key in the log holds it, until its owner's release. Variables:
 
 - ``at p a``: the object at position p is append a's;
-- ``used a``, ``place a p``, ``owner a h``, ``batch a k``: what append a is;
+- ``used a``, ``place a p``, ``writer a h``, ``claims a r``, ``frees a r``: what
+  append a is: which requests it claims for and which it releases;
 - ``flying a``: its write may still be applied;
 - ``known h p``: host h has read position p;
 - ``pending h a``: host h does not yet know what became of append a;
-- ``waiting``, ``batched``, ``claimed`` h k: where h's request with key k is;
-- ``ran k``, ``twice k``: a request with key k was dispatched, and again;
-- ``granted a``: a host has taken append a for its own (history);
-- ``told h k``: the last request with k at h was told that it did not run;
-- ``lied h k``: a request was dispatched after that.
+- ``queued h r``, ``batched h r``, ``letgo h r``: request r's claim waits at
+  host h, is in its pending append, or its release waits there;
+- ``begun r``, ``live r``: request r came, and may yet be dispatched;
+- ``heard r``: a host has found in the log that request r holds its key;
+- ``ran r``, ``told r``: it was dispatched; its caller was told *not run*.
 """
 
 import z3
 
 from spec import claims_proof, claims_steps
-from spec.claims_steps import claim_found
+from spec.claims_steps import holds_at, keyed_pairs
 from spec.model import Model, any_of
 
 GUARDS = {
-    'durable-before-dispatch': 'one run for each key',
-    'create-if-absent': 'one run for each key',
-    'mark-unique-to-append': 'one run for each key',
-    'append-after-known-prefix': 'one run for each key',
-    'look-up-before-claim': 'one run for each key',
-    'leave-batch-when-refused': 'not run means not run',
+    'durable-before-dispatch': claims_proof.ONE_RUN,
+    'create-if-absent': claims_proof.ONE_RUN,
+    'append-after-known-prefix': claims_proof.ONE_RUN,
+    'first-claim-in-the-log-holds': claims_proof.ONE_RUN,
+    'release-only-what-has-not-run': claims_proof.ONE_RUN,
+    'release-only-by-the-owner': claims_proof.ONE_RUN,
+    'leave-batch-when-refused': claims_proof.NOT_RUN,
 }
 
 
-def key_was_refused_after_run(sizes):
-    """Return whether a host may refuse, as not run, a key that ran elsewhere.
+def repeat_was_found(sizes):
+    """Return whether a host has found that its request's key ran elsewhere."""
+    return lambda state: any_of(
+        z3.And(
+            state.ran(one),
+            state.live(two),
+            holds_at(state, sizes, sizes.owner(two), one),
+        )
+        for one, two in keyed_pairs(sizes)
+    )
 
-    Explanation
-    ===========
 
-    This can happen, and is said in the operators' pages: a refusal speaks of
-    the request at hand, not of earlier ones with the same key, since a host
-    that can't read the log knows nothing of these.
-    """
+def repeat_ran_after_release(sizes):
+    """Return whether a repeat ran after the first was refused and released."""
     return lambda state: any_of(
         z3.And(
-            state.ran(key),
-            state.waiting(host, key),
-            z3.Not(claim_found(state, sizes, host, key)),
+            state.told(one),
+            state.ran(two),
+            any_of(
+                z3.And(state.at(place, append), state.frees(append, one))
+                for place in sizes.places
+                for append in sizes.appends
+            ),
         )
-        for host in sizes.hosts
-        for key in sizes.keys
+        for one, two in keyed_pairs(sizes)
     )
 
 
-def key_ran_and_repeat_was_found(sizes):
-    """Return whether a host waits with a key that it found to have run."""
+def repeat_may_be_refused(sizes):
+    """Return whether a host may refuse, as not run, a key that ran elsewhere.
+
+    Explanation
+    ===========
+
+    This can happen: a refusal speaks of the request at hand, not of earlier
+    ones with the same key, since a host that can't read the log knows nothing
+    of these.
+    """
     return lambda state: any_of(
         z3.And(
-            state.ran(key),
-            state.waiting(host, key),
-            claim_found(state, sizes, host, key),
+            state.ran(one),
+            state.live(two),
+            z3.Not(holds_at(state, sizes, sizes.owner(two), one)),
         )
-        for host in sizes.hosts
-        for key in sizes.keys
+        for one, two in keyed_pairs(sizes)
     )
 
 
@@ -80,8 +99,6 @@
         dict.fromkeys(sorts, False),
         claims_steps.all_actions(sizes, without),
         properties,
-        {
-            **claims_proof.invariants(sizes),
-            **properties,
-        },
+        {**claims_proof.invariants(sizes), **properties},
+        claims_steps.FREE,
     )
--- a/spec/claims_proof.py
+++ b/spec/claims_proof.py
@@ -4,8 +4,47 @@
 
 import z3
 
-from spec.claims_steps import idle, is_next, listed, written
-from spec.model import all_of, any_of
+from spec.claims_steps import holders, is_next, keyed_pairs, written
+from spec.model import all_of
+
+ONE_RUN = 'one run for each key'
+NOT_RUN = 'not run means not run'
+
+
+def properties(sizes):
+    """Return what must hold in each state."""
+    return {
+        ONE_RUN: lambda state: all_of(
+            z3.Not(z3.And(state.ran(one), state.ran(two)))
+            for one, two in keyed_pairs(sizes)
+        ),
+        NOT_RUN: lambda state: all_of(
+            z3.Not(z3.And(state.told(request), state.ran(request)))
+            for request in sizes.requests
+        ),
+    }
+
+
+def _is_put(state, sizes, place, append):
+    """Return whether an append that has a position is in order."""
+    others = [other for other in sizes.places if other != place]
+    return z3.And(
+        state.used(append),
+        *(z3.Not(state.place(append, other)) for other in others),
+        *(written(state, sizes, earlier) for earlier in range(place)),
+    )
+
+
+def _is_blank(state, sizes, append):
+    return z3.Not(
+        z3.Or(
+            state.flying(append),
+            *(state.pending(host, append) for host in sizes.hosts),
+            *(state.writer(append, host) for host in sizes.hosts),
+            *(state.claims(append, request) for request in sizes.requests),
+            *(state.frees(append, request) for request in sizes.requests),
+        )
+    )
 
 
 def _log_invariants(sizes):
@@ -22,70 +61,45 @@
                 state.at(place, append),
                 z3.And(
                     state.place(append, place),
-                    state.used(append),
                     z3.Not(state.flying(append)),
                 ),
             )
             for place, append in spots
         ),
-        'an append has one position, taken when it is used': lambda state: (
-            all_of(
+        'an append has one position, and those before are written': (
+            lambda state: all_of(
                 z3.Implies(
                     state.place(append, place),
-                    z3.And(
-                        state.used(append),
-                        *(
-                            z3.Not(state.place(append, other))
-                            for other in sizes.places
-                            if other != place
-                        ),
-                    ),
+                    _is_put(state, sizes, place, append),
                 )
                 for place, append in spots
             )
         ),
         'nothing is left of an append that is not used': lambda state: all_of(
-            z3.Or(
-                state.used(append),
-                z3.Not(
-                    z3.Or(
-                        state.flying(append),
-                        state.granted(append),
-                        *(state.pending(host, append) for host in sizes.hosts),
-                        *(state.batch(append, key) for key in sizes.keys),
-                        *(state.owner(append, host) for host in sizes.hosts),
-                    )
-                ),
-            )
+            z3.Or(state.used(append), _is_blank(state, sizes, append))
             for append in sizes.appends
         ),
-        'positions before an append are written and share no key': (
-            lambda state: all_of(
-                z3.Implies(
-                    state.place(append, place),
-                    z3.And(
-                        written(state, sizes, earlier),
-                        *(
-                            z3.Not(
-                                z3.And(
-                                    state.batch(append, key),
-                                    listed(state, sizes, earlier, key),
-                                )
-                            )
-                            for key in sizes.keys
-                        ),
-                    ),
-                )
-                for place, append in spots
-                for earlier in range(place)
-            )
+        'an append has one writer': lambda state: all_of(
+            z3.Not(z3.And(state.writer(append, one), state.writer(append, two)))
+            for append in sizes.appends
+            for one, two in itertools.combinations(sizes.hosts, 2)
         ),
     }
 
 
+def _is_pending_well(state, sizes, host, append):
+    others = [other for other in sizes.appends if other != append]
+    return z3.And(
+        state.writer(append, host),
+        *(z3.Not(state.pending(host, other)) for other in others),
+        *(
+            z3.Implies(state.place(append, place), is_next(state, host, place))
+            for place in sizes.places
+        ),
+    )
+
+
 def _host_invariants(sizes):
-    pairs = list(itertools.product(sizes.hosts, sizes.keys))
-    own = list(itertools.product(sizes.hosts, sizes.appends))
     return {
         'a host has read a written prefix': lambda state: all_of(
             z3.Implies(
@@ -98,116 +112,99 @@
             for host in sizes.hosts
             for place in sizes.places
         ),
-        "a pending append is its own host's, and not granted": (
+        "a pending append is the host's own, at its first unread position": (
             lambda state: all_of(
                 z3.Implies(
                     state.pending(host, append),
-                    z3.And(
-                        state.owner(append, host),
-                        z3.Not(state.granted(append)),
-                        *(
-                            z3.Not(state.pending(host, other))
-                            for other in sizes.appends
-                            if other != append
-                        ),
-                    ),
-                )
-                for host, append in own
-            )
-        ),
-        'a pending append is at the first position not read': (
-            lambda state: all_of(
-                z3.Implies(
-                    z3.And(
-                        state.pending(host, append),
-                        state.place(append, place),
-                    ),
-                    is_next(state, host, place),
+                    _is_pending_well(state, sizes, host, append),
                 )
-                for host, append in own
-                for place in sizes.places
+                for host in sizes.hosts
+                for append in sizes.appends
             )
         ),
-        'an append has one owner': lambda state: all_of(
-            z3.Not(z3.And(state.owner(append, one), state.owner(append, two)))
-            for append in sizes.appends
-            for one, two in itertools.combinations(sizes.hosts, 2)
-        ),
-        'a batched key is in the pending append': lambda state: all_of(
-            z3.Implies(
-                state.batched(host, key),
-                any_of(
-                    z3.And(
-                        state.pending(host, append),
-                        state.batch(append, key),
-                    )
-                    for append in sizes.appends
-                ),
-            )
-            for host, key in pairs
-        ),
-        'a request is at one point': lambda state: all_of(
-            z3.AtMost(
-                state.waiting(host, key),
-                state.batched(host, key),
-                state.claimed(host, key),
-                1,
-            )
-            for host, key in pairs
-        ),
-        'what was told not run is over': lambda state: all_of(
-            z3.Implies(state.told(host, key), idle(state, host, key))
-            for host, key in pairs
-        ),
     }
 
 
-def _run_invariants(sizes):
-    def taken(state, key):
-        return any_of(
-            z3.And(
-                state.granted(append),
-                state.batch(append, key),
-                any_of(state.at(place, append) for place in sizes.places),
+def _may_not_run(state, request):
+    return z3.And(
+        state.begun(request),
+        z3.Not(state.live(request)),
+        z3.Not(state.ran(request)),
+    )
+
+
+def _released(state, sizes, request):
+    """Return whether a release is queued or in an append, and by whom."""
+    owner = sizes.owner(request)
+    queued = [state.letgo(host, request) for host in sizes.hosts]
+    appended = [state.frees(append, request) for append in sizes.appends]
+    foreign = [
+        state.letgo(host, request) for host in sizes.hosts if host != owner
+    ]
+    foreign.extend(
+        z3.And(
+            state.frees(append, request),
+            z3.Not(state.writer(append, owner)),
+        )
+        for append in sizes.appends
+    )
+    return z3.Or(*queued, *appended), z3.Or(foreign)
+
+
+def _traces_of(state, sizes, request):
+    return [
+        state.live(request),
+        state.heard(request),
+        *(state.queued(host, request) for host in sizes.hosts),
+        *(state.batched(host, request) for host in sizes.hosts),
+        *(state.claims(append, request) for append in sizes.appends),
+    ]
+
+
+def _request_invariants(sizes):
+    def releases(state):
+        parts = []
+        for request in sizes.requests:
+            released, foreign = _released(state, sizes, request)
+            over = _may_not_run(state, request)
+            parts.append(z3.Implies(released, over))
+            parts.append(z3.Not(foreign))
+        return all_of(parts)
+
+    def held(state):
+        now = holders(state, sizes)
+        return all_of(
+            z3.Implies(
+                z3.And(
+                    state.heard(request),
+                    z3.Or(state.live(request), state.ran(request)),
+                ),
+                now[request],
             )
-            for append in sizes.appends
+            for request in sizes.requests
         )
 
     return {
-        'what ran or may run has a granted claim in the log': lambda state: (
-            all_of(
+        'a request is live, then ran or was refused': lambda state: all_of(
+            z3.And(
+                z3.Implies(
+                    z3.Or(_traces_of(state, sizes, request)),
+                    state.begun(request),
+                ),
+                z3.Implies(state.told(request), _may_not_run(state, request)),
                 z3.Implies(
-                    z3.Or(
-                        state.ran(key),
-                        *(state.claimed(host, key) for host in sizes.hosts),
+                    state.ran(request),
+                    z3.And(
+                        state.begun(request),
+                        state.heard(request),
+                        z3.Not(state.live(request)),
                     ),
-                    taken(state, key),
-                )
-                for key in sizes.keys
-            )
-        ),
-        'one host may run a key, and only before it ran': lambda state: all_of(
-            z3.AtMost(
-                state.ran(key),
-                *(state.claimed(host, key) for host in sizes.hosts),
-                1,
+                ),
             )
-            for key in sizes.keys
-        ),
-    }
-
-
-def properties(sizes):
-    """Return what must hold in each state."""
-    return {
-        'one run for each key': lambda state: all_of(
-            z3.Not(state.twice(key)) for key in sizes.keys
-        ),
-        'not run means not run': lambda state: all_of(
-            z3.Not(state.lied(host, key))
-            for host in sizes.hosts
-            for key in sizes.keys
+            for request in sizes.requests
         ),
+        'an owner releases, and only what does not run': releases,
+        'what was found to hold a key holds it while it may run': held,
     }
 
 
@@ -216,5 +213,5 @@
     return {
         **_log_invariants(sizes),
         **_host_invariants(sizes),
-        **_run_invariants(sizes),
+        **_request_invariants(sizes),
     }
--- a/spec/claims_steps.py
+++ b/spec/claims_steps.py
@@ -6,7 +6,9 @@
 
 from spec.model import BOOL, Action, any_of
 
-_REQUEST = ('waiting', 'batched', 'claimed', 'told')
+# Whether a refused request's claim is released, where it need not be.
+FREE = {'releases': BOOL}
+_WAITING = ('queued', 'batched', 'letgo')
 
 
 class Sizes:
@@ -15,17 +17,41 @@
     Parameters
     ==========
 
-    hosts, keys, places, appends : int
-        Hosts, keys, positions of the log, and appends in all.
+    hosts, places, appends : int
+        Hosts, positions of the log, and appends in all.
+    requests : list of tuple
+        Owner and key of each.
     """
 
-    __slots__ = ('appends', 'hosts', 'keys', 'places')
+    __slots__ = ('appends', 'hosts', 'places', 'requests', 'wanted')
 
-    def __init__(self, hosts, keys, places, appends):
+    def __init__(self, hosts, places, appends, requests):
         self.hosts = range(hosts)
-        self.keys = range(keys)
         self.places = range(places)
         self.appends = range(appends)
+        self.requests = range(len(requests))
+        self.wanted = requests
+
+    def owner(self, request):
+        """Return the host that would run a request."""
+        return self.wanted[request][0]
+
+    def key(self, request):
+        """Return a request's key."""
+        return self.wanted[request][1]
+
+    def rivals(self, request):
+        """Return the other requests with a request's key."""
+        return [
+            other
+            for other in self.requests
+            if other != request and self.key(other) == self.key(request)
+        ]
+
+
+def keyed_pairs(sizes):
+    """Return the ordered pairs of requests with the same key."""
+    return [(one, two) for one in sizes.requests for two in sizes.rivals(one)]
 
 
 def variables(sizes):
@@ -34,16 +60,18 @@
         'at': (sizes.places, sizes.appends),
         'used': (sizes.appends,),
         'place': (sizes.appends, sizes.places),
-        'owner': (sizes.appends, sizes.hosts),
-        'batch': (sizes.appends, sizes.keys),
+        'writer': (sizes.appends, sizes.hosts),
+        'claims': (sizes.appends, sizes.requests),
+        'frees': (sizes.appends, sizes.requests),
         'flying': (sizes.appends,),
         'known': (sizes.hosts, sizes.places),
         'pending': (sizes.hosts, sizes.appends),
-        **dict.fromkeys(_REQUEST, (sizes.hosts, sizes.keys)),
-        'ran': (sizes.keys,),
-        'twice': (sizes.keys,),
-        'granted': (sizes.appends,),
-        'lied': (sizes.hosts, sizes.keys),
+        **dict.fromkeys(_WAITING, (sizes.hosts, sizes.requests)),
+        'begun': (sizes.requests,),
+        'live': (sizes.requests,),
+        'heard': (sizes.requests,),
+        'ran': (sizes.requests,),
+        'told': (sizes.requests,),
     }
     return {
         (name, *place): BOOL
@@ -57,20 +85,71 @@
     return any_of(state.at(place, append) for append in sizes.appends)
 
 
-def listed(state, sizes, place, key):
-    """Return whether the object at a position claims a key."""
+def _stands(state, sizes, place, listed, request):
     return any_of(
-        z3.And(state.at(place, append), state.batch(append, key))
+        z3.And(state.at(place, append), listed(append, request))
         for append in sizes.appends
     )
 
 
-def claim_found(state, sizes, host, key):
-    """Return whether a host has read a claim of a key."""
-    return any_of(
-        z3.And(state.known(host, place), listed(state, sizes, place, key))
-        for place in sizes.places
-    )
+def _folded(state, sizes, before, place):
+    """Return who holds each key after a position, from who held it before.
+
+    Explanation
+    ===========
+
+    Releases count before claims. Of two claims of a key in one object the
+    lower-numbered request's counts, which stands for any order.
+    """
+    kept = {}
+    claimed = {}
+    for request in sizes.requests:
+        freed = _stands(state, sizes, place, state.frees, request)
+        kept[request] = z3.And(before[request], z3.Not(freed))
+        claimed[request] = _stands(state, sizes, place, state.claims, request)
+    return {
+        request: z3.Or(
+            kept[request],
+            z3.And(
+                claimed[request],
+                *(z3.Not(kept[rival]) for rival in sizes.rivals(request)),
+                *(
+                    z3.Not(claimed[rival])
+                    for rival in sizes.rivals(request)
+                    if rival < request
+                ),
+            ),
+        )
+        for request in sizes.requests
+    }
+
+
+def holders(state, sizes, host=None):
+    """Return which requests hold their keys, by all that a host has read.
+
+    Parameters
+    ==========
+
+    host : int or None
+        None for the whole log.
+    """
+    found = dict.fromkeys(sizes.requests, z3.BoolVal(val=False))
+    for place in sizes.places:
+        after = _folded(state, sizes, found, place)
+        if host is None:
+            found = after
+            continue
+        read = state.known(host, place)
+        found = {
+            request: z3.If(read, after[request], found[request])
+            for request in sizes.requests
+        }
+    return found
+
+
+def holds_at(state, sizes, host, request):
+    """Return whether a host has read that a request holds its key."""
+    return holders(state, sizes, host)[request]
 
 
 def is_next(state, host, place):
@@ -79,85 +158,116 @@
     return z3.And(*earlier, z3.Not(state.known(host, place)))
 
 
-def idle(state, host, key):
-    """Return whether a host works on no request with a key."""
-    return z3.Not(
-        z3.Or(
-            state.waiting(host, key),
-            state.batched(host, key),
-            state.claimed(host, key),
-        )
+def _is_settled(state, sizes, host):
+    return z3.And(
+        [z3.Not(state.pending(host, append)) for append in sizes.appends]
     )
 
 
-def _submit(host, key):
+def _begin(sizes, request):
     return Action(
-        f'submit host={host} key={key}',
-        lambda state: idle(state, host, key),
+        f'begin request={request}',
+        lambda state: z3.Not(state.begun(request)),
         lambda state: {
-            ('waiting', host, key): True,
-            ('told', host, key): False,
+            ('begun', request): True,
+            ('live', request): True,
+            ('queued', sizes.owner(request), request): True,
         },
     )
 
 
-def _refuse(host, key, without):
-    def guard(state):
-        return z3.Or(state.waiting(host, key), state.batched(host, key))
+def _forward(host, request):
+    """Return the arrival of a forwarded claim, maybe late or again."""
+    return Action(
+        f'forward request={request} host={host}',
+        lambda state: z3.And(
+            state.begun(request),
+            z3.Not(state.batched(host, request)),
+        ),
+        lambda state: {('queued', host, request): True},
+    )
+
+
+def _withdrawn(host, request):
+    return {
+        ('queued', host, request): False,
+        ('batched', host, request): False,
+    }
+
+
+def _refuse(sizes, request, without):
+    """Return the refusal of a request that was not dispatched."""
+    owner = sizes.owner(request)
 
     def updates(state):
-        stays = without == 'leave-batch-when-refused'
+        if without == 'leave-batch-when-refused':
+            return {('told', request): True}
         return {
-            ('waiting', host, key): False,
-            ('batched', host, key): stays and state.batched(host, key),
-            ('told', host, key): True,
+            ('told', request): True,
+            ('live', request): False,
+            **_withdrawn(owner, request),
+            ('letgo', owner, request): z3.Or(
+                state.batched(owner, request),
+                state.releases(),
+            ),
         }
 
-    return Action(f'refuse host={host} key={key}', guard, updates)
+    return Action(
+        f'refuse request={request}',
+        lambda state: state.live(request),
+        updates,
+    )
 
 
-def _repeat(sizes, host, key):
+def _repeat(sizes, request):
+    """Return the truthful end of a request whose key another one holds."""
+    owner = sizes.owner(request)
     return Action(
-        f'repeat host={host} key={key}',
+        f'repeat request={request}',
         lambda state: z3.And(
-            state.waiting(host, key),
-            claim_found(state, sizes, host, key),
+            state.live(request),
+            any_of(
+                holds_at(state, sizes, owner, rival)
+                for rival in sizes.rivals(request)
+            ),
         ),
-        lambda state: {('waiting', host, key): False},
+        lambda state: {
+            ('live', request): False,
+            **_withdrawn(owner, request),
+        },
     )
 
 
-def _dispatch(host, key, without):
+def _find(sizes, host, request):
+    """Return the word of a host that a request holds its key."""
+    return Action(
+        f'find host={host} request={request}',
+        lambda state: holds_at(state, sizes, host, request),
+        lambda state: {('heard', request): True},
+    )
+
+
+def _dispatch(sizes, request, without):
     def guard(state):
+        ready = state.heard(request)
         if without == 'durable-before-dispatch':
-            return z3.Or(
-                state.claimed(host, key),
-                state.batched(host, key),
-            )
-        return state.claimed(host, key)
-
-    def updates(state):
-        return {
-            ('claimed', host, key): False,
-            ('batched', host, key): False,
-            ('ran', key): True,
-            ('twice', key): z3.Or(state.twice(key), state.ran(key)),
-            ('lied', host, key): z3.Or(
-                state.lied(host, key),
-                state.told(host, key),
-            ),
-        }
+            ready = state.batched(sizes.owner(request), request)
+        return z3.And(state.live(request), ready)
 
-    return Action(f'dispatch host={host} key={key}', guard, updates)
+    return Action(
+        f'dispatch request={request}',
+        guard,
+        lambda state: {('live', request): False, ('ran', request): True},
+    )
 
 
-def _goes(state, sizes, host, key, without):
-    """Return whether a waiting key goes into the batch that is opened."""
-    if without == 'look-up-before-claim':
-        return state.waiting(host, key)
+def _goes(state, sizes, host, request):
+    """Return whether a queued claim goes into the batch that is opened."""
+    known = holders(state, sizes, host)
+    same_key = [request, *sizes.rivals(request)]
     return z3.And(
-        state.waiting(host, key),
-        z3.Not(claim_found(state, sizes, host, key)),
+        state.queued(host, request),
+        *(z3.Not(known[other]) for other in same_key),
     )
 
 
@@ -170,9 +280,13 @@
             fits,
             z3.Not(state.used(append)),
             *(state.used(other) for other in range(append)),
-            *(z3.Not(state.pending(host, own)) for own in sizes.appends),
+            _is_settled(state, sizes, host),
             any_of(
-                _goes(state, sizes, host, key, without) for key in sizes.keys
+                z3.Or(
+                    state.letgo(host, request),
+                    _goes(state, sizes, host, request),
+                )
+                for request in sizes.requests
             ),
         )
 
@@ -182,19 +296,16 @@
             ('flying', append): True,
             ('pending', host, append): True,
             ('place', append, place): True,
-            ('owner', append, host): True,
+            ('writer', append, host): True,
         }
-        for key in sizes.keys:
-            goes = _goes(state, sizes, host, key, without)
-            changed['batch', append, key] = goes
-            changed['batched', host, key] = z3.Or(
-                state.batched(host, key),
-                goes,
-            )
-            changed['waiting', host, key] = z3.And(
-                state.waiting(host, key),
-                z3.Not(goes),
-            )
+        for request in sizes.requests:
+            goes = _goes(state, sizes, host, request)
+            stays = z3.And(state.queued(host, request), z3.Not(goes))
+            changed['claims', append, request] = goes
+            changed['frees', append, request] = state.letgo(host, request)
+            changed['batched', host, request] = goes
+            changed['queued', host, request] = stays
+            changed['letgo', host, request] = z3.BoolVal(val=False)
         return changed
 
     return Action(
@@ -213,11 +324,9 @@
 
     def updates(state):
         changed = {('at', place, other): False for other in sizes.appends}
-        return {
-            **changed,
-            ('at', place, append): True,
-            ('flying', append): False,
-        }
+        changed['at', place, append] = True
+        changed['flying', append] = False
+        return changed
 
     return Action(f'apply append={append} place={place}', guard, updates)
 
@@ -236,87 +345,69 @@
         lambda state: z3.And(
             is_next(state, host, place),
             written(state, sizes, place),
-            *(z3.Not(state.pending(host, own)) for own in sizes.appends),
+            _is_settled(state, sizes, host),
         ),
         lambda state: {('known', host, place): True},
     )
 
 
-def _own(state, sizes, host, append, place, without):
-    """Return whether a host takes the object at a position for its append."""
-    if without != 'mark-unique-to-append':
-        return state.at(place, append)
-    return any_of(
-        z3.And(state.at(place, other), state.owner(other, host))
-        for other in sizes.appends
-    )
-
-
 def _settle(sizes, host, append, place, without):
-    def guard(state):
-        return z3.And(
-            state.pending(host, append),
-            state.place(append, place),
-            _own(state, sizes, host, append, place, without),
-        )
+    """Return the answer of success, or a read-back that finds the mark."""
 
     def updates(state):
         changed = {
             ('pending', host, append): False,
             ('known', host, place): True,
-            ('granted', append): True,
         }
-        for key in sizes.keys:
-            won = z3.And(
-                state.batched(host, key),
-                state.batch(append, key),
-            )
-            changed['claimed', host, key] = z3.Or(
-                state.claimed(host, key),
-                won,
-            )
-            changed['batched', host, key] = False
+        for request in sizes.requests:
+            batched = state.batched(host, request)
+            changed['batched', host, request] = z3.BoolVal(val=False)
+            if without == 'first-claim-in-the-log-holds':
+                heard = z3.Or(state.heard(request), batched)
+                changed['heard', request] = heard
         return changed
 
     return Action(
         f'settle host={host} append={append} place={place}',
-        guard,
+        lambda state: z3.And(
+            state.pending(host, append),
+            state.place(append, place),
+            state.at(place, append),
+        ),
         updates,
     )
 
 
-def _returned(sizes, host, state):
-    """Return the updates that put a host's batch back among the waiting."""
-    changed = {}
-    for key in sizes.keys:
-        changed['waiting', host, key] = z3.Or(
-            state.waiting(host, key),
-            state.batched(host, key),
+def _returned(state, sizes, host, append):
+    """Return the updates that put a batch back into its host's queue."""
+    changed = {('pending', host, append): False}
+    for request in sizes.requests:
+        changed['queued', host, request] = z3.Or(
+            state.queued(host, request),
+            state.batched(host, request),
+        )
+        changed['letgo', host, request] = z3.Or(
+            state.letgo(host, request),
+            state.frees(append, request),
         )
-        changed['batched', host, key] = False
+        changed['batched', host, request] = z3.BoolVal(val=False)
     return changed
 
 
-def _supersede(sizes, host, append, place, without):
-    def guard(state):
-        return z3.And(
+def _supersede(sizes, host, append, place):
+    """Return the finding that another append stands at the position."""
+    return Action(
+        f'supersede host={host} append={append} place={place}',
+        lambda state: z3.And(
             state.pending(host, append),
             state.place(append, place),
             written(state, sizes, place),
-            z3.Not(_own(state, sizes, host, append, place, without)),
-        )
-
-    def updates(state):
-        return {
-            **_returned(sizes, host, state),
-            ('pending', host, append): False,
+            z3.Not(state.at(place, append)),
+        ),
+        lambda state: {
+            **_returned(state, sizes, host, append),
             ('known', host, place): True,
-        }
-
-    return Action(
-        f'supersede host={host} append={append} place={place}',
-        guard,
-        updates,
+        },
     )
 
 
@@ -329,10 +420,7 @@
             z3.Not(state.flying(append)),
             *(z3.Not(state.at(place, append)) for place in sizes.places),
         ),
-        lambda state: {
-            **_returned(sizes, host, state),
-            ('pending', host, append): False,
-        },
+        lambda state: _returned(state, sizes, host, append),
     )
 
 
@@ -340,27 +428,61 @@
     def updates(state):
         gone = [('known', host, place) for place in sizes.places]
         gone.extend(('pending', host, append) for append in sizes.appends)
-        for key in sizes.keys:
-            gone.extend((name, host, key) for name in _REQUEST)
+        for request in sizes.requests:
+            gone.extend((name, host, request) for name in _WAITING)
+            if sizes.owner(request) == host:
+                gone.append(('live', request))
         return dict.fromkeys(gone, False)
 
     return Action(
-        f'crash host={host}', lambda state: z3.BoolVal(val=True), updates
+        f'crash host={host}',
+        lambda state: z3.BoolVal(val=True),
+        updates,
     )
 
 
+def _wrong_release(host, request, without):
+    """Return a release that one of the guards rules out."""
+
+    def guard(state):
+        if without == 'release-only-what-has-not-run':
+            return state.ran(request)
+        return state.batched(host, request)
+
+    return Action(
+        f'wrong-release host={host} request={request}',
+        guard,
+        lambda state: {
+            ('letgo', host, request): True,
+            ('batched', host, request): False,
+        },
+    )
+
+
+def _request_actions(sizes, request, without):
+    owner = sizes.owner(request)
+    actions = [
+        _begin(sizes, request),
+        _refuse(sizes, request, without),
+        _repeat(sizes, request),
+        _dispatch(sizes, request, without),
+    ]
+    for host in sizes.hosts:
+        actions.append(_find(sizes, host, request))
+        if host != owner:
+            actions.append(_forward(host, request))
+        if without == 'release-only-by-the-owner' and host != owner:
+            actions.append(_wrong_release(host, request, without))
+    if without == 'release-only-what-has-not-run':
+        actions.append(_wrong_release(owner, request, without))
+    return actions
+
+
 def all_actions(sizes, without):
     """Return every step, without one of the guards."""
     actions = [_drop(append) for append in sizes.appends]
-    for host, key in itertools.product(sizes.hosts, sizes.keys):
-        actions.extend(
-            (
-                _submit(host, key),
-                _refuse(host, key, without),
-                _repeat(sizes, host, key),
-                _dispatch(host, key, without),
-            )
-        )
+    for request in sizes.requests:
+        actions.extend(_request_actions(sizes, request, without))
     for append, place in itertools.product(sizes.appends, sizes.places):
         actions.append(_apply(sizes, append, place, without))
     for host in sizes.hosts:
@@ -369,11 +491,12 @@
         actions.extend(
             _abandon(sizes, host, append) for append in sizes.appends
         )
-    for arguments in itertools.product(
-        sizes.hosts, sizes.appends, sizes.places
+    for host, append, place in itertools.product(
+        sizes.hosts,
+        sizes.appends,
+        sizes.places,
     ):
-        actions.extend(
-            make(sizes, *arguments, without)
-            for make in (_open, _settle, _supersede)
-        )
+        actions.append(_open(sizes, host, append, place, without))
+        actions.append(_settle(sizes, host, append, place, without))
+        actions.append(_supersede(sizes, host, append, place))
     return actions
--- a/spec/model.py
+++ b/spec/model.py
@@ -153,11 +153,15 @@
     return [state[key] == first for key, first in model.initial.items()]
 
 
-def _step(model, step):
-    """Return the constraints between the states before and after a step."""
-    before = model.state(step)
-    after = model.state(step + 1)
-    taken = [z3.Bool(f'taken{number}@{step}') for number in _numbers(model)]
+def _taken(number, step):
+    return z3.Bool(f'taken{number}@{step}')
+
+
+def _step(model):
+    """Return the relation between the states before and after step 0."""
+    before = model.state(0)
+    after = model.state(1)
+    taken = [_taken(number, 0) for number in _numbers(model)]
     values = {key: before[key] for key in model.sorts}
     constraints = [z3.PbEq([(one, 1) for one in taken], 1)]
     for action, chosen in zip(model.actions, taken, strict=True):
@@ -165,7 +169,20 @@
         for key, new in action.updates(before).items():
             values[key] = z3.If(chosen, new, values[key])
     constraints.extend(after[key] == new for key, new in values.items())
-    return constraints
+    return z3.And(constraints)
+
+
+def _moved(model, term, step):
+    """Return what says of a step what a term says of step 0."""
+    pairs = []
+    for shift in (0, 1):
+        ours = model.state(shift)
+        theirs = model.state(step + shift)
+        pairs.extend((ours[key], theirs[key]) for key in ours)
+    pairs.extend(
+        (_taken(number, 0), _taken(number, step)) for number in _numbers(model)
+    )
+    return z3.substitute(term, *pairs)
 
 
 def _numbers(model):
@@ -191,13 +208,15 @@
     """
     solver = _solver()
     solver.add(_start(model))
+    relation = _step(model)
+    goal = wanted(model.state(0))
     for step in range(depth + 1):
         solver.push()
-        solver.add(wanted(model.state(step)))
+        solver.add(_moved(model, goal, step))
         if _is_sat(solver):
             return _labels(model, solver.model(), step)
         solver.pop()
-        solver.add(_step(model, step))
+        solver.add(_moved(model, relation, step))
     return None
 
 
@@ -212,7 +231,7 @@
     labels = []
     for step in range(steps):
         for number, action in enumerate(model.actions):
-            if z3.is_true(found.eval(z3.Bool(f'taken{number}@{step}'))):
+            if z3.is_true(found.eval(_taken(number, step))):
                 labels.append(_label(model, action, found, step))
     return labels
 
@@ -244,46 +263,34 @@
     outside the invariants, a step that leads out of them, and a state inside
     them that breaks a property. There is no bound on the number of steps.
     """
-    gaps = []
-    solver = _solver()
-    solver.add(_start(model))
-    solver.add(z3.Not(_held(model, model.state(0))))
-    if _is_sat(solver):
-        gaps.append('the first state')
     state = model.state(0)
     held = _held(model, state)
+    gaps = []
+    if _may_be(*_start(model), z3.Not(held)):
+        gaps.append('the first state')
     for action in model.actions:
-        solver = _solver()
-        solver.add(held, action.guard(state))
         after = action.after(state)
-        solver.push()
-        solver.add(z3.Not(_held(model, after)))
-        if _is_sat(solver):
-            gaps.append(f'{action.label}: {_broken(model, solver, after)}')
+        changed = [(state[key], after[key]) for key in action.updates(state)]
+        left = z3.Not(z3.substitute(held, *changed))
+        if _may_be(held, action.guard(state), left):
+            gaps.append(action.label)
     for name, holds in model.properties.items():
-        solver = _solver()
-        solver.add(held, z3.Not(holds(state)))
-        if _is_sat(solver):
+        if _may_be(held, z3.Not(holds(state))):
             gaps.append(f'the property {name}')
     return gaps
 
 
+def _may_be(*constraints):
+    solver = _solver()
+    solver.add(*constraints)
+    return _is_sat(solver)
+
+
 def always(model, holds):
     """Return whether something holds in every state inside the invariants."""
     state = model.state(0)
-    solver = _solver()
-    solver.add(_held(model, state), z3.Not(holds(state)))
-    return not _is_sat(solver)
+    return not _may_be(_held(model, state), z3.Not(holds(state)))
 
 
 def _held(model, state):
     return all_of(holds(state) for holds in model.invariants.values())
-
-
-def _broken(model, solver, after):
-    found = solver.model()
-    return [
-        name
-        for name, holds in model.invariants.items()
-        if not z3.is_true(found.eval(holds(after), model_completion=True))
-    ]
--- a/spec/run.py
+++ b/spec/run.py
@@ -20,9 +20,17 @@
 from spec.claims_steps import Sizes
 from spec.model import always, bounded, unproved, violated
 
-_SMALL_SHARD = Sizes(hosts=2, keys=1, places=2, appends=3)
-_SHARD = Sizes(hosts=2, keys=2, places=2, appends=3)
-_WIDE_SHARD = Sizes(hosts=3, keys=2, places=3, appends=4)
+# Owner and key of each request.
+_ONE_HOST = Sizes(1, 3, 3, [(0, 0), (0, 0)])
+_TWO_HOSTS = Sizes(2, 2, 3, [(0, 0), (1, 0)])
+_LONG_LOG = Sizes(2, 3, 3, [(0, 0), (1, 0)])
+_SEARCHED = Sizes(2, 2, 3, [(0, 0), (1, 0), (0, 0)])
+_PROVED = Sizes(3, 3, 4, [(0, 0), (1, 0), (2, 0), (0, 1)])
+_SHARDS = {
+    '': _SEARCHED,
+    'release-only-what-has-not-run': _ONE_HOST,
+    'release-only-by-the-owner': _LONG_LOG,
+}
 _HOSTS = range(2)
 
 
@@ -47,6 +55,8 @@
         Steps searched for counterexamples of the whole part.
     reached : dict
         States that must be found, by what they show.
+    small : Model or None
+        Where they are looked for; as ``build('')`` when None.
     """
 
     __slots__ = (
@@ -55,11 +65,14 @@
         'guards',
         'reached',
         'size',
+        'small',
         'title',
         'wide',
     )
 
-    def __init__(self, title, build, wide, size, guards, depth, reached):
+    def __init__(
+        self, title, build, wide, size, guards, depth, reached, small=None
+    ):
         self.title = title
         self.build = build
         self.wide = wide
@@ -67,6 +80,7 @@
         self.guards = guards
         self.depth = depth
         self.reached = reached
+        self.small = small or build('')
 
 
 class Tally:
@@ -87,27 +101,31 @@
         return good
 
 
-_DEEPEST = 16
+_DEEPEST = 18
 
 PARTS = (
     Part(
         'claims log',
         lambda without: claims.claims_model(
-            _SMALL_SHARD if without else _SHARD,
+            _SHARDS.get(without, _TWO_HOSTS),
             without,
         ),
-        claims.claims_model(_WIDE_SHARD),
-        'proof: 3 hosts, 2 keys, 3 positions, 4 appends; search: 2, 2, 2, 3',
+        claims.claims_model(_PROVED),
+        'proof: 3 hosts, 4 requests, 3 positions, 4 appends; search: 2, 3, 2, 3',
         claims.GUARDS,
-        10,
+        14,
         {
-            'a repeat finds the claim of a key that ran': (
-                claims.key_ran_and_repeat_was_found(_SHARD)
+            'a repeat finds that its key ran elsewhere': (
+                claims.repeat_was_found(_TWO_HOSTS)
             ),
-            'LIMIT: a host that has not read the log refuses a key that ran': (
-                claims.key_was_refused_after_run(_SHARD)
+            'a repeat runs after a refusal and a release': (
+                claims.repeat_ran_after_release(_TWO_HOSTS)
+            ),
+            'LIMIT: a host that has not read the log may refuse a repeat': (
+                claims.repeat_may_be_refused(_TWO_HOSTS)
             ),
         },
+        claims.claims_model(_TWO_HOSTS),
     ),
     Part(
         'configuration versions',
@@ -115,7 +133,7 @@
         configuration.configuration_model(4, 3),
         'proof: 4 appliers, 3 hosts; search: 3, 2; versions unbounded',
         configuration.GUARDS,
-        8,
+        7,
         {
             'LIMIT: a restarted host may first take an older version': (
                 configuration.stale_after_restart(_HOSTS)
@@ -128,7 +146,7 @@
         lease.lease_model(3, 4),
         'proof: 3 hosts, 4 orders; search: 2, 4; time and numbers unbounded',
         lease.GUARDS,
-        10,
+        8,
         {
             'a paused holder is about to order under an old number': (
                 lease.old_number_sent(_HOSTS)
@@ -172,7 +190,7 @@
 
 
 def _check_reached(part, tally):
-    model = part.build('')
+    model = part.small
     for name, wanted in part.reached.items():
         found = bounded(model, wanted, _DEEPEST)
         steps = '' if found is None else f' ({len(found)} steps)'
