--- a/features/builders/platform.py
+++ b/features/builders/platform.py
@@ -127,6 +127,36 @@
         self.lost += 1
 
 
+class Forgetful(Resource):
+    """Answers as an object API without objects, until connections are lost.
+
+    Requests on connections that were open when ``forget`` was called get no
+    answer; those on new ones do.
+    """
+
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self.open = set()
+        self.forgotten = set()
+        self.unanswered = 0
+
+    def forget(self):
+        """Lose track of all connections so far."""
+        self.forgotten = set(self.open)
+
+    def render(self, request):
+        """Answer that the object is absent, or keep the request."""
+        port = request.getClientAddress().port
+        self.open.add(port)
+        if port in self.forgotten:
+            self.unanswered += 1
+            return NOT_DONE_YET
+        request.setResponseCode(404)
+        return b'{"kind":"config","name":"m"}'
+
+
 class Page(Resource):
     """Answers every request with one page, as a wrong balancer does."""
 
--- a/features/platform_http.feature
+++ b/features/platform_http.feature
@@ -29,6 +29,14 @@
     Then platform calls over HTTP time out as "InDoubt" and "Unavailable"
     And the silent platform server has lost its connections
 
+  Scenario: Kept platform connections that went silent cost one timeout
+    Something on the way has lost track of all open connections, while new
+    ones work. If each kept one were tried in turn, the host would be without
+    answers for as many timeouts as it keeps connections.
+    Given a platform server that knows two kept connections no more
+    Then the first platform read over HTTP waits for its timeout
+    And the next platform read over HTTP is answered at once
+
   Scenario: A balancer's own page is no platform answer
     A balancer without a route answers 404 with a page of its own. Taken for
     the object's absence, it would make a host drop its configuration.
--- a/features/steps/platform_http_steps.py
+++ b/features/steps/platform_http_steps.py
@@ -5,6 +5,7 @@
 
 from features.builders.loop import kept_result, result_of, turned_until
 from features.builders.platform import (
+    Forgetful,
     Page,
     Silence,
     World,
@@ -25,6 +26,7 @@
     NotApplied,
     Throttled,
     Ticket,
+    Unavailable,
     Written,
     listed_hosts,
     listed_whole,
@@ -73,6 +75,34 @@
     _connect(context, serving(context.silence), context.clock)
 
 
+@given('a platform server that knows two kept connections no more')
+def step_forgetful(context):
+    context.clock = Clock()
+    context.forgetful = Forgetful()
+    _connect(context, serving(context.forgetful), context.clock)
+    kept = [kept_result(context.http.get('config', 'm')) for _ in range(2)]
+    turned_until(lambda: all(kept))
+    assert len(context.forgetful.open) == 2
+    context.forgetful.forget()
+
+
+@then('the first platform read over HTTP waits for its timeout')
+def step_first_waits(context):
+    kept = kept_result(context.http.get('config', 'm'))
+    turned_until(lambda: context.forgetful.unanswered)
+    assert not kept
+    context.clock.advance(21)
+    turned_until(lambda: kept)
+    assert isinstance(kept[0], Unavailable), kept
+
+
+@then('the next platform read over HTTP is answered at once')
+def step_next_answered(context):
+    outcome = result_of(context.http.get('config', 'm'))
+    assert outcome == Absent('config', 'm'), outcome
+    assert context.forgetful.unanswered == 1
+
+
 @given('a platform server that answers 404 with a page of its own')
 def step_wrong_page(context):
     _connect(context, serving(Page(404, b'<h1>no route</h1>')))
