--- /dev/null
+++ b/features/builders/manifest.py
@@ -0,0 +1,171 @@
+"""Documents for the manifest's features."""
+
+import functools
+import json
+import pathlib
+
+import yaml
+from hypothesis import strategies
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+EXAMPLES = ('kowalczyk', 'liwanag')
+ABSENT = 'absent'
+
+_LEAVES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=8),
+)
+
+
+def example_path(name):
+    """Return the path of a deployment's example."""
+    return ROOT / 'examples' / f'{name}.yaml'
+
+
+def example_text(name):
+    """Return the text of a deployment's example."""
+    return example_path(name).read_text()
+
+
+@functools.cache
+def _example_json(name):
+    return json.dumps(yaml.safe_load(example_text(name)))
+
+
+def example_document(name):
+    """Return a deployment's example as plain data of the caller's own."""
+    return json.loads(_example_json(name))
+
+
+def _step(part):
+    return int(part) if part.isdigit() else part
+
+
+def edit(document, path, value):
+    """Put a value at a dotted path of a document; remove it if absent."""
+    *steps, last = (_step(part) for part in path.split('.'))
+    holder = document
+    for step in steps:
+        holder = holder[step]
+    if value == ABSENT:
+        holder.pop(last)
+        return
+    holder[last] = value
+
+
+def document_text(document):
+    """Return a document as JSON, infinity as a number too large to hold."""
+    return json.dumps(document).replace('Infinity', '1e999')
+
+
+def value_from_cell(cell):
+    """Return the value that a table's cell gives, as JSON or bare."""
+    return ABSENT if cell == ABSENT else json.loads(cell)
+
+
+def many_upstreams(count):
+    """Return that many upstreams of one domain, each at its own address."""
+    upstreams = {}
+    for number in range(count):
+        address = f'10.0.{number // 250}.{number % 250 + 1}:9000'
+        upstreams[f'u{number}'] = {'domain': 'erie-hall', 'address': address}
+    return upstreams
+
+
+def alias_bomb(levels=20, fan_out=10):
+    """Return a YAML text that expands to ``fan_out ** levels`` scalars."""
+    lines = [f'a0: &a0 [{", ".join("x" for _ in range(fan_out))}]']
+    for level in range(1, levels):
+        aliases = ', '.join(f'*a{level - 1}' for _ in range(fan_out))
+        lines.append(f'a{level}: &a{level} [{aliases}]')
+    return '\n'.join(lines)
+
+
+_OPENED = '{"a":' * 5000
+_CLOSED = '}' * 5000
+DOCUMENTS = (
+    ('an empty text', ''),
+    ('a list', '- 1'),
+    ('a lone text', '"kowalczyk"'),
+    ('two documents', 'a: 1\n--- \nb: 1'),
+    ('a key given twice in YAML', 'name: a\nteams: {}\nname: b'),
+    ('a key given twice in JSON', '{"name": "a",\n"name": "b"}'),
+    ('a number as a key', 'teams:\n  7: {}'),
+    ('an unclosed list', 'name: [1, 2\nteams: {}'),
+    ('a tag of Python', 'name: !!python/object:os.system ls'),
+    ('an unknown alias', 'name: *other'),
+    ('an alias of itself', 'name: &self [*self]'),
+    ('an alias bomb', alias_bomb()),
+    ('deep nesting in YAML', '[' * 5000),
+    ('deep nesting in JSON', f'{_OPENED}1{_CLOSED}'),
+    ('too many bytes', 'x' * 1_048_577),
+    ('a number too long to read', f'name: {"9" * 5000}'),
+    ('a control character', 'name: "\x00"'),
+    ('bytes that are not UTF-8', b'name: \xff'),
+    ('half a surrogate pair', r'{"name": "\ud800"}'),
+)
+
+
+def json_values():
+    """Return a strategy of arbitrary JSON values."""
+    return strategies.recursive(
+        _LEAVES,
+        lambda inner: strategies.one_of(
+            strategies.lists(inner, max_size=4),
+            strategies.dictionaries(
+                strategies.text(max_size=8), inner, max_size=4
+            ),
+        ),
+        max_leaves=12,
+    )
+
+
+def _paths(value, path=()):
+    found = [path] if path else []
+    pairs = ()
+    if isinstance(value, dict):
+        pairs = value.items()
+    if isinstance(value, list):
+        pairs = enumerate(value)
+    for step, part in pairs:
+        found.extend(_paths(part, (*path, step)))
+    return found
+
+
+@strategies.composite
+def spoilt_documents(draw):
+    """Draw an example in which up to four values are arbitrary."""
+    document = example_document(draw(strategies.sampled_from(EXAMPLES)))
+    for _ in range(draw(strategies.integers(1, 4))):
+        paths = strategies.sampled_from(_paths(document))
+        *steps, last = draw(paths)
+        holder = document
+        for step in steps:
+            holder = holder[step]
+        holder[last] = draw(json_values())
+    return document
+
+
+def _shuffled(draw, value):
+    if isinstance(value, list):
+        return [_shuffled(draw, part) for part in value]
+    if not isinstance(value, dict):
+        return value
+    keys = draw(strategies.permutations(list(value)))
+    return {key: _shuffled(draw, value[key]) for key in keys}
+
+
+@strategies.composite
+def sound_documents(draw):
+    """Draw an example with other numbers, and its keys in another order."""
+    document = example_document(draw(strategies.sampled_from(EXAMPLES)))
+    for team in document['teams'].values():
+        team['weight'] = draw(strategies.floats(0.001, 1000))
+    for pool in document['pools'].values():
+        pool['cost'] = draw(strategies.floats(0, 1000))
+    for pipeline in document['pipelines'].values():
+        pipeline['deadline_ms'] = draw(strategies.integers(4000, 3_600_000))
+    return document, _shuffled(draw, document)
