--- a/features/steps/manifest_steps.py
+++ b/features/steps/manifest_steps.py
@@ -183,7 +183,7 @@
 @then('the manifest schema in the docs is the one that the code prints')
 def step_schema(context):
     page = builder.ROOT / 'docs' / 'manifest.schema.json'
-    assert page.read_text() == manifest_schema()
+    assert page.read_text() == f'{manifest_schema()}\n'
 
 
 @then('the manifest page in the docs holds the reference from the code')
--- a/pollenstile/manifest/_schema.py
+++ b/pollenstile/manifest/_schema.py
@@ -34,4 +34,4 @@
         _described(part, getattr(_model, name))
     _described(schema, Manifest)
     schema['$schema'] = DIALECT
-    return f'{json.dumps(schema, indent=2, sort_keys=True)}\n'
+    return json.dumps(schema, indent=2, sort_keys=True)
