entry: scenarios over separate processes and of bad input

Cause: nothing showed the path as separate processes, nor what wrong input does. The first scenario hung: the HTTP client resolved IP numbers in threads. Change: agents connect to IP numbers without a resolver, so that one loop on one thread holds; stand-ins listen on free ports and write the manifest with them; scenarios kill and stop entry hosts in mid-stream, send wrong requests, random bytes and wrong settings.

--- a/features/builders/loop.py
+++ b/features/builders/loop.py
@@ -36,7 +36,7 @@
         Failure(AssertionError('no result')),
     )
     while not outcomes:
-        reactor.iterate(_TURN_SECONDS)
+        _turn()
     if hung.active():
         hung.cancel()
     return _unwrapped(outcomes[0])
@@ -47,7 +47,7 @@
     hung = reactor.callLater(_HANG_SECONDS, lambda: None)
     while not condition():
         assert hung.active(), 'the condition never held'
-        reactor.iterate(_TURN_SECONDS)
+        _turn()
     hung.cancel()
 
 
@@ -66,6 +66,14 @@
         clock.advance(step)
 
 
+def _turn():
+    """Turn once, no longer than until the next timer is due."""
+    due = reactor.timeout()
+    if due is None:
+        due = _TURN_SECONDS
+    reactor.iterate(min(due, _TURN_SECONDS))
+
+
 def _unwrapped(outcome):
     if isinstance(outcome, Failure):
         outcome.raiseException()
--- /dev/null
+++ b/features/steps/thinpath_steps.py
@@ -0,0 +1,157 @@
+"""Steps of the thin path, over real processes."""
+
+import signal
+import tempfile
+
+import msgspec
+from behave import given, then, when
+from twisted.internet import reactor
+from twisted.web.client import readBody
+
+from features.builders.loop import kept_result, result_of, turned_until
+from features.builders.processes import Processes, command, line_with
+from pollenstile.ops.agents import agent_for
+from pollenstile.ops.client import caller_for
+
+_KEY = 'dispatchers-example-key'
+_PIPELINE = 'draft-ticket'
+_DOMAINS = ('erie-hall', 'huron-hall', 'ontario-hall', 'michigan-hall')
+
+
+def _base(started):
+    return 'http://{}'.format(started['listen'])
+
+
+def _called(context, number, *, stream=False, on_bytes=None):
+    call = caller_for(reactor, persistent=False)
+    options = {'stream': stream}
+    if on_bytes:
+        options['on_bytes'] = on_bytes
+    base = _base(context.entries[number][1])
+    return call(base, _PIPELINE, _KEY, 'no heat on the third floor', **options)
+
+
+@given('the upstreams of "{path}" run as a thin path process')
+def start_upstreams(context, path):
+    context.processes = Processes()
+    context.add_cleanup(context.processes.end)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.placed = f'{folder.name}/placed.json'
+    fleet = context.processes.start(
+        'standin',
+        'fleet',
+        path,
+        '--anywhere',
+        context.placed,
+    )
+    line_with(fleet.stdout, 'listens')
+
+
+@given('the object API runs as a thin path process')
+def start_platform(context):
+    platform = context.processes.start('standin', 'objectapi')
+    line = line_with(platform.stdout, 'listens on')
+    context.platform = line.split()[-1]
+
+
+@given('the manifest is applied over the command line')
+def apply_manifest(context):
+    applied = command(
+        'apply',
+        context.placed,
+        '--platform',
+        context.platform,
+        '--reviewed-against',
+        '0',
+    )
+    assert applied.returncode == 0, applied.stderr
+
+
+@given('{count:d} entry hosts run as thin path processes')
+def start_entries(context, count):
+    context.entries = []
+    for number in range(count):
+        domain = _DOMAINS[number % len(_DOMAINS)]
+        context.entries.append(
+            context.processes.entry(
+                f'{domain}-{number}',
+                domain,
+                context.platform,
+            ),
+        )
+    for process, _ in context.entries:
+        line_with(process.stderr, 'config-in-force')
+
+
+@when('each entry host is called once with the thin path')
+def call_each(context):
+    context.answers = []
+    for number, _ in enumerate(context.entries):
+        context.answers.append(result_of(_called(context, number)))
+
+
+def _begun_stream(context):
+    seen = []
+    kept = kept_result(
+        _called(context, 0, stream=True, on_bytes=seen.append),
+    )
+    turned_until(lambda: seen or kept)
+    return kept
+
+
+@when('a stream at the first entry host has begun and the host is killed')
+def kill_in_stream(context):
+    kept = _begun_stream(context)
+    context.entries[0][0].kill()
+    turned_until(lambda: kept)
+    context.broken = kept[0]
+    context.answers = []
+
+
+@when('a stream at the first entry host has begun and the host is told to stop')
+def stop_in_stream(context):
+    kept = _begun_stream(context)
+    context.entries[0][0].send_signal(signal.SIGTERM)
+    turned_until(lambda: kept)
+    context.answers = [kept[0]]
+
+
+@when('the same request is sent to the second entry host')
+def call_second(context):
+    context.answers = [result_of(_called(context, 1))]
+
+
+@then('every thin path answer is whole')
+def answers_whole(context):
+    assert context.answers
+    for answer in context.answers:
+        assert answer.outcome == 'answered', answer
+        assert answer.document['output'], answer
+
+
+@then("that caller's thin path answer is broken off and not whole")
+def answer_broken(context):
+    assert context.broken.status == 0, context.broken
+    assert context.broken.outcome == 'unknown', context.broken
+
+
+async def _status(started):
+    agent = agent_for(reactor)
+    uri = 'http://{}/status'.format(started['admin'])
+    response = await agent.request(b'GET', uri.encode())
+    return msgspec.json.decode(await readBody(response))
+
+
+@then('the remaining entry hosts report no broken invariant')
+def no_broken(context):
+    for _, started in context.entries[1:]:
+        status = result_of(_status(started))
+        assert status['broken_invariants'] == 0, status
+
+
+@then("the first entry host's process ends with code {code:d}")
+def process_ended(context, code):
+    process, _ = context.entries[0]
+    process.communicate()
+    assert process.returncode == code, process.returncode
--- a/pollenstile/bench/floor.py
+++ b/pollenstile/bench/floor.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
 
 from pollenstile.bench.forwarder import forwarder_site
@@ -32,6 +32,7 @@
     Upstream,
     text_from_manifest,
 )
+from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.http import site_for
@@ -192,7 +193,7 @@
     targets = _targets(reactor)
     pool = HTTPConnectionPool(reactor, persistent=True)
     pool.maxPersistentPerHost = arguments.side_by_side
-    agent = Agent(reactor, pool=pool)
+    agent = agent_for(reactor, pool)
     own = {}
     for kind in targets:
         own[kind] = await _own_times(agent, targets[kind], arguments)
--- a/pollenstile/bench/forwarder.py
+++ b/pollenstile/bench/forwarder.py
@@ -8,11 +8,12 @@
 """
 
 from twisted.internet.protocol import Protocol
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
+from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
 
 # As many idle connections as the entry host keeps.
@@ -55,7 +56,7 @@
         super().__init__()
         pool = HTTPConnectionPool(reactor, persistent=True)
         pool.maxPersistentPerHost = _PER_HOST
-        self.agent = Agent(reactor, pool=pool)
+        self.agent = agent_for(reactor, pool)
         self.uri = uri
         self.document = document
 
--- /dev/null
+++ b/pollenstile/ops/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m pollenstile.ops`` is the command ``pollenstile``."""
+
+import sys
+
+from pollenstile.ops.main import main
+
+sys.exit(main())
--- a/pollenstile/ops/_applycmd.py
+++ b/pollenstile/ops/_applycmd.py
@@ -51,7 +51,7 @@
         store = store_at(reactor, address(arguments.platform))
     except ValueError as error:
         raise SettingsError([f'--platform: {error}']) from None
-    value = {'text': text, 'apply': secrets.token_hex(_MARK_BYTES)}
+    value = {'text': text.decode(), 'apply': secrets.token_hex(_MARK_BYTES)}
     written = result_of(
         reactor,
         lambda: store.put(
--- a/pollenstile/ops/_standincmd.py
+++ b/pollenstile/ops/_standincmd.py
@@ -1,11 +1,12 @@
 """``pollenstile standin``: small fakes of the outside systems."""
 
 from pollenstile.entry import address_of
+from pollenstile.manifest import manifest_from_text, text_from_manifest
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.http import site_for
 from pollenstile.ops.settings import SettingsError, address
 from pollenstile.standin.engine import Engine, EngineResource
-from pollenstile.standin.fleet import started_upstreams
+from pollenstile.standin.fleet import started_anywhere, started_upstreams
 from pollenstile.standin.objectapi import MemoryStore, platform_site
 from pollenstile.standin.plain import PlainResource, PlainServer
 
@@ -39,6 +40,11 @@
         )
     whole = kinds.add_parser('fleet', help='every upstream of a manifest')
     whole.add_argument('manifest', help='file')
+    whole.add_argument(
+        '--anywhere',
+        metavar='FILE',
+        help='listen on free ports; write the manifest with them to FILE',
+    )
     whole.add_argument('--scale', type=float, default=1.0, help='of all times')
     parser.set_defaults(run=run)
 
@@ -48,7 +54,7 @@
     from twisted.internet import reactor  # noqa: WPS433
 
     if arguments.kind == 'fleet':
-        started_upstreams(reactor, arguments.manifest, arguments.scale)
+        _start_fleet(reactor, arguments)
     else:
         port = _listening(reactor, arguments)
         print(f'{arguments.kind} listens on {address_of(port)}', flush=True)
@@ -56,6 +62,19 @@
     return GOOD
 
 
+def _start_fleet(reactor, arguments):
+    if not arguments.anywhere:
+        started_upstreams(reactor, arguments.manifest, arguments.scale)
+        print('fleet listens', flush=True)
+        return
+    with open(arguments.manifest, encoding='utf-8') as source:
+        manifest = manifest_from_text(source.read())
+    _, placed = started_anywhere(reactor, manifest, arguments.scale)
+    with open(arguments.anywhere, 'w', encoding='utf-8') as target:
+        target.write(text_from_manifest(placed))
+    print('fleet listens', flush=True)
+
+
 def _listening(reactor, arguments):
     try:
         host, number = address(arguments.listen)
--- a/pollenstile/ops/_validatecmd.py
+++ b/pollenstile/ops/_validatecmd.py
@@ -42,10 +42,10 @@
 
 
 def text_of_file(path):
-    """Return a file's text, or None after one line on standard error."""
+    """Return a file's bytes, or None after one line on standard error."""
     try:
-        with open(path, encoding='utf-8') as source:
+        with open(path, 'rb') as source:
             return source.read()
-    except (OSError, UnicodeDecodeError) as error:
-        sys.stderr.write(f'{path}: {error}\n')
+    except OSError as error:
+        sys.stderr.write(f'{path}: {error.strerror}\n')
     return None
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -5,9 +5,10 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 
+from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
 
 _OK = 200
@@ -77,7 +78,7 @@
     """
     pool = HTTPConnectionPool(reactor, persistent=persistent)
     pool.retryAutomatically = False
-    agent = Agent(reactor, connectTimeout=connect_timeout, pool=pool)
+    agent = agent_for(reactor, pool, connect_timeout)
 
     async def call(
         base,
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -2,9 +2,10 @@
 
 from twisted.internet import error
 from twisted.internet.defer import CancelledError
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
+from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
 from pollenstile.upstream import wire
 from pollenstile.upstream._bodies import StreamBody, WholeBody
@@ -16,7 +17,7 @@
 _NEVER_CONNECTED = (
     error.ConnectError,
     error.ConnectingCancelledError,
-    error.DNSLookupError,
+    error.TimeoutError,
 )
 
 
@@ -157,8 +158,8 @@
     kept = HTTPConnectionPool(reactor, persistent=True)
     kept.retryAutomatically = False
     kept.maxPersistentPerHost = per_host
-    pooled = Agent(reactor, connectTimeout=connect_timeout, pool=kept)
-    fresh = Agent(reactor, connectTimeout=connect_timeout)
+    pooled = agent_for(reactor, kept, connect_timeout)
+    fresh = agent_for(reactor, connect_timeout=connect_timeout)
 
     def start(name, upstream, call, sink):
         exchange = _Exchange(sink, call.text)
--- a/tools/check.py
+++ b/tools/check.py
@@ -22,6 +22,10 @@
 SUMMARY = re.compile(r'(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?')
 
 
+def _sources():
+    return [name for name in SOURCES if (ROOT / name).is_dir()]
+
+
 def _output(command):
     environment = dict(
         os.environ,
@@ -49,12 +53,12 @@
 
 def check_format():
     """Return passed and failed of the formatter."""
-    return _single([str(BIN / 'ruff'), 'format', '--check', *SOURCES])
+    return _single([str(BIN / 'ruff'), 'format', '--check', *_sources()])
 
 
 def check_lint():
     """Return passed and failed of the linter."""
-    return _single([str(BIN / 'flake8'), *SOURCES])
+    return _single([str(BIN / 'flake8'), *_sources()])
 
 
 def check_doctest():
--- a/tools/doctests.py
+++ b/tools/doctests.py
@@ -14,6 +14,8 @@
     failed = 0
     prefix = f'{pollenstile.__name__}.'
     for found in pkgutil.walk_packages(pollenstile.__path__, prefix):
+        if found.name.endswith('.__main__'):
+            continue
         module = importlib.import_module(found.name)
         if doctest.testmod(module).failed:
             failed += 1
