soak: randomised runs of real nodes in virtual time

Cause: faults that come together or twice are not found by scenarios that are each thought of beforehand. Change: `pollenstile soak` runs four entry hosts (built_node) over the virtual network and the store in memory, in processes that freeze and die. Callers give up and ask again elsewhere. Messages get lost, doubled, late, swapped. Checks over the fakes' records besides the ledger. One random generator; the trace has a digest.

--- /dev/null
+++ b/pollenstile/ops/_soakcmd.py
@@ -0,0 +1,87 @@
+"""``pollenstile soak``: randomised runs with invariants."""
+
+import argparse
+import sys
+import time
+
+from pollenstile.ops.exits import BAD_RESULT, GOOD
+from pollenstile.ops.logs import configure_logs, event_log
+from pollenstile.soak import run_soak
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        'soak',
+        help='run hosts, upstreams and callers under random faults',
+        description=(
+            'Runs several entry hosts in virtual time under random faults, '
+            'and checks what must always hold. The same seed gives the same '
+            'run and the same digest. Exit code 1 when something was broken.'
+        ),
+    )
+    parser.add_argument('--seed', type=int, default=1, help='first or only')
+    parser.add_argument(
+        '--seeds',
+        type=_seed_range,
+        metavar='A-B',
+        help='run each seed from A to B instead',
+    )
+    parser.add_argument(
+        '--steps',
+        type=_positive,
+        default=400,
+        help='how many times something happens in a run [400]',
+    )
+    parser.set_defaults(run=run)
+
+
+def _positive(text):
+    number = int(text)
+    if number < 1:
+        raise argparse.ArgumentTypeError('must be at least 1')
+    return number
+
+
+def _seed_range(text):
+    first, dash, last = text.partition('-')
+    if not (dash and first.isdigit() and last.isdigit()):
+        raise argparse.ArgumentTypeError(f'{text!r} is not A-B')
+    if int(last) < int(first):
+        raise argparse.ArgumentTypeError(f'{text!r} has no seed in it')
+    return range(int(first), int(last) + 1)
+
+
+def run(arguments):
+    """Run each seed and print a line for it; return the exit code."""
+    configure_logs('error')
+    seeds = arguments.seeds or [arguments.seed]
+    broken = []
+    started = time.perf_counter()
+    for seed in seeds:
+        result = run_soak(seed, arguments.steps, event_log(seed=seed))
+        print(_line(result))
+        if result.violations:
+            broken.append(seed)
+            _print_tail(result)
+    each = (time.perf_counter() - started) / len(seeds)
+    print(f'{len(seeds)} seeds, {len(broken)} broken, {each:.2f} s a seed')
+    if not broken:
+        return GOOD
+    print('broken seeds: {}'.format(' '.join(str(one) for one in broken)))
+    return BAD_RESULT
+
+
+def _line(result):
+    tags = [f'{tag} {count}' for tag, count in sorted(result.outcomes.items())]
+    return (
+        f'seed {result.seed} digest {result.digest} '
+        f'events {result.events}: {", ".join(tags)}'
+    )
+
+
+def _print_tail(result):
+    for line in result.tail:
+        sys.stdout.write(f'  {line}\n')
+    for violation in result.violations:
+        print(f'seed {result.seed} violation: {violation}')
--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -10,6 +10,7 @@
     _callcmd,
     _democmd,
     _entrycmd,
+    _soakcmd,
     _standincmd,
     _validatecmd,
 )
@@ -30,6 +31,7 @@
     _callcmd,
     _democmd,
     _benchcmd,
+    _soakcmd,
 )
 
 
--- /dev/null
+++ b/pollenstile/soak/__init__.py
@@ -0,0 +1,3 @@
+"""Randomised runs of the real code in virtual time, with invariants."""
+
+from pollenstile.soak._run import SoakResult, run_soak
--- /dev/null
+++ b/pollenstile/soak/_manifest.py
@@ -0,0 +1,96 @@
+"""The small deployment that soaks run."""
+
+from dataclasses import replace
+
+from pollenstile.manifest import (
+    Domain,
+    Manifest,
+    Model,
+    Pipeline,
+    Policy,
+    Pool,
+    Stage,
+    Team,
+    Upstream,
+)
+
+DOMAINS = ('north', 'south', 'west')
+TEAM = 'callers'
+# Last stages of these have side effects.
+NON_IDEMPOTENT = ('book', 'order')
+TOKENS = 8
+
+_TEAM_DIGEST = 'ab' * 32
+_SLOTS = 4
+_PORT = 9000
+
+
+def _pool(name, kind, place, **fields):
+    upstreams = {}
+    for number, domain in enumerate(DOMAINS):
+        port = _PORT + place * len(DOMAINS) + number
+        upstreams[f'{name}-{domain}'] = Upstream(
+            domain,
+            f'127.0.0.1:{port}',
+            _SLOTS,
+        )
+    return Pool(kind, upstreams, **fields)
+
+
+def _generate(**fields):
+    return Stage(
+        'generate',
+        'engines',
+        model='writer',
+        expect_ms=150,
+        max_tokens=TOKENS,
+        **fields,
+    )
+
+
+def _once():
+    return Stage('book', 'desk', idempotent=False, attempts=1, expect_ms=40)
+
+
+def _pipelines():
+    encode = Stage('encode', 'encoders', hedge=True, expect_ms=30, attempts=3)
+    lookup = Stage('lookup', 'encoders', expect_ms=30)
+    teams = [TEAM]
+    return {
+        'draft': Pipeline(1500, teams, [_generate(attempts=3)]),
+        'answer': Pipeline(2000, teams, [encode, lookup, _generate()]),
+        'find': Pipeline(800, teams, [encode], urgency='urgent'),
+        'book': Pipeline(1000, teams, [_once()], 'urgent', idempotent=False),
+        'order': Pipeline(2500, teams, [encode, _once()], idempotent=False),
+    }
+
+
+def soak_manifest(revision=0):
+    """Return the manifest; each revision differs a little.
+
+    Examples
+    ========
+
+    >>> from pollenstile.soak._manifest import soak_manifest
+    >>> soak_manifest(1).pipelines['draft'].deadline_ms
+    1510
+    """
+    pipelines = _pipelines()
+    draft = pipelines['draft']
+    pipelines['draft'] = replace(
+        draft,
+        deadline_ms=draft.deadline_ms + 10 * (revision % 20),
+    )
+    return Manifest(
+        'soak',
+        {domain: Domain('here') for domain in DOMAINS},
+        {
+            'encoders': _pool('encoders', 'stage', 0),
+            'engines': _pool('engines', 'engine', 1, models=['writer']),
+            'desk': _pool('desk', 'service', 2),
+        },
+        pipelines,
+        {TEAM: Team([_TEAM_DIGEST])},
+        {'writer': Model('1')},
+        Policy(silence_ms=300, retry_ratio=0.5),
+    )
