pipeline: a refusal counts only when it names its own attempt

Cause: `NotRun` and `Rejected` carried no attempt id. Change: both carry the attempt as stated; the stage drops a foreign one as it does a foreign reply, and counts the call as lost.

--- /dev/null
+++ b/features/builders/mutations.py
@@ -0,0 +1,104 @@
+"""Guards of the request path, each to be taken away on its own."""
+
+from contextlib import ExitStack, contextmanager
+
+from pollenstile.fleet import InForce
+from pollenstile.limits import RetryBudget
+from pollenstile.outcomes import Refused
+from pollenstile.pipeline import _run, _stage
+from pollenstile.pipeline._assembly import Assembly
+from pollenstile.pipeline._attempts import Attempts
+from pollenstile.pipeline._stage import StageRun
+
+
+@contextmanager
+def patched(owner, name, replacement):
+    """Replace an attribute for a while."""
+    original = getattr(owner, name)
+    setattr(owner, name, replacement)
+    try:
+        yield original
+    finally:
+        setattr(owner, name, original)
+
+
+def _never(*arguments, **keywords):
+    return False
+
+
+def _always(*arguments, **keywords):
+    return True
+
+
+def _nothing(*arguments, **keywords):
+    """Do nothing."""
+
+
+def _whole_budget(budget, expected, attempts_left):
+    return budget
+
+
+def _any_token(assembly, offset, text):
+    assembly.parts.append(text)
+    return True
+
+
+def _taken_late(run, attempt, event):
+    run.attempts.live[attempt.number] = attempt
+    _ORIGINAL_EVENT(run, attempt, event)
+
+
+_ORIGINAL_EVENT = StageRun._on_event
+
+
+def _forgetful_cut(attempts, attempt):
+    if attempt.cancel is not None:
+        attempt.cancel()
+
+
+def _resumed_from_start(attempts, attempt, timeout, assembly):
+    return _ORIGINAL_CALL(attempts, attempt, timeout, Assembly())
+
+
+_ORIGINAL_CALL = Attempts._call
+
+
+def _said_not_run(request, stage, result, cost, place):
+    return Refused(503, result.reason, stage.name, result.peer)
+
+
+def _newest_offer(in_force, version, text, source):
+    if in_force.snapshot is not None and version < in_force.version:
+        in_force.snapshot.version = 0
+    return _ORIGINAL_OFFER(in_force, version, text, source)
+
+
+_ORIGINAL_OFFER = InForce.offer
+
+_PATCHES = {
+    'foreign replies': [(StageRun, '_is_foreign', _never)],
+    'foreign refusals': [(StageRun, '_is_foreign_refusal', _never)],
+    'late replies': [(StageRun, '_on_event', _taken_late)],
+    'offsets': [
+        (Assembly, 'accepts', _any_token),
+        (Assembly, 'has_gap', _never),
+    ],
+    'short streams': [(_stage, '_is_short', _never)],
+    'resuming': [(Attempts, '_call', _resumed_from_start)],
+    'room for a second attempt': [(_stage, 'attempt_timeout', _whole_budget)],
+    'one run': [(_stage, 'may_retry', _always)],
+    'memory of runs': [(Attempts, 'cut', _forgetful_cut)],
+    'truthful refusals': [(_run, '_failure_outcome', _said_not_run)],
+    'cancelled losers': [(Attempts, 'drop_all', _nothing)],
+    'retry budget': [(RetryBudget, 'spent', _always)],
+    'rising versions': [(InForce, 'offer', _newest_offer)],
+}
+
+
+@contextmanager
+def without(guard):
+    """Run a block with a guard taken away."""
+    with ExitStack() as stack:
+        for owner, name, replacement in _PATCHES[guard]:
+            stack.enter_context(patched(owner, name, replacement))
+        yield
--- /dev/null
+++ b/features/steps/requests_steps.py
@@ -0,0 +1,409 @@
+"""Steps of requests when upstreams, links and callers fail.
+
+Each When step is kept and each Then step too, so that the same story can be
+told again with a guard taken away.
+"""
+
+from collections import Counter
+
+from behave import given, step, then, when
+
+from features.builders import requests as build
+from features.builders.mutations import without
+from pollenstile.entry._face import _Exchange
+from pollenstile.outcomes import Answered
+from pollenstile.standin.engine import token
+from pollenstile.standin.virtual import SILENT
+from pollenstile.upstream import Chunk, NotRun, Reply, wire
+
+
+@given('a requests host')
+def step_world(context):
+    _new_world(context, build.requests_manifest())
+
+
+@given('a requests host with {count:d} upstreams in each pool')
+def step_large_world(context, count):
+    _new_world(context, build.requests_manifest(count))
+
+
+def _new_world(context, manifest):
+    context.manifest = manifest
+    context.world = build.World(manifest)
+    context.plan = []
+    context.checks = []
+
+
+def _act(context, action):
+    context.plan.append(action)
+    action(context.world)
+
+
+def _check(context, check):
+    context.checks.append(check)
+    check(context.world)
+
+
+@then('without the guard "{guard}" this requests story ends otherwise')
+def step_without(context, guard):
+    assert context.plan and context.checks
+    with without(guard):
+        world = build.World(context.manifest)
+        for action in context.plan:
+            action(world)
+    failed = 0
+    for check in context.checks:
+        try:
+            check(world)
+        except AssertionError:
+            failed += 1
+    assert failed, f'{guard} guards nothing here'
+
+
+@when('a "{name}" request is sent')
+def step_send(context, name):
+    _act(context, lambda world: world.send(name))
+
+
+@when('a "{name}" request with {seconds:g} seconds is sent')
+def step_send_budget(context, name, seconds):
+    _act(context, lambda world: world.send(name, budget=seconds))
+
+
+@when('{count:d} "{name}" requests are sent')
+def step_send_many(context, count, name):
+    _act(context, lambda world: [world.send(name) for _ in range(count)])
+
+
+@when('{seconds:g} request seconds pass')
+def step_pass(context, seconds):
+    _act(context, lambda world: world.wait(seconds))
+
+
+def _called(world):
+    return world.upstreams[world.names[-1]]
+
+
+@when('the called upstream breaks streams after {count:d} tokens')
+def step_cut(context, count):
+    _act(
+        context,
+        lambda world: setattr(_called(world).faults, 'cut_after', count),
+    )
+
+
+@when('the called upstream is frozen')
+def step_frozen(context):
+    _act(context, lambda world: setattr(_called(world).faults, 'frozen', True))
+
+
+@when('the called upstream is {factor:g} times slower for requests')
+def step_slow(context, factor):
+    _act(context, lambda world: setattr(_called(world).faults, 'slow', factor))
+
+
+@when('the upstreams of "{pool}" are {factor:g} times slower for requests')
+def step_pool_slow(context, pool, factor):
+    _act(context, lambda world: world.fault(pool, 'slow', factor))
+
+
+@when('the upstreams of "{pool}" are frozen for requests')
+def step_pool_frozen(context, pool):
+    _act(context, lambda world: world.fault(pool, 'frozen', True))
+
+
+@when('the upstreams of "{pool}" refuse requests')
+def step_pool_refuses(context, pool):
+    _act(context, lambda world: world.fault(pool, 'refusing', True))
+
+
+@when('the upstreams of "{pool}" answer requests with another\'s identifier')
+def step_pool_foreign(context, pool):
+    _act(context, lambda world: world.fault(pool, 'foreign', True))
+
+
+@when('the other upstreams refuse requests')
+def step_others_refuse(context):
+    def refuse(world):
+        for name, upstream in world.upstreams.items():
+            upstream.faults.refusing = name not in world.names
+
+    _act(context, refuse)
+
+
+@when('the link to "{name}" goes silent for requests')
+def step_silent(context, name):
+    _act(context, lambda world: world.links.update({name: SILENT}))
+
+
+@when('the links heal for requests')
+def step_heal(context):
+    def heal(world):
+        world.wait(0.05)
+        world.links.clear()
+
+    _act(context, heal)
+
+
+def _hooked(context, hook):
+    """Let a hook look at each event, with the call's number from 1."""
+
+    def set_hook(world):
+        def wrapped(call, sink):
+            number = len(world.calls)
+            return lambda event: hook(world, number, event, sink)
+
+        world.hook = wrapped
+
+    _act(context, set_hook)
+
+
+@when(
+    'the answers of request call {which:d} are {seconds:g} seconds late'
+    ' whatever is cancelled'
+)
+def step_late(context, which, seconds):
+    def hook(world, number, event, sink):
+        if number == which:
+            world.clock.callLater(seconds, sink, event)
+            return
+        sink(event)
+
+    _hooked(context, hook)
+
+
+@when('tokens {one:d} and {other:d} of request call {which:d} change places')
+def step_reorder(context, one, other, which):
+    def hook(world, number, event, sink):
+        offset = getattr(event, 'offset', None)
+        if number == which and offset == one:
+            world.clock.callLater(0.015, sink, event)
+            return
+        sink(event)
+
+    assert other == one + 1
+    _hooked(context, hook)
+
+
+@when('all answers of request calls come twice')
+def step_double(context):
+    def hook(world, number, event, sink):
+        sink(event)
+        sink(event)
+
+    _hooked(context, hook)
+
+
+@when('token {offset:d} of request call {which:d} is lost')
+def step_lost(context, offset, which):
+    def hook(world, number, event, sink):
+        lost = isinstance(event, Chunk) and event.offset == offset
+        if number != which or not lost:
+            sink(event)
+
+    _hooked(context, hook)
+
+
+@when('the answers of request calls {one:d} and {other:d} are swapped')
+def step_swap(context, one, other):
+    sinks = {}
+
+    def hook(world, number, event, sink):
+        if number > other:
+            sink(event)
+            return
+        waiting = sinks.pop(world, None)
+        if waiting is None:
+            sinks[world] = (sink, event)
+            return
+        sink(waiting[1])
+        waiting[0](event)
+
+    assert (one, other) == (1, 2)
+    _hooked(context, hook)
+
+
+@when("the reply to request call {which:d} is replaced by another's refusal")
+def step_foreign_refusal(context, which):
+    def hook(world, number, event, sink):
+        if number == which and isinstance(event, Reply):
+            sink(NotRun('busy', attempt='other/call/1'))
+            return
+        sink(event)
+
+    _hooked(context, hook)
+
+
+@when("the request's caller hangs up")
+def step_hang_up(context):
+    def hang_up(world):
+        exchange = _Exchange(None, streaming=False)
+        exchange.running = world.sent[-1].running
+        exchange.disconnected(None, world.sent[-1].request)
+
+    _act(context, hang_up)
+
+
+@when('the request is cancelled')
+def step_cancel(context):
+    _act(context, lambda world: world.sent[-1].running.cancel())
+
+
+@then('the request ends as "{tag}"')
+def step_ends(context, tag):
+    def check(world):
+        assert world.sent[-1].outcome.tag == tag, world.sent[-1].outcome
+
+    _check(context, check)
+
+
+def _expected(request, pool='encoder'):
+    return [{'by': f'{pool}-{place}', 'for': request.ident} for place in (1, 2)]
+
+
+def _texts(request):
+    earlier = [{}, *[{'encode': output} for output in _expected(request)]]
+    prompts = [
+        wire.encoded({'input': request.content, 'results': results})
+        for results in earlier
+    ]
+    return [
+        ''.join(token(prompt, offset) for offset in range(build.TOKENS))
+        for prompt in prompts
+    ]
+
+
+@then("the request's stream is whole")
+def step_whole(context):
+    def check(world):
+        sent = world.sent[-1]
+        passed = ''.join(sent.tokens)
+        assert len(sent.tokens) == build.TOKENS, sent.tokens
+        assert passed == sent.outcome.output, sent.outcome
+        assert passed in _texts(sent.request), passed
+
+    _check(context, check)
+
+
+@then("the request's call {number:d} asks for token {offset:d} and on")
+def step_resumes(context, number, offset):
+    def check(world):
+        assert len(world.calls) >= number, world.calls
+        call = world.calls[number - 1]
+        assert call.offset == offset, call
+        assert call.text == ''.join(world.sent[-1].tokens[:offset]), call
+
+    _check(context, check)
+
+
+@then("the request's outcome came before its deadline")
+@then('each request ended before its deadline')
+def step_in_time(context):
+    def check(world):
+        for sent in world.sent:
+            assert sent.outcome, sent
+        assert world.in_time(), [sent.ended for sent in world.sent]
+
+    _check(context, check)
+
+
+@then('each request has its own answer')
+def step_own(context):
+    def check(world):
+        for sent in world.sent:
+            assert isinstance(sent.outcome, Answered), sent.outcome
+            assert sent.outcome.output in _expected(sent.request), sent.outcome
+
+    _check(context, check)
+
+
+@then('upstreams ran "{stage}" {count:d} times for the requests')
+def step_ran(context, stage, count):
+    def check(world):
+        steps = Counter(run.split('/')[1] for run in world.runs())
+        assert steps[stage] == count, world.runs()
+
+    _check(context, check)
+
+
+@then('the requests made {count:d} calls')
+def step_calls(context, count):
+    def check(world):
+        assert len(world.calls) == count, world.calls
+
+    _check(context, check)
+
+
+@then('the requests made at most {count:d} calls')
+def step_most_calls(context, count):
+    def check(world):
+        assert len(world.sent) < len(world.calls) <= count, len(world.calls)
+
+    _check(context, check)
+
+
+@then('the requests made no call for "{stage}"')
+def step_no_call(context, stage):
+    def check(world):
+        assert world.calls
+        assert all(call.step != stage for call in world.calls), world.calls
+
+    _check(context, check)
+
+
+@then('{count:d} late replies were dropped from requests')
+def step_late_dropped(context, count):
+    def check(world):
+        assert world.total('reply.late') == count, world.total('reply.late')
+
+    _check(context, check)
+
+
+@then('{count:d} foreign replies were dropped from requests')
+def step_foreign_dropped(context, count):
+    def check(world):
+        assert world.total('reply.foreign') == count
+
+    _check(context, check)
+
+
+@then('no requests invariant is broken')
+def step_unbroken(context):
+    def check(world):
+        broken = world.node.core.ledger.broken
+        assert not broken, broken
+
+    _check(context, check)
+
+
+@then("the request's attempt {number:d} was cancelled")
+def step_cancelled(context, number):
+    def check(world):
+        attempts = [one.rpartition('/')[2] for one in world.cancelled]
+        assert str(number) in attempts, world.cancelled
+
+    _check(context, check)
+
+
+@step('no upstream works on requests')
+def step_idle(context):
+    def check(world):
+        busy = [
+            one.name for one in world.upstreams.values() if one.slots.running
+        ]
+        assert not busy, busy
+
+    _check(context, check)
+
+
+@then('nothing of the requests is left open')
+def step_nothing_open(context):
+    def check(world):
+        core = world.node.core
+        assert not core.ledger.open, core.ledger.open
+        assert world.node.in_flight == 0
+        states = core.tracker.states.values()
+        assert not any(state.in_flight for state in states)
+        assert world.sent[-1].outcomes
+
+    _check(context, check)
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -156,12 +156,22 @@
         if isinstance(event, Reply):
             self._on_reply(attempt, event)
             return
+        if self._is_foreign_refusal(attempt, event):
+            self._on_failure(attempt, Lost('foreign refusal'))
+            return
         self._on_failure(attempt, event)
 
+    def _is_foreign_refusal(self, attempt, event):
+        # Without an id the call never left this host.
+        stated = getattr(event, 'attempt', None)
+        return stated is not None and self._is_foreign(attempt, event)
+
     def _is_foreign(self, attempt, event):
         # An upstream that mixes up its connections answers one caller with
-        # another's result. It shows as an attempt id that is not the one this
-        # call sent; ids are never used twice, so equality is proof enough.
+        # another's result, or with another's refusal, which would be taken
+        # for proof that this call did not run. It shows as an attempt id that
+        # is not the one this call sent; ids are never used twice, so equality
+        # is proof enough.
         if event.attempt == self.attempts.ident(attempt):
             return False
         self.core.count('reply.foreign')
@@ -201,7 +211,7 @@
         if self._is_foreign(attempt, reply):
             self._on_failure(attempt, Lost('foreign reply'))
             return
-        if self._is_short(reply):
+        if _is_short(self, reply):
             self._on_failure(attempt, Lost('incomplete stream'))
             return
         self.attempts.release(attempt, reply.load)
@@ -216,11 +226,6 @@
         )
         self._finish(StageDone(reply.output, self.attempts.cost))
 
-    def _is_short(self, reply):
-        if self.attempts.pool.kind != 'engine':
-            return False
-        return reply.tokens != self.assembly.length()
-
     def _on_failure(self, attempt, failure):
         self.failures += 1
         self.last_failure = failure
@@ -295,3 +300,9 @@
         # told to stop.
         self._disarm()
         self.attempts.drop_all()
+
+
+def _is_short(run, reply):
+    if run.attempts.pool.kind != 'engine':
+        return False
+    return reply.tokens != run.assembly.length()
--- a/pollenstile/standin/engine.py
+++ b/pollenstile/standin/engine.py
@@ -6,7 +6,7 @@
 
 from pollenstile.ops.http import abort, answer_json, answer_problem
 from pollenstile.standin._slots import Slots
-from pollenstile.standin.faults import Faults
+from pollenstile.standin.faults import Faults, state_attempt
 from pollenstile.upstream import wire
 
 _MS = 1000
@@ -92,6 +92,7 @@
 
     def render_POST(self, request):
         """Stream one completion; called by twisted."""
+        state_attempt(request, self.engine.faults)
         if self.engine.faults.refusing:
             return answer_problem(request, 503, 'refusing', wire.NOT_RUN)
         try:
@@ -139,8 +140,7 @@
         """Start to generate."""
         self.engine.runs.append(self.attempt)
         self.started = self.engine.clock.seconds()
-        if self.engine.faults.foreign:
-            self.attempt = 'other/call/1'
+        self.attempt = self.engine.faults.stated(self.attempt)
         self.http.setHeader(b'content-type', b'text/event-stream')
         if not self.engine.faults.frozen:
             self.wait(self.engine.first)
--- a/pollenstile/standin/faults.py
+++ b/pollenstile/standin/faults.py
@@ -1,5 +1,9 @@
 """Faults that a stand-in shows on request."""
 
+from pollenstile.upstream import wire
+
+_OTHER = 'other/call/1'
+
 
 class Faults:
     """Switches of one stand-in, set by tests and by its command line.
@@ -37,3 +41,22 @@
         self.foreign = False
         self.cut_after = -1
         self.leaving = False
+
+    def stated(self, attempt):
+        """Return the attempt that an answer names."""
+        return _OTHER if self.foreign else attempt
+
+
+def state_attempt(http, faults):
+    """Name the attempt in the header of a stand-in's answer.
+
+    Parameters
+    ==========
+
+    http : twisted.web.server.Request
+        The call.
+    faults : Faults
+        Of the stand-in.
+    """
+    attempt = http.getHeader(wire.ATTEMPT_HEADER) or ''
+    http.setHeader(wire.ATTEMPT_HEADER, faults.stated(attempt.strip()))
--- a/pollenstile/standin/plain.py
+++ b/pollenstile/standin/plain.py
@@ -5,7 +5,7 @@
 
 from pollenstile.ops.http import answer_json, answer_problem
 from pollenstile.standin._slots import Slots
-from pollenstile.standin.faults import Faults
+from pollenstile.standin.faults import Faults, state_attempt
 from pollenstile.upstream import wire
 
 _MS = 1000
@@ -63,6 +63,7 @@
 
     def render_POST(self, request):
         """Run one call; called by twisted."""
+        state_attempt(request, self.server.faults)
         if self.server.faults.refusing:
             return answer_problem(request, 503, 'refusing', wire.NOT_RUN)
         try:
@@ -102,7 +103,6 @@
         """Answer and give the slot back."""
         self.timer = None
         self.server.slots.free()
-        stated = 'other/call/1' if self.server.faults.foreign else None
         output = {
             'by': self.server.name,
             'step': self.call.step,
@@ -113,7 +113,7 @@
         answer_json(
             self.http,
             wire.PlainReply(
-                stated or self.call.attempt,
+                self.server.faults.stated(self.call.attempt),
                 output,
                 took * _MS,
                 self.server.load(),
--- a/pollenstile/standin/virtual.py
+++ b/pollenstile/standin/virtual.py
@@ -128,7 +128,13 @@
         """Take a slot or queue, unless the upstream refuses."""
         if self.upstream.faults.refusing:
             self.ended = True
-            self.send(NotRun('refusing', load=self.upstream.load()))
+            self.send(
+                NotRun(
+                    'refusing',
+                    load=self.upstream.load(),
+                    attempt=self.stated(),
+                ),
+            )
             return
         self.upstream.slots.take(self.work)
 
@@ -180,9 +186,7 @@
 
     def stated(self):
         """Return the attempt that the answer names."""
-        if self.upstream.faults.foreign:
-            return 'other/call/1'
-        return self.call.attempt
+        return self.upstream.faults.stated(self.call.attempt)
 
     def token(self, offset):
         """Return a token, the same from every engine."""
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -88,12 +88,17 @@
 
 def _refusal(response):
     stated = response.headers.getRawHeaders(wire.OUTCOME_HEADER, [''])[0]
+    attempt = response.headers.getRawHeaders(wire.ATTEMPT_HEADER, [''])[0]
     if response.code in _BUSY and stated == wire.NOT_RUN:
         waits = response.headers.getRawHeaders('retry-after', ['0'])[0]
         retry_after = float(waits) if waits.isdigit() else 0
-        return NotRun(f'busy ({response.code})', retry_after)
+        return NotRun(
+            f'busy ({response.code})',
+            retry_after,
+            attempt=attempt,
+        )
     if response.code in _CLIENT_ERRORS and response.code not in _BUSY:
-        return Rejected(f'rejected ({response.code})')
+        return Rejected(f'rejected ({response.code})', attempt)
     return Lost(f'status {response.code}')
 
 
--- a/pollenstile/upstream/_types.py
+++ b/pollenstile/upstream/_types.py
@@ -112,18 +112,34 @@
 
 @dataclass(slots=True, frozen=True)
 class NotRun:
-    """The upstream was not reached, or refused before it ran anything."""
+    """The upstream was not reached, or refused before it ran anything.
+
+    Parameters
+    ==========
+
+    attempt : str or None
+        As the upstream stated it; None when the call never left this host.
+    """
 
     reason: str
     retry_after: float = 0.0
     load: Load | None = None
+    attempt: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
 class Rejected:
-    """The upstream says that the call itself is wrong; it ran nothing."""
+    """The upstream says that the call itself is wrong; it ran nothing.
+
+    Parameters
+    ==========
+
+    attempt : str or None
+        As the upstream stated it; None when the call never left this host.
+    """
 
     reason: str
+    attempt: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
