pipeline: a cancelled non-idempotent request ends as unknown

Cause: cancelling a running request gave `Failed`, which means that asking again is safe, whatever was running. The callers' face cancels idempotent requests only, but the library's users may cancel any. Change: non-idempotent requests end as `Unknown`. Measured: the scenario failed before (`failed` for `unknown`) and passes.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -200,6 +200,16 @@
     Then the request ends as "answered"
     And upstreams ran "book" 1 times for the requests
 
+  Scenario: A non-idempotent request is cancelled by its own host
+    A part of the host cancels a booking that an upstream has begun. It may
+    have run, so it can't be called safe to ask again.
+    Given a requests host
+    When a "book" request is sent
+    And 0.01 request seconds pass
+    And the request is cancelled
+    Then the request ends as "unknown"
+    And nothing of the requests is left open
+
   Scenario: Retries of requests are bounded when everything fails
     All encoders fall silent in the morning rush. Were each request sent twice,
     the load would double just when the encoders come back.
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -39,10 +39,17 @@
     try:
         outcome = await _admitted_outcome(core, request, on_token)
     except CancelledError:
-        outcome = Failed('the caller is gone', 'caller', '')
+        outcome = _cancelled_outcome(request)
     return _finished(core, request, outcome)
 
 
+def _cancelled_outcome(request):
+    # Whoever cancels a non-idempotent request may do so while its call runs.
+    # `Failed` would tell a caller that asking again is safe.
+    kind = Failed if request.pipeline.idempotent else Unknown
+    return kind('cancelled', 'caller', '')
+
+
 async def _admitted_outcome(core, request, on_token):
     refusal = await core.admission.entered(request)
     if refusal is not None:
