upstream: connect by IP number, without the resolver's threads

Cause: the HTTP client's own endpoints ask the system's resolver in a thread pool for each connection, IP numbers too. It showed in features/requests_http.feature: with the reactor only iterated the pool never starts, and no call was ever sent. In the daemon each fresh connection crossed to a thread and back. Change: endpoints of IP numbers. The feature covers connections after a timeout, silent pooled ones, malformed and oversize replies, refusals.

--- /dev/null
+++ b/features/builders/requests_http.py
@@ -0,0 +1,225 @@
+"""Builders of upstreams over real connections."""
+
+from random import Random
+
+from twisted.internet import reactor
+from twisted.internet.protocol import Factory, Protocol
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from features.builders.loop import kept_result, turned_until
+from features.builders.requests import TEAM, TOKENS, Sent, requests_manifest
+from pollenstile.entry import built_node
+from pollenstile.manifest import text_from_manifest
+from pollenstile.ops.http import site_for
+from pollenstile.ops.settings import ENTRY, settings_from
+from pollenstile.pipeline import Request, outcome_of
+from pollenstile.standin.plain import PlainResource, PlainServer
+from pollenstile.upstream import Call, http_transport, wire
+
+LOOPBACK = '127.0.0.1'
+
+
+class Counted:
+    """Connections that a port's factory has made."""
+
+    __slots__ = ('lost', 'made')
+
+    def __init__(self):
+        self.made = 0
+        self.lost = 0
+
+    def watch(self, factory):
+        """Count the connections of a factory; return it."""
+        build = factory.buildProtocol
+
+        def counted(address):
+            protocol = build(address)
+            self.made += 1
+            lose = protocol.connectionLost
+
+            def lost(reason):
+                self.lost += 1
+                lose(reason)
+
+            protocol.connectionLost = lost
+            return protocol
+
+        factory.buildProtocol = counted
+        return factory
+
+
+class Raw(Protocol):
+    """Answers each request by a function; counts them."""
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.buffer = b''
+        self.answered = 0
+
+    def dataReceived(self, data):
+        """Answer when a request's body is there."""
+        self.buffer += data
+        head, _, body = self.buffer.partition(b'\r\n\r\n')
+        if not body or not body.endswith(b'}'):
+            return
+        self.buffer = b''
+        self.answered += 1
+        self.reply(self, head.decode(), body)
+
+
+def raw_factory(reply):
+    """Return a factory of :class:`Raw`."""
+    factory = Factory()
+    factory.buildProtocol = lambda address: Raw(reply)
+    return factory
+
+
+def header_of(head, name):
+    """Return a header of a request's head."""
+    for line in head.split('\r\n')[1:]:
+        key, _, value = line.partition(': ')
+        if key.lower() == name:
+            return value
+    return ''
+
+
+def answer(protocol, status, body, headers=(), length=None):
+    """Write an answer, whole unless it states another length."""
+    stated = len(body) if length is None else length
+    lines = [f'HTTP/1.1 {status} Whatever', f'Content-Length: {stated}']
+    lines.extend(headers)
+    head = '\r\n'.join(lines)
+    protocol.transport.write(f'{head}\r\n\r\n'.encode() + body)
+
+
+def plain_body(attempt):
+    """Return a right reply to a plain call."""
+    return wire.encoded(wire.PlainReply(attempt, {'for': attempt}))
+
+
+def listening(factory):
+    """Return a port of the loopback."""
+    return reactor.listenTCP(0, factory, interface=LOOPBACK)
+
+
+def plain_server():
+    """Return a stand-in of a stage pool."""
+    return PlainServer(reactor, 'encoder', 0.001, 8)
+
+
+def plain_site(server):
+    """Return the site of a stand-in."""
+    return site_for(PlainResource(server), reactor)
+
+
+class Made:
+    """One call that was made."""
+
+    __slots__ = ('attempt', 'cancel', 'events')
+
+    def __init__(self, attempt):
+        self.attempt = attempt
+        self.cancel = None
+        self.events = []
+
+
+class Caller:
+    """Calls over HTTP, and how each ended."""
+
+    __slots__ = ('address', 'ends', 'numbers', 'start')
+
+    def __init__(self, port):
+        self.address = f'{LOOPBACK}:{port.getHost().port}'
+        self.start = http_transport(reactor)
+        self.ends = []
+        self.numbers = 0
+
+    def call(self, *, idempotent=True, kind='stage'):
+        """Start a call."""
+        self.numbers += 1
+        attempt = f'r{self.numbers}/encode/1'
+        call = Call(
+            attempt,
+            'encode',
+            kind,
+            'leak',
+            1000,
+            idempotent=idempotent,
+        )
+        made = Made(attempt)
+        made.cancel = self.start('one', self, call, made.events.append)
+        return made
+
+    def ended(self, **options):
+        """Make a call; return its attempt and its end."""
+        made = self.call(**options)
+        turned_until(lambda: made.events)
+        self.ends.append((made.attempt, made.events[-1]))
+        return self.ends[-1]
+
+
+def node_to(port):
+    """Return a node whose every upstream listens at one port."""
+    environment = {'POLLENSTILE_HOST': 'h', 'POLLENSTILE_DOMAIN': 'here'}
+    raw = http_transport(reactor)
+    there = Caller(port)
+
+    def transport(name, upstream, call, sink):
+        return raw(name, there, call, sink)
+
+    node = built_node(
+        reactor,
+        Random(1),
+        settings_from(None, ENTRY, environment),
+        transport,
+    )
+    text = text_from_manifest(requests_manifest(1))
+    node.in_force.offer(1, text, 'test')
+    return node
+
+
+def outcome_at(node, name):
+    """Run a request at a node; return its tokens and its outcome."""
+    request = Request(
+        node.next_ident(),
+        name,
+        node.in_force.snapshot,
+        TEAM,
+        'leak',
+        node.core.clock.seconds() + 1.0,
+    )
+    sent = Sent(request)
+    sent.outcomes = kept_result(
+        outcome_of(node.core, request, sent.tokens.append),
+    )
+    turned_until(lambda: sent.outcomes)
+    return sent
+
+
+class Doubled(Resource):
+    """An engine that sends each token twice."""
+
+    isLeaf = True
+
+    def render_POST(self, request):
+        """Stream at once."""
+        attempt = request.getHeader(wire.ATTEMPT_HEADER)
+        parts = []
+        for offset in range(TOKENS):
+            event = wire.CompletionEvent(
+                attempt,
+                [wire.Choice(f'w{offset} ')],
+                offset,
+            )
+            parts.extend([event, event])
+        parts.append(
+            wire.CompletionEvent(attempt, [], TOKENS, wire.Usage(TOKENS)),
+        )
+        lines = [b'data: %s\n\n' % wire.encoded(one) for one in parts]
+        return b''.join(lines) + b'data: %s\n\n' % wire.DONE
+
+
+def doubled_site():
+    """Return a site of an engine that repeats itself."""
+    return Site(Doubled())
--- /dev/null
+++ b/features/steps/requests_http_steps.py
@@ -0,0 +1,159 @@
+"""Steps of requests over real connections."""
+
+from behave import given, then, when
+
+from features.builders import requests_http as build
+from features.builders.loop import result_of, turned_until
+from pollenstile.standin.engine import wire
+from pollenstile.upstream import Reply
+
+
+def _serve(context, factory):
+    context.counted = build.Counted()
+    port = build.listening(context.counted.watch(factory))
+    context.port = port
+    context.caller = build.Caller(port)
+    context.add_cleanup(lambda: result_of(port.stopListening()))
+
+
+@given('a requests server of kind "stage"')
+def step_plain(context):
+    context.server = build.plain_server()
+    _serve(context, build.plain_site(context.server))
+
+
+@given('a requests server whose connections fall silent after one answer')
+def step_falls_silent(context):
+    context.silent = []
+
+    def reply(protocol, head, body):
+        if protocol.answered > 1:
+            context.silent.append(head)
+        else:
+            attempt = build.header_of(head, wire.ATTEMPT_HEADER)
+            build.answer(protocol, 200, build.plain_body(attempt))
+
+    _serve(context, build.raw_factory(reply))
+
+
+_BODIES = {
+    'not JSON': b'<h1>hello</h1>',
+    'another document': b'{"attempt": 3}',
+    '5000000 bytes': b' ' * 5_000_000,
+    'a problem': b'{"title": "broken"}',
+}
+
+
+@given('a requests server that answers {status:d} with {body}')
+def step_answers(context, status, body):
+    def reply(protocol, head, received):
+        whole = _BODIES.get(body)
+        if whole is not None:
+            build.answer(protocol, status, whole)
+            return
+        build.answer(protocol, status, b'{"attempt"', length=100)
+        protocol.transport.loseConnection()
+
+    _serve(context, build.raw_factory(reply))
+
+
+@given(
+    'a requests server that refuses with {status:d}, outcome "{outcome}",'
+    ' attempt "{attempt}"'
+)
+def step_refuses(context, status, outcome, attempt):
+    def reply(protocol, head, received):
+        own = build.header_of(head, wire.ATTEMPT_HEADER)
+        stated = {'own': own, 'another': 'other/call/1', 'none': ''}[attempt]
+        headers = [f'{wire.ATTEMPT_HEADER}: {stated}'] if stated else []
+        if outcome != 'none':
+            headers.append(f'{wire.OUTCOME_HEADER}: {outcome}')
+        build.answer(protocol, status, b'{}', headers)
+
+    _serve(context, build.raw_factory(reply))
+
+
+@given('a requests server that streams each token twice')
+def step_doubled(context):
+    _serve(context, build.doubled_site())
+
+
+@when('a requests call is sent and its answer is read')
+def step_call(context):
+    context.caller.ended()
+
+
+@when('a non-idempotent requests call is sent and its answer is read')
+def step_call_once(context):
+    context.caller.ended(idempotent=False)
+
+
+@when('a requests call to the frozen server is cut')
+def step_cut(context):
+    context.server.faults.frozen = True
+    call = context.caller.call()
+    turned_until(lambda: call.attempt in context.server.runs)
+    call.cancel()
+    context.server.faults.frozen = False
+    turned_until(lambda: context.counted.lost == 1)
+    assert not call.events, call.events
+
+
+@then('the requests server saw {made:d} connections and {cut:d} of them cut')
+def step_connections(context, made, cut):
+    counted = context.counted
+    assert (counted.made, counted.lost) == (made, cut), (
+        counted.made,
+        counted.lost,
+    )
+
+
+@then('the requests server took {made:d} connections')
+def step_made(context, made):
+    assert context.counted.made == made, context.counted.made
+
+
+@then('the last requests call has its own answer')
+def step_own(context):
+    attempt, end = context.caller.ends[-1]
+    assert isinstance(end, Reply), end
+    assert end.attempt == attempt, end
+    assert end.output['for'] in attempt, end
+
+
+@then('sent as idempotent that requests call has no answer')
+def step_no_answer(context):
+    call = context.caller.call()
+    # The silent server has read the call and will not answer it.
+    turned_until(lambda: context.silent)
+    assert not call.events, call.events
+    assert context.counted.made == 2
+    call.cancel()
+
+
+@then('the last requests call ends as "{name}" for "{reason}"')
+def step_ends(context, name, reason):
+    _, end = context.caller.ends[-1]
+    assert type(end).__name__ == name, end
+    assert end.reason == reason, end
+
+
+@when('a "{name}" request is sent to the requests server')
+def step_request(context, name):
+    node = build.node_to(context.port)
+    sent = build.outcome_at(node, name)
+    context.tokens = sent.tokens
+    context.outcome = sent.outcome
+    assert not node.core.ledger.broken, node.core.ledger.broken
+    assert not node.core.ledger.open
+
+
+@then('the request to the requests server ends as "{tag}"')
+def step_tag(context, tag):
+    assert context.outcome.tag == tag, context.outcome
+
+
+@then("the requests server's text is what was streamed")
+def step_text(context):
+    assert context.tokens
+    assert context.outcome.output == ''.join(context.tokens), context.outcome
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -2,8 +2,11 @@
 
 from twisted.internet import error
 from twisted.internet.defer import CancelledError
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 from pollenstile.ops.body import BytesProducer
 from pollenstile.upstream import wire
@@ -132,6 +135,31 @@
     return wire.COMPLETIONS_PATH if call.kind == 'engine' else wire.CALL_PATH
 
 
+@implementer(IAgentEndpointFactory)
+class _Endpoints:
+    """Makes endpoints of IP numbers.
+
+    Explanation
+    ===========
+
+    The client's own endpoints ask the system's resolver, in a thread, for
+    each connection. Upstreams are declared by IP number, so there is nothing
+    to resolve.
+    """
+
+    __slots__ = ('reactor', 'timeout')
+
+    def __init__(self, reactor, timeout):
+        self.reactor = reactor
+        self.timeout = timeout
+
+    def endpointForURI(self, uri):
+        """Return the endpoint to connect to; called by twisted."""
+        host = uri.host.decode().strip('[]')
+        kind = TCP6ClientEndpoint if ':' in host else TCP4ClientEndpoint
+        return kind(self.reactor, host, uri.port, timeout=self.timeout)
+
+
 def http_transport(reactor, connect_timeout=1.0, per_host=64):
     """Return a transport that makes calls over HTTP.
 
@@ -162,8 +190,9 @@
     kept = HTTPConnectionPool(reactor, persistent=True)
     kept.retryAutomatically = False
     kept.maxPersistentPerHost = per_host
-    pooled = Agent(reactor, connectTimeout=connect_timeout, pool=kept)
-    fresh = Agent(reactor, connectTimeout=connect_timeout)
+    endpoints = _Endpoints(reactor, connect_timeout)
+    pooled = Agent.usingEndpointFactory(reactor, endpoints, kept)
+    fresh = Agent.usingEndpointFactory(reactor, endpoints)
 
     def start(name, upstream, call, sink):
         exchange = _Exchange(sink, call.text)
