pipeline: a streamed result is what was passed on

Cause: over HTTP the reply's text joins all tokens that came. An engine that repeats its tokens showed the caller each word once in the stream and twice in the final document. Change: an engine's result is the assembled stream, checked by offset.

--- a/features/requests_http.feature
+++ b/features/requests_http.feature
@@ -55,3 +55,11 @@
       | 503    | none    | own     | slow     | failed  |
       | 400    | not-run | own     | book     | not-run |
       | 400    | not-run | another | book     | unknown |
+
+  Scenario: A request's stream repeats its tokens over HTTP
+    An engine sends each token twice. The streamed words are right, but the
+    whole text that comes with the end would have each word twice.
+    Given a requests server that streams each token twice
+    When a "draft" request is sent to the requests server
+    Then the request to the requests server ends as "answered"
+    And the requests server's text is what was streamed
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -231,7 +231,7 @@
             self.stage.name,
             self.attempts.ident(attempt),
         )
-        self._finish(StageDone(reply.output, self.attempts.cost))
+        self._finish(StageDone(_output(self, reply), self.attempts.cost))
 
     def _on_failure(self, attempt, failure):
         self.failures += 1
@@ -319,7 +319,17 @@
     return worth_sending(run.stage, _budget(run), run.expected)
 
 
+def _is_stream(run):
+    return run.attempts.pool.kind == 'engine'
+
+
+def _output(run, reply):
+    # The reply's text is put together without a look at offsets, so that a
+    # repeated token is in it twice. What was passed on is right.
+    return run.assembly.text() if _is_stream(run) else reply.output
+
+
 def _is_short(run, reply):
-    if run.attempts.pool.kind != 'engine':
+    if not _is_stream(run):
         return False
     return reply.tokens != run.assembly.length()
