--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -52,6 +52,7 @@
 
 
 def _forgetful_cut(attempts, attempt):
+    attempts.core.ledger.cut(attempts.request, attempts.ident(attempt))
     if attempt.cancel is not None:
         attempt.cancel()
 
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -253,3 +253,12 @@
     And the requests made 1 calls
     And no requests invariant is broken
     But without the guard "time for a non-idempotent call" this requests story ends otherwise
+
+  Scenario: A fault of the program ends a request
+    A part of the host raises. The caller sees a broken connection; the host
+    must count the request as ended and say that it had no outcome.
+    Given a requests host
+    When claims crash for requests
+    And a "book" request is sent with key "k1"
+    Then nothing of the requests is left open
+    And the requests invariant "no-outcome" is broken
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -74,14 +74,26 @@
 @when('claims take {seconds:g} seconds for requests')
 def step_claims(context, seconds):
     def slow_claims(world):
-        async def claims(request):
+        async def claims(request, run=None):
             await deferLater(world.clock, seconds)
+            return await run() if run else None
 
         world.node.core.claims = claims
 
     _act(context, slow_claims)
 
 
+@when('claims crash for requests')
+def step_claims_crash(context):
+    def crashing(world):
+        def claims(request, run=None):
+            raise ValueError('a fault of the program')
+
+        world.node.core.claims = claims
+
+    _act(context, crashing)
+
+
 @when('a "{name}" request with {seconds:g} seconds is sent')
 def step_send_budget(context, name, seconds):
     _act(context, lambda world: world.send(name, budget=seconds))
@@ -375,6 +387,15 @@
     _check(context, check)
 
 
+@then('the requests invariant "{name}" is broken')
+def step_broken(context, name):
+    def check(world):
+        broken = [one for one, _ in world.node.core.ledger.broken]
+        assert broken == [name], broken
+
+    _check(context, check)
+
+
 @then('no requests invariant is broken')
 def step_unbroken(context):
     def check(world):
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -162,6 +162,7 @@
     def cut(self, attempt):
         """Close the connection of an attempt that may have run."""
         self.may_have_run = True
+        self.core.ledger.cut(self.request, self.ident(attempt))
         if attempt.cancel is not None:
             attempt.cancel()
 
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -40,6 +40,10 @@
         outcome = await _admitted_outcome(core, request, on_token)
     except CancelledError:
         outcome = _cancelled_outcome(request)
+    except Exception:
+        # Left open, the request would be counted as running for good.
+        core.ledger.crash(request)
+        raise
     return _finished(core, request, outcome)
 
 
--- a/pollenstile/soak/_hosts.py
+++ b/pollenstile/soak/_hosts.py
@@ -91,7 +91,7 @@
     def __init__(self, world, name, domain):
         self.world = world
         self.name = name
-        self.process = Process(world.clock)
+        self.process = Process(world.clock, self._crashed)
         self.exchanges = []
         self.calls = {}
         self.told_leaving = set()
@@ -140,6 +140,9 @@
             self.world.trace.note(event.name, host=self.name, **fields)
             self.world.records.logged(self, event, fields)
 
+    def _crashed(self, error):
+        self.world.records.violate('crashed', self.name, error=repr(error))
+
     def _in_force(self, snapshot):
         self.versions.append(snapshot.version)
 
--- a/pollenstile/soak/_process.py
+++ b/pollenstile/soak/_process.py
@@ -40,13 +40,13 @@
             self.due = True
             self.process.timers.append(self)
             return
-        self.work()
+        self.process.run(self.work)
 
     def overdue(self):
         """Run after a freeze, unless cancelled meanwhile."""
         if self.due:
             self.due = False
-            self.work()
+            self.process.run(self.work)
 
 
 class Process:
@@ -64,6 +64,9 @@
 
     clock : twisted.internet.task.Clock
         Virtual.
+    crashed : function or None
+        Takes an exception that a timer or a message raised; the process goes
+        on, as the reactor does. None raises it.
 
     Examples
     ========
@@ -84,10 +87,19 @@
     ['timer', 'message']
     """
 
-    __slots__ = ('alive', 'clock', 'froze', 'frozen', 'messages', 'timers')
-
-    def __init__(self, clock):
+    __slots__ = (
+        'alive',
+        'clock',
+        'crashed',
+        'froze',
+        'frozen',
+        'messages',
+        'timers',
+    )
+
+    def __init__(self, clock, crashed=None):
         self.clock = clock
+        self.crashed = crashed
         self.alive = True
         self.frozen = False
         self.froze = []
@@ -109,7 +121,17 @@
         if self.frozen:
             self.messages.append((function, arguments))
             return
-        function(*arguments)
+        self.run(function, *arguments)
+
+    def run(self, function, *arguments):
+        """Call a function, and go on if it raises."""
+        if self.crashed is None:
+            function(*arguments)
+            return
+        try:
+            function(*arguments)
+        except Exception as error:
+            self.crashed(error)
 
     def freeze(self):
         """Stop running."""
--- a/pollenstile/soak/_wire.py
+++ b/pollenstile/soak/_wire.py
@@ -67,7 +67,9 @@
         """Return a sink that goes through the wire."""
 
         def take(event):
-            if self.rng.random() >= self.links.astray:
+            # What the transport itself says does not travel.
+            travels = getattr(event, 'attempt', None) is not None
+            if not travels or self.rng.random() >= self.links.astray:
                 self.hand(sink, event)
                 return
             fate = self.rng.choice((_lost, _double, _late, _behind, _swap))
