claims: keyed requests run at most once over all entry hosts

Cause: a caller that repeats a non-idempotent request at another entry host after the first died would have it run twice. Change: a key is claimed in the log of its shard, small objects appended by create-if-absent, before anything is dispatched. The holder keeps the outcome for repeats; requests that did not run release their key. Core.claims now wraps the run, so that the outcome is known to it.

--- /dev/null
+++ b/features/builders/claims.py
@@ -0,0 +1,309 @@
+"""Builders of entry hosts that share a claims log, in virtual time."""
+
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from features.builders.loop import advanced, kept_result
+from pollenstile.entry import built_node
+from pollenstile.manifest import (
+    Domain,
+    Manifest,
+    Pipeline,
+    Pool,
+    Stage,
+    Team,
+    Upstream,
+    text_from_manifest,
+)
+from pollenstile.ops.settings import ENTRY, settings_from
+from pollenstile.pipeline import Request, outcome_of
+from pollenstile.platform import InDoubt, Unavailable
+from pollenstile.standin.objectapi import MemoryStore
+from pollenstile.standin.virtual import (
+    UP,
+    Times,
+    VirtualNetwork,
+    VirtualUpstream,
+)
+
+WINDOW = 600
+_NO_LIST = Unavailable('list', 'memory', 'no answer')
+_DEADLINE_MS = 4000
+
+
+def _upstream(port):
+    return Upstream('here', f'127.0.0.1:{port}', slots=64)
+
+
+def manifest():
+    """Return pipelines of a booking service that must not run twice."""
+    once = Stage('book', 'booking', idempotent=False, attempts=1, expect_ms=50)
+    look = Stage('look', 'members', expect_ms=20)
+    common = {
+        'deadline_ms': _DEADLINE_MS,
+        'teams': ['salons', 'desks'],
+        'idempotent': False,
+        'claim_window_s': WINDOW,
+    }
+    return Manifest(
+        name='claims',
+        domains={'here': Domain('here')},
+        pools={
+            'booking': Pool('service', {'booking-1': _upstream(1)}),
+            'members': Pool('service', {'members-1': _upstream(2)}),
+        },
+        pipelines={
+            'log-minutes': Pipeline(stages=[look, once], **common),
+            'deduped': Pipeline(stages=[once], upstream_dedupes=True, **common),
+        },
+        teams={'salons': Team(['0' * 64]), 'desks': Team(['1' * 64])},
+    )
+
+
+class HostClock:
+    """A host's clock: stops for good or for a while with its host."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.dead = False
+        self.paused = False
+        self.held = []
+
+    def seconds(self):
+        """Return the time, which goes on while the host is paused."""
+        return self.clock.seconds()
+
+    def callLater(self, delay, function, *arguments):
+        """Call later, if the host runs then."""
+        return self.clock.callLater(delay, self.run, function, *arguments)
+
+    def run(self, function, *arguments):
+        """Call now, when the host runs again, or never."""
+        if self.dead:
+            return
+        if self.paused:
+            self.held.append((function, arguments))
+            return
+        function(*arguments)
+
+    def resume(self):
+        """Let the host go on where it stood."""
+        self.paused = False
+        held, self.held = self.held, []
+        for function, arguments in held:
+            function(*arguments)
+
+
+class Way:
+    """A host's way to the store, with faults of single writes.
+
+    Attributes
+    ==========
+
+    faults : list of str
+        Of the next writes of claims, in order: ``'answer-lost'``,
+        ``'request-lost'``, ``'late'`` (applied after ``late`` seconds, never
+        answered) or ``'held'`` (sent on when ``release`` is called).
+    cut : bool
+        Nothing goes through, and nothing comes back.
+    """
+
+    def __init__(self, store, clock):
+        self.store = store
+        self.clock = clock
+        self.faults = []
+        self.cut = False
+        self.late = 5.0
+        self.holding = []
+
+    async def get(self, *arguments):
+        """Pass a read on."""
+        return await self._reached(self.store.get(*arguments), _NO_LIST)
+
+    async def listed(self, *arguments, **named):
+        """Pass a list on."""
+        call = self.store.listed(*arguments, **named)
+        return await self._reached(call, _NO_LIST)
+
+    async def delete(self, *arguments):
+        """Pass a deletion on."""
+        lost = InDoubt('delete', 'memory', 'no answer')
+        return await self._reached(self.store.delete(*arguments), lost)
+
+    async def put(self, kind, name, value, if_version=None):
+        """Pass a write on, or let it meet the next fault."""
+        lost = InDoubt('put', 'memory', 'no answer')
+        fault = self.faults.pop(0) if self.faults else ''
+        call = self.store.put(kind, name, value, if_version)
+        if fault == 'answer-lost':
+            Deferred.fromCoroutine(call)
+        elif fault == 'late':
+            self.clock.clock.callLater(self.late, Deferred.fromCoroutine, call)
+        elif fault == 'request-lost':
+            call.close()
+        elif fault == 'held':
+            self.holding.append(call)
+            return await Deferred()
+        else:
+            return await self._reached(call, lost)
+        return await self._silence(lost)
+
+    def _reached(self, call, lost):
+        if self.cut:
+            call.close()
+            return self._silence(lost)
+        answer = Deferred()
+        Deferred.fromCoroutine(call).addCallback(
+            lambda outcome: self._answered(answer, outcome, lost),
+        )
+        return answer
+
+    def _answered(self, answer, outcome, lost):
+        if self.cut:
+            outcome = lost
+        self.clock.run(answer.callback, outcome)
+
+    def _silence(self, lost):
+        answer = Deferred()
+        self.clock.callLater(self.store.timeout, answer.callback, lost)
+        return answer
+
+
+class EntryHost:
+    """An entry host's real code over a clock and ways of its own."""
+
+    def __init__(self, world, name, boot):
+        self.world = world
+        self.name = name
+        self.clock = HostClock(world.clock)
+        self.way = Way(world.store, self.clock)
+        settings = settings_from(
+            None,
+            ENTRY,
+            {'POLLENSTILE_HOST': name, 'POLLENSTILE_DOMAIN': 'here'},
+        )
+        self.node = built_node(
+            self.clock,
+            Random(f'{name}/{boot}/{world.seed}'),
+            settings,
+            self._transport(world.network.transport_from(name)),
+            store=self.way,
+            log=world.log,
+        )
+        self.claims = self.node.claims
+        self.claims.shards = world.shards
+        self.claims.ask_owner = self._ask_owner
+        self.node.in_force.offer(1, world.manifest_text, 'test')
+
+    def ask(self, key, minutes=10, team='salons', pipeline='log-minutes'):
+        """Send a request; return a list that its outcome comes into."""
+        request = Request(
+            self.node.next_ident(),
+            pipeline,
+            self.node.in_force.snapshot,
+            team,
+            {'minutes': minutes},
+            self.clock.seconds() + _DEADLINE_MS / 1000,
+            key,
+        )
+        running = Deferred.fromCoroutine(outcome_of(self.node.core, request))
+        self.node.track(running)
+        return kept_result(running)
+
+    def kill(self):
+        """End the host: nothing of it runs on."""
+        self.clock.dead = True
+
+    def is_reached(self):
+        """Return whether peers get an answer from it."""
+        clock = self.clock
+        return not (clock.dead or clock.paused or self.name in self.world.cut)
+
+    def _transport(self, start):
+        def gated(name, upstream, call, sink):
+            def gated_sink(event):
+                self.clock.run(sink, event)
+
+            return start(name, upstream, call, gated_sink)
+
+        return gated
+
+    async def _ask_owner(self, holder):
+        owner = self.world.hosts.get(holder.host)
+        if owner is None or self.name in self.world.cut:
+            return None
+        return owner.claims.told(holder) if owner.is_reached() else None
+
+
+class ClaimsWorld:
+    """Hosts, one store and one booking service on one virtual clock.
+
+    Attributes
+    ==========
+
+    cut : set of str
+        Hosts that other hosts can't reach.
+    """
+
+    def __init__(self, hosts=3, seed=1, shards=2, latency=0.005):
+        self.clock = Clock()
+        self.clock.advance(1000.0)
+        self.seed = seed
+        self.shards = shards
+        self.store = MemoryStore(self.clock)
+        self.store.latency = latency
+        self.cut = set()
+        self.events = []
+        self.manifest_text = text_from_manifest(manifest())
+        times = Times(lambda: 0.05, lambda: 0.01)
+        self.upstreams = {
+            name: VirtualUpstream(self.clock, name, 'service', 64, times)
+            for name in ('booking-1', 'members-1')
+        }
+        self.network = VirtualNetwork(
+            self.clock,
+            self.upstreams,
+            lambda origin, name: 0.001,
+            lambda origin, name: UP,
+        )
+        self.hosts = {}
+        self.boots = 0
+        for number in range(hosts):
+            self.start(f'h{number + 1}')
+
+    def log(self, event, level='info', **fields):
+        """Note an event's name."""
+        self.events.append(event.name)
+
+    def start(self, name):
+        """Start a host, also again after it was killed."""
+        self.boots += 1
+        self.hosts[name] = EntryHost(self, name, self.boots)
+        return self.hosts[name]
+
+    def passed(self, seconds):
+        """Let time pass."""
+        advanced(self.clock, seconds, step=0.001 if seconds < 10 else 0.25)
+
+    def runs(self, key):
+        """Return how often the booking service ran a key."""
+        booked = [row for row in self.booking.keys if row[0] == key]
+        return len(booked)
+
+    def objects(self):
+        """Return the names of all segments that stand."""
+        return list(self.store.objects.names.get('claims', []))
+
+    def broken(self):
+        """Return the broken invariants of all hosts."""
+        found = []
+        for host in self.hosts.values():
+            found.extend(host.node.core.ledger.broken)
+        return found
+
+    @property
+    def booking(self):
+        """The service whose calls must not be repeated."""
+        return self.upstreams['booking-1']
--- a/pollenstile/outcomes.py
+++ b/pollenstile/outcomes.py
@@ -59,10 +59,27 @@
 
 @dataclass(slots=True, frozen=True)
 class Unknown:
-    """A non-idempotent stage may have run; its answer is not known."""
+    """A non-idempotent stage may have run; its answer is not known.
+
+    Parameters
+    ==========
+
+    reason : str
+        Why, in a few words.
+    step, peer : str
+        Where it arose.
+    cost : dict
+        Cost by stage, in the manifest's unit.
+    retry_after : float
+        Seconds after which the answer may be known; 0 for never.
+    status : int
+        HTTP status to tell the caller; 0 for the usual one.
+    """
 
     reason: str
     step: str
     peer: str
     cost: dict = field(default_factory=dict)
+    retry_after: float = 0.0
+    status: int = 0
     tag = 'unknown'
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -35,8 +35,8 @@
     admission : Admission
         Lets requests start.
     claims : function or None
-        ``await claims(request)`` returns None when the caller's key is now
-        claimed by this request, or the outcome to answer with instead.
+        ``await claims(request, run)`` returns the outcome of a keyed request,
+        that of ``await run()`` or that of the one which holds the key.
     log : function
         Writes events.
     count : function
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -1,5 +1,7 @@
 """One request from admission to its final outcome."""
 
+from functools import partial
+
 from twisted.internet.defer import CancelledError
 
 from pollenstile.limits import expected_time
@@ -56,10 +58,8 @@
 async def _claimed_outcome(core, request, on_token):
     if core.claims is None or request.pipeline.idempotent or not request.key:
         return await _stages_outcome(core, request, on_token)
-    earlier = await core.claims(request)
-    if earlier is not None:
-        return earlier
-    return await _stages_outcome(core, request, on_token)
+    run = partial(_stages_outcome, core, request, on_token)
+    return await core.claims(request, run)
 
 
 def _finished(core, request, outcome):
