entry: claims over the store when there is one

Cause: built_node had no store, so no key was claimed. Change: built_node takes a store, and Node carries the host's claims. Conclusion: wiring only.

--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -1,5 +1,6 @@
 """Putting one entry host together."""
 
+from pollenstile.claims import Claims
 from pollenstile.entry._node import Node
 from pollenstile.fleet import InForce
 from pollenstile.limits import Admission, RetryBudget
@@ -18,6 +19,7 @@
     settings,
     transport,
     *,
+    store=None,
     log=silent_log,
 ):
     """Return a host's node; nothing listens yet.
@@ -33,6 +35,8 @@
         With ``host``, ``domain`` and ``max_running``.
     transport : function
         Makes calls; see :mod:`pollenstile.upstream`.
+    store : Store or None
+        The object API, for claims; without it no key is recognised again.
     """
     metrics = Metrics()
     tracker = Tracker(clock)
@@ -53,7 +57,18 @@
     boot = f'{rng.getrandbits(_BOOT_BITS):012x}'
     in_force = InForce(log)
     in_force.listeners.append(_ratio_setter(core.retries))
-    return Node(core, in_force, metrics, boot)
+    node = Node(core, in_force, metrics, boot)
+    if store is not None:
+        node.claims = Claims(
+            store,
+            clock,
+            rng,
+            settings.host,
+            log,
+            metrics.count,
+        )
+        core.claims = node.claims.outcome
+    return node
 
 
 def _ratio_setter(retries):
--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -21,10 +21,17 @@
         The configuration.
     boot : str
         Differs with every start, so that identifiers never repeat.
+
+    Attributes
+    ==========
+
+    claims : Claims or None
+        What requests with a key are run through.
     """
 
     __slots__ = (
         'boot',
+        'claims',
         'core',
         'idle_waiters',
         'in_flight',
@@ -39,6 +46,7 @@
         self.in_force = in_force
         self.metrics = metrics
         self.boot = boot
+        self.claims = None
         self.numbers = itertools.count(1)
         self.leaving = False
         self.in_flight = 0
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -39,16 +39,17 @@
     """Return a daemon with real connections, store and metrics."""
     rng = random.Random(settings.seed or None)
     log = event_log(host=settings.host)
+    store = None
+    if settings.platform is not None:
+        store = store_at(reactor, settings.platform)
     node = built_node(
         reactor,
         rng,
         settings,
         http_transport(reactor),
+        store=store,
         log=log,
     )
-    store = None
-    if settings.platform is not None:
-        store = store_at(reactor, settings.platform)
     return Daemon(reactor, node, settings, store, _statsd(settings))
 
 
