claims: scenarios of the failures, each told again without its guard

Cause: nothing showed that a key runs once when hosts die, pause, are cut off, or the store loses answers, is slow or down. Change: scenarios in virtual time over the real code of entry hosts. A story is told a second time with one guard taken away and must then show the fault.

--- a/features/builders/claims.py
+++ b/features/builders/claims.py
@@ -2,10 +2,13 @@
 
 from random import Random
 
+import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from features.builders.loop import advanced, kept_result
+from pollenstile.claims._digests import object_name
+from pollenstile.claims._records import segment_from
 from pollenstile.entry import built_node
 from pollenstile.manifest import (
     Domain,
@@ -57,6 +60,7 @@
         pipelines={
             'log-minutes': Pipeline(stages=[look, once], **common),
             'deduped': Pipeline(stages=[once], upstream_dedupes=True, **common),
+            'look-up': Pipeline(_DEADLINE_MS, ['salons'], [look]),
         },
         teams={'salons': Team(['0' * 64]), 'desks': Team(['1' * 64])},
     )
@@ -91,7 +95,8 @@
     def resume(self):
         """Let the host go on where it stood."""
         self.paused = False
-        held, self.held = self.held, []
+        held = self.held
+        self.held = []
         for function, arguments in held:
             function(*arguments)
 
@@ -105,7 +110,7 @@
     faults : list of str
         Of the next writes of claims, in order: ``'answer-lost'``,
         ``'request-lost'``, ``'late'`` (applied after ``late`` seconds, never
-        answered) or ``'held'`` (sent on when ``release`` is called).
+        answered) or ``'held'`` (sent on when ``arrive`` is called).
     cut : bool
         Nothing goes through, and nothing comes back.
     """
@@ -144,12 +149,19 @@
         elif fault == 'request-lost':
             call.close()
         elif fault == 'held':
-            self.holding.append(call)
-            return await Deferred()
+            answer = Deferred()
+            self.holding.append((call, answer))
+            return await answer
         else:
             return await self._reached(call, lost)
         return await self._silence(lost)
 
+    def arrive(self):
+        """Send on the writes that were held."""
+        for call, answer in self.holding:
+            Deferred.fromCoroutine(call).addCallback(answer.callback)
+        self.holding.clear()
+
     def _reached(self, call, lost):
         if self.cut:
             call.close()
@@ -208,6 +220,7 @@
             self.clock.seconds() + _DEADLINE_MS / 1000,
             key,
         )
+        self.world.requests[request.ident] = key
         running = Deferred.fromCoroutine(outcome_of(self.node.core, request))
         self.node.track(running)
         return kept_result(running)
@@ -245,9 +258,13 @@
 
     cut : set of str
         Hosts that other hosts can't reach.
+    answers, labels : dict
+        What a scenario's request got, and its identifier, by label.
+    requests : dict
+        Identifier to key of all requests.
     """
 
-    def __init__(self, hosts=3, seed=1, shards=2, latency=0.005):
+    def __init__(self, hosts=3, seed=1, shards=1, latency=0.005):
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.seed = seed
@@ -269,6 +286,9 @@
             lambda origin, name: UP,
         )
         self.hosts = {}
+        self.answers = {}
+        self.requests = {}
+        self.labels = {}
         self.boots = 0
         for number in range(hosts):
             self.start(f'h{number + 1}')
@@ -292,6 +312,19 @@
         booked = [row for row in self.booking.keys if row[0] == key]
         return len(booked)
 
+    def write_segment(self, number, segment):
+        """Write a segment of shard 0 straight into the store."""
+        encoded = msgspec.json.encode(segment)
+        self.store.objects.put('claims', object_name(0, number), encoded, 0)
+
+    def records(self):
+        """Return the records of all segments that stand."""
+        found = []
+        for name in self.objects():
+            row = self.store.objects.found('claims', name)
+            found.extend(segment_from(row.value).records)
+        return found
+
     def objects(self):
         """Return the names of all segments that stand."""
         return list(self.store.objects.names.get('claims', []))
