--- a/features/builders/claims.py
+++ b/features/builders/claims.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import Clock
 
 from features.builders.loop import advanced, kept_result
+from pollenstile.claims import forwarding
 from pollenstile.claims._digests import object_name
 from pollenstile.claims._records import segment_from
 from pollenstile.entry import built_node
@@ -34,6 +35,7 @@
 WINDOW = 600
 _NO_LIST = Unavailable('list', 'memory', 'no answer')
 _DEADLINE_MS = 4000
+_PATIENCE = 0.4
 
 
 def _upstream(port):
@@ -234,6 +236,38 @@
         clock = self.clock
         return not (clock.dead or clock.paused or self.name in self.world.cut)
 
+    def forward(self, live_hosts, is_lost):
+        """Have claims appended by the preferred host.
+
+        Parameters
+        ==========
+
+        live_hosts : function
+            Returns names of hosts.
+        is_lost : function
+            Returns whether the next answer is lost.
+        """
+
+        async def send(owner, record):
+            answer = Deferred()
+            peer = self.world.hosts[owner]
+            if peer.is_reached() and self.is_reached():
+                call = peer.claims.forwarded(record, _PATIENCE)
+                done = Deferred.fromCoroutine(call)
+                if not is_lost():
+                    done.addCallback(self._resume, answer)
+            self.clock.callLater(_PATIENCE, self._fire, None, answer)
+            return await answer
+
+        self.claims.forward = forwarding(self.name, live_hosts, send)
+
+    def _resume(self, outcome, answer):
+        self.clock.run(self._fire, outcome, answer)
+
+    def _fire(self, outcome, answer):
+        if not answer.called:
+            answer.callback(outcome)
+
     def _transport(self, start):
         def gated(name, upstream, call, sink):
             def gated_sink(event):
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -1,12 +1,11 @@
 """Steps of claims; a story can be told again without one of its guards."""
 
 from behave import given, then, when
-from twisted.internet.defer import Deferred
 
 from features.builders.claims import WINDOW, ClaimsWorld
 from features.builders.claims_guards import without
 from features.builders.loop import kept_result
-from pollenstile.claims import Held, Record, Segment, forwarding
+from pollenstile.claims import Held, Record, Segment
 from pollenstile.claims._digests import key_digest, object_name
 
 
@@ -210,15 +209,7 @@
 @when('claims host "{host}" forwards to "{owner}" and loses its answers')
 def step_forwards(context, host, owner):
     def forward(world):
-        async def send(name, record):
-            claims = world.hosts[name].claims
-            Deferred.fromCoroutine(claims.forwarded(record, 0.4))
-
-        world.hosts[host].claims.forward = forwarding(
-            host,
-            lambda: [owner],
-            send,
-        )
+        world.hosts[host].forward(lambda: [owner], lambda: True)
 
     _act(context, forward)
 
--- a/pollenstile/claims/_log.py
+++ b/pollenstile/claims/_log.py
@@ -293,6 +293,10 @@
                 pending.record.key,
                 segment.written,
             )
+            if holder is None:
+                # It waited for longer than its own window.
+                pending.settle(Unreached('expired'))
+                continue
             pending.settle(Held(holder))
 
     def _distrust(self, batch):
