peer: the inner protocol, authenticated and without I/O in its decisions

Cause: entry hosts could not talk to each other. Change: pycapnp messages in bounded length-prefixed frames; mutual challenge-response over both hellos with the shared key, a tag with a sequence number on each later frame; a stranger is answered with nothing and none of its bytes is decoded; heartbeats, silence, full jitter on dialing, one link a pair of hosts; requests with timeouts; TCP and virtual wires.

--- a/pollenstile/peer/__init__.py
+++ b/pollenstile/peer/__init__.py
@@ -1,1 +1,35 @@
-"""The protocol between entry hosts."""
+"""The inner protocol between entry hosts."""
+
+from pollenstile.peer._frames import (
+    FRAME_LIMIT,
+    OPENING_LIMIT,
+    Frames,
+    OversizeError,
+    framed,
+)
+from pollenstile.peer._hub import Hub
+from pollenstile.peer._link import BEAT_PERIOD, SILENCE_LIMIT, Link
+from pollenstile.peer._messages import (
+    Answer,
+    Ask,
+    BadMessageError,
+    Beat,
+    Hello,
+    News,
+    Sums,
+    decoded,
+    message_bytes,
+    message_from,
+)
+from pollenstile.peer._requests import Unanswered
+from pollenstile.peer._schema import SCHEMA_PATH, loaded_schema, schema
+from pollenstile.peer._session import (
+    LEAST_VERSION,
+    VERSION,
+    ProtocolError,
+    Session,
+    State,
+    keys_from,
+)
+from pollenstile.peer._tcp import tcp_connect, tcp_listen
+from pollenstile.peer._virtual import VirtualWires
--- /dev/null
+++ b/pollenstile/peer/_requests.py
@@ -0,0 +1,137 @@
+"""Requests to peers and their answers."""
+
+import itertools
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred, maybeDeferred
+
+from pollenstile.peer import events
+from pollenstile.peer._messages import Answer, Ask
+
+_STEP = 'ask'
+
+
+@dataclass(slots=True, frozen=True)
+class Unanswered:
+    """A request to a peer got no answer.
+
+    Parameters
+    ==========
+
+    step, peer, reason : str
+        Where and why; ``'timeout'``, ``'lost'``, ``'no route'``,
+        ``'unknown subject'``.
+    """
+
+    step: str
+    peer: str
+    reason: str
+
+
+class Requests:
+    """What a hub's host has asked and can be asked.
+
+    Parameters
+    ==========
+
+    hub : Hub
+        Links to peers.
+
+    Attributes
+    ==========
+
+    subjects : dict
+        Functions that answer: take the peer's name and the body, return the
+        answer's bytes or a Deferred of them.
+    """
+
+    __slots__ = ('hub', 'numbers', 'subjects')
+
+    def __init__(self, hub):
+        self.hub = hub
+        self.subjects = {}
+        self.numbers = itertools.count(1)
+        hub.takers[Ask] = self._answer
+        hub.takers[Answer] = self._answered
+
+    def ask(self, host, subject, body, timeout, address=''):
+        """Send a request to a host; see :meth:`Hub.ask`."""
+        answer = Deferred()
+        answer.addTimeout(
+            timeout,
+            self.hub.clock,
+            onTimeoutCancel=lambda *_: Unanswered(_STEP, host, 'timeout'),
+        )
+        if host in self.hub.links:
+            self._send(self.hub.links[host], subject, body, answer)
+        elif address:
+            self._send_later(host, subject, body, answer)
+            self.hub.dialer.dial(address)
+        else:
+            answer.callback(Unanswered(_STEP, host, 'no route'))
+        return answer
+
+    def _send(self, link, subject, body, answer):
+        number = next(self.numbers)
+        link.waiting[number] = answer
+        link.used = self.hub.clock.seconds()
+        answer.addBoth(_forgotten, link, number)
+        link.send(Ask(number, subject, body))
+
+    def _send_later(self, host, subject, body, answer):
+        ups = self.hub.ups
+
+        def met(link):
+            if link.host == host and met in ups:
+                ups.remove(met)
+                self._send(link, subject, body, answer)
+
+        def ended(result):
+            if met in ups:
+                ups.remove(met)
+            return result
+
+        ups.append(met)
+        answer.addBoth(ended)
+
+    def _answered(self, link, message):
+        waiting = link.waiting.pop(message.number, None)
+        if waiting is None or waiting.called:
+            return
+        if message.taken:
+            waiting.callback(message.body)
+            return
+        waiting.callback(Unanswered(_STEP, link.host, 'unknown subject'))
+
+    def _answer(self, link, message):
+        link.used = self.hub.clock.seconds()
+        if message.subject not in self.subjects:
+            self.hub.log(
+                events.PEER_UNKNOWN_SUBJECT,
+                peer=link.host,
+                subject=message.subject,
+            )
+            link.send(Answer(message.number, taken=False))
+            return
+        subject = self.subjects[message.subject]
+        body = maybeDeferred(subject, link.host, message.body)
+        body.addCallback(_told, link, message.number)
+        body.addErrback(self._failed, link, message.number)
+
+    def _failed(self, failure, link, number):
+        self.hub.log(
+            events.PEER_HANDLER_FAILED,
+            level='error',
+            peer=link.host,
+            error=repr(failure.value),
+        )
+        link.send(Answer(number, taken=False))
+
+
+def _forgotten(result, link, number):
+    link.waiting.pop(number, None)
+    return result
+
+
+def _told(body, link, number):
+    link.send(Answer(number, True, body))
