fleet: configuration by watch and peers, membership by incarnation

Cause: each host polled the object API once a second for the configuration, and leaving upstreams were known only to who called them. Change: three watchers a domain, versions in heartbeats and content as a patch from peers; records of hosts and upstreams that merge in any order, shared as deltas with sums by bucket; upstream state asked by two hosts of its domain; host list united; routing's tracker asks an observer whether a reported upstream is leaving; the daemon listens for peers; /fleet on the admin face.

--- /dev/null
+++ b/pollenstile/bench/fleetworld.py
@@ -0,0 +1,334 @@
+"""Entry hosts' fleet code in virtual time, for benches and tests.
+
+Explanation
+===========
+
+Real hubs, sessions, tables and watches of several hosts run over virtual
+connections and stores in memory. No request is served here.
+"""
+
+from dataclasses import replace
+from random import Random
+from types import SimpleNamespace
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from pollenstile.entry import built_fleet, built_node
+from pollenstile.fleet import CONFIG_KIND, CONFIG_NAME
+from pollenstile.manifest import (
+    Domain,
+    Manifest,
+    Model,
+    Pipeline,
+    Pool,
+    Stage,
+    Team,
+    Upstream,
+    text_from_manifest,
+)
+from pollenstile.ops.logs import silent_log
+from pollenstile.peer import VirtualWires
+from pollenstile.platform import Budget, PacedStore
+from pollenstile.standin.hostlist import MemoryHosts
+from pollenstile.standin.objectapi import MemoryStore
+from pollenstile.standin.reach import ReachedStore
+from pollenstile.upstream import Load
+
+STORE_LATENCY = 0.004
+DOMAIN_LATENCY = 0.0015
+NEAR_LATENCY = 0.0003
+STEP = 0.01
+_KEY_DIGEST = '0' * 64
+_SEEDS = 3
+_FIRST_BOOT = 1000.0
+
+
+class FleetUpstream:
+    """An upstream's own state, as its load report tells it."""
+
+    __slots__ = ('asked', 'dead', 'leaving', 'number')
+
+    def __init__(self):
+        self.number = 1
+        self.leaving = False
+        self.dead = False
+        self.asked = 0
+
+    def load(self, name):
+        """Return what it states."""
+        return Load(
+            leaving=self.leaving,
+            incarnation=f'{name}-{self.number}',
+        )
+
+    def restart(self):
+        """Let a new process take the name and the address."""
+        self.number += 1
+        self.leaving = False
+
+
+class FleetHost:
+    """One entry host and its parts."""
+
+    __slots__ = ('address', 'domain', 'events', 'fleet', 'name', 'node')
+
+    def __init__(self, name, domain, address):
+        self.name = name
+        self.domain = domain
+        self.address = address
+        self.events = []
+        self.node = None
+        self.fleet = None
+
+    def log(self, event, level='info', **fields):
+        """Keep a log line."""
+        self.events.append((event.name, fields))
+
+
+def fleet_manifest(domains, upstreams, weight=1.0, teams=1):
+    """Return a manifest with a number of engines over some domains."""
+    names = list(domains)
+    engines = {}
+    for number in range(upstreams):
+        domain = names[number % len(names)]
+        engines[f'engine-{number}'] = Upstream(domain, f'10.9.0.1:{number + 1}')
+    digests = [_KEY_DIGEST[:-6] + f'{number:06d}' for number in range(teams)]
+    return Manifest(
+        name='fleet',
+        domains={name: Domain('here') for name in names},
+        models={'demo': Model('1')},
+        pools={'engines': Pool('engine', engines, models=['demo'])},
+        pipelines={
+            'draft': Pipeline(
+                4000,
+                ['team-0'],
+                [Stage('generate', 'engines', model='demo', max_tokens=8)],
+            ),
+        },
+        teams={
+            f'team-{number}': Team([digest], weight=weight)
+            for number, digest in enumerate(digests)
+        },
+    )
+
+
+class FleetWorld:
+    """Hosts, their connections, the platform and the upstreams.
+
+    Parameters
+    ==========
+
+    manifest : Manifest
+        What is in force at first; its domains are the fleet's.
+    hosts : int
+        How many entry hosts, spread over the domains.
+    seed : int
+        Of all random choices.
+    listed : bool
+        Whether host lists are read.
+
+    Attributes
+    ==========
+
+    cut_platform : set of str
+        Domains that can't reach the platform.
+    cut_pairs : set of frozenset
+        Pairs of domains between which nothing passes.
+    """
+
+    __slots__ = (
+        'clock',
+        'cut_pairs',
+        'cut_platform',
+        'hosts',
+        'keep_events',
+        'key',
+        'list',
+        'manifest',
+        'places',
+        'random',
+        'seeds',
+        'starts',
+        'store',
+        'upstreams',
+        'wires',
+    )
+
+    def __init__(self, manifest, hosts, seed=1, *, keep_events=True):
+        self.clock = Clock()
+        self.clock.advance(_FIRST_BOOT)
+        self.random = Random(seed)
+        self.manifest = manifest
+        self.keep_events = keep_events
+        self.key = 'shared'
+        self.hosts = {}
+        self.places = {}
+        self.starts = 0
+        self.cut_platform = set()
+        self.cut_pairs = set()
+        self.store = MemoryStore(self.clock)
+        self.store.latency = STORE_LATENCY
+        self.list = MemoryHosts(self.clock)
+        self.wires = VirtualWires(self.clock, self._latency, self._is_cut)
+        self.upstreams = {}
+        for pool in manifest.pools.values():
+            for name in pool.upstreams:
+                self.upstreams[name] = FleetUpstream()
+        domains = list(manifest.domains)
+        for number in range(hosts):
+            domain = domains[number % len(domains)]
+            self.places[f'{domain}-{number}'] = (
+                domain,
+                f'10.0.{number // 250}.{number % 250 + 1}:82',
+            )
+        self.seeds = [place[1] for place in self.places.values()][:_SEEDS]
+
+    def put(self, text, if_version=None):
+        """Write a configuration; return a Deferred of the outcome."""
+        value = {'text': text, 'apply': f'{self.random.getrandbits(64):x}'}
+        return Deferred.fromCoroutine(
+            self.store.put(CONFIG_KIND, CONFIG_NAME, value, if_version),
+        )
+
+    def start_all(self):
+        """Start every host."""
+        for name in self.places:
+            self.start(name)
+
+    def start(self, name, key=None):
+        """Start a host as a new process; return it."""
+        domain, address = self.places[name]
+        self.starts += 1
+        host = FleetHost(name, domain, address)
+        random = Random(f'{name}/{self.starts}/{self.random.random()}')
+        settings = self._settings(host, self.key if key is None else key)
+        log = host.log if self.keep_events else silent_log
+        host.node = built_node(self.clock, random, settings, None, log=log)
+        host.fleet = built_fleet(
+            host.node,
+            settings,
+            self.wires.connect_from(address),
+            self._load_reader(host),
+            store=self._store(host, random, log),
+            read_hosts=self._hosts_reader(host),
+        )
+        self.hosts[name] = host
+        self.wires.hubs[address] = host.fleet.hub
+        host.fleet.start()
+        return host
+
+    def kill(self, name):
+        """End a host without a word."""
+        host = self.hosts.pop(name)
+        host.fleet.hub.stopped = True
+        host.fleet.stop()
+        return host
+
+    def leave(self, name):
+        """Let a host leave and end, as a restart does."""
+        self.hosts[name].fleet.leave()
+        self.run(1.0)
+        host = self.hosts.pop(name)
+        host.fleet.stop()
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(round(seconds / STEP)):
+            self.clock.advance(STEP)
+
+    def run_until(self, condition, most):
+        """Let time pass until a condition holds; return the seconds."""
+        started = self.clock.seconds()
+        while not condition():
+            if self.clock.seconds() - started > most:
+                return None
+            self.clock.advance(STEP)
+        return self.clock.seconds() - started
+
+    def versions(self):
+        """Return the version in force at each host."""
+        return {
+            name: host.node.in_force.version
+            for name, host in self.hosts.items()
+        }
+
+    def all_have(self, version):
+        """Return whether every running host has a version in force."""
+        return set(self.versions().values()) == {version}
+
+    def takes_work(self, name, upstream):
+        """Return whether a host would give an upstream new work."""
+        state = self.hosts[name].node.core.tracker.state(upstream)
+        return not state.leaving and (
+            state.barred_until <= self.clock.seconds()
+        )
+
+    def work_takers(self, upstream):
+        """Return the hosts that would give an upstream new work."""
+        return [one for one in self.hosts if self.takes_work(one, upstream)]
+
+    def cut_domain(self, domain):
+        """Cut a domain from all other domains."""
+        for other in self.manifest.domains:
+            if other != domain:
+                self.cut_pairs.add(frozenset((domain, other)))
+
+    def text(self, **changes):
+        """Return the text of the manifest with some fields changed."""
+        return text_from_manifest(replace(self.manifest, **changes))
+
+    def _settings(self, host, key):
+        return SimpleNamespace(
+            host=host.name,
+            domain=host.domain,
+            max_running=100,
+            peer_key=key,
+            peer_listen=_parted(host.address),
+            peers=[_parted(seed) for seed in self.seeds],
+        )
+
+    def _store(self, host, random, log):
+        store = ReachedStore(
+            self.store,
+            lambda: host.domain in self.cut_platform,
+        )
+        budget = Budget(20.0, 40.0, self.clock.seconds())
+        return PacedStore(store, self.clock, random, budget, log)
+
+    def _hosts_reader(self, host):
+        def read_hosts():
+            if host.domain in self.cut_platform:
+                return Deferred()
+            return self.list.listed()
+
+        return read_hosts
+
+    def _load_reader(self, host):
+        def read_load(name, declared):
+            upstream = self.upstreams[name]
+            upstream.asked += 1
+            pair = frozenset((host.domain, declared.domain))
+            if upstream.dead or pair in self.cut_pairs:
+                return succeed(None)
+            return succeed(upstream.load(name))
+
+        return read_load
+
+    def _domain_of(self, address):
+        hub = self.wires.hubs.get(address)
+        return hub.hello.domain if hub else ''
+
+    def _latency(self, one, other):
+        if self._domain_of(one) == self._domain_of(other):
+            return NEAR_LATENCY
+        return DOMAIN_LATENCY
+
+    def _is_cut(self, one, other):
+        pair = frozenset((self._domain_of(one), self._domain_of(other)))
+        return pair in self.cut_pairs
+
+
+def _parted(address):
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -1,15 +1,23 @@
 """Putting one entry host together."""
 
 from pollenstile.entry._node import Node
-from pollenstile.fleet import InForce
+from pollenstile.fleet import Fleet, InForce
 from pollenstile.limits import Admission, RetryBudget
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.metrics import Metrics
+from pollenstile.peer import (
+    LEAST_VERSION,
+    VERSION,
+    Hello,
+    Hub,
+    keys_from,
+)
 from pollenstile.pipeline import Core, Ledger
 from pollenstile.routing import Tracker
 
 _BOOT_BITS = 48
 _RETRY_RATIO = 0.1
+_MS = 1000
 
 
 def built_node(
@@ -56,6 +64,62 @@
     return Node(core, in_force, metrics, boot)
 
 
+def built_fleet(
+    node,
+    settings,
+    connect,
+    read_load,
+    *,
+    store=None,
+    read_hosts=None,
+):
+    """Return a host's part in the fleet; not started.
+
+    Parameters
+    ==========
+
+    node : Node
+        The host.
+    settings : Settings
+        With ``peer_key``, ``peer_listen`` and ``peers``.
+    connect : function
+        Opens connections to peers; see :class:`~pollenstile.peer.Hub`.
+    read_load : function
+        Asks an upstream for its load.
+    store : Store or None
+        The object API, paced.
+    read_hosts : function or None
+        Reads the platform's host list.
+    """
+    core = node.core
+    hello = Hello(
+        version=VERSION,
+        least=LEAST_VERSION,
+        host=core.host,
+        domain=core.domain,
+        address=_shown(settings.peer_listen),
+        boot=int(core.clock.seconds() * _MS),
+    )
+    keys = keys_from(settings.peer_key)
+    hub = Hub(core.clock, core.rng, hello, keys, connect, core.log)
+    if keys:
+        hub.dialer.seeds = tuple(_shown(one) for one in settings.peers)
+    return Fleet(
+        hub,
+        node.in_force,
+        core.tracker,
+        store,
+        read_hosts,
+        read_load,
+        core.log,
+    )
+
+
+def _shown(address):
+    host, port = address
+    return f'{host}:{port}'
+
+
 def _ratio_setter(retries):
     def set_ratio(snapshot):
         retries.ratio = snapshot.manifest.policy.retry_ratio
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -1,13 +1,16 @@
 """The daemon: listening, flushing, leaving."""
 
+from dataclasses import replace
+
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
 
 from pollenstile.entry import events
 from pollenstile.entry._admin import AdminFace
 from pollenstile.entry._face import CallerFace
-from pollenstile.fleet import config_poll
 from pollenstile.ops.http import site_for
+from pollenstile.peer import tcp_listen
+from pollenstile.peer.events import PEERS_OFF
 
 _FLUSH_PERIOD = 1.0
 _MS = 1000
@@ -25,8 +28,8 @@
         What is served.
     settings : Settings
         Where to listen.
-    store : Store or None
-        The platform's object API.
+    fleet : Fleet or None
+        Configuration, membership and peers.
     statsd : statsd.StatsClient or None
         Where metrics go.
     """
@@ -34,42 +37,42 @@
     __slots__ = (
         'admin_port',
         'caller_port',
+        'fleet',
         'loops',
         'node',
+        'peer_port',
         'reactor',
         'settings',
         'statsd',
-        'store',
     )
 
-    def __init__(self, reactor, node, settings, store=None, statsd=None):
+    def __init__(self, reactor, node, settings, fleet=None, statsd=None):
         self.reactor = reactor
         self.node = node
         self.settings = settings
-        self.store = store
+        self.fleet = fleet
         self.statsd = statsd
         self.loops = []
         self.caller_port = None
         self.admin_port = None
+        self.peer_port = None
 
     def start(self):
-        """Listen, read the configuration, flush metrics."""
+        """Listen, join the fleet, flush metrics."""
         self.caller_port = self._listen(
             self.settings.listen,
             CallerFace(self.node),
         )
         self.admin_port = self._listen(
             self.settings.admin,
-            AdminFace(self.node),
+            AdminFace(self.node, self.fleet),
         )
         flush = LoopingCall(self.node.metrics.flush, self.statsd)
         flush.clock = self.reactor
         flush.start(_FLUSH_PERIOD, now=False)
         self.loops.append(flush)
-        if self.store is not None:
-            self.loops.append(
-                config_poll(self.reactor, self.store, self.node.in_force),
-            )
+        if self.fleet is not None:
+            self._join()
         self.node.core.log(
             events.STARTED,
             listen=address_of(self.caller_port),
@@ -77,6 +80,17 @@
             domain=self.settings.domain,
         )
 
+    def _join(self):
+        hub = self.fleet.hub
+        if hub.keys:
+            address = self.settings.peer_listen
+            self.peer_port = tcp_listen(self.reactor, address, hub)
+            shown = address_of(self.peer_port)
+            hub.hello = replace(hub.hello, address=shown)
+        else:
+            self.node.core.log(PEERS_OFF, level='warning')
+        self.fleet.start()
+
     def _listen(self, address, resource):
         host, port = address
         site = site_for(resource, self.reactor)
@@ -94,6 +108,8 @@
         """
         self.node.leaving = True
         self.node.core.log(events.LEAVING, in_flight=self.node.in_flight)
+        if self.fleet is not None:
+            self.fleet.leave()
         return Deferred.fromCoroutine(self._stopped())
 
     async def _stopped(self):
@@ -103,6 +119,10 @@
         await self.node.idle()
         for loop in self.loops:
             loop.stop()
+        if self.fleet is not None:
+            self.fleet.stop()
+        if self.peer_port is not None:
+            await self.peer_port.stopListening()
         await self.caller_port.stopListening()
         await self.admin_port.stopListening()
         self.node.metrics.flush(self.statsd)
--- /dev/null
+++ b/pollenstile/fleet/_relay.py
@@ -0,0 +1,189 @@
+"""The configuration, from peer to peer."""
+
+from collections import OrderedDict
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.fleet import events
+from pollenstile.fleet._patch import (
+    Patch,
+    patch_between,
+    patched,
+    text_digest,
+)
+from pollenstile.peer import (
+    BadMessageError,
+    Beat,
+    Unanswered,
+    decoded,
+    schema,
+)
+
+SUBJECT = 'config'
+_ASK_SECONDS = 1.0
+_KEPT = 6
+_RETRY_SECONDS = 0.2
+
+
+class Relay:
+    """Learns the configuration from peers and hands it over to them.
+
+    Explanation
+    ===========
+
+    Each heartbeat carries the version in force. A host that hears of a
+    higher one asks for its content, of one peer at a time, and names what it
+    has, so that a small change costs few bytes. Nothing is taken that
+    :class:`InForce` would not take from the platform.
+
+    Parameters
+    ==========
+
+    hub : Hub
+        Links to peers.
+    in_force : InForce
+        The configuration.
+    log : function
+        Writes events.
+    """
+
+    __slots__ = (
+        'asking',
+        'hub',
+        'in_force',
+        'kept',
+        'log',
+        'patches',
+        'waiting',
+    )
+
+    def __init__(self, hub, in_force, log):
+        self.hub = hub
+        self.in_force = in_force
+        self.log = log
+        self.asking = False
+        self.waiting = None
+        self.kept = OrderedDict()
+        self.patches = {}
+        hub.requests.subjects[SUBJECT] = self.content
+        in_force.listeners.append(self._keep)
+
+    def heard(self, link, beat):
+        """Note a peer's version; ask for its content if it is higher."""
+        if self.asking or beat.version <= self._known():
+            return
+        self.asking = True
+        Deferred.fromCoroutine(self._learn(link, beat.version))
+
+    def content(self, host, body):
+        """Return the content in force, for a peer that asks."""
+        asked = decoded(schema.ConfigAsk, body, _asked)
+        snapshot = self.in_force.snapshot
+        if snapshot is None:
+            return schema.ConfigContent.new_message().to_bytes()
+        patch = self._patch_from(asked[1])
+        return schema.ConfigContent.new_message(
+            version=snapshot.version,
+            digest=patch.digest,
+            prefix=patch.prefix,
+            suffix=patch.suffix,
+            middle=patch.middle,
+        ).to_bytes()
+
+    def _patch_from(self, digest):
+        # Several peers ask at one time from the same version; an unknown
+        # version is as good as none.
+        known = digest if digest in self.kept else b''
+        patch = self.patches.get(known)
+        if patch is None:
+            before = self.kept.get(known, '')
+            patch = patch_between(before, self.in_force.text)
+            self.patches[known] = patch
+        return patch
+
+    def _known(self):
+        return max(self.in_force.version, self.in_force.refused)
+
+    def _keep(self, snapshot):
+        text = self.in_force.text
+        self.patches.clear()
+        self.kept[text_digest(text)] = text
+        while len(self.kept) > _KEPT:
+            self.kept.popitem(last=False)
+        self.hub.beat_now()
+
+    async def _learn(self, link, version):
+        try:
+            await self._learn_from(link, version)
+        finally:
+            self.asking = False
+        self._look_again()
+
+    async def _learn_from(self, link, version):
+        body = self._question(self.in_force.text)
+        host = link.host
+        answer = await self.hub.ask(host, SUBJECT, body, _ASK_SECONDS)
+        if isinstance(answer, Unanswered):
+            self._pause()
+            return
+        found = self._text_of(answer)
+        if found is None:
+            self.log(
+                events.CONFIG_GARBLED,
+                level='warning',
+                peer=host,
+                version=version,
+            )
+            self._pause()
+            return
+        if not self.in_force.offer(found[0], found[1], f'peer {host}'):
+            self._pause()
+
+    def _question(self, text):
+        return schema.ConfigAsk.new_message(
+            version=self.in_force.version,
+            digest=text_digest(text) if text else b'',
+        ).to_bytes()
+
+    def _text_of(self, answer):
+        try:
+            version, patch = decoded(schema.ConfigContent, answer, _content)
+        except BadMessageError:
+            return None
+        bare = patch.prefix == 0 and patch.suffix == 0
+        text = patched('' if bare else self.in_force.text, patch)
+        return None if text is None else (version, text)
+
+    def _pause(self):
+        # A peer that does not answer, or answers wrong, must not be asked
+        # again in a loop; the next beat or this pause leads to another.
+        if self.waiting is None or not self.waiting.active():
+            self.waiting = self.hub.clock.callLater(
+                _RETRY_SECONDS * self.hub.random.uniform(1, 2),
+                self._look_again,
+            )
+
+    def _look_again(self):
+        if self.waiting is not None and self.waiting.active():
+            return
+        ahead = []
+        for link in self.hub.links.values():
+            if link.beat.version > self._known():
+                ahead.append(link)
+        if ahead and not self.asking and not self.hub.stopped:
+            link = self.hub.random.choice(ahead)
+            self.heard(link, Beat(version=link.beat.version))
+
+
+def _asked(reader):
+    return reader.version, bytes(reader.digest)
+
+
+def _content(reader):
+    patch = Patch(
+        reader.prefix,
+        reader.suffix,
+        bytes(reader.middle),
+        bytes(reader.digest),
+    )
+    return reader.version, patch
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -4,11 +4,13 @@
 
 import statsd
 
-from pollenstile.entry import Daemon, built_node
+from pollenstile.entry import Daemon, built_fleet, built_node
+from pollenstile.fleet import http_load_reader
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.logs import configure_logs, event_log
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
-from pollenstile.ops._stores import store_at
+from pollenstile.ops._stores import hosts_reader, paced_store
+from pollenstile.peer import tcp_connect
 from pollenstile.upstream import http_transport
 
 _PREFIX = 'pollenstile'
@@ -46,10 +48,15 @@
         http_transport(reactor),
         log=log,
     )
-    store = None
-    if settings.platform is not None:
-        store = store_at(reactor, settings.platform)
-    return Daemon(reactor, node, settings, store, _statsd(settings))
+    fleet = built_fleet(
+        node,
+        settings,
+        tcp_connect(reactor),
+        http_load_reader(reactor),
+        store=paced_store(reactor, rng, settings, log),
+        read_hosts=hosts_reader(reactor, settings),
+    )
+    return Daemon(reactor, node, settings, fleet, _statsd(settings))
 
 
 def _statsd(settings):
--- a/pollenstile/ops/_stores.py
+++ b/pollenstile/ops/_stores.py
@@ -1,6 +1,17 @@
 """The platform's object API, as commands and the daemon reach it."""
 
-from pollenstile.platform import Caller, HttpStore
+from twisted.internet.defer import Deferred
+
+from pollenstile.platform import (
+    Budget,
+    Caller,
+    HttpStore,
+    PacedStore,
+    listed_hosts,
+)
+
+_BURST_SECONDS = 2.0
+_LEAST_BURST = 10.0
 
 
 def store_at(reactor, address):
@@ -14,3 +25,41 @@
     """
     host, port = address
     return HttpStore(Caller(reactor, reactor, host, port))
+
+
+def paced_store(reactor, random, settings, log):
+    """Return the daemon's store, or None when there is no platform.
+
+    Explanation
+    ===========
+
+    All parts of a host share it, so that together they keep its budget.
+    """
+    if settings.platform is None:
+        return None
+    return PacedStore(
+        store_at(reactor, settings.platform),
+        reactor,
+        random,
+        _budget(settings.store_calls, reactor),
+        log,
+        _budget(settings.store_writes, reactor),
+    )
+
+
+def hosts_reader(reactor, settings):
+    """Return a function that reads the host list, or None without one."""
+    if settings.hosts is None:
+        return None
+    host, port = settings.hosts
+    caller = Caller(reactor, reactor, host, port)
+
+    def read_hosts():
+        return Deferred.fromCoroutine(listed_hosts(caller))
+
+    return read_hosts
+
+
+def _budget(rate, reactor):
+    burst = max(rate * _BURST_SECONDS, _LEAST_BURST)
+    return Budget(rate, burst, reactor.seconds())
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -131,9 +131,26 @@
     Setting('admin', address, '127.0.0.1:8081', "operators' address"),
     Setting('peer_listen', address, '127.0.0.1:8082', "peers' address"),
     Setting('peers', addresses, '', 'peer addresses known from the start'),
-    Setting('peer_key', text_of, '', 'key shared by all hosts of the fleet'),
+    Setting(
+        'peer_key',
+        text_of,
+        '',
+        'key shared by all entry hosts; NEW,OLD while it is changed',
+    ),
     Setting('platform', optional_address, '', "the platform's object API"),
     Setting('hosts', optional_address, '', "the platform's host list"),
+    Setting(
+        'store_calls',
+        number_from(1, 10000, float),
+        '20',
+        'calls to the object API, a second',
+    ),
+    Setting(
+        'store_writes',
+        number_from(1, 10000, float),
+        '10',
+        'of these, writes a second',
+    ),
     Setting('statsd', optional_address, '', 'statsd server; empty for none'),
     Setting('log_level', level, 'info', 'least level that is logged'),
     Setting(
--- a/pollenstile/routing/_tracker.py
+++ b/pollenstile/routing/_tracker.py
@@ -59,12 +59,20 @@
 
     clock : IReactorTime
         For the age of reports.
+
+    Attributes
+    ==========
+
+    observer : function or None
+        Takes a name and its load report; returns whether the upstream is
+        leaving, which it knows by incarnation.
     """
 
-    __slots__ = ('clock', 'states', 'times')
+    __slots__ = ('clock', 'observer', 'states', 'times')
 
     def __init__(self, clock):
         self.clock = clock
+        self.observer = None
         self.states = {}
         self.times = {}
 
@@ -103,6 +111,9 @@
         state.load = load
         state.reported = self.clock.seconds()
         state.sent_since = 0
+        if self.observer is not None:
+            state.leaving = self.observer(name, load)
+            return
         state.leaving = state.leaving or load.leaving
 
     def measured(self, stage_key, seconds):
