apply and status: settled writes, and who has what in force

Cause: a lost answer of apply was reported as not settled, a conflict showed no difference, and nobody could ask which host has which version.

--- a/pollenstile/bench/fleetworld.py
+++ b/pollenstile/bench/fleetworld.py
@@ -39,8 +39,8 @@
 DOMAIN_LATENCY = 0.0015
 NEAR_LATENCY = 0.0003
 STEP = 0.01
-_KEY_DIGEST = '0' * 64
 _SEEDS = 3
+_SETTLING = 15.0
 _FIRST_BOOT = 1000.0
 
 
@@ -81,6 +81,16 @@
         self.node = None
         self.fleet = None
 
+    @property
+    def version(self):
+        """The version in force."""
+        return self.node.in_force.version
+
+    @property
+    def tracker(self):
+        """What its routing reads."""
+        return self.node.core.tracker
+
     def log(self, event, level='info', **fields):
         """Keep a log line."""
         self.events.append((event.name, fields))
@@ -93,7 +103,7 @@
     for number in range(upstreams):
         domain = names[number % len(names)]
         engines[f'engine-{number}'] = Upstream(domain, f'10.9.0.1:{number + 1}')
-    digests = [_KEY_DIGEST[:-6] + f'{number:06d}' for number in range(teams)]
+    digests = [f'{number:064d}' for number in range(teams)]
     return Manifest(
         name='fleet',
         domains={name: Domain('here') for name in names},
@@ -191,11 +201,6 @@
             self.store.put(CONFIG_KIND, CONFIG_NAME, value, if_version),
         )
 
-    def start_all(self):
-        """Start every host."""
-        for name in self.places:
-            self.start(name)
-
     def start(self, name, key=None):
         """Start a host as a new process; return it."""
         domain, address = self.places[name]
@@ -248,35 +253,21 @@
 
     def versions(self):
         """Return the version in force at each host."""
-        return {
-            name: host.node.in_force.version
-            for name, host in self.hosts.items()
-        }
+        return {name: host.version for name, host in self.hosts.items()}
 
     def all_have(self, version):
         """Return whether every running host has a version in force."""
         return set(self.versions().values()) == {version}
 
-    def takes_work(self, name, upstream):
-        """Return whether a host would give an upstream new work."""
-        state = self.hosts[name].node.core.tracker.state(upstream)
-        return not state.leaving and (
-            state.barred_until <= self.clock.seconds()
-        )
-
-    def work_takers(self, upstream):
+    def givers(self, upstream):
         """Return the hosts that would give an upstream new work."""
-        return [one for one in self.hosts if self.takes_work(one, upstream)]
-
-    def cut_domain(self, domain):
-        """Cut a domain from all other domains."""
-        for other in self.manifest.domains:
-            if other != domain:
-                self.cut_pairs.add(frozenset((domain, other)))
-
-    def text(self, **changes):
-        """Return the text of the manifest with some fields changed."""
-        return text_from_manifest(replace(self.manifest, **changes))
+        now = self.clock.seconds()
+        found = []
+        for name, host in self.hosts.items():
+            state = host.tracker.state(upstream)
+            if not state.leaving and state.barred_until <= now:
+                found.append(name)
+        return found
 
     def _settings(self, host, key):
         return SimpleNamespace(
@@ -329,6 +320,28 @@
         return pair in self.cut_pairs
 
 
+def started_world(manifest, hosts, seed=1, **options):
+    """Return a world whose hosts all have the first version in force."""
+    world = FleetWorld(manifest, hosts, seed, **options)
+    world.put(text_from_manifest(manifest), 0)
+    for name in world.places:
+        world.start(name)
+    world.run(_SETTLING)
+    return world
+
+
+def changed_text(manifest, **changes):
+    """Return the text of a manifest with some fields changed."""
+    return text_from_manifest(replace(manifest, **changes))
+
+
+def cut_domain(world, domain):
+    """Cut a domain from all other domains."""
+    for other in world.manifest.domains:
+        if other != domain:
+            world.cut_pairs.add(frozenset((domain, other)))
+
+
 def _parted(address):
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/pollenstile/fleet/__init__.py
+++ b/pollenstile/fleet/__init__.py
@@ -1,5 +1,15 @@
 """Configuration in force and membership of upstreams."""
 
+from pollenstile.fleet._apply import (
+    Accepted,
+    Current,
+    RaceLost,
+    Replaced,
+    Unsettled,
+    applied,
+    current_config,
+    hosts_behind,
+)
 from pollenstile.fleet._census import Census, HostStatus
 from pollenstile.fleet._fleet import Fleet
 from pollenstile.fleet._hosts import Hosts, is_live
--- a/pollenstile/fleet/_fleet.py
+++ b/pollenstile/fleet/_fleet.py
@@ -118,6 +118,25 @@
         self.sharing.stop()
         self.hub.stop()
 
+    def ask(self, host, subject, body, timeout):
+        """Ask a host something; see :meth:`pollenstile.peer.Hub.ask`."""
+        address = self.table.record(HOST, host).address
+        return self.hub.ask(host, subject, body, timeout, address)
+
+    def answer(self, subject, function):
+        """Answer what peers ask under a subject.
+
+        Parameters
+        ==========
+
+        subject : str
+            As the peers name it; ``'config'`` and ``'status'`` are taken.
+        function : function
+            Takes the peer's name and the body; returns bytes or a Deferred
+            of them.
+        """
+        self.hub.requests.subjects[subject] = function
+
     def document(self, seconds):
         """Return a Deferred of what operators ask for, of the whole fleet."""
         taken = self.census.taken(seconds)
--- /dev/null
+++ b/pollenstile/ops/_admin.py
@@ -0,0 +1,41 @@
+"""Asking an entry host's admin face, for commands."""
+
+import msgspec
+
+from pollenstile.platform import Broken, Caller
+
+_SECONDS = 4.0
+_OK = 200
+
+
+def admin_at(reactor, address):
+    """Return a function that reads a path of an admin face.
+
+    Explanation
+    ===========
+
+    The function takes a path and returns a coroutine of the document, or of
+    None when nothing answered.
+    """
+    host, port = address
+    caller = Caller(reactor, reactor, host, port, _SECONDS)
+
+    async def read(path):
+        reply = await caller.call('GET', path, fresh=True)
+        if isinstance(reply, Broken) or reply.status != _OK:
+            return None
+        try:
+            return msgspec.json.decode(reply.body)
+        except msgspec.DecodeError:
+            return None
+
+    return read
+
+
+async def first_answer(readers, path):
+    """Return the first document that one of several faces answers."""
+    for read in readers:
+        document = await read(path)
+        if document is not None:
+            return document
+    return None
--- a/pollenstile/ops/_applycmd.py
+++ b/pollenstile/ops/_applycmd.py
@@ -1,18 +1,37 @@
 """``pollenstile apply``: puts a reviewed manifest in force."""
 
+import random
 import secrets
 import sys
 
-from pollenstile.fleet import CONFIG_KIND, CONFIG_NAME
-from pollenstile.manifest import ManifestError, manifest_from_text
+from twisted.internet.task import deferLater
+
+from pollenstile.fleet import (
+    Accepted,
+    Current,
+    RaceLost,
+    Replaced,
+    applied,
+    current_config,
+    hosts_behind,
+)
+from pollenstile.manifest import (
+    ManifestError,
+    diff_lines,
+    manifest_diff,
+    manifest_from_text,
+)
+from pollenstile.ops._admin import admin_at, first_answer
+from pollenstile.ops._statuscmd import entries_from
 from pollenstile.ops._stores import store_at
 from pollenstile.ops._validatecmd import text_of_file
 from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD, UNREACHED
 from pollenstile.ops.running import result_of
 from pollenstile.ops.settings import SettingsError, address
-from pollenstile.platform import Conflict, Written
+from pollenstile.platform import pauses
 
 _MARK_BYTES = 8
+_LOOK_SECONDS = 0.5
 
 
 def add_parser(commands):
@@ -30,6 +49,18 @@
         required=True,
         help='version that the change was reviewed against; 0 for none',
     )
+    parser.add_argument(
+        '--wait',
+        type=float,
+        default=0,
+        metavar='SECONDS',
+        help='wait until every entry host has it in force',
+    )
+    parser.add_argument(
+        '--entry',
+        default='',
+        help="IP:PORT of entry hosts' admin faces, for --wait",
+    )
     parser.set_defaults(run=run)
 
 
@@ -41,7 +72,7 @@
     if text is None:
         return BAD_INPUT
     try:
-        manifest_from_text(text)
+        manifest = manifest_from_text(text)
     except ManifestError as error:
         for mistake in error.mistakes:
             sys.stderr.write(f'{arguments.file}: {mistake.path}: ')
@@ -51,28 +82,79 @@
         store = store_at(reactor, address(arguments.platform))
     except ValueError as error:
         raise SettingsError([f'--platform: {error}']) from None
-    value = {'text': text, 'apply': secrets.token_hex(_MARK_BYTES)}
-    written = result_of(
+    entries = ()
+    if arguments.wait:
+        entries = entries_from(arguments.entry)
+    return result_of(
         reactor,
-        lambda: store.put(
-            CONFIG_KIND,
-            CONFIG_NAME,
-            value,
-            if_version=arguments.reviewed_against,
-        ),
+        lambda: _run(reactor, store, text, manifest, entries, arguments),
     )
-    return _told(written, arguments.reviewed_against)
 
 
-def _told(written, reviewed):
-    if isinstance(written, Written):
-        print(f'version {written.version} is accepted')
+async def _run(reactor, store, text, manifest, entries, arguments):
+    before = await current_config(store)
+    if isinstance(before, Current):
+        _print_diff(before, manifest)
+    outcome = await applied(
+        store,
+        text,
+        arguments.reviewed_against,
+        secrets.token_hex(_MARK_BYTES),
+        pauses(reactor, random.Random(), 0.2, 2.0),
+    )
+    code = _told(outcome, arguments.reviewed_against)
+    if code != GOOD or not arguments.wait:
+        return code
+    readers = [admin_at(reactor, entry) for entry in entries]
+    return await _waited(reactor, readers, outcome.version, arguments.wait)
+
+
+def _print_diff(before, manifest):
+    try:
+        old = manifest_from_text(before.text) if before.text else None
+    except ManifestError:
+        old = None
+    for line in diff_lines(manifest_diff(old, manifest)):
+        print(line)
+
+
+def _told(outcome, reviewed):
+    if isinstance(outcome, Accepted):
+        print(f'version {outcome.version} is accepted')
         return GOOD
-    if isinstance(written, Conflict):
+    if isinstance(outcome, RaceLost):
         sys.stderr.write(
             f'conflict: reviewed against version {reviewed}, '
-            f'but version {written.version} is there\n',
+            f'but version {outcome.version} is there; nothing was changed\n',
+        )
+        return BAD_RESULT
+    if isinstance(outcome, Replaced):
+        sys.stderr.write(
+            f'accepted, and replaced since: version {outcome.version} '
+            'is there\n',
         )
         return BAD_RESULT
-    sys.stderr.write(f'not settled: {written}\n')
+    sys.stderr.write(
+        f'not settled ({outcome.step} at {outcome.peer}: {outcome.reason}); '
+        'read the version before you apply again\n',
+    )
     return UNREACHED
+
+
+async def _waited(reactor, readers, version, seconds):
+    ends = reactor.seconds() + seconds
+    document = None
+    while True:
+        document = await first_answer(readers, '/fleet') or document
+        if document is not None and not hosts_behind(document, version):
+            print(f'in force at {len(document["hosts"])} hosts')
+            return GOOD
+        if reactor.seconds() >= ends:
+            break
+        await deferLater(reactor, _LOOK_SECONDS)
+    if document is None:
+        sys.stderr.write('no entry host answered\n')
+        return UNREACHED
+    for host in hosts_behind(document, version):
+        sys.stderr.write(f'not in force at {host}\n')
+    return BAD_RESULT
--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -11,6 +11,7 @@
     _democmd,
     _entrycmd,
     _standincmd,
+    _statuscmd,
     _validatecmd,
 )
 from pollenstile.ops.exits import BAD_INPUT
@@ -27,6 +28,7 @@
     _standincmd,
     _validatecmd,
     _applycmd,
+    _statuscmd,
     _callcmd,
     _democmd,
     _benchcmd,
--- a/pollenstile/peer/_dialer.py
+++ b/pollenstile/peer/_dialer.py
@@ -79,15 +79,12 @@
 
     def reached(self, address):
         """Note that the peer at an address answers."""
-        if address in self.dials:
-            self.dials[address].failures = 0
+        self.dials.get(address, Dial()).failures = 0
 
     def ended(self, receiver):
         """Note that a connection, or the try to open it, has ended."""
         address = receiver.address
-        if address not in self.dials:
-            return
-        dial = self.dials[address]
+        dial = self.dials.get(address, Dial())
         if dial.receiver is not receiver:
             return
         dial.receiver = None
--- a/pollenstile/peer/_requests.py
+++ b/pollenstile/peer/_requests.py
@@ -62,8 +62,9 @@
             self.hub.clock,
             onTimeoutCancel=lambda *_: Unanswered(_STEP, host, 'timeout'),
         )
-        if host in self.hub.links:
-            self._send(self.hub.links[host], subject, body, answer)
+        link = self.hub.links.get(host)
+        if link is not None:
+            self._send(link, subject, body, answer)
         elif address:
             self._send_later(host, subject, body, answer)
             self.hub.dialer.dial(address)
@@ -105,7 +106,8 @@
 
     def _answer(self, link, message):
         link.used = self.hub.clock.seconds()
-        if message.subject not in self.subjects:
+        subject = self.subjects.get(message.subject, _unknown)
+        if subject is _unknown:
             self.hub.log(
                 events.PEER_UNKNOWN_SUBJECT,
                 peer=link.host,
@@ -113,7 +115,6 @@
             )
             link.send(Answer(message.number, taken=False))
             return
-        subject = self.subjects[message.subject]
         body = maybeDeferred(subject, link.host, message.body)
         body.addCallback(_told, link, message.number)
         body.addErrback(self._failed, link, message.number)
@@ -128,6 +129,10 @@
         link.send(Answer(number, taken=False))
 
 
+def _unknown(host, body):
+    """Stand for a subject that nobody answers."""
+
+
 def _forgotten(result, link, number):
     link.waiting.pop(number, None)
     return result
