--- a/pollenstile/peer/_dialer.py
+++ b/pollenstile/peer/_dialer.py
@@ -2,7 +2,7 @@
 
 from pollenstile.peer._receiver import Receiver
 
-_FIRST_PAUSE = 0.25
+_FIRST_PAUSE = 0.5
 _LONGEST_PAUSE = 8.0
 
 
