--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -12,6 +12,7 @@
     _entrycmd,
     _soakcmd,
     _standincmd,
+    _statuscmd,
     _validatecmd,
 )
 from pollenstile.ops.exits import BAD_INPUT
@@ -28,6 +29,7 @@
     _standincmd,
     _validatecmd,
     _applycmd,
+    _statuscmd,
     _callcmd,
     _democmd,
     _benchcmd,
