placement: leases, orders and swaps of engines

Cause: models, adapters and versions came to engines by hand. Change: one lease per failure domain, wanted placement as a plain function, fenced orders with intents written first, drains, tickets of the weight store. Conclusion: ready to be wired into the entry.

--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,535 @@
+"""Steps of placement."""
+
+from behave import given, then, use_step_matcher, when
+from twisted.internet.defer import Deferred
+
+from features.builders.loop import kept_result
+from features.builders.placement import (
+    DOMAIN,
+    STEP,
+    World,
+    loaded,
+    manifest_of,
+    no_work,
+)
+from pollenstile.manifest import Model
+from pollenstile.placement import LeaseTiming, _conduct, _keeper
+
+use_step_matcher('parse')
+
+
+def _names(text):
+    return text.split(', ')
+
+
+def _world(context, engines='e1', models='draft', fencing='ignored'):
+    context.world = World(_names(engines), _names(models), fencing)
+    return context.world
+
+
+def _replaced(context, module, name, function):
+    before = getattr(module, name)
+    setattr(module, name, function)
+    context.add_cleanup(setattr, module, name, before)
+
+
+# Leases.
+
+
+@given('placement hosts "{names}" that start together')
+def step_together(context, names):
+    world = _world(context)
+    world.manifest = None
+    for name in _names(names):
+        world.host(name)
+
+
+@given('the placement store answers after {seconds:g} seconds')
+def step_latency(context, seconds):
+    context.world.store.latency = seconds
+
+
+@given('placement leases with a margin of {margin:g} seconds')
+def step_margin(context, margin):
+    context.lease_timing = LeaseTiming(margin=margin)
+
+
+@given('a placement holder "{first}" and a follower "{second}"')
+def step_holder(context, first, second):
+    world = _world(context)
+    world.timing = getattr(context, 'lease_timing', world.timing)
+    step_one_holder(context, first)
+    world.host(second)
+    world.advance(3)
+
+
+@given('the clock of placement host "{name}" runs at {rate:g}')
+def step_rate(context, name, rate):
+    context.world.hosts[name].rate = rate
+
+
+@given('placement terms count from the {moment}')
+def step_moment(context, moment):
+    if moment == 'sending':
+        return
+    settle = _keeper.settle
+    boot_seconds = context.world.hosts['a'].boot_seconds
+
+    def from_answer(lease, move, outcome, sent_at):
+        settle(lease, move, outcome, boot_seconds())
+
+    _replaced(context, _keeper, 'settle', from_answer)
+
+
+@when('placement host "{name}" dies')
+def step_die(context, name):
+    host = context.world.hosts.pop(name)
+    context.old_fence = host.fence
+
+
+@when('placement host "{name}" leaves')
+def step_leave(context, name):
+    host = context.world.hosts[name]
+    context.old_fence = host.fence
+    kept_result(host.placement.stop())
+
+
+@when('placement host "{name}" is cut off from the store')
+def step_cut(context, name):
+    host = context.world.hosts[name]
+    # Its term is as long as it can be: it has just renewed.
+    written = host.keeper.lease.seen_version
+    while host.keeper.lease.seen_version == written:
+        context.world.advance(STEP)
+    context.world.advance(1)
+    host.store.cut = True
+
+
+@when('the placement lease is deleted while "{name}" is cut off')
+def step_delete(context, name):
+    step_cut(context, name)
+    context.old_fence = context.world.hosts[name].fence
+    kept_result(context.world.store.delete('leases', DOMAIN))
+
+
+@when('the answers of the next {count:d} placement writes are lost')
+def step_lose(context, count):
+    context.old_fence = context.world.hosts['a'].fence
+    context.world.store.lose_answers = count
+
+
+@when(
+    '"{name}" renews its placement lease, but learns it {seconds:d} seconds later'
+)
+def step_late_doubt(context, name, seconds):
+    world = context.world
+    host = world.hosts[name]
+    host.store.cut_by_write = True
+    while not host.store.cut:
+        world.advance(STEP)
+    world.advance(seconds - 1)
+    host.store.cut = False
+    while host.keeper.busy:
+        world.advance(STEP)
+    host.store.cut = True
+
+
+@when('placement host "{name}" is paused for {seconds:d} seconds')
+def step_pause(context, name, seconds):
+    host = context.world.hosts[name]
+    context.old_fence = host.fence
+    host.paused = True
+    context.world.advance(seconds)
+    host.paused = False
+    context.world.advance(3)
+
+
+@when('the placement store is down for {seconds:d} seconds')
+def step_outage(context, seconds):
+    context.world.store.down = True
+    context.world.advance(seconds)
+    assert not context.world.holders()
+    context.world.store.down = False
+
+
+@then('exactly {count:d} placement host holds the lease')
+@then('exactly {count:d} placement hosts hold the lease')
+def step_count(context, count):
+    assert len(context.world.holders()) == count, context.world.holders()
+
+
+@then('the placement lease was never held twice at one time')
+def step_once(context):
+    assert not context.world.overlaps
+    fences = [fence for fence, _name in context.world.fences]
+    assert len(set(fences)) == len(fences), context.world.fences
+
+
+@then('the placement lease was held twice at one time: {answer}')
+def step_twice(context, answer):
+    assert (context.world.overlaps > 0) == (answer == 'yes')
+
+
+@then(
+    'placement host "{name}" holds the lease with a higher fence than "a" had'
+)
+def step_successor(context, name):
+    assert context.world.holders() == [name], context.world.holders()
+    assert context.world.hosts[name].fence > context.old_fence
+
+
+@then('placement host "{name}" still holds the lease with its fence')
+def step_still(context, name):
+    assert context.world.holders() == [name]
+    assert context.world.hosts[name].fence == context.old_fence
+    assert not context.world.store.lose_answers
+
+
+# Engines, demand, weights.
+
+
+@given('placement engines "{engines}" for models "{models}"')
+def step_engines(context, engines, models):
+    _world(context, engines, models)
+
+
+@given(
+    'placement engines "{engines}" for models "{models}" that {kind} fencing'
+)
+def step_fencing(context, engines, models, kind):
+    fencing = 'checked' if kind == 'check' else 'ignored'
+    _world(context, engines, models, fencing)
+
+
+@given('a placement host "{name}" that holds the lease')
+def step_one_holder(context, name):
+    host = context.world.host(name)
+    manifest = host.placer.manifest
+    # What a scenario sets up comes before the first round.
+    host.placer.manifest = None
+    while not host.keeper.holds():
+        context.world.advance(STEP)
+    host.placer.manifest = manifest
+
+
+@given('a placement follower "{name}"')
+def step_follower(context, name):
+    context.world.host(name)
+    context.world.advance(2)
+
+
+def _hold(context, name, model, version='1'):
+    engine = context.world.engines[name]
+    for loading in tuple(engine.timers):
+        engine._stop_load(loading)
+    loaded(engine, model, version)
+    return engine
+
+
+@given(
+    'placement engine "{name}" holds "{model}" and has {count:d} calls in flight'
+)
+def step_calls(context, name, model, count):
+    engine = _hold(context, name, model)
+    engine.running = lambda: {model: count} if count else {}
+    context.world.advance(3)
+
+
+@given('every placement engine holds "{model}"')
+def step_all_hold(context, model):
+    for name in context.world.engines:
+        _hold(context, name, model)
+    context.world.advance(3)
+
+
+@given('placement demand of "{one}" at {first:g} and "{two}" at {second:g}')
+@when(
+    'placement demand turns to "{one}" at {first:g} and "{two}" at {second:g}'
+)
+def step_demand(context, one, first, two, second):
+    context.world.rates = {one: first, two: second}
+
+
+@given('the placement weight store refuses')
+def step_refuse(context):
+    context.world.weights.tokens = 0
+    context.world.weights.rate = 0.0001
+
+
+@when('the placement weight store allows {rate:g} load a second')
+def step_allow(context, rate):
+    for host in context.world.hosts.values():
+        # It had said when to come again; here that time is over.
+        host.placer.loads.not_before = 0.0
+    context.world.weights.rate = rate
+
+
+@when('the placement manifest goes to version "{version}"')
+def step_version(context, version):
+    for name in context.world.hosts:
+        step_version_at(context, version, name)
+
+
+@when('the placement manifest goes to version "{version}" at "{name}" alone')
+def step_version_at(context, version, name):
+    world = context.world
+    upstreams = world.manifest.pools['engines'].upstreams
+    world.hosts[name].placer.manifest = manifest_of(
+        tuple(world.engines),
+        tuple(world.manifest.models),
+        next(iter(upstreams.values())).fencing,
+        version=version,
+    )
+
+
+@when('the placement manifest adds the adapter "{adapter}" to "{model}"')
+def step_adapter(context, adapter, model):
+    context.world.manifest.models[model] = Model('1', 8, [adapter])
+
+
+@when('{seconds:d} placement seconds pass')
+def step_pass(context, seconds):
+    context.most_loading = getattr(context, 'most_loading', 0)
+    for _ in range(seconds):
+        context.world.advance(1)
+        loading = context.world.loading()
+        context.most_loading = max(context.most_loading, loading)
+
+
+@when(
+    '{seconds:d} placement seconds pass, in which "{one}" and "{two}" are always held'
+)
+def step_pass_held(context, seconds, one, two):
+    for _ in range(seconds):
+        context.world.advance(1)
+        assert _serving(context, one), one
+        assert _serving(context, two), two
+
+
+@when('the calls at placement engine "{name}" end')
+def step_calls_end(context, name):
+    context.world.engines[name].running = dict
+
+
+@when('placement engine "{name}" loads, and restarts')
+def step_restart(context, name):
+    engine = context.world.engines[name]
+    while not engine.loading:
+        context.world.advance(STEP)
+    context.world.advance(2)
+    assert engine.loading
+    engine.restart()
+
+
+@when('the answers of the next {count:d} placement orders are lost')
+def step_lose_orders(context, count):
+    context.world.orders.lose_answers = count
+
+
+@when('the next {count:d} placement orders are lost on their way')
+def step_drop_orders(context, count):
+    context.world.orders.lose_requests = count
+
+
+@when('the placement store goes down')
+def step_down(context):
+    context.world.store.down = True
+    context.world.advance(15)
+
+
+@when('the placement store comes back')
+def step_up(context):
+    context.world.store.down = False
+
+
+@when('the placement engine that holds "{model}" can\'t be reached')
+def step_unreachable(context, model):
+    for name, engine in context.world.engines.items():
+        if model in engine.models:
+            context.world.orders.down.add(name)
+
+
+def _serving(context, model):
+    # The host that came last is never cut off from the store.
+    host = tuple(context.world.hosts.values())[-1]
+    serving = []
+    for name, engine in context.world.engines.items():
+        if host.placement.holds(name, model) and model in engine.models:
+            serving.append(name)
+    return serving
+
+
+@then('the placement engines hold "{texts}" in some order')
+def step_hold(context, texts):
+    held = [context.world.held(name) for name in context.world.engines]
+    assert sorted(held) == _names(texts), held
+    assert not context.world.orders.lose_requests
+
+
+@then('placement engine "{name}" is to hold "{text}"')
+def step_is_to_hold(context, name, text):
+    last = context.world.engines[name].orders[-1]
+    models = [f'{model}:{each.version}' for model, each in last.models.items()]
+    assert models == [text], models
+
+
+@then('{count:d} placement engines hold "{model}"')
+def step_hold_count(context, count, model):
+    holding = _serving(context, model)
+    assert len(holding) == count, holding
+
+
+@then('{count:d} reachable placement engines hold "{model}"')
+def step_hold_reachable(context, count, model):
+    down = context.world.orders.down
+    holding = [name for name in _serving(context, model) if name not in down]
+    assert len(holding) == count, holding
+
+
+@then('new work for "{model}" goes only to placement engines that hold it')
+def step_only(context, model):
+    for host in context.world.hosts.values():
+        for name, engine in context.world.engines.items():
+            takes = host.placement.holds(name, model)
+            assert takes == (model in engine.models), name
+
+
+@then('new work for "{model}" goes to {count:d} placement engines')
+def step_work(context, model, count):
+    assert len(_serving(context, model)) == count
+
+
+@then('placement engine "{name}" holds "{text}" and gets {kind} work')
+def step_engine(context, name, text, kind):
+    held = context.world.held(name)
+    assert held == text, held
+    model = text.partition(':')[0]
+    assert (name in _serving(context, model)) == (kind == 'new'), kind
+
+
+@then('placement engine "{name}" holds the adapter "{adapter}" of "{model}"')
+def step_has_adapter(context, name, adapter, model):
+    assert adapter in context.world.engines[name].models[model].adapters
+
+
+@then('placement engine "{name}" began {count:d} loads')
+def step_loads(context, name, count):
+    assert not context.world.orders.lose_answers
+    assert context.world.engines[name].loaded == count
+
+
+@then('the placement weight store gave {count:d} tickets')
+def step_tickets(context, count):
+    assert len(context.world.weights.issued) == count
+
+
+@then('at most {count:d} placement engines ever loaded at one time')
+def step_most_loading(context, count):
+    assert 0 < context.most_loading <= count, context.most_loading
+
+
+@then('the swapped placement engines were drained first')
+def step_drained(context):
+    host = next(iter(context.world.hosts.values()))
+    assert host.logged('placement-drain') == 2, host.lines
+
+
+@then('placement host "{name}" logged "{event}"')
+def step_logged(context, name, event):
+    assert context.world.hosts[name].logged(event)
+
+
+@then('placement host "{name}" did not log "{event}"')
+def step_not_logged(context, name, event):
+    assert not context.world.hosts[name].logged(event)
+
+
+# Fencing.
+
+
+@given('placement host "{name}" has its term measured by the {clock} clock')
+def step_clock(context, name, clock):
+    host = context.world.hosts[name]
+    if clock == 'monotonic':
+        host.keeper.suspend_clock = host.clock.seconds
+
+
+@given('placement host "{name}" works without "{guard}"')
+def step_without(context, name, guard):
+    if guard == 'intents':
+        _replaced(context, _conduct, '_intended', lambda *_: no_work())
+    if guard == 'claims':
+        _replaced(context, _conduct, '_claims_due', lambda *_: False)
+
+
+@given('placement engine "{name}" has taken fence {fence:d}')
+def step_taken(context, name, fence):
+    _hold(context, name, 'draft')
+    engine = context.world.engines[name]
+    engine.fence = fence
+
+
+def _until_followed(context):
+    while context.world.holders() != ['b']:
+        context.world.advance(STEP)
+    context.world.advance(3)
+
+
+@when('placement host "{name}" is paused at its order, and "b" takes over')
+def step_paused_at_order(context, name):
+    world = context.world
+    host = world.hosts[name]
+    host.ticket_gate = Deferred()
+    world.engines['e1'].models = {}
+    while not host.placer.loads.asking:
+        world.advance(STEP)
+    world.engines['e1'].models = {}
+    for other in world.hosts.values():
+        other.placer.may_drain = lambda *_: False
+    host.paused = True
+    world.weights.down = True
+    context.orders_before = len(world.orders_of(name))
+    while world.hosts['b'].fence == 0:
+        world.advance(STEP)
+    world.advance(3)
+
+
+@when('placement host "{name}" goes on')
+def step_go_on(context, name):
+    host = context.world.hosts[name]
+    host.paused = False
+    host.ticket_gate.callback(None)
+
+
+@then('placement engines took {count:d} orders of host "{name}"')
+def step_took(context, count, name):
+    took = len(context.world.orders_of(name)) - context.orders_before
+    assert took == count, took
+
+
+@when(
+    'an order of placement host "{name}" is held on its way, and "b" takes over'
+)
+def step_held_order(context, name):
+    world = context.world
+    _hold(context, 'e1', 'other')
+    held = Deferred()
+    world.orders.hold = held
+    sent = world.hosts[name].logged('order-sent')
+    while world.hosts[name].logged('order-sent') == sent:
+        world.advance(STEP)
+    context.held = held
+    world.orders.hold = None
+    world.hosts[name].store.cut = True
+    _until_followed(context)
+
+
+@when('the held placement order arrives')
+def step_arrives(context):
+    context.held.callback(None)
+
+
+@then('placement engine "{name}" refused {count:d} orders')
+def step_refused(context, name, count):
+    engine = context.world.engines[name]
+    assert len(engine.refused) == count, engine.refused
--- a/pollenstile/placement/__init__.py
+++ b/pollenstile/placement/__init__.py
@@ -1,1 +1,41 @@
-"""Leases, fencing numbers and orders to engines."""
+"""Which engine holds which model: leases, orders, swaps."""
+
+from pollenstile.placement._clock import boot_clock
+from pollenstile.placement._demand import Demand, DemandBoard, demand_total
+from pollenstile.placement._facts import EngineFacts, domain_engines
+from pollenstile.placement._http import http_orders
+from pollenstile.placement._keeper import Keeper, lease_tick, released
+from pollenstile.placement._lease import (
+    LEASES,
+    Lease,
+    LeaseTiming,
+    Pause,
+    Renew,
+    Take,
+    is_held,
+    lease_move,
+    observe,
+    settle,
+)
+from pollenstile.placement._loads import Loads, LoadTiming
+from pollenstile.placement._orders import (
+    Applied,
+    EngineState,
+    Holding,
+    Lost,
+    Order,
+    Refused,
+)
+from pollenstile.placement._placer import Placer, PlacerTiming, placer_round
+from pollenstile.placement._records import PLACEMENTS, Holds, Record
+from pollenstile.placement._service import Placement
+from pollenstile.placement._steps import (
+    Drain,
+    Draining,
+    Loading,
+    Settled,
+    Swap,
+    next_step,
+)
+from pollenstile.placement._sticky import sticky_placement
+from pollenstile.placement._wanted import wanted_placement
--- /dev/null
+++ b/pollenstile/placement/_http.py
@@ -0,0 +1,84 @@
+"""Orders over HTTP."""
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from pollenstile.placement._orders import (
+    ORDER_PATH,
+    Applied,
+    EngineState,
+    Lost,
+    Refused,
+)
+from pollenstile.platform import Broken, Caller
+
+_OK = 200
+_CONFLICT = 409
+_TIMEOUT = 2.0
+_state_from = msgspec.json.Decoder(EngineState).decode
+_refused_from = msgspec.json.Decoder(Refused).decode
+
+
+class HttpOrders:
+    """Looks at engines and orders them, over connections of their own.
+
+    Parameters
+    ==========
+
+    reactor : IReactorTCP and IReactorTime
+        Opens connections and times them.
+    """
+
+    __slots__ = ('reactor',)
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def look(self, name, upstream):
+        """Return a Deferred of ``EngineState`` or ``Lost``."""
+        return Deferred.fromCoroutine(self._look(upstream))
+
+    def send(self, name, upstream, order):
+        """Return a Deferred of ``Applied``, ``Refused`` or ``Lost``."""
+        return Deferred.fromCoroutine(self._send(upstream, order))
+
+    async def _look(self, upstream):
+        reply = await self._call(upstream, 'GET')
+        if isinstance(reply, Broken):
+            return Lost('look', upstream.address, reply.reason)
+        return _decoded(reply, _state_from, 'look', upstream)
+
+    async def _send(self, upstream, order):
+        body = msgspec.json.encode(order)
+        reply = await self._call(upstream, 'PUT', body)
+        if isinstance(reply, Broken):
+            return Lost('order', upstream.address, reply.reason)
+        if reply.status == _CONFLICT:
+            return _decoded(reply, _refused_from, 'order', upstream)
+        state = _decoded(reply, _state_from, 'order', upstream)
+        return state if isinstance(state, Lost) else Applied(state)
+
+    def _call(self, upstream, method, body=None):
+        host, _, port = upstream.address.rpartition(':')
+        caller = Caller(
+            self.reactor,
+            self.reactor,
+            host.strip('[]'),
+            int(port),
+            _TIMEOUT,
+        )
+        return caller.call(method, ORDER_PATH, body, fresh=True)
+
+
+def http_orders(reactor):
+    """Return looks and orders over HTTP; see docs/protocols/orders.md."""
+    return HttpOrders(reactor)
+
+
+def _decoded(reply, decode, step, upstream):
+    if reply.status not in {_OK, _CONFLICT}:
+        return Lost(step, upstream.address, f'status {reply.status}')
+    try:
+        return decode(reply.body)
+    except msgspec.MsgspecError:
+        return Lost(step, upstream.address, 'not understood')
--- /dev/null
+++ b/pollenstile/placement/_keeper.py
@@ -0,0 +1,162 @@
+"""Taking, renewing and giving back a lease."""
+
+from pollenstile.placement import events
+from pollenstile.placement._lease import (
+    LEASES,
+    Pause,
+    Take,
+    is_held,
+    lease_move,
+    lose,
+    observe,
+    settle,
+)
+from pollenstile.platform import (
+    InDoubt,
+    Written,
+    field_mark,
+    settled_put,
+    unpaused,
+)
+
+_MARK = field_mark('mark')
+_ATTEMPTS = 4
+
+
+class Keeper:
+    """One host's side of one lease.
+
+    Parameters
+    ==========
+
+    lease : Lease
+        State of the decisions.
+    name : str
+        Name of the object, the failure domain.
+    store : Store
+        The object API.
+    suspend_clock : function
+        Returns seconds, suspended time included.
+    log : function
+        Writes events.
+    pause : function
+        Waits between tries of an in-doubt write.
+
+    Public state
+    ============
+
+    busy : bool
+        Whether a tick is running.
+    acted : bool
+        Whether the lease was held at the last tick.
+    in_doubt : bool
+        Whether a write may still be on its way.
+    """
+
+    __slots__ = (
+        'acted',
+        'busy',
+        'in_doubt',
+        'lease',
+        'log',
+        'name',
+        'pause',
+        'store',
+        'suspend_clock',
+    )
+
+    def __init__(self, lease, name, store, suspend_clock, log, pause=unpaused):
+        self.lease = lease
+        self.name = name
+        self.store = store
+        self.suspend_clock = suspend_clock
+        self.log = log
+        self.pause = pause
+        self.busy = False
+        self.acted = False
+        self.in_doubt = False
+
+    def holds(self):
+        """Return whether an order may be sent at this instant."""
+        return is_held(self.lease, self.suspend_clock())
+
+
+async def lease_tick(keeper):
+    """Do what is due: read the lease, take it or renew it."""
+    if keeper.busy:
+        return
+    keeper.busy = True
+    try:
+        await _tick(keeper)
+    finally:
+        keeper.busy = False
+
+
+async def released(keeper):
+    """Give the lease back, so that a successor need not wait.
+
+    Explanation
+    ===========
+
+    The own term ends before the write is sent. The object stays, with its
+    version, so that fencing numbers go on rising.
+    """
+    lease = keeper.lease
+    if not is_held(lease, keeper.suspend_clock()):
+        return
+    version = lease.seen_version
+    lose(lease)
+    value = {'holder': '', 'fence': 0, 'term': 0, 'mark': f'{lease.holder}/-'}
+    await keeper.store.put(LEASES, keeper.name, value, version)
+    _log(keeper, events.LEASE_RELEASED)
+
+
+async def _tick(keeper):
+    lease = keeper.lease
+    fence = lease.fence
+    held = keeper.holds()
+    if keeper.acted and not held:
+        _log(keeper, events.LEASE_LAPSED, level='warning')
+    if not held or keeper.in_doubt:
+        outcome = await keeper.store.get(LEASES, keeper.name)
+        observe(lease, outcome, keeper.suspend_clock())
+    move = lease_move(lease, keeper.suspend_clock())
+    if not isinstance(move, Pause):
+        await _write(keeper, move)
+    if fence and not lease.fence:
+        _log(keeper, events.LEASE_LOST, level='warning', lost=fence)
+    keeper.acted = keeper.holds()
+
+
+async def _write(keeper, move):
+    sent_at = keeper.suspend_clock()
+    outcome = await settled_put(
+        keeper.store,
+        LEASES,
+        keeper.name,
+        move.value,
+        move.if_version,
+        _MARK,
+        keeper.pause,
+        _ATTEMPTS,
+    )
+    settle(keeper.lease, move, outcome, sent_at)
+    # A put that may still be on its way can change the version under us; the
+    # next tick reads before it writes.
+    keeper.in_doubt = isinstance(outcome, InDoubt)
+    if keeper.in_doubt:
+        _log(keeper, events.LEASE_IN_DOUBT, level='warning')
+    if isinstance(outcome, Written):
+        taken = isinstance(move, Take)
+        event = events.LEASE_TAKEN if taken else events.LEASE_RENEWED
+        _log(keeper, event, level='info' if taken else 'debug')
+
+
+def _log(keeper, event, level='info', **fields):
+    keeper.log(
+        event,
+        level=level,
+        domain=keeper.name,
+        fence=keeper.lease.fence,
+        **fields,
+    )
--- /dev/null
+++ b/pollenstile/placement/_service.py
@@ -0,0 +1,102 @@
+"""Placement as one entry host runs it."""
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from pollenstile.placement import events
+from pollenstile.placement._keeper import lease_tick, released
+from pollenstile.placement._placer import placer_round
+from pollenstile.placement._records import PLACEMENTS
+from pollenstile.platform import watch
+
+LEASE_PERIOD = 1.0
+ROUND_PERIOD = 1.0
+DEMAND_PERIOD = 15.0
+
+
+class Placement:
+    """The loops of placement in one host.
+
+    Parameters
+    ==========
+
+    placer : Placer
+        Acts while the host holds the lease of its domain.
+    holds : Holds
+        Follows the records of all domains.
+    demand : Demand
+        Counted by this host.
+    board : DemandBoard
+        Where hosts tell each other their demand.
+    """
+
+    __slots__ = ('board', 'demand', 'holds', 'loops', 'placer', 'watch')
+
+    def __init__(self, placer, holds, demand, board):
+        self.placer = placer
+        self.holds = holds
+        self.demand = demand
+        self.board = board
+        self.loops = []
+        self.watch = None
+
+    def start(self):
+        """Start to watch records, to hold the lease and to place."""
+        placer = self.placer
+        self.watch = watch(
+            placer.store,
+            PLACEMENTS,
+            self.holds.take,
+            placer.clock,
+            placer.random,
+            placer.log,
+        )
+        self._every(LEASE_PERIOD, self._lease)
+        self._every(ROUND_PERIOD, self._round)
+        self._every(DEMAND_PERIOD, self._tell)
+
+    def in_force(self, snapshot):
+        """Place by another manifest from now on."""
+        self.placer.manifest = snapshot.manifest
+
+    async def stop(self):
+        """Give no more orders and give the lease back."""
+        for loop in self.loops:
+            loop.stop()
+        if self.watch is not None:
+            self.watch.stop()
+        await released(self.placer.keeper)
+
+    def _every(self, period, work):
+        loop = LoopingCall(lambda: self._guarded(work()))
+        loop.clock = self.placer.clock
+        loop.start(period)
+        self.loops.append(loop)
+
+    def _guarded(self, work):
+        running = Deferred.fromCoroutine(work)
+        # An error in one round must not end the loop: the host would keep
+        # its lease and never place again.
+        running.addErrback(self._failed)
+        return running
+
+    def _failed(self, failure):
+        self.placer.log(
+            events.ROUND_FAILED,
+            level='error',
+            error=repr(failure.value),
+        )
+
+    def _lease(self):
+        return lease_tick(self.placer.keeper)
+
+    def _round(self):
+        return placer_round(self.placer)
+
+    async def _tell(self):
+        await self.board.tell(self.demand.turn(DEMAND_PERIOD))
+        if not self.placer.keeper.holds():
+            return
+        total = await self.board.read()
+        if total is not None:
+            self.placer.demand = total
--- /dev/null
+++ b/pollenstile/placement/_sticky.py
@@ -0,0 +1,58 @@
+"""Sticky re-placement: engines keep their models unless much is gained.
+
+References
+==========
+
+LLMKube, ModelPool: cross-pod sticky model swapping on a shared GPU slot,
+pull request by sylvainsf: the resident model stays until another is asked
+for, and is never taken down while it is busy.
+"""
+
+from pollenstile.placement._wanted import wanted_placement
+
+
+def sticky_placement(gain):
+    """Return a function like ``wanted_placement`` that changes little.
+
+    Explanation
+    ===========
+
+    The plain plan is taken over only where it lowers the highest demand for
+    each replica by a factor, or where a model has no engine at present.
+
+    Parameters
+    ==========
+
+    gain : float
+        Factor from which a change is worth its loads.
+    """
+
+    def placement(engines, sizes, demand, held):
+        plain = wanted_placement(engines, sizes, demand, held)
+        kept = {}
+        for name, facts in engines.items():
+            models = held.get(name, ())
+            kept[name] = tuple(sorted(set(models) & set(facts.models)))
+        before = _highest(kept, plain, demand)
+        if before is None or before > gain * _highest(plain, plain, demand):
+            return plain
+        return kept
+
+    return placement
+
+
+def idle_only(state, models):
+    """Return whether none of the models has a call at the engine."""
+    return not any(state.running.get(model) for model in models)
+
+
+def _highest(placement, plain, demand):
+    """Return the highest demand for a replica, None when a model has none."""
+    highest = 0.0
+    placed = sorted({model for models in plain.values() for model in models})
+    for model in placed:
+        replicas = sum(model in models for models in placement.values())
+        if not replicas:
+            return None
+        highest = max(highest, demand.get(model, 0.0) / replicas)
+    return highest
