placement: what mutations of its guards showed

Cause: 10 of 30 guards could be taken out with no scenario failing; and a renewal in doubt was forgotten when the next put was refused. Change: scenarios for swaps in step, dead engines' tickets, needless swaps and renewals that stay in doubt; doubt ends only with a read; a stop waits for what runs; two redundant guards are gone.

--- a/features/builders/placement.py
+++ b/features/builders/placement.py
@@ -58,6 +58,7 @@
     """One entry host's placement; its clock stops while it is paused."""
 
     __slots__ = (
+        'asked',
         'clock',
         'due',
         'keeper',
@@ -78,6 +79,7 @@
         self.paused = False
         self.suspended = 0.0
         self.due = {}
+        self.asked = 0
         self.lines = []
         self.ticket_gate = None
         self.weights = world.weights
@@ -126,6 +128,7 @@
 
     def ticket(self, model, version):
         """Return the weight store's answer, late while a gate is closed."""
+        self.asked += 1
         answer = self.weights.ticket(model, version)
         if self.ticket_gate is None:
             return answer
@@ -161,11 +164,14 @@
         'clock',
         'engines',
         'fences',
+        'gaps',
         'hosts',
         'manifest',
+        'models',
         'orders',
         'overlaps',
         'rates',
+        'served_at',
         'store',
         'timing',
         'weights',
@@ -176,6 +182,7 @@
         self.store = MemoryStore(self.clock)
         self.weights = MemoryWeights(self.clock, rate=1.0, burst=4)
         self.timing = LeaseTiming()
+        self.models = models
         self.manifest = manifest_of(engines, models, fencing, memory)
         self.engines = {}
         for name in engines:
@@ -191,6 +198,8 @@
         self.hosts = {}
         self.overlaps = 0
         self.rates = {}
+        self.served_at = {}
+        self.gaps = []
         self.fences = []
 
     def host(self, name):
@@ -213,6 +222,17 @@
                 host.advance(STEP)
                 host.call(self.rates)
             self._note()
+            self._note_work()
+
+    def serving(self, model):
+        """Return the engines that hold a model and get new work for it."""
+        # The host that came last is never cut off from the store.
+        holds = tuple(self.hosts.values())[-1].placement.holds
+        serving = []
+        for name, engine in self.engines.items():
+            if model in engine.models and holds(name, model):
+                serving.append(name)
+        return serving
 
     def loading(self):
         """Return how many engines load now."""
@@ -240,6 +260,17 @@
             if (fence, name) not in self.fences:
                 self.fences.append((fence, name))
 
+    def _note_work(self):
+        """Note how long an engine got no work before it lost a model."""
+        now = self.clock.seconds()
+        for model in self.models:
+            for name in self.serving(model):
+                self.served_at[name, model] = now
+        for served, last in tuple(self.served_at.items()):
+            if served[1] not in self.engines[served[0]].models:
+                self.gaps.append(now - last)
+                self.served_at.pop(served)
+
 
 def manifest_of(engines, models, fencing='ignored', memory=_SIZE, version='1'):
     """Return a manifest with one pool of engines."""
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -51,6 +51,7 @@
     And 10 placement seconds pass
     Then placement engine "e1" holds the adapter "lakes" of "draft"
     And placement host "a" did not log "placement-drain"
+    And the placement weight store gave 1 tickets
 
   Scenario: While the weight store refuses, placement engines keep what they have
     A new version is rolled out, and the weight store refuses all loads. An
@@ -63,6 +64,7 @@
     And 60 placement seconds pass
     Then the placement engines hold "draft:1, draft:1" in some order
     And new work for "draft" goes to 2 placement engines
+    And placement host "a" asked the weight store 1 times
     When the placement weight store allows 1 load a second
     And 60 placement seconds pass
     Then the placement engines hold "draft:2, draft:2" in some order
@@ -77,6 +79,36 @@
     And at most 2 placement engines ever loaded at one time
     And the placement weight store gave 6 tickets
 
+  Scenario: Placement engines that die while they load hold nobody back
+    Two engines load, as many as may at one time, and die. If their tickets
+    still counted, no other engine of the domain could ever load.
+    Given placement engines "e1, e2, e3, e4" for models "draft"
+    And a placement host "a" that holds the lease
+    When the first 2 placement engines die while they load
+    And 60 placement seconds pass
+    Then 2 reachable placement engines hold "draft"
+
+  Scenario: A placement rollout leaves most engines at work
+    A new version goes to all engines. Were all drained at one time, every
+    caller would be refused until the first load is done.
+    Given placement engines "e1, e2, e3, e4" for models "draft"
+    And a placement host "a" that holds the lease
+    And every placement engine holds "draft"
+    When the placement manifest goes to version "2"
+    And 120 placement seconds pass, in which 3 engines hold "draft"
+    Then placement engine "e4" holds "draft:2" and gets new work
+
+  Scenario: A placement that covers the demand is left alone
+    The engines hold what is wanted, but another one each than a plan from
+    nothing would choose. Each needless swap costs a load.
+    Given placement engines "e1, e2, e3" for models "draft, tags"
+    And placement engine "e1" holds "tags"
+    And placement engine "e2" holds "draft"
+    And placement engine "e3" holds "draft"
+    And a placement host "a" that holds the lease
+    When 40 placement seconds pass
+    Then no placement engine was loaded
+
   Scenario: A placement engine that restarts in mid-load is loaded anew
     The engine dies while it loads. It comes back empty, at the same address.
     If the old load still counted, nothing would ever be loaded there, and
--- a/features/placement_lease.feature
+++ b/features/placement_lease.feature
@@ -44,6 +44,24 @@
     And 30 placement seconds pass
     Then placement host "a" still holds the lease with its fence
 
+  Scenario: A placement renewal that stays in doubt is read before the next
+    The renewal was applied, and the store goes silent before it can be read
+    back. The next renewal over the old version would meet a conflict with
+    the holder's own write, and the domain would be without orders.
+    Given a placement holder "a" and a follower "b"
+    When a placement renewal of "a" stays in doubt for 2 seconds
+    And 6 placement seconds pass
+    Then placement host "a" still holds the lease with its fence
+
+  Scenario: A placement holder whose lease is gone stops before its term ends
+    Given a placement holder "a" and a follower "b"
+    When the placement lease is deleted
+    And 4 placement seconds pass
+    Then exactly 0 placement hosts hold the lease
+    When 20 placement seconds pass
+    Then exactly 1 placement host holds the lease
+    And the placement lease was never held twice at one time
+
   Scenario Outline: A placement term counts from before the renewal was sent
     The answer of a renewal is lost, and the way to the store is broken. Nine
     seconds later one read gets through and shows that the renewal had been
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -14,6 +14,7 @@
 )
 from pollenstile.manifest import Model
 from pollenstile.placement import LeaseTiming, _conduct, _keeper
+from pollenstile.platform import unpaused
 
 use_step_matcher('parse')
 
@@ -134,6 +135,24 @@
     host.store.cut = True
 
 
+@when('a placement renewal of "{name}" stays in doubt for {seconds:d} seconds')
+def step_in_doubt(context, name, seconds):
+    host = context.world.hosts[name]
+    host.keeper.pause = unpaused
+    context.old_fence = host.fence
+    host.store.cut_by_write = True
+    while not host.store.cut:
+        context.world.advance(STEP)
+    context.world.advance(seconds)
+    host.store.cut_by_write = False
+    host.store.cut = False
+
+
+@when('the placement lease is deleted')
+def step_deleted(context):
+    kept_result(context.world.store.delete('leases', DOMAIN))
+
+
 @when('placement host "{name}" is paused for {seconds:d} seconds')
 def step_pause(context, name, seconds):
     host = context.world.hosts[name]
@@ -226,6 +245,11 @@
     return engine
 
 
+@given('placement engine "{name}" holds "{model}"')
+def step_holds(context, name, model):
+    _hold(context, name, model)
+
+
 @given(
     'placement engine "{name}" holds "{model}" and has {count:d} calls in flight'
 )
@@ -302,8 +326,27 @@
 def step_pass_held(context, seconds, one, two):
     for _ in range(seconds):
         context.world.advance(1)
-        assert _serving(context, one), one
-        assert _serving(context, two), two
+        assert context.world.serving(one), one
+        assert context.world.serving(two), two
+
+
+@when(
+    '{seconds:d} placement seconds pass, in which {count:d} engines hold "{model}"'
+)
+def step_pass_count(context, seconds, count, model):
+    for _ in range(seconds):
+        context.world.advance(1)
+        assert len(context.world.serving(model)) >= count
+
+
+@when('the first {count:d} placement engines die while they load')
+def step_die_loading(context, count):
+    world = context.world
+    while world.loading() < count:
+        world.advance(STEP)
+    for name in tuple(world.engines)[:count]:
+        assert world.engines[name].loading
+        world.orders.down.add(name)
 
 
 @when('the calls at placement engine "{name}" end')
@@ -349,16 +392,6 @@
             context.world.orders.down.add(name)
 
 
-def _serving(context, model):
-    # The host that came last is never cut off from the store.
-    host = tuple(context.world.hosts.values())[-1]
-    serving = []
-    for name, engine in context.world.engines.items():
-        if host.placement.holds(name, model) and model in engine.models:
-            serving.append(name)
-    return serving
-
-
 @then('the placement engines hold "{texts}" in some order')
 def step_hold(context, texts):
     held = [context.world.held(name) for name in context.world.engines]
@@ -375,14 +408,16 @@
 
 @then('{count:d} placement engines hold "{model}"')
 def step_hold_count(context, count, model):
-    holding = _serving(context, model)
+    holding = context.world.serving(model)
     assert len(holding) == count, holding
 
 
 @then('{count:d} reachable placement engines hold "{model}"')
 def step_hold_reachable(context, count, model):
     down = context.world.orders.down
-    holding = [name for name in _serving(context, model) if name not in down]
+    holding = [
+        name for name in context.world.serving(model) if name not in down
+    ]
     assert len(holding) == count, holding
 
 
@@ -396,7 +431,7 @@
 
 @then('new work for "{model}" goes to {count:d} placement engines')
 def step_work(context, model, count):
-    assert len(_serving(context, model)) == count
+    assert len(context.world.serving(model)) == count
 
 
 @then('placement engine "{name}" holds "{text}" and gets {kind} work')
@@ -404,12 +439,13 @@
     held = context.world.held(name)
     assert held == text, held
     model = text.partition(':')[0]
-    assert (name in _serving(context, model)) == (kind == 'new'), kind
+    assert (name in context.world.serving(model)) == (kind == 'new'), kind
 
 
 @then('placement engine "{name}" holds the adapter "{adapter}" of "{model}"')
 def step_has_adapter(context, name, adapter, model):
-    assert adapter in context.world.engines[name].models[model].adapters
+    held = context.world.engines[name].models
+    assert adapter in held[model].adapters, held
 
 
 @then('placement engine "{name}" began {count:d} loads')
@@ -423,6 +459,16 @@
     assert len(context.world.weights.issued) == count
 
 
+@then('placement host "{name}" asked the weight store {count:d} times')
+def step_asked(context, name, count):
+    assert context.world.hosts[name].asked == count
+
+
+@then('no placement engine was loaded')
+def step_none_loaded(context):
+    assert not any(each.loaded for each in context.world.engines.values())
+
+
 @then('at most {count:d} placement engines ever loaded at one time')
 def step_most_loading(context, count):
     assert 0 < context.most_loading <= count, context.most_loading
@@ -430,8 +476,10 @@
 
 @then('the swapped placement engines were drained first')
 def step_drained(context):
-    host = next(iter(context.world.hosts.values()))
-    assert host.logged('placement-drain') == 2, host.lines
+    gaps = context.world.gaps
+    # Two seconds of notice, less what a watch and a step take.
+    assert len(gaps) == 2, gaps
+    assert min(gaps) * 4 >= 5, gaps
 
 
 @then('placement host "{name}" logged "{event}"')
@@ -464,9 +512,7 @@
 
 @given('placement engine "{name}" has taken fence {fence:d}')
 def step_taken(context, name, fence):
-    _hold(context, name, 'draft')
-    engine = context.world.engines[name]
-    engine.fence = fence
+    _hold(context, name, 'draft').fence = fence
 
 
 def _until_followed(context):
--- a/pollenstile/placement/_keeper.py
+++ b/pollenstile/placement/_keeper.py
@@ -13,6 +13,7 @@
 )
 from pollenstile.platform import (
     InDoubt,
+    Unavailable,
     Written,
     field_mark,
     settled_put,
@@ -118,16 +119,27 @@
     if keeper.acted and not held:
         _log(keeper, events.LEASE_LAPSED, level='warning')
     if not held or keeper.in_doubt:
-        outcome = await keeper.store.get(LEASES, keeper.name)
-        observe(lease, outcome, keeper.suspend_clock())
-    move = lease_move(lease, keeper.suspend_clock())
-    if not isinstance(move, Pause):
-        await _write(keeper, move)
+        await _read(keeper)
+    if not keeper.in_doubt:
+        await _move(keeper)
     if fence and not lease.fence:
         _log(keeper, events.LEASE_LOST, level='warning', lost=fence)
     keeper.acted = keeper.holds()
 
 
+async def _move(keeper):
+    move = lease_move(keeper.lease, keeper.suspend_clock())
+    if not isinstance(move, Pause):
+        await _write(keeper, move)
+
+
+async def _read(keeper):
+    outcome = await keeper.store.get(LEASES, keeper.name)
+    observe(keeper.lease, outcome, keeper.suspend_clock())
+    if not isinstance(outcome, Unavailable):
+        keeper.in_doubt = False
+
+
 async def _write(keeper, move):
     sent_at = keeper.suspend_clock()
     outcome = await settled_put(
@@ -141,8 +153,8 @@
         _ATTEMPTS,
     )
     settle(keeper.lease, move, outcome, sent_at)
-    # A put that may still be on its way can change the version under us; the
-    # next tick reads before it writes.
+    # The version may be another than the one last known. A write over the old
+    # one would meet a conflict with our own, so a read comes first.
     keeper.in_doubt = isinstance(outcome, InDoubt)
     if keeper.in_doubt:
         _log(keeper, events.LEASE_IN_DOUBT, level='warning')
--- a/pollenstile/placement/_loads.py
+++ b/pollenstile/placement/_loads.py
@@ -81,6 +81,12 @@
 def ended_loads(loads, states, wanted):
     """Drop tickets whose load is done, or not to be done any more.
 
+    Explanation
+    ===========
+
+    An engine that dies while it loads leaves the plan, and its ticket would
+    hold back the loads of all others for good.
+
     Parameters
     ==========
 
@@ -90,16 +96,12 @@
         Engine to its models with their :class:`Holding`.
     """
     for engine, load in tuple(loads.tickets.items()):
-        incarnation, model, holding = load
+        _incarnation, model, holding = load
         if wanted.get(engine, {}).get(model) != holding:
             loads.tickets.pop(engine)
             continue
         state = states.get(engine)
         if state is None:
             continue
-        # A restarted engine has lost what it was loading; its ticket is
-        # spent, and kept it would hold back the loads of others for good.
-        if state.incarnation != incarnation:
-            loads.tickets.pop(engine)
-        elif state.models.get(model) == holding:
+        if state.models.get(model) == holding:
             loads.tickets.pop(engine)
--- a/pollenstile/placement/_placer.py
+++ b/pollenstile/placement/_placer.py
@@ -217,7 +217,6 @@
     before = placer.incarnations.get(name, incarnation)
     placer.incarnations[name] = incarnation
     if before != incarnation:
-        placer.draining.pop(name, None)
         placer.tell(
             events.ENGINE_RESTARTED,
             name,
--- a/pollenstile/placement/_service.py
+++ b/pollenstile/placement/_service.py
@@ -1,6 +1,6 @@
 """Placement as one entry host runs it."""
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import LoopingCall
 
 from pollenstile.placement import events
@@ -60,18 +60,25 @@
         self.placer.manifest = snapshot.manifest
 
     async def stop(self):
-        """Give no more orders and give the lease back."""
-        for loop in self.loops:
+        """Give no more orders and give the lease back.
+
+        Explanation
+        ===========
+
+        What runs is waited for: a lease that was being taken would be held
+        after it was given back, and an order could follow it.
+        """
+        for loop, _ended in self.loops:
             loop.stop()
         if self.watch is not None:
             self.watch.stop()
+        await gatherResults([ended for _loop, ended in self.loops])
         await released(self.placer.keeper)
 
     def _every(self, period, work):
         loop = LoopingCall(lambda: self._guarded(work()))
         loop.clock = self.placer.clock
-        loop.start(period)
-        self.loops.append(loop)
+        self.loops.append((loop, loop.start(period)))
 
     def _guarded(self, work):
         running = Deferred.fromCoroutine(work)
--- a/pollenstile/placement/_steps.py
+++ b/pollenstile/placement/_steps.py
@@ -62,7 +62,7 @@
         Until calls in flight are waited for no longer.
     """
 
-    notice: float = 1.0
+    notice: float = 2.0
     bound: float = 10.0
 
 
