--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -2,6 +2,7 @@
 
 from contextlib import ExitStack, contextmanager
 
+from pollenstile import pipeline
 from pollenstile.fleet import InForce
 from pollenstile.limits import RetryBudget
 from pollenstile.outcomes import Refused
@@ -9,6 +10,7 @@
 from pollenstile.pipeline._assembly import Assembly
 from pollenstile.pipeline._attempts import Attempts
 from pollenstile.pipeline._stage import StageRun
+from pollenstile.routing import UpstreamState
 
 
 @contextmanager
@@ -76,7 +78,27 @@
 
 _ORIGINAL_OFFER = InForce.offer
 
+
+def _no_end(budget, expected, attempts_left):
+    return 1e6
+
+
+async def _outcome_again(core, request, on_token=_nothing):
+    outcome = await _ORIGINAL_OUTCOME(core, request, on_token)
+    if outcome.tag == 'failed':
+        return await _ORIGINAL_OUTCOME(core, request, on_token)
+    return outcome
+
+
+_ORIGINAL_OUTCOME = pipeline.outcome_of
+
+# State that is never set: the attribute reads as false for good.
+_NEVER_SET = property(_never, _nothing)
+
 _PATCHES = {
+    'one outcome': [(pipeline, 'outcome_of', _outcome_again)],
+    'timeouts': [(_stage, 'attempt_timeout', _no_end)],
+    'leaving': [(UpstreamState, 'leaving', _NEVER_SET)],
     'foreign replies': [(StageRun, '_is_foreign', _never)],
     'foreign refusals': [(StageRun, '_is_foreign_refusal', _never)],
     'late replies': [(StageRun, '_on_event', _taken_late)],
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,114 @@
+"""Steps of soaks: randomised runs of real nodes."""
+
+import contextlib
+import io
+
+from behave import given, then, when
+from twisted.internet.task import Clock
+
+from features.builders.mutations import without
+from pollenstile.ops import _soakcmd
+from pollenstile.ops.main import built_parser
+from pollenstile.soak import run_soak
+from pollenstile.soak._process import Process
+
+
+@then('soak seed {seed:d} of {steps:d} steps gives the same digest twice')
+def step_same(context, seed, steps):
+    digests = {run_soak(seed, steps).digest for _ in range(2)}
+    assert len(digests) == 1, digests
+
+
+@then(
+    'soak seeds {one:d} and {other:d} of {steps:d} steps give different digests'
+)
+def step_different(context, one, other, steps):
+    assert run_soak(one, steps).digest != run_soak(other, steps).digest
+
+
+@when('soak seed {seed:d} of {steps:d} steps is run')
+def step_run(context, seed, steps):
+    context.result = run_soak(seed, steps)
+
+
+@then('the soak has no violation and answers of every kind')
+def step_holds(context):
+    outcomes = context.result.outcomes
+    assert not context.result.violations, context.result.violations
+    # A run in which little is answered, or little fails, would show little.
+    assert outcomes['answered'] > sum(outcomes.values()) / 3, outcomes
+    assert len(outcomes) >= 3, outcomes
+
+
+@when('soak seed {seed:d} of {steps:d} steps is run without "{guard}"')
+def step_run_without(context, seed, steps, guard):
+    command = ['soak', '--seed', str(seed), '--steps', str(steps)]
+    parsed = built_parser().parse_args(command)
+    written = io.StringIO()
+    context.logged = []
+    with without(guard), contextlib.redirect_stdout(written):
+        context.code = _soakcmd.run(parsed)
+    context.printed = written.getvalue()
+    context.seed = seed
+
+
+@then('the soak reports "{invariant}" with a tail and exit code {code:d}')
+def step_reports(context, invariant, code):
+    assert context.code == code, context.code
+    wanted = f'seed {context.seed} violation: {invariant} '
+    assert wanted in context.printed, context.printed[-2000:]
+    assert f'broken seeds: {context.seed}' in context.printed
+    tail = [line for line in context.printed.splitlines() if line[0] == ' ']
+    assert any('VIOLATION' in line for line in tail), tail
+
+
+@given('a soak process with a timer and a message on its way')
+def step_process(context):
+    context.clock = Clock()
+    context.process = Process(context.clock)
+    context.ran = []
+    context.process.callLater(2, context.ran.append, 'timer')
+    context.clock.callLater(
+        1,
+        context.process.deliver,
+        context.ran.append,
+        'message',
+    )
+
+
+@when('the soak process is killed')
+def step_kill(context):
+    context.process.kill()
+    context.clock.pump([1, 1, 1])
+
+
+@then('nothing of the soak process runs')
+def step_silent(context):
+    assert not context.ran, context.ran
+
+
+@when('the soak process is frozen over both and goes on')
+def step_freeze(context):
+    process = context.process
+    cancelled = process.callLater(2.5, context.ran.append, 'cancelled')
+    process.callLater(2.2, cancelled.cancel)
+    process.freeze()
+    context.clock.pump([1, 1, 1])
+    assert not context.ran
+    process.thaw()
+
+
+@then('the soak process ran the timer, then the message')
+def step_order(context):
+    assert context.ran == ['timer', 'message'], context.ran
+
+
+@then('"pollenstile {command}" is refused with exit code {code:d}')
+def step_refused(context, command, code):
+    with contextlib.redirect_stderr(io.StringIO()):
+        try:
+            built_parser().parse_args(command.split())
+        except SystemExit as ended:
+            assert ended.code == code, ended.code
+            return
+    raise AssertionError('the flags were taken')
--- a/pollenstile/soak/_hosts.py
+++ b/pollenstile/soak/_hosts.py
@@ -1,5 +1,7 @@
 """Entry hosts of a soak: the real node in a process that can die."""
 
+from functools import partial
+
 from twisted.internet.defer import Deferred
 
 from pollenstile.entry import built_node
@@ -7,6 +9,7 @@
 from pollenstile.ops.settings import ENTRY, settings_from
 from pollenstile.soak._process import Process
 from pollenstile.soak._wire import Wire
+from pollenstile.upstream import Chunk, Reply
 
 
 class GatedStore:
@@ -72,6 +75,8 @@
         collector of unused objects does not wake its coroutines.
     calls : dict
         Attempt to the cancel function of each call it has open.
+    told_leaving : dict
+        Upstream to the incarnation that told this host it leaves.
     versions : list of int
         Configurations that were in force, in order.
     """
@@ -94,7 +99,7 @@
         self.process = Process(world.clock, self._crashed)
         self.exchanges = []
         self.calls = {}
-        self.told_leaving = set()
+        self.told_leaving = {}
         self.versions = []
         environment = {'POLLENSTILE_HOST': name, 'POLLENSTILE_DOMAIN': domain}
         self.node = built_node(
@@ -133,7 +138,22 @@
 
     def knows_leaving(self, upstream):
         """Return whether the host was told that an upstream leaves."""
-        return upstream in self.told_leaving
+        now = self.world.upstreams[upstream].load().incarnation
+        return self.told_leaving.get(upstream) == now
+
+    def _heard(self, name, call, sink, event):
+        sink(event)
+        if isinstance(event, Chunk):
+            return
+        waited = self.calls.pop(call.attempt, None) is not None
+        if not waited or not isinstance(event, Reply):
+            return
+        if event.attempt == call.attempt and event.load.leaving:
+            self.told_leaving[name] = event.load.incarnation
+
+    def _cut(self, attempt, cancel):
+        self.calls.pop(attempt, None)
+        cancel()
 
     def _log(self, event, level='info', **fields):
         if self.process.alive:
@@ -159,15 +179,11 @@
             if not self.process.alive:
                 return _cancel_nothing
             self.world.records.sent(self, name, call)
-            through = wire.sink_for(call.attempt, sink)
+            heard = partial(self._heard, name, call, sink)
+            through = wire.sink_for(call.attempt, heard)
             cancel = raw(name, upstream, call, through)
             self.calls[call.attempt] = cancel
-
-            def forget():
-                if self.calls.pop(call.attempt, None) is not None:
-                    cancel()
-
-            return forget
+            return partial(self._cut, call.attempt, cancel)
 
         return start
 
--- a/pollenstile/soak/_wire.py
+++ b/pollenstile/soak/_wire.py
@@ -1,7 +1,7 @@
 """The way between hosts and upstreams: cuts, and messages gone astray."""
 
 from pollenstile.standin.virtual import UP
-from pollenstile.upstream import Chunk
+from pollenstile.upstream import Chunk, NotRun
 
 _LATEST = 2.5
 _SMALL_DELAY = 0.02
@@ -54,7 +54,7 @@
         Notes them.
     """
 
-    __slots__ = ('links', 'process', 'rng', 'swapped', 'trace')
+    __slots__ = ('links', 'process', 'refusal', 'rng', 'swapped', 'trace')
 
     def __init__(self, links, rng, process, trace):
         self.links = links
@@ -62,6 +62,7 @@
         self.process = process
         self.trace = trace
         self.swapped = None
+        self.refusal = None
 
     def sink_for(self, attempt, sink):
         """Return a sink that goes through the wire."""
@@ -69,10 +70,12 @@
         def take(event):
             # What the transport itself says does not travel.
             travels = getattr(event, 'attempt', None) is not None
+            if travels and isinstance(event, NotRun):
+                self.refusal = event
             if not travels or self.rng.random() >= self.links.astray:
                 self.hand(sink, event)
                 return
-            fate = self.rng.choice((_lost, _double, _late, _behind, _swap))
+            fate = self.rng.choice(_FATES)
             self.trace.note('astray', attempt=attempt, fate=fate.__name__)
             fate(self, sink, event)
 
@@ -115,3 +118,12 @@
     wire.swapped = None
     wire.hand(sink, waiting[1])
     wire.hand(waiting[0], event)
+
+
+def _old_refusal(wire, sink, event):
+    # The refusal of another call, sent again.
+    if wire.refusal is not None and not isinstance(event, Chunk):
+        wire.hand(sink, wire.refusal)
+
+
+_FATES = (_lost, _double, _late, _behind, _swap, _old_refusal)
