--- a/pollenstile/ops/_applycmd.py
+++ b/pollenstile/ops/_applycmd.py
@@ -87,7 +87,9 @@
         entries = entries_from(arguments.entry)
     return result_of(
         reactor,
-        lambda: _run(reactor, store, text, manifest, entries, arguments),
+        lambda: _run(
+            reactor, store, text.decode(), manifest, entries, arguments
+        ),
     )
 
 
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -41,11 +41,13 @@
     """Return a daemon with real connections, store and metrics."""
     rng = random.Random(settings.seed or None)
     log = event_log(host=settings.host)
+    store = paced_store(reactor, rng, settings, log)
     node = built_node(
         reactor,
         rng,
         settings,
         http_transport(reactor),
+        store=store,
         log=log,
     )
     fleet = built_fleet(
@@ -53,7 +55,7 @@
         settings,
         tcp_connect(reactor),
         http_load_reader(reactor),
-        store=paced_store(reactor, rng, settings, log),
+        store=store,
         read_hosts=hosts_reader(reactor, settings),
     )
     return Daemon(reactor, node, settings, fleet, _statsd(settings))
--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -10,6 +10,7 @@
     _callcmd,
     _democmd,
     _entrycmd,
+    _soakcmd,
     _standincmd,
     _statuscmd,
     _validatecmd,
@@ -32,6 +33,7 @@
     _callcmd,
     _democmd,
     _benchcmd,
+    _soakcmd,
 )
 
 
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -1,5 +1,7 @@
 """One request from admission to its final outcome."""
 
+from functools import partial
+
 from twisted.internet.defer import CancelledError
 
 from pollenstile.limits import expected_time
@@ -39,10 +41,21 @@
     try:
         outcome = await _admitted_outcome(core, request, on_token)
     except CancelledError:
-        outcome = Failed('the caller is gone', 'caller', '')
+        outcome = _cancelled_outcome(request)
+    except Exception:
+        # Left open, the request would be counted as running for good.
+        core.ledger.crash(request)
+        raise
     return _finished(core, request, outcome)
 
 
+def _cancelled_outcome(request):
+    # Whoever cancels a non-idempotent request may do so while its call runs.
+    # `Failed` would tell a caller that asking again is safe.
+    kind = Failed if request.pipeline.idempotent else Unknown
+    return kind('cancelled', 'caller', '')
+
+
 async def _admitted_outcome(core, request, on_token):
     refusal = await core.admission.entered(request)
     if refusal is not None:
@@ -56,10 +69,8 @@
 async def _claimed_outcome(core, request, on_token):
     if core.claims is None or request.pipeline.idempotent or not request.key:
         return await _stages_outcome(core, request, on_token)
-    earlier = await core.claims(request)
-    if earlier is not None:
-        return earlier
-    return await _stages_outcome(core, request, on_token)
+    run = partial(_stages_outcome, core, request, on_token)
+    return await core.claims(request, run)
 
 
 def _finished(core, request, outcome):
