--- a/pollenstile/fleet/_patch.py
+++ b/pollenstile/fleet/_patch.py
@@ -57,7 +57,7 @@
     (8, 4)
     >>> patched('weight: 1.0 end', patch)
     'weight: 2.5 end'
-    >>> patched('weight: 9 end', patch) is None
+    >>> patched('height: 1.0 end', patch) is None
     True
     """
     before = old.encode()
