bench placement: rules of re-placement on shifting demand

Cause: sticky, idle-gated swaps need a measured gain over the plain rule. Change: one domain in virtual time, five rules, three patterns of demand.

--- /dev/null
+++ b/pollenstile/bench/placement.py
@@ -0,0 +1,156 @@
+"""``pollenstile bench placement``: re-placement rules on shifting demand.
+
+Explanation
+===========
+
+One failure domain in virtual time: engines that each have room for one model,
+callers whose demand shifts between models, and the placer as it runs in an
+entry host. The rules see the same arrivals. Counted are swaps (loads after
+the start), the engines' seconds that loads took, and the share of calls that
+were answered within their deadline.
+"""
+
+import random
+from dataclasses import dataclass
+
+from pollenstile.bench._placementworld import World
+from pollenstile.ops.exits import GOOD
+from pollenstile.placement import (
+    any_time,
+    idle_only,
+    sticky_placement,
+    wanted_placement,
+)
+
+_PERCENT = 100
+
+
+@dataclass(slots=True, frozen=True)
+class Rule:
+    """One rule of re-placement.
+
+    Parameters
+    ==========
+
+    plan_for : function
+        As ``wanted_placement``.
+    may_drain : function
+        Whether a drain may begin.
+    """
+
+    plan_for: object
+    may_drain: object = any_time
+
+
+def _unchanged(engines, sizes, demand, held):
+    """Return what the engines hold."""
+    return {name: tuple(held.get(name, ())) for name in engines}
+
+
+def _rules(gain):
+    sticky = sticky_placement(gain)
+    return {
+        'fixed': Rule(_unchanged),
+        'plain': Rule(wanted_placement),
+        'idle-gated': Rule(wanted_placement, idle_only),
+        'sticky': Rule(sticky),
+        'sticky, idle-gated': Rule(sticky, idle_only),
+    }
+
+
+def _shifting(second, models, seed):
+    """Return shares that go from model to model, ten minutes each."""
+    turn = second / 600
+    first = int(turn) % len(models)
+    passed = turn - int(turn)
+    shares = dict.fromkeys(models, 1.0)
+    shares[models[first]] += 6 * (1 - passed)
+    shares[models[(first + 1) % len(models)]] += 6 * passed
+    return shares
+
+
+def _noisy(second, models, seed):
+    """Return equal shares that each vary by half every 30 seconds."""
+    draw = random.Random(f'{seed}/{int(second / 30)}')
+    return {model: draw.uniform(0.5, 1.5) for model in models}
+
+
+def _bursty(second, models, seed):
+    """Return equal shares, one of them fourfold in 1 of 4 minutes."""
+    minute = int(second / 60)
+    shares = dict.fromkeys(models, 1.0)
+    if minute % 4 == 3:
+        draw = random.Random(f'{seed}/{minute}')
+        shares[draw.choice(models)] = 4.0
+    return shares
+
+
+PATTERNS = {'shifting': _shifting, 'noisy': _noisy, 'bursty': _bursty}
+
+
+def add_parser(benches):
+    """Add the bench."""
+    parser = benches.add_parser(
+        'placement',
+        help='plain re-placement beside sticky and idle-gated',
+    )
+    parser.add_argument('--seconds', type=int, default=2400, help='virtual')
+    parser.add_argument('--engines', type=int, default=12, help='in all')
+    parser.add_argument('--rate', type=float, default=33.0, help='calls/s')
+    parser.add_argument('--load', type=float, default=40.0, help='seconds')
+    parser.add_argument('--gain', type=float, default=1.5, help='of sticky')
+    parser.add_argument('--seeds', type=int, default=3, help='runs of each')
+    parser.add_argument(
+        '--pattern',
+        choices=tuple(PATTERNS),
+        default='',
+        help='only this pattern of demand',
+    )
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Measure and print a line for each pattern and rule."""
+    print('pattern   rule                swaps  load s  attainment %  range')
+    for pattern, shares in PATTERNS.items():
+        if arguments.pattern not in ('', pattern):
+            continue
+        for name, rule in _rules(arguments.gain).items():
+            print(_line(pattern, name, _runs(arguments, shares, rule)))
+    return GOOD
+
+
+def _seeded(shares, seed):
+    def shares_at(second, models):
+        return shares(second, models, seed)
+
+    return shares_at
+
+
+def _runs(arguments, shares, rule):
+    """Return the worlds of each seed after their time."""
+    worlds = []
+    for seed in range(1, arguments.seeds + 1):
+        world = World(
+            arguments.engines,
+            arguments.load,
+            _seeded(shares, seed),
+            seed,
+        )
+        world.placer.plan_for = rule.plan_for
+        world.placer.may_drain = rule.may_drain
+        world.run(arguments.seconds, arguments.rate)
+        worlds.append(world)
+    return worlds
+
+
+def _line(pattern, name, worlds):
+    total = len(worlds)
+    swaps = sum(world.swaps() for world in worlds) / total
+    seconds = sum(world.load_seconds() for world in worlds) / total
+    attained = [_PERCENT * world.answered / world.arrived for world in worlds]
+    mean = sum(attained) / total
+    return (
+        f'{pattern:<9} {name:<18} {swaps:6.1f}  {seconds:6.0f}  {mean:12.2f}'
+        f'  {min(attained):.2f}-{max(attained):.2f}'
+    )
--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -1,8 +1,8 @@
 """``pollenstile bench``: measurements."""
 
-from pollenstile.bench import floor
+from pollenstile.bench import floor, placement
 
-_BENCHES = (floor,)
+_BENCHES = (floor, placement)
 
 
 def add_parser(commands):
--- a/pollenstile/placement/__init__.py
+++ b/pollenstile/placement/__init__.py
@@ -26,7 +26,12 @@
     Order,
     Refused,
 )
-from pollenstile.placement._placer import Placer, PlacerTiming, placer_round
+from pollenstile.placement._placer import (
+    Placer,
+    PlacerTiming,
+    any_time,
+    placer_round,
+)
 from pollenstile.placement._records import PLACEMENTS, Holds, Record
 from pollenstile.placement._service import Placement
 from pollenstile.placement._steps import (
@@ -37,5 +42,5 @@
     Swap,
     next_step,
 )
-from pollenstile.placement._sticky import sticky_placement
+from pollenstile.placement._sticky import idle_only, sticky_placement
 from pollenstile.placement._wanted import wanted_placement
