--- a/pollenstile/soak/_callers.py
+++ b/pollenstile/soak/_callers.py
@@ -42,13 +42,13 @@
         """The input, another one for each ask."""
         return {'ask': self.number}
 
-    def may_repeat(self, *, claims):
+    def may_repeat(self):
         """Return whether asking again can do no harm."""
         if len(self.exchanges) >= _MOST_TRIES:
             return False
         if self.name not in NON_IDEMPOTENT:
             return True
-        return bool(self.key) and claims
+        return bool(self.key)
 
 
 class Exchange:
@@ -195,7 +195,7 @@
 
 
 def _repeat(world, ask):
-    if ask.may_repeat(claims=world.claims) and world.chance(_REPEAT_SHARE):
+    if ask.may_repeat() and world.chance(_REPEAT_SHARE):
         delay = world.rng.uniform(0, 0.5)
         world.clock.callLater(delay, _again, world, ask)
 
--- a/pollenstile/soak/_faults.py
+++ b/pollenstile/soak/_faults.py
@@ -5,12 +5,14 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.soak._callers import broken
+from pollenstile.soak._hosts import address_of
 from pollenstile.soak._world import STORE_LATENCY
 from pollenstile.standin.virtual import REFUSED, SILENT
 
 _MOST_SECONDS = 4.0
 _RESET_SHARE = 0.7
 _CUT_SHARE = 0.4
+_NO_PLATFORM_SHARE = 0.6
 
 
 def _later(world, least, most, function, *arguments):
@@ -85,6 +87,26 @@
         world.links.cut.pop((host, name), None)
 
 
+def part_hosts(world):
+    """Cut the links between hosts, and those of one to the platform."""
+    one = world.rng.choice(list(world.hosts))
+    for other in world.hosts:
+        if other != one:
+            pair = frozenset((address_of(one), address_of(other)))
+            world.links.parted.add(pair)
+    if world.chance(_NO_PLATFORM_SHARE):
+        world.links.no_platform.add(one)
+    world.trace.note('part', host=one)
+    _later(world, 0.5, 2 * _MOST_SECONDS, join_hosts, world)
+
+
+def join_hosts(world):
+    """Let hosts reach each other and the platform again."""
+    world.trace.note('join')
+    world.links.parted.clear()
+    world.links.no_platform.clear()
+
+
 def send_astray(world):
     """Let messages get lost, doubled, late, swapped for a while."""
     world.trace.note('astray-on')
@@ -197,6 +219,7 @@
     kill_host,
     freeze_host,
     cut_links,
+    part_hosts,
     send_astray,
     send_astray,
     _set_fault('slow', 10.0, 1.0),
@@ -220,6 +243,7 @@
     """End every fault, so that what is open can end."""
     world.trace.note('heal-all')
     world.links.cut.clear()
+    join_hosts(world)
     world.links.astray = 0.0
     world.store.down = False
     world.store.latency = STORE_LATENCY
--- a/pollenstile/soak/_hosts.py
+++ b/pollenstile/soak/_hosts.py
@@ -4,64 +4,47 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.entry import built_node
-from pollenstile.fleet import config_poll
+from pollenstile.entry import built_fleet, built_node
 from pollenstile.ops.settings import ENTRY, settings_from
+from pollenstile.platform import Budget, PacedStore
+from pollenstile.soak._gates import GatedHub, GatedStore, gated_connect
 from pollenstile.soak._process import Process
 from pollenstile.soak._wire import Wire
+from pollenstile.standin.reach import ReachedStore
+from pollenstile.standin.virtual import UP
 from pollenstile.upstream import Chunk, Reply
 
 
-class GatedStore:
-    """The store as one process reaches it.
+_STORE_RATE = 200.0
+_POLL = 0.002
+_POLL_TIMEOUT = 1.0
+_PEER_KEY = 'shared'
+# Peer addresses by host; seeds are known from the start.
+_ADDRESSES = {
+    'n1': '10.0.0.1:82',
+    'n2': '10.0.0.2:82',
+    's1': '10.0.0.3:82',
+    'w1': '10.0.0.4:82',
+}
 
-    Parameters
-    ==========
-
-    store : Store
-        The platform's.
-    process : Process
-        Whose calls these are; answers reach it only while it runs.
-    """
-
-    __slots__ = ('process', 'store')
-
-    def __init__(self, store, process):
-        self.store = store
-        self.process = process
-
-    def get(self, *arguments, **keywords):
-        """Read an object."""
-        return self._gated(self.store.get(*arguments, **keywords))
-
-    def put(self, *arguments, **keywords):
-        """Write an object."""
-        return self._gated(self.store.put(*arguments, **keywords))
 
-    def delete(self, *arguments, **keywords):
-        """Delete an object."""
-        return self._gated(self.store.delete(*arguments, **keywords))
-
-    def listed(self, *arguments, **keywords):
-        """List objects."""
-        return self._gated(self.store.listed(*arguments, **keywords))
-
-    def watched(self, *arguments, **keywords):
-        """Wait for changes."""
-        return self._gated(self.store.watched(*arguments, **keywords))
-
-    def _gated(self, call):
-        answer = Deferred()
-        waiting = Deferred.fromCoroutine(call)
-        waiting.addCallback(
-            lambda outcome: self.process.deliver(_hand_over, answer, outcome),
-        )
-        return answer
+def address_of(name):
+    """Return a host's address for peers."""
+    return _ADDRESSES[name]
 
 
-def _hand_over(answer, outcome):
-    if not answer.called:
-        answer.callback(outcome)
+def _settings(name, domain):
+    given = {
+        'HOST': name,
+        'DOMAIN': domain,
+        'PEER_KEY': _PEER_KEY,
+        'PEER_LISTEN': address_of(name),
+        'PEERS': ','.join(_ADDRESSES.values()),
+    }
+    environment = {
+        f'POLLENSTILE_{setting}': text for setting, text in given.items()
+    }
+    return settings_from(None, ENTRY, environment)
 
 
 class Host:
@@ -84,7 +67,8 @@
     __slots__ = (
         'calls',
         'exchanges',
-        'loops',
+        'fleet',
+        'gates',
         'name',
         'node',
         'process',
@@ -101,19 +85,35 @@
         self.calls = {}
         self.told_leaving = {}
         self.versions = []
-        environment = {'POLLENSTILE_HOST': name, 'POLLENSTILE_DOMAIN': domain}
+        self.gates = []
+        settings = _settings(name, domain)
+        store = self._store()
         self.node = built_node(
             self.process,
             world.rng,
-            settings_from(None, ENTRY, environment),
+            settings,
             self._transport(),
+            store=store if world.claims else None,
             log=self._log,
         )
         self.node.in_force.listeners.append(self._in_force)
-        store = GatedStore(world.store, self.process)
-        self.loops = [config_poll(self.process, store, self.node.in_force)]
-        for part in world.parts:
-            part(self, store)
+        self.fleet = built_fleet(
+            self.node,
+            settings,
+            gated_connect(
+                world.wires.connect_from(address_of(name)),
+                self.process,
+                self.gates,
+            ),
+            self._read_load,
+            store=store,
+        )
+        world.wires.hubs[address_of(name)] = GatedHub(
+            self.process,
+            self.fleet.hub,
+            self.gates,
+        )
+        self.fleet.start()
 
     @property
     def core(self):
@@ -131,9 +131,8 @@
             that loses power tells nobody.
         """
         self.process.kill()
-        for cancel in list(self.calls.values()):
-            if reset:
-                cancel()
+        if reset:
+            self._reset()
         self.calls.clear()
 
     def knows_leaving(self, upstream):
@@ -155,6 +154,37 @@
         self.calls.pop(attempt, None)
         cancel()
 
+    def _reset(self):
+        for cancel in list(self.calls.values()):
+            cancel()
+        for gate in self.gates:
+            if gate.wire is not None:
+                gate.wire.close()
+
+    def _store(self):
+        reached = ReachedStore(
+            self.world.store,
+            lambda: self.name in self.world.links.no_platform,
+        )
+        budget = Budget(_STORE_RATE, _STORE_RATE, self.process.seconds())
+        return PacedStore(
+            GatedStore(reached, self.process),
+            self.process,
+            self.world.rng,
+            budget,
+            self._log,
+        )
+
+    def _read_load(self, name, declared):
+        answer = Deferred()
+        upstream = self.world.upstreams[name]
+        is_up = self.world.links.state(self.name, name) == UP
+        if is_up and not upstream.faults.frozen:
+            self.process.callLater(_POLL, answer.callback, upstream.load())
+        else:
+            self.process.callLater(_POLL_TIMEOUT, answer.callback, None)
+        return answer
+
     def _log(self, event, level='info', **fields):
         if self.process.alive:
             self.world.trace.note(event.name, host=self.name, **fields)
--- a/pollenstile/soak/_run.py
+++ b/pollenstile/soak/_run.py
@@ -50,7 +50,7 @@
     tail: tuple
 
 
-def run_soak(seed, steps, log=silent_log, parts=(), *, claims=False):
+def run_soak(seed, steps, log=silent_log, *, claims=True):
     """Run hosts, upstreams and callers under random faults.
 
     Parameters
@@ -62,17 +62,15 @@
         How many times something happens.
     log : function
         Writes events.
-    parts : list of function
-        Added to each host; see :class:`~pollenstile.soak._world.World`.
     claims : bool
-        Whether keyed non-idempotent requests are repeated.
+        Whether hosts claim keys before they run.
 
     Returns
     =======
 
     SoakResult
     """
-    world = World(seed, log, parts, claims=claims)
+    world = World(seed, log, claims=claims)
     Deferred.fromCoroutine(world.apply())
     advance_exactly(world.clock, _SETTLE_SECONDS)
     for _ in range(steps):
--- a/pollenstile/soak/_wire.py
+++ b/pollenstile/soak/_wire.py
@@ -15,16 +15,26 @@
 
     cut : dict
         Pair of host and upstream to the state of the link.
+    no_platform : set of str
+        Hosts that can't reach the platform.
+    parted : set of frozenset
+        Pairs of hosts' addresses between which nothing passes.
     astray : float
         Chance that a message to a host goes astray.
     """
 
-    __slots__ = ('astray', 'cut')
+    __slots__ = ('astray', 'cut', 'no_platform', 'parted')
 
     def __init__(self):
         self.cut = {}
+        self.no_platform = set()
+        self.parted = set()
         self.astray = 0.0
 
+    def is_parted(self, one, other):
+        """Return whether nothing passes between two hosts' addresses."""
+        return frozenset((one, other)) in self.parted
+
     def state(self, host, upstream):
         """Return the state of a link."""
         return self.cut.get((host, upstream), UP)
--- a/pollenstile/soak/_world.py
+++ b/pollenstile/soak/_world.py
@@ -6,6 +6,7 @@
 
 from pollenstile.fleet import CONFIG_KIND, CONFIG_NAME
 from pollenstile.manifest import text_from_manifest
+from pollenstile.peer import VirtualWires
 from pollenstile.soak._hosts import Host
 from pollenstile.soak._manifest import soak_manifest
 from pollenstile.soak._records import Records
@@ -20,6 +21,7 @@
 STORE_LATENCY = 0.004
 _WORK = {'stage': 0.02, 'service': 0.03, 'engine': 0.05}
 _GAP = 0.01
+_FIRST_BOOT = 1000.0
 
 
 class World:
@@ -32,10 +34,8 @@
         Of the run's only random generator.
     log : function
         Writes events.
-    parts : list of function
-        Each takes a new host and its store, and adds a part to its node.
     claims : bool
-        Whether non-idempotent asks with a key are repeated elsewhere.
+        Whether hosts claim keys; callers repeat keyed asks in any case.
 
     Attributes
     ==========
@@ -58,7 +58,6 @@
         'links',
         'manifest',
         'network',
-        'parts',
         'records',
         'revision',
         'rng',
@@ -66,14 +65,16 @@
         'texts',
         'trace',
         'upstreams',
+        'wires',
     )
 
-    def __init__(self, seed, log, parts=(), *, claims=False):
+    def __init__(self, seed, log, *, claims=True):
         self.clock = Clock()
+        # Boot numbers come from the time of the start; 0 is none.
+        self.clock.advance(_FIRST_BOOT)
         self.rng = random.Random(seed)
         self.trace = Trace(self.clock)
         self.records = Records(self.trace, log)
-        self.parts = parts
         self.claims = claims
         self.links = Links()
         self.asks = []
@@ -84,6 +85,11 @@
         self.manifest = soak_manifest()
         self.store = MemoryStore(self.clock)
         self.store.latency = STORE_LATENCY
+        self.wires = VirtualWires(
+            self.clock,
+            lambda one, other: _FAR,
+            self.links.is_parted,
+        )
         self.upstreams = self._built_upstreams()
         self.network = VirtualNetwork(
             self.clock,
