--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test format lint behave doctest spec stats clean
+.PHONY: demo test format lint behave doctest spec stats events clean
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -34,5 +34,8 @@
 stats: $(STAMP)
 	$(PY) tools/stats.py
 
+events: $(STAMP)
+	PYTHONPATH=. $(PY) tools/events.py
+
 clean:
 	rm -rf $(VENV) build *.egg-info
