--- a/spec/claims.py
+++ b/spec/claims.py
@@ -26,8 +26,8 @@
 
 import z3
 
-from spec import claims_proof, claims_steps
-from spec.claims_steps import holds_at, keyed_pairs
+from spec import claims_proof, claims_state, claims_steps
+from spec.claims_state import holders, holds_at, keyed_pairs
 from spec.model import Model, any_of
 
 GUARDS = {
@@ -53,17 +53,21 @@
     )
 
 
+def _release_stands(state, sizes, request):
+    return any_of(
+        z3.And(state.at(place, append), state.frees(append, request))
+        for place in sizes.places
+        for append in sizes.appends
+    )
+
+
 def repeat_ran_after_release(sizes):
     """Return whether a repeat ran after the first was refused and released."""
     return lambda state: any_of(
         z3.And(
             state.told(one),
             state.ran(two),
-            any_of(
-                z3.And(state.at(place, append), state.frees(append, one))
-                for place in sizes.places
-                for append in sizes.appends
-            ),
+            _release_stands(state, sizes, one),
         )
         for one, two in keyed_pairs(sizes)
     )
@@ -89,9 +93,30 @@
     )
 
 
+def claim_landed_after_release(sizes):
+    """Return whether a refused request holds its key with no release to come.
+
+    Explanation
+    ===========
+
+    This can happen: its claim was forwarded, and the other host appends it
+    after the owner's release. The key is held until its window ends, and
+    repeats are told *unknown*. Nothing is run twice.
+    """
+    return lambda state: any_of(
+        z3.And(
+            state.told(request),
+            holders(state, sizes)[request],
+            z3.Not(state.letgo(sizes.owner(request), request)),
+            _release_stands(state, sizes, request),
+        )
+        for request in sizes.requests
+    )
+
+
 def claims_model(sizes, without=''):
     """Return the model of one shard, if asked without one of ``GUARDS``."""
-    sorts = claims_steps.variables(sizes)
+    sorts = claims_state.variables(sizes)
     properties = claims_proof.properties(sizes)
     return Model(
         'claims',
@@ -100,5 +125,5 @@
         claims_steps.all_actions(sizes, without),
         properties,
         {**claims_proof.invariants(sizes), **properties},
-        claims_steps.FREE,
+        claims_state.choices(sizes),
     )
--- a/spec/claims_proof.py
+++ b/spec/claims_proof.py
@@ -4,7 +4,7 @@
 
 import z3
 
-from spec.claims_steps import holders, is_next, keyed_pairs, written
+from spec.claims_state import holders, is_next, keyed_pairs, written
 from spec.model import all_of
 
 ONE_RUN = 'one run for each key'
--- a/spec/claims_steps.py
+++ b/spec/claims_steps.py
@@ -4,158 +4,14 @@
 
 import z3
 
-from spec.model import BOOL, Action, any_of
-
-# Whether a refused request's claim is released, where it need not be.
-FREE = {'releases': BOOL}
-_WAITING = ('queued', 'batched', 'letgo')
-
-
-class Sizes:
-    """How much of everything there is.
-
-    Parameters
-    ==========
-
-    hosts, places, appends : int
-        Hosts, positions of the log, and appends in all.
-    requests : list of tuple
-        Owner and key of each.
-    """
-
-    __slots__ = ('appends', 'hosts', 'places', 'requests', 'wanted')
-
-    def __init__(self, hosts, places, appends, requests):
-        self.hosts = range(hosts)
-        self.places = range(places)
-        self.appends = range(appends)
-        self.requests = range(len(requests))
-        self.wanted = requests
-
-    def owner(self, request):
-        """Return the host that would run a request."""
-        return self.wanted[request][0]
-
-    def key(self, request):
-        """Return a request's key."""
-        return self.wanted[request][1]
-
-    def rivals(self, request):
-        """Return the other requests with a request's key."""
-        return [
-            other
-            for other in self.requests
-            if other != request and self.key(other) == self.key(request)
-        ]
-
-
-def keyed_pairs(sizes):
-    """Return the ordered pairs of requests with the same key."""
-    return [(one, two) for one in sizes.requests for two in sizes.rivals(one)]
-
-
-def variables(sizes):
-    """Return the sort of each variable."""
-    shapes = {
-        'at': (sizes.places, sizes.appends),
-        'used': (sizes.appends,),
-        'place': (sizes.appends, sizes.places),
-        'writer': (sizes.appends, sizes.hosts),
-        'claims': (sizes.appends, sizes.requests),
-        'frees': (sizes.appends, sizes.requests),
-        'flying': (sizes.appends,),
-        'known': (sizes.hosts, sizes.places),
-        'pending': (sizes.hosts, sizes.appends),
-        **dict.fromkeys(_WAITING, (sizes.hosts, sizes.requests)),
-        'begun': (sizes.requests,),
-        'live': (sizes.requests,),
-        'heard': (sizes.requests,),
-        'ran': (sizes.requests,),
-        'told': (sizes.requests,),
-    }
-    return {
-        (name, *place): BOOL
-        for name, ranges in shapes.items()
-        for place in itertools.product(*ranges)
-    }
-
-
-def written(state, sizes, place):
-    """Return whether a position is written."""
-    return any_of(state.at(place, append) for append in sizes.appends)
-
-
-def _stands(state, sizes, place, listed, request):
-    return any_of(
-        z3.And(state.at(place, append), listed(append, request))
-        for append in sizes.appends
-    )
-
-
-def _folded(state, sizes, before, place):
-    """Return who holds each key after a position, from who held it before.
-
-    Explanation
-    ===========
-
-    Releases count before claims. Of two claims of a key in one object the
-    lower-numbered request's counts, which stands for any order.
-    """
-    kept = {}
-    claimed = {}
-    for request in sizes.requests:
-        freed = _stands(state, sizes, place, state.frees, request)
-        kept[request] = z3.And(before[request], z3.Not(freed))
-        claimed[request] = _stands(state, sizes, place, state.claims, request)
-    return {
-        request: z3.Or(
-            kept[request],
-            z3.And(
-                claimed[request],
-                *(z3.Not(kept[rival]) for rival in sizes.rivals(request)),
-                *(
-                    z3.Not(claimed[rival])
-                    for rival in sizes.rivals(request)
-                    if rival < request
-                ),
-            ),
-        )
-        for request in sizes.requests
-    }
-
-
-def holders(state, sizes, host=None):
-    """Return which requests hold their keys, by all that a host has read.
-
-    Parameters
-    ==========
-
-    host : int or None
-        None for the whole log.
-    """
-    found = dict.fromkeys(sizes.requests, z3.BoolVal(val=False))
-    for place in sizes.places:
-        after = _folded(state, sizes, found, place)
-        if host is None:
-            found = after
-            continue
-        read = state.known(host, place)
-        found = {
-            request: z3.If(read, after[request], found[request])
-            for request in sizes.requests
-        }
-    return found
-
-
-def holds_at(state, sizes, host, request):
-    """Return whether a host has read that a request holds its key."""
-    return holders(state, sizes, host)[request]
-
-
-def is_next(state, host, place):
-    """Return whether a position is the first that a host has not read."""
-    earlier = [state.known(host, other) for other in range(place)]
-    return z3.And(*earlier, z3.Not(state.known(host, place)))
+from spec.claims_state import (
+    WAITING,
+    holders,
+    holds_at,
+    is_next,
+    written,
+)
+from spec.model import Action, any_of
 
 
 def _is_settled(state, sizes, host):
@@ -220,15 +76,19 @@
 
 
 def _repeat(sizes, request):
-    """Return the truthful end of a request whose key another one holds."""
+    """Return the truthful end of a request whose key another one holds.
+
+    Its owner has read so, or was told by a host that has.
+    """
     owner = sizes.owner(request)
     return Action(
         f'repeat request={request}',
         lambda state: z3.And(
             state.live(request),
             any_of(
-                holds_at(state, sizes, owner, rival)
+                holds_at(state, sizes, host, rival)
                 for rival in sizes.rivals(request)
+                for host in sizes.hosts
             ),
         ),
         lambda state: {
@@ -266,11 +126,16 @@
     known = holders(state, sizes, host)
     same_key = [request, *sizes.rivals(request)]
     return z3.And(
+        state.takes(request),
         state.queued(host, request),
         *(z3.Not(known[other]) for other in same_key),
     )
 
 
+def _yields(state, host, request):
+    return z3.And(state.yields(request), state.letgo(host, request))
+
+
 def _open(sizes, host, append, place, without):
     def guard(state):
         fits = is_next(state, host, place)
@@ -283,7 +148,7 @@
             _is_settled(state, sizes, host),
             any_of(
                 z3.Or(
-                    state.letgo(host, request),
+                    _yields(state, host, request),
                     _goes(state, sizes, host, request),
                 )
                 for request in sizes.requests
@@ -302,10 +167,12 @@
             goes = _goes(state, sizes, host, request)
             stays = z3.And(state.queued(host, request), z3.Not(goes))
             changed['claims', append, request] = goes
-            changed['frees', append, request] = state.letgo(host, request)
+            freed = _yields(state, host, request)
+            left = z3.And(state.letgo(host, request), z3.Not(freed))
+            changed['frees', append, request] = freed
             changed['batched', host, request] = goes
             changed['queued', host, request] = stays
-            changed['letgo', host, request] = z3.BoolVal(val=False)
+            changed['letgo', host, request] = left
         return changed
 
     return Action(
@@ -429,7 +296,7 @@
         gone = [('known', host, place) for place in sizes.places]
         gone.extend(('pending', host, append) for append in sizes.appends)
         for request in sizes.requests:
-            gone.extend((name, host, request) for name in _WAITING)
+            gone.extend((name, host, request) for name in WAITING)
             if sizes.owner(request) == host:
                 gone.append(('live', request))
         return dict.fromkeys(gone, False)
--- a/spec/configuration.py
+++ b/spec/configuration.py
@@ -149,27 +149,25 @@
 
 
 def _conflict(applier, without):
-    """Return the answer that another version is there.
+    """Return the word that another version is there and ours is not.
 
     Explanation
     ===========
 
-    The first copy's answer says conflict only if this copy was not applied.
-    A later copy's may say it because the first was.
+    The first copy's answer says so. A later copy's answer may say it because
+    the first copy was applied; then the object is read back, and its history
+    tells whether ours ever stood there.
     """
 
     def guard(state):
-        told = z3.And(
+        met = z3.And(
             _quiet(state, applier),
             state.store() != state.base(applier),
         )
-        first = z3.And(
-            z3.Not(state.doubt(applier)),
-            z3.Not(state.applied(applier)),
-        )
+        never = z3.Not(state.applied(applier))
         if without == 'read-back-when-in-doubt':
-            return z3.And(told, z3.Or(first, state.doubt(applier)))
-        return z3.And(told, first)
+            never = z3.Or(never, state.doubt(applier))
+        return z3.And(met, never)
 
     return Action(
         f'conflict applier={applier}',
--- a/spec/run.py
+++ b/spec/run.py
@@ -17,7 +17,7 @@
 import z3
 
 from spec import claims, configuration, lease
-from spec.claims_steps import Sizes
+from spec.claims_state import Sizes
 from spec.model import always, bounded, unproved, violated
 
 # Owner and key of each request.
@@ -124,6 +124,9 @@
             'LIMIT: a host that has not read the log may refuse a repeat': (
                 claims.repeat_may_be_refused(_TWO_HOSTS)
             ),
+            'LIMIT: a forwarded claim may land after its release': (
+                claims.claim_landed_after_release(_TWO_HOSTS)
+            ),
         },
         claims.claims_model(_TWO_HOSTS),
     ),
