--- /dev/null
+++ b/features/steps/properties_steps.py
@@ -0,0 +1,262 @@
+"""Steps that try properties on input of all kinds, by hypothesis."""
+
+from types import SimpleNamespace
+
+from behave import then
+from hypothesis import assume, given
+from hypothesis import strategies as st
+
+from features.builders.properties import (
+    CUTS,
+    FIXED,
+    HEADERS,
+    SECONDS,
+    TOKENS,
+    chunks_of,
+    ends_of,
+    fed_reply,
+    fed_stream,
+    pieces,
+    stream_of,
+)
+from pollenstile.entry._caller import (
+    content_of,
+    deadline_of,
+    key_of,
+    team_of,
+)
+from pollenstile.fleet import Snapshot
+from pollenstile.manifest import Manifest, Stage, Team
+from pollenstile.outcomes import Refused
+from pollenstile.pipeline._assembly import Assembly
+from pollenstile.pipeline._decisions import (
+    attempt_timeout,
+    may_retry,
+    stage_budget,
+)
+from pollenstile.upstream import Lost, Reply
+from pollenstile.upstream._sse import EventSplitter
+
+_DIGEST = 'ab' * 32
+_SNAPSHOT = Snapshot(
+    1,
+    Manifest('demo', {}, {}, {}, {'dispatch': Team(key_digests=[_DIGEST])}),
+)
+
+
+@then("for any bytes a caller's body is decoded or refused with 400")
+def step_body(context):
+    @FIXED
+    @given(st.binary(max_size=400) | st.text().map(str.encode))
+    def check(body):
+        found = content_of(body)
+        assert not isinstance(found, Refused) or found.status == 400
+
+    check()
+
+
+@then('for any text an idempotency key is taken as it is or refused with 400')
+def step_key(context):
+    @FIXED
+    @given(HEADERS)
+    def check(header):
+        found = key_of(header)
+        refused = isinstance(found, Refused) and found.status == 400
+        assert refused or found == header
+
+    check()
+
+
+@then("for any text a stranger's authorization is refused with 401")
+def step_stranger(context):
+    @FIXED
+    @given(HEADERS, st.sampled_from(['', 'Bearer ', 'Bearer  ', 'Basic ']))
+    def check(header, scheme):
+        found = team_of(_SNAPSHOT, scheme + header)
+        assert isinstance(found, Refused)
+        assert found.status == 401
+
+    check()
+
+
+@then("for any number a caller's deadline is within the declared one")
+def step_deadline(context):
+    @FIXED
+    @given(st.integers(min_value=0, max_value=10**12), st.integers(1, 10**6))
+    def check(asked, declared):
+        pipeline = SimpleNamespace(deadline_ms=declared)
+        found = deadline_of(str(asked), pipeline)
+        if asked == 0:
+            assert found.status == 400
+            return
+        assert 0 < found <= declared / 1000
+        assert found <= asked / 1000
+
+    check()
+
+
+@then('for any split of any short lines the server-sent events are the same')
+def step_split(context):
+    line = st.binary(max_size=40).map(lambda text: text.replace(b'\n', b''))
+    lines = st.lists(st.sampled_from([b'data: ', b'', b': ']) | line)
+
+    @FIXED
+    @given(lines, CUTS)
+    def check(parts, cuts):
+        data = b'\n'.join(parts)
+        assume(all(len(part) < 100 for part in data.split(b'\n')))
+        whole = EventSplitter(100).events(data)
+        splitter = EventSplitter(100)
+        found = []
+        for piece in pieces(data, cuts):
+            found.extend(splitter.events(piece))
+        assert found == whole
+
+    check()
+
+
+@then('for any split of a whole stream the tokens and the reply are the same')
+def step_stream(context):
+    @FIXED
+    @given(TOKENS, CUTS)
+    def check(tokens, cuts):
+        events = fed_stream(pieces(stream_of(tokens), cuts))
+        assert [chunk.text for chunk in chunks_of(events)] == tokens
+        offsets = [chunk.offset for chunk in chunks_of(events)]
+        assert offsets == list(range(len(tokens)))
+        end = events[-1]
+        assert isinstance(end, Reply)
+        assert (end.output, end.tokens) == (''.join(tokens), len(tokens))
+        assert len(ends_of(events)) == 1
+
+    check()
+
+
+@then('for any proper prefix of a whole stream the reader says lost')
+def step_prefix(context):
+    @FIXED
+    @given(TOKENS, st.integers(min_value=0), CUTS, st.booleans())
+    def check(tokens, length, cuts, whole):
+        data = stream_of(tokens)
+        kept = data[: length % len(data)]
+        # The last line's end and the blank line after it carry nothing.
+        assume(b'[DONE]\n' not in kept)
+        events = fed_stream(pieces(kept, cuts), whole=whole)
+        assert len(ends_of(events)) == 1
+        assert isinstance(events[-1], Lost)
+
+    check()
+
+
+def _check_ends_once(feed, whole, parts):
+    events = feed(parts, whole=whole)
+    assert len(ends_of(events)) == 1, events
+    assert ends_of(events) == events[-1:]
+
+
+_RUBBISH = st.lists(
+    st.binary(max_size=60)
+    | st.sampled_from(
+        [
+            b'data: [DONE]\n',
+            b'data: {}\n',
+            b'data: {"id":"a","choices":[{"text":"x"}]}\n',
+            b'data: {"id":"a","choices":[],"usage":{"completion_tokens":-1}}\n',
+            b'{"attempt":"a","output":1}',
+            b'[' * 50,
+        ]
+    ),
+    max_size=8,
+)
+
+
+@then('for any bytes in any split a reader of streams ends once')
+def step_rubbish_stream(context):
+    @FIXED
+    @given(_RUBBISH, st.booleans())
+    def check(parts, whole):
+        _check_ends_once(fed_stream, whole, parts)
+
+    check()
+
+
+@then('for any bytes in any split a reader of replies ends once')
+def step_rubbish_reply(context):
+    @FIXED
+    @given(_RUBBISH, st.booleans())
+    def check(parts, whole):
+        _check_ends_once(fed_reply, whole, parts)
+
+    check()
+
+
+@then('for any attempts at a stream the joined tokens are its beginning')
+def step_joined(context):
+    @FIXED
+    @given(
+        TOKENS,
+        st.lists(st.tuples(st.integers(0, 9), st.integers(0, 9)), max_size=9),
+    )
+    def check(tokens, attempts):
+        assembly = Assembly()
+        passed = []
+        for start, end in attempts:
+            for offset in range(start, min(end, len(tokens))):
+                gap = assembly.has_gap(offset)
+                taken = assembly.accepts(offset, tokens[offset])
+                assert not (gap and taken)
+                if taken:
+                    passed.append(tokens[offset])
+        assert passed == tokens[: len(passed)]
+        assert assembly.length() == len(passed)
+        assert assembly.text() == ''.join(passed)
+
+    check()
+
+
+@then("for any times a stage's budget and timeout stay within what is left")
+def step_budget(context):
+    @FIXED
+    @given(SECONDS, st.lists(SECONDS, max_size=6), SECONDS, st.integers(0, 5))
+    def check(remaining, later, expected, attempts_left):
+        budget = stage_budget(remaining, later)
+        assert 0 <= budget <= remaining
+        timeout = attempt_timeout(budget, expected, attempts_left)
+        assert 0 <= timeout <= budget
+
+    check()
+
+
+@then('for any state a non-idempotent call that may have run is not retried')
+def step_once(context):
+    @FIXED
+    @given(st.integers(1, 9), st.integers(0, 20), SECONDS, SECONDS)
+    def check(attempts, failures, remaining, expected):
+        stage = Stage('call', 'booking', idempotent=False, attempts=attempts)
+        assert not may_retry(
+            stage,
+            failures,
+            remaining,
+            expected,
+            may_have_run=True,
+        )
+
+    check()
+
+
+@then('for any state a call is not tried more often than declared')
+def step_attempts(context):
+    @FIXED
+    @given(st.integers(1, 9), st.integers(0, 20), SECONDS, SECONDS)
+    def check(attempts, failures, remaining, expected):
+        stage = Stage('rerank', 'rankers', attempts=attempts)
+        allowed = may_retry(
+            stage,
+            failures,
+            remaining,
+            expected,
+            may_have_run=True,
+        )
+        assert not (allowed and failures >= attempts)
+
+    check()
