pipeline: less work for each streamed chunk

Change: an attempt keeps its id and when it was last heard; one timer looks at that; a token is encoded by one encoder into one constant frame.

--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -54,7 +54,7 @@
 
 
 def _forgetful_cut(attempts, attempt):
-    attempts.core.ledger.cut(attempts.request, attempts.ident(attempt))
+    attempts.core.ledger.cut(attempts.request, attempt.ident)
     if attempt.cancel is not None:
         attempt.cancel()
 
--- a/pollenstile/entry/_face.py
+++ b/pollenstile/entry/_face.py
@@ -22,6 +22,9 @@
 _STATUS = {'failed': 502, 'unknown': 502}
 _GATEWAY_TIMEOUT = 504
 _JSON_EVENT = b'event: %s\ndata: %s\n\n'
+_TOKEN_EVENT = b'data: {"text":%s}\n\n'
+
+_encoded = msgspec.json.Encoder().encode
 
 
 class _Exchange:
@@ -56,8 +59,7 @@
         if not self.written:
             self.written = True
             self.http.setHeader(b'content-type', _STREAM.encode())
-        encoded = msgspec.json.encode({'text': text})
-        self.http.write(b'data: %s\n\n' % encoded)
+        self.http.write(_TOKEN_EVENT % _encoded(text))
 
     def answer(self, outcome, request):
         """Write the final outcome."""
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -17,16 +17,35 @@
 
     number : int
         From 1, within its stage.
+    ident : str
+        Unique over all requests; what comes back must carry it.
     choice : Choice
         The upstream that has it.
     started : float
         On the clock, in seconds.
+
+    Attributes
+    ==========
+
+    heard : float
+        When its last chunk came, on the clock, in seconds.
     """
 
-    __slots__ = ('cancel', 'choice', 'number', 'progress', 'started', 'timer')
+    __slots__ = (
+        'cancel',
+        'choice',
+        'heard',
+        'ident',
+        'number',
+        'progress',
+        'started',
+        'timer',
+    )
 
-    def __init__(self, number, choice, started):
+    def __init__(self, number, ident, choice, started):
         self.number = number
+        self.ident = ident
+        self.heard = started
         self.choice = choice
         self.started = started
         self.timer = None
@@ -108,14 +127,15 @@
         """
         self.number += 1
         clock = self.core.clock
-        attempt = Attempt(self.number, choice, clock.seconds())
+        ident = f'{self.request.ident}/{self.stage.name}/{self.number}'
+        attempt = Attempt(self.number, ident, choice, clock.seconds())
         self.live[attempt.number] = attempt
         self.tried.append(choice.name)
         self._log_route(attempt, why)
         self.core.ledger.dispatch(
             self.request,
             self.stage.name,
-            self.ident(attempt),
+            attempt.ident,
             idempotent=self.stage.idempotent,
         )
         self.core.tracker.started(choice.name)
@@ -132,10 +152,6 @@
             partial(sink, attempt),
         )
 
-    def ident(self, attempt):
-        """Return the attempt's id, unique over all requests."""
-        return f'{self.request.ident}/{self.stage.name}/{attempt.number}'
-
     def release(self, attempt, load=None, *, failed=False):
         """Note that an attempt has ended."""
         self.live.pop(attempt.number, None)
@@ -150,7 +166,7 @@
         self.core.ledger.give_back(
             self.request,
             self.stage.name,
-            self.ident(attempt),
+            attempt.ident,
         )
 
     def drop(self, attempt):
@@ -162,7 +178,7 @@
     def cut(self, attempt):
         """Close the connection of an attempt that may have run."""
         self.may_have_run = True
-        self.core.ledger.cut(self.request, self.ident(attempt))
+        self.core.ledger.cut(self.request, attempt.ident)
         if attempt.cancel is not None:
             attempt.cancel()
 
@@ -184,7 +200,7 @@
 
     def _call(self, attempt, timeout, assembly):
         return Call(
-            attempt=self.ident(attempt),
+            attempt=attempt.ident,
             step=self.stage.name,
             kind=self.pool.kind,
             content=self.content,
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -180,7 +180,7 @@
         # for proof that this call did not run. It shows as an attempt id that
         # is not the one this call sent; ids are never used twice, so equality
         # is proof enough.
-        if event.attempt == self.attempts.ident(attempt):
+        if event.attempt == attempt.ident:
             return False
         self.core.count('reply.foreign')
         self.core.log(
@@ -197,22 +197,33 @@
         if self._is_foreign(attempt, chunk):
             self._on_failure(attempt, Lost('foreign chunk'))
             return
-        attempt.progress = True
+        attempt.heard = self.core.clock.seconds()
         if self.winner is None:
             self.winner = attempt
             self.attempts.drop_all(kept=attempt)
+        if not attempt.progress:
+            attempt.progress = True
+            self._listen(attempt)
         if self.assembly.has_gap(chunk.offset):
             self._on_failure(attempt, Lost('gap in stream'))
             return
-        self._keep_alive(attempt)
         if self.assembly.accepts(chunk.offset, chunk.text):
             self.on_token(chunk.text)
 
-    def _keep_alive(self, attempt):
+    def _listen(self, attempt):
         # A stream that goes silent for good shows as no chunk for longer than
-        # the declared silence; the whole budget still bounds it.
+        # the declared silence; the whole budget still bounds it. One timer
+        # looks at when the last chunk came: moving a timer for each chunk
+        # would cost more than the chunk.
         silence = self.request.snapshot.manifest.policy.silence_ms / _MS
-        attempt.timer.reset(min(silence, _budget(self)))
+        quiet = self.core.clock.seconds() - attempt.heard
+        left = min(silence - quiet, _budget(self))
+        if left <= 0:
+            self._on_event(attempt, Lost('timeout'))
+            return
+        if attempt.timer.active():
+            attempt.timer.cancel()
+        attempt.timer = self.core.clock.callLater(left, self._listen, attempt)
 
     def _on_reply(self, attempt, reply):
         if self._is_foreign(attempt, reply):
@@ -229,7 +240,7 @@
         self.core.ledger.consume(
             self.request,
             self.stage.name,
-            self.attempts.ident(attempt),
+            attempt.ident,
         )
         self._finish(StageDone(_output(self, reply), self.attempts.cost))
 
