spec: runs of the claims' real code are held against the specification

Cause: the specification was proved of itself; nothing showed that the code does what it says. Change: a recorder for the claims' random stories; the steps' text works on plain truth values too (spec/logic.py), so that a replay needs no solver; a host may write its releases again. Conclusion: code and specification of the claims agree on what was recorded.

--- a/features/spec.feature
+++ b/features/spec.feature
@@ -57,3 +57,22 @@
   Scenario: a specified request is dispatched once
     When the recorded run "two dispatches" is held against the specification
     Then the recorded run departs at event 4, since "the guard of dispatch"
+
+  Scenario: runs of the claims' real code are runs of the specification
+    Hosts die, are paused and cut off; the store loses answers and applies
+    writes late; callers repeat their keys. Were code and specification two
+    things, what is proved of one would say nothing of the other.
+    Then 10 recorded claims stories are runs of the specification
+
+  Scenario Outline: a run of the claims without "<guard>" departs from the specification
+    Then the recorded claims story <seed> without "<guard>" departs at an event "<action>"
+
+    Examples:
+      | seed | guard                                 | action   |
+      | 0    | the read-back of an append in doubt   | dispatch |
+      | 0    | settling a number before the next     | open     |
+      | 0    | the read of the log before an append  | open     |
+      | 0    | create-if-absent                      | apply    |
+      | 0    | the claim before the dispatch         | dispatch |
+      | 8    | keeping the key of an unknown outcome | refuse   |
+      | 2    | leaving the claims of others alone    | open     |
--- a/features/steps/spec_steps.py
+++ b/features/steps/spec_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then, when
 
+from features.builders.claims_trace import recorded_story
 from features.builders.spec import RUNS
 from spec.trace import departures
 
@@ -22,3 +23,22 @@
     assert len(found) == 1, found
     assert found[0][0] == number, found
     assert found[0][1].startswith(reason), found
+
+
+@then('{stories:d} recorded claims stories are runs of the specification')
+def step_stories(context, stories):
+    dispatched = 0
+    for seed in range(stories):
+        events = recorded_story(seed)
+        assert not departures(events), (seed, departures(events))
+        dispatched += sum(one.action == 'dispatch' for one in events)
+    assert dispatched > stories, dispatched
+
+
+@then(
+    'the recorded claims story {seed:d} without "{guard}" departs at an event '
+    '"{action}"',
+)
+def step_without(context, seed, guard, action):
+    found = departures(recorded_story(seed, guard))
+    assert action in {one.event.action for one in found}, found
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -24,11 +24,10 @@
 - ``ran r``, ``told r``: it was dispatched; its caller was told *not run*.
 """
 
-import z3
-
 from spec import claims_proof, claims_state, claims_steps
 from spec.claims_state import holders, holds_at, keyed_pairs
-from spec.model import Model, any_of
+from spec.logic import any_of, conj, neg
+from spec.model import Model
 
 GUARDS = {
     'durable-before-dispatch': claims_proof.ONE_RUN,
@@ -44,7 +43,7 @@
 def repeat_was_found(sizes):
     """Return whether a host has found that its request's key ran elsewhere."""
     return lambda state: any_of(
-        z3.And(
+        conj(
             state.ran(one),
             state.live(two),
             holds_at(state, sizes, sizes.owner(two), one),
@@ -55,7 +54,7 @@
 
 def _release_stands(state, sizes, request):
     return any_of(
-        z3.And(state.at(place, append), state.frees(append, request))
+        conj(state.at(place, append), state.frees(append, request))
         for place in sizes.places
         for append in sizes.appends
     )
@@ -64,7 +63,7 @@
 def repeat_ran_after_release(sizes):
     """Return whether a repeat ran after the first was refused and released."""
     return lambda state: any_of(
-        z3.And(
+        conj(
             state.told(one),
             state.ran(two),
             _release_stands(state, sizes, one),
@@ -84,10 +83,10 @@
     of these.
     """
     return lambda state: any_of(
-        z3.And(
+        conj(
             state.ran(one),
             state.live(two),
-            z3.Not(holds_at(state, sizes, sizes.owner(two), one)),
+            neg(holds_at(state, sizes, sizes.owner(two), one)),
         )
         for one, two in keyed_pairs(sizes)
     )
@@ -104,10 +103,10 @@
     repeats are told *unknown*. Nothing is run twice.
     """
     return lambda state: any_of(
-        z3.And(
+        conj(
             state.told(request),
             holders(state, sizes)[request],
-            z3.Not(state.letgo(sizes.owner(request), request)),
+            neg(state.letgo(sizes.owner(request), request)),
             _release_stands(state, sizes, request),
         )
         for request in sizes.requests
--- a/spec/claims_proof.py
+++ b/spec/claims_proof.py
@@ -2,10 +2,8 @@
 
 import itertools
 
-import z3
-
 from spec.claims_state import holders, is_next, keyed_pairs, written
-from spec.model import all_of
+from spec.logic import all_of, any_of, conj, disj, implies, neg
 
 ONE_RUN = 'one run for each key'
 NOT_RUN = 'not run means not run'
@@ -15,11 +13,11 @@
     """Return what must hold in each state."""
     return {
         ONE_RUN: lambda state: all_of(
-            z3.Not(z3.And(state.ran(one), state.ran(two)))
+            neg(conj(state.ran(one), state.ran(two)))
             for one, two in keyed_pairs(sizes)
         ),
         NOT_RUN: lambda state: all_of(
-            z3.Not(z3.And(state.told(request), state.ran(request)))
+            neg(conj(state.told(request), state.ran(request)))
             for request in sizes.requests
         ),
     }
@@ -28,16 +26,16 @@
 def _is_put(state, sizes, place, append):
     """Return whether an append that has a position is in order."""
     others = [other for other in sizes.places if other != place]
-    return z3.And(
+    return conj(
         state.used(append),
-        *(z3.Not(state.place(append, other)) for other in others),
+        *(neg(state.place(append, other)) for other in others),
         *(written(state, sizes, earlier) for earlier in range(place)),
     )
 
 
 def _is_blank(state, sizes, append):
-    return z3.Not(
-        z3.Or(
+    return neg(
+        disj(
             state.flying(append),
             *(state.pending(host, append) for host in sizes.hosts),
             *(state.writer(append, host) for host in sizes.hosts),
@@ -52,23 +50,23 @@
     spots = list(itertools.product(sizes.places, sizes.appends))
     return {
         'one object at a position': lambda state: all_of(
-            z3.Not(z3.And(state.at(place, one), state.at(place, two)))
+            neg(conj(state.at(place, one), state.at(place, two)))
             for place in sizes.places
             for one, two in pairs
         ),
         'an object stands where its append put it': lambda state: all_of(
-            z3.Implies(
+            implies(
                 state.at(place, append),
-                z3.And(
+                conj(
                     state.place(append, place),
-                    z3.Not(state.flying(append)),
+                    neg(state.flying(append)),
                 ),
             )
             for place, append in spots
         ),
         'an append has one position, and those before are written': (
             lambda state: all_of(
-                z3.Implies(
+                implies(
                     state.place(append, place),
                     _is_put(state, sizes, place, append),
                 )
@@ -76,11 +74,11 @@
             )
         ),
         'nothing is left of an append that is not used': lambda state: all_of(
-            z3.Or(state.used(append), _is_blank(state, sizes, append))
+            disj(state.used(append), _is_blank(state, sizes, append))
             for append in sizes.appends
         ),
         'an append has one writer': lambda state: all_of(
-            z3.Not(z3.And(state.writer(append, one), state.writer(append, two)))
+            neg(conj(state.writer(append, one), state.writer(append, two)))
             for append in sizes.appends
             for one, two in itertools.combinations(sizes.hosts, 2)
         ),
@@ -89,11 +87,11 @@
 
 def _is_pending_well(state, sizes, host, append):
     others = [other for other in sizes.appends if other != append]
-    return z3.And(
+    return conj(
         state.writer(append, host),
-        *(z3.Not(state.pending(host, other)) for other in others),
+        *(neg(state.pending(host, other)) for other in others),
         *(
-            z3.Implies(state.place(append, place), is_next(state, host, place))
+            implies(state.place(append, place), is_next(state, host, place))
             for place in sizes.places
         ),
     )
@@ -102,9 +100,9 @@
 def _host_invariants(sizes):
     return {
         'a host has read a written prefix': lambda state: all_of(
-            z3.Implies(
+            implies(
                 state.known(host, place),
-                z3.And(
+                conj(
                     written(state, sizes, place),
                     *(state.known(host, other) for other in range(place)),
                 ),
@@ -114,7 +112,7 @@
         ),
         "a pending append is the host's own, at its first unread position": (
             lambda state: all_of(
-                z3.Implies(
+                implies(
                     state.pending(host, append),
                     _is_pending_well(state, sizes, host, append),
                 )
@@ -126,10 +124,10 @@
 
 
 def _may_not_run(state, request):
-    return z3.And(
+    return conj(
         state.begun(request),
-        z3.Not(state.live(request)),
-        z3.Not(state.ran(request)),
+        neg(state.live(request)),
+        neg(state.ran(request)),
     )
 
 
@@ -142,13 +140,13 @@
         state.letgo(host, request) for host in sizes.hosts if host != owner
     ]
     foreign.extend(
-        z3.And(
+        conj(
             state.frees(append, request),
-            z3.Not(state.writer(append, owner)),
+            neg(state.writer(append, owner)),
         )
         for append in sizes.appends
     )
-    return z3.Or(*queued, *appended), z3.Or(foreign)
+    return disj(*queued, *appended), any_of(foreign)
 
 
 def _traces_of(state, sizes, request):
@@ -167,17 +165,17 @@
         for request in sizes.requests:
             released, foreign = _released(state, sizes, request)
             over = _may_not_run(state, request)
-            parts.append(z3.Implies(released, over))
-            parts.append(z3.Not(foreign))
+            parts.append(implies(released, over))
+            parts.append(neg(foreign))
         return all_of(parts)
 
     def held(state):
         now = holders(state, sizes)
         return all_of(
-            z3.Implies(
-                z3.And(
+            implies(
+                conj(
                     state.heard(request),
-                    z3.Or(state.live(request), state.ran(request)),
+                    disj(state.live(request), state.ran(request)),
                 ),
                 now[request],
             )
@@ -186,18 +184,18 @@
 
     return {
         'a request is live, then ran or was refused': lambda state: all_of(
-            z3.And(
-                z3.Implies(
-                    z3.Or(_traces_of(state, sizes, request)),
+            conj(
+                implies(
+                    any_of(_traces_of(state, sizes, request)),
                     state.begun(request),
                 ),
-                z3.Implies(state.told(request), _may_not_run(state, request)),
-                z3.Implies(
+                implies(state.told(request), _may_not_run(state, request)),
+                implies(
                     state.ran(request),
-                    z3.And(
+                    conj(
                         state.begun(request),
                         state.heard(request),
-                        z3.Not(state.live(request)),
+                        neg(state.live(request)),
                     ),
                 ),
             )
--- a/spec/claims_state.py
+++ b/spec/claims_state.py
@@ -2,9 +2,8 @@
 
 import itertools
 
-import z3
-
-from spec.model import BOOL, any_of
+from spec.logic import any_of, chosen, conj, disj, neg
+from spec.model import BOOL
 
 # Where a claim or a release waits at a host.
 WAITING = ('queued', 'batched', 'letgo')
@@ -85,8 +84,8 @@
     Explanation
     ===========
 
-    Whether a refused request's claim is released where it need not be, and
-    which queued claims and releases go into a batch.
+    Whether releases are written where they need not be, and which queued
+    claims and releases go into a batch.
     """
     chosen = {'releases': BOOL}
     for request in sizes.requests:
@@ -102,7 +101,7 @@
 
 def _stands(state, sizes, place, listed, request):
     return any_of(
-        z3.And(state.at(place, append), listed(append, request))
+        conj(state.at(place, append), listed(append, request))
         for append in sizes.appends
     )
 
@@ -120,16 +119,16 @@
     claimed = {}
     for request in sizes.requests:
         freed = _stands(state, sizes, place, state.frees, request)
-        kept[request] = z3.And(before[request], z3.Not(freed))
+        kept[request] = conj(before[request], neg(freed))
         claimed[request] = _stands(state, sizes, place, state.claims, request)
     return {
-        request: z3.Or(
+        request: disj(
             kept[request],
-            z3.And(
+            conj(
                 claimed[request],
-                *(z3.Not(kept[rival]) for rival in sizes.rivals(request)),
+                *(neg(kept[rival]) for rival in sizes.rivals(request)),
                 *(
-                    z3.Not(claimed[rival])
+                    neg(claimed[rival])
                     for rival in sizes.rivals(request)
                     if rival < request
                 ),
@@ -148,7 +147,7 @@
     host : int or None
         None for the whole log.
     """
-    found = dict.fromkeys(sizes.requests, z3.BoolVal(val=False))
+    found = dict.fromkeys(sizes.requests, False)
     for place in sizes.places:
         after = _folded(state, sizes, found, place)
         if host is None:
@@ -156,7 +155,7 @@
             continue
         read = state.known(host, place)
         found = {
-            request: z3.If(read, after[request], found[request])
+            request: chosen(read, after[request], found[request])
             for request in sizes.requests
         }
     return found
@@ -170,4 +169,4 @@
 def is_next(state, host, place):
     """Return whether a position is the first that a host has not read."""
     earlier = [state.known(host, other) for other in range(place)]
-    return z3.And(*earlier, z3.Not(state.known(host, place)))
+    return conj(*earlier, neg(state.known(host, place)))
--- a/spec/claims_steps.py
+++ b/spec/claims_steps.py
@@ -2,8 +2,6 @@
 
 import itertools
 
-import z3
-
 from spec.claims_state import (
     WAITING,
     holders,
@@ -11,19 +9,20 @@
     is_next,
     written,
 )
-from spec.model import Action, any_of
+from spec.logic import all_of, any_of, conj, disj, neg
+from spec.model import Action
 
 
 def _is_settled(state, sizes, host):
-    return z3.And(
-        [z3.Not(state.pending(host, append)) for append in sizes.appends]
+    return all_of(
+        [neg(state.pending(host, append)) for append in sizes.appends]
     )
 
 
 def _begin(sizes, request):
     return Action(
         f'begin request={request}',
-        lambda state: z3.Not(state.begun(request)),
+        lambda state: neg(state.begun(request)),
         lambda state: {
             ('begun', request): True,
             ('live', request): True,
@@ -36,9 +35,9 @@
     """Return the arrival of a forwarded claim, maybe late or again."""
     return Action(
         f'forward request={request} host={host}',
-        lambda state: z3.And(
+        lambda state: conj(
             state.begun(request),
-            z3.Not(state.batched(host, request)),
+            neg(state.batched(host, request)),
         ),
         lambda state: {('queued', host, request): True},
     )
@@ -62,7 +61,7 @@
             ('told', request): True,
             ('live', request): False,
             **_withdrawn(owner, request),
-            ('letgo', owner, request): z3.Or(
+            ('letgo', owner, request): disj(
                 state.batched(owner, request),
                 state.releases(),
             ),
@@ -83,7 +82,7 @@
     owner = sizes.owner(request)
     return Action(
         f'repeat request={request}',
-        lambda state: z3.And(
+        lambda state: conj(
             state.live(request),
             any_of(
                 holds_at(state, sizes, host, rival)
@@ -112,7 +111,7 @@
         ready = state.heard(request)
         if without == 'durable-before-dispatch':
             ready = state.batched(sizes.owner(request), request)
-        return z3.And(state.live(request), ready)
+        return conj(state.live(request), ready)
 
     return Action(
         f'dispatch request={request}',
@@ -121,35 +120,35 @@
     )
 
 
-def _goes(state, sizes, host, request):
+def _goes(state, sizes, host, known, request):
     """Return whether a queued claim goes into the batch that is opened."""
-    known = holders(state, sizes, host)
     same_key = [request, *sizes.rivals(request)]
-    return z3.And(
+    return conj(
         state.takes(request),
         state.queued(host, request),
-        *(z3.Not(known[other]) for other in same_key),
+        *(neg(known[other]) for other in same_key),
     )
 
 
 def _yields(state, host, request):
-    return z3.And(state.yields(request), state.letgo(host, request))
+    return conj(state.yields(request), state.letgo(host, request))
 
 
 def _open(sizes, host, append, place, without):
     def guard(state):
+        known = holders(state, sizes, host)
         fits = is_next(state, host, place)
         if without == 'append-after-known-prefix':
-            fits = z3.Not(state.known(host, place))
-        return z3.And(
+            fits = neg(state.known(host, place))
+        return conj(
             fits,
-            z3.Not(state.used(append)),
+            neg(state.used(append)),
             *(state.used(other) for other in range(append)),
             _is_settled(state, sizes, host),
             any_of(
-                z3.Or(
+                disj(
                     _yields(state, host, request),
-                    _goes(state, sizes, host, request),
+                    _goes(state, sizes, host, known, request),
                 )
                 for request in sizes.requests
             ),
@@ -163,12 +162,13 @@
             ('place', append, place): True,
             ('writer', append, host): True,
         }
+        known = holders(state, sizes, host)
         for request in sizes.requests:
-            goes = _goes(state, sizes, host, request)
-            stays = z3.And(state.queued(host, request), z3.Not(goes))
+            goes = _goes(state, sizes, host, known, request)
+            stays = conj(state.queued(host, request), neg(goes))
             changed['claims', append, request] = goes
             freed = _yields(state, host, request)
-            left = z3.And(state.letgo(host, request), z3.Not(freed))
+            left = conj(state.letgo(host, request), neg(freed))
             changed['frees', append, request] = freed
             changed['batched', host, request] = goes
             changed['queued', host, request] = stays
@@ -184,10 +184,10 @@
 
 def _apply(sizes, append, place, without):
     def guard(state):
-        flies = z3.And(state.flying(append), state.place(append, place))
+        flies = conj(state.flying(append), state.place(append, place))
         if without == 'create-if-absent':
             return flies
-        return z3.And(flies, z3.Not(written(state, sizes, place)))
+        return conj(flies, neg(written(state, sizes, place)))
 
     def updates(state):
         changed = {('at', place, other): False for other in sizes.appends}
@@ -209,7 +209,7 @@
 def _read(sizes, host, place):
     return Action(
         f'read host={host} place={place}',
-        lambda state: z3.And(
+        lambda state: conj(
             is_next(state, host, place),
             written(state, sizes, place),
             _is_settled(state, sizes, host),
@@ -228,15 +228,19 @@
         }
         for request in sizes.requests:
             batched = state.batched(host, request)
-            changed['batched', host, request] = z3.BoolVal(val=False)
+            changed['batched', host, request] = False
+            # A host may write its releases again, though they stand.
+            again = conj(state.releases(), state.frees(append, request))
+            released = disj(state.letgo(host, request), again)
+            changed['letgo', host, request] = released
             if without == 'first-claim-in-the-log-holds':
-                heard = z3.Or(state.heard(request), batched)
+                heard = disj(state.heard(request), batched)
                 changed['heard', request] = heard
         return changed
 
     return Action(
         f'settle host={host} append={append} place={place}',
-        lambda state: z3.And(
+        lambda state: conj(
             state.pending(host, append),
             state.place(append, place),
             state.at(place, append),
@@ -249,15 +253,15 @@
     """Return the updates that put a batch back into its host's queue."""
     changed = {('pending', host, append): False}
     for request in sizes.requests:
-        changed['queued', host, request] = z3.Or(
+        changed['queued', host, request] = disj(
             state.queued(host, request),
             state.batched(host, request),
         )
-        changed['letgo', host, request] = z3.Or(
+        changed['letgo', host, request] = disj(
             state.letgo(host, request),
             state.frees(append, request),
         )
-        changed['batched', host, request] = z3.BoolVal(val=False)
+        changed['batched', host, request] = False
     return changed
 
 
@@ -265,11 +269,11 @@
     """Return the finding that another append stands at the position."""
     return Action(
         f'supersede host={host} append={append} place={place}',
-        lambda state: z3.And(
+        lambda state: conj(
             state.pending(host, append),
             state.place(append, place),
             written(state, sizes, place),
-            z3.Not(state.at(place, append)),
+            neg(state.at(place, append)),
         ),
         lambda state: {
             **_returned(state, sizes, host, append),
@@ -282,10 +286,10 @@
     """Return the end of an append that surely was and will not be applied."""
     return Action(
         f'abandon host={host} append={append}',
-        lambda state: z3.And(
+        lambda state: conj(
             state.pending(host, append),
-            z3.Not(state.flying(append)),
-            *(z3.Not(state.at(place, append)) for place in sizes.places),
+            neg(state.flying(append)),
+            *(neg(state.at(place, append)) for place in sizes.places),
         ),
         lambda state: _returned(state, sizes, host, append),
     )
@@ -303,7 +307,7 @@
 
     return Action(
         f'crash host={host}',
-        lambda state: z3.BoolVal(val=True),
+        lambda state: True,
         updates,
     )
 
--- a/spec/configuration.py
+++ b/spec/configuration.py
@@ -23,7 +23,8 @@
 
 import z3
 
-from spec.model import BOOL, INT, Action, Model, all_of, any_of
+from spec.logic import all_of, any_of
+from spec.model import BOOL, INT, Action, Model
 
 GUARDS = {
     'conditional-update': 'an accepted change is replaced knowingly',
--- a/spec/lease_proof.py
+++ b/spec/lease_proof.py
@@ -5,7 +5,7 @@
 import z3
 
 from spec.lease_steps import FAST, SLOW, TERM, due, in_term
-from spec.model import all_of
+from spec.logic import all_of
 
 
 def properties(hosts, orders, without):
--- a/spec/lease_steps.py
+++ b/spec/lease_steps.py
@@ -5,7 +5,8 @@
 
 import z3
 
-from spec.model import BOOL, INT, REAL, Action, all_of
+from spec.logic import all_of
+from spec.model import BOOL, INT, REAL, Action
 
 TERM = 10
 DRIFT = Fraction(1, 100)
--- a/spec/model.py
+++ b/spec/model.py
@@ -14,6 +14,8 @@
 
 import z3
 
+from spec.logic import all_of
+
 _SEED = 7
 BOOL = 'bool'
 INT = 'int'
@@ -122,16 +124,6 @@
     return literal
 
 
-def any_of(parts):
-    """Return the disjunction of an iterable."""
-    return z3.Or(list(parts))
-
-
-def all_of(parts):
-    """Return the conjunction of an iterable."""
-    return z3.And(list(parts))
-
-
 def _text(key):
     if isinstance(key, tuple):
         return '.'.join(str(part) for part in key)
--- a/spec/trace.py
+++ b/spec/trace.py
@@ -16,11 +16,9 @@
 
 from dataclasses import dataclass
 
-import z3
-
 from spec.claims import claims_model
 from spec.claims_state import Sizes
-from spec.model import State, as_term
+from spec.model import State
 
 
 @dataclass(slots=True, frozen=True)
@@ -252,10 +250,7 @@
         )
         self.model = claims_model(self.sizes)
         self.actions = {action.label: action for action in self.model.actions}
-        self.state = State(
-            (key, z3.BoolVal(first))
-            for key, first in self.model.initial.items()
-        )
+        self.state = State(self.model.initial)
         self.opened = {}
         self.applied = {event[3] for event in plain if event[0] == 'apply'}
 
@@ -291,7 +286,7 @@
     def _open(self, host, append, place, claims, frees):
         if append in self.opened:
             return
-        self._end_pending(host)
+        self._end_pending(host, place)
         for earlier in range(place):
             self._try(f'read host={host} place={earlier}')
         for request in claims:
@@ -310,7 +305,7 @@
 
     def _check_listed(self, name, append, requests):
         for request in requests:
-            if not z3.is_true(self.state[name, append, request]):
+            if not self.state[name, append, request]:
                 raise _DepartedError(
                     f'append {append} {name} request {request}, '
                     'whose key is held or which is not queued there',
@@ -325,20 +320,30 @@
             ('place', append, place): True,
             ('writer', append, host): True,
         }
-        self.state.update((key, as_term(new)) for key, new in blank.items())
+        self.state.update(blank)
+
+    def _end_pending(self, host, wanted):
+        """Let a host learn what became of the append that it waits for.
 
-    def _end_pending(self, host):
-        """Let a host learn what became of the append that it waits for."""
+        Explanation
+        ===========
+
+        A host that tries the same position again was told that its write was
+        not applied, and has not read what stands there.
+        """
         for append, place in self.opened.items():
-            if not z3.is_true(self.state.pending(host, append)):
+            if not self.state.pending(host, append):
                 continue
             if append not in self.applied:
                 self._try(f'drop append={append}')
             spot = f'host={host} append={append} place={place}'
-            if self._try(f'settle {spot}') or self._try(f'supersede {spot}'):
+            if place != wanted and self._reads(spot):
                 continue
             self._do(f'abandon host={host} append={append}')
 
+    def _reads(self, spot):
+        return self._try(f'settle {spot}') or self._try(f'supersede {spot}')
+
     def _apply(self, append):
         place = self.opened.get(append)
         if place is None:
@@ -353,13 +358,11 @@
         free['releases'] = True
         free.update(chosen)
         state = State(self.state)
-        state.update((key, as_term(new)) for key, new in free.items())
+        state.update(free)
         action = self.actions[label]
-        if not z3.is_true(z3.simplify(action.guard(state))):
+        if not action.guard(state):
             return False
-        after = action.after(state)
-        for key in self.model.sorts:
-            self.state[key] = z3.simplify(after[key])
+        self.state.update(action.updates(state))
         return True
 
     def _do(self, label, chosen=()):
@@ -368,5 +371,5 @@
 
     def _check_properties(self):
         for name, holds in self.model.properties.items():
-            if not z3.is_true(z3.simplify(holds(self.state))):
+            if not holds(self.state):
                 raise _DepartedError(f'{name} fails')
