--- a/features/properties.feature
+++ b/features/properties.feature
@@ -40,3 +40,9 @@
 
   Scenario: an idempotent call is not tried more often than declared
     Then for any state a call is not tried more often than declared
+
+  Scenario: any document is a manifest or has mistakes with their paths
+    A build pipeline writes a wrong document. Whoever applies it must be told
+    what is wrong and where, not be shown a traceback.
+    Then any text is a manifest or has mistakes
+    And an example with anything in it replaced is a manifest or has mistakes
--- a/features/steps/properties_steps.py
+++ b/features/steps/properties_steps.py
@@ -6,6 +6,13 @@
 from hypothesis import assume, given
 from hypothesis import strategies as st
 
+from features.builders.documents import (
+    STEPS,
+    VALUES,
+    as_text,
+    example,
+    replaced,
+)
 from features.builders.properties import (
     CUTS,
     FIXED,
@@ -26,7 +33,14 @@
     team_of,
 )
 from pollenstile.fleet import Snapshot
-from pollenstile.manifest import Manifest, Stage, Team
+from pollenstile.manifest import (
+    Manifest,
+    ManifestError,
+    Stage,
+    Team,
+    manifest_from_text,
+    text_from_manifest,
+)
 from pollenstile.outcomes import Refused
 from pollenstile.pipeline._assembly import Assembly
 from pollenstile.pipeline._decisions import (
@@ -262,3 +276,36 @@
         assert not (allowed and failures >= attempts)
 
     check()
+
+
+def _check_manifest(text):
+    try:
+        found = manifest_from_text(text)
+    except ManifestError as error:
+        assert error.mistakes
+        assert all(mistake.text for mistake in error.mistakes)
+        return
+    again = manifest_from_text(text_from_manifest(found))
+    assert text_from_manifest(again) == text_from_manifest(found)
+
+
+@then('any text is a manifest or has mistakes')
+def step_any_text(context):
+    @FIXED
+    @given(st.text(max_size=200) | VALUES.map(as_text))
+    def check(text):
+        _check_manifest(text)
+
+    check()
+
+
+@then('an example with anything in it replaced is a manifest or has mistakes')
+def step_replaced(context):
+    document = example()
+
+    @FIXED
+    @given(STEPS, VALUES)
+    def check(steps, content):
+        _check_manifest(as_text(replaced(document, steps, content)))
+
+    check()
