entry: a leaving host waits until its callers have read their answers

Cause: a request counts as ended when its answer is handed to the connection. The host stopped then, before a slow caller had read it, and cut it off. Releases of keys that did not run were lost as well. Change: connections of callers are counted; a leaving host closes each after its last byte, idle ones at once, and gives up on callers that read nothing for 30 s. Answers of a leaving host carry Connection: close. Listening ends after the lame-duck time. Pending claims and releases are written first.

--- /dev/null
+++ b/features/steps/shutdown_steps.py
@@ -0,0 +1,153 @@
+"""Steps of graceful shutdown."""
+
+from unittest import mock
+
+from behave import given, then, when
+from twisted.internet.defer import succeed
+
+from features.builders.loop import kept_result, turned_until
+from features.builders.shutdown import Listening, request_bytes
+from pollenstile.ops.channels import Channels
+
+
+@given('a shutdown host that listens')
+def step_listens(context):
+    context.host = Listening()
+    context.stopped = []
+    context.add_cleanup(context.host.close)
+
+
+@given('the shutdown engine takes {times:d} times as long')
+def step_slow(context, times):
+    context.host.upstreams['e1'].faults.slow = times
+
+
+@given('the shutdown service refuses')
+def step_refuses(context):
+    context.host.upstreams['b1'].faults.refusing = True
+
+
+@given('the shutdown host does not wait for connections')
+def step_no_wait(context):
+    patch = mock.patch.object(Channels, 'drained', lambda _: succeed(None))
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+def _asks(context, sent, **named):
+    context.caller = context.host.call(sent, **named)
+    turned_until(lambda: context.host.node.in_flight or context.caller.received)
+
+
+@when('a shutdown caller asks for "{pipeline}"')
+def step_asks(context, pipeline):
+    _asks(context, request_bytes(pipeline))
+
+
+@when('a shutdown caller sends key "{key}" to "{pipeline}"')
+def step_asks_key(context, key, pipeline):
+    _asks(context, request_bytes(pipeline, key))
+
+
+@when('a shutdown caller that does not read asks for {size:d} bytes')
+def step_asks_much(context, size):
+    # The service's answer is made as large as asked for.
+    answer = {'text': 'x' * size}
+    patch = mock.patch(
+        'pollenstile.standin.virtual._Run.request',
+        lambda _: answer,
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+    _asks(context, request_bytes('log-minutes'), reads=False)
+
+
+@when('the shutdown host is told to stop')
+def step_stop(context):
+    context.stopped = kept_result(context.host.daemon.stop())
+
+
+@when('the shutdown store goes down')
+def step_store_down(context):
+    context.host.store.down = True
+
+
+@when('the shutdown clock goes on by {seconds:g} seconds')
+def step_time(context, seconds):
+    context.host.passed(seconds)
+
+
+@when('the shutdown caller reads on')
+def step_reads(context):
+    context.caller.read_on()
+
+
+@then('the shutdown caller has {tokens:d} tokens')
+def step_tokens(context, tokens):
+    received = context.caller.received
+    assert received.count(b'{"text"') == tokens, received
+
+
+@then('the shutdown caller has {tokens:d} tokens and the whole answer')
+def step_whole(context, tokens):
+    turned_until(lambda: context.caller.closed)
+    received = context.caller.received
+    assert received.count(b'{"text"') == tokens, received
+    assert b'event: done' in received, received
+    assert received.endswith(b'\r\n0\r\n\r\n'), received
+
+
+@then('the shutdown caller gets {size:d} bytes and the end of the stream')
+def step_much(context, size):
+    turned_until(lambda: context.caller.closed)
+    received = context.caller.received
+    assert received.count(b'x') >= size, len(received)
+    assert received.endswith(b'\r\n0\r\n\r\n'), received[-50:]
+
+
+@then(
+    'the shutdown caller was told {status:d} "{outcome}", and its connection ended'
+)
+def step_told(context, status, outcome):
+    turned_until(lambda: context.caller.closed)
+    head, _, body = context.caller.received.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 %d ' % status), head
+    assert b'connection: close' in head.lower(), head
+    assert b'"outcome":"%s"' % outcome.encode() in body, body
+    assert b'retry-after: ' in head.lower(), head
+
+
+@then('the shutdown host refuses connections')
+def step_refused(context):
+    assert context.host.refused()
+
+
+@then('the shutdown host has stopped')
+def step_stopped(context):
+    turned_until(lambda: context.stopped)
+    assert context.stopped == [None], context.stopped
+    assert context.host.events[-1] == 'stopped'
+
+
+@then('the shutdown host has not stopped')
+def step_not_stopped(context):
+    context.host.turned()
+    assert not context.stopped
+
+
+@then('the shutdown host logged "{name}"')
+def step_logged(context, name):
+    assert name in context.host.events
+
+
+@then(
+    'the shutdown store has {claims:d} claim and {releases:d} release of a key'
+)
+def step_store(context, claims, releases):
+    steps = []
+    objects = context.host.store.objects
+    for name in objects.names['claims']:
+        for record in objects.found('claims', name).value[2]:
+            steps.append(record[0])
+    assert steps.count('claim') == claims, steps
+    assert steps.count('release') == releases, steps
--- a/pollenstile/claims/_claims.py
+++ b/pollenstile/claims/_claims.py
@@ -198,7 +198,10 @@
     def flushed(self):
         """Return a Deferred that fires after one try to write all."""
         logs = list(self.logs.values())
-        return DeferredList([log.flushed() for log in logs])
+        return DeferredList(
+            [log.flushed() for log in logs],
+            consumeErrors=True,
+        )
 
     def log_of(self, key):
         """Return the log of the shard that a key digest belongs to."""
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -1,6 +1,6 @@
 """The daemon: listening, flushing, leaving."""
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import LoopingCall, deferLater
 
 from pollenstile.entry import events
@@ -11,6 +11,10 @@
 
 _FLUSH_PERIOD = 1.0
 _MS = 1000
+# Releases of keys are tried for this long, and callers may take this long to
+# read what is left of their answers.
+_FLUSH_SECONDS = 2.0
+_DRAIN_SECONDS = 30.0
 
 
 class Daemon:
@@ -90,9 +94,11 @@
 
         The platform's balancer learns late that a host leaves. The host says
         at once that it is not ready, listens on for the declared lame-duck
-        time, refuses what is new, and finishes what is in flight.
+        time, refuses what is new, and finishes what is in flight: requests,
+        claims, and answers that their callers have not read yet.
         """
         self.node.leaving = True
+        self.caller_port.factory.channels.closing = True
         self.node.core.log(events.LEAVING, in_flight=self.node.in_flight)
         return Deferred.fromCoroutine(self._stopped())
 
@@ -100,14 +106,37 @@
         snapshot = self.node.in_force.snapshot
         wait = snapshot.manifest.policy.lame_duck_ms / _MS if snapshot else 0
         await deferLater(self.reactor, wait)
+        await self.caller_port.stopListening()
         await self.node.idle()
+        await self._flushed()
+        await self._drained()
         for loop in self.loops:
             loop.stop()
-        await self.caller_port.stopListening()
         await self.admin_port.stopListening()
         self.node.metrics.flush(self.statsd)
         self.node.core.log(events.STOPPED)
 
+    def _flushed(self):
+        if self.node.claims is None:
+            return succeed(None)
+        return self.node.claims.flushed().addTimeout(
+            _FLUSH_SECONDS,
+            self.reactor,
+            onTimeoutCancel=lambda *_: None,
+        )
+
+    def _drained(self):
+        return self.caller_port.factory.channels.drained().addTimeout(
+            _DRAIN_SECONDS,
+            self.reactor,
+            onTimeoutCancel=self._abort,
+        )
+
+    def _abort(self, *_):
+        # A caller that reads nothing more can't keep the host for good.
+        number = self.caller_port.factory.channels.abort()
+        self.node.core.log(events.CUT_OFF, level='warning', callers=number)
+
 
 def address_of(port):
     """Return ``IP:PORT`` of a listening port."""
--- a/pollenstile/entry/events.py
+++ b/pollenstile/entry/events.py
@@ -22,3 +22,9 @@
     'A fault of the program ended a request.',
     'Report it with the whole line.',
 )
+CUT_OFF = define(
+    8007,
+    'callers-cut-off',
+    'Callers did not read their answers for long, and the host has to leave.',
+    'Nothing; such callers have stopped or are cut off.',
+)
--- a/pollenstile/ops/http.py
+++ b/pollenstile/ops/http.py
@@ -5,6 +5,8 @@
 import msgspec
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
+from pollenstile.ops.channels import Channels, CountedChannel
+
 _JSON = b'application/json'
 _PROBLEM = b'application/problem+json'
 _TOO_LARGE = 413
@@ -62,6 +64,11 @@
 def site_for(resource, reactor, most_body=262144, timeout=60):
     """Return a Site that bounds bodies, and takes its clock as an argument.
 
+    Explanation
+    ===========
+
+    Its ``channels`` are a :class:`~pollenstile.ops.channels.Channels`.
+
     Parameters
     ==========
 
@@ -80,6 +87,8 @@
         timeout=timeout,
         reactor=reactor,
     )
+    site.protocol = CountedChannel
+    site.channels = Channels()
     site.most_body = most_body
     site.displayTracebacks = False
     site.log = _log_nothing
