--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -1,8 +1,8 @@
 """``pollenstile bench``: measurements."""
 
-from pollenstile.bench import floor
+from pollenstile.bench import claims, floor
 
-_BENCHES = (floor,)
+_BENCHES = (floor, claims)
 
 
 def add_parser(commands):
