--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -1,8 +1,8 @@
 """``pollenstile bench``: measurements."""
 
-from pollenstile.bench import claims, floor
+from pollenstile.bench import claims, fleet, floor, placement
 
-_BENCHES = (floor, claims)
+_BENCHES = (floor, claims, fleet, placement)
 
 
 def add_parser(commands):
