--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -1,8 +1,8 @@
 """``pollenstile bench``: measurements."""
 
-from pollenstile.bench import fleet, floor, placement
+from pollenstile.bench import claims, fleet, floor, placement
 
-_BENCHES = (floor, fleet, placement)
+_BENCHES = (floor, claims, fleet, placement)
 
 
 def add_parser(commands):
