entry: placement wired into the daemon

Cause: leases and orders ran in scenarios only. Change: the daemon runs placement beside the fleet and gives its lease back when it leaves; attempts go only to engines that hold the model; accepted requests count as demand; engine stand-ins take orders and refuse calls for models that they lack. Core has two fields more, holds and demand.

--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -95,7 +95,7 @@
 def step_leave(context, name):
     host = context.world.hosts[name]
     context.old_fence = host.fence
-    kept_result(host.placement.stop())
+    kept_result(host.placement.leave())
 
 
 @when('placement host "{name}" is cut off from the store')
--- a/pollenstile/bench/placement.py
+++ b/pollenstile/bench/placement.py
@@ -106,6 +106,7 @@
         default='',
         help='only this pattern of demand',
     )
+    parser.add_argument('--rule', default='', help='only this rule')
     parser.set_defaults(run=run)
 
 
@@ -116,6 +117,8 @@
         if arguments.pattern not in ('', pattern):
             continue
         for name, rule in _rules(arguments.gain).items():
+            if arguments.rule not in ('', name):
+                continue
             print(_line(pattern, name, _runs(arguments, shares, rule)))
     return GOOD
 
--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -14,6 +14,7 @@
     keys_from,
 )
 from pollenstile.pipeline import Core, Ledger
+from pollenstile.placement import built_placement
 from pollenstile.routing import Tracker
 
 _BOOT_BITS = 48
@@ -130,6 +131,34 @@
     )
 
 
+def place_engines(node, store, orders, ticket, suspend_clock):
+    """Give a host its part in placement; not started.
+
+    Parameters
+    ==========
+
+    node : Node
+        The host.
+    store : Store
+        The object API, paced.
+    orders : object
+        Looks at engines and orders them.
+    ticket : function
+        Asks the weight store whether a load may begin.
+    suspend_clock : function
+        Returns seconds, suspended time included.
+    """
+    node.placement = built_placement(
+        node.core,
+        node.boot,
+        store,
+        orders,
+        ticket,
+        suspend_clock,
+    )
+    node.in_force.listeners.append(node.placement.in_force)
+
+
 def _shown(address):
     host, port = address
     return f'{host}:{port}'
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import LoopingCall, deferLater
 
 from pollenstile.entry import events
@@ -73,6 +73,8 @@
         self.loops.append(flush)
         if self.fleet is not None:
             self._join()
+        if self.node.placement is not None:
+            self.node.placement.start()
         self.node.core.log(
             events.STARTED,
             listen=address_of(self.caller_port),
@@ -115,8 +117,15 @@
     async def _stopped(self):
         snapshot = self.node.in_force.snapshot
         wait = snapshot.manifest.policy.lame_duck_ms / _MS if snapshot else 0
+        placement = self.node.placement
+        handed_over = succeed(None)
+        if placement is not None:
+            handed_over = Deferred.fromCoroutine(placement.leave())
         await deferLater(self.reactor, wait)
         await self.node.idle()
+        await handed_over
+        if placement is not None:
+            placement.stop()
         for loop in self.loops:
             loop.stop()
         if self.fleet is not None:
--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -27,6 +27,8 @@
 
     claims : Claims or None
         What requests with a key are run through.
+    placement : Placement or None
+        Orders engines, and knows which model each one holds.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         'leaving',
         'metrics',
         'numbers',
+        'placement',
     )
 
     def __init__(self, core, in_force, metrics, boot):
@@ -47,6 +50,7 @@
         self.metrics = metrics
         self.boot = boot
         self.claims = None
+        self.placement = None
         self.numbers = itertools.count(1)
         self.leaving = False
         self.in_flight = 0
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -4,13 +4,19 @@
 
 import statsd
 
-from pollenstile.entry import Daemon, built_fleet, built_node
+from pollenstile.entry import (
+    Daemon,
+    built_fleet,
+    built_node,
+    place_engines,
+)
 from pollenstile.fleet import http_load_reader
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.logs import configure_logs, event_log
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
-from pollenstile.ops._stores import hosts_reader, paced_store
+from pollenstile.ops._stores import hosts_reader, paced_store, tickets_asker
 from pollenstile.peer import tcp_connect
+from pollenstile.placement import boot_clock, http_orders
 from pollenstile.upstream import http_transport
 
 _PREFIX = 'pollenstile'
@@ -58,6 +64,14 @@
         store=store,
         read_hosts=hosts_reader(reactor, settings),
     )
+    if store is not None:
+        place_engines(
+            node,
+            store,
+            http_orders(reactor),
+            tickets_asker(reactor, settings),
+            boot_clock,
+        )
     return Daemon(reactor, node, settings, fleet, _statsd(settings))
 
 
--- a/pollenstile/ops/_stores.py
+++ b/pollenstile/ops/_stores.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import Deferred
 
+from pollenstile.placement import http_tickets
 from pollenstile.platform import (
     Budget,
     Caller,
@@ -47,6 +48,12 @@
     )
 
 
+def tickets_asker(reactor, settings):
+    """Return a function that asks the platform's weight store."""
+    host, port = settings.platform
+    return http_tickets(Caller(reactor, reactor, host, port))
+
+
 def hosts_reader(reactor, settings):
     """Return a function that reads the host list, or None without one."""
     if settings.hosts is None:
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -179,9 +179,20 @@
             self.core.tracker,
             self.core.domain,
             self.core.rng,
-            excluded,
+            self._without_model(excluded),
         )
 
+    def _without_model(self, excluded):
+        """Return what is excluded, with the engines that lack the model."""
+        model = self.stage.model
+        if not model:
+            return excluded
+        lacking = set(excluded)
+        for name in self.pool.upstreams:
+            if not self.core.holds(name, model):
+                lacking.add(name)
+        return lacking
+
     def _call(self, attempt, timeout, assembly):
         return Call(
             attempt=self.ident(attempt),
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -9,6 +9,15 @@
     """Count nothing."""
 
 
+def _hold_all(engine, model):
+    """Return True: every engine holds what its pool declares."""
+    return True
+
+
+def _demand_nothing(request):
+    """Count no demand."""
+
+
 @dataclass(slots=True)
 class Core:
     """Parts of one entry host that requests share.
@@ -37,6 +46,10 @@
     claims : function or None
         ``await claims(request, run)`` returns the outcome of a keyed request,
         that of ``await run()`` or that of the one which holds the key.
+    holds : function
+        Takes an engine and a model, returns whether it takes work for it.
+    demand : function
+        Takes a request that is accepted, to count its calls by model.
     log : function
         Writes events.
     count : function
@@ -55,6 +68,8 @@
     ledger: object
     admission: object
     claims: object = None
+    holds: object = _hold_all
+    demand: object = _demand_nothing
     log: object = silent_log
     count: object = _count_nothing
     timing: object = _count_nothing
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -38,6 +38,7 @@
         The final outcome.
     """
     core.ledger.accept(request)
+    core.demand(request)
     try:
         outcome = await _admitted_outcome(core, request, on_token)
     except CancelledError:
--- a/pollenstile/placement/_demand.py
+++ b/pollenstile/placement/_demand.py
@@ -38,6 +38,12 @@
         """Count one call that a request will make."""
         self.counts[model] = self.counts.get(model, 0) + 1
 
+    def count_request(self, request):
+        """Count the calls that a request will make of engines."""
+        for stage in request.pipeline.stages:
+            if stage.model:
+                self.count(stage.model)
+
     def turn(self, seconds):
         """Return the smoothed rates after an interval, and begin the next."""
         weight = seconds / (seconds + _DECAY_SECONDS)
--- a/pollenstile/placement/_service.py
+++ b/pollenstile/placement/_service.py
@@ -59,22 +59,26 @@
         """Place by another manifest from now on."""
         self.placer.manifest = snapshot.manifest
 
-    async def stop(self):
+    async def leave(self):
         """Give no more orders and give the lease back.
 
         Explanation
         ===========
 
         What runs is waited for: a lease that was being taken would be held
-        after it was given back, and an order could follow it.
+        after it was given back, and an order could follow it. The records are
+        followed on, for requests that are still in flight.
         """
         for loop, _ended in self.loops:
             loop.stop()
-        if self.watch is not None:
-            self.watch.stop()
         await gatherResults([ended for _loop, ended in self.loops])
         await released(self.placer.keeper)
 
+    def stop(self):
+        """Follow the records no longer."""
+        if self.watch is not None:
+            self.watch.stop()
+
     def _every(self, period, work):
         loop = LoopingCall(lambda: self._guarded(work()))
         loop.clock = self.placer.clock
--- a/pollenstile/standin/fleet.py
+++ b/pollenstile/standin/fleet.py
@@ -5,6 +5,7 @@
 from pollenstile.manifest import manifest_from_text
 from pollenstile.ops.http import site_for
 from pollenstile.standin.engine import Engine, EngineResource
+from pollenstile.standin.orders import OrderedResource, warm_holdings
 from pollenstile.standin.plain import PlainResource, PlainServer
 
 _WORK = {'stage': 0.02, 'service': 0.03}
@@ -31,7 +32,8 @@
     for pool in manifest.pools.values():
         for name, upstream in pool.upstreams.items():
             port = int(upstream.address.rpartition(':')[-1])
-            started.append(_started(reactor, name, pool, scale, port))
+            one = _started(reactor, manifest, name, pool, scale, port)
+            started.append(one)
     return started
 
 
@@ -59,7 +61,7 @@
     for pool_name, pool in manifest.pools.items():
         upstreams = {}
         for name, upstream in pool.upstreams.items():
-            standin = _started(reactor, name, pool, scale, 0)
+            standin = _started(reactor, manifest, name, pool, scale, 0)
             started[name] = standin
             number = standin.port.getHost().port
             upstreams[name] = replace(upstream, address=f'{_LOCAL}:{number}')
@@ -67,7 +69,7 @@
     return started, replace(manifest, pools=pools)
 
 
-def _started(reactor, name, pool, scale, number):
+def _started(reactor, manifest, name, pool, scale, number):
     slots = pool.upstreams[name].slots
     if pool.kind == 'engine':
         server = Engine(
@@ -77,7 +79,8 @@
             _TOKEN_GAP * scale,
             slots,
         )
-        resource = EngineResource(server)
+        holdings = warm_holdings(reactor, server, manifest, pool)
+        resource = OrderedResource(holdings, EngineResource(server))
     else:
         work = _WORK[pool.kind] * scale
         server = PlainServer(reactor, name, work, slots)
--- a/pollenstile/standin/orders.py
+++ b/pollenstile/standin/orders.py
@@ -8,13 +8,17 @@
 from pollenstile.placement import (
     Applied,
     EngineState,
+    Holding,
     Lost,
     Order,
     Refused,
 )
+from pollenstile.upstream import wire
 
 _CONFLICT = 409
 _BAD_REQUEST = 400
+_UNAVAILABLE = 503
+_LOAD_SECONDS = 2.0
 _order_from = msgspec.json.Decoder(Order).decode
 
 
@@ -259,8 +263,59 @@
     return outcome
 
 
+def warm_holdings(clock, engine, manifest, pool):
+    """Return the holdings of an engine that has its pool's models loaded.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Times the loads.
+    engine : Engine
+        The stand-in.
+    manifest : Manifest
+        Names versions and sizes.
+    pool : Pool
+        The engine's pool; of its models those are held that fit.
+    """
+    upstream = pool.upstreams[engine.name]
+    sizes = {each: manifest.models[each].memory_mb for each in pool.models}
+    holdings = Holdings(
+        clock,
+        engine.name,
+        sizes,
+        upstream.memory_mb,
+        checks=upstream.fencing == 'checked',
+        load_seconds=_LOAD_SECONDS,
+    )
+    room = upstream.memory_mb
+    for model in sorted(pool.models):
+        if sizes[model] > room:
+            continue
+        room -= sizes[model]
+        declared = manifest.models[model]
+        holdings.models[model] = Holding(
+            declared.version,
+            tuple(sorted(declared.adapters)),
+        )
+
+    def running():
+        # The stand-in does not tell its calls apart by model.
+        total = engine.slots.running + len(engine.slots.waiting)
+        return dict.fromkeys(holdings.models, total)
+
+    holdings.running = running
+    return holdings
+
+
 class OrderedResource(Resource):
-    """``GET`` and ``PUT /v1/placement`` before an engine's other calls."""
+    """``GET`` and ``PUT /v1/placement`` before an engine's other calls.
+
+    Explanation
+    ===========
+
+    Of the other calls it refuses those for a model that is not held.
+    """
 
     isLeaf = True
 
@@ -272,7 +327,7 @@
     def render(self, request):
         """Answer, or hand the call to the engine; called by twisted."""
         if request.postpath[:2] != [b'v1', b'placement']:
-            return self.rest.render(request)
+            return self._call(request)
         if request.method == b'GET':
             return answer_json(request, self.holdings.state())
         try:
@@ -283,3 +338,13 @@
         if isinstance(outcome, Refused):
             return answer_json(request, outcome, _CONFLICT)
         return answer_json(request, outcome.state)
+
+    def _call(self, request):
+        try:
+            call = wire.completion_call(request.content.read())
+        except wire.DecodeError:
+            call = None
+        request.content.seek(0)
+        if call is None or call.model in self.holdings.models:
+            return self.rest.render(request)
+        return answer_problem(request, _UNAVAILABLE, 'not held', wire.NOT_RUN)
