placement: scenarios over HTTP and of the request path; a rule more to measure

Cause: orders over sockets and the choice by held models had no scenario. Change: four scenarios; re-planning may wait for pressure, for the bench only.

--- a/features/builders/placement.py
+++ b/features/builders/placement.py
@@ -1,11 +1,24 @@
 """Builders of placement: hosts, engines, a store, on virtual clocks."""
 
+from dataclasses import replace
 from random import Random
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
-from pollenstile.manifest import Domain, Manifest, Model, Pool, Upstream
+from pollenstile.entry import built_node, place_engines
+from pollenstile.manifest import (
+    Domain,
+    Manifest,
+    Model,
+    Pipeline,
+    Pool,
+    Stage,
+    Team,
+    Upstream,
+    text_from_manifest,
+)
+from pollenstile.ops.settings import ENTRY, settings_from
 from pollenstile.placement import (
     Demand,
     DemandBoard,
@@ -21,6 +34,12 @@
 from pollenstile.platform import paused
 from pollenstile.standin.objectapi import MemoryStore
 from pollenstile.standin.orders import Holdings, MemoryOrders
+from pollenstile.standin.virtual import (
+    UP,
+    Times,
+    VirtualNetwork,
+    VirtualUpstream,
+)
 from pollenstile.standin.weightstore import MemoryWeights
 
 DOMAIN = 'erie-hall'
@@ -272,13 +291,50 @@
                 self.served_at.pop(served)
 
 
+def routed_node(clock, manifest):
+    """Return a node over virtual engines, and these."""
+    engines = {}
+    for name, upstream in manifest.pools['engines'].upstreams.items():
+        times = Times(lambda: 0.05, lambda: 0.01)
+        slots = upstream.slots
+        engines[name] = VirtualUpstream(clock, name, 'engine', slots, times)
+    network = VirtualNetwork(
+        clock,
+        engines,
+        lambda _origin, _name: 0.001,
+        lambda _origin, _name: UP,
+    )
+    environment = {'POLLENSTILE_HOST': 'a', 'POLLENSTILE_DOMAIN': DOMAIN}
+    node = built_node(
+        clock,
+        Random(1),
+        settings_from(None, ENTRY, environment),
+        network.transport_from('a'),
+    )
+    store = MemoryStore(clock)
+    orders = MemoryOrders(clock, {})
+    place_engines(node, store, orders, no_work, clock.seconds)
+    node.in_force.offer(1, text_from_manifest(_served(manifest)), 'test')
+    return node, engines
+
+
+def _served(manifest):
+    """Return a manifest with a pipeline of one stage besides."""
+    stage = Stage('write', 'engines', model='draft', max_tokens=4)
+    return replace(
+        manifest,
+        pipelines={'tickets': Pipeline(4000, ['dispatch'], [stage])},
+        teams={'dispatch': Team(['0' * 64])},
+    )
+
+
 def manifest_of(engines, models, fencing='ignored', memory=_SIZE, version='1'):
     """Return a manifest with one pool of engines."""
     upstreams = {}
     for name in engines:
         upstreams[name] = Upstream(
             DOMAIN,
-            '127.0.0.1:1',
+            f'127.0.0.1:{len(upstreams) + 1}',
             fencing=fencing,
             memory_mb=memory,
         )
--- /dev/null
+++ b/features/steps/placement_http_steps.py
@@ -0,0 +1,147 @@
+"""Steps of placement over HTTP and in the request path."""
+
+from random import Random
+
+from behave import given, then, when
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from features.builders.loop import advanced, kept_result, result_of
+from features.builders.placement import DOMAIN, manifest_of, routed_node
+from features.builders.platform import listening
+from pollenstile.manifest import Upstream
+from pollenstile.ops.http import site_for
+from pollenstile.outcomes import Answered
+from pollenstile.pipeline import Request, outcome_of
+from pollenstile.placement import (
+    Applied,
+    EngineState,
+    Holding,
+    Lost,
+    Order,
+    Refused,
+    http_orders,
+)
+from pollenstile.platform import Caller
+from pollenstile.standin.engine import Engine, EngineResource
+from pollenstile.standin.orders import Holdings, OrderedResource
+from pollenstile.upstream import wire
+
+_SIZES = {'draft': 8, 'tags': 8}
+
+
+def _served(context, resource):
+    port = listening(site_for(resource, reactor))
+    context.add_cleanup(lambda: result_of(port.stopListening()))
+    context.port = port.getHost().port
+    context.upstream = Upstream(DOMAIN, f'127.0.0.1:{context.port}')
+    context.orders = http_orders(reactor)
+
+
+@given('a placement engine that checks fencing, over HTTP')
+def step_engine(context):
+    holdings = Holdings(Clock(), 'e1', _SIZES, 16, checks=True)
+    rest = EngineResource(Engine(reactor, 'e1'))
+    _served(context, OrderedResource(holdings, rest))
+
+
+@given('a placement engine of a release without orders, over HTTP')
+def step_old_engine(context):
+    _served(context, EngineResource(Engine(reactor, 'e1')))
+
+
+@when('placement orders "{model}" with fence {fence:d} over HTTP')
+def step_order(context, model, fence):
+    order = Order('a/1', fence, {model: Holding('1')})
+    sent = context.orders.send('e1', context.upstream, order)
+    context.answer = result_of(sent)
+
+
+@then('the placement engine answers over HTTP that it loads "{model}"')
+def step_applied(context, model):
+    assert isinstance(context.answer, Applied), context.answer
+    assert context.answer.state.loading == {model: Holding('1')}
+
+
+@then('the placement engine refuses over HTTP, naming fence {fence:d}')
+def step_refused(context, fence):
+    assert context.answer == Refused('old-fence', fence), context.answer
+
+
+def _look(context):
+    return result_of(context.orders.look('e1', context.upstream))
+
+
+@then('a placement look over HTTP shows fence {fence:d}')
+def step_look(context, fence):
+    state = _look(context)
+    assert isinstance(state, EngineState), state
+    assert state.fence == fence, state
+
+
+@then('a placement look over HTTP is lost')
+def step_look_lost(context):
+    lost = _look(context)
+    assert isinstance(lost, Lost), lost
+
+
+@then('a call for "{model}" there is answered that placement lacks it, not run')
+def step_call(context, model):
+    caller = Caller(reactor, reactor, '127.0.0.1', context.port)
+    body = wire.encoded(wire.CompletionCall(model, 'a leak', 4))
+    reply = result_of(caller.call('POST', wire.COMPLETIONS_PATH, body))
+    assert reply.status == 503, reply
+    assert b'"outcome":"not-run"' in reply.body, reply
+
+
+@given('an entry host over two virtual engines, placement {known}')
+def step_host(context, known):
+    context.clock = Clock()
+    manifest = manifest_of(('e1', 'e2'), ('draft',))
+    node, engines = routed_node(context.clock, manifest)
+    context.node = node
+    context.engines = engines
+    context.placement = node.placement
+    if known != 'knows nothing of engines':
+        context.placement.holds.serving['e2'] = frozenset()
+
+
+@when('{count:d} requests of the placement pipeline are sent')
+def step_requests(context, count):
+    context.outcomes = []
+    node = context.node
+    rng = Random(1)
+    for _ in range(count):
+        request = Request(
+            node.next_ident(),
+            'tickets',
+            node.in_force.snapshot,
+            'dispatch',
+            f'leak {rng.random()}',
+            context.clock.seconds() + 4,
+            '',
+        )
+        running = Deferred.fromCoroutine(outcome_of(node.core, request))
+        context.outcomes.append(kept_result(running))
+        advanced(context.clock, 0.1)
+    advanced(context.clock, 4)
+
+
+@then('all placement requests are answered')
+def step_answered(context):
+    for outcomes in context.outcomes:
+        assert isinstance(outcomes[0], Answered), outcomes
+
+
+@then('calls at the placement engines "{names}" are {calls}')
+def step_calls(context, names, calls):
+    seen = []
+    for name in names.split(', '):
+        seen.append('some' if context.engines[name].runs else 'none')
+    assert ' '.join(seen) == calls, seen
+
+
+@then('placement counted a demand of {count:d} calls')
+def step_demand(context, count):
+    assert context.placement.demand.counts == {'draft': count}
--- a/pollenstile/bench/placement.py
+++ b/pollenstile/bench/placement.py
@@ -19,6 +19,7 @@
     any_time,
     idle_only,
     sticky_placement,
+    when_pressed,
     wanted_placement,
 )
 
@@ -36,10 +37,13 @@
         As ``wanted_placement``.
     may_drain : function
         Whether a drain may begin.
+    may_replan : function
+        Whether demand is a reason to plan anew.
     """
 
     plan_for: object
     may_drain: object = any_time
+    may_replan: object = any_time
 
 
 def _unchanged(engines, sizes, demand, held):
@@ -55,6 +59,8 @@
         'idle-gated': Rule(wanted_placement, idle_only),
         'sticky': Rule(sticky),
         'sticky, idle-gated': Rule(sticky, idle_only),
+        'pressed': Rule(wanted_placement, any_time, when_pressed(1.0)),
+        'pressed, sticky': Rule(sticky, any_time, when_pressed(1.0)),
     }
 
 
@@ -142,6 +148,7 @@
         )
         world.placer.plan_for = rule.plan_for
         world.placer.may_drain = rule.may_drain
+        world.placer.may_replan = rule.may_replan
         world.run(arguments.seconds, arguments.rate)
         worlds.append(world)
     return worlds
--- a/pollenstile/placement/__init__.py
+++ b/pollenstile/placement/__init__.py
@@ -43,5 +43,9 @@
     Swap,
     next_step,
 )
-from pollenstile.placement._sticky import idle_only, sticky_placement
+from pollenstile.placement._sticky import (
+    idle_only,
+    sticky_placement,
+    when_pressed,
+)
 from pollenstile.placement._wanted import wanted_placement
--- a/pollenstile/placement/_placer.py
+++ b/pollenstile/placement/_placer.py
@@ -39,8 +39,8 @@
     loads: LoadTiming = field(default_factory=LoadTiming)
 
 
-def any_time(state, models):
-    """Return True: a drain may begin whatever runs at the engine."""
+def any_time(engines, states):
+    """Return True: nothing is waited for."""
     return True
 
 
@@ -86,6 +86,9 @@
     usable : function
         Takes an engine's name, returns whether it is to hold anything; not
         one that is leaving.
+    may_replan : function
+        Takes engines and their states, returns whether a change of demand is
+        a reason to plan anew.
     may_drain : function
         Takes an engine's state and the models to drain.
     records : dict
@@ -107,6 +110,7 @@
         'log',
         'manifest',
         'may_drain',
+        'may_replan',
         'numbers',
         'orders',
         'plan',
@@ -137,6 +141,7 @@
         self.demand = {}
         self.plan_for = wanted_placement
         self.may_drain = any_time
+        self.may_replan = any_time
         self.usable = any_engine
         self.numbers = itertools.count(1)
         self.busy = False
@@ -253,6 +258,7 @@
     key = (id(manifest), tuple(sorted(engines)))
     now = placer.clock.seconds()
     due = now - placer.planned_at >= placer.timing.replan
+    due = due and placer.may_replan(engines, states)
     if due or key != placer.plan_key:
         _replan(placer, engines, states)
         placer.plan_key = key
--- a/pollenstile/placement/_sticky.py
+++ b/pollenstile/placement/_sticky.py
@@ -41,6 +41,34 @@
     return placement
 
 
+def when_pressed(share):
+    """Return a function that says whether some model's engines are busy.
+
+    Parameters
+    ==========
+
+    share : float
+        Calls in flight for each slot, over a model's engines, from which a
+        change is worth its loads; above 1 calls queue.
+    """
+
+    def pressed(engines, states):
+        return any(busy >= share for busy in _busyness(engines, states))
+
+    return pressed
+
+
+def _busyness(engines, states):
+    slots = {}
+    calls = {}
+    for name, state in states.items():
+        for model in state.models:
+            slots[model] = slots.get(model, 0) + engines[name].upstream.slots
+            running = state.running.get(model, 0)
+            calls[model] = calls.get(model, 0) + running
+    return [calls[model] / slots[model] for model in slots]
+
+
 def idle_only(state, models):
     """Return whether none of the models has a call at the engine."""
     return not any(state.running.get(model) for model in models)
