placement: settled engines are looked at each 10 s, refusals hold off

Cause: a placer looked at each engine of its domain once a second, and asked an engine that refuses in each round, with a write of the store before it.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -175,3 +175,22 @@
     And 60 placement seconds pass
     Then 2 placement engines hold "draft"
     And the leaving placement engine got no order
+
+  Scenario: A placement engine that refuses is not asked again at once
+    The engine has less memory than is declared and refuses every order. Asked
+    in each round it would cost a write of the store a second, for nothing.
+    Given placement engines "e1" for models "draft"
+    And a placement host "a" that holds the lease
+    And placement engine "e1" has no memory
+    When 60 placement seconds pass
+    Then placement engine "e1" refused from 5 to 7 orders
+
+  Scenario: Placement engines that have settled are looked at less often
+    Given placement engines "e1, e2" for models "draft"
+    And a placement host "a" that holds the lease
+    When 40 placement seconds pass
+    And the placement looks are counted for 60 seconds
+    Then from 10 to 14 placement looks were counted
+    When placement engine "e1" restarts
+    And 25 placement seconds pass
+    Then placement engine "e1" holds "draft:1" and gets new work
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -531,6 +531,33 @@
         _replaced(context, _conduct, '_claims_due', lambda *_: False)
 
 
+@given('placement engine "{name}" has no memory')
+def step_no_memory(context, name):
+    context.world.engines[name].memory = 0
+
+
+@when('the placement looks are counted for {seconds:d} seconds')
+def step_count_looks(context, seconds):
+    context.world.orders.looks = 0
+    context.world.advance(seconds)
+
+
+@then('from {least:d} to {most:d} placement looks were counted')
+def step_looks(context, least, most):
+    assert least <= context.world.orders.looks <= most
+
+
+@then('placement engine "{name}" refused from {least:d} to {most:d} orders')
+def step_refused_some(context, name, least, most):
+    refused = len(context.world.engines[name].refused)
+    assert least <= refused <= most, refused
+
+
+@when('placement engine "{name}" restarts')
+def step_restarts(context, name):
+    context.world.engines[name].restart()
+
+
 @given('placement engine "{name}" has taken fence {fence:d}')
 def step_taken(context, name, fence):
     _hold(context, name, 'draft').fence = fence
--- a/pollenstile/placement/_conduct.py
+++ b/pollenstile/placement/_conduct.py
@@ -15,6 +15,7 @@
 )
 from pollenstile.placement._steps import (
     Drain,
+    Settled,
     Swap,
     due_loads,
     leaving_models,
@@ -57,6 +58,8 @@
     deferred : str
         Why a drain has to wait; empty when it has not.
     """
+    if placer.clock.seconds() < placer.not_before.get(name, 0.0):
+        return
     checked = facts.upstream.fencing == _CHECKED
     if checked and state.fence > placer.fence:
         _step_down(placer, name, state.fence)
@@ -64,8 +67,10 @@
     leaving = leaving_models(state, wanted)
     _end_drains(placer, name, leaving)
     if not await _recorded(placer, name, state):
+        placer.settled.pop(name, None)
         return
     if _claims_due(placer, facts, state):
+        placer.settled.pop(name, None)
         await _claimed(placer, name, facts, state)
         return
     step = next_step(
@@ -79,6 +84,8 @@
         await _drained(placer, name, state, wanted, step, deferred)
     elif isinstance(step, Swap):
         await _swapped(placer, name, facts, state, step)
+    if not isinstance(step, Settled):
+        placer.settled.pop(name, None)
 
 
 def _end_drains(placer, name, leaving):
@@ -222,6 +229,8 @@
         reason=refused.reason,
         highest=refused.fence,
     )
+    again = placer.clock.seconds() + placer.timing.refused
+    placer.not_before[name] = again
     if refused.fence > order.fence:
         _step_down(placer, name, refused.fence)
 
--- a/pollenstile/placement/_placer.py
+++ b/pollenstile/placement/_placer.py
@@ -25,6 +25,11 @@
 
     replan : float
         Age of a plan at which demand is looked at again.
+    look : float
+        Age at which the state of an engine that has settled is read again;
+        others are read in each round.
+    refused : float
+        Time until an engine that refused an order gets the next.
     unseen : float
         Time without an answer after which an engine is planned without.
     drain : DrainTiming
@@ -34,7 +39,9 @@
     """
 
     replan: float = 30.0
-    unseen: float = 10.0
+    look: float = 10.0
+    refused: float = 10.0
+    unseen: float = 30.0
     drain: DrainTiming = field(default_factory=DrainTiming)
     loads: LoadTiming = field(default_factory=LoadTiming)
 
@@ -95,6 +102,10 @@
         Engine to the version and the record last read or written.
     draining : dict
         Engine to its models that are being drained, with the time.
+    settled : dict
+        Engine to its state and when it was read, where nothing was to do.
+    not_before : dict
+        Engine to when it may get the next order.
     """
 
     __slots__ = (
@@ -111,6 +122,7 @@
         'manifest',
         'may_drain',
         'may_replan',
+        'not_before',
         'numbers',
         'orders',
         'plan',
@@ -120,6 +132,7 @@
         'random',
         'records',
         'seen_at',
+        'settled',
         'store',
         'ticket',
         'timing',
@@ -154,6 +167,8 @@
         self.draining = {}
         self.incarnations = {}
         self.seen_at = {}
+        self.settled = {}
+        self.not_before = {}
         self.loads = Loads()
         self.plan = {}
         self.plan_key = None
@@ -214,10 +229,10 @@
 
 
 async def _looked(placer, engines):
-    names = sorted(engines)
+    names = [name for name in sorted(engines) if _look_due(placer, name)]
     looks = [placer.orders.look(name, engines[name].upstream) for name in names]
     answers = await gatherResults(looks, consumeErrors=True)
-    states = {}
+    states = {name: each[0] for name, each in placer.settled.items()}
     now = placer.clock.seconds()
     for name, answer in zip(names, answers, strict=True):
         placer.seen_at.setdefault(name, now)
@@ -226,10 +241,21 @@
             continue
         placer.seen_at[name] = now
         states[name] = answer
+        placer.settled[name] = (answer, now)
         _note_incarnation(placer, name, answer.incarnation)
     return states
 
 
+def _look_due(placer, name):
+    settled = placer.settled.get(name)
+    if settled is None:
+        return True
+    if placer.clock.seconds() - settled[1] < placer.timing.look:
+        return False
+    placer.settled.pop(name)
+    return True
+
+
 def _note_incarnation(placer, name, incarnation):
     before = placer.incarnations.get(name, incarnation)
     placer.incarnations[name] = incarnation
--- a/pollenstile/standin/orders.py
+++ b/pollenstile/standin/orders.py
@@ -201,6 +201,8 @@
         Engines that can't be reached.
     lose_answers, lose_requests : int
         That many next orders are taken but not answered, or not taken.
+    looks : int
+        Looks that were asked for.
     hold : Deferred or None
         Orders wait for it on their way.
     """
@@ -211,6 +213,7 @@
         'engines',
         'hold',
         'latency',
+        'looks',
         'lose_answers',
         'lose_requests',
     )
@@ -220,12 +223,14 @@
         self.engines = engines
         self.latency = latency
         self.down = set()
+        self.looks = 0
         self.lose_answers = 0
         self.lose_requests = 0
         self.hold = None
 
     def look(self, name, upstream):
         """Return a Deferred of ``EngineState`` or ``Lost``."""
+        self.looks += 1
         if name in self.down:
             return succeed(Lost('look', name, 'no connection'))
         return self._after(lambda: self.engines[name].state())
