--- a/pollenstile/placement/_sticky.py
+++ b/pollenstile/bench/_sticky.py
@@ -1,4 +1,10 @@
-"""Sticky re-placement: engines keep their models unless much is gained.
+"""Rules of re-placement that the bench sets beside the plain one.
+
+Explanation
+===========
+
+Sticky: engines keep their models unless much is gained. Idle-gated: a busy
+model is not drained. Pressed: nothing changes before calls queue.
 
 References
 ==========
@@ -8,7 +14,7 @@
 for, and is never taken down while it is busy.
 """
 
-from pollenstile.placement._wanted import wanted_placement
+from pollenstile.placement import wanted_placement
 
 
 def sticky_placement(gain):
--- a/pollenstile/placement/__init__.py
+++ b/pollenstile/placement/__init__.py
@@ -43,9 +43,4 @@
     Swap,
     next_step,
 )
-from pollenstile.placement._sticky import (
-    idle_only,
-    sticky_placement,
-    when_pressed,
-)
 from pollenstile.placement._wanted import wanted_placement
