--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -77,6 +77,8 @@
         self.loops.append(flush)
         if self.fleet is not None:
             self._join()
+        if self.node.placement is not None:
+            self.node.placement.start()
         self.node.core.log(
             events.STARTED,
             listen=address_of(self.caller_port),
@@ -121,15 +123,24 @@
     async def _stopped(self):
         snapshot = self.node.in_force.snapshot
         wait = snapshot.manifest.policy.lame_duck_ms / _MS if snapshot else 0
+        handed_over = self._handed_over()
         await deferLater(self.reactor, wait)
         await self.caller_port.stopListening()
         await self.node.idle()
         await self._flushed()
         await self._drained()
+        await handed_over
         await self._closed()
         self.node.core.log(events.STOPPED)
 
+    def _handed_over(self):
+        if self.node.placement is None:
+            return succeed(None)
+        return Deferred.fromCoroutine(self.node.placement.leave())
+
     async def _closed(self):
+        if self.node.placement is not None:
+            self.node.placement.stop()
         for loop in self.loops:
             loop.stop()
         if self.fleet is not None:
