--- a/spec/claims_steps.py
+++ b/spec/claims_steps.py
@@ -2,177 +2,155 @@
 
 import itertools
 
-import z3
-
-from spec.model import BOOL, Action, any_of
+from spec.claims_state import (
+    WAITING,
+    holders,
+    holds_at,
+    is_next,
+    written,
+)
+from spec.logic import all_of, any_of, conj, disj, neg
+from spec.model import Action
+
+
+def _is_settled(state, sizes, host):
+    return all_of(
+        [neg(state.pending(host, append)) for append in sizes.appends]
+    )
 
-_REQUEST = ('waiting', 'batched', 'claimed', 'told')
 
+def _begin(sizes, request):
+    return Action(
+        f'begin request={request}',
+        lambda state: neg(state.begun(request)),
+        lambda state: {
+            ('begun', request): True,
+            ('live', request): True,
+            ('queued', sizes.owner(request), request): True,
+        },
+    )
 
-class Sizes:
-    """How much of everything there is.
 
-    Parameters
-    ==========
+def _forward(host, request):
+    """Return the arrival of a forwarded claim, maybe late or again."""
+    return Action(
+        f'forward request={request} host={host}',
+        lambda state: conj(
+            state.begun(request),
+            neg(state.batched(host, request)),
+        ),
+        lambda state: {('queued', host, request): True},
+    )
 
-    hosts, keys, places, appends : int
-        Hosts, keys, positions of the log, and appends in all.
-    """
 
-    __slots__ = ('appends', 'hosts', 'keys', 'places')
-
-    def __init__(self, hosts, keys, places, appends):
-        self.hosts = range(hosts)
-        self.keys = range(keys)
-        self.places = range(places)
-        self.appends = range(appends)
-
-
-def variables(sizes):
-    """Return the sort of each variable."""
-    shapes = {
-        'at': (sizes.places, sizes.appends),
-        'used': (sizes.appends,),
-        'place': (sizes.appends, sizes.places),
-        'owner': (sizes.appends, sizes.hosts),
-        'batch': (sizes.appends, sizes.keys),
-        'flying': (sizes.appends,),
-        'known': (sizes.hosts, sizes.places),
-        'pending': (sizes.hosts, sizes.appends),
-        **dict.fromkeys(_REQUEST, (sizes.hosts, sizes.keys)),
-        'ran': (sizes.keys,),
-        'twice': (sizes.keys,),
-        'granted': (sizes.appends,),
-        'lied': (sizes.hosts, sizes.keys),
-    }
+def _withdrawn(host, request):
     return {
-        (name, *place): BOOL
-        for name, ranges in shapes.items()
-        for place in itertools.product(*ranges)
+        ('queued', host, request): False,
+        ('batched', host, request): False,
     }
 
 
-def written(state, sizes, place):
-    """Return whether a position is written."""
-    return any_of(state.at(place, append) for append in sizes.appends)
-
-
-def listed(state, sizes, place, key):
-    """Return whether the object at a position claims a key."""
-    return any_of(
-        z3.And(state.at(place, append), state.batch(append, key))
-        for append in sizes.appends
-    )
+def _refuse(sizes, request, without):
+    """Return the refusal of a request that was not dispatched."""
+    owner = sizes.owner(request)
 
+    def updates(state):
+        if without == 'leave-batch-when-refused':
+            return {('told', request): True}
+        return {
+            ('told', request): True,
+            ('live', request): False,
+            **_withdrawn(owner, request),
+            ('letgo', owner, request): disj(
+                state.batched(owner, request),
+                state.releases(),
+            ),
+        }
 
-def claim_found(state, sizes, host, key):
-    """Return whether a host has read a claim of a key."""
-    return any_of(
-        z3.And(state.known(host, place), listed(state, sizes, place, key))
-        for place in sizes.places
+    return Action(
+        f'refuse request={request}',
+        lambda state: state.live(request),
+        updates,
     )
 
 
-def is_next(state, host, place):
-    """Return whether a position is the first that a host has not read."""
-    earlier = [state.known(host, other) for other in range(place)]
-    return z3.And(*earlier, z3.Not(state.known(host, place)))
+def _repeat(sizes, request):
+    """Return the truthful end of a request whose key another one holds.
 
-
-def idle(state, host, key):
-    """Return whether a host works on no request with a key."""
-    return z3.Not(
-        z3.Or(
-            state.waiting(host, key),
-            state.batched(host, key),
-            state.claimed(host, key),
-        )
-    )
-
-
-def _submit(host, key):
+    Its owner has read so, or was told by a host that has.
+    """
+    owner = sizes.owner(request)
     return Action(
-        f'submit host={host} key={key}',
-        lambda state: idle(state, host, key),
+        f'repeat request={request}',
+        lambda state: conj(
+            state.live(request),
+            any_of(
+                holds_at(state, sizes, host, rival)
+                for rival in sizes.rivals(request)
+                for host in sizes.hosts
+            ),
+        ),
         lambda state: {
-            ('waiting', host, key): True,
-            ('told', host, key): False,
+            ('live', request): False,
+            **_withdrawn(owner, request),
         },
     )
 
 
-def _refuse(host, key, without):
-    def guard(state):
-        return z3.Or(state.waiting(host, key), state.batched(host, key))
-
-    def updates(state):
-        stays = without == 'leave-batch-when-refused'
-        return {
-            ('waiting', host, key): False,
-            ('batched', host, key): stays and state.batched(host, key),
-            ('told', host, key): True,
-        }
-
-    return Action(f'refuse host={host} key={key}', guard, updates)
-
-
-def _repeat(sizes, host, key):
+def _find(sizes, host, request):
+    """Return the word of a host that a request holds its key."""
     return Action(
-        f'repeat host={host} key={key}',
-        lambda state: z3.And(
-            state.waiting(host, key),
-            claim_found(state, sizes, host, key),
-        ),
-        lambda state: {('waiting', host, key): False},
+        f'find host={host} request={request}',
+        lambda state: holds_at(state, sizes, host, request),
+        lambda state: {('heard', request): True},
     )
 
 
-def _dispatch(host, key, without):
+def _dispatch(sizes, request, without):
     def guard(state):
+        ready = state.heard(request)
         if without == 'durable-before-dispatch':
-            return z3.Or(
-                state.claimed(host, key),
-                state.batched(host, key),
-            )
-        return state.claimed(host, key)
+            ready = state.batched(sizes.owner(request), request)
+        return conj(state.live(request), ready)
 
-    def updates(state):
-        return {
-            ('claimed', host, key): False,
-            ('batched', host, key): False,
-            ('ran', key): True,
-            ('twice', key): z3.Or(state.twice(key), state.ran(key)),
-            ('lied', host, key): z3.Or(
-                state.lied(host, key),
-                state.told(host, key),
-            ),
-        }
-
-    return Action(f'dispatch host={host} key={key}', guard, updates)
+    return Action(
+        f'dispatch request={request}',
+        guard,
+        lambda state: {('live', request): False, ('ran', request): True},
+    )
 
 
-def _goes(state, sizes, host, key, without):
-    """Return whether a waiting key goes into the batch that is opened."""
-    if without == 'look-up-before-claim':
-        return state.waiting(host, key)
-    return z3.And(
-        state.waiting(host, key),
-        z3.Not(claim_found(state, sizes, host, key)),
+def _goes(state, sizes, host, known, request):
+    """Return whether a queued claim goes into the batch that is opened."""
+    same_key = [request, *sizes.rivals(request)]
+    return conj(
+        state.takes(request),
+        state.queued(host, request),
+        *(neg(known[other]) for other in same_key),
     )
 
 
+def _yields(state, host, request):
+    return conj(state.yields(request), state.letgo(host, request))
+
+
 def _open(sizes, host, append, place, without):
     def guard(state):
+        known = holders(state, sizes, host)
         fits = is_next(state, host, place)
         if without == 'append-after-known-prefix':
-            fits = z3.Not(state.known(host, place))
-        return z3.And(
+            fits = neg(state.known(host, place))
+        return conj(
             fits,
-            z3.Not(state.used(append)),
+            neg(state.used(append)),
             *(state.used(other) for other in range(append)),
-            *(z3.Not(state.pending(host, own)) for own in sizes.appends),
+            _is_settled(state, sizes, host),
             any_of(
-                _goes(state, sizes, host, key, without) for key in sizes.keys
+                disj(
+                    _yields(state, host, request),
+                    _goes(state, sizes, host, known, request),
+                )
+                for request in sizes.requests
             ),
         )
 
@@ -182,19 +160,19 @@
             ('flying', append): True,
             ('pending', host, append): True,
             ('place', append, place): True,
-            ('owner', append, host): True,
+            ('writer', append, host): True,
         }
-        for key in sizes.keys:
-            goes = _goes(state, sizes, host, key, without)
-            changed['batch', append, key] = goes
-            changed['batched', host, key] = z3.Or(
-                state.batched(host, key),
-                goes,
-            )
-            changed['waiting', host, key] = z3.And(
-                state.waiting(host, key),
-                z3.Not(goes),
-            )
+        known = holders(state, sizes, host)
+        for request in sizes.requests:
+            goes = _goes(state, sizes, host, known, request)
+            stays = conj(state.queued(host, request), neg(goes))
+            changed['claims', append, request] = goes
+            freed = _yields(state, host, request)
+            left = conj(state.letgo(host, request), neg(freed))
+            changed['frees', append, request] = freed
+            changed['batched', host, request] = goes
+            changed['queued', host, request] = stays
+            changed['letgo', host, request] = left
         return changed
 
     return Action(
@@ -206,18 +184,16 @@
 
 def _apply(sizes, append, place, without):
     def guard(state):
-        flies = z3.And(state.flying(append), state.place(append, place))
+        flies = conj(state.flying(append), state.place(append, place))
         if without == 'create-if-absent':
             return flies
-        return z3.And(flies, z3.Not(written(state, sizes, place)))
+        return conj(flies, neg(written(state, sizes, place)))
 
     def updates(state):
         changed = {('at', place, other): False for other in sizes.appends}
-        return {
-            **changed,
-            ('at', place, append): True,
-            ('flying', append): False,
-        }
+        changed['at', place, append] = True
+        changed['flying', append] = False
+        return changed
 
     return Action(f'apply append={append} place={place}', guard, updates)
 
@@ -233,90 +209,76 @@
 def _read(sizes, host, place):
     return Action(
         f'read host={host} place={place}',
-        lambda state: z3.And(
+        lambda state: conj(
             is_next(state, host, place),
             written(state, sizes, place),
-            *(z3.Not(state.pending(host, own)) for own in sizes.appends),
+            _is_settled(state, sizes, host),
         ),
         lambda state: {('known', host, place): True},
     )
 
 
-def _own(state, sizes, host, append, place, without):
-    """Return whether a host takes the object at a position for its append."""
-    if without != 'mark-unique-to-append':
-        return state.at(place, append)
-    return any_of(
-        z3.And(state.at(place, other), state.owner(other, host))
-        for other in sizes.appends
-    )
-
-
 def _settle(sizes, host, append, place, without):
-    def guard(state):
-        return z3.And(
-            state.pending(host, append),
-            state.place(append, place),
-            _own(state, sizes, host, append, place, without),
-        )
+    """Return the answer of success, or a read-back that finds the mark."""
 
     def updates(state):
         changed = {
             ('pending', host, append): False,
             ('known', host, place): True,
-            ('granted', append): True,
         }
-        for key in sizes.keys:
-            won = z3.And(
-                state.batched(host, key),
-                state.batch(append, key),
-            )
-            changed['claimed', host, key] = z3.Or(
-                state.claimed(host, key),
-                won,
-            )
-            changed['batched', host, key] = False
+        for request in sizes.requests:
+            batched = state.batched(host, request)
+            changed['batched', host, request] = False
+            # A host may write its releases again, though they stand.
+            again = conj(state.releases(), state.frees(append, request))
+            released = disj(state.letgo(host, request), again)
+            changed['letgo', host, request] = released
+            if without == 'first-claim-in-the-log-holds':
+                heard = disj(state.heard(request), batched)
+                changed['heard', request] = heard
         return changed
 
     return Action(
         f'settle host={host} append={append} place={place}',
-        guard,
+        lambda state: conj(
+            state.pending(host, append),
+            state.place(append, place),
+            state.at(place, append),
+        ),
         updates,
     )
 
 
-def _returned(sizes, host, state):
-    """Return the updates that put a host's batch back among the waiting."""
-    changed = {}
-    for key in sizes.keys:
-        changed['waiting', host, key] = z3.Or(
-            state.waiting(host, key),
-            state.batched(host, key),
+def _returned(state, sizes, host, append):
+    """Return the updates that put a batch back into its host's queue."""
+    changed = {('pending', host, append): False}
+    for request in sizes.requests:
+        changed['queued', host, request] = disj(
+            state.queued(host, request),
+            state.batched(host, request),
+        )
+        changed['letgo', host, request] = disj(
+            state.letgo(host, request),
+            state.frees(append, request),
         )
-        changed['batched', host, key] = False
+        changed['batched', host, request] = False
     return changed
 
 
-def _supersede(sizes, host, append, place, without):
-    def guard(state):
-        return z3.And(
+def _supersede(sizes, host, append, place):
+    """Return the finding that another append stands at the position."""
+    return Action(
+        f'supersede host={host} append={append} place={place}',
+        lambda state: conj(
             state.pending(host, append),
             state.place(append, place),
             written(state, sizes, place),
-            z3.Not(_own(state, sizes, host, append, place, without)),
-        )
-
-    def updates(state):
-        return {
-            **_returned(sizes, host, state),
-            ('pending', host, append): False,
+            neg(state.at(place, append)),
+        ),
+        lambda state: {
+            **_returned(state, sizes, host, append),
             ('known', host, place): True,
-        }
-
-    return Action(
-        f'supersede host={host} append={append} place={place}',
-        guard,
-        updates,
+        },
     )
 
 
@@ -324,15 +286,12 @@
     """Return the end of an append that surely was and will not be applied."""
     return Action(
         f'abandon host={host} append={append}',
-        lambda state: z3.And(
+        lambda state: conj(
             state.pending(host, append),
-            z3.Not(state.flying(append)),
-            *(z3.Not(state.at(place, append)) for place in sizes.places),
+            neg(state.flying(append)),
+            *(neg(state.at(place, append)) for place in sizes.places),
         ),
-        lambda state: {
-            **_returned(sizes, host, state),
-            ('pending', host, append): False,
-        },
+        lambda state: _returned(state, sizes, host, append),
     )
 
 
@@ -340,27 +299,61 @@
     def updates(state):
         gone = [('known', host, place) for place in sizes.places]
         gone.extend(('pending', host, append) for append in sizes.appends)
-        for key in sizes.keys:
-            gone.extend((name, host, key) for name in _REQUEST)
+        for request in sizes.requests:
+            gone.extend((name, host, request) for name in WAITING)
+            if sizes.owner(request) == host:
+                gone.append(('live', request))
         return dict.fromkeys(gone, False)
 
     return Action(
-        f'crash host={host}', lambda state: z3.BoolVal(val=True), updates
+        f'crash host={host}',
+        lambda state: True,
+        updates,
     )
 
 
+def _wrong_release(host, request, without):
+    """Return a release that one of the guards rules out."""
+
+    def guard(state):
+        if without == 'release-only-what-has-not-run':
+            return state.ran(request)
+        return state.batched(host, request)
+
+    return Action(
+        f'wrong-release host={host} request={request}',
+        guard,
+        lambda state: {
+            ('letgo', host, request): True,
+            ('batched', host, request): False,
+        },
+    )
+
+
+def _request_actions(sizes, request, without):
+    owner = sizes.owner(request)
+    actions = [
+        _begin(sizes, request),
+        _refuse(sizes, request, without),
+        _repeat(sizes, request),
+        _dispatch(sizes, request, without),
+    ]
+    for host in sizes.hosts:
+        actions.append(_find(sizes, host, request))
+        if host != owner:
+            actions.append(_forward(host, request))
+        if without == 'release-only-by-the-owner' and host != owner:
+            actions.append(_wrong_release(host, request, without))
+    if without == 'release-only-what-has-not-run':
+        actions.append(_wrong_release(owner, request, without))
+    return actions
+
+
 def all_actions(sizes, without):
     """Return every step, without one of the guards."""
     actions = [_drop(append) for append in sizes.appends]
-    for host, key in itertools.product(sizes.hosts, sizes.keys):
-        actions.extend(
-            (
-                _submit(host, key),
-                _refuse(host, key, without),
-                _repeat(sizes, host, key),
-                _dispatch(host, key, without),
-            )
-        )
+    for request in sizes.requests:
+        actions.extend(_request_actions(sizes, request, without))
     for append, place in itertools.product(sizes.appends, sizes.places):
         actions.append(_apply(sizes, append, place, without))
     for host in sizes.hosts:
@@ -369,11 +362,12 @@
         actions.extend(
             _abandon(sizes, host, append) for append in sizes.appends
         )
-    for arguments in itertools.product(
-        sizes.hosts, sizes.appends, sizes.places
+    for host, append, place in itertools.product(
+        sizes.hosts,
+        sizes.appends,
+        sizes.places,
     ):
-        actions.extend(
-            make(sizes, *arguments, without)
-            for make in (_open, _settle, _supersede)
-        )
+        actions.append(_open(sizes, host, append, place, without))
+        actions.append(_settle(sizes, host, append, place, without))
+        actions.append(_supersede(sizes, host, append, place))
     return actions
