soak: fleet, peers and claims run in it, and a calm end

Cause: hosts in the soak read the configuration by a loop of their own and claimed nothing, so repeats at another host and leaving could not be checked. Change: each host runs `built_fleet` over virtual connections that stop at a dead or frozen process, and claims over the paced store. Callers repeat keyed requests at any host. At the end, with no fault left, one upstream leaves and no request is sent for 3 s: after that no host may call it.

--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -3,7 +3,8 @@
 from contextlib import ExitStack, contextmanager
 
 from pollenstile import pipeline
-from pollenstile.fleet import InForce
+from pollenstile.claims import Claims
+from pollenstile.fleet import InForce, Watchers
 from pollenstile.limits import RetryBudget
 from pollenstile.outcomes import Refused
 from pollenstile.pipeline import _run, _stage
@@ -92,12 +93,23 @@
 
 _ORIGINAL_OUTCOME = pipeline.outcome_of
 
+
+async def _unclaimed(claims, request, run):
+    return await run()
+
+
+async def _asked_nothing(watchers, name, poll, now):
+    poll.at = now + 1e6
+
+
 # State that is never set: the attribute reads as false for good.
 _NEVER_SET = property(_never, _nothing)
 
 _PATCHES = {
     'one outcome': [(pipeline, 'outcome_of', _outcome_again)],
     'timeouts': [(_stage, 'attempt_timeout', _no_end)],
+    'claims': [(Claims, 'outcome', _unclaimed)],
+    'membership': [(Watchers, '_ask', _asked_nothing)],
     'leaving': [(UpstreamState, 'leaving', _NEVER_SET)],
     'foreign replies': [(StageRun, '_is_foreign', _never)],
     'foreign refusals': [(StageRun, '_is_foreign_refusal', _never)],
--- a/pollenstile/soak/_faults.py
+++ b/pollenstile/soak/_faults.py
@@ -140,7 +140,7 @@
     world.trace.note('leaving', upstream=upstream.name)
     upstream.faults.leaving = True
     world.records.leaving[upstream.name] = world.clock.seconds()
-    _later(world, 4, 8, _gone, world, upstream)
+    _later(world, 5, 8, _gone, world, upstream)
 
 
 def _gone(world, upstream):
--- a/pollenstile/soak/_hosts.py
+++ b/pollenstile/soak/_hosts.py
@@ -93,7 +93,7 @@
             world.rng,
             settings,
             self._transport(),
-            store=store if world.claims else None,
+            store=store,
             log=self._log,
         )
         self.node.in_force.listeners.append(self._in_force)
--- a/pollenstile/soak/_records.py
+++ b/pollenstile/soak/_records.py
@@ -4,7 +4,7 @@
 from pollenstile.soak import events
 
 # An upstream that says it is leaving gets nothing new after this time.
-_LEAVING_SECONDS = 3.0
+LEAVING_SECONDS = 3.0
 
 
 class Violation:
@@ -39,17 +39,20 @@
         Request identifier to how often it was finished.
     leaving : dict
         Upstream to when it began to say that it leaves.
+    calm : bool
+        Whether nothing but leaving goes on, so that every host must know.
     violations : list of Violation
         Found so far.
     """
 
-    __slots__ = ('finished', 'leaving', 'log', 'trace', 'violations')
+    __slots__ = ('calm', 'finished', 'leaving', 'log', 'trace', 'violations')
 
     def __init__(self, trace, log):
         self.trace = trace
         self.log = log
         self.finished = {}
         self.leaving = {}
+        self.calm = False
         self.violations = []
 
     def violate(self, name, subject, /, **fields):
@@ -84,7 +87,7 @@
         # A host that has just gone on after a freeze hears of it late.
         if host.process.froze:
             since = max(since, host.process.froze[-1])
-        if now - since <= _LEAVING_SECONDS:
+        if now - since <= LEAVING_SECONDS:
             return
-        if host.knows_leaving(upstream):
+        if self.calm or host.knows_leaving(upstream):
             self.violate('sent-to-leaving', call.attempt, peer=upstream)
--- a/pollenstile/soak/_run.py
+++ b/pollenstile/soak/_run.py
@@ -9,11 +9,13 @@
 from pollenstile.soak._callers import Ask, send
 from pollenstile.soak._checks import check_all
 from pollenstile.soak._clock import advance_exactly
-from pollenstile.soak._faults import FAULTS, heal_all
+from pollenstile.soak._faults import FAULTS, heal_all, leave_upstream
+from pollenstile.soak._records import LEAVING_SECONDS
 from pollenstile.soak._world import World
 
 _SETTLE_SECONDS = 2.0
 _DRAIN_SECONDS = 20.0
+_CALM_SECONDS = 1.5
 _LONGEST_STEP = 0.05
 _ASK_SHARE = 0.75
 _FAULT_SHARE = 0.1
@@ -50,7 +52,7 @@
     tail: tuple
 
 
-def run_soak(seed, steps, log=silent_log, *, claims=True):
+def run_soak(seed, steps, log=silent_log):
     """Run hosts, upstreams and callers under random faults.
 
     Parameters
@@ -62,15 +64,13 @@
         How many times something happens.
     log : function
         Writes events.
-    claims : bool
-        Whether hosts claim keys before they run.
 
     Returns
     =======
 
     SoakResult
     """
-    world = World(seed, log, claims=claims)
+    world = World(seed, log)
     Deferred.fromCoroutine(world.apply())
     advance_exactly(world.clock, _SETTLE_SECONDS)
     for _ in range(steps):
@@ -78,23 +78,46 @@
         advance_exactly(world.clock, world.rng.uniform(0, _LONGEST_STEP))
         if world.records.violations:
             break
-    heal_all(world)
-    advance_exactly(world.clock, _DRAIN_SECONDS)
-    heal_all(world)
-    advance_exactly(world.clock, _DRAIN_SECONDS)
+    _drain(world)
+    if not world.records.violations:
+        _leave_calmly(world)
+    _drain(world)
     check_all(world)
     return _result(world, seed)
 
 
+def _drain(world):
+    # Faults that were on their way when the first ended begin meanwhile.
+    for _ in range(2):
+        heal_all(world)
+        advance_exactly(world.clock, _DRAIN_SECONDS)
+
+
+def _leave_calmly(world):
+    # No request goes out meanwhile, so that no reply can tell the hosts.
+    world.records.calm = True
+    leave_upstream(world)
+    advance_exactly(world.clock, LEAVING_SECONDS)
+    ends = world.clock.seconds() + _CALM_SECONDS
+    while world.clock.seconds() < ends:
+        _ask(world)
+        advance_exactly(world.clock, world.rng.uniform(0, _LONGEST_STEP))
+    world.records.calm = False
+
+
 def _step(world):
     chance = world.rng.random()
     if chance < _FAULT_SHARE:
         world.rng.choice(FAULTS)(world)
         return
     if chance < _FAULT_SHARE + _ASK_SHARE:
-        ask = _new_ask(world)
-        world.asks.append(ask)
-        send(world, ask, world.rng.choice(world.living()))
+        _ask(world)
+
+
+def _ask(world):
+    ask = _new_ask(world)
+    world.asks.append(ask)
+    send(world, ask, world.rng.choice(world.living()))
 
 
 def _new_ask(world):
--- a/pollenstile/soak/_world.py
+++ b/pollenstile/soak/_world.py
@@ -34,8 +34,6 @@
         Of the run's only random generator.
     log : function
         Writes events.
-    claims : bool
-        Whether hosts claim keys; callers repeat keyed asks in any case.
 
     Attributes
     ==========
@@ -50,7 +48,6 @@
 
     __slots__ = (
         'asks',
-        'claims',
         'clock',
         'dead',
         'former',
@@ -62,25 +59,22 @@
         'revision',
         'rng',
         'store',
-        'texts',
         'trace',
         'upstreams',
         'wires',
     )
 
-    def __init__(self, seed, log, *, claims=True):
+    def __init__(self, seed, log):
         self.clock = Clock()
         # Boot numbers come from the time of the start; 0 is none.
         self.clock.advance(_FIRST_BOOT)
         self.rng = random.Random(seed)
         self.trace = Trace(self.clock)
         self.records = Records(self.trace, log)
-        self.claims = claims
         self.links = Links()
         self.asks = []
         self.dead = []
         self.former = []
-        self.texts = {}
         self.revision = 0
         self.manifest = soak_manifest()
         self.store = MemoryStore(self.clock)
