pipeline: the silence timer never waits for less than the clock can move

Cause: the timer that looks for silence sets itself for what is left. Change: less than a millisecond left counts as silent.

--- a/features/builders/requests.py
+++ b/features/builders/requests.py
@@ -89,7 +89,7 @@
         _pipelines(),
         {TEAM: Team(['ab' * 32])},
         {'writer': Model('1')},
-        Policy(silence_ms=200),
+        Policy(silence_ms=300),
     )
 
 
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -13,6 +13,19 @@
     And the request's call 2 asks for token 3 and on
     But without the guard "resuming" this requests story ends otherwise
 
+  Scenario: A request's stream falls silent after a wait that rounds to nothing
+    Found by soak seed 2. The timer that looks for silence came a hair before
+    the silence was full, and set itself for a time too short to move the
+    clock: the host turned in place.
+    Given a requests host
+    When 1000 request seconds pass
+    And a "draft" request is sent
+    And 0.0537 request seconds pass
+    And the called upstream is frozen
+    And 1.5 request seconds pass
+    Then the request ends as "answered"
+    And the request's stream is whole
+
   Scenario: A request's upstream is frozen and the call is idempotent
     The encoder takes the call and never answers. The first attempt is cut
     while a second one still fits inside the deadline.
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -18,6 +18,7 @@
 _MS = 1000
 _HEDGE_PERCENT = 95
 _HEDGE_FACTOR = 2
+_LEAST_WAIT = 0.001
 
 
 @dataclass(slots=True, frozen=True)
@@ -218,7 +219,8 @@
         silence = self.request.snapshot.manifest.policy.silence_ms / _MS
         quiet = self.core.clock.seconds() - attempt.heard
         left = min(silence - quiet, _budget(self))
-        if left <= 0:
+        # Rounding can leave a time so short that the clock would not move.
+        if left < _LEAST_WAIT:
             self._on_event(attempt, Lost('timeout'))
             return
         if attempt.timer.active():
