soak: another guard for the invariant that nothing crashes

Cause: without the guard "late replies" seed 2 broke `crashed` because a timer was cancelled twice; since the silence timer looks first it breaks `consumed-after-cut` instead. Change: that row expects `consumed-after-cut`; `crashed` is shown by a fault put into the handling of refusals. Nothing is looked for less strictly.

--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -37,6 +37,10 @@
     """Do nothing."""
 
 
+def _crashed(*arguments, **keywords):
+    raise ValueError('a fault of the program')
+
+
 def _whole_budget(budget, expected, attempts_left):
     return budget
 
@@ -128,6 +132,7 @@
     'time for a non-idempotent call': [(_stage, 'worth_sending', _always)],
     'memory of runs': [(Attempts, 'cut', _forgetful_cut)],
     'truthful refusals': [(_run, '_failure_outcome', _said_not_run)],
+    'sound refusals': [(Attempts, 'give_back', _crashed)],
     'cancelled losers': [(Attempts, 'drop_all', _nothing)],
     'retry budget': [(RetryBudget, 'spent', _always)],
     'rising versions': [(InForce, 'offer', _newest_offer)],
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,7 +32,8 @@
       | foreign replies   | wrong-answer           | 2    | 200   |
       | foreign refusals  | ran-twice              | 27   | 400   |
       | late replies      | consumed-twice         | 1    | 200   |
-      | late replies      | crashed                | 2    | 200   |
+      | late replies      | consumed-after-cut     | 2    | 200   |
+      | sound refusals    | crashed                | 2    | 200   |
       | offsets           | stream                 | 2    | 200   |
       | short streams     | wrong-answer           | 4    | 200   |
       | one run           | handed-over-twice      | 1    | 200   |
