soak, requests: hold over other hedging rules and a collector's last blocks

Change: the scenario computes its budget from the rule; timers of a dead process can be cancelled for nothing.

--- a/features/builders/requests.py
+++ b/features/builders/requests.py
@@ -200,7 +200,7 @@
     def send(self, name, content='leak', budget=None, key=''):
         """Start a request; return what comes of it."""
         snapshot = self.node.in_force.snapshot
-        declared = snapshot.manifest.pipelines[name].deadline_ms / 1000
+        declared = self.pipeline(name).deadline_ms / 1000
         request = Request(
             self.node.next_ident(),
             name,
@@ -219,6 +219,10 @@
         sent.running.addBoth(self._ended, sent)
         return sent
 
+    def pipeline(self, name):
+        """Return a pipeline as declared."""
+        return self.node.in_force.snapshot.manifest.pipelines[name]
+
     def _ended(self, outcome, sent):
         sent.outcomes.append(outcome)
         sent.ended = self.clock.seconds()
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -259,7 +259,7 @@
     Found by soak seed 2 in a first form of the guard above: with no time for
     a hedge the stage gave up, said "not run", and the first call still ran.
     Given a requests host
-    When a "race" request with 0.07 seconds is sent
+    When a "race" request is sent with 10 ms left when its hedge is due
     And the called upstream is 50 times slower for requests
     And 1 request seconds pass
     Then the request ends as "failed"
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -13,6 +13,7 @@
 from features.builders.mutations import without
 from pollenstile.entry._face import _Exchange
 from pollenstile.outcomes import Answered
+from pollenstile.pipeline import _stage
 from pollenstile.standin.engine import token
 from pollenstile.standin.virtual import SILENT
 from pollenstile.upstream import Chunk, NotRun, Reply, wire
@@ -94,6 +95,16 @@
     _act(context, crashing)
 
 
+@when('a "{name}" request is sent with {left:d} ms left when its hedge is due')
+def step_send_hedge(context, name, left):
+    def send(world):
+        stage = world.pipeline(name).stages[0]
+        due = _stage._HEDGE_FACTOR * stage.expect_ms
+        world.send(name, budget=(due + left) / 1000)
+
+    _act(context, send)
+
+
 @when('a "{name}" request with {seconds:g} seconds is sent')
 def step_send_budget(context, name, seconds):
     _act(context, lambda world: world.send(name, budget=seconds))
--- a/pollenstile/soak/_process.py
+++ b/pollenstile/soak/_process.py
@@ -18,7 +18,9 @@
 
     def cancel(self):
         """Call it off."""
-        if self.due:
+        # The collector of unused objects closes coroutines of dead
+        # processes, and their last blocks cancel timers that are gone.
+        if self.due or not self.process.alive:
             self.due = False
             return
         self.base.cancel()
