bench policy: virtual time, six entry hosts, baselines

Cause: nothing measured what admission, routing and hedging are worth. Change: `pollenstile bench policy` runs the real code of six entry hosts over upstreams in virtual time, for both example deployments at 0.7x, 1x, 2x of capacity, with a straggler and with a flooding team, beside baselines.

--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -1,8 +1,8 @@
 """``pollenstile bench``: measurements."""
 
-from pollenstile.bench import floor
+from pollenstile.bench import floor, policy
 
-_BENCHES = (floor,)
+_BENCHES = (floor, policy)
 
 
 def add_parser(commands):
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -3,7 +3,6 @@
 from functools import partial
 
 from pollenstile.pipeline import events
-from pollenstile.routing import chosen
 from pollenstile.upstream import Call, Lost
 
 _MS = 1000
@@ -173,7 +172,7 @@
             self.drop(attempt)
 
     def _chosen(self, excluded):
-        return chosen(
+        return self.core.choose(
             self.pool,
             self.core.tracker,
             self.core.domain,
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.routing import chosen
 
 
 def _count_nothing(name, number=1):
@@ -37,6 +38,8 @@
     claims : function or None
         ``await claims(request)`` returns None when the caller's key is now
         claimed by this request, or the outcome to answer with instead.
+    choose : function
+        Picks an upstream; see :func:`pollenstile.routing.chosen`.
     log : function
         Writes events.
     count : function
@@ -55,6 +58,7 @@
     ledger: object
     admission: object
     claims: object = None
+    choose: object = chosen
     log: object = silent_log
     count: object = _count_nothing
     timing: object = _count_nothing
