limits, routing: fair queue by cost, adaptive limits, decayed quantiles (first form)

Cause: the first code admitted everything that was feasible on an idle host. Change: a queue fair by cost and weight with classes, room in pools by occupancy, AIMD limits of upstreams, feasibility behind the present queue, Retry-After from it; reports corrected by own calls, affinity, panic threshold.

--- a/pollenstile/bench/policyrun.py
+++ b/pollenstile/bench/policyrun.py
@@ -81,6 +81,8 @@
         Cost of all work by stage, in the manifest's unit.
     wasted : float
         Share of the cost that no answer in time came from.
+    flows : dict
+        Share answered in time, by team and pipeline.
     outcomes : dict
         Final outcomes, by tag.
     slowest_refusal : float
@@ -99,6 +101,7 @@
     cost: dict = field(default_factory=dict)
     wasted: float = 0.0
     outcomes: dict = field(default_factory=dict)
+    flows: dict = field(default_factory=dict)
     refusals: int = 0
     slowest_refusal: float = 0.0
     broken: int = 0
@@ -124,7 +127,11 @@
 
     __slots__ = (
         'asked',
+        'crashes',
         'declared',
+        'good',
+        'good_work',
+        'measured_open',
         'mix',
         'open',
         'policy',
@@ -132,6 +139,8 @@
         'rng',
         'scenario',
         'seconds',
+        'stage_costs',
+        'useful',
         'world',
     )
 
@@ -147,7 +156,13 @@
         self.seconds = seconds
         self.asked = []
         self.refusals = []
+        self.crashes = []
         self.open = 0
+        self.measured_open = 0
+        self.good = 0
+        self.good_work = 0
+        self.useful = 0
+        self.stage_costs = _stage_costs(manifest)
         self.declared = manifest
         # Apart from the world's, so that every policy meets the same callers.
         self.rng = random.Random(seed + 1)
@@ -163,10 +178,15 @@
             upstream.faults.slow = _SLOW
         if self.scenario.flood:
             self._start_flood(rate)
-        clock.run(until=_WARM_UP + self.seconds)
-        clock.run(until=clock.seconds() + 200, unless=lambda: not self.open)
+        clock.run(until=self.end())
+        clock.run(until=clock.seconds() + 90, unless=self._is_over)
+        if self.crashes:
+            self.crashes[0].raiseException()
         return _measured(self)
 
+    def _is_over(self):
+        return not self.measured_open
+
     def _start_flood(self, rate):
         flows = []
         for flow in self.mix.flows:
@@ -182,7 +202,9 @@
         clock = self.world.clock
 
         def arrive():
-            if clock.seconds() >= _WARM_UP + self.seconds:
+            # On until the measured callers have their answers, so that no
+            # queue drains before an idle end.
+            if clock.seconds() >= self.end() and not self.measured_open:
                 return
             flow = rng.choices(flows, shares)[0]
             self._ask_first(flow, flooding=flooding)
@@ -199,8 +221,9 @@
             now + pipeline.deadline_ms / 1000,
             flooding,
         )
-        if now >= _WARM_UP:
+        if _WARM_UP <= now < self.end():
             self.asked.append(asked)
+            self.measured_open += 1
         self.open += 1
         self._ask(asked)
 
@@ -224,6 +247,7 @@
         )
         started = world.clock.seconds()
         running.addCallback(self._told, asked, ident, started)
+        running.addErrback(self.crashes.append)
 
     def _told(self, outcome, asked, ident, started):
         clock = self.world.clock
@@ -236,10 +260,31 @@
                 return
         asked.outcome = outcome
         asked.seconds = clock.seconds()
-        if not self.in_time(asked):
-            self.world.worked.pop(ident, None)
+        in_time = self.in_time(asked)
+        worked = self.world.worked.pop(ident, {})
+        if in_time:
+            self._note_useful(worked)
+        if _WARM_UP <= asked.due - self._deadline(asked) < self.end():
+            self.measured_open -= 1
         self.open -= 1
 
+    def end(self):
+        """Return when the measured part ends."""
+        return _WARM_UP + self.seconds
+
+    def _deadline(self, asked):
+        pipelines = self.world.manifest.pipelines
+        return pipelines[asked.flow.pipeline].deadline_ms / 1000
+
+    def _note_useful(self, worked):
+        useful = 0
+        for step, seconds in worked.items():
+            useful += seconds * self.stage_costs[step]
+        self.useful += useful
+        if _WARM_UP <= self.world.clock.seconds() < self.end():
+            self.good += 1
+            self.good_work += useful
+
     def in_time(self, asked):
         """Return whether a caller had its answer within its deadline."""
         latency = 2 * self.mix.client_latency
@@ -258,7 +303,7 @@
     good = Counter()
     outcomes = Counter()
     for asked in run.asked:
-        keys = [asked.urgency]
+        keys = [asked.urgency, f'{asked.flow.team} {asked.flow.pipeline}']
         if asked.flow.team in run.mix.small:
             keys.append('small teams')
         offered.update(keys)
@@ -266,11 +311,12 @@
         if run.in_time(asked):
             good.update(keys)
     result.outcomes = dict(outcomes)
-    for key in offered:
-        result.attainment[key] = good[key] / offered[key]
-    result.small = result.attainment.pop('small teams', 1.0)
-    in_time = sum(1 for asked in run.asked if run.in_time(asked))
-    result.goodput = in_time / run.seconds
+    for key in sorted(offered):
+        kept = result.flows if ' ' in key else result.attainment
+        kept[key] = good[key] / offered[key]
+    result.small = result.flows.pop('small teams', 1.0)
+    result.goodput = run.good / run.seconds
+    result.work = run.good_work / run.seconds
     _add_cost(run, result)
     result.refusals = len(run.refusals)
     result.slowest_refusal = max(run.refusals, default=0)
@@ -288,19 +334,21 @@
             busy += run.world.network.upstreams[upstream].busy
         result.cost[name] = busy * pool.cost
         total += busy * pool.cost
-    useful = _useful_cost(run)
-    result.work = useful / (_WARM_UP + run.seconds)
-    result.wasted = 1 - useful / total if total else 0.0
+    result.wasted = max(0, 1 - (run.useful + _unfinished(run)) / total)
 
 
-def _useful_cost(run):
-    manifest = run.world.manifest
+def _unfinished(run):
+    """Return the cost of whole stages of requests that run on at the end."""
+    cost = 0
+    for steps in run.world.worked.values():
+        for step, seconds in steps.items():
+            cost += seconds * run.stage_costs[step]
+    return cost
+
+
+def _stage_costs(manifest):
     costs = {}
     for pipeline in manifest.pipelines.values():
         for stage in pipeline.stages:
             costs[stage.name] = manifest.pools[stage.pool].cost
-    useful = 0
-    for steps in run.world.worked.values():
-        for step, seconds in steps.items():
-            useful += seconds * costs[step]
-    return useful
+    return costs
--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -2,7 +2,7 @@
 
 from pollenstile.entry._node import Node
 from pollenstile.fleet import InForce
-from pollenstile.limits import Admission, RetryBudget
+from pollenstile.limits import Admission, Concurrency, RetryBudget
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.metrics import Metrics
 from pollenstile.pipeline import Core, Ledger
@@ -36,6 +36,7 @@
     """
     metrics = Metrics()
     tracker = Tracker(clock)
+    concurrency = Concurrency(clock)
     core = Core(
         clock=clock,
         rng=rng,
@@ -45,7 +46,15 @@
         tracker=tracker,
         retries=RetryBudget(_RETRY_RATIO),
         ledger=Ledger(log, metrics.count),
-        admission=Admission(clock, tracker, settings.max_running),
+        concurrency=concurrency,
+        admission=Admission(
+            clock,
+            tracker,
+            concurrency,
+            settings.max_running,
+            log=log,
+            count=metrics.count,
+        ),
         log=log,
         count=metrics.count,
         timing=metrics.timing,
--- a/pollenstile/limits/__init__.py
+++ b/pollenstile/limits/__init__.py
@@ -1,8 +1,11 @@
 """Who may start now: feasibility, fair sharing, concurrency."""
 
-from pollenstile.limits._admission import (
-    Admission,
+from pollenstile.limits._admission import Admission
+from pollenstile.limits._budget import RetryBudget
+from pollenstile.limits._concurrency import Concurrency, aimd, gradient
+from pollenstile.limits._estimates import (
     expected_time,
-    expected_total,
+    expected_times,
+    needed_time,
 )
-from pollenstile.limits._budget import RetryBudget
+from pollenstile.limits._fairqueue import FairQueue
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -3,9 +3,12 @@
 from functools import partial
 
 from pollenstile.pipeline import events
+from pollenstile.routing import cache_key
 from pollenstile.upstream import Call, Lost
 
 _MS = 1000
+# Low, so that calls that queue do not pass for usual.
+_USUAL = 30
 
 
 class Attempt:
@@ -50,6 +53,7 @@
     """
 
     __slots__ = (
+        'cache_key',
         'content',
         'core',
         'cost',
@@ -73,6 +77,13 @@
         self.number = 0
         self.cost = 0
         self.may_have_run = False
+        self.cache_key = 0
+        if self.pool.kind == 'engine':
+            self.cache_key = cache_key(
+                request.team,
+                stage.model,
+                request.content,
+            )
 
     def choice(self):
         """Return the upstream for the next attempt, None when there is none.
@@ -144,6 +155,21 @@
         took = self.core.clock.seconds() - attempt.started
         self.cost += took * self.pool.cost
 
+    def learn(self, attempt, load):
+        """Take in the time of a call that was answered whole."""
+        took = self.core.clock.seconds() - attempt.started
+        key = (self.request.name, self.stage.name, 'attempt')
+        declared = self.stage.expect_ms / _MS
+        self.core.concurrency.sample(
+            attempt.choice.name,
+            attempt.choice.upstream.slots,
+            self.core.tracker.state(attempt.choice.name).in_flight,
+            took,
+            self.core.tracker.quantile(key, _USUAL, declared),
+            load,
+        )
+        self.core.tracker.measured(key, took)
+
     def give_back(self, attempt):
         """Note that an attempt is known not to have run."""
         self.core.ledger.give_back(
@@ -178,6 +204,8 @@
             self.core.domain,
             self.core.rng,
             excluded,
+            slowness=self.core.concurrency.slowness,
+            key=self.cache_key,
         )
 
     def _call(self, attempt, timeout, assembly):
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -33,6 +33,8 @@
         Shared by retries and hedges.
     ledger : Ledger
         Asserts the invariants.
+    concurrency : Concurrency
+        Adaptive limits of upstreams.
     admission : Admission
         Lets requests start.
     claims : function or None
@@ -56,6 +58,7 @@
     tracker: object
     retries: object
     ledger: object
+    concurrency: object
     admission: object
     claims: object = None
     choose: object = chosen
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -96,6 +96,7 @@
             on_token if is_last else _ignore_token,
         )
         result = await run.start()
+        core.admission.stage_ended(request, stage)
         cost[stage.name] = result.cost
         if isinstance(result, StageFailed):
             return _failure_outcome(request, stage, result, cost, place)
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -204,6 +204,7 @@
         if self._is_short(reply):
             self._on_failure(attempt, Lost('incomplete stream'))
             return
+        self.attempts.learn(attempt, reply.load)
         self.attempts.release(attempt, reply.load)
         self.attempts.drop_all()
         took = self.core.clock.seconds() - self.started
--- a/pollenstile/routing/_tracker.py
+++ b/pollenstile/routing/_tracker.py
@@ -1,12 +1,9 @@
 """What one entry host knows of each upstream."""
 
-from hdrh.histogram import HdrHistogram
+from pollenstile.routing._decayed import DecayedQuantiles
+from pollenstile.routing._ejection import bar_time
 
-_LOWEST_MS = 1
-_HIGHEST_MS = 3600000
-_DIGITS = 2
 _ENOUGH = 20
-_MS = 1000
 
 
 class UpstreamState:
@@ -21,8 +18,8 @@
         Its last load report.
     reported : float
         When that came, in seconds.
-    sent_since : int
-        Own calls sent after that report.
+    own_at_report : int
+        Own calls in flight when it was made, as far as known.
     failures : int
         Failures in a row.
     barred_until : float
@@ -37,15 +34,15 @@
         'in_flight',
         'leaving',
         'load',
+        'own_at_report',
         'reported',
-        'sent_since',
     )
 
     def __init__(self):
         self.in_flight = 0
         self.load = None
         self.reported = 0.0
-        self.sent_since = 0
+        self.own_at_report = 0
         self.failures = 0
         self.barred_until = 0.0
         self.leaving = False
@@ -78,9 +75,7 @@
 
     def started(self, name):
         """Note that a call was sent."""
-        state = self.state(name)
-        state.in_flight += 1
-        state.sent_since += 1
+        self.state(name).in_flight += 1
 
     def ended(self, name, load=None, *, failed=False):
         """Note that a call ended, with the load report that came along."""
@@ -88,9 +83,8 @@
         state.in_flight -= 1
         if failed:
             state.failures += 1
-            state.barred_until = self.clock.seconds() + _bar_time(
-                state.failures,
-            )
+            bar = bar_time(state.failures)
+            state.barred_until = self.clock.seconds() + bar
             return
         state.failures = 0
         state.barred_until = 0.0
@@ -102,26 +96,20 @@
         state = self.state(name)
         state.load = load
         state.reported = self.clock.seconds()
-        state.sent_since = 0
+        state.own_at_report = state.in_flight
         state.leaving = state.leaving or load.leaving
 
     def measured(self, stage_key, seconds):
         """Note how long a stage took, in seconds."""
-        histogram = self.times.get(stage_key)
-        if histogram is None:
-            histogram = HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _DIGITS)
-            self.times[stage_key] = histogram
-        histogram.record_value(max(_LOWEST_MS, int(seconds * _MS)))
+        times = self.times.get(stage_key)
+        if times is None:
+            times = DecayedQuantiles()
+            self.times[stage_key] = times
+        times.add(self.clock.seconds(), seconds)
 
     def quantile(self, stage_key, percent, otherwise):
         """Return a measured quantile in seconds, or a given value at first."""
-        histogram = self.times.get(stage_key)
-        if histogram is None or histogram.get_total_count() < _ENOUGH:
+        times = self.times.get(stage_key)
+        if times is None or times.count < _ENOUGH:
             return otherwise
-        return histogram.get_value_at_percentile(percent) / _MS
-
-
-def _bar_time(failures):
-    if failures < 2:
-        return 0.0
-    return min(5.0, 0.1 * 2**failures)
+        return times.quantile(percent)
