limits, routing: costs by stage and team, own drain rates, slow calls count

Cause: engines' queues were long, stragglers whose calls time out looked fast, requests waited in vain, and wasted work was not counted. Change: usual times are the upstreams' own working times; timed out and overtaken calls count as slow; limits at one call per slot with slower growth; reserves carry debts; most constrained pipeline of a team first; waits also from how a flow has drained; hedges by quantile and only where they can help; cost accounts by stage and team; a stage's budget is never cut to nothing.

--- a/pollenstile/bench/policies.py
+++ b/pollenstile/bench/policies.py
@@ -51,7 +51,7 @@
 def _round_robin(node):
     turns = {}
 
-    def choose(pool, tracker, domain, rng, excluded=(), **hints):
+    def choose(pool, tracker, domain, rng, excluded=(), hints=None):
         names = [name for name in pool.upstreams if name not in excluded]
         if not names:
             return None
--- a/pollenstile/bench/policyrun.py
+++ b/pollenstile/bench/policyrun.py
@@ -11,7 +11,7 @@
 from pollenstile.outcomes import Answered, Refused
 from pollenstile.pipeline import Request, outcome_of
 
-_WARM_UP = 6.0
+_WARM_UP = 10.0
 _MOST_ASKS = 3
 _FLOOD = 1.5
 _SLOW = 10.0
--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -2,7 +2,7 @@
 
 from pollenstile.entry._node import Node
 from pollenstile.fleet import InForce
-from pollenstile.limits import Admission, Concurrency, RetryBudget
+from pollenstile.limits import Admission, Concurrency, CostAccount, RetryBudget
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.metrics import Metrics
 from pollenstile.pipeline import Core, Ledger
@@ -55,6 +55,7 @@
             log=log,
             count=metrics.count,
         ),
+        costs=CostAccount(metrics.count),
         log=log,
         count=metrics.count,
         timing=metrics.timing,
--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -89,6 +89,8 @@
             'in_flight': self.in_flight,
             'broken_invariants': len(self.core.ledger.broken),
             'totals': self.metrics.all_totals(),
+            'cost': self.core.costs.document(),
+            'wasted_share': round(self.core.costs.wasted_share(), 4),
         }
 
     def _ended(self, result):
--- a/pollenstile/limits/__init__.py
+++ b/pollenstile/limits/__init__.py
@@ -3,6 +3,12 @@
 from pollenstile.limits._admission import Admission
 from pollenstile.limits._budget import RetryBudget
 from pollenstile.limits._concurrency import Concurrency, aimd, gradient
+from pollenstile.limits._cost import (
+    CANCELLED,
+    FAILED,
+    USEFUL,
+    CostAccount,
+)
 from pollenstile.limits._estimates import (
     expected_time,
     expected_times,
--- a/pollenstile/limits/_admission.py
+++ b/pollenstile/limits/_admission.py
@@ -5,7 +5,14 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.limits import events
-from pollenstile.limits._backlog import StartedWork, wait_time, work_before
+from pollenstile.limits._cost import silent_count
+from pollenstile.limits._backlog import (
+    FlowRates,
+    StartedWork,
+    flow_wait,
+    wait_time,
+    work_before,
+)
 from pollenstile.limits._estimates import expected_times, needed_time
 from pollenstile.limits._fairqueue import RANKS, FairQueue
 from pollenstile.limits._gate import Gate, stage_shares
@@ -27,6 +34,8 @@
         As accepted.
     needed : float
         Seconds that it needs once it has started.
+    entered : float
+        When it came, on the clock, in seconds.
     cost : float
         What it will cost, in the manifest's unit.
     work : dict
@@ -37,6 +46,7 @@
 
     __slots__ = (
         'cost',
+        'entered',
         'latest',
         'needed',
         'rank',
@@ -47,7 +57,8 @@
         'work',
     )
 
-    def __init__(self, request, times, needed):
+    def __init__(self, request, times, needed, now):
+        self.entered = now
         manifest = request.snapshot.manifest
         stages = request.pipeline.stages
         self.request = request
@@ -100,6 +111,7 @@
     __slots__ = (
         'clock',
         'count',
+        'flow_rates',
         'gate',
         'log',
         'most',
@@ -119,7 +131,7 @@
         *,
         queue=None,
         log=silent_log,
-        count=lambda name, number=1: None,
+        count=silent_count,
     ):
         self.clock = clock
         self.tracker = tracker
@@ -129,6 +141,7 @@
         self.count = count
         self.gate = Gate(clock, partial(_pool_total, concurrency, tracker))
         self.started_work = StartedWork(clock)
+        self.flow_rates = FlowRates(clock)
         self.running = 0
         self.tickets = {}
 
@@ -145,7 +158,7 @@
         """
         times = expected_times(request, self.tracker)
         needed = needed_time(request, self.tracker, times)
-        waiting = _Waiting(request, times, needed)
+        waiting = _Waiting(request, times, needed, self.clock.seconds())
         if self._can_start(waiting):
             self._start(waiting)
             return None
@@ -192,19 +205,12 @@
 
     def _wait(self, waiting):
         """Return the estimated wait behind the present queue, in seconds."""
-        longest = 0.0
+        longest = self._own_flow_wait(waiting)
         pools = waiting.request.snapshot.manifest.pools
         reserve = self.queue.reserves.get(waiting.rank, 0)
         for pool, own in waiting.work.items():
             limit = self.gate.limit(pool, pools[pool])
-            before = work_before(
-                self.queue,
-                waiting.key,
-                waiting.weight,
-                waiting.rank,
-                pool,
-                own,
-            )
+            before = work_before(self.queue, waiting, pool)
             if self.gate.taken.get(pool, 0) + 1 > limit:
                 # Until the first of the calls that run now has ended.
                 before += own
@@ -212,6 +218,16 @@
             longest = max(longest, wait_time(before, limit, urgent, reserve))
         return longest
 
+    def _own_flow_wait(self, waiting):
+        flow = self.queue.flows.get(waiting.key)
+        if flow is None:
+            return 0.0
+        return flow_wait(
+            len(flow.items),
+            self.flow_rates.rate(waiting.key),
+            self.clock.seconds() - flow.items[0].entered,
+        )
+
     def _make_room(self, waiting):
         """Return whether the queue takes one more; put one out for it.
 
@@ -272,6 +288,7 @@
                 return
             waiting = self.queue.pop(key)
             waiting.timer.cancel()
+            self.flow_rates.add(key)
             self._start(waiting)
             waiting.started.callback(None)
 
--- a/pollenstile/limits/_backlog.py
+++ b/pollenstile/limits/_backlog.py
@@ -4,6 +4,72 @@
 
 # Seconds over which the rate of started work is averaged.
 _WINDOW = 5.0
+_FLOW_WINDOW = 10.0
+# A flow that waits for less says nothing of its rate.
+_LEAST_AGE = 2.0
+
+
+class FlowRates:
+    """Starts a second of each flow, from the last seconds.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        For fading.
+    """
+
+    __slots__ = ('clock', 'sums')
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.sums = {}
+
+    def add(self, key):
+        """Note a start."""
+        now = self.clock.seconds()
+        self.sums[key] = (self._faded(key, now) + 1, now)
+
+    def rate(self, key):
+        """Return starts a second."""
+        return self._faded(key, self.clock.seconds()) / _FLOW_WINDOW
+
+    def _faded(self, key, now):
+        total, when = self.sums.get(key, (0.0, now))
+        return total * math.exp((when - now) / _FLOW_WINDOW)
+
+
+def flow_wait(waiting, rate, head_age):
+    """Return a wait from how a flow has really drained.
+
+    Explanation
+    ===========
+
+    Shares and rates of other classes are estimates. A flow that has waited
+    for a while tells itself: as many as wait now, at the rate of its starts.
+
+    Parameters
+    ==========
+
+    waiting : int
+        Requests of the flow that wait.
+    rate : float
+        Starts of the flow, a second.
+    head_age : float
+        Seconds that its first has waited.
+
+    Examples
+    ========
+
+    >>> from pollenstile.limits._backlog import flow_wait
+    >>> flow_wait(10, 2.0, 5.0), flow_wait(10, 2.0, 0.5), flow_wait(9, 0, 5)
+    (5.5, 0.0, 50)
+    """
+    if head_age < _LEAST_AGE:
+        return 0.0
+    if rate <= 1 / _FLOW_WINDOW:
+        return head_age * (waiting + 1)
+    return (waiting + 1) / rate
 
 
 class StartedWork:
@@ -55,7 +121,7 @@
         return total * math.exp((when - self.clock.seconds()) / _WINDOW)
 
 
-def work_before(queue, key, weight, rank, pool, own):
+def work_before(queue, waiting, pool):
     """Return queued work that goes before a new request, in slot seconds.
 
     Explanation
@@ -70,34 +136,54 @@
 
     queue : FairQueue
         With items that have ``work``, slot seconds by pool.
-    key : tuple
-        Own team and pipeline.
-    weight : float
-        Own team's.
-    rank : int
-        Own class.
+    waiting : object
+        The new request, with what an item of the queue has.
     pool : str
         The pool that the work is at.
-    own : float
-        Work of the new request there.
     """
-    ahead = queue.is_ahead(key[0], rank)
-    mine = own
+    ahead = queue.is_ahead(waiting.key[0], waiting.rank)
+    mine = waiting.work[pool]
+    before = -mine
+    for key, flow in queue.flows.items():
+        if flow.team == waiting.key[0]:
+            mine += _own_before(key, flow, waiting) * flow.work.get(pool, 0)
+        elif ahead or flow.rank < waiting.rank:
+            before += flow.work.get(pool, 0)
+    if not ahead:
+        before += _beside(queue, waiting, pool, mine)
+    return before + mine
+
+
+def _own_before(key, flow, waiting):
+    """Return the part of a flow of the same team that goes before."""
+    if key == waiting.key:
+        return 1.0
+    if flow.rank > waiting.rank:
+        return 0.0
+    return _earlier(flow, waiting.latest)
+
+
+def _beside(queue, waiting, pool, mine):
+    """Return work of other teams of the class that goes beside the own."""
     others = {}
-    before = 0.0
     for flow in queue.flows.values():
-        queued = flow.work.get(pool, 0.0)
-        if flow.team == key[0] and flow.rank <= rank:
-            mine += queued
-        elif ahead or flow.rank < rank:
-            before += queued
-        elif flow.rank == rank:
-            share = flow.weight / weight
-            found = others.get(flow.team, (0.0, share))
-            others[flow.team] = (found[0] + queued, share)
-    for queued, share in others.values():
-        before += min(queued, mine * share)
-    return before + mine - own
+        if flow.team == waiting.key[0] or flow.rank != waiting.rank:
+            continue
+        share = mine * flow.weight / waiting.weight
+        queued, _ = others.get(flow.team, (0.0, share))
+        others[flow.team] = (queued + flow.work.get(pool, 0), share)
+    return sum(min(queued, share) for queued, share in others.values())
+
+
+def _earlier(flow, latest):
+    """Return about which part of a flow must start before a time."""
+    first = flow.items[0].latest
+    last = flow.items[-1].latest
+    if first >= latest:
+        return 0.0
+    if last <= latest:
+        return 1.0
+    return (latest - first) / (last - first)
 
 
 def wait_time(before, limit, urgent_rate, reserve):
--- a/pollenstile/limits/_concurrency.py
+++ b/pollenstile/limits/_concurrency.py
@@ -5,9 +5,9 @@
 # Ratio of a call's time to the usual one, above which the upstream is full.
 _TOLERANCE = 1.4
 # Calls at an upstream, running and queued, above which it is full; in slots.
-_FULL = 1.15
+_FULL = 1.0
 _CUT = 0.85
-_GROWTH = 0.3
+_GROWTH = 0.05
 _START = 0.25
 _LEAST = 0.25
 # A limit grows only while calls use this share of it.
@@ -72,7 +72,7 @@
 
     >>> from pollenstile.limits._concurrency import aimd
     >>> aimd(2.0, 1.5, 2, 8), aimd(2.0, 0.5, 2, 8), aimd(2.0, 0.5, 0, 8)
-    (1.7, 2.3, 2.0)
+    (1.7, 2.05, 2.0)
     """
     if found > 1:
         return max(_LEAST, value * _CUT)
@@ -141,6 +141,10 @@
         age = self.clock.seconds() - found.sampled
         return 1 + max(0.0, found.ratio - 1) * 0.5 ** (age / _FADING)
 
+    def is_over(self, name, slots, in_flight):
+        """Return whether one more call would pass an upstream's limit."""
+        return in_flight + 1 > max(1.0, self.limit(name, slots).value)
+
     def sample(self, name, slots, in_flight, took, usual, load=None):
         """Take in one call's time.
 
--- a/pollenstile/limits/_estimates.py
+++ b/pollenstile/limits/_estimates.py
@@ -2,7 +2,7 @@
 
 _MS = 1000
 _USUAL = 50
-_LATE = 95
+_LATE = 60
 
 
 def expected_time(pipeline, stage, tracker):
--- a/pollenstile/limits/_fairqueue.py
+++ b/pollenstile/limits/_fairqueue.py
@@ -96,7 +96,7 @@
         self.credits = {}
 
     def put(self, key, weight, rank, item):
-        """Append an item, which has ``cost`` and ``work``, to a flow.
+        """Append an item, to a flow; it has ``cost``, ``work`` and ``latest``.
 
         Parameters
         ==========
@@ -164,12 +164,14 @@
         return item
 
     def _order(self, flow):
-        tag = self.tag(flow.team, flow.rank)
+        # Between pipelines of one team, what must start first goes first.
+        head = flow.items[0]
+        place = (self.tag(flow.team, flow.rank), head.latest)
         if self.is_ahead(flow.team, flow.rank):
-            return (_EXCESS, tag)
-        if self.credits.get(flow.rank, 0) >= flow.items[0].cost:
-            return (-1, tag)
-        return (flow.rank, tag)
+            return (_EXCESS, *place)
+        if self.credits.get(flow.rank, 0) >= head.cost:
+            return (-1, *place)
+        return (flow.rank, *place)
 
     def _charge(self, flow, cost):
         waiting = {flow.team: flow.weight}
@@ -193,8 +195,9 @@
                 continue
             credit = self.credits.get(rank, 0) + part * cost
             if rank == started:
-                credit = max(0, credit - cost)
-            self.credits[rank] = min(credit, _MOST_CREDIT * heads[rank])
+                credit -= cost
+            most = _MOST_CREDIT * heads[rank]
+            self.credits[rank] = max(-most, min(credit, most))
 
     def _shrink(self, key):
         self.size -= 1
--- a/pollenstile/limits/_gate.py
+++ b/pollenstile/limits/_gate.py
@@ -2,6 +2,8 @@
 
 # Sums over a pool are kept for so many seconds.
 _KEPT = 0.05
+# Sums of fractions drift; what is no call at all is nothing.
+_NOTHING = 1e-6
 
 
 class Ticket:
@@ -112,8 +114,7 @@
             return
         name, share = held
         left = self.taken[name] - share
-        # Sums of fractions drift; what is no call at all is nothing.
-        self.taken[name] = left if left > 1e-6 else 0
+        self.taken[name] = left if left > _NOTHING else 0
 
     def give_back(self, ticket):
         """Give all room back that is still held."""
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -2,13 +2,13 @@
 
 from functools import partial
 
+from pollenstile.limits import CANCELLED
 from pollenstile.pipeline import events
-from pollenstile.routing import cache_key
+from pollenstile.pipeline._learning import learn_slow
+from pollenstile.routing import Hints, cache_key
 from pollenstile.upstream import Call, Lost
 
 _MS = 1000
-# Low, so that calls that queue do not pass for usual.
-_USUAL = 30
 
 
 class Attempt:
@@ -25,7 +25,15 @@
         On the clock, in seconds.
     """
 
-    __slots__ = ('cancel', 'choice', 'number', 'progress', 'started', 'timer')
+    __slots__ = (
+        'cancel',
+        'choice',
+        'cost',
+        'number',
+        'progress',
+        'started',
+        'timer',
+    )
 
     def __init__(self, number, choice, started):
         self.number = number
@@ -34,6 +42,7 @@
         self.timer = None
         self.cancel = None
         self.progress = False
+        self.cost = 0.0
 
 
 class Attempts:
@@ -146,32 +155,43 @@
         """Return the attempt's id, unique over all requests."""
         return f'{self.request.ident}/{self.stage.name}/{attempt.number}'
 
-    def release(self, attempt, load=None, *, failed=False):
-        """Note that an attempt has ended."""
+    def release(self, attempt, load=None, *, failed=False, worked=0):
+        """Note that an attempt has ended.
+
+        Parameters
+        ==========
+
+        load : Load or None
+            The report that came with its end.
+        failed : bool
+            Whether that is a sign against the upstream.
+        worked : float
+            Seconds that the upstream says it worked; 0 when it does not.
+        """
         self.live.pop(attempt.number, None)
         if attempt.timer.active():
             attempt.timer.cancel()
         self.core.tracker.ended(attempt.choice.name, load, failed=failed)
-        took = self.core.clock.seconds() - attempt.started
-        self.cost += took * self.pool.cost
-
-    def learn(self, attempt, load):
-        """Take in the time of a call that was answered whole."""
-        took = self.core.clock.seconds() - attempt.started
-        key = (self.request.name, self.stage.name, 'attempt')
-        declared = self.stage.expect_ms / _MS
-        self.core.concurrency.sample(
-            attempt.choice.name,
-            attempt.choice.upstream.slots,
-            self.core.tracker.state(attempt.choice.name).in_flight,
-            took,
-            self.core.tracker.quantile(key, _USUAL, declared),
-            load,
+        cost = (worked or self.took(attempt)) * self.pool.cost
+        attempt.cost = cost
+        self.cost += cost
+
+    def took(self, attempt):
+        """Return seconds since an attempt was sent."""
+        return self.core.clock.seconds() - attempt.started
+
+    def charge(self, attempt, kind):
+        """Enter an attempt's cost in the accounts of stage and team."""
+        self.core.costs.add(
+            self.stage.name,
+            self.request.team,
+            kind,
+            attempt.cost,
         )
-        self.core.tracker.measured(key, took)
 
     def give_back(self, attempt):
         """Note that an attempt is known not to have run."""
+        self.cost -= attempt.cost
         self.core.ledger.give_back(
             self.request,
             self.stage.name,
@@ -180,7 +200,9 @@
 
     def drop(self, attempt):
         """Cancel an attempt that nobody waits for any more."""
+        learn_slow(self, attempt)
         self.release(attempt)
+        self.charge(attempt, CANCELLED)
         self.core.count('attempt.cancelled')
         self.cut(attempt)
 
@@ -204,8 +226,15 @@
             self.core.domain,
             self.core.rng,
             excluded,
-            slowness=self.core.concurrency.slowness,
-            key=self.cache_key,
+            self._hints(),
+        )
+
+    def _hints(self):
+        return Hints(
+            self.core.concurrency.slowness,
+            self.core.concurrency.is_over,
+            self.cache_key,
+            self.stage.model,
         )
 
     def _call(self, attempt, timeout, assembly):
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -1,7 +1,8 @@
 """What running a request depends on."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from pollenstile.limits import CostAccount
 from pollenstile.ops.logs import silent_log
 from pollenstile.routing import chosen
 
@@ -37,6 +38,8 @@
         Adaptive limits of upstreams.
     admission : Admission
         Lets requests start.
+    costs : CostAccount
+        Cost by stage and team, wasted work included.
     claims : function or None
         ``await claims(request)`` returns None when the caller's key is now
         claimed by this request, or the outcome to answer with instead.
@@ -60,6 +63,7 @@
     ledger: object
     concurrency: object
     admission: object
+    costs: object = field(default_factory=CostAccount)
     claims: object = None
     choose: object = chosen
     log: object = silent_log
--- a/pollenstile/pipeline/_decisions.py
+++ b/pollenstile/pipeline/_decisions.py
@@ -12,9 +12,16 @@
 _PATIENCE = 3.0
 
 
-def stage_budget(remaining, later):
+def stage_budget(remaining, later, own=0.0):
     """Return what a stage may take, leaving their usual time to later ones.
 
+    Explanation
+    ===========
+
+    When not even usual times fit, what is left is shared in proportion to
+    them: a stage cut to nothing would fail a request that a fast later stage
+    might still have saved.
+
     Parameters
     ==========
 
@@ -22,6 +29,8 @@
         Until the request's deadline.
     later : list of float
         Usual times of the stages after it.
+    own : float
+        The stage's own usual time.
 
     Examples
     ========
@@ -31,8 +40,13 @@
     2.5
     >>> stage_budget(1.0, [1.0, 0.5])
     0.0
+    >>> stage_budget(1.0, [1.0, 0.5], own=0.5)
+    0.25
     """
-    return max(0.0, remaining - sum(later))
+    after = sum(later)
+    if own <= 0:
+        return max(0.0, remaining - after)
+    return max(0.0, remaining - after, remaining * own / (own + after))
 
 
 def attempt_timeout(budget, expected, attempts_left):
@@ -103,3 +117,36 @@
     if may_have_run:
         return stage.idempotent and failures < stage.attempts
     return failures <= stage.attempts
+
+
+def hedge_helps(remaining, expected, choice):
+    """Return whether a second attempt could still win.
+
+    Explanation
+    ===========
+
+    One that can't end in time, or that would queue, only adds load, and adds
+    it when there is too much already.
+
+    Parameters
+    ==========
+
+    remaining : float
+        Until the stage must end, in seconds.
+    expected : float
+        The stage's usual time, in seconds.
+    choice : Choice
+        Where the second attempt would go.
+
+    Examples
+    ========
+
+    >>> from pollenstile.pipeline._decisions import hedge_helps
+    >>> from pollenstile.routing import Choice
+    >>> idle = Choice('a', None, 0.2, 2)
+    >>> hedge_helps(1.0, 0.5, idle), hedge_helps(0.3, 0.5, idle)
+    (True, False)
+    >>> hedge_helps(1.0, 0.5, Choice('a', None, 1.1, 2))
+    False
+    """
+    return remaining > expected and choice.busyness < 1
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -92,13 +92,15 @@
             request,
             stage,
             _stage_input(request, stages, place, outputs),
-            _stage_end(core, request, stages[place + 1 :]),
+            _stage_end(core, request, stages[place:]),
             on_token if is_last else _ignore_token,
         )
         result = await run.start()
         core.admission.stage_ended(request, stage)
         cost[stage.name] = result.cost
         if isinstance(result, StageFailed):
+            for done in stages[:place]:
+                core.costs.abandon(done.name, request.team, cost[done.name])
             return _failure_outcome(request, stage, result, cost, place)
         output = result.output
         outputs[stage.name] = output
@@ -115,12 +117,12 @@
     }
 
 
-def _stage_end(core, request, later):
+def _stage_end(core, request, left):
     now = core.clock.seconds()
-    times = [
-        expected_time(request.name, stage, core.tracker) for stage in later
+    own, *later = [
+        expected_time(request.name, stage, core.tracker) for stage in left
     ]
-    return now + stage_budget(request.deadline - now, times)
+    return now + stage_budget(request.deadline - now, later, own)
 
 
 def _failure_outcome(request, stage, result, cost, place):
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -4,16 +4,25 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.limits import expected_time
+from pollenstile.limits import FAILED, USEFUL, expected_time
 from pollenstile.pipeline import events
 from pollenstile.pipeline._assembly import Assembly
 from pollenstile.pipeline._attempts import Attempts
-from pollenstile.pipeline._decisions import attempt_timeout, may_retry
+from pollenstile.pipeline._decisions import (
+    attempt_timeout,
+    hedge_helps,
+    may_retry,
+)
+from pollenstile.pipeline._learning import (
+    learn_first,
+    learn_reply,
+    learn_slow,
+)
 from pollenstile.upstream import Chunk, Lost, NotRun, Rejected, Reply
 
 _MS = 1000
 _HEDGE_PERCENT = 95
-_HEDGE_FACTOR = 2
+_HEDGE_FACTOR = 1.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,19 +139,34 @@
         self.attempts.send(choice, why, timeout, self.assembly, self._on_event)
 
     def _arm_hedge(self):
+        # A stream shows life with its first token, other calls with their end.
+        sign = 'first' if self.attempts.pool.kind == 'engine' else 'attempt'
         delay = self.core.tracker.quantile(
-            (self.request.name, self.stage.name),
+            (self.request.name, self.stage.name, sign),
             _HEDGE_PERCENT,
-            _HEDGE_FACTOR * self.expected,
+            self.expected,
+        )
+        self.hedge_timer = self.core.clock.callLater(
+            _HEDGE_FACTOR * delay,
+            self._hedge,
         )
-        self.hedge_timer = self.core.clock.callLater(delay, self._hedge)
 
     def _hedge(self):
         live = list(self.attempts.live.values())
         if len(live) != 1 or live[0].progress:
             return
-        if self.attempts.choice() is None or not self.core.retries.spent():
+        choice = self.attempts.choice()
+        left = self.ends - self.core.clock.seconds()
+        if choice is None or not hedge_helps(left, self.expected, choice):
+            return
+        if not self.core.retries.spent():
             return
+        self.core.log(
+            events.HEDGED,
+            request=self.request.ident,
+            step=self.stage.name,
+            peer=live[0].choice.name,
+        )
         self.core.count('stage.hedged')
         self._dispatch('hedge')
 
@@ -179,7 +203,9 @@
         if self._is_foreign(attempt, chunk):
             self._on_failure(attempt, Lost('foreign chunk'))
             return
-        attempt.progress = True
+        if not attempt.progress:
+            attempt.progress = True
+            learn_first(self.attempts, attempt)
         if self.winner is None:
             self.winner = attempt
             self.attempts.drop_all(kept=attempt)
@@ -204,8 +230,10 @@
         if self._is_short(reply):
             self._on_failure(attempt, Lost('incomplete stream'))
             return
-        self.attempts.learn(attempt, reply.load)
-        self.attempts.release(attempt, reply.load)
+        learn_reply(self.attempts, attempt, reply)
+        worked = reply.busy_ms / _MS
+        self.attempts.release(attempt, reply.load, worked=worked)
+        self.attempts.charge(attempt, USEFUL)
         self.attempts.drop_all()
         took = self.core.clock.seconds() - self.started
         self.core.tracker.measured((self.request.name, self.stage.name), took)
@@ -227,8 +255,12 @@
         self.last_failure = failure
         self.last_peer = attempt.choice.name
         load = getattr(failure, 'load', None)
-        self.attempts.release(attempt, load, failed=True)
         if isinstance(failure, Lost):
+            learn_slow(self.attempts, attempt)
+        blamed = not isinstance(failure, Rejected)
+        self.attempts.release(attempt, load, failed=blamed)
+        if isinstance(failure, Lost):
+            self.attempts.charge(attempt, FAILED)
             self.attempts.cut(attempt)
         else:
             self.attempts.give_back(attempt)
--- a/pollenstile/routing/__init__.py
+++ b/pollenstile/routing/__init__.py
@@ -3,6 +3,7 @@
 from pollenstile.routing._affinity import affinity, cache_key
 from pollenstile.routing._choose import (
     Choice,
+    Hints,
     busyness,
     candidates_of,
     chosen,
--- a/pollenstile/routing/_choose.py
+++ b/pollenstile/routing/_choose.py
@@ -63,7 +63,33 @@
     return (faded + state.in_flight) / upstream.slots
 
 
-def candidates_of(pool, tracker, excluded=()):
+@dataclass(slots=True, frozen=True)
+class Hints:
+    """What one call and this host's limits say of upstreams.
+
+    Parameters
+    ==========
+
+    slowness : function or None
+        Returns how many times slower than usual an upstream is.
+    is_over : function or None
+        Returns whether one more call would pass an upstream's own limit.
+    key : int
+        Of the prompt's prefix; 0 when there is none.
+    model : str
+        That the call needs; empty for none.
+    """
+
+    slowness: object = None
+    is_over: object = None
+    key: int = 0
+    model: str = ''
+
+
+_NO_HINTS = Hints()
+
+
+def candidates_of(pool, tracker, excluded=(), model=''):
     """Return upstreams that may take a call, with their states.
 
     Explanation
@@ -74,25 +100,21 @@
     """
     now = tracker.clock.seconds()
     members = []
-    barred = 0
+    barred = set()
     for name, upstream in pool.upstreams.items():
         state = tracker.state(name)
-        if state.leaving:
+        if state.leaving or not _holds(state, model):
             continue
         members.append((name, upstream, state))
-        barred += state.barred_until > now
-    panic = is_panic(len(members), barred)
-    found = []
-    for name, upstream, state in members:
-        if name in excluded:
-            continue
-        if state.barred_until > now and not panic:
-            continue
-        found.append((name, upstream, state))
-    return found
+        if state.barred_until > now:
+            barred.add(name)
+    out = set(excluded)
+    if not is_panic(len(members), len(barred)):
+        out |= barred
+    return [member for member in members if member[0] not in out]
 
 
-def chosen(pool, tracker, domain, rng, excluded=(), *, slowness=None, key=0):
+def chosen(pool, tracker, domain, rng, excluded=(), hints=_NO_HINTS):
     """Return the upstream that a call should go to.
 
     Parameters
@@ -108,10 +130,8 @@
         Breaks ties.
     excluded : collection of str
         Upstreams that this request has tried already.
-    slowness : function or None
-        Returns how many times slower than usual an upstream is.
-    key : int
-        Of the prompt's prefix; 0 when there is none.
+    hints : Hints
+        What is known besides.
 
     Returns
     =======
@@ -120,30 +140,39 @@
         None when no upstream may take the call.
     """
     now = tracker.clock.seconds()
-    found = candidates_of(pool, tracker, excluded)
-    preferred = _preferred(found, domain, key)
+    found = candidates_of(pool, tracker, excluded, hints.model)
+    preferred = _preferred(found, domain, hints.key)
     best = None
-    best_score = None
-    for name, upstream, state in found:
-        busy = busyness(upstream, state, now)
-        slow = slowness(name) if slowness is not None else 1.0
-        score = _score(busy, slow, upstream, domain)
-        if name == preferred and busy < _AFFINITY_BOUND:
+    best_order = None
+    for candidate in found:
+        busy = busyness(candidate[1], candidate[2], now)
+        score = _score(busy, candidate, domain, hints)
+        if candidate[0] == preferred and busy < _AFFINITY_BOUND:
             score -= _AFFINITY_WORTH
         order = (score, rng.random())
-        if best_score is None or order < best_score:
-            best = (name, upstream, busy)
-            best_score = order
+        if best_order is None or order < best_order:
+            best = (candidate[0], candidate[1], busy)
+            best_order = order
     if best is None:
         return None
     return Choice(*best, len(found), best[0] == preferred)
 
 
-def _score(busy, slow, upstream, domain):
+def _holds(state, model):
+    # Until an engine says which models it holds, it has all of its pool's.
+    return not model or state.models is None or model in state.models
+
+
+def _score(busy, candidate, domain, hints):
     """Return the estimated time of a call, in usual times."""
-    waiting = max(0.0, busy + 1 / upstream.slots - 1)
-    away = 0 if upstream.domain == domain else _CROSSING
-    return (1 + waiting) * slow + busy + away
+    name, upstream, state = candidate
+    score = busy
+    if upstream.domain != domain:
+        score += _CROSSING
+    if hints.is_over is not None:
+        score += hints.is_over(name, upstream.slots, state.in_flight)
+    slow = hints.slowness(name) if hints.slowness is not None else 1.0
+    return score + slow * max(1.0, busy + 1 / upstream.slots)
 
 
 def _preferred(found, domain, key):
--- a/pollenstile/routing/_decayed.py
+++ b/pollenstile/routing/_decayed.py
@@ -46,7 +46,7 @@
     def __init__(self, half_life=60.0):
         self.half_life = half_life
         self.start = 0.0
-        self.weights = [0.0] * _BUCKETS
+        self.weights = [0.0 for _ in range(_BUCKETS)]
         self.total = 0.0
         self.count = 0
         self.kept = {}
--- a/pollenstile/routing/_tracker.py
+++ b/pollenstile/routing/_tracker.py
@@ -24,6 +24,8 @@
         Failures in a row.
     barred_until : float
         No call is sent before, in seconds.
+    models : collection of str or None
+        Models that it holds; None for all of its pool's.
     leaving : bool
         Whether it gets no new work.
     """
@@ -34,6 +36,7 @@
         'in_flight',
         'leaving',
         'load',
+        'models',
         'own_at_report',
         'reported',
     )
@@ -46,6 +49,7 @@
         self.failures = 0
         self.barred_until = 0.0
         self.leaving = False
+        self.models = None
 
 
 class Tracker:
@@ -83,8 +87,9 @@
         state.in_flight -= 1
         if failed:
             state.failures += 1
-            bar = bar_time(state.failures)
-            state.barred_until = self.clock.seconds() + bar
+            state.barred_until = self.clock.seconds() + bar_time(
+                state.failures,
+            )
             return
         state.failures = 0
         state.barred_until = 0.0
