--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -10,7 +10,9 @@
     _callcmd,
     _democmd,
     _entrycmd,
+    _soakcmd,
     _standincmd,
+    _statuscmd,
     _validatecmd,
 )
 from pollenstile.ops.exits import BAD_INPUT
@@ -27,9 +29,11 @@
     _standincmd,
     _validatecmd,
     _applycmd,
+    _statuscmd,
     _callcmd,
     _democmd,
     _benchcmd,
+    _soakcmd,
 )
 
 
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -41,8 +41,8 @@
     costs : CostAccount
         Cost by stage and team, wasted work included.
     claims : function or None
-        ``await claims(request)`` returns None when the caller's key is now
-        claimed by this request, or the outcome to answer with instead.
+        ``await claims(request, run)`` returns the outcome of a keyed request,
+        that of ``await run()`` or that of the one which holds the key.
     choose : function
         Picks an upstream; see :func:`pollenstile.routing.chosen`.
     log : function
--- a/pollenstile/routing/_tracker.py
+++ b/pollenstile/routing/_tracker.py
@@ -60,12 +60,20 @@
 
     clock : IReactorTime
         For the age of reports.
+
+    Attributes
+    ==========
+
+    observer : function or None
+        Takes a name and its load report; returns whether the upstream is
+        leaving, which it knows by incarnation.
     """
 
-    __slots__ = ('clock', 'states', 'times')
+    __slots__ = ('clock', 'observer', 'states', 'times')
 
     def __init__(self, clock):
         self.clock = clock
+        self.observer = None
         self.states = {}
         self.times = {}
 
@@ -102,6 +110,9 @@
         state.load = load
         state.reported = self.clock.seconds()
         state.own_at_report = state.in_flight
+        if self.observer is not None:
+            state.leaving = self.observer(name, load)
+            return
         state.leaving = state.leaving or load.leaving
 
     def measured(self, stage_key, seconds):
