pipeline: a stream's rest of time too small for the clock ends it; hedges as before measurement

The hedge delay before there are measurements had become shorter. Change: less than half a millisecond left counts as none; factor 2 again.

--- a/pollenstile/pipeline/_decisions.py
+++ b/pollenstile/pipeline/_decisions.py
@@ -147,22 +147,18 @@
     return failures <= stage.attempts
 
 
-def hedge_helps(remaining, expected, choice):
-    """Return whether a second attempt could still win.
+def hedge_helps(choice):
+    """Return whether a second attempt would not queue.
 
     Explanation
     ===========
 
-    One that can't end in time, or that would queue, only adds load, and adds
-    it when there is too much already.
+    One that would queue only adds load, and adds it when there is too much
+    already. Whether it could end in time, :func:`worth_sending` tells.
 
     Parameters
     ==========
 
-    remaining : float
-        Until the stage must end, in seconds.
-    expected : float
-        The stage's usual time, in seconds.
     choice : Choice
         Where the second attempt would go.
 
@@ -171,10 +167,9 @@
 
     >>> from pollenstile.pipeline._decisions import hedge_helps
     >>> from pollenstile.routing import Choice
-    >>> idle = Choice('a', None, 0.2, 2)
-    >>> hedge_helps(1.0, 0.5, idle), hedge_helps(0.3, 0.5, idle)
-    (True, False)
-    >>> hedge_helps(1.0, 0.5, Choice('a', None, 1.1, 2))
+    >>> hedge_helps(Choice('a', None, 0.2, 2))
+    True
+    >>> hedge_helps(Choice('a', None, 1.1, 2))
     False
     """
-    return remaining > expected and choice.busyness < 1
+    return choice.busyness < 1
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -23,7 +23,10 @@
 
 _MS = 1000
 _HEDGE_PERCENT = 95
-_HEDGE_FACTOR = 1.5
+# A rest of time too small to be added to the clock's reading would be waited
+# for again and again at one and the same instant.
+_LEAST_WAIT = 0.0005
+_HEDGE_FACTOR = 2
 
 
 @dataclass(slots=True, frozen=True)
@@ -161,8 +164,7 @@
         if len(live) != 1 or live[0].progress or not _has_time(self):
             return
         choice = self.attempts.choice()
-        left = self.ends - self.core.clock.seconds()
-        if choice is None or not hedge_helps(left, self.expected, choice):
+        if choice is None or not hedge_helps(choice):
             return
         if not self.core.retries.spent():
             return
@@ -240,7 +242,7 @@
         silence = self.request.snapshot.manifest.policy.silence_ms / _MS
         quiet = self.core.clock.seconds() - attempt.heard
         left = min(silence - quiet, _budget(self))
-        if left <= 0:
+        if left < _LEAST_WAIT:
             self._on_event(attempt, Lost('timeout'))
             return
         if attempt.timer.active():
