--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -3,7 +3,12 @@
 from pollenstile.claims import Claims, join_peers
 from pollenstile.entry._node import Node
 from pollenstile.fleet import Fleet, InForce
-from pollenstile.limits import Admission, RetryBudget
+from pollenstile.limits import (
+    Admission,
+    Concurrency,
+    CostAccount,
+    RetryBudget,
+)
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.metrics import Metrics
 from pollenstile.peer import (
@@ -49,6 +54,7 @@
     """
     metrics = Metrics()
     tracker = Tracker(clock)
+    concurrency = Concurrency(clock)
     core = Core(
         clock=clock,
         rng=rng,
@@ -58,7 +64,16 @@
         tracker=tracker,
         retries=RetryBudget(_RETRY_RATIO),
         ledger=Ledger(log, metrics.count),
-        admission=Admission(clock, tracker, settings.max_running),
+        concurrency=concurrency,
+        admission=Admission(
+            clock,
+            tracker,
+            concurrency,
+            settings.max_running,
+            log=log,
+            count=metrics.count,
+        ),
+        costs=CostAccount(metrics.count),
         log=log,
         count=metrics.count,
         timing=metrics.timing,
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, gatherResults, succeed
 from twisted.internet.task import LoopingCall, deferLater
 
 from pollenstile.entry import events
@@ -17,6 +17,8 @@
 # Releases of keys are tried for this long, and callers may take this long to
 # read what is left of their answers.
 _FLUSH_SECONDS = 2.0
+# A lease that can't be given back runs out by itself.
+_HAND_OVER_SECONDS = 10.0
 _DRAIN_SECONDS = 30.0
 
 
@@ -127,16 +129,19 @@
         await deferLater(self.reactor, wait)
         await self.caller_port.stopListening()
         await self.node.idle()
-        await self._flushed()
-        await self._drained()
-        await handed_over
+        await gatherResults([self._flushed(), self._drained(), handed_over])
         await self._closed()
         self.node.core.log(events.STOPPED)
 
     def _handed_over(self):
         if self.node.placement is None:
             return succeed(None)
-        return Deferred.fromCoroutine(self.node.placement.leave())
+        leaving = Deferred.fromCoroutine(self.node.placement.leave())
+        return leaving.addTimeout(
+            _HAND_OVER_SECONDS,
+            self.reactor,
+            onTimeoutCancel=lambda *_: None,
+        )
 
     async def _closed(self):
         if self.node.placement is not None:
