--- a/features/requests.feature
+++ b/features/requests.feature
@@ -13,6 +13,19 @@
     And the request's call 2 asks for token 3 and on
     But without the guard "resuming" this requests story ends otherwise
 
+  Scenario: A request's stream falls silent after a wait that rounds to nothing
+    Found by soak seed 2. The timer that looks for silence came a hair before
+    the silence was full, and set itself for a time too short to move the
+    clock: the host turned in place.
+    Given a requests host
+    When 1000 request seconds pass
+    And a "draft" request is sent
+    And 0.0537 request seconds pass
+    And the called upstream is frozen
+    And 1.5 request seconds pass
+    Then the request ends as "answered"
+    And the request's stream is whole
+
   Scenario: A request's upstream is frozen and the call is idempotent
     The encoder takes the call and never answers. The first attempt is cut
     while a second one still fits inside the deadline.
@@ -246,7 +259,7 @@
     Found by soak seed 2 in a first form of the guard above: with no time for
     a hedge the stage gave up, said "not run", and the first call still ran.
     Given a requests host
-    When a "race" request with 0.07 seconds is sent
+    When a "race" request is sent with 10 ms left when its hedge is due
     And the called upstream is 50 times slower for requests
     And 1 request seconds pass
     Then the request ends as "failed"
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -4,19 +4,28 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.limits import expected_time
+from pollenstile.limits import FAILED, USEFUL, expected_time
 from pollenstile.pipeline import events
 from pollenstile.pipeline._assembly import Assembly
 from pollenstile.pipeline._attempts import Attempts
 from pollenstile.pipeline._decisions import (
     attempt_timeout,
+    hedge_helps,
     may_retry,
     worth_sending,
 )
+from pollenstile.pipeline._learning import (
+    learn_first,
+    learn_reply,
+    learn_slow,
+)
 from pollenstile.upstream import Chunk, Lost, NotRun, Rejected, Reply
 
 _MS = 1000
 _HEDGE_PERCENT = 95
+# A rest of time too small to be added to the clock's reading would be waited
+# for again and again at one and the same instant.
+_LEAST_WAIT = 0.001
 _HEDGE_FACTOR = 2
 
 
@@ -138,19 +147,33 @@
         self.attempts.send(choice, why, timeout, self.assembly, self._on_event)
 
     def _arm_hedge(self):
+        # A stream shows life with its first token, other calls with their end.
+        sign = 'first' if self.attempts.pool.kind == 'engine' else 'attempt'
         delay = self.core.tracker.quantile(
-            (self.request.name, self.stage.name),
+            (self.request.name, self.stage.name, sign),
             _HEDGE_PERCENT,
-            _HEDGE_FACTOR * self.expected,
+            self.expected,
+        )
+        self.hedge_timer = self.core.clock.callLater(
+            _HEDGE_FACTOR * delay,
+            self._hedge,
         )
-        self.hedge_timer = self.core.clock.callLater(delay, self._hedge)
 
     def _hedge(self):
         live = list(self.attempts.live.values())
         if len(live) != 1 or live[0].progress or not _has_time(self):
             return
-        if self.attempts.choice() is None or not self.core.retries.spent():
+        choice = self.attempts.choice()
+        if choice is None or not hedge_helps(choice):
+            return
+        if not self.core.retries.spent():
             return
+        self.core.log(
+            events.HEDGED,
+            request=self.request.ident,
+            step=self.stage.name,
+            peer=live[0].choice.name,
+        )
         self.core.count('stage.hedged')
         self._dispatch('hedge')
 
@@ -203,6 +226,7 @@
             self.attempts.drop_all(kept=attempt)
         if not attempt.progress:
             attempt.progress = True
+            learn_first(self.attempts, attempt)
             self._listen(attempt)
         if self.assembly.has_gap(chunk.offset):
             self._on_failure(attempt, Lost('gap in stream'))
@@ -218,7 +242,8 @@
         silence = self.request.snapshot.manifest.policy.silence_ms / _MS
         quiet = self.core.clock.seconds() - attempt.heard
         left = min(silence - quiet, _budget(self))
-        if left <= 0:
+        # Rounding can leave a time so short that the clock would not move.
+        if left < _LEAST_WAIT:
             self._on_event(attempt, Lost('timeout'))
             return
         if attempt.timer.active():
@@ -232,7 +257,10 @@
         if _is_short(self, reply):
             self._on_failure(attempt, Lost('incomplete stream'))
             return
-        self.attempts.release(attempt, reply.load)
+        learn_reply(self.attempts, attempt, reply)
+        worked = reply.busy_ms / _MS
+        self.attempts.release(attempt, reply.load, worked=worked)
+        self.attempts.charge(attempt, USEFUL)
         self.attempts.drop_all()
         took = self.core.clock.seconds() - self.started
         self.core.tracker.measured((self.request.name, self.stage.name), took)
@@ -249,8 +277,12 @@
         self.last_failure = failure
         self.last_peer = attempt.choice.name
         load = getattr(failure, 'load', None)
-        self.attempts.release(attempt, load, failed=True)
         if isinstance(failure, Lost):
+            learn_slow(self.attempts, attempt)
+        blamed = not isinstance(failure, Rejected)
+        self.attempts.release(attempt, load, failed=blamed)
+        if isinstance(failure, Lost):
+            self.attempts.charge(attempt, FAILED)
             self.attempts.cut(attempt)
         else:
             self.attempts.give_back(attempt)
