entry, upstream: odd headers and lines are refused, not raised

Cause: properties found that a superscript digit or thousands of digits in X-Deadline-Ms, and headers that are not UTF-8, raised out of the callers' face; the bound on a line of events depended on how its bytes were split. Conclusion: wrong input gets its reason.

--- a/features/badinput.feature
+++ b/features/badinput.feature
@@ -26,6 +26,9 @@
       | odd deadline   | 400    | X-Deadline-Ms      |
       | zero deadline  | 400    | X-Deadline-Ms      |
       | long key       | 400    | Idempotency-Key    |
+      | odd bytes      | 400    | Idempotency-Key    |
+      | odd team key   | 401    | unknown key        |
+      | odd digits     | 400    | X-Deadline-Ms      |
       | large body     | 413    | too large          |
       | short deadline | 503    | deadline           |
 
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -12,6 +12,17 @@
   Scenario: a deadline is never longer than declared
     Then for any number a caller's deadline is within the declared one
 
+  Scenario: any deadline of a caller is taken or refused
+    A client sends a superscript two, or thousands of digits. Both pass for
+    digits and are no numbers that the language reads: the caller got a 500
+    with a traceback in place of a reason.
+    Then for any text a caller's deadline is taken or refused with 400
+
+  Scenario: the bound on server-sent events does not depend on how bytes are split
+    A line above the bound passed if it came in one piece and broke the call if
+    it came in two, so that the network's cuts decided on a call's end.
+    Then for any split a line of server-sent events that is too long is refused
+
   Scenario: server-sent events do not depend on how bytes are split
     The network cuts the stream anywhere, in the middle of a character too.
     Were an event lost or doubled at a cut, the caller's text would be wrong.
--- a/features/steps/badinput_steps.py
+++ b/features/steps/badinput_steps.py
@@ -58,6 +58,9 @@
     'odd deadline': _Case(x_deadline_ms='soon'),
     'zero deadline': _Case(x_deadline_ms='0'),
     'long key': _Case(idempotency_key='k' * 300),
+    'odd bytes': _Case(idempotency_key=b'k\xff'),
+    'odd team key': _Case(key='', authorization=b'Bearer \xff'),
+    'odd digits': _Case(x_deadline_ms='\u00b2'),
     'large body': _Case(body=b'"%s"' % (b'x' * 300000)),
     'short deadline': _Case(x_deadline_ms='5'),
 }
--- a/features/steps/properties_steps.py
+++ b/features/steps/properties_steps.py
@@ -111,6 +111,37 @@
     check()
 
 
+@then("for any text a caller's deadline is taken or refused with 400")
+def step_odd_deadline(context):
+    digits = st.text(st.characters(categories=['Nd', 'No']), max_size=6)
+
+    @FIXED
+    @given(HEADERS | digits | st.just('9' * 5000))
+    def check(header):
+        found = deadline_of(header, SimpleNamespace(deadline_ms=4000))
+        refused = isinstance(found, Refused) and found.status == 400
+        assert refused or 0 < found <= 4
+
+    check()
+
+
+@then('for any split a line of server-sent events that is too long is refused')
+def step_long_line(context):
+    @FIXED
+    @given(st.integers(min_value=101, max_value=400), CUTS)
+    def check(length, cuts):
+        splitter = EventSplitter(100)
+        line = b'data: %s\n' % (b'x' * length)
+        try:
+            for piece in pieces(line, cuts):
+                splitter.events(piece)
+        except ValueError:
+            return
+        raise AssertionError(cuts)
+
+    check()
+
+
 @then('for any split of any short lines the server-sent events are the same')
 def step_split(context):
     line = st.binary(max_size=40).map(lambda text: text.replace(b'\n', b''))
--- a/pollenstile/entry/_caller.py
+++ b/pollenstile/entry/_caller.py
@@ -11,6 +11,7 @@
 
 _BEARER = 'Bearer '
 _MOST_KEY = 200
+_MOST_DIGITS = 18
 _MS = 1000
 _STEP = 'caller'
 
@@ -38,7 +39,7 @@
     if not authorization or not authorization.startswith(_BEARER):
         return Refused(401, 'no key: send Authorization: Bearer KEY', _STEP)
     key = authorization[len(_BEARER) :].strip()
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hashlib.sha256(key.encode(errors='surrogateescape')).hexdigest()
     found = None
     for candidate, team in snapshot.candidates(digest):
         if hmac.compare_digest(candidate, digest):
@@ -75,7 +76,10 @@
     declared = pipeline.deadline_ms / _MS
     if not header:
         return declared
-    if not header.isdigit() or not int(header):
+    # Superscripts pass for digits, and thousands of digits are no number that
+    # the language reads: both would raise.
+    is_number = header.isascii() and header.isdigit()
+    if not is_number or len(header) > _MOST_DIGITS or not int(header):
         return Refused(400, 'X-Deadline-Ms is not a number of ms', _STEP)
     return min(declared, int(header) / _MS)
 
--- a/pollenstile/entry/_face.py
+++ b/pollenstile/entry/_face.py
@@ -114,6 +114,16 @@
     )
 
 
+def _header(http, name):
+    """Return a header's text, empty for none.
+
+    Bytes that are no text stay odd characters, which the checks refuse; the
+    library's own decoding would raise.
+    """
+    content = http.getHeader(name) or b''
+    return content.decode(errors='surrogateescape')
+
+
 class CallerFace(Resource):
     """``POST /v1/pipelines/NAME``.
 
@@ -141,7 +151,7 @@
                 path=request.path.decode('latin-1')[:100],
             )
             return _refuse(request, parsed)
-        streaming = _STREAM in (request.getHeader('accept') or '')
+        streaming = _STREAM in (_header(request, b'accept'))
         exchange = _Exchange(request, streaming=streaming)
         self._run(exchange, parsed)
         return NOT_DONE_YET
@@ -181,14 +191,14 @@
         return self._request(http, name, self.node.in_force.snapshot)
 
     def _request(self, http, name, snapshot):
-        team = team_of(snapshot, http.getHeader('authorization'))
+        team = team_of(snapshot, _header(http, b'authorization'))
         if isinstance(team, Refused):
             return team
         pipeline = pipeline_of(snapshot, name, team)
         if isinstance(pipeline, Refused):
             return pipeline
-        budget = deadline_of(http.getHeader('x-deadline-ms'), pipeline)
-        key = key_of(http.getHeader('idempotency-key'))
+        budget = deadline_of(_header(http, b'x-deadline-ms'), pipeline)
+        key = key_of(_header(http, b'idempotency-key'))
         content = content_of(http.content.read())
         for part in (budget, key, content):
             if isinstance(part, Refused):
