--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -2,8 +2,10 @@
 
 from functools import partial
 
+from pollenstile.limits import CANCELLED
 from pollenstile.pipeline import events
-from pollenstile.routing import chosen
+from pollenstile.pipeline._learning import learn_slow
+from pollenstile.routing import Hints, cache_key
 from pollenstile.upstream import Call, Lost
 
 _MS = 1000
@@ -34,6 +36,7 @@
     __slots__ = (
         'cancel',
         'choice',
+        'cost',
         'heard',
         'ident',
         'number',
@@ -51,6 +54,7 @@
         self.timer = None
         self.cancel = None
         self.progress = False
+        self.cost = 0.0
 
 
 class Attempts:
@@ -70,6 +74,7 @@
     """
 
     __slots__ = (
+        'cache_key',
         'content',
         'core',
         'cost',
@@ -93,6 +98,13 @@
         self.number = 0
         self.cost = 0
         self.may_have_run = False
+        self.cache_key = 0
+        if self.pool.kind == 'engine':
+            self.cache_key = cache_key(
+                request.team,
+                stage.model,
+                request.content,
+            )
 
     def choice(self):
         """Return the upstream for the next attempt, None when there is none.
@@ -152,17 +164,43 @@
             partial(sink, attempt),
         )
 
-    def release(self, attempt, load=None, *, failed=False):
-        """Note that an attempt has ended."""
+    def release(self, attempt, load=None, *, failed=False, worked=0):
+        """Note that an attempt has ended.
+
+        Parameters
+        ==========
+
+        load : Load or None
+            The report that came with its end.
+        failed : bool
+            Whether that is a sign against the upstream.
+        worked : float
+            Seconds that the upstream says it worked; 0 when it does not.
+        """
         self.live.pop(attempt.number, None)
         if attempt.timer.active():
             attempt.timer.cancel()
         self.core.tracker.ended(attempt.choice.name, load, failed=failed)
-        took = self.core.clock.seconds() - attempt.started
-        self.cost += took * self.pool.cost
+        cost = (worked or self.took(attempt)) * self.pool.cost
+        attempt.cost = cost
+        self.cost += cost
+
+    def took(self, attempt):
+        """Return seconds since an attempt was sent."""
+        return self.core.clock.seconds() - attempt.started
+
+    def charge(self, attempt, kind):
+        """Enter an attempt's cost in the accounts of stage and team."""
+        self.core.costs.add(
+            self.stage.name,
+            self.request.team,
+            kind,
+            attempt.cost,
+        )
 
     def give_back(self, attempt):
         """Note that an attempt is known not to have run."""
+        self.cost -= attempt.cost
         self.core.ledger.give_back(
             self.request,
             self.stage.name,
@@ -171,7 +209,9 @@
 
     def drop(self, attempt):
         """Cancel an attempt that nobody waits for any more."""
+        learn_slow(self, attempt)
         self.release(attempt)
+        self.charge(attempt, CANCELLED)
         self.core.count('attempt.cancelled')
         self.cut(attempt)
 
@@ -190,14 +230,34 @@
             self.drop(attempt)
 
     def _chosen(self, excluded):
-        return chosen(
+        return self.core.choose(
             self.pool,
             self.core.tracker,
             self.core.domain,
             self.core.rng,
-            excluded,
+            self._without_model(excluded),
+            self._hints(),
         )
 
+    def _hints(self):
+        return Hints(
+            self.core.concurrency.slowness,
+            self.core.concurrency.is_over,
+            self.cache_key,
+            self.stage.model,
+        )
+
+    def _without_model(self, excluded):
+        """Return what is excluded, with the engines that lack the model."""
+        model = self.stage.model
+        if not model:
+            return excluded
+        lacking = set(excluded)
+        for name in self.pool.upstreams:
+            if not self.core.holds(name, model):
+                lacking.add(name)
+        return lacking
+
     def _call(self, attempt, timeout, assembly):
         return Call(
             attempt=attempt.ident,
