membership: random faults, and two faults that they found

Cause: 40 to 50 random faults at a time over 4 to 14 hosts: (1) upstreams of a domain whose hosts are all gone were polled by nobody, so that their leaving was not seen; (2) two watchers in phase withdrew as witnesses at one instant, and the union of their news brought both back for good: a good upstream stayed barred everywhere. Change: two hosts of the whole fleet look after such a domain; each witness has a number of its own that only rises; watchers of one upstream go out of phase again when one of them changes; sets are walked in order, so that a seed gives one run.

--- a/features/builders/messages_next.capnp
+++ b/features/builders/messages_next.capnp
@@ -19,18 +19,22 @@
   note @4 :Text;
 }
 
+struct View {
+  host @0 :Text;
+  number @1 :UInt32;
+}
+
 struct Member {
   kind @0 :UInt8;
   name @1 :Text;
   order @2 :UInt64;
   incarnation @3 :Text;
   leaving @4 :Bool;
-  change @5 :UInt32;
-  witnesses @6 :List(Text);
-  domain @7 :Text;
-  address @8 :Text;
-  listed @9 :UInt64;
-  listedLeaving @10 :Bool;
+  views @5 :List(View);
+  domain @6 :Text;
+  address @7 :Text;
+  listed @8 :UInt64;
+  listedLeaving @9 :Bool;
 }
 
 struct News {
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -112,6 +112,14 @@
     When upstream "engine-1" can be reached again
     Then all membership hosts give "engine-1" work within 10 seconds
 
+  Scenario: Two membership witnesses who change their minds at one instant
+    Both watchers reach the upstream again at the same time, and their news
+    cross. United by what both once said, the upstream would stay dropped for
+    as long as the two go on polling at one instant.
+    Given two membership tables with the witnesses "a, b" of one upstream
+    When each membership witness withdraws and their news cross
+    Then both membership tables have no witness left
+
   Scenario: Membership does not drop most of a pool
     Most upstreams seem dead at one instant. It is more likely that the
     watchers are cut off; dropping all would turn every request away.
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -7,7 +7,15 @@
 
 from features.builders.fleet import started_fleet
 from pollenstile.bench.fleetworld import cut_domain
-from pollenstile.fleet import HOST, UPSTREAM, Record, Table, ranked
+from pollenstile.fleet import (
+    HOST,
+    UPSTREAM,
+    Record,
+    Table,
+    ranked,
+    with_witness,
+    with_witnesses_only,
+)
 from pollenstile.peer import Beat
 from pollenstile.platform import HostEntry
 from pollenstile.upstream import Load
@@ -208,6 +216,34 @@
     context.world.upstreams[name].dead = False
 
 
+@given('two membership tables with the witnesses "{names}" of one upstream')
+def step_two_tables(context, names):
+    record = Record(UPSTREAM, 'e1', order=1, incarnation='x')
+    for name in names.split(', '):
+        record = with_witness(record, name)
+    context.tables = {name: Table() for name in names.split(', ')}
+    for table in context.tables.values():
+        table.offer(record)
+
+
+@when('each membership witness withdraws and their news cross')
+def step_withdraw(context):
+    news = []
+    for name, table in context.tables.items():
+        record = table.record(UPSTREAM, 'e1')
+        others = set(record.witnesses) - {name}
+        news.append(with_witnesses_only(record, others))
+    for table in context.tables.values():
+        for record in news:
+            table.offer(record)
+
+
+@then('both membership tables have no witness left')
+def step_no_witness(context):
+    for table in context.tables.values():
+        assert not table.record(UPSTREAM, 'e1').witnesses
+
+
 @when('{count:d} of the upstreams die')
 def step_many_die(context, count):
     for number in range(count):
@@ -278,8 +314,10 @@
                 order=order,
                 incarnation=random.choice(incarnations),
                 leaving=random.randrange(3) == 0,
-                change=random.randrange(3),
-                witnesses=tuple(sorted(random.sample('xyz', 2))),
+                views=tuple(
+                    (host, random.randrange(4))
+                    for host in sorted(random.sample('xyz', 2))
+                ),
                 listed=random.randrange(3),
                 listed_leaving=random.randrange(2) == 0,
             ),
--- a/pollenstile/fleet/_fleet.py
+++ b/pollenstile/fleet/_fleet.py
@@ -210,7 +210,7 @@
         live = self.hosts.live
         chosen = neighbours(hello.host, hello.domain, by_domain(live.values()))
         wanted = {}
-        for name in chosen:
+        for name in sorted(chosen):
             wanted[name] = live[name].address
         self.hub.dialer.wanted = wanted
         self.watchers.assign()
--- a/pollenstile/fleet/_hosts.py
+++ b/pollenstile/fleet/_hosts.py
@@ -34,7 +34,7 @@
     ========
 
     >>> from pollenstile.fleet import HOST, Record, is_live
-    >>> record = Record(HOST, 'a', witnesses=('b',))
+    >>> record = Record(HOST, 'a', views=(('b', 1),))
     >>> is_live(record, 'c', 2), is_live(record, 'b', 2)
     (True, False)
     """
@@ -124,6 +124,17 @@
         """Return the names of the live hosts of a domain."""
         return [one.name for one in self.live.values() if one.domain == domain]
 
+    def near(self, domain):
+        """Return the live hosts that look after a domain's upstreams.
+
+        Explanation
+        ===========
+
+        Those of the domain. When it has none, upstreams there can still be
+        called from others, so all hosts look after them.
+        """
+        return self.names_in(domain) or list(self.live)
+
     def absent(self):
         """Return records of hosts that were known but are not live."""
         found = []
@@ -156,7 +167,7 @@
         return not record.leaving and len(record.witnesses) < 2
 
     def _tell(self, live):
-        for name in self.live.keys() - live.keys():
+        for name in sorted(self.live.keys() - live.keys()):
             record = self.table.record(HOST, name)
             self.log(
                 events.HOST_DOWN,
@@ -165,7 +176,7 @@
                 leaving=record.leaving,
                 witnesses=list(record.witnesses),
             )
-        for name in live.keys() - self.live.keys():
+        for name in sorted(live.keys() - self.live.keys()):
             self.log(events.HOST_BACK, peer=name, domain=live[name].domain)
 
     def _changed(self, before, after, source):
--- a/pollenstile/fleet/_record.py
+++ b/pollenstile/fleet/_record.py
@@ -9,7 +9,9 @@
 
 - the incarnation, by its order, then by its text;
 - within an incarnation, *leaving* goes from false to true and never back;
-- the witnesses of a failure, by the number of the last change;
+- the number of each witness of a failure: odd while it can't reach the host
+  or upstream, even when it can again, so that two witnesses who change their
+  minds at one instant don't bring each other back;
 - the host list's view, by the list's own incarnation.
 """
 
@@ -17,7 +19,7 @@
 
 HOST = 1
 UPSTREAM = 2
-MOST_WITNESSES = 4
+MOST_VIEWS = 16
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,10 +39,8 @@
         As the process states it; empty before it was seen.
     leaving : bool
         Whether this incarnation gets no new work.
-    change : int
-        Rises whenever a witness is added or removed.
-    witnesses : tuple of str
-        Hosts that can't reach it, sorted.
+    views : tuple of tuple
+        Host and number of each that ever could not reach it, sorted.
     domain, address : str
         Of hosts.
     listed : int
@@ -54,13 +54,17 @@
     order: int = 0
     incarnation: str = ''
     leaving: bool = False
-    change: int = 0
-    witnesses: tuple = ()
+    views: tuple = ()
     domain: str = ''
     address: str = ''
     listed: int = 0
     listed_leaving: bool = False
 
+    @property
+    def witnesses(self):
+        """The hosts that can't reach it now, sorted."""
+        return tuple(host for host, number in self.views if number % 2)
+
 
 def merged(one, other):
     """Return the record that two views of the same name make.
@@ -98,41 +102,46 @@
 def _newest(one, other):
     if _place(one) != _place(other):
         return max(one, other, key=_place)
-    newer = max(one, other, key=_last_change)
-    witnesses = newer.witnesses
-    if one.change == other.change:
-        both = sorted({*one.witnesses, *other.witnesses})
-        witnesses = tuple(both[:MOST_WITNESSES])
+    # Domain and address go with the incarnation and are the same in both,
+    # unless a peer is faulty; then too all hosts choose the same.
+    base = max(one, other, key=_details)
+    views = dict(one.views)
+    for host, number in other.views:
+        views[host] = max(number, views.get(host, 0))
     return replace(
-        newer,
+        base,
         leaving=one.leaving or other.leaving,
-        witnesses=witnesses,
+        views=_kept(views),
     )
 
 
-def _last_change(record):
-    # Domain and address go with the incarnation and are the same in both,
-    # unless a peer is faulty; then too all hosts choose the same.
-    return record.change, record.domain, record.address
+def _details(record):
+    return record.domain, record.address
+
+
+def _kept(views):
+    """Return views in order; of very many the ones that changed most."""
+    ordered = sorted(views.items(), key=_number, reverse=True)
+    return tuple(sorted(ordered[:MOST_VIEWS]))
+
+
+def _number(view):
+    return view[1], view[0]
+
+
+def _changed(record, hosts):
+    views = dict(record.views)
+    for host in hosts:
+        views[host] = views.get(host, 0) + 1
+    return replace(record, views=_kept(views))
 
 
 def with_witness(record, host):
     """Return the record with one more host that can't reach it."""
-    if host in record.witnesses:
-        return record
-    witnesses = sorted([host, *record.witnesses])[:MOST_WITNESSES]
-    if host not in witnesses:
-        return record
-    return replace(
-        record,
-        change=record.change + 1,
-        witnesses=tuple(witnesses),
-    )
+    return record if host in record.witnesses else _changed(record, [host])
 
 
 def with_witnesses_only(record, hosts):
     """Return the record without witnesses that are not among ``hosts``."""
-    kept = tuple(name for name in record.witnesses if name in hosts)
-    if kept == record.witnesses:
-        return record
-    return replace(record, change=record.change + 1, witnesses=kept)
+    gone = [name for name in record.witnesses if name not in hosts]
+    return _changed(record, gone) if gone else record
--- a/pollenstile/fleet/_sharing.py
+++ b/pollenstile/fleet/_sharing.py
@@ -21,7 +21,9 @@
     fields = {}
     for name in _FIELDS:
         fields[_WIRE.get(name, name)] = getattr(record, name)
-    fields['witnesses'] = list(record.witnesses)
+    fields['views'] = [
+        {'host': host, 'number': number} for host, number in record.views
+    ]
     return fields
 
 
@@ -29,12 +31,10 @@
     """Return a record from the schema's fields, None for an unknown kind."""
     if fields['kind'] not in _KINDS:
         return None
-    found = [fields[_WIRE.get(name, name)] for name in _FIELDS]
-    record = Record(*found)
-    if not isinstance(record.witnesses, tuple):
-        found[_FIELDS.index('witnesses')] = tuple(record.witnesses)
-        record = Record(*found)
-    return record
+    views = [(one['host'], one['number']) for one in fields['views']]
+    found = {name: fields[_WIRE.get(name, name)] for name in _FIELDS}
+    found['views'] = tuple(sorted(views))
+    return Record(**found)
 
 
 class Sharing:
--- a/pollenstile/fleet/_upstreams.py
+++ b/pollenstile/fleet/_upstreams.py
@@ -250,7 +250,7 @@
         for name in barred:
             state = self.tracker.state(name)
             state.barred_until = max(state.barred_until, now + _BAR_SECONDS)
-        for name in barred - self.down:
+        for name in sorted(barred - self.down):
             record = self.table.record(UPSTREAM, name)
             self.log(
                 events.UPSTREAM_DOWN,
@@ -258,7 +258,7 @@
                 upstream=name,
                 witnesses=list(record.witnesses),
             )
-        for name in self.down - barred:
+        for name in sorted(self.down - barred):
             self.tracker.state(name).barred_until = now
             self.log(events.UPSTREAM_BACK, upstream=name)
         self.down = barred
@@ -270,7 +270,7 @@
         witnesses = self.table.record(UPSTREAM, name).witnesses
         if not witnesses:
             return False
-        watching = len(self.hosts.names_in(upstream.domain))
+        watching = len(self.hosts.near(upstream.domain))
         return len(witnesses) >= min(2, max(watching, 1))
 
     def _adopt(self, record, load):
@@ -281,8 +281,7 @@
                 order=record.order + 1,
                 incarnation=load.incarnation,
                 leaving=load.leaving,
-                change=0,
-                witnesses=(),
+                views=(),
             ),
         )
 
--- a/pollenstile/fleet/_watchers.py
+++ b/pollenstile/fleet/_watchers.py
@@ -15,8 +15,8 @@
 
     __slots__ = ('asking', 'at', 'misses', 'watchers')
 
-    def __init__(self, at):
-        self.at = at
+    def __init__(self):
+        self.at = 0.0
         self.asking = False
         self.misses = 0
         self.watchers = ()
@@ -30,8 +30,8 @@
 
     Each upstream has two watchers, by rendezvous over the live hosts of its
     domain, so that the work of a host stays flat while the fleet grows. The
-    polls of the two are half a period apart. An upstream of a domain without
-    live hosts is polled by nobody; calls show its state.
+    polls of the two are half a period apart. Where a domain has no live hosts,
+    two of the whole fleet take its upstreams.
 
     Parameters
     ==========
@@ -80,24 +80,29 @@
         own = hosts.live.get(hosts.name)
         shares = {}
         if own is not None:
-            shares = self._shares(own, hosts.names_in(own.domain))
+            shares = self._shares(own, hosts)
         now = self.upstreams.clock.seconds()
         for name, watchers in shares.items():
-            poll = self.polls.get(name)
-            if poll is None:
+            poll = self.polls.setdefault(name, Poll())
+            if poll.watchers != watchers:
+                # Also when the other watcher changes, or the two would go on
+                # asking at one instant.
                 place = watchers.index(own.name)
-                poll = Poll(now + _first_wait(name, place, now))
-                self.polls[name] = poll
-            poll.watchers = watchers
+                poll.at = now + _first_wait(name, place, now)
+                poll.watchers = watchers
         for name in self.polls.keys() - shares.keys():
             self.polls.pop(name)
 
-    def _shares(self, own, names):
+    def _shares(self, own, hosts):
         shares = {}
+        near = {}
         for name, (_, upstream) in self.upstreams.declared.items():
-            if upstream.domain != own.domain:
+            domain = upstream.domain
+            if domain not in near:
+                near[domain] = hosts.near(domain)
+            if own.name not in near[domain]:
                 continue
-            watchers = ranked(name, names, WATCHERS)
+            watchers = ranked(name, near[domain], WATCHERS)
             if own.name in watchers:
                 shares[name] = watchers
         return shares
