--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -1,9 +1,14 @@
 """Putting one entry host together."""
 
-from pollenstile.claims import Claims
+from pollenstile.claims import Claims, join_peers
 from pollenstile.entry._node import Node
 from pollenstile.fleet import Fleet, InForce
-from pollenstile.limits import Admission, RetryBudget
+from pollenstile.limits import (
+    Admission,
+    Concurrency,
+    CostAccount,
+    RetryBudget,
+)
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.metrics import Metrics
 from pollenstile.peer import (
@@ -14,6 +19,7 @@
     keys_from,
 )
 from pollenstile.pipeline import Core, Ledger
+from pollenstile.placement import built_placement
 from pollenstile.routing import Tracker
 
 _BOOT_BITS = 48
@@ -48,6 +54,7 @@
     """
     metrics = Metrics()
     tracker = Tracker(clock)
+    concurrency = Concurrency(clock)
     core = Core(
         clock=clock,
         rng=rng,
@@ -57,7 +64,16 @@
         tracker=tracker,
         retries=RetryBudget(_RETRY_RATIO),
         ledger=Ledger(log, metrics.count),
-        admission=Admission(clock, tracker, settings.max_running),
+        concurrency=concurrency,
+        admission=Admission(
+            clock,
+            tracker,
+            concurrency,
+            settings.max_running,
+            log=log,
+            count=metrics.count,
+        ),
+        costs=CostAccount(metrics.count),
         log=log,
         count=metrics.count,
         timing=metrics.timing,
@@ -119,7 +135,7 @@
     hub = Hub(core.clock, core.rng, hello, keys, connect, core.log)
     if keys:
         hub.dialer.seeds = tuple(_shown(one) for one in settings.peers)
-    return Fleet(
+    fleet = Fleet(
         hub,
         node.in_force,
         core.tracker,
@@ -128,6 +144,37 @@
         read_load,
         core.log,
     )
+    if node.claims is not None:
+        join_peers(node.claims, fleet.ask, fleet.answer)
+    return fleet
+
+
+def place_engines(node, store, orders, ticket, suspend_clock):
+    """Give a host its part in placement; not started.
+
+    Parameters
+    ==========
+
+    node : Node
+        The host.
+    store : Store
+        The object API, paced.
+    orders : object
+        Looks at engines and orders them.
+    ticket : function
+        Asks the weight store whether a load may begin.
+    suspend_clock : function
+        Returns seconds, suspended time included.
+    """
+    node.placement = built_placement(
+        node.core,
+        node.boot,
+        store,
+        orders,
+        ticket,
+        suspend_clock,
+    )
+    node.in_force.listeners.append(node.placement.in_force)
 
 
 def _shown(address):
--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -27,6 +27,8 @@
 
     claims : Claims or None
         What requests with a key are run through.
+    placement : Placement or None
+        Orders engines, and knows which model each one holds.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         'leaving',
         'metrics',
         'numbers',
+        'placement',
     )
 
     def __init__(self, core, in_force, metrics, boot):
@@ -47,6 +50,7 @@
         self.metrics = metrics
         self.boot = boot
         self.claims = None
+        self.placement = None
         self.numbers = itertools.count(1)
         self.leaving = False
         self.in_flight = 0
@@ -97,6 +101,8 @@
             'in_flight': self.in_flight,
             'broken_invariants': len(self.core.ledger.broken),
             'totals': self.metrics.all_totals(),
+            'cost': self.core.costs.document(),
+            'wasted_share': round(self.core.costs.wasted_share(), 4),
         }
 
     def _ended(self, result):
--- a/pollenstile/placement/_placer.py
+++ b/pollenstile/placement/_placer.py
@@ -25,6 +25,11 @@
 
     replan : float
         Age of a plan at which demand is looked at again.
+    look : float
+        Age at which the state of an engine that has settled is read again;
+        others are read in each round.
+    refused : float
+        Time until an engine that refused an order gets the next.
     unseen : float
         Time without an answer after which an engine is planned without.
     drain : DrainTiming
@@ -34,13 +39,15 @@
     """
 
     replan: float = 30.0
-    unseen: float = 10.0
+    look: float = 10.0
+    refused: float = 10.0
+    unseen: float = 30.0
     drain: DrainTiming = field(default_factory=DrainTiming)
     loads: LoadTiming = field(default_factory=LoadTiming)
 
 
-def any_time(state, models):
-    """Return True: a drain may begin whatever runs at the engine."""
+def any_time(engines, states):
+    """Return True: nothing is waited for."""
     return True
 
 
@@ -86,12 +93,19 @@
     usable : function
         Takes an engine's name, returns whether it is to hold anything; not
         one that is leaving.
+    may_replan : function
+        Takes engines and their states, returns whether a change of demand is
+        a reason to plan anew.
     may_drain : function
         Takes an engine's state and the models to drain.
     records : dict
         Engine to the version and the record last read or written.
     draining : dict
         Engine to its models that are being drained, with the time.
+    settled : dict
+        Engine to its state and when it was read, where nothing was to do.
+    not_before : dict
+        Engine to when it may get the next order.
     """
 
     __slots__ = (
@@ -107,6 +121,8 @@
         'log',
         'manifest',
         'may_drain',
+        'may_replan',
+        'not_before',
         'numbers',
         'orders',
         'plan',
@@ -116,6 +132,7 @@
         'random',
         'records',
         'seen_at',
+        'settled',
         'store',
         'ticket',
         'timing',
@@ -137,6 +154,7 @@
         self.demand = {}
         self.plan_for = wanted_placement
         self.may_drain = any_time
+        self.may_replan = any_time
         self.usable = any_engine
         self.numbers = itertools.count(1)
         self.busy = False
@@ -149,6 +167,8 @@
         self.draining = {}
         self.incarnations = {}
         self.seen_at = {}
+        self.settled = {}
+        self.not_before = {}
         self.loads = Loads()
         self.plan = {}
         self.plan_key = None
@@ -209,10 +229,10 @@
 
 
 async def _looked(placer, engines):
-    names = sorted(engines)
+    names = [name for name in sorted(engines) if _look_due(placer, name)]
     looks = [placer.orders.look(name, engines[name].upstream) for name in names]
     answers = await gatherResults(looks, consumeErrors=True)
-    states = {}
+    states = {name: each[0] for name, each in placer.settled.items()}
     now = placer.clock.seconds()
     for name, answer in zip(names, answers, strict=True):
         placer.seen_at.setdefault(name, now)
@@ -221,10 +241,21 @@
             continue
         placer.seen_at[name] = now
         states[name] = answer
+        placer.settled[name] = (answer, now)
         _note_incarnation(placer, name, answer.incarnation)
     return states
 
 
+def _look_due(placer, name):
+    settled = placer.settled.get(name)
+    if settled is None:
+        return True
+    if placer.clock.seconds() - settled[1] < placer.timing.look:
+        return False
+    placer.settled.pop(name)
+    return True
+
+
 def _note_incarnation(placer, name, incarnation):
     before = placer.incarnations.get(name, incarnation)
     placer.incarnations[name] = incarnation
@@ -253,6 +284,7 @@
     key = (id(manifest), tuple(sorted(engines)))
     now = placer.clock.seconds()
     due = now - placer.planned_at >= placer.timing.replan
+    due = due and placer.may_replan(engines, states)
     if due or key != placer.plan_key:
         _replan(placer, engines, states)
         placer.plan_key = key
