--- a/features/builders/placement.py
+++ b/features/builders/placement.py
@@ -227,6 +227,14 @@
         self.hosts[name].placement.start()
         return self.hosts[name]
 
+    def until(self, condition):
+        """Let time pass until a condition holds, at most 100 s."""
+        for _ in range(round(100 / STEP)):
+            if condition():
+                return
+            self.advance(STEP)
+        assert condition(), 'the condition never held'
+
     def holders(self):
         """Return the hosts that may give orders now."""
         return [
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -6,7 +6,6 @@
 from features.builders.loop import kept_result
 from features.builders.placement import (
     DOMAIN,
-    STEP,
     World,
     loaded,
     manifest_of,
@@ -103,8 +102,7 @@
     host = context.world.hosts[name]
     # Its term is as long as it can be: it has just renewed.
     written = host.keeper.lease.seen_version
-    while host.keeper.lease.seen_version == written:
-        context.world.advance(STEP)
+    context.world.until(lambda: host.keeper.lease.seen_version != written)
     context.world.advance(1)
     host.store.cut = True
 
@@ -129,12 +127,10 @@
     world = context.world
     host = world.hosts[name]
     host.store.cut_by_write = True
-    while not host.store.cut:
-        world.advance(STEP)
+    context.world.until(lambda: host.store.cut)
     world.advance(seconds - 1)
     host.store.cut = False
-    while host.keeper.busy:
-        world.advance(STEP)
+    context.world.until(lambda: not host.keeper.busy)
     host.store.cut = True
 
 
@@ -144,8 +140,7 @@
     host.keeper.pause = unpaused
     context.old_fence = host.fence
     host.store.cut_by_write = True
-    while not host.store.cut:
-        context.world.advance(STEP)
+    context.world.until(lambda: host.store.cut)
     context.world.advance(seconds)
     host.store.cut_by_write = False
     host.store.cut = False
@@ -229,8 +224,7 @@
     manifest = host.placer.manifest
     # What a scenario sets up comes before the first round.
     host.placer.manifest = None
-    while not host.keeper.holds():
-        context.world.advance(STEP)
+    context.world.until(lambda: host.keeper.holds())
     host.placer.manifest = manifest
 
 
@@ -349,8 +343,7 @@
 @when('the first {count:d} placement engines die while they load')
 def step_die_loading(context, count):
     world = context.world
-    while world.loading() < count:
-        world.advance(STEP)
+    context.world.until(lambda: world.loading() >= count)
     for name in tuple(world.engines)[:count]:
         assert world.engines[name].loading
         world.orders.down.add(name)
@@ -364,8 +357,7 @@
 @when('placement engine "{name}" loads, and restarts')
 def step_restart(context, name):
     engine = context.world.engines[name]
-    while not engine.loading:
-        context.world.advance(STEP)
+    context.world.until(lambda: engine.loading)
     context.world.advance(2)
     assert engine.loading
     engine.restart()
@@ -564,8 +556,7 @@
 
 
 def _until_followed(context):
-    while context.world.holders() != ['b']:
-        context.world.advance(STEP)
+    context.world.until(lambda: context.world.holders() == ['b'])
     context.world.advance(3)
 
 
@@ -575,16 +566,14 @@
     host = world.hosts[name]
     host.ticket_gate = Deferred()
     world.engines['e1'].models = {}
-    while not host.placer.loads.asking:
-        world.advance(STEP)
+    context.world.until(lambda: host.placer.loads.asking)
     world.engines['e1'].models = {}
     for other in world.hosts.values():
         other.placer.may_drain = lambda *_: False
     host.paused = True
     world.weights.down = True
     context.orders_before = len(world.orders_of(name))
-    while world.hosts['b'].fence == 0:
-        world.advance(STEP)
+    context.world.until(lambda: world.hosts['b'].fence > 0)
     world.advance(3)
 
 
@@ -610,8 +599,7 @@
     held = Deferred()
     world.orders.hold = held
     sent = world.hosts[name].logged('order-sent')
-    while world.hosts[name].logged('order-sent') == sent:
-        world.advance(STEP)
+    context.world.until(lambda: world.hosts[name].logged('order-sent') != sent)
     context.held = held
     world.orders.hold = None
     world.hosts[name].store.cut = True
