--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -2,8 +2,12 @@
 
 from contextlib import ExitStack, contextmanager
 
+from twisted.internet.defer import succeed
+
 from pollenstile import pipeline
-from pollenstile.fleet import InForce
+from pollenstile.claims import Claims
+from pollenstile.entry import Node
+from pollenstile.fleet import InForce, Watchers
 from pollenstile.limits import RetryBudget
 from pollenstile.outcomes import Refused
 from pollenstile.pipeline import _run, _stage
@@ -36,6 +40,10 @@
     """Do nothing."""
 
 
+def _crashed(*arguments, **keywords):
+    raise ValueError('a fault of the program')
+
+
 def _whole_budget(budget, expected, attempts_left):
     return budget
 
@@ -92,12 +100,28 @@
 
 _ORIGINAL_OUTCOME = pipeline.outcome_of
 
+
+def _idle_at_once(node):
+    return succeed(None)
+
+
+async def _unclaimed(claims, request, run):
+    return await run()
+
+
+async def _asked_nothing(watchers, name, poll, now):
+    poll.at = now + 1e6
+
+
 # State that is never set: the attribute reads as false for good.
 _NEVER_SET = property(_never, _nothing)
 
 _PATCHES = {
     'one outcome': [(pipeline, 'outcome_of', _outcome_again)],
     'timeouts': [(_stage, 'attempt_timeout', _no_end)],
+    'waiting for the last request': [(Node, 'idle', _idle_at_once)],
+    'claims': [(Claims, 'outcome', _unclaimed)],
+    'membership': [(Watchers, '_ask', _asked_nothing)],
     'leaving': [(UpstreamState, 'leaving', _NEVER_SET)],
     'foreign replies': [(StageRun, '_is_foreign', _never)],
     'foreign refusals': [(StageRun, '_is_foreign_refusal', _never)],
@@ -116,6 +140,7 @@
     'time for a non-idempotent call': [(_stage, 'worth_sending', _always)],
     'memory of runs': [(Attempts, 'cut', _forgetful_cut)],
     'truthful refusals': [(_run, '_failure_outcome', _said_not_run)],
+    'sound refusals': [(Attempts, 'give_back', _crashed)],
     'cancelled losers': [(Attempts, 'drop_all', _nothing)],
     'retry budget': [(RetryBudget, 'spent', _always)],
     'rising versions': [(InForce, 'offer', _newest_offer)],
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -1,8 +1,10 @@
 """What running a request depends on."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from pollenstile.limits import CostAccount
 from pollenstile.ops.logs import silent_log
+from pollenstile.routing import chosen
 
 
 def _count_nothing(name, number=1):
@@ -41,8 +43,12 @@
         Shared by retries and hedges.
     ledger : Ledger
         Asserts the invariants.
+    concurrency : Concurrency
+        Adaptive limits of upstreams.
     admission : Admission
         Lets requests start.
+    costs : CostAccount
+        Cost by stage and team, wasted work included.
     claims : function or None
         ``await claims(request, run)`` returns the outcome of a keyed request,
         that of ``await run()`` or that of the one which holds the key.
@@ -50,6 +56,8 @@
         Takes an engine and a model, returns whether it takes work for it.
     demand : function
         Takes a request that is accepted, to count its calls by model.
+    choose : function
+        Picks an upstream; see :func:`pollenstile.routing.chosen`.
     log : function
         Writes events.
     count : function
@@ -66,10 +74,13 @@
     tracker: object
     retries: object
     ledger: object
+    concurrency: object
     admission: object
+    costs: object = field(default_factory=CostAccount)
     claims: object = None
     holds: object = _hold_all
     demand: object = _demand_nothing
+    choose: object = chosen
     log: object = silent_log
     count: object = _count_nothing
     timing: object = _count_nothing
