--- a/pollenstile/ops/_democmd.py
+++ b/pollenstile/ops/_democmd.py
@@ -18,6 +18,7 @@
 from pollenstile.ops.settings import ENTRY, settings_from
 from pollenstile.standin.fleet import started_anywhere
 from pollenstile.standin.objectapi import MemoryStore, platform_site
+from pollenstile.standin.weightstore import weightstore
 
 _KEY_SUFFIX = '-example-key'
 _LOCAL = '127.0.0.1'
@@ -59,7 +60,8 @@
 async def _demo(reactor, manifest, arguments):
     _, placed = started_anywhere(reactor, manifest)
     store = MemoryStore(reactor)
-    port = reactor.listenTCP(0, platform_site(store), interface=_LOCAL)
+    site = platform_site(store, weights=weightstore(reactor))
+    port = reactor.listenTCP(0, site, interface=_LOCAL)
     value = {'text': text_from_manifest(placed), 'apply': 'demo'}
     await store.put(CONFIG_KIND, CONFIG_NAME, value, if_version=0)
     daemons = []
--- a/pollenstile/ops/_standincmd.py
+++ b/pollenstile/ops/_standincmd.py
@@ -9,6 +9,7 @@
 from pollenstile.standin.fleet import started_anywhere, started_upstreams
 from pollenstile.standin.objectapi import MemoryStore, platform_site
 from pollenstile.standin.plain import PlainResource, PlainServer
+from pollenstile.standin.weightstore import weightstore
 
 _MS = 1000
 _MOST_BODY = 2097152
@@ -89,7 +90,8 @@
 
 def _site(reactor, arguments):
     if arguments.kind == 'objectapi':
-        return platform_site(MemoryStore(reactor))
+        store = MemoryStore(reactor)
+        return platform_site(store, weights=weightstore(reactor))
     return site_for(_resource(reactor, arguments), reactor, _MOST_BODY)
 
 
--- a/pollenstile/standin/weightstore.py
+++ b/pollenstile/standin/weightstore.py
@@ -95,6 +95,11 @@
     return reply(request, 200, outcome)
 
 
+def weightstore(clock):
+    """Return the resource of a weight store with the usual rate."""
+    return weightstore_resource(MemoryWeights(clock))
+
+
 def weightstore_resource(weights):
     """Return the resource to stand at ``/v1/weights``."""
     return _WeightsResource(weights)
