--- a/features/steps/placement_http_steps.py
+++ b/features/steps/placement_http_steps.py
@@ -124,8 +124,8 @@
         )
         running = Deferred.fromCoroutine(outcome_of(node.core, request))
         context.outcomes.append(kept_result(running))
-        advanced(context.clock, 0.1)
-    advanced(context.clock, 4)
+        advanced(context.clock, 0.1, step=0.001)
+    advanced(context.clock, 4, step=0.001)
 
 
 @then('all placement requests are answered')
