--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -1,8 +1,8 @@
 """``pollenstile bench``: measurements."""
 
-from pollenstile.bench import fleet, floor, placement
+from pollenstile.bench import claims, fleet, floor, placement, policy
 
-_BENCHES = (floor, fleet, placement)
+_BENCHES = (floor, claims, fleet, placement, policy)
 
 
 def add_parser(commands):
--- a/pollenstile/pipeline/_decisions.py
+++ b/pollenstile/pipeline/_decisions.py
@@ -15,9 +15,16 @@
 _LEAST_PATIENCE = 0.1
 
 
-def stage_budget(remaining, later):
+def stage_budget(remaining, later, own=0.0):
     """Return what a stage may take, leaving their usual time to later ones.
 
+    Explanation
+    ===========
+
+    When not even usual times fit, what is left is shared in proportion to
+    them: a stage cut to nothing would fail a request that a fast later stage
+    might still have saved.
+
     Parameters
     ==========
 
@@ -25,6 +32,8 @@
         Until the request's deadline.
     later : list of float
         Usual times of the stages after it.
+    own : float
+        The stage's own usual time.
 
     Examples
     ========
@@ -34,8 +43,13 @@
     2.5
     >>> stage_budget(1.0, [1.0, 0.5])
     0.0
+    >>> stage_budget(1.0, [1.0, 0.5], own=0.5)
+    0.25
     """
-    return max(0.0, remaining - sum(later))
+    after = sum(later)
+    if own <= 0:
+        return max(0.0, remaining - after)
+    return max(0.0, remaining - after, remaining * own / (own + after))
 
 
 def attempt_timeout(budget, expected, attempts_left):
@@ -131,3 +145,31 @@
     if may_have_run:
         return stage.idempotent and failures < stage.attempts
     return failures <= stage.attempts
+
+
+def hedge_helps(choice):
+    """Return whether a second attempt would not queue.
+
+    Explanation
+    ===========
+
+    One that would queue only adds load, and adds it when there is too much
+    already. Whether it could end in time, :func:`worth_sending` tells.
+
+    Parameters
+    ==========
+
+    choice : Choice
+        Where the second attempt would go.
+
+    Examples
+    ========
+
+    >>> from pollenstile.pipeline._decisions import hedge_helps
+    >>> from pollenstile.routing import Choice
+    >>> hedge_helps(Choice('a', None, 0.2, 2))
+    True
+    >>> hedge_helps(Choice('a', None, 1.1, 2))
+    False
+    """
+    return choice.busyness < 1
