--- a/pollenstile/limits/_admission.py
+++ b/pollenstile/limits/_admission.py
@@ -186,10 +186,13 @@
     def _can_start(self, waiting):
         if self.clock.seconds() > waiting.latest:
             return False
-        if self.queue.size and self.queue.next_key(self._is_blocked):
+        if self.queue.size and self._next_key():
             return False
         return not self._is_blocked(waiting)
 
+    def _next_key(self):
+        return self.queue.next_key(self._is_blocked)
+
     def _is_blocked(self, waiting):
         if self.running >= self.most:
             return True
@@ -283,12 +286,12 @@
 
     def _start_waiting(self):
         while self.queue.size:
-            key = self.queue.next_key(self._is_blocked)
+            key = self._next_key()
             if key is None:
                 return
             waiting = self.queue.pop(key)
             waiting.timer.cancel()
-            self.flow_rates.add(key)
+            self.flow_rates.add(key, waiting.entered)
             self._start(waiting)
             waiting.started.callback(None)
 
--- a/pollenstile/limits/_backlog.py
+++ b/pollenstile/limits/_backlog.py
@@ -7,6 +7,7 @@
 _FLOW_WINDOW = 10.0
 # A flow that waits for less says nothing of its rate.
 _LEAST_AGE = 2.0
+_LEAST_SEEN = 0.05
 
 
 class FlowRates:
@@ -25,18 +26,31 @@
         self.clock = clock
         self.sums = {}
 
-    def add(self, key):
-        """Note a start."""
+    def add(self, key, since):
+        """Note a start.
+
+        Parameters
+        ==========
+
+        since : float
+            From when on its flow has waited, in seconds.
+        """
         now = self.clock.seconds()
-        self.sums[key] = (self._faded(key, now) + 1, now)
+        total, first = self._faded(key, now)
+        if total < 1 / _FLOW_WINDOW:
+            first = since
+        self.sums[key] = (total + 1, now, first)
 
     def rate(self, key):
-        """Return starts a second."""
-        return self._faded(key, self.clock.seconds()) / _FLOW_WINDOW
+        """Return starts a second, over no more time than there has been."""
+        now = self.clock.seconds()
+        total, first = self._faded(key, now)
+        seen = 1 - math.exp(min(0, first - now) / _FLOW_WINDOW)
+        return total / (_FLOW_WINDOW * max(seen, _LEAST_SEEN))
 
     def _faded(self, key, now):
-        total, when = self.sums.get(key, (0.0, now))
-        return total * math.exp((when - now) / _FLOW_WINDOW)
+        total, when, first = self.sums.get(key, (0.0, now, now))
+        return total * math.exp((when - now) / _FLOW_WINDOW), first
 
 
 def flow_wait(waiting, rate, head_age):
@@ -62,13 +76,13 @@
     ========
 
     >>> from pollenstile.limits._backlog import flow_wait
-    >>> flow_wait(10, 2.0, 5.0), flow_wait(10, 2.0, 0.5), flow_wait(9, 0, 5)
-    (5.5, 0.0, 50)
+    >>> flow_wait(10, 2.0, 5.0), flow_wait(10, 2.0, 0.1), flow_wait(9, 0, 5)
+    (5.5, 0.0, 5)
     """
     if head_age < _LEAST_AGE:
         return 0.0
     if rate <= 1 / _FLOW_WINDOW:
-        return head_age * (waiting + 1)
+        return head_age
     return (waiting + 1) / rate
 
 
--- a/pollenstile/limits/_fairqueue.py
+++ b/pollenstile/limits/_fairqueue.py
@@ -22,7 +22,7 @@
 _LEAD = 6.0
 _SMOOTHING = 0.05
 # Parts of all started cost kept for classes that wait behind others.
-RESERVES = {0: 0.0, 1: 0.1, 2: 0.15}
+RESERVES = {0: 0.0, 1: 0.05, 2: 0.1}
 _MOST_CREDIT = 2.0
 
 
