limits: a call that is far too slow counts at once

Cause: ten slow calls passed before a straggler was spared, at each host. Change: a ratio above 2.5 weighs a half; slowness fades in 20 s, not 10.

--- a/pollenstile/limits/_concurrency.py
+++ b/pollenstile/limits/_concurrency.py
@@ -2,6 +2,10 @@
 
 _MOST_RATIO = 20.0
 _SMOOTHING = 0.2
+# A call that took so many times the usual says more than chance does: one or
+# two of them, not ten, must be enough to spare the next requests.
+_SLOW = 2.5
+_ALARM = 0.5
 # Ratio of a call's time to the usual one, above which the upstream is full.
 _TOLERANCE = 1.4
 # Calls at an upstream, running and queued, above which it is full; in slots.
@@ -13,7 +17,7 @@
 # A limit grows only while calls use this share of it.
 _IN_USE = 0.6
 # Seconds in which half of what is known of an upstream's slowness fades.
-_FADING = 10.0
+_FADING = 20.0
 
 
 class Limit:
@@ -165,7 +169,8 @@
         now = self.clock.seconds()
         found = self.limit(name, slots)
         ratio = min(_MOST_RATIO, took / max(usual, 0.001))
-        found.ratio += _SMOOTHING * (ratio - found.ratio)
+        weight = _ALARM if ratio > _SLOW else _SMOOTHING
+        found.ratio += weight * (ratio - found.ratio)
         found.sampled = now
         full = pressure(found.ratio, load, slots)
         if full > 1 and now - found.cut_at < usual:
