docs: operating and capacity pages, held to code and data

Change: OPERATING with a settings table that the parser gives; CAPACITY worked out by a tool from a data file of measurements; a test holds both.

--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,11 @@
 events: $(STAMP)
 	PYTHONPATH=. $(PY) tools/events.py
 
+capacity: $(STAMP)
+	$(PY) tools/capacity.py --write
+
+settings: $(STAMP)
+	PYTHONPATH=. $(PY) tools/settings.py
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/features/docs.feature
+++ b/features/docs.feature
@@ -14,6 +14,12 @@
   Scenario: the docs list exactly the events of the code
     Then the events page of the docs is the one that the code gives
 
+  Scenario: the docs give the capacity that the measurements give
+    Then the capacity page of the docs is the one that its data give
+
+  Scenario: the docs list exactly the settings of the daemon
+    Then the settings table of the docs is the one that the parser gives
+
   Scenario: no page of the docs names a path of some machine
     Then no page of the docs names a path of some machine
 
--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then
 
 from features.builders.docs import CHECKS, all_pages, commands, page_with
+from tools import capacity, settings
 from tools.events import PAGE, events_page
 
 
@@ -36,6 +37,20 @@
     )
 
 
+@then('the capacity page of the docs is the one that its data give')
+def step_capacity_page(context):
+    assert capacity.PAGE.read_text() == capacity.page_text(), (
+        'docs/CAPACITY.md differs from its data: run `make capacity`'
+    )
+
+
+@then('the settings table of the docs is the one that the parser gives')
+def step_settings_table(context):
+    assert settings.PAGE.read_text() == settings.page_text(), (
+        'docs/OPERATING.md differs from the code: run `make settings`'
+    )
+
+
 @then('no page of the docs names a path of some machine')
 def step_paths(context):
     assert not _wrong('paths'), _wrong('paths')
