--- a/pollenstile/limits/_concurrency.py
+++ b/pollenstile/limits/_concurrency.py
@@ -4,7 +4,7 @@
 _SMOOTHING = 0.2
 # A call that took so many times the usual says more than chance does: one or
 # two of them, not ten, must be enough to spare the next requests.
-_SLOW = 2.5
+_SLOW = 4.0
 _ALARM = 0.5
 # Ratio of a call's time to the usual one, above which the upstream is full.
 _TOLERANCE = 1.4
