entry: a request counts as in flight until its answer is written

Cause: a leaving host could count itself idle before the last answer was written, found by reading; idle connections between two rounds of the floor bench were closed by the server's timeout and the bench ended. Conclusion: idle means that nothing is left to write.

--- a/pollenstile/bench/floor.py
+++ b/pollenstile/bench/floor.py
@@ -88,6 +88,11 @@
     return GOOD
 
 
+def _site(resource, reactor):
+    """Return a site that keeps idle connections between two rounds."""
+    return site_for(resource, reactor, timeout=None)
+
+
 def _listening(reactor, site):
     port = reactor.listenTCP(0, site, interface=_LOCAL)
     return address_of(port)
@@ -143,7 +148,7 @@
         log=event_log(host='floor'),
     )
     node.in_force.offer(1, text_from_manifest(manifest), 'bench')
-    return _listening(reactor, site_for(CallerFace(node), reactor))
+    return _listening(reactor, _site(CallerFace(node), reactor))
 
 
 def _upstreams(reactor):
@@ -151,8 +156,8 @@
     plain = PlainServer(reactor, 'p1', work=0, most=_SLOTS)
     engine = Engine(reactor, 'e1', 0, 0, _SLOTS)
     return (
-        _listening(reactor, site_for(PlainResource(plain), reactor)),
-        _listening(reactor, site_for(EngineResource(engine), reactor)),
+        _listening(reactor, _site(PlainResource(plain), reactor)),
+        _listening(reactor, _site(EngineResource(engine), reactor)),
     )
 
 
--- a/pollenstile/bench/forwarder.py
+++ b/pollenstile/bench/forwarder.py
@@ -80,4 +80,5 @@
 
 def forwarder_site(reactor, uri, document):
     """Return a site that forwards each request."""
-    return Site(Forwarder(reactor, uri, document), reactor=reactor)
+    forwarder = Forwarder(reactor, uri, document)
+    return Site(forwarder, timeout=None, reactor=reactor)
--- a/pollenstile/entry/_face.py
+++ b/pollenstile/entry/_face.py
@@ -162,9 +162,11 @@
         )
         gone = exchange.http.notifyFinish()
         gone.addErrback(exchange.disconnected, request)
-        self.node.track(exchange.running)
         exchange.running.addCallback(exchange.answer, request)
         exchange.running.addErrback(self._crashed, exchange)
+        # Counted to its end only when its answer was written: a host that
+        # leaves waits for that.
+        self.node.track(exchange.running)
 
     def _crashed(self, failure, exchange):
         if failure.check(CancelledError):
