--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -54,7 +54,7 @@
     """
     metrics = Metrics()
     tracker = Tracker(clock)
-    concurrency = Concurrency(clock)
+    concurrency = Concurrency(clock, log=log)
     core = Core(
         clock=clock,
         rng=rng,
--- a/pollenstile/limits/_concurrency.py
+++ b/pollenstile/limits/_concurrency.py
@@ -1,5 +1,8 @@
 """How many calls this host keeps at each upstream."""
 
+from pollenstile.limits import events
+from pollenstile.ops.logs import silent_log
+
 _MOST_RATIO = 20.0
 _SMOOTHING = 0.2
 # A call that took so many times the usual says more than chance does: one or
@@ -120,12 +123,15 @@
         For fading and for the pace of cuts.
     rule : function
         :func:`aimd` or :func:`gradient`.
+    log : function
+        Writes events.
     """
 
-    __slots__ = ('clock', 'limits', 'rule')
+    __slots__ = ('clock', 'limits', 'log', 'rule')
 
-    def __init__(self, clock, rule=aimd):
+    def __init__(self, clock, rule=aimd, log=silent_log):
         self.clock = clock
+        self.log = log
         self.rule = rule
         self.limits = {}
 
@@ -175,9 +181,16 @@
         full = pressure(found.ratio, load, slots)
         if full > 1 and now - found.cut_at < usual:
             return
+        found.value = self.rule(found.value, full, in_flight, slots)
         if full > 1:
             found.cut_at = now
-        found.value = self.rule(found.value, full, in_flight, slots)
+            self.log(
+                events.LIMIT_CUT,
+                level='debug',
+                peer=name,
+                limit=round(found.value, 2),
+                pressure=round(full, 2),
+            )
 
     def total(self, pool, states):
         """Return calls of this host that a pool takes, at least 1.
