soak: what is left of dead processes counts for nothing

Change: all processes of a world end with it, and an exchange with a dead process says nothing. Besides: numbers from outside are read in one place, one class for whole bodies, and the demo's hosts are peers.

--- a/pollenstile/entry/_caller.py
+++ b/pollenstile/entry/_caller.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
+from pollenstile.ops.numbers import whole_number
 from pollenstile.outcomes import Refused
 
 _BEARER = 'Bearer '
 _MOST_KEY = 200
-_MOST_DIGITS = 18
 _MS = 1000
 _STEP = 'caller'
 
@@ -76,12 +76,10 @@
     declared = pipeline.deadline_ms / _MS
     if not header:
         return declared
-    # Superscripts pass for digits, and thousands of digits are no number that
-    # the language reads: both would raise.
-    is_number = header.isascii() and header.isdigit()
-    if not is_number or len(header) > _MOST_DIGITS or not int(header):
+    number = whole_number(header)
+    if not number:
         return Refused(400, 'X-Deadline-Ms is not a number of ms', _STEP)
-    return min(declared, int(header) / _MS)
+    return min(declared, number / _MS)
 
 
 def key_of(header):
--- a/pollenstile/ops/_democmd.py
+++ b/pollenstile/ops/_democmd.py
@@ -23,6 +23,7 @@
 _KEY_SUFFIX = '-example-key'
 _LOCAL = '127.0.0.1'
 _SEED = 20
+_PEER_KEY = 'a key that only this demo uses, nothing else'
 
 
 def add_parser(commands):
@@ -58,15 +59,7 @@
 
 
 async def _demo(reactor, manifest, arguments):
-    _, placed = started_anywhere(reactor, manifest)
-    store = MemoryStore(reactor)
-    site = platform_site(store, weights=weightstore(reactor))
-    port = reactor.listenTCP(0, site, interface=_LOCAL)
-    value = {'text': text_from_manifest(placed), 'apply': 'demo'}
-    await store.put(CONFIG_KIND, CONFIG_NAME, value, if_version=0)
-    daemons = []
-    for number, domain in enumerate(list(manifest.domains)[:2]):
-        daemons.append(_entry(reactor, number, domain, address_of(port)))
+    daemons = await _started(reactor, manifest)
     await _ready(reactor, daemons)
     load = Load(
         bases=[f'http://{address_of(one.caller_port)}' for one in daemons],
@@ -79,7 +72,24 @@
     return load
 
 
-def _entry(reactor, number, domain, platform):
+async def _started(reactor, manifest):
+    """Return two running hosts, with stand-ins of all that they need."""
+    _, placed = started_anywhere(reactor, manifest)
+    store = MemoryStore(reactor)
+    site = platform_site(store, weights=weightstore(reactor))
+    port = reactor.listenTCP(0, site, interface=_LOCAL)
+    value = {'text': text_from_manifest(placed), 'apply': 'demo'}
+    await store.put(CONFIG_KIND, CONFIG_NAME, value, if_version=0)
+    daemons = []
+    peers = ''
+    for number, domain in enumerate(list(manifest.domains)[:2]):
+        daemon = _entry(reactor, number, domain, address_of(port), peers)
+        peers = address_of(daemon.peer_port)
+        daemons.append(daemon)
+    return daemons
+
+
+def _entry(reactor, number, domain, platform, peers):
     environment = {
         'POLLENSTILE_HOST': f'{domain}-{number}',
         'POLLENSTILE_DOMAIN': domain,
@@ -87,6 +97,8 @@
         'POLLENSTILE_ADMIN': f'{_LOCAL}:0',
         'POLLENSTILE_PEER_LISTEN': f'{_LOCAL}:0',
         'POLLENSTILE_PLATFORM': platform,
+        'POLLENSTILE_PEER_KEY': _PEER_KEY,
+        'POLLENSTILE_PEERS': peers,
     }
     settings = settings_from(None, ENTRY, environment)
     daemon = built_daemon(reactor, settings)
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -10,6 +10,7 @@
 
 from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
+from pollenstile.ops.numbers import whole_number
 
 _OK = 200
 _DATA = b'data: '
@@ -133,7 +134,7 @@
         response.code,
         document.get('outcome', 'unknown'),
         document,
-        retry_after=float(waits) if waits.isdigit() else 0,
+        retry_after=whole_number(waits) or 0,
     )
 
 
--- /dev/null
+++ b/pollenstile/ops/numbers.py
@@ -0,0 +1,26 @@
+"""Numbers in texts that come from outside."""
+
+_MOST_DIGITS = 18
+
+
+def whole_number(text):
+    """Return the whole number that a text is, or None.
+
+    Explanation
+    ===========
+
+    Superscripts pass for digits, and thousands of digits are no number that
+    the language reads: converting either would raise.
+
+    Examples
+    ========
+
+    >>> from pollenstile.ops.numbers import whole_number
+    >>> whole_number('20'), whole_number('-1'), whole_number('9' * 5000)
+    (20, None, None)
+    >>> whole_number(chr(178)), whole_number('')
+    (None, None)
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > _MOST_DIGITS:
+        return None
+    return int(text)
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from ipaddress import ip_address
 
+from pollenstile.ops.numbers import whole_number
+
 PREFIX = 'POLLENSTILE_'
 _NAME = re.compile(r'[a-z0-9][a-z0-9.-]{0,62}')
 _LEVELS = ('debug', 'info', 'warning', 'error')
@@ -74,9 +76,10 @@
         ip_address(host.strip('[]'))
     except ValueError:
         raise ValueError(f'{text!r} is not IP:PORT') from None
-    if not port.isdigit() or int(port) > _HIGHEST_PORT:
+    number = whole_number(port)
+    if number is None or number > _HIGHEST_PORT:
         raise ValueError(f'{text!r} has no port from 0 to {_HIGHEST_PORT}')
-    return host.strip('[]'), int(port)
+    return host.strip('[]'), number
 
 
 def optional_address(text):
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -18,7 +18,7 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-from pollenstile.platform._bytes import BytesProducer
+from pollenstile.ops.body import BytesProducer
 
 BODY_LIMIT = 4_000_000
 _IDLE_SECONDS = 15.0
--- a/pollenstile/soak/_callers.py
+++ b/pollenstile/soak/_callers.py
@@ -144,12 +144,18 @@
 
 
 def _respond(outcome, world, exchange):
+    if not exchange.host.process.alive:
+        return
     exchange.outcomes.append(outcome)
     exchange.ended = world.clock.seconds()
     world.clock.callLater(_LATENCY, _arrive, world, exchange)
 
 
 def _crash(failure, world, exchange):
+    # The collector of unused objects closes the coroutines of a dead process
+    # in any order; what is left of them says nothing of the program.
+    if not exchange.host.process.alive:
+        return
     world.records.violate(
         'crashed',
         exchange.request.ident,
--- a/pollenstile/soak/_run.py
+++ b/pollenstile/soak/_run.py
@@ -84,7 +84,15 @@
         _leave_calmly(world)
     _drain(world)
     check_all(world)
-    return _result(world, seed)
+    result = _result(world, seed)
+    _end_processes(world)
+    return result
+
+
+def _end_processes(world):
+    # What is left of a world is collected during the next one's run.
+    for host in world.hosts.values():
+        host.process.kill()
 
 
 def _drain(world):
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -7,6 +7,7 @@
 
 from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
+from pollenstile.ops.numbers import whole_number
 from pollenstile.upstream import wire
 from pollenstile.upstream._bodies import StreamBody, WholeBody
 from pollenstile.upstream._types import Lost, NotRun, Rejected
@@ -92,10 +93,9 @@
     attempt = response.headers.getRawHeaders(wire.ATTEMPT_HEADER, [''])[0]
     if response.code in _BUSY and stated == wire.NOT_RUN:
         waits = response.headers.getRawHeaders('retry-after', ['0'])[0]
-        retry_after = float(waits) if waits.isdigit() else 0
         return NotRun(
             f'busy ({response.code})',
-            retry_after,
+            whole_number(waits) or 0,
             attempt=attempt,
         )
     if response.code in _CLIENT_ERRORS and response.code not in _BUSY:
