bench live: running entry hosts measured

Cause: the fleet's figures came from virtual time only; nothing measured real processes, and the bench must not start any. Change: a bench that asks running hosts; the status says what a process used; capacity counts an idle process.

--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
+from pollenstile.ops.usage import process_usage
 from pollenstile.outcomes import Refused
 
 _UNAVAILABLE = 503
@@ -103,6 +104,7 @@
             'totals': self.metrics.all_totals(),
             'cost': self.core.costs.document(),
             'wasted_share': round(self.core.costs.wasted_share(), 4),
+            'usage': process_usage(),
         }
 
     def _ended(self, result):
--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -1,8 +1,15 @@
 """``pollenstile bench``: measurements."""
 
-from pollenstile.bench import claims, fleet, floor, placement, policy
+from pollenstile.bench import (
+    claims,
+    fleet,
+    floor,
+    live,
+    placement,
+    policy,
+)
 
-_BENCHES = (floor, claims, fleet, placement, policy)
+_BENCHES = (floor, claims, fleet, live, placement, policy)
 
 
 def add_parser(commands):
--- /dev/null
+++ b/pollenstile/ops/usage.py
@@ -0,0 +1,23 @@
+"""What this process has used of the machine."""
+
+import resource
+import time
+
+_KB = 1024
+
+
+def process_usage():
+    """Return processor seconds and the most memory held, as a document.
+
+    Examples
+    ========
+
+    >>> from pollenstile.ops.usage import process_usage
+    >>> sorted(process_usage())
+    ['cpu_seconds', 'memory_mb']
+    """
+    most = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return {
+        'cpu_seconds': round(time.process_time(), 3),
+        'memory_mb': round(most / _KB, 1),
+    }
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -155,9 +155,9 @@
 def _process(size, got):
     return Row(
         'interpreter, libraries, connections',
-        '-',
+        'idle at six hosts, their control included',
         'one process',
-        0,
+        _value(got, 'base_cpu_ms_s'),
         0,
         _value(got, 'base_memory_mb'),
     )
