report: a page from a bench's result file

Cause: results were lines in a terminal and JSON that nobody reads. Change: 'pollenstile report' makes one HTML page of tables, with plots when the extra with the plotting library is installed. Conclusion: latency by stage is not in the results yet, so it is in no page.

--- /dev/null
+++ b/pollenstile/ops/_reportcmd.py
@@ -0,0 +1,36 @@
+"""``pollenstile report``: a page from a bench's result file."""
+
+import sys
+
+import msgspec
+
+from pollenstile.ops._validatecmd import text_of_file
+from pollenstile.ops.exits import BAD_INPUT, GOOD
+from pollenstile.report import UnknownResult, charts_of, page_of
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        'report',
+        help='make a page from a result file; plots need the extra "report"',
+    )
+    parser.add_argument('file', help='written by bench --output')
+    parser.add_argument('--output', default='report.html', help='the page')
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Write the page; return the exit code."""
+    text = text_of_file(arguments.file)
+    if text is None:
+        return BAD_INPUT
+    try:
+        charts = charts_of(msgspec.json.decode(text))
+    except (msgspec.MsgspecError, UnknownResult) as error:
+        sys.stderr.write(f'{arguments.file}: {error}\n')
+        return BAD_INPUT
+    with open(arguments.output, 'w', encoding='utf-8') as target:
+        target.write(page_of(arguments.file, charts))
+    print(f'{arguments.output}: {len(charts)} charts')
+    return GOOD
--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -10,6 +10,7 @@
     _callcmd,
     _democmd,
     _entrycmd,
+    _reportcmd,
     _soakcmd,
     _standincmd,
     _statuscmd,
@@ -34,6 +35,7 @@
     _democmd,
     _benchcmd,
     _soakcmd,
+    _reportcmd,
 )
 
 
--- /dev/null
+++ b/pollenstile/report/_results.py
@@ -0,0 +1,120 @@
+"""What a result file of a bench holds, as tables and series."""
+
+from dataclasses import dataclass
+
+_CLASSES = ('urgent', 'normal', 'batch')
+_FLEET = (
+    ('apply_seconds', 'Apply to in force everywhere, s'),
+    ('leaving_seconds', 'Leaving to last new work, s'),
+    ('sent_bytes', 'Bytes a second a host'),
+    ('cpu_ms', 'Processor ms a second a host'),
+)
+
+
+class UnknownResult(Exception):
+    """The file is no result that a page can be made of."""
+
+
+@dataclass(slots=True, frozen=True)
+class Chart:
+    """One table, drawn as bars for each series.
+
+    Parameters
+    ==========
+
+    title : str
+        What is shown, with its unit.
+    labels : list of str
+        The rows.
+    series : dict
+        Name to a list of numbers, one for each label.
+    """
+
+    title: str
+    labels: list
+    series: dict
+
+
+def charts_of(document):
+    """Return the charts of a bench's result file.
+
+    Parameters
+    ==========
+
+    document : object
+        Decoded JSON of ``bench policy`` or ``bench fleet``.
+
+    Raises
+    ======
+
+    UnknownResult
+        With the reason.
+
+    Examples
+    ========
+
+    >>> from pollenstile.report import charts_of
+    >>> run = {
+    ...     'deployment': 'kowalczyk', 'policy': 'policy', 'scenario': '1x',
+    ...     'attainment': {'urgent': 1.0}, 'goodput': 68.4, 'wasted': 0.0,
+    ...     'cost': {'drafters': 10.0},
+    ... }
+    >>> [chart.title for chart in charts_of([run])]
+    ['kowalczyk: attainment', 'kowalczyk: goodput', 'kowalczyk: cost by pool']
+    """
+    if isinstance(document, list):
+        return _policy_charts(document)
+    if isinstance(document, dict) and 'by_hosts' in document:
+        return _fleet_charts(document)
+    raise UnknownResult('no result of bench policy or bench fleet')
+
+
+def _policy_charts(runs):
+    charts = []
+    try:
+        for name in dict.fromkeys(run['deployment'] for run in runs):
+            own = [run for run in runs if run['deployment'] == name]
+            charts.extend(_deployment_charts(name, own))
+    except (KeyError, TypeError) as error:
+        raise UnknownResult(f'a run lacks {error}') from None
+    return charts
+
+
+def _deployment_charts(name, runs):
+    labels = [f'{run["scenario"]} {run["policy"]}' for run in runs]
+    attainment = {}
+    for urgency in _CLASSES:
+        attainment[urgency] = [
+            run['attainment'].get(urgency, 0) for run in runs
+        ]
+    goodput = {
+        'requests in time a second': [run['goodput'] for run in runs],
+        'wasted share': [run['wasted'] for run in runs],
+    }
+    return [
+        Chart(f'{name}: attainment', labels, attainment),
+        Chart(f'{name}: goodput', labels, goodput),
+        Chart(f'{name}: cost by pool', labels, _costs(runs)),
+    ]
+
+
+def _costs(runs):
+    pools = dict.fromkeys(pool for run in runs for pool in run['cost'])
+    costs = {}
+    for pool in pools:
+        costs[pool] = [run['cost'].get(pool, 0) for run in runs]
+    return costs
+
+
+def _fleet_charts(document):
+    charts = []
+    cases = document['by_hosts']
+    for field, title in _FLEET:
+        if not cases or field not in cases[0]:
+            continue
+        labels = [f'{case["hosts"]} hosts' for case in cases]
+        series = {field: [case[field] for case in cases]}
+        charts.append(Chart(title, labels, series))
+    if not charts:
+        raise UnknownResult('the fleet result has no cases')
+    return charts
