--- a/features/builders/claims.py
+++ b/features/builders/claims.py
@@ -27,10 +27,9 @@
 from pollenstile.platform import InDoubt, Unavailable
 from pollenstile.standin.objectapi import MemoryStore
 from pollenstile.standin.virtual import (
-    UP,
     Times,
-    VirtualNetwork,
     VirtualUpstream,
+    calm_network,
 )
 
 WINDOW = 600
@@ -354,12 +353,7 @@
             name: VirtualUpstream(self.clock, name, 'service', 64, times)
             for name in ('booking-1', 'members-1')
         }
-        self.network = VirtualNetwork(
-            self.clock,
-            self.upstreams,
-            lambda origin, name: 0.001,
-            lambda origin, name: UP,
-        )
+        self.network = calm_network(self.clock, self.upstreams)
         self.hosts = {}
         self.answers = {}
         self.requests = {}
--- a/features/builders/limits.py
+++ b/features/builders/limits.py
@@ -21,10 +21,9 @@
 from pollenstile.outcomes import Answered, Refused
 from pollenstile.pipeline import Request, outcome_of
 from pollenstile.standin.virtual import (
-    UP,
     Times,
-    VirtualNetwork,
     VirtualUpstream,
+    calm_network,
 )
 
 WORK = 0.1
@@ -101,12 +100,7 @@
                 SLOTS,
                 Times(self._work, float),
             )
-        network = VirtualNetwork(
-            self.clock,
-            self.upstreams,
-            lambda origin, name: 0.001,
-            lambda origin, name: UP,
-        )
+        network = calm_network(self.clock, self.upstreams)
         self.nodes = []
         for number in range(hosts):
             node = self._node(f'h{number}', network)
--- a/features/builders/placement.py
+++ b/features/builders/placement.py
@@ -35,10 +35,9 @@
 from pollenstile.standin.objectapi import MemoryStore
 from pollenstile.standin.orders import Holdings, MemoryOrders
 from pollenstile.standin.virtual import (
-    UP,
     Times,
-    VirtualNetwork,
     VirtualUpstream,
+    calm_network,
 )
 from pollenstile.standin.weightstore import MemoryWeights
 
@@ -306,12 +305,7 @@
         times = Times(lambda: 0.05, lambda: 0.01)
         slots = upstream.slots
         engines[name] = VirtualUpstream(clock, name, 'engine', slots, times)
-    network = VirtualNetwork(
-        clock,
-        engines,
-        lambda _origin, _name: 0.001,
-        lambda _origin, _name: UP,
-    )
+    network = calm_network(clock, engines)
     environment = {'POLLENSTILE_HOST': 'a', 'POLLENSTILE_DOMAIN': DOMAIN}
     node = built_node(
         clock,
--- a/features/builders/shutdown.py
+++ b/features/builders/shutdown.py
@@ -24,10 +24,9 @@
 from pollenstile.ops.settings import ENTRY, settings_from
 from pollenstile.standin.objectapi import MemoryStore
 from pollenstile.standin.virtual import (
-    UP,
     Times,
-    VirtualNetwork,
     VirtualUpstream,
+    calm_network,
 )
 
 LAME_DUCK = 2.0
@@ -151,12 +150,7 @@
             'e1': VirtualUpstream(self.clock, 'e1', 'engine', 8, times),
             'b1': VirtualUpstream(self.clock, 'b1', 'service', 8, times),
         }
-        network = VirtualNetwork(
-            self.clock,
-            self.upstreams,
-            lambda origin, name: 0.001,
-            lambda origin, name: UP,
-        )
+        network = calm_network(self.clock, self.upstreams)
         settings = settings_from(
             None,
             ENTRY,
--- a/pollenstile/standin/virtual.py
+++ b/pollenstile/standin/virtual.py
@@ -312,3 +312,24 @@
     def _stop(self):
         if self._state() == UP:
             self.run.stop()
+
+
+def calm_network(clock, upstreams, latency=0.001):
+    """Return a network whose links are all up.
+
+    Parameters
+    ==========
+
+    clock : twisted.internet.task.Clock
+        Virtual.
+    upstreams : dict
+        Name to :class:`VirtualUpstream`.
+    latency : float
+        Seconds one way, on each link.
+    """
+    return VirtualNetwork(
+        clock,
+        upstreams,
+        lambda _origin, _name: latency,
+        lambda _origin, _name: UP,
+    )
