upstream, pipeline: fewer steps for each chunk

Change: a chunk is taken first and looked at for a gap only when it was not; the length of lines is checked without a generator; one call less.

--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -228,11 +228,11 @@
             attempt.progress = True
             learn_first(self.attempts, attempt)
             self._listen(attempt)
-        if self.assembly.has_gap(chunk.offset):
-            self._on_failure(attempt, Lost('gap in stream'))
-            return
         if self.assembly.accepts(chunk.offset, chunk.text):
             self.on_token(chunk.text)
+            return
+        if self.assembly.has_gap(chunk.offset):
+            self._on_failure(attempt, Lost('gap in stream'))
 
     def _listen(self, attempt):
         # A stream that goes silent for good shows as no chunk for longer than
--- a/pollenstile/upstream/_bodies.py
+++ b/pollenstile/upstream/_bodies.py
@@ -127,13 +127,10 @@
             return
         self.last = decoded
         for choice in decoded.choices:
-            self._pass_on(decoded, choice.text)
-
-    def _pass_on(self, event, text):
-        if not text:
-            return
-        self.parts.append(text)
-        self.sink(Chunk(event.id, event.offset, text))
+            if not choice.text:
+                continue
+            self.parts.append(choice.text)
+            self.sink(Chunk(decoded.id, decoded.offset, choice.text))
 
     def _complete(self):
         # A stream is whole only if the engine closed it itself: the end mark
--- a/pollenstile/upstream/_sse.py
+++ b/pollenstile/upstream/_sse.py
@@ -39,7 +39,7 @@
         """Return the data of each event that is complete now."""
         lines = (self.rest + received).split(b'\n')
         self.rest = lines.pop()
-        if any(len(line) > self.most for line in (*lines, self.rest)):
+        if max(map(len, (*lines, self.rest))) > self.most:
             raise ValueError('event too long')
         found = []
         for line in lines:
