features: streams of the thin path are twice as long

Cause: on a busy machine the whole stream could arrive before the kill that the scenario is about. Change: the stand-ins of that feature take twice their usual time. Conclusion: the same assertions, over a longer stream.

--- a/features/steps/thinpath_steps.py
+++ b/features/steps/thinpath_steps.py
@@ -44,6 +44,9 @@
         path,
         '--anywhere',
         context.placed,
+        # Long streams: a kill after the first bytes is in their middle.
+        '--scale',
+        '2',
     )
     line_with(fleet.stdout, 'listens')
 
