routing, fleet: one filter of engines by model; an unused poll is gone

Cause: read again, routing filtered engines by a state that nothing set, and the pipeline filtered them once more by what placement says; a poll of the configuration was left from before the watch. Change: what placement says goes to routing as one of its hints, at the place where upstreams are excluded; the unset state and the poll are removed. The scenario of models tells its holder by that hint and asserts the same.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -206,12 +206,11 @@
 @given('a routing pool in which only "{name}" holds the model')
 def step_holds(context, name):
     context.pool = _Pool()
-    for other in context.pool.pool.upstreams:
-        held = {'writer'} if other == name else {'reader'}
-        context.pool.tracker.state(other).models = held
+    context.holder = name
 
 
 @then('every routing choice for the model is "{name}"')
 def step_holder(context, name):
     for _ in range(50):
-        assert context.pool.choose(model='writer').name == name
+        choice = context.pool.choose(holds=context.holder.__eq__)
+        assert choice.name == name
--- a/pollenstile/fleet/__init__.py
+++ b/pollenstile/fleet/__init__.py
@@ -26,8 +26,6 @@
     CONFIG_KIND,
     CONFIG_NAME,
     PlatformNews,
-    config_poll,
-    config_read,
 )
 from pollenstile.fleet._record import (
     HOST,
--- a/pollenstile/fleet/_platformnews.py
+++ b/pollenstile/fleet/_platformnews.py
@@ -1,7 +1,6 @@
 """News from the platform: the configuration and the host list."""
 
 from twisted.internet.defer import Deferred, maybeDeferred
-from twisted.internet.task import LoopingCall
 
 from pollenstile.fleet import events
 from pollenstile.fleet._rendezvous import ranked
@@ -27,23 +26,6 @@
         offered(in_force, found.version, found.value)
 
 
-def config_poll(clock, store, in_force, period=1.0):
-    """Return a started LoopingCall that reads the configuration.
-
-    Explanation
-    ===========
-
-    For a host that runs alone, without the watch and the peers of a
-    :class:`Fleet`, as in the randomised runs of the request path.
-    """
-    loop = LoopingCall(
-        lambda: Deferred.fromCoroutine(config_read(store, in_force)),
-    )
-    loop.clock = clock
-    loop.start(period)
-    return loop
-
-
 def offered(in_force, version, value):
     """Offer an object's value to a host; return whether it was taken."""
     text = value.get('text') if isinstance(value, dict) else None
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -235,7 +235,7 @@
             self.core.tracker,
             self.core.domain,
             self.core.rng,
-            self._without_model(excluded),
+            excluded,
             self._hints(),
         )
 
@@ -244,19 +244,11 @@
             self.core.concurrency.slowness,
             self.core.concurrency.is_over,
             self.cache_key,
-            self.stage.model,
+            self._holds if self.stage.model else None,
         )
 
-    def _without_model(self, excluded):
-        """Return what is excluded, with the engines that lack the model."""
-        model = self.stage.model
-        if not model:
-            return excluded
-        lacking = set(excluded)
-        for name in self.pool.upstreams:
-            if not self.core.holds(name, model):
-                lacking.add(name)
-        return lacking
+    def _holds(self, name):
+        return self.core.holds(name, self.stage.model)
 
     def _call(self, attempt, timeout, assembly):
         return Call(
--- a/pollenstile/routing/_choose.py
+++ b/pollenstile/routing/_choose.py
@@ -76,20 +76,20 @@
         Returns whether one more call would pass an upstream's own limit.
     key : int
         Of the prompt's prefix; 0 when there is none.
-    model : str
-        That the call needs; empty for none.
+    holds : function or None
+        Returns whether an upstream takes work for the call's model.
     """
 
     slowness: object = None
     is_over: object = None
     key: int = 0
-    model: str = ''
+    holds: object = None
 
 
 _NO_HINTS = Hints()
 
 
-def candidates_of(pool, tracker, excluded=(), model=''):
+def candidates_of(pool, tracker, excluded=(), holds=None):
     """Return upstreams that may take a call, with their states.
 
     Explanation
@@ -103,7 +103,7 @@
     barred = set()
     for name, upstream in pool.upstreams.items():
         state = tracker.state(name)
-        if state.leaving or not _holds(state, model):
+        if state.leaving:
             continue
         members.append((name, upstream, state))
         if state.barred_until > now:
@@ -111,6 +111,8 @@
     out = set(excluded)
     if not is_panic(len(members), len(barred)):
         out |= barred
+    if holds is not None:
+        out.update(name for name, _, _ in members if not holds(name))
     return [member for member in members if member[0] not in out]
 
 
@@ -140,7 +142,7 @@
         None when no upstream may take the call.
     """
     now = tracker.clock.seconds()
-    found = candidates_of(pool, tracker, excluded, hints.model)
+    found = candidates_of(pool, tracker, excluded, hints.holds)
     preferred = _preferred(found, domain, hints.key)
     best = None
     best_order = None
@@ -158,11 +160,6 @@
     return Choice(*best, len(found), best[0] == preferred)
 
 
-def _holds(state, model):
-    # Until an engine says which models it holds, it has all of its pool's.
-    return not model or state.models is None or model in state.models
-
-
 def _score(busy, candidate, domain, hints):
     """Return the estimated time of a call, in usual times."""
     name, upstream, state = candidate
--- a/pollenstile/routing/_tracker.py
+++ b/pollenstile/routing/_tracker.py
@@ -36,7 +36,6 @@
         'in_flight',
         'leaving',
         'load',
-        'models',
         'own_at_report',
         'reported',
     )
@@ -49,7 +48,6 @@
         self.failures = 0
         self.barred_until = 0.0
         self.leaving = False
-        self.models = None
 
 
 class Tracker:
