--- /dev/null
+++ b/pollenstile/forward/__init__.py
@@ -0,0 +1,23 @@
+"""Opaque HTTP exchanges, forwarded to upstreams untouched."""
+
+from pollenstile.forward._budget import RepeatBudget
+from pollenstile.forward._choose import (
+    EngineView,
+    chosen_engine,
+    chosen_plain,
+    subject_of,
+)
+from pollenstile.forward._client import HttpClient
+from pollenstile.forward._configuration import ConfigurationReader
+from pollenstile.forward._core import ForwardCore
+from pollenstile.forward._daemon import ForwardDaemon, HostSettings
+from pollenstile.forward._registry import Registry, Upstream
+from pollenstile.forward._run import serve
+from pollenstile.forward._types import (
+    BodyEnd,
+    Exchange,
+    HeaderNames,
+    Lost,
+    NotRun,
+    Refusal,
+)
--- /dev/null
+++ b/pollenstile/forward/_attempt.py
@@ -0,0 +1,331 @@
+"""One send of a request to one upstream."""
+
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
+
+from pollenstile.forward._learning import (
+    learn_failure,
+    learn_load,
+    learn_success,
+    learn_unreached,
+)
+from pollenstile.forward._sse import EventSplitter
+from pollenstile.forward._types import BodyEnd, Lost, NotRun
+from pollenstile.routes import Kind
+
+_MS = 1000
+_MISDIRECTED = 421
+_PROMISES = (408, 421, 429, 503)
+_OK = range(200, 300)
+# Bytes of an answer that are held back until it is whole, so that a torn one
+# can be asked for again. Larger ones are handed on as they come.
+_HELD_BYTES = 65536
+# The most urgent request has this rank at engines, of 0 to 9.
+_FIRST_RANK = 3
+_LAST_RANK = 9
+
+
+class Delivered:
+    """The answer went to the caller whole."""
+
+    __slots__ = ()
+
+
+class Failing:
+    """A whole answer that says that the upstream failed.
+
+    Parameters
+    ==========
+
+    status, phrase, headers, body
+        As the upstream gave them.
+    """
+
+    __slots__ = ('body', 'headers', 'phrase', 'status')
+
+    def __init__(self, status, phrase, headers, body):
+        self.status = status
+        self.phrase = phrase
+        self.headers = headers
+        self.body = body
+
+
+class Attempt:
+    """Sends a request and hands the answer on.
+
+    Parameters
+    ==========
+
+    core : ForwardCore
+        What the host offers.
+    exchange : Exchange
+        The request.
+    view : EngineView
+        Where it goes.
+    answer : Answer
+        The caller's side.
+    on_read : function
+        Called when the upstream has read its inputs.
+
+    Attributes
+    ==========
+
+    splitter : EventSplitter
+        Knows the last whole event that was handed on.
+    arrived : bool
+        Whether the request may have reached the upstream.
+    """
+
+    __slots__ = (
+        'answer',
+        'arrived',
+        'call',
+        'core',
+        'exchange',
+        'heard',
+        'held',
+        'on_read',
+        'splitter',
+        'started',
+        'view',
+    )
+
+    def __init__(self, core, exchange, view, answer, on_read):
+        self.core = core
+        self.exchange = exchange
+        self.view = view
+        self.answer = answer
+        self.on_read = on_read
+        self.splitter = EventSplitter()
+        self.held = []
+        self.heard = False
+        self.arrived = False
+        self.call = None
+        self.started = core.clock.seconds()
+
+    @property
+    def streaming(self):
+        """Whether the answer is a series of events."""
+        return self.exchange.route.kind is Kind.STREAM
+
+    async def outcome(self, patience, last_event):
+        """Return ``Delivered``, ``Failing``, ``NotRun`` or ``Lost``.
+
+        Parameters
+        ==========
+
+        patience : float or None
+            Seconds of silence after which the attempt counts as lost.
+        last_event : str
+            Event after which a stream goes on; empty for its beginning.
+        """
+        exchange = self.exchange
+        tokens = sum(size for _, size in exchange.prompt)
+        self.view.flying += 1
+        self.view.flying_tokens += tokens
+        try:
+            outcome = await self._sent(patience, last_event)
+        except CancelledError:
+            if self.call is not None:
+                self.call.cancel()
+            raise
+        finally:
+            self.view.flying -= 1
+            self.view.flying_tokens -= tokens
+        self._learn(outcome)
+        return outcome
+
+    async def _sent(self, patience, last_event):
+        exchange = self.exchange
+        self.call = self.core.client.send(
+            self.view.address,
+            exchange.method,
+            exchange.target,
+            self._headers(last_event),
+            exchange.body,
+        )
+        head = await self._within(self.call.head, patience)
+        self.arrived = self.call.sent
+        if isinstance(head, (NotRun, Lost)):
+            return head
+        refusal = self._refusal(head)
+        if refusal is not None:
+            self.call.cancel()
+            return refusal
+        if head.code not in _OK:
+            return await self._failing(head, patience)
+        if self.streaming:
+            return await self._streamed(head, patience)
+        return await self._answered(head, patience)
+
+    async def _within(self, deferred, seconds):
+        if seconds is None:
+            return await deferred
+        deferred.addTimeout(seconds, self.core.clock)
+        try:
+            return await deferred
+        except TimeoutError:
+            self.call.cancel()
+            if not self.call.sent:
+                return NotRun('no connection', self.view.ident, arrived=False)
+            return Lost('silent', self.view.ident)
+
+    def _refusal(self, head):
+        """Return why this head is no answer to the request, or None."""
+        names = self.core.names
+        ident = self.view.ident
+        load = _text(head, names.load)
+        if load:
+            learn_load(self.view, load, self.core.clock.seconds())
+        echoed = _text(head, names.attempt)
+        if echoed and echoed != self.exchange.ident:
+            # The late second answer of another request; taken for this one's,
+            # a caller would get what another asked for.
+            return Lost('foreign answer', ident)
+        if head.code == _MISDIRECTED:
+            self.core.registry.drop(ident)
+            return NotRun('another incarnation', ident)
+        if _text(head, names.not_run):
+            return NotRun(f'status {head.code}', ident)
+        proven = _text(head, names.stamp) and echoed
+        if head.code in _OK and not proven:
+            return Lost('answer without proof', ident)
+        if head.code in _PROMISES and not proven:
+            return Lost(f'status {head.code}', ident)
+        return None
+
+    async def _failing(self, head, patience):
+        parts = []
+        end = await self._body(head, parts.append, patience)
+        if end is not BodyEnd.WHOLE:
+            return Lost('torn failure', self.view.ident)
+        return Failing(
+            head.code,
+            head.phrase,
+            _forwarded(head),
+            b''.join(parts),
+        )
+
+    async def _answered(self, head, patience):
+        def take(data):
+            if self.answer.begun:
+                self.answer.write(data)
+                return
+            self.held.append(data)
+            if sum(map(len, self.held)) > _HELD_BYTES:
+                self._begin(head)
+                self._write_held()
+
+        end = await self._body(head, take, patience)
+        if end is not BodyEnd.WHOLE:
+            return Lost('torn answer', self.view.ident)
+        if not self.answer.begun:
+            self._begin(head)
+            self._write_held()
+        self.answer.finish()
+        return Delivered()
+
+    async def _streamed(self, head, patience):
+        def take(data):
+            if not self.heard:
+                self.heard = True
+                self.on_read()
+                seconds = self.core.clock.seconds() - self.started
+                learn_success(self.view, seconds)
+            events = self.splitter.whole(data)
+            if not events:
+                return
+            if not self.answer.begun:
+                self._begin(head)
+            self.answer.write(events)
+
+        end = await self._body(head, take, patience)
+        if end is not BodyEnd.WHOLE:
+            return Lost('torn stream', self.view.ident)
+        if not self.answer.begun:
+            self._begin(head)
+        if self.splitter.rest:
+            self.answer.write(self.splitter.rest)
+        self.answer.finish()
+        return Delivered()
+
+    def _begin(self, head):
+        self.answer.begin(head.code, head.phrase, _forwarded(head))
+
+    def _write_held(self):
+        for data in self.held:
+            self.answer.write(data)
+        self.held = []
+
+    async def _body(self, head, take, patience):
+        """Hand a body over; a silence longer than the patience breaks it."""
+        ended = Deferred(lambda _: self.call.cancel())
+        clock = self.core.clock
+        silence = None
+
+        def end(how):
+            if silence is not None and silence.active():
+                silence.cancel()
+            if not ended.called:
+                ended.callback(how)
+
+        def broken():
+            self.call.cancel()
+            end(BodyEnd.BROKEN)
+
+        def heard(data):
+            if silence is not None and silence.active():
+                silence.reset(patience)
+            take(data)
+
+        if patience is not None:
+            silence = clock.callLater(patience, broken)
+        producer = self.call.deliver(head, heard, end)
+        self.answer.produce(producer)
+        try:
+            return await ended
+        finally:
+            if silence is not None and silence.active():
+                silence.cancel()
+            self.answer.unproduce()
+
+    def _headers(self, last_event):
+        names = self.core.names
+        exchange = self.exchange
+        left = max(1, int((exchange.ends - self.core.clock.seconds()) * _MS))
+        headers = [
+            *exchange.headers,
+            (names.deadline, b'%d' % left),
+            (names.expect, self.view.ident.encode()),
+        ]
+        if exchange.team:
+            headers.append((names.team, exchange.team.encode()))
+        if exchange.handles:
+            headers.append((names.results, ','.join(exchange.handles).encode()))
+        if last_event:
+            headers.append((names.last_event, last_event.encode()))
+        if exchange.prompt:
+            rank = min(_LAST_RANK, _FIRST_RANK + exchange.urgency)
+            headers.append((names.urgency, b'%d' % rank))
+        return headers
+
+    def _learn(self, outcome):
+        now = self.core.clock.seconds()
+        if isinstance(outcome, NotRun):
+            learn_unreached(self.view, now)
+        elif isinstance(outcome, (Lost, Failing)):
+            learn_failure(self.view)
+        elif not self.streaming:
+            learn_success(self.view, now - self.started)
+
+
+def _text(head, name):
+    values = head.headers.getRawHeaders(name)
+    return values[0].decode('latin-1') if values else ''
+
+
+def _forwarded(head):
+    return [
+        (name, value)
+        for name, values in head.headers.getAllRawHeaders()
+        for value in values
+    ]
--- /dev/null
+++ b/pollenstile/forward/_choose.py
@@ -0,0 +1,193 @@
+"""Choice of an upstream for a request, without I/O."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+# Seconds by which one request in an engine's batch delays another one: each
+# adds 0.1 ms to a step of 3 ms, and an answer has about 300 steps.
+_CROWD_SECONDS = 0.02
+# Tokens of a prompt that an engine reads in a second.
+_PREFILL_RATE = 55000.0
+# Seconds that a request waits for each one that waits at the engine.
+_QUEUE_SECONDS = 0.3
+# Seconds for another failure domain: two more trips, and what crosses is paid.
+_FAR_SECONDS = 0.004
+# A report of load older than this says nothing; one's own calls do.
+_LOAD_SECONDS = 2.0
+# Share of failures above the siblings' median from which an upstream counts as
+# sick. Services answer some requests with errors of their own on every
+# upstream (14% of one sort of lookups), so no fixed share would do.
+_SICK_ABOVE = 0.25
+
+
+@dataclass(slots=True)
+class EngineView:
+    """What this host knows of one upstream.
+
+    Attributes
+    ==========
+
+    flying : int
+        Own requests at it.
+    flying_tokens : int
+        Tokens of own prompts that it has not answered yet.
+    running, queued, slots : int
+        As it said last, with the time of that and the own requests then.
+    failures : float
+        Smoothed share of requests that failed there.
+    seconds : float
+        Smoothed time until its answers begin; 0 when unknown.
+    rest_until : float
+        Not used before, while there are others.
+    """
+
+    ident: str
+    address: str
+    domain: str
+    slots: int = 1
+    flying: int = 0
+    flying_tokens: int = 0
+    running: int = 0
+    queued: int = 0
+    load_at: float = -1000.0
+    load_flying: int = 0
+    failures: float = 0.0
+    seconds: float = 0.0
+    rest_until: float = 0.0
+    strikes: int = 0
+
+
+def load_of(view, now):
+    """Return requests that run or wait at an upstream, as far as is known.
+
+    Examples
+    ========
+
+    >>> from pollenstile.forward import EngineView
+    >>> view = EngineView('i', 'a:1', 'd', flying=2)
+    >>> load_of(view, 0)
+    2
+    >>> view.running, view.load_at, view.load_flying = 9, 0, 1
+    >>> load_of(view, 1)
+    10
+    """
+    if now - view.load_at > _LOAD_SECONDS:
+        return view.flying
+    told = view.running + view.queued
+    return max(view.flying, told + view.flying - view.load_flying)
+
+
+def usable(views, now, tried=()):
+    """Return the upstreams to choose from, sick ones only if there are none.
+
+    Explanation
+    ===========
+
+    When most of them rest or fail, the cause lies elsewhere, and leaving all
+    of them out would serve nobody: then all are used.
+    """
+    fresh = [view for view in views if view.ident not in tried]
+    shares = sorted(view.failures for view in fresh)
+    usual = shares[len(shares) // 2] if shares else 0
+    sound = [
+        view
+        for view in fresh
+        if view.rest_until <= now and view.failures < usual + _SICK_ABOVE
+    ]
+    if len(sound) * 2 >= len(fresh):
+        return sound
+    awake = [view for view in fresh if view.rest_until <= now]
+    return awake or fresh
+
+
+def subject_of(prompt):
+    """Return the last part that requests share, or the empty string.
+
+    Examples
+    ========
+
+    >>> subject_of((('head', 500), ('unit', 4000), ('own', 60)))
+    'unit'
+    >>> subject_of((('own', 60),))
+    ''
+    """
+    return prompt[-2][0] if len(prompt) > 1 else ''
+
+
+def chosen_plain(views, now, domain, rng):
+    """Return the upstream of a plain service that answers soonest, or None.
+
+    Parameters
+    ==========
+
+    views : list of EngineView
+        Usable.
+    domain : str
+        The own one.
+    """
+    if not views:
+        return None
+    times = sorted(view.seconds for view in views if view.seconds)
+    usual = times[len(times) // 2] if times else 0.05
+
+    def cost(view):
+        seconds = view.seconds or usual
+        crowd = load_of(view, now) / max(1, view.slots)
+        far = _FAR_SECONDS if view.domain != domain else 0
+        trouble = 1 + 4 * view.failures
+        return seconds * (1 + crowd) * trouble + far, rng.random()
+
+    return min(views, key=cost)
+
+
+def _rendezvous(subject, ident):
+    return xxhash.xxh64_intdigest(f'{subject}\0{ident}'.encode())
+
+
+def chosen_engine(views, now, domain, rng, prompt, near=()):
+    """Return the model engine whose first token comes soonest, or None.
+
+    Explanation
+    ===========
+
+    A subject has a home engine by rendezvous over all engines, the same at
+    every host, so its shared part is read once. Another engine is taken when
+    the home is more crowded than reading that part again costs.
+
+    Parameters
+    ==========
+
+    prompt : tuple
+        Identifier and tokens of each part, in order.
+    near : tuple of str
+        Domains in which the request's stage results lie.
+    """
+    if not views:
+        return None
+    subject = subject_of(prompt)
+    homes = sorted(
+        views,
+        key=lambda view: _rendezvous(subject, view.ident),
+    )
+    shared = prompt[-2][1] if subject else 0
+    own = prompt[-1][1] if prompt else 0
+
+    def cost(view):
+        miss = own
+        if subject and view is not homes[0]:
+            miss += shared
+        seconds = (miss + view.flying_tokens) / _PREFILL_RATE
+        load = load_of(view, now)
+        waiting = view.queued if now - view.load_at < _LOAD_SECONDS else 0
+        seconds += _CROWD_SECONDS * load + _QUEUE_SECONDS * waiting
+        if load >= view.slots:
+            seconds += _QUEUE_SECONDS * (load - view.slots + 1)
+        if view.domain != domain:
+            seconds += _FAR_SECONDS
+        seconds += view.failures
+        if near and view.domain not in near:
+            seconds += _FAR_SECONDS
+        return seconds, rng.random()
+
+    return min(views, key=cost)
--- /dev/null
+++ b/pollenstile/forward/_configuration.py
@@ -0,0 +1,186 @@
+"""The route table in force, and the proof that it was the newest."""
+
+from pollenstile.forward import events
+from pollenstile.ops.logs import silent_log
+from pollenstile.platform import Found, paused
+
+# Seconds between reads. A change has to be in force within 2 s of its write;
+# this leaves one failed read and the answer's way.
+_READ_PERIOD = 0.9
+# Seconds after which a read that failed is tried again, at most.
+_RETRY_PERIOD = 0.5
+# Part of the revocation bound after which a proof is too old: the rest is
+# for the time between a request's sending and its being read here.
+_PROOF_SHARE = 0.9
+
+
+class ConfigurationReader:
+    """Reads the configuration over and over, and never goes back.
+
+    Explanation
+    ===========
+
+    A key that was taken away must stop working within a bound on every host,
+    also on one that is cut off. So a keyed request is taken only while this
+    host can prove that its table was the newest a moment ago: by an answered
+    linearizable read, dated from before it was sent. A watch that is silent
+    proves nothing, as it can miss changes.
+
+    Parameters
+    ==========
+
+    store : Store
+        Linearizable reads.
+    clock : IReactorTime
+        Paces the reads.
+    suspend_clock : function
+        Returns seconds, suspended time included; a host that was suspended
+        must not take an old proof for a fresh one.
+    decode : function
+        From a stored value to a route table; raises ValueError.
+    revoke_seconds : float
+        Within this time a key that was taken away stops working.
+
+    Attributes
+    ==========
+
+    table : RouteTable or None
+        In force.
+    proven_at : float
+        On the suspend clock.
+    listeners : list of function
+        Called with each new table.
+    failures : int
+        Reads in a row without an answer.
+    """
+
+    __slots__ = (
+        'clock',
+        'decode',
+        'failures',
+        'listeners',
+        'log',
+        'on_read',
+        'proven_at',
+        'random',
+        'revision',
+        'revoke_seconds',
+        'running',
+        'store',
+        'suspend_clock',
+        'table',
+    )
+
+    def __init__(
+        self,
+        store,
+        clock,
+        suspend_clock,
+        random,
+        decode,
+        revoke_seconds,
+        log=silent_log,
+    ):
+        self.store = store
+        self.clock = clock
+        self.suspend_clock = suspend_clock
+        self.random = random
+        self.decode = decode
+        self.revoke_seconds = revoke_seconds
+        self.log = log
+        self.table = None
+        self.revision = 0
+        self.proven_at = -1000.0
+        self.failures = 0
+        self.listeners = []
+        self.on_read = None
+        self.running = True
+
+    def is_proven(self):
+        """Return whether keys may be trusted now."""
+        age = self.suspend_clock() - self.proven_at
+        return age < _PROOF_SHARE * self.revoke_seconds
+
+    async def run(self):
+        """Read until stopped."""
+        while self.running:
+            began = self.suspend_clock()
+            outcome = await self.store.get('config', 'main')
+            answered = isinstance(outcome, Found)
+            if answered:
+                self.take(outcome, began)
+            self._note(outcome, answered=answered)
+            pause = _READ_PERIOD if answered else _RETRY_PERIOD
+            pause *= self.random.uniform(0.7, 1)
+            await paused(self.clock, pause)
+
+    def take(self, found, began):
+        """Take one read.
+
+        Parameters
+        ==========
+
+        found : Found
+            The stored configuration.
+        began : float
+            On the suspend clock, before the read was sent.
+        """
+        if found.version < self.revision:
+            return
+        if found.version > self.revision or self.table is None:
+            if not self._replaced(found):
+                return
+            self.revision = found.version
+        self.proven_at = max(self.proven_at, began)
+
+    def _replaced(self, found):
+        try:
+            table = self.decode(found.value)
+        except ValueError as error:
+            self.log(
+                events.CONFIGURATION_BAD,
+                level='error',
+                revision=found.version,
+                reason=str(error)[:200],
+            )
+            return False
+        if self.table is not None and table.version < self.table.version:
+            return False
+        self.table = table
+        self.log(
+            events.CONFIGURATION_TAKEN,
+            version=table.version,
+            revision=found.version,
+        )
+        for listener in self.listeners:
+            self._call(listener, table)
+        return True
+
+    def _call(self, listener, table):
+        try:
+            listener(table)
+        except Exception as error:
+            # A table that one part can't bear must not end the reading: the
+            # host would go on with an old table and no sign of it.
+            self.log(
+                events.CONFIGURATION_BAD,
+                level='error',
+                version=table.version,
+                reason=repr(error),
+            )
+
+    def _note(self, outcome, *, answered):
+        if answered and self.failures:
+            self.log(events.STORE_REGAINED, failures=self.failures)
+        if answered:
+            self.failures = 0
+        else:
+            self.failures += 1
+            if self.failures == 1:
+                self.log(
+                    events.STORE_LOST,
+                    level='warning',
+                    reason=getattr(outcome, 'reason', outcome.__class__),
+                )
+        if self.on_read is not None:
+            self.on_read(answered)
--- /dev/null
+++ b/pollenstile/forward/_core.py
@@ -0,0 +1,51 @@
+"""What forwarding a request depends on."""
+
+from dataclasses import dataclass, field
+
+from pollenstile.forward._types import HeaderNames
+from pollenstile.ops.logs import silent_log
+
+
+def _count_nothing(name, number=1):
+    """Count nothing."""
+
+
+@dataclass(slots=True)
+class ForwardCore:
+    """Parts of one entry host that forwarded requests share.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Real, or virtual under test.
+    rng : random.Random
+        Seeded under test.
+    domain : str
+        The host's failure domain.
+    client : HttpClient
+        Sends requests.
+    registry : Registry
+        Upstreams.
+    configuration : ConfigurationReader
+        The route table in force.
+    budget : RepeatBudget
+        Repeats that may be sent.
+    stages : StageClient
+        Has stage work done.
+    names : HeaderNames
+        Of the headers that the system reads and sets.
+    """
+
+    clock: object
+    rng: object
+    domain: str
+    client: object
+    registry: object
+    configuration: object
+    budget: object
+    stages: object
+    names: HeaderNames = field(default_factory=HeaderNames)
+    log: object = silent_log
+    count: object = _count_nothing
+    leaving: bool = False
--- /dev/null
+++ b/pollenstile/forward/_decisions.py
@@ -0,0 +1,110 @@
+"""What follows an attempt that failed, without I/O."""
+
+import enum
+
+from pollenstile.forward._types import Lost, NotRun, Refusal
+from pollenstile.routes import Kind
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_TIMED_OUT = 504
+# Sends of one request that may be answered with 'not run' before it is given
+# up: more only load a service that is full.
+_MOST_SENDS = 3
+# Seconds after which a refused caller is told to come back, at least, and the
+# jitter, so that those refused together don't return together.
+_LEAST_RETRY = 0.2
+_RETRY_JITTER = 0.3
+# Silence after which an idempotent call is tried elsewhere: this many times
+# what its service usually takes, within these bounds in seconds.
+_PATIENCE_FACTOR = 4.0
+_LEAST_PATIENCE = 0.3
+# A stream that may go on elsewhere counts as dead after this silence. It is
+# over the longest pause for which an answer is still in time (0.8 s), and a
+# crashed engine that says nothing is otherwise noticed at the deadline only.
+_STREAM_PATIENCE = 1.5
+
+
+class Next(enum.Enum):
+    """What to do after a failed attempt."""
+
+    AGAIN = 'again'
+    GIVE_UP = 'give-up'
+
+
+def after_failure(route, outcome, sends, runs, *, resumed):
+    """Return whether a request may be sent again.
+
+    Explanation
+    ===========
+
+    A request that may run once only is sent again only when it surely did not
+    run. Whether the repeat budget has room is asked afterwards.
+
+    Parameters
+    ==========
+
+    outcome : NotRun or Lost
+        The last attempt's.
+    sends, runs : int
+        Attempts so far, and those that may have run.
+    resumed : bool
+        Whether a part of the answer went out; then only a stream that may be
+        resumed goes on.
+    """
+    if isinstance(outcome, NotRun):
+        return Next.AGAIN if sends < _MOST_SENDS else Next.GIVE_UP
+    if not route.repeatable:
+        return Next.GIVE_UP
+    if resumed and route.kind is not Kind.STREAM:
+        return Next.GIVE_UP
+    return Next.AGAIN if runs < route.attempts else Next.GIVE_UP
+
+
+def patience_of(route, usual):
+    """Return seconds of silence after which an attempt counts as lost.
+
+    Returns
+    =======
+
+    float or None
+        None for requests that can't be sent again: their deadline ends them.
+    """
+    if not route.repeatable or route.attempts < 2:
+        return None
+    if route.kind is Kind.STREAM:
+        return max(_STREAM_PATIENCE, route.aim)
+    return max(_LEAST_PATIENCE, _PATIENCE_FACTOR * usual)
+
+
+def final_refusal(outcome, runs, rng):
+    """Return the final answer after the last attempt.
+
+    Parameters
+    ==========
+
+    runs : int
+        Attempts that may have run; when there is none, the caller is told
+        truthfully that the request has not run.
+    """
+    if runs or isinstance(outcome, Lost):
+        return Refusal(_BAD_GATEWAY, outcome.reason, 'send', outcome.peer)
+    return Refusal(
+        _UNAVAILABLE,
+        outcome.reason,
+        'send',
+        outcome.peer,
+        retry_after(outcome.retry_after, rng),
+    )
+
+
+def retry_after(wait, rng):
+    """Return seconds after which a refused caller should come back."""
+    return max(_LEAST_RETRY, wait) + rng.uniform(0, _RETRY_JITTER)
+
+
+def expired_refusal(runs):
+    """Return the final answer at the deadline or the route's timeout."""
+    if runs:
+        return Refusal(_TIMED_OUT, 'timeout', 'send')
+    return Refusal(_UNAVAILABLE, 'timeout', 'queue', '', _LEAST_RETRY)
--- /dev/null
+++ b/pollenstile/forward/_members.py
@@ -0,0 +1,120 @@
+"""Entry hosts of the fleet, as their own entries in the store say."""
+
+import secrets
+
+from pollenstile.forward import events
+from pollenstile.ops.logs import silent_log
+from pollenstile.platform import Absent, Found, Written, paused
+
+HOSTS = 'pollenstile-hosts'
+_KEYS = 'pollenstile-keys'
+_KEY = 'peers'
+_KEY_BYTES = 32
+# Seconds between tries while the store does not answer.
+_RETRY = 0.5
+
+
+class Members:
+    """This host's entry, and those of the others.
+
+    Parameters
+    ==========
+
+    store : Store
+        Where the entries are.
+    clock : IReactorTime
+        Paces the tries.
+    host, address, domain : str
+        The own entry.
+
+    Attributes
+    ==========
+
+    hosts : dict
+        Addresses of the other hosts, by name.
+    listeners : list of function
+        Called after each change.
+    """
+
+    __slots__ = (
+        'address',
+        'clock',
+        'domain',
+        'host',
+        'hosts',
+        'listeners',
+        'log',
+        'store',
+    )
+
+    def __init__(self, store, clock, host, address, domain, log=silent_log):
+        self.store = store
+        self.clock = clock
+        self.host = host
+        self.address = address
+        self.domain = domain
+        self.log = log
+        self.hosts = {}
+        self.listeners = []
+
+    def take(self, change):
+        """Take a change of an entry."""
+        if change.name == self.host:
+            return
+        address = _address(change.value)
+        if not address:
+            self.hosts.pop(change.name, None)
+        else:
+            self.hosts[change.name] = address
+        self.log(
+            events.HOSTS_CHANGED,
+            peer=change.name,
+            address=address,
+            hosts=len(self.hosts) + 1,
+        )
+        for listener in self.listeners:
+            listener()
+
+    async def register(self):
+        """Write the own entry until the store has it."""
+        entry = {'address': self.address, 'domain': self.domain}
+        while True:
+            outcome = await self.store.put(HOSTS, self.host, entry)
+            if isinstance(outcome, Written):
+                return
+            self.log(
+                events.REGISTER_FAILED,
+                level='warning',
+                reason=getattr(outcome, 'reason', repr(outcome)),
+            )
+            await paused(self.clock, _RETRY)
+
+    async def peer_key(self):
+        """Return the key that the fleet's hosts share; make it if need be.
+
+        Explanation
+        ===========
+
+        Only who reads the store has it. Two hosts that make one at a time
+        both read what the store took first.
+        """
+        while True:
+            found = await self.store.get(_KEYS, _KEY)
+            if isinstance(found, Found):
+                return str(found.value.get('key', '')).encode()
+            if isinstance(found, Absent):
+                key = {'key': secrets.token_hex(_KEY_BYTES)}
+                await self.store.put(_KEYS, _KEY, key, if_version=0)
+                continue
+            await paused(self.clock, _RETRY)
+
+    def leave(self):
+        """Take the own entry back; return the store's call."""
+        return self.store.delete(HOSTS, self.host)
+
+
+def _address(entry):
+    if not isinstance(entry, dict):
+        return ''
+    address = entry.get('address')
+    return address if isinstance(address, str) else ''
--- /dev/null
+++ b/pollenstile/forward/_parse.py
@@ -0,0 +1,199 @@
+"""From a caller's bytes to an exchange, or to the reason why not."""
+
+from pollenstile.forward._types import Exchange, Refusal
+from pollenstile.ops.numbers import whole_number
+from pollenstile.routes import (
+    Kind,
+    picked_service,
+    route_of,
+    team_of,
+    urgency_of,
+)
+
+_MS = 1000
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+# Seconds after which a host that just started has its configuration.
+_START_RETRY = 0.5
+# Seconds after which another host, or this one with a newer proof, may serve.
+_PROOF_RETRY = 0.3
+# Pieces of one step of a request, and parts of a prompt, at most.
+_MOST_PIECES = 256
+_MOST_PARTS = 64
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    ),
+)
+
+
+def parsed_exchange(core, answer):
+    """Return an :class:`Exchange`, or a :class:`Refusal`.
+
+    Parameters
+    ==========
+
+    core : ForwardCore
+        With the route table in force.
+    answer : Answer
+        The request as the library parsed it.
+    """
+    table = core.configuration.table
+    if table is None or not core.registry.known:
+        return Refusal(_UNAVAILABLE, 'starting', 'entry', '', _START_RETRY)
+    target = answer.uri
+    hosts = answer.requestHeaders.getRawHeaders(b'host', ())
+    if len(hosts) != 1 or not target.startswith(b'/'):
+        return Refusal(_BAD_REQUEST, 'host or target', 'entry')
+    path = target.partition(b'?')[0].decode('latin-1')
+    route = route_of(table, hosts[0].decode('latin-1'), path)
+    if route is None:
+        return Refusal(_NOT_FOUND, 'no such route', 'entry')
+    team = None
+    if table.keys is not None and not route.public:
+        team = team_of(table, _text(answer, b'authorization'))
+        if team is None:
+            return Refusal(_UNAUTHORIZED, 'unknown key', 'entry')
+        if not core.configuration.is_proven():
+            return Refusal(
+                _UNAVAILABLE,
+                'the key can not be checked',
+                'entry',
+                '',
+                _PROOF_RETRY,
+            )
+    return _exchange(core, answer, table, route, team)
+
+
+def _exchange(core, answer, table, route, team):
+    names = core.names
+    now = core.clock.seconds()
+    deadline = whole_number(_text(answer, names.deadline))
+    seconds = route.timeout
+    if deadline is not None:
+        seconds = min(seconds, deadline / _MS)
+    counts = parsed_counts(_text(answer, names.counts), len(route.steps))
+    prompt = parsed_prompt(_text(answer, names.prompt))
+    if counts is None or prompt is None:
+        return Refusal(_BAD_REQUEST, 'pieces or prompt', 'entry')
+    return Exchange(
+        ident=_text(answer, names.attempt),
+        method=answer.method,
+        target=answer.uri,
+        headers=_forwarded_headers(answer, names),
+        body=answer.content.getvalue(),
+        route=route,
+        table=table,
+        team=team.name if team else '',
+        urgency=urgency_of(route, team),
+        arrived=now,
+        aim=now + route.aim,
+        ends=now + seconds,
+        counts=counts,
+        stage_key=_text(answer, names.stage_key),
+        prompt=prompt,
+        last_event=_last_event(answer, names, route),
+        service=picked_service(route, core.rng.random()),
+    )
+
+
+def _last_event(answer, names, route):
+    if route.kind is not Kind.STREAM:
+        return ''
+    return _text(answer, names.last_event)
+
+
+def _forwarded_headers(answer, names):
+    """Return the headers that go on to the upstream.
+
+    Explanation
+    ===========
+
+    The system sets some headers itself. Taken from a caller, they would let
+    it choose its team, or use an engine's memory of another request.
+    """
+    dropped = {
+        *_HOP_HEADERS,
+        *names.reserved,
+        names.deadline,
+        names.expect,
+        names.team,
+        names.results,
+        names.urgency,
+        names.last_event,
+        b'authorization',
+    }
+    for line in answer.requestHeaders.getRawHeaders(b'connection', ()):
+        dropped.update(token.strip().lower() for token in line.split(b','))
+    return [
+        (name, value)
+        for name, values in answer.requestHeaders.getAllRawHeaders()
+        if name.lower() not in dropped
+        for value in values
+    ]
+
+
+def parsed_counts(text, steps):
+    """Return pieces by step; None when the text is wrong.
+
+    Examples
+    ========
+
+    >>> parsed_counts('1,4,6', 3)
+    (1, 4, 6)
+    >>> parsed_counts('', 2)
+    (0, 0)
+    >>> parsed_counts('1,x', 2) is None
+    True
+    """
+    if not steps:
+        return ()
+    if not text:
+        return (0,) * steps
+    counts = [whole_number(part.strip()) for part in text.split(',')]
+    if len(counts) != steps:
+        return None
+    if any(one is None or one > _MOST_PIECES for one in counts):
+        return None
+    return tuple(counts)
+
+
+def parsed_prompt(text):
+    """Return identifier and tokens of each part; None when it is wrong.
+
+    Examples
+    ========
+
+    >>> parsed_prompt('5c1e:800,91bd:410')
+    (('5c1e', 800), ('91bd', 410))
+    >>> parsed_prompt('5c1e') is None
+    True
+    """
+    if not text:
+        return ()
+    parts = []
+    for part in text.split(',')[:_MOST_PARTS]:
+        ident, _, tokens = part.strip().partition(':')
+        size = whole_number(tokens)
+        if not ident or size is None:
+            return None
+        parts.append((ident, size))
+    return tuple(parts)
+
+
+def _text(answer, name):
+    content = answer.getHeader(name) or b''
+    return content.decode('latin-1')
--- /dev/null
+++ b/pollenstile/forward/_registry.py
@@ -0,0 +1,162 @@
+"""Upstreams as they say of themselves, and what this host saw of them."""
+
+from dataclasses import dataclass
+
+from pollenstile.forward import events
+from pollenstile.forward._choose import EngineView
+from pollenstile.ops.logs import silent_log
+
+# Entries that lapse while the store is away are back within two seconds of
+# its return, when the upstream lives; one that is missing then is gone.
+_RETURN_SECONDS = 2.3
+
+
+@dataclass(slots=True, frozen=True)
+class Upstream:
+    """One incarnation of an upstream.
+
+    Parameters
+    ==========
+
+    ident : str
+        New with each start.
+    slots : int
+        Requests that it works on at a time.
+    leaving : bool
+        Takes no new work.
+    """
+
+    ident: str
+    service: str
+    address: str
+    domain: str
+    slots: int = 1
+    leaving: bool = False
+
+
+class Registry:
+    """Upstreams by service.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Seconds.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    upstreams : dict
+        By identifier.
+    views : dict
+        What was seen of each, by identifier.
+    store_failed_at : float
+        When the store last failed to answer.
+    lapsed : dict
+        Timers of entries that are missing and may come back.
+    listeners : list of function
+        Called after each change.
+    known : bool
+        Whether a whole list has come.
+    """
+
+    __slots__ = (
+        'by_service',
+        'clock',
+        'known',
+        'lapsed',
+        'listeners',
+        'log',
+        'store_failed_at',
+        'upstreams',
+        'views',
+    )
+
+    def __init__(self, clock, log=silent_log):
+        self.clock = clock
+        self.log = log
+        self.upstreams = {}
+        self.views = {}
+        self.by_service = {}
+        self.lapsed = {}
+        self.listeners = []
+        self.store_failed_at = -1000.0
+        self.known = False
+
+    def take(self, ident, upstream):
+        """Take an entry; None says that it is missing."""
+        timer = self.lapsed.pop(ident, None)
+        if timer is not None:
+            timer.cancel()
+        if upstream is not None:
+            self._put(upstream)
+            return
+        if ident not in self.upstreams:
+            return
+        away = self.clock.seconds() - self.store_failed_at
+        if away < _RETURN_SECONDS:
+            # Taken as gone at once, all upstreams would vanish after an
+            # outage that was longer than their heartbeats.
+            wait = _RETURN_SECONDS - away
+            self.lapsed[ident] = self.clock.callLater(wait, self.drop, ident)
+            return
+        self.drop(ident)
+
+    def drop(self, ident):
+        """Forget an incarnation that is gone, or whose address has another."""
+        self.lapsed.pop(ident, None)
+        upstream = self.upstreams.pop(ident, None)
+        if upstream is None:
+            return
+        self.views.pop(ident, None)
+        self.log(
+            events.UPSTREAM_CHANGED,
+            peer=ident,
+            service=upstream.service,
+            state='gone',
+        )
+        self._index()
+
+    def usable(self, service):
+        """Return views of the upstreams of a service that take new work."""
+        return self.by_service.get(service, ())
+
+    def stage_upstreams(self, service):
+        """Return the upstreams of a service that take new work."""
+        return [
+            self.upstreams[view.ident] for view in self.usable(service)
+        ]
+
+    def _put(self, upstream):
+        before = self.upstreams.get(upstream.ident)
+        if before == upstream:
+            return
+        self.upstreams[upstream.ident] = upstream
+        if before is None:
+            self.views[upstream.ident] = EngineView(
+                upstream.ident,
+                upstream.address,
+                upstream.domain,
+                upstream.slots,
+            )
+        self.log(
+            events.UPSTREAM_CHANGED,
+            peer=upstream.ident,
+            service=upstream.service,
+            address=upstream.address,
+            state='leaving' if upstream.leaving else 'ready',
+        )
+        self._index()
+
+    def _index(self):
+        by_service = {}
+        for ident, upstream in self.upstreams.items():
+            if upstream.leaving:
+                continue
+            views = by_service.setdefault(upstream.service, [])
+            views.append(self.views[ident])
+        self.by_service = by_service
+        for listener in self.listeners:
+            listener()
--- /dev/null
+++ b/pollenstile/forward/_run.py
@@ -0,0 +1,314 @@
+"""One forwarded request, from its arrival to its final answer."""
+
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
+
+from pollenstile.forward import events
+from pollenstile.forward._attempt import Attempt, Delivered, Failing
+from pollenstile.forward._choose import chosen_engine, chosen_plain, usable
+from pollenstile.forward._decisions import (
+    Next,
+    after_failure,
+    expired_refusal,
+    final_refusal,
+    patience_of,
+    retry_after,
+)
+from pollenstile.forward._types import Lost, NotRun, Refusal
+from pollenstile.routes import Kind
+from pollenstile.stagework import Chain, ChainFailed, plan_of
+
+_UNAVAILABLE = 503
+_SERVER_ERRORS = range(500, 600)
+_MS = 1000
+# Seconds that a plain service takes while nothing of it is known.
+_UNKNOWN_SECONDS = 0.1
+
+
+def serve(core, exchange, answer):
+    """Serve a request; return a Deferred that fires when it is over.
+
+    Explanation
+    ===========
+
+    Cancelled, it stops all work that may be stopped.
+
+    Parameters
+    ==========
+
+    core : ForwardCore
+        What the host offers.
+    exchange : Exchange
+        The request.
+    answer : Answer
+        The caller's side.
+    """
+    run = _Run(core, exchange, answer)
+    work = Deferred.fromCoroutine(run.whole())
+    left = max(0, exchange.ends - core.clock.seconds())
+    work.addTimeout(left, core.clock)
+    work.addErrback(run.ended_early)
+    work.addErrback(run.crashed)
+    return work.addBoth(run.finished)
+
+
+class _Run:
+    """State of one request."""
+
+    __slots__ = (
+        'answer',
+        'attempt',
+        'chain',
+        'core',
+        'exchange',
+        'outcome',
+        'refusal',
+        'runs',
+        'sends',
+        'tried',
+    )
+
+    def __init__(self, core, exchange, answer):
+        self.core = core
+        self.exchange = exchange
+        self.answer = answer
+        self.chain = None
+        self.attempt = None
+        self.sends = 0
+        self.runs = 0
+        self.tried = []
+        self.refusal = None
+        self.outcome = 'answered'
+
+    async def whole(self):
+        """Run the stages, then the attempts."""
+        self.core.budget.note_first(self.exchange.service)
+        if not await self._staged():
+            return
+        while True:
+            view = self._chosen()
+            if view is None:
+                self._refuse(self._no_upstream())
+                return
+            outcome = await self._attempted(view)
+            if isinstance(outcome, Delivered):
+                return
+            if not self._goes_on(outcome):
+                self._give_up(outcome)
+                return
+            if not await self._restaged():
+                return
+
+    def ended_early(self, failure):
+        """Give the final answer at the deadline; or note a caller's leaving."""
+        failure.trap(TimeoutError, CancelledError)
+        if self.answer.gone:
+            self.outcome = 'caller left'
+            return
+        runs = self.runs
+        if self.attempt is not None and self.attempt.call is not None:
+            runs += self.attempt.call.sent
+        self._refuse(expired_refusal(runs))
+
+    def crashed(self, failure):
+        """Log a fault of the program, and let the caller know."""
+        self.core.log(
+            events.FORWARD_CRASHED,
+            level='error',
+            request=self.exchange.ident,
+            error=failure.getTraceback(),
+        )
+        self.core.count('forward.crashed')
+        self._refuse(Refusal(502, 'internal', 'program'))
+
+    def finished(self, ignored):
+        """Release what is left, and log the end."""
+        if self.chain is not None:
+            self.chain.release()
+        now = self.core.clock.seconds()
+        refusal = self.refusal
+        self.core.log(
+            events.FORWARD_ENDED,
+            request=self.exchange.ident,
+            route=self.exchange.route.name,
+            team=self.exchange.team,
+            outcome=self.outcome,
+            status=refusal.status if refusal else 0,
+            reason=refusal.reason if refusal else '',
+            step=refusal.step if refusal else '',
+            peer=refusal.peer if refusal else '',
+            sends=self.sends,
+            took_ms=int((now - self.exchange.arrived) * _MS),
+            version=self.exchange.table.version,
+        )
+
+    async def _staged(self):
+        """Have the stage work done; return whether to go on."""
+        exchange = self.exchange
+        if not any(exchange.counts):
+            return True
+        plan = plan_of(
+            exchange.route,
+            exchange.counts,
+            exchange.stage_key,
+            exchange.ident,
+            exchange.urgency,
+            exchange.aim,
+            exchange.ends,
+            exchange.table.services,
+        )
+        self.chain = Chain(self.core.stages, plan)
+        handles = await self.chain.handles()
+        if isinstance(handles, ChainFailed):
+            self._refuse_unstaged(handles)
+            return False
+        exchange.handles = handles
+        return True
+
+    async def _restaged(self):
+        """Have results made again that were read and released."""
+        if self.chain is None or self.chain.held:
+            return True
+        return await self._staged()
+
+    def _refuse_unstaged(self, failed):
+        if self.runs:
+            self._refuse(Refusal(502, failed.reason, failed.step))
+            return
+        wait = retry_after(failed.retry_after, self.core.rng)
+        self._refuse(
+            Refusal(_UNAVAILABLE, failed.reason, failed.step, '', wait),
+        )
+
+    def _chosen(self):
+        core = self.core
+        exchange = self.exchange
+        now = core.clock.seconds()
+        views = usable(
+            core.registry.usable(exchange.service),
+            now,
+            self.tried,
+        )
+        if exchange.prompt:
+            return chosen_engine(
+                views,
+                now,
+                core.domain,
+                core.rng,
+                exchange.prompt,
+            )
+        return chosen_plain(views, now, core.domain, core.rng)
+
+    def _no_upstream(self):
+        lost = NotRun('no upstream', self.exchange.service)
+        return final_refusal(lost, self.runs, self.core.rng)
+
+    async def _attempted(self, view):
+        self.tried.append(view.ident)
+        self.sends += 1
+        release = self.chain.release if self.chain else _nothing
+        last_event = self.exchange.last_event
+        if self.attempt is not None and self.attempt.splitter.last:
+            last_event = self.attempt.splitter.last.decode('latin-1')
+        self.attempt = Attempt(
+            self.core,
+            self.exchange,
+            view,
+            self.answer,
+            release,
+        )
+        if last_event:
+            self.attempt.splitter.last = last_event.encode('latin-1')
+        self._log_send(view)
+        usual = view.seconds or _UNKNOWN_SECONDS
+        patience = patience_of(self.exchange.route, usual)
+        outcome = await self.attempt.outcome(patience, last_event)
+        if not isinstance(outcome, NotRun):
+            self.runs += 1
+        return outcome
+
+    def _log_send(self, view):
+        self.core.log(
+            events.FORWARDED,
+            request=self.exchange.ident,
+            route=self.exchange.route.name,
+            service=self.exchange.service,
+            peer=view.ident,
+            address=view.address,
+            send=self.sends,
+            flying=view.flying,
+            running=view.running,
+            queued=view.queued,
+            age_ms=int((self.core.clock.seconds() - view.load_at) * _MS),
+            failures=round(view.failures, 2),
+        )
+
+    def _goes_on(self, outcome):
+        """Return whether the request is sent again."""
+        if isinstance(outcome, Failing):
+            if outcome.status not in _SERVER_ERRORS:
+                return False
+            lost = Lost(f'status {outcome.status}', self.attempt.view.ident)
+        else:
+            lost = outcome
+        following = after_failure(
+            self.exchange.route,
+            lost,
+            self.sends,
+            self.runs,
+            resumed=self.answer.begun,
+        )
+        again = following is Next.AGAIN
+        arrived = getattr(outcome, 'arrived', True)
+        if again and arrived:
+            again = self.core.budget.spend(self.exchange.service)
+        self.core.log(
+            events.ATTEMPT_FAILED,
+            request=self.exchange.ident,
+            peer=self.attempt.view.ident,
+            reason=lost.reason,
+            arrived=arrived,
+            again=again,
+        )
+        return again
+
+    def _give_up(self, outcome):
+        if isinstance(outcome, Failing):
+            self._pass_on(outcome)
+            return
+        self._refuse(final_refusal(outcome, self.runs, self.core.rng))
+
+    def _pass_on(self, failing):
+        if self.answer.begun:
+            self.answer.abort()
+            return
+        self.outcome = f'upstream {failing.status}'
+        self.answer.begin(failing.status, failing.phrase, failing.headers)
+        self.answer.write(failing.body)
+        self.answer.finish()
+
+    def _refuse(self, refusal):
+        self.refusal = refusal
+        self.outcome = 'refused'
+        if self.answer.begun:
+            # What went out looks like an answer. Only a broken connection
+            # tells the caller that it is not whole.
+            self.outcome = 'broken'
+            self.answer.abort()
+            return
+        self.answer.refuse(refusal)
+
+
+def _nothing():
+    """Release nothing."""
+
+
+def is_abandoned_at_once(exchange):
+    """Return whether a request is stopped when its caller leaves.
+
+    Explanation
+    ===========
+
+    One that may run once only runs to its end: broken off, nobody would know
+    whether it has run.
+    """
+    return exchange.route.kind is not Kind.ONCE
--- /dev/null
+++ b/pollenstile/forward/events.py
@@ -0,0 +1,89 @@
+"""Log events of forwarding."""
+
+from pollenstile.ops.events import define
+
+FORWARD_STARTED = define(
+    1201,
+    'forward-started',
+    'An entry host listens and reads its configuration.',
+)
+FORWARD_READY = define(
+    1202,
+    'forward-ready',
+    'The host has a configuration and the registry, and takes requests.',
+)
+FORWARD_LEAVING = define(
+    1203,
+    'forward-leaving',
+    'The host was told to stop; it finishes what is in flight.',
+)
+FORWARD_STOPPED = define(1204, 'forward-stopped', 'The host stops.')
+FORWARDED = define(
+    1205,
+    'forwarded',
+    'A request was sent to an upstream; what decided is in the line.',
+)
+FORWARD_ENDED = define(
+    1206,
+    'forward-ended',
+    'A request has its final answer.',
+)
+ATTEMPT_FAILED = define(
+    1207,
+    'attempt-failed',
+    'A send did not bring the answer; what follows is in the line.',
+)
+CALLER_LEFT = define(
+    1208,
+    'caller-left',
+    'A caller closed its connection before the answer was whole.',
+)
+CONFIGURATION_TAKEN = define(
+    1209,
+    'configuration-taken',
+    'A new version of the routes is in force on this host.',
+)
+CONFIGURATION_BAD = define(
+    1210,
+    'configuration-bad',
+    'A version can not be used; the last good one stays in force.',
+    'Look at the reason; the version was written by the operator.',
+)
+STORE_LOST = define(
+    1211,
+    'store-lost',
+    'The store does not answer; what is known stays in use.',
+    'Nothing at first; keyed requests end when the proof is too old.',
+)
+STORE_REGAINED = define(1212, 'store-regained', 'The store answers again.')
+UPSTREAM_CHANGED = define(
+    1213,
+    'upstream-changed',
+    'An upstream came, leaves or is gone.',
+)
+FORWARD_CRASHED = define(
+    1214,
+    'forward-crashed',
+    'A fault of the program ended a request.',
+    'Report it with the whole line.',
+)
+REQUEST_MALFORMED = define(
+    1215,
+    'request-malformed',
+    'A caller sent bytes that are no acceptable request.',
+)
+HOSTS_CHANGED = define(
+    1216,
+    'hosts-changed',
+    'Entry hosts that this one knows of.',
+)
+REGISTER_FAILED = define(
+    1217,
+    'register-failed',
+    'The host could not write its own entry; it tries again.',
+)
+LINES_DROPPED = define(
+    1218,
+    'lines-dropped',
+    'Log lines were dropped: too many in a second, or nobody reads them.',
+)
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -17,7 +17,8 @@
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
 from pollenstile.ops._stores import hosts_reader, paced_store, tickets_asker
 from pollenstile.peer import tcp_connect
-from pollenstile.placement import boot_clock, http_orders
+from pollenstile.ops.clock import boot_clock
+from pollenstile.placement import http_orders
 from pollenstile.upstream import http_transport
 
 _PREFIX = 'pollenstile'
--- a/pollenstile/peer/_hub.py
+++ b/pollenstile/peer/_hub.py
@@ -4,7 +4,7 @@
 
 from pollenstile.peer import events
 from pollenstile.peer._dialer import Dialer
-from pollenstile.peer._link import BEAT_PERIOD
+from pollenstile.peer._link import BEAT_PERIOD, SILENCE_LIMIT
 from pollenstile.peer._messages import Beat
 from pollenstile.peer._receiver import Receiver
 from pollenstile.peer._requests import Requests, Unanswered
@@ -53,10 +53,14 @@
         Called with a new link; with the host and the link that it lost.
     beat : function
         Returns the own heartbeat.
+    tick, beat_period, silence_limit : float
+        Seconds between looks at the links, between heartbeats, and without a
+        byte until a link counts as silent.
     """
 
     __slots__ = (
         'beat',
+        'beat_period',
         'clock',
         'dialer',
         'downs',
@@ -69,8 +73,10 @@
         'received',
         'requests',
         'sent',
+        'silence_limit',
         'stopped',
         'takers',
+        'tick',
         'timer',
         'ups',
     )
@@ -87,6 +93,9 @@
         self.ups = []
         self.downs = []
         self.beat = Beat
+        self.tick = _TICK
+        self.beat_period = BEAT_PERIOD
+        self.silence_limit = SILENCE_LIMIT
         self.timer = None
         self.stopped = False
         self.sent = 0
@@ -203,15 +212,15 @@
     def _tick(self):
         now = self.clock.seconds()
         for link in self.all_links():
-            if link.is_silent(now):
+            if link.is_silent(now, self.silence_limit):
                 self.log(events.PEER_SILENT, peer=link.address)
                 self.drop(link, 'silent')
             elif self._is_idle(link, now):
                 self.drop(link, 'idle')
-            elif link.is_open and now - link.beaten >= BEAT_PERIOD:
+            elif link.is_open and now - link.beaten >= self.beat_period:
                 self._beat(link)
         self.dialer.dial_due(now)
-        pause = _TICK * self.random.uniform(0.8, 1.2)
+        pause = self.tick * self.random.uniform(0.8, 1.2)
         self.timer = self.clock.callLater(pause, self._tick)
 
     def _is_idle(self, link, now):
--- a/pollenstile/peer/_link.py
+++ b/pollenstile/peer/_link.py
@@ -5,6 +5,8 @@
 
 # A beat comes every other second; a path that forgot the connection swallows
 # them, and after two lost beats and a half the connection counts as silent.
+# Both are a hub's defaults; a host whose peers wait for its answers within a
+# second or two sets shorter ones.
 BEAT_PERIOD = 2.0
 SILENCE_LIMIT = 5.0
 # A stranger may hold a connection that says nothing only this long.
@@ -106,7 +108,7 @@
         self.heard = now
         return messages
 
-    def is_silent(self, now):
+    def is_silent(self, now, silence_limit=SILENCE_LIMIT):
         """Return whether nothing came for too long."""
-        limit = SILENCE_LIMIT if self.is_open else OPENING_SECONDS
+        limit = silence_limit if self.is_open else OPENING_SECONDS
         return now - self.heard > limit
--- a/pollenstile/placement/__init__.py
+++ b/pollenstile/placement/__init__.py
@@ -1,7 +1,6 @@
 """Which engine holds which model: leases, orders, swaps."""
 
 from pollenstile.placement._assembly import built_placement, http_tickets
-from pollenstile.placement._clock import boot_clock
 from pollenstile.placement._demand import Demand, DemandBoard, demand_total
 from pollenstile.placement._facts import EngineFacts, domain_engines
 from pollenstile.placement._http import http_orders
--- /dev/null
+++ b/pollenstile/routes/__init__.py
@@ -0,0 +1,27 @@
+"""Routes of callers' requests, as one version of the configuration has them.
+
+Explanation
+===========
+
+Plain values without I/O. An adapter decodes them from whatever an operator
+writes; the rest of the system reads them.
+"""
+
+from pollenstile.routes._model import (
+    EngineLimits,
+    Kind,
+    Limits,
+    Route,
+    RouteTable,
+    Service,
+    StageLimits,
+    StageStep,
+    Target,
+    Team,
+)
+from pollenstile.routes._matching import (
+    picked_service,
+    route_of,
+    team_of,
+    urgency_of,
+)
--- /dev/null
+++ b/pollenstile/stagework/__init__.py
@@ -0,0 +1,23 @@
+"""Stage work: pieces of many requests, made in batches by one owner host."""
+
+from pollenstile.stagework._chain import Chain, ChainFailed, Plan, plan_of
+from pollenstile.stagework._client import StageClient
+from pollenstile.stagework._codec import answer_bytes, answer_from
+from pollenstile.stagework._codec import group_bytes, group_from
+from pollenstile.stagework._decisions import (
+    batch_for,
+    expected_wait,
+    may_start,
+    ranked,
+)
+from pollenstile.stagework._owner import Owner
+from pollenstile.stagework._placing import owner_order
+from pollenstile.stagework._types import (
+    CallLost,
+    Group,
+    GroupDone,
+    GroupRefused,
+    Made,
+    Piece,
+    Worker,
+)
--- /dev/null
+++ b/pollenstile/stagework/_client.py
@@ -0,0 +1,188 @@
+"""Stage work handed to the hosts that own the queues."""
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from pollenstile.ops.logs import silent_log
+from pollenstile.peer import BadMessageError, Unanswered
+from pollenstile.stagework import events
+from pollenstile.stagework._codec import (
+    answer_bytes,
+    answer_from,
+    cancel_bytes,
+    cancel_from,
+    group_bytes,
+    group_from,
+    release_bytes,
+    release_from,
+)
+from pollenstile.stagework._placing import owner_order
+from pollenstile.stagework._types import GroupRefused
+
+_ASK = 'stage'
+_RELEASE = 'stage-release'
+_CANCEL = 'stage-cancel'
+# Seconds for the answer of an owner beyond the group's own end.
+_ANSWER_MARGIN = 0.5
+# Seconds for asks whose answer nobody needs.
+_WORD_SECONDS = 2.0
+# Owners that are linked ahead of need, for each service.
+LINKED_OWNERS = 3
+
+
+class StageClient:
+    """Finds the owner of a stage, also when one dies, and asks it.
+
+    Parameters
+    ==========
+
+    host : str
+        This host's name.
+    hub : Hub
+        Links to peers.
+    clock : IReactorTime
+        Measures what is left.
+    owner : function
+        Takes a service, returns this host's own :class:`Owner` of it.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    hosts : dict
+        Addresses of peers by name.
+    waits : dict
+        Seconds of backlog by service, and when that was heard.
+    """
+
+    __slots__ = ('clock', 'host', 'hosts', 'hub', 'log', 'owner', 'waits')
+
+    def __init__(self, host, hub, clock, owner, log=silent_log):
+        self.host = host
+        self.hub = hub
+        self.clock = clock
+        self.owner = owner
+        self.log = log
+        self.hosts = {}
+        self.waits = {}
+        hub.requests.subjects[_ASK] = self._asked
+        hub.requests.subjects[_RELEASE] = self._released
+        hub.requests.subjects[_CANCEL] = self._cancelled
+
+    def link_owners(self, services):
+        """Keep links to the hosts that own these services, or would next."""
+        wanted = {}
+        for service in services:
+            order = owner_order(service, {*self.hosts, self.host})
+            for host in order[:LINKED_OWNERS]:
+                if host != self.host:
+                    wanted[host] = self.hosts[host]
+        self.hub.dialer.wanted = wanted
+
+    def submit(self, group):
+        """Return a Deferred of owner host and the group's outcome."""
+        return Deferred.fromCoroutine(self._outcome(group))
+
+    def cancel(self, service, plan):
+        """Tell whoever may own a service that a request is over."""
+        self.owner(service).cancel(plan.request)
+        body = cancel_bytes(service, plan.request)
+        for host in self._candidates(service):
+            if host != self.host:
+                self.hub.ask(host, _CANCEL, body, _WORD_SECONDS)
+
+    def release(self, host, service, handles):
+        """Tell an owner that results are not needed any more.
+
+        Explanation
+        ===========
+
+        An owner that is gone can't release them; this host does, since
+        results that nobody releases take up room for seconds.
+        """
+        if host == self.host or host not in self.hub.links:
+            self.owner(service).release(handles)
+            return
+        body = release_bytes(service, handles)
+        self.hub.ask(host, _RELEASE, body, _WORD_SECONDS)
+
+    def _candidates(self, service):
+        """Return reachable hosts in the order in which they own a service."""
+        order = owner_order(service, {*self.hosts, self.host})
+        return [
+            host
+            for host in order
+            if host == self.host or self._takes_work(host)
+        ]
+
+    def _takes_work(self, host):
+        link = self.hub.links.get(host)
+        return link is not None and not link.beat.leaving
+
+    async def _outcome(self, group):
+        tried = set()
+        while True:
+            host = self._next_owner(group.service, tried)
+            if host == self.host:
+                return host, await self._own(group)
+            tried.add(host)
+            outcome = await self._remote(host, group)
+            if not isinstance(outcome, Unanswered):
+                self.waits[group.service] = (
+                    outcome.wait,
+                    self.clock.seconds(),
+                )
+                return host, outcome
+            self.log(
+                events.STAGE_OWNER_LOST,
+                level='warning',
+                request=group.request,
+                service=group.service,
+                peer=host,
+                reason=outcome.reason,
+            )
+            if self.clock.seconds() >= group.ends:
+                return host, GroupRefused('late')
+
+    def _next_owner(self, service, tried):
+        for host in self._candidates(service):
+            if host not in tried:
+                return host
+        return self.host
+
+    async def _own(self, group):
+        asked = self.owner(group.service).submit(group)
+        try:
+            outcome = await asked
+        except CancelledError:
+            self.owner(group.service).cancel(group.request)
+            raise
+        self.waits[group.service] = (outcome.wait, self.clock.seconds())
+        return outcome
+
+    async def _remote(self, host, group):
+        now = self.clock.seconds()
+        body = group_bytes(group, now)
+        left = max(0, group.ends - now) + _ANSWER_MARGIN
+        answer = await self.hub.ask(host, _ASK, body, left)
+        if isinstance(answer, Unanswered):
+            return answer
+        try:
+            return answer_from(answer)
+        except BadMessageError as error:
+            return Unanswered(_ASK, host, str(error))
+
+    def _asked(self, host, body):
+        group = group_from(body, self.clock.seconds())
+        outcome = self.owner(group.service).submit(group)
+        return outcome.addCallback(answer_bytes)
+
+    def _released(self, host, body):
+        service, handles = release_from(body)
+        self.owner(service).release(handles)
+        return b''
+
+    def _cancelled(self, host, body):
+        service, request = cancel_from(body)
+        self.owner(service).cancel(request)
+        return b''
--- /dev/null
+++ b/pollenstile/stagework/_codec.py
@@ -0,0 +1,106 @@
+"""Stage work on the peers' protocol."""
+
+import pathlib
+
+from pollenstile.peer import decoded, loaded_schema
+from pollenstile.stagework._types import Group, GroupDone, GroupRefused
+
+_MS = 1000
+_schema = loaded_schema(pathlib.Path(__file__).with_name('messages.capnp'))
+
+
+def group_bytes(group, now):
+    """Return a group's encoding; its times become times left."""
+    return _schema.Group.new_message(
+        request=group.request,
+        service=group.service,
+        step=group.step,
+        count=group.count,
+        key=group.key,
+        inputs=list(group.inputs),
+        resultBytes=group.result_bytes,
+        urgency=group.urgency,
+        dueMs=int((group.due - now) * _MS),
+        endsMs=int((group.ends - now) * _MS),
+    ).to_bytes()
+
+
+def group_from(encoded, now):
+    """Return a group; raise BadMessageError when the bytes hold none."""
+
+    def build(reader):
+        return Group(
+            reader.request,
+            reader.service,
+            reader.step,
+            reader.count,
+            reader.key,
+            tuple(reader.inputs),
+            reader.resultBytes,
+            reader.urgency,
+            now + reader.dueMs / _MS,
+            now + reader.endsMs / _MS,
+        )
+
+    return decoded(_schema.Group, encoded, build)
+
+
+def answer_bytes(outcome):
+    """Return the encoding of ``GroupDone`` or ``GroupRefused``."""
+    wait = int(outcome.wait * _MS)
+    if isinstance(outcome, GroupDone):
+        return _schema.GroupAnswer.new_message(
+            handles=list(outcome.handles),
+            waitMs=wait,
+        ).to_bytes()
+    return _schema.GroupAnswer.new_message(
+        reason=outcome.reason,
+        retryMs=int(outcome.retry_after * _MS),
+        waitMs=wait,
+    ).to_bytes()
+
+
+def answer_from(encoded):
+    """Return ``GroupDone`` or ``GroupRefused``."""
+
+    def build(reader):
+        wait = reader.waitMs / _MS
+        if reader.reason:
+            retry_after = reader.retryMs / _MS
+            return GroupRefused(reader.reason, retry_after, wait)
+        return GroupDone(tuple(reader.handles), wait)
+
+    return decoded(_schema.GroupAnswer, encoded, build)
+
+
+def release_bytes(service, handles):
+    """Return the encoding of a release of results."""
+    message = _schema.Release.new_message(
+        service=service,
+        handles=list(handles),
+    )
+    return message.to_bytes()
+
+
+def release_from(encoded):
+    """Return service and handles of a release."""
+
+    def build(reader):
+        return reader.service, tuple(reader.handles)
+
+    return decoded(_schema.Release, encoded, build)
+
+
+def cancel_bytes(service, request):
+    """Return the encoding of the word that a request's pieces are useless."""
+    message = _schema.Cancel.new_message(service=service, request=request)
+    return message.to_bytes()
+
+
+def cancel_from(encoded):
+    """Return service and request of a cancel."""
+
+    def build(reader):
+        return reader.service, reader.request
+
+    return decoded(_schema.Cancel, encoded, build)
--- /dev/null
+++ b/pollenstile/stagework/_types.py
@@ -0,0 +1,166 @@
+"""Pieces, groups of them, and the upstreams that make them."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Group:
+    """All pieces that one step of one request needs.
+
+    Parameters
+    ==========
+
+    request : str
+        The attempt that the caller named.
+    service : str
+        Whose upstreams make the pieces.
+    step : int
+        Number of the step.
+    count : int
+        Pieces.
+    key : str
+        Input of steps without an earlier one.
+    inputs : tuple of str
+        Handles of earlier results; empty for steps with a key.
+    result_bytes : int
+        About the size of one result.
+    urgency : int
+        0 is the most urgent.
+    due : float
+        On the clock: made by then, the request can still meet its aim.
+    ends : float
+        On the clock: made later, it is of no use.
+    """
+
+    request: str
+    service: str
+    step: int
+    count: int
+    key: str = ''
+    inputs: tuple[str, ...] = ()
+    result_bytes: int = 0
+    urgency: int = 0
+    due: float = 0.0
+    ends: float = 0.0
+
+
+@dataclass(slots=True)
+class Piece:
+    """One piece that an owner host has to have made.
+
+    Attributes
+    ==========
+
+    flights : int
+        Calls under way that hold it.
+    sent : int
+        Calls that held it and may have made it.
+    """
+
+    group: Group
+    number: int
+    flights: int = 0
+    sent: int = 0
+    handle: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class Made:
+    """What became of one piece in a call.
+
+    Parameters
+    ==========
+
+    handle : str
+        Names the result; empty when there is none.
+    reason : str
+        ``'late'``, ``'gone'``, ``'room'`` or ``'error'``.
+    """
+
+    handle: str = ''
+    reason: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class CallLost:
+    """A call brought no results.
+
+    Parameters
+    ==========
+
+    reason, peer : str
+        Why and where.
+    arrived : bool
+        Whether the upstream may have got it.
+    """
+
+    reason: str
+    peer: str
+    arrived: bool
+
+
+@dataclass(slots=True, frozen=True)
+class GroupDone:
+    """Handles of all pieces, in order; ``wait`` is the owner's backlog."""
+
+    handles: tuple[str, ...]
+    wait: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class GroupRefused:
+    """The pieces will not be made.
+
+    Parameters
+    ==========
+
+    reason : str
+        ``'busy'``, ``'late'``, ``'gone'``, ``'failed'``, ``'no owner'``.
+    retry_after : float
+        Seconds until asking again makes sense.
+    """
+
+    reason: str
+    retry_after: float = 0.0
+    wait: float = 0.0
+
+
+@dataclass(slots=True)
+class Worker:
+    """One upstream of a stage service, as its owner host sees it.
+
+    Attributes
+    ==========
+
+    held : dict
+        Bytes of results that were not released, and when they lapse.
+    flying_bytes, flying : int
+        Results and pieces of calls under way.
+    calls : int
+        Calls under way.
+    speed : float
+        Time of its calls over what was expected, smoothed.
+    rest_until : float
+        Not called before; after failures.
+    failures : int
+        In a row.
+    """
+
+    ident: str
+    address: str
+    domain: str = ''
+    held: dict = field(default_factory=dict)
+    flying_bytes: int = 0
+    flying: int = 0
+    calls: int = 0
+    speed: float = 1.0
+    rest_until: float = 0.0
+    failures: int = 0
+    busy_until: float = 0.0
+
+    def held_bytes(self, now):
+        """Return bytes of results that still take up room."""
+        for handle, (_, lapses) in list(self.held.items()):
+            if lapses <= now:
+                self.held.pop(handle)
+        return sum(size for size, _ in self.held.values())
--- /dev/null
+++ b/pollenstile/stagework/messages.capnp
@@ -0,0 +1,34 @@
+@0xd5b18c0f4a7e2b63;
+# Stage work between entry hosts; carried as bodies of asks and answers.
+
+struct Group {
+  request @0 :Text;
+  service @1 :Text;
+  step @2 :UInt16;
+  count @3 :UInt16;
+  key @4 :Text;
+  inputs @5 :List(Text);
+  resultBytes @6 :UInt64;
+  urgency @7 :UInt16;
+  # Times left, not times of day: hosts' clocks differ.
+  dueMs @8 :Int32;
+  endsMs @9 :Int32;
+}
+
+struct GroupAnswer {
+  handles @0 :List(Text);
+  # Empty when the handles are there.
+  reason @1 :Text;
+  retryMs @2 :UInt32;
+  waitMs @3 :UInt32;
+}
+
+struct Release {
+  service @0 :Text;
+  handles @1 :List(Text);
+}
+
+struct Cancel {
+  service @0 :Text;
+  request @1 :Text;
+}
