--- a/pollenstile/forward/_face.py
+++ b/pollenstile/forward/_face.py
@@ -91,12 +91,13 @@
 
     def connectionLost(self, reason):
         """Note that the caller has left; called by twisted."""
+        factory = self.channel.factory
         super().connectionLost(reason)
         if self.ended:
             return
         self.gone = True
         self.ended = True
-        self.channel.factory.left(self)
+        factory.left(self)
 
     def begin(self, status, phrase, headers):
         """Write the head of an upstream's answer."""
@@ -119,6 +120,10 @@
         """End a whole answer."""
         if self.ended:
             return
+        if not self.startedWriting:
+            # The library would write the head by way of `write` here, which
+            # takes no empty part: an answer without a body never went out.
+            super().write(b'')
         self.ended = True
         super().finish()
 
