stagework: room by whole groups, admission by the whole chain, inputs near

A host that started during a slow store owned a stage without knowing any upstream. Change: groups go whole into a call and reserve their room; the first step's owner refuses at once what the chain can't finish; room is free when the release is answered; a worker without room rests; hosts join when they know the registry.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -14,6 +14,7 @@
 
 _MS = 1000
 _MISDIRECTED = 421
+_CONFLICT = 409
 _PROMISES = (408, 421, 429, 503)
 _OK = range(200, 300)
 # Bytes of an answer that are held back until it is whole, so that a torn one
@@ -24,6 +25,10 @@
 _LAST_RANK = 9
 
 
+# An upstream found that a stage result has lapsed; the request did not run.
+GONE = NotRun('results gone')
+
+
 class Delivered:
     """The answer went to the caller whole."""
 
@@ -184,6 +189,8 @@
         if head.code == _MISDIRECTED:
             self.core.registry.drop(ident)
             return NotRun('another incarnation', ident)
+        if head.code == _CONFLICT and _text(head, names.not_run):
+            return GONE
         if _text(head, names.not_run):
             return NotRun(f'status {head.code}', ident)
         proven = _text(head, names.stamp) and echoed
@@ -310,6 +317,8 @@
 
     def _learn(self, outcome):
         now = self.core.clock.seconds()
+        if outcome is GONE:
+            return
         if isinstance(outcome, NotRun):
             learn_unreached(self.view, now)
         elif isinstance(outcome, (Lost, Failing)):
--- a/pollenstile/forward/_choose.py
+++ b/pollenstile/forward/_choose.py
@@ -9,6 +9,9 @@
 _CROWD_SECONDS = 0.02
 # Tokens of a prompt that an engine reads in a second.
 _PREFILL_RATE = 55000.0
+# Times its own reading time that a shared part costs at another engine than
+# its home: it is paid for, and delays the answers of all that run there.
+_REREAD_FACTOR = 6.0
 # Seconds that a request waits for each one that waits at the engine.
 _QUEUE_SECONDS = 0.3
 # Seconds for another failure domain: two more trips, and what crosses is paid.
@@ -141,8 +144,20 @@
     return min(views, key=cost)
 
 
-def _rendezvous(subject, ident):
-    return xxhash.xxh64_intdigest(f'{subject}\0{ident}'.encode())
+def home_engine(views, subject):
+    """Return the engine at which requests about a subject meet.
+
+    Explanation
+    ===========
+
+    By rendezvous hashing: the same at every host, and an engine that comes or
+    goes moves only its own subjects.
+    """
+
+    def weight(view):
+        return xxhash.xxh64_intdigest(f'{subject}\0{view.ident}'.encode())
+
+    return max(views, key=weight)
 
 
 def chosen_engine(views, now, domain, rng, prompt, near=()):
@@ -166,18 +181,14 @@
     if not views:
         return None
     subject = subject_of(prompt)
-    homes = sorted(
-        views,
-        key=lambda view: _rendezvous(subject, view.ident),
-    )
+    home = home_engine(views, subject)
     shared = prompt[-2][1] if subject else 0
     own = prompt[-1][1] if prompt else 0
 
     def cost(view):
-        miss = own
-        if subject and view is not homes[0]:
-            miss += shared
-        seconds = (miss + view.flying_tokens) / _PREFILL_RATE
+        seconds = (own + view.flying_tokens) / _PREFILL_RATE
+        if subject and view is not home:
+            seconds += _REREAD_FACTOR * shared / _PREFILL_RATE
         load = load_of(view, now)
         waiting = view.queued if now - view.load_at < _LOAD_SECONDS else 0
         seconds += _CROWD_SECONDS * load + _QUEUE_SECONDS * waiting
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -156,7 +156,7 @@
         transport = self.protocol.transport if self.protocol else None
         if transport is not None:
             transport.abortConnection()
-        elif self.connector is not None:
+        elif self.connector.state == 'connecting':
             self.connector.stopConnecting()
 
     def _headed(self, response):
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -67,6 +67,8 @@
 # Seconds for connections to take what was written to them.
 _FLUSH = 0.3
 _NOT_READY = 503
+# Seconds between looks whether a starting host knows enough to join.
+_JOIN_PERIOD = 0.05
 
 
 @dataclass(slots=True, frozen=True)
@@ -265,8 +267,7 @@
         """Return whether the balancer should send callers here."""
         ready = (
             not self.leaving
-            and self.configuration.table is not None
-            and self.registry.known
+            and self._knows_enough()
             and self.configuration.is_proven()
         )
         if ready and not self.was_ready:
@@ -278,6 +279,10 @@
             )
         return ready
 
+    def _knows_enough(self):
+        table = self.configuration.table
+        return table is not None and self.registry.known
+
     def owner(self, service):
         """Return this host's queue of a stage service."""
         owner = self.owners.get(service)
@@ -324,6 +329,10 @@
         return self.factory.in_flight or owned
 
     async def _join(self):
+        # A host without a registry has no workers: as the owner of a stage it
+        # would let pieces wait for nothing.
+        while not self._knows_enough():
+            await deferLater(self.reactor, _JOIN_PERIOD)
         key = await self.members.peer_key()
         self.hub.keys = keys_from(key.decode())
         self.hub.start()
@@ -402,11 +411,15 @@
         table = self.configuration.table
         if table is None:
             return
-        self.stages.link_owners(
-            [one.name for one in table.services.values() if one.stage],
-        )
+        self.stages.limits = {
+            one.name: one.stage for one in table.services.values() if one.stage
+        }
+        self.stages.link_owners(self.stages.limits)
 
     def _configure_owners(self):
+        self.stages.domains = {
+            one.address: one.domain for one in self.registry.upstreams.values()
+        }
         for owner in self.owners.values():
             self._configure_owner(owner)
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -3,8 +3,14 @@
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from pollenstile.forward import events
-from pollenstile.forward._attempt import Attempt, Delivered, Failing
-from pollenstile.forward._choose import chosen_engine, chosen_plain, usable
+from pollenstile.forward._attempt import GONE, Attempt, Delivered, Failing
+from pollenstile.forward._choose import (
+    chosen_engine,
+    chosen_plain,
+    home_engine,
+    subject_of,
+    usable,
+)
 from pollenstile.forward._decisions import (
     Next,
     after_failure,
@@ -95,7 +101,7 @@
             if not self._goes_on(outcome):
                 self._give_up(outcome)
                 return
-            if not await self._restaged():
+            if not await self._restaged(outcome):
                 return
 
     def ended_early(self, failure):
@@ -154,7 +160,8 @@
             exchange.urgency,
             exchange.aim,
             exchange.ends,
-            exchange.table.services,
+            self.core.stages.seconds,
+            self._home_domain(),
         )
         self.chain = Chain(self.core.stages, plan)
         handles = await self.chain.handles()
@@ -164,10 +171,22 @@
         exchange.handles = handles
         return True
 
-    async def _restaged(self):
-        """Have results made again that were read and released."""
-        if self.chain is None or self.chain.held:
+    def _home_domain(self):
+        """Return the domain of the engine that should read the results."""
+        exchange = self.exchange
+        subject = subject_of(exchange.prompt)
+        views = self.core.registry.usable(exchange.service)
+        if not subject or not views:
+            return ''
+        return home_engine(views, subject).domain
+
+    async def _restaged(self, outcome):
+        """Have results made again that lapsed, or were read and released."""
+        if self.chain is None:
+            return True
+        if self.chain.held and outcome is not GONE:
             return True
+        self.chain.release()
         return await self._staged()
 
     def _refuse_unstaged(self, failed):
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -49,10 +49,10 @@
         return work
 
     def release(self, address, handles):
-        """Release results at their maker; a failure only costs room."""
+        """Release results at their maker; return a Deferred of success."""
         work = Deferred.fromCoroutine(self._released(address, handles))
         work.addTimeout(_RELEASE_SECONDS, self.clock)
-        work.addErrback(self._not_released, address)
+        return work.addErrback(self._not_released, address)
 
     async def _called(self, worker, pieces):
         now = self.clock.seconds()
@@ -92,6 +92,7 @@
                 peer=address,
                 reason=getattr(response, 'reason', f'status {status}'),
             )
+        return status == _OK
 
     async def _exchanged(self, address, target, headers, body):
         call = self.client.send(address, b'POST', target, headers, body)
@@ -116,3 +117,4 @@
             peer=address,
             reason=failure.type.__name__,
         )
+        return False
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -31,6 +31,8 @@
         On the clock: when each step's pieces are due.
     ends : float
         On the clock: the deadline.
+    near : str
+        Failure domain in which the last results are read, if it is known.
     """
 
     request: str
@@ -40,6 +42,7 @@
     latest: tuple[float, ...]
     ends: float
     urgency: int
+    near: str = ''
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,19 +54,28 @@
     retry_after: float
 
 
-def plan_of(route, counts, key, request, urgency, aim, ends, services):
+def plan_of(route, counts, key, request, urgency, aim, ends, seconds, near=''):
     """Return the plan of a request's stage work.
 
+    Explanation
+    ===========
+
+    Each step is due such that the steps after it, at today's backlogs, and
+    the model engine still meet the aim. So the first step's owner, which
+    decides whether a request is taken, judges by the whole chain.
+
     Parameters
     ==========
 
     aim, ends : float
         On the clock.
-    services : dict
-        Of the route table, for the times of calls.
+    seconds : function
+        Takes a service and a number of pieces; returns what they take now.
+    near : str
+        Failure domain of the model engine that should read the results.
     """
     times = [
-        _step_seconds(services.get(step.service), count)
+        seconds(step.service, count) if count else 0
         for step, count in zip(route.steps, counts, strict=True)
     ]
     latest = []
@@ -78,13 +90,12 @@
         tuple(latest),
         ends,
         urgency,
+        near,
     )
 
 
-def _step_seconds(service, count):
-    if service is None or service.stage is None or not count:
-        return 0
-    limits = service.stage
+def usual_seconds(limits, count):
+    """Return what a step takes when its upstreams are not crowded."""
     one = call_seconds(limits, min(count, limits.batch))
     return one + _USUAL_WAIT * limits.call_seconds
 
@@ -179,7 +190,13 @@
     def _follow(self, started, finished):
         for asked in started:
             asked.addCallback(self._step_ended, finished)
-            asked.addErrback(lambda why: why.trap(CancelledError))
+            asked.addErrback(self._step_failed, finished)
+
+    def _step_failed(self, failure, finished):
+        if failure.check(CancelledError):
+            return
+        self.failure = ChainFailed(repr(failure.value), 'program', 0)
+        _fire(finished)
 
     def _group(self, number, step, needs):
         inputs = tuple(
@@ -196,8 +213,14 @@
             urgency=self.plan.urgency,
             due=self.plan.latest[number],
             ends=self.plan.ends,
+            near=self._near(number, inputs),
         )
 
+    def _near(self, number, inputs):
+        if inputs:
+            return self.client.domain_of(inputs)
+        return self.plan.near if number in self._final_steps() else ''
+
     def _step_ended(self, ended, finished):
         number, owner, outcome = ended
         self.asked.pop(number, None)
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -5,6 +5,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.stagework import events
+from pollenstile.stagework._chain import usual_seconds
 from pollenstile.stagework._codec import (
     answer_bytes,
     answer_from,
@@ -15,6 +16,7 @@
     release_bytes,
     release_from,
 )
+from pollenstile.stagework._owner import NO_WORKERS
 from pollenstile.stagework._placing import owner_order
 from pollenstile.stagework._types import GroupRefused
 
@@ -53,9 +55,23 @@
         Addresses of peers by name.
     waits : dict
         Seconds of backlog by service, and when that was heard.
+    limits : dict
+        Of stage services, by name.
+    domains : dict
+        Failure domains of upstreams, by address.
     """
 
-    __slots__ = ('clock', 'host', 'hosts', 'hub', 'log', 'owner', 'waits')
+    __slots__ = (
+        'clock',
+        'domains',
+        'host',
+        'hosts',
+        'hub',
+        'limits',
+        'log',
+        'owner',
+        'waits',
+    )
 
     def __init__(self, host, hub, clock, owner, log=silent_log):
         self.host = host
@@ -64,6 +80,8 @@
         self.owner = owner
         self.log = log
         self.hosts = {}
+        self.limits = {}
+        self.domains = {}
         self.waits = {}
         hub.requests.subjects[_ASK] = self._asked
         hub.requests.subjects[_RELEASE] = self._released
@@ -79,6 +97,23 @@
                     wanted[host] = self.hosts[host]
         self.hub.dialer.wanted = wanted
 
+    def seconds(self, service, count):
+        """Return what pieces of a service take at its last known backlog."""
+        limits = self.limits.get(service)
+        if limits is None:
+            return 0
+        wait, told_at = self.waits.get(service, (0, 0))
+        left = wait - (self.clock.seconds() - told_at)
+        return max(usual_seconds(limits, count), left)
+
+    def domain_of(self, handles):
+        """Return the failure domain in which most results lie."""
+        domains = [
+            self.domains.get(handle.partition('/')[0], '')
+            for handle in handles
+        ]
+        return max(set(domains), key=domains.count)
+
     def submit(self, group):
         """Return a Deferred of owner host and the group's outcome."""
         return Deferred.fromCoroutine(self._outcome(group))
@@ -127,7 +162,7 @@
                 return host, await self._own(group)
             tried.add(host)
             outcome = await self._remote(host, group)
-            if not isinstance(outcome, Unanswered):
+            if _is_final(outcome):
                 self.waits[group.service] = (
                     outcome.wait,
                     self.clock.seconds(),
@@ -186,3 +221,10 @@
         service, request = cancel_from(body)
         self.owner(service).cancel(request)
         return b''
+
+
+def _is_final(outcome):
+    """Return whether no other host is to be asked."""
+    if isinstance(outcome, Unanswered):
+        return False
+    return getattr(outcome, 'reason', '') != NO_WORKERS
--- a/pollenstile/stagework/_codec.py
+++ b/pollenstile/stagework/_codec.py
@@ -22,6 +22,7 @@
         urgency=group.urgency,
         dueMs=int((group.due - now) * _MS),
         endsMs=int((group.ends - now) * _MS),
+        near=group.near,
     ).to_bytes()
 
 
@@ -40,6 +41,7 @@
             reader.urgency,
             now + reader.dueMs / _MS,
             now + reader.endsMs / _MS,
+            reader.near,
         )
 
     return decoded(_schema.Group, encoded, build)
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -17,6 +17,7 @@
 # decides between groups that are due about together, and nothing else, so
 # that the least urgent still move when calls are short of time.
 _URGENCY_SECONDS = 0.15
+_ANY_NUMBER = 1000
 # A worker this much slower than its siblings only takes what they can't.
 _SLOW = 1.8
 
@@ -39,14 +40,57 @@
         group = piece.group
         late = _LATE if now + work > group.due else _IN_TIME
         if late:
-            return late, group.urgency, group.ends, piece.number
+            return late, group.urgency, group.due, group.ident, piece.number
         bias = _URGENCY_SECONDS * group.urgency
-        return late, 0, group.due + bias, piece.number
+        return late, 0, group.due + bias, group.ident, piece.number
 
     return sorted(pieces, key=rank)
 
 
-def batch_for(pieces, worker, limits, now):
+def eligible(pieces, domain, free_domains):
+    """Return the pieces that a worker of a failure domain may take.
+
+    Explanation
+    ===========
+
+    Inputs that cross domains are paid for: each piece of a late step reads
+    all results of the step before, 1.4 MB a request. A piece goes to another
+    domain than its inputs only when no worker there is free; so a free worker
+    never waits while pieces do.
+
+    Parameters
+    ==========
+
+    free_domains : collection of str
+        Domains with a free worker.
+    """
+    found = []
+    for piece in pieces:
+        near = piece.group.near
+        if near in {'', domain} or near not in free_domains:
+            found.append(piece)
+    return found
+
+
+def spare_bytes(pieces, started, workers, limits, now):
+    """Return room that no group under way will need, over all workers.
+
+    Parameters
+    ==========
+
+    pieces : list of Piece
+        Those that wait.
+    started : set
+        Identifiers of groups of which some piece is made or being made.
+    """
+    spare = sum(worker.free_bytes(limits, now) for worker in workers)
+    for piece in pieces:
+        if piece.group.ident in started:
+            spare -= piece.group.result_bytes
+    return spare
+
+
+def batch_for(pieces, worker, limits, now, started, spare):
     """Return the pieces that a free worker takes now.
 
     Explanation
@@ -56,26 +100,65 @@
     results. A result that does not fit is refused by the upstream after the
     piece has waited for its turn; so it is not sent.
 
+    Groups go whole, all but the first: a result is held until the last of its
+    group is made and read, so a group in two calls holds its room for twice
+    the time. And room is granted to whole groups: by pieces, a burst would
+    fill all room with parts of many requests, none of which could be finished
+    until the results lapse, seconds later.
+
     Parameters
     ==========
 
     pieces : list of Piece
-        Ranked.
+        Ranked, those of a group in a row.
+    started, spare
+        See :func:`spare_bytes`; ``started`` gets the groups that are begun.
     """
-    room = limits.room_bytes - worker.held_bytes(now) - worker.flying_bytes
-    empty = not worker.held and not worker.flying
+    room = worker.free_bytes(limits, now)
+    # After a call that made nothing for want of room, fewer and fewer ask.
+    places = max(1, limits.batch >> worker.refusals)
     batch = []
-    for piece in pieces:
-        if len(batch) >= limits.batch:
-            break
-        size = piece.group.result_bytes
-        if size > room and not (empty and not batch):
+    for group, mine in _by_group(pieces):
+        size = group.result_bytes
+        fitting = min(len(mine), places, _fitting(room, size))
+        if not fitting and not batch and not worker.held:
+            # Larger than all the room there is, by what the operator says.
+            fitting = 1
+        if not _may_begin(group, mine, fitting, started, spare, batch):
             continue
-        room -= size
-        batch.append(piece)
+        if group.ident not in started:
+            spare -= group.count * size
+            started.add(group.ident)
+        batch.extend(mine[:fitting])
+        room -= fitting * size
+        places -= fitting
+        if not places:
+            break
     return batch
 
 
+def _by_group(pieces):
+    """Return groups in their order, each with its pieces."""
+    found = {}
+    for piece in pieces:
+        found.setdefault(piece.group.ident, []).append(piece)
+    return [(mine[0].group, mine) for mine in found.values()]
+
+
+def _fitting(room, size):
+    """Return how many results of a size fit."""
+    return max(0, int(room // size)) if size else _ANY_NUMBER
+
+
+def _may_begin(group, mine, fitting, started, spare, batch):
+    if not fitting:
+        return False
+    if batch and fitting < len(mine):
+        return False
+    whole = group.count * group.result_bytes
+    return group.ident in started or whole <= spare or not started
+
+
 def call_seconds(limits, count):
     """Return the time that a call of some pieces takes at usual speed."""
     return limits.call_seconds + count * limits.piece_seconds
@@ -103,9 +186,16 @@
     return not sound or waiting > limits.batch * len(sound)
 
 
-def expected_wait(ahead, workers, limits, now):
+def expected_wait(ahead, workers, limits, now, rate=0):
     """Return seconds until a piece with others ahead of it is made.
 
+    Explanation
+    ===========
+
+    Calls that are full and take their usual time give the least wait. Slow
+    workers, and results that hold their room, make it longer: where pieces
+    have waited for a while, the rate at which they were made counts.
+
     Parameters
     ==========
 
@@ -113,6 +203,8 @@
         Pieces that go before it, its own group included.
     workers : list of Worker
         Those that may be called.
+    rate : float
+        Pieces made a second lately; 0 when it is not known.
     """
     sound = [one for one in workers if one.rest_until <= now] or workers
     if not sound:
@@ -121,30 +213,40 @@
     full = call_seconds(limits, limits.batch)
     frees = sorted(max(0, one.busy_until - now) for one in sound)
     last = call_seconds(limits, min(limits.batch, max(1, ahead)))
-    whole_rounds = max(0, rounds - 1)
-    return frees[0] + whole_rounds * full + last
+    least = frees[0] + int(rounds) * full + last
+    return max(least, ahead / rate) if rate else least
 
 
-# A group is refused when its pieces would be made later than this share of
-# the time between its due time and its end.
-_LATE_SHARE = 0.25
+# Seconds past its due time up to which a group is taken, for the most urgent,
+# and how much sooner each further step of urgency is refused. The estimate
+# ends with a whole call, of which a piece waits half on average.
+_LATENESS = 0.25
+_SOONER = 0.3
+# Share of the groups of one urgency that is taken whatever the load, if they
+# can be in time at all: no kind of request is to be starved by another.
+_LEAST_SHARE = 0.35
 
 
-def admitted(group, wait, now):
+def admitted(group, wait, now, share=1.0):
     """Return whether a group's pieces may wait.
 
     Explanation
     ===========
 
     Pieces that are made too late take the place of others that would have
-    been in time. Refused at once, the caller can come back when the queue is
-    shorter.
+    been in time, and hold room that these need. Refused at once, the caller
+    can come back when the queue is shorter. A group with inputs is taken
+    always: the work before it is done.
 
     Parameters
     ==========
 
     wait : float
         Seconds until its last piece would be made.
+    share : float
+        Of the latest groups of its urgency, those that were taken.
     """
-    latest = group.due + _LATE_SHARE * max(0, group.ends - group.due)
-    return now + wait <= latest or wait <= 0
+    if not group.is_first:
+        return True
+    sooner = _SOONER * group.urgency if share > _LEAST_SHARE else 0
+    return now + wait <= group.due + _LATENESS - sooner
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -1,5 +1,7 @@
 """The host that owns a stage's queue: what waits, what is being made."""
 
+from collections import deque
+
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
@@ -8,9 +10,11 @@
     admitted,
     batch_for,
     call_seconds,
+    eligible,
     expected_wait,
     may_start,
     ranked,
+    spare_bytes,
 )
 from pollenstile.stagework._types import (
     CallLost,
@@ -20,6 +24,8 @@
     Worker,
 )
 
+# Reason of a host that can't own a stage: it reaches no upstream of it.
+NO_WORKERS = 'no workers'
 # Seconds that pieces of one instant are gathered before a call is made.
 _GATHER = 0.002
 # A call of over this many times its expected time, and a margin in seconds,
@@ -38,6 +44,13 @@
 _NEWEST = 0.4
 # Seconds for which releases of results are gathered into one call.
 _RELEASE_GATHER = 0.02
+# Seconds for which a worker that had no room gets nothing more: about half of
+# what a result is held before it is read.
+_FULL_SECONDS = 0.25
+# Share of the newest group in the share of groups that are taken.
+_NEWEST_TAKEN = 0.1
+# Seconds over which the rate of made pieces is measured.
+_RATE_WINDOW = 2.0
 
 
 class _Job:
@@ -76,7 +89,8 @@
         Takes a worker, pieces and seconds left; returns a Deferred of a list
         of :class:`Made` in their order, or of :class:`CallLost`.
     free : function
-        Takes an address and handles that are not needed any more.
+        Takes an address and handles that are not needed any more; returns
+        a Deferred of whether they were released.
     spend : function
         Takes a service and a number of pieces; returns whether the repeat
         budget has them.
@@ -90,6 +104,10 @@
         Groups that are not finished, by request and step.
     waiting : list of Piece
         Not in any call.
+    started : set
+        Groups of which some piece is made or being made.
+    shares : dict
+        Share of the latest first groups that were taken, by urgency.
     workers : dict
         By identifier.
     """
@@ -103,8 +121,12 @@
         'jobs',
         'limits',
         'log',
+        'made_at',
+        'queued_since',
         'service',
+        'shares',
         'spend',
+        'started',
         'waiting',
         'workers',
     )
@@ -119,6 +141,10 @@
         self.limits = None
         self.jobs = {}
         self.waiting = []
+        self.started = set()
+        self.shares = {}
+        self.made_at = deque()
+        self.queued_since = None
         self.workers = {}
         self.freeing = {}
         self.draw_timer = None
@@ -154,17 +180,20 @@
         joins the one that is at work, and no piece is made twice.
         """
         waiter = Deferred()
-        job = self.jobs.get((group.request, group.step))
+        job = self.jobs.get(group.ident)
         if job is not None:
             job.waiters.append(waiter)
             return waiter
+        if self.limits is None or not self.workers:
+            waiter.callback(GroupRefused(NO_WORKERS))
+            return waiter
         wait = self.wait(group.count)
-        if not admitted(group, wait, self.clock.seconds()):
+        if not self._admits(group, wait):
             waiter.callback(GroupRefused('busy', wait, wait))
             return waiter
         job = _Job(group)
         job.waiters.append(waiter)
-        self.jobs[group.request, group.step] = job
+        self.jobs[group.ident] = job
         left = max(0, group.ends - self.clock.seconds())
         job.timer = self.clock.callLater(left, self._refuse, job, 'late')
         self.waiting.extend(job.pieces)
@@ -194,18 +223,68 @@
             list(self.workers.values()),
             self.limits,
             self.clock.seconds(),
+            self._rate(),
         )
 
+    def _rate(self):
+        """Return pieces made a second while pieces waited all the time.
+
+        Returns
+        =======
+
+        float
+            0 when the queue was empty lately: then nothing is known.
+        """
+        now = self.clock.seconds()
+        if not self.waiting:
+            self.queued_since = None
+        elif self.queued_since is None:
+            self.queued_since = now
+        while self.made_at and self.made_at[0] < now - _RATE_WINDOW:
+            self.made_at.popleft()
+        since = self.queued_since
+        if since is None or now - since < _RATE_WINDOW:
+            return 0
+        return len(self.made_at) / _RATE_WINDOW
+
+    def _admits(self, group, wait):
+        now = self.clock.seconds()
+        share = self.shares.get(group.urgency, 1.0)
+        taken = admitted(group, wait, now, share)
+        if group.is_first:
+            share += _NEWEST_TAKEN * (taken - share)
+            self.shares[group.urgency] = share
+        if not taken:
+            self.log(
+                events.STAGE_REFUSED,
+                request=group.request,
+                service=self.service,
+                step=group.step,
+                reason='busy',
+                waiting=len(self.waiting),
+                wait_ms=int(wait * 1000),
+                due_ms=int((group.due - now) * 1000),
+                share=round(share, 2),
+            )
+        return taken
+
     def _flush_releases(self):
         freeing = self.freeing
         self.freeing = {}
         for address, handles in freeing.items():
-            self.free(address, handles)
-            for worker in self.workers.values():
-                if worker.address != address:
-                    continue
-                for handle in handles:
-                    worker.held.pop(handle, None)
+            freed = self.free(address, handles)
+            freed.addCallback(self._freed, address, handles)
+
+    def _freed(self, done, address, handles):
+        # Counted as free before the upstream has said so, the room would be
+        # given to a call that can overtake the release on its way.
+        if not done:
+            return
+        for worker in self.workers.values():
+            if worker.address != address:
+                continue
+            for handle in handles:
+                worker.held.pop(handle, None)
         self._draw_soon()
 
     def _draw_soon(self):
@@ -217,30 +296,46 @@
         now = self.clock.seconds()
         workers = sorted(
             self.workers.values(),
-            key=lambda one: (one.calls, one.speed, -len(one.held)),
+            key=lambda one: (one.speed, len(one.held)),
         )
-        rests = []
-        for worker in workers:
-            if not self.waiting:
-                return
-            if worker.rest_until > now:
-                rests.append(worker.rest_until - now)
-            args = (worker, workers, self.limits, len(self.waiting), now)
-            if may_start(*args):
-                self._start_call(worker, now)
+        waiting = len(self.waiting)
+        free = [
+            one
+            for one in workers
+            if may_start(one, workers, self.limits, waiting, now)
+        ]
+        while free and self.waiting:
+            self._start_call(free.pop(0), free, now)
+        self._draw_rested(workers, now)
+
+    def _draw_rested(self, workers, now):
+        """Draw again when the next worker has rested."""
+        rests = [one.rest_until - now for one in workers]
+        rests = [rest for rest in rests if rest > 0]
         if rests and self.waiting and self.draw_timer is None:
             self.draw_timer = self.clock.callLater(min(rests), self._draw)
 
-    def _start_call(self, worker, now):
-        most = min(len(self.waiting), self.limits.batch)
-        work = call_seconds(self.limits, most) * worker.speed
-        order = ranked(self.waiting, now, work)
-        batch = batch_for(order, worker, self.limits, now)
+    def _start_call(self, worker, others, now):
+        limits = self.limits
+        most = min(len(self.waiting), limits.batch)
+        work = call_seconds(limits, most) * worker.speed
+        domains = {one.domain for one in others}
+        mine = eligible(self.waiting, worker.domain, domains)
+        workers = self.workers.values()
+        batch = batch_for(
+            ranked(mine, now, work),
+            worker,
+            limits,
+            now,
+            self.started,
+            spare_bytes(self.waiting, self.started, workers, limits, now),
+        )
         if not batch:
             return
         for piece in batch:
             self.waiting.remove(piece)
             piece.flights += 1
+        self._rate()
         _Flight(self, worker, batch).start()
 
     def put_back(self, pieces, *, arrived):
@@ -254,7 +349,7 @@
             draws on the repeat budget.
         """
         for piece in pieces:
-            job = self.jobs.get((piece.group.request, piece.group.step))
+            job = self.jobs.get(piece.group.ident)
             alive = job is not None and piece in job.pieces
             if not alive or piece.handle or piece in self.waiting:
                 continue
@@ -273,7 +368,7 @@
 
     def made(self, piece, made):
         """Take one piece's result, or the reason why there is none."""
-        job = self.jobs.get((piece.group.request, piece.group.step))
+        job = self.jobs.get(piece.group.ident)
         alive = job is not None and piece in job.pieces
         if made.handle and (not alive or piece.handle):
             self.release((made.handle,))
@@ -282,6 +377,7 @@
             return
         if made.handle:
             piece.handle = made.handle
+            self.made_at.append(self.clock.seconds())
             if piece in self.waiting:
                 self.waiting.remove(piece)
             self._finish_whole(job)
@@ -294,6 +390,29 @@
             return
         self._refuse(job, made.reason)
 
+    def note_full(self, worker):
+        """Send a worker nothing more for a moment: it had no room.
+
+        Explanation
+        ===========
+
+        Results that another owner had made take up room that this host does
+        not know of. Sent again at once, the refused pieces would only wait
+        for their turn to be refused again.
+        """
+        now = self.clock.seconds()
+        free = max(0, worker.free_bytes(self.limits, now))
+        worker.foreign = (free, now + _FULL_SECONDS)
+        self.log(
+            events.STAGE_ROOM,
+            service=self.service,
+            peer=worker.ident,
+            held=worker.held_bytes(now),
+            results=len(worker.held),
+            room=self.limits.room_bytes,
+        )
+        self.clock.callLater(_FULL_SECONDS, self._draw_soon)
+
     def _finish_whole(self, job):
         handles = job.handles()
         if all(handles):
@@ -316,7 +435,8 @@
         self._end(job, GroupRefused(reason, wait, wait))
 
     def _end(self, job, outcome):
-        self.jobs.pop((job.group.request, job.group.step))
+        self.jobs.pop(job.group.ident)
+        self.started.discard(job.group.ident)
         if job.timer.active():
             job.timer.cancel()
         for waiter in job.waiters:
@@ -409,6 +529,12 @@
             self._lost(outcome, slow=slow)
             return
         self.worker.failures = 0
+        if any(made.reason == 'room' for made in outcome):
+            self.owner.note_full(self.worker)
+        if any(made.handle for made in outcome):
+            self.worker.refusals = 0
+        else:
+            self.worker.refusals = min(self.worker.refusals + 1, 8)
         self._learn_speed(self.owner.clock.seconds() - self.started)
         lapses = self.owner.clock.seconds() + self.owner.limits.hold_seconds
         for piece, made in zip(self.batch, outcome, strict=True):
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -30,6 +30,9 @@
         On the clock: made by then, the request can still meet its aim.
     ends : float
         On the clock: made later, it is of no use.
+    near : str
+        Failure domain in which the inputs lie or the results are read; empty
+        for no preference.
     """
 
     request: str
@@ -42,6 +45,17 @@
     urgency: int = 0
     due: float = 0.0
     ends: float = 0.0
+    near: str = ''
+
+    @property
+    def ident(self):
+        """Request and step."""
+        return self.request, self.step
+
+    @property
+    def is_first(self):
+        """Whether no earlier step's work would be thrown away with it."""
+        return not self.inputs
 
 
 @dataclass(slots=True)
@@ -144,6 +158,12 @@
         Not called before; after failures.
     failures : int
         In a row.
+    busy_until : float
+        When its call under way should end.
+    foreign : tuple
+        Bytes that something else takes up, and until when that is believed.
+    refusals : int
+        Calls in a row that made nothing for want of room.
     """
 
     ident: str
@@ -157,10 +177,18 @@
     rest_until: float = 0.0
     failures: int = 0
     busy_until: float = 0.0
+    foreign: tuple = (0, 0.0)
+    refusals: int = 0
 
     def held_bytes(self, now):
         """Return bytes of results that still take up room."""
         for handle, (_, lapses) in list(self.held.items()):
             if lapses <= now:
                 self.held.pop(handle)
-        return sum(size for size, _ in self.held.values())
+        size, lapses = self.foreign
+        foreign = size if lapses > now else 0
+        return foreign + sum(size for size, _ in self.held.values())
+
+    def free_bytes(self, limits, now):
+        """Return room for results of calls that are not under way."""
+        return limits.room_bytes - self.held_bytes(now) - self.flying_bytes
--- a/pollenstile/stagework/events.py
+++ b/pollenstile/stagework/events.py
@@ -29,6 +29,12 @@
     'stage-owner-lost',
     'The host that owns a stage did not answer; another one is asked.',
 )
+STAGE_ROOM = define(
+    1107,
+    'stage-room',
+    'An upstream of a stage had no room for a result; it gets none for a while.',
+    'Often, with little held: results are not released in time.',
+)
 STAGE_RELEASE_FAILED = define(
     1106,
     'stage-release-failed',
--- a/pollenstile/stagework/messages.capnp
+++ b/pollenstile/stagework/messages.capnp
@@ -13,6 +13,8 @@
   # Times left, not times of day: hosts' clocks differ.
   dueMs @8 :Int32;
   endsMs @9 :Int32;
+  # Failure domain in which it should be made; empty for any.
+  near @10 :Text;
 }
 
 struct GroupAnswer {
