--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -19,7 +19,7 @@
 _URGENCY_SECONDS = 0.15
 _ANY_NUMBER = 1000
 # Seconds to spare with which a piece waits for a worker near its inputs.
-_NEAR_MARGIN = 0.15
+_NEAR_MARGIN = 0.45
 # A worker this much slower than its siblings only takes what they can't.
 _SLOW = 1.8
 
