stagework, forward: queues are handed over; a leaving host refuses after its lame-duck time

Change: groups that are not begun are given back when another host owns the queue or this one leaves; after 2.3 s a leaving host closes idle connections and refuses; urgency counts 0.4 s a step in order and admission.

--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
+from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
@@ -64,6 +64,8 @@
 _LAME_DUCK = 2.3
 # Seconds left of the grace time when the host stops, whatever is in flight.
 _GRACE_MARGIN = 0.6
+# Seconds between looks whether another host owns a queue of this one now.
+_REVIEW_PERIOD = 0.25
 # Seconds for connections to take what was written to them.
 _FLUSH = 0.3
 _NOT_READY = 503
@@ -253,6 +255,9 @@
             peers=_shown(settings.peers),
             domain=settings.domain,
         )
+        review = LoopingCall(self._review)
+        review.clock = self.reactor
+        review.start(_REVIEW_PERIOD, now=False)
         _run(self.configuration.run())
         _run(self._join())
         registry = self._watch(
@@ -304,9 +309,13 @@
         self.leaving = True
         self.factory.leave()
         self.hub.beat_now()
+        self._review()
         self.log(events.FORWARD_LEAVING, in_flight=self.factory.in_flight)
         return Deferred.fromCoroutine(self._stopped())
 
+    def _review(self):
+        self.stages.review(self.owners, leaving=self.leaving)
+
     async def _stopped(self):
         began = self.reactor.seconds()
         latest = began + self.settings.grace_seconds - _GRACE_MARGIN
@@ -314,6 +323,10 @@
         # answer is passed over anyway.
         _run(self.members.leave())
         await deferLater(self.reactor, _LAME_DUCK)
+        # Callers keep using open connections until they are closed; what
+        # comes now could be cut off when the process is killed.
+        self.factory.refusing = True
+        self.factory.close_idle()
         while self._is_busy() and self.reactor.seconds() < latest:
             await deferLater(self.reactor, 0.05)
         self.factory.close_idle()
--- a/pollenstile/forward/_face.py
+++ b/pollenstile/forward/_face.py
@@ -29,6 +29,8 @@
 _BODY_SECONDS = 32.0
 _NO_BODY = (204, 304)
 _DEFAULT_LIMITS = Limits()
+# Seconds until another host takes the connections of one that leaves.
+_LEAVING = Refusal(503, 'leaving', 'entry', '', 0.1)
 
 
 class Answer(Request):
@@ -273,6 +275,7 @@
         super().__init__(timeout=idle_seconds, reactor=reactor)
         self.core = core
         self.leaving = False
+        self.refusing = False
         self.channels = set()
         self.in_flight = 0
         self.on_idle = None
@@ -290,7 +293,9 @@
         if self.leaving:
             answer.channel.persistent = False
             answer.responseHeaders.setRawHeaders(b'connection', [b'close'])
-        exchange = parsed_exchange(self.core, answer)
+        exchange = _LEAVING
+        if not self.refusing:
+            exchange = parsed_exchange(self.core, answer)
         if isinstance(exchange, Refusal):
             self.core.log(
                 events.FORWARD_ENDED,
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -64,6 +64,8 @@
         Of stage services, by name.
     domains : dict
         Failure domains of upstreams, by address.
+    leaving : bool
+        Whether this host takes no new work.
     reading : dict
         Functions to call when a group's inputs were fetched, by group.
     """
@@ -74,6 +76,7 @@
         'host',
         'hosts',
         'hub',
+        'leaving',
         'limits',
         'log',
         'owner',
@@ -96,6 +99,7 @@
         hub.requests.subjects[_CANCEL] = self._cancelled
         hub.requests.subjects[_READ] = self._told_read
         self.reading = {}
+        self.leaving = False
 
     def link_owners(self, services):
         """Keep links to the hosts that own these services, or would next."""
@@ -124,6 +128,25 @@
         ]
         return max(set(domains), key=domains.count)
 
+    def review(self, owners, *, leaving):
+        """Hand queues over that another host owns now.
+
+        Parameters
+        ==========
+
+        owners : dict
+            This host's queues, by service.
+        leaving : bool
+            Whether this host takes no new work.
+        """
+        self.leaving = leaving
+        for service, owner in owners.items():
+            if not owner.waiting:
+                continue
+            candidates = self._candidates(service)
+            if candidates and candidates[0] != self.host:
+                owner.hand_over()
+
     def submit(self, group, on_read):
         """Return a Deferred of owner host and the group's outcome.
 
@@ -172,11 +195,14 @@
     def _candidates(self, service):
         """Return reachable hosts in the order in which they own a service."""
         order = owner_order(service, {*self.hosts, self.host})
-        return [
+        others = [
             host
             for host in order
-            if host == self.host or self._takes_work(host)
+            if host != self.host and self._takes_work(host)
         ]
+        if self.leaving and others:
+            return others
+        return [host for host in order if host == self.host or host in others]
 
     def _takes_work(self, host):
         link = self.hub.links.get(host)
@@ -237,6 +263,8 @@
             return Unanswered(_ASK, host, str(error))
 
     def _asked(self, host, body):
+        if self.leaving:
+            return answer_bytes(GroupRefused(NO_WORKERS))
         group = group_from(body, self.clock.seconds())
         on_read = partial(self._tell_read, host, group)
         outcome = self.owner(group.service).submit(group, on_read)
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -16,7 +16,7 @@
 # Seconds that a step of urgency is worth in the order of those in time. It
 # decides between groups that are due about together, and nothing else, so
 # that the least urgent still move when calls are short of time.
-_URGENCY_SECONDS = 0.15
+_URGENCY_SECONDS = 0.4
 _ANY_NUMBER = 1000
 # Seconds to spare with which a piece waits for a worker near its inputs.
 _NEAR_MARGIN = 0.45
@@ -246,7 +246,7 @@
 # and how much sooner each further step of urgency is refused. The estimate
 # ends with a whole call, of which a piece waits half on average.
 _LATENESS = 0.25
-_SOONER = 0.3
+_SOONER = 0.4
 # Share of the groups of one urgency that is taken whatever the load, if they
 # can be in time at all: no kind of request is to be starved by another.
 _LEAST_SHARE = 0.35
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -53,6 +53,9 @@
 # upstream that was free begins at once. Held until the call ends, results of
 # the step before would keep their room for four times as long.
 _READ_SECONDS = 0.1
+# Times the usual time of a call up to which an upstream works for this owner
+# alone.
+_ALONE_SPEED = 1.25
 # Share of the newest group in the share of groups that are taken.
 _NEWEST_TAKEN = 0.1
 # Seconds over which the rate of made pieces is measured.
@@ -229,6 +232,22 @@
         self._draw_soon()
         return waiter
 
+    def hand_over(self):
+        """Give back the groups of which no piece is begun.
+
+        Explanation
+        ===========
+
+        When another host owns the queue from now on, two queues would draw on
+        the same upstreams, and what waits in the older one would wait twice
+        as long. Who asked is told that no pieces are made here, and asks the
+        new owner; nothing is made twice.
+        """
+        for job in list(self.jobs.values()):
+            if not job.begun:
+                self._drop_waiting(job)
+                self._end(job, GroupRefused(NO_WORKERS))
+
     def cancel(self, request):
         """Forget all that a request waits for; its results are released."""
         for job in list(self.jobs.values()):
@@ -486,11 +505,14 @@
             reason=reason,
             waiting=len(self.waiting),
         )
+        self._drop_waiting(job)
+        self.release([handle for handle in job.handles() if handle])
+        self._end(job, GroupRefused(reason, wait, wait))
+
+    def _drop_waiting(self, job):
         self.waiting = [
             piece for piece in self.waiting if piece.group is not job.group
         ]
-        self.release([handle for handle in job.handles() if handle])
-        self._end(job, GroupRefused(reason, wait, wait))
 
     def _end(self, job, outcome):
         self.jobs.pop(job.group.ident)
@@ -556,7 +578,9 @@
         result.addErrback(self._crashed)
 
     def _read(self):
-        if not self.ended:
+        # Calls of another owner, or of a slow upstream, can keep this one
+        # from its turn; released then, its inputs would be gone.
+        if not self.ended and self.worker.speed < _ALONE_SPEED:
             self.owner.inputs_read(self.batch)
 
     def _slow(self):
