stagework, forward: the owner and the daemon in parts

Cause: both had grown to over twenty methods; equality of pieces compared whole groups in each look-up of the queue. Change: flight, jobs, releases, pace, service, owners, assembly and settings are modules of their own; pieces and groups are compared by identity.

--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -10,9 +10,10 @@
 from pollenstile.forward._client import HttpClient
 from pollenstile.forward._configuration import ConfigurationReader
 from pollenstile.forward._core import ForwardCore
-from pollenstile.forward._daemon import ForwardDaemon, HostSettings
+from pollenstile.forward._daemon import ForwardDaemon
 from pollenstile.forward._registry import Registry, Upstream
 from pollenstile.forward._run import serve
+from pollenstile.forward._settings import HostSettings
 from pollenstile.forward._types import (
     BodyEnd,
     Exchange,
--- /dev/null
+++ b/pollenstile/forward/_assembly.py
@@ -0,0 +1,127 @@
+"""Putting an entry host that forwards together; nothing listens yet."""
+
+import time
+from dataclasses import dataclass
+
+from pollenstile.forward._budget import RepeatBudget
+from pollenstile.forward._client import HttpClient
+from pollenstile.forward._configuration import ConfigurationReader
+from pollenstile.forward._core import ForwardCore
+from pollenstile.forward._members import Members
+from pollenstile.forward._owners import Owners
+from pollenstile.forward._registry import Registry
+from pollenstile.forward._stagecalls import StageCalls
+from pollenstile.ops.logs import silent_log
+from pollenstile.peer import LEAST_VERSION, VERSION, Hello, Hub, tcp_connect
+from pollenstile.stagework import StageClient, StageService
+
+_MS = 1000
+# Links to owners of stages: one that is frozen or cut off is noticed in about
+# a second, half of what a request may take.
+_LINK_TICK = 0.2
+_LINK_BEAT = 0.35
+_LINK_SILENCE = 1.2
+
+
+@dataclass(slots=True)
+class Parts:
+    """The parts of a host that its daemon starts and stops."""
+
+    core: object
+    hub: object
+    members: object
+    owners: object
+    stages: object
+
+
+def built_parts(
+    reactor,
+    settings,
+    store,
+    adapter,
+    rng,
+    suspend_clock,
+    log=silent_log,
+):
+    """Return a host's parts.
+
+    Parameters
+    ==========
+
+    reactor : IReactorTCP and IReactorTime
+        Makes connections and timers.
+    settings : HostSettings
+        Names and bounds.
+    store : Store
+        Configuration, registry and the hosts' own entries.
+    adapter : object
+        With ``names``, ``codec`` and ``decode_table(value)``.
+    suspend_clock : function
+        Returns seconds, suspended time included.
+    """
+    registry = Registry(reactor, log)
+    configuration = ConfigurationReader(
+        store,
+        reactor,
+        suspend_clock,
+        rng,
+        adapter.decode_table,
+        settings.revoke_seconds,
+        log,
+    )
+    hub = _built_hub(reactor, rng, settings, log)
+    client = HttpClient(reactor)
+    budget = RepeatBudget(
+        reactor,
+        settings.repeat_ratio,
+        settings.repeat_slack,
+        settings.repeat_window,
+    )
+    calls = StageCalls(reactor, client, adapter.codec, adapter.names, log)
+    calls.on_misdirected = registry.drop
+    owners = Owners(reactor, registry, configuration, calls, budget.spend, log)
+    stages = StageClient(settings.host, hub, reactor, owners.owner, log)
+    StageService(stages)
+    core = ForwardCore(
+        reactor,
+        rng,
+        settings.domain,
+        client,
+        registry,
+        configuration,
+        budget,
+        stages,
+        adapter.names,
+        log,
+    )
+    members = Members(
+        store,
+        reactor,
+        settings.host,
+        hub.hello.address,
+        settings.domain,
+        log,
+    )
+    return Parts(core, hub, members, owners, stages)
+
+
+def shown(address):
+    """Return ``IP:PORT`` of an address."""
+    host, port = address
+    return f'{host}:{port}'
+
+
+def _built_hub(reactor, rng, settings, log):
+    hello = Hello(
+        version=VERSION,
+        least=LEAST_VERSION,
+        host=settings.host,
+        domain=settings.domain,
+        address=shown(settings.peers),
+        boot=int(time.time() * _MS),
+    )
+    hub = Hub(reactor, rng, hello, (), tcp_connect(reactor), log)
+    hub.tick = _LINK_TICK
+    hub.beat_period = _LINK_BEAT
+    hub.silence_limit = _LINK_SILENCE
+    return hub
--- a/pollenstile/forward/_face.py
+++ b/pollenstile/forward/_face.py
@@ -271,8 +271,8 @@
     protocol = CallerChannel
     noisy = False
 
-    def __init__(self, core, reactor, idle_seconds):
-        super().__init__(timeout=idle_seconds, reactor=reactor)
+    def __init__(self, core, reactor):
+        super().__init__(reactor=reactor)
         self.core = core
         self.leaving = False
         self.refusing = False
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -125,9 +125,7 @@
 
     def stage_upstreams(self, service):
         """Return the upstreams of a service that take new work."""
-        return [
-            self.upstreams[view.ident] for view in self.usable(service)
-        ]
+        return [self.upstreams[view.ident] for view in self.usable(service)]
 
     def _put(self, upstream):
         before = self.upstreams.get(upstream.ident)
--- a/pollenstile/stagework/__init__.py
+++ b/pollenstile/stagework/__init__.py
@@ -5,13 +5,17 @@
 from pollenstile.stagework._codec import answer_bytes, answer_from
 from pollenstile.stagework._codec import group_bytes, group_from
 from pollenstile.stagework._decisions import (
+    admitted,
     batch_for,
+    eligible,
     expected_wait,
     may_start,
     ranked,
+    spare_bytes,
 )
 from pollenstile.stagework._owner import Owner
 from pollenstile.stagework._placing import owner_order
+from pollenstile.stagework._service import StageService
 from pollenstile.stagework._types import (
     CallLost,
     Group,
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -78,10 +78,10 @@
         seconds(step.service, count) if count else 0
         for step, count in zip(route.steps, counts, strict=True)
     ]
-    latest = []
-    for place in range(len(route.steps)):
-        later = _later_seconds(route.steps, times, place)
-        latest.append(aim - later)
+    latest = [
+        aim - _later_seconds(route.steps, times, place)
+        for place, _ in enumerate(route.steps)
+    ]
     return Plan(
         request,
         key,
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -9,29 +9,24 @@
 from pollenstile.stagework import events
 from pollenstile.stagework._chain import usual_seconds
 from pollenstile.stagework._codec import (
-    answer_bytes,
     answer_from,
     cancel_bytes,
-    cancel_from,
     group_bytes,
-    group_from,
-    read_bytes,
-    read_from,
     release_bytes,
-    release_from,
 )
 from pollenstile.stagework._owner import NO_WORKERS
 from pollenstile.stagework._placing import owner_order
 from pollenstile.stagework._types import GroupRefused
 
-_ASK = 'stage'
-_RELEASE = 'stage-release'
-_CANCEL = 'stage-cancel'
-_READ = 'stage-read'
+# What hosts ask each other.
+ASK = 'stage'
+RELEASE = 'stage-release'
+CANCEL = 'stage-cancel'
+READ = 'stage-read'
 # Seconds for the answer of an owner beyond the group's own end.
 _ANSWER_MARGIN = 0.5
 # Seconds for asks whose answer nobody needs.
-_WORD_SECONDS = 2.0
+WORD_SECONDS = 2.0
 # Owners that are linked ahead of need, for each service.
 LINKED_OWNERS = 3
 
@@ -94,10 +89,6 @@
         self.limits = {}
         self.domains = {}
         self.waits = {}
-        hub.requests.subjects[_ASK] = self._asked
-        hub.requests.subjects[_RELEASE] = self._released
-        hub.requests.subjects[_CANCEL] = self._cancelled
-        hub.requests.subjects[_READ] = self._told_read
         self.reading = {}
         self.leaving = False
 
@@ -123,8 +114,7 @@
     def domain_of(self, handles):
         """Return the failure domain in which most results lie."""
         domains = [
-            self.domains.get(handle.partition('/')[0], '')
-            for handle in handles
+            self.domains.get(handle.partition('/')[0], '') for handle in handles
         ]
         return max(set(domains), key=domains.count)
 
@@ -166,7 +156,7 @@
         body = cancel_bytes(service, plan.request)
         for host in self._candidates(service):
             if host != self.host:
-                self.hub.ask(host, _CANCEL, body, _WORD_SECONDS)
+                self.hub.ask(host, CANCEL, body, WORD_SECONDS)
 
     def release(self, host, service, handles):
         """Tell an owner that results are not needed any more.
@@ -181,13 +171,14 @@
             self.owner(service).release(handles)
             return
         body = release_bytes(service, handles)
-        self.hub.ask(host, _RELEASE, body, _WORD_SECONDS)
+        self.hub.ask(host, RELEASE, body, WORD_SECONDS)
 
     def _forget_reading(self, outcome, ident):
         self.reading.pop(ident, None)
         return outcome
 
-    def _read_here(self, ident):
+    def inputs_read(self, ident):
+        """Note that a group's inputs were fetched."""
         on_read = self.reading.pop(ident, None)
         if on_read is not None:
             on_read()
@@ -240,7 +231,7 @@
         return self.host
 
     async def _own(self, group):
-        on_read = partial(self._read_here, group.ident)
+        on_read = partial(self.inputs_read, group.ident)
         asked = self.owner(group.service).submit(group, on_read)
         try:
             outcome = await asked
@@ -254,39 +245,13 @@
         now = self.clock.seconds()
         body = group_bytes(group, now)
         left = max(0, group.ends - now) + _ANSWER_MARGIN
-        answer = await self.hub.ask(host, _ASK, body, left)
+        answer = await self.hub.ask(host, ASK, body, left)
         if isinstance(answer, Unanswered):
             return answer
         try:
             return answer_from(answer)
         except BadMessageError as error:
-            return Unanswered(_ASK, host, str(error))
-
-    def _asked(self, host, body):
-        if self.leaving:
-            return answer_bytes(GroupRefused(NO_WORKERS))
-        group = group_from(body, self.clock.seconds())
-        on_read = partial(self._tell_read, host, group)
-        outcome = self.owner(group.service).submit(group, on_read)
-        return outcome.addCallback(answer_bytes)
-
-    def _tell_read(self, host, group):
-        body = read_bytes(group.request, group.step)
-        self.hub.ask(host, _READ, body, _WORD_SECONDS)
-
-    def _told_read(self, host, body):
-        self._read_here(read_from(body))
-        return b''
-
-    def _released(self, host, body):
-        service, handles = release_from(body)
-        self.owner(service).release(handles)
-        return b''
-
-    def _cancelled(self, host, body):
-        service, request = cancel_from(body)
-        self.owner(service).cancel(request)
-        return b''
+            return Unanswered(ASK, host, str(error))
 
 
 def _is_final(outcome):
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -204,9 +204,7 @@
     if worker.speed < _SLOW:
         return True
     sound = [
-        one
-        for one in workers
-        if one.speed < _SLOW and one.rest_until <= now
+        one for one in workers if one.speed < _SLOW and one.rest_until <= now
     ]
     return not sound or waiting > limits.batch * len(sound)
 
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Group:
     """All pieces that one step of one request needs.
 
@@ -58,7 +58,7 @@
         return not self.inputs
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Piece:
     """One piece that an owner host has to have made.
 
@@ -69,12 +69,15 @@
         Calls under way that hold it.
     sent : int
         Calls that held it and may have made it.
+    read : bool
+        Whether its inputs were fetched by the call under way.
     """
 
     group: Group
     number: int
     flights: int = 0
     sent: int = 0
+    read: bool = False
     handle: str = ''
 
 
@@ -139,7 +142,7 @@
     wait: float = 0.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Worker:
     """One upstream of a stage service, as its owner host sees it.
 
