--- /dev/null
+++ b/features/builders/stagework.py
@@ -0,0 +1,119 @@
+"""Builders of stage work: pieces, workers, and queues in virtual time."""
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from pollenstile.routes import StageLimits
+from pollenstile.stagework import Group, Made, Owner, Piece, Worker
+
+SERVICE = 'encode'
+CALL = 0.24
+PIECE = 0.025
+LIMITS = StageLimits(
+    batch=8,
+    call_seconds=CALL,
+    piece_seconds=PIECE,
+    room_bytes=1000,
+)
+
+
+def group(request='r', count=1, size=100, due=10.0, **fields):
+    """Return a group of the service."""
+    return Group(
+        request,
+        SERVICE,
+        fields.pop('step', 0),
+        count,
+        result_bytes=size,
+        due=due,
+        ends=fields.pop('ends', 20.0),
+        **fields,
+    )
+
+
+def pieces_of(*groups):
+    """Return all pieces of some groups."""
+    return [Piece(one, place) for one in groups for place in range(one.count)]
+
+
+def workers(*domains):
+    """Return workers, one in each of some failure domains."""
+    return [
+        Worker(f'w{place}', f'10.0.0.{place}:1', domain)
+        for place, domain in enumerate(domains)
+    ]
+
+
+class Queue:
+    """An owner in virtual time whose calls the test answers.
+
+    Attributes
+    ==========
+
+    calls : list of tuple
+        Worker, pieces and Deferred of each call, in order.
+    freed : list of tuple
+        Address, handles and Deferred of each release.
+    budget : int
+        Repeats that may still be sent.
+    outcomes : dict
+        By request.
+    read : list of str
+        Requests whose inputs were fetched.
+    """
+
+    def __init__(self, *domains, limits=LIMITS):
+        self.clock = Clock()
+        self.calls = []
+        self.freed = []
+        self.budget = 100
+        self.outcomes = {}
+        self.read = []
+        self.owner = Owner(
+            self.clock,
+            SERVICE,
+            self._call,
+            self._free,
+            self._spend,
+        )
+        self.owner.configure(limits, workers(*domains))
+
+    def submit(self, one):
+        """Hand in a group, and let free workers draw."""
+        waiter = self.owner.submit(one, lambda: self.read.append(one.request))
+        waiter.addCallback(self._note, one.request)
+        self.clock.advance(0.01)
+
+    def answer(self, place, outcome=None):
+        """Answer a call; with results for all its pieces by default."""
+        worker, pieces, done = self.calls[place]
+        if outcome is None:
+            outcome = [
+                Made(f'{worker.address}/{place}.{number}')
+                for number, _ in enumerate(pieces)
+            ]
+        done.callback(outcome)
+        self.clock.advance(0.01)
+
+    def requests(self, place):
+        """Return the requests of a call's pieces."""
+        return [piece.group.request for piece in self.calls[place][1]]
+
+    def _call(self, worker, pieces, seconds):
+        done = Deferred()
+        self.calls.append((worker, pieces, done))
+        return done
+
+    def _free(self, address, handles):
+        done = Deferred()
+        self.freed.append((address, handles, done))
+        return done
+
+    def _spend(self, service, number):
+        if self.budget < number:
+            return False
+        self.budget -= number
+        return True
+
+    def _note(self, outcome, request):
+        self.outcomes[request] = outcome
--- a/pollenstile/stagework/__init__.py
+++ b/pollenstile/stagework/__init__.py
@@ -1,6 +1,12 @@
 """Stage work: pieces of many requests, made in batches by one owner host."""
 
-from pollenstile.stagework._chain import Chain, ChainFailed, Plan, plan_of
+from pollenstile.stagework._chain import (
+    Chain,
+    ChainFailed,
+    Plan,
+    plan_of,
+    usual_seconds,
+)
 from pollenstile.stagework._client import StageClient
 from pollenstile.stagework._codec import answer_bytes, answer_from
 from pollenstile.stagework._codec import group_bytes, group_from
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -150,7 +150,8 @@
             # Larger than all the room there is, by what the operator says.
             fitting = 1
         whole = 0 if group.ident in started else group.count * size
-        if not _may_begin(mine, fitting, whole, spare, started, batch):
+        empty = not started and not worker.held
+        if not _may_begin(mine, fitting, batch, empty or whole <= spare):
             continue
         spare -= whole
         started.add(group.ident)
@@ -173,10 +174,11 @@
     return max(0, int(room // size)) if size else _ANY_NUMBER
 
 
-def _may_begin(mine, fitting, whole, spare, started, batch):
+def _may_begin(mine, fitting, batch, has_room):
+    """Return whether a group goes into a batch: whole, unless it is first."""
     if not fitting or (batch and fitting < len(mine)):
         return False
-    return whole <= spare or not started
+    return has_room
 
 
 def call_seconds(limits, count):
