forward, stagework: aims count from a caller's first time; late requests go to idle queues

Cause: a caller that came back after a refusal was taken for a new one, with a whole aim; it went before others that could be in time, and was late itself. Change: the longest time that callers of a route had left tells how long ago one came first; what is late already is taken up to 1.2 s of wait, and goes last.

--- a/features/stagework.feature
+++ b/features/stagework.feature
@@ -158,6 +158,14 @@
     Then it is taken with urgency 0 and refused with urgency 2
     But with urgency 2 it is taken after most of its kind were refused
 
+  Scenario: What is late already is taken only by a queue that is idle
+    A caller comes back after a refusal, too late for its aim. Taken on a
+    heavy day it would take the place of another that can be in time.
+    Given a first stage group due in -1.0 seconds that would wait 0.4
+    Then it is taken with urgency 2
+    Given a first stage group due in -1.0 seconds that would wait 1.5
+    Then it is refused with urgency 0
+
   Scenario: A step with inputs is never refused for being late
     The work before it is done; refused now, that work is thrown away.
     Given a stage group with inputs due in 0.1 seconds that would wait 5.0
--- a/features/steps/stagework_steps.py
+++ b/features/steps/stagework_steps.py
@@ -300,6 +300,11 @@
     assert _taken(context, urgency)
 
 
+@then('it is refused with urgency {urgency:d}')
+def then_not_taken(context, urgency):
+    assert not _taken(context, urgency)
+
+
 @given('three stage workers of which one is slow')
 def given_slow(context):
     context.workers = workers('a', 'a', 'a')
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from pollenstile.forward._patience import Patience
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
 
@@ -35,6 +36,8 @@
         Has stage work done.
     names : HeaderNames
         Of the headers that the system reads and sets.
+    patience : Patience
+        Tells callers that come back from new ones.
     """
 
     clock: object
@@ -49,3 +52,4 @@
     log: object = silent_log
     count: object = _count_nothing
     leaving: bool = False
+    patience: Patience = field(default_factory=Patience)
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -82,9 +82,8 @@
     names = core.names
     now = core.clock.seconds()
     deadline = whole_number(_text(answer, names.deadline))
-    seconds = route.timeout
-    if deadline is not None:
-        seconds = min(seconds, deadline / _MS)
+    left = route.timeout if deadline is None else deadline / _MS
+    waited = core.patience.waited(route.name, left)
     counts = parsed_counts(_text(answer, names.counts), len(route.steps))
     prompt = parsed_prompt(_text(answer, names.prompt))
     if counts is None or prompt is None:
@@ -100,8 +99,8 @@
         team=team.name if team else '',
         urgency=urgency_of(route, team),
         arrived=now,
-        aim=now + route.aim,
-        ends=now + seconds,
+        aim=now + route.aim - waited,
+        ends=now + min(left, route.timeout),
         counts=counts,
         stage_key=_text(answer, names.stage_key),
         prompt=prompt,
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -166,7 +166,8 @@
             return True
         plan = plan_of(
             exchange,
-            exchange.aim - first_token_seconds(exchange.prompt),
+            min(exchange.aim, exchange.ends)
+            - first_token_seconds(exchange.prompt),
             self.core.stages.seconds,
             self._home_domain(),
         )
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -242,6 +242,9 @@
 # ends with a whole call, of which a piece waits half on average.
 _LATENESS = 0.25
 _SOONER = 0.4
+# Seconds that a queue takes which is not crowded: two calls, and half of another
+# one. What is late goes last, so it is in the way only by lengthening calls.
+_IDLE_WAIT = 1.2
 # Share of the groups of one urgency that is taken whatever the load, if they
 # can be in time at all: no kind of request is to be starved by another.
 _LEAST_SHARE = 0.35
@@ -268,5 +271,8 @@
     """
     if not group.is_first:
         return True
+    if group.due < now:
+        # Late whatever happens: taken only where it is in nobody's way.
+        return wait <= _IDLE_WAIT and now + wait <= group.ends
     sooner = _SOONER * group.urgency if share > _LEAST_SHARE else 0
     return now + wait <= group.due + _LATENESS - sooner
