ops: log lines never block and are bounded; measures on the metrics address

Cause: a collector that hangs would stop a host by its full pipe; operators had no counters of the forwarding path. Change: a stream that drops and counts what does not fit; counters and histograms taken from the events themselves, served as text.

--- /dev/null
+++ b/features/steps/logs_steps.py
@@ -0,0 +1,146 @@
+"""Steps of the log stream."""
+
+import json
+import os
+
+import structlog
+from behave import given, then, when
+
+from pollenstile.forward.events import FORWARD_ENDED
+from pollenstile.ops.linestream import LineStream
+from pollenstile.ops.logs import silent_log
+from pollenstile.ops.measures import Measures
+
+_LONG = 'x' * 300
+
+
+class _Pipe:
+    """A pipe with a log stream at its writing end."""
+
+    def __init__(self, most_lines=10000):
+        ends = os.pipe()
+        self.reading = ends[0]
+        self.writing = ends[1]
+        os.set_blocking(self.reading, False)
+        self.now = 1.0
+        self.stream = LineStream(self.writing, self.clock, most_lines)
+        self.logger = structlog.WriteLogger(self.stream)
+        self.written = 0
+
+    def clock(self):
+        """Return the test's second."""
+        return self.now
+
+    def write(self, count, text=''):
+        """Write numbered lines."""
+        for number in range(count):
+            line = json.dumps({'event': 'line', 'n': number, 'text': text})
+            self.logger.info(line)
+            self.written += 1
+
+    def read(self):
+        """Return all lines that are in the pipe."""
+        content = b''
+        while True:
+            try:
+                part = os.read(self.reading, 65536)
+            except BlockingIOError:
+                return content.decode()
+            content += part
+
+    def close(self):
+        """Close both ends."""
+        os.close(self.writing)
+
+
+@given('a log stream into a pipe that nobody reads')
+def given_unread(context):
+    context.pipe = _Pipe()
+    context.add_cleanup(context.pipe.close)
+
+
+@given('a log stream of at most {count:d} lines a second')
+def given_bounded(context, count):
+    context.pipe = _Pipe(count)
+    context.add_cleanup(context.pipe.close)
+
+
+@given('a log stream into a pipe whose reader is gone')
+def given_gone(context):
+    given_unread(context)
+    os.close(context.pipe.reading)
+
+
+@when('{count:d} long log lines are written')
+def when_long(context, count):
+    context.count = count
+    context.pipe.write(count, _LONG)
+
+
+@when('{count:d} log lines are written in one second')
+def when_short(context, count):
+    context.pipe.write(count)
+
+
+@when('the pipe is read and {count:d} more log lines are written')
+def when_read(context, count):
+    context.content = context.pipe.read()
+    context.pipe.write(count, _LONG)
+    context.content += context.pipe.read()
+
+
+@then('all log writes return, and most lines are dropped and counted')
+def then_dropped(context):
+    then_return(context)
+    assert context.pipe.stream.dropped > context.count / 2
+
+
+@then('all log writes return')
+def then_return(context):
+    assert context.pipe.written == context.count
+
+
+@then('no log line is torn')
+def then_whole(context):
+    lines = context.content.splitlines()
+    context.lines = [json.loads(line) for line in lines]
+    assert len(context.lines) > 10
+
+
+@then('a log line says how many were dropped')
+def then_told(context):
+    told = [one for one in context.lines if one['event'] == 'lines-dropped']
+    assert sum(one['lines'] for one in told) > context.count / 2, told
+
+
+@then('{came:d} log lines came and {dropped:d} were dropped')
+def then_came(context, came, dropped):
+    assert len(context.pipe.read().splitlines()) == came
+    assert context.pipe.stream.dropped == dropped
+
+
+@given('measures over a log that drops all lines')
+def given_measures(context):
+    times = ((FORWARD_ENDED.name, 'took_ms', 'service'),)
+    context.measures = Measures(silent_log, times)
+
+
+@when('a request ends "{outcome}" after {took:d} ms and another is refused')
+def when_ends(context, outcome, took):
+    write = context.measures.write
+    write(FORWARD_ENDED, service='desk', outcome=outcome, took_ms=took)
+    write(FORWARD_ENDED, service='desk', outcome='refused', took_ms=0)
+
+
+@then(
+    'the measures say {first:d} "{one}", {second:d} "{other}" and one time'
+    ' under {seconds:g} s',
+)
+def then_measures(context, first, one, second, other, seconds):
+    text = context.measures.text().decode()
+    for count, outcome in ((first, one), (second, other)):
+        line = f'event="forward-ended",outcome="{outcome}"}} {count}.0'
+        assert line in text, text
+    name = 'pollenstile_forward_ended_took_seconds_bucket'
+    assert f'{name}{{le="{seconds}",service="desk"}} 1.0' in text, text
+    assert f'{name}{{le="0.8",service="desk"}} 0.0' in text, text
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -101,7 +101,7 @@
 
     def is_proven(self):
         """Return whether keys may be trusted now."""
-        return self._age() < _PROOF_SHARE * self.revoke_seconds
+        return self.age() < _PROOF_SHARE * self.revoke_seconds
 
     def is_fresh(self):
         """Return whether keys will be trusted for the next seconds, too.
@@ -112,9 +112,10 @@
         A host that is cut off from the store will have to refuse all requests
         with a key; callers who are sent elsewhere before that lose nothing.
         """
-        return self._age() < _FRESH_SHARE * self.revoke_seconds
+        return self.age() < _FRESH_SHARE * self.revoke_seconds
 
-    def _age(self):
+    def age(self):
+        """Return the seconds since the proof was true."""
         return self.suspend_clock() - self.proven_at
 
     async def run(self):
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -8,8 +8,10 @@
 from pollenstile.forward import events
 from pollenstile.forward._assembly import built_parts, shown
 from pollenstile.forward._face import CallerFactory
+from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._members import HOSTS
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.measures import Measures, MeasuresFace
 from pollenstile.peer import Beat, keys_from, tcp_listen
 from pollenstile.platform import WatchTiming, watch
 
@@ -97,6 +99,7 @@
         'factory',
         'leaving',
         'log',
+        'measures',
         'parts',
         'reactor',
         'rng',
@@ -121,7 +124,8 @@
         self.store = store
         self.adapter = adapter
         self.rng = rng
-        self.log = log
+        self.measures = Measures(log, TIMES)
+        self.log = self.measures.write
         self.leaving = False
         self.was_ready = False
         self.watches = []
@@ -132,7 +136,7 @@
             adapter,
             rng,
             suspend_clock,
-            log,
+            self.log,
         )
         self.parts.hub.beat = self._beat
         self.factory = CallerFactory(self.parts.core, reactor)
@@ -146,9 +150,11 @@
         core.configuration.on_read = self._noted_read
         self.parts.members.listeners.append(self._hosts_changed)
         self._listen(settings.callers, self.factory)
-        ready = Site(_Ready(self), reactor=self.reactor)
-        ready.log = _log_nothing
-        self._listen(settings.ready, ready)
+        self._listen(settings.ready, _site(_Ready(self), self.reactor))
+        if settings.metrics is not None:
+            add_gauges(self.measures, self.parts, self.factory)
+            site = _site(MeasuresFace(self.measures), self.reactor)
+            self._listen(settings.metrics, site)
         self.log(
             events.FORWARD_STARTED,
             callers=shown(settings.callers),
@@ -303,6 +309,12 @@
         parts.stages.link_owners(parts.stages.limits)
 
 
+def _site(resource, reactor):
+    site = Site(resource, reactor=reactor)
+    site.log = _log_nothing
+    return site
+
+
 def _log_nothing(request):
     """Write no access log: events take its place."""
 
--- /dev/null
+++ b/pollenstile/forward/_gauges.py
@@ -0,0 +1,54 @@
+"""What a host's measures show besides the counts of its events."""
+
+from pollenstile.forward import events
+from pollenstile.stagework.events import STAGE_MADE
+
+# Histograms: event, field with milliseconds, and what tells apart.
+TIMES = (
+    (events.FORWARD_ENDED.name, 'took_ms', 'service'),
+    (events.FORWARD_ENDED.name, 'staged_ms', 'service'),
+    (events.FORWARD_ENDED.name, 'first_ms', 'service'),
+    (STAGE_MADE.name, 'waited_ms', 'service'),
+    (STAGE_MADE.name, 'took_ms', 'service'),
+)
+
+
+def add_gauges(measures, parts, factory):
+    """Add gauges of a host's beliefs and of its load.
+
+    Parameters
+    ==========
+
+    measures : Measures
+        Gets them.
+    parts : Parts
+        Of the host.
+    factory : CallerFactory
+        Knows what is in flight.
+    """
+    core = parts.core
+    measures.gauge(
+        'proof_age_seconds',
+        'Age of the proof that the configuration is the newest.',
+        core.configuration.age,
+    )
+    measures.gauge(
+        'upstreams',
+        'Upstreams in the registry.',
+        lambda: len(core.registry.upstreams),
+    )
+    measures.gauge(
+        'peers',
+        'Peers with an open link.',
+        lambda: len(parts.hub.links),
+    )
+    measures.gauge(
+        'stage_waiting',
+        'Pieces that wait in the queues of this host.',
+        parts.owners.waiting,
+    )
+    measures.gauge(
+        'in_flight',
+        'Requests without a final answer.',
+        lambda: factory.in_flight,
+    )
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -76,6 +76,10 @@
         for owner in self.by_service.values():
             self._configure(owner)
 
+    def waiting(self):
+        """Return how many pieces wait in all queues."""
+        return sum(len(owner.waiting) for owner in self.by_service.values())
+
     def is_busy(self):
         """Return whether any group is not finished."""
         return any(owner.jobs for owner in self.by_service.values())
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -139,6 +139,7 @@
             events.FORWARD_ENDED,
             request=self.exchange.ident,
             route=self.exchange.route.name,
+            service=self.exchange.service,
             team=self.exchange.team,
             outcome=self.outcome,
             status=refusal.status if refusal else 0,
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -14,6 +14,8 @@
         Names of host and failure domain.
     callers, ready, peers : tuple
         IP number and port: for callers, the balancer's question, and peers.
+    metrics : tuple or None
+        IP number and port of the measures; None serves none.
     revoke_seconds : float
         Within this time a key that was taken away stops working.
     repeat_ratio, repeat_slack, repeat_window : float
@@ -27,6 +29,7 @@
     callers: tuple
     ready: tuple
     peers: tuple
+    metrics: tuple | None = None
     revoke_seconds: float = 5.0
     repeat_ratio: float = 0.1
     repeat_slack: float = 10.0
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -82,8 +82,3 @@
     'register-failed',
     'The host could not write its own entry; it tries again.',
 )
-LINES_DROPPED = define(
-    1218,
-    'lines-dropped',
-    'Log lines were dropped: too many in a second, or nobody reads them.',
-)
