forward, platform: SIGHUP and a changed settings file are taken while running

Cause: SIGHUP ended the process, and changed bounds came into force only with the next start. Change: the file is read again on the signal and every 2 s; a wrong one leaves the last good settings and is logged once.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -14,6 +14,15 @@
       | a port that is text  | listen.front       |
       | a ratio that is text | bounds.retry_ratio |
 
+  Scenario: A settings file that changes while the host runs
+    An operator changes a bound, then tears the file. The first is taken; the
+    second leaves the last good settings in force, and is logged once.
+    Given a settings file of the platform that is watched
+    When its bound of revocation becomes 3000
+    Then the host takes 3 seconds
+    When its bound of revocation becomes much
+    Then the host takes nothing more, and one line names "bounds.revoke_ms"
+
   Scenario: The operator's configuration becomes a route table
     Given a configuration of the platform
     Then the longest prefix of "h.example" is "/a/b/" and goes to two services
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -4,12 +4,14 @@
 import re
 import subprocess  # noqa: S404
 import sys
+from functools import partial
 
 import msgspec
-from behave import given, then
+from behave import given, then, when
 from twisted.internet.defer import Deferred
 
 from features.builders.stagework import group, pieces_of, workers
+from pollenstile.forward import WatchedSettings
 from pollenstile.platform import Broken, Reply
 from pollenstile.routes import Kind
 
@@ -143,12 +145,17 @@
         return self.replies.pop(0)
 
 
-def _settings(changes):
+def _written(changes):
     fields = {**_SETTINGS, **changes}
     lines = [f'{name}={one}' for name, one in fields.items() if one is not None]
     path = _ROOT / 'target' / 'settings-of-a-test.conf'
     path.parent.mkdir(exist_ok=True)
     path.write_text('\n'.join(lines), encoding='utf8')
+    return path
+
+
+def _settings(changes):
+    path = _written(changes)
     try:
         return read_settings(path)
     except SettingsFileError as error:
@@ -157,6 +164,42 @@
         path.unlink()
 
 
+@given('a settings file of the platform that is watched')
+def given_watched(context):
+    path = _written({})
+    context.add_cleanup(path.unlink)
+    context.watched = WatchedSettings(partial(read_settings, path))
+    context.taken = []
+    context.lines = []
+
+
+@when('its bound of revocation becomes {value}')
+def when_bound(context, value):
+    _written({'bounds.revoke_ms': value})
+    for _ in range(3):
+        context.watched.look(context.taken.append, _noted(context.lines))
+
+
+def _noted(lines):
+    def log(event, level='info', **fields):
+        lines.append(fields['reason'])
+
+    return log
+
+
+@then('the host takes {seconds:d} seconds')
+def then_takes(context, seconds):
+    found = [one.host.revoke_seconds for one in context.taken]
+    assert found == [seconds], found
+
+
+@then('the host takes nothing more, and one line names "{field}"')
+def then_takes_nothing(context, field):
+    assert len(context.taken) == 1
+    assert len(context.lines) == 1, context.lines
+    assert field in context.lines[0]
+
+
 @given('a settings file of the platform')
 def given_settings(context):
     context.settings = _settings({})
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -15,6 +15,7 @@
 from pollenstile.forward._registry import Registry, Upstream
 from pollenstile.forward._run import serve
 from pollenstile.forward._settings import HostSettings
+from pollenstile.forward._watched import WatchedSettings
 from pollenstile.forward._types import (
     BodyEnd,
     Exchange,
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -147,7 +147,7 @@
         core = self.parts.core
         core.registry.listeners.append(self._registry_changed)
         core.configuration.listeners.append(self._table_changed)
-        core.configuration.on_read = self._noted_read
+        core.configuration.on_read = core.registry.note_read
         self.parts.members.listeners.append(self._hosts_changed)
         self._listen(settings.callers, self.factory)
         self._listen(settings.ready, _site(_Ready(self), self.reactor))
@@ -191,6 +191,23 @@
             )
         return ready
 
+    def reload(self, settings):
+        """Take changed bounds.
+
+        Explanation
+        ===========
+
+        Addresses stay as they are: a host that listened elsewhere would cut
+        off its callers. They change with the next start.
+        """
+        self.settings = settings
+        core = self.parts.core
+        core.configuration.revoke_seconds = settings.revoke_seconds
+        core.budget.ratio = settings.repeat_ratio
+        core.budget.slack = settings.repeat_slack
+        core.budget.window = settings.repeat_window
+        self.log(events.SETTINGS_TAKEN, revoke_s=settings.revoke_seconds)
+
     def stop(self):
         """Leave: return a Deferred that fires when all is finished."""
         self.leaving = True
@@ -287,11 +304,6 @@
         }
         self.parts.owners.configure()
 
-    def _noted_read(self, answered):
-        if not answered:
-            now = self.reactor.seconds()
-            self.parts.core.registry.store_failed_at = now
-
     def _table_changed(self, table):
         self._hosts_changed()
         self.parts.owners.configure()
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -104,6 +104,11 @@
             return
         self.drop(ident)
 
+    def note_read(self, answered):
+        """Note whether the store has answered a read."""
+        if not answered:
+            self.store_failed_at = self.clock.seconds()
+
     def drop(self, ident):
         """Forget an incarnation that is gone, or whose address has another."""
         self.lapsed.pop(ident, None)
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -72,6 +72,17 @@
     'request-malformed',
     'A caller sent bytes that are no acceptable request.',
 )
+SETTINGS_TAKEN = define(
+    1219,
+    'settings-taken',
+    'Changed settings are in force; addresses only after a restart.',
+)
+SETTINGS_BAD = define(
+    1220,
+    'settings-bad',
+    'The settings file can not be used; the last good settings stay.',
+    'Mend the file; the line names the field.',
+)
 HOSTS_CHANGED = define(
     1216,
     'hosts-changed',
