stagework: inputs are kept while the stage that made them has room

Change: inputs are released early only while pieces of the stage that made them wait for more than a call and a half.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -175,6 +175,10 @@
         """Note results that were released."""
         self.released.extend(handles)
 
+    def is_crowded(self, service):
+        """Return that no queue is long."""
+        return False
+
     def domain_of(self, handles):
         """Return no domain."""
         return ''
--- a/features/stagework.feature
+++ b/features/stagework.feature
@@ -185,6 +185,15 @@
     When its first step is made and its second refused
     Then the chain says why, and its results are released
 
+  Scenario: Inputs are kept for a piece that fails, while there is room
+    One piece in 500 fails and has to read its inputs again. Released while
+    its call ran, they are gone, and the caller is refused for nothing.
+    Given a stage chain of two steps
+    When its first step is made and its second has read it
+    Then what the first step made is kept
+    When the stage that made it is crowded
+    Then what the first step made is released
+
   Scenario: Owners are found the same way by every host
     Hosts that disagreed on a queue's owner would make two queues of it.
     Given 9 stage hosts named in different orders
--- a/features/steps/stagework_steps.py
+++ b/features/steps/stagework_steps.py
@@ -330,12 +330,18 @@
         self.waiting = []
         self.released = []
         self.cancelled = []
+        self.reading = []
+        self.crowded = False
 
     def submit(self, one, on_read):
         waiter = Deferred()
         self.waiting.append(waiter)
+        self.reading.append(on_read)
         return waiter
 
+    def is_crowded(self, service):
+        return self.crowded
+
     def cancel(self, service, plan):
         self.cancelled.append(service)
 
@@ -369,6 +375,28 @@
     assert context.client.released == ['10.0.0.1:1/a']
 
 
+@when('its first step is made and its second has read it')
+def when_second_read(context):
+    context.client.waiting[0].callback(('host', GroupDone(('10.0.0.1:1/a',))))
+    context.client.reading[1]()
+
+
+@when('the stage that made it is crowded')
+def when_crowded(context):
+    context.client.crowded = True
+    context.client.reading[1]()
+
+
+@then('what the first step made is kept')
+def then_kept(context):
+    assert context.client.released == []
+
+
+@then('what the first step made is released')
+def then_first_released(context):
+    assert context.client.released == ['10.0.0.1:1/a']
+
+
 @given('{count:d} stage hosts named in different orders')
 def given_hosts(context, count):
     names = [f'host-{number}' for number in range(count)]
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -21,6 +21,7 @@
     Made,
     Owner,
     Worker,
+    crowded_seconds,
     plan_of,
     usual_seconds,
 )
@@ -203,6 +204,11 @@
         usual = usual_seconds(self.fleet.services[service], count)
         return max(usual, self._owner(service).wait(count))
 
+    def is_crowded(self, service):
+        """Return whether a queue is long."""
+        limits = self.fleet.services[service]
+        return self._owner(service).wait() > crowded_seconds(limits)
+
     def domain_of(self, handles):
         """Return the domain of the first result."""
         return handles[0].split('.')[1].partition(':')[0]
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -263,7 +263,7 @@
             flying=view.flying,
             running=view.running,
             queued=view.queued,
-            age_ms=int((self.core.clock.seconds() - view.load_at) * _MS),
+            age_ms=_load_age(view, self.core.clock.seconds()),
             failures=round(view.failures, 2),
         )
 
@@ -323,6 +323,11 @@
         self.answer.refuse(refusal)
 
 
+def _load_age(view, now):
+    """Return milliseconds since a load report; -1 when there was none."""
+    return int((now - view.load_at) * _MS) if view.load_at > 0 else -1
+
+
 def _nothing():
     """Release nothing."""
 
--- a/pollenstile/stagework/__init__.py
+++ b/pollenstile/stagework/__init__.py
@@ -4,6 +4,7 @@
     Chain,
     ChainFailed,
     Plan,
+    crowded_seconds,
     plan_of,
     usual_seconds,
 )
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -102,6 +102,19 @@
     return one + _USUAL_WAIT * limits.call_seconds
 
 
+def crowded_seconds(limits):
+    """Return the wait from which a stage's room is worth saving.
+
+    Explanation
+    ===========
+
+    A piece that finds a worker busy waits for half a call on average and for
+    its own, which is a full one at most.
+    """
+    full = call_seconds(limits, limits.batch)
+    return full + _USUAL_WAIT * limits.call_seconds
+
+
 def _later_seconds(steps, times, place):
     """Return the time of the longest path of steps after one."""
     longest = 0
@@ -250,6 +263,19 @@
             _fire(finished)
 
     def _inputs_read(self, number):
+        """Release inputs early, if the stage that made them is short of room.
+
+        Explanation
+        ===========
+
+        One piece in 500 fails, and has to read its inputs again. Released
+        while its call ran, they would be gone and the request lost with them;
+        kept, they only cost room, which on most days is there.
+        """
+        needs = self.plan.steps[number].after
+        services = {self.plan.steps[need].service for need in needs}
+        if not any(self.client.is_crowded(one) for one in services):
+            return
         self.read.add(number)
         self._release_read()
 
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -7,7 +7,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.stagework import events
-from pollenstile.stagework._chain import usual_seconds
+from pollenstile.stagework._chain import crowded_seconds, usual_seconds
 from pollenstile.stagework._codec import (
     answer_from,
     cancel_bytes,
@@ -27,6 +27,8 @@
 _ANSWER_MARGIN = 0.5
 # Seconds for asks whose answer nobody needs.
 WORD_SECONDS = 2.0
+# Seconds for which word of a backlog says something.
+_WAIT_SECONDS = 2.0
 # Owners that are linked ahead of need, for each service.
 LINKED_OWNERS = 3
 
@@ -111,6 +113,15 @@
         left = wait - (self.clock.seconds() - told_at)
         return max(usual_seconds(limits, count), left)
 
+    def is_crowded(self, service):
+        """Return whether pieces of a service waited long lately."""
+        limits = self.limits.get(service)
+        wait, told_at = self.waits.get(service, (0, 0))
+        is_old = self.clock.seconds() - told_at > _WAIT_SECONDS
+        if limits is None or is_old:
+            return False
+        return wait > crowded_seconds(limits)
+
     def domain_of(self, handles):
         """Return the failure domain in which most results lie."""
         domains = [
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -242,8 +242,8 @@
 # ends with a whole call, of which a piece waits half on average.
 _LATENESS = 0.25
 _SOONER = 0.4
-# Seconds that a queue takes which is not crowded: two calls, and half of another
-# one. What is late goes last, so it is in the way only by lengthening calls.
+# Seconds that a queue takes which is not crowded: two calls, half of another.
+# What is late goes last, so it is in the way only by lengthening calls.
 _IDLE_WAIT = 1.2
 # Share of the groups of one urgency that is taken whatever the load, if they
 # can be in time at all: no kind of request is to be starved by another.
