--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -47,7 +47,7 @@
 @then('the settings table of the docs is the one that the parser gives')
 def step_settings_table(context):
     assert settings.PAGE.read_text() == settings.page_text(), (
-        'docs/OPERATING.md differs from the code: run `make settings`'
+        'docs/OPERATIONS.md differs from the code: run `make settings`'
     )
 
 
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,90 @@
+"""Steps of a request's story."""
+
+import contextlib
+import io
+import json
+import sys
+from unittest import mock
+
+from behave import given, then, when
+
+from pollenstile.ops.main import main
+
+_REQUEST = 'e17b8015f7d7a9f0'
+
+
+def _line(second, number, event, request=_REQUEST, **fields):
+    line = {
+        'host': fields.pop('host', 'front-batangas-1'),
+        'number': number,
+        'request': request,
+        **fields,
+        'event': event,
+        'timestamp': f'2026-01-02T10:24:{second:09.6f}Z',
+    }
+    return json.dumps(line)
+
+
+_LOGS = (
+    _line(3.1884, 1206, 'forward-ended', outcome='refused', reason='gone'),
+    _line(2.8877, 1101, 'stage-called', ['0001', _REQUEST], pieces=9),
+    '  3.1851 front-batangas-1 '
+    + _line(3.1851, 1104, 'stage-refused', reason='gone'),
+    _line(2.5, 1205, 'forwarded', '0001'),
+    'no line of ours',
+    _line(2.471, 1101, 'stage-called', [_REQUEST, '0002'], pieces=24),
+    _line(2.6, 1206, 'forward-ended', '0002', outcome='answered'),
+)
+
+
+@given('the logs of a refused request on two hosts')
+def given_logs(context):
+    context.logs = '\n'.join(_LOGS)
+
+
+@given('a file that holds no logs')
+def given_no_logs(context):
+    context.logs = 'Dear Sir\n{"a": 1}\n{'
+
+
+@when('the story of "{request}" is asked for')
+def when_asked(context, request):
+    out = io.StringIO()
+    errors = io.StringIO()
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(mock.patch.object(sys, 'stdin', _stream(context)))
+        stack.enter_context(contextlib.redirect_stdout(out))
+        stack.enter_context(contextlib.redirect_stderr(errors))
+        context.code = main(['explain', request])
+    context.story = out.getvalue().splitlines()
+    context.errors = errors.getvalue()
+
+
+def _stream(context):
+    return io.StringIO(context.logs)
+
+
+@then('the story has {count:d} lines, in the order of time')
+def then_story(context, count):
+    told = [line for line in context.story if not line.startswith(' ')]
+    assert len(told) == count, context.story
+    assert told == sorted(told)
+
+
+@then('the story ends with "{text}"')
+def then_ends(context, text):
+    told = [line for line in context.story if not line.startswith(' ')]
+    assert told[-1].endswith(text), told[-1]
+
+
+@then('the story says what each line means')
+def then_means(context):
+    meanings = [line for line in context.story if line.startswith(' ')]
+    assert len(meanings) * 2 == len(context.story)
+
+
+@then('there is no story, with exit code {code:d} and "{text}"')
+def then_none(context, code, text):
+    assert context.code == code, context.code
+    assert not context.story
+    assert text in context.errors, context.errors
--- /dev/null
+++ b/pollenstile/ops/_explaincmd.py
@@ -0,0 +1,109 @@
+"""``pollenstile explain``: one request's story, from the logs of many hosts."""
+
+import importlib
+import sys
+
+import msgspec
+
+from pollenstile.ops.events import catalogue
+from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD
+
+# Modules whose events stand in the lines of an entry host that forwards.
+_EVENT_MODULES = (
+    'pollenstile.forward.events',
+    'pollenstile.stagework.events',
+    'pollenstile.peer.events',
+    'pollenstile.platform.events',
+)
+# Fields that stand elsewhere in the story, or say nothing in it.
+_LEFT_OUT = ('event', 'host', 'number', 'request', 'timestamp')
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        'explain',
+        help="tell a request's story from logs on standard input",
+    )
+    parser.add_argument('request', help='the attempt that its caller named')
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Print the story; return the exit code."""
+    lines, number = _lines_of(sys.stdin, arguments.request)
+    if not number:
+        sys.stderr.write('pollenstile explain: no log lines on the input\n')
+        return BAD_INPUT
+    if not lines:
+        name = arguments.request
+        sys.stderr.write(
+            f'pollenstile explain: {name} is in none of {number} lines\n',
+        )
+        return BAD_RESULT
+    for line in story(lines):
+        print(line)
+    return GOOD
+
+
+def story(lines):
+    """Return a request's lines in order of time, told for people.
+
+    Parameters
+    ==========
+
+    lines : list of dict
+        Log lines that name the request.
+    """
+    for module in _EVENT_MODULES:
+        importlib.import_module(module)
+    meanings = {event.number: event.meaning for event in catalogue()}
+    told = []
+    for line in sorted(lines, key=_moment):
+        fields = ' '.join(
+            f'{name}={value}'
+            for name, value in line.items()
+            if name not in _LEFT_OUT and str(value) not in {'', '0'}
+        )
+        moment = line.get('timestamp', '')
+        host = line.get('host', '')
+        told.append(f'{moment} {host} {line.get("event", "")} {fields}')
+        meaning = meanings.get(line.get('number'))
+        if meaning:
+            told.append(f'    {meaning}')
+    return told
+
+
+def _moment(line):
+    # Hosts' clocks differ a little; what a host says of itself stays in order.
+    return line.get('timestamp', '')
+
+
+def _lines_of(stream, request):
+    """Return the lines that name a request, and how many lines there were."""
+    found = []
+    number = 0
+    for text in stream:
+        line = _decoded(text)
+        if line is None:
+            continue
+        number += 1
+        named = line.get('request', '')
+        if request == named or (isinstance(named, list) and request in named):
+            found.append(line)
+    return found, number
+
+
+def _decoded(text):
+    """Return a log line's fields; None for what is no log line.
+
+    A collector may have put a time or a host before the line.
+    """
+    start = text.find('{')
+    if start < 0:
+        return None
+    try:
+        line = msgspec.json.decode(text[start:].encode(errors='replace'))
+    except msgspec.DecodeError:
+        return None
+    return line if isinstance(line, dict) and 'event' in line else None
--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -10,6 +10,7 @@
     _callcmd,
     _democmd,
     _entrycmd,
+    _explaincmd,
     _reportcmd,
     _soakcmd,
     _standincmd,
@@ -27,6 +28,7 @@
 
 _COMMANDS = (
     _entrycmd,
+    _explaincmd,
     _standincmd,
     _validatecmd,
     _applycmd,
--- a/tools/settings.py
+++ b/tools/settings.py
@@ -1,10 +1,10 @@
-"""Writes the table of settings into docs/OPERATING.md."""
+"""Writes the table of settings into docs/OPERATIONS.md."""
 
 import pathlib
 
 from pollenstile.ops.settings import ENTRY
 
-PAGE = pathlib.Path(__file__).resolve().parent.parent / 'docs' / 'OPERATING.md'
+PAGE = pathlib.Path(__file__).resolve().parent.parent / 'docs' / 'OPERATIONS.md'
 BEGIN = '<!-- settings: written by make settings -->\n'
 END = '<!-- end of settings -->\n'
 _HEAD = '| flag | variable | default | meaning |\n| --- | --- | --- | --- |\n'
