--- /dev/null
+++ b/features/builders/forwardfleet.py
@@ -0,0 +1,197 @@
+"""Builders of forwarding daemons on loopback, their store and upstreams."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.web.server import Site
+
+from features.builders.forwardhost import Talk, talk_to
+from features.builders.loop import result_of, turned_until
+from pollenstile.forward import (
+    ForwardDaemon,
+    HeaderNames,
+    HostSettings,
+    Upstream,
+)
+from pollenstile.ops.clock import boot_clock
+from pollenstile.routes import (
+    Kind,
+    Route,
+    RouteTable,
+    Service,
+    StageLimits,
+    StageStep,
+    Target,
+)
+from pollenstile.standin.forwarded import (
+    EngineResource,
+    PlainCodec,
+    Results,
+    StageResource,
+)
+from pollenstile.standin.objectapi import MemoryStore
+
+_LIMITS = StageLimits(
+    batch=8,
+    call_seconds=0.02,
+    piece_seconds=0.001,
+    room_bytes=10**6,
+)
+_HOST = '127.0.0.1'
+
+
+def _table(version):
+    draft = Route(
+        'draft',
+        'host',
+        '/draft/',
+        Kind.STREAM,
+        10.0,
+        5.0,
+        targets=(Target('engines'),),
+        steps=(
+            StageStep('encode', (), 100),
+            StageStep('rerank', (0,), 100),
+        ),
+    )
+    services = {
+        'encode': Service('encode', _LIMITS),
+        'rerank': Service('rerank', _LIMITS),
+    }
+    return RouteTable(version, {'host': (draft,)}, services)
+
+
+def _upstream(name, value):
+    return Upstream(name, value['service'], value['address'], 'here')
+
+
+@dataclass(slots=True, frozen=True)
+class _Adapter:
+    """What a daemon asks of its platform, in the product's own form."""
+
+    names: HeaderNames = field(default_factory=HeaderNames)
+    codec: PlainCodec = field(default_factory=PlainCodec)
+    decode_table: object = _table
+    decode_upstream: object = _upstream
+
+
+class ForwardFleet:
+    """Hosts, one stage upstream a service, one engine, and a store.
+
+    Attributes
+    ==========
+
+    daemons : dict
+        By host name.
+    results : Results
+        Of the stage upstreams.
+    engine : EngineResource
+        The model engine.
+    logged : list of tuple
+        Host, event and fields.
+    """
+
+    def __init__(self):
+        self.store = MemoryStore(reactor)
+        self.results = Results()
+        self.engine = EngineResource(reactor, self.results)
+        self.daemons = {}
+        self.logged = []
+        self.ports = []
+        for service in ('encode', 'rerank'):
+            stage = StageResource(reactor, self.results)
+            stage.address = self._listen(service, stage)
+        self._listen('engines', self.engine)
+        result_of(self.store.put('config', 'main', 1))
+
+    def add_host(self, name):
+        """Start a host and wait until it is ready."""
+        daemon = self.begin_host(name)
+        turned_until(daemon.is_ready)
+
+    def begin_host(self, name):
+        """Start a host; return its daemon."""
+        settings = HostSettings(
+            name,
+            'here',
+            (_HOST, free_port()),
+            (_HOST, free_port()),
+            (_HOST, free_port()),
+            grace_seconds=4.0,
+        )
+        daemon = ForwardDaemon(
+            reactor,
+            settings,
+            self.store,
+            _Adapter(),
+            Random(name),
+            boot_clock,
+            self._log_of(name),
+        )
+        daemon.start()
+        self.daemons[name] = daemon
+        return daemon
+
+    def linked(self):
+        """Wait until every host has a link to every other."""
+        count = len(self.daemons) - 1
+        hubs = [daemon.parts.hub for daemon in self.daemons.values()]
+        turned_until(lambda: all(len(hub.links) == count for hub in hubs))
+
+    def send(self, name, attempt):
+        """Send a request to a host; return its :class:`Talk`."""
+        talk = Talk(
+            b'POST /draft/x HTTP/1.1\r\nHost: host\r\nX-Attempt: %s\r\n'
+            b'X-Pieces: 1,3\r\nX-Piece-Key: %s\r\nContent-Length: 0\r\n\r\n'
+            % (attempt.encode(), attempt.encode()),
+        )
+        talk_to(self.daemons[name].settings.callers[1], talk)
+        return talk
+
+    def owner_hosts(self):
+        """Return the hosts that made pieces."""
+        return {
+            host for host, event, _ in self.logged if event == 'stage-called'
+        }
+
+    def stop(self, name):
+        """Tell a host to stop; return the Deferred of its end."""
+        return self.daemons.pop(name).stop()
+
+    def close(self):
+        """Stop all."""
+        endings = [self.stop(name) for name in list(self.daemons)]
+        for ending in endings:
+            result_of(ending)
+        for port in self.ports:
+            result_of(_ended(port))
+
+    def _listen(self, service, resource):
+        port = reactor.listenTCP(0, Site(resource), interface=_HOST)
+        self.ports.append(port)
+        address = f'{_HOST}:{port.getHost().port}'
+        entry = {'service': service, 'address': address}
+        result_of(self.store.put('upstreams', f'i-{service}', entry))
+        return address
+
+    def _log_of(self, name):
+        def log(event, level='info', **fields):
+            self.logged.append((name, event.name, fields))
+
+        return log
+
+
+def free_port():
+    """Return a port of loopback that is free now."""
+    port = reactor.listenTCP(0, Site(EngineResource(reactor, Results())))
+    number = port.getHost().port
+    result_of(_ended(port))
+    return number
+
+
+def _ended(port):
+    ended = Deferred()
+    port.stopListening().addBoth(ended.callback)
+    return ended
--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -118,10 +118,7 @@
     def talk(self, request):
         """Open a connection and send bytes."""
         talk = Talk(request)
-        factory = ClientFactory.forProtocol(_Caller)
-        factory.noisy = False
-        factory.talk = talk
-        reactor.connectTCP('127.0.0.1', self.face.getHost().port, factory)
+        talk_to(self.face.getHost().port, talk)
         return talk
 
     def answered(self, request, until=b'\r\n\r\n'):
@@ -138,6 +135,14 @@
             channel.transport.abortConnection()
 
 
+def talk_to(port, talk):
+    """Open a caller's connection to a port of loopback."""
+    factory = ClientFactory.forProtocol(_Caller)
+    factory.noisy = False
+    factory.talk = talk
+    reactor.connectTCP('127.0.0.1', port, factory)
+
+
 def _stopped(port):
     ended = Deferred()
     port.stopListening().addBoth(ended.callback)
