forward: reads of the configuration overlap while the store is silent

Change: up to three reads are under way, half a second apart, each with its own date for the proof. A daemon's ports and timers end with it. A request that names no attempt is refused with 400.

--- a/features/forward_http.feature
+++ b/features/forward_http.feature
@@ -55,6 +55,7 @@
       | an unknown path     | 404    |
       | an unknown key      | 401    |
       | a key without proof | 503    |
+      | no attempt named    | 400    |
 
   Scenario: Before any configuration is known nothing is denied
     A host has just started. Answered 404 or 401, callers would give up for
--- a/features/forward_state.feature
+++ b/features/forward_state.feature
@@ -35,6 +35,21 @@
     And its keys are trusted for 0 seconds
     And the reason is logged once
 
+  Scenario: A store that was silent is noticed soon after its return
+    The store falls silent with a read on its way, and returns two seconds
+    later. Waiting for that read to be given up, hosts refused keys for up to
+    four seconds more.
+    Given a configuration reader at a store that is silent for 2.0 seconds
+    When 2.9 seconds of reading pass
+    Then its keys are trusted
+    And no more than 3 of its reads were under way at a time
+
+  Scenario: Reads of a sound store are paced
+    Each call of the store is paid for.
+    Given a configuration reader at a store that is silent for 0 seconds
+    When 20 seconds of reading pass
+    Then it has read 16 to 23 times
+
   Scenario: Reading goes on when a part can't bear a new version
     Given a configuration reader that has read version 7
     And a part that fails at each new version
--- a/features/steps/forward_http_steps.py
+++ b/features/steps/forward_http_steps.py
@@ -85,6 +85,7 @@
         'a head that never ends': b'POST /a/ HTTP/1.1\r\nHost:',
         'an unknown path': request(b'/b/'),
         'an unknown key': request(key='wrong'),
+        'no attempt named': request().replace(b'X-Attempt: a1\r\n', b''),
     }
     context.talk = context.host.answered(sent.get(fault, request()))
 
--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -9,7 +9,7 @@
 from features.builders.forward import SERVICE
 from pollenstile.forward import ConfigurationReader, Registry, Upstream
 from pollenstile.forward._members import HOSTS, Members
-from pollenstile.platform import Found, NotApplied
+from pollenstile.platform import Found, NotApplied, Unavailable, paused
 from pollenstile.routes import (
     Kind,
     Route,
@@ -68,6 +68,70 @@
     context.reader.read(version, version)
 
 
+class _SilentStore:
+    """A store that answers no read that comes before a moment."""
+
+    def __init__(self, clock, silent):
+        self.clock = clock
+        self.silent = silent
+        self.under_way = 0
+        self.most = 0
+        self.reads = 0
+
+    async def get(self, kind, name):
+        """Answer, or be given up after 2.5 seconds."""
+        self.reads += 1
+        self.under_way += 1
+        self.most = max(self.most, self.under_way)
+        if self.clock.seconds() < self.silent:
+            await paused(self.clock, 2.5)
+            outcome = Unavailable('get', 'store', 'TimeoutError')
+        else:
+            await paused(self.clock, 0.01)
+            outcome = Found(kind, name, 7, 7)
+        self.under_way -= 1
+        return outcome
+
+
+@given(
+    'a configuration reader at a store that is silent for {seconds:g} seconds'
+)
+def given_silent(context, seconds):
+    context.clock = Clock()
+    context.store = _SilentStore(context.clock, seconds)
+    reader = ConfigurationReader(
+        context.store,
+        context.clock,
+        context.clock.seconds,
+        Random(1),
+        _decoded,
+        _REVOKE,
+    )
+    context.reading = reader
+    Deferred.fromCoroutine(reader.run())
+
+
+@when('{seconds:g} seconds of reading pass')
+def when_reading(context, seconds):
+    for _ in range(round(seconds * 100)):
+        context.clock.advance(0.01)
+
+
+@then('its keys are trusted')
+def then_are_trusted(context):
+    assert context.reading.is_proven()
+
+
+@then('no more than {count:d} of its reads were under way at a time')
+def then_under_way(context, count):
+    assert context.store.most <= count, context.store.most
+
+
+@then('it has read {least:d} to {most:d} times')
+def then_read(context, least, most):
+    assert least <= context.store.reads <= most, context.store.reads
+
+
 @given('a part that fails at each new version')
 def given_broken(context):
     context.reader.reader.listeners.append(_broken)
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -1,5 +1,7 @@
 """The route table in force, and the proof that it was the newest."""
 
+from twisted.internet.defer import Deferred
+
 from pollenstile.forward import events
 from pollenstile.ops.logs import silent_log
 from pollenstile.platform import Found, paused
@@ -7,8 +9,11 @@
 # Seconds between reads. A change has to be in force within 2 s of its write;
 # this leaves one failed read and the answer's way.
 _READ_PERIOD = 1.2
-# Seconds after which a read that failed is tried again, at most.
+# Seconds between reads while some are not answered, at most, and how many may
+# be under way: a slow store answers within 0.3 s, one that is silent is not
+# given more than one call in half a second.
 _RETRY_PERIOD = 0.5
+_MOST_READS = 3
 # Part of the revocation bound after which a proof is too old: the rest is
 # for the time between a request's sending and its being read here.
 _PROOF_SHARE = 0.9
@@ -55,6 +60,8 @@
         Called with each new table.
     failures : int
         Reads in a row without an answer.
+    under_way : int
+        Reads that are not answered yet.
     """
 
     __slots__ = (
@@ -72,6 +79,7 @@
         'store',
         'suspend_clock',
         'table',
+        'under_way',
     )
 
     def __init__(
@@ -95,6 +103,7 @@
         self.revision = 0
         self.proven_at = -1000.0
         self.failures = 0
+        self.under_way = 0
         self.listeners = []
         self.on_read = None
         self.running = True
@@ -119,17 +128,33 @@
         return self.suspend_clock() - self.proven_at
 
     async def run(self):
-        """Read until stopped."""
+        """Read until stopped.
+
+        Explanation
+        ===========
+
+        A read that is on its way as the store falls silent is given up late.
+        Others are sent meanwhile, so that the store's return is noticed by
+        the first that it answers.
+        """
         while self.running:
-            began = self.suspend_clock()
-            outcome = await self.store.get('config', 'main')
-            answered = isinstance(outcome, Found)
-            if answered:
-                self.take(outcome, began)
-            self._note(outcome, answered=answered)
-            pause = _READ_PERIOD if answered else _RETRY_PERIOD
-            pause *= self.random.uniform(0.75, 1)
-            await paused(self.clock, pause)
+            if self.under_way < _MOST_READS:
+                _run(self._read())
+            share = self.random.uniform(0.75, 1)
+            await paused(self.clock, share * _RETRY_PERIOD)
+            if not self.failures and not self.under_way:
+                rest = _READ_PERIOD - _RETRY_PERIOD
+                await paused(self.clock, share * rest)
+
+    async def _read(self):
+        began = self.suspend_clock()
+        self.under_way += 1
+        outcome = await self.store.get('config', 'main')
+        self.under_way -= 1
+        answered = isinstance(outcome, Found)
+        if answered:
+            self.take(outcome, began)
+        self._note(outcome, answered=answered)
 
     def take(self, found, began):
         """Take one read.
@@ -201,3 +226,7 @@
                 )
         if self.on_read is not None:
             self.on_read(answered)
+
+
+def _run(coroutine):
+    return Deferred.fromCoroutine(coroutine)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -102,7 +102,9 @@
         'log',
         'measures',
         'parts',
+        'ports',
         'reactor',
+        'review',
         'rng',
         'settings',
         'store',
@@ -130,6 +132,8 @@
         self.leaving = False
         self.was_ready = False
         self.watches = []
+        self.ports = []
+        self.review = LoopingCall(self._review)
         self.parts = built_parts(
             reactor,
             settings,
@@ -162,9 +166,8 @@
             peers=shown(settings.peers),
             domain=settings.domain,
         )
-        review = LoopingCall(self._review)
-        review.clock = self.reactor
-        review.start(_REVIEW_PERIOD, now=False)
+        self.review.clock = self.reactor
+        self.review.start(_REVIEW_PERIOD, now=False)
         _run(core.configuration.run())
         _run(self._join())
         registry = self._watch(
@@ -236,7 +239,10 @@
         self.parts.core.configuration.running = False
         for running in self.watches:
             running.stop()
+        self.review.stop()
         self.parts.hub.stop()
+        for port in self.ports:
+            await port.stopListening()
         self.log(events.FORWARD_STOPPED, in_flight=self.factory.in_flight)
 
     def _is_busy(self):
@@ -250,7 +256,8 @@
         key = await self.parts.members.peer_key()
         hub = self.parts.hub
         hub.keys = keys_from(key.decode())
-        tcp_listen(self.reactor, self.settings.peers, hub)
+        port = tcp_listen(self.reactor, self.settings.peers, hub)
+        self.ports.append(port)
         hub.start()
         self._hosts_changed()
         await self.parts.members.register()
@@ -272,7 +279,9 @@
 
     def _listen(self, address, factory):
         host, port = address
-        self.reactor.listenTCP(port, factory, _BACKLOG, interface=host)
+        self.ports.append(
+            self.reactor.listenTCP(port, factory, _BACKLOG, interface=host),
+        )
 
     def _watch(self, kind, callback, timing):
         running = watch(
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -88,8 +88,12 @@
     prompt = parsed_prompt(_text(answer, names.prompt))
     if counts is None or prompt is None:
         return Refusal(_BAD_REQUEST, 'pieces or prompt', 'entry')
+    ident = _text(answer, names.attempt)
+    if not ident:
+        # Without it no answer could be told from another request's.
+        return Refusal(_BAD_REQUEST, 'no attempt is named', 'entry')
     return Exchange(
-        ident=_text(answer, names.attempt),
+        ident=ident,
         method=answer.method,
         target=answer.uri,
         headers=_forwarded_headers(answer, names),
