--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -11,6 +11,8 @@
 )
 
 _MS = 1000
+# Where refusals of this module arise.
+_STEP = 'entry'
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
@@ -53,25 +55,25 @@
     """
     table = core.configuration.table
     if table is None or not core.registry.known:
-        return Refusal(_UNAVAILABLE, 'starting', 'entry', '', _START_RETRY)
+        return Refusal(_UNAVAILABLE, 'starting', _STEP, '', _START_RETRY)
     target = answer.uri
     hosts = answer.requestHeaders.getRawHeaders(b'host', ())
     if len(hosts) != 1 or not target.startswith(b'/'):
-        return Refusal(_BAD_REQUEST, 'host or target', 'entry')
+        return Refusal(_BAD_REQUEST, 'host or target', _STEP)
     path = target.partition(b'?')[0].decode('latin-1')
     route = route_of(table, hosts[0].decode('latin-1'), path)
     if route is None:
-        return Refusal(_NOT_FOUND, 'no such route', 'entry')
+        return Refusal(_NOT_FOUND, 'no such route', _STEP)
     team = None
     if table.keys is not None and not route.public:
         team = team_of(table, _text(answer, b'authorization'))
         if team is None:
-            return Refusal(_UNAUTHORIZED, 'unknown key', 'entry')
+            return Refusal(_UNAUTHORIZED, 'unknown key', _STEP)
         if not core.configuration.is_proven():
             return Refusal(
                 _UNAVAILABLE,
                 'the key can not be checked',
-                'entry',
+                _STEP,
                 '',
                 _PROOF_RETRY,
             )
@@ -87,11 +89,11 @@
     counts = parsed_counts(_text(answer, names.counts), len(route.steps))
     prompt = parsed_prompt(_text(answer, names.prompt))
     if counts is None or prompt is None:
-        return Refusal(_BAD_REQUEST, 'pieces or prompt', 'entry')
+        return Refusal(_BAD_REQUEST, 'pieces or prompt', _STEP)
     ident = _text(answer, names.attempt)
     if not ident:
         # Without it no answer could be told from another request's.
-        return Refusal(_BAD_REQUEST, 'no attempt is named', 'entry')
+        return Refusal(_BAD_REQUEST, 'no attempt is named', _STEP)
     return Exchange(
         ident=ident,
         method=answer.method,
