forward: the core keeps no counter of its own

Cause: measures are taken from events; the core's counter was a copy of the pipeline's and counted one thing, its flag of leaving nothing. Measured: forward, forward_http and forward_fleet pass.

--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -7,10 +7,6 @@
 from pollenstile.ops.logs import silent_log
 
 
-def _count_nothing(name, number=1):
-    """Count nothing."""
-
-
 @dataclass(slots=True)
 class ForwardCore:
     """Parts of one entry host that forwarded requests share.
@@ -50,6 +46,4 @@
     stages: object
     names: HeaderNames = field(default_factory=HeaderNames)
     log: object = silent_log
-    count: object = _count_nothing
-    leaving: bool = False
     patience: Patience = field(default_factory=Patience)
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -126,7 +126,6 @@
             request=self.exchange.ident,
             error=failure.getTraceback(),
         )
-        self.core.count('forward.crashed')
         self._refuse(Refusal(502, 'internal', 'program'))
 
     def finished(self, ignored):
