stagework: a stalled call that is lost makes no third one, and none without budget

Cause: read again, pieces of a slow call that was then lost were queued once more, though in another call, and without the repeat budget being asked. Change: only pieces that no call holds wait again, within the budget.

--- a/features/stagework.feature
+++ b/features/stagework.feature
@@ -92,6 +92,27 @@
     Then stage request "x" is made
     And the results of stage call 0 are released
 
+  Scenario: A stalled call that is lost costs no third call
+    The pieces of a stalled call are in another one when the first is lost.
+    Sent once more, they would be made three times.
+    Given a stage queue over workers in "a,a,a"
+    When stage groups "x" of 2 pieces and 10 bytes come
+    And 1.0 seconds of stage time pass
+    And stage call 0 is lost after it arrived
+    And 0.3 seconds of stage time pass
+    Then 2 stage calls were made
+    When stage call 1 is answered
+    Then stage request "x" is made
+
+  Scenario: A stalled call that is lost is not repeated without budget
+    Given a stage queue over workers in "a,a"
+    And no stage repeats are left
+    When stage groups "x" of 2 pieces and 10 bytes come
+    And 1.0 seconds of stage time pass
+    Then 1 stage calls were made
+    When stage call 0 is lost after it arrived
+    Then stage request "x" is refused as "failed"
+
   Scenario: A queue is handed over when another host owns it
     A host that owns a stage is told to stop with pieces waiting. Kept, they
     would wait behind the new owner's calls at the same upstreams.
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -17,11 +17,23 @@
 # decides between groups that are due about together, and nothing else, so
 # that the least urgent still move when calls are short of time.
 _URGENCY_SECONDS = 0.4
+# Results without a size: as many as a call holds.
 _ANY_NUMBER = 1000
 # Seconds to spare with which a piece waits for a worker near its inputs.
 _NEAR_MARGIN = 0.45
 # A worker this much slower than its siblings only takes what they can't.
 _SLOW = 1.8
+# Seconds past its due time up to which a group is taken, for the most urgent,
+# and how much sooner each further step of urgency is refused. The estimate
+# ends with a whole call, of which a piece waits half on average.
+_LATENESS = 0.25
+_SOONER = 0.4
+# Seconds that a queue takes which is not crowded: two calls, half of another.
+# What is late goes last, so it is in the way only by lengthening calls.
+_IDLE_WAIT = 1.2
+# Share of the groups of one urgency that is taken whatever the load, if they
+# can be in time at all: no kind of request is to be starved by another.
+_LEAST_SHARE = 0.35
 
 
 def ranked(pieces, now, work):
@@ -237,19 +249,6 @@
     return max(least, ahead / rate) if rate else least
 
 
-# Seconds past its due time up to which a group is taken, for the most urgent,
-# and how much sooner each further step of urgency is refused. The estimate
-# ends with a whole call, of which a piece waits half on average.
-_LATENESS = 0.25
-_SOONER = 0.4
-# Seconds that a queue takes which is not crowded: two calls, half of another.
-# What is late goes last, so it is in the way only by lengthening calls.
-_IDLE_WAIT = 1.2
-# Share of the groups of one urgency that is taken whatever the load, if they
-# can be in time at all: no kind of request is to be starved by another.
-_LEAST_SHARE = 0.35
-
-
 def admitted(group, wait, now, share=1.0):
     """Return whether a group's pieces may wait.
 
--- a/pollenstile/stagework/_flight.py
+++ b/pollenstile/stagework/_flight.py
@@ -179,11 +179,9 @@
         if lost.arrived and not slow:
             for piece in self.batch:
                 piece.sent += 1
-        # Pieces of a slow call wait again already.
-        self.owner.put_back(
-            self.batch,
-            arrived=lost.arrived and not slow,
-        )
+        # Pieces of a slow call wait again already, or are in another call.
+        free = [piece for piece in self.batch if not piece.flights]
+        self.owner.put_back(free, arrived=lost.arrived)
 
     def _crashed(self, failure):
         if self.ended:
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -263,6 +263,9 @@
         if made.handle:
             self._keep(job, piece, made.handle)
             return
+        if piece.flights:
+            # Another call holds it as well, and may still make it.
+            return
         if made.reason in {_NO_ROOM, _ERROR}:
             self.put_back([piece], arrived=made.reason == _ERROR)
             return
