stagework, forward: handing a queue over can't end a shutdown

Told that one group was given back, a request withdrew its other first step at the same instant; the host that left was still going through its queue, met the group that was gone, and the error ended the shutdown with all its callers. A host's own groups were refused instead of going to the next owner. Change: a group ends once; own groups are asked of the next owner too; a fault of the periodic look is logged and ends nothing. Ruled out: the grace time, the balancer (the first cut came 7 ms after SIGTERM).

--- a/features/forward_fleet.feature
+++ b/features/forward_fleet.feature
@@ -20,6 +20,14 @@
     When 2 drafts are sent to forwarding host "one" alone
     Then all 6 drafts are answered whole
 
+  Scenario: A host that leaves serves what it has taken
+    A host gets SIGTERM with drafts of its own under way, some of whose pieces
+    wait in its own queue. The other host makes them.
+    Given a forwarding fleet of the hosts "one,two"
+    When 30 drafts are sent to forwarding host "two" and host "two" is stopped
+    Then all 30 drafts are answered whole
+    And forwarding host "two" ends with nothing in flight
+
   Scenario: A host that starts while the store is away denies nothing
     Given a forwarding fleet of the hosts "one"
     When the store of the fleet goes down and forwarding host "two" starts
--- a/features/stagework.feature
+++ b/features/stagework.feature
@@ -124,6 +124,17 @@
     When stage call 0 is answered
     Then stage request "x" is made
 
+  Scenario: Groups of one request are handed over together
+    A request has two first steps. Told that one is given back, it withdraws
+    the other in the same instant, while the host that leaves is still going
+    through its queue. The host once ended there, with 29 callers cut off.
+    Given a stage queue over workers in "a"
+    When stage groups "x" of 8 pieces and 10 bytes come
+    And a stage request "y" with two first steps comes and cancels when refused
+    And the stage queue is handed over
+    Then stage request "y" is refused as "no workers"
+    And the stage queue holds 1 groups
+
   Scenario: A host that reaches no upstream says so at once
     A host that has just started owns a stage by name, without a registry yet.
     Pieces that it took would wait there for nothing.
--- a/features/steps/stagework_steps.py
+++ b/features/steps/stagework_steps.py
@@ -116,6 +116,26 @@
     context.queue.submit(group(request, inputs=('10.9.9.9:1/a',), step=1))
 
 
+@when(
+    'a stage request "{request}" with two first steps comes and cancels when refused'
+)
+def when_two_steps(context, request):
+    queue = context.queue
+    for step in (0, 1):
+        waiter = queue.owner.submit(group(request, 2, 10, step=step))
+        waiter.addCallback(_cancelled_with, queue, request)
+
+
+def _cancelled_with(outcome, queue, request):
+    queue.outcomes.setdefault(request, outcome)
+    queue.owner.cancel(request)
+
+
+@then('the stage queue holds {count:d} groups')
+def then_groups(context, count):
+    assert len(context.queue.owner.jobs) == count
+
+
 @when('stage call {place:d} is answered')
 def when_answered(context, place):
     context.queue.answer(place)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -267,10 +267,18 @@
         return core.configuration.table is not None and core.registry.known
 
     def _review(self):
-        self.parts.stages.review(
-            self.parts.owners.by_service,
-            leaving=self.leaving,
-        )
+        owners = self.parts.owners.by_service
+        try:
+            self.parts.stages.review(owners, leaving=self.leaving)
+        except Exception as error:
+            # A fault here must not end the looks, nor a shutdown halfway:
+            # all that is in flight would be cut off.
+            self.log(
+                events.FORWARD_CRASHED,
+                level='error',
+                step='review',
+                error=repr(error),
+            )
 
     def _beat(self):
         table = self.parts.core.configuration.table
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -214,15 +214,11 @@
         tried = set()
         while True:
             host = self._next_owner(group.service, tried)
-            if host == self.host:
-                return host, await self._own(group)
-            tried.add(host)
-            outcome = await self._remote(host, group)
+            ask = self._own if host == self.host else self._remote
+            outcome = await ask(host, group)
             if _is_final(outcome):
-                self.waits[group.service] = (
-                    outcome.wait,
-                    self.clock.seconds(),
-                )
+                now = self.clock.seconds()
+                self.waits[group.service] = (outcome.wait, now)
                 return host, outcome
             self.log(
                 events.STAGE_OWNER_LOST,
@@ -232,8 +228,11 @@
                 peer=host,
                 reason=outcome.reason,
             )
+            if host in tried:
+                return host, GroupRefused(outcome.reason)
             if self.clock.seconds() >= group.ends:
                 return host, GroupRefused('late')
+            tried.add(host)
 
     def _next_owner(self, service, tried):
         for host in self._candidates(service):
@@ -241,16 +240,14 @@
                 return host
         return self.host
 
-    async def _own(self, group):
+    async def _own(self, host, group):
         on_read = partial(self.inputs_read, group.ident)
         asked = self.owner(group.service).submit(group, on_read)
         try:
-            outcome = await asked
+            return await asked
         except CancelledError:
             self.owner(group.service).cancel(group.request)
             raise
-        self.waits[group.service] = (outcome.wait, self.clock.seconds())
-        return outcome
 
     async def _remote(self, host, group):
         now = self.clock.seconds()
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -303,6 +303,8 @@
         self._end(job, GroupDone(handles, self.wait()))
 
     def _refuse(self, job, reason):
+        if job.group.ident not in self.jobs:
+            return
         wait = self.wait()
         self.log(
             events.STAGE_REFUSED,
@@ -316,9 +318,12 @@
         self._end(job, GroupRefused(reason, wait, wait))
 
     def _end(self, job, outcome):
+        # Who waits for one group of a request may withdraw its others at the
+        # same instant, while this host still goes through them.
+        if self.jobs.pop(job.group.ident, None) is None:
+            return
         self.waiting = [
             piece for piece in self.waiting if piece.group is not job.group
         ]
-        self.jobs.pop(job.group.ident)
         self.started.discard(job.group.ident)
         job.end(outcome)
