--- a/pollenstile/ops/linestream.py
+++ b/pollenstile/ops/linestream.py
@@ -12,8 +12,8 @@
     'Look at the collector of logs; measures count all events.',
 )
 _NOTE = b'{"number": %d, "lines": %d, "event": "lines-dropped"}\n'
-# Lines that a process may write in a second; the heaviest played day writes
-# under 120. A fault that logs in a loop must not take the processor.
+# Lines that a process may write in a second; on played days one wrote 165 at
+# most. A fault that logs in a loop must not take the processor.
 MOST_LINES = 500
 
 
