--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -5,8 +5,8 @@
 
 A call costs its fixed time whatever it holds, so a stage carries most when a
 free upstream takes all that waits: at 36 pieces a second and four upstreams
-that take 240 ms a call and 25 ms a piece, hosts that batch alone bring 3% of
-the requests through in time, one queue 100% (simulated, 60 s).
+that take 240 ms a call and 25 ms a piece, hosts that batch alone bring 6% of
+the requests through in their aim, one queue 99% (virtual time, 20 s).
 """
 
 # A group that can't be in time any more lets all others go first: an answer
