forward: a branch of an answer's head that did nothing is gone

Cause: read as a newcomer, the branch for answers without a body ended where the function ends. Measured: forward_http, forward_fleet and docs pass.

--- a/pollenstile/forward/_face.py
+++ b/pollenstile/forward/_face.py
@@ -27,7 +27,6 @@
 }
 # Seconds that a body may take beyond its header's time: 4 MB at 1 Mbit/s.
 _BODY_SECONDS = 32.0
-_NO_BODY = (204, 304)
 _DEFAULT_LIMITS = Limits()
 # Seconds until another host takes the connections of one that leaves.
 _LEAVING = Refusal(503, 'leaving', 'entry', '', 0.1)
@@ -102,16 +101,13 @@
         factory.left(self)
 
     def begin(self, status, phrase, headers):
-        """Write the head of an upstream's answer."""
+        """Take the head of an upstream's answer; it goes with the body."""
         self.begun = True
         if self.ended:
             return
         self.setResponseCode(status, phrase)
         for name, content in headers:
             self.responseHeaders.addRawHeader(name, content)
-        if status in _NO_BODY:
-            return
-        # The head goes out with the first bytes of the body.
 
     def write(self, data):
         """Write a part of the body."""
