forward: peers are told the port that the system chose; no port is picked ahead in tests

Cause: the whole check failed once in three runs: the fleet's scenarios picked free ports, and another process took one before the host listened ('Address already in use', features/forward_fleet.feature:13, beside load). Not load, but a race of the fixture: ports were not 0. Change: hosts listen on port 0 there, and a host tells peers and the store what it was given; with a fixed port nothing changes.

--- a/features/builders/forwardfleet.py
+++ b/features/builders/forwardfleet.py
@@ -116,9 +116,9 @@
         settings = HostSettings(
             name,
             'here',
-            (_HOST, free_port()),
-            (_HOST, free_port()),
-            (_HOST, free_port()),
+            (_HOST, 0),
+            (_HOST, 0),
+            (_HOST, 0),
             grace_seconds=4.0,
         )
         daemon = ForwardDaemon(
@@ -147,7 +147,8 @@
             b'X-Pieces: 1,3\r\nX-Piece-Key: %s\r\nContent-Length: 0\r\n\r\n'
             % (attempt.encode(), attempt.encode()),
         )
-        talk_to(self.daemons[name].settings.callers[1], talk)
+        callers = self.daemons[name].ports[0]
+        talk_to(callers.getHost().port, talk)
         return talk
 
     def owner_hosts(self):
@@ -183,14 +184,6 @@
         return log
 
 
-def free_port():
-    """Return a port of loopback that is free now."""
-    port = reactor.listenTCP(0, Site(EngineResource(reactor, Results())))
-    number = port.getHost().port
-    result_of(_ended(port))
-    return number
-
-
 def _ended(port):
     ended = Deferred()
     port.stopListening().addBoth(ended.callback)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -1,5 +1,7 @@
 """An entry host that forwards: started, ready, stopped."""
 
+from dataclasses import replace
+
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.resource import Resource
@@ -258,6 +260,11 @@
         hub.keys = keys_from(key.decode())
         port = tcp_listen(self.reactor, self.settings.peers, hub)
         self.ports.append(port)
+        # Port 0 lets the system choose; peers are told what it chose.
+        bound = port.getHost()
+        address = shown((bound.host, bound.port))
+        hub.hello = replace(hub.hello, address=address)
+        self.parts.members.address = address
         hub.start()
         self._hosts_changed()
         await self.parts.members.register()
