clock: timers run by the boot clock, not by the time of day

Cause: the reactor measures by the time of day unless it is told otherwise. Where that jumps forward, every deadline in flight passes at once; where it jumps back, no timeout, heartbeat or read of the configuration happens for as long, until keys can't be trusted and the host says it is not ready.

Ruled out: the proof of the configuration, which was dated by the boot clock already.

--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -17,7 +17,7 @@
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
 from pollenstile.ops._stores import hosts_reader, paced_store, tickets_asker
 from pollenstile.peer import tcp_connect
-from pollenstile.ops.clock import boot_clock
+from pollenstile.ops.clock import boot_clock, run_steadily
 from pollenstile.placement import http_orders
 from pollenstile.upstream import http_transport
 
@@ -38,6 +38,7 @@
     # The one place where the global reactor is taken.
     from twisted.internet import reactor  # noqa: WPS433
 
+    run_steadily(reactor)
     daemon = built_daemon(reactor, settings)
     set_collector()
     reactor.callWhenRunning(daemon.start)
