relay: hosts of a failure domain share one reader of the store

Cause: each host read the configuration and watched the registry by itself, 2.9 calls a second and host.

Ruled out: longer periods (a change must be in force within 2 s, and a key's proof may be 5 s old at most); reads that may be stale (they prove nothing).

Change: one host of each domain, the largest and then by rendezvous, reads for the others. They ask it over their peer link; the ask is held while nothing is new. A proof is dated back from when the ask was sent, by the age that the reader states less the time for which it held the ask, so it is never dated too late. A reader without the store for 1.2 s says so; then, or when it is silent for a second, a host reads for itself. Owners of stage queues are drawn from the largest hosts first, links kept to two owners that are not dead in place of three entries.

Scenarios: in a domain of four the followers make no call in 60 s; an upstream that leaves as the reader fails is known within 1.9 s.

--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -8,7 +8,7 @@
 
 from features.builders.forward import SERVICE
 from pollenstile.forward import ConfigurationReader, Registry, Upstream
-from pollenstile.forward._members import HOSTS, Members
+from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.platform import Found, NotApplied, Unavailable, paused
 from pollenstile.routes import (
     Kind,
@@ -241,7 +241,7 @@
 
 
 def _members(store, host, log=None):
-    args = (store, Clock(), host, '10.0.0.1:7', 'd')
+    args = (store, Clock(), host, PeerHost('10.0.0.1:7', 'd'))
     return Members(*args, log) if log else Members(*args)
 
 
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,189 @@
+"""Steps of hosts that share a reader of the store."""
+
+from behave import given, then, when
+from twisted.internet.defer import succeed
+
+from features.builders.relay import KIND, RelayFleet
+from pollenstile.platform import Found
+
+_STEP = 0.05
+
+
+@given('the hosts "{names}" of one domain')
+def given_hosts(context, names):
+    context.fleet = RelayFleet(names.split(','))
+    for host in context.fleet.hosts.values():
+        host.calls.calls = 0
+
+
+@when('{seconds:g} seconds of relaying pass')
+def when_passed(context, seconds):
+    context.fleet.pass_by(seconds)
+
+
+@when('version {version:d} is written and {seconds:g} seconds pass')
+def when_written(context, version, seconds):
+    context.fleet.write('config', 'main', version)
+    context.fleet.pass_by(seconds)
+
+
+@when('the upstream "{name}" comes and "{gone}" is removed')
+def when_changed(context, name, gone):
+    context.fleet.write(KIND, name, {'state': 'ready'})
+    context.fleet.remove(KIND, gone)
+
+
+def _fail_reader(context, fault):
+    reader = context.fleet.hosts['r']
+    reader.parted = fault == 'loses the store'
+    reader.frozen = fault == 'freezes'
+    reader.gone = fault == 'is gone'
+
+
+@when('the reader {fault}, and "{name}" is removed {seconds:g} seconds later')
+def when_reader_fails(context, fault, name, seconds):
+    _fail_reader(context, fault)
+    context.fleet.pass_by(seconds)
+    context.fleet.remove(KIND, name)
+
+
+@when('words take {seconds:g} seconds each way')
+def when_slow(context, seconds):
+    context.fleet.delay = seconds
+    context.fleet.pass_by(2)
+
+
+@when(
+    '{seconds:g} seconds of relaying pass, and each proof is compared with the'
+    " reader's"
+)
+def when_compared(context, seconds):
+    context.younger = []
+    context.oldest = 0
+    hosts = context.fleet.hosts
+    for _ in range(round(seconds / _STEP)):
+        context.fleet.pass_by(_STEP)
+        newest = hosts['r'].configuration.proven_at
+        for name in ('s', 't', 'u'):
+            proven_at = hosts[name].configuration.proven_at
+            if proven_at > newest:
+                context.younger.append((name, proven_at, newest))
+            age = hosts[name].configuration.age()
+            context.oldest = max(context.oldest, age)
+
+
+@then("no follower's proof was ever younger than the newest of the reader's")
+def then_none_younger(context):
+    assert not context.younger, context.younger[:3]
+
+
+@then("each follower's proof was at most {seconds:g} seconds old")
+def then_young_enough(context, seconds):
+    assert context.oldest <= seconds, context.oldest
+
+
+@when('"{name}" loses the store and {seconds:g} seconds of relaying pass')
+def when_parted(context, name, seconds):
+    context.fleet.hosts[name].parted = True
+    context.fleet.pass_by(seconds)
+
+
+@when('all lose the store and {seconds:g} seconds of relaying pass')
+def when_all_parted(context, seconds):
+    for host in context.fleet.hosts.values():
+        host.parted = True
+    context.fleet.pass_by(seconds)
+
+
+@when('"{name}" has read version {version:d} with a newer revision')
+def when_read(context, name, version):
+    configuration = context.fleet.hosts[name].configuration
+    found = Found('config', 'main', configuration.revision + 1, version)
+    configuration.take(found, context.fleet.clock.seconds())
+
+
+@when('the upstream "{name}" comes as the reader freezes')
+def when_frozen(context, name):
+    context.fleet.write(KIND, name, {'state': 'ready'})
+    context.fleet.hosts['r'].frozen = True
+
+
+@when('the reader wakes and the upstream "{name}" comes')
+def when_woken(context, name):
+    context.fleet.hosts['r'].frozen = False
+    context.fleet.write(KIND, name, {'state': 'ready'})
+
+
+@when('"{name}" is kept from asking while {count:d} upstreams come and go')
+def when_many(context, name, count):
+    asked = context.fleet.hosts[name].follower
+    ask = asked.ask
+    asked.ask = lambda *_: succeed(b'')
+    for number in range(count // 2):
+        context.fleet.write(KIND, f'n{number}', {'state': 'ready'})
+        context.fleet.remove(KIND, f'n{number}')
+    asked.ask = ask
+
+
+@when('"{name}" gets bytes in place of a word')
+def when_bytes(context, name):
+    asked = context.fleet.hosts[name].follower
+    asked.ask = lambda *_: succeed(b'\x00\x01no word')
+
+
+@then('"{names}" called the store {count:d} times in them')
+def then_called(context, names, count):
+    for name in names.split(','):
+        calls = context.fleet.hosts[name].calls.calls
+        assert calls == count, (name, calls)
+
+
+@then('"{name}" called it {least:d} to {most:d} times')
+def then_called_between(context, name, least, most):
+    calls = context.fleet.hosts[name].calls.calls
+    assert least <= calls <= most, calls
+
+
+@then('"{names}" have version {version:d}')
+def then_version(context, names, version):
+    for name in names.split(','):
+        table = context.fleet.hosts[name].configuration.table
+        assert table.version == version, (name, table.version)
+
+
+@then('"{names}" know the upstreams "{known}"')
+def then_known(context, names, known):
+    _check_known(context, names, known.split(','))
+
+
+@then('"{names}" know the upstreams ""')
+def then_none_known(context, names):
+    _check_known(context, names, [])
+
+
+def _check_known(context, names, known):
+    for name in names.split(','):
+        found = sorted(context.fleet.hosts[name].upstreams)
+        assert found == known, (name, found)
+
+
+@then('the keys of "{name}" are trusted')
+def then_trusted(context, name):
+    assert context.fleet.hosts[name].configuration.is_proven()
+
+
+@then('no keys are trusted')
+def then_none_trusted(context):
+    for host in context.fleet.hosts.values():
+        assert not host.configuration.is_proven(), host.name
+
+
+@then('"{names}" follow "{reader}"')
+def then_follow(context, names, reader):
+    for name in names.split(','):
+        assert context.fleet.hosts[name].follower.following == reader, name
+
+
+@then('"{name}" reads for itself')
+def then_reads(context, name):
+    assert not context.fleet.hosts[name].follower.following
--- a/features/steps/stagework_steps.py
+++ b/features/steps/stagework_steps.py
@@ -419,10 +419,10 @@
 
 @given('{count:d} stage hosts named in different orders')
 def given_hosts(context, count):
-    names = [f'host-{number}' for number in range(count)]
+    cores = {f'host-{number}': 1.0 for number in range(count)}
     context.orders = SimpleNamespace(
-        first=owner_order('encode', names),
-        second=owner_order('encode', list(reversed(names))),
+        first=owner_order('encode', cores),
+        second=owner_order('encode', dict(reversed(cores.items()))),
     )
 
 
@@ -434,4 +434,4 @@
 @then('without one host the others keep their order')
 def then_order_kept(context):
     gone, *others = context.orders.first
-    assert owner_order('encode', others) == others
+    assert owner_order('encode', dict.fromkeys(others, 1.0)) == others
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -8,12 +8,19 @@
 from pollenstile.forward._client import HttpClient
 from pollenstile.forward._configuration import ConfigurationReader
 from pollenstile.forward._core import ForwardCore
-from pollenstile.forward._members import Members
+from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.forward._owners import Owners
-from pollenstile.forward._registry import Registry
+from pollenstile.forward._registry import UPSTREAMS, Registry
 from pollenstile.forward._stagecalls import StageCalls
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import LEAST_VERSION, VERSION, Hello, Hub, tcp_connect
+from pollenstile.relay import (
+    ASK,
+    Follower,
+    Readers,
+    RelayStore,
+    Source,
+)
 from pollenstile.stagework import StageClient, StageService
 
 _MS = 1000
@@ -37,6 +44,17 @@
     members: object
     owners: object
     stages: object
+    relay: object
+
+
+@dataclass(slots=True)
+class Relay:
+    """The parts by which hosts of a domain share one reader of the store."""
+
+    source: Source
+    follower: Follower
+    readers: Readers
+    store: RelayStore
 
 
 def built_parts(
@@ -92,8 +110,7 @@
         partial(budget.spend, sharers=_STAGE_SHARERS),
         log,
     )
-    stages = StageClient(settings.host, hub, reactor, owners.owner, log)
-    StageService(stages)
+    stages = _built_stages(reactor, settings, hub, owners, log)
     core = ForwardCore(
         reactor,
         rng,
@@ -110,11 +127,25 @@
         store,
         reactor,
         settings.host,
-        hub.hello.address,
-        settings.domain,
+        PeerHost(hub.hello.address, settings.domain, settings.capacity),
         log,
     )
-    return Parts(core, hub, members, owners, stages)
+    return Parts(
+        core,
+        hub,
+        members,
+        owners,
+        stages,
+        _built_relay(settings, store, suspend_clock, core, hub),
+    )
+
+
+def link_peers(parts):
+    """Keep links to owners of stages, and to readers of the store."""
+    ownership = parts.stages.ownership
+    wanted = ownership.wanted_links(parts.stages.limits)
+    wanted.update(ownership.links_of(parts.relay.readers.order))
+    parts.hub.dialer.wanted = wanted
 
 
 def shown(address):
@@ -123,6 +154,34 @@
     return f'{host}:{port}'
 
 
+def _built_stages(reactor, settings, hub, owners, log):
+    stages = StageClient(settings.host, hub, reactor, owners.owner, log)
+    stages.ownership.capacity = settings.capacity
+    StageService(stages)
+    return stages
+
+
+def _built_relay(settings, store, suspend_clock, core, hub):
+    clock = core.clock
+    configuration = core.configuration
+    ident = f'{settings.host}/{hub.hello.boot}'
+    source = Source(ident, clock, suspend_clock, configuration)
+    hub.requests.subjects[ASK] = source.answer
+    readers = Readers(hub, settings.host, settings.domain, settings.capacity)
+    follower = Follower(
+        clock,
+        suspend_clock,
+        hub.ask,
+        configuration,
+        readers.current,
+        core.log,
+    )
+    configuration.covered = follower.is_following
+    configuration.followed = source.is_followed
+    relayed = RelayStore(store, clock, follower, (UPSTREAMS, HOSTS))
+    return Relay(source, follower, readers, relayed)
+
+
 def _built_hub(reactor, rng, settings, log):
     hello = Hello(
         version=VERSION,
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -9,6 +9,11 @@
 # Seconds between reads. A change has to be in force within 2 s of its write;
 # this leaves one failed read and the answer's way.
 _READ_PERIOD = 1.2
+# The same while other hosts rely on this one's reads: their word is taken for
+# 1.2 s after a read was sent, a slow store's answer and the jitter included.
+_FOLLOWED_PERIOD = 0.8
+# Seconds between looks whether a host that follows another one has to read.
+_COVERED_PAUSE = 0.1
 # Seconds between reads while some are not answered, at most, and how many may
 # be under way: a slow store answers within 0.3 s, one that is silent is not
 # given more than one call in half a second.
@@ -62,17 +67,30 @@
         Reads in a row without an answer.
     under_way : int
         Reads that are not answered yet.
+    found : Found or None
+        What the table was decoded from.
+    read_at : float
+        On the suspend clock: when the latest read that was answered here was
+        sent; another host's proof does not count.
+    covered : function
+        Returns whether another host's word makes reads needless.
+    followed : function
+        Returns whether other hosts rely on this one's reads.
     """
 
     __slots__ = (
         'clock',
+        'covered',
         'decode',
         'failures',
+        'followed',
+        'found',
         'listeners',
         'log',
         'on_read',
         'proven_at',
         'random',
+        'read_at',
         'revision',
         'revoke_seconds',
         'running',
@@ -101,7 +119,11 @@
         self.log = log
         self.table = None
         self.revision = 0
+        self.found = None
         self.proven_at = -1000.0
+        self.read_at = -1000.0
+        self.covered = _never
+        self.followed = _never
         self.failures = 0
         self.under_way = 0
         self.listeners = []
@@ -138,13 +160,16 @@
         the first that it answers.
         """
         while self.running:
+            if self.covered():
+                await paused(self.clock, _COVERED_PAUSE)
+                continue
             if self.under_way < _MOST_READS:
-                _run(self._read())
+                Deferred.fromCoroutine(self._read())
             share = self.random.uniform(0.75, 1)
             await paused(self.clock, share * _RETRY_PERIOD)
             if not self.failures and not self.under_way:
-                rest = _READ_PERIOD - _RETRY_PERIOD
-                await paused(self.clock, share * rest)
+                period = _FOLLOWED_PERIOD if self.followed() else _READ_PERIOD
+                await paused(self.clock, share * (period - _RETRY_PERIOD))
 
     async def _read(self):
         began = self.suspend_clock()
@@ -153,6 +178,7 @@
         self.under_way -= 1
         answered = isinstance(outcome, Found)
         if answered:
+            self.read_at = max(self.read_at, began)
             self.take(outcome, began)
         self._note(outcome, answered=answered)
 
@@ -175,6 +201,34 @@
             self.revision = found.version
         self.proven_at = max(self.proven_at, began)
 
+    def told(self, word, began):
+        """Take another host's word; return whether it makes reads needless.
+
+        Explanation
+        ===========
+
+        It proves the table in force here only when that has the revision of
+        which the word speaks.
+
+        Parameters
+        ==========
+
+        word : Word
+            With the configuration, if that is newer than the one here.
+        began : float
+            On the suspend clock, before the other host was asked.
+        """
+        proven_at = began - word.aged
+        if word.config is not None:
+            self.take(word.config, proven_at)
+        if word.config_revision < self.revision:
+            # A reader that lags says nothing of what this host has read.
+            return self.is_fresh()
+        if word.config_revision > self.revision:
+            return False
+        self.proven_at = max(self.proven_at, proven_at)
+        return True
+
     def _replaced(self, found):
         try:
             table = self.decode(found.value)
@@ -189,6 +243,7 @@
         if self.table is not None and table.version < self.table.version:
             return False
         self.table = table
+        self.found = found
         self.log(
             events.CONFIGURATION_TAKEN,
             version=table.version,
@@ -228,5 +283,5 @@
             self.on_read(answered)
 
 
-def _run(coroutine):
-    return Deferred.fromCoroutine(coroutine)
+def _never():
+    return False
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -8,16 +8,16 @@
 from twisted.web.server import Site
 
 from pollenstile.forward import events
-from pollenstile.forward._assembly import built_parts, shown
+from pollenstile.forward._assembly import built_parts, link_peers, shown
 from pollenstile.forward._face import CallerFactory
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._members import HOSTS
+from pollenstile.forward._registry import UPSTREAMS
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.measures import Measures, MeasuresFace
 from pollenstile.peer import Beat, keys_from, tcp_listen
 from pollenstile.platform import WatchTiming, watch
 
-UPSTREAMS = 'upstreams'
 # Registry: a watch is answered within this time. One that went silent with all
 # connections is noticed and armed anew within 2.5 s; from 3 s after such a
 # fault on, an upstream that leaves must get nothing more 2 s later. Each call
@@ -170,8 +170,8 @@
         )
         self.review.clock = self.reactor
         self.review.start(_REVIEW_PERIOD, now=False)
-        _run(core.configuration.run())
-        _run(self._join())
+        Deferred.fromCoroutine(core.configuration.run())
+        Deferred.fromCoroutine(self._join())
         registry = self._watch(
             UPSTREAMS,
             self._upstream_changed,
@@ -217,6 +217,7 @@
     def stop(self):
         """Leave: return a Deferred that fires when all is finished."""
         self.leaving = True
+        self.parts.relay.source.leaving = True
         self.factory.leave()
         self.parts.hub.beat_now()
         self._review()
@@ -228,7 +229,7 @@
         latest = began + self.settings.grace_seconds - _GRACE_MARGIN
         # Nobody waits for this answer; the entry of a host that does not
         # answer is passed over anyway.
-        _run(self.parts.members.leave())
+        Deferred.fromCoroutine(self.parts.members.leave())
         await deferLater(self.reactor, _LAME_DUCK)
         # Callers keep using open connections until they are closed; what
         # comes now could be cut off when the process is killed.
@@ -239,6 +240,7 @@
         self.factory.close_idle()
         await deferLater(self.reactor, _FLUSH)
         self.parts.core.configuration.running = False
+        self.parts.relay.follower.stop()
         for running in self.watches:
             running.stop()
         self.review.stop()
@@ -264,10 +266,12 @@
         bound = port.getHost()
         address = shown((bound.host, bound.port))
         hub.hello = replace(hub.hello, address=address)
-        self.parts.members.address = address
+        members = self.parts.members
+        members.entry = replace(members.entry, address=address)
         hub.start()
         self._hosts_changed()
-        await self.parts.members.register()
+        self.parts.relay.follower.start()
+        await members.register()
 
     def _knows_enough(self):
         core = self.parts.core
@@ -277,6 +281,7 @@
         owners = self.parts.owners.by_service
         try:
             self.parts.stages.review(owners, leaving=self.leaving)
+            link_peers(self.parts)
         except Exception as error:
             # A fault here must not end the looks, nor a shutdown halfway:
             # all that is in flight would be cut off.
@@ -299,15 +304,22 @@
         )
 
     def _watch(self, kind, callback, timing):
+        source = self.parts.relay.source
+
+        def take(change):
+            source.note(change)
+            callback(change)
+
         running = watch(
-            self.store,
+            self.parts.relay.store,
             kind,
-            callback,
+            take,
             self.reactor,
             self.rng,
             self.log,
             timing=timing,
         )
+        source.add(kind, running)
         self.watches.append(running)
         return running
 
@@ -335,15 +347,17 @@
 
     def _hosts_changed(self):
         parts = self.parts
-        parts.core.budget.hosts = len(parts.members.hosts) + 1
-        parts.stages.hosts = parts.members.hosts
+        hosts = parts.members.hosts
+        parts.core.budget.hosts = len(hosts) + 1
+        parts.stages.ownership.take_hosts(hosts)
+        parts.relay.readers.take_hosts(hosts)
         table = parts.core.configuration.table
         if table is None:
             return
         parts.stages.limits = {
             one.name: one.stage for one in table.services.values() if one.stage
         }
-        parts.stages.link_owners(parts.stages.limits)
+        link_peers(parts)
 
 
 def _site(resource, reactor):
@@ -354,7 +368,3 @@
 
 def _log_nothing(request):
     """Write no access log: events take its place."""
-
-
-def _run(coroutine):
-    return Deferred.fromCoroutine(coroutine)
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -1,6 +1,7 @@
 """Entry hosts of the fleet, as their own entries in the store say."""
 
 import secrets
+from dataclasses import dataclass
 
 from pollenstile.forward import events
 from pollenstile.ops.logs import silent_log
@@ -14,6 +15,26 @@
 _RETRY = 0.5
 
 
+@dataclass(slots=True, frozen=True)
+class PeerHost:
+    """Another entry host, as its entry says.
+
+    Parameters
+    ==========
+
+    address : str
+        Where it listens for peers.
+    domain : str
+        Its failure domain.
+    capacity : float
+        Its cores.
+    """
+
+    address: str
+    domain: str = ''
+    capacity: float = 1.0
+
+
 class Members:
     """This host's entry, and those of the others.
 
@@ -24,22 +45,23 @@
         Where the entries are.
     clock : IReactorTime
         Paces the tries.
-    host, address, domain : str
+    host : str
+        The own name.
+    entry : PeerHost
         The own entry.
 
     Attributes
     ==========
 
     hosts : dict
-        Addresses of the other hosts, by name.
+        :class:`PeerHost` of each other host, by name.
     listeners : list of function
         Called after each change.
     """
 
     __slots__ = (
-        'address',
         'clock',
-        'domain',
+        'entry',
         'host',
         'hosts',
         'listeners',
@@ -47,12 +69,11 @@
         'store',
     )
 
-    def __init__(self, store, clock, host, address, domain, log=silent_log):
+    def __init__(self, store, clock, host, entry, log=silent_log):
         self.store = store
         self.clock = clock
         self.host = host
-        self.address = address
-        self.domain = domain
+        self.entry = entry
         self.log = log
         self.hosts = {}
         self.listeners = []
@@ -61,15 +82,15 @@
         """Take a change of an entry."""
         if change.name == self.host:
             return
-        address = _address(change.value)
-        if not address:
+        peer = _peer_host(change.value)
+        if peer is None:
             self.hosts.pop(change.name, None)
         else:
-            self.hosts[change.name] = address
+            self.hosts[change.name] = peer
         self.log(
             events.HOSTS_CHANGED,
             peer=change.name,
-            address=address,
+            address=peer.address if peer else '',
             hosts=len(self.hosts) + 1,
         )
         for listener in self.listeners:
@@ -77,7 +98,11 @@
 
     async def register(self):
         """Write the own entry until the store has it."""
-        entry = {'address': self.address, 'domain': self.domain}
+        entry = {
+            'address': self.entry.address,
+            'domain': self.entry.domain,
+            'capacity': self.entry.capacity,
+        }
         while True:
             outcome = await self.store.put(HOSTS, self.host, entry)
             if isinstance(outcome, Written):
@@ -113,8 +138,14 @@
         return self.store.delete(HOSTS, self.host)
 
 
-def _address(entry):
+def _peer_host(entry):
+    """Return the host of an entry; None for a deleted or unreadable one."""
     if not isinstance(entry, dict):
-        return ''
+        return None
     address = entry.get('address')
-    return address if isinstance(address, str) else ''
+    if not isinstance(address, str) or not address:
+        return None
+    capacity = entry.get('capacity')
+    if not isinstance(capacity, (int, float)) or capacity <= 0:
+        capacity = 1.0
+    return PeerHost(address, str(entry.get('domain', '')), capacity)
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -6,6 +6,8 @@
 from pollenstile.forward._choose import EngineView
 from pollenstile.ops.logs import silent_log
 
+# Kind of the upstreams' own entries in the store.
+UPSTREAMS = 'upstreams'
 # Entries that lapse while the store is away are back within two seconds of
 # its return, when the upstream lives; one that is missing then is gone.
 _RETURN_SECONDS = 2.3
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -22,6 +22,8 @@
         See :class:`~pollenstile.forward.RepeatBudget`.
     grace_seconds : float
         From the signal to stop until the process is killed.
+    capacity : float
+        Cores of the host; larger hosts take the shared work first.
     """
 
     host: str
@@ -35,3 +37,4 @@
     repeat_slack: float = 10.0
     repeat_window: float = 10.0
     grace_seconds: float = 8.0
+    capacity: float = 1.0
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -15,7 +15,7 @@
     release_bytes,
 )
 from pollenstile.stagework._owner import NO_WORKERS
-from pollenstile.stagework._placing import owner_order
+from pollenstile.stagework._ownership import Ownership
 from pollenstile.stagework._types import GroupRefused
 
 # What hosts ask each other.
@@ -29,8 +29,6 @@
 WORD_SECONDS = 2.0
 # Seconds for which word of a backlog says something.
 _WAIT_SECONDS = 2.0
-# Owners that are linked ahead of need, for each service.
-LINKED_OWNERS = 3
 
 
 class StageClient:
@@ -53,8 +51,8 @@
     Attributes
     ==========
 
-    hosts : dict
-        Addresses of peers by name.
+    ownership : Ownership
+        Who owns which queue.
     waits : dict
         Seconds of backlog by service, and when that was heard.
     limits : dict
@@ -71,12 +69,12 @@
         'clock',
         'domains',
         'host',
-        'hosts',
         'hub',
         'leaving',
         'limits',
         'log',
         'owner',
+        'ownership',
         'reading',
         'waits',
     )
@@ -87,23 +85,13 @@
         self.clock = clock
         self.owner = owner
         self.log = log
-        self.hosts = {}
+        self.ownership = Ownership(host, hub)
         self.limits = {}
         self.domains = {}
         self.waits = {}
         self.reading = {}
         self.leaving = False
 
-    def link_owners(self, services):
-        """Keep links to the hosts that own these services, or would next."""
-        wanted = {}
-        for service in services:
-            order = owner_order(service, {*self.hosts, self.host})
-            for host in order[:LINKED_OWNERS]:
-                if host != self.host:
-                    wanted[host] = self.hosts[host]
-        self.hub.dialer.wanted = wanted
-
     def seconds(self, service, count):
         """Return what pieces of a service take at its last known backlog."""
         limits = self.limits.get(service)
@@ -195,20 +183,7 @@
             on_read()
 
     def _candidates(self, service):
-        """Return reachable hosts in the order in which they own a service."""
-        order = owner_order(service, {*self.hosts, self.host})
-        others = [
-            host
-            for host in order
-            if host != self.host and self._takes_work(host)
-        ]
-        if self.leaving and others:
-            return others
-        return [host for host in order if host == self.host or host in others]
-
-    def _takes_work(self, host):
-        link = self.hub.links.get(host)
-        return link is not None and not link.beat.leaving
+        return self.ownership.candidates(service, leaving=self.leaving)
 
     async def _outcome(self, group):
         tried = set()
