forward: the command `pollenstile forward`, with the project's own documents

Cause: a forwarding host could be started only through the platform's adapter, so neither operators nor a soak could run it on the project's own interface.

Change: `pollenstile forward` runs one over the project's object API; route tables and upstreams are documents of the project's own form; the codec of stage calls moves from the stand-ins into the product. Hosts say in their logs which ports the system chose, and may be seen by peers at another address.

Ruled out: running the soak through the adapter, which would put the platform's words into the soak.

--- a/features/builders/forwardfleet.py
+++ b/features/builders/forwardfleet.py
@@ -13,6 +13,7 @@
     ForwardDaemon,
     HeaderNames,
     HostSettings,
+    PlainCodec,
     Upstream,
 )
 from pollenstile.ops.clock import boot_clock
@@ -27,7 +28,6 @@
 )
 from pollenstile.standin.forwarded import (
     EngineResource,
-    PlainCodec,
     Results,
     StageResource,
 )
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -12,6 +12,11 @@
 from pollenstile.forward._configuration import ConfigurationReader
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._daemon import ForwardDaemon
+from pollenstile.forward._plaincodec import (
+    FREE_TARGET,
+    RUN_TARGET,
+    PlainCodec,
+)
 from pollenstile.forward._registry import Registry, Upstream
 from pollenstile.forward._run import serve
 from pollenstile.forward._settings import HostSettings
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -31,10 +31,12 @@
     backoff=0.15,
     backoff_cap=0.5,
 )
+# Hosts: when all start at once, each entry wakes all watches; a second's pause
+# takes many of them in one answer.
 _HOSTS_TIMING = WatchTiming(
     poll=10.0,
     margin=1.5,
-    rearm=0.2,
+    rearm=1.0,
     list_every=45.0,
     list_within=2.0,
     backoff=0.3,
@@ -156,15 +158,16 @@
         core.configuration.listeners.append(self._table_changed)
         core.configuration.on_read = core.registry.note_read
         self.parts.members.listeners.append(self._hosts_changed)
-        self._listen(settings.callers, self.factory)
-        self._listen(settings.ready, _site(_Ready(self), self.reactor))
+        callers = self._listen(settings.callers, self.factory)
+        ready = self._listen(settings.ready, _site(_Ready(self), self.reactor))
         if settings.metrics is not None:
             add_gauges(self.measures, self.parts, self.factory)
             site = _site(MeasuresFace(self.measures), self.reactor)
             self._listen(settings.metrics, site)
         self.log(
             events.FORWARD_STARTED,
-            callers=shown(settings.callers),
+            callers=shown(_bound(callers)),
+            ready=shown(_bound(ready)),
             peers=shown(settings.peers),
             domain=settings.domain,
         )
@@ -263,14 +266,15 @@
         port = tcp_listen(self.reactor, self.settings.peers, hub)
         self.ports.append(port)
         # Port 0 lets the system choose; peers are told what it chose.
-        bound = port.getHost()
-        address = shown((bound.host, bound.port))
+        bound = _bound(port)
+        address = shown(self.settings.peers_seen or bound)
         hub.hello = replace(hub.hello, address=address)
         members = self.parts.members
         members.entry = replace(members.entry, address=address)
         hub.start()
         self._hosts_changed()
         self.parts.relay.follower.start()
+        self.log(events.FORWARD_JOINED, peers=shown(bound), seen=address)
         await members.register()
 
     def _knows_enough(self):
@@ -298,10 +302,10 @@
         return Beat(version=version, leaving=self.leaving)
 
     def _listen(self, address, factory):
-        host, port = address
-        self.ports.append(
-            self.reactor.listenTCP(port, factory, _BACKLOG, interface=host),
-        )
+        host, number = address
+        port = self.reactor.listenTCP(number, factory, _BACKLOG, interface=host)
+        self.ports.append(port)
+        return port
 
     def _watch(self, kind, callback, timing):
         source = self.parts.relay.source
@@ -360,6 +364,12 @@
         link_peers(parts)
 
 
+def _bound(port):
+    """Return IP number and port; port 0 lets the system choose one."""
+    bound = port.getHost()
+    return bound.host, bound.port
+
+
 def _site(resource, reactor):
     site = Site(resource, reactor=reactor)
     site.log = _log_nothing
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -14,6 +14,8 @@
         Names of host and failure domain.
     callers, ready, peers : tuple
         IP number and port: for callers, the balancer's question, and peers.
+    peers_seen : tuple or None
+        Where peers reach this host, if not at ``peers``.
     metrics : tuple or None
         IP number and port of the measures; None serves none.
     revoke_seconds : float
@@ -38,3 +40,4 @@
     repeat_window: float = 10.0
     grace_seconds: float = 8.0
     capacity: float = 1.0
+    peers_seen: tuple | None = None
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -88,6 +88,11 @@
     'hosts-changed',
     'Entry hosts that this one knows of.',
 )
+FORWARD_JOINED = define(
+    1221,
+    'forward-joined',
+    'The host listens for peers and is about to register.',
+)
 REGISTER_FAILED = define(
     1217,
     'register-failed',
--- /dev/null
+++ b/pollenstile/ops/_forwardcmd.py
@@ -0,0 +1,94 @@
+"""``pollenstile forward``: an entry host that forwards opaque requests."""
+
+import random
+import sys
+from dataclasses import dataclass, field
+
+import msgspec
+
+from pollenstile.forward import (
+    ForwardDaemon,
+    HeaderNames,
+    HostSettings,
+    PlainCodec,
+    Upstream,
+)
+from pollenstile.ops._stores import store_at
+from pollenstile.ops.clock import boot_clock, run_steadily
+from pollenstile.ops.exits import GOOD
+from pollenstile.ops.linestream import LineStream
+from pollenstile.ops.logs import configure_logs, event_log
+from pollenstile.ops.settings import (
+    FORWARD,
+    add_flags,
+    settings_from,
+)
+from pollenstile.routes import table_of
+
+
+def decode_upstream(ident, value):
+    """Return the upstream of a registry entry; None when it is none."""
+    if not isinstance(value, dict):
+        return None
+    try:
+        return msgspec.convert({**value, 'ident': ident}, Upstream)
+    except msgspec.ValidationError:
+        return None
+
+
+@dataclass(slots=True, frozen=True)
+class _Adapter:
+    """The project's own names and documents."""
+
+    names: HeaderNames = field(default_factory=HeaderNames)
+    codec: PlainCodec = field(default_factory=PlainCodec)
+    decode_table: object = table_of
+    decode_upstream: object = decode_upstream
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        'forward',
+        help='run one entry host that forwards opaque requests',
+    )
+    add_flags(parser, FORWARD)
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Run the daemon until SIGTERM or SIGINT; return the exit code."""
+    settings = settings_from(arguments, FORWARD)
+    configure_logs(stream=LineStream(sys.stdout.fileno()))
+    # The one place where the global reactor is taken.
+    from twisted.internet import reactor  # noqa: WPS433
+
+    run_steadily(reactor)
+    daemon = ForwardDaemon(
+        reactor,
+        _host_settings(settings),
+        store_at(reactor, settings.store),
+        _Adapter(),
+        random.Random(),
+        boot_clock,
+        event_log(host=settings.host),
+    )
+    reactor.callWhenRunning(daemon.start)
+    reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
+    reactor.run()
+    return GOOD
+
+
+def _host_settings(settings):
+    return HostSettings(
+        host=settings.host,
+        domain=settings.domain,
+        callers=settings.callers,
+        ready=settings.ready,
+        peers=settings.peers,
+        peers_seen=settings.peers_seen,
+        metrics=settings.metrics,
+        revoke_seconds=settings.revoke_seconds,
+        grace_seconds=settings.grace_seconds,
+        capacity=settings.capacity,
+    )
--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -11,6 +11,7 @@
     _democmd,
     _entrycmd,
     _explaincmd,
+    _forwardcmd,
     _reportcmd,
     _soakcmd,
     _standincmd,
@@ -28,6 +29,7 @@
 
 _COMMANDS = (
     _entrycmd,
+    _forwardcmd,
     _explaincmd,
     _standincmd,
     _validatecmd,
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -166,6 +166,41 @@
 )
 
 
+FORWARD = (
+    Setting('host', identifier, None, 'name of this host, unique'),
+    Setting('domain', identifier, None, 'failure domain of this host'),
+    Setting('store', address, None, "the platform's object API"),
+    Setting('callers', address, '127.0.0.1:8080', "callers' address"),
+    Setting('ready', address, '127.0.0.1:8081', "the balancer's question"),
+    Setting('peers', address, '127.0.0.1:8082', "peers' address"),
+    Setting(
+        'peers_seen',
+        optional_address,
+        '',
+        'where peers reach this host, when that is another address',
+    ),
+    Setting('metrics', optional_address, '', 'measures; empty for none'),
+    Setting(
+        'revoke_seconds',
+        number_from(1, 60, float),
+        '5',
+        'seconds after which a key that was taken away has stopped working',
+    ),
+    Setting(
+        'grace_seconds',
+        number_from(3, 600, float),
+        '8',
+        'seconds from SIGTERM until the host is killed',
+    ),
+    Setting(
+        'capacity',
+        number_from(0.01, 1024, float),
+        '1',
+        'cores; larger hosts take the shared work first',
+    ),
+)
+
+
 class Settings:
     """Validated values, one attribute for each setting."""
 
--- a/pollenstile/routes/__init__.py
+++ b/pollenstile/routes/__init__.py
@@ -7,6 +7,7 @@
 writes; the rest of the system reads them.
 """
 
+from pollenstile.routes._document import routes_by_host, table_of
 from pollenstile.routes._model import (
     EngineLimits,
     Kind,
--- a/pollenstile/standin/forwarded.py
+++ b/pollenstile/standin/forwarded.py
@@ -11,53 +11,13 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from pollenstile.forward import HeaderNames
-from pollenstile.stagework import Made
+from pollenstile.forward import FREE_TARGET, RUN_TARGET, HeaderNames
 
 NAMES = HeaderNames()
-_RUN = b'/batch'
-_FREE = b'/free'
 _CONFLICT = 409
 _NOT_FOUND = 404
 
 
-class PlainCodec:
-    """Batches and releases in the product's own form."""
-
-    __slots__ = ()
-
-    def batch(self, worker, pieces, now):
-        """Return target, headers and body of a call that makes pieces."""
-        asked = [
-            {
-                'request': piece.group.request,
-                'step': piece.group.step,
-                'number': piece.number,
-                'key': piece.group.key,
-                'inputs': list(piece.group.inputs),
-            }
-            for piece in pieces
-        ]
-        return _RUN, _host(worker.address), msgspec.json.encode(asked)
-
-    def release(self, address, handles):
-        """Return target, headers and body of a release of results."""
-        return _FREE, _host(address), msgspec.json.encode(handles)
-
-    def results(self, body, count):
-        """Return a list of ``Made``; None for an answer of another shape."""
-        try:
-            handles = msgspec.json.decode(body, type=list[str])
-        except (msgspec.DecodeError, msgspec.ValidationError):
-            return None
-        if len(handles) != count:
-            return None
-        return [
-            Made(handle) if handle else Made(reason='gone')
-            for handle in handles
-        ]
-
-
 class Results:
     """Results of all stage upstreams of a test, by handle."""
 
@@ -100,11 +60,11 @@
     def render(self, request):
         """Serve a batch or a release; called by twisted."""
         content = request.content.read()
-        if request.path == _FREE:
+        if request.path == FREE_TARGET:
             for handle in msgspec.json.decode(content):
                 self.results.known.pop(handle, None)
             return b''
-        if request.path != _RUN:
+        if request.path != RUN_TARGET:
             request.setResponseCode(_NOT_FOUND)
             return b''
         pieces = msgspec.json.decode(content)
@@ -168,7 +128,3 @@
             request.finish()
             return
         self.clock.callLater(self.gap, self._event, request, number + 1)
-
-
-def _host(address):
-    return [(b'host', address.encode())]
