soak: real entry hosts as processes, behind proxies, under signals

Cause: the soak in virtual time leaves TCP, HTTP and processes out, and knows nothing of forwarded requests.

Loopback proxies delay, hold back one way or both, silence and reset; signals kill, pause and stop; upstreams hang, fail, lose answers, break off, crash and leave; the store is down, slow, loses answers and forgets. Promises are checked from what callers and upstreams saw. In the end all is calm, an upstream leaves, a key goes, a host is stopped.

--- /dev/null
+++ b/features/builders/livemutant.py
@@ -0,0 +1,106 @@
+"""The program with one guard taken out, for a live soak to notice.
+
+Explanation
+===========
+
+``python -m features.builders.livemutant GUARD forward ...`` runs the command
+``pollenstile`` without that guard;
+``python -m features.builders.livemutant GUARD`` runs live soaks of it, seeds
+from 1 on, until one notices, and prints what it noticed.
+"""
+
+import sys
+
+from pollenstile.forward import _configuration, _daemon, _run
+from pollenstile.forward._decisions import Next
+from pollenstile.forward._types import Refusal
+from pollenstile.ops.clock import run_steadily
+from pollenstile.ops.main import main
+from pollenstile.ops.running import result_of
+from pollenstile.soak.live import run_live
+
+_MOST_SEEDS = 6
+
+
+def _repeats_all(route, outcome, sends, runs, *, resumed):
+    return Next.AGAIN if sends < 3 and not resumed else Next.GIVE_UP
+
+
+def without_once():
+    """Send a request again that may run once only."""
+    _run.after_failure = _repeats_all
+
+
+def without_new_configuration():
+    """Keep the first configuration for good."""
+    replaced = _configuration.ConfigurationReader._replaced
+
+    def keep(reader, found):
+        return reader.table is not None or replaced(reader, found)
+
+    _configuration.ConfigurationReader._replaced = keep
+
+
+def _is_never_busy(daemon):
+    return False
+
+
+def without_drain():
+    """End a host at once when it is told to stop."""
+    _daemon._LAME_DUCK = 0.0
+    _daemon.ForwardDaemon._is_busy = _is_never_busy
+
+
+def without_truth():
+    """Say of a request that ran that it has not."""
+    _run.expired_refusal = lambda runs: Refusal(503, 'timeout', 'send')
+
+
+GUARDS = {
+    'once': without_once,
+    'configuration': without_new_configuration,
+    'drain': without_drain,
+    'truth': without_truth,
+}
+
+
+def mutant_command(guard):
+    """Return the words that run the program without a guard."""
+    return (sys.executable, '-m', 'features.builders.livemutant', guard)
+
+
+async def noticed(reactor, guard, seeds, seconds=8.0):
+    """Return the first result that has broken promises, or None."""
+    for seed in seeds:
+        result = await run_live(
+            reactor,
+            seed,
+            seconds,
+            command=mutant_command(guard),
+        )
+        if result.broken:
+            return result
+    return None
+
+
+def _hunt(guard):
+    from twisted.internet import reactor
+
+    run_steadily(reactor)
+    seeds = range(1, _MOST_SEEDS + 1)
+    result = result_of(reactor, lambda: noticed(reactor, guard, seeds))
+    if result is None:
+        sys.stdout.write(f'{guard}: not noticed in {_MOST_SEEDS} seeds\n')
+        return 1
+    lines = (f'{guard}: seed {result.seed} noticed', *result.broken[:2], '')
+    sys.stdout.write('\n  '.join(lines))
+    return 0
+
+
+if __name__ == '__main__':
+    name, *rest = sys.argv[1:]
+    if not rest:
+        sys.exit(_hunt(name))
+    GUARDS[name]()
+    sys.argv = ['pollenstile', *rest]
+    sys.exit(main())
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -4,8 +4,10 @@
 import sys
 import time
 
+from pollenstile.ops.clock import run_steadily
 from pollenstile.ops.exits import BAD_RESULT, GOOD
 from pollenstile.ops.logs import configure_logs, event_log
+from pollenstile.ops.running import result_of
 from pollenstile.soak import run_soak
 
 
@@ -33,6 +35,23 @@
         default=400,
         help='how many times something happens in a run [400]',
     )
+    parser.add_argument(
+        '--live',
+        action='store_true',
+        help='real processes on this machine, struck by signals and proxies',
+    )
+    parser.add_argument(
+        '--seconds',
+        type=float,
+        default=8.0,
+        help='with --live: for which faults go on [8]',
+    )
+    parser.add_argument(
+        '--hosts',
+        type=_positive,
+        default=4,
+        help='with --live: entry hosts [4]',
+    )
     parser.set_defaults(run=run)
 
 
@@ -56,6 +75,8 @@
     """Run each seed and print a line for it; return the exit code."""
     configure_logs('error')
     seeds = arguments.seeds or [arguments.seed]
+    if arguments.live:
+        return _run_live(seeds, arguments)
     broken = []
     started = time.perf_counter()
     for seed in seeds:
@@ -72,6 +93,45 @@
     return BAD_RESULT
 
 
+def _run_live(seeds, arguments):
+    # The one place where the global reactor is taken.
+    from twisted.internet import reactor  # noqa: WPS433
+
+    run_steadily(reactor)
+    return result_of(reactor, lambda: _all_live(reactor, seeds, arguments))
+
+
+async def _all_live(reactor, seeds, arguments):
+    from pollenstile.soak.live import run_live  # noqa: WPS433
+
+    broken = []
+    for seed in seeds:
+        result = await run_live(
+            reactor, seed, arguments.seconds, arguments.hosts
+        )
+        print(_live_line(result), flush=True)
+        if result.broken:
+            broken.append(seed)
+            _print_broken(result)
+    print(f'{len(seeds)} live seeds, {len(broken)} broken')
+    return BAD_RESULT if broken else GOOD
+
+
+def _live_line(result):
+    ends = [f'{key} {result.outcomes[key]}' for key in sorted(result.outcomes)]
+    return (
+        f'seed {result.seed}: {len(result.faults)} faults; '
+        f'{", ".join(ends)}; {len(result.broken)} broken'
+    )
+
+
+def _print_broken(result):
+    for fault in result.faults:
+        print(f'  {fault.at:.3f} {fault.subject} {fault.text}')
+    for line in result.broken:
+        print(f'seed {result.seed} broken: {line}')
+
+
 def _line(result):
     tags = [f'{tag} {count}' for tag, count in sorted(result.outcomes.items())]
     return (
--- /dev/null
+++ b/pollenstile/soak/live/_balancer.py
@@ -0,0 +1,47 @@
+"""Asks hosts whether they are ready, as a balancer does."""
+
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.task import deferLater
+
+# Seconds between two questions to a host.
+_PERIOD = 0.25
+_READY = b'HTTP/1.1 200'
+
+
+class _Question(Protocol):
+    def connectionMade(self):
+        """Ask; called by twisted."""
+        self.answer = b''
+        self.transport.write(b'GET / HTTP/1.1\r\nHost: ready\r\n\r\n')
+
+    def dataReceived(self, data):
+        """Take the answer's head; called by twisted."""
+        self.answer += data
+        if len(self.answer) >= len(_READY):
+            self.factory.host.ready = self.answer.startswith(_READY)
+            self.transport.abortConnection()
+
+
+class _Asking(ClientFactory):
+    noisy = False
+    protocol = _Question
+
+    def __init__(self, host):
+        self.host = host
+
+    def clientConnectionFailed(self, connector, reason):
+        """Note that nobody answers; called by twisted."""
+        self.host.ready = False
+
+
+async def watch_ready(world):
+    """Ask all hosts until the run is over."""
+    while world.asking:
+        for host in world.hosts:
+            if host.ready_address is None:
+                host.ready = False
+                continue
+            world.reactor.connectTCP(
+                *host.ready_address, _Asking(host), timeout=1
+            )
+        await deferLater(world.reactor, _PERIOD)
--- /dev/null
+++ b/pollenstile/soak/live/_faults.py
@@ -0,0 +1,192 @@
+"""Faults of a live run, in series and overlapping."""
+
+from twisted.internet.task import deferLater
+
+from pollenstile.soak.live._records import Fault
+from pollenstile.soak.live._servers import ENGINES, PLAIN, STAGES
+
+# Seconds that a fault lasts, at least and at most.
+_SHORTEST = 0.2
+_LONGEST = 1.6
+# Share of the harmed links that lead to upstreams.
+_SERVER_LINKS = 0.4
+_SERVICES = (PLAIN, ENGINES, *STAGES)
+# Upstreams that work wrongly are mostly those that run requests: what they
+# run must be neither doubled nor denied.
+_HARMED = (PLAIN, PLAIN, ENGINES, ENGINES, *STAGES)
+_SERVER_FAULTS = ('hang', 'fail', 'lose', 'cut', 'slow')
+
+
+def _note(world, subject, text):
+    now = world.reactor.seconds()
+    world.records.faults.append(Fault(now, subject, text))
+
+
+async def _last(world):
+    seconds = world.rng.uniform(_SHORTEST, _LONGEST)
+    await deferLater(world.reactor, seconds)
+
+
+async def kill_host(world):
+    """Kill a process; it starts again."""
+    host = world.rng.choice(world.hosts)
+    _note(world, host.name, 'kill')
+    host.kill()
+
+
+async def stop_host(world):
+    """Tell a host to stop; it starts again. Planned: one at a time."""
+    if any(host.leaving or not host.ready for host in world.hosts):
+        return
+    host = world.rng.choice(world.hosts)
+    _note(world, host.name, 'stop')
+    host.stop()
+
+
+async def pause_host(world):
+    """Let a process stand still for a while."""
+    host = world.rng.choice(world.hosts)
+    if host.paused:
+        return
+    _note(world, host.name, 'pause')
+    host.pause()
+    await _last(world)
+    host.go_on()
+    _note(world, host.name, 'go on')
+
+
+def _link(world):
+    host = world.rng.choice(world.hosts)
+    name = world.rng.choice(('callers', 'peers', 'store'))
+    if world.rng.random() < _SERVER_LINKS:
+        server = world.rng.choice(list(world.servers.values()))
+        return server.proxy, server.ident
+    return getattr(host, name), host.name
+
+
+async def reset_link(world):
+    """Reset all connections of a link."""
+    link, name = _link(world)
+    _note(world, name, 'reset')
+    link.reset()
+
+
+async def silence_link(world):
+    """Let the connections of a link go silent for good."""
+    link, name = _link(world)
+    _note(world, name, 'silence')
+    link.silence()
+
+
+async def cut_link(world):
+    """Cut a link, one way or both, for a while."""
+    link, name = _link(world)
+    ways = world.rng.choice(
+        (('server',), ('caller',), ('server', 'caller')),
+    )
+    _note(world, name, f'cut {ways}')
+    link.hold(*ways)
+    await _last(world)
+    link.heal()
+    _note(world, name, 'heal')
+
+
+async def slow_link(world):
+    """Delay a link for a while."""
+    link, name = _link(world)
+    _note(world, name, 'slow')
+    link.slow(world.rng.uniform(0.02, 0.3))
+    await _last(world)
+    link.heal()
+    _note(world, name, 'heal')
+
+
+async def harm_server(world):
+    """Let an upstream work wrongly for a while."""
+    service = world.rng.choice(_HARMED)
+    server = world.rng.choice(world.servers_of(service))
+    fault = world.rng.choice(_SERVER_FAULTS)
+    _note(world, server.ident, fault)
+    server.fault = fault
+    await _last(world)
+    server.fault = ''
+    _note(world, server.ident, 'well')
+
+
+async def crash_server(world):
+    """End an upstream; another one comes."""
+    service = world.rng.choice(_SERVICES)
+    server = world.rng.choice(world.servers_of(service))
+    _note(world, server.ident, 'crash')
+    await world.crash_server(server)
+    await world.add_server(service)
+
+
+async def leave_server(world):
+    """Let an upstream leave, and go some seconds later."""
+    service = world.rng.choice(_SERVICES)
+    server = world.rng.choice(world.servers_of(service))
+    _note(world, server.ident, 'leave')
+    await world.add_server(service)
+    await world.leave_server(server)
+
+
+async def change_configuration(world):
+    """Write a new version."""
+    _note(world, 'configuration', 'configure')
+    await world.configure()
+
+
+async def revoke_key(world):
+    """Take a key away, all but the last."""
+    if len(world.keys) < 2:
+        return
+    key = world.rng.choice(world.keys)
+    _note(world, 'configuration', f'revoke {key}')
+    await world.revoke(key)
+
+
+async def harm_store(world):
+    """Let the store be down, slow or lose answers for a while."""
+    store = world.store
+    fault = world.rng.choice(('down', 'slow', 'lost'))
+    _note(world, 'store', fault)
+    if fault == 'down':
+        store.down = True
+    elif fault == 'slow':
+        store.latency = 0.2
+    else:
+        store.lose_answers = 5
+    await _last(world)
+    store.down = False
+    store.latency = 0.0
+    store.lose_answers = 0
+    _note(world, 'store', 'store well')
+
+
+async def compact_store(world):
+    """Let the store forget its history."""
+    _note(world, 'store', 'compact')
+    world.store.objects.compact()
+
+
+FAULTS = (
+    kill_host,
+    stop_host,
+    pause_host,
+    reset_link,
+    silence_link,
+    cut_link,
+    slow_link,
+    harm_server,
+    harm_server,
+    harm_server,
+    harm_server,
+    crash_server,
+    crash_server,
+    leave_server,
+    change_configuration,
+    revoke_key,
+    harm_store,
+    compact_store,
+)
--- /dev/null
+++ b/pollenstile/soak/live/_hosts.py
@@ -0,0 +1,197 @@
+"""Entry hosts of a live run: processes that signals strike."""
+
+import os
+import signal
+import sys
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ProcessProtocol
+
+from pollenstile.soak.live._proxy import LOOPBACK, Proxy
+
+COMMAND = (sys.executable, '-m', 'pollenstile.ops')
+# Seconds that a host has to finish after SIGTERM until it is killed.
+GRACE_SECONDS = 5.0
+REVOKE_SECONDS = 3.0
+_MORE = 1.0
+
+
+class LiveHost(ProcessProtocol):
+    """One entry host: a process, and proxies before its addresses.
+
+    Parameters
+    ==========
+
+    world : World
+        Reactor, records and store.
+    name : str
+        Of the host.
+    command : tuple of str
+        Runs the program; its flags follow.
+
+    Attributes
+    ==========
+
+    callers, peers, store : Proxy
+        Before the callers' and the peers' address, and towards the store.
+    ready : bool
+        Whether it said so when it was asked last.
+    ready_address : tuple or None
+        Where it is asked; None while it does not run.
+    paused, leaving, wanted : bool
+        Whether it stands still, was told to stop, is to run at all.
+    troubled_at : float
+        When a signal last struck it.
+    """
+
+    def __init__(self, world, name, command=COMMAND):
+        self.world = world
+        self.name = name
+        self.command = command
+        self.callers = Proxy(world.reactor)
+        self.peers = Proxy(world.reactor)
+        self.store = Proxy(world.reactor)
+        self.store.target = world.store_address
+        self.ready = False
+        self.ready_address = None
+        self.paused = False
+        self.leaving = False
+        self.wanted = True
+        self.troubled_at = -1000.0
+        self.rest = b''
+        self.ended = Deferred()
+        self.tail = []
+
+    def start(self):
+        """Start the process."""
+        flags = {
+            'host': self.name,
+            'domain': 'here',
+            'store': _shown(self.store.address),
+            'callers': _shown((LOOPBACK, 0)),
+            'ready': _shown((LOOPBACK, 0)),
+            'peers': _shown((LOOPBACK, 0)),
+            'peers-seen': _shown(self.peers.address),
+            'revoke-seconds': str(REVOKE_SECONDS),
+            'grace-seconds': str(GRACE_SECONDS),
+        }
+        words = [*self.command, 'forward']
+        for name, content in flags.items():
+            words.extend((f'--{name}', content))
+        self.ended = Deferred()
+        self.ready = False
+        self.paused = False
+        self.leaving = False
+        self.rest = b''
+        self.world.reactor.spawnProcess(
+            self, words[0], words, env=dict(os.environ)
+        )
+
+    def kill(self):
+        """End it at once."""
+        self._signal(signal.SIGKILL)
+
+    def pause(self):
+        """Let it stand still."""
+        self._signal(signal.SIGSTOP)
+        self.paused = True
+
+    def go_on(self):
+        """Let it go on."""
+        self._signal(signal.SIGCONT)
+        self.paused = False
+
+    def stop(self):
+        """Tell it to stop; it is killed when its grace time is over."""
+        if self.leaving or not self.is_running():
+            return
+        self.leaving = True
+        now = self.world.reactor.seconds()
+        self.world.records.terms.append((self.name, now))
+        self.transport.signalProcess(signal.SIGTERM)
+        pid = self.transport.pid
+        self.world.reactor.callLater(
+            GRACE_SECONDS + _MORE, self._kill_late, pid
+        )
+
+    def is_running(self):
+        """Return whether the process lives."""
+        return self.transport is not None and self.transport.pid is not None
+
+    def end_for_good(self):
+        """Kill it and start it no more; return a Deferred of its end."""
+        self.wanted = False
+        if self.is_running():
+            self.kill()
+            return self.ended
+        done = Deferred()
+        done.callback(None)
+        return done
+
+    def outReceived(self, data):
+        """Read its log; called by twisted."""
+        *lines, rest = (self.rest + data).split(b'\n')
+        self.rest = rest
+        for line in lines:
+            self._logged(line)
+
+    def errReceived(self, data):
+        """Keep what it says last; called by twisted."""
+        self.tail.append(data.decode(errors='replace'))
+
+    def processEnded(self, reason):
+        """Start it again; called by twisted."""
+        expected = self.leaving or reason.value.signal == signal.SIGKILL
+        if not expected:
+            last = ''.join(self.tail)[-600:]
+            self.world.records.broken.append(
+                f'ended by itself: {self.name}: {reason.value}: {last}'
+            )
+        self.ready_address = None
+        self.callers.target = None
+        self.peers.target = None
+        self.callers.reset()
+        self.peers.reset()
+        self.ended.callback(None)
+        if self.wanted:
+            self.world.reactor.callLater(0.2, self._start_again)
+
+    def _start_again(self):
+        if self.wanted:
+            self.start()
+
+    def _signal(self, number):
+        self.troubled_at = self.world.reactor.seconds()
+        if self.is_running():
+            self.transport.signalProcess(number)
+
+    def _kill_late(self, pid):
+        if self.is_running() and self.transport.pid == pid:
+            self.world.records.broken.append(f'not stopped: {self.name}')
+            self.kill()
+
+    def _logged(self, line):
+        try:
+            document = msgspec.json.decode(line)
+        except msgspec.DecodeError:
+            self.tail.append(line.decode(errors='replace'))
+            return
+        event = document.get('event')
+        if event == 'forward-started':
+            self.callers.target = _parsed(document['callers'])
+            self.ready_address = _parsed(document['ready'])
+        elif event == 'forward-joined':
+            self.peers.target = _parsed(document['peers'])
+        elif event in {'forward-crashed', 'peer-handler-failed'}:
+            self.world.records.broken.append(f'crashed: {document}')
+
+
+def _shown(address):
+    host, port = address
+    return f'{host}:{port}'
+
+
+def _parsed(text):
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/pollenstile/soak/live/_run.py
@@ -0,0 +1,137 @@
+"""One live run, from the first process to the last."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from pollenstile.soak.live._balancer import watch_ready
+from pollenstile.soak.live._callers import Caller
+from pollenstile.soak.live._checks import broken_promises
+from pollenstile.soak.live._faults import FAULTS
+from pollenstile.soak.live._hosts import COMMAND
+from pollenstile.soak.live._records import Fault
+from pollenstile.soak.live._world import World
+
+# Seconds in which hosts must be ready at first.
+_START_SECONDS = 20.0
+# Seconds between two faults, on average; they last up to four times as long.
+_FAULT_PAUSE = 0.35
+# Seconds after the last fault until all is in order again: the longest fault,
+# the grace time of a host that was told to stop, its start and links, and the
+# three seconds for which a host that lost its reader reads for itself.
+_SETTLE = 9.0
+# Seconds of requests without faults before and after a host is told to stop;
+# an upstream leaves at their beginning.
+_CALM = 3.0
+_CALLERS = 14
+_LOOK = 0.05
+
+
+@dataclass(slots=True, frozen=True)
+class LiveResult:
+    """What a run came to.
+
+    Parameters
+    ==========
+
+    seed : int
+        Decides the faults.
+    outcomes : dict
+        How many requests ended with each status; 0 is a lost connection.
+    faults : tuple of Fault
+        What was done.
+    broken : tuple of str
+        Promises that did not hold.
+    """
+
+    seed: int
+    outcomes: dict
+    faults: tuple
+    broken: tuple
+
+
+async def run_live(
+    reactor,
+    seed,
+    seconds=8.0,
+    hosts=4,
+    command=COMMAND,
+):
+    """Run hosts as processes under random faults; return a LiveResult.
+
+    Parameters
+    ==========
+
+    reactor : IReactorTCP, IReactorTime and IReactorProcess
+        Real.
+    seconds : float
+        For which faults go on.
+    command : tuple of str
+        Runs the program ``pollenstile``.
+    """
+    world = World(reactor, seed, hosts, command)
+    try:
+        await _played(world, seconds)
+    finally:
+        await world.close()
+    records = world.records
+    return LiveResult(
+        seed,
+        dict(Counter(one.status for one in records.asked)),
+        tuple(records.faults),
+        tuple(broken_promises(records)),
+    )
+
+
+async def _played(world, seconds):
+    reactor = world.reactor
+    await world.begin()
+    Deferred.fromCoroutine(watch_ready(world))
+    latest = reactor.seconds() + _START_SECONDS
+    while not all(host.ready for host in world.hosts):
+        if reactor.seconds() > latest:
+            world.records.broken.append('not ready in time')
+            return
+        await deferLater(reactor, _LOOK)
+    callers = [
+        Deferred.fromCoroutine(Caller(world, number).run())
+        for number in range(_CALLERS)
+    ]
+    await _harmed(world, seconds)
+    await deferLater(reactor, _SETTLE)
+    await _calm(world)
+    world.asking = False
+    for caller in callers:
+        await caller
+
+
+async def _harmed(world, seconds):
+    reactor = world.reactor
+    ends = reactor.seconds() + seconds
+    under_way = []
+    while reactor.seconds() < ends:
+        fault = world.rng.choice(FAULTS)
+        under_way.append(Deferred.fromCoroutine(fault(world)))
+        pause = world.rng.expovariate(1 / _FAULT_PAUSE)
+        await deferLater(reactor, pause)
+    for one in under_way:
+        await one
+
+
+async def _calm(world):
+    """Let an upstream leave and a key go while nothing is wrong."""
+    reactor = world.reactor
+    world.records.calm_from = reactor.seconds()
+    service = world.rng.choice(('lookup', 'engines'))
+    server = world.rng.choice(world.servers_of(service))
+    await world.add_server(service)
+    await world.leave_server(server)
+    if len(world.keys) > 1:
+        await world.revoke(world.keys[-1])
+    await deferLater(reactor, _CALM)
+    host = world.rng.choice(world.taking_hosts())
+    world.records.faults.append(Fault(reactor.seconds(), host.name, 'stop'))
+    host.stop()
+    await deferLater(reactor, _CALM)
--- /dev/null
+++ b/pollenstile/soak/live/_servers.py
@@ -0,0 +1,254 @@
+"""Upstreams of a live run: one server each, behind a proxy, with faults."""
+
+import msgspec
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+from pollenstile.forward import FREE_TARGET, RUN_TARGET, HeaderNames
+from pollenstile.soak.live._proxy import LOOPBACK, Proxy
+from pollenstile.soak.live._records import Ran
+
+NAMES = HeaderNames()
+PLAIN = 'lookup'
+ENGINES = 'engines'
+STAGES = ('encode', 'rerank')
+# Events of a stream, and seconds between them.
+EVENTS = 12
+_GAP = 0.04
+# Seconds that a lookup and a stage call take.
+_WORK = 0.08
+_SLOW_WORK = 0.6
+_MISDIRECTED = 421
+_CONFLICT = 409
+_FAILED = 500
+
+
+def plain_body(ident):
+    """Return the whole answer of a lookup."""
+    return f'answer of {ident};'.encode() * 9
+
+
+def event_of(ident, number):
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: {ident}/{number}\n\n'.encode()
+
+
+class Server:
+    """One incarnation of an upstream.
+
+    Parameters
+    ==========
+
+    world : World
+        Clock, random generator, records and results.
+    service, ident : str
+        What it is.
+
+    Attributes
+    ==========
+
+    fault : str
+        ``''``, ``'hang'``, ``'fail'``, ``'lose'`` (runs and loses the answer),
+        ``'cut'`` (breaks answers off) or ``'slow'``.
+    """
+
+    def __init__(self, world, service, ident):
+        self.world = world
+        self.service = service
+        self.ident = ident
+        self.fault = ''
+        self.proxy = Proxy(world.reactor)
+        site = Site(_RESOURCES.get(service, _Stage)(self))
+        site.log = _log_nothing
+        self.port = world.reactor.listenTCP(0, site, 512, LOOPBACK)
+        self.proxy.target = (LOOPBACK, self.port.getHost().port)
+
+    @property
+    def address(self):
+        """Where hosts reach it."""
+        host, port = self.proxy.address
+        return f'{host}:{port}'
+
+    def entry(self, *, leaving=False):
+        """Return what it writes of itself into the registry."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'domain': 'here',
+            'slots': 16,
+            'leaving': leaving,
+        }
+
+    def ran(self, ident, team=''):
+        """Note a run."""
+        now = self.world.reactor.seconds()
+        self.world.records.ran.append(Ran(ident, self.ident, now, team))
+
+    def work(self):
+        """Return seconds that a call takes."""
+        return _SLOW_WORK if self.fault == 'slow' else _WORK
+
+    def crash(self):
+        """End with all connections."""
+        self.proxy.target = None
+        self.proxy.reset()
+        return self.port.stopListening()
+
+
+class _Served(Resource):
+    """A resource that checks whom a request is meant for, and has faults."""
+
+    isLeaf = True
+
+    def __init__(self, server):
+        super().__init__()
+        self.server = server
+        self.clock = server.world.reactor
+
+    def render(self, request):
+        """Serve a request; called by twisted."""
+        attempt = request.getHeader(NAMES.attempt) or b''
+        expected = request.getHeader(NAMES.expect)
+        if expected is not None and expected.decode() != self.server.ident:
+            request.setHeader(NAMES.not_run, b'1')
+            request.setResponseCode(_MISDIRECTED)
+            return b''
+        if self.server.fault == 'hang':
+            self.note(request, attempt.decode())
+            return NOT_DONE_YET
+        if attempt:
+            request.setHeader(NAMES.attempt, attempt)
+            request.setHeader(NAMES.stamp, f'proof of {self.server.ident}')
+        return self.serve(request, attempt.decode())
+
+    def note(self, request, ident):
+        """Note a run, and whether its answer is lost."""
+        team = request.getHeader(NAMES.team) or b''
+        self.server.ran(ident, team.decode())
+        if self.server.fault != 'lose':
+            return False
+        self.clock.callLater(_WORK, _abort, request)
+        return True
+
+
+class _Plain(_Served):
+    """Lookups."""
+
+    def serve(self, request, ident):
+        """Run a lookup."""
+        if self.note(request, ident):
+            return NOT_DONE_YET
+        if self.server.fault == 'fail':
+            request.setResponseCode(_FAILED)
+            return b'failed'
+        self.clock.callLater(self.server.work(), self._answer, request, ident)
+        return NOT_DONE_YET
+
+    def _answer(self, request, ident):
+        body = plain_body(ident)
+        if _is_over(request):
+            return
+        if self.server.fault == 'cut':
+            request.setHeader(b'content-length', b'%d' % len(body))
+            request.write(body[: len(body) // 2])
+            self.clock.callLater(_WORK, _abort, request)
+            return
+        request.write(body)
+        request.finish()
+
+
+class _Engine(_Served):
+    """Streams."""
+
+    def serve(self, request, ident):
+        """Run a request, or go on with one."""
+        stated = request.getHeader(NAMES.results) or b''
+        handles = [one for one in stated.decode().split(',') if one]
+        results = self.server.world.results
+        if not handles or any(one not in results for one in handles):
+            request.setHeader(NAMES.not_run, b'1')
+            request.setResponseCode(_CONFLICT)
+            return b''
+        for handle in handles:
+            if results[handle] != ident:
+                self.server.world.records.broken.append(
+                    f'mixed: {ident} was given a result of {results[handle]}'
+                )
+        if self.note(request, ident):
+            return NOT_DONE_YET
+        last = request.getHeader(NAMES.last_event) or b'0'
+        request.setHeader(b'content-type', b'text/event-stream')
+        self._event(request, ident, int(last) + 1)
+        return NOT_DONE_YET
+
+    def _event(self, request, ident, number):
+        if _is_over(request):
+            return
+        if self.server.fault == 'cut' and number > EVENTS // 2:
+            request.write(event_of(ident, number)[:7])
+            self.clock.callLater(_WORK, _abort, request)
+            return
+        if number <= EVENTS:
+            request.write(event_of(ident, number))
+        if number >= EVENTS:
+            request.finish()
+            return
+        self.clock.callLater(_GAP, self._event, request, ident, number + 1)
+
+
+class _Stage(_Served):
+    """Pieces of requests."""
+
+    def serve(self, request, ident):
+        """Make a batch, or release results."""
+        content = request.content.read()
+        results = self.server.world.results
+        if request.path == FREE_TARGET:
+            for handle in msgspec.json.decode(content):
+                results.pop(handle, None)
+            return b''
+        assert request.path == RUN_TARGET
+        if self.server.fault == 'fail':
+            request.setResponseCode(_FAILED)
+            return b''
+        pieces = msgspec.json.decode(content)
+        self.clock.callLater(self.server.work(), self._made, request, pieces)
+        return NOT_DONE_YET
+
+    def _made(self, request, pieces):
+        made = [self._piece(piece) for piece in pieces]
+        if self.server.fault == 'lose':
+            _abort(request)
+            return
+        if _is_over(request):
+            return
+        request.write(msgspec.json.encode(made))
+        request.finish()
+
+    def _piece(self, piece):
+        world = self.server.world
+        if any(one not in world.results for one in piece['inputs']):
+            return ''
+        for one in piece['inputs']:
+            if world.results[one] != piece['request']:
+                world.records.broken.append(f'mixed piece: {piece}')
+        world.made += 1
+        handle = f'{self.server.address}/{world.made}'
+        world.results[handle] = piece['request']
+        return handle
+
+
+_RESOURCES = {PLAIN: _Plain, ENGINES: _Engine}
+
+
+def _is_over(request):
+    return request._disconnected or request.finished  # noqa: WPS437
+
+
+def _abort(request):
+    if not _is_over(request):
+        request.transport.abortConnection()
+
+
+def _log_nothing(request):
+    """Write no access log."""
--- /dev/null
+++ b/pollenstile/soak/live/_world.py
@@ -0,0 +1,210 @@
+"""A live run's store, upstreams, hosts and callers."""
+
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from pollenstile.platform import Written
+from pollenstile.soak.live._hosts import COMMAND, LiveHost
+from pollenstile.soak.live._proxy import LOOPBACK
+from pollenstile.soak.live._records import Records
+from pollenstile.soak.live._servers import ENGINES, PLAIN, STAGES, Server
+from pollenstile.standin.objectapi import MemoryStore, platform_site
+
+_COUNTS = ((PLAIN, 3), (ENGINES, 3), (STAGES[0], 2), (STAGES[1], 2))
+# Seconds between tries of a write.
+_RETRY = 0.1
+_KEYS = ('key-a', 'key-b', 'key-c')
+_CHAIN = [
+    {'service': STAGES[0], 'after': [], 'result_bytes': 100},
+    {'service': STAGES[1], 'after': [0], 'result_bytes': 100},
+]
+_STAGE = {
+    'batch': 8,
+    'call_seconds': 0.03,
+    'piece_seconds': 0.001,
+    'room_bytes': 1_000_000,
+}
+
+
+class World:
+    """Everything around the hosts.
+
+    Parameters
+    ==========
+
+    reactor : IReactorTCP, IReactorTime and IReactorProcess
+        Real.
+    seed : int
+        Decides the faults; what they meet is the machine's.
+    hosts : int
+        How many entry hosts.
+    command : tuple of str
+        Runs the program.
+
+    Attributes
+    ==========
+
+    results : dict
+        Requests by the handle of their stage results.
+    servers : dict
+        Upstreams that run, by incarnation.
+    asking : bool
+        Whether callers go on.
+    keys : list of str
+        In the newest configuration.
+    all_keys : tuple of str
+        That there ever were.
+    """
+
+    def __init__(self, reactor, seed, hosts, command=COMMAND):
+        self.reactor = reactor
+        self.seed = seed
+        self.rng = Random(seed)
+        self.records = Records()
+        self.results = {}
+        self.made = 0
+        self.started = 0
+        self.asking = True
+        self.version = 0
+        self.keys = list(_KEYS)
+        self.all_keys = _KEYS
+        self.store = MemoryStore(reactor)
+        self.store_port = reactor.listenTCP(
+            0, _quiet(platform_site(self.store)), 512, LOOPBACK
+        )
+        port = self.store_port.getHost().port
+        self.store_address = (LOOPBACK, port)
+        self.servers = {}
+        self.hosts = [
+            LiveHost(self, f'h{number}', command) for number in range(hosts)
+        ]
+
+    async def begin(self):
+        """Write the configuration, start upstreams and hosts."""
+        await self.configure()
+        for service, count in _COUNTS:
+            for _ in range(count):
+                await self.add_server(service)
+        for host in self.hosts:
+            host.start()
+
+    async def configure(self):
+        """Write a new version of the configuration."""
+        self.version += 1
+        await self._write('config', 'main', self._document())
+
+    async def add_server(self, service):
+        """Start an upstream."""
+        self.started += 1
+        server = Server(self, service, f'{service}-{self.started}')
+        self.servers[server.ident] = server
+        await self._write('upstreams', server.ident, server.entry())
+
+    async def leave_server(self, server):
+        """Let an upstream tell that it leaves."""
+        entry = server.entry(leaving=True)
+        await self._write('upstreams', server.ident, entry)
+        self.records.left_at[server.ident] = self.reactor.seconds()
+
+    async def crash_server(self, server):
+        """End an upstream at once; its entry lapses later."""
+        self.servers.pop(server.ident, None)
+        await server.crash()
+        self.reactor.callLater(1.0, self._lapse, server.ident)
+
+    async def revoke(self, key):
+        """Take a key away."""
+        self.keys.remove(key)
+        await self.configure()
+        self.records.revoked_at[key] = self.reactor.seconds()
+
+    def taking_hosts(self):
+        """Return hosts that callers connect to."""
+        taking = [
+            host
+            for host in self.hosts
+            if host.ready and not host.leaving and host.is_running()
+        ]
+        return taking or self.hosts
+
+    def servers_of(self, service):
+        """Return the upstreams of a service that run."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service
+        ]
+
+    async def close(self):
+        """End all processes and ports that the run started."""
+        self.asking = False
+        for host in self.hosts:
+            await host.end_for_good()
+            for proxy in (host.callers, host.peers, host.store):
+                await _closed(proxy.close())
+        for server in list(self.servers.values()):
+            await _closed(server.crash())
+            await _closed(server.proxy.close())
+        await _closed(self.store_port.stopListening())
+
+    async def _write(self, kind, name, value):
+        """Write until the store has said that it was done."""
+        while True:
+            outcome = await self.store.put(kind, name, value)
+            if isinstance(outcome, Written):
+                return
+            await deferLater(self.reactor, _RETRY)
+
+    def _lapse(self, ident):
+        Deferred.fromCoroutine(self.store.delete('upstreams', ident))
+
+    def _document(self):
+        routes = [
+            _route('find', 'idempotent', PLAIN, attempts=2),
+            _route('book', 'once', PLAIN),
+            _route('draft', 'stream', ENGINES, _CHAIN, 2, resumable=True),
+            _route('digest', 'stream', ENGINES, _CHAIN),
+        ]
+        return {
+            'version': self.version,
+            'routes': routes,
+            'services': [{'name': name, 'stage': _STAGE} for name in STAGES],
+            'teams': [
+                {'name': f'team of {key}', 'keys': [key]} for key in self.keys
+            ],
+        }
+
+
+def _route(name, kind, service, steps=(), attempts=1, *, resumable=False):
+    return {
+        'name': name,
+        'host': 'shop',
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeout': 5.0,
+        'aim': 1.0,
+        'targets': [{'service': service}],
+        'attempts': attempts,
+        'steps': list(steps),
+        'resumable': resumable,
+    }
+
+
+def _quiet(site):
+    site.log = _log_nothing
+    return site
+
+
+def _log_nothing(request):
+    """Write no access log."""
+
+
+def _closed(deferred):
+    done = Deferred()
+    if deferred is None:
+        done.callback(None)
+    else:
+        deferred.addBoth(done.callback)
+    return done
