--- a/tools/settings.py
+++ b/tools/settings.py
@@ -2,18 +2,28 @@
 
 import pathlib
 
-from pollenstile.ops.settings import ENTRY
+from pollenstile.ops.settings import ENTRY, FORWARD
 
 PAGE = pathlib.Path(__file__).resolve().parent.parent / 'docs' / 'OPERATIONS.md'
-BEGIN = '<!-- settings: written by make settings -->\n'
-END = '<!-- end of settings -->\n'
+TABLES = (
+    (
+        '<!-- settings: written by make settings -->\n',
+        '<!-- end of settings -->\n',
+        ENTRY,
+    ),
+    (
+        '<!-- forward settings: written by make settings -->\n',
+        '<!-- end of forward settings -->\n',
+        FORWARD,
+    ),
+)
 _HEAD = '| flag | variable | default | meaning |\n| --- | --- | --- | --- |\n'
 
 
-def settings_table():
-    """Return the table of the daemon's settings."""
+def settings_table(table):
+    """Return the table of a daemon's settings."""
     lines = []
-    for setting in ENTRY:
+    for setting in table:
         default = setting.default
         shown = 'required' if default is None else default or 'none'
         lines.append(
@@ -26,9 +36,12 @@
 
 def page_text():
     """Return the page with the table of this version."""
-    head, _, tail = PAGE.read_text().partition(BEGIN)
-    _, _, rest = tail.partition(END)
-    return f'{head}{BEGIN}{settings_table()}{END}{rest}'
+    text = PAGE.read_text()
+    for begin, end, table in TABLES:
+        head, _, tail = text.partition(begin)
+        _, _, rest = tail.partition(end)
+        text = f'{head}{begin}{settings_table(table)}{end}{rest}'
+    return text
 
 
 if __name__ == '__main__':
