forward, routes: state that nothing read is gone

Ruled out: keeping the connections' limit by count; each request has a connection of its own, closed at its end.

--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -37,8 +37,6 @@
         Handles of stage results, for model engines.
     prompt : bytes
         Parts of the prompt, ``ID:TOKENS`` by commas.
-    tokens : bytes
-        Tokens of the prompt and at most of the answer.
     last_event : bytes
         Event after which a stream goes on.
     urgency : bytes
@@ -58,7 +56,6 @@
     stage_key: bytes = b'x-piece-key'
     results: bytes = b'x-results'
     prompt: bytes = b'x-prompt'
-    tokens: bytes = b'x-tokens'
     last_event: bytes = b'last-event-id'
     urgency: bytes = b'x-urgency'
     reserved: frozenset = frozenset()
@@ -110,7 +107,6 @@
     counts: tuple = ()
     stage_key: str = ''
     prompt: tuple = ()
-    answer_tokens: int = 0
     last_event: str = ''
     service: str = ''
     handles: tuple = field(default_factory=tuple)
--- a/pollenstile/routes/_model.py
+++ b/pollenstile/routes/_model.py
@@ -95,14 +95,11 @@
         For services that make pieces of stages.
     engine : EngineLimits or None
         For services of model engines.
-    most_connections : int
-        Connections that one upstream takes from all hosts together.
     """
 
     name: str
     stage: StageLimits | None = None
     engine: EngineLimits | None = None
-    most_connections: int = 0
 
 
 @dataclass(slots=True, frozen=True)
