--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -72,9 +72,12 @@
         Runs the program ``pollenstile``.
     """
     world = World(reactor, seed, hosts, command)
+    # A soak that is itself told to stop leaves no hosts behind.
+    trigger = reactor.addSystemEventTrigger('before', 'shutdown', world.kill)
     try:
         await _played(world, seconds)
     finally:
+        reactor.removeSystemEventTrigger(trigger)
         await world.close()
     records = world.records
     return LiveResult(
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -137,6 +137,11 @@
             if server.service == service
         ]
 
+    def kill(self):
+        """End the processes that the run started, at once."""
+        for host in self.hosts:
+            host.end_for_good()
+
     async def close(self):
         """End all processes and ports that the run started."""
         self.asking = False
