bench stages: hosts with real hubs, and owners that die

Cause: the bench had one queue a stage without hosts, so neither the way between hosts, nor old news of backlogs, nor the death of an owner was in its figures.

Change: `--hosts 9,65,340` plays the load over hosts with real hubs, stage clients and queues over virtual connections; beside the calm run, one in which the owners of the first and the last stage lose power.

--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -122,7 +122,7 @@
         self.upstreams = {}
         self.queues = {}
         for name, limits in services.items():
-            members = _workers(name, count)
+            members = stage_workers(name, count)
             for member in members:
                 self.upstreams[member.address] = StageUpstream(
                     self.clock,
@@ -325,7 +325,8 @@
     return Random(seed)
 
 
-def _workers(name, count):
+def stage_workers(name, count):
+    """Return a service's workers, spread over the failure domains."""
     return [
         Worker(
             f'{name}-{place}',
--- a/pollenstile/bench/stages.py
+++ b/pollenstile/bench/stages.py
@@ -11,6 +11,7 @@
 import json
 from operator import itemgetter
 
+from pollenstile.bench._stagehosts import HostFleet
 from pollenstile.bench._stageworld import (
     StageFleet,
     seeded,
@@ -44,6 +45,10 @@
 # Seconds after the last arrival until all has ended.
 _TAIL = 16.0
 _HOSTS = 9
+# Requests are spread over hosts by a number below this.
+_MOST_HOSTS = 360
+# Seconds between two hosts, one way.
+_WAY = 0.0015
 
 
 def played(load, seconds=30.0, seed=1, owners=1):
@@ -74,6 +79,32 @@
     return requests
 
 
+def played_by_hosts(load, hosts, seconds=20.0, seed=1, *, owners_die=False):
+    """Play a load over hosts with real hubs; return its requests.
+
+    Parameters
+    ==========
+
+    owners_die : bool
+        Whether the hosts that own the first and the last stage lose power, at
+        a quarter and at a half of the time; their own requests end with them.
+    """
+    rng = seeded(seed)
+    fleet = HostFleet(SERVICES, hosts, _WAY)
+    if owners_die:
+        fleet.lose_owner(_INTAKE, seconds / 4)
+        fleet.lose_owner(_BILLS, seconds / 2)
+    start = fleet.clock.seconds()
+    requests = [
+        _started(fleet, rng, number, start + moment, route, deadline)
+        for number, (moment, route, deadline) in enumerate(
+            _arrivals(rng, load, seconds)
+        )
+    ]
+    fleet.advance(_TAIL)
+    return requests
+
+
 def _arrivals(rng, load, seconds):
     """Return moment, route and deadline of each request, in order."""
     arrivals = [
@@ -88,7 +119,7 @@
     fleet.advance(moment - fleet.clock.seconds())
     return start_request(
         fleet,
-        fleet.client(rng.randrange(_HOSTS)),
+        fleet.client(rng.randrange(_MOST_HOSTS)),
         route,
         _counts(rng, route),
         f'r{number}',
@@ -122,11 +153,18 @@
     parser.add_argument('--loads', default='1,1.5,2,2.5,4')
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--hosts',
+        default='',
+        help='play these numbers of hosts with real hubs, such as 9,65,340',
+    )
     parser.set_defaults(run=run)
 
 
 def run(arguments):
     """Print figures by load, for one queue a stage and for hosts alone."""
+    if arguments.hosts:
+        return _run_hosts(arguments)
     rows = {}
     for load in arguments.loads.split(','):
         args = (float(load), arguments.seconds, arguments.seed)
@@ -138,6 +176,19 @@
     return 0
 
 
+def _run_hosts(arguments):
+    rows = {}
+    for load in arguments.loads.split(','):
+        for hosts in arguments.hosts.split(','):
+            args = (float(load), int(hosts), arguments.seconds, arguments.seed)
+            rows[f'load {load}, {hosts} hosts'] = {
+                'calm': summed(played_by_hosts(*args)),
+                'owners_die': summed(played_by_hosts(*args, owners_die=True)),
+            }
+    print(json.dumps(rows, indent=2))
+    return 0
+
+
 def _moments(rng, rate, seconds):
     moment = rng.expovariate(rate)
     while moment < seconds:
