stagework: a worker that rests does not keep its siblings idle

A dead upstream stayed in the registry; its worker rested 4 s between tries. The timer for the end of that rest was the one that gathers what comes at an instant, so while it ran nothing was drawn: calls went out once in 4 s, to all workers at once (log: 36 pieces waiting, three workers idle), and callers were refused for a queue that stood still: 60 of 127 calm requests.

Ruled out: the repeat budget (none was spent), the admission (right, for the queue that it saw), the soak: its upstream's entry stayed because its one try to remove it met a store that was down; it tries on now, as heartbeats that stop do.

Change: the end of a rest has a timer of its own. The soak keeps the hosts' logs with `--logs`, and says why calm requests were refused.

--- a/features/stagework_heavy.feature
+++ b/features/stagework_heavy.feature
@@ -58,3 +58,17 @@
     Given a first stage group due in -1.0 seconds that would wait 0.4
     Then it is taken with urgency 2
     But it is not taken while a later stage is crowded
+
+  Scenario: A worker that failed does not keep its siblings idle
+    One of two upstreams is gone and rests for seconds between tries. Pieces
+    wait while the other works; when it falls free, nothing was drawn until the
+    rest was over, and callers were refused for a queue that stood still.
+    Given a stage queue over workers in "a,a"
+    And its first stage worker rests for 4 seconds
+    When stage groups "x" of 8 pieces and 10 bytes come
+    And stage groups "y" of 8 pieces and 10 bytes come
+    And stage call 0 is answered
+    Then stage call 1 holds pieces of "y"
+    When stage call 1 is answered
+    And stage groups "z" of 1 pieces and 10 bytes come
+    Then stage call 2 holds pieces of "z"
--- a/features/steps/stagework_heavy_steps.py
+++ b/features/steps/stagework_heavy_steps.py
@@ -206,3 +206,14 @@
 def then_blocked(context):
     one = group(due=context.due, later_crowded=True)
     assert not admitted(one, context.wait, 0)
+
+
+@given('its first stage worker rests for {seconds:d} seconds')
+def given_resting(context, seconds):
+    worker = next(iter(context.queue.owner.workers.values()))
+    worker.rest_until = context.queue.clock.seconds() + seconds
+
+
+@then('stage call {place:d} holds pieces of "{request}"')
+def then_call_holds(context, place, request):
+    assert set(context.queue.requests(place)) == {request}
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -1,8 +1,10 @@
 """``pollenstile soak``: randomised runs with invariants."""
 
 import argparse
+import pathlib
 import sys
 import time
+from contextlib import nullcontext
 
 from pollenstile.ops.clock import run_steadily
 from pollenstile.ops.exits import BAD_RESULT, GOOD
@@ -46,6 +48,11 @@
         default=8.0,
         help='with --live: for which faults go on [8]',
     )
+    parser.add_argument(
+        '--logs',
+        type=pathlib.Path,
+        help="with --live: a folder for each seed's log of all hosts",
+    )
     parser.add_argument(
         '--hosts',
         type=_positive,
@@ -106,9 +113,14 @@
 
     broken = []
     for seed in seeds:
-        result = await run_live(
-            reactor, seed, arguments.seconds, arguments.hosts
-        )
+        with _log_file(arguments.logs, seed) as logs:
+            result = await run_live(
+                reactor,
+                seed,
+                arguments.seconds,
+                arguments.hosts,
+                logs=logs,
+            )
         print(_live_line(result), flush=True)
         if result.broken:
             broken.append(seed)
@@ -117,6 +129,13 @@
     return BAD_RESULT if broken else GOOD
 
 
+def _log_file(folder, seed):
+    if folder is None:
+        return nullcontext()
+    folder.mkdir(parents=True, exist_ok=True)
+    return (folder / f'seed-{seed}.log').open('wb')
+
+
 def _live_line(result):
     ends = [f'{key} {result.outcomes[key]}' for key in sorted(result.outcomes)]
     return (
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -139,5 +139,10 @@
     ]
     served = [one for one in calm if one.status == _OK and one.whole]
     if not calm or len(served) < _CALM_SHARE * len(calm):
-        ends = Counter((one.kind, one.host, one.status) for one in calm)
+        ends = Counter(
+            (one.kind, one.host, one.status, one.body[:40].decode('latin-1'))
+            if one.status != _OK
+            else one.kind
+            for one in calm
+        )
         yield f'calm: {len(served)} of {len(calm)} requests served: {ends}'
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -172,6 +172,7 @@
             self.kill()
 
     def _logged(self, line):
+        self.world.keep(line)
         try:
             document = msgspec.json.decode(line)
         except msgspec.DecodeError:
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -58,6 +58,7 @@
     seconds=8.0,
     hosts=4,
     command=COMMAND,
+    logs=None,
 ):
     """Run hosts as processes under random faults; return a LiveResult.
 
@@ -70,8 +71,10 @@
         For which faults go on.
     command : tuple of str
         Runs the program ``pollenstile``.
+    logs : file or None
+        Takes the hosts' log lines, as bytes.
     """
-    world = World(reactor, seed, hosts, command)
+    world = World(reactor, seed, hosts, command, logs)
     # A soak that is itself told to stop leaves no hosts behind.
     trigger = reactor.addSystemEventTrigger('before', 'shutdown', world.kill)
     try:
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -42,6 +42,8 @@
         How many entry hosts.
     command : tuple of str
         Runs the program.
+    logs : file or None
+        Takes the hosts' log lines, as bytes.
 
     Attributes
     ==========
@@ -58,9 +60,10 @@
         That there ever were.
     """
 
-    def __init__(self, reactor, seed, hosts, command=COMMAND):
+    def __init__(self, reactor, seed, hosts, command=COMMAND, logs=None):
         self.reactor = reactor
         self.seed = seed
+        self.logs = logs
         self.rng = Random(seed)
         self.records = Records()
         self.results = {}
@@ -137,6 +140,11 @@
             if server.service == service
         ]
 
+    def keep(self, line):
+        """Keep a line of a host's log."""
+        if self.logs is not None:
+            self.logs.writelines((line, b'\n'))
+
     def kill(self):
         """End the processes that the run started, at once."""
         for host in self.hosts:
@@ -163,7 +171,15 @@
             await deferLater(self.reactor, _RETRY)
 
     def _lapse(self, ident):
-        Deferred.fromCoroutine(self.store.delete('upstreams', ident))
+        Deferred.fromCoroutine(self._lapsed(ident))
+
+    async def _lapsed(self, ident):
+        """Let an entry lapse, as heartbeats that no longer come do."""
+        while True:
+            outcome = await self.store.delete('upstreams', ident)
+            if isinstance(outcome, Written):
+                return
+            await deferLater(self.reactor, _RETRY)
 
     def _document(self):
         routes = [
--- a/pollenstile/stagework/_drawing.py
+++ b/pollenstile/stagework/_drawing.py
@@ -29,11 +29,12 @@
         Whose queue it is.
     """
 
-    __slots__ = ('owner', 'timer')
+    __slots__ = ('owner', 'rest_timer', 'timer')
 
     def __init__(self, owner):
         self.owner = owner
         self.timer = None
+        self.rest_timer = None
 
     def soon(self):
         """Let free workers draw, with what else comes at this instant."""
@@ -58,11 +59,25 @@
         self._draw_rested(workers, now)
 
     def _draw_rested(self, workers, now):
-        """Draw again when the next worker has rested."""
+        """Draw again when the next worker has rested.
+
+        Explanation
+        ===========
+
+        On a timer of its own: while it shared the one that gathers, nothing
+        was drawn until a failed worker's rest was over, up to 4 s, though its
+        siblings were free.
+        """
         rests = [one.rest_until - now for one in workers]
         rests = [rest for rest in rests if rest > 0]
-        if rests and self.owner.waiting and self.timer is None:
-            self.timer = self.owner.clock.callLater(min(rests), self._draw)
+        if rests and self.owner.waiting and self.rest_timer is None:
+            self.rest_timer = self.owner.clock.callLater(
+                min(rests), self._rested
+            )
+
+    def _rested(self):
+        self.rest_timer = None
+        self.soon()
 
     def _start_call(self, worker, others, now):
         limits = self.owner.limits
