--- a/tools/stats.py
+++ b/tools/stats.py
@@ -5,10 +5,10 @@
 
 A code line is one that holds a token other than a comment or a docstring;
 docstrings are counted apart. Feature files count their lines that are neither
-blank nor comments. Tests are all of ``features``; the specification, which is
-no test of the code, is shown apart. Exits with 1 when tests are more than a
-third of all, or when the code that decides under load and failure is less than
-a quarter of the package.
+blank nor comments. Tests are all of ``features``, and have no bound; the
+specification, which is no test of the code, is shown apart. Exits with 1 when
+the soak is more than a tenth of all, or when the code that decides under load
+and failure is less than a quarter of the package.
 """
 
 import ast
@@ -29,8 +29,13 @@
     'placement',
     'peer',
     'pipeline',
+    'forward',
+    'relay',
+    'routes',
+    'stagework',
 )
-_MOST_TESTS = 1 / 3
+_SOAK = 'pollenstile.soak'
+_MOST_SOAK = 1 / 10
 _LEAST_CORE = 1 / 4
 _SILENT = frozenset(
     (
@@ -114,9 +119,9 @@
 
 
 def shares(code):
-    """Return the shares of features, of the specification and of the core.
+    """Return the shares of features, specification, soak and core.
 
-    The first two are of all code lines, the last is of the package's.
+    The first three are of all code lines, the last is of the package's.
     """
     total = sum(code.values())
     package = 0
@@ -127,23 +132,25 @@
         package += lines
         if group.rpartition('.')[2] in CORE:
             core += lines
-    return code['features'] / total, code['spec'] / total, core / package
+    parts = [code[group] / total for group in ('features', 'spec', _SOAK)]
+    return *parts, core / package
 
 
 def main():
     """Print the table and the shares; return the exit code."""
     code, docstrings = counted()
     _print_table(code, docstrings)
-    features, spec, core = shares(code)
+    features, spec, soak, core = shares(code)
     print(
-        f'tests: {features:.1%} of all code lines, at most {_MOST_TESTS:.1%}; '
+        f'tests: {features:.1%} of all code lines; '
         f'with the specification ({spec:.1%}): {features + spec:.1%}',
     )
+    print(f'soak: {soak:.1%} of all code lines, at most {_MOST_SOAK:.0%}')
     print(
         f'{", ".join(CORE)}: {core:.1%} of the package, '
         f'at least {_LEAST_CORE:.1%}',
     )
-    return 1 if features > _MOST_TESTS or core < _LEAST_CORE else 0
+    return 1 if soak > _MOST_SOAK or core < _LEAST_CORE else 0
 
 
 if __name__ == '__main__':
