--- a/features/soak_live.feature
+++ b/features/soak_live.feature
@@ -7,10 +7,10 @@
     refused request ran, nothing ran twice that may run once.
     When live hosts are harmed for 5 seconds by seed 1
     Then no promise of the live hosts was broken
-    And the live hosts served requests and 8 faults or more struck
+    And the live hosts served 50 requests or more, and 8 faults or more struck
 
   Scenario: A guard that is taken out is noticed
-    A host says of requests that ran that they have not, so callers send them
-    again, and a minute log lands twice.
-    When live hosts without the guard "truth" are harmed for 8 seconds
-    Then a promise of the live hosts was broken: "and ran"
+    Hosts keep the first configuration for good. A key that the operator took
+    away goes on working, on every host.
+    When live hosts without the guard "configuration" are harmed
+    Then it was noticed: "ran with a key"
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -20,7 +20,7 @@
 # Seconds that callers wait, stated in the request.
 DEADLINES = {'find': 2.0, 'book': 2.0, 'draft': 4.0, 'digest': 4.0}
 # Seconds beyond the deadline after which a caller gives its connection up.
-_MARGIN = 1.5
+_MARGIN = 4.0
 # Seconds between a caller's requests, on average.
 _PAUSE = 0.06
 # Share of the requests that carry any key there ever was.
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -11,12 +11,14 @@
 _PROMISES = frozenset((408, 421, 429, 503))
 _ONCE = frozenset(('book', 'digest'))
 # Seconds beyond the deadline within which a host in order gives its answer:
-# the machine is shared by a dozen processes.
-_SLACK = 1.0
+# the machine is shared by a dozen processes, and may be busy with others.
+_SLACK = 3.0
 # Seconds from a fault until its host counts as in order again.
 _SETTLED = 3.0
 # Seconds after an upstream's leaving within which nothing new reaches it.
 _LEFT_SECONDS = 2.0
+_LEFT_MARGIN = 1.0
+# Seconds of a request's way to its host, in which its key may have ended.
 _MARGIN = 0.3
 # Share of the last, calm requests that must be answered.
 _CALM_SHARE = 0.9
@@ -121,7 +123,7 @@
         left = records.left_at.get(one.upstream)
         if left is None or left < records.calm_from:
             continue
-        if one.at > left + _LEFT_SECONDS + _MARGIN:
+        if one.at > left + _LEFT_SECONDS + _LEFT_MARGIN:
             late = one.at - left
             yield f'reached {one.upstream} {late:.2f} s after it left'
 
