relay: a fault in taking a word ends neither the asks nor the reads

An exception in taking a reader's word ended the loop that asks, while the host went on counting as a follower: it would have read nothing any more, let its proof grow old and refused all keys until its next start.

Change: the fault is logged with its reason, as any word that can't be used, and the host reads for itself before it follows again.

Ruled out: a guard around the whole loop, which would ask again without a pause.

Figures: the scenario fails before and passes after.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -84,6 +84,17 @@
     And 6 seconds of relaying pass
     Then "t" know the upstreams "a"
 
+  Scenario: A word that a part of the host can't bear
+    A fault of the program in taking one word must not end the following: the
+    host would read nothing any more, and refuse all keys for good.
+    Given the hosts "r,s,t,u" of one domain
+    When a part of "t" fails at its next word
+    And 1.0 seconds of relaying pass
+    Then "t" reads for itself
+    When 6 seconds of relaying pass
+    Then "t,u" follow "r"
+    And the keys of "t" are trusted
+
   Scenario: A word that is no word
     Given the hosts "r,s,t,u" of one domain
     When "t" gets bytes in place of a word
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,5 +1,7 @@
 """Steps of hosts that share a reader of the store."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 from twisted.internet.defer import succeed
 
@@ -125,6 +127,20 @@
     asked.ask = ask
 
 
+@when('a part of "{name}" fails at its next word')
+def when_part_fails(context, name):
+    configuration = context.fleet.hosts[name].configuration
+
+    def fail_once(word, began):
+        context.fleet.hosts[name].follower.configuration = configuration
+        raise KeyError(word.source)
+
+    context.fleet.hosts[name].follower.configuration = SimpleNamespace(
+        told=fail_once,
+        revision=configuration.revision,
+    )
+
+
 @when('"{name}" gets bytes in place of a word')
 def when_bytes(context, name):
     asked = context.fleet.hosts[name].follower
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -133,7 +133,12 @@
         )
         asked = Asked(self.source, self.configuration.revision, cursors, _HOLD)
         answer = await self.ask(host, ASK, asked_bytes(asked), _HOLD + _LATE)
-        reason = self._took(host, answer, began)
+        try:
+            reason = self._took(host, answer, began)
+        except Exception as error:
+            # A fault here must not end the asks: the host would count as
+            # following for good, read nothing itself, and refuse all keys.
+            reason = repr(error)
         if reason:
             self.direct_until = self.clock.seconds() + _DIRECT_SECONDS
             self._read_directly(reason)
