soak, stagework: what nothing read is gone, and one loop serves both writes

The live soak kept when links and hosts were harmed and when hosts were stopped, which no check reads (they read the faults), repeated a loop for writes and for entries that lapse, silenced access logs twice, and parsed addresses beside the settings' parser. The owner of a queue worked the wait for a refusal out for each group, though only a refusal tells it.

Change: as named; one docstring said that an upstream goes, and it works on. Behaviour is the same: the wait is of the same instant and queue as before.

--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -123,7 +123,7 @@
 
 
 async def leave_server(world):
-    """Let an upstream leave, and go some seconds later."""
+    """Let an upstream tell that it leaves; it works on."""
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
     _note(world, server.ident, 'leave')
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ProcessProtocol
 
+from pollenstile.ops.settings import address
 from pollenstile.soak.live._proxy import LOOPBACK, Proxy
 
 COMMAND = (sys.executable, '-m', 'pollenstile.ops')
@@ -41,8 +42,6 @@
         Where it is asked; None while it does not run.
     paused, leaving, wanted : bool
         Whether it stands still, was told to stop, is to run at all.
-    troubled_at : float
-        When a signal last struck it.
     """
 
     def __init__(self, world, name, command=COMMAND):
@@ -58,7 +57,6 @@
         self.paused = False
         self.leaving = False
         self.wanted = True
-        self.troubled_at = -1000.0
         self.rest = b''
         self.ended = Deferred()
         self.tail = []
@@ -107,8 +105,6 @@
         if self.leaving or not self.is_running():
             return
         self.leaving = True
-        now = self.world.reactor.seconds()
-        self.world.records.terms.append((self.name, now))
         self.transport.signalProcess(signal.SIGTERM)
         pid = self.transport.pid
         self.world.reactor.callLater(
@@ -162,7 +158,6 @@
             self.start()
 
     def _signal(self, number):
-        self.troubled_at = self.world.reactor.seconds()
         if self.is_running():
             self.transport.signalProcess(number)
 
@@ -180,10 +175,10 @@
             return
         event = document.get('event')
         if event == 'forward-started':
-            self.callers.target = _parsed(document['callers'])
-            self.ready_address = _parsed(document['ready'])
+            self.callers.target = address(document['callers'])
+            self.ready_address = address(document['ready'])
         elif event == 'forward-joined':
-            self.peers.target = _parsed(document['peers'])
+            self.peers.target = address(document['peers'])
         elif event in {'forward-crashed', 'peer-handler-failed'}:
             self.world.records.broken.append(f'crashed: {document}')
 
@@ -191,8 +186,3 @@
 def _shown(address):
     host, port = address
     return f'{host}:{port}'
-
-
-def _parsed(text):
-    host, _, port = text.rpartition(':')
-    return host, int(port)
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -160,8 +160,6 @@
         Seconds for which bytes are held, each way.
     cut : set of str
         Directions, ``'server'`` and ``'caller'``, in which nothing passes.
-    troubled_at : float
-        When a fault of this link last began or ended.
     """
 
     noisy = False
@@ -172,7 +170,6 @@
         self.delay = 0.0
         self.cut = set()
         self.pairs = set()
-        self.troubled_at = -1000.0
         self.port = reactor.listenTCP(0, self, 512, LOOPBACK)
         self.address = (LOOPBACK, self.port.getHost().port)
 
@@ -191,38 +188,29 @@
 
     def reset(self):
         """Reset all connections."""
-        self.trouble()
         for pair in list(self.pairs):
             pair.close(reset=True)
 
     def silence(self):
         """Let all connections there are go silent for good."""
-        self.trouble()
         for pair in list(self.pairs):
             pair.silent = True
 
     def hold(self, *directions):
         """Let nothing pass in some directions until healed."""
-        self.trouble()
         self.cut.update(directions)
 
     def slow(self, seconds):
         """Delay bytes from now on."""
-        self.trouble()
         self.delay = seconds
 
     def heal(self):
         """End delay and cut; connections that went silent stay so."""
-        self.trouble()
         self.delay = 0.0
         self.cut.clear()
         for pair in list(self.pairs):
             pair.heal()
 
-    def trouble(self):
-        """Note that the link is harmed."""
-        self.troubled_at = self.reactor.seconds()
-
     def close(self):
         """End all; return a Deferred."""
         for pair in list(self.pairs):
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -90,8 +90,6 @@
         When the store took an upstream's word that it leaves.
     revoked_at : dict
         When the store took a configuration without a key.
-    terms : list of tuple
-        Host, and when it was told to stop.
     faults : list of Fault
         What was done, in order.
     calm_from : float
@@ -104,7 +102,6 @@
     ran: list = field(default_factory=list)
     left_at: dict = field(default_factory=dict)
     revoked_at: dict = field(default_factory=dict)
-    terms: list = field(default_factory=list)
     faults: list = field(default_factory=list)
     broken: list = field(default_factory=list)
     calm_from: float = 0.0
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -58,8 +58,7 @@
         self.ident = ident
         self.fault = ''
         self.proxy = Proxy(world.reactor)
-        site = Site(_RESOURCES.get(service, _Stage)(self))
-        site.log = _log_nothing
+        site = quiet(Site(_RESOURCES.get(service, _Stage)(self)))
         self.port = world.reactor.listenTCP(0, site, 512, LOOPBACK)
         self.proxy.target = (LOOPBACK, self.port.getHost().port)
 
@@ -250,5 +249,11 @@
         request.transport.abortConnection()
 
 
+def quiet(site):
+    """Return a site that writes no access log."""
+    site.log = _log_nothing
+    return site
+
+
 def _log_nothing(request):
     """Write no access log."""
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -1,5 +1,6 @@
 """A live run's store, upstreams, hosts and callers."""
 
+from functools import partial
 from random import Random
 
 from twisted.internet.defer import Deferred
@@ -9,7 +10,13 @@
 from pollenstile.soak.live._hosts import COMMAND, LiveHost
 from pollenstile.soak.live._proxy import LOOPBACK
 from pollenstile.soak.live._records import Records
-from pollenstile.soak.live._servers import ENGINES, PLAIN, STAGES, Server
+from pollenstile.soak.live._servers import (
+    ENGINES,
+    PLAIN,
+    STAGES,
+    Server,
+    quiet,
+)
 from pollenstile.standin.objectapi import MemoryStore, platform_site
 
 _COUNTS = ((PLAIN, 3), (ENGINES, 3), (STAGES[0], 2), (STAGES[1], 2))
@@ -75,7 +82,7 @@
         self.all_keys = _KEYS
         self.store = MemoryStore(reactor)
         self.store_port = reactor.listenTCP(
-            0, _quiet(platform_site(self.store)), 512, LOOPBACK
+            0, quiet(platform_site(self.store)), 512, LOOPBACK
         )
         port = self.store_port.getHost().port
         self.store_address = (LOOPBACK, port)
@@ -163,22 +170,16 @@
         await _closed(self.store_port.stopListening())
 
     async def _write(self, kind, name, value):
-        """Write until the store has said that it was done."""
-        while True:
-            outcome = await self.store.put(kind, name, value)
-            if isinstance(outcome, Written):
-                return
-            await deferLater(self.reactor, _RETRY)
+        await self._until_written(partial(self.store.put, kind, name, value))
 
     def _lapse(self, ident):
-        Deferred.fromCoroutine(self._lapsed(ident))
-
-    async def _lapsed(self, ident):
         """Let an entry lapse, as heartbeats that no longer come do."""
-        while True:
-            outcome = await self.store.delete('upstreams', ident)
-            if isinstance(outcome, Written):
-                return
+        delete = partial(self.store.delete, 'upstreams', ident)
+        Deferred.fromCoroutine(self._until_written(delete))
+
+    async def _until_written(self, call):
+        """Repeat a call until the store has said that it was done."""
+        while not isinstance(await call(), Written):
             await deferLater(self.reactor, _RETRY)
 
     def _document(self):
@@ -213,15 +214,6 @@
     }
 
 
-def _quiet(site):
-    site.log = _log_nothing
-    return site
-
-
-def _log_nothing(request):
-    """Write no access log."""
-
-
 def _closed(deferred):
     done = Deferred()
     if deferred is None:
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -146,8 +146,8 @@
         if self.limits is None or not self.workers:
             waiter.callback(GroupRefused(NO_WORKERS))
             return waiter
-        wait = self.wait(group.count)
         if not self.admission.takes(group):
+            wait = self.wait(group.count)
             waiter.callback(GroupRefused('busy', wait, wait))
             return waiter
         job = Job(group, self.clock.seconds())
