forward, platform: incarnations by birth, and entries of other writers left out

Cause: an upstream may start again under its identifier, and its entry then says when it was born. Its failures, load and held results of before were taken for the new one's. And a page of the store was decoded as one: a row of another writer made it no page at all, and any state but the one that leaves counted as ready.

Change: identifier and birth name an incarnation; views and stage workers are new with it, a late word of the last one is ignored, and what found the last one gone leaves the new one. Limits of model engines, which nothing read, are gone.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -219,7 +219,7 @@
             # a caller would get what another asked for.
             return Lost('foreign answer', ident)
         if head.code == _MISDIRECTED:
-            self.core.registry.drop(ident)
+            self.core.registry.drop(ident, self.view.born)
             return NotRun('another incarnation', ident)
         if _text(head, names.not_run):
             gone = head.code == _CONFLICT
--- a/pollenstile/forward/_choose.py
+++ b/pollenstile/forward/_choose.py
@@ -33,6 +33,8 @@
 @dataclass(slots=True)
 class EngineView:
     """What this host knows of one upstream.
+    born : int
+        Of its incarnation; see :class:`~pollenstile.forward.Upstream`.
 
     Attributes
     ==========
@@ -51,6 +53,7 @@
         Not used before, while there are others.
     """
 
+    born: int = 0
     ident: str
     address: str
     domain: str
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -331,6 +331,13 @@
         upstream = None
         if change.value is not None:
             upstream = self.adapter.decode_upstream(change.name, change.value)
+            if upstream is None:
+                self.log(
+                    events.UPSTREAM_UNREADABLE,
+                    level='warning',
+                    peer=change.name,
+                    version=change.version,
+                )
         self.parts.core.registry.take(change.name, upstream)
 
     def _registry_known(self, running):
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -21,11 +21,14 @@
     ==========
 
     ident : str
-        New with each start.
+        As it names itself; one that starts again may keep it.
     slots : int
         Requests that it works on at a time.
     leaving : bool
         Takes no new work.
+    born : int
+        Unix milliseconds of its start; 0 where upstreams don't tell. With the
+        identifier it names the incarnation.
     """
 
     ident: str
@@ -34,6 +37,7 @@
     domain: str
     slots: int = 1
     leaving: bool = False
+    born: int = 0
 
 
 class Registry:
@@ -111,11 +115,21 @@
         if not answered:
             self.store_failed_at = self.clock.seconds()
 
-    def drop(self, ident):
-        """Forget an incarnation that is gone, or whose address has another."""
+    def drop(self, ident, born=None):
+        """Forget an incarnation that is gone, or whose address has another.
+
+        Parameters
+        ==========
+
+        born : int or None
+            Of the incarnation that was found gone. One that has started since
+            under the same identifier stays.
+        """
+        upstream = self.upstreams.get(ident)
+        if born is not None and upstream and upstream.born != born:
+            return
         self.lapsed.pop(ident, None)
-        upstream = self.upstreams.pop(ident, None)
-        if upstream is None:
+        if self.upstreams.pop(ident, None) is None:
             return
         self.views.pop(ident, None)
         self.log(
@@ -138,19 +152,28 @@
         before = self.upstreams.get(upstream.ident)
         if before == upstream:
             return
+        if before is not None and upstream.born < before.born:
+            # What the incarnation before said, and a slow write or read has
+            # brought late.
+            return
         self.upstreams[upstream.ident] = upstream
-        if before is None:
+        if before is None or before.born != upstream.born:
+            # An upstream that started again under its identifier knows nothing
+            # of before. With the load, failures and requests under way of its
+            # last incarnation it was taken for full or sick.
             self.views[upstream.ident] = EngineView(
                 upstream.ident,
                 upstream.address,
                 upstream.domain,
                 upstream.slots,
+                upstream.born,
             )
         self.log(
             events.UPSTREAM_CHANGED,
             peer=upstream.ident,
             service=upstream.service,
             address=upstream.address,
+            born=upstream.born,
             state='leaving' if upstream.leaving else 'ready',
         )
         self._index()
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -69,7 +69,7 @@
             return CallLost(response.reason, worker.ident, arrived=True)
         if response.headers.hasHeader(self.names.not_run) or status == 421:
             if status == 421 and self.on_misdirected is not None:
-                self.on_misdirected(worker.ident)
+                self.on_misdirected(worker.ident, worker.born)
             return CallLost(f'status {status}', worker.ident, arrived=False)
         results = None
         if status == _OK:
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -61,6 +61,12 @@
     'upstream-changed',
     'An upstream came, leaves or is gone.',
 )
+UPSTREAM_UNREADABLE = define(
+    1222,
+    'upstream-unreadable',
+    'An entry of the registry names no upstream; the others hold.',
+    'Find who else writes there; the line names the entry.',
+)
 FORWARD_CRASHED = define(
     1214,
     'forward-crashed',
--- a/pollenstile/platform/events.py
+++ b/pollenstile/platform/events.py
@@ -42,6 +42,12 @@
     'A list or a watch showed an older state than one before; ignored.',
     'When it stays, the object API was set back; restart the hosts.',
 )
+OBJECT_UNREADABLE = define(
+    7009,
+    'object-unreadable',
+    'An object of the store has another shape; it is left out.',
+    'Find who else writes objects of that kind.',
+)
 WATCH_CALLBACK_FAILED = define(
     7008,
     'watch-callback-failed',
--- a/pollenstile/routes/__init__.py
+++ b/pollenstile/routes/__init__.py
@@ -9,7 +9,6 @@
 
 from pollenstile.routes._document import routes_by_host, table_of
 from pollenstile.routes._model import (
-    EngineLimits,
     Kind,
     Limits,
     Route,
--- a/pollenstile/routes/_model.py
+++ b/pollenstile/routes/_model.py
@@ -57,6 +57,8 @@
         Memory for results that were not released.
     hold_seconds : float
         A result that nobody releases is dropped after this time.
+    link_rate : float
+        Bytes a second of its link.
     """
 
     slots: int = 1
@@ -65,23 +67,7 @@
     piece_seconds: float = 0.01
     room_bytes: int = 0
     hold_seconds: float = 4.0
-
-
-@dataclass(slots=True, frozen=True)
-class EngineLimits:
-    """What one model engine takes.
-
-    Parameters
-    ==========
-
-    slots : int
-        Requests in its batch.
-    memory_tokens : int
-        Tokens of running requests and cached prompts together.
-    """
-
-    slots: int = 1
-    memory_tokens: int = 0
+    link_rate: float = 1.25e9
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,13 +79,10 @@
 
     stage : StageLimits or None
         For services that make pieces of stages.
-    engine : EngineLimits or None
-        For services of model engines.
     """
 
     name: str
     stage: StageLimits | None = None
-    engine: EngineLimits | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -110,16 +110,21 @@
         limits : StageLimits
             Of one upstream.
         upstreams : list
-            With ``ident``, ``address`` and ``domain``; those that take work.
+            With ``ident``, ``address``, ``domain`` and ``born``; those that
+            take work.
         """
         self.limits = limits
-        known = {one.ident for one in upstreams}
-        gone = [ident for ident in self.workers if ident not in known]
-        for ident in gone:
-            self.workers.pop(ident)
+        known = {(one.ident, one.born) for one in upstreams}
+        gone = [
+            worker
+            for worker in self.workers.values()
+            if (worker.ident, worker.born) not in known
+        ]
+        for worker in gone:
+            self.workers.pop(worker.ident)
         for one in upstreams:
             if one.ident not in self.workers:
-                worker = Worker(one.ident, one.address, one.domain)
+                worker = Worker(one.ident, one.address, one.domain, one.born)
                 self.workers[one.ident] = worker
         self.drawing.soon()
 
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -166,6 +166,9 @@
     Attributes
     ==========
 
+    born : int
+        Of its incarnation: one that starts again under its identifier holds
+        no results.
     held : dict
         Bytes of results that were not released, and when they lapse.
     flying_bytes, flying : int
@@ -189,6 +192,7 @@
     ident: str
     address: str
     domain: str = ''
+    born: int = 0
     held: dict = field(default_factory=dict)
     flying_bytes: int = 0
     flying: int = 0
