estimates, stagework, forward: margins as shares of a call, first tokens learned, results released when fetched

Cause: a further customer's calls take 150 ms and its aims are 0.1 to 2.2 s; the seconds and rates in the decisions were those of calls of 240 ms and aims of 1.7 to 2.3 s.

Change: margins of a queue are shares of its own full call (0.44 s on the sites where the seconds came from, so these keep theirs); less urgent groups are judged by a wait that grows by 0.3 a step, not by 0.4 s; first tokens are a line over own tokens, learned from each answer with forgetting, outliers cut to three times; results are released when the fetch is over by the links' rate, and after results that were gone twice as late.

--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -259,9 +259,16 @@
     ]
 
 
+# Seconds a token of an engine that reads 55,000 a second, half of it beside
+# other requests.
+_TOKEN_SECONDS = 2 / 55000
+
+
 def _chosen(context, subject):
     prompt = (('head', 500), (subject, 4800), ('own', 600))
-    return chosen_engine(context.views, 0, 'd', Random(1), prompt)
+    return chosen_engine(
+        context.views, 0, 'd', Random(1), prompt, _TOKEN_SECONDS
+    )
 
 
 @then('{count:d} requests about one subject go to one engine')
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -15,7 +15,6 @@
 
 from pollenstile.routes import Kind, Route, StageLimits, StageStep
 from pollenstile.stagework import (
-    LONG_WAIT,
     CallLost,
     Chain,
     ChainFailed,
@@ -23,6 +22,8 @@
     Owner,
     Worker,
     crowded_seconds,
+    full_seconds,
+    long_wait,
     plan_of,
     usual_seconds,
 )
@@ -214,7 +215,12 @@
 
     def is_long(self, service):
         """Return whether a queue has no place for what is late."""
-        return self._owner(service).wait() > LONG_WAIT
+        limits = self.fleet.services[service]
+        return self._owner(service).wait() > long_wait(limits)
+
+    def full_seconds(self, service):
+        """Return the time of a full call."""
+        return full_seconds(self.fleet.services[service])
 
     def domain_of(self, handles):
         """Return the domain of the first result."""
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
+from pollenstile.forward._choose import own_tokens
 from pollenstile.forward._learning import (
     learn_failure,
     learn_load,
@@ -57,6 +58,38 @@
             self.timer.cancel()
 
 
+class Reading:
+    """When the stage results of a request may be released.
+
+    Parameters
+    ==========
+
+    release : function
+        Releases them; may be called again.
+    fetched_in : float or None
+        Seconds after the send at which the upstream has fetched them; None
+        when that is known by its first token only: one whose batch is full
+        fetches them when the request's turn comes.
+    """
+
+    __slots__ = ('fetched_in', 'release', 'timer')
+
+    def __init__(self, release, fetched_in=None):
+        self.release = release
+        self.fetched_in = fetched_in
+        self.timer = None
+
+    def begin(self, clock):
+        """Count from the send."""
+        if self.fetched_in is not None:
+            self.timer = clock.callLater(self.fetched_in, self.release)
+
+    def stop(self):
+        """Release nothing any more: the attempt is over."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
 class Delivered:
     """The answer went to the caller whole."""
 
@@ -96,8 +129,8 @@
         Where it goes.
     answer : Answer
         The caller's side.
-    on_read : function
-        Called when the upstream has read its inputs.
+    reading : Reading
+        When the upstream has read its inputs.
 
     Attributes
     ==========
@@ -119,18 +152,18 @@
         'first_at',
         'heard',
         'held',
-        'on_read',
+        'reading',
         'splitter',
         'started',
         'view',
     )
 
-    def __init__(self, core, exchange, view, answer, on_read):
+    def __init__(self, core, exchange, view, answer, reading):
         self.core = core
         self.exchange = exchange
         self.view = view
         self.answer = answer
-        self.on_read = on_read
+        self.reading = reading
         self.splitter = EventSplitter()
         self.held = []
         self.heard = False
@@ -166,6 +199,7 @@
                 self.call.cancel()
             raise
         finally:
+            self.reading.stop()
             self.view.flying -= 1
             self.view.flying_tokens -= tokens
         self._learn(outcome)
@@ -180,6 +214,7 @@
             self._headers(last_event),
             exchange.body,
         )
+        self.reading.begin(self.core.clock)
         head = await self._within(self.call.head, patience)
         self.arrived = self.call.sent
         if isinstance(head, (NotRun, Lost)):
@@ -267,8 +302,7 @@
             if not self.heard:
                 self.heard = True
                 self.first_at = self.core.clock.seconds()
-                self.on_read()
-                learn_success(self.view, self.first_at - self.started)
+                self._learn_first()
             events = self.splitter.whole(data)
             if not events:
                 return
@@ -340,9 +374,21 @@
             headers.append((names.urgency, b'%d' % rank))
         return headers
 
+    def _learn_first(self):
+        self.reading.release()
+        took = self.first_at - self.started
+        learn_success(self.view, took)
+        exchange = self.exchange
+        if exchange.prompt and not self.splitter.last:
+            tokens = own_tokens(exchange.prompt)
+            self.core.first_tokens.learn(exchange.service, tokens, took)
+        if exchange.handles:
+            self.core.fetching.note_read(exchange.service)
+
     def _learn(self, outcome):
         now = self.core.clock.seconds()
         if outcome is GONE:
+            self.core.fetching.note_gone(self.exchange.service)
             return
         if isinstance(outcome, NotRun):
             learn_unreached(self.view, now)
--- a/pollenstile/forward/_choose.py
+++ b/pollenstile/forward/_choose.py
@@ -7,17 +7,9 @@
 # Seconds by which one request in an engine's batch delays another one: each
 # adds 0.1 ms to a step of 3 ms, and an answer has about 300 steps.
 _CROWD_SECONDS = 0.02
-# Tokens of a prompt that an engine reads in a second.
-_PREFILL_RATE = 55000.0
-# Seconds to the first token of an empty prompt, and how much longer than on an
-# idle engine the own part of a prompt takes to read beside other requests
-# (measured: 6,600 tokens take 0.2 s at the median and 0.6 s at the 90th
-# percentile, where an idle engine takes 0.12 s).
-_FIRST_SECONDS = 0.1
-_CROWDED_READING = 2.0
 # Times its own reading time that a shared part costs at another engine than
 # its home: it is paid for, and delays the answers of all that run there.
-_REREAD_FACTOR = 6.0
+_REREAD_FACTOR = 3.0
 # Seconds that a request waits for each one that waits at the engine.
 _QUEUE_SECONDS = 0.3
 # Seconds for another failure domain: two more trips, and what crosses is paid.
@@ -153,17 +145,16 @@
     return min(views, key=cost)
 
 
-def first_token_seconds(prompt):
-    """Return what a model engine usually takes to its first token.
+def own_tokens(prompt):
+    """Return the tokens that no other request shares.
 
     Examples
     ========
 
-    >>> first_token_seconds((('unit', 4000), ('own', 5500)))
-    0.30000000000000004
+    >>> own_tokens((('unit', 4000), ('own', 5500)))
+    5500
     """
-    own = prompt[-1][1] if prompt else 0
-    return _FIRST_SECONDS + _CROWDED_READING * own / _PREFILL_RATE
+    return prompt[-1][1] if prompt else 0
 
 
 def home_engine(views, subject):
@@ -182,7 +173,7 @@
     return max(views, key=weight)
 
 
-def chosen_engine(views, now, domain, rng, prompt, near=()):
+def chosen_engine(views, now, domain, rng, prompt, token_seconds):
     """Return the model engine whose first token comes soonest, or None.
 
     Explanation
@@ -197,25 +188,23 @@
 
     prompt : tuple
         Identifier and tokens of each part, in order.
-    near : tuple of str
-        Domains in which the request's stage results lie.
+    token_seconds : float
+        By which one more token to read delays an answer.
     """
     if not views:
         return None
     subject = subject_of(prompt)
     home = home_engine(views, subject)
     shared = prompt[-2][1] if subject else 0
-    own = prompt[-1][1] if prompt else 0
+    own = own_tokens(prompt)
 
     def cost(view):
-        seconds = (own + view.flying_tokens) / _PREFILL_RATE
+        seconds = (own + view.flying_tokens) * token_seconds
         if subject and view is not home:
-            seconds += _REREAD_FACTOR * shared / _PREFILL_RATE
+            seconds += _REREAD_FACTOR * shared * token_seconds
         seconds += _crowd_seconds(view, now) + view.failures
         if view.domain != domain:
             seconds += _FAR_SECONDS
-        if near and view.domain not in near:
-            seconds += _FAR_SECONDS
         return seconds, rng.random()
 
     return min(views, key=cost)
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from pollenstile.estimates import Fetching, FirstTokens
 from pollenstile.forward._patience import Patience
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
@@ -34,6 +35,10 @@
         Of the headers that the system reads and sets.
     patience : Patience
         Tells callers that come back from new ones.
+    first_tokens : FirstTokens
+        How long model engines take to answer.
+    fetching : Fetching
+        How long they take to fetch stage results.
     """
 
     clock: object
@@ -47,3 +52,5 @@
     names: HeaderNames = field(default_factory=HeaderNames)
     log: object = silent_log
     patience: Patience = field(default_factory=Patience)
+    first_tokens: FirstTokens = field(default_factory=FirstTokens)
+    fetching: Fetching = field(default_factory=Fetching)
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -3,12 +3,19 @@
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from pollenstile.forward import events
-from pollenstile.forward._attempt import GONE, Attempt, Delivered, Failing
+from pollenstile.forward._attempt import (
+    GONE,
+    Attempt,
+    Delivered,
+    Failing,
+    Reading,
+)
 from pollenstile.forward._choose import (
     chosen_engine,
     chosen_plain,
-    first_token_seconds,
     home_engine,
+    load_of,
+    own_tokens,
     subject_of,
     usable,
 )
@@ -167,7 +174,7 @@
         plan = plan_of(
             exchange,
             min(exchange.aim, exchange.ends)
-            - first_token_seconds(exchange.prompt),
+            - self._first_token_seconds(),
             self.core.stages.seconds,
             self._home_domain(),
         )
@@ -180,6 +187,13 @@
         self.staged_at = self.core.clock.seconds()
         return True
 
+    def _first_token_seconds(self):
+        exchange = self.exchange
+        return self.core.first_tokens.seconds(
+            exchange.service,
+            own_tokens(exchange.prompt),
+        )
+
     def _home_domain(self):
         """Return the domain of the engine that should read the results."""
         exchange = self.exchange
@@ -223,13 +237,13 @@
                 core.domain,
                 core.rng,
                 exchange.prompt,
+                core.first_tokens.token_seconds(exchange.service),
             )
         return chosen_plain(views, now, core.domain, core.rng)
 
     async def _attempted(self, view):
         self.tried.append(view.ident)
         self.sends += 1
-        release = self.chain.release if self.chain else _nothing
         last_event = self.exchange.last_event
         if self.attempt is not None and self.attempt.splitter.last:
             last_event = self.attempt.splitter.last.decode('latin-1')
@@ -238,7 +252,7 @@
             self.exchange,
             view,
             self.answer,
-            release,
+            self._reading(view),
         )
         if last_event:
             self.attempt.splitter.last = last_event.encode('latin-1')
@@ -250,6 +264,17 @@
             self.runs += 1
         return outcome
 
+    def _reading(self, view):
+        """Return when the results may be released that an engine reads."""
+        if self.chain is None:
+            return Reading(_nothing)
+        fetched_in = None
+        if load_of(view, self.core.clock.seconds()) < view.slots:
+            size, rate = self.chain.fetch_size()
+            service = self.exchange.service
+            fetched_in = self.core.fetching.seconds(service, size, rate)
+        return Reading(self.chain.release, fetched_in)
+
     def _log_send(self, view):
         self.core.log(
             events.FORWARDED,
--- a/pollenstile/stagework/__init__.py
+++ b/pollenstile/stagework/__init__.py
@@ -5,12 +5,13 @@
 from pollenstile.stagework._codec import answer_bytes, answer_from
 from pollenstile.stagework._codec import group_bytes, group_from
 from pollenstile.stagework._decisions import (
-    LONG_WAIT,
     admitted,
     ahead_of,
     batch_for,
     eligible,
     expected_wait,
+    full_seconds,
+    long_wait,
     may_start,
     ranked,
     spare_bytes,
--- a/pollenstile/stagework/_admission.py
+++ b/pollenstile/stagework/_admission.py
@@ -4,8 +4,8 @@
 from pollenstile.stagework._decisions import (
     admitted,
     ahead_of,
-    call_seconds,
     expected_wait,
+    full_seconds,
     is_tight,
 )
 
@@ -43,11 +43,11 @@
         """Return whether a group may wait; log it when it may not."""
         owner = self.owner
         now = owner.clock.seconds()
-        work = call_seconds(owner.limits, owner.limits.batch)
-        ahead = ahead_of(group, owner.waiting, now, work)
+        full = full_seconds(owner.limits)
+        ahead = ahead_of(group, owner.waiting, now, full)
         wait = self._wait_behind(ahead + group.count)
         share = owner.pace.share(group.urgency)
-        taken = admitted(group, wait, now, share)
+        taken = admitted(group, wait, now, full, share)
         if group.is_first:
             owner.pace.note_taken(group.urgency, taken=taken)
         if not taken:
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -70,6 +70,23 @@
             for handle in self.held.get(number, ('', ()))[1]
         )
 
+    def fetch_size(self):
+        """Return bytes of the results that are held, and the slowest link.
+
+        Returns
+        =======
+
+        tuple of int and float
+            Bytes, and bytes a second of one maker.
+        """
+        size = 0
+        rates = []
+        for number, (_, handles) in self.held.items():
+            step = self.plan.steps[number]
+            size += step.result_bytes * len(handles)
+            rates.append(self.client.link_rate(step.service))
+        return size, min(rates, default=1.0)
+
     def withdraw(self):
         """Give up: nothing more is made, and all results are released."""
         for number, asked in list(self.asked.items()):
@@ -106,7 +123,13 @@
         if any(counts[one] and one not in self.done for one in step.after):
             return False
         done = self.done
-        return not waits_for_others(self.plan, number, done, self._seconds)
+        return not waits_for_others(
+            self.plan,
+            number,
+            done,
+            self._seconds,
+            self.client.full_seconds(step.service),
+        )
 
     def _seconds(self, number):
         service = self.plan.steps[number].service
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -7,6 +7,7 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import BadMessageError, Unanswered
+from pollenstile.routes import StageLimits
 from pollenstile.stagework import events
 from pollenstile.stagework._codec import (
     answer_from,
@@ -15,7 +16,7 @@
     release_bytes,
 )
 from pollenstile.stagework._owner import NO_WORKERS
-from pollenstile.stagework._decisions import LONG_WAIT
+from pollenstile.stagework._decisions import full_seconds, long_wait
 from pollenstile.stagework._ownership import Ownership
 from pollenstile.stagework._plan import crowded_seconds, usual_seconds
 from pollenstile.stagework._types import GroupRefused
@@ -31,6 +32,7 @@
 WORD_SECONDS = 2.0
 # Seconds for which word of a backlog says something.
 _WAIT_SECONDS = 2.0
+_NO_LIMITS = StageLimits()
 
 
 @dataclass(slots=True, frozen=True)
@@ -141,8 +143,20 @@
 
     def is_long(self, service):
         """Return whether a service's queue has no place for what is late."""
+        limits = self.limits.get(service)
         backlog = self._backlog(service)
-        return backlog is not None and backlog.wait > LONG_WAIT
+        if limits is None or backlog is None:
+            return False
+        return backlog.wait > long_wait(limits)
+
+    def link_rate(self, service):
+        """Return bytes a second of the link of a service's upstreams."""
+        return self.limits.get(service, _NO_LIMITS).link_rate
+
+    def full_seconds(self, service):
+        """Return the time of a full call of a service; 0 when not known."""
+        limits = self.limits.get(service)
+        return full_seconds(limits) if limits else 0
 
     def _backlog(self, service):
         """Return what an owner told lately, or None."""
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -13,31 +13,35 @@
 # within its aim is worth five to ten times as much as a late one.
 _LATE = 1
 _IN_TIME = 0
-# Seconds that a step of urgency is worth in the order of those in time. It
+# Calls that a step of urgency is worth in the order of those in time. It
 # decides between groups that are due about together, and nothing else, so
 # that the least urgent still move when calls are short of time.
-_URGENCY_SECONDS = 0.4
+_URGENCY_CALLS = 0.9
 # Results without a size: as many as a call holds.
 _ANY_NUMBER = 1000
-# Seconds to spare with which a piece waits for a worker near its inputs.
-_NEAR_MARGIN = 0.45
+# Calls to spare with which a piece waits for a worker near its inputs.
+_NEAR_CALLS = 0.6
 # A worker this much slower than its siblings only takes what they can't.
 _SLOW = 1.8
-# Seconds past its due time up to which a group is taken, for the most urgent,
-# and how much sooner each further step of urgency is refused. The estimate
-# ends with a whole call, of which a piece waits half on average.
-_LATENESS = 0.25
-_SOONER = 0.4
+# Calls past its due time up to which a group is taken. The estimate ends with
+# a whole call, of which a piece waits half on average.
+_LATE_CALLS = 0.55
+# Share by which each step of urgency lengthens a wait: while a group waits,
+# others come that are more urgent and go before it, at the rate that made the
+# wait. A fixed time in its place, 0.4 s a step, refused on a calm day a tenth
+# of what had an aim of 1 s, 266 ms of wait and 214 ms to spare.
+_PUSHED_BACK = 0.3
 # Share of the room of all workers that is planned with, from which a stage is
 # short of it: calls then go out with less than they could hold.
 _TIGHT_SHARE = 0.6
-# Seconds that a queue takes which is not crowded: two calls, half of another.
-# What is late goes last, so it is in the way only by lengthening calls.
-_IDLE_WAIT = 1.2
-# Seconds of a later step's queue from which it takes nothing that is late. At
-# 0.6 s, a call and a half, 5% of a heavy day's requests were refused that would
-# have been answered late, and no more were in time.
-LONG_WAIT = 0.8
+# Calls that a queue takes which is not crowded: two, and what waits for one
+# under way. What is late goes last, so it is in the way only by lengthening
+# calls.
+_IDLE_CALLS = 2.7
+# Calls of a later step's queue from which it takes nothing that is late. At a
+# call and a half, 5% of a heavy day's requests were refused that would have
+# been answered late, and no more were in time.
+_LONG_CALLS = 1.8
 # Share of the groups of one urgency that is taken whatever the load, if they
 # can be in time at all: no kind of request is to be starved by another.
 _LEAST_SHARE = 0.35
@@ -88,7 +92,7 @@
 def _rank(group, now, work):
     if now + work > group.due:
         return _LATE, group.urgency, group.due, group.ident
-    bias = _URGENCY_SECONDS * group.urgency
+    bias = _URGENCY_CALLS * work * group.urgency
     return _IN_TIME, 0, group.due + bias, group.ident
 
 
@@ -115,7 +119,7 @@
         group = piece.group
         wait = frees_in.get(group.near)
         is_near = group.near in {'', domain} or wait is None
-        if is_near or now + wait + work + _NEAR_MARGIN > group.due:
+        if is_near or now + wait + work * (1 + _NEAR_CALLS) > group.due:
             found.append(piece)
     return found
 
@@ -236,6 +240,31 @@
     return limits.call_seconds + count * limits.piece_seconds
 
 
+def full_seconds(limits):
+    """Return the time of a call that holds all it can.
+
+    Explanation
+    ===========
+
+    The unit of all margins of a queue: with seconds that suit calls of 0.44 s,
+    a service whose calls take 0.28 s refused what it could have served.
+
+    Examples
+    ========
+
+    >>> from pollenstile.routes import StageLimits
+    >>> from pollenstile.stagework import full_seconds
+    >>> round(full_seconds(StageLimits(1, 8, 0.24, 0.025)), 2)
+    0.44
+    """
+    return call_seconds(limits, limits.batch)
+
+
+def long_wait(limits):
+    """Return the wait from which a queue takes nothing that is late."""
+    return _LONG_CALLS * full_seconds(limits)
+
+
 def may_start(worker, workers, limits, waiting, now):
     """Return whether a worker takes a call now.
 
@@ -283,7 +312,7 @@
     if not sound:
         return limits.call_seconds * 4
     rounds = ahead / (limits.batch * len(sound))
-    full = call_seconds(limits, limits.batch)
+    full = full_seconds(limits)
     frees = sorted(max(0, one.busy_until - now) for one in sound)
     last = call_seconds(limits, min(limits.batch, max(1, ahead)))
     least = frees[0] + int(rounds) * full + last
@@ -293,7 +322,7 @@
     return max(least, (flying + ahead) / rate)
 
 
-def admitted(group, wait, now, share=1.0):
+def admitted(group, wait, now, full, share=1.0):
     """Return whether a group's pieces may wait.
 
     Explanation
@@ -309,6 +338,8 @@
 
     wait : float
         Seconds until its last piece would be made.
+    full : float
+        Seconds of a full call.
     share : float
         Of the latest groups of its urgency, those that were taken.
     """
@@ -318,7 +349,7 @@
         # Late whatever happens: taken only where it is in nobody's way. An
         # idle first step says nothing of those after it: in a burst that
         # crowded the second one, all that was late for it was let in here.
-        idle = wait <= _IDLE_WAIT and not group.later_crowded
+        idle = wait <= _IDLE_CALLS * full and not group.later_crowded
         return idle and now + wait <= group.ends
-    sooner = _SOONER * group.urgency if share > _LEAST_SHARE else 0
-    return now + wait <= group.due + _LATENESS - sooner
+    pushed = _PUSHED_BACK * group.urgency if share > _LEAST_SHARE else 0
+    return now + wait * (1 + pushed) <= group.due + _LATE_CALLS * full
--- a/pollenstile/stagework/_drawing.py
+++ b/pollenstile/stagework/_drawing.py
@@ -6,6 +6,7 @@
     call_seconds,
     eligible,
     frees_by_domain,
+    full_seconds,
     may_start,
     ranked,
     spare_bytes,
@@ -14,9 +15,9 @@
 
 # Seconds that pieces of one instant are gathered before a call is made.
 _GATHER = 0.002
-# Seconds for which a worker that had no room gets nothing more: about half of
+# Calls for which a worker that had no room gets nothing more: about half of
 # what a result is held before it is read.
-_FULL_SECONDS = 0.25
+_NO_ROOM_CALLS = 0.55
 
 
 class Drawing:
@@ -122,7 +123,8 @@
         """
         now = self.owner.clock.seconds()
         free = max(0, worker.free_bytes(self.owner.limits, now))
-        worker.foreign = (free, now + _FULL_SECONDS)
+        pause = _NO_ROOM_CALLS * full_seconds(self.owner.limits)
+        worker.foreign = (free, now + pause)
         self.owner.log(
             events.STAGE_ROOM,
             service=self.owner.service,
@@ -133,4 +135,4 @@
             results=len(worker.held),
             room=self.owner.limits.room_bytes,
         )
-        self.owner.clock.callLater(_FULL_SECONDS, self.soon)
+        self.owner.clock.callLater(pause, self.soon)
--- a/pollenstile/stagework/_flight.py
+++ b/pollenstile/stagework/_flight.py
@@ -1,14 +1,14 @@
 """One call of a batch, from its start to its end."""
 
 from pollenstile.stagework import events
-from pollenstile.stagework._decisions import call_seconds
+from pollenstile.stagework._decisions import call_seconds, full_seconds
 from pollenstile.stagework._types import CallLost
 
-# A call of over this many times its expected time, and a margin in seconds,
+# A call of over this many times its expected time, and a margin in full calls,
 # counts as slow: its pieces are tried elsewhere as well. Twice is what a
 # sound upstream needs when its queue holds one call of another owner.
 _SLOW_FACTOR = 2.0
-_SLOW_MARGIN = 0.25
+_SLOW_CALLS = 0.55
 # Times the usual time of an upstream's own calls after which one is slow.
 _OWN_SLOW_FACTOR = 1.5
 # A call of this many times its expected time is given up.
@@ -87,7 +87,7 @@
             _SLOW_FACTOR, worker.speed * _OWN_SLOW_FACTOR
         )
         self.slow_timer = self.owner.clock.callLater(
-            slow + _SLOW_MARGIN,
+            slow + _SLOW_CALLS * full_seconds(self.owner.limits),
             self._slow,
         )
         self.owner.clock.callLater(_READ_SECONDS, self._read)
--- a/pollenstile/stagework/_plan.py
+++ b/pollenstile/stagework/_plan.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-from pollenstile.stagework._decisions import call_seconds
+from pollenstile.stagework._decisions import call_seconds, full_seconds
 
-# Seconds by which a step is begun sooner than its results are needed: half of
-# a call, so that one which finds all upstreams busy is still in time.
-_SPARE = 0.25
+# Share of a call by which a step is begun sooner than its results are needed,
+# so that one which finds all upstreams busy is still in time.
+_SPARE_CALLS = 0.55
 # Share of a call that a group waits on average for an upstream to fall free.
 _USUAL_WAIT = 0.5
 
@@ -101,8 +101,7 @@
     A piece that finds a worker busy waits for half a call on average and for
     its own, which is a full one at most.
     """
-    full = call_seconds(limits, limits.batch)
-    return full + _USUAL_WAIT * limits.call_seconds
+    return full_seconds(limits) + _USUAL_WAIT * limits.call_seconds
 
 
 def _later_seconds(steps, times, place):
@@ -115,7 +114,7 @@
     return longest
 
 
-def waits_for_others(plan, number, done, seconds):
+def waits_for_others(plan, number, done, seconds, full):
     """Return whether a step that could begin is better begun later.
 
     Explanation
@@ -136,6 +135,8 @@
         Steps that are made.
     seconds : function
         Takes a step's number, returns what it takes at today's backlog.
+    full : float
+        Seconds of a full call of the step.
     """
     times = [
         seconds(one) if count and one not in done else 0
@@ -147,7 +148,7 @@
             continue
         others = max(others, time + _later_seconds(plan.steps, times, other))
     own = times[number] + _later_seconds(plan.steps, times, number)
-    return own + _SPARE < others
+    return own + _SPARE_CALLS * full < others
 
 
 def _leads_to(steps, number, other):
