stagework: what can't be in time is taken where its queue is short

Cause: a group that was late already was taken by a short queue, one that would be late by 50 ms was refused: its caller came back, later still, or not at all.

Change: whatever can't be in time is judged alike, and a short queue is 1.6 calls.

Ruled out: taking them behind any queue; they would be held, and make it longer.

--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -173,8 +173,7 @@
             return True
         plan = plan_of(
             exchange,
-            min(exchange.aim, exchange.ends)
-            - self._first_token_seconds(),
+            min(exchange.aim, exchange.ends) - self._first_token_seconds(),
             self.core.stages.seconds,
             self._home_domain(),
         )
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -37,7 +37,7 @@
 # Calls that a queue takes which is not crowded: two, and what waits for one
 # under way. What is late goes last, so it is in the way only by lengthening
 # calls.
-_IDLE_CALLS = 2.7
+_IDLE_CALLS = 1.6
 # Calls of a later step's queue from which it takes nothing that is late. At a
 # call and a half, 5% of a heavy day's requests were refused that would have
 # been answered late, and no more were in time.
@@ -345,11 +345,11 @@
     """
     if not group.is_first:
         return True
-    if group.due < now:
-        # Late whatever happens: taken only where it is in nobody's way. An
-        # idle first step says nothing of those after it: in a burst that
-        # crowded the second one, all that was late for it was let in here.
-        idle = wait <= _IDLE_CALLS * full and not group.later_crowded
-        return idle and now + wait <= group.ends
     pushed = _PUSHED_BACK * group.urgency if share > _LEAST_SHARE else 0
-    return now + wait * (1 + pushed) <= group.due + _LATE_CALLS * full
+    if now + wait * (1 + pushed) <= group.due + _LATE_CALLS * full:
+        return True
+    # Late whatever happens: taken only where it is in nobody's way. An
+    # idle first step says nothing of those after it: in a burst that
+    # crowded the second one, all that was late for it was let in here.
+    idle = wait <= _IDLE_CALLS * full and not group.later_crowded
+    return idle and now + wait <= group.ends
