stagework, forward: a wait is judged by the workers that answer

Cause: while a domain was cut off, 15 pieces waited before two workers of which one did not answer; the wait was taken from the rate of the last second, 3.8 s, and nearly all callers were refused for a queue that took 0.6 s.

Change: workers that rest or are a call overdue are not counted, slow ones by their speed; the measured rate counts where the stage is short of room, which is what it was for. What a host knows where to send is in a module of its own.

Ruled out: a shorter window for the rate; it is the room that bounds it, or not.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -16,7 +16,14 @@
     Upstream,
     serve,
 )
-from pollenstile.routes import Kind, Route, RouteTable, StageStep, Target
+from pollenstile.routes import (
+    Kind,
+    Route,
+    RouteTable,
+    StageLimits,
+    StageStep,
+    Target,
+)
 from pollenstile.stagework import GroupDone, GroupRefused
 
 NAMES = HeaderNames()
@@ -167,6 +174,10 @@
         waiter.callback(('h', GroupDone((handle,) * group.count)))
         return waiter
 
+    def limits_of(self, service):
+        """Return the usual limits."""
+        return StageLimits()
+
     def cancel(self, service, plan):
         """Note that pieces are useless."""
         self.cancelled.append(service)
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -22,7 +22,6 @@
     Owner,
     Worker,
     crowded_seconds,
-    full_seconds,
     long_wait,
     plan_of,
     usual_seconds,
@@ -218,9 +217,9 @@
         limits = self.fleet.services[service]
         return self._owner(service).wait() > long_wait(limits)
 
-    def full_seconds(self, service):
-        """Return the time of a full call."""
-        return full_seconds(self.fleet.services[service])
+    def limits_of(self, service):
+        """Return a service's limits."""
+        return self.fleet.services[service]
 
     def domain_of(self, handles):
         """Return the domain of the first result."""
--- a/pollenstile/estimates/_linear.py
+++ b/pollenstile/estimates/_linear.py
@@ -62,16 +62,16 @@
         self._solve()
 
     def _solve(self):
-        sums = self.sums
-        for point in self.prior:
-            terms = _terms(*point)
-            sums = [one + term for one, term in zip(sums, terms, strict=True)]
-        weight, across, up, squares, products = sums
+        weight, across, up, squares, products = self._believed()
         spread = weight * squares - across * across
         # A falling line, or one that begins below zero, is chance.
-        slope = max(0.0, (weight * products - across * up) / spread)
-        self.slope = slope
-        self.intercept = max(0.0, (up - slope * across) / weight)
+        self.slope = max(0.0, (weight * products - across * up) / spread)
+        self.intercept = max(0.0, (up - self.slope * across) / weight)
+
+    def _believed(self):
+        """Return the sums over the samples and the prior points."""
+        parts = [self.sums, *(_terms(*point) for point in self.prior)]
+        return [sum(column) for column in zip(*parts, strict=True)]
 
 
 def _terms(abscissa, ordinate, weight):
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -139,6 +139,8 @@
         Knows the last whole event that was handed on.
     arrived : bool
         Whether the request may have reached the upstream.
+    unread : int
+        Tokens of the prompt that the upstream has yet to read.
     first_at : float
         On the clock: when the first bytes of a stream came.
     """
@@ -155,6 +157,7 @@
         'reading',
         'splitter',
         'started',
+        'unread',
         'view',
     )
 
@@ -169,6 +172,7 @@
         self.heard = False
         self.first_at = 0.0
         self.arrived = False
+        self.unread = 0
         self.call = None
         self.started = core.clock.seconds()
 
@@ -188,10 +192,9 @@
         last_event : str
             Event after which a stream goes on; empty for its beginning.
         """
-        exchange = self.exchange
-        tokens = sum(size for _, size in exchange.prompt)
         self.view.flying += 1
-        self.view.flying_tokens += tokens
+        self.unread = sum(size for _, size in self.exchange.prompt)
+        self.view.flying_tokens += self.unread
         try:
             outcome = await self._sent(patience, last_event)
         except CancelledError:
@@ -199,12 +202,19 @@
                 self.call.cancel()
             raise
         finally:
-            self.reading.stop()
-            self.view.flying -= 1
-            self.view.flying_tokens -= tokens
+            self._leave()
         self._learn(outcome)
         return outcome
 
+    def _leave(self):
+        self.reading.stop()
+        self.view.flying -= 1
+        self._note_read()
+
+    def _note_read(self):
+        self.view.flying_tokens -= self.unread
+        self.unread = 0
+
     async def _sent(self, patience, last_event):
         exchange = self.exchange
         self.call = self.core.client.send(
--- a/pollenstile/forward/_choose.py
+++ b/pollenstile/forward/_choose.py
@@ -31,6 +31,8 @@
     Attributes
     ==========
 
+    born : int
+        Of its incarnation; see :class:`~pollenstile.forward.Upstream`.
     flying : int
         Own requests at it.
     flying_tokens : int
@@ -50,6 +52,7 @@
     address: str
     domain: str
     slots: int = 1
+    born: int = 0
     flying: int = 0
     flying_tokens: int = 0
     running: int = 0
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -8,16 +8,6 @@
     Attempt,
     Delivered,
     Failing,
-    Reading,
-)
-from pollenstile.forward._choose import (
-    chosen_engine,
-    chosen_plain,
-    home_engine,
-    load_of,
-    own_tokens,
-    subject_of,
-    usable,
 )
 from pollenstile.forward._decisions import (
     Next,
@@ -27,6 +17,12 @@
     patience_of,
     retry_after,
 )
+from pollenstile.forward._placing import (
+    chosen_view,
+    first_token_seconds,
+    home_domain,
+    reading_of,
+)
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.routes import Kind
 from pollenstile.stagework import Chain, ChainFailed, plan_of
@@ -101,7 +97,7 @@
         if not await self._staged():
             return
         while True:
-            view = self._chosen()
+            view = chosen_view(self.core, self.exchange, self.tried)
             if view is None:
                 self._give_up(NotRun('no upstream', self.exchange.service))
                 return
@@ -173,9 +169,10 @@
             return True
         plan = plan_of(
             exchange,
-            min(exchange.aim, exchange.ends) - self._first_token_seconds(),
+            min(exchange.aim, exchange.ends)
+            - first_token_seconds(self.core, exchange),
             self.core.stages.seconds,
-            self._home_domain(),
+            home_domain(self.core, exchange),
         )
         self.chain = Chain(self.core.stages, plan)
         handles = await self.chain.handles()
@@ -186,22 +183,6 @@
         self.staged_at = self.core.clock.seconds()
         return True
 
-    def _first_token_seconds(self):
-        exchange = self.exchange
-        return self.core.first_tokens.seconds(
-            exchange.service,
-            own_tokens(exchange.prompt),
-        )
-
-    def _home_domain(self):
-        """Return the domain of the engine that should read the results."""
-        exchange = self.exchange
-        subject = subject_of(exchange.prompt)
-        views = self.core.registry.usable(exchange.service)
-        if not subject or not views:
-            return ''
-        return home_engine(views, subject).domain
-
     async def _restaged(self, outcome):
         """Have results made again that lapsed, or were read and released."""
         if self.chain is None:
@@ -220,26 +201,6 @@
             Refusal(_UNAVAILABLE, failed.reason, failed.step, '', wait),
         )
 
-    def _chosen(self):
-        core = self.core
-        exchange = self.exchange
-        now = core.clock.seconds()
-        views = usable(
-            core.registry.usable(exchange.service),
-            now,
-            self.tried,
-        )
-        if exchange.prompt:
-            return chosen_engine(
-                views,
-                now,
-                core.domain,
-                core.rng,
-                exchange.prompt,
-                core.first_tokens.token_seconds(exchange.service),
-            )
-        return chosen_plain(views, now, core.domain, core.rng)
-
     async def _attempted(self, view):
         self.tried.append(view.ident)
         self.sends += 1
@@ -251,7 +212,7 @@
             self.exchange,
             view,
             self.answer,
-            self._reading(view),
+            reading_of(self.core, self.exchange, self.chain, view),
         )
         if last_event:
             self.attempt.splitter.last = last_event.encode('latin-1')
@@ -263,17 +224,6 @@
             self.runs += 1
         return outcome
 
-    def _reading(self, view):
-        """Return when the results may be released that an engine reads."""
-        if self.chain is None:
-            return Reading(_nothing)
-        fetched_in = None
-        if load_of(view, self.core.clock.seconds()) < view.slots:
-            size, rate = self.chain.fetch_size()
-            service = self.exchange.service
-            fetched_in = self.core.fetching.seconds(service, size, rate)
-        return Reading(self.chain.release, fetched_in)
-
     def _log_send(self, view):
         self.core.log(
             events.FORWARDED,
@@ -351,10 +301,6 @@
     return int((now - view.load_at) * _MS) if view.load_at > 0 else -1
 
 
-def _nothing():
-    """Release nothing."""
-
-
 def is_abandoned_at_once(exchange):
     """Return whether a request is stopped when its caller leaves.
 
--- a/pollenstile/stagework/_admission.py
+++ b/pollenstile/stagework/_admission.py
@@ -70,10 +70,11 @@
         if owner.limits is None:
             return 0
         now = owner.clock.seconds()
+        rate = owner.pace.rate(now, queued=bool(owner.waiting))
         return expected_wait(
             ahead,
             list(owner.workers.values()),
             owner.limits,
             now,
-            owner.pace.rate(now, queued=bool(owner.waiting)),
+            rate if self.is_tight() else 0,
         )
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
+from pollenstile.stagework._decisions import full_seconds
 from pollenstile.stagework._plan import waits_for_others
 from pollenstile.stagework._types import Group, GroupDone
 
@@ -84,7 +85,7 @@
         for number, (_, handles) in self.held.items():
             step = self.plan.steps[number]
             size += step.result_bytes * len(handles)
-            rates.append(self.client.link_rate(step.service))
+            rates.append(self.client.limits_of(step.service).link_rate)
         return size, min(rates, default=1.0)
 
     def withdraw(self):
@@ -128,7 +129,7 @@
             number,
             done,
             self._seconds,
-            self.client.full_seconds(step.service),
+            full_seconds(self.client.limits_of(step.service)),
         )
 
     def _seconds(self, number):
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -16,7 +16,7 @@
     release_bytes,
 )
 from pollenstile.stagework._owner import NO_WORKERS
-from pollenstile.stagework._decisions import full_seconds, long_wait
+from pollenstile.stagework._decisions import long_wait
 from pollenstile.stagework._ownership import Ownership
 from pollenstile.stagework._plan import crowded_seconds, usual_seconds
 from pollenstile.stagework._types import GroupRefused
@@ -32,7 +32,7 @@
 WORD_SECONDS = 2.0
 # Seconds for which word of a backlog says something.
 _WAIT_SECONDS = 2.0
-_NO_LIMITS = StageLimits()
+_USUAL_LIMITS = StageLimits()
 
 
 @dataclass(slots=True, frozen=True)
@@ -149,14 +149,9 @@
             return False
         return backlog.wait > long_wait(limits)
 
-    def link_rate(self, service):
-        """Return bytes a second of the link of a service's upstreams."""
-        return self.limits.get(service, _NO_LIMITS).link_rate
-
-    def full_seconds(self, service):
-        """Return the time of a full call of a service; 0 when not known."""
-        limits = self.limits.get(service)
-        return full_seconds(limits) if limits else 0
+    def limits_of(self, service):
+        """Return a service's limits, the usual ones when they are not known."""
+        return self.limits.get(service, _USUAL_LIMITS)
 
     def _backlog(self, service):
         """Return what an owner told lately, or None."""
--- a/pollenstile/stagework/_decisions.py
+++ b/pollenstile/stagework/_decisions.py
@@ -34,6 +34,9 @@
 # Share of the room of all workers that is planned with, from which a stage is
 # short of it: calls then go out with less than they could hold.
 _TIGHT_SHARE = 0.6
+# Calls past its time after which a call under way says that its worker does
+# not answer: one call of another owner may go first.
+_OVERDUE_CALLS = 1.0
 # Calls that a queue takes which is not crowded: two, and what waits for one
 # under way. What is late goes last, so it is in the way only by lengthening
 # calls.
@@ -291,12 +294,17 @@
     Explanation
     ===========
 
-    Calls that are full and take their usual time give the least wait. Slow
-    workers, and results that hold their room, make it longer: where pieces
-    have waited for a while, the rate at which they were made counts. The
-    pieces in calls under way are made before: left out, the wait at a stage
-    without room was estimated at 0.6 s where it was 1.3 s, and requests were
-    taken that came too late.
+    Calls that are full, at the speed of the workers that answer, give the
+    least wait. Results that hold their room make it longer: where the stage is
+    short of room and pieces have waited for a while, the rate at which they
+    were made counts. The pieces in calls under way are made before: left out,
+    the wait at a stage without room was estimated at 0.6 s where it was 1.3 s,
+    and requests were taken that came too late.
+
+    A worker whose call should have ended long ago does not answer. Counted as
+    free, as the rate was without it, a domain that was cut off made the wait
+    of 15 pieces 3.8 s where it was 0.6 s, and nearly all callers were refused
+    by a queue that stood half empty.
 
     Parameters
     ==========
@@ -306,13 +314,14 @@
     workers : list of Worker
         Those that may be called.
     rate : float
-        Pieces made a second lately; 0 when it is not known.
+        Pieces made a second lately; 0 when it is not known, or when the room
+        for results does not bound it.
     """
-    sound = [one for one in workers if one.rest_until <= now] or workers
+    full = full_seconds(limits)
+    sound = _answering(workers, full, now) or workers
     if not sound:
         return limits.call_seconds * 4
-    rounds = ahead / (limits.batch * len(sound))
-    full = full_seconds(limits)
+    rounds = ahead / (limits.batch * _capacity(sound))
     frees = sorted(max(0, one.busy_until - now) for one in sound)
     last = call_seconds(limits, min(limits.batch, max(1, ahead)))
     least = frees[0] + int(rounds) * full + last
@@ -322,6 +331,21 @@
     return max(least, (flying + ahead) / rate)
 
 
+def _answering(workers, full, now):
+    """Return the workers that are not resting and not overdue."""
+    return [
+        one
+        for one in workers
+        if one.rest_until <= now
+        and not (one.calls and now > one.busy_until + _OVERDUE_CALLS * full)
+    ]
+
+
+def _capacity(workers):
+    """Return how many workers of usual speed these are worth."""
+    return sum(1 / max(1, one.speed) for one in workers)
+
+
 def admitted(group, wait, now, full, share=1.0):
     """Return whether a group's pieces may wait.
 
