forward: silence is judged by what is usual and by the longest pause in time

Cause: a stream counted as dead after 1.5 s, a lookup after 0.3 s at least: figures of one customer. Another one's streams are late after a pause of 0.25 s and a first token of 1.0 s, and its lookups have an aim of 0.1 s.

Change: before the answer four times what is usual and half the aim, between events twice the longest pause for which a stream is still in time; the route says it.

Ruled out: one silence for both phases; first tokens take longer than pauses may.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -33,9 +33,16 @@
 
 
 class _Silence:
-    """Calls a function after too long a silence; never with no patience."""
+    """Calls a function after too long a silence; never with no patience.
 
-    __slots__ = ('clock', 'patience', 'timer')
+    Attributes
+    ==========
+
+    longest : float
+        Seconds of the longest silence between two parts of a body.
+    """
+
+    __slots__ = ('clock', 'heard_at', 'longest', 'patience', 'timer')
 
     def __init__(self, clock, patience):
         self.clock = clock
@@ -47,8 +54,13 @@
         if self.patience is not None:
             self.timer = self.clock.callLater(self.patience, broken)
 
-    def heard(self):
-        """Begin the patience anew."""
+    def heard(self, between=None):
+        """Begin the patience anew, another one where that is given."""
+        self.patience = between or self.patience
+        now = self.clock.seconds()
+        if self.heard_at is not None:
+            self.longest = max(self.longest, now - self.heard_at)
+        self.heard_at = now
         if self.timer is not None and self.timer.active():
             self.timer.reset(self.patience)
 
@@ -187,8 +199,8 @@
         Parameters
         ==========
 
-        patience : float or None
-            Seconds of silence after which the attempt counts as lost.
+        patience : Patience
+            With its silences.
         last_event : str
             Event after which a stream goes on; empty for its beginning.
         """
@@ -225,7 +237,7 @@
             exchange.body,
         )
         self.reading.begin(self.core.clock)
-        head = await self._within(self.call.head, patience)
+        head = await self._within(self.call.head, patience.first)
         self.arrived = self.call.sent
         if isinstance(head, (NotRun, Lost)):
             return head
@@ -234,10 +246,10 @@
             self.call.cancel()
             return refusal
         if head.code not in _OK:
-            return await self._failing(head, patience)
+            return await self._failing(head, patience.between)
         if self.streaming:
             return await self._streamed(head, patience)
-        return await self._answered(head, patience)
+        return await self._answered(head, patience.between)
 
     async def _within(self, deferred, seconds):
         if seconds is None:
@@ -320,7 +332,7 @@
                 self._begin(head)
             self.answer.write(events)
 
-        end = await self._body(head, take, patience)
+        end = await self._body(head, take, patience.first, patience.between)
         if end is not BodyEnd.WHOLE:
             return Lost('torn stream', self.view.ident)
         if not self.answer.begun:
@@ -338,8 +350,15 @@
             self.answer.write(data)
         self.held = []
 
-    async def _body(self, head, take, patience):
-        """Hand a body over; a silence longer than the patience breaks it."""
+    async def _body(self, head, take, patience, between=None):
+        """Hand a body over; a silence longer than the patience breaks it.
+
+        Parameters
+        ==========
+
+        between : float or None
+            Seconds of patience once its first part came, where that differs.
+        """
         ended = Deferred(lambda _: self.call.cancel())
         silence = _Silence(self.core.clock, patience)
 
@@ -353,7 +372,7 @@
             end(BodyEnd.BROKEN)
 
         def heard(data):
-            silence.heard()
+            silence.heard(between)
             take(data)
 
         silence.start(broken)
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -1,6 +1,7 @@
 """What follows an attempt that failed, without I/O."""
 
 import enum
+from dataclasses import dataclass
 
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.routes import Kind
@@ -15,14 +16,17 @@
 # jitter, so that those refused together don't return together.
 _LEAST_RETRY = 0.2
 _RETRY_JITTER = 0.3
-# Silence after which an idempotent call is tried elsewhere: this many times
-# what its service usually takes, within these bounds in seconds.
+# Silence after which a call is tried elsewhere: this many times what it usually
+# takes, and at least this share of its aim. One lookup in a hundred takes five
+# times its usual time.
 _PATIENCE_FACTOR = 4.0
-_LEAST_PATIENCE = 0.3
-# A stream that may go on elsewhere counts as dead after this silence. It is
-# over the longest pause for which an answer is still in time (0.8 s), and a
-# crashed engine that says nothing is otherwise noticed at the deadline only.
-_STREAM_PATIENCE = 1.5
+_LEAST_SHARE = 0.5
+# A stream that may go on elsewhere counts as dead after a silence of this many
+# times the longest pause for which it is still in time: a crashed engine that
+# says nothing is otherwise noticed at the deadline only. Seconds where no such
+# pause is known.
+_PAUSE_FACTOR = 2.0
+_UNKNOWN_PAUSE = 0.75
 
 
 class Next(enum.Enum):
@@ -61,20 +65,38 @@
     return Next.AGAIN if runs < route.attempts else Next.GIVE_UP
 
 
+@dataclass(slots=True, frozen=True)
+class Patience:
+    """Seconds of silence after which an attempt counts as lost.
+
+    Parameters
+    ==========
+
+    first, between : float or None
+        Before the answer begins, and between its parts. None for requests
+        that can't be sent again: their deadline ends them.
+    """
+
+    first: float | None = None
+    between: float | None = None
+
+
 def patience_of(route, usual):
-    """Return seconds of silence after which an attempt counts as lost.
+    """Return the :class:`Patience` with an attempt.
 
-    Returns
-    =======
+    Parameters
+    ==========
 
-    float or None
-        None for requests that can't be sent again: their deadline ends them.
+    usual : float
+        Seconds until the answer usually begins.
     """
     if not route.repeatable or route.attempts < 2:
-        return None
+        return Patience()
+    first = max(_LEAST_SHARE * route.aim, _PATIENCE_FACTOR * usual)
     if route.kind is Kind.STREAM:
-        return max(_STREAM_PATIENCE, route.aim)
-    return max(_LEAST_PATIENCE, _PATIENCE_FACTOR * usual)
+        between = _PAUSE_FACTOR * (route.pause or _UNKNOWN_PAUSE)
+        return Patience(max(first, between), between)
+    return Patience(first, first)
 
 
 def final_refusal(outcome, runs, rng):
--- a/pollenstile/forward/_placing.py
+++ b/pollenstile/forward/_placing.py
@@ -11,6 +11,9 @@
     usable,
 )
 
+# Share of a request's aim that a plain service takes while nothing is known.
+_UNKNOWN_SHARE = 0.25
+
 
 def first_token_seconds(core, exchange):
     """Return what a model engine usually takes to a request's first token."""
@@ -20,6 +23,13 @@
     )
 
 
+def usual_seconds(core, exchange, view):
+    """Return seconds until an upstream's answer usually begins."""
+    if exchange.prompt:
+        return first_token_seconds(core, exchange)
+    return view.seconds or _UNKNOWN_SHARE * exchange.route.aim
+
+
 def home_domain(core, exchange):
     """Return the domain of the engine that should read the results."""
     subject = subject_of(exchange.prompt)
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -22,6 +22,7 @@
     first_token_seconds,
     home_domain,
     reading_of,
+    usual_seconds,
 )
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.routes import Kind
@@ -30,8 +31,6 @@
 _UNAVAILABLE = 503
 _SERVER_ERRORS = range(500, 600)
 _MS = 1000
-# Seconds that a plain service takes while nothing of it is known.
-_UNKNOWN_SECONDS = 0.1
 
 
 def serve(core, exchange, answer):
@@ -218,7 +217,7 @@
         if last_event:
             self.attempt.splitter.last = last_event.encode('latin-1')
         self._log_send(view)
-        usual = view.seconds or _UNKNOWN_SECONDS
+        usual = usual_seconds(self.core, self.exchange, view)
         patience = patience_of(self.exchange.route, usual)
         outcome = await self.attempt.outcome(patience, last_event)
         if not isinstance(outcome, NotRun):
--- a/pollenstile/routes/_model.py
+++ b/pollenstile/routes/_model.py
@@ -111,6 +111,9 @@
         Whether no key is asked for.
     resumable : bool
         Whether a stream may go on at another upstream.
+    pause : float
+        Seconds between two events of a stream for which it is still in time;
+        0 where there is no such bound.
     """
 
     name: str
@@ -125,6 +128,7 @@
     steps: tuple[StageStep, ...] = ()
     public: bool = False
     resumable: bool = False
+    pause: float = 0.0
 
     @property
     def repeatable(self):
