ops: pollenstile losses tells what callers lost and where, from logs

Change: the last line of a request says its aim, the time since its caller came first, the longest pause, bytes that crossed and results unused; the command makes tables by route, stage and moment of them, or JSON.

--- /dev/null
+++ b/features/steps/losses_steps.py
@@ -0,0 +1,181 @@
+"""Steps of the table of losses."""
+
+import contextlib
+import io
+import json
+import sys
+from unittest import mock
+
+from behave import given, then, when
+
+from pollenstile.ops._lossescmd import read_lines
+from pollenstile.ops.main import main
+
+_WIDTH = 80
+
+
+def _line(event, request, second=5, **fields):
+    line = {
+        'host': 'front-1',
+        'request': request,
+        'event': event,
+        'timestamp': f'2026-01-02T10:24:{second:02d}.500000Z',
+        **fields,
+    }
+    return json.dumps(line)
+
+
+def _ended(request, outcome='answered', first=400, **fields):
+    usual = {
+        'route': 'draft',
+        'took_ms': 900,
+        'first_ms': first,
+        'aim_ms': 1000,
+        'pause_ms': 100,
+        'pause_limit_ms': 250,
+    }
+    line = {**usual, **fields}
+    return _line('forward-ended', request, outcome=outcome, **line)
+
+
+def _made(request, waited):
+    return _line('stage-made', request, service='encode', waited_ms=waited)
+
+
+def _refused(request):
+    return _line(
+        'stage-refused',
+        request,
+        service='encode',
+        reason='busy',
+        wait_ms=300,
+        due_ms=120,
+        ahead=2,
+    )
+
+
+def _called(pieces):
+    fields = {'service': 'encode', 'waiting': 3, 'free': 5_000_000}
+    return _line('stage-called', ['r1'], pieces=pieces, **fields)
+
+
+_MORNING = (
+    _made('queued', 600),
+    _ended('queued', first=1500, crossed=7_000_000),
+    _ended('timely', first=800),
+    _ended('returned', first=300, aim_ms=100, came_ms=900),
+    _ended('slow', first=1400),
+    _made('slow', 30),
+    _ended('paused', pause_ms=400),
+    f'  1.5 front-1 {_refused("r1")}',
+    _ended('r1', 'refused', 0, reason='busy', step='encode', unused=3),
+    _refused('r2'),
+    _ended('r2', 'refused', 0, reason='busy', step='encode'),
+    _ended('bad', 'upstream 500', 0),
+    _called(5),
+    _called(7),
+    _line('stage-room', 'r1', service='encode', refused=4),
+    'no line of ours',
+)
+
+
+@given('the logs of a morning')
+def given_morning(context):
+    context.logs = '\n'.join(_MORNING)
+
+
+@when('its losses are asked for as a {form}')
+def when_asked(context, form):
+    shape = {'document': 'json', 'table': 'table'}[form]
+    out = io.StringIO()
+    errors = io.StringIO()
+    with contextlib.ExitStack() as stack:
+        stream = io.StringIO(context.logs)
+        stack.enter_context(mock.patch.object(sys, 'stdin', stream))
+        stack.enter_context(contextlib.redirect_stdout(out))
+        stack.enter_context(contextlib.redirect_stderr(errors))
+        context.code = main(['losses', '--format', shape])
+    context.told = out.getvalue()
+    context.errors = errors.getvalue()
+
+
+def _route(context, name):
+    routes = json.loads(context.told)['routes']
+    return next(one for one in routes if one['route'] == name)
+
+
+@then('of the {count:d} requests of "{name}" these counts are told')
+def then_causes(context, count, name):
+    row = _route(context, name)
+    assert row['asked'] == count, row
+    wanted = {one['cause']: int(one['requests']) for one in context.table}
+    assert row['causes'] == wanted, row['causes']
+
+
+@then(
+    'the refusals of "{name}" had {wait:d} ms of wait, {spare:d} to spare'
+    ' and {ahead:d} ahead',
+)
+def then_refusals(context, name, wait, spare, ahead):
+    row = _route(context, name)
+    found = [row[f'refused_{one}'] for one in ('wait_ms', 'spare_ms', 'ahead')]
+    assert found == [wait, spare, ahead], found
+
+
+@then(
+    '{megabytes:d} MB of "{name}" crossed domains and {unused:d} results'
+    ' were unused',
+)
+def then_waste(context, megabytes, name, unused):
+    row = _route(context, name)
+    found = (row['crossed_mb'], row['unused_results'])
+    assert found == (megabytes, unused), found
+
+
+@then(
+    '"{name}" made {pieces:d} pieces in {calls:d} calls, and had no room'
+    ' for {no_room:d}',
+)
+def then_stage(context, name, pieces, calls, no_room):
+    stages = json.loads(context.told)['stages']
+    row = next(one for one in stages if one['stage'] == name)
+    found = (row['pieces'], row['calls'], row['no_room'])
+    assert found == (pieces, calls, no_room), found
+
+
+@then('no line is longer than {width:d} characters')
+def then_narrow(context, width):
+    longest = max(map(len, context.told.splitlines()))
+    assert longest <= width, longest
+
+
+@then('a line says "{text}"')
+def then_says(context, text):
+    assert text in context.told, context.told
+
+
+@then('there are no losses, with exit code {code:d} and "{text}"')
+def then_none(context, code, text):
+    assert (context.code, context.told) == (code, '')
+    assert text in context.errors, context.errors
+
+
+@given('the logs of a morning, read in {seconds:d} seconds')
+def given_slow(context, seconds):
+    given_morning(context)
+    lines = context.logs.splitlines()
+    context.now = 0.0
+    context.progress = io.StringIO()
+
+    def clock():
+        context.now += seconds / len(lines)
+        return context.now
+
+    read_lines(lines, context.progress, clock)
+
+
+@then('the reading tells its progress at least {count:d} times')
+def then_progress(context, count):
+    told = context.progress.getvalue().splitlines()
+    assert len(told) >= count, told
+    assert all(line.endswith('lines read') for line in told)
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -48,6 +48,8 @@
         self.clock = clock
         self.patience = patience
         self.timer = None
+        self.heard_at = None
+        self.longest = 0.0
 
     def start(self, broken):
         """Listen from now on."""
@@ -155,6 +157,8 @@
         Tokens of the prompt that the upstream has yet to read.
     first_at : float
         On the clock: when the first bytes of a stream came.
+    paused : float
+        Seconds of the longest silence after them.
     """
 
     __slots__ = (
@@ -166,6 +170,7 @@
         'first_at',
         'heard',
         'held',
+        'paused',
         'reading',
         'splitter',
         'started',
@@ -183,6 +188,7 @@
         self.held = []
         self.heard = False
         self.first_at = 0.0
+        self.paused = 0.0
         self.arrived = False
         self.unread = 0
         self.call = None
@@ -364,6 +370,7 @@
 
         def end(how):
             silence.stop()
+            self.paused = silence.longest
             if not ended.called:
                 ended.callback(how)
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -60,6 +60,34 @@
     return work.addBoth(run.finished)
 
 
+class Waste:
+    """What a request's stage results cost beyond their making.
+
+    Attributes
+    ==========
+
+    crossed : int
+        Bytes that were read in another failure domain than they were made.
+    unused : int
+        Results that were released unread, since the request was given up.
+    """
+
+    __slots__ = ('crossed', 'unused')
+
+    def __init__(self):
+        self.crossed = 0
+        self.unused = 0
+
+    def add(self, chain):
+        """Count what a chain that is over has cost."""
+        self.crossed += chain.crossed
+        self.unused += chain.unused
+
+    def note_read(self, inputs, domain):
+        """Count results that an upstream of a domain reads, by domain."""
+        self.crossed += sum(inputs.values()) - inputs.get(domain, 0)
+
+
 class _Run:
     """State of one request."""
 
@@ -75,6 +103,7 @@
         'sends',
         'staged_at',
         'tried',
+        'waste',
     )
 
     def __init__(self, core, exchange, answer):
@@ -89,6 +118,7 @@
         self.refusal = None
         self.staged_at = 0.0
         self.outcome = 'answered'
+        self.waste = Waste()
 
     async def whole(self):
         """Run the stages, then the attempts."""
@@ -101,6 +131,7 @@
             if view is None:
                 self._give_up(NotRun('no upstream', self.exchange.service))
                 return
+            self.waste.note_read(inputs, view.domain)
             outcome = await self._attempted(view)
             if isinstance(outcome, Delivered):
                 return
@@ -135,6 +166,7 @@
         """Release what is left, and log the end."""
         if self.chain is not None:
             self.chain.release()
+            self.waste.add(self.chain)
         now = self.core.clock.seconds()
         refusal = self.refusal
         self.core.log(
@@ -152,12 +184,27 @@
             took_ms=int((now - self.exchange.arrived) * _MS),
             staged_ms=self._since_arrival(self.staged_at),
             first_ms=self._since_arrival(self._first_at()),
+            aim_ms=int((self.exchange.aim - self.exchange.arrived) * _MS),
+            came_ms=self._came_before(),
+            pause_ms=self._longest_pause(),
+            pause_limit_ms=int(self.exchange.route.pause * _MS),
+            crossed=self.waste.crossed,
+            unused=self.waste.unused,
             version=self.exchange.table.version,
         )
 
     def _first_at(self):
         return self.attempt.first_at if self.attempt is not None else 0
 
+    def _came_before(self):
+        """Return milliseconds since the caller came first; 0 when it is new."""
+        exchange = self.exchange
+        waited = exchange.arrived + exchange.route.aim - exchange.aim
+        return max(0, int(waited * _MS))
+
+    def _longest_pause(self):
+        return int(self.attempt.paused * _MS) if self.attempt else 0
+
     def _since_arrival(self, moment):
         """Return milliseconds; 0 for what has not happened."""
         return int((moment - self.exchange.arrived) * _MS) if moment else 0
@@ -190,6 +237,7 @@
         if self.chain.held and outcome is not GONE:
             return True
         self.chain.release()
+        self.waste.add(self.chain)
         return await self._staged()
 
     def _refuse_unstaged(self, failed):
--- a/pollenstile/ops/_explaincmd.py
+++ b/pollenstile/ops/_explaincmd.py
@@ -84,7 +84,7 @@
     found = []
     number = 0
     for text in stream:
-        line = _decoded(text)
+        line = decoded_line(text)
         if line is None:
             continue
         number += 1
@@ -94,7 +94,7 @@
     return found, number
 
 
-def _decoded(text):
+def decoded_line(text):
     """Return a log line's fields; None for what is no log line.
 
     A collector may have put a time or a host before the line.
--- /dev/null
+++ b/pollenstile/ops/_losses.py
@@ -0,0 +1,247 @@
+"""What callers lost, and where, from the log lines of entry hosts."""
+
+from dataclasses import dataclass, field
+
+# Causes of an answer that was not in its aim, in the order of the tables.
+IN_AIM = 'in aim'
+CAME_BACK = 'late: refused first'
+PAUSED = 'late: paused'
+READ_LATE = 'late: read late'
+NOT_TOLD = 'whole, no aim known'
+# Events that the tables are made of.
+_ENDED = 'forward-ended'
+_MADE = 'stage-made'
+_CALLED = 'stage-called'
+_REFUSED = 'stage-refused'
+_ROOM = 'stage-room'
+USED_EVENTS = frozenset((_ENDED, _MADE, _CALLED, _REFUSED, _ROOM))
+# Share of an answer's time that its longest wait must have taken for the
+# answer to count as late by it.
+_MAIN_SHARE = 0.25
+# Seconds of one row of the table by moments.
+_ROW_SECONDS = 2
+_MS = 1000
+
+
+@dataclass(slots=True)
+class RouteRow:
+    """What became of the requests of one route.
+
+    Attributes
+    ==========
+
+    causes : dict
+        Requests by cause: in aim, late by, refused by, failed by.
+    refusals : list of tuple
+        Step, milliseconds of wait and to spare that decided, pieces ahead.
+    crossed, unused : int
+        Bytes read in another failure domain, and results given up unread.
+    """
+
+    name: str
+    asked: int = 0
+    causes: dict = field(default_factory=dict)
+    refusals: list = field(default_factory=list)
+    crossed: int = 0
+    unused: int = 0
+
+
+@dataclass(slots=True)
+class StageRow:
+    """What became of the calls of one stage service.
+
+    Attributes
+    ==========
+
+    pieces, waiting, free : list of int
+        Of each call: what it held, what waited behind it, bytes that were
+        free at its upstream.
+    no_room : int
+        Pieces that an upstream had no room for.
+    """
+
+    name: str
+    pieces: list = field(default_factory=list)
+    waiting: list = field(default_factory=list)
+    free: list = field(default_factory=list)
+    no_room: int = 0
+
+
+@dataclass(slots=True)
+class Losses:
+    """The tables.
+
+    Attributes
+    ==========
+
+    routes, stages : dict
+        Rows by name.
+    moments : dict
+        Requests asked and in aim, by second of the day in steps of two.
+    """
+
+    routes: dict = field(default_factory=dict)
+    stages: dict = field(default_factory=dict)
+    moments: dict = field(default_factory=dict)
+
+
+class Reading:
+    """Takes log lines in any order, and makes the tables of them.
+
+    Attributes
+    ==========
+
+    lines : int
+        Of entry hosts so far.
+    """
+
+    __slots__ = ('ended', 'lines', 'refused', 'stages', 'waits')
+
+    def __init__(self):
+        self.lines = 0
+        self.ended = []
+        self.waits = {}
+        self.refused = {}
+        self.stages = {}
+
+    def take(self, line):
+        """Take one decoded line."""
+        self.lines += 1
+        event = line.get('event')
+        if event == _ENDED:
+            self.ended.append(line)
+        elif event == _MADE:
+            waited = (line.get('waited_ms', 0), line.get('service', ''))
+            self.waits.setdefault(line.get('request'), []).append(waited)
+        elif event == _REFUSED:
+            self.refused.setdefault(line.get('request'), line)
+        elif event in {_CALLED, _ROOM}:
+            self._take_call(line, event)
+
+    def losses(self):
+        """Return :class:`Losses` of the lines so far."""
+        found = Losses(stages=self.stages)
+        for line in self.ended:
+            name = line.get('route', '')
+            if not name:
+                continue
+            row = found.routes.setdefault(name, RouteRow(name))
+            self._count(row, line, found.moments)
+        return found
+
+    def _count(self, row, line, moments):
+        cause = self._cause(line)
+        row.asked += 1
+        row.causes[cause] = row.causes.get(cause, 0) + 1
+        row.crossed += line.get('crossed', 0)
+        row.unused += line.get('unused', 0)
+        refusal = self.refused.get(line.get('request'))
+        if refusal is not None and 'wait_ms' in refusal:
+            decided = (refusal['wait_ms'], refusal['due_ms'], refusal['ahead'])
+            row.refusals.append((refusal.get('service', ''), *decided))
+        second = moment_of(line)
+        asked, in_aim = moments.get(second, (0, 0))
+        moments[second] = (asked + 1, in_aim + (cause == IN_AIM))
+
+    def _cause(self, line):
+        outcome = line.get('outcome', '')
+        if outcome == 'refused':
+            return (
+                f'refused: {line.get("reason", "")} at {line.get("step", "")}'
+            )
+        if outcome != 'answered':
+            return f'failed: {outcome} {line.get("reason", "")}'.strip()
+        if 'aim_ms' not in line:
+            return NOT_TOLD
+        took = line.get('first_ms') or line.get('took_ms', 0)
+        if took > line['aim_ms']:
+            return self._late_cause(line, took)
+        limit = line.get('pause_limit_ms', 0)
+        return PAUSED if 0 < limit < line.get('pause_ms', 0) else IN_AIM
+
+    def _late_cause(self, line, took):
+        if line.get('came_ms', 0) > 0:
+            return CAME_BACK
+        waited, service = max(self.waits.get(line.get('request'), [(0, '')]))
+        if waited >= _MAIN_SHARE * took:
+            return f'late: queued at {service}'
+        return READ_LATE
+
+    def _take_call(self, line, event):
+        name = line.get('service', '')
+        row = self.stages.setdefault(name, StageRow(name))
+        if event == _ROOM:
+            row.no_room += line.get('refused', 0)
+            return
+        row.pieces.append(line.get('pieces', 0))
+        row.waiting.append(line.get('waiting', 0))
+        row.free.append(line.get('free', 0))
+
+
+def moment_of(line):
+    """Return the second of the day in which a line was written, in steps.
+
+    Examples
+    ========
+
+    >>> moment_of({'timestamp': '2026-01-02T00:01:03.5Z'})
+    62
+    >>> moment_of({})
+    0
+    """
+    clock = line.get('timestamp', '')[11:19].split(':')
+    if len(clock) != 3 or not all(part.isdigit() for part in clock):
+        return 0
+    hours, minutes, seconds = map(int, clock)
+    second = (hours * 60 + minutes) * 60 + seconds
+    return second - second % _ROW_SECONDS
+
+
+def document_of(losses):
+    """Return the tables as plain data, for JSON and for ``report``."""
+    return {
+        'bench': 'losses',
+        'routes': [_route_document(row) for row in losses.routes.values()],
+        'stages': [_stage_document(row) for row in losses.stages.values()],
+        'moments': [
+            {'second': second, 'asked': asked, 'in_aim': in_aim}
+            for second, (asked, in_aim) in sorted(losses.moments.items())
+        ],
+    }
+
+
+def _quantile(numbers, share):
+    """Return the number below which a share lies; 0 for none."""
+    if not numbers:
+        return 0
+    return sorted(numbers)[int(share * (len(numbers) - 1))]
+
+
+def _route_document(row):
+    by_number = sorted(row.causes.items(), key=lambda one: -one[1])
+    waits = [one[1] for one in row.refusals]
+    spares = [one[2] for one in row.refusals]
+    aheads = [one[3] for one in row.refusals]
+    return {
+        'route': row.name,
+        'asked': row.asked,
+        'causes': dict(by_number),
+        'refused_wait_ms': _quantile(waits, 0.5),
+        'refused_spare_ms': _quantile(spares, 0.5),
+        'refused_ahead': _quantile(aheads, 0.5),
+        'crossed_mb': row.crossed // 1_000_000,
+        'unused_results': row.unused,
+    }
+
+
+def _stage_document(row):
+    return {
+        'stage': row.name,
+        'calls': len(row.pieces),
+        'pieces': sum(row.pieces),
+        'pieces_median': _quantile(row.pieces, 0.5),
+        'waiting_median': _quantile(row.waiting, 0.5),
+        'waiting_p90': _quantile(row.waiting, 0.9),
+        'free_kb_p10': _quantile(row.free, 0.1) // _MS,
+        'no_room': row.no_room,
+    }
--- a/pollenstile/ops/main.py
+++ b/pollenstile/ops/main.py
@@ -12,6 +12,7 @@
     _entrycmd,
     _explaincmd,
     _forwardcmd,
+    _lossescmd,
     _reportcmd,
     _soakcmd,
     _standincmd,
@@ -30,6 +31,7 @@
 _COMMANDS = (
     _entrycmd,
     _forwardcmd,
+    _lossescmd,
     _explaincmd,
     _standincmd,
     _validatecmd,
