features: the wait of less urgent groups is held between two figures

Cause: with the share a step of urgency at 1.5 in place of 0.3 no scenario failed; the group was taken by a short queue anyway.

Change: the scenario plays it where late groups are not taken, and gives a longer wait that is refused.

Ruled out: nothing.

--- a/features/deciding.feature
+++ b/features/deciding.feature
@@ -13,7 +13,8 @@
     A team that is less urgent asks with an aim of a second. By 0.4 s a step it
     was refused on a calm day, with 266 ms of wait and 214 ms to spare.
     Given a first stage group due in 0.214 seconds that would wait 0.266
-    Then it is taken with urgency 2
+    Then it is taken with urgency 2 though a later stage is crowded
+    But one that would wait 0.29 is not
 
   Scenario: A worker that does not answer is not counted on
     A domain is cut off with one of two workers, its call a second overdue. The
--- a/features/steps/deciding_steps.py
+++ b/features/steps/deciding_steps.py
@@ -10,6 +10,7 @@
     LIMITS,
     AskedClient,
     Queue,
+    group,
     workers,
 )
 from pollenstile.estimates import Fetching, FirstTokens
@@ -19,6 +20,7 @@
 from pollenstile.stagework import (
     Chain,
     Plan,
+    admitted,
     eligible,
     expected_wait,
     frees_by_domain,
@@ -45,6 +47,22 @@
 )
 
 
+@then('it is taken with urgency {urgency:d} though a later stage is crowded')
+def then_taken_crowded(context, urgency):
+    context.urgency = urgency
+    assert _taken_while_crowded(context, context.wait)
+
+
+@then('one that would wait {wait:g} is not')
+def then_longer_not(context, wait):
+    assert not _taken_while_crowded(context, wait)
+
+
+def _taken_while_crowded(context, wait):
+    one = group(due=context.due, urgency=context.urgency, later_crowded=True)
+    return admitted(one, wait, 0, full_seconds(LIMITS))
+
+
 @given('two stage workers of which one is overdue by {seconds:g} seconds')
 def given_overdue(context, seconds):
     context.workers = workers('a', 'b')
