report: a page of the losses that logs tell

Cause: the table of a long morning is easier read as bars.

Measured: a scenario from logs to the page.

Ruled out: a command of its own.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -19,6 +19,12 @@
     And 7 MB of "draft" crossed domains and 3 results were unused
     And "encode" made 12 pieces in 2 calls, and had no room for 4
 
+  Scenario: The document becomes a page
+    Given the logs of a morning
+    When its losses are asked for as a document
+    And a report is made of them
+    Then the report's page has a table with "12" and "4"
+
   Scenario: The tables fit a terminal
     Given the logs of a morning
     When its losses are asked for as a table
--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -3,7 +3,9 @@
 import contextlib
 import io
 import json
+import pathlib
 import sys
+import tempfile
 from unittest import mock
 
 from behave import given, then, when
@@ -99,6 +101,16 @@
     context.errors = errors.getvalue()
 
 
+@when('a report is made of them')
+def when_reported(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    source = pathlib.Path(folder.name, 'losses.json')
+    context.page = pathlib.Path(folder.name, 'page.html')
+    source.write_text(context.told)
+    assert main(['report', str(source), '--output', str(context.page)]) == 0
+
+
 def _route(context, name):
     routes = json.loads(context.told)['routes']
     return next(one for one in routes if one['route'] == name)
--- a/pollenstile/report/_results.py
+++ b/pollenstile/report/_results.py
@@ -9,6 +9,8 @@
     ('sent_bytes', 'Bytes a second a host'),
     ('cpu_ms', 'Processor ms a second a host'),
 )
+_MOMENT = ('asked', 'in_aim')
+_STAGE = ('calls', 'pieces', 'waiting_p90', 'no_room')
 
 
 class UnknownResult(Exception):
@@ -42,7 +44,7 @@
     ==========
 
     document : object
-        Decoded JSON of ``bench policy`` or ``bench fleet``.
+        Decoded JSON of ``bench policy``, ``bench fleet`` or ``losses``.
 
     Raises
     ======
@@ -66,7 +68,9 @@
         return _policy_charts(document)
     if isinstance(document, dict) and 'by_hosts' in document:
         return _fleet_charts(document)
-    raise UnknownResult('no result of bench policy or bench fleet')
+    if isinstance(document, dict) and 'moments' in document:
+        return _losses_charts(document)
+    raise UnknownResult('no result of bench policy, bench fleet or losses')
 
 
 def _policy_charts(runs):
@@ -98,6 +102,33 @@
     ]
 
 
+def _losses_charts(document):
+    try:
+        return _losses_tables(**document)
+    except (KeyError, TypeError) as error:
+        raise UnknownResult(f'a table of losses lacks {error}') from None
+
+
+def _losses_tables(routes, stages, moments, bench=''):
+    names = [row['route'] for row in routes]
+    seconds = [str(one['second']) for one in moments]
+    asked = {name: [one[name] for one in moments] for name in _MOMENT}
+    services = [row['stage'] for row in stages]
+    calls = {name: [row[name] for row in stages] for name in _STAGE}
+    return [
+        Chart('Requests by cause', names, _causes(routes)),
+        Chart('Requests by second of the day', seconds, asked),
+        Chart('Calls of stages', services, calls),
+    ]
+
+
+def _causes(routes):
+    names = dict.fromkeys(cause for row in routes for cause in row['causes'])
+    return {
+        name: [row['causes'].get(name, 0) for row in routes] for name in names
+    }
+
+
 def _costs(runs):
     pools = dict.fromkeys(pool for run in runs for pool in run['cost'])
     costs = {}
