forward: the limits of silence have a name of their own

Cause: two classes were named Patience, a caller's and an attempt's.

Change: SilenceLimits.

Measured: scenarios of forwarding and deciding pass; behaviour is the same.

Ruled out: one class for both.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -205,8 +205,8 @@
         Parameters
         ==========
 
-        patience : Patience
-            With its silences.
+        patience : SilenceLimits
+            After which it counts as lost.
         last_event : str
             Event after which a stream goes on; empty for its beginning.
         """
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -66,7 +66,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Patience:
+class SilenceLimits:
     """Seconds of silence after which an attempt counts as lost.
 
     Parameters
@@ -82,7 +82,7 @@
 
 
 def patience_of(route, usual):
-    """Return the :class:`Patience` with an attempt.
+    """Return the :class:`SilenceLimits` of an attempt.
 
     Parameters
     ==========
@@ -91,12 +91,12 @@
         Seconds until the answer usually begins.
     """
     if not route.repeatable or route.attempts < 2:
-        return Patience()
+        return SilenceLimits()
     first = max(_LEAST_SHARE * route.aim, _PATIENCE_FACTOR * usual)
     if route.kind is Kind.STREAM:
         between = _PAUSE_FACTOR * (route.pause or _UNKNOWN_PAUSE)
-        return Patience(max(first, between), between)
-    return Patience(first, first)
+        return SilenceLimits(max(first, between), between)
+    return SilenceLimits(first, first)
 
 
 def final_refusal(outcome, runs, rng):
