platform: a number that is none spoils only its own row

A row that holds NaN or infinity makes the strict decoder refuse the page, and the lax one wrote the same number again.

Change: such numbers are read as nothing.

Ruled out: fewer kinds of input in the property.

--- a/features/builders/registry.py
+++ b/features/builders/registry.py
@@ -46,6 +46,8 @@
     'a list for an object': ['x', 'y'],
     'no name': {'metadata': {'revision': 7}, 'spec': entry()},
     'a byte that is no text': wire_object('x', entry(state=_BYTE)),
+    'a number that is none': wire_object('x', entry(slots=float('nan'))),
+    'a number beyond all': wire_object('x', entry(slots=float('inf'))),
     'half a surrogate pair': wire_object('x', entry(state=_SURROGATE)),
 }
 
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -66,6 +66,8 @@
       | no name                     |
       | a byte that is no text      |
       | half a surrogate pair       |
+      | a number that is none       |
+      | a number beyond all         |
 
   Scenario Outline: A change by another writer does not end a watch: <fault>
     Given a watch of the registry that hears of two upstreams and one with <fault>
--- a/pollenstile/platform/_rows.py
+++ b/pollenstile/platform/_rows.py
@@ -1,6 +1,7 @@
 """Documents of the store that other programs write to as well."""
 
 import json
+import math
 
 import msgspec
 
@@ -14,9 +15,10 @@
     Explanation
     ===========
 
-    Half a surrogate pair or a byte that is not UTF-8, in the entry of another
-    writer, makes the strict decoder refuse the whole page. Such bytes become
-    a mark here; the entries around them hold.
+    Half a surrogate pair, a byte that is not UTF-8 or a number that is none,
+    in the entry of another writer, makes the strict decoder refuse the whole
+    page. Such text becomes a mark here and such a number nothing; the entries
+    around them hold.
 
     Parameters
     ==========
@@ -85,6 +87,16 @@
 
 
 def _cleaned(body):
-    """Return JSON of which all text is UTF-8."""
-    lax = json.loads(body.decode('utf8', 'replace'))
+    """Return JSON of which all text is UTF-8 and all numbers are finite."""
+    lax = json.loads(
+        body.decode('utf8', 'replace'),
+        parse_float=_finite,
+        parse_constant=_finite,
+    )
     return json.dumps(lax, ensure_ascii=False).encode('utf8', 'replace')
+
+
+def _finite(text):
+    """Return a number, or None for infinity and for what is no number."""
+    number = float(text)
+    return number if math.isfinite(number) else None
