peer: one patch of texts, by rows

Cause: a patch kept what two texts have in common at their ends; a change of a configuration touches its version at the start and a row anywhere, so all between them was sent. Rows that the older text has are named now; the module moves to the peers' package, as both relays use it.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -20,12 +20,10 @@
     InForce,
     Snapshot,
     hosts_behind,
-    patch_between,
-    patched,
 )
 from pollenstile.manifest import text_from_manifest
 from pollenstile.ops.logs import silent_log
-from pollenstile.peer import schema
+from pollenstile.peer import patch_between, patched, schema
 
 
 @given(
--- a/pollenstile/fleet/__init__.py
+++ b/pollenstile/fleet/__init__.py
@@ -16,12 +16,6 @@
 from pollenstile.fleet._inforce import InForce
 from pollenstile.fleet._loads import http_load_reader
 from pollenstile.fleet._neighbours import by_domain, neighbours
-from pollenstile.fleet._patch import (
-    Patch,
-    patch_between,
-    patched,
-    text_digest,
-)
 from pollenstile.fleet._platformnews import (
     CONFIG_KIND,
     CONFIG_NAME,
--- a/pollenstile/fleet/_relay.py
+++ b/pollenstile/fleet/_relay.py
@@ -5,18 +5,16 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.fleet import events
-from pollenstile.fleet._patch import (
-    Patch,
-    patch_between,
-    patched,
-    text_digest,
-)
 from pollenstile.peer import (
     BadMessageError,
     Beat,
+    Patch,
     Unanswered,
     decoded,
+    patch_between,
+    patched,
     schema,
+    text_digest,
 )
 
 SUBJECT = 'config'
@@ -150,8 +148,7 @@
             version, patch = decoded(schema.ConfigContent, answer, _content)
         except BadMessageError:
             return None
-        bare = patch.prefix == 0 and patch.suffix == 0
-        text = patched('' if bare else self.in_force.text, patch)
+        text = patched(self.in_force.text, patch)
         return None if text is None else (version, text)
 
     def _pause(self):
--- a/pollenstile/peer/__init__.py
+++ b/pollenstile/peer/__init__.py
@@ -21,6 +21,12 @@
     message_bytes,
     message_from,
 )
+from pollenstile.peer._patch import (
+    Patch,
+    patch_between,
+    patched,
+    text_digest,
+)
 from pollenstile.peer._requests import Unanswered
 from pollenstile.peer._schema import SCHEMA_PATH, loaded_schema, schema
 from pollenstile.peer._session import (
