platform: an answer is given up by its silence, not by its whole time

Cause: a large answer on a link that is full takes seconds. Given up after its whole time (a second for a watch), it was asked for again and came again from its start; the link never emptied. A call has its time until the answer begins, and a second for each part after that, ten seconds in all. The store says whether an answer is coming in, which is not silence.

--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -22,6 +22,12 @@
 
 BODY_LIMIT = 4_000_000
 _IDLE_SECONDS = 15.0
+# Seconds without a byte after which an answer that has begun is given up, and
+# seconds for one in all. On a link that is full, a large answer takes seconds
+# and does come; given up by its whole time, it was asked for again, and the
+# link never emptied.
+_PART_SECONDS = 1.0
+_MOST_SECONDS = 10.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,10 +82,24 @@
     port : int
         Its port.
     timeout : float
-        Seconds for a call, connection and body included.
+        Seconds until an answer begins, the connection included.
+
+    Attributes
+    ==========
+
+    arriving : int
+        Calls whose answer has begun and has not ended.
     """
 
-    __slots__ = ('clock', 'host', 'pool', 'port', 'reactor', 'timeout')
+    __slots__ = (
+        'arriving',
+        'clock',
+        'host',
+        'pool',
+        'port',
+        'reactor',
+        'timeout',
+    )
 
     def __init__(self, reactor, clock, host, port, timeout=2.0):
         self.reactor = reactor
@@ -87,6 +107,7 @@
         self.host = host
         self.port = port
         self.timeout = timeout
+        self.arriving = 0
         self.pool = HTTPConnectionPool(reactor, persistent=True)
         self.pool.retryAutomatically = False
         self.pool.cachedConnectionTimeout = _IDLE_SECONDS
@@ -109,7 +130,7 @@
         body : bytes or None
             JSON.
         timeout : float or None
-            Seconds, the caller's when ``None``.
+            Seconds until the answer begins, the caller's when ``None``.
         fresh : bool
             Whether to open a connection for this call alone.
 
@@ -119,24 +140,27 @@
         Reply or Broken
         """
         endpoints = _Endpoints(self)
+        limit = _TimeLimit(self.clock)
         call = Deferred.fromCoroutine(
-            self._exchange(endpoints, method, path, body, fresh),
-        )
-        call.addTimeout(
-            self.timeout if timeout is None else timeout, self.clock
+            self._exchange(endpoints, method, path, body, fresh, limit),
         )
+        limit.begin(call, self.timeout if timeout is None else timeout)
         try:
             return await call
-        except CancelledError:
-            raise
+        except CancelledError as error:
+            if not limit.expired:
+                raise
+            return self._broken(error, endpoints.connected or not fresh)
         except Exception as error:
             return self._broken(error, endpoints.connected or not fresh)
+        finally:
+            limit.end()
 
     def close(self):
         """Close the idle connections; return a Deferred."""
         return self.pool.closeCachedConnections()
 
-    async def _exchange(self, endpoints, method, path, body, fresh):
+    async def _exchange(self, endpoints, method, path, body, fresh, limit):
         pool = self.pool
         if fresh:
             pool = HTTPConnectionPool(self.reactor, persistent=False)
@@ -148,7 +172,11 @@
             Headers({'content-type': ['application/json']}),
             None if body is None else BytesProducer(body),
         )
-        whole = await _whole_body(response)
+        self.arriving += 1
+        try:
+            whole = await _whole_body(response, limit)
+        finally:
+            self.arriving -= 1
         return Reply(response.code, whole, _retry_after(response))
 
     def _broken(self, error, connected):
@@ -156,7 +184,42 @@
         # connections while new ones work. Each would cost a further timeout,
         # so none is kept after a failure.
         self.close()
-        return Broken(connected, type(error).__name__)
+        kind = (
+            TimeoutError if isinstance(error, CancelledError) else type(error)
+        )
+        return Broken(connected, kind.__name__)
+
+
+class _TimeLimit:
+    """Ends a call whose answer does not begin, or does not go on."""
+
+    __slots__ = ('call', 'clock', 'ends', 'expired', 'timer')
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.expired = False
+        self.timer = None
+
+    def begin(self, call, seconds):
+        """Give the answer some seconds to begin."""
+        self.call = call
+        self.ends = self.clock.seconds() + seconds + _MOST_SECONDS
+        self.timer = self.clock.callLater(seconds, self._expire)
+
+    def heard(self):
+        """Give the answer's next part its time."""
+        left = self.ends - self.clock.seconds()
+        if self.timer.active():
+            self.timer.reset(max(0, min(_PART_SECONDS, left)))
+
+    def end(self):
+        """Stop: the answer is whole, or given up."""
+        if self.timer.active():
+            self.timer.cancel()
+
+    def _expire(self):
+        self.expired = True
+        self.call.cancel()
 
 
 @implementer(IAgentEndpointFactory)
@@ -182,12 +245,14 @@
 
 
 class _Body(Protocol):
-    def __init__(self, done):
+    def __init__(self, done, limit):
         self.done = done
+        self.limit = limit
         self.parts = []
         self.size = 0
 
     def dataReceived(self, data):
+        self.limit.heard()
         self.size += len(data)
         self.parts.append(data)
         if self.size > BODY_LIMIT:
@@ -205,9 +270,10 @@
         self.transport.abortConnection()
 
 
-def _whole_body(response):
+def _whole_body(response, limit):
     done = Deferred(lambda _: body.abort())
-    body = _Body(done)
+    body = _Body(done, limit)
+    limit.heard()
     response.deliverBody(body)
     return done
 
--- a/pollenstile/platform/_httpstore.py
+++ b/pollenstile/platform/_httpstore.py
@@ -45,6 +45,10 @@
         self.caller = caller
         self.watch_margin = watch_margin
 
+    def is_answering(self):
+        """Return whether an answer has begun to come in and has not ended."""
+        return self.caller.arriving > 0
+
     async def get(self, kind, name):
         """Return ``Found``, ``Absent`` or ``Unavailable``."""
         reply = await self.caller.call('GET', _object_path(kind, name))
--- a/pollenstile/platform/_paced.py
+++ b/pollenstile/platform/_paced.py
@@ -79,6 +79,10 @@
         self.outcomes = Counter()
         self.refused = Counter()
 
+    def is_answering(self):
+        """Return whether an answer has begun to come in and has not ended."""
+        return self.store.is_answering()
+
     async def get(self, kind, name):
         """Return ``Found``, ``Absent`` or ``Unavailable``."""
         return self._refusal('get', kind) or await self._call(
--- a/pollenstile/platform/_store.py
+++ b/pollenstile/platform/_store.py
@@ -20,6 +20,9 @@
     say, at most ``VALUE_LIMIT`` bytes encoded, and not ``None``.
     """
 
+    def is_answering(self):
+        """Return whether an answer has begun to come in and has not ended."""
+
     async def get(self, kind, name):
         """Return ``Found``, ``Absent`` or ``Unavailable``."""
 
--- a/pollenstile/standin/_memory.py
+++ b/pollenstile/standin/_memory.py
@@ -102,6 +102,10 @@
         self.calls = Counter()
         self.waiting = {}
 
+    def is_answering(self):
+        """Return that no answer is half in: they come whole."""
+        return False
+
     async def get(self, kind, name):
         """Return ``Found``, ``Absent`` or ``Unavailable``."""
         return await self._exchange(
--- a/pollenstile/standin/reach.py
+++ b/pollenstile/standin/reach.py
@@ -45,6 +45,10 @@
         self.store = store
         self.is_cut = is_cut
 
+    def is_answering(self):
+        """Return that no answer is half in: they come whole."""
+        return False
+
     async def get(self, kind, name):
         """Return ``Found``, ``Absent`` or ``Unavailable``."""
         if self.is_cut():
