forward, relay: a proof of the configuration carries no document

Cause: a key's proof was a read of the whole configuration, every 0.8 s by the readers. With 1,720 routes more (350 kB) it took 0.28 s of a link of 10 Mbit/s each time; readers counted as slow, all followers left them at once and read the whole as well, links were full, watches fell silent and owners were given up.

Change: a watch that is answered at once and brings nothing proves that the configuration is the newest; the whole is read at the start, after gaps and in storms, one at a time. Followers get a patch, and the revision up to which their reader knows the configuration, so that they go on from there. A reader whose link is full is not one without the store.

Ruled out: a list after the last name (it tells the store's revision, which any upstream moves); holding each watch (2.5 calls a second a reader, not 1.4), which is done for large configurations only, where a storm must come one by one.

Ten scenarios; six fail on the code before, four hold guards: a version that can't be used, a deletion, a dropped history, a patch that does not fit.

--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -2,12 +2,13 @@
 
 from random import Random
 
+import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from pollenstile.forward import ConfigurationReader
 from pollenstile.peer import Unanswered
-from pollenstile.platform import WatchTiming, watch
+from pollenstile.platform import WatchTiming, paused, watch
 from pollenstile.relay import Follower, RelayStore, Source, reader_of
 from pollenstile.routes import RouteTable
 from pollenstile.standin.objectapi import MemoryStore
@@ -33,6 +34,73 @@
         return getattr(self.store, name)
 
 
+class Link:
+    """A host's link: what it carries goes one after the other.
+
+    Attributes
+    ==========
+
+    rate : float
+        Bytes a second; 0 for a link that takes no time.
+    carried : int
+        Bytes of the store's answers.
+    largest : int
+        Bytes of the largest one.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.rate = 0
+        self.carried = 0
+        self.largest = 0
+        self.free_at = 0.0
+
+    def carry(self, size):
+        """Return a Deferred that fires when some bytes have come."""
+        begins = max(self.free_at, self.clock.seconds())
+        seconds = size / self.rate if self.rate else 0
+        self.free_at = begins + seconds
+        return paused(self.clock, self.free_at - self.clock.seconds())
+
+
+class LinkedStore:
+    """A store whose answers come over a host's link."""
+
+    def __init__(self, store, link):
+        self.store = store
+        self.link = link
+        self.arriving = 0
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    def is_answering(self):
+        """Return whether an answer is on the link."""
+        return self.arriving > 0
+
+    async def get(self, *args):
+        """Carry an object."""
+        return await self._carried(self.store.get(*args))
+
+    async def listed(self, *args):
+        """Carry a list."""
+        return await self._carried(self.store.listed(*args))
+
+    async def watched(self, *args):
+        """Carry changes."""
+        return await self._carried(self.store.watched(*args))
+
+    async def _carried(self, call):
+        outcome = await call
+        size = len(msgspec.json.encode(outcome))
+        self.link.carried += size
+        self.link.largest = max(self.link.largest, size)
+        self.arriving += 1
+        await self.link.carry(size)
+        self.arriving -= 1
+        return outcome
+
+
 class RelayHost:
     """One host: its configuration, its upstreams, its relay.
 
@@ -56,9 +124,9 @@
         self.gone = False
         self.upstreams = {}
         clock = fleet.clock
-        self.calls = _CountedStore(
-            ReachedStore(store or fleet.store, lambda: self.parted)
-        )
+        self.link = Link(clock)
+        reached = ReachedStore(store or fleet.store, lambda: self.parted)
+        self.calls = _CountedStore(LinkedStore(reached, self.link))
         self.configuration = ConfigurationReader(
             self.calls, clock, clock.seconds, Random(name), _decoded, _REVOKE
         )
@@ -72,6 +140,7 @@
         )
         self.configuration.covered = self.follower.is_following
         self.configuration.followed = self.source.is_followed
+        self.configuration.is_answering = self.calls.store.is_answering
         relayed = RelayStore(self.calls, clock, self.follower, (KIND,))
         self.watch = watch(
             relayed,
@@ -101,6 +170,8 @@
 
     delay : float
         Seconds of a word's way.
+    words : list of int
+        Bytes of each that a reader has sent.
     """
 
     def __init__(self, names):
@@ -109,6 +180,7 @@
         self.order = _ORDER
         self.delay = 0.002
         self.logged = []
+        self.words = []
         self.write('config', 'main', 1)
         self.write(KIND, 'a', {'state': 'ready'})
         self.hosts = {}
@@ -160,11 +232,31 @@
         told.addCallback(self._send_back, host, answer)
 
     def _send_back(self, word, host, answer):
-        if not host.frozen:
-            self.clock.callLater(self.delay, _fire, answer, word)
+        if host.frozen:
+            return
+        self.words.append(len(word))
+        carried = host.link.carry(len(word))
+        carried.addCallback(
+            lambda _: self.clock.callLater(self.delay, _fire, answer, word)
+        )
+
+
+def large_config(version, routes=1750):
+    """Return a configuration of 200 bytes a route."""
+    rng = Random(7)
+    rows = [
+        {'name': f'r-{number}', 'host': f'{rng.getrandbits(700):x}'}
+        for number in range(routes)
+    ]
+    rows[version % routes]['host'] = f'changed-{version}'
+    return {'version': version, 'routes': rows}
 
 
 def _decoded(value):
+    if isinstance(value, dict):
+        return RouteTable(value['version'])
+    if not isinstance(value, int):
+        raise ValueError('no configuration')
     return RouteTable(value)
 
 
--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -9,7 +9,14 @@
 from features.builders.forward import SERVICE
 from pollenstile.forward import ConfigurationReader, Registry, Upstream
 from pollenstile.forward._members import HOSTS, Members, PeerHost
-from pollenstile.platform import Found, NotApplied, Unavailable, paused
+from pollenstile.platform import (
+    Changes,
+    Found,
+    Listing,
+    NotApplied,
+    Unavailable,
+    paused,
+)
 from pollenstile.routes import (
     Kind,
     Route,
@@ -78,17 +85,25 @@
         self.most = 0
         self.reads = 0
 
-    async def get(self, kind, name):
-        """Answer, or be given up after 2.5 seconds."""
+    async def listed(self, kind, prefix=''):
+        """Answer with the whole, or be given up after 2.5 seconds."""
+        found = Found(kind, 'main', 7, 7)
+        return await self._answer(Listing((found,), 9), 'list')
+
+    async def watched(self, kind, since, prefix='', timeout=0):
+        """Answer that nothing has changed."""
+        await paused(self.clock, timeout)
+        return await self._answer(Changes(since), 'watch')
+
+    async def _answer(self, outcome, step):
         self.reads += 1
         self.under_way += 1
         self.most = max(self.most, self.under_way)
         if self.clock.seconds() < self.silent:
             await paused(self.clock, 2.5)
-            outcome = Unavailable('get', 'store', 'TimeoutError')
+            outcome = Unavailable(step, 'store', 'TimeoutError')
         else:
             await paused(self.clock, 0.01)
-            outcome = Found(kind, name, 7, 7)
         self.under_way -= 1
         return outcome
 
--- /dev/null
+++ b/features/steps/large_configuration_steps.py
@@ -0,0 +1,124 @@
+"""Steps of hosts whose configuration has grown large."""
+
+from behave import given, then, when
+
+from features.builders.relay import large_config
+from pollenstile.platform import Found
+
+_MBIT_BYTES = 125_000
+_STEP = 0.05
+
+
+@given('links of {rate:g} Mbit/s')
+def given_links(context, rate):
+    for host in context.fleet.hosts.values():
+        host.link.rate = rate * _MBIT_BYTES
+
+
+@when('a configuration of {routes:d} routes is written')
+def when_large(context, routes):
+    context.version = 2
+    for host in context.fleet.hosts.values():
+        host.link.carried = 0
+        host.calls.calls = 0
+    context.fleet.write('config', 'main', large_config(2, routes))
+
+
+@when(
+    '{seconds:g} seconds of relaying pass, and the age of each proof is noted'
+)
+def when_noted(context, seconds):
+    context.oldest = 0
+    for _ in range(round(seconds / _STEP)):
+        context.fleet.pass_by(_STEP)
+        ages = [
+            host.configuration.age() for host in context.fleet.hosts.values()
+        ]
+        context.oldest = max(context.oldest, *ages)
+
+
+@when('the large configuration changes and {seconds:g} seconds pass')
+def when_changes(context, seconds):
+    context.version += 1
+    context.fleet.words.clear()
+    context.fleet.write('config', 'main', large_config(context.version))
+    context.fleet.pass_by(seconds)
+
+
+@when('the large configuration changes {count:d} times, {gap:g} seconds apart')
+def when_storm(context, count, gap):
+    for host in context.fleet.hosts.values():
+        host.link.largest = 0
+    for _ in range(count):
+        context.version += 1
+        context.fleet.write('config', 'main', large_config(context.version))
+        context.fleet.pass_by(gap)
+
+
+@when('what "{name}" has of the configuration is garbled')
+def when_garbled(context, name):
+    configuration = context.fleet.hosts[name].configuration
+    found = configuration.found
+    garbled = dict(found.value, routes=found.value['routes'][:5])
+    configuration.found = Found(found.kind, found.name, found.version, garbled)
+
+
+@when('a configuration that is none is written and {seconds:g} seconds pass')
+def when_none(context, seconds):
+    context.fleet.write('config', 'main', 'nonsense')
+    context.fleet.pass_by(seconds)
+
+
+@when('the configuration is deleted and {seconds:g} seconds pass')
+def when_deleted(context, seconds):
+    context.fleet.remove('config', 'main')
+    context.fleet.pass_by(seconds)
+
+
+@when('the store drops its history, and {seconds:g} seconds of relaying pass')
+def when_dropped(context, seconds):
+    objects = context.fleet.store.objects
+    context.fleet.write('other', 'a', 1)
+    objects.compact()
+    context.fleet.pass_by(seconds)
+
+
+@when('all watches are answered with old changes for {seconds:g} seconds')
+def when_lagging(context, seconds):
+    context.fleet.write('config', 'main', 1)
+    context.fleet.pass_by(1)
+    context.fleet.store.calls.clear()
+    context.fleet.store.stale_watches = 1000
+    context.fleet.pass_by(seconds)
+
+
+@then('"{name}" has read the whole again, and trusts keys by that alone')
+def then_whole(context, name):
+    assert context.fleet.store.calls['list'] >= 1
+    assert context.fleet.hosts[name].configuration.is_proven()
+
+
+@then("the links carried at most {most:g} MB of the store's answers each")
+def then_carried(context, most):
+    for host in context.fleet.hosts.values():
+        carried = host.link.carried
+        assert carried <= most * 1e6, (host.name, carried)
+
+
+@then(
+    'the link of "{name}" carried at most {most:g} kB of the store\'s answers'
+)
+def then_link_carried(context, name, most):
+    carried = context.fleet.hosts[name].link.carried
+    assert carried <= most * 1e3, carried
+
+
+@then('no answer of the store had over {most:g} kB')
+def then_largest(context, most):
+    for host in context.fleet.hosts.values():
+        assert host.link.largest <= most * 1e3, (host.name, host.link.largest)
+
+
+@then('no word to a follower in them had over {most:d} bytes')
+def then_words(context, most):
+    assert max(context.fleet.words) <= most, max(context.fleet.words)
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -177,6 +177,7 @@
         core.log,
     )
     configuration.covered = follower.is_following
+    configuration.is_answering = store.is_answering
     configuration.followed = source.is_followed
     relayed = RelayStore(store, clock, follower, (UPSTREAMS, HOSTS))
     return Relay(source, follower, readers, relayed)
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -1,10 +1,16 @@
 """The route table in force, and the proof that it was the newest."""
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from pollenstile.forward import events
+from pollenstile.forward._configreads import (
+    answered_within,
+    newer_config,
+    whole_config,
+)
 from pollenstile.ops.logs import silent_log
-from pollenstile.platform import Found, paused
+from pollenstile.platform import Compacted, Unavailable, paused
 
 # Seconds between reads. A change has to be in force within 2 s of its write;
 # this leaves one failed read and the answer's way.
@@ -12,11 +18,28 @@
 # The same while other hosts rely on this one's reads: their word is taken for
 # 1.2 s after a read was sent, a slow store's answer and the jitter included.
 _FOLLOWED_PERIOD = 0.8
+# Seconds for which the store may hold a read while nothing is new: it need not,
+# an answer without changes is a proof at any moment.
+_LEAST_HOLD = 0.001
+# The same for a large configuration, whose reads follow one another. A change
+# is answered at once, so a storm of them comes one by one: 25 versions of
+# 350 kB in 1.5 s would be answered with nine megabytes at a time.
+_LARGE_HOLD = 0.4
+_LARGE_BYTES = 64_000
+# Seconds between a change and the read of the whole that looks whether it was
+# the last one. A watch would answer a storm of changes with every version.
+_SETTLE = 0.25
+# Seconds without news of the store after which the whole is read: what a watch
+# over such a gap brings has no bound.
+_LONG_GAP = 3.0
+# Seconds after which a read of the whole that is not answered gets another one
+# beside it: 350 kB take 0.6 s of a link of 5 Mbit/s.
+_WHOLE_SECONDS = 1.2
 # Seconds between looks whether a host that follows another one has to read.
 _COVERED_PAUSE = 0.1
-# Seconds between reads while some are not answered, at most, and how many may
-# be under way: a slow store answers within 0.3 s, one that is silent is not
-# given more than one call in half a second.
+# Seconds beyond its hold after which a read that is not answered gets another
+# one beside it, and how many may be under way: a slow store answers within
+# 0.3 s, one that is silent is not given more than one call in half a second.
 _RETRY_PERIOD = 0.5
 _MOST_READS = 3
 # Part of the revocation bound after which a proof is too old: the rest is
@@ -65,15 +88,29 @@
         Called with each new table.
     failures : int
         Reads in a row without an answer.
-    under_way : int
-        Reads that are not answered yet.
+    under_way, whole_under_way : int
+        Reads that are not answered yet, and those of the whole among them.
+    in_storm : bool
+        Whether changes come faster than reads.
     found : Found or None
         What the table was decoded from.
+    size : int
+        Bytes of its text.
+    newest : int
+        Revision of the newest configuration that was heard of, also of one
+        that can't be used.
+    seen : int or None
+        The store's revision up to which the configuration is known, by reads
+        or by another host's word.
+    seen_at : float
+        On the suspend clock: when that was known.
     read_at : float
         On the suspend clock: when the latest read that was answered here was
         sent; another host's proof does not count.
     covered : function
         Returns whether another host's word makes reads needless.
+    is_answering : function
+        Returns whether an answer of the store is coming in now.
     followed : function
         Returns whether other hosts rely on this one's reads.
     """
@@ -85,8 +122,11 @@
         'failures',
         'followed',
         'found',
+        'in_storm',
+        'is_answering',
         'listeners',
         'log',
+        'newest',
         'on_read',
         'proven_at',
         'random',
@@ -94,10 +134,16 @@
         'revision',
         'revoke_seconds',
         'running',
+        'seen',
+        'seen_at',
+        'size',
         'store',
         'suspend_clock',
         'table',
         'under_way',
+        'whole_at',
+        'whole_took',
+        'whole_under_way',
     )
 
     def __init__(
@@ -119,13 +165,22 @@
         self.log = log
         self.table = None
         self.revision = 0
+        self.newest = 0
         self.found = None
+        self.size = 0
+        self.seen = None
+        self.seen_at = -1000.0
+        self.in_storm = False
         self.proven_at = -1000.0
         self.read_at = -1000.0
         self.covered = _never
+        self.is_answering = _never
         self.followed = _never
         self.failures = 0
         self.under_way = 0
+        self.whole_under_way = 0
+        self.whole_at = -1000.0
+        self.whole_took = 0.0
         self.listeners = []
         self.on_read = None
         self.running = True
@@ -163,25 +218,85 @@
             if self.covered():
                 await paused(self.clock, _COVERED_PAUSE)
                 continue
-            if self.under_way < _MOST_READS:
-                Deferred.fromCoroutine(self._read())
-            share = self.random.uniform(0.75, 1)
-            await paused(self.clock, share * _RETRY_PERIOD)
-            if not self.failures and not self.under_way:
-                period = _FOLLOWED_PERIOD if self.followed() else _READ_PERIOD
-                await paused(self.clock, share * (period - _RETRY_PERIOD))
-
-    async def _read(self):
+            began = self.clock.seconds()
+            hold = _LARGE_HOLD if self.size > _LARGE_BYTES else _LEAST_HOLD
+            if self._may_read():
+                reading = Deferred.fromCoroutine(self._read(hold))
+                await answered_within(reading, self.clock, hold + _RETRY_PERIOD)
+            spent = self.clock.seconds() - began
+            pause = self.random.uniform(0.75, 1) * self._period() - spent
+            await paused(self.clock, max(0, pause))
+
+    def _period(self):
+        """Return seconds from one read's start to the next one's."""
+        if self.failures or self.under_way:
+            return _RETRY_PERIOD
+        if self.in_storm or self.size > _LARGE_BYTES:
+            return _SETTLE
+        return _FOLLOWED_PERIOD if self.followed() else _READ_PERIOD
+
+    def _may_read(self):
+        """Return whether a further read may be sent now.
+
+        Explanation
+        ===========
+
+        The whole is fetched once at a time: on a slow link a second one would
+        only delay the first. One that a silent connection swallowed must not
+        keep a change from this host, so that ends after a while.
+        """
+        if self.under_way >= _MOST_READS:
+            return False
+        if self.under_way and self.is_answering():
+            # Not silent: a large answer is coming in over a full link, and a
+            # second one beside it would double what the link has to carry.
+            return False
+        waits = self.suspend_clock() - self.whole_at < _WHOLE_SECONDS
+        return not (waits and self.whole_under_way)
+
+    def _needs_whole(self):
+        # On a link that takes seconds for the whole, what it brought is as old.
+        gap = self.suspend_clock() - self.seen_at - self.whole_took
+        return self.seen is None or self.in_storm or gap > _LONG_GAP
+
+    async def _read(self, hold):
         began = self.suspend_clock()
+        whole = self._needs_whole()
         self.under_way += 1
-        outcome = await self.store.get('config', 'main')
+        self.whole_under_way += whole
+        if whole:
+            self.whole_at = began
+            outcome = await whole_config(self.store)
+        else:
+            outcome = await newer_config(self.store, self.seen, hold)
         self.under_way -= 1
-        answered = isinstance(outcome, Found)
+        self.whole_under_way -= whole
+        if whole:
+            self.whole_took = self.suspend_clock() - began
+        answered = not isinstance(outcome, Unavailable)
         if answered:
             self.read_at = max(self.read_at, began)
-            self.take(outcome, began)
+        if isinstance(outcome, Compacted):
+            self.seen = None
+        elif answered:
+            self._take_news(outcome, began, whole=whole)
         self._note(outcome, answered=answered)
 
+    def _take_news(self, news, began, *, whole):
+        before = self.newest
+        self.seen = max(news.revision, self.seen or 0)
+        self.seen_at = max(began, self.seen_at)
+        if news.found is not None:
+            self.take(news.found, began)
+        elif news.changed:
+            # Deleted: what is in force here is not the newest any more.
+            self.newest = max(self.newest, news.revision)
+        elif self.newest == self.revision:
+            self.proven_at = max(self.proven_at, began)
+        moved = self.newest > before
+        # A whole that brought nothing new ends a storm of changes.
+        self.in_storm = moved and (self.in_storm or not whole)
+
     def take(self, found, began):
         """Take one read.
 
@@ -193,8 +308,9 @@
         began : float
             On the suspend clock, before the read was sent.
         """
-        if found.version < self.revision:
+        if found.version < self.newest:
             return
+        self.newest = found.version
         if found.version > self.revision or self.table is None:
             if not self._replaced(found):
                 return
@@ -227,8 +343,25 @@
         if word.config_revision > self.revision:
             return False
         self.proven_at = max(self.proven_at, proven_at)
+        if word.seen:
+            # If the reader is lost, this host asks for what is newer than
+            # this; the whole, asked for by all followers at once, would fill
+            # the links that are slow already.
+            self.seen = max(word.seen, self.seen or 0)
+            self.seen_at = max(proven_at, self.seen_at)
         return True
 
+    def told_seen(self):
+        """Return the store's revision that other hosts may go on from.
+
+        Explanation
+        ===========
+
+        0 when a newer configuration than the one in force was seen and could
+        not be used: from there on, nothing new would prove the old one.
+        """
+        return self.seen if self.seen and self.newest == self.revision else 0
+
     def _replaced(self, found):
         try:
             table = self.decode(found.value)
@@ -244,6 +377,7 @@
             return False
         self.table = table
         self.found = found
+        self.size = len(msgspec.json.encode(found.value))
         self.log(
             events.CONFIGURATION_TAKEN,
             version=table.version,
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -1,11 +1,14 @@
 """A host that takes the store's news from the reader of its domain."""
 
+from dataclasses import replace
+
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.platform import paused
 from pollenstile.relay import events
+from pollenstile.relay._configtexts import config_patched
 from pollenstile.relay._messages import (
     Asked,
     Cursor,
@@ -55,6 +58,8 @@
         The host whose word was taken last; empty while this host reads.
     source : str
         Its incarnation.
+    needs_whole : bool
+        Whether the next ask is for the whole configuration.
     numbers : dict
         The newest change that was taken of each kind, as the source counts.
     feeds : dict
@@ -69,6 +74,7 @@
         'feeds',
         'following',
         'log',
+        'needs_whole',
         'numbers',
         'on_direct',
         'reader',
@@ -98,6 +104,7 @@
         self.feeds = {}
         self.on_direct = []
         self.direct_until = 0.0
+        self.needs_whole = False
         self.running = True
 
     def start(self):
@@ -131,7 +138,8 @@
         cursors = tuple(
             Cursor(kind, self.numbers.get(kind, 0)) for kind in self.feeds
         )
-        asked = Asked(self.source, self.configuration.revision, cursors, _HOLD)
+        revision = 0 if self.needs_whole else self.configuration.revision
+        asked = Asked(self.source, revision, cursors, _HOLD)
         answer = await self.ask(host, ASK, asked_bytes(asked), _HOLD + _LATE)
         try:
             reason = self._took(host, answer, began)
@@ -153,8 +161,17 @@
             return str(error)
         if not word.fit:
             return 'reader without store'
+        word = self._unpatched(word)
+        # A patch that does not fit leads to an ask for the whole.
+        self.needs_whole = word is None
+        if word is None:
+            return ''
         if not self.configuration.told(word, began):
             return 'configuration not told'
+        self._follow(host, word)
+        return ''
+
+    def _follow(self, host, word):
         if self.following != host:
             self.log(events.READER_FOLLOWED, peer=host)
         self.following = host
@@ -164,7 +181,15 @@
         for news in word.news:
             self.numbers[news.kind] = news.number
             self.feeds[news.kind](news)
-        return ''
+
+    def _unpatched(self, word):
+        """Return a word with the whole for a patch; None if that fails."""
+        if word.patch is None:
+            return word
+        found = config_patched(
+            self.configuration.found, word.config_revision, word.patch
+        )
+        return None if found is None else replace(word, config=found)
 
     def _read_directly(self, reason):
         if not self.following:
--- a/pollenstile/relay/_messages.py
+++ b/pollenstile/relay/_messages.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from pollenstile.peer import BadMessageError, decoded, loaded_schema
+from pollenstile.peer import (
+    BadMessageError,
+    Patch,
+    decoded,
+    loaded_schema,
+)
 from pollenstile.platform import Change, Found
 
 _MS = 1000
@@ -87,6 +92,11 @@
         Of the proven configuration.
     config : Found or None
         The configuration, if the asker's is older.
+    patch : Patch or None
+        In its place, where the source knows what the asker has.
+    seen : int
+        The store's revision up to which the source knows the configuration;
+        0 when the asker can't go on from there.
     """
 
     source: str
@@ -95,6 +105,8 @@
     config_revision: int = 0
     config: Found | None = None
     news: tuple[KindNews, ...] = ()
+    patch: Patch | None = None
+    seen: int = 0
 
 
 def asked_bytes(asked):
@@ -130,14 +142,18 @@
         config = msgspec.json.encode(word.config.value)
     if len(config) > _LARGEST_CONFIG:
         config = b''
-    return _schema.Word.new_message(
+    message = _schema.Word.new_message(
         source=word.source,
         fit=word.fit,
         agedMs=int(word.aged * _MS) + 1,
         configRevision=word.config_revision,
         config=config,
         news=[_news_row(one) for one in word.news],
-    ).to_bytes()
+        seen=word.seen,
+    )
+    if word.patch is not None:
+        message.patch = _patch_row(word.patch)
+    return message.to_bytes()
 
 
 def word_from(encoded):
@@ -156,11 +172,29 @@
             revision,
             config,
             tuple(_news_from(one) for one in reader.news),
+            _patch_from(reader.patch),
+            reader.seen,
         )
 
     return decoded(_schema.Word, encoded, build)
 
 
+def _patch_row(patch):
+    return {
+        'prefix': patch.prefix,
+        'suffix': patch.suffix,
+        'middle': patch.middle,
+        'digest': patch.digest,
+    }
+
+
+def _patch_from(reader):
+    digest = bytes(reader.digest)
+    if not digest:
+        return None
+    return Patch(reader.prefix, reader.suffix, bytes(reader.middle), digest)
+
+
 def _news_row(news):
     return {
         'kind': news.kind,
--- a/pollenstile/relay/_source.py
+++ b/pollenstile/relay/_source.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
+from pollenstile.relay._configtexts import ConfigTexts
 from pollenstile.relay._messages import (
     KindNews,
     Word,
@@ -17,6 +18,10 @@
 # turn of its own watch and the way are under the 2 s within which a host in
 # touch must know that an upstream leaves.
 CONTACT_SECONDS = 1.2
+# The same while an answer of the store is coming in: the store is there, and
+# the link is full. Its followers, sent to the store all at once, would fill
+# theirs with the same document.
+_SLOW_CONTACT_SECONDS = 3.0
 # Changes that are kept of each kind; who has missed more gets all objects.
 _MOST_CHANGES = 512
 # Seconds for which changes of one instant are gathered before they are told.
@@ -102,6 +107,7 @@
     __slots__ = (
         'asked_at',
         'clock',
+        'config_texts',
         'configuration',
         'held',
         'histories',
@@ -121,7 +127,8 @@
         self.asked_at = -_FOLLOWED_SECONDS
         self.leaving = False
         self.timer = None
-        configuration.listeners.append(self._soon)
+        self.config_texts = ConfigTexts()
+        configuration.listeners.append(self._config_changed)
 
     def add(self, kind, watch):
         """Name the watch that knows how far a kind is known."""
@@ -139,7 +146,12 @@
     def is_fit(self):
         """Return whether the store has answered this host lately."""
         age = self.suspend_clock() - self.configuration.read_at
-        return not self.leaving and age < CONTACT_SECONDS
+        return not self.leaving and age < self._contact_seconds()
+
+    def _contact_seconds(self):
+        if self.configuration.is_answering():
+            return _SLOW_CONTACT_SECONDS
+        return CONTACT_SECONDS
 
     def answer(self, host, body):
         """Return a Deferred of the answer to an ask."""
@@ -158,7 +170,11 @@
     def _history(self, kind):
         return self.histories.setdefault(kind, _History())
 
-    def _soon(self, *_):
+    def _config_changed(self, table):
+        self.config_texts.take(self.configuration.found)
+        self._soon()
+
+    def _soon(self):
         if self.timer is None and self.held:
             self.timer = self.clock.callLater(_GATHER, self._tell)
 
@@ -177,7 +193,7 @@
             self._answer_held(done, at_last=True)
             return
         age = self.suspend_clock() - self.configuration.read_at
-        left = min(held[2] - now, CONTACT_SECONDS - age)
+        left = min(held[2] - now, self._contact_seconds() - age)
         self.clock.callLater(max(_GATHER, left), self._look_again, done)
 
     def _answer_held(self, done, *, at_last=False):
@@ -192,15 +208,24 @@
         if not self.is_fit():
             return Word(self.ident, fit=False)
         revision = self.configuration.revision
-        config = None
-        if asked.config_revision < revision:
-            config = self.configuration.found
+        is_older = asked.config_revision < revision
         news = self._news(asked, at_last=at_last)
-        if not (at_last or news or config):
+        if not (at_last or news or is_older):
             return None
+        patch = None
+        if is_older:
+            patch = self.config_texts.patch_from(asked.config_revision)
         now = self.suspend_clock()
-        aged = now - self.configuration.proven_at - (now - came)
-        return Word(self.ident, True, aged, revision, config, news)
+        return Word(
+            self.ident,
+            fit=True,
+            aged=now - self.configuration.proven_at - (now - came),
+            config_revision=revision,
+            config=self.configuration.found if is_older and not patch else None,
+            news=news,
+            patch=patch,
+            seen=self.configuration.told_seen(),
+        )
 
     def _news(self, asked, *, at_last):
         known = asked.source == self.ident
--- a/pollenstile/relay/messages.capnp
+++ b/pollenstile/relay/messages.capnp
@@ -24,9 +24,23 @@
   # Time since the source's proof was true, less the time that it held the ask.
   agedMs @2 :Int64;
   configRevision @3 :UInt64;
-  # Empty unless the asker's revision is older; JSON.
+  # Empty unless the asker's revision is older and unknown here; JSON.
   config @4 :Data;
   news @5 :List(KindNews);
+  # Up to which the source knows the configuration; 0 when it can't say.
+  seen @6 :UInt64;
+  # From the asker's configuration to the newest one; empty digest for none.
+  patch @7 :Patch;
+}
+
+struct Patch {
+  # Bytes kept from the start and the end of the older text.
+  prefix @0 :UInt32;
+  suffix @1 :UInt32;
+  # Edits of what lies between them, compressed.
+  middle @2 :Data;
+  # Of the newer text.
+  digest @3 :Data;
 }
 
 struct KindNews {
