forward, relay: fewer calls of the store by hosts that start and followers

Cause: of the calls of a small twin of the large fleet a third were made by hosts that had just started, 21 a start: eight watches of upstreams that come up one after the other, three of proofs, two writes of the own entry. The rest of what grows with hosts came from followers: each time that a reader left, all of them read the store for three seconds.

Change: a host that has just started waits 1.5 s for a reader's word before it watches upstreams itself; changes of one moment are gathered for 0.2 s, not 0.05; an own entry that stands is not written, a new one is created by one call, one that a late call took back is written anew. A follower asks on, of whoever reads next, for a second from the last word before it reads the store.

Six scenarios; each guard taken out fails one.

--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -170,6 +170,8 @@
 
     delay : float
         Seconds of a word's way.
+    links_at : float
+        On the clock: no host has links before.
     words : list of int
         Bytes of each that a reader has sent.
     """
@@ -180,6 +182,7 @@
         self.order = _ORDER
         self.delay = 0.002
         self.logged = []
+        self.links_at = 0.0
         self.words = []
         self.write('config', 'main', 1)
         self.write(KIND, 'a', {'state': 'ready'})
@@ -207,7 +210,8 @@
 
     def is_linked(self, name):
         """Return whether hosts can ask another one."""
-        return name in self.hosts and not self.hosts[name].gone
+        linked = self.clock.seconds() >= self.links_at
+        return linked and name in self.hosts and not self.hosts[name].gone
 
     def ask(self, name, subject, body, seconds):
         """Carry an ask and its answer, each on its way for a while."""
--- a/features/forward_state.feature
+++ b/features/forward_state.feature
@@ -93,3 +93,28 @@
     Then "/a/b/c" has the route "/a/b/" and "/a/c" has "/a/"
     And "/c" has none
     And of 1000 requests 880 to 920 go to the service with 90 in 100
+
+  Scenario: A host that starts again under its name
+    Its entry stands from before the crash; each call of the store is paid for.
+    Given a member whose own entry stands in the store
+    When it registers
+    Then it has written nothing
+    When its entry is taken back by a call that came late
+    Then its entry stands again
+
+  Scenario: A host that leaves does not come back
+    Given a member whose own entry stands in the store
+    When it registers
+    And it leaves
+    Then its entry is gone
+
+  Scenario: A host that is new writes its entry by one call
+    Given a member without an entry in the store
+    When it registers
+    Then it has written 1 time
+
+  Scenario: An entry that another process of the same name wrote meanwhile
+    Given a member without an entry in the store
+    When its last process writes an entry of another address
+    And it registers
+    Then its entry stands again
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -101,3 +101,19 @@
     And 1.0 seconds of relaying pass
     Then "t" reads for itself
     And the keys of "t" are trusted
+
+  Scenario: A reader that leaves sends nobody else to the store
+    A tenth of the hosts is restarted each second. Each time that a reader left,
+    30 hosts read the store for three seconds, and one had to.
+    Given the hosts "r,s,t,u" of one domain
+    When the reader leaves and 4 seconds of relaying pass
+    Then "t,u" follow "s"
+    And "t,u" called the store 0 times in them
+
+  Scenario: A host that starts while upstreams come up
+    195 hosts start, and 200 upstreams come up one after the other. Each host
+    made eight watches of them before it had a reader to follow.
+    Given the hosts "r,s,t,u" of one domain
+    When "v" starts, has links 0.9 seconds later, and 8 upstreams come meanwhile
+    Then "v" has called the store at most 4 times
+    And "v" knows 9 upstreams
--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -10,6 +10,8 @@
 from pollenstile.forward import ConfigurationReader, Registry, Upstream
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.platform import (
+    Absent,
+    Change,
     Changes,
     Found,
     Listing,
@@ -349,3 +351,74 @@
     rng = Random(4)
     found = [picked_service(route, rng.random()) for _ in range(count)]
     assert least <= found.count('most') <= most, found.count('most')
+
+
+def _done(coroutine):
+    Deferred.fromCoroutine(coroutine)
+
+
+@given('a member whose own entry stands in the store')
+def given_standing(context):
+    context.store = MemoryStore(Clock())
+    context.member = _members(context.store, 'one')
+    _done(context.member.register())
+    _tell_member(context)
+    context.member = _members(context.store, 'one')
+    _tell_member(context)
+    context.store.calls.clear()
+
+
+@given('a member without an entry in the store')
+def given_no_entry(context):
+    context.store = MemoryStore(Clock())
+    context.member = _members(context.store, 'one')
+
+
+def _tell_member(context):
+    found = context.store.objects.found(HOSTS, 'one')
+    value = found.value if isinstance(found, Found) else None
+    context.member.take(Change(HOSTS, 'one', 1, value, 1))
+
+
+@when('it registers')
+def when_member_registers(context):
+    _done(context.member.register())
+
+
+@when('its last process writes an entry of another address')
+def when_last_process(context):
+    _done(context.store.put(HOSTS, 'one', {'address': '10.0.0.9:7'}))
+
+
+@when('its entry is taken back by a call that came late')
+def when_taken_back(context):
+    _done(context.store.delete(HOSTS, 'one'))
+    _tell_member(context)
+
+
+@when('it leaves')
+def when_member_leaves(context):
+    _done(context.member.leave())
+    _tell_member(context)
+
+
+@then('it has written nothing')
+def then_nothing_written(context):
+    assert not context.store.calls['put'], context.store.calls
+
+
+@then('it has written {count:d} time')
+def then_written(context, count):
+    assert context.store.calls['put'] == count, context.store.calls
+
+
+@then('its entry stands again')
+def then_member_stands(context):
+    found = context.store.objects.found(HOSTS, 'one')
+    assert found.value['address'] == '10.0.0.1:7', found
+
+
+@then('its entry is gone')
+def then_entry_gone(context):
+    found = context.store.objects.found(HOSTS, 'one')
+    assert isinstance(found, Absent), found
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from twisted.internet.defer import succeed
 
-from features.builders.relay import KIND, RelayFleet
+from features.builders.relay import KIND, RelayFleet, RelayHost
 from pollenstile.platform import Found
 
 _STEP = 0.05
@@ -203,3 +203,35 @@
 @then('"{name}" reads for itself')
 def then_reads(context, name):
     assert not context.fleet.hosts[name].follower.following
+
+
+@when('the reader leaves and {seconds:g} seconds of relaying pass')
+def when_reader_leaves(context, seconds):
+    context.fleet.hosts['r'].gone = True
+    context.fleet.pass_by(seconds)
+
+
+@when(
+    '"{name}" starts, has links {seconds:g} seconds later, and {count:d}'
+    ' upstreams come meanwhile'
+)
+def when_starts(context, name, seconds, count):
+    fleet = context.fleet
+    fleet.links_at = fleet.clock.seconds() + seconds
+    fleet.hosts[name] = RelayHost(fleet, name)
+    for number in range(count):
+        fleet.write(KIND, f'n{number}', {'state': 'ready'})
+        fleet.pass_by(seconds / count)
+    fleet.pass_by(2.0)
+
+
+@then('"{name}" has called the store at most {most:d} times')
+def then_called_at_most(context, name, most):
+    calls = context.fleet.hosts[name].calls.calls
+    assert calls <= most, calls
+
+
+@then('"{name}" knows {count:d} upstreams')
+def then_knows(context, name, count):
+    known = context.fleet.hosts[name].upstreams
+    assert len(known) == count, known
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -33,6 +33,9 @@
 _LINK_TICK = 0.2
 _LINK_BEAT = 0.35
 _LINK_SILENCE = 1.2
+# Seconds for which a host that has just started leaves it at the proof that it
+# has, as it may soon have a reader to follow.
+_JOIN_PROOF = 1.2
 
 
 @dataclass(slots=True)
@@ -176,10 +179,15 @@
         readers.current,
         core.log,
     )
-    configuration.covered = follower.is_following
+    relayed = RelayStore(store, clock, follower, (UPSTREAMS, HOSTS), HOSTS)
+
+    def covered():
+        joining = relayed.is_joining() and configuration.age() < _JOIN_PROOF
+        return follower.is_following() or joining
+
+    configuration.covered = covered
     configuration.is_answering = store.is_answering
     configuration.followed = source.is_followed
-    relayed = RelayStore(store, clock, follower, (UPSTREAMS, HOSTS))
     return Relay(source, follower, readers, relayed)
 
 
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -24,7 +24,8 @@
 # The same for a large configuration, whose reads follow one another. A change
 # is answered at once, so a storm of them comes one by one: 25 versions of
 # 350 kB in 1.5 s would be answered with nine megabytes at a time.
-_LARGE_HOLD = 0.4
+_LARGE_HOLD = 0.9
+_FOLLOWED_HOLD = 0.4
 _LARGE_BYTES = 64_000
 # Seconds between a change and the read of the whole that looks whether it was
 # the last one. A watch would answer a storm of changes with every version.
@@ -219,7 +220,7 @@
                 await paused(self.clock, _COVERED_PAUSE)
                 continue
             began = self.clock.seconds()
-            hold = _LARGE_HOLD if self.size > _LARGE_BYTES else _LEAST_HOLD
+            hold = self._hold()
             if self._may_read():
                 reading = Deferred.fromCoroutine(self._read(hold))
                 await answered_within(reading, self.clock, hold + _RETRY_PERIOD)
@@ -227,6 +228,11 @@
             pause = self.random.uniform(0.75, 1) * self._period() - spent
             await paused(self.clock, max(0, pause))
 
+    def _hold(self):
+        if self.size <= _LARGE_BYTES:
+            return _LEAST_HOLD
+        return _FOLLOWED_HOLD if self.followed() else _LARGE_HOLD
+
     def _period(self):
         """Return seconds from one read's start to the next one's."""
         if self.failures or self.under_way:
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -25,7 +25,7 @@
 _REGISTRY_TIMING = WatchTiming(
     poll=2.0,
     margin=0.5,
-    rearm=0.05,
+    rearm=0.2,
     list_every=20.0,
     list_within=1.5,
     backoff=0.15,
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -3,9 +3,11 @@
 import secrets
 from dataclasses import dataclass
 
+from twisted.internet.defer import Deferred
+
 from pollenstile.forward import events
 from pollenstile.ops.logs import silent_log
-from pollenstile.platform import Absent, Found, Written, paused
+from pollenstile.platform import Absent, Conflict, Found, Written, paused
 
 HOSTS = 'pollenstile-hosts'
 _KEYS = 'pollenstile-keys'
@@ -53,6 +55,10 @@
     Attributes
     ==========
 
+    registered : bool
+        Whether the own entry should stand.
+    standing : dict or None
+        The own entry as the store has it; None where there is none.
     hosts : dict
         :class:`PeerHost` of each other host, by name.
     listeners : list of function
@@ -66,6 +72,8 @@
         'hosts',
         'listeners',
         'log',
+        'registered',
+        'standing',
         'store',
     )
 
@@ -77,10 +85,17 @@
         self.log = log
         self.hosts = {}
         self.listeners = []
+        self.registered = False
+        self.standing = None
 
     def take(self, change):
         """Take a change of an entry."""
         if change.name == self.host:
+            self.standing = change.value
+            if self.registered and change.value is None:
+                # Taken back by a call of this host's last process that came
+                # late: unknown to its peers, it would be asked for nothing.
+                Deferred.fromCoroutine(self.register())
             return
         peer = _peer_host(change.value)
         if peer is None:
@@ -97,16 +112,29 @@
             listener()
 
     async def register(self):
-        """Write the own entry until the store has it."""
+        """Write the own entry until the store has it.
+
+        Explanation
+        ===========
+
+        Each call of the store is paid for, and a fleet that restarts makes a
+        few of them for each host: an entry that stands already, from before a
+        crash, is not written again, and one that is new is created at once.
+        """
         entry = {
             'address': self.entry.address,
             'domain': self.entry.domain,
             'capacity': self.entry.capacity,
         }
-        while True:
-            outcome = await self.store.put(HOSTS, self.host, entry)
+        self.registered = True
+        expected = 0 if self.standing is None else None
+        while entry != self.standing:
+            outcome = await self.store.put(HOSTS, self.host, entry, expected)
             if isinstance(outcome, Written):
                 return
+            expected = None
+            if isinstance(outcome, Conflict):
+                continue
             self.log(
                 events.REGISTER_FAILED,
                 level='warning',
@@ -135,6 +163,7 @@
 
     def leave(self):
         """Take the own entry back; return the store's call."""
+        self.registered = False
         return self.store.delete(HOSTS, self.host)
 
 
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -25,7 +25,12 @@
 _LATE = 0.4
 # Seconds for which this host reads the store itself after a reader failed.
 _DIRECT_SECONDS = 3.0
-# Seconds between looks for a reader while there is none.
+# Seconds since the last word for which a host asks on, of whoever reads next,
+# before it reads the store itself: a reader that leaves, or that just became
+# one, is no reason for all hosts of a domain to call the store for seconds.
+# With one turn of the own watch it is within the 2 s above.
+_ASK_ON_SECONDS = 1.0
+# Seconds between looks for a reader while there is none, or none that is fit.
 _LOOK = 0.2
 # Seconds between two asks at least: a burst of changes is taken in few.
 _LEAST_PAUSE = 0.05
@@ -58,6 +63,8 @@
         The host whose word was taken last; empty while this host reads.
     source : str
         Its incarnation.
+    heard_at : float
+        On the suspend clock: when the ask was sent whose answer was taken last.
     needs_whole : bool
         Whether the next ask is for the whole configuration.
     numbers : dict
@@ -73,6 +80,7 @@
         'direct_until',
         'feeds',
         'following',
+        'heard_at',
         'log',
         'needs_whole',
         'numbers',
@@ -104,6 +112,7 @@
         self.feeds = {}
         self.on_direct = []
         self.direct_until = 0.0
+        self.heard_at = -1000.0
         self.needs_whole = False
         self.running = True
 
@@ -130,10 +139,11 @@
                 self._read_directly('no reader')
                 await paused(self.clock, _LOOK)
                 continue
-            await self._ask_once(host)
-            await paused(self.clock, _LEAST_PAUSE)
+            taken = await self._ask_once(host)
+            await paused(self.clock, _LEAST_PAUSE if taken else _LOOK)
 
     async def _ask_once(self, host):
+        """Ask a reader; return whether its word was taken."""
         began = self.suspend_clock()
         cursors = tuple(
             Cursor(kind, self.numbers.get(kind, 0)) for kind in self.feeds
@@ -147,9 +157,14 @@
             # A fault here must not end the asks: the host would count as
             # following for good, read nothing itself, and refuse all keys.
             reason = repr(error)
-        if reason:
+        if not reason:
+            self.heard_at = began
+            return True
+        silent = self.suspend_clock() - self.heard_at
+        if silent > _ASK_ON_SECONDS or not self.following:
             self.direct_until = self.clock.seconds() + _DIRECT_SECONDS
             self._read_directly(reason)
+        return False
 
     def _took(self, host, answer, began):
         """Take an answer; return why it can't be used, or nothing."""
--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -15,6 +15,11 @@
 )
 
 _STEP = 'watch'
+# Seconds after the start within which a host waits for its reader's word before
+# it watches the store itself. When 195 hosts started at once, each made eight
+# watches of upstreams that came up one after the other; a host that has just
+# started has read them all.
+_JOIN_SECONDS = 1.5
 
 
 class _Feed:
@@ -115,19 +120,27 @@
         Takes readers' word.
     kinds : tuple of str
         Those that readers tell.
+    early : str
+        The kind that leads to a reader, and is watched from the start.
     """
 
-    __slots__ = ('clock', 'feeds', 'follower', 'store')
+    __slots__ = ('clock', 'early', 'feeds', 'follower', 'joins_by', 'store')
 
-    def __init__(self, store, clock, follower, kinds):
+    def __init__(self, store, clock, follower, kinds, early=''):
         self.store = store
         self.clock = clock
+        self.early = early
+        self.joins_by = clock.seconds() + _JOIN_SECONDS
         self.follower = follower
         self.feeds = {kind: _Feed() for kind in kinds}
         for kind, feed in self.feeds.items():
             follower.feeds[kind] = feed.take
         follower.on_direct.append(self._wake)
 
+    def is_joining(self):
+        """Return whether this host may soon have a reader to follow."""
+        return self.clock.seconds() < self.joins_by
+
     def get(self, *args):
         """See :class:`~pollenstile.platform.Store`."""
         return self.store.get(*args)
@@ -155,6 +168,8 @@
     async def watched(self, kind, since, prefix='', timeout=POLL_SECONDS):
         """Return changes from the reader's word, or wait for the store's."""
         feed = self.feeds.get(kind)
+        if feed is not None and kind != self.early and self.is_joining():
+            await self._joined(feed)
         if feed is None or not self.follower.following:
             return await self.store.watched(kind, since, prefix, timeout)
         if feed.listed and not feed.changes:
@@ -174,6 +189,16 @@
         feed.changes.clear()
         return Changes(max(since, feed.revision), changes)
 
+    def _joined(self, feed):
+        """Return a Deferred of a reader's first word, or of its time's end."""
+        word = Deferred()
+        if self.follower.following:
+            word.callback(None)
+            return word
+        word = self._news(feed)
+        left = max(0, self.joins_by - self.clock.seconds())
+        return word.addTimeout(left, self.clock, onTimeoutCancel=_nothing_new)
+
     def _news(self, feed):
         if feed.waiting is None:
             feed.waiting = Deferred(lambda _: None)
