--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -138,9 +138,9 @@
             self.configuration,
             lambda: reader_of(fleet.order, name, fleet.is_linked),
         )
-        self.configuration.covered = self.follower.is_following
-        self.configuration.followed = self.source.is_followed
-        self.configuration.is_answering = self.calls.store.is_answering
+        self.configuration.loop.covered = self.follower.is_following
+        self.configuration.loop.followed = self.source.is_followed
+        self.configuration.loop.is_answering = self.calls.store.is_answering
         relayed = RelayStore(self.calls, clock, self.follower, (KIND,))
         self.watch = watch(
             relayed,
@@ -152,7 +152,7 @@
             timing=_TIMING,
         )
         self.source.add(KIND, self.watch)
-        Deferred.fromCoroutine(self.configuration.run())
+        Deferred.fromCoroutine(self.configuration.loop.run())
         self.follower.start()
 
     def _take(self, change):
--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -125,7 +125,7 @@
         _REVOKE,
     )
     context.reading = reader
-    Deferred.fromCoroutine(reader.run())
+    Deferred.fromCoroutine(reader.loop.run())
 
 
 @when('{seconds:g} seconds of reading pass')
--- a/pollenstile/bench/shared.py
+++ b/pollenstile/bench/shared.py
@@ -83,8 +83,8 @@
             self.configuration,
             readers.current,
         )
-        self.configuration.covered = self.follower.is_following
-        self.configuration.followed = source.is_followed
+        self.configuration.loop.covered = self.follower.is_following
+        self.configuration.loop.followed = source.is_followed
         relayed = RelayStore(fleet.store, clock, self.follower, (_KIND,))
         running = watch(
             relayed, _KIND, source.note, clock, Random(name), silent_log
@@ -93,7 +93,7 @@
         if name != _READER:
             self.hub.dialer.wanted = {_READER: _READER}
         self.hub.start()
-        Deferred.fromCoroutine(self.configuration.run())
+        Deferred.fromCoroutine(self.configuration.loop.run())
         self.follower.start()
 
 
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -185,9 +185,9 @@
         joining = relayed.is_joining() and configuration.age() < _JOIN_PROOF
         return follower.is_following() or joining
 
-    configuration.covered = covered
-    configuration.is_answering = store.is_answering
-    configuration.followed = source.is_followed
+    configuration.loop.covered = covered
+    configuration.loop.is_answering = store.is_answering
+    configuration.loop.followed = source.is_followed
     return Relay(source, follower, readers, relayed)
 
 
--- /dev/null
+++ b/pollenstile/forward/_configloop.py
@@ -0,0 +1,229 @@
+"""The reads of the configuration, one after the other, also through outages."""
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.forward import events
+from pollenstile.forward._configreads import (
+    answered_within,
+    newer_config,
+    whole_config,
+)
+from pollenstile.ops.logs import silent_log
+from pollenstile.platform import Compacted, Unavailable, paused
+
+# Seconds between reads. A change has to be in force within 2 s of its write;
+# this leaves one failed read and the answer's way.
+_READ_PERIOD = 1.2
+# The same while other hosts rely on this one's reads: their word is taken for
+# 1.2 s after a read was sent, a slow store's answer and the jitter included.
+_FOLLOWED_PERIOD = 0.8
+# Seconds for which the store may hold a read while nothing is new: it need not,
+# an answer without changes is a proof at any moment.
+_LEAST_HOLD = 0.001
+# The same for a large configuration, whose reads follow one another. A change
+# is answered at once, so a storm of them comes one by one: 25 versions of
+# 350 kB in 1.5 s would be answered with nine megabytes at a time.
+_LARGE_HOLD = 0.9
+_FOLLOWED_HOLD = 0.4
+_LARGE_BYTES = 64_000
+# Seconds between a change and the read of the whole that looks whether it was
+# the last one. A watch would answer a storm of changes with every version.
+_SETTLE = 0.25
+# Seconds without news of the store after which the whole is read: what a watch
+# over such a gap brings has no bound.
+_LONG_GAP = 3.0
+# Seconds after which a read of the whole that is not answered gets another one
+# beside it: 350 kB take 0.6 s of a link of 5 Mbit/s.
+_WHOLE_SECONDS = 1.2
+# Seconds between looks whether a host that follows another one has to read.
+_COVERED_PAUSE = 0.1
+# Seconds beyond its hold after which a read that is not answered gets another
+# one beside it, and how many may be under way: a slow store answers within
+# 0.3 s, one that is silent is not given more than one call in half a second.
+_RETRY_PERIOD = 0.5
+_MOST_READS = 3
+
+
+class ConfigurationLoop:
+    """Reads the configuration over and over.
+
+    Parameters
+    ==========
+
+    store : Store
+        Linearizable reads.
+    clock : IReactorTime
+        Paces them.
+    random : random.Random
+        Source of the jitter.
+    configuration : ConfigurationReader
+        Takes what they show.
+
+    Attributes
+    ==========
+
+    failures : int
+        Reads in a row without an answer.
+    under_way, whole_under_way : int
+        Reads that are not answered yet, and those of the whole among them.
+    whole_at, whole_took : float
+        When the whole was asked for last, and seconds until it was there.
+    read_at : float
+        On the suspend clock: when the latest read that was answered here was
+        sent; another host's proof does not count.
+    covered : function
+        Returns whether another host's word makes reads needless.
+    is_answering : function
+        Returns whether an answer of the store is coming in now.
+    followed : function
+        Returns whether other hosts rely on this one's reads.
+    on_read : function or None
+        Called with whether a read was answered.
+    """
+
+    __slots__ = (
+        'clock',
+        'configuration',
+        'covered',
+        'failures',
+        'followed',
+        'is_answering',
+        'log',
+        'on_read',
+        'random',
+        'read_at',
+        'running',
+        'store',
+        'under_way',
+        'whole_at',
+        'whole_took',
+        'whole_under_way',
+    )
+
+    def __init__(self, store, clock, random, configuration, log=silent_log):
+        self.store = store
+        self.clock = clock
+        self.random = random
+        self.configuration = configuration
+        self.log = log
+        self.covered = _never
+        self.followed = _never
+        self.is_answering = _never
+        self.on_read = None
+        self.failures = 0
+        self.under_way = 0
+        self.whole_under_way = 0
+        self.whole_at = -1000.0
+        self.whole_took = 0.0
+        self.read_at = -1000.0
+        self.running = True
+
+    async def run(self):
+        """Read until stopped.
+
+        Explanation
+        ===========
+
+        A read that is on its way as the store falls silent is given up late.
+        Others are sent meanwhile, so that the store's return is noticed by
+        the first that it answers.
+        """
+        while self.running:
+            if self.covered():
+                await paused(self.clock, _COVERED_PAUSE)
+                continue
+            began = self.clock.seconds()
+            hold = self._hold()
+            if self._may_read():
+                reading = Deferred.fromCoroutine(self._read(hold))
+                await answered_within(reading, self.clock, hold + _RETRY_PERIOD)
+            spent = self.clock.seconds() - began
+            pause = self.random.uniform(0.75, 1) * self._period() - spent
+            await paused(self.clock, max(0, pause))
+
+    def _hold(self):
+        if self.configuration.size <= _LARGE_BYTES:
+            return _LEAST_HOLD
+        return _FOLLOWED_HOLD if self.followed() else _LARGE_HOLD
+
+    def _period(self):
+        """Return seconds from one read's start to the next one's."""
+        if self.failures or self.under_way:
+            return _RETRY_PERIOD
+        large = self.configuration.size > _LARGE_BYTES
+        if large or self.configuration.in_storm:
+            return _SETTLE
+        return _FOLLOWED_PERIOD if self.followed() else _READ_PERIOD
+
+    def _may_read(self):
+        """Return whether a further read may be sent now.
+
+        Explanation
+        ===========
+
+        The whole is fetched once at a time: on a slow link a second one would
+        only delay the first. One that a silent connection swallowed must not
+        keep a change from this host, so that ends after a while.
+        """
+        if self.under_way >= _MOST_READS:
+            return False
+        if self.under_way and self.is_answering():
+            # Not silent: a large answer is coming in over a full link, and a
+            # second one beside it would double what the link has to carry.
+            return False
+        waits = (
+            self.configuration.suspend_clock() - self.whole_at < _WHOLE_SECONDS
+        )
+        return not (waits and self.whole_under_way)
+
+    def _needs_whole(self):
+        configuration = self.configuration
+        if configuration.seen is None or configuration.in_storm:
+            return True
+        # On a link that takes seconds for the whole, what it brought is as old.
+        gap = configuration.suspend_clock() - configuration.seen_at
+        return gap - self.whole_took > _LONG_GAP
+
+    async def _read(self, hold):
+        configuration = self.configuration
+        began = configuration.suspend_clock()
+        whole = self._needs_whole()
+        self.under_way += 1
+        self.whole_under_way += whole
+        if whole:
+            self.whole_at = began
+            outcome = await whole_config(self.store)
+        else:
+            outcome = await newer_config(self.store, configuration.seen, hold)
+        self.under_way -= 1
+        self.whole_under_way -= whole
+        if whole:
+            self.whole_took = configuration.suspend_clock() - began
+        answered = not isinstance(outcome, Unavailable)
+        if answered:
+            self.read_at = max(self.read_at, began)
+        if isinstance(outcome, Compacted):
+            configuration.seen = None
+        elif answered:
+            configuration.take_news(outcome, began, whole=whole)
+        self._note(outcome, answered=answered)
+
+    def _note(self, outcome, *, answered):
+        if answered and self.failures:
+            self.log(events.STORE_REGAINED, failures=self.failures)
+        if answered:
+            self.failures = 0
+        else:
+            self.failures += 1
+            if self.failures == 1:
+                self.log(
+                    events.STORE_LOST,
+                    level='warning',
+                    reason=getattr(outcome, 'reason', outcome.__class__),
+                )
+        if self.on_read is not None:
+            self.on_read(answered)
+
+
+def _never():
+    return False
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -156,7 +156,7 @@
         core = self.parts.core
         core.registry.listeners.append(self._registry_changed)
         core.configuration.listeners.append(self._table_changed)
-        core.configuration.on_read = core.registry.note_read
+        core.configuration.loop.on_read = core.registry.note_read
         self.parts.members.listeners.append(self._hosts_changed)
         callers = self._listen(settings.callers, self.factory)
         ready = self._listen(settings.ready, _site(_Ready(self), self.reactor))
@@ -173,7 +173,7 @@
         )
         self.review.clock = self.reactor
         self.review.start(_REVIEW_PERIOD, now=False)
-        Deferred.fromCoroutine(core.configuration.run())
+        Deferred.fromCoroutine(core.configuration.loop.run())
         Deferred.fromCoroutine(self._join())
         registry = self._watch(
             UPSTREAMS,
@@ -242,7 +242,7 @@
             await deferLater(self.reactor, _IDLE_PERIOD)
         self.factory.close_idle()
         await deferLater(self.reactor, _FLUSH)
-        self.parts.core.configuration.running = False
+        self.parts.core.configuration.loop.running = False
         self.parts.relay.follower.stop()
         for running in self.watches:
             running.stop()
--- a/pollenstile/relay/_source.py
+++ b/pollenstile/relay/_source.py
@@ -145,11 +145,11 @@
 
     def is_fit(self):
         """Return whether the store has answered this host lately."""
-        age = self.suspend_clock() - self.configuration.read_at
+        age = self.suspend_clock() - self.configuration.loop.read_at
         return not self.leaving and age < self._contact_seconds()
 
     def _contact_seconds(self):
-        if self.configuration.is_answering():
+        if self.configuration.loop.is_answering():
             return _SLOW_CONTACT_SECONDS
         return CONTACT_SECONDS
 
@@ -192,7 +192,7 @@
         if now >= held[2] or not self.is_fit():
             self._answer_held(done, at_last=True)
             return
-        age = self.suspend_clock() - self.configuration.read_at
+        age = self.suspend_clock() - self.configuration.loop.read_at
         left = min(held[2] - now, self._contact_seconds() - age)
         self.clock.callLater(max(_GATHER, left), self._look_again, done)
 
