stagework: a caller that comes back is known by its key

Cause: how long ago a caller came first was guessed from its time left, against the most patient caller. Callers differ by a seventh of their deadline, so seven in eight new ones counted as having come before, by up to a third of their aim, and were refused or put last by queues that could serve them.

The owner remembers when a key came first, and tells it with its answer.

--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 
 from pollenstile.estimates import Fetching, FirstTokens
-from pollenstile.forward._patience import Patience
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
 
@@ -33,8 +32,6 @@
         Has stage work done.
     names : HeaderNames
         Of the headers that the system reads and sets.
-    patience : Patience
-        Tells callers that come back from new ones.
     first_tokens : FirstTokens
         How long model engines take to answer.
     fetching : Fetching
@@ -51,6 +48,5 @@
     stages: object
     names: HeaderNames = field(default_factory=HeaderNames)
     log: object = silent_log
-    patience: Patience = field(default_factory=Patience)
     first_tokens: FirstTokens = field(default_factory=FirstTokens)
     fetching: Fetching = field(default_factory=Fetching)
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -85,7 +85,6 @@
     now = core.clock.seconds()
     deadline = whole_number(_text(answer, names.deadline))
     left = route.timeout if deadline is None else deadline / _MS
-    waited = core.patience.waited(route.name, left)
     counts = parsed_counts(_text(answer, names.counts), len(route.steps))
     prompt = parsed_prompt(_text(answer, names.prompt))
     if counts is None or prompt is None:
@@ -105,7 +104,7 @@
         team=team.name if team else '',
         urgency=urgency_of(route, team),
         arrived=now,
-        aim=now + route.aim - waited,
+        aim=now + route.aim,
         ends=now + min(left, route.timeout),
         counts=counts,
         stage_key=_text(answer, names.stage_key),
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -198,9 +198,7 @@
 
     def _came_before(self):
         """Return milliseconds since the caller came first; 0 when it is new."""
-        exchange = self.exchange
-        waited = exchange.arrived + exchange.route.aim - exchange.aim
-        return max(0, int(waited * _MS))
+        return int(self.chain.waited * _MS) if self.chain else 0
 
     def _longest_pause(self):
         return int(self.attempt.paused * _MS) if self.attempt else 0
--- a/pollenstile/stagework/__init__.py
+++ b/pollenstile/stagework/__init__.py
@@ -1,5 +1,6 @@
 """Stage work: pieces of many requests, made in batches by one owner host."""
 
+from pollenstile.stagework._arrivals import Arrivals
 from pollenstile.stagework._chain import Chain, ChainFailed
 from pollenstile.stagework._client import StageClient
 from pollenstile.stagework._codec import answer_bytes, answer_from
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -70,6 +70,7 @@
         'plan',
         'read',
         'unused',
+        'waited',
     )
 
     def __init__(self, client, plan):
@@ -83,6 +84,7 @@
         self.nears = {}
         self.crossed = 0
         self.unused = 0
+        self.waited = 0.0
 
     async def handles(self):
         """Return the last steps' handles, or ``ChainFailed``."""
@@ -194,7 +196,7 @@
             inputs=inputs,
             result_bytes=step.result_bytes,
             urgency=self.plan.urgency,
-            due=self.plan.latest[number],
+            due=self.plan.latest[number] - self.waited,
             ends=self.plan.ends,
             near=self._near(number, inputs),
             is_first=not self.done,
@@ -235,6 +237,7 @@
     def _step_ended(self, ended, finished):
         number, owner, outcome = ended
         self.asked.pop(number, None)
+        self.waited = max(self.waited, outcome.waited)
         if not isinstance(outcome, GroupDone):
             step = self.plan.steps[number].service
             self.failure = ChainFailed(
--- a/pollenstile/stagework/_codec.py
+++ b/pollenstile/stagework/_codec.py
@@ -59,11 +59,13 @@
             handles=list(outcome.handles),
             waitMs=wait,
             tight=outcome.tight,
+            waitedMs=int(outcome.waited * _MS),
         ).to_bytes()
     return _schema.GroupAnswer.new_message(
         reason=outcome.reason,
         retryMs=int(outcome.retry_after * _MS),
         waitMs=wait,
+        waitedMs=int(outcome.waited * _MS),
     ).to_bytes()
 
 
@@ -72,10 +74,11 @@
 
     def build(reader):
         wait = reader.waitMs / _MS
+        waited = reader.waitedMs / _MS
         if reader.reason:
             retry_after = reader.retryMs / _MS
-            return GroupRefused(reader.reason, retry_after, wait)
-        return GroupDone(tuple(reader.handles), wait, reader.tight)
+            return GroupRefused(reader.reason, retry_after, wait, waited)
+        return GroupDone(tuple(reader.handles), wait, reader.tight, waited)
 
     return decoded(_schema.GroupAnswer, encoded, build)
 
--- a/pollenstile/stagework/_jobs.py
+++ b/pollenstile/stagework/_jobs.py
@@ -32,13 +32,15 @@
         'on_read',
         'pieces',
         'timer',
+        'waited',
         'waiters',
     )
 
-    def __init__(self, group, now):
+    def __init__(self, group, now, waited=0.0):
         self.group = group
         self.came = now
         self.begun = 0.0
+        self.waited = waited
         self.pieces = [Piece(group, number) for number in range(group.count)]
         self.timer = None
         self.waiters = []
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -5,6 +5,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.stagework import events
 from pollenstile.stagework._admission import Admission
+from pollenstile.stagework._arrivals import Arrivals
 from pollenstile.stagework._drawing import Drawing
 from pollenstile.stagework._jobs import Job
 from pollenstile.stagework._pace import Pace
@@ -70,6 +71,7 @@
 
     __slots__ = (
         'admission',
+        'arrivals',
         'call',
         'clock',
         'drawing',
@@ -97,6 +99,7 @@
         self.waiting = []
         self.started = set()
         self.pace = Pace()
+        self.arrivals = Arrivals()
         self.workers = {}
         self.admission = Admission(self)
         self.drawing = Drawing(self)
@@ -151,11 +154,13 @@
         if self.limits is None or not self.workers:
             waiter.callback(GroupRefused(NO_WORKERS))
             return waiter
+        waited = self._waited(group)
+        group.due -= waited
         if not self.admission.takes(group):
             wait = self.wait(group.count)
-            waiter.callback(GroupRefused('busy', wait, wait))
+            waiter.callback(GroupRefused('busy', wait, wait, waited))
             return waiter
-        job = Job(group, self.clock.seconds())
+        job = Job(group, self.clock.seconds(), waited)
         job.waiters.append(waiter)
         if on_read is not None and group.inputs:
             job.on_read.append(on_read)
@@ -166,6 +171,11 @@
         self.drawing.soon()
         return waiter
 
+    def _waited(self, group):
+        if not group.key:
+            return 0.0
+        return self.arrivals.waited(group, self.clock.seconds())
+
     def hand_over(self):
         """Give back the groups of which no piece is begun.
 
@@ -282,7 +292,10 @@
             due_ms=int((job.group.due - now) * _MS),
         )
         self._end(
-            job, GroupDone(handles, self.wait(), self.admission.is_tight())
+            job,
+            GroupDone(
+                handles, self.wait(), self.admission.is_tight(), job.waited
+            ),
         )
 
     def _refuse(self, job, reason):
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -139,6 +139,7 @@
     handles: tuple[str, ...]
     wait: float = 0.0
     tight: bool = False
+    waited: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -157,6 +158,7 @@
     reason: str
     retry_after: float = 0.0
     wait: float = 0.0
+    waited: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
--- a/pollenstile/stagework/messages.capnp
+++ b/pollenstile/stagework/messages.capnp
@@ -29,6 +29,8 @@
   waitMs @3 :UInt32;
   # Whether the stage is short of room for results.
   tight @4 :Bool;
+  # Since the caller's first arrival, as the owner of a first step knows it.
+  waitedMs @5 :UInt32;
 }
 
 struct Release {
