relay: a reader that fails is passed over, and the store is asked by turns

Cause: when readers said that the store does not answer them, all hosts of all domains went to the store at once for three seconds, and most often it answered nobody. When one reader alone was turned away, its followers did so as well.

Change: a host passes over a reader that failed and asks the next one; one that has just become the reader is given a second word. Where all readers are without the store, hosts go there one after the other, 80 ms apart.

--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -136,8 +136,13 @@
             clock.seconds,
             fleet.ask,
             self.configuration,
-            lambda: reader_of(fleet.order, name, fleet.is_linked),
+            lambda skipped: reader_of(
+                fleet.order,
+                name,
+                lambda one: fleet.is_linked(one) and not skipped(one),
+            ),
         )
+        self.follower.place = lambda: list(fleet.hosts).index(name)
         self.configuration.loop.covered = self.follower.is_following
         self.configuration.loop.followed = self.source.is_followed
         self.configuration.loop.is_answering = self.calls.store.is_answering
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -110,6 +110,21 @@
     Then "t,u" follow "s"
     And "t,u" called the store 0 times in them
 
+  Scenario: The store answers nobody
+    All readers say so at once. Sent to the store together, 195 hosts called it
+    ten times a second each, for as long as it was away.
+    Given the hosts "r,s,t,u,v,w,x,y,z,a,b,c" of one domain
+    When all lose the store and 1.9 seconds of relaying pass
+    Then at most 7 hosts have called the store
+    When the store answers all again and 4 seconds of relaying pass
+    Then all keys are trusted
+
+  Scenario: Only the reader is turned away by the store
+    Given the hosts "r,s,t,u,v,w,x,y,z,a,b,c" of one domain
+    When "r" loses the store and 4.0 seconds of relaying pass
+    Then "t,u,c" follow "s"
+    And "t,u,c" called the store 0 times in them
+
   Scenario: A host that starts while upstreams come up
     195 hosts start, and 200 upstreams come up one after the other. Each host
     made eight watches of them before it had a reader to follow.
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -235,3 +235,26 @@
 def then_knows(context, name, count):
     known = context.fleet.hosts[name].upstreams
     assert len(known) == count, known
+
+
+@then('at most {most:d} hosts have called the store')
+def then_hosts_called(context, most):
+    called = [
+        name
+        for name, host in context.fleet.hosts.items()
+        if host.calls.calls > 0
+    ]
+    assert len(called) <= most, called
+
+
+@when('the store answers all again and {seconds:g} seconds of relaying pass')
+def when_regained(context, seconds):
+    for host in context.fleet.hosts.values():
+        host.parted = False
+    context.fleet.pass_by(seconds)
+
+
+@then('all keys are trusted')
+def then_all_trusted(context):
+    for host in context.fleet.hosts.values():
+        assert host.configuration.is_proven(), host.name
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -179,6 +179,7 @@
         readers.current,
         core.log,
     )
+    follower.place = readers.place
     relayed = RelayStore(store, clock, follower, (UPSTREAMS, HOSTS), HOSTS)
 
     def covered():
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -23,19 +23,25 @@
 # within the 2 s in which it must know of an upstream that leaves.
 _HOLD = 0.6
 _LATE = 0.4
-# Seconds for which this host reads the store itself after a reader failed.
-_DIRECT_SECONDS = 3.0
-# Seconds since the last word for which a host asks on, of whoever reads next,
-# before it reads the store itself: a reader that leaves, or that just became
-# one, is no reason for all hosts of a domain to call the store for seconds.
-# With one turn of the own watch it is within the 2 s above.
-_ASK_ON_SECONDS = 1.0
+# Seconds for which a reader that failed is passed over.
+_SKIP_SECONDS = 3.0
+# Words in a row that a reader has no store after which it is passed over. One
+# that has just become the reader says so until its first read is answered.
+_UNFIT_WORDS = 2
+# Seconds for each place in the domain's order by which a host goes to the store
+# later when the readers are there and the store does not answer them: it will
+# hardly answer this one, and each call of 31 hosts counts. A domain of ten is
+# through within a second.
+_TURN_SECONDS = 0.08
 # Seconds between looks for a reader while there is none, or none that is fit.
 _LOOK = 0.2
 # Seconds between two asks at least: a burst of changes is taken in few.
 _LEAST_PAUSE = 0.05
 
 
+_NO_STORE = 'reader without store'
+
+
 class Follower:
     """Asks the reader over and over, and hands on what is new.
 
@@ -52,7 +58,8 @@
     configuration : ConfigurationReader
         Takes tables and proofs.
     reader : function
-        Returns the host to follow, or None to read the store.
+        Takes a function that says of a host whether it is passed over; returns
+        the host to follow, or None to read the store.
     log : function
         Writes events.
 
@@ -63,8 +70,15 @@
         The host whose word was taken last; empty while this host reads.
     source : str
         Its incarnation.
-    heard_at : float
-        On the suspend clock: when the ask was sent whose answer was taken last.
+    skipped : dict
+        Until when readers are passed over, by host.
+    is_unfit : bool
+        Whether the last reader that failed has no store itself.
+    turn_at : float
+        On the clock: when this host reads the store then; 0 while there is a
+        reader to ask.
+    place : function
+        Returns this host's place in the domain's order.
     needs_whole : bool
         Whether the next ask is for the whole configuration.
     numbers : dict
@@ -77,18 +91,21 @@
         'ask',
         'clock',
         'configuration',
-        'direct_until',
         'feeds',
         'following',
-        'heard_at',
+        'is_unfit',
         'log',
         'needs_whole',
         'numbers',
         'on_direct',
+        'place',
         'reader',
         'running',
+        'skipped',
         'source',
         'suspend_clock',
+        'turn_at',
+        'unfit_words',
     )
 
     def __init__(
@@ -111,8 +128,11 @@
         self.numbers = {}
         self.feeds = {}
         self.on_direct = []
-        self.direct_until = 0.0
-        self.heard_at = -1000.0
+        self.skipped = {}
+        self.unfit_words = 0
+        self.is_unfit = False
+        self.turn_at = 0.0
+        self.place = _first
         self.needs_whole = False
         self.running = True
 
@@ -134,14 +154,34 @@
 
     async def _run(self):
         while self.running:
-            host = self.reader()
-            if host is None or self.clock.seconds() < self.direct_until:
+            host = self.reader(self._is_skipped)
+            if host is None and self._may_read():
                 self._read_directly('no reader')
-                await paused(self.clock, _LOOK)
+            if host is None:
+                await paused(self.clock, self._look())
                 continue
             taken = await self._ask_once(host)
             await paused(self.clock, _LEAST_PAUSE if taken else _LOOK)
 
+    def _is_skipped(self, host):
+        return self.skipped.get(host, 0) > self.clock.seconds()
+
+    def _may_read(self):
+        """Return whether it is this host's turn to read the store."""
+        if not self.is_unfit:
+            return True
+        now = self.clock.seconds()
+        if not self.turn_at:
+            failed = sum(until > now for until in self.skipped.values())
+            before = max(0, self.place() - failed)
+            self.turn_at = now + _TURN_SECONDS * before
+        return now >= self.turn_at
+
+    def _look(self):
+        """Return seconds until it is worth looking for a reader again."""
+        turn = self.turn_at - self.clock.seconds()
+        return min(_LOOK, turn) if turn > 0 else _LOOK
+
     async def _ask_once(self, host):
         """Ask a reader; return whether its word was taken."""
         began = self.suspend_clock()
@@ -158,14 +198,25 @@
             # following for good, read nothing itself, and refuse all keys.
             reason = repr(error)
         if not reason:
-            self.heard_at = began
+            self.unfit_words = 0
+            self.is_unfit = False
+            self.turn_at = 0.0
             return True
-        silent = self.suspend_clock() - self.heard_at
-        if silent > _ASK_ON_SECONDS or not self.following:
-            self.direct_until = self.clock.seconds() + _DIRECT_SECONDS
-            self._read_directly(reason)
+        self._failed(host, reason)
         return False
 
+    def _failed(self, host, reason):
+        """Pass a reader over, at once unless it only has no store yet."""
+        now = self.clock.seconds()
+        if reason == _NO_STORE:
+            self.is_unfit = True
+            self.unfit_words += 1
+            if self.unfit_words < _UNFIT_WORDS:
+                return
+        self.unfit_words = 0
+        self.skipped[host] = now + _SKIP_SECONDS
+        self.log(events.READER_SKIPPED, peer=host, reason=reason)
+
     def _took(self, host, answer, began):
         """Take an answer; return why it can't be used, or nothing."""
         if isinstance(answer, Unanswered):
@@ -175,7 +226,7 @@
         except BadMessageError as error:
             return str(error)
         if not word.fit:
-            return 'reader without store'
+            return _NO_STORE
         word = self._unpatched(word)
         # A patch that does not fit leads to an ask for the whole.
         self.needs_whole = word is None
@@ -213,3 +264,7 @@
         self.following = ''
         for listener in self.on_direct:
             listener()
+
+
+def _first():
+    return 0
--- a/pollenstile/relay/_reader.py
+++ b/pollenstile/relay/_reader.py
@@ -47,9 +47,24 @@
             {**mine, self.host: self.capacity},
         )
 
-    def current(self):
-        """Return whom to follow; None to read the store."""
-        return reader_of(self.order, self.host, self._is_asked)
+    def current(self, is_skipped):
+        """Return whom to follow; None to read the store.
+
+        Parameters
+        ==========
+
+        is_skipped : function
+            Takes a host; returns whether it failed lately.
+        """
+
+        def asked(host):
+            return self._is_asked(host) and not is_skipped(host)
+
+        return reader_of(self.order, self.host, asked)
+
+    def place(self):
+        """Return how many hosts would read before this one."""
+        return self.order.index(self.host)
 
     def _is_asked(self, host):
         link = self.hub.links.get(host)
--- a/pollenstile/relay/events.py
+++ b/pollenstile/relay/events.py
@@ -12,3 +12,8 @@
     'reader-lost',
     'The reader is gone, silent or without the store; the host reads itself.',
 )
+READER_SKIPPED = define(
+    1232,
+    'reader-skipped',
+    'A reader failed and is passed over for a while; the next one is asked.',
+)
