--- a/features/builders/platform.py
+++ b/features/builders/platform.py
@@ -127,6 +127,41 @@
         self.lost += 1
 
 
+class Trickle(Resource):
+    """Answers in parts, as a link that is full does.
+
+    Attributes
+    ==========
+
+    requests : list
+        Those that wait for their next part.
+    """
+
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self.requests = []
+
+    def render(self, request):
+        """Begin the answer."""
+        request.write(b'[')
+        self.requests.append(request)
+        return NOT_DONE_YET
+
+    def part(self):
+        """Send a further part of each answer."""
+        for request in self.requests:
+            request.write(b'1,')
+
+    def end(self):
+        """Send the last part of each answer."""
+        for request in self.requests:
+            request.write(b'1]')
+            request.finish()
+        self.requests = []
+
+
 class Forgetful(Resource):
     """Answers as an object API without objects, until connections are lost.
 
--- a/features/large_configuration.feature
+++ b/features/large_configuration.feature
@@ -92,3 +92,10 @@
     And 8 seconds of relaying pass
     Then "r" have version 2
     And the links carried at most 1 MB of the store's answers each
+
+  Scenario: A patch brings exactly the newer text, or nothing
+    Rows come, go, move and are doubled. A text that is only nearly right would
+    send requests to a service that no version ever named.
+    Given 300 pairs of texts that differ by rows at random
+    Then each patch makes the newer text of the older one
+    And no garbled patch makes another text than the newer one
--- a/features/platform_http.feature
+++ b/features/platform_http.feature
@@ -50,6 +50,31 @@
     Then a raw platform call over HTTP is broken off
     And a platform read over HTTP is "Unavailable"
 
+  Scenario: A platform answer that comes in slowly
+    A large answer takes four seconds on a link that is full. Given up after
+    its time, it would be asked for again, and come again from its start.
+    Given a platform server that answers in parts
+    When a raw platform call over HTTP with 1 second begins to be answered
+    And 4 further parts come, 0.9 seconds apart
+    Then an answer is coming in
+    When the last part comes
+    Then the raw platform call over HTTP has its whole answer
+    And no answer is coming in
+
+  Scenario: A platform answer that stops half-way
+    Given a platform server that answers in parts
+    When a raw platform call over HTTP with 1 second begins to be answered
+    And no further part comes for 1.1 seconds
+    Then the raw platform call over HTTP timed out
+
+  Scenario: A platform answer that never ends
+    Each part comes in time. Waited for without end, it would keep a host from
+    its next read for good.
+    Given a platform server that answers in parts
+    When a raw platform call over HTTP with 1 second begins to be answered
+    And 13 further parts come, 0.9 seconds apart
+    Then the raw platform call over HTTP timed out
+
   Scenario: Host list and weight store over loopback
     Given a platform server on the loopback
     Then over HTTP the platform's host list shows a change after its lag
--- a/features/steps/large_configuration_steps.py
+++ b/features/steps/large_configuration_steps.py
@@ -1,8 +1,12 @@
 """Steps of hosts whose configuration has grown large."""
 
+from dataclasses import replace
+from random import Random
+
 from behave import given, then, when
 
 from features.builders.relay import large_config
+from pollenstile.peer import patch_between, patched
 from pollenstile.platform import Found
 
 _MBIT_BYTES = 125_000
@@ -122,3 +126,60 @@
 @then('no word to a follower in them had over {most:d} bytes')
 def then_words(context, most):
     assert max(context.fleet.words) <= most, max(context.fleet.words)
+
+
+def _with_added(rng, rows):
+    return [*rows, f'{{"row":{rng.random()}}}']
+
+
+def _with_doubled(rng, rows):
+    return rng.choices(rows, k=len(rows)) if rows else rows
+
+
+def _without_some(rng, rows):
+    return [row for row in rows if rng.random() < 0.8]
+
+
+def _shuffled(rng, rows):
+    return rng.sample(rows, len(rows))
+
+
+_CHANGES = (_with_added, _with_doubled, _without_some, _shuffled)
+
+
+def _changed_rows(rng, rows):
+    for _ in range(rng.randrange(5)):
+        rows = rng.choice(_CHANGES)(rng, rows)
+    return rows
+
+
+@given('{count:d} pairs of texts that differ by rows at random')
+def given_texts(context, count):
+    rng = Random(count)
+    context.rng = rng
+    context.texts = []
+    for _ in range(count):
+        rows = [
+            f'{{"row":{rng.randrange(9)}}}' for _ in range(rng.randrange(9))
+        ]
+        newer = _changed_rows(rng, rows)
+        context.texts.append((','.join(rows), ','.join(newer)))
+
+
+@then('each patch makes the newer text of the older one')
+def then_patched(context):
+    for old, new in context.texts:
+        assert patched(old, patch_between(old, new)) == new, (old, new)
+
+
+@then('no garbled patch makes another text than the newer one')
+def then_not_garbled(context):
+    for old, new in context.texts:
+        patch = patch_between(old, new)
+        place = context.rng.randrange(len(patch.middle))
+        middle = bytearray(patch.middle)
+        middle[place] ^= 1 << context.rng.randrange(8)
+        garbled = replace(patch, middle=bytes(middle))
+        assert patched(old, garbled) in {None, new}, (old, new)
+        moved = replace(patch, prefix=patch.prefix + 1)
+        assert patched(old, moved) in {None, new}, (old, new)
--- a/features/steps/platform_http_steps.py
+++ b/features/steps/platform_http_steps.py
@@ -1,6 +1,6 @@
 """Steps of the platform client and stand-ins over real sockets."""
 
-from behave import given, then
+from behave import given, then, when
 from twisted.internet.task import Clock
 
 from features.builders.loop import kept_result, result_of, turned_until
@@ -8,6 +8,7 @@
     Forgetful,
     Page,
     Silence,
+    Trickle,
     World,
     http_caller,
     http_store,
@@ -245,3 +246,71 @@
     context.world.clock.advance(2)
     assert isinstance(result_of(weight_ticket(caller, 'd', '3')), Ticket)
     result_of(caller.close())
+
+
+@given('a platform server that answers in parts')
+def step_trickle(context):
+    context.clock = Clock()
+    context.trickle = Trickle()
+    _connect(context, serving(context.trickle), context.clock)
+
+
+@when(
+    'a raw platform call over HTTP with {seconds:d} second begins to be answered'
+)
+def step_begins(context, seconds):
+    caller = context.http.caller
+    call = caller.call('GET', '/v1/x', timeout=seconds, fresh=True)
+    context.kept = kept_result(call)
+    turned_until(lambda: caller.arriving == 1)
+
+
+@when('{count:d} further parts come, {gap:g} seconds apart')
+def step_parts(context, count, gap):
+    for _ in range(count):
+        context.clock.advance(gap)
+        if context.kept:
+            return
+        _send_part(context)
+
+
+def _send_part(context):
+    before = _gives_up_at(context)
+    context.trickle.part()
+    turned_until(lambda: _gives_up_at(context) != before)
+
+
+def _gives_up_at(context):
+    return [call.getTime() for call in context.clock.getDelayedCalls()]
+
+
+@when('no further part comes for {seconds:g} seconds')
+def step_no_part(context, seconds):
+    context.clock.advance(seconds)
+
+
+@when('the last part comes')
+def step_last(context):
+    context.trickle.end()
+    turned_until(lambda: context.kept)
+
+
+@then('an answer is coming in')
+def step_coming(context):
+    assert context.http.is_answering()
+
+
+@then('no answer is coming in')
+def step_not_coming(context):
+    assert not context.http.is_answering()
+
+
+@then('the raw platform call over HTTP has its whole answer')
+def step_whole_answer(context):
+    assert context.kept[0].body == b'[1,1,1,1,1]', context.kept
+
+
+@then('the raw platform call over HTTP timed out')
+def step_timed_out(context):
+    turned_until(lambda: context.kept)
+    assert context.kept == [Broken(connected=True, reason='TimeoutError')]
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -147,12 +147,13 @@
         limit.begin(call, self.timeout if timeout is None else timeout)
         try:
             return await call
-        except CancelledError as error:
+        except CancelledError:
             if not limit.expired:
                 raise
-            return self._broken(error, endpoints.connected or not fresh)
+            return self._broken(TimeoutError, endpoints.connected or not fresh)
         except Exception as error:
-            return self._broken(error, endpoints.connected or not fresh)
+            kind = TimeoutError if limit.expired else type(error)
+            return self._broken(kind, endpoints.connected or not fresh)
         finally:
             limit.end()
 
@@ -179,14 +180,11 @@
             self.arriving -= 1
         return Reply(response.code, whole, _retry_after(response))
 
-    def _broken(self, error, connected):
+    def _broken(self, kind, connected):
         # Something between the two ends can lose track of the idle
         # connections while new ones work. Each would cost a further timeout,
         # so none is kept after a failure.
         self.close()
-        kind = (
-            TimeoutError if isinstance(error, CancelledError) else type(error)
-        )
         return Broken(connected, kind.__name__)
 
 
