stagework: a first step that begins late counts its caller's wait once

Cause: the chain took off what the owner of an earlier step knew of the caller's first arrival, and the owner of a step with a key takes it off itself: the step beside a chain, of callers that came back, was due too early by that time and went behind others.

--- a/features/arrivals.feature
+++ b/features/arrivals.feature
@@ -41,6 +41,12 @@
     Given a chain of two steps whose caller came 0.6 seconds before
     Then its second step is due 0.6 seconds before the plan's time
 
+  Scenario: A first step that begins late is due by its owner's knowledge alone
+    Its owner takes off the time since the caller's first arrival; taken off
+    twice, the step would go behind those of other callers.
+    Given a chain of a step beside another whose caller came 0.6 seconds before
+    Then its late step is due at the plan's time
+
   Scenario: Keys are forgotten with their callers' deadlines
     Given first arrivals of 500 callers that leave after 6 seconds
     When 7 seconds later another caller comes
--- a/features/steps/arrivals_steps.py
+++ b/features/steps/arrivals_steps.py
@@ -102,6 +102,32 @@
     context.client.waiting[0].callback(('host', done))
 
 
+@given(
+    'a chain of a step beside another whose caller came {seconds:g} seconds'
+    ' before'
+)
+def given_beside(context, seconds):
+    steps = (
+        StageStep(SERVICE),
+        StageStep(SERVICE),
+        StageStep(SERVICE, (1,)),
+        StageStep(SERVICE, (2,)),
+    )
+    plan = Plan('r', 'key', steps, (1,) * 4, (_LATEST,) * 4, 20.0, 0)
+    context.client = AskedClient()
+    Deferred.fromCoroutine(Chain(context.client, plan).handles())
+    for place in range(2):
+        done = GroupDone((f'10.0.0.1:1/{place}',), waited=seconds)
+        context.client.waiting[place].callback(('host', done))
+
+
+@then("its late step is due at the plan's time")
+def then_late_step(context):
+    late = [one for one in context.client.groups if one.step == 0]
+    assert len(late) == 1, context.client.groups
+    assert abs(late[0].due - _LATEST) < _TOLERANCE, late[0]
+
+
 @then("its second step is due {seconds:g} seconds before the plan's time")
 def then_due(context, seconds):
     due = context.client.groups[1].due
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -57,6 +57,8 @@
         Bytes that its steps read in another failure domain.
     unused : int
         Results that were given up unread.
+    waited : float
+        Seconds since the caller's first arrival, as far as an owner knew it.
     """
 
     __slots__ = (
@@ -187,6 +189,9 @@
         inputs = tuple(
             handle for need in needs for handle in self.held[need][1]
         )
+        # The owner of a step with a key takes off itself what it knows of the
+        # caller's first arrival; taken off here as well, it would count twice.
+        waited = self.waited if inputs else 0
         return Group(
             request=self.plan.request,
             service=step.service,
@@ -196,7 +201,7 @@
             inputs=inputs,
             result_bytes=step.result_bytes,
             urgency=self.plan.urgency,
-            due=self.plan.latest[number] - self.waited,
+            due=self.plan.latest[number] - waited,
             ends=self.plan.ends,
             near=self._near(number, inputs),
             is_first=not self.done,
--- a/pollenstile/stagework/_jobs.py
+++ b/pollenstile/stagework/_jobs.py
@@ -13,6 +13,8 @@
         What is asked for.
     now : float
         Seconds on the clock.
+    waited : float
+        Seconds from the caller's first arrival to this one's.
 
     Attributes
     ==========
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -134,6 +134,8 @@
         Seconds of the owner's backlog.
     tight : bool
         Whether the stage is short of room for results.
+    waited : float
+        Seconds from the caller's first arrival to this one's.
     """
 
     handles: tuple[str, ...]
@@ -153,6 +155,8 @@
         ``'busy'``, ``'late'``, ``'gone'``, ``'failed'``, ``'no owner'``.
     retry_after : float
         Seconds until asking again makes sense.
+    waited : float
+        Seconds from the caller's first arrival to this one's.
     """
 
     reason: str
