--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -33,12 +33,12 @@
 
 def without_new_configuration():
     """Keep the first configuration for good."""
-    replaced = _configuration.ConfigurationReader._replaced
+    replaced = _configuration.Configuration._replaced
 
     def keep(reader, found):
         return reader.table is not None or replaced(reader, found)
 
-    _configuration.ConfigurationReader._replaced = keep
+    _configuration.Configuration._replaced = keep
 
 
 def _is_never_busy(daemon):
--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from pollenstile.forward import ConfigurationReader
+from pollenstile.forward import Configuration
 from pollenstile.peer import Unanswered
 from pollenstile.platform import WatchTiming, paused, watch
 from pollenstile.relay import Follower, RelayStore, Source, reader_of
@@ -127,7 +127,7 @@
         self.link = Link(clock)
         reached = ReachedStore(store or fleet.store, lambda: self.parted)
         self.calls = _CountedStore(LinkedStore(reached, self.link))
-        self.configuration = ConfigurationReader(
+        self.configuration = Configuration(
             self.calls, clock, clock.seconds, Random(name), _decoded, _REVOKE
         )
         self.source = Source(name, clock, clock.seconds, self.configuration)
--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock
 
 from features.builders.forward import SERVICE
-from pollenstile.forward import ConfigurationReader, Registry, Upstream
+from pollenstile.forward import Configuration, Registry, Upstream
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.platform import (
     Absent,
@@ -39,7 +39,7 @@
         self.suspended = 0.0
         self.now = 100.0
         self.logged = []
-        self.reader = ConfigurationReader(
+        self.reader = Configuration(
             None,
             Clock(),
             self._clock,
@@ -116,7 +116,7 @@
 def given_silent(context, seconds):
     context.clock = Clock()
     context.store = _SilentStore(context.clock, seconds)
-    reader = ConfigurationReader(
+    reader = Configuration(
         context.store,
         context.clock,
         context.clock.seconds,
--- a/pollenstile/bench/shared.py
+++ b/pollenstile/bench/shared.py
@@ -17,7 +17,7 @@
 from twisted.internet.defer import Deferred
 
 
-from pollenstile.forward import ConfigurationReader
+from pollenstile.forward import Configuration
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import (
     LEAST_VERSION,
@@ -69,7 +69,7 @@
         )
         fleet.wires.hubs[name] = self.hub
         clock = fleet.clock
-        self.configuration = ConfigurationReader(
+        self.configuration = Configuration(
             fleet.store, clock, clock.seconds, Random(name), RouteTable, 5.0
         )
         source = Source(name, clock, clock.seconds, self.configuration)
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -10,7 +10,7 @@
     usable,
 )
 from pollenstile.forward._client import HttpClient
-from pollenstile.forward._configuration import ConfigurationReader
+from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._daemon import ForwardDaemon
 from pollenstile.forward._decisions import patience_of
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -6,7 +6,7 @@
 
 from pollenstile.forward._budget import RepeatBudget
 from pollenstile.forward._client import HttpClient
-from pollenstile.forward._configuration import ConfigurationReader
+from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.forward._owners import Owners
@@ -86,7 +86,7 @@
         Returns seconds, suspended time included.
     """
     registry = Registry(reactor, log)
-    configuration = ConfigurationReader(
+    configuration = Configuration(
         store,
         reactor,
         suspend_clock,
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -56,7 +56,7 @@
         Paces them.
     random : random.Random
         Source of the jitter.
-    configuration : ConfigurationReader
+    configuration : Configuration
         Takes what they show.
 
     Attributes
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -14,7 +14,7 @@
 _FRESH_SHARE = 0.45
 
 
-class ConfigurationReader:
+class Configuration:
     """The configuration as it was read last; it never goes back.
 
     Explanation
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -24,7 +24,7 @@
         Sends requests.
     registry : Registry
         Upstreams.
-    configuration : ConfigurationReader
+    configuration : Configuration
         The route table in force.
     budget : RepeatBudget
         Repeats that may be sent.
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -14,7 +14,7 @@
         Of the queues.
     registry : Registry
         Upstreams of the services.
-    configuration : ConfigurationReader
+    configuration : Configuration
         Limits of the services.
     calls : StageCalls
         Makes the calls.
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -55,7 +55,7 @@
     ask : function
         Takes a host, a subject, a body and seconds; returns a Deferred of
         bytes or :class:`~pollenstile.peer.Unanswered`.
-    configuration : ConfigurationReader
+    configuration : Configuration
         Takes tables and proofs.
     reader : function
         Takes a function that says of a host whether it is passed over; returns
--- a/pollenstile/relay/_source.py
+++ b/pollenstile/relay/_source.py
@@ -90,7 +90,7 @@
         Times what is held.
     suspend_clock : function
         Returns seconds, suspended time included.
-    configuration : ConfigurationReader
+    configuration : Configuration
         Its table, proof and last read of its own.
 
     Attributes
