--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -3,13 +3,9 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.forward import events
-from pollenstile.forward._configreads import (
-    answered_within,
-    newer_config,
-    whole_config,
-)
+from pollenstile.forward._configreads import newer_config, whole_config
 from pollenstile.ops.logs import silent_log
-from pollenstile.platform import Compacted, Unavailable, paused
+from pollenstile.platform import Compacted, Unavailable, branched, paused
 
 # Seconds between reads. A change has to be in force within 2 s of its write;
 # this leaves one failed read and the answer's way.
@@ -135,12 +131,17 @@
             began = self.clock.seconds()
             hold = self._hold()
             if self._may_read():
-                reading = Deferred.fromCoroutine(self._read(hold))
-                await answered_within(reading, self.clock, hold + _RETRY_PERIOD)
+                await self._answered(hold)
             spent = self.clock.seconds() - began
             pause = self.random.uniform(0.75, 1) * self._period() - spent
             await paused(self.clock, max(0, pause))
 
+    def _answered(self, hold):
+        """Return a Deferred of a read's end, or of the time for another."""
+        reading = branched(Deferred.fromCoroutine(self._read(hold)))
+        limit = hold + _RETRY_PERIOD
+        return reading.addTimeout(limit, self.clock, onTimeoutCancel=_nothing)
+
     def _hold(self):
         if self.configuration.size <= _LARGE_BYTES:
             return _LEAST_HOLD
@@ -227,3 +228,7 @@
 
 def _never():
     return False
+
+
+def _nothing(*_):
+    """Stand for a read that is not answered in time."""
--- a/pollenstile/forward/_configreads.py
+++ b/pollenstile/forward/_configreads.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred
-
 from pollenstile.platform import Compacted, Found, Unavailable
 
 KIND = 'config'
@@ -107,27 +105,3 @@
     """
     old = any(change.revision <= since for change in outcome.events)
     return old or outcome.revision < since
-
-
-def answered_within(reading, clock, seconds):
-    """Return a Deferred that fires with a read's end, or after some seconds.
-
-    Explanation
-    ===========
-
-    The read itself goes on.
-    """
-    done = Deferred()
-    done.addTimeout(seconds, clock, onTimeoutCancel=_nothing)
-
-    def fire(outcome):
-        if not done.called:
-            done.callback(None)
-        return outcome
-
-    reading.addBoth(fire)
-    return done
-
-
-def _nothing(*_):
-    """Stand for a read that is not answered in time."""
--- a/pollenstile/platform/__init__.py
+++ b/pollenstile/platform/__init__.py
@@ -42,7 +42,7 @@
 )
 from pollenstile.platform._paced import PacedStore
 from pollenstile.platform._pages import listed_whole
-from pollenstile.platform._pause import paused, pauses, unpaused
+from pollenstile.platform._pause import branched, paused, pauses, unpaused
 from pollenstile.platform._rows import decoded, readable
 from pollenstile.platform._settle import field_mark, settled_put
 from pollenstile.platform._store import (
--- a/pollenstile/platform/_pause.py
+++ b/pollenstile/platform/_pause.py
@@ -42,3 +42,23 @@
     done = Deferred(lambda _: call.cancel())
     call = clock.callLater(seconds, done.callback, None)
     return done
+
+
+def branched(deferred):
+    """Return a Deferred that fires with another one and can be given up.
+
+    Explanation
+    ===========
+
+    Whoever waits for the branch may give it a time limit of its own; the other
+    one goes on, for all else who wait for it.
+    """
+    branch = Deferred()
+
+    def fire(outcome):
+        if not branch.called:
+            branch.callback(None)
+        return outcome
+
+    deferred.addBoth(fire)
+    return branch
--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -12,6 +12,7 @@
     Found,
     Listing,
     Unavailable,
+    branched,
 )
 
 _STEP = 'watch'
@@ -202,7 +203,7 @@
     def _news(self, feed):
         if feed.waiting is None:
             feed.waiting = Deferred(lambda _: None)
-        return _branch(feed.waiting)
+        return branched(feed.waiting)
 
     def _wake(self):
         # What was told and not yet taken is dropped here, and told whole when
@@ -214,18 +215,5 @@
             feed.wake()
 
 
-def _branch(deferred):
-    """Return a Deferred that fires with another one and can be given up."""
-    branch = Deferred()
-
-    def fire(outcome):
-        if not branch.called:
-            branch.callback(None)
-        return outcome
-
-    deferred.addCallback(fire)
-    return branch
-
-
 def _nothing_new(*_):
     """Stand for a watch in whose time nothing has changed."""
