forward: drained domains and cold upstreams are known and obeyed

Cause: the store's entries of drained domains, and what upstreams say of being cold, were read by nobody.

Change: drained domains are a kind of the store, watched and told to followers as the registry is; the registry leaves their upstreams out of every choice, of plain requests, streams, repeats and stage queues alike. Their watch is held for half of the bound, so that one that went silent is noticed within it; a host that starts waits for its reader's word and makes no call for it. What a cold upstream bears is dealt among the hosts of its domain by rendezvous; a host that knows of no other sends nothing; where all are cold and used up, the caller is refused at once with the time at which there is room. Operators get 'pollenstile drain', gauges by domain and events 1233 to 1237.

Ruled out: a filter in each place that sends (four places, one would be missed); a share for every host of the fleet (60 hosts share 10 requests a second, so a host that stands far would use them as soon as one that is near).

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -20,6 +20,7 @@
     Kind,
     Route,
     RouteTable,
+    Service,
     StageLimits,
     StageStep,
     Target,
@@ -203,7 +204,15 @@
 class Story:
     """One request through a host whose upstreams the test plays."""
 
-    def __init__(self, kind, attempts=2, upstreams=3, staged=False):
+    def __init__(
+        self,
+        kind,
+        attempts=2,
+        upstreams=3,
+        staged=False,
+        domains='ddd',
+        cold_rate=0.0,
+    ):
         self.clock = Clock()
         self.calls = []
         self.logged = []
@@ -211,7 +220,9 @@
         for place in range(upstreams):
             self.registry.take(
                 f'i{place}',
-                Upstream(f'i{place}', SERVICE, f'10.0.0.{place}:1', 'd'),
+                Upstream(
+                    f'i{place}', SERVICE, f'10.0.0.{place}:1', domains[place]
+                ),
             )
         self.stages = ScriptedStages()
         self.budget = RepeatBudget(self.clock, 0.2, 58, 10)
@@ -227,6 +238,8 @@
             NAMES,
             self._log,
         )
+        service = Service(SERVICE, cold_rate=cold_rate)
+        self.table = RouteTable(1, services={SERVICE: service})
         steps = (StageStep('encode'),) if staged else ()
         self.route = route(kind, attempts, steps=steps)
         self.answer = ScriptedAnswer()
@@ -248,7 +261,7 @@
             [(b'host', b'host')],
             b'body',
             self.route,
-            RouteTable(1),
+            self.table,
             arrived=now,
             aim=now + self.route.aim,
             ends=now + min(deadline, self.route.timeout),
@@ -265,3 +278,8 @@
 
     def _log(self, event, level='info', **fields):
         self.logged.append((event.name, fields))
+
+
+def event_bytes(number):
+    """Return one event of a stream."""
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from pollenstile.forward import Configuration
+from pollenstile.forward import DRAINED, Configuration
 from pollenstile.peer import Unanswered
 from pollenstile.platform import WatchTiming, paused, watch
 from pollenstile.relay import Follower, RelayStore, Source, reader_of
@@ -23,11 +23,18 @@
 
 
 class _CountedStore:
-    """Counts the calls that pass to a store."""
+    """Counts the calls that pass to a store, and notes what is listed."""
 
     def __init__(self, store):
         self.store = store
         self.calls = 0
+        self.listed_kinds = []
+
+    def listed(self, kind, *args):
+        """Note a list."""
+        self.calls += 1
+        self.listed_kinds.append(kind)
+        return self.store.listed(kind, *args)
 
     def __getattr__(self, name):
         self.calls += 1
@@ -115,6 +122,8 @@
         Whether its peers have lost their links to it.
     upstreams : dict
         As its watch has told it.
+    drained : set of str
+        Drained domains, as its other watch has told it.
     """
 
     def __init__(self, fleet, name, store=None):
@@ -123,6 +132,7 @@
         self.frozen = False
         self.gone = False
         self.upstreams = {}
+        self.drained = set()
         clock = fleet.clock
         self.link = Link(clock)
         reached = ReachedStore(store or fleet.store, lambda: self.parted)
@@ -146,20 +156,37 @@
         self.configuration.loop.covered = self.follower.is_following
         self.configuration.loop.followed = self.source.is_followed
         self.configuration.loop.is_answering = self.calls.store.is_answering
-        relayed = RelayStore(self.calls, clock, self.follower, (KIND,))
-        self.watch = watch(
-            relayed,
-            KIND,
-            self._take,
+        relayed = RelayStore(
+            self.calls,
             clock,
-            Random(name),
-            fleet.log,
-            timing=_TIMING,
+            self.follower,
+            (KIND, DRAINED),
+            late=(DRAINED,),
         )
-        self.source.add(KIND, self.watch)
+        self._watch(fleet, relayed, KIND, self._take)
+        if fleet.drains:
+            self._watch(fleet, relayed, DRAINED, self._take_drain)
         Deferred.fromCoroutine(self.configuration.loop.run())
         self.follower.start()
 
+    def _watch(self, fleet, store, kind, take):
+        running = watch(
+            store,
+            kind,
+            take,
+            fleet.clock,
+            Random(self.name),
+            fleet.log,
+            timing=_TIMING,
+        )
+        self.source.add(kind, running)
+
+    def _take_drain(self, change):
+        self.source.note(change)
+        self.drained.add(change.name)
+        if change.value is None:
+            self.drained.remove(change.name)
+
     def _take(self, change):
         self.source.note(change)
         self.upstreams[change.name] = change.value
@@ -179,9 +206,12 @@
         On the clock: no host has links before.
     words : list of int
         Bytes of each that a reader has sent.
+    drains : bool
+        Whether hosts watch the drained domains, too.
     """
 
-    def __init__(self, names):
+    def __init__(self, names, *, drains=False):
+        self.drains = drains
         self.clock = Clock()
         self.store = MemoryStore(self.clock)
         self.order = _ORDER
--- /dev/null
+++ b/features/steps/cold_steps.py
@@ -0,0 +1,175 @@
+"""Steps of upstreams that are cold."""
+
+from behave import given, then, when
+from twisted.internet.task import Clock
+
+from features.builders.forward import SERVICE, Story
+from pollenstile.forward import ColdShares, EngineView, Registry, Upstream
+
+_STEP = 0.01
+_SPREAD = 0.003
+
+
+def _entry(cold_seconds):
+    return Upstream('a', SERVICE, 'a:1', 'd', cold_seconds=cold_seconds)
+
+
+@given(
+    'a registry whose upstream "a" says that it is cold for {seconds:g} seconds'
+)
+def given_cold(context, seconds):
+    context.clock = Clock()
+    context.registry = Registry(context.clock)
+    context.registry.take('a', _entry(seconds))
+
+
+@when('"a" says that it is warm')
+def when_warm(context):
+    context.registry.take('a', _entry(0.0))
+
+
+@when('"a" says that it is cold for {seconds:g} seconds, with no new start')
+def when_cold_again(context, seconds):
+    context.registry.take('a', _entry(seconds))
+
+
+def _is_cold(context):
+    return context.registry.views['a'].cold_until > context.clock.seconds()
+
+
+@then(
+    '"a" counts as cold for the next {seconds:g} seconds and not after {later:g}'
+)
+def then_cold(context, seconds, later):
+    context.clock.advance(seconds)
+    assert _is_cold(context)
+    context.clock.advance(later - seconds)
+    assert not _is_cold(context)
+
+
+@then('"a" counts as warm')
+def then_warm(context):
+    assert not _is_cold(context)
+
+
+@given(
+    'upstreams that bear {rate:d} requests a second while cold, "{names}" of'
+    ' them cold'
+)
+def given_rate(context, rate, names):
+    context.story = Story('once', cold_rate=float(rate))
+    for name in names.split(','):
+        view = context.story.registry.views[name]
+        view.cold_until = 100.0
+
+
+@given('a host that shares them with no other')
+def given_alone(context):
+    context.story.core.cold = ColdShares('h', 'd')
+    context.story.core.cold.take_hosts({})
+
+
+@when('{count:d} requests of one second are taken in')
+def when_taken_in(context, count):
+    for _ in range(count):
+        context.story.start()
+        context.story.clock.advance(1 / (count + 1))
+
+
+@then('of {count:d} requests of one second {sent:d} went to "{name}"')
+def then_of_them(context, count, sent, name):
+    when_taken_in(context, count)
+    address = context.story.registry.views[name].address
+    found = [call for call in context.story.calls if call.address == address]
+    assert len(found) == sent, len(found)
+    assert len(context.story.calls) == count
+
+
+@then(
+    'the last of them is refused as "{reason}" and told to come back in'
+    ' {least:g} to {most:g} seconds'
+)
+def then_last_refused(context, reason, least, most):
+    refusal = context.story.answer.refusal
+    assert refusal.status == 503, refusal
+    assert refusal.reason == reason, refusal
+    assert least <= refusal.retry_after <= most, refusal
+
+
+@then('{count:d} forwarded sends were made in all')
+def then_sends(context, count):
+    assert len(context.story.calls) == count, len(context.story.calls)
+
+
+class _Sender:
+    """A host that sends cold upstreams all that it may."""
+
+    def __init__(self, name, domain, views):
+        self.shares = ColdShares(name, domain)
+        self.views = views
+
+
+@given(
+    '{count:d} hosts in {domains:d} domains, and {upstreams:d} upstreams that'
+    ' bear {rate:d} requests a second'
+)
+def given_fleet(context, count, domains, upstreams, rate):
+    context.rate = float(rate)
+    context.domains = {f'h{one}': f'd{one % domains}' for one in range(count)}
+    context.senders = []
+    for name, domain in context.domains.items():
+        views = [
+            EngineView(
+                f'i{one}', f'i{one}:1', f'd{one % domains}', cold_until=99
+            )
+            for one in range(upstreams)
+        ]
+        context.senders.append(_Sender(name, domain, views))
+        others = dict(context.domains)
+        others.pop(name)
+        context.senders[-1].shares.take_hosts(others)
+
+
+@given('either half of the hosts knows only itself')
+def given_halves(context):
+    names = list(context.domains)
+    middle = len(names) // 2
+    for half in (names[:middle], names[middle:]):
+        for sender in context.senders:
+            if sender.shares.host not in half:
+                continue
+            known = {one: context.domains[one] for one in half}
+            known.pop(sender.shares.host)
+            sender.shares.take_hosts(known)
+
+
+@when('every host sends each of them what it may for {seconds:d} seconds')
+def when_sent(context, seconds):
+    context.arrivals = {}
+    for step in range(round(seconds / _STEP)):
+        for place, sender in enumerate(context.senders):
+            now = step * _STEP + place * _SPREAD
+            _send_all(context, sender, now)
+
+
+def _send_all(context, sender, now):
+    for view in sender.views:
+        if sender.shares.admits(view, context.rate, now):
+            sender.shares.note_sent(view, context.rate, now)
+            context.arrivals.setdefault(view.ident, []).append(now)
+
+
+@then('no upstream got more than {count:d} requests in any second')
+def then_at_most(context, count):
+    for ident, moments in context.arrivals.items():
+        moments.sort()
+        for place, moment in enumerate(moments):
+            window = [one for one in moments[place:] if one < moment + 1]
+            assert len(window) <= count, (ident, moment, len(window))
+
+
+@then('each upstream got at least {count:d} requests')
+def then_at_least(context, count):
+    for ident, moments in context.arrivals.items():
+        assert len(moments) >= count, (ident, len(moments))
+    assert len(context.arrivals) == 8
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from twisted.internet.task import Clock
 
-from features.builders.forward import NAMES, SERVICE, Story
+from features.builders.forward import NAMES, SERVICE, Story, event_bytes
 from pollenstile.forward import (
     EngineView,
     Lost,
@@ -17,12 +17,8 @@
 _BODY = b'an answer'
 
 
-def _event(number):
-    return b'id: %d\ndata: piece %d\n\n' % (number, number)
-
-
 def _events(first, last):
-    return b''.join(_event(number) for number in range(first, last + 1))
+    return b''.join(event_bytes(number) for number in range(first, last + 1))
 
 
 @given('a forwarded "{kind}" request')
@@ -108,7 +104,7 @@
 def when_streams(context, place, first, last):
     call = context.story.calls[place]
     call.answer()
-    call.on_data(_events(first, last) + _event(last + 1)[:7])
+    call.on_data(_events(first, last) + event_bytes(last + 1)[:7])
 
 
 @when('forwarded send {place:d} streams events {first:d} to {last:d} and ends')
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -11,9 +11,11 @@
 )
 from pollenstile.forward._client import HttpClient
 from pollenstile.forward._configuration import Configuration
+from pollenstile.forward._cold import ColdShares, share_of
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._daemon import ForwardDaemon
 from pollenstile.forward._decisions import patience_of
+from pollenstile.forward._drained import DRAINED, DrainedDomains
 from pollenstile.forward._plaincodec import (
     FREE_TARGET,
     RUN_TARGET,
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -7,7 +7,9 @@
 from pollenstile.forward._budget import RepeatBudget
 from pollenstile.forward._client import HttpClient
 from pollenstile.forward._configuration import Configuration
+from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._core import ForwardCore
+from pollenstile.forward._drained import DRAINED, DrainedDomains
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.forward._owners import Owners
 from pollenstile.forward._registry import UPSTREAMS, Registry
@@ -48,6 +50,7 @@
     owners: object
     stages: object
     relay: object
+    drained: DrainedDomains
 
 
 @dataclass(slots=True)
@@ -125,6 +128,7 @@
         stages,
         adapter.names,
         log,
+        cold=ColdShares(settings.host, settings.domain),
     )
     members = Members(
         store,
@@ -140,6 +144,7 @@
         owners,
         stages,
         _built_relay(settings, store, suspend_clock, core, hub),
+        DrainedDomains(registry, reactor, log),
     )
 
 
@@ -180,7 +185,14 @@
         core.log,
     )
     follower.place = readers.place
-    relayed = RelayStore(store, clock, follower, (UPSTREAMS, HOSTS), HOSTS)
+    relayed = RelayStore(
+        store,
+        clock,
+        follower,
+        (UPSTREAMS, HOSTS, DRAINED),
+        early=HOSTS,
+        late=(DRAINED,),
+    )
 
     def covered():
         joining = relayed.is_joining() and configuration.age() < _JOIN_PROOF
--- a/pollenstile/forward/_choose.py
+++ b/pollenstile/forward/_choose.py
@@ -1,6 +1,7 @@
 """Choice of an upstream for a request, without I/O."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 import xxhash
 
@@ -49,6 +50,11 @@
         Smoothed time until its answers begin; 0 when unknown.
     rest_until : float
         Not used before, while there are others.
+    cold_until : float
+        On the clock: it bears few requests a second before; 0 when its last
+        word was that it is warm.
+    cold_sends : deque of float
+        On the clock: own sends to it of late, while it was cold.
     """
 
     ident: str
@@ -66,6 +72,8 @@
     seconds: float = 0.0
     rest_until: float = 0.0
     strikes: int = 0
+    cold_until: float = 0.0
+    cold_sends: deque = field(default_factory=deque)
 
 
 def load_of(view, now):
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -3,10 +3,16 @@
 from dataclasses import dataclass, field
 
 from pollenstile.estimates import Fetching, FirstTokens
+from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
 
 
+def _unknown_shares():
+    """Return the shares of a host that has heard of no hosts: none."""
+    return ColdShares('', '')
+
+
 @dataclass(slots=True)
 class ForwardCore:
     """Parts of one entry host that forwarded requests share.
@@ -36,6 +42,8 @@
         How long model engines take to answer.
     fetching : Fetching
         How long they take to fetch stage results.
+    cold : ColdShares
+        What may be sent to upstreams that are cold.
     """
 
     clock: object
@@ -50,3 +58,4 @@
     log: object = silent_log
     first_tokens: FirstTokens = field(default_factory=FirstTokens)
     fetching: Fetching = field(default_factory=Fetching)
+    cold: ColdShares = field(default_factory=_unknown_shares)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -11,37 +11,11 @@
 from pollenstile.forward._assembly import built_parts, link_peers, shown
 from pollenstile.forward._face import CallerFactory
 from pollenstile.forward._gauges import TIMES, add_gauges
-from pollenstile.forward._members import HOSTS
-from pollenstile.forward._registry import UPSTREAMS
+from pollenstile.forward._storewatches import StoreWatches
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.measures import Measures, MeasuresFace
 from pollenstile.peer import Beat, keys_from, tcp_listen
-from pollenstile.platform import WatchTiming, watch
-
-# Registry: a watch is answered within this time. One that went silent with all
-# connections is noticed and armed anew within 2.5 s; from 3 s after such a
-# fault on, an upstream that leaves must get nothing more 2 s later. Each call
-# of the store is paid for.
-_REGISTRY_TIMING = WatchTiming(
-    poll=2.0,
-    margin=0.5,
-    rearm=0.2,
-    list_every=20.0,
-    list_within=1.5,
-    backoff=0.15,
-    backoff_cap=0.5,
-)
-# Hosts: when all start at once, each entry wakes all watches; a second's pause
-# takes many of them in one answer.
-_HOSTS_TIMING = WatchTiming(
-    poll=10.0,
-    margin=1.5,
-    rearm=1.0,
-    list_every=45.0,
-    list_within=2.0,
-    backoff=0.3,
-    backoff_cap=2.0,
-)
+
 # Seconds for which a leaving host still takes requests: the balancer asks
 # each second and needs two answers that it is not ready.
 _LAME_DUCK = 2.3
@@ -135,7 +109,6 @@
         self.log = self.measures.write
         self.leaving = False
         self.was_ready = False
-        self.watches = []
         self.ports = []
         self.review = LoopingCall(self._review)
         self.parts = built_parts(
@@ -148,6 +121,13 @@
             self.log,
         )
         self.parts.hub.beat = self._beat
+        self.watches = StoreWatches(
+            self.parts,
+            adapter.decode_upstream,
+            reactor,
+            rng,
+            self.log,
+        )
         self.factory = CallerFactory(self.parts.core, reactor)
 
     def start(self):
@@ -175,13 +155,7 @@
         self.review.start(_REVIEW_PERIOD, now=False)
         Deferred.fromCoroutine(core.configuration.loop.run())
         Deferred.fromCoroutine(self._join())
-        registry = self._watch(
-            UPSTREAMS,
-            self._upstream_changed,
-            _REGISTRY_TIMING,
-        )
-        registry.ready.addCallback(self._registry_known)
-        self._watch(HOSTS, self.parts.members.take, _HOSTS_TIMING)
+        self.watches.start(settings.drain_seconds)
 
     def is_ready(self):
         """Return whether the balancer should send callers here."""
@@ -244,8 +218,7 @@
         await deferLater(self.reactor, _FLUSH)
         self.parts.core.configuration.loop.running = False
         self.parts.relay.follower.stop()
-        for running in self.watches:
-            running.stop()
+        self.watches.stop()
         self.review.stop()
         self.parts.hub.stop()
         for port in self.ports:
@@ -307,44 +280,6 @@
         self.ports.append(port)
         return port
 
-    def _watch(self, kind, callback, timing):
-        source = self.parts.relay.source
-
-        def take(change):
-            source.note(change)
-            callback(change)
-
-        running = watch(
-            self.parts.relay.store,
-            kind,
-            take,
-            self.reactor,
-            self.rng,
-            self.log,
-            timing=timing,
-        )
-        source.add(kind, running)
-        self.watches.append(running)
-        return running
-
-    def _upstream_changed(self, change):
-        upstream = None
-        if change.value is not None:
-            upstream = self.adapter.decode_upstream(change.name, change.value)
-            if upstream is None:
-                self.log(
-                    events.UPSTREAM_UNREADABLE,
-                    level='warning',
-                    peer=change.name,
-                    version=change.version,
-                )
-        self.parts.core.registry.take(change.name, upstream)
-
-    def _registry_known(self, running):
-        self.parts.core.registry.known = True
-        self._registry_changed()
-        return running
-
     def _registry_changed(self):
         upstreams = self.parts.core.registry.upstreams.values()
         self.parts.stages.domains = {
@@ -362,6 +297,9 @@
         parts.core.budget.hosts = len(hosts) + 1
         parts.stages.ownership.take_hosts(hosts)
         parts.relay.readers.take_hosts(hosts)
+        if parts.members.known:
+            domains = {name: one.domain for name, one in hosts.items()}
+            parts.core.cold.take_hosts(domains)
         table = parts.core.configuration.table
         if table is None:
             return
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -1,5 +1,8 @@
 """What a host's measures show besides the counts of its events."""
 
+from collections import Counter
+from functools import partial
+
 from pollenstile.forward import events
 from pollenstile.stagework.events import STAGE_MADE
 
@@ -37,6 +40,18 @@
         'Upstreams in the registry.',
         lambda: len(core.registry.upstreams),
     )
+    measures.gauges(
+        'drained_seconds',
+        'Seconds since this host heard that a failure domain is drained.',
+        'domain',
+        parts.drained.ages,
+    )
+    measures.gauges(
+        'under_way',
+        'Requests and pieces that this host has at upstreams of a domain.',
+        'domain',
+        partial(_under_way, core.registry, parts.owners.calls),
+    )
     measures.gauge(
         'peers',
         'Peers with an open link.',
@@ -52,3 +67,11 @@
         'Requests without a final answer.',
         lambda: factory.in_flight,
     )
+
+
+def _under_way(registry, calls):
+    """Return how much this host has at the upstreams of each domain."""
+    running = Counter(calls.pieces_in)
+    for view in registry.views.values():
+        running[view.domain] += view.flying
+    return running
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -61,6 +61,8 @@
         The own entry as the store has it; None where there is none.
     hosts : dict
         :class:`PeerHost` of each other host, by name.
+    known : bool
+        Whether a whole list has come.
     listeners : list of function
         Called after each change.
     """
@@ -70,6 +72,7 @@
         'entry',
         'host',
         'hosts',
+        'known',
         'listeners',
         'log',
         'registered',
@@ -84,6 +87,7 @@
         self.entry = entry
         self.log = log
         self.hosts = {}
+        self.known = False
         self.listeners = []
         self.registered = False
         self.standing = None
@@ -111,6 +115,12 @@
         for listener in self.listeners:
             listener()
 
+    def note_listed(self):
+        """Note that a whole list has come."""
+        self.known = True
+        for listener in self.listeners:
+            listener()
+
     async def register(self):
         """Write the own entry until the store has it.
 
--- a/pollenstile/forward/_placing.py
+++ b/pollenstile/forward/_placing.py
@@ -10,6 +10,7 @@
     subject_of,
     usable,
 )
+from pollenstile.forward._types import NotRun
 
 # Share of a request's aim that a plain service takes while nothing is known.
 _UNKNOWN_SHARE = 0.25
@@ -40,7 +41,7 @@
 
 
 def chosen_view(core, exchange, tried, inputs):
-    """Return the upstream that a request is sent to next, or None.
+    """Return the upstream that a request is sent to next.
 
     Parameters
     ==========
@@ -49,13 +50,23 @@
         Those that it was sent to before.
     inputs : dict
         Bytes of its stage results by failure domain.
+
+    Returns
+    =======
+
+    EngineView or NotRun
+        Why there is none, and when there may be one.
     """
     now = core.clock.seconds()
     views = usable(core.registry.usable(exchange.service), now, tried)
+    rate = cold_rate(exchange)
+    ready = [view for view in views if core.cold.admits(view, rate, now)]
+    if not ready:
+        return _none_ready(core, exchange, views, rate)
     if not exchange.prompt:
-        return chosen_plain(views, now, core.domain, core.rng)
+        return chosen_plain(ready, now, core.domain, core.rng)
     return chosen_engine(
-        views,
+        ready,
         now,
         core.domain,
         core.rng,
@@ -65,6 +76,23 @@
     )
 
 
+def cold_rate(exchange):
+    """Return the requests a second that a cold upstream bears; 0 for all."""
+    service = exchange.table.services.get(exchange.service)
+    return service.cold_rate if service else 0.0
+
+
+def _none_ready(core, exchange, views, rate):
+    """Return why a request can be sent nowhere."""
+    service = exchange.service
+    if views:
+        now = core.clock.seconds()
+        wait = min(core.cold.opens_in(view, rate, now) for view in views)
+        return NotRun('cold', service, arrived=False, retry_after=wait)
+    reason = 'drained' if core.registry.is_drained(service) else 'no upstream'
+    return NotRun(reason, service)
+
+
 def reading_of(core, exchange, chain, inputs, view):
     """Return when the results may be released that an upstream reads.
 
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -1,6 +1,6 @@
 """Upstreams as they say of themselves, and what this host saw of them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from pollenstile.forward import events
 from pollenstile.forward._choose import EngineView
@@ -11,6 +11,7 @@
 # Entries that lapse while the store is away are back within two seconds of
 # its return, when the upstream lives; one that is missing then is gone.
 _RETURN_SECONDS = 2.3
+_MS = 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,6 +30,9 @@
     born : int
         Unix milliseconds of its start; 0 where upstreams don't tell. With the
         identifier it names the incarnation.
+    cold_seconds : float
+        For so much longer it bears few requests. It changes with each word of
+        the upstream, and is no difference between two entries.
     """
 
     ident: str
@@ -38,6 +42,7 @@
     slots: int = 1
     leaving: bool = False
     born: int = 0
+    cold_seconds: float = field(default=0.0, compare=False)
 
 
 class Registry:
@@ -66,11 +71,14 @@
         Called after each change.
     known : bool
         Whether a whole list has come.
+    drained : frozenset of str
+        Failure domains whose upstreams get no new work.
     """
 
     __slots__ = (
         'by_service',
         'clock',
+        'drained',
         'known',
         'lapsed',
         'listeners',
@@ -90,6 +98,21 @@
         self.listeners = []
         self.store_failed_at = -1000.0
         self.known = False
+        self.drained = frozenset()
+
+    def drain(self, domains):
+        """Take the failure domains whose upstreams get no new work.
+
+        Explanation
+        ===========
+
+        They stay known: what runs there ends, and results that lie there are
+        read and released.
+        """
+        if domains == self.drained:
+            return
+        self.drained = domains
+        self._index()
 
     def take(self, ident, upstream):
         """Take an entry; None says that it is missing."""
@@ -110,6 +133,12 @@
             return
         self.drop(ident)
 
+    def note_listed(self):
+        """Note that a whole list has come."""
+        self.known = True
+        for listener in self.listeners:
+            listener()
+
     def note_read(self, answered):
         """Note whether the store has answered a read."""
         if not answered:
@@ -144,6 +173,13 @@
         """Return views of the upstreams of a service that take new work."""
         return self.by_service.get(service, ())
 
+    def is_drained(self, service):
+        """Return whether some upstream of a service is in a drained domain."""
+        return any(
+            one.service == service and one.domain in self.drained
+            for one in self.upstreams.values()
+        )
+
     def stage_upstreams(self, service):
         """Return the upstreams of a service that take new work."""
         return [self.upstreams[view.ident] for view in self.usable(service)]
@@ -151,6 +187,7 @@
     def _put(self, upstream):
         before = self.upstreams.get(upstream.ident)
         if before == upstream:
+            self._note_cold(upstream)
             return
         if before is not None and upstream.born < before.born:
             # What the incarnation before said, and a slow write or read has
@@ -168,6 +205,7 @@
                 upstream.slots,
                 upstream.born,
             )
+        self._note_cold(upstream)
         self.log(
             events.UPSTREAM_CHANGED,
             peer=upstream.ident,
@@ -178,10 +216,34 @@
         )
         self._index()
 
+    def _note_cold(self, upstream):
+        """Take for how long an upstream says that it is cold.
+
+        Explanation
+        ===========
+
+        Counted from now, not from when the entry was written: an old word makes
+        it cold for too long, never too short.
+        """
+        view = self.views[upstream.ident]
+        now = self.clock.seconds()
+        was_cold = view.cold_until > 0
+        is_cold = upstream.cold_seconds > 0
+        view.cold_until = now + upstream.cold_seconds if is_cold else 0.0
+        if is_cold == was_cold:
+            return
+        self.log(
+            events.UPSTREAM_COLD if is_cold else events.UPSTREAM_WARM,
+            peer=upstream.ident,
+            service=upstream.service,
+            domain=upstream.domain,
+            cold_ms=int(upstream.cold_seconds * _MS),
+        )
+
     def _index(self):
         by_service = {}
         for ident, upstream in self.upstreams.items():
-            if upstream.leaving:
+            if upstream.leaving or upstream.domain in self.drained:
                 continue
             views = by_service.setdefault(upstream.service, [])
             views.append(self.views[ident])
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -19,6 +19,7 @@
 )
 from pollenstile.forward._placing import (
     chosen_view,
+    cold_rate,
     first_token_seconds,
     home_domain,
     reading_of,
@@ -128,8 +129,8 @@
         while True:
             inputs = self.chain.held_bytes() if self.chain else {}
             view = chosen_view(self.core, self.exchange, self.tried, inputs)
-            if view is None:
-                self._give_up(NotRun('no upstream', self.exchange.service))
+            if isinstance(view, NotRun):
+                self._give_up(view)
                 return
             self.waste.note_read(inputs, view.domain)
             outcome = await self._attempted(view, inputs)
@@ -250,6 +251,8 @@
     async def _attempted(self, view, inputs):
         self.tried.append(view.ident)
         self.sends += 1
+        now = self.core.clock.seconds()
+        self.core.cold.note_sent(view, cold_rate(self.exchange), now)
         last_event = self.exchange.last_event
         if self.attempt is not None and self.attempt.splitter.last:
             last_event = self.attempt.splitter.last.decode('latin-1')
@@ -271,6 +274,7 @@
         return outcome
 
     def _log_send(self, view):
+        now = self.core.clock.seconds()
         self.core.log(
             events.FORWARDED,
             request=self.exchange.ident,
@@ -282,8 +286,10 @@
             flying=view.flying,
             running=view.running,
             queued=view.queued,
-            age_ms=_load_age(view, self.core.clock.seconds()),
+            age_ms=_load_age(view, now),
             failures=round(view.failures, 2),
+            cold_ms=int(max(0, view.cold_until - now) * _MS),
+            drained=','.join(sorted(self.core.registry.drained)),
         )
 
     def _goes_on(self, outcome):
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -24,6 +24,8 @@
         See :class:`~pollenstile.forward.RepeatBudget`.
     grace_seconds : float
         From the signal to stop until the process is killed.
+    drain_seconds : float
+        Within this time a failure domain that was drained gets nothing more.
     capacity : float
         Cores of the host; larger hosts take the shared work first.
     """
@@ -39,5 +41,6 @@
     repeat_slack: float = 10.0
     repeat_window: float = 10.0
     grace_seconds: float = 8.0
+    drain_seconds: float = 5.0
     capacity: float = 1.0
     peers_seen: tuple | None = None
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -1,5 +1,7 @@
 """Calls of stage services: batches of pieces, and releases of results."""
 
+from collections import Counter
+
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 from twisted.web.client import readBody
 
@@ -29,9 +31,23 @@
         which returns a list of :class:`~pollenstile.stagework.Made` or None.
     names : HeaderNames
         Of the header that says that nothing was run.
+
+    Attributes
+    ==========
+
+    pieces_in : Counter
+        Pieces of the calls that are under way, by failure domain.
     """
 
-    __slots__ = ('client', 'clock', 'codec', 'log', 'names', 'on_misdirected')
+    __slots__ = (
+        'client',
+        'clock',
+        'codec',
+        'log',
+        'names',
+        'on_misdirected',
+        'pieces_in',
+    )
 
     def __init__(self, clock, client, codec, names, log=silent_log):
         self.clock = clock
@@ -40,13 +56,15 @@
         self.names = names
         self.log = log
         self.on_misdirected = None
+        self.pieces_in = Counter()
 
     def call(self, worker, pieces, seconds):
         """Return a Deferred of the pieces' results, or of ``CallLost``."""
         work = Deferred.fromCoroutine(self._called(worker, pieces))
         work.addTimeout(seconds, self.clock)
         work.addErrback(self._gave_up, worker)
-        return work
+        self.pieces_in[worker.domain] += len(pieces)
+        return work.addBoth(self._ended, worker.domain, len(pieces))
 
     def release(self, address, handles):
         """Release results at their maker; return a Deferred of success."""
@@ -54,6 +72,10 @@
         work.addTimeout(_RELEASE_SECONDS, self.clock)
         return work.addErrback(self._not_released, address)
 
+    def _ended(self, outcome, domain, count):
+        self.pieces_in[domain] -= count
+        return outcome
+
     async def _called(self, worker, pieces):
         now = self.clock.seconds()
         target, headers, body = self.codec.batch(worker, pieces, now)
--- /dev/null
+++ b/pollenstile/forward/_storewatches.py
@@ -0,0 +1,155 @@
+"""What a host watches in the store: upstreams, hosts, drained domains."""
+
+from pollenstile.forward import events
+from pollenstile.forward._drained import DRAINED
+from pollenstile.forward._members import HOSTS
+from pollenstile.forward._registry import UPSTREAMS
+from pollenstile.ops.logs import silent_log
+from pollenstile.platform import WatchTiming, watch
+
+# Registry: a watch is answered within this time. One that went silent with all
+# connections is noticed and armed anew within 2.5 s; from 3 s after such a
+# fault on, an upstream that leaves must get nothing more 2 s later. Each call
+# of the store is paid for.
+_REGISTRY_TIMING = WatchTiming(
+    poll=2.0,
+    margin=0.5,
+    rearm=0.2,
+    list_every=20.0,
+    list_within=1.5,
+    backoff=0.15,
+    backoff_cap=0.5,
+)
+# Hosts: when all start at once, each entry wakes all watches; a second's pause
+# takes many of them in one answer.
+_HOSTS_TIMING = WatchTiming(
+    poll=10.0,
+    margin=1.5,
+    rearm=1.0,
+    list_every=45.0,
+    list_within=2.0,
+    backoff=0.3,
+    backoff_cap=2.0,
+)
+# Share of the bound on draining a domain for which the store holds a watch.
+_DRAINS_POLL_SHARE = 0.5
+
+
+class StoreWatches:
+    """The watches of one host, and what their news changes.
+
+    Parameters
+    ==========
+
+    parts : Parts
+        Of the host; its source hears of all news as well.
+    decode_upstream : function
+        From a name and a stored value to an upstream, or None.
+    clock : IReactorTime
+        Times the watches.
+    rng : random.Random
+        Source of the jitter.
+    log : function
+        Writes events.
+    """
+
+    __slots__ = ('clock', 'decode_upstream', 'log', 'parts', 'rng', 'running')
+
+    def __init__(self, parts, decode_upstream, clock, rng, log=silent_log):
+        self.parts = parts
+        self.decode_upstream = decode_upstream
+        self.clock = clock
+        self.rng = rng
+        self.log = log
+        self.running = []
+
+    def start(self, drain_seconds):
+        """Watch from now on.
+
+        Parameters
+        ==========
+
+        drain_seconds : float
+            Within this time a domain that was drained gets nothing more.
+        """
+        upstreams = self._watch(
+            UPSTREAMS,
+            self._upstream_changed,
+            _REGISTRY_TIMING,
+        )
+        upstreams.ready.addCallback(self._upstreams_known)
+        hosts = self._watch(HOSTS, self.parts.members.take, _HOSTS_TIMING)
+        hosts.ready.addCallback(self._hosts_known)
+        drains = self._watch(
+            DRAINED,
+            self.parts.drained.take,
+            _drains_timing(drain_seconds),
+        )
+        drains.ready.addCallback(self.parts.drained.listed)
+
+    def stop(self):
+        """End all watches."""
+        for running in self.running:
+            running.stop()
+
+    def _watch(self, kind, callback, timing):
+        source = self.parts.relay.source
+
+        def take(change):
+            source.note(change)
+            callback(change)
+
+        running = watch(
+            self.parts.relay.store,
+            kind,
+            take,
+            self.clock,
+            self.rng,
+            self.log,
+            timing=timing,
+        )
+        source.add(kind, running)
+        self.running.append(running)
+        return running
+
+    def _upstream_changed(self, change):
+        upstream = None
+        if change.value is not None:
+            upstream = self.decode_upstream(change.name, change.value)
+            if upstream is None:
+                self.log(
+                    events.UPSTREAM_UNREADABLE,
+                    level='warning',
+                    peer=change.name,
+                    version=change.version,
+                )
+        self.parts.core.registry.take(change.name, upstream)
+
+    def _upstreams_known(self, running):
+        self.parts.core.registry.note_listed()
+        return running
+
+    def _hosts_known(self, running):
+        self.parts.members.note_listed()
+        return running
+
+
+def _drains_timing(bound):
+    """Return the times of the watch of drained domains.
+
+    Parameters
+    ==========
+
+    bound : float
+        Seconds after which a drained domain must get nothing more. A watch
+        that went silent has to be noticed and armed anew well within them.
+    """
+    return WatchTiming(
+        poll=_DRAINS_POLL_SHARE * bound,
+        margin=0.5,
+        rearm=0.1,
+        list_every=45.0,
+        list_within=2.5,
+        backoff=0.2,
+        backoff_cap=0.5,
+    )
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -67,6 +67,32 @@
     'An entry of the registry names no upstream; the others hold.',
     'Find who else writes there; the line names the entry.',
 )
+DOMAIN_DRAINED = define(
+    1233,
+    'domain-drained',
+    'A failure domain is drained: its upstreams get no new work from here.',
+    'An operator asked for it; `pollenstile drain --show` lists what is left.',
+)
+DOMAIN_RETURNED = define(
+    1234,
+    'domain-returned',
+    'A failure domain is not drained any more; its upstreams get work again.',
+)
+DRAINS_KNOWN = define(
+    1235,
+    'drains-known',
+    'The host has heard which domains are drained; before, it went by none.',
+)
+UPSTREAM_COLD = define(
+    1236,
+    'upstream-cold',
+    'An upstream says that it is cold; hosts share the few requests it bears.',
+)
+UPSTREAM_WARM = define(
+    1237,
+    'upstream-warm',
+    'An upstream that was cold says that it is warm.',
+)
 FORWARD_CRASHED = define(
     1214,
     'forward-crashed',
--- /dev/null
+++ b/pollenstile/ops/_draincmd.py
@@ -0,0 +1,191 @@
+"""``pollenstile drain``: keeps new work from a failure domain's upstreams."""
+
+import sys
+from dataclasses import dataclass
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from pollenstile.forward import DRAINED
+from pollenstile.ops._statuscmd import entries_from
+from pollenstile.ops._stores import store_at
+from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD, UNREACHED
+from pollenstile.ops.running import result_of
+from pollenstile.ops.settings import SettingsError, address, identifier
+from pollenstile.platform import Absent, Broken, Caller, Found, Written
+
+_SECONDS = 4.0
+_OK = 200
+_DRAINED_FOR = 'pollenstile_drained_seconds'
+_UNDER_WAY = 'pollenstile_under_way'
+
+
+@dataclass(slots=True, frozen=True)
+class HostDrain:
+    """What one host says of a drained domain.
+
+    Parameters
+    ==========
+
+    host : str
+        Address of its measures.
+    answers : bool
+        Whether it answered.
+    drained_for : float or None
+        Seconds since it heard of the drain; None when it has not.
+    under_way : int
+        Requests and pieces that it still has there.
+    """
+
+    host: str
+    answers: bool
+    drained_for: float | None = None
+    under_way: int = 0
+
+
+def add_parser(commands):
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        'drain',
+        help="keep new work from a failure domain's upstreams",
+    )
+    parser.add_argument('domain', help='the failure domain')
+    parser.add_argument('--platform', default='', help='IP:PORT of the store')
+    parser.add_argument(
+        '--end',
+        action='store_true',
+        help='let the domain have work again',
+    )
+    parser.add_argument(
+        '--metrics',
+        default='',
+        help="IP:PORT of hosts' measures: show what is left there",
+    )
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Write the drain, show what is left, or both; return the exit code."""
+    from twisted.internet import reactor  # noqa: WPS433
+
+    domain = _parsed('domain', identifier, arguments.domain)
+    if not arguments.platform and not arguments.metrics:
+        sys.stderr.write('pollenstile drain: --platform or --metrics\n')
+        return BAD_INPUT
+    if arguments.platform and arguments.metrics:
+        sys.stderr.write('pollenstile drain: write first, then show\n')
+        return BAD_INPUT
+    if arguments.metrics:
+        hosts = entries_from(arguments.metrics)
+        shown = result_of(reactor, lambda: _shown(reactor, hosts, domain))
+        print(*drain_lines(domain, shown), sep='\n')
+        return exit_code(shown)
+    store = store_at(
+        reactor, _parsed('--platform', address, arguments.platform)
+    )
+    written = result_of(
+        reactor, lambda: written_drain(store, domain, ends=arguments.end)
+    )
+    if isinstance(written, Written):
+        verb = 'has work again' if arguments.end else 'is drained'
+        print(f'{domain} {verb}, revision {written.version}')
+        return GOOD
+    reason = getattr(written, 'reason', repr(written))
+    sys.stderr.write(f'pollenstile drain: not sure that it was done: {reason}')
+    sys.stderr.write('; say it again\n')
+    return UNREACHED
+
+
+def drain_lines(domain, hosts):
+    """Return lines for a terminal.
+
+    Examples
+    ========
+
+    >>> from pollenstile.ops._draincmd import HostDrain, drain_lines
+    >>> hosts = [HostDrain('a:1', True, 4.2, 3), HostDrain('b:1', True)]
+    >>> for line in drain_lines('clark', hosts):
+    ...     print(line)
+    clark: 3 requests and pieces left, 1 of 2 hosts obey
+    a:1  drained for 4.2 s, 3 left
+    b:1  has not heard of it, 0 left
+    """
+    left = sum(one.under_way for one in hosts)
+    obey = sum(one.drained_for is not None for one in hosts)
+    lines = [
+        f'{domain}: {left} requests and pieces left, '
+        f'{obey} of {len(hosts)} hosts obey',
+    ]
+    for one in hosts:
+        lines.append(f'{one.host}  {_state(one)}')
+    return lines
+
+
+def drain_of(host, domain, text):
+    """Return what a host's measures say of a domain."""
+    values = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            if sample.labels.get('domain') == domain:
+                values[sample.name] = sample.value
+    return HostDrain(
+        host,
+        answers=True,
+        drained_for=values.get(_DRAINED_FOR),
+        under_way=int(values.get(_UNDER_WAY, 0)),
+    )
+
+
+def _state(host):
+    if not host.answers:
+        return 'no answer'
+    if host.drained_for is None:
+        return f'has not heard of it, {host.under_way} left'
+    return f'drained for {host.drained_for:.1f} s, {host.under_way} left'
+
+
+def exit_code(hosts):
+    """Return whether a domain is empty and all hosts obey, as an exit code."""
+    if not any(one.answers for one in hosts):
+        return UNREACHED
+    is_empty = all(
+        one.drained_for is not None and not one.under_way for one in hosts
+    )
+    return GOOD if is_empty else BAD_RESULT
+
+
+async def _shown(reactor, hosts, domain):
+    found = []
+    for host, port in hosts:
+        caller = Caller(reactor, reactor, host, port, _SECONDS)
+        reply = await caller.call('GET', '/', fresh=True)
+        name = f'{host}:{port}'
+        if isinstance(reply, Broken) or reply.status != _OK:
+            found.append(HostDrain(name, answers=False))
+            continue
+        found.append(drain_of(name, domain, reply.body.decode()))
+    return found
+
+
+async def written_drain(store, domain, *, ends):
+    """Write or delete a domain's entry; what stands as asked is kept.
+
+    Returns
+    =======
+
+    Written, Conflict, NotApplied or InDoubt
+    """
+    standing = await store.get(DRAINED, domain)
+    if isinstance(standing, Found) and not ends:
+        return Written(standing.version)
+    if isinstance(standing, Absent) and ends:
+        return Written(0)
+    if ends:
+        return await store.delete(DRAINED, domain)
+    return await store.put(DRAINED, domain, {})
+
+
+def _parsed(name, parse, text):
+    try:
+        return parse(text)
+    except ValueError as error:
+        raise SettingsError([f'{name}: {error}']) from None
--- a/pollenstile/ops/measures.py
+++ b/pollenstile/ops/measures.py
@@ -15,6 +15,7 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.core import GaugeMetricFamily
 from twisted.web.resource import Resource
 
 _MS = 1000
@@ -66,6 +67,17 @@
         gauge = Gauge(f'pollenstile_{name}', meaning, registry=self.registry)
         gauge.set_function(value)
 
+    def gauges(self, name, meaning, label, values):
+        """Add gauges that one label tells apart.
+
+        Parameters
+        ==========
+
+        values : function
+            Returns a number for each value that the label has now.
+        """
+        self.registry.register(_Family(name, meaning, label, values))
+
     def write(self, event, level='info', **fields):
         """Count an event, measure its times, and log it."""
         outcome = fields.get('outcome') or fields.get('reason') or _NONE
@@ -90,6 +102,29 @@
         )
 
 
+class _Family:
+    """Gauges whose labels are known only when they are read."""
+
+    __slots__ = ('label', 'meaning', 'name', 'values')
+
+    def __init__(self, name, meaning, label, values):
+        self.name = name
+        self.meaning = meaning
+        self.label = label
+        self.values = values
+
+    def collect(self):
+        """Return the gauges as they are now; called by the library."""
+        family = GaugeMetricFamily(
+            f'pollenstile_{self.name}',
+            self.meaning,
+            labels=(self.label,),
+        )
+        for found, number in self.values().items():
+            family.add_metric((found,), number)
+        return (family,)
+
+
 class MeasuresFace(Resource):
     """Serves measures as text.
 
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -186,6 +186,12 @@
         '5',
         'seconds after which a key that was taken away has stopped working',
     ),
+    Setting(
+        'drain_seconds',
+        number_from(1, 60, float),
+        '5',
+        'seconds after which a drained failure domain gets nothing more',
+    ),
     Setting(
         'grace_seconds',
         number_from(3, 600, float),
--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -123,14 +123,26 @@
         Those that readers tell.
     early : str
         The kind that leads to a reader, and is watched from the start.
+    late : tuple of str
+        Kinds that a host can begin without: their first list waits for a
+        reader's word, and a start makes no call of the store for them.
     """
 
-    __slots__ = ('clock', 'early', 'feeds', 'follower', 'joins_by', 'store')
+    __slots__ = (
+        'clock',
+        'early',
+        'feeds',
+        'follower',
+        'joins_by',
+        'late',
+        'store',
+    )
 
-    def __init__(self, store, clock, follower, kinds, early=''):
+    def __init__(self, store, clock, follower, kinds, early='', late=()):
         self.store = store
         self.clock = clock
         self.early = early
+        self.late = late
         self.joins_by = clock.seconds() + _JOIN_SECONDS
         self.follower = follower
         self.feeds = {kind: _Feed() for kind in kinds}
@@ -157,6 +169,8 @@
     async def listed(self, kind, prefix='', after='', limit=PAGE_LIMIT):
         """Return all objects from the reader's word, or a page of the store."""
         feed = self.feeds.get(kind)
+        if kind in self.late and self._awaits_reader(kind):
+            await self._news_within(feed, self.joins_by - self.clock.seconds())
         if feed is None or not self.follower.following:
             return await self.store.listed(kind, prefix, after, limit)
         while not feed.known:
--- a/pollenstile/routes/_model.py
+++ b/pollenstile/routes/_model.py
@@ -79,10 +79,14 @@
 
     stage : StageLimits or None
         For services that make pieces of stages.
+    cold_rate : float
+        Requests a second that an upstream bears from all hosts together while
+        it is cold; 0 where that has no bound.
     """
 
     name: str
     stage: StageLimits | None = None
+    cold_rate: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
