soak: live runs drain failure domains and start upstreams cold

The live soak knew nothing of either. New model engines are cold for a second and must get no more than they bear in it.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -11,7 +11,7 @@
 
 import sys
 
-from pollenstile.forward import _configuration, _daemon, _run
+from pollenstile.forward import _configuration, _daemon, _registry, _run
 from pollenstile.forward._decisions import Next
 from pollenstile.forward._types import Refusal
 from pollenstile.ops.clock import run_steadily
@@ -56,7 +56,13 @@
     _run.expired_refusal = lambda runs: Refusal(503, 'timeout', 'send')
 
 
+def without_drained_domains():
+    """Send to the upstreams of drained domains."""
+    _registry.Registry.drain = lambda registry, domains: None
+
+
 GUARDS = {
+    'drained domains': without_drained_domains,
     'once': without_once,
     'configuration': without_new_configuration,
     'drain': without_drain,
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -2,8 +2,15 @@
 
 from collections import Counter
 
-from pollenstile.soak.live._hosts import REVOKE_SECONDS
-from pollenstile.soak.live._servers import EVENTS, event_of, plain_body
+from pollenstile.soak.live._hosts import DRAIN_SECONDS, REVOKE_SECONDS
+from pollenstile.soak.live._servers import (
+    COLD_RATE,
+    COLD_SECONDS,
+    ENGINES,
+    EVENTS,
+    event_of,
+    plain_body,
+)
 
 _OK = 200
 _UNAUTHORIZED = 401
@@ -34,6 +41,8 @@
         lines.extend(_of_runs(asked, mine, records.revoked_at))
         lines.extend(_of_time(asked, records))
     lines.extend(_of_leaving(records))
+    lines.extend(_of_drains(records))
+    lines.extend(_of_cold(records))
     lines.extend(_of_calm(records))
     return lines
 
@@ -128,6 +137,41 @@
             yield f'reached {one.upstream} {late:.2f} s after it left'
 
 
+def _of_drains(records):
+    """Upstreams of a drained domain get nothing new, once all is in order."""
+    if not records.calm_from:
+        return
+    for drain in records.drains:
+        if drain.began < records.calm_from:
+            continue
+        latest = drain.began + DRAIN_SECONDS + _LEFT_MARGIN
+        for one in _reached(records, drain.domain, latest, drain.ended):
+            late = one.at - drain.began
+            yield f'reached {one.upstream} {late:.2f} s after its domain drained'
+
+
+def _reached(records, domain, since, until):
+    """Return the runs at a domain's upstreams within a time."""
+    return [
+        one
+        for one in records.ran
+        if since < one.at < until
+        and records.upstreams[one.upstream][0] == domain
+    ]
+
+
+def _of_cold(records):
+    """A cold model engine gets no more in a second than it bears."""
+    runs = {}
+    for one in records.ran:
+        _, cold_until = records.upstreams[one.upstream]
+        if one.upstream.startswith(ENGINES) and one.at < cold_until:
+            runs.setdefault(one.upstream, []).append(one.at)
+    for upstream, moments in runs.items():
+        if len(moments) > COLD_RATE * COLD_SECONDS:
+            yield f'{len(moments)} requests reached {upstream} while cold'
+
+
 def _of_calm(records):
     """When all faults have ended, callers are served again."""
     if not records.calm_from:
--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -4,6 +4,7 @@
 
 from pollenstile.soak.live._records import Fault
 from pollenstile.soak.live._servers import ENGINES, PLAIN, STAGES
+from pollenstile.soak.live._world import DOMAINS
 
 # Seconds that a fault lasts, at least and at most.
 _SHORTEST = 0.2
@@ -137,6 +138,18 @@
     await world.configure()
 
 
+async def drain_domain(world):
+    """Drain a failure domain for a while; planned: one at a time."""
+    if any(not drain.ended for drain in world.records.drains):
+        return
+    domain = world.rng.choice(DOMAINS)
+    _note(world, 'configuration', f'drain {domain}')
+    drain = await world.drain(domain)
+    await _last(world)
+    await world.end_drain(drain)
+    _note(world, 'configuration', f'end of drain {domain}')
+
+
 async def revoke_key(world):
     """Take a key away, all but the last."""
     if len(world.keys) < 2:
@@ -186,6 +199,7 @@
     crash_server,
     leave_server,
     change_configuration,
+    drain_domain,
     revoke_key,
     harm_store,
     compact_store,
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -15,6 +15,7 @@
 # Seconds that a host has to finish after SIGTERM until it is killed.
 GRACE_SECONDS = 5.0
 REVOKE_SECONDS = 3.0
+DRAIN_SECONDS = 2.0
 _MORE = 1.0
 
 
@@ -72,6 +73,7 @@
             'peers': _shown((LOOPBACK, 0)),
             'peers-seen': _shown(self.peers.address),
             'revoke-seconds': str(REVOKE_SECONDS),
+            'drain-seconds': str(DRAIN_SECONDS),
             'grace-seconds': str(GRACE_SECONDS),
         }
         words = [*self.command, 'forward']
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -75,6 +75,15 @@
     text: str
 
 
+@dataclass(slots=True)
+class Drain:
+    """A failure domain was drained: when the store took it, and its end."""
+
+    domain: str
+    began: float
+    ended: float = 0.0
+
+
 @dataclass(slots=True)
 class Records:
     """All of a run.
@@ -90,6 +99,10 @@
         When the store took an upstream's word that it leaves.
     revoked_at : dict
         When the store took a configuration without a key.
+    drains : list of Drain
+        In the order in which they began.
+    upstreams : dict
+        Failure domain of each upstream, and until when it was cold.
     faults : list of Fault
         What was done, in order.
     calm_from : float
@@ -102,6 +115,8 @@
     ran: list = field(default_factory=list)
     left_at: dict = field(default_factory=dict)
     revoked_at: dict = field(default_factory=dict)
+    drains: list = field(default_factory=list)
+    upstreams: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
     broken: list = field(default_factory=list)
     calm_from: float = 0.0
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -12,7 +12,7 @@
 from pollenstile.soak.live._faults import FAULTS
 from pollenstile.soak.live._hosts import COMMAND
 from pollenstile.soak.live._records import Fault
-from pollenstile.soak.live._world import World
+from pollenstile.soak.live._world import DOMAINS, World
 
 # Seconds in which hosts must be ready at first.
 _START_SECONDS = 20.0
@@ -25,6 +25,8 @@
 # Seconds of requests without faults before and after a host is told to stop;
 # an upstream leaves at their beginning.
 _CALM = 3.0
+# Seconds beyond them for which a failure domain stays drained meanwhile.
+_DRAINED_MORE = 1.5
 _CALLERS = 14
 _LOOK = 0.05
 
@@ -126,8 +128,14 @@
         await one
 
 
+async def _drained(world):
+    drain = await world.drain(world.rng.choice(DOMAINS))
+    await deferLater(world.reactor, _CALM + _DRAINED_MORE)
+    await world.end_drain(drain)
+
+
 async def _calm(world):
-    """Let an upstream leave and a key go while nothing is wrong."""
+    """Let an upstream leave, a key go and a domain drain, and a host stop."""
     reactor = world.reactor
     world.records.calm_from = reactor.seconds()
     service = world.rng.choice(('lookup', 'engines'))
@@ -136,7 +144,7 @@
     await world.leave_server(server)
     if len(world.keys) > 1:
         await world.revoke(world.keys[-1])
-    await deferLater(reactor, _CALM)
+    await _drained(world)
     host = world.rng.choice(world.taking_hosts())
     world.records.faults.append(Fault(reactor.seconds(), host.name, 'stop'))
     host.stop()
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -15,6 +15,10 @@
 # Events of a stream, and seconds between them.
 EVENTS = 12
 _GAP = 0.04
+# Seconds for which an upstream is cold, counted by a host from when it reads
+# so, and the requests a second that it bears.
+COLD_SECONDS = 1.0
+COLD_RATE = 6.0
 # Seconds that a lookup and a stage call take.
 _WORK = 0.08
 _SLOW_WORK = 0.6
@@ -41,8 +45,8 @@
 
     world : World
         Clock, random generator, records and results.
-    service, ident : str
-        What it is.
+    service, ident, domain : str
+        What it is, and where.
 
     Attributes
     ==========
@@ -52,10 +56,11 @@
         ``'cut'`` (breaks answers off) or ``'slow'``.
     """
 
-    def __init__(self, world, service, ident):
+    def __init__(self, world, service, ident, domain):
         self.world = world
         self.service = service
         self.ident = ident
+        self.domain = domain
         self.fault = ''
         self.proxy = Proxy(world.reactor)
         site = quiet(Site(_RESOURCES.get(service, _Stage)(self)))
@@ -73,9 +78,10 @@
         return {
             'service': self.service,
             'address': self.address,
-            'domain': 'here',
+            'domain': self.domain,
             'slots': 16,
             'leaving': leaving,
+            'cold_seconds': 0.0 if leaving else COLD_SECONDS,
         }
 
     def ran(self, ident, team=''):
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -6,11 +6,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from pollenstile.forward import DRAINED
 from pollenstile.platform import Written
 from pollenstile.soak.live._hosts import COMMAND, LiveHost
 from pollenstile.soak.live._proxy import LOOPBACK
-from pollenstile.soak.live._records import Records
+from pollenstile.soak.live._records import Drain, Records
 from pollenstile.soak.live._servers import (
+    COLD_RATE,
+    COLD_SECONDS,
     ENGINES,
     PLAIN,
     STAGES,
@@ -20,6 +23,8 @@
 from pollenstile.standin.objectapi import MemoryStore, platform_site
 
 _COUNTS = ((PLAIN, 3), (ENGINES, 3), (STAGES[0], 2), (STAGES[1], 2))
+# Hosts are in the first one.
+DOMAINS = ('here', 'there')
 # Seconds between tries of a write.
 _RETRY = 0.1
 _KEYS = ('key-a', 'key-b', 'key-c')
@@ -108,8 +113,12 @@
     async def add_server(self, service):
         """Start an upstream."""
         self.started += 1
-        server = Server(self, service, f'{service}-{self.started}')
-        self.servers[server.ident] = server
+        domain = _emptiest_domain(self.servers_of(service))
+        ident = f'{service}-{self.started}'
+        server = Server(self, service, ident, domain)
+        self.servers[ident] = server
+        cold_until = self.reactor.seconds() + COLD_SECONDS
+        self.records.upstreams[ident] = (domain, cold_until)
         await self._write('upstreams', server.ident, server.entry())
 
     async def leave_server(self, server):
@@ -118,6 +127,19 @@
         await self._write('upstreams', server.ident, entry)
         self.records.left_at[server.ident] = self.reactor.seconds()
 
+    async def drain(self, domain):
+        """Drain a failure domain; return the record of it."""
+        await self._write(DRAINED, domain, {})
+        drain = Drain(domain, self.reactor.seconds())
+        self.records.drains.append(drain)
+        return drain
+
+    async def end_drain(self, drain):
+        """Let a failure domain have work again."""
+        delete = partial(self.store.delete, DRAINED, drain.domain)
+        await self._until_written(delete)
+        drain.ended = self.reactor.seconds()
+
     async def crash_server(self, server):
         """End an upstream at once; its entry lapses later."""
         self.servers.pop(server.ident, None)
@@ -192,13 +214,22 @@
         return {
             'version': self.version,
             'routes': routes,
-            'services': [{'name': name, 'stage': _STAGE} for name in STAGES],
+            'services': [
+                *({'name': name, 'stage': _STAGE} for name in STAGES),
+                {'name': ENGINES, 'cold_rate': COLD_RATE},
+            ],
             'teams': [
                 {'name': f'team of {key}', 'keys': [key]} for key in self.keys
             ],
         }
 
 
+def _emptiest_domain(servers):
+    """Return where fewest are: each service has some left with one drained."""
+    places = [server.domain for server in servers]
+    return min(DOMAINS, key=places.count)
+
+
 def _route(name, kind, service, steps=(), attempts=1, *, resumable=False):
     return {
         'name': name,
