stagework: what is left behind by hosts that die, and owners asked again

Hosts that came back reached different hosts first, so up to 12 of them had a queue of one stage at a time, on the same upstreams. Then the first stage's workers stood idle for two seconds while all callers were refused: the last word of the second queue was that it was long, no request reached it, so nobody heard that it was empty.

Changes: a host that does not own a queue passes groups, releases and cancels on, once; what a dead host holds and waits for is given up, 0.8 s after its link is lost and not dialed again, or as a new process comes; a word that would keep a request out and is older than 0.15 s is asked for again, for a round trip and 0.1 s at most.

Stand-in results lapse now as real ones do.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 from twisted.web.http_headers import Headers
 
@@ -176,6 +176,10 @@
         waiter.callback(('h', GroupDone((handle,) * group.count)))
         return waiter
 
+    def refreshed(self, services):
+        """Ask no owner."""
+        return succeed(None)
+
     def limits_of(self, service):
         """Return the usual limits."""
         return StageLimits()
--- a/features/builders/stagework.py
+++ b/features/builders/stagework.py
@@ -3,13 +3,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from pollenstile.routes import StageLimits
+from pollenstile.routes import StageLimits, StageStep
 from pollenstile.stagework import (
     Group,
     GroupDone,
     Made,
     Owner,
     Piece,
+    Plan,
     Worker,
 )
 
@@ -39,6 +40,12 @@
     )
 
 
+def chain_plan(request, service, now):
+    """Return a plan of one step of two pieces."""
+    steps = (StageStep(service, (), 100),)
+    return Plan(request, request, steps, (2,), (now + 2,), now + 8, 0)
+
+
 def pieces_of(*groups):
     """Return all pieces of some groups."""
     return [Piece(one, place) for one in groups for place in range(one.count)]
--- a/pollenstile/bench/_stagehosts.py
+++ b/pollenstile/bench/_stagehosts.py
@@ -7,6 +7,7 @@
 heartbeats and asks as between processes, over virtual connections.
 """
 
+from collections import Counter
 from functools import partial
 from random import Random
 
@@ -49,7 +50,7 @@
 
     __slots__ = ('client', 'dead', 'fleet', 'hub', 'name', 'owners')
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, boot=1):
         self.fleet = fleet
         self.name = name
         self.dead = False
@@ -57,7 +58,7 @@
         self.hub = Hub(
             fleet.clock,
             Random(name),
-            Hello(VERSION, LEAST_VERSION, name, 'd', name, 1),
+            Hello(VERSION, LEAST_VERSION, name, 'd', name, boot),
             keys_from('key'),
             fleet.wires.connect_from(name),
             silent_log,
@@ -106,6 +107,7 @@
         if self.dead:
             return Deferred()
         upstream = self.fleet.upstreams[worker.address]
+        self.fleet.callers[pieces[0].group.service, self.name] += 1
         made = upstream.call(pieces, self.fleet.exists)
         return made.addCallback(self._unless_dead)
 
@@ -134,15 +136,26 @@
         Seconds between two hosts, one way.
     count : int
         Upstreams of each service.
+
+    Attributes
+    ==========
+
+    parted : set of frozenset
+        Pairs of hosts between which nothing passes.
+    callers : Counter
+        Calls of upstreams, by service and host.
     """
 
     __slots__ = (
         'budget',
+        'callers',
         'clock',
         'count',
         'dark',
         'domains',
         'hosts',
+        'names',
+        'parted',
         'services',
         'upstreams',
         'wires',
@@ -154,6 +167,8 @@
         self.count = count
         self.budget = 0
         self.dark = set()
+        self.parted = set()
+        self.callers = Counter()
         self.wires = VirtualWires(self.clock, lambda *_: way, self._is_cut)
         self.upstreams = {}
         self.domains = {}
@@ -163,15 +178,10 @@
                     self.clock, one.address, limits
                 )
                 self.domains[one.address] = one.domain
-        names = [f'h{number}' for number in range(hosts)]
-        self.hosts = [StageHost(self, name) for name in names]
+        self.names = [f'h{number}' for number in range(hosts)]
+        self.hosts = [StageHost(self, name) for name in self.names]
         for host in self.hosts:
-            peers = {
-                name: PeerHost(name) for name in names if name != host.name
-            }
-            host.client.ownership.take_hosts(peers)
-            host.review()
-            host.hub.start()
+            self._join(host)
         self.advance(_SETTLE)
 
     def client(self, number):
@@ -194,6 +204,17 @@
         """Let the host that owns a service lose power after some seconds."""
         self.clock.callLater(after, partial(self._lose_owner, service))
 
+    def lose_hosts(self, share, after, back_after):
+        """Let a share of the hosts lose power at once, and start again.
+
+        Parameters
+        ==========
+
+        after, back_after : float
+            Seconds until then, and for which they are away.
+        """
+        self.clock.callLater(after, self._lose_hosts, share, back_after)
+
     def spend(self, service, number):
         """Count repeats."""
         self.budget += number
@@ -204,8 +225,31 @@
         upstream = self.upstreams.get(handle.partition('/')[0])
         return upstream is not None and handle in upstream.results
 
+    def _join(self, host):
+        peers = {
+            name: PeerHost(name) for name in self.names if name != host.name
+        }
+        host.client.ownership.take_hosts(peers)
+        host.review()
+        host.hub.start()
+
+    def _lose_hosts(self, share, back_after):
+        count = round(share * len(self.hosts))
+        for host in self.hosts[:count]:
+            host.lose_power()
+            self.clock.callLater(back_after, self.start_again, host)
+
+    def start_again(self, host):
+        """Start a host that lost power: a new process under its name."""
+        self.dark.discard(host.name)
+        again = StageHost(self, host.name, host.hub.hello.boot + 1)
+        self.hosts[self.hosts.index(host)] = again
+        self._join(again)
+
     def _lose_owner(self, service):
         self.owner_of(service).lose_power()
 
     def _is_cut(self, origin, address):
+        if frozenset((origin, address)) in self.parted:
+            return True
         return bool(self.dark & {origin, address})
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -95,6 +95,12 @@
                 continue
             handle = f'{self.ident}/{group.request}.{group.step}.{piece.number}'
             self.results[handle] = group.result_bytes
+            self.clock.callLater(
+                self.ready_at - self.clock.seconds() + self.limits.hold_seconds,
+                self.results.pop,
+                handle,
+                None,
+            )
             made.append(Made(handle))
 
 
@@ -217,6 +223,10 @@
         limits = self.fleet.services[service]
         return self._owner(service).wait() > long_wait(limits)
 
+    def refreshed(self, services):
+        """Ask nobody: backlogs are those of now."""
+        return succeed(None)
+
     def limits_of(self, service):
         """Return a service's limits."""
         return self.fleet.services[service]
@@ -308,15 +318,21 @@
     now = fleet.clock.seconds()
     served = Served(route.name, now, route.aim, read_after)
     arrival = Arrival(ident, route, counts, now + deadline)
-    plan = plan_of(arrival, now + route.aim - read_after, client.seconds)
-    chain = Chain(client, plan)
-    work = Deferred.fromCoroutine(chain.handles())
+    work = Deferred.fromCoroutine(_staged(client, arrival, served))
     work.addTimeout(deadline, fleet.clock)
-    work.addCallback(_note_end, served, chain, fleet.clock, read_after)
+    work.addCallback(_note_end, served, fleet.clock, read_after)
     work.addErrback(_note_timeout, served)
     return served
 
 
+async def _staged(client, arrival, served):
+    """Return a request's chain and the end of its stage work."""
+    await client.refreshed([one.service for one in arrival.route.steps])
+    ready_by = served.came + served.aim - served.read
+    chain = Chain(client, plan_of(arrival, ready_by, client.seconds))
+    return chain, await chain.handles()
+
+
 def stage_route(name, aim, urgency, steps):
     """Return a route with steps of service, ``after`` and result bytes."""
     return Route(
@@ -358,7 +374,8 @@
     ]
 
 
-def _note_end(outcome, served, chain, clock, read_after):
+def _note_end(ended, served, clock, read_after):
+    chain, outcome = ended
     took = clock.seconds() - served.came
     if isinstance(outcome, ChainFailed):
         served.refused = outcome.reason
--- a/pollenstile/bench/stages.py
+++ b/pollenstile/bench/stages.py
@@ -124,6 +124,8 @@
 _HOSTS = 9
 # Requests are spread over hosts by a number below this.
 _MOST_HOSTS = 360
+# Seconds of arrivals of a load whose hosts lose power.
+_LOSS_SECONDS = 16.0
 # Seconds between two hosts, one way.
 _WAY = 0.0015
 
@@ -168,11 +170,31 @@
         Whether the hosts that own the first and the last stage lose power, at
         a quarter and at a half of the time; their own requests end with them.
     """
-    rng = seeded(seed)
     fleet = HostFleet(REPAIR.services, hosts, _WAY)
     if owners_die:
         fleet.lose_owner(_INTAKE, seconds / 4)
         fleet.lose_owner(_BILLS, seconds / 2)
+    return _played_over(fleet, load, seconds, seed)
+
+
+def played_with_losses(load, hosts, share, after, away, seed=1):
+    """Play a load over hosts of which many lose power; return its requests.
+
+    Parameters
+    ==========
+
+    share : float
+        Of the hosts, that lose power at once.
+    after, away : float
+        Seconds until then, and until they have started again.
+    """
+    fleet = HostFleet(REPAIR.services, hosts, _WAY)
+    fleet.lose_hosts(share, after, away)
+    return _played_over(fleet, load, _LOSS_SECONDS, seed)
+
+
+def _played_over(fleet, load, seconds, seed):
+    rng = seeded(seed)
     start = fleet.clock.seconds()
     requests = [
         _started(fleet, rng, number, start + moment, *request)
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -213,6 +213,8 @@
         exchange = self.exchange
         if not any(exchange.counts):
             return True
+        steps = exchange.route.steps
+        await self.core.stages.refreshed([one.service for one in steps])
         plan = plan_of(
             exchange,
             min(exchange.aim, exchange.ends)
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -71,7 +71,7 @@
     1233,
     'domain-drained',
     'A failure domain is drained: its upstreams get no new work from here.',
-    'An operator asked for it; `pollenstile drain --show` lists what is left.',
+    'An operator asked for it; `pollenstile drain DOMAIN --metrics` shows what is left.',
 )
 DOMAIN_RETURNED = define(
     1234,
--- /dev/null
+++ b/pollenstile/stagework/_askers.py
@@ -0,0 +1,105 @@
+"""What other hosts have had made here, and what becomes of it when they die."""
+
+from functools import partial
+
+# Seconds from the loss of a link until its host counts as dead: one that lives
+# has dialed again and is met by then.
+_REDIAL_SECONDS = 0.8
+
+
+class Askers:
+    """Results and groups of other hosts, until they are released or over.
+
+    Explanation
+    ===========
+
+    A host that dies releases nothing. What it held would take up room until it
+    lapses, seconds later, and what it asked for would still be made: after most
+    hosts of a fleet had died, over half of a stage's room was taken by results
+    that nobody could read, and a third of its work got done.
+
+    A host that lives behind a cut link asks others meanwhile; upstreams that
+    this host reaches can't be read from its side either.
+
+    Parameters
+    ==========
+
+    hub : Hub
+        Tells which links come and go.
+    owner : function
+        Takes a service, returns this host's own queue of it.
+
+    Attributes
+    ==========
+
+    held : dict
+        Service by handle, by host.
+    pending : dict
+        Service by request and step, by host.
+    boots : dict
+        Boot identifier of the process that asked last, by host.
+    """
+
+    __slots__ = ('boots', 'held', 'hub', 'owner', 'pending')
+
+    def __init__(self, hub, owner):
+        self.hub = hub
+        self.owner = owner
+        self.held = {}
+        self.pending = {}
+        self.boots = {}
+        hub.ups.append(self._met)
+        hub.downs.append(self._lost)
+
+    def asked(self, host, group):
+        """Note a group that a host asks for."""
+        pending = self.pending.setdefault(host, {})
+        pending[group.ident] = group.service
+        link = self.hub.links.get(host)
+        if link is not None:
+            self.boots[host] = link.session.peer.boot
+
+    def answered(self, host, group, handles):
+        """Note what a group came to: results, or none."""
+        self.pending.get(host, {}).pop(group.ident, None)
+        held = self.held.setdefault(host, {})
+        for handle in handles:
+            held[handle] = group.service
+        seconds = _hold_seconds(self.owner(group.service))
+        clock = self.hub.clock
+        clock.callLater(seconds, self.released, host, handles)
+
+    def released(self, host, handles):
+        """Forget results that were released, or have lapsed."""
+        held = self.held.get(host, {})
+        for handle in handles:
+            held.pop(handle, None)
+
+    def _met(self, link):
+        boot = link.session.peer.boot
+        if self.boots.get(link.host, boot) != boot:
+            self._abandon(link.host)
+        self.boots.pop(link.host, None)
+
+    def _lost(self, host, link):
+        look = partial(self._look, host)
+        self.hub.clock.callLater(_REDIAL_SECONDS, look)
+
+    def _look(self, host):
+        if host not in self.hub.links:
+            self._abandon(host)
+
+    def _abandon(self, host):
+        """Give up all that a dead host had made or asked for."""
+        for ident, service in self.pending.pop(host, {}).items():
+            self.owner(service).cancel(ident[0])
+        by_service = {}
+        for handle, service in self.held.pop(host, {}).items():
+            by_service.setdefault(service, []).append(handle)
+        for service, handles in by_service.items():
+            self.owner(service).release(handles)
+
+
+def _hold_seconds(queue):
+    """Return for how long results stand that nobody releases."""
+    return queue.limits.hold_seconds if queue.limits else 0
--- /dev/null
+++ b/pollenstile/stagework/_asking.py
@@ -0,0 +1,87 @@
+"""Asking owners how long their queues are, before a word is acted on."""
+
+from twisted.internet.defer import gatherResults, succeed
+
+from pollenstile.peer import Unanswered
+from pollenstile.stagework._codec import answer_from, backlog_bytes
+from pollenstile.stagework._owner import NO_WORKERS
+from pollenstile.stagework._plan import crowded_seconds
+from pollenstile.stagework._subjects import BACKLOG, is_final
+from pollenstile.stagework._types import GroupDone, GroupRefused
+
+# Seconds for which an owner's word is as good as new.
+_FRESH_SECONDS = 0.15
+# Seconds for an answer; then the old word counts.
+_ANSWER_SECONDS = 0.1
+
+
+async def refreshed(client, services):
+    """Ask those owners again whose last word would keep a request out.
+
+    Explanation
+    ===========
+
+    Words come with the answers to groups. Where a queue was told to be long,
+    all requests were refused at the first step, nothing reached the queue that
+    was long, and nobody heard that it was empty: for two seconds after a burst
+    or a kill all upstreams stood idle and all callers were sent away.
+
+    Parameters
+    ==========
+
+    client : StageClient
+        Has the words.
+    services : iterable of str
+        Whose queues a request would come to.
+    """
+    asked = [
+        _asked(client, service)
+        for service in set(services)
+        if _is_doubtful(client, service)
+    ]
+    if asked:
+        await gatherResults(asked, consumeErrors=True)
+
+
+def _is_doubtful(client, service):
+    """Return whether a service's last word is old and says that it is full."""
+    limits = client.limits.get(service)
+    backlog = client.backlogs.latest(service)
+    if limits is None or backlog is None:
+        return False
+    age = client.clock.seconds() - backlog.told_at
+    long = backlog.tight or backlog.wait > crowded_seconds(limits)
+    return long and age > _FRESH_SECONDS
+
+
+def own_backlog(client, service):
+    """Return what this host's queue says, if it owns it.
+
+    Returns
+    =======
+
+    GroupDone or GroupRefused
+        Without handles; refused when another host owns the queue.
+    """
+    if client.leaving or client.candidates(service)[0] != client.host:
+        return GroupRefused(NO_WORKERS)
+    queue = client.owner(service)
+    return GroupDone((), queue.wait(), queue.admission.is_tight())
+
+
+def _asked(client, service):
+    owner = client.candidates(service)[0]
+    if owner == client.host:
+        client.backlogs.note(service, own_backlog(client, service))
+        return succeed(None)
+    body = backlog_bytes(service)
+    answer = client.hub.ask(owner, BACKLOG, body, _ANSWER_SECONDS)
+    return answer.addCallback(_noted, client, service)
+
+
+def _noted(answer, client, service):
+    if isinstance(answer, Unanswered):
+        return
+    outcome = answer_from(answer)
+    if is_final(outcome):
+        client.backlogs.note(service, outcome)
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -8,6 +8,7 @@
 from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.routes import StageLimits
 from pollenstile.stagework import events
+from pollenstile.stagework._asking import refreshed
 from pollenstile.stagework._backlogs import Backlogs
 from pollenstile.stagework._codec import (
     answer_from,
@@ -15,21 +16,20 @@
     group_bytes,
     release_bytes,
 )
-from pollenstile.stagework._owner import NO_WORKERS
 from pollenstile.stagework._decisions import long_wait
 from pollenstile.stagework._ownership import Ownership
 from pollenstile.stagework._plan import crowded_seconds, usual_seconds
+from pollenstile.stagework._subjects import (
+    ASK,
+    CANCEL,
+    RELEASE,
+    WORD_SECONDS,
+    is_final,
+)
 from pollenstile.stagework._types import GroupRefused
 
-# What hosts ask each other.
-ASK = 'stage'
-RELEASE = 'stage-release'
-CANCEL = 'stage-cancel'
-READ = 'stage-read'
 # Seconds for the answer of an owner beyond the group's own end.
 _ANSWER_MARGIN = 0.5
-# Seconds for asks whose answer nobody needs.
-WORD_SECONDS = 2.0
 _USUAL_LIMITS = StageLimits()
 
 
@@ -127,6 +127,10 @@
             return False
         return backlog.wait > long_wait(limits)
 
+    def refreshed(self, services):
+        """Ask owners anew whose last word would keep a request out."""
+        return refreshed(self, services)
+
     def limits_of(self, service):
         """Return a service's limits, the usual ones when they are not known."""
         return self.limits.get(service, _USUAL_LIMITS)
@@ -158,7 +162,7 @@
         for service, owner in owners.items():
             if not owner.waiting:
                 continue
-            candidates = self._candidates(service)
+            candidates = self.candidates(service)
             if candidates and candidates[0] != self.host:
                 owner.hand_over()
 
@@ -179,7 +183,7 @@
         """Tell whoever may own a service that a request is over."""
         self.owner(service).cancel(plan.request)
         body = cancel_bytes(service, plan.request)
-        for host in self._candidates(service):
+        for host in self.candidates(service):
             if host != self.host:
                 self.hub.ask(host, CANCEL, body, WORD_SECONDS)
 
@@ -208,16 +212,22 @@
         if on_read is not None:
             on_read()
 
-    def _candidates(self, service):
+    def candidates(self, service):
+        """Return reachable hosts in the order in which they own a service."""
         return self.ownership.candidates(service, leaving=self.leaving)
 
     async def _outcome(self, group):
         tried = set()
         while True:
-            host = self._next_owner(group.service, tried)
-            ask = self._own if host == self.host else self._remote
+            untried = [
+                one
+                for one in self.candidates(group.service)
+                if one not in tried
+            ]
+            host = untried[0] if untried else self.host
+            ask = self._own if host == self.host else self.remote
             outcome = await ask(host, group)
-            if _is_final(outcome):
+            if is_final(outcome):
                 self.backlogs.note(group.service, outcome)
                 return host, outcome
             self.log(
@@ -234,12 +244,6 @@
                 return host, GroupRefused('late')
             tried.add(host)
 
-    def _next_owner(self, service, tried):
-        for host in self._candidates(service):
-            if host not in tried:
-                return host
-        return self.host
-
     async def _own(self, host, group):
         on_read = partial(self.inputs_read, group.ident)
         asked = self.owner(group.service).submit(group, on_read)
@@ -249,7 +253,8 @@
             self.owner(group.service).cancel(group.request)
             raise
 
-    async def _remote(self, host, group):
+    async def remote(self, host, group):
+        """Return a group's outcome by another host, or ``Unanswered``."""
         now = self.clock.seconds()
         body = group_bytes(group, now)
         left = max(0, group.ends - now) + _ANSWER_MARGIN
@@ -260,10 +265,3 @@
             return answer_from(answer)
         except BadMessageError as error:
             return Unanswered(ASK, host, str(error))
-
-
-def _is_final(outcome):
-    """Return whether no other host is to be asked."""
-    if isinstance(outcome, Unanswered):
-        return False
-    return getattr(outcome, 'reason', '') != NO_WORKERS
--- a/pollenstile/stagework/_codec.py
+++ b/pollenstile/stagework/_codec.py
@@ -25,6 +25,7 @@
         near=','.join(group.near),
         isLater=not group.is_first,
         laterCrowded=group.later_crowded,
+        passedOn=group.passed_on,
     ).to_bytes()
 
 
@@ -46,6 +47,7 @@
             tuple(filter(None, reader.near.split(','))),
             not reader.isLater,
             reader.laterCrowded,
+            reader.passedOn,
         )
 
     return decoded(_schema.Group, encoded, build)
@@ -83,20 +85,21 @@
     return decoded(_schema.GroupAnswer, encoded, build)
 
 
-def release_bytes(service, handles):
+def release_bytes(service, handles, *, passed_on=False):
     """Return the encoding of a release of results."""
     message = _schema.Release.new_message(
         service=service,
         handles=list(handles),
+        passedOn=passed_on,
     )
     return message.to_bytes()
 
 
 def release_from(encoded):
-    """Return service and handles of a release."""
+    """Return service and handles of a release, and whether it was passed on."""
 
     def build(reader):
-        return reader.service, tuple(reader.handles)
+        return reader.service, tuple(reader.handles), reader.passedOn
 
     return decoded(_schema.Release, encoded, build)
 
@@ -116,6 +119,16 @@
     return decoded(_schema.Read, encoded, build)
 
 
+def backlog_bytes(service):
+    """Return the encoding of the question how long a queue is."""
+    return _schema.Backlog.new_message(service=service).to_bytes()
+
+
+def backlog_from(encoded):
+    """Return the service whose queue is asked about."""
+    return decoded(_schema.Backlog, encoded, lambda reader: reader.service)
+
+
 def cancel_bytes(service, request):
     """Return the encoding of the word that a request's pieces are useless."""
     message = _schema.Cancel.new_message(service=service, request=request)
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -43,6 +43,8 @@
         Whether no earlier step's work would be thrown away with it.
     later_crowded : bool
         Whether a later step's queue is longer than usual.
+    passed_on : bool
+        Whether a host that does not own the queue has passed it on.
     """
 
     request: str
@@ -58,6 +60,7 @@
     near: tuple[str, ...] = ()
     is_first: bool = True
     later_crowded: bool = False
+    passed_on: bool = False
 
     @property
     def ident(self):
--- a/pollenstile/stagework/messages.capnp
+++ b/pollenstile/stagework/messages.capnp
@@ -19,6 +19,8 @@
   isLater @11 :Bool;
   # A later step's queue is longer than usual.
   laterCrowded @12 :Bool;
+  # Whether a host that does not own the queue has passed it on.
+  passedOn @13 :Bool;
 }
 
 struct GroupAnswer {
@@ -36,6 +38,7 @@
 struct Release {
   service @0 :Text;
   handles @1 :List(Text);
+  passedOn @2 :Bool;
 }
 
 struct Cancel {
@@ -47,3 +50,8 @@
   request @0 :Text;
   step @1 :UInt16;
 }
+
+# How long is a queue; answered by a GroupAnswer without handles.
+struct Backlog {
+  service @0 :Text;
+}
