relay: watches wait while the store refuses all calls

Change: while reads of the configuration fail, the other kinds are called once in four seconds; the first read that is answered lets all go on within 0.1 s. The read is the probe for all, so nothing is heard later than before. A host whose reads fail for another reason still calls every four seconds.

--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -124,6 +124,8 @@
         As its watch has told it.
     drained : set of str
         Drained domains, as its other watch has told it.
+    relayed : RelayStore
+        What its watches call.
     """
 
     def __init__(self, fleet, name, store=None):
@@ -163,6 +165,8 @@
             (KIND, DRAINED),
             late=(DRAINED,),
         )
+        relayed.is_away = self.configuration.loop.is_failing
+        self.relayed = relayed
         self._watch(fleet, relayed, KIND, self._take)
         if fleet.drains:
             self._watch(fleet, relayed, DRAINED, self._take_drain)
--- a/features/drained.feature
+++ b/features/drained.feature
@@ -91,6 +91,23 @@
     And 5.0 seconds of relaying pass
     Then "r,s,t,u" have drained ""
 
+  Scenario: The store refuses all calls for ten seconds
+    Each host tried each kind three times a second, and each call is paid for.
+    The reads of the configuration, two a second, tell soon enough that it is back.
+    Given hosts "r,s,t,u" that watch drained domains
+    When all of them lose the store and 10 seconds of relaying pass
+    Then none of them has called the store more than 30 times meanwhile
+    When they reach the store and "hall" is drained and 1.5 seconds pass
+    Then "r,s,t,u" have drained "hall"
+
+  Scenario: A host that can't read its configuration hears of drains all the same
+    Only its reads of the configuration fail. Its watches, which wait for these
+    while the store is away, must not wait for good.
+    Given hosts "r,s,t,u" that watch drained domains
+    When the reads of the configuration of "r" count as failing
+    And the domain "hall" is drained in the store and 7.0 seconds pass
+    Then "r" have drained "hall"
+
   Scenario: A host that starts hears of a drain without a call of the store
     60 hosts are restarted in turn. A list each would be a call of the store for
     each start, and all of them at once after a loss of power.
--- a/features/steps/drained_steps.py
+++ b/features/steps/drained_steps.py
@@ -178,6 +178,43 @@
         host.parted = False
 
 
+@when('the reads of the configuration of "{name}" count as failing')
+def when_reads_fail(context, name):
+    context.fleet.hosts[name].relayed.is_away = _always
+    # The watch that is armed ends by then.
+    context.fleet.pass_by(3.0)
+
+
+def _always():
+    return True
+
+
+@when('all of them lose the store and {seconds:g} seconds of relaying pass')
+def when_all_lose(context, seconds):
+    fleet = context.fleet
+    before = _called(context)
+    for host in fleet.hosts.values():
+        host.parted = True
+    fleet.pass_by(seconds)
+    context.called = {
+        name: count - before[name] for name, count in _called(context).items()
+    }
+
+
+@then('none of them has called the store more than {count:d} times meanwhile')
+def then_called_most(context, count):
+    assert max(context.called.values()) <= count, context.called
+
+
+@when(
+    'they reach the store and "{domain}" is drained and {seconds:g} seconds pass'
+)
+def when_reached(context, domain, seconds):
+    for host in context.fleet.hosts.values():
+        host.parted = False
+    when_store_drained(context, domain, seconds)
+
+
 @when('the host "{name}" starts and {seconds:g} seconds of relaying pass')
 def when_starts(context, name, seconds):
     fleet = context.fleet
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -198,6 +198,7 @@
         joining = relayed.is_joining() and configuration.age() < _JOIN_PROOF
         return follower.is_following() or joining
 
+    relayed.is_away = configuration.loop.is_failing
     configuration.loop.covered = covered
     configuration.loop.is_answering = store.is_answering
     configuration.loop.followed = source.is_followed
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -137,6 +137,10 @@
             pause = self.random.uniform(0.75, 1) * self._period() - spent
             await paused(self.clock, max(0, pause))
 
+    def is_failing(self):
+        """Return whether the store has not answered the latest read."""
+        return self.failures > 0
+
     def _answered(self, hold):
         """Return a Deferred of a read's end, or of the time for another."""
         reading = branched(Deferred.fromCoroutine(self._read(hold)))
--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -13,6 +13,7 @@
     Listing,
     Unavailable,
     branched,
+    paused,
 )
 
 _STEP = 'watch'
@@ -21,6 +22,12 @@
 # watches of upstreams that came up one after the other; a host that has just
 # started has read them all.
 _JOIN_SECONDS = 1.5
+# Seconds between calls for one kind while the store answers no read of the
+# configuration; those reads go on and tell when it is back.
+_AWAY_PERIOD = 4.0
+# Seconds for which a call waits for that, and between two looks.
+_AWAY_SECONDS = 1.5
+_AWAY_LOOK = 0.1
 
 
 class _Feed:
@@ -39,9 +46,12 @@
         Whether the watch has taken the last whole list.
     changes : deque of Change
         Those that it has not taken.
+    called_at : float
+        On the clock: the last call of the store for this kind.
     """
 
     __slots__ = (
+        'called_at',
         'changes',
         'known',
         'listed',
@@ -53,6 +63,7 @@
     def __init__(self):
         self.objects = {}
         self.revision = 0
+        self.called_at = -_AWAY_PERIOD
         self.waiting = None
         self.changes = deque()
         self.forget()
@@ -126,6 +137,12 @@
     late : tuple of str
         Kinds that a host can begin without: their first list waits for a
         reader's word, and a start makes no call of the store for them.
+
+    Attributes
+    ==========
+
+    is_away : function
+        Returns whether the store answers no read of the configuration.
     """
 
     __slots__ = (
@@ -133,6 +150,7 @@
         'early',
         'feeds',
         'follower',
+        'is_away',
         'joins_by',
         'late',
         'store',
@@ -143,6 +161,7 @@
         self.clock = clock
         self.early = early
         self.late = late
+        self.is_away = _never
         self.joins_by = clock.seconds() + _JOIN_SECONDS
         self.follower = follower
         self.feeds = {kind: _Feed() for kind in kinds}
@@ -171,14 +190,14 @@
         feed = self.feeds.get(kind)
         if kind in self.late and self._awaits_reader(kind):
             await self._news_within(feed, self.joins_by - self.clock.seconds())
-        if feed is None or not self.follower.following:
-            return await self.store.listed(kind, prefix, after, limit)
-        while not feed.known:
+        while feed is not None and self.follower.following and not feed.known:
             self.follower.forget(kind)
             await self._news(feed)
-            if not self.follower.following:
-                return await self.store.listed(kind, prefix, after, limit)
-        return feed.listing()
+        if feed is not None and self.follower.following:
+            return feed.listing()
+        if not await self._may_call(feed):
+            return Unavailable('list', 'store', 'away')
+        return await self.store.listed(kind, prefix, after, limit)
 
     async def watched(self, kind, since, prefix='', timeout=POLL_SECONDS):
         """Return changes from the reader's word, or wait for the store's."""
@@ -186,6 +205,8 @@
         if feed is not None and self._awaits_reader(kind):
             await self._news_within(feed, self.joins_by - self.clock.seconds())
         if feed is None or not self.follower.following:
+            if not await self._may_call(feed):
+                return Unavailable(_STEP, 'store', 'away')
             return await self.store.watched(kind, since, prefix, timeout)
         if feed.listed and not feed.changes:
             await self._news_within(feed, timeout)
@@ -200,6 +221,29 @@
         feed.changes.clear()
         return Changes(max(since, feed.revision), changes)
 
+    async def _may_call(self, feed):
+        """Return whether the store is called now, or is away.
+
+        Explanation
+        ===========
+
+        A store that refuses all calls at once was called by each host for each
+        kind three times a second, and each call is paid for. The reads of the
+        configuration go on, and the first that is answered lets all calls go.
+        """
+        if feed is None:
+            return True
+        ends = self.clock.seconds() + _AWAY_SECONDS
+        while self.is_away() and not self._is_due(feed):
+            if self.clock.seconds() >= ends:
+                return False
+            await paused(self.clock, _AWAY_LOOK)
+        feed.called_at = self.clock.seconds()
+        return True
+
+    def _is_due(self, feed):
+        return self.clock.seconds() - feed.called_at >= _AWAY_PERIOD
+
     def _awaits_reader(self, kind):
         waits = kind != self.early and not self.follower.following
         return waits and self.is_joining()
@@ -225,5 +269,9 @@
             feed.wake()
 
 
+def _never():
+    return False
+
+
 def _nothing_new(*_):
     """Stand for a watch in whose time nothing has changed."""
