stagework: one module a decision of the queue's owner

_decisions.py had grown to 394 lines about six subjects: times of calls, the order of pieces, which workers may be called, nearness to inputs, what goes into a call, and waits. Each has a module named for it; the constant that two of them share stands once. Moves only, no change of behaviour.

--- a/pollenstile/stagework/__init__.py
+++ b/pollenstile/stagework/__init__.py
@@ -1,24 +1,19 @@
 """Stage work: pieces of many requests, made in batches by one owner host."""
 
 from pollenstile.stagework._arrivals import Arrivals
+from pollenstile.stagework._batching import batch_for, spare_bytes
+from pollenstile.stagework._calltimes import full_seconds, long_wait
 from pollenstile.stagework._chain import Chain, ChainFailed
 from pollenstile.stagework._client import StageClient
-from pollenstile.stagework._codec import answer_bytes, answer_from
-from pollenstile.stagework._codec import group_bytes, group_from
-from pollenstile.stagework._decisions import (
-    admitted,
-    ahead_of,
-    batch_for,
-    eligible,
-    expected_wait,
-    frees_by_domain,
-    full_seconds,
-    long_wait,
-    may_start,
-    ranked,
-    spare_bytes,
+from pollenstile.stagework._codec import (
+    answer_bytes,
+    answer_from,
+    group_bytes,
+    group_from,
 )
+from pollenstile.stagework._nearness import eligible, frees_by_domain
 from pollenstile.stagework._owner import Owner
+from pollenstile.stagework._placing import owner_order
 from pollenstile.stagework._plan import (
     Plan,
     crowded_seconds,
@@ -26,7 +21,7 @@
     usual_seconds,
     waits_for_others,
 )
-from pollenstile.stagework._placing import owner_order
+from pollenstile.stagework._ranking import ahead_of, ranked
 from pollenstile.stagework._service import StageService
 from pollenstile.stagework._types import (
     CallLost,
@@ -37,3 +32,5 @@
     Piece,
     Worker,
 )
+from pollenstile.stagework._waiting import admitted, expected_wait
+from pollenstile.stagework._workers import may_start
--- a/pollenstile/stagework/_admission.py
+++ b/pollenstile/stagework/_admission.py
@@ -1,13 +1,10 @@
 """Which groups may wait in an owner's queue, and for how long they would."""
 
 from pollenstile.stagework import events
-from pollenstile.stagework._decisions import (
-    admitted,
-    ahead_of,
-    expected_wait,
-    full_seconds,
-    is_tight,
-)
+from pollenstile.stagework._batching import is_tight
+from pollenstile.stagework._calltimes import full_seconds
+from pollenstile.stagework._ranking import ahead_of
+from pollenstile.stagework._waiting import admitted, expected_wait
 
 _MS = 1000
 
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from pollenstile.stagework._decisions import full_seconds
+from pollenstile.stagework._calltimes import full_seconds
 from pollenstile.stagework._plan import (
     final_steps,
     input_bytes,
@@ -14,7 +14,6 @@
 )
 from pollenstile.stagework._types import Group, GroupDone
 
-
 # Bytes between failure domains from which pieces wait for a worker near their
 # inputs. Each piece of a step reads all results of the step before; a step
 # that reads half a megabyte in all waited 0.1 s at the median to spare what
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -10,13 +10,13 @@
 from pollenstile.stagework import events
 from pollenstile.stagework._asking import refreshed
 from pollenstile.stagework._backlogs import Backlogs
+from pollenstile.stagework._calltimes import long_wait
 from pollenstile.stagework._codec import (
     answer_from,
     cancel_bytes,
     group_bytes,
     release_bytes,
 )
-from pollenstile.stagework._decisions import long_wait
 from pollenstile.stagework._ownership import Ownership
 from pollenstile.stagework._plan import crowded_seconds, usual_seconds
 from pollenstile.stagework._subjects import (
--- a/pollenstile/stagework/_drawing.py
+++ b/pollenstile/stagework/_drawing.py
@@ -1,17 +1,12 @@
 """Free workers draw from an owner's queue."""
 
 from pollenstile.stagework import events
-from pollenstile.stagework._decisions import (
-    batch_for,
-    call_seconds,
-    eligible,
-    frees_by_domain,
-    full_seconds,
-    may_start,
-    ranked,
-    spare_bytes,
-)
+from pollenstile.stagework._batching import batch_for, spare_bytes
+from pollenstile.stagework._calltimes import call_seconds, full_seconds
 from pollenstile.stagework._flight import Flight
+from pollenstile.stagework._nearness import eligible, frees_by_domain
+from pollenstile.stagework._ranking import ranked
+from pollenstile.stagework._workers import may_start
 
 # Seconds that pieces of one instant are gathered before a call is made.
 _GATHER = 0.002
--- a/pollenstile/stagework/_flight.py
+++ b/pollenstile/stagework/_flight.py
@@ -1,7 +1,7 @@
 """One call of a batch, from its start to its end."""
 
 from pollenstile.stagework import events
-from pollenstile.stagework._decisions import call_seconds, full_seconds
+from pollenstile.stagework._calltimes import call_seconds, full_seconds
 from pollenstile.stagework._types import CallLost
 
 # A call of over this many times its expected time, and a margin in full calls,
--- a/pollenstile/stagework/_plan.py
+++ b/pollenstile/stagework/_plan.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from pollenstile.stagework._decisions import call_seconds, full_seconds
+from pollenstile.stagework._calltimes import call_seconds, full_seconds
 
 # Share of a call by which a step is begun sooner than its results are needed,
 # so that one which finds all upstreams busy is still in time.
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 
-
 # Share of the room that is planned with: sizes of results are approximate. With
 # all of it, one call in fifteen had a piece refused for want of room, which
 # then waited for a further call while its siblings kept their room.
