ops: one way to quiet a site and to show an address

_log_nothing stood three times and _shown four times, in the daemon of forwarding, the soak and the assembly of entry hosts, as ops had no place for them; http.py and settings.py are that place. No change of behaviour.

--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -11,6 +11,7 @@
 )
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.metrics import Metrics
+from pollenstile.ops.settings import shown
 from pollenstile.peer import (
     LEAST_VERSION,
     VERSION,
@@ -128,13 +129,13 @@
         least=LEAST_VERSION,
         host=core.host,
         domain=core.domain,
-        address=_shown(settings.peer_listen),
+        address=shown(settings.peer_listen),
         boot=int(core.clock.seconds() * _MS),
     )
     keys = keys_from(settings.peer_key)
     hub = Hub(core.clock, core.rng, hello, keys, connect, core.log)
     if keys:
-        hub.dialer.seeds = tuple(_shown(one) for one in settings.peers)
+        hub.dialer.seeds = tuple(shown(one) for one in settings.peers)
     fleet = Fleet(
         hub,
         node.in_force,
@@ -177,11 +178,6 @@
     node.in_force.listeners.append(node.placement.in_force)
 
 
-def _shown(address):
-    host, port = address
-    return f'{host}:{port}'
-
-
 def _ratio_setter(retries):
     def set_ratio(snapshot):
         retries.ratio = snapshot.manifest.policy.retry_ratio
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -15,6 +15,7 @@
 from pollenstile.forward._registry import UPSTREAMS, Registry
 from pollenstile.forward._stagecalls import StageCalls
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.settings import shown
 from pollenstile.peer import LEAST_VERSION, VERSION, Hello, Hub, tcp_connect
 from pollenstile.relay import (
     ASK,
@@ -156,12 +157,6 @@
     parts.hub.dialer.wanted = wanted
 
 
-def shown(address):
-    """Return ``IP:PORT`` of an address."""
-    host, port = address
-    return f'{host}:{port}'
-
-
 def _built_stages(reactor, settings, hub, owners, log):
     stages = StageClient(settings.host, hub, reactor, owners.owner, log)
     stages.ownership.capacity = settings.capacity
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -8,12 +8,14 @@
 from twisted.web.server import Site
 
 from pollenstile.forward import events
-from pollenstile.forward._assembly import built_parts, link_peers, shown
+from pollenstile.forward._assembly import built_parts, link_peers
 from pollenstile.forward._face import CallerFactory
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._storewatches import StoreWatches
+from pollenstile.ops.http import quiet
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.measures import Measures, MeasuresFace
+from pollenstile.ops.settings import shown
 from pollenstile.peer import Beat, keys_from, tcp_listen
 
 # Seconds for which a leaving host still takes requests: the balancer asks
@@ -139,11 +141,13 @@
         core.configuration.loop.on_read = core.registry.note_read
         self.parts.members.listeners.append(self._hosts_changed)
         callers = self._listen(settings.callers, self.factory)
-        ready = self._listen(settings.ready, _site(_Ready(self), self.reactor))
+        ready = self._listen(
+            settings.ready, quiet(Site(_Ready(self), reactor=self.reactor))
+        )
         if settings.metrics is not None:
             add_gauges(self.measures, self.parts, self.factory)
-            site = _site(MeasuresFace(self.measures), self.reactor)
-            self._listen(settings.metrics, site)
+            site = Site(MeasuresFace(self.measures), reactor=self.reactor)
+            self._listen(settings.metrics, quiet(site))
         self.log(
             events.FORWARD_STARTED,
             callers=shown(_bound(callers)),
@@ -313,13 +317,3 @@
     """Return IP number and port; port 0 lets the system choose one."""
     bound = port.getHost()
     return bound.host, bound.port
-
-
-def _site(resource, reactor):
-    site = Site(resource, reactor=reactor)
-    site.log = _log_nothing
-    return site
-
-
-def _log_nothing(request):
-    """Write no access log: events take its place."""
--- a/pollenstile/ops/http.py
+++ b/pollenstile/ops/http.py
@@ -91,6 +91,11 @@
     site.channels = Channels()
     site.most_body = most_body
     site.displayTracebacks = False
+    return quiet(site)
+
+
+def quiet(site):
+    """Return a site that writes no access log."""
     site.log = _log_nothing
     return site
 
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -82,6 +82,20 @@
     return host.strip('[]'), number
 
 
+def shown(address):
+    """Return ``'IP:PORT'`` of an address.
+
+    Examples
+    ========
+
+    >>> from pollenstile.ops.settings import shown
+    >>> shown(('127.0.0.1', 80))
+    '127.0.0.1:80'
+    """
+    host, port = address
+    return f'{host}:{port}'
+
+
 def optional_address(text):
     """Return an address, or None from an empty text."""
     return address(text) if text else None
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ProcessProtocol
 
-from pollenstile.ops.settings import address
+from pollenstile.ops.settings import address, shown
 from pollenstile.soak.live._proxy import LOOPBACK, Proxy
 
 COMMAND = (sys.executable, '-m', 'pollenstile.ops')
@@ -67,11 +67,11 @@
         flags = {
             'host': self.name,
             'domain': 'here',
-            'store': _shown(self.store.address),
-            'callers': _shown((LOOPBACK, 0)),
-            'ready': _shown((LOOPBACK, 0)),
-            'peers': _shown((LOOPBACK, 0)),
-            'peers-seen': _shown(self.peers.address),
+            'store': shown(self.store.address),
+            'callers': shown((LOOPBACK, 0)),
+            'ready': shown((LOOPBACK, 0)),
+            'peers': shown((LOOPBACK, 0)),
+            'peers-seen': shown(self.peers.address),
             'revoke-seconds': str(REVOKE_SECONDS),
             'drain-seconds': str(DRAIN_SECONDS),
             'grace-seconds': str(GRACE_SECONDS),
@@ -183,8 +183,3 @@
             self.peers.target = address(document['peers'])
         elif event in {'forward-crashed', 'peer-handler-failed'}:
             self.world.records.broken.append(f'crashed: {document}')
-
-
-def _shown(address):
-    host, port = address
-    return f'{host}:{port}'
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -5,6 +5,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from pollenstile.forward import FREE_TARGET, RUN_TARGET, HeaderNames
+from pollenstile.ops.http import quiet
 from pollenstile.soak.live._proxy import LOOPBACK, Proxy
 from pollenstile.soak.live._records import Ran
 
@@ -253,13 +254,3 @@
 def _abort(request):
     if not _is_over(request):
         request.transport.abortConnection()
-
-
-def quiet(site):
-    """Return a site that writes no access log."""
-    site.log = _log_nothing
-    return site
-
-
-def _log_nothing(request):
-    """Write no access log."""
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import deferLater
 
 from pollenstile.forward import DRAINED
+from pollenstile.ops.http import quiet
 from pollenstile.platform import Written
 from pollenstile.soak.live._hosts import COMMAND, LiveHost
 from pollenstile.soak.live._proxy import LOOPBACK
@@ -18,7 +19,6 @@
     PLAIN,
     STAGES,
     Server,
-    quiet,
 )
 from pollenstile.standin.objectapi import MemoryStore, platform_site
 
