--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -9,6 +9,7 @@
     learn_success,
     learn_unreached,
 )
+from pollenstile.forward._silence import Silence
 from pollenstile.forward._sse import EventSplitter
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
 from pollenstile.routes import Kind
@@ -32,78 +33,6 @@
 GONE = NotRun('results gone')
 
 
-class _Silence:
-    """Calls a function after too long a silence; never with no patience.
-
-    Attributes
-    ==========
-
-    longest : float
-        Seconds of the longest silence between two parts of a body.
-    """
-
-    __slots__ = ('clock', 'heard_at', 'longest', 'patience', 'timer')
-
-    def __init__(self, clock, patience):
-        self.clock = clock
-        self.patience = patience
-        self.timer = None
-        self.heard_at = None
-        self.longest = 0.0
-
-    def start(self, broken):
-        """Listen from now on."""
-        if self.patience is not None:
-            self.timer = self.clock.callLater(self.patience, broken)
-
-    def heard(self, between=None):
-        """Begin the patience anew, another one where that is given."""
-        self.patience = between or self.patience
-        now = self.clock.seconds()
-        if self.heard_at is not None:
-            self.longest = max(self.longest, now - self.heard_at)
-        self.heard_at = now
-        if self.timer is not None and self.timer.active():
-            self.timer.reset(self.patience)
-
-    def stop(self):
-        """Listen no more."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-
-
-class Reading:
-    """When the stage results of a request may be released.
-
-    Parameters
-    ==========
-
-    release : function
-        Releases them; may be called again.
-    fetched_in : float or None
-        Seconds after the send at which the upstream has fetched them; None
-        when that is known by its first token only: one whose batch is full
-        fetches them when the request's turn comes.
-    """
-
-    __slots__ = ('fetched_in', 'release', 'timer')
-
-    def __init__(self, release, fetched_in=None):
-        self.release = release
-        self.fetched_in = fetched_in
-        self.timer = None
-
-    def begin(self, clock):
-        """Count from the send."""
-        if self.fetched_in is not None:
-            self.timer = clock.callLater(self.fetched_in, self.release)
-
-    def stop(self):
-        """Release nothing any more: the attempt is over."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-
-
 class Delivered:
     """The answer went to the caller whole."""
 
@@ -358,7 +287,7 @@
             Seconds of patience once its first part came, where that differs.
         """
         ended = Deferred(lambda _: self.call.cancel())
-        silence = _Silence(self.core.clock, patience)
+        silence = Silence(self.core.clock, patience)
 
         def end(how):
             silence.stop()
--- a/pollenstile/forward/_placing.py
+++ b/pollenstile/forward/_placing.py
@@ -1,6 +1,5 @@
 """Where a request goes, by what its host knows now."""
 
-from pollenstile.forward._attempt import Reading
 from pollenstile.forward._choose import (
     chosen_engine,
     chosen_plain,
@@ -10,6 +9,7 @@
     subject_of,
     usable,
 )
+from pollenstile.forward._reading import Reading
 from pollenstile.forward._types import NotRun
 
 # Share of a request's aim that a plain service takes while nothing is known.
