stagework: a host whose link is cut goes on by way of another one

Found by reading once more: a host that lives, and has lost its link to an owner for good, asks another host, which passes its work on to that owner. There it joins the group that is at work, which the owner gave up 0.8 s later with the first ask: the request was refused as cancelled, and results that it still needed were released.

What a group needs and waits for belongs to the host that asked last.

Ruled out: waiting longer before a host counts as dead, which would give up what dead hosts' results cost.

--- a/features/askers.feature
+++ b/features/askers.feature
@@ -46,3 +46,17 @@
     Given a host that was told 0.1 seconds ago that "portal" is 3 seconds long
     When it has a chain begun that goes through "portal"
     Then no owner was asked how long its queue is
+
+  Scenario: A host whose link to the owner is cut goes on by way of another host
+    It lives, and asks another host, which passes its work on. Given up with its
+    first ask, its request would be refused.
+    Given a host that waits for 4 more seconds for the owner of "intake"
+    When its link to the owner is cut for good and 5.5 seconds pass
+    Then its chain has its results
+
+  Scenario: What a host holds is kept when it is needed by way of another host
+    Given a host that holds results of the owner of "intake"
+    When its link to the owner is cut for good and 1.3 seconds pass
+    And another host asks for work with these results as inputs
+    And 1.5 seconds pass at all hosts
+    Then the upstreams of "intake" hold its results
--- a/features/steps/askers_steps.py
+++ b/features/steps/askers_steps.py
@@ -1,13 +1,16 @@
 """Steps of dead hosts' results, and of old words of owners."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 from twisted.internet.defer import Deferred
 
-from features.builders.stagework import chain_plan
+from features.builders.stagework import chain_plan, group
 from pollenstile.bench._stagehosts import HostFleet
 from pollenstile.bench.stages import REPAIR, played_with_losses
-from pollenstile.stagework import Chain, GroupDone
-from pollenstile.stagework._subjects import BACKLOG
+from pollenstile.stagework import Chain, ChainFailed, GroupDone
+from pollenstile.stagework._codec import group_bytes
+from pollenstile.stagework._subjects import ASK, BACKLOG
 
 _WAY = 0.0015
 # A seed whose queue was longest after the loss.
@@ -56,7 +59,9 @@
     now = context.fleet.clock.seconds()
     plan = chain_plan('r', context.service, now)
     context.chain = Chain(context.host.client, plan)
-    Deferred.fromCoroutine(context.chain.handles())
+    context.ended = []
+    work = Deferred.fromCoroutine(context.chain.handles())
+    work.addBoth(context.ended.append)
 
 
 @given('a host that holds results of the owner of "{service}"')
@@ -65,15 +70,23 @@
     _begin(context)
     context.fleet.advance(_MADE)
     assert context.chain.held
-    assert _results(context)
+    context.kept = _results(context)
+    assert context.kept
 
 
 @given('a host that waits for pieces of the owner of "{service}"')
 def given_waits(context, service):
+    # The workers rest for longer than the story takes.
+    given_waits_for(context, 60, service)
+
+
+@given(
+    'a host that waits for {seconds:g} more seconds for the owner of "{service}"'
+)
+def given_waits_for(context, seconds, service):
     _host_apart(context, service)
     for worker in context.owner.owner(service).workers.values():
-        # They rest for longer than the story takes.
-        worker.rest_until = context.fleet.clock.seconds() + 60
+        worker.rest_until = context.fleet.clock.seconds() + seconds
     _begin(context)
     context.fleet.advance(0.1)
     assert context.owner.owner(service).jobs
@@ -100,6 +113,36 @@
     context.fleet.advance(seconds)
 
 
+@when('its link to the owner is cut for good and {seconds:g} seconds pass')
+def when_cut(context, seconds):
+    pair = frozenset((context.host.name, context.owner.name))
+    context.fleet.parted.add(pair)
+    context.fleet.advance(seconds)
+
+
+@when('another host asks for work with these results as inputs')
+def when_asked_through(context):
+    order = context.owner.client.ownership.order(context.service)
+    now = context.fleet.clock.seconds()
+    one = group(
+        'r', step=1, due=now + 2, ends=now + 8, inputs=tuple(context.kept)
+    )
+    body = group_bytes(replace(one, service=context.service), now)
+    context.owner.hub.requests.subjects[ASK](order[1], body)
+
+
+@when('{seconds:g} seconds pass at all hosts')
+def when_pass(context, seconds):
+    context.fleet.advance(seconds)
+
+
+@then('its chain has its results')
+def then_chain(context):
+    assert context.ended
+    assert not isinstance(context.ended[0], ChainFailed), context.ended
+    assert all(context.ended[0]), context.ended
+
+
 @when('its process is replaced at once and {seconds:g} seconds pass')
 def when_replaced(context, seconds):
     fleet = context.fleet
@@ -115,7 +158,7 @@
 
 @then('the upstreams of "{service}" hold its results')
 def then_its_results(context, service):
-    assert _results(context)
+    assert set(context.kept) <= set(_results(context)), context.kept
 
 
 @given(
--- a/pollenstile/stagework/_askers.py
+++ b/pollenstile/stagework/_askers.py
@@ -18,8 +18,8 @@
     hosts of a fleet had died, over half of a stage's room was taken by results
     that nobody could read, and a third of its work got done.
 
-    A host that lives behind a cut link asks others meanwhile; upstreams that
-    this host reaches can't be read from its side either.
+    A host that lives behind a cut link goes on by way of another one, which
+    passes its work on: what it needs belongs to that one from then on.
 
     Parameters
     ==========
@@ -33,9 +33,9 @@
     ==========
 
     held : dict
-        Service by handle, by host.
+        Host and service by handle.
     pending : dict
-        Service by request and step, by host.
+        Host that asked last, and service, by request and step.
     boots : dict
         Boot identifier of the process that asked last, by host.
     """
@@ -52,28 +52,30 @@
         hub.downs.append(self._lost)
 
     def asked(self, host, group):
-        """Note a group that a host asks for."""
-        pending = self.pending.setdefault(host, {})
-        pending[group.ident] = group.service
+        """Note a group that a host asks for, and the results that it needs."""
+        self.pending[group.ident] = (host, group.service)
+        for handle in group.inputs:
+            before = self.held.get(handle)
+            if before is not None:
+                self.held[handle] = (host, before[1])
         link = self.hub.links.get(host)
         if link is not None:
             self.boots[host] = link.session.peer.boot
 
     def answered(self, host, group, handles):
         """Note what a group came to: results, or none."""
-        self.pending.get(host, {}).pop(group.ident, None)
-        held = self.held.setdefault(host, {})
+        last, _ = self.pending.get(group.ident, (host, ''))
+        if last == host:
+            self.pending.pop(group.ident, None)
         for handle in handles:
-            held[handle] = group.service
+            self.held[handle] = (last, group.service)
         seconds = _hold_seconds(self.owner(group.service))
-        clock = self.hub.clock
-        clock.callLater(seconds, self.released, host, handles)
+        self.hub.clock.callLater(seconds, self.released, handles)
 
-    def released(self, host, handles):
+    def released(self, handles):
         """Forget results that were released, or have lapsed."""
-        held = self.held.get(host, {})
         for handle in handles:
-            held.pop(handle, None)
+            self.held.pop(handle, None)
 
     def _met(self, link):
         boot = link.session.peer.boot
@@ -91,11 +93,15 @@
 
     def _abandon(self, host):
         """Give up all that a dead host had made or asked for."""
-        for ident, service in self.pending.pop(host, {}).items():
-            self.owner(service).cancel(ident[0])
+        for ident, (asker, service) in list(self.pending.items()):
+            if asker == host:
+                self.pending.pop(ident)
+                self.owner(service).cancel(ident[0])
         by_service = {}
-        for handle, service in self.held.pop(host, {}).items():
-            by_service.setdefault(service, []).append(handle)
+        for handle, (holder, service) in list(self.held.items()):
+            if holder == host:
+                self.held.pop(handle)
+                by_service.setdefault(service, []).append(handle)
         for service, handles in by_service.items():
             self.owner(service).release(handles)
 
--- a/pollenstile/stagework/_service.py
+++ b/pollenstile/stagework/_service.py
@@ -101,7 +101,7 @@
 
     def _released(self, host, body):
         service, handles, passed_on = release_from(body)
-        self.askers.released(host, handles)
+        self.askers.released(handles)
         self.passing.release(service, handles, passed_on=passed_on)
         return _TAKEN
 
