--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -120,7 +120,7 @@
     server = world.rng.choice(world.servers_of(service))
     _note(world, server.ident, 'crash')
     await world.crash_server(server)
-    await world.add_server(service)
+    await world.add_server(service, server.domain)
 
 
 async def leave_server(world):
@@ -128,7 +128,7 @@
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
     _note(world, server.ident, 'leave')
-    await world.add_server(service)
+    await world.add_server(service, server.domain)
     await world.leave_server(server)
 
 
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -140,7 +140,7 @@
     world.records.calm_from = reactor.seconds()
     service = world.rng.choice(('lookup', 'engines'))
     server = world.rng.choice(world.servers_of(service))
-    await world.add_server(service)
+    await world.add_server(service, server.domain)
     await world.leave_server(server)
     if len(world.keys) > 1:
         await world.revoke(world.keys[-1])
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -110,10 +110,18 @@
         self.version += 1
         await self._write('config', 'main', self._document())
 
-    async def add_server(self, service):
-        """Start an upstream."""
+    async def add_server(self, service, domain=''):
+        """Start an upstream.
+
+        Parameters
+        ==========
+
+        domain : str
+            That of the one whose place it takes; a service with all upstreams
+            in one domain could not be served while that is drained.
+        """
         self.started += 1
-        domain = _emptiest_domain(self.servers_of(service))
+        domain = domain or _emptiest_domain(self.servers_of(service))
         ident = f'{service}-{self.started}'
         server = Server(self, service, ident, domain)
         self.servers[ident] = server
@@ -225,7 +233,7 @@
 
 
 def _emptiest_domain(servers):
-    """Return where fewest are: each service has some left with one drained."""
+    """Return where fewest of a service's first upstreams are."""
     places = [server.domain for server in servers]
     return min(DOMAINS, key=places.count)
 
