--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -268,6 +268,26 @@
     ]
 
 
+def _sweep(sweep):
+    """Return what one day shows as the fleet grows, and where it leads."""
+    sizes = ' | '.join(f'{one} hosts' for one in sweep['hosts'])
+    lines = [
+        '',
+        '## Forwarding hosts, as the fleet grows',
+        '',
+        sweep['by'],
+        '',
+        f'| | {sizes} | power | at {sweep["target"]} |',
+        f'| --- |{" --- |" * (len(sweep["hosts"]) + 2)}',
+    ]
+    for name, row in sweep['rows'].items():
+        seen = ' | '.join(str(one) for one in row['seen'])
+        lines.append(
+            f'| {name} | {seen} | {row["power"]} | {row["leads_to"]} |'
+        )
+    return lines
+
+
 def _shortcomings(size, got):
     rate = size['requests_s'] * size['keyed_share'] * size['claim_window_s']
     few = rate * _value(got, 'claim_memory_bytes') / _MB / 32
@@ -338,6 +358,7 @@
     lines = _control(size, got, budget)
     for part in (_platform, _requests, _shortcomings):
         lines.extend(part(size, got))
+    lines.extend(_sweep(document['sweep']))
     lines.extend(_sources(got))
     body = '\n'.join(lines)
     return f'{_head(size, budget)}{body}\n'
