stagework, relay: names and comments after a reading

_asking stood beside _askers and meant something else; it is _refreshing now. The relay's store says once when a reader's word answers. Comments tell what a guard is for, without stories.

--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -190,11 +190,11 @@
         feed = self.feeds.get(kind)
         if kind in self.late and self._awaits_reader(kind):
             await self._news_within(feed, self.joins_by - self.clock.seconds())
-        while feed is not None and self.follower.following and not feed.known:
+        while self._is_told(feed):
+            if feed.known:
+                return feed.listing()
             self.follower.forget(kind)
             await self._news(feed)
-        if feed is not None and self.follower.following:
-            return feed.listing()
         if not await self._may_call(feed):
             return Unavailable('list', 'store', 'away')
         return await self.store.listed(kind, prefix, after, limit)
@@ -204,7 +204,7 @@
         feed = self.feeds.get(kind)
         if feed is not None and self._awaits_reader(kind):
             await self._news_within(feed, self.joins_by - self.clock.seconds())
-        if feed is None or not self.follower.following:
+        if not self._is_told(feed):
             if not await self._may_call(feed):
                 return Unavailable(_STEP, 'store', 'away')
             return await self.store.watched(kind, since, prefix, timeout)
@@ -221,14 +221,18 @@
         feed.changes.clear()
         return Changes(max(since, feed.revision), changes)
 
+    def _is_told(self, feed):
+        """Return whether a reader's word answers for a kind."""
+        return feed is not None and self.follower.is_following()
+
     async def _may_call(self, feed):
         """Return whether the store is called now, or is away.
 
         Explanation
         ===========
 
-        A store that refuses all calls at once was called by each host for each
-        kind three times a second, and each call is paid for. The reads of the
+        A store that refuses all calls at once would be called by each host for
+        each kind over and over, and each call is paid for. The reads of the
         configuration go on, and the first that is answered lets all calls go.
         """
         if feed is None:
--- a/pollenstile/stagework/_askers.py
+++ b/pollenstile/stagework/_askers.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 # Seconds from the loss of a link until its host counts as dead: one that lives
-# has dialed again and is met by then.
+# dials again at its next tick and is met by then.
 _REDIAL_SECONDS = 0.8
 
 
@@ -14,9 +14,8 @@
     ===========
 
     A host that dies releases nothing. What it held would take up room until it
-    lapses, seconds later, and what it asked for would still be made: after most
-    hosts of a fleet had died, over half of a stage's room was taken by results
-    that nobody could read, and a third of its work got done.
+    lapses, seconds later, and what it asked for would still be made. After most
+    hosts of a fleet have died, that is most of a stage's room.
 
     A host that lives behind a cut link goes on by way of another one, which
     passes its work on: what it needs belongs to that one from then on.
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -8,7 +8,7 @@
 from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.routes import StageLimits
 from pollenstile.stagework import events
-from pollenstile.stagework._asking import refreshed
+from pollenstile.stagework._refreshing import refreshed
 from pollenstile.stagework._backlogs import Backlogs
 from pollenstile.stagework._calltimes import long_wait
 from pollenstile.stagework._codec import (
--- a/pollenstile/stagework/_asking.py
+++ b/pollenstile/stagework/_refreshing.py
@@ -21,10 +21,10 @@
     Explanation
     ===========
 
-    Words come with the answers to groups. Where a queue was told to be long,
-    all requests were refused at the first step, nothing reached the queue that
-    was long, and nobody heard that it was empty: for two seconds after a burst
-    or a kill all upstreams stood idle and all callers were sent away.
+    Words come with the answers to groups. When a queue was told to be long, all
+    requests are refused at the first step; nothing reaches that queue any more,
+    so nobody hears that it is empty. Until the word is too old to count, all
+    upstreams would stand idle and all callers be sent away.
 
     Parameters
     ==========
--- a/pollenstile/stagework/_service.py
+++ b/pollenstile/stagework/_service.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.stagework._askers import Askers
-from pollenstile.stagework._asking import own_backlog
+from pollenstile.stagework._refreshing import own_backlog
 from pollenstile.stagework._codec import (
     answer_bytes,
     backlog_from,
@@ -74,10 +74,10 @@
         Explanation
         ===========
 
-        After many hosts were killed at once, each host reaches others of them
-        first. A queue at each host that is asked would draw on the same
-        upstreams: calls wait for those of the other queue, find their inputs
-        released, and their results no room that either queue knows of.
+        After many hosts have died, each host reaches others of them first. A
+        queue at each host that is asked would draw on the same upstreams:
+        calls would wait for those of the other queue, find their inputs
+        released, and no room that either queue knows of.
         """
         passed = await self.passing.outcome(group, on_read)
         if passed is not None:
