--- a/pollenstile/ops/_draincmd.py
+++ b/pollenstile/ops/_draincmd.py
@@ -64,15 +64,13 @@
 
 
 def run(arguments):
-    """Write the drain, show what is left, or both; return the exit code."""
+    """Write the drain, or show what is left; return the exit code."""
     from twisted.internet import reactor  # noqa: WPS433
 
     domain = _parsed('domain', identifier, arguments.domain)
-    if not arguments.platform and not arguments.metrics:
-        sys.stderr.write('pollenstile drain: --platform or --metrics\n')
-        return BAD_INPUT
-    if arguments.platform and arguments.metrics:
-        sys.stderr.write('pollenstile drain: write first, then show\n')
+    if bool(arguments.platform) == bool(arguments.metrics):
+        sys.stderr.write('pollenstile drain: --platform to write it, or ')
+        sys.stderr.write('--metrics to see what is left\n')
         return BAD_INPUT
     if arguments.metrics:
         hosts = entries_from(arguments.metrics)
