stagework: who owns a queue is found without a look at all hosts

Cause: passing on, releases and questions of backlogs ask for each group who owns the queue, and took the first of a list of all reachable hosts, whose making compared each host with each other.

What keeps a request out is judged by the check that was there (is_crowded), what ends an ask by is_final, and a group without results starts no timer.

Ruled out: keeping the first in a field, which a link that comes or goes, or says that it leaves, would have to undo in four places.

--- a/pollenstile/stagework/_askers.py
+++ b/pollenstile/stagework/_askers.py
@@ -66,6 +66,8 @@
         last, _ = self.pending.get(group.ident, (host, ''))
         if last == host:
             self.pending.pop(group.ident, None)
+        if not handles:
+            return
         for handle in handles:
             self.held[handle] = (last, group.service)
         seconds = _hold_seconds(self.owner(group.service))
--- a/pollenstile/stagework/_backlogs.py
+++ b/pollenstile/stagework/_backlogs.py
@@ -54,10 +54,10 @@
         now = self.clock.seconds()
         self.told[service] = Backlog(outcome.wait, tight, now)
 
-    def latest(self, service):
-        """Return what an owner told lately, or None."""
+    def latest(self, service, within=_WORD_SECONDS):
+        """Return what an owner told in the last seconds, or None."""
         backlog = self.told.get(service)
         if backlog is None:
             return None
         age = self.clock.seconds() - backlog.told_at
-        return backlog if age < _WORD_SECONDS else None
+        return backlog if age < within else None
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -8,7 +8,6 @@
 from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.routes import StageLimits
 from pollenstile.stagework import events
-from pollenstile.stagework._refreshing import refreshed
 from pollenstile.stagework._backlogs import Backlogs
 from pollenstile.stagework._calltimes import long_wait
 from pollenstile.stagework._codec import (
@@ -19,6 +18,7 @@
 )
 from pollenstile.stagework._ownership import Ownership
 from pollenstile.stagework._plan import crowded_seconds, usual_seconds
+from pollenstile.stagework._refreshing import refreshed
 from pollenstile.stagework._subjects import (
     ASK,
     CANCEL,
@@ -162,8 +162,7 @@
         for service, owner in owners.items():
             if not owner.waiting:
                 continue
-            candidates = self.candidates(service)
-            if candidates and candidates[0] != self.host:
+            if self.owning_host(service) != self.host:
                 owner.hand_over()
 
     def submit(self, group, on_read):
@@ -177,7 +176,7 @@
         """
         self.reading[group.ident] = on_read
         work = Deferred.fromCoroutine(self._outcome(group))
-        return work.addBoth(self._forget_reading, group.ident)
+        return work.addBoth(_forgotten, self.reading, group.ident)
 
     def cancel(self, service, plan):
         """Tell whoever may own a service that a request is over."""
@@ -202,10 +201,6 @@
         body = release_bytes(service, handles)
         self.hub.ask(host, RELEASE, body, WORD_SECONDS)
 
-    def _forget_reading(self, outcome, ident):
-        self.reading.pop(ident, None)
-        return outcome
-
     def inputs_read(self, ident):
         """Note that a group's inputs were fetched."""
         on_read = self.reading.pop(ident, None)
@@ -216,6 +211,10 @@
         """Return reachable hosts in the order in which they own a service."""
         return self.ownership.candidates(service, leaving=self.leaving)
 
+    def owning_host(self, service):
+        """Return the host that owns a service's queue, as this one sees it."""
+        return self.ownership.first(service, leaving=self.leaving)
+
     async def _outcome(self, group):
         tried = set()
         while True:
@@ -265,3 +264,9 @@
             return answer_from(answer)
         except BadMessageError as error:
             return Unanswered(ASK, host, str(error))
+
+
+def _forgotten(outcome, reading, ident):
+    """Return an outcome after which nobody waits for a group's reading."""
+    reading.pop(ident, None)
+    return outcome
--- a/pollenstile/stagework/_ownership.py
+++ b/pollenstile/stagework/_ownership.py
@@ -67,15 +67,26 @@
         leaving : bool
             Whether this host takes no new work while others can.
         """
-        order = self.order(service)
-        others = [
-            host
-            for host in order
-            if host != self.host and self._takes_work(host)
+        reachable = [
+            host for host in self.order(service) if self._is_asked(host)
         ]
-        if leaving and others:
-            return others
-        return [host for host in order if host == self.host or host in others]
+        if leaving and len(reachable) > 1:
+            reachable.remove(self.host)
+        return reachable
+
+    def first(self, service, *, leaving):
+        """Return the first of the candidates, without a look at all hosts.
+
+        Explanation
+        ===========
+
+        An owner has links to all hosts and asks this for each group.
+        """
+        for host in self.order(service):
+            is_left = leaving and host == self.host
+            if not is_left and self._is_asked(host):
+                return host
+        return self.host
 
     def wanted_links(self, services):
         """Return addresses of hosts that own services, or would next."""
@@ -93,6 +104,9 @@
             if host != self.host
         }
 
+    def _is_asked(self, host):
+        return host == self.host or self._takes_work(host)
+
     def _takes_work(self, host):
         link = self.hub.links.get(host)
         return link is not None and not link.beat.leaving
--- a/pollenstile/stagework/_passing.py
+++ b/pollenstile/stagework/_passing.py
@@ -56,7 +56,7 @@
             Called when the group's inputs were fetched.
         """
         client = self.client
-        owner = self._owner_of(group.service)
+        owner = client.owning_host(group.service)
         if group.passed_on or owner == client.host:
             return None
         key = group.service, group.request
@@ -83,7 +83,7 @@
         """
         client = self.client
         own = client.owner(service)
-        owner = self._owner_of(service)
+        owner = client.owning_host(service)
         if passed_on or owner == client.host or _holds(own, handles):
             own.release(handles)
             return
@@ -97,9 +97,6 @@
             body = cancel_bytes(service, request)
             self.client.hub.ask(owner, CANCEL, body, WORD_SECONDS)
 
-    def _owner_of(self, service):
-        return self.client.candidates(service)[0]
-
 
 def _holds(queue, handles):
     """Return whether a queue had some of these results made."""
--- a/pollenstile/stagework/_refreshing.py
+++ b/pollenstile/stagework/_refreshing.py
@@ -5,7 +5,6 @@
 from pollenstile.peer import Unanswered
 from pollenstile.stagework._codec import answer_from, backlog_bytes
 from pollenstile.stagework._owner import NO_WORKERS
-from pollenstile.stagework._plan import crowded_seconds
 from pollenstile.stagework._subjects import BACKLOG, is_final
 from pollenstile.stagework._types import GroupDone, GroupRefused
 
@@ -45,13 +44,8 @@
 
 def _is_doubtful(client, service):
     """Return whether a service's last word is old and says that it is full."""
-    limits = client.limits.get(service)
-    backlog = client.backlogs.latest(service)
-    if limits is None or backlog is None:
-        return False
-    age = client.clock.seconds() - backlog.told_at
-    long = backlog.tight or backlog.wait > crowded_seconds(limits)
-    return long and age > _FRESH_SECONDS
+    is_fresh = client.backlogs.latest(service, _FRESH_SECONDS) is not None
+    return not is_fresh and client.is_crowded(service)
 
 
 def own_backlog(client, service):
@@ -63,14 +57,14 @@
     GroupDone or GroupRefused
         Without handles; refused when another host owns the queue.
     """
-    if client.leaving or client.candidates(service)[0] != client.host:
+    if client.leaving or client.owning_host(service) != client.host:
         return GroupRefused(NO_WORKERS)
     queue = client.owner(service)
     return GroupDone((), queue.wait(), queue.admission.is_tight())
 
 
 def _asked(client, service):
-    owner = client.candidates(service)[0]
+    owner = client.owning_host(service)
     if owner == client.host:
         client.backlogs.note(service, own_backlog(client, service))
         return succeed(None)
--- a/pollenstile/stagework/_service.py
+++ b/pollenstile/stagework/_service.py
@@ -5,7 +5,6 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.stagework._askers import Askers
-from pollenstile.stagework._refreshing import own_backlog
 from pollenstile.stagework._codec import (
     answer_bytes,
     backlog_from,
@@ -17,6 +16,7 @@
 )
 from pollenstile.stagework._owner import NO_WORKERS
 from pollenstile.stagework._passing import Passing
+from pollenstile.stagework._refreshing import own_backlog
 from pollenstile.stagework._subjects import (
     ASK,
     BACKLOG,
@@ -24,6 +24,7 @@
     READ,
     RELEASE,
     WORD_SECONDS,
+    is_final,
 )
 from pollenstile.stagework._types import GroupRefused
 
@@ -83,7 +84,7 @@
         if passed is not None:
             return passed
         outcome = await self.client.owner(group.service).submit(group, on_read)
-        if getattr(outcome, 'reason', '') != NO_WORKERS:
+        if is_final(outcome):
             return outcome
         # Given back, as another host owns the queue by now.
         return await self.passing.outcome(group, on_read) or outcome
