forward, relay: watches note their first list in one way, rendezvous stands once

Cause, read off the change: three watches each had a function of its own that notes the first list and hands the watch on; registry and members told their listeners by the same loop twice each; DrainedDomains kept a flag that nothing read; the weight of rendezvous hashing was written out a third time, for cold upstreams; a start's wait for a reader stood twice. Each stands once now; claims keep their own weights, whose keys differ.

No change of behaviour.

--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -10,12 +10,13 @@
     usable,
 )
 from pollenstile.forward._client import HttpClient
+from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._configuration import Configuration
-from pollenstile.forward._cold import ColdShares, share_of
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._daemon import ForwardDaemon
 from pollenstile.forward._decisions import patience_of
 from pollenstile.forward._drained import DRAINED, DrainedDomains
+from pollenstile.forward._gauges import DRAINED_SECONDS, UNDER_WAY
 from pollenstile.forward._plaincodec import (
     FREE_TARGET,
     RUN_TARGET,
@@ -24,7 +25,6 @@
 from pollenstile.forward._registry import Registry, Upstream
 from pollenstile.forward._run import serve
 from pollenstile.forward._settings import HostSettings
-from pollenstile.forward._watched import WatchedSettings
 from pollenstile.forward._types import (
     BodyEnd,
     Exchange,
@@ -33,3 +33,4 @@
     NotRun,
     Refusal,
 )
+from pollenstile.forward._watched import WatchedSettings
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -6,8 +6,8 @@
 
 from pollenstile.forward._budget import RepeatBudget
 from pollenstile.forward._client import HttpClient
-from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._cold import ColdShares
+from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._drained import DRAINED, DrainedDomains
 from pollenstile.forward._members import HOSTS, Members, PeerHost
--- a/pollenstile/forward/_choose.py
+++ b/pollenstile/forward/_choose.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-import xxhash
+from pollenstile.ops.rendezvous import rendezvous_weight
 
 # Seconds by which one request in an engine's batch delays another one. At 20 ms
 # the requests of a subject left their engine for one that was less full, and
@@ -182,7 +182,7 @@
     """
 
     def weight(view):
-        return xxhash.xxh64_intdigest(f'{subject}\0{view.ident}'.encode())
+        return rendezvous_weight(subject, view.ident)
 
     return max(views, key=weight)
 
--- a/pollenstile/forward/_cold.py
+++ b/pollenstile/forward/_cold.py
@@ -14,7 +14,7 @@
 its upstreams are empty, and all hosts would prefer them at once.
 """
 
-import xxhash
+from pollenstile.ops.rendezvous import rendezvous_weight
 
 # Seconds over which a rate is counted.
 _WINDOW = 1.0
@@ -132,7 +132,7 @@
     sharers = max(1, min(len(hosts), int(rate)))
 
     def weight(one):
-        return xxhash.xxh64_intdigest(f'{upstream}\0{one}'.encode())
+        return rendezvous_weight(upstream, one)
 
     chosen = sorted(hosts, key=weight)[:sharers]
     if host not in chosen:
--- a/pollenstile/forward/_drained.py
+++ b/pollenstile/forward/_drained.py
@@ -33,18 +33,15 @@
 
     since : dict
         On the clock: when this host heard of each drained domain.
-    known : bool
-        Whether a whole list has come.
     """
 
-    __slots__ = ('clock', 'known', 'log', 'registry', 'since')
+    __slots__ = ('clock', 'log', 'registry', 'since')
 
     def __init__(self, registry, clock, log=silent_log):
         self.registry = registry
         self.clock = clock
         self.log = log
         self.since = {}
-        self.known = False
 
     def take(self, change):
         """Take a change of an entry; what it holds does not matter."""
@@ -75,11 +72,9 @@
         now = self.clock.seconds()
         return {domain: now - since for domain, since in self.since.items()}
 
-    def listed(self, running):
-        """Note that the watch has listed all entries."""
-        self.known = True
+    def note_listed(self):
+        """Note that a whole list has come."""
         self.log(events.DRAINS_KNOWN, domains=sorted(self.since))
-        return running
 
     def _upstreams_in(self, domain):
         upstreams = self.registry.upstreams.values()
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -6,6 +6,9 @@
 from pollenstile.forward import events
 from pollenstile.stagework.events import STAGE_MADE
 
+# Gauges by failure domain, which the command that drains one reads.
+DRAINED_SECONDS = 'drained_seconds'
+UNDER_WAY = 'under_way'
 # Histograms: event, field with milliseconds, and what tells apart.
 TIMES = (
     (events.FORWARD_ENDED.name, 'took_ms', 'service'),
@@ -41,13 +44,13 @@
         lambda: len(core.registry.upstreams),
     )
     measures.gauges(
-        'drained_seconds',
+        DRAINED_SECONDS,
         'Seconds since this host heard that a failure domain is drained.',
         'domain',
         parts.drained.ages,
     )
     measures.gauges(
-        'under_way',
+        UNDER_WAY,
         'Requests and pieces that this host has at upstreams of a domain.',
         'domain',
         partial(_under_way, core.registry, parts.owners.calls),
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -112,14 +112,12 @@
             address=peer.address if peer else '',
             hosts=len(self.hosts) + 1,
         )
-        for listener in self.listeners:
-            listener()
+        self._changed()
 
     def note_listed(self):
         """Note that a whole list has come."""
         self.known = True
-        for listener in self.listeners:
-            listener()
+        self._changed()
 
     async def register(self):
         """Write the own entry until the store has it.
@@ -176,6 +174,10 @@
         self.registered = False
         return self.store.delete(HOSTS, self.host)
 
+    def _changed(self):
+        for listener in self.listeners:
+            listener()
+
 
 def _peer_host(entry):
     """Return the host of an entry; None for a deleted or unreadable one."""
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -136,8 +136,7 @@
     def note_listed(self):
         """Note that a whole list has come."""
         self.known = True
-        for listener in self.listeners:
-            listener()
+        self._changed()
 
     def note_read(self, answered):
         """Note whether the store has answered a read."""
@@ -248,5 +247,8 @@
             views = by_service.setdefault(upstream.service, [])
             views.append(self.views[ident])
         self.by_service = by_service
+        self._changed()
+
+    def _changed(self):
         for listener in self.listeners:
             listener()
--- a/pollenstile/forward/_storewatches.py
+++ b/pollenstile/forward/_storewatches.py
@@ -72,33 +72,39 @@
         drain_seconds : float
             Within this time a domain that was drained gets nothing more.
         """
-        upstreams = self._watch(
+        registry = self.parts.core.registry
+        self._watch(
             UPSTREAMS,
             self._upstream_changed,
+            registry.note_listed,
             _REGISTRY_TIMING,
         )
-        upstreams.ready.addCallback(self._upstreams_known)
-        hosts = self._watch(HOSTS, self.parts.members.take, _HOSTS_TIMING)
-        hosts.ready.addCallback(self._hosts_known)
-        drains = self._watch(
+        members = self.parts.members
+        self._watch(HOSTS, members.take, members.note_listed, _HOSTS_TIMING)
+        drained = self.parts.drained
+        self._watch(
             DRAINED,
-            self.parts.drained.take,
+            drained.take,
+            drained.note_listed,
             _drains_timing(drain_seconds),
         )
-        drains.ready.addCallback(self.parts.drained.listed)
 
     def stop(self):
         """End all watches."""
         for running in self.running:
             running.stop()
 
-    def _watch(self, kind, callback, timing):
+    def _watch(self, kind, callback, note_listed, timing):
         source = self.parts.relay.source
 
         def take(change):
             source.note(change)
             callback(change)
 
+        def listed(running):
+            note_listed()
+            return running
+
         running = watch(
             self.parts.relay.store,
             kind,
@@ -110,7 +116,7 @@
         )
         source.add(kind, running)
         self.running.append(running)
-        return running
+        running.ready.addCallback(listed)
 
     def _upstream_changed(self, change):
         upstream = None
@@ -125,14 +131,6 @@
                 )
         self.parts.core.registry.take(change.name, upstream)
 
-    def _upstreams_known(self, running):
-        self.parts.core.registry.note_listed()
-        return running
-
-    def _hosts_known(self, running):
-        self.parts.members.note_listed()
-        return running
-
 
 def _drains_timing(bound):
     """Return the times of the watch of drained domains.
--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -189,7 +189,7 @@
         """Return all objects from the reader's word, or a page of the store."""
         feed = self.feeds.get(kind)
         if kind in self.late and self._awaits_reader(kind):
-            await self._news_within(feed, self.joins_by - self.clock.seconds())
+            await self._news_by_join(feed)
         while self._is_told(feed):
             if feed.known:
                 return feed.listing()
@@ -203,7 +203,7 @@
         """Return changes from the reader's word, or wait for the store's."""
         feed = self.feeds.get(kind)
         if feed is not None and self._awaits_reader(kind):
-            await self._news_within(feed, self.joins_by - self.clock.seconds())
+            await self._news_by_join(feed)
         if not self._is_told(feed):
             if not await self._may_call(feed):
                 return Unavailable(_STEP, 'store', 'away')
@@ -252,6 +252,10 @@
         waits = kind != self.early and not self.follower.following
         return waits and self.is_joining()
 
+    def _news_by_join(self, feed):
+        """Return a Deferred of a reader's news, or of the end of the start."""
+        return self._news_within(feed, self.joins_by - self.clock.seconds())
+
     def _news_within(self, feed, seconds):
         """Return a Deferred of a reader's news, or of the end of a time."""
         return self._news(feed).addTimeout(
--- a/pollenstile/stagework/_placing.py
+++ b/pollenstile/stagework/_placing.py
@@ -2,7 +2,7 @@
 
 import math
 
-import xxhash
+from pollenstile.ops.rendezvous import rendezvous_weight
 
 
 def owner_order(service, capacities):
@@ -35,8 +35,7 @@
 
     def rank(host):
         smaller = int(math.log2(most / capacities[host]))
-        weight = xxhash.xxh64_intdigest(f'{service}\0{host}'.encode())
-        return smaller, -weight
+        return smaller, -rendezvous_weight(service, host)
 
     return sorted(capacities, key=rank)
 
