ops: commands parse their arguments and ask hosts in one way

Cause, read off the change: the drain command had a call of a host's page, a parser of arguments and the names of two gauges of its own, beside those of status, apply, standin and the measures. All use one of each now; a gauge that is renamed can't leave the command behind.

--- a/pollenstile/ops/_admin.py
+++ b/pollenstile/ops/_admin.py
@@ -17,21 +17,34 @@
     The function takes a path and returns a coroutine of the document, or of
     None when nothing answered.
     """
-    host, port = address
-    caller = Caller(reactor, reactor, host, port, _SECONDS)
+    caller = caller_at(reactor, address)
 
     async def read(path):
-        reply = await caller.call('GET', path, fresh=True)
-        if isinstance(reply, Broken) or reply.status != _OK:
+        body = await body_of(caller, path)
+        if body is None:
             return None
         try:
-            return msgspec.json.decode(reply.body)
+            return msgspec.json.decode(body)
         except msgspec.DecodeError:
             return None
 
     return read
 
 
+def caller_at(reactor, address):
+    """Return a caller of a host's face for operators."""
+    host, port = address
+    return Caller(reactor, reactor, host, port, _SECONDS)
+
+
+async def body_of(caller, path):
+    """Return the bytes of a page, or None when nothing answered with one."""
+    reply = await caller.call('GET', path, fresh=True)
+    if isinstance(reply, Broken) or reply.status != _OK:
+        return None
+    return reply.body
+
+
 async def first_answer(readers, path):
     """Return the first document that one of several faces answers."""
     for read in readers:
--- a/pollenstile/ops/_applycmd.py
+++ b/pollenstile/ops/_applycmd.py
@@ -27,7 +27,7 @@
 from pollenstile.ops._validatecmd import text_of_file
 from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD, UNREACHED
 from pollenstile.ops.running import result_of
-from pollenstile.ops.settings import SettingsError, address
+from pollenstile.ops.settings import address, parsed
 from pollenstile.platform import pauses
 
 _MARK_BYTES = 8
@@ -78,10 +78,8 @@
             sys.stderr.write(f'{arguments.file}: {mistake.path}: ')
             sys.stderr.write(f'{mistake.text}\n')
         return BAD_INPUT
-    try:
-        store = store_at(reactor, address(arguments.platform))
-    except ValueError as error:
-        raise SettingsError([f'--platform: {error}']) from None
+    platform = parsed('--platform', address, arguments.platform)
+    store = store_at(reactor, platform)
     entries = ()
     if arguments.wait:
         entries = entries_from(arguments.entry)
--- a/pollenstile/ops/_draincmd.py
+++ b/pollenstile/ops/_draincmd.py
@@ -5,18 +5,15 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
-from pollenstile.forward import DRAINED
+from pollenstile.forward import DRAINED, DRAINED_SECONDS, UNDER_WAY
+from pollenstile.ops._admin import body_of, caller_at
 from pollenstile.ops._statuscmd import entries_from
 from pollenstile.ops._stores import store_at
 from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD, UNREACHED
+from pollenstile.ops.measures import shown_name
 from pollenstile.ops.running import result_of
-from pollenstile.ops.settings import SettingsError, address, identifier
-from pollenstile.platform import Absent, Broken, Caller, Found, Written
-
-_SECONDS = 4.0
-_OK = 200
-_DRAINED_FOR = 'pollenstile_drained_seconds'
-_UNDER_WAY = 'pollenstile_under_way'
+from pollenstile.ops.settings import address, identifier, parsed, shown
+from pollenstile.platform import Absent, Found, Written
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,19 +64,18 @@
     """Write the drain, or show what is left; return the exit code."""
     from twisted.internet import reactor  # noqa: WPS433
 
-    domain = _parsed('domain', identifier, arguments.domain)
+    domain = parsed('domain', identifier, arguments.domain)
     if bool(arguments.platform) == bool(arguments.metrics):
         sys.stderr.write('pollenstile drain: --platform to write it, or ')
         sys.stderr.write('--metrics to see what is left\n')
         return BAD_INPUT
     if arguments.metrics:
-        hosts = entries_from(arguments.metrics)
-        shown = result_of(reactor, lambda: _shown(reactor, hosts, domain))
-        print(*drain_lines(domain, shown), sep='\n')
-        return exit_code(shown)
-    store = store_at(
-        reactor, _parsed('--platform', address, arguments.platform)
-    )
+        hosts = entries_from(arguments.metrics, '--metrics')
+        drains = result_of(reactor, lambda: _drains(reactor, hosts, domain))
+        print(*drain_lines(domain, drains), sep='\n')
+        return exit_code(drains)
+    platform = parsed('--platform', address, arguments.platform)
+    store = store_at(reactor, platform)
     written = result_of(
         reactor, lambda: written_drain(store, domain, ends=arguments.end)
     )
@@ -128,8 +124,8 @@
     return HostDrain(
         host,
         answers=True,
-        drained_for=values.get(_DRAINED_FOR),
-        under_way=int(values.get(_UNDER_WAY, 0)),
+        drained_for=values.get(shown_name(DRAINED_SECONDS)),
+        under_way=int(values.get(shown_name(UNDER_WAY), 0)),
     )
 
 
@@ -151,16 +147,15 @@
     return GOOD if is_empty else BAD_RESULT
 
 
-async def _shown(reactor, hosts, domain):
+async def _drains(reactor, hosts, domain):
     found = []
-    for host, port in hosts:
-        caller = Caller(reactor, reactor, host, port, _SECONDS)
-        reply = await caller.call('GET', '/', fresh=True)
-        name = f'{host}:{port}'
-        if isinstance(reply, Broken) or reply.status != _OK:
+    for host in hosts:
+        body = await body_of(caller_at(reactor, host), '/')
+        name = shown(host)
+        if body is None:
             found.append(HostDrain(name, answers=False))
             continue
-        found.append(drain_of(name, domain, reply.body.decode()))
+        found.append(drain_of(name, domain, body.decode()))
     return found
 
 
@@ -180,10 +175,3 @@
     if ends:
         return await store.delete(DRAINED, domain)
     return await store.put(DRAINED, domain, {})
-
-
-def _parsed(name, parse, text):
-    try:
-        return parse(text)
-    except ValueError as error:
-        raise SettingsError([f'{name}: {error}']) from None
--- a/pollenstile/ops/_standincmd.py
+++ b/pollenstile/ops/_standincmd.py
@@ -4,7 +4,7 @@
 from pollenstile.manifest import manifest_from_text, text_from_manifest
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.http import site_for
-from pollenstile.ops.settings import SettingsError, address
+from pollenstile.ops.settings import address, parsed
 from pollenstile.standin.engine import Engine, EngineResource
 from pollenstile.standin.fleet import started_anywhere, started_upstreams
 from pollenstile.standin.objectapi import MemoryStore, platform_site
@@ -77,10 +77,7 @@
 
 
 def _listening(reactor, arguments):
-    try:
-        host, number = address(arguments.listen)
-    except ValueError as error:
-        raise SettingsError([f'--listen: {error}']) from None
+    host, number = parsed('--listen', address, arguments.listen)
     return reactor.listenTCP(
         number,
         _site(reactor, arguments),
--- a/pollenstile/ops/_statuscmd.py
+++ b/pollenstile/ops/_statuscmd.py
@@ -6,7 +6,7 @@
 from pollenstile.ops._admin import admin_at, first_answer
 from pollenstile.ops.exits import BAD_RESULT, GOOD, UNREACHED
 from pollenstile.ops.running import result_of
-from pollenstile.ops.settings import SettingsError, addresses
+from pollenstile.ops.settings import SettingsError, addresses, parsed
 
 
 def add_parser(commands):
@@ -42,14 +42,11 @@
     return GOOD if is_settled(document) else BAD_RESULT
 
 
-def entries_from(text):
-    """Return the addresses of ``--entry``."""
-    try:
-        found = addresses(text)
-    except ValueError as error:
-        raise SettingsError([f'--entry: {error}']) from None
+def entries_from(text, flag='--entry'):
+    """Return the addresses of a flag that needs one."""
+    found = parsed(flag, addresses, text)
     if not found:
-        raise SettingsError(['--entry: no address'])
+        raise SettingsError([f'{flag}: no address'])
     return found
 
 
--- a/pollenstile/ops/measures.py
+++ b/pollenstile/ops/measures.py
@@ -25,6 +25,11 @@
 _NONE = 'none'
 
 
+def shown_name(name):
+    """Return a measure's name as it is served."""
+    return f'pollenstile_{name}'
+
+
 class Measures:
     """Counts the events of a log, and measures times in their fields.
 
@@ -64,7 +69,7 @@
 
     def gauge(self, name, meaning, value):
         """Add a gauge whose value a function returns."""
-        gauge = Gauge(f'pollenstile_{name}', meaning, registry=self.registry)
+        gauge = Gauge(shown_name(name), meaning, registry=self.registry)
         gauge.set_function(value)
 
     def gauges(self, name, meaning, label, values):
@@ -94,7 +99,7 @@
 
     def _histogram(self, name, label):
         return Histogram(
-            f'pollenstile_{name}_seconds',
+            shown_name(f'{name}_seconds'),
             'Seconds, from the field of the event that names it.',
             (label,),
             buckets=_BUCKETS,
@@ -116,7 +121,7 @@
     def collect(self):
         """Return the gauges as they are now; called by the library."""
         family = GaugeMetricFamily(
-            f'pollenstile_{self.name}',
+            shown_name(self.name),
             self.meaning,
             labels=(self.label,),
         )
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -96,6 +96,21 @@
     return f'{host}:{port}'
 
 
+def parsed(name, parse, text):
+    """Return what a text of the command line says.
+
+    Raises
+    ======
+
+    SettingsError
+        With one line that names the flag or argument.
+    """
+    try:
+        return parse(text)
+    except ValueError as error:
+        raise SettingsError([f'{name}: {error}']) from None
+
+
 def optional_address(text):
     """Return an address, or None from an empty text."""
     return address(text) if text else None
