relay, forward: logs tell what a host waits for and how old its proof is

New: read-turn (1238) with place, wait and age; store-silent (1239), before any call is given up; age_ms in reader-skipped, reader-lost, store-lost and configuration-taken; proof_ms in forward-ended, refusals at the entry too. Two scenarios. No decision is changed.

--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -74,6 +74,10 @@
         """Return what the test says."""
         return self.proven
 
+    def age_ms(self):
+        """Return 0: the proof is of now."""
+        return 0
+
 
 class ForwardHost:
     """A host, one upstream, and callers' connections to it.
--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -140,7 +140,13 @@
         reached = ReachedStore(store or fleet.store, lambda: self.parted)
         self.calls = _CountedStore(LinkedStore(reached, self.link))
         self.configuration = Configuration(
-            self.calls, clock, clock.seconds, Random(name), _decoded, _REVOKE
+            self.calls,
+            clock,
+            clock.seconds,
+            Random(name),
+            _decoded,
+            _REVOKE,
+            fleet.log,
         )
         self.source = Source(name, clock, clock.seconds, self.configuration)
         self.follower = Follower(
@@ -153,6 +159,7 @@
                 name,
                 lambda one: fleet.is_linked(one) and not skipped(one),
             ),
+            fleet.log,
         )
         self.follower.place = lambda: list(fleet.hosts).index(name)
         self.configuration.loop.covered = self.follower.is_following
@@ -212,6 +219,8 @@
         Bytes of each that a reader has sent.
     drains : bool
         Whether hosts watch the drained domains, too.
+    logged : list of tuple
+        Names of the events that hosts have logged, and their fields.
     """
 
     def __init__(self, names, *, drains=False):
@@ -265,7 +274,7 @@
 
     def log(self, event, level='info', **fields):
         """Note a log line."""
-        self.logged.append(event.name)
+        self.logged.append((event.name, fields))
 
     def _arrive(self, name, body, answer):
         host = self.hosts[name]
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -119,6 +119,18 @@
     When the store answers all again and 4 seconds of relaying pass
     Then all keys are trusted
 
+  Scenario: What a host waits for, and what it still knows, is in its log
+    Given the hosts "r,s,t,u,v,w,x,y,z,a,b,c" of one domain
+    When all lose the store and 3.0 seconds of relaying pass
+    Then hosts have logged "reader-skipped" with "age_ms"
+    And hosts have logged "read-turn" with "place,wait_ms,age_ms"
+    And hosts have logged "reader-lost" with "age_ms"
+
+  Scenario: A store that falls silent is in the log before any call is given up
+    Given the hosts "r,s,t,u" of one domain
+    When the store answers nobody any more, and 2.0 seconds pass
+    Then hosts have logged "store-silent" with "reads,age_ms"
+
   Scenario: Only the reader is turned away by the store
     Given the hosts "r,s,t,u,v,w,x,y,z,a,b,c" of one domain
     When "r" loses the store and 4.0 seconds of relaying pass
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -254,6 +254,20 @@
     context.fleet.pass_by(seconds)
 
 
+@when('the store answers nobody any more, and {seconds:g} seconds pass')
+def when_silent(context, seconds):
+    context.fleet.store.silent_watches = True
+    context.fleet.pass_by(seconds)
+
+
+@then('hosts have logged "{event}" with "{names}"')
+def then_logged(context, event, names):
+    fields = [had for name, had in context.fleet.logged if name == event]
+    assert fields, sorted({name for name, _ in context.fleet.logged})
+    for had in fields:
+        assert all(had[name] >= 0 for name in names.split(',')), had
+
+
 @then('all keys are trusted')
 def then_all_trusted(context):
     for host in context.fleet.hosts.values():
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -61,6 +61,8 @@
 
     failures : int
         Reads in a row without an answer.
+    silent : bool
+        Whether a read had no answer in its time, and none came since.
     under_way, whole_under_way : int
         Reads that are not answered yet, and those of the whole among them.
     whole_at, whole_took : float
@@ -90,6 +92,7 @@
         'random',
         'read_at',
         'running',
+        'silent',
         'store',
         'under_way',
         'whole_at',
@@ -108,6 +111,7 @@
         self.is_answering = _never
         self.on_read = None
         self.failures = 0
+        self.silent = False
         self.under_way = 0
         self.whole_under_way = 0
         self.whole_at = -1000.0
@@ -145,7 +149,21 @@
         """Return a Deferred of a read's end, or of the time for another."""
         reading = branched(Deferred.fromCoroutine(self._read(hold)))
         limit = hold + _RETRY_PERIOD
-        return reading.addTimeout(limit, self.clock, onTimeoutCancel=_nothing)
+        return reading.addTimeout(
+            limit, self.clock, onTimeoutCancel=self._unanswered
+        )
+
+    def _unanswered(self, *_):
+        """Note a read that is not answered in its time."""
+        if self.silent:
+            return
+        self.silent = True
+        self.log(
+            events.STORE_SILENT,
+            level='warning',
+            reads=self.under_way,
+            age_ms=self.configuration.age_ms(),
+        )
 
     def _hold(self):
         if not self._is_large():
@@ -221,6 +239,7 @@
             self.log(events.STORE_REGAINED, failures=self.failures)
         if answered:
             self.failures = 0
+            self.silent = False
         else:
             self.failures += 1
             if self.failures == 1:
@@ -228,6 +247,7 @@
                     events.STORE_LOST,
                     level='warning',
                     reason=getattr(outcome, 'reason', outcome.__class__),
+                    age_ms=self.configuration.age_ms(),
                 )
         if self.on_read is not None:
             self.on_read(answered)
@@ -235,7 +255,3 @@
 
 def _never():
     return False
-
-
-def _nothing(*_):
-    """Stand for a read that is not answered in time."""
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -12,6 +12,7 @@
 # Part of the bound after which callers should go elsewhere: two reads have
 # failed, and the balancer takes two seconds to notice.
 _FRESH_SHARE = 0.45
+_MS = 1000
 
 
 class Configuration:
@@ -131,6 +132,10 @@
         """Return the seconds since the proof was true."""
         return self.suspend_clock() - self.proven_at
 
+    def age_ms(self):
+        """Return the age in whole milliseconds, as log lines have it."""
+        return int(self.age() * _MS)
+
     def take_news(self, news, began, *, whole):
         """Take what a read of the store has shown.
 
@@ -243,6 +248,7 @@
             events.CONFIGURATION_TAKEN,
             version=table.version,
             revision=found.version,
+            age_ms=self.age_ms(),
         )
         for listener in self.listeners:
             self._call(listener, table)
--- a/pollenstile/forward/_face.py
+++ b/pollenstile/forward/_face.py
@@ -297,6 +297,7 @@
                 status=exchange.status,
                 reason=exchange.reason,
                 step='entry',
+                proof_ms=self.core.configuration.age_ms(),
             )
             answer.refuse(exchange)
             return
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -111,6 +111,7 @@
         prompt=prompt,
         last_event=_last_event(answer, names, route),
         service=picked_service(route, core.rng.random()),
+        proof_ms=core.configuration.age_ms(),
     )
 
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -192,6 +192,7 @@
             crossed=self.waste.crossed,
             unused=self.waste.unused,
             version=self.exchange.table.version,
+            proof_ms=self.exchange.proof_ms,
         )
 
     def _first_at(self):
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -90,6 +90,8 @@
         Pieces by step of the route.
     prompt : tuple
         Identifier and tokens of each part.
+    proof_ms : int
+        Age of the table's proof when the request came, in milliseconds.
     """
 
     ident: str
@@ -110,6 +112,7 @@
     last_event: str = ''
     service: str = ''
     handles: tuple = field(default_factory=tuple)
+    proof_ms: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -56,6 +56,12 @@
     'Nothing at first; keyed requests end when the proof is too old.',
 )
 STORE_REGAINED = define(1212, 'store-regained', 'The store answers again.')
+STORE_SILENT = define(
+    1239,
+    'store-silent',
+    'A read of the configuration has no answer; others are sent beside it.',
+    'Look whether the host reaches the store; `age_ms` tells what it still knows.',
+)
 UPSTREAM_CHANGED = define(
     1213,
     'upstream-changed',
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -37,6 +37,7 @@
 _LOOK = 0.2
 # Seconds between two asks at least: a burst of changes is taken in few.
 _LEAST_PAUSE = 0.05
+_MS = 1000
 
 
 _NO_STORE = 'reader without store'
@@ -174,7 +175,14 @@
         if not self.turn_at:
             failed = sum(until > now for until in self.skipped.values())
             before = max(0, self.place() - failed)
-            self.turn_at = now + _TURN_SECONDS * before
+            wait = _TURN_SECONDS * before
+            self.turn_at = now + wait
+            self.log(
+                events.READ_TURN,
+                place=before,
+                wait_ms=int(wait * _MS),
+                age_ms=self.configuration.age_ms(),
+            )
         return now >= self.turn_at
 
     def _look(self):
@@ -215,7 +223,12 @@
                 return
         self.unfit_words = 0
         self.skipped[host] = now + _SKIP_SECONDS
-        self.log(events.READER_SKIPPED, peer=host, reason=reason)
+        self.log(
+            events.READER_SKIPPED,
+            peer=host,
+            reason=reason,
+            age_ms=self.configuration.age_ms(),
+        )
 
     def _took(self, host, answer, began):
         """Take an answer; return why it can't be used, or nothing."""
@@ -260,7 +273,12 @@
     def _read_directly(self, reason):
         if not self.following:
             return
-        self.log(events.READER_LOST, peer=self.following, reason=reason)
+        self.log(
+            events.READER_LOST,
+            peer=self.following,
+            reason=reason,
+            age_ms=self.configuration.age_ms(),
+        )
         self.following = ''
         for listener in self.on_direct:
             listener()
--- a/pollenstile/relay/events.py
+++ b/pollenstile/relay/events.py
@@ -17,3 +17,9 @@
     'reader-skipped',
     'A reader failed and is passed over for a while; the next one is asked.',
 )
+READ_TURN = define(
+    1238,
+    'read-turn',
+    'All readers are without the store; the host reads when its turn comes.',
+    'Compare `wait_ms` and `age_ms` with the bound on changes.',
+)
