--- /dev/null
+++ b/pollenstile/bench/_domainworld.py
@@ -0,0 +1,319 @@
+"""Whole entry hosts of one failure domain over a store, in virtual time.
+
+Explanation
+===========
+
+The hosts are the daemons that run in production, with their hubs, watches and
+relay; only ports, connections between hosts and the store are stand-ins. A
+host's way to the store can be refused or fall silent while others are served.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.defer import Deferred, succeed
+
+from pollenstile.forward import (
+    ForwardDaemon,
+    HeaderNames,
+    HostSettings,
+    PlainCodec,
+)
+from pollenstile.peer import VirtualWires
+from pollenstile.platform import NotApplied, Unavailable, paused
+from pollenstile.routes import RouteTable
+from pollenstile.standin.clock import VirtualClock
+from pollenstile.standin.objectapi import MemoryStore
+
+# Seconds that the virtual clock moves at a time.
+_STEP = 0.01
+# Seconds one way between hosts of a domain.
+_WAY = 0.0005
+# Seconds of a call of the store.
+_STORE_SECONDS = 0.004
+# Seconds after which a call that gets no answer is given up.
+_SILENT_SECONDS = 2.5
+# Seconds after which a host that the store serves again is in touch with it.
+_CONTACT_SECONDS = 3.0
+# Seconds until all hosts have started and follow a reader.
+_SETTLE = 8.0
+_PORT = 1
+_DOMAIN = 'd'
+_STEP_NAME = 'call'
+_PEER = 'store'
+
+
+class VirtualReactor(VirtualClock):
+    """A clock whose ports take no connections."""
+
+    __slots__ = ()
+
+    def listenTCP(self, number, factory, backlog=0, interface=''):
+        """Return a port; called by the daemon."""
+        return _Port(interface, number)
+
+
+class _Port:
+    """A port on which nobody calls."""
+
+    __slots__ = ('address',)
+
+    def __init__(self, host, number):
+        self.address = IPv4Address('TCP', host, number)
+
+    def getHost(self):
+        """Return its address; called by the daemon."""
+        return self.address
+
+    def stopListening(self):
+        """End at once; called by the daemon."""
+        return succeed(None)
+
+
+class StorePath:
+    """One host's way to the store.
+
+    Parameters
+    ==========
+
+    store : Store
+        Behind the way.
+    clock : IReactorTime
+        Times what gets no answer.
+
+    Attributes
+    ==========
+
+    refuses : bool
+        Whether calls are refused at once.
+    silent : bool
+        Whether calls get no answer.
+    back_at : float
+        On the clock: when the store served this host again.
+    calls : int
+        That were made.
+    """
+
+    __slots__ = ('back_at', 'calls', 'clock', 'refuses', 'silent', 'store')
+
+    def __init__(self, store, clock):
+        self.store = store
+        self.clock = clock
+        self.refuses = False
+        self.silent = False
+        self.back_at = -_CONTACT_SECONDS
+        self.calls = 0
+
+    def serve_again(self):
+        """Let all calls pass from now on."""
+        self.refuses = False
+        self.silent = False
+        self.back_at = self.clock.seconds()
+
+    def is_in_touch(self):
+        """Return whether the store has served this host for long enough."""
+        served_for = self.clock.seconds() - self.back_at
+        is_out = self.refuses or self.silent
+        return not is_out and served_for >= _CONTACT_SECONDS
+
+    def is_answering(self):
+        """Return that no answer is half in: they come whole."""
+        return False
+
+    def get(self, *arguments):
+        """See :class:`~pollenstile.platform.Store`."""
+        return self._called(self.store.get, Unavailable, arguments)
+
+    def put(self, *arguments, **options):
+        """See :class:`~pollenstile.platform.Store`."""
+        return self._called(self.store.put, NotApplied, arguments, options)
+
+    def delete(self, *arguments):
+        """See :class:`~pollenstile.platform.Store`."""
+        return self._called(self.store.delete, NotApplied, arguments)
+
+    def listed(self, *arguments):
+        """See :class:`~pollenstile.platform.Store`."""
+        return self._called(self.store.listed, Unavailable, arguments)
+
+    def watched(self, *arguments):
+        """See :class:`~pollenstile.platform.Store`."""
+        return self._called(self.store.watched, Unavailable, arguments)
+
+    async def _called(self, call, failed, arguments, options=None):
+        self.calls += 1
+        if not self.refuses and not self.silent:
+            outcome = await call(*arguments, **(options or {}))
+            if not self.refuses and not self.silent:
+                return outcome
+        if self.silent:
+            await paused(self.clock, _SILENT_SECONDS)
+        return failed(_STEP_NAME, _PEER, 'refused')
+
+
+@dataclass(slots=True, frozen=True)
+class _Adapter:
+    """What a daemon asks of its platform; a configuration is its number."""
+
+    names: HeaderNames = field(default_factory=HeaderNames)
+    codec: PlainCodec = field(default_factory=PlainCodec)
+    decode_table: object = RouteTable
+    decode_upstream: object = staticmethod(lambda name, value: None)
+
+
+class DomainHost:
+    """One entry host.
+
+    Attributes
+    ==========
+
+    path : StorePath
+        Its way to the store.
+    frozen : bool
+        Whether it answers nobody and does nothing.
+    gone : bool
+        Whether its process has ended.
+    """
+
+    __slots__ = ('address', 'daemon', 'frozen', 'gone', 'name', 'path')
+
+    def __init__(self, world, name, log):
+        self.name = name
+        self.address = f'{name}:{_PORT}'
+        self.frozen = False
+        self.gone = False
+        self.path = StorePath(world.store, world.clock)
+        place = (name, _PORT)
+        self.daemon = ForwardDaemon(
+            world.clock,
+            HostSettings(
+                name,
+                _DOMAIN,
+                place,
+                place,
+                place,
+                **world.bounds,
+            ),
+            self.path,
+            _Adapter(),
+            Random(name),
+            world.clock.seconds,
+            log,
+        )
+        hub = self.daemon.parts.hub
+        hub.dialer.connect = world.wires.connect_from(self.address)
+        world.wires.hubs[self.address] = hub
+        self.daemon.start()
+
+    @property
+    def configuration(self):
+        """Return its configuration."""
+        return self.daemon.parts.core.configuration
+
+    @property
+    def version(self):
+        """Return the version in force."""
+        return self.configuration.table.version
+
+    @property
+    def following(self):
+        """Return the reader that it follows; empty where it reads itself."""
+        return self.daemon.parts.relay.follower.following
+
+    def order(self):
+        """Return the hosts in the order in which they read the store."""
+        return self.daemon.parts.relay.readers.order
+
+    def end(self):
+        """End its process without a word."""
+        self.gone = True
+        self.daemon.parts.relay.follower.stop()
+        self.configuration.loop.running = False
+        self.daemon.watches.stop()
+        self.daemon.review.stop()
+        self.daemon.parts.hub.stop()
+
+
+class DomainWorld:
+    """Hosts of one failure domain, all started and following.
+
+    Parameters
+    ==========
+
+    count : int
+        Hosts.
+    bounds : dict
+        Settings of the hosts, by name.
+
+    Attributes
+    ==========
+
+    hosts : dict
+        By name, in the order in which they read the store.
+    logged : list of tuple
+        Seconds, host, event and fields.
+    """
+
+    __slots__ = ('bounds', 'clock', 'hosts', 'logged', 'store', 'wires')
+
+    def __init__(self, count, **bounds):
+        self.bounds = bounds
+        self.clock = VirtualReactor()
+        self.store = MemoryStore(self.clock)
+        self.wires = VirtualWires(self.clock, _way, self._is_cut)
+        self.logged = []
+        self.write(1)
+        self.store.latency = _STORE_SECONDS
+        self.hosts = {}
+        names = [f'h{number}' for number in range(count)]
+        for name in names:
+            self.hosts[name] = DomainHost(self, name, self._log_of(name))
+        self.pass_by(_SETTLE)
+        order = self.hosts['h0'].order()
+        self.hosts = {name: self.hosts[name] for name in order}
+
+    def pass_by(self, seconds, look=None):
+        """Let time pass; call a function at each step."""
+        for _ in range(round(seconds / _STEP)):
+            self.clock.advance(_STEP)
+            if look is not None:
+                look()
+
+    def write(self, version):
+        """Write a configuration; return once the store has acknowledged it."""
+        done = Deferred.fromCoroutine(self.store.put('config', 'main', version))
+        while not done.called:
+            self.clock.advance(_STEP)
+
+    def readers(self):
+        """Return the hosts that the others have links to for the store."""
+        return list(self.hosts.values())[:2]
+
+    def in_touch(self):
+        """Return the hosts that run and are in touch with the store."""
+        return [
+            host
+            for host in self.hosts.values()
+            if host.path.is_in_touch() and not (host.frozen or host.gone)
+        ]
+
+    def calls(self):
+        """Return the calls of the store that all hosts have made."""
+        return sum(host.path.calls for host in self.hosts.values())
+
+    def _is_cut(self, near, far):
+        by_address = {host.address: host for host in self.hosts.values()}
+        ends = (by_address.get(near), by_address.get(far))
+        return any(host is not None and host.frozen for host in ends)
+
+    def _log_of(self, name):
+        def log(event, level='info', **fields):
+            now = self.clock.seconds()
+            self.logged.append((now, name, event.name, fields))
+
+        return log
+
+
+def _way(near, far):
+    return _WAY
--- /dev/null
+++ b/pollenstile/bench/lag.py
@@ -0,0 +1,204 @@
+"""``pollenstile bench lag``: how old is what a host acts on, at worst.
+
+Explanation
+===========
+
+A configuration that the store acknowledges just after a host's proof was true
+is in force there when the next proof comes. So the oldest proof that a host
+has had is the longest lag of a change, whenever that was written. Whole hosts
+of one domain run in virtual time, and their readers or their store fail.
+"""
+
+import json
+from dataclasses import asdict, dataclass
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.bench._domainworld import DomainWorld
+
+# Seconds for which faults last, and are looked at.
+_PLAYED = 8.0
+# Seconds of a call of a slow store: sixty times the usual.
+_SLOW_SECONDS = 0.24
+# Seconds for which a store that answers nobody is away.
+_OUTAGE = 4.0
+# Seconds after a fault at which the configuration changes.
+_CHANGED_AFTER = 0.05
+_BEFORE, _AFTER = 1, 2
+# One host in so many is turned away by the store, readers first.
+_TURNED_AWAY = 3
+# Hosts of a domain: of fleets of 9, 30, 60, 90, 195 and 340 hosts.
+_SIZES = '3,10,15,30,33,43'
+_MS = 1000
+
+
+def calm(world):
+    """Let nothing fail."""
+
+
+def refused(world):
+    """Refuse the readers' calls of the store."""
+    for host in world.readers():
+        host.path.refuses = True
+
+
+def silenced(world):
+    """Answer no call of the readers any more."""
+    for host in world.readers():
+        host.path.silent = True
+
+
+def turned_away(world):
+    """Refuse a third of the hosts, the readers among them."""
+    hosts = list(world.hosts.values())
+    for host in hosts[: max(2, len(hosts) // _TURNED_AWAY)]:
+        host.path.refuses = True
+
+
+def frozen(world):
+    """Freeze the readers."""
+    for host in world.readers():
+        host.frozen = True
+        host.path.silent = True
+
+
+def refused_and_frozen(world):
+    """Refuse the first reader's calls, and freeze the second one."""
+    first, second = world.readers()
+    first.path.refuses = True
+    second.frozen = True
+    second.path.silent = True
+
+
+def ended(world):
+    """End the readers' processes."""
+    for host in world.readers():
+        host.end()
+
+
+def slow(world):
+    """Let the store be slow for all."""
+    world.store.latency = _SLOW_SECONDS
+
+
+def compacted(world):
+    """Let the store forget its history."""
+    Deferred.fromCoroutine(world.store.put('other', 'a', 1))
+    world.store.objects.compact()
+
+
+def away(world):
+    """Refuse all hosts for a while."""
+    for host in world.hosts.values():
+        host.path.refuses = True
+        world.clock.callLater(_OUTAGE, host.path.serve_again)
+
+
+FAULTS = {
+    'none': calm,
+    'readers refused': refused,
+    'readers silenced': silenced,
+    'a third refused': turned_away,
+    'readers frozen': frozen,
+    'one refused, one frozen': refused_and_frozen,
+    'readers ended': ended,
+    'store slow': slow,
+    'history dropped': compacted,
+    'store away for all': away,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Lag:
+    """How old the configuration was, at worst.
+
+    Parameters
+    ==========
+
+    hosts : int
+        Of the domain.
+    fault : str
+        What failed.
+    oldest_ms : int
+        The oldest proof of a host that the store serves.
+    change_ms : int
+        From the acknowledgement of a change, 50 ms after the fault, until the
+        last of these hosts had it.
+    calls_host_s : float
+        Calls of the store a second for each host.
+    """
+
+    hosts: int
+    fault: str
+    oldest_ms: int
+    change_ms: int
+    calls_host_s: float
+
+
+def lag_of(hosts, fault, **bounds):
+    """Return the :class:`Lag` of a domain under a fault.
+
+    Parameters
+    ==========
+
+    hosts : int
+        Of the domain.
+    fault : str
+        A name of :data:`FAULTS`.
+    bounds : dict
+        Settings of the hosts, by name.
+    """
+    world = DomainWorld(hosts, **bounds)
+    calls = world.calls()
+    FAULTS[fault](world)
+    ages = [0.0]
+
+    def look():
+        ages.extend(host.configuration.age() for host in world.in_touch())
+
+    world.pass_by(_PLAYED, look)
+    calls = world.calls() - calls
+    return Lag(
+        hosts,
+        fault,
+        round(max(ages) * _MS),
+        _change_ms(hosts, fault, bounds),
+        round(calls / hosts / _PLAYED, 2),
+    )
+
+
+def _change_ms(hosts, fault, bounds):
+    world = DomainWorld(hosts, **bounds)
+    FAULTS[fault](world)
+    world.pass_by(_CHANGED_AFTER)
+    world.write(_AFTER)
+    acked = world.clock.seconds()
+    lagged = [0.0]
+
+    def look():
+        if any(host.version == _BEFORE for host in world.in_touch()):
+            lagged.append(world.clock.seconds() - acked)
+
+    world.pass_by(_PLAYED, look)
+    return round(max(lagged) * _MS)
+
+
+def add_parser(benches):
+    """Add ``bench lag``."""
+    parser = benches.add_parser(
+        'lag', help='how old a configuration gets on hosts, simulated'
+    )
+    parser.add_argument('--hosts', default=_SIZES, help='of one domain')
+    parser.add_argument('--revoke-seconds', type=float, default=5.0)
+    parser.set_defaults(run=run)
+
+
+def run(arguments):
+    """Print a line for each domain and fault."""
+    for hosts in arguments.hosts.split(','):
+        for fault in FAULTS:
+            found = lag_of(
+                int(hosts), fault, revoke_seconds=arguments.revoke_seconds
+            )
+            print(json.dumps(asdict(found)))
+    return 0
--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -4,6 +4,7 @@
     claims,
     fleet,
     floor,
+    lag,
     live,
     placement,
     policy,
@@ -11,7 +12,7 @@
     stages,
 )
 
-_BENCHES = (floor, claims, fleet, live, placement, policy, shared, stages)
+_BENCHES = (floor, claims, fleet, lag, live, placement, policy, shared, stages)
 
 
 def add_parser(commands):
