relay: a host goes by its reader's word for no longer than the bounds allow

Cause: a follower whose readers failed stayed a follower, and read nothing, until the last step of its way to the store was done: two words without a store from each reader, asks that hang for a second each, and a turn of 0.08 s for each host before it in the domain. Each of these waits was bounded by itself and counted from its own start; nothing bounded their sum by the age of what the host went on acting on. It grew with the hosts of a domain, and it held for upstreams that leave and for drained domains as well.

Now a word holds until its own date plus 0.85 of the tighter of the bounds on changes and on leaving upstreams, by a timer that all failures share; and a proof that old sends the host to the store, whatever it follows.

Ruled out: a store that did not answer (reads were answered in 5 ms), proofs dated too late (followers' proofs are as old as their readers').

The builder of relay scenarios states the bound of the fleets whose domains it has (3 s); its scenarios are as they were.

--- a/features/builders/relay.py
+++ b/features/builders/relay.py
@@ -18,6 +18,8 @@
 # As the daemon has them: see its registry's watch.
 _TIMING = WatchTiming(2.0, 0.5, 0.05, 20.0, 1.5, 0.15, 0.5)
 _REVOKE = 5.0
+# Seconds for which a word holds in a fleet whose changes have 3 s.
+_WORD_SECONDS = 2.55
 _STEP = 0.005
 _ORDER = ('r', 's')
 
@@ -161,6 +163,7 @@
             ),
             fleet.log,
         )
+        self.follower.word_seconds = _WORD_SECONDS
         self.follower.place = lambda: list(fleet.hosts).index(name)
         self.configuration.loop.covered = self.follower.is_following
         self.configuration.loop.followed = self.source.is_followed
--- a/features/lag.feature
+++ b/features/lag.feature
@@ -4,3 +4,23 @@
     A key that was taken away was still served after three seconds.
     When "readers refused" comes over a domain of 30 hosts
     Then each host in touch with the store had each change within 3.0 seconds
+
+  Scenario Outline: News in time, whatever the size of a domain: <fault>
+    Keys taken away, upstreams that leave and drained domains count on for longer
+    the more hosts a domain has.
+    When "<fault>" comes over a domain of each of 3,10,30,43 hosts
+    Then each host in touch with the store had each change within 2.0 seconds
+    And it knew of upstreams that leave and of drained domains within 2.0 seconds
+
+    Examples:
+      | fault                   |
+      | none                    |
+      | readers refused         |
+      | readers silenced        |
+      | a third refused         |
+      | readers frozen          |
+      | one refused, one frozen |
+      | readers ended           |
+      | store slow              |
+      | history dropped         |
+      | store away for all      |
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -15,10 +15,12 @@
 from twisted.internet.defer import Deferred, succeed
 
 from pollenstile.forward import (
+    DRAINED,
     ForwardDaemon,
     HeaderNames,
     HostSettings,
     PlainCodec,
+    Upstream,
 )
 from pollenstile.peer import VirtualWires
 from pollenstile.platform import NotApplied, Unavailable, paused
@@ -42,6 +44,9 @@
 _DOMAIN = 'd'
 _STEP_NAME = 'call'
 _PEER = 'store'
+# The kind of the upstreams' entries, and the one upstream that there is.
+_UPSTREAMS = 'upstreams'
+_UPSTREAM = 'u'
 
 
 class VirtualReactor(VirtualClock):
@@ -152,6 +157,10 @@
         return failed(_STEP_NAME, _PEER, 'refused')
 
 
+def _upstream(name, value):
+    return Upstream(name, 's', 'u:1', _DOMAIN, leaving=value == 'leaving')
+
+
 @dataclass(slots=True, frozen=True)
 class _Adapter:
     """What a daemon asks of its platform; a configuration is its number."""
@@ -159,7 +168,7 @@
     names: HeaderNames = field(default_factory=HeaderNames)
     codec: PlainCodec = field(default_factory=PlainCodec)
     decode_table: object = RouteTable
-    decode_upstream: object = staticmethod(lambda name, value: None)
+    decode_upstream: object = _upstream
 
 
 class DomainHost:
@@ -216,10 +225,15 @@
         """Return the version in force."""
         return self.configuration.table.version
 
-    @property
-    def following(self):
-        """Return the reader that it follows; empty where it reads itself."""
-        return self.daemon.parts.relay.follower.following
+    def knows_leaving(self):
+        """Return whether it knows that the upstream leaves."""
+        registry = self.daemon.parts.core.registry
+        return registry.upstreams[_UPSTREAM].leaving
+
+    def knows_drained(self):
+        """Return whether it knows of the drained failure domain."""
+        registry = self.daemon.parts.core.registry
+        return bool(registry.drained)
 
     def order(self):
         """Return the hosts in the order in which they read the store."""
@@ -263,7 +277,8 @@
         self.store = MemoryStore(self.clock)
         self.wires = VirtualWires(self.clock, _way, self._is_cut)
         self.logged = []
-        self.write(1)
+        self.write_configuration(1)
+        self._write(_UPSTREAMS, _UPSTREAM, 'ready')
         self.store.latency = _STORE_SECONDS
         self.hosts = {}
         names = [f'h{number}' for number in range(count)]
@@ -280,11 +295,17 @@
             if look is not None:
                 look()
 
-    def write(self, version):
+    def write_configuration(self, version):
         """Write a configuration; return once the store has acknowledged it."""
-        done = Deferred.fromCoroutine(self.store.put('config', 'main', version))
-        while not done.called:
-            self.clock.advance(_STEP)
+        self._write('config', 'main', version)
+
+    def let_upstream_leave(self):
+        """Write that the upstream leaves."""
+        self._write(_UPSTREAMS, _UPSTREAM, 'leaving')
+
+    def drain(self):
+        """Write that a failure domain is drained."""
+        self._write(DRAINED, _DOMAIN, {})
 
     def readers(self):
         """Return the hosts that the others have links to for the store."""
@@ -302,6 +323,11 @@
         """Return the calls of the store that all hosts have made."""
         return sum(host.path.calls for host in self.hosts.values())
 
+    def _write(self, kind, name, value):
+        done = Deferred.fromCoroutine(self.store.put(kind, name, value))
+        while not done.called:
+            self.clock.advance(_STEP)
+
     def _is_cut(self, near, far):
         by_address = {host.address: host for host in self.hosts.values()}
         ends = (by_address.get(near), by_address.get(far))
--- a/pollenstile/bench/lag.py
+++ b/pollenstile/bench/lag.py
@@ -14,7 +14,7 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.bench._domainworld import DomainWorld
+from pollenstile.bench._domainworld import DomainHost, DomainWorld
 
 # Seconds for which faults last, and are looked at.
 _PLAYED = 8.0
@@ -24,7 +24,8 @@
 _OUTAGE = 4.0
 # Seconds after a fault at which the configuration changes.
 _CHANGED_AFTER = 0.05
-_BEFORE, _AFTER = 1, 2
+# The version that is written then.
+_AFTER = 2
 # One host in so many is turned away by the store, readers first.
 _TURNED_AWAY = 3
 # Hosts of a domain: of fleets of 9, 30, 60, 90, 195 and 340 hosts.
@@ -108,6 +109,19 @@
 }
 
 
+def _change(world):
+    world.write_configuration(_AFTER)
+
+
+def _has_change(host):
+    return host.version == _AFTER
+
+
+# What is written, and how it shows that a host knows it.
+_WRITES = (_change, DomainWorld.let_upstream_leave, DomainWorld.drain)
+_KNOWS = (_has_change, DomainHost.knows_leaving, DomainHost.knows_drained)
+
+
 @dataclass(slots=True, frozen=True)
 class Lag:
     """How old the configuration was, at worst.
@@ -121,9 +135,10 @@
         What failed.
     oldest_ms : int
         The oldest proof of a host that the store serves.
-    change_ms : int
-        From the acknowledgement of a change, 50 ms after the fault, until the
-        last of these hosts had it.
+    change_ms, leave_ms, drain_ms : int
+        From the acknowledgement of a change of the configuration, of an
+        upstream's leaving, or of a drained domain, 50 ms after the fault, until
+        the last of these hosts knew it.
     calls_host_s : float
         Calls of the store a second for each host.
     """
@@ -132,6 +147,8 @@
     fault: str
     oldest_ms: int
     change_ms: int
+    leave_ms: int
+    drain_ms: int
     calls_host_s: float
 
 
@@ -162,25 +179,29 @@
         hosts,
         fault,
         round(max(ages) * _MS),
-        _change_ms(hosts, fault, bounds),
+        *_news_ms(DomainWorld(hosts, **bounds), fault),
         round(calls / hosts / _PLAYED, 2),
     )
 
 
-def _change_ms(hosts, fault, bounds):
-    world = DomainWorld(hosts, **bounds)
+def _news_ms(world, fault):
+    """Return how long each of three changes takes to the last host."""
     FAULTS[fault](world)
     world.pass_by(_CHANGED_AFTER)
-    world.write(_AFTER)
-    acked = world.clock.seconds()
-    lagged = [0.0]
+    acked = []
+    for write in _WRITES:
+        write(world)
+        acked.append(world.clock.seconds())
+    lags = [0.0 for _ in _WRITES]
 
     def look():
-        if any(host.version == _BEFORE for host in world.in_touch()):
-            lagged.append(world.clock.seconds() - acked)
+        now = world.clock.seconds()
+        for number, knows in enumerate(_KNOWS):
+            if not all(knows(host) for host in world.in_touch()):
+                lags[number] = now - acked[number]
 
     world.pass_by(_PLAYED, look)
-    return round(max(lagged) * _MS)
+    return [round(lag * _MS) for lag in lags]
 
 
 def add_parser(benches):
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -13,6 +13,7 @@
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.forward._owners import Owners
 from pollenstile.forward._registry import UPSTREAMS, Registry
+from pollenstile.forward._settings import word_seconds
 from pollenstile.forward._stagecalls import StageCalls
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.settings import shown
@@ -180,6 +181,7 @@
         core.log,
     )
     follower.place = readers.place
+    follower.word_seconds = word_seconds(settings)
     relayed = RelayStore(
         store,
         clock,
@@ -190,8 +192,12 @@
     )
 
     def covered():
-        joining = relayed.is_joining() and configuration.age() < _JOIN_PROOF
-        return follower.is_following() or joining
+        age = configuration.age()
+        joining = relayed.is_joining() and age < _JOIN_PROOF
+        # A reader's word may hold and still prove nothing here: its revision
+        # can be an older one, or one that this host could not use.
+        followed = follower.is_following() and age < follower.word_seconds
+        return followed or joining
 
     relayed.is_away = configuration.loop.is_failing
     configuration.loop.covered = covered
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -11,6 +11,7 @@
 from pollenstile.forward._assembly import built_parts, link_peers
 from pollenstile.forward._face import CallerFactory
 from pollenstile.forward._gauges import TIMES, add_gauges
+from pollenstile.forward._settings import word_seconds
 from pollenstile.forward._storewatches import StoreWatches
 from pollenstile.ops.http import quiet
 from pollenstile.ops.logs import silent_log
@@ -190,6 +191,7 @@
         self.settings = settings
         core = self.parts.core
         core.configuration.revoke_seconds = settings.revoke_seconds
+        self.parts.relay.follower.word_seconds = word_seconds(settings)
         core.budget.ratio = settings.repeat_ratio
         core.budget.slack = settings.repeat_slack
         core.budget.window = settings.repeat_window
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -89,6 +89,8 @@
         peers_seen=settings.peers_seen,
         metrics=settings.metrics,
         revoke_seconds=settings.revoke_seconds,
+        apply_seconds=settings.apply_seconds,
+        leave_seconds=settings.leave_seconds,
         drain_seconds=settings.drain_seconds,
         grace_seconds=settings.grace_seconds,
         capacity=settings.capacity,
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -215,6 +215,18 @@
         '5',
         'seconds after which a key that was taken away has stopped working',
     ),
+    Setting(
+        'apply_seconds',
+        number_from(1, 60, float),
+        '2',
+        'seconds after which a change of the configuration is in force',
+    ),
+    Setting(
+        'leave_seconds',
+        number_from(1, 60, float),
+        '2',
+        'seconds after which an upstream that leaves gets nothing more',
+    ),
     Setting(
         'drain_seconds',
         number_from(1, 60, float),
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -23,6 +23,8 @@
 # within the 2 s in which it must know of an upstream that leaves.
 _HOLD = 0.6
 _LATE = 0.4
+# Seconds for which a word holds where nothing else is said.
+_WORD_SECONDS = 1.7
 # Seconds for which a reader that failed is passed over.
 _SKIP_SECONDS = 3.0
 # Words in a row that a reader has no store after which it is passed over. One
@@ -82,6 +84,10 @@
         Returns this host's place in the domain's order.
     needs_whole : bool
         Whether the next ask is for the whole configuration.
+    word_seconds : float
+        For so long after its date this host goes by a reader's word.
+    word_timer : IDelayedCall or None
+        Ends the following when the last word is that old.
     numbers : dict
         The newest change that was taken of each kind, as the source counts.
     feeds : dict
@@ -107,6 +113,8 @@
         'suspend_clock',
         'turn_at',
         'unfit_words',
+        'word_seconds',
+        'word_timer',
     )
 
     def __init__(
@@ -135,6 +143,8 @@
         self.turn_at = 0.0
         self.place = _first
         self.needs_whole = False
+        self.word_seconds = _WORD_SECONDS
+        self.word_timer = None
         self.running = True
 
     def start(self):
@@ -144,6 +154,8 @@
     def stop(self):
         """Ask no more."""
         self.running = False
+        if self.word_timer is not None and self.word_timer.active():
+            self.word_timer.cancel()
 
     def is_following(self):
         """Return whether another host's word makes own reads needless."""
@@ -248,8 +260,26 @@
         if not self.configuration.told(word, began):
             return 'configuration not told'
         self._follow(host, word)
+        self._hold_until(began - word.aged + self.word_seconds)
         return ''
 
+    def _hold_until(self, ends):
+        """Go by the word until a moment on the suspend clock, not longer.
+
+        Explanation
+        ===========
+
+        Whatever keeps the next word away, this host is at the store again in
+        time for the bounds: readers that are passed over one by one, asks that
+        hang, or a turn that is far off in a large domain.
+        """
+        if self.word_timer is not None and self.word_timer.active():
+            self.word_timer.cancel()
+        left = max(0, ends - self.suspend_clock())
+        self.word_timer = self.clock.callLater(
+            left, self._read_directly, 'word too old'
+        )
+
     def _follow(self, host, word):
         if self.following != host:
             self.log(events.READER_FOLLOWED, peer=host)
