relay: hosts find another reader when theirs have no store

Cause: hosts had links to the first two readers of their domain only, so that with these two without a store each host read for itself, with a watch for each kind, and asked both again, twice, every three seconds.

Two scenarios, both fail without the change.

--- a/features/lag.feature
+++ b/features/lag.feature
@@ -5,6 +5,18 @@
     When "readers refused" comes over a domain of 30 hosts
     Then each host in touch with the store had each change within 3.0 seconds
 
+  Scenario: A domain whose readers the store turns away gets another reader
+    28 hosts read the store each for itself, as they had links to no third one.
+    Given a domain of 30 hosts
+    When the store refuses its readers, and 4 seconds pass
+    Then all other hosts but one follow that one
+
+  Scenario: A store that is away is not called for each kind of news
+    Each host of a domain called it three times more as its readers failed.
+    Given a domain of 30 hosts
+    When the store refuses all, and 4 seconds pass
+    Then no follower has asked it for anything but the configuration
+
   Scenario Outline: News in time, whatever the size of a domain: <fault>
     Keys taken away, upstreams that leave and drained domains count on for longer
     the more hosts a domain has.
--- a/features/steps/lag_steps.py
+++ b/features/steps/lag_steps.py
@@ -1,12 +1,49 @@
 """Steps of whole hosts of a domain whose readers or store fail."""
 
-from behave import then, when
+from behave import given, then, when
 
+from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.bench.lag import lag_of
 
 _MS = 1000
 
 
+@given('a domain of {hosts:d} hosts')
+def given_domain(context, hosts):
+    context.world = DomainWorld(hosts, apply_seconds=3.0, leave_seconds=3.0)
+
+
+@when('the store refuses its readers, and {seconds:g} seconds pass')
+def when_readers_refused(context, seconds):
+    for host in context.world.readers():
+        host.path.refuses = True
+    context.world.pass_by(seconds)
+
+
+@when('the store refuses all, and {seconds:g} seconds pass')
+def when_all_refused(context, seconds):
+    for host in context.world.hosts.values():
+        host.path.refuses = True
+        host.path.kinds.clear()
+    context.world.pass_by(seconds)
+
+
+@then('all other hosts but one follow that one')
+def then_one_followed(context):
+    others = context.world.in_touch()
+    followed = [host.following for host in others]
+    readers = [host.name for host in others if not host.following]
+    assert len(readers) == 1, readers
+    assert followed.count(readers[0]) == len(others) - 1, followed
+
+
+@then('no follower has asked it for anything but the configuration')
+def then_only_configuration(context):
+    _, *followers = context.world.hosts.values()
+    for host in followers:
+        assert set(host.path.kinds) <= {'config'}, (host.name, host.path.kinds)
+
+
 @when('"{fault}" comes over a domain of {hosts:d} hosts')
 def when_fault(context, fault, hosts):
     context.lags = [lag_of(hosts, fault)]
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -8,6 +8,7 @@
 host's way to the store can be refused or fall silent while others are served.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 
@@ -98,9 +99,19 @@
         On the clock: when the store served this host again.
     calls : int
         That were made.
+    kinds : Counter
+        Calls by the kind of the objects.
     """
 
-    __slots__ = ('back_at', 'calls', 'clock', 'refuses', 'silent', 'store')
+    __slots__ = (
+        'back_at',
+        'calls',
+        'clock',
+        'kinds',
+        'refuses',
+        'silent',
+        'store',
+    )
 
     def __init__(self, store, clock):
         self.store = store
@@ -109,6 +120,7 @@
         self.silent = False
         self.back_at = -_CONTACT_SECONDS
         self.calls = 0
+        self.kinds = Counter()
 
     def serve_again(self):
         """Let all calls pass from now on."""
@@ -148,6 +160,7 @@
 
     async def _called(self, call, failed, arguments, options=None):
         self.calls += 1
+        self.kinds[arguments[0]] += 1
         if not self.refuses and not self.silent:
             outcome = await call(*arguments, **(options or {}))
             if not self.refuses and not self.silent:
@@ -225,6 +238,11 @@
         """Return the version in force."""
         return self.configuration.table.version
 
+    @property
+    def following(self):
+        """Return the reader that it follows; empty where it reads itself."""
+        return self.daemon.parts.relay.follower.following
+
     def knows_leaving(self):
         """Return whether it knows that the upstream leaves."""
         registry = self.daemon.parts.core.registry
--- a/pollenstile/bench/lag.py
+++ b/pollenstile/bench/lag.py
@@ -210,7 +210,12 @@
         'lag', help='how old a configuration gets on hosts, simulated'
     )
     parser.add_argument('--hosts', default=_SIZES, help='of one domain')
-    parser.add_argument('--revoke-seconds', type=float, default=5.0)
+    parser.add_argument(
+        '--bound',
+        type=float,
+        default=2.0,
+        help='seconds for changes and for upstreams that leave',
+    )
     parser.set_defaults(run=run)
 
 
@@ -219,7 +224,10 @@
     for hosts in arguments.hosts.split(','):
         for fault in FAULTS:
             found = lag_of(
-                int(hosts), fault, revoke_seconds=arguments.revoke_seconds
+                int(hosts),
+                fault,
+                apply_seconds=arguments.bound,
+                leave_seconds=arguments.bound,
             )
             print(json.dumps(asdict(found)))
     return 0
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -154,7 +154,13 @@
     """Keep links to owners of stages, and to readers of the store."""
     ownership = parts.stages.ownership
     wanted = ownership.wanted_links(parts.stages.limits)
-    wanted.update(ownership.links_of(parts.relay.readers.order))
+    # Linked to the first readers only, a domain whose readers have no store
+    # would read it host by host.
+    is_skipped = parts.relay.follower.is_skipped
+    readers = [
+        host for host in parts.relay.readers.order if not is_skipped(host)
+    ]
+    wanted.update(ownership.links_of(readers))
     parts.hub.dialer.wanted = wanted
 
 
@@ -199,10 +205,16 @@
         followed = follower.is_following() and age < follower.word_seconds
         return followed or joining
 
-    relayed.is_away = configuration.loop.is_failing
-    configuration.loop.covered = covered
-    configuration.loop.is_answering = store.is_answering
-    configuration.loop.followed = source.is_followed
+    loop = configuration.loop
+
+    def is_away():
+        return loop.is_failing() or loop.read_at < follower.direct_at
+
+    relayed.is_away = is_away
+    follower.on_direct.append(loop.wake)
+    loop.covered = covered
+    loop.is_answering = store.is_answering
+    loop.followed = source.is_followed
     return Relay(source, follower, readers, relayed)
 
 
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -70,6 +70,8 @@
     read_at : float
         On the suspend clock: when the latest read that was answered here was
         sent; another host's proof does not count.
+    idle : Deferred or None
+        Fires when it is time to look whether a read is needed.
     covered : function
         Returns whether another host's word makes reads needless.
     is_answering : function
@@ -86,6 +88,7 @@
         'covered',
         'failures',
         'followed',
+        'idle',
         'is_answering',
         'log',
         'on_read',
@@ -110,6 +113,7 @@
         self.followed = _never
         self.is_answering = _never
         self.on_read = None
+        self.idle = None
         self.failures = 0
         self.silent = False
         self.under_way = 0
@@ -131,7 +135,7 @@
         """
         while self.running:
             if self.covered():
-                await paused(self.clock, _COVERED_PAUSE)
+                await self._idle()
                 continue
             began = self.clock.seconds()
             hold = self._hold()
@@ -141,6 +145,18 @@
             pause = self.random.uniform(0.75, 1) * self._period() - spent
             await paused(self.clock, max(0, pause))
 
+    def wake(self):
+        """Look at once whether a read is needed."""
+        if self.idle is not None and not self.idle.called:
+            self.idle.callback(None)
+
+    def _idle(self):
+        """Return a Deferred of the next look while reads are needless."""
+        self.idle = Deferred()
+        return self.idle.addTimeout(
+            _COVERED_PAUSE, self.clock, onTimeoutCancel=_nothing
+        )
+
     def is_failing(self):
         """Return whether the store has not answered the latest read."""
         return self.failures > 0
@@ -255,3 +271,7 @@
 
 def _never():
     return False
+
+
+def _nothing(*_):
+    """Stand for a pause that has ended."""
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -1,6 +1,6 @@
 """A host that takes the store's news from the reader of its domain."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from twisted.internet.defer import Deferred
 
@@ -25,16 +25,18 @@
 _LATE = 0.4
 # Seconds for which a word holds where nothing else is said.
 _WORD_SECONDS = 1.7
-# Seconds for which a reader that failed is passed over.
+# Seconds for which a reader that failed is passed over, at first; twice as long
+# after each further failure in a row, up to a bound.
 _SKIP_SECONDS = 3.0
+_LONGEST_SKIP = 12.0
 # Words in a row that a reader has no store after which it is passed over. One
 # that has just become the reader says so until its first read is answered.
 _UNFIT_WORDS = 2
 # Seconds for each place in the domain's order by which a host goes to the store
 # later when the readers are there and the store does not answer them: it will
-# hardly answer this one, and each call of 31 hosts counts. A domain of ten is
-# through within a second.
-_TURN_SECONDS = 0.08
+# hardly answer this one, and each call of 31 hosts counts. Whoever has found it
+# to answer is the reader by the time that most turns come.
+_TURN_SECONDS = 0.15
 # Seconds between looks for a reader while there is none, or none that is fit.
 _LOOK = 0.2
 # Seconds between two asks at least: a burst of changes is taken in few.
@@ -45,6 +47,14 @@
 _NO_STORE = 'reader without store'
 
 
+@dataclass(slots=True, frozen=True)
+class _Skip:
+    """Until when a reader is passed over, after how many failures in a row."""
+
+    until: float
+    failures: int
+
+
 class Follower:
     """Asks the reader over and over, and hands on what is new.
 
@@ -74,7 +84,9 @@
     source : str
         Its incarnation.
     skipped : dict
-        Until when readers are passed over, by host.
+        :class:`_Skip` of each reader that failed, until its word is taken.
+    direct_at : float
+        On the suspend clock: when this host began to read the store last.
     is_unfit : bool
         Whether the last reader that failed has no store itself.
     turn_at : float
@@ -98,6 +110,7 @@
         'ask',
         'clock',
         'configuration',
+        'direct_at',
         'feeds',
         'following',
         'is_unfit',
@@ -137,6 +150,7 @@
         self.numbers = {}
         self.feeds = {}
         self.on_direct = []
+        self.direct_at = -1000.0
         self.skipped = {}
         self.unfit_words = 0
         self.is_unfit = False
@@ -161,23 +175,25 @@
         """Return whether another host's word makes own reads needless."""
         return bool(self.following)
 
+    def is_skipped(self, host):
+        """Return whether a reader is passed over now."""
+        skip = self.skipped.get(host)
+        return skip is not None and skip.until > self.clock.seconds()
+
     def forget(self, kind):
         """Ask for all objects of a kind with the next ask."""
         self.numbers.pop(kind, None)
 
     async def _run(self):
         while self.running:
-            host = self.reader(self._is_skipped)
+            host = self.reader(self.is_skipped)
             if host is None and self._may_read():
                 self._read_directly('no reader')
             if host is None:
                 await paused(self.clock, self._look())
                 continue
-            taken = await self._ask_once(host)
-            await paused(self.clock, _LEAST_PAUSE if taken else _LOOK)
-
-    def _is_skipped(self, host):
-        return self.skipped.get(host, 0) > self.clock.seconds()
+            settled = await self._ask_once(host)
+            await paused(self.clock, _LEAST_PAUSE if settled else _LOOK)
 
     def _may_read(self):
         """Return whether it is this host's turn to read the store."""
@@ -185,7 +201,7 @@
             return True
         now = self.clock.seconds()
         if not self.turn_at:
-            failed = sum(until > now for until in self.skipped.values())
+            failed = sum(map(self.is_skipped, self.skipped))
             before = max(0, self.place() - failed)
             wait = _TURN_SECONDS * before
             self.turn_at = now + wait
@@ -203,7 +219,7 @@
         return min(_LOOK, turn) if turn > 0 else _LOOK
 
     async def _ask_once(self, host):
-        """Ask a reader; return whether its word was taken."""
+        """Ask a reader; return whether its word was taken, or it is skipped."""
         began = self.suspend_clock()
         cursors = tuple(
             Cursor(kind, self.numbers.get(kind, 0)) for kind in self.feeds
@@ -221,26 +237,30 @@
             self.unfit_words = 0
             self.is_unfit = False
             self.turn_at = 0.0
+            self.skipped.pop(host, None)
             return True
-        self._failed(host, reason)
-        return False
+        return self._failed(host, reason)
 
     def _failed(self, host, reason):
-        """Pass a reader over, at once unless it only has no store yet."""
-        now = self.clock.seconds()
+        """Return whether a reader that failed is passed over now."""
+        before = self.skipped.get(host)
         if reason == _NO_STORE:
             self.is_unfit = True
             self.unfit_words += 1
-            if self.unfit_words < _UNFIT_WORDS:
-                return
+            if before is None and self.unfit_words < _UNFIT_WORDS:
+                return False
         self.unfit_words = 0
-        self.skipped[host] = now + _SKIP_SECONDS
+        failures = before.failures if before else 0
+        seconds = min(_SKIP_SECONDS * 2**failures, _LONGEST_SKIP)
+        now = self.clock.seconds()
+        self.skipped[host] = _Skip(now + seconds, failures + 1)
         self.log(
             events.READER_SKIPPED,
             peer=host,
             reason=reason,
             age_ms=self.configuration.age_ms(),
         )
+        return True
 
     def _took(self, host, answer, began):
         """Take an answer; return why it can't be used, or nothing."""
@@ -310,6 +330,7 @@
             age_ms=self.configuration.age_ms(),
         )
         self.following = ''
+        self.direct_at = self.suspend_clock()
         for listener in self.on_direct:
             listener()
 
--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -271,9 +271,13 @@
         # What was told and not yet taken is dropped here, and told whole when
         # a reader is followed again: a watch that went on from the reader's
         # revision would never hear of it.
+        now = self.clock.seconds()
         for kind, feed in self.feeds.items():
             self.follower.forget(kind)
             feed.forget()
+            # The read of the configuration goes first: a store that does not
+            # answer it is not called for each kind by each host of a domain.
+            feed.called_at = now
             feed.wake()
 
 
