forward: a request is held against the configuration again before it is sent

What allows a request (route, team, proof of the key) is a module of its own now, asked at the arrival and, if a newer table is in force, before each send that is the first to run: a key or route that is gone ends the request with 401 or 404, unsent, its stage results released; a route that moved leads to one of its services of now, a key that another team has goes on as that team's. A request that may have run goes on as before, so that no refusal says that it has not; an answer that has begun is brought to its end.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -1,5 +1,6 @@
 """Builders of forwarded requests over scripted upstreams in virtual time."""
 
+from dataclasses import replace
 from random import Random
 
 from twisted.internet.defer import Deferred, succeed
@@ -7,6 +8,7 @@
 from twisted.web.http_headers import Headers
 
 from pollenstile.forward import (
+    Asked,
     BodyEnd,
     Exchange,
     ForwardCore,
@@ -24,12 +26,15 @@
     StageLimits,
     StageStep,
     Target,
+    Team,
 )
 from pollenstile.stagework import GroupDone, GroupRefused
 
 NAMES = HeaderNames()
 SERVICE = 'desk'
 IDENT = 'attempt-1'
+TEAM = 'team'
+KEY = 'key-1'
 _KINDS = {
     'idempotent': (Kind.IDEMPOTENT, False),
     'once': (Kind.ONCE, False),
@@ -155,6 +160,7 @@
 
     def __init__(self):
         self.refusal = ''
+        self.waiting = None
         self.made = 0
         self.released = []
         self.cancelled = []
@@ -167,14 +173,22 @@
         """Return what became of a group."""
         waiter = Deferred()
         if self.refusal == 'never':
+            self.waiting = (group, waiter)
             return waiter
         if self.refusal:
             waiter.callback(('h', GroupRefused(self.refusal, 0.7)))
             return waiter
+        self._make(group, waiter)
+        return waiter
+
+    def finish(self):
+        """End the stage work that never ended."""
+        self._make(*self.waiting)
+
+    def _make(self, group, waiter):
         self.made += 1
         handle = f'10.0.0.9:1/{self.made}'
         waiter.callback(('h', GroupDone((handle,) * group.count)))
-        return waiter
 
     def refreshed(self, services):
         """Ask no owner."""
@@ -205,6 +219,17 @@
         return ''
 
 
+class _Configuration:
+    """A route table that the test replaces, always proven."""
+
+    def __init__(self, table):
+        self.table = table
+
+    def is_proven(self):
+        """Return that it is."""
+        return True
+
+
 class Story:
     """One request through a host whose upstreams the test plays."""
 
@@ -236,16 +261,22 @@
             'd',
             self,
             self.registry,
-            None,
+            _Configuration(None),
             self.budget,
             self.stages,
             NAMES,
             self._log,
         )
         service = Service(SERVICE, cold_rate=cold_rate)
-        self.table = RouteTable(1, services={SERVICE: service})
         steps = (StageStep('encode'),) if staged else ()
         self.route = route(kind, attempts, steps=steps)
+        self.table = RouteTable(
+            1,
+            {'host': (self.route,)},
+            {SERVICE: service},
+            {KEY: Team(TEAM)},
+        )
+        self.core.configuration.table = self.table
         self.answer = ScriptedAnswer()
         self.work = None
 
@@ -266,6 +297,8 @@
             b'body',
             self.route,
             self.table,
+            Asked('host', '/a/', f'Bearer {KEY}'),
+            TEAM,
             arrived=now,
             aim=now + self.route.aim,
             ends=now + min(deadline, self.route.timeout),
@@ -275,6 +308,11 @@
         )
         self.work = serve(self.core, exchange, self.answer)
 
+    def change(self, **fields):
+        """Put a newer table in force, with some fields of its own."""
+        newer = replace(self.table, version=self.table.version + 1, **fields)
+        self.core.configuration.table = newer
+
     def leave(self):
         """Let the caller close its connection."""
         self.answer.gone = True
--- a/features/forward.feature
+++ b/features/forward.feature
@@ -180,3 +180,47 @@
     Given 9 model engines of which 1 fails 4 in 10
     Then the failing engine is left out of the choice
     But when all fail alike all are used
+
+  Scenario Outline: What is taken away while the stages work is not used
+    The stages take a second, the operator takes the <thing> away meanwhile. The
+    request was sent on by the configuration of its arrival.
+    Given a forwarded "once" request with stage work
+    And its stage work never ends
+    When its <thing> is taken away
+    And its stage work ends
+    Then the caller of the forwarded request gets <status>
+    And 0 forwarded sends were made
+    And its 2 stage results are released
+
+    Examples:
+      | thing | status |
+      | key   | 401    |
+      | route | 404    |
+
+  Scenario: A key that is taken away between two attempts is not used again
+    Given a forwarded "once" request
+    When its key is taken away
+    And forwarded send 0 is answered 503 and not run
+    Then the caller of the forwarded request gets 401
+    And 1 forwarded sends were made
+
+  Scenario: A request that may have run is not refused for a key taken away
+    Given a forwarded "idempotent" request
+    When its key is taken away
+    And forwarded send 0 is answered 500 whole
+    And forwarded send 1 is answered 200 whole
+    Then the caller of the forwarded request gets 200 whole
+
+  Scenario: A route that moves while the stages work leads to its new service
+    Given a forwarded "once" request with stage work
+    And its stage work never ends
+    When its route is moved to the service "other"
+    And its stage work ends
+    Then the request goes on to "10.0.1.0:1" for the team "team"
+
+  Scenario: A key that another team gets meanwhile is sent on as that team's
+    Given a forwarded "once" request with stage work
+    And its stage work never ends
+    When its key goes to the team "new"
+    And its stage work ends
+    Then the request goes on to "10.0.0.0:1" for the team "new"
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -1,18 +1,27 @@
 """Steps of forwarded requests."""
 
+from dataclasses import replace
 from random import Random
 
 from behave import given, then, when
 from twisted.internet.task import Clock
 
-from features.builders.forward import NAMES, SERVICE, Story, event_bytes
+from features.builders.forward import (
+    KEY,
+    NAMES,
+    SERVICE,
+    Story,
+    event_bytes,
+)
 from pollenstile.forward import (
     EngineView,
     Lost,
     RepeatBudget,
     chosen_engine,
+    Upstream,
     usable,
 )
+from pollenstile.routes import Target, Team
 
 _BODY = b'an answer'
 
@@ -50,6 +59,39 @@
     assert context.story.budget.spend(SERVICE, left)
 
 
+@when('its {thing} is taken away')
+def when_taken_away(context, thing):
+    changes = {'key': {'keys': {}}, 'route': {'by_host': {}}}
+    context.story.change(**changes[thing])
+
+
+@when('its key goes to the team "{team}"')
+def when_other_team(context, team):
+    context.story.change(keys={KEY: Team(team)})
+
+
+@when('its route is moved to the service "{service}"')
+def when_moved(context, service):
+    story = context.story
+    moved = replace(story.route, targets=(Target(service),))
+    upstream = Upstream('other', service, '10.0.1.0:1', 'd')
+    story.registry.take('other', upstream)
+    story.change(by_host={'host': (moved,)})
+
+
+@when('its stage work ends')
+def when_stages_end(context):
+    context.story.stages.finish()
+
+
+@then('the request goes on to "{address}" for the team "{team}"')
+def then_goes_to(context, address, team):
+    assert len(context.story.calls) == 1
+    call = context.story.calls[0]
+    assert call.address == address, call.address
+    assert call.headers[NAMES.team] == team.encode(), call.headers
+
+
 @when('forwarded send {place:d} is lost')
 def when_lost(context, place):
     context.story.calls[place].head.callback(Lost('reset', 'i0'))
@@ -211,6 +253,11 @@
     assert context.story.stages.made == count
 
 
+@then('its {count:d} stage results are released')
+def then_count_released(context, count):
+    assert len(context.story.stages.released) == count
+
+
 @then('all its stage results are released')
 def then_released(context):
     assert len(context.story.stages.released) == 4
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -26,6 +26,7 @@
 from pollenstile.forward._run import serve
 from pollenstile.forward._settings import HostSettings
 from pollenstile.forward._types import (
+    Asked,
     BodyEnd,
     Exchange,
     HeaderNames,
--- /dev/null
+++ b/pollenstile/forward/_admission.py
@@ -0,0 +1,84 @@
+"""What the configuration in force allows a request, also after it came."""
+
+from dataclasses import dataclass
+
+from pollenstile.forward._types import Refusal
+from pollenstile.routes import Route, Team, picked_service, route_of, team_of
+
+# Where refusals of this module arise.
+_STEP = 'entry'
+_UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+# Seconds after which another host, or this one with a newer proof, may serve.
+_PROOF_RETRY = 0.3
+
+
+@dataclass(slots=True, frozen=True)
+class Admitted:
+    """The route that a request takes, and its team.
+
+    Parameters
+    ==========
+
+    team : Team or None
+        None on public routes.
+    """
+
+    route: Route
+    team: Team | None
+
+
+def admitted(configuration, asked):
+    """Return :class:`Admitted`, or a :class:`Refusal`.
+
+    Parameters
+    ==========
+
+    configuration : Configuration
+        With the route table in force and its proof.
+    asked : Asked
+        What the request asks for, and by which key.
+    """
+    table = configuration.table
+    route = route_of(table, asked.host, asked.path)
+    if route is None:
+        return Refusal(_NOT_FOUND, 'no such route', _STEP)
+    if table.keys is None or route.public:
+        return Admitted(route, None)
+    team = team_of(table, asked.authorization)
+    if team is None:
+        return Refusal(_UNAUTHORIZED, 'unknown key', _STEP)
+    if not configuration.is_proven():
+        return Refusal(
+            _UNAVAILABLE,
+            'the key can not be checked',
+            _STEP,
+            '',
+            _PROOF_RETRY,
+        )
+    return Admitted(route, team)
+
+
+def refused_since(core, exchange):
+    """Return why a request may not be sent any more, or None.
+
+    Explanation
+    ===========
+
+    Stage work takes seconds, and keys and routes are taken away meanwhile. A
+    route that has moved leads to one of its services of now.
+    """
+    table = core.configuration.table
+    if table is exchange.table:
+        return None
+    outcome = admitted(core.configuration, exchange.asked)
+    if isinstance(outcome, Refusal):
+        return outcome
+    exchange.table = table
+    exchange.team = outcome.team.name if outcome.team else ''
+    targets = {target.service for target in outcome.route.targets}
+    if exchange.service not in targets:
+        exchange.service = picked_service(outcome.route, core.rng.random())
+        core.budget.note_first(exchange.service)
+    return None
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -1,26 +1,17 @@
 """From a caller's bytes to an exchange, or to the reason why not."""
 
-from pollenstile.forward._types import Exchange, Refusal
+from pollenstile.forward._admission import admitted
+from pollenstile.forward._types import Asked, Exchange, Refusal
 from pollenstile.ops.numbers import whole_number
-from pollenstile.routes import (
-    Kind,
-    picked_service,
-    route_of,
-    team_of,
-    urgency_of,
-)
+from pollenstile.routes import Kind, picked_service, urgency_of
 
 _MS = 1000
 # Where refusals of this module arise.
 _STEP = 'entry'
 _BAD_REQUEST = 400
-_UNAUTHORIZED = 401
-_NOT_FOUND = 404
 _UNAVAILABLE = 503
 # Seconds after which a host that just started has its configuration.
 _START_RETRY = 0.5
-# Seconds after which another host, or this one with a newer proof, may serve.
-_PROOF_RETRY = 0.3
 # Pieces of one step of a request, and parts of a prompt, at most.
 _MOST_PIECES = 256
 _MOST_PARTS = 64
@@ -60,27 +51,20 @@
     hosts = answer.requestHeaders.getRawHeaders(b'host', ())
     if len(hosts) != 1 or not target.startswith(b'/'):
         return Refusal(_BAD_REQUEST, 'host or target', _STEP)
-    path = target.partition(b'?')[0].decode('latin-1')
-    route = route_of(table, hosts[0].decode('latin-1'), path)
-    if route is None:
-        return Refusal(_NOT_FOUND, 'no such route', _STEP)
-    team = None
-    if table.keys is not None and not route.public:
-        team = team_of(table, _text(answer, b'authorization'))
-        if team is None:
-            return Refusal(_UNAUTHORIZED, 'unknown key', _STEP)
-        if not core.configuration.is_proven():
-            return Refusal(
-                _UNAVAILABLE,
-                'the key can not be checked',
-                _STEP,
-                '',
-                _PROOF_RETRY,
-            )
-    return _exchange(core, answer, table, route, team)
-
-
-def _exchange(core, answer, table, route, team):
+    asked = Asked(
+        hosts[0].decode('latin-1'),
+        target.partition(b'?')[0].decode('latin-1'),
+        _text(answer, b'authorization'),
+    )
+    outcome = admitted(core.configuration, asked)
+    if isinstance(outcome, Refusal):
+        return outcome
+    return _exchange(core, answer, asked, outcome)
+
+
+def _exchange(core, answer, asked, outcome):
+    route = outcome.route
+    team = outcome.team
     names = core.names
     now = core.clock.seconds()
     deadline = whole_number(_text(answer, names.deadline))
@@ -100,7 +84,8 @@
         headers=_forwarded_headers(answer, names),
         body=answer.content.getvalue(),
         route=route,
-        table=table,
+        table=core.configuration.table,
+        asked=asked,
         team=team.name if team else '',
         urgency=urgency_of(route, team),
         arrived=now,
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -3,6 +3,7 @@
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from pollenstile.forward import events
+from pollenstile.forward._admission import refused_since
 from pollenstile.forward._attempt import (
     GONE,
     Attempt,
@@ -128,8 +129,8 @@
             return
         while True:
             inputs = self.chain.held_bytes() if self.chain else {}
-            view = chosen_view(self.core, self.exchange, self.tried, inputs)
-            if isinstance(view, NotRun):
+            view = _next_view(self, inputs)
+            if isinstance(view, (NotRun, Refusal)):
                 self._give_up(view)
                 return
             self.waste.note_read(inputs, view.domain)
@@ -328,6 +329,9 @@
         if isinstance(outcome, Failing):
             self._pass_on(outcome)
             return
+        if isinstance(outcome, Refusal):
+            self._refuse(outcome)
+            return
         self._refuse(final_refusal(outcome, self.runs, self.core.rng))
 
     def _pass_on(self, failing):
@@ -351,6 +355,22 @@
         self.answer.refuse(refusal)
 
 
+def _next_view(run, inputs):
+    """Return where a request is sent next, or why it is sent nowhere.
+
+    Explanation
+    ===========
+
+    One that may have run is not refused as if it had not, and an answer that
+    has begun is brought to its end.
+    """
+    if not run.runs and not run.answer.begun:
+        refusal = refused_since(run.core, run.exchange)
+        if refusal is not None:
+            return refusal
+    return chosen_view(run.core, run.exchange, run.tried, inputs)
+
+
 def _load_age(view, now):
     """Return milliseconds since a load report; -1 when there was none."""
     return int((now - view.load_at) * _MS) if view.load_at > 0 else -1
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -61,6 +61,24 @@
     reserved: frozenset = frozenset()
 
 
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """What a request asks for, and in whose name.
+
+    Parameters
+    ==========
+
+    host, path : str
+        By which its route is found.
+    authorization : str
+        The header with the team's key.
+    """
+
+    host: str
+    path: str
+    authorization: str = ''
+
+
 @dataclass(slots=True)
 class Exchange:
     """One request of a caller.
@@ -79,7 +97,9 @@
     route : Route
         Matched.
     table : RouteTable
-        In force when the request came.
+        That the request was held against last.
+    asked : Asked
+        By which it is held against a newer one.
     team : str
         Name, empty on public routes.
     urgency : int
@@ -101,6 +121,7 @@
     body: bytes
     route: object
     table: object
+    asked: Asked
     team: str = ''
     urgency: int = 0
     arrived: float = 0.0
