forward: no request is taken by a configuration that should have been checked

A request is taken while the proof of the configuration is younger than the bound on changes, or if a read since that proof has shown that the store is out of reach: it failed, or had no answer within 0.2 s, looked at after what came while the process stood still. So hosts that are cut off go on by what they know, as before, and keys stop at 0.9 of their bound, as before; a host that has the store and did not ask it refuses at once with 503 and 0.3 s.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -225,6 +225,10 @@
     def __init__(self, table):
         self.table = table
 
+    def is_current(self):
+        """Return that no change is missing."""
+        return True
+
     def is_proven(self):
         """Return that it is."""
         return True
--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -70,6 +70,10 @@
         self.table = table
         self.proven = True
 
+    def is_current(self):
+        """Return that no change is missing."""
+        return True
+
     def is_proven(self):
         """Return what the test says."""
         return self.proven
--- a/features/forward_state.feature
+++ b/features/forward_state.feature
@@ -14,6 +14,19 @@
     Then its keys are trusted for 4.4 seconds
     But not for 4.6 seconds
 
+  Scenario: A host that was kept from asking takes no requests by an old table
+    A host has the store, and did not ask it: it stood still, or relied on
+    another one. Changes of longer ago than the bound may be missing.
+    Given a configuration reader that has read version 7
+    Then its table is in use for 1.9 seconds
+    But not for 2.1 seconds, until a read is on its way without an answer
+
+  Scenario: A host that has lost the store goes on by what it knows
+    Given a configuration reader at a store that is silent for 0 seconds
+    When 5 seconds of reading pass
+    And the store falls silent, and 4.0 seconds of reading pass
+    Then its table was in use all the while
+
   Scenario: A proof dates from before its read was sent
     An answer takes three seconds. What it says was true at some moment in
     them, and the key may have been taken away right after the first.
--- a/features/lag.feature
+++ b/features/lag.feature
@@ -23,6 +23,7 @@
     When "<fault>" comes over a domain of each of 3,10,30,43 hosts
     Then each host in touch with the store had each change within 2.0 seconds
     And it knew of upstreams that leave and of drained domains within 2.0 seconds
+    And no host refused requests for want of a newer configuration
 
     Examples:
       | fault                   |
--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -134,6 +134,41 @@
         context.clock.advance(0.01)
 
 
+@when('the store falls silent, and {seconds:g} seconds of reading pass')
+def when_silent(context, seconds):
+    context.store.silent = float('inf')
+    context.unused = []
+    for _ in range(round(seconds * 100)):
+        context.clock.advance(0.01)
+        if not context.reading.is_current():
+            context.unused.append(context.clock.seconds())
+
+
+@then('its table was in use all the while')
+def then_in_use(context):
+    assert not context.unused, context.unused
+    assert context.reading.age() > context.reading.apply_seconds
+
+
+@then('its table is in use for {seconds:g} seconds')
+def then_is_current(context, seconds):
+    context.reader.now += seconds
+    assert context.reader.reader.is_current()
+
+
+@then(
+    'not for {seconds:g} seconds, until a read is on its way without an answer'
+)
+def then_not_current(context, seconds):
+    reader = context.reader.reader
+    context.reader.now += seconds - reader.age()
+    assert not reader.is_current()
+    reader.loop.away_at = reader.proven_at - 1
+    assert not reader.is_current()
+    reader.loop.away_at = context.reader.now
+    assert reader.is_current()
+
+
 @then('its keys are trusted')
 def then_are_trusted(context):
     assert context.reading.is_proven()
--- a/features/steps/lag_steps.py
+++ b/features/steps/lag_steps.py
@@ -71,3 +71,9 @@
     for lag in context.lags:
         assert lag.leave_ms <= bound * _MS, lag
         assert lag.drain_ms <= bound * _MS, lag
+
+
+@then('no host refused requests for want of a newer configuration')
+def then_none_refused(context):
+    for lag in context.lags:
+        assert lag.refusing_ms == 0, lag
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -30,7 +30,7 @@
 from pollenstile.standin.objectapi import MemoryStore
 
 # Seconds that the virtual clock moves at a time.
-_STEP = 0.01
+STEP = 0.01
 # Seconds one way between hosts of a domain.
 _WAY = 0.0005
 # Seconds of a call of the store.
@@ -308,8 +308,8 @@
 
     def pass_by(self, seconds, look=None):
         """Let time pass; call a function at each step."""
-        for _ in range(round(seconds / _STEP)):
-            self.clock.advance(_STEP)
+        for _ in range(round(seconds / STEP)):
+            self.clock.advance(STEP)
             if look is not None:
                 look()
 
@@ -329,14 +329,18 @@
         """Return the hosts that the others have links to for the store."""
         return list(self.hosts.values())[:2]
 
-    def in_touch(self):
-        """Return the hosts that run and are in touch with the store."""
+    def running(self):
+        """Return the hosts that run."""
         return [
             host
             for host in self.hosts.values()
-            if host.path.is_in_touch() and not (host.frozen or host.gone)
+            if not (host.frozen or host.gone)
         ]
 
+    def in_touch(self):
+        """Return the hosts that run and are in touch with the store."""
+        return [host for host in self.running() if host.path.is_in_touch()]
+
     def calls(self):
         """Return the calls of the store that all hosts have made."""
         return sum(host.path.calls for host in self.hosts.values())
@@ -344,7 +348,7 @@
     def _write(self, kind, name, value):
         done = Deferred.fromCoroutine(self.store.put(kind, name, value))
         while not done.called:
-            self.clock.advance(_STEP)
+            self.clock.advance(STEP)
 
     def _is_cut(self, near, far):
         by_address = {host.address: host for host in self.hosts.values()}
--- a/pollenstile/bench/lag.py
+++ b/pollenstile/bench/lag.py
@@ -14,7 +14,7 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.bench._domainworld import DomainHost, DomainWorld
+from pollenstile.bench._domainworld import STEP, DomainHost, DomainWorld
 
 # Seconds for which faults last, and are looked at.
 _PLAYED = 8.0
@@ -139,6 +139,9 @@
         From the acknowledgement of a change of the configuration, of an
         upstream's leaving, or of a drained domain, 50 ms after the fault, until
         the last of these hosts knew it.
+    refusing_ms : int
+        For how long hosts that run refused all requests, as their
+        configuration might have been an old one; all hosts together.
     calls_host_s : float
         Calls of the store a second for each host.
     """
@@ -149,6 +152,7 @@
     change_ms: int
     leave_ms: int
     drain_ms: int
+    refusing_ms: int
     calls_host_s: float
 
 
@@ -169,9 +173,15 @@
     calls = world.calls()
     FAULTS[fault](world)
     ages = [0.0]
+    refusing = []
 
     def look():
         ages.extend(host.configuration.age() for host in world.in_touch())
+        refusing.extend(
+            host.name
+            for host in world.running()
+            if not host.configuration.is_current()
+        )
 
     world.pass_by(_PLAYED, look)
     calls = world.calls() - calls
@@ -180,6 +190,7 @@
         fault,
         round(max(ages) * _MS),
         *_news_ms(DomainWorld(hosts, **bounds), fault),
+        round(len(refusing) * STEP * _MS),
         round(calls / hosts / _PLAYED, 2),
     )
 
--- a/pollenstile/forward/_admission.py
+++ b/pollenstile/forward/_admission.py
@@ -40,6 +40,8 @@
     asked : Asked
         What the request asks for, and by which key.
     """
+    if not configuration.is_current():
+        return _unavailable('the configuration can not be checked')
     table = configuration.table
     route = route_of(table, asked.host, asked.path)
     if route is None:
@@ -50,13 +52,7 @@
     if team is None:
         return Refusal(_UNAUTHORIZED, 'unknown key', _STEP)
     if not configuration.is_proven():
-        return Refusal(
-            _UNAVAILABLE,
-            'the key can not be checked',
-            _STEP,
-            '',
-            _PROOF_RETRY,
-        )
+        return _unavailable('the key can not be checked')
     return Admitted(route, team)
 
 
@@ -82,3 +78,7 @@
         exchange.service = picked_service(outcome.route, core.rng.random())
         core.budget.note_first(exchange.service)
     return None
+
+
+def _unavailable(reason):
+    return Refusal(_UNAVAILABLE, reason, _STEP, '', _PROOF_RETRY)
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -100,6 +100,7 @@
         settings.revoke_seconds,
         log,
     )
+    configuration.apply_seconds = settings.apply_seconds
     hub = _built_hub(reactor, rng, settings, log)
     client = HttpClient(reactor)
     budget = RepeatBudget(
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -34,6 +34,9 @@
 _WHOLE_SECONDS = 1.2
 # Seconds between looks whether a host that follows another one has to read.
 _COVERED_PAUSE = 0.1
+# Seconds beyond its hold within which a store that is sound answers a read; a
+# slow one takes 0.24 s.
+_HEARD_SECONDS = 0.2
 # Seconds beyond its hold after which a read that is not answered gets another
 # one beside it, and how many may be under way: a slow store answers within
 # 0.3 s, one that is silent is not given more than one call in half a second.
@@ -61,6 +64,9 @@
 
     failures : int
         Reads in a row without an answer.
+    away_at : float
+        On the suspend clock: when a read has shown last that the store is out
+        of reach, as it failed or had no answer where a sound store gives one.
     silent : bool
         Whether a read had no answer in its time, and none came since.
     under_way, whole_under_way : int
@@ -83,6 +89,7 @@
     """
 
     __slots__ = (
+        'away_at',
         'clock',
         'configuration',
         'covered',
@@ -116,6 +123,7 @@
         self.idle = None
         self.failures = 0
         self.silent = False
+        self.away_at = -1000.0
         self.under_way = 0
         self.whole_under_way = 0
         self.whole_at = -1000.0
@@ -234,9 +242,13 @@
         self.whole_under_way += whole
         if whole:
             self.whole_at = began
+        late = self.clock.callLater(hold + _HEARD_SECONDS, self._look_late)
+        if whole:
             outcome = await whole_config(self.store)
         else:
             outcome = await newer_config(self.store, configuration.seen, hold)
+        if late.active():
+            late.cancel()
         self.under_way -= 1
         self.whole_under_way -= whole
         if whole:
@@ -250,6 +262,18 @@
             configuration.take_news(outcome, began, whole=whole)
         self._note(outcome, answered=answered)
 
+    def _look_late(self):
+        # An answer that came while the process stood still is taken before the
+        # next call.
+        self.clock.callLater(0, self._note_late)
+
+    def _note_late(self):
+        if self.under_way:
+            self._note_away()
+
+    def _note_away(self):
+        self.away_at = self.configuration.suspend_clock()
+
     def _note(self, outcome, *, answered):
         if answered and self.failures:
             self.log(events.STORE_REGAINED, failures=self.failures)
@@ -257,6 +281,7 @@
             self.failures = 0
             self.silent = False
         else:
+            self._note_away()
             self.failures += 1
             if self.failures == 1:
                 self.log(
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -12,6 +12,8 @@
 # Part of the bound after which callers should go elsewhere: two reads have
 # failed, and the balancer takes two seconds to notice.
 _FRESH_SHARE = 0.45
+# Seconds within which a change is in force where nothing else is said.
+_APPLY_SECONDS = 2.0
 _MS = 1000
 
 
@@ -45,6 +47,8 @@
     Attributes
     ==========
 
+    apply_seconds : float
+        Within this time a change is in force.
     table : RouteTable or None
         In force.
     proven_at : float
@@ -70,6 +74,7 @@
     """
 
     __slots__ = (
+        'apply_seconds',
         'decode',
         'found',
         'in_storm',
@@ -100,6 +105,7 @@
         self.suspend_clock = suspend_clock
         self.decode = decode
         self.revoke_seconds = revoke_seconds
+        self.apply_seconds = _APPLY_SECONDS
         self.log = log
         self.table = None
         self.revision = 0
@@ -128,6 +134,20 @@
         """
         return self.age() < _FRESH_SHARE * self.revoke_seconds
 
+    def is_current(self):
+        """Return whether requests may be taken by the table in force.
+
+        Explanation
+        ===========
+
+        A host that has lost the store goes on by what it knows, and one that
+        has it would have heard of a change in time. Between them is a host that
+        was kept from asking: by its own load, or by whom it relied on. That the
+        store was lost before the proof says nothing of now.
+        """
+        is_away = self.loop.away_at > self.proven_at
+        return is_away or self.age() < self.apply_seconds
+
     def age(self):
         """Return the seconds since the proof was true."""
         return self.suspend_clock() - self.proven_at
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -191,6 +191,7 @@
         self.settings = settings
         core = self.parts.core
         core.configuration.revoke_seconds = settings.revoke_seconds
+        core.configuration.apply_seconds = settings.apply_seconds
         self.parts.relay.follower.word_seconds = word_seconds(settings)
         core.budget.ratio = settings.repeat_ratio
         core.budget.slack = settings.repeat_slack
