relay: a word that is too old is not followed

A word past its time is taken for news and not followed; its reader is passed over, longer each time. And the timer looks once more after what came while the process stood still, so that a host that was starved does not leave a sound reader.

--- a/features/lag.feature
+++ b/features/lag.feature
@@ -11,6 +11,14 @@
     When the store refuses its readers, and 4 seconds pass
     Then all other hosts but one follow that one
 
+  Scenario: A configuration that can't be used does not send hosts back and forth
+    Its reader is in touch with the store, and what it can prove is old. Each word
+    led a host back to its reader, and to the store half a second later.
+    Given a domain of 30 hosts
+    When a configuration that can't be used is written, and 12 seconds pass
+    Then no host has gone back to a reader more than 3 times
+    And each called the store at most a quarter more than a host without readers
+
   Scenario: A store that is away is not called for each kind of news
     Each host of a domain called it three times more as its readers failed.
     Given a domain of 30 hosts
--- a/features/steps/lag_steps.py
+++ b/features/steps/lag_steps.py
@@ -1,11 +1,15 @@
 """Steps of whole hosts of a domain whose readers or store fail."""
 
+from collections import Counter
+
 from behave import given, then, when
 
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.bench.lag import lag_of
 
 _MS = 1000
+# Seconds after which a host that reads for itself has settled.
+_LOOKED_BACK = 12.0
 
 
 @given('a domain of {hosts:d} hosts')
@@ -28,6 +32,40 @@
     context.world.pass_by(seconds)
 
 
+@when(
+    "a configuration that can't be used is written, and {seconds:g} seconds"
+    ' pass'
+)
+def when_unusable(context, seconds):
+    alone = DomainWorld(1, **context.world.bounds)
+    context.calls = []
+    for world in (context.world, alone):
+        before = world.calls()
+        world.write_configuration('none')
+        world.pass_by(seconds)
+        context.calls.append((world.calls() - before) / len(world.hosts))
+
+
+@then('no host has gone back to a reader more than {most:d} times')
+def then_steady(context, most):
+    logged = context.world.logged
+    began = context.world.clock.seconds() - _LOOKED_BACK
+    back = Counter(
+        host
+        for at, host, event, _ in logged
+        if event == 'reader-followed' and at > began
+    )
+    assert max(back.values(), default=0) <= most, back
+
+
+@then(
+    'each called the store at most a quarter more than a host without readers'
+)
+def then_called(context):
+    each, alone = context.calls
+    assert each <= 1.25 * alone, context.calls
+
+
 @then('all other hosts but one follow that one')
 def then_one_followed(context):
     others = context.world.in_touch()
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -170,6 +170,12 @@
         return failed(_STEP_NAME, _PEER, 'refused')
 
 
+def _table(value):
+    if not isinstance(value, int):
+        raise ValueError('no version')
+    return RouteTable(value)
+
+
 def _upstream(name, value):
     return Upstream(name, 's', 'u:1', _DOMAIN, leaving=value == 'leaving')
 
@@ -180,7 +186,7 @@
 
     names: HeaderNames = field(default_factory=HeaderNames)
     codec: PlainCodec = field(default_factory=PlainCodec)
-    decode_table: object = RouteTable
+    decode_table: object = _table
     decode_upstream: object = _upstream
 
 
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -45,6 +45,7 @@
 
 
 _NO_STORE = 'reader without store'
+_TOO_OLD = 'word too old'
 
 
 @dataclass(slots=True, frozen=True)
@@ -98,8 +99,10 @@
         Whether the next ask is for the whole configuration.
     word_seconds : float
         For so long after its date this host goes by a reader's word.
+    word_ends : float
+        On the suspend clock: until when the last word holds.
     word_timer : IDelayedCall or None
-        Ends the following when the last word is that old.
+        Ends the following then.
     numbers : dict
         The newest change that was taken of each kind, as the source counts.
     feeds : dict
@@ -126,6 +129,7 @@
         'suspend_clock',
         'turn_at',
         'unfit_words',
+        'word_ends',
         'word_seconds',
         'word_timer',
     )
@@ -158,6 +162,7 @@
         self.place = _first
         self.needs_whole = False
         self.word_seconds = _WORD_SECONDS
+        self.word_ends = 0.0
         self.word_timer = None
         self.running = True
 
@@ -277,11 +282,12 @@
         self.needs_whole = word is None
         if word is None:
             return ''
-        if not self.configuration.told(word, began):
-            return 'configuration not told'
-        self._follow(host, word)
-        self._hold_until(began - word.aged + self.word_seconds)
-        return ''
+        told = self.configuration.told(word, began)
+        if told and word.aged < self.word_seconds:
+            self._follow(host, word)
+            self._hold_until(began - word.aged + self.word_seconds)
+            return ''
+        return _TOO_OLD if told else 'configuration not told'
 
     def _hold_until(self, ends):
         """Go by the word until a moment on the suspend clock, not longer.
@@ -295,10 +301,18 @@
         """
         if self.word_timer is not None and self.word_timer.active():
             self.word_timer.cancel()
+        self.word_ends = ends
         left = max(0, ends - self.suspend_clock())
-        self.word_timer = self.clock.callLater(
-            left, self._read_directly, 'word too old'
-        )
+        self.word_timer = self.clock.callLater(left, self._word_ended)
+
+    def _word_ended(self):
+        # A word that came while the process stood still is taken before the
+        # next call.
+        self.word_timer = self.clock.callLater(0, self._look_again)
+
+    def _look_again(self):
+        if self.suspend_clock() >= self.word_ends:
+            self._read_directly(_TOO_OLD)
 
     def _follow(self, host, word):
         if self.following != host:
