forward: a request that was taken is not refused for a proof that got old since

The look at the configuration before a send asked for a young proof as well: a host that loses the store after a newer version had come would have refused what its stages had worked for. Found by reading the change; the scenario fails without it. The proof counts at the arrival, the newer table later.

And an answer that is coming in over a full link does not show that the store is out of reach.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -220,18 +220,19 @@
 
 
 class _Configuration:
-    """A route table that the test replaces, always proven."""
+    """A route table and its proof, which the test replaces."""
 
     def __init__(self, table):
         self.table = table
+        self.proven = True
 
     def is_current(self):
-        """Return that no change is missing."""
-        return True
+        """Return what the test says."""
+        return self.proven
 
     def is_proven(self):
-        """Return that it is."""
-        return True
+        """Return what the test says."""
+        return self.proven
 
 
 class Story:
--- a/features/forward.feature
+++ b/features/forward.feature
@@ -224,3 +224,13 @@
     When its key goes to the team "new"
     And its stage work ends
     Then the request goes on to "10.0.0.0:1" for the team "new"
+
+  Scenario: A host that loses the store meanwhile serves what it has taken
+    Its proof was young enough when the request came; refused now, the work of
+    the stages would be lost for nothing.
+    Given a forwarded "once" request with stage work
+    And its stage work never ends
+    When its key goes to the team "new"
+    And its host can prove nothing any more
+    And its stage work ends
+    Then the request goes on to "10.0.0.0:1" for the team "new"
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -79,6 +79,11 @@
     story.change(by_host={'host': (moved,)})
 
 
+@when('its host can prove nothing any more')
+def when_host_lost(context):
+    context.story.core.configuration.proven = False
+
+
 @when('its stage work ends')
 def when_stages_end(context):
     context.story.stages.finish()
--- a/pollenstile/forward/_admission.py
+++ b/pollenstile/forward/_admission.py
@@ -42,7 +42,15 @@
     """
     if not configuration.is_current():
         return _unavailable('the configuration can not be checked')
-    table = configuration.table
+    outcome = _allowed(configuration.table, asked)
+    has_key = isinstance(outcome, Admitted) and outcome.team is not None
+    if has_key and not configuration.is_proven():
+        return _unavailable('the key can not be checked')
+    return outcome
+
+
+def _allowed(table, asked):
+    """Return what a route table says of a request, whatever its age."""
     route = route_of(table, asked.host, asked.path)
     if route is None:
         return Refusal(_NOT_FOUND, 'no such route', _STEP)
@@ -51,8 +59,6 @@
     team = team_of(table, asked.authorization)
     if team is None:
         return Refusal(_UNAUTHORIZED, 'unknown key', _STEP)
-    if not configuration.is_proven():
-        return _unavailable('the key can not be checked')
     return Admitted(route, team)
 
 
@@ -63,12 +69,13 @@
     ===========
 
     Stage work takes seconds, and keys and routes are taken away meanwhile. A
-    route that has moved leads to one of its services of now.
+    route that has moved leads to one of its services of now. How old the table
+    is does not matter any more: it was young enough when the request came.
     """
     table = core.configuration.table
     if table is exchange.table:
         return None
-    outcome = admitted(core.configuration, exchange.asked)
+    outcome = _allowed(table, exchange.asked)
     if isinstance(outcome, Refusal):
         return outcome
     exchange.table = table
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -268,7 +268,7 @@
         self.clock.callLater(0, self._note_late)
 
     def _note_late(self):
-        if self.under_way:
+        if self.under_way and not self.is_answering():
             self._note_away()
 
     def _note_away(self):
