--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -157,7 +157,7 @@
     wanted = ownership.wanted_links(parts.stages.limits)
     # Linked to the first readers only, a domain whose readers have no store
     # would read it host by host.
-    is_skipped = parts.relay.follower.is_skipped
+    is_skipped = parts.relay.follower.skipped.is_skipped
     readers = [
         host for host in parts.relay.readers.order if not is_skipped(host)
     ]
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -1,6 +1,6 @@
 """A host that takes the store's news from the reader of its domain."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from twisted.internet.defer import Deferred
 
@@ -15,6 +15,7 @@
     config_from,
     word_from,
 )
+from pollenstile.relay._skipping import SkippedReaders
 from pollenstile.relay._source import ASK
 
 # Seconds for which a reader holds an ask while there is nothing new, and for
@@ -25,10 +26,6 @@
 _LATE = 0.4
 # Seconds for which a word holds where nothing else is said.
 _WORD_SECONDS = 1.7
-# Seconds for which a reader that failed is passed over, at first; twice as long
-# after each further failure in a row, up to a bound.
-_SKIP_SECONDS = 3.0
-_LONGEST_SKIP = 12.0
 # Words in a row that a reader has no store after which it is passed over. One
 # that has just become the reader says so until its first read is answered.
 _UNFIT_WORDS = 2
@@ -48,14 +45,6 @@
 _TOO_OLD = 'word too old'
 
 
-@dataclass(slots=True, frozen=True)
-class _Skip:
-    """Until when a reader is passed over, after how many failures in a row."""
-
-    until: float
-    failures: int
-
-
 class Follower:
     """Asks the reader over and over, and hands on what is new.
 
@@ -84,8 +73,8 @@
         The host whose word was taken last; empty while this host reads.
     source : str
         Its incarnation.
-    skipped : dict
-        :class:`_Skip` of each reader that failed, until its word is taken.
+    skipped : SkippedReaders
+        Readers that failed.
     direct_at : float
         On the suspend clock: when this host began to read the store last.
     is_unfit : bool
@@ -155,7 +144,7 @@
         self.feeds = {}
         self.on_direct = []
         self.direct_at = -1000.0
-        self.skipped = {}
+        self.skipped = SkippedReaders(clock)
         self.unfit_words = 0
         self.is_unfit = False
         self.turn_at = 0.0
@@ -180,18 +169,13 @@
         """Return whether another host's word makes own reads needless."""
         return bool(self.following)
 
-    def is_skipped(self, host):
-        """Return whether a reader is passed over now."""
-        skip = self.skipped.get(host)
-        return skip is not None and skip.until > self.clock.seconds()
-
     def forget(self, kind):
         """Ask for all objects of a kind with the next ask."""
         self.numbers.pop(kind, None)
 
     async def _run(self):
         while self.running:
-            host = self.reader(self.is_skipped)
+            host = self.reader(self.skipped.is_skipped)
             if host is None and self._may_read():
                 self._read_directly('no reader')
             if host is None:
@@ -206,8 +190,7 @@
             return True
         now = self.clock.seconds()
         if not self.turn_at:
-            failed = sum(map(self.is_skipped, self.skipped))
-            before = max(0, self.place() - failed)
+            before = max(0, self.place() - self.skipped.count())
             wait = _TURN_SECONDS * before
             self.turn_at = now + wait
             self.log(
@@ -242,23 +225,20 @@
             self.unfit_words = 0
             self.is_unfit = False
             self.turn_at = 0.0
-            self.skipped.pop(host, None)
+            self.skipped.forgive(host)
             return True
         return self._failed(host, reason)
 
     def _failed(self, host, reason):
         """Return whether a reader that failed is passed over now."""
-        before = self.skipped.get(host)
+        is_new = not self.skipped.has_failed(host)
         if reason == _NO_STORE:
             self.is_unfit = True
             self.unfit_words += 1
-            if before is None and self.unfit_words < _UNFIT_WORDS:
+            if is_new and self.unfit_words < _UNFIT_WORDS:
                 return False
         self.unfit_words = 0
-        failures = before.failures if before else 0
-        seconds = min(_SKIP_SECONDS * 2**failures, _LONGEST_SKIP)
-        now = self.clock.seconds()
-        self.skipped[host] = _Skip(now + seconds, failures + 1)
+        self.skipped.skip(host)
         self.log(
             events.READER_SKIPPED,
             peer=host,
