--- a/features/lag.feature
+++ b/features/lag.feature
@@ -19,6 +19,12 @@
     Then no host has gone back to a reader more than 3 times
     And each called the store at most a quarter more than a host without readers
 
+  Scenario: A host whose reader lags reads for itself in time
+    Its reader's word holds, and proves nothing of what the host has read since.
+    Given a domain of 10 hosts with a bound of 2 seconds
+    When the reader of one of them lags, and 6 seconds pass
+    Then its proof was never over 2.0 seconds old
+
   Scenario: A store that is away is not called for each kind of news
     Each host of a domain called it three times more as its readers failed.
     Given a domain of 30 hosts
--- a/features/steps/lag_steps.py
+++ b/features/steps/lag_steps.py
@@ -3,9 +3,11 @@
 from collections import Counter
 
 from behave import given, then, when
+from twisted.internet.defer import succeed
 
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.bench.lag import lag_of
+from pollenstile.relay._messages import Word, word_bytes
 
 _MS = 1000
 # Seconds after which a host that reads for itself has settled.
@@ -46,6 +48,30 @@
         context.calls.append((world.calls() - before) / len(world.hosts))
 
 
+@given('a domain of {hosts:d} hosts with a bound of {bound:g} seconds')
+def given_bound(context, hosts, bound):
+    context.world = DomainWorld(hosts, apply_seconds=bound, leave_seconds=bound)
+
+
+@when('the reader of one of them lags, and {seconds:g} seconds pass')
+def when_lags(context, seconds):
+    host = list(context.world.hosts.values())[-1]
+    revision = host.configuration.revision
+    word = Word('reader', fit=True, config_revision=revision - 1)
+    relay = host.daemon.parts.relay
+    relay.follower.ask = lambda *_: succeed(word_bytes(word))
+    ages = []
+    context.world.pass_by(
+        seconds, lambda: ages.append(host.configuration.age())
+    )
+    context.oldest = max(ages)
+
+
+@then('its proof was never over {seconds:g} seconds old')
+def then_never_older(context, seconds):
+    assert context.oldest <= seconds, context.oldest
+
+
 @then('no host has gone back to a reader more than {most:d} times')
 def then_steady(context, most):
     logged = context.world.logged
