lag: a reader that stays without the store is asked ever more rarely

One word of a reader that failed before, and longer skips each time, had no test: taken out one by one, no scenario failed. Now each makes this one fail (six words of each reader in 18 s where four are allowed).

--- a/features/lag.feature
+++ b/features/lag.feature
@@ -11,6 +11,13 @@
     When the store refuses its readers, and 4 seconds pass
     Then all other hosts but one follow that one
 
+  Scenario: A reader that stays without the store is asked ever more rarely
+    Each ask of such a reader is time without the word of the one that has it:
+    two at first, then one each after 3 and 6 seconds.
+    Given a domain of 30 hosts
+    When the store refuses its readers, and 18 seconds pass
+    Then each other host has heard at most 4 times that each of them has no store
+
   Scenario: A configuration that can't be used does not send hosts back and forth
     Its reader is in touch with the store, and what it can prove is old. Each word
     led a host back to its reader, and to the store half a second later.
--- a/features/steps/lag_steps.py
+++ b/features/steps/lag_steps.py
@@ -7,7 +7,7 @@
 
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.bench.lag import lag_of
-from pollenstile.relay._messages import Word, word_bytes
+from pollenstile.relay._messages import Word, word_bytes, word_from
 
 _MS = 1000
 # Seconds after which a host that reads for itself has settled.
@@ -19,8 +19,23 @@
     context.world = DomainWorld(hosts, apply_seconds=3.0, leave_seconds=3.0)
 
 
+def _counted(ask, unfit):
+    """Return an ask that counts who answers that it has no store."""
+
+    def count(answer, peer):
+        is_word = isinstance(answer, bytes)
+        unfit[peer] += is_word and not word_from(answer).fit
+        return answer
+
+    return lambda peer, *rest: ask(peer, *rest).addCallback(count, peer)
+
+
 @when('the store refuses its readers, and {seconds:g} seconds pass')
 def when_readers_refused(context, seconds):
+    context.unfit = {name: Counter() for name in context.world.hosts}
+    for name, asking in context.world.hosts.items():
+        relay = asking.daemon.parts.relay
+        relay.follower.ask = _counted(relay.follower.ask, context.unfit[name])
     for host in context.world.readers():
         host.path.refuses = True
     context.world.pass_by(seconds)
@@ -102,6 +117,17 @@
     assert followed.count(readers[0]) == len(others) - 1, followed
 
 
+@then(
+    'each other host has heard at most {most:d} times that each of them has no'
+    ' store'
+)
+def then_rarely(context, most):
+    readers = [host.name for host in context.world.readers()]
+    for name in context.world.hosts.keys() - set(readers):
+        heard = [context.unfit[name][reader] for reader in readers]
+        assert 0 < max(heard) <= most, (name, heard)
+
+
 @then('no follower has asked it for anything but the configuration')
 def then_only_configuration(context):
     _, *followers = context.world.hosts.values()
