--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -64,15 +64,16 @@
 
 
 class _Configuration:
-    """A route table in force, with a proof that the test may take away."""
+    """A route table in force; the test says what is proven of it."""
 
     def __init__(self, table):
         self.table = table
         self.proven = True
+        self.current = True
 
     def is_current(self):
-        """Return that no change is missing."""
-        return True
+        """Return what the test says."""
+        return self.current
 
     def is_proven(self):
         """Return what the test says."""
--- a/features/forward_http.feature
+++ b/features/forward_http.feature
@@ -57,6 +57,20 @@
       | a key without proof | 503    |
       | no attempt named    | 400    |
 
+  Scenario Outline: A host that was kept from asking the store denies nothing
+    The route or key may have been added meanwhile, or taken away.
+    Given a forwarding host whose upstream answers "well"
+    And its configuration may be an old one
+    When a caller sends a request with <what>
+    Then it gets 503 and its connection stays
+    And the upstream saw nothing
+
+    Examples:
+      | what            |
+      | an unknown path |
+      | an unknown key  |
+      | a good key      |
+
   Scenario: Before any configuration is known nothing is denied
     A host has just started. Answered 404 or 401, callers would give up for
     good what another host serves.
--- a/features/steps/forward_http_steps.py
+++ b/features/steps/forward_http_steps.py
@@ -69,6 +69,11 @@
     turned_until(lambda: talk.received.count(b'0\r\n\r\n') == 2)
 
 
+@given('its configuration may be an old one')
+def given_old(context):
+    context.host.configuration.current = False
+
+
 @when('a caller sends a request with {fault}')
 def when_fault(context, fault):
     large = b'X-Large: %s\r\n' % (b'x' * 3000)
