forward: a line tells which upstreams have crashed, and what each of them was running

A line named the caller's attempt, which is new each time that a request comes again, and a broken connection stood alike for an upstream that has ended, a reset and a spoilt answer. So nobody could tell whether one request had been under all upstreams that ended.

Now each request has a fingerprint (a digest of team, method, host, target and body, keyed with the secret of the fleet's hosts) in its lines, and after a broken connection the host opens one to the same address: where nobody listens and nothing of its own goes on there, and the upstream was not leaving, the line upstream-crashed (1240) says what it had there and for how long. Nothing is decided by it yet.

Lines of a request have a module of their own.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -13,6 +13,7 @@
     Exchange,
     ForwardCore,
     HeaderNames,
+    Reach,
     Registry,
     RepeatBudget,
     Upstream,
@@ -249,6 +250,8 @@
     ):
         self.clock = Clock()
         self.calls = []
+        self.reached = []
+        self.reaches = Reach.ACCEPTED
         self.logged = []
         self.registry = Registry(self.clock)
         for place in range(upstreams):
@@ -291,6 +294,11 @@
         self.calls.append(call)
         return call
 
+    def reach(self, address):
+        """Be the client: open a connection, as the test says."""
+        self.reached.append(address)
+        return succeed(self.reaches)
+
     def start(self, deadline=3.0):
         """Take the request in."""
         now = self.clock.seconds()
@@ -310,6 +318,7 @@
             counts=(2,) if self.route.steps else (),
             stage_key='key',
             service=SERVICE,
+            fingerprint='f1',
         )
         self.work = serve(self.core, exchange, self.answer)
 
--- /dev/null
+++ b/features/crashes.feature
@@ -0,0 +1,40 @@
+Feature: crashes: which upstreams have ended, and what they were running
+
+  Scenario: The upstreams that ended under a request can be told from its line
+    A caller sends what ends each upstream, and the lines named the attempt only:
+    nobody could tell that it was one request that all of them had.
+    Given a forwarded "resumable" request
+    When nobody listens any more at the upstream of forwarded send 0
+    Then the upstream of forwarded send 0 is logged as crashed under the request
+
+  Scenario: A reset alone is no crash
+    Connections are reset by what lies between, and answers are spoilt.
+    Given a forwarded "resumable" request
+    When the connection of forwarded send 0 breaks
+    Then no upstream is logged as crashed
+
+  Scenario: An upstream that leaves may end
+    A release ends one upstream after the other, with what is still under way.
+    Given a forwarded "resumable" request
+    And the upstream of forwarded send 0 leaves
+    When nobody listens any more at the upstream of forwarded send 0
+    Then no upstream is logged as crashed
+
+  Scenario: An upstream that goes on with other requests has not ended
+    A full one refuses connections, and what it has goes on.
+    Given a forwarded "resumable" request
+    And another request is under way at the upstream of forwarded send 0
+    When nobody listens any more at the upstream of forwarded send 0
+    And 0.3 seconds pass for the forwarded request
+    Then no upstream is logged as crashed
+
+  Scenario: A cut-off upstream is not taken for one that ended
+    Given a forwarded "resumable" request
+    When the connection of forwarded send 0 breaks, and nothing answers there
+    Then no upstream is logged as crashed
+
+  Scenario: A fingerprint tells nobody what was asked
+    Of a request's body and key nothing may stand in logs or go between hosts.
+    Given two fleets with keys of their own
+    Then the same request has another fingerprint in each
+    And another team's, another target's and another body's differ within one
--- /dev/null
+++ b/features/steps/crashes_steps.py
@@ -0,0 +1,104 @@
+"""Steps of upstreams that end, and of what they were running."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from pollenstile.forward import Lost, Reach
+from pollenstile.quarantine import fingerprint
+
+
+def _upstream(context, place):
+    """Return the registry's entry of where a send went."""
+    address = context.story.calls[place].address
+    upstreams = context.story.registry.upstreams.values()
+    return next(one for one in upstreams if one.address == address)
+
+
+def _crashed(context):
+    return [
+        fields
+        for name, fields in context.story.logged
+        if name == 'upstream-crashed'
+    ]
+
+
+def _break(context, place):
+    lost = Lost('ConnectionLost', 'i0', broken=True)
+    context.story.calls[place].head.callback(lost)
+
+
+@given('the upstream of forwarded send {place:d} leaves')
+def given_leaves(context, place):
+    upstream = _upstream(context, place)
+    leaving = replace(upstream, leaving=True)
+    context.story.registry.take(upstream.ident, leaving)
+
+
+@given('another request is under way at the upstream of forwarded send 0')
+def given_busy(context):
+    upstream = _upstream(context, 0)
+    context.story.registry.views[upstream.ident].flying += 1
+
+
+@when('nobody listens any more at the upstream of forwarded send {place:d}')
+def when_ended(context, place):
+    context.story.reaches = Reach.REFUSED
+    _break(context, place)
+
+
+@when('the connection of forwarded send 0 breaks')
+def when_broken(context):
+    _break(context, 0)
+
+
+@when('the connection of forwarded send 0 breaks, and nothing answers there')
+def when_unknown(context):
+    context.story.reaches = Reach.UNKNOWN
+    _break(context, 0)
+
+
+@when('{seconds:g} seconds pass for the forwarded request')
+def when_pass(context, seconds):
+    context.story.clock.advance(seconds)
+
+
+@then('the upstream of forwarded send 0 is logged as crashed under the request')
+def then_crashed(context):
+    crashed = _crashed(context)
+    assert len(crashed) == 1, crashed
+    fields = crashed[0]
+    assert fields['peer'] == _upstream(context, 0).ident
+    sent = [
+        fields for name, fields in context.story.logged if name == 'forwarded'
+    ]
+    assert fields['requests'] == [sent[0]['content']]
+
+
+@then('no upstream is logged as crashed')
+def then_none(context):
+    assert not _crashed(context), _crashed(context)
+
+
+@given('two fleets with keys of their own')
+def given_fleets(context):
+    context.keys = (b'key-1', b'key-2')
+
+
+@then('the same request has another fingerprint in each')
+def then_other(context):
+    first, second = [fingerprint(key, b'a', b'b') for key in context.keys]
+    assert first != second
+
+
+@then("another team's, another target's and another body's differ within one")
+def then_differ(context):
+    requests = (
+        (b'team', b'POST', b'host', b'/a', b'body'),
+        (b'other', b'POST', b'host', b'/a', b'body'),
+        (b'team', b'POST', b'host', b'/b', b'body'),
+        (b'team', b'POST', b'host', b'/a', b'other'),
+        (b'team', b'POST', b'host', b'/ab', b'ody'),
+    )
+    found = {fingerprint(context.keys[0], *parts) for parts in requests}
+    assert len(found) == len(requests)
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -82,6 +82,8 @@
         Knows the last whole event that was handed on.
     arrived : bool
         Whether the request may have reached the upstream.
+    headed_at : float
+        On the clock: when the head of an answer came.
     first_at : float
         On the clock: when the first bytes of a stream came.
     paused : float
@@ -95,6 +97,7 @@
         'core',
         'exchange',
         'first_at',
+        'headed_at',
         'heard',
         'held',
         'paused',
@@ -113,6 +116,7 @@
         self.splitter = EventSplitter()
         self.held = []
         self.heard = False
+        self.headed_at = 0.0
         self.first_at = 0.0
         self.paused = 0.0
         self.arrived = False
@@ -124,6 +128,11 @@
         """Whether the answer is a series of events."""
         return self.exchange.route.kind is Kind.STREAM
 
+    def ran_seconds(self):
+        """Return for how long the upstream has run the request, at most."""
+        began = self.headed_at or self.started
+        return self.core.clock.seconds() - began
+
     async def outcome(self, patience, last_event):
         """Return ``Delivered``, ``Failing``, ``NotRun`` or ``Lost``.
 
@@ -168,6 +177,7 @@
         self.arrived = self.call.sent
         if isinstance(head, (NotRun, Lost)):
             return head
+        self.headed_at = self.core.clock.seconds()
         refusal = self._refusal(head)
         if refusal is not None:
             self.call.cancel()
@@ -219,7 +229,7 @@
         parts = []
         end = await self._body(head, parts.append, patience)
         if end is not BodyEnd.WHOLE:
-            return Lost('torn failure', self.view.ident)
+            return self._torn('torn failure', end)
         return Failing(
             head.code,
             head.phrase,
@@ -239,7 +249,7 @@
 
         end = await self._body(head, take, patience)
         if end is not BodyEnd.WHOLE:
-            return Lost('torn answer', self.view.ident)
+            return self._torn('torn answer', end)
         if not self.answer.begun:
             self._begin(head)
             self._write_held()
@@ -261,7 +271,7 @@
 
         end = await self._body(head, take, patience.first, patience.between)
         if end is not BodyEnd.WHOLE:
-            return Lost('torn stream', self.view.ident)
+            return self._torn('torn stream', end)
         if not self.answer.begun:
             self._begin(head)
         if self.splitter.rest:
@@ -269,6 +279,10 @@
         self.answer.finish()
         return Delivered()
 
+    def _torn(self, reason, end):
+        broken = end is BodyEnd.BROKEN
+        return Lost(reason, self.view.ident, broken=broken)
+
     def _begin(self, head):
         self.answer.begin(head.code, head.phrase, _forwarded(head))
 
@@ -295,15 +309,15 @@
             if not ended.called:
                 ended.callback(how)
 
-        def broken():
+        def fallen_silent():
             self.call.cancel()
-            end(BodyEnd.BROKEN)
+            end(BodyEnd.SILENT)
 
         def heard(data):
             silence.heard(between)
             take(data)
 
-        silence.start(broken)
+        silence.start(fallen_silent)
         self.answer.produce(self.call.deliver(head, heard, end))
         try:
             return await ended
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -12,8 +12,10 @@
 are handed to its protocol directly.
 """
 
+import enum
+
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol, Request, ResponseDone
@@ -30,6 +32,15 @@
 CONNECT_SECONDS = 0.35
 
 
+class Reach(enum.Enum):
+    """What comes of opening a connection."""
+
+    ACCEPTED = 'accepted'
+    # Nobody listens there.
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
 class _Connection(HTTP11ClientProtocol):
     """Remembers how the connection ended: by a close or by a reset."""
 
@@ -57,6 +68,28 @@
         self.call.unreached(reason.type.__name__)
 
 
+class _Greeting(Protocol):
+    """Closes a connection as soon as it is made."""
+
+    def connectionMade(self):
+        """Note that somebody listens; called by twisted."""
+        self.factory.done.callback(Reach.ACCEPTED)
+        self.transport.abortConnection()
+
+
+class _Greeter(ClientFactory):
+    protocol = _Greeting
+    noisy = False
+
+    def __init__(self):
+        self.done = Deferred()
+
+    def clientConnectionFailed(self, connector, reason):
+        """Note why there is no connection; called by twisted."""
+        refused = reason.check(ConnectionRefusedError) is not None
+        self.done.callback(Reach.REFUSED if refused else Reach.UNKNOWN)
+
+
 class _Body(Protocol):
     """Hands a body's bytes on, and how it ended."""
 
@@ -168,7 +201,7 @@
         self.close()
         if self.cancelled or self.head.called:
             return
-        self.head.callback(Lost(_reason(failure), self.address))
+        self.head.callback(Lost(_reason(failure), self.address, broken=True))
 
 
 def _reason(failure: Failure):
@@ -195,6 +228,15 @@
     def __init__(self, reactor):
         self.reactor = reactor
 
+    def reach(self, address):
+        """Open a connection and close it; return a Deferred of ``Reach``."""
+        greeter = _Greeter()
+        host, _, port = address.rpartition(':')
+        self.reactor.connectTCP(
+            host, int(port), greeter, timeout=CONNECT_SECONDS
+        )
+        return greeter.done
+
     def send(self, address, method, target, headers, body):
         """Send a request once; return its :class:`Call`.
 
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -4,6 +4,7 @@
 
 from pollenstile.estimates import Fetching, FirstTokens
 from pollenstile.forward._cold import ColdShares
+from pollenstile.forward._crashes import Crashes
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
 
@@ -44,6 +45,10 @@
         How long they take to fetch stage results.
     cold : ColdShares
         What may be sent to upstreams that are cold.
+    crashes : Crashes or None
+        Finds out which upstreams have crashed; made from the others.
+    fleet_key : bytes
+        Secret of the fleet's hosts; empty while it isn't known.
     """
 
     clock: object
@@ -59,3 +64,11 @@
     first_tokens: FirstTokens = field(default_factory=FirstTokens)
     fetching: Fetching = field(default_factory=Fetching)
     cold: ColdShares = field(default_factory=_unknown_shares)
+    crashes: Crashes | None = None
+    fleet_key: bytes = b''
+
+    def __post_init__(self):
+        if self.crashes is None:
+            self.crashes = Crashes(
+                self.registry, self.client, self.clock, self.log
+            )
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -243,6 +243,7 @@
         key = await self.parts.members.peer_key()
         hub = self.parts.hub
         hub.keys = keys_from(key.decode())
+        self.parts.core.fleet_key = key
         port = tcp_listen(self.reactor, self.settings.peers, hub)
         self.ports.append(port)
         # Port 0 lets the system choose; peers are told what it chose.
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -3,6 +3,7 @@
 from pollenstile.forward._admission import admitted
 from pollenstile.forward._types import Asked, Exchange, Refusal
 from pollenstile.ops.numbers import whole_number
+from pollenstile.quarantine import fingerprint
 from pollenstile.routes import Kind, picked_service, urgency_of
 
 _MS = 1000
@@ -97,6 +98,26 @@
         last_event=_last_event(answer, names, route),
         service=picked_service(route, core.rng.random()),
         proof_ms=core.configuration.age_ms(),
+        fingerprint=_fingerprint(core, answer, asked, team),
+    )
+
+
+def _fingerprint(core, answer, asked, team):
+    """Return what a request shares with its repeats only.
+
+    Explanation
+    ===========
+
+    The team goes in: no team's request may speak against another's. Headers
+    don't: a repeat names another attempt, and often other sizes.
+    """
+    return fingerprint(
+        core.fleet_key,
+        team.name.encode() if team else b'',
+        answer.method,
+        asked.host.lower().encode(),
+        answer.uri,
+        answer.content.getvalue(),
     )
 
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -10,6 +10,7 @@
     Delivered,
     Failing,
 )
+from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._decisions import (
     Next,
     after_failure,
@@ -26,13 +27,13 @@
     reading_of,
     usual_seconds,
 )
+from pollenstile.forward._runlines import log_end, log_send
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.routes import Kind
 from pollenstile.stagework import Chain, ChainFailed, plan_of
 
 _UNAVAILABLE = 503
 _SERVER_ERRORS = range(500, 600)
-_MS = 1000
 
 
 def serve(core, exchange, answer):
@@ -137,6 +138,7 @@
             outcome = await self._attempted(view, inputs)
             if isinstance(outcome, Delivered):
                 return
+            self._note_broken(view, outcome)
             if not self._goes_on(outcome):
                 self._give_up(outcome)
                 return
@@ -169,46 +171,7 @@
         if self.chain is not None:
             self.chain.release()
             self.waste.add(self.chain)
-        now = self.core.clock.seconds()
-        refusal = self.refusal
-        self.core.log(
-            events.FORWARD_ENDED,
-            request=self.exchange.ident,
-            route=self.exchange.route.name,
-            service=self.exchange.service,
-            team=self.exchange.team,
-            outcome=self.outcome,
-            status=refusal.status if refusal else 0,
-            reason=refusal.reason if refusal else '',
-            step=refusal.step if refusal else '',
-            peer=refusal.peer if refusal else '',
-            sends=self.sends,
-            took_ms=int((now - self.exchange.arrived) * _MS),
-            staged_ms=self._since_arrival(self.staged_at),
-            first_ms=self._since_arrival(self._first_at()),
-            aim_ms=int((self.exchange.aim - self.exchange.arrived) * _MS),
-            came_ms=self._came_before(),
-            pause_ms=self._longest_pause(),
-            pause_limit_ms=int(self.exchange.route.pause * _MS),
-            crossed=self.waste.crossed,
-            unused=self.waste.unused,
-            version=self.exchange.table.version,
-            proof_ms=self.exchange.proof_ms,
-        )
-
-    def _first_at(self):
-        return self.attempt.first_at if self.attempt is not None else 0
-
-    def _came_before(self):
-        """Return milliseconds since the caller came first; 0 when it is new."""
-        return int(self.chain.waited * _MS) if self.chain else 0
-
-    def _longest_pause(self):
-        return int(self.attempt.paused * _MS) if self.attempt else 0
-
-    def _since_arrival(self, moment):
-        """Return milliseconds; 0 for what has not happened."""
-        return int((moment - self.exchange.arrived) * _MS) if moment else 0
+        log_end(self)
 
     async def _staged(self):
         """Have the stage work done; return whether to go on."""
@@ -269,7 +232,7 @@
         )
         if last_event:
             self.attempt.splitter.last = last_event.encode('latin-1')
-        self._log_send(view)
+        log_send(self, view)
         usual = usual_seconds(self.core, self.exchange, view)
         patience = patience_of(self.exchange.route, usual)
         outcome = await self.attempt.outcome(patience, last_event)
@@ -277,23 +240,14 @@
             self.runs += 1
         return outcome
 
-    def _log_send(self, view):
-        now = self.core.clock.seconds()
-        self.core.log(
-            events.FORWARDED,
-            request=self.exchange.ident,
-            route=self.exchange.route.name,
-            service=self.exchange.service,
-            peer=view.ident,
-            address=view.address,
-            send=self.sends,
-            flying=view.flying,
-            running=view.running,
-            queued=view.queued,
-            age_ms=_load_age(view, now),
-            failures=round(view.failures, 2),
-            cold_ms=int(max(0, view.cold_until - now) * _MS),
-            drained=','.join(sorted(self.core.registry.drained)),
+    def _note_broken(self, view, outcome):
+        """Have a look at an upstream that broke its connection."""
+        if not isinstance(outcome, Lost) or not outcome.broken:
+            return
+        self.core.crashes.note_broken(
+            incarnation_of(self.exchange.service, view),
+            self.exchange.fingerprint,
+            self.attempt.ran_seconds(),
         )
 
     def _goes_on(self, outcome):
@@ -371,11 +325,6 @@
     return chosen_view(run.core, run.exchange, run.tried, inputs)
 
 
-def _load_age(view, now):
-    """Return milliseconds since a load report; -1 when there was none."""
-    return int((now - view.load_at) * _MS) if view.load_at > 0 else -1
-
-
 def is_abandoned_at_once(exchange):
     """Return whether a request is stopped when its caller leaves.
 
--- /dev/null
+++ b/pollenstile/forward/_runlines.py
@@ -0,0 +1,72 @@
+"""Log lines of a forwarded request."""
+
+from pollenstile.forward import events
+
+_MS = 1000
+
+
+def log_send(run, view):
+    """Write where a request is sent, and what decided."""
+    exchange = run.exchange
+    core = run.core
+    now = core.clock.seconds()
+    core.log(
+        events.FORWARDED,
+        request=exchange.ident,
+        content=exchange.fingerprint,
+        route=exchange.route.name,
+        service=exchange.service,
+        peer=view.ident,
+        address=view.address,
+        send=run.sends,
+        flying=view.flying,
+        running=view.running,
+        queued=view.queued,
+        age_ms=_load_age(view, now),
+        failures=round(view.failures, 2),
+        cold_ms=int(max(0, view.cold_until - now) * _MS),
+        drained=','.join(sorted(core.registry.drained)),
+    )
+
+
+def log_end(run):
+    """Write how a request ended."""
+    exchange = run.exchange
+    attempt = run.attempt
+    refusal = run.refusal
+    run.core.log(
+        events.FORWARD_ENDED,
+        request=exchange.ident,
+        content=exchange.fingerprint,
+        route=exchange.route.name,
+        service=exchange.service,
+        team=exchange.team,
+        outcome=run.outcome,
+        status=refusal.status if refusal else 0,
+        reason=refusal.reason if refusal else '',
+        step=refusal.step if refusal else '',
+        peer=refusal.peer if refusal else '',
+        sends=run.sends,
+        took_ms=int((run.core.clock.seconds() - exchange.arrived) * _MS),
+        staged_ms=_since_arrival(exchange, run.staged_at),
+        first_ms=_since_arrival(exchange, attempt.first_at if attempt else 0),
+        aim_ms=int((exchange.aim - exchange.arrived) * _MS),
+        # Since the caller came first; 0 when it is new.
+        came_ms=int(run.chain.waited * _MS) if run.chain else 0,
+        pause_ms=int(attempt.paused * _MS) if attempt else 0,
+        pause_limit_ms=int(exchange.route.pause * _MS),
+        crossed=run.waste.crossed,
+        unused=run.waste.unused,
+        version=exchange.table.version,
+        proof_ms=exchange.proof_ms,
+    )
+
+
+def _since_arrival(exchange, moment):
+    """Return milliseconds; 0 for what has not happened."""
+    return int((moment - exchange.arrived) * _MS) if moment else 0
+
+
+def _load_age(view, now):
+    """Return milliseconds since a load report; -1 when there was none."""
+    return int((now - view.load_at) * _MS) if view.load_at > 0 else -1
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -112,6 +112,9 @@
         Identifier and tokens of each part.
     proof_ms : int
         Age of the table's proof when the request came, in milliseconds.
+    fingerprint : str
+        Of the content, the same for each request that repeats this one; empty
+        while the fleet's key is not known.
     """
 
     ident: str
@@ -134,6 +137,7 @@
     service: str = ''
     handles: tuple = field(default_factory=tuple)
     proof_ms: int = 0
+    fingerprint: str = ''
 
 
 @dataclass(slots=True, frozen=True)
@@ -177,10 +181,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Lost:
-    """An attempt that may have run and brought no whole answer."""
+    """An attempt that may have run and brought no whole answer.
+
+    Parameters
+    ==========
+
+    broken : bool
+        Whether the upstream's side broke the connection.
+    """
 
     reason: str
     peer: str = ''
+    broken: bool = False
 
 
 class BodyEnd(enum.Enum):
@@ -188,3 +200,4 @@
 
     WHOLE = 'whole'
     BROKEN = 'broken'
+    SILENT = 'silent'
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -73,6 +73,12 @@
     'An entry of the registry names no upstream; the others hold.',
     'Find who else writes there; the line names the entry.',
 )
+UPSTREAM_CRASHED = define(
+    1240,
+    'upstream-crashed',
+    'Connections to an upstream broke and nobody listens there any more.',
+    'Look for a fingerprint in `requests` that is in other such lines as well.',
+)
 DOMAIN_DRAINED = define(
     1233,
     'domain-drained',
--- /dev/null
+++ b/pollenstile/quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Requests that crash the upstreams that run them."""
+
+from pollenstile.quarantine._fingerprint import fingerprint
