--- /dev/null
+++ b/pollenstile/bench/_crashworld.py
@@ -0,0 +1,171 @@
+"""Whole hosts, upstreams that some requests crash, and their callers."""
+
+import itertools
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.bench._domainworld import DomainWorld
+from pollenstile.forward import Asked, Exchange, serve
+from pollenstile.quarantine import fingerprint
+from pollenstile.routes import Kind, Route, Target
+from pollenstile.standin.crashing import NAMES, CrashingUpstreams, KeptAnswer
+
+_SERVICE = 's'
+_TEAM = 'team'
+_TARGET = b'/a/x'
+_TIMEOUT = 12.0
+_AIM = 2.0
+_DEADLY = b'deadly'
+# Repeats that all hosts may send in the budget's window, beyond its ratio.
+_SLACK = 60.0
+_ROUTES = {
+    'resumed': Route(
+        'resumed',
+        'host',
+        '/a/',
+        Kind.STREAM,
+        _TIMEOUT,
+        _AIM,
+        targets=(Target(_SERVICE),),
+        attempts=2,
+        resumable=True,
+    ),
+    'repeated': Route(
+        'repeated',
+        'host',
+        '/a/',
+        Kind.IDEMPOTENT,
+        _TIMEOUT,
+        _AIM,
+        targets=(Target(_SERVICE),),
+        attempts=2,
+    ),
+    'once': Route(
+        'once',
+        'host',
+        '/a/',
+        Kind.ONCE,
+        _TIMEOUT,
+        _AIM,
+        targets=(Target(_SERVICE),),
+    ),
+}
+
+
+@dataclass(slots=True)
+class Sent:
+    """A request that a caller sent to a host."""
+
+    at: float
+    host: str
+    body: bytes
+    answer: KeptAnswer = field(default_factory=KeptAnswer)
+
+
+class CrashWorld:
+    """Hosts and upstreams over failure domains, and requests to them.
+
+    Parameters
+    ==========
+
+    hosts, upstreams, domains : int
+        How many.
+    route : str
+        ``'resumed'``, ``'repeated'`` or ``'once'``.
+
+    Attributes
+    ==========
+
+    fleet : DomainWorld
+        The hosts and their store.
+    upstreams : CrashingUpstreams
+        What they send to.
+    sent : list of Sent
+        In their order.
+    """
+
+    __slots__ = ('fleet', 'numbers', 'route', 'sent', 'upstreams')
+
+    def __init__(self, hosts, upstreams, domains, route='resumed'):
+        self.fleet = DomainWorld(hosts, domains, repeat_slack=_SLACK)
+        self.route = _ROUTES[route]
+        self.numbers = itertools.count()
+        self.sent = []
+        self.upstreams = CrashingUpstreams(
+            self.fleet.clock, self._write, is_deadly
+        )
+        for host in self.fleet.hosts.values():
+            self.join(host)
+        names = sorted({host.domain for host in self.fleet.hosts.values()})
+        for number in range(upstreams):
+            domain = names[number % len(names)]
+            self.upstreams.start(f'10.0.0.{number}:1', domain)
+        self.fleet.pass_by(1.0)
+
+    def join(self, host):
+        """Let a host send to the upstreams."""
+        core = host.core
+        core.client = self.upstreams.client_of(host.name)
+        core.crashes.client = core.client
+
+    def ask(self, name, body):
+        """Send a request to a host; return the record of it."""
+        core = self.fleet.hosts[name].core
+        now = core.clock.seconds()
+        sent = Sent(now, name, body)
+        self.sent.append(sent)
+        ident = f'a{next(self.numbers)}'
+        exchange = Exchange(
+            ident,
+            b'POST',
+            _TARGET,
+            [(NAMES.attempt, ident.encode())],
+            body,
+            self.route,
+            core.configuration.table,
+            Asked('host', '/a/x'),
+            _TEAM,
+            arrived=now,
+            aim=now + _AIM,
+            ends=now + _TIMEOUT,
+            service=_SERVICE,
+            fingerprint=fingerprint(core.fleet_key, _TARGET, body),
+        )
+        serve(core, exchange, sent.answer)
+        return sent
+
+    def later(self, seconds, name, body):
+        """Send a request to a host after some seconds."""
+        self.fleet.clock.callLater(seconds, self.ask, name, body)
+
+    def pass_by(self, seconds):
+        """Let time pass."""
+        self.fleet.pass_by(seconds)
+
+    def ends_of(self, body):
+        """Return when upstreams ended under a request."""
+        return [one.at for one in self.upstreams.ends if one.body == body]
+
+    def arrivals_after_third(self, body, seconds):
+        """Return sends of a request that came later after its third end."""
+        ends = self.ends_of(body)
+        if len(ends) < 3:
+            return []
+        return [
+            one
+            for one in self.upstreams.arrivals
+            if one.body == body and one.at > ends[2] + seconds
+        ]
+
+    def _write(self, name, value):
+        store = self.fleet.store
+        if value is None:
+            Deferred.fromCoroutine(store.delete('upstreams', name))
+            return
+        Deferred.fromCoroutine(store.put('upstreams', name, value))
+
+
+def is_deadly(body):
+    """Return whether a body crashes the upstream that runs it."""
+    return body.startswith(_DEADLY)
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -1,4 +1,4 @@
-"""Whole entry hosts of one failure domain over a store, in virtual time.
+"""Whole entry hosts over a store, in virtual time.
 
 Explanation
 ===========
@@ -77,6 +77,8 @@
 
 
 def _upstream(name, value):
+    if isinstance(value, dict):
+        return Upstream(name, 's', value['address'], value['domain'])
     return Upstream(name, 's', 'u:1', _DOMAIN, leaving=value == 'leaving')
 
 
@@ -96,6 +98,8 @@
     Attributes
     ==========
 
+    domain : str
+        Its failure domain.
     path : StorePath
         Its way to the store.
     frozen : bool
@@ -104,10 +108,19 @@
         Whether its process has ended.
     """
 
-    __slots__ = ('address', 'daemon', 'frozen', 'gone', 'name', 'path')
-
-    def __init__(self, world, name, log):
+    __slots__ = (
+        'address',
+        'daemon',
+        'domain',
+        'frozen',
+        'gone',
+        'name',
+        'path',
+    )
+
+    def __init__(self, world, name, domain, log):
         self.name = name
+        self.domain = domain
         self.address = f'{name}:{_PORT}'
         self.frozen = False
         self.gone = False
@@ -117,7 +130,7 @@
             world.clock,
             HostSettings(
                 name,
-                _DOMAIN,
+                domain,
                 place,
                 place,
                 place,
@@ -134,10 +147,15 @@
         world.wires.hubs[self.address] = hub
         self.daemon.start()
 
+    @property
+    def core(self):
+        """Return what its requests share."""
+        return self.daemon.parts.core
+
     @property
     def configuration(self):
         """Return its configuration."""
-        return self.daemon.parts.core.configuration
+        return self.core.configuration
 
     @property
     def version(self):
@@ -151,12 +169,12 @@
 
     def knows_leaving(self):
         """Return whether it knows that the upstream leaves."""
-        registry = self.daemon.parts.core.registry
+        registry = self.core.registry
         return registry.upstreams[_UPSTREAM].leaving
 
     def knows_drained(self):
         """Return whether it knows of the drained failure domain."""
-        registry = self.daemon.parts.core.registry
+        registry = self.core.registry
         return bool(registry.drained)
 
     def order(self):
@@ -174,13 +192,15 @@
 
 
 class DomainWorld:
-    """Hosts of one failure domain, all started and following.
+    """Hosts of one failure domain or more, all started and following.
 
     Parameters
     ==========
 
     count : int
         Hosts.
+    domains : int
+        Failure domains, among which they are dealt.
     bounds : dict
         Settings of the hosts, by name.
 
@@ -188,15 +208,26 @@
     ==========
 
     hosts : dict
-        By name, in the order in which they read the store.
+        By name, by domain, in the order in which they read the store.
+    cut : set of str
+        Failure domains that are cut off from all others.
     logged : list of tuple
         Seconds, host, event and fields.
     """
 
-    __slots__ = ('bounds', 'clock', 'hosts', 'logged', 'store', 'wires')
-
-    def __init__(self, count, **bounds):
+    __slots__ = (
+        'bounds',
+        'clock',
+        'cut',
+        'hosts',
+        'logged',
+        'store',
+        'wires',
+    )
+
+    def __init__(self, count, domains=1, **bounds):
         self.bounds = bounds
+        self.cut = set()
         self.clock = VirtualReactor()
         self.store = MemoryStore(self.clock)
         self.wires = VirtualWires(self.clock, _way, self._is_cut)
@@ -205,13 +236,22 @@
         self._write(_UPSTREAMS, _UPSTREAM, 'ready')
         self.store.latency = _STORE_SECONDS
         self.hosts = {}
-        names = [f'h{number}' for number in range(count)]
-        for name in names:
-            self.hosts[name] = DomainHost(self, name, self._log_of(name))
+        for number in range(count):
+            self.add_host(f'h{number}', _domain(number % domains))
         self.pass_by(_SETTLE)
-        order = self.hosts['h0'].order()
+        order = [
+            name
+            for number in range(min(count, domains))
+            for name in self.hosts[f'h{number}'].order()
+        ]
         self.hosts = {name: self.hosts[name] for name in order}
 
+    def add_host(self, name, domain):
+        """Start a host; return it."""
+        log = self._log_of(name)
+        self.hosts[name] = DomainHost(self, name, domain, log)
+        return self.hosts[name]
+
     def pass_by(self, seconds, look=None):
         """Let time pass; call a function at each step."""
         for _ in range(round(seconds / STEP)):
@@ -258,8 +298,12 @@
 
     def _is_cut(self, near, far):
         by_address = {host.address: host for host in self.hosts.values()}
-        ends = (by_address.get(near), by_address.get(far))
-        return any(host is not None and host.frozen for host in ends)
+        ends = [by_address.get(one) for one in (near, far)]
+        known = [host for host in ends if host is not None]
+        if any(host.frozen for host in known):
+            return True
+        domains = {host.domain for host in known}
+        return len(domains) > 1 and bool(domains & self.cut)
 
     def _log_of(self, name):
         def log(event, level='info', **fields):
@@ -271,3 +315,7 @@
 
 def _way(near, far):
     return _WAY
+
+
+def _domain(number):
+    return f'{_DOMAIN}{number}' if number else _DOMAIN
