peer: neighbours and rendezvous ranking stand with the inner protocol

They choose whom a host links to, and hosts that forward need them as well; fleet keeps what turns its records into names by domain. Moved, not changed.

--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -7,12 +7,8 @@
     fleet_manifest,
     started_world,
 )
-from pollenstile.fleet import (
-    applied,
-    by_domain,
-    neighbours,
-)
-from pollenstile.fleet import HOST, Record
+from pollenstile.fleet import HOST, Record, applied, by_domain
+from pollenstile.peer import neighbours
 from pollenstile.platform import pauses
 
 DOMAINS = 'abcdefgh'
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -12,11 +12,10 @@
     UPSTREAM,
     Record,
     Table,
-    ranked,
     with_witness,
     with_witnesses_only,
 )
-from pollenstile.peer import Beat
+from pollenstile.peer import Beat, ranked
 from pollenstile.platform import HostEntry
 from pollenstile.upstream import Load
 
--- a/pollenstile/fleet/__init__.py
+++ b/pollenstile/fleet/__init__.py
@@ -15,7 +15,6 @@
 from pollenstile.fleet._hosts import Hosts, is_live
 from pollenstile.fleet._inforce import InForce
 from pollenstile.fleet._loads import http_load_reader
-from pollenstile.fleet._neighbours import by_domain, neighbours
 from pollenstile.fleet._platformnews import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -25,12 +24,12 @@
     HOST,
     UPSTREAM,
     Record,
+    by_domain,
     merged,
     with_witness,
     with_witnesses_only,
 )
 from pollenstile.fleet._relay import Relay
-from pollenstile.fleet._rendezvous import place_in_ring, ranked
 from pollenstile.fleet._sharing import Sharing
 from pollenstile.fleet._snapshot import Snapshot
 from pollenstile.fleet._table import Table
--- a/pollenstile/fleet/_fleet.py
+++ b/pollenstile/fleet/_fleet.py
@@ -2,15 +2,14 @@
 
 from pollenstile.fleet._census import Census, HostStatus
 from pollenstile.fleet._hosts import Hosts
-from pollenstile.fleet._neighbours import by_domain, neighbours
 from pollenstile.fleet._platformnews import PlatformNews
-from pollenstile.fleet._record import HOST
+from pollenstile.fleet._record import HOST, by_domain
 from pollenstile.fleet._relay import Relay
 from pollenstile.fleet._sharing import Sharing
 from pollenstile.fleet._table import Table
 from pollenstile.fleet._upstreams import Upstreams
 from pollenstile.fleet._watchers import Watchers
-from pollenstile.peer import Beat
+from pollenstile.peer import Beat, neighbours
 
 _TICK = 0.5
 _PROBE_SECONDS = 5.0
--- a/pollenstile/fleet/_platformnews.py
+++ b/pollenstile/fleet/_platformnews.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 
 from pollenstile.fleet import events
-from pollenstile.fleet._rendezvous import ranked
+from pollenstile.peer import ranked
 from pollenstile.platform import Found, HostList, WatchTiming, watch
 
 CONFIG_KIND = 'config'
--- a/pollenstile/fleet/_record.py
+++ b/pollenstile/fleet/_record.py
@@ -15,6 +15,7 @@
 - the host list's view, by the list's own incarnation.
 """
 
+from collections import defaultdict
 from dataclasses import dataclass, replace
 
 HOST = 1
@@ -145,3 +146,19 @@
     """Return the record without witnesses that are not among ``hosts``."""
     gone = [name for name in record.witnesses if name not in hosts]
     return _changed(record, gone) if gone else record
+
+
+def by_domain(records):
+    """Return names of hosts by domain, from their records.
+
+    Examples
+    ========
+
+    >>> from pollenstile.fleet import HOST, Record, by_domain
+    >>> by_domain([Record(HOST, 'a', domain='clark')])
+    {'clark': ['a']}
+    """
+    domains = defaultdict(list)
+    for record in records:
+        domains[record.domain].append(record.name)
+    return dict(domains)
--- a/pollenstile/fleet/_watchers.py
+++ b/pollenstile/fleet/_watchers.py
@@ -2,7 +2,8 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.fleet._rendezvous import ranked
+from pollenstile.peer import ranked
+
 
 WATCHERS = 2
 POLL_SECONDS = 2.0
--- a/pollenstile/peer/__init__.py
+++ b/pollenstile/peer/__init__.py
@@ -21,6 +21,7 @@
     message_bytes,
     message_from,
 )
+from pollenstile.peer._neighbours import neighbours
 from pollenstile.peer._patch import (
     Patch,
     RecentTexts,
@@ -30,6 +31,7 @@
     patched,
     text_digest,
 )
+from pollenstile.peer._rendezvous import place_in_ring, ranked
 from pollenstile.peer._requests import Unanswered
 from pollenstile.peer._schema import SCHEMA_PATH, loaded_schema, schema
 from pollenstile.peer._session import (
--- a/pollenstile/fleet/_neighbours.py
+++ b/pollenstile/peer/_neighbours.py
@@ -1,8 +1,6 @@
 """Which peers a host keeps a link to."""
 
-from collections import defaultdict
-
-from pollenstile.fleet._rendezvous import place_in_ring, ranked
+from pollenstile.peer._rendezvous import place_in_ring, ranked
 
 _ALL_WITHIN = 4
 _CHOSEN = 2
@@ -37,7 +35,7 @@
     Examples
     ========
 
-    >>> from pollenstile.fleet import neighbours
+    >>> from pollenstile.peer import neighbours
     >>> fleet = {'clark': ['a', 'b'], 'batangas': ['c']}
     >>> sorted(neighbours('a', 'clark', fleet))
     ['b', 'c']
@@ -65,19 +63,3 @@
         if near[place % len(near)] == host:
             found.append(far[place % len(far)])
     return found
-
-
-def by_domain(records):
-    """Return names of hosts by domain, from their records.
-
-    Examples
-    ========
-
-    >>> from pollenstile.fleet import HOST, Record, by_domain
-    >>> by_domain([Record(HOST, 'a', domain='clark')])
-    {'clark': ['a']}
-    """
-    domains = defaultdict(list)
-    for record in records:
-        domains[record.domain].append(record.name)
-    return dict(domains)
--- a/pollenstile/fleet/_rendezvous.py
+++ b/pollenstile/peer/_rendezvous.py
@@ -29,7 +29,7 @@
     Examples
     ========
 
-    >>> from pollenstile.fleet import ranked
+    >>> from pollenstile.peer import ranked
     >>> first = ranked('e1', ['a', 'b', 'c'], 2)
     >>> len(first), first == ranked('e1', ['c', 'b', 'a'], 2)
     (2, True)
@@ -53,7 +53,7 @@
     Examples
     ========
 
-    >>> from pollenstile.fleet import place_in_ring
+    >>> from pollenstile.peer import place_in_ring
     >>> hosts = ['a', 'b', 'c']
     >>> sorted(place_in_ring(host, hosts) for host in hosts) == hosts
     True
