quarantine: a request that crashes the upstreams that run it is kept from all of them

Cause: nothing of a request outlived its attempt. The count of sends belonged to one attempt of a caller at one host; under another attempt's name the request was new, at this host and all others. Class: a bound that is kept by attempt where what it guards against comes again under other names.

Now hosts report which upstreams have crashed (a refused connection after a broken one) and what they had there; reports of all hosts are put together, a request is blamed when so many crashes can't be chance for the short time that it has run, all hosts are told within some round trips, and refuse it at once. A whole answer clears, an upstream that answers voids its reports, an operator may lift. Verdicts last in the store.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,33 +1,222 @@
 """Steps of requests that crash the upstreams that run them."""
 
 import itertools
+from random import Random
 
 from behave import given, then, when
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from pollenstile.bench._crashworld import CrashWorld
+from pollenstile.quarantine import (
+    QUARANTINED,
+    News,
+    Quarantine,
+    Report,
+    Suspect,
+    Verdict,
+)
 
 _DEADLY = b'deadly'
-
-
-@given(
+_SOUND = b'sound'
+_REASON = 'crashes upstreams'
+# Seconds between a sound caller's requests: more than one takes.
+_AGAIN = 2.0
+_WORLD = (
     '{hosts:d} hosts and {upstreams:d} upstreams in {domains:d} failure'
     ' domains, for {route} requests'
 )
+
+
+def _fleet(context):
+    return context.world.fleet
+
+
+def _holding(context):
+    """Return the hosts that keep some request from upstreams."""
+    return [
+        host.name
+        for host in _fleet(context).running()
+        if host.core.quarantine.verdicts.all_held()
+    ]
+
+
+def _held(context):
+    """Return the fingerprint of what a host keeps from upstreams."""
+    host = _fleet(context).running()[0]
+    return host.core.quarantine.verdicts.all_held()[0].fingerprint
+
+
+def _entries(context):
+    listed = []
+    store = _fleet(context).store
+    work = Deferred.fromCoroutine(store.listed(QUARANTINED))
+    work.addCallback(listed.append)
+    context.world.pass_by(0.1)
+    return listed[0].objects
+
+
+def _send_deadly(context, bodies, pause, seconds, names):
+    hosts = itertools.cycle(names)
+    for number in range(round(seconds / pause)):
+        for body in bodies:
+            context.world.later(number * pause, next(hosts), body)
+    context.world.pass_by(seconds + 1)
+
+
+@given(_WORLD)
 def given_world(context, hosts, upstreams, domains, route):
     context.world = CrashWorld(hosts, upstreams, domains, route)
 
 
+@given(
+    'sound requests come 8 times a second, each 4 times whatever comes of it'
+)
+def given_sound(context):
+    rng = Random(1)
+    names = list(_fleet(context).hosts)
+    for number in range(80):
+        for again in range(4):
+            moment = number / 8 + again * _AGAIN
+            body = _SOUND + b'%d' % number
+            context.world.later(moment, rng.choice(names), body)
+
+
+@given('"{text}" comes 40 times a second for {seconds:d} seconds')
+def given_same(context, text, seconds):
+    rng = Random(1)
+    names = list(_fleet(context).hosts)
+    for number in range(40 * seconds):
+        context.world.later(number / 40, rng.choice(names), text.encode())
+
+
+@given('the fault "{fault}"')
+def given_fault(context, fault):
+    fleet = _fleet(context)
+    if fault == 'store away':
+        for host in fleet.hosts.values():
+            host.path.refuses = True
+    if fault == 'readers dead':
+        domains = {host.domain for host in fleet.hosts.values()}
+        for domain in sorted(domains):
+            own = [one for one in fleet.running() if one.domain == domain]
+            own[0].end()
+            own[1].end()
+
+
+@given('one failure domain is cut off from the others')
+def given_cut(context):
+    fleet = _fleet(context)
+    domain = next(iter(fleet.hosts.values())).domain
+    fleet.cut.add(domain)
+    for host in fleet.hosts.values():
+        host.path.silent = host.domain == domain
+
+
 @when(
     'a deadly request comes each {pause:g} seconds for {seconds:g} seconds,'
     ' at all hosts in turn'
 )
 def when_comes(context, pause, seconds):
-    hosts = itertools.cycle(context.world.fleet.hosts)
-    for number in range(round(seconds / pause)):
-        context.world.later(number * pause, next(hosts), _DEADLY)
+    names = [host.name for host in _fleet(context).running()]
+    _send_deadly(context, [_DEADLY], pause, seconds, names)
+
+
+@when(
+    'a deadly request comes each {pause:g} seconds for {seconds:g} seconds,'
+    ' at the other hosts'
+)
+def when_comes_elsewhere(context, pause, seconds):
+    fleet = _fleet(context)
+    names = [
+        host.name for host in fleet.running() if host.domain not in fleet.cut
+    ]
+    _send_deadly(context, [_DEADLY], pause, seconds, names)
+
+
+@when(
+    '{count:d} deadly requests come each {pause:g} seconds for {seconds:g}'
+    ' seconds, at all hosts in turn'
+)
+def when_some_come(context, count, pause, seconds):
+    context.bodies = [_DEADLY + b'%d' % number for number in range(count)]
+    names = list(_fleet(context).hosts)
+    _send_deadly(context, context.bodies, pause, seconds, names)
+    context.world.pass_by(5.0)
+
+
+@when('upstreams crash once a second for {seconds:d} seconds, by seed {seed:d}')
+def when_crash(context, seconds, seed):
+    rng = Random(seed)
+    upstreams = context.world.upstreams
+    for _ in range(seconds):
+        context.world.pass_by(rng.uniform(0.5, 1.5))
+        upstreams.crash(rng.choice(upstreams.running()))
+    context.world.pass_by(5.0)
+
+
+@when('{count:d} upstreams crash at one moment, {seconds:g} seconds on')
+def when_crash_together(context, count, seconds):
+    context.world.pass_by(seconds)
+    for process in context.world.upstreams.running()[:count]:
+        context.world.upstreams.crash(process)
     context.world.pass_by(seconds + 1)
 
 
+@when('the cut is healed')
+def when_healed(context):
+    fleet = _fleet(context)
+    fleet.cut.clear()
+    for host in fleet.hosts.values():
+        host.path.silent = False
+
+
+@when('all hosts are killed and start again')
+def when_killed(context):
+    fleet = _fleet(context)
+    domains = {host.name: host.domain for host in fleet.hosts.values()}
+    for host in fleet.hosts.values():
+        host.end()
+    fleet.pass_by(1.0)
+    for name, domain in domains.items():
+        context.world.join(fleet.add_host(name, domain))
+
+
+@when('an operator deletes its entry')
+def when_deleted(context):
+    store = _fleet(context).store
+    Deferred.fromCoroutine(store.delete(QUARANTINED, _held(context)))
+
+
+@when('one host sees it run to its end')
+def when_whole(context):
+    host = _fleet(context).running()[-1]
+    host.core.quarantine.note_whole(_held(context))
+
+
+@when('a host reports 3 upstreams as crashed under a request, wrongly')
+def when_wrong(context):
+    world = context.world
+    quarantine = _fleet(context).running()[0].core.quarantine
+    suspect = Suspect(quarantine.fingerprint(b'a'), 'team', 0.001)
+    for process in world.upstreams.running()[:3]:
+        quarantine.note_crash(f'{process.ident}/0', 's', (suspect,))
+    world.pass_by(1.0)
+    assert len(_holding(context)) == len(_fleet(context).hosts)
+
+
+@when('a request is answered by one of them')
+def when_answered(context):
+    for name in _fleet(context).hosts:
+        context.world.ask(name, _SOUND)
+    context.world.pass_by(1.0)
+
+
+@when('{seconds:g} seconds pass for all hosts')
+def when_long(context, seconds):
+    _fleet(context).pass_coarsely(seconds)
+
+
 @then(
     'from {seconds:g} seconds after its third crash on it reached upstreams at'
     ' most {most:d} times more'
@@ -41,3 +230,115 @@
 def then_few_ends(context, most):
     ends = context.world.upstreams.ends
     assert len(ends) <= most, ends
+
+
+@then('each of them has crashed at most {most:d} upstreams')
+def then_few_each(context, most):
+    for body in context.bodies:
+        ends = context.world.ends_of(body)
+        assert len(ends) <= most, (body, ends)
+    for host in _fleet(context).running():
+        held = host.core.quarantine.verdicts.all_held()
+        assert len(held) == len(context.bodies), (host.name, held)
+
+
+@then('no sound request was refused for crashing upstreams')
+def then_none_blamed(context):
+    refused = [
+        one
+        for one in context.world.sent
+        if one.answer.refusal is not None
+        and one.answer.refusal.reason == _REASON
+        and not one.body.startswith(_DEADLY)
+    ]
+    assert not refused, refused
+
+
+@then(
+    'each host that runs keeps it from upstreams {seconds:g} seconds after its'
+    ' third crash'
+)
+def then_all_hold(context, seconds):
+    late = context.world.arrivals_after_third(_DEADLY, seconds)
+    assert not late, late
+    running = [host.name for host in _fleet(context).running()]
+    assert running and _holding(context) == running, _holding(context)
+
+
+@then('each host that runs keeps it from upstreams within {seconds:g} seconds')
+def then_all_hold_soon(context, seconds):
+    context.world.pass_by(seconds)
+    running = [host.name for host in _fleet(context).running()]
+    assert running and _holding(context) == running, _holding(context)
+
+
+@then('no host keeps it from upstreams after {seconds:g} seconds')
+def then_none_holds(context, seconds):
+    context.world.pass_by(seconds)
+    assert not _holding(context), _holding(context)
+
+
+@then('its entry does not come back')
+def then_no_entry(context):
+    context.world.pass_by(2.0)
+    assert not _entries(context), _entries(context)
+
+
+@given('a forwarded "{kind}" request whose content is in quarantine')
+def given_held(context, kind):
+    context.execute_steps(f'Given a forwarded "{kind}" request with stage work')
+    _hold(context)
+
+
+def _hold(context):
+    quarantine = context.story.core.quarantine
+    verdict = Verdict('f1', 'team', 's', 3, 1, is_held=True, ends=600.0)
+    quarantine.take(News(verdicts=(verdict,)))
+
+
+@when('the forwarded request comes')
+def when_started(context):
+    context.story.start()
+
+
+@when('its content is put into quarantine, and the stage work ends')
+def when_held_meanwhile(context):
+    _hold(context)
+    context.story.stages.finish()
+
+
+@then('it is not told when to come back')
+def then_no_advice(context):
+    assert not context.story.answer.refusal.retry_after
+
+
+@given("a host's quarantine")
+def given_quarantine(context):
+    context.quarantine = Quarantine(Clock(), 'h', lambda service: 9)
+
+
+@when('{crashes:d} crashes with {count:d} suspects each are reported to it')
+def when_reported(context, crashes, count):
+    for number in range(crashes):
+        suspects = tuple(
+            Suspect(f'{number:x}/{place:x}') for place in range(count)
+        )
+        report = Report(f'i{number}', 's', 'h', suspects)
+        context.quarantine.take(News(reports=(report,)))
+
+
+@then('it remembers at most {crashes:d} crashes, of {count:d} suspects each')
+def then_bounded(context, crashes, count):
+    evidence = context.quarantine.evidence
+    assert 0 < len(evidence.crashes) <= crashes
+    sizes = [len(one.suspects) for one in evidence.crashes.values()]
+    assert 0 < max(sizes) <= count
+    assert len(evidence.under) <= crashes * count
+
+
+@then('it remembers at most {most:d} verdicts of {count:d}')
+def then_verdicts_bounded(context, most, count):
+    for number in range(count):
+        verdict = Verdict(f'v{number}', '', 's', 3, 1, is_held=True, ends=9.0)
+        context.quarantine.take(News(verdicts=(verdict,)))
+    assert 0 < len(context.quarantine.verdicts.by_fingerprint) <= most
--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -7,7 +7,6 @@
 
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.forward import Asked, Exchange, serve
-from pollenstile.quarantine import fingerprint
 from pollenstile.routes import Kind, Route, Target
 from pollenstile.standin.crashing import NAMES, CrashingUpstreams, KeptAnswer
 
@@ -130,7 +129,7 @@
             aim=now + _AIM,
             ends=now + _TIMEOUT,
             service=_SERVICE,
-            fingerprint=fingerprint(core.fleet_key, _TARGET, body),
+            fingerprint=core.quarantine.fingerprint(_TARGET, body),
         )
         serve(core, exchange, sent.answer)
         return sent
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -30,6 +30,7 @@
 
 # Seconds that the virtual clock moves at a time.
 STEP = 0.01
+_COARSE_STEP = 0.05
 # Seconds one way between hosts of a domain.
 _WAY = 0.0005
 # Seconds of a call of the store.
@@ -259,6 +260,11 @@
             if look is not None:
                 look()
 
+    def pass_coarsely(self, seconds):
+        """Let a long time pass, in which nobody looks."""
+        for _ in range(round(seconds / _COARSE_STEP)):
+            self.clock.advance(_COARSE_STEP)
+
     def write_configuration(self, version):
         """Write a configuration; return once the store has acknowledged it."""
         self._write('config', 'main', version)
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -18,6 +18,12 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.settings import shown
 from pollenstile.peer import LEAST_VERSION, VERSION, Hello, Hub, tcp_connect
+from pollenstile.quarantine import (
+    QUARANTINED,
+    Quarantine,
+    Record,
+    Sharing,
+)
 from pollenstile.relay import (
     ASK,
     Follower,
@@ -53,6 +59,8 @@
     stages: object
     relay: object
     drained: DrainedDomains
+    sharing: Sharing
+    record: Record
 
 
 @dataclass(slots=True)
@@ -132,6 +140,7 @@
         adapter.names,
         log,
         cold=ColdShares(settings.host, settings.domain),
+        quarantine=Quarantine(reactor, settings.host, registry.count, log),
     )
     members = Members(
         store,
@@ -148,6 +157,8 @@
         stages,
         _built_relay(settings, store, suspend_clock, core, hub),
         DrainedDomains(registry, reactor, log),
+        Sharing(hub, core.quarantine, log),
+        Record(store, core.quarantine, log),
     )
 
 
@@ -193,9 +204,9 @@
         store,
         clock,
         follower,
-        (UPSTREAMS, HOSTS, DRAINED),
+        (UPSTREAMS, HOSTS, DRAINED, QUARANTINED),
         early=HOSTS,
-        late=(DRAINED,),
+        late=(DRAINED, QUARANTINED),
     )
 
     def covered():
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -3,6 +3,7 @@
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from pollenstile.forward._choose import own_tokens
+from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._learning import (
     learn_failure,
     learn_load,
@@ -177,11 +178,13 @@
         self.arrived = self.call.sent
         if isinstance(head, (NotRun, Lost)):
             return head
-        self.headed_at = self.core.clock.seconds()
         refusal = self._refusal(head)
         if refusal is not None:
             self.call.cancel()
             return refusal
+        self.headed_at = self.core.clock.seconds()
+        incarnation = incarnation_of(exchange.service, self.view)
+        self.core.quarantine.note_answer(incarnation.name, self.started)
         if head.code not in _OK:
             return await self._failing(head, patience.between)
         if self.streaming:
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -7,6 +7,7 @@
 from pollenstile.forward._crashes import Crashes
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
+from pollenstile.quarantine import Quarantine
 
 
 def _unknown_shares():
@@ -45,10 +46,10 @@
         How long they take to fetch stage results.
     cold : ColdShares
         What may be sent to upstreams that are cold.
+    quarantine : Quarantine or None
+        Requests that crash upstreams; one of its own where there is none.
     crashes : Crashes or None
         Finds out which upstreams have crashed; made from the others.
-    fleet_key : bytes
-        Secret of the fleet's hosts; empty while it isn't known.
     """
 
     clock: object
@@ -64,11 +65,16 @@
     first_tokens: FirstTokens = field(default_factory=FirstTokens)
     fetching: Fetching = field(default_factory=Fetching)
     cold: ColdShares = field(default_factory=_unknown_shares)
+    quarantine: Quarantine | None = None
     crashes: Crashes | None = None
-    fleet_key: bytes = b''
 
     def __post_init__(self):
+        if self.quarantine is None:
+            self.quarantine = Quarantine(
+                self.clock, '', self.registry.count, self.log
+            )
         if self.crashes is None:
             self.crashes = Crashes(
                 self.registry, self.client, self.clock, self.log
             )
+            self.crashes.on_crash = self.quarantine.note_crash
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -35,6 +35,11 @@
     address: str
     born: int = 0
 
+    @property
+    def name(self):
+        """Return what tells this life from all others."""
+        return f'{self.ident}/{self.born}'
+
 
 def incarnation_of(service, view):
     """Return the :class:`Incarnation` that a view of a service shows."""
@@ -45,8 +50,7 @@
 class _Look:
     """A look at an upstream that is under way."""
 
-    # Seconds at the upstream, by fingerprint of what this host had there.
-    suspects: dict = field(default_factory=dict)
+    suspects: list = field(default_factory=list)
     waiters: list = field(default_factory=list)
 
 
@@ -76,8 +80,8 @@
     ==========
 
     on_crash : function
-        Called with an :class:`Incarnation` and what this host had there:
-        seconds by fingerprint.
+        Called with name and service of a process that has ended, and the
+        suspects that this host had there.
     """
 
     __slots__ = (
@@ -99,7 +103,7 @@
         self.ended = {}
         self.on_crash = _nobody_told
 
-    def note_broken(self, upstream, fingerprint, seconds):
+    def note_broken(self, upstream, suspect):
         """Take a connection that broke; return a Deferred of the verdict.
 
         Parameters
@@ -107,10 +111,8 @@
 
         upstream : Incarnation
             Whose connection.
-        fingerprint : str
-            Of what it was running; empty where that isn't known.
-        seconds : float
-            For which it had been at that.
+        suspect : Suspect
+            What it was running; without a fingerprint where that isn't known.
 
         Returns
         =======
@@ -120,17 +122,17 @@
         """
         if upstream in self.ended:
             # A reset that came later than the look.
-            self._tell(upstream, {fingerprint: seconds})
+            self._tell(upstream, [suspect])
             return succeed(True)
         if not self._is_at_work(upstream):
             return succeed(False)
         waiter = Deferred()
         look = self.looks.get(upstream)
         if look is not None:
-            look.suspects[fingerprint] = seconds
+            look.suspects.append(suspect)
             look.waiters.append(waiter)
             return waiter
-        self.looks[upstream] = _Look({fingerprint: seconds}, [waiter])
+        self.looks[upstream] = _Look([suspect], [waiter])
         Deferred.fromCoroutine(self._examine(upstream))
         return waiter
 
@@ -162,7 +164,7 @@
             self.ended.pop(next(iter(self.ended)))
 
     def _tell(self, upstream, suspects):
-        known = {one: held for one, held in suspects.items() if one}
+        known = tuple(one for one in suspects if one.fingerprint)
         self.log(
             events.UPSTREAM_CRASHED,
             level='warning',
@@ -170,10 +172,10 @@
             service=upstream.service,
             address=upstream.address,
             born=upstream.born,
-            requests=sorted(known),
-            ran_ms=[int(known[one] * _MS) for one in sorted(known)],
+            requests=[one.fingerprint for one in known],
+            ran_ms=[int(one.ran * _MS) for one in known],
         )
-        self.on_crash(upstream, known)
+        self.on_crash(upstream.name, upstream.service, known)
 
     def _is_at_work(self, upstream):
         """Return whether an upstream is one that shouldn't end now."""
@@ -187,5 +189,5 @@
         return view is not None and view.flying > 0
 
 
-def _nobody_told(upstream, suspects):
+def _nobody_told(name, service, suspects):
     """Stand for a host that remembers nothing of crashes."""
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -243,7 +243,7 @@
         key = await self.parts.members.peer_key()
         hub = self.parts.hub
         hub.keys = keys_from(key.decode())
-        self.parts.core.fleet_key = key
+        self.parts.core.quarantine.key = key
         port = tcp_listen(self.reactor, self.settings.peers, hub)
         self.ports.append(port)
         # Port 0 lets the system choose; peers are told what it chose.
@@ -263,10 +263,8 @@
         return core.configuration.table is not None and core.registry.known
 
     def _review(self):
-        owners = self.parts.owners.by_service
         try:
-            self.parts.stages.review(owners, leaving=self.leaving)
-            link_peers(self.parts)
+            self._reviewed()
         except Exception as error:
             # A fault here must not end the looks, nor a shutdown halfway:
             # all that is in flight would be cut off.
@@ -277,10 +275,20 @@
                 error=repr(error),
             )
 
+    def _reviewed(self):
+        owners = self.parts.owners.by_service
+        self.parts.stages.review(owners, leaving=self.leaving)
+        link_peers(self.parts)
+        self.parts.record.expire()
+
     def _beat(self):
         table = self.parts.core.configuration.table
         version = table.version if table else 0
-        return Beat(version=version, leaving=self.leaving)
+        return Beat(
+            version=version,
+            leaving=self.leaving,
+            quarantine=self.parts.core.quarantine.verdicts.digest(),
+        )
 
     def _listen(self, address, factory):
         host, number = address
@@ -305,6 +313,8 @@
         parts.core.budget.hosts = len(hosts) + 1
         parts.stages.ownership.take_hosts(hosts)
         parts.relay.readers.take_hosts(hosts)
+        parts.sharing.hosts = hosts
+        parts.record.hosts = hosts
         if parts.members.known:
             domains = {name: one.domain for name, one in hosts.items()}
             parts.core.cold.take_hosts(domains)
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -12,6 +12,9 @@
 # Sends of one request that may be answered with 'not run' before it is given
 # up: more only load a service that is full.
 _MOST_SENDS = 3
+# Upstreams that may crash under a request before it is left to its caller
+# whether it is sent again: a victim seldom meets two.
+_MOST_CRASHES = 2
 # Seconds after which a refused caller is told to come back, at least, and the
 # jitter, so that those refused together don't return together.
 _LEAST_RETRY = 0.2
@@ -36,7 +39,7 @@
     GIVE_UP = 'give-up'
 
 
-def after_failure(route, outcome, sends, runs, *, resumed):
+def after_failure(route, outcome, sends, runs, *, resumed, crashes=0):
     """Return whether a request may be sent again.
 
     Explanation
@@ -55,10 +58,13 @@
     resumed : bool
         Whether a part of the answer went out; then only a stream that may be
         resumed goes on.
+    crashes : int
+        Upstreams that have crashed under the request, in all attempts of its
+        callers.
     """
     if isinstance(outcome, NotRun):
         return Next.AGAIN if sends < _MOST_SENDS else Next.GIVE_UP
-    if not route.repeatable:
+    if not route.repeatable or crashes >= _MOST_CRASHES:
         return Next.GIVE_UP
     if resumed and route.kind is not Kind.STREAM:
         return Next.GIVE_UP
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -55,6 +55,11 @@
         'domain',
         partial(_under_way, core.registry, parts.owners.calls),
     )
+    measures.gauge(
+        'quarantined',
+        'Requests that are kept from upstreams, as they crash them.',
+        lambda: len(core.quarantine.verdicts.all_held()),
+    )
     measures.gauge(
         'peers',
         'Peers with an open link.',
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -3,7 +3,6 @@
 from pollenstile.forward._admission import admitted
 from pollenstile.forward._types import Asked, Exchange, Refusal
 from pollenstile.ops.numbers import whole_number
-from pollenstile.quarantine import fingerprint
 from pollenstile.routes import Kind, picked_service, urgency_of
 
 _MS = 1000
@@ -111,8 +110,7 @@
     The team goes in: no team's request may speak against another's. Headers
     don't: a repeat names another attempt, and often other sizes.
     """
-    return fingerprint(
-        core.fleet_key,
+    return core.quarantine.fingerprint(
         team.name.encode() if team else b'',
         answer.method,
         asked.host.lower().encode(),
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -172,6 +172,10 @@
         """Return views of the upstreams of a service that take new work."""
         return self.by_service.get(service, ())
 
+    def count(self, service):
+        """Return how many upstreams a service has, also those that leave."""
+        return sum(one.service == service for one in self.upstreams.values())
+
     def is_drained(self, service):
         """Return whether some upstream of a service is in a drained domain."""
         return any(
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -10,7 +10,6 @@
     Delivered,
     Failing,
 )
-from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._decisions import (
     Next,
     after_failure,
@@ -28,6 +27,7 @@
     usual_seconds,
 )
 from pollenstile.forward._runlines import log_end, log_send
+from pollenstile.forward._suspicion import held_refusal, learned
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.routes import Kind
 from pollenstile.stagework import Chain, ChainFailed, plan_of
@@ -126,6 +126,10 @@
     async def whole(self):
         """Run the stages, then the attempts."""
         self.core.budget.note_first(self.exchange.service)
+        refusal = held_refusal(self.core, self.exchange)
+        if refusal is not None:
+            self._refuse(refusal)
+            return
         if not await self._staged():
             return
         while True:
@@ -136,9 +140,9 @@
                 return
             self.waste.note_read(inputs, view.domain)
             outcome = await self._attempted(view, inputs)
+            await learned(self.core, self.exchange, self.attempt, outcome)
             if isinstance(outcome, Delivered):
                 return
-            self._note_broken(view, outcome)
             if not self._goes_on(outcome):
                 self._give_up(outcome)
                 return
@@ -240,16 +244,6 @@
             self.runs += 1
         return outcome
 
-    def _note_broken(self, view, outcome):
-        """Have a look at an upstream that broke its connection."""
-        if not isinstance(outcome, Lost) or not outcome.broken:
-            return
-        self.core.crashes.note_broken(
-            incarnation_of(self.exchange.service, view),
-            self.exchange.fingerprint,
-            self.attempt.ran_seconds(),
-        )
-
     def _goes_on(self, outcome):
         """Return whether the request is sent again."""
         if isinstance(outcome, Failing):
@@ -264,6 +258,9 @@
             self.sends,
             self.runs,
             resumed=self.answer.begun,
+            crashes=self.core.quarantine.crashes_under(
+                self.exchange.fingerprint
+            ),
         )
         again = following is Next.AGAIN
         arrived = getattr(outcome, 'arrived', True)
@@ -316,8 +313,11 @@
     ===========
 
     One that may have run is not refused as if it had not, and an answer that
-    has begun is brought to its end.
+    has begun is brought to its end; unless the request crashes upstreams.
     """
+    refusal = held_refusal(run.core, run.exchange)
+    if refusal is not None:
+        return refusal
     if not run.runs and not run.answer.begun:
         refusal = refused_since(run.core, run.exchange)
         if refusal is not None:
--- a/pollenstile/forward/_storewatches.py
+++ b/pollenstile/forward/_storewatches.py
@@ -6,6 +6,7 @@
 from pollenstile.forward._registry import UPSTREAMS
 from pollenstile.ops.logs import silent_log
 from pollenstile.platform import WatchTiming, watch
+from pollenstile.quarantine import QUARANTINED
 
 # Registry: a watch is answered within this time. One that went silent with all
 # connections is noticed and armed anew within 2.5 s; from 3 s after such a
@@ -31,6 +32,17 @@
     backoff=0.3,
     backoff_cap=2.0,
 )
+# Verdicts go from host to host; the store's word is for hosts that start, and
+# for what an operator has lifted.
+_QUARANTINE_TIMING = WatchTiming(
+    poll=20.0,
+    margin=1.5,
+    rearm=1.0,
+    list_every=60.0,
+    list_within=2.5,
+    backoff=0.3,
+    backoff_cap=2.0,
+)
 # Share of the bound on draining a domain for which the store holds a watch.
 _DRAINS_POLL_SHARE = 0.5
 
@@ -88,6 +100,12 @@
             drained.note_listed,
             _drains_timing(drain_seconds),
         )
+        self._watch(
+            QUARANTINED,
+            self.parts.record.take,
+            _nothing_to_do,
+            _QUARANTINE_TIMING,
+        )
 
     def stop(self):
         """End all watches."""
@@ -151,3 +169,7 @@
         backoff=0.2,
         backoff_cap=0.5,
     )
+
+
+def _nothing_to_do():
+    """Take that a whole list of verdicts has come: none is waited for."""
--- a/pollenstile/peer/_messages.py
+++ b/pollenstile/peer/_messages.py
@@ -52,11 +52,14 @@
         Sum over the membership records; differs when these differ.
     leaving : bool
         Whether the host is leaving.
+    quarantine : int
+        Digest of the requests that it keeps from upstreams.
     """
 
     version: int = 0
     members: int = 0
     leaving: bool = False
+    quarantine: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,7 +172,7 @@
 
     >>> from pollenstile.peer import Beat, message_bytes, message_from
     >>> message_from(message_bytes(Beat(version=7)))
-    Beat(version=7, members=0, leaving=False)
+    Beat(version=7, members=0, leaving=False, quarantine=0)
     """
     return decoded(schema.Message, encoded, _message)
 
--- a/pollenstile/peer/messages.capnp
+++ b/pollenstile/peer/messages.capnp
@@ -15,6 +15,7 @@
   version @0 :UInt64;
   members @1 :UInt64;
   leaving @2 :Bool;
+  quarantine @3 :UInt64;
 }
 
 struct View {
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -159,6 +159,10 @@
         """Return the client by which a host reaches them."""
         return _Client(self, host)
 
+    def running(self):
+        """Return the processes that run."""
+        return [one for one in self.processes.values() if one is not None]
+
     def crash(self, process, body=b''):
         """End an upstream and all that it runs."""
         if self.processes.get(process.address) is not process:
