stagework: pieces that crash a stage upstream are told from those beside them

A call whose connection breaks waits until it is known whether its upstream has ended (a round trip); what it held is reported as under way there. A suspect's pieces go out in calls of their own, so the next one tells. After two crashes a piece is not sent again; in quarantine it is refused where it waits, with 502 for the caller. Groups carry fingerprint and team between hosts.

features/builders/messages_next.capnp is the schema of a release after this one: its imagined fields follow the new quarantine field now, and the scenario checks that field both ways as well (its old number read an imagined field as quarantine).

--- a/features/builders/messages_next.capnp
+++ b/features/builders/messages_next.capnp
@@ -15,8 +15,9 @@
   version @0 :UInt64;
   members @1 :UInt64;
   leaving @2 :Bool;
-  pressure @3 :UInt64;
-  note @4 :Text;
+  quarantine @3 :UInt64;
+  pressure @4 :UInt64;
+  note @5 :Text;
 }
 
 struct View {
--- a/features/builders/stagework.py
+++ b/features/builders/stagework.py
@@ -96,7 +96,7 @@
     def submit(self, one):
         """Hand in a group, and let free workers draw."""
         waiter = self.owner.submit(one, lambda: self.read.append(one.request))
-        waiter.addCallback(self._note, one.request)
+        waiter.addCallback(self.note, one.request)
         self.clock.advance(0.01)
 
     def answer(self, place, outcome=None):
@@ -130,7 +130,8 @@
         self.budget -= number
         return True
 
-    def _note(self, outcome, request):
+    def note(self, outcome, request):
+        """Keep what became of a request's group."""
         self.outcomes[request] = outcome
 
 
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -121,3 +121,23 @@
     When 5000 crashes with 200 suspects each are reported to it
     Then it remembers at most 256 crashes, of 128 suspects each
     And it remembers at most 1024 verdicts of 5000
+
+  Scenario: Pieces that crash a stage upstream are told from those beside them
+    One call holds pieces of several requests, and put back together they would
+    crash the next upstream together, and the next.
+    Given a queue over 4 workers with pieces of "a", "deadly" and "b" in one call
+    When each worker crashes that has a piece of "deadly"
+    Then the pieces of "a" and "b" are made
+    And "deadly" was at 2 workers, and is refused
+
+  Scenario: What a broken stage call held is reported, before it is sent again
+    Given a stage call with pieces of "a" and "b"
+    When its upstream crashes
+    Then both are reported as under way there, and then the call counts as lost
+
+  Scenario: Pieces of a request in quarantine are given up where they wait
+    Given a queue over 1 workers with pieces of "a", "deadly" and "b" in one call
+    And pieces of "late" wait there
+    When "late" is put into quarantine
+    Then "late" is refused for crashing upstreams
+    And "late" is refused so when it comes again
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -405,15 +405,21 @@
 
 @when('a peer heartbeat of the next release is read by this one')
 def step_next(context):
-    message = NEXT_SCHEMA.Message.new_message(
-        beat={'version': 4, 'members': 5, 'pressure': 6, 'note': 'new'},
-    )
+    beat = {
+        'version': 4,
+        'members': 5,
+        'quarantine': 7,
+        'pressure': 6,
+        'note': 'new',
+    }
+    message = NEXT_SCHEMA.Message.new_message(beat=beat)
     context.beat = message_from(message.to_bytes())
 
 
 @then('its known peer fields are right')
 def step_known_fields(context):
-    assert context.beat == Beat(version=4, members=5), context.beat
+    known = Beat(version=4, members=5, quarantine=7)
+    assert context.beat == known, context.beat
 
 
 @then('a peer message kind of the next release is left alone')
@@ -424,10 +430,11 @@
 
 @then('a peer heartbeat of this release is right in the next one')
 def step_older(context):
-    encoded = message_bytes(Beat(4, 5, leaving=True))
+    encoded = message_bytes(Beat(4, 5, leaving=True, quarantine=7))
     with NEXT_SCHEMA.Message.from_bytes(encoded) as reader:
         beat = reader.beat
         assert (beat.version, beat.members, beat.leaving) == (4, 5, True)
+        assert beat.quarantine == 7
         assert (beat.pressure, beat.note) == (0, '')
 
 
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -293,13 +293,24 @@
 class Arrival:
     """The stage work of one request, as a plan needs it."""
 
-    __slots__ = ('counts', 'ends', 'ident', 'route', 'stage_key', 'urgency')
+    __slots__ = (
+        'counts',
+        'ends',
+        'fingerprint',
+        'ident',
+        'route',
+        'stage_key',
+        'team',
+        'urgency',
+    )
 
     def __init__(self, ident, route, counts, ends):
         self.ident = ident
         self.route = route
         self.counts = counts
         self.ends = ends
+        self.fingerprint = ''
+        self.team = ''
         self.stage_key = ident
         self.urgency = route.urgency
 
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -111,23 +111,19 @@
     configuration.apply_seconds = settings.apply_seconds
     hub = _built_hub(reactor, rng, settings, log)
     client = HttpClient(reactor)
-    budget = RepeatBudget(
-        reactor,
-        settings.repeat_ratio,
-        settings.repeat_slack,
-        settings.repeat_window,
-    )
+    quarantine = Quarantine(reactor, settings.host, registry.count, log)
     calls = StageCalls(reactor, client, adapter.codec, adapter.names, log)
     calls.on_misdirected = registry.drop
+    budget = _built_budget(reactor, settings)
     owners = Owners(
         reactor,
         registry,
         configuration,
         calls,
         partial(budget.spend, sharers=_STAGE_SHARERS),
+        quarantine,
         log,
     )
-    stages = _built_stages(reactor, settings, hub, owners, log)
     core = ForwardCore(
         reactor,
         rng,
@@ -136,12 +132,13 @@
         registry,
         configuration,
         budget,
-        stages,
+        _built_stages(reactor, settings, hub, owners, log),
         adapter.names,
         log,
         cold=ColdShares(settings.host, settings.domain),
-        quarantine=Quarantine(reactor, settings.host, registry.count, log),
+        quarantine=quarantine,
     )
+    calls.look_at_crashes(core.crashes, quarantine)
     members = Members(
         store,
         reactor,
@@ -154,11 +151,11 @@
         hub,
         members,
         owners,
-        stages,
+        core.stages,
         _built_relay(settings, store, suspend_clock, core, hub),
         DrainedDomains(registry, reactor, log),
-        Sharing(hub, core.quarantine, log),
-        Record(store, core.quarantine, log),
+        Sharing(hub, quarantine, log),
+        Record(store, quarantine, log),
     )
 
 
@@ -176,6 +173,15 @@
     parts.hub.dialer.wanted = wanted
 
 
+def _built_budget(reactor, settings):
+    return RepeatBudget(
+        reactor,
+        settings.repeat_ratio,
+        settings.repeat_slack,
+        settings.repeat_window,
+    )
+
+
 def _built_stages(reactor, settings, hub, owners, log):
     stages = StageClient(settings.host, hub, reactor, owners.owner, log)
     stages.ownership.capacity = settings.capacity
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -79,12 +79,16 @@
     Attributes
     ==========
 
+    busy_checks : list of function
+        Each takes an :class:`Incarnation` and returns whether this host has
+        more under way there than the registry's views count.
     on_crash : function
         Called with name and service of a process that has ended, and the
         suspects that this host had there.
     """
 
     __slots__ = (
+        'busy_checks',
         'client',
         'clock',
         'ended',
@@ -101,6 +105,7 @@
         self.log = log
         self.looks = {}
         self.ended = {}
+        self.busy_checks = []
         self.on_crash = _nobody_told
 
     def note_broken(self, upstream, suspect):
@@ -186,7 +191,9 @@
 
     def _is_busy(self, upstream):
         view = self.registry.views.get(upstream.ident)
-        return view is not None and view.flying > 0
+        if view is not None and view.flying > 0:
+            return True
+        return any(is_busy(upstream) for is_busy in self.busy_checks)
 
 
 def _nobody_told(name, service, suspects):
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -12,9 +12,6 @@
 # Sends of one request that may be answered with 'not run' before it is given
 # up: more only load a service that is full.
 _MOST_SENDS = 3
-# Upstreams that may crash under a request before it is left to its caller
-# whether it is sent again: a victim seldom meets two.
-_MOST_CRASHES = 2
 # Seconds after which a refused caller is told to come back, at least, and the
 # jitter, so that those refused together don't return together.
 _LEAST_RETRY = 0.2
@@ -39,7 +36,7 @@
     GIVE_UP = 'give-up'
 
 
-def after_failure(route, outcome, sends, runs, *, resumed, crashes=0):
+def after_failure(route, outcome, sends, runs, *, resumed, may_repeat=True):
     """Return whether a request may be sent again.
 
     Explanation
@@ -58,13 +55,13 @@
     resumed : bool
         Whether a part of the answer went out; then only a stream that may be
         resumed goes on.
-    crashes : int
-        Upstreams that have crashed under the request, in all attempts of its
-        callers.
+    may_repeat : bool
+        False for a request under which upstreams have crashed, in all attempts
+        of its callers together.
     """
     if isinstance(outcome, NotRun):
         return Next.AGAIN if sends < _MOST_SENDS else Next.GIVE_UP
-    if not route.repeatable or crashes >= _MOST_CRASHES:
+    if not route.repeatable or not may_repeat:
         return Next.GIVE_UP
     if resumed and route.kind is not Kind.STREAM:
         return Next.GIVE_UP
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -20,6 +20,8 @@
         Makes the calls.
     spend : function
         See :class:`~pollenstile.stagework.Owner`.
+    quarantine : Quarantine
+        Requests that crash upstreams.
 
     Attributes
     ==========
@@ -34,6 +36,7 @@
         'clock',
         'configuration',
         'log',
+        'quarantine',
         'registry',
         'spend',
     )
@@ -45,6 +48,7 @@
         configuration,
         calls,
         spend,
+        quarantine,
         log=silent_log,
     ):
         self.clock = clock
@@ -52,8 +56,10 @@
         self.configuration = configuration
         self.calls = calls
         self.spend = spend
+        self.quarantine = quarantine
         self.log = log
         self.by_service = {}
+        quarantine.on_held = self.withdraw
 
     def owner(self, service):
         """Return this host's queue of a stage service."""
@@ -66,6 +72,7 @@
                 self.calls.release,
                 self.spend,
                 self.log,
+                self.quarantine,
             )
             self.by_service[service] = owner
             self._configure(owner)
@@ -76,6 +83,11 @@
         for owner in self.by_service.values():
             self._configure(owner)
 
+    def withdraw(self, content):
+        """Refuse what waits of a request that crashes upstreams."""
+        for owner in self.by_service.values():
+            owner.withdraw(content)
+
     def waiting(self):
         """Return how many pieces wait in all queues."""
         return sum(len(owner.waiting) for owner in self.by_service.values())
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -29,6 +29,7 @@
 from pollenstile.forward._runlines import log_end, log_send
 from pollenstile.forward._suspicion import held_refusal, learned
 from pollenstile.forward._types import Lost, NotRun, Refusal
+from pollenstile.quarantine import HELD_REASON
 from pollenstile.routes import Kind
 from pollenstile.stagework import Chain, ChainFailed, plan_of
 
@@ -211,7 +212,7 @@
         return await self._staged()
 
     def _refuse_unstaged(self, failed):
-        if self.runs:
+        if self.runs or failed.reason == HELD_REASON:
             self._refuse(Refusal(502, failed.reason, failed.step))
             return
         wait = retry_after(failed.retry_after, self.core.rng)
@@ -258,7 +259,7 @@
             self.sends,
             self.runs,
             resumed=self.answer.begun,
-            crashes=self.core.quarantine.crashes_under(
+            may_repeat=self.core.quarantine.may_repeat(
                 self.exchange.fingerprint
             ),
         )
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -5,8 +5,10 @@
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 from twisted.web.client import readBody
 
+from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.ops.logs import silent_log
+from pollenstile.quarantine import Suspect
 from pollenstile.stagework import CallLost
 from pollenstile.stagework.events import STAGE_RELEASE_FAILED
 
@@ -37,14 +39,23 @@
 
     pieces_in : Counter
         Pieces of the calls that are under way, by failure domain.
+    calls_at : Counter
+        Calls that are under way, by identifier and start of the upstream.
+    crashes : Crashes or None
+        Finds out whether an upstream that broke a call off has ended.
+    on_answer : function
+        Called with an incarnation's name and when it was asked.
     """
 
     __slots__ = (
+        'calls_at',
         'client',
         'clock',
         'codec',
+        'crashes',
         'log',
         'names',
+        'on_answer',
         'on_misdirected',
         'pieces_in',
     )
@@ -57,14 +68,34 @@
         self.log = log
         self.on_misdirected = None
         self.pieces_in = Counter()
+        self.calls_at = Counter()
+        self.crashes = None
+        self.on_answer = None
+
+    def look_at_crashes(self, crashes, quarantine):
+        """Report what was under way at upstreams that crash."""
+        self.crashes = crashes
+        self.on_answer = quarantine.note_answer
+        crashes.busy_checks.append(self.is_busy)
+
+    def is_busy(self, upstream):
+        """Return whether calls are under way at an incarnation."""
+        return self.calls_at[upstream.ident, upstream.born] > 0
 
     def call(self, worker, pieces, seconds):
         """Return a Deferred of the pieces' results, or of ``CallLost``."""
+        began = self.clock.seconds()
         work = Deferred.fromCoroutine(self._called(worker, pieces))
         work.addTimeout(seconds, self.clock)
         work.addErrback(self._gave_up, worker)
         self.pieces_in[worker.domain] += len(pieces)
-        return work.addBoth(self._ended, worker.domain, len(pieces))
+        self.calls_at[worker.ident, worker.born] += 1
+        work.addBoth(self._ended, worker, len(pieces))
+        return work.addCallback(
+            lambda outcome: Deferred.fromCoroutine(
+                self._examined(outcome, worker, pieces, began)
+            )
+        )
 
     def release(self, address, handles):
         """Release results at their maker; return a Deferred of success."""
@@ -72,8 +103,40 @@
         work.addTimeout(_RELEASE_SECONDS, self.clock)
         return work.addErrback(self._not_released, address)
 
-    def _ended(self, outcome, domain, count):
-        self.pieces_in[domain] -= count
+    def _ended(self, outcome, worker, count):
+        self.pieces_in[worker.domain] -= count
+        place = worker.ident, worker.born
+        self.calls_at[place] -= 1
+        if not self.calls_at[place]:
+            self.calls_at.pop(place)
+        return outcome
+
+    async def _examined(self, outcome, worker, pieces, began):
+        """Learn whether a call's upstream has ended; return the outcome.
+
+        Explanation
+        ===========
+
+        The pieces wait until that is known: sent again together, none of them
+        could be told from the one that is to blame.
+        """
+        if self.crashes is None:
+            return outcome
+        incarnation = incarnation_of(pieces[0].group.service, worker)
+        if not isinstance(outcome, CallLost):
+            self.on_answer(incarnation.name, began)
+            return outcome
+        if not outcome.broken:
+            return outcome
+        ran = self.clock.seconds() - began
+        groups = {piece.group.ident: piece.group for piece in pieces}
+        looks = [
+            self.crashes.note_broken(
+                incarnation, Suspect(one.content, one.team, ran)
+            )
+            for one in groups.values()
+        ]
+        await looks[-1]
         return outcome
 
     async def _called(self, worker, pieces):
@@ -88,7 +151,12 @@
         if isinstance(response, NotRun):
             return CallLost(response.reason, worker.ident, arrived=False)
         if isinstance(response, Lost):
-            return CallLost(response.reason, worker.ident, arrived=True)
+            return CallLost(
+                response.reason,
+                worker.ident,
+                arrived=True,
+                broken=response.broken,
+            )
         if response.headers.hasHeader(self.names.not_run) or status == 421:
             if status == 421 and self.on_misdirected is not None:
                 self.on_misdirected(worker.ident, worker.born)
@@ -125,8 +193,9 @@
             raise
 
     def _gave_up(self, failure, worker):
-        reason = 'timeout' if failure.check(TimeoutError) else 'torn answer'
-        return CallLost(reason, worker.ident, arrived=True)
+        if failure.check(TimeoutError):
+            return CallLost('timeout', worker.ident, arrived=True)
+        return CallLost('torn answer', worker.ident, arrived=True, broken=True)
 
     def _not_released(self, failure, address):
         self.log(
--- a/pollenstile/forward/_suspicion.py
+++ b/pollenstile/forward/_suspicion.py
@@ -5,7 +5,7 @@
 from pollenstile.forward._attempt import Delivered, Failing
 from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._types import Lost, Refusal
-from pollenstile.quarantine import Suspect
+from pollenstile.quarantine import HELD_REASON, Suspect
 
 _BAD_GATEWAY = 502
 
@@ -21,7 +21,7 @@
     """
     if not core.quarantine.is_held(exchange.fingerprint):
         return None
-    return Refusal(_BAD_GATEWAY, 'crashes upstreams', 'entry')
+    return Refusal(_BAD_GATEWAY, HELD_REASON, 'entry')
 
 
 def learned(core, exchange, attempt, outcome):
@@ -41,7 +41,7 @@
         return succeed(None)
     if not isinstance(outcome, Lost) or not outcome.broken:
         return succeed(None)
-    was_suspect = quarantine.crashes_under(content) > 0
+    was_suspect = quarantine.is_suspect(content)
     decided = core.crashes.note_broken(
         incarnation_of(exchange.service, attempt.view),
         Suspect(content, exchange.team, attempt.ran_seconds()),
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -13,6 +13,11 @@
 from pollenstile.quarantine._wholeruns import WholeRuns
 
 _MS = 1000
+# Why a request in quarantine is refused, for callers and between hosts.
+HELD_REASON = 'crashes upstreams'
+# Upstreams that may crash under a request before a host leaves it to the caller
+# whether it is sent again: a victim seldom meets two.
+_MOST_REPEATED = 2
 
 
 def unix_ms():
@@ -47,6 +52,8 @@
         Called with :class:`News` that this host has found itself.
     on_verdict : function
         Called with a verdict that this host has reached, or that lifts one.
+    on_held : function
+        Called with the fingerprint of a request that is held from now on.
     """
 
     __slots__ = (
@@ -57,6 +64,7 @@
         'key',
         'log',
         'now_ms',
+        'on_held',
         'on_news',
         'on_verdict',
         'verdicts',
@@ -75,6 +83,7 @@
         self.whole_runs = WholeRuns(clock)
         self.on_news = _nobody
         self.on_verdict = _nobody
+        self.on_held = _nobody
 
     def fingerprint(self, *parts):
         """Return a content's fingerprint; empty while there is no key."""
@@ -84,9 +93,13 @@
         """Return whether a request is kept from upstreams, by fingerprint."""
         return self.verdicts.held(content) is not None
 
-    def crashes_under(self, content):
-        """Return how many upstreams have crashed under a request."""
-        return self.evidence.count(content)
+    def is_suspect(self, content):
+        """Return whether an upstream has crashed under a request."""
+        return self.evidence.count(content) > 0
+
+    def may_repeat(self, content):
+        """Return whether a host sends a request again by itself."""
+        return self.evidence.count(content) < _MOST_REPEATED
 
     def note_crash(self, incarnation, service, suspects):
         """Take what this host had at a process that has ended."""
@@ -103,7 +116,7 @@
         if not content:
             return
         self.whole_runs.note(content)
-        if self.crashes_under(content) or self.is_held(content):
+        if self.is_suspect(content) or self.is_held(content):
             self._tell(self.take(News(cleared=(content,))))
 
     def note_answer(self, incarnation, asked_at):
@@ -142,7 +155,7 @@
         ended = self.verdicts.expire()
         for verdict in ended:
             if verdict.is_held:
-                self._log_lifted(verdict, 'its time is over')
+                _log_lifted(self.log, verdict, 'its time is over')
         return ended
 
     def _judge(self, report):
@@ -202,6 +215,8 @@
         if self.whole_runs.is_shown(verdict.fingerprint):
             # Those that saw the crashes can't know that it ran to its end here.
             self.lift(verdict.fingerprint, 'it ran to its end here')
+        else:
+            self.on_held(verdict.fingerprint)
         return True
 
     def _take_lifted(self, verdict, reason):
@@ -211,7 +226,7 @@
             return False
         self.evidence.clear(verdict.fingerprint)
         if was_held:
-            self._log_lifted(verdict, reason)
+            _log_lifted(self.log, verdict, reason)
         self.on_verdict(verdict)
         return True
 
@@ -235,19 +250,20 @@
                 self.lift(content, 'its upstreams have not crashed')
         return True
 
-    def _log_lifted(self, verdict, reason):
-        self.log(
-            events.QUARANTINE_LIFTED,
-            content=verdict.fingerprint,
-            team=verdict.team,
-            service=verdict.service,
-            reason=reason,
-        )
-
     def _tell(self, news):
         if not news.is_empty():
             self.on_news(news)
 
 
+def _log_lifted(log, verdict, reason):
+    log(
+        events.QUARANTINE_LIFTED,
+        content=verdict.fingerprint,
+        team=verdict.team,
+        service=verdict.service,
+        reason=reason,
+    )
+
+
 def _nobody(told):
     """Stand for nobody who is told."""
--- a/pollenstile/stagework/_arrivals.py
+++ b/pollenstile/stagework/_arrivals.py
@@ -54,6 +54,8 @@
 
     def waited(self, group, now):
         """Return seconds from a caller's first arrival to this one's."""
+        if not group.key:
+            return 0.0
         known = self.seen.get(group.key)
         if known is None or known.ends < now:
             self._forget(now)
--- a/pollenstile/stagework/_batching.py
+++ b/pollenstile/stagework/_batching.py
@@ -7,6 +7,31 @@
 _TIGHT_SHARE = 0.6
 
 
+def apart(pieces, is_suspect):
+    """Return the pieces that may go into one call together.
+
+    Explanation
+    ===========
+
+    A suspect's group goes alone: a worker has crashed under it, and the next
+    call tells whether it is to blame, or what was beside it.
+
+    Parameters
+    ==========
+
+    pieces : list of Piece
+        Ranked, those of a group in a row.
+    is_suspect : function
+        Takes the fingerprint of a request.
+    """
+    if not pieces:
+        return []
+    first = pieces[0].group
+    if is_suspect(first.content):
+        return [piece for piece in pieces if piece.group is first]
+    return [piece for piece in pieces if not is_suspect(piece.group.content)]
+
+
 def spare_bytes(pieces, started, workers, limits, now):
     """Return room that no group under way will need, over all workers.
 
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -205,6 +205,8 @@
             near=self._near(number, inputs),
             is_first=not self.done,
             later_crowded=self._is_later_crowded(number),
+            content=self.plan.content,
+            team=self.plan.team,
         )
 
     def _is_later_crowded(self, number):
--- a/pollenstile/stagework/_codec.py
+++ b/pollenstile/stagework/_codec.py
@@ -26,6 +26,8 @@
         isLater=not group.is_first,
         laterCrowded=group.later_crowded,
         passedOn=group.passed_on,
+        content=bytes.fromhex(group.content),
+        team=group.team,
     ).to_bytes()
 
 
@@ -48,6 +50,8 @@
             not reader.isLater,
             reader.laterCrowded,
             reader.passedOn,
+            reader.content.hex(),
+            reader.team,
         )
 
     return decoded(_schema.Group, encoded, build)
--- a/pollenstile/stagework/_drawing.py
+++ b/pollenstile/stagework/_drawing.py
@@ -1,7 +1,7 @@
 """Free workers draw from an owner's queue."""
 
 from pollenstile.stagework import events
-from pollenstile.stagework._batching import batch_for, spare_bytes
+from pollenstile.stagework._batching import apart, batch_for, spare_bytes
 from pollenstile.stagework._calltimes import call_seconds, full_seconds
 from pollenstile.stagework._flight import Flight
 from pollenstile.stagework._nearness import eligible, frees_by_domain
@@ -90,7 +90,7 @@
             limits.batch * len(workers),
         )
         batch = batch_for(
-            ranked(mine, now, work),
+            apart(ranked(mine, now, work), self.owner.quarantine.is_suspect),
             worker,
             limits,
             now,
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -3,6 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.quarantine import HELD_REASON, Quarantine
 from pollenstile.stagework import events
 from pollenstile.stagework._admission import Admission
 from pollenstile.stagework._arrivals import Arrivals
@@ -47,6 +48,8 @@
     spend : function
         Takes a service and a number of pieces; returns whether the repeat
         budget has them.
+    quarantine : Quarantine
+        Requests that crash upstreams.
     log : function
         Writes events.
 
@@ -79,6 +82,7 @@
         'limits',
         'log',
         'pace',
+        'quarantine',
         'releases',
         'service',
         'spend',
@@ -87,13 +91,23 @@
         'workers',
     )
 
-    def __init__(self, clock, service, call, free, spend, log=silent_log):
+    def __init__(
+        self,
+        clock,
+        service,
+        call,
+        free,
+        spend,
+        log=silent_log,
+        quarantine=None,
+    ):
         self.clock = clock
         self.service = service
         self.call = call
         self.releases = Releases(clock, free, self._freed)
         self.spend = spend
         self.log = log
+        self.quarantine = quarantine or Quarantine(clock, '', _unknown, log)
         self.limits = None
         self.jobs = {}
         self.waiting = []
@@ -154,7 +168,10 @@
         if self.limits is None or not self.workers:
             waiter.callback(GroupRefused(NO_WORKERS))
             return waiter
-        waited = self._waited(group)
+        if self.quarantine.is_held(group.content):
+            waiter.callback(GroupRefused(HELD_REASON))
+            return waiter
+        waited = self.arrivals.waited(group, self.clock.seconds())
         group.due -= waited
         if not self.admission.takes(group):
             wait = self.wait(group.count)
@@ -171,11 +188,6 @@
         self.drawing.soon()
         return waiter
 
-    def _waited(self, group):
-        if not group.key:
-            return 0.0
-        return self.arrivals.waited(group, self.clock.seconds())
-
     def hand_over(self):
         """Give back the groups of which no piece is begun.
 
@@ -197,6 +209,12 @@
             if job.group.request == request:
                 self._refuse(job, 'cancelled')
 
+    def withdraw(self, content):
+        """Refuse what waits of a request that crashes upstreams."""
+        for job in list(self.jobs.values()):
+            if job.group.content == content:
+                self._refuse(job, HELD_REASON)
+
     def release(self, handles):
         """Release results that were read, or that nobody will read."""
         self.releases.add(handles)
@@ -242,6 +260,8 @@
         self.drawing.soon()
 
     def _may_repeat(self, piece):
+        if not self.quarantine.may_repeat(piece.group.content):
+            return False
         return piece.sent < _MOST_SENT and self.spend(self.service, 1)
 
     def made(self, piece, made):
@@ -323,3 +343,8 @@
         ]
         self.started.discard(job.group.ident)
         job.end(outcome)
+
+
+def _unknown(service):
+    """Stand for the number of upstreams of a queue without a registry."""
+    return 0
--- a/pollenstile/stagework/_plan.py
+++ b/pollenstile/stagework/_plan.py
@@ -30,6 +30,8 @@
         On the clock: the deadline.
     near : str
         Failure domain in which the last results are read, if it is known.
+    content, team : str
+        Fingerprint of the request, and who sent it.
     """
 
     request: str
@@ -40,6 +42,8 @@
     ends: float
     urgency: int
     near: str = ''
+    content: str = ''
+    team: str = ''
 
 
 def plan_of(exchange, ready_by, seconds, near=''):
@@ -56,8 +60,8 @@
     ==========
 
     exchange : Exchange
-        With ``ident``, ``route``, ``counts``, ``stage_key``, ``urgency`` and
-        ``ends``.
+        With ``ident``, ``route``, ``counts``, ``stage_key``, ``urgency``,
+        ``ends``, ``fingerprint`` and ``team``.
     ready_by : float
         On the clock: when the model engine must have the results.
     seconds : function
@@ -83,6 +87,8 @@
         exchange.ends,
         exchange.urgency,
         near,
+        exchange.fingerprint,
+        exchange.team,
     )
 
 
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -44,6 +44,8 @@
         Whether a later step's queue is longer than usual.
     passed_on : bool
         Whether a host that does not own the queue has passed it on.
+    content, team : str
+        Fingerprint of the request, and who sent it.
     """
 
     request: str
@@ -60,6 +62,8 @@
     is_first: bool = True
     later_crowded: bool = False
     passed_on: bool = False
+    content: str = ''
+    team: str = ''
 
     @property
     def ident(self):
@@ -118,11 +122,14 @@
         Why and where.
     arrived : bool
         Whether the upstream may have got it.
+    broken : bool
+        Whether the upstream's side broke the connection.
     """
 
     reason: str
     peer: str
     arrived: bool
+    broken: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -154,7 +161,8 @@
     ==========
 
     reason : str
-        ``'busy'``, ``'late'``, ``'gone'``, ``'failed'``, ``'no owner'``.
+        ``'busy'``, ``'late'``, ``'gone'``, ``'failed'``, ``'no owner'``,
+        :data:`~pollenstile.quarantine.HELD_REASON`.
     retry_after : float
         Seconds until asking again makes sense.
     waited : float
--- a/pollenstile/stagework/messages.capnp
+++ b/pollenstile/stagework/messages.capnp
@@ -21,6 +21,9 @@
   laterCrowded @12 :Bool;
   # Whether a host that does not own the queue has passed it on.
   passedOn @13 :Bool;
+  # Fingerprint of the request, and the team that sent it.
+  content @14 :Data;
+  team @15 :Text;
 }
 
 struct GroupAnswer {
