soak: upstreams that a request ends, in the live soak

After the faults a look-up and a draft come each 0.25 s at the hosts in turn, each of which ends the upstream that runs it; another one starts in its place. From 3 s after the third end on they may reach upstreams three times (the users' rule). An upstream that ends stops listening at its address now, as a process does; its proxy went on accepting connections, and no host could see that it had ended.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -22,7 +22,7 @@
 _MOST_SEEDS = 6
 
 
-def _repeats_all(route, outcome, sends, runs, *, resumed):
+def _repeats_all(route, outcome, sends, runs, *, resumed, may_repeat):
     return Next.AGAIN if sends < 3 and not resumed else Next.GIVE_UP
 
 
@@ -61,9 +61,15 @@
     _registry.Registry.drain = lambda registry, domains: None
 
 
+def without_quarantine():
+    """Send on what has crashed three upstreams and more."""
+    _run.held_refusal = lambda core, exchange: None
+
+
 GUARDS = {
     'drained domains': without_drained_domains,
     'once': without_once,
+    'quarantine': without_quarantine,
     'configuration': without_new_configuration,
     'drain': without_drain,
     'truth': without_truth,
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -15,12 +15,16 @@
 
 from pollenstile.ops.body import BytesProducer
 from pollenstile.soak.live._records import Asked
-from pollenstile.soak.live._servers import NAMES
+from pollenstile.soak.live._servers import DEADLY, NAMES
 
 # Seconds that callers wait, stated in the request.
 DEADLINES = {'find': 2.0, 'book': 2.0, 'draft': 4.0, 'digest': 4.0}
 # Seconds beyond the deadline after which a caller gives its connection up.
 _MARGIN = 4.0
+# Kinds of requests of which one ends each upstream that runs it, and seconds
+# between its repeats.
+DEADLY_KINDS = ('find', 'draft')
+_DEADLY_PAUSE = 0.25
 # Seconds between a caller's requests, on average.
 _PAUSE = 0.06
 # Share of the requests that carry any key there ever was.
@@ -109,20 +113,36 @@
             pause = self.rng.expovariate(1 / _PAUSE)
             await deferLater(world.reactor, pause)
             count += 1
-            await self._ask(f'c{self.number}-{count}')
+            ident = f'c{self.number}-{count}'
+            kind = self.rng.choice(tuple(DEADLINES))
+            await self._ask(ident, kind, ident, self._key())
         if self.connection is not None:
             self.connection.transport.abortConnection()
 
-    async def _ask(self, ident):
+    async def repeat_deadly(self, kind, seconds):
+        """Ask all hosts again and again for what ends its upstream."""
+        world = self.world
+        ends = world.reactor.seconds() + seconds
+        content = f'{DEADLY}-{kind}'
+        while world.reactor.seconds() < ends:
+            await deferLater(world.reactor, _DEADLY_PAUSE)
+            self.number += 1
+            ident = f'{content}-{self.number}'
+            await self._ask(ident, kind, content, world.keys[0])
+            if self.connection is not None:
+                self.connection.transport.abortConnection()
+            self.connection = None
+
+    async def _ask(self, ident, kind, content, key):
         world = self.world
         if self.connection is None or self.connection.over:
             await self._connect()
         if self.connection is None:
             return
-        kind = self.rng.choice(tuple(DEADLINES))
-        key = self._key()
         now = world.reactor.seconds()
-        asked = Asked(ident, kind, self.host.name, key, now, DEADLINES[kind])
+        asked = Asked(
+            ident, kind, self.host.name, key, now, DEADLINES[kind], content
+        )
         world.records.asked.append(asked)
         await self._answered(asked)
         asked.ended_at = world.reactor.seconds()
@@ -174,5 +194,5 @@
         lines.addRawHeader(NAMES.counts, b'2,3')
         lines.addRawHeader(NAMES.stage_key, asked.ident.encode())
     body = BytesProducer(b'x' * _LARGE)
-    target = f'/{asked.kind}/of/{asked.ident}?q'.encode()
+    target = f'/{asked.kind}/of/{asked.content}?q'.encode()
     return Request(b'POST', target, lines, body, persistent=True)
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -25,6 +25,11 @@
 # Seconds after an upstream's leaving within which nothing new reaches it.
 _LEFT_SECONDS = 2.0
 _LEFT_MARGIN = 1.0
+# Upstreams that a request may end, seconds until all hosts know, and how often
+# it may reach upstreams from then on.
+_FREE_ENDS = 3
+_KNOWN_SECONDS = 3.0
+_LATE_SENDS = 3
 # Seconds of a request's way to its host, in which its key may have ended.
 _MARGIN = 0.3
 # Share of the last, calm requests that must be answered.
@@ -43,6 +48,7 @@
     lines.extend(_of_leaving(records))
     lines.extend(_of_drains(records))
     lines.extend(_of_cold(records))
+    lines.extend(_of_deadly(records))
     lines.extend(_of_calm(records))
     return lines
 
@@ -160,6 +166,22 @@
     ]
 
 
+def _of_deadly(records):
+    """What ends its upstreams is kept from them after the third."""
+    for content in sorted({content for _, content in records.ended_by}):
+        ends = [at for at, one in records.ended_by if one == content]
+        if len(ends) < _FREE_ENDS:
+            continue
+        late = [
+            one
+            for one in records.ran
+            if one.ident.rpartition('-')[0] == content
+            and one.at > ends[_FREE_ENDS - 1] + _KNOWN_SECONDS
+        ]
+        if len(late) > _LATE_SENDS:
+            yield f'{content} ran {len(late)} times after {len(ends)} ends'
+
+
 def _of_cold(records):
     """A cold model engine gets no more in a second than it bears."""
     runs = {}
--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -119,8 +119,7 @@
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
     _note(world, server.ident, 'crash')
-    await world.crash_server(server)
-    await world.add_server(service, server.domain)
+    await world.replace_server(server)
 
 
 async def leave_server(world):
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -22,6 +22,8 @@
         On the clock; 0 until it is sent whole.
     deadline : float
         Seconds.
+    content : str
+        What is asked; requests that repeat one another share it.
 
     Attributes
     ==========
@@ -42,6 +44,7 @@
     key: str
     sent_at: float
     deadline: float
+    content: str = ''
     status: int = 0
     body: bytes = b''
     whole: bool = False
@@ -105,6 +108,8 @@
         Failure domain of each upstream, and until when it was cold.
     faults : list of Fault
         What was done, in order.
+    ended_by : list of tuple
+        When a request has ended its upstream, and its content.
     calm_from : float
         From then on there is no fault; 0 before.
     broken : list of str
@@ -118,6 +123,7 @@
     drains: list = field(default_factory=list)
     upstreams: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
+    ended_by: list = field(default_factory=list)
     broken: list = field(default_factory=list)
     calm_from: float = 0.0
 
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -7,11 +7,12 @@
 from twisted.internet.task import deferLater
 
 from pollenstile.soak.live._balancer import watch_ready
-from pollenstile.soak.live._callers import Caller
+from pollenstile.soak.live._callers import DEADLY_KINDS, Caller
 from pollenstile.soak.live._checks import broken_promises
 from pollenstile.soak.live._faults import FAULTS
 from pollenstile.soak.live._hosts import COMMAND
 from pollenstile.soak.live._records import Fault
+from pollenstile.soak.live._servers import COLD_SECONDS
 from pollenstile.soak.live._world import DOMAINS, World
 
 # Seconds in which hosts must be ready at first.
@@ -27,6 +28,9 @@
 _CALM = 3.0
 # Seconds beyond them for which a failure domain stays drained meanwhile.
 _DRAINED_MORE = 1.5
+# Seconds for which a request that ends its upstreams comes again: it may reach
+# them freely for three seconds after the third.
+_DEADLY_REPEATED = 5.5
 _CALLERS = 14
 _LOOK = 0.05
 
@@ -108,7 +112,7 @@
         for number in range(_CALLERS)
     ]
     await _harmed(world, seconds)
-    await deferLater(reactor, _SETTLE)
+    await _deadly(world)
     await _calm(world)
     world.asking = False
     for caller in callers:
@@ -126,6 +130,14 @@
         await deferLater(reactor, pause)
     for one in under_way:
         await one
+    await deferLater(reactor, _SETTLE)
+
+
+async def _deadly(world):
+    """Let requests come again and again that end their upstreams."""
+    for kind in DEADLY_KINDS:
+        await Caller(world, 0).repeat_deadly(kind, _DEADLY_REPEATED)
+    await deferLater(world.reactor, COLD_SECONDS)
 
 
 async def _drained(world):
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -1,13 +1,14 @@
 """Upstreams of a live run: one server each, behind a proxy, with faults."""
 
 import msgspec
+from twisted.internet.defer import Deferred, gatherResults, maybeDeferred
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
 from pollenstile.forward import FREE_TARGET, RUN_TARGET, HeaderNames
 from pollenstile.ops.http import quiet
 from pollenstile.soak.live._proxy import LOOPBACK, Proxy
-from pollenstile.soak.live._records import Ran
+from pollenstile.soak.live._records import Fault, Ran
 
 NAMES = HeaderNames()
 PLAIN = 'lookup'
@@ -20,6 +21,10 @@
 # so, and the requests a second that it bears.
 COLD_SECONDS = 1.0
 COLD_RATE = 6.0
+# Of the target of requests that end the upstream that runs them, and seconds
+# until then.
+DEADLY = 'deadly'
+_DEADLY_SECONDS = 0.03
 # Seconds that a lookup and a stage call take.
 _WORK = 0.08
 _SLOW_WORK = 0.6
@@ -95,10 +100,13 @@
         return _SLOW_WORK if self.fault == 'slow' else _WORK
 
     def crash(self):
-        """End with all connections."""
+        """End with all connections; nobody listens at the address then."""
         self.proxy.target = None
-        self.proxy.reset()
-        return self.port.stopListening()
+        ended = [
+            maybeDeferred(self.proxy.close),
+            maybeDeferred(self.port.stopListening),
+        ]
+        return gatherResults(ended)
 
 
 class _Served(Resource):
@@ -122,11 +130,24 @@
         if self.server.fault == 'hang':
             self.note(request, attempt.decode())
             return NOT_DONE_YET
+        if DEADLY.encode() in request.uri:
+            self.note(request, attempt.decode())
+            content = attempt.decode().rpartition('-')[0]
+            self.clock.callLater(_DEADLY_SECONDS, self._end, content)
+            return NOT_DONE_YET
         if attempt:
             request.setHeader(NAMES.attempt, attempt)
             request.setHeader(NAMES.stamp, f'proof of {self.server.ident}')
         return self.serve(request, attempt.decode())
 
+    def _end(self, content):
+        world = self.server.world
+        if self.server.ident in world.servers:
+            now = self.clock.seconds()
+            world.records.ended_by.append((now, content))
+            world.records.faults.append(Fault(now, self.server.ident, 'ended'))
+            Deferred.fromCoroutine(world.replace_server(self.server))
+
     def note(self, request, ident):
         """Note a run, and whether its answer is lost."""
         team = request.getHeader(NAMES.team) or b''
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -25,6 +25,8 @@
 _COUNTS = ((PLAIN, 3), (ENGINES, 3), (STAGES[0], 2), (STAGES[1], 2))
 # Hosts are in the first one.
 DOMAINS = ('here', 'there')
+# Seconds until the entry of an upstream that has ended is gone.
+_LAPSE = 1.0
 # Seconds between tries of a write.
 _RETRY = 0.1
 _KEYS = ('key-a', 'key-b', 'key-c')
@@ -152,7 +154,18 @@
         """End an upstream at once; its entry lapses later."""
         self.servers.pop(server.ident, None)
         await server.crash()
-        self.reactor.callLater(1.0, self._lapse, server.ident)
+        delete = partial(self.store.delete, 'upstreams', server.ident)
+
+        def lapse():
+            # As heartbeats no longer come.
+            Deferred.fromCoroutine(self._until_written(delete))
+
+        self.reactor.callLater(_LAPSE, lapse)
+
+    async def replace_server(self, server):
+        """End an upstream at once, and start another one."""
+        await self.crash_server(server)
+        await self.add_server(server.service, server.domain)
 
     async def revoke(self, key):
         """Take a key away."""
@@ -196,17 +209,11 @@
                 await _closed(proxy.close())
         for server in list(self.servers.values()):
             await _closed(server.crash())
-            await _closed(server.proxy.close())
         await _closed(self.store_port.stopListening())
 
     async def _write(self, kind, name, value):
         await self._until_written(partial(self.store.put, kind, name, value))
 
-    def _lapse(self, ident):
-        """Let an entry lapse, as heartbeats that no longer come do."""
-        delete = partial(self.store.delete, 'upstreams', ident)
-        Deferred.fromCoroutine(self._until_written(delete))
-
     async def _until_written(self, call):
         """Repeat a call until the store has said that it was done."""
         while not isinstance(await call(), Written):
