--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -141,3 +141,11 @@
     When "late" is put into quarantine
     Then "late" is refused for crashing upstreams
     And "late" is refused so when it comes again
+
+  Scenario: An operator sees what is in quarantine, and lifts it by the command
+    Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
+    When a deadly request comes each 0.3 seconds for 3 seconds, at all hosts in turn
+    Then the command lists one request of a team, with its service and crashes
+    When an operator lifts it by the command
+    Then no host keeps it from upstreams after 2 seconds
+    And the command lists no request
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock
 
 from pollenstile.bench._crashworld import CrashWorld
+from pollenstile.ops._quarantinecmd import held_requests, lifted
 from pollenstile.quarantine import (
     QUARANTINED,
     News,
@@ -15,6 +16,7 @@
     Report,
     Suspect,
     Verdict,
+    unix_ms,
 )
 
 _DEADLY = b'deadly'
@@ -188,6 +190,29 @@
     Deferred.fromCoroutine(store.delete(QUARANTINED, _held(context)))
 
 
+def _listed(context):
+    return held_requests(_entries(context), unix_ms())
+
+
+@then('the command lists one request of a team, with its service and crashes')
+def then_listed(context):
+    listed = _listed(context)
+    assert [one.fingerprint for one in listed] == [_held(context)]
+    assert (listed[0].team, listed[0].service) == ('team', 's')
+    assert listed[0].crashes >= 3
+
+
+@when('an operator lifts it by the command')
+def when_lifted(context):
+    store = _fleet(context).store
+    Deferred.fromCoroutine(lifted(store, _held(context)))
+
+
+@then('the command lists no request')
+def then_none_listed(context):
+    assert not _listed(context)
+
+
 @when('one host sees it run to its end')
 def when_whole(context):
     host = _fleet(context).running()[-1]
--- a/pollenstile/quarantine/__init__.py
+++ b/pollenstile/quarantine/__init__.py
@@ -2,7 +2,7 @@
 
 from pollenstile.quarantine._evidence import Crash, Evidence
 from pollenstile.quarantine._fingerprint import fingerprint
-from pollenstile.quarantine._quarantine import HELD_REASON, Quarantine
+from pollenstile.quarantine._quarantine import HELD_REASON, Quarantine, unix_ms
 from pollenstile.quarantine._record import QUARANTINED, Record
 from pollenstile.quarantine._sharing import Sharing
 from pollenstile.quarantine._types import News, Report, Suspect, Verdict
