--- a/pollenstile/ops/_quarantinecmd.py
+++ b/pollenstile/ops/_quarantinecmd.py
@@ -1,4 +1,4 @@
-"""``pollenstile quarantine``: lists requests that crash upstreams, lifts one."""
+"""``pollenstile quarantine``: requests that crash upstreams, listed or lifted."""
 
 import json
 import sys
