quarantine: an entry that is newer than a release is taken, not deleted

Found by reading: a request that was lifted, crashed upstreams again and was held again could reach a host by the store before its peers told it. The host took the entry for the one that had been lifted, and the first of them by rendezvous deleted it, which lifted it for all.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -75,6 +75,23 @@
     Then no host keeps it from upstreams after 2 seconds
     And its entry does not come back
 
+  Scenario: One that crashes upstreams again after it was lifted is held again
+    An entry that is newer than the release must not be taken for the older one.
+    Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
+    When a deadly request comes each 0.3 seconds for 3 seconds, at all hosts in turn
+    And an operator deletes its entry
+    And 2 seconds pass for all hosts
+    And a deadly request comes each 0.3 seconds for 3 seconds, at all hosts in turn
+    Then each host that runs keeps it from upstreams within 3 seconds
+    And its entry stands
+
+  Scenario: An entry that is newer than a release is taken, not deleted
+    A host hears of it by the store before its peers tell it.
+    Given a host that has heard of a release, and reads the store
+    When the store has a newer entry for the same request
+    Then the host keeps it from upstreams
+    And it has not deleted the entry
+
   Scenario: One that runs to its end is released
     A copy was still under way as the verdict fell.
     Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -9,15 +9,18 @@
 
 from pollenstile.bench._crashworld import CrashWorld
 from pollenstile.ops._quarantinecmd import held_requests, lifted
+from pollenstile.platform import Change
 from pollenstile.quarantine import (
     QUARANTINED,
     News,
     Quarantine,
+    Record,
     Report,
     Suspect,
     Verdict,
     unix_ms,
 )
+from pollenstile.standin.objectapi import MemoryStore
 
 _DEADLY = b'deadly'
 _SOUND = b'sound'
@@ -337,6 +340,40 @@
     assert not context.story.answer.refusal.retry_after
 
 
+@then('its entry stands')
+def then_entry(context):
+    assert [one.name for one in _entries(context)] == [_held(context)]
+
+
+@given('a host that has heard of a release, and reads the store')
+def given_released(context):
+    clock = Clock()
+    context.store = MemoryStore(clock)
+    context.quarantine = Quarantine(clock, 'h', lambda service: 9)
+    context.quarantine.now_ms = lambda: 2000
+    context.record = Record(context.store, context.quarantine)
+    released = Verdict('f1', 'team', 's', 3, 1000, is_held=False, ends=600.0)
+    context.quarantine.take(News(verdicts=(released,)))
+
+
+@when('the store has a newer entry for the same request')
+def when_newer(context):
+    entry = {'team': 'team', 'service': 's', 'crashes': 3, 'since_ms': 1500}
+    put = context.store.put(QUARANTINED, 'f1', entry)
+    Deferred.fromCoroutine(put)
+    context.record.take(Change(QUARANTINED, 'f1', 1, entry, 1))
+
+
+@then('the host keeps it from upstreams')
+def then_keeps(context):
+    assert context.quarantine.is_held('f1')
+
+
+@then('it has not deleted the entry')
+def then_not_deleted(context):
+    assert 'f1' in context.record.standing
+
+
 @given("a host's quarantine")
 def given_quarantine(context):
     context.quarantine = Quarantine(Clock(), 'h', lambda service: 9)
--- a/pollenstile/quarantine/_record.py
+++ b/pollenstile/quarantine/_record.py
@@ -70,8 +70,7 @@
         if verdict.ends <= self.quarantine.clock.seconds():
             self._delete(change.name)
             return
-        known = self.quarantine.verdicts.by_fingerprint.get(change.name)
-        if known is not None and not known.is_held:
+        if self._is_released_since(verdict):
             # Lifted before its entry had come here.
             self._delete(change.name)
             return
@@ -93,6 +92,13 @@
             if verdict.is_held:
                 self._delete(verdict.fingerprint)
 
+    def _is_released_since(self, verdict):
+        verdicts = self.quarantine.verdicts.by_fingerprint
+        known = verdicts.get(verdict.fingerprint)
+        if known is None or known.is_held:
+            return False
+        return known.changed >= verdict.changed
+
     async def _written(self, verdict, place):
         clock = self.quarantine.clock
         await paused(clock, place * _TURN_SECONDS)
