--- a/pollenstile/bench/crashes.py
+++ b/pollenstile/bench/crashes.py
@@ -131,12 +131,18 @@
 
 
 def _send(world):
-    """Let the request come at all hosts in turn."""
-    names = itertools.cycle([host.name for host in world.fleet.running()])
+    """Let the request come at all hosts, one failure domain after the other."""
+    running = world.fleet.running()
+    names = itertools.cycle(sorted((one.name for one in running), key=_number))
     for number in range(_REQUESTS):
         world.later(number * _PAUSE, next(names), _DEADLY)
 
 
+def _number(name):
+    """Return a host's number; the next one is in another failure domain."""
+    return int(name[1:])
+
+
 def _costs(fleet, pass_by):
     """Return bytes for each host and calls of the store in some time."""
     hosts = fleet.running()
