standin: an upstream's call and a caller's answer exist once

The stand-in of upstreams that crash had its own head of an answer, call and caller's side, line by line those of the builders of forwarded requests. Both use standin/exchanges.py now. Nothing that is checked has changed.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -5,7 +5,6 @@
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
-from twisted.web.http_headers import Headers
 
 from pollenstile.forward import (
     Asked,
@@ -30,6 +29,7 @@
     Team,
 )
 from pollenstile.stagework import GroupDone, GroupRefused
+from pollenstile.standin.exchanges import Head, HeldCall, KeptAnswer
 
 NAMES = HeaderNames()
 SERVICE = 'desk'
@@ -62,35 +62,12 @@
     )
 
 
-class Head:
-    """The head of an upstream's answer."""
-
-    def __init__(self, code, headers):
-        self.code = code
-        self.phrase = b'phrase'
-        self.headers = Headers(headers)
-
-
-class ScriptedCall:
+class ScriptedCall(HeldCall):
     """One send, answered by the test."""
 
     def __init__(self, address, headers):
-        self.address = address
-        self.headers = dict(headers)
-        self.head = Deferred(lambda _: self.cancel())
+        super().__init__(address, headers)
         self.sent = True
-        self.cancelled = False
-        self.on_data = None
-        self.on_end = None
-
-    def cancel(self):
-        """Note that the connection was closed."""
-        self.cancelled = True
-
-    def deliver(self, response, on_data, on_end):
-        """Keep the functions that take the body."""
-        self.on_data = on_data
-        self.on_end = on_end
 
     def answer(self, code=200, ident=IDENT, stamp='proof', **extra):
         """Answer with a head; ``extra`` headers by field of the names."""
@@ -112,50 +89,6 @@
         self.on_end(BodyEnd.WHOLE if whole else BodyEnd.BROKEN)
 
 
-class ScriptedAnswer:
-    """A caller's side: what reached it."""
-
-    def __init__(self):
-        self.begun = False
-        self.gone = False
-        self.status = 0
-        self.content = b''
-        self.headers = []
-        self.end = ''
-        self.refusal = None
-
-    def begin(self, status, phrase, headers):
-        """Take the head."""
-        self.begun = True
-        self.status = status
-        self.headers = headers
-
-    def write(self, data):
-        """Take a part of the body."""
-        self.content += data
-
-    def finish(self):
-        """Note a whole answer."""
-        self.end = 'whole'
-
-    def abort(self):
-        """Note a broken connection."""
-        self.end = 'broken'
-
-    def refuse(self, refusal):
-        """Take an answer of the system's own."""
-        self.begun = True
-        self.refusal = refusal
-        self.status = refusal.status
-        self.end = 'refused'
-
-    def produce(self, producer):
-        """Take the producer."""
-
-    def unproduce(self):
-        """Forget the producer."""
-
-
 class ScriptedStages:
     """Stage work that is done at once, or refused with a reason."""
 
@@ -285,7 +218,7 @@
             {KEY: Team(TEAM)},
         )
         self.core.configuration.table = self.table
-        self.answer = ScriptedAnswer()
+        self.answer = KeptAnswer()
         self.work = None
 
     def send(self, address, method, target, headers, body):
@@ -327,6 +260,10 @@
         newer = replace(self.table, version=self.table.version + 1, **fields)
         self.core.configuration.table = newer
 
+    def lines(self, event):
+        """Return the fields of an event's log lines."""
+        return [fields for name, fields in self.logged if name == event]
+
     def leave(self):
         """Let the caller close its connection."""
         self.answer.gone = True
--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -8,47 +8,32 @@
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.forward import Asked, Exchange, serve
 from pollenstile.routes import Kind, Route, Target
-from pollenstile.standin.crashing import NAMES, CrashingUpstreams, KeptAnswer
+from pollenstile.standin.crashing import NAMES, CrashingUpstreams
+from pollenstile.standin.exchanges import KeptAnswer
 
 _SERVICE = 's'
 _TEAM = 'team'
 _TARGET = b'/a/x'
 _TIMEOUT = 12.0
 _AIM = 2.0
-_DEADLY = b'deadly'
+# How the body begins of what crashes the upstream that runs it.
+DEADLY = b'deadly'
 # Repeats that all hosts may send in the budget's window, beyond its ratio.
 _SLACK = 60.0
+
+
+def _route(name, kind, **fields):
+    """Return a route to the service."""
+    targets = (Target(_SERVICE),)
+    return Route(
+        name, 'host', '/a/', kind, _TIMEOUT, _AIM, targets=targets, **fields
+    )
+
+
 _ROUTES = {
-    'resumed': Route(
-        'resumed',
-        'host',
-        '/a/',
-        Kind.STREAM,
-        _TIMEOUT,
-        _AIM,
-        targets=(Target(_SERVICE),),
-        attempts=2,
-        resumable=True,
-    ),
-    'repeated': Route(
-        'repeated',
-        'host',
-        '/a/',
-        Kind.IDEMPOTENT,
-        _TIMEOUT,
-        _AIM,
-        targets=(Target(_SERVICE),),
-        attempts=2,
-    ),
-    'once': Route(
-        'once',
-        'host',
-        '/a/',
-        Kind.ONCE,
-        _TIMEOUT,
-        _AIM,
-        targets=(Target(_SERVICE),),
-    ),
+    'resumed': _route('resumed', Kind.STREAM, attempts=2, resumable=True),
+    'repeated': _route('repeated', Kind.IDEMPOTENT, attempts=2),
+    'once': _route('once', Kind.ONCE),
 }
 
 
@@ -138,6 +123,13 @@
         """Send a request to a host after some seconds."""
         self.fleet.clock.callLater(seconds, self.ask, name, body)
 
+    def repeat(self, bodies, pause, seconds, names):
+        """Send requests again and again for some seconds, to hosts in turn."""
+        hosts = itertools.cycle(names)
+        for number in range(round(seconds / pause)):
+            for body in bodies:
+                self.later(number * pause, next(hosts), body)
+
     def pass_by(self, seconds):
         """Let time pass."""
         self.fleet.pass_by(seconds)
@@ -167,4 +159,4 @@
 
 def is_deadly(body):
     """Return whether a body crashes the upstream that runs it."""
-    return body.startswith(_DEADLY)
+    return body.startswith(DEADLY)
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
-from twisted.web.http_headers import Headers
 
 from pollenstile.forward import BodyEnd, HeaderNames, Lost, NotRun, Reach
+from pollenstile.standin.exchanges import Head, HeldCall
 
 NAMES = HeaderNames()
 # Seconds one way between a host and an upstream.
@@ -48,38 +48,13 @@
     body: bytes
 
 
-class _Head:
-    """The head of an answer."""
-
-    def __init__(self, code, headers):
-        self.code = code
-        self.phrase = b''
-        self.headers = Headers(headers)
-
-
-class _Call:
+class _Call(HeldCall):
     """One send of a host, under way."""
 
-    def __init__(self, upstreams, host, address, headers, body):
-        self.upstreams = upstreams
+    def __init__(self, host, address, headers, body):
+        super().__init__(address, headers)
         self.host = host
-        self.address = address
-        self.headers = dict(headers)
         self.body = body
-        self.head = Deferred(lambda _: self.cancel())
-        self.sent = False
-        self.cancelled = False
-        self.on_data = None
-        self.on_end = None
-
-    def cancel(self):
-        """Close the connection; what ran goes on to nobody."""
-        self.cancelled = True
-
-    def deliver(self, response, on_data, on_end):
-        """Keep who takes the body; return no producer."""
-        self.on_data = on_data
-        self.on_end = on_end
 
     def take(self, outcome):
         """Hand over a head, or what came in its place."""
@@ -194,7 +169,7 @@
             return
         expected = call.headers[NAMES.expect].decode()
         if expected != process.ident:
-            call.take(_Head(_MISDIRECTED, {NAMES.not_run: ['1']}))
+            call.take(Head(_MISDIRECTED, {NAMES.not_run: ['1']}))
             return
         now = self.clock.seconds()
         arrival = Arrival(now, call.host, process.ident, call.body)
@@ -216,7 +191,7 @@
             NAMES.attempt: [call.headers[NAMES.attempt]],
             NAMES.stamp: ['proof'],
         }
-        call.take(_Head(_OK, headers))
+        call.take(Head(_OK, headers))
         last = int(call.headers.get(NAMES.last_event, b'0'))
         self._event(process, call, last + 1)
 
@@ -240,7 +215,7 @@
 
     def send(self, address, method, target, headers, body):
         """Send a request once; return its call."""
-        call = _Call(self.upstreams, self.host, address, headers, body)
+        call = _Call(self.host, address, headers, body)
         upstreams = self.upstreams
         upstreams.clock.callLater(2 * _WAY, upstreams.connected, call)
         return call
@@ -254,39 +229,3 @@
     def _reached(self, address, done):
         is_there = self.upstreams.processes.get(address) is not None
         done.callback(Reach.ACCEPTED if is_there else Reach.REFUSED)
-
-
-class KeptAnswer:
-    """A caller's side: how its request ended."""
-
-    def __init__(self):
-        self.begun = False
-        self.gone = False
-        self.end = ''
-        self.refusal = None
-
-    def begin(self, status, phrase, headers):
-        """Take the head."""
-        self.begun = True
-
-    def write(self, data):
-        """Take a part of the body."""
-
-    def finish(self):
-        """Note a whole answer."""
-        self.end = 'whole'
-
-    def abort(self):
-        """Note a broken connection."""
-        self.end = 'broken'
-
-    def refuse(self, refusal):
-        """Take an answer of the system's own."""
-        self.refusal = refusal
-        self.end = 'refused'
-
-    def produce(self, producer):
-        """Take no producer."""
-
-    def unproduce(self):
-        """Forget none."""
