quarantine: places by the peers' ranking, hosts handed over once

The record ranked hosts with a sort of its own beside the ranking that peers have; it uses that. The daemon copied the table of hosts into sharing and record at each change, though members keep one table for good: both are given it when they are built. The digest is asked for in its length in place of cutting it, and a look at an upstream has no defaults that nobody used. Refusals, words between hosts and entries are as before; which host writes an entry first, and fingerprints, are others.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -351,7 +351,7 @@
     context.store = MemoryStore(clock)
     context.quarantine = Quarantine(clock, 'h', lambda service: 9)
     context.quarantine.now_ms = lambda: 2000
-    context.record = Record(context.store, context.quarantine)
+    context.record = Record(context.store, context.quarantine, {})
     released = Verdict('f1', 'team', 's', 3, 1000, is_held=False, ends=600.0)
     context.quarantine.take(News(verdicts=(released,)))
 
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -154,8 +154,8 @@
         core.stages,
         _built_relay(settings, store, suspend_clock, core, hub),
         DrainedDomains(registry, reactor, log),
-        Sharing(hub, quarantine, log),
-        Record(store, quarantine, log),
+        Sharing(hub, quarantine, members.hosts, log),
+        Record(store, quarantine, members.hosts, log),
     )
 
 
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -1,6 +1,6 @@
 """Whether an upstream's process has ended when a connection to it broke."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import deferLater
@@ -50,8 +50,8 @@
 class _Look:
     """A look at an upstream that is under way."""
 
-    suspects: list = field(default_factory=list)
-    waiters: list = field(default_factory=list)
+    suspects: list
+    waiters: list
 
 
 class Crashes:
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -313,8 +313,6 @@
         parts.core.budget.hosts = len(hosts) + 1
         parts.stages.ownership.take_hosts(hosts)
         parts.relay.readers.take_hosts(hosts)
-        parts.sharing.hosts = hosts
-        parts.record.hosts = hosts
         if parts.members.known:
             domains = {name: one.domain for name, one in hosts.items()}
             parts.core.cold.take_hosts(domains)
--- a/pollenstile/quarantine/_fingerprint.py
+++ b/pollenstile/quarantine/_fingerprint.py
@@ -45,8 +45,10 @@
     """
     if not key:
         return ''
-    digest = hashlib.blake2b(key=key[: hashlib.blake2b.MAX_KEY_SIZE])
+    digest = hashlib.blake2b(
+        key=key[: hashlib.blake2b.MAX_KEY_SIZE], digest_size=_BYTES
+    )
     for part in parts:
         digest.update(len(part).to_bytes(_LENGTH_BYTES))
         digest.update(part)
-    return digest.hexdigest()[: 2 * _BYTES]
+    return digest.hexdigest()
--- a/pollenstile/quarantine/_record.py
+++ b/pollenstile/quarantine/_record.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
-from pollenstile.ops.rendezvous import rendezvous_weight
+from pollenstile.peer import ranked
 from pollenstile.platform import Conflict, Written, paused
 from pollenstile.quarantine import events
 from pollenstile.quarantine._types import News, Verdict
@@ -35,6 +35,8 @@
         Where the entries are.
     quarantine : Quarantine
         What this host knows.
+    hosts : dict
+        The other hosts, by name; it changes as they come and go.
     log : function
         Writes events.
 
@@ -43,18 +45,16 @@
 
     standing : set of str
         Fingerprints whose entries the store has.
-    hosts : dict
-        The other hosts, by name.
     """
 
     __slots__ = ('hosts', 'log', 'quarantine', 'standing', 'store')
 
-    def __init__(self, store, quarantine, log=silent_log):
+    def __init__(self, store, quarantine, hosts, log=silent_log):
         self.store = store
         self.quarantine = quarantine
+        self.hosts = hosts
         self.log = log
         self.standing = set()
-        self.hosts = {}
         quarantine.on_verdict = self.write
 
     def take(self, change):
@@ -152,8 +152,4 @@
 
 def _place(name, host, hosts):
     """Return a host's place among those that could do something."""
-
-    def weight(one):
-        return rendezvous_weight(name, one)
-
-    return sorted(hosts, key=weight).index(host)
+    return ranked(name, hosts, len(hosts)).index(host)
--- a/pollenstile/quarantine/_sharing.py
+++ b/pollenstile/quarantine/_sharing.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
-from pollenstile.peer import Beat, BadMessageError, Unanswered, neighbours
+from pollenstile.peer import BadMessageError, Beat, Unanswered, neighbours
 from pollenstile.platform import paused
 from pollenstile.quarantine import events
 from pollenstile.quarantine._codec import news_bytes, news_from
@@ -43,14 +43,11 @@
         Links to peers.
     quarantine : Quarantine
         What this host knows.
+    hosts : dict
+        :class:`PeerHost` of each other host, by name; it changes as they come
+        and go.
     log : function
         Writes events.
-
-    Attributes
-    ==========
-
-    hosts : dict
-        :class:`PeerHost` of each other host, by name.
     """
 
     __slots__ = (
@@ -63,11 +60,11 @@
         'timer',
     )
 
-    def __init__(self, hub, quarantine, log=silent_log):
+    def __init__(self, hub, quarantine, hosts, log=silent_log):
         self.hub = hub
         self.quarantine = quarantine
+        self.hosts = hosts
         self.log = log
-        self.hosts = {}
         self.gathered = []
         self.compared_at = {}
         self.timer = None
