--- a/pollenstile/ops/_draincmd.py
+++ b/pollenstile/ops/_draincmd.py
@@ -9,7 +9,13 @@
 from pollenstile.ops._admin import body_of, caller_at
 from pollenstile.ops._statuscmd import entries_from
 from pollenstile.ops._stores import store_at
-from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD, UNREACHED
+from pollenstile.ops.exits import (
+    BAD_INPUT,
+    BAD_RESULT,
+    GOOD,
+    UNREACHED,
+    unsure,
+)
 from pollenstile.ops.measures import shown_name
 from pollenstile.ops.running import result_of
 from pollenstile.ops.settings import address, identifier, parsed, shown
@@ -83,10 +89,7 @@
         verb = 'has work again' if arguments.end else 'is drained'
         print(f'{domain} {verb}, revision {written.version}')
         return GOOD
-    reason = getattr(written, 'reason', repr(written))
-    sys.stderr.write(f'pollenstile drain: not sure that it was done: {reason}')
-    sys.stderr.write('; say it again\n')
-    return UNREACHED
+    return unsure('pollenstile drain', written)
 
 
 def drain_lines(domain, hosts):
--- a/pollenstile/ops/_quarantinecmd.py
+++ b/pollenstile/ops/_quarantinecmd.py
@@ -6,7 +6,7 @@
 from dataclasses import asdict, dataclass
 
 from pollenstile.ops._stores import store_at
-from pollenstile.ops.exits import BAD_RESULT, GOOD, UNREACHED
+from pollenstile.ops.exits import BAD_RESULT, GOOD, UNREACHED, unsure
 from pollenstile.ops.running import result_of
 from pollenstile.ops.settings import address, identifier, parsed
 from pollenstile.platform import Absent, Found, Listing, Written, listed_whole
@@ -147,10 +147,7 @@
     if isinstance(outcome, Absent):
         sys.stderr.write(f'{_NAME}: {name} is not in quarantine\n')
         return BAD_RESULT
-    reason = getattr(outcome, 'reason', repr(outcome))
-    sys.stderr.write(f'{_NAME}: not sure that it was done: {reason}')
-    sys.stderr.write('; say it again\n')
-    return UNREACHED
+    return unsure(_NAME, outcome)
 
 
 def _json_lines(held):
