bench, features: faults and repeats of crash tests are written once

bench crashes had a slow store and ended readers beside those of bench lag, since the world knew readers of one failure domain only: it returns those of each now, and crashes takes lag's faults. The scenarios had the same faults once more and the same loop of repeats; they call the bench's. Verdicts of tests have a builder, and a story returns an event's lines. Assertions and bounds are as they were.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -52,7 +52,7 @@
       | 9     | 4       | none         |
       | 30    | 3       | none         |
       | 30    | 3       | store away   |
-      | 30    | 3       | readers dead |
+      | 30    | 3       | readers ended |
 
   Scenario: A failure domain that was cut off knows once it is back
     Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -16,11 +16,7 @@
 
 
 def _crashed(context):
-    return [
-        fields
-        for name, fields in context.story.logged
-        if name == 'upstream-crashed'
-    ]
+    return context.story.lines('upstream-crashed')
 
 
 def _break(context, place):
@@ -69,9 +65,7 @@
     assert len(crashed) == 1, crashed
     fields = crashed[0]
     assert fields['peer'] == _upstream(context, 0).ident
-    sent = [
-        fields for name, fields in context.story.logged if name == 'forwarded'
-    ]
+    sent = context.story.lines('forwarded')
     assert fields['requests'] == [sent[0]['content']]
 
 
--- a/features/steps/quarantine_stage_steps.py
+++ b/features/steps/quarantine_stage_steps.py
@@ -3,11 +3,12 @@
 from behave import given, then, when
 
 from features.builders.forward import Story
+from features.builders.quarantine import tell, verdict
 from features.builders.stagework import SERVICE, Queue, group, pieces_of
 from features.builders.stagework import workers as workers_of
 from pollenstile.forward import HeaderNames, Lost, PlainCodec, Reach, Upstream
 from pollenstile.forward._stagecalls import StageCalls
-from pollenstile.quarantine import HELD_REASON, News, Suspect, Verdict
+from pollenstile.quarantine import HELD_REASON, Suspect
 from pollenstile.stagework import CallLost
 
 
@@ -67,10 +68,7 @@
 def when_held(context, name):
     quarantine = context.queue.owner.quarantine
     quarantine.on_held = context.queue.owner.withdraw
-    verdict = Verdict(
-        _content(name), 'team', SERVICE, 3, 1, is_held=True, ends=600.0
-    )
-    quarantine.take(News(verdicts=(verdict,)))
+    tell(quarantine, verdict(_content(name)))
 
 
 @then('the pieces of "{one}" and "{other}" are made')
@@ -121,8 +119,7 @@
 def then_reported(context):
     reported = [
         content
-        for name, fields in context.story.logged
-        if name == 'upstream-crashed'
+        for fields in context.story.lines('upstream-crashed')
         for content in fields['requests']
     ]
     assert sorted(reported) == [_content('a'), _content('b')], reported
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,30 +1,29 @@
 """Steps of requests that crash the upstreams that run them."""
 
-import itertools
 from random import Random
 
 from behave import given, then, when
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from pollenstile.bench._crashworld import CrashWorld
+from features.builders.quarantine import tell, verdict
+from pollenstile.bench._crashworld import DEADLY, CrashWorld
+from pollenstile.bench.crashes import FAULTS
 from pollenstile.ops._quarantinecmd import held_requests, lifted
 from pollenstile.platform import Change
 from pollenstile.quarantine import (
+    HELD_REASON,
     QUARANTINED,
     News,
     Quarantine,
     Record,
     Report,
     Suspect,
-    Verdict,
     unix_ms,
 )
 from pollenstile.standin.objectapi import MemoryStore
 
-_DEADLY = b'deadly'
 _SOUND = b'sound'
-_REASON = 'crashes upstreams'
 # Seconds between a sound caller's requests: more than one takes.
 _AGAIN = 2.0
 _WORLD = (
@@ -62,10 +61,7 @@
 
 
 def _send_deadly(context, bodies, pause, seconds, names):
-    hosts = itertools.cycle(names)
-    for number in range(round(seconds / pause)):
-        for body in bodies:
-            context.world.later(number * pause, next(hosts), body)
+    context.world.repeat(bodies, pause, seconds, names)
     context.world.pass_by(seconds + 1)
 
 
@@ -97,16 +93,7 @@
 
 @given('the fault "{fault}"')
 def given_fault(context, fault):
-    fleet = _fleet(context)
-    if fault == 'store away':
-        for host in fleet.hosts.values():
-            host.path.refuses = True
-    if fault == 'readers dead':
-        domains = {host.domain for host in fleet.hosts.values()}
-        for domain in sorted(domains):
-            own = [one for one in fleet.running() if one.domain == domain]
-            own[0].end()
-            own[1].end()
+    FAULTS[fault](_fleet(context))
 
 
 @given('one failure domain is cut off from the others')
@@ -124,7 +111,7 @@
 )
 def when_comes(context, pause, seconds):
     names = [host.name for host in _fleet(context).running()]
-    _send_deadly(context, [_DEADLY], pause, seconds, names)
+    _send_deadly(context, [DEADLY], pause, seconds, names)
 
 
 @when(
@@ -136,7 +123,7 @@
     names = [
         host.name for host in fleet.running() if host.domain not in fleet.cut
     ]
-    _send_deadly(context, [_DEADLY], pause, seconds, names)
+    _send_deadly(context, [DEADLY], pause, seconds, names)
 
 
 @when(
@@ -144,7 +131,7 @@
     ' seconds, at all hosts in turn'
 )
 def when_some_come(context, count, pause, seconds):
-    context.bodies = [_DEADLY + b'%d' % number for number in range(count)]
+    context.bodies = [DEADLY + b'%d' % number for number in range(count)]
     names = list(_fleet(context).hosts)
     _send_deadly(context, context.bodies, pause, seconds, names)
     context.world.pass_by(5.0)
@@ -250,7 +237,7 @@
     ' most {most:d} times more'
 )
 def then_kept(context, seconds, most):
-    late = context.world.arrivals_after_third(_DEADLY, seconds)
+    late = context.world.arrivals_after_third(DEADLY, seconds)
     assert len(late) <= most, late
 
 
@@ -276,8 +263,8 @@
         one
         for one in context.world.sent
         if one.answer.refusal is not None
-        and one.answer.refusal.reason == _REASON
-        and not one.body.startswith(_DEADLY)
+        and one.answer.refusal.reason == HELD_REASON
+        and not one.body.startswith(DEADLY)
     ]
     assert not refused, refused
 
@@ -287,7 +274,7 @@
     ' third crash'
 )
 def then_all_hold(context, seconds):
-    late = context.world.arrivals_after_third(_DEADLY, seconds)
+    late = context.world.arrivals_after_third(DEADLY, seconds)
     assert not late, late
     running = [host.name for host in _fleet(context).running()]
     assert running and _holding(context) == running, _holding(context)
@@ -319,9 +306,7 @@
 
 
 def _hold(context):
-    quarantine = context.story.core.quarantine
-    verdict = Verdict('f1', 'team', 's', 3, 1, is_held=True, ends=600.0)
-    quarantine.take(News(verdicts=(verdict,)))
+    tell(context.story.core.quarantine, verdict('f1'))
 
 
 @when('the forwarded request comes')
@@ -352,8 +337,7 @@
     context.quarantine = Quarantine(clock, 'h', lambda service: 9)
     context.quarantine.now_ms = lambda: 2000
     context.record = Record(context.store, context.quarantine, {})
-    released = Verdict('f1', 'team', 's', 3, 1000, is_held=False, ends=600.0)
-    context.quarantine.take(News(verdicts=(released,)))
+    tell(context.quarantine, verdict('f1', changed=1000, is_held=False))
 
 
 @when('the store has a newer entry for the same request')
@@ -401,6 +385,5 @@
 @then('it remembers at most {most:d} verdicts of {count:d}')
 def then_verdicts_bounded(context, most, count):
     for number in range(count):
-        verdict = Verdict(f'v{number}', '', 's', 3, 1, is_held=True, ends=9.0)
-        context.quarantine.take(News(verdicts=(verdict,)))
+        tell(context.quarantine, verdict(f'v{number}', ends=9.0))
     assert 0 < len(context.quarantine.verdicts.by_fingerprint) <= most
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -278,8 +278,11 @@
         self._write(DRAINED, _DOMAIN, {})
 
     def readers(self):
-        """Return the hosts that the others have links to for the store."""
-        return list(self.hosts.values())[:2]
+        """Return the hosts that others of their domain read the store by."""
+        by_domain = {}
+        for host in self.hosts.values():
+            by_domain.setdefault(host.domain, []).append(host)
+        return [host for own in by_domain.values() for host in own[:2]]
 
     def running(self):
         """Return the hosts that run."""
--- a/pollenstile/bench/crashes.py
+++ b/pollenstile/bench/crashes.py
@@ -7,55 +7,35 @@
 comes at all hosts in turn while the store or the readers fail.
 """
 
-import itertools
 import json
 from dataclasses import asdict, dataclass
 
-from pollenstile.bench._crashworld import CrashWorld
+from pollenstile.bench._crashworld import DEADLY, CrashWorld
+from pollenstile.bench.lag import calm, ended, slow
 
-_DEADLY = b'deadly'
-# Requests of the caller, and seconds between them.
-_REQUESTS = 30
-_PAUSE = 0.3
 # Seconds that are looked at, with crashes and before.
 _LOOKED = 10.0
+# Seconds between the caller's requests, and for which it comes.
+_PAUSE = 0.3
+_COMES = 9.0
 _UPSTREAMS = 12
 _FREE = 3
-_SLOW_SECONDS = 0.24
 # Hosts and failure domains.
 _SIZES = '9/4,30/3,60/4,90/3,195/6'
 _MS = 1000
 
 
-def calm(fleet):
-    """Let nothing else fail."""
-
-
 def store_away(fleet):
     """Refuse all calls of the store."""
     for host in fleet.hosts.values():
         host.path.refuses = True
 
 
-def store_slow(fleet):
-    """Let the store be slow for all."""
-    fleet.store.latency = _SLOW_SECONDS
-
-
-def readers_ended(fleet):
-    """End the first two hosts of each failure domain."""
-    domains = {host.domain for host in fleet.hosts.values()}
-    for domain in sorted(domains):
-        own = [one for one in fleet.running() if one.domain == domain]
-        for host in own[:2]:
-            host.end()
-
-
 FAULTS = {
     'none': calm,
     'store away': store_away,
-    'store slow': store_slow,
-    'readers ended': readers_ended,
+    'store slow': slow,
+    'readers ended': ended,
 }
 
 
@@ -101,11 +81,13 @@
     FAULTS[fault](fleet)
     fleet.pass_by(_LOOKED)
     calm_bytes, calm_calls = _costs(fleet, lambda: fleet.pass_by(_LOOKED))
-    _send(world)
+    # One failure domain after the other.
+    names = sorted((host.name for host in fleet.running()), key=_number)
+    world.repeat([DEADLY], _PAUSE, _COMES, names)
     unknown_at = [0.0]
 
     def look():
-        ends = world.ends_of(_DEADLY)
+        ends = world.ends_of(DEADLY)
         holding = [
             bool(host.core.quarantine.verdicts.all_held())
             for host in fleet.running()
@@ -114,7 +96,7 @@
             unknown_at.append(fleet.clock.seconds())
 
     sent, calls = _costs(fleet, lambda: fleet.pass_by(_LOOKED, look))
-    ends = world.ends_of(_DEADLY)
+    ends = world.ends_of(DEADLY)
     known = max(0.0, unknown_at[-1] - ends[_FREE - 1])
     return Spread(
         hosts,
@@ -122,7 +104,7 @@
         fault,
         len(ends),
         round(known * _MS),
-        len(world.arrivals_after_third(_DEADLY, known)),
+        len(world.arrivals_after_third(DEADLY, known)),
         calm_bytes,
         sent,
         calm_calls,
@@ -130,14 +112,6 @@
     )
 
 
-def _send(world):
-    """Let the request come at all hosts, one failure domain after the other."""
-    running = world.fleet.running()
-    names = itertools.cycle(sorted((one.name for one in running), key=_number))
-    for number in range(_REQUESTS):
-        world.later(number * _PAUSE, next(names), _DEADLY)
-
-
 def _number(name):
     """Return a host's number; the next one is in another failure domain."""
     return int(name[1:])
