ratelimits: a line tells which rate an upstream states, and each send which one the host knew

Upstream-limited (1501) and -unlimited (1502) tell each change, at most one each five seconds and upstream; 'forwarded' has the rate that the host knew. Nothing is decided by it yet.

Ruled out as proof that a limit is over: answers that state 'not run' without the upstream's stamp, those of another incarnation, and those to another request.

--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -83,9 +83,7 @@
         self.route = _ROUTES[route]
         self.numbers = itertools.count()
         self.sent = []
-        self.upstreams = CrashingUpstreams(
-            self.fleet.clock, self._write, is_deadly
-        )
+        self.upstreams = self.make_upstreams()
         for host in self.fleet.hosts.values():
             self.join(host)
         names = sorted({host.domain for host in self.fleet.hosts.values()})
@@ -94,6 +92,10 @@
             self.upstreams.start(f'10.0.0.{number}:1', domain)
         self.fleet.advance(1.0)
 
+    def make_upstreams(self):
+        """Return the upstreams, none of them started."""
+        return CrashingUpstreams(self.fleet.clock, self._write, is_deadly)
+
     def join(self, host):
         """Connect a host to the upstreams."""
         core = host.core
--- /dev/null
+++ b/pollenstile/bench/_rateworld.py
@@ -0,0 +1,72 @@
+"""Simulate entry hosts whose upstreams limit their request rates."""
+
+from random import Random
+
+from pollenstile.bench._crashworld import CrashWorld, is_deadly
+from pollenstile.standin.limited import LimitedUpstreams, most_in_window
+
+# Bound on the arrivals in a window, as a multiple of what the rate allows and
+# a number of requests in addition.
+_ALLOWED_FACTOR = 1.5
+_ALLOWED_SLACK = 5
+# Seconds from an upstream's first statement of its rate until the bound counts.
+CONTACT_SECONDS = 3.0
+_WINDOW_SECONDS = 4.0
+
+
+class RateWorld(CrashWorld):
+    """Hosts over upstreams that may limit their request rates."""
+
+    __slots__ = ('rng',)
+
+    def __init__(self, hosts, upstreams, domains, route='repeated', seed=1):
+        self.rng = Random(seed)
+        super().__init__(hosts, upstreams, domains, route)
+
+    def make_upstreams(self):
+        """Return the upstreams, none of them started."""
+        return LimitedUpstreams(self.fleet.clock, self._write, is_deadly)
+
+    def addresses(self):
+        """Return the addresses of the upstreams, in the order of starting."""
+        return list(self.upstreams.processes)
+
+    def schedule_traffic(self, rate, seconds, names=None):
+        """Schedule requests at random times, each to a random host.
+
+        Parameters
+        ==========
+
+        rate : float
+            Requests a second of all callers together.
+        names : list of str or None
+            Hosts that get them; None for all hosts.
+        """
+        hosts = names or list(self.fleet.hosts)
+        moment = self.rng.expovariate(rate)
+        number = 0
+        while moment < seconds:
+            body = b'request %d' % number
+            self.schedule_request(moment, self.rng.choice(hosts), body)
+            moment += self.rng.expovariate(rate)
+            number += 1
+
+    def most_arrivals(self, address, since, until, *, told_only=False):
+        """Return the most arrivals at an upstream in any window of 4 s."""
+        moments = self.upstreams.arrivals_at(
+            address, since, until, told_only=told_only
+        )
+        return most_in_window(moments)
+
+
+def allowed_arrivals(rate):
+    """Return how many arrivals a window may have at a rate.
+
+    Examples
+    ========
+
+    >>> from pollenstile.bench._rateworld import allowed_arrivals
+    >>> allowed_arrivals(1.0)
+    11.0
+    """
+    return _ALLOWED_FACTOR * rate * _WINDOW_SECONDS + _ALLOWED_SLACK
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -230,12 +230,13 @@
         if head.code == _MISDIRECTED_STATUS:
             self.core.registry.drop(ident, self.view.born)
             return NotRun('another incarnation', ident)
+        is_stamped = _text(head, names.stamp) and echoed
+        _note_rate(self, head, is_proof=bool(is_stamped))
         if _text(head, names.not_run):
             gone = head.code == _CONFLICT_STATUS
             return (
                 RESULTS_GONE if gone else NotRun(f'status {head.code}', ident)
             )
-        is_stamped = _text(head, names.stamp) and echoed
         if is_stamped or head.code not in _STATUSES_NEEDING_STAMP:
             return None
         # Without the stamp, a success may come from another server, and a
@@ -400,6 +401,18 @@
             learn_success(self.view, now - self.started)
 
 
+def _note_rate(attempt, head, *, is_proof):
+    """Record the request rate that an upstream states in its answer."""
+    core = attempt.core
+    incarnation = incarnation_of(attempt.exchange.service, attempt.view)
+    values = head.headers.getRawHeaders(core.names.rate, ())
+    core.rates.note_answer(
+        incarnation.name,
+        [text.decode('latin-1') for text in values],
+        is_proof=is_proof,
+    )
+
+
 def _text(head, name):
     values = head.headers.getRawHeaders(name)
     return values[0].decode('latin-1') if values else ''
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -8,6 +8,7 @@
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import Quarantine
+from pollenstile.ratelimits import StatedRates
 
 
 def _empty_shares():
@@ -53,6 +54,8 @@
     crashes : CrashDetector or None
         Detects crashed upstreams; None creates a detector from the other
         components.
+    rates : StatedRates or None
+        Request rates that upstreams state; None creates an empty record.
     """
 
     clock: object
@@ -70,6 +73,7 @@
     cold: ColdShares = field(default_factory=_empty_shares)
     quarantine: Quarantine | None = None
     crashes: CrashDetector | None = None
+    rates: StatedRates | None = None
 
     def __post_init__(self):
         if self.quarantine is None:
@@ -81,3 +85,5 @@
                 self.registry, self.client, self.clock, self.log
             )
             self.crashes.on_crash = self.quarantine.note_crash
+        if self.rates is None:
+            self.rates = StatedRates(self.clock, self.log)
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -1,6 +1,7 @@
 """Log lines of forwarded requests."""
 
 from pollenstile.forward import events
+from pollenstile.forward._crashes import incarnation_of
 
 _MS = 1000
 
@@ -25,6 +26,7 @@
         age_ms=_load_age(view, now),
         failures=round(view.failures, 2),
         cold_ms=int(max(0, view.cold_until - now) * _MS),
+        rate=core.rates.rate(incarnation_of(exchange.service, view).name),
         drained=','.join(sorted(core.registry.drained)),
     )
 
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -31,6 +31,8 @@
         The caller's team, for upstreams.
     load : bytes
         Load of an upstream: running, waiting, slots.
+    rate : bytes
+        Requests a second that an upstream accepts from all hosts together.
     counts, stage_key : bytes
         Pieces by step, and the input of the first steps.
     results : bytes
@@ -52,6 +54,7 @@
     expect: bytes = b'x-incarnation'
     team: bytes = b'x-team'
     load: bytes = b'x-load'
+    rate: bytes = b'x-request-rate'
     counts: bytes = b'x-pieces'
     stage_key: bytes = b'x-piece-key'
     results: bytes = b'x-results'
--- /dev/null
+++ b/pollenstile/ratelimits/_stated.py
@@ -0,0 +1,163 @@
+"""Request rates that upstreams state in their answers."""
+
+from dataclasses import dataclass
+
+from pollenstile.ops.logs import silent_log
+from pollenstile.ratelimits import events
+from pollenstile.ratelimits._values import UNLIMITED, parse_rate
+
+# Minimum seconds between two log lines about one upstream's rate, as a rate
+# may differ in each answer.
+_LOG_PERIOD_SECONDS = 5.0
+_MAX_LOGGED_CHARACTERS = 40
+# Seconds after which a rate that nobody mentions is forgotten, once its
+# upstream has left the registry or states no rate any more.
+_FORGET_SECONDS = 60.0
+
+
+@dataclass(slots=True)
+class StatedRate:
+    """The rate that an upstream stated last, as far as this host knows.
+
+    Attributes
+    ==========
+
+    rate : float
+        Requests a second; ``UNLIMITED`` if it stated none.
+    stated_at : float
+        Time on the clock of the answer.
+    since : float
+        Time on the clock since which the upstream has been limited.
+    logged_at : float
+        Time of the last log line.
+    """
+
+    rate: float = UNLIMITED
+    stated_at: float = 0.0
+    since: float = 0.0
+    logged_at: float = -_LOG_PERIOD_SECONDS
+
+
+class StatedRates:
+    """Newest rates of the upstreams, by incarnation.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Seconds.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    by_name : dict
+        :class:`StatedRate` by name of the incarnation.
+    """
+
+    __slots__ = ('by_name', 'clock', 'log', 'unreadable_at')
+
+    def __init__(self, clock, log=silent_log):
+        self.clock = clock
+        self.log = log
+        self.by_name = {}
+        self.unreadable_at = {}
+
+    def rate(self, name):
+        """Return an incarnation's rate; ``UNLIMITED`` if it has none."""
+        stated = self.by_name.get(name)
+        return stated.rate if stated else UNLIMITED
+
+    def limited(self):
+        """Return the limited incarnations: their rates by name."""
+        return {
+            name: stated.rate
+            for name, stated in self.by_name.items()
+            if stated.rate
+        }
+
+    def note_answer(self, name, values, *, is_proof):
+        """Record the header of an answer; return whether the rate changed.
+
+        Parameters
+        ==========
+
+        name : str
+            The incarnation that answered.
+        values : sequence of str
+            Values of its header.
+        is_proof : bool
+            Whether the answer is certainly the upstream's own and complete
+            in its headers: only such an answer shows that a limit is over.
+        """
+        rate = parse_rate(values)
+        if rate is None:
+            self._log_unreadable(name, values)
+            return False
+        if not rate and not is_proof:
+            return False
+        return self.update(name, rate, self.clock.seconds())
+
+    def update(self, name, rate, stated_at):
+        """Record a rate unless a newer one is known; return if it changed."""
+        stated = self.by_name.get(name)
+        if stated is None:
+            if not rate:
+                return False
+            stated = StatedRate()
+            self.by_name[name] = stated
+        if stated_at < stated.stated_at:
+            return False
+        stated.stated_at = stated_at
+        before = stated.rate
+        stated.rate = rate
+        if rate and not before:
+            stated.since = stated_at
+        if rate == before:
+            return False
+        self._log_change(name, stated, before)
+        return True
+
+    def forget_old(self, registered):
+        """Drop the rates of incarnations that are over.
+
+        Parameters
+        ==========
+
+        registered : set of str
+            Names of the incarnations in the registry.
+        """
+        oldest = self.clock.seconds() - _FORGET_SECONDS
+        for name, stated in list(self.by_name.items()):
+            is_over = not stated.rate or name not in registered
+            if is_over and stated.stated_at < oldest:
+                self.by_name.pop(name)
+                self.unreadable_at.pop(name, None)
+
+    def _log_change(self, name, stated, before):
+        now = self.clock.seconds()
+        if now - stated.logged_at < _LOG_PERIOD_SECONDS and before:
+            return
+        stated.logged_at = now
+        event = (
+            events.UPSTREAM_LIMITED
+            if stated.rate
+            else events.UPSTREAM_UNLIMITED
+        )
+        self.log(
+            event,
+            peer=name,
+            rate=stated.rate,
+            before=before,
+            age_ms=int((now - stated.stated_at) * 1000),
+        )
+
+    def _log_unreadable(self, name, values):
+        now = self.clock.seconds()
+        last = self.unreadable_at.get(name, -_LOG_PERIOD_SECONDS)
+        if now - last < _LOG_PERIOD_SECONDS:
+            return
+        self.unreadable_at[name] = now
+        text = ','.join(values)[:_MAX_LOGGED_CHARACTERS]
+        self.log(events.RATE_UNREADABLE, level='warning', peer=name, value=text)
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -193,6 +193,13 @@
             _FIRST_EVENT_SECONDS, self._send_head, process, call
         )
 
+    def answer_headers(self, process, call):
+        """Return the headers of an upstream's answer to a call."""
+        return {
+            NAMES.attempt: [call.headers[NAMES.attempt]],
+            NAMES.stamp: ['proof'],
+        }
+
     def _is_running(self, process, call):
         alive = self.processes.get(process.address) is process
         return alive and not call.cancelled
@@ -200,11 +207,7 @@
     def _send_head(self, process, call):
         if not self._is_running(process, call):
             return
-        headers = {
-            NAMES.attempt: [call.headers[NAMES.attempt]],
-            NAMES.stamp: ['proof'],
-        }
-        call.receive_head(Head(_OK, headers))
+        call.receive_head(Head(_OK, self.answer_headers(process, call)))
         last = int(call.headers.get(NAMES.last_event, b'0'))
         self._send_event(process, call, last + 1)
 
