--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -1,5 +1,17 @@
 Feature: rates that upstreams accept from all hosts together
 
+  Scenario Outline: Hosts that know an upstream's rate keep the sum of it: <rate> a second
+    Each host knows the rate from an answer, and together they send more.
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When an upstream states a rate of <rate> a second, with <load> requests a second to all hosts for 20 seconds
+    Then in no 4 seconds it gets more from the hosts that know than the rate allows
+
+    Examples:
+      | rate | load |
+      | 0.2  | 25   |
+      | 1    | 25   |
+      | 2.5  | 60   |
+
   Scenario Outline: The header of an answer: "<header>"
     Given an upstream that a host knows nothing of
     When its answer states "<header>"
