ratelimits: hosts share the rate that an upstream accepts from all of them

What callers saw: nothing; an upstream that asked for relief got 12 and 13 requests in 4 s at a rate of 1 a second, of 11 allowed. Cause: nothing kept what an upstream states in its answers; a rate of all hosts together was no notion of the code.

One host, first by rendezvous among those of the upstream's domain, fills a token bucket at the rate. The others ask it for tokens in advance, as many as they had use for, at most each half second an upstream; unused ones are returned. Tokens that are out count as filled. A host that stands in for one that it can't reach allocates a third for each of them, so that hosts that can't reach each other stay within one and a half times the rate together. That an upstream is limited is told from neighbour to neighbour, and again when a link opens. A request goes to another upstream, waits for a token by urgency if it can be in time, or is refused at once with when to come back. Calls of stage queues count like requests.

Ruled out: shares of cold upstreams (one host may send, the others not), a part of the rate for each host (a ninth is used when one host has all requests).

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -255,6 +255,29 @@
         )
         self.work = serve(self.core, exchange, self.answer)
 
+    def start_another(self, ident, urgency):
+        """Start to serve another request; return its answer."""
+        now = self.clock.seconds()
+        answer = RecordedAnswer()
+        exchange = Exchange(
+            ident,
+            b'POST',
+            b'/a/?',
+            [(NAMES.attempt, ident.encode())],
+            b'body',
+            self.route,
+            self.table,
+            RouteQuery('host', '/a/', f'Bearer {KEY}'),
+            TEAM,
+            urgency,
+            arrived=now,
+            aim=now + self.route.aim,
+            ends=now + self.route.timeout,
+            service=SERVICE,
+        )
+        serve(self.core, exchange, answer)
+        return answer
+
     def change(self, **fields):
         """Put a newer table with some changed fields in force."""
         newer = replace(self.table, version=self.table.version + 1, **fields)
--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -12,6 +12,105 @@
       | 1    | 25   |
       | 2.5  | 60   |
 
+  Scenario Outline: The sum holds while hosts fail: <fault>, <hosts> hosts, <rate> a second
+    A host that takes over, or that is cut off from the others, may send what
+    another host has already given away.
+    Given <hosts> hosts and 1 upstreams in <domains> failure domains that state their rates
+    And the fault "<fault>" while an upstream states its rate
+    When an upstream states a rate of <rate> a second, with <load> requests a second to all hosts for 20 seconds
+    Then in no 4 seconds it gets more from all hosts than the rate allows
+    And it gets at least <use> of what the rate permits
+
+    Examples:
+      | hosts | domains | rate | load | use | fault               |
+      | 9     | 4       | 1    | 3    | 0.9 | none                |
+      | 9     | 4       | 10   | 30   | 0.9 | none                |
+      | 30    | 3       | 2.5  | 10   | 0.9 | none                |
+      | 9     | 4       | 10   | 30   | 0.9 | store away          |
+      | 9     | 4       | 10   | 30   | 0.2 | readers ended       |
+      | 9     | 4       | 10   | 30   | 0.2 | allocator ended     |
+      | 9     | 4       | 10   | 30   | 0.2 | allocator cut off   |
+      | 9     | 4       | 10   | 30   | 0.2 | domain cut off      |
+      | 9     | 4       | 10   | 30   | 0.2 | all hosts isolated  |
+      | 30    | 3       | 2.5  | 10   | 0.2 | all hosts isolated  |
+      | 9     | 4       | 10   | 30   | 0.2 | all hosts restarted |
+      | 9     | 4       | 1    | 3    | 0.2 | two halves          |
+      | 9     | 4       | 10   | 30   | 0.2 | two halves          |
+
+  Scenario: An upstream lowers its rate while tokens are out
+    Hosts hold tokens that were given for the higher rate.
+    Given 9 hosts and 1 upstreams in 4 failure domains that state their rates
+    And the fault "rate lowered" while an upstream states its rate
+    When an upstream states a rate of 10 a second, with 30 requests a second to all hosts for 20 seconds
+    Then from 10 seconds after its first statement it gets no more than a rate of 1 allows
+
+  Scenario: All hosts know of a limit that one host was told, and that it is over
+    A host that sends nothing there would not learn it from an answer.
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When one host is told that an upstream accepts 1 request a second
+    Then all hosts know of the limit within 1 seconds
+    When that host is told that it accepts any number
+    Then no host knows of a limit after 1 seconds
+
+  Scenario: A host that starts learns which upstreams are limited
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When one host is told that an upstream accepts 1 request a second
+    And another host joins
+    Then all hosts know of the limit within 2 seconds
+
+  Scenario: A limit that comes and goes with each answer is not told each time
+    Each statement would reach each host in turn.
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When one host is told 100 times in 5 seconds that an upstream is limited, and that it is not
+    Then no host has sent over 8 messages of it to one of its neighbours
+
+  Scenario: A new incarnation of an upstream is not limited
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When an upstream states a rate of 1 a second, with 25 requests a second to all hosts for 6 seconds
+    And that upstream crashes, and starts again without a rate
+    Then the new incarnation gets over 4 requests in the next 2 seconds
+
+  Scenario: A queue of stage work keeps the rate of its workers
+    Calls to stage upstreams are requests like others.
+    Given a queue whose only worker accepts 1 call a second
+    When 40 pieces wait for 10 seconds
+    Then it has made at least 9 and at most 14 calls
+
+  Scenario: A request without a permitted upstream goes to another one
+    Given a forwarded "idempotent" request to upstreams that are limited, but one
+    When the forwarded request starts
+    Then it is sent to the one without a limit
+
+  Scenario: A request that no upstream can take in time is refused at once
+    Its caller would wait for nothing, and should know when to come back.
+    Given a forwarded "idempotent" request to upstreams that are all limited
+    When 12 forwarded requests arrive at once
+    Then those that can't be sent in time are refused at once, with when to come back
+    And those that wait are sent in the order of their urgency
+
+  Scenario: A host that leaves allocates nothing any more
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When the host that allocates a limited upstream's rate leaves
+    Then it ranks another host first for that upstream
+
+  Scenario Outline: Tokens of an allocation: seed <seed>
+    Hosts ask at random times, use or return tokens, or fall silent.
+    Given an allocation of <rate> requests a second
+    When 9 hosts ask at random for 60 seconds, by seed <seed>
+    Then in no 4 seconds more tokens were used than the rate and the capacity permit
+
+    Examples:
+      | seed | rate |
+      | 1    | 0.2  |
+      | 2    | 1    |
+      | 3    | 2.5  |
+      | 4    | 10   |
+      | 5    | 40   |
+
+  Scenario: Messages of another host with a rate out of bounds are not taken
+    Given an encoded statement of a rate of 1e12
+    Then decoding it fails
+
   Scenario Outline: The header of an answer: "<header>"
     Given an upstream that a host knows nothing of
     When its answer states "<header>"
--- /dev/null
+++ b/pollenstile/bench/_ratefaults.py
@@ -0,0 +1,97 @@
+"""Faults of hosts and upstreams while an upstream limits its rate."""
+
+from pollenstile.bench.crashes import FAULTS
+
+# Seconds after the first statement of the rate until a fault, and its length.
+_FAULT_AT_SECONDS = 6.0
+_FAULT_SECONDS = 5.0
+_FALLEN_RATE = 1.0
+
+
+def _end_allocator(world, address):
+    """End the process of the host that allocates the rate."""
+    world.allocator(address).end()
+
+
+def _cut_allocator(world, address):
+    """Cut the host that allocates the rate off from its peers for a time."""
+    host = world.allocator(address)
+    host.frozen = True
+    world.fleet.clock.callLater(_FAULT_SECONDS, _thaw, host)
+
+
+def _thaw(host):
+    host.frozen = False
+
+
+def _cut_domain(world, address):
+    """Cut the domain of the upstream off from the others for a time."""
+    domain = world.upstreams.processes[address].domain
+    world.fleet.cut.add(domain)
+    for host in world.fleet.hosts.values():
+        host.path.silent = host.domain == domain
+    world.fleet.clock.callLater(_FAULT_SECONDS, _heal, world.fleet)
+
+
+def _heal(fleet):
+    fleet.cut.clear()
+    for host in fleet.hosts.values():
+        host.path.silent = False
+
+
+def _isolate_all(world, address):
+    """Cut all hosts off from each other, not from upstreams, for a time."""
+    for host in world.fleet.running():
+        host.frozen = True
+        world.fleet.clock.callLater(_FAULT_SECONDS, _thaw, host)
+
+
+def _restart_all(world, address):
+    """Kill all hosts and start them again a second later."""
+    fleet = world.fleet
+    domains = {host.name: host.domain for host in fleet.running()}
+    for host in fleet.running():
+        host.end()
+    fleet.clock.callLater(1.0, _start_all, world, domains)
+
+
+def _start_all(world, domains):
+    for name, domain in domains.items():
+        world.join(world.fleet.add_host(name, domain))
+
+
+def _split_lists(world, address):
+    """Let two halves of the hosts not know of each other."""
+    hosts = world.fleet.running()
+    for half in (hosts[::2], hosts[1::2]):
+        for host in half:
+            known = {one.name: one.domain for one in half if one is not host}
+            host.core.rates.update_hosts(known)
+
+
+def _lower_rate(world, address):
+    """Lower the rate that the upstream states."""
+    world.upstreams.rates[address] = _FALLEN_RATE
+
+
+TIMED_FAULTS = {
+    'allocator ended': _end_allocator,
+    'allocator cut off': _cut_allocator,
+    'domain cut off': _cut_domain,
+    'all hosts isolated': _isolate_all,
+    'all hosts restarted': _restart_all,
+    'two halves': _split_lists,
+    'rate lowered': _lower_rate,
+}
+FAULT_NAMES = (*FAULTS, *TIMED_FAULTS)
+
+
+def inject_fault(world, address, fault):
+    """Inject a fault by its name, at once or while the rate is stated."""
+    immediate = FAULTS.get(fault)
+    if immediate is not None:
+        immediate(world.fleet)
+        return
+    world.fleet.clock.callLater(
+        _FAULT_AT_SECONDS, TIMED_FAULTS[fault], world, address
+    )
--- a/pollenstile/bench/_rateworld.py
+++ b/pollenstile/bench/_rateworld.py
@@ -31,6 +31,14 @@
         """Return the addresses of the upstreams, in the order of starting."""
         return list(self.upstreams.processes)
 
+    def allocator(self, address):
+        """Return the host that ranks first for an upstream's rate."""
+        process = self.upstreams.processes[address]
+        host = self.fleet.running()[0]
+        name = f'{process.ident}/0'
+        order = host.core.rates.ranking.order(name, process.domain)
+        return self.fleet.hosts[order[0]]
+
     def schedule_traffic(self, rate, seconds, names=None):
         """Schedule requests at random times, each to a random host.
 
@@ -47,10 +55,17 @@
         number = 0
         while moment < seconds:
             body = b'request %d' % number
-            self.schedule_request(moment, self.rng.choice(hosts), body)
+            self.fleet.clock.callLater(
+                moment, self._send_if_running, self.rng.choice(hosts), body
+            )
             moment += self.rng.expovariate(rate)
             number += 1
 
+    def _send_if_running(self, name, body):
+        host = self.fleet.hosts[name]
+        if not host.gone and host.configuration.table is not None:
+            self.send_request(name, body)
+
     def most_arrivals(self, address, since, until, *, told_only=False):
         """Return the most arrivals at an upstream in any window of 4 s."""
         moments = self.upstreams.arrivals_at(
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -24,6 +24,7 @@
     VerdictRecorder,
     VerdictSharing,
 )
+from pollenstile.ratelimits import RateLimits, RateSharing
 from pollenstile.relay import (
     RELAY_SUBJECT,
     Follower,
@@ -62,6 +63,7 @@
     drained: DrainedDomains
     sharing: VerdictSharing
     record: VerdictRecorder
+    rate_sharing: RateSharing
 
 
 @dataclass(slots=True)
@@ -118,16 +120,16 @@
     hub = _build_hub(reactor, rng, settings, log)
     client = HttpClient(reactor)
     quarantine = Quarantine(reactor, settings.host, registry.count, log)
-    calls = StageCalls(reactor, client, adapter.codec, adapter.names, log)
-    calls.on_misdirected = registry.drop
+    rates = RateLimits(reactor, rng, settings.host, settings.domain, log)
     budget = _build_budget(reactor, settings)
     owners = StageOwners(
         reactor,
         registry,
         configuration,
-        calls,
+        _build_calls(reactor, client, adapter, registry, rates, log),
         partial(budget.spend, sharers=_STAGE_SHARERS),
         quarantine,
+        rates,
         log,
     )
     core = ForwardCore(
@@ -143,8 +145,9 @@
         log,
         cold=ColdShares(settings.host, settings.domain),
         quarantine=quarantine,
+        rates=rates,
     )
-    calls.attach_crash_detector(core.crashes, quarantine)
+    owners.calls.attach_crash_detector(core.crashes, quarantine)
     members = Members(
         store,
         reactor,
@@ -162,6 +165,7 @@
         DrainedDomains(registry, reactor, log),
         VerdictSharing(hub, quarantine, members.hosts, log),
         VerdictRecorder(store, quarantine, members.hosts, log),
+        RateSharing(hub, rates, members.hosts, log),
     )
 
 
@@ -189,6 +193,13 @@
     )
 
 
+def _build_calls(reactor, client, adapter, registry, rates, log):
+    calls = StageCalls(reactor, client, adapter.codec, adapter.names, log)
+    calls.on_misdirected = registry.drop
+    calls.on_rate = rates.stated.note_answer
+    return calls
+
+
 def _build_stages(reactor, settings, hub, owners, log):
     stages = StageClient(settings.host, hub, reactor, owners.owner, log)
     stages.ownership.capacity = settings.capacity
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -406,7 +406,7 @@
     core = attempt.core
     incarnation = incarnation_of(attempt.exchange.service, attempt.view)
     values = head.headers.getRawHeaders(core.names.rate, ())
-    core.rates.note_answer(
+    core.rates.stated.note_answer(
         incarnation.name,
         [text.decode('latin-1') for text in values],
         is_proof=is_proof,
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -5,10 +5,11 @@
 from pollenstile.estimates import Fetching, FirstTokens
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._crashes import CrashDetector
+from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import Quarantine
-from pollenstile.ratelimits import StatedRates
+from pollenstile.ratelimits import RateLimits
 
 
 def _empty_shares():
@@ -54,8 +55,15 @@
     crashes : CrashDetector or None
         Detects crashed upstreams; None creates a detector from the other
         components.
-    rates : StatedRates or None
-        Request rates that upstreams state; None creates an empty record.
+    rates : RateLimits or None
+        Limits sends to upstreams that state a request rate; None creates the
+        limits of a host that is alone.
+
+    Attributes
+    ==========
+
+    tokens : TokenQueue
+        Requests that wait until they may be sent to such an upstream.
     """
 
     clock: object
@@ -73,7 +81,8 @@
     cold: ColdShares = field(default_factory=_empty_shares)
     quarantine: Quarantine | None = None
     crashes: CrashDetector | None = None
-    rates: StatedRates | None = None
+    rates: RateLimits | None = None
+    tokens: TokenQueue = field(init=False)
 
     def __post_init__(self):
         if self.quarantine is None:
@@ -86,4 +95,7 @@
             )
             self.crashes.on_crash = self.quarantine.note_crash
         if self.rates is None:
-            self.rates = StatedRates(self.clock, self.log)
+            self.rates = RateLimits(self.clock, self.rng, log=self.log)
+            self.rates.update_hosts({})
+        self.tokens = TokenQueue(self.clock)
+        self.rates.listeners.append(self.tokens.wake)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -9,6 +9,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
+from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._frontend import CallerFactory
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._settings import update_seconds
@@ -209,6 +210,7 @@
         """Start to leave; return a Deferred that fires when all is stopped."""
         self.leaving = True
         self.parts.relay.source.leaving = True
+        self.parts.core.rates.leave()
         self.factory.leave()
         self.parts.hub.send_beats()
         self._review()
@@ -289,6 +291,16 @@
         self.parts.stages.review(owners, leaving=self.leaving)
         link_peers(self.parts)
         self.parts.record.expire()
+        self._forget_rates()
+
+    def _forget_rates(self):
+        core = self.parts.core
+        if core.rates.stated.by_name:
+            names = {
+                incarnation_of(upstream.service, upstream).name
+                for upstream in core.registry.upstreams.values()
+            }
+            core.rates.forget_old(names)
 
     def _beat(self):
         table = self.parts.core.configuration.table
@@ -325,6 +337,7 @@
         if parts.members.known:
             domains = {name: peer.domain for name, peer in hosts.items()}
             parts.core.cold.update_hosts(domains)
+            parts.core.rates.update_hosts(domains)
         table = parts.core.configuration.table
         if table is None:
             return
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -1,6 +1,13 @@
 """Selection of a request's next upstream from the host's current state."""
 
 from pollenstile.forward._input_release import InputRelease
+from pollenstile.forward._ratelimited import (
+    await_token,
+    is_permitted,
+    limited_outcome,
+    may_send,
+    token_wait,
+)
 from pollenstile.forward._selection import (
     current_load,
     home_engine,
@@ -69,16 +76,75 @@
     UpstreamView or NotRun
         ``NotRun`` states why there is no upstream and when to retry.
     """
+    ready = ready_views(core, exchange, tried)
+    if not ready:
+        return _unavailable_reason(core, exchange, tried)
+    permitted = [
+        view for view in ready if may_send(core, exchange.service, view)
+    ]
+    if not permitted:
+        wait = token_wait(core, exchange, ready)
+        return limited_outcome(exchange, wait)
+    return _select(core, exchange, permitted, inputs)
+
+
+async def await_permission(core, exchange, tried, inputs):
+    """Wait until the rates of upstreams permit a request; see await_token."""
+    return await await_token(
+        core,
+        exchange,
+        lambda: ready_views(core, exchange, tried),
+        lambda views: _select(core, exchange, views, inputs),
+        lambda view: _begin_by(core, exchange, view),
+    )
+
+
+async def rate_refusal(core, exchange):
+    """Return a ``NotRun`` if a request can't be sent in time, or None.
+
+    Explanation
+    ===========
+
+    Asked before the stage work of a request, which would be wasted. Without
+    stage work the request waits for its permission at once.
+    """
+    if not core.rates.stated.by_name or not any(exchange.counts):
+        return None
+    ready = ready_views(core, exchange, ())
+    if not ready:
+        return None
+    view = _select(core, exchange, ready, {})
+    if await is_permitted(core, exchange, ready, view):
+        return None
+    wait = token_wait(core, exchange, ready)
+    if core.clock.seconds() + wait <= _begin_by(core, exchange, view):
+        return None
+    return limited_outcome(exchange, wait)
+
+
+def ready_views(core, exchange, tried):
+    """Return the upstreams to which a request may go but for their rates."""
     now = core.clock.seconds()
     views = usable(core.registry.usable(exchange.service), now, tried)
     rate = cold_rate(exchange)
-    ready = [view for view in views if core.cold.may_send(view, rate, now)]
-    if not ready:
-        return _unavailable_reason(core, exchange, views, rate)
+    return [view for view in views if core.cold.may_send(view, rate, now)]
+
+
+def _begin_by(core, exchange, view):
+    """Return the time by which a request must be sent to be in time."""
+    expected = expected_answer_seconds(core, exchange, view)
+    now = core.clock.seconds()
+    latest = exchange.aim - expected
+    return latest if latest > now else exchange.ends - expected
+
+
+def _select(core, exchange, views, inputs):
+    """Return the best of some upstreams for a request."""
+    now = core.clock.seconds()
     if not exchange.prompt:
-        return select_plain_upstream(ready, now, core.domain, core.rng)
+        return select_plain_upstream(views, now, core.domain, core.rng)
     return select_engine(
-        ready,
+        views,
         now,
         core.domain,
         core.rng,
@@ -94,11 +160,13 @@
     return service.cold_rate if service else 0.0
 
 
-def _unavailable_reason(core, exchange, views, rate):
+def _unavailable_reason(core, exchange, tried):
     """Return a ``NotRun`` that states why no upstream can accept a request."""
     service = exchange.service
+    now = core.clock.seconds()
+    views = usable(core.registry.usable(service), now, tried)
     if views:
-        now = core.clock.seconds()
+        rate = cold_rate(exchange)
         wait = min(
             core.cold.seconds_until_send(view, rate, now) for view in views
         )
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -22,6 +22,8 @@
         Spends retries; see :class:`~pollenstile.stagework.Owner`.
     quarantine : Quarantine
         Requests that crash upstreams.
+    rates : RateLimits
+        Request rates that upstreams accept.
 
     Attributes
     ==========
@@ -37,6 +39,7 @@
         'configuration',
         'log',
         'quarantine',
+        'rates',
         'registry',
         'spend',
     )
@@ -49,6 +52,7 @@
         calls,
         spend,
         quarantine,
+        rates,
         log=silent_log,
     ):
         self.clock = clock
@@ -57,9 +61,12 @@
         self.calls = calls
         self.spend = spend
         self.quarantine = quarantine
+        self.rates = rates
         self.log = log
         self.by_service = {}
         quarantine.on_held = self.withdraw
+        rates.listeners.append(self.update_rates)
+        rates.stated.listeners.append(self._rate_changed)
 
     def owner(self, service):
         """Return this host's queue of a stage service."""
@@ -73,6 +80,7 @@
                 self.spend,
                 self.log,
                 self.quarantine,
+                self.rates,
             )
             self.by_service[service] = owner
             self._configure(owner)
@@ -88,6 +96,13 @@
         for owner in self.by_service.values():
             owner.withdraw(fingerprint)
 
+    def update_rates(self, service):
+        """Apply changed rates or new tokens to the queue of a service."""
+        owner = self.by_service.get(service)
+        if owner is not None:
+            owner.call_limits.update(owner.workers.values())
+            owner.dispatcher.schedule()
+
     def waiting(self):
         """Return the number of pieces that wait in all queues."""
         return sum(len(owner.waiting) for owner in self.by_service.values())
@@ -96,6 +111,10 @@
         """Return whether any group is unfinished."""
         return any(owner.jobs for owner in self.by_service.values())
 
+    def _rate_changed(self, name, before):
+        for service in self.by_service:
+            self.update_rates(service)
+
     def _configure(self, owner):
         table = self.configuration.table
         service = table.services.get(owner.service) if table else None
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -26,7 +26,9 @@
         age_ms=_load_age(view, now),
         failures=round(view.failures, 2),
         cold_ms=int(max(0, view.cold_until - now) * _MS),
-        rate=core.rates.rate(incarnation_of(exchange.service, view).name),
+        rate=core.rates.stated.rate(
+            incarnation_of(exchange.service, view).name
+        ),
         drained=','.join(sorted(core.registry.drained)),
     )
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -23,13 +23,16 @@
     silence_limits_of,
 )
 from pollenstile.forward._dispatch import (
+    await_permission,
     cold_rate,
     expected_answer_seconds,
     expected_first_token_seconds,
     home_domain,
     input_release_for,
+    rate_refusal,
     select_view,
 )
+from pollenstile.forward._ratelimited import note_sent
 from pollenstile.forward._request_log import log_end, log_send
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.quarantine import HELD_REASON
@@ -142,14 +145,16 @@
         """Run the stages, then attempts until one ends the request."""
         self.core.budget.note_request(self.exchange.service)
         refusal = quarantine_refusal(self.core, self.exchange)
+        if refusal is None:
+            refusal = await rate_refusal(self.core, self.exchange)
         if refusal is not None:
-            self._refuse(refusal)
+            self._give_up(refusal)
             return
         if not await self._run_stages():
             return
         while True:
             inputs = self.chain.held_bytes() if self.chain else {}
-            view = _next_view(self, inputs)
+            view = await _next_view(self, inputs)
             if isinstance(view, (NotRun, Refusal)):
                 self._give_up(view)
                 return
@@ -243,6 +248,7 @@
         self.sends += 1
         now = self.core.clock.seconds()
         self.core.cold.note_sent(view, cold_rate(self.exchange), now)
+        note_sent(self.core, self.exchange, view)
         last_event = self.exchange.last_event
         if self.attempt is not None and self.attempt.splitter.last:
             last_event = self.attempt.splitter.last.decode('latin-1')
@@ -327,7 +333,7 @@
         self.answer.refuse(refusal)
 
 
-def _next_view(run, inputs):
+async def _next_view(run, inputs):
     """Return the next upstream of a request, or why it is not sent.
 
     Explanation
@@ -336,9 +342,10 @@
     A quarantined request is always refused. Admission is checked again only
     while the request cannot have run and no part of an answer was sent: after
     that a refusal would wrongly state that it did not run, or cut the answer
-    off.
+    off. Both may change while the request waits for permission.
     """
-    refusal = quarantine_refusal(run.core, run.exchange)
+    limited = await await_permission(run.core, run.exchange, run.tried, inputs)
+    refusal = quarantine_refusal(run.core, run.exchange) or limited
     if refusal is not None:
         return refusal
     if not run.runs and not run.answer.begun:
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -13,6 +13,7 @@
 from pollenstile.stagework.events import STAGE_RELEASE_FAILED
 
 _OK_STATUS = 200
+_MISDIRECTED_STATUS = 421
 # Timeout of a release; results that are not released expire by themselves.
 _RELEASE_TIMEOUT_SECONDS = 1.0
 
@@ -46,6 +47,9 @@
         Checks whether an upstream that broke a connection has crashed.
     on_answer : function
         Called with an incarnation's name and the time of the call.
+    on_rate : function or None
+        Called with an incarnation's name, the rates that its answer states,
+        and whether the answer is complete.
     on_misdirected : function or None
         Called with identifier and start time of an upstream whose address now
         has another incarnation.
@@ -61,6 +65,7 @@
         'names',
         'on_answer',
         'on_misdirected',
+        'on_rate',
         'pieces_in',
     )
 
@@ -75,6 +80,7 @@
         self.calls_at = Counter()
         self.crashes = None
         self.on_answer = None
+        self.on_rate = None
 
     def attach_crash_detector(self, crashes, quarantine):
         """Report broken calls to a detector, and answers to a quarantine."""
@@ -172,8 +178,13 @@
                 arrived=True,
                 broken=response.broken,
             )
-        if response.headers.hasHeader(self.names.not_run) or status == 421:
-            if status == 421 and self.on_misdirected is not None:
+        if status != _MISDIRECTED_STATUS:
+            self._note_rate(worker, pieces, response)
+        if response.headers.hasHeader(self.names.not_run) or (
+            status == _MISDIRECTED_STATUS
+        ):
+            is_misdirected = status == _MISDIRECTED_STATUS
+            if is_misdirected and self.on_misdirected is not None:
                 self.on_misdirected(worker.ident, worker.born)
             return CallLost(f'status {status}', worker.ident, arrived=False)
         results = None
@@ -183,6 +194,16 @@
             return CallLost(f'status {status}', worker.ident, arrived=True)
         return results
 
+    def _note_rate(self, worker, pieces, response):
+        if self.on_rate is None:
+            return
+        values = response.headers.getRawHeaders(self.names.rate, ())
+        self.on_rate(
+            incarnation_of(pieces[0].group.service, worker).name,
+            [text.decode('latin-1') for text in values],
+            is_proof=response.code == _OK_STATUS,
+        )
+
     async def _send_release(self, address, handles):
         target, headers, body = self.codec.release(address, handles)
         status, response, _ = await self._exchange(
--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -9,6 +9,7 @@
     live,
     placement,
     policy,
+    ratelimits,
     shared,
     stages,
 )
@@ -22,6 +23,7 @@
     live,
     placement,
     policy,
+    ratelimits,
     shared,
     stages,
 )
--- /dev/null
+++ b/pollenstile/ratelimits/_reach.py
@@ -0,0 +1,87 @@
+"""Which of the hosts that rank first can be reached."""
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.peer import Unanswered
+
+# Minimum seconds between two probes of a host that did not answer.
+_PROBE_PERIOD_SECONDS = 1.0
+
+
+class Reachability:
+    """Hosts that have not answered, probed until they do.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Seconds.
+    host : str
+        Name of this host.
+    ask : function
+        Takes a host and a body; returns a Deferred of the answer or of
+        :class:`~pollenstile.peer.Unanswered`.
+
+    Attributes
+    ==========
+
+    down : set of str
+        Hosts that did not answer last.
+    probed_at : dict
+        Time of the last probe, by host.
+    """
+
+    __slots__ = ('ask', 'clock', 'down', 'host', 'probed_at')
+
+    def __init__(self, clock, host, ask):
+        self.clock = clock
+        self.host = host
+        self.ask = ask
+        self.down = set()
+        self.probed_at = {}
+
+    def first(self, order):
+        """Return the first host that answers, probing those before it.
+
+        Parameters
+        ==========
+
+        order : list of str
+            Hosts by rank; this host always counts as reachable.
+
+        Returns
+        =======
+
+        str or None
+            None when no host of the list is known to answer.
+        """
+        for host in order:
+            if host == self.host or host not in self.down:
+                return host
+            self.probe(host)
+        return None
+
+    def note(self, host, answer):
+        """Record whether a host answered a request."""
+        if isinstance(answer, Unanswered):
+            self.down.add(host)
+        else:
+            self.down.discard(host)
+
+    def probe(self, host):
+        """Ask a host for nothing, to learn whether it answers."""
+        now = self.clock.seconds()
+        last = self.probed_at.get(host, now - _PROBE_PERIOD_SECONDS)
+        if now - last >= _PROBE_PERIOD_SECONDS:
+            self.probed_at[host] = now
+            Deferred.fromCoroutine(self._probe(host))
+
+    def keep_only(self, hosts):
+        """Forget the hosts that have left."""
+        self.down.intersection_update(hosts)
+        self.probed_at = {
+            host: at for host, at in self.probed_at.items() if host in hosts
+        }
+
+    async def _probe(self, host):
+        self.note(host, await self.ask(host, b''))
--- a/pollenstile/ratelimits/_stated.py
+++ b/pollenstile/ratelimits/_stated.py
@@ -54,14 +54,18 @@
 
     by_name : dict
         :class:`StatedRate` by name of the incarnation.
+    listeners : list of function
+        Called after each change of a rate, with the incarnation's name and
+        the rate before.
     """
 
-    __slots__ = ('by_name', 'clock', 'log', 'unreadable_at')
+    __slots__ = ('by_name', 'clock', 'listeners', 'log', 'unreadable_at')
 
     def __init__(self, clock, log=silent_log):
         self.clock = clock
         self.log = log
         self.by_name = {}
+        self.listeners = []
         self.unreadable_at = {}
 
     def rate(self, name):
@@ -117,6 +121,8 @@
         if rate == before:
             return False
         self._log_change(name, stated, before)
+        for listener in self.listeners:
+            listener(name, before)
         return True
 
     def forget_old(self, registered):
--- a/pollenstile/ratelimits/events.py
+++ b/pollenstile/ratelimits/events.py
@@ -19,3 +19,19 @@
     'An answer states a request rate that is not a number; it is ignored.',
     'Correct the upstream; the line has the value.',
 )
+RATE_ALLOCATED = define(
+    1504,
+    'rate-allocated',
+    "The host begins to allocate an upstream's rate to the hosts.",
+    'Many with `standing_in`: look for hosts that do not answer their peers.',
+)
+TOKENS_UNANSWERED = define(
+    1505,
+    'tokens-unanswered',
+    'A host did not answer a request for tokens; the next one is asked.',
+)
+RATE_NEWS_UNSENT = define(
+    1506,
+    'rate-news-unsent',
+    'News of a rate did not reach a peer; it learns from answers.',
+)
--- a/pollenstile/stagework/_dispatcher.py
+++ b/pollenstile/stagework/_dispatcher.py
@@ -55,6 +55,7 @@
             worker
             for worker in workers
             if may_start(worker, workers, self.owner.limits, waiting, now)
+            and self.owner.call_limits.may_call(worker)
         ]
         while free and self.owner.waiting:
             self._start_call(free.pop(0), free, now)
@@ -114,6 +115,7 @@
             piece.calls_in_flight += 1
             self._record_start(piece.group, now)
         self.owner.stats.rate(now, queued=bool(self.owner.waiting))
+        self.owner.call_limits.note_called(worker)
         BatchCall(self.owner, worker, batch).start()
 
     def _record_start(self, group, now):
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -7,6 +7,7 @@
 from pollenstile.stagework import events
 from pollenstile.stagework._admission import Admission
 from pollenstile.stagework._arrivals import Arrivals
+from pollenstile.stagework._calllimits import CallLimits
 from pollenstile.stagework._dispatcher import Dispatcher
 from pollenstile.stagework._jobs import Job
 from pollenstile.stagework._queuestats import QueueStats
@@ -52,6 +53,8 @@
         budget allows them.
     quarantine : Quarantine
         Requests that crash upstreams.
+    rates : RateLimits or None
+        Request rates that upstreams accept.
     log : function
         Writes events.
 
@@ -64,6 +67,8 @@
         Pieces that are not in any call.
     started : set
         Groups with a piece that is done or in a call.
+    call_limits : CallLimits
+        Calls that may be made to workers that limit their rates.
     stats : QueueStats
         Recent rates of the queue.
     admission : Admission
@@ -78,6 +83,7 @@
         'admission',
         'arrivals',
         'call',
+        'call_limits',
         'clock',
         'dispatcher',
         'jobs',
@@ -102,6 +108,7 @@
         spend,
         log=silent_log,
         quarantine=None,
+        rates=None,
     ):
         self.clock = clock
         self.service = service
@@ -112,6 +119,7 @@
         self.quarantine = quarantine or Quarantine(
             clock, '', _unknown_count, log
         )
+        self.call_limits = CallLimits(service, rates)
         self.limits = None
         self.jobs = {}
         self.waiting = []
@@ -152,6 +160,7 @@
                     upstream.born,
                 )
                 self.workers[upstream.ident] = worker
+        self.call_limits.update(self.workers.values())
         self.dispatcher.schedule()
 
     def submit(self, group, on_read=None):
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -210,6 +210,9 @@
         estimate is used.
     refusals : int
         Calls in a row that made nothing for lack of memory.
+    call_rate : float
+        Calls a second that it accepts from all hosts together; 0 if it states
+        no limit.
     """
 
     ident: str
@@ -226,6 +229,7 @@
     busy_until: float = 0.0
     foreign: tuple = (0, 0.0)
     refusals: int = 0
+    call_rate: float = 0.0
 
     def held_bytes(self, now):
         """Return bytes of results that still take up memory."""
--- a/pollenstile/stagework/_workers.py
+++ b/pollenstile/stagework/_workers.py
@@ -36,6 +36,20 @@
     return worker.rest_until <= now and not (worker.calls and overdue)
 
 
-def effective_workers(workers):
-    """Return the equivalent number of workers of usual speed."""
-    return sum(1 / max(1, worker.speed) for worker in workers)
+def effective_workers(workers, full):
+    """Return the equivalent number of workers of usual speed.
+
+    Parameters
+    ==========
+
+    full : float
+        Seconds of a full call of a worker of usual speed.
+    """
+    return sum(_effective_share(worker, full) for worker in workers)
+
+
+def _effective_share(worker, full):
+    share = 1 / max(1, worker.speed)
+    if worker.call_rate:
+        return min(share, worker.call_rate * full)
+    return share
