ratelimits: operators see limited upstreams; the live soak and scenarios check the sum

Each request that is held back has a line (1507); gauges tell rates, sends and what was held back by upstream.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -17,6 +17,7 @@
 from pollenstile.ops.clock import use_boot_clock
 from pollenstile.ops.main import main
 from pollenstile.ops.running import result_of
+from pollenstile.ratelimits import RateLimits
 from pollenstile.soak.live import run_live
 
 _MAX_SEEDS = 6
@@ -70,7 +71,13 @@
     _run.quarantine_refusal = lambda core, exchange: None
 
 
+def without_rates():
+    """Send to upstreams without regard to the rates that they state."""
+    RateLimits.may_send = lambda limits, upstream: True
+
+
 GUARDS = {
+    'rates': without_rates,
     'drained domains': without_drained_domains,
     'once': without_once,
     'quarantine': without_quarantine,
--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -146,3 +146,9 @@
     Given a forwarded "idempotent" request
     When the upstream of forwarded send 0 has stated a rate of 2 a second
     Then a line tells of the rate of that upstream
+
+  Scenario: Operators see a limited upstream, and why a request was refused
+    Given a forwarded "idempotent" request to upstreams that are all limited
+    When 12 forwarded requests arrive at once
+    Then a line tells for each refused one which rate held it back
+    And the gauges tell the rate of each upstream, and what was held back
--- a/features/steps/ratelimits_steps.py
+++ b/features/steps/ratelimits_steps.py
@@ -405,3 +405,23 @@
     assert context.story.lines('forwarded')[0]['rate'] == 0
     stated = context.story.lines('upstream-limited')
     assert [line['rate'] for line in stated] == [2.0], stated
+
+
+@then('a line tells for each refused one which rate held it back')
+def then_refusal_lines(context):
+    lines = context.story.lines('rate-held-back')
+    told = [line for line in lines if line['choice'] == 'refuse']
+    refused = [
+        answer for answer in context.answers if answer.refusal is not None
+    ]
+    assert len(told) == len(refused), (len(told), len(refused))
+    assert {line['rate'] for line in told} == {1.0}
+
+
+@then('the gauges tell the rate of each upstream, and what was held back')
+def then_gauges(context):
+    rates = context.story.core.rates
+    upstreams = context.story.registry.usable(SERVICE)
+    names = {incarnation_of(SERVICE, view).name for view in upstreams}
+    assert rates.stated.limited() == dict.fromkeys(names, 1.0)
+    assert sum(rates.client.held_back().values()) >= len(context.answers) - 3
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -60,6 +60,24 @@
         'Requests that are not sent to upstreams because they crash them.',
         lambda: len(core.quarantine.verdicts.all_held()),
     )
+    measures.gauges(
+        'upstream_rate',
+        'Requests a second that a limited upstream accepts from all hosts.',
+        'upstream',
+        core.rates.stated.limited,
+    )
+    measures.gauges(
+        'rate_sent',
+        'Requests of this host to an upstream since it is limited.',
+        'upstream',
+        core.rates.client.sent,
+    )
+    measures.gauges(
+        'rate_held_back',
+        'Requests of this host that had no token of a limited upstream.',
+        'upstream',
+        core.rates.client.held_back,
+    )
     measures.gauge(
         'peers',
         'Peers with an open link.',
--- a/pollenstile/forward/_ratelimited.py
+++ b/pollenstile/forward/_ratelimited.py
@@ -2,7 +2,9 @@
 
 from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._types import NotRun
-from pollenstile.ratelimits import RatedUpstream
+from pollenstile.ratelimits import RatedUpstream, events
+
+_MS = 1000
 
 # Reason of refusals when all upstreams limit their rates.
 LIMITED_REASON = 'limited'
@@ -62,6 +64,7 @@
         None when the request may be sent, or when there is no upstream at all;
         ``NotRun`` when no token will come in time.
     """
+    has_waited = False
     while core.rates.stated.by_name:
         candidates = views()
         if not candidates:
@@ -71,7 +74,12 @@
             return None
         now = core.clock.seconds()
         wait = token_wait(core, exchange, candidates)
-        if now + wait > begin_by(view):
+        is_late = now + wait > begin_by(view)
+        if is_late or not has_waited:
+            choice = 'refuse' if is_late else 'wait'
+            _log_held_back(core, exchange, view, choice, wait)
+        has_waited = True
+        if is_late:
             upstream = rated_upstream(exchange.service, view)
             core.rates.note_missed(upstream, exchange.ident)
             return limited_outcome(exchange, wait)
@@ -104,6 +112,7 @@
     if not any(may_send(core, service, view) for view in views):
         return False
     core.rates.note_missed(upstream, exchange.ident)
+    _log_held_back(core, exchange, preferred, 'other')
     return True
 
 
@@ -119,3 +128,17 @@
     return NotRun(
         LIMITED_REASON, exchange.service, arrived=False, retry_after=wait
     )
+
+
+def _log_held_back(core, exchange, view, choice, wait=0.0):
+    """Log what a request does that has no token of its upstream."""
+    upstream = rated_upstream(exchange.service, view)
+    core.log(
+        events.RATE_HELD_BACK,
+        request=exchange.ident,
+        service=exchange.service,
+        peer=view.ident,
+        rate=core.rates.stated.rate(upstream.name),
+        choice=choice,
+        wait_ms=int(wait * _MS),
+    )
--- a/pollenstile/ops/_explaincmd.py
+++ b/pollenstile/ops/_explaincmd.py
@@ -14,6 +14,7 @@
     'pollenstile.stagework.events',
     'pollenstile.peer.events',
     'pollenstile.platform.events',
+    'pollenstile.ratelimits.events',
 )
 # Fields that the timeline shows elsewhere or that add no information.
 _OMITTED_FIELDS = ('event', 'host', 'number', 'request', 'timestamp')
--- a/pollenstile/ratelimits/_tokenclient.py
+++ b/pollenstile/ratelimits/_tokenclient.py
@@ -82,6 +82,14 @@
         )
         asking.addErrback(self._answer_failed, allocator, asked)
 
+    def sent(self):
+        """Return the requests sent to limited upstreams, by incarnation."""
+        return {name: one.sent for name, one in self.by_name.items()}
+
+    def held_back(self):
+        """Return the requests that had no token, by incarnation."""
+        return {name: one.held_back for name, one in self.by_name.items()}
+
     def _timer_fired(self, allotment):
         allotment.timer = None
         has_use = allotment.wanted() or allotment.tokens
--- a/pollenstile/ratelimits/events.py
+++ b/pollenstile/ratelimits/events.py
@@ -35,3 +35,9 @@
     'rate-news-unsent',
     'News of a rate did not reach a peer; it learns from answers.',
 )
+RATE_HELD_BACK = define(
+    1507,
+    'rate-held-back',
+    'The upstream that a request would go to has no token for it; `choice` is'
+    ' `other` upstream, `wait` or `refuse`.',
+)
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -11,6 +11,7 @@
     lookup_body,
     stream_event,
 )
+from pollenstile.standin.limited import WINDOW_SECONDS, most_in_window
 
 _OK = 200
 _UNAUTHORIZED = 401
@@ -31,6 +32,11 @@
 _ALLOWED_CRASHES = 3
 _VERDICT_SECONDS = 3.0
 _ALLOWED_LATE_RUNS = 3
+# Seconds after which all hosts keep the rate that an upstream states, and its
+# bound: a multiple of what the rate allows, and a number of requests.
+_TOLD_SECONDS = 3.0
+_RATE_FACTOR = 1.5
+_RATE_SLACK = 5
 # Seconds of a request's delivery to its host; its key may be revoked meanwhile.
 _DELIVERY_SECONDS = 0.3
 # Share of the requests after the last fault that must succeed.
@@ -49,6 +55,7 @@
     lines.extend(_leaving_violations(records))
     lines.extend(_drain_violations(records))
     lines.extend(_cold_violations(records))
+    lines.extend(_rate_violations(records))
     lines.extend(_quarantine_violations(records))
     lines.extend(_service_violations(records))
     return lines
@@ -214,6 +221,24 @@
             yield f'{len(moments)} requests reached {upstream} while cold'
 
 
+def _rate_violations(records):
+    """Check that a limited upstream gets no more than its rate allows."""
+    for limit in records.rate_limits:
+        moments = [
+            run.at
+            for run in records.runs
+            if run.upstream == limit.upstream
+            and limit.began + _TOLD_SECONDS <= run.at < limit.ended
+        ]
+        most = most_in_window(moments)
+        allowed = _RATE_FACTOR * limit.rate * WINDOW_SECONDS + _RATE_SLACK
+        if most > allowed:
+            yield (
+                f'{most} requests in {WINDOW_SECONDS} s reached '
+                f'{limit.upstream}, which accepts {limit.rate} a second'
+            )
+
+
 def _service_violations(records):
     """Check that callers are served again after the last fault."""
     if not records.calm_from:
--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -15,6 +15,8 @@
 # Faulty upstreams are mostly those that run requests: a request that they run
 # must be neither run twice nor reported as not run.
 _FAULTY_SERVICES = (PLAIN, PLAIN, ENGINES, ENGINES, *STAGES)
+# Requests a second that a limited upstream accepts.
+_RATES = (0.5, 2.0, 10.0)
 _SERVER_FAULTS = ('hang', 'fail', 'lose', 'cut', 'slow')
 
 
@@ -120,6 +122,18 @@
     _record_fault(world, server.ident, 'well')
 
 
+async def limit_server(world):
+    """Let an upstream state a request rate for a random time."""
+    service = world.rng.choice(_SERVICES)
+    server = world.rng.choice(world.servers_of(service))
+    rate = world.rng.choice(_RATES)
+    _record_fault(world, server.ident, f'rate {rate}')
+    server.rate = rate
+    await _wait_fault_time(world)
+    server.rate = 0.0
+    _record_fault(world, server.ident, 'no rate')
+
+
 async def crash_server(world):
     """Crash an upstream; another one replaces it."""
     service = world.rng.choice(_SERVICES)
@@ -206,6 +220,7 @@
     inject_server_fault,
     inject_server_fault,
     inject_server_fault,
+    limit_server,
     crash_server,
     crash_server,
     leave_server,
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -94,6 +94,22 @@
     ended: float = 0.0
 
 
+@dataclass(slots=True)
+class RateLimit:
+    """Time for which an upstream stated a request rate in its answers.
+
+    Explanation
+    ===========
+
+    ``ended`` is 0 while it does.
+    """
+
+    upstream: str
+    rate: float
+    began: float
+    ended: float = 0.0
+
+
 @dataclass(slots=True)
 class Records:
     """All records of a run.
@@ -111,6 +127,8 @@
         Time at which the store accepted a configuration without a key.
     drains : list of Drain
         Drains in the order in which they began.
+    rate_limits : list of RateLimit
+        Request rates in the order in which upstreams first stated them.
     upstreams : dict
         Failure domain of each upstream, and end of its cold period.
     faults : list of Fault
@@ -128,6 +146,7 @@
     left_at: dict = field(default_factory=dict)
     revoked_at: dict = field(default_factory=dict)
     drains: list = field(default_factory=list)
+    rate_limits: list = field(default_factory=list)
     upstreams: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
     crashes: list = field(default_factory=list)
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -11,8 +11,13 @@
 from pollenstile.soak.live._checks import find_violations
 from pollenstile.soak.live._faults import FAULTS
 from pollenstile.soak.live._hosts import COMMAND
-from pollenstile.soak.live._records import Fault
-from pollenstile.soak.live._servers import COLD_SECONDS
+from pollenstile.soak.live._records import Fault, RateLimit
+from pollenstile.soak.live._servers import (
+    COLD_SECONDS,
+    ENGINES,
+    LIMITED_RATE,
+    PLAIN,
+)
 from pollenstile.soak.live._world import DOMAINS, World
 
 # Seconds within which all hosts must be ready after the start.
@@ -31,6 +36,9 @@
 # Seconds for which a request that crashes its upstreams is repeated: it may
 # reach them without limit for three seconds after the third crash.
 _CRASHING_SECONDS = 5.5
+# Seconds for which upstreams state a rate: three until it counts, and two
+# windows in which it does.
+_LIMITED_SECONDS = 11.0
 _CALLER_COUNT = 14
 _READY_POLL_SECONDS = 0.05
 
@@ -116,7 +124,7 @@
         for number in range(_CALLER_COUNT)
     ]
     await _inject_faults(world, seconds)
-    await _send_crashing_requests(world)
+    await _harm_upstreams(world)
     await _run_planned_changes(world)
     world.is_sending = False
     for caller in callers:
@@ -137,6 +145,11 @@
     await deferLater(reactor, _SETTLE_SECONDS)
 
 
+async def _harm_upstreams(world):
+    await _send_crashing_requests(world)
+    await _limit_upstreams(world)
+
+
 async def _send_crashing_requests(world):
     """Repeat requests that crash their upstreams."""
     for kind in CRASHING_KINDS:
@@ -144,6 +157,26 @@
     await deferLater(world.reactor, COLD_SECONDS)
 
 
+async def _limit_upstreams(world):
+    """Let one upstream of each kind state a rate while a host is killed."""
+    reactor = world.reactor
+    servers = [world.servers_of(service)[0] for service in (PLAIN, ENGINES)]
+    for server in servers:
+        server.rate = LIMITED_RATE
+        world.records.rate_limits.append(
+            RateLimit(server.ident, LIMITED_RATE, reactor.seconds())
+        )
+    await deferLater(reactor, _LIMITED_SECONDS / 2)
+    host = world.rng.choice(world.accepting_hosts())
+    world.records.faults.append(Fault(reactor.seconds(), host.name, 'kill'))
+    host.kill()
+    await deferLater(reactor, _LIMITED_SECONDS / 2)
+    for server, limit in zip(servers, world.records.rate_limits, strict=True):
+        server.rate = 0.0
+        limit.ended = reactor.seconds()
+    await deferLater(reactor, _CALM_SECONDS)
+
+
 async def _drain_random_domain(world):
     drain = await world.drain(world.rng.choice(DOMAINS))
     await deferLater(world.reactor, _CALM_SECONDS + _EXTRA_DRAINED_SECONDS)
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -25,6 +25,8 @@
 # seconds until the crash.
 CRASHING_PREFIX = 'deadly'
 _CRASH_DELAY_SECONDS = 0.03
+# Requests a second that an upstream accepts while it is limited.
+LIMITED_RATE = 2.0
 # Seconds that a lookup and a stage call take.
 _WORK_SECONDS = 0.08
 _SLOW_WORK_SECONDS = 0.6
@@ -60,6 +62,8 @@
     fault : str
         ``''``, ``'hang'``, ``'fail'``, ``'lose'`` (runs the request and loses
         the answer), ``'cut'`` (aborts answers) or ``'slow'``.
+    rate : float
+        Requests a second that its answers state; 0 if they state none.
     """
 
     def __init__(self, world, service, ident, domain):
@@ -68,6 +72,7 @@
         self.ident = ident
         self.domain = domain
         self.fault = ''
+        self.rate = 0.0
         self.proxy = Proxy(world.reactor)
         site = disable_access_log(
             Site(_RESOURCES.get(service, _StageResource)(self))
@@ -142,6 +147,8 @@
         if attempt:
             request.setHeader(NAMES.attempt, attempt)
             request.setHeader(NAMES.stamp, f'proof of {self.server.ident}')
+        if self.server.rate:
+            request.setHeader(NAMES.rate, f'{self.server.rate:g}')
         return self.serve(request, attempt.decode())
 
     def _crash_server(self, content):
