--- a/features/builders/ratelimits.py
+++ b/features/builders/ratelimits.py
@@ -2,12 +2,16 @@
 
 from random import Random
 
+from twisted.internet import reactor
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
+from twisted.web.resource import Resource
+from twisted.web.server import Site
 
 from pollenstile.ratelimits import RateLimits, valid_seconds
 from pollenstile.routes import StageLimits
 from pollenstile.stagework import Group, Owner, Result
+from pollenstile.upstream import wire
 
 _STEP_SECONDS = 0.01
 _WORK_SECONDS = 0.05
@@ -80,6 +84,28 @@
         return done
 
 
+class _RatedResource(Resource):
+    """An upstream of the JSON interface that states its rate."""
+
+    isLeaf = True
+
+    def __init__(self, rate):
+        super().__init__()
+        self.rate = rate
+
+    def render(self, request):
+        """Answer a call; called by Twisted."""
+        request.setHeader(wire.RATE_HEADER, f'{self.rate:g}')
+        attempt = request.getHeader(wire.ATTEMPT_HEADER)
+        return wire.encode_json({'attempt': attempt, 'output': 'whole'})
+
+
+def listen_rated(rate):
+    """Return the port of an HTTP upstream that states a rate."""
+    site = Site(_RatedResource(rate))
+    return reactor.listenTCP(0, site, interface='127.0.0.1')
+
+
 class RandomHosts:
     """Hosts that ask an allocation for tokens, and use them, at random.
 
--- a/features/builders/requests_http.py
+++ b/features/builders/requests_http.py
@@ -132,11 +132,12 @@
 class Caller:
     """Makes calls over HTTP and records how each one ended."""
 
-    __slots__ = ('address', 'ends', 'numbers', 'start')
+    __slots__ = ('address', 'ends', 'numbers', 'rates', 'start')
 
     def __init__(self, port):
         self.address = f'{LOOPBACK}:{port.getHost().port}'
-        self.start = http_transport(reactor)
+        self.start = http_transport(reactor, note_rate=self._note_rate)
+        self.rates = []
         self.ends = []
         self.numbers = 0
 
@@ -156,6 +157,9 @@
         made.cancel = self.start('one', self, call, made.events.append)
         return made
 
+    def _note_rate(self, name, values, *, is_proof):
+        self.rates.append((name, tuple(values), is_proof))
+
     def call_and_wait(self, **options):
         """Make a call; return its attempt and its last event."""
         made = self.call(**options)
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -13,6 +13,12 @@
       | repeated |
       | once     |
 
+  Scenario: Twenty callers send a crashing request at one instant
+    Each copy reaches another upstream before the first crash is known.
+    Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
+    When a crashing request arrives 20 times within 0.03 seconds, at all hosts in turn
+    Then at most 4 upstreams have crashed
+
   Scenario: Two such requests beside sound ones
     Requests that run beside them fail repeatedly without being the cause.
     Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -152,3 +152,20 @@
     When 12 forwarded requests arrive at once
     Then a line tells for each refused one which rate held it back
     And the gauges tell the rate of each upstream, and what was held back
+
+  Scenario: JSON calls go to another upstream when one has no token
+    Given requests to the JSON interface, one of its encoders limited to 1 a second
+    When 40 JSON requests arrive in 8 seconds
+    Then the limited encoder gets between 4 and 13 calls
+    And every JSON request is answered
+
+  Scenario: A JSON request whose upstreams are all limited is told when to come back
+    Given requests to the JSON interface, all encoders limited to 1 a second
+    When 40 JSON requests arrive in 1 seconds
+    Then some JSON requests are refused as not run, with when to come back
+    And each encoder gets at most 9 calls
+
+  Scenario: The HTTP client of the JSON interface reads the rate of an answer
+    Given an HTTP upstream that states a rate of 3 a second
+    When a JSON call is made over HTTP
+    Then the rate of 3 a second is noted for that upstream
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -116,6 +116,16 @@
     _send_crashing(context, [DEADLY], pause, seconds, names)
 
 
+@when(
+    'a crashing request arrives {count:d} times within {seconds:g} seconds, at all'
+    ' hosts in turn'
+)
+def when_arrives_at_once(context, count, seconds):
+    names = [host.name for host in _fleet(context).running()]
+    context.world.schedule_requests([DEADLY], seconds / count, seconds, names)
+    context.world.advance(5.0)
+
+
 @when(
     'a crashing request arrives every {pause:g} seconds for {seconds:g} seconds,'
     ' at the other hosts'
--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -21,6 +21,7 @@
 )
 from pollenstile.pipeline import Core, Ledger
 from pollenstile.placement import build_placement
+from pollenstile.ratelimits import RateSharing
 from pollenstile.routing import Tracker
 
 _BOOT_BITS = 48
@@ -36,6 +37,7 @@
     *,
     store=None,
     log=silent_log,
+    rates=None,
 ):
     """Return the node of a host; it opens no port.
 
@@ -53,6 +55,8 @@
     store : Store or None
         The object API, for claims; without it repeated idempotency keys are
         not recognised.
+    rates : RateLimits or None
+        Request rates of upstreams, which the transport notes.
     """
     metrics = Metrics()
     tracker = Tracker(clock)
@@ -76,6 +80,7 @@
             count=metrics.count,
         ),
         costs=CostAccount(metrics.count),
+        rates=rates,
         log=log,
         count=metrics.count,
         timing=metrics.timing,
@@ -150,6 +155,9 @@
     )
     if node.claims is not None:
         connect_peers(node.claims, fleet.ask, fleet.answer)
+    sharing = RateSharing(hub, core.rates, {}, core.log)
+    fleet.live_listeners.append(_make_host_setter(core, sharing))
+    node.in_force.listeners.append(_make_rate_cleaner(core.rates))
     return fleet
 
 
@@ -181,6 +189,25 @@
     node.in_force.listeners.append(node.placement.in_force)
 
 
+def _make_host_setter(core, sharing):
+    def set_hosts(live):
+        peers = {name: live[name] for name in live if name != core.host}
+        sharing.hosts = peers
+        core.rates.update_hosts(
+            {name: record.domain for name, record in peers.items()}
+        )
+
+    return set_hosts
+
+
+def _make_rate_cleaner(rates):
+    def forget_removed(snapshot):
+        pools = snapshot.manifest.pools.values()
+        rates.forget_old({name for pool in pools for name in pool.upstreams})
+
+    return forget_removed
+
+
 def _make_ratio_setter(retries):
     def set_ratio(snapshot):
         retries.ratio = snapshot.manifest.policy.retry_ratio
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -116,6 +116,7 @@
         flight: requests, claims, and answers that callers have not read yet.
         """
         self.node.leaving = True
+        self.node.core.rates.leave()
         self.caller_port.factory.channels.closing = True
         self.node.core.log(events.LEAVING, in_flight=self.node.in_flight)
         if self.fleet is not None:
--- a/pollenstile/fleet/_fleet.py
+++ b/pollenstile/fleet/_fleet.py
@@ -36,6 +36,12 @@
         Asks an upstream for its load.
     log : function
         Writes events.
+
+    Attributes
+    ==========
+
+    live_listeners : list of function
+        Called with the records of the live hosts, by name, when they change.
     """
 
     __slots__ = (
@@ -44,6 +50,7 @@
         'hosts',
         'hub',
         'in_force',
+        'live_listeners',
         'platform_reader',
         'probe_at',
         'relay',
@@ -89,6 +96,7 @@
         self.timer = None
         self.probe_at = 0.0
         self.assigned_live = None
+        self.live_listeners = []
         hub.beat = self._beat
         hub.message_handlers[Beat] = self._on_beat
         in_force.listeners.append(self._on_snapshot)
@@ -196,6 +204,8 @@
         if self.hosts.live is not self.assigned_live:
             self.assigned_live = self.hosts.live
             self._assign_neighbours()
+            for listener in self.live_listeners:
+                listener(self.assigned_live)
         self.upstreams.eject_unreachable()
         self.platform_reader.tick()
         if now >= self.probe_at:
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -19,6 +19,7 @@
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
 from pollenstile.peer import tcp_connect
 from pollenstile.placement import http_orders
+from pollenstile.ratelimits import RateLimits
 from pollenstile.upstream import http_transport
 
 _PREFIX = 'pollenstile'
@@ -52,13 +53,16 @@
     rng = random.Random(settings.seed or None)
     log = event_log(host=settings.host)
     store = paced_store(reactor, rng, settings, log)
+    rates = RateLimits(reactor, rng, settings.host, settings.domain, log)
+    rates.update_hosts({})
     node = build_node(
         reactor,
         rng,
         settings,
-        http_transport(reactor),
+        http_transport(reactor, note_rate=rates.stated.note_answer),
         store=store,
         log=log,
+        rates=rates,
     )
     fleet = build_fleet(
         node,
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -5,6 +5,7 @@
 from pollenstile.limits import CANCELLED
 from pollenstile.pipeline import events
 from pollenstile.pipeline._learning import record_slow_attempt
+from pollenstile.pipeline._stagerates import StageRates
 from pollenstile.routing import Hints, cache_key
 from pollenstile.upstream import Call, Lost
 
@@ -77,6 +78,8 @@
     Attributes
     ==========
 
+    rates : StageRates
+        Limits calls to upstreams that state a request rate.
     in_flight : dict
         Maps numbers of attempts to attempts that have not ended.
     tried : list of str
@@ -96,6 +99,7 @@
         'may_have_run',
         'number',
         'pool',
+        'rates',
         'request',
         'stage',
         'tried',
@@ -107,6 +111,9 @@
         self.stage = stage
         self.content = content
         self.pool = request.snapshot.manifest.pools[stage.pool]
+        self.rates = StageRates(
+            core.rates, stage.pool, self.pool, self._serves_model
+        )
         self.in_flight = {}
         self.tried = []
         self.number = 0
@@ -129,6 +136,7 @@
         An upstream that was not tried yet is preferred. If all were tried and
         no attempt is in flight, any upstream may be tried again.
         """
+        self.rates.want_tokens(self.request.ident)
         choice = self._select_upstream(self.tried)
         if choice is None and self.tried and not self.in_flight:
             return self._select_upstream(())
@@ -157,6 +165,7 @@
         attempt = Attempt(self.number, ident, choice, clock.seconds())
         self.in_flight[attempt.number] = attempt
         self.tried.append(choice.name)
+        self.rates.note_called(choice.name, ident)
         self._log_route(attempt, why)
         self.core.ledger.dispatch(
             self.request,
@@ -258,11 +267,15 @@
             self.core.concurrency.slowness,
             self.core.concurrency.is_over,
             self.cache_key,
-            self._serves_model if self.stage.model else None,
+            self._is_eligible,
         )
 
+    def _is_eligible(self, name):
+        return self._serves_model(name) and self.rates.may_call(name)
+
     def _serves_model(self, name):
-        return self.core.holds(name, self.stage.model)
+        model = self.stage.model
+        return not model or self.core.holds(name, model)
 
     def _build_call(self, attempt, timeout, assembly):
         return Call(
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -4,6 +4,7 @@
 
 from pollenstile.limits import CostAccount
 from pollenstile.ops.logs import silent_log
+from pollenstile.ratelimits import RateLimits
 from pollenstile.routing import choose_upstream
 
 
@@ -60,6 +61,9 @@
         Counts the calls of an accepted request by model.
     choose : function
         Selects an upstream; see :func:`pollenstile.routing.choose_upstream`.
+    rates : RateLimits or None
+        Limits calls to upstreams that state a request rate; None creates the
+        limits of a host that is alone.
     log : function
         Logs an event.
     count : function
@@ -83,6 +87,14 @@
     holds: object = _assume_served
     demand: object = _ignore_demand
     choose: object = choose_upstream
+    rates: RateLimits | None = None
     log: object = silent_log
     count: object = _ignore_count
     timing: object = _ignore_count
+
+    def __post_init__(self):
+        if self.rates is None:
+            self.rates = RateLimits(
+                self.clock, self.rng, self.host, self.domain, self.log
+            )
+            self.rates.update_hosts({})
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -104,6 +104,12 @@
     return Lost(f'status {response.code}')
 
 
+def _note_rate(response, name, note_rate):
+    values = response.headers.getRawHeaders(wire.RATE_HEADER, [])
+    note_rate(name, values, is_proof=response.code == _OK)
+    return response
+
+
 def _headers(call):
     headers = Headers(
         {
@@ -134,7 +140,13 @@
     return wire.COMPLETIONS_PATH if call.kind == 'engine' else wire.CALL_PATH
 
 
-def http_transport(reactor, connect_timeout=1.0, per_host=64):
+def _ignore_rate(name, values, *, is_proof):
+    """Ignore a rate; the default of a transport without rate limits."""
+
+
+def http_transport(
+    reactor, connect_timeout=1.0, per_host=64, note_rate=_ignore_rate
+):
     """Return a transport that makes calls over HTTP.
 
     Explanation
@@ -155,6 +167,9 @@
         Connection timeout in seconds.
     per_host : int
         Maximum number of idle connections kept for each upstream.
+    note_rate : function
+        Called with the name of an upstream that answered, the request rates
+        that the answer states, and whether it is a success.
 
     Returns
     =======
@@ -178,6 +193,7 @@
             _headers(call),
             BytesProducer(wire.encode_json(_request_document(call))),
         )
+        exchange.response.addCallback(_note_rate, name, note_rate)
         exchange.response.addCallback(exchange.handle_headers, call.kind)
         exchange.response.addErrback(exchange.handle_failure)
         return exchange.cancel
--- a/pollenstile/upstream/wire.py
+++ b/pollenstile/upstream/wire.py
@@ -19,6 +19,8 @@
 DEADLINE_HEADER = 'x-deadline-ms'
 KEY_HEADER = 'idempotency-key'
 OUTCOME_HEADER = 'x-outcome'
+# Requests a second that an upstream accepts from all hosts together.
+RATE_HEADER = 'x-request-rate'
 NOT_RUN = 'not-run'
 DONE = b'[DONE]'
 
