ratelimits: a request waits 0.05 s at most for the answer of an allocator

What a caller would see: with the allocator of a limited upstream frozen or cut off, the first request of each host and half second stood still for 0.8 s, the time-out of the question, though other upstreams were free; a lookup has 0.4 s. Cause: it waited for the answer whatever came. The scenario made no send within 0.1 s before, and goes to the upstream without a limit now.

--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -88,6 +88,14 @@
     Then those that can't be sent in time are refused at once, with when to come back
     And those that wait are sent in the order of their urgency
 
+  Scenario: A request does not wait long for an allocator that does not answer
+    Another upstream is free, and the request may be due within a fraction of a second.
+    Given a forwarded "idempotent" request to upstreams that are limited, but one
+    And the host that allocates their rates does not answer
+    When the forwarded request starts
+    And 0.1 seconds pass for the forwarded request
+    Then it is sent to the one without a limit
+
   Scenario: A host that leaves allocates nothing any more
     Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
     When the host that allocates a limited upstream's rate leaves
--- a/features/steps/ratelimits_steps.py
+++ b/features/steps/ratelimits_steps.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from behave import given, then, when
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from features.builders.forward import NAMES, SERVICE, ForwardScenario
@@ -235,6 +236,13 @@
     context.open_address = views[-1].address
 
 
+@given('the host that allocates their rates does not answer')
+def given_silent_allocator(context):
+    rates = context.story.core.rates
+    rates.update_hosts({f'h{number}': 'd' for number in range(20)})
+    rates.reach.ask = lambda host, body: Deferred()
+
+
 @when('the forwarded request starts')
 def when_story_starts(context):
     context.story.start()
--- a/pollenstile/ratelimits/_limits.py
+++ b/pollenstile/ratelimits/_limits.py
@@ -13,6 +13,9 @@
 from pollenstile.ratelimits._stated import StatedRates
 from pollenstile.ratelimits._tokenclient import TokenClient
 
+# Seconds for which a request waits for the answer to a request for tokens.
+_PATIENCE_SECONDS = 0.05
+
 
 class RateLimits:
     """Limits this host's sends to upstreams that state a request rate.
@@ -118,7 +121,8 @@
         ===========
 
         Fires at once when this host has asked shortly before: not each request
-        may wait for an answer of another host.
+        may wait for an answer of another host. It fires soon in any case, as
+        the host that is asked may not answer.
         """
         allotment = self._allotment(upstream)
         is_due = self.clock.seconds() >= allotment.asks_at
@@ -128,7 +132,9 @@
             return succeed(None)
         waiter = Deferred()
         allotment.waiters.append(waiter)
-        return waiter
+        return waiter.addTimeout(
+            _PATIENCE_SECONDS, self.clock, onTimeoutCancel=lambda *_: None
+        )
 
     def seconds_until_token(self, upstreams):
         """Return the expected seconds until the host gets the next token.
