--- /dev/null
+++ b/features/steps/ratelimits_host_steps.py
@@ -0,0 +1,150 @@
+"""Steps for one host, queue or allocation of a limited upstream."""
+
+from random import Random
+
+from behave import given, then, when
+from twisted.internet.defer import Deferred
+
+from features.builders.forward import NAMES, SERVICE, ForwardScenario
+from features.builders.ratelimits import LimitedQueue, RandomHosts
+from pollenstile.forward import incarnation_of
+from pollenstile.ratelimits import Allocation, capacity
+from pollenstile.standin.limited import most_in_window
+
+
+@given('a queue whose only worker accepts {rate:g} call a second')
+def given_queue(context, rate):
+    context.queue = LimitedQueue(rate)
+
+
+@when('{count:d} pieces wait for {seconds:g} seconds')
+def when_pieces_wait(context, count, seconds):
+    context.queue.run(count, seconds)
+
+
+@then('it has made at least {least:d} and at most {most:d} calls')
+def then_calls(context, least, most):
+    count = len(context.queue.called_at)
+    assert count in range(least, most + 1), context.queue.called_at
+
+
+def _limit(story, views):
+    for view in views:
+        name = incarnation_of(SERVICE, view).name
+        story.core.rates.stated.note_answer(name, ['1'], is_proof=True)
+
+
+@given('a forwarded "{kind}" request to upstreams that are limited, but one')
+def given_one_open(context, kind):
+    context.story = ForwardScenario(kind)
+    views = context.story.registry.usable(SERVICE)
+    _limit(context.story, views[:-1])
+    context.open_address = views[-1].address
+
+
+@given('the host that allocates their rates does not answer')
+def given_silent_allocator(context):
+    rates = context.story.core.rates
+    rates.update_hosts({f'h{number}': 'd' for number in range(20)})
+    rates.reach.ask = lambda host, body: Deferred()
+
+
+@when('the forwarded request starts')
+def when_story_starts(context):
+    context.story.start()
+
+
+@then('it is sent to the one without a limit')
+def then_open(context):
+    addresses = [call.address for call in context.story.calls]
+    assert addresses == [context.open_address], addresses
+
+
+@given('a forwarded "{kind}" request to upstreams that are all limited')
+def given_all_limited(context, kind):
+    context.story = ForwardScenario(kind)
+    _limit(context.story, context.story.registry.usable(SERVICE))
+    # Allocations open when no token of an earlier allocator can be valid.
+    context.story.clock.advance(3.0)
+
+
+@when('{count:d} forwarded requests arrive at once')
+def when_many_arrive(context, count):
+    context.urgencies = {
+        f'r{number}': count - number for number in range(count)
+    }
+    context.answers = [
+        context.story.start_another(ident, urgency)
+        for ident, urgency in context.urgencies.items()
+    ]
+
+
+@then(
+    "those that can't be sent in time are refused at once, with when to come"
+    ' back'
+)
+def then_refused(context):
+    refusals = [
+        answer.refusal
+        for answer in context.answers
+        if answer.refusal is not None
+    ]
+    assert refusals
+    for refusal in refusals:
+        assert (refusal.status, refusal.reason) == (503, 'limited'), refusal
+        assert refusal.retry_after >= 1, refusal
+
+
+@then('those that wait are sent in the order of their urgency')
+def then_in_order(context):
+    story = context.story
+    before = len(story.calls)
+    for _ in range(20):
+        story.clock.advance(0.1)
+    sent = [
+        context.urgencies[call.headers[NAMES.attempt].decode()]
+        for call in story.calls[before:]
+    ]
+    assert sent, 'nothing was sent'
+    assert sent == sorted(sent), sent
+
+
+@given('an allocation of {rate:g} requests a second')
+def given_allocation(context, rate):
+    context.rate = rate
+    context.allocation = Allocation(0.0)
+
+
+@when('9 hosts ask at random for {seconds:g} seconds, by seed {seed:d}')
+def when_ask_at_random(context, seconds, seed):
+    hosts = RandomHosts(context.allocation, context.rate, Random(seed))
+    context.used_at = hosts.run(seconds)
+
+
+@then(
+    'in no 4 seconds more tokens were used than the rate and the capacity permit'
+)
+def then_tokens(context):
+    permitted = 4 * context.rate + capacity(context.rate)
+    assert context.used_at
+    assert most_in_window(context.used_at) <= permitted
+
+
+@then('a line tells for each refused one which rate held it back')
+def then_refusal_lines(context):
+    lines = context.story.lines('rate-held-back')
+    told = [line for line in lines if line['choice'] == 'refuse']
+    refused = [
+        answer for answer in context.answers if answer.refusal is not None
+    ]
+    assert len(told) == len(refused), (len(told), len(refused))
+    assert {line['rate'] for line in told} == {1.0}
+
+
+@then('the gauges tell the rate of each upstream, and what was held back')
+def then_gauges(context):
+    rates = context.story.core.rates
+    upstreams = context.story.registry.usable(SERVICE)
+    names = {incarnation_of(SERVICE, view).name for view in upstreams}
+    assert rates.stated.limited() == dict.fromkeys(names, 1.0)
+    assert sum(rates.client.held_back().values()) >= len(context.answers) - 3
--- a/pollenstile/peer/__init__.py
+++ b/pollenstile/peer/__init__.py
@@ -21,7 +21,7 @@
     decode_struct,
     encode_message,
 )
-from pollenstile.peer._neighbours import neighbours
+from pollenstile.peer._neighbours import neighbours, neighbours_of
 from pollenstile.peer._patch import (
     Patch,
     RecentTexts,
--- a/pollenstile/peer/_neighbours.py
+++ b/pollenstile/peer/_neighbours.py
@@ -1,5 +1,7 @@
 """Selection of the peers to which a host keeps links."""
 
+from collections import defaultdict
+
 from pollenstile.peer._rendezvous import next_in_ring, rank_candidates
 
 _MAX_FULL_MESH = 4
@@ -72,3 +74,20 @@
         if near[position % len(near)] == host:
             chosen.append(far[position % len(far)])
     return chosen
+
+
+def neighbours_of(hello, hosts):
+    """Return the hosts to which a host keeps links, from their entries.
+
+    Parameters
+    ==========
+
+    hello : Hello
+        Names the host and its failure domain.
+    hosts : dict
+        The other live hosts, with their ``domain``, by name.
+    """
+    domains = defaultdict(list)
+    for name, host in hosts.items():
+        domains[host.domain].append(name)
+    return neighbours(hello.host, hello.domain, domains)
--- a/pollenstile/quarantine/_sharing.py
+++ b/pollenstile/quarantine/_sharing.py
@@ -1,12 +1,11 @@
 """Exchange of crash reports and verdicts between hosts."""
 
-from collections import defaultdict
 from functools import partial
 
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
-from pollenstile.peer import BadMessageError, Beat, Unanswered, neighbours
+from pollenstile.peer import BadMessageError, Beat, Unanswered, neighbours_of
 from pollenstile.platform import paused
 from pollenstile.quarantine import events
 from pollenstile.quarantine._codec import decode_update, encode_update
@@ -84,18 +83,11 @@
         self.timer = None
         pending = self.pending
         self.pending = []
-        for host in sorted(self._neighbours()):
+        for host in sorted(neighbours_of(self.hub.hello, self.hosts)):
             updates = [update for update, source in pending if source != host]
             if updates:
                 Deferred.fromCoroutine(self._send(host, merge_updates(updates)))
 
-    def _neighbours(self):
-        hello = self.hub.hello
-        domains = defaultdict(list)
-        for name, host in self.hosts.items():
-            domains[host.domain].append(name)
-        return neighbours(hello.host, hello.domain, domains)
-
     async def _send(self, host, update):
         clock = self.hub.clock
         answer = None
--- a/pollenstile/ratelimits/_sharing.py
+++ b/pollenstile/ratelimits/_sharing.py
@@ -1,10 +1,9 @@
 """Exchange of rates and tokens between hosts."""
 
-from collections import defaultdict
 from functools import partial
 
 from pollenstile.ops.logs import silent_log
-from pollenstile.peer import Unanswered, neighbours
+from pollenstile.peer import Unanswered, neighbours_of
 from pollenstile.ratelimits import events
 from pollenstile.ratelimits._codec import (
     RateNews,
@@ -132,18 +131,11 @@
         for name in due:
             self.pending.pop(name)
             self.sent_at[name] = now
-        for host in sorted(self._neighbours()):
+        for host in sorted(neighbours_of(self.hub.hello, self.hosts)):
             names = [name for name, source in due.items() if source != host]
             self._send(host, names)
         self._schedule()
 
-    def _neighbours(self):
-        hello = self.hub.hello
-        domains = defaultdict(list)
-        for name, host in self.hosts.items():
-            domains[host.domain].append(name)
-        return neighbours(hello.host, hello.domain, domains)
-
     def _send(self, host, names):
         stated = self.limits.stated.by_name
         news = [
