ratelimits: orders of allocators are forgotten with their upstreams

A host that runs for months would have kept the order of all hosts for each upstream that ever stated a rate. The scenario failed on the orders before.

--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -142,6 +142,12 @@
     Then its known rate is 2
     And one line tells of an unreadable rate
 
+  Scenario: Upstreams that are gone are forgotten with their rates
+    Upstreams restart under other names for months while a host runs.
+    Given a host that has allocated the rates of 50 upstreams
+    When 61 seconds pass, and one of them is still registered
+    Then the host knows of one upstream's rate, allocation, tokens and order
+
   Scenario: A rate is over once an answer without it proves whose it is
     Given an upstream that a host knows nothing of
     When its answer states "2"
--- a/features/steps/ratelimits_host_steps.py
+++ b/features/steps/ratelimits_host_steps.py
@@ -4,11 +4,17 @@
 
 from behave import given, then, when
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from features.builders.forward import NAMES, SERVICE, ForwardScenario
 from features.builders.ratelimits import LimitedQueue, RandomHosts
 from pollenstile.forward import incarnation_of
-from pollenstile.ratelimits import Allocation, capacity
+from pollenstile.ratelimits import (
+    Allocation,
+    RatedUpstream,
+    RateLimits,
+    capacity,
+)
 from pollenstile.standin.limited import most_in_window
 
 
@@ -148,3 +154,30 @@
     names = {incarnation_of(SERVICE, view).name for view in upstreams}
     assert rates.stated.limited() == dict.fromkeys(names, 1.0)
     assert sum(rates.client.held_back().values()) >= len(context.answers) - 3
+
+
+@given('a host that has allocated the rates of {count:d} upstreams')
+def given_allocations(context, count):
+    context.clock = Clock()
+    context.limits = RateLimits(context.clock, Random(1), 'h', 'd')
+    context.limits.update_hosts({})
+    for number in range(count):
+        upstream = RatedUpstream(f'i{number}/0', 's', 'd')
+        context.limits.stated.note_answer(upstream.name, ['1'], is_proof=True)
+        context.limits.note_held_back(upstream, f'r{number}')
+        context.limits.replenished(upstream)
+
+
+@when('{seconds:g} seconds pass, and one of them is still registered')
+def when_most_are_gone(context, seconds):
+    context.clock.advance(seconds)
+    context.limits.forget_old({'i7/0'})
+
+
+@then("the host knows of one upstream's rate, allocation, tokens and order")
+def then_forgotten(context):
+    limits = context.limits
+    assert list(limits.stated.by_name) == ['i7/0']
+    assert list(limits.allocators.by_name) == ['i7/0']
+    assert list(limits.client.by_name) == ['i7/0']
+    assert list(limits.ranking.orders) == [('i7/0', 'd')]
--- a/pollenstile/ratelimits/_limits.py
+++ b/pollenstile/ratelimits/_limits.py
@@ -158,6 +158,7 @@
             Names of the incarnations in the registry.
         """
         self.stated.forget_old(registered)
+        self.ranking.keep_only(self.stated.by_name)
         self.allocators.forget_over()
         for name in list(self.client.by_name):
             if not self.stated.rate(name):
--- a/pollenstile/ratelimits/_ranking.py
+++ b/pollenstile/ratelimits/_ranking.py
@@ -48,6 +48,12 @@
         self.orders = {}
         return True
 
+    def keep_only(self, names):
+        """Forget the computed orders of incarnations that are over."""
+        self.orders = {
+            key: order for key, order in self.orders.items() if key[0] in names
+        }
+
     def order(self, name, domain):
         """Return the hosts by rank for an incarnation; empty while unknown.
 
