ratelimits: a refusal before stage work is told and counted; unreadable news leave no trace

Two faults found by reading. A request with stage work that no upstream could take in time was refused without the line that names the rate (1507), and stayed among the requests that the host wants tokens for. And after news that can't be read the host took every change that it learned itself for that peer's, and did not tell that peer.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -255,7 +255,7 @@
         )
         self.work = serve(self.core, exchange, self.answer)
 
-    def start_another(self, ident, urgency):
+    def start_another(self, ident, urgency, counts=()):
         """Start to serve another request; return its answer."""
         now = self.clock.seconds()
         answer = RecordedAnswer()
@@ -273,6 +273,8 @@
             arrived=now,
             aim=now + self.route.aim,
             ends=now + self.route.timeout,
+            counts=counts,
+            stage_key='key',
             service=SERVICE,
         )
         serve(self.core, exchange, answer)
--- a/features/builders/ratelimits.py
+++ b/features/builders/ratelimits.py
@@ -8,6 +8,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from pollenstile.peer import VERSION, Hello
 from pollenstile.ratelimits import RateLimits, valid_seconds
 from pollenstile.routes import StageLimits
 from pollenstile.stagework import Group, Owner, Result
@@ -152,3 +153,34 @@
         is_lost = not self.rng.randrange(10)
         expires_at = now + valid_seconds(wait)
         self.held[host] = (0, 0.0) if is_lost else (count, expires_at)
+
+
+class _Subjects:
+    """Handlers of a hub's requests, by subject."""
+
+    def __init__(self):
+        self.subjects = {}
+
+
+class RecordingHub:
+    """Stands in for the links to peers, and records what is sent.
+
+    Attributes
+    ==========
+
+    asked : list of tuple
+        Host and subject of each request.
+    """
+
+    def __init__(self):
+        self.clock = Clock()
+        self.hello = Hello(VERSION, VERSION, 'h', 'd', 'h:1', 1)
+        self.requests = _Subjects()
+        self.link_up_handlers = []
+        self.stopped = False
+        self.asked = []
+
+    def ask(self, host, subject, body, timeout, address=''):
+        """Record a request; return a Deferred of an empty answer."""
+        self.asked.append((host, subject))
+        return succeed(b'')
--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -88,6 +88,19 @@
     Then those that can't be sent in time are refused at once, with when to come back
     And those that wait are sent in the order of their urgency
 
+  Scenario: A request with stage work is refused before it, if no upstream can take it in time
+    Stage work takes seconds of upstreams, and would be in vain.
+    Given a forwarded "resumable" request with stage work, to upstreams that are all limited
+    When 12 forwarded requests arrive at once
+    And one with stage work that is less urgent than they
+    Then it is refused with a line that tells which rate held it back, and no stage work was done
+
+  Scenario: News that can't be read leave no trace
+    Given a host that shares rates with its peers
+    When a peer sends it news that can't be read
+    And the host itself learns that an upstream is limited
+    Then it tells that peer as well
+
   Scenario: A request does not wait long for an allocator that does not answer
     Another upstream is free, and the request may be due within a fraction of a second.
     Given a forwarded "idempotent" request to upstreams that are limited, but one
--- a/features/steps/ratelimits_host_steps.py
+++ b/features/steps/ratelimits_host_steps.py
@@ -6,13 +6,24 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from features.builders.forward import NAMES, SERVICE, ForwardScenario
-from features.builders.ratelimits import LimitedQueue, RandomHosts
-from pollenstile.forward import incarnation_of
+from features.builders.forward import (
+    NAMES,
+    SERVICE,
+    ForwardScenario,
+)
+from features.builders.ratelimits import (
+    LimitedQueue,
+    RandomHosts,
+    RecordingHub,
+)
+from pollenstile.forward import PeerHost, incarnation_of
+from pollenstile.peer import BadMessageError
 from pollenstile.ratelimits import (
+    NEWS_SUBJECT,
     Allocation,
     RatedUpstream,
     RateLimits,
+    RateSharing,
     capacity,
 )
 from pollenstile.standin.limited import most_in_window
@@ -181,3 +192,66 @@
     assert list(limits.allocators.by_name) == ['i7/0']
     assert list(limits.client.by_name) == ['i7/0']
     assert list(limits.ranking.orders) == [('i7/0', 'd')]
+
+
+@given(
+    'a forwarded "{kind}" request with stage work, to upstreams that are all'
+    ' limited'
+)
+def given_staged(context, kind):
+    context.story = ForwardScenario(kind, staged=True)
+    _limit(context.story, context.story.registry.usable(SERVICE))
+    # Allocations open when no token of an earlier allocator can be valid.
+    context.story.clock.advance(3.0)
+
+
+@when('one with stage work that is less urgent than they')
+def when_staged_arrives(context):
+    urgency = max(context.urgencies.values()) + 1
+    context.staged = context.story.start_another('staged', urgency, (2,))
+
+
+@then(
+    'it is refused with a line that tells which rate held it back, and no stage'
+    ' work was done'
+)
+def then_refused_early(context):
+    story = context.story
+    assert context.staged.refusal.reason == 'limited', context.staged.refusal
+    told = [
+        line
+        for line in story.lines('rate-held-back')
+        if line['request'] == 'staged' and line['choice'] == 'refuse'
+    ]
+    assert len(told) == 1, told
+    assert not story.stages.made
+
+
+@given('a host that shares rates with its peers')
+def given_sharing(context):
+    context.hub = RecordingHub()
+    limits = RateLimits(context.hub.clock, Random(1), 'h', 'd')
+    peers = {'p': PeerHost('p:1', 'd')}
+    context.sharing = RateSharing(context.hub, limits, peers)
+
+
+@when("a peer sends it news that can't be read")
+def when_unreadable_news(context):
+    handle = context.hub.requests.subjects[NEWS_SUBJECT]
+    try:
+        handle('p', b'nonsense')
+    except BadMessageError:
+        return
+    raise AssertionError('taken')
+
+
+@when('the host itself learns that an upstream is limited')
+def when_learns(context):
+    stated = context.sharing.limits.stated
+    stated.note_answer('i/0', ['1'], is_proof=True)
+    context.hub.clock.advance(1.0)
+
+
+@then('it tells that peer as well')
+def then_told(context):
+    assert context.hub.asked == [('p', NEWS_SUBJECT)], context.hub.asked
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -6,6 +6,7 @@
     is_permitted,
     limited_outcome,
     may_send,
+    refuse,
     token_wait,
 )
 from pollenstile.forward._selection import (
@@ -119,7 +120,7 @@
     wait = token_wait(core, exchange, ready)
     if core.clock.seconds() + wait <= _begin_by(core, exchange, view):
         return None
-    return limited_outcome(exchange, wait)
+    return refuse(core, exchange, view, wait)
 
 
 def ready_views(core, exchange, tried):
--- a/pollenstile/forward/_ratelimited.py
+++ b/pollenstile/forward/_ratelimited.py
@@ -74,15 +74,11 @@
             return None
         now = core.clock.seconds()
         wait = token_wait(core, exchange, candidates)
-        is_late = now + wait > begin_by(view)
-        if is_late or not has_waited:
-            choice = 'refuse' if is_late else 'wait'
-            _log_held_back(core, exchange, view, choice, wait)
+        if now + wait > begin_by(view):
+            return refuse(core, exchange, view, wait)
+        if not has_waited:
+            _log_held_back(core, exchange, view, 'wait', wait)
         has_waited = True
-        if is_late:
-            upstream = rated_upstream(exchange.service, view)
-            core.rates.note_missed(upstream, exchange.ident)
-            return limited_outcome(exchange, wait)
         woken = core.tokens.wait(exchange, begin_by(view) - now)
         # Less urgent ones may not be sent in time any more.
         core.tokens.wake_behind(exchange)
@@ -123,6 +119,23 @@
     return (ahead + 1) * core.rates.seconds_until_token(upstreams)
 
 
+def refuse(core, exchange, view, wait):
+    """Return the outcome of a request that gets no token in time, and log it.
+
+    Parameters
+    ==========
+
+    view : UpstreamView
+        The upstream that it would go to.
+    wait : float
+        Expected seconds until there is a token.
+    """
+    upstream = rated_upstream(exchange.service, view)
+    core.rates.note_missed(upstream, exchange.ident)
+    _log_held_back(core, exchange, view, 'refuse', wait)
+    return limited_outcome(exchange, wait)
+
+
 def limited_outcome(exchange, wait):
     """Return the outcome of a request for which no token comes in time."""
     return NotRun(
--- a/pollenstile/ratelimits/_sharing.py
+++ b/pollenstile/ratelimits/_sharing.py
@@ -47,6 +47,17 @@
         membership changes.
     log : function
         Writes events.
+
+    Attributes
+    ==========
+
+    pending : dict
+        Incarnations of which neighbours are told next, and the host that this
+        host heard it from.
+    sent_at : dict
+        Time at which neighbours were told of an incarnation.
+    source : str
+        The host whose news is being applied; empty otherwise.
     """
 
     __slots__ = (
@@ -93,8 +104,9 @@
         return encode_grants(grants, now)
 
     def _on_news(self, host, body):
+        received = decode_news(body, self.hub.clock.seconds())
         self.source = host
-        for news in decode_news(body, self.hub.clock.seconds()):
+        for news in received:
             self.limits.stated.update(news.name, news.rate, news.stated_at)
         self.source = ''
         return b''
