--- a/tools/stats.py
+++ b/tools/stats.py
@@ -25,6 +25,7 @@
 CORE_PACKAGES = (
     'routing',
     'limits',
+    'ratelimits',
     'claims',
     'fleet',
     'placement',
