ratelimits: one piece each for what the change had written twice

Read again as a whole, nothing in behaviour changed.

- The name of an incarnation was put together in two places, and a whole record was made for it at each send, answer and log line: incarnation_name, and a property of views and workers.
A different form in one of them would have let stage calls pass unlimited.
- The header's values were decoded by two copies; stated_rates serves both.
- Whether a rate permits a send needs a name, not a record: may_send takes it, and a wrapper that guarded the records falls away.
The wait of a request took three callbacks; it stands beside the choice of upstream now, which is computed once where none is ready.
- Whether an allotment has use was asked in four places; has_use, asked by schedule.
- Waiting requests: one key of their turn, one wake.
Returned values and a field (since) that nobody read are gone.
Hosts that are alone say so as they are built.
- Bench and soak: one bound of arrivals, one measure of costs (also of bench crashes), one cut and restart of simulated domains and hosts (also of the quarantine's steps).

Ruled out: one mechanism for news of rates and of quarantines. They share neighbours; one repeats and compares by heartbeat, the other holds each upstream's news back for a second.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -101,10 +101,7 @@
 @given('one failure domain is partitioned from the others')
 def given_partition(context):
     fleet = _fleet(context)
-    domain = next(iter(fleet.hosts.values())).domain
-    fleet.cut.add(domain)
-    for host in fleet.hosts.values():
-        host.path.silent = host.domain == domain
+    fleet.cut_off(next(iter(fleet.hosts.values())).domain)
 
 
 @when(
@@ -169,21 +166,14 @@
 
 @when('the partition heals')
 def when_healed(context):
-    fleet = _fleet(context)
-    fleet.cut.clear()
-    for host in fleet.hosts.values():
-        host.path.silent = False
+    _fleet(context).heal()
 
 
 @when('all hosts are killed and restart')
 def when_all_restart(context):
-    fleet = _fleet(context)
-    domains = {host.name: host.domain for host in fleet.hosts.values()}
-    for host in fleet.hosts.values():
-        host.end()
-    fleet.advance(1.0)
-    for name, domain in domains.items():
-        context.world.join(fleet.add_host(name, domain))
+    domains = context.world.kill_all()
+    _fleet(context).advance(1.0)
+    context.world.start_all(domains)
 
 
 @when('an operator deletes its entry')
--- a/features/steps/ratelimits_host_steps.py
+++ b/features/steps/ratelimits_host_steps.py
@@ -16,7 +16,7 @@
     RandomHosts,
     RecordingHub,
 )
-from pollenstile.forward import PeerHost, incarnation_of
+from pollenstile.forward import PeerHost
 from pollenstile.peer import BadMessageError
 from pollenstile.ratelimits import (
     NEWS_SUBJECT,
@@ -47,8 +47,9 @@
 
 def _limit(story, views):
     for view in views:
-        name = incarnation_of(SERVICE, view).name
-        story.core.rates.stated.note_answer(name, ['1'], is_proof=True)
+        story.core.rates.stated.note_answer(
+            view.incarnation, ['1'], is_proof=True
+        )
 
 
 @given('a forwarded "{kind}" request to upstreams that are limited, but one')
@@ -162,7 +163,7 @@
 def then_gauges(context):
     rates = context.story.core.rates
     upstreams = context.story.registry.usable(SERVICE)
-    names = {incarnation_of(SERVICE, view).name for view in upstreams}
+    names = {view.incarnation for view in upstreams}
     assert rates.stated.limited() == dict.fromkeys(names, 1.0)
     assert sum(rates.client.held_back().values()) >= len(context.answers) - 3
 
--- a/features/steps/ratelimits_steps.py
+++ b/features/steps/ratelimits_steps.py
@@ -3,12 +3,9 @@
 from behave import given, then, when
 
 from pollenstile.bench._ratefaults import inject_fault
-from pollenstile.bench._rateworld import (
-    CONTACT_SECONDS,
-    RateWorld,
-    allowed_arrivals,
-)
+from pollenstile.bench._rateworld import RateWorld
 from pollenstile.ratelimits import NEWS_SUBJECT
+from pollenstile.standin.limited import CONTACT_SECONDS, allowed_arrivals
 
 # Seconds from the start of a rate until its use is counted.
 _STEADY_SECONDS = 5.0
--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -102,6 +102,18 @@
         core.client = self.upstreams.client_of(host.name)
         core.crashes.client = core.client
 
+    def kill_all(self):
+        """End all running hosts; return their failure domains by name."""
+        running = self.fleet.running()
+        for host in running:
+            host.end()
+        return {host.name: host.domain for host in running}
+
+    def start_all(self, domains):
+        """Start hosts of some names in their failure domains."""
+        for name, domain in domains.items():
+            self.join(self.fleet.add_host(name, domain))
+
     def send_request(self, name, body):
         """Send a request to a host and return its record."""
         core = self.fleet.hosts[name].core
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -278,6 +278,18 @@
         """Write an entry that marks the first failure domain as drained."""
         self._write(DRAINED, _DOMAIN, {})
 
+    def cut_off(self, domain):
+        """Partition a failure domain from the others and from the store."""
+        self.cut.add(domain)
+        for host in self.hosts.values():
+            host.path.silent = host.domain == domain
+
+    def heal(self):
+        """End all partitions of failure domains."""
+        self.cut.clear()
+        for host in self.hosts.values():
+            host.path.silent = False
+
     def readers(self):
         """Return the first two hosts of each domain, which are its readers."""
         by_domain = {}
--- a/pollenstile/bench/_ratefaults.py
+++ b/pollenstile/bench/_ratefaults.py
@@ -27,16 +27,8 @@
 def _cut_domain(world, address):
     """Cut the domain of the upstream off from the others for a time."""
     domain = world.upstreams.processes[address].domain
-    world.fleet.cut.add(domain)
-    for host in world.fleet.hosts.values():
-        host.path.silent = host.domain == domain
-    world.fleet.clock.callLater(_FAULT_SECONDS, _heal, world.fleet)
-
-
-def _heal(fleet):
-    fleet.cut.clear()
-    for host in fleet.hosts.values():
-        host.path.silent = False
+    world.fleet.cut_off(domain)
+    world.fleet.clock.callLater(_FAULT_SECONDS, world.fleet.heal)
 
 
 def _isolate_all(world, address):
@@ -48,16 +40,8 @@
 
 def _restart_all(world, address):
     """Kill all hosts and start them again a second later."""
-    fleet = world.fleet
-    domains = {host.name: host.domain for host in fleet.running()}
-    for host in fleet.running():
-        host.end()
-    fleet.clock.callLater(1.0, _start_all, world, domains)
-
-
-def _start_all(world, domains):
-    for name, domain in domains.items():
-        world.join(world.fleet.add_host(name, domain))
+    domains = world.kill_all()
+    world.fleet.clock.callLater(1.0, world.start_all, domains)
 
 
 def _split_lists(world, address):
--- a/pollenstile/bench/_rateworld.py
+++ b/pollenstile/bench/_rateworld.py
@@ -5,14 +5,6 @@
 from pollenstile.bench._crashworld import CrashWorld, is_deadly
 from pollenstile.standin.limited import LimitedUpstreams, most_in_window
 
-# Bound on the arrivals in a window, as a multiple of what the rate allows and
-# a number of requests in addition.
-_ALLOWED_FACTOR = 1.5
-_ALLOWED_SLACK = 5
-# Seconds from an upstream's first statement of its rate until the bound counts.
-CONTACT_SECONDS = 3.0
-_WINDOW_SECONDS = 4.0
-
 
 class RateWorld(CrashWorld):
     """Hosts over upstreams that may limit their request rates."""
@@ -72,16 +64,3 @@
             address, since, until, told_only=told_only
         )
         return most_in_window(moments)
-
-
-def allowed_arrivals(rate):
-    """Return how many arrivals a window may have at a rate.
-
-    Examples
-    ========
-
-    >>> from pollenstile.bench._rateworld import allowed_arrivals
-    >>> allowed_arrivals(1.0)
-    11.0
-    """
-    return _ALLOWED_FACTOR * rate * _WINDOW_SECONDS + _ALLOWED_SLACK
--- a/pollenstile/bench/crashes.py
+++ b/pollenstile/bench/crashes.py
@@ -10,6 +10,7 @@
 import json
 from dataclasses import asdict, dataclass
 
+from pollenstile.bench._costs import measure_costs
 from pollenstile.bench._crashworld import DEADLY, CrashWorld
 from pollenstile.bench.lag import end_readers, inject_nothing, slow_store
 
@@ -83,9 +84,7 @@
     fleet = world.fleet
     FAULTS[fault](fleet)
     fleet.advance(_PERIOD_SECONDS)
-    calm_bytes, calm_calls = _costs(
-        fleet, lambda: fleet.advance(_PERIOD_SECONDS)
-    )
+    calm = measure_costs(fleet, lambda: fleet.advance(_PERIOD_SECONDS))
     # By number, so that consecutive sends reach different failure domains.
     names = sorted((host.name for host in fleet.running()), key=_number)
     world.schedule_requests(
@@ -102,7 +101,7 @@
         if len(ends) >= _CRASH_LIMIT and not all(holding):
             unknown_at.append(fleet.clock.seconds())
 
-    sent, calls = _costs(
+    costs = measure_costs(
         fleet, lambda: fleet.advance(_PERIOD_SECONDS, record_unknown)
     )
     ends = world.crash_times(DEADLY)
@@ -114,10 +113,10 @@
         len(ends),
         round(known * _MS),
         len(world.arrivals_after_third_crash(DEADLY, known)),
-        calm_bytes,
-        sent,
-        calm_calls,
-        calls,
+        round(calm.host_bytes),
+        round(costs.host_bytes),
+        calm.calls,
+        costs.calls,
     )
 
 
@@ -126,24 +125,6 @@
     return int(name[1:])
 
 
-def _costs(fleet, advance):
-    """Return the bytes sent per host and the store calls of a period.
-
-    Parameters
-    ==========
-
-    advance : function
-        Advances the virtual clock over the period.
-    """
-    hosts = fleet.running()
-    hubs = [host.daemon.parts.hub for host in hosts]
-    before = sum(hub.bytes_sent() for hub in hubs)
-    calls = fleet.calls()
-    advance()
-    sent = sum(hub.bytes_sent() for hub in hubs) - before
-    return round(sent / len(hosts)), fleet.calls() - calls
-
-
 def add_parser(benches):
     """Add ``bench crashes``."""
     parser = benches.add_parser(
--- a/pollenstile/bench/ratelimits.py
+++ b/pollenstile/bench/ratelimits.py
@@ -12,17 +12,15 @@
 import json
 from dataclasses import asdict, dataclass
 
+from pollenstile.bench._costs import measure_costs
 from pollenstile.bench._ratefaults import (
     FAULT_NAMES,
     TIMED_FAULTS,
     inject_fault,
 )
-from pollenstile.bench._rateworld import (
-    CONTACT_SECONDS,
-    RateWorld,
-    allowed_arrivals,
-)
+from pollenstile.bench._rateworld import RateWorld
 from pollenstile.bench.crashes import FAULTS
+from pollenstile.standin.limited import CONTACT_SECONDS, allowed_arrivals
 
 # Hosts and failure domains.
 _SIZES = '9/4,30/3,60/4,90/3,195/6'
@@ -95,7 +93,9 @@
     if fault in FAULTS:
         inject_fault(world, world.addresses()[0], fault)
     _schedule(world, rate * load, demand)
-    calm = _Costs(world.fleet, _CALM_SECONDS)
+    calm = measure_costs(
+        world.fleet, lambda: world.fleet.advance(_CALM_SECONDS)
+    )
     period = _Period(world, rate, fault)
     answers = [sent.answer for sent in world.sent]
     return Sharing(
@@ -113,9 +113,12 @@
         period.over.ms_since_first(),
         sum(answer.end == 'whole' for answer in answers),
         sum(answer.refusal is not None for answer in answers),
-        calm.host_bytes,
-        period.costs.host_bytes,
-        round(period.costs.calls - calm.calls, 1),
+        round(calm.host_bytes / _CALM_SECONDS),
+        round(period.costs.host_bytes / _LIMITED_SECONDS),
+        round(
+            period.costs.calls / _LIMITED_SECONDS - calm.calls / _CALM_SECONDS,
+            1,
+        ),
     )
 
 
@@ -141,7 +144,9 @@
         if fault in TIMED_FAULTS:
             inject_fault(world, self.address, fault)
         self.known = _Watch(world, is_limited=True)
-        self.costs = _Costs(fleet, _LIMITED_SECONDS, self.known.look)
+        self.costs = measure_costs(
+            fleet, lambda: fleet.advance(_LIMITED_SECONDS, self.known.look)
+        )
         self.until = fleet.clock.seconds()
         world.upstreams.rates.pop(self.address)
         self.over = _Watch(world, is_limited=False)
@@ -203,19 +208,6 @@
     return (outside or running)[0].name
 
 
-class _Costs:
-    """What hosts send to peers and ask of the store while time passes."""
-
-    def __init__(self, fleet, seconds, on_step=None):
-        hubs = [host.daemon.parts.hub for host in fleet.running()]
-        before = sum(hub.bytes_sent() for hub in hubs)
-        calls = fleet.calls()
-        fleet.advance(seconds, on_step)
-        sent = sum(hub.bytes_sent() for hub in hubs) - before
-        self.host_bytes = round(sent / len(hubs) / seconds)
-        self.calls = (fleet.calls() - calls) / seconds
-
-
 def add_parser(benches):
     """Add ``bench ratelimits``."""
     parser = benches.add_parser(
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -5,7 +5,6 @@
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._core import ForwardCore
-from pollenstile.forward._crashes import Incarnation, incarnation_of
 from pollenstile.forward._daemon import ForwardDaemon
 from pollenstile.forward._decisions import silence_limits_of
 from pollenstile.forward._drained import DRAINED, DrainedDomains
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -120,7 +120,7 @@
     hub = _build_hub(reactor, rng, settings, log)
     client = HttpClient(reactor)
     quarantine = Quarantine(reactor, settings.host, registry.count, log)
-    rates = RateLimits(reactor, rng, settings.host, settings.domain, log)
+    rates = RateLimits(reactor, rng, settings.host, settings.domain, log=log)
     budget = _build_budget(reactor, settings)
     owners = StageOwners(
         reactor,
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -2,12 +2,12 @@
 
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
-from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._learning import (
     learn_failure,
     learn_load,
     learn_success,
     learn_unavailable,
+    stated_rates,
 )
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._silence import SilenceTimer
@@ -195,8 +195,7 @@
             self.call.cancel()
             return rejection
         self.head_at = self.core.clock.seconds()
-        incarnation = incarnation_of(exchange.service, self.view)
-        self.core.quarantine.note_answer(incarnation.name, self.started)
+        self.core.quarantine.note_answer(self.view.incarnation, self.started)
         if head.code not in _SUCCESS_STATUSES:
             return await self._read_failure(head, silence_limits.between)
         if self.streaming:
@@ -231,7 +230,11 @@
             self.core.registry.drop(ident, self.view.born)
             return NotRun('another incarnation', ident)
         is_stamped = _text(head, names.stamp) and echoed
-        _note_rate(self, head, is_proof=bool(is_stamped))
+        self.core.rates.stated.note_answer(
+            self.view.incarnation,
+            stated_rates(head, names),
+            is_proof=bool(is_stamped),
+        )
         if _text(head, names.not_run):
             gone = head.code == _CONFLICT_STATUS
             return (
@@ -401,18 +404,6 @@
             learn_success(self.view, now - self.started)
 
 
-def _note_rate(attempt, head, *, is_proof):
-    """Record the request rate that an upstream states in its answer."""
-    core = attempt.core
-    incarnation = incarnation_of(attempt.exchange.service, attempt.view)
-    values = head.headers.getRawHeaders(core.names.rate, ())
-    core.rates.stated.note_answer(
-        incarnation.name,
-        [text.decode('latin-1') for text in values],
-        is_proof=is_proof,
-    )
-
-
 def _text(head, name):
     values = head.headers.getRawHeaders(name)
     return values[0].decode('latin-1') if values else ''
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -95,7 +95,8 @@
             )
             self.crashes.on_crash = self.quarantine.note_crash
         if self.rates is None:
-            self.rates = RateLimits(self.clock, self.rng, log=self.log)
-            self.rates.update_hosts({})
+            self.rates = RateLimits(
+                self.clock, self.rng, peers={}, log=self.log
+            )
         self.tokens = TokenQueue(self.clock)
         self.rates.listeners.append(self.tokens.wake)
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -7,6 +7,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._client import ProbeResult
+from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
 
 # Delay before the second check of an upstream that refuses connections while a
@@ -39,7 +40,7 @@
     @property
     def name(self):
         """Return the unique name of this incarnation."""
-        return f'{self.ident}/{self.born}'
+        return incarnation_name(self.ident, self.born)
 
 
 def incarnation_of(service, view):
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -9,7 +9,6 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
-from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._frontend import CallerFactory
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._settings import update_seconds
@@ -295,12 +294,9 @@
 
     def _forget_rates(self):
         core = self.parts.core
-        if core.rates.stated.by_name:
-            names = {
-                incarnation_of(upstream.service, upstream).name
-                for upstream in core.registry.upstreams.values()
-            }
-            core.rates.forget_old(names)
+        if not core.rates.is_idle():
+            views = core.registry.views.values()
+            core.rates.forget_old({view.incarnation for view in views})
 
     def _beat(self):
         table = self.parts.core.configuration.table
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -2,10 +2,9 @@
 
 from pollenstile.forward._input_release import InputRelease
 from pollenstile.forward._ratelimited import (
-    await_token,
     is_permitted,
     limited_outcome,
-    may_send,
+    log_held_back,
     refuse,
     token_wait,
 )
@@ -77,11 +76,12 @@
     UpstreamView or NotRun
         ``NotRun`` states why there is no upstream and when to retry.
     """
-    ready = ready_views(core, exchange, tried)
+    views = _usable_views(core, exchange, tried)
+    ready = _ready_views(core, exchange, views)
     if not ready:
-        return _unavailable_reason(core, exchange, tried)
+        return _unavailable_reason(core, exchange, views)
     permitted = [
-        view for view in ready if may_send(core, exchange.service, view)
+        view for view in ready if core.rates.may_send(view.incarnation)
     ]
     if not permitted:
         wait = token_wait(core, exchange, ready)
@@ -90,14 +90,44 @@
 
 
 async def await_permission(core, exchange, tried, inputs):
-    """Wait until the rates of upstreams permit a request; see await_token."""
-    return await await_token(
-        core,
-        exchange,
-        lambda: ready_views(core, exchange, tried),
-        lambda views: _select(core, exchange, views, inputs),
-        lambda view: _begin_by(core, exchange, view),
-    )
+    """Wait until the rates of upstreams permit a request.
+
+    Explanation
+    ===========
+
+    If the preferred upstream needs a token, the host asks for one, unless it
+    has asked shortly before; then the request goes to another upstream. Only
+    if all of them need one does the request wait for it, behind those that are
+    more urgent, and only as long as it can still be answered in time.
+
+    Returns
+    =======
+
+    NotRun or None
+        None when the request may be sent, or when there is no upstream at all;
+        ``NotRun`` when no token will come in time.
+    """
+    has_waited = False
+    while not core.rates.is_idle():
+        views = _usable_views(core, exchange, tried)
+        ready = _ready_views(core, exchange, views)
+        if not ready:
+            return None
+        view = _select(core, exchange, ready, inputs)
+        if await is_permitted(core, exchange, ready, view):
+            return None
+        wait = token_wait(core, exchange, ready)
+        left = _seconds_left(core, exchange, view)
+        if wait > left:
+            return refuse(core, exchange, view, wait)
+        if not has_waited:
+            log_held_back(core, exchange, view, 'wait', wait)
+        has_waited = True
+        woken = core.tokens.wait(exchange, left)
+        # Less urgent ones may not be sent in time any more.
+        core.tokens.wake_behind(exchange)
+        await woken
+    return None
 
 
 async def rate_refusal(core, exchange):
@@ -109,34 +139,41 @@
     Asked before the stage work of a request, which would be wasted. Without
     stage work the request waits for its permission at once.
     """
-    if not core.rates.stated.by_name or not any(exchange.counts):
+    if core.rates.is_idle() or not any(exchange.counts):
         return None
-    ready = ready_views(core, exchange, ())
+    ready = _ready_views(core, exchange, _usable_views(core, exchange, ()))
     if not ready:
         return None
     view = _select(core, exchange, ready, {})
     if await is_permitted(core, exchange, ready, view):
         return None
     wait = token_wait(core, exchange, ready)
-    if core.clock.seconds() + wait <= _begin_by(core, exchange, view):
+    if wait <= _seconds_left(core, exchange, view):
         return None
     return refuse(core, exchange, view, wait)
 
 
-def ready_views(core, exchange, tried):
-    """Return the upstreams to which a request may go but for their rates."""
+def _usable_views(core, exchange, tried):
+    """Return the upstreams of a request's service that are not unhealthy."""
+    now = core.clock.seconds()
+    return usable(core.registry.usable(exchange.service), now, tried)
+
+
+def _ready_views(core, exchange, views):
+    """Return those of some upstreams that are warm or bear a request."""
     now = core.clock.seconds()
-    views = usable(core.registry.usable(exchange.service), now, tried)
     rate = cold_rate(exchange)
     return [view for view in views if core.cold.may_send(view, rate, now)]
 
 
-def _begin_by(core, exchange, view):
-    """Return the time by which a request must be sent to be in time."""
+def _seconds_left(core, exchange, view):
+    """Return the seconds within which a request must be sent to be in time."""
     expected = expected_answer_seconds(core, exchange, view)
     now = core.clock.seconds()
     latest = exchange.aim - expected
-    return latest if latest > now else exchange.ends - expected
+    if latest <= now:
+        latest = exchange.ends - expected
+    return latest - now
 
 
 def _select(core, exchange, views, inputs):
@@ -161,12 +198,11 @@
     return service.cold_rate if service else 0.0
 
 
-def _unavailable_reason(core, exchange, tried):
+def _unavailable_reason(core, exchange, views):
     """Return a ``NotRun`` that states why no upstream can accept a request."""
     service = exchange.service
-    now = core.clock.seconds()
-    views = usable(core.registry.usable(service), now, tried)
     if views:
+        now = core.clock.seconds()
         rate = cold_rate(exchange)
         wait = min(
             core.cold.seconds_until_send(view, rate, now) for view in views
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -1,7 +1,6 @@
 """Log lines of forwarded requests."""
 
 from pollenstile.forward import events
-from pollenstile.forward._crashes import incarnation_of
 
 _MS = 1000
 
@@ -26,9 +25,7 @@
         age_ms=_load_age(view, now),
         failures=round(view.failures, 2),
         cold_ms=int(max(0, view.cold_until - now) * _MS),
-        rate=core.rates.stated.rate(
-            incarnation_of(exchange.service, view).name
-        ),
+        rate=core.rates.stated.rate(view.incarnation),
         drained=','.join(sorted(core.registry.drained)),
     )
 
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.rendezvous import rendezvous_weight
 
 # Delay that each request in an engine's batch adds for the others. With 20 ms,
@@ -84,6 +85,11 @@
     cold_until: float = 0.0
     cold_sends: deque = field(default_factory=deque)
 
+    @property
+    def incarnation(self):
+        """Return the unique name of its process lifetime."""
+        return incarnation_name(self.ident, self.born)
+
 
 def current_load(view, now):
     """Return the estimated number of requests that run or wait at an upstream.
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -6,6 +6,7 @@
 from twisted.web.client import readBody
 
 from pollenstile.forward._crashes import incarnation_of
+from pollenstile.forward._learning import stated_rates
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import Suspect
@@ -178,12 +179,10 @@
                 arrived=True,
                 broken=response.broken,
             )
-        if status != _MISDIRECTED_STATUS:
-            self._note_rate(worker, pieces, response)
-        if response.headers.hasHeader(self.names.not_run) or (
-            status == _MISDIRECTED_STATUS
-        ):
-            is_misdirected = status == _MISDIRECTED_STATUS
+        is_misdirected = status == _MISDIRECTED_STATUS
+        if not is_misdirected:
+            self._note_rate(worker, response)
+        if is_misdirected or response.headers.hasHeader(self.names.not_run):
             if is_misdirected and self.on_misdirected is not None:
                 self.on_misdirected(worker.ident, worker.born)
             return CallLost(f'status {status}', worker.ident, arrived=False)
@@ -194,15 +193,13 @@
             return CallLost(f'status {status}', worker.ident, arrived=True)
         return results
 
-    def _note_rate(self, worker, pieces, response):
-        if self.on_rate is None:
-            return
-        values = response.headers.getRawHeaders(self.names.rate, ())
-        self.on_rate(
-            incarnation_of(pieces[0].group.service, worker).name,
-            [text.decode('latin-1') for text in values],
-            is_proof=response.code == _OK_STATUS,
-        )
+    def _note_rate(self, worker, response):
+        if self.on_rate is not None:
+            self.on_rate(
+                worker.incarnation,
+                stated_rates(response, self.names),
+                is_proof=response.code == _OK_STATUS,
+            )
 
     async def _send_release(self, address, handles):
         target, headers, body = self.codec.release(address, handles)
--- a/pollenstile/forward/_tokenqueue.py
+++ b/pollenstile/forward/_tokenqueue.py
@@ -9,13 +9,17 @@
 
 @dataclass(slots=True, order=True)
 class _Waiting:
-    """A waiting request, ordered by urgency and then by its deadline."""
+    """A waiting request, ordered by its turn and then by its arrival."""
 
-    urgency: int
-    ends: float
+    turn: tuple
     number: int
     woken: Deferred = field(compare=False)
 
+    def wake(self):
+        """Let the request try again."""
+        if not self.woken.called:
+            self.woken.callback(None)
+
 
 class TokenQueue:
     """Waiting requests by service, in the order in which they are sent.
@@ -40,12 +44,11 @@
         self.numbers = itertools.count()
         self.waiting = {}
 
-    def ahead(self, service, urgency, ends):
+    def ahead(self, exchange):
         """Return the number of requests that are sent before a new one."""
-        return sum(
-            (waiting.urgency, waiting.ends) <= (urgency, ends)
-            for waiting in self.waiting.get(service, ())
-        )
+        turn = _turn(exchange)
+        queue = self.waiting.get(exchange.service, ())
+        return sum(waiting.turn <= turn for waiting in queue)
 
     def wait(self, exchange, seconds):
         """Return a Deferred that fires when a request should try again.
@@ -60,9 +63,7 @@
         """
         service = exchange.service
         woken = Deferred(lambda _: self._remove(service, waiting))
-        waiting = _Waiting(
-            exchange.urgency, exchange.ends, next(self.numbers), woken
-        )
+        waiting = _Waiting(_turn(exchange), next(self.numbers), woken)
         insort(self.waiting.setdefault(service, []), waiting)
         timer = self.clock.callLater(seconds, self._time_out, service, waiting)
         woken.addBoth(_stop_timer, timer)
@@ -70,29 +71,22 @@
 
     def wake_behind(self, exchange):
         """Let requests try again that are sent after a new one."""
+        turn = _turn(exchange)
         queue = self.waiting.get(exchange.service, [])
-        order = (exchange.urgency, exchange.ends)
-        behind = [
-            waiting
-            for waiting in queue
-            if (waiting.urgency, waiting.ends) > order
-        ]
+        behind = [waiting for waiting in queue if waiting.turn > turn]
         for waiting in behind:
             queue.remove(waiting)
         for waiting in behind:
-            if not waiting.woken.called:
-                waiting.woken.callback(None)
+            waiting.wake()
 
     def wake(self, service):
         """Let the waiting requests of a service try again, in their order."""
         for waiting in self.waiting.pop(service, ()):
-            if not waiting.woken.called:
-                waiting.woken.callback(None)
+            waiting.wake()
 
     def _time_out(self, service, waiting):
         self._remove(service, waiting)
-        if not waiting.woken.called:
-            waiting.woken.callback(None)
+        waiting.wake()
 
     def _remove(self, service, waiting):
         queue = self.waiting.get(service, [])
@@ -100,6 +94,11 @@
             queue.remove(waiting)
 
 
+def _turn(exchange):
+    """Return the key by which requests wait: urgency, then deadline."""
+    return exchange.urgency, exchange.ends
+
+
 def _stop_timer(result, timer):
     if timer.active():
         timer.cancel()
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -53,8 +53,7 @@
     rng = random.Random(settings.seed or None)
     log = event_log(host=settings.host)
     store = paced_store(reactor, rng, settings, log)
-    rates = RateLimits(reactor, rng, settings.host, settings.domain, log)
-    rates.update_hosts({})
+    rates = RateLimits(reactor, rng, settings.host, settings.domain, {}, log)
     node = build_node(
         reactor,
         rng,
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -95,6 +95,5 @@
     def __post_init__(self):
         if self.rates is None:
             self.rates = RateLimits(
-                self.clock, self.rng, self.host, self.domain, self.log
+                self.clock, self.rng, self.host, self.domain, {}, self.log
             )
-            self.rates.update_hosts({})
--- a/pollenstile/pipeline/_stagerates.py
+++ b/pollenstile/pipeline/_stagerates.py
@@ -31,7 +31,7 @@
 
     def may_call(self, name):
         """Return whether an upstream's rate permits a call now."""
-        return self.limits.may_send(self._rated(name))
+        return self.limits.may_send(name)
 
     def note_called(self, name, attempt):
         """Count an attempt, by its identifier, at an upstream."""
@@ -39,7 +39,7 @@
 
     def want_tokens(self, request):
         """Ask for tokens of limited upstreams, for a request and later ones."""
-        if not self.limits.stated.by_name:
+        if self.limits.is_idle():
             return
         for upstream in self._without_token():
             self.limits.note_held_back(upstream, request)
@@ -52,15 +52,10 @@
         return NotRun('limited', self.limits.seconds_until_token(limited))
 
     def _without_token(self):
-        upstreams = [
+        return [
             self._rated(name)
             for name in self.pool.upstreams
-            if self.serves(name)
-        ]
-        return [
-            upstream
-            for upstream in upstreams
-            if not self.limits.may_send(upstream)
+            if self.serves(name) and not self.may_call(name)
         ]
 
     def _rated(self, name):
--- a/pollenstile/ratelimits/_allotment.py
+++ b/pollenstile/ratelimits/_allotment.py
@@ -89,6 +89,10 @@
         """
         return len(self.wanting) + self.missed // _MISSED_FOR_TOKEN
 
+    def has_use(self):
+        """Return whether there are tokens to ask for or to return."""
+        return bool(self.wanted() or self.tokens)
+
     def start_asking(self):
         """Give up the tokens, which the request for new ones returns."""
         self.tokens = 0
--- a/pollenstile/ratelimits/_codec.py
+++ b/pollenstile/ratelimits/_codec.py
@@ -41,10 +41,8 @@
     """Return encoded requests for tokens."""
     rows = [
         {
-            'name': request.name,
+            **_stated_fields(request, now),
             'domain': request.domain,
-            'rate': request.rate,
-            'ageMs': _age_ms(request.stated_at, now),
             'wanted': min(_MAX_UINT16, request.wanted),
             'unused': min(_MAX_UINT16, request.unused),
         }
@@ -76,9 +74,7 @@
     """Return encoded answers to requests for tokens."""
     rows = [
         {
-            'name': grant.name,
-            'rate': grant.rate,
-            'ageMs': _age_ms(grant.stated_at, now),
+            **_stated_fields(grant, now),
             'count': min(_MAX_UINT16, grant.count),
             'waitMs': min(_MAX_UINT16, int(grant.wait_seconds * _MS)),
             'validMs': min(_MAX_UINT16, int(grant.valid_seconds * _MS)),
@@ -113,14 +109,7 @@
 
 def encode_news(news, now):
     """Return encoded rates."""
-    rows = [
-        {
-            'name': one.name,
-            'rate': one.rate,
-            'ageMs': _age_ms(one.stated_at, now),
-        }
-        for one in news
-    ]
+    rows = [_stated_fields(one, now) for one in news]
     return _schema.Rates.new_message(rows=rows).to_bytes()
 
 
@@ -143,5 +132,11 @@
     return received
 
 
-def _age_ms(moment, now):
-    return min(_MAX_UINT32, max(0, int((now - moment) * _MS)))
+def _stated_fields(message, now):
+    """Return the fields of the rate that a message states."""
+    age = max(0, int((now - message.stated_at) * _MS))
+    return {
+        'name': message.name,
+        'rate': message.rate,
+        'ageMs': min(_MAX_UINT32, age),
+    }
--- a/pollenstile/ratelimits/_limits.py
+++ b/pollenstile/ratelimits/_limits.py
@@ -36,6 +36,8 @@
         Spreads the requests for tokens; seeded in tests.
     host, domain : str
         Name and failure domain of this host.
+    peers : dict or None
+        Failure domain of each other host by name; None while unknown.
     log : function
         Writes events.
 
@@ -62,11 +64,13 @@
         'stated',
     )
 
-    def __init__(self, clock, rng, host='', domain='', log=silent_log):
+    def __init__(
+        self, clock, rng, host='', domain='', peers=None, log=silent_log
+    ):
         self.clock = clock
         self.listeners = []
         self.stated = StatedRates(clock, log)
-        self.ranking = AllocatorRanking(host, domain)
+        self.ranking = AllocatorRanking(host, domain, peers)
         self.reach = Reachability(clock, host, _ask_nobody)
         self.allocators = Allocators(
             clock, self.ranking, self.reach, self.stated, log
@@ -86,11 +90,15 @@
         """Leave the allocation of rates to the other hosts."""
         self.ranking.leave()
 
-    def may_send(self, upstream):
-        """Return whether a request may be sent to an upstream now."""
-        if not self.stated.rate(upstream.name):
+    def is_idle(self):
+        """Return whether no upstream is known to have stated a rate."""
+        return not self.stated.by_name
+
+    def may_send(self, name):
+        """Return whether a request may be sent to an incarnation now."""
+        if not self.stated.rate(name):
             return True
-        allotment = self.client.by_name.get(upstream.name)
+        allotment = self.client.by_name.get(name)
         if allotment is None:
             return False
         return allotment.valid_tokens(self.clock.seconds()) > 0
@@ -100,7 +108,7 @@
         if self.stated.rate(upstream.name):
             allotment = self._allotment(upstream)
             allotment.note_sent(request)
-            self._schedule_if_used(allotment)
+            self.client.schedule(allotment)
 
     def note_held_back(self, upstream, request):
         """Count a request for which there is no token of an upstream."""
@@ -112,7 +120,7 @@
         """Count a request that goes on without a token of an upstream."""
         allotment = self._allotment(upstream)
         allotment.note_missed(request)
-        self._schedule_if_used(allotment)
+        self.client.schedule(allotment)
 
     def replenished(self, upstream):
         """Return a Deferred of the request for tokens that is due.
@@ -171,10 +179,6 @@
             self.client.by_name[upstream.name] = allotment
         return allotment
 
-    def _schedule_if_used(self, allotment):
-        if allotment.wanted() or allotment.tokens:
-            self.client.schedule(allotment)
-
     def _spacing(self, upstream):
         """Return the average seconds between two tokens of an upstream."""
         allotment = self.client.by_name.get(upstream.name)
--- a/pollenstile/ratelimits/_stated.py
+++ b/pollenstile/ratelimits/_stated.py
@@ -26,15 +26,12 @@
         Requests a second; ``UNLIMITED`` if it stated none.
     stated_at : float
         Time on the clock of the answer.
-    since : float
-        Time on the clock since which the upstream has been limited.
     logged_at : float
         Time of the last log line.
     """
 
     rate: float = UNLIMITED
     stated_at: float = 0.0
-    since: float = 0.0
     logged_at: float = -_LOG_PERIOD_SECONDS
 
 
@@ -82,7 +79,7 @@
         }
 
     def note_answer(self, name, values, *, is_proof):
-        """Record the header of an answer; return whether the rate changed.
+        """Record the header of an answer.
 
         Parameters
         ==========
@@ -98,32 +95,27 @@
         rate = parse_rate(values)
         if rate is None:
             self._log_unreadable(name, values)
-            return False
-        if not rate and not is_proof:
-            return False
-        return self.update(name, rate, self.clock.seconds())
+        elif rate or is_proof:
+            self.update(name, rate, self.clock.seconds())
 
     def update(self, name, rate, stated_at):
-        """Record a rate unless a newer one is known; return if it changed."""
+        """Record a rate unless a newer one is known."""
         stated = self.by_name.get(name)
         if stated is None:
             if not rate:
-                return False
+                return
             stated = StatedRate()
             self.by_name[name] = stated
         if stated_at < stated.stated_at:
-            return False
+            return
         stated.stated_at = stated_at
         before = stated.rate
         stated.rate = rate
-        if rate and not before:
-            stated.since = stated_at
         if rate == before:
-            return False
+            return
         self._log_change(name, stated, before)
         for listener in self.listeners:
             listener(name, before)
-        return True
 
     def forget_old(self, registered):
         """Drop the rates of incarnations that are over.
--- a/pollenstile/ratelimits/_tokenclient.py
+++ b/pollenstile/ratelimits/_tokenclient.py
@@ -51,8 +51,9 @@
         self.by_name = {}
 
     def schedule(self, allotment):
-        """Ask for tokens of an upstream once this host may."""
-        if allotment.waiters is None and allotment.timer is None:
+        """Ask for tokens, or return some, once this host may."""
+        is_asking = allotment.waiters is not None
+        if allotment.has_use() and not is_asking and allotment.timer is None:
             delay = max(0.0, allotment.asks_at - self.clock.seconds())
             allotment.timer = self.clock.callLater(
                 delay, self._timer_fired, allotment
@@ -92,8 +93,7 @@
 
     def _timer_fired(self, allotment):
         allotment.timer = None
-        has_use = allotment.wanted() or allotment.tokens
-        if has_use and allotment.waiters is None:
+        if allotment.has_use() and allotment.waiters is None:
             self.ask(allotment)
 
     def _allocator(self, allotment):
@@ -173,5 +173,4 @@
         allotment.asks_at = self.clock.seconds() + wait * jitter
         allotment.wake_waiters()
         self.notify(allotment.upstream.service)
-        if allotment.wanted() or allotment.tokens:
-            self.schedule(allotment)
+        self.schedule(allotment)
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -11,7 +11,12 @@
     lookup_body,
     stream_event,
 )
-from pollenstile.standin.limited import WINDOW_SECONDS, most_in_window
+from pollenstile.standin.limited import (
+    CONTACT_SECONDS,
+    WINDOW_SECONDS,
+    allowed_arrivals,
+    most_in_window,
+)
 
 _OK = 200
 _UNAUTHORIZED = 401
@@ -32,11 +37,6 @@
 _ALLOWED_CRASHES = 3
 _VERDICT_SECONDS = 3.0
 _ALLOWED_LATE_RUNS = 3
-# Seconds after which all hosts keep the rate that an upstream states, and its
-# bound: a multiple of what the rate allows, and a number of requests.
-_TOLD_SECONDS = 3.0
-_RATE_FACTOR = 1.5
-_RATE_SLACK = 5
 # Seconds of a request's delivery to its host; its key may be revoked meanwhile.
 _DELIVERY_SECONDS = 0.3
 # Share of the requests after the last fault that must succeed.
@@ -228,11 +228,10 @@
             run.at
             for run in records.runs
             if run.upstream == limit.upstream
-            and limit.began + _TOLD_SECONDS <= run.at < limit.ended
+            and limit.began + CONTACT_SECONDS <= run.at < limit.ended
         ]
         most = most_in_window(moments)
-        allowed = _RATE_FACTOR * limit.rate * WINDOW_SECONDS + _RATE_SLACK
-        if most > allowed:
+        if most > allowed_arrivals(limit.rate):
             yield (
                 f'{most} requests in {WINDOW_SECONDS} s reached '
                 f'{limit.upstream}, which accepts {limit.rate} a second'
--- a/pollenstile/stagework/_calllimits.py
+++ b/pollenstile/stagework/_calllimits.py
@@ -29,17 +29,14 @@
         if self.rates is None:
             return
         for worker in workers:
-            name = self._upstream(worker).name
-            worker.call_rate = self.rates.stated.rate(name)
+            worker.call_rate = self.rates.stated.rate(worker.incarnation)
 
     def may_call(self, worker):
         """Return whether a worker may be called now; ask for it if not."""
-        if self.rates is None:
-            return True
-        upstream = self._upstream(worker)
-        if self.rates.may_send(upstream):
+        if self.rates is None or self.rates.may_send(worker.incarnation):
             return True
-        self.rates.note_held_back(upstream, self._held_back())
+        # One identifier for all pieces, as the next call takes one token.
+        self.rates.note_held_back(self._upstream(worker), self.service)
         return False
 
     def note_called(self, worker):
@@ -48,17 +45,5 @@
             call = f'{self.service}/{next(self.numbers)}'
             self.rates.note_sent(self._upstream(worker), call)
 
-    def _held_back(self):
-        """Return one identifier for all calls that wait for the worker.
-
-        Explanation
-        ===========
-
-        A queue tries a worker with each piece that comes, and needs one token
-        for the next call.
-        """
-        return self.service
-
     def _upstream(self, worker):
-        name = f'{worker.ident}/{worker.born}'
-        return RatedUpstream(name, self.service, worker.domain)
+        return RatedUpstream(worker.incarnation, self.service, worker.domain)
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from pollenstile.ops.incarnations import incarnation_name
+
 # Share of result memory that is used, because sizes of results are estimates.
 # When all of it was used, one call in fifteen had a piece refused for lack of
 # memory, which then waited for a further call while the other results of its
@@ -231,6 +233,11 @@
     refusals: int = 0
     call_rate: float = 0.0
 
+    @property
+    def incarnation(self):
+        """Return the unique name of its process lifetime."""
+        return incarnation_name(self.ident, self.born)
+
     def held_bytes(self, now):
         """Return bytes of results that still take up memory."""
         for handle, (_, expires_at) in list(self.held.items()):
--- a/pollenstile/standin/limited.py
+++ b/pollenstile/standin/limited.py
@@ -14,6 +14,12 @@
 
 # Span in seconds over which arrivals are counted.
 WINDOW_SECONDS = 4.0
+# Seconds from an upstream's first statement of its rate until the bound counts.
+CONTACT_SECONDS = 3.0
+# Bound on the arrivals in a window, as a multiple of what the rate allows and
+# a number of requests in addition.
+_ALLOWED_FACTOR = 1.5
+_ALLOWED_SLACK = 5
 # Seconds after which a host that received an answer with a rate is held to it.
 _TOLD_SECONDS = 0.5
 
@@ -101,3 +107,16 @@
             first += 1
         most = max(most, last - first + 1)
     return most
+
+
+def allowed_arrivals(rate):
+    """Return how many arrivals a window may have at a rate.
+
+    Examples
+    ========
+
+    >>> from pollenstile.standin.limited import allowed_arrivals
+    >>> allowed_arrivals(1.0)
+    11.0
+    """
+    return _ALLOWED_FACTOR * rate * WINDOW_SECONDS + _ALLOWED_SLACK
