permission: what answers state of leaving and rest is read and logged

'permission' reads the statements of an answer once: leaving (0 or 1), and the time asked for with 429 or 503 (seconds with fractions, or a date against the date of the same answer; 300 s at most; negative and other text is logged and ignored). Events 1601 to 1607; each send's line tells what was known against its upstream. Nothing is decided by it yet. The reading of rates goes the same way, so that a further kind of statement is a module there and no call at each sender.

--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -80,7 +80,13 @@
 
 def _upstream(name, value):
     if isinstance(value, dict):
-        return Upstream(name, 's', value['address'], value['domain'])
+        return Upstream(
+            name,
+            's',
+            value['address'],
+            value['domain'],
+            leaving=value.get('leaving', False),
+        )
     return Upstream(name, 's', 'u:1', _DOMAIN, leaving=value == 'leaving')
 
 
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -18,6 +18,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.settings import format_address
 from pollenstile.peer import MIN_VERSION, VERSION, Hello, Hub, tcp_connect
+from pollenstile.permission import Permissions
 from pollenstile.quarantine import (
     QUARANTINE_KIND,
     Quarantine,
@@ -120,16 +121,16 @@
     hub = _build_hub(reactor, rng, settings, log)
     client = HttpClient(reactor)
     quarantine = Quarantine(reactor, settings.host, registry.count, log)
-    rates = RateLimits(reactor, rng, settings.host, settings.domain, log=log)
+    permissions = _build_permissions(reactor, settings, rng, log)
     budget = _build_budget(reactor, settings)
     owners = StageOwners(
         reactor,
         registry,
         configuration,
-        _build_calls(reactor, client, adapter, registry, rates, log),
+        _build_calls(reactor, client, adapter, registry, permissions, log),
         partial(budget.spend, sharers=_STAGE_SHARERS),
         quarantine,
-        rates,
+        permissions.rates,
         log,
     )
     core = ForwardCore(
@@ -145,7 +146,7 @@
         log,
         cold=ColdShares(settings.host, settings.domain),
         quarantine=quarantine,
-        rates=rates,
+        permissions=permissions,
     )
     owners.calls.attach_crash_detector(core.crashes, quarantine)
     members = Members(
@@ -165,7 +166,7 @@
         DrainedDomains(registry, reactor, log),
         VerdictSharing(hub, quarantine, members.hosts, log),
         VerdictRecorder(store, quarantine, members.hosts, log),
-        RateSharing(hub, rates, members.hosts, log),
+        RateSharing(hub, permissions.rates, members.hosts, log),
     )
 
 
@@ -184,6 +185,11 @@
     parts.hub.dialer.wanted = wanted
 
 
+def _build_permissions(reactor, settings, rng, log):
+    rates = RateLimits(reactor, rng, settings.host, settings.domain, log=log)
+    return Permissions(reactor, rng, rates, log)
+
+
 def _build_budget(reactor, settings):
     return SharedRetryBudget(
         reactor,
@@ -193,10 +199,10 @@
     )
 
 
-def _build_calls(reactor, client, adapter, registry, rates, log):
+def _build_calls(reactor, client, adapter, registry, permissions, log):
     calls = StageCalls(reactor, client, adapter.codec, adapter.names, log)
     calls.on_misdirected = registry.drop
-    calls.on_rate = rates.stated.note_answer
+    calls.permissions = permissions
     return calls
 
 
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -7,12 +7,12 @@
     learn_load,
     learn_success,
     learn_unavailable,
-    stated_rates,
 )
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._silence import SilenceTimer
 from pollenstile.forward._sse import EventSplitter
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
+from pollenstile.permission import read_statements
 from pollenstile.routes import Kind
 
 _MS = 1000
@@ -229,11 +229,11 @@
         if head.code == _MISDIRECTED_STATUS:
             self.core.registry.drop(ident, self.view.born)
             return NotRun('another incarnation', ident)
-        is_stamped = _text(head, names.stamp) and echoed
-        self.core.rates.stated.note_answer(
+        is_stamped = bool(_text(head, names.stamp) and echoed)
+        self.core.permissions.note_answer(
             self.view.incarnation,
-            stated_rates(head, names),
-            is_proof=bool(is_stamped),
+            self.exchange.service,
+            read_statements(head, names, is_proof=is_stamped),
         )
         if _text(head, names.not_run):
             gone = head.code == _CONFLICT_STATUS
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -8,6 +8,7 @@
 from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
+from pollenstile.permission import Permissions
 from pollenstile.quarantine import Quarantine
 from pollenstile.ratelimits import RateLimits
 
@@ -55,13 +56,15 @@
     crashes : CrashDetector or None
         Detects crashed upstreams; None creates a detector from the other
         components.
-    rates : RateLimits or None
-        Limits sends to upstreams that state a request rate; None creates the
-        limits of a host that is alone.
+    permissions : Permissions or None
+        Whether the host may send to an upstream, by what the upstream states;
+        None creates those of a host that is alone.
 
     Attributes
     ==========
 
+    rates : RateLimits
+        Limits sends to upstreams that state a request rate.
     tokens : TokenQueue
         Requests that wait until they may be sent to such an upstream.
     """
@@ -81,7 +84,8 @@
     cold: ColdShares = field(default_factory=_empty_shares)
     quarantine: Quarantine | None = None
     crashes: CrashDetector | None = None
-    rates: RateLimits | None = None
+    permissions: Permissions | None = None
+    rates: RateLimits = field(init=False)
     tokens: TokenQueue = field(init=False)
 
     def __post_init__(self):
@@ -94,9 +98,11 @@
                 self.registry, self.client, self.clock, self.log
             )
             self.crashes.on_crash = self.quarantine.note_crash
-        if self.rates is None:
-            self.rates = RateLimits(
-                self.clock, self.rng, peers={}, log=self.log
+        if self.permissions is None:
+            alone = RateLimits(self.clock, self.rng, peers={}, log=self.log)
+            self.permissions = Permissions(
+                self.clock, self.rng, alone, self.log
             )
+        self.rates = self.permissions.rates
         self.tokens = TokenQueue(self.clock)
         self.rates.listeners.append(self.tokens.wake)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -290,13 +290,12 @@
         self.parts.stages.review(owners, leaving=self.leaving)
         link_peers(self.parts)
         self.parts.record.expire()
-        self._forget_rates()
+        self._forget_statements()
 
-    def _forget_rates(self):
+    def _forget_statements(self):
         core = self.parts.core
-        if not core.rates.is_idle():
-            views = core.registry.views.values()
-            core.rates.forget_old({view.incarnation for view in views})
+        views = core.registry.views.values()
+        core.permissions.forget_old({view.incarnation for view in views})
 
     def _beat(self):
         table = self.parts.core.configuration.table
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -39,12 +39,6 @@
     view.backoff_until = now + backoff
 
 
-def stated_rates(head, names):
-    """Return the request rates that the head of an answer states."""
-    values = head.headers.getRawHeaders(names.rate, ())
-    return [text.decode('latin-1') for text in values]
-
-
 def learn_load(view, text, now):
     """Record the load in an answer's header: running, waiting, slots.
 
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -26,6 +26,7 @@
         failures=round(view.failures, 2),
         cold_ms=int(max(0, view.cold_until - now) * _MS),
         rate=core.rates.stated.rate(view.incarnation),
+        blocked=_block_reason(core, view),
         drained=','.join(sorted(core.registry.drained)),
     )
 
@@ -63,6 +64,12 @@
     )
 
 
+def _block_reason(core, view):
+    """Return why nothing may be sent to an upstream; empty if it may."""
+    block = core.permissions.withdrawn(view.incarnation)
+    return block.reason if block else ''
+
+
 def _since_arrival(exchange, moment):
     """Return milliseconds from arrival to an event; 0 if there was none."""
     return int((moment - exchange.arrived) * _MS) if moment else 0
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -6,9 +6,9 @@
 from twisted.web.client import readBody
 
 from pollenstile.forward._crashes import incarnation_of
-from pollenstile.forward._learning import stated_rates
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.ops.logs import silent_log
+from pollenstile.permission import read_statements
 from pollenstile.quarantine import Suspect
 from pollenstile.stagework import CallLost
 from pollenstile.stagework.events import STAGE_RELEASE_FAILED
@@ -48,9 +48,8 @@
         Checks whether an upstream that broke a connection has crashed.
     on_answer : function
         Called with an incarnation's name and the time of the call.
-    on_rate : function or None
-        Called with an incarnation's name, the rates that its answer states,
-        and whether the answer is complete.
+    permissions : Permissions or None
+        Gets the statements of answers.
     on_misdirected : function or None
         Called with identifier and start time of an upstream whose address now
         has another incarnation.
@@ -66,7 +65,7 @@
         'names',
         'on_answer',
         'on_misdirected',
-        'on_rate',
+        'permissions',
         'pieces_in',
     )
 
@@ -81,7 +80,7 @@
         self.calls_at = Counter()
         self.crashes = None
         self.on_answer = None
-        self.on_rate = None
+        self.permissions = None
 
     def attach_crash_detector(self, crashes, quarantine):
         """Report broken calls to a detector, and answers to a quarantine."""
@@ -181,7 +180,7 @@
             )
         is_misdirected = status == _MISDIRECTED_STATUS
         if not is_misdirected:
-            self._note_rate(worker, response)
+            self._note_statements(pieces[0].group.service, worker, response)
         if is_misdirected or response.headers.hasHeader(self.names.not_run):
             if is_misdirected and self.on_misdirected is not None:
                 self.on_misdirected(worker.ident, worker.born)
@@ -193,13 +192,15 @@
             return CallLost(f'status {status}', worker.ident, arrived=True)
         return results
 
-    def _note_rate(self, worker, response):
-        if self.on_rate is not None:
-            self.on_rate(
-                worker.incarnation,
-                stated_rates(response, self.names),
-                is_proof=response.code == _OK_STATUS,
-            )
+    def _note_statements(self, service, worker, response):
+        if self.permissions is None:
+            return
+        is_proof = response.code == _OK_STATUS
+        self.permissions.note_answer(
+            worker.incarnation,
+            service,
+            read_statements(response, self.names, is_proof=is_proof),
+        )
 
     async def _send_release(self, address, handles):
         target, headers, body = self.codec.release(address, handles)
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -33,6 +33,10 @@
         Load of an upstream: running, waiting, slots.
     rate : bytes
         Requests a second that an upstream accepts from all hosts together.
+    leaving : bytes
+        ``1`` in the answers of an upstream that leaves.
+    rest : bytes
+        Seconds for which an upstream that turned a request away wants none.
     counts, stage_key : bytes
         Pieces by step, and the input of the first steps.
     results : bytes
@@ -55,6 +59,8 @@
     team: bytes = b'x-team'
     load: bytes = b'x-load'
     rate: bytes = b'x-request-rate'
+    leaving: bytes = b'x-leaving'
+    rest: bytes = b'retry-after'
     counts: bytes = b'x-pieces'
     stage_key: bytes = b'x-piece-key'
     results: bytes = b'x-results'
--- a/pollenstile/ops/_explaincmd.py
+++ b/pollenstile/ops/_explaincmd.py
@@ -15,6 +15,7 @@
     'pollenstile.peer.events',
     'pollenstile.platform.events',
     'pollenstile.ratelimits.events',
+    'pollenstile.permission.events',
 )
 # Fields that the timeline shows elsewhere or that add no information.
 _OMITTED_FIELDS = ('event', 'host', 'number', 'request', 'timestamp')
--- /dev/null
+++ b/pollenstile/permission/_statements.py
@@ -0,0 +1,78 @@
+"""What the headers of an answer state about further requests."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class StatementHeaders:
+    """Names of the headers with statements.
+
+    Parameters
+    ==========
+
+    rate : bytes
+        Requests a second that an upstream accepts from all hosts together.
+    leaving : bytes
+        Whether the upstream leaves.
+    rest : bytes
+        Seconds for which an upstream that turned a request away wants none.
+    """
+
+    rate: bytes
+    leaving: bytes
+    rest: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Statements:
+    """Statements of one answer, not yet parsed.
+
+    Parameters
+    ==========
+
+    status : int
+        Status code of the answer.
+    rates, leaving, rests : tuple of str
+        Values of the headers; empty for a missing one.
+    date : str
+        Date of the answer by its own clock; empty if it has none.
+    is_proof : bool
+        Whether the answer is certainly the upstream's own and complete in its
+        headers.
+    """
+
+    status: int
+    rates: tuple = ()
+    leaving: tuple = ()
+    rests: tuple = ()
+    date: str = ''
+    is_proof: bool = False
+
+
+def read_statements(response, headers, *, is_proof):
+    """Return the :class:`Statements` of an answer.
+
+    Parameters
+    ==========
+
+    response : Response
+        Status and headers of the answer.
+    headers : object
+        With the fields of :class:`StatementHeaders`.
+    is_proof : bool
+        See :class:`Statements`.
+    """
+    dates = _texts(response, b'date')
+    return Statements(
+        response.code,
+        _texts(response, headers.rate),
+        _texts(response, headers.leaving),
+        _texts(response, headers.rest),
+        dates[0] if dates else '',
+        is_proof,
+    )
+
+
+def _texts(response, name):
+    values = response.headers.getRawHeaders(name, ())
+    return tuple(text.decode('latin-1') for text in values)
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -185,6 +185,10 @@
         now = self.clock.seconds()
         arrival = Arrival(now, call.host, process.ident, call.body)
         self.arrivals.append(arrival)
+        refusal = self.refusal(process, call)
+        if refusal is not None:
+            self.clock.callLater(_LATENCY_SECONDS, call.receive_head, refusal)
+            return
         process.calls.append(call)
         if self.is_crashing(call.body):
             self.clock.callLater(_CRASH_SECONDS, self.crash, process, call.body)
@@ -193,6 +197,9 @@
             _FIRST_EVENT_SECONDS, self._send_head, process, call
         )
 
+    def refusal(self, process, call):
+        """Return the head with which an upstream turns a call away, or None."""
+
     def answer_headers(self, process, call):
         """Return the headers of an upstream's answer to a call."""
         return {
