--- a/features/steps/withdrawals_steps.py
+++ b/features/steps/withdrawals_steps.py
@@ -39,3 +39,24 @@
     assert upstreams.departures
     late = upstreams.arrivals_after_departure(seconds)
     assert not late, (len(late), late[:2])
+
+
+@when(
+    'an upstream turns {share:g} of its requests away and asks for {rest:g}'
+    ' seconds of rest, with {load:g} requests a second for {seconds:g} seconds'
+)
+def when_sheds(context, share, rest, load, seconds):
+    context.world.shed(context.address, share, rest)
+    context.world.schedule_traffic(load, seconds)
+    context.world.advance(seconds)
+
+
+@then(
+    'from {since:g} seconds after such an answer at most {most:d} requests of'
+    ' that host reach it in the time'
+)
+def then_rests(context, since, most):
+    upstreams = context.world.upstreams
+    assert upstreams.asks
+    found = upstreams.most_in_rest(since)
+    assert found <= most, found
