--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -192,7 +192,8 @@
 def _make_host_setter(core, sharing):
     def set_hosts(live):
         peers = {name: live[name] for name in live if name != core.host}
-        sharing.hosts = peers
+        sharing.hosts.clear()
+        sharing.hosts.update(peers)
         core.rates.update_hosts(
             {name: record.domain for name, record in peers.items()}
         )
--- a/pollenstile/ratelimits/_sharing.py
+++ b/pollenstile/ratelimits/_sharing.py
@@ -1,9 +1,7 @@
 """Exchange of rates and tokens between hosts."""
 
-from functools import partial
-
 from pollenstile.ops.logs import silent_log
-from pollenstile.peer import Unanswered, neighbours_of
+from pollenstile.peer import Flood
 from pollenstile.ratelimits import events
 from pollenstile.ratelimits._codec import (
     RateNews,
@@ -15,11 +13,6 @@
 
 TOKENS_SUBJECT = 'rate-tokens'
 NEWS_SUBJECT = 'rate-news'
-# Seconds over which news is collected before it is sent, and the minimum
-# seconds between two messages about one upstream, whose rate may come and go
-# with each answer.
-_COLLECT_SECONDS = 0.02
-_NEWS_PERIOD_SECONDS = 1.0
 # Seconds for a peer to answer, the connection included.
 _REQUEST_TIMEOUT_SECONDS = 0.8
 
@@ -30,9 +23,8 @@
     Explanation
     ===========
 
-    A host forwards to its neighbours that an upstream is limited or not any
-    more, except to the one that said so; those forward it in turn. A change of
-    the rate itself is not forwarded: the allocator knows it, and a host that
+    Hosts tell each other that an upstream is limited or not any more. A change
+    of the rate itself is not forwarded: the allocator knows it, and a host that
     knows that an upstream is limited sends nothing without tokens.
 
     Parameters
@@ -51,40 +43,29 @@
     Attributes
     ==========
 
-    pending : dict
-        Incarnations of which neighbours are told next, and the host that this
-        host heard it from.
-    sent_at : dict
-        Time at which neighbours were told of an incarnation.
-    source : str
-        The host whose news is being applied; empty otherwise.
+    flood : Flood
+        Forwards the news.
     """
 
-    __slots__ = (
-        'hosts',
-        'hub',
-        'limits',
-        'log',
-        'pending',
-        'sent_at',
-        'source',
-        'timer',
-    )
+    __slots__ = ('flood', 'hosts', 'hub', 'limits', 'log')
 
     def __init__(self, hub, limits, hosts, log=silent_log):
         self.hub = hub
         self.limits = limits
         self.hosts = hosts
         self.log = log
-        self.pending = {}
-        self.sent_at = {}
-        self.source = ''
-        self.timer = None
+        self.flood = Flood(
+            hub,
+            NEWS_SUBJECT,
+            hosts,
+            self._encode,
+            self._apply,
+            limits.stated.limited,
+            self._log_unsent,
+        )
         limits.reach.ask = self._ask
         limits.stated.listeners.append(self._rate_changed)
         hub.requests.subjects[TOKENS_SUBJECT] = self._on_requests
-        hub.requests.subjects[NEWS_SUBJECT] = self._on_news
-        hub.link_up_handlers.append(self._link_opened)
 
     def _ask(self, host, body):
         peer = self.hosts.get(host)
@@ -103,74 +84,22 @@
         ]
         return encode_grants(grants, now)
 
-    def _on_news(self, host, body):
-        received = decode_news(body, self.hub.clock.seconds())
-        self.source = host
-        for news in received:
+    def _apply(self, host, body):
+        for news in decode_news(body, self.hub.clock.seconds()):
             self.limits.stated.update(news.name, news.rate, news.stated_at)
-        self.source = ''
-        return b''
 
-    def _rate_changed(self, name, before):
-        if bool(before) == bool(self.limits.stated.rate(name)):
-            return
-        self.pending.setdefault(name, self.source)
-        self._schedule()
-
-    def _schedule(self):
-        if self.timer is None and self.pending:
-            now = self.hub.clock.seconds()
-            due = min(
-                self.sent_at.get(name, -_NEWS_PERIOD_SECONDS)
-                for name in self.pending
-            )
-            delay = max(_COLLECT_SECONDS, due + _NEWS_PERIOD_SECONDS - now)
-            self.timer = self.hub.clock.callLater(delay, self._send_pending)
-
-    def _send_pending(self):
-        self.timer = None
-        now = self.hub.clock.seconds()
-        due = {
-            name: source
-            for name, source in self.pending.items()
-            if now - self.sent_at.get(name, -_NEWS_PERIOD_SECONDS)
-            >= _NEWS_PERIOD_SECONDS
-        }
-        recent = now - _NEWS_PERIOD_SECONDS
-        self.sent_at = {
-            name: at for name, at in self.sent_at.items() if at > recent
-        }
-        for name in due:
-            self.pending.pop(name)
-            self.sent_at[name] = now
-        for host in sorted(neighbours_of(self.hub.hello, self.hosts)):
-            names = [name for name, source in due.items() if source != host]
-            self._send(host, names)
-        self._schedule()
-
-    def _send(self, host, names):
+    def _encode(self, names):
         stated = self.limits.stated.by_name
         news = [
             RateNews(name, stated[name].rate, stated[name].stated_at)
             for name in names
             if name in stated
         ]
-        peer = self.hosts.get(host)
-        if not news or peer is None or self.hub.stopped:
-            return
-        answer = self.hub.ask(
-            host,
-            NEWS_SUBJECT,
-            encode_news(news, self.hub.clock.seconds()),
-            _REQUEST_TIMEOUT_SECONDS,
-            peer.address,
-        )
-        answer.addCallback(partial(self._note_sent, host))
+        return encode_news(news, self.hub.clock.seconds()) if news else b''
 
-    def _note_sent(self, host, answer):
-        if isinstance(answer, Unanswered):
-            self.log(events.RATE_NEWS_UNSENT, peer=host, reason=answer.reason)
+    def _rate_changed(self, name, before):
+        if bool(before) != bool(self.limits.stated.rate(name)):
+            self.flood.note_changed(name)
 
-    def _link_opened(self, link):
-        """Tell a peer that has started or was cut off what is limited."""
-        self._send(link.host, list(self.limits.stated.limited()))
+    def _log_unsent(self, host, reason):
+        self.log(events.RATE_NEWS_UNSENT, peer=host, reason=reason)
