permission: nothing more is sent to an upstream whose answers say that it leaves

Cause: the registry's entries were the only source of leaving, and what an answer states of its upstream was read nowhere. Class: a fact that a host has been told directly is taken from a slower source only.

Permissions answer for all senders whether an incarnation wants requests: the registry leaves out those that have said that they leave, whatever their entries state, so first sends, second tries, resumed streams and stage queues do; the connection of a request that was chosen before is asked once more when it is open; requests that wait choose again. Neighbours tell each other. All leave: refused at once, with a second to wait.

--- a/features/permission.feature
+++ b/features/permission.feature
@@ -59,3 +59,46 @@
     When the upstream of forwarded send 0 turns it away, leaves, and asks for 3 seconds of rest
     Then lines tell that this upstream leaves, and that it rests for 3 seconds
     And each send's line tells whether its upstream was known to want no requests
+
+  Scenario: A request whose upstream leaves while the connection opens is sent elsewhere
+    The handshake may take as long as its timeout.
+    Given a forwarded "once" request
+    When the upstream of forwarded send 0 leaves before its connection is open
+    Then nothing is sent to it, and the request is sent to another upstream
+
+  Scenario: A request whose upstreams all leave is refused at once, with when to come back
+    Given a forwarded "idempotent" request to upstreams that all leave
+    When the forwarded request starts
+    Then it is refused at once as not run, for "leaving", with at least 1 seconds to wait
+
+  Scenario: Requests that wait for a token are refused once the last upstream leaves
+    They would wait for nothing.
+    Given a forwarded "idempotent" request to upstreams that are all limited
+    When 4 forwarded requests arrive at once
+    And all upstreams leave by their answers
+    Then the one that was not sent is refused at once, with when to come back
+
+  Scenario: A request that an upstream runs is not cut off when it leaves
+    Given a forwarded "idempotent" request
+    When all upstreams leave by their answers
+    And the upstream of forwarded send 0 answers whole
+    Then the caller gets the whole answer
+
+  Scenario: A queue of stage work makes no calls to a worker that leaves
+    Given a host with a stage queue over 2 workers
+    When one worker states that it leaves, and 20 pieces are submitted
+    Then all of them are sent to the other worker
+
+  Scenario: News of leaving upstreams that can't be read leave no trace
+    Given a host that shares which upstreams leave with its peers
+    When a peer sends it unreadable news of leaving upstreams
+    And the host itself learns that an upstream leaves
+    Then it tells that peer of the leaving upstream
+
+  Scenario: Upstreams that left are forgotten once they are gone for a while
+    Upstreams restart under other names for months while a host runs.
+    Given the permissions of a host
+    When 50 upstreams state that they leave
+    And 61 seconds pass for the permissions
+    And one of them is still registered
+    Then one upstream is known to leave
--- a/features/steps/quarantine_stage_steps.py
+++ b/features/steps/quarantine_stage_steps.py
@@ -104,7 +104,13 @@
 def given_call(context, one, other):
     context.story = ForwardScenario('once')
     core = context.story.core
-    calls = StageCalls(core.clock, context.story, PlainCodec(), HeaderNames())
+    calls = StageCalls(
+        core.clock,
+        context.story,
+        PlainCodec(),
+        HeaderNames(),
+        core.permissions,
+    )
     calls.attach_crash_detector(core.crashes, core.quarantine)
     worker = workers_of('d')[0]
     upstream = Upstream(worker.ident, SERVICE, worker.address, 'd')
--- a/pollenstile/bench/_withdrawalworld.py
+++ b/pollenstile/bench/_withdrawalworld.py
@@ -32,6 +32,10 @@
         }
         self._write(process.ident, entry)
 
+    def delete_entry(self, address):
+        """Delete the entry of an upstream, without waiting for the store."""
+        self._write(self.ident(address), None)
+
     def shed(self, address, share, seconds, rest=None):
         """Let an upstream turn requests away and ask for rest.
 
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -18,7 +18,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.settings import format_address
 from pollenstile.peer import MIN_VERSION, VERSION, Hello, Hub, tcp_connect
-from pollenstile.permission import Permissions
+from pollenstile.permission import LeavingSharing, Permissions
 from pollenstile.quarantine import (
     QUARANTINE_KIND,
     Quarantine,
@@ -65,6 +65,7 @@
     sharing: VerdictSharing
     record: VerdictRecorder
     rate_sharing: RateSharing
+    leaving_sharing: LeavingSharing
 
 
 @dataclass(slots=True)
@@ -167,6 +168,7 @@
         VerdictSharing(hub, quarantine, members.hosts, log),
         VerdictRecorder(store, quarantine, members.hosts, log),
         RateSharing(hub, permissions.rates, members.hosts, log),
+        LeavingSharing(hub, permissions.leaving, members.hosts, log),
     )
 
 
@@ -200,9 +202,10 @@
 
 
 def _build_calls(reactor, client, adapter, registry, permissions, log):
-    calls = StageCalls(reactor, client, adapter.codec, adapter.names, log)
+    calls = StageCalls(
+        reactor, client, adapter.codec, adapter.names, permissions, log
+    )
     calls.on_misdirected = registry.drop
-    calls.permissions = permissions
     return calls
 
 
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -12,6 +12,7 @@
 from pollenstile.forward._silence import SilenceTimer
 from pollenstile.forward._sse import EventSplitter
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
+from pollenstile.forward._withdrawn import withdrawal_check
 from pollenstile.permission import read_statements
 from pollenstile.routes import Kind
 
@@ -185,6 +186,7 @@
             self._request_headers(last_event),
             exchange.body,
         )
+        self.call.check = withdrawal_check(self.core.permissions, self.view)
         self.input_release.start(self.core.clock)
         head = await self._head_within(self.call.head, silence_limits.first)
         self.arrived = self.call.sent
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -128,11 +128,15 @@
     head : Deferred
         Fires with Twisted's response once the headers are received, or with
         :class:`NotRun` or :class:`Lost`.
+    check : function
+        Asked when the connection is open. Returns a :class:`NotRun` if the
+        request must not be sent any more, or None.
     """
 
     __slots__ = (
         'address',
         'cancelled',
+        'check',
         'connector',
         'head',
         'protocol',
@@ -147,6 +151,7 @@
         self.protocol = None
         self.connector = None
         self.cancelled = False
+        self.check = _permit
         self.sent = False
 
     def attach(self, protocol):
@@ -160,6 +165,11 @@
             if self.cancelled:
                 protocol.transport.abortConnection()
                 return
+            refusal = self.check()
+            if refusal is not None:
+                protocol.transport.abortConnection()
+                self.head.callback(refusal)
+                return
             self.sent = True
             response = protocol.request(self.request)
             response.addCallbacks(self._on_response, self._on_failure)
@@ -210,6 +220,10 @@
         self.head.callback(Lost(_reason(failure), self.address, broken=True))
 
 
+def _permit():
+    """Return None: nothing keeps a request from being sent."""
+
+
 def _reason(failure: Failure):
     if failure.check(ResponseFailed):
         reasons = failure.value.reasons
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -104,5 +104,12 @@
                 self.clock, self.rng, alone, self.log
             )
         self.rates = self.permissions.rates
+        self.registry.heed(self.permissions.leaving)
+        self.permissions.leaving.listeners.append(self._wake_all)
         self.tokens = TokenQueue(self.clock)
         self.rates.listeners.append(self.tokens.wake)
+
+    def _wake_all(self, name):
+        """Let all waiting requests choose again: their upstream may leave."""
+        for service in list(self.tokens.waiting):
+            self.tokens.wake(service)
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -195,7 +195,7 @@
         entry = self.registry.upstreams.get(upstream.ident)
         if entry is None or entry.born != upstream.born:
             return False
-        return not entry.leaving
+        return not self.registry.is_leaving(entry)
 
     def _is_busy(self, upstream):
         view = self.registry.views.get(upstream.ident)
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -18,10 +18,14 @@
     usable,
 )
 from pollenstile.forward._types import NotRun
+from pollenstile.permission import LEAVING_REASON
 
 # Assumed answer time of a plain upstream without measurements, as a share of
 # the route's target latency.
 _DEFAULT_ANSWER_SHARE = 0.25
+# Advised seconds until a retry when all upstreams of a service leave: one that
+# replaces them registers within about a heartbeat of its start.
+_REPLACEMENT_SECONDS = 1.0
 
 
 def expected_first_token_seconds(core, exchange):
@@ -208,6 +212,13 @@
             core.cold.seconds_until_send(view, rate, now) for view in views
         )
         return NotRun('cold', service, arrived=False, retry_after=wait)
+    if core.registry.are_all_leaving(service):
+        return NotRun(
+            LEAVING_REASON,
+            service,
+            arrived=False,
+            retry_after=_REPLACEMENT_SECONDS,
+        )
     reason = 'drained' if core.registry.is_drained(service) else 'no upstream'
     return NotRun(reason, service)
 
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -4,7 +4,9 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._selection import UpstreamView
+from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
+from pollenstile.permission import LeavingUpstreams
 
 # Kind of the objects with which upstreams register themselves in the store.
 UPSTREAMS = 'upstreams'
@@ -45,6 +47,11 @@
     born: int = 0
     cold_seconds: float = field(default=0.0, compare=False)
 
+    @property
+    def incarnation(self):
+        """Return the unique name of its process lifetime."""
+        return incarnation_name(self.ident, self.born)
+
 
 class Registry:
     """Upstreams by service.
@@ -76,6 +83,9 @@
         Whether a full list was received.
     drained : frozenset of str
         Failure domains whose upstreams get no new work.
+    stated_leaving : LeavingUpstreams
+        Incarnations that leave by their own answers, whatever their entries
+        state.
     """
 
     __slots__ = (
@@ -86,6 +96,7 @@
         'listeners',
         'log',
         'missing_timers',
+        'stated_leaving',
         'store_failed_at',
         'upstreams',
         'views',
@@ -102,6 +113,20 @@
         self.store_failed_at = -1000.0
         self.known = False
         self.drained = frozenset()
+        self.stated_leaving = LeavingUpstreams(clock)
+
+    def heed(self, leaving):
+        """Leave out the upstreams whose answers state that they leave.
+
+        Parameters
+        ==========
+
+        leaving : LeavingUpstreams
+            These upstreams; the registry follows its changes.
+        """
+        self.stated_leaving = leaving
+        leaving.listeners.append(self._leaving_stated)
+        self._index()
 
     def drain(self, domains):
         """Set the failure domains whose upstreams get no new work.
@@ -190,6 +215,21 @@
             for upstream in self.upstreams.values()
         )
 
+    def is_leaving(self, upstream):
+        """Return whether an upstream leaves, by its entry or its answers."""
+        if upstream.leaving:
+            return True
+        return self.stated_leaving.is_leaving(upstream.incarnation)
+
+    def are_all_leaving(self, service):
+        """Return whether a service has upstreams, all of which leave."""
+        upstreams = [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.service == service
+        ]
+        return bool(upstreams) and all(map(self.is_leaving, upstreams))
+
     def stage_upstreams(self, service):
         """Return a service's upstreams that accept new work, as registered."""
         return [self.upstreams[view.ident] for view in self.usable(service)]
@@ -254,13 +294,17 @@
     def _index(self):
         by_service = {}
         for ident, upstream in self.upstreams.items():
-            if upstream.leaving or upstream.domain in self.drained:
+            if self.is_leaving(upstream) or upstream.domain in self.drained:
                 continue
             views = by_service.setdefault(upstream.service, [])
             views.append(self.views[ident])
         self.by_service = by_service
         self._notify_listeners()
 
+    def _leaving_stated(self, name):
+        if any(view.incarnation == name for view in self.views.values()):
+            self._index()
+
     def _notify_listeners(self):
         for listener in self.listeners:
             listener()
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -7,6 +7,7 @@
 
 from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._types import Lost, NotRun
+from pollenstile.forward._withdrawn import withdrawal_check
 from pollenstile.ops.logs import silent_log
 from pollenstile.permission import read_statements
 from pollenstile.quarantine import Suspect
@@ -36,6 +37,8 @@
     names : HeaderNames
         Contains the name of the header by which an upstream states that it
         ran nothing.
+    permissions : Permissions
+        What upstreams state; gets the statements of answers.
 
     Attributes
     ==========
@@ -48,8 +51,6 @@
         Checks whether an upstream that broke a connection has crashed.
     on_answer : function
         Called with an incarnation's name and the time of the call.
-    permissions : Permissions or None
-        Gets the statements of answers.
     on_misdirected : function or None
         Called with identifier and start time of an upstream whose address now
         has another incarnation.
@@ -69,18 +70,20 @@
         'pieces_in',
     )
 
-    def __init__(self, clock, client, codec, names, log=silent_log):
+    def __init__(
+        self, clock, client, codec, names, permissions, log=silent_log
+    ):
         self.clock = clock
         self.client = client
         self.codec = codec
         self.names = names
+        self.permissions = permissions
         self.log = log
         self.on_misdirected = None
         self.pieces_in = Counter()
         self.calls_at = Counter()
         self.crashes = None
         self.on_answer = None
-        self.permissions = None
 
     def attach_crash_detector(self, crashes, quarantine):
         """Report broken calls to a detector, and answers to a quarantine."""
@@ -168,6 +171,7 @@
             target,
             headers,
             body,
+            withdrawal_check(self.permissions, worker),
         )
         if isinstance(response, NotRun):
             return CallLost(response.reason, worker.ident, arrived=False)
@@ -193,8 +197,6 @@
         return results
 
     def _note_statements(self, service, worker, response):
-        if self.permissions is None:
-            return
         is_proof = response.code == _OK_STATUS
         self.permissions.note_answer(
             worker.incarnation,
@@ -218,8 +220,10 @@
             )
         return status == _OK_STATUS
 
-    async def _exchange(self, address, target, headers, body):
+    async def _exchange(self, address, target, headers, body, check=None):
         call = self.client.send(address, b'POST', target, headers, body)
+        if check is not None:
+            call.check = check
         try:
             return await _read_response(call)
         except CancelledError:
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -170,6 +170,10 @@
             refused = NotRun('refused', call.address, arrived=False)
             call.receive_head(refused)
             return
+        refusal = call.check() if call.check else None
+        if refusal is not None:
+            call.receive_head(refusal)
+            return
         call.sent = True
         self.clock.callLater(_LATENCY_SECONDS, self._receive, call)
 
--- a/pollenstile/standin/exchanges.py
+++ b/pollenstile/standin/exchanges.py
@@ -37,6 +37,9 @@
     on_data, on_end : function or None
         Called with the data and the end of the body; None until the host
         requests the body.
+    check : function or None
+        Set by the host; asked when the connection is open. Returns the outcome
+        of a request that must not be sent any more, or None.
     """
 
     def __init__(self, address, headers):
@@ -47,11 +50,15 @@
         self.cancelled = False
         self.on_data = None
         self.on_end = None
+        self.check = None
 
     def cancel(self):
         """Record that the host closed the connection."""
         self.cancelled = True
 
+    def close(self):
+        """Do nothing: no connection is open."""
+
     def deliver(self, response, on_data, on_end):
         """Store the callbacks for the body; return no producer."""
         self.on_data = on_data
