permission: nothing is sent to an upstream for the time of rest that it has asked for

Cause: a host backed off by 0.3 s and more by a rule of its own, begun anew with each success, and ignored it where most upstreams backed off; the time that the upstream asked for was read nowhere. Class: a guess stands where the other end has said how it is.

The time holds for the host that was asked and for this incarnation, whatever else the host thinks of it; of several the one that ends last. The others take the work; if all rest, a request waits for the first where its deadline bears it, by urgency, or is refused at once with the time until then, before stage work too. Stage queues make no calls to such a worker and count it as away; releases wait. The connection of a request chosen before is asked when it is open. Own back-off does not apply to an upstream that has named a time. Hosts come back spread over a tenth of it.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -224,9 +224,18 @@
     def send(self, address, method, target, headers, body):
         """Stand in for the client: record a send."""
         call = ScriptedCall(address, headers)
+        call.target = target
         self.calls.append(call)
         return call
 
+    def targets_to(self, address, first):
+        """Return the targets of calls to an address, from a number on."""
+        return [
+            call.target
+            for call in self.calls[first:]
+            if call.address == address
+        ]
+
     def probe(self, address):
         """Stand in for the client: return the scripted probe result."""
         self.reached.append(address)
--- a/features/builders/permission.py
+++ b/features/builders/permission.py
@@ -95,7 +95,7 @@
             calls,
             lambda service, number: True,
             core.quarantine,
-            core.rates,
+            core.permissions,
         )
         core.registry.listeners.append(self.owners.configure)
         for number in range(count):
--- a/features/builders/ratelimits.py
+++ b/features/builders/ratelimits.py
@@ -9,6 +9,7 @@
 from twisted.web.server import Site
 
 from pollenstile.peer import VERSION, Hello
+from pollenstile.permission import Permissions
 from pollenstile.ratelimits import RateLimits, valid_seconds
 from pollenstile.routes import StageLimits
 from pollenstile.stagework import Group, Owner, Result
@@ -52,7 +53,7 @@
             self._call,
             lambda address, handles: succeed(True),
             lambda service, number: True,
-            rates=self.rates,
+            permissions=Permissions(self.clock, Random(1), self.rates),
         )
         self.rates.listeners.append(self._tokens_came)
         limits = StageLimits(batch=1, room_bytes=10**9)
--- a/features/permission.feature
+++ b/features/permission.feature
@@ -102,3 +102,69 @@
     And 61 seconds pass for the permissions
     And one of them is still registered
     Then one upstream is known to leave
+
+  Scenario: A request waits for the first of its upstreams to end its rest, by urgency
+    Given a forwarded "idempotent" request to upstreams that all ask for 0.4 seconds of rest
+    When 4 forwarded requests arrive at once
+    Then nothing is sent yet
+    When 0.5 seconds pass for the forwarded request
+    Then all 4 are sent in the order of their urgency
+
+  Scenario: A request whose upstreams rest for too long is refused at once, with when to come back
+    Given a forwarded "idempotent" request to upstreams that all ask for 5 seconds of rest
+    When the forwarded request starts
+    Then it is refused at once as not run, for "resting", with at least 5 seconds to wait
+    And a line and the counts tell which rest held it back
+
+  Scenario: A request with stage work is refused before it, if its upstreams rest for too long
+    Given a forwarded "resumable" request with stage work, to upstreams that all ask for 5 seconds of rest
+    When the forwarded request starts
+    Then it is refused at once as not run, for "resting", with at least 5 seconds to wait
+    And no stage work was done for it
+
+  Scenario: A request that the last upstream turns away is told when to come back
+    Given a forwarded "once" request
+    When each of its upstreams turns it away and asks for 4 seconds of rest
+    Then it is refused at once as not run, for "status 503", with at least 4 seconds to wait
+
+  Scenario: A request whose upstream asks for rest while the connection opens is sent elsewhere
+    Given a forwarded "once" request
+    When the upstream of forwarded send 0 asks for rest before its connection is open
+    Then nothing is sent to it, and the request is sent to another upstream
+
+  Scenario: The others take the work at once, also those that the host backs off from
+    Given a forwarded "idempotent" request to upstreams that rest, but one that failed before
+    When the forwarded request starts
+    Then it is sent to the one that does not rest
+
+  Scenario: An upstream gets requests as soon as its rest is over
+    The host's own back-off doubles with each refusal, and may last longer.
+    Given a forwarded "idempotent" request to 1 upstreams
+    When it is turned away 6 times, each time with 0.5 seconds of rest, and the rests are over
+    Then the next request is sent at once
+
+  Scenario: An answer to another request asks for nothing
+    Given a forwarded "idempotent" request
+    When the upstream of forwarded send 0 answers another request with 503 and asks for rest
+    Then no upstream rests or leaves
+
+  Scenario: The next incarnation of an upstream that rests is free
+    Given the permissions of a host
+    When an answer 503 asks for rest with "3"
+    Then its next incarnation may be sent to
+
+  Scenario: Hosts that are asked at the same instant come back one after the other
+    Given the permissions of 40 hosts
+    When an upstream asks all of them for 3 seconds of rest at once
+    Then the first is back within 0.05 seconds of the end, and no tenth of a second has over 20
+
+  Scenario: A stage worker that rests gets neither calls nor releases
+    Given a host with a stage queue over 2 workers
+    When one worker turns a call away and asks for 2 seconds of rest
+    And 20 pieces are submitted, and a result at it is released
+    Then nothing reaches it until its rest is over, and then it gets both
+
+  Scenario: The wait of a queue counts the rest of its workers
+    Given a host with a stage queue over 2 workers
+    When all workers ask for 2 seconds of rest
+    Then the queue's expected wait is at least 2 seconds
--- a/features/steps/permission_steps.py
+++ b/features/steps/permission_steps.py
@@ -116,3 +116,9 @@
     assert len(sends) == 2, sends
     assert sends[0]['peer'] != sends[1]['peer'], sends
     assert [send['blocked'] for send in sends] == ['', ''], sends
+
+
+@then('its next incarnation may be sent to')
+def then_next_free(context):
+    assert context.permissions.block(_NAME).reason == 'resting'
+    assert context.permissions.block('i/2') is None
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -131,7 +131,7 @@
         _build_calls(reactor, client, adapter, registry, permissions, log),
         partial(budget.spend, sharers=_STAGE_SHARERS),
         quarantine,
-        permissions.rates,
+        permissions,
         log,
     )
     core = ForwardCore(
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -399,7 +399,10 @@
             self.core.fetching.note_failed_fetch(self.exchange.service)
             return
         if isinstance(outcome, NotRun):
-            learn_unavailable(self.view, now)
+            # An upstream that states when it wants requests again is believed.
+            # With a back-off besides, it would be idle after that time.
+            if self.core.permissions.withdrawn(self.view.incarnation) is None:
+                learn_unavailable(self.view, now)
         elif isinstance(outcome, (Lost, UpstreamFailure)):
             learn_failure(self.view)
         elif not self.streaming:
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -108,6 +108,7 @@
         self.permissions.leaving.listeners.append(self._wake_all)
         self.tokens = TokenQueue(self.clock)
         self.rates.listeners.append(self.tokens.wake)
+        self.permissions.rests.listeners.append(self.tokens.wake)
 
     def _wake_all(self, name):
         """Let all waiting requests choose again: their upstream may leave."""
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -114,7 +114,7 @@
     return SilenceLimits(first, first)
 
 
-def final_refusal(outcome, runs, rng):
+def final_refusal(outcome, runs, rng, wait=0.0):
     """Return the final :class:`Refusal` after the last attempt.
 
     Parameters
@@ -127,6 +127,8 @@
         that the request has not run.
     rng : random.Random
         Source of the jitter in the retry advice.
+    wait : float
+        Seconds until an upstream takes requests again, if that is known.
     """
     if runs or isinstance(outcome, Lost):
         return Refusal(_BAD_GATEWAY, outcome.reason, 'send', outcome.peer)
@@ -135,7 +137,7 @@
         outcome.reason,
         'send',
         outcome.peer,
-        retry_after(outcome.retry_after, rng),
+        retry_after(max(outcome.retry_after, wait), rng),
     )
 
 
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -2,12 +2,12 @@
 
 from pollenstile.forward._input_release import InputRelease
 from pollenstile.forward._ratelimited import (
+    TokenWait,
     is_permitted,
     limited_outcome,
-    log_held_back,
-    refuse,
     token_wait,
 )
+from pollenstile.forward._resting import first_return, wanting
 from pollenstile.forward._selection import (
     current_load,
     home_engine,
@@ -94,38 +94,34 @@
 
 
 async def await_permission(core, exchange, tried, inputs):
-    """Wait until the rates of upstreams permit a request.
+    """Wait until upstreams permit a request, by what they state.
 
     Explanation
     ===========
 
     If the preferred upstream needs a token, the host asks for one, unless it
     has asked shortly before; then the request goes to another upstream. Only
-    if all of them need one does the request wait for it, behind those that are
-    more urgent, and only as long as it can still be answered in time.
+    if all of them need one, or want no requests for a time, does the request
+    wait, behind those that are more urgent, and only as long as it can still be
+    answered in time.
 
     Returns
     =======
 
     NotRun or None
         None when the request may be sent, or when there is no upstream at all;
-        ``NotRun`` when no token will come in time.
+        ``NotRun`` when it won't be permitted in time.
     """
     has_waited = False
-    while not core.rates.is_idle():
-        views = _usable_views(core, exchange, tried)
-        ready = _ready_views(core, exchange, views)
-        if not ready:
+    while not core.permissions.is_idle():
+        held_back = await _held_back(core, exchange, tried, inputs)
+        if held_back is None:
             return None
-        view = _select(core, exchange, ready, inputs)
-        if await is_permitted(core, exchange, ready, view):
-            return None
-        wait = token_wait(core, exchange, ready)
-        left = _seconds_left(core, exchange, view)
-        if wait > left:
-            return refuse(core, exchange, view, wait)
+        left = _seconds_left(core, exchange, held_back.view)
+        if held_back.wait > left:
+            return held_back.refuse(core, exchange)
         if not has_waited:
-            log_held_back(core, exchange, view, 'wait', wait)
+            held_back.log_wait(core, exchange)
         has_waited = True
         woken = core.tokens.wait(exchange, left)
         # Less urgent ones may not be sent in time any more.
@@ -134,7 +130,7 @@
     return None
 
 
-async def rate_refusal(core, exchange):
+async def early_refusal(core, exchange):
     """Return a ``NotRun`` if a request can't be sent in time, or None.
 
     Explanation
@@ -143,24 +139,41 @@
     Asked before the stage work of a request, which would be wasted. Without
     stage work the request waits for its permission at once.
     """
-    if core.rates.is_idle() or not any(exchange.counts):
+    if core.permissions.is_idle() or not any(exchange.counts):
+        return None
+    held_back = await _held_back(core, exchange, (), {})
+    if held_back is None:
+        return None
+    if held_back.wait <= _seconds_left(core, exchange, held_back.view):
         return None
-    ready = _ready_views(core, exchange, _usable_views(core, exchange, ()))
+    return held_back.refuse(core, exchange)
+
+
+async def _held_back(core, exchange, tried, inputs):
+    """Return what holds a request back; None if nothing, or no upstream.
+
+    Returns
+    =======
+
+    TokenWait or RestWait or None
+    """
+    views = _usable_views(core, exchange, tried)
+    if not views:
+        return first_return(core, exchange.service, tried)
+    ready = _ready_views(core, exchange, views)
     if not ready:
         return None
-    view = _select(core, exchange, ready, {})
+    view = _select(core, exchange, ready, inputs)
     if await is_permitted(core, exchange, ready, view):
         return None
-    wait = token_wait(core, exchange, ready)
-    if wait <= _seconds_left(core, exchange, view):
-        return None
-    return refuse(core, exchange, view, wait)
+    return TokenWait(view, token_wait(core, exchange, ready))
 
 
 def _usable_views(core, exchange, tried):
-    """Return the upstreams of a request's service that are not unhealthy."""
+    """Return the upstreams that want requests and are not unhealthy."""
     now = core.clock.seconds()
-    return usable(core.registry.usable(exchange.service), now, tried)
+    views = wanting(core, core.registry.usable(exchange.service))
+    return usable(views, now, tried)
 
 
 def _ready_views(core, exchange, views):
@@ -212,6 +225,9 @@
             core.cold.seconds_until_send(view, rate, now) for view in views
         )
         return NotRun('cold', service, arrived=False, retry_after=wait)
+    resting = first_return(core, service)
+    if resting is not None:
+        return resting.refusal(exchange)
     if core.registry.are_all_leaving(service):
         return NotRun(
             LEAVING_REASON,
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -22,8 +22,8 @@
         Spends retries; see :class:`~pollenstile.stagework.Owner`.
     quarantine : Quarantine
         Requests that crash upstreams.
-    rates : RateLimits
-        Request rates that upstreams accept.
+    permissions : Permissions
+        What upstreams state to the host.
 
     Attributes
     ==========
@@ -38,8 +38,8 @@
         'clock',
         'configuration',
         'log',
+        'permissions',
         'quarantine',
-        'rates',
         'registry',
         'spend',
     )
@@ -52,7 +52,7 @@
         calls,
         spend,
         quarantine,
-        rates,
+        permissions,
         log=silent_log,
     ):
         self.clock = clock
@@ -61,12 +61,13 @@
         self.calls = calls
         self.spend = spend
         self.quarantine = quarantine
-        self.rates = rates
+        self.permissions = permissions
         self.log = log
         self.by_service = {}
         quarantine.on_held = self.withdraw
-        rates.listeners.append(self.update_rates)
-        rates.stated.listeners.append(self._rate_changed)
+        permissions.rates.listeners.append(self.update_limits)
+        permissions.rates.stated.listeners.append(self._rate_changed)
+        permissions.rests.listeners.append(self.update_limits)
 
     def owner(self, service):
         """Return this host's queue of a stage service."""
@@ -80,7 +81,7 @@
                 self.spend,
                 self.log,
                 self.quarantine,
-                self.rates,
+                self.permissions,
             )
             self.by_service[service] = owner
             self._configure(owner)
@@ -96,8 +97,8 @@
         for owner in self.by_service.values():
             owner.withdraw(fingerprint)
 
-    def update_rates(self, service):
-        """Apply changed rates or new tokens to the queue of a service."""
+    def update_limits(self, service):
+        """Apply changed rates, rests or tokens to the queue of a service."""
         owner = self.by_service.get(service)
         if owner is not None:
             owner.call_limits.update(owner.workers.values())
@@ -113,7 +114,7 @@
 
     def _rate_changed(self, name, before):
         for service in self.by_service:
-            self.update_rates(service)
+            self.update_limits(service)
 
     def _configure(self, owner):
         table = self.configuration.table
--- a/pollenstile/forward/_ratelimited.py
+++ b/pollenstile/forward/_ratelimited.py
@@ -53,8 +53,8 @@
     return (ahead + 1) * core.rates.seconds_until_token(upstreams)
 
 
-def refuse(core, exchange, view, wait):
-    """Return the outcome of a request that gets no token in time, and log it.
+class TokenWait:
+    """A request has no token of any upstream that it could go to.
 
     Parameters
     ==========
@@ -64,10 +64,23 @@
     wait : float
         Expected seconds until there is a token.
     """
-    upstream = rated_upstream(exchange.service, view)
-    core.rates.note_missed(upstream, exchange.ident)
-    log_held_back(core, exchange, view, 'refuse', wait)
-    return limited_outcome(exchange, wait)
+
+    __slots__ = ('view', 'wait')
+
+    def __init__(self, view, wait):
+        self.view = view
+        self.wait = wait
+
+    def log_wait(self, core, exchange):
+        """Log that a request waits."""
+        log_held_back(core, exchange, self.view, 'wait', self.wait)
+
+    def refuse(self, core, exchange):
+        """Return the outcome of a request that can't wait, and log it."""
+        upstream = rated_upstream(exchange.service, self.view)
+        core.rates.note_missed(upstream, exchange.ident)
+        log_held_back(core, exchange, self.view, 'refuse', self.wait)
+        return limited_outcome(exchange, self.wait)
 
 
 def limited_outcome(exchange, wait):
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -25,15 +25,16 @@
 from pollenstile.forward._dispatch import (
     await_permission,
     cold_rate,
+    early_refusal,
     expected_answer_seconds,
     expected_first_token_seconds,
     home_domain,
     input_release_for,
-    rate_refusal,
     select_view,
 )
 from pollenstile.forward._ratelimited import note_sent
 from pollenstile.forward._request_log import log_end, log_send
+from pollenstile.forward._resting import first_return
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.quarantine import HELD_REASON
 from pollenstile.routes import Kind
@@ -146,7 +147,7 @@
         self.core.budget.note_request(self.exchange.service)
         refusal = quarantine_refusal(self.core, self.exchange)
         if refusal is None:
-            refusal = await rate_refusal(self.core, self.exchange)
+            refusal = await early_refusal(self.core, self.exchange)
         if refusal is not None:
             self._give_up(refusal)
             return
@@ -310,7 +311,9 @@
         if isinstance(outcome, Refusal):
             self._refuse(outcome)
             return
-        self._refuse(final_refusal(outcome, self.runs, self.core.rng))
+        resting = first_return(self.core, self.exchange.service)
+        wait = resting.wait if resting else 0.0
+        self._refuse(final_refusal(outcome, self.runs, self.core.rng, wait))
 
     def _pass_on(self, failure):
         if self.answer.begun:
--- a/pollenstile/permission/_permissions.py
+++ b/pollenstile/permission/_permissions.py
@@ -51,7 +51,7 @@
         self.rates = rates
         self.leaving = LeavingUpstreams(clock, log)
         self.rests = RestPeriods(clock, rng, log)
-        self.withdrawals = (self.leaving,)
+        self.withdrawals = (self.leaving, self.rests)
 
     def note_answer(self, name, service, statements):
         """Record the statements of an answer.
@@ -64,8 +64,8 @@
         statements : Statements
             Statements of the answer.
         """
-        self.leaving.note_answer(name, service, statements)
-        self.rests.note_answer(name, service, statements)
+        for withdrawal in self.withdrawals:
+            withdrawal.note_answer(name, service, statements)
         self.rates.stated.note_answer(
             name, statements.rates, is_proof=statements.is_proof
         )
--- a/pollenstile/stagework/_batchcall.py
+++ b/pollenstile/stagework/_batchcall.py
@@ -169,9 +169,8 @@
 
     def _handle_lost(self, lost, *, slow):
         worker = self.worker
-        rest = min(_MAX_REST_SECONDS, _FIRST_REST_SECONDS * 2**worker.failures)
-        worker.failures = min(worker.failures + 1, _MAX_REST_DOUBLINGS)
-        worker.rest_until = self.owner.clock.seconds() + rest
+        if worker.asked_until <= self.owner.clock.seconds():
+            self._pause_worker()
         self.owner.log(
             events.STAGE_CALL_LOST,
             level='warning',
@@ -188,6 +187,12 @@
         free = [piece for piece in self.batch if not piece.calls_in_flight]
         self.owner.requeue(free, arrived=lost.arrived)
 
+    def _pause_worker(self):
+        worker = self.worker
+        rest = min(_MAX_REST_SECONDS, _FIRST_REST_SECONDS * 2**worker.failures)
+        worker.failures = min(worker.failures + 1, _MAX_REST_DOUBLINGS)
+        worker.rest_until = self.owner.clock.seconds() + rest
+
     def _handle_crash(self, failure):
         if self.ended:
             return failure
--- a/pollenstile/stagework/_calllimits.py
+++ b/pollenstile/stagework/_calllimits.py
@@ -1,49 +1,80 @@
-"""Calls that a queue may make to workers that limit their request rates."""
+"""Calls that a queue may make to its workers, by what these state."""
 
 import itertools
 
+from pollenstile.permission import LIMITED_REASON
 from pollenstile.ratelimits import RatedUpstream
 
 
 class CallLimits:
-    """Asks a host's rate limits for the workers of one stage service.
+    """Asks a host's permissions for the workers of one stage service.
 
     Parameters
     ==========
 
     service : str
         The stage service.
-    rates : RateLimits or None
-        Rate limits of the host; None for a queue without limits.
+    permissions : Permissions or None
+        What upstreams state to the host; None for a queue without limits.
+
+    Attributes
+    ==========
+
+    asked_until : dict
+        Times until which workers have asked to send nothing, by address.
     """
 
-    __slots__ = ('numbers', 'rates', 'service')
+    __slots__ = ('asked_until', 'numbers', 'permissions', 'service')
 
-    def __init__(self, service, rates=None):
+    def __init__(self, service, permissions=None):
         self.service = service
-        self.rates = rates
+        self.permissions = permissions
         self.numbers = itertools.count()
+        self.asked_until = {}
 
     def update(self, workers):
-        """Set the calls a second that workers accept from all hosts."""
-        if self.rates is None:
+        """Set what workers accept: calls a second, and from when on."""
+        if self.permissions is None:
             return
+        rates = self.permissions.rates.stated
+        self.asked_until = {}
         for worker in workers:
-            worker.call_rate = self.rates.stated.rate(worker.incarnation)
+            name = worker.incarnation
+            worker.call_rate = rates.rate(name)
+            worker.asked_until = self.permissions.rests.until(name)
+            if worker.asked_until:
+                self.asked_until[worker.address] = worker.asked_until
+
+    def seconds_asked(self, address):
+        """Return the seconds for which an address wants nothing sent."""
+        if not self.asked_until:
+            return 0.0
+        until = self.asked_until.get(address, 0.0)
+        return max(0.0, until - self.permissions.clock.seconds())
 
     def may_call(self, worker):
-        """Return whether a worker may be called now; ask for it if not."""
-        if self.rates is None or self.rates.may_send(worker.incarnation):
+        """Return whether a worker may be called; ask for tokens if it has none.
+
+        Explanation
+        ===========
+
+        One identifier stands for all pieces, as the next call takes one token.
+        """
+        if self.permissions is None:
+            return True
+        block = self.permissions.block(worker.incarnation)
+        if block is None:
             return True
-        # One identifier for all pieces, as the next call takes one token.
-        self.rates.note_held_back(self._upstream(worker), self.service)
+        if block.reason == LIMITED_REASON:
+            upstream = self._upstream(worker)
+            self.permissions.rates.note_held_back(upstream, self.service)
         return False
 
     def note_called(self, worker):
         """Count a call to a worker."""
-        if self.rates is not None:
+        if self.permissions is not None:
             call = f'{self.service}/{next(self.numbers)}'
-            self.rates.note_sent(self._upstream(worker), call)
+            self.permissions.rates.note_sent(self._upstream(worker), call)
 
     def _upstream(self, worker):
         return RatedUpstream(worker.incarnation, self.service, worker.domain)
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -53,8 +53,8 @@
         budget allows them.
     quarantine : Quarantine
         Requests that crash upstreams.
-    rates : RateLimits or None
-        Request rates that upstreams accept.
+    permissions : Permissions or None
+        What upstreams state to the host.
     log : function
         Writes events.
 
@@ -68,7 +68,7 @@
     started : set
         Groups with a piece that is done or in a call.
     call_limits : CallLimits
-        Calls that may be made to workers that limit their rates.
+        Calls that may be made to workers, by what these state.
     stats : QueueStats
         Recent rates of the queue.
     admission : Admission
@@ -108,18 +108,20 @@
         spend,
         log=silent_log,
         quarantine=None,
-        rates=None,
+        permissions=None,
     ):
         self.clock = clock
         self.service = service
         self.call = call
-        self.releases = Releases(clock, free, self._handle_freed)
+        self.call_limits = CallLimits(service, permissions)
+        self.releases = Releases(
+            clock, free, self._handle_freed, self.call_limits.seconds_asked
+        )
         self.spend = spend
         self.log = log
         self.quarantine = quarantine or Quarantine(
             clock, '', _unknown_count, log
         )
-        self.call_limits = CallLimits(service, rates)
         self.limits = None
         self.jobs = {}
         self.waiting = []
--- a/pollenstile/stagework/_releases.py
+++ b/pollenstile/stagework/_releases.py
@@ -16,14 +16,17 @@
         Takes an address and handles; returns a Deferred of success.
     on_freed : function
         Takes an address and handles that the upstream has released.
+    seconds_asked : function
+        Takes an address; returns the seconds for which it wants nothing sent.
     """
 
-    __slots__ = ('clock', 'free', 'on_freed', 'waiting')
+    __slots__ = ('clock', 'free', 'on_freed', 'seconds_asked', 'waiting')
 
-    def __init__(self, clock, free, on_freed):
+    def __init__(self, clock, free, on_freed, seconds_asked):
         self.clock = clock
         self.free = free
         self.on_freed = on_freed
+        self.seconds_asked = seconds_asked
         self.waiting = {}
 
     def add(self, handles):
@@ -38,8 +41,16 @@
         waiting = self.waiting
         self.waiting = {}
         for address, handles in waiting.items():
-            freed = self.free(address, handles)
-            freed.addCallback(self._handle_freed, address, handles)
+            self._release(address, handles)
+
+    def _release(self, address, handles):
+        seconds = self.seconds_asked(address)
+        if seconds:
+            wait = seconds + _GATHER_SECONDS
+            self.clock.callLater(wait, self._release, address, handles)
+            return
+        freed = self.free(address, handles)
+        freed.addCallback(self._handle_freed, address, handles)
 
     def _handle_freed(self, done, address, handles):
         # If memory counted as free before the upstream confirms the release, a
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -215,6 +215,8 @@
     call_rate : float
         Calls a second that it accepts from all hosts together; 0 if it states
         no limit.
+    asked_until : float
+        Time until which it has asked this host to send nothing.
     """
 
     ident: str
@@ -232,6 +234,7 @@
     foreign: tuple = (0, 0.0)
     refusals: int = 0
     call_rate: float = 0.0
+    asked_until: float = 0.0
 
     @property
     def incarnation(self):
--- a/pollenstile/stagework/_waiting.py
+++ b/pollenstile/stagework/_waiting.py
@@ -57,7 +57,10 @@
     if not answering:
         return limits.call_seconds * 4
     rounds = ahead / (limits.batch * effective_workers(answering, full))
-    free_in = sorted(max(0, worker.busy_until - now) for worker in answering)
+    free_in = sorted(
+        max(0, worker.busy_until - now, worker.asked_until - now)
+        for worker in answering
+    )
     last_call = call_seconds(limits, min(limits.batch, max(1, ahead)))
     lower_bound = free_in[0] + int(rounds) * full + last_call
     if not rate:
--- a/pollenstile/stagework/_workers.py
+++ b/pollenstile/stagework/_workers.py
@@ -31,7 +31,9 @@
 
 
 def is_answering(worker, full, now):
-    """Return whether a worker is neither resting nor long overdue."""
+    """Return whether a worker may be called and is not long overdue."""
+    if worker.asked_until > now:
+        return False
     overdue = now > worker.busy_until + _OVERDUE_CALLS * full
     return worker.rest_until <= now and not (worker.calls and overdue)
 
