permission: the JSON interface keeps the rest that upstreams ask for as well

The same cause in the other request path: a JSON call that was turned away with a time was sent again at once, whatever the upstream had asked for, and 1.5 counted as 0. Calls go to another upstream now; if all rest, the request is refused at once as not run with the time until the first is back (before: a call each, and 503 'busy'). Leaving is read from load reports there as before.

What an answer states is read by a package of its own, 'statements', which imports nothing of the project, for both interfaces.

--- a/features/builders/permission.py
+++ b/features/builders/permission.py
@@ -1,16 +1,20 @@
 """Builders of hosts whose upstreams state that they want no requests."""
 
+from twisted.internet import reactor
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
+from twisted.web.resource import Resource
+from twisted.web.server import Site
 
 from features.builders.forward import ForwardScenario
 from pollenstile.forward import HeaderNames, NotRun, PlainCodec, Upstream
 from pollenstile.forward._owners import StageOwners
 from pollenstile.forward._stagecalls import StageCalls
-from pollenstile.permission import Statements
 from pollenstile.routes import RouteTable, Service, StageLimits
 from pollenstile.stagework import Group
+from pollenstile.statements import Statements
+from pollenstile.upstream import wire
 
 NAMES = HeaderNames()
 SERVICE = 'desk'
@@ -132,3 +136,28 @@
     def sent_to(self):
         """Return the addresses of the calls, in order."""
         return [call.address for call in self.story.calls]
+
+
+class _TurningAway(Resource):
+    """An upstream of the JSON interface that turns calls away."""
+
+    isLeaf = True
+
+    def __init__(self, seconds):
+        super().__init__()
+        self.seconds = seconds
+
+    def render(self, request):
+        """Answer a call; called by Twisted."""
+        attempt = request.getHeader(wire.ATTEMPT_HEADER)
+        request.setResponseCode(_UNAVAILABLE)
+        request.setHeader(wire.ATTEMPT_HEADER, attempt)
+        request.setHeader(wire.OUTCOME_HEADER, wire.NOT_RUN)
+        request.setHeader('retry-after', f'{self.seconds:g}')
+        return b''
+
+
+def listen_turning_away(seconds):
+    """Return the port of an HTTP upstream that asks for rest."""
+    site = Site(_TurningAway(seconds))
+    return reactor.listenTCP(0, site, interface='127.0.0.1')
--- a/features/builders/requests_http.py
+++ b/features/builders/requests_http.py
@@ -132,12 +132,13 @@
 class Caller:
     """Makes calls over HTTP and records how each one ended."""
 
-    __slots__ = ('address', 'ends', 'numbers', 'rates', 'start')
+    __slots__ = ('address', 'ends', 'numbers', 'rates', 'start', 'statements')
 
     def __init__(self, port):
         self.address = f'{LOOPBACK}:{port.getHost().port}'
-        self.start = http_transport(reactor, note_rate=self._note_rate)
+        self.start = http_transport(reactor, note_answer=self._note_answer)
         self.rates = []
+        self.statements = []
         self.ends = []
         self.numbers = 0
 
@@ -157,8 +158,9 @@
         made.cancel = self.start('one', self, call, made.events.append)
         return made
 
-    def _note_rate(self, name, values, *, is_proof):
-        self.rates.append((name, tuple(values), is_proof))
+    def _note_answer(self, name, statements):
+        self.rates.append((name, statements.rates, statements.is_proof))
+        self.statements.append(statements)
 
     def call_and_wait(self, **options):
         """Make a call; return its attempt and its last event."""
--- a/features/permission.feature
+++ b/features/permission.feature
@@ -168,3 +168,21 @@
     Given a host with a stage queue over 2 workers
     When all workers ask for 2 seconds of rest
     Then the queue's expected wait is at least 2 seconds
+
+  Scenario: JSON calls go to another upstream while one rests
+    Given requests to the JSON interface, one of its encoders asking for 3 seconds of rest
+    When 40 JSON requests arrive in 2 seconds
+    Then the resting encoder gets no call
+    And every JSON request is answered
+    When 2 seconds pass, and 40 JSON requests arrive in 2 seconds
+    Then the resting encoder gets calls
+
+  Scenario: A JSON request whose upstreams all rest is refused at once, with when to come back
+    Given requests to the JSON interface, all encoders asking for 3 seconds of rest
+    When 1 JSON requests arrive in 0.1 seconds
+    Then it is refused as not run, for "resting", with at least 3 seconds to wait
+
+  Scenario: The HTTP client of the JSON interface reads a time with a fraction
+    Given an HTTP upstream that turns calls away and asks for 1.5 seconds of rest
+    When a JSON call is made over HTTP
+    Then the call has not run, and 1.5 seconds of rest are noted for that upstream
--- a/features/steps/permission_host_steps.py
+++ b/features/steps/permission_host_steps.py
@@ -20,9 +20,9 @@
     LEAVING_SUBJECT,
     LeavingSharing,
     Permissions,
-    Statements,
 )
 from pollenstile.ratelimits import RateLimits
+from pollenstile.statements import Statements
 
 # Time by which a host may come back later than it was asked to.
 _MAX_SPREAD_SECONDS = 0.3
--- a/features/steps/permission_steps.py
+++ b/features/steps/permission_steps.py
@@ -5,8 +5,9 @@
 from behave import given, then, when
 from twisted.internet.task import Clock
 
-from pollenstile.permission import Permissions, Statements
+from pollenstile.permission import Permissions
 from pollenstile.ratelimits import RateLimits
+from pollenstile.statements import Statements
 
 _NAME = 'i/1'
 _DATE = 'Wed, 21 Oct 2026 07:28:00 GMT'
--- a/features/steps/withdrawals_steps.py
+++ b/features/steps/withdrawals_steps.py
@@ -4,7 +4,7 @@
 
 from pollenstile.bench._ratefaults import inject_fault
 from pollenstile.bench._withdrawalworld import WithdrawalWorld
-from pollenstile.permission import Statements
+from pollenstile.statements import Statements
 
 _OK = 200
 
--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -37,7 +37,7 @@
     *,
     store=None,
     log=silent_log,
-    rates=None,
+    permissions=None,
 ):
     """Return the node of a host; it opens no port.
 
@@ -55,8 +55,8 @@
     store : Store or None
         The object API, for claims; without it repeated idempotency keys are
         not recognised.
-    rates : RateLimits or None
-        Request rates of upstreams, which the transport notes.
+    permissions : Permissions or None
+        What upstreams state, which the transport notes.
     """
     metrics = Metrics()
     tracker = Tracker(clock)
@@ -80,7 +80,7 @@
             count=metrics.count,
         ),
         costs=CostAccount(metrics.count),
-        rates=rates,
+        permissions=permissions,
         log=log,
         count=metrics.count,
         timing=metrics.timing,
@@ -157,7 +157,7 @@
         connect_peers(node.claims, fleet.ask, fleet.answer)
     sharing = RateSharing(hub, core.rates, {}, core.log)
     fleet.live_listeners.append(_make_host_setter(core, sharing))
-    node.in_force.listeners.append(_make_rate_cleaner(core.rates))
+    node.in_force.listeners.append(_make_cleaner(core.permissions))
     return fleet
 
 
@@ -201,10 +201,12 @@
     return set_hosts
 
 
-def _make_rate_cleaner(rates):
+def _make_cleaner(permissions):
     def forget_removed(snapshot):
         pools = snapshot.manifest.pools.values()
-        rates.forget_old({name for pool in pools for name in pool.upstreams})
+        permissions.forget_old(
+            {name for pool in pools for name in pool.upstreams}
+        )
 
     return forget_removed
 
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -13,8 +13,8 @@
 from pollenstile.forward._sse import EventSplitter
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
 from pollenstile.forward._withdrawn import withdrawal_check
-from pollenstile.permission import read_statements
 from pollenstile.routes import Kind
+from pollenstile.statements import read_statements
 
 _MS = 1000
 _MISDIRECTED_STATUS = 421
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -9,10 +9,10 @@
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.forward._withdrawn import withdrawal_check
 from pollenstile.ops.logs import silent_log
-from pollenstile.permission import read_statements
 from pollenstile.quarantine import Suspect
 from pollenstile.stagework import CallLost
 from pollenstile.stagework.events import STAGE_RELEASE_FAILED
+from pollenstile.statements import read_statements
 
 _OK_STATUS = 200
 _MISDIRECTED_STATUS = 421
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -18,6 +18,7 @@
 from pollenstile.ops.logs import configure_logs, event_log
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
 from pollenstile.peer import tcp_connect
+from pollenstile.permission import Permissions
 from pollenstile.placement import http_orders
 from pollenstile.ratelimits import RateLimits
 from pollenstile.upstream import http_transport
@@ -54,14 +55,15 @@
     log = event_log(host=settings.host)
     store = paced_store(reactor, rng, settings, log)
     rates = RateLimits(reactor, rng, settings.host, settings.domain, {}, log)
+    permissions = Permissions(reactor, rng, rates, log)
     node = build_node(
         reactor,
         rng,
         settings,
-        http_transport(reactor, note_rate=rates.stated.note_answer),
+        http_transport(reactor, note_answer=permissions.note_named),
         store=store,
         log=log,
-        rates=rates,
+        permissions=permissions,
     )
     fleet = build_fleet(
         node,
--- a/pollenstile/permission/_permissions.py
+++ b/pollenstile/permission/_permissions.py
@@ -70,6 +70,10 @@
             name, statements.rates, is_proof=statements.is_proof
         )
 
+    def note_named(self, name, statements):
+        """Record the statements of an upstream that is known by name only."""
+        self.note_answer(name, '', statements)
+
     def withdrawn(self, name):
         """Return why nothing may be sent to an incarnation at all, or None.
 
--- a/pollenstile/permission/_rests.py
+++ b/pollenstile/permission/_rests.py
@@ -6,7 +6,7 @@
 from pollenstile.permission import events
 from pollenstile.permission._block import Block
 from pollenstile.permission._unreadable import UnreadableLog
-from pollenstile.permission._values import parse_rest
+from pollenstile.statements import parse_rest
 
 RESTING_REASON = 'resting'
 # Statuses with which an upstream turns a request away.
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -5,7 +5,7 @@
 from pollenstile.limits import CANCELLED
 from pollenstile.pipeline import events
 from pollenstile.pipeline._learning import record_slow_attempt
-from pollenstile.pipeline._stagerates import StageRates
+from pollenstile.pipeline._stagepermissions import StagePermissions
 from pollenstile.routing import Hints, cache_key
 from pollenstile.upstream import Call, Lost
 
@@ -78,8 +78,8 @@
     Attributes
     ==========
 
-    rates : StageRates
-        Limits calls to upstreams that state a request rate.
+    permissions : StagePermissions
+        Which upstreams may be called, by what they state.
     in_flight : dict
         Maps numbers of attempts to attempts that have not ended.
     tried : list of str
@@ -98,8 +98,8 @@
         'in_flight',
         'may_have_run',
         'number',
+        'permissions',
         'pool',
-        'rates',
         'request',
         'stage',
         'tried',
@@ -111,8 +111,8 @@
         self.stage = stage
         self.content = content
         self.pool = request.snapshot.manifest.pools[stage.pool]
-        self.rates = StageRates(
-            core.rates, stage.pool, self.pool, self._serves_model
+        self.permissions = StagePermissions(
+            core.permissions, stage.pool, self.pool, self._serves_model
         )
         self.in_flight = {}
         self.tried = []
@@ -136,7 +136,7 @@
         An upstream that was not tried yet is preferred. If all were tried and
         no attempt is in flight, any upstream may be tried again.
         """
-        self.rates.want_tokens(self.request.ident)
+        self.permissions.want_tokens(self.request.ident)
         choice = self._select_upstream(self.tried)
         if choice is None and self.tried and not self.in_flight:
             return self._select_upstream(())
@@ -165,7 +165,7 @@
         attempt = Attempt(self.number, ident, choice, clock.seconds())
         self.in_flight[attempt.number] = attempt
         self.tried.append(choice.name)
-        self.rates.note_called(choice.name, ident)
+        self.permissions.note_called(choice.name, ident)
         self._log_route(attempt, why)
         self.core.ledger.dispatch(
             self.request,
@@ -271,7 +271,7 @@
         )
 
     def _is_eligible(self, name):
-        return self._serves_model(name) and self.rates.may_call(name)
+        return self._serves_model(name) and self.permissions.may_call(name)
 
     def _serves_model(self, name):
         model = self.stage.model
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -4,6 +4,7 @@
 
 from pollenstile.limits import CostAccount
 from pollenstile.ops.logs import silent_log
+from pollenstile.permission import Permissions
 from pollenstile.ratelimits import RateLimits
 from pollenstile.routing import choose_upstream
 
@@ -61,9 +62,9 @@
         Counts the calls of an accepted request by model.
     choose : function
         Selects an upstream; see :func:`pollenstile.routing.choose_upstream`.
-    rates : RateLimits or None
-        Limits calls to upstreams that state a request rate; None creates the
-        limits of a host that is alone.
+    permissions : Permissions or None
+        Whether the host may call an upstream, by what the upstream states; None
+        creates those of a host that is alone.
     log : function
         Logs an event.
     count : function
@@ -87,13 +88,21 @@
     holds: object = _assume_served
     demand: object = _ignore_demand
     choose: object = choose_upstream
-    rates: RateLimits | None = None
+    permissions: Permissions | None = None
     log: object = silent_log
     count: object = _ignore_count
     timing: object = _ignore_count
 
     def __post_init__(self):
-        if self.rates is None:
-            self.rates = RateLimits(
+        if self.permissions is None:
+            alone = RateLimits(
                 self.clock, self.rng, self.host, self.domain, {}, self.log
             )
+            self.permissions = Permissions(
+                self.clock, self.rng, alone, self.log
+            )
+
+    @property
+    def rates(self):
+        """Limits of calls to upstreams that state a request rate."""
+        return self.permissions.rates
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -143,7 +143,7 @@
                 pool=self.stage.pool,
             )
             if not self.failures:
-                self.last_failure = self.attempts.rates.no_upstream()
+                self.last_failure = self.attempts.permissions.no_upstream()
             self._fail()
             return
         attempts_left = max(0, self.stage.attempts - self.attempts.number - 1)
--- a/pollenstile/permission/_statements.py
+++ b/pollenstile/statements/_statements.py
@@ -12,15 +12,15 @@
 
     rate : bytes
         Requests a second that an upstream accepts from all hosts together.
-    leaving : bytes
-        Whether the upstream leaves.
     rest : bytes
         Seconds for which an upstream that turned a request away wants none.
+    leaving : bytes
+        Whether the upstream leaves; empty if headers do not state it.
     """
 
     rate: bytes
-    leaving: bytes
     rest: bytes
+    leaving: bytes = b''
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,5 +74,5 @@
 
 
 def _texts(response, name):
-    values = response.headers.getRawHeaders(name, ())
+    values = response.headers.getRawHeaders(name, ()) if name else ()
     return tuple(text.decode('latin-1') for text in values)
--- a/pollenstile/permission/_values.py
+++ b/pollenstile/statements/_values.py
@@ -28,7 +28,7 @@
     Examples
     ========
 
-    >>> from pollenstile.permission import parse_leaving
+    >>> from pollenstile.statements import parse_leaving
     >>> parse_leaving([]), parse_leaving(['1']), parse_leaving(['0', ' 1 '])
     (False, True, True)
     >>> parse_leaving(['true']), parse_leaving([''])
@@ -76,7 +76,7 @@
     Examples
     ========
 
-    >>> from pollenstile.permission import parse_rest
+    >>> from pollenstile.statements import parse_rest
     >>> parse_rest([]), parse_rest(['0']), parse_rest(['1.5', '3, 2'])
     (0.0, 0.0, 3.0)
     >>> parse_rest(['1e9']), parse_rest(['-1']), parse_rest(['soon'])
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -7,7 +7,7 @@
 
 from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
-from pollenstile.ops.numbers import whole_number
+from pollenstile.statements import parse_rest, read_statements
 from pollenstile.upstream import wire
 from pollenstile.upstream._bodies import ReplyBody, StreamBody
 from pollenstile.upstream._types import Lost, NotRun, Rejected
@@ -93,10 +93,10 @@
     outcome = response.headers.getRawHeaders(wire.OUTCOME_HEADER, [''])[0]
     attempt = response.headers.getRawHeaders(wire.ATTEMPT_HEADER, [''])[0]
     if response.code in _BUSY and outcome == wire.NOT_RUN:
-        retry_after = response.headers.getRawHeaders('retry-after', ['0'])[0]
+        asked = _statements_of(response)
         return NotRun(
             f'busy ({response.code})',
-            whole_number(retry_after) or 0,
+            parse_rest(asked.rests, asked.date) or 0.0,
             attempt=attempt,
         )
     if response.code in _CLIENT_ERRORS and response.code not in _BUSY:
@@ -104,9 +104,13 @@
     return Lost(f'status {response.code}')
 
 
-def _note_rate(response, name, note_rate):
-    values = response.headers.getRawHeaders(wire.RATE_HEADER, [])
-    note_rate(name, values, is_proof=response.code == _OK)
+def _statements_of(response):
+    is_proof = response.code == _OK
+    return read_statements(response, wire.STATEMENT_HEADERS, is_proof=is_proof)
+
+
+def _note_answer(response, name, note_answer):
+    note_answer(name, _statements_of(response))
     return response
 
 
@@ -140,12 +144,12 @@
     return wire.COMPLETIONS_PATH if call.kind == 'engine' else wire.CALL_PATH
 
 
-def _ignore_rate(name, values, *, is_proof):
-    """Ignore a rate; the default of a transport without rate limits."""
+def _ignore_answer(name, statements):
+    """Ignore statements; the default of a transport without permissions."""
 
 
 def http_transport(
-    reactor, connect_timeout=1.0, per_host=64, note_rate=_ignore_rate
+    reactor, connect_timeout=1.0, per_host=64, note_answer=_ignore_answer
 ):
     """Return a transport that makes calls over HTTP.
 
@@ -167,9 +171,9 @@
         Connection timeout in seconds.
     per_host : int
         Maximum number of idle connections kept for each upstream.
-    note_rate : function
-        Called with the name of an upstream that answered, the request rates
-        that the answer states, and whether it is a success.
+    note_answer : function
+        Called with the name of an upstream that answered, and the
+        :class:`~pollenstile.statements.Statements` of its answer.
 
     Returns
     =======
@@ -193,7 +197,7 @@
             _headers(call),
             BytesProducer(wire.encode_json(_request_document(call))),
         )
-        exchange.response.addCallback(_note_rate, name, note_rate)
+        exchange.response.addCallback(_note_answer, name, note_answer)
         exchange.response.addCallback(exchange.handle_headers, call.kind)
         exchange.response.addErrback(exchange.handle_failure)
         return exchange.cancel
--- a/pollenstile/upstream/wire.py
+++ b/pollenstile/upstream/wire.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from pollenstile.statements import StatementHeaders
+
 COMPLETIONS_PATH = '/v1/completions'
 CALL_PATH = '/v1/call'
 ATTEMPT_HEADER = 'x-attempt-id'
@@ -21,6 +23,8 @@
 OUTCOME_HEADER = 'x-outcome'
 # Requests a second that an upstream accepts from all hosts together.
 RATE_HEADER = 'x-request-rate'
+# What else answers state; load reports state that an upstream leaves.
+STATEMENT_HEADERS = StatementHeaders(RATE_HEADER.encode(), b'retry-after')
 NOT_RUN = 'not-run'
 DONE = b'[DONE]'
 
