permission: bench, live soak and gauges check leaving and rest from now on

The live soak lets an upstream of each kind leave by its answers only, and another one turn 0.4 of its requests away and ask for 2 s; random faults do so too. Gauges tell which upstreams leave or rest, and what was held back.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -17,6 +17,7 @@
 from pollenstile.ops.clock import use_boot_clock
 from pollenstile.ops.main import main
 from pollenstile.ops.running import result_of
+from pollenstile.permission import LeavingUpstreams, RestPeriods
 from pollenstile.ratelimits import RateLimits
 from pollenstile.soak.live import run_live
 
@@ -76,7 +77,19 @@
     RateLimits.may_send = lambda limits, upstream: True
 
 
+def without_leaving():
+    """Send also to upstreams whose answers state that they leave."""
+    LeavingUpstreams.note_answer = lambda leaving, name, service, stated: None
+
+
+def without_rests():
+    """Send also to upstreams that have asked for rest."""
+    RestPeriods.note_answer = lambda rests, name, service, stated: None
+
+
 GUARDS = {
+    'leaving': without_leaving,
+    'rests': without_rests,
     'rates': without_rates,
     'drained domains': without_drained_domains,
     'once': without_once,
--- a/pollenstile/bench/_withdrawalworld.py
+++ b/pollenstile/bench/_withdrawalworld.py
@@ -14,6 +14,12 @@
         """Return the upstreams, none of them started."""
         return WithdrawingUpstreams(self.fleet.clock, self._write, is_deadly)
 
+    def start_all(self, domains):
+        """Start hosts again, which know nothing of earlier answers."""
+        super().start_all(domains)
+        self.upstreams.departures.clear()
+        self.upstreams.asks.clear()
+
     def ident(self, address):
         """Return the incarnation that runs at an address."""
         return self.upstreams.processes[address].ident
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -78,6 +78,7 @@
         'upstream',
         core.rates.client.held_back,
     )
+    _add_permission_gauges(measures, core.permissions)
     measures.gauge(
         'peers',
         'Peers with an open link.',
@@ -95,6 +96,28 @@
     )
 
 
+def _add_permission_gauges(measures, permissions):
+    """Add gauges of the upstreams that want no requests."""
+    measures.gauges(
+        'upstream_leaving_seconds',
+        'Seconds since an upstream has stated that it leaves.',
+        'upstream',
+        permissions.leaving.ages,
+    )
+    measures.gauges(
+        'upstream_rest_seconds',
+        'Seconds for which an upstream still wants no requests of this host.',
+        'upstream',
+        permissions.rests.remaining,
+    )
+    measures.gauges(
+        'rest_held_back',
+        'Requests that waited or were refused as all upstreams rest.',
+        'upstream',
+        permissions.rests.held_back,
+    )
+
+
 def _under_way(registry, calls):
     """Return the count of requests and pieces in flight in each domain."""
     running = Counter(calls.pieces_in)
--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -12,6 +12,7 @@
     ratelimits,
     shared,
     stages,
+    withdrawals,
 )
 
 _BENCHES = (
@@ -26,6 +27,7 @@
     ratelimits,
     shared,
     stages,
+    withdrawals,
 )
 
 
--- a/pollenstile/permission/_rests.py
+++ b/pollenstile/permission/_rests.py
@@ -126,6 +126,10 @@
         if rest is not None:
             rest.held_back += 1
 
+    def held_back(self):
+        """Return the requests that rests have held back, by incarnation."""
+        return {name: rest.held_back for name, rest in self.by_name.items()}
+
     def remaining(self):
         """Return the seconds until the end of each rest, by incarnation."""
         now = self.clock.seconds()
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -39,6 +39,10 @@
 _ALLOWED_LATE_RUNS = 3
 # Seconds of a request's delivery to its host; its key may be revoked meanwhile.
 _DELIVERY_SECONDS = 0.3
+# Seconds after which an upstream's request for rest counts, and the requests of
+# a host that may reach it nevertheless.
+_REST_BEGINS_SECONDS = 0.5
+_ALLOWED_IN_REST = 2
 # Share of the requests after the last fault that must succeed.
 _MIN_SERVED_SHARE = 0.9
 
@@ -56,6 +60,7 @@
     lines.extend(_drain_violations(records))
     lines.extend(_cold_violations(records))
     lines.extend(_rate_violations(records))
+    lines.extend(_withdrawal_violations(records))
     lines.extend(_quarantine_violations(records))
     lines.extend(_service_violations(records))
     return lines
@@ -238,6 +243,42 @@
             )
 
 
+def _withdrawal_violations(records):
+    """Check that upstreams that want no requests of a host get none.
+
+    Explanation
+    ===========
+
+    The host of an answer, and of a request that arrives, is the one that the
+    caller sent it to; calls of stage queues can't be assigned to hosts here.
+    """
+    host_of = {record.ident: record.host for record in records.requests}
+    arrivals = {}
+    for arrival in records.reached:
+        pair = host_of.get(arrival.ident), arrival.upstream
+        arrivals.setdefault(pair, []).append(arrival.at)
+    for withdrawal in records.withdrawals:
+        host = host_of.get(withdrawal.ident)
+        if host is None or withdrawal.at < records.quiet_from:
+            continue
+        moments = arrivals.get((host, withdrawal.upstream), ())
+        yield from _late_arrivals(host, withdrawal, moments, records)
+
+
+def _late_arrivals(host, withdrawal, moments, records):
+    """Check the arrivals of a host at an upstream that has answered it."""
+    since, allowed, state = _REST_BEGINS_SECONDS, _ALLOWED_IN_REST, 'rests'
+    if withdrawal.until == float('inf'):
+        since, allowed, state = _LEAVE_SECONDS, 0, 'leaves'
+    until = min(withdrawal.until, records.quiet_until)
+    late = sum(withdrawal.at + since < moment < until for moment in moments)
+    if late > allowed:
+        yield (
+            f'{late} requests of {host} reached {withdrawal.upstream}, which '
+            f'had told it that it {state}'
+        )
+
+
 def _service_violations(records):
     """Check that callers are served again after the last fault."""
     if not records.calm_from:
--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -134,6 +134,17 @@
     _record_fault(world, server.ident, 'no rate')
 
 
+async def shed_server(world):
+    """Let an upstream turn requests away and ask for rest for a time."""
+    service = world.rng.choice(_SERVICES)
+    server = world.rng.choice(world.servers_of(service))
+    _record_fault(world, server.ident, 'shed')
+    server.shedding = True
+    await _wait_fault_time(world)
+    server.shedding = False
+    _record_fault(world, server.ident, 'no shedding')
+
+
 async def crash_server(world):
     """Crash an upstream; another one replaces it."""
     service = world.rng.choice(_SERVICES)
@@ -221,6 +232,7 @@
     inject_server_fault,
     inject_server_fault,
     limit_server,
+    shed_server,
     crash_server,
     crash_server,
     leave_server,
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -110,6 +110,29 @@
     ended: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class Withdrawal:
+    """An answer by which an upstream wants no more requests of a host.
+
+    Parameters
+    ==========
+
+    ident : str
+        The request that was answered.
+    upstream : str
+        Incarnation that answered.
+    at : float
+        Clock time of the answer.
+    until : float
+        Time until which it wants none; infinite if it leaves.
+    """
+
+    ident: str
+    upstream: str
+    at: float
+    until: float
+
+
 @dataclass(slots=True)
 class Records:
     """All records of a run.
@@ -129,12 +152,19 @@
         Drains in the order in which they began.
     rate_limits : list of RateLimit
         Request rates in the order in which upstreams first stated them.
+    withdrawals : list of Withdrawal
+        Answers by which upstreams want no more requests, in order.
+    reached : list of RunRecord
+        Requests that reached upstreams, also those that did not run.
     upstreams : dict
         Failure domain of each upstream, and end of its cold period.
     faults : list of Fault
         Faults and planned changes, in order.
     crashes : list of tuple
         Time at which a request crashed its upstream, and its content.
+    quiet_from, quiet_until : float
+        Times between which upstreams leave and ask for rest, while no host is
+        killed or suspended.
     calm_from : float
         Time from which on there are no more faults; 0 before.
     broken : list of str
@@ -147,10 +177,14 @@
     revoked_at: dict = field(default_factory=dict)
     drains: list = field(default_factory=list)
     rate_limits: list = field(default_factory=list)
+    withdrawals: list = field(default_factory=list)
+    reached: list = field(default_factory=list)
     upstreams: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
     crashes: list = field(default_factory=list)
     broken: list = field(default_factory=list)
+    quiet_from: float = 0.0
+    quiet_until: float = 0.0
     calm_from: float = 0.0
 
     def runs_by_ident(self):
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -36,6 +36,9 @@
 # Seconds for which a request that crashes its upstreams is repeated: it may
 # reach them without limit for three seconds after the third crash.
 _CRASHING_SECONDS = 5.5
+# Seconds for which upstreams ask for rest, and for which others leave by their
+# answers only.
+_WITHDRAWN_SECONDS = 6.0
 # Seconds for which upstreams state a rate: three until it counts, and two
 # windows in which it does.
 _LIMITED_SECONDS = 11.0
@@ -148,6 +151,7 @@
 async def _harm_upstreams(world):
     await _send_crashing_requests(world)
     await _limit_upstreams(world)
+    await _withdraw_upstreams(world)
 
 
 async def _send_crashing_requests(world):
@@ -177,6 +181,32 @@
     await deferLater(reactor, _CALM_SECONDS)
 
 
+async def _withdraw_upstreams(world):
+    """Let upstreams of each kind leave by their answers, and ask for rest.
+
+    Explanation
+    ===========
+
+    Their entries in the store do not state that they leave.
+    """
+    reactor = world.reactor
+    services = (PLAIN, ENGINES)
+    leaving = [world.servers_of(service)[0] for service in services]
+    shedding = [world.servers_of(service)[-1] for service in services]
+    for server in leaving:
+        server.leaving = True
+    for server in shedding:
+        server.shedding = True
+    world.records.quiet_from = reactor.seconds()
+    await deferLater(reactor, _WITHDRAWN_SECONDS)
+    world.records.quiet_until = reactor.seconds()
+    for server in shedding:
+        server.shedding = False
+    for server in leaving:
+        await world.replace_server(server)
+    await deferLater(reactor, _CALM_SECONDS)
+
+
 async def _drain_random_domain(world):
     drain = await world.drain(world.rng.choice(DOMAINS))
     await deferLater(world.reactor, _CALM_SECONDS + _EXTRA_DRAINED_SECONDS)
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -8,7 +8,7 @@
 from pollenstile.forward import FREE_TARGET, RUN_TARGET, HeaderNames
 from pollenstile.ops.http import disable_access_log
 from pollenstile.soak.live._proxy import LOOPBACK, Proxy
-from pollenstile.soak.live._records import Fault, RunRecord
+from pollenstile.soak.live._records import Fault, RunRecord, Withdrawal
 
 NAMES = HeaderNames()
 PLAIN = 'lookup'
@@ -27,10 +27,15 @@
 _CRASH_DELAY_SECONDS = 0.03
 # Requests a second that an upstream accepts while it is limited.
 LIMITED_RATE = 2.0
+# Share of its requests that a shedding upstream turns away, and the seconds of
+# rest that it asks for.
+_SHED_SHARE = 0.4
+REST_SECONDS = 2.0
 # Seconds that a lookup and a stage call take.
 _WORK_SECONDS = 0.08
 _SLOW_WORK_SECONDS = 0.6
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _CONFLICT = 409
 _FAILED = 500
 
@@ -64,6 +69,10 @@
         the answer), ``'cut'`` (aborts answers) or ``'slow'``.
     rate : float
         Requests a second that its answers state; 0 if they state none.
+    leaving : bool
+        Whether its answers state that it leaves.
+    shedding : bool
+        Whether it turns requests away and asks for rest.
     """
 
     def __init__(self, world, service, ident, domain):
@@ -73,6 +82,8 @@
         self.domain = domain
         self.fault = ''
         self.rate = 0.0
+        self.leaving = False
+        self.shedding = False
         self.proxy = Proxy(world.reactor)
         site = disable_access_log(
             Site(_RESOURCES.get(service, _StageResource)(self))
@@ -149,8 +160,37 @@
             request.setHeader(NAMES.stamp, f'proof of {self.server.ident}')
         if self.server.rate:
             request.setHeader(NAMES.rate, f'{self.server.rate:g}')
+        self._note_reached(attempt.decode())
+        if self.server.leaving:
+            request.setHeader(NAMES.leaving, b'1')
+            self._note_withdrawal(attempt.decode(), float('inf'))
+        if self._is_shed():
+            return self._turn_away(request, attempt.decode())
         return self.serve(request, attempt.decode())
 
+    def _is_shed(self):
+        rng = self.server.world.rng
+        return self.server.shedding and rng.random() < _SHED_SHARE
+
+    def _turn_away(self, request, ident):
+        request.setHeader(NAMES.not_run, b'1')
+        request.setHeader(NAMES.rest, f'{REST_SECONDS:g}')
+        request.setResponseCode(_UNAVAILABLE)
+        self._note_withdrawal(ident, REST_SECONDS)
+        return b''
+
+    def _note_reached(self, ident):
+        now = self.clock.seconds()
+        self.server.world.records.reached.append(
+            RunRecord(ident, self.server.ident, now)
+        )
+
+    def _note_withdrawal(self, ident, seconds):
+        now = self.clock.seconds()
+        self.server.world.records.withdrawals.append(
+            Withdrawal(ident, self.server.ident, now, now + seconds)
+        )
+
     def _crash_server(self, content):
         world = self.server.world
         if self.server.ident in world.servers:
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -138,7 +138,8 @@
         await self._write('upstreams', server.ident, server.entry())
 
     async def leave_server(self, server):
-        """Mark an upstream's entry as leaving."""
+        """Let an upstream leave, by its answers and by its entry."""
+        server.leaving = True
         entry = server.entry(leaving=True)
         await self._write('upstreams', server.ident, entry)
         self.records.left_at[server.ident] = self.reactor.seconds()
--- a/pollenstile/standin/withdrawing.py
+++ b/pollenstile/standin/withdrawing.py
@@ -155,6 +155,29 @@
             default=0,
         )
 
+    def longest_idle(self):
+        """Return the longest pause after the first end of a rest.
+
+        Explanation
+        ===========
+
+        The pause ends with the next arrival from any host, or with a further
+        answer that asks for rest.
+        """
+        longest = 0.0
+        upstreams = sorted({ask.upstream for ask in self.asks})
+        for upstream in upstreams:
+            ends = [ask.until for ask in self.asks if ask.upstream == upstream]
+            moments = [
+                arrival.at
+                for arrival in self.arrivals
+                if arrival.upstream == upstream
+            ]
+            end = min(ends)
+            later = [moment for moment in moments if moment >= end]
+            longest = max(longest, min(later, default=end) - end)
+        return longest
+
 
 def _count_between(moments, since, until):
     """Return the number of moments after a time and before another."""
--- a/tools/stats.py
+++ b/tools/stats.py
@@ -26,6 +26,7 @@
     'routing',
     'limits',
     'ratelimits',
+    'permission',
     'claims',
     'fleet',
     'placement',
