ratelimits: a host that is missing from the list keeps its rank while it answers

Cause: a host that is not listed counted as ended.

A missing host is asked whether it runs, at once and each second while a rate is stated; while it answers, and does not leave, it ranks as before. Its address is remembered.

The fault takes the other half out of the hosts' own lists as well now, so that addresses have to be remembered. Two scenarios: one that ends, and one that leaves, keep no rank. Ruled out: the upstream's load header, which shows arrivals of its last second and no allocator. Not held: halves that can't reach each other either.

--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -114,6 +114,21 @@
     When the host that allocates a limited upstream's rate leaves
     Then it ranks another host first for that upstream
 
+  Scenario: A host that is missing from the list keeps its rank while it runs
+    Two hosts that each miss the other would both allocate.
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When one host is told that an upstream accepts 1 request a second
+    And the allocator of that upstream goes missing from the lists of all hosts
+    Then after 1 seconds all hosts still rank it first
+    When it ends
+    Then after 3 seconds all hosts rank another one first
+
+  Scenario: A host that is missing from the list as it leaves keeps no rank
+    Given 9 hosts and 9 upstreams in 4 failure domains that state their rates
+    When one host is told that an upstream accepts 1 request a second
+    And the allocator of that upstream leaves, and goes missing from all lists
+    Then after 1 seconds all hosts rank another one first
+
   Scenario Outline: Tokens of an allocation: seed <seed>
     Hosts ask at random times, use or return tokens, or fall silent.
     Given an allocation of <rate> requests a second
--- a/features/steps/ratelimits_steps.py
+++ b/features/steps/ratelimits_steps.py
@@ -206,3 +206,62 @@
     )
     allowed = allowed_arrivals(context.rate)
     assert most <= allowed, (most, allowed)
+
+
+def _remove_from_lists(context, missing):
+    """Let a host go missing from the lists of all others."""
+    context.missing = missing
+    for host in context.world.fleet.running():
+        if host is missing:
+            continue
+        hosts = host.daemon.parts.members.hosts
+        hosts.pop(missing.name)
+        domains = {name: peer.domain for name, peer in hosts.items()}
+        host.core.rates.update_hosts(domains)
+
+
+def _first_allocator(context):
+    context.address = context.world.addresses()[0]
+    return context.world.allocator(context.address)
+
+
+@when('the allocator of that upstream goes missing from the lists of all hosts')
+def when_missing(context):
+    context.world.advance(1.0)
+    _remove_from_lists(context, _first_allocator(context))
+
+
+@when('the allocator of that upstream leaves, and goes missing from all lists')
+def when_leaves_and_missing(context):
+    context.world.advance(1.0)
+    allocator = _first_allocator(context)
+    allocator.core.rates.leave()
+    _remove_from_lists(context, allocator)
+
+
+@when('it ends')
+def when_missing_ends(context):
+    context.missing.end()
+
+
+def _ranked_first(context):
+    process = context.world.upstreams.processes[context.address]
+    return {
+        host.core.rates.ranking.order(f'{process.ident}/0', process.domain)[0]
+        for host in context.world.fleet.running()
+        if host is not context.missing
+    }
+
+
+@then('after {seconds:g} seconds all hosts still rank it first')
+def then_still_first(context, seconds):
+    context.world.advance(seconds)
+    assert _ranked_first(context) == {context.missing.name}
+
+
+@then('after {seconds:g} seconds all hosts rank another one first')
+def then_another_first(context, seconds):
+    context.world.advance(seconds)
+    first = _ranked_first(context)
+    assert len(first) == 1, first
+    assert context.missing.name not in first, first
--- a/pollenstile/bench/_ratefaults.py
+++ b/pollenstile/bench/_ratefaults.py
@@ -50,9 +50,17 @@
     for half in (hosts[::2], hosts[1::2]):
         for host in half:
             known = {one.name: one.domain for one in half if one is not host}
+            _forget_hosts(host.daemon.parts.members, known)
             host.core.rates.update_hosts(known)
 
 
+def _forget_hosts(members, known):
+    """Remove the hosts from a host's list that it is not to know."""
+    for name in list(members.hosts):
+        if name not in known:
+            members.hosts.pop(name)
+
+
 def _lower_rate(world, address):
     """Lower the rate that the upstream states."""
     world.upstreams.rates[address] = _FALLEN_RATE
--- a/pollenstile/ratelimits/_limits.py
+++ b/pollenstile/ratelimits/_limits.py
@@ -12,6 +12,7 @@
 from pollenstile.ratelimits._reach import Reachability
 from pollenstile.ratelimits._stated import StatedRates
 from pollenstile.ratelimits._tokenclient import TokenClient
+from pollenstile.ratelimits._unlisted import UnlistedHosts
 
 # Seconds for which a request waits for the answer to a request for tokens.
 _PATIENCE_SECONDS = 0.05
@@ -52,16 +53,25 @@
         The tokens of this host.
     listeners : list of function
         Called with a service when tokens may have come, or a limit is over.
+    listed : dict
+        Failure domain of each other host of the list, by name.
+    list_listeners : list of function
+        Called when the list of hosts has been set.
+    unlisted : UnlistedHosts
+        Hosts that are missing from the list and still run.
     """
 
     __slots__ = (
         'allocators',
         'client',
         'clock',
+        'list_listeners',
+        'listed',
         'listeners',
         'ranking',
         'reach',
         'stated',
+        'unlisted',
     )
 
     def __init__(
@@ -79,12 +89,20 @@
             clock, rng, self.allocators, self._notify, log
         )
         self.stated.listeners.append(self._rate_changed)
+        self.listed = dict(peers or {})
+        self.list_listeners = []
+        self.unlisted = UnlistedHosts(
+            clock, self.reach, self._is_any_limited, self._rank_hosts
+        )
 
     def update_hosts(self, peers):
         """Set the failure domains of the other hosts, by name."""
-        if self.ranking.update_hosts(peers):
-            self.reach.keep_only(peers)
-            self.allocators.note_hosts_changed()
+        before = self.listed
+        self.listed = dict(peers)
+        self.unlisted.update(before, self.listed)
+        for listener in self.list_listeners:
+            listener()
+        self._rank_hosts()
 
     def leave(self):
         """Leave the allocation of rates to the other hosts."""
@@ -172,6 +190,15 @@
             if not self.stated.rate(name):
                 self._drop(name)
 
+    def _is_any_limited(self):
+        return bool(self.stated.limited())
+
+    def _rank_hosts(self):
+        hosts = {**self.unlisted.running, **self.listed}
+        if self.ranking.update_hosts(hosts):
+            self.reach.keep_only(hosts)
+            self.allocators.note_hosts_changed()
+
     def _allotment(self, upstream):
         allotment = self.client.by_name.get(upstream.name)
         if allotment is None:
@@ -189,6 +216,7 @@
         return hosts / rate if rate else 1.0
 
     def _rate_changed(self, name, before):
+        self.unlisted.ask()
         allotment = self.client.by_name.get(name)
         if allotment is None:
             return
--- a/pollenstile/ratelimits/_sharing.py
+++ b/pollenstile/ratelimits/_sharing.py
@@ -10,6 +10,7 @@
     encode_grants,
     encode_news,
 )
+from pollenstile.ratelimits._unlisted import LEAVING_ANSWER
 
 TOKENS_SUBJECT = 'rate-tokens'
 NEWS_SUBJECT = 'rate-news'
@@ -43,17 +44,22 @@
     Attributes
     ==========
 
+    addresses : dict
+        Addresses of the other hosts, also of those that are missing from the
+        list, by name.
     flood : Flood
         Forwards the news.
     """
 
-    __slots__ = ('flood', 'hosts', 'hub', 'limits', 'log')
+    __slots__ = ('addresses', 'flood', 'hosts', 'hub', 'limits', 'log')
 
     def __init__(self, hub, limits, hosts, log=silent_log):
         self.hub = hub
         self.limits = limits
         self.hosts = hosts
         self.log = log
+        self.addresses = {}
+        limits.list_listeners.append(self._note_addresses)
         self.flood = Flood(
             hub,
             NEWS_SUBJECT,
@@ -68,15 +74,28 @@
         hub.requests.subjects[TOKENS_SUBJECT] = self._on_requests
 
     def _ask(self, host, body):
-        peer = self.hosts.get(host)
-        address = peer.address if peer else ''
         return self.hub.ask(
-            host, TOKENS_SUBJECT, body, _REQUEST_TIMEOUT_SECONDS, address
+            host,
+            TOKENS_SUBJECT,
+            body,
+            _REQUEST_TIMEOUT_SECONDS,
+            self.addresses.get(host, ''),
         )
 
+    def _note_addresses(self):
+        missing = self.limits.unlisted.missing
+        self.addresses = {
+            host: address
+            for host, address in self.addresses.items()
+            if host in missing or host in self.limits.listed
+        }
+        for host, peer in self.hosts.items():
+            self.addresses[host] = peer.address
+
     def _on_requests(self, host, body):
         if not body:
-            return b''
+            is_leaving = self.limits.ranking.is_leaving
+            return LEAVING_ANSWER if is_leaving else b''
         now = self.hub.clock.seconds()
         grants = [
             self.limits.allocators.answer(host, request)
