permission: what the registry lists is not told to peers besides

In a release each upstream states that it leaves, and its entry does so too. Told are only those whose entry does not say so yet.

--- a/features/permission.feature
+++ b/features/permission.feature
@@ -95,6 +95,13 @@
     And the host itself learns that an upstream leaves
     Then it tells that peer of the leaving upstream
 
+  Scenario: What the registry lists is not told besides
+    In a release each upstream leaves, and links for news would stay open for long.
+    Given a host that shares which upstreams leave with its peers
+    And the registry lists that the upstream leaves
+    When the host itself learns that an upstream leaves
+    Then it tells that peer nothing
+
   Scenario: Upstreams that left are forgotten once they are gone for a while
     Upstreams restart under other names for months while a host runs.
     Given the permissions of a host
--- a/features/steps/permission_host_steps.py
+++ b/features/steps/permission_host_steps.py
@@ -122,7 +122,13 @@
     rates = RateLimits(clock, Random(1), 'h', 'd')
     context.permissions = Permissions(clock, Random(1), rates)
     peers = {'p': PeerHost('p:1', 'd')}
-    LeavingSharing(context.hub, context.permissions.leaving, peers)
+    context.listed = set()
+    LeavingSharing(
+        context.hub,
+        context.permissions.leaving,
+        peers,
+        context.listed.__contains__,
+    )
 
 
 @when('a peer sends it unreadable news of leaving upstreams')
@@ -142,6 +148,16 @@
     context.hub.clock.advance(1.0)
 
 
+@given('the registry lists that the upstream leaves')
+def given_listed(context):
+    context.listed.add('i/0')
+
+
+@then('it tells that peer nothing')
+def then_not_told(context):
+    assert not context.hub.asked, context.hub.asked
+
+
 @then('it tells that peer of the leaving upstream')
 def then_told(context):
     assert context.hub.asked == [('p', LEAVING_SUBJECT)], context.hub.asked
--- a/pollenstile/bench/withdrawals.py
+++ b/pollenstile/bench/withdrawals.py
@@ -13,7 +13,11 @@
 from dataclasses import asdict, dataclass
 
 from pollenstile.bench._costs import measure_costs
-from pollenstile.bench._ratefaults import FAULT_NAMES, inject_fault
+from pollenstile.bench._ratefaults import (
+    FAULT_NAMES,
+    TIMED_FAULTS,
+    inject_fault,
+)
 from pollenstile.bench._withdrawalworld import WithdrawalWorld
 
 # Hosts and failure domains.
@@ -25,6 +29,8 @@
 _CALM_SECONDS = 3.0
 _STATING_SECONDS = 12.0
 _AFTER_SECONDS = 4.0
+# Seconds after which a fault that begins later has begun.
+_FAULT_BEGUN_SECONDS = 6.5
 # Seconds after an answer from which nothing should reach its upstream, and from
 # which the bounds of the users count.
 _AIM_SECONDS = 0.1
@@ -121,6 +127,8 @@
     address = world.addresses()[0]
     name = f'{world.ident(address)}/0'
     inject_fault(world, address, fault)
+    if fault in TIMED_FAULTS:
+        fleet.advance(_FAULT_BEGUN_SECONDS)
     world.state_leaving(address)
     unaware_at = [-1.0]
 
@@ -163,6 +171,8 @@
     world.advance(_CALM_SECONDS)
     addresses = world.addresses()[:shedding]
     inject_fault(world, addresses[0], fault)
+    if fault in TIMED_FAULTS:
+        world.advance(_FAULT_BEGUN_SECONDS)
     for address in addresses:
         world.shed(address, share, rest)
     world.advance(_STATING_SECONDS)
@@ -188,7 +198,9 @@
 
 def _loaded_world(hosts, domains):
     world = WithdrawalWorld(hosts, _UPSTREAMS, domains)
-    seconds = _CALM_SECONDS + _STATING_SECONDS + _AFTER_SECONDS
+    seconds = (
+        _CALM_SECONDS + _FAULT_BEGUN_SECONDS + _STATING_SECONDS + _AFTER_SECONDS
+    )
     world.schedule_traffic(_HOST_LOAD * hosts, seconds)
     return world
 
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -168,7 +168,13 @@
         VerdictSharing(hub, quarantine, members.hosts, log),
         VerdictRecorder(store, quarantine, members.hosts, log),
         RateSharing(hub, permissions.rates, members.hosts, log),
-        LeavingSharing(hub, permissions.leaving, members.hosts, log),
+        LeavingSharing(
+            hub,
+            permissions.leaving,
+            members.hosts,
+            registry.lists_leaving,
+            log,
+        ),
     )
 
 
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -228,7 +228,7 @@
     resting = first_return(core, service)
     if resting is not None:
         return resting.refusal(exchange)
-    if core.registry.are_all_leaving(service):
+    if _are_all_leaving(core.registry, service):
         return NotRun(
             LEAVING_REASON,
             service,
@@ -239,6 +239,16 @@
     return NotRun(reason, service)
 
 
+def _are_all_leaving(registry, service):
+    """Return whether a service has upstreams, all of which leave."""
+    upstreams = [
+        upstream
+        for upstream in registry.upstreams.values()
+        if upstream.service == service
+    ]
+    return bool(upstreams) and all(map(registry.is_leaving, upstreams))
+
+
 def input_release_for(core, exchange, chain, inputs, view):
     """Return the timer that releases stage results once an upstream has them.
 
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -221,14 +221,12 @@
             return True
         return self.stated_leaving.is_leaving(upstream.incarnation)
 
-    def are_all_leaving(self, service):
-        """Return whether a service has upstreams, all of which leave."""
-        upstreams = [
-            upstream
+    def lists_leaving(self, name):
+        """Return whether an incarnation's entry states that it leaves."""
+        return any(
+            upstream.leaving and upstream.incarnation == name
             for upstream in self.upstreams.values()
-            if upstream.service == service
-        ]
-        return bool(upstreams) and all(map(self.is_leaving, upstreams))
+        )
 
     def stage_upstreams(self, service):
         """Return a service's upstreams that accept new work, as registered."""
--- a/pollenstile/permission/_sharing.py
+++ b/pollenstile/permission/_sharing.py
@@ -27,6 +27,9 @@
     hosts : dict
         :class:`PeerHost` of each other host, by name; the caller updates it as
         membership changes.
+    is_listed : function
+        Takes the name of an incarnation; returns whether its entry states that
+        it leaves, so that other hosts learn it from the registry.
     log : function
         Writes events.
 
@@ -37,11 +40,12 @@
         Forwards the news.
     """
 
-    __slots__ = ('flood', 'hub', 'leaving', 'log')
+    __slots__ = ('flood', 'hub', 'is_listed', 'leaving', 'log')
 
-    def __init__(self, hub, leaving, hosts, log=silent_log):
+    def __init__(self, hub, leaving, hosts, is_listed, log=silent_log):
         self.hub = hub
         self.leaving = leaving
+        self.is_listed = is_listed
         self.log = log
         self.flood = Flood(
             hub,
@@ -49,10 +53,19 @@
             hosts,
             self._encode,
             self._apply,
-            lambda: leaving.by_name,
+            self._unlisted,
             self._log_unsent,
         )
-        leaving.listeners.append(self.flood.note_changed)
+        leaving.listeners.append(self._learned)
+
+    def _learned(self, name):
+        if not self.is_listed(name):
+            self.flood.note_changed(name)
+
+    def _unlisted(self):
+        return [
+            name for name in self.leaving.by_name if not self.is_listed(name)
+        ]
 
     def _encode(self, names):
         known = self.leaving.by_name
