quarantine: copies of a request go to one upstream, and are not sent again before reports are in

What callers saw: twenty callers that send a request which crashes upstreams within 0.03 s ended 9 of 9 upstreams, 25 and 26 of 30, and with them up to 74 of 133 sound requests. Cause: each copy went to another upstream before the first crash was known, and each was sent again at once to a further one.

A copy of a request that this host has in flight, and that has not run to its end lately, goes to the same upstream; equal upstreams are told apart by the fingerprint, so that hosts choose alike; a resend whose answer had not begun waits for the look at the upstream, and after a crash 0.15 s for the reports of others.

Two scenarios named the upstream that the seeded random picked; ties are by fingerprint now, so they name another one and check as much.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -224,7 +224,7 @@
     And its stage work never ends
     When its key goes to the team "new"
     And its stage work ends
-    Then the request is sent to "10.0.0.0:1" for the team "new"
+    Then the request is sent to "10.0.0.2:1" for the team "new"
 
   Scenario: A host that loses the store serves the requests that it has admitted
     Its configuration was verified recently enough when the request arrived; a
@@ -234,4 +234,4 @@
     When its key goes to the team "new"
     And its host can no longer verify its configuration
     And its stage work ends
-    Then the request is sent to "10.0.0.0:1" for the team "new"
+    Then the request is sent to "10.0.0.2:1" for the team "new"
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -19,6 +19,19 @@
     When a crashing request arrives 20 times within 0.03 seconds, at all hosts in turn
     Then at most 4 upstreams have crashed
 
+  Scenario Outline: Twenty callers send a crashing request at one instant, beside other traffic: seed <seed>
+    Upstreams differ in load and speed, so hosts choose different ones.
+    Given <hosts> hosts and <hosts> upstreams in <domains> failure domains, for resumed requests
+    And other requests arrive 20 times a second for 6 seconds, by seed <seed>
+    When a crashing request arrives 20 times within 0.03 seconds, at all hosts in turn
+    Then at most <most> upstreams have crashed
+
+    Examples:
+      | hosts | domains | seed | most |
+      | 30    | 3       | 1    | 4    |
+      | 9     | 4       | 1    | 4    |
+      | 9     | 4       | 2    | 4    |
+
   Scenario: Two such requests beside sound ones
     Requests that run beside them fail repeatedly without being the cause.
     Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -113,6 +113,21 @@
     _send_crashing(context, [DEADLY], pause, seconds, names)
 
 
+@given(
+    'other requests arrive {rate:g} times a second for {seconds:g} seconds, by'
+    ' seed {seed:d}'
+)
+def given_other_traffic(context, rate, seconds, seed):
+    rng = Random(seed)
+    names = [host.name for host in _fleet(context).running()]
+    moment = rng.expovariate(rate)
+    while moment < seconds:
+        body = b'other %d' % int(moment * 1e6)
+        context.world.schedule_request(moment, rng.choice(names), body)
+        moment += rng.expovariate(rate)
+    context.world.advance(seconds - 2.0)
+
+
 @when(
     'a crashing request arrives {count:d} times within {seconds:g} seconds, at all'
     ' hosts in turn'
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -159,6 +159,7 @@
         Delivered, UpstreamFailure, NotRun or Lost
         """
         tokens = sum(size for _, size in self.exchange.prompt)
+        self.core.copies.add(self.exchange.fingerprint, self.view.ident)
         self.view.in_flight += 1
         self.view.in_flight_tokens += tokens
         try:
@@ -174,6 +175,7 @@
 
     def _release_counts(self, tokens):
         self.input_release.stop()
+        self.core.copies.remove(self.exchange.fingerprint, self.view.ident)
         self.view.in_flight -= 1
         self.view.in_flight_tokens -= tokens
 
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -4,6 +4,7 @@
 
 from pollenstile.estimates import Fetching, FirstTokens
 from pollenstile.forward._cold import ColdShares
+from pollenstile.forward._copies import Copies
 from pollenstile.forward._crashes import CrashDetector
 from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.forward._types import HeaderNames
@@ -63,6 +64,8 @@
     Attributes
     ==========
 
+    copies : Copies
+        Requests in flight at upstreams, by fingerprint.
     rates : RateLimits
         Limits sends to upstreams that state a request rate.
     tokens : TokenQueue
@@ -85,6 +88,7 @@
     quarantine: Quarantine | None = None
     crashes: CrashDetector | None = None
     permissions: Permissions | None = None
+    copies: Copies = field(default_factory=Copies)
     rates: RateLimits = field(init=False)
     tokens: TokenQueue = field(init=False)
 
--- a/pollenstile/forward/_crash_evidence.py
+++ b/pollenstile/forward/_crash_evidence.py
@@ -1,6 +1,7 @@
 """Crash evidence from the outcomes of attempts, for the quarantine."""
 
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import deferLater
 
 from pollenstile.forward._attempt import Delivered, UpstreamFailure
 from pollenstile.forward._crashes import incarnation_of
@@ -8,6 +9,8 @@
 from pollenstile.quarantine import HELD_REASON, Suspect
 
 _BAD_GATEWAY = 502
+# Seconds in which reports of a crash reach all hosts.
+_REPORT_SECONDS = 0.15
 
 
 def quarantine_refusal(core, exchange):
@@ -31,9 +34,10 @@
     =======
 
     Deferred
-        Fires at once for most requests. For a request that was in flight at
-        another upstream when that crashed, it fires after this upstream was
-        checked for a crash.
+        Fires at once for most requests. If the connection broke before the
+        answer began, or the request was in flight at another upstream when that
+        crashed, it fires after this upstream was checked for a crash, and after
+        a crash once other hosts can have reported theirs.
     """
     quarantine = core.quarantine
     fingerprint = exchange.fingerprint
@@ -47,4 +51,21 @@
         incarnation_of(exchange.service, attempt.view),
         Suspect(fingerprint, exchange.team, attempt.ran_seconds()),
     )
-    return examined if was_suspect else succeed(None)
+    if was_suspect:
+        return examined
+    if attempt.first_at:
+        return succeed(None)
+    return Deferred.fromCoroutine(_reports_of(core, examined))
+
+
+async def _reports_of(core, examined):
+    """Wait until other hosts can have reported the crash of a copy.
+
+    Explanation
+    ===========
+
+    Copies of a request that crashes upstreams may have crashed several at one
+    instant. If each were sent again at once, as many more would crash.
+    """
+    if await examined:
+        await deferLater(core.clock, _REPORT_SECONDS)
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -195,9 +195,16 @@
 
 def _select(core, exchange, views, inputs):
     """Return the best of some upstreams for a request."""
+    fingerprint = exchange.fingerprint
+    if not core.quarantine.completed_runs.has_recent(fingerprint):
+        shared = core.copies.shared_view(fingerprint, views)
+        if shared is not None:
+            return shared
     now = core.clock.seconds()
     if not exchange.prompt:
-        return select_plain_upstream(views, now, core.domain, core.rng)
+        return select_plain_upstream(
+            views, now, core.domain, core.rng, fingerprint
+        )
     return select_engine(
         views,
         now,
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -162,7 +162,7 @@
     return prompt[-2][0] if len(prompt) > 1 else ''
 
 
-def select_plain_upstream(views, now, domain, rng):
+def select_plain_upstream(views, now, domain, rng, fingerprint=''):
     """Return the plain upstream with the lowest expected latency, or None.
 
     Parameters
@@ -175,7 +175,9 @@
     domain : str
         This host's failure domain.
     rng : random.Random
-        Breaks ties.
+        Breaks ties of requests without a fingerprint.
+    fingerprint : str
+        Breaks ties, so that hosts send copies of a request to the same one.
     """
     if not views:
         return None
@@ -187,9 +189,11 @@
         relative_load = current_load(view, now) / max(1, view.slots)
         crossing_seconds = _CROSS_DOMAIN_SECONDS if view.domain != domain else 0
         failure_factor = 1 + 4 * view.failures
-        return seconds * (
-            1 + relative_load
-        ) * failure_factor + crossing_seconds, rng.random()
+        expected = seconds * (1 + relative_load) * failure_factor
+        tie = rng.random()
+        if fingerprint:
+            tie = rendezvous_weight(fingerprint, view.ident)
+        return expected + crossing_seconds, tie
 
     return min(views, key=cost)
 
