--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -294,6 +294,8 @@
 
     def _forget_statements(self):
         core = self.parts.core
+        if not core.permissions.knows_any():
+            return
         views = core.registry.views.values()
         core.permissions.forget_old({view.incarnation for view in views})
 
--- a/pollenstile/permission/_permissions.py
+++ b/pollenstile/permission/_permissions.py
@@ -105,6 +105,10 @@
         """Return whether no statement keeps this host from an upstream."""
         return self.rates.is_idle() and not self.rests.by_name
 
+    def knows_any(self):
+        """Return whether any statement is known that may be forgotten."""
+        return bool(self.leaving.by_name) or not self.rates.is_idle()
+
     def forget_old(self, registered):
         """Drop what is known of incarnations that are over.
 
