--- a/pollenstile/permission/_leaving.py
+++ b/pollenstile/permission/_leaving.py
@@ -5,8 +5,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.permission import events
 from pollenstile.permission._block import Block
-from pollenstile.permission._unreadable import UnreadableLog
-from pollenstile.statements import parse_leaving
+from pollenstile.statements import UnreadableLog, parse_leaving
 
 LEAVING_REASON = 'leaving'
 # Seconds after which a leaving incarnation is forgotten that is not in the
--- a/pollenstile/ratelimits/_stated.py
+++ b/pollenstile/ratelimits/_stated.py
@@ -5,11 +5,11 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.ratelimits import events
 from pollenstile.ratelimits._values import UNLIMITED, parse_rate
+from pollenstile.statements import UnreadableLog
 
 # Minimum seconds between two log lines about one upstream's rate, as a rate
 # may differ in each answer.
 _LOG_PERIOD_SECONDS = 5.0
-_MAX_LOGGED_CHARACTERS = 40
 # Seconds after which a rate that nobody mentions is forgotten, once its
 # upstream has left the registry or states no rate any more.
 _FORGET_SECONDS = 60.0
@@ -56,14 +56,14 @@
         the rate before.
     """
 
-    __slots__ = ('by_name', 'clock', 'listeners', 'log', 'unreadable_at')
+    __slots__ = ('by_name', 'clock', 'listeners', 'log', 'unreadable')
 
     def __init__(self, clock, log=silent_log):
         self.clock = clock
         self.log = log
         self.by_name = {}
         self.listeners = []
-        self.unreadable_at = {}
+        self.unreadable = UnreadableLog(clock, log, events.RATE_UNREADABLE)
 
     def rate(self, name):
         """Return an incarnation's rate; ``UNLIMITED`` if it has none."""
@@ -94,7 +94,7 @@
         """
         rate = parse_rate(values)
         if rate is None:
-            self._log_unreadable(name, values)
+            self.unreadable.write(name, values)
         elif rate or is_proof:
             self.update(name, rate, self.clock.seconds())
 
@@ -131,7 +131,6 @@
             is_over = not stated.rate or name not in registered
             if is_over and stated.stated_at < oldest:
                 self.by_name.pop(name)
-                self.unreadable_at.pop(name, None)
 
     def _log_change(self, name, stated, before):
         now = self.clock.seconds()
@@ -150,12 +149,3 @@
             before=before,
             age_ms=int((now - stated.stated_at) * 1000),
         )
-
-    def _log_unreadable(self, name, values):
-        now = self.clock.seconds()
-        last = self.unreadable_at.get(name, -_LOG_PERIOD_SECONDS)
-        if now - last < _LOG_PERIOD_SECONDS:
-            return
-        self.unreadable_at[name] = now
-        text = ','.join(values)[:_MAX_LOGGED_CHARACTERS]
-        self.log(events.RATE_UNREADABLE, level='warning', peer=name, value=text)
--- a/pollenstile/statements/__init__.py
+++ b/pollenstile/statements/__init__.py
@@ -5,6 +5,7 @@
     Statements,
     read_statements,
 )
+from pollenstile.statements._unreadable import UnreadableLog
 from pollenstile.statements._values import (
     MAX_REST_SECONDS,
     parse_leaving,
