permission: a request waits for the end of a rest where its deadline bears it

What callers saw: with all upstreams of a service at rest a request was refused beyond its target latency, though it could have been answered before its deadline; callers come back once, to hosts that may have been asked for rest as well.

Tokens of a rate are waited for as before: there a late request would take another one's.

--- a/features/permission.feature
+++ b/features/permission.feature
@@ -117,6 +117,12 @@
     When 0.5 seconds pass for the forwarded request
     Then all 4 are sent in the order of their urgency
 
+  Scenario: A request waits beyond its target latency while its deadline bears it
+    Given a forwarded "idempotent" request to upstreams that all ask for 2 seconds of rest
+    When the forwarded request starts
+    And 2.3 seconds pass for the forwarded request
+    Then the request has been sent once
+
   Scenario: A request whose upstreams rest for too long is refused at once, with when to come back
     Given a forwarded "idempotent" request to upstreams that all ask for 5 seconds of rest
     When the forwarded request starts
--- a/features/steps/permission_host_steps.py
+++ b/features/steps/permission_host_steps.py
@@ -200,6 +200,12 @@
         ask_rest(context.story.core, name, seconds)
 
 
+@then('the request has been sent once')
+def then_sent_once(context):
+    assert context.story.answer.refusal is None, context.story.answer.refusal
+    assert len(context.story.calls) == 1, context.story.calls
+
+
 @then('nothing is sent yet')
 def then_nothing_yet(context):
     assert not context.story.calls, context.story.calls
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -117,7 +117,7 @@
         held_back = await _held_back(core, exchange, tried, inputs)
         if held_back is None:
             return None
-        left = _seconds_left(core, exchange, held_back.view)
+        left = _seconds_left(core, exchange, held_back)
         if held_back.wait > left:
             return held_back.refuse(core, exchange)
         if not has_waited:
@@ -144,7 +144,7 @@
     held_back = await _held_back(core, exchange, (), {})
     if held_back is None:
         return None
-    if held_back.wait <= _seconds_left(core, exchange, held_back.view):
+    if held_back.wait <= _seconds_left(core, exchange, held_back):
         return None
     return held_back.refuse(core, exchange)
 
@@ -183,12 +183,12 @@
     return [view for view in views if core.cold.may_send(view, rate, now)]
 
 
-def _seconds_left(core, exchange, view):
-    """Return the seconds within which a request must be sent to be in time."""
-    expected = expected_answer_seconds(core, exchange, view)
+def _seconds_left(core, exchange, held_back):
+    """Return the seconds for which a request may wait to be sent."""
+    expected = expected_answer_seconds(core, exchange, held_back.view)
     now = core.clock.seconds()
     latest = exchange.aim - expected
-    if latest <= now:
+    if held_back.until_deadline or latest <= now:
         latest = exchange.ends - expected
     return latest - now
 
--- a/pollenstile/forward/_ratelimited.py
+++ b/pollenstile/forward/_ratelimited.py
@@ -67,6 +67,10 @@
 
     __slots__ = ('view', 'wait')
 
+    # Each token lets one request go on. Requests that wait beyond their target
+    # latency would take the tokens of those that can still meet it.
+    until_deadline = False
+
     def __init__(self, view, wait):
         self.view = view
         self.wait = wait
--- a/pollenstile/forward/_resting.py
+++ b/pollenstile/forward/_resting.py
@@ -20,6 +20,11 @@
 
     __slots__ = ('view', 'wait')
 
+    # The end of a rest is known, and lets all of them go on. A late answer is
+    # worth more than a refusal: the hosts that callers come back to may have
+    # been asked for rest as well.
+    until_deadline = True
+
     def __init__(self, view, wait):
         self.view = view
         self.wait = wait
