--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -108,7 +108,7 @@
                 self.clock, self.rng, alone, self.log
             )
         self.rates = self.permissions.rates
-        self.registry.heed(self.permissions.leaving)
+        self.registry.follow_leaving(self.permissions.leaving)
         self.permissions.leaving.listeners.append(self._wake_all)
         self.tokens = TokenQueue(self.clock)
         self.rates.listeners.append(self.tokens.wake)
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -7,7 +7,7 @@
     limited_outcome,
     token_wait,
 )
-from pollenstile.forward._resting import first_return, wanting
+from pollenstile.forward._resting import rest_wait, without_resting
 from pollenstile.forward._selection import (
     current_load,
     home_engine,
@@ -159,7 +159,7 @@
     """
     views = _usable_views(core, exchange, tried)
     if not views:
-        return first_return(core, exchange.service, tried)
+        return rest_wait(core, exchange.service, tried)
     ready = _ready_views(core, exchange, views)
     if not ready:
         return None
@@ -172,7 +172,7 @@
 def _usable_views(core, exchange, tried):
     """Return the upstreams that want requests and are not unhealthy."""
     now = core.clock.seconds()
-    views = wanting(core, core.registry.usable(exchange.service))
+    views = without_resting(core, core.registry.usable(exchange.service))
     return usable(views, now, tried)
 
 
@@ -232,7 +232,7 @@
             core.cold.seconds_until_send(view, rate, now) for view in views
         )
         return NotRun('cold', service, arrived=False, retry_after=wait)
-    resting = first_return(core, service)
+    resting = rest_wait(core, service)
     if resting is not None:
         return resting.refusal(exchange)
     if _are_all_leaving(core.registry, service):
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -115,7 +115,7 @@
         self.drained = frozenset()
         self.stated_leaving = LeavingUpstreams(clock)
 
-    def heed(self, leaving):
+    def follow_leaving(self, leaving):
         """Leave out the upstreams whose answers state that they leave.
 
         Parameters
--- a/pollenstile/forward/_resting.py
+++ b/pollenstile/forward/_resting.py
@@ -59,7 +59,7 @@
         )
 
 
-def wanting(core, views):
+def without_resting(core, views):
     """Return those of some upstreams that do not rest."""
     rests = core.permissions.rests
     if not rests.by_name:
@@ -67,7 +67,7 @@
     return [view for view in views if rests.block(view.incarnation) is None]
 
 
-def first_return(core, service, tried=()):
+def rest_wait(core, service, tried=()):
     """Return a service's :class:`RestWait` if all upstreams rest, or None.
 
     Parameters
@@ -83,7 +83,7 @@
         for view in core.registry.usable(service)
         if view.ident not in tried
     ]
-    if not views or wanting(core, views):
+    if not views or without_resting(core, views):
         return None
     rests = core.permissions.rests
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -34,7 +34,7 @@
 )
 from pollenstile.forward._ratelimited import note_sent
 from pollenstile.forward._request_log import log_end, log_send
-from pollenstile.forward._resting import first_return
+from pollenstile.forward._resting import rest_wait
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.quarantine import HELD_REASON
 from pollenstile.routes import Kind
@@ -311,7 +311,7 @@
         if isinstance(outcome, Refusal):
             self._refuse(outcome)
             return
-        resting = first_return(self.core, self.exchange.service)
+        resting = rest_wait(self.core, self.exchange.service)
         wait = resting.wait if resting else 0.0
         self._refuse(final_refusal(outcome, self.runs, self.core.rng, wait))
 
--- a/pollenstile/permission/_sharing.py
+++ b/pollenstile/permission/_sharing.py
@@ -53,7 +53,7 @@
             hosts,
             self._encode,
             self._apply,
-            self._unlisted,
+            self._names_to_tell,
             self._log_unsent,
         )
         leaving.listeners.append(self._learned)
@@ -62,7 +62,7 @@
         if not self.is_listed(name):
             self.flood.note_changed(name)
 
-    def _unlisted(self):
+    def _names_to_tell(self):
         return [
             name for name in self.leaving.by_name if not self.is_listed(name)
         ]
