statements: a date of rest with a year out of range is unreadable, and numbers are plain

A header of an upstream's answer with a year of twenty digits raised in the host, and the request ended as 'internal'; 1_000 and digits of other scripts were read as numbers.

--- a/features/permission.feature
+++ b/features/permission.feature
@@ -25,7 +25,10 @@
       | soon                          | 0       |
       | nan                           | 0       |
       | 1e9                           | 300     |
+      | 1_000                         | 0       |
       | Wed, 21 Oct 2026 07:28:04 GMT | 4       |
+      | Wed, 21 Oct 2026 07:28:04 Z9  | 0       |
+      | Wed, 21 Oct 99999999999999999999 07:28:04 GMT | 0 |
 
   Scenario: A date in an answer that has no date of its own is not read
     The clocks of hosts and upstreams differ.
--- a/pollenstile/statements/_values.py
+++ b/pollenstile/statements/_values.py
@@ -105,6 +105,9 @@
 
 
 def _readable_seconds(text):
+    if '_' in text or not text.isascii():
+        # float() also reads separators and other digits.
+        return None
     try:
         seconds = float(text)
     except ValueError:
@@ -115,7 +118,7 @@
 def _readable_date(text) -> datetime | None:
     try:
         return parsedate_to_datetime(text)
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
 
 
