permission: requests that wait for the end of a rest do not wake each other

What callers would have seen: with 800 requests waiting for upstreams at rest a host was busy for 44 s, found by reading: each arrival woke all less urgent ones, as they may not get their token in time any more. The end of a rest lets all go on together, so nobody loses a turn. A scenario counts the waits of 60 requests, 60 now, more before.

--- a/features/builders/permission.py
+++ b/features/builders/permission.py
@@ -11,6 +11,7 @@
 from pollenstile.forward import HeaderNames, NotRun, PlainCodec, Upstream
 from pollenstile.forward._owners import StageOwners
 from pollenstile.forward._stagecalls import StageCalls
+from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.routes import RouteTable, Service, StageLimits
 from pollenstile.stagework import Group
 from pollenstile.statements import Statements
@@ -138,6 +139,19 @@
         return [call.address for call in self.story.calls]
 
 
+class CountingQueue(TokenQueue):
+    """A queue of waiting requests that counts how often one begins to wait."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.waits = 0
+
+    def wait(self, exchange, seconds):
+        """Count a wait, and return its Deferred."""
+        self.waits += 1
+        return super().wait(exchange, seconds)
+
+
 class _TurningAway(Resource):
     """An upstream of the JSON interface that turns calls away."""
 
--- a/features/permission.feature
+++ b/features/permission.feature
@@ -120,6 +120,12 @@
     When 0.5 seconds pass for the forwarded request
     Then all 4 are sent in the order of their urgency
 
+  Scenario: Requests that wait for the end of a rest do not wake each other
+    With hundreds waiting, each arrival would cost the host as many decisions.
+    Given a forwarded "idempotent" request to upstreams that all ask for 2 seconds of rest
+    When 60 forwarded requests arrive at once, and the waits are counted
+    Then each of them has begun to wait once
+
   Scenario: A request waits beyond its target latency while its deadline bears it
     Given a forwarded "idempotent" request to upstreams that all ask for 2 seconds of rest
     When the forwarded request starts
--- a/features/steps/permission_host_steps.py
+++ b/features/steps/permission_host_steps.py
@@ -8,6 +8,7 @@
 from features.builders.forward import NAMES, SERVICE, ForwardScenario
 from features.builders.permission import (
     STAGE,
+    CountingQueue,
     StageHost,
     ask_rest,
     open_connection,
@@ -200,6 +201,19 @@
         ask_rest(context.story.core, name, seconds)
 
 
+@when('{count:d} forwarded requests arrive at once, and the waits are counted')
+def when_counted(context, count):
+    context.queue = CountingQueue(context.story.clock)
+    context.story.core.tokens = context.queue
+    for number in range(count):
+        context.story.start_another(f'r{number}', count - number)
+
+
+@then('each of them has begun to wait once')
+def then_waited_once(context):
+    assert context.queue.waits == 60, context.queue.waits
+
+
 @then('the request has been sent once')
 def then_sent_once(context):
     assert context.story.answer.refusal is None, context.story.answer.refusal
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -124,8 +124,9 @@
             held_back.log_wait(core, exchange)
         has_waited = True
         woken = core.tokens.wait(exchange, left)
-        # Less urgent ones may not be sent in time any more.
-        core.tokens.wake_behind(exchange)
+        if held_back.takes_turns:
+            # Less urgent ones may not be sent in time any more.
+            core.tokens.wake_behind(exchange)
         await woken
     return None
 
@@ -188,7 +189,7 @@
     expected = expected_answer_seconds(core, exchange, held_back.view)
     now = core.clock.seconds()
     latest = exchange.aim - expected
-    if held_back.until_deadline or latest <= now:
+    if latest <= now or not held_back.takes_turns:
         latest = exchange.ends - expected
     return latest - now
 
--- a/pollenstile/forward/_ratelimited.py
+++ b/pollenstile/forward/_ratelimited.py
@@ -69,7 +69,7 @@
 
     # Each token lets one request go on. Requests that wait beyond their target
     # latency would take the tokens of those that can still meet it.
-    until_deadline = False
+    takes_turns = True
 
     def __init__(self, view, wait):
         self.view = view
--- a/pollenstile/forward/_resting.py
+++ b/pollenstile/forward/_resting.py
@@ -20,10 +20,10 @@
 
     __slots__ = ('view', 'wait')
 
-    # The end of a rest is known, and lets all of them go on. A late answer is
-    # worth more than a refusal: the hosts that callers come back to may have
-    # been asked for rest as well.
-    until_deadline = True
+    # The end of a rest is known, and lets all requests go on together. So they
+    # may wait until their deadline: a late answer is worth more than a refusal,
+    # as the hosts that callers come back to may have been asked as well.
+    takes_turns = False
 
     def __init__(self, view, wait):
         self.view = view
