--- a/features/steps/permission_steps.py
+++ b/features/steps/permission_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from twisted.internet.task import Clock
 
+from features.builders.forward import IDENT
 from pollenstile.permission import Permissions
 from pollenstile.ratelimits import RateLimits
 from pollenstile.statements import Statements
@@ -106,6 +107,8 @@
     leaving = story.lines('upstream-states-leaving')
     resting = story.lines('upstream-resting')
     assert [line['peer'] for line in leaving] == [f'{peer}/0'], leaving
+    asked_by = [line['request'] for line in (*leaving, *resting)]
+    assert asked_by == [IDENT, IDENT], asked_by
     assert [line['asked_ms'] for line in resting] == [1000 * seconds], resting
 
 
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -237,7 +237,12 @@
         self.core.permissions.note_answer(
             self.view.incarnation,
             self.exchange.service,
-            read_statements(head, names, is_proof=is_stamped),
+            read_statements(
+                head,
+                names,
+                is_proof=is_stamped,
+                request=self.exchange.ident,
+            ),
         )
         if _text(head, names.not_run):
             gone = head.code == _CONFLICT_STATUS
--- a/pollenstile/permission/_leaving.py
+++ b/pollenstile/permission/_leaving.py
@@ -90,31 +90,45 @@
         if is_leaving is None:
             self.unreadable.write(name, statements.leaving)
         elif is_leaving:
-            self.learn(name, self.clock.seconds(), service=service)
+            self._learn_from(name, service, statements)
 
-    def learn(self, name, stated_at, source='', service=''):
-        """Record that an incarnation leaves, unless that is known.
+    def learn(self, name, stated_at, source):
+        """Record that an incarnation leaves, as a peer has been told.
 
         Parameters
         ==========
 
-        name, service : str
-            The incarnation, and its service if that is known.
+        name : str
+            The incarnation.
         stated_at : float
             Time on the clock of the answer that stated it.
         source : str
-            The peer that had the answer; empty if it was this host's own.
+            The peer that had the answer.
         """
         if name in self.by_name:
             return
-        self.by_name[name] = Departure(stated_at, source)
+        age = self.clock.seconds() - stated_at
         self.log(
             events.UPSTREAM_LEAVING,
             peer=name,
-            service=service,
             source=source,
-            age_ms=int((self.clock.seconds() - stated_at) * _MS),
+            age_ms=int(age * _MS),
         )
+        self._add(name, Departure(stated_at, source))
+
+    def _learn_from(self, name, service, statements):
+        if name in self.by_name:
+            return
+        self.log(
+            events.UPSTREAM_LEAVING,
+            peer=name,
+            service=service,
+            request=statements.request,
+        )
+        self._add(name, Departure(self.clock.seconds()))
+
+    def _add(self, name, departure):
+        self.by_name[name] = departure
         for listener in self.listeners:
             listener(name)
 
--- a/pollenstile/permission/_rests.py
+++ b/pollenstile/permission/_rests.py
@@ -117,7 +117,7 @@
         if seconds is None:
             self.unreadable.write(name, statements.rests)
         elif seconds:
-            self._begin(name, service, seconds)
+            self._begin(name, service, seconds, statements.request)
 
     def note_held_back(self, name):
         """Count a request that a rest keeps from an incarnation."""
@@ -137,7 +137,7 @@
             for name, rest in self.by_name.items()
         }
 
-    def _begin(self, name, service, seconds):
+    def _begin(self, name, service, seconds, request):
         now = self.clock.seconds()
         rest = self.by_name.get(name)
         is_new = rest is None
@@ -154,7 +154,7 @@
             rest.until = until
             self._restart_timer(name, rest, until - now)
         if is_new:
-            self._log_begin(name, rest)
+            self._log_begin(name, rest, request)
             self._notify(service)
 
     def _restart_timer(self, name, rest, seconds):
@@ -174,11 +174,12 @@
         )
         self._notify(rest.service)
 
-    def _log_begin(self, name, rest):
+    def _log_begin(self, name, rest, request):
         self.log(
             events.UPSTREAM_RESTING,
             peer=name,
             service=rest.service,
+            request=request,
             asked_ms=int(rest.asked_seconds * _MS),
             rest_ms=int((rest.until - rest.began) * _MS),
         )
--- a/pollenstile/statements/_statements.py
+++ b/pollenstile/statements/_statements.py
@@ -39,6 +39,9 @@
     is_proof : bool
         Whether the answer is certainly the upstream's own and complete in its
         headers.
+    request : str
+        Identifier of the request that was answered, for log lines; empty if it
+        stands for several.
     """
 
     status: int
@@ -47,9 +50,10 @@
     rests: tuple = ()
     date: str = ''
     is_proof: bool = False
+    request: str = ''
 
 
-def read_statements(response, headers, *, is_proof):
+def read_statements(response, headers, *, is_proof, request=''):
     """Return the :class:`Statements` of an answer.
 
     Parameters
@@ -61,6 +65,8 @@
         With the fields of :class:`StatementHeaders`.
     is_proof : bool
         See :class:`Statements`.
+    request : str
+        See :class:`Statements`.
     """
     dates = _texts(response, b'date')
     return Statements(
@@ -70,6 +76,7 @@
         _texts(response, headers.rest),
         dates[0] if dates else '',
         is_proof,
+        request,
     )
 
 
