--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -241,7 +241,7 @@
         self.reached.append(address)
         return succeed(self.probe_result)
 
-    def start(self, deadline=3.0):
+    def start(self, deadline=3.0, fingerprint='f1'):
         """Start to serve the request."""
         now = self.clock.seconds()
         exchange = Exchange(
@@ -260,7 +260,7 @@
             counts=(2,) if self.route.steps else (),
             stage_key='key',
             service=SERVICE,
-            fingerprint='f1',
+            fingerprint=fingerprint,
         )
         self.work = serve(self.core, exchange, self.answer)
 
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -71,8 +71,9 @@
 
 @when('{count:d} requests arrive within one second')
 def when_taken_in(context, count):
-    for _ in range(count):
-        context.story.start()
+    for number in range(count):
+        # Copies of one request would go to one upstream together.
+        context.story.start(fingerprint=f'f{number}')
         context.story.clock.advance(1 / (count + 1))
 
 
