permission: senders ask for any kind of statement, not for rests

Selection and waits asked the rests by name, so that a further kind of statement would have held at open connections only, against the design (one module, no call at a sender); 'Block.until' was read by nobody. Both ask 'withdrawn' now, and take reason and end from the block; what checks connections and what makes requests wait stands in one module.

Besides: the limited reason stood twice; a stage queue kept the times of its workers' rests a second time, by address; the longest time that was asked for was kept and never read; leaving was learned by two twins; a request whose fingerprint has no copy in flight looked at every upstream.

--- a/pollenstile/forward/_copies.py
+++ b/pollenstile/forward/_copies.py
@@ -40,7 +40,9 @@
 
     def shared_view(self, fingerprint, views):
         """Return the one of some upstreams that runs a copy, or None."""
-        idents = self.idents.get(fingerprint, ())
+        idents = self.idents.get(fingerprint)
+        if not idents:
+            return None
         for view in views:
             if view.ident in idents:
                 return view
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -7,7 +7,6 @@
     limited_outcome,
     token_wait,
 )
-from pollenstile.forward._resting import rest_wait, without_resting
 from pollenstile.forward._selection import (
     current_load,
     home_engine,
@@ -18,6 +17,7 @@
     usable,
 )
 from pollenstile.forward._types import NotRun
+from pollenstile.forward._withdrawn import withdrawn_wait, without_withdrawn
 from pollenstile.permission import LEAVING_REASON
 
 # Assumed answer time of a plain upstream without measurements, as a share of
@@ -156,11 +156,11 @@
     Returns
     =======
 
-    TokenWait or RestWait or None
+    TokenWait or WithdrawnWait or None
     """
     views = _usable_views(core, exchange, tried)
     if not views:
-        return rest_wait(core, exchange.service, tried)
+        return withdrawn_wait(core, exchange.service, tried)
     ready = _ready_views(core, exchange, views)
     if not ready:
         return None
@@ -173,7 +173,7 @@
 def _usable_views(core, exchange, tried):
     """Return the upstreams that want requests and are not unhealthy."""
     now = core.clock.seconds()
-    views = without_resting(core, core.registry.usable(exchange.service))
+    views = without_withdrawn(core, core.registry.usable(exchange.service))
     return usable(views, now, tried)
 
 
@@ -233,9 +233,9 @@
             core.cold.seconds_until_send(view, rate, now) for view in views
         )
         return NotRun('cold', service, arrived=False, retry_after=wait)
-    resting = rest_wait(core, service)
-    if resting is not None:
-        return resting.refusal(exchange)
+    withdrawn = withdrawn_wait(core, service)
+    if withdrawn is not None:
+        return withdrawn.refusal(exchange)
     if _are_all_leaving(core.registry, service):
         return NotRun(
             LEAVING_REASON,
--- a/pollenstile/forward/_ratelimited.py
+++ b/pollenstile/forward/_ratelimited.py
@@ -1,13 +1,11 @@
 """Waits of requests for upstreams that limit their request rates."""
 
 from pollenstile.forward._types import NotRun
+from pollenstile.permission import LIMITED_REASON
 from pollenstile.ratelimits import RatedUpstream, events
 
 _MS = 1000
 
-# Reason of refusals when all upstreams limit their rates.
-LIMITED_REASON = 'limited'
-
 
 def rated_upstream(service, view):
     """Return the :class:`RatedUpstream` of an upstream's view."""
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -34,8 +34,8 @@
 )
 from pollenstile.forward._ratelimited import note_sent
 from pollenstile.forward._request_log import log_end, log_send
-from pollenstile.forward._resting import rest_wait
 from pollenstile.forward._types import Lost, NotRun, Refusal
+from pollenstile.forward._withdrawn import withdrawn_wait
 from pollenstile.quarantine import HELD_REASON
 from pollenstile.routes import Kind
 from pollenstile.stagework import Chain, ChainFailed, build_plan
@@ -311,8 +311,8 @@
         if isinstance(outcome, Refusal):
             self._refuse(outcome)
             return
-        resting = rest_wait(self.core, self.exchange.service)
-        wait = resting.wait if resting else 0.0
+        withdrawn = withdrawn_wait(self.core, self.exchange.service)
+        wait = withdrawn.wait if withdrawn else 0.0
         self._refuse(final_refusal(outcome, self.runs, self.core.rng, wait))
 
     def _pass_on(self, failure):
--- a/pollenstile/permission/_leaving.py
+++ b/pollenstile/permission/_leaving.py
@@ -90,7 +90,12 @@
         if is_leaving is None:
             self.unreadable.write(name, statements.leaving)
         elif is_leaving:
-            self._learn_from(name, service, statements)
+            self._add(
+                name,
+                Departure(self.clock.seconds()),
+                service=service,
+                request=statements.request,
+            )
 
     def learn(self, name, stated_at, source):
         """Record that an incarnation leaves, as a peer has been told.
@@ -105,30 +110,15 @@
         source : str
             The peer that had the answer.
         """
-        if name in self.by_name:
-            return
         age = self.clock.seconds() - stated_at
-        self.log(
-            events.UPSTREAM_LEAVING,
-            peer=name,
-            source=source,
-            age_ms=int(age * _MS),
-        )
-        self._add(name, Departure(stated_at, source))
-
-    def _learn_from(self, name, service, statements):
+        departure = Departure(stated_at, source)
+        self._add(name, departure, source=source, age_ms=int(age * _MS))
+
+    def _add(self, name, departure, **logged):
         if name in self.by_name:
             return
-        self.log(
-            events.UPSTREAM_LEAVING,
-            peer=name,
-            service=service,
-            request=statements.request,
-        )
-        self._add(name, Departure(self.clock.seconds()))
-
-    def _add(self, name, departure):
         self.by_name[name] = departure
+        self.log(events.UPSTREAM_LEAVING, peer=name, **logged)
         for listener in self.listeners:
             listener(name)
 
--- a/pollenstile/permission/_permissions.py
+++ b/pollenstile/permission/_permissions.py
@@ -19,7 +19,8 @@
     Forwarded requests, calls of stage queues and calls of the JSON interface
     ask it, when they choose an upstream and again when the connection is open.
     Each kind of statement has a module of its own, with ``note_answer(name,
-    service, statements)`` and ``block(name)``.
+    service, statements)``, ``block(name)`` and ``by_name``, which is empty
+    while no upstream has stated it.
 
     Parameters
     ==========
@@ -45,10 +46,9 @@
         chosen before.
     """
 
-    __slots__ = ('clock', 'leaving', 'rates', 'rests', 'withdrawals')
+    __slots__ = ('leaving', 'rates', 'rests', 'withdrawals')
 
     def __init__(self, clock, rng, rates, log=silent_log):
-        self.clock = clock
         self.rates = rates
         self.leaving = LeavingUpstreams(clock, log)
         self.rests = RestPeriods(clock, rng, log)
@@ -75,6 +75,10 @@
         """Record the statements of an upstream that is known by name only."""
         self.note_answer(name, '', statements)
 
+    def is_any_withdrawn(self):
+        """Return whether any upstream wants no requests at all."""
+        return any(withdrawal.by_name for withdrawal in self.withdrawals)
+
     def withdrawn(self, name):
         """Return why nothing may be sent to an incarnation at all, or None.
 
--- a/pollenstile/permission/_rests.py
+++ b/pollenstile/permission/_rests.py
@@ -29,8 +29,6 @@
     began, until : float
         Times on the clock of the first answer that asked for it, and of its
         end.
-    asked_seconds : float
-        The longest time that was asked for.
     answers : int
         Number of answers that asked for it.
     held_back : int
@@ -44,7 +42,6 @@
     service: str
     began: float
     until: float = 0.0
-    asked_seconds: float = 0.0
     answers: int = 0
     held_back: int = 0
     spread: float = 0.0
@@ -148,13 +145,12 @@
             rest.spread = self.rng.uniform(0, _spread_seconds(seconds))
             self.by_name[name] = rest
         rest.answers += 1
-        rest.asked_seconds = max(rest.asked_seconds, seconds)
         until = now + seconds + rest.spread
         if until > rest.until:
             rest.until = until
             self._restart_timer(name, rest, until - now)
         if is_new:
-            self._log_begin(name, rest, request)
+            self._log_begin(name, rest, seconds, request)
             self._notify(service)
 
     def _restart_timer(self, name, rest, seconds):
@@ -174,13 +170,13 @@
         )
         self._notify(rest.service)
 
-    def _log_begin(self, name, rest, request):
+    def _log_begin(self, name, rest, seconds, request):
         self.log(
             events.UPSTREAM_RESTING,
             peer=name,
             service=rest.service,
             request=request,
-            asked_ms=int(rest.asked_seconds * _MS),
+            asked_ms=int(seconds * _MS),
             rest_ms=int((rest.until - rest.began) * _MS),
         )
 
--- a/pollenstile/pipeline/_stagepermissions.py
+++ b/pollenstile/pipeline/_stagepermissions.py
@@ -43,19 +43,19 @@
         rates = self.permissions.rates
         if rates.is_idle():
             return
-        for name in self._blocked(LIMITED_REASON):
+        for name in self._blocks(LIMITED_REASON):
             rates.note_held_back(self._rated(name), request)
 
     def no_upstream(self):
         """Return the :class:`NotRun` of a stage without an upstream."""
         waits = {}
-        limited = self._blocked(LIMITED_REASON)
+        limited = self._blocks(LIMITED_REASON)
         if limited:
             rated = [self._rated(name) for name in limited]
             waits[LIMITED_REASON] = self.permissions.rates.seconds_until_token(
                 rated
             )
-        resting = self._blocked(RESTING_REASON)
+        resting = self._blocks(RESTING_REASON)
         if resting:
             waits[RESTING_REASON] = self._seconds_until_return(resting)
         if not waits:
@@ -63,22 +63,30 @@
         reason = min(waits, key=waits.get)
         return NotRun(reason, waits[reason])
 
-    def _seconds_until_return(self, names):
-        remaining = self.permissions.rests.remaining()
-        for name in names:
-            self.permissions.rests.note_held_back(name)
-        return min(remaining[name] for name in names)
+    def _seconds_until_return(self, resting):
+        rests = self.permissions.rests
+        for name in resting:
+            rests.note_held_back(name)
+        first = min(block.until for block in resting.values())
+        return max(0.0, first - rests.clock.seconds())
 
-    def _blocked(self, reason):
-        """Return the upstreams that may not be called for a reason."""
-        blocked = []
+    def _blocks(self, reason):
+        """Return the upstreams that may not be called for a reason.
+
+        Returns
+        =======
+
+        dict
+            Their :class:`~pollenstile.permission.Block`, by name.
+        """
+        blocks = {}
         for name in self.pool.upstreams:
             if not self.serves(name):
                 continue
             block = self.permissions.block(name)
             if block is not None and block.reason == reason:
-                blocked.append(name)
-        return blocked
+                blocks[name] = block
+        return blocks
 
     def _rated(self, name):
         domain = self.pool.upstreams[name].domain
--- a/pollenstile/stagework/_calllimits.py
+++ b/pollenstile/stagework/_calllimits.py
@@ -16,41 +16,24 @@
         The stage service.
     permissions : Permissions or None
         What upstreams state to the host; None for a queue without limits.
-
-    Attributes
-    ==========
-
-    asked_until : dict
-        Times until which workers have asked to send nothing, by address.
     """
 
-    __slots__ = ('asked_until', 'numbers', 'permissions', 'service')
+    __slots__ = ('numbers', 'permissions', 'service')
 
     def __init__(self, service, permissions=None):
         self.service = service
         self.permissions = permissions
         self.numbers = itertools.count()
-        self.asked_until = {}
 
     def update(self, workers):
         """Set what workers accept: calls a second, and from when on."""
         if self.permissions is None:
             return
         rates = self.permissions.rates.stated
-        self.asked_until = {}
         for worker in workers:
             name = worker.incarnation
             worker.call_rate = rates.rate(name)
             worker.asked_until = self.permissions.rests.until(name)
-            if worker.asked_until:
-                self.asked_until[worker.address] = worker.asked_until
-
-    def seconds_asked(self, address):
-        """Return the seconds for which an address wants nothing sent."""
-        if not self.asked_until:
-            return 0.0
-        until = self.asked_until.get(address, 0.0)
-        return max(0.0, until - self.permissions.clock.seconds())
 
     def may_call(self, worker):
         """Return whether a worker may be called; ask for tokens if it has none.
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -1,5 +1,7 @@
 """Owner of a stage service's queue: waiting pieces, calls and results."""
 
+from functools import partial
+
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
@@ -115,7 +117,7 @@
         self.call = call
         self.call_limits = CallLimits(service, permissions)
         self.releases = Releases(
-            clock, free, self._handle_freed, self.call_limits.seconds_asked
+            clock, free, self._handle_freed, partial(_seconds_asked, self)
         )
         self.spend = spend
         self.log = log
@@ -368,3 +370,16 @@
 def _unknown_count(service):
     """Stand in for the number of upstreams of a queue without a registry."""
     return 0
+
+
+def _seconds_asked(owner, address):
+    """Return the seconds for which a worker's address wants nothing sent."""
+    until = max(
+        (
+            worker.asked_until
+            for worker in owner.workers.values()
+            if worker.address == address
+        ),
+        default=0.0,
+    )
+    return max(0.0, until - owner.clock.seconds())
