bench: simulated fleets share a fixed key, so that runs repeat

The fleet's store has a fixed key now; the hosts find it as they find any. Nothing changes outside the simulation but that kind and name of the key's object have one public name.

--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -18,6 +18,7 @@
 from pollenstile.bench._storepath import StorePath
 from pollenstile.forward import (
     DRAINED,
+    PEER_KEY,
     ForwardDaemon,
     HeaderNames,
     HostSettings,
@@ -43,6 +44,9 @@
 # The object kind of upstream entries, and the name of the only upstream.
 _UPSTREAMS = 'upstreams'
 _UPSTREAM = 'u'
+# Fingerprints, which break ties between upstreams, depend on this key: with a
+# random one no run would repeat another.
+_KEY = {'key': 'simulated'}
 
 
 class VirtualReactor(VirtualClock):
@@ -240,6 +244,7 @@
         self.store = MemoryStore(self.clock)
         self.wires = VirtualWires(self.clock, _one_way_latency, self._is_cut)
         self.logged = []
+        self._write(*PEER_KEY, _KEY)
         self.write_configuration(1)
         self._write(_UPSTREAMS, _UPSTREAM, 'ready')
         self.store.latency = _STORE_SECONDS
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -9,7 +9,7 @@
 from pollenstile.forward._decisions import silence_limits_of
 from pollenstile.forward._drained import DRAINED, DrainedDomains
 from pollenstile.forward._gauges import DRAINED_SECONDS, UNDER_WAY
-from pollenstile.forward._members import PeerHost
+from pollenstile.forward._members import PEER_KEY, PeerHost
 from pollenstile.forward._plaincodec import (
     FREE_TARGET,
     RUN_TARGET,
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -12,8 +12,8 @@
 # Kind of the store's entries of hosts, one per host, named after it.
 HOSTS = 'pollenstile-hosts'
 # Kind and name of the stored key that the hosts share, and its length.
-_KEYS = 'pollenstile-keys'
-_KEY = 'peers'
+# Kind and name of the object with the key that hosts share.
+PEER_KEY = ('pollenstile-keys', 'peers')
 _KEY_BYTES = 32
 # Time between retries while the store does not answer.
 _RETRY_SECONDS = 0.5
@@ -163,12 +163,12 @@
         create a key concurrently, both read the one that was stored first.
         """
         while True:
-            found = await self.store.get(_KEYS, _KEY)
+            found = await self.store.get(*PEER_KEY)
             if isinstance(found, Found):
                 return str(found.value.get('key', '')).encode()
             if isinstance(found, Absent):
                 key = {'key': secrets.token_hex(_KEY_BYTES)}
-                await self.store.put(_KEYS, _KEY, key, if_version=0)
+                await self.store.put(*PEER_KEY, key, if_version=0)
                 continue
             await paused(self.clock, _RETRY_SECONDS)
 
