upstream: a JSON answer's statements are read once

An answer that turns a call away was read for its statements by the transport and again where it is classified. The headers are handled in one place now, which reads them, notes them and classifies. Scenarios of the HTTP client and of rests pass unchanged.

--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -1,5 +1,7 @@
 """Calls to upstreams over HTTP, with the client of twisted.web."""
 
+from functools import partial
+
 from twisted.internet import error
 from twisted.internet.defer import CancelledError
 from twisted.web.client import HTTPConnectionPool
@@ -56,10 +58,15 @@
         if not self.cancelled:
             self.sink(event)
 
-    def handle_headers(self, response, kind):
+    def handle_headers(self, response, kind, note_statements):
         """Read the body of a success, or report the error status."""
-        if response.code != _OK:
-            self.emit(_classify_error(response))
+        is_success = response.code == _OK
+        stated = read_statements(
+            response, wire.STATEMENT_HEADERS, is_proof=is_success
+        )
+        note_statements(stated)
+        if not is_success:
+            self.emit(_classify_error(response, stated))
             self._discard(response)
             return
         if kind == 'engine':
@@ -89,14 +96,13 @@
     """Ignore the event of a discarded body."""
 
 
-def _classify_error(response):
+def _classify_error(response, stated):
     outcome = response.headers.getRawHeaders(wire.OUTCOME_HEADER, [''])[0]
     attempt = response.headers.getRawHeaders(wire.ATTEMPT_HEADER, [''])[0]
     if response.code in _BUSY and outcome == wire.NOT_RUN:
-        asked = _statements_of(response)
         return NotRun(
             f'busy ({response.code})',
-            parse_rest(asked.rests, asked.date) or 0.0,
+            parse_rest(stated.rests, stated.date) or 0.0,
             attempt=attempt,
         )
     if response.code in _CLIENT_ERRORS and response.code not in _BUSY:
@@ -104,16 +110,6 @@
     return Lost(f'status {response.code}')
 
 
-def _statements_of(response):
-    is_proof = response.code == _OK
-    return read_statements(response, wire.STATEMENT_HEADERS, is_proof=is_proof)
-
-
-def _note_answer(response, name, note_answer):
-    note_answer(name, _statements_of(response))
-    return response
-
-
 def _headers(call):
     headers = Headers(
         {
@@ -197,8 +193,9 @@
             _headers(call),
             BytesProducer(wire.encode_json(_request_document(call))),
         )
-        exchange.response.addCallback(_note_answer, name, note_answer)
-        exchange.response.addCallback(exchange.handle_headers, call.kind)
+        exchange.response.addCallback(
+            exchange.handle_headers, call.kind, partial(note_answer, name)
+        )
         exchange.response.addErrback(exchange.handle_failure)
         return exchange.cancel
 
