bench: one watch of how news spreads, and one count of answers

'bench ratelimits' and 'bench withdrawals' each had both. That of withdrawals never gave the -1 that its page names where some host does not learn.

--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -155,6 +155,12 @@
         """Advance the virtual clock."""
         self.fleet.advance(seconds)
 
+    def count_answers(self):
+        """Return the numbers of answered and of refused requests."""
+        answers = [sent.answer for sent in self.sent]
+        served = sum(answer.end == 'whole' for answer in answers)
+        return served, sum(answer.refusal is not None for answer in answers)
+
     def crash_times(self, body):
         """Return the times at which a request crashed an upstream."""
         return [
--- a/pollenstile/bench/ratelimits.py
+++ b/pollenstile/bench/ratelimits.py
@@ -19,6 +19,7 @@
     inject_fault,
 )
 from pollenstile.bench._rateworld import RateWorld
+from pollenstile.bench._spread import SpreadWatch
 from pollenstile.bench.crashes import FAULTS
 from pollenstile.standin.limited import CONTACT_SECONDS, allowed_arrivals
 
@@ -33,7 +34,6 @@
 _FREE_SECONDS = 5.0
 # Seconds after the first statement from which use is counted.
 _STEADY_SECONDS = 5.0
-_MS = 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,7 +97,6 @@
         world.fleet, lambda: world.fleet.advance(_CALM_SECONDS)
     )
     period = _Period(world, rate, fault)
-    answers = [sent.answer for sent in world.sent]
     return Sharing(
         hosts,
         domains,
@@ -111,8 +110,7 @@
         period.use(),
         period.known.ms_since_first(),
         period.over.ms_since_first(),
-        sum(answer.end == 'whole' for answer in answers),
-        sum(answer.refusal is not None for answer in answers),
+        *world.count_answers(),
         round(calm.host_bytes / _CALM_SECONDS),
         round(period.costs.host_bytes / _LIMITED_SECONDS),
         round(
@@ -143,13 +141,13 @@
         world.upstreams.rates[self.address] = rate
         if fault in TIMED_FAULTS:
             inject_fault(world, self.address, fault)
-        self.known = _Watch(world, is_limited=True)
+        self.known = _watch(world, is_limited=True)
         self.costs = measure_costs(
             fleet, lambda: fleet.advance(_LIMITED_SECONDS, self.known.look)
         )
         self.until = fleet.clock.seconds()
         world.upstreams.rates.pop(self.address)
-        self.over = _Watch(world, is_limited=False)
+        self.over = _watch(world, is_limited=False)
         fleet.advance(_FREE_SECONDS, self.over.look)
 
     def most(self, *, told_only):
@@ -168,35 +166,11 @@
         return round(len(arrivals) / (self.rate * (self.until - since)), 2)
 
 
-class _Watch:
-    """Times at which the first and the last host learned of a change."""
+def _watch(world, *, is_limited):
+    def knows(host):
+        return bool(host.core.rates.stated.limited()) == is_limited
 
-    def __init__(self, world, *, is_limited):
-        self.world = world
-        self.is_limited = is_limited
-        self.first_at = None
-        self.last_at = None
-
-    def look(self):
-        """Note which hosts know by now."""
-        if self.last_at is not None:
-            return
-        fleet = self.world.fleet
-        know = [
-            bool(host.core.rates.stated.limited()) == self.is_limited
-            for host in fleet.running()
-        ]
-        now = fleet.clock.seconds()
-        if any(know) and self.first_at is None:
-            self.first_at = now
-        if all(know):
-            self.last_at = now
-
-    def ms_since_first(self):
-        """Return milliseconds from the first to the last; -1 if not all."""
-        if self.last_at is None:
-            return -1
-        return round((self.last_at - self.first_at) * _MS)
+    return SpreadWatch(world.fleet, knows)
 
 
 def _farthest_host(world):
--- a/pollenstile/bench/withdrawals.py
+++ b/pollenstile/bench/withdrawals.py
@@ -18,6 +18,7 @@
     TIMED_FAULTS,
     inject_fault,
 )
+from pollenstile.bench._spread import SpreadWatch
 from pollenstile.bench._withdrawalworld import WithdrawalWorld
 
 # Hosts and failure domains.
@@ -56,7 +57,7 @@
         Arrivals from hosts over 0.1 s and over 2 s after an answer that had
         told them.
     known_ms : int
-        Time from the first such answer until all hosts know, or -1.
+        Time from the first host that knows until all do, or -1.
     last_ms : int
         Time from that answer until the last arrival from any host.
     served, refused : int
@@ -130,19 +131,12 @@
     if fault in TIMED_FAULTS:
         fleet.advance(_FAULT_BEGUN_SECONDS)
     world.state_leaving(address)
-    unaware_at = [-1.0]
-
-    def look():
-        if not world.upstreams.departures:
-            return
-        know = [
-            host.core.permissions.leaving.is_leaving(name)
-            for host in fleet.running()
-        ]
-        if not all(know):
-            unaware_at.append(fleet.clock.seconds())
-
-    costs = measure_costs(fleet, lambda: fleet.advance(_STATING_SECONDS, look))
+    known = SpreadWatch(
+        fleet, lambda host: host.core.permissions.leaving.is_leaving(name)
+    )
+    costs = measure_costs(
+        fleet, lambda: fleet.advance(_STATING_SECONDS, known.look)
+    )
     upstreams = world.upstreams
     first = upstreams.departures[0].at
     last = max(
@@ -157,9 +151,9 @@
         fault,
         len(upstreams.arrivals_after_departure(_AIM_SECONDS)),
         len(upstreams.arrivals_after_departure(_LEAVING_SECONDS)),
-        round(max(0.0, unaware_at[-1] - first) * _MS),
+        known.ms_since_first(),
         round(max(0.0, last - first) * _MS),
-        *_count_answers(world),
+        *world.count_answers(),
         round(calm.host_bytes / _CALM_SECONDS),
         round(costs.host_bytes / _STATING_SECONDS),
     )
@@ -192,7 +186,7 @@
         upstreams.most_in_rest(_AIM_SECONDS),
         upstreams.most_in_rest(_REST_SECONDS),
         round(upstreams.longest_idle() * _MS),
-        *_count_answers(world),
+        *world.count_answers(),
     )
 
 
@@ -205,13 +199,6 @@
     return world
 
 
-def _count_answers(world):
-    """Return the numbers of answered and of refused requests."""
-    answers = [sent.answer for sent in world.sent]
-    served = sum(answer.end == 'whole' for answer in answers)
-    return served, sum(answer.refusal is not None for answer in answers)
-
-
 def add_parser(benches):
     """Add ``bench withdrawals``."""
     parser = benches.add_parser(
