tools: a known failure is one scenario, by location and name

An entry whose test had been mended, or whose line had come to belong to another scenario, went unnoticed.

An entry now begins with one location and the scenario's name in quotes, and both must match. An entry whose scenario passes, is not at its line, or that can't be read counts as a failure. The scenarios of knownred.feature with an entry for line 32 and a failure at line 3 fail on the matching as it was ("in line").

--- /dev/null
+++ b/features/knownred.feature
@@ -0,0 +1,35 @@
+Feature: the list of known failures
+
+  Scenario Outline: Only the listed scenario is a known failure: <entry>
+    A failure of another scenario must fail the run.
+    Given a feature with a scenario "One" at line 3 and "Two" at line 32
+    And an entry for "<listed>" at line <entry>
+    When the scenario "<name>" at line <line> fails
+    Then that failure is <known>
+
+    Examples:
+      | listed | entry | name | line | known     |
+      | Two    | 32    | Two  | 32   | known     |
+      | Two    | 32    | One  | 3    | not known |
+      | One    | 32    | Two  | 32   | not known |
+
+  Scenario Outline: An entry that names no failure is reported: <listed> at <entry>
+    A test that has been mended, or whose line has moved, stays listed unnoticed.
+    Given a feature with a scenario "One" at line 3 and "Two" at line 32
+    And an entry for "<listed>" at line <entry>
+    When the scenario "One" at line 3 fails
+    Then the entry is reported with "<message>"
+
+    Examples:
+      | listed | entry | message           |
+      | Two    | 32    | passes            |
+      | Two    | 3     | is not "Two"      |
+      | Two    | 33    | is not "Two"      |
+
+  Scenario: An entry that can't be read is reported
+    Given an entry "features/a.feature:3: no name"
+    Then the entry is unreadable
+
+  Scenario: A row of an outline is known by its own line
+    Given the summary of a failed row of an outline, at line 41
+    Then the failed scenario at line 41 is named as in its feature
--- /dev/null
+++ b/features/steps/knownred_steps.py
@@ -0,0 +1,88 @@
+"""Steps for the list of known failures."""
+
+import pathlib
+import tempfile
+
+from behave import given, then, when
+
+from tools.knownred import failed_scenarios, read_entries, stale_entries
+
+_PATH = 'features/a.feature'
+
+
+def _entry(name, line):
+    return f'{_PATH}:{line} "{name}": `behave {_PATH}:{line}`, as seen; issue 2'
+
+
+def _write_feature(root, titles):
+    """Write a feature with scenarios at given lines."""
+    lines = ['Feature: a']
+    for line, title in titles.items():
+        while len(lines) < line - 1:
+            lines.append('')
+        lines.append(f'  Scenario: {title}')
+    path = root / _PATH
+    path.parent.mkdir()
+    path.write_text('\n'.join(lines))
+
+
+@given(
+    'a feature with a scenario "{one}" at line {first:d} and "{two}" at line'
+    ' {second:d}'
+)
+def given_feature(context, one, first, two, second):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.root = pathlib.Path(directory.name)
+    _write_feature(context.root, {first: one, second: two})
+
+
+@given('an entry for "{name}" at line {line:d}')
+def given_entry(context, name, line):
+    entries, unreadable = read_entries(_entry(name, line))
+    context.entries = entries
+    assert not unreadable
+
+
+@given('an entry "{text}"')
+def given_text(context, text):
+    entries, unreadable = read_entries(text)
+    context.entries = entries
+    context.unreadable = unreadable
+
+
+@when('the scenario "{name}" at line {line:d} fails')
+def when_fails(context, name, line):
+    context.seen = failed_scenarios(f'  {_PATH}:{line}  {name}\n')
+    assert len(context.seen) == 1
+
+
+@then('that failure is {expected}')
+def then_known(context, expected):
+    is_known = bool(context.entries & context.seen)
+    assert is_known == (expected == 'known'), context.seen
+
+
+@then('the entry is reported with "{message}')
+def then_reported(context, message):
+    reported = stale_entries(context.entries, context.seen, context.root)
+    assert len(reported) == 1 and message.rstrip('"') in reported[0], reported
+
+
+@then('the entry is unreadable')
+def then_unreadable(context):
+    assert not context.entries
+    assert len(context.unreadable) == 1
+
+
+@given('the summary of a failed row of an outline, at line {line:d}')
+def given_row(context, line):
+    context.seen = failed_scenarios(
+        f'\nFailing scenarios:\n  {_PATH}:{line}  Two: seed 1 -- @1.2 \n'
+    )
+
+
+@then('the failed scenario at line {line:d} is named as in its feature')
+def then_named(context, line):
+    entries, _ = read_entries(_entry('Two: seed 1', line))
+    assert context.seen == entries, context.seen
--- a/tools/check.py
+++ b/tools/check.py
@@ -6,8 +6,9 @@
 ``check.py`` runs the formatter, the linter, the doctests, behave and the
 specification; ``check.py NAME ...`` runs only the named checks. Each check
 prints its own output; the last line is ``N passed, N failed``. A failed
-scenario that a line of ``KNOWN-RED.txt`` names by file and line number does not
-count as failed, and these lines are printed.
+scenario that a line of ``KNOWN-RED.txt`` names does not count as failed, and
+these lines are printed. A line whose scenario passes or has moved counts as
+failed.
 """
 
 import os
@@ -16,12 +17,14 @@
 import subprocess  # noqa: S404
 import sys
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from knownred import failed_scenarios, read_entries, stale_entries
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(sys.executable).parent
 SOURCES = ('pollenstile', 'platform', 'features', 'tools', 'spec')
 MODULES = re.compile(r'(\d+) modules passed, (\d+) failed')
-FAILED = re.compile(r'^  (features/\S+\.feature:\d+) ', re.MULTILINE)
 # Features of many whole hosts in virtual time, which take the most processor
 # time.
 _FLEET_FEATURES = (
@@ -43,10 +46,9 @@
 
 
 def _known_red():
+    """Return the text of the list of known failures."""
     page = ROOT / 'KNOWN-RED.txt'
-    if not page.exists():
-        return []
-    return [line for line in page.read_text().splitlines() if line.strip()]
+    return page.read_text() if page.exists() else ''
 
 
 def _sources():
@@ -103,36 +105,43 @@
     Explanation
     ===========
 
-    Known failures are not counted. The live soak mostly waits for its
+    Known failures are not counted as failed; entries of the list that name
+    none, or can't be read, are. The live soak mostly waits for its
     processes, and the features of whole hosts take most of the time, so both
     run beside the other features.
     """
     with ThreadPoolExecutor() as pool:
-        counts = list(pool.map(_run_features, _FEATURE_GROUPS))
-    return sum(passed for passed, _ in counts), sum(
-        failed for _, failed in counts
-    )
+        runs = list(pool.map(_run_features, _FEATURE_GROUPS))
+    passed = sum(run.passed for run in runs)
+    failed = sum(run.failed for run in runs)
+    scenarios = set().union(*(run.scenarios for run in runs))
+    entries, unreadable = read_entries(_known_red())
+    faults = stale_entries(entries, scenarios, ROOT)
+    faults.extend(f'unreadable: {line}' for line in unreadable)
+    for fault in faults:
+        print(f'KNOWN-RED.txt: {fault}')
+    return passed, failed - len(entries & scenarios) + len(faults)
+
+
+@dataclass(slots=True, frozen=True)
+class _Run:
+    """Counts of the scenarios of one behave process, and the failed ones."""
+
+    passed: int
+    failed: int
+    scenarios: frozenset = frozenset()
 
 
 def _run_features(group):
-    """Run a group of features; return the counts of its scenarios."""
+    """Run a group of features."""
     command = [str(BIN / 'behave'), '--format', 'progress', '--no-capture']
     code, text = _run_command([*command, *group])
     found = SUMMARY.search(text)
     if not found:
-        return 0, max(code, 1)
+        return _Run(0, max(code, 1))
     passed, failed, errors = (int(part or 0) for part in found.groups())
-    return passed, failed + errors - _count_known_red(text)
-
-
-def _count_known_red(text):
-    """Return the number of failed scenarios that are known failures."""
-    failed = set(FAILED.findall(text))
-    known = 0
-    for location in failed:
-        if any(location in line for line in _known_red()):
-            known += 1
-    return known
+    scenarios = frozenset(failed_scenarios(text))
+    return _Run(passed, failed + errors, scenarios)
 
 
 def check_spec():
@@ -167,7 +176,7 @@
         )
         passed += check_passed
         failed += check_failed
-    for line in _known_red():
+    for line in filter(str.strip, _known_red().splitlines()):
         print(f'known red: {line}')
     print(f'{passed} passed, {failed} failed')
     return 1 if failed else 0
--- /dev/null
+++ b/tools/knownred.py
@@ -0,0 +1,120 @@
+"""Known failures of ``KNOWN-RED.txt``, compared with the scenarios that ran.
+
+Explanation
+===========
+
+Each entry is a line that begins with the location of one scenario and the
+scenario's name in quotes::
+
+    features/a.feature:12 "Two hosts: seed 1": command, what was seen; issue 2
+
+A failed scenario counts as known only if an entry names it by both. An entry
+whose scenario passes, or is no longer at its location, is stale.
+"""
+
+import re
+from dataclasses import dataclass
+
+from behave.parser import parse_file
+
+_ENTRY = re.compile(r'(features/\S+\.feature:\d+) "([^"]+)": \S')
+_FAILED = re.compile(r'^  (features/\S+\.feature:\d+)  (.+)$', re.MULTILINE)
+# Suffix that names the row of a scenario outline, such as `` -- @1.2 ``.
+_ROW = re.compile(r'(?<=\S) -- @\S+ ?.*$')
+
+
+@dataclass(slots=True, frozen=True)
+class Scenario:
+    """A scenario by its location and its name.
+
+    Parameters
+    ==========
+
+    location : str
+        Path of the feature from the root, and the line number.
+    name : str
+        The name without the suffix of an outline's row.
+    """
+
+    location: str
+    name: str
+
+
+def failed_scenarios(text):
+    """Return the failed scenarios that a summary of behave lists."""
+    return {
+        Scenario(location, _name_of(title))
+        for location, title in _FAILED.findall(text)
+    }
+
+
+def existing_scenarios(root, location):
+    """Return the scenarios of the feature of a location; none if it is gone.
+
+    Parameters
+    ==========
+
+    root : pathlib.Path
+        Root of the repository.
+    location : str
+        Location of any line of the feature.
+    """
+    path = location.rpartition(':')[0]
+    if not (root / path).exists():
+        return set()
+    feature = parse_file(str(root / path))
+    return {
+        Scenario(f'{path}:{scenario.line}', _name_of(scenario.name))
+        for scenario in feature.walk_scenarios()
+    }
+
+
+def read_entries(page):
+    """Return the scenarios of a page's entries, and its unreadable lines.
+
+    Returns
+    =======
+
+    set of Scenario, list of str
+    """
+    entries = set()
+    unreadable = []
+    for line in page.splitlines():
+        if not line.strip():
+            continue
+        match = _ENTRY.match(line)
+        if match is None:
+            unreadable.append(line)
+            continue
+        entries.add(Scenario(match.group(1), match.group(2)))
+    return entries, unreadable
+
+
+def stale_entries(entries, failed, root):
+    """Return a message for each entry that names no failed scenario.
+
+    Parameters
+    ==========
+
+    entries : set of Scenario
+        The known failures.
+    failed : set of Scenario
+        Scenarios that failed in a run of all features.
+    root : pathlib.Path
+        Root of the repository.
+    """
+    messages = []
+    for entry in sorted(entries - failed, key=_location):
+        if entry in existing_scenarios(root, entry.location):
+            messages.append(f'{entry.location} passes, but is listed')
+            continue
+        messages.append(f'{entry.location} is not "{entry.name}"')
+    return messages
+
+
+def _location(scenario):
+    return scenario.location
+
+
+def _name_of(title):
+    return _ROW.sub('', title).strip()
