forward: copies of an unproven request go to the same few upstreams, in turns

Sound copies were piled on a few upstreams beside idle ones: of 50 identical streams at upstreams of 4 slots 45 and 47 were served, of 200 at 30 hosts 48.

Cause: hosts chose by what each sees. Of 61 choices 34 differed by failure domain alone, 10 by own load alone, none by speed or failures. And a host whose candidate refused a connection went on to an upstream that no copy had reached, before reports of the crash were in. Ruled out: a late verdict (50 ms after the third crash).

Change: until an answer has begun, hosts choose among three candidates by rendezvous, in different domains, others at a cost; one copy a host at a time; candidates are replaced only when none is left, after the reports, by no more than may still crash.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -32,6 +32,28 @@
       | 9     | 4       | 1    | 4    |
       | 9     | 4       | 2    | 4    |
 
+  Scenario Outline: <count> callers send a crashing request within <window> s, beside other traffic: <hosts> hosts, <rate> requests a second
+    Copies go on arriving while some hosts have found their upstreams crashed.
+    Given <hosts> hosts and <hosts> upstreams in <domains> failure domains, for <route> requests
+    And other requests arrive <rate> times a second for 6 seconds, by seed <seed>
+    When a crashing request arrives <count> times within <window> seconds, at all hosts in turn
+    Then at most 4 upstreams have crashed
+
+    Examples:
+      | hosts | domains | rate | count | window | route    | seed |
+      | 9     | 4       | 60   | 20    | 0.03   | resumed  | 1    |
+      | 9     | 4       | 20   | 100   | 0.03   | resumed  | 1    |
+      | 9     | 4       | 20   | 20    | 0.3    | resumed  | 1    |
+      | 9     | 4       | 20   | 20    | 0.3    | repeated | 2    |
+      | 9     | 4       | 20   | 20    | 0.03   | once     | 1    |
+      | 30    | 3       | 100  | 20    | 0.03   | resumed  | 1    |
+
+  Scenario: Fifty callers send a sound request at one instant
+    Kept to few upstreams like a crashing one, it would wait there beside idle ones.
+    Given 9 hosts and 9 upstreams of 4 slots in 4 failure domains
+    When a sound request arrives 50 times within 0.03 seconds, at all hosts in turn
+    Then each caller is served, and no upstream was idle
+
   Scenario: Two such requests beside sound ones
     Requests that run beside them fail repeatedly without being the cause.
     Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -70,6 +70,35 @@
     context.world = CrashWorld(hosts, upstreams, domains, route)
 
 
+@given(
+    '{hosts:d} hosts and {upstreams:d} upstreams of {slots:d} slots in'
+    ' {domains:d} failure domains'
+)
+def given_slots(context, hosts, upstreams, slots, domains):
+    context.world = CrashWorld(hosts, upstreams, domains, slots=slots)
+
+
+@when(
+    'a sound request arrives {count:d} times within {seconds:g} seconds, at all'
+    ' hosts in turn'
+)
+def when_sound_arrives(context, count, seconds):
+    names = [host.name for host in _fleet(context).running()]
+    context.world.schedule_requests(
+        [_HARMLESS], seconds / count, seconds, names
+    )
+    context.world.advance(12.0)
+
+
+@then('each caller is served, and no upstream was idle')
+def then_served(context):
+    world = context.world
+    served, _ = world.count_answers()
+    assert served == len(world.sent), (served, len(world.sent))
+    used = {arrival.upstream for arrival in world.upstreams.arrivals}
+    assert len(used) == len(world.upstreams.running()), used
+
+
 @given(
     'harmless requests arrive 8 times a second, each 4 times whatever the result'
 )
--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -64,6 +64,8 @@
         The number of hosts, upstreams and failure domains.
     route : str
         The kind of route: ``'resumed'``, ``'repeated'`` or ``'once'``.
+    slots : int
+        Number of requests that an upstream runs at a time; 0 for any number.
 
     Attributes
     ==========
@@ -78,12 +80,13 @@
 
     __slots__ = ('fleet', 'numbers', 'route', 'sent', 'upstreams')
 
-    def __init__(self, hosts, upstreams, domains, route='resumed'):
+    def __init__(self, hosts, upstreams, domains, route='resumed', slots=0):
         self.fleet = DomainWorld(hosts, domains, repeat_slack=_RETRY_SLACK)
         self.route = _ROUTES[route]
         self.numbers = itertools.count()
         self.sent = []
         self.upstreams = self.make_upstreams()
+        self.upstreams.slots = slots
         for host in self.fleet.hosts.values():
             self.join(host)
         names = sorted({host.domain for host in self.fleet.hosts.values()})
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -159,7 +159,6 @@
         Delivered, UpstreamFailure, NotRun or Lost
         """
         tokens = sum(size for _, size in self.exchange.prompt)
-        self.core.copies.add(self.exchange.fingerprint, self.view.ident)
         self.view.in_flight += 1
         self.view.in_flight_tokens += tokens
         try:
@@ -175,7 +174,6 @@
 
     def _release_counts(self, tokens):
         self.input_release.stop()
-        self.core.copies.remove(self.exchange.fingerprint, self.view.ident)
         self.view.in_flight -= 1
         self.view.in_flight_tokens -= tokens
 
@@ -389,6 +387,7 @@
 
     def _learn_first_bytes(self):
         self.input_release.release()
+        self.core.copies.note_begun(self.exchange.fingerprint)
         first_seconds = self.first_at - self.started
         learn_success(self.view, first_seconds)
         exchange = self.exchange
@@ -409,7 +408,7 @@
             # An upstream that states when it wants requests again is believed.
             # With a back-off besides, it would be idle after that time.
             if self.core.permissions.withdrawn(self.view.incarnation) is None:
-                learn_unavailable(self.view, now)
+                learn_unavailable(self.view, now, arrived=outcome.arrived)
         elif isinstance(outcome, (Lost, UpstreamFailure)):
             learn_failure(self.view)
         elif not self.streaming:
--- a/pollenstile/forward/_copies.py
+++ b/pollenstile/forward/_copies.py
@@ -1,49 +1,129 @@
-"""Copies of one request that this host has in flight."""
+"""Turns of identical requests that may crash the upstreams that run them.
+
+Explanation
+===========
+
+Copies of a request that crashes upstreams would each crash another one if they
+were sent before the first crash is known. A request counts as proven once an
+upstream has begun to answer it. Until then a host sends one copy at a time, and
+all hosts send to the same few upstreams; see
+:func:`~pollenstile.forward._selection.candidates_of_unproven`.
+"""
+
+from twisted.internet.defer import Deferred, succeed
+
+from pollenstile.quarantine import CompletedRuns
 
 
 class Copies:
-    """Upstreams to which this host has sent requests, by fingerprint.
+    """Copies of requests that this host sends, by fingerprint.
 
-    Explanation
-    ===========
+    Parameters
+    ==========
 
-    Copies of a request that has not run to its end lately are sent to the same
-    upstream: if the request crashes upstreams, copies that are sent before the
-    first crash is known would each crash another one.
+    clock : IReactorTime
+        Makes the timers.
+    quarantine : Quarantine
+        Requests that ran to completion, and those that are suspect.
 
     Attributes
     ==========
 
-    idents : dict
-        Identifiers of the upstreams at which copies are in flight, one for
-        each copy, by fingerprint.
+    begun : CompletedRuns
+        Requests that an upstream has begun to answer.
+    running : dict
+        Number of copies that have their turn, by fingerprint.
+    waiting : dict
+        Deferreds of the copies that wait for theirs, by fingerprint.
     """
 
-    __slots__ = ('idents',)
+    __slots__ = ('begun', 'clock', 'quarantine', 'running', 'waiting')
 
-    def __init__(self):
-        self.idents = {}
+    def __init__(self, clock, quarantine):
+        self.clock = clock
+        self.quarantine = quarantine
+        self.begun = CompletedRuns(clock)
+        self.running = {}
+        self.waiting = {}
 
-    def add(self, fingerprint, ident):
-        """Note that a request is sent to an upstream."""
-        if fingerprint:
-            self.idents.setdefault(fingerprint, []).append(ident)
+    def is_proven(self, fingerprint):
+        """Return whether a request is known not to crash its upstream.
 
-    def remove(self, fingerprint, ident):
-        """Note that a request at an upstream has ended."""
+        Explanation
+        ===========
+
+        One without a fingerprint can't be recognised, so it counts as proven.
+        """
+        if not fingerprint:
+            return True
+        if self.quarantine.completed_runs.has_recent(fingerprint):
+            return True
+        if self.quarantine.is_suspect(fingerprint):
+            return False
+        return self.begun.has_recent(fingerprint)
+
+    def must_wait(self, fingerprint):
+        """Return whether another copy has its turn, and nothing is proven."""
+        return fingerprint in self.running and not self.is_proven(fingerprint)
+
+    def note_begun(self, fingerprint):
+        """Record that an upstream has begun to answer a request."""
         if not fingerprint:
             return
-        idents = self.idents[fingerprint]
-        idents.remove(ident)
-        if not idents:
-            self.idents.pop(fingerprint)
-
-    def shared_view(self, fingerprint, views):
-        """Return the one of some upstreams that runs a copy, or None."""
-        idents = self.idents.get(fingerprint)
-        if not idents:
-            return None
-        for view in views:
-            if view.ident in idents:
-                return view
-        return None
+        self.begun.add(fingerprint)
+        self._wake(fingerprint)
+
+    def turn(self, fingerprint, seconds):
+        """Return a Deferred that fires when a copy may be sent.
+
+        Parameters
+        ==========
+
+        fingerprint : str
+            The request. Each turn is ended by :meth:`end_turn`.
+        seconds : float
+            Time after which it may be sent in any case.
+        """
+        if seconds <= 0 or not self.must_wait(fingerprint):
+            self._add(fingerprint)
+            return succeed(None)
+        woken = Deferred(lambda _: self._remove(fingerprint, woken))
+        self.waiting.setdefault(fingerprint, []).append(woken)
+        timer = self.clock.callLater(seconds, self._start, fingerprint, woken)
+        woken.addBoth(_stop_timer, timer)
+        return woken
+
+    def end_turn(self, fingerprint):
+        """Record that a copy has been answered, or was not sent."""
+        if not fingerprint:
+            return
+        self.running[fingerprint] -= 1
+        if not self.running[fingerprint]:
+            self.running.pop(fingerprint)
+        self._wake(fingerprint)
+
+    def _wake(self, fingerprint):
+        """Let those copies go on that need not wait any longer."""
+        while fingerprint in self.waiting and not self.must_wait(fingerprint):
+            self._start(fingerprint, self.waiting[fingerprint][0])
+
+    def _start(self, fingerprint, woken):
+        self._remove(fingerprint, woken)
+        self._add(fingerprint)
+        woken.callback(None)
+
+    def _add(self, fingerprint):
+        if fingerprint:
+            self.running[fingerprint] = self.running.get(fingerprint, 0) + 1
+
+    def _remove(self, fingerprint, woken):
+        waiting = self.waiting[fingerprint]
+        waiting.remove(woken)
+        if not waiting:
+            self.waiting.pop(fingerprint)
+
+
+def _stop_timer(result, timer):
+    if timer.active():
+        timer.cancel()
+    return result
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -64,7 +64,7 @@
     ==========
 
     copies : Copies
-        Requests in flight at upstreams, by fingerprint.
+        Turns of identical requests.
     tokens : TokenQueue
         Requests that wait until they may be sent to such an upstream.
     """
@@ -85,7 +85,7 @@
     quarantine: Quarantine | None = None
     crashes: CrashDetector | None = None
     permissions: Permissions | None = None
-    copies: Copies = field(default_factory=Copies)
+    copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
 
     def __post_init__(self):
@@ -93,6 +93,7 @@
             self.quarantine = Quarantine(
                 self.clock, '', self.registry.count, self.log
             )
+        self.copies = Copies(self.clock, self.quarantine)
         if self.crashes is None:
             self.crashes = CrashDetector(
                 self.registry, self.client, self.clock, self.log
--- a/pollenstile/forward/_crash_evidence.py
+++ b/pollenstile/forward/_crash_evidence.py
@@ -5,6 +5,7 @@
 
 from pollenstile.forward._attempt import Delivered, UpstreamFailure
 from pollenstile.forward._crashes import incarnation_of
+from pollenstile.forward._dispatch import candidates_failed_at
 from pollenstile.forward._types import Lost, Refusal
 from pollenstile.quarantine import HELD_REASON, Suspect
 
@@ -58,6 +59,21 @@
     return Deferred.fromCoroutine(_reports_of(core, examined))
 
 
+async def await_reports(core, exchange, tried):
+    """Wait for reports of crashes before more upstreams are put at risk.
+
+    Parameters
+    ==========
+
+    tried : list of str
+        Identifiers of upstreams that the request was sent to before.
+    """
+    failed_at = candidates_failed_at(core, exchange, tried)
+    wait = failed_at + _REPORT_SECONDS - core.clock.seconds()
+    if failed_at and wait > 0:
+        await deferLater(core.clock, wait)
+
+
 async def _reports_of(core, examined):
     """Wait until other hosts can have reported the crash of a copy.
 
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -8,8 +8,11 @@
     token_wait,
 )
 from pollenstile.forward._selection import (
+    UNPROVEN_CANDIDATES,
+    candidates_of_unproven,
     current_load,
     home_engine,
+    no_cost,
     own_tokens,
     select_engine,
     select_plain_upstream,
@@ -23,6 +26,14 @@
 # Assumed answer time of a plain upstream without measurements, as a share of
 # the route's target latency.
 _DEFAULT_ANSWER_SHARE = 0.25
+# Cost of sending an unproven request to an upstream that is not one of its
+# candidates, as a share of its target latency.
+_SPREAD_SHARE = 0.1
+# The same for a request that was running when an upstream crashed.
+_SUSPECT_SPREAD_SHARE = 1.0
+# Part of the time until its target latency is at risk for which a request waits
+# for the answer to a copy of it.
+_TURN_SHARE = 0.5
 # Advised seconds until a retry when all upstreams of a service leave: one that
 # replaces them registers within about a heartbeat of its start.
 _REPLACEMENT_SECONDS = 1.0
@@ -131,6 +142,34 @@
     return None
 
 
+async def await_turn(core, exchange, tried, inputs):
+    """Wait until a request may be sent beside copies of it.
+
+    Explanation
+    ===========
+
+    A request that no upstream permits in time does not wait: it is refused when
+    its permission is asked for again.
+    """
+    seconds = 0.0
+    if core.copies.must_wait(exchange.fingerprint):
+        refused = await await_permission(core, exchange, tried, inputs)
+        if refused is None:
+            seconds = _turn_seconds(core, exchange)
+    await core.copies.turn(exchange.fingerprint, seconds)
+
+
+def _turn_seconds(core, exchange):
+    """Return the seconds for which a request may wait for its turn."""
+    views = core.registry.usable(exchange.service)
+    expected = max(
+        (expected_answer_seconds(core, exchange, view) for view in views),
+        default=0.0,
+    )
+    slack = exchange.aim - expected - core.clock.seconds()
+    return _TURN_SHARE * slack
+
+
 async def early_refusal(core, exchange):
     """Return a ``NotRun`` if a request can't be sent in time, or None.
 
@@ -196,15 +235,16 @@
 
 def _select(core, exchange, views, inputs):
     """Return the best of some upstreams for a request."""
-    fingerprint = exchange.fingerprint
-    if not core.quarantine.completed_runs.has_recent(fingerprint):
-        shared = core.copies.shared_view(fingerprint, views)
-        if shared is not None:
-            return shared
+    spread_cost = _spread_cost(core, exchange, views)
     now = core.clock.seconds()
     if not exchange.prompt:
         return select_plain_upstream(
-            views, now, core.domain, core.rng, fingerprint
+            views,
+            now,
+            core.domain,
+            core.rng,
+            exchange.fingerprint,
+            spread_cost,
         )
     return select_engine(
         views,
@@ -214,9 +254,89 @@
         exchange.prompt,
         core.first_tokens.token_seconds(exchange.service),
         inputs,
+        spread_cost,
     )
 
 
+def _spread_cost(core, exchange, views):
+    """Return the function that keeps an unproven request to few upstreams.
+
+    Explanation
+    ===========
+
+    Other upstreams are chosen where that lets the request begin earlier by a
+    good part of its target latency.
+    """
+    if core.copies.is_proven(exchange.fingerprint):
+        return no_cost
+    candidates = _idents(_unproven_candidates(core, exchange, views))
+    is_suspect = core.quarantine.is_suspect(exchange.fingerprint)
+    share = _SUSPECT_SPREAD_SHARE if is_suspect else _SPREAD_SHARE
+    seconds = share * exchange.route.aim
+
+    def cost(view):
+        return 0.0 if view.ident in candidates else seconds
+
+    return cost
+
+
+def _unproven_candidates(core, exchange, views):
+    """Return those of some upstreams to which an unproven request may go.
+
+    Explanation
+    ===========
+
+    Others replace the candidates of all hosts only when none of these is left,
+    and only as many as may crash until the request is quarantined: if each one
+    that fails were replaced at once, copies would spread as far as they crash
+    upstreams.
+    """
+    shared = _idents(_shared_candidates(core, exchange))
+    left = [view for view in views if view.ident in shared]
+    crashes = core.quarantine.evidence.crash_count(exchange.fingerprint)
+    count = max(1, UNPROVEN_CANDIDATES - crashes)
+    return left or _candidates(exchange, views)[:count]
+
+
+def _shared_candidates(core, exchange):
+    """Return the candidates that all hosts with the same registry choose."""
+    return _candidates(exchange, core.registry.usable(exchange.service))
+
+
+def _candidates(exchange, views):
+    return candidates_of_unproven(
+        views, exchange.fingerprint, subject_of(exchange.prompt)
+    )
+
+
+def _idents(views):
+    return {view.ident for view in views}
+
+
+def candidates_failed_at(core, exchange, tried):
+    """Return when the last candidate of an unproven request failed.
+
+    Explanation
+    ===========
+
+    They may have crashed while running copies of it.
+
+    Returns
+    =======
+
+    float
+        Time on the clock; 0 while the request may be sent to a candidate, or if
+        connections to none of them have failed.
+    """
+    if core.copies.is_proven(exchange.fingerprint):
+        return 0.0
+    shared = _shared_candidates(core, exchange)
+    idents = _idents(_usable_views(core, exchange, tried))
+    if any(view.ident in idents for view in shared):
+        return 0.0
+    return max((view.unreached_since for view in shared), default=0.0)
+
+
 def cold_rate(exchange):
     """Return a cold upstream's limit in requests a second; 0 if unlimited."""
     service = exchange.table.services.get(exchange.service)
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -11,6 +11,7 @@
     """Record an answer that began after the given number of seconds."""
     view.failures -= _SMOOTHING_FACTOR * view.failures
     view.backoff_count = 0
+    view.unreached_since = 0.0
     if view.seconds:
         view.seconds += _SMOOTHING_FACTOR * (seconds - view.seconds)
     else:
@@ -22,7 +23,7 @@
     view.failures += _SMOOTHING_FACTOR * (1 - view.failures)
 
 
-def learn_unavailable(view, now):
+def learn_unavailable(view, now, *, arrived=True):
     """Back off from an upstream that was unreachable or full.
 
     Explanation
@@ -31,7 +32,17 @@
     A crashed upstream resets or drops connections until the registry removes
     it, three heartbeats later. Without the back-off each further request would
     lose the time of a handshake.
+
+    Parameters
+    ==========
+
+    arrived : bool
+        Whether it was reached.
     """
+    if arrived:
+        view.unreached_since = 0.0
+    elif not view.unreached_since:
+        view.unreached_since = now
     backoff = min(
         _MAX_BACKOFF_SECONDS, _MIN_BACKOFF_SECONDS * 2**view.backoff_count
     )
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -11,6 +11,7 @@
     UpstreamFailure,
 )
 from pollenstile.forward._crash_evidence import (
+    await_reports,
     quarantine_refusal,
     record_outcome,
 )
@@ -24,6 +25,7 @@
 )
 from pollenstile.forward._dispatch import (
     await_permission,
+    await_turn,
     cold_rate,
     early_refusal,
     expected_answer_seconds,
@@ -153,24 +155,9 @@
             return
         if not await self._run_stages():
             return
-        while True:
-            inputs = self.chain.held_bytes() if self.chain else {}
-            view = await _next_view(self, inputs)
-            if isinstance(view, (NotRun, Refusal)):
-                self._give_up(view)
-                return
-            self.waste.note_read(inputs, view.domain)
-            outcome = await self._send_attempt(view, inputs)
-            await record_outcome(
-                self.core, self.exchange, self.attempt, outcome
-            )
-            if isinstance(outcome, Delivered):
-                return
-            if not self._decide_resend(outcome):
-                self._give_up(outcome)
-                return
-            if not await self._rerun_stages(outcome):
-                return
+        outcome = await self._send_in_turn()
+        while outcome is not None and await self._rerun_stages(outcome):
+            outcome = await self._send_in_turn()
 
     def handle_expiry(self, failure):
         """Refuse the request at its deadline, or note a caller's disconnect."""
@@ -244,6 +231,42 @@
             Refusal(_UNAVAILABLE, failed.reason, failed.step, '', wait),
         )
 
+    async def _send_in_turn(self):
+        """Send the request once, after other copies of it where needed.
+
+        Returns
+        =======
+
+        NotRun, Lost, UpstreamFailure or None
+            The outcome after which the request is sent again; None if it is
+            over.
+        """
+        fingerprint = self.exchange.fingerprint
+        await await_turn(self.core, self.exchange, self.tried, self._inputs())
+        try:
+            return await self._send_once(self._inputs())
+        finally:
+            self.core.copies.end_turn(fingerprint)
+
+    async def _send_once(self, inputs):
+        view = await _next_view(self, inputs)
+        if isinstance(view, (NotRun, Refusal)):
+            self._give_up(view)
+            return None
+        self.waste.note_read(inputs, view.domain)
+        outcome = await self._send_attempt(view, inputs)
+        await record_outcome(self.core, self.exchange, self.attempt, outcome)
+        if isinstance(outcome, Delivered):
+            return None
+        if self._decide_resend(outcome):
+            return outcome
+        self._give_up(outcome)
+        return None
+
+    def _inputs(self):
+        """Return the bytes of the stage results by failure domain."""
+        return self.chain.held_bytes() if self.chain else {}
+
     async def _send_attempt(self, view, inputs):
         self.tried.append(view.ident)
         self.sends += 1
@@ -347,6 +370,7 @@
     that a refusal would wrongly state that it did not run, or cut the answer
     off. Both may change while the request waits for permission.
     """
+    await await_reports(run.core, run.exchange, run.tried)
     limited = await await_permission(run.core, run.exchange, run.tried, inputs)
     refusal = quarantine_refusal(run.core, run.exchange) or limited
     if refusal is not None:
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -33,6 +33,11 @@
 _UNHEALTHY_MARGIN = 0.25
 
 
+# Upstreams that a request may go to before it is proven. It takes three crashes
+# to quarantine a request, so fewer candidates would spare none.
+UNPROVEN_CANDIDATES = 3
+
+
 @dataclass(slots=True)
 class UpstreamView:
     """Observed state of one upstream, local to this host.
@@ -60,6 +65,9 @@
         Time before which it is not used while there are others.
     backoff_count : int
         Number of consecutive back-offs; each one doubles the next.
+    unreached_since : float
+        Time of the first connection to it that failed since it last answered;
+        0 if none did.
     cold_until : float
         Time until which it is cold and accepts few requests a second; 0 when
         it last reported that it is warm.
@@ -82,6 +90,7 @@
     seconds: float = 0.0
     backoff_until: float = 0.0
     backoff_count: int = 0
+    unreached_since: float = 0.0
     cold_until: float = 0.0
     cold_sends: deque = field(default_factory=deque)
 
@@ -162,7 +171,49 @@
     return prompt[-2][0] if len(prompt) > 1 else ''
 
 
-def select_plain_upstream(views, now, domain, rng, fingerprint=''):
+def candidates_of_unproven(views, fingerprint, subject):
+    """Return the upstreams to which an unproven request may be sent.
+
+    Explanation
+    ===========
+
+    By rendezvous hashing all hosts choose among the same few upstreams, however
+    their loads and speeds compare at each host. They lie in different failure
+    domains where there are as many, so that most hosts have a near one.
+
+    Parameters
+    ==========
+
+    views : list of UpstreamView
+        Candidates.
+    fingerprint : str
+        The request.
+    subject : str
+        Its last shared prompt part, whose home engine is among the returned
+        ones; empty if it has none.
+    """
+    home = home_engine(views, subject) if subject else None
+
+    def rank(view):
+        return view is home, rendezvous_weight(fingerprint, view.ident)
+
+    ranked = sorted(views, key=rank, reverse=True)
+    first = {}
+    for view in ranked:
+        first.setdefault(view.domain, view)
+    nearest = list(first.values())
+    others = [view for view in ranked if first[view.domain] is not view]
+    return (nearest + others)[:UNPROVEN_CANDIDATES]
+
+
+def no_cost(view):
+    """Return no additional seconds; the default of ``spread_cost``."""
+    return 0.0
+
+
+def select_plain_upstream(
+    views, now, domain, rng, fingerprint='', spread_cost=no_cost
+):
     """Return the plain upstream with the lowest expected latency, or None.
 
     Parameters
@@ -178,6 +229,8 @@
         Breaks ties of requests without a fingerprint.
     fingerprint : str
         Breaks ties, so that hosts send copies of a request to the same one.
+    spread_cost : function
+        Returns seconds to add to the expected latency of a view.
     """
     if not views:
         return None
@@ -193,7 +246,7 @@
         tie = rng.random()
         if fingerprint:
             tie = rendezvous_weight(fingerprint, view.ident)
-        return expected + crossing_seconds, tie
+        return expected + crossing_seconds + spread_cost(view), tie
 
     return min(views, key=cost)
 
@@ -226,7 +279,16 @@
     return max(views, key=weight)
 
 
-def select_engine(views, now, domain, rng, prompt, token_seconds, inputs=None):
+def select_engine(
+    views,
+    now,
+    domain,
+    rng,
+    prompt,
+    token_seconds,
+    inputs=None,
+    spread_cost=no_cost,
+):
     """Return the model engine with the earliest expected first token, or None.
 
     Explanation
@@ -254,6 +316,8 @@
     inputs : dict or None
         Bytes of the request's stage results by failure domain. Bytes outside
         the engine's domain cross between domains, which is billed.
+    spread_cost : function
+        Returns seconds to add to the expected time of a view.
     """
     if not views:
         return None
@@ -273,7 +337,7 @@
             seconds += _CROSS_DOMAIN_SECONDS
         crossing_bytes = total - inputs.get(view.domain, 0)
         seconds += _CROSS_DOMAIN_BYTE_SECONDS * crossing_bytes
-        return seconds, rng.random()
+        return seconds + spread_cost(view), rng.random()
 
     return min(views, key=cost)
 
--- a/pollenstile/quarantine/__init__.py
+++ b/pollenstile/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Quarantine of requests that crash the upstreams that run them."""
 
+from pollenstile.quarantine._completedruns import CompletedRuns
 from pollenstile.quarantine._evidence import Crash, Evidence
 from pollenstile.quarantine._fingerprint import fingerprint
 from pollenstile.quarantine._quarantine import HELD_REASON, Quarantine, unix_ms
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -88,6 +88,8 @@
         self.address = address
         self.domain = domain
         self.calls = []
+        self.running = 0
+        self.waiting = []
 
 
 class CrashingUpstreams:
@@ -105,6 +107,9 @@
         Called with a body; returns whether the request crashes its upstream.
     work : float
         Run time of other requests, in seconds.
+    slots : int
+        Number of other requests that an upstream runs at a time; further ones
+        wait. 0 for any number.
 
     Attributes
     ==========
@@ -117,11 +122,12 @@
         Crashes, in order.
     """
 
-    def __init__(self, clock, write, is_crashing, work=1.0):
+    def __init__(self, clock, write, is_crashing, work=1.0, slots=0):
         self.clock = clock
         self.write = write
         self.is_crashing = is_crashing
         self.work = work
+        self.slots = slots
         self.processes = {}
         self.arrivals = []
         self.crashes = []
@@ -197,6 +203,16 @@
         if self.is_crashing(call.body):
             self.clock.callLater(_CRASH_SECONDS, self.crash, process, call.body)
             return
+        process.waiting.append(call)
+        self._run_next(process)
+
+    def _run_next(self, process):
+        if self.slots and process.running >= self.slots:
+            return
+        if not process.waiting:
+            return
+        process.running += 1
+        call = process.waiting.pop(0)
         self.clock.callLater(
             _FIRST_EVENT_SECONDS, self._send_head, process, call
         )
@@ -212,8 +228,17 @@
         }
 
     def _is_running(self, process, call):
-        alive = self.processes.get(process.address) is process
-        return alive and not call.cancelled
+        """Return whether a call goes on; free its slot if it does not."""
+        if self.processes.get(process.address) is not process:
+            return False
+        if call.cancelled:
+            self._end_run(process, call)
+        return not call.cancelled
+
+    def _end_run(self, process, call):
+        process.calls.remove(call)
+        process.running -= 1
+        self._run_next(process)
 
     def _send_head(self, process, call):
         if not self._is_running(process, call):
@@ -231,7 +256,7 @@
                 _EVENT_GAP_SECONDS, self._send_event, process, call, number + 1
             )
             return
-        process.calls.remove(call)
+        self._end_run(process, call)
         call.end(BodyEnd.COMPLETE)
 
 
