ratelimits: a host that goes missing and can't be reached keeps its rank

Callers and upstreams saw: two halves of the hosts that are missing from each other's lists and cut off from each other, both reaching an upstream, sent 86 to 91 requests in 4 s at a rate of 10 a second, of 65 allowed (9 hosts; 86, 87 at 30); 25 of 20 at 2.5 a second, 217 of 155 at 25.

Cause: a missing host that did not answer was dropped from the ranking at once, so each half had an allocator of the whole rate. Ruled out: tokens that were out at the split (arrivals stayed twice the rate for 10 s after the last of them), and the cut alone (42 to 45 with equal lists). The same elsewhere: a host that stands in for listed ones took them for ended after 8 s of silence.

Change: a missing host keeps its rank until it says that it leaves, its address refuses a connection, or it is silent for 60 s; a stand-in allocates a part for as long, but counts no host whose process has ended. An unanswered question tells a refused connection from silence.

The rows "two halves apart" fail without the change.

--- a/features/peer.feature
+++ b/features/peer.feature
@@ -127,3 +127,11 @@
     And peer "b" keeps links to "a"
     When peer "b" restarts with a higher boot number
     Then peer "a" has its link to the new process "b"
+
+  Scenario: A question tells a process that has ended from a silent one
+    A silent host may run and be cut off, so its work must not be taken over whole.
+    Given a peer port on the loopback
+    When the port is closed, and its hub asks a host at that address
+    Then the question is unanswered as "refused"
+    When the hub asks a host at an address that answers nothing
+    Then the question is unanswered as "timeout"
--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -36,6 +36,10 @@
       | 9     | 4       | 10   | 30   | 0.2 | all hosts restarted |
       | 9     | 4       | 1    | 3    | 0.2 | two halves          |
       | 9     | 4       | 10   | 30   | 0.2 | two halves          |
+      | 9     | 4       | 2.5  | 10   | 0.2 | two halves apart    |
+      | 9     | 4       | 10   | 30   | 0.2 | two halves apart    |
+      | 30    | 3       | 10   | 30   | 0.2 | two halves apart    |
+      | 9     | 4       | 10   | 30   | 0.2 | all hosts isolated for long |
 
   Scenario: An upstream lowers its rate while tokens are out
     Hosts hold tokens that were given for the higher rate.
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 from features.builders.loop import run_reactor_until
 from features.builders.peers import (
@@ -37,6 +37,17 @@
 }
 
 
+# Seconds for which a question over the loopback waits.
+_ASK_SECONDS = 0.3
+
+
+class _SilentFactory(Factory):
+    """Accepts connections and sends nothing."""
+
+    noisy = False
+    protocol = Protocol
+
+
 def _names(text):
     return text.split(', ')
 
@@ -182,11 +193,43 @@
         tcp_connect(reactor),
         silent_log,
     )
+    context.hub = hub
     context.port = tcp_listen(reactor, ('127.0.0.1', 0), hub)
     context.add_cleanup(context.port.stopListening)
     context.strangers = []
 
 
+def _ask_address(context, address):
+    """Ask a host at an address, and wait for the outcome."""
+    answers = []
+    asking = context.hub.ask('b', 'echo', b'', _ASK_SECONDS, address)
+    asking.addCallback(answers.append)
+    run_reactor_until(lambda: answers)
+    context.outcome = answers[0]
+
+
+@when('the port is closed, and its hub asks a host at that address')
+def step_ask_closed(context):
+    address = f'127.0.0.1:{context.port.getHost().port}'
+    closed = []
+    stopping = maybeDeferred(context.port.stopListening)
+    stopping.addBoth(closed.append)
+    run_reactor_until(lambda: closed)
+    _ask_address(context, address)
+
+
+@when('the hub asks a host at an address that answers nothing')
+def step_ask_silent(context):
+    silent = reactor.listenTCP(0, _SilentFactory(), interface='127.0.0.1')
+    context.add_cleanup(silent.stopListening)
+    _ask_address(context, f'127.0.0.1:{silent.getHost().port}')
+
+
+@then('the question is unanswered as "{reason}"')
+def step_unanswered_as(context, reason):
+    assert context.outcome == Unanswered('ask', 'b', reason), context.outcome
+
+
 @when('a stranger sends {count:d} random openings to the peer port')
 def step_random_openings(context, count):
     random = Random(7)
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -223,6 +223,8 @@
         Hosts by name, sorted by domain and then by rank as readers.
     cut : set of str
         Failure domains that are partitioned from all others.
+    sides : dict
+        Side of a partition of single hosts, by name.
     logged : list of tuple
         Log lines: time in seconds, host, event name and fields.
     """
@@ -233,6 +235,7 @@
         'cut',
         'hosts',
         'logged',
+        'sides',
         'store',
         'wires',
     )
@@ -240,6 +243,7 @@
     def __init__(self, count, domains=1, **bounds):
         self.bounds = bounds
         self.cut = set()
+        self.sides = {}
         self.clock = VirtualReactor()
         self.store = MemoryStore(self.clock)
         self.wires = VirtualWires(self.clock, _one_way_latency, self._is_cut)
@@ -335,6 +339,8 @@
         known = [host for host in ends if host is not None]
         if any(host.frozen for host in known):
             return True
+        if len({self.sides.get(host.name) for host in known}) > 1:
+            return True
         domains = {host.domain for host in known}
         return len(domains) > 1 and bool(domains & self.cut)
 
--- a/pollenstile/bench/_ratefaults.py
+++ b/pollenstile/bench/_ratefaults.py
@@ -54,6 +54,19 @@
             host.core.rates.update_hosts(known)
 
 
+def _split_apart(world, address):
+    """Let two halves neither know of nor reach each other."""
+    for number, host in enumerate(world.fleet.running()):
+        world.fleet.sides[host.name] = number % 2
+    _split_lists(world, address)
+
+
+def _isolate_for_long(world, address):
+    """Cut all hosts off from each other, not from upstreams."""
+    for number, host in enumerate(world.fleet.running()):
+        world.fleet.sides[host.name] = number
+
+
 def _forget_hosts(members, known):
     """Remove the hosts from a host's list that it is not to know."""
     for name in list(members.hosts):
@@ -73,6 +86,8 @@
     'all hosts isolated': _isolate_all,
     'all hosts restarted': _restart_all,
     'two halves': _split_lists,
+    'two halves apart': _split_apart,
+    'all hosts isolated for long': _isolate_for_long,
     'rate lowered': _lower_rate,
 }
 FAULT_NAMES = (*FAULTS, *TIMED_FAULTS)
--- a/pollenstile/peer/_hub.py
+++ b/pollenstile/peer/_hub.py
@@ -52,6 +52,8 @@
     link_up_handlers, link_down_handlers : list of function
         Called with a new link; called with the host name and the link that
         was lost.
+    refused_handlers : list of function
+        Called with an address that refused a connection.
     beat : function
         Returns the heartbeat of this host.
     tick, beat_period, silence_limit : float
@@ -74,6 +76,7 @@
         'message_handlers',
         'random',
         'received',
+        'refused_handlers',
         'requests',
         'sent',
         'silence_limit',
@@ -93,6 +96,7 @@
         self.message_handlers = {}
         self.link_up_handlers = []
         self.link_down_handlers = []
+        self.refused_handlers = []
         self.beat = Beat
         self.tick = _TICK_SECONDS
         self.beat_period = BEAT_PERIOD
--- a/pollenstile/peer/_receiver.py
+++ b/pollenstile/peer/_receiver.py
@@ -41,6 +41,11 @@
         if self.link is not None and not self.link.closed:
             self.hub.receive(self.link, content)
 
+    def refused(self):
+        """Record that no process listens at the dialed address."""
+        for handler in list(self.hub.refused_handlers):
+            handler(self.address)
+
     def lost(self):
         """Record that the connection or the attempt to open it has ended."""
         if self.link is None:
--- a/pollenstile/peer/_requests.py
+++ b/pollenstile/peer/_requests.py
@@ -9,6 +9,8 @@
 from pollenstile.peer._messages import Answer, Ask
 
 _STEP = 'ask'
+# Reason of an unanswered request to an address at which no process listens.
+REFUSED = 'refused'
 
 
 @dataclass(slots=True, frozen=True)
@@ -19,8 +21,9 @@
     ==========
 
     step, peer, reason : str
-        Step, name of the peer, and reason: ``'timeout'``, ``'lost'``,
-        ``'no route'`` or ``'unknown subject'``.
+        Step, name of the peer, and reason: ``'timeout'``, ``'refused'`` if its
+        address refused a connection meanwhile, ``'lost'``, ``'no route'`` or
+        ``'unknown subject'``.
     """
 
     step: str
@@ -57,16 +60,20 @@
     def ask(self, host, subject, body, timeout, address=''):
         """Send a request to a host; see :meth:`Hub.ask`."""
         answer = Deferred()
+        refused = set()
         answer.addTimeout(
             timeout,
             self.hub.clock,
-            onTimeoutCancel=lambda *_: Unanswered(_STEP, host, 'timeout'),
+            onTimeoutCancel=lambda *_: Unanswered(
+                _STEP, host, REFUSED if address in refused else 'timeout'
+            ),
         )
         link = self.hub.links.get(host)
         if link is not None:
             self._send(link, subject, body, answer)
         elif address:
             self._send_later(host, subject, body, answer)
+            self._collect_refusals(answer, refused.add)
             self.hub.dialer.dial(address)
         else:
             answer.callback(Unanswered(_STEP, host, 'no route'))
@@ -95,6 +102,17 @@
         link_up_handlers.append(link_opened)
         answer.addBoth(request_ended)
 
+    def _collect_refusals(self, answer, add):
+        """Pass refusing addresses to a function until there is an answer."""
+        handlers = self.hub.refused_handlers
+        handlers.append(add)
+
+        def request_ended(result):
+            handlers.remove(add)
+            return result
+
+        answer.addBoth(request_ended)
+
     def _handle_answer(self, link, message):
         waiting = link.waiting.pop(message.number, None)
         if waiting is None or waiting.called:
--- a/pollenstile/peer/_tcp.py
+++ b/pollenstile/peer/_tcp.py
@@ -1,5 +1,6 @@
 """Connections to peers over TCP, with Twisted."""
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 _CONNECT_SECONDS = 2.0
@@ -49,6 +50,8 @@
 
     def clientConnectionFailed(self, connector, reason):
         """Notify the receiver of the failure; called by Twisted."""
+        if reason.check(ConnectionRefusedError):
+            self.receiver.refused()
         self.receiver.lost()
 
 
--- a/pollenstile/peer/_virtual.py
+++ b/pollenstile/peer/_virtual.py
@@ -45,6 +45,8 @@
         hub = self.hubs.get(address)
         cut = self.is_cut(origin, address)
         if hub is None or hub.stopped or cut:
+            if not cut:
+                receiver.refused()
             receiver.lost()
             return
         near = _Wire(self, origin, address)
--- a/pollenstile/ratelimits/_allocators.py
+++ b/pollenstile/ratelimits/_allocators.py
@@ -14,9 +14,9 @@
 # reach each other may all allocate, and their sum stays within one and a half
 # times the rate.
 _STAND_IN_SHARE = 1 / 3
-# Seconds after which a host that stands in allocates the whole rate: those
-# before it have ended for good, or are cut off from the upstream as well.
-_STAND_IN_SECONDS = 8.0
+# Seconds after which a host that stands in allocates the whole rate: machines
+# that have been silent for so long have ended, or serve nobody.
+_STAND_IN_SECONDS = 60.0
 # Seconds after which a host may ask again when it has asked the wrong one.
 _ELSEWHERE_SECONDS = 0.3
 
@@ -85,10 +85,10 @@
         if not rate:
             self.by_name.pop(name, None)
             return self._grant(name, 0, 0.0)
-        place = order.index(first)
-        allocation = self._allocation(name, is_standing_in=place > 0)
+        before = order[: order.index(first)]
+        allocation = self._allocation(name, is_standing_in=bool(before))
         if self.clock.seconds() < allocation.opens_at + _STAND_IN_SECONDS:
-            rate *= _STAND_IN_SHARE**place
+            rate *= _STAND_IN_SHARE ** len(self.reach.silent(before))
         count = allocation.allocate(
             host, rate, request.wanted, request.unused, self.clock.seconds()
         )
--- a/pollenstile/ratelimits/_limits.py
+++ b/pollenstile/ratelimits/_limits.py
@@ -58,7 +58,7 @@
     list_listeners : list of function
         Called when the list of hosts has been set.
     unlisted : UnlistedHosts
-        Hosts that are missing from the list and still run.
+        Hosts that are missing from the list and may still run.
     """
 
     __slots__ = (
@@ -194,7 +194,7 @@
         return bool(self.stated.limited())
 
     def _rank_hosts(self):
-        hosts = {**self.unlisted.running, **self.listed}
+        hosts = {**self.unlisted.domains(), **self.listed}
         if self.ranking.update_hosts(hosts):
             self.reach.keep_only(hosts)
             self.allocators.note_hosts_changed()
--- a/pollenstile/ratelimits/_reach.py
+++ b/pollenstile/ratelimits/_reach.py
@@ -2,12 +2,24 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.peer import Unanswered
+from pollenstile.peer import REFUSED, Unanswered
 
 # Minimum seconds between two probes of a host that did not answer.
 _PROBE_PERIOD_SECONDS = 1.0
 
 
+def has_ended(answer):
+    """Return whether no process listens at the address of a host.
+
+    Explanation
+    ===========
+
+    One that is cut off, or whose machine has lost its power, does not answer
+    at all, so these can't be told apart.
+    """
+    return isinstance(answer, Unanswered) and answer.reason == REFUSED
+
+
 class Reachability:
     """Hosts that have not answered, probed until they do.
 
@@ -27,17 +39,20 @@
 
     down : set of str
         Hosts that did not answer last.
+    ended : set of str
+        Those of them at whose address no process listened last.
     probed_at : dict
         Time of the last probe, by host.
     """
 
-    __slots__ = ('ask', 'clock', 'down', 'host', 'probed_at')
+    __slots__ = ('ask', 'clock', 'down', 'ended', 'host', 'probed_at')
 
     def __init__(self, clock, host, ask):
         self.clock = clock
         self.host = host
         self.ask = ask
         self.down = set()
+        self.ended = set()
         self.probed_at = {}
 
     def first(self, order):
@@ -67,6 +82,18 @@
             self.down.add(host)
         else:
             self.down.discard(host)
+        if has_ended(answer):
+            self.ended.add(host)
+        else:
+            self.ended.discard(host)
+
+    def silent(self, order):
+        """Return those hosts of a list that may run although they are down."""
+        return [
+            host
+            for host in order
+            if host in self.down and host not in self.ended
+        ]
 
     def probe(self, host):
         """Ask a host for nothing, to learn whether it answers."""
@@ -79,6 +106,7 @@
     def keep_only(self, hosts):
         """Forget the hosts that have left."""
         self.down.intersection_update(hosts)
+        self.ended.intersection_update(hosts)
         self.probed_at = {
             host: at for host, at in self.probed_at.items() if host in hosts
         }
--- a/pollenstile/ratelimits/_unlisted.py
+++ b/pollenstile/ratelimits/_unlisted.py
@@ -1,27 +1,28 @@
-"""Hosts that are missing from the list of hosts and still run."""
+"""Hosts that are missing from the list of hosts and may still run."""
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.peer import Unanswered
+from pollenstile.ratelimits._reach import has_ended
 
-# Seconds between two questions to a missing host that answers.
+# Seconds between two questions to a missing host.
 _PROBE_PERIOD_SECONDS = 1.0
-# Seconds for which a missing host is remembered while no rate is stated.
+# Seconds for which a missing host that does not answer is remembered.
 _REMEMBERED_SECONDS = 60.0
 # Answer of a host that allocates nothing any more.
 LEAVING_ANSWER = b'leaving'
 
 
 class UnlistedHosts:
-    """Finds out which of the hosts that went missing from the list still run.
+    """Keeps those hosts ranked that went missing from the list without leaving.
 
     Explanation
     ===========
 
-    Hosts may read different lists for a time. Two that each miss the other
-    would both allocate an upstream's rate, and send twice as much together. So
-    a host that goes missing is asked whether it runs; while it answers, it
-    keeps its rank among those that allocate.
+    Hosts may read different lists for a time, and may be cut off from each
+    other as well. Two that each miss the other would both allocate an
+    upstream's rate, and send twice as much together. So a host that goes
+    missing is asked whether it runs, and keeps its rank among those that
+    allocate until it is known to have left or ended.
 
     Parameters
     ==========
@@ -33,16 +34,14 @@
     is_needed : function
         Returns whether any rate is stated.
     on_change : function
-        Called when a missing host was found to run, or not any more.
+        Called when a missing host is found to have left or ended.
 
     Attributes
     ==========
 
     missing : dict
         Failure domain of each missing host, and the time since which it is
-        missing, by name.
-    running : dict
-        Failure domain of those that answer, by name.
+        missing or has answered last, by name.
     """
 
     __slots__ = (
@@ -51,7 +50,6 @@
         'missing',
         'on_change',
         'reach',
-        'running',
         'timer',
     )
 
@@ -61,9 +59,12 @@
         self.is_needed = is_needed
         self.on_change = on_change
         self.missing = {}
-        self.running = {}
         self.timer = None
 
+    def domains(self):
+        """Return the failure domains of the missing hosts, by name."""
+        return {host: domain for host, (domain, _) in self.missing.items()}
+
     def update(self, before, listed):
         """Note which hosts went missing, or are listed again.
 
@@ -76,7 +77,6 @@
         now = self.clock.seconds()
         for host in listed:
             self.missing.pop(host, None)
-            self.running.pop(host, None)
         for host, domain in before.items():
             if host not in listed:
                 self.missing[host] = (domain, now)
@@ -91,10 +91,10 @@
         self.timer = None
         oldest = self.clock.seconds() - _REMEMBERED_SECONDS
         for host, (_, since) in list(self.missing.items()):
-            if self.is_needed():
-                Deferred.fromCoroutine(self._ask(host))
-            elif since < oldest:
+            if since < oldest:
                 self._drop(host)
+            elif self.is_needed():
+                Deferred.fromCoroutine(self._ask(host))
         if self.missing:
             self.timer = self.clock.callLater(
                 _PROBE_PERIOD_SECONDS, self._ask_all
@@ -104,14 +104,14 @@
         answer = await self.reach.ask(host, b'')
         if host not in self.missing:
             return
-        if isinstance(answer, Unanswered) or answer == LEAVING_ANSWER:
+        if has_ended(answer) or answer == LEAVING_ANSWER:
             self._drop(host)
-        elif host not in self.running:
+            return
+        self.reach.note(host, answer)
+        if host not in self.reach.down:
             domain, _ = self.missing[host]
-            self.running[host] = domain
-            self.on_change()
+            self.missing[host] = (domain, self.clock.seconds())
 
     def _drop(self, host):
         self.missing.pop(host)
-        if self.running.pop(host, None) is not None:
-            self.on_change()
+        self.on_change()
