quarantine: a clearing is remembered, so that reports do not undo it

Seen: no caller notices, but hosts pass one request's report and its clearing round without end.

Cause: a clearing dropped the evidence and left no memory, so the next copy of the report was new again, and then the next copy of the clearing. Ruled out: verdicts, which bear the time of their decision.

Change: a told clearing counts as a recent run, and all reports are read without requests that ran recently. The two scenarios fail before.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -141,6 +141,17 @@
     Then no host keeps it from upstreams after 2 seconds
     And its entry does not reappear
 
+  Scenario Outline: A report and a clearing of one request do not chase each other: <hosts> hosts
+    Each host that had been told both in turn passed both on again.
+    Given <hosts> hosts and 9 upstreams in <domains> failure domains, for resumed requests
+    When two hosts report a request, and <gap> seconds later two others see it run to completion
+    Then each host has cleared it at most once within 5 seconds
+
+    Examples:
+      | hosts | domains | gap  |
+      | 9     | 4       | 0.05 |
+      | 30    | 3       | 0.05 |
+
   Scenario: Reports of an upstream that answers are void
     A full upstream refused connections and was mistaken for a crashed one.
     Given 9 hosts and 9 upstreams in 4 failure domains, for resumed requests
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -270,6 +270,34 @@
     assert len(_quarantining_hosts(context)) == len(_fleet(context).hosts)
 
 
+@when(
+    'two hosts report a request, and {gap:g} seconds later two others see it run'
+    ' to completion'
+)
+def when_reported_and_cleared(context, gap):
+    hosts = _fleet(context).running()
+    fingerprint = hosts[0].core.quarantine.fingerprint(b'a')
+    suspects = (Suspect(fingerprint, 'team', 0.5),)
+    crashed = f'{context.world.upstreams.running()[0].ident}/0'
+    for host in (hosts[0], hosts[4]):
+        host.core.quarantine.note_crash(crashed, 's', suspects)
+    context.world.advance(gap)
+    hosts[-1].core.quarantine.note_completed(fingerprint)
+    context.world.advance(0.01)
+    hosts[2].core.quarantine.note_completed(fingerprint)
+
+
+@then('each host has cleared it at most once within {seconds:g} seconds')
+def then_cleared_once(context, seconds):
+    context.world.advance(seconds)
+    hosts = [
+        host
+        for _, host, event, _ in _fleet(context).logged
+        if event == 'suspect-cleared'
+    ]
+    assert hosts and len(hosts) == len(set(hosts)), len(hosts)
+
+
 @when('a request is answered by one of them')
 def when_answered(context):
     for name in _fleet(context).hosts:
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -106,12 +106,7 @@
 
     def note_crash(self, incarnation, service, suspects):
         """Report a crashed process and the requests in flight there."""
-        fresh = tuple(
-            suspect
-            for suspect in suspects
-            if not self.completed_runs.has_recent(suspect.fingerprint)
-        )
-        report = Report(incarnation, service, self.host, fresh)
+        report = Report(incarnation, service, self.host, tuple(suspects))
         self._announce(self.apply(QuarantineUpdate(reports=(report,))))
 
     def note_completed(self, fingerprint):
@@ -142,7 +137,10 @@
 
     def apply(self, update):
         """Apply an update; return the part of it that is new here."""
-        added = [self.evidence.add(reported) for reported in update.reports]
+        added = [
+            self.evidence.add(_without_completed(reported, self.completed_runs))
+            for reported in update.reports
+        ]
         reports = tuple(part for part in added if part is not None)
         fresh = QuarantineUpdate(
             reports,
@@ -243,13 +241,22 @@
         return True
 
     def _clear(self, fingerprint):
-        """Clear a completed request; return whether it was suspect or held."""
+        """Clear a completed request; return whether that is new here.
+
+        Explanation
+        ===========
+
+        A report may arrive after the clearing. If it made the request suspect
+        again, hosts would pass both on to each other without end.
+        """
+        was_known = self.completed_runs.has_recent(fingerprint)
+        self.completed_runs.add(fingerprint)
         was_suspect = self.evidence.clear(fingerprint)
         was_held = self.is_held(fingerprint)
         if was_suspect:
             self.log(events.SUSPECT_CLEARED, content=fingerprint)
         self.release(fingerprint, 'it ran to its end')
-        return was_suspect or was_held
+        return was_suspect or was_held or not was_known
 
     def _retract(self, incarnation):
         """Void a live process's reports; return whether there were any."""
@@ -267,6 +274,16 @@
             self.on_update(update)
 
 
+def _without_completed(report, completed_runs):
+    """Return a report without the requests that ran to completion."""
+    suspects = tuple(
+        suspect
+        for suspect in report.suspects
+        if not completed_runs.has_recent(suspect.fingerprint)
+    )
+    return replace(report, suspects=suspects)
+
+
 def _log_release(log, verdict, reason):
     log(
         events.QUARANTINE_LIFTED,
