--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -4,6 +4,7 @@
 from pollenstile.forward._client import HttpClient, ProbeResult
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._configuration import Configuration
+from pollenstile.forward._copies import Copies
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._daemon import ForwardDaemon
 from pollenstile.forward._decisions import silence_limits_of
--- a/pollenstile/forward/_copies.py
+++ b/pollenstile/forward/_copies.py
@@ -89,9 +89,11 @@
             return succeed(None)
         woken = Deferred(lambda _: self._remove(fingerprint, woken))
         self.waiting.setdefault(fingerprint, []).append(woken)
-        timer = self.clock.callLater(seconds, self._start, fingerprint, woken)
-        woken.addBoth(_stop_timer, timer)
-        return woken
+        return woken.addTimeout(
+            seconds,
+            self.clock,
+            onTimeoutCancel=lambda *_: self._add(fingerprint),
+        )
 
     def end_turn(self, fingerprint):
         """Record that a copy has been answered, or was not sent."""
@@ -121,9 +123,3 @@
         waiting.remove(woken)
         if not waiting:
             self.waiting.pop(fingerprint)
-
-
-def _stop_timer(result, timer):
-    if timer.active():
-        timer.cancel()
-    return result
