--- a/pollenstile/peer/_hub.py
+++ b/pollenstile/peer/_hub.py
@@ -31,8 +31,8 @@
         See :class:`Session`.
     connect : function
         Opens a connection, from an address and a receiver. The receiver has
-        ``opened(wire)``, ``received(bytes)`` and ``lost()``; the wire has
-        ``write(bytes)`` and ``close()``.
+        ``opened(wire)``, ``received(bytes)``, ``refused()`` (then ``lost()``)
+        and ``lost()``; the wire has ``write(bytes)`` and ``close()``.
     log : function
         Writes log events.
 
--- a/pollenstile/soak/_gates.py
+++ b/pollenstile/soak/_gates.py
@@ -89,6 +89,10 @@
         """Deliver received bytes."""
         self.process.deliver(self._received, content)
 
+    def refused(self):
+        """Deliver the event that the address refused the connection."""
+        self.process.deliver(self._refused)
+
     def lost(self):
         """Deliver the event that the connection is lost."""
         self.process.deliver(self._lost)
@@ -100,6 +104,9 @@
     def _received(self, content):
         self.receiver.received(content)
 
+    def _refused(self):
+        self.receiver.refused()
+
     def _lost(self):
         self.receiver.lost()
 
