forward: a log line tells how a stream ended that its framing did not end

BodyEnd.CLOSED is an unframed body whose connection was closed without a reset; event 1241 has it, with the last event and the bytes after it. Nothing is decided by it: CLOSED is treated as COMPLETE was.

The line is written only for ends that are not by framing between events, so an ordinary stream costs nothing.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -8,6 +8,7 @@
     learn_success,
     learn_unavailable,
 )
+from pollenstile.forward._request_log import log_stream_end
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._silence import SilenceTimer
 from pollenstile.forward._sse import EventSplitter
@@ -31,6 +32,9 @@
 _LOWEST_ENGINE_URGENCY = 9
 
 
+# Ends of a body after which its upstream may have sent all of it.
+_ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
+
 # An upstream found that a stage result has expired; the request did not run.
 RESULTS_GONE = NotRun('results gone')
 
@@ -256,7 +260,7 @@
     async def _read_failure(self, head, silence_limit):
         parts = []
         end = await self._relay_body(head, parts.append, silence_limit)
-        if end is not BodyEnd.COMPLETE:
+        if end not in _ENDED:
             return self._incomplete('torn failure', end)
         return UpstreamFailure(
             head.code,
@@ -276,7 +280,7 @@
                 self._write_buffered()
 
         end = await self._relay_body(head, pass_on, silence_limit)
-        if end is not BodyEnd.COMPLETE:
+        if end not in _ENDED:
             return self._incomplete('torn answer', end)
         if not self.answer.begun:
             self._begin_answer(head)
@@ -290,17 +294,18 @@
                 self.has_first_bytes = True
                 self.first_at = self.core.clock.seconds()
                 self._learn_first_bytes()
-            events = self.splitter.feed(data)
-            if not events:
+            received = self.splitter.feed(data)
+            if not received:
                 return
             if not self.answer.begun:
                 self._begin_answer(head)
-            self.answer.write(events)
+            self.answer.write(received)
 
         end = await self._relay_body(
             head, pass_on, silence_limits.first, silence_limits.between
         )
-        if end is not BodyEnd.COMPLETE:
+        log_stream_end(self, end)
+        if end not in _ENDED:
             return self._incomplete('torn stream', end)
         if not self.answer.begun:
             self._begin_answer(head)
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -110,13 +110,21 @@
         """Report the end of the body; called by Twisted."""
         if self.call.cancelled:
             return
-        is_complete = reason.check(ResponseDone) is not None
-        # A body without a length ends with its connection. The parser can't
-        # distinguish a complete body from one cut off by a reset.
-        if reason.check(PotentialDataLoss):
-            is_complete = self.call.protocol.closed_cleanly
+        body_end = self._body_end(reason)
         self.call.close()
-        self.on_end(BodyEnd.COMPLETE if is_complete else BodyEnd.BROKEN)
+        self.on_end(body_end)
+
+    def _body_end(self, reason):
+        if reason.check(ResponseDone):
+            return BodyEnd.COMPLETE
+        # The parser gives the same reason for an unframed body whose connection
+        # was reset.
+        if (
+            reason.check(PotentialDataLoss)
+            and self.call.protocol.closed_cleanly
+        ):
+            return BodyEnd.CLOSED
+        return BodyEnd.BROKEN
 
 
 class Call:
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -1,6 +1,7 @@
 """Log lines of forwarded requests."""
 
 from pollenstile.forward import events
+from pollenstile.forward._types import BodyEnd
 
 _MS = 1000
 
@@ -31,6 +32,21 @@
     )
 
 
+def log_stream_end(attempt, end):
+    """Log how a stream ended, unless its framing ended it between events."""
+    splitter = attempt.splitter
+    if end is BodyEnd.COMPLETE and not splitter.rest:
+        return
+    attempt.core.log(
+        events.STREAM_ENDED,
+        request=attempt.exchange.ident,
+        peer=attempt.view.ident,
+        end=end.value,
+        last=splitter.last.decode('latin-1'),
+        rest=len(splitter.rest),
+    )
+
+
 def log_end(run):
     """Log the end of a request."""
     exchange = run.exchange
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -229,6 +229,9 @@
 class BodyEnd(enum.Enum):
     """How an answer's body ended."""
 
+    # The length or the last chunk was received.
     COMPLETE = 'whole'
+    # The body had neither, and its connection was closed without a reset.
+    CLOSED = 'closed'
     BROKEN = 'broken'
     SILENT = 'silent'
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -73,6 +73,12 @@
     'A registry entry can not be decoded; the other entries stay in use.',
     'Find the writer of the entry that the line names.',
 )
+STREAM_ENDED = define(
+    1241,
+    'stream-ended',
+    'A stream ended other than by its framing, or inside an event.',
+    'If `rest` is not 0 for many streams of one upstream, check that upstream.',
+)
 UPSTREAM_CRASHED = define(
     1240,
     'upstream-crashed',
