--- /dev/null
+++ b/features/builders/bodyends.py
@@ -0,0 +1,68 @@
+"""Builders of answers that an upstream ends or breaks off at any byte."""
+
+from features.builders.forwardhost import ForwardHost, request
+from features.builders.loop import run_reactor_until
+
+LINE_ENDS = {'LF': b'\n', 'CRLF': b'\r\n', 'CR': b'\r'}
+_HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Proof: p\r\n'
+_LAST_CHUNK = b'0\r\n\r\n'
+
+
+def stream_event(number, line_end):
+    """Return one event of a stream, with a comment before its fields."""
+    lines = (b': %d' % number, b'id: %d' % number, b'data: {}', b'', b'')
+    return line_end.join(lines)
+
+
+def framed(body, framing):
+    """Return a complete answer of some framing with a body."""
+    if framing == 'chunks':
+        chunk = b'%x\r\n%s\r\n' % (len(body), body) if body else b''
+        framing_header = b'Transfer-Encoding: chunked\r\n\r\n'
+        return b''.join((_HEAD, framing_header, chunk, _LAST_CHUNK))
+    if framing == 'a length':
+        return _HEAD + b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+    return b'%s\r\n%s' % (_HEAD, body)
+
+
+def closing_host(upstreams=1):
+    """Return a host whose upstream closes its connection after each answer."""
+    host = ForwardHost(upstreams=upstreams)
+    host.closes = True
+    return host
+
+
+def answer_through(host, route, upstream_answer):
+    """Return the body that a caller gets, and whether it was ended as whole.
+
+    Parameters
+    ==========
+
+    host : ForwardHost
+        Forwards the request.
+    route : str
+        Name of the request's route.
+    upstream_answer : bytes
+        Bytes that the upstream sends before it ends the connection.
+    """
+    host.reply = upstream_answer
+    sent = request(b'/%s/x' % route.encode(), b'Connection: close\r\n')
+    connection = host.send(sent)
+    run_reactor_until(lambda: connection.closed)
+    return _read_body(connection.received)
+
+
+def _read_body(received):
+    """Return the body of an answer in chunks, and whether it is complete."""
+    head, _, rest = received.partition(b'\r\n\r\n')
+    if not head.startswith(b'HTTP/1.1 200'):
+        return None, False
+    body = b''
+    while rest:
+        size_line, _, rest = rest.partition(b'\r\n')
+        size = int(size_line, 16)
+        if not size:
+            return body, True
+        body += rest[:size]
+        rest = rest[size + 2 :]
+    return body, False
--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -34,8 +34,10 @@
             return
         host.seen.append(self.received)
         self.received = b''
-        self.transport.write(host.reply)
-        if host.closes:
+        self.transport.write(host.next_reply())
+        if host.resets:
+            self.transport.abortConnection()
+        elif host.closes:
             self.transport.loseConnection()
 
 
@@ -92,22 +94,30 @@
 
     reply : bytes
         Answer of the upstream.
-    closes : bool
-        Whether the upstream closes its connection after the answer.
+    first_replies : list of bytes
+        Answers to the first requests, before :attr:`reply`.
+    closes, resets : bool
+        Whether the upstream closes or resets its connection after the answer.
     seen : list of bytes
         Requests received by the upstream.
     """
 
-    def __init__(self, limits=None):
+    def __init__(self, limits=None, upstreams=1):
         self.reply = b''
+        self.first_replies = []
         self.closes = False
+        self.resets = False
         self.seen = []
         upstream = Factory.forProtocol(_UpstreamProtocol)
         upstream.host = self
         self.upstream = reactor.listenTCP(0, upstream, interface='127.0.0.1')
         registry = Registry(reactor)
         port = self.upstream.getHost().port
-        registry.apply('i1', Upstream('i1', 'desk', f'127.0.0.1:{port}', 'd'))
+        for number in range(1, upstreams + 1):
+            registry.apply(
+                f'i{number}',
+                Upstream(f'i{number}', 'desk', f'127.0.0.1:{port}', 'd'),
+            )
         registry.known = True
         self.configuration = _Configuration(_table(limits or Limits()))
         core = ForwardCore(
@@ -126,6 +136,10 @@
             0, self.factory, interface='127.0.0.1'
         )
 
+    def next_reply(self):
+        """Return the answer to the next request."""
+        return self.first_replies.pop(0) if self.first_replies else self.reply
+
     def send(self, request):
         """Open a connection and send bytes; return the connection."""
         connection = CallerConnection(request)
@@ -163,23 +177,36 @@
 
 
 def _table(limits):
-    plain = Route(
-        'plain',
-        'host',
-        '/a/',
-        Kind.ONCE,
-        5.0,
-        1.0,
-        targets=(Target('desk'),),
+    routes = (
+        _route('plain', Kind.ONCE),
+        _route('stream', Kind.STREAM),
+        _route('resumable', Kind.STREAM, resumable=True),
+        _route('lookup', Kind.IDEMPOTENT),
     )
     return RouteTable(
         3,
-        {'host': (plain,)},
+        {'host': routes},
         keys={KEY: Team('team-a')},
         limits=limits,
     )
 
 
+def _route(name, kind, *, resumable=False):
+    """Return a route; the path of the plain one begins with ``/a/``."""
+    prefix = '/a/' if name == 'plain' else f'/{name}/'
+    return Route(
+        name,
+        'host',
+        prefix,
+        kind,
+        5.0,
+        1.0,
+        targets=(Target('desk'),),
+        attempts=2,
+        resumable=resumable,
+    )
+
+
 def request(path=b'/a/?', extra=b'', key=KEY, body=b''):
     """Return the bytes of a request; ``extra`` holds further header lines."""
     return (
