forward: a stream that stops inside an event has been broken off

Cause: whether an answer is complete was judged by its framing alone, and a close without a reset counted as the end of an answer that has none. The rest of the incomplete event was then written behind the last complete one, the request was logged as answered, and it counted as a completed run for the quarantine.

Now a stream is complete only if it ends between events, whatever its framing, and without framing only if it has an event at all. Any other end is a broken connection: a resumable stream is resumed after its last whole event within the budget, another one is refused before its first event and aborted after it. Event ends are noticed in lines of LF, CRLF and CR; before, a stream of the other two was held back to its end, and would now have been broken always.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -307,6 +307,8 @@
         log_stream_end(self, end)
         if end not in _ENDED:
             return self._incomplete('torn stream', end)
+        if self.splitter.is_broken_off(is_framed=end is BodyEnd.COMPLETE):
+            return self._incomplete('torn stream', BodyEnd.BROKEN)
         if not self.answer.begun:
             self._begin_answer(head)
         if self.splitter.rest:
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -1,7 +1,13 @@
 """Splits a stream of server-sent events at event boundaries."""
 
-_END = b'\n\n'
+import re
+
+# Lines end with LF, CRLF or CR, and an event with an empty line. In a stream of
+# CRLF, a final CR is half of a line end.
+_EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
+_MAX_END_BYTES = 4
 _ID = b'id:'
+_COMMENT = b':'
 
 
 class EventSplitter:
@@ -21,6 +27,8 @@
         Identifier of the last complete event.
     rest : bytes
         Received bytes of an incomplete event.
+    has_events : bool
+        Whether a complete event other than a comment was received.
 
     Examples
     ========
@@ -35,26 +43,50 @@
     (b'1', b'id: 2')
     """
 
-    __slots__ = ('last', 'rest')
+    __slots__ = ('has_events', 'last', 'rest')
 
     def __init__(self):
         self.last = b''
         self.rest = b''
+        self.has_events = False
 
     def feed(self, data):
         """Return the bytes up to the end of the last complete event."""
+        # An event end may have begun in the bytes that were received before.
+        start = max(0, len(self.rest) - _MAX_END_BYTES + 1)
         self.rest += data
-        end = self.rest.rfind(_END)
-        if end < 0:
-            return b''
-        end += len(_END)
+        end = 0
+        for match in _EVENT_END.finditer(self.rest, start):
+            end = match.end()
         events = self.rest[:end]
         self.rest = self.rest[end:]
-        self._note_last(events)
+        self._note_events(events)
         return events
 
-    def _note_last(self, events):
-        for line in reversed(events.split(b'\n')):
+    def is_broken_off(self, *, is_framed):
+        """Return whether the stream that ended is incomplete.
+
+        Explanation
+        ===========
+
+        An upstream that fails may still end its chunks, so framing proves
+        nothing inside an event. Without framing, a stream that has no event may
+        have failed before its first.
+
+        Parameters
+        ==========
+
+        is_framed : bool
+            Whether a length or a last chunk ended the body.
+        """
+        is_inside_event = any(self.rest.splitlines())
+        return is_inside_event or not (is_framed or self.has_events)
+
+    def _note_events(self, events):
+        for line in reversed(events.splitlines()):
+            if not line or line.startswith(_COMMENT):
+                continue
+            self.has_events = True
             if line.startswith(_ID):
                 self.last = line[len(_ID) :].strip()
                 return
