fleet: load polls connect without the resolver's threads

The default agent resolves names in threads, also for IP addresses; a host runs one loop on one thread, and no poll is answered where no threads run. All other clients use agents without resolution already.

--- a/pollenstile/fleet/_loads.py
+++ b/pollenstile/fleet/_loads.py
@@ -2,8 +2,9 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import HTTPConnectionPool, readBody
 
+from pollenstile.ops.agents import agent_for
 from pollenstile.upstream import Load
 
 _TIMEOUT_SECONDS = 1.0
@@ -26,7 +27,7 @@
     pool.retryAutomatically = False
     pool.maxPersistentPerHost = 1
     pool.cachedConnectionTimeout = _IDLE_SECONDS
-    agent = Agent(reactor, connectTimeout=_TIMEOUT_SECONDS, pool=pool)
+    agent = agent_for(reactor, pool, _TIMEOUT_SECONDS)
 
     async def read(upstream):
         uri = f'http://{upstream.address}/v1/load'.encode()
