stages, loads: answers without framing are read if their document is complete

Results of a stage call counted as lost, so that its pieces were made again, and a load poll as unanswered. Both are a JSON document, which has an end of its own; a document that is cut anywhere is refused by the decoder.

Two new scenarios failed before, one of them over each byte of the results. Not changed: the client of the JSON interface, whose replies were judged in this way already, and its streams, which end with a marker and a count; the client of the store takes framed answers only.

--- a/features/body_ends.feature
+++ b/features/body_ends.feature
@@ -54,3 +54,15 @@
     Given a host whose upstream closes each connection after its answer
     When the upstream ends a lookup with no framing at each byte
     Then each lookup is ended as complete
+
+  Scenario: Stage results without framing are taken if the document is complete
+    Guards against pieces that are made twice as their results count as lost.
+    Given a host whose upstream closes each connection after its answer
+    When the upstream ends the results of a stage call with no framing at each byte
+    Then only the complete results are taken
+
+  Scenario: A load report without framing is read
+    Guards against an upstream that counts as unreachable for its framing.
+    Given a host whose upstream closes each connection after its answer
+    When the upstream answers a load poll with no framing
+    Then its load is read
--- a/features/builders/bodyends.py
+++ b/features/builders/bodyends.py
@@ -1,10 +1,19 @@
 """Builders of answers that an upstream ends or breaks off at any byte."""
 
+from twisted.internet import reactor
+
 from features.builders.forwardhost import ForwardHost, request
-from features.builders.loop import run_reactor_until
+from features.builders.loop import result_of, run_reactor_until
+from features.builders.stagework import group, pieces_of
+from pollenstile.fleet import http_load_reader
+from pollenstile.forward import HeaderNames, HttpClient, PlainCodec, Upstream
+from pollenstile.forward._stagecalls import StageCalls
+from pollenstile.stagework import Worker
 
 LINE_ENDS = {'LF': b'\n', 'CRLF': b'\r\n', 'CR': b'\r'}
 _HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Proof: p\r\n'
+# Far above the duration of a call on loopback.
+_CALL_SECONDS = 30.0
 _LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -52,6 +61,28 @@
     return _read_body(connection.received)
 
 
+def stage_call_through(host, upstream_answer):
+    """Return the outcome of a stage call of two pieces to a host's upstream."""
+    host.reply = upstream_answer
+    calls = StageCalls(
+        reactor,
+        HttpClient(reactor),
+        PlainCodec(),
+        HeaderNames(),
+        host.factory.core.permissions,
+    )
+    worker = Worker('i1', host.upstream_address, 'd')
+    return result_of(
+        calls.call(worker, pieces_of(group('a', 2)), _CALL_SECONDS)
+    )
+
+
+def load_poll(address):
+    """Return a Deferred of the load that an upstream reports."""
+    upstream = Upstream('i1', 'desk', address, 'd')
+    return http_load_reader(reactor)('i1', upstream)
+
+
 def _read_body(received):
     """Return the body of an answer in chunks, and whether it is complete."""
     head, _, rest = received.partition(b'\r\n\r\n')
--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -112,11 +112,10 @@
         upstream.host = self
         self.upstream = reactor.listenTCP(0, upstream, interface='127.0.0.1')
         registry = Registry(reactor)
-        port = self.upstream.getHost().port
         for number in range(1, upstreams + 1):
             registry.apply(
                 f'i{number}',
-                Upstream(f'i{number}', 'desk', f'127.0.0.1:{port}', 'd'),
+                Upstream(f'i{number}', 'desk', self.upstream_address, 'd'),
             )
         registry.known = True
         self.configuration = _Configuration(_table(limits or Limits()))
@@ -136,6 +135,11 @@
             0, self.factory, interface='127.0.0.1'
         )
 
+    @property
+    def upstream_address(self):
+        """Address of the upstream, ``IP:PORT``."""
+        return f'127.0.0.1:{self.upstream.getHost().port}'
+
     def next_reply(self):
         """Return the answer to the next request."""
         return self.first_replies.pop(0) if self.first_replies else self.reply
--- a/features/steps/body_ends_steps.py
+++ b/features/steps/body_ends_steps.py
@@ -3,6 +3,8 @@
 from behave import given, then, when
 
 from features.builders import bodyends
+from features.builders.loop import result_of
+from pollenstile.stagework import Result
 
 _LOOKUP_BODY = b'{"a": 1}'
 
@@ -125,3 +127,35 @@
     for sent, (body, whole) in context.results:
         assert whole, sent
         assert body == sent, (sent, body)
+
+
+@when(
+    'the upstream ends the results of a stage call with no framing at each byte'
+)
+def when_stage_call(context):
+    document = b'["a/1","a/2"]'
+    context.results = [
+        bodyends.stage_call_through(
+            context.host, bodyends.framed(document[:size], 'no framing')
+        )
+        for size in range(len(document) + 1)
+    ]
+
+
+@then('only the complete results are taken')
+def then_complete_results(context):
+    *torn, complete = context.results
+    assert complete == [Result('a/1'), Result('a/2')], complete
+    assert not any(isinstance(outcome, list) for outcome in torn), torn
+
+
+@when('the upstream answers a load poll with no framing')
+def when_load(context):
+    context.host.reply = bodyends.framed(b'{"running": 3}', 'no framing')
+    address = context.host.upstream_address
+    context.load = result_of(bodyends.load_poll(address))
+
+
+@then('its load is read')
+def then_load(context):
+    assert context.load.running == 3, context.load
--- a/pollenstile/fleet/_loads.py
+++ b/pollenstile/fleet/_loads.py
@@ -2,9 +2,10 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.web.client import HTTPConnectionPool, readBody
+from twisted.web.client import HTTPConnectionPool
 
 from pollenstile.ops.agents import agent_for
+from pollenstile.ops.documents import read_document
 from pollenstile.upstream import Load
 
 _TIMEOUT_SECONDS = 1.0
@@ -32,7 +33,7 @@
     async def read(upstream):
         uri = f'http://{upstream.address}/v1/load'.encode()
         response = await agent.request(b'GET', uri)
-        body = await readBody(response)
+        body = await read_document(response)
         if response.code != _OK:
             return None
         return msgspec.json.decode(body, type=Load)
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -3,11 +3,11 @@
 from collections import Counter
 
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
-from twisted.web.client import readBody
 
 from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.forward._withdrawn import withdrawal_check
+from pollenstile.ops.documents import read_document
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import Suspect
 from pollenstile.stagework import CallLost
@@ -249,6 +249,6 @@
     response = await call.head
     if isinstance(response, (NotRun, Lost)):
         return 0, response, b''
-    content = await readBody(response)
+    content = await read_document(response)
     call.close()
     return response.code, response, content
