--- a/features/builders/forwardfleet.py
+++ b/features/builders/forwardfleet.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
+from features.builders.cutreactor import CutReactor
 from features.builders.forwardhost import CallerConnection, open_connection
 from features.builders.loop import result_of, run_reactor_until
 from pollenstile.forward import (
@@ -86,6 +87,10 @@
     Attributes
     ==========
 
+    reactors : dict
+        :class:`CutReactor` of each host, by host name.
+    addresses : set of str
+        Addresses of the upstreams.
     daemons : dict
         :class:`ForwardDaemon` of each host, by host name.
     results : Results
@@ -101,6 +106,8 @@
         self.results = Results()
         self.engine = EngineResource(reactor, self.results)
         self.daemons = {}
+        self.reactors = {}
+        self.addresses = set()
         self.logged = []
         self.ports = []
         for service in ('encode', 'rerank'):
@@ -124,8 +131,9 @@
             (_HOST, 0),
             grace_seconds=4.0,
         )
+        self.reactors[name] = CutReactor(reactor)
         daemon = ForwardDaemon(
-            reactor,
+            self.reactors[name],
             settings,
             self.store,
             _Adapter(),
@@ -137,6 +145,11 @@
         self.daemons[name] = daemon
         return daemon
 
+    def cut(self, name, *, refuses):
+        """Cut the paths of a host to all upstreams."""
+        self.reactors[name].refuses = refuses
+        self.reactors[name].cut = set(self.addresses)
+
     def wait_until_linked(self):
         """Wait until every host has a link to every other."""
         count = len(self.daemons) - 1
@@ -176,6 +189,7 @@
         port = reactor.listenTCP(0, Site(resource), interface=_HOST)
         self.ports.append(port)
         address = f'{_HOST}:{port.getHost().port}'
+        self.addresses.add(address)
         entry = {'service': service, 'address': address}
         result_of(self.store.put('upstreams', f'i-{service}', entry))
         return address
