tunnel: a host without a path to an upstream reaches it through a peer

Cause: a failed connection does not tell whether the upstream is down or the path to it, and nobody was asked. The host went on choosing upstreams that it could not reach, and kept the queues that it owned.

Now a peer is asked whether it reaches the upstream. If it does, the path of this host is lost: requests, stage calls and releases to that upstream go over a connection that a peer opens and splices, until the host reaches the upstream itself, which it tries each second while it is in use. The request, its attempts, limits and at-most-once rules stay with the host; the peer passes on bytes, in frames whose end is the upstream's own close, so that the end of the peer's process is never the end of an answer. If peers don't reach the upstream either, nothing changes: a service that is down for all, or silent, moves no load. A crash is reported only if a peer is refused too; before, a host whose connections were refused would have taken all upstreams for crashed.

Ruled out as the only measure: readiness.

--- a/features/builders/forwardfleet.py
+++ b/features/builders/forwardfleet.py
@@ -130,6 +130,7 @@
             (_HOST, 0),
             (_HOST, 0),
             grace_seconds=4.0,
+            tunnels=(_HOST, 0),
         )
         self.reactors[name] = CutReactor(reactor)
         daemon = ForwardDaemon(
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -4,12 +4,15 @@
 from dataclasses import dataclass
 from functools import partial
 
+from twisted.internet.defer import Deferred
+
 from pollenstile.forward._budget import SharedRetryBudget
 from pollenstile.forward._client import HttpClient
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._drained import DRAINED, DrainedDomains
+from pollenstile.forward._learning import end_backoff
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.forward._owners import StageOwners
 from pollenstile.forward._registry import UPSTREAMS, Registry
@@ -34,6 +37,12 @@
     Source,
 )
 from pollenstile.stagework import StageClient, StageService
+from pollenstile.tunnel import (
+    TUNNEL_SUBJECT,
+    Paths,
+    Tunnels,
+    TunnelServer,
+)
 
 _MS = 1000
 # Hosts that share the retry budget of a stage service: its current owner and
@@ -66,6 +75,8 @@
     record: VerdictRecorder
     rate_sharing: RateSharing
     leaving_sharing: LeavingSharing
+    paths: Paths
+    tunnels: TunnelServer
 
 
 @dataclass(slots=True)
@@ -159,6 +170,7 @@
         PeerHost(hub.hello.address, settings.domain, settings.capacity),
         log,
     )
+    client.paths = _build_paths(reactor, rng, settings, hub, core, members, log)
     return HostParts(
         core,
         hub,
@@ -177,6 +189,8 @@
             registry.lists_leaving,
             log,
         ),
+        client.paths,
+        _build_tunnel_server(reactor, hub, registry, client.paths, log),
     )
 
 
@@ -204,6 +218,30 @@
     )
 
 
+def _build_paths(reactor, rng, settings, hub, core, members, log):
+    tunnels = Tunnels(settings.host, reactor, rng, hub.ask, members.hosts, log)
+
+    def try_direct(address):
+        Deferred.fromCoroutine(core.client.probe_directly(address))
+
+    def use_again(address):
+        end_backoff(core.registry.views.values(), address)
+
+    return Paths(reactor, tunnels, try_direct, use_again, log)
+
+
+def _build_tunnel_server(reactor, hub, registry, paths, log):
+    def is_upstream(address):
+        return any(
+            upstream.address == address
+            for upstream in registry.upstreams.values()
+        )
+
+    server = TunnelServer(reactor, is_upstream, paths.lost.__contains__, log)
+    hub.requests.subjects[TUNNEL_SUBJECT] = server.answer
+    return server
+
+
 def _build_calls(reactor, client, adapter, registry, permissions, log):
     calls = StageCalls(
         reactor, client, adapter.codec, adapter.names, permissions, log
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -215,7 +215,7 @@
         try:
             return await deferred
         except TimeoutError:
-            self.call.cancel()
+            self.call.give_up()
             if not self.call.sent:
                 return NotRun('no connection', self.view.ident, arrived=False)
             return Lost('silent', self.view.ident)
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -16,7 +16,11 @@
 import enum
 
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol, Request, ResponseDone
@@ -26,6 +30,7 @@
 
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
 from pollenstile.ops.body import BytesProducer
+from pollenstile.tunnel import DIRECT_PATHS, EndedFrames, OpenResult
 
 # Timeout of the TCP handshake, which normally takes under 10 ms. An unreachable
 # upstream never answers, and TCP retransmits a lost packet only after a second.
@@ -51,19 +56,71 @@
         super().connectionLost(reason)
 
 
+class _TunnelConnection(_Connection):
+    """Connection through a peer, which passes on the upstream's bytes."""
+
+    def __init__(self, token):
+        super().__init__()
+        self.token = token
+        self.frames = EndedFrames()
+
+    def connectionMade(self):
+        """Pick up the connection to the upstream; called by Twisted."""
+        self.transport.write(self.token)
+        super().connectionMade()
+
+    def dataReceived(self, received):
+        """Pass on the upstream's bytes; called by Twisted."""
+        content = self.frames.feed(received)
+        if content:
+            super().dataReceived(content)
+
+    def connectionLost(self, reason):
+        """End as the upstream's connection has ended; called by Twisted."""
+        kind = ConnectionDone if self.frames.ended else ConnectionLost
+        super().connectionLost(Failure(kind()))
+
+
 class _Connector(ClientFactory):
+    """Opens the connection of a call to the upstream itself."""
+
     noisy = False
 
-    def __init__(self, call):
+    def __init__(self, call, paths):
         self.call = call
+        self.paths = paths
 
     def buildProtocol(self, address):
         """Return the protocol of the connection; called by Twisted."""
+        self.paths.note_opened(self.call.address)
         protocol = _Connection()
         protocol.closed_cleanly = False
         self.call.attach(protocol)
         return protocol
 
+    def clientConnectionFailed(self, connector, reason):
+        """Report that no connection was made; called by Twisted."""
+        if not self.call.cancelled:
+            self.paths.note_failed(self.call.address)
+        self.call.fail_connection(reason.type.__name__)
+
+
+class _TunnelConnector(ClientFactory):
+    """Opens the connection of a call through a peer."""
+
+    noisy = False
+
+    def __init__(self, call, token):
+        self.call = call
+        self.token = token
+
+    def buildProtocol(self, address):
+        """Return the protocol of the connection; called by Twisted."""
+        protocol = _TunnelConnection(self.token)
+        protocol.closed_cleanly = False
+        self.call.attach(protocol)
+        return protocol
+
     def clientConnectionFailed(self, connector, reason):
         """Report that no connection was made; called by Twisted."""
         self.call.fail_connection(reason.type.__name__)
@@ -139,6 +196,8 @@
     check : function
         Asked when the connection is open. Returns a :class:`NotRun` if the
         request must not be sent any more, or None.
+    on_unreached : function
+        Called with the address if it is given up before it was sent.
     """
 
     __slots__ = (
@@ -147,13 +206,15 @@
         'check',
         'connector',
         'head',
+        'on_unreached',
         'protocol',
         'request',
         'sent',
     )
 
-    def __init__(self, request, address):
+    def __init__(self, request, address, on_unreached):
         self.request = request
+        self.on_unreached = on_unreached
         self.address = address
         self.head = Deferred(lambda _: self.cancel())
         self.protocol = None
@@ -209,12 +270,18 @@
         self.cancelled = True
         self.close()
 
+    def give_up(self):
+        """Cancel the call, as the upstream has not answered in time."""
+        if not self.sent:
+            self.on_unreached(self.address)
+        self.cancel()
+
     def close(self):
         """Close the connection, which is never reused."""
         transport = self.protocol.transport if self.protocol else None
         if transport is not None:
             transport.abortConnection()
-        elif self.connector.state == 'connecting':
+        elif self.connector and self.connector.state == 'connecting':
             self.connector.stopConnecting()
 
     def _on_response(self, response):
@@ -249,21 +316,39 @@
 
     reactor : IReactorTCP
         Opens connections.
+
+    Attributes
+    ==========
+
+    paths : Paths
+        Knows which upstreams are reached through peers only.
     """
 
-    __slots__ = ('reactor',)
+    __slots__ = ('paths', 'reactor')
 
     def __init__(self, reactor):
         self.reactor = reactor
+        self.paths = DIRECT_PATHS
 
     def probe(self, address):
-        """Open and close a connection; return a Deferred of ``ProbeResult``."""
+        """Open and close a connection; return a Deferred of ``ProbeResult``.
+
+        Explanation
+        ===========
+
+        A path may be cut by a refusal, so a peer is asked before an address
+        counts as one at which no process listens.
+        """
+        return Deferred.fromCoroutine(self._probe(address))
+
+    async def probe_directly(self, address):
+        """Open and close a connection; return a ``ProbeResult``."""
         factory = _ProbeFactory()
-        host, _, port = address.rpartition(':')
-        self.reactor.connectTCP(
-            host, int(port), factory, timeout=CONNECT_SECONDS
-        )
-        return factory.done
+        self._connect(address, factory)
+        result = await factory.done
+        if result is ProbeResult.ACCEPTED:
+            self.paths.note_opened(address)
+        return result
 
     def send(self, address, method, target, headers, body):
         """Send a request without retries; return its :class:`Call`.
@@ -287,13 +372,35 @@
         request = Request(
             method, target, raw_headers, producer, persistent=False
         )
-        call = Call(request, address)
+        call = Call(request, address, self.paths.note_failed)
+        if self.paths.is_lost(address):
+            Deferred.fromCoroutine(self._connect_through_peer(call))
+            return call
+        call.connector = self._connect(address, _Connector(call, self.paths))
+        return call
+
+    def _connect(self, address, factory):
         host, _, port = address.rpartition(':')
-        connector = self.reactor.connectTCP(
-            host,
-            int(port),
-            _Connector(call),
-            timeout=CONNECT_SECONDS,
+        return self.reactor.connectTCP(
+            host, int(port), factory, timeout=CONNECT_SECONDS
         )
-        call.connector = connector
-        return call
+
+    async def _connect_through_peer(self, call):
+        opened = await self.paths.tunnels.open(call.address)
+        if call.cancelled:
+            return
+        if opened.result is not OpenResult.OPENED:
+            call.fail_connection(f'no path: {opened.result.value}')
+            return
+        call.connector = self._connect(
+            opened.address, _TunnelConnector(call, opened.token)
+        )
+
+    async def _probe(self, address):
+        result = await self.probe_directly(address)
+        if result is not ProbeResult.REFUSED or not self.paths.has_peers():
+            return result
+        opinion = await self.paths.second_opinion(address)
+        if opinion is OpenResult.REFUSED:
+            return result
+        return ProbeResult.UNKNOWN
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -18,6 +18,7 @@
 from pollenstile.ops.measures import Measures, MetricsResource
 from pollenstile.ops.settings import format_address
 from pollenstile.peer import Beat, parse_keys, tcp_listen
+from pollenstile.tunnel.events import TUNNEL_LISTENING
 
 # Time for which a leaving host still accepts requests. The load balancer checks
 # readiness each second and needs two negative answers.
@@ -260,6 +261,7 @@
         hub.hello = replace(hub.hello, address=address)
         members = self.parts.members
         members.entry = replace(members.entry, address=address)
+        self._listen_for_tunnels(address)
         hub.start()
         self._hosts_changed()
         self.parts.relay.follower.start()
@@ -268,6 +270,17 @@
         )
         await members.register()
 
+    def _listen_for_tunnels(self, peers_address):
+        """Listen for peers; they reach this port like the one of the links."""
+        if self.settings.tunnels is None:
+            return
+        tunnels = self.parts.tunnels
+        port = tunnels.listen(*self.settings.tunnels)
+        self.ports.append(port)
+        host = peers_address.rpartition(':')[0]
+        tunnels.address = f'{host}:{_bound_address(port)[1]}'
+        self.log(TUNNEL_LISTENING, address=tunnels.address)
+
     def _has_initial_state(self):
         core = self.parts.core
         return core.configuration.table is not None and core.registry.known
@@ -290,6 +303,8 @@
         self.parts.stages.review(owners, leaving=self.leaving)
         link_peers(self.parts)
         self.parts.record.expire()
+        upstreams = self.parts.core.registry.upstreams.values()
+        self.parts.paths.forget({upstream.address for upstream in upstreams})
         self._forget_statements()
 
     def _forget_statements(self):
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -50,6 +50,16 @@
     view.backoff_until = now + backoff
 
 
+def end_backoff(views, address):
+    """End the back-off of the upstream at an address that peers reach."""
+    for view in views:
+        if view.address != address:
+            continue
+        view.backoff_until = 0.0
+        view.backoff_count = 0
+        view.unreached_since = 0.0
+
+
 def learn_load(view, text, now):
     """Record the load in an answer's header: running, waiting, slots.
 
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -33,6 +33,9 @@
         Time after which a drained failure domain must get no new work.
     capacity : float
         Number of cores; larger hosts are preferred for shared work.
+    tunnels : tuple or None
+        IP address and port at which peers pick up connections to upstreams
+        that the host opens for them; None opens none.
     """
 
     host: str
@@ -51,6 +54,7 @@
     drain_seconds: float = 5.0
     capacity: float = 1.0
     peers_seen: tuple | None = None
+    tunnels: tuple | None = None
 
 
 # Share of the tightest bound on applying changes after which a host reads the
--- a/pollenstile/standin/exchanges.py
+++ b/pollenstile/standin/exchanges.py
@@ -56,6 +56,10 @@
         """Record that the host closed the connection."""
         self.cancelled = True
 
+    def give_up(self):
+        """Record that the host closed the connection."""
+        self.cancel()
+
     def close(self):
         """Do nothing: no connection is open."""
 
--- /dev/null
+++ b/pollenstile/tunnel/_client.py
@@ -0,0 +1,136 @@
+"""Asks peers to open connections to upstreams."""
+
+from pollenstile.ops.logs import silent_log
+from pollenstile.ops.rendezvous import rendezvous_weight
+from pollenstile.peer import BadMessageError, Unanswered
+from pollenstile.tunnel import events
+from pollenstile.tunnel._messages import (
+    OpenAnswer,
+    OpenAsk,
+    OpenResult,
+    decode_answer,
+    encode_ask,
+)
+from pollenstile.tunnel._server import TUNNEL_SUBJECT
+
+# Time in which a peer answers: it may connect for 0.35 s, and open a link.
+_ASK_SECONDS = 0.7
+# Number of peers that are asked for one connection, one after the other.
+_MAX_ASKED = 3
+# Number of peers among which a host chooses, so that its links stay few.
+_MAX_CANDIDATES = 8
+# Time for which a peer that could not help is not asked again.
+_REST_SECONDS = 2.0
+_CONCLUSIVE = (OpenResult.OPENED, OpenResult.REFUSED)
+
+
+class Tunnels:
+    """Connections to upstreams through peers.
+
+    Parameters
+    ==========
+
+    host : str
+        Name of this host.
+    clock : IReactorTime
+        Provides the time.
+    rng : random.Random
+        Chooses among the peers, to spread the load.
+    ask : function
+        Sends a request to a peer; see :meth:`pollenstile.peer.Hub.ask`.
+    hosts : dict
+        :class:`PeerHost` of each other host, by name; the caller updates it.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    rest_until : dict
+        Time before which a peer is not asked, by name of the host.
+    """
+
+    __slots__ = ('ask', 'clock', 'host', 'hosts', 'log', 'rest_until', 'rng')
+
+    def __init__(self, host, clock, rng, ask, hosts, log=silent_log):
+        self.host = host
+        self.clock = clock
+        self.rng = rng
+        self.ask = ask
+        self.hosts = hosts
+        self.log = log
+        self.rest_until = {}
+
+    async def open(self, address):
+        """Return the :class:`OpenAnswer` of a peer that opened a connection.
+
+        Explanation
+        ===========
+
+        The result is not ``OPENED`` if no peer opened one. A peer that reaches
+        the upstream's machine and was refused is believed; one that has no path
+        either is not asked again for some time.
+
+        Parameters
+        ==========
+
+        address : str
+            ``IP:PORT`` of the upstream.
+        """
+        answer = await self._first_conclusive(address, keep=True)
+        if answer.result is not OpenResult.OPENED:
+            self.log(
+                events.TUNNEL_FAILED,
+                address=address,
+                reason=answer.result.value,
+            )
+        return answer
+
+    async def check(self, address):
+        """Return the :class:`OpenResult` of a connection by a peer."""
+        answer = await self._first_conclusive(address, keep=False)
+        return answer.result
+
+    async def _first_conclusive(self, address, *, keep):
+        answer = OpenAnswer(OpenResult.UNREACHABLE)
+        for peer in self._candidates():
+            answer = await self._ask_peer(peer, OpenAsk(address, keep))
+            if answer.result in _CONCLUSIVE:
+                break
+            if answer.result is not OpenResult.UNREACHABLE:
+                self._rest(peer)
+        return answer
+
+    async def _ask_peer(self, peer, ask):
+        reply = await self.ask(
+            peer,
+            TUNNEL_SUBJECT,
+            encode_ask(ask),
+            _ASK_SECONDS,
+            self.hosts[peer].address,
+        )
+        if isinstance(reply, Unanswered):
+            self._rest(peer)
+            return OpenAnswer(OpenResult.UNREACHABLE)
+        try:
+            answer = decode_answer(reply)
+        except BadMessageError:
+            self._rest(peer)
+            return OpenAnswer(OpenResult.UNREACHABLE)
+        if ask.keep and answer.result is OpenResult.OPENED:
+            self.log(events.TUNNEL_OPENED, peer=peer, address=ask.address)
+        return answer
+
+    def _rest(self, peer):
+        self.rest_until[peer] = self.clock.seconds() + _REST_SECONDS
+
+    def _candidates(self):
+        """Return the peers to ask, in order."""
+        now = self.clock.seconds()
+        peers = [
+            peer for peer in self.hosts if self.rest_until.get(peer, 0.0) <= now
+        ]
+        peers.sort(key=lambda peer: rendezvous_weight(self.host, peer))
+        nearest = peers[-_MAX_CANDIDATES:]
+        self.rng.shuffle(nearest)
+        return nearest[:_MAX_ASKED]
--- /dev/null
+++ b/pollenstile/tunnel/_server.py
@@ -0,0 +1,274 @@
+"""Opens connections to upstreams for peers, and passes bytes on."""
+
+import secrets
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionRefusedError,
+)
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
+
+from pollenstile.ops.logs import silent_log
+from pollenstile.tunnel import events
+from pollenstile.tunnel._frames import encode_data, encode_end
+from pollenstile.tunnel._messages import (
+    OpenAnswer,
+    OpenResult,
+    decode_ask,
+    encode_answer,
+)
+
+TUNNEL_SUBJECT = 'tunnel'
+# Timeout of the TCP handshake with an upstream, as for a host's own requests.
+_CONNECT_SECONDS = 0.35
+# Time in which the asking host picks up a connection.
+_PICK_UP_SECONDS = 1.0
+_TOKEN_BYTES = 16
+# Number of connections that a host keeps for peers; each takes two descriptors
+# and buffers on both sides.
+_MAX_TUNNELS = 256
+# Number of connections from strangers that may wait for their first bytes.
+_MAX_STRANGERS = 256
+_BACKLOG = 512
+
+
+class TunnelServer:
+    """Answers peers that ask for connections to upstreams.
+
+    Parameters
+    ==========
+
+    reactor : IReactorTCP and IReactorTime
+        Opens connections and provides timers.
+    is_upstream : function
+        Takes an address; returns whether an upstream is registered there.
+    is_lost : function
+        Takes an address; returns whether this host has no path to it.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    address : str
+        ``IP:PORT`` at which peers pick up connections; empty before
+        :meth:`listen`.
+    waiting : dict
+        Upstream ends that were not picked up yet, by token.
+    open_ends : set
+        All upstream ends.
+    strangers : set
+        Connections whose token has not arrived.
+    """
+
+    __slots__ = (
+        'address',
+        'is_lost',
+        'is_upstream',
+        'log',
+        'open_ends',
+        'reactor',
+        'strangers',
+        'waiting',
+    )
+
+    def __init__(self, reactor, is_upstream, is_lost, log=silent_log):
+        self.reactor = reactor
+        self.is_upstream = is_upstream
+        self.is_lost = is_lost
+        self.log = log
+        self.address = ''
+        self.waiting = {}
+        self.open_ends = set()
+        self.strangers = set()
+
+    def listen(self, host, port):
+        """Listen for peers that pick up connections; return the port."""
+        return self.reactor.listenTCP(
+            port, _HostEndFactory(self), _BACKLOG, interface=host
+        )
+
+    def answer(self, peer, body):
+        """Answer a peer; return the encoded answer or a Deferred of it."""
+        ask = decode_ask(body)
+        result = self._refusal(ask)
+        if result is not None:
+            return encode_answer(OpenAnswer(result))
+        factory = _UpstreamEndFactory(self, ask.keep)
+        host, _, port = ask.address.rpartition(':')
+        self.reactor.connectTCP(
+            host, int(port), factory, timeout=_CONNECT_SECONDS
+        )
+        return factory.done.addCallback(self._encode, peer, ask)
+
+    def pick_up(self, token):
+        """Return the upstream end with a token, or None."""
+        return self.waiting.pop(token, None)
+
+    def _refusal(self, ask):
+        """Return why no connection is opened, or None."""
+        if not self.is_upstream(ask.address):
+            return OpenResult.UNREACHABLE
+        if self.is_lost(ask.address):
+            return OpenResult.CUT_OFF
+        if not ask.keep:
+            return None
+        if not self.address or len(self.open_ends) >= _MAX_TUNNELS:
+            return OpenResult.FULL
+        return None
+
+    def _encode(self, opened, peer, ask):
+        answer = OpenAnswer(opened)
+        if isinstance(opened, _UpstreamEnd):
+            answer = self._keep(opened)
+        self.log(
+            events.TUNNEL_SERVED,
+            peer=peer,
+            address=ask.address,
+            keep=ask.keep,
+            result=answer.result.value,
+            open=len(self.open_ends),
+        )
+        return encode_answer(answer)
+
+    def _keep(self, upstream_end):
+        token = secrets.token_bytes(_TOKEN_BYTES)
+        self.waiting[token] = upstream_end
+        self.reactor.callLater(_PICK_UP_SECONDS, self._expire, token)
+        return OpenAnswer(OpenResult.OPENED, self.address, token)
+
+    def _expire(self, token):
+        upstream_end = self.pick_up(token)
+        if upstream_end is not None:
+            upstream_end.transport.abortConnection()
+
+
+class _UpstreamEnd(Protocol):
+    """The connection to an upstream."""
+
+    def __init__(self, factory):
+        self.factory = factory
+        self.host_end = None
+
+    def connectionMade(self):
+        """Report the open connection; called by Twisted."""
+        if not self.factory.keep:
+            self.transport.abortConnection()
+            self.factory.done.callback(OpenResult.OPENED)
+            return
+        self.transport.setTcpNoDelay(True)
+        self.transport.pauseProducing()
+        self.factory.server.open_ends.add(self)
+        self.factory.done.callback(self)
+
+    def dataReceived(self, received):
+        """Pass on what the upstream sent; called by Twisted."""
+        self.host_end.transport.write(encode_data(received))
+
+    def connectionLost(self, reason):
+        """Pass on how the connection ended; called by Twisted."""
+        self.factory.server.open_ends.discard(self)
+        if self.host_end is not None:
+            self.host_end.end(is_closed=bool(reason.check(ConnectionDone)))
+
+
+class _UpstreamEndFactory(ClientFactory):
+    """Opens one connection; ``done`` fires with its end or the result."""
+
+    noisy = False
+
+    def __init__(self, server, keep):
+        self.server = server
+        self.keep = keep
+        self.done = Deferred()
+
+    def buildProtocol(self, address):
+        """Return the upstream end; called by Twisted."""
+        return _UpstreamEnd(self)
+
+    def clientConnectionFailed(self, connector, reason):
+        """Report why no connection was made; called by Twisted."""
+        refused = reason.check(ConnectionRefusedError)
+        self.done.callback(
+            OpenResult.REFUSED if refused else OpenResult.UNREACHABLE
+        )
+
+
+class _HostEnd(Protocol):
+    """The connection of the host that asked."""
+
+    def __init__(self, server):
+        self.server = server
+        self.upstream_end = None
+        self.received = b''
+        self.timer = None
+
+    def connectionMade(self):
+        """Wait for the token; called by Twisted."""
+        self.transport.setTcpNoDelay(True)
+        self.server.strangers.add(self)
+        self.timer = self.server.reactor.callLater(
+            _PICK_UP_SECONDS, self.transport.abortConnection
+        )
+
+    def dataReceived(self, received):
+        """Pass on what the host sent; called by Twisted."""
+        if self.upstream_end is not None:
+            self.upstream_end.transport.write(received)
+            return
+        self.received += received
+        if len(self.received) >= _TOKEN_BYTES:
+            self._join(self.received[:_TOKEN_BYTES])
+
+    def connectionLost(self, reason):
+        """Close the upstream's connection at once; called by Twisted."""
+        self._stop_waiting()
+        if self.upstream_end is not None:
+            self.upstream_end.host_end = None
+            self.upstream_end.transport.abortConnection()
+
+    def end(self, *, is_closed):
+        """End the connection as that of the upstream has ended."""
+        self.upstream_end = None
+        self.transport.unregisterProducer()
+        if is_closed:
+            self.transport.write(encode_end())
+            self.transport.loseConnection()
+            return
+        self.transport.abortConnection()
+
+    def _join(self, token):
+        self._stop_waiting()
+        upstream_end = self.server.pick_up(token)
+        if upstream_end is None or upstream_end not in self.server.open_ends:
+            self.transport.abortConnection()
+            return
+        self.upstream_end = upstream_end
+        upstream_end.host_end = self
+        # Each side is read only as fast as the other one takes it.
+        self.transport.registerProducer(upstream_end.transport, True)
+        upstream_end.transport.registerProducer(self.transport, True)
+        upstream_end.transport.resumeProducing()
+        rest = self.received[_TOKEN_BYTES:]
+        self.received = b''
+        if rest:
+            upstream_end.transport.write(rest)
+
+    def _stop_waiting(self):
+        self.server.strangers.discard(self)
+        if self.timer.active():
+            self.timer.cancel()
+
+
+class _HostEndFactory(Factory):
+    noisy = False
+
+    def __init__(self, server):
+        self.server = server
+
+    def buildProtocol(self, address):
+        """Return a host end, or None above the limit; called by Twisted."""
+        if len(self.server.strangers) >= _MAX_STRANGERS:
+            return None
+        return _HostEnd(self.server)
