--- a/features/builders/forwardfleet.py
+++ b/features/builders/forwardfleet.py
@@ -89,8 +89,8 @@
 
     reactors : dict
         :class:`CutReactor` of each host, by host name.
-    addresses : set of str
-        Addresses of the upstreams.
+    addresses_of : dict
+        Addresses of the upstreams, by service.
     daemons : dict
         :class:`ForwardDaemon` of each host, by host name.
     results : Results
@@ -107,7 +107,7 @@
         self.engine = EngineResource(reactor, self.results)
         self.daemons = {}
         self.reactors = {}
-        self.addresses = set()
+        self.addresses_of = {}
         self.logged = []
         self.ports = []
         for service in ('encode', 'rerank'):
@@ -149,7 +149,7 @@
     def cut(self, name, *, refuses):
         """Cut the paths of a host to all upstreams."""
         self.reactors[name].refuses = refuses
-        self.reactors[name].cut = set(self.addresses)
+        self.reactors[name].cut = set(self.addresses_of.values())
 
     def wait_until_linked(self):
         """Wait until every host has a link to every other."""
@@ -190,7 +190,7 @@
         port = reactor.listenTCP(0, Site(resource), interface=_HOST)
         self.ports.append(port)
         address = f'{_HOST}:{port.getHost().port}'
-        self.addresses.add(address)
+        self.addresses_of[service] = address
         entry = {'service': service, 'address': address}
         result_of(self.store.put('upstreams', f'i-{service}', entry))
         return address
--- a/features/steps/cut_hosts_steps.py
+++ b/features/steps/cut_hosts_steps.py
@@ -18,26 +18,27 @@
     return b' 200 ' not in head[:20] or _LAST_CHUNK in connection.received
 
 
-def _is_served(context, host):
+def is_served(context, host):
     """Send a draft to a host; return whether it is answered completely."""
     connection = context.fleet.send(host, f'cut{next(_attempts)}')
     run_reactor_until(lambda: _is_answered(connection))
     connection.transport.abortConnection()
-    return _LAST_CHUNK in connection.received
+    is_success = connection.received.startswith(b'HTTP/1.1 200')
+    return is_success and connection.received.endswith(_LAST_CHUNK)
 
 
 def _assert_served(context, host, failures):
     for _ in range(failures):
-        if _is_served(context, host):
+        if is_served(context, host):
             break
     for _ in range(_SERVED_IN_A_ROW):
-        assert _is_served(context, host), context.fleet.logged[-20:]
+        assert is_served(context, host), context.fleet.logged[-20:]
 
 
 @when('host "{host}" loses its paths to all upstreams, which {how}')
 def when_cut(context, host, how):
     context.host = host
-    assert _is_served(context, host)
+    assert is_served(context, host)
     context.fleet.cut(host, refuses=how == 'refuse')
 
 
@@ -48,7 +49,7 @@
 
 @when('the hosts that send stage calls lose their paths, which {how}')
 def when_owners(context, how):
-    assert _is_served(context, 'one')
+    assert is_served(context, 'one')
     for host in context.fleet.owner_hosts():
         context.fleet.cut(host, refuses=how == 'refuse')
 
