brittle: hosts spare upstreams that fall over when they turn too many away

Now hosts divide the places of such upstreams, each from the same lists, and hold requests back beyond their share: these wait in the order of urgency and deadline, or are refused at once with when to come back if they can't be served in time. A host goes beyond its share only where all hosts together could: for a share of the refusals that the upstream bears, or of the places that a fresh report shows free.

Ruled out on the way: shares by rendezvous hashing of each upstream's places. The places are dealt in turn instead.

The opposite cases: without a statement no request waits for a place, also under 1.5 of the capacity, and a service that is sound again is used as before. Calls of stage queues need nothing more: their one owner never has more in flight than an upstream has places.

--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -89,6 +89,7 @@
             's',
             value['address'],
             value['domain'],
+            slots=value.get('slots', 1),
             leaving=value.get('leaving', False),
         )
     return Upstream(name, 's', 'u:1', _DOMAIN, leaving=value == 'leaving')
--- a/pollenstile/bench/_rateworld.py
+++ b/pollenstile/bench/_rateworld.py
@@ -11,9 +11,11 @@
 
     __slots__ = ('rng',)
 
-    def __init__(self, hosts, upstreams, domains, route='repeated', seed=1):
+    def __init__(
+        self, hosts, upstreams, domains, route='repeated', seed=1, slots=0
+    ):
         self.rng = Random(seed)
-        super().__init__(hosts, upstreams, domains, route)
+        super().__init__(hosts, upstreams, domains, route, slots)
 
     def make_upstreams(self):
         """Return the upstreams, none of them started."""
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -180,6 +180,8 @@
         self.input_release.stop()
         self.view.in_flight -= 1
         self.view.in_flight_tokens -= tokens
+        if self.core.brittle.is_brittle(self.exchange.service):
+            self.core.tokens.wake(self.exchange.service)
 
     async def _send(self, silence_limits, last_event):
         exchange = self.exchange
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from pollenstile.estimates import Fetching, FirstTokens
+from pollenstile.forward._brittle import BrittleShares
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._copies import Copies
 from pollenstile.forward._crashes import CrashDetector
@@ -67,6 +68,8 @@
         Turns of identical requests.
     tokens : TokenQueue
         Requests that wait until they may be sent to such an upstream.
+    brittle : BrittleShares
+        Limits sends to brittle upstreams.
     """
 
     clock: object
@@ -87,6 +90,7 @@
     permissions: Permissions | None = None
     copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
+    brittle: BrittleShares = field(init=False)
 
     def __post_init__(self):
         if self.quarantine is None:
@@ -106,6 +110,12 @@
         self.registry.follow_leaving(self.permissions.leaving)
         self.permissions.leaving.listeners.append(self._wake_all)
         self.tokens = TokenQueue(self.clock)
+        self.brittle = BrittleShares(
+            self.clock,
+            self.registry,
+            self.permissions.brittle,
+            self.rates.ranking,
+        )
         self.rates.listeners.append(self.tokens.wake)
         self.permissions.rests.listeners.append(self.tokens.wake)
 
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -1,5 +1,6 @@
 """Selection of a request's next upstream from the host's current state."""
 
+from pollenstile.forward._brittle import brittle_wait
 from pollenstile.forward._input_release import InputRelease
 from pollenstile.forward._ratelimited import (
     TokenWait,
@@ -134,7 +135,7 @@
         if not has_waited:
             held_back.log_wait(core, exchange)
         has_waited = True
-        woken = core.tokens.wait(exchange, left)
+        woken = core.tokens.wait(exchange, min(left, held_back.recheck_seconds))
         if held_back.takes_turns:
             # Less urgent ones may not be sent in time any more.
             core.tokens.wake_behind(exchange)
@@ -195,14 +196,15 @@
     Returns
     =======
 
-    TokenWait or WithdrawnWait or None
+    TokenWait, BrittleWait, WithdrawnWait or None
     """
     views = _usable_views(core, exchange, tried)
     if not views:
         return withdrawn_wait(core, exchange.service, tried)
     ready = _ready_views(core, exchange, views)
     if not ready:
-        return None
+        warm = _warm_views(core, exchange, views)
+        return brittle_wait(core, exchange, warm) if warm else None
     view = _select(core, exchange, ready, inputs)
     if await is_permitted(core, exchange, ready, view):
         return None
@@ -217,6 +219,16 @@
 
 
 def _ready_views(core, exchange, views):
+    """Return those of some upstreams that bear a request."""
+    service = exchange.service
+    return [
+        view
+        for view in _warm_views(core, exchange, views)
+        if core.brittle.may_send(service, view)
+    ]
+
+
+def _warm_views(core, exchange, views):
     """Return those of some upstreams that are warm or bear a request."""
     now = core.clock.seconds()
     rate = cold_rate(exchange)
@@ -346,6 +358,9 @@
 def _unavailable_reason(core, exchange, views):
     """Return a ``NotRun`` that states why no upstream can accept a request."""
     service = exchange.service
+    warm = _warm_views(core, exchange, views)
+    if warm:
+        return brittle_wait(core, exchange, warm).refusal(exchange)
     if views:
         now = core.clock.seconds()
         rate = cold_rate(exchange)
--- a/pollenstile/forward/_ratelimited.py
+++ b/pollenstile/forward/_ratelimited.py
@@ -68,6 +68,8 @@
     # Each token lets one request go on. Requests that wait beyond their target
     # latency would take the tokens of those that can still meet it.
     takes_turns = True
+    # The queue wakes it when a token comes.
+    recheck_seconds = float('inf')
 
     def __init__(self, view, wait):
         self.view = view
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -273,6 +273,7 @@
         now = self.core.clock.seconds()
         self.core.cold.note_sent(view, cold_rate(self.exchange), now)
         note_sent(self.core, self.exchange, view)
+        self.core.brittle.note_sent(self.exchange.service, view)
         last_event = self.exchange.last_event
         if self.attempt is not None and self.attempt.splitter.last:
             last_event = self.attempt.splitter.last.decode('latin-1')
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -37,6 +37,8 @@
         ``1`` in the answers of an upstream that leaves.
     rest : bytes
         Seconds for which an upstream that turned a request away wants none.
+    brittle : bytes
+        Requests that an upstream may turn away in a second before it fails.
     counts, stage_key : bytes
         Pieces by step, and the input of the first steps.
     results : bytes
@@ -61,6 +63,7 @@
     rate: bytes = b'x-request-rate'
     leaving: bytes = b'x-leaving'
     rest: bytes = b'retry-after'
+    brittle: bytes = b'x-brittle'
     counts: bytes = b'x-pieces'
     stage_key: bytes = b'x-piece-key'
     results: bytes = b'x-results'
--- a/pollenstile/forward/_withdrawn.py
+++ b/pollenstile/forward/_withdrawn.py
@@ -26,6 +26,7 @@
     # they may wait until their deadline: a late answer is worth more than a
     # refusal, as the hosts that callers come back to may have been asked too.
     takes_turns = False
+    recheck_seconds = float('inf')
 
     def __init__(self, view, reason, wait):
         self.view = view
--- a/pollenstile/permission/_permissions.py
+++ b/pollenstile/permission/_permissions.py
@@ -2,6 +2,7 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.permission._block import Block
+from pollenstile.permission._brittle import BrittleServices
 from pollenstile.permission._leaving import LeavingUpstreams
 from pollenstile.permission._rests import RestPeriods
 from pollenstile.ratelimits import RateLimits
@@ -41,17 +42,20 @@
         Upstreams that leave.
     rests : RestPeriods
         Upstreams that want no requests for a time.
+    brittle : BrittleServices
+        Services whose upstreams fall over if they turn too many away.
     withdrawals : tuple
         The kinds of statements that also hold for a request whose upstream was
         chosen before.
     """
 
-    __slots__ = ('leaving', 'rates', 'rests', 'withdrawals')
+    __slots__ = ('brittle', 'leaving', 'rates', 'rests', 'withdrawals')
 
     def __init__(self, clock, rng, rates, log=silent_log):
         self.rates = rates
         self.leaving = LeavingUpstreams(clock, log)
         self.rests = RestPeriods(clock, rng, log)
+        self.brittle = BrittleServices(clock, log)
         self.withdrawals = (self.leaving, self.rests)
 
     def note_answer(self, name, service, statements):
@@ -67,6 +71,7 @@
         """
         for withdrawal in self.withdrawals:
             withdrawal.note_answer(name, service, statements)
+        self.brittle.note_answer(name, service, statements)
         self.rates.stated.note_answer(
             name, statements.rates, is_proof=statements.is_proof
         )
@@ -108,7 +113,9 @@
 
     def is_idle(self):
         """Return whether no statement keeps this host from an upstream."""
-        return self.rates.is_idle() and not self.rests.by_name
+        if self.rests.by_name or self.brittle.by_name:
+            return False
+        return self.rates.is_idle()
 
     def knows_any(self):
         """Return whether any statement is known that may be forgotten."""
--- a/pollenstile/permission/events.py
+++ b/pollenstile/permission/events.py
@@ -46,3 +46,27 @@
     'All upstreams that a request could go to ask this host to send nothing;'
     ' `choice` is `wait` or `refuse`.',
 )
+UPSTREAM_BRITTLE = define(
+    1608,
+    'upstream-brittle',
+    'An upstream states how many requests it may turn away in a second before'
+    ' it falls over; the hosts divide its places.',
+)
+UPSTREAM_SOUND = define(
+    1609,
+    'upstream-sound',
+    'An upstream is not known to be brittle any more.',
+)
+BRITTLE_UNREADABLE = define(
+    1610,
+    'brittle-unreadable',
+    'An answer has the header of a brittle upstream with no readable count; it'
+    ' is ignored.',
+    'Correct the upstream; the line has the value.',
+)
+BRITTLE_HELD_BACK = define(
+    1611,
+    'brittle-held-back',
+    'A request has no place at a brittle upstream; it waits or is refused.',
+    'If frequent, the service has fewer places than its load needs.',
+)
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -138,7 +138,11 @@
         self.started += 1
         process = _Process(f'i{self.started}', address, domain)
         self.processes[address] = process
-        entry = {'address': address, 'domain': domain}
+        entry = {
+            'address': address,
+            'domain': domain,
+            'slots': max(1, self.slots),
+        }
         self.write(process.ident, entry)
 
     def client_of(self, host):
--- a/pollenstile/statements/__init__.py
+++ b/pollenstile/statements/__init__.py
@@ -8,6 +8,7 @@
 from pollenstile.statements._unreadable import UnreadableLog
 from pollenstile.statements._values import (
     MAX_REST_SECONDS,
+    parse_count,
     parse_leaving,
     parse_rest,
 )
--- a/pollenstile/statements/_statements.py
+++ b/pollenstile/statements/_statements.py
@@ -16,11 +16,15 @@
         Seconds for which an upstream that turned a request away wants none.
     leaving : bytes
         Whether the upstream leaves; empty if headers do not state it.
+    brittle : bytes
+        Requests that the upstream may turn away in a second before it falls
+        over; empty if headers do not state it.
     """
 
     rate: bytes
     rest: bytes
     leaving: bytes = b''
+    brittle: bytes = b''
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,7 +36,7 @@
 
     status : int
         Status code of the answer.
-    rates, leaving, rests : tuple of str
+    rates, leaving, rests, brittle : tuple of str
         Values of the headers; empty for a missing one.
     date : str
         Date of the answer by its own clock; empty if it has none.
@@ -51,6 +55,7 @@
     date: str = ''
     is_proof: bool = False
     request: str = ''
+    brittle: tuple = ()
 
 
 def read_statements(response, headers, *, is_proof, request=''):
@@ -77,6 +82,7 @@
         dates[0] if dates else '',
         is_proof,
         request,
+        _texts(response, headers.brittle),
     )
 
 
--- a/pollenstile/statements/_values.py
+++ b/pollenstile/statements/_values.py
@@ -42,6 +42,32 @@
     return False if False in known else None
 
 
+def parse_count(values):
+    """Return the smallest count in the values of an answer's header.
+
+    Returns
+    =======
+
+    int or None
+        None when no value is readable.
+
+    Examples
+    ========
+
+    >>> from pollenstile.statements import parse_count
+    >>> parse_count(['3']), parse_count(['4', ' 2']), parse_count(['0'])
+    (3, 2, 0)
+    >>> parse_count(['-1']), parse_count(['many'])
+    (None, None)
+    """
+    counts = [
+        int(text)
+        for text in values
+        if text.strip().isascii() and text.strip().isdigit()
+    ]
+    return min(counts, default=None)
+
+
 def parse_rest(values, date=''):
     """Return the seconds for which an answer asks to send nothing.
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -34,7 +34,7 @@
     'features/stagework_heavy.feature',
     'features/withdrawals.feature',
 )
-_CRASH_FEATURES = ('features/quarantine.feature',)
+_CRASH_FEATURES = ('features/brittle.feature', 'features/quarantine.feature')
 _LIVE_FEATURE = 'features/soak_live.feature'
 # Arguments of the behave processes that run beside each other.
 _FEATURE_GROUPS = (
