tunnel: a leaving host opens no connections for peers, and ends after those in use

A request of a peer that goes through a host which is replaced would have been broken off as that host's process ended, though it waits for its own requests.

--- a/features/steps/tunnels_steps.py
+++ b/features/steps/tunnels_steps.py
@@ -37,6 +37,24 @@
     transport.loseConnection()
 
 
+@when('the peer leaves while the upstream answers a request')
+def when_peer_leaves(context):
+    story = context.tunnel
+    story.reply = b'%s\r\nhalf' % HEAD
+    story.fetch()
+    run_reactor_until(lambda: story.body)
+    story.server.leave()
+    story.upstream_connections[0].transport.loseConnection()
+    run_reactor_until(lambda: story.ends)
+
+
+@then('the peer opens no further connection')
+def then_no_further(context):
+    story = context.tunnel
+    answer = result_of(story.client.paths.tunnels.open(story.address))
+    assert answer.result is OpenResult.FULL, answer
+
+
 @then('the answer through the peer ends as {how} after "{text}"')
 def then_ends(context, how, text):
     assert context.tunnel.ends[0].value == how, context.tunnel.ends
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -29,6 +29,13 @@
     When the host asks for a connection and does not pick it up
     Then the upstream's connection ends, and the peer has none left
 
+  Scenario: A leaving peer opens no connections, and those in use go on
+    Guards against answers that end with the process of a peer that is replaced.
+    Given a host that reaches its upstream through a peer
+    When the peer leaves while the upstream answers a request
+    Then the answer through the peer ends as closed after "half"
+    And the peer opens no further connection
+
   Scenario Outline: What a stranger sends to the port for peers
     Guards against requests of others that reach upstreams through a host.
     Given a host that reaches its upstream through a peer
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -211,6 +211,7 @@
         self.leaving = True
         self.parts.relay.source.leaving = True
         self.parts.core.rates.leave()
+        self.parts.tunnels.leave()
         self.factory.leave()
         self.parts.hub.send_beats()
         self._review()
@@ -242,7 +243,9 @@
         self.log(events.FORWARD_STOPPED, in_flight=self.factory.in_flight)
 
     def _is_busy(self):
-        return self.factory.in_flight or self.parts.owners.is_busy()
+        if self.factory.in_flight or self.parts.tunnels.open_ends:
+            return True
+        return self.parts.owners.is_busy()
 
     async def _join(self):
         # A host without a registry has no workers. As the owner of a stage, it
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -89,6 +89,10 @@
             port, _HostEndFactory(self), _BACKLOG, interface=host
         )
 
+    def leave(self):
+        """Open no more connections; those that are open go on."""
+        self.address = ''
+
     def answer(self, peer, body):
         """Answer a peer; return the encoded answer or a Deferred of it."""
         ask = decode_ask(body)
