tunnel: a peer that leaves while another one is asked is passed over

A request whose peers are asked in turn, while one of them leaves the list of hosts, would have ended with an exception in the question and waited for its deadline. The new scenario failed with it. Found by reading.

--- a/features/steps/tunnels_steps.py
+++ b/features/steps/tunnels_steps.py
@@ -3,11 +3,13 @@
 import socket
 
 from behave import given, then, when
+from twisted.internet.defer import succeed
 
 from features.builders.forwardhost import CallerConnection, open_connection
 from features.builders.loop import result_of, run_reactor_until
 from features.builders.tunnels import HEAD, TunnelStory
 from features.steps.cut_hosts_steps import is_served
+from pollenstile.peer import Unanswered
 from pollenstile.tunnel import OpenResult
 
 
@@ -48,6 +50,25 @@
     run_reactor_until(lambda: story.ends)
 
 
+@when('the first of two peers is asked, and the other one leaves meanwhile')
+def when_other_leaves(context):
+    tunnels = context.tunnel.client.paths.tunnels
+    tunnels.hosts['other'] = tunnels.hosts['peer']
+
+    def ask(peer, subject, body, timeout, address):
+        tunnels.hosts.clear()
+        return succeed(Unanswered('ask', peer, 'lost'))
+
+    tunnels.ask = ask
+
+
+@then('the host learns that no peer reaches the upstream')
+def then_learns(context):
+    story = context.tunnel
+    answer = result_of(story.client.paths.tunnels.open(story.address))
+    assert answer.result is OpenResult.UNREACHABLE, answer
+
+
 @then('the peer opens no further connection')
 def then_no_further(context):
     story = context.tunnel
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -36,6 +36,12 @@
     Then the answer through the peer ends as closed after "half"
     And the peer opens no further connection
 
+  Scenario: A peer leaves while another one is asked
+    Guards against a request that waits for good as the list of hosts changes.
+    Given a host that reaches its upstream through a peer
+    When the first of two peers is asked, and the other one leaves meanwhile
+    Then the host learns that no peer reaches the upstream
+
   Scenario Outline: What a stranger sends to the port for peers
     Guards against requests of others that reach upstreams through a host.
     Given a host that reaches its upstream through a peer
--- a/pollenstile/permission/_permissions.py
+++ b/pollenstile/permission/_permissions.py
@@ -20,8 +20,8 @@
     Forwarded requests, calls of stage queues and calls of the JSON interface
     ask it, when they choose an upstream and again when the connection is open.
     Each kind of statement has a module of its own, with ``note_answer(name,
-    service, statements)``, ``block(name)`` and ``by_name``, which is empty
-    while no upstream has stated it.
+    service, statements)`` and ``by_name``, which is empty while no upstream has
+    stated it. Withdrawals have ``block(name)`` besides.
 
     Parameters
     ==========
--- a/pollenstile/tunnel/_client.py
+++ b/pollenstile/tunnel/_client.py
@@ -123,6 +123,9 @@
         return answer
 
     async def _ask_peer(self, peer, ask):
+        if peer not in self.hosts:
+            # It has left while another one was asked.
+            return OpenAnswer(OpenResult.UNREACHABLE)
         reply = await self.ask(
             peer,
             TUNNEL_SUBJECT,
