forward: the two connectors of a call share what they do

Cause: the connector through a peer repeated the one of a direct connection but for the protocol and the notes on the path. Change: one connector gives a call its protocol; the direct one notes besides whether it opened.

--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -82,48 +82,42 @@
 
 
 class _Connector(ClientFactory):
-    """Opens the connection of a call to the upstream itself."""
+    """Gives a call the protocol of its connection, or reports the failure."""
 
     noisy = False
 
-    def __init__(self, call, paths):
+    def __init__(self, call, protocol):
         self.call = call
-        self.paths = paths
+        self.call_protocol = protocol
 
     def buildProtocol(self, address):
         """Return the protocol of the connection; called by Twisted."""
-        self.paths.note_opened(self.call.address)
-        protocol = _Connection()
-        protocol.closed_cleanly = False
-        self.call.attach(protocol)
-        return protocol
+        self.call_protocol.closed_cleanly = False
+        self.call.attach(self.call_protocol)
+        return self.call_protocol
 
     def clientConnectionFailed(self, connector, reason):
         """Report that no connection was made; called by Twisted."""
-        if not self.call.cancelled:
-            self.paths.note_failed(self.call.address)
         self.call.fail_connection(reason.type.__name__)
 
 
-class _TunnelConnector(ClientFactory):
-    """Opens the connection of a call through a peer."""
+class _DirectConnector(_Connector):
+    """Opens the connection to the upstream itself, and notes whether it did."""
 
-    noisy = False
-
-    def __init__(self, call, token):
-        self.call = call
-        self.token = token
+    def __init__(self, call, paths):
+        super().__init__(call, _Connection())
+        self.paths = paths
 
     def buildProtocol(self, address):
         """Return the protocol of the connection; called by Twisted."""
-        protocol = _TunnelConnection(self.token)
-        protocol.closed_cleanly = False
-        self.call.attach(protocol)
-        return protocol
+        self.paths.note_opened(self.call.address)
+        return super().buildProtocol(address)
 
     def clientConnectionFailed(self, connector, reason):
         """Report that no connection was made; called by Twisted."""
-        self.call.fail_connection(reason.type.__name__)
+        if not self.call.cancelled:
+            self.paths.note_failed(self.call.address)
+        super().clientConnectionFailed(connector, reason)
 
 
 class _ProbeProtocol(Protocol):
@@ -376,7 +370,9 @@
         if self.paths.is_lost(address):
             Deferred.fromCoroutine(self._connect_through_peer(call))
             return call
-        call.connector = self._connect(address, _Connector(call, self.paths))
+        call.connector = self._connect(
+            address, _DirectConnector(call, self.paths)
+        )
         return call
 
     def _connect(self, address, factory):
@@ -393,7 +389,7 @@
             call.fail_connection(f'no path: {opened.result.value}')
             return
         call.connector = self._connect(
-            opened.address, _TunnelConnector(call, opened.token)
+            opened.address, _Connector(call, _TunnelConnection(opened.token))
         )
 
     async def _probe(self, address):
