--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -92,13 +92,29 @@
         names = sorted({host.domain for host in self.fleet.hosts.values()})
         for number in range(upstreams):
             domain = names[number % len(names)]
-            self.upstreams.start(f'10.0.0.{number}:1', domain)
+            self.start_upstream(f'10.0.0.{number}:1', domain, number, upstreams)
         self.fleet.advance(1.0)
 
     def make_upstreams(self):
         """Return the upstreams, none of them started."""
         return CrashingUpstreams(self.fleet.clock, self._write, is_deadly)
 
+    def start_upstream(self, address, domain, number, count):
+        """Start one of the first upstreams.
+
+        Parameters
+        ==========
+
+        number, count : int
+            Which one it is, from 0, and the count of all.
+        """
+        self.upstreams.start(address, domain)
+
+    def remove_idle_upstream(self):
+        """Remove the entry of the fleet's own upstream, which runs nothing."""
+        self._write(self.fleet.idle_upstream, None)
+        self.fleet.advance(1.0)
+
     def join(self, host):
         """Connect a host to the upstreams."""
         core = host.core
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -91,6 +91,7 @@
             value['domain'],
             slots=value.get('slots', 1),
             leaving=value.get('leaving', False),
+            software=value.get('software', ''),
         )
     return Upstream(name, 's', 'u:1', _DOMAIN, leaving=value == 'leaving')
 
@@ -105,6 +106,27 @@
     decode_upstream: object = _upstream
 
 
+class _ListeningHub:
+    """A hub as a target of connections.
+
+    Explanation
+    ===========
+
+    A host listens for peers once it has read the key that all hosts share.
+    """
+
+    __slots__ = ('accept', 'hub')
+
+    def __init__(self, hub):
+        self.hub = hub
+        self.accept = hub.accept
+
+    @property
+    def stopped(self):
+        """Whether the hub accepts no connections."""
+        return self.hub.stopped or not self.hub.keys
+
+
 class DomainHost:
     """One simulated entry host.
 
@@ -157,7 +179,7 @@
         )
         hub = self.daemon.parts.hub
         hub.dialer.connect = world.wires.connect_from(self.address)
-        world.wires.hubs[self.address] = hub
+        world.wires.hubs[self.address] = _ListeningHub(hub)
         self.daemon.start()
 
     @property
@@ -264,6 +286,11 @@
         ]
         self.hosts = {name: self.hosts[name] for name in order}
 
+    @property
+    def idle_upstream(self):
+        """Return the name of the only upstream that a fleet starts with."""
+        return _UPSTREAM
+
     def add_host(self, name, domain):
         """Start a host and return it."""
         log = self._log_of(name)
--- /dev/null
+++ b/pollenstile/bench/_versionworld.py
@@ -0,0 +1,211 @@
+"""Simulate entry hosts over upstreams of several software versions."""
+
+from dataclasses import dataclass
+from random import Random
+
+from pollenstile.bench._crashworld import CrashWorld
+from pollenstile.bench._streamcallers import StreamCaller
+from pollenstile.forward import Exchange, RouteQuery, serve
+from pollenstile.standin.crashing import NAMES
+
+_SERVICE = 's'
+_TARGET = b'/a/x'
+_PATH = RouteQuery('host', '/a/x')
+_AIM_SECONDS = 2.0
+# Run time of a stream.
+_STREAM_SECONDS = 2.0
+# Seconds until a host that was killed starts again.
+_HOST_RESTART_SECONDS = 1.2
+# Seconds for which an upstream that leaves goes on running.
+_LEAVE_SECONDS = 1.0
+_IDENT_BITS = 64
+
+
+@dataclass(slots=True, frozen=True)
+class Versions:
+    """Software versions of the upstreams at the start.
+
+    Parameters
+    ==========
+
+    first, second : str
+        Versions of the first upstreams and of the others.
+    share : float
+        Part of the upstreams that has the first version.
+    """
+
+    first: str = 'v1'
+    second: str = 'v1.2'
+    share: float = 0.6
+
+
+class VersionWorld(CrashWorld):
+    """Hosts over upstreams of versions, and callers that resume streams.
+
+    Parameters
+    ==========
+
+    versions : Versions
+        Software versions of the upstreams.
+    seed : int
+        Seed of the callers and of the faults.
+
+    Attributes
+    ==========
+
+    callers : list of StreamCaller
+        The callers, in the order of their first tries.
+    live : dict
+        Answers in progress, by name of their host.
+    """
+
+    __slots__ = ('callers', 'live', 'rng', 'versions')
+
+    def __init__(self, hosts, upstreams, domains, versions=None, seed=1):
+        self.rng = Random(seed)
+        self.versions = versions or Versions()
+        self.callers = []
+        self.live = {}
+        super().__init__(hosts, upstreams, domains)
+        self.upstreams.work = _STREAM_SECONDS
+        self.remove_idle_upstream()
+
+    def start_upstream(self, address, domain, number, count):
+        """Start one of the first upstreams with the version of its number."""
+        versions = self.versions
+        is_first = number < versions.share * count
+        software = versions.first if is_first else versions.second
+        self.upstreams.start(address, domain, software)
+
+    def now(self):
+        """Return the time on the virtual clock."""
+        return self.fleet.clock.seconds()
+
+    def later(self, seconds, call, *arguments):
+        """Call a function after some seconds."""
+        self.fleet.clock.callLater(seconds, call, *arguments)
+
+    def schedule_streams(self, rate, seconds):
+        """Schedule new streams at random times.
+
+        Parameters
+        ==========
+
+        rate : float
+            Streams a second of all callers together.
+        """
+        moment = self.rng.expovariate(rate)
+        while moment < seconds:
+            self.later(moment, self._start_stream)
+            moment += self.rng.expovariate(rate)
+
+    def schedule_faults(self, rate, seconds, fault):
+        """Call a function at random times, ``rate`` times a second."""
+        moment = self.rng.expovariate(rate)
+        while moment < seconds:
+            self.later(moment, fault)
+            moment += self.rng.expovariate(rate)
+
+    def crash_upstream(self):
+        """Crash a random upstream; it starts again at its address."""
+        running = self.upstreams.running()
+        if running:
+            self.upstreams.crash(self.rng.choice(running))
+
+    def kill_host(self, name=''):
+        """End a host, a random one by default; it starts again later."""
+        running = self.fleet.running()
+        if not running:
+            return
+        host = self.fleet.hosts[name] if name else self.rng.choice(running)
+        host.end()
+        for answer in self.live.pop(host.name, ()):
+            answer.cut_off()
+        self.later(
+            _HOST_RESTART_SECONDS, self.start_all, {host.name: host.domain}
+        )
+
+    def schedule_replacement(self, software, seconds):
+        """Replace each upstream in turn by one of another version."""
+        addresses = list(self.upstreams.processes)
+        for number, address in enumerate(addresses):
+            moment = seconds * number / len(addresses)
+            self.later(moment, self._replace, address, software)
+
+    def serving_hosts(self):
+        """Return the running hosts that know the configuration and upstreams."""
+        return [host for host in self.fleet.running() if _is_serving(host)]
+
+    def send_try(self, caller, ident, answer):
+        """Send one try of a caller to a random host."""
+        host = self.rng.choice(self.serving_hosts())
+        core = host.core
+        now = self.now()
+        last_event = str(caller.last) if caller.last else ''
+        exchange = Exchange(
+            ident,
+            b'POST',
+            _TARGET,
+            [(NAMES.attempt, ident.encode())],
+            caller.body,
+            self.route,
+            core.configuration.table,
+            _PATH,
+            'team',
+            arrived=now,
+            aim=now + _AIM_SECONDS,
+            ends=caller.ends,
+            last_event=last_event,
+            resumes=caller.origin,
+            service=_SERVICE,
+            fingerprint=core.quarantine.fingerprint(_TARGET, caller.body),
+        )
+        self.live.setdefault(host.name, []).append(answer)
+        answer.work = serve(core, exchange, answer)
+
+    def mixed(self):
+        """Return the callers whose streams have events of two versions."""
+        return [caller for caller in self.callers if len(caller.versions()) > 1]
+
+    def shares(self):
+        """Return the shares of streams that begin, and that go on.
+
+        Returns
+        =======
+
+        tuple of float
+            The part of all streams that have begun, and the part of those taken
+            up again by their callers that went on.
+        """
+        taken_up = self.taken_up()
+        began = sum(caller.has_begun() for caller in self.callers)
+        went_on = sum(caller.went_on() for caller in taken_up)
+        return (
+            began / max(1, len(self.callers)),
+            went_on / max(1, len(taken_up)),
+        )
+
+    def taken_up(self):
+        """Return the callers that took a stream up again after an event."""
+        return [caller for caller in self.callers if caller.was_taken_up()]
+
+    def _start_stream(self):
+        number = len(self.callers)
+        ident = f'{self.rng.getrandbits(_IDENT_BITS):016x}'
+        caller = StreamCaller(self, ident, b'stream %d' % number)
+        self.callers.append(caller)
+        caller.send()
+
+    def _replace(self, address, software):
+        process = self.upstreams.processes.get(address)
+        if process is None:
+            # It has crashed, and starts again in the old version.
+            self.later(_LEAVE_SECONDS, self._replace, address, software)
+            return
+        self.upstreams.start(f'{address}0', process.domain, software)
+        self.upstreams.leave(address)
+        self.later(_LEAVE_SECONDS, self.upstreams.end, address)
+
+
+def _is_serving(host):
+    return host.configuration.table is not None and host.core.registry.known
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -83,10 +83,11 @@
 class _Process:
     """One incarnation of an upstream."""
 
-    def __init__(self, ident, address, domain):
+    def __init__(self, ident, address, domain, software):
         self.ident = ident
         self.address = address
         self.domain = domain
+        self.software = software
         self.calls = []
         self.running = 0
         self.waiting = []
@@ -133,15 +134,30 @@
         self.crashes = []
         self.started = 0
 
-    def start(self, address, domain):
-        """Start an upstream at an address."""
+    def start(self, address, domain, software=''):
+        """Start an upstream of a software version at an address."""
         self.started += 1
-        process = _Process(f'i{self.started}', address, domain)
+        process = _Process(f'i{self.started}', address, domain, software)
         self.processes[address] = process
+        self._write_entry(process)
+
+    def leave(self, address):
+        """Mark the upstream at an address as leaving in its entry."""
+        self._write_entry(self.processes[address], leaving=True)
+
+    def end(self, address):
+        """End the upstream at an address, which does not start again."""
+        process = self.processes.pop(address)
+        self._break_connections(process)
+        self.write(process.ident, None)
+
+    def _write_entry(self, process, *, leaving=False):
         entry = {
-            'address': address,
-            'domain': domain,
+            'address': process.address,
+            'domain': process.domain,
             'slots': max(1, self.slots),
+            'software': process.software,
+            'leaving': leaving,
         }
         self.write(process.ident, entry)
 
@@ -164,14 +180,21 @@
         self.processes[process.address] = None
         now = self.clock.seconds()
         self.crashes.append(Crash(now, process.ident, body))
-        for call in process.calls:
-            self.clock.callLater(_LATENCY_SECONDS, call.break_connection)
+        self._break_connections(process)
         call_later = self.clock.callLater
         call_later(_EXPIRY_SECONDS, self.write, process.ident, None)
         call_later(
-            _RESTART_SECONDS, self.start, process.address, process.domain
+            _RESTART_SECONDS,
+            self.start,
+            process.address,
+            process.domain,
+            process.software,
         )
 
+    def _break_connections(self, process):
+        for call in process.calls:
+            self.clock.callLater(_LATENCY_SECONDS, call.break_connection)
+
     def accept_connection(self, call):
         """Accept a connection, or refuse it if no process is listening."""
         if call.cancelled:
@@ -254,7 +277,8 @@
     def _send_event(self, process, call, number):
         if not self._is_running(process, call):
             return
-        call.on_data(b'id: %d\ndata: x\n\n' % number)
+        data = process.software.encode() or b'x'
+        call.on_data(b'id: %d\ndata: %s\n\n' % (number, data))
         if number * _EVENT_GAP_SECONDS < self.work:
             self.clock.callLater(
                 _EVENT_GAP_SECONDS, self._send_event, process, call, number + 1
