forward: a host goes on with a stream only at the version that began it

What callers saw: answers whose first events come from one software version of the upstreams and whose later ones come from another.

Cause: after a stream broke off inside its answer, the rest of it was sent to any upstream of the service. Nothing in the choice asked for the version at which the first event had been made, and upstreams don't check it.

The request now keeps the version of the upstream whose first event it passes on. All choices among upstreams (first and later ones, candidates of unproven requests, waits for withdrawn upstreams, the domain in which stage results are read) go through one function that knows it. Comments of a stream don't count as events. Where no upstream of the version is left, the caller's connection is aborted, as for any stream that can't be finished.

An entry that names another software version under the same identifier is another process, also where the platform reports no start times: its load and failures start anew.

--- a/pollenstile/bench/_versionworld.py
+++ b/pollenstile/bench/_versionworld.py
@@ -133,7 +133,7 @@
             self.later(moment, self._replace, address, software)
 
     def serving_hosts(self):
-        """Return the running hosts that know the configuration and upstreams."""
+        """Return the running hosts that know their upstreams."""
         return [host for host in self.fleet.running() if _is_serving(host)]
 
     def send_try(self, caller, ident, answer):
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -1,5 +1,7 @@
 """One attempt of a request: a send to one upstream and its answer."""
 
+from functools import partial
+
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from pollenstile.forward._learning import (
@@ -291,20 +293,11 @@
         return Delivered()
 
     async def _relay_stream(self, head, silence_limits):
-        def pass_on(data):
-            if not self.has_first_bytes:
-                self.has_first_bytes = True
-                self.first_at = self.core.clock.seconds()
-                self._learn_first_bytes()
-            received = self.splitter.feed(data)
-            if not received:
-                return
-            if not self.answer.begun:
-                self._begin_answer(head)
-            self.answer.write(received)
-
         end = await self._relay_body(
-            head, pass_on, silence_limits.first, silence_limits.between
+            head,
+            partial(self._pass_on_events, head),
+            silence_limits.first,
+            silence_limits.between,
         )
         log_stream_end(self, end)
         if end not in _ENDED:
@@ -318,6 +311,21 @@
         self.answer.finish()
         return Delivered()
 
+    def _pass_on_events(self, head, data):
+        """Write the complete events of a stream to the caller."""
+        if not self.has_first_bytes:
+            self.has_first_bytes = True
+            self.first_at = self.core.clock.seconds()
+            self._learn_first_bytes()
+        received = self.splitter.feed(data)
+        if not received:
+            return
+        if not self.answer.begun:
+            self._begin_answer(head)
+        if self.splitter.has_events:
+            self.exchange.software = self.view.software
+        self.answer.write(received)
+
     def _incomplete(self, reason, end):
         broken = end is BodyEnd.BROKEN
         return Lost(reason, self.view.ident, broken=broken)
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -55,6 +55,18 @@
     return view.seconds or _DEFAULT_ANSWER_SHARE * exchange.route.aim
 
 
+def _upstreams_of(core, exchange):
+    """Return those of its service's upstreams that a request may go to.
+
+    Explanation
+    ===========
+
+    Software versions write streams that don't fit together, and upstreams don't
+    check with which one a stream began.
+    """
+    return core.registry.usable(exchange.service, exchange.software)
+
+
 def home_domain(core, exchange):
     """Return the failure domain of the engine that should read the results.
 
@@ -65,7 +77,7 @@
     no subject or the service no usable upstream.
     """
     subject = subject_of(exchange.prompt)
-    views = core.registry.usable(exchange.service)
+    views = _upstreams_of(core, exchange)
     if not subject or not views:
         return ''
     return home_engine(views, subject).domain
@@ -162,7 +174,7 @@
 
 def _turn_seconds(core, exchange):
     """Return the seconds for which a request may wait for its turn."""
-    views = core.registry.usable(exchange.service)
+    views = _upstreams_of(core, exchange)
     expected = max(
         (expected_answer_seconds(core, exchange, view) for view in views),
         default=0.0,
@@ -200,7 +212,7 @@
     """
     views = _usable_views(core, exchange, tried)
     if not views:
-        return withdrawn_wait(core, exchange.service, tried)
+        return withdrawn_wait(core, exchange, tried)
     ready = _ready_views(core, exchange, views)
     if not ready:
         warm = _warm_views(core, exchange, views)
@@ -214,7 +226,7 @@
 def _usable_views(core, exchange, tried):
     """Return the upstreams that want requests and are not unhealthy."""
     now = core.clock.seconds()
-    views = without_withdrawn(core, core.registry.usable(exchange.service))
+    views = without_withdrawn(core, _upstreams_of(core, exchange))
     return usable(views, now, tried)
 
 
@@ -312,7 +324,7 @@
 
 def _shared_candidates(core, exchange):
     """Return the candidates that all hosts with the same registry choose."""
-    return _candidates(exchange, core.registry.usable(exchange.service))
+    return _candidates(exchange, _upstreams_of(core, exchange))
 
 
 def _candidates(exchange, views):
@@ -368,7 +380,7 @@
             core.cold.seconds_until_send(view, rate, now) for view in views
         )
         return NotRun('cold', service, arrived=False, retry_after=wait)
-    withdrawn = withdrawn_wait(core, service)
+    withdrawn = withdrawn_wait(core, exchange)
     if withdrawn is not None:
         return withdrawn.refusal(exchange)
     if _are_all_leaving(core.registry, service):
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -201,9 +201,19 @@
         )
         self._index()
 
-    def usable(self, service):
-        """Return views of the upstreams of a service that accept new work."""
-        return self.by_service.get(service, ())
+    def usable(self, service, software=None):
+        """Return views of the upstreams of a service that accept new work.
+
+        Parameters
+        ==========
+
+        software : str or None
+            The only software version to return; None for all.
+        """
+        views = self.by_service.get(service, ())
+        if software is None:
+            return views
+        return [view for view in views if view.software == software]
 
     def count(self, service):
         """Return the number of upstreams of a service, also of leaving ones."""
@@ -245,7 +255,7 @@
             # has delayed it.
             return
         self.upstreams[upstream.ident] = upstream
-        if before is None or before.born != upstream.born:
+        if before is None or not _is_same_process(before, upstream):
             # A restarted upstream has no state of its previous incarnation.
             # When the load, failures and requests in flight of that
             # incarnation were kept, the new one counted as full or unhealthy.
@@ -311,3 +321,16 @@
     def _notify_listeners(self):
         for listener in self.listeners:
             listener()
+
+
+def _is_same_process(before, upstream):
+    """Return whether two entries of an identifier are of one process.
+
+    Explanation
+    ===========
+
+    A process keeps its software version. Entries of platforms that report no
+    start times may differ only in this.
+    """
+    is_same_software = before.software == upstream.software
+    return is_same_software and before.born == upstream.born
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -335,7 +335,7 @@
         if isinstance(outcome, Refusal):
             self._refuse(outcome)
             return
-        withdrawn = withdrawn_wait(self.core, self.exchange.service)
+        withdrawn = withdrawn_wait(self.core, self.exchange)
         wait = withdrawn.wait if withdrawn else 0.0
         self._refuse(final_refusal(outcome, self.runs, self.core.rng, wait))
 
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -137,6 +137,9 @@
         empty for a new one.
     service : str
         The service that the request is sent to.
+    software : str or None
+        Software version at which the stream began, and must go on; None while
+        any will do.
     handles : tuple of str
         Handles of its stage results.
     proof_ms : int
@@ -165,6 +168,7 @@
     last_event: str = ''
     resumes: str = ''
     service: str = ''
+    software: str | None = None
     handles: tuple = field(default_factory=tuple)
     proof_ms: int = 0
     fingerprint: str = ''
--- a/pollenstile/forward/_withdrawn.py
+++ b/pollenstile/forward/_withdrawn.py
@@ -75,14 +75,14 @@
     ]
 
 
-def withdrawn_wait(core, service, tried=()):
-    """Return a service's :class:`WithdrawnWait`, or None.
+def withdrawn_wait(core, exchange, tried=()):
+    """Return a request's :class:`WithdrawnWait`, or None.
 
     Parameters
     ==========
 
-    service : str
-        The service.
+    exchange : Exchange
+        The request.
     tried : sequence of str
         Identifiers of upstreams to leave out.
 
@@ -96,7 +96,7 @@
     if not core.permissions.is_any_withdrawn():
         return None
     blocked = []
-    for view in core.registry.usable(service):
+    for view in core.registry.usable(exchange.service, exchange.software):
         if view.ident in tried:
             continue
         block = core.permissions.withdrawn(view.incarnation)
