--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -10,6 +10,7 @@
     learn_success,
     learn_unavailable,
 )
+from pollenstile.forward._request_headers import request_headers
 from pollenstile.forward._request_log import log_stream_end
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._silence import SilenceTimer
@@ -19,7 +20,6 @@
 from pollenstile.routes import Kind
 from pollenstile.statements import read_statements
 
-_MS = 1000
 _MISDIRECTED_STATUS = 421
 _CONFLICT_STATUS = 409
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -29,10 +29,6 @@
 # Answers up to this size are buffered until they are complete, so that the
 # request can be retried after an incomplete one. Larger ones are streamed.
 _MAX_BUFFERED_BYTES = 65536
-# Engines accept urgencies from 0 to 9; the most urgent request is sent with 3.
-_TOP_ENGINE_URGENCY = 3
-_LOWEST_ENGINE_URGENCY = 9
-
 
 # Ends of a body after which its upstream may have sent all of it.
 _ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
@@ -191,7 +187,7 @@
             self.view.address,
             exchange.method,
             exchange.target,
-            self._request_headers(last_event),
+            request_headers(self.core, self.exchange, self.view, last_event),
             exchange.body,
         )
         self.call.check = withdrawal_check(self.core.permissions, self.view)
@@ -378,30 +374,6 @@
             silence.stop()
             self.answer.unproduce()
 
-    def _request_headers(self, last_event):
-        names = self.core.names
-        exchange = self.exchange
-        remaining_ms = max(
-            1, int((exchange.ends - self.core.clock.seconds()) * _MS)
-        )
-        headers = [
-            *exchange.headers,
-            (names.deadline, b'%d' % remaining_ms),
-            (names.expect, self.view.ident.encode()),
-        ]
-        if exchange.team:
-            headers.append((names.team, exchange.team.encode()))
-        if exchange.handles:
-            headers.append((names.results, ','.join(exchange.handles).encode()))
-        if last_event:
-            headers.append((names.last_event, last_event.encode()))
-        if exchange.prompt:
-            engine_urgency = min(
-                _LOWEST_ENGINE_URGENCY, _TOP_ENGINE_URGENCY + exchange.urgency
-            )
-            headers.append((names.urgency, b'%d' % engine_urgency))
-        return headers
-
     def _learn_first_bytes(self):
         self.input_release.release()
         self.core.copies.note_begun(self.exchange.fingerprint)
