forward: a stream that is taken up stays at its service on a split route

What callers saw: on a route that is split between services, a stream that was taken up again could go on at another service, whose software has nothing in common with the first one.

The draw now follows from the identifier of the request that began the stream, so all hosts draw the same service, and nothing has to be sent. Shares stay those of the route, as identifiers are hashed. When the shares change while a stream runs, or its service leaves the route, it may still go on at another service.

--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -19,6 +19,8 @@
 from pollenstile.routes import Kind, Limits, Route, RouteTable, Target, Team
 
 KEY = 'secret'
+# Services of the split route; the second one has no upstream.
+_SPLIT = ('desk', 'empty')
 
 
 class _UpstreamProtocol(Protocol):
@@ -186,6 +188,7 @@
         _route('stream', Kind.STREAM),
         _route('resumable', Kind.STREAM, resumable=True),
         _route('lookup', Kind.IDEMPOTENT),
+        _route('split', Kind.STREAM, resumable=True, services=_SPLIT),
     )
     return RouteTable(
         3,
@@ -195,7 +198,7 @@
     )
 
 
-def _route(name, kind, *, resumable=False):
+def _route(name, kind, *, resumable=False, services=('desk',)):
     """Return a route; the path of the plain one begins with ``/a/``."""
     prefix = '/a/' if name == 'plain' else f'/{name}/'
     return Route(
@@ -205,16 +208,16 @@
         kind,
         5.0,
         1.0,
-        targets=(Target('desk'),),
+        targets=tuple(map(Target, services)),
         attempts=2,
         resumable=resumable,
     )
 
 
-def request(path=b'/a/?', extra=b'', key=KEY, body=b''):
+def request(path=b'/a/?', extra=b'', key=KEY, body=b'', ident=b'a1'):
     """Return the bytes of a request; ``extra`` holds further header lines."""
     return (
-        b'POST %s HTTP/1.1\r\nHost: host\r\nX-Attempt: a1\r\n'
+        b'POST %s HTTP/1.1\r\nHost: host\r\nX-Attempt: %s\r\n'
         b'Authorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s'
-        % (path, key.encode(), extra, len(body), body)
+        % (path, ident, key.encode(), extra, len(body), body)
     )
--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from twisted.internet.defer import Deferred
 
+from features.builders.forwardhost import ForwardHost, request
 from pollenstile.bench._versionworld import Versions, VersionWorld
 from pollenstile.bench.versions import play
 from pollenstile.origins import SOFTWARE_KIND
@@ -192,3 +193,41 @@
 @then('the store has no record of versions')
 def then_not_recorded(context):
     assert not _records(context.world)
+
+
+@given('two hosts with a route that is split between two services')
+def given_split(context):
+    context.split_hosts = [ForwardHost(), ForwardHost()]
+    for host in context.split_hosts:
+        context.add_cleanup(host.stop)
+        host.reply = b'HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n'
+
+
+def _service_of(host, ident, resumes=''):
+    """Return the service that a request is sent to; only one has upstreams."""
+    extra = b'X-Resumes: %s\r\n' % resumes.encode() if resumes else b''
+    sent = len(host.seen)
+    host.exchange(request(b'/split/', extra, ident=ident.encode()))
+    return 'desk' if len(host.seen) > sent else 'empty'
+
+
+@when('20 streams begin at one host, and are taken up at the other one')
+def when_split(context):
+    first, second = context.split_hosts
+    began = [_service_of(first, f'first-{number}') for number in range(20)]
+    # In another order, as both hosts draw from the same random numbers.
+    went_on = [
+        _service_of(second, f'second-{number}', f'first-{number}')
+        for number in reversed(range(20))
+    ]
+    context.services = list(zip(began, reversed(went_on), strict=True))
+
+
+@then('each goes to the same service as before')
+def then_same_service(context):
+    assert all(before == after for before, after in context.services)
+
+
+@then('both services get some of them')
+def then_both_services(context):
+    assert len({before for before, _ in context.services}) == 2
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -103,3 +103,10 @@
     Then the store has a record of both versions
     When 75 seconds have passed
     Then the store has no record of versions
+
+  Scenario: A stream that is taken up stays at its service on a split route
+    Guards against a stream of one service that goes on at another one.
+    Given two hosts with a route that is split between two services
+    When 20 streams begin at one host, and are taken up at the other one
+    Then each goes to the same service as before
+    And both services get some of them
--- a/pollenstile/forward/_admission.py
+++ b/pollenstile/forward/_admission.py
@@ -3,8 +3,11 @@
 from dataclasses import dataclass
 
 from pollenstile.forward._types import Refusal
+from pollenstile.ops.rendezvous import rendezvous_weight
 from pollenstile.routes import Route, Team, pick_service, route_of, team_of
 
+# Weights of rendezvous hashing are below this number.
+_MAX_WEIGHT = 2.0**64
 # Step that is named in refusals of this module.
 _STEP = 'entry'
 _UNAUTHORIZED = 401
@@ -86,10 +89,30 @@
     exchange.team = outcome.team.name if outcome.team else ''
     targets = {target.service for target in outcome.route.targets}
     if exchange.service not in targets:
-        exchange.service = pick_service(outcome.route, core.rng.random())
+        exchange.service = drawn_service(outcome.route, exchange.origin)
         core.budget.note_request(exchange.service)
     return None
 
 
+def drawn_service(route, request):
+    """Return the service of a route that a request draws.
+
+    Explanation
+    ===========
+
+    All hosts draw the same one, so that a stream which is taken up again stays
+    at the service that began it.
+
+    Parameters
+    ==========
+
+    request : str
+        Identifier of the request that began the stream, or of a new request.
+    """
+    return pick_service(
+        route, rendezvous_weight(request, route.name) / _MAX_WEIGHT
+    )
+
+
 def _unavailable(reason):
     return Refusal(_UNAVAILABLE, reason, _STEP, '', _RETRY_SECONDS)
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -1,9 +1,9 @@
 """Validates a caller's request and converts it to an ``Exchange``."""
 
-from pollenstile.forward._admission import admit_request
+from pollenstile.forward._admission import admit_request, drawn_service
 from pollenstile.forward._types import Exchange, Refusal, RouteQuery
 from pollenstile.ops.numbers import whole_number
-from pollenstile.routes import Kind, pick_service, urgency_of
+from pollenstile.routes import Kind, urgency_of
 
 _MS = 1000
 # Step that is named in refusals of this module.
@@ -81,6 +81,7 @@
     if not ident:
         # The identifier is needed to assign answers to their requests.
         return Refusal(_BAD_REQUEST, 'no attempt is named', _STEP)
+    resumes = _stream_header(answer, names.resumes, route)
     return Exchange(
         ident=ident,
         method=answer.method,
@@ -99,8 +100,8 @@
         stage_key=_text(answer, names.stage_key),
         prompt=prompt,
         last_event=_stream_header(answer, names.last_event, route),
-        resumes=_stream_header(answer, names.resumes, route),
-        service=pick_service(route, core.rng.random()),
+        resumes=resumes,
+        service=drawn_service(route, resumes or ident),
         proof_ms=core.configuration.age_ms(),
         fingerprint=_fingerprint(core, answer, query, team),
     )
--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -100,8 +100,7 @@
 
 
 def _key(exchange):
-    request = exchange.resumes or exchange.ident
-    return origin_key(exchange.team, exchange.service, request)
+    return origin_key(exchange.team, exchange.service, exchange.origin)
 
 
 def _absent_refusal(core, exchange):
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -173,6 +173,11 @@
     proof_ms: int = 0
     fingerprint: str = ''
 
+    @property
+    def origin(self):
+        """Return the identifier of the request that began the stream."""
+        return self.resumes or self.ident
+
 
 @dataclass(slots=True, frozen=True)
 class Refusal:
