soak: upstreams of two versions, and callers that take broken streams up again

The live soak's upstreams have two software versions in turn, and each event of a stream tells which one made it. Callers of resumable streams take a broken one up again, twice at most, at a host drawn at random, and name the request that began it. Checked: the events of a stream are of one version, over all its tries, and each comes once.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -17,6 +17,7 @@
 from pollenstile.ops.clock import use_boot_clock
 from pollenstile.ops.main import main
 from pollenstile.ops.running import result_of
+from pollenstile.origins import OriginFound, Origins
 from pollenstile.permission import LeavingUpstreams, RestPeriods
 from pollenstile.ratelimits import RateLimits
 from pollenstile.soak.live import run_live
@@ -87,7 +88,26 @@
     RestPeriods.note_answer = lambda rests, name, service, stated: None
 
 
+def without_versions():
+    """Go on with streams at any software version."""
+    original = _registry.Registry.usable
+    _registry.Registry.usable = lambda registry, service, software=None: (
+        original(registry, service)
+    )
+
+
+async def _find_any(origins, key, service):
+    return OriginFound(None, 'any')
+
+
+def without_origins():
+    """Go on with the streams of other hosts at any software version."""
+    Origins.find = _find_any
+
+
 GUARDS = {
+    'origins': without_origins,
+    'versions': without_versions,
     'leaving': without_leaving,
     'rests': without_rests,
     'rates': without_rates,
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -1,5 +1,6 @@
 """Callers of a live run, which use persistent connections."""
 
+import re
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
@@ -25,11 +26,17 @@
 # between their repeats.
 CRASHING_KINDS = ('find', 'draft')
 _CRASHING_PAUSE_SECONDS = 0.25
+# The route whose broken streams are taken up again, tries to do so, and seconds
+# before each.
+_RESUMABLE_KIND = 'draft'
+_MAX_TAKE_UPS = 2
+_TAKE_UP_SECONDS = 0.15
 # Mean seconds between a caller's requests.
 _MEAN_PAUSE_SECONDS = 0.06
 # Share of the requests whose key is chosen from all keys, including revoked
 # ones.
 _OLD_KEY_SHARE = 0.2
+_EVENT_NUMBER = re.compile(rb'id: (\d+)\ndata: \S+\n\n')
 _MS_PER_SECOND = 1000
 _BODY_BYTES = 3000
 # Errors of a request whose connection ended without an answer.
@@ -41,6 +48,12 @@
 )
 
 
+def last_event(body):
+    """Return the number of the last complete event of a stream, or 0."""
+    numbers = _EVENT_NUMBER.findall(body)
+    return int(numbers[-1]) if numbers else 0
+
+
 class _ConnectionFactory(ClientFactory):
     noisy = False
 
@@ -124,7 +137,9 @@
             count += 1
             ident = f'c{self.number}-{count}'
             kind = self.rng.choice(tuple(DEADLINE_SECONDS))
-            await self._send(ident, kind, ident, self._key())
+            record = await self._send(ident, kind, ident, self._key())
+            if record is not None and kind == _RESUMABLE_KIND:
+                await self._take_up(record)
         if self.connection is not None:
             self.connection.transport.abortConnection()
 
@@ -142,12 +157,31 @@
                 self.connection.transport.abortConnection()
             self.connection = None
 
-    async def _send(self, ident, kind, content, key):
+    async def _take_up(self, first):
+        """Take a broken stream up again, at a host drawn at random."""
+        last = first
+        for number in range(_MAX_TAKE_UPS):
+            after = last_event(last.body) or last.after
+            if last.complete or not after:
+                return
+            if self.connection is not None:
+                self.connection.transport.abortConnection()
+                self.connection = None
+            await deferLater(self.world.reactor, _TAKE_UP_SECONDS)
+            ident = f'{first.ident}-{number}'
+            last = await self._send(
+                ident, first.kind, ident, first.key, first, after
+            )
+            if last is None:
+                return
+
+    async def _send(self, ident, kind, content, key, resumes=None, after=0):
+        """Send a request; return its record, or None without a connection."""
         world = self.world
         if self.connection is None or self.connection.is_lost:
             await self._connect()
         if self.connection is None:
-            return
+            return None
         now = world.reactor.seconds()
         record = RequestRecord(
             ident,
@@ -157,10 +191,13 @@
             now,
             DEADLINE_SECONDS[kind],
             content,
+            resumes,
+            after,
         )
         world.records.requests.append(record)
         await self._await_answer(record)
         record.ended_at = world.reactor.seconds()
+        return record
 
     def _key(self):
         """Return a random key; a share of them may be revoked."""
@@ -210,6 +247,9 @@
     if record.kind in {'draft', 'digest'}:
         headers.addRawHeader(NAMES.counts, b'2,3')
         headers.addRawHeader(NAMES.stage_key, record.ident.encode())
+    if record.resumes is not None:
+        headers.addRawHeader(NAMES.resumes, record.resumes.ident.encode())
+        headers.addRawHeader(NAMES.last_event, b'%d' % record.after)
     body = BytesProducer(b'x' * _BODY_BYTES)
     target = f'/{record.kind}/of/{record.content}?q'.encode()
     return Request(b'POST', target, headers, body, persistent=True)
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -1,5 +1,6 @@
 """Invariants of a live run, checked on the records of callers and upstreams."""
 
+import re
 from collections import Counter
 
 from pollenstile.soak.live._hosts import DRAIN_SECONDS, REVOKE_SECONDS
@@ -18,6 +19,8 @@
     most_in_window,
 )
 
+# The version in each complete event of a stream.
+_EVENT = re.compile(rb'id: \d+\ndata: [^/]+/\d+/(\S+)\n\n')
 _OK = 200
 _UNAUTHORIZED = 401
 # Statuses which guarantee that a request has not run and will not run.
@@ -56,6 +59,7 @@
         lines.extend(_answer_violations(record))
         lines.extend(_run_violations(record, own_runs, records.revoked_at))
         lines.extend(_time_violations(record, records))
+        lines.extend(_version_violations(record))
     lines.extend(_leaving_violations(records))
     lines.extend(_drain_violations(records))
     lines.extend(_cold_violations(records))
@@ -69,12 +73,28 @@
 def _expected_body(record):
     if record.kind in {'find', 'book'}:
         return lookup_body(record.ident)
+    software = ''.join(versions_in(record.body)[:1])
     events = [
-        stream_event(record.ident, number) for number in range(1, EVENTS + 1)
+        stream_event(record.ident, number, software)
+        for number in range(record.after + 1, EVENTS + 1)
     ]
     return b''.join(events)
 
 
+def versions_in(body):
+    """Return the software version of each complete event of a stream."""
+    return [software.decode() for software in _EVENT.findall(body)]
+
+
+def _version_violations(record):
+    """Check that a stream has events of one version, over all its tries."""
+    versions = set(versions_in(record.body))
+    if record.resumes is not None:
+        versions.update(versions_in(record.resumes.body))
+    if len(versions) > 1:
+        yield f'joined versions {sorted(versions)}: {record.ident}'
+
+
 def _answer_violations(record):
     """Check that a complete success is the request's answer, and no 404."""
     if record.status == _OK and record.complete:
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -24,6 +24,11 @@
         Deadline relative to ``sent_at``, in seconds.
     content : str
         Content of the request; repeats of a request share it.
+    resumes : RequestRecord or None
+        The request that brought the first events of a stream which this one
+        takes up.
+    after : int
+        Number of the last event that its caller has; 0 for a new request.
 
     Attributes
     ==========
@@ -45,6 +50,8 @@
     sent_at: float
     deadline: float
     content: str = ''
+    resumes: object = None
+    after: int = 0
     status: int = 0
     body: bytes = b''
     complete: bool = False
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -45,9 +45,9 @@
     return f'answer of {ident};'.encode() * 9
 
 
-def stream_event(ident, number):
-    """Return one event of a stream."""
-    return f'id: {number}\ndata: {ident}/{number}\n\n'.encode()
+def stream_event(ident, number, software):
+    """Return one event of a stream, made by a software version."""
+    return f'id: {number}\ndata: {ident}/{number}/{software}\n\n'.encode()
 
 
 class Server:
@@ -60,6 +60,8 @@
         Clock, random generator, records and results of the run.
     service, ident, domain : str
         Service, incarnation and failure domain.
+    software : str
+        Version of its software.
 
     Attributes
     ==========
@@ -75,11 +77,12 @@
         Whether it turns requests away and asks for rest.
     """
 
-    def __init__(self, world, service, ident, domain):
+    def __init__(self, world, service, ident, domain, software):
         self.world = world
         self.service = service
         self.ident = ident
         self.domain = domain
+        self.software = software
         self.fault = ''
         self.rate = 0.0
         self.leaving = False
@@ -105,6 +108,7 @@
             'domain': self.domain,
             'slots': 16,
             'leaving': leaving,
+            'software': self.software,
             'cold_seconds': 0.0 if leaving else COLD_SECONDS,
         }
 
@@ -264,12 +268,13 @@
     def _write_event(self, request, ident, number):
         if _is_over(request):
             return
+        event = stream_event(ident, number, self.server.software)
         if self.server.fault == 'cut' and number > EVENTS // 2:
-            request.write(stream_event(ident, number)[:7])
+            request.write(event[:7])
             self.clock.callLater(_WORK_SECONDS, _abort, request)
             return
         if number <= EVENTS:
-            request.write(stream_event(ident, number))
+            request.write(event)
         if number >= EVENTS:
             request.finish()
             return
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -25,6 +25,8 @@
 _UPSTREAM_COUNTS = ((PLAIN, 3), (ENGINES, 3), (STAGES[0], 2), (STAGES[1], 2))
 # Failure domains of upstreams; all hosts are in the first one.
 DOMAINS = ('here', 'there')
+# Software versions that upstreams have in turn.
+_VERSIONS = ('v1', 'v2')
 # Seconds until the entry of a crashed upstream lapses.
 _ENTRY_LAPSE_SECONDS = 1.0
 # Seconds between attempts of a write.
@@ -131,7 +133,8 @@
         self.started += 1
         domain = domain or _least_used_domain(self.servers_of(service))
         ident = f'{service}-{self.started}'
-        server = Server(self, service, ident, domain)
+        software = _VERSIONS[self.started % len(_VERSIONS)]
+        server = Server(self, service, ident, domain, software)
         self.servers[ident] = server
         cold_until = self.reactor.seconds() + COLD_SECONDS
         self.records.upstreams[ident] = (domain, cold_until)
