origins: a successor under the same identifier, and keepers that don't answer

An upstream that started again in another version, under its identifier, while a connection to it opened got the stream that was meant for its predecessor: the identifier fits, and the upstream can't know better. The check of an open connection now compares the version that the registry has by then. The scenario failed before.

A copy whose keepers don't answer rests for half a second before all streams are told again; before, each further stream was sent to them and logged (four lines a second and copy). A host that does not know the other hosts yet no longer counts all of them as heard.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -241,8 +241,8 @@
         self.reached.append(address)
         return succeed(self.probe_result)
 
-    def start(self, deadline=3.0, fingerprint='f1'):
-        """Start to serve the request."""
+    def start(self, deadline=3.0, fingerprint='f1', **fields):
+        """Start to serve the request, with some fields of its exchange."""
         now = self.clock.seconds()
         exchange = Exchange(
             IDENT,
@@ -261,6 +261,7 @@
             stage_key='key',
             service=SERVICE,
             fingerprint=fingerprint,
+            **fields,
         )
         self.work = serve(self.core, exchange, self.answer)
 
--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -1,9 +1,13 @@
 """Steps for streams that go on at the software version that began them."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 from twisted.internet.defer import Deferred
 
+from features.builders.forward import ForwardScenario
 from features.builders.forwardhost import ForwardHost, request
+from features.builders.permission import open_connection
 from pollenstile.bench._versionworld import Versions, VersionWorld
 from pollenstile.bench.versions import play
 from pollenstile.origins import SOFTWARE_KIND
@@ -231,3 +235,26 @@
 @then('both services get some of them')
 def then_both_services(context):
     assert len({before for before, _ in context.services}) == 2
+
+
+@given('a forwarded "resumable" request that takes up a stream')
+def given_takes_up(context):
+    context.story = ForwardScenario('resumable')
+    context.story.start(resumes='first', last_event='3')
+
+
+@when(
+    'the upstream of forwarded send 0 starts again in another version before its'
+    ' connection is open'
+)
+def when_reborn(context):
+    story = context.story
+    call = story.calls[0]
+    registry = story.core.registry
+    before = next(
+        upstream
+        for upstream in registry.upstreams.values()
+        if upstream.address == call.address
+    )
+    registry.apply(before.ident, replace(before, software='v2'))
+    open_connection(call)
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -96,6 +96,12 @@
       | at once         | to come back in about 2 seconds  |
       | after 7 seconds | nothing of when to come back     |
 
+  Scenario: An upstream starts again in another version while a connection to it opens
+    Guards against a stream that reaches the successor under the same identifier.
+    Given a forwarded "resumable" request that takes up a stream
+    When the upstream of forwarded send 0 starts again in another version before its connection is open
+    Then nothing is sent to it, and the request is sent to another upstream
+
   Scenario: Hosts forget that there were several versions
     Guards against refusals after a later restart of all hosts that need none.
     Given 9 hosts in 4 domains, and as many upstreams of two versions
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -14,10 +14,9 @@
 from pollenstile.forward._request_log import log_stream_end
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._silence import SilenceTimer
-from pollenstile.forward._software import note_event
+from pollenstile.forward._software import note_event, send_refusal
 from pollenstile.forward._sse import EventSplitter
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
-from pollenstile.forward._withdrawn import withdrawal_check
 from pollenstile.routes import Kind
 from pollenstile.statements import read_statements
 
@@ -191,7 +190,7 @@
             request_headers(self.core, self.exchange, self.view, last_event),
             exchange.body,
         )
-        self.call.check = withdrawal_check(self.core.permissions, self.view)
+        self.call.check = partial(send_refusal, self.core, exchange, self.view)
         self.input_release.start(self.core.clock)
         head = await self._head_within(self.call.head, silence_limits.first)
         self.arrived = self.call.sent
--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -1,6 +1,7 @@
 """Keeps streams to the software version that began them."""
 
-from pollenstile.forward._types import Refusal
+from pollenstile.forward._types import NotRun, Refusal
+from pollenstile.forward._withdrawn import withdrawal_check
 from pollenstile.origins import OriginUnknown, origin_key
 from pollenstile.origins.events import STREAM_BOUND, STREAM_UNBOUND
 from pollenstile.routes import Kind
@@ -71,6 +72,22 @@
         core.origins.note_began(_key(exchange), exchange.service, view.software)
 
 
+def send_refusal(core, exchange, view):
+    """Return why a request must not be sent on its open connection, or None.
+
+    Explanation
+    ===========
+
+    While the connection opens, the upstream may state that it wants no requests
+    or start again in another version. A successor under the same identifier
+    would accept the request.
+    """
+    current = core.registry.views.get(view.ident, view)
+    if exchange.software not in {None, current.software}:
+        return NotRun('another version', view.ident, arrived=False)
+    return withdrawal_check(core.permissions, view)()
+
+
 def restart_wait(core, exchange):
     """Return the seconds after which a stream's version may be back.
 
--- a/pollenstile/ops/_explaincmd.py
+++ b/pollenstile/ops/_explaincmd.py
@@ -16,6 +16,7 @@
     'pollenstile.platform.events',
     'pollenstile.ratelimits.events',
     'pollenstile.permission.events',
+    'pollenstile.origins.events',
 )
 # Fields that the timeline shows elsewhere or that add no information.
 _OMITTED_FIELDS = ('event', 'host', 'number', 'request', 'timestamp')
--- a/pollenstile/origins/_sharing.py
+++ b/pollenstile/origins/_sharing.py
@@ -42,13 +42,17 @@
         Keepers in order; the first that answers is told.
     keeper : str
         The keeper that was told last; empty at first.
+    is_resting : bool
+        Whether no candidate has taken the last message, and none is sent until
+        all streams are told again.
     """
 
-    __slots__ = ('candidates', 'keeper')
+    __slots__ = ('candidates', 'is_resting', 'keeper')
 
     def __init__(self, candidates):
         self.candidates = candidates
         self.keeper = ''
+        self.is_resting = False
 
 
 class OriginSharing:
@@ -164,6 +168,9 @@
         A host whose address refuses connections is not cut off: it serves no
         callers either.
         """
+        if not self.keepers:
+            # This host does not know the others yet.
+            return False
         heard = {peer for peer in replies if _is_heard(replies[peer])}
         unheard = {
             domain
@@ -237,7 +244,8 @@
         streams = self.pending
         self.pending = {}
         for copy in self.copies:
-            Deferred.fromCoroutine(self._send(copy, streams))
+            if not copy.is_resting:
+                Deferred.fromCoroutine(self._send(copy, streams))
 
     async def _send(self, copy, streams):
         reason = 'no keeper'
@@ -256,14 +264,23 @@
             reason = answer.reason
         if not copy.candidates:
             return
+        if copy.is_resting:
+            return
         copy.keeper = ''
+        copy.is_resting = True
         self.log(
             events.ORIGINS_UNSENT,
             peer=copy.candidates[0],
             reason=reason,
             streams=len(streams),
         )
-        self.hub.clock.callLater(_RETRY_SECONDS, self._tell_all)
+        self.hub.clock.callLater(_RETRY_SECONDS, self._retry, copy)
+
+    def _retry(self, copy):
+        copy.is_resting = False
+        streams = self._told_streams()
+        if streams and not self.hub.stopped:
+            Deferred.fromCoroutine(self._send(copy, streams))
 
     def _link_opened(self, link):
         """Tell a keeper again whose link was lost: it may have started anew."""
