origins: messages of peers are read back, and broken ones refused

A scenario of the codec: the same streams with their remaining time on a clock that is 100 s ahead, the same question and answer, and 900 messages that are cut short or changed at random, none of which raises anything but the error of a bad message.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -1,6 +1,8 @@
 """Steps for streams that go on at the software version that began them."""
 
+import contextlib
 from dataclasses import replace
+from random import Random
 
 from behave import given, then, when
 from twisted.internet.defer import Deferred
@@ -10,7 +12,17 @@
 from features.builders.permission import open_connection
 from pollenstile.bench._versionworld import Versions, VersionWorld
 from pollenstile.bench.versions import play
-from pollenstile.origins import SOFTWARE_KIND
+from pollenstile.origins import SOFTWARE_KIND, Origin, Witness, origin_key
+from pollenstile.origins._codec import (
+    OriginAnswer,
+    decode_answer,
+    decode_ask,
+    decode_origins,
+    encode_answer,
+    encode_ask,
+    encode_origins,
+)
+from pollenstile.peer import BadMessageError
 
 # Reasons of refusals for a version.
 _REASONS = ('unknown version', 'no upstream of its version')
@@ -21,6 +33,8 @@
 # Events of what is told while there are several versions.
 _MIXED_EVENTS = frozenset(('software-mixed', 'software-recorded'))
 _OTHER_TEAM = 'other'
+# Changed messages of each kind.
+_MUTATIONS = 300
 
 
 @given(
@@ -258,3 +272,63 @@
     )
     registry.apply(before.ident, replace(before, software='v2'))
     open_connection(call)
+
+
+@given('three streams of two versions that a host tells of')
+def given_streams(context):
+    context.streams = {
+        origin_key('t', 's', 'a'): Origin('v1', 's', 12.0),
+        origin_key('t', 's', 'b'): Origin('v2', 's', 13.5),
+        origin_key('t', 's', 'c'): Origin('v1', 's', 60.0),
+    }
+
+
+@then('a peer reads the same streams, with the time until they are forgotten')
+def then_same_streams(context):
+    encoded = encode_origins(context.streams, 10.0)
+    # The clock of the peer is 100 s ahead.
+    read = decode_origins(encoded, 110.0)
+    expected = {
+        key: (origin.software, round(origin.expires_at + 100, 3))
+        for key, origin in context.streams.items()
+    }
+    found = {
+        key: (origin.software, round(origin.expires_at, 3))
+        for key, origin in read.items()
+    }
+    assert found == expected, found
+    assert not any(origin.is_own for origin in read.values())
+
+
+@then('a peer reads the same question, and the same answer to it')
+def then_same_question(context):
+    key = next(iter(context.streams))
+    assert decode_ask(encode_ask(key, 's')) == (key, 's')
+    witness = Witness(frozenset(('v1', '')), is_fresh=True, is_complete=False)
+    for software in (None, '', 'v1'):
+        answer = OriginAnswer(software, witness)
+        assert decode_answer(encode_answer(answer)) == answer
+
+
+@then('no message that is cut short or changed at random ends a host')
+def then_robust(context):
+    rng = Random(1)
+    key = next(iter(context.streams))
+    answer = OriginAnswer(
+        'v1', Witness(frozenset(('v1',)), is_fresh=True, is_complete=True)
+    )
+    messages = (
+        (encode_origins(context.streams, 10.0), _decode_at_zero),
+        (encode_ask(key, 's'), decode_ask),
+        (encode_answer(answer), decode_answer),
+    )
+    for encoded, decode in messages:
+        for _ in range(_MUTATIONS):
+            changed = bytearray(encoded[: rng.randint(1, len(encoded))])
+            changed[rng.randrange(len(changed))] = rng.getrandbits(8)
+            with contextlib.suppress(BadMessageError):
+                decode(bytes(changed))
+
+
+def _decode_at_zero(encoded):
+    return decode_origins(encoded, 0.0)
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -116,3 +116,10 @@
     When 20 streams begin at one host, and are taken up at the other one
     Then each goes to the same service as before
     And both services get some of them
+
+  Scenario: What hosts tell and ask of streams is read back, and other bytes are not
+    Guards against a message of a peer that is broken off or of another kind.
+    Given three streams of two versions that a host tells of
+    Then a peer reads the same streams, with the time until they are forgotten
+    And a peer reads the same question, and the same answer to it
+    And no message that is cut short or changed at random ends a host
