forward: log lines of a send and of a crash name the parts of the prompt

What was missing: a line had the digest of the whole request.

Change: `parts` in 1205 and 1240, keyed digests of the parts that requests may share. No decision reads them yet.

Measured: the new scenario of crashes.feature passes, and fails without the field.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -6,6 +6,12 @@
     When the upstream of forwarded send 0 resets it and refuses connections
     Then the upstream of forwarded send 0 is logged as crashed under the request
 
+  Scenario: The log lines of a send and of a crash name the parts of the prompt
+    Requests that differ in all else may share the part that crashes upstreams.
+    Given a forwarded "resumable" request with the prompt parts "a" and "b"
+    When the upstream of forwarded send 0 resets it and refuses connections
+    Then the lines of the send and of the crash name the same parts
+
   Scenario: A reset alone is not a crash
     The network resets connections, and answers are corrupted on the way.
     Given a forwarded "resumable" request
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from features.builders.forward import ForwardScenario
 from pollenstile.forward import Lost, ProbeResult
 from pollenstile.quarantine import fingerprint
 
@@ -26,6 +27,14 @@
     context.story.calls[place].head.callback(lost)
 
 
+@given(
+    'a forwarded "{kind}" request with the prompt parts "{first}" and "{last}"'
+)
+def given_parts(context, kind, first, last):
+    context.story = ForwardScenario(kind)
+    context.story.start(parts=(first, last))
+
+
 @given('the upstream of forwarded send {place:d} leaves')
 def given_leaves(context, place):
     upstream = _upstream(context, place)
@@ -73,6 +82,14 @@
     assert fields['requests'] == [sent[0]['content']]
 
 
+@then('the lines of the send and of the crash name the same parts')
+def then_parts(context):
+    sent = context.story.lines('forwarded')[0]
+    assert list(sent['parts']) == ['a', 'b'], sent
+    crashed = _crashed(context)[0]
+    assert crashed['parts'] == [sent['parts']], crashed
+
+
 @then('no upstream is logged as crashed')
 def then_none(context):
     assert not _crashed(context), _crashed(context)
--- a/pollenstile/forward/_crash_evidence.py
+++ b/pollenstile/forward/_crash_evidence.py
@@ -50,7 +50,9 @@
     was_suspect = quarantine.is_suspect(fingerprint)
     examined = core.crashes.note_broken(
         incarnation_of(exchange.service, attempt.view),
-        Suspect(fingerprint, exchange.team, attempt.ran_seconds()),
+        Suspect(
+            fingerprint, exchange.team, attempt.ran_seconds(), exchange.parts
+        ),
     )
     if was_suspect:
         return examined
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -187,6 +187,7 @@
             born=upstream.born,
             requests=[suspect.fingerprint for suspect in identified],
             ran_ms=[int(suspect.run_seconds * _MS) for suspect in identified],
+            parts=[suspect.parts for suspect in identified],
         )
         self.on_crash(upstream.name, upstream.service, identified)
 
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -3,6 +3,7 @@
 from pollenstile.forward._admission import admit_request, drawn_service
 from pollenstile.forward._types import Exchange, Refusal, RouteQuery
 from pollenstile.ops.numbers import whole_number
+from pollenstile.quarantine import part_fingerprints
 from pollenstile.routes import Kind, urgency_of
 
 _MS = 1000
@@ -104,6 +105,7 @@
         service=drawn_service(route, resumes or ident),
         proof_ms=core.configuration.age_ms(),
         fingerprint=_fingerprint(core, answer, query, team),
+        parts=part_fingerprints(core.quarantine.key, prompt),
     )
 
 
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -22,6 +22,7 @@
         events.FORWARDED,
         request=exchange.ident,
         content=exchange.fingerprint,
+        parts=exchange.parts,
         route=exchange.route.name,
         service=exchange.service,
         peer=view.ident,
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -147,6 +147,9 @@
     fingerprint : str
         Keyed digest of the request, the same for each repetition of it; empty
         while the fleet's key is unknown.
+    parts : tuple of str
+        Keyed digests of its prompt parts without the last one, which no other
+        request shares; empty while the fleet's key is unknown.
     """
 
     ident: str
@@ -172,6 +175,7 @@
     handles: tuple = field(default_factory=tuple)
     proof_ms: int = 0
     fingerprint: str = ''
+    parts: tuple = ()
 
     @property
     def origin(self):
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -83,7 +83,8 @@
     1240,
     'upstream-crashed',
     'Connections to an upstream broke and its port refuses connections.',
-    'Look for a fingerprint in `requests` that recurs in other such lines.',
+    'Look for a fingerprint in `requests` or `parts` that recurs in other such'
+    ' lines.',
 )
 DOMAIN_DRAINED = define(
     1233,
--- a/pollenstile/quarantine/__init__.py
+++ b/pollenstile/quarantine/__init__.py
@@ -2,7 +2,7 @@
 
 from pollenstile.quarantine._completedruns import CompletedRuns
 from pollenstile.quarantine._evidence import Crash, Evidence
-from pollenstile.quarantine._fingerprint import fingerprint
+from pollenstile.quarantine._fingerprint import fingerprint, part_fingerprints
 from pollenstile.quarantine._quarantine import HELD_REASON, Quarantine, unix_ms
 from pollenstile.quarantine._record import QUARANTINE_KIND, VerdictRecorder
 from pollenstile.quarantine._sharing import VerdictSharing
--- a/pollenstile/quarantine/_fingerprint.py
+++ b/pollenstile/quarantine/_fingerprint.py
@@ -6,6 +6,8 @@
 # They are long enough that no two requests of a fleet collide by chance.
 _DIGEST_BYTES = 12
 _LENGTH_BYTES = 8
+# Tells fingerprints of prompt parts from those of requests.
+_PART_LABEL = b'prompt part'
 
 
 def fingerprint(key, *parts):
@@ -52,3 +54,44 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES))
         digest.update(part)
     return digest.hexdigest()
+
+
+def part_fingerprints(key, prompt):
+    """Return the fingerprints of the prompt parts that requests may share.
+
+    Explanation
+    ===========
+
+    The identifier of a part stands for its content, so a part is known
+    whichever team, route or model it comes with. The last part belongs to one
+    request, which has a fingerprint of its own.
+
+    Parameters
+    ==========
+
+    key : bytes
+        Secret shared by the fleet's hosts; empty while it is unknown.
+    prompt : tuple
+        Identifier and token count of each part, in order.
+
+    Returns
+    =======
+
+    tuple of str
+        Empty without a key.
+
+    Examples
+    ========
+
+    >>> from pollenstile.quarantine import part_fingerprints
+    >>> len(part_fingerprints(b'key', (('head', 500), ('own', 60))))
+    1
+    >>> part_fingerprints(b'', (('head', 500), ('own', 60)))
+    ()
+    """
+    if not key:
+        return ()
+    return tuple(
+        fingerprint(key, _PART_LABEL, ident.encode())
+        for ident, _ in prompt[:-1]
+    )
--- a/pollenstile/quarantine/_types.py
+++ b/pollenstile/quarantine/_types.py
@@ -16,11 +16,14 @@
         The calling team; empty on public routes.
     run_seconds : float
         Upper bound of the time for which it had run there.
+    parts : tuple of str
+        Fingerprints of those parts of its prompt that other requests may share.
     """
 
     fingerprint: str
     team: str = ''
     run_seconds: float = 0.0
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
