deadly_parts: failing scenarios of prompt parts that crash upstreams

Callers beside such requests lost their answers while each new request with the part crashed more upstreams. Whole simulated hosts, as many upstreams of 8 slots; no two requests with the part are alike but for it. A crash comes once the request has a slot.

--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -7,6 +7,7 @@
 
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.forward import Exchange, RouteQuery, serve
+from pollenstile.quarantine import part_fingerprints
 from pollenstile.routes import Kind, Route, Target
 from pollenstile.standin.crashing import NAMES, CrashingUpstreams
 from pollenstile.standin.exchanges import RecordedAnswer
@@ -132,8 +133,15 @@
         for name, domain in domains.items():
             self.join(self.fleet.add_host(name, domain))
 
-    def send_request(self, name, body):
-        """Send a request to a host and return its record."""
+    def send_request(self, name, body, prompt=(), team=_TEAM):
+        """Send a request to a host and return its record.
+
+        Parameters
+        ==========
+
+        prompt : tuple
+            Identifier and token count of each prompt part.
+        """
         core = self.fleet.hosts[name].core
         now = core.clock.seconds()
         sent = SentRequest(now, name, body)
@@ -148,12 +156,14 @@
             self.route,
             core.configuration.table,
             RouteQuery('host', '/a/x'),
-            _TEAM,
+            team,
             arrived=now,
             aim=now + _ANSWER_TARGET_SECONDS,
             ends=now + _TIMEOUT_SECONDS,
+            prompt=prompt,
             service=_SERVICE,
             fingerprint=core.quarantine.fingerprint(_TARGET, body),
+            parts=part_fingerprints(core.quarantine.key, prompt),
         )
         serve(core, exchange, sent.answer)
         return sent
--- /dev/null
+++ b/pollenstile/bench/_partworld.py
@@ -0,0 +1,250 @@
+"""Simulate callers of requests that share a part which crashes upstreams."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from pollenstile.bench._crashworld import DEADLY, CrashWorld
+from pollenstile.bench._domainworld import DomainWorld
+from pollenstile.quarantine import HELD_REASON
+
+# Retries that all hosts may send in a budget window in addition to the ratio.
+_RETRY_SLACK = 60.0
+_TRIES = 3
+# Seconds after which a caller repeats a try that failed without advice.
+_RETRY_SECONDS = 0.2
+# Seconds between a caller's looks at its answer.
+_POLL_SECONDS = 0.05
+_PART_TOKENS = 200
+_SOUND = b'sound'
+# Shared parts of sound requests besides those of the load.
+_SOUND_PARTS = 6
+# Crashes after which hosts must keep a part from upstreams, seconds until then,
+# and seconds until sound requests must be served as before.
+ALLOWED_CRASHES = 5
+CONTACT_SECONDS = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class PartLoad:
+    """Rates of requests, and where their prompts hold the deadly part.
+
+    Parameters
+    ==========
+
+    sound, deadly, chance : float
+        Sound requests, requests with the deadly part, and crashes without a
+        cause, a second.
+    place, parts : int
+        Position of the deadly part, from 0, and the number of parts.
+    seconds : float
+        Duration.
+    teams : int
+        Number of teams that send the requests, both kinds.
+    bodies : int
+        Number of different requests with the deadly part; 0 for a new one each
+        time.
+    """
+
+    sound: float = 12.0
+    deadly: float = 2.0
+    chance: float = 0.0
+    place: int = 1
+    parts: int = 3
+    seconds: float = 24.0
+    teams: int = 1
+    bodies: int = 0
+
+    def prompt(self, number, part):
+        """Return the prompt of a request that holds a part at the place."""
+        idents = [f'shared-{place}' for place in range(self.parts - 1)]
+        idents[self.place] = part
+        return tuple(
+            (ident, _PART_TOKENS) for ident in (*idents, f'own-{number}')
+        )
+
+
+@dataclass(slots=True)
+class PartCaller:
+    """A caller's request and its tries.
+
+    Attributes
+    ==========
+
+    tries : list of SentRequest
+        Oldest first.
+    """
+
+    body: bytes
+    prompt: tuple
+    team: str
+    tries: list = field(default_factory=list)
+
+    @property
+    def is_sound(self):
+        """Whether the request crashes no upstream."""
+        return self.body.startswith(_SOUND)
+
+    def is_served_at_once(self):
+        """Return whether the first try was answered in full."""
+        return self.tries[0].answer.end == 'whole'
+
+    def is_held(self):
+        """Return whether a host refused it for crashing upstreams."""
+        return any(
+            one.answer.refusal is not None
+            and one.answer.refusal.reason == HELD_REASON
+            for one in self.tries
+        )
+
+
+class PartWorld(CrashWorld):
+    """Hosts and upstreams of few slots, and callers with prompts of parts.
+
+    Parameters
+    ==========
+
+    load : PartLoad
+        What the callers send.
+    seed : int
+        Seed of the callers and of crashes without a cause.
+
+    Attributes
+    ==========
+
+    callers : list of PartCaller
+        The callers, in the order of their first tries.
+    """
+
+    __slots__ = ('callers', 'load', 'rng')
+
+    def __init__(self, hosts, domains, load, seed=1, route='resumed', slots=8):
+        super().__init__(hosts, hosts, domains, route, slots)
+        self.load = load
+        self.rng = Random(seed)
+        self.callers = []
+        self.fleet.advance(1.0)
+
+    def make_fleet(self, hosts, domains):
+        """Return the started hosts, without an upstream that never answers."""
+        return DomainWorld(
+            hosts, domains, has_upstream=False, repeat_slack=_RETRY_SLACK
+        )
+
+    def now(self):
+        """Return the time on the virtual clock."""
+        return self.fleet.clock.seconds()
+
+    def run_sound(self, seconds):
+        """Let sound requests arrive for some seconds."""
+        self._schedule(self.load.sound, seconds, self._send_sound)
+        self.advance(seconds)
+
+    def run(self):
+        """Let all requests of the load arrive."""
+        load = self.load
+        self._schedule(load.deadly, load.seconds, self._send_deadly)
+        self._schedule(load.chance, load.seconds, self._crash_any)
+        self.run_sound(load.seconds)
+        self.advance(2 * CONTACT_SECONDS)
+
+    def judged_at(self):
+        """Return the time of the fifth crash under the part, or the last."""
+        crashes = self.deadly_crashes()[:ALLOWED_CRASHES]
+        return crashes[-1] if crashes else 0.0
+
+    def deadly_crashes(self):
+        """Return the times of the crashes under the deadly part."""
+        return [crash.at for crash in self.upstreams.crashes if crash.body]
+
+    def late_arrivals(self):
+        """Return the arrivals of the deadly part that are not allowed.
+
+        Explanation
+        ===========
+
+        Those later than :data:`CONTACT_SECONDS` after the fifth crash.
+        """
+        if len(self.deadly_crashes()) < ALLOWED_CRASHES:
+            return []
+        since = self.judged_at() + CONTACT_SECONDS
+        return [
+            arrival
+            for arrival in self.upstreams.arrivals
+            if arrival.body.startswith(DEADLY) and arrival.at > since
+        ]
+
+    def share_served(self, since, until):
+        """Return the share of sound requests served at their first try.
+
+        Parameters
+        ==========
+
+        since, until : float
+            Times on the clock between which the requests were sent.
+        """
+        sound = [
+            caller
+            for caller in self.callers
+            if caller.is_sound and since <= caller.tries[0].at < until
+        ]
+        served = sum(caller.is_served_at_once() for caller in sound)
+        return served / max(1, len(sound))
+
+    def sound_held(self):
+        """Return the sound requests refused for crashing upstreams."""
+        return [
+            caller
+            for caller in self.callers
+            if caller.is_sound and caller.is_held()
+        ]
+
+    def _schedule(self, rate, seconds, call):
+        if not rate:
+            return
+        moment = self.rng.expovariate(rate)
+        while moment < seconds:
+            self.fleet.clock.callLater(moment, call)
+            moment += self.rng.expovariate(rate)
+
+    def _send_sound(self):
+        part = f'sound-{self.rng.randrange(_SOUND_PARTS)}'
+        self._begin(_SOUND, part, len(self.callers))
+
+    def _send_deadly(self):
+        bodies = self.load.bodies
+        number = self.rng.randrange(bodies) if bodies else len(self.callers)
+        self._begin(DEADLY, 'deadly', number)
+
+    def _begin(self, prefix, part, number):
+        caller = PartCaller(
+            prefix + b'%d' % number,
+            self.load.prompt(number, part),
+            f'team-{self.rng.randrange(self.load.teams)}',
+        )
+        self.callers.append(caller)
+        self._try(caller)
+
+    def _try(self, caller):
+        names = [host.name for host in self.fleet.running()]
+        used = {sent.host for sent in caller.tries}
+        others = [name for name in names if name not in used]
+        name = self.rng.choice(others or names)
+        sent = self.send_request(name, caller.body, caller.prompt, caller.team)
+        caller.tries.append(sent)
+        self._watch(caller, sent.answer)
+
+    def _watch(self, caller, answer):
+        """Repeat a try that has failed, after the advised time."""
+        call_later = self.fleet.clock.callLater
+        if not answer.end:
+            call_later(_POLL_SECONDS, self._watch, caller, answer)
+            return
+        if answer.end == 'whole' or len(caller.tries) >= _TRIES:
+            return
+        advised = answer.refusal.retry_after if answer.refusal else 0.0
+        call_later(advised or _RETRY_SECONDS, self._try, caller)
+
+    def _crash_any(self):
+        running = self.upstreams.running()
+        if running:
+            self.upstreams.crash(self.rng.choice(running))
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -109,8 +109,8 @@
     work : float
         Run time of other requests, in seconds.
     slots : int
-        Number of other requests that an upstream runs at a time; further ones
-        wait. 0 for any number.
+        Number of requests that an upstream runs at a time; further ones wait, a
+        crashing one as well. 0 for any number.
 
     Attributes
     ==========
@@ -227,9 +227,6 @@
             self.clock.callLater(_LATENCY_SECONDS, call.receive_head, refusal)
             return
         process.calls.append(call)
-        if self.is_crashing(call.body):
-            self.clock.callLater(_CRASH_SECONDS, self.crash, process, call.body)
-            return
         process.waiting.append(call)
         self._run_next(process)
 
@@ -240,6 +237,9 @@
             return
         process.running += 1
         call = process.waiting.pop(0)
+        if self.is_crashing(call.body):
+            self.clock.callLater(_CRASH_SECONDS, self.crash, process, call.body)
+            return
         self.clock.callLater(
             _FIRST_EVENT_SECONDS, self._send_head, process, call
         )
--- a/tools/check.py
+++ b/tools/check.py
@@ -36,6 +36,7 @@
 )
 _CRASH_FEATURES = (
     'features/brittle.feature',
+    'features/deadly_parts.feature',
     'features/quarantine.feature',
     'features/versions.feature',
 )
