quarantine: prompt parts that crash upstreams are refused, whoever sends them

Cause: a crash spoke against whole requests alone. Each new request with the part was a new fingerprint and needed three crashes of its own. Class: what is learnt is bound to one form of a thing, and the harm comes again in another form. The verdict by time was no help either: with the part itself making most crashes, their rate says that all is chance.

Change: a part is a suspect as a request is, in the same reports, messages, verdicts and store entries. An answer that goes on clears its parts; the chance of a part is worked out from the rate of the other crashes; moments count, not crashes, as racks fail at once; the crashes without its most frequent request must not be chance; nothing is blamed while a service answers nothing. Requests blamed beside it are released.

Ruled out: a verdict that comes late (verdicts on whole requests reach all hosts in 16 ms); a fault of the service (each of 18 crashes has an unanswered request of one kind).

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -19,6 +19,7 @@
     Report,
     Suspect,
     VerdictRecorder,
+    fingerprint,
     unix_ms,
 )
 from pollenstile.standin.objectapi import MemoryStore
@@ -263,7 +264,7 @@
 def when_wrongly_reported(context):
     world = context.world
     quarantine = _fleet(context).running()[0].core.quarantine
-    suspect = Suspect(quarantine.fingerprint(b'a'), 'team', 0.001)
+    suspect = Suspect(fingerprint(quarantine.key, b'a'), 'team', 0.001)
     for process in world.upstreams.running()[:3]:
         quarantine.note_crash(f'{process.ident}/0', 's', (suspect,))
     world.advance(1.0)
@@ -276,15 +277,15 @@
 )
 def when_reported_and_cleared(context, gap):
     hosts = _fleet(context).running()
-    fingerprint = hosts[0].core.quarantine.fingerprint(b'a')
-    suspects = (Suspect(fingerprint, 'team', 0.5),)
+    name = fingerprint(hosts[0].core.quarantine.key, b'a')
+    suspects = (Suspect(name, 'team', 0.5),)
     crashed = f'{context.world.upstreams.running()[0].ident}/0'
     for host in (hosts[0], hosts[4]):
         host.core.quarantine.note_crash(crashed, 's', suspects)
     context.world.advance(gap)
-    hosts[-1].core.quarantine.note_completed(fingerprint)
+    hosts[-1].core.quarantine.note_completed(name)
     context.world.advance(0.01)
-    hosts[2].core.quarantine.note_completed(fingerprint)
+    hosts[2].core.quarantine.note_completed(name)
 
 
 @then('each host has cleared it at most once within {seconds:g} seconds')
--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -7,7 +7,7 @@
 
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.forward import Exchange, RouteQuery, serve
-from pollenstile.quarantine import part_fingerprints
+from pollenstile.quarantine import fingerprint, part_fingerprints
 from pollenstile.routes import Kind, Route, Target
 from pollenstile.standin.crashing import NAMES, CrashingUpstreams
 from pollenstile.standin.exchanges import RecordedAnswer
@@ -162,7 +162,7 @@
             ends=now + _TIMEOUT_SECONDS,
             prompt=prompt,
             service=_SERVICE,
-            fingerprint=core.quarantine.fingerprint(_TARGET, body),
+            fingerprint=fingerprint(core.quarantine.key, _TARGET, body),
             parts=part_fingerprints(core.quarantine.key, prompt),
         )
         serve(core, exchange, sent.answer)
--- a/pollenstile/bench/_partworld.py
+++ b/pollenstile/bench/_partworld.py
@@ -16,8 +16,9 @@
 _POLL_SECONDS = 0.05
 _PART_TOKENS = 200
 _SOUND = b'sound'
-# Shared parts of sound requests besides those of the load.
-_SOUND_PARTS = 6
+# Minimum number of shared parts of sound requests besides those of the load.
+# There are as many as hosts, so that their home engines are not overloaded.
+_MIN_SOUND_PARTS = 6
 # Crashes after which hosts must keep a part from upstreams, seconds until then,
 # and seconds until sound requests must be served as before.
 ALLOWED_CRASHES = 5
@@ -115,13 +116,14 @@
         The callers, in the order of their first tries.
     """
 
-    __slots__ = ('callers', 'load', 'rng')
+    __slots__ = ('callers', 'load', 'rng', 'sound_parts')
 
     def __init__(self, hosts, domains, load, seed=1, route='resumed', slots=8):
         super().__init__(hosts, hosts, domains, route, slots)
         self.load = load
         self.rng = Random(seed)
         self.callers = []
+        self.sound_parts = max(_MIN_SOUND_PARTS, hosts)
         self.fleet.advance(1.0)
 
     def make_fleet(self, hosts, domains):
@@ -136,7 +138,7 @@
 
     def run_sound(self, seconds):
         """Let sound requests arrive for some seconds."""
-        self._schedule(self.load.sound, seconds, self._send_sound)
+        self._schedule(self.load.sound, seconds, self.send_sound)
         self.advance(seconds)
 
     def run(self):
@@ -147,6 +149,11 @@
         self.run_sound(load.seconds)
         self.advance(2 * CONTACT_SECONDS)
 
+    def send_sound(self, part=''):
+        """Send a sound request with a part, one of a few by default."""
+        drawn = f'sound-{self.rng.randrange(self.sound_parts)}'
+        self._begin(_SOUND, part or drawn, len(self.callers))
+
     def judged_at(self):
         """Return the time of the fifth crash under the part, or the last."""
         crashes = self.deadly_crashes()[:ALLOWED_CRASHES]
@@ -154,7 +161,11 @@
 
     def deadly_crashes(self):
         """Return the times of the crashes under the deadly part."""
-        return [crash.at for crash in self.upstreams.crashes if crash.body]
+        return [
+            crash.at
+            for crash in self.upstreams.crashes
+            if crash.body.startswith(DEADLY)
+        ]
 
     def late_arrivals(self):
         """Return the arrivals of the deadly part that are not allowed.
@@ -206,10 +217,6 @@
             self.fleet.clock.callLater(moment, call)
             moment += self.rng.expovariate(rate)
 
-    def _send_sound(self):
-        part = f'sound-{self.rng.randrange(_SOUND_PARTS)}'
-        self._begin(_SOUND, part, len(self.callers))
-
     def _send_deadly(self):
         bodies = self.load.bodies
         number = self.rng.randrange(bodies) if bodies else len(self.callers)
--- a/pollenstile/bench/_versionworld.py
+++ b/pollenstile/bench/_versionworld.py
@@ -7,6 +7,7 @@
 from pollenstile.bench._domainworld import DomainWorld
 from pollenstile.bench._streamcallers import StreamCaller
 from pollenstile.forward import Exchange, RouteQuery, serve
+from pollenstile.quarantine import fingerprint
 from pollenstile.standin.crashing import NAMES
 
 _SERVICE = 's'
@@ -150,7 +151,7 @@
             last_event=last_event,
             resumes=caller.origin,
             service=_SERVICE,
-            fingerprint=core.quarantine.fingerprint(_TARGET, caller.body),
+            fingerprint=fingerprint(core.quarantine.key, _TARGET, caller.body),
         )
         self.live.setdefault(host.name, []).append(answer)
         answer.work = serve(core, exchange, answer)
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -30,6 +30,11 @@
 # request can be retried after an incomplete one. Larger ones are streamed.
 _MAX_BUFFERED_BYTES = 65536
 
+# Seconds after its first bytes at which an answer shows that its upstream bears
+# the parts of the prompt: one that crashes on a part does so as it begins, and
+# the first bytes may have left it by then.
+_PROOF_SECONDS = 0.1
+
 # Ends of a body after which its upstream may have sent all of it.
 _ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
 
@@ -98,6 +103,8 @@
         Time on the clock at which the first bytes of a stream arrived.
     longest_pause : float
         Seconds of the longest silence after the first bytes.
+    has_gone_on : bool
+        Whether more followed some time after the first bytes.
     """
 
     __slots__ = (
@@ -109,6 +116,7 @@
         'exchange',
         'first_at',
         'has_first_bytes',
+        'has_gone_on',
         'head_at',
         'input_release',
         'longest_pause',
@@ -126,6 +134,7 @@
         self.splitter = EventSplitter()
         self.buffered = []
         self.has_first_bytes = False
+        self.has_gone_on = False
         self.head_at = 0.0
         self.first_at = 0.0
         self.longest_pause = 0.0
@@ -313,6 +322,8 @@
             self.has_first_bytes = True
             self.first_at = self.core.clock.seconds()
             self._learn_first_bytes()
+        elif not self.has_gone_on:
+            _note_going_on(self)
         had_events = self.splitter.has_events
         received = self.splitter.feed(data)
         if not received:
@@ -405,6 +416,17 @@
             learn_success(self.view, now - self.started)
 
 
+def _note_going_on(attempt):
+    """Record that the upstream lives on after the answer has begun."""
+    core = attempt.core
+    if core.clock.seconds() - attempt.first_at < _PROOF_SECONDS:
+        return
+    attempt.has_gone_on = True
+    core.quarantine.note_answered(
+        attempt.exchange.service, attempt.exchange.parts
+    )
+
+
 def _text(head, name):
     values = head.headers.getRawHeaders(name)
     return values[0].decode('latin-1') if values else ''
--- a/pollenstile/forward/_crash_evidence.py
+++ b/pollenstile/forward/_crash_evidence.py
@@ -20,10 +20,12 @@
     Explanation
     ===========
 
-    The same request has run before. Status 429 or 503, or advice on when to
-    retry, would make its caller send it again, so the refusal has neither.
+    The same request, or one with the same prompt part, has run before. Status
+    429 or 503, or advice on when to retry, would make its caller send it again,
+    so the refusal has neither.
     """
-    if not core.quarantine.is_held(exchange.fingerprint):
+    fingerprints = (exchange.fingerprint, *exchange.parts)
+    if not core.quarantine.verdicts.first_held(fingerprints):
         return None
     return Refusal(_BAD_GATEWAY, HELD_REASON, 'entry')
 
@@ -44,6 +46,8 @@
     fingerprint = exchange.fingerprint
     if isinstance(outcome, (Delivered, UpstreamFailure)):
         quarantine.note_completed(fingerprint)
+        if isinstance(outcome, Delivered):
+            quarantine.note_answered(exchange.service, exchange.parts)
         return succeed(None)
     if not isinstance(outcome, Lost) or not outcome.broken:
         return succeed(None)
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -3,7 +3,7 @@
 from pollenstile.forward._admission import admit_request, drawn_service
 from pollenstile.forward._types import Exchange, Refusal, RouteQuery
 from pollenstile.ops.numbers import whole_number
-from pollenstile.quarantine import part_fingerprints
+from pollenstile.quarantine import fingerprint, part_fingerprints
 from pollenstile.routes import Kind, urgency_of
 
 _MS = 1000
@@ -119,7 +119,8 @@
     another team in quarantine. Headers are excluded, as a repeat contains
     another attempt identifier, and often other sizes.
     """
-    return core.quarantine.fingerprint(
+    return fingerprint(
+        core.quarantine.key,
         team.name.encode() if team else b'',
         answer.method,
         query.host.lower().encode(),
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -2,6 +2,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._types import BodyEnd
+from pollenstile.quarantine import HELD_REASON
 
 _MS = 1000
 
@@ -73,6 +74,7 @@
         outcome=run.outcome,
         status=refusal.status if refusal else 0,
         reason=refusal.reason if refusal else '',
+        held=_held_content(run),
         step=refusal.step if refusal else '',
         peer=refusal.peer if refusal else '',
         resumes=exchange.resumes,
@@ -92,6 +94,14 @@
     )
 
 
+def _held_content(run):
+    """Return the fingerprint that a request was refused for, if it was."""
+    if run.refusal is None or run.refusal.reason != HELD_REASON:
+        return ''
+    fingerprints = (run.exchange.fingerprint, *run.exchange.parts)
+    return run.core.quarantine.verdicts.first_held(fingerprints)
+
+
 def _block_reason(core, view):
     """Return why nothing may be sent to an upstream; empty if it may."""
     block = core.permissions.withdrawn(view.incarnation)
--- a/pollenstile/ops/_quarantinecmd.py
+++ b/pollenstile/ops/_quarantinecmd.py
@@ -23,17 +23,20 @@
 
 @dataclass(slots=True, frozen=True)
 class HeldRequest:
-    """A request in quarantine, as its store entry describes it.
+    """A request or prompt part in quarantine, as its store entry describes it.
 
     Parameters
     ==========
 
     fingerprint, team, service : str
-        Fingerprint of the request, its team and the service that it called.
+        Fingerprint of the request or part, its team, or one of those that sent
+        the part, and the service that it called.
     crashes : int
         Number of upstreams that crashed while they ran it.
     held_s : int
         Seconds since it was quarantined.
+    is_part : bool
+        Whether all requests with a prompt part are refused.
     """
 
     fingerprint: str
@@ -41,6 +44,7 @@
     service: str
     crashes: int
     held_s: int
+    is_part: bool = False
 
 
 def add_parser(commands):
@@ -103,6 +107,7 @@
                 str(fields.get('service', '')),
                 int(fields.get('crashes', 0)),
                 max(0, now_ms - since) // _MS_PER_SECOND,
+                fields.get('part') is True,
             )
         )
     return found
@@ -117,18 +122,18 @@
     >>> from pollenstile.ops._quarantinecmd import HeldRequest, table_lines
     >>> for line in table_lines([HeldRequest('1f', 'clark', 'draft', 3, 42)]):
     ...     print(line)
-    1 request in quarantine
-    1f  team clark, service draft: 3 upstreams crashed, held for 42 s
+    1 in quarantine
+    1f  request, team clark, service draft: 3 upstreams crashed, held for 42 s
     >>> table_lines([])
-    ['no request is in quarantine']
+    ['nothing is in quarantine']
     """
     if not held:
-        return ['no request is in quarantine']
-    noun = 'request' if len(held) == 1 else 'requests'
-    lines = [f'{len(held)} {noun} in quarantine']
+        return ['nothing is in quarantine']
+    lines = [f'{len(held)} in quarantine']
     for request in held:
+        kind = 'prompt part' if request.is_part else 'request'
         lines.append(
-            f'{request.fingerprint}  team {request.team}, '
+            f'{request.fingerprint}  {kind}, team {request.team}, '
             f'service {request.service}: '
             f'{request.crashes} upstreams crashed, held for {request.held_s} s',
         )
--- a/pollenstile/quarantine/_codec.py
+++ b/pollenstile/quarantine/_codec.py
@@ -4,6 +4,7 @@
 
 from pollenstile.peer import decode_struct, load_schema
 from pollenstile.quarantine._types import (
+    PartProof,
     QuarantineUpdate,
     Report,
     Suspect,
@@ -21,6 +22,10 @@
         alive=list(update.alive),
         cleared=[bytes.fromhex(digest) for digest in update.cleared],
         verdicts=[_verdict_row(verdict, now) for verdict in update.verdicts],
+        proofs=[
+            {'part': bytes.fromhex(proof.part), 'service': proof.service}
+            for proof in update.proofs
+        ],
     ).to_bytes()
 
 
@@ -33,6 +38,10 @@
             tuple(reader.alive),
             tuple(digest.hex() for digest in reader.cleared),
             tuple(_verdict_from(verdict, now) for verdict in reader.verdicts),
+            tuple(
+                PartProof(proof.part.hex(), proof.service)
+                for proof in reader.proofs
+            ),
         )
 
     return decode_struct(_schema.News, encoded, build)
@@ -48,6 +57,7 @@
                 'fingerprint': bytes.fromhex(suspect.fingerprint),
                 'team': suspect.team,
                 'ranMs': max(0, int(suspect.run_seconds * _MS)),
+                'parts': [bytes.fromhex(part) for part in suspect.parts],
             }
             for suspect in report.suspects
         ],
@@ -56,7 +66,12 @@
 
 def _report_from(reader):
     suspects = tuple(
-        Suspect(suspect.fingerprint.hex(), suspect.team, suspect.ranMs / _MS)
+        Suspect(
+            suspect.fingerprint.hex(),
+            suspect.team,
+            suspect.ranMs / _MS,
+            tuple(part.hex() for part in suspect.parts),
+        )
         for suspect in reader.suspects
     )
     return Report(reader.incarnation, reader.service, reader.host, suspects)
@@ -71,6 +86,7 @@
         'changed': verdict.changed,
         'held': verdict.is_held,
         'leftMs': max(0, int((verdict.expires_at - now) * _MS)),
+        'isPart': verdict.is_part,
     }
 
 
@@ -83,4 +99,5 @@
         reader.changed,
         reader.held,
         now + reader.leftMs / _MS,
+        reader.isPart,
     )
--- a/pollenstile/quarantine/_completedruns.py
+++ b/pollenstile/quarantine/_completedruns.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 # Seconds for which a completed run is evidence that a request does not crash
-# upstreams, and the number of requests that are remembered.
+# upstreams, and the number of requests that are remembered by default.
 _EVIDENCE_SECONDS = 30.0
 _MAX_REQUESTS = 4096
 
@@ -16,19 +16,22 @@
 
     clock : IReactorTime
         Seconds.
+    most : int
+        Number of requests that are remembered.
     """
 
-    __slots__ = ('clock', 'completed_at')
+    __slots__ = ('clock', 'completed_at', 'most')
 
-    def __init__(self, clock):
+    def __init__(self, clock, most=_MAX_REQUESTS):
         self.clock = clock
+        self.most = most
         self.completed_at = OrderedDict()
 
     def add(self, fingerprint):
         """Record that a request has run to completion now."""
         self.completed_at[fingerprint] = self.clock.seconds()
         self.completed_at.move_to_end(fingerprint)
-        if len(self.completed_at) > _MAX_REQUESTS:
+        if len(self.completed_at) > self.most:
             self.completed_at.popitem(last=False)
 
     def has_recent(self, fingerprint):
--- a/pollenstile/quarantine/_evidence.py
+++ b/pollenstile/quarantine/_evidence.py
@@ -2,14 +2,15 @@
 
 from dataclasses import dataclass, field
 
-from pollenstile.quarantine._types import Report
+from pollenstile.quarantine._types import Report, Suspect
 
 # Seconds for which a report counts as evidence against a request.
 KEPT_SECONDS = 600.0
 # Crashes that are remembered, and suspects that are remembered of each: as many
-# as two batches hold.
+# as two batches hold, and as many parts of their prompts.
 _MAX_CRASHES = 256
 _MAX_SUSPECTS = 128
+_MAX_PARTS = 128
 # Incarnations that are remembered because reports of them were retracted.
 _MAX_RETRACTED = 256
 
@@ -24,9 +25,12 @@
     at : float
         Local clock time at which this host received the first report.
     suspects : dict
-        :class:`Suspect` by fingerprint, each with its longest run time.
+        :class:`Suspect` by fingerprint, each with its longest run time. A
+        prompt part is a suspect as well as the requests that hold it.
     hosts : dict
         Hosts that reported a suspect, by fingerprint.
+    requests : dict
+        Fingerprints of the requests that hold a part, by the part's.
     """
 
     incarnation: str
@@ -34,6 +38,15 @@
     at: float
     suspects: dict = field(default_factory=dict)
     hosts: dict = field(default_factory=dict)
+    requests: dict = field(default_factory=dict)
+
+    def has_room(self, fingerprint, *, is_part):
+        """Return whether a suspect is known or can be added."""
+        if fingerprint in self.suspects:
+            return True
+        if is_part:
+            return len(self.requests) < _MAX_PARTS
+        return len(self.suspects) - len(self.requests) < _MAX_SUSPECTS
 
 
 class Evidence:
@@ -51,7 +64,7 @@
     crashes : dict
         :class:`Crash` by incarnation, oldest first.
     incarnations : dict
-        Incarnations that crashed while running a request, by fingerprint.
+        Incarnations that crashed while running a suspect, by fingerprint.
     retracted : dict
         Incarnations whose reports were retracted, oldest first.
     """
@@ -84,12 +97,25 @@
         self._drop_oldest()
         return Report(report.incarnation, report.service, report.host, fresh)
 
-    def clear(self, fingerprint):
-        """Drop the evidence against a request; return whether any existed."""
-        incarnations = self.incarnations.pop(fingerprint, ())
-        for incarnation in incarnations:
-            self.crashes[incarnation].suspects.pop(fingerprint)
-        return bool(incarnations)
+    def clear(self, fingerprint, service=''):
+        """Drop the evidence against a suspect; return whether any existed.
+
+        Parameters
+        ==========
+
+        service : str
+            Only evidence of this service is dropped; empty for all.
+        """
+        cleared = [
+            self.crashes[incarnation]
+            for incarnation in self.incarnations.get(fingerprint, ())
+            if service in ('', self.crashes[incarnation].service)
+        ]
+        for crash in cleared:
+            crash.suspects.pop(fingerprint)
+            crash.requests.pop(fingerprint, None)
+            self._forget(fingerprint, crash.incarnation)
+        return bool(cleared)
 
     def retract(self, incarnation):
         """Retract an incarnation's reports; return its suspects."""
@@ -103,7 +129,7 @@
         return tuple(crash.suspects)
 
     def crash_count(self, fingerprint):
-        """Return the number of processes that crashed running a request."""
+        """Return the number of processes that crashed running a suspect."""
         return len(self.incarnations.get(fingerprint, ()))
 
     def crashes_of(self, service):
@@ -113,7 +139,7 @@
         ]
 
     def reporters(self, fingerprint):
-        """Return the hosts that reported a request as a suspect."""
+        """Return the hosts that reported a suspect."""
         reporting = set()
         for incarnation in self.incarnations.get(fingerprint, ()):
             reporting.update(
@@ -130,8 +156,20 @@
 
     def _add_suspect(self, crash, report, suspect):
         """Add a suspect to a crash; return whether that changed the crash."""
+        is_new = self._add_entry(crash, report, suspect, is_part=False)
+        for part in suspect.parts:
+            entry = Suspect(part, suspect.team, suspect.run_seconds)
+            if self._add_entry(crash, report, entry, is_part=True):
+                is_new = True
+            if part in crash.suspects:
+                holders = crash.requests.setdefault(part, set())
+                is_new = is_new or suspect.fingerprint not in holders
+                holders.add(suspect.fingerprint)
+        return is_new
+
+    def _add_entry(self, crash, report, suspect, *, is_part):
         known = crash.suspects.get(suspect.fingerprint)
-        if known is None and len(crash.suspects) >= _MAX_SUSPECTS:
+        if not crash.has_room(suspect.fingerprint, is_part=is_part):
             return False
         hosts = crash.hosts.setdefault(suspect.fingerprint, set())
         hosts.add(report.host)
@@ -149,7 +187,10 @@
     def _drop(self, crash):
         self.crashes.pop(crash.incarnation)
         for fingerprint in crash.suspects:
-            incarnations = self.incarnations[fingerprint]
-            incarnations.discard(crash.incarnation)
-            if not incarnations:
-                self.incarnations.pop(fingerprint)
+            self._forget(fingerprint, crash.incarnation)
+
+    def _forget(self, fingerprint, incarnation):
+        incarnations = self.incarnations[fingerprint]
+        incarnations.discard(incarnation)
+        if not incarnations:
+            self.incarnations.pop(fingerprint)
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -7,11 +7,15 @@
 from pollenstile.quarantine import events
 from pollenstile.quarantine._completedruns import CompletedRuns
 from pollenstile.quarantine._evidence import Evidence
-from pollenstile.quarantine._fingerprint import (
-    fingerprint as keyed_fingerprint,
+from pollenstile.quarantine._judgement import explained_by, judge
+from pollenstile.quarantine._partproofs import PartProofs
+from pollenstile.quarantine._types import (
+    PartProof,
+    QuarantineUpdate,
+    Report,
+    Verdict,
 )
-from pollenstile.quarantine._types import QuarantineUpdate, Report, Verdict
-from pollenstile.quarantine._verdict import MIN_CRASHES, attribute_crashes
+from pollenstile.quarantine._verdict import MIN_CRASHES
 from pollenstile.quarantine._verdicts import HOLD_SECONDS, Verdicts
 
 _MS = 1000
@@ -29,7 +33,7 @@
 
 
 class Quarantine:
-    """Quarantined requests, and the evidence against other requests.
+    """Quarantined requests and prompt parts, and the evidence against others.
 
     Parameters
     ==========
@@ -56,7 +60,9 @@
     on_verdict : function
         Called with each verdict that this host reaches, and with each release.
     on_held : function
-        Called with the fingerprint of each newly quarantined request.
+        Called with each newly quarantined fingerprint.
+    proofs : PartProofs
+        Prompt parts on which upstreams have recently answered.
     """
 
     __slots__ = (
@@ -71,6 +77,7 @@
         'on_held',
         'on_update',
         'on_verdict',
+        'proofs',
         'verdicts',
     )
 
@@ -84,25 +91,30 @@
         self.evidence = Evidence(clock)
         self.verdicts = Verdicts(clock)
         self.completed_runs = CompletedRuns(clock)
+        self.proofs = PartProofs(clock)
         self.on_update = _ignore
         self.on_verdict = _ignore
         self.on_held = _ignore
 
-    def fingerprint(self, *parts):
-        """Return a request's fingerprint; empty while the key is unknown."""
-        return keyed_fingerprint(self.key, *parts)
-
     def is_held(self, fingerprint):
-        """Return whether a request is in quarantine."""
+        """Return whether a request or a prompt part is in quarantine."""
         return self.verdicts.held_verdict(fingerprint) is not None
 
     def is_suspect(self, fingerprint):
-        """Return whether an upstream has crashed while running a request."""
+        """Return whether an upstream has crashed while running a suspect."""
         return self.evidence.crash_count(fingerprint) > 0
 
-    def may_repeat(self, fingerprint):
-        """Return whether a host may retry a request without its caller."""
-        return self.evidence.crash_count(fingerprint) < _MAX_CRASHES_TO_RETRY
+    def may_repeat(self, fingerprint, parts=()):
+        """Return whether a host may retry a request without its caller.
+
+        Parameters
+        ==========
+
+        parts : tuple of str
+            Those parts of its prompt on which no upstream has answered.
+        """
+        counts = map(self.evidence.crash_count, (fingerprint, *parts))
+        return max(counts) < _MAX_CRASHES_TO_RETRY
 
     def note_crash(self, incarnation, service, suspects):
         """Report a crashed process and the requests in flight there."""
@@ -119,6 +131,16 @@
                 self.apply(QuarantineUpdate(cleared=(fingerprint,))),
             )
 
+    def note_answered(self, service, parts):
+        """Record that an answer of a service on prompt parts goes on."""
+        self.proofs.note_answer(service)
+        proven = []
+        for part in parts:
+            self.proofs.add(part, service)
+            if self.is_suspect(part) or self.is_held(part):
+                proven.append(PartProof(part, service))
+        self._announce(self.apply(QuarantineUpdate(proofs=tuple(proven))))
+
     def note_answer(self, incarnation, sent_at):
         """Record that a process answered a call that was sent at a time."""
         crash = self.evidence.crashes.get(incarnation)
@@ -138,7 +160,7 @@
     def apply(self, update):
         """Apply an update; return the part of it that is new here."""
         added = [
-            self.evidence.add(_without_completed(reported, self.completed_runs))
+            self.evidence.add(_without_proven(self, reported))
             for reported in update.reports
         ]
         reports = tuple(part for part in added if part is not None)
@@ -151,9 +173,11 @@
                 for verdict in update.verdicts
                 if self._apply_verdict(verdict)
             ),
+            tuple(proof for proof in update.proofs if self._prove(proof)),
         )
         for report in reports:
-            self._judge(report)
+            for attribution in judge(self, report):
+                self._hold(report.service, attribution)
         return fresh
 
     def expire(self):
@@ -165,28 +189,6 @@
                 _log_release(self.log, verdict, 'its time is over')
         return expired
 
-    def _judge(self, report):
-        """Quarantine those suspects of a report that caused crashes."""
-        suspected = [
-            suspect.fingerprint
-            for suspect in report.suspects
-            if self.evidence.crash_count(suspect.fingerprint) >= MIN_CRASHES
-        ]
-        if not suspected:
-            return
-        held_fingerprints = {
-            verdict.fingerprint for verdict in self.verdicts.all_held()
-        }
-        attributions = attribute_crashes(
-            suspected,
-            self.evidence.crashes_of(report.service),
-            self.count_upstreams(report.service),
-            self.clock.seconds(),
-            held_fingerprints,
-        )
-        for attribution in attributions:
-            self._hold(report.service, attribution)
-
     def _hold(self, service, attribution):
         fingerprint = attribution.suspect.fingerprint
         known = self.verdicts.by_fingerprint.get(fingerprint)
@@ -198,12 +200,17 @@
             max(self.now_ms(), known.changed + 1 if known else 0),
             is_held=True,
             expires_at=self.clock.seconds() + HOLD_SECONDS,
+            is_part=attribution.is_part,
         )
         if not self._apply_verdict(verdict, chance=attribution.chance):
             return
         self._announce(QuarantineUpdate(verdicts=(verdict,)))
-        if self.is_held(fingerprint):
-            self.on_verdict(verdict)
+        if not self.is_held(fingerprint):
+            return
+        self.on_verdict(verdict)
+        if verdict.is_part:
+            for name in explained_by(self, fingerprint):
+                self.release(name, 'a prompt part explains its crashes')
 
     def _apply_verdict(self, verdict, chance=None):
         """Apply a verdict; return whether it is new here."""
@@ -215,16 +222,17 @@
             events.REQUEST_QUARANTINED,
             level='warning',
             content=verdict.fingerprint,
+            part=verdict.is_part,
             team=verdict.team,
             service=verdict.service,
             crashes=verdict.crashes,
             chance=chance,
             left_ms=int((verdict.expires_at - self.clock.seconds()) * _MS),
         )
-        if self.completed_runs.has_recent(verdict.fingerprint):
-            # The hosts that saw the crashes can't know that the request ran to
-            # completion on this host.
-            self.release(verdict.fingerprint, 'it ran to its end here')
+        if _is_disproved(self, verdict):
+            # The hosts that saw the crashes can't know of the answers at this
+            # host.
+            self.release(verdict.fingerprint, 'it was answered here')
         else:
             self.on_held(verdict.fingerprint)
         return True
@@ -258,6 +266,26 @@
         self.release(fingerprint, 'it ran to its end')
         return was_suspect or was_held or not was_known
 
+    def _prove(self, proof):
+        """Clear a part on which a service has answered; return if it is new.
+
+        Explanation
+        ===========
+
+        An answer of one service doesn't clear crashes of another: its upstreams
+        may run other software.
+        """
+        was_known = self.proofs.has_recent(proof.part, proof.service)
+        self.proofs.add(proof.part, proof.service)
+        was_suspect = self.evidence.clear(proof.part, proof.service)
+        held = self.verdicts.held_verdict(proof.part)
+        is_lifted = held is not None and held.service == proof.service
+        if was_suspect:
+            self.log(events.SUSPECT_CLEARED, content=proof.part)
+        if is_lifted:
+            self.release(proof.part, 'an answer on it went on')
+        return was_suspect or is_lifted or not was_known
+
     def _retract(self, incarnation):
         """Void a live process's reports; return whether there were any."""
         suspects = self.evidence.retract(incarnation)
@@ -274,12 +302,23 @@
             self.on_update(update)
 
 
-def _without_completed(report, completed_runs):
-    """Return a report without the requests that ran to completion."""
+def _is_disproved(quarantine, verdict):
+    """Return whether this host has seen what a verdict excludes."""
+    name = verdict.fingerprint
+    if verdict.is_part:
+        return quarantine.proofs.has_recent(name, verdict.service)
+    return quarantine.completed_runs.has_recent(name)
+
+
+def _without_proven(quarantine, report):
+    """Return a report without what is known not to crash upstreams."""
     suspects = tuple(
-        suspect
+        replace(
+            suspect,
+            parts=quarantine.proofs.unproven(suspect.parts, report.service),
+        )
         for suspect in report.suspects
-        if not completed_runs.has_recent(suspect.fingerprint)
+        if not quarantine.completed_runs.has_recent(suspect.fingerprint)
     )
     return replace(report, suspects=suspects)
 
--- a/pollenstile/quarantine/_record.py
+++ b/pollenstile/quarantine/_record.py
@@ -111,6 +111,7 @@
                 'team': verdict.team,
                 'service': verdict.service,
                 'crashes': verdict.crashes,
+                'part': verdict.is_part,
                 'since_ms': verdict.changed,
                 'host': self.quarantine.host,
             }
@@ -150,6 +151,7 @@
             since,
             is_held=True,
             expires_at=self.quarantine.clock.seconds() + HOLD_SECONDS - age,
+            is_part=entry.get('part') is True,
         )
 
 
--- a/pollenstile/quarantine/_types.py
+++ b/pollenstile/quarantine/_types.py
@@ -47,15 +47,31 @@
     suspects: tuple[Suspect, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class PartProof:
+    """A prompt part on which an upstream of a service has answered.
+
+    Parameters
+    ==========
+
+    part, service : str
+        Fingerprint of the part, and the service.
+    """
+
+    part: str
+    service: str
+
+
 @dataclass(slots=True, frozen=True)
 class Verdict:
-    """Whether a request is kept from upstreams.
+    """Whether a request, or all with a prompt part, is kept from upstreams.
 
     Parameters
     ==========
 
     fingerprint, team, service : str
-        The request, its team and the service that it crashed.
+        The request or the part, a team that sent it and the service that it
+        crashed.
     crashes : int
         Number of processes that crashed while running it.
     changed : int
@@ -64,6 +80,8 @@
         True while the request is in quarantine, False after its release.
     expires_at : float
         Local clock time at which the verdict is dropped.
+    is_part : bool
+        Whether the fingerprint is that of a prompt part.
     """
 
     fingerprint: str
@@ -73,6 +91,7 @@
     changed: int
     is_held: bool
     expires_at: float
+    is_part: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -91,30 +110,33 @@
         Fingerprints of requests that ran to completion.
     verdicts : tuple of Verdict
         New verdicts, or all verdicts of the sender.
+    proofs : tuple of PartProof
+        Suspect prompt parts on which upstreams have answered.
     """
 
     reports: tuple[Report, ...] = ()
     alive: tuple[str, ...] = ()
     cleared: tuple[str, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
+    proofs: tuple[PartProof, ...] = ()
 
     def is_empty(self):
         """Return whether the update holds nothing."""
         entries = self.reports or self.alive or self.cleared or self.verdicts
-        return not entries
+        return not (entries or self.proofs)
 
 
 def merge_updates(updates):
     """Return one update with the distinct entries of several."""
     return QuarantineUpdate(
-        tuple(
-            dict.fromkeys(entry for part in updates for entry in part.reports)
-        ),
-        tuple(dict.fromkeys(entry for part in updates for entry in part.alive)),
-        tuple(
-            dict.fromkeys(entry for part in updates for entry in part.cleared)
-        ),
-        tuple(
-            dict.fromkeys(entry for part in updates for entry in part.verdicts)
-        ),
+        _distinct(part.reports for part in updates),
+        _distinct(part.alive for part in updates),
+        _distinct(part.cleared for part in updates),
+        _distinct(part.verdicts for part in updates),
+        _distinct(part.proofs for part in updates),
     )
+
+
+def _distinct(groups):
+    """Return the distinct entries of several groups, in order."""
+    return tuple(dict.fromkeys(entry for group in groups for entry in group))
--- a/pollenstile/quarantine/_verdicts.py
+++ b/pollenstile/quarantine/_verdicts.py
@@ -53,6 +53,17 @@
         found = map(self.held_verdict, self.by_fingerprint)
         return [verdict for verdict in found if verdict is not None]
 
+    def held_fingerprints(self):
+        """Return the fingerprints in quarantine."""
+        return {verdict.fingerprint for verdict in self.all_held()}
+
+    def first_held(self, fingerprints):
+        """Return the first fingerprint in quarantine; empty if none is."""
+        for fingerprint in fingerprints:
+            if self.held_verdict(fingerprint) is not None:
+                return fingerprint
+        return ''
+
     def expire(self):
         """Drop expired verdicts; return them."""
         now = self.clock.seconds()
--- a/pollenstile/quarantine/events.py
+++ b/pollenstile/quarantine/events.py
@@ -5,19 +5,22 @@
 REQUEST_QUARANTINED = define(
     1401,
     'request-quarantined',
-    'A request has crashed upstreams; it is refused from now on.',
-    'Find the cause in the request; `pollenstile quarantine` lists quarantined'
-    ' requests and releases them.',
+    'A request or a prompt part has crashed upstreams; it, or all requests with'
+    ' the part, are refused from now on.',
+    'Find the cause in the request; `part` tells whether all requests with that'
+    ' part are refused. `pollenstile quarantine` lists and releases both.',
 )
 QUARANTINE_LIFTED = define(
     1402,
     'quarantine-lifted',
-    'A request is released from quarantine; the line gives the reason.',
+    'A request or a prompt part is released from quarantine; the line gives the'
+    ' reason.',
 )
 SUSPECT_CLEARED = define(
     1403,
     'suspect-cleared',
-    'A request that was in flight at crashed upstreams ran to completion.',
+    'What was in flight at crashed upstreams is sound: a request ran to'
+    ' completion, or an answer on a prompt part went on.',
 )
 CRASH_VOIDED = define(
     1404,
--- a/pollenstile/quarantine/messages.capnp
+++ b/pollenstile/quarantine/messages.capnp
@@ -6,6 +6,8 @@
   fingerprint @0 :Data;
   team @1 :Text;
   ranMs @2 :UInt32;
+  # Prompt parts that other requests may share.
+  parts @3 :List(Data);
 }
 
 struct Report {
@@ -25,6 +27,12 @@
   held @5 :Bool;
   # Remaining time for which the verdict is kept.
   leftMs @6 :UInt32;
+  isPart @7 :Bool;
+}
+
+struct PartProof {
+  part @0 :Data;
+  service @1 :Text;
 }
 
 struct News {
@@ -34,4 +42,6 @@
   # Fingerprints of requests that ran to completion.
   cleared @2 :List(Data);
   verdicts @3 :List(Verdict);
+  # Suspect prompt parts on which upstreams have answered.
+  proofs @4 :List(PartProof);
 }
