forward: requests with a new prompt part share three candidates

What callers saw: until hosts know of a crash, each request with a deadly part crashed an upstream of its own, with all that ran there: 12 to 16 at 30 hosts in the first second.

Cause: the candidates of an unproven request were drawn by the whole request, and no two are alike. Now they are drawn by its first part on which no answer went on, which all of them share. The home engine of the subject is one of them, as before.

The new scenarios fail without the change.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -18,6 +18,20 @@
       | 9     | 4       | 12    | 0.3    | second | 3     | 40      | 2    |
       | 30    | 3       | 30    | 15     | third  | 4     | 10      | 2    |
 
+  Scenario Outline: Requests with a new part go to few upstreams: <hosts> hosts, <deadly> a second, seed <seed>
+    Before hosts know of a crash, each request would crash an upstream of its own.
+    Three moments of crashes blame the part, and three upstreams are its candidates.
+    Given callers of <hosts> hosts in <domains> failure domains, <sound> sound requests a second
+    And <deadly> requests a second hold a part that crashes upstreams, the third of 4
+    When they arrive for 4 seconds, by seed <seed>
+    Then at most 9 upstreams have crashed under it
+
+    Examples:
+      | hosts | domains | sound | deadly | seed |
+      | 30    | 3       | 30    | 15     | 1    |
+      | 30    | 3       | 30    | 15     | 2    |
+      | 30    | 3       | 30    | 30     | 3    |
+
   Scenario Outline: A part is kept from upstreams whoever sends it, and how: <what>, seed <seed>
     Callers repeat their requests, and crashes without a cause come beside them.
     Given callers of 9 hosts in 4 failure domains, 12 sound requests a second
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -97,6 +97,12 @@
     assert len(late) <= _ALLOWED_ARRIVALS, len(late)
 
 
+@then('at most {most:d} upstreams have crashed under it')
+def then_few(context, most):
+    crashes = context.world.deadly_crashes()
+    assert len(crashes) <= most, len(crashes)
+
+
 @then('sound requests are served at the first try as before')
 def then_served(context):
     world = context.world
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -292,10 +292,11 @@
     Other upstreams are chosen where that lets the request begin earlier by a
     good part of its target latency.
     """
-    if core.copies.is_proven(exchange.fingerprint):
+    content = _unproven_content(core, exchange)
+    if not content:
         return no_cost
-    candidates = _idents(_unproven_candidates(core, exchange, views))
-    is_suspect = core.quarantine.is_suspect(exchange.fingerprint)
+    candidates = _idents(_unproven_candidates(core, exchange, views, content))
+    is_suspect = core.quarantine.is_suspect(content)
     share = _SUSPECT_SPREAD_SHARE if is_suspect else _SPREAD_SHARE
     seconds = share * exchange.route.aim
 
@@ -305,7 +306,25 @@
     return cost
 
 
-def _unproven_candidates(core, exchange, views):
+def _unproven_content(core, exchange):
+    """Return what of a request may crash its upstream, or an empty text.
+
+    Explanation
+    ===========
+
+    The first prompt part on which no upstream has answered, as the most
+    requests share it; else the request itself if it is unproven.
+    """
+    proofs = core.quarantine.proofs
+    for part in exchange.parts:
+        if not proofs.has_recent(part, exchange.service):
+            return part
+    if core.copies.is_proven(exchange.fingerprint):
+        return ''
+    return exchange.fingerprint
+
+
+def _unproven_candidates(core, exchange, views, content):
     """Return those of some upstreams to which an unproven request may go.
 
     Explanation
@@ -316,22 +335,20 @@
     that fails were replaced at once, copies would spread as far as they crash
     upstreams.
     """
-    shared = _idents(_shared_candidates(core, exchange))
+    shared = _idents(_shared_candidates(core, exchange, content))
     left = [view for view in views if view.ident in shared]
-    crashes = core.quarantine.evidence.crash_count(exchange.fingerprint)
+    crashes = core.quarantine.evidence.crash_count(content)
     count = max(1, UNPROVEN_CANDIDATES - crashes)
-    return left or _candidates(exchange, views)[:count]
+    return left or _candidates(exchange, views, content)[:count]
 
 
-def _shared_candidates(core, exchange):
+def _shared_candidates(core, exchange, content):
     """Return the candidates that all hosts with the same registry choose."""
-    return _candidates(exchange, _upstreams_of(core, exchange))
+    return _candidates(exchange, _upstreams_of(core, exchange), content)
 
 
-def _candidates(exchange, views):
-    return candidates_of_unproven(
-        views, exchange.fingerprint, subject_of(exchange.prompt)
-    )
+def _candidates(exchange, views, content):
+    return candidates_of_unproven(views, content, subject_of(exchange.prompt))
 
 
 def _idents(views):
@@ -353,9 +370,10 @@
         Time on the clock; 0 while the request may be sent to a candidate, or if
         connections to none of them have failed.
     """
-    if core.copies.is_proven(exchange.fingerprint):
+    content = _unproven_content(core, exchange)
+    if not content:
         return 0.0
-    shared = _shared_candidates(core, exchange)
+    shared = _shared_candidates(core, exchange, content)
     idents = _idents(_usable_views(core, exchange, tried))
     if any(view.ident in idents for view in shared):
         return 0.0
