forward: a leaving host refuses what no upstream has got when its time is up

Cause: a leaving host waits for the requests in flight until its grace ends, then ends with those that are left. Requests whose stage work still waits in a queue had no upstream yet and no answer either. They are refused now with 503 and when to come back, which is true: they have not run. Requests that an upstream may be working on stay as they are.

Ruled out: a host that takes requests late (the two traced were sent 2.1 s after the signal, within the time in which the balancer still sends).

Measured: the new scenario, real daemons on loopback: closed without a byte before, three times 503 with Retry-After after.

--- a/features/forward_fleet.feature
+++ b/features/forward_fleet.feature
@@ -29,6 +29,13 @@
     Then all 30 drafts are answered completely
     And forwarding host "two" stops with no request in flight
 
+  Scenario: A leaving host refuses what no upstream has got when its time is up
+    Its stage work still waits then; the connections closed without an answer.
+    Given a forwarding fleet of the hosts "one"
+    And forwarding host "one" gets no answers from its upstreams
+    When 3 drafts are sent to forwarding host "one", which is then stopped
+    Then each draft is answered with 503 and when to come back
+
   Scenario: A host that starts during a store outage sends no final refusal
     Given a forwarding fleet of the hosts "one"
     When the store of the fleet fails and forwarding host "two" starts
--- a/features/steps/forward_fleet_steps.py
+++ b/features/steps/forward_fleet_steps.py
@@ -55,6 +55,29 @@
     context.starting = context.fleet.start_host(name)
 
 
+@given('forwarding host "{name}" gets no answers from its upstreams')
+def given_cut(context, name):
+    context.fleet.cut(name, refuses=False)
+
+
+@when(
+    '{count:d} drafts are sent to forwarding host "{name}", which is then stopped'
+)
+def when_sent_and_stopped(context, count, name):
+    factory = context.fleet.daemons[name].factory
+    _send(context, name, count)
+    run_reactor_until(lambda: factory.in_flight == count)
+    result_of(context.fleet.stop(name))
+
+
+@then('each draft is answered with 503 and when to come back')
+def then_refused(context):
+    for connection in context.connections:
+        received = connection.received.lower()
+        assert received.startswith(b'http/1.1 503'), received
+        assert b'retry-after: ' in received, received
+
+
 @then('all {count:d} drafts are answered completely')
 def then_complete(context, count):
     connections = context.connections
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -231,6 +231,7 @@
         self.factory.close_idle()
         while self._is_busy() and self.reactor.seconds() < latest:
             await deferLater(self.reactor, _IDLE_CHECK_SECONDS)
+        self.factory.refuse_unsent()
         self.factory.close_idle()
         await deferLater(self.reactor, _FLUSH_SECONDS)
         self.parts.core.configuration.loop.running = False
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -5,6 +5,7 @@
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
 from pollenstile.forward import events
+from pollenstile.forward._decisions import LEAVING_REFUSAL
 from pollenstile.forward._parse import parse_exchange
 from pollenstile.forward._run import is_cancelled_on_disconnect, serve
 from pollenstile.forward._types import Refusal
@@ -28,9 +29,6 @@
 # Time allowed for receiving a body after its headers: 4 MB at 1 Mbit/s.
 _BODY_TIMEOUT_SECONDS = 32.0
 _DEFAULT_LIMITS = Limits()
-# Refusal by a leaving host. The last value is the retry delay in seconds, after
-# which another host accepts the connections.
-_LEAVING = Refusal(503, 'leaving', 'entry', '', 0.1)
 
 
 class Answer(Request):
@@ -289,7 +287,7 @@
         if self.leaving:
             answer.channel.persistent = False
             answer.responseHeaders.setRawHeaders(b'connection', [b'close'])
-        exchange = _LEAVING
+        exchange = LEAVING_REFUSAL
         if not self.refusing:
             exchange = parse_exchange(self.core, answer)
         if isinstance(exchange, Refusal):
@@ -334,6 +332,14 @@
             if not channel.requests:
                 channel.loseConnection()
 
+    def refuse_unsent(self):
+        """Refuse the requests that no upstream has got yet."""
+        for channel in list(self.channels):
+            for answer in list(channel.requests):
+                if answer.exchange is None or answer.exchange.was_sent:
+                    continue
+                answer.work.cancel()
+
     def _on_finished(self, ignored):
         self.in_flight -= 1
         if not self.in_flight and self.on_idle is not None:
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -16,6 +16,7 @@
     record_outcome,
 )
 from pollenstile.forward._decisions import (
+    LEAVING_REFUSAL,
     RetryDecision,
     decide_retry,
     expired_refusal,
@@ -163,11 +164,14 @@
             outcome = await self._send_in_turn()
 
     def handle_expiry(self, failure):
-        """Refuse the request at its deadline, or note a caller's disconnect."""
+        """Refuse the request at its deadline, or as caller or host leave."""
         failure.trap(TimeoutError, CancelledError)
         if self.answer.gone:
             self.outcome = 'caller left'
             return
+        if failure.check(CancelledError) and not self.exchange.was_sent:
+            self._refuse(LEAVING_REFUSAL)
+            return
         runs = self.runs
         if self.attempt is not None and self.attempt.call is not None:
             runs += self.attempt.call.sent
@@ -272,6 +276,7 @@
 
     async def _send_attempt(self, view, inputs):
         self.tried.append(view.ident)
+        self.exchange.was_sent = True
         self.sends += 1
         now = self.core.clock.seconds()
         self.core.cold.note_sent(view, cold_rate(self.exchange), now)
