quarantine: one crash renews a verdict whose time is over

What callers would see: each ten minutes three upstreams and more crash again under a part or a request that goes on coming, with all that they run.

Cause: with the verdict the evidence was forgotten as well, and nothing told a release by time from one by an answer. What has lapsed is remembered for ten minutes more; one crash under it renews the verdict, an answer ends that. An operator's release is not a lapse.

Measured: two new scenarios; the first needed three crashes before, the second guards the opposite.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -114,3 +114,21 @@
     Then "unit" is in quarantine
     When the service answers on the part "unit"
     Then "unit" is not in quarantine
+
+  Scenario: A part whose time is over is refused again after one crash
+    Each try costs an upstream with all that it runs.
+    Given a host's quarantine that has seen answers
+    When 3 upstreams crash under different requests with the part "unit"
+    And 601 seconds pass
+    Then "unit" is not in quarantine
+    When 1 upstreams crash under different requests with the part "unit"
+    Then "unit" is in quarantine
+
+  Scenario: A part that was answered after its time needs as many crashes as a new one
+    Given a host's quarantine that has seen answers
+    When 3 upstreams crash under different requests with the part "unit"
+    And 601 seconds pass
+    And the service answers on the part "unit"
+    And 31 seconds pass
+    And 1 upstreams crash under different requests with the part "unit"
+    Then "unit" is not in quarantine
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -242,6 +242,12 @@
     _crash(context, 'other', (part,), seconds)
 
 
+@when('{seconds:d} seconds pass')
+def when_pass(context, seconds):
+    context.clock.advance(seconds)
+    context.quarantine.expire()
+
+
 @when('another service answers on the part "{part}"')
 def when_other_answers(context, part):
     context.quarantine.note_answered('other', (part,))
--- a/pollenstile/quarantine/_judgement.py
+++ b/pollenstile/quarantine/_judgement.py
@@ -1,6 +1,10 @@
 """What the evidence of a host says about the suspects of a new report."""
 
-from pollenstile.quarantine._verdict import MIN_CRASHES, attribute_crashes
+from pollenstile.quarantine._verdict import (
+    MIN_CRASHES,
+    Attribution,
+    attribute_crashes,
+)
 
 
 def judge(quarantine, report):
@@ -19,6 +23,9 @@
 
     list of Attribution
     """
+    renewed = _renewed(quarantine, report)
+    if renewed:
+        return renewed
     evidence = quarantine.evidence
     suspected = [
         fingerprint
@@ -37,6 +44,31 @@
     )
 
 
+def _renewed(quarantine, report):
+    """Return attributions to what was in quarantine until some time ago.
+
+    Explanation
+    ===========
+
+    It was released because its time was over, and not because it was answered.
+    Each try costs an upstream with all that it runs, so one is enough.
+    """
+    lapsed = quarantine.verdicts.lapsed
+    if not lapsed:
+        return []
+    crash = quarantine.evidence.crashes[report.incarnation]
+    return [
+        Attribution(
+            crash.suspects[fingerprint],
+            quarantine.evidence.crash_count(fingerprint),
+            chance=0.0,
+            is_part=fingerprint in crash.requests,
+        )
+        for fingerprint in _suspected(report)
+        if fingerprint in lapsed and fingerprint in crash.suspects
+    ]
+
+
 def explained_by(quarantine, part):
     """Return those fingerprints in quarantine that a part explains.
 
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -126,7 +126,7 @@
         if not fingerprint:
             return
         self.completed_runs.add(fingerprint)
-        if self.is_suspect(fingerprint) or self.is_held(fingerprint):
+        if _is_doubted(self, fingerprint):
             self._announce(
                 self.apply(QuarantineUpdate(cleared=(fingerprint,))),
             )
@@ -137,7 +137,7 @@
         proven = []
         for part in parts:
             self.proofs.add(part, service)
-            if self.is_suspect(part) or self.is_held(part):
+            if _is_doubted(self, part):
                 proven.append(PartProof(part, service))
         self._announce(self.apply(QuarantineUpdate(proofs=tuple(proven))))
 
@@ -257,6 +257,7 @@
         A report may arrive after the clearing. If it made the request suspect
         again, hosts would pass both on to each other without end.
         """
+        self.verdicts.lapsed.pop(fingerprint, None)
         was_known = self.completed_runs.has_recent(fingerprint)
         self.completed_runs.add(fingerprint)
         was_suspect = self.evidence.clear(fingerprint)
@@ -275,6 +276,7 @@
         An answer of one service doesn't clear crashes of another: its upstreams
         may run other software.
         """
+        self.verdicts.lapsed.pop(proof.part, None)
         was_known = self.proofs.has_recent(proof.part, proof.service)
         self.proofs.add(proof.part, proof.service)
         was_suspect = self.evidence.clear(proof.part, proof.service)
@@ -302,6 +304,13 @@
             self.on_update(update)
 
 
+def _is_doubted(quarantine, fingerprint):
+    """Return whether it matters to other hosts that something is sound."""
+    if quarantine.is_suspect(fingerprint) or quarantine.is_held(fingerprint):
+        return True
+    return fingerprint in quarantine.verdicts.lapsed
+
+
 def _is_disproved(quarantine, verdict):
     """Return whether this host has seen what a verdict excludes."""
     name = verdict.fingerprint
--- a/pollenstile/quarantine/_verdicts.py
+++ b/pollenstile/quarantine/_verdicts.py
@@ -5,7 +5,9 @@
 # Seconds for which a verdict is kept: long enough for the caller to give up, or
 # for an operator to notice it.
 HOLD_SECONDS = 600.0
-# Verdicts that are kept; the oldest is dropped first.
+# Seconds after the end of a verdict for which one crash renews it.
+_LAPSED_SECONDS = HOLD_SECONDS
+# Verdicts that are kept, and lapsed ones; the oldest is dropped first.
 _MAX_VERDICTS = 1024
 
 
@@ -17,14 +19,22 @@
 
     clock : IReactorTime
         Seconds.
+
+    Attributes
+    ==========
+
+    lapsed : dict
+        Time until which one crash renews a verdict that has expired, by
+        fingerprint. Nothing has shown since that it was wrong.
     """
 
-    __slots__ = ('by_fingerprint', 'cached_digest', 'clock')
+    __slots__ = ('by_fingerprint', 'cached_digest', 'clock', 'lapsed')
 
     def __init__(self, clock):
         self.clock = clock
         self.by_fingerprint = {}
         self.cached_digest = None
+        self.lapsed = {}
 
     def apply(self, verdict):
         """Apply a verdict; return whether it replaces what is known."""
@@ -75,8 +85,18 @@
         for verdict in expired:
             self.by_fingerprint.pop(verdict.fingerprint)
             self.cached_digest = None
+            if verdict.is_held:
+                self._note_lapsed(verdict.fingerprint, now)
+        for fingerprint, until in list(self.lapsed.items()):
+            if until <= now:
+                self.lapsed.pop(fingerprint)
         return expired
 
+    def _note_lapsed(self, fingerprint, now):
+        self.lapsed[fingerprint] = now + _LAPSED_SECONDS
+        if len(self.lapsed) > _MAX_VERDICTS:
+            self.lapsed.pop(next(iter(self.lapsed)))
+
     def digest(self):
         """Return a checksum that differs when two hosts' verdicts differ."""
         if self.cached_digest is None:
