forward: an overloaded host closes part of the new connections unread

What callers would see: while a balancer hands most new connections to one host, it reads them all and serves them all late; one in ten is served at the first host that read it.

Cause: nothing looked at whether the host keeps up when it accepted a connection. Class: work is taken on before its cost is known to be bearable.

Change: the loop's lateness sets the share of new connections that are accepted; the others are closed in the accept call. The host stays ready, as one that goes out hands the load on. The descriptors of the process bound the connections of callers.

--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -10,6 +10,7 @@
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
 from pollenstile.forward._frontend import CallerFactory
+from pollenstile.forward._overload import ConnectionGate
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._settings import update_seconds
 from pollenstile.forward._storewatches import StoreWatches
@@ -82,6 +83,7 @@
     __slots__ = (
         'adapter',
         'factory',
+        'gate',
         'leaving',
         'log',
         'measures',
@@ -134,7 +136,8 @@
             rng,
             self.log,
         )
-        self.factory = CallerFactory(self.parts.core, reactor)
+        self.gate = ConnectionGate(reactor, settings.descriptors, self.log)
+        self.factory = CallerFactory(self.parts.core, reactor, self.gate)
 
     def start(self):
         """Listen for callers, start reading the store and join the fleet."""
@@ -167,6 +170,7 @@
         Deferred.fromCoroutine(core.configuration.loop.run())
         Deferred.fromCoroutine(self._join())
         self.watches.start(settings.drain_seconds)
+        self.gate.start()
 
     def is_ready(self):
         """Return whether the load balancer should send callers to this host."""
@@ -238,6 +242,7 @@
         self.parts.relay.follower.stop()
         self.watches.stop()
         self.review.stop()
+        self.gate.stop()
         self.parts.hub.stop()
         for port in self.ports:
             await port.stopListening()
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -260,20 +260,29 @@
 
     core : ForwardCore
         Serves the requests.
+    gate : ConnectionGate or None
+        Decides which new connections are accepted; None accepts all.
     """
 
     protocol = CallerChannel
     noisy = False
 
-    def __init__(self, core, reactor):
+    def __init__(self, core, reactor, gate=None):
         super().__init__(reactor=reactor)
         self.core = core
+        self.gate = gate
         self.leaving = False
         self.refusing = False
         self.channels = set()
         self.in_flight = 0
         self.on_idle = None
 
+    def buildProtocol(self, address):
+        """Return a new connection, or None to close it; called by Twisted."""
+        if self.gate is not None and not self.gate.accepts(len(self.channels)):
+            return None
+        return super().buildProtocol(address)
+
     def log(self, request):
         """Write no access log, as events replace it."""
 
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -55,6 +55,11 @@
         'domain',
         partial(_under_way, core.registry, parts.owners.calls),
     )
+    measures.gauge(
+        'connections_closed',
+        'New connections that were closed unread, as this host was overloaded.',
+        lambda: factory.gate.closed,
+    )
     measures.gauge(
         'quarantined',
         'Requests that are not sent to upstreams because they crash them.',
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -36,6 +36,8 @@
     tunnels : tuple or None
         IP address and port at which peers pick up connections to upstreams
         that the host opens for them; None opens none.
+    descriptors : int
+        Descriptors that the process may open; 0 if unknown.
     """
 
     host: str
@@ -55,6 +57,7 @@
     capacity: float = 1.0
     peers_seen: tuple | None = None
     tunnels: tuple | None = None
+    descriptors: int = 0
 
 
 # Share of the tightest bound on applying changes after which a host reads the
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -86,6 +86,19 @@
     'Look for a fingerprint in `requests` or `parts` that recurs in other such'
     ' lines.',
 )
+OVERLOADED = define(
+    1242,
+    'overloaded',
+    'The loop of the host runs late; it closes part of the new connections before'
+    ' it has read their requests.',
+    'The callers try other hosts. If most hosts do this, the fleet is too small.',
+)
+OVERLOAD_ENDED = define(
+    1243,
+    'overload-ended',
+    'The host accepts all new connections again; `closed` counts those that it'
+    ' closed since its start.',
+)
 DOMAIN_DRAINED = define(
     1233,
     'domain-drained',
--- a/pollenstile/ops/_benchcmd.py
+++ b/pollenstile/ops/_benchcmd.py
@@ -4,6 +4,7 @@
     claims,
     crashes,
     fleet,
+    flood,
     floor,
     lag,
     live,
@@ -17,6 +18,7 @@
 )
 
 _BENCHES = (
+    flood,
     floor,
     claims,
     crashes,
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -95,4 +95,5 @@
         drain_seconds=settings.drain_seconds,
         grace_seconds=settings.grace_seconds,
         capacity=settings.capacity,
+        descriptors=settings.descriptors,
     )
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -270,6 +270,13 @@
         '1',
         'cores of this host; larger hosts run shared work first',
     ),
+    Setting(
+        'descriptors',
+        number_in_range(0, 10_000_000, int),
+        '0',
+        'descriptors that the process may open, 0 if unknown; a third of them'
+        ' bounds the connections of callers',
+    ),
 )
 
 
