soak: different requests with one part that crashes engines

Why: the live soak had no prompts, so a part that crashes engines could not be seen in it.

Change: streams have prompts of parts; for seven seconds requests come that share one part which crashes the engine that begins on it. At most three may run later than 3 s after the fifth crash.

--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -15,7 +15,12 @@
 
 from pollenstile.ops.body import BytesProducer
 from pollenstile.soak.live._records import RequestRecord
-from pollenstile.soak.live._servers import CRASHING_PREFIX, NAMES, events_in
+from pollenstile.soak.live._servers import (
+    CRASHING_PREFIX,
+    DEADLY_PART,
+    NAMES,
+    events_in,
+)
 
 # Deadline that callers send with each request, by route.
 DEADLINE_SECONDS = {'find': 2.0, 'book': 2.0, 'draft': 4.0, 'digest': 4.0}
@@ -27,7 +32,7 @@
 _CRASHING_PAUSE_SECONDS = 0.25
 # The route whose broken streams are taken up again, tries to do so, and seconds
 # before each.
-_RESUMABLE_KIND = 'draft'
+RESUMABLE_KIND = 'draft'
 _MAX_TAKE_UPS = 2
 _TAKE_UP_SECONDS = 0.15
 # Mean seconds between a caller's requests.
@@ -130,19 +135,30 @@
             ident = f'c{self.number}-{count}'
             kind = self.rng.choice(tuple(DEADLINE_SECONDS))
             record = await self._send(ident, kind, ident, self._key())
-            if record is not None and kind == _RESUMABLE_KIND:
+            if record is not None and kind == RESUMABLE_KIND:
                 await self._take_up(record)
         if self.connection is not None:
             self.connection.transport.abortConnection()
 
     async def repeat_crashing(self, kind, seconds):
         """Repeat a request that crashes its upstream, at random hosts."""
+        await self._send_crashing(
+            kind, seconds, lambda _: f'{CRASHING_PREFIX}-{kind}'
+        )
+
+    async def send_deadly_part(self, kind, seconds):
+        """Send different requests with a part that crashes their upstream."""
+        await self._send_crashing(
+            kind, seconds, lambda number: f'{DEADLY_PART}{number}'
+        )
+
+    async def _send_crashing(self, kind, seconds, content_of):
         world = self.world
         end = world.reactor.seconds() + seconds
-        content = f'{CRASHING_PREFIX}-{kind}'
         while world.reactor.seconds() < end:
             await deferLater(world.reactor, _CRASHING_PAUSE_SECONDS)
             self.number += 1
+            content = content_of(self.number)
             ident = f'{content}-{self.number}'
             await self._send(ident, kind, content, world.keys[0])
             if self.connection is not None:
@@ -230,6 +246,13 @@
             self.connection = None
 
 
+def _prompt(record):
+    """Return a prompt of two shared parts and one of its own."""
+    is_deadly = record.content.startswith(DEADLY_PART)
+    second = DEADLY_PART if is_deadly else 'sound-part'
+    return f'head:100,{second}:50,own-{record.ident}:50'
+
+
 def _request(record):
     headers = Headers()
     headers.addRawHeader(b'host', b'shop')
@@ -240,6 +263,7 @@
     if record.kind in {'draft', 'digest'}:
         headers.addRawHeader(NAMES.counts, b'2,3')
         headers.addRawHeader(NAMES.stage_key, record.ident.encode())
+        headers.addRawHeader(NAMES.prompt, _prompt(record).encode())
     if record.resumes is not None:
         headers.addRawHeader(NAMES.resumes, record.resumes.ident.encode())
         headers.addRawHeader(NAMES.last_event, b'%d' % record.after)
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -6,6 +6,7 @@
 from pollenstile.soak.live._servers import (
     COLD_RATE,
     COLD_SECONDS,
+    DEADLY_PART,
     ENGINES,
     EVENTS,
     events_in,
@@ -36,6 +37,8 @@
 # Upstreams that a request may crash, seconds until all hosts have the
 # quarantine verdict, and how often it may reach upstreams from then on.
 _ALLOWED_CRASHES = 3
+# Upstreams that a prompt part may crash.
+_ALLOWED_PART_CRASHES = 5
 _VERDICT_SECONDS = 3.0
 _ALLOWED_LATE_RUNS = 3
 # Seconds of a request's delivery to its host; its key may be revoked meanwhile.
@@ -60,6 +63,7 @@
         lines.extend(_version_violations(record))
     lines.extend(_leaving_violations(records))
     lines.extend(_drain_violations(records))
+    lines.extend(_part_violations(records))
     lines.extend(_cold_violations(records))
     lines.extend(_rate_violations(records))
     lines.extend(_withdrawal_violations(records))
@@ -229,6 +233,26 @@
             )
 
 
+def _part_violations(records):
+    """Check that a part is quarantined after its fifth upstream crash."""
+    crash_times = [
+        at for at, content in records.crashes if content.startswith(DEADLY_PART)
+    ]
+    if len(crash_times) < _ALLOWED_PART_CRASHES:
+        return
+    late = [
+        run
+        for run in records.runs
+        if run.ident.startswith(DEADLY_PART)
+        and run.at > crash_times[_ALLOWED_PART_CRASHES - 1] + _VERDICT_SECONDS
+    ]
+    if len(late) > _ALLOWED_LATE_RUNS:
+        yield (
+            f'{DEADLY_PART} ran {len(late)} times after '
+            f'{len(crash_times)} crashes'
+        )
+
+
 def _cold_violations(records):
     """Check that a cold engine gets no more requests than its cold rate."""
     runs = {}
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -7,7 +7,11 @@
 from twisted.internet.task import deferLater
 
 from pollenstile.soak.live._balancer import poll_readiness
-from pollenstile.soak.live._callers import CRASHING_KINDS, Caller
+from pollenstile.soak.live._callers import (
+    CRASHING_KINDS,
+    RESUMABLE_KIND,
+    Caller,
+)
 from pollenstile.soak.live._checks import find_violations
 from pollenstile.soak.live._faults import FAULTS
 from pollenstile.soak.live._hosts import COMMAND
@@ -36,6 +40,9 @@
 # Seconds for which a request that crashes its upstreams is repeated: it may
 # reach them without limit for three seconds after the third crash.
 _CRASHING_SECONDS = 5.5
+# The same for different requests with one part: three seconds after the fifth
+# crash.
+_CRASHING_PART_SECONDS = 7.0
 # Seconds for which upstreams ask for rest, and for which others leave by their
 # answers only.
 _WITHDRAWN_SECONDS = 6.0
@@ -158,6 +165,9 @@
     """Repeat requests that crash their upstreams."""
     for kind in CRASHING_KINDS:
         await Caller(world, 0).repeat_crashing(kind, _CRASHING_SECONDS)
+    await Caller(world, 0).send_deadly_part(
+        RESUMABLE_KIND, _CRASHING_PART_SECONDS
+    )
     await deferLater(world.reactor, COLD_SECONDS)
 
 
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -26,6 +26,9 @@
 # Prefix in the target of requests that crash the upstream that runs them, and
 # seconds until the crash.
 CRASHING_PREFIX = 'deadly'
+# Part of a prompt that crashes the engine that answers on it, and the prefix of
+# the contents that hold it; no two are alike.
+DEADLY_PART = 'deadly-part'
 _CRASH_DELAY_SECONDS = 0.03
 # Requests a second that an upstream accepts while it is limited.
 LIMITED_RATE = 2.0
