origins, quarantine: one way to take turns at a record, streams forgotten in place

Cause: hosts ranked themselves for a record in two pieces of code; and the table of streams was built anew four times a second, also when nothing had expired (a keeper of a large fleet holds some 10,000 streams).

Change: `place_of` in the peer package gives the place of a host; expired streams are taken out of the table they are in. Decisions, bounds and times stay.

--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -5,7 +5,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.origins import events
 from pollenstile.origins._history import HISTORY_SECONDS
-from pollenstile.peer import rank_candidates
+from pollenstile.peer import place_of
 from pollenstile.platform import (
     Conflict,
     Found,
@@ -150,15 +150,14 @@
         if service in self.writing or not self.history.is_mixed(service):
             return
         hosts = {self.host, *self.hosts}
-        ranked = rank_candidates(f'software/{service}', hosts, _WRITERS)
-        if self.host in ranked:
-            rank = ranked.index(self.host)
-            Deferred.fromCoroutine(self._write_in_turn(service, rank))
+        place = place_of(self.host, f'software/{service}', hosts)
+        if place < _WRITERS:
+            Deferred.fromCoroutine(self._write_in_turn(service, place))
 
-    async def _write_in_turn(self, service, rank):
+    async def _write_in_turn(self, service, place):
         self.writing.add(service)
-        if rank:
-            await paused(self.clock, rank * _TURN_SECONDS)
+        if place:
+            await paused(self.clock, place * _TURN_SECONDS)
             await self._read(service)
         for _ in range(_MAX_ATTEMPTS):
             if await self._write(service):
--- a/pollenstile/origins/_table.py
+++ b/pollenstile/origins/_table.py
@@ -1,6 +1,7 @@
 """Streams whose software version a host knows."""
 
 from dataclasses import dataclass
+from itertools import islice
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.origins import events
@@ -109,14 +110,15 @@
     def forget_old(self):
         """Drop the streams that their callers don't take up any more."""
         now = self.clock.seconds()
-        left = {
-            key: origin
+        expired = [
+            key
             for key, origin in self.by_key.items()
-            if origin.expires_at > now
-        }
-        excess = max(0, len(left) - _MAX_ORIGINS)
-        for key in list(left)[:excess]:
-            left.pop(key)
+            if origin.expires_at <= now
+        ]
+        excess = max(0, len(self.by_key) - len(expired) - _MAX_ORIGINS)
+        for key in expired:
+            self.by_key.pop(key)
+        for key in list(islice(self.by_key, excess)):
+            self.by_key.pop(key)
         if excess:
             self.log(events.ORIGINS_DROPPED, level='warning', count=excess)
-        self.by_key = left
--- a/pollenstile/peer/__init__.py
+++ b/pollenstile/peer/__init__.py
@@ -32,7 +32,11 @@
     patch_from,
     text_digest,
 )
-from pollenstile.peer._rendezvous import next_in_ring, rank_candidates
+from pollenstile.peer._rendezvous import (
+    next_in_ring,
+    place_of,
+    rank_candidates,
+)
 from pollenstile.peer._requests import LOST, REFUSED, Unanswered
 from pollenstile.peer._schema import SCHEMA_PATH, load_schema, schema
 from pollenstile.peer._session import (
--- a/pollenstile/peer/_rendezvous.py
+++ b/pollenstile/peer/_rendezvous.py
@@ -23,6 +23,19 @@
     return hashlib.blake2b(text, digest_size=_SCORE_BYTES).digest()
 
 
+def place_of(host, subject, hosts):
+    """Return a host's place among those that act for a subject in turn, from 0.
+
+    Examples
+    ========
+
+    >>> from pollenstile.peer import place_of
+    >>> sorted(place_of(host, 'e1', ['a', 'b', 'c']) for host in 'abc')
+    [0, 1, 2]
+    """
+    return rank_candidates(subject, hosts, len(hosts)).index(host)
+
+
 def rank_candidates(subject, candidates, most):
     """Return the ``most`` highest-ranked candidates of a subject, in order.
 
--- a/pollenstile/quarantine/_record.py
+++ b/pollenstile/quarantine/_record.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
-from pollenstile.peer import rank_candidates
+from pollenstile.peer import place_of
 from pollenstile.platform import Conflict, Written, paused
 from pollenstile.quarantine import events
 from pollenstile.quarantine._types import QuarantineUpdate, Verdict
@@ -86,8 +86,10 @@
             return
         reporters = self.quarantine.evidence.reporters(verdict.fingerprint)
         if self.quarantine.host in reporters:
-            rank = _rank(verdict.fingerprint, self.quarantine.host, reporters)
-            Deferred.fromCoroutine(self._write_in_turn(verdict, rank))
+            place = place_of(
+                self.quarantine.host, verdict.fingerprint, reporters
+            )
+            Deferred.fromCoroutine(self._write_in_turn(verdict, place))
 
     def expire(self):
         """Drop old evidence and verdicts, in the store as well."""
@@ -102,9 +104,9 @@
             return False
         return known.changed >= verdict.changed
 
-    async def _write_in_turn(self, verdict, rank):
+    async def _write_in_turn(self, verdict, place):
         clock = self.quarantine.clock
-        await paused(clock, rank * _TURN_SECONDS)
+        await paused(clock, place * _TURN_SECONDS)
         name = verdict.fingerprint
         while self.quarantine.is_held(name) and name not in self.stored:
             entry = {
@@ -128,7 +130,7 @@
     def _delete(self, name):
         """Delete an entry if this host ranks first for it."""
         hosts = {self.quarantine.host, *self.hosts}
-        is_first = _rank(name, self.quarantine.host, hosts) == 0
+        is_first = place_of(self.quarantine.host, name, hosts) == 0
         if name in self.stored and is_first:
             self.stored.discard(name)
             Deferred.fromCoroutine(self.store.delete(QUARANTINE_KIND, name))
@@ -153,8 +155,3 @@
             expires_at=self.quarantine.clock.seconds() + HOLD_SECONDS - age,
             is_part=entry.get('part') is True,
         )
-
-
-def _rank(name, host, hosts):
-    """Return a host's rendezvous rank for an entry, from 0."""
-    return rank_candidates(name, hosts, len(hosts)).index(host)
