quarantine: hosts are told that something lapsed has been answered

Cause: an answer after a verdict's time ended the renewal at the host that saw it, and the others, for which it was no news, were not told. Each of them would have refused the part again after one crash.

Measured: the new scenario fails before (no update) and passes.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -132,3 +132,11 @@
     And 31 seconds pass
     And 1 upstreams crash under different requests with the part "unit"
     Then "unit" is not in quarantine
+
+  Scenario: All hosts know that a part was answered after its time
+    Those that did not would refuse it again after one crash.
+    Given a host's quarantine that has seen answers
+    When 3 upstreams crash under different requests with the part "unit"
+    And 601 seconds pass
+    And the service answers on the part "unit"
+    Then other hosts are told that it answers on the part "unit"
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -196,9 +196,11 @@
 
 @given("a host's quarantine that has seen answers")
 def given_quarantine(context):
+    context.updates = []
     context.clock = Clock()
     context.clock.advance(100.0)
     context.quarantine = Quarantine(context.clock, 'h', lambda service: 9)
+    context.quarantine.on_update = context.updates.append
     context.crashes = 0
 
 
@@ -258,6 +260,12 @@
     context.quarantine.note_answered('s', (part,))
 
 
+@then('other hosts are told that it answers on the part "{part}"')
+def then_told(context, part):
+    proofs = context.updates[-1].proofs
+    assert [proof.part for proof in proofs] == [part], proofs
+
+
 @then('"{part}" is in quarantine')
 def then_held(context, part):
     assert context.quarantine.is_held(part)
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -257,7 +257,7 @@
         A report may arrive after the clearing. If it made the request suspect
         again, hosts would pass both on to each other without end.
         """
-        self.verdicts.lapsed.pop(fingerprint, None)
+        was_lapsed = self.verdicts.forget_lapsed(fingerprint)
         was_known = self.completed_runs.has_recent(fingerprint)
         self.completed_runs.add(fingerprint)
         was_suspect = self.evidence.clear(fingerprint)
@@ -265,7 +265,7 @@
         if was_suspect:
             self.log(events.SUSPECT_CLEARED, content=fingerprint)
         self.release(fingerprint, 'it ran to its end')
-        return was_suspect or was_held or not was_known
+        return was_suspect or was_held or was_lapsed or not was_known
 
     def _prove(self, proof):
         """Clear a part on which a service has answered; return if it is new.
@@ -276,7 +276,7 @@
         An answer of one service doesn't clear crashes of another: its upstreams
         may run other software.
         """
-        self.verdicts.lapsed.pop(proof.part, None)
+        was_lapsed = self.verdicts.forget_lapsed(proof.part)
         was_known = self.proofs.has_recent(proof.part, proof.service)
         self.proofs.add(proof.part, proof.service)
         was_suspect = self.evidence.clear(proof.part, proof.service)
@@ -286,7 +286,7 @@
             self.log(events.SUSPECT_CLEARED, content=proof.part)
         if is_lifted:
             self.release(proof.part, 'an answer on it went on')
-        return was_suspect or is_lifted or not was_known
+        return was_suspect or is_lifted or was_lapsed or not was_known
 
     def _retract(self, incarnation):
         """Void a live process's reports; return whether there were any."""
--- a/pollenstile/quarantine/_verdicts.py
+++ b/pollenstile/quarantine/_verdicts.py
@@ -92,6 +92,10 @@
                 self.lapsed.pop(fingerprint)
         return expired
 
+    def forget_lapsed(self, fingerprint):
+        """Let a lapsed verdict not be renewed; return whether there was one."""
+        return self.lapsed.pop(fingerprint, None) is not None
+
     def _note_lapsed(self, fingerprint, now):
         self.lapsed[fingerprint] = now + _LAPSED_SECONDS
         if len(self.lapsed) > _MAX_VERDICTS:
