--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -104,17 +104,9 @@
         """Return whether an upstream has crashed while running a suspect."""
         return self.evidence.crash_count(fingerprint) > 0
 
-    def may_repeat(self, fingerprint, parts=()):
-        """Return whether a host may retry a request without its caller.
-
-        Parameters
-        ==========
-
-        parts : tuple of str
-            Those parts of its prompt on which no upstream has answered.
-        """
-        counts = map(self.evidence.crash_count, (fingerprint, *parts))
-        return max(counts) < _MAX_CRASHES_TO_RETRY
+    def may_repeat(self, fingerprint):
+        """Return whether a host may retry a request without its caller."""
+        return self.evidence.crash_count(fingerprint) < _MAX_CRASHES_TO_RETRY
 
     def note_crash(self, incarnation, service, suspects):
         """Report a crashed process and the requests in flight there."""
