--- a/tools/check.py
+++ b/tools/check.py
@@ -26,7 +26,7 @@
 SOURCES = ('pollenstile', 'platform', 'features', 'tools', 'spec')
 MODULES = re.compile(r'(\d+) modules passed, (\d+) failed')
 # Features of many whole hosts in virtual time, which take the most processor
-# time, in two groups of about the same time.
+# time, in three groups of about the same time.
 _FLEET_FEATURES = (
     'features/lag.feature',
     'features/ratelimits.feature',
@@ -36,8 +36,10 @@
 )
 _CRASH_FEATURES = (
     'features/brittle.feature',
-    'features/deadly_parts.feature',
     'features/quarantine.feature',
+)
+_PART_FEATURES = (
+    'features/deadly_parts.feature',
     'features/versions.feature',
 )
 # Features of daemons on loopback, which mostly wait.
@@ -50,11 +52,19 @@
 _FEATURE_GROUPS = (
     (
         '--exclude',
-        '|'.join((*_FLEET_FEATURES, *_CRASH_FEATURES, *_LIVE_FEATURES)),
+        '|'.join(
+            (
+                *_FLEET_FEATURES,
+                *_CRASH_FEATURES,
+                *_PART_FEATURES,
+                *_LIVE_FEATURES,
+            )
+        ),
         'features',
     ),
     _FLEET_FEATURES,
     _CRASH_FEATURES,
+    _PART_FEATURES,
     _LIVE_FEATURES,
 )
 SUMMARY = re.compile(r'(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?')
