bench, soak: one piece of code for what stood twice

Cause: the world of deadly parts wrote anew what the world of versions had (random times, the crash of a random upstream, a fleet without an upstream of its own, the retries of the budget); the flood waited for its hosts as the live soak does, without ending them when it is terminated; the soak's check of parts was its check of requests with another filter.

Change: `SeededWorld` serves both worlds, `await_ready` and `run_in` both live runs, `_late_runs` both checks.

--- a/pollenstile/bench/_partworld.py
+++ b/pollenstile/bench/_partworld.py
@@ -1,14 +1,11 @@
 """Simulate callers of requests that share a part which crashes upstreams."""
 
 from dataclasses import dataclass, field
-from random import Random
 
-from pollenstile.bench._crashworld import DEADLY, CrashWorld
-from pollenstile.bench._domainworld import DomainWorld
+from pollenstile.bench._crashworld import DEADLY
+from pollenstile.bench._seededworld import SeededWorld
 from pollenstile.quarantine import HELD_REASON
 
-# Retries that all hosts may send in a budget window in addition to the ratio.
-_RETRY_SLACK = 60.0
 _TRIES = 3
 # Seconds after which a caller repeats a try that failed without advice.
 _RETRY_SECONDS = 0.2
@@ -98,7 +95,7 @@
         )
 
 
-class PartWorld(CrashWorld):
+class PartWorld(SeededWorld):
     """Hosts and upstreams of few slots, and callers with prompts of parts.
 
     Parameters
@@ -116,36 +113,25 @@
         The callers, in the order of their first tries.
     """
 
-    __slots__ = ('callers', 'load', 'rng', 'sound_parts')
+    __slots__ = ('callers', 'load', 'sound_parts')
 
     def __init__(self, hosts, domains, load, seed=1, route='resumed', slots=8):
-        super().__init__(hosts, hosts, domains, route, slots)
+        super().__init__(hosts, hosts, domains, route, slots, seed)
         self.load = load
-        self.rng = Random(seed)
         self.callers = []
         self.sound_parts = max(_MIN_SOUND_PARTS, hosts)
         self.fleet.advance(1.0)
 
-    def make_fleet(self, hosts, domains):
-        """Return the started hosts, without an upstream that never answers."""
-        return DomainWorld(
-            hosts, domains, has_upstream=False, repeat_slack=_RETRY_SLACK
-        )
-
-    def now(self):
-        """Return the time on the virtual clock."""
-        return self.fleet.clock.seconds()
-
     def run_sound(self, seconds):
         """Let sound requests arrive for some seconds."""
-        self._schedule(self.load.sound, seconds, self.send_sound)
+        self.schedule_randomly(self.load.sound, seconds, self.send_sound)
         self.advance(seconds)
 
     def run(self):
         """Let all requests of the load arrive."""
         load = self.load
-        self._schedule(load.deadly, load.seconds, self._send_deadly)
-        self._schedule(load.chance, load.seconds, self._crash_any)
+        self.schedule_randomly(load.deadly, load.seconds, self._send_deadly)
+        self.schedule_randomly(load.chance, load.seconds, self.crash_upstream)
         self.run_sound(load.seconds)
         self.advance(2 * CONTACT_SECONDS)
 
@@ -209,14 +195,6 @@
             if caller.is_sound and caller.is_held()
         ]
 
-    def _schedule(self, rate, seconds, call):
-        if not rate:
-            return
-        moment = self.rng.expovariate(rate)
-        while moment < seconds:
-            self.fleet.clock.callLater(moment, call)
-            moment += self.rng.expovariate(rate)
-
     def _send_deadly(self):
         bodies = self.load.bodies
         number = self.rng.randrange(bodies) if bodies else len(self.callers)
@@ -242,16 +220,10 @@
 
     def _watch(self, caller, answer):
         """Repeat a try that has failed, after the advised time."""
-        call_later = self.fleet.clock.callLater
         if not answer.end:
-            call_later(_POLL_SECONDS, self._watch, caller, answer)
+            self.later(_POLL_SECONDS, self._watch, caller, answer)
             return
         if answer.end == 'whole' or len(caller.tries) >= _TRIES:
             return
         advised = answer.refusal.retry_after if answer.refusal else 0.0
-        call_later(advised or _RETRY_SECONDS, self._try, caller)
-
-    def _crash_any(self):
-        running = self.upstreams.running()
-        if running:
-            self.upstreams.crash(self.rng.choice(running))
+        self.later(advised or _RETRY_SECONDS, self._try, caller)
--- a/pollenstile/bench/_versionworld.py
+++ b/pollenstile/bench/_versionworld.py
@@ -1,10 +1,8 @@
 """Simulate entry hosts over upstreams of several software versions."""
 
 from dataclasses import dataclass
-from random import Random
 
-from pollenstile.bench._crashworld import RETRY_SLACK, CrashWorld
-from pollenstile.bench._domainworld import DomainWorld
+from pollenstile.bench._seededworld import SeededWorld
 from pollenstile.bench._streamcallers import StreamCaller
 from pollenstile.forward import Exchange, RouteQuery, serve
 from pollenstile.quarantine import fingerprint
@@ -41,7 +39,7 @@
     share: float = 0.6
 
 
-class VersionWorld(CrashWorld):
+class VersionWorld(SeededWorld):
     """Hosts over upstreams of versions, and callers that resume streams.
 
     Parameters
@@ -61,22 +59,15 @@
         Answers in progress, by name of their host.
     """
 
-    __slots__ = ('callers', 'live', 'rng', 'versions')
+    __slots__ = ('callers', 'live', 'versions')
 
     def __init__(self, hosts, upstreams, domains, versions=None, seed=1):
-        self.rng = Random(seed)
         self.versions = versions or Versions()
         self.callers = []
         self.live = {}
-        super().__init__(hosts, upstreams, domains)
+        super().__init__(hosts, upstreams, domains, seed=seed)
         self.upstreams.work = _STREAM_SECONDS
 
-    def make_fleet(self, hosts, domains):
-        """Return the started hosts, without an upstream of no version."""
-        return DomainWorld(
-            hosts, domains, has_upstream=False, repeat_slack=RETRY_SLACK
-        )
-
     def start_upstream(self, address, domain, number, count):
         """Start one of the first upstreams with the version of its number."""
         versions = self.versions
@@ -84,27 +75,6 @@
         software = versions.first if is_first else versions.second
         self.upstreams.start(address, domain, software)
 
-    def now(self):
-        """Return the time on the virtual clock."""
-        return self.fleet.clock.seconds()
-
-    def later(self, seconds, call, *arguments):
-        """Call a function after some seconds."""
-        self.fleet.clock.callLater(seconds, call, *arguments)
-
-    def schedule_randomly(self, rate, seconds, call):
-        """Call a function at random times, ``rate`` times a second."""
-        moment = self.rng.expovariate(rate)
-        while moment < seconds:
-            self.later(moment, call)
-            moment += self.rng.expovariate(rate)
-
-    def crash_upstream(self):
-        """Crash a random upstream; it starts again at its address."""
-        running = self.upstreams.running()
-        if running:
-            self.upstreams.crash(self.rng.choice(running))
-
     def kill_host(self, name=''):
         """End a host, a random one by default; it starts again later."""
         running = self.fleet.running()
--- a/pollenstile/bench/flood.py
+++ b/pollenstile/bench/flood.py
@@ -20,8 +20,8 @@
 from twisted.internet.task import deferLater
 
 from pollenstile.ops.running import result_of
-from pollenstile.soak.live._balancer import poll_readiness
-from pollenstile.soak.live._world import World
+from pollenstile.soak.live._balancer import await_ready
+from pollenstile.soak.live._world import World, run_in
 
 _PACE_SECONDS = 0.1
 _CALM_SECONDS = 5.0
@@ -32,8 +32,6 @@
 _TRIES = 3
 _DEADLINE_SECONDS = 2.0
 _CONNECT_SECONDS = 1.0
-_START_SECONDS = 20.0
-_POLL_SECONDS = 0.05
 _SERVED = 'HTTP/1.1 200 OK'
 
 
@@ -196,21 +194,14 @@
 async def measure_flood(reactor, seed, hosts, rate, processor):
     """Run hosts and callers; return a :class:`FloodResult`."""
     world = World(reactor, seed, hosts)
-    try:
-        return await _run(world, rate, processor)
-    finally:
-        await _end(world)
-
-
-async def _end(world):
-    world.is_sending = False
-    await deferLater(world.reactor, 2 * _PACE_SECONDS)
-    await world.close()
+    return await run_in(world, _run(world, rate, processor))
 
 
 async def _run(world, rate, processor):
     reactor = world.reactor
-    await _start(world)
+    await world.begin()
+    if not await await_ready(world):
+        raise RuntimeError('hosts were not ready in time')
     flood = _Flood(world)
     for host in world.hosts:
         Deferred.fromCoroutine(_pace(host, world, processor))
@@ -236,18 +227,6 @@
     )
 
 
-async def _start(world):
-    """Start the processes and wait until they are ready."""
-    reactor = world.reactor
-    await world.begin()
-    Deferred.fromCoroutine(poll_readiness(world))
-    latest = reactor.seconds() + _START_SECONDS
-    while not all(host.ready for host in world.hosts):
-        if reactor.seconds() > latest:
-            raise RuntimeError('hosts were not ready in time')
-        await deferLater(reactor, _POLL_SECONDS)
-
-
 def _share_served(requests):
     served = sum(one.is_served for one in requests)
     return round(served / max(1, len(requests)), 3)
--- a/pollenstile/soak/live/_balancer.py
+++ b/pollenstile/soak/live/_balancer.py
@@ -1,10 +1,15 @@
 """Polls the hosts' readiness, as a load balancer does."""
 
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.internet.task import deferLater
 
 # Seconds between two readiness probes of a host.
 _POLL_SECONDS = 0.25
+# Seconds within which all hosts must be ready after the start, and seconds
+# between two looks.
+_START_SECONDS = 20.0
+_LOOK_SECONDS = 0.05
 _READY = b'HTTP/1.1 200'
 
 
@@ -45,3 +50,15 @@
                 *host.ready_address, _ProbeFactory(host), timeout=1
             )
         await deferLater(world.reactor, _POLL_SECONDS)
+
+
+async def await_ready(world):
+    """Probe all hosts from now on; return whether all are ready in time."""
+    reactor = world.reactor
+    Deferred.fromCoroutine(poll_readiness(world))
+    latest = reactor.seconds() + _START_SECONDS
+    while not all(host.ready for host in world.hosts):
+        if reactor.seconds() > latest:
+            return False
+        await deferLater(reactor, _LOOK_SECONDS)
+    return True
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -217,39 +217,51 @@
 def _quarantine_violations(records):
     """Check that a request is quarantined after its third upstream crash."""
     for content in sorted({content for _, content in records.crashes}):
-        crash_times = [at for at, one in records.crashes if one == content]
-        if len(crash_times) < _ALLOWED_CRASHES:
-            continue
-        late = [
-            run
-            for run in records.runs
-            if run.ident.rpartition('-')[0] == content
-            and run.at > crash_times[_ALLOWED_CRASHES - 1] + _VERDICT_SECONDS
-        ]
-        if len(late) > _ALLOWED_LATE_RUNS:
-            yield (
-                f'{content} ran {len(late)} times after '
-                f'{len(crash_times)} crashes'
-            )
+        yield from _late_runs(
+            records,
+            content,
+            _ALLOWED_CRASHES,
+            lambda name, content=content: name == content,
+        )
 
 
 def _part_violations(records):
     """Check that a part is quarantined after its fifth upstream crash."""
+    return _late_runs(
+        records,
+        DEADLY_PART,
+        _ALLOWED_PART_CRASHES,
+        lambda name: name.startswith(DEADLY_PART),
+    )
+
+
+def _late_runs(records, subject, allowed, is_of_subject):
+    """Yield a line if contents ran on after they crashed upstreams.
+
+    Parameters
+    ==========
+
+    subject : str
+        What the contents share, for the line.
+    allowed : int
+        Upstreams that it may crash.
+    is_of_subject : function
+        Takes a content; returns whether it is one of them.
+    """
     crash_times = [
-        at for at, content in records.crashes if content.startswith(DEADLY_PART)
+        at for at, content in records.crashes if is_of_subject(content)
     ]
-    if len(crash_times) < _ALLOWED_PART_CRASHES:
+    if len(crash_times) < allowed:
         return
     late = [
         run
         for run in records.runs
-        if run.ident.startswith(DEADLY_PART)
-        and run.at > crash_times[_ALLOWED_PART_CRASHES - 1] + _VERDICT_SECONDS
+        if is_of_subject(run.ident.rpartition('-')[0])
+        and run.at > crash_times[allowed - 1] + _VERDICT_SECONDS
     ]
     if len(late) > _ALLOWED_LATE_RUNS:
         yield (
-            f'{DEADLY_PART} ran {len(late)} times after '
-            f'{len(crash_times)} crashes'
+            f'{subject} ran {len(late)} times after {len(crash_times)} crashes'
         )
 
 
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from pollenstile.soak.live._balancer import poll_readiness
+from pollenstile.soak.live._balancer import await_ready
 from pollenstile.soak.live._callers import (
     CRASHING_KINDS,
     RESUMABLE_KIND,
@@ -22,10 +22,8 @@
     LIMITED_RATE,
     PLAIN,
 )
-from pollenstile.soak.live._world import DOMAINS, World
+from pollenstile.soak.live._world import DOMAINS, World, run_in
 
-# Seconds within which all hosts must be ready after the start.
-_START_SECONDS = 20.0
 # Mean seconds between two faults, which last up to four times as long.
 _MEAN_FAULT_PAUSE_SECONDS = 0.35
 # Seconds for recovery after the last fault: the longest fault, the grace time
@@ -50,7 +48,6 @@
 # windows in which it does.
 _LIMITED_SECONDS = 11.0
 _CALLER_COUNT = 14
-_READY_POLL_SECONDS = 0.05
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,13 +100,7 @@
         Binary file that the hosts' log lines are written to.
     """
     world = World(reactor, seed, hosts, command, logs)
-    # Kill the hosts when the soak itself is terminated.
-    trigger = reactor.addSystemEventTrigger('before', 'shutdown', world.kill)
-    try:
-        await _run_phases(world, seconds)
-    finally:
-        reactor.removeSystemEventTrigger(trigger)
-        await world.close()
+    await run_in(world, _run_phases(world, seconds))
     records = world.records
     return LiveResult(
         seed,
@@ -120,15 +111,10 @@
 
 
 async def _run_phases(world, seconds):
-    reactor = world.reactor
     await world.begin()
-    Deferred.fromCoroutine(poll_readiness(world))
-    latest = reactor.seconds() + _START_SECONDS
-    while not all(host.ready for host in world.hosts):
-        if reactor.seconds() > latest:
-            world.records.broken.append('not ready in time')
-            return
-        await deferLater(reactor, _READY_POLL_SECONDS)
+    if not await await_ready(world):
+        world.records.broken.append('not ready in time')
+        return
     callers = [
         Deferred.fromCoroutine(Caller(world, number).run())
         for number in range(_CALLER_COUNT)
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -251,6 +251,23 @@
         }
 
 
+async def run_in(world, work):
+    """Return the result of a coroutine, and end what its world has started.
+
+    Explanation
+    ===========
+
+    Processes of hosts would outlive a run that is terminated.
+    """
+    reactor = world.reactor
+    trigger = reactor.addSystemEventTrigger('before', 'shutdown', world.kill)
+    try:
+        return await work
+    finally:
+        reactor.removeSystemEventTrigger(trigger)
+        await world.close()
+
+
 def _least_used_domain(servers):
     """Return the domain with the fewest upstreams of a service."""
     used_domains = [server.domain for server in servers]
