quarantine, forward: one way to end a doubt, crashes of a service gathered once

Cause: clearing a whole request and a prompt part were two copies of one procedure; each suspect of a report gathered the crashes of its service anew; what a crash can speak against was put together in two places; the daemon kept a second reference to the gate of its factory; and note_answer and note_answered were two unrelated calls.

Change: `_end_doubt` clears both, with the service for a part; `judge` gathers once; `Exchange.fingerprints`; the gate belongs to the factory; note_sound_parts and note_working. What is cleared, released and told stays.

--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -208,7 +208,7 @@
     """Report a crash a second after the one before; answers go on meanwhile."""
     context.crashes += 1
     suspect = Suspect(request, 'team', run_seconds, parts)
-    context.quarantine.note_answered('s', ())
+    context.quarantine.note_sound_parts('s', ())
     context.quarantine.note_crash(f'i{context.crashes}', 's', (suspect,))
     context.clock.advance(1.0)
 
@@ -252,12 +252,12 @@
 
 @when('another service answers on the part "{part}"')
 def when_other_answers(context, part):
-    context.quarantine.note_answered('other', (part,))
+    context.quarantine.note_sound_parts('other', (part,))
 
 
 @when('the service answers on the part "{part}"')
 def when_answers(context, part):
-    context.quarantine.note_answered('s', (part,))
+    context.quarantine.note_sound_parts('s', (part,))
 
 
 @then('other hosts are told that it answers on the part "{part}"')
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -422,7 +422,7 @@
     if core.clock.seconds() - attempt.first_at < _PROOF_SECONDS:
         return
     attempt.has_gone_on = True
-    core.quarantine.note_answered(
+    core.quarantine.note_sound_parts(
         attempt.exchange.service, attempt.exchange.parts
     )
 
--- a/pollenstile/forward/_crash_evidence.py
+++ b/pollenstile/forward/_crash_evidence.py
@@ -24,8 +24,7 @@
     429 or 503, or advice on when to retry, would make its caller send it again,
     so the refusal has neither.
     """
-    fingerprints = (exchange.fingerprint, *exchange.parts)
-    if not core.quarantine.verdicts.first_held(fingerprints):
+    if not core.quarantine.verdicts.first_held(exchange.fingerprints):
         return None
     return Refusal(_BAD_GATEWAY, HELD_REASON, 'entry')
 
@@ -47,7 +46,7 @@
     if isinstance(outcome, (Delivered, UpstreamFailure)):
         quarantine.note_completed(fingerprint)
         if isinstance(outcome, Delivered):
-            quarantine.note_answered(exchange.service, exchange.parts)
+            quarantine.note_sound_parts(exchange.service, exchange.parts)
         return succeed(None)
     if not isinstance(outcome, Lost) or not outcome.broken:
         return succeed(None)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -83,7 +83,6 @@
     __slots__ = (
         'adapter',
         'factory',
-        'gate',
         'leaving',
         'log',
         'measures',
@@ -136,8 +135,11 @@
             rng,
             self.log,
         )
-        self.gate = ConnectionGate(reactor, settings.descriptors, self.log)
-        self.factory = CallerFactory(self.parts.core, reactor, self.gate)
+        self.factory = CallerFactory(
+            self.parts.core,
+            reactor,
+            ConnectionGate(reactor, settings.descriptors, self.log),
+        )
 
     def start(self):
         """Listen for callers, start reading the store and join the fleet."""
@@ -170,7 +172,7 @@
         Deferred.fromCoroutine(core.configuration.loop.run())
         Deferred.fromCoroutine(self._join())
         self.watches.start(settings.drain_seconds)
-        self.gate.start()
+        self.factory.gate.start()
 
     def is_ready(self):
         """Return whether the load balancer should send callers to this host."""
@@ -242,7 +244,7 @@
         self.parts.relay.follower.stop()
         self.watches.stop()
         self.review.stop()
-        self.gate.stop()
+        self.factory.gate.stop()
         self.parts.hub.stop()
         for port in self.ports:
             await port.stopListening()
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -98,8 +98,7 @@
     """Return the fingerprint that a request was refused for, if it was."""
     if run.refusal is None or run.refusal.reason != HELD_REASON:
         return ''
-    fingerprints = (run.exchange.fingerprint, *run.exchange.parts)
-    return run.core.quarantine.verdicts.first_held(fingerprints)
+    return run.core.quarantine.verdicts.first_held(run.exchange.fingerprints)
 
 
 def _block_reason(core, view):
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -180,6 +180,11 @@
     parts: tuple = ()
     was_sent: bool = False
 
+    @property
+    def fingerprints(self):
+        """Return all that crashes of upstreams can speak against."""
+        return (self.fingerprint, *self.parts)
+
     @property
     def origin(self):
         """Return the identifier of the request that began the stream."""
--- a/pollenstile/quarantine/_judgement.py
+++ b/pollenstile/quarantine/_judgement.py
@@ -26,18 +26,18 @@
     renewed = _renewed(quarantine, report)
     if renewed:
         return renewed
-    evidence = quarantine.evidence
+    crashes = quarantine.evidence.crashes_of(report.service)
     suspected = [
         fingerprint
         for fingerprint in _suspected(report)
-        if evidence.crash_count(fingerprint) >= MIN_CRASHES
-        and _can_be_told(quarantine, report.service, fingerprint)
+        if quarantine.evidence.crash_count(fingerprint) >= MIN_CRASHES
+        and _can_be_told(quarantine.proofs, crashes, fingerprint)
     ]
     if not suspected:
         return []
     return attribute_crashes(
         suspected,
-        evidence.crashes_of(report.service),
+        crashes,
         quarantine.count_upstreams(report.service),
         quarantine.clock.seconds(),
         quarantine.verdicts.held_fingerprints(),
@@ -114,14 +114,10 @@
     return dict.fromkeys((*requests, *parts))
 
 
-def _can_be_told(quarantine, service, fingerprint):
+def _can_be_told(proofs, crashes, fingerprint):
     """Return whether answers of the service went on without a suspect part."""
-    crashes = [
-        crash
-        for crash in quarantine.evidence.crashes_of(service)
-        if fingerprint in crash.requests
-    ]
-    if not crashes:
+    under_part = [crash for crash in crashes if fingerprint in crash.requests]
+    if not under_part:
         return True
-    first = min(crash.at for crash in crashes)
-    return quarantine.proofs.works_since(service, first)
+    first = min(crash.at for crash in under_part)
+    return proofs.works_since(under_part[0].service, first)
--- a/pollenstile/quarantine/_partproofs.py
+++ b/pollenstile/quarantine/_partproofs.py
@@ -53,7 +53,7 @@
             part for part in parts if not self.has_recent(part, service)
         )
 
-    def note_answer(self, service):
+    def note_working(self, service):
         """Record that an answer of a service goes on at this host."""
         self.answered_at[service] = self.clock.seconds()
 
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -123,9 +123,9 @@
                 self.apply(QuarantineUpdate(cleared=(fingerprint,))),
             )
 
-    def note_answered(self, service, parts):
+    def note_sound_parts(self, service, parts):
         """Record that an answer of a service on prompt parts goes on."""
-        self.proofs.note_answer(service)
+        self.proofs.note_working(service)
         proven = []
         for part in parts:
             self.proofs.add(part, service)
@@ -249,15 +249,10 @@
         A report may arrive after the clearing. If it made the request suspect
         again, hosts would pass both on to each other without end.
         """
-        was_lapsed = self.verdicts.forget_lapsed(fingerprint)
         was_known = self.completed_runs.has_recent(fingerprint)
         self.completed_runs.add(fingerprint)
-        was_suspect = self.evidence.clear(fingerprint)
-        was_held = self.is_held(fingerprint)
-        if was_suspect:
-            self.log(events.SUSPECT_CLEARED, content=fingerprint)
-        self.release(fingerprint, 'it ran to its end')
-        return was_suspect or was_held or was_lapsed or not was_known
+        is_doubt_over = _end_doubt(self, fingerprint, 'it ran to its end')
+        return is_doubt_over or not was_known
 
     def _prove(self, proof):
         """Clear a part on which a service has answered; return if it is new.
@@ -268,17 +263,12 @@
         An answer of one service doesn't clear crashes of another: its upstreams
         may run other software.
         """
-        was_lapsed = self.verdicts.forget_lapsed(proof.part)
         was_known = self.proofs.has_recent(proof.part, proof.service)
         self.proofs.add(proof.part, proof.service)
-        was_suspect = self.evidence.clear(proof.part, proof.service)
-        held = self.verdicts.held_verdict(proof.part)
-        is_lifted = held is not None and held.service == proof.service
-        if was_suspect:
-            self.log(events.SUSPECT_CLEARED, content=proof.part)
-        if is_lifted:
-            self.release(proof.part, 'an answer on it went on')
-        return was_suspect or is_lifted or was_lapsed or not was_known
+        is_doubt_over = _end_doubt(
+            self, proof.part, 'an answer on it went on', proof.service
+        )
+        return is_doubt_over or not was_known
 
     def _retract(self, incarnation):
         """Void a live process's reports; return whether there were any."""
@@ -303,6 +293,29 @@
     return fingerprint in quarantine.verdicts.lapsed
 
 
+def _end_doubt(quarantine, fingerprint, reason, service=''):
+    """Clear what has turned out to be sound; return whether it was doubted.
+
+    Parameters
+    ==========
+
+    reason : str
+        Why it is released, if it is in quarantine.
+    service : str
+        The service at which it is sound; empty for all.
+    """
+    verdicts = quarantine.verdicts
+    was_lapsed = verdicts.forget_lapsed(fingerprint)
+    was_suspect = quarantine.evidence.clear(fingerprint, service)
+    held = verdicts.held_verdict(fingerprint)
+    is_lifted = held is not None and service in {'', held.service}
+    if was_suspect:
+        quarantine.log(events.SUSPECT_CLEARED, content=fingerprint)
+    if is_lifted:
+        quarantine.release(fingerprint, reason)
+    return was_suspect or is_lifted or was_lapsed
+
+
 def _is_disproved(quarantine, verdict):
     """Return whether this host has seen what a verdict excludes."""
     name = verdict.fingerprint
