platform: hosts record and log the era that answers of the store state

The record can't tell a store that came back from an older copy from a replica that lags: no line says of which history a revision is.

The header is read in all answers (the object API's own one, and the platform's in the adapter), and its rise and fall are logged as store-returned and store-era-fell. Nothing is decided by it yet. The in-memory store can return to a copy of its state and states its era, also over HTTP.

--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -85,6 +85,7 @@
     tunnels: TunnelServer
     origin_sharing: OriginSharing
     software_record: SoftwareRecorder
+    eras: object
 
 
 @dataclass(slots=True)
@@ -115,7 +116,7 @@
         Makes connections and timers.
     settings : HostSettings
         Names and time bounds.
-    store : Store
+    store : EraStore
         Holds the configuration, the registry and the entries of hosts.
     adapter : object
         Provides ``names``, ``codec`` and ``decode_table(value)``.
@@ -204,6 +205,7 @@
         _build_tunnel_server(reactor, hub, registry, client.paths, log),
         OriginSharing(hub, core.origins, members.hosts, log),
         _build_software_record(store, settings, core, members),
+        store.eras,
     )
 
 
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -19,6 +19,7 @@
 from pollenstile.ops.measures import Measures, MetricsResource
 from pollenstile.ops.settings import format_address
 from pollenstile.peer import Beat, parse_keys, tcp_listen
+from pollenstile.platform import EraStore, StoreEra
 from pollenstile.tunnel.events import TUNNEL_LISTENING
 
 # Time for which a leaving host still accepts requests. The load balancer checks
@@ -121,7 +122,7 @@
         self.parts = build_parts(
             reactor,
             settings,
-            store,
+            EraStore(store, StoreEra(reactor, self.log)),
             adapter,
             rng,
             suspend_clock,
--- a/pollenstile/platform/__init__.py
+++ b/pollenstile/platform/__init__.py
@@ -18,8 +18,14 @@
     seconds_until_available,
     try_acquire,
 )
+from pollenstile.platform._eras import EraStore, StoreEra, parse_era
 from pollenstile.platform._hosts import HostEntry, HostList, read_host_list
-from pollenstile.platform._http import FailedCall, Reply, ServerClient
+from pollenstile.platform._http import (
+    ERA_HEADER,
+    FailedCall,
+    Reply,
+    ServerClient,
+)
 from pollenstile.platform._httpstore import HttpStore
 from pollenstile.platform._outcome import (
     Absent,
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -20,8 +20,11 @@
 from zope.interface import implementer
 
 from pollenstile.ops.body import BytesProducer
+from pollenstile.platform._eras import parse_era
 
 BODY_LIMIT = 4_000_000
+# Header of the object API with the number of its returns from older copies.
+ERA_HEADER = 'object-api-era'
 _IDLE_SECONDS = 15.0
 # Limits of a response whose headers have arrived: the time without a byte, and
 # the time in all. A large response takes seconds on a saturated link. With a
@@ -44,11 +47,14 @@
         Complete body.
     retry_after : float or None
         Seconds from the ``Retry-After`` header.
+    era : int or None
+        Era of the server's state, from the client's ``era_header``.
     """
 
     status: int
     body: bytes
     retry_after: float | None = None
+    era: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,6 +90,8 @@
         Port of the server.
     timeout : float
         Seconds until the response headers arrive, connecting included.
+    era_header : str
+        Header in which the server states the era of its state.
 
     Attributes
     ==========
@@ -95,6 +103,7 @@
     __slots__ = (
         'bodies_in_progress',
         'clock',
+        'era_header',
         'host',
         'pool',
         'port',
@@ -102,12 +111,15 @@
         'timeout',
     )
 
-    def __init__(self, reactor, clock, host, port, timeout=2.0):
+    def __init__(
+        self, reactor, clock, host, port, timeout=2.0, era_header=ERA_HEADER
+    ):
         self.reactor = reactor
         self.clock = clock
         self.host = host
         self.port = port
         self.timeout = timeout
+        self.era_header = era_header
         self.bodies_in_progress = 0
         self.pool = HTTPConnectionPool(reactor, persistent=True)
         self.pool.retryAutomatically = False
@@ -180,7 +192,8 @@
             body_bytes = await _read_body(response, limit)
         finally:
             self.bodies_in_progress -= 1
-        return Reply(response.code, body_bytes, _retry_after(response))
+        era = parse_era(_header(response, self.era_header))
+        return Reply(response.code, body_bytes, _retry_after(response), era)
 
     def _failure(self, kind, connected):
         # A middlebox can drop the state of idle connections while new ones
@@ -278,9 +291,12 @@
     return done
 
 
+def _header(response, name):
+    return response.headers.getRawHeaders(name, [''])[0]
+
+
 def _retry_after(response):
-    text = response.headers.getRawHeaders('retry-after', [''])[0]
     try:
-        return float(text)
+        return float(_header(response, 'retry-after'))
     except ValueError:
         return None
--- a/pollenstile/platform/_httpstore.py
+++ b/pollenstile/platform/_httpstore.py
@@ -1,5 +1,6 @@
 """Object store client over HTTP."""
 
+from dataclasses import replace
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -52,7 +53,7 @@
     async def get(self, kind, name):
         """Return ``Found``, ``Absent`` or ``Unavailable``."""
         reply = await self.client.call('GET', _object_path(kind, name))
-        return self._read_outcome('get', reply, _GET)
+        return _stated(self._read_outcome('get', reply, _GET), reply)
 
     async def put(self, kind, name, value, if_version=None):
         """Return ``Written``, ``Conflict``, ``NotApplied`` or ``InDoubt``."""
@@ -61,21 +62,20 @@
             return NotApplied('put', self.client.peer, 'status 413')
         path = _object_path(kind, name) + _version_query(if_version)
         reply = await self.client.call('PUT', path, body, fresh=True)
-        return self._write_outcome('put', reply)
+        return _stated(self._write_outcome('put', reply), reply)
 
     async def delete(self, kind, name, if_version=None):
         """Return ``Written``, ``Conflict``, ``NotApplied`` or ``InDoubt``."""
         path = _object_path(kind, name) + _version_query(if_version)
         reply = await self.client.call('DELETE', path, fresh=True)
-        return self._write_outcome('delete', reply)
+        return _stated(self._write_outcome('delete', reply), reply)
 
     async def listed(self, kind, prefix='', after='', limit=PAGE_LIMIT):
         """Return ``Listing`` or ``Unavailable``."""
         query = urlencode({'prefix': prefix, 'after': after, 'limit': limit})
         path = f'/v1/objects/{quote(kind, safe="")}?{query}'
-        return self._read_outcome(
-            'list', await self.client.call('GET', path), _LIST
-        )
+        reply = await self.client.call('GET', path)
+        return _stated(self._read_outcome('list', reply, _LIST), reply)
 
     async def watched(self, kind, since, prefix='', timeout=POLL_SECONDS):
         """Return ``Changes``, ``Compacted`` or ``Unavailable``."""
@@ -92,7 +92,7 @@
             timeout=timeout + self.watch_margin,
             fresh=True,
         )
-        return self._read_outcome('watch', reply, _WATCH)
+        return _stated(self._read_outcome('watch', reply, _WATCH), reply)
 
     def _read_outcome(self, step, reply, types):
         peer = self.client.peer
@@ -120,6 +120,11 @@
         return InDoubt(step, peer, reason)
 
 
+def _stated(outcome, reply):
+    """Return an outcome with the era that its answer has stated."""
+    return replace(outcome, era=getattr(reply, 'era', None))
+
+
 def _decode_reply(reply: Reply, types):
     # A 404 may come from a server other than the object API, such as a load
     # balancer without a route. Only a response that matches the schema counts.
--- a/pollenstile/platform/_outcome.py
+++ b/pollenstile/platform/_outcome.py
@@ -1,9 +1,21 @@
-"""Types of the outcomes of calls to the platform."""
+"""Types of the outcomes of calls to the platform.
 
-from dataclasses import dataclass
+Explanation
+===========
+
+The outcome of a call to the object store has in ``era`` how often the store had
+come back from an older copy of itself when it answered; ``None`` when no answer
+stated it.
+"""
+
+from dataclasses import dataclass, field
 from typing import Any
 
 
+def _era():
+    return field(default=None, repr=False, compare=False)
+
+
 @dataclass(slots=True, frozen=True)
 class Found:
     """An object that was read.
@@ -23,6 +35,7 @@
     name: str
     version: int
     value: Any
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,6 +44,7 @@
 
     kind: str
     name: str
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,6 +52,7 @@
     """The write was applied; ``version`` is the object's new version."""
 
     version: int
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,6 +67,7 @@
     """
 
     version: int
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,6 +103,7 @@
     objects: tuple[Found, ...]
     revision: int
     more: bool = False
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,6 +137,7 @@
 
     revision: int
     events: tuple[Change, ...] = ()
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -127,6 +145,7 @@
     """The watch can't start at its revision; a new list is required."""
 
     revision: int
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -151,6 +170,7 @@
     peer: str
     reason: str
     retry_after: float | None = None
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -160,6 +180,7 @@
     step: str
     peer: str
     reason: str
+    era: int | None = _era()
 
 
 @dataclass(slots=True, frozen=True)
@@ -170,3 +191,4 @@
     peer: str
     reason: str
     retry_after: float | None = None
+    era: int | None = _era()
--- a/pollenstile/platform/events.py
+++ b/pollenstile/platform/events.py
@@ -42,6 +42,18 @@
     'A list or a watch returned an older state than before; it is ignored.',
     'If it persists, the object API was rolled back; restart the hosts.',
 )
+STORE_RETURNED = define(
+    7010,
+    'store-returned',
+    'The store came back from an older copy of itself.',
+    'Expect the writes of the last seconds again; see OPERATIONS.',
+)
+STORE_ERA_FELL = define(
+    7011,
+    'store-era-fell',
+    'An answer is from before the return of the store; it is ignored.',
+    'If it persists, the store counts its returns anew; restart the hosts.',
+)
 OBJECT_UNREADABLE = define(
     7009,
     'object-unreadable',
--- a/pollenstile/standin/_memory.py
+++ b/pollenstile/standin/_memory.py
@@ -1,6 +1,7 @@
 """In-memory object store with injectable faults."""
 
 from collections import Counter
+from dataclasses import replace
 
 import msgspec
 from twisted.internet.defer import Deferred, succeed
@@ -106,6 +107,21 @@
         self.calls = Counter()
         self.waiting = {}
 
+    def return_from(self, copy):
+        """Replace the state by a copy of it; the era rises by one.
+
+        Parameters
+        ==========
+
+        copy : Objects
+            What :meth:`Objects.copy` has returned; it may be used again.
+        """
+        era = self.objects.era or 0
+        self.objects = copy.copy()
+        self.objects.era = era + 1
+        for wakeup in tuple(self.waiting):
+            self.clock.callLater(0, _fire, wakeup)
+
     def is_answering(self):
         """Return False: answers are never received in parts."""
         return False
@@ -159,13 +175,15 @@
         if self.stale_watches:
             self.stale_watches -= 1
             old = self.objects.changes(kind, self.objects.compacted, prefix)
-            return Changes(since, old.events)
+            return self._stated(Changes(since, old.events))
         outcome = self._read_changes(kind, since, prefix)
         if isinstance(outcome, Changes) and not outcome.events:
             await self._wait_for_change(kind, since, prefix, timeout)
             outcome = self._read_changes(kind, since, prefix)
         await _delay(self.clock, self.latency)
-        return _refused('watch', self.peer) if self.down else outcome
+        return (
+            _refused('watch', self.peer) if self.down else self._stated(outcome)
+        )
 
     def _call(self, step, operation):
         self.calls[step] += 1
@@ -197,12 +215,15 @@
         if step in _WRITE_STEPS and self.lose_requests:
             self.lose_requests -= 1
             return None
-        outcome = operation()
+        outcome = self._stated(operation())
         if step in _WRITE_STEPS and self.lose_answers:
             self.lose_answers -= 1
             return None
         return outcome
 
+    def _stated(self, outcome):
+        return replace(outcome, era=self.objects.era)
+
     def _read_changes(self, kind, since, prefix):
         if self.empty_watches:
             return Changes(self.objects.revision)
--- a/pollenstile/standin/_objects.py
+++ b/pollenstile/standin/_objects.py
@@ -37,15 +37,22 @@
     history_limit : int
         Number of changes kept for watches. A watch from an older revision
         gets ``Compacted``.
+
+    Attributes
+    ==========
+
+    era : int or None
+        Number of returns from a copy, which answers state; None if they don't.
     """
 
-    __slots__ = ('compacted', 'history', 'names', 'revision', 'rows')
+    __slots__ = ('compacted', 'era', 'history', 'names', 'revision', 'rows')
 
     def __init__(self, history_limit=4096):
         self.rows = {}
         self.names = {}
         self.revision = 0
         self.compacted = 0
+        self.era = None
         self.history = deque(maxlen=history_limit)
 
     def version_of(self, kind, name):
@@ -121,6 +128,17 @@
         self.history.clear()
         self.compacted = self.revision
 
+    def copy(self):
+        """Return a copy of the state, to which the store may return."""
+        copied = Objects(self.history.maxlen)
+        copied.rows = dict(self.rows)
+        copied.names = {kind: list(names) for kind, names in self.names.items()}
+        copied.revision = self.revision
+        copied.compacted = self.compacted
+        copied.history.extend(self.history)
+        copied.era = self.era
+        return copied
+
     def _matching_changes(self, kind, since, prefix):
         for revision, changed_kind, name, encoded in self.history:
             if revision <= since or changed_kind != kind:
--- a/pollenstile/standin/_objectweb.py
+++ b/pollenstile/standin/_objectweb.py
@@ -6,6 +6,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from pollenstile.platform import (
+    ERA_HEADER,
     PAGE_LIMIT,
     VALUE_LIMIT,
     Absent,
@@ -170,5 +171,8 @@
     reason = getattr(outcome, 'reason', '')
     if reason.startswith('status '):
         status = int(reason.removeprefix('status '))
-    request.write(reply(request, status, msgspec.to_builtins(outcome)))
+    body = msgspec.to_builtins(outcome)
+    if body.pop('era', None) is not None:
+        request.setHeader(ERA_HEADER.encode(), str(outcome.era).encode())
+    request.write(reply(request, status, body))
     request.finish()
