platform, forward, relay: versions and revisions carry the era of the store

Cause: hosts compared revisions of two histories. After the return the store gives the lost revisions out again. What stayed below a number that a host had seen was taken for old; what had passed it unseen was missed.

A store client now turns each revision into a position, one number with the era above the revision, before anything compares it. A watch from an earlier era is a watch from history that is gone; a write on a version of an earlier era is a conflict, and so is one that has hit another content; an answer from before the return is ignored. Era and position travel in relayed updates, in fields of their own, so hosts of the version before read what they did.

The configuration in force is kept against an older one that the copy shows. Until the operator is seen to write, or for 2 s, the store's answers prove nothing: what the copy lacks can't be read from it. Hosts of a domain compare the operator's version, since one version has several revisions once it is written again. A list no longer reports objects that have not changed: after a return all are new.

Ruled out: a replica that lags (four writes had no revision of their own above the one that was seen), and watches bound to the old history (all got 410).

--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -309,6 +309,9 @@
         core.log,
     )
     follower.rank = readers.rank
+    source.era = store.eras.stated
+    follower.note_era = store.eras.note
+    store.eras.listeners.append(configuration.note_return)
     follower.update_validity_seconds = update_seconds(settings)
     relayed = RelayStore(
         store,
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -38,6 +38,8 @@
 # Time after which an unanswered full read gets a concurrent second one. The
 # transfer of 350 kB takes 0.6 s on a 5 Mbit/s link.
 _FULL_READ_SECONDS = 1.2
+# Bound of the jitter before a full read after changes were forgotten.
+_FULL_READ_JITTER_SECONDS = 0.1
 # Time between checks whether a host that follows a reader must read itself.
 _SKIPPED_READ_CHECK_SECONDS = 0.1
 # Time beyond the hold within which a healthy store answers a read. A slow
@@ -158,10 +160,28 @@
             hold = self._hold()
             if self._may_read():
                 await self._read_or_timeout(hold)
+            if self._must_read_again():
+                jitter = self.random.uniform(0, _FULL_READ_JITTER_SECONDS)
+                await paused(self.clock, jitter)
+                continue
             spent = self.clock.seconds() - began
             pause = self.random.uniform(0.75, 1) * self._period() - spent
             await paused(self.clock, max(0, pause))
 
+    def _must_read_again(self):
+        """Return whether the store has just stated that it lacks the changes.
+
+        Explanation
+        ===========
+
+        It has compacted them or has returned from an older copy. A store that
+        states so each time is read at the usual pace.
+        """
+        if self.configuration.known_revision is not None or self.failures:
+            return False
+        age = self.configuration.suspend_clock() - self.full_read_at
+        return age > _READ_PERIOD_SECONDS
+
     def wake(self):
         """Check at once whether a read is needed."""
         if self.next_check is not None and not self.next_check.called:
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -4,7 +4,9 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._configloop import ConfigurationLoop
+from pollenstile.forward._settling import Settling
 from pollenstile.ops.logs import silent_log
+from pollenstile.platform import era_of
 
 # Share of the revocation bound for which a verification is valid. The rest
 # allows for the time between the sending of a request and its handling here.
@@ -30,6 +32,10 @@
     read was sent; it may be a full read or a read of the changes after a
     revision. An unanswered watch verifies nothing.
 
+    A store that has come back from an older copy shows an older configuration
+    until the operator has written the newest one again. The table in force
+    stays, and the store's answers verify it only from then on, or after a time.
+
     Parameters
     ==========
 
@@ -73,6 +79,8 @@
         reads or from updates of another host.
     known_at : float
         Time on the suspend clock as of which ``known_revision`` holds.
+    settling : Settling
+        Whether an answer of the store proves that nothing newer exists.
     """
 
     __slots__ = (
@@ -88,6 +96,7 @@
         'newest_revision',
         'revision',
         'revoke_seconds',
+        'settling',
         'suspend_clock',
         'table',
         'text',
@@ -118,6 +127,7 @@
         self.known_at = -1000.0
         self.in_storm = False
         self.verified_at = -1000.0
+        self.settling = Settling()
         self.listeners = []
         self.loop = ConfigurationLoop(store, clock, random, self, log)
 
@@ -151,7 +161,29 @@
         count.
         """
         is_unreachable = self.loop.unreachable_at > self.verified_at
-        return is_unreachable or self.age() < self.apply_seconds
+        if is_unreachable or self.age() < self.apply_seconds:
+            return True
+        # While answers of the store prove nothing, the known table is used.
+        until = self.settling.until
+        is_settling = self.suspend_clock() < until + self.apply_seconds
+        return is_settling and until > self.verified_at
+
+    def note_return(self):
+        """Let answers of the store, which is back from a copy, prove nothing.
+
+        Explanation
+        ===========
+
+        The table in force stays. Its reads begin anew.
+        """
+        self.settling.begin(self.suspend_clock())
+        self.known_revision = None
+        self.loop.wake()
+
+    @property
+    def version(self):
+        """Return the operator's version of the table in force; 0 for none."""
+        return self.table.version if self.table else 0
 
     def age(self):
         """Return the seconds since the last verification of the table."""
@@ -175,6 +207,7 @@
             Whether this was a full read.
         """
         previous_revision = self.newest_revision
+        self.settling.note_read(read.revision)
         self.known_revision = max(read.revision, self.known_revision or 0)
         self.known_at = max(began, self.known_at)
         if read.found is not None:
@@ -184,7 +217,7 @@
             # the newest any more.
             self.newest_revision = max(self.newest_revision, read.revision)
         elif self.newest_revision == self.revision:
-            self.verified_at = max(self.verified_at, began)
+            self._verify(began)
         is_newer = self.newest_revision > previous_revision
         # A full read without a newer version ends a series of rapid changes.
         self.in_storm = is_newer and (self.in_storm or not is_full)
@@ -200,14 +233,38 @@
         began : float
             Time on the suspend clock before the read was sent.
         """
+        if self._apply_found(found):
+            self._verify(began)
+
+    def _apply_found(self, found):
+        """Apply a stored configuration; return whether it is a proof."""
         if found.version < self.newest_revision:
-            return
+            return False
         self.newest_revision = found.version
         if found.version > self.revision or self.table is None:
             if not self._replace_table(found):
-                return
+                return False
             self.revision = found.version
-        self.verified_at = max(self.verified_at, began)
+        return True
+
+    def _apply_relayed(self, found):
+        """Apply a reader's configuration.
+
+        Explanation
+        ===========
+
+        The reader may have kept a version against an older one that the store
+        shows since its return. Its revision is then of an earlier era.
+        """
+        if era_of(found.version) < era_of(self.newest_revision):
+            self._replace_table(found)
+        else:
+            self._apply_found(found)
+
+    def _verify(self, began):
+        """Record that the store has shown nothing newer since a moment."""
+        if self.settling.is_proof(began):
+            self.verified_at = max(self.verified_at, began)
 
     def apply_update(self, update, began):
         """Apply an update from a reader; return whether reads can be skipped.
@@ -216,7 +273,8 @@
         ===========
 
         The update verifies the table in force here only when both have the
-        same revision.
+        same version. The reader has verified it with regard to returns of the
+        store.
 
         Parameters
         ==========
@@ -228,11 +286,12 @@
         """
         verified_at = began - update.aged
         if update.config is not None:
-            self.apply(update.config, verified_at)
-        if update.config_revision < self.revision:
+            self._apply_relayed(update.config)
+        lead = _lead_of(update, self)
+        if lead < 0:
             # A reader that lags behind can't verify what this host has read.
             return self.is_fresh()
-        if update.config_revision > self.revision:
+        if lead > 0:
             return False
         self.verified_at = max(self.verified_at, verified_at)
         if update.seen:
@@ -271,7 +330,11 @@
             )
             return False
         if self.table is not None and table.version < self.table.version:
-            return False
+            return self._keep_newer_table(found, table)
+        self.settling.note_written(found.version)
+        if self.found is not None and found.value == self.found.value:
+            self.found = found
+            return True
         self.table = table
         self.found = found
         self.text = msgspec.json.encode(found.value).decode()
@@ -285,6 +348,19 @@
             self._notify(listener, table)
         return True
 
+    def _keep_newer_table(self, found, table):
+        """Return whether an older stored version leaves the table verified."""
+        returned = era_of(found.version) > era_of(self.revision)
+        self.log(
+            events.CONFIGURATION_KEPT,
+            level='warning',
+            version=self.table.version,
+            stored=table.version,
+            revision=found.version,
+            returned=returned,
+        )
+        return returned
+
     def _notify(self, listener, table):
         try:
             listener(table)
@@ -297,3 +373,18 @@
                 version=table.version,
                 reason=repr(error),
             )
+
+
+def _lead_of(update, configuration):
+    """Return how far a reader's version is ahead of the one in force here.
+
+    Explanation
+    ===========
+
+    Versions of the operator never fall, while one version has several revisions
+    if it is written again after a return of the store. Readers of an earlier
+    software version tell only the revision.
+    """
+    if update.config_version:
+        return update.config_version - configuration.version
+    return update.config_revision - configuration.revision
--- /dev/null
+++ b/pollenstile/forward/_settling.py
@@ -0,0 +1,57 @@
+"""Which answers of the store prove that a configuration is the newest."""
+
+from pollenstile.platform import era_of
+
+# Time after the first answer of a store that came back from an older copy.
+# Until then the operator may not have written again what the copy lacks.
+_REWRITE_SECONDS = 2.0
+_LONG_AGO = -1000.0
+
+
+class Settling:
+    """Whether the operator has written again after a return of the store.
+
+    Explanation
+    ===========
+
+    A store that has come back from an older copy shows an older configuration
+    until the operator, who knows the newest one, writes it again. Whether the
+    copy lacks anything can't be read from it. So its answers prove nothing for
+    a time, or until the configuration is seen to be written.
+
+    Attributes
+    ==========
+
+    until : float
+        Time on the suspend clock from which answers are proofs again.
+    first_revision : int
+        Revision of the first read after the last return.
+    """
+
+    __slots__ = ('first_revision', 'until')
+
+    def __init__(self):
+        self.until = _LONG_AGO
+        self.first_revision = 0
+
+    def begin(self, now):
+        """Record that the store has returned from an older copy."""
+        self.until = now + _REWRITE_SECONDS
+
+    def end(self):
+        """Record that nothing more has to be written again."""
+        self.until = _LONG_AGO
+
+    def note_read(self, revision):
+        """Record the revision of a read."""
+        if era_of(revision) > era_of(self.first_revision):
+            self.first_revision = revision
+
+    def note_written(self, revision):
+        """Record the revision at which the configuration was written."""
+        if self.first_revision and revision > self.first_revision:
+            self.end()
+
+    def is_proof(self, began):
+        """Return whether an answer to a read of that time is a proof."""
+        return began >= self.until
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -49,6 +49,12 @@
     'A version is invalid; the last valid one stays in force.',
     'Correct the version, which an operator wrote; the line has the reason.',
 )
+CONFIGURATION_KEPT = define(
+    1245,
+    'configuration-kept',
+    'The store has an older version than the one in force, which stays.',
+    'After a return of the store, write the newest version again.',
+)
 STORE_LOST = define(
     1211,
     'store-lost',
--- a/pollenstile/platform/__init__.py
+++ b/pollenstile/platform/__init__.py
@@ -49,6 +49,7 @@
     no_pause,
     paused,
 )
+from pollenstile.platform._positions import era_of, position, revision_of
 from pollenstile.platform._rows import convert_rows, decode_json
 from pollenstile.platform._seenversions import (
     SeenVersions,
--- a/pollenstile/platform/_outcome.py
+++ b/pollenstile/platform/_outcome.py
@@ -40,10 +40,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Absent:
-    """The object did not exist when the store was read."""
+    """The object did not exist when the store was read.
+
+    Parameters
+    ==========
+
+    version : int
+        Condition of a write that requires the object to be absent still; 0 for
+        a store without eras.
+    """
 
     kind: str
     name: str
+    version: int = field(default=0, repr=False)
     era: int | None = _era()
 
 
@@ -63,7 +72,7 @@
     ==========
 
     version : int
-        Current version of the object; 0 when it is absent.
+        Current version of the object; 0 when it is absent, or not known.
     """
 
     version: int
@@ -122,6 +131,9 @@
         Decoded JSON; ``None`` when the object was deleted.
     revision : int
         Revision of the store at the write.
+    after_return : bool
+        Whether it comes from the first list after the store has returned from
+        an older copy, so that it may be older than what was known before.
     """
 
     kind: str
@@ -129,6 +141,7 @@
     version: int
     value: Any
     revision: int
+    after_return: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/pollenstile/platform/_pages.py
+++ b/pollenstile/platform/_pages.py
@@ -1,6 +1,7 @@
 """Reads all pages of a list."""
 
 from pollenstile.platform._outcome import Listing, Unavailable
+from pollenstile.platform._positions import era_of
 
 
 async def list_all(store, kind, prefix=''):
@@ -23,5 +24,7 @@
         page = await store.listed(kind, prefix, objects[-1].name)
         if isinstance(page, Unavailable):
             return page
+        if era_of(page.revision) != era_of(revision):
+            return Unavailable('list', 'object API', 'another era')
         objects.extend(page.objects)
     return Listing(tuple(objects), revision)
--- a/pollenstile/platform/_seenversions.py
+++ b/pollenstile/platform/_seenversions.py
@@ -9,11 +9,23 @@
 until the next list, so that memory does not grow with short-lived names.
 """
 
+from dataclasses import replace
+
 from pollenstile.platform._outcome import Change
+from pollenstile.platform._positions import era_of
 
 
 class SeenVersions:
-    """Newest seen version of each name and revision of the last full list."""
+    """Newest seen version of each name and revision of the last full list.
+
+    Attributes
+    ==========
+
+    live : dict
+        The last :class:`Change` of each existing object, by name.
+    deleted : dict
+        Version of each deletion since the last full list, by name.
+    """
 
     __slots__ = ('deleted', 'listed_revision', 'live')
 
@@ -53,7 +65,9 @@
     A list that is older than a previous one, such as the list of a lagging
     replica, is rejected because it would restore deleted objects. A seen name
     that is not listed was deleted, unless it was written after the list was
-    read; in that case the deletion counts as out of date.
+    read; in that case the deletion counts as out of date. An object whose value
+    is the known one is no change, whatever its version: after a return of the
+    store all versions are new.
 
     Returns
     =======
@@ -64,13 +78,19 @@
     if listing.revision < seen.listed_revision:
         return None
     revision = listing.revision
+    after_return = 0 < seen.listed_revision and (
+        era_of(seen.listed_revision) < era_of(revision)
+    )
     names = {found.name for found in listing.objects}
-    events = [_change_of(found) for found in listing.objects]
-    for name, (kind, _) in seen.live.items():
+    events = [_change_of(found, after_return) for found in listing.objects]
+    for name, known in seen.live.items():
         if name in names:
             continue
-        events.append(Change(kind, name, revision, None, revision))
+        events.append(
+            Change(known.kind, name, revision, None, revision, after_return)
+        )
     seen.listed_revision = 0
+    events = [event for event in events if not _is_known(seen, event)]
     changes = filter_new_events(seen, events)
     seen.listed_revision = listing.revision
     seen.deleted = {
@@ -82,9 +102,10 @@
 
 
 def _latest_version(seen, name):
-    row = seen.live.get(name)
-    version = row[1] if row else seen.deleted.get(name, 0)
-    return max(version, seen.listed_revision if row is None else 0)
+    known = seen.live.get(name)
+    if known is not None:
+        return known.version
+    return max(seen.deleted.get(name, 0), seen.listed_revision)
 
 
 def _record(seen, event):
@@ -93,14 +114,25 @@
         seen.deleted[event.name] = event.version
         return
     seen.deleted.pop(event.name, None)
-    seen.live[event.name] = (event.kind, event.version)
+    seen.live[event.name] = event
+
+
+def _is_known(seen, event):
+    """Return whether an object has its known value; note its version."""
+    known = seen.live.get(event.name)
+    if known is None or known.value != event.value:
+        return False
+    if event.version > known.version:
+        seen.live[event.name] = replace(known, version=event.version)
+    return True
 
 
-def _change_of(found):
+def _change_of(found, after_return):
     return Change(
         found.kind,
         found.name,
         found.version,
         found.value,
         found.version,
+        after_return,
     )
--- a/pollenstile/platform/_settle.py
+++ b/pollenstile/platform/_settle.py
@@ -119,7 +119,7 @@
 def _resolve(outcome, value, if_version, mark):
     if isinstance(outcome, Found) and mark(outcome.value) == mark(value):
         return Written(outcome.version)
-    version = 0 if isinstance(outcome, Absent) else outcome.version
-    if version == if_version:
+    is_absent = isinstance(outcome, Absent) and if_version == 0
+    if is_absent or outcome.version == if_version:
         return None
-    return Superseded(version)
+    return Superseded(outcome.version)
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -6,7 +6,7 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import BadMessageError, Unanswered, apply_patch
-from pollenstile.platform import paused
+from pollenstile.platform import era_of, paused
 from pollenstile.relay import events
 from pollenstile.relay._messages import (
     Cursor,
@@ -103,6 +103,8 @@
         source.
     kind_handlers : dict
         Function that applies a :class:`KindUpdate`, by kind.
+    note_era : function
+        Takes the era of the store that a reader has heard of, or None.
     """
 
     __slots__ = (
@@ -118,6 +120,7 @@
         'log',
         'needs_full_config',
         'no_store_answers',
+        'note_era',
         'numbers',
         'rank',
         'read_turn_at',
@@ -147,6 +150,7 @@
         self.log = log
         self.following = ''
         self.source = ''
+        self.note_era = _ignore_era
         self.numbers = {}
         self.kind_handlers = {}
         self.direct_listeners = []
@@ -223,8 +227,7 @@
             Cursor(kind, self.numbers.get(kind, 0))
             for kind in self.kind_handlers
         )
-        revision = 0 if self.needs_full_config else self.configuration.revision
-        request = RelayRequest(self.source, revision, cursors, _HOLD_SECONDS)
+        request = self._build_request(cursors)
         answer = await self.ask(
             host,
             RELAY_SUBJECT,
@@ -245,6 +248,16 @@
             return True
         return self._handle_failure(host, reason)
 
+    def _build_request(self, cursors):
+        found = self.configuration.found
+        revision = (
+            0 if found is None or self.needs_full_config else found.version
+        )
+        version = 0 if self.needs_full_config else self.configuration.version
+        return RelayRequest(
+            self.source, revision, cursors, _HOLD_SECONDS, version
+        )
+
     def _handle_failure(self, host, reason):
         """Record a reader's failure; return whether it is skipped now."""
         is_new = not self.skipped.has_failed(host)
@@ -268,11 +281,12 @@
         if isinstance(answer, Unanswered):
             return answer.reason
         try:
-            update = decode_update(answer)
+            update = decode_update(answer, era_of(self.configuration.revision))
         except BadMessageError as error:
             return str(error)
         if not update.has_store:
             return _NO_STORE
+        self.note_era(update.era)
         update = self._expand_patch(update)
         # When the patch does not fit, the next request is for the full text.
         self.needs_full_config = update is None
@@ -352,3 +366,7 @@
 
 def _first_rank():
     return 0
+
+
+def _ignore_era(era):
+    """Ignore an era where the store states none."""
--- a/pollenstile/relay/_messages.py
+++ b/pollenstile/relay/_messages.py
@@ -13,7 +13,13 @@
     patch_fields,
     patch_from,
 )
-from pollenstile.platform import Change, Found
+from pollenstile.platform import (
+    Change,
+    Found,
+    era_of,
+    position,
+    revision_of,
+)
 
 _MS = 1000
 # Bytes of JSON above which a follower reads the configuration from the store
@@ -47,12 +53,15 @@
     hold : float
         Seconds for which the source may hold the answer while nothing has
         changed.
+    config_version : int
+        Operator's version of that configuration; 0 if it was not told.
     """
 
     source: str
     config_revision: int
     cursors: tuple[Cursor, ...]
     hold: float
+    config_version: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,6 +118,11 @@
     seen : int
         Store revision up to which the source knows the configuration; 0 when
         the requester can't continue from it.
+    config_version : int
+        Operator's version of the verified configuration; 0 if it was not told.
+    era : int or None
+        The newest era of the store that the source has heard of; None if it
+        was not told.
     """
 
     source: str
@@ -119,13 +133,17 @@
     kind_updates: tuple[KindUpdate, ...] = ()
     patch: Patch | None = None
     seen: int = 0
+    config_version: int = 0
+    era: int | None = None
 
 
 def encode_request(request):
     """Return the encoding of a request."""
     return _schema.Asked.new_message(
         source=request.source,
-        configRevision=request.config_revision,
+        configRevision=revision_of(request.config_revision),
+        configEra=_era_field(request.config_revision),
+        configVersion=request.config_version,
         cursors=[
             {'kind': cursor.kind, 'number': cursor.number}
             for cursor in request.cursors
@@ -134,17 +152,25 @@
     ).to_bytes()
 
 
-def decode_request(encoded):
-    """Return a request; raise BadMessageError for malformed bytes."""
+def decode_request(encoded, era=0):
+    """Return a request; raise BadMessageError for malformed bytes.
+
+    Parameters
+    ==========
+
+    era : int
+        Era of the revisions of a host that tells no eras.
+    """
 
     def build(reader):
         return RelayRequest(
             reader.source,
-            reader.configRevision,
+            _place(reader.configRevision, reader.configEra, era),
             tuple(
                 Cursor(cursor.kind, cursor.number) for cursor in reader.cursors
             ),
             reader.holdMs / _MS,
+            reader.configVersion,
         )
 
     return decode_struct(_schema.Asked, encoded, build)
@@ -161,13 +187,17 @@
         source=update.source,
         fit=update.has_store,
         agedMs=int(update.aged * _MS) + 1,
-        configRevision=update.config_revision,
+        configRevision=revision_of(update.config_revision),
+        configEra=_era_field(update.config_revision),
+        configVersion=update.config_version,
         config=config,
         news=[
             _kind_update_fields(kind_update)
             for kind_update in update.kind_updates
         ],
-        seen=update.seen,
+        seen=revision_of(update.seen),
+        seenEra=_era_field(update.seen),
+        era=0 if update.era is None else update.era + 1,
     )
     if update.patch is not None:
         message.patch = patch_fields(update.patch)
@@ -179,11 +209,18 @@
     return Found('config', 'main', revision, _decode_value(text))
 
 
-def decode_update(encoded):
-    """Return an update; raise BadMessageError for malformed bytes."""
+def decode_update(encoded, era=0):
+    """Return an update; raise BadMessageError for malformed bytes.
+
+    Parameters
+    ==========
+
+    era : int
+        Era of the revisions of a host that tells no eras.
+    """
 
     def build(reader):
-        revision = reader.configRevision
+        revision = _place(reader.configRevision, reader.configEra, era)
         config = None
         if reader.config:
             config = decode_config(revision, reader.config)
@@ -193,9 +230,11 @@
             reader.agedMs / _MS,
             revision,
             config,
-            tuple(_build_kind_update(row) for row in reader.news),
+            tuple(_build_kind_update(row, era) for row in reader.news),
             patch_from(reader.patch) if reader.patch.digest else None,
-            reader.seen,
+            _place(reader.seen, reader.seenEra, era) if reader.seen else 0,
+            reader.configVersion,
+            reader.era - 1 if reader.era else None,
         )
 
     return decode_struct(_schema.Word, encoded, build)
@@ -205,12 +244,15 @@
     return {
         'kind': kind_update.kind,
         'number': kind_update.number,
-        'revision': kind_update.revision,
+        'revision': revision_of(kind_update.revision),
+        'era': _era_field(kind_update.revision),
         'whole': kind_update.is_full,
         'changes': [
             {
                 'name': change.name,
-                'version': change.version,
+                'version': revision_of(change.version),
+                'era': _era_field(change.version),
+                'afterReturn': change.after_return,
                 'value': b''
                 if change.value is None
                 else msgspec.json.encode(change.value),
@@ -220,25 +262,31 @@
     }
 
 
-def _build_kind_update(reader):
+def _build_kind_update(reader, era):
     return KindUpdate(
         reader.kind,
         reader.number,
-        reader.revision,
+        _place(reader.revision, reader.era, era),
         reader.whole,
-        tuple(
-            Change(
-                reader.kind,
-                row.name,
-                row.version,
-                _decode_value(row.value) if row.value else None,
-                row.version,
-            )
-            for row in reader.changes
-        ),
+        tuple(_build_change(reader.kind, row, era) for row in reader.changes),
     )
 
 
+def _build_change(kind, row, era):
+    version = _place(row.version, row.era, era)
+    change = _decode_value(row.value) if row.value else None
+    return Change(kind, row.name, version, change, version, row.afterReturn)
+
+
+def _era_field(place):
+    return era_of(place) + 1
+
+
+def _place(revision, era_field, default_era):
+    """Return the position of a revision; a host may not tell its era."""
+    return position(era_field - 1 if era_field else default_era, revision)
+
+
 def _decode_value(encoded):
     try:
         return msgspec.json.decode(encoded)
--- a/pollenstile/relay/_source.py
+++ b/pollenstile/relay/_source.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.peer import RecentTexts
+from pollenstile.platform import era_of
 from pollenstile.relay._messages import (
     KindUpdate,
     RelayUpdate,
@@ -116,12 +117,16 @@
         Time, on the clock, of the latest request.
     leaving : bool
         Whether this host is leaving and must not be followed.
+    era : function
+        Returns the newest era of the store that this host has heard of, or
+        None if it has heard of none.
     """
 
     __slots__ = (
         'clock',
         'config_texts',
         'configuration',
+        'era',
         'held',
         'histories',
         'ident',
@@ -140,6 +145,7 @@
         self.held = {}
         self.requested_at = -_FOLLOWED_SECONDS
         self.leaving = False
+        self.era = _no_era
         self.timer = None
         self.config_texts = RecentTexts()
         configuration.listeners.append(self._record_config)
@@ -170,7 +176,8 @@
     def answer(self, host, body):
         """Return a Deferred of the answer to a follower's request."""
         self.requested_at = self.clock.seconds()
-        request = decode_request(body)
+        own_era = era_of(self.configuration.revision)
+        request = decode_request(body, own_era)
         done = Deferred()
         arrived_at = self.suspend_clock()
         update = self._build_update(request, arrived_at)
@@ -230,8 +237,9 @@
         """Return the update for a request, or None while nothing is new."""
         if not self.has_store_contact():
             return RelayUpdate(self.ident, has_store=False)
-        revision = self.configuration.revision
-        is_older = request.config_revision < revision
+        found = self.configuration.found
+        revision = found.version if found is not None else 0
+        is_older = self._has_older_config(request, revision)
         kind_updates = self._kind_updates(request, is_final=is_final)
         if not (is_final or kind_updates or is_older):
             return None
@@ -244,12 +252,20 @@
             has_store=True,
             aged=now - self.configuration.verified_at - (now - arrived_at),
             config_revision=revision,
-            config=self.configuration.found if is_older and not patch else None,
+            config=found if is_older and not patch else None,
             kind_updates=kind_updates,
             patch=patch,
             seen=self.configuration.resumable_revision(),
+            config_version=self.configuration.version,
+            era=self.era(),
         )
 
+    def _has_older_config(self, request, revision):
+        """Return whether a follower needs this host's configuration."""
+        if request.config_version:
+            return request.config_version < self.configuration.version
+        return request.config_revision < revision
+
     def _kind_updates(self, request, *, is_final):
         is_own_numbering = request.source == self.ident
         updates = []
@@ -262,3 +278,7 @@
             if update is not None:
                 updates.append(update)
         return tuple(updates)
+
+
+def _no_era():
+    """Return None, as the store states no era."""
--- a/pollenstile/relay/messages.capnp
+++ b/pollenstile/relay/messages.capnp
@@ -9,6 +9,11 @@
   cursors @2 :List(Cursor);
   # How long the source may hold the answer while nothing has changed.
   holdMs @3 :UInt32;
+  # Eras are one higher than the store's, and 0 when they are not told; the
+  # revisions beside them count within their era.
+  configEra @4 :UInt32;
+  # Operator's version of the configuration in force; 0 for none.
+  configVersion @5 :UInt64;
 }
 
 struct Cursor {
@@ -34,6 +39,12 @@
   seen @6 :UInt64;
   # From the requester's configuration to the newest one; empty digest for none.
   patch @7 :Patch;
+  configEra @8 :UInt32;
+  seenEra @9 :UInt32;
+  # Operator's version of the configuration in force.
+  configVersion @10 :UInt64;
+  # The newest era that the source has heard of.
+  era @11 :UInt32;
 }
 
 struct Patch {
@@ -53,6 +64,7 @@
   # Whether the changes are the full list of objects.
   whole @3 :Bool;
   changes @4 :List(Change);
+  era @5 :UInt32;
 }
 
 struct Change {
@@ -60,4 +72,7 @@
   version @1 :UInt64;
   # JSON; empty when the object was deleted.
   value @2 :Data;
+  era @3 :UInt32;
+  # Whether the first list after a return of the store shows the change.
+  afterReturn @4 :Bool;
 }
