forward: an older entry that a returned store shows doesn't undo what a host knows

What callers would see: requests to an upstream that had said it leaves, or that is gone, because the store's copy shows its entry as it was (DRAIN). Until now hosts refused every list after a return, and so this one too.

A change says whether it comes from the first list after a return. Such an entry of an incarnation that had said it leaves is kept as leaving, and told to all hosts as if an answer had stated it, so that a host that has just started, a queue owner and hosts without the entry know. An entry that had been removed is not followed until it is written again, or for ten seconds: the platform removes it sooner if the process is gone, and an upstream whose removal was wrong gets its work back then. What the copy lacks stays for the 2.3 s that entries have after an outage.

A store that is only away, or forgets its history, is as before.

--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from pollenstile.forward import events
+from pollenstile.forward._returned import ReturnedEntries
 from pollenstile.forward._selection import UpstreamView
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
@@ -89,6 +90,8 @@
     stated_leaving : LeavingUpstreams
         Incarnations that leave by their own answers, whatever their entries
         state.
+    returned : ReturnedEntries
+        Entries that the store shows only since its return from an older copy.
     """
 
     __slots__ = (
@@ -99,6 +102,7 @@
         'listeners',
         'log',
         'missing_timers',
+        'returned',
         'stated_leaving',
         'store_failed_at',
         'upstreams',
@@ -117,6 +121,7 @@
         self.known = False
         self.drained = frozenset()
         self.stated_leaving = LeavingUpstreams(clock)
+        self.returned = ReturnedEntries(clock, self._index, log)
 
     def follow_leaving(self, leaving):
         """Leave out the upstreams whose answers state that they leave.
@@ -145,17 +150,33 @@
         self.drained = domains
         self._index()
 
-    def apply(self, ident, upstream):
-        """Apply an entry; None for a missing one."""
+    def apply(self, ident, upstream, *, after_return=False):
+        """Apply an entry; None for a missing one.
+
+        Parameters
+        ==========
+
+        after_return : bool
+            Whether the store has just returned from an older copy, so that the
+            entry may be older than the known one, or missing though its
+            upstream is there.
+        """
         timer = self.missing_timers.pop(ident, None)
         if timer is not None:
             timer.cancel()
         if upstream is not None:
+            self.returned.end_doubt(ident)
+            if after_return:
+                before = self.upstreams.get(ident)
+                self.returned.check(upstream, before, self.stated_leaving)
             self._store_entry(upstream)
             return
         if ident not in self.upstreams:
             return
-        since_failure = self.clock.seconds() - self.store_failed_at
+        failed_at = self.store_failed_at
+        if after_return:
+            failed_at = self.clock.seconds()
+        since_failure = self.clock.seconds() - failed_at
         if since_failure < _RETURN_SECONDS:
             # If missing entries were removed at once, all upstreams would
             # disappear after an outage that outlasts their heartbeats.
@@ -193,6 +214,7 @@
         if self.upstreams.pop(ident, None) is None:
             return
         self.views.pop(ident, None)
+        self.returned.note_removed(upstream)
         self.log(
             events.UPSTREAM_CHANGED,
             peer=ident,
@@ -309,6 +331,8 @@
         for ident, upstream in self.upstreams.items():
             if self.is_leaving(upstream) or upstream.domain in self.drained:
                 continue
+            if ident in self.returned.doubts:
+                continue
             views = by_service.setdefault(upstream.service, [])
             views.append(self.views[ident])
         self.by_service = by_service
--- a/pollenstile/forward/_storewatches.py
+++ b/pollenstile/forward/_storewatches.py
@@ -147,7 +147,9 @@
                     peer=change.name,
                     version=change.version,
                 )
-        self.parts.core.registry.apply(change.name, upstream)
+        self.parts.core.registry.apply(
+            change.name, upstream, after_return=change.after_return
+        )
 
 
 def _drained_timing(bound):
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -55,6 +55,11 @@
     'The store has an older version than the one in force, which stays.',
     'After a return of the store, write the newest version again.',
 )
+ENTRY_DOUBTED = define(
+    1246,
+    'entry-doubted',
+    'After a return of the store, an older entry of an upstream is not followed.',
+)
 STORE_LOST = define(
     1211,
     'store-lost',
--- a/pollenstile/permission/_leaving.py
+++ b/pollenstile/permission/_leaving.py
@@ -97,6 +97,10 @@
                 request=statements.request,
             )
 
+    def note_entry(self, name, service):
+        """Record that an incarnation leaves by an entry that the store lost."""
+        self._add(name, Departure(self.clock.seconds()), service=service)
+
     def learn(self, name, stated_at, source):
         """Record that an incarnation leaves, as a peer has been told.
 
