forward, quarantine, origins: what hosts had written is written again after a return

What callers would see: after the store has come back from a copy, a request that crashes upstreams runs again (its verdict is missing, and was taken for lifted), a host that starts stays outside (it draws another shared key), peers forget each other, a stream goes on at another software version, and a host that has just started trusts keys by what the copy shows.

Cause: an acknowledged write was taken for lasting, and a missing object for one that somebody has deleted. Nobody but hosts writes these objects.

Missing by the first list after a return is not deleted. Each host checks its own entry in 1 to 2 s; peers stay for 4 s; an entry of a host that has left is deleted by the first in turn. Verdicts, the record of versions and the shared key are written again by at most three hosts each, in turn. A key that a host has drawn meanwhile yields to the one that the fleet holds. The stored key names the last era whose return is over: a host that starts reads it anyway, and needs no wait and no further call unless the era is new; else answers prove nothing for 2 s. A missing record of versions shows nothing in that time.

--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -9,13 +9,16 @@
 from features.builders.forward import SERVICE
 from pollenstile.forward import Configuration, Registry, Upstream
 from pollenstile.forward._members import HOSTS, Members, PeerHost
+from pollenstile.forward._peerkey import PeerKey
 from pollenstile.platform import (
     Absent,
     Change,
     Changes,
+    EraStore,
     Found,
     Listing,
     NotApplied,
+    StoreEra,
     Unavailable,
     paused,
 )
@@ -302,7 +305,8 @@
     store = MemoryStore(Clock())
     context.keys = []
     for host in ('one', 'two'):
-        key = Deferred.fromCoroutine(_members(store, host).peer_key())
+        peer_key = PeerKey(EraStore(store, StoreEra()), Clock(), host, {})
+        key = Deferred.fromCoroutine(peer_key.read())
         key.addCallback(context.keys.append)
 
 
--- a/features/steps/store_eras_steps.py
+++ b/features/steps/store_eras_steps.py
@@ -78,7 +78,7 @@
     context.memory = MemoryStore(clock)
     context.memory.objects.era = 1
     context.gate = _HeldStore(context.memory)
-    context.eras = StoreEra(clock)
+    context.eras = StoreEra()
     context.client = EraStore(context.gate, context.eras)
     context.copies = []
     context.versions = []
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -1,14 +1,21 @@
 """Steps for a store that comes back from an older copy of itself."""
 
 from behave import given, then, when
+from twisted.internet.defer import Deferred
 
+from pollenstile.bench._domainworld import STEP
 from pollenstile.bench._returnworld import (
     UPSTREAMS,
     ReturnWorld,
+    hosts_refusing_keys,
     hosts_with_old_version,
     hosts_with_wrong_upstreams,
+    restart_all,
     usable_at,
 )
+from pollenstile.forward import PEER_KEY
+from pollenstile.origins import SOFTWARE_KIND
+from pollenstile.quarantine import QUARANTINE_KIND, QuarantineUpdate, Verdict
 
 # Seconds between the return of the store and the changes after it, at least;
 # late writers need them to write all again.
@@ -173,6 +180,47 @@
     assert not senders, senders
 
 
+@when(
+    'hosts lose the store, and {seconds:g} seconds later a version is written'
+)
+def when_unread(context, seconds):
+    world = context.world
+    world.take_copy()
+    for host in world.running():
+        host.path.refuses = True
+    world.advance(seconds)
+    world.write_version(world.newest + 1)
+    context.acked_at = world.clock.seconds()
+
+
+@when('the store loses it in {seconds:g} seconds, written again slowly')
+def when_unread_lost(context, seconds):
+    context.world.stay_away(seconds)
+    for host in context.world.running():
+        host.path.end_faults()
+    context.world.come_back('slowly')
+
+
+@then(
+    'no host trusts keys with it {seconds:g} seconds after its acknowledgement'
+)
+def then_no_trust_after(context, seconds):
+    world = context.world
+    world.advance(context.acked_at + seconds - world.clock.seconds())
+    then_no_old_trust(context, 4.0)
+
+
+@when('a host registers, and the store returns to before at once')
+def when_registers(context):
+    world = context.world
+    world.take_copy()
+    world.add_host('h-new', 'd')
+    objects = world.store.objects
+    while 'h-new' not in objects.names['pollenstile-hosts']:
+        world.clock.advance(STEP)
+    world.come_back('early')
+
+
 @when('{count:d} versions are written after it')
 def when_versions(context, count):
     for _ in range(count):
@@ -200,3 +248,172 @@
 def then_upstreams(context):
     wrong = hosts_with_wrong_upstreams(context.world)
     assert not wrong, wrong
+
+
+@given('hosts have written {what}')
+def given_written(context, what):
+    world = context.world
+    if what == 'a verdict':
+        _write_verdict(context)
+    if what == 'a record of versions':
+        for number, software in enumerate(('v1', 'v2'), start=90):
+            entry = {
+                'address': f'10.1.0.{number}:1',
+                'domain': 'd',
+                'leaving': False,
+                'software': software,
+            }
+            world.write(UPSTREAMS, f'u{number}', entry)
+    world.advance(4.0)
+    then_has_again(context, what)
+
+
+def _write_verdict(context):
+    quarantine = context.world.running()[0].core.quarantine
+    context.verdict = Verdict(
+        'f' * 16,
+        'team',
+        's',
+        3,
+        quarantine.now_ms(),
+        is_held=True,
+        expires_at=quarantine.clock.seconds() + 600.0,
+    )
+    for host in context.world.running():
+        host.core.quarantine.apply(
+            QuarantineUpdate(verdicts=(context.verdict,))
+        )
+        host.daemon.parts.record.note_return()
+
+
+@when('the store returns to a copy that has nothing of hosts')
+def when_nothing_of_hosts(context):
+    world = context.world
+    world.take_copy()
+    world.forget_hosts_writes()
+    world.stay_away(1.5)
+    world.come_back('early')
+
+
+@when('an operator lifts it, and the store returns to before')
+def when_lifted(context):
+    world = context.world
+    world.take_copy()
+    world.store.write_at_once(
+        QUARANTINE_KIND, context.verdict.fingerprint, None
+    )
+    world.advance(2.0)
+    then_no_verdict(context)
+    world.stay_away(1.5)
+    world.come_back('early')
+
+
+@when('a host leaves, and the store returns to before')
+def when_host_leaves(context):
+    world = context.world
+    host = world.running()[-1]
+    context.name = host.name
+    world.take_copy()
+    Deferred.fromCoroutine(host.daemon.parts.members.leave())
+    world.advance(2.0)
+    host.end()
+    world.stay_away(1.5)
+    world.come_back('early')
+
+
+@when('all hosts are killed and start again')
+def when_all_restart(context):
+    restart_all(context.world)
+
+
+@then('the store has {what} again')
+def then_has_again(context, what):
+    world = context.world
+    objects = world.store.objects
+    if what == 'the entries of hosts':
+        names = set(objects.names.get('pollenstile-hosts', ()))
+        assert names == {host.name for host in world.running()}, names
+    elif what == 'the key that they share':
+        assert objects.found(*PEER_KEY).value['key'] == 'simulated'
+    elif what == 'a verdict':
+        names = objects.names.get(QUARANTINE_KIND)
+        assert names == [context.verdict.fingerprint], names
+    else:
+        found = objects.found(SOFTWARE_KIND, 's')
+        assert {'v1', 'v2'}.issubset(found.value['versions']), found
+
+
+@then(
+    'all hosts hold the verdict at every moment of the next {seconds:g} seconds'
+)
+def then_hold(context, seconds):
+    released = set()
+
+    def look():
+        for host in context.world.running():
+            if not host.core.quarantine.is_held(context.verdict.fingerprint):
+                released.add(host.name)
+
+    context.world.advance(seconds, look)
+    assert not released, released
+
+
+@then('no host holds the verdict, and the store has none')
+def then_no_verdict(context):
+    name = context.verdict.fingerprint
+    for host in context.world.running():
+        assert not host.core.quarantine.is_held(name), host.name
+    assert not context.world.store.objects.names.get(QUARANTINE_KIND)
+
+
+@then(
+    'all hosts know each other at every moment of the next {seconds:g} seconds'
+)
+def then_know_each_other(context, seconds):
+    fewest = []
+
+    def look():
+        for host in context.world.running():
+            fewest.append(len(host.daemon.parts.members.hosts))
+
+    context.world.advance(seconds, look)
+    assert min(fewest) == len(context.world.hosts) - 1, min(fewest)
+
+
+@then('no host knows the one that left, and the store has no entry of it')
+def then_left(context):
+    for host in context.world.running():
+        assert context.name not in host.daemon.parts.members.hosts, host.name
+    names = context.world.store.objects.names['pollenstile-hosts']
+    assert context.name not in names, names
+
+
+@then('the hosts share one key, and the new host is linked to others')
+def then_one_key(context):
+    keys = {host.daemon.parts.peer_key.key for host in context.world.running()}
+    assert keys == {'simulated'}, keys
+    new = context.world.hosts['h-new']
+    assert new.daemon.parts.hub.links
+
+
+@then('no host trusts keys with an old version in the next {seconds:g} seconds')
+def then_no_old_trust(context, seconds):
+    world = context.world
+    trusting = set()
+
+    def look():
+        for host in world.running():
+            configuration = host.configuration
+            if configuration.is_verified() and host.version != world.newest:
+                trusting.add(host.name)
+
+    world.advance(seconds, look)
+    assert not trusting, trusting
+    assert not hosts_refusing_keys(world), hosts_refusing_keys(world)
+
+
+@then('all hosts trust keys within {seconds:g} seconds')
+def then_trust(context, seconds):
+    context.world.advance(seconds)
+    refusing = hosts_refusing_keys(context.world)
+    assert not refusing, refusing
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -67,3 +67,76 @@
       | the store forgets its history     |
       | the store returns twice           |
       | the store returns to an old copy  |
+
+  Scenario Outline: What hosts had written is written again: <what>
+    Nobody else writes it, and a host that starts later knows the store alone.
+    Given 9 hosts in 4 failure domains and a store that states its era
+    And hosts have written <what>
+    When the store returns to a copy that has nothing of hosts
+    And 6 seconds pass after the return
+    Then the store has <what> again
+
+    Examples:
+      | what                   |
+      | the entries of hosts   |
+      | the key that they share |
+      | a verdict              |
+      | a record of versions   |
+
+  Scenario: A verdict that the copy lacks is not taken for one that an operator has lifted
+    Given 9 hosts in 4 failure domains and a store that states its era
+    And hosts have written a verdict
+    When the store returns to a copy that has nothing of hosts
+    Then all hosts hold the verdict at every moment of the next 6 seconds
+
+  Scenario: A verdict that an operator has lifted stays lifted though the copy has it
+    Given 9 hosts in 4 failure domains and a store that states its era
+    And hosts have written a verdict
+    When an operator lifts it, and the store returns to before
+    And 6 seconds pass after the return
+    Then no host holds the verdict, and the store has none
+
+  Scenario: Hosts keep their peers while the copy lacks their entries
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When the store returns to a copy that has nothing of hosts
+    Then all hosts know each other at every moment of the next 6 seconds
+
+  Scenario: A host that has left is not one of the hosts again
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When a host leaves, and the store returns to before
+    And 6 seconds pass after the return
+    Then no host knows the one that left, and the store has no entry of it
+
+  Scenario: A host that starts while the store lacks the key joins the others
+    It draws a key of its own and would stay outside.
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When the store returns to a copy that has nothing of hosts
+    And a host starts 0.0 seconds later
+    And 12 seconds pass after the return
+    Then the hosts share one key, and the new host is linked to others
+
+  Scenario: A host that starts in the return takes no answer of the store for a proof
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When the store loses 3 changes in 1.5 seconds, written again slowly
+    And all hosts are killed and start again
+    Then no host trusts keys with an old version in the next 6 seconds
+
+  Scenario: A version that no host has read before the store lost it
+    A key that it revokes works for 5 s after its acknowledgement, and no longer.
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When hosts lose the store, and 0.5 seconds later a version is written
+    And the store loses it in 4 seconds, written again slowly
+    Then no host trusts keys with it 5 seconds after its acknowledgement
+
+  Scenario: An entry of a host that was acknowledged and lost before any host read it
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When a host registers, and the store returns to before at once
+    And 6 seconds pass after the return
+    Then the store has the entries of hosts again
+
+  Scenario: A host that starts long after the return trusts keys at once
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When the store loses 3 changes in 1.5 seconds, written again early
+    And 10 seconds pass after the return
+    And all hosts are killed and start again
+    Then all hosts trust keys within 2.0 seconds
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -238,6 +238,8 @@
         The number of failure domains; hosts are assigned round robin.
     has_upstream : bool
         Whether an upstream is registered from the start, which runs nothing.
+    era : int or None
+        The era that the store states at first.
     bounds : dict
         Settings of the hosts, by name.
 
@@ -265,12 +267,15 @@
         'wires',
     )
 
-    def __init__(self, count, domains=1, *, has_upstream=True, **bounds):
+    def __init__(
+        self, count, domains=1, *, has_upstream=True, era=None, **bounds
+    ):
         self.bounds = bounds
         self.cut = set()
         self.sides = {}
         self.clock = VirtualReactor()
         self.store = MemoryStore(self.clock)
+        self.store.objects.era = era
         self.wires = VirtualWires(self.clock, _one_way_latency, self._is_cut)
         self.logged = []
         self._write(*PEER_KEY, _KEY)
--- a/pollenstile/bench/_returnworld.py
+++ b/pollenstile/bench/_returnworld.py
@@ -3,12 +3,15 @@
 from random import Random
 
 from pollenstile.bench._domainworld import DomainWorld
+from pollenstile.forward import DRAINED
 
 UPSTREAMS = 'upstreams'
 _CONFIG = ('config', 'main')
 _FIRST_ERA = 1
-# Seconds between two objects that are written again while hosts are answered.
-_REWRITE_SECONDS = 0.3
+# Kinds that the operator and upstreams write.
+_OTHERS = ('config', UPSTREAMS, DRAINED)
+# Seconds after the return at which the nth lost object is written again.
+_WAITS = {'late': lambda place: 0.3 * place, 'slowly': lambda _: 1.8}
 
 
 class ReturnWorld(DomainWorld):
@@ -42,8 +45,9 @@
         self.acked_at = {}
         self.copy = None
         self.number = 0
-        super().__init__(hosts, domains, has_upstream=False, **bounds)
-        self.store.objects.era = _FIRST_ERA
+        super().__init__(
+            hosts, domains, has_upstream=False, era=_FIRST_ERA, **bounds
+        )
         for _ in range(upstreams):
             self.add_upstream()
         self.write_version(2)
@@ -100,6 +104,16 @@
         """Take the copy that the store will come back from."""
         self.copy = self.store.objects.copy()
 
+    def forget_hosts_writes(self):
+        """Let the copy have nothing that hosts have written."""
+        kinds = {kind for kind, _ in self.copy.rows if kind not in _OTHERS}
+        for kind, name in list(self.copy.rows):
+            if kind in kinds:
+                self.copy.rows.pop((kind, name))
+        for kind in kinds:
+            self.copy.names.pop(kind)
+        self.copy.compact()
+
     def stay_away(self, seconds):
         """Let the store answer nobody for some seconds."""
         self.store.down = True
@@ -114,7 +128,8 @@
         rewriting : str
             When the operator and the upstreams write again what is lost:
             ``'early'``, before the first answer; ``'late'``, one object each
-            0.3 s while hosts are answered; or ``'never'``.
+            0.3 s while hosts are answered; ``'slowly'``, all 1.8 s after the
+            return; or ``'never'``.
         """
         if self.copy is not None:
             self.store.return_from(self.copy)
@@ -123,10 +138,11 @@
             for kind, name in lost:
                 self._write_at_once(kind, name)
         self.store.down = False
-        if rewriting == 'late':
-            for place, (kind, name) in enumerate(lost, start=1):
+        for place, (kind, name) in enumerate(lost, start=1):
+            wait = _WAITS.get(rewriting)
+            if wait is not None:
                 self.clock.callLater(
-                    place * _REWRITE_SECONDS, self._write_at_once, kind, name
+                    wait(place), self._write_at_once, kind, name
                 )
 
     def _change_version(self):
@@ -165,6 +181,13 @@
             self.store.write_at_once(kind, name, value)
 
 
+def restart_all(world):
+    """Kill all hosts and start them again."""
+    for host in world.running():
+        host.end()
+        world.add_host(host.name, host.domain)
+
+
 def hosts_with_old_version(world):
     """Return the names of hosts that have not the newest version in force."""
     return [
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -11,7 +11,8 @@
 from pollenstile.forward._drained import DRAINED, DrainedDomains
 from pollenstile.forward._frontend import CallerFactory
 from pollenstile.forward._gauges import DRAINED_SECONDS, UNDER_WAY
-from pollenstile.forward._members import PEER_KEY, PeerHost
+from pollenstile.forward._members import PeerHost
+from pollenstile.forward._peerkey import PEER_KEY
 from pollenstile.forward._overload import ConnectionGate
 from pollenstile.forward._plaincodec import (
     FREE_TARGET,
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -15,6 +15,7 @@
 from pollenstile.forward._learning import end_backoff
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.forward._owners import StageOwners
+from pollenstile.forward._peerkey import PeerKey
 from pollenstile.forward._registry import UPSTREAMS, Registry
 from pollenstile.forward._settings import update_seconds
 from pollenstile.forward._stagecalls import StageCalls
@@ -85,7 +86,7 @@
     tunnels: TunnelServer
     origin_sharing: OriginSharing
     software_record: SoftwareRecorder
-    eras: object
+    peer_key: PeerKey
 
 
 @dataclass(slots=True)
@@ -183,30 +184,51 @@
         log,
     )
     client.paths = _build_paths(reactor, rng, settings, hub, core, members, log)
-    return HostParts(
-        core,
-        hub,
-        members,
-        owners,
-        core.stages,
-        _build_relay(settings, store, suspend_clock, core, hub),
-        DrainedDomains(registry, reactor, log),
-        VerdictSharing(hub, quarantine, members.hosts, log),
-        VerdictRecorder(store, quarantine, members.hosts, log),
-        RateSharing(hub, permissions.rates, members.hosts, log),
-        LeavingSharing(
+    return _follow_returns(
+        HostParts(
+            core,
             hub,
-            permissions.leaving,
-            members.hosts,
-            registry.lists_leaving,
-            log,
+            members,
+            owners,
+            core.stages,
+            _build_relay(settings, store, suspend_clock, core, hub),
+            DrainedDomains(registry, reactor, log),
+            VerdictSharing(hub, quarantine, members.hosts, log),
+            VerdictRecorder(store, quarantine, members.hosts, log),
+            RateSharing(hub, permissions.rates, members.hosts, log),
+            LeavingSharing(
+                hub,
+                permissions.leaving,
+                members.hosts,
+                registry.lists_leaving,
+                log,
+            ),
+            client.paths,
+            _build_tunnel_server(reactor, hub, registry, client.paths, log),
+            OriginSharing(hub, core.origins, members.hosts, log),
+            _build_software_record(store, settings, core, members),
+            PeerKey(store, reactor, settings.host, members.hosts, log),
         ),
-        client.paths,
-        _build_tunnel_server(reactor, hub, registry, client.paths, log),
-        OriginSharing(hub, core.origins, members.hosts, log),
-        _build_software_record(store, settings, core, members),
         store.eras,
+        rng,
+    )
+
+
+def _follow_returns(parts, eras, rng):
+    """Let the parts know when the store has returned from an older copy."""
+    configuration = parts.core.configuration
+    eras.on_first = configuration.note_return
+    parts.software_record.is_settled = configuration.settling.is_over
+    eras.listeners.extend(
+        (
+            configuration.note_return,
+            parts.peer_key.note_return,
+            partial(parts.members.note_return, rng),
+            parts.record.note_return,
+            parts.software_record.note_return,
+        )
     )
+    return parts
 
 
 def link_peers(parts):
@@ -311,7 +333,6 @@
     follower.rank = readers.rank
     source.era = store.eras.stated
     follower.note_era = store.eras.note
-    store.eras.listeners.append(configuration.note_return)
     follower.update_validity_seconds = update_seconds(settings)
     relayed = RelayStore(
         store,
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -14,6 +14,9 @@
 # Share of the bound after which callers should be sent to other hosts. By then
 # two reads have failed, and the load balancer takes two seconds to react.
 _FRESH_SHARE = 0.45
+# Time from a host's first read until it knows that the store's last return
+# from a copy is over.
+_MAX_JOIN_SECONDS = 0.5
 # Default time within which a change must be in force.
 _APPLY_SECONDS = 2.0
 _MS = 1000
@@ -127,7 +130,7 @@
         self.known_at = -1000.0
         self.in_storm = False
         self.verified_at = -1000.0
-        self.settling = Settling()
+        self.settling = Settling(suspend_clock)
         self.listeners = []
         self.loop = ConfigurationLoop(store, clock, random, self, log)
 
@@ -176,10 +179,17 @@
 
         The table in force stays. Its reads begin anew.
         """
-        self.settling.begin(self.suspend_clock())
+        self.settling.begin()
         self.known_revision = None
         self.loop.wake()
 
+    def settle(self):
+        """Take the last answer of the store as a proof."""
+        unproven_at = self.settling.unproven_at
+        self.settling.end()
+        if self.suspend_clock() - unproven_at < _MAX_JOIN_SECONDS:
+            self._verify(unproven_at)
+
     @property
     def version(self):
         """Return the operator's version of the table in force; 0 for none."""
@@ -233,38 +243,26 @@
         began : float
             Time on the suspend clock before the read was sent.
         """
-        if self._apply_found(found):
+        if self.apply_found(found):
             self._verify(began)
 
-    def _apply_found(self, found):
+    def apply_found(self, found):
         """Apply a stored configuration; return whether it is a proof."""
         if found.version < self.newest_revision:
             return False
         self.newest_revision = found.version
         if found.version > self.revision or self.table is None:
-            if not self._replace_table(found):
+            if not self.replace_table(found):
                 return False
             self.revision = found.version
         return True
 
-    def _apply_relayed(self, found):
-        """Apply a reader's configuration.
-
-        Explanation
-        ===========
-
-        The reader may have kept a version against an older one that the store
-        shows since its return. Its revision is then of an earlier era.
-        """
-        if era_of(found.version) < era_of(self.newest_revision):
-            self._replace_table(found)
-        else:
-            self._apply_found(found)
-
     def _verify(self, began):
         """Record that the store has shown nothing newer since a moment."""
         if self.settling.is_proof(began):
             self.verified_at = max(self.verified_at, began)
+        else:
+            self.settling.unproven_at = began
 
     def apply_update(self, update, began):
         """Apply an update from a reader; return whether reads can be skipped.
@@ -286,7 +284,7 @@
         """
         verified_at = began - update.aged
         if update.config is not None:
-            self._apply_relayed(update.config)
+            _apply_relayed(self, update.config)
         lead = _lead_of(update, self)
         if lead < 0:
             # A reader that lags behind can't verify what this host has read.
@@ -318,7 +316,7 @@
             else 0
         )
 
-    def _replace_table(self, found):
+    def replace_table(self, found):
         try:
             table = self.decode(found.value)
         except ValueError as error:
@@ -375,6 +373,21 @@
             )
 
 
+def _apply_relayed(configuration, found):
+    """Apply a reader's configuration.
+
+    Explanation
+    ===========
+
+    The reader may have kept a version against an older one that the store shows
+    since its return. Its revision is then of an earlier era.
+    """
+    if era_of(found.version) < era_of(configuration.newest_revision):
+        configuration.replace_table(found)
+    else:
+        configuration.apply_found(found)
+
+
 def _lead_of(update, configuration):
     """Return how far a reader's version is ahead of the one in force here.
 
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -1,6 +1,7 @@
 """Daemon of a forwarding entry host: start, readiness and shutdown."""
 
 from dataclasses import replace
+from functools import partial
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
@@ -40,6 +41,8 @@
 # must not exceed it.
 _BACKLOG = 512
 _NOT_READY = 503
+# The shared key, and one that hosts had drawn while the store lacked it.
+_MAX_KEYS = 2
 
 
 class _ReadyResource(Resource):
@@ -122,7 +125,7 @@
         self.parts = build_parts(
             reactor,
             settings,
-            EraStore(store, StoreEra(reactor, self.log)),
+            EraStore(store, StoreEra(self.log)),
             adapter,
             rng,
             suspend_clock,
@@ -261,10 +264,12 @@
         # would queue pieces that it can't run.
         while not self._has_initial_state():
             await deferLater(self.reactor, _JOIN_CHECK_SECONDS)
-        key = await self.parts.members.peer_key()
+        peer_key = self.parts.peer_key
+        peer_key.on_change = partial(_set_key, self.parts)
+        peer_key.on_change(await peer_key.read())
+        if peer_key.was_over:
+            self.parts.core.configuration.settle()
         hub = self.parts.hub
-        hub.keys = parse_keys(key.decode())
-        self.parts.core.quarantine.key = key
         port = tcp_listen(self.reactor, self.settings.peers, hub)
         self.ports.append(port)
         # With port 0 the system chooses a port, which is announced to peers.
@@ -376,6 +381,13 @@
         link_peers(parts)
 
 
+def _set_key(parts, key):
+    """Set the key that hosts share; links with another one stay open."""
+    hub = parts.hub
+    hub.keys = (*parse_keys(key.decode()), *hub.keys)[:_MAX_KEYS]
+    parts.core.quarantine.key = key
+
+
 def _bound_address(port):
     """Return the address of a listening port, with the number in use."""
     bound = port.getHost()
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -1,22 +1,26 @@
 """Registration of this host in the store, and the list of other hosts."""
 
-import secrets
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
 from pollenstile.forward import events
 from pollenstile.ops.logs import silent_log
-from pollenstile.platform import Absent, Conflict, Found, Written, paused
+from pollenstile.peer import place_of
+from pollenstile.platform import Conflict, Written, paused
 
 # Kind of the store's entries of hosts, one per host, named after it.
 HOSTS = 'pollenstile-hosts'
-# Kind and name of the stored key that the hosts share, and its length.
-# Kind and name of the object with the key that hosts share.
-PEER_KEY = ('pollenstile-keys', 'peers')
-_KEY_BYTES = 32
 # Time between retries while the store does not answer.
 _RETRY_SECONDS = 0.5
+# Time for which an entry of a peer is kept that the store lacks since its
+# return from an older copy: the peer writes it again.
+_MISSING_SECONDS = 4.0
+# Bounds of the time after a return of the store until this host checks whether
+# the store has its entry. By then its entries have been listed.
+_CHECK_SECONDS = (1.0, 2.0)
+# Time for which a host that has left is remembered.
+_REMEMBER_SECONDS = 60.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,6 +71,11 @@
         Whether a full list was received.
     listeners : list of function
         Called after each change.
+    missing_timers : dict
+        Timers of peers whose entries the store lacks since its return from an
+        older copy, by name.
+    left_at : dict
+        Time at which the entry of a peer was deleted, by name.
     """
 
     __slots__ = (
@@ -75,8 +84,10 @@
         'host',
         'hosts',
         'known',
+        'left_at',
         'listeners',
         'log',
+        'missing_timers',
         'should_register',
         'store',
         'stored_entry',
@@ -93,25 +104,71 @@
         self.listeners = []
         self.should_register = False
         self.stored_entry = None
+        self.missing_timers = {}
+        self.left_at = {}
 
     def apply(self, change):
         """Apply a change of an entry."""
         if change.name == self.host:
-            self.stored_entry = change.value
-            if self.should_register and change.value is None:
-                # A delayed delete call of the previous process of this host
-                # removed the entry. Peers send no requests to a host that is
-                # not registered.
-                Deferred.fromCoroutine(self.register())
+            self._apply_own(change)
             return
+        timer = self.missing_timers.pop(change.name, None)
+        if timer is not None:
+            timer.cancel()
         peer = _decode_peer_host(change.value)
+        if change.after_return and peer is None:
+            self.missing_timers[change.name] = self.clock.callLater(
+                _MISSING_SECONDS, self._drop_missing, change.name
+            )
+            return
+        if change.after_return and self._has_left(change.name):
+            # The copy has the entry of a host that has deleted it. Nobody else
+            # would delete it again.
+            self._delete_in_turn(change)
+            return
+        self._replace(change.name, peer)
+
+    def note_return(self, random):
+        """Write the entry again if the store, back from a copy, lost it."""
+        wait = random.uniform(*_CHECK_SECONDS)
+        self.clock.callLater(wait, self._check_own)
+
+    def _apply_own(self, change):
+        self.stored_entry = change.value
+        if change.value is None or change.after_return:
+            # A delayed delete call of the previous process of this host removed
+            # the entry, or the store lost it. Peers send no requests to a host
+            # that is not registered.
+            self._check_own()
+
+    def _check_own(self):
+        if self.should_register:
+            Deferred.fromCoroutine(self.register())
+
+    def _has_left(self, name):
+        left_at = self.left_at.get(name, -_REMEMBER_SECONDS)
+        return self.clock.seconds() - left_at < _REMEMBER_SECONDS
+
+    def _delete_in_turn(self, change):
+        hosts = {self.host, *self.hosts}
+        if place_of(self.host, change.name, hosts) == 0:
+            call = self.store.delete(HOSTS, change.name, change.version)
+            Deferred.fromCoroutine(call)
+
+    def _drop_missing(self, name):
+        self.missing_timers.pop(name)
+        self._replace(name, None)
+
+    def _replace(self, name, peer):
         if peer is None:
-            self.hosts.pop(change.name, None)
+            self.hosts.pop(name, None)
+            self.left_at[name] = self.clock.seconds()
         else:
-            self.hosts[change.name] = peer
+            self.hosts[name] = peer
+            self.left_at.pop(name, None)
         self.log(
             events.HOSTS_CHANGED,
-            peer=change.name,
+            peer=name,
             address=peer.address if peer else '',
             hosts=len(self.hosts) + 1,
         )
@@ -153,25 +210,6 @@
             )
             await paused(self.clock, _RETRY_SECONDS)
 
-    async def peer_key(self):
-        """Return the key shared by the hosts, creating it if necessary.
-
-        Explanation
-        ===========
-
-        Only processes with access to the store have the key. When two hosts
-        create a key concurrently, both read the one that was stored first.
-        """
-        while True:
-            found = await self.store.get(*PEER_KEY)
-            if isinstance(found, Found):
-                return str(found.value.get('key', '')).encode()
-            if isinstance(found, Absent):
-                key = {'key': secrets.token_hex(_KEY_BYTES)}
-                await self.store.put(*PEER_KEY, key, if_version=0)
-                continue
-            await paused(self.clock, _RETRY_SECONDS)
-
     def leave(self):
         """Delete the entry of this host; return the coroutine of the call."""
         self.should_register = False
--- /dev/null
+++ b/pollenstile/forward/_peerkey.py
@@ -0,0 +1,175 @@
+"""The key that hosts share, kept in the store over its returns from copies."""
+
+import secrets
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.forward import events
+from pollenstile.ops.logs import silent_log
+from pollenstile.peer import place_of
+from pollenstile.platform import Absent, Found, Written, paused
+
+# Kind and name of the stored key.
+PEER_KEY = ('pollenstile-keys', 'peers')
+_KEY_BYTES = 32
+# Time between retries while the store does not answer.
+_RETRY_SECONDS = 0.5
+# Number of hosts that write the key again which a returned store lacks, and
+# the time that each waits for those before it.
+_WRITERS = 3
+_TURN_SECONDS = 0.5
+# Time after a return until the key is checked, and until the return is
+# recorded as over: operators and upstreams have then written again.
+_CHECK_SECONDS = 0.2
+_OVER_SECONDS = 2.5
+_ATTEMPTS = 5
+
+
+class PeerKey:
+    """Reads, draws and restores the key that all hosts share.
+
+    Explanation
+    ===========
+
+    Only processes with access to the store have the key. When two hosts create
+    a key concurrently, both read the one that was stored first. A store that
+    returns from an older copy may lack the key. Hosts that have it write it
+    again, over one that a host which has just started may have drawn
+    meanwhile; that host reads it once more when the return is over. The stored
+    key names the last era whose return is over, so that a host that starts
+    later need not wait.
+
+    Parameters
+    ==========
+
+    store : EraStore
+        Holds the key.
+    clock : IReactorTime
+        Schedules the retries.
+    host : str
+        Name of this host.
+    hosts : dict
+        The other hosts by name; the caller updates it as membership changes.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    key : str
+        The key; empty before it was read.
+    was_over : bool
+        Whether, when the key was read, the last return of the store was over.
+    on_change : function
+        Called with the key, as bytes, when another one replaces it.
+    """
+
+    __slots__ = (
+        'clock',
+        'host',
+        'hosts',
+        'key',
+        'log',
+        'on_change',
+        'store',
+        'was_over',
+    )
+
+    def __init__(self, store, clock, host, hosts, log=silent_log):
+        self.store = store
+        self.clock = clock
+        self.host = host
+        self.hosts = hosts
+        self.log = log
+        self.key = ''
+        self.was_over = False
+        self.on_change = _ignore
+
+    async def read(self):
+        """Return the key as bytes, creating it if necessary."""
+        while True:
+            found = await self.store.get(*PEER_KEY)
+            if isinstance(found, Found):
+                self.key = _key_of(found)
+                self.was_over = self._is_over(found)
+                if not self.was_over:
+                    self.clock.callLater(_OVER_SECONDS, self._join_others)
+                return self.key.encode()
+            if isinstance(found, Absent):
+                key = {'key': secrets.token_hex(_KEY_BYTES)}
+                await self.store.put(*PEER_KEY, key, if_version=0)
+                continue
+            await paused(self.clock, _RETRY_SECONDS)
+
+    def note_return(self):
+        """Restore the key in turn, after a return of the store."""
+        if not self.key:
+            return
+        place = place_of(self.host, PEER_KEY[1], {self.host, *self.hosts})
+        if place >= _WRITERS:
+            return
+        wait = place * _TURN_SECONDS
+        for seconds in (_CHECK_SECONDS, _OVER_SECONDS):
+            self.clock.callLater(
+                wait + seconds, self._restore, seconds == _OVER_SECONDS
+            )
+
+    def _restore(self, is_over):
+        Deferred.fromCoroutine(self._write_until_stored(is_over))
+
+    async def _write_until_stored(self, is_over):
+        for _ in range(_ATTEMPTS):
+            if await self._write_if_needed(is_over):
+                return
+            await paused(self.clock, _RETRY_SECONDS)
+
+    async def _write_if_needed(self, is_over):
+        """Write the key if the store lacks it; return whether it has it."""
+        found = await self.store.get(*PEER_KEY)
+        if not isinstance(found, (Found, Absent)):
+            return False
+        is_same = isinstance(found, Found) and _key_of(found) == self.key
+        if is_same and (not is_over or self._is_over(found)):
+            return True
+        value = {'key': self.key}
+        if is_over:
+            value['era'] = self.store.eras.number
+        outcome = await self.store.put(*PEER_KEY, value, found.version)
+        self.log(
+            events.PEER_KEY_RESTORED,
+            level='info' if is_same else 'warning',
+            outcome=type(outcome).__name__,
+            returned=is_over,
+        )
+        return isinstance(outcome, Written)
+
+    def _join_others(self):
+        Deferred.fromCoroutine(self._adopt())
+
+    async def _adopt(self):
+        """Take the key that is stored now that the return is over."""
+        found = await self.store.get(*PEER_KEY)
+        if isinstance(found, Found) and _key_of(found) != self.key:
+            self.key = _key_of(found)
+            self.log(events.PEER_KEY_CHANGED, level='warning')
+            self.on_change(self.key.encode())
+        place = place_of(self.host, PEER_KEY[1], {self.host, *self.hosts})
+        if place < _WRITERS:
+            await paused(self.clock, place * _TURN_SECONDS)
+            await self._write_until_stored(is_over=True)
+
+    def _is_over(self, found):
+        """Return whether the return of the store to this era is over."""
+        eras = self.store.eras
+        if not eras.number:
+            return True
+        era = found.value.get('era') if isinstance(found.value, dict) else None
+        return era == eras.number
+
+
+def _key_of(found):
+    return str(found.value.get('key', ''))
+
+
+def _ignore(key):
+    """Ignore another key."""
--- a/pollenstile/forward/_settling.py
+++ b/pollenstile/forward/_settling.py
@@ -19,6 +19,12 @@
     copy lacks anything can't be read from it. So its answers prove nothing for
     a time, or until the configuration is seen to be written.
 
+    Parameters
+    ==========
+
+    suspend_clock : function
+        Returns seconds, suspended time included.
+
     Attributes
     ==========
 
@@ -26,17 +32,21 @@
         Time on the suspend clock from which answers are proofs again.
     first_revision : int
         Revision of the first read after the last return.
+    unproven_at : float
+        Time on the suspend clock of the last read that proved nothing.
     """
 
-    __slots__ = ('first_revision', 'until')
+    __slots__ = ('first_revision', 'suspend_clock', 'unproven_at', 'until')
 
-    def __init__(self):
+    def __init__(self, suspend_clock):
+        self.suspend_clock = suspend_clock
         self.until = _LONG_AGO
         self.first_revision = 0
+        self.unproven_at = _LONG_AGO
 
-    def begin(self, now):
+    def begin(self):
         """Record that the store has returned from an older copy."""
-        self.until = now + _REWRITE_SECONDS
+        self.until = self.suspend_clock() + _REWRITE_SECONDS
 
     def end(self):
         """Record that nothing more has to be written again."""
@@ -52,6 +62,10 @@
         if self.first_revision and revision > self.first_revision:
             self.end()
 
+    def is_over(self):
+        """Return whether answers to calls of now are proofs."""
+        return self.is_proof(self.suspend_clock())
+
     def is_proof(self, began):
         """Return whether an answer to a read of that time is a proof."""
         return began >= self.until
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -60,6 +60,16 @@
     'entry-doubted',
     'After a return of the store, an older entry of an upstream is not followed.',
 )
+PEER_KEY_RESTORED = define(
+    1247,
+    'peer-key-restored',
+    'The key that hosts share was written to the store again.',
+)
+PEER_KEY_CHANGED = define(
+    1248,
+    'peer-key-changed',
+    'The host had drawn a key of its own and takes that of the other hosts.',
+)
 STORE_LOST = define(
     1211,
     'store-lost',
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -68,6 +68,9 @@
         Time of the last read on the clock, by service.
     writing : set of str
         Services whose record this host is about to write.
+    is_settled : function
+        Returns whether a store that came back from an older copy has had the
+        time to be written again, so that a missing record shows something.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         'history',
         'host',
         'hosts',
+        'is_settled',
         'log',
         'read_at',
         'reads',
@@ -94,6 +98,7 @@
         self.reads = {}
         self.read_at = {}
         self.writing = set()
+        self.is_settled = _always
         history.listeners.append(self._version_seen)
 
     def confirm(self, service):
@@ -125,7 +130,14 @@
             self.reads[service] = read
             read.addBoth(self._end_read, service)
 
+    def note_return(self):
+        """Write the records again; the store is back from an older copy."""
+        self.recorded.clear()
+        for service in list(self.history.gone_at):
+            self._version_seen(service)
+
     async def _read(self, service):
+        was_settled = self.is_settled()
         entry = await self.store.get(SOFTWARE_KIND, service)
         if isinstance(entry, Unavailable):
             self._log_failure(service, 'read', entry)
@@ -133,7 +145,8 @@
         is_found = isinstance(entry, Found)
         self.recorded[service] = entry if is_found else None
         versions = _versions_of(entry) if is_found else ()
-        self.history.confirm(service, versions)
+        if was_settled or versions:
+            self.history.confirm(service, versions)
 
     def _end_read(self, outcome, service):
         self.reads.pop(service, None)
@@ -221,5 +234,9 @@
     return isinstance(value, dict)
 
 
+def _always():
+    return True
+
+
 def _ignore_timeout(*_):
     """Go on without the record; it is read in the background."""
--- a/pollenstile/platform/_eras.py
+++ b/pollenstile/platform/_eras.py
@@ -52,8 +52,6 @@
     Parameters
     ==========
 
-    clock : IReactorTime
-        Seconds.
     log : function
         Writes events.
 
@@ -64,21 +62,27 @@
         The highest era that was stated; 0 before any.
     known : bool
         Whether any answer has stated an era.
-    heard_at : float
-        Time on the clock at which this era was first stated.
     listeners : list of function
         Called without arguments after each return of the store.
+    on_first : function
+        Called without arguments at the first answer with an era above 0: the
+        store may have returned just before.
     """
 
-    __slots__ = ('clock', 'heard_at', 'known', 'listeners', 'log', 'number')
+    __slots__ = (
+        'known',
+        'listeners',
+        'log',
+        'number',
+        'on_first',
+    )
 
-    def __init__(self, clock, log=silent_log):
-        self.clock = clock
+    def __init__(self, log=silent_log):
         self.log = log
         self.number = 0
         self.known = False
-        self.heard_at = 0.0
         self.listeners = []
+        self.on_first = _ignore
 
     def stated(self):
         """Return the known era, or None if no answer has stated one."""
@@ -108,8 +112,9 @@
         was_known = self.known
         self.number = number
         self.known = True
-        self.heard_at = self.clock.seconds()
         if not was_known:
+            if number:
+                self.on_first()
             return
         self.log(STORE_RETURNED, level='warning', era=number, previous=previous)
         for listener in self.listeners:
@@ -205,6 +210,10 @@
         return placed
 
 
+def _ignore():
+    """Ignore the first era."""
+
+
 def _revision_or_none(place):
     return None if place is None else revision_of(place)
 
--- a/pollenstile/quarantine/_record.py
+++ b/pollenstile/quarantine/_record.py
@@ -17,6 +17,10 @@
 _TURN_SECONDS = 1.0
 # Seconds between attempts to write while the store does not answer.
 _RETRY_SECONDS = 1.0
+# Number of hosts that write an entry again which the store has lost.
+_REWRITERS = 3
+# Seconds after a return of the store by which its entries have been listed.
+_LISTED_SECONDS = 2.0
 _MS = 1000
 
 
@@ -29,7 +33,8 @@
     The hosts that reported the request as a suspect are ranked by rendezvous
     hashing. The first one writes the entry; each further one waits a second
     longer, and writes it only if no entry has appeared by then. Deleting an
-    entry releases the request.
+    entry releases the request. An entry that a store lacks since its return
+    from an older copy was lost, and is written again.
 
     Parameters
     ==========
@@ -64,7 +69,10 @@
         """Apply a change of an entry."""
         if change.value is None:
             self.stored.discard(change.name)
-            self.quarantine.release(change.name, 'its entry was deleted')
+            if change.after_return:
+                self._write_missing()
+            else:
+                self.quarantine.release(change.name, 'its entry was deleted')
             return
         self.stored.add(change.name)
         verdict = self._verdict(change)
@@ -79,6 +87,18 @@
             return
         self.quarantine.apply(QuarantineUpdate(verdicts=(verdict,)))
 
+    def note_return(self):
+        """Write again what the store, which is back from a copy, has lost."""
+        self.quarantine.clock.callLater(_LISTED_SECONDS, self._write_missing)
+
+    def _write_missing(self):
+        hosts = {self.quarantine.host, *self.hosts}
+        for verdict in self.quarantine.verdicts.all_held():
+            name = verdict.fingerprint
+            place = place_of(self.quarantine.host, name, hosts)
+            if place < _REWRITERS and name not in self.stored:
+                Deferred.fromCoroutine(self._write_in_turn(verdict, place))
+
     def write(self, verdict):
         """Write an entry for a quarantine verdict; delete it for a release."""
         if not verdict.is_held:
