forward: a drained domain stays drained while a returned store lacks its entry

What callers would see: requests to the upstreams of a domain that an operator has drained, from the store's return until the operator has written again (EVAC).

An entry that the first list after a return lacks ends a drain after ten seconds only, in which the operator writes it again; a deletion of this era ends it at once.

--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -13,7 +13,7 @@
     restart_all,
     usable_at,
 )
-from pollenstile.forward import PEER_KEY
+from pollenstile.forward import DRAINED, PEER_KEY
 from pollenstile.origins import SOFTWARE_KIND
 from pollenstile.quarantine import QUARANTINE_KIND, QuarantineUpdate, Verdict
 
@@ -221,6 +221,46 @@
     world.come_back('early')
 
 
+@when(
+    'the store forgets in {seconds:g} seconds that a domain is drained, written'
+    ' again {rewriting}'
+)
+def when_drain_lost(context, seconds, rewriting):
+    world = context.world
+    world.take_copy()
+    world.write(DRAINED, 'd', {})
+    world.advance(1.0)
+    world.stay_away(seconds)
+    world.come_back(rewriting)
+
+
+@when('a drained domain is taken back, and the store returns to before')
+def when_taken_back(context):
+    world = context.world
+    world.write(DRAINED, 'd', {})
+    world.advance(2.0)
+    world.take_copy()
+    world.write(DRAINED, 'd', None)
+    world.advance(2.0)
+    world.stay_away(1.5)
+    world.come_back('late')
+
+
+@then(
+    'no host sends to the domain at any moment of the next {seconds:g} seconds'
+)
+def then_domain_unused(context, seconds):
+    senders = set()
+
+    def look():
+        for host in context.world.running():
+            if usable_at(host):
+                senders.add(host.name)
+
+    context.world.advance(seconds, look)
+    assert not senders, senders
+
+
 @when('{count:d} versions are written after it')
 def when_versions(context, count):
     for _ in range(count):
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -140,3 +140,20 @@
     And 10 seconds pass after the return
     And all hosts are killed and start again
     Then all hosts trust keys within 2.0 seconds
+
+  Scenario Outline: A drained domain stays drained while the copy lacks its entry: written again <rewriting>
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When the store forgets in 1.5 seconds that a domain is drained, written again <rewriting>
+    Then no host sends to the domain at any moment of the next 8 seconds
+
+    Examples:
+      | rewriting |
+      | early     |
+      | slowly    |
+      | never     |
+
+  Scenario: A domain that was taken back is used again though the copy had it drained
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When a drained domain is taken back, and the store returns to before
+    And 4 seconds pass after the return
+    Then all hosts send to the upstreams that don't leave
--- a/pollenstile/forward/_drained.py
+++ b/pollenstile/forward/_drained.py
@@ -6,6 +6,9 @@
 # Kind of the store's entries, one per drained domain, named after it.
 DRAINED = 'drained-domains'
 _MS = 1000
+# Seconds for which a domain stays drained whose entry the store lacks since its
+# return from an older copy: the operator writes it again, or has deleted it.
+_LOST_SECONDS = 10.0
 
 
 class DrainedDomains:
@@ -33,18 +36,37 @@
 
     since : dict
         Time on the clock at which this host learned of each drained domain.
+    lost_timers : dict
+        Timers of the drained domains whose entries the store lacks since its
+        return from an older copy.
     """
 
-    __slots__ = ('clock', 'log', 'registry', 'since')
+    __slots__ = ('clock', 'log', 'lost_timers', 'registry', 'since')
 
     def __init__(self, registry, clock, log=silent_log):
         self.registry = registry
         self.clock = clock
         self.log = log
         self.since = {}
+        self.lost_timers = {}
 
     def take(self, change):
         """Apply the creation or deletion of an entry; its value is unused."""
+        timer = self.lost_timers.pop(change.name, None)
+        if timer is not None:
+            timer.cancel()
+        if change.value is None and change.after_return:
+            self.lost_timers[change.name] = self.clock.callLater(
+                _LOST_SECONDS, self._drop_lost, change
+            )
+            return
+        self._apply(change)
+
+    def _drop_lost(self, change):
+        self.lost_timers.pop(change.name)
+        self._apply(change)
+
+    def _apply(self, change):
         domain = change.name
         now = self.clock.seconds()
         was_drained = domain in self.since
