claims: keys that a store has lost by its return stay claimed

What callers would see: a request with an idempotency key runs a second time, since the log that the store came back with lacks its claim.

The reader of a shard begins the log of each era anew and keeps what it knows to be held. An append in doubt over a return is given up: its number belongs to another history. A late create may leave a gap behind the copy's end, which was taken for truncation and freed all keys before it; in later eras it frees none.

--- a/features/builders/claims.py
+++ b/features/builders/claims.py
@@ -24,7 +24,7 @@
 )
 from pollenstile.ops.settings import ENTRY, settings_from
 from pollenstile.pipeline import Request, run_request
-from pollenstile.platform import InDoubt, Unavailable
+from pollenstile.platform import EraStore, InDoubt, StoreEra, Unavailable
 from pollenstile.standin.objectapi import MemoryStore
 from pollenstile.standin.virtual import (
     Times,
@@ -242,7 +242,7 @@
             Random(f'{name}/{boot}/{world.seed}'),
             settings,
             self._transport(world.network.transport_from(name)),
-            store=self.store_link,
+            store=EraStore(self.store_link, StoreEra()),
             log=world.log,
         )
         self.claims = self.node.claims
@@ -338,6 +338,8 @@
         Outcomes and identifier of a scenario's request, by label.
     requests : dict
         Idempotency key of each request, by request identifier.
+    copies : list of Objects
+        Copy of the store from before each request of the scenario.
     """
 
     def __init__(self, hosts=3, seed=1, shards=1, latency=0.005):
@@ -347,6 +349,8 @@
         self.shards = shards
         self.store = MemoryStore(self.clock)
         self.store.latency = latency
+        self.store.objects.era = 0
+        self.copies = []
         self.cut = set()
         self.events = []
         self.manifest_text = text_from_manifest(manifest())
@@ -374,6 +378,12 @@
         self.hosts[name] = EntryHost(self, name, self.boots)
         return self.hosts[name]
 
+    def return_to(self, place):
+        """Let the store come back from one of its copies."""
+        self.store.return_from(self.copies[place])
+        for host in self.hosts.values():
+            host.claims.store.eras.note(self.store.objects.era)
+
     def advance(self, seconds):
         """Advance the clock."""
         advance_in_steps(
--- a/features/claims_store.feature
+++ b/features/claims_store.feature
@@ -197,3 +197,67 @@
     And 1 claims seconds pass
     Then claims key "k" ran 1 time
     And claims key "k" would run 2 times without "keeping the newest segment"
+
+  Scenario: Claims that a store has lost by its return from an older copy
+    The booking ran. A repeat at a host that knows only the copy must not run.
+    Given claims hosts "h1, h2"
+    When claims request "first" with key "k" reaches "h1"
+    And 1 claims seconds pass
+    And the claims store returns to before it
+    And 6 claims seconds pass
+    And claims request "again" with key "k" reaches "h2"
+    And 4 claims seconds pass
+    Then claims requests "first, again" end with the answer to "first"
+    And claims key "k" ran 1 time
+    And the claims log has key "k" 1 time
+
+  Scenario: Claims soon after the return of the store
+    No host can know whether a key is free until the lost claims are restored.
+    Given claims hosts "h1, h2"
+    When claims request "first" with key "k" reaches "h1"
+    And 1 claims seconds pass
+    And the claims store returns to before it
+    And claims host "h2" is replaced
+    And claims request "again" with key "k" reaches "h2"
+    And 4 claims seconds pass
+    Then claims request "again" gets a time to retry after
+    And claims key "k" ran 1 time
+
+  Scenario: A claims host that is killed after the return of the store
+    Another host that has read its claims restores them.
+    Given claims hosts "h1, h2, h3"
+    When claims request "first" with key "k" reaches "h1"
+    And 1 claims seconds pass
+    And claims request "other" with key "j" reaches "h2"
+    And 1 claims seconds pass
+    And the claims store returns to before the last request but one
+    And claims host "h1" crashes
+    And 6 claims seconds pass
+    And claims host "h3" is replaced
+    And claims request "warm" with key "w" reaches "h3"
+    And 3 claims seconds pass
+    And claims request "again" with key "k" reaches "h3"
+    And 8 claims seconds pass
+    Then claims request "again" ends as "unknown"
+    And claims key "k" ran 1 time
+
+  Scenario: A claims append that arrives after the return of the store
+    Its number is behind the end of the copy, so the log has a gap.
+    Given claims hosts "h1, h2"
+    When claims request "old" with key "o" reaches "h2"
+    And 1 claims seconds pass
+    And claims request "lost" with key "l" reaches "h2"
+    And 1 claims seconds pass
+    And the claims writes of "h1" fail with "held"
+    And claims request "first" with key "k" reaches "h1"
+    And 1 claims seconds pass
+    And the claims store returns to before the last request but one
+    And the delayed claims write of "h1" arrives
+    And 6 claims seconds pass
+    And claims host "h2" is replaced
+    And claims request "warm" with key "w" reaches "h2"
+    And 3 claims seconds pass
+    And claims request "again" with key "o" reaches "h2"
+    And 8 claims seconds pass
+    Then claims request "again" ends as "unknown"
+    And claims key "o" ran 1 time
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -107,6 +107,7 @@
 
 def _asks(context, label, key, host, **named):
     def ask(world):
+        world.copies.append(world.store.objects.copy())
         world.answers[label] = world.hosts[host].ask(key, **named)
         world.labels[label] = list(world.requests)[-1]
 
@@ -158,6 +159,16 @@
     _act(context, lambda world: world.advance(seconds))
 
 
+@when('the claims store returns to before it')
+def step_returns(context):
+    _act(context, lambda world: world.return_to(-1))
+
+
+@when('the claims store returns to before the last request but one')
+def step_returns_further(context):
+    _act(context, lambda world: world.return_to(-2))
+
+
 @when('claims host "{host}" crashes')
 def step_crashes(context, host):
     _act(context, lambda world: world.hosts[host].kill())
--- a/pollenstile/claims/__init__.py
+++ b/pollenstile/claims/__init__.py
@@ -6,3 +6,4 @@
 from pollenstile.claims._peers import connect_peers, send_append
 from pollenstile.claims._pending import Held, NotClaimed
 from pollenstile.claims._records import Record, Segment
+from pollenstile.claims._restore import note_return
--- a/pollenstile/claims/_claims.py
+++ b/pollenstile/claims/_claims.py
@@ -104,6 +104,8 @@
         ``await query_holder(holder)`` requests the outcome of a ``Record``
         from its host; returns the result of :meth:`find_outcome` there, or
         None if that host can't be reached.
+    returned_at : float
+        Time of the last return of the store from an older copy.
     forward : function or None
         ``await forward(shard, record)`` makes another host append the claim,
         for larger batches; returns the result of :meth:`append_forwarded`
@@ -119,6 +121,7 @@
         'logs',
         'outcome_cache',
         'query_holder',
+        'returned_at',
         'rng',
         'running',
         'shards',
@@ -146,6 +149,7 @@
         self.shards = shards
         self.window = window
         self.logs = {}
+        self.returned_at = -1000.0
         self.running = {}
         self.outcome_cache = OutcomeCache()
         self.query_holder = holder_unreachable
@@ -221,6 +225,7 @@
                 self.log,
                 self.count,
                 self.window,
+                self.returned_at,
             )
         return self.logs[shard]
 
--- a/pollenstile/claims/_log.py
+++ b/pollenstile/claims/_log.py
@@ -29,6 +29,7 @@
 from pollenstile.claims._pending import Held, NotClaimed, Pending
 from pollenstile.claims._reader import ShardReader, failure_from
 from pollenstile.claims._records import Segment, build_release
+from pollenstile.claims._restore import RESTORE_SECONDS, return_failure
 from pollenstile.claims._state import find_holder, is_end_current
 from pollenstile.claims._truncate import TruncationState, truncate_log
 from pollenstile.platform import (
@@ -65,6 +66,8 @@
         Increments the counter of a given metric name.
     window : float
         Seconds to wait for further records before a batch is written.
+    returned_at : float
+        Time of the last return of the store from an older copy.
 
     Attributes
     ==========
@@ -74,6 +77,8 @@
     blocking_failure : NotClaimed or None
         Result with which new claims are refused at once, while an append is
         in doubt and the store does not answer.
+    restored_at : float
+        Time from which the log has again what it lost at a return.
     """
 
     __slots__ = (
@@ -86,6 +91,7 @@
         'pause',
         'queue',
         'reader',
+        'restored_at',
         'retry_timer',
         'rng',
         'shard',
@@ -94,7 +100,17 @@
         'window',
     )
 
-    def __init__(self, store, clock, rng, shard, log, count, window=0.0):
+    def __init__(
+        self,
+        store,
+        clock,
+        rng,
+        shard,
+        log,
+        count,
+        window=0.0,
+        returned_at=-1000.0,
+    ):
         self.store = store
         self.clock = clock
         self.rng = rng
@@ -110,6 +126,7 @@
         self.is_writing = False
         self.retry_timer = None
         self.blocking_failure = None
+        self.restored_at = returned_at + RESTORE_SECONDS
 
     def submit(self, record, *, own=True):
         """Queue a record for the next batch; return its ``Pending`` entry.
@@ -121,13 +138,21 @@
             Whether this host runs the request, and so may release its claim.
         """
         pending = Pending(record, own=own)
-        if self.blocking_failure is not None and record.step == 'claim':
-            pending.settle(self.blocking_failure)
+        failure = self.blocking_failure or return_failure(self)
+        if failure is not None and record.step == 'claim':
+            pending.settle(failure)
             return pending
         self.queue.append(pending)
         self._start_writing()
         return pending
 
+    def restore(self, claims):
+        """Append claims again that the log has lost."""
+        self.queue.extend(
+            Pending(claim, own=False, restored=True) for claim in claims
+        )
+        self._start_writing()
+
     def withdraw(self, pending, reason='timeout'):
         """Give up a claim: remove it from the queue or release it.
 
@@ -218,7 +243,7 @@
         remaining = []
         for pending in batch:
             holder = find_holder(self.reader.state, pending.record.key, now)
-            if holder is None or pending.record.step == 'release':
+            if holder is None or pending.is_kept:
                 remaining.append(pending)
                 continue
             pending.settle(Held(holder))
@@ -226,6 +251,12 @@
 
     async def _append_segment(self, batch):
         """Append at the next number; return a failure or records to retry."""
+        failure = return_failure(self)
+        if failure is not None:
+            self._fail_waiting(batch, failure)
+            batch = [pending for pending in batch if pending.is_kept]
+            if not batch:
+                return []
         end_read_at = self.reader.end_known_at
         sequence = self.reader.state.cursor + 1
         segment = Segment(
@@ -258,9 +289,11 @@
         certainly is not and will not be stored there.
         """
         name = object_name(self.shard, sequence)
+        era = self.reader.era
         in_doubt = False
         attempt = 0
-        while self.reader.state.cursor < sequence:
+        # After a return of the store, the number belongs to another history.
+        while self.reader.state.cursor < sequence and self.reader.era == era:
             sent = self.clock.seconds()
             outcome = await self.store.put(KIND, name, segment, if_version=0)
             if isinstance(outcome, Written):
@@ -325,9 +358,7 @@
         self._refuse_claims(self.queue, failure)
 
     def _requeue_releases(self, batch):
-        releases = [
-            pending for pending in batch if pending.record.step == 'release'
-        ]
+        releases = [pending for pending in batch if pending.is_kept]
         self.queue.extendleft(reversed(releases))
 
     def _refuse_claims(self, batch, failure):
--- a/pollenstile/claims/_pending.py
+++ b/pollenstile/claims/_pending.py
@@ -41,6 +41,8 @@
         The record to append.
     own : bool
         Whether this host runs the request that claims.
+    restored : bool
+        Whether the log had the claim and has lost it.
 
     Attributes
     ==========
@@ -52,23 +54,30 @@
         written to it.
     """
 
-    __slots__ = ('done', 'is_own', 'is_sent', 'record')
+    __slots__ = ('done', 'is_own', 'is_restored', 'is_sent', 'record')
 
-    def __init__(self, record, *, own=True):
+    def __init__(self, record, *, own=True, restored=False):
         self.record = record
         self.is_own = own
+        self.is_restored = restored
         self.done = Deferred()
         self.is_sent = False
 
     @property
     def is_awaited(self):
         """Whether this is a claim whose result is not yet known."""
-        return self.record.step == 'claim' and not self.done.called
+        is_new = self.record.step == 'claim' and not self.is_restored
+        return is_new and not self.done.called
 
     @property
     def must_append(self):
         """Whether the record still has to be appended to the log."""
-        return self.record.step == 'release' or not self.done.called
+        return self.is_kept or not self.done.called
+
+    @property
+    def is_kept(self):
+        """Whether no caller waits, and the record must be in the log."""
+        return self.record.step == 'release' or self.is_restored
 
     def settle(self, outcome):
         """Deliver the result, unless one was delivered before."""
--- a/pollenstile/claims/_reader.py
+++ b/pollenstile/claims/_reader.py
@@ -18,7 +18,7 @@
     find_holder,
     is_end_current,
 )
-from pollenstile.platform import Unavailable
+from pollenstile.platform import Unavailable, era_of
 
 _MIN_RETRY_SECONDS = 1.0
 _BAD_SEGMENT_RETRY_SECONDS = 5.0
@@ -52,14 +52,20 @@
     awaited_sequence, stored_batch : int, str
         Sequence number of the append in progress, and the identifier of the
         batch found under it, or None.
+    era : int
+        Era of the store whose log the state has read.
+    read_idents : set of str or None
+        Claims that the log of this era has, until the lost ones are restored.
     """
 
     __slots__ = (
         'awaited_sequence',
         'clock',
         'end_known_at',
+        'era',
         'is_sole_writer',
         'log',
+        'read_idents',
         'saw_other_writer',
         'shard',
         'state',
@@ -72,11 +78,14 @@
         self.clock = clock
         self.shard = shard
         self.log = log
+        self.era = 0
+        self.read_idents = None
         self.reset()
 
     def reset(self):
         """Discard the state; the next read starts at the start of the log."""
         self.state = ShardState()
+        self.state.may_lack_segments = self.era > 0
         self.end_known_at = 0.0
         self.is_sole_writer = False
         self.saw_other_writer = False
@@ -104,6 +113,9 @@
             )
             if isinstance(page, Unavailable):
                 return failure_from(page)
+            if era_of(page.revision) > self.era:
+                self._begin_era(era_of(page.revision))
+                continue
             for stored in page.objects:
                 failure = self._apply_object(stored)
                 if failure is not None:
@@ -112,6 +124,43 @@
                 self.end_known_at = asked_at
                 return None
 
+    def _begin_era(self, era):
+        """Read the log from its start again; what is known to be held stays.
+
+        Explanation
+        ===========
+
+        The store has come back from an older copy. Its log lacks the last
+        segments, and has others under their numbers.
+        """
+        holders = self.state.holders
+        had_state = self.state.cursor > 0
+        self.era = era
+        self.read_idents = set() if holders else None
+        self.reset()
+        self.state.holders = holders
+        if had_state:
+            self.log(
+                events.LOG_RETURNED,
+                level='warning',
+                shard=self.shard,
+                era=era,
+                held=len(holders),
+            )
+
+    def lost_claims(self):
+        """Return the held claims that the log of this era lacks, once."""
+        now = self.clock.seconds()
+        read_idents = self.read_idents
+        if read_idents is None:
+            return []
+        self.read_idents = None
+        return [
+            claim
+            for claim in self.state.holders.values()
+            if claim.ident not in read_idents and claim.expires > now
+        ]
+
     def record_append(self, sequence, segment, sent_at):
         """Apply a segment that this host put into the log at ``sent_at``."""
         self._apply(sequence, segment)
@@ -138,6 +187,12 @@
         return None
 
     def _apply(self, sequence, segment):
+        if self.read_idents is not None:
+            self.read_idents.update(
+                record.ident
+                for record in segment.records
+                if record.step == 'claim'
+            )
         apply_segment(self.state, sequence, segment)
         drop_expired(self.state, self.clock.seconds())
         if sequence == self.awaited_sequence:
--- a/pollenstile/claims/_state.py
+++ b/pollenstile/claims/_state.py
@@ -28,13 +28,17 @@
         Sequence number of the last segment that was read; 0 if none was.
     holders : dict
         Record that holds a key, by key digest.
+    may_lack_segments : bool
+        Whether the store has come back from an older copy, so that a late
+        create can stand behind numbers that were never written again.
     """
 
-    __slots__ = ('cursor', 'holders')
+    __slots__ = ('cursor', 'holders', 'may_lack_segments')
 
     def __init__(self):
         self.cursor = 0
         self.holders = {}
+        self.may_lack_segments = False
 
 
 def apply_segment(state, sequence, segment):
@@ -55,7 +59,8 @@
     'h1-1'
     >>> find_holder(state, 'k', 61.0)
     """
-    if sequence > state.cursor + 1:
+    is_gap = 0 < state.cursor < sequence - 1
+    if is_gap and not state.may_lack_segments:
         # The missing segments were truncated, so that all records before them
         # have expired. A create whose writer gave up can still be stored under
         # the name of a deleted segment; without this, a host that starts would
--- a/pollenstile/claims/events.py
+++ b/pollenstile/claims/events.py
@@ -64,3 +64,13 @@
     'segment-folded',
     'A segment was deleted because all its claims have expired.',
 )
+LOG_RETURNED = define(
+    3011,
+    'log-returned',
+    'The log of a shard came back from an older copy; it is read again.',
+)
+CLAIMS_RESTORED = define(
+    3012,
+    'claims-restored',
+    'Claims that the log had lost are appended again.',
+)
--- a/pollenstile/entry/_assembly.py
+++ b/pollenstile/entry/_assembly.py
@@ -1,6 +1,8 @@
 """Assembles the components of one entry host."""
 
-from pollenstile.claims import Claims, connect_peers
+from functools import partial
+
+from pollenstile.claims import Claims, connect_peers, note_return
 from pollenstile.entry._node import Node
 from pollenstile.fleet import Fleet, InForce
 from pollenstile.limits import (
@@ -20,6 +22,7 @@
     parse_keys,
 )
 from pollenstile.pipeline import Core, Ledger
+from pollenstile.platform import EraStore
 from pollenstile.placement import build_placement
 from pollenstile.ratelimits import RateSharing
 from pollenstile.routing import Tracker
@@ -99,6 +102,10 @@
             metrics.count,
         )
         core.claims = node.claims.outcome
+        if isinstance(store, EraStore):
+            restore = partial(note_return, node.claims)
+            store.eras.on_first = restore
+            store.eras.listeners.append(restore)
     return node
 
 
