placement, ops: fences and reviewed versions hold over a return of the store

Fences are positions, so none falls or comes twice.

An absent lease has the position of its era too, so that an absence that was seen long ago is not taken for one of now: a lease that the copy lacks is taken after a whole term and margin.

Commands show and ask for positions, so that a version that was reviewed before a return is not that of another content.

--- a/features/builders/placement.py
+++ b/features/builders/placement.py
@@ -31,7 +31,7 @@
     Placer,
     ServingIndex,
 )
-from pollenstile.platform import paused
+from pollenstile.platform import EraStore, StoreEra, paused
 from pollenstile.standin.objectapi import MemoryStore
 from pollenstile.standin.orders import Holdings, MemoryOrders
 from pollenstile.standin.virtual import (
@@ -102,10 +102,11 @@
         self.ticket_gate = None
         self.weights = world.weights
         self.store = HostStore(world.clock, world.store)
+        reached = EraStore(self.store, StoreEra())
         self.lease_manager = LeaseManager(
             Lease(name, timing),
             DOMAIN,
-            self.store,
+            reached,
             self.boot_seconds,
             self.log,
             lambda _attempt: paused(self.clock, 4.0),
@@ -113,7 +114,7 @@
         self.placer = Placer(
             DOMAIN,
             self.lease_manager,
-            self.store,
+            reached,
             world.orders,
             self.ticket,
             self.clock,
@@ -124,7 +125,7 @@
             self.placer,
             ServingIndex(self.log),
             DemandCounter(),
-            DemandExchange(DOMAIN, name, self.store, self.clock),
+            DemandExchange(DOMAIN, name, reached, self.clock),
         )
 
     @property
@@ -200,6 +201,7 @@
     def __init__(self, engines, models, fencing='ignored', memory=_SIZE):
         self.clock = Clock()
         self.store = MemoryStore(self.clock)
+        self.store.objects.era = 0
         self.weights = MemoryWeights(self.clock, rate=1.0, burst=4)
         self.timing = LeaseTiming()
         self.models = models
--- a/features/placement_lease.feature
+++ b/features/placement_lease.feature
@@ -108,3 +108,31 @@
     When 20 placement seconds pass
     Then exactly 1 placement host holds the lease
     And the placement lease was never held by two hosts at once
+
+  Scenario Outline: The store returns to a copy from before a placement lease was <what>
+    Its holder believes that it holds it, and the store says otherwise. The
+    fence that the next holder gets must never have been given before.
+    Given the placement store returns later to now
+    And a placement holder "a" and a follower "b"
+    When <seconds> placement seconds pass
+    And the placement store returns from its copy
+    And 40 placement seconds pass
+    Then exactly 1 placement host holds the lease
+    And the placement lease was never held by two hosts at once
+
+    Examples:
+      | what         | seconds |
+      | taken        | 1       |
+      | renewed      | 7       |
+      | held for long | 30     |
+
+  Scenario: The store returns twice while a placement holder is cut off
+    Given the placement store returns later to now
+    And a placement holder "a" and a follower "b"
+    When placement host "a" loses the store
+    And the placement store returns from its copy
+    And 3 placement seconds pass
+    And the placement store returns from its copy
+    And 40 placement seconds pass
+    Then placement host "b" holds the lease with a higher fence than "a" had
+    And the placement lease was never held by two hosts at once
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -97,6 +97,23 @@
     collect_result(host.placement.leave())
 
 
+@given('the placement store returns later to now')
+def step_copy(context):
+    context.copy = _world(context).store.objects.copy()
+
+
+@when('the placement store returns from its copy')
+def step_return(context):
+    context.world.store.return_from(context.copy)
+
+
+@when('placement host "{name}" loses the store')
+def step_loses(context, name):
+    host = context.world.hosts[name]
+    context.old_fence = host.fence
+    host.store.cut = True
+
+
 @when('placement host "{name}" is cut off from the store')
 def step_cut(context, name):
     host = context.world.hosts[name]
--- a/pollenstile/bench/live.py
+++ b/pollenstile/bench/live.py
@@ -24,7 +24,7 @@
 )
 from pollenstile.ops._admin import admin_reader
 from pollenstile.ops._statuscmd import parse_entries
-from pollenstile.ops._stores import store_at
+from pollenstile.ops._stores import command_store
 from pollenstile.ops.exits import BAD_RESULT, GOOD, UNREACHED
 from pollenstile.ops.running import result_of
 from pollenstile.ops.settings import SettingsError, address
@@ -74,7 +74,7 @@
 
     entries = parse_entries(arguments.entry)
     try:
-        store = store_at(reactor, address(arguments.platform))
+        store = command_store(reactor, address(arguments.platform))
     except ValueError as error:
         raise SettingsError([f'--platform: {error}']) from None
     readers = [admin_reader(reactor, entry) for entry in entries]
--- a/pollenstile/ops/_applycmd.py
+++ b/pollenstile/ops/_applycmd.py
@@ -23,7 +23,7 @@
 )
 from pollenstile.ops._admin import admin_reader, first_document
 from pollenstile.ops._statuscmd import parse_entries
-from pollenstile.ops._stores import store_at
+from pollenstile.ops._stores import command_store
 from pollenstile.ops._validatecmd import read_file
 from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD, UNREACHED
 from pollenstile.ops.running import result_of
@@ -79,7 +79,7 @@
             sys.stderr.write(f'{mistake.text}\n')
         return BAD_INPUT
     platform = parse_argument('--platform', address, arguments.platform)
-    store = store_at(reactor, platform)
+    store = command_store(reactor, platform)
     entries = ()
     if arguments.wait:
         entries = parse_entries(arguments.entry)
--- a/pollenstile/ops/_draincmd.py
+++ b/pollenstile/ops/_draincmd.py
@@ -8,7 +8,7 @@
 from pollenstile.forward import DRAINED, DRAINED_SECONDS, UNDER_WAY
 from pollenstile.ops._admin import fetch_body, http_client_at
 from pollenstile.ops._statuscmd import parse_entries
-from pollenstile.ops._stores import store_at
+from pollenstile.ops._stores import command_store
 from pollenstile.ops.exits import (
     BAD_INPUT,
     BAD_RESULT,
@@ -88,7 +88,7 @@
         print(*drain_lines(domain, drains), sep='\n')
         return exit_code(drains)
     platform = parse_argument('--platform', address, arguments.platform)
-    store = store_at(reactor, platform)
+    store = command_store(reactor, platform)
     written = result_of(
         reactor, lambda: write_drain(store, domain, ends=arguments.end)
     )
--- a/pollenstile/ops/_quarantinecmd.py
+++ b/pollenstile/ops/_quarantinecmd.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import asdict, dataclass
 
-from pollenstile.ops._stores import store_at
+from pollenstile.ops._stores import command_store
 from pollenstile.ops.exits import (
     BAD_RESULT,
     GOOD,
@@ -72,7 +72,7 @@
     """List held requests, or lift one; return the exit code."""
     from twisted.internet import reactor  # noqa: WPS433
 
-    store = store_at(
+    store = command_store(
         reactor, parse_argument('--platform', address, arguments.platform)
     )
     if arguments.lift:
--- a/pollenstile/ops/_stores.py
+++ b/pollenstile/ops/_stores.py
@@ -5,9 +5,11 @@
 from pollenstile.placement import http_tickets
 from pollenstile.platform import (
     Budget,
+    EraStore,
     HttpStore,
     PacedStore,
     ServerClient,
+    StoreEra,
     read_host_list,
 )
 
@@ -28,6 +30,18 @@
     return HttpStore(ServerClient(reactor, reactor, host, port))
 
 
+def command_store(reactor, address):
+    """Return the store client of a command, whose versions have the era.
+
+    Explanation
+    ===========
+
+    A version that an operator has reviewed may be that of another content once
+    the store has come back from an older copy.
+    """
+    return EraStore(store_at(reactor, address), StoreEra())
+
+
 def paced_store(reactor, random, settings, log):
     """Return the daemon's rate-limited store, or None without a platform.
 
@@ -39,7 +53,7 @@
     """
     if settings.platform is None:
         return None
-    return PacedStore(
+    paced = PacedStore(
         store_at(reactor, settings.platform),
         reactor,
         random,
@@ -47,6 +61,7 @@
         log,
         _budget(settings.store_writes, reactor),
     )
+    return EraStore(paced, StoreEra(log))
 
 
 def ticket_requester(reactor, settings):
--- a/pollenstile/placement/_lease.py
+++ b/pollenstile/placement/_lease.py
@@ -7,7 +7,7 @@
 update and never deleted. The fencing number of a holder is the version that
 the object got from the write that acquired the lease. Versions rise with each
 write, so the number rises with each holder, even if an operator deletes the
-object in between.
+object in between, or the store comes back from an older copy of itself.
 
 The holder counts its term from before it sent the write. Other hosts count
 from after they saw the object change, which is later, and wait for the margin
@@ -148,7 +148,7 @@
     elif isinstance(outcome, Absent):
         # An absent lease is treated as just written, because it may have been
         # deleted while its holder still acts on it.
-        _record_version(lease, 0, {}, now)
+        _record_version(lease, outcome.version, {}, now)
 
 
 def is_held(lease, now):
