--- a/pollenstile/claims/_log.py
+++ b/pollenstile/claims/_log.py
@@ -143,16 +143,9 @@
             pending.settle(failure)
             return pending
         self.queue.append(pending)
-        self._start_writing()
+        self.start_writing()
         return pending
 
-    def restore(self, claims):
-        """Append claims again that the log has lost."""
-        self.queue.extend(
-            Pending(claim, own=False, restored=True) for claim in claims
-        )
-        self._start_writing()
-
     def withdraw(self, pending, reason='timeout'):
         """Give up a claim: remove it from the queue or release it.
 
@@ -174,14 +167,15 @@
 
     def flush_records(self):
         """Return a Deferred that fires after one attempt to write all."""
-        self._start_writing()
+        self.start_writing()
         if not self.is_writing:
             return succeed(None)
         waiter = Deferred()
         self.flush_waiters.append(waiter)
         return waiter
 
-    def _start_writing(self):
+    def start_writing(self):
+        """Write the queued records, unless this is under way."""
         if self.retry_timer is not None and self.retry_timer.active():
             self.retry_timer.cancel()
         if not self.is_writing and self.queue:
@@ -196,7 +190,7 @@
             # If only releases remain, no caller waits for the next attempt.
             waits = any(pending.is_awaited for pending in self.queue)
             pause = 0 if waits else _RELEASE_RETRY_SECONDS
-            self.retry_timer = self.clock.callLater(pause, self._start_writing)
+            self.retry_timer = self.clock.callLater(pause, self.start_writing)
         flush_waiters = self.flush_waiters
         self.flush_waiters = []
         for waiter in flush_waiters:
--- a/pollenstile/claims/_restore.py
+++ b/pollenstile/claims/_restore.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.claims import events
-from pollenstile.claims._pending import NotClaimed
+from pollenstile.claims._pending import NotClaimed, Pending
 from pollenstile.platform import paused
 
 # Seconds after a return of the store in which hosts append again what its log
@@ -32,8 +32,8 @@
     Explanation
     ===========
 
-    Each host that has read a lost claim knows that its key is held. Until one of
-    them has appended it again, no host claims new keys.
+    Each host that has read a lost claim knows that its key is held. Until one
+    of them has appended it again, no host claims new keys.
     """
     log.restored_at = log.clock.seconds() + RESTORE_SECONDS
     Deferred.fromCoroutine(_restore(log))
@@ -54,4 +54,5 @@
         shard=log.shard,
         claims=len(lost),
     )
-    log.restore(lost)
+    log.queue.extend(Pending(claim, own=False, restored=True) for claim in lost)
+    log.start_writing()
