fleet, soak: a manifest doesn't go back when the store does

What callers would see: routes and keys of an older manifest in force again, since what the copy shows has a higher position than what a host has.

A stored manifest names the marks of the writes before it. One of a later era whose mark is among those of the manifest in force was replaced by it, and is refused until the operator applies again; a new write, also of an older text, is taken. The marks go along between peers, in fields of their own.

The mutant of rising versions takes the new argument; what it removes is the same.

--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -84,10 +84,10 @@
     return Refused(503, result.reason, stage.name, result.peer)
 
 
-def _offer_any_version(in_force, version, text, source):
+def _offer_any_version(in_force, version, text, source, lineage=None):
     if in_force.snapshot is not None and version < in_force.version:
         in_force.snapshot.version = 0
-    return _ORIGINAL_OFFER(in_force, version, text, source)
+    return _ORIGINAL_OFFER(in_force, version, text, source, lineage)
 
 
 _ORIGINAL_OFFER = InForce.offer
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,6 +17,16 @@
       | 19   |
       | 76   |
 
+  Scenario Outline: Every invariant holds while the store comes back from copies
+    When soak seed <seed> of 150 steps is run with returns of the store
+    Then no invariant of the soak is broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   Scenario Outline: A soak catches a missing guard
     Without the guard that ensures an invariant, some seed must violate this
     invariant. Otherwise the soak could not detect a fault of the guard.
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -33,6 +33,16 @@
     context.result = run_soak(seed, steps)
 
 
+@when('soak seed {seed:d} of {steps:d} steps is run with returns of the store')
+def step_run_returns(context, seed, steps):
+    context.result = run_soak(seed, steps, returns=True)
+
+
+@then('no invariant of the soak is broken')
+def step_not_broken(context):
+    assert not context.result.violations, context.result.violations
+
+
 @then('the soak has no violation and answers of every kind')
 def step_holds(context):
     outcomes = context.result.outcomes
--- a/pollenstile/fleet/_apply.py
+++ b/pollenstile/fleet/_apply.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass
 
-from pollenstile.fleet._platform_reader import CONFIG_KIND, CONFIG_NAME
+from pollenstile.fleet._platform_reader import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    HISTORY_FIELD,
+    MARK_FIELD,
+)
 from pollenstile.platform import (
     Absent,
     Conflict,
@@ -14,8 +19,6 @@
     put_with_readback,
 )
 
-MARK_FIELD = 'apply'
-HISTORY_FIELD = 'history'
 _MAX_TRIES = 6
 _MAX_HISTORY = 16
 
--- a/pollenstile/fleet/_platform_reader.py
+++ b/pollenstile/fleet/_platform_reader.py
@@ -3,11 +3,15 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 
 from pollenstile.fleet import events
+from pollenstile.fleet._inforce import Lineage
 from pollenstile.peer import rank_candidates
 from pollenstile.platform import Found, HostList, WatchTiming, watch
 
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'manifest'
+# Fields of a stored manifest: the mark of its write, and of those before it.
+MARK_FIELD = 'apply'
+HISTORY_FIELD = 'history'
 
 # Number of hosts per domain that watch the configuration, and number of those
 # that read the host list.
@@ -24,6 +28,16 @@
 _STOP_WATCH_SECONDS = 15.0
 
 
+def lineage_of(value):
+    """Return the :class:`Lineage` of a stored manifest."""
+    mark = value.get(MARK_FIELD)
+    history = value.get(HISTORY_FIELD)
+    return Lineage(
+        mark if isinstance(mark, str) else '',
+        tuple(history) if isinstance(history, list) else (),
+    )
+
+
 async def read_config(store, in_force):
     """Read the configuration once and offer it to this host."""
     found = await store.get(CONFIG_KIND, CONFIG_NAME)
@@ -35,7 +49,8 @@
     """Offer an object's value to this host; return whether it was accepted."""
     text = value.get('text') if isinstance(value, dict) else None
     if isinstance(text, str):
-        return in_force.offer(version, text, 'platform')
+        lineage = lineage_of(value)
+        return in_force.offer(version, text, 'platform', lineage)
     in_force.log(events.CONFIG_MALFORMED, level='error', version=version)
     return False
 
--- a/pollenstile/fleet/_relay.py
+++ b/pollenstile/fleet/_relay.py
@@ -3,6 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.fleet import events
+from pollenstile.fleet._inforce import Lineage
 from pollenstile.peer import (
     BadMessageError,
     Beat,
@@ -77,6 +78,8 @@
             return schema.ConfigContent.new_message().to_bytes()
         return schema.ConfigContent.new_message(
             version=snapshot.version,
+            mark=self.in_force.lineage.mark,
+            history=list(self.in_force.lineage.history),
             **patch_fields(self.recent_texts.patch_from(request[1])),
         ).to_bytes()
 
@@ -112,7 +115,8 @@
             )
             self._schedule_retry()
             return
-        if not self.in_force.offer(config[0], config[1], f'peer {host}'):
+        version, text, lineage = config
+        if not self.in_force.offer(version, text, f'peer {host}', lineage):
             self._schedule_retry()
 
     def _encode_request(self, text):
@@ -123,13 +127,13 @@
 
     def _decode_text(self, answer):
         try:
-            version, patch = decode_struct(
+            version, patch, lineage = decode_struct(
                 schema.ConfigContent, answer, _decode_content
             )
         except BadMessageError:
             return None
         text = apply_patch(self.in_force.text, patch)
-        return None if text is None else (version, text)
+        return None if text is None else (version, text, lineage)
 
     def _schedule_retry(self):
         # A peer that does not answer, or answers incorrectly, must not be asked
@@ -158,4 +162,5 @@
 
 
 def _decode_content(reader):
-    return reader.version, patch_from(reader)
+    lineage = Lineage(reader.mark, tuple(reader.history))
+    return reader.version, patch_from(reader), lineage
--- a/pollenstile/fleet/events.py
+++ b/pollenstile/fleet/events.py
@@ -25,6 +25,12 @@
     'The configuration object is missing or was not written by apply.',
     'Apply the manifest again; hosts keep the version in force.',
 )
+CONFIG_KEPT = define(
+    4021,
+    'config-kept',
+    'A returned store shows a version that was in force before; it is refused.',
+    'Apply the newest manifest again.',
+)
 UPSTREAM_LEAVING = define(
     4005,
     'upstream-leaving',
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -37,6 +37,11 @@
         default=400,
         help='number of random steps in a run [400]',
     )
+    parser.add_argument(
+        '--returns',
+        action='store_true',
+        help='let the store come back from older copies of itself',
+    )
     parser.add_argument(
         '--live',
         action='store_true',
@@ -87,7 +92,12 @@
     broken = []
     started = time.perf_counter()
     for seed in seeds:
-        result = run_soak(seed, arguments.steps, event_log(seed=seed))
+        result = run_soak(
+            seed,
+            arguments.steps,
+            event_log(seed=seed),
+            returns=arguments.returns,
+        )
         print(_result_line(result))
         if result.violations:
             broken.append(seed)
--- a/pollenstile/peer/messages.capnp
+++ b/pollenstile/peer/messages.capnp
@@ -77,6 +77,9 @@
   prefix @2 :UInt32;
   suffix @3 :UInt32;
   middle @4 :Data;
+  # Marks of the writes of this version and of the last ones before it.
+  mark @5 :Text;
+  history @6 :List(Text);
 }
 
 struct StatusAsk {
--- a/pollenstile/soak/_checks.py
+++ b/pollenstile/soak/_checks.py
@@ -157,13 +157,20 @@
 
 
 def _check_hosts(world):
-    newest_version = world.store.objects.found('config', 'manifest').version
+    found = world.store.objects.found('config', 'manifest')
+    newest_version = found.version
+    # Objects that are unchanged over a return keep their versions at hosts.
+    has_returned = bool(world.store.objects.era)
     for host in world.all_hosts():
         if host.versions != sorted(set(host.versions)):
             world.records.violate('version-went-back', host.name)
+        if host.texts != sorted(host.texts):
+            world.records.violate('text-went-back', host.name)
     for host in world.hosts.values():
-        if host.node.in_force.version != newest_version:
+        if not has_returned and host.node.in_force.version != newest_version:
             world.records.violate('version-old', host.name)
+        if host.node.in_force.text != found.value['text']:
+            world.records.violate('text-old', host.name)
         _check_idle(world, host)
 
 
--- a/pollenstile/soak/_faults.py
+++ b/pollenstile/soak/_faults.py
@@ -13,6 +13,7 @@
 _RESET_SHARE = 0.7
 _CUT_SHARE = 0.4
 _NO_PLATFORM_SHARE = 0.6
+_RETURN_EVERY_SECONDS = 4.0
 
 
 def _schedule(world, least, most, function, *arguments):
@@ -222,6 +223,29 @@
     world.store.lose_requests += world.rng.randint(0, 2)
 
 
+def schedule_returns(world, rng, seconds):
+    """Let the store come back from older copies at random times.
+
+    Explanation
+    ===========
+
+    The times have a generator of their own, so that a seed's other faults are
+    those of a run without returns.
+    """
+    world.store.objects.era = 0
+    moment = rng.uniform(1.0, _RETURN_EVERY_SECONDS)
+    while moment < seconds:
+        world.clock.callLater(moment, _copy_and_return, world, rng)
+        moment += rng.uniform(0.5, _RETURN_EVERY_SECONDS)
+
+
+def _copy_and_return(world, rng):
+    copy = world.store.objects.copy()
+    world.clock.callLater(
+        rng.uniform(0.2, _MAX_FAULT_SECONDS), world.return_store, copy
+    )
+
+
 def change_configuration(world):
     """Apply the next revision of the configuration, as an operator does."""
     world.trace.note('apply', revision=world.revision + 1)
--- a/pollenstile/soak/_hosts.py
+++ b/pollenstile/soak/_hosts.py
@@ -6,7 +6,7 @@
 
 from pollenstile.entry import build_fleet, build_node
 from pollenstile.ops.settings import ENTRY, settings_from
-from pollenstile.platform import Budget, PacedStore
+from pollenstile.platform import Budget, EraStore, PacedStore, StoreEra
 from pollenstile.soak._channel import FaultyChannel
 from pollenstile.soak._gates import GatedHub, GatedStore, gated_connect
 from pollenstile.soak._process import Process
@@ -62,6 +62,8 @@
         upstream.
     versions : list of int
         Versions of the configurations that were in force, in order.
+    texts : list of int
+        Numbers of their texts, in the order of the operator's writing.
     """
 
     __slots__ = (
@@ -73,6 +75,7 @@
         'name',
         'node',
         'process',
+        'texts',
         'versions',
         'world',
     )
@@ -85,6 +88,7 @@
         self.calls = {}
         self.leaving_incarnations = {}
         self.versions = []
+        self.texts = []
         self.gates = []
         settings = _settings(name, domain)
         store = self._store()
@@ -171,13 +175,14 @@
             _STORE_CALLS_PER_SECOND,
             self.process.seconds(),
         )
-        return PacedStore(
+        paced = PacedStore(
             GatedStore(reached, self.process),
             self.process,
             self.world.rng,
             budget,
             self._log,
         )
+        return EraStore(paced, StoreEra(self._log))
 
     def _read_load(self, name, declared):
         answer = Deferred()
@@ -201,6 +206,7 @@
 
     def _on_configuration(self, snapshot):
         self.versions.append(snapshot.version)
+        self.texts.append(self.world.texts.index(self.node.in_force.text))
 
     def _transport(self):
         start_call = self.world.network.transport_from(self.name)
--- a/pollenstile/soak/_run.py
+++ b/pollenstile/soak/_run.py
@@ -1,5 +1,6 @@
 """One randomised run in virtual time."""
 
+import random
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
@@ -9,7 +10,12 @@
 from pollenstile.soak._callers import CallerRequest, send
 from pollenstile.soak._checks import check_all
 from pollenstile.soak._clock import advance_exactly
-from pollenstile.soak._faults import FAULTS, heal_all, leave_upstream
+from pollenstile.soak._faults import (
+    FAULTS,
+    heal_all,
+    leave_upstream,
+    schedule_returns,
+)
 from pollenstile.soak._records import LEAVING_GRACE_SECONDS
 from pollenstile.soak._world import World
 
@@ -53,7 +59,7 @@
     tail: tuple
 
 
-def run_soak(seed, steps, log=silent_log):
+def run_soak(seed, steps, log=silent_log, *, returns=False):
     """Run hosts, upstreams and callers under random faults.
 
     Parameters
@@ -65,6 +71,8 @@
         Number of steps; each may send a request or inject a fault.
     log : function
         Log function for events.
+    returns : bool
+        Whether the store comes back from older copies of itself.
 
     Returns
     =======
@@ -72,6 +80,8 @@
     SoakResult
     """
     world = World(seed, log)
+    if returns:
+        schedule_returns(world, random.Random(seed), _MAX_STEP_SECONDS * steps)
     Deferred.fromCoroutine(world.apply_configuration())
     advance_exactly(world.clock, _SETTLE_SECONDS)
     for _ in range(steps):
--- a/pollenstile/soak/_world.py
+++ b/pollenstile/soak/_world.py
@@ -5,6 +5,7 @@
 from twisted.internet.task import Clock
 
 from pollenstile.fleet import CONFIG_KIND, CONFIG_NAME
+from pollenstile.fleet._platform_reader import HISTORY_FIELD, MARK_FIELD
 from pollenstile.manifest import text_from_manifest
 from pollenstile.peer import VirtualWires
 from pollenstile.soak._channel import Links
@@ -18,6 +19,10 @@
 _HOST_DOMAINS = {'n1': 'north', 'n2': 'north', 's1': 'south', 'w1': 'west'}
 _SAME_DOMAIN_LATENCY = 0.0005
 _OTHER_DOMAIN_LATENCY = 0.0015
+# Marks that a stored configuration has of the writes before it.
+_HISTORY_LENGTH = 16
+# Seconds after a return of the store until the operator writes again.
+_REWRITE_SECONDS = 0.5
 STORE_LATENCY_SECONDS = 0.004
 _CALL_SECONDS = {'stage': 0.02, 'service': 0.03, 'engine': 0.05}
 _TOKEN_GAP_SECONDS = 0.01
@@ -59,6 +64,7 @@
         'revision',
         'rng',
         'store',
+        'texts',
         'trace',
         'upstreams',
         'wires',
@@ -79,6 +85,7 @@
         self.manifest = soak_manifest()
         self.store = MemoryStore(self.clock)
         self.store.latency = STORE_LATENCY_SECONDS
+        self.texts = []
         self.wires = VirtualWires(
             self.clock,
             lambda one, other: _OTHER_DOMAIN_LATENCY,
@@ -148,7 +155,28 @@
         """Write the next revision of the configuration to the store."""
         self.revision += 1
         text = text_from_manifest(soak_manifest(self.revision))
-        return self.store.put(CONFIG_KIND, CONFIG_NAME, {'text': text})
+        self.texts.append(text)
+        return self.store.put(CONFIG_KIND, CONFIG_NAME, self._newest_value())
+
+    def return_store(self, copy):
+        """Let the store come back from a copy; the operator writes again."""
+        self.trace.note('store-returns')
+        self.store.return_from(copy)
+        self.clock.callLater(_REWRITE_SECONDS, self._write_newest)
+
+    def _newest_value(self):
+        marks = [f'mark {number}' for number in range(len(self.texts))]
+        return {
+            'text': self.texts[-1],
+            MARK_FIELD: marks[-1],
+            HISTORY_FIELD: marks[-_HISTORY_LENGTH:],
+        }
+
+    def _write_newest(self):
+        value = self._newest_value()
+        found = self.store.objects.found(CONFIG_KIND, CONFIG_NAME)
+        if getattr(found, 'value', None) != value:
+            self.store.write_at_once(CONFIG_KIND, CONFIG_NAME, value)
 
     def _build_upstreams(self):
         upstreams = {}
