soak: real hosts while the store comes back from copies

The live soak takes a copy, lets changes go on, and returns to it; what the operator and upstreams had written is written again before the first answer, or later.

--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -12,6 +12,8 @@
 # Share of the link faults that affect links to upstreams.
 _UPSTREAM_LINK_SHARE = 0.4
 _SERVICES = (PLAIN, ENGINES, *STAGES)
+# Share of the returns of the store after which all is written again later.
+_LATE_SHARE = 0.5
 # Faulty upstreams are mostly those that run requests: a request that they run
 # must be neither run twice nor reported as not run.
 _FAULTY_SERVICES = (PLAIN, PLAIN, ENGINES, ENGINES, *STAGES)
@@ -219,6 +221,37 @@
     world.store.objects.compact()
 
 
+def _write_lost(world):
+    """Write again what the store lacks since its return from a copy."""
+    names = list(world.written)
+    world.rng.shuffle(names)
+    for kind, name in names:
+        found = world.store.objects.found(kind, name)
+        value = world.written[kind, name]
+        if getattr(found, 'value', None) != value:
+            world.store.write_at_once(kind, name, value)
+
+
+async def return_store(world):
+    """Let the store come back from a copy of a random time before."""
+    if world.store.down:
+        return
+    _record_fault(world, 'store', 'copy')
+    copy = world.store.objects.copy()
+    await _wait_fault_time(world)
+    world.store.down = True
+    await _wait_fault_time(world)
+    world.store.return_from(copy)
+    is_late = world.rng.random() < _LATE_SHARE
+    if not is_late:
+        _write_lost(world)
+    world.store.down = False
+    _record_fault(world, 'store', f'return, written again late: {is_late}')
+    if is_late:
+        await _wait_fault_time(world)
+        _write_lost(world)
+
+
 FAULTS = (
     kill_host,
     stop_host,
@@ -241,4 +274,5 @@
     revoke_key,
     inject_store_fault,
     compact_store,
+    return_store,
 )
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -94,6 +94,8 @@
         self.keys = list(_KEYS)
         self.all_keys = _KEYS
         self.store = MemoryStore(reactor)
+        self.store.objects.era = 0
+        self.written = {}
         self.store_port = reactor.listenTCP(
             0, disable_access_log(platform_site(self.store)), 512, LOOPBACK
         )
@@ -156,19 +158,17 @@
 
     async def end_drain(self, drain):
         """End the drain of a failure domain."""
-        delete = partial(self.store.delete, DRAINED, drain.domain)
-        await self._retry_until_written(delete)
+        await self._write(DRAINED, drain.domain, None)
         drain.ended = self.reactor.seconds()
 
     async def crash_server(self, server):
         """Crash an upstream; its entry lapses later."""
         self.servers.pop(server.ident, None)
         await server.crash()
-        delete = partial(self.store.delete, 'upstreams', server.ident)
 
         def delete_entry():
             # The store would remove the entry for lack of heartbeats.
-            Deferred.fromCoroutine(self._retry_until_written(delete))
+            Deferred.fromCoroutine(self._write('upstreams', server.ident, None))
 
         self.reactor.callLater(_ENTRY_LAPSE_SECONDS, delete_entry)
 
@@ -222,9 +222,12 @@
         await _settled(self.store_port.stopListening())
 
     async def _write(self, kind, name, value):
-        await self._retry_until_written(
-            partial(self.store.put, kind, name, value)
-        )
+        """Write an object, or delete it with None."""
+        call = partial(self.store.put, kind, name, value)
+        if value is None:
+            call = partial(self.store.delete, kind, name)
+        await self._retry_until_written(call)
+        self.written[kind, name] = value
 
     async def _retry_until_written(self, call):
         """Repeat a call until the store has confirmed the write."""
