--- a/pollenstile/platform/events.py
+++ b/pollenstile/platform/events.py
@@ -40,7 +40,8 @@
     7007,
     'watch-stale',
     'A list or a watch returned an older state than before; it is ignored.',
-    'If it persists, the object API was rolled back; restart the hosts.',
+    'If it persists, the object API was rolled back without a new era; restart'
+    ' the hosts.',
 )
 STORE_RETURNED = define(
     7010,
