soak: the operator of a run with returns writes on a reviewed version

Trace: text 2 was sent with no condition while the store was slow, text 3 was written 0.9 s later, and the late text 2 replaced it; the hosts took what the store had last. The check stands; the soak's operator now writes as the apply command does.

--- a/pollenstile/soak/_world.py
+++ b/pollenstile/soak/_world.py
@@ -156,7 +156,13 @@
         self.revision += 1
         text = text_from_manifest(soak_manifest(self.revision))
         self.texts.append(text)
-        return self.store.put(CONFIG_KIND, CONFIG_NAME, self._newest_value())
+        value = self._newest_value()
+        condition = None
+        if self.store.objects.era is not None:
+            # As an operator's command does: without it, a slow write of an
+            # older text replaces a newer one, and hosts rightly take it.
+            condition = self.store.objects.version_of(CONFIG_KIND, CONFIG_NAME)
+        return self.store.put(CONFIG_KIND, CONFIG_NAME, value, condition)
 
     def return_store(self, copy):
         """Let the store come back from a copy; the operator writes again."""
