store_returns: a failing scenario of what all hosts read after a return

After 2.5 s away and a return, all 30 hosts of three domains read the configuration and the upstreams in full; the users ask that not all do so at once over links of 5 to 10 Mbit/s (350 kB a host at 340 hosts). Cause: a host that had begun to read the store itself has nothing that it could go on from in the new era. Listed; a mend needs a reader that tells that it is settling, and objects that followers keep and compare.

--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -47,6 +47,11 @@
     world.take_copy()
     world.change_often(lost)
     world.advance(1.0)
+    context.lists = {
+        (host.name, kind): host.path.lists[kind]
+        for host in world.running()
+        for kind in ('config', UPSTREAMS)
+    }
     world.stay_away(seconds)
     world.come_back(rewriting)
     world.advance(_LATE_SECONDS if rewriting == 'late' else 1.0)
@@ -261,6 +266,20 @@
     assert not senders, senders
 
 
+@then(
+    'at most {most:d} hosts have read the configuration in full, and the'
+    ' upstreams'
+)
+def then_few_read(context, most):
+    for kind in ('config', UPSTREAMS):
+        readers = [
+            host.name
+            for host in context.world.running()
+            if host.path.lists[kind] > context.lists[host.name, kind]
+        ]
+        assert len(readers) <= most, (kind, len(readers))
+
+
 @when('{count:d} versions are written after it')
 def when_versions(context, count):
     for _ in range(count):
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -157,3 +157,10 @@
     When a drained domain is taken back, and the store returns to before
     And 4 seconds pass after the return
     Then all hosts send to the upstreams that don't leave
+
+  Scenario: After a return few hosts of each domain read all from the store
+    Links have 5 to 10 Mbit/s, and 350 kB a host are many with 340 hosts.
+    Given 30 hosts in 3 failure domains and a store that states its era
+    When the store loses 3 changes in 2.5 seconds, written again early
+    And 6 seconds pass after the return
+    Then at most 9 hosts have read the configuration in full, and the upstreams
--- a/pollenstile/bench/_storepath.py
+++ b/pollenstile/bench/_storepath.py
@@ -36,6 +36,8 @@
         The number of calls.
     kinds : Counter
         The number of calls by kind of object.
+    lists : Counter
+        The number of full lists by kind of object.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         'calls',
         'clock',
         'kinds',
+        'lists',
         'refuses',
         'silent',
         'store',
@@ -56,6 +59,7 @@
         self.back_at = -_CONTACT_SECONDS
         self.calls = 0
         self.kinds = Counter()
+        self.lists = Counter()
 
     def end_faults(self):
         """End all faults."""
@@ -87,6 +91,7 @@
 
     def listed(self, *arguments):
         """See :class:`~pollenstile.platform.Store`."""
+        self.lists[arguments[0]] += 1
         return self._called(self.store.listed, Unavailable, arguments)
 
     def watched(self, *arguments):
