livemutant: the mutant of configurations follows a renamed method

Not load: the mutant replaced Configuration._replace_table, which has become replace_table, so that its hosts ended at once. What it takes out is the same; the scenario passes again.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -40,12 +40,12 @@
 
 def without_new_configuration():
     """Never replace the first configuration."""
-    original = _configuration.Configuration._replace_table
+    original = _configuration.Configuration.replace_table
 
     def keep(reader, found):
         return reader.table is not None or original(reader, found)
 
-    _configuration.Configuration._replace_table = keep
+    _configuration.Configuration.replace_table = keep
 
 
 def _is_never_busy(daemon):
