--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -380,6 +380,23 @@
     world.come_back('early')
 
 
+@when('{count:d} hosts start, and the store returns once more a second later')
+def when_hosts_start_between(context, count):
+    world = context.world
+    for number in range(count):
+        world.add_host(f'h-new{number}', 'd')
+    world.advance(1.0)
+    world.come_back('early')
+
+
+@then('the hosts share one key, and each is linked to others')
+def then_all_linked(context):
+    hosts = context.world.running()
+    keys = {host.daemon.parts.peer_key.key for host in hosts}
+    assert keys == {'simulated'}, keys
+    assert all(host.daemon.parts.hub.links for host in hosts)
+
+
 @when('all hosts are killed and start again')
 def when_all_restart(context):
     restart_all(context.world)
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -115,6 +115,13 @@
     And 12 seconds pass after the return
     Then the hosts share one key, and the new host is linked to others
 
+  Scenario: Hosts that start between two returns yield to the key of the others
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When the store returns to a copy that has nothing of hosts
+    And 3 hosts start, and the store returns once more a second later
+    And 15 seconds pass after the return
+    Then the hosts share one key, and each is linked to others
+
   Scenario: A host that starts in the return takes no answer of the store for a proof
     Given 9 hosts in 4 failure domains and a store that states its era
     When the store loses 3 changes in 1.5 seconds, written again slowly
