forward: a request whose service has lost its last upstream doesn't end by an error

The other two callers of home_engine guard against no upstream; this one does now.

The scenario fails before (ValueError) and passes now, beside the features of deciding, copies and crashes.

--- a/features/deciding.feature
+++ b/features/deciding.feature
@@ -97,3 +97,7 @@
       | resumable  | 1.0 | 0.25  | 0.25  | 1.0   | 0.5     |
       | resumable  | 2.0 | 0     | 0.1   | 1.5   | 1.5     |
       | once       | 0.1 | 0     | 0.025 | none  | none    |
+
+  Scenario: An unproven request with a prompt whose service has no upstream has no candidates
+    The last upstream of its service goes while the request waits for one.
+    Then no upstream is a candidate of an unproven request with a prompt
--- a/features/steps/deciding_steps.py
+++ b/features/steps/deciding_steps.py
@@ -20,6 +20,7 @@
     select_engine,
     silence_limits_of,
 )
+from pollenstile.forward._selection import candidates_of_unproven
 from pollenstile.routes import StageStep
 from pollenstile.stagework import (
     Chain,
@@ -278,3 +279,8 @@
     limits = silence_limits_of(context.route, usual)
     wanted = [None if one == 'none' else float(one) for one in (first, between)]
     assert [limits.first, limits.between] == wanted, limits
+
+
+@then('no upstream is a candidate of an unproven request with a prompt')
+def then_no_candidates(context):
+    assert candidates_of_unproven([], 'content', 'subject') == []
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -195,7 +195,7 @@
         Its last shared prompt part, whose home engine is among the returned
         ones; empty if it has none.
     """
-    home = home_engine(views, subject) if subject else None
+    home = home_engine(views, subject) if subject and views else None
 
     def rank(view):
         return view is home, rendezvous_weight(fingerprint, view.ident)
