forward: a line says how long an upstream was silent, and what else was heard

Nothing is decided by it. The new line (1249) has the limit, how late the host noticed it, and when the upstream last sent anything to this host.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -11,7 +11,7 @@
     learn_unavailable,
 )
 from pollenstile.forward._request_headers import request_headers
-from pollenstile.forward._request_log import log_stream_end
+from pollenstile.forward._request_log import log_silence, log_stream_end
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._silence import SilenceTimer
 from pollenstile.forward._software import note_event, send_refusal
@@ -210,6 +210,7 @@
             self.call.cancel()
             return rejection
         self.head_at = self.core.clock.seconds()
+        self.view.heard_at = self.head_at
         self.core.quarantine.note_answer(self.view.incarnation, self.started)
         if head.code not in _SUCCESS_STATUSES:
             return await self._read_failure(head, silence_limits.between)
@@ -224,6 +225,8 @@
         try:
             return await deferred
         except TimeoutError:
+            elapsed = self.core.clock.seconds() - self.started
+            log_silence(self, seconds, elapsed - seconds)
             self.call.give_up()
             if not self.call.sent:
                 return NotRun('no connection', self.view.ident, arrived=False)
@@ -371,11 +374,13 @@
                 ended.callback(body_end)
 
         def on_silence():
+            log_silence(self, silence.limit, silence.lateness())
             self.call.cancel()
             end(BodyEnd.SILENT)
 
         def on_data(data):
             silence.note_received(between)
+            self.view.heard_at = self.core.clock.seconds()
             pass_on(data)
 
         silence.start(on_silence)
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -59,6 +59,33 @@
     )
 
 
+def log_silence(attempt, limit, lateness):
+    """Log that an upstream has sent nothing for the limit on silence.
+
+    Parameters
+    ==========
+
+    limit : float
+        Seconds of silence.
+    lateness : float
+        Seconds by which the host noticed it too late.
+    """
+    core = attempt.core
+    heard_at = attempt.view.heard_at
+    heard = core.clock.seconds() - heard_at if heard_at else 0
+    core.log(
+        events.ATTEMPT_SILENT,
+        request=attempt.exchange.ident,
+        peer=attempt.view.ident,
+        sent=attempt.call.sent,
+        last=attempt.splitter.last.decode('latin-1'),
+        limit_ms=int(limit * _MS),
+        late_ms=int(lateness * _MS),
+        heard_ms=int(heard * _MS) if heard_at else -1,
+        flying=attempt.view.in_flight,
+    )
+
+
 def log_end(run):
     """Log the end of a request."""
     exchange = run.exchange
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -70,6 +70,8 @@
     unreached_since : float
         Time of the first connection to it that failed since it last answered;
         0 if none did.
+    heard_at : float
+        Time at which any answer of it last brought bytes; 0 before the first.
     cold_until : float
         Time until which it is cold and accepts few requests a second; 0 when
         it last reported that it is warm.
@@ -94,6 +96,7 @@
     backoff_until: float = 0.0
     backoff_count: int = 0
     unreached_since: float = 0.0
+    heard_at: float = 0.0
     cold_until: float = 0.0
     cold_sends: deque = field(default_factory=deque)
 
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -15,16 +15,26 @@
     Attributes
     ==========
 
+    due : float
+        Time on the clock at which the timer expires.
     longest_silence : float
         Seconds of the longest silence between two parts of a body.
     """
 
-    __slots__ = ('clock', 'limit', 'longest_silence', 'received_at', 'timer')
+    __slots__ = (
+        'clock',
+        'due',
+        'limit',
+        'longest_silence',
+        'received_at',
+        'timer',
+    )
 
     def __init__(self, clock, limit):
         self.clock = clock
         self.limit = limit
         self.timer = None
+        self.due = 0.0
         self.received_at = None
         self.longest_silence = 0.0
 
@@ -32,6 +42,11 @@
         """Start the timer; call a function when it expires."""
         if self.limit is not None:
             self.timer = self.clock.callLater(self.limit, on_silence)
+            self.due = self.clock.seconds() + self.limit
+
+    def lateness(self):
+        """Return the seconds by which the timer has expired too late."""
+        return self.clock.seconds() - self.due
 
     def note_received(self, new_limit=None):
         """Restart the timer after received data, with a new limit if given."""
@@ -44,6 +59,7 @@
         self.received_at = now
         if self.timer is not None and self.timer.active():
             self.timer.reset(self.limit)
+            self.due = now + self.limit
 
     def stop(self):
         """Cancel the timer."""
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -100,6 +100,13 @@
     'A stream ended other than by its framing, or inside an event.',
     'If `rest` is not 0 for many streams of one upstream, check that upstream.',
 )
+ATTEMPT_SILENT = define(
+    1249,
+    'attempt-silent',
+    'An upstream has sent nothing for the limit on silence of an attempt.',
+    'Compare `heard_ms`, the time since the upstream sent anything to this host,'
+    ' and `late_ms`, by which the loop of this host ran late.',
+)
 UPSTREAM_CRASHED = define(
     1240,
     'upstream-crashed',
