--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -96,6 +96,7 @@
         self.refusal = ''
         self.waiting = None
         self.made = 0
+        self.groups = []
         self.released = []
         self.cancelled = []
 
@@ -105,6 +106,7 @@
 
     def submit(self, group, on_read):
         """Return a Deferred of the outcome of a group."""
+        self.groups.append(group)
         waiter = Deferred()
         if self.refusal == 'never':
             self.waiting = (group, waiter)
@@ -311,3 +313,8 @@
 def event_bytes(number):
     """Return one event of a stream."""
     return b'id: %d\ndata: piece %d\n\n' % (number, number)
+
+
+def events_bytes(first, last):
+    """Return the events of a stream from one number to another."""
+    return b''.join(event_bytes(number) for number in range(first, last + 1))
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -12,6 +12,7 @@
     SERVICE,
     ForwardScenario,
     event_bytes,
+    events_bytes,
 )
 from pollenstile.forward import (
     Lost,
@@ -26,10 +27,6 @@
 _BODY = b'an answer'
 
 
-def _events(first, last):
-    return b''.join(event_bytes(number) for number in range(first, last + 1))
-
-
 @given('a forwarded "{kind}" request')
 def given_request(context, kind):
     context.story = ForwardScenario(kind)
@@ -151,14 +148,14 @@
 def when_streams(context, place, first, last):
     call = context.story.calls[place]
     call.answer()
-    call.on_data(_events(first, last) + event_bytes(last + 1)[:7])
+    call.on_data(events_bytes(first, last) + event_bytes(last + 1)[:7])
 
 
 @when('forwarded send {place:d} streams events {first:d} to {last:d} and ends')
 def when_streams_whole(context, place, first, last):
     call = context.story.calls[place]
     call.answer()
-    call.body(_events(first, last))
+    call.body(events_bytes(first, last))
 
 
 @when('forwarded send {place:d} breaks')
@@ -232,9 +229,9 @@
 @then(
     'the caller of the forwarded request has all events {first:d} to {last:d}'
 )
-def then_events(context, first, last):
+def thenevents_bytes(context, first, last):
     answer = context.story.answer
-    assert answer.content == _events(first, last), answer.content
+    assert answer.content == events_bytes(first, last), answer.content
     assert answer.end == 'whole', answer.end
 
 
--- /dev/null
+++ b/features/steps/silent_attempts_steps.py
@@ -0,0 +1,107 @@
+"""Steps for upstreams that fall silent while an answer is awaited."""
+
+from behave import given, then, when
+
+from features.builders.forward import (
+    NAMES,
+    SERVICE,
+    event_bytes,
+    events_bytes,
+)
+from pollenstile.forward import usable
+
+
+@given('the host awaits answers of the other upstreams')
+def given_others_in_flight(context):
+    for view in context.story.registry.usable(SERVICE):
+        view.in_flight += 1
+
+
+@when('its stage work is done')
+def when_stages_done(context):
+    context.story.start()
+
+
+@when('its stage work is done and refused as "{reason}" from now on')
+def when_stages_refused(context, reason):
+    context.story.start()
+    context.story.stages.refusal = reason
+
+
+@when('forwarded send {place:d} goes on to event {last:d} and ends')
+def when_goes_on(context, place, last):
+    """Send what is missing of the events that the send has begun."""
+    call = context.story.calls[place]
+    if call.cancelled:
+        return
+    content = context.story.answer.content
+    done = content.count(b'data: ')
+    call.body(event_bytes(done + 1)[7:] + events_bytes(done + 2, last))
+
+
+@when('forwarded send {place:d} streams half of event {number:d}')
+def when_half_event(context, place, number):
+    call = context.story.calls[place]
+    call.answer()
+    call.on_data(event_bytes(number)[:7])
+
+
+@when('the host of the forwarded request stands still for {seconds:g} seconds')
+def when_stands_still(context, seconds):
+    context.story.clock.advance(seconds)
+
+
+@when('the caller of the forwarded request stops reading')
+def when_stops_reading(context):
+    context.story.answer.producer.pauseProducing()
+
+
+@when('the caller of the forwarded request reads again')
+def when_reads_again(context):
+    context.story.answer.producer.resumeProducing()
+
+
+@then(
+    'forwarded send {place:d} is made beside send {other:d}, after event {last:d}'
+)
+def then_beside_after(context, place, other, last):
+    then_beside(context, place, other)
+    headers = context.story.calls[place].headers
+    assert headers[NAMES.last_event] == b'%d' % last, headers
+
+
+@then('forwarded send {place:d} is made beside send {other:d}')
+def then_beside(context, place, other):
+    calls = context.story.calls
+    assert len(calls) == place + 1, len(calls)
+    assert not calls[other].cancelled
+    assert calls[place].address != calls[other].address
+
+
+@then('forwarded send {place:d} is open')
+def then_open(context, place):
+    assert not context.story.calls[place].cancelled
+
+
+def _chosen_idents(context):
+    views = context.story.registry.usable(SERVICE)
+    now = context.story.clock.seconds()
+    return {view.address for view in usable(views, now)}
+
+
+@then("new requests don't go to the upstream of forwarded send {place:d}")
+def then_passed_by(context, place):
+    assert context.story.calls[place].address not in _chosen_idents(context)
+
+
+@then('new requests may go to the upstream of forwarded send {place:d}')
+def then_used_again(context, place):
+    assert context.story.calls[place].address in _chosen_idents(context)
+
+
+@then('its stage work is due again before its deadline')
+def then_due_again(context):
+    groups = context.story.stages.groups
+    now = context.story.clock.seconds()
+    assert len(groups) == 2, groups
+    assert now < groups[1].due <= groups[1].deadline, groups[1]
--- a/pollenstile/standin/exchanges.py
+++ b/pollenstile/standin/exchanges.py
@@ -37,6 +37,8 @@
     on_data, on_end : function or None
         Called with the data and the end of the body; None until the host
         requests the body.
+    paused : bool
+        Whether the host reads nothing for now, as its caller does not.
     check : function or None
         Set by the host; asked when the connection is open. Returns the outcome
         of a request that must not be sent any more, or None.
@@ -48,6 +50,7 @@
         self.head = Deferred(lambda _: self.cancel())
         self.sent = False
         self.cancelled = False
+        self.paused = False
         self.on_data = None
         self.on_end = None
         self.check = None
@@ -64,9 +67,18 @@
         """Do nothing: no connection is open."""
 
     def deliver(self, response, on_data, on_end):
-        """Store the callbacks for the body; return no producer."""
+        """Store the callbacks for the body; return the producer."""
         self.on_data = on_data
         self.on_end = on_end
+        return self
+
+    def pauseProducing(self):
+        """Record that the host stops reading; called by Twisted."""
+        self.paused = True
+
+    def resumeProducing(self):
+        """Record that the host reads again; called by Twisted."""
+        self.paused = False
 
 
 class RecordedAnswer:
@@ -77,6 +89,8 @@
 
     end : str
         ``'whole'``, ``'broken'`` or ``'refused'``; empty before the end.
+    producer : object or None
+        What the caller stops and resumes by its reading.
     """
 
     def __init__(self):
@@ -87,6 +101,7 @@
         self.headers = []
         self.end = ''
         self.refusal = None
+        self.producer = None
 
     def begin(self, status, phrase, headers):
         """Record the head."""
@@ -114,7 +129,9 @@
         self.end = 'refused'
 
     def produce(self, producer):
-        """Ignore the producer."""
+        """Record the producer."""
+        self.producer = producer
 
     def unproduce(self):
-        """Ignore the end of production."""
+        """Record the end of production."""
+        self.producer = None
