forward: silence ends no attempt; another is sent beside it once all is in hand

At a limit on silence the host closed a living attempt, and only then asked for what the next one needs: budget, stage work, a permission, an upstream. Each may refuse; then a begun answer was broken off, though its upstream went on a moment later. The class: what is in hand is given up for what is not.

Now a silent attempt goes on being listened to. Another is sent beside it when route and budget allow, stage results are held or done again, and an upstream that is not silent itself permits it. The first that has something for the caller holds the answer, and the other is closed; events go on after the last one that was passed on, so none is missing or comes twice. Without another attempt the silent one ends by its upstream or by the deadline. Nothing is sent beside it while nothing at all is heard of the service, or before stage work has to be done again, until twice the limit has passed.

The scenario of a stream that stops asserted that the silent send is closed before the other has answered; it now asserts that it is open until then, and closed once the other has an event.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -116,7 +116,9 @@
     Given a forwarded "resumable" request
     When forwarded send 0 streams events 1 to 2 and half of the next
     And 1.6 seconds of forwarding pass
-    Then forwarded send 1 resumes after event 2
+    Then forwarded send 1 is made beside send 0, after event 2
+    When forwarded send 1 streams events 3 to 4 and half of the next
+    Then forwarded send 0 was closed
 
   Scenario: The final answer at the deadline
     An upstream never answers a request that may run once.
--- /dev/null
+++ b/pollenstile/forward/_attempt_learning.py
@@ -0,0 +1,63 @@
+"""What a host learns from an attempt while it runs and when it ends."""
+
+from pollenstile.forward._learning import (
+    learn_failure,
+    learn_success,
+    learn_unavailable,
+)
+from pollenstile.forward._outcomes import RESULTS_GONE, UpstreamFailure
+from pollenstile.forward._selection import own_tokens
+from pollenstile.forward._types import Lost, NotRun
+
+# Seconds after its first bytes at which an answer shows that its upstream bears
+# the parts of the prompt: one that crashes on a part does so as it begins, and
+# the first bytes may have left it by then.
+_PROOF_SECONDS = 0.1
+
+
+def note_heard(attempt):
+    """Record that an attempt's upstream has sent something."""
+    attempt.view.heard_at = attempt.core.clock.seconds()
+    attempt.view.silent_since = None
+
+
+def learn_first_bytes(attempt):
+    """Record the time of the first bytes of a stream."""
+    attempt.input_release.release()
+    attempt.core.copies.note_begun(attempt.exchange.fingerprint)
+    first_seconds = attempt.first_at - attempt.started
+    learn_success(attempt.view, first_seconds)
+    exchange = attempt.exchange
+    if exchange.prompt and not attempt.splitter.last:
+        tokens = own_tokens(exchange.prompt)
+        attempt.core.first_tokens.learn(exchange.service, tokens, first_seconds)
+    if exchange.handles:
+        attempt.core.fetching.note_fetched(exchange.service)
+
+
+def learn_outcome(attempt, outcome):
+    """Record how an attempt has ended."""
+    now = attempt.core.clock.seconds()
+    if outcome is RESULTS_GONE:
+        attempt.core.fetching.note_failed_fetch(attempt.exchange.service)
+        return
+    if isinstance(outcome, NotRun):
+        # An upstream that states when it wants requests again is believed.
+        # With a back-off besides, it would be idle after that time.
+        if attempt.core.permissions.withdrawn(attempt.view.incarnation) is None:
+            learn_unavailable(attempt.view, now, arrived=outcome.arrived)
+    elif isinstance(outcome, (Lost, UpstreamFailure)):
+        learn_failure(attempt.view)
+    elif not attempt.streaming:
+        learn_success(attempt.view, now - attempt.started)
+
+
+def note_going_on(attempt):
+    """Record that the upstream lives on after the answer has begun."""
+    core = attempt.core
+    if core.clock.seconds() - attempt.first_at < _PROOF_SECONDS:
+        return
+    attempt.has_gone_on = True
+    core.quarantine.note_sound_parts(
+        attempt.exchange.service, attempt.exchange.parts
+    )
--- a/pollenstile/forward/_crash_evidence.py
+++ b/pollenstile/forward/_crash_evidence.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import deferLater
 
-from pollenstile.forward._attempt import Delivered, UpstreamFailure
+from pollenstile.forward._outcomes import Delivered, UpstreamFailure
 from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._dispatch import candidates_failed_at
 from pollenstile.forward._types import Lost, Refusal
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -16,19 +16,26 @@
 # that were refused together from retrying together.
 _MIN_RETRY_SECONDS = 0.2
 _RETRY_JITTER_SECONDS = 0.3
-# An attempt is abandoned, so that another upstream can be tried, after silence
-# for this multiple of the expected time to the answer, and at least this share
-# of the target latency. One lookup in a hundred takes five times its usual
-# time.
+# Another attempt may be sent beside one that has been silent for this multiple
+# of the expected time to the answer, and at least this share of the target
+# latency. One lookup in a hundred takes five times its usual time.
 _SILENCE_FACTOR = 4.0
 _MIN_TARGET_SHARE = 0.5
-# A resumable stream counts as lost after a silence of this multiple of its
-# route's pause, the longest one with which a stream still counts as in time.
-# Without this limit, an engine that crashed without closing its connection is
-# noticed only at the deadline. The second constant is the pause for routes that
-# set none.
+# The same for a resumable stream, as a multiple of its route's pause, the
+# longest one with which a stream still counts as in time. Without this limit,
+# an engine that crashed without closing its connection is noticed only at the
+# deadline. The second constant is the pause for routes that set none.
 _PAUSE_FACTOR = 2.0
 _DEFAULT_PAUSE_SECONDS = 0.75
+# Multiple of the limit on silence from which another attempt is sent although
+# its stage work has to be done again, or nothing shows that other upstreams of
+# the service answer.
+_PATIENCE_FACTOR = 2.0
+# Reasons for which nothing is sent beside a silent attempt for now.
+ATTEMPTS_USED = 'attempts used'
+NO_BUDGET = 'no budget'
+NO_RESULTS = 'no stage results'
+ALL_SILENT = 'nothing heard of the service'
 
 
 class RetryDecision(enum.Enum):
@@ -78,14 +85,19 @@
 
 @dataclass(slots=True, frozen=True)
 class SilenceLimits:
-    """Seconds of silence after which an attempt counts as lost.
+    """Seconds of silence after which another attempt may be sent beside one.
+
+    Explanation
+    ===========
+
+    Silence ends no attempt: its upstream may go on before another one does.
 
     Parameters
     ==========
 
     first, between : float or None
         Limits before the answer begins and between its parts. None for
-        requests that can't be sent again: only their deadline ends them.
+        requests that can't be sent again.
     """
 
     first: float | None = None
@@ -114,6 +126,63 @@
     return SilenceLimits(first, first)
 
 
+def standby_obstacle(
+    route, state, *, resumed, may_repeat, has_budget, has_results, is_heard
+):
+    """Return why no attempt is sent beside silent ones now; empty if one is.
+
+    Parameters
+    ==========
+
+    route : Route
+        Kind and limits of the request.
+    state : SilentState
+        The attempts of the request and their silence.
+    resumed, may_repeat : bool
+        See :func:`decide_retry`.
+    has_budget : bool
+        Whether the budget allows a retry.
+    has_results : bool
+        Whether the results of the stage work are held.
+    is_heard : bool
+        Whether an upstream of the service has been heard since, or none is
+        awaited.
+    """
+    is_resumable = route.kind is Kind.STREAM or not resumed
+    may_send = route.repeatable and may_repeat and is_resumable
+    if not may_send or state.runs >= route.attempts:
+        return ATTEMPTS_USED
+    if state.sends >= _MAX_SENDS:
+        return ATTEMPTS_USED
+    if not has_budget:
+        return NO_BUDGET
+    if state.silent_seconds >= _PATIENCE_FACTOR * state.limit:
+        return ''
+    if not has_results:
+        return NO_RESULTS
+    return '' if is_heard else ALL_SILENT
+
+
+@dataclass(slots=True, frozen=True)
+class SilentState:
+    """The attempts of a request when all of them are silent.
+
+    Parameters
+    ==========
+
+    sends, runs : int
+        Number of attempts so far, and of those that may have run, with those
+        in flight.
+    silent_seconds, limit : float
+        Length and limit of the shortest silence.
+    """
+
+    sends: int
+    runs: int
+    silent_seconds: float
+    limit: float
+
+
 def final_refusal(outcome, runs, rng, wait=0.0):
     """Return the final :class:`Refusal` after the last attempt.
 
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -23,6 +23,19 @@
     view.failures += _SMOOTHING_FACTOR * (1 - view.failures)
 
 
+def learn_silence(view, since):
+    """Record an attempt at which the upstream has been silent since a time.
+
+    Explanation
+    ===========
+
+    The upstream itself counts as silent only if it has sent nothing on any
+    other connection either.
+    """
+    if view.heard_at <= since:
+        view.silent_since = since
+
+
 def learn_unavailable(view, now, *, arrived=True):
     """Back off from an upstream that was unreachable or full.
 
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -59,18 +59,36 @@
     )
 
 
-def log_silence(attempt, limit, lateness):
-    """Log that an upstream has sent nothing for the limit on silence.
+def log_failed(run, attempt, failed, *, resend):
+    """Log an attempt that has ended without the answer.
 
     Parameters
     ==========
 
-    limit : float
-        Seconds of silence.
-    lateness : float
-        Seconds by which the host noticed it too late.
+    failed : NotRun or Lost
+        How it has ended.
+    resend : bool
+        Whether the request is sent again.
     """
+    run.core.log(
+        events.ATTEMPT_FAILED,
+        request=run.exchange.ident,
+        peer=attempt.view.ident,
+        reason=failed.reason,
+        arrived=has_arrived(failed),
+        again=resend,
+    )
+
+
+def has_arrived(failed):
+    """Return whether a failed attempt has reached its upstream."""
+    return getattr(failed, 'arrived', True)
+
+
+def log_silence(attempt):
+    """Log that an upstream has sent nothing for the limit on silence."""
     core = attempt.core
+    silence = attempt.silence
     heard_at = attempt.view.heard_at
     heard = core.clock.seconds() - heard_at if heard_at else 0
     core.log(
@@ -79,13 +97,56 @@
         peer=attempt.view.ident,
         sent=attempt.call.sent,
         last=attempt.splitter.last.decode('latin-1'),
-        limit_ms=int(limit * _MS),
-        late_ms=int(lateness * _MS),
+        silent_ms=int(silence.silent_seconds() * _MS),
+        limit_ms=int(silence.limit * _MS),
+        late_ms=int(silence.lateness * _MS),
         heard_ms=int(heard * _MS) if heard_at else -1,
         flying=attempt.view.in_flight,
     )
 
 
+def log_heard(attempt, seconds):
+    """Log that an upstream goes on after a silence over the limit.
+
+    Parameters
+    ==========
+
+    seconds : float
+        Length of the silence.
+    """
+    attempt.core.log(
+        events.ATTEMPT_HEARD,
+        request=attempt.exchange.ident,
+        peer=attempt.view.ident,
+        silent_ms=int(seconds * _MS),
+        beside=len(attempt.contest.running) - 1,
+    )
+
+
+def log_standby(run, attempt, reason):
+    """Log why no attempt is sent beside a silent one for now.
+
+    Parameters
+    ==========
+
+    attempt : Attempt
+        The silent attempt.
+    reason : str
+        What is missing.
+    """
+    run.core.log(
+        events.STANDBY_HELD,
+        request=run.exchange.ident,
+        peer=attempt.view.ident,
+        reason=reason,
+        silent_ms=int(attempt.silence.silent_seconds() * _MS),
+        runs=run.count_runs(),
+        held=run.results.are_held(),
+        due_ms=int((run.exchange.aim - run.core.clock.seconds()) * _MS),
+        left_ms=int((run.exchange.ends - run.core.clock.seconds()) * _MS),
+    )
+
+
 def log_end(run):
     """Log the end of a request."""
     exchange = run.exchange
@@ -107,15 +168,15 @@
         resumes=exchange.resumes,
         sends=run.sends,
         took_ms=int((run.core.clock.seconds() - exchange.arrived) * _MS),
-        staged_ms=_since_arrival(exchange, run.staged_at),
+        staged_ms=_since_arrival(exchange, run.results.staged_at),
         first_ms=_since_arrival(exchange, attempt.first_at if attempt else 0),
         aim_ms=int((exchange.aim - exchange.arrived) * _MS),
         # Time since the caller's first request; 0 for a new request.
-        came_ms=int(run.chain.waited * _MS) if run.chain else 0,
+        came_ms=int(run.results.waited() * _MS),
         pause_ms=int(attempt.longest_pause * _MS) if attempt else 0,
         pause_limit_ms=int(exchange.route.pause * _MS),
-        crossed=run.waste.crossed,
-        unused=run.waste.unused,
+        crossed=run.results.crossed,
+        unused=run.results.unused,
         version=exchange.table.version,
         proof_ms=exchange.proof_ms,
     )
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -4,17 +4,13 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._admission import recheck_admission
-from pollenstile.forward._attempt import (
-    RESULTS_GONE,
-    Attempt,
-    Delivered,
-    UpstreamFailure,
-)
+from pollenstile.forward._attempt import Attempt
 from pollenstile.forward._crash_evidence import (
     await_reports,
     quarantine_refusal,
     record_outcome,
 )
+from pollenstile.forward._contest import Contest
 from pollenstile.forward._decisions import (
     LEAVING_REFUSAL,
     RetryDecision,
@@ -30,22 +26,30 @@
     cold_rate,
     early_refusal,
     expected_answer_seconds,
-    expected_first_token_seconds,
-    home_domain,
     input_release_for,
     select_view,
 )
+from pollenstile.forward._outcomes import (
+    RESULTS_GONE,
+    Delivered,
+    UpstreamFailure,
+)
 from pollenstile.forward._ratelimited import note_sent
-from pollenstile.forward._request_log import log_end, log_send
+from pollenstile.forward._request_log import (
+    has_arrived,
+    log_end,
+    log_failed,
+    log_send,
+)
 from pollenstile.forward._software import restart_wait, version_refusal
+from pollenstile.forward._stageresults import StageResults
+from pollenstile.forward._standby import Standby
 from pollenstile.forward._types import Lost, NotRun, Refusal
 from pollenstile.forward._withdrawn import withdrawn_wait
 from pollenstile.quarantine import HELD_REASON
 from pollenstile.routes import Kind
-from pollenstile.stagework import Chain, ChainFailed, build_plan
 
 _UNAVAILABLE = 503
-_SERVER_ERRORS = range(500, 600)
 
 
 def serve(core, exchange, answer):
@@ -67,7 +71,7 @@
     answer : Answer
         Writes to the caller.
     """
-    run = _Run(core, exchange, answer)
+    run = Run(core, exchange, answer)
     work = Deferred.fromCoroutine(run.forward())
     remaining = max(0, exchange.ends - core.clock.seconds())
     work.addTimeout(remaining, core.clock)
@@ -76,75 +80,87 @@
     return work.addBoth(run.finish)
 
 
-class StageWaste:
-    """Wasted transfers and results of a request's stage work.
+class Run:
+    """State of one forwarded request.
 
     Attributes
     ==========
 
-    crossed : int
-        Bytes that were read in another failure domain than the one in which
-        they were made.
-    unused : int
-        Results that were released unread because the request was given up.
+    contest : Contest
+        Attempts in flight.
+    standby : Standby
+        Sends another attempt beside silent ones.
+    results : StageResults
+        The stage work and its results.
+    sends : int
+        Attempts so far.
+    runs : int
+        Attempts of earlier rounds that may have run.
+    last_event : str
+        Event after which the first attempt of this round goes on.
+    tried : list of str
+        Identifiers of the upstreams that the request was sent to.
     """
 
-    __slots__ = ('crossed', 'unused')
-
-    def __init__(self):
-        self.crossed = 0
-        self.unused = 0
-
-    def add(self, chain):
-        """Add the waste of a finished chain."""
-        self.crossed += chain.crossed
-        self.unused += chain.unused
-
-    def note_read(self, inputs, domain):
-        """Count the results that an upstream in a domain reads.
-
-        Parameters
-        ==========
-
-        inputs : dict
-            Bytes of the results by failure domain.
-        domain : str
-            Failure domain of the upstream.
-        """
-        self.crossed += sum(inputs.values()) - inputs.get(domain, 0)
-
-
-class _Run:
-    """State of one forwarded request."""
-
     __slots__ = (
         'answer',
-        'attempt',
-        'chain',
+        'contest',
         'core',
         'exchange',
+        'last_event',
         'outcome',
         'refusal',
+        'results',
         'runs',
         'sends',
-        'staged_at',
+        'standby',
         'tried',
-        'waste',
     )
 
     def __init__(self, core, exchange, answer):
         self.core = core
         self.exchange = exchange
         self.answer = answer
-        self.chain = None
-        self.attempt = None
+        self.results = StageResults(core, exchange, answer)
+        self.contest = Contest(answer)
+        self.standby = Standby(self, _next_view)
+        self.last_event = exchange.last_event
         self.sends = 0
         self.runs = 0
         self.tried = []
         self.refusal = None
-        self.staged_at = 0.0
         self.outcome = 'answered'
-        self.waste = StageWaste()
+
+    @property
+    def attempt(self):
+        """The attempt that the answer is from, or may be; None before one."""
+        return self.contest.leader
+
+    def count_runs(self):
+        """Return the number of ended attempts that may have run."""
+        return self.runs + self.contest.runs
+
+    def start_attempt(self, view, inputs):
+        """Send the request to an upstream.
+
+        Parameters
+        ==========
+
+        inputs : dict
+            Bytes of its stage results by failure domain.
+        """
+        self.results.note_read(inputs, view.domain)
+        self.tried.append(view.ident)
+        self.exchange.was_sent = True
+        self.sends += 1
+        now = self.core.clock.seconds()
+        self.core.cold.note_sent(view, cold_rate(self.exchange), now)
+        note_sent(self.core, self.exchange, view)
+        self.core.brittle.note_sent(self.exchange.service, view)
+        last_event = _last_event(self)
+        attempt = _new_attempt(self, view, inputs, last_event)
+        log_send(self, view, last_event)
+        self.contest.start(attempt, self._run_attempt(attempt, last_event))
 
     async def forward(self):
         """Run the stages, then attempts until one ends the request."""
@@ -157,11 +173,15 @@
         if refusal is not None:
             self._give_up(refusal)
             return
-        if not await self._run_stages():
+        failed = await self.results.make()
+        if failed is not None:
+            self._refuse_failed_stages(failed)
             return
-        outcome = await self._send_in_turn()
-        while outcome is not None and await self._rerun_stages(outcome):
-            outcome = await self._send_in_turn()
+        while await self._send_in_turn():
+            failed = await self.results.renew()
+            if failed is not None:
+                self._refuse_failed_stages(failed)
+                return
 
     def handle_expiry(self, failure):
         """Refuse the request at its deadline, or as caller or host leave."""
@@ -172,9 +192,7 @@
         if failure.check(CancelledError) and not self.exchange.was_sent:
             self._refuse(LEAVING_REFUSAL)
             return
-        runs = self.runs
-        if self.attempt is not None and self.attempt.call is not None:
-            runs += self.attempt.call.sent
+        runs = self.count_runs() + self.contest.runs_in_flight()
         self._refuse(expired_refusal(runs))
 
     def handle_crash(self, failure):
@@ -188,49 +206,14 @@
         self._refuse(Refusal(502, 'internal', 'program'))
 
     def finish(self, ignored):
-        """Release the remaining stage results and log the end."""
-        if self.chain is not None:
-            self.chain.release()
-            self.waste.add(self.chain)
+        """Close what is in flight, release all results and log the end."""
+        self.standby.stop()
+        self.contest.stop()
+        self.results.finish()
         log_end(self)
 
-    async def _run_stages(self):
-        """Run the stage work; return whether to send the request."""
-        exchange = self.exchange
-        if not any(exchange.counts):
-            return True
-        steps = exchange.route.steps
-        await self.core.stages.refresh_backlogs(
-            [step.service for step in steps]
-        )
-        plan = build_plan(
-            exchange,
-            min(exchange.aim, exchange.ends)
-            - expected_first_token_seconds(self.core, exchange),
-            self.core.stages.seconds,
-            home_domain(self.core, exchange),
-        )
-        self.chain = Chain(self.core.stages, plan)
-        handles = await self.chain.handles()
-        if isinstance(handles, ChainFailed):
-            self._refuse_failed_stages(handles)
-            return False
-        exchange.handles = handles
-        self.staged_at = self.core.clock.seconds()
-        return True
-
-    async def _rerun_stages(self, outcome):
-        """Rerun the stage work if its results have expired or were released."""
-        if self.chain is None:
-            return True
-        if self.chain.held and outcome is not RESULTS_GONE:
-            return True
-        self.chain.release()
-        self.waste.add(self.chain)
-        return await self._run_stages()
-
     def _refuse_failed_stages(self, failed):
-        if self.runs or failed.reason == HELD_REASON:
+        if self.count_runs() or failed.reason == HELD_REASON:
             self._refuse(Refusal(502, failed.reason, failed.step))
             return
         wait = retry_after(failed.retry_after, self.core.rng)
@@ -244,14 +227,14 @@
         Returns
         =======
 
-        NotRun, Lost, UpstreamFailure or None
-            The outcome after which the request is sent again; None if it is
-            over.
+        bool
+            Whether it is sent again.
         """
         fingerprint = self.exchange.fingerprint
-        await await_turn(self.core, self.exchange, self.tried, self._inputs())
+        inputs = self.results.held_bytes()
+        await await_turn(self.core, self.exchange, self.tried, inputs)
         try:
-            return await self._send_once(self._inputs())
+            return await self._send_once(self.results.held_bytes())
         finally:
             self.core.copies.end_turn(fingerprint)
 
@@ -259,81 +242,59 @@
         view = await _next_view(self, inputs)
         if isinstance(view, (NotRun, Refusal)):
             self._give_up(view)
-            return None
-        self.waste.note_read(inputs, view.domain)
-        outcome = await self._send_attempt(view, inputs)
-        await record_outcome(self.core, self.exchange, self.attempt, outcome)
+            return False
+        self._open_contest()
+        self.start_attempt(view, inputs)
+        outcome = await self.contest.ended
         if isinstance(outcome, Delivered):
-            return None
+            return False
         if self._decide_resend(outcome):
-            return outcome
+            return True
         self._give_up(outcome)
-        return None
-
-    def _inputs(self):
-        """Return the bytes of the stage results by failure domain."""
-        return self.chain.held_bytes() if self.chain else {}
-
-    async def _send_attempt(self, view, inputs):
-        self.tried.append(view.ident)
-        self.exchange.was_sent = True
-        self.sends += 1
-        now = self.core.clock.seconds()
-        self.core.cold.note_sent(view, cold_rate(self.exchange), now)
-        note_sent(self.core, self.exchange, view)
-        self.core.brittle.note_sent(self.exchange.service, view)
-        last_event = self.exchange.last_event
-        if self.attempt is not None and self.attempt.splitter.last:
-            last_event = self.attempt.splitter.last.decode('latin-1')
-        self.attempt = Attempt(
-            self.core,
-            self.exchange,
-            view,
-            self.answer,
-            input_release_for(
-                self.core, self.exchange, self.chain, inputs, view
-            ),
-        )
-        if last_event:
-            self.attempt.splitter.last = last_event.encode('latin-1')
-        log_send(self, view, last_event)
-        expected = expected_answer_seconds(self.core, self.exchange, view)
-        limits = silence_limits_of(self.exchange.route, expected)
-        outcome = await self.attempt.outcome(limits, last_event)
-        if not isinstance(outcome, NotRun):
-            self.runs += 1
+        return False
+
+    def _open_contest(self):
+        """Begin a new round of attempts, which goes on after the last one."""
+        self.last_event = _last_event(self)
+        self.runs += self.contest.runs
+        self.contest = Contest(self.answer)
+        self.contest.on_failed = self._handle_failed
+        self.contest.on_closed = self.results.release
+        self.contest.is_preparing = self.standby.is_preparing
+
+    def _handle_failed(self, attempt):
+        """Log an attempt that failed beside others; look for another one."""
+        if self.contest.running:
+            failed = _failure_of(self.contest.outcome, attempt.view.ident)
+            log_failed(self, attempt, failed, resend=False)
+        self.standby.note_failed(attempt)
+
+    async def _run_attempt(self, attempt, last_event):
+        outcome = await attempt.outcome(last_event)
+        if outcome is RESULTS_GONE:
+            self.results.release()
+        await record_outcome(self.core, self.exchange, attempt, outcome)
         return outcome
 
     def _decide_resend(self, outcome):
         """Return whether the request is sent again; log the failed attempt."""
-        if isinstance(outcome, UpstreamFailure):
-            if outcome.status not in _SERVER_ERRORS:
-                return False
-            failed = Lost(f'status {outcome.status}', self.attempt.view.ident)
-        else:
-            failed = outcome
+        if isinstance(outcome, UpstreamFailure) and not outcome.is_retryable:
+            return False
+        failed = _failure_of(outcome, self.contest.failed.view.ident)
         decision = decide_retry(
             self.exchange.route,
             failed,
             self.sends,
-            self.runs,
+            self.count_runs(),
             resumed=self.answer.begun,
             may_repeat=self.core.quarantine.may_repeat(
                 self.exchange.fingerprint
             ),
         )
         resend = decision is RetryDecision.RETRY
-        arrived = getattr(outcome, 'arrived', True)
-        if resend and arrived:
+        if resend and has_arrived(failed):
             resend = self.core.budget.spend(self.exchange.service)
-        self.core.log(
-            events.ATTEMPT_FAILED,
-            request=self.exchange.ident,
-            peer=self.attempt.view.ident,
-            reason=failed.reason,
-            arrived=arrived,
-            again=resend,
-        )
+        log_failed(self, self.contest.failed, failed, resend=resend)
         return resend
 
     def _give_up(self, outcome):
@@ -346,7 +307,9 @@
         withdrawn = withdrawn_wait(self.core, self.exchange)
         wait = withdrawn.wait if withdrawn else 0.0
         wait = max(wait, restart_wait(self.core, self.exchange))
-        self._refuse(final_refusal(outcome, self.runs, self.core.rng, wait))
+        self._refuse(
+            final_refusal(outcome, self.count_runs(), self.core.rng, wait)
+        )
 
     def _pass_on(self, failure):
         if self.answer.begun:
@@ -369,6 +332,41 @@
         self.answer.refuse(refusal)
 
 
+def _last_event(run):
+    """Return the last event that was passed on, or that the caller has."""
+    leader = run.contest.leader
+    if leader is not None and leader.splitter.last:
+        return leader.splitter.last.decode('latin-1')
+    return run.last_event
+
+
+def _new_attempt(run, view, inputs, last_event):
+    """Return an attempt that isn't started."""
+    expected = expected_answer_seconds(run.core, run.exchange, view)
+    attempt = Attempt(
+        run.core,
+        run.exchange,
+        view,
+        run.contest,
+        silence_limits_of(run.exchange.route, expected),
+        input_release_for(
+            run.core, run.exchange, run.results.chain, inputs, view
+        ),
+    )
+    attempt.on_silent = run.standby.note_silent
+    attempt.on_heard = run.standby.note_heard
+    if last_event:
+        attempt.splitter.last = last_event.encode('latin-1')
+    return attempt
+
+
+def _failure_of(outcome, peer):
+    """Return a failed attempt's outcome as ``NotRun`` or ``Lost``."""
+    if isinstance(outcome, UpstreamFailure):
+        return Lost(f'status {outcome.status}', peer)
+    return outcome
+
+
 async def _next_view(run, inputs):
     """Return the next upstream of a request, or why it is not sent.
 
@@ -385,7 +383,8 @@
     refusal = quarantine_refusal(run.core, run.exchange) or limited
     if refusal is not None:
         return refusal
-    if not run.runs and not run.answer.begun:
+    may_have_run = run.count_runs() or run.contest.running
+    if not may_have_run and not run.answer.begun:
         refusal = await _recheck(run.core, run.exchange)
         if refusal is not None:
             return refusal
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -32,6 +32,8 @@
 # requests fail on every upstream (14% of one kind of lookups).
 _UNHEALTHY_MARGIN = 0.25
 
+# Seconds for which a silent upstream gets no new requests while others answer.
+_SILENT_SECONDS = 5.0
 
 # Upstreams that a request may go to before it is proven. It takes three crashes
 # to quarantine a request, so fewer candidates would spare none.
@@ -72,6 +74,9 @@
         0 if none did.
     heard_at : float
         Time at which any answer of it last brought bytes; 0 before the first.
+    silent_since : float or None
+        Time since which it has sent nothing on any connection, if requests to
+        it have met the limit on silence.
     cold_until : float
         Time until which it is cold and accepts few requests a second; 0 when
         it last reported that it is warm.
@@ -97,6 +102,7 @@
     backoff_count: int = 0
     unreached_since: float = 0.0
     heard_at: float = 0.0
+    silent_since: float | None = None
     cold_until: float = 0.0
     cold_sends: deque = field(default_factory=deque)
 
@@ -128,6 +134,20 @@
     )
 
 
+def is_silent(view, now):
+    """Return whether an upstream has sent nothing for a while though awaited.
+
+    Explanation
+    ===========
+
+    Nothing tells when it goes on if no request awaits it any more. So it gets
+    requests again after some seconds.
+    """
+    if view.silent_since is None:
+        return False
+    return now - view.silent_since < _SILENT_SECONDS
+
+
 def usable(views, now, tried=()):
     """Return the candidate upstreams, leaving out unhealthy ones.
 
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -1,8 +1,19 @@
 """Detection of upstreams that stop sending."""
 
+# Lateness of a timer from which this host was itself delayed: it has not read
+# what has arrived meanwhile.
+_LATE_SECONDS = 0.1
+# Time in which a host that was delayed reads what has arrived.
+_READ_SECONDS = 0.1
 
-class SilenceTimer:
-    """Calls a function when an upstream is silent for too long.
+
+class SilenceWatch:
+    """Reports an upstream that sends nothing for too long, and its return.
+
+    Explanation
+    ===========
+
+    The attempt itself is not ended: the upstream may go on at any time.
 
     Parameters
     ==========
@@ -11,57 +22,135 @@
         Provides the time and timers.
     limit : float or None
         Seconds of silence that are allowed; None for no limit.
+    on_silent : function
+        Called without arguments when the limit has passed.
+    on_heard : function
+        Called with the seconds of a silence that was over the limit, when it
+        ends.
 
     Attributes
     ==========
 
-    due : float
-        Time on the clock at which the timer expires.
+    backpressure : Backpressure or None
+        Tells whether this host reads at all; None before the body.
+    heard_at : float
+        Time at which something was last received, or the start.
+    is_silent : bool
+        Whether the limit has passed since then.
+    lateness : float
+        Seconds by which this host was delayed in this silence; 0 if it was not.
     longest_silence : float
         Seconds of the longest silence between two parts of a body.
     """
 
     __slots__ = (
+        'backpressure',
         'clock',
         'due',
+        'has_data',
+        'heard_at',
+        'is_silent',
+        'lateness',
         'limit',
         'longest_silence',
-        'received_at',
+        'on_heard',
+        'on_silent',
         'timer',
     )
 
-    def __init__(self, clock, limit):
+    def __init__(self, clock, limit, on_silent, on_heard):
         self.clock = clock
         self.limit = limit
+        self.on_silent = on_silent
+        self.on_heard = on_heard
+        self.backpressure = None
         self.timer = None
         self.due = 0.0
-        self.received_at = None
+        self.lateness = 0.0
+        self.heard_at = clock.seconds()
+        self.has_data = False
+        self.is_silent = False
         self.longest_silence = 0.0
 
-    def start(self, on_silence):
-        """Start the timer; call a function when it expires."""
+    def start(self):
+        """Start the timer."""
         if self.limit is not None:
-            self.timer = self.clock.callLater(self.limit, on_silence)
-            self.due = self.clock.seconds() + self.limit
-
-    def lateness(self):
-        """Return the seconds by which the timer has expired too late."""
-        return self.clock.seconds() - self.due
-
-    def note_received(self, new_limit=None):
-        """Restart the timer after received data, with a new limit if given."""
-        self.limit = new_limit or self.limit
-        now = self.clock.seconds()
-        if self.received_at is not None:
-            self.longest_silence = max(
-                self.longest_silence, now - self.received_at
-            )
-        self.received_at = now
-        if self.timer is not None and self.timer.active():
-            self.timer.reset(self.limit)
-            self.due = now + self.limit
+            self._schedule(self.limit)
+
+    def note_head(self):
+        """Restart the timer, as the head of the answer was received."""
+        self._restart(self.limit)
+
+    def note_data(self, limit):
+        """Restart the timer with a new limit, as data was received."""
+        if self.has_data:
+            silence = self.clock.seconds() - self.heard_at
+            self.longest_silence = max(self.longest_silence, silence)
+        self.has_data = True
+        self._restart(limit)
+
+    def silent_seconds(self):
+        """Return the seconds since something was received."""
+        return self.clock.seconds() - self.heard_at
 
     def stop(self):
         """Cancel the timer."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
+
+    def _restart(self, limit):
+        silence = self.silent_seconds()
+        was_silent = self.is_silent
+        self.limit = limit
+        self.heard_at = self.clock.seconds()
+        self.is_silent = False
+        self.lateness = 0.0
+        self.stop()
+        self.start()
+        if was_silent:
+            self.on_heard(silence)
+
+    def _schedule(self, seconds):
+        self.due = self.clock.seconds() + seconds
+        self.timer = self.clock.callLater(seconds, self._expire)
+
+    def _expire(self):
+        self.is_silent = True
+        self.on_silent()
+
+
+class Backpressure:
+    """Producer of an answer's body that the caller's reading pauses.
+
+    Parameters
+    ==========
+
+    producer : IPushProducer
+        The upstream's connection.
+
+    Attributes
+    ==========
+
+    paused : bool
+        Whether nothing is read from the upstream for now.
+    """
+
+    __slots__ = ('paused', 'producer')
+
+    def __init__(self, producer):
+        self.producer = producer
+        self.paused = False
+
+    def pauseProducing(self):
+        """Stop reading from the upstream; called by Twisted."""
+        self.paused = True
+        self.producer.pauseProducing()
+
+    def resumeProducing(self):
+        """Read from the upstream again; called by Twisted."""
+        self.paused = False
+        self.producer.resumeProducing()
+
+    def stopProducing(self):
+        """Close the connection to the upstream; called by Twisted."""
+        self.producer.stopProducing()
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -107,6 +107,18 @@
     'Compare `heard_ms`, the time since the upstream sent anything to this host,'
     ' and `late_ms`, by which the loop of this host ran late.',
 )
+ATTEMPT_HEARD = define(
+    1250,
+    'attempt-heard',
+    'A silent upstream goes on with its answer after `silent_ms`; `beside` other'
+    ' attempts of the request are in flight.',
+)
+STANDBY_HELD = define(
+    1251,
+    'standby-held',
+    'An attempt is silent, and none is sent beside it for the stated reason; the'
+    ' silent one is still awaited.',
+)
 UPSTREAM_CRASHED = define(
     1240,
     'upstream-crashed',
