forward: a host that was late itself reads before it calls an upstream silent

A paused process, or a loop that runs late, finds all its timers due at once, before it has read what has arrived meanwhile: all its upstreams seem silent, and attempts are sent beside sound ones. A timer that expires over 0.1 s late now expires once more after 0.1 s, in which the sockets are read; only once in a silence, so that a host that is always late still notices a dead upstream.

--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -115,6 +115,13 @@
         self.timer = self.clock.callLater(seconds, self._expire)
 
     def _expire(self):
+        lateness = self.clock.seconds() - self.due
+        if lateness > _LATE_SECONDS and not self.lateness:
+            # Timers expire before the sockets are read. A host that is always
+            # late waits only once.
+            self.lateness = lateness
+            self._schedule(_READ_SECONDS)
+            return
         self.is_silent = True
         self.on_silent()
 
