forward: a caller that does not read makes no upstream silent

The caller's flow control pauses the reading from the upstream. The limit on silence went on meanwhile and ended the attempt: an upstream was given up because this host read nothing. The limit starts anew while reading is paused. The scenario failed before (the stream was sent to a second upstream and then cut off with its budget spent).

--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -122,6 +122,9 @@
             self.lateness = lateness
             self._schedule(_READ_SECONDS)
             return
+        if self.backpressure is not None and self.backpressure.paused:
+            self._schedule(self.limit)
+            return
         self.is_silent = True
         self.on_silent()
 
