forward: requests pass by an upstream that is silent while others answer

An upstream that accepts connections and sends nothing has a low load in a host's view, so that each new request went there and fell silent in turn.

--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -175,12 +175,14 @@
         view
         for view in untried
         if view.backoff_until <= now
+        and not is_silent(view, now)
         and view.failures < median_share + _UNHEALTHY_MARGIN
     ]
     if len(healthy) * 2 >= len(untried):
         return healthy
     not_backing_off = [view for view in untried if view.backoff_until <= now]
-    return not_backing_off or untried
+    heard = [view for view in not_backing_off if not is_silent(view, now)]
+    return heard or not_backing_off or untried
 
 
 def subject_of(prompt):
