forward: stage work for an answer that has begun is due before its deadline

A stream whose upstream is lost after its results were released needs its stage work again. The target latency is for the first event: once it was passed on, the results are due in time for the deadline. The pieces come after those of others that are due sooner.

--- a/pollenstile/forward/_stageresults.py
+++ b/pollenstile/forward/_stageresults.py
@@ -129,5 +129,14 @@
         self.unused += self.chain.unused
 
     def _due(self):
-        """Return the time at which the answer should begin."""
+        """Return the time at which the answer should begin or go on.
+
+        Explanation
+        ===========
+
+        The target latency holds for the first event. An answer that has begun
+        goes on as long as its caller waits for it.
+        """
+        if self.answer.begun:
+            return self.exchange.ends
         return min(self.exchange.aim, self.exchange.ends)
