silences: whole hosts over upstreams that stand still and go on, failing

Callers of resumable streams lose answers when sound upstreams stand still for 1 to 3 seconds, although the upstreams go on where they were and the callers have time left.

The simulated upstreams can now stand still for a time: they send and read nothing, accept connections, and notice closed ones as they go on.

Requests that are sent once lose nothing, so the cause is the limit on the silence of attempts that may be repeated.

A stream that is taken up after its last event now ends at the simulated upstream instead of bringing a further event.

--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -10,6 +10,7 @@
 """
 
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 
 from twisted.internet.address import IPv4Address
@@ -76,10 +77,10 @@
         return succeed(None)
 
 
-def _table(value):
+def _table(by_host, value):
     if not isinstance(value, int):
         raise ValueError('no version')
-    return RouteTable(value)
+    return RouteTable(value, by_host)
 
 
 def _upstream(name, value):
@@ -100,9 +101,9 @@
 class _Adapter:
     """Platform adapter of a daemon; a configuration is a version number."""
 
+    decode_table: object
     names: HeaderNames = field(default_factory=HeaderNames)
     codec: PlainCodec = field(default_factory=PlainCodec)
-    decode_table: object = _table
     decode_upstream: object = _upstream
 
 
@@ -172,7 +173,7 @@
                 **world.bounds,
             ),
             self.path,
-            _Adapter(),
+            _Adapter(partial(_table, world.by_host)),
             Random(name),
             world.clock.seconds,
             log,
@@ -240,6 +241,8 @@
         Whether an upstream is registered from the start, which runs nothing.
     era : int or None
         The era that the store states at first.
+    by_host : dict or None
+        Routes of each configuration by host name; None for no routes.
     bounds : dict
         Settings of the hosts, by name.
 
@@ -258,6 +261,7 @@
 
     __slots__ = (
         'bounds',
+        'by_host',
         'clock',
         'cut',
         'hosts',
@@ -268,9 +272,17 @@
     )
 
     def __init__(
-        self, count, domains=1, *, has_upstream=True, era=None, **bounds
+        self,
+        count,
+        domains=1,
+        *,
+        has_upstream=True,
+        era=None,
+        by_host=None,
+        **bounds,
     ):
         self.bounds = bounds
+        self.by_host = by_host or {}
         self.cut = set()
         self.sides = {}
         self.clock = VirtualReactor()
--- a/pollenstile/bench/_streamcallers.py
+++ b/pollenstile/bench/_streamcallers.py
@@ -100,6 +100,8 @@
         The try that brought the first event; empty before it.
     last : int
         Number of the last event.
+    tries : int
+        Most tries.
     answers : list of TryAnswer
         Answers to its tries.
     """
@@ -112,6 +114,7 @@
         'last',
         'origin',
         'team',
+        'tries',
         'world',
     )
 
@@ -123,6 +126,7 @@
         self.team = 'team'
         self.origin = ''
         self.last = 0
+        self.tries = _MAX_TRIES
         self.answers = []
 
     def send(self):
@@ -132,10 +136,14 @@
                 self.world.later(_NO_HOST_SECONDS, self.send)
             return
         ident = f'{self.ident}-{len(self.answers)}'
-        answer = TryAnswer(self._on_end)
+        answer = self.new_answer()
         self.answers.append(answer)
         self.world.send_try(self, ident, answer)
 
+    def new_answer(self):
+        """Return the answer of the next try, before it begins."""
+        return TryAnswer(self._on_end)
+
     def versions(self):
         """Return the software versions of all received events."""
         return {
@@ -182,7 +190,7 @@
             self.origin = self.origin or (
                 f'{self.ident}-{len(self.answers) - 1}'
             )
-        if answer.end == 'whole' or len(self.answers) >= _MAX_TRIES:
+        if answer.end == 'whole' or len(self.answers) >= self.tries:
             return
         pause = self._pause(answer.refusal)
         if self.world.now() + pause < self.ends:
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -11,20 +11,18 @@
 
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred
-
-from pollenstile.forward import BodyEnd, HeaderNames, Lost, NotRun, ProbeResult
-from pollenstile.standin.exchanges import Head, StubCall
+from pollenstile.forward import BodyEnd, HeaderNames, NotRun
+from pollenstile.standin._pausing import PausableTimers
+from pollenstile.standin._upstreamcalls import LATENCY_SECONDS, UpstreamClient
+from pollenstile.standin.exchanges import Head
 
 NAMES = HeaderNames()
-# One-way latency between a host and an upstream.
-_LATENCY_SECONDS = 0.001
 # Time from the start of a request to its first event.
 _FIRST_EVENT_SECONDS = 0.1
 # Time from the start of a crashing request to the crash.
 _CRASH_SECONDS = 0.06
-# Time between events.
-_EVENT_GAP_SECONDS = 0.1
+# Time between events, and the work of one.
+EVENT_GAP_SECONDS = 0.1
 # Time from a crash to the expiry of the upstream's entry.
 _EXPIRY_SECONDS = 3.0
 # Time from a crash to the restart.
@@ -35,12 +33,26 @@
 
 @dataclass(slots=True, frozen=True)
 class Arrival:
-    """A request that an upstream accepted."""
+    """A request that an upstream accepted.
+
+    Parameters
+    ==========
+
+    at : float
+        Time in seconds at which it reached the upstream.
+    host, upstream : str
+        Its sender, and the incarnation.
+    body : bytes
+        Its body.
+    request : str
+        Its identifier.
+    """
 
     at: float
     host: str
     upstream: str
     body: bytes
+    request: str = ''
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,38 +64,11 @@
     body: bytes
 
 
-class _Call(StubCall):
-    """One request of a host in flight."""
-
-    def __init__(self, host, address, headers, body):
-        super().__init__(address, headers)
-        self.host = host
-        self.body = body
-
-    def receive_head(self, outcome):
-        """Pass the head, or the failure to get one, to the host."""
-        if not self.cancelled and not self.head.called:
-            self.head.callback(outcome)
-
-    def break_connection(self):
-        """Report a broken connection to the host."""
-        if self.cancelled:
-            return
-        if not self.head.called:
-            self.receive_head(Lost('ConnectionLost', self.address, broken=True))
-            return
-        self.end(BodyEnd.BROKEN)
-
-    def end(self, how):
-        """Report the end of the body to the host."""
-        if not self.cancelled and self.on_end is not None:
-            self.on_end(how)
-
-
 class _Process:
     """One incarnation of an upstream."""
 
-    def __init__(self, ident, address, domain, software):
+    def __init__(self, clock, ident, address, domain, software):
+        self.timers = PausableTimers(clock)
         self.ident = ident
         self.address = address
         self.domain = domain
@@ -92,6 +77,40 @@
         self.running = 0
         self.waiting = []
 
+    @property
+    def is_paused(self):
+        """Whether the process stands still."""
+        return self.timers.paused_until is not None
+
+
+def _entry(process, slots, *, leaving=False):
+    """Return the entry with which a process registers itself."""
+    return {
+        'address': process.address,
+        'domain': process.domain,
+        'slots': max(1, slots),
+        'software': process.software,
+        'leaving': leaving,
+    }
+
+
+def _arrival(process, call, reached_at):
+    request = call.headers[NAMES.attempt].decode()
+    return Arrival(reached_at, call.host, process.ident, call.body, request)
+
+
+def _break_connections(clock, process):
+    # What it has not read is lost with it.
+    process.timers.resume()
+    for call in process.calls:
+        clock.callLater(LATENCY_SECONDS, call.break_connection)
+
+
+def _pass_on_event(process, call, number):
+    if call.is_open_to_host():
+        data = process.software.encode() or b'x'
+        call.on_data(b'id: %d\ndata: %s\n\n' % (number, data))
+
 
 class CrashingUpstreams:
     """Upstreams of one service, spread over failure domains.
@@ -118,7 +137,13 @@
     processes : dict
         Running process by address, or None after a crash.
     arrivals : list of Arrival
-        Requests that reached the expected incarnation, in order.
+        Requests that the expected incarnation has read, in order.
+    held : list of Arrival
+        Requests that reached an upstream while it stood still.
+    events_made : int
+        Events that upstreams have made for answers, passed on or not.
+    answers_whole : bool
+        Whether an answer is sent at the end of its run instead of in parts.
     crashes : list of Crash
         Crashes, in order.
     """
@@ -131,39 +156,53 @@
         self.slots = slots
         self.processes = {}
         self.arrivals = []
+        self.held = []
+        self.events_made = 0
+        self.answers_whole = False
         self.crashes = []
         self.started = 0
 
     def start(self, address, domain, software=''):
         """Start an upstream of a software version at an address."""
         self.started += 1
-        process = _Process(f'i{self.started}', address, domain, software)
+        ident = f'i{self.started}'
+        process = _Process(self.clock, ident, address, domain, software)
         self.processes[address] = process
-        self._write_entry(process)
+        self.write(process.ident, _entry(process, self.slots))
+
+    def pause(self, address, seconds):
+        """Let an upstream stand still; it then goes on where it was.
+
+        Explanation
+        ===========
+
+        Meanwhile it sends nothing and reads nothing. Connections to it are
+        still accepted, and it notices a closed one when it goes on.
+
+        Parameters
+        ==========
+
+        seconds : float
+            Time until it goes on; infinite for good.
+        """
+        process = self.processes.get(address)
+        if process is not None:
+            process.timers.pause(seconds)
 
     def leave(self, address):
         """Mark the upstream at an address as leaving in its entry."""
-        self._write_entry(self.processes[address], leaving=True)
+        process = self.processes[address]
+        self.write(process.ident, _entry(process, self.slots, leaving=True))
 
     def end(self, address):
         """End the upstream at an address, which does not start again."""
         process = self.processes.pop(address)
-        self._break_connections(process)
+        _break_connections(self.clock, process)
         self.write(process.ident, None)
 
-    def _write_entry(self, process, *, leaving=False):
-        entry = {
-            'address': process.address,
-            'domain': process.domain,
-            'slots': max(1, self.slots),
-            'software': process.software,
-            'leaving': leaving,
-        }
-        self.write(process.ident, entry)
-
     def client_of(self, host):
         """Return the client that a host sends with."""
-        return _Client(self, host)
+        return UpstreamClient(self, host)
 
     def running(self):
         """Return the running processes."""
@@ -180,7 +219,7 @@
         self.processes[process.address] = None
         now = self.clock.seconds()
         self.crashes.append(Crash(now, process.ident, body))
-        self._break_connections(process)
+        _break_connections(self.clock, process)
         call_later = self.clock.callLater
         call_later(_EXPIRY_SECONDS, self.write, process.ident, None)
         call_later(
@@ -191,10 +230,6 @@
             process.software,
         )
 
-    def _break_connections(self, process):
-        for call in process.calls:
-            self.clock.callLater(_LATENCY_SECONDS, call.break_connection)
-
     def accept_connection(self, call):
         """Accept a connection, or refuse it if no process is listening."""
         if call.cancelled:
@@ -208,23 +243,32 @@
             call.receive_head(refusal)
             return
         call.sent = True
-        self.clock.callLater(_LATENCY_SECONDS, self._receive, call)
+        self.clock.callLater(LATENCY_SECONDS, self._receive, call)
 
     def _receive(self, call):
         process = self.processes.get(call.address)
         if process is None:
-            self.clock.callLater(_LATENCY_SECONDS, call.break_connection)
+            self.clock.callLater(LATENCY_SECONDS, call.break_connection)
+            return
+        if not process.is_paused:
+            self._read(process, call, self.clock.seconds())
+            return
+        self.held.append(_arrival(process, call, self.clock.seconds()))
+        process.timers.later(0, self._read, process, call, self.clock.seconds())
+
+    def _read(self, process, call, reached_at):
+        """Let an upstream read a request that has reached it."""
+        if self.processes.get(process.address) is not process:
+            self.clock.callLater(LATENCY_SECONDS, call.break_connection)
             return
         expected = call.headers[NAMES.expect].decode()
         if expected != process.ident:
             call.receive_head(Head(_MISDIRECTED, {NAMES.not_run: ['1']}))
             return
-        now = self.clock.seconds()
-        arrival = Arrival(now, call.host, process.ident, call.body)
-        self.arrivals.append(arrival)
+        self.arrivals.append(_arrival(process, call, reached_at))
         refusal = self.refusal(process, call)
         if refusal is not None:
-            self.clock.callLater(_LATENCY_SECONDS, call.receive_head, refusal)
+            self.clock.callLater(LATENCY_SECONDS, call.receive_head, refusal)
             return
         process.calls.append(call)
         process.waiting.append(call)
@@ -238,10 +282,13 @@
         process.running += 1
         call = process.waiting.pop(0)
         if self.is_crashing(call.body):
-            self.clock.callLater(_CRASH_SECONDS, self.crash, process, call.body)
+            process.timers.later(_CRASH_SECONDS, self.crash, process, call.body)
             return
-        self.clock.callLater(
-            _FIRST_EVENT_SECONDS, self._send_head, process, call
+        process.timers.later(
+            self.work if self.answers_whole else _FIRST_EVENT_SECONDS,
+            self._send_head,
+            process,
+            call,
         )
 
     def refusal(self, process, call):
@@ -258,9 +305,9 @@
         """Return whether a call goes on; free its slot if it does not."""
         if self.processes.get(process.address) is not process:
             return False
-        if call.cancelled:
+        if call.is_closed:
             self._end_run(process, call)
-        return not call.cancelled
+        return not call.is_closed
 
     def _end_run(self, process, call):
         process.calls.remove(call)
@@ -277,43 +324,18 @@
     def _send_event(self, process, call, number):
         if not self._is_running(process, call):
             return
-        data = process.software.encode() or b'x'
-        call.on_data(b'id: %d\ndata: %s\n\n' % (number, data))
-        if number * _EVENT_GAP_SECONDS < self.work:
-            self.clock.callLater(
-                _EVENT_GAP_SECONDS, self._send_event, process, call, number + 1
+        # A stream may be taken up after its last event.
+        if (number - 1) * EVENT_GAP_SECONDS < self.work:
+            self.events_made += 1
+            _pass_on_event(process, call, number)
+        if number * EVENT_GAP_SECONDS < self.work:
+            process.timers.later(
+                0 if self.answers_whole else EVENT_GAP_SECONDS,
+                self._send_event,
+                process,
+                call,
+                number + 1,
             )
             return
         self._end_run(process, call)
         call.end(BodyEnd.COMPLETE)
-
-
-class _Client:
-    """Client that sends the requests of one host."""
-
-    def __init__(self, upstreams, host):
-        self.upstreams = upstreams
-        self.host = host
-
-    def send(self, address, method, target, headers, body):
-        """Send a request once and return its call."""
-        call = _Call(self.host, address, headers, body)
-        upstreams = self.upstreams
-        upstreams.clock.callLater(
-            2 * _LATENCY_SECONDS, upstreams.accept_connection, call
-        )
-        return call
-
-    def probe(self, address):
-        """Return a Deferred of the address's ``ProbeResult``."""
-        done = Deferred()
-        self.upstreams.clock.callLater(
-            2 * _LATENCY_SECONDS, self._finish_probe, address, done
-        )
-        return done
-
-    def _finish_probe(self, address, done):
-        is_listening = self.upstreams.processes.get(address) is not None
-        done.callback(
-            ProbeResult.ACCEPTED if is_listening else ProbeResult.REFUSED
-        )
--- a/tools/check.py
+++ b/tools/check.py
@@ -37,6 +37,7 @@
 _CRASH_FEATURES = (
     'features/brittle.feature',
     'features/quarantine.feature',
+    'features/silences.feature',
 )
 _PART_FEATURES = (
     'features/deadly_parts.feature',
