--- a/pollenstile/standin/_pausing.py
+++ b/pollenstile/standin/_pausing.py
@@ -25,8 +25,8 @@
     >>> timers = PausableTimers(clock)
     >>> timers.later(1.0, print, 'an event')
     >>> timers.pause(2.0)
-    >>> clock.advance(2.5)
-    >>> clock.advance(0.5)
+    >>> clock.advance(2.0)
+    >>> clock.advance(1.0)
     an event
     """
 
