forward: what is sent beside a silent attempt goes to an upstream that was heard

Another attempt now goes to an upstream that has sent something since the silence began, where there is one. A request that has not begun, and beside which nothing can be sent for want of attempts or budget, is handed back (502) after half of its time if others of the service are heard: its caller may try again.

With two attempts, both connections of a request can be lost; the scenario of silent connections now asserts that every caller has its whole answer, and that no first answer ends while one of its connections is sound.

--- a/features/silences.feature
+++ b/features/silences.feature
@@ -27,7 +27,8 @@
   Scenario: A request goes on elsewhere when its connection is silent for good
     The opposite case: a connection that is lost while its upstream serves others.
     When single connections are silent for good
-    Then no first answer of a silence is cut off or refused
+    Then each caller of a silence has its whole answer in its time
+    And no first answer is cut off or refused while one of its connections is sound
 
   Scenario Outline: Silences cost no rule: <silence>
     Guards against answers of two attempts that are joined wrongly, and floods of repeats.
--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -148,3 +148,39 @@
     And 1.4 seconds of forwarding pass
     And forwarded send 0 breaks
     Then its stage work is due again before its deadline
+
+  Scenario: The send beside a silent one goes to an upstream that was heard since
+    Given a forwarded "resumable" request
+    When forwarded send 0 streams events 1 to 2 and half of the next
+    And 1.4 seconds of forwarding pass
+    And another upstream is heard
+    And 0.3 seconds of forwarding pass
+    Then forwarded send 1 is made beside send 0, after event 2
+    And forwarded send 1 is at the upstream that was heard
+
+  Scenario: A request without a beginning is handed back while others are served
+    Nothing may be sent beside it, and its caller has time for another try.
+    Given a forwarded "idempotent" request
+    And no forwarded retries are left
+    When 1.8 seconds of forwarding pass
+    And another upstream is heard
+    And 0.4 seconds of forwarding pass
+    Then the caller of the forwarded request gets 502
+    And forwarded send 0 was closed
+
+  Scenario: A request is not handed back while nothing else is heard
+    Given a forwarded "idempotent" request
+    And no forwarded retries are left
+    When 2.8 seconds of forwarding pass
+    And forwarded send 0 is answered 200 completely
+    Then the caller of the forwarded request gets a complete 200
+
+  Scenario: A stream that has begun is not handed back
+    Given a forwarded "resumable" request
+    And no forwarded retries are left
+    When forwarded send 0 streams events 1 to 2 and half of the next
+    And 1.8 seconds of forwarding pass
+    And another upstream is heard
+    And 1.0 seconds of forwarding pass
+    And forwarded send 0 goes on to event 5 and ends
+    Then the caller of the forwarded request has all events 1 to 5
--- a/features/steps/silences_steps.py
+++ b/features/steps/silences_steps.py
@@ -58,6 +58,18 @@
         assert all(caller.is_whole() for caller in world.callers)
 
 
+@then(
+    'no first answer is cut off or refused while one of its connections is sound'
+)
+def then_none_lost_while_sound(context):
+    for world in context.worlds:
+        hopeless = world.lost_attempts()
+        for caller in world.callers:
+            first = caller.answers[0]
+            if first.end in {'broken', 'refused'}:
+                assert f'{caller.ident}-0' in hopeless, caller.ident
+
+
 @then('each caller of a silence has its whole answer in its time')
 def then_served(context):
     for world in context.worlds:
--- a/features/steps/silent_attempts_steps.py
+++ b/features/steps/silent_attempts_steps.py
@@ -51,6 +51,15 @@
     context.story.clock.advance(seconds)
 
 
+@when('another upstream is heard')
+def when_heard(context):
+    view = context.story.registry.usable(SERVICE)[-1]
+    if view.address == context.story.calls[0].address:
+        view = context.story.registry.usable(SERVICE)[0]
+    context.heard = view
+    view.heard_at = context.story.clock.seconds()
+
+
 @when('the caller of the forwarded request stops reading')
 def when_stops_reading(context):
     context.story.answer.producer.pauseProducing()
@@ -83,6 +92,11 @@
     assert not context.story.calls[place].cancelled
 
 
+@then('forwarded send {place:d} is at the upstream that was heard')
+def then_at_heard(context, place):
+    assert context.story.calls[place].address == context.heard.address
+
+
 def _chosen_idents(context):
     views = context.story.registry.usable(SERVICE)
     now = context.story.clock.seconds()
--- a/pollenstile/bench/_silenceworld.py
+++ b/pollenstile/bench/_silenceworld.py
@@ -1,5 +1,6 @@
 """Simulate entry hosts over upstreams that fall silent and go on."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from pollenstile.bench._crashworld import RETRY_SLACK
@@ -29,8 +30,18 @@
 _RATIO = 0.1
 _WINDOW_SECONDS = 10.0
 _IDENT_BITS = 64
+# Time without an event after which a caller leaves a stream, as a multiple of
+# the target latency and of the pause, and its minimum.
+_LEAVE_AIMS = 4
+_LEAVE_PAUSES = 8
+_MIN_LEAVE_SECONDS = 2.0
 # Seconds between two looks whether all callers have ended.
 _IDLE_STEP_SECONDS = 0.25
+_LEAVE_SECONDS = max(
+    _MIN_LEAVE_SECONDS,
+    _LEAVE_AIMS * _AIM_SECONDS,
+    _LEAVE_PAUSES * _PAUSE_SECONDS,
+)
 
 
 def _route(kind, attempts=1, *, resumable=False):
@@ -85,6 +96,8 @@
     Attributes
     ==========
 
+    began : float
+        Time on the clock of the try.
     times : list of float
         Times on the clock at which parts came.
     """
@@ -92,6 +105,7 @@
     def __init__(self, on_end, now):
         super().__init__(on_end)
         self.now = now
+        self.began = now()
         self.times = []
 
     def write(self, data):
@@ -100,6 +114,12 @@
             self.times.append(self.now())
         super().write(data)
 
+    def leave(self):
+        """Close the caller's end of the connection."""
+        self.end = 'left'
+        self._report()
+        self.work.cancel()
+
 
 class SilenceCaller(StreamCaller):
     """A caller that notes when its events come.
@@ -124,6 +144,24 @@
         """Return the answer of the next try, before it begins."""
         return TimedAnswer(self._on_end, self.world.now)
 
+    def send(self):
+        """Send the next try, and watch its gaps."""
+        super().send()
+        if self.world.route.kind is Kind.STREAM and self.answers:
+            answer = self.answers[-1]
+            self.world.later(_LEAVE_SECONDS, self._leave_silent, answer)
+
+    def _leave_silent(self, answer):
+        """Leave a stream that has brought nothing for too long."""
+        if answer.end:
+            return
+        heard_at = answer.times[-1] if answer.times else answer.began
+        left = heard_at + _LEAVE_SECONDS - self.world.now()
+        if left > 0:
+            self.world.later(left, self._leave_silent, answer)
+            return
+        answer.leave()
+
     def is_whole(self):
         """Return whether the last try was answered to the end."""
         return self.answers[-1].end == 'whole'
@@ -180,12 +218,15 @@
         The callers, in the order of their first tries.
     calls_at : dict
         Time at which each request came to a host, by identifier.
+    silenced : Counter
+        Connections of each request that fell silent for good, by identifier.
     """
 
-    __slots__ = ('callers', 'calls_at')
+    __slots__ = ('callers', 'calls_at', 'silenced')
 
     def __init__(self, hosts, domains, kind, seed=1):
         self.callers = []
+        self.silenced = Counter()
         self.calls_at = {}
         self.route = ROUTES[kind]
         super().__init__(hosts, hosts, domains, seed=seed)
@@ -272,7 +313,16 @@
             if call.is_open_to_host()
         ]
         if calls:
-            self.rng.choice(calls).silent = True
+            call = self.rng.choice(calls)
+            call.silent = True
+            self.silenced[call.headers[NAMES.attempt].decode()] += 1
+
+    def lost_attempts(self):
+        """Return the requests all of whose connections fell silent."""
+        allowed = self.route.attempts
+        return {
+            ident for ident, count in self.silenced.items() if count >= allowed
+        }
 
     def change_configuration(self):
         """Write the next version of the configuration, without waiting."""
--- a/pollenstile/forward/_contest.py
+++ b/pollenstile/forward/_contest.py
@@ -4,7 +4,7 @@
 from twisted.python.failure import Failure
 
 from pollenstile.forward._outcomes import Delivered, UpstreamFailure
-from pollenstile.forward._types import NotRun
+from pollenstile.forward._types import Lost, NotRun
 
 
 class Contest:
@@ -129,6 +129,13 @@
         """Close all attempts in flight."""
         self._close_others(None)
 
+    def give_up(self):
+        """End the request, as its silent attempts have no chance left."""
+        self.failed = self.leader
+        self.outcome = Lost('silent', self.leader.view.ident)
+        self._close_others(None)
+        self._finish(self.outcome)
+
     def check_over(self):
         """End the contest if nothing is in flight or about to be started."""
         if not self.running and self.failed and not self.is_preparing():
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -31,7 +31,11 @@
 # its stage work has to be done again, or nothing shows that other upstreams of
 # the service answer.
 _PATIENCE_FACTOR = 2.0
+# Share of its time after which a request without a beginning of an answer is
+# handed back to its caller, who may try it again while others are answered.
+_HAND_BACK_SHARE = 0.5
 # Reasons for which nothing is sent beside a silent attempt for now.
+NOT_REPEATABLE = 'not repeatable'
 ATTEMPTS_USED = 'attempts used'
 NO_BUDGET = 'no budget'
 NO_RESULTS = 'no stage results'
@@ -149,20 +153,51 @@
         awaited.
     """
     is_resumable = route.kind is Kind.STREAM or not resumed
-    may_send = route.repeatable and may_repeat and is_resumable
-    if not may_send or state.runs >= route.attempts:
-        return ATTEMPTS_USED
-    if state.sends >= _MAX_SENDS:
+    if not (route.repeatable and may_repeat and is_resumable):
+        return NOT_REPEATABLE
+    if state.runs >= route.attempts or state.sends >= _MAX_SENDS:
         return ATTEMPTS_USED
     if not has_budget:
         return NO_BUDGET
-    if state.silent_seconds >= _PATIENCE_FACTOR * state.limit:
+    if state.is_long():
         return ''
+    return _reason_to_wait(has_results=has_results, is_heard=is_heard)
+
+
+def _reason_to_wait(*, has_results, is_heard):
     if not has_results:
         return NO_RESULTS
     return '' if is_heard else ALL_SILENT
 
 
+def should_hand_back(obstacle, state, spent_share, *, begun, is_heard):
+    """Return whether a request whose attempts are silent is given up.
+
+    Explanation
+    ===========
+
+    An answer that has begun is never given up for a silence, nor is a request
+    that may run only once.
+
+    Parameters
+    ==========
+
+    obstacle : str
+        Why no attempt is sent beside the silent ones.
+    state : SilentState
+        The attempts of the request and their silence.
+    spent_share : float
+        Part of the request's time that has passed.
+    begun : bool
+        Whether a part of the answer was passed on.
+    is_heard : bool
+        Whether another upstream of the service has been heard since.
+    """
+    if begun or not is_heard or obstacle not in {ATTEMPTS_USED, NO_BUDGET}:
+        return False
+    return state.is_long() and spent_share >= _HAND_BACK_SHARE
+
+
 @dataclass(slots=True, frozen=True)
 class SilentState:
     """The attempts of a request when all of them are silent.
@@ -182,6 +217,10 @@
     silent_seconds: float
     limit: float
 
+    def is_long(self):
+        """Return whether the silence is well over its limit."""
+        return self.silent_seconds >= _PATIENCE_FACTOR * self.limit
+
 
 def final_refusal(outcome, runs, rng, wait=0.0):
     """Return the final :class:`Refusal` after the last attempt.
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -239,7 +239,7 @@
             self.core.copies.end_turn(fingerprint)
 
     async def _send_once(self, inputs):
-        view = await _next_view(self, inputs)
+        view = await _next_view(self, inputs, self.tried)
         if isinstance(view, (NotRun, Refusal)):
             self._give_up(view)
             return False
@@ -367,7 +367,7 @@
     return outcome
 
 
-async def _next_view(run, inputs):
+async def _next_view(run, inputs, avoided):
     """Return the next upstream of a request, or why it is not sent.
 
     Explanation
@@ -377,9 +377,17 @@
     while the request cannot have run and no part of an answer was sent: after
     that a refusal would wrongly state that it did not run, or cut the answer
     off. Both may change while the request waits for permission.
+
+    Parameters
+    ==========
+
+    inputs : dict
+        Bytes of its stage results by failure domain.
+    avoided : list of str
+        Identifiers of upstreams that it is not sent to.
     """
-    await await_reports(run.core, run.exchange, run.tried)
-    limited = await await_permission(run.core, run.exchange, run.tried, inputs)
+    await await_reports(run.core, run.exchange, avoided)
+    limited = await await_permission(run.core, run.exchange, avoided, inputs)
     refusal = quarantine_refusal(run.core, run.exchange) or limited
     if refusal is not None:
         return refusal
@@ -388,7 +396,7 @@
         refusal = await _recheck(run.core, run.exchange)
         if refusal is not None:
             return refusal
-    return select_view(run.core, run.exchange, run.tried, inputs)
+    return select_view(run.core, run.exchange, avoided, inputs)
 
 
 async def _recheck(core, exchange):
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -3,8 +3,9 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from pollenstile.forward._decisions import (
-    ATTEMPTS_USED,
+    NOT_REPEATABLE,
     SilentState,
+    should_hand_back,
     standby_obstacle,
 )
 from pollenstile.forward._request_log import log_standby
@@ -37,8 +38,9 @@
     run : Run
         The request.
     next_view : function
-        Takes the run and the bytes of its inputs; returns a Deferred of the
-        upstream for the next attempt, or why there is none.
+        Takes the run, the bytes of its inputs and the identifiers of upstreams
+        to avoid; returns a Deferred of the upstream for the next attempt, or
+        why there is none.
 
     Attributes
     ==========
@@ -92,7 +94,11 @@
         run = self.run
         if self.preparing is not None or not run.contest.all_silent():
             return
-        obstacle = _obstacle(run)
+        state = _state(run)
+        obstacle = _obstacle(run, state)
+        if _is_hopeless(run, state, obstacle):
+            run.contest.give_up()
+            return
         if obstacle:
             self._hold(obstacle, _LOOK_SECONDS)
             return
@@ -103,7 +109,7 @@
         if reason != self.reason:
             log_standby(self.run, self.run.contest.leader, reason)
         self.reason = reason
-        if reason != ATTEMPTS_USED and self.run.contest.running:
+        if reason != NOT_REPEATABLE and self.run.contest.running:
             self.timer = self.run.core.clock.callLater(seconds, self._look)
 
     async def _send(self):
@@ -112,7 +118,7 @@
         if await run.results.renew() is not None:
             return _NOTHING_HELD
         inputs = run.results.held_bytes()
-        view = await self.next_view(run, inputs)
+        view = await self.next_view(run, inputs, _avoided(run))
         if isinstance(view, (NotRun, Refusal)):
             return view.reason
         if is_silent(view, run.core.clock.seconds()):
@@ -133,18 +139,26 @@
         return None if result.check(CancelledError) else result
 
 
-def _obstacle(run):
-    """Return why no attempt is sent beside the silent ones now, or ``''``."""
-    core = run.core
-    attempts = list(run.contest.running)
-    silences = [attempt.silence for attempt in attempts]
-    shortest = min(silences, key=_silent_seconds)
-    state = SilentState(
+def _state(run):
+    """Return the :class:`SilentState` of a request."""
+    shortest = _shortest(run)
+    return SilentState(
         run.sends,
         run.count_runs() + run.contest.runs_in_flight(),
         shortest.silent_seconds(),
         shortest.limit,
     )
+
+
+def _shortest(run):
+    """Return the watch of the shortest of a request's silences."""
+    silences = [attempt.silence for attempt in run.contest.running]
+    return min(silences, key=_silent_seconds)
+
+
+def _obstacle(run, state):
+    """Return why no attempt is sent beside the silent ones now, or ``''``."""
+    core = run.core
     exchange = run.exchange
     return standby_obstacle(
         exchange.route,
@@ -153,7 +167,21 @@
         may_repeat=not core.quarantine.is_suspect(exchange.fingerprint),
         has_budget=core.budget.remaining(exchange.service) >= 1,
         has_results=run.results.are_held(),
-        is_heard=_is_service_heard(run, attempts, shortest.heard_at),
+        is_heard=_is_service_heard(run, _shortest(run).heard_at),
+    )
+
+
+def _is_hopeless(run, state, obstacle):
+    """Return whether the caller had better try the request again."""
+    exchange = run.exchange
+    now = run.core.clock.seconds()
+    spent = (now - exchange.arrived) / (exchange.ends - exchange.arrived)
+    return should_hand_back(
+        obstacle,
+        state,
+        spent,
+        begun=run.answer.begun,
+        is_heard=bool(_heard_views(run)),
     )
 
 
@@ -161,7 +189,29 @@
     return silence.silent_seconds()
 
 
-def _is_service_heard(run, attempts, since):
+def _avoided(run):
+    """Return the identifiers of upstreams that are not to be tried.
+
+    Explanation
+    ===========
+
+    An upstream that has been heard since the silence began is known to answer.
+    One that has not may be silent too, and the request's last attempt would be
+    lost to it. Only where none has been heard may it be any.
+    """
+    exchange = run.exchange
+    since = max(
+        (attempt.silence.heard_at for attempt in run.contest.running),
+        default=0.0,
+    )
+    views = run.core.registry.usable(exchange.service, exchange.software)
+    unheard = {view.ident for view in views if view.heard_at <= since}
+    if all(view.ident in unheard or view.ident in run.tried for view in views):
+        return run.tried
+    return [*run.tried, *unheard]
+
+
+def _is_service_heard(run, since):
     """Return whether other awaited upstreams have sent anything since a time.
 
     Explanation
@@ -169,7 +219,7 @@
 
     If none has, all of them stand still, or this host hears nothing itself.
     """
-    silent = {attempt.view.ident for attempt in attempts}
+    silent = {attempt.view.ident for attempt in run.contest.running}
     awaited = [
         view
         for view in run.core.registry.usable(run.exchange.service)
@@ -178,3 +228,18 @@
     if not awaited:
         return True
     return any(view.heard_at > since for view in awaited)
+
+
+def _heard_views(run):
+    """Return the other upstreams that have sent anything in the silence."""
+    exchange = run.exchange
+    since = max(
+        (attempt.silence.heard_at for attempt in run.contest.running),
+        default=0.0,
+    )
+    views = run.core.registry.usable(exchange.service, exchange.software)
+    return [
+        view
+        for view in views
+        if view.heard_at > since and view.ident not in run.tried
+    ]
