forward: lines and counts of what became of silent attempts

An operator sees how long a silence was, why nothing was sent beside it, which attempt went on with the answer, and how many answers were broken off. No decision differs. Counts: attempts silent, went on, taken over, handed back, answers broken off.

--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -216,10 +216,12 @@
             reason = NotRun('no connection', self.view.ident, arrived=False)
             self.call.head.callback(reason)
             return
+        self.core.silences.silent += 1
         learn_silence(self.view, self.silence.heard_at)
         self.on_silent(self)
 
     def _handle_heard(self, seconds):
+        self.core.silences.went_on += 1
         log_heard(self, seconds)
         self.on_heard(self)
 
--- a/pollenstile/forward/_contest.py
+++ b/pollenstile/forward/_contest.py
@@ -45,7 +45,7 @@
     on_failed : function
         Called with each attempt that has failed.
     on_closed : function
-        Called when an attempt has closed others.
+        Called with an attempt that has closed others, and a list of these.
     is_preparing : function
         Returns whether another attempt is about to be started.
     """
@@ -112,8 +112,7 @@
             self.producer = attempt.silence.backpressure
             self.answer.produce(self.producer)
         if self.is_contested(attempt):
-            self._close_others(attempt)
-            self.on_closed()
+            self.on_closed(attempt, self._close_others(attempt))
 
     def end_production(self):
         """Take the caller's hold off the upstream whose answer has ended."""
@@ -142,12 +141,14 @@
             self._finish(self.outcome)
 
     def _close_others(self, kept):
+        """Close the attempts in flight except one; return them."""
         others = [attempt for attempt in self.running if attempt is not kept]
         for attempt in others:
             work = self.running.pop(attempt)
             self.runs += attempt.may_have_run()
             if work is not None:
                 work.cancel()
+        return others
 
     def _handle_end(self, outcome, attempt):
         if attempt is self.holder:
@@ -175,7 +176,7 @@
     """Do nothing when an attempt has failed."""
 
 
-def _do_nothing():
+def _do_nothing(attempt, closed):
     """Do nothing when an attempt has closed others."""
 
 
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -7,6 +7,7 @@
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._copies import Copies
 from pollenstile.forward._crashes import CrashDetector
+from pollenstile.forward._silence import SilenceCounts
 from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
@@ -74,6 +75,8 @@
         Requests that wait until they may be sent to such an upstream.
     brittle : BrittleShares
         Limits sends to brittle upstreams.
+    silences : SilenceCounts
+        What became of the attempts of silent upstreams.
     """
 
     clock: object
@@ -96,6 +99,7 @@
     copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
+    silences: SilenceCounts = field(default_factory=SilenceCounts)
 
     def __post_init__(self):
         if self.quarantine is None:
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -84,6 +84,12 @@
         core.rates.client.held_back,
     )
     _add_permission_gauges(measures, core.permissions)
+    _add_silence_gauges(measures, core.silences)
+    _add_load_gauges(measures, parts, factory)
+
+
+def _add_load_gauges(measures, parts, factory):
+    """Add gauges of the host's links, queues and requests."""
     measures.gauge(
         'peers',
         'Peers with an open link.',
@@ -101,6 +107,21 @@
     )
 
 
+def _add_silence_gauges(measures, silences):
+    """Add gauges of the attempts whose upstreams fell silent."""
+    helps = {
+        'silent': 'Attempts whose upstream was silent for the limit.',
+        'went_on': 'Silent attempts whose upstream went on.',
+        'taken_over': 'Answers that went on at another upstream.',
+        'handed_back': 'Requests given up for a silence before any answer.',
+        'broken_off': 'Begun answers that ended incomplete, for any reason.',
+    }
+    for name, text in helps.items():
+        measures.gauge(
+            f'attempts_{name}', text, partial(getattr, silences, name)
+        )
+
+
 def _add_permission_gauges(measures, permissions):
     """Add gauges of the upstreams that want no requests."""
     measures.gauges(
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -123,6 +123,27 @@
     )
 
 
+def log_taken_over(run, attempt, closed):
+    """Log that an attempt goes on with the answer of silent ones.
+
+    Parameters
+    ==========
+
+    closed : list of Attempt
+        The other attempts, which were closed.
+    """
+    run.core.log(
+        events.ANSWER_TAKEN_OVER,
+        request=run.exchange.ident,
+        peer=attempt.view.ident,
+        silent=[other.view.ident for other in closed],
+        silent_ms=[
+            int(other.silence.silent_seconds() * _MS) for other in closed
+        ],
+        took_ms=int((run.core.clock.seconds() - attempt.started) * _MS),
+    )
+
+
 def log_standby(run, attempt, reason):
     """Log why no attempt is sent beside a silent one for now.
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -40,6 +40,7 @@
     log_end,
     log_failed,
     log_send,
+    log_taken_over,
 )
 from pollenstile.forward._software import restart_wait, version_refusal
 from pollenstile.forward._stageresults import StageResults
@@ -259,7 +260,7 @@
         self.runs += self.contest.runs
         self.contest = Contest(self.answer)
         self.contest.on_failed = self._handle_failed
-        self.contest.on_closed = self.results.release
+        self.contest.on_closed = self._handle_closed
         self.contest.is_preparing = self.standby.is_preparing
 
     def _handle_failed(self, attempt):
@@ -269,6 +270,13 @@
             log_failed(self, attempt, failed, resend=False)
         self.standby.note_failed(attempt)
 
+    def _handle_closed(self, attempt, closed):
+        """Release the results, which the attempt that goes on has read."""
+        self.results.release()
+        if any(other.silence.is_silent for other in closed):
+            self.core.silences.taken_over += 1
+            log_taken_over(self, attempt, closed)
+
     async def _run_attempt(self, attempt, last_event):
         outcome = await attempt.outcome(last_event)
         if outcome is RESULTS_GONE:
@@ -299,7 +307,7 @@
 
     def _give_up(self, outcome):
         if isinstance(outcome, UpstreamFailure):
-            self._pass_on(outcome)
+            _pass_on(self, outcome)
             return
         if isinstance(outcome, Refusal):
             self._refuse(outcome)
@@ -311,15 +319,6 @@
             final_refusal(outcome, self.count_runs(), self.core.rng, wait)
         )
 
-    def _pass_on(self, failure):
-        if self.answer.begun:
-            self.answer.abort()
-            return
-        self.outcome = f'upstream {failure.status}'
-        self.answer.begin(failure.status, failure.phrase, failure.headers)
-        self.answer.write(failure.body)
-        self.answer.finish()
-
     def _refuse(self, refusal):
         self.refusal = refusal
         self.outcome = 'refused'
@@ -327,6 +326,7 @@
             # Part of an answer was sent. Only an aborted connection shows the
             # caller that it is incomplete.
             self.outcome = 'broken'
+            self.core.silences.broken_off += 1
             self.answer.abort()
             return
         self.answer.refuse(refusal)
@@ -367,6 +367,17 @@
     return outcome
 
 
+def _pass_on(run, failure):
+    """Pass on a complete answer that reports a failure."""
+    if run.answer.begun:
+        run.answer.abort()
+        return
+    run.outcome = f'upstream {failure.status}'
+    run.answer.begin(failure.status, failure.phrase, failure.headers)
+    run.answer.write(failure.body)
+    run.answer.finish()
+
+
 async def _next_view(run, inputs, avoided):
     """Return the next upstream of a request, or why it is not sent.
 
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -1,5 +1,7 @@
 """Detection of upstreams that stop sending."""
 
+from dataclasses import dataclass
+
 # Lateness of a timer from which this host was itself delayed: it has not read
 # what has arrived meanwhile.
 _LATE_SECONDS = 0.1
@@ -129,6 +131,32 @@
         self.on_silent()
 
 
+@dataclass(slots=True)
+class SilenceCounts:
+    """What became of the attempts of silent upstreams, since the start.
+
+    Attributes
+    ==========
+
+    silent : int
+        Attempts whose upstream was silent for the limit.
+    went_on : int
+        Those whose upstream went on.
+    taken_over : int
+        Answers that another attempt has brought or went on with.
+    handed_back : int
+        Requests that were given up so that their callers could try again.
+    broken_off : int
+        Begun answers that ended before they were complete, for any reason.
+    """
+
+    silent: int = 0
+    went_on: int = 0
+    taken_over: int = 0
+    handed_back: int = 0
+    broken_off: int = 0
+
+
 class Backpressure:
     """Producer of an answer's body that the caller's reading pauses.
 
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -97,6 +97,7 @@
         state = _state(run)
         obstacle = _obstacle(run, state)
         if _is_hopeless(run, state, obstacle):
+            run.core.silences.handed_back += 1
             run.contest.give_up()
             return
         if obstacle:
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -119,6 +119,12 @@
     'An attempt is silent, and none is sent beside it for the stated reason; the'
     ' silent one is still awaited.',
 )
+ANSWER_TAKEN_OVER = define(
+    1252,
+    'answer-taken-over',
+    'An attempt has something for the caller before the silent ones, which were'
+    ' closed after `silent_ms`; it was sent `took_ms` ago.',
+)
 UPSTREAM_CRASHED = define(
     1240,
     'upstream-crashed',
