--- a/pollenstile/bench/_stagehosts.py
+++ b/pollenstile/bench/_stagehosts.py
@@ -48,26 +48,29 @@
         Whether the host has lost power.
     """
 
-    __slots__ = ('client', 'dead', 'fleet', 'hub', 'name', 'owners')
+    __slots__ = ('client', 'clock', 'dead', 'fleet', 'hub', 'name', 'owners')
 
     def __init__(self, fleet, name, boot=1):
         self.fleet = fleet
+        self.clock = self.make_clock()
         self.name = name
         self.dead = False
         self.owners = {}
-        self.hub = Hub(
-            fleet.clock,
+        self.hub = self.make_hub(
+            self.clock,
             Random(name),
             Hello(VERSION, MIN_VERSION, name, 'd', name, boot),
             parse_keys('key'),
             fleet.wires.connect_from(name),
-            silent_log,
+            fleet.log,
         )
         self.hub.tick = _TICK_SECONDS
         self.hub.beat_period = _BEAT_SECONDS
         self.hub.silence_limit = _SILENCE_SECONDS
         fleet.wires.hubs[name] = self.hub
-        self.client = StageClient(name, self.hub, fleet.clock, self.owner)
+        self.client = StageClient(
+            name, self.hub, self.clock, self.owner, fleet.log
+        )
         self.client.limits = fleet.services
         self.client.domains = fleet.domains
         StageService(self.client)
@@ -77,11 +80,12 @@
         owner = self.owners.get(service)
         if owner is None:
             owner = Owner(
-                self.fleet.clock,
+                self.clock,
                 service,
-                self._call,
+                self.call,
                 self._free,
-                self.fleet.spend,
+                self.spend,
+                self.fleet.log,
             )
             members = stage_workers(service, self.fleet.count)
             owner.configure(self.fleet.services[service], members)
@@ -95,7 +99,7 @@
         ownership = self.client.ownership
         self.hub.dialer.wanted = ownership.wanted_links(self.fleet.services)
         self.client.review(self.owners, leaving=False)
-        self.fleet.clock.callLater(_REVIEW_SECONDS, self.review)
+        self.clock.callLater(_REVIEW_SECONDS, self.review)
 
     def lose_power(self):
         """End the host without notice: links go silent and calls are lost."""
@@ -103,7 +107,21 @@
         self.fleet.dark.add(self.name)
         self.hub.stopped = True
 
-    def _call(self, worker, pieces, seconds):
+    def make_clock(self):
+        """Return the clock of this host."""
+        return self.fleet.clock
+
+    def make_hub(self, *arguments):
+        """Return the hub of this host."""
+        return Hub(*arguments)
+
+    def spend(self, service, number):
+        """Count retries and allow them all."""
+        self.fleet.budget += number
+        return True
+
+    def call(self, worker, pieces, seconds):
+        """Call an upstream; the Deferred never fires if the host is dead."""
         if self.dead:
             return Deferred()
         upstream = self.fleet.upstreams[worker.address]
@@ -146,6 +164,8 @@
         Pairs of hosts that are partitioned from each other.
     callers : Counter
         The number of upstream calls, by service and calling host.
+    log : function
+        Writes the events of all hosts.
     """
 
     __slots__ = (
@@ -156,6 +176,7 @@
         'dark',
         'domains',
         'hosts',
+        'log',
         'names',
         'parted',
         'services',
@@ -163,8 +184,9 @@
         'wires',
     )
 
-    def __init__(self, services, hosts, latency, count=4):
+    def __init__(self, services, hosts, latency, count=4, log=silent_log):
         self.clock = VirtualClock()
+        self.log = log
         self.services = services
         self.count = count
         self.budget = 0
@@ -176,16 +198,24 @@
         self.domains = {}
         for name, limits in services.items():
             for worker in stage_workers(name, count):
-                self.upstreams[worker.address] = StageUpstream(
-                    self.clock, worker.address, limits
+                self.upstreams[worker.address] = self.make_upstream(
+                    worker.address, limits
                 )
                 self.domains[worker.address] = worker.domain
         self.names = [f'h{number}' for number in range(hosts)]
-        self.hosts = [StageHost(self, name) for name in self.names]
+        self.hosts = [self.make_host(name) for name in self.names]
         for host in self.hosts:
             self._join(host)
         self.advance(_SETTLE_SECONDS)
 
+    def make_upstream(self, address, limits):
+        """Return an upstream."""
+        return StageUpstream(self.clock, address, limits)
+
+    def make_host(self, name, boot=1):
+        """Return a host."""
+        return StageHost(self, name, boot)
+
     def client(self, number):
         """Return the stage client of a running host."""
         living = [host for host in self.hosts if not host.dead]
@@ -219,11 +249,6 @@
         """
         self.clock.callLater(after, self._lose_hosts, share, back_after)
 
-    def spend(self, service, number):
-        """Count retries and allow them all."""
-        self.budget += number
-        return True
-
     def exists(self, handle):
         """Return whether a result is still stored."""
         upstream = self.upstreams.get(handle.partition('/')[0])
@@ -246,7 +271,7 @@
     def restart(self, host):
         """Restart a host that lost power, as a new process of this name."""
         self.dark.discard(host.name)
-        restarted = StageHost(self, host.name, host.hub.hello.boot + 1)
+        restarted = self.make_host(host.name, host.hub.hello.boot + 1)
         self.hosts[self.hosts.index(host)] = restarted
         self._join(restarted)
 
--- a/pollenstile/bench/stages.py
+++ b/pollenstile/bench/stages.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from operator import itemgetter
 
+from pollenstile.bench._silenthosts import SilentFleet
 from pollenstile.bench._stagehosts import HostFleet
 from pollenstile.bench._stageworld import (
     StageFleet,
@@ -126,6 +127,9 @@
 _HOST_NUMBERS = 360
 # Seconds of arrivals in a run in which hosts lose power.
 _LOSS_SECONDS = 16.0
+# Seconds of arrivals in a run with silences, and when these begin.
+_SILENCE_SECONDS = 14.0
+_SILENCES_AT = (4.0, 9.0)
 # One-way latency between two hosts, in seconds.
 _ONE_WAY_SECONDS = 0.0015
 
@@ -200,6 +204,27 @@
     return _simulate(fleet, load, _LOSS_SECONDS, seed)
 
 
+def simulate_silences(load, hosts, silence, seed=1):
+    """Run the repair workload while upstreams, hosts or links stand still.
+
+    Parameters
+    ==========
+
+    silence : function
+        Takes the fleet and a random generator; called twice.
+
+    Returns
+    =======
+
+    list of Served
+    """
+    fleet = SilentFleet(REPAIR.services, hosts, _ONE_WAY_SECONDS)
+    rng = make_random(f'silence {seed}')
+    for after in _SILENCES_AT:
+        fleet.clock.callLater(after, silence, fleet, rng)
+    return _simulate(fleet, load, _SILENCE_SECONDS, seed)
+
+
 def _simulate(fleet, load, seconds, seed):
     rng = make_random(seed)
     start = fleet.clock.seconds()
