stagework: a worker that stood still once is not slow

While stage workers stood still and went on, requests were refused as busy for seconds after it, by queues that were empty: waiting 0, wait_ms 1385, due_ms 1500. A late call entered its worker's speed twice, when it counted as slow and when it ended, with its whole silence: one silence of 1.8 s made all four workers of a stage three times slower in their owner's estimate, and the expected wait with them. Now a call enters once, and a single late one with twice its usual time at most; two late calls in a row count in full, so a worker that is slow is still found at its second call.

--- a/pollenstile/stagework/_batchcall.py
+++ b/pollenstile/stagework/_batchcall.py
@@ -23,6 +23,10 @@
 _MAX_BATCH_HALVINGS = 8
 # Weight of the latest call in a worker's speed.
 _SPEED_SMOOTHING = 0.4
+# Multiple of its expected time that a single late call counts in its worker's
+# speed at most. A worker that stood still once is not slow; one that is slow
+# has two late calls in a row.
+_MAX_SINGLE_RATIO = 2.0
 # Seconds after which a call has fetched its inputs: the transfer takes 3 ms,
 # and a free upstream starts at once. If inputs were held until the call ends,
 # results of the step before would take up memory for four times as long.
@@ -52,6 +56,7 @@
         'expected',
         'owner',
         'size',
+        'slow_seconds',
         'slow_timer',
         'started',
         'worker',
@@ -65,6 +70,7 @@
         self.size = sum(piece.group.result_bytes for piece in batch)
         self.started = owner.clock.seconds()
         self.slow_timer = None
+        self.slow_seconds = 0.0
         self.ended = False
 
     def start(self):
@@ -110,7 +116,7 @@
         self.owner.inputs_read(self.batch)
 
     def _handle_slow(self):
-        self._update_speed(self.owner.clock.seconds() - self.started)
+        self.slow_seconds = self.owner.clock.seconds() - self.started
         self.owner.log(
             events.STAGE_CALL_SLOW,
             level='warning',
@@ -124,7 +130,9 @@
     def _update_speed(self, seconds):
         ratio = seconds / self.expected
         worker = self.worker
-        worker.speed += _SPEED_SMOOTHING * (ratio - worker.speed)
+        counted = min(ratio, max(_MAX_SINGLE_RATIO, worker.last_ratio))
+        worker.last_ratio = ratio
+        worker.speed += _SPEED_SMOOTHING * (counted - worker.speed)
 
     def _finish(self):
         worker = self.worker
@@ -145,7 +153,8 @@
         if isinstance(outcome, CallLost):
             self._handle_lost(outcome, slow=slow)
             return
-        self._update_speed(self.owner.clock.seconds() - self.started)
+        self.worker.answered_at = self.owner.clock.seconds()
+        self._update_speed(self.worker.answered_at - self.started)
         self._update_memory(outcome)
         expires_at = self.owner.clock.seconds() + self.owner.limits.hold_seconds
         for piece, result in zip(self.batch, outcome, strict=True):
@@ -169,6 +178,8 @@
 
     def _handle_lost(self, lost, *, slow):
         worker = self.worker
+        if slow:
+            self._update_speed(self.slow_seconds)
         if worker.asked_until <= self.owner.clock.seconds():
             self._pause_worker()
         self.owner.log(
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -201,6 +201,10 @@
         Calls under way.
     speed : float
         Smoothed ratio of actual to expected call time.
+    last_ratio : float
+        The same ratio of the latest call.
+    answered_at : float
+        Time of its latest answer.
     rest_until : float
         Time before which the worker is not called, after failures.
     failures : int
@@ -228,6 +232,8 @@
     pieces_in_flight: int = 0
     calls: int = 0
     speed: float = 1.0
+    last_ratio: float = 1.0
+    answered_at: float = 0.0
     rest_until: float = 0.0
     failures: int = 0
     busy_until: float = 0.0
