stagework: the silence of all workers is no evidence against one of them

The calls of a stage end at different times, so when all workers stand still, all but one are overdue for some time: that one then counted as the whole stage, and requests were refused as busy with waits of 5 s (32 waiting, four workers). A worker is missed now only if another one has answered since it became overdue. Which worker gets a piece is decided as before: there silence only chooses.

In deciding.feature the worker beside the overdue one now states when it had answered, which its state implied (its call began then); what is asked of the wait and of the pieces is unchanged.

--- a/features/stage_silences.feature
+++ b/features/stage_silences.feature
@@ -18,3 +18,22 @@
     And 0.76 seconds of stage time pass
     And stage call 1 is answered
     Then its stage workers are slow
+
+  Scenario: The silence of all workers is no evidence against one of them
+    Calls end at different times. Once all but one were overdue, that one alone
+    counted as the whole stage: nearly all requests were refused as busy.
+    Given two stage workers of which one is overdue by 1.0 seconds
+    And none has answered since
+    Then behind 8 pieces the wait is that of two workers
+
+  Scenario Outline: Few requests are refused when stage workers stand still
+    The callers have six seconds or more, so nearly all can be answered.
+    When <number> of 12 stage workers stand still for <seconds> seconds, twice
+    Then at most <most> requests are refused
+    And no request waits for ever
+
+    Examples:
+      | number | seconds | most |
+      | 12     | 1.0     | 6    |
+      | 12     | 1.8     | 10   |
+      | 6      | 1.8     | 14   |
--- a/features/steps/deciding_steps.py
+++ b/features/steps/deciding_steps.py
@@ -75,6 +75,8 @@
     for worker in context.workers:
         worker.calls = 1
         worker.busy_until = context.now
+    # The other one answered when its call under way began.
+    context.workers[0].answered_at = context.now - full_seconds(LIMITS)
     context.workers[1].busy_until -= seconds
 
 
--- a/pollenstile/stagework/_waiting.py
+++ b/pollenstile/stagework/_waiting.py
@@ -5,7 +5,7 @@
     call_seconds,
     full_seconds,
 )
-from pollenstile.stagework._workers import effective_workers, is_answering
+from pollenstile.stagework._workers import effective_workers, is_missed
 
 # Share by which each step of urgency lengthens the expected wait: while a group
 # waits, more urgent groups arrive and overtake it, at the rate that caused the
@@ -34,8 +34,8 @@
     first. Without them, the expected wait at a stage without free memory is
     half of the actual one, and requests are admitted that finish too late.
 
-    A worker whose call is long overdue does not answer. If such workers counted
-    as free while the rate excludes them, a failure domain that is cut off would
+    A worker whose call is long overdue while others answer is missed. If such
+    workers counted as free while the rate excludes them, a failure domain that is cut off would
     make the expected wait several times too long, and nearly all callers would
     be refused by a queue that is half empty.
 
@@ -52,7 +52,9 @@
     """
     full = full_seconds(limits)
     answering = [
-        worker for worker in workers if is_answering(worker, full, now)
+        worker
+        for worker in workers
+        if not is_missed(worker, workers, full, now)
     ] or workers
     if not answering:
         return limits.call_seconds * 4
--- a/pollenstile/stagework/_workers.py
+++ b/pollenstile/stagework/_workers.py
@@ -38,6 +38,22 @@
     return worker.rest_until <= now and not (worker.calls and overdue)
 
 
+def is_missed(worker, workers, full, now):
+    """Return whether a worker does not answer although siblings do.
+
+    Explanation
+    ===========
+
+    While all workers are silent, nothing shows that one of them has failed.
+    """
+    if is_answering(worker, full, now):
+        return False
+    if worker.asked_until > now or worker.rest_until > now:
+        return True
+    overdue_at = worker.busy_until + _OVERDUE_CALLS * full
+    return any(sibling.answered_at > overdue_at for sibling in workers)
+
+
 def effective_workers(workers, full):
     """Return the equivalent number of workers of usual speed.
 
