peer: a host that was stopped itself does not take its peers for silent

A host that stood still for over 1.2 s, or whose loop ran that late, found its check of the links due before it read what had arrived: it closed all links at once, and all requests that waited on them ended as lost, though their answers lay in its buffers. Now a check that comes late by 0.2 s or more counts that time as the host's own, for all its links alike, and says so (6008). A peer that is silent for good is closed as many seconds after it as before, less those.

The new scenario failed before (the first link was closed). Peers close the links of a stopped host as before.

--- a/features/peer.feature
+++ b/features/peer.feature
@@ -67,6 +67,17 @@
     Then the peers logged "peer-silent" twice
     And within 20 seconds peer "a" has a new link to "b"
 
+  Scenario: A host that was stopped itself does not take its peers for silent
+    A stopped process finds its checks due before it reads what has arrived, and
+    closed all its links, whose unanswered requests ended as lost.
+    Given peer hosts "a, b"
+    And peer "a" keeps links to "b"
+    When the process of the peers is stopped for 6 seconds
+    And the peers run for 2 seconds
+    Then peer "a" still has its first link to "b"
+    When the peer path is silent for 6 seconds
+    Then the peers logged "peer-silent" twice
+
   Scenario: Peers redial with jitter
     All peers of a host that has returned dial it. Each waits for a random part
     of its backoff, so that they do not dial in one burst.
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -394,6 +394,16 @@
     context.peers.cut = False
 
 
+@when('the process of the peers is stopped for {seconds:d} seconds')
+def step_stopped(context, seconds):
+    context.peers.clock.advance(seconds)
+
+
+@when('the peers run for {seconds:d} seconds')
+def step_run(context, seconds):
+    context.peers.run(seconds)
+
+
 @then('the peers logged "{name}" twice')
 def step_logged_twice(context, name):
     assert context.peers.count(name) == 2, context.peers.events
--- a/pollenstile/peer/_hub.py
+++ b/pollenstile/peer/_hub.py
@@ -11,6 +11,10 @@
 from pollenstile.peer._session import NONCE_BYTES, ProtocolError, Session
 
 _TICK_SECONDS = 0.5
+# Lateness of a check from which the time until it is the host's own silence:
+# its process was stopped or its loop was busy, and what peers sent meanwhile
+# has not been read yet.
+_LATE_SECONDS = 0.2
 _IDLE_SECONDS = 30.0
 _NONCE_BITS = NONCE_BYTES * 8
 
@@ -82,6 +86,7 @@
         'silence_limit',
         'stopped',
         'tick',
+        'tick_due',
         'timer',
     )
 
@@ -101,6 +106,7 @@
         self.tick = _TICK_SECONDS
         self.beat_period = BEAT_PERIOD
         self.silence_limit = SILENCE_LIMIT
+        self.tick_due = None
         self.timer = None
         self.stopped = False
         self.sent = 0
@@ -218,6 +224,7 @@
 
     def _tick(self):
         now = self.clock.seconds()
+        self._excuse_peers(now)
         for link in self.all_links():
             if link.is_silent(now, self.silence_limit):
                 self.log(events.PEER_SILENT, peer=link.address)
@@ -228,8 +235,18 @@
                 self._send_beat(link)
         self.dialer.dial_due(now)
         pause = self.tick * self.random.uniform(0.8, 1.2)
+        self.tick_due = now + pause
         self.timer = self.clock.callLater(pause, self._tick)
 
+    def _excuse_peers(self, now):
+        """Subtract this host's own silence from that of its peers."""
+        late = now - (self.tick_due or now)
+        if late < _LATE_SECONDS:
+            return
+        self.log(events.PEER_LATE, seconds=round(late, 3))
+        for link in self.all_links():
+            link.last_received += late
+
     def _is_idle(self, link, now):
         if not link.is_open or not link.session.dialing:
             return False
--- a/pollenstile/peer/events.py
+++ b/pollenstile/peer/events.py
@@ -42,3 +42,9 @@
     'No peer key is set; this host connects to no other entry host.',
     'Set the peer key on every entry host if there is more than one.',
 )
+PEER_LATE = define(
+    6008,
+    'peer-late',
+    'This host was stopped or busy; its peers do not count as silent for it.',
+    'If frequent, the host lacks processor time.',
+)
--- a/pollenstile/stagework/_waiting.py
+++ b/pollenstile/stagework/_waiting.py
@@ -35,9 +35,9 @@
     half of the actual one, and requests are admitted that finish too late.
 
     A worker whose call is long overdue while others answer is missed. If such
-    workers counted as free while the rate excludes them, a failure domain that is cut off would
-    make the expected wait several times too long, and nearly all callers would
-    be refused by a queue that is half empty.
+    workers counted as free while the rate excludes them, a failure domain that
+    is cut off would make the expected wait several times too long, and nearly
+    all callers would be refused by a queue that is half empty.
 
     Parameters
     ==========
