soak_sound: the checks of silences, on records made by hand

Which lost answers count against a host, and which don't, was only shown by whole live runs, in which a check that sees nothing looks like a sound host.

--- /dev/null
+++ b/features/soak_sound.feature
@@ -0,0 +1,51 @@
+Feature: live soak: requests whose upstreams only stood still
+
+  Scenario Outline: A host that loses such a request is noticed
+    Given a request that ended "<end>" after <seconds> s at an upstream that stood still
+    When "<fault>" struck "<subject>" meanwhile
+    Then the checks of the soak count "<lost>" as lost
+
+    Examples: lost by the host
+      | end      | seconds | fault       | subject   | lost    |
+      | cut off  | 2.0     | nothing     | nobody    | cut off |
+      | 502      | 2.0     | nothing     | nobody    | 502     |
+      | 504      | 2.0     | nothing     | nobody    | 504     |
+      | cut off  | 2.0     | crash       | engines-2 | cut off |
+      | cut off  | 2.0     | stand still | engines-1 | cut off |
+      | cut off  | 2.0     | stop        | h1        | cut off |
+
+    Examples: not lost, or not by the host
+      | end      | seconds | fault             | subject   | lost    |
+      | answered | 2.0     | nothing           | nobody    | nothing |
+      | 503      | 2.0     | nothing           | nobody    | nothing |
+      | cut off  | 4.9     | nothing           | nobody    | nothing |
+      | cut off  | 2.0     | crash             | engines-1 | nothing |
+      | cut off  | 2.0     | silent connection | engines-1 | nothing |
+      | cut off  | 2.0     | pause             | h1        | nothing |
+
+  Scenario: A request whose upstream hangs for good proves nothing
+    Given a request that ended "cut off" after 2 s at an upstream that stood still
+    When its upstream stands still again and never goes on
+    Then the checks of the soak count "nothing" as lost
+
+  Scenario: Refusals while a service only stands still are counted by reason
+    Given a request that ended "503" after 2 s at an upstream that stood still
+    When "nothing" struck "nobody" meanwhile
+    Then the checks of the soak count "busy" as refused
+
+  Scenario Outline: Runs beside each other are noticed once a host can end one
+    Given runs of a request from 0 to <first> s and from 1 to 2.5 s
+    When the first one's upstream stands still from <still> to <on> s
+    Then the checks of the soak count "<wrong>" runs
+
+    Examples: the second goes on at 1 s
+      | first | still | on  | wrong   |
+      | 1.2   | 0.5   | 0.9 | nothing |
+      | 2.0   | 0.5   | 0.9 | beside  |
+      | 2.0   | 0.5   | 1.9 | nothing |
+      | 2.5   | 0.5   | 1.9 | beside  |
+
+  Scenario: A request at more upstreams than its route allows is noticed
+    Given runs of a request from 0 to 0.5 s and from 1 to 2.5 s
+    When the request also runs at a third upstream
+    Then the checks of the soak count "too many" runs
--- /dev/null
+++ b/features/steps/soak_sound_steps.py
@@ -0,0 +1,73 @@
+"""Steps of the checks of a live soak, on records made by hand."""
+
+from behave import given, then, when
+
+from features.builders.soundrecords import (
+    add_fault,
+    add_run,
+    add_silence,
+    records_of,
+)
+from pollenstile.soak.live._sound import count_sound
+
+
+@given(
+    'a request that ended "{end}" after {seconds:g} s at an upstream that stood'
+    ' still'
+)
+def given_request(context, end, seconds):
+    status = int(end) if end.isdigit() else 200
+    context.records = records_of(
+        status, seconds, complete=end == 'answered', body=b'busy\n'
+    )
+    add_run(context.records, 0, 0.0, 0.2)
+    add_silence(context.records, 0, 0.2, seconds - 0.1)
+
+
+@given('runs of a request from 0 to {first:g} s and from 1 to {second:g} s')
+def given_runs(context, first, second):
+    context.records = records_of(seconds=3.0, complete=True)
+    add_run(context.records, 0, 0.0, first)
+    add_run(context.records, 1, 1.0, second)
+
+
+@when('"{fault}" struck "{subject}" meanwhile')
+def when_struck(context, fault, subject):
+    add_fault(context.records, subject, fault)
+
+
+@when('its upstream stands still again and never goes on')
+def when_hangs(context):
+    add_silence(context.records, 0, 1.95)
+
+
+@when("the first one's upstream stands still from {still:g} to {on:g} s")
+def when_stands_still(context, still, on):
+    add_silence(context.records, 0, still, on)
+
+
+@when('the request also runs at a third upstream')
+def when_third(context):
+    add_run(context.records, 2, 2.5, 2.6)
+
+
+def _assert_counted(counts, expected):
+    found = ' '.join(counts) or 'nothing'
+    assert found == expected, found
+
+
+@then('the checks of the soak count "{expected}" as lost')
+def then_lost(context, expected):
+    counts = count_sound(context.records)
+    _assert_counted(counts.lost, expected)
+    assert len(counts.lines) == counts.lost.total()
+
+
+@then('the checks of the soak count "{expected}" as refused')
+def then_refused(context, expected):
+    _assert_counted(count_sound(context.records).refused, expected)
+
+
+@then('the checks of the soak count "{expected}" runs')
+def then_runs(context, expected):
+    _assert_counted(count_sound(context.records).runs, expected)
