--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -52,6 +52,8 @@
 # Seconds for which all engines stand still in each run: streams fall silent for
 # longer than twice the longest pause with which they count as in time.
 _SILENCE_SECONDS = 1.8
+# Seconds from then on for what they have not read meanwhile.
+_AFTER_SILENCE_SECONDS = 1.2
 _CALLER_COUNT = 14
 
 
@@ -197,7 +199,7 @@
     """Let all engines stand still while the configuration changes."""
     await world.configure()
     await stand_together(world, world.servers_of(ENGINES), _SILENCE_SECONDS)
-    await deferLater(world.reactor, _CALM_SECONDS)
+    await deferLater(world.reactor, _AFTER_SILENCE_SECONDS)
 
 
 async def _withdraw_upstreams(world):
