--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -74,8 +74,8 @@
         """Forward bytes subject to the faults of the link."""
         if self.is_closed:
             return
-        if self.silent or self.proxy.still:
-            self.proxy.note_unread(direction, data, is_lost=self.silent)
+        if direction == 'server' and self.proxy.on_sent is not None:
+            self.proxy.on_sent(data, is_lost=self.silent)
         if self.silent:
             return
         if self.proxy.is_blocked(direction):
@@ -175,9 +175,8 @@
         Blocked directions: ``'server'`` and ``'caller'``.
     still : bool
         Whether the server stands still: it reads nothing until it goes on.
-    on_unread : function or None
-        Takes bytes that the server has not read, and ``is_lost``: whether it
-        never will.
+    on_sent : function or None
+        Takes bytes for the server, and ``is_lost``: whether they are dropped.
     """
 
     noisy = False
@@ -188,7 +187,7 @@
         self.delay = 0.0
         self.blocked = set()
         self.still = False
-        self.on_unread = None
+        self.on_sent = None
         self.connections = set()
         self.port = reactor.listenTCP(0, self, 512, LOOPBACK)
         self.address = (LOOPBACK, self.port.getHost().port)
@@ -222,11 +221,6 @@
             self.still and direction == 'server'
         )
 
-    def note_unread(self, direction, data, *, is_lost):
-        """Report bytes that the server has not read."""
-        if self.on_unread is not None and direction == 'server':
-            self.on_unread(data, is_lost=is_lost)
-
     def go_on(self):
         """Let the server read what it has not read while it stood still."""
         self.still = False
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -186,10 +186,8 @@
         Answers by which upstreams want no more requests, in order.
     reached : list of RunRecord
         Requests that reached upstreams, also those that did not run.
-    pieces : list of RunRecord
-        Pieces of requests that reached stage workers.
-    unread : list of RunRecord
-        Requests and pieces sent to upstreams that stood still.
+    sent : list of RunRecord
+        Requests and pieces on their way to upstreams, also those never read.
     lost : set of str
         Identifiers of those whose bytes a connection dropped.
     silences : list of Silence
@@ -217,8 +215,7 @@
     rate_limits: list = field(default_factory=list)
     withdrawals: list = field(default_factory=list)
     reached: list = field(default_factory=list)
-    pieces: list = field(default_factory=list)
-    unread: list = field(default_factory=list)
+    sent: list = field(default_factory=list)
     lost: set = field(default_factory=set)
     silences: list = field(default_factory=list)
     upstreams: dict = field(default_factory=dict)
@@ -232,7 +229,7 @@
     def upstreams_by_ident(self):
         """Return sets of the upstreams that each request was sent to."""
         upstreams = {}
-        for sent in (*self.runs, *self.reached, *self.pieces, *self.unread):
+        for sent in (*self.runs, *self.sent):
             upstreams.setdefault(sent.ident, set()).add(sent.upstream)
         return upstreams
 
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -124,7 +124,7 @@
         self.silences = []
         self.waiting = []
         self.proxy = Proxy(world.reactor)
-        self.proxy.on_unread = self._note_unread
+        self.proxy.on_sent = self._note_sent
         site = disable_access_log(
             Site(_RESOURCES.get(service, _StageResource)(self))
         )
@@ -200,12 +200,12 @@
         else:
             call()
 
-    def _note_unread(self, data, *, is_lost):
+    def _note_sent(self, data, *, is_lost):
         records = self.world.records
         now = self.world.reactor.seconds()
         for found in _IDENT.findall(data):
             ident = found.decode()
-            records.unread.append(RunRecord(ident, self.ident, now))
+            records.sent.append(RunRecord(ident, self.ident, now))
             if is_lost:
                 records.lost.add(ident)
 
@@ -380,11 +380,6 @@
             request.setResponseCode(_FAILED)
             return b''
         pieces = msgspec.json.decode(content)
-        now = self.clock.seconds()
-        self.server.world.records.pieces.extend(
-            RunRecord(piece['request'], self.server.ident, now)
-            for piece in pieces
-        )
         self.server.later(
             self.server.work_seconds(), self._finish_batch, request, pieces
         )
