soak: only hosts that had time left are blamed; a request that nothing has read may have been sent to any upstream

The check had excepted only requests that met a silence. With streams of half a second none reached a deadline, so the former check had no such case.

livemutant has "patience", which ends the attempt at a silent upstream, and "closing", which leaves the attempts beside the one that answers open.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -12,8 +12,10 @@
 import sys
 
 from pollenstile.forward import _configuration, _daemon, _registry, _run
+from pollenstile.forward._contest import Contest
 from pollenstile.forward._decisions import RetryDecision
-from pollenstile.forward._types import Refusal
+from pollenstile.forward._standby import Standby
+from pollenstile.forward._types import Lost, Refusal
 from pollenstile.ops.clock import use_boot_clock
 from pollenstile.ops.main import main
 from pollenstile.ops.running import result_of
@@ -105,7 +107,27 @@
     Origins.find = _find_any
 
 
+def _end_silent(standby, attempt):
+    if attempt.silence.backpressure is None:
+        attempt.call.give_up()
+        attempt.call.head.callback(Lost('silent', attempt.view.ident))
+    else:
+        attempt.silence.backpressure.stopProducing()
+
+
+def without_patience():
+    """End the attempt at an upstream that is silent for its limit."""
+    Standby.note_silent = _end_silent
+
+
+def without_closing():
+    """Let all attempts of a request go on beside the one that answers."""
+    Contest.claim = lambda contest, attempt: None
+
+
 GUARDS = {
+    'patience': without_patience,
+    'closing': without_closing,
     'origins': without_origins,
     'versions': without_versions,
     'leaving': without_leaving,
--- a/features/builders/soundrecords.py
+++ b/features/builders/soundrecords.py
@@ -22,7 +22,8 @@
     record.body = body
     record.complete = complete
     record.ended_at = _SENT_AT + seconds
-    return Records(requests=[record])
+    upstreams = dict.fromkeys(UPSTREAMS, ('here', 0.0))
+    return Records(requests=[record], upstreams=upstreams)
 
 
 def add_run(records, number, began, ended, gap=0.1):
--- a/features/soak_sound.feature
+++ b/features/soak_sound.feature
@@ -28,6 +28,17 @@
     When its upstream stands still again and never goes on
     Then the checks of the soak count "nothing" as lost
 
+  Scenario Outline: A request that reached no upstream may have been sent to any
+    Given a request that ended "502" after 2 s and reached no upstream
+    When "<fault>" struck "<subject>" meanwhile
+    Then the checks of the soak count "<lost>" as lost
+
+    Examples: engines-2 is of its service
+      | fault   | subject   | lost    |
+      | nothing | nobody    | 502     |
+      | crash   | lookup-1  | 502     |
+      | crash   | engines-2 | nothing |
+
   Scenario: Refusals while a service only stands still are counted by reason
     Given a request that ended "503" after 2 s at an upstream that stood still
     When "nothing" struck "nobody" meanwhile
--- a/features/steps/soak_sound_steps.py
+++ b/features/steps/soak_sound_steps.py
@@ -24,6 +24,14 @@
     add_silence(context.records, 0, 0.2, seconds - 0.1)
 
 
+@given(
+    'a request that ended "{status:d}" after {seconds:g} s and reached no'
+    ' upstream'
+)
+def given_unread(context, status, seconds):
+    context.records = records_of(status, seconds)
+
+
 @given('runs of a request from 0 to {first:g} s and from 1 to {second:g} s')
 def given_runs(context, first, second):
     context.records = records_of(seconds=3.0, complete=True)
--- a/pollenstile/soak/live/_sound.py
+++ b/pollenstile/soak/live/_sound.py
@@ -76,7 +76,7 @@
         if record.content.startswith(CRASHING_PREFIX):
             continue
         if record.ended_at and _is_host_sound(record, records):
-            reached = upstreams.get(record.ident, set())
+            reached = _awaited(record, upstreams.get(record.ident, ()), records)
             _count_answer(record, reached, records, counts)
     return counts
 
@@ -91,12 +91,30 @@
     ]
 
 
+def _awaited(record, reached, records):
+    """Return the upstreams that a request may have been sent to.
+
+    Explanation
+    ===========
+
+    A connection that breaks may take a request with it before anything shows
+    which upstream it was for: then it may have been any of the service.
+    """
+    service = _SERVICES[record.kind][0]
+    if any(_service_of(name) == service for name in reached):
+        return set(reached)
+    others = [
+        name for name in records.upstreams if _service_of(name) == service
+    ]
+    return {*reached, *others}
+
+
 def _count_answer(record, reached, records, counts):
     """Count a request of a sound host that met a silence or was lost."""
     silences = _silences_of(record, records)
     if silences:
         counts.met[record.kind] += 1
-    if silences and not _has_time(record):
+    if not _has_time(record):
         return
     loss = _loss_of(record)
     if loss and _are_sound(reached, record, records):
