soak: upstreams that stand still and go on, and a check for answers cut off meanwhile

Nothing else befalls them, and the configuration changes now and then, so an answer that a host ends with more than 0.2 s left is counted as cut off. Streams of one pipeline have a single attempt in these runs.

Requests that were given the stored outcome of another one with their key are left out, and so are keys that could not be claimed.

The cause is the pipeline's limit on the silence of a stream, which ends the last attempt too.

--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -42,6 +42,11 @@
         action='store_true',
         help='let the store come back from older copies of itself',
     )
+    parser.add_argument(
+        '--silences',
+        action='store_true',
+        help='let upstreams stand still and go on, without other faults of them',
+    )
     parser.add_argument(
         '--live',
         action='store_true',
@@ -97,6 +102,7 @@
             arguments.steps,
             event_log(seed=seed),
             returns=arguments.returns,
+            silences=arguments.silences,
         )
         print(_result_line(result))
         if result.violations:
--- a/pollenstile/soak/_checks.py
+++ b/pollenstile/soak/_checks.py
@@ -16,6 +16,8 @@
 # deadline, up to rounding.
 _DEADLINE_TOLERANCE_SECONDS = 0.01
 _NON_IDEMPOTENT_STAGE = 'book'
+# Remaining time in which an upstream that stands still may yet go on.
+_LEFT_SECONDS = 0.2
 
 
 def check_all(world):
@@ -50,6 +52,9 @@
         _check_answer(world, exchange, outcome)
     _check_tokens(world, exchange)
     _check_deadline(world, exchange)
+    # One that ran nothing itself has the outcome of another with its key.
+    if world.records.sound and request.ident in runs:
+        _check_not_cut_off(world, exchange, outcome)
 
 
 def _check_outcome_count(world, exchange):
@@ -142,6 +147,24 @@
     )
 
 
+def _check_not_cut_off(world, exchange, outcome):
+    steps = {stage.name for stage in exchange.request.pipeline.stages}
+    # The callers' own ends, and refusals of keys, name other steps.
+    if getattr(outcome, 'step', '') not in steps:
+        return
+    seconds = exchange.request.deadline - exchange.ended_at
+    if seconds > _LEFT_SECONDS:
+        world.records.violate(
+            'cut-off',
+            exchange.request.ident,
+            tag=outcome.tag,
+            reason=outcome.reason,
+            step=outcome.step,
+            tokens=len(exchange.tokens),
+            seconds=round(seconds, 2),
+        )
+
+
 def _check_single_runs(world, runs):
     for ident, steps in runs.items():
         if steps[_NON_IDEMPOTENT_STAGE] > 1:
--- a/pollenstile/soak/_hosts.py
+++ b/pollenstile/soak/_hosts.py
@@ -188,7 +188,8 @@
         answer = Deferred()
         upstream = self.world.upstreams[name]
         is_up = self.world.links.state(self.name, name) == UP
-        if is_up and not upstream.faults.frozen:
+        is_silent = upstream.faults.frozen or upstream.timers.is_paused
+        if is_up and not is_silent:
             self.process.callLater(
                 _POLL_SECONDS, answer.callback, upstream.load()
             )
--- a/pollenstile/soak/_manifest.py
+++ b/pollenstile/soak/_manifest.py
@@ -19,6 +19,7 @@
 # Pipelines whose last stage has side effects.
 NON_IDEMPOTENT = ('book', 'order')
 TOKENS = 8
+DRAFT_ATTEMPTS = 3
 
 _TEAM_DIGEST = 'ab' * 32
 _UPSTREAM_SLOTS = 4
@@ -52,12 +53,12 @@
     return Stage('book', 'desk', idempotent=False, attempts=1, expect_ms=40)
 
 
-def _pipelines():
+def _pipelines(attempts):
     encode = Stage('encode', 'encoders', hedge=True, expect_ms=30, attempts=3)
     lookup = Stage('lookup', 'encoders', expect_ms=30)
     teams = [TEAM]
     return {
-        'draft': Pipeline(1500, teams, [_generate(attempts=3)]),
+        'draft': Pipeline(1500, teams, [_generate(attempts=attempts)]),
         'answer': Pipeline(2000, teams, [encode, lookup, _generate()]),
         'find': Pipeline(800, teams, [encode], urgency='urgent'),
         'book': Pipeline(
@@ -69,9 +70,17 @@
     }
 
 
-def soak_manifest(revision=0):
+def soak_manifest(revision=0, attempts=DRAFT_ATTEMPTS):
     """Return the manifest; the deadline of one pipeline varies by revision.
 
+    Parameters
+    ==========
+
+    revision : int
+        Number of the configuration.
+    attempts : int
+        Most attempts of the stage of the pipeline ``draft``.
+
     Examples
     ========
 
@@ -79,11 +88,11 @@
     >>> soak_manifest(1).pipelines['draft'].deadline_ms
     1510
     """
-    pipelines = _pipelines()
+    pipelines = _pipelines(attempts)
     draft = pipelines['draft']
     pipelines['draft'] = replace(
         draft,
-        deadline_ms=draft.deadline_ms + 10 * (revision % 20),
+        deadline_ms=draft.deadline_ms + 10 * (revision % 60),
     )
     return Manifest(
         'soak',
--- a/pollenstile/soak/_records.py
+++ b/pollenstile/soak/_records.py
@@ -42,6 +42,8 @@
     calm : bool
         Whether there are no other faults, so that every host must have
         detected that an upstream is leaving.
+    sound : bool
+        Whether nothing befalls the upstreams but that they stand still.
     violations : list of Violation
         Violations found so far.
     """
@@ -51,6 +53,7 @@
         'finished',
         'leaving_since',
         'log',
+        'sound',
         'trace',
         'violations',
     )
@@ -61,6 +64,7 @@
         self.finished = {}
         self.leaving_since = {}
         self.calm = False
+        self.sound = False
         self.violations = []
 
     def violate(self, name, subject, /, **fields):
--- a/pollenstile/soak/_run.py
+++ b/pollenstile/soak/_run.py
@@ -16,7 +16,9 @@
     leave_upstream,
     schedule_returns,
 )
+from pollenstile.soak._manifest import DRAFT_ATTEMPTS
 from pollenstile.soak._records import LEAVING_GRACE_SECONDS
+from pollenstile.soak._silences import SOUND_FAULTS, schedule_silences
 from pollenstile.soak._world import World
 
 _SETTLE_SECONDS = 2.0
@@ -59,7 +61,7 @@
     tail: tuple
 
 
-def run_soak(seed, steps, log=silent_log, *, returns=False):
+def run_soak(seed, steps, log=silent_log, *, returns=False, silences=False):
     """Run hosts, upstreams and callers under random faults.
 
     Parameters
@@ -73,19 +75,27 @@
         Log function for events.
     returns : bool
         Whether the store comes back from older copies of itself.
+    silences : bool
+        Whether upstreams stand still and go on where they were. Then nothing
+        else befalls them, so that no answer may be cut off.
 
     Returns
     =======
 
     SoakResult
     """
-    world = World(seed, log)
+    # An attempt that no other can follow is to be waited for as well.
+    world = World(seed, log, 1 if silences else DRAFT_ATTEMPTS)
+    seconds = _MAX_STEP_SECONDS * steps
     if returns:
-        schedule_returns(world, random.Random(seed), _MAX_STEP_SECONDS * steps)
+        schedule_returns(world, random.Random(seed), seconds)
+    if silences:
+        world.records.sound = True
+        schedule_silences(world, random.Random(seed), seconds)
     Deferred.fromCoroutine(world.apply_configuration())
     advance_exactly(world.clock, _SETTLE_SECONDS)
     for _ in range(steps):
-        _step(world)
+        _step(world, SOUND_FAULTS if silences else FAULTS)
         advance_exactly(world.clock, world.rng.uniform(0, _MAX_STEP_SECONDS))
         if world.records.violations:
             break
@@ -126,10 +136,10 @@
     world.records.calm = False
 
 
-def _step(world):
+def _step(world, faults):
     chance = world.rng.random()
     if chance < _FAULT_SHARE:
-        world.rng.choice(FAULTS)(world)
+        world.rng.choice(faults)(world)
         return
     if chance < _FAULT_SHARE + _REQUEST_SHARE:
         _send_new(world)
--- a/pollenstile/soak/_world.py
+++ b/pollenstile/soak/_world.py
@@ -1,6 +1,7 @@
 """Simulated deployment of one run: hosts, upstreams, store and links."""
 
 import random
+from functools import partial
 
 from twisted.internet.task import Clock
 
@@ -10,7 +11,7 @@
 from pollenstile.peer import VirtualWires
 from pollenstile.soak._channel import Links
 from pollenstile.soak._hosts import Host
-from pollenstile.soak._manifest import soak_manifest
+from pollenstile.soak._manifest import DRAFT_ATTEMPTS, soak_manifest
 from pollenstile.soak._records import Records
 from pollenstile.soak._trace import Trace
 from pollenstile.standin.objectapi import MemoryStore
@@ -39,6 +40,8 @@
         Seed of the run's only random generator.
     log : function
         Log function for events.
+    attempts : int
+        Most attempts of the stage of the pipeline ``draft``.
 
     Attributes
     ==========
@@ -47,6 +50,8 @@
         The running or last :class:`Host` by name.
     former_hosts : list of Host
         Earlier runs of the hosts.
+    manifest_of : function
+        Returns the manifest of a revision.
     former_upstreams : list of VirtualUpstream
         Upstreams that were replaced.
     """
@@ -59,6 +64,7 @@
         'hosts',
         'links',
         'manifest',
+        'manifest_of',
         'network',
         'records',
         'revision',
@@ -70,7 +76,7 @@
         'wires',
     )
 
-    def __init__(self, seed, log):
+    def __init__(self, seed, log, attempts=DRAFT_ATTEMPTS):
         self.clock = Clock()
         # Boot numbers are derived from the start time; 0 means none.
         self.clock.advance(_START_SECONDS)
@@ -82,7 +88,8 @@
         self.former_hosts = []
         self.former_upstreams = []
         self.revision = 0
-        self.manifest = soak_manifest()
+        self.manifest_of = partial(soak_manifest, attempts=attempts)
+        self.manifest = self.manifest_of()
         self.store = MemoryStore(self.clock)
         self.store.latency = STORE_LATENCY_SECONDS
         self.texts = []
@@ -154,7 +161,7 @@
     def apply_configuration(self):
         """Write the next revision of the configuration to the store."""
         self.revision += 1
-        text = text_from_manifest(soak_manifest(self.revision))
+        text = text_from_manifest(self.manifest_of(self.revision))
         self.texts.append(text)
         value = self._newest_value()
         condition = None
--- a/pollenstile/standin/_pausing.py
+++ b/pollenstile/standin/_pausing.py
@@ -23,7 +23,7 @@
     >>> from twisted.internet.task import Clock
     >>> clock = Clock()
     >>> timers = PausableTimers(clock)
-    >>> timers.later(1.0, print, 'an event')
+    >>> timer = timers.later(1.0, print, 'an event')
     >>> timers.pause(2.0)
     >>> clock.advance(2.0)
     >>> clock.advance(1.0)
@@ -39,18 +39,44 @@
         # stands still, the clock's timer while it runs.
         self.pending = {}
 
+    @property
+    def is_paused(self):
+        """Whether the process stands still."""
+        return self.paused_until is not None
+
     def later(self, seconds, call, *arguments):
-        """Call a function after some seconds in which the process runs."""
+        """Call a function after some seconds in which the process runs.
+
+        Returns
+        =======
+
+        object
+            What :meth:`cancel` takes.
+        """
         entry = object()
-        if self.paused_until is None:
+        if self.is_paused:
+            self.pending[entry] = seconds, call, arguments
+        else:
             self._start(entry, seconds, call, arguments)
+        return entry
+
+    def at_once(self, call, *arguments):
+        """Call a function now, or when the process goes on."""
+        if self.is_paused:
+            self.later(0, call, *arguments)
             return
-        self.pending[entry] = seconds, call, arguments
+        call(*arguments)
+
+    def cancel(self, entry):
+        """Cancel a call that :meth:`later` has scheduled."""
+        timer, _, _ = self.pending.pop(entry)
+        if not self.is_paused:
+            timer.cancel()
 
     def pause(self, seconds):
         """Stand still for some seconds from now, infinite for good."""
         now = self.clock.seconds()
-        if self.paused_until is None:
+        if not self.is_paused:
             self.pending = {
                 entry: (max(0.0, timer.getTime() - now), call, arguments)
                 for entry, (timer, call, arguments) in self._stopped()
@@ -61,7 +87,7 @@
 
     def resume(self):
         """Go on at once, if the process stands still."""
-        if self.paused_until is None:
+        if not self.is_paused:
             return
         self.paused_until = None
         waiting = sorted(self.pending.items(), key=_remaining)
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -77,11 +77,6 @@
         self.running = 0
         self.waiting = []
 
-    @property
-    def is_paused(self):
-        """Whether the process stands still."""
-        return self.timers.paused_until is not None
-
 
 def _entry(process, slots, *, leaving=False):
     """Return the entry with which a process registers itself."""
@@ -250,7 +245,7 @@
         if process is None:
             self.clock.callLater(LATENCY_SECONDS, call.break_connection)
             return
-        if not process.is_paused:
+        if not process.timers.is_paused:
             self._read(process, call, self.clock.seconds())
             return
         self.held.append(_arrival(process, call, self.clock.seconds()))
--- a/pollenstile/standin/virtual.py
+++ b/pollenstile/standin/virtual.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass
 
+from pollenstile.standin._pausing import PausableTimers
 from pollenstile.standin._slots import Slots
 from pollenstile.standin.engine import token
 from pollenstile.standin.faults import Faults
@@ -64,6 +65,8 @@
         Attempts that started to run, in order.
     keys : list of tuple
         Idempotency key and step of each run that has a key.
+    timers : PausableTimers
+        Times all that it does; while they are paused, it stands still.
     busy : float
         Total busy time of all slots, in seconds.
     """
@@ -77,6 +80,7 @@
         'name',
         'runs',
         'slots',
+        'timers',
         'times',
     )
 
@@ -86,6 +90,7 @@
         self.kind = kind
         self.slots = Slots(slots, f'{name}-1')
         self.times = times
+        self.timers = PausableTimers(clock)
         self.faults = Faults()
         self.runs = []
         self.keys = []
@@ -150,7 +155,7 @@
         """Schedule the next event, unless the upstream is frozen."""
         if self.upstream.faults.frozen:
             return
-        self.timer = self.upstream.clock.callLater(
+        self.timer = self.upstream.timers.later(
             seconds * self.upstream.faults.slow,
             self.advance,
         )
@@ -219,7 +224,7 @@
         if self.ended:
             return
         if self.timer is not None:
-            self.timer.cancel()
+            self.upstream.timers.cancel(self.timer)
             self.timer = None
         if self.upstream.slots.remove_waiting(self.work):
             self.ended = True
@@ -311,7 +316,7 @@
             self.sink(NotRun('no connection'))
             return
         if state == UP:
-            self.run.arrive()
+            self.run.upstream.timers.at_once(self.run.arrive)
 
     def _deliver(self, event):
         if not self.cancelled and self._state() == UP:
@@ -319,7 +324,7 @@
 
     def _stop(self):
         if self._state() == UP:
-            self.run.stop()
+            self.run.upstream.timers.at_once(self.run.stop)
 
 
 def healthy_network(clock, upstreams, latency=0.001):
