--- a/features/soak.feature
+++ b/features/soak.feature
@@ -27,6 +27,11 @@
       | 2    |
       | 3    |
 
+  Scenario: No answer is cut off while sound upstreams stand still
+    Guards against hosts that take the silence of a living upstream for its end.
+    When soak seeds 1 to 3 of 200 steps are run with silences of upstreams
+    Then no answer of these soaks is cut off, and no other invariant is broken
+
   Scenario Outline: A soak catches a missing guard
     Without the guard that ensures an invariant, some seed must violate this
     invariant. Otherwise the soak could not detect a fault of the guard.
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -38,6 +38,29 @@
     context.result = run_soak(seed, steps, returns=True)
 
 
+@when(
+    'soak seeds {first:d} to {last:d} of {steps:d} steps are run with silences'
+    ' of upstreams'
+)
+def step_run_silences(context, first, last, steps):
+    context.results = [
+        run_soak(seed, steps, silences=True) for seed in range(first, last + 1)
+    ]
+
+
+@then('no answer of these soaks is cut off, and no other invariant is broken')
+def step_none_cut_off(context):
+    violations = {
+        result.seed: result.violations
+        for result in context.results
+        if result.violations
+    }
+    assert not violations, violations
+    for result in context.results:
+        # A run with few answers would test too little.
+        assert result.outcomes['answered'] > 100, result.outcomes
+
+
 @then('no invariant of the soak is broken')
 def step_not_broken(context):
     assert not context.result.violations, context.result.violations
