relay, forward: after a return of the store few hosts of each domain read all

Causes, traced one after the other: an outage of over 1.7 s ends the updates of all followers, so each hears of the new era by a call of its own and forgets what its watches and its loop would go on from; readers that had no store in the outage stay skipped for 3 to 12 s; a host without an answer for 3 s probes the absent store by a full read; and whoever follows again leaves in the settling time, as the reader's proofs are old ("word too old").

Now a host that hears of a return, or whose small probe is answered, forgets what readers said in the outage and waits for up to 1 s for one that has read. A reader that is gone, silent, or three times without the store is passed over, and the next one reads. While answers prove nothing, a reader tells beside the age of its proof that of its last answered call: this keeps followers, and only the proof verifies keys. A reader reads when answers become proofs and answers held requests then. Found beside it: a version of the copy, told by a reader, was taken for one that was written since, as the first revision of the follower was of the era before; its next answer counted as a proof.

Ruled out: nothing but these four keeps hosts reading.

--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -1,7 +1,10 @@
 """Steps for a store that comes back from an older copy of itself."""
 
+from random import Random
+
 from behave import given, then, when
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from pollenstile.bench._domainworld import STEP
 from pollenstile.bench._returnworld import (
@@ -13,9 +16,13 @@
     restart_all,
     usable_at,
 )
-from pollenstile.forward import DRAINED, PEER_KEY
+from pollenstile.forward import DRAINED, PEER_KEY, Configuration
+from pollenstile.forward._configreads import ConfigRead
 from pollenstile.origins import SOFTWARE_KIND
+from pollenstile.platform import Found, position
 from pollenstile.quarantine import QUARANTINE_KIND, QuarantineUpdate, Verdict
+from pollenstile.relay._messages import RelayUpdate
+from pollenstile.routes import RouteTable
 
 # Seconds between the return of the store and the changes after it, at least;
 # late writers need them to write all again.
@@ -498,3 +505,87 @@
     context.world.advance(seconds)
     refusing = hosts_refusing_keys(context.world)
     assert not refusing, refusing
+
+
+@when(
+    'the readers {fault} from the middle of {seconds:g} seconds in which the'
+    ' store loses {lost:d} changes'
+)
+def when_lost_beside_readers(context, fault, seconds, lost):
+    world = context.world
+    world.take_copy()
+    world.change_often(lost)
+    world.advance(1.0)
+    world.stay_away(seconds / 2)
+    for host in world.readers():
+        host.frozen = fault == 'stand still'
+        host.path.refuses = fault == "don't reach the store"
+    world.stay_away(seconds / 2)
+    world.come_back('early')
+
+
+@then('all hosts that the store answers have the newest version in force')
+def then_newest_in_contact(context):
+    world = context.world
+    behind = [
+        host.name
+        for host in world.hosts_in_contact()
+        if host.version != world.newest
+    ]
+    assert len(world.hosts_in_contact()) == 24, len(world.hosts_in_contact())
+    assert not behind, behind
+
+
+@given('a host that has read the store itself')
+def given_read(context):
+    context.clock = Clock()
+    context.configuration = Configuration(
+        None,
+        context.clock,
+        context.clock.seconds,
+        Random(1),
+        RouteTable,
+        5.0,
+    )
+    context.configuration.apply_read(
+        ConfigRead(position(1, 9), changed=True, found=_stored(1, 9, 2)),
+        context.clock.seconds(),
+        is_full=True,
+    )
+
+
+@when(
+    "the store returns, and the host's reader tells it a newer version of the"
+    ' copy'
+)
+def when_told(context):
+    context.clock.advance(1)
+    context.configuration.note_return()
+    found = _stored(2, 8, 3)
+    update = RelayUpdate(
+        'reader',
+        has_store=True,
+        aged=1.0,
+        config_revision=found.version,
+        config=found,
+        config_version=3,
+    )
+    context.configuration.apply_update(update, context.clock.seconds())
+
+
+@then('an answer of the store proves nothing to the host')
+def then_unproved(context):
+    configuration = context.configuration
+    assert configuration.version == 3, configuration.version
+    verified_at = configuration.verified_at
+    context.clock.advance(1)
+    configuration.apply_read(
+        ConfigRead(position(2, 8), changed=False),
+        context.clock.seconds(),
+        is_full=False,
+    )
+    assert configuration.verified_at == verified_at, verified_at
+
+
+def _stored(era, revision, version):
+    return Found('config', 'main', position(era, revision), version)
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -171,3 +171,35 @@
     When the store loses 3 changes in 2.5 seconds, written again early
     And 6 seconds pass after the return
     Then at most 9 hosts have read the configuration in full, and the upstreams
+
+  Scenario Outline: After a return few hosts of each domain read all from the store, away for <seconds> s
+    Hosts that still follow a reader leave it, and hosts that don't probe the store by a full read.
+    Given 30 hosts in 3 failure domains and a store that states its era
+    When the store loses 3 changes in <seconds> seconds, written again early
+    And 6 seconds pass after the return
+    Then at most 9 hosts have read the configuration in full, and the upstreams
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 1.5     |
+      | 4.5     |
+
+  Scenario Outline: After a return hosts whose readers <fault> read the store themselves in time
+    They wait for readers, which read the store first.
+    Given 30 hosts in 3 failure domains and a store that states its era
+    When the readers <fault> from the middle of 2.5 seconds in which the store loses 3 changes
+    And 2 versions are written after it
+    And 2 seconds pass after the return
+    Then all hosts that the store answers have the newest version in force
+
+    Examples:
+      | fault                |
+      | stand still          |
+      | don't reach the store |
+
+  Scenario: A follower that is told a version of the copy takes no answer of the store for a proof
+    Its last own read is of before the return, so the version looks written since.
+    Given a host that has read the store itself
+    When the store returns, and the host's reader tells it a newer version of the copy
+    Then an answer of the store proves nothing to the host
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -221,6 +221,7 @@
     parts.software_record.is_settled = configuration.settling.is_over
     eras.listeners.extend(
         (
+            parts.relay.follower.return_wait.begin,
             configuration.note_return,
             parts.peer_key.note_return,
             partial(parts.members.note_return, rng),
@@ -348,10 +349,16 @@
         is_joining = relayed.is_joining() and age < _JOIN_VERIFIED_SECONDS
         # A valid update of the reader does not always verify the table here:
         # its revision may be older, or one that this host could not decode.
-        is_following = (
+        is_verified = (
             follower.is_following() and age < follower.update_validity_seconds
         )
-        return is_following or is_joining
+        is_settling = (
+            follower.is_following()
+            and configuration.is_settling()
+            and suspend_clock() < follower.expires_at
+        )
+        is_waiting = follower.return_wait.is_on()
+        return is_verified or is_joining or is_settling or is_waiting
 
     loop = configuration.loop
 
@@ -365,6 +372,8 @@
     loop.can_skip_reads = can_skip_reads
     loop.is_answering = store.is_answering
     loop.has_followers = source.is_followed
+    loop.has_reader = follower.return_wait.has_candidate
+    loop.on_probe = follower.return_wait.begin
     return RelayParts(source, follower, readers, relayed)
 
 
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -4,11 +4,13 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._configreads import (
+    ConfigRead,
+    probe_store,
     read_config_changes,
     read_full_config,
 )
 from pollenstile.ops.logs import silent_log
-from pollenstile.platform import Compacted, Unavailable, fork_deferred, paused
+from pollenstile.platform import Changes, Unavailable, fork_deferred, paused
 
 # Time between reads. A change must be in force within 2 s of its write; this
 # period leaves time for one failed read and for the transfer of the answer.
@@ -95,6 +97,13 @@
         Returns whether an answer of the store is being received.
     has_followers : function
         Returns whether other hosts rely on the reads of this one.
+    has_reader : function
+        Returns whether this host could follow another one once the store is
+        back from an outage.
+    on_probe : function
+        Called when a probe has shown that the store is back.
+    is_probed : bool
+        Whether the latest read was an answered probe.
     on_read : function or None
         Called after each read with whether it was answered.
     """
@@ -108,9 +117,12 @@
         'full_read_seconds',
         'full_reads_in_flight',
         'has_followers',
+        'has_reader',
         'is_answering',
+        'is_probed',
         'log',
         'next_check',
+        'on_probe',
         'on_read',
         'random',
         'read_at',
@@ -129,7 +141,10 @@
         self.log = log
         self.can_skip_reads = _never
         self.has_followers = _never
+        self.has_reader = _never
         self.is_answering = _never
+        self.is_probed = False
+        self.on_probe = _ignore
         self.on_read = None
         self.next_check = None
         self.failures = 0
@@ -161,11 +176,15 @@
             if self._may_read():
                 await self._read_or_timeout(hold)
             if self._must_read_again():
+                self.is_probed = False
                 jitter = self.random.uniform(0, _FULL_READ_JITTER_SECONDS)
                 await paused(self.clock, jitter)
                 continue
             spent = self.clock.seconds() - began
             pause = self.random.uniform(0.75, 1) * self._period() - spent
+            proof = self.configuration.settling.until_proof()
+            if proof:
+                pause = min(pause, proof)
             await paused(self.clock, max(0, pause))
 
     def _must_read_again(self):
@@ -177,6 +196,8 @@
         It has compacted them or has returned from an older copy. A store that
         states so each time is read at the usual pace.
         """
+        if self.is_probed:
+            return True
         if self.configuration.known_revision is not None or self.failures:
             return False
         age = self.configuration.suspend_clock() - self.full_read_at
@@ -280,6 +301,8 @@
         configuration = self.configuration
         began = configuration.suspend_clock()
         is_full = self._needs_full_read()
+        is_probe = is_full and _must_probe(self)
+        is_full = is_full and not is_probe
         self.reads_in_flight += 1
         self.full_reads_in_flight += is_full
         if is_full:
@@ -287,12 +310,13 @@
         overdue_check = self.clock.callLater(
             hold + _ANSWER_SECONDS, self._check_overdue
         )
-        if is_full:
+        since = configuration.known_revision
+        if is_probe:
+            outcome = await probe_store(self.store, since)
+        elif is_full:
             outcome = await read_full_config(self.store)
         else:
-            outcome = await read_config_changes(
-                self.store, configuration.known_revision, hold
-            )
+            outcome = await read_config_changes(self.store, since, hold)
         if overdue_check.active():
             overdue_check.cancel()
         self.reads_in_flight -= 1
@@ -302,10 +326,7 @@
         answered = not isinstance(outcome, Unavailable)
         if answered:
             self.read_at = max(self.read_at, began)
-        if isinstance(outcome, Compacted):
-            configuration.known_revision = None
-        elif answered:
-            configuration.apply_read(outcome, began, is_full=is_full)
+            _apply_answer(self, outcome, began, is_full)
         self._record_outcome(outcome, answered=answered)
 
     def _check_overdue(self):
@@ -340,9 +361,40 @@
             self.on_read(answered)
 
 
+def _apply_answer(loop, outcome, began, is_full):
+    """Apply the answer to a read or to a probe."""
+    configuration = loop.configuration
+    if isinstance(outcome, ConfigRead):
+        configuration.apply_read(outcome, began, is_full=is_full)
+        return
+    if isinstance(outcome, Changes):
+        loop.is_probed = True
+        loop.on_probe()
+        return
+    configuration.known_revision = None
+
+
+def _must_probe(loop):
+    """Return whether a small call shows first that the store is back.
+
+    Explanation
+    ===========
+
+    With full reads, the first answer after a long outage would be the whole
+    configuration for each host of a domain. A host that can follow a reader
+    needs none.
+    """
+    is_known = loop.configuration.known_revision is not None
+    return is_known and loop.failures > 0 and loop.has_reader()
+
+
 def _never():
     return False
 
 
+def _ignore():
+    """Ignore that the store is back."""
+
+
 def _ignore_timeout(*_):
     """Replace the timeout of a pause by a normal result."""
--- a/pollenstile/forward/_configreads.py
+++ b/pollenstile/forward/_configreads.py
@@ -6,6 +6,9 @@
 
 KIND = 'config'
 NAME = 'main'
+# A name of that kind that nobody writes.
+_UNUSED_NAME = 'probe'
+_PROBE_HOLD_SECONDS = 0.001
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,6 +55,23 @@
     return ConfigRead(listing.revision, changed=True)
 
 
+async def probe_store(store, since):
+    """Ask for changes of a name that is never written.
+
+    Explanation
+    ===========
+
+    The answer shows in a hundred bytes that the store is back from an outage,
+    and whether it knows the revision.
+
+    Returns
+    =======
+
+    Changes, Compacted or Unavailable
+    """
+    return await store.watched(KIND, since, _UNUSED_NAME, _PROBE_HOLD_SECONDS)
+
+
 async def read_config_changes(store, since, hold):
     """Read the changes of the configuration after a revision.
 
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -167,9 +167,19 @@
         if is_unreachable or self.age() < self.apply_seconds:
             return True
         # While answers of the store prove nothing, the known table is used.
+        return self.is_settling()
+
+    def is_settling(self):
+        """Return whether nothing is proved since a return of the store.
+
+        Explanation
+        ===========
+
+        Soon after answers are proofs again, one has arrived.
+        """
         until = self.settling.until
-        is_settling = self.suspend_clock() < until + self.apply_seconds
-        return is_settling and until > self.verified_at
+        is_recent = self.suspend_clock() < until + self.apply_seconds
+        return is_recent and until > self.verified_at
 
     def note_return(self):
         """Let answers of the store, which is back from a copy, prove nothing.
@@ -328,7 +338,7 @@
             )
             return False
         if self.table is not None and table.version < self.table.version:
-            return self._keep_newer_table(found, table)
+            return _keep_newer_table(self, found, table)
         self.settling.note_written(found.version)
         if self.found is not None and found.value == self.found.value:
             self.found = found
@@ -346,19 +356,6 @@
             self._notify(listener, table)
         return True
 
-    def _keep_newer_table(self, found, table):
-        """Return whether an older stored version leaves the table verified."""
-        returned = era_of(found.version) > era_of(self.revision)
-        self.log(
-            events.CONFIGURATION_KEPT,
-            level='warning',
-            version=self.table.version,
-            stored=table.version,
-            revision=found.version,
-            returned=returned,
-        )
-        return returned
-
     def _notify(self, listener, table):
         try:
             listener(table)
@@ -373,6 +370,20 @@
             )
 
 
+def _keep_newer_table(configuration, found, table):
+    """Return whether an older stored version leaves the table verified."""
+    returned = era_of(found.version) > era_of(configuration.revision)
+    configuration.log(
+        events.CONFIGURATION_KEPT,
+        level='warning',
+        version=configuration.table.version,
+        stored=table.version,
+        revision=found.version,
+        returned=returned,
+    )
+    return returned
+
+
 def _apply_relayed(configuration, found):
     """Apply a reader's configuration.
 
--- a/pollenstile/forward/_settling.py
+++ b/pollenstile/forward/_settling.py
@@ -5,6 +5,8 @@
 # Time after the first answer of a store that came back from an older copy.
 # Until then the operator may not have written again what the copy lacks.
 _REWRITE_SECONDS = 2.0
+# Time beyond it at which a read is sent, so that its answer is a proof.
+_MARGIN_SECONDS = 0.01
 _LONG_AGO = -1000.0
 
 
@@ -47,6 +49,9 @@
     def begin(self):
         """Record that the store has returned from an older copy."""
         self.until = self.suspend_clock() + _REWRITE_SECONDS
+        # What a reader tells of the new era is no own read, after which a write
+        # could be seen.
+        self.first_revision = 0
 
     def end(self):
         """Record that nothing more has to be written again."""
@@ -62,6 +67,11 @@
         if self.first_revision and revision > self.first_revision:
             self.end()
 
+    def until_proof(self):
+        """Return the seconds until answers are proofs again; 0 if they are."""
+        remaining = self.until - self.suspend_clock()
+        return remaining + _MARGIN_SECONDS if remaining > 0 else 0
+
     def is_over(self):
         """Return whether answers to calls of now are proofs."""
         return self.is_proof(self.suspend_clock())
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -15,6 +15,7 @@
     decode_update,
     encode_request,
 )
+from pollenstile.relay._returnwait import ReturnWait
 from pollenstile.relay._skipping import SkippedReaders
 from pollenstile.relay._source import RELAY_SUBJECT
 
@@ -30,6 +31,11 @@
 # skipped. A host that has just become the reader answers so until its first
 # read of the store has succeeded.
 _MAX_NO_STORE_ANSWERS = 2
+# The same number after an outage, in which readers learn one after the other
+# that the store is back.
+_MAX_RETURN_ANSWERS = 3
+# Seconds for which a reader holds a request of a host that waits for it then.
+_RETURN_HOLD_SECONDS = 0.1
 # Delay per rank in the domain's order before a host reads the store itself
 # while the readers are up and the store does not answer them: it is unlikely to
 # answer this host, and the calls of 31 hosts add up. A host that the store
@@ -105,6 +111,9 @@
         Function that applies a :class:`KindUpdate`, by kind.
     note_era : function
         Takes the era of the store that a reader has heard of, or None.
+    return_wait : ReturnWait
+        Whether this host waits for a reader instead of reading a store that is
+        back from an outage.
     """
 
     __slots__ = (
@@ -126,6 +135,7 @@
         'read_turn_at',
         'reader',
         'reader_lacks_store',
+        'return_wait',
         'running',
         'skipped',
         'source',
@@ -159,6 +169,7 @@
         self.no_store_answers = 0
         self.reader_lacks_store = False
         self.read_turn_at = 0.0
+        self.return_wait = ReturnWait(self)
         self.rank = _first_rank
         self.needs_full_config = False
         self.update_validity_seconds = _UPDATE_VALIDITY_SECONDS
@@ -232,7 +243,7 @@
             host,
             RELAY_SUBJECT,
             encode_request(request),
-            _HOLD_SECONDS + _LATE_SECONDS,
+            request.hold + _LATE_SECONDS,
         )
         try:
             reason = self._apply_answer(host, answer, began)
@@ -254,9 +265,10 @@
             0 if found is None or self.needs_full_config else found.version
         )
         version = 0 if self.needs_full_config else self.configuration.version
-        return RelayRequest(
-            self.source, revision, cursors, _HOLD_SECONDS, version
-        )
+        hold = _HOLD_SECONDS
+        if self.return_wait.is_on():
+            hold = _RETURN_HOLD_SECONDS
+        return RelayRequest(self.source, revision, cursors, hold, version)
 
     def _handle_failure(self, host, reason):
         """Record a reader's failure; return whether it is skipped now."""
@@ -264,7 +276,10 @@
         if reason == _NO_STORE:
             self.reader_lacks_store = True
             self.no_store_answers += 1
-            if is_new and self.no_store_answers < _MAX_NO_STORE_ANSWERS:
+            most = _MAX_NO_STORE_ANSWERS
+            if self.return_wait.is_on():
+                most = _MAX_RETURN_ANSWERS
+            if is_new and self.no_store_answers < most:
                 return False
         self.no_store_answers = 0
         self.skipped.skip(host)
@@ -293,9 +308,10 @@
         if update is None:
             return ''
         is_accepted = self.configuration.apply_update(update, began)
-        if is_accepted and update.aged < self.update_validity_seconds:
+        aged = _contact_age(update)
+        if is_accepted and aged < self.update_validity_seconds:
             self._apply_update(host, update)
-            self._set_expiry(began - update.aged + self.update_validity_seconds)
+            self._set_expiry(began - aged + self.update_validity_seconds)
             return ''
         return _EXPIRED if is_accepted else 'configuration not told'
 
@@ -364,6 +380,20 @@
             listener()
 
 
+def _contact_age(update):
+    """Return the seconds since the store has last answered the reader.
+
+    Explanation
+    ===========
+
+    While answers of the store prove nothing, a verification is older than the
+    reader's last read.
+    """
+    if update.settling_aged is None:
+        return update.aged
+    return min(update.aged, update.settling_aged)
+
+
 def _first_rank():
     return 0
 
--- a/pollenstile/relay/_messages.py
+++ b/pollenstile/relay/_messages.py
@@ -123,6 +123,9 @@
     era : int or None
         The newest era of the store that the source has heard of; None if it
         was not told.
+    settling_aged : float or None
+        Seconds from the source's last answered call of the store to the arrival
+        of the request, while the store's answers prove nothing; otherwise None.
     """
 
     source: str
@@ -135,6 +138,7 @@
     seen: int = 0
     config_version: int = 0
     era: int | None = None
+    settling_aged: float | None = None
 
 
 def encode_request(request):
@@ -198,6 +202,7 @@
         seen=revision_of(update.seen),
         seenEra=_era_field(update.seen),
         era=0 if update.era is None else update.era + 1,
+        settlingMs=_settling_field(update.settling_aged),
     )
     if update.patch is not None:
         message.patch = patch_fields(update.patch)
@@ -235,6 +240,7 @@
             _place(reader.seen, reader.seenEra, era) if reader.seen else 0,
             reader.configVersion,
             reader.era - 1 if reader.era else None,
+            reader.settlingMs / _MS if reader.settlingMs else None,
         )
 
     return decode_struct(_schema.Word, encoded, build)
@@ -278,6 +284,10 @@
     return Change(kind, row.name, version, change, version, row.afterReturn)
 
 
+def _settling_field(aged):
+    return 0 if aged is None else int(max(0, aged) * _MS) + 1
+
+
 def _era_field(place):
     return era_of(place) + 1
 
--- a/pollenstile/relay/_skipping.py
+++ b/pollenstile/relay/_skipping.py
@@ -66,6 +66,10 @@
         until = self.clock.seconds() + seconds
         self.skips[host] = _Skip(until, failures + 1)
 
+    def clear_all(self):
+        """Clear the failures of all readers."""
+        self.skips.clear()
+
     def clear(self, host):
         """Clear the failures of a reader whose update was applied."""
         self.skips.pop(host, None)
--- a/pollenstile/relay/_source.py
+++ b/pollenstile/relay/_source.py
@@ -28,6 +28,9 @@
 _MAX_CHANGES = 512
 # Seconds for which simultaneous changes are collected into one answer.
 _BATCH_SECONDS = 0.01
+# Seconds between looks at held requests after a return of the store: its first
+# lists may show no change, and followers wait for them.
+_SETTLING_CHECK_SECONDS = 0.1
 # Seconds without a request after which no host counts as a follower.
 _FOLLOWED_SECONDS = 3.0
 
@@ -188,6 +191,7 @@
             request,
             arrived_at,
             self.clock.seconds() + request.hold,
+            self.configuration.is_settling(),
         )
         self._check_held(done)
         return done
@@ -217,17 +221,23 @@
         if entry is None:
             return
         now = self.clock.seconds()
-        if now >= entry[2] or not self.has_store_contact():
+        is_settling = self.configuration.is_settling()
+        # Followers refuse keys until they are told of a proof.
+        is_proved = entry[3] and not is_settling
+        if now >= entry[2] or is_proved or not self.has_store_contact():
             self._answer_held(done, is_final=True)
             return
         age = self.suspend_clock() - self.configuration.loop.read_at
         remaining = min(entry[2] - now, self._contact_seconds() - age)
+        if is_settling:
+            self._answer_held(done)
+            remaining = min(remaining, _SETTLING_CHECK_SECONDS)
         self.clock.callLater(
             max(_BATCH_SECONDS, remaining), self._check_held, done
         )
 
     def _answer_held(self, done, *, is_final=False):
-        request, arrived_at, _ = self.held[done]
+        request, arrived_at, *_ = self.held[done]
         update = self._build_update(request, arrived_at, is_final=is_final)
         if update is not None:
             self.held.pop(done)
@@ -246,11 +256,11 @@
         patch = None
         if is_older and request.config_revision in self.config_texts.texts:
             patch = self.config_texts.patch_from(request.config_revision)
-        now = self.suspend_clock()
+        held = self.suspend_clock() - arrived_at
         return RelayUpdate(
             self.ident,
             has_store=True,
-            aged=now - self.configuration.verified_at - (now - arrived_at),
+            aged=self.configuration.age() - held,
             config_revision=revision,
             config=found if is_older and not patch else None,
             kind_updates=kind_updates,
@@ -258,8 +268,15 @@
             seen=self.configuration.resumable_revision(),
             config_version=self.configuration.version,
             era=self.era(),
+            settling_aged=self._settling_age(held),
         )
 
+    def _settling_age(self, held):
+        """Return the age of the last answer of a store that settles."""
+        if not self.configuration.is_settling():
+            return None
+        return self.suspend_clock() - self.configuration.loop.read_at - held
+
     def _has_older_config(self, request, revision):
         """Return whether a follower needs this host's configuration."""
         if request.config_version:
--- a/pollenstile/relay/_store.py
+++ b/pollenstile/relay/_store.py
@@ -255,13 +255,21 @@
         if feed is None:
             return True
         deadline = self.clock.seconds() + _AWAY_WAIT_SECONDS
-        while self.is_away() and not self._is_call_due(feed):
+        while self._must_wait(feed):
             if self.clock.seconds() >= deadline:
                 return False
             await paused(self.clock, _AWAY_CHECK_SECONDS)
+        if self._is_relayed(feed):
+            # A reader was found meanwhile; the caller repeats its call.
+            return False
         feed.last_call_at = self.clock.seconds()
         return True
 
+    def _must_wait(self, feed):
+        if self.follower.return_wait.is_on():
+            return True
+        return self.is_away() and not self._is_call_due(feed)
+
     def _is_call_due(self, feed):
         return self.clock.seconds() - feed.last_call_at >= _AWAY_CALL_SECONDS
 
--- a/pollenstile/relay/messages.capnp
+++ b/pollenstile/relay/messages.capnp
@@ -45,6 +45,9 @@
   configVersion @10 :UInt64;
   # The newest era that the source has heard of.
   era @11 :UInt32;
+  # Time since the source's last answered call of a store that has returned from
+  # a copy and whose answers prove nothing yet, plus 1; 0 otherwise.
+  settlingMs @12 :UInt32;
 }
 
 struct Patch {
