registry: the time of a missing entry ends with the upstream that is dropped

An upstream whose entry the store lacks after an outage is kept for 2.3 s. When a request found meanwhile that it was gone, it was dropped, but the timer ran on and dropped the entry that a restarted one had written since: a living upstream got no work until its next write. Found by reading, not seen in a run of a fleet.

The scenario failed before ("a" was not usable any more).

--- a/features/forward_state.feature
+++ b/features/forward_state.feature
@@ -85,6 +85,15 @@
     And 2.5 seconds of registry time pass
     Then the usable upstreams are "a"
 
+  Scenario: An upstream that was dropped while its entry was missing is kept once it is back
+    The time that the missing entry was given would end for the new one.
+    Given a registry with the upstreams "a,b" of a service
+    When the store fails, and 0.5 seconds later "a" are missing
+    And a request finds that "a" is gone
+    And the registry reports that "a" is back
+    And 2.5 seconds of registry time pass
+    Then the usable upstreams are "a,b"
+
   Scenario: An entry that a working store deletes is removed at once
     Given a registry with the upstreams "a,b" of a service
     When the store fails, and 5.0 seconds later "a" are missing
--- a/features/steps/forward_state_steps.py
+++ b/features/steps/forward_state_steps.py
@@ -284,6 +284,11 @@
         context.registry.apply(name, None)
 
 
+@when('a request finds that "{name}" is gone')
+def when_found_gone(context, name):
+    context.registry.drop(name, context.registry.upstreams[name].born)
+
+
 @when('{seconds:g} seconds of registry time pass')
 def when_registry_time(context, seconds):
     context.clock.advance(seconds)
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -210,7 +210,9 @@
         upstream = self.upstreams.get(ident)
         if born is not None and upstream and upstream.born != born:
             return
-        self.missing_timers.pop(ident, None)
+        timer = self.missing_timers.pop(ident, None)
+        if timer is not None and timer.active():
+            timer.cancel()
         if self.upstreams.pop(ident, None) is None:
             return
         self.views.pop(ident, None)
