--- a/pollenstile/forward/_drained.py
+++ b/pollenstile/forward/_drained.py
@@ -1,6 +1,9 @@
 """Tracks failure domains that an operator drained; they get no new work."""
 
+from functools import partial
+
 from pollenstile.forward import events
+from pollenstile.forward._absent import AbsentEntries
 from pollenstile.ops.logs import silent_log
 
 # Kind of the store's entries, one per drained domain, named after it.
@@ -36,36 +39,30 @@
 
     since : dict
         Time on the clock at which this host learned of each drained domain.
-    lost_timers : dict
-        Timers of the drained domains whose entries the store lacks since its
-        return from an older copy.
+    absent : AbsentEntries
+        Drained domains whose entries the store lacks since its return from an
+        older copy.
     """
 
-    __slots__ = ('clock', 'log', 'lost_timers', 'registry', 'since')
+    __slots__ = ('absent', 'clock', 'log', 'registry', 'since')
 
     def __init__(self, registry, clock, log=silent_log):
         self.registry = registry
         self.clock = clock
         self.log = log
         self.since = {}
-        self.lost_timers = {}
+        self.absent = AbsentEntries(clock)
 
     def take(self, change):
         """Apply the creation or deletion of an entry; its value is unused."""
-        timer = self.lost_timers.pop(change.name, None)
-        if timer is not None:
-            timer.cancel()
+        self.absent.end(change.name)
         if change.value is None and change.after_return:
-            self.lost_timers[change.name] = self.clock.callLater(
-                _LOST_SECONDS, self._drop_lost, change
+            self.absent.keep(
+                change.name, _LOST_SECONDS, partial(self._apply, change)
             )
             return
         self._apply(change)
 
-    def _drop_lost(self, change):
-        self.lost_timers.pop(change.name)
-        self._apply(change)
-
     def _apply(self, change):
         domain = change.name
         now = self.clock.seconds()
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -1,10 +1,12 @@
 """Registration of this host in the store, and the list of other hosts."""
 
 from dataclasses import dataclass
+from functools import partial
 
 from twisted.internet.defer import Deferred
 
 from pollenstile.forward import events
+from pollenstile.forward._absent import AbsentEntries
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import place_of
 from pollenstile.platform import Conflict, Written, paused
@@ -71,14 +73,14 @@
         Whether a full list was received.
     listeners : list of function
         Called after each change.
-    missing_timers : dict
-        Timers of peers whose entries the store lacks since its return from an
-        older copy, by name.
+    absent : AbsentEntries
+        Peers whose entries the store lacks since its return from an older copy.
     left_at : dict
         Time at which the entry of a peer was deleted, by name.
     """
 
     __slots__ = (
+        'absent',
         'clock',
         'entry',
         'host',
@@ -87,7 +89,6 @@
         'left_at',
         'listeners',
         'log',
-        'missing_timers',
         'should_register',
         'store',
         'stored_entry',
@@ -104,7 +105,7 @@
         self.listeners = []
         self.should_register = False
         self.stored_entry = None
-        self.missing_timers = {}
+        self.absent = AbsentEntries(clock)
         self.left_at = {}
 
     def apply(self, change):
@@ -112,13 +113,13 @@
         if change.name == self.host:
             self._apply_own(change)
             return
-        timer = self.missing_timers.pop(change.name, None)
-        if timer is not None:
-            timer.cancel()
+        self.absent.end(change.name)
         peer = _decode_peer_host(change.value)
         if change.after_return and peer is None:
-            self.missing_timers[change.name] = self.clock.callLater(
-                _MISSING_SECONDS, self._drop_missing, change.name
+            self.absent.keep(
+                change.name,
+                _MISSING_SECONDS,
+                partial(self._replace, change.name, None),
             )
             return
         if change.after_return and self._has_left(change.name):
@@ -155,10 +156,6 @@
             call = self.store.delete(HOSTS, change.name, change.version)
             Deferred.fromCoroutine(call)
 
-    def _drop_missing(self, name):
-        self.missing_timers.pop(name)
-        self._replace(name, None)
-
     def _replace(self, name, peer):
         if peer is None:
             self.hosts.pop(name, None)
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -1,8 +1,10 @@
 """Registry of upstreams, and the state that this host observed of each."""
 
 from dataclasses import dataclass, field
+from functools import partial
 
 from pollenstile.forward import events
+from pollenstile.forward._absent import AbsentEntries
 from pollenstile.forward._returned import ReturnedEntries
 from pollenstile.forward._selection import UpstreamView
 from pollenstile.ops.incarnations import incarnation_name
@@ -79,8 +81,8 @@
         Views of the upstreams that accept new work, by service.
     store_failed_at : float
         Time at which the store last failed to answer.
-    missing_timers : dict
-        Timers of missing entries that may be written again, by identifier.
+    absent : AbsentEntries
+        Missing entries that may be written again, by identifier.
     listeners : list of function
         Called after each change.
     known : bool
@@ -95,13 +97,13 @@
     """
 
     __slots__ = (
+        'absent',
         'by_service',
         'clock',
         'drained',
         'known',
         'listeners',
         'log',
-        'missing_timers',
         'returned',
         'stated_leaving',
         'store_failed_at',
@@ -115,7 +117,7 @@
         self.upstreams = {}
         self.views = {}
         self.by_service = {}
-        self.missing_timers = {}
+        self.absent = AbsentEntries(clock)
         self.listeners = []
         self.store_failed_at = -1000.0
         self.known = False
@@ -161,9 +163,7 @@
             entry may be older than the known one, or missing though its
             upstream is there.
         """
-        timer = self.missing_timers.pop(ident, None)
-        if timer is not None:
-            timer.cancel()
+        self.absent.end(ident)
         if upstream is not None:
             self.returned.end_doubt(ident)
             if after_return:
@@ -181,9 +181,7 @@
             # If missing entries were removed at once, all upstreams would
             # disappear after an outage that outlasts their heartbeats.
             wait = _RETURN_SECONDS - since_failure
-            self.missing_timers[ident] = self.clock.callLater(
-                wait, self.drop, ident
-            )
+            self.absent.keep(ident, wait, partial(self.drop, ident))
             return
         self.drop(ident)
 
@@ -210,9 +208,7 @@
         upstream = self.upstreams.get(ident)
         if born is not None and upstream and upstream.born != born:
             return
-        timer = self.missing_timers.pop(ident, None)
-        if timer is not None and timer.active():
-            timer.cancel()
+        self.absent.end(ident)
         if self.upstreams.pop(ident, None) is None:
             return
         self.views.pop(ident, None)
