upstream: a pooled connection that has gone silent doesn't hold up the next calls

A middlebox can drop the state of idle connections while new ones work. A call on one heard nothing, and its repeat, or the next request's call, could take the next dead connection of the same upstream, each at the price of a limit on silence and a token of the retry budget. Cause: nothing told the pool of a silence, and a repeat was sent on a pooled connection like a first call.

Each upstream has a pool of its own now; its idle connections are closed when a call there falls silent, and calls in flight go on.

With closing taken out, "A request's call falls silent on a pooled connection of its only upstream" fails: 2 calls without an answer instead of 1. A run without a silence keeps its pooled connections (features/requests_http.feature).

--- a/features/builders/requests_http.py
+++ b/features/builders/requests_http.py
@@ -20,7 +20,12 @@
 from pollenstile.ops.settings import ENTRY, settings_from
 from pollenstile.pipeline import Request, run_request
 from pollenstile.standin.plain import PlainResource, PlainServer
-from pollenstile.upstream import Call, http_transport, wire
+from pollenstile.upstream import (
+    Call,
+    ConnectionPools,
+    http_transport,
+    wire,
+)
 
 LOOPBACK = '127.0.0.1'
 
@@ -132,17 +137,28 @@
 class Caller:
     """Makes calls over HTTP and records how each one ended."""
 
-    __slots__ = ('address', 'ends', 'numbers', 'rates', 'start', 'statements')
+    __slots__ = (
+        'address',
+        'ends',
+        'numbers',
+        'pools',
+        'rates',
+        'start',
+        'statements',
+    )
 
     def __init__(self, port):
         self.address = f'{LOOPBACK}:{port.getHost().port}'
-        self.start = http_transport(reactor, note_answer=self._note_answer)
+        self.pools = ConnectionPools(reactor)
+        self.start = http_transport(
+            reactor, pools=self.pools, note_answer=self._note_answer
+        )
         self.rates = []
         self.statements = []
         self.ends = []
         self.numbers = 0
 
-    def call(self, *, idempotent=True, kind='stage'):
+    def call(self, *, idempotent=True, kind='stage', fresh=False):
         """Start a call."""
         self.numbers += 1
         attempt = f'r{self.numbers}/encode/1'
@@ -153,6 +169,7 @@
             'leak',
             1000,
             idempotent=idempotent,
+            fresh=fresh,
         )
         made = StartedCall(attempt)
         made.cancel = self.start('one', self, call, made.events.append)
@@ -173,8 +190,8 @@
 def build_node_calling(port):
     """Return a node that sends the calls to all upstreams to one port."""
     environment = {'POLLENSTILE_HOST': 'h', 'POLLENSTILE_DOMAIN': 'here'}
-    http_start = http_transport(reactor)
     caller = Caller(port)
+    http_start = http_transport(reactor, pools=caller.pools)
 
     def transport(name, upstream, call, sink):
         return http_start(name, caller, call, sink)
@@ -185,13 +202,14 @@
         settings_from(None, ENTRY, environment),
         transport,
     )
+    node.core.close_idle = lambda upstream: caller.pools.close_idle(caller)
     text = text_from_manifest(requests_manifest(1))
     node.in_force.offer(1, text, 'test')
     return node
 
 
-def run_to_outcome(node, name):
-    """Run a request to its end; return its record."""
+def start_request(node, name):
+    """Start a request; return its record."""
     request = Request(
         node.next_ident(),
         name,
@@ -204,6 +222,12 @@
     sent.outcomes = collect_result(
         run_request(node.core, request, sent.tokens.append),
     )
+    return sent
+
+
+def run_to_outcome(node, name):
+    """Run a request to its end; return its record."""
+    sent = start_request(node, name)
     run_reactor_until(lambda: sent.outcomes)
     return sent
 
--- a/features/requests_http.feature
+++ b/features/requests_http.feature
@@ -21,6 +21,33 @@
     And the requests server accepted 2 connections
     But sent as idempotent the requests call gets no answer
 
+  Scenario: All pooled connections go silent before an idempotent request
+    A device on the path loses the state of both connections. The call on the
+    first one hears nothing. Its second attempt must use a new connection, and
+    the next request must not be held up by the other one.
+    Given a requests server whose connections stop responding after one answer
+    When 2 requests calls are sent at once and their answers are read
+    And a requests call is sent that gets no answer
+    And a requests call that needs a new connection is sent
+    Then the last requests call has its own answer
+    When the idle connections of the requests server are closed
+    And a requests call is sent and its answer is read
+    Then the last requests call has its own answer
+    And the requests server accepted 4 connections
+
+  Scenario: A request's call falls silent on a pooled connection of its only upstream
+    Each connection goes silent after one answer. The host sends the call again
+    over a new one, and closes what is idle, so the next request needs one call.
+    Given a requests server whose connections stop responding after one answer
+    When 2 "find" requests are sent at once to the requests server
+    And a "find" request is sent again to the requests server
+    Then the request to the requests server ends as "answered"
+    And 1 of the requests server's calls got no answer
+    When a "find" request is sent again to the requests server
+    Then the request to the requests server ends as "answered"
+    And 1 of the requests server's calls got no answer
+    And the requests server accepted 4 connections
+
   Scenario Outline: A reply to a request over HTTP is malformed or incomplete
     The call may have run, whatever arrives instead of a reply: it must end as
     "Lost", and the connection must be closed.
--- a/features/steps/requests_http_steps.py
+++ b/features/steps/requests_http_steps.py
@@ -140,9 +140,52 @@
     assert end.reason == reason, end
 
 
+@when('{count:d} requests calls are sent at once and their answers are read')
+def step_calls_at_once(context, count):
+    calls = [context.caller.call() for _ in range(count)]
+    run_reactor_until(lambda: all(call.events for call in calls))
+
+
+@when('a requests call is sent that gets no answer')
+def step_call_unanswered(context):
+    call = context.caller.call()
+    run_reactor_until(lambda: context.silent)
+    context.add_cleanup(call.cancel)
+
+
+@when('a requests call that needs a new connection is sent')
+def step_call_fresh(context):
+    context.caller.call_and_wait(fresh=True)
+
+
+@when('the idle connections of the requests server are closed')
+def step_close_idle(context):
+    context.caller.pools.close_idle(context.caller)
+
+
+@then("{count:d} of the requests server's calls got no answer")
+def step_unanswered(context, count):
+    assert len(context.silent) == count, context.silent
+
+
+@when('{count:d} "{name}" requests are sent at once to the requests server')
+def step_requests_at_once(context, count, name):
+    context.node = build.build_node_calling(context.port)
+    sent = [build.start_request(context.node, name) for _ in range(count)]
+    run_reactor_until(lambda: all(one.outcomes for one in sent))
+
+
+@when('a "{name}" request is sent again to the requests server')
+def step_request_again(context, name):
+    _send(context, context.node, name)
+
+
 @when('a "{name}" request is sent to the requests server')
 def step_request(context, name):
-    node = build.build_node_calling(context.port)
+    _send(context, build.build_node_calling(context.port), name)
+
+
+def _send(context, node, name):
     sent = build.run_to_outcome(node, name)
     context.tokens = sent.tokens
     context.outcome = sent.outcome
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -20,7 +20,7 @@
 from pollenstile.peer import tcp_connect
 from pollenstile.permission import build_permissions
 from pollenstile.placement import http_orders
-from pollenstile.upstream import http_transport
+from pollenstile.upstream import ConnectionPools, http_transport
 
 _PREFIX = 'pollenstile'
 
@@ -56,15 +56,19 @@
     permissions = build_permissions(
         reactor, rng, settings.host, settings.domain, {}, log
     )
+    pools = ConnectionPools(reactor)
     node = build_node(
         reactor,
         rng,
         settings,
-        http_transport(reactor, note_answer=permissions.note_named),
+        http_transport(
+            reactor, pools=pools, note_answer=permissions.note_named
+        ),
         store=store,
         log=log,
         permissions=permissions,
     )
+    node.core.close_idle = pools.close_idle
     fleet = build_fleet(
         node,
         settings,
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -21,6 +21,10 @@
     """Ignore a request's demand; the default without placement."""
 
 
+def _keep_open(upstream):
+    """Close no connections; the default of a transport without pools."""
+
+
 @dataclass(slots=True)
 class Core:
     """Components of one entry host that all requests share.
@@ -61,6 +65,8 @@
         Counts the calls of an accepted request by model.
     choose : function
         Selects an upstream; see :func:`pollenstile.routing.choose_upstream`.
+    close_idle : function
+        Closes the idle connections to an upstream.
     permissions : Permissions or None
         Whether the host may call an upstream, by what the upstream states; None
         creates those of a host that is alone.
@@ -87,6 +93,7 @@
     holds: object = _assume_served
     demand: object = _ignore_demand
     choose: object = choose_upstream
+    close_idle: object = _keep_open
     permissions: Permissions | None = None
     log: object = silent_log
     count: object = _ignore_count
--- a/pollenstile/pipeline/_silence.py
+++ b/pollenstile/pipeline/_silence.py
@@ -179,6 +179,7 @@
     record_slow_attempt(attempts, attempt)
     attempts.core.count('attempt.silent')
     attempts.core.tracker.fell_silent(attempt.choice.name, attempt.heard_at)
+    attempts.core.close_idle(attempt.choice.upstream)
 
 
 def note_heard(attempts, attempt):
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -4,7 +4,6 @@
 
 from twisted.internet import error
 from twisted.internet.defer import CancelledError
-from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from pollenstile.ops.agents import agent_for
@@ -12,6 +11,7 @@
 from pollenstile.statements import parse_rest, read_statements
 from pollenstile.upstream import wire
 from pollenstile.upstream._bodies import ReplyBody, StreamBody
+from pollenstile.upstream._pools import ConnectionPools
 from pollenstile.upstream._types import Lost, NotRun, Rejected
 
 _OK = 200
@@ -145,18 +145,18 @@
 
 
 def http_transport(
-    reactor, connect_timeout=1.0, per_host=64, note_answer=_ignore_answer
+    reactor, connect_timeout=1.0, pools=None, note_answer=_ignore_answer
 ):
     """Return a transport that makes calls over HTTP.
 
     Explanation
     ===========
 
-    Idempotent calls use pooled connections. Each non-idempotent call opens a
-    new connection: a pooled one may have failed silently, while a completed
-    TCP handshake proves that the path works. The automatic retry of the client
-    is disabled because it would repeat calls without a decision of the
-    pipeline.
+    Idempotent calls use pooled connections, unless they need a new one. Each
+    non-idempotent call opens a new connection: a pooled one may have failed
+    silently, while a completed TCP handshake proves that the path works. The
+    automatic retry of the client is disabled because it would repeat calls
+    without a decision of the pipeline.
 
     Parameters
     ==========
@@ -165,8 +165,8 @@
         Opens the connections.
     connect_timeout : float
         Connection timeout in seconds.
-    per_host : int
-        Maximum number of idle connections kept for each upstream.
+    pools : ConnectionPools or None
+        Pooled connections; None creates pools of the transport alone.
     note_answer : function
         Called with the name of an upstream that answered, and the
         :class:`~pollenstile.statements.Statements` of its answer.
@@ -177,15 +177,13 @@
     function
         ``start(name, upstream, call, sink)``; see :mod:`pollenstile.upstream`.
     """
-    connection_pool = HTTPConnectionPool(reactor, persistent=True)
-    connection_pool.retryAutomatically = False
-    connection_pool.maxPersistentPerHost = per_host
-    pooled = agent_for(reactor, connection_pool, connect_timeout)
+    pools = pools or ConnectionPools(reactor, connect_timeout)
     unpooled = agent_for(reactor, connect_timeout=connect_timeout)
 
     def start(name, upstream, call, sink):
         exchange = _Exchange(sink, call.text)
-        agent = pooled if call.idempotent else unpooled
+        is_pooled = call.idempotent and not call.fresh
+        agent = pools.agent(upstream) if is_pooled else unpooled
         uri = f'http://{upstream.address}{_path(call)}'
         exchange.response = agent.request(
             b'POST',
