--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -52,7 +52,7 @@
         help='let the store come back from older copies of itself',
     )
     parser.add_argument(
-        '--standstills',
+        '--silences',
         action='store_true',
         help='let upstreams stand still and go on, without other faults of them',
     )
@@ -154,7 +154,7 @@
             arguments.steps,
             event_log(seed=seed),
             returns=arguments.returns,
-            silences=arguments.standstills,
+            silences=arguments.silences,
         )
         print(_result_line(result))
         if result.violations:
