--- a/features/silent_stages.feature
+++ b/features/silent_stages.feature
@@ -80,7 +80,7 @@
     Given a requests host
     When a "draft" request is sent
     And 0.04 request seconds pass
-    And all upstreams stand still
+    And all upstreams of the pipeline stand still
     And 0.5 request seconds pass
     And the called upstream goes on last
     And 0.5 request seconds pass
@@ -162,7 +162,7 @@
     Given a requests host with 6 upstreams in each pool
     When 30 "draft" requests are sent
     And 0.04 request seconds pass
-    And all upstreams stand still
+    And all upstreams of the pipeline stand still
     And 0.8 request seconds pass
     And the upstreams go on
     And 0.7 request seconds pass
--- a/features/steps/silent_stages_steps.py
+++ b/features/steps/silent_stages_steps.py
@@ -39,7 +39,7 @@
     _perform(context, lambda world: world.still.add(world.called_names[-1]))
 
 
-@when('all upstreams stand still')
+@when('all upstreams of the pipeline stand still')
 def when_all_still(context):
     _perform(context, lambda world: world.still.update(world.upstreams))
 
