forward: the last events of upstreams that fell silent together show nothing

Upstreams that stand still from one moment have sent their last events up to a pause apart, so each seemed to have been heard in the silence of another, and attempts were sent beside silent ones to upstreams that stood still as well. Only what was heard after half of the limit counts now. The scenario failed before.

--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -132,6 +132,17 @@
     Then the caller of the forwarded request has all events 1 to 5
     And 1 forwarded sends were made
 
+  Scenario: The last events of upstreams that fell silent together are no evidence
+    Given a forwarded "resumable" request
+    And the host awaits answers of the other upstreams
+    When forwarded send 0 streams events 1 to 2 and half of the next
+    And 0.2 seconds of forwarding pass
+    And another upstream is heard
+    And 2.0 seconds of forwarding pass
+    And forwarded send 0 goes on to event 5 and ends
+    Then the caller of the forwarded request has all events 1 to 5
+    And 1 forwarded sends were made
+
   Scenario: New requests pass by an upstream that is silent while others answer
     Given a forwarded "resumable" request
     When forwarded send 0 streams events 1 to 2 and half of the next
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -17,6 +17,9 @@
 _LOOK_SECONDS = 0.2
 # The same after what it needs was refused.
 _REFUSED_SECONDS = 1.0
+# Part of the limit on silence in which the last events of other upstreams that
+# fell silent too may still have come.
+_UNTOLD_SHARE = 0.5
 _SILENT_UPSTREAM = 'upstream is silent too'
 _NOTHING_HELD = 'stage work refused'
 
@@ -168,7 +171,7 @@
         may_repeat=not core.quarantine.is_suspect(exchange.fingerprint),
         has_budget=core.budget.remaining(exchange.service) >= 1,
         has_results=run.results.are_held(),
-        is_heard=_is_service_heard(run, _shortest(run).heard_at),
+        is_heard=_is_service_heard(run),
     )
 
 
@@ -190,30 +193,8 @@
     return silence.silent_seconds()
 
 
-def _avoided(run):
-    """Return the identifiers of upstreams that are not to be tried.
-
-    Explanation
-    ===========
-
-    An upstream that has been heard since the silence began is known to answer.
-    One that has not may be silent too, and the request's last attempt would be
-    lost to it. Only where none has been heard may it be any.
-    """
-    exchange = run.exchange
-    since = max(
-        (attempt.silence.heard_at for attempt in run.contest.running),
-        default=0.0,
-    )
-    views = run.core.registry.usable(exchange.service, exchange.software)
-    unheard = {view.ident for view in views if view.heard_at <= since}
-    if all(view.ident in unheard or view.ident in run.tried for view in views):
-        return run.tried
-    return [*run.tried, *unheard]
-
-
-def _is_service_heard(run, since):
-    """Return whether other awaited upstreams have sent anything since a time.
+def _is_service_heard(run):
+    """Return whether other awaited upstreams have been heard in the silence.
 
     Explanation
     ===========
@@ -228,19 +209,54 @@
     ]
     if not awaited:
         return True
+    since = _heard_from(run)
     return any(view.heard_at > since for view in awaited)
 
 
-def _heard_views(run):
-    """Return the other upstreams that have sent anything in the silence."""
-    exchange = run.exchange
-    since = max(
-        (attempt.silence.heard_at for attempt in run.contest.running),
+def _heard_from(run):
+    """Return the time from which an upstream that sends anything was heard.
+
+    Explanation
+    ===========
+
+    Upstreams that stand still from the same moment have sent their last events
+    up to a pause apart, so the first part of a silence shows nothing.
+    """
+    silences = [attempt.silence for attempt in run.contest.running]
+    return max(
+        (
+            silence.heard_at + _UNTOLD_SHARE * silence.limit
+            for silence in silences
+        ),
         default=0.0,
     )
+
+
+def _heard_views(run):
+    """Return the other upstreams that have been heard in the silence."""
+    exchange = run.exchange
+    since = _heard_from(run)
     views = run.core.registry.usable(exchange.service, exchange.software)
     return [
         view
         for view in views
         if view.heard_at > since and view.ident not in run.tried
     ]
+
+
+def _avoided(run):
+    """Return the identifiers of upstreams that are not to be tried.
+
+    Explanation
+    ===========
+
+    An upstream that has been heard in the silence is known to answer. One that
+    has not may be silent too, and the request's last attempt would be lost to
+    it. Only where none has been heard may it be any.
+    """
+    heard = {view.ident for view in _heard_views(run)}
+    if not heard:
+        return run.tried
+    views = run.core.registry.usable(run.exchange.service)
+    unheard = [view.ident for view in views if view.ident not in heard]
+    return [*run.tried, *unheard]
