--- a/features/ratelimits.feature
+++ b/features/ratelimits.feature
@@ -90,7 +90,8 @@
     Given a forwarded "idempotent" request to upstreams that are all limited
     When 12 forwarded requests arrive at once
     Then those that can't be sent in time are refused at once, with when to come back
-    And those that wait are sent in the order of their urgency
+    When the answers to those that were sent are lost after a second
+    Then those that wait are sent in the order of their urgency
 
   Scenario: A request with stage work is refused before it, if no upstream can take it in time
     Stage work takes seconds of upstreams, and would be in vain.
--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -146,7 +146,9 @@
   Scenario: New requests pass by an upstream that is silent while others answer
     Given a forwarded "resumable" request
     When forwarded send 0 streams events 1 to 2 and half of the next
-    And 1.6 seconds of forwarding pass
+    And 1.4 seconds of forwarding pass
+    And another upstream is heard
+    And 0.2 seconds of forwarding pass
     Then new requests don't go to the upstream of forwarded send 0
     When forwarded send 0 goes on to event 5 and ends
     Then new requests may go to the upstream of forwarded send 0
@@ -195,3 +197,34 @@
     And 1.0 seconds of forwarding pass
     And forwarded send 0 goes on to event 5 and ends
     Then the caller of the forwarded request has all events 1 to 5
+
+  Scenario Outline: A failure <status> of the send beside it ends no begun answer
+    Given a forwarded "resumable" request
+    When forwarded send 0 streams events 1 to 2 and half of the next
+    And 1.6 seconds of forwarding pass
+    And forwarded send 1 is answered <status> completely
+    And forwarded send 0 goes on to event 5 and ends
+    Then the caller of the forwarded request has all events 1 to 5
+
+    Examples:
+      | status |
+      | 302    |
+      | 400    |
+      | 404    |
+      | 500    |
+
+  Scenario: A request that is handed back is not sent again by its host
+    Given a forwarded "idempotent" request
+    When 1.2 seconds of forwarding pass
+    And forwarded send 1 is answered 503 and not run
+    And forwarded send 2 is answered 503 and not run
+    And 0.9 seconds of forwarding pass
+    And another upstream is heard
+    And 0.4 seconds of forwarding pass
+    Then 3 forwarded sends were made
+
+  Scenario: Silent upstreams are used while no other has been heard either
+    Given a forwarded "resumable" request
+    When forwarded send 0 streams events 1 to 2 and half of the next
+    And 1.6 seconds of forwarding pass
+    Then new requests may go to the upstream of forwarded send 0
--- a/features/steps/ratelimits_host_steps.py
+++ b/features/steps/ratelimits_host_steps.py
@@ -16,7 +16,8 @@
     RandomHosts,
     RecordingHub,
 )
-from pollenstile.forward import PeerHost
+
+from pollenstile.forward import Lost, PeerHost
 from pollenstile.ratelimits import (
     NEWS_SUBJECT,
     Allocation,
@@ -112,6 +113,13 @@
         assert refusal.retry_after >= 1, refusal
 
 
+@when('the answers to those that were sent are lost after a second')
+def when_sent_lost(context):
+    context.story.clock.advance(1.0)
+    for call in list(context.story.calls):
+        call.head.callback(Lost('reset', 'i0'))
+
+
 @then('those that wait are sent in the order of their urgency')
 def then_in_order(context):
     story = context.story
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -217,7 +217,9 @@
             self.call.head.callback(reason)
             return
         self.core.silences.silent += 1
-        learn_silence(self.view, self.silence.heard_at)
+        learn_silence(
+            self.view, self.silence.heard_at, self.core.clock.seconds()
+        )
         self.on_silent(self)
 
     def _handle_heard(self, seconds):
--- a/pollenstile/forward/_contest.py
+++ b/pollenstile/forward/_contest.py
@@ -42,6 +42,8 @@
         Its outcome.
     runs : int
         Number of attempts that have failed or were closed and may have run.
+    is_given_up : bool
+        Whether the request is handed back to its caller.
     on_failed : function
         Called with each attempt that has failed.
     on_closed : function
@@ -56,6 +58,7 @@
         'failed',
         'first',
         'holder',
+        'is_given_up',
         'is_preparing',
         'on_closed',
         'on_failed',
@@ -75,6 +78,7 @@
         self.failed = None
         self.outcome = None
         self.runs = 0
+        self.is_given_up = False
         self.on_failed = _ignore
         self.on_closed = _do_nothing
         self.is_preparing = _is_nothing_prepared
@@ -130,6 +134,7 @@
 
     def give_up(self):
         """End the request, as its silent attempts have no chance left."""
+        self.is_given_up = True
         self.failed = self.leader
         self.outcome = Lost('silent', self.leader.view.ident)
         self._close_others(None)
@@ -158,7 +163,7 @@
         self.running.pop(attempt)
         self.failed = attempt
         self.outcome = outcome
-        if _is_final(outcome):
+        if self._is_final(outcome):
             self._close_others(None)
             self._finish(outcome)
             return None
@@ -167,6 +172,19 @@
         self.check_over()
         return None
 
+    def _is_final(self, outcome):
+        """Return whether no other attempt can end the request any better.
+
+        Explanation
+        ===========
+
+        A failure can't be passed on once another attempt has begun the answer,
+        so that one is still awaited.
+        """
+        if isinstance(outcome, UpstreamFailure):
+            return not outcome.is_retryable and not self.answer.begun
+        return isinstance(outcome, (Delivered, Failure))
+
     def _finish(self, outcome):
         if not self.ended.called:
             self.ended.callback(outcome)
@@ -185,13 +203,6 @@
     return False
 
 
-def _is_final(outcome):
-    """Return whether no other attempt can end the request any better."""
-    if isinstance(outcome, UpstreamFailure):
-        return not outcome.is_retryable
-    return isinstance(outcome, (Delivered, Failure))
-
-
 def _end_of_closed(outcome):
     """Return the end of a closed attempt: None, or an unexpected failure."""
     if isinstance(outcome, Failure) and not outcome.check(CancelledError):
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -5,6 +5,8 @@
 # Back-off of an upstream after a failed handshake, doubled up to the maximum.
 _MIN_BACKOFF_SECONDS = 0.3
 _MAX_BACKOFF_SECONDS = 4.0
+# Seconds for which a silent upstream gets no new requests while others answer.
+_SILENT_SECONDS = 5.0
 
 
 def learn_success(view, seconds):
@@ -23,7 +25,7 @@
     view.failures += _SMOOTHING_FACTOR * (1 - view.failures)
 
 
-def learn_silence(view, since):
+def learn_silence(view, since, now):
     """Record an attempt at which the upstream has been silent since a time.
 
     Explanation
@@ -34,6 +36,7 @@
     """
     if view.heard_at <= since:
         view.silent_since = since
+        view.silent_until = now + _SILENT_SECONDS
 
 
 def learn_unavailable(view, now, *, arrived=True):
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -29,6 +29,7 @@
     input_release_for,
     select_view,
 )
+from pollenstile.forward._input_release import InputRelease
 from pollenstile.forward._outcomes import (
     RESULTS_GONE,
     Delivered,
@@ -161,7 +162,10 @@
         last_event = _last_event(self)
         attempt = _new_attempt(self, view, inputs, last_event)
         log_send(self, view, last_event)
-        self.contest.start(attempt, self._run_attempt(attempt, last_event))
+        self.contest.start(
+            attempt,
+            self._run_attempt(attempt, last_event, self.results.chain),
+        )
 
     async def forward(self):
         """Run the stages, then attempts until one ends the request."""
@@ -277,9 +281,12 @@
             self.core.silences.taken_over += 1
             log_taken_over(self, attempt, closed)
 
-    async def _run_attempt(self, attempt, last_event):
+    async def _run_attempt(self, attempt, last_event, chain):
         outcome = await attempt.outcome(last_event)
-        if outcome is RESULTS_GONE:
+        # It has ended, so nothing is to be sent beside it before its upstream
+        # was checked for a crash.
+        attempt.silence.is_silent = False
+        if outcome is RESULTS_GONE and chain is self.results.chain:
             self.results.release()
         await record_outcome(self.core, self.exchange, attempt, outcome)
         return outcome
@@ -299,7 +306,9 @@
                 self.exchange.fingerprint
             ),
         )
-        resend = decision is RetryDecision.RETRY
+        resend = (
+            decision is RetryDecision.RETRY and not self.contest.is_given_up
+        )
         if resend and has_arrived(failed):
             resend = self.core.budget.spend(self.exchange.service)
         log_failed(self, self.contest.failed, failed, resend=resend)
@@ -360,6 +369,21 @@
     return attempt
 
 
+def _input_release(run, inputs, view):
+    """Return what releases the results that an attempt reads.
+
+    Explanation
+    ===========
+
+    An attempt in flight may not have read them yet, so one beside it releases
+    them only once it has an answer.
+    """
+    chain = run.results.chain
+    if chain is not None and run.contest.running:
+        return InputRelease(chain.release)
+    return input_release_for(run.core, run.exchange, chain, inputs, view)
+
+
 def _failure_of(outcome, peer):
     """Return a failed attempt's outcome as ``NotRun`` or ``Lost``."""
     if isinstance(outcome, UpstreamFailure):
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -32,9 +32,6 @@
 # requests fail on every upstream (14% of one kind of lookups).
 _UNHEALTHY_MARGIN = 0.25
 
-# Seconds for which a silent upstream gets no new requests while others answer.
-_SILENT_SECONDS = 5.0
-
 # Upstreams that a request may go to before it is proven. It takes three crashes
 # to quarantine a request, so fewer candidates would spare none.
 UNPROVEN_CANDIDATES = 3
@@ -77,6 +74,8 @@
     silent_since : float or None
         Time since which it has sent nothing on any connection, if requests to
         it have met the limit on silence.
+    silent_until : float
+        Time until which it is passed by for that.
     cold_until : float
         Time until which it is cold and accepts few requests a second; 0 when
         it last reported that it is warm.
@@ -103,6 +102,7 @@
     unreached_since: float = 0.0
     heard_at: float = 0.0
     silent_since: float | None = None
+    silent_until: float = 0.0
     cold_until: float = 0.0
     cold_sends: deque = field(default_factory=deque)
 
@@ -143,9 +143,7 @@
     Nothing tells when it goes on if no request awaits it any more. So it gets
     requests again after some seconds.
     """
-    if view.silent_since is None:
-        return False
-    return now - view.silent_since < _SILENT_SECONDS
+    return view.silent_since is not None and now < view.silent_until
 
 
 def usable(views, now, tried=()):
@@ -170,18 +168,23 @@
     """
     untried = [view for view in views if view.ident not in tried]
     shares = sorted(view.failures for view in untried)
+    heard_at = max((view.heard_at for view in untried), default=0.0)
+
+    def is_passed_by(view):
+        return is_silent(view, now) and heard_at > view.silent_since
+
     median_share = shares[len(shares) // 2] if shares else 0
     healthy = [
         view
         for view in untried
         if view.backoff_until <= now
-        and not is_silent(view, now)
+        and not is_passed_by(view)
         and view.failures < median_share + _UNHEALTHY_MARGIN
     ]
     if len(healthy) * 2 >= len(untried):
         return healthy
     not_backing_off = [view for view in untried if view.backoff_until <= now]
-    heard = [view for view in not_backing_off if not is_silent(view, now)]
+    heard = [view for view in not_backing_off if not is_passed_by(view)]
     return heard or not_backing_off or untried
 
 
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -119,8 +119,16 @@
     async def _send(self):
         """Send an attempt; return why it was not sent, or an empty text."""
         run = self.run
+        is_renewed = not run.results.are_held()
         if await run.results.renew() is not None:
             return _NOTHING_HELD
+        reason = await self._send_with_results()
+        if reason and is_renewed:
+            run.results.release()
+        return reason
+
+    async def _send_with_results(self):
+        run = self.run
         inputs = run.results.held_bytes()
         view = await self.next_view(run, inputs, _avoided(run))
         if isinstance(view, (NotRun, Refusal)):
