--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -2,11 +2,7 @@
 
 from dataclasses import dataclass
 
-# Lateness of a timer from which this host was itself delayed: it has not read
-# what has arrived meanwhile.
-_LATE_SECONDS = 0.1
-# Time in which a host that was delayed reads what has arrived.
-_READ_SECONDS = 0.1
+from pollenstile.ops.lateness import reading_time
 
 
 class SilenceWatch:
@@ -117,12 +113,12 @@
         self.timer = self.clock.callLater(seconds, self._expire)
 
     def _expire(self):
-        lateness = self.clock.seconds() - self.due
-        if lateness > _LATE_SECONDS and not self.lateness:
-            # Timers expire before the sockets are read. A host that is always
-            # late waits only once.
-            self.lateness = lateness
-            self._schedule(_READ_SECONDS)
+        now = self.clock.seconds()
+        grace = reading_time(now, self.due)
+        if grace and not self.lateness:
+            # A host that is always late waits only once.
+            self.lateness = now - self.due
+            self._schedule(grace)
             return
         if self.backpressure is not None and self.backpressure.paused:
             self._schedule(self.limit)
