--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -12,7 +12,8 @@
 from pollenstile.ops.running import result_of
 from pollenstile.soak import run_soak
 
-# Longest silence that can be asked for, in seconds.
+# Seconds of a silence of a live run of only these, and the most.
+_SILENT_SECONDS = 1.8
 _MAX_SILENCE_SECONDS = 60.0
 _SILENT_SERVICES = {
     'engines': ('engines',),
@@ -54,7 +55,8 @@
     parser.add_argument(
         '--silences',
         action='store_true',
-        help='let upstreams stand still and go on, without other faults of them',
+        help='let upstreams stand still and go on, without other faults of them;'
+        ' with --live: four times, as the only faults',
     )
     parser.add_argument(
         '--live',
@@ -84,27 +86,27 @@
 
 def _add_silence_flags(parser):
     parser.add_argument(
-        '--silences',
+        '--silent-seconds',
         type=_positive_seconds,
-        metavar='SECONDS',
-        help='with --live: only let upstreams stand still, four times, so long',
+        default=_SILENT_SECONDS,
+        help=f'with --live --silences: length of each [{_SILENT_SECONDS}]',
     )
     parser.add_argument(
         '--silent-services',
         choices=tuple(_SILENT_SERVICES),
         default='all',
-        help='with --silences: the services that stand still [all]',
+        help='with --live --silences: the services that stand still [all]',
     )
     parser.add_argument(
         '--silent-share',
         type=_share,
         default=1.0,
-        help='with --silences: share of their upstreams, 0 for none [1]',
+        help='with --live --silences: share of their upstreams, 0 for none [1]',
     )
     parser.add_argument(
         '--changes',
         action='store_true',
-        help='with --silences: write versions of the configuration meanwhile',
+        help='with --live --silences: write versions of the configuration meanwhile',
     )
 
 
@@ -209,10 +211,10 @@
 def _silence_plan(arguments):
     from pollenstile.soak.live import SilencePlan  # noqa: WPS433
 
-    if arguments.silences is None:
+    if not arguments.silences:
         return None
     return SilencePlan(
-        arguments.silences,
+        arguments.silent_seconds,
         _SILENT_SERVICES[arguments.silent_services],
         arguments.silent_share,
         arguments.changes,
