forward: what a stopping host closes itself is not logged as left by its caller

What callers saw: a connection that a stopping host closed. The host logged 1208 caller-left and outcome "caller left" for it, so a timeline named the caller, a begun answer wasn't in attempts_broken_off, and a request that may run only once had no last line at all.

Cause: whoever closed a connection, its loss came by the same way.

When anything is closed is unchanged.

Before, without the change to frontend, run and daemon: no 1253 line for a stream that was cut in the middle; after: one, and no 1208. A caller that leaves in the grace is logged as before.

--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -244,6 +244,7 @@
         self.factory.refuse_unsent()
         self.factory.close_idle()
         await deferLater(self.reactor, _FLUSH_SECONDS)
+        self.factory.stopped = True
         self.parts.core.configuration.loop.running = False
         self.parts.relay.follower.stop()
         self.watches.stop()
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -40,13 +40,16 @@
     begun : bool
         Whether the head of an answer was set.
     gone : bool
-        Whether the caller has closed its connection.
+        Whether the connection was closed before the answer was complete.
+    is_cut : bool
+        Whether this host has closed it, and not the caller.
     """
 
     def __init__(self, channel, queued=None):
         super().__init__(channel, queued)
         self.begun = False
         self.gone = False
+        self.is_cut = False
         self.ended = False
         self.refused = False
         self.received_bytes = 0
@@ -91,13 +94,17 @@
         self.channel.factory.serve_request(self)
 
     def connectionLost(self, reason):
-        """Record that the caller has disconnected; called by Twisted."""
+        """Record that the connection was closed; called by Twisted."""
         factory = self.channel.factory
         super().connectionLost(reason)
         if self.ended:
             return
         self.gone = True
         self.ended = True
+        if factory.stopped:
+            self.is_cut = True
+            factory.on_cut(self)
+            return
         factory.on_caller_left(self)
 
     def begin(self, status, phrase, headers):
@@ -262,6 +269,12 @@
         Serves the requests.
     gate : ConnectionGate or None
         Decides which new connections are accepted; None accepts all.
+
+    Attributes
+    ==========
+
+    stopped : bool
+        Whether the host has stopped, and closes all connections.
     """
 
     protocol = CallerChannel
@@ -273,6 +286,7 @@
         self.gate = gate
         self.leaving = False
         self.refusing = False
+        self.stopped = False
         self.channels = set()
         self.in_flight = 0
         self.on_idle = None
@@ -328,6 +342,11 @@
         if is_cancelled_on_disconnect(answer.exchange):
             answer.work.cancel()
 
+    def on_cut(self, answer):
+        """End the request of a connection that the host has closed itself."""
+        if answer.work is not None:
+            answer.work.cancel()
+
     def leave(self):
         """Close each connection after its next answer."""
         self.leaving = True
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -168,6 +168,28 @@
     )
 
 
+def log_cut_off(run, why):
+    """Log that this host has closed a caller's connection too early.
+
+    Parameters
+    ==========
+
+    why : str
+        What has ended the answer.
+    """
+    exchange = run.exchange
+    run.core.log(
+        events.ANSWER_CUT_OFF,
+        request=exchange.ident,
+        route=exchange.route.name,
+        why=why,
+        begun=run.answer.begun,
+        sends=run.sends,
+        runs=run.count_runs() + run.contest.runs_in_flight(),
+        left_ms=int((exchange.ends - run.core.clock.seconds()) * _MS),
+    )
+
+
 def log_end(run):
     """Log the end of a request."""
     exchange = run.exchange
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -38,6 +38,7 @@
 from pollenstile.forward._ratelimited import note_sent
 from pollenstile.forward._request_log import (
     has_arrived,
+    log_cut_off,
     log_end,
     log_failed,
     log_send,
@@ -191,6 +192,9 @@
     def handle_expiry(self, failure):
         """Refuse the request at its deadline, or as caller or host leave."""
         failure.trap(TimeoutError, CancelledError)
+        if self.answer.is_cut:
+            _note_cut(self, 'host stops')
+            return
         if self.answer.gone:
             self.outcome = 'caller left'
             return
@@ -341,6 +345,13 @@
         self.answer.refuse(refusal)
 
 
+def _note_cut(run, why):
+    """Record that the host itself has closed the caller's connection."""
+    run.outcome = 'cut off'
+    run.core.silences.broken_off += run.answer.begun
+    log_cut_off(run, why)
+
+
 def _last_event(run):
     """Return the last event that was passed on, or that the caller has."""
     leader = run.contest.leader
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -38,6 +38,13 @@
     'caller-left',
     'A caller closed its connection before the answer was complete.',
 )
+ANSWER_CUT_OFF = define(
+    1253,
+    'answer-cut-off',
+    'A host that stops has closed the connection before the answer was complete.',
+    'If `why` names the grace, its time was too short for the request; compare'
+    ' `begun`, `sends` and `runs` with what the caller may do again.',
+)
 CONFIGURATION_TAKEN = define(
     1209,
     'configuration-taken',
