features: three ends of a grace that leave callers without a true word, failing

A request at an upstream that stays silent, one that came back as not run (409) and waits for stage work again, and a begun answer to an HTTP/1.0 caller, each at a host that gets SIGTERM, for graces of 1, 2, 4, 8 and 20 s, whole hosts in virtual time.

The first two are closed with neither status nor refusal at each grace, the third by an orderly close, by which its caller takes it for whole.

--- a/features/builders/leaving.py
+++ b/features/builders/leaving.py
@@ -16,6 +16,8 @@
 from pollenstile.ops._losses import LossCollector, losses_document
 from pollenstile.routes import StageStep, Target
 
+GRACES = (1.0, 2.0, 4.0, 8.0, 20.0)
+KINDS = ('idempotent', 'once', 'stream', 'resumable')
 _TIMEOUT_SECONDS = 60.0
 _ADDRESSES = ('10.0.0.1:1', '10.0.0.2:1')
 _LEARN_SECONDS = 0.5
@@ -34,15 +36,25 @@
         ``'closed'`` or ``'reset'``; empty while the connection is open.
     reads : bool
         Whether the caller reads; else written bytes stay in the buffer.
+    told_at, ended_at : float
+        Times on the clock of the first byte and of the end; 0 before them.
     """
 
-    def __init__(self, channel):
+    def __init__(self, channel, clock):
         super().__init__()
         self.channel = channel
+        self.clock = clock
+        self.told_at = 0.0
+        self.ended_at = 0.0
         self.reads = True
         self.end = ''
         channel.makeConnection(self)
 
+    def write(self, data):
+        """Write bytes to the caller."""
+        super().write(data)
+        self.told_at = self.told_at or self.clock.seconds()
+
     def loseConnection(self):
         """Close the connection once all bytes are read."""
         self.disconnecting = True
@@ -67,6 +79,7 @@
     def _end(self, end, reason):
         if not self.end:
             self.end = end
+            self.ended_at = self.clock.seconds()
             self.channel.connectionLost(Failure(reason))
 
 
@@ -167,7 +180,8 @@
 
     def open(self, *, reads=True):
         """Return a new connection of a caller."""
-        transport = CallerTransport(self.daemon.factory.buildProtocol(None))
+        channel = self.daemon.factory.buildProtocol(None)
+        transport = CallerTransport(channel, self.world.clock)
         transport.reads = reads
         return transport
 
@@ -190,6 +204,17 @@
             % (version, ident.encode(), pieces, body)
         )
 
+    def play_end(self):
+        """Send SIGTERM, and kill the process at the end of its grace."""
+        self.stop()
+        grace = self.daemon.settings.grace_seconds
+        self.advance_until(grace, lambda: self.stopped)
+        self.exit()
+
+    def after_signal(self, moment):
+        """Return the seconds from the signal to a time on the clock."""
+        return moment - self.signalled_at
+
     def stop(self):
         """Send SIGTERM."""
         self.signalled_at = self.now()
--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -19,3 +19,18 @@
     When the host is stopped and the caller "b1" leaves
     Then "b1" is logged as left by its caller
     And the losses count 1 request as "failed: caller left"
+
+  Scenario: A request at a silent upstream is told at the end of the grace
+    Guards against a stopping host that closes connections without an answer.
+    When hosts of each grace stop while their upstreams are silent for good
+    Then each request is told in the last sixth of the grace that it may have run
+
+  Scenario: A request that came back as not run is refused in time
+    Guards against a host that waits to its end for stage work it can't use any more.
+    When hosts of each grace stop while requests that came back wait for stage work
+    Then each request is refused as not run, with time left for another host
+
+  Scenario: A begun answer ends by a reset where a close would look like its end
+    Guards against an incomplete answer whose caller takes it for the whole.
+    When hosts of each grace stop in the middle of answers to HTTP/1.0 callers
+    Then each connection is reset in the last sixth of the grace
--- a/features/steps/grace_ends_steps.py
+++ b/features/steps/grace_ends_steps.py
@@ -1,14 +1,20 @@
 """Steps for the end of a stopping host's grace."""
 
+from itertools import product
+
 from behave import given, then, when
 
 from features.builders.forward import event_bytes
-from features.builders.leaving import LeavingHost
+from features.builders.leaving import GRACES, KINDS, LeavingHost
 from pollenstile.forward import events
 from pollenstile.ops._explaincmd import timeline_lines
 from pollenstile.ops.events import catalogue
 
 _BEYOND_SECONDS = 60.0
+# Part of the grace before which nothing that is at an upstream ends.
+_KEPT_SHARE = 5 / 6
+# Expected time of the scripted stage work and of the first event after it.
+_EXPECTED_SECONDS = 0.35
 
 
 @given('a stopping host with a "{kind}" route')
@@ -21,8 +27,12 @@
 def given_begun(context, ident):
     caller = context.host.ask(ident)
     context.callers[ident] = caller
-    call = context.host.call_of(caller)
-    call.answer(ident=ident)
+    _begin_answer(context.host, caller)
+
+
+def _begin_answer(host, caller):
+    call = host.call_of(caller)
+    call.answer(ident=caller.ident)
     call.on_data(event_bytes(1))
 
 
@@ -82,3 +92,78 @@
 def then_losses(context, count, cause):
     causes = context.host.causes()
     assert causes == {cause: count}, causes
+
+
+def _play(context, kinds, prepare, version=b'1.1', *, staged=False):
+    """Stop a host for each grace and kind, with one request in flight."""
+    context.ends = []
+    for grace, kind in product(GRACES, kinds):
+        host = LeavingHost(kind, grace, staged=staged)
+        caller = host.ask(f'{kind} {grace}', version)
+        prepare(host, caller)
+        host.play_end()
+        context.ends.append((host, caller, grace))
+
+
+def _leave_alone(host, caller):
+    assert host.call_of(caller)
+
+
+def _send_back(host, caller):
+    host.stages.refusal = 'never'
+    host.call_of(caller).answer(409, caller.ident, not_run=b'gone')
+    assert host.stages.waiting
+
+
+@when('hosts of each grace stop while their upstreams are silent for good')
+def when_silent(context):
+    _play(context, KINDS, _leave_alone)
+
+
+@when(
+    'hosts of each grace stop while requests that came back wait for stage work'
+)
+def when_sent_back(context):
+    _play(context, KINDS, _send_back, staged=True)
+
+
+@when('hosts of each grace stop in the middle of answers to HTTP/1.0 callers')
+def when_begun(context):
+    _play(context, ('stream', 'resumable'), _begin_answer, b'1.0')
+
+
+@then(
+    'each request is told in the last sixth of the grace that it may have run'
+)
+def then_told(context):
+    for host, caller, grace in context.ends:
+        assert (caller.status(), caller.body()) == (502, 'leaving\n'), (
+            grace,
+            caller.received(),
+        )
+        told = host.after_signal(caller.transport.told_at)
+        assert _KEPT_SHARE * grace <= told < grace, (grace, told)
+        assert not host.lines('caller-left')
+
+
+@then('each request is refused as not run, with time left for another host')
+def then_refused(context):
+    for host, caller, grace in context.ends:
+        received = caller.received()
+        assert (caller.status(), caller.body()) == (503, 'leaving\n'), (
+            grace,
+            received,
+        )
+        assert b'retry-after: ' in received.lower(), received
+        told = host.after_signal(caller.transport.told_at)
+        assert told <= grace - _EXPECTED_SECONDS, (grace, told)
+
+
+@then('each connection is reset in the last sixth of the grace')
+def then_reset(context):
+    for host, caller, grace in context.ends:
+        transport = caller.transport
+        assert transport.end == 'reset', (grace, transport.end)
+        ended = host.after_signal(transport.ended_at)
+        assert _KEPT_SHARE * grace <= ended < grace, (grace, ended)
+        assert len(host.lines('answer-cut-off', caller.ident)) == 1
