forward: a stopping host tells each caller what has become of its request

What callers saw: a request at an upstream that stayed silent, or one that came back as not run (409) and waited for stage work again, was closed with neither status nor refusal when its host's grace ended; a begun answer to an HTTP/1.0 caller was closed as if it were whole. With 1 or 2 s of grace the host was killed while it still accepted requests.

Cause: at its end the host cancelled only what was never sent, by a flag that stays set once a request was sent. Nothing decided on the rest, and nothing that could no longer be served was told before the end. The lame duck time and the margin were constants whatever the grace.

Ruled out: callers that leave (the host closes, see 1253), stage work lost with the host's own queues ("owner lost" comes at the end, from other hosts' queues).

Now a host that is asked to stop knows its end (_departure.py, no I/O), with a lame duck and a margin in proportion to short graces. All requests under way are known to it; it looks at them each 50 ms, and before stage work begins or is made again and before a send. One with nothing in flight whose remaining steps and first event don't fit is refused at once: 503 and when to come back if none of its attempts may have run, else 502. One that is at an upstream is told only at the end (502), before its attempts are closed, as its upstream may go on until then. A begun answer goes on to the end and is then reset, and logged as 1253. A wait for permission ends in time for the same bound.

The mutant of the live soak that ends a host at once replaces the whole shutdown now, as the names that it replaced are gone; its host ends as soon as before.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -50,14 +50,13 @@
     _configuration.Configuration.replace_table = keep
 
 
-def _is_never_busy(daemon):
-    return False
+async def _stop_at_once(daemon):
+    """Return at once; the process ends, and closes all connections."""
 
 
 def without_drain():
     """End a host at once on shutdown, without a lame duck period."""
-    _daemon._LAME_DUCK_SECONDS = 0.0
-    _daemon.ForwardDaemon._is_busy = _is_never_busy
+    _daemon.shut_down = _stop_at_once
 
 
 def without_truth():
--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -34,3 +34,28 @@
     Guards against an incomplete answer whose caller takes it for the whole.
     When hosts of each grace stop in the middle of answers to HTTP/1.0 callers
     Then each connection is reset in the last sixth of the grace
+
+  Scenario: An answer whose upstream goes on in the last second is kept
+    Guards against a stopping host that gives up an upstream for its silence.
+    When hosts of each grace stop, and silent upstreams answer just before the end
+    Then each request is answered completely
+
+  Scenario Outline: A request that its stopping host can't serve: <request>
+    Guards against a refusal too late for another host, or that names the wrong state.
+    Given a stopping host with stage work for "idempotent" requests
+    When a request <request>, and the host stops
+    Then the request is told <status> <moment>
+
+    Examples:
+      | request                                         | status | moment                 |
+      | waits for stage work                            | 503    | while another has time |
+      | was lost and waits for stage work again         | 502    | while another has time |
+      | comes with less time left than its stages take  | 503    | at once                |
+      | comes back with less time left than stages take | 503    | at once                |
+
+  Scenario: Changed settings don't move the end of a host that stops
+    Guards against a longer grace that the process doesn't have.
+    Given a stopping host with a "stream" route
+    And a caller "b1" whose answer has begun
+    When the host is stopped and its grace is set to 60 seconds meanwhile
+    Then the host has stopped within 8 seconds
--- a/features/steps/grace_ends_steps.py
+++ b/features/steps/grace_ends_steps.py
@@ -1,12 +1,13 @@
 """Steps for the end of a stopping host's grace."""
 
+from dataclasses import replace
 from itertools import product
 
 from behave import given, then, when
 
 from features.builders.forward import event_bytes
 from features.builders.leaving import GRACES, KINDS, LeavingHost
-from pollenstile.forward import events
+from pollenstile.forward import Lost, events
 from pollenstile.ops._explaincmd import timeline_lines
 from pollenstile.ops.events import catalogue
 
@@ -15,6 +16,10 @@
 _KEPT_SHARE = 5 / 6
 # Expected time of the scripted stage work and of the first event after it.
 _EXPECTED_SECONDS = 0.35
+# Time within which a host that looks at its requests refuses one.
+_AT_ONCE_SECONDS = 0.1
+# Part of the grace after which a silent upstream goes on.
+_LATE_SHARE = 0.8
 
 
 @given('a stopping host with a "{kind}" route')
@@ -167,3 +172,118 @@
         ended = host.after_signal(transport.ended_at)
         assert _KEPT_SHARE * grace <= ended < grace, (grace, ended)
         assert len(host.lines('answer-cut-off', caller.ident)) == 1
+
+
+def _answer_late(host, caller):
+    moment = _LATE_SHARE * host.daemon.settings.grace_seconds
+    call = host.call_of(caller)
+    host.world.clock.callLater(moment, _answer, call, caller.ident)
+
+
+def _answer(call, ident):
+    call.answer(ident=ident)
+    call.body(event_bytes(1))
+
+
+@when(
+    'hosts of each grace stop, and silent upstreams answer just before the end'
+)
+def when_late(context):
+    _play(context, KINDS, _answer_late)
+
+
+@then('each request is answered completely')
+def then_answered(context):
+    for _, caller, grace in context.ends:
+        assert caller.status() == 200, (grace, caller.received())
+        assert caller.received().endswith(b'\r\n0\r\n\r\n'), caller.received()
+
+
+@given('a stopping host with stage work for "{kind}" requests')
+def given_staged(context, kind):
+    context.host = LeavingHost(kind, staged=True)
+
+
+def _wait_for_stages(host):
+    host.stages.refusal = 'never'
+    caller = host.ask('r')
+    host.stop()
+    return caller
+
+
+def _lose_and_wait_for_stages(host):
+    """Lose the attempt of a request whose stage results were read."""
+    caller = host.ask('r')
+    for run in host.core.runs:
+        run.results.release()
+    host.stages.refusal = 'never'
+    host.call_of(caller).head.callback(Lost('reset', 'i0'))
+    assert host.stages.waiting
+    host.stop()
+    return caller
+
+
+def _come_late(host):
+    host.stages.seconds = lambda service, count: 9.0
+    host.stop()
+    caller = host.ask('r')
+    assert not host.stages.groups
+    return caller
+
+
+def _come_back_late(host):
+    caller = host.ask('r')
+    host.stop()
+    host.stages.seconds = lambda service, count: 9.0
+    made = len(host.stages.groups)
+    host.call_of(caller).answer(409, caller.ident, not_run=b'gone')
+    assert len(host.stages.groups) == made
+    return caller
+
+
+_REQUESTS = {
+    'waits for stage work': _wait_for_stages,
+    'was lost and waits for stage work again': _lose_and_wait_for_stages,
+    'comes with less time left than its stages take': _come_late,
+    'comes back with less time left than stages take': _come_back_late,
+}
+
+
+@when('a request {request}, and the host stops')
+def when_request(context, request):
+    host = context.host
+    context.caller = _REQUESTS[request](host)
+    host.advance_until(
+        host.daemon.settings.grace_seconds, context.caller.status
+    )
+
+
+@then('the request is told {status:d} at once')
+def then_at_once(context, status):
+    assert context.caller.status() == status, context.caller.received()
+    told = context.host.after_signal(context.caller.transport.told_at)
+    assert told < _AT_ONCE_SECONDS, told
+
+
+@then('the request is told {status:d} while another has time')
+def then_in_time(context, status):
+    host = context.host
+    assert context.caller.status() == status, context.caller.received()
+    told = host.after_signal(context.caller.transport.told_at)
+    grace = host.daemon.settings.grace_seconds
+    assert _KEPT_SHARE * grace <= told <= grace - _EXPECTED_SECONDS, told
+
+
+@when(
+    'the host is stopped and its grace is set to {seconds:d} seconds meanwhile'
+)
+def when_reloaded(context, seconds):
+    host = context.host
+    host.stop()
+    host.daemon.reload(replace(host.daemon.settings, grace_seconds=seconds))
+
+
+@then('the host has stopped within {seconds:d} seconds')
+def then_stopped(context, seconds):
+    context.host.advance_until(seconds, lambda: context.host.stopped)
+    assert context.host.stopped
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -7,6 +7,7 @@
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._copies import Copies
 from pollenstile.forward._crashes import CrashDetector
+from pollenstile.forward._departure import Departure
 from pollenstile.forward._silence import SilenceCounts
 from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.forward._types import HeaderNames
@@ -77,6 +78,10 @@
         Limits sends to brittle upstreams.
     silences : SilenceCounts
         What became of the attempts of silent upstreams.
+    runs : dict
+        The requests that have not ended, in the order of their arrival.
+    departure : Departure or None
+        When this host ends; None before it was asked to stop.
     """
 
     clock: object
@@ -100,6 +105,8 @@
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
     silences: SilenceCounts = field(default_factory=SilenceCounts)
+    runs: dict = field(default_factory=dict)
+    departure: Departure | None = None
 
     def __post_init__(self):
         if self.quarantine is None:
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -10,10 +10,12 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
+from pollenstile.forward._departure import departure_of
 from pollenstile.forward._frontend import CallerFactory
 from pollenstile.forward._overload import ConnectionGate
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._settings import update_seconds
+from pollenstile.forward._shutdown import shut_down
 from pollenstile.forward._storewatches import StoreWatches
 from pollenstile.ops.http import disable_access_log
 from pollenstile.ops.logs import silent_log
@@ -23,18 +25,8 @@
 from pollenstile.platform import EraStore, StoreEra
 from pollenstile.tunnel.events import TUNNEL_LISTENING
 
-# Time for which a leaving host still accepts requests. The load balancer checks
-# readiness each second and needs two negative answers.
-_LAME_DUCK_SECONDS = 2.3
-# Part of the grace time that must remain when the host stops, even with
-# requests in flight.
-_GRACE_MARGIN_SECONDS = 0.6
-# Time between checks whether all requests are finished.
-_IDLE_CHECK_SECONDS = 0.05
 # Time between checks whether another host now owns a queue of this one.
 _REVIEW_PERIOD_SECONDS = 0.25
-# Time for connections to send their buffered data before the host stops.
-_FLUSH_SECONDS = 0.3
 # Time between checks whether a starting host has the state it needs to join.
 _JOIN_CHECK_SECONDS = 0.05
 # Number of connections that may wait to be accepted; a burst of connections
@@ -219,6 +211,9 @@
     def stop(self):
         """Start to leave; return a Deferred that fires when all is stopped."""
         self.leaving = True
+        self.parts.core.departure = departure_of(
+            self.reactor.seconds(), self.settings.grace_seconds
+        )
         self.parts.relay.source.leaving = True
         self.parts.core.rates.leave()
         self.parts.tunnels.leave()
@@ -226,39 +221,21 @@
         self.parts.hub.send_beats()
         self._review()
         self.log(events.FORWARD_LEAVING, in_flight=self.factory.in_flight)
-        return Deferred.fromCoroutine(self._shut_down())
-
-    async def _shut_down(self):
-        began = self.reactor.seconds()
-        latest = began + self.settings.grace_seconds - _GRACE_MARGIN_SECONDS
-        # The result is not awaited, as other hosts skip the entry of a host
-        # that does not answer.
-        Deferred.fromCoroutine(self.parts.members.leave())
-        await deferLater(self.reactor, _LAME_DUCK_SECONDS)
-        # Callers keep using open connections until they are closed. A request
-        # accepted from now on could be cut off when the process is killed.
-        self.factory.refusing = True
-        self.factory.close_idle()
-        while self._is_busy() and self.reactor.seconds() < latest:
-            await deferLater(self.reactor, _IDLE_CHECK_SECONDS)
-        self.factory.refuse_unsent()
-        self.factory.close_idle()
-        await deferLater(self.reactor, _FLUSH_SECONDS)
-        self.factory.stopped = True
-        self.parts.core.configuration.loop.running = False
-        self.parts.relay.follower.stop()
-        self.watches.stop()
-        self.review.stop()
-        self.factory.gate.stop()
-        self.parts.hub.stop()
-        for port in self.ports:
-            await port.stopListening()
-        self.log(events.FORWARD_STOPPED, in_flight=self.factory.in_flight)
-
-    def _is_busy(self):
-        if self.factory.in_flight or self.parts.tunnels.open_ends:
-            return True
-        return self.parts.owners.is_busy()
+        return Deferred.fromCoroutine(shut_down(self))
+
+    def guard(self, step, action):
+        """Call a function of a periodic step, whose failure is logged only."""
+        try:
+            action()
+        except Exception as error:
+            # An exception here must not end the periodic review or interrupt a
+            # shutdown, which would cut off all requests in flight.
+            self.log(
+                events.FORWARD_CRASHED,
+                level='error',
+                step=step,
+                error=repr(error),
+            )
 
     async def _join(self):
         # A host without a registry has no workers. As the owner of a stage, it
@@ -304,17 +281,7 @@
         return core.configuration.table is not None and core.registry.known
 
     def _review(self):
-        try:
-            self._run_review()
-        except Exception as error:
-            # An exception here must not end the periodic review or interrupt a
-            # shutdown, which would cut off all requests in flight.
-            self.log(
-                events.FORWARD_CRASHED,
-                level='error',
-                step='review',
-                error=repr(error),
-            )
+        self.guard('review', self._run_review)
 
     def _run_review(self):
         owners = self.parts.owners.by_service
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -254,11 +254,6 @@
     return max(_MIN_RETRY_SECONDS, wait) + rng.uniform(0, _RETRY_JITTER_SECONDS)
 
 
-# Refusal by a leaving host. The last value is the retry delay in seconds, after
-# which another host accepts the connections.
-LEAVING_REFUSAL = Refusal(_UNAVAILABLE, 'leaving', 'entry', '', 0.1)
-
-
 def expired_refusal(runs):
     """Return the final :class:`Refusal` at the deadline or route timeout."""
     if runs:
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -56,6 +56,23 @@
     return view.seconds or _DEFAULT_ANSWER_SHARE * exchange.route.aim
 
 
+def expected_first_event_seconds(core, exchange):
+    """Return the expected seconds until the quickest upstream's answer begins.
+
+    Explanation
+    ===========
+
+    Counted from the time at which the stage work of the request is done.
+    """
+    return min(
+        (
+            expected_answer_seconds(core, exchange, view)
+            for view in _upstreams_of(core, exchange)
+        ),
+        default=_DEFAULT_ANSWER_SHARE * exchange.route.aim,
+    )
+
+
 def _upstreams_of(core, exchange):
     """Return those of its service's upstreams that a request may go to.
 
@@ -255,6 +272,8 @@
     latest = exchange.aim - expected
     if latest <= now or not held_back.takes_turns:
         latest = exchange.ends - expected
+    if core.departure is not None:
+        latest = min(latest, core.departure.latest - expected)
     return latest - now
 
 
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -5,7 +5,7 @@
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
 from pollenstile.forward import events
-from pollenstile.forward._decisions import LEAVING_REFUSAL
+from pollenstile.forward._departure import LEAVING_REFUSAL
 from pollenstile.forward._parse import parse_exchange
 from pollenstile.forward._run import is_cancelled_on_disconnect, serve
 from pollenstile.forward._types import Refusal
@@ -40,16 +40,13 @@
     begun : bool
         Whether the head of an answer was set.
     gone : bool
-        Whether the connection was closed before the answer was complete.
-    is_cut : bool
-        Whether this host has closed it, and not the caller.
+        Whether the caller has closed its connection.
     """
 
     def __init__(self, channel, queued=None):
         super().__init__(channel, queued)
         self.begun = False
         self.gone = False
-        self.is_cut = False
         self.ended = False
         self.refused = False
         self.received_bytes = 0
@@ -94,17 +91,13 @@
         self.channel.factory.serve_request(self)
 
     def connectionLost(self, reason):
-        """Record that the connection was closed; called by Twisted."""
+        """Record that the caller has disconnected; called by Twisted."""
         factory = self.channel.factory
         super().connectionLost(reason)
         if self.ended:
             return
         self.gone = True
         self.ended = True
-        if factory.stopped:
-            self.is_cut = True
-            factory.on_cut(self)
-            return
         factory.on_caller_left(self)
 
     def begin(self, status, phrase, headers):
@@ -269,12 +262,6 @@
         Serves the requests.
     gate : ConnectionGate or None
         Decides which new connections are accepted; None accepts all.
-
-    Attributes
-    ==========
-
-    stopped : bool
-        Whether the host has stopped, and closes all connections.
     """
 
     protocol = CallerChannel
@@ -286,7 +273,6 @@
         self.gate = gate
         self.leaving = False
         self.refusing = False
-        self.stopped = False
         self.channels = set()
         self.in_flight = 0
         self.on_idle = None
@@ -342,11 +328,6 @@
         if is_cancelled_on_disconnect(answer.exchange):
             answer.work.cancel()
 
-    def on_cut(self, answer):
-        """End the request of a connection that the host has closed itself."""
-        if answer.work is not None:
-            answer.work.cancel()
-
     def leave(self):
         """Close each connection after its next answer."""
         self.leaving = True
@@ -360,14 +341,6 @@
             if not channel.requests:
                 channel.loseConnection()
 
-    def refuse_unsent(self):
-        """Refuse the requests that no upstream has got yet."""
-        for channel in list(self.channels):
-            for answer in list(channel.requests):
-                if answer.exchange is None or answer.exchange.was_sent:
-                    continue
-                answer.work.cancel()
-
     def _on_finished(self, ignored):
         self.in_flight -= 1
         if not self.in_flight and self.on_idle is not None:
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -169,7 +169,7 @@
 
 
 def log_cut_off(run, why):
-    """Log that this host has closed a caller's connection too early.
+    """Log that this host cuts an answer off that isn't complete.
 
     Parameters
     ==========
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -1,5 +1,7 @@
 """Forwarding of one request, from its arrival to its final answer."""
 
+from functools import partial
+
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from pollenstile.forward import events
@@ -12,7 +14,6 @@
 )
 from pollenstile.forward._contest import Contest
 from pollenstile.forward._decisions import (
-    LEAVING_REFUSAL,
     RetryDecision,
     decide_retry,
     expired_refusal,
@@ -30,6 +31,7 @@
     select_view,
 )
 from pollenstile.forward._input_release import InputRelease
+from pollenstile.forward._leaving import departure_refusal
 from pollenstile.forward._outcomes import (
     RESULTS_GONE,
     Delivered,
@@ -75,7 +77,9 @@
         Writes to the caller.
     """
     run = Run(core, exchange, answer)
+    core.runs[run] = None
     work = Deferred.fromCoroutine(run.forward())
+    run.work = work
     remaining = max(0, exchange.ends - core.clock.seconds())
     work.addTimeout(remaining, core.clock)
     work.addErrback(run.handle_expiry)
@@ -99,6 +103,10 @@
         Attempts so far.
     runs : int
         Attempts of earlier rounds that may have run.
+    dismissal : Refusal or None
+        Why this host, which leaves, has given the request up.
+    work : Deferred
+        Ends with the request.
     last_event : str
         Event after which the first attempt of this round goes on.
     tried : list of str
@@ -109,6 +117,7 @@
         'answer',
         'contest',
         'core',
+        'dismissal',
         'exchange',
         'last_event',
         'outcome',
@@ -118,6 +127,7 @@
         'sends',
         'standby',
         'tried',
+        'work',
     )
 
     def __init__(self, core, exchange, answer):
@@ -132,6 +142,8 @@
         self.runs = 0
         self.tried = []
         self.refusal = None
+        self.dismissal = None
+        self.work = None
         self.outcome = 'answered'
 
     @property
@@ -154,7 +166,6 @@
         """
         self.results.note_read(inputs, view.domain)
         self.tried.append(view.ident)
-        self.exchange.was_sent = True
         self.sends += 1
         now = self.core.clock.seconds()
         self.core.cold.note_sent(view, cold_rate(self.exchange), now)
@@ -179,30 +190,33 @@
         if refusal is not None:
             self._give_up(refusal)
             return
-        failed = await self.results.make()
-        if failed is not None:
-            self._refuse_failed_stages(failed)
-            return
-        while await self._send_in_turn():
-            failed = await self.results.renew()
-            if failed is not None:
-                self._refuse_failed_stages(failed)
-                return
+        make = self.results.make
+        while await self._prepare(make) and await self._send_in_turn():
+            make = self.results.renew
+
+    def dismiss(self, refusal):
+        """Give the request up, as this host leaves.
+
+        Parameters
+        ==========
+
+        refusal : Refusal
+            What its caller is told if its answer has not begun.
+        """
+        self.dismissal = refusal
+        self.work.cancel()
 
     def handle_expiry(self, failure):
         """Refuse the request at its deadline, or as caller or host leave."""
         failure.trap(TimeoutError, CancelledError)
-        if self.answer.is_cut:
-            _note_cut(self, 'host stops')
-            return
         if self.answer.gone:
             self.outcome = 'caller left'
             return
-        if failure.check(CancelledError) and not self.exchange.was_sent:
-            self._refuse(LEAVING_REFUSAL)
+        if self.dismissal is not None:
+            _dismiss(self)
             return
         runs = self.count_runs() + self.contest.runs_in_flight()
-        self._refuse(expired_refusal(runs))
+        self.refuse(expired_refusal(runs))
 
     def handle_crash(self, failure):
         """Log an unexpected exception and refuse the request."""
@@ -212,23 +226,25 @@
             request=self.exchange.ident,
             error=failure.getTraceback(),
         )
-        self._refuse(Refusal(502, 'internal', 'program'))
+        self.refuse(Refusal(502, 'internal', 'program'))
 
     def finish(self, ignored):
         """Close what is in flight, release all results and log the end."""
         self.standby.stop()
         self.contest.stop()
         self.results.finish()
+        self.core.runs.pop(self)
         log_end(self)
 
-    def _refuse_failed_stages(self, failed):
-        if self.count_runs() or failed.reason == HELD_REASON:
-            self._refuse(Refusal(502, failed.reason, failed.step))
-            return
-        wait = retry_after(failed.retry_after, self.core.rng)
-        self._refuse(
-            Refusal(_UNAVAILABLE, failed.reason, failed.step, '', wait),
-        )
+    async def _prepare(self, make):
+        """Have the stage work done; return whether the request may be sent."""
+        refusal = departure_refusal(self)
+        if refusal is None:
+            failed = await make()
+            refusal = _stage_refusal(self, failed) if failed else None
+        if refusal is not None:
+            self.refuse(refusal)
+        return refusal is None
 
     async def _send_in_turn(self):
         """Send the request once, after other copies of it where needed.
@@ -268,7 +284,7 @@
         self.runs += self.contest.runs
         self.contest = Contest(self.answer)
         self.contest.on_failed = self._handle_failed
-        self.contest.on_closed = self._handle_closed
+        self.contest.on_closed = partial(_handle_closed, self)
         self.contest.is_preparing = self.standby.is_preparing
 
     def _handle_failed(self, attempt):
@@ -278,13 +294,6 @@
             log_failed(self, attempt, failed, resend=False)
         self.standby.note_failed(attempt)
 
-    def _handle_closed(self, attempt, closed):
-        """Release the results, which the attempt that goes on has read."""
-        self.results.release()
-        if any(other.silence.is_silent for other in closed):
-            self.core.silences.taken_over += 1
-            log_taken_over(self, attempt, closed)
-
     async def _run_attempt(self, attempt, last_event, chain):
         outcome = await attempt.outcome(last_event)
         # It has ended, so nothing is to be sent beside it before its upstream
@@ -323,16 +332,17 @@
             _pass_on(self, outcome)
             return
         if isinstance(outcome, Refusal):
-            self._refuse(outcome)
+            self.refuse(outcome)
             return
         withdrawn = withdrawn_wait(self.core, self.exchange)
         wait = withdrawn.wait if withdrawn else 0.0
         wait = max(wait, restart_wait(self.core, self.exchange))
-        self._refuse(
+        self.refuse(
             final_refusal(outcome, self.count_runs(), self.core.rng, wait)
         )
 
-    def _refuse(self, refusal):
+    def refuse(self, refusal):
+        """End the request with a refusal, or by a reset once it has begun."""
         self.refusal = refusal
         self.outcome = 'refused'
         if self.answer.begun:
@@ -345,11 +355,31 @@
         self.answer.refuse(refusal)
 
 
-def _note_cut(run, why):
-    """Record that the host itself has closed the caller's connection."""
+def _handle_closed(run, attempt, closed):
+    """Release the results, which the attempt that goes on has read."""
+    run.results.release()
+    if any(other.silence.is_silent for other in closed):
+        run.core.silences.taken_over += 1
+        log_taken_over(run, attempt, closed)
+
+
+def _dismiss(run):
+    """Tell the caller of a request that this host, which leaves, gives up."""
+    if not run.answer.begun:
+        run.refuse(run.dismissal)
+        return
     run.outcome = 'cut off'
-    run.core.silences.broken_off += run.answer.begun
-    log_cut_off(run, why)
+    run.core.silences.broken_off += 1
+    log_cut_off(run, 'grace over')
+    run.answer.abort()
+
+
+def _stage_refusal(run, failed):
+    """Return the refusal of a request whose stage work has failed."""
+    if run.count_runs() or failed.reason == HELD_REASON:
+        return Refusal(502, failed.reason, failed.step)
+    wait = retry_after(failed.retry_after, run.core.rng)
+    return Refusal(_UNAVAILABLE, failed.reason, failed.step, '', wait)
 
 
 def _last_event(run):
@@ -419,7 +449,8 @@
     Explanation
     ===========
 
-    A quarantined request is always refused. Admission is checked again only
+    A quarantined request is always refused, and one that nothing is in flight
+    for if this host leaves too soon. Admission is checked again only
     while the request cannot have run and no part of an answer was sent: after
     that a refusal would wrongly state that it did not run, or cut the answer
     off. Both may change while the request waits for permission.
@@ -435,6 +466,7 @@
     await await_reports(run.core, run.exchange, avoided)
     limited = await await_permission(run.core, run.exchange, avoided, inputs)
     refusal = quarantine_refusal(run.core, run.exchange) or limited
+    refusal = refusal or departure_refusal(run)
     if refusal is not None:
         return refusal
     may_have_run = run.count_runs() or run.contest.running
--- a/pollenstile/forward/_stageresults.py
+++ b/pollenstile/forward/_stageresults.py
@@ -4,7 +4,12 @@
     expected_first_token_seconds,
     home_domain,
 )
-from pollenstile.stagework import Chain, ChainFailed, build_plan
+from pollenstile.stagework import (
+    Chain,
+    ChainFailed,
+    build_plan,
+    longest_seconds,
+)
 
 
 class StageResults:
@@ -65,6 +70,25 @@
         """Return the seconds since the caller's first arrival."""
         return self.chain.waited if self.chain else 0.0
 
+    def remaining_seconds(self):
+        """Return the expected seconds until all results are held."""
+        exchange = self.exchange
+        if not any(exchange.counts):
+            return 0.0
+        if self._must_be_made():
+            done = frozenset()
+        else:
+            done = self.chain.done
+        seconds = self.core.stages.seconds
+        steps = exchange.route.steps
+        times = [
+            0.0 if number in done or not count else seconds(step.service, count)
+            for number, (step, count) in enumerate(
+                zip(steps, exchange.counts, strict=True)
+            )
+        ]
+        return longest_seconds(steps, times)
+
     def note_read(self, inputs, domain):
         """Count the results that an upstream in a domain reads.
 
@@ -128,6 +152,14 @@
         self.crossed += self.chain.crossed
         self.unused += self.chain.unused
 
+    def _must_be_made(self):
+        """Return whether the stage work is still to begin, or done in vain."""
+        if self.chain is None:
+            return True
+        counts = enumerate(self.exchange.counts)
+        needed = {number for number, count in counts if count}
+        return needed <= self.chain.done and not self.are_held()
+
     def _due(self):
         """Return the time at which the answer should begin or go on.
 
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -150,8 +150,6 @@
     parts : tuple of str
         Keyed digests of its prompt parts without the last one, which no other
         request shares; empty while the fleet's key is unknown.
-    was_sent : bool
-        Whether it was sent to an upstream, and may have run.
     """
 
     ident: str
@@ -178,7 +176,6 @@
     proof_ms: int = 0
     fingerprint: str = ''
     parts: tuple = ()
-    was_sent: bool = False
 
     @property
     def fingerprints(self):
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -41,9 +41,9 @@
 ANSWER_CUT_OFF = define(
     1253,
     'answer-cut-off',
-    'A host that stops has closed the connection before the answer was complete.',
-    'If `why` names the grace, its time was too short for the request; compare'
-    ' `begun`, `sends` and `runs` with what the caller may do again.',
+    'A host that stops has closed the connection before its caller had the whole'
+    ' answer.',
+    'Compare the grace with the time that answers take.',
 )
 CONFIGURATION_TAKEN = define(
     1209,
--- a/pollenstile/stagework/__init__.py
+++ b/pollenstile/stagework/__init__.py
@@ -18,6 +18,7 @@
     Plan,
     build_plan,
     crowded_seconds,
+    longest_seconds,
     should_delay_step,
     usual_seconds,
 )
--- a/pollenstile/stagework/_plan.py
+++ b/pollenstile/stagework/_plan.py
@@ -158,6 +158,26 @@
     return longest
 
 
+def longest_seconds(steps, times):
+    """Return the duration of the longest path of steps.
+
+    Parameters
+    ==========
+
+    steps : tuple of StageStep
+        The steps.
+    times : list of float
+        Duration of each step; 0 for those that are done.
+    """
+    return max(
+        (
+            time + _downstream_seconds(steps, times, number)
+            for number, time in enumerate(times)
+        ),
+        default=0.0,
+    )
+
+
 def should_delay_step(plan, number, done, seconds, full):
     """Return whether to delay a step that could start now.
 
--- a/pollenstile/standin/exchanges.py
+++ b/pollenstile/standin/exchanges.py
@@ -89,8 +89,6 @@
 
     end : str
         ``'whole'``, ``'broken'`` or ``'refused'``; empty before the end.
-    is_cut : bool
-        Whether the host closed the connection at its own end.
     producer : object or None
         What the caller stops and resumes by its reading.
     """
@@ -98,7 +96,6 @@
     def __init__(self):
         self.begun = False
         self.gone = False
-        self.is_cut = False
         self.status = 0
         self.content = b''
         self.headers = []
