forward: a stopping host waits for callers that have not read their answers

What callers saw: an answer that was complete for its host broke off in the middle, or, with HTTP/1.0, ended like a whole one: the host stopped as soon as nothing was in flight, with bytes of the answer still in the connection's buffer.

Cause: the host counted requests, and a request ends when its last byte is written to the buffer.

Now a connection that closes once its caller has read counts as well, until the end of the grace.

Evidence: a transport that holds bytes.

--- a/features/builders/leaving.py
+++ b/features/builders/leaving.py
@@ -55,6 +55,10 @@
         super().write(data)
         self.told_at = self.told_at or self.clock.seconds()
 
+    def unregisterProducer(self):
+        """Forget the producer; as with TCP, there may be none."""
+        self.producer = None
+
     def loseConnection(self):
         """Close the connection once all bytes are read."""
         self.disconnecting = True
--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -59,3 +59,24 @@
     And a caller "b1" whose answer has begun
     When the host is stopped and its grace is set to 60 seconds meanwhile
     Then the host has stopped within 8 seconds
+
+  Scenario Outline: A stopping host waits for a caller that reads slowly: <version>
+    Guards against bytes of a whole answer that are lost in the connection's buffer.
+    Given a stopping host with a "idempotent" route
+    And an HTTP/<version> caller "s1" that has not read its whole answer
+    When the host is stopped and 6 seconds pass
+    Then the host has not stopped, and the connection of "s1" is open
+    When the caller "s1" reads on
+    Then the connection of "s1" is closed, and the host stops within 1 second
+
+    Examples:
+      | version |
+      | 1.0     |
+      | 1.1     |
+
+  Scenario: A caller that never reads its answer doesn't hold a stopping host
+    The opposite case, whose connection is not closed like one that was read.
+    Given a stopping host with a "idempotent" route
+    And an HTTP/1.0 caller "s1" that has not read its whole answer
+    When the host is stopped, its grace ends and its process exits
+    Then the connection of "s1" is reset, and logged as not read
--- a/features/steps/grace_ends_steps.py
+++ b/features/steps/grace_ends_steps.py
@@ -287,3 +287,49 @@
 def then_stopped(context, seconds):
     context.host.advance_until(seconds, lambda: context.host.stopped)
     assert context.host.stopped
+
+
+@given('an HTTP/{version} caller "{ident}" that has not read its whole answer')
+def given_unread(context, version, ident):
+    host = context.host
+    caller = host.ask(ident, version.encode(), reads=False)
+    context.callers[ident] = caller
+    _answer(host.call_of(caller), ident)
+    assert caller.status() == 200, caller.received()
+
+
+@when('the host is stopped and {seconds:d} seconds pass')
+def when_passed(context, seconds):
+    context.host.stop()
+    context.host.advance(seconds)
+
+
+@then('the host has not stopped, and the connection of "{ident}" is open')
+def then_waits(context, ident):
+    assert not context.host.stopped
+    assert not context.callers[ident].transport.end
+
+
+@when('the caller "{ident}" reads on')
+def when_reads(context, ident):
+    context.callers[ident].transport.read_on()
+
+
+@then(
+    'the connection of "{ident}" is closed, and the host stops within {seconds:d} second'
+)
+def then_read(context, ident, seconds):
+    host = context.host
+    host.advance(seconds)
+    assert host.stopped
+    assert context.callers[ident].transport.end == 'closed'
+    assert not host.lines('answer-cut-off')
+
+
+@then('the connection of "{ident}" is reset, and logged as not read')
+def then_unread(context, ident):
+    transport = context.callers[ident].transport
+    assert transport.end == 'reset', transport.end
+    cut = context.host.lines('answer-cut-off', ident)
+    assert [line['why'] for line in cut] == ['not read'], cut
+    assert context.host.stopped
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -7,6 +7,7 @@
 from pollenstile.forward import events
 from pollenstile.forward._departure import LEAVING_REFUSAL
 from pollenstile.forward._parse import parse_exchange
+from pollenstile.forward._request_log import log_unread
 from pollenstile.forward._run import is_cancelled_on_disconnect, serve
 from pollenstile.forward._types import Refusal
 from pollenstile.routes import Limits
@@ -162,7 +163,14 @@
 
 
 class CallerChannel(HTTPChannel):
-    """A caller's connection, with limits on sizes and times."""
+    """A caller's connection, with limits on sizes and times.
+
+    Attributes
+    ==========
+
+    last : Exchange or None
+        The request that was answered last.
+    """
 
     requestFactory = Answer
 
@@ -173,6 +181,7 @@
         self.timeOut = self.limits.idle_seconds
         self.slow_timer = None
         self.rejected = False
+        self.last = None
         self.factory.channels.add(self)
         super().connectionMade()
 
@@ -202,6 +211,21 @@
         """Stop the time limit of a completely received request."""
         self._stop_slow_timer()
 
+    def requestDone(self, request):
+        """Go on after an answer; called by Twisted."""
+        self.last = request.exchange
+        super().requestDone(request)
+
+    def is_closing(self):
+        """Return whether the connection closes once its caller has read."""
+        return self.transport.disconnecting
+
+    def cut_off(self):
+        """Reset the connection, as its caller doesn't read the answer."""
+        if self.last is not None:
+            log_unread(self.factory.core, self.last)
+        self.transport.abortConnection()
+
     def checkPersistence(self, request, version):
         """Return whether to keep the connection open; called by Twisted."""
         values = request.requestHeaders.getRawHeaders(b'connection', ())
@@ -341,6 +365,16 @@
             if not channel.requests:
                 channel.loseConnection()
 
+    def is_closing(self):
+        """Return whether connections close once their callers have read."""
+        return any(channel.is_closing() for channel in self.channels)
+
+    def cut_off_unread(self):
+        """Reset the connections whose callers have not read their answers."""
+        for channel in list(self.channels):
+            if channel.is_closing():
+                channel.cut_off()
+
     def _on_finished(self, ignored):
         self.in_flight -= 1
         if not self.in_flight and self.on_idle is not None:
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -168,6 +168,18 @@
     )
 
 
+def log_unread(core, exchange):
+    """Log that a complete answer was cut off, as its caller hasn't read it."""
+    core.log(
+        events.ANSWER_CUT_OFF,
+        request=exchange.ident,
+        route=exchange.route.name,
+        why='not read',
+        begun=True,
+        left_ms=int((exchange.ends - core.clock.seconds()) * _MS),
+    )
+
+
 def log_cut_off(run, why):
     """Log that this host cuts an answer off that isn't complete.
 
--- a/pollenstile/forward/_shutdown.py
+++ b/pollenstile/forward/_shutdown.py
@@ -39,6 +39,7 @@
     end_all(parts.core)
     factory.close_idle()
     await deferLater(daemon.reactor, departure.stops_at - departure.latest)
+    factory.cut_off_unread()
     await _stop_parts(daemon)
     daemon.log(events.FORWARD_STOPPED, in_flight=factory.in_flight)
 
@@ -61,9 +62,9 @@
 
 def _is_idle(daemon):
     parts = daemon.parts
-    if parts.core.runs or parts.tunnels.open_ends:
+    if parts.core.runs or daemon.factory.is_closing():
         return False
-    return not parts.owners.is_busy()
+    return not (parts.tunnels.open_ends or parts.owners.is_busy())
 
 
 async def _stop_parts(daemon):
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -43,7 +43,8 @@
     'answer-cut-off',
     'A host that stops has closed the connection before its caller had the whole'
     ' answer.',
-    'Compare the grace with the time that answers take.',
+    'For the `why` of `grace over`, compare the grace with the time that answers'
+    ' take; for `not read`, the caller reads slowly.',
 )
 CONFIGURATION_TAKEN = define(
     1209,
