forward: a stopping host announces that it closes a connection

What callers saw: an answer that began after its host got SIGTERM didn't say "Connection: close", and the connection was closed after it; a request that was pipelined behind a begun answer was closed unread, without a status.

Cause: the header was set when a request's head was read, so only for those that came after the signal. At the signal the others were marked to close, whatever they had told their callers.

Now whatever begins after the signal announces the close. A connection whose answer had begun before closes after it, but a request that waits behind it is answered first (and refused once the host refuses).

Evidence: two scenarios.

--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -80,3 +80,18 @@
     And an HTTP/1.0 caller "s1" that has not read its whole answer
     When the host is stopped, its grace ends and its process exits
     Then the connection of "s1" is reset, and logged as not read
+
+  Scenario: A request that waits behind a begun answer is answered
+    Guards against a connection whose close its caller was not told of in time.
+    Given a stopping host with a "stream" route
+    And a caller "p1" whose answer has begun, with the request "p2" behind it
+    When the host is stopped, and the answer to "p1" ends after 3 seconds
+    Then "p1" is answered completely and "p2" is refused as not run
+    And the connection of "p1" is closed after the answers
+
+  Scenario: An answer that begins after the signal announces the close
+    Guards against callers that reuse a connection which a stopping host closes.
+    Given a stopping host with a "stream" route
+    And a caller "b1" at a silent upstream
+    When the host is stopped, and the answer to "b1" begins and ends
+    Then the answer to "b1" announces that its connection is closed
--- a/features/steps/grace_ends_steps.py
+++ b/features/steps/grace_ends_steps.py
@@ -333,3 +333,99 @@
     cut = context.host.lines('answer-cut-off', ident)
     assert [line['why'] for line in cut] == ['not read'], cut
     assert context.host.stopped
+
+
+@given(
+    'a caller "{ident}" whose answer has begun, with the request "{other}" behind it'
+)
+def given_pipelined(context, ident, other):
+    host = context.host
+    caller = host.ask(ident)
+    context.callers[ident] = caller
+    _begin_answer(host, caller)
+    caller.transport.channel.dataReceived(host.request(other, b'1.1', b'body'))
+
+
+@when(
+    'the host is stopped, and the answer to "{ident}" ends after {seconds:d} seconds'
+)
+def when_answer_ends(context, ident, seconds):
+    host = context.host
+    host.stop()
+    host.advance(seconds)
+    host.call_of(context.callers[ident]).body(event_bytes(2))
+
+
+@then('"{ident}" is answered completely and "{other}" is refused as not run')
+def then_both(context, ident, other):
+    caller = context.callers[ident]
+    first, end, second = caller.received().partition(b'\r\n0\r\n\r\n')
+    assert first.startswith(b'HTTP/1.1 200'), first
+    assert end, first
+    assert second.startswith(b'HTTP/1.1 503'), second
+    refused = context.host.lines('forward-ended', other)
+    assert [line['reason'] for line in refused] == ['leaving'], refused
+
+
+@then('the connection of "{ident}" is closed after the answers')
+def then_closed(context, ident):
+    assert context.callers[ident].transport.end == 'closed'
+
+
+@given('a caller "{ident}" at a silent upstream')
+def given_sent(context, ident):
+    context.callers[ident] = context.host.ask(ident)
+    assert context.host.calls
+
+
+@when('the host is stopped, and the answer to "{ident}" begins and ends')
+def when_whole(context, ident):
+    context.host.stop()
+    _answer(context.host.call_of(context.callers[ident]), ident)
+
+
+@then('the answer to "{ident}" announces that its connection is closed')
+def then_announced(context, ident):
+    received = context.callers[ident].received()
+    head = received.partition(b'\r\n\r\n')[0].lower()
+    assert b'\r\nconnection: close' in head, head
+
+
+@given('a caller that has sent a part of its body')
+def given_partial(context):
+    host = context.host
+    context.transport = host.open()
+    part = host.request('l1', b'1.1', b'body')[:-1]
+    context.transport.channel.dataReceived(part)
+
+
+@then('that caller is told {status:d}, and its connection is closed')
+def then_told_partial(context, status):
+    received = context.transport.value()
+    assert received.startswith(b'HTTP/1.1 %d ' % status), received
+    assert context.transport.end == 'closed'
+    lines = context.host.lines('forward-ended', 'l1')
+    assert [line['reason'] for line in lines] == ['leaving'], lines
+
+
+@when(
+    'the host is stopped, and stands still from {began:d} seconds to {ended:d} seconds'
+)
+def when_paused(context, began, ended):
+    host = context.host
+    host.stop()
+    host.advance(began)
+    host.world.clock.advance(ended - began)
+
+
+@when('the answer to "{ident}" has arrived meanwhile')
+def when_arrived(context, ident):
+    _answer(context.host.call_of(context.callers[ident]), ident)
+
+
+@then('the answer to "{ident}" is whole')
+def then_whole(context, ident):
+    caller = context.callers[ident]
+    assert caller.status() == 200, caller.received()
+    context.host.advance(1)
+    assert context.host.stopped
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -106,6 +106,7 @@
         self.begun = True
         if self.ended:
             return
+        self._announce_close()
         self.setResponseCode(status, phrase)
         for name, content in headers:
             self.responseHeaders.addRawHeader(name, content)
@@ -135,6 +136,7 @@
         if self.ended:
             return
         self.begun = True
+        self._announce_close()
         self.setResponseCode(refusal.status, _PHRASES[refusal.status])
         body = f'{refusal.reason}\n'.encode()
         headers = self.responseHeaders
@@ -156,6 +158,15 @@
         if not self.ended:
             self.unregisterProducer()
 
+    def announces_close(self):
+        """Return whether the head says that the connection will be closed."""
+        tokens = self.responseHeaders.getRawHeaders(b'connection', ())
+        return b'close' in tokens
+
+    def _announce_close(self):
+        if self.channel.factory.leaving:
+            self.responseHeaders.setRawHeaders(b'connection', [b'close'])
+
     def _reject(self, status):
         self.refused = True
         self.ended = True
@@ -212,8 +223,19 @@
         self._stop_slow_timer()
 
     def requestDone(self, request):
-        """Go on after an answer; called by Twisted."""
+        """Go on after an answer; called by Twisted.
+
+        Explanation
+        ===========
+
+        A leaving host closes the connection. Only if the answer had begun
+        before, and so didn't announce that, a request that waits behind it is
+        answered first.
+        """
         self.last = request.exchange
+        if self.factory.leaving:
+            waits = bool(self._dataBuffer) and not request.announces_close()
+            self.persistent = self.persistent and waits
         super().requestDone(request)
 
     def is_closing(self):
@@ -355,9 +377,6 @@
     def leave(self):
         """Close each connection after its next answer."""
         self.leaving = True
-        for channel in list(self.channels):
-            if channel.requests:
-                channel.persistent = False
 
     def close_idle(self):
         """Close connections without a request in flight."""
