forward: a request that is still being received at the end is refused

What callers saw: a connection that was closed in the middle of their body. Cause: only requests that were read to their end count as under way. Now what is on its way when the host ends gets 503 and a closed connection, and a line 1206 with reason "leaving". Before: no byte; the scenario shows 503 now.

--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -95,3 +95,10 @@
     And a caller "b1" at a silent upstream
     When the host is stopped, and the answer to "b1" begins and ends
     Then the answer to "b1" announces that its connection is closed
+
+  Scenario: A request that is still being received at the end is refused
+    Guards against a close that leaves the caller of a large body without a word.
+    Given a stopping host with a "once" route
+    And a caller that has sent a part of its body
+    When the host is stopped, its grace ends and its process exits
+    Then that caller is told 503, and its connection is closed
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -242,6 +242,13 @@
         """Return whether the connection closes once its caller has read."""
         return self.transport.disconnecting
 
+    def refuse_incomplete(self):
+        """Refuse a request that isn't completely received, as not run."""
+        if not self.requests or self.requests[-1].work is not None:
+            return
+        self.factory.log_refused(self.requests[-1], LEAVING_REFUSAL)
+        self._close_with(LEAVING_REFUSAL.status)
+
     def cut_off(self):
         """Reset the connection, as its caller doesn't read the answer."""
         if self.last is not None:
@@ -265,13 +272,16 @@
         """Answer an unacceptable request and close the connection."""
         if self.rejected:
             return
-        self.rejected = True
-        self._stop_slow_timer()
         self.factory.core.log(
             events.REQUEST_MALFORMED,
             status=status,
             peer=self.transport.getPeer().host,
         )
+        self._close_with(status)
+
+    def _close_with(self, status):
+        self.rejected = True
+        self._stop_slow_timer()
         head = (
             b'HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
         )
@@ -346,15 +356,7 @@
         if not self.refusing:
             exchange = parse_exchange(self.core, answer)
         if isinstance(exchange, Refusal):
-            self.core.log(
-                events.FORWARD_ENDED,
-                request=header(answer, self.core.names.attempt),
-                outcome='refused',
-                status=exchange.status,
-                reason=exchange.reason,
-                step='entry',
-                proof_ms=self.core.configuration.age_ms(),
-            )
+            self.log_refused(answer, exchange)
             answer.refuse(exchange)
             return
         answer.exchange = exchange
@@ -362,6 +364,18 @@
         answer.work = serve(self.core, exchange, answer)
         answer.work.addBoth(self._on_finished)
 
+    def log_refused(self, answer, refusal):
+        """Log the refusal of a request that was not accepted."""
+        self.core.log(
+            events.FORWARD_ENDED,
+            request=header(answer, self.core.names.attempt),
+            outcome='refused',
+            status=refusal.status,
+            reason=refusal.reason,
+            step='entry',
+            proof_ms=self.core.configuration.age_ms(),
+        )
+
     def on_caller_left(self, answer):
         """Cancel the request of a disconnected caller, if permitted."""
         if answer.work is None or answer.exchange is None:
@@ -388,6 +402,11 @@
         """Return whether connections close once their callers have read."""
         return any(channel.is_closing() for channel in self.channels)
 
+    def refuse_incomplete(self):
+        """Refuse the requests that are not completely received."""
+        for channel in list(self.channels):
+            channel.refuse_incomplete()
+
     def cut_off_unread(self):
         """Reset the connections whose callers have not read their answers."""
         for channel in list(self.channels):
--- a/pollenstile/forward/_shutdown.py
+++ b/pollenstile/forward/_shutdown.py
@@ -37,6 +37,7 @@
     factory.close_idle()
     await _look_until(daemon, departure.latest, partial(_is_idle, daemon))
     end_all(parts.core)
+    factory.refuse_incomplete()
     factory.close_idle()
     await deferLater(daemon.reactor, departure.stops_at - departure.latest)
     factory.cut_off_unread()
