forward: a stopping host that stood still reads before it tells anyone anything

What callers saw: a host that was paused in its grace and woke at its end refused requests whose answers had arrived meanwhile, lying unread in its sockets.

Cause: after a standstill all timers that are due run before anything is read.

Now a look that comes late waits first until arrived bytes are read, as the watch on silence does (ops/lateness.py). Before, in the scenario (a pause from 2 s to 9 s in a grace of 8 s, the answer arrives in it), the request was ended before its answer was read; now it is whole.

--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -102,3 +102,11 @@
     And a caller that has sent a part of its body
     When the host is stopped, its grace ends and its process exits
     Then that caller is told 503, and its connection is closed
+
+  Scenario: A host that wakes after its grace reads before it tells
+    Guards against a host that refuses requests whose answers lie unread.
+    Given a stopping host with a "idempotent" route
+    And a caller "b1" at a silent upstream
+    When the host is stopped, and stands still from 2 seconds to 9 seconds
+    And the answer to "b1" has arrived meanwhile
+    Then the answer to "b1" is whole
--- a/pollenstile/forward/_shutdown.py
+++ b/pollenstile/forward/_shutdown.py
@@ -8,6 +8,7 @@
 from pollenstile.forward import events
 from pollenstile.forward._departure import LOOK_SECONDS
 from pollenstile.forward._leaving import end_all, refuse_late
+from pollenstile.ops.lateness import reading_time
 
 
 def _never():
@@ -57,7 +58,11 @@
     clock = daemon.reactor
     while clock.seconds() < end and not is_over():
         pause = min(LOOK_SECONDS, end - clock.seconds())
+        due = clock.seconds() + pause
         await deferLater(clock, pause)
+        reading = reading_time(clock.seconds(), due)
+        if reading:
+            await deferLater(clock, reading)
         daemon.guard('departure', partial(refuse_late, daemon.parts.core))
 
 
