forward: begun answers of a stopping host go on while the others are told

Cause: begun answers ended together with the requests that must still be told, whose callers need time to read that; the first stop takes no time to read.

Now only requests without an answer end then, and begun answers when the host stops. A wait for permission ends in time for an answer before the host's end (that bound was there; it has a scenario now and fails without it).

--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -40,6 +40,11 @@
     When hosts of each grace stop, and silent upstreams answer just before the end
     Then each request is answered completely
 
+  Scenario: A begun answer goes on while the others are told
+    Guards against begun answers that end with those that have not begun.
+    When hosts of each grace stop, and begun answers end just before they do
+    Then each request is answered completely
+
   Scenario Outline: A request that its stopping host can't serve: <request>
     Guards against a refusal too late for another host, or that names the wrong state.
     Given a stopping host with stage work for "idempotent" requests
@@ -53,6 +58,12 @@
       | comes with less time left than its stages take  | 503    | at once                |
       | comes back with less time left than stages take | 503    | at once                |
 
+  Scenario: A request is not kept waiting for a rest that ends too late
+    Guards against a wait for permission that leaves no time for an answer.
+    Given a stopping host with a grace of 1 second
+    When a request comes while all upstreams rest for 0.7 seconds
+    Then the request is told 503 at once
+
   Scenario: Changed settings don't move the end of a host that stops
     Guards against a longer grace that the process doesn't have.
     Given a stopping host with a "stream" route
--- a/features/steps/grace_ends_steps.py
+++ b/features/steps/grace_ends_steps.py
@@ -18,6 +18,10 @@
 _EXPECTED_SECONDS = 0.35
 # Time within which a host that looks at its requests refuses one.
 _AT_ONCE_SECONDS = 0.1
+# Time before the end of the grace at which a begun answer ends, and the largest
+# part of it.
+_LAST_SECONDS = 0.45
+_LAST_SHARE = 0.1125
 # Part of the grace after which a silent upstream goes on.
 _LATE_SHARE = 0.8
 
@@ -192,6 +196,19 @@
     _play(context, KINDS, _answer_late)
 
 
+def _end_late(host, caller):
+    _begin_answer(host, caller)
+    grace = host.daemon.settings.grace_seconds
+    moment = grace - min(_LAST_SECONDS, _LAST_SHARE * grace)
+    call = host.call_of(caller)
+    host.world.clock.callLater(moment, call.body, event_bytes(2))
+
+
+@when('hosts of each grace stop, and begun answers end just before they do')
+def when_begun_late(context):
+    _play(context, ('stream', 'resumable'), _end_late)
+
+
 @then('each request is answered completely')
 def then_answered(context):
     for _, caller, grace in context.ends:
@@ -274,6 +291,44 @@
     assert _KEPT_SHARE * grace <= told <= grace - _EXPECTED_SECONDS, told
 
 
+@given('a stopping host with a grace of {seconds:d} second')
+def given_short(context, seconds):
+    context.host = LeavingHost('idempotent', seconds)
+
+
+@when('a request comes while all upstreams rest for {seconds:g} seconds')
+def when_rest(context, seconds):
+    host = context.host
+    first = host.ask('first')
+    for _ in range(2):
+        call = host.call_of(first)
+        call.answer(503, 'first', not_run=b'busy', rest=str(seconds).encode())
+    host.stop()
+    context.caller = host.ask('r')
+    assert len(host.calls) == 2
+
+
+@when(
+    'a request is at a silent upstream, and its stages take {seconds:g} seconds again'
+)
+def when_silent_staged(context, seconds):
+    host = context.host
+    context.caller = host.ask('r')
+    for run in host.core.runs:
+        run.results.release()
+    host.stages.seconds = lambda service, count: seconds
+    context.made = host.stages.made
+    host.play_end()
+
+
+@then('its stage work is not made again, and it is told {status:d} at the end')
+def then_not_again(context, status):
+    host = context.host
+    assert host.stages.made == context.made, host.stages.made
+    assert len(host.calls) == 1
+    assert context.caller.status() == status, context.caller.received()
+
+
 @when(
     'the host is stopped and its grace is set to {seconds:d} seconds meanwhile'
 )
--- a/pollenstile/forward/_departure.py
+++ b/pollenstile/forward/_departure.py
@@ -35,9 +35,9 @@
     refuses_at : float
         From then on new requests are refused.
     latest : float
-        All requests are ended by then.
+        Requests whose answers have not begun are ended by then.
     stops_at : float
-        All connections are closed by then.
+        All answers are ended by then, and all connections closed.
     """
 
     refuses_at: float
@@ -62,8 +62,8 @@
     >>> from pollenstile.forward._departure import departure_of
     >>> departure_of(0.0, 8.0)
     Departure(refuses_at=2.3, latest=7.4, stops_at=7.7)
-    >>> departure_of(0.0, 2.0)
-    Departure(refuses_at=1.2, latest=1.7, stops_at=1.85)
+    >>> round(departure_of(0.0, 1.0).stops_at, 3)
+    0.925
     """
     lame_duck = min(_LAME_DUCK_SECONDS, _LAME_DUCK_SHARE * grace_seconds)
     margin = min(_MARGIN_SECONDS, _MARGIN_SHARE * grace_seconds)
@@ -94,6 +94,30 @@
     seconds: float
 
 
+def has_time(departure, now, seconds):
+    """Return whether what takes some seconds may end before its host leaves.
+
+    Explanation
+    ===========
+
+    The time to the next look counts as well: what doesn't fit then is refused
+    too late.
+
+    Parameters
+    ==========
+
+    departure : Departure or None
+        None for a host that doesn't leave.
+    now : float
+        Present time on the clock.
+    seconds : float
+        Expected time that is needed.
+    """
+    if departure is None:
+        return True
+    return now + LOOK_SECONDS + seconds <= departure.latest
+
+
 def early_refusal(departure, now, standing):
     """Return the refusal of a request that a leaving host can't serve in time.
 
@@ -135,10 +159,9 @@
     >>> early_refusal(leaving, 7.0, Standing(False, 0, 1, 1.5)) is None
     True
     """
-    if departure is None or standing.begun or standing.runs_in_flight:
+    if standing.begun or standing.runs_in_flight:
         return None
-    next_look = now + LOOK_SECONDS
-    if next_look + standing.seconds <= departure.latest:
+    if has_time(departure, now, standing.seconds):
         return None
     return final_refusal(standing)
 
--- a/pollenstile/forward/_shutdown.py
+++ b/pollenstile/forward/_shutdown.py
@@ -7,7 +7,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._departure import LOOK_SECONDS
-from pollenstile.forward._leaving import end_all, refuse_late
+from pollenstile.forward._leaving import end_all, end_unbegun, refuse_late
 from pollenstile.ops.lateness import reading_time
 
 
@@ -37,10 +37,11 @@
     factory.refusing = True
     factory.close_idle()
     await _look_until(daemon, departure.latest, partial(_is_idle, daemon))
-    end_all(parts.core)
+    end_unbegun(parts.core)
     factory.refuse_incomplete()
     factory.close_idle()
     await deferLater(daemon.reactor, departure.stops_at - departure.latest)
+    end_all(parts.core)
     factory.cut_off_unread()
     await _stop_parts(daemon)
     daemon.log(events.FORWARD_STOPPED, in_flight=factory.in_flight)
