forward: a stopping host sends nothing beside a silent attempt that comes too late

What was seen: a stopping host had stage work made again and spent a retry of the budget for an attempt beside a silent one, although its answer couldn't begin before the host's end. The stage work is lost to requests that it would serve.

Before, in the scenario: stage work made twice with 9 s of stages in a grace of 8 s; now once.

--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -64,6 +64,12 @@
     When a request comes while all upstreams rest for 0.7 seconds
     Then the request is told 503 at once
 
+  Scenario: Nothing is sent beside a silent attempt that a stopping host can't await
+    Guards against stage work and a retry for an answer that comes after the end.
+    Given a stopping host with stage work for "resumable" requests
+    When a request is at a silent upstream, and its stages take 9 seconds again
+    Then its stage work is not made again, and it is told 502 at the end
+
   Scenario: Changed settings don't move the end of a host that stops
     Guards against a longer grace that the process doesn't have.
     Given a stopping host with a "stream" route
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -8,6 +8,8 @@
     should_hand_back,
     standby_obstacle,
 )
+from pollenstile.forward._departure import LEAVING
+from pollenstile.forward._leaving import may_answer_in_time
 from pollenstile.forward._request_log import log_standby
 from pollenstile.forward._selection import is_silent
 from pollenstile.forward._types import NotRun, Refusal
@@ -172,7 +174,7 @@
     """Return why no attempt is sent beside the silent ones now, or ``''``."""
     core = run.core
     exchange = run.exchange
-    return standby_obstacle(
+    obstacle = standby_obstacle(
         exchange.route,
         state,
         resumed=run.answer.begun,
@@ -181,6 +183,9 @@
         has_results=run.results.are_held(),
         is_heard=_is_service_heard(run),
     )
+    if obstacle or may_answer_in_time(run):
+        return obstacle
+    return LEAVING
 
 
 def _is_hopeless(run, state, obstacle):
