forward: stage results are held while their upstream stands still

What callers saw: an upstream stood still after it had got a request, went on and answered 409, its stage results were gone; the request waited for its stage work a second time, long due, and ended with the grace of its host.

Cause: results were released after the expected fetch time, counted by the host's clock alone. In that time the upstream may have stood still. Now an upstream that owes this host other answers must be heard in both halves of that time; one that owes none is judged by time, as before. Attempts beside each other count as readers of the same results, which are released once none is left that has not read them; a rule for this stood in the code, but nothing called it.

Evidence: the two scenarios fail before, with the results released 0.4 s into the silence, and by the second attempt while the first had not read them.

--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -228,3 +228,27 @@
     When forwarded send 0 streams events 1 to 2 and half of the next
     And 1.6 seconds of forwarding pass
     Then new requests may go to the upstream of forwarded send 0
+
+  Scenario: Results are held for an engine that stands still before it reads them
+    Its other answers stop at the same time.
+    Given a forwarded "resumable" request with stage work
+    And the host awaits answers of all upstreams
+    When its stage work is done
+    And 0.4 seconds of forwarding pass
+    Then its forwarded stage results are held
+    When the upstream of forwarded send 0 is heard for 0.2 seconds
+    Then its forwarded stage results are released
+
+  Scenario: Results are held for a silent engine that has not read them when another has
+    Given a forwarded "resumable" request with stage work
+    And the host awaits answers of all upstreams
+    When its stage work is done
+    And 1.4 seconds of forwarding pass
+    And another upstream is heard
+    And 0.3 seconds of forwarding pass
+    Then forwarded send 1 is made beside send 0
+    When the upstream of forwarded send 1 is heard for 0.2 seconds
+    Then its forwarded stage results are held
+    When forwarded send 1 is lost
+    And the upstream of forwarded send 0 is heard for 0.2 seconds
+    Then its forwarded stage results are released
--- a/features/steps/silent_attempts_steps.py
+++ b/features/steps/silent_attempts_steps.py
@@ -10,6 +10,11 @@
 )
 from pollenstile.forward import usable
 
+# Seconds between two events of an answer that goes on.
+_PAUSE_SECONDS = 0.01
+# Requests that an upstream with free slots runs at once.
+_SLOTS = 8
+
 
 @given('the host awaits answers of the other upstreams')
 def given_others_in_flight(context):
@@ -17,6 +22,32 @@
         view.in_flight += 1
 
 
+@given('the host awaits answers of all upstreams')
+def given_all_in_flight(context):
+    for view in context.story.registry.usable(SERVICE):
+        view.slots = _SLOTS
+        view.in_flight += 1
+
+
+@when(
+    'the upstream of forwarded send {place:d} is heard for {seconds:g} seconds'
+)
+def when_heard_for(context, place, seconds):
+    """Let another answer of the upstream go on."""
+    address = context.story.calls[place].address
+    views = context.story.registry.usable(SERVICE)
+    view = next(view for view in views if view.address == address)
+    for _ in range(round(seconds / _PAUSE_SECONDS)):
+        view.heard_at = context.story.clock.seconds()
+        context.story.clock.advance(_PAUSE_SECONDS)
+
+
+@then('its forwarded stage results are {state}')
+def then_results(context, state):
+    expected = {'held': 0, 'released': 2}[state]
+    assert len(context.story.stages.released) == expected
+
+
 @when('its stage work is done')
 def when_stages_done(context):
     context.story.start()
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -425,8 +425,8 @@
     return bool(upstreams) and all(map(registry.is_leaving, upstreams))
 
 
-def input_release_for(core, exchange, chain, inputs, view):
-    """Return the timer that releases stage results once an upstream has them.
+def input_release_for(core, exchange, results, inputs, view):
+    """Return what tells when an upstream has read a request's stage results.
 
     Parameters
     ==========
@@ -435,22 +435,17 @@
         Components of the host.
     exchange : Exchange
         The request.
-    chain : Chain or None
-        Holds the results; None for a request without stage work.
+    results : StageResults
+        Holds the results.
     inputs : dict
         Bytes of the results by failure domain.
     view : UpstreamView
         The upstream that reads them.
     """
-    if chain is None:
-        return InputRelease(_release_nothing)
-    if current_load(view, core.clock.seconds()) >= view.slots:
-        return InputRelease(chain.release)
+    is_full = current_load(view, core.clock.seconds()) >= view.slots
+    if results.chain is None or is_full:
+        return InputRelease(results.readers, view)
     size = sum(inputs.values())
-    rate = chain.link_rate()
+    rate = results.chain.link_rate()
     fetch_seconds = core.fetching.seconds(exchange.service, size, rate)
-    return InputRelease(chain.release, fetch_seconds)
-
-
-def _release_nothing():
-    """Do nothing: the request holds no stage results."""
+    return InputRelease(results.readers, view, fetch_seconds)
--- a/pollenstile/forward/_input_release.py
+++ b/pollenstile/forward/_input_release.py
@@ -1,33 +1,133 @@
-"""Release of a request's stage results once its upstream has read them."""
+"""Release of a request's stage results once its upstreams have read them."""
 
+# Parts of the expected fetch time in each of which an upstream must be heard.
+# One that stands still after the request has reached it fetches nothing.
+_PARTS = 2
 
-class InputRelease:
-    """Releases stage results after the expected fetch time.
+
+class ResultReaders:
+    """The attempts in flight that read the same stage results.
+
+    Explanation
+    ===========
+
+    Several attempts may be in flight beside each other. The results are
+    released once one has read them and none is left that has not.
 
     Parameters
     ==========
 
     release : function
         Releases the results; may be called more than once.
-    fetch_seconds : float or None
-        Seconds after the send at which the upstream has fetched the results.
-        None when only the first token shows that it has: an upstream with a
-        full batch fetches them when it starts the request.
+
+    Attributes
+    ==========
+
+    unread : set of InputRelease
+        Those that may not have read the results yet.
+    is_read : bool
+        Whether one has read them.
     """
 
-    __slots__ = ('fetch_seconds', 'release', 'timer')
+    __slots__ = ('is_read', 'release', 'unread')
 
-    def __init__(self, release, fetch_seconds=None):
+    def __init__(self, release):
         self.release = release
+        self.unread = set()
+        self.is_read = False
+
+    def note_read(self, reader):
+        """Record that an attempt has read the results."""
+        self.is_read = True
+        self.note_over(reader)
+
+    def note_over(self, reader):
+        """Record that an attempt needs the results no longer."""
+        self.unread.discard(reader)
+        if self.is_read and not self.unread:
+            self.release()
+
+
+class InputRelease:
+    """Tells when the upstream of one attempt has read the stage results.
+
+    Explanation
+    ===========
+
+    Without a sign of the first event, an upstream counts as having read them
+    after the expected fetch time. If it owes this host other answers, it must
+    be heard in all of that time: one that stands still reads nothing, and
+    would find the results gone when it goes on.
+
+    Parameters
+    ==========
+
+    readers : ResultReaders
+        The attempts that read the same results.
+    view : UpstreamView
+        The upstream.
+    fetch_seconds : float or None
+        Seconds in which the upstream fetches the results. None when only the
+        first token shows that it has: an upstream with a full batch fetches
+        them when it starts the request.
+    """
+
+    __slots__ = (
+        'clock',
+        'due',
+        'fetch_seconds',
+        'heard_parts',
+        'readers',
+        'timer',
+        'view',
+    )
+
+    def __init__(self, readers, view, fetch_seconds=None):
+        self.readers = readers
+        self.view = view
         self.fetch_seconds = fetch_seconds
+        self.clock = None
         self.timer = None
+        self.due = 0.0
+        self.heard_parts = 0
 
     def start(self, clock):
         """Start the timer; called when the request is sent."""
+        self.readers.unread.add(self)
+        self.clock = clock
+        self.due = clock.seconds()
         if self.fetch_seconds is not None:
-            self.timer = clock.callLater(self.fetch_seconds, self.release)
+            self._schedule()
+
+    def release(self):
+        """Record that the upstream has read the results."""
+        self._stop_timer()
+        self.readers.note_read(self)
 
     def stop(self):
         """Cancel the timer because the attempt is over."""
+        self._stop_timer()
+        self.readers.note_over(self)
+
+    def _schedule(self):
+        part_began = self.due
+        self.due += self.fetch_seconds / _PARTS
+        wait = max(0, self.due - self.clock.seconds())
+        self.timer = self.clock.callLater(wait, self._look, part_began)
+
+    def _look(self, part_began):
+        is_heard = self._is_heard_since(part_began)
+        self.heard_parts = self.heard_parts + 1 if is_heard else 0
+        if self.heard_parts >= _PARTS:
+            self.release()
+            return
+        self._schedule()
+
+    def _is_heard_since(self, moment):
+        """Return whether the upstream was heard, or owes no other answer."""
+        awaits_others = self.view.in_flight > 1
+        return self.view.heard_at >= moment or not awaits_others
+
+    def _stop_timer(self):
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -29,7 +29,6 @@
     input_release_for,
     select_view,
 )
-from pollenstile.forward._input_release import InputRelease
 from pollenstile.forward._outcomes import (
     RESULTS_GONE,
     Delivered,
@@ -358,9 +357,7 @@
         view,
         run.contest,
         silence_limits_of(run.exchange.route, expected),
-        input_release_for(
-            run.core, run.exchange, run.results.chain, inputs, view
-        ),
+        input_release_for(run.core, run.exchange, run.results, inputs, view),
     )
     attempt.on_silent = run.standby.note_silent
     attempt.on_heard = run.standby.note_heard
@@ -369,21 +366,6 @@
     return attempt
 
 
-def _input_release(run, inputs, view):
-    """Return what releases the results that an attempt reads.
-
-    Explanation
-    ===========
-
-    An attempt in flight may not have read them yet, so one beside it releases
-    them only once it has an answer.
-    """
-    chain = run.results.chain
-    if chain is not None and run.contest.running:
-        return InputRelease(chain.release)
-    return input_release_for(run.core, run.exchange, chain, inputs, view)
-
-
 def _failure_of(outcome, peer):
     """Return a failed attempt's outcome as ``NotRun`` or ``Lost``."""
     if isinstance(outcome, UpstreamFailure):
--- a/pollenstile/forward/_stageresults.py
+++ b/pollenstile/forward/_stageresults.py
@@ -4,6 +4,7 @@
     expected_first_token_seconds,
     home_domain,
 )
+from pollenstile.forward._input_release import ResultReaders
 from pollenstile.stagework import Chain, ChainFailed, build_plan
 
 
@@ -25,6 +26,8 @@
 
     chain : Chain or None
         Holds the results; None for a request without stage work.
+    readers : ResultReaders
+        The attempts in flight that read these results.
     staged_at : float
         Time at which the stage work was done last.
     crossed : int
@@ -40,6 +43,7 @@
         'core',
         'crossed',
         'exchange',
+        'readers',
         'staged_at',
         'unused',
     )
@@ -49,6 +53,7 @@
         self.exchange = exchange
         self.answer = answer
         self.chain = None
+        self.readers = ResultReaders(_release_nothing)
         self.staged_at = 0.0
         self.crossed = 0
         self.unused = 0
@@ -101,6 +106,7 @@
             home_domain(self.core, exchange),
         )
         self.chain = Chain(stages, plan)
+        self.readers = ResultReaders(self.chain.release)
         handles = await self.chain.handles()
         if isinstance(handles, ChainFailed):
             return handles
@@ -140,3 +146,7 @@
         if self.answer.begun:
             return self.exchange.ends
         return min(self.exchange.aim, self.exchange.ends)
+
+
+def _release_nothing():
+    """Do nothing: the request holds no stage results."""
