forward: a single request's results are held while its upstream may stand still

Now results of a request that is alone at its upstream are kept until its first event, unless a stage that holds them is short of memory (its owner says so): then time decides, as before. The scenario of release after the fetch tells of short memory and now sets it; one beside it holds results while memory is free.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -99,6 +99,7 @@
         self.groups = []
         self.released = []
         self.cancelled = []
+        self.crowded = False
 
     def seconds(self, service, count):
         """Return a short time."""
@@ -143,8 +144,8 @@
         self.released.extend(handles)
 
     def is_crowded(self, service):
-        """Return False: no queue is long."""
-        return False
+        """Return what the test has set."""
+        return self.crowded
 
     def domains_with(self, service):
         """Return no domains."""
--- a/features/deciding.feature
+++ b/features/deciding.feature
@@ -64,9 +64,15 @@
     least 0.25 s, though the engine has them in 60 ms; other requests are
     refused for lack of memory.
     Given a "stream" request with stage work whose engine has a free slot
+    And the memory for stage results is short
     When 0.2 seconds pass without a first token
     Then its stage results are released
 
+  Scenario: Results are held for an engine that may stand still while memory is free
+    Given a "stream" request with stage work whose engine has a free slot
+    When 0.2 seconds pass without a first token
+    Then its stage results are held
+
   Scenario: Results are held for an engine with a full batch
     It fetches them when it starts the request, seconds later.
     Given a "stream" request with stage work whose engine is full
--- a/features/steps/deciding_steps.py
+++ b/features/steps/deciding_steps.py
@@ -189,6 +189,11 @@
     context.story.start()
 
 
+@given('the memory for stage results is short')
+def given_crowded(context):
+    context.story.stages.crowded = True
+
+
 @given('a "{kind}" request with stage work whose engine is full')
 def given_staged_full(context, kind):
     context.story = ForwardScenario(kind, staged=True)
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -444,8 +444,10 @@
     """
     is_full = current_load(view, core.clock.seconds()) >= view.slots
     if results.chain is None or is_full:
-        return InputRelease(results.readers, view)
+        return InputRelease(results.readers, view, results.is_memory_short)
     size = sum(inputs.values())
     rate = results.chain.link_rate()
     fetch_seconds = core.fetching.seconds(exchange.service, size, rate)
-    return InputRelease(results.readers, view, fetch_seconds)
+    return InputRelease(
+        results.readers, view, results.is_memory_short, fetch_seconds
+    )
--- a/pollenstile/forward/_input_release.py
+++ b/pollenstile/forward/_input_release.py
@@ -54,10 +54,11 @@
     Explanation
     ===========
 
-    Without a sign of the first event, an upstream counts as having read them
-    after the expected fetch time. If it owes this host other answers, it must
-    be heard in all of that time: one that stands still reads nothing, and
-    would find the results gone when it goes on.
+    Before the first event, an upstream counts as having read them after the
+    expected fetch time if it was heard in all of that time: one that stands
+    still reads nothing, and would find the results gone when it goes on. If it
+    owes this host no other answer, nothing can be heard; the results are then
+    kept until the first event, unless their memory is short.
 
     Parameters
     ==========
@@ -66,6 +67,8 @@
         The attempts that read the same results.
     view : UpstreamView
         The upstream.
+    is_memory_short : function
+        Returns whether the memory for results is short.
     fetch_seconds : float or None
         Seconds in which the upstream fetches the results. None when only the
         first token shows that it has: an upstream with a full batch fetches
@@ -77,14 +80,16 @@
         'due',
         'fetch_seconds',
         'heard_parts',
+        'is_memory_short',
         'readers',
         'timer',
         'view',
     )
 
-    def __init__(self, readers, view, fetch_seconds=None):
+    def __init__(self, readers, view, is_memory_short, fetch_seconds=None):
         self.readers = readers
         self.view = view
+        self.is_memory_short = is_memory_short
         self.fetch_seconds = fetch_seconds
         self.clock = None
         self.timer = None
@@ -116,17 +121,19 @@
         self.timer = self.clock.callLater(wait, self._look, part_began)
 
     def _look(self, part_began):
-        is_heard = self._is_heard_since(part_began)
-        self.heard_parts = self.heard_parts + 1 if is_heard else 0
+        is_alive = self._is_taken_for_alive(part_began)
+        self.heard_parts = self.heard_parts + 1 if is_alive else 0
         if self.heard_parts >= _PARTS:
             self.release()
             return
         self._schedule()
 
-    def _is_heard_since(self, moment):
-        """Return whether the upstream was heard, or owes no other answer."""
+    def _is_taken_for_alive(self, since):
+        """Return whether the upstream was heard, or is to be trusted."""
+        if self.view.heard_at >= since:
+            return True
         awaits_others = self.view.in_flight > 1
-        return self.view.heard_at >= moment or not awaits_others
+        return not awaits_others and self.is_memory_short()
 
     def _stop_timer(self):
         if self.timer is not None and self.timer.active():
--- a/pollenstile/forward/_stageresults.py
+++ b/pollenstile/forward/_stageresults.py
@@ -66,6 +66,14 @@
         """Return the bytes of the held results by failure domain."""
         return self.chain.held_bytes() if self.chain else {}
 
+    def is_memory_short(self):
+        """Return whether memory is short where results are held."""
+        chain = self.chain
+        if chain is None:
+            return False
+        services = {chain.plan.steps[number].service for number in chain.held}
+        return any(map(self.core.stages.is_crowded, services))
+
     def waited(self):
         """Return the seconds since the caller's first arrival."""
         return self.chain.waited if self.chain else 0.0
