--- a/pollenstile/forward/_stageresults.py
+++ b/pollenstile/forward/_stageresults.py
@@ -4,6 +4,7 @@
     expected_first_token_seconds,
     home_domain,
 )
+from pollenstile.forward._input_release import ResultReaders
 from pollenstile.stagework import (
     Chain,
     ChainFailed,
@@ -30,6 +31,8 @@
 
     chain : Chain or None
         Holds the results; None for a request without stage work.
+    readers : ResultReaders
+        The attempts in flight that read these results.
     staged_at : float
         Time at which the stage work was done last.
     crossed : int
@@ -45,6 +48,7 @@
         'core',
         'crossed',
         'exchange',
+        'readers',
         'staged_at',
         'unused',
     )
@@ -54,6 +58,7 @@
         self.exchange = exchange
         self.answer = answer
         self.chain = None
+        self.readers = ResultReaders(_release_nothing)
         self.staged_at = 0.0
         self.crossed = 0
         self.unused = 0
@@ -66,6 +71,14 @@
         """Return the bytes of the held results by failure domain."""
         return self.chain.held_bytes() if self.chain else {}
 
+    def is_memory_short(self):
+        """Return whether memory is short where results are held."""
+        chain = self.chain
+        if chain is None:
+            return False
+        services = {chain.plan.steps[number].service for number in chain.held}
+        return any(map(self.core.stages.is_crowded, services))
+
     def waited(self):
         """Return the seconds since the caller's first arrival."""
         return self.chain.waited if self.chain else 0.0
@@ -125,6 +138,7 @@
             home_domain(self.core, exchange),
         )
         self.chain = Chain(stages, plan)
+        self.readers = ResultReaders(self.chain.release)
         handles = await self.chain.handles()
         if isinstance(handles, ChainFailed):
             return handles
@@ -172,3 +186,7 @@
         if self.answer.begun:
             return self.exchange.ends
         return min(self.exchange.aim, self.exchange.ends)
+
+
+def _release_nothing():
+    """Do nothing: the request holds no stage results."""
