endless answers: three failing scenarios of upstreams whose bytes never end

What callers saw: an upstream that answers with bytes which are no answer, and goes on with them, was read until the caller's deadline (504), or its bytes were passed on and cut off there; nobody else was asked.

Seen on this code: endless header lines and interim heads end as 504 at the deadline; nothing is sent elsewhere for an event, failure or answer without an end, at any speed.

--- /dev/null
+++ b/features/steps/endless_answers_steps.py
@@ -0,0 +1,68 @@
+"""Steps for upstreams whose bytes are no answer and have no end."""
+
+from behave import given, then, when
+
+from features.builders.endless import HEADS, EndlessScenario
+from features.builders.forwardhost import ForwardHost, request
+
+
+def _scenarios(context):
+    return [
+        EndlessScenario(row['route'], row['bytes']) for row in context.table
+    ]
+
+
+@given('a host whose upstream keeps each connection open')
+def given_open(context):
+    context.host = ForwardHost()
+    context.add_cleanup(context.host.stop)
+
+
+@when('the upstream answers a request that may run once with endless heads')
+def when_heads(context):
+    context.received = {}
+    for form, head in HEADS.items():
+        context.host.reply = head
+        connection = context.host.exchange(request(), b'\n')
+        context.received[form] = connection.received
+
+
+@when('the first upstreams of some requests send megabytes of')
+def when_flood(context):
+    context.scenarios = _scenarios(context)
+    for scenario in context.scenarios:
+        scenario.flood()
+
+
+@when('the first upstreams of some requests drip for {seconds:g} seconds')
+def when_drip(context, seconds):
+    context.scenarios = _scenarios(context)
+    for scenario in context.scenarios:
+        scenario.drip(seconds)
+
+
+@then('the caller of each gets {status:d} "{reason}"')
+def then_refused(context, status, reason):
+    for form, received in context.received.items():
+        assert received.startswith(b'HTTP/1.1 %d' % status), (form, received)
+        assert reason.encode() in received, (form, received)
+
+
+@then('another upstream is asked beside each of them')
+def then_beside(context):
+    for scenario in context.scenarios:
+        calls = scenario.story.calls
+        assert len(calls) == 2, scenario.form
+        assert not calls[0].cancelled, scenario.form
+
+
+@then('each of them is answered whole by another upstream')
+def then_elsewhere(context):
+    for scenario in context.scenarios:
+        assert len(scenario.story.calls) == 2, scenario.form
+        scenario.answer_elsewhere()
+        assert scenario.is_whole(), (
+            scenario.form,
+            scenario.story.answer.end,
+            scenario.story.answer.content[:200],
+        )
