forward: a head without an end is refused at once

What callers saw: an upstream that sends header lines, or interim heads, again and again was read until the deadline (504); nobody else was asked.

Cause: Twisted's parser bounds the length of one line of a head, but not their number, nor that of interim heads before it, and interim heads start it anew.

Now the bytes of a head are counted, with all interim heads before it, up to 64 KiB: four times the header_bytes that callers may send by default, of which an upstream repeats some. Over that the connection is closed and the attempt is lost as 'endless head'. It isn't 'broken', which would have the upstream's port checked for a crash; the retry decision goes on as for any lost attempt.

Evidence: the scenario, whose caller got 504, and one for a head of 16 kB after 20 interim heads.

--- a/features/builders/endless.py
+++ b/features/builders/endless.py
@@ -67,7 +67,8 @@
         self.story = ForwardScenario(route)
         self.story.start()
         self.call = self.story.calls[0]
-        status, begin, self.part = _FORMS[form]
+        status, begin, part = _FORMS[form]
+        self.part = part
         self.call.answer(status)
         self._receive(begin)
 
@@ -107,3 +108,16 @@
     def _receive(self, data):
         if data and not self.call.cancelled:
             self.call.on_data(data)
+
+
+def long_head(count, size):
+    """Return an answer with interim heads and a size of header lines."""
+    line = b'X-A: %s\r\n' % (b'x' * 93)
+    return b''.join(
+        (
+            b'HTTP/1.1 103 Early Hints\r\n\r\n' * count,
+            b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Proof: p\r\n',
+            line * (size // len(line)),
+            b'Content-Length: 4\r\n\r\ndone',
+        )
+    )
--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -38,3 +38,9 @@
       | idempotent | a whole answer                    |
     Then another upstream is asked beside each of them
     And each of them is answered whole by another upstream
+
+  Scenario: A long head after interim heads is the head of an answer
+    The opposite case: as many lines as callers may send, and some heads before.
+    Given a host whose upstream keeps each connection open
+    When the upstream answers with 20 interim heads and 16000 bytes of lines
+    Then the caller gets a complete 200
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from features.builders.endless import HEADS, EndlessScenario
+from features.builders.endless import HEADS, EndlessScenario, long_head
 from features.builders.forwardhost import ForwardHost, request
 
 
@@ -44,8 +44,11 @@
 @then('the caller of each gets {status:d} "{reason}"')
 def then_refused(context, status, reason):
     for form, received in context.received.items():
-        assert received.startswith(b'HTTP/1.1 %d' % status), (form, received)
-        assert reason.encode() in received, (form, received)
+        assert received.startswith(b'HTTP/1.1 %d' % status), (
+            form,
+            received[:200],
+        )
+        assert reason.encode() in received, (form, received[:200])
 
 
 @then('another upstream is asked beside each of them')
@@ -66,3 +69,18 @@
             scenario.story.answer.end,
             scenario.story.answer.content[:200],
         )
+
+
+@when(
+    'the upstream answers with {count:d} interim heads and {size:d} bytes of lines'
+)
+def when_long_head(context, count, size):
+    context.host.reply = long_head(count, size)
+    context.connection = context.host.exchange(request(), b'0\r\n\r\n')
+
+
+@then('the caller gets a complete 200')
+def then_complete(context):
+    received = context.connection.received
+    assert received.startswith(b'HTTP/1.1 200'), received[:200]
+    assert received.endswith(b'done\r\n0\r\n\r\n'), received[-200:]
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -28,6 +28,7 @@
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 
+from pollenstile.forward._bounds import ENDLESS_HEAD, MAX_HEAD_BYTES
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
 from pollenstile.ops.body import BytesProducer
 from pollenstile.tunnel import DIRECT_PATHS, EndedFrames, OpenResult
@@ -48,7 +49,32 @@
 
 
 class _Connection(HTTP11ClientProtocol):
-    """Records whether the connection ended with a close or a reset."""
+    """Bounds the head of the answer and records how the connection ended.
+
+    Attributes
+    ==========
+
+    on_endless_head : function or None
+        Called when the head is over its bound; None once it was received.
+    head_bytes : int
+        Bytes received so far, while the head is awaited.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.on_endless_head = None
+        self.head_bytes = 0
+
+    def dataReceived(self, received):
+        """Parse received bytes; called by Twisted."""
+        super().dataReceived(received)
+        if self.on_endless_head is None:
+            return
+        # The parser bounds one line, but neither their number nor that of the
+        # interim heads.
+        self.head_bytes += len(received)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.on_endless_head()
 
     def connectionLost(self, reason):
         """Record how the connection ended; called by Twisted."""
@@ -220,6 +246,7 @@
     def attach(self, protocol):
         """Send the request once the protocol is connected."""
         self.protocol = protocol
+        protocol.on_endless_head = self._on_endless_head
         connection_made = protocol.connectionMade
 
         def connected():
@@ -278,7 +305,14 @@
         elif self.connector and self.connector.state == 'connecting':
             self.connector.stopConnecting()
 
+    def _on_endless_head(self):
+        self.protocol.on_endless_head = None
+        self.close()
+        if not self.cancelled and not self.head.called:
+            self.head.callback(Lost(ENDLESS_HEAD, self.address, endless=True))
+
     def _on_response(self, response):
+        self.protocol.on_endless_head = None
         if not self.cancelled and not self.head.called:
             self.head.callback(response)
 
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -251,11 +251,14 @@
         Identifier of the upstream.
     broken : bool
         Whether the upstream closed or reset the connection.
+    endless : bool
+        Whether the upstream sent more bytes than any answer has.
     """
 
     reason: str
     peer: str = ''
     broken: bool = False
+    endless: bool = False
 
 
 class BodyEnd(enum.Enum):
