forward: the parts of an event are appended, not copied with each one

What callers saw: a host that got an event in many parts was late for all others; one event of 4 MB/s took most of a core, with the square of its size.

Cause: the splitter built its unfinished bytes anew with each part. They are appended to a bytearray now, of which only the new end is searched.

--- a/features/builders/endless.py
+++ b/features/builders/endless.py
@@ -1,6 +1,9 @@
 """Builders of upstreams whose bytes are no answer and have no end."""
 
+import tracemalloc
+
 from features.builders.forward import ForwardScenario, event_bytes, events_bytes
+from pollenstile.forward._sse import EventSplitter
 
 _PART_BYTES = 1024
 # Far above any bound on what is read.
@@ -121,3 +124,31 @@
             b'Content-Length: 4\r\n\r\ndone',
         )
     )
+
+
+class Splitting:
+    """An event that is split from a stream in parts of 1 kB.
+
+    Attributes
+    ==========
+
+    sent, returned : bytes
+        The event as it was sent, and as it was returned.
+    mean_bytes : float
+        Memory that the splitter took anew with a part, on average.
+    """
+
+    def __init__(self, parts):
+        part = b'x' * 1000
+        self.sent = b'%s\n\n' % (part * parts)
+        splitter = EventSplitter()
+        total = 0
+        tracemalloc.start()
+        for _ in range(parts):
+            before, _peak = tracemalloc.get_traced_memory()
+            tracemalloc.reset_peak()
+            splitter.feed(part)
+            total += tracemalloc.get_traced_memory()[1] - before
+        tracemalloc.stop()
+        self.mean_bytes = total / parts
+        self.returned = splitter.feed(b'\n\n')
--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -44,3 +44,9 @@
     Given a host whose upstream keeps each connection open
     When the upstream answers with 20 interim heads and 16000 bytes of lines
     Then the caller gets a complete 200
+
+  Scenario: An event in many parts is not copied with each of them
+    Guards against work that grows with the square of an event's size.
+    When a stream is split that brings 2 MB of an event in parts of 1 kB
+    Then each part of it takes less than 10 kB of new memory on average
+    And the event is returned as it was sent
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -2,7 +2,12 @@
 
 from behave import given, then, when
 
-from features.builders.endless import HEADS, EndlessScenario, long_head
+from features.builders.endless import (
+    HEADS,
+    EndlessScenario,
+    Splitting,
+    long_head,
+)
 from features.builders.forwardhost import ForwardHost, request
 
 
@@ -84,3 +89,18 @@
     received = context.connection.received
     assert received.startswith(b'HTTP/1.1 200'), received[:200]
     assert received.endswith(b'done\r\n0\r\n\r\n'), received[-200:]
+
+
+@when('a stream is split that brings {size:d} MB of an event in parts of 1 kB')
+def when_split(context, size):
+    context.splitting = Splitting(size * 1000)
+
+
+@then('each part of it takes less than {size:d} kB of new memory on average')
+def then_linear(context, size):
+    assert context.splitting.mean_bytes < size * 1000, context.splitting
+
+
+@then('the event is returned as it was sent')
+def then_same(context):
+    assert context.splitting.returned == context.splitting.sent
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -25,8 +25,9 @@
 
     last : bytes
         Identifier of the last complete event.
-    rest : bytes
-        Received bytes of an incomplete event.
+    rest : bytearray
+        Received bytes of an incomplete event. Each part of it is appended and
+        searched once, however many parts it has.
     has_events : bool
         Whether a complete event other than a comment was received.
 
@@ -40,14 +41,14 @@
     ... # doctest: +ELLIPSIS
     b'id: 1...data: a...'
     >>> splitter.last, splitter.rest
-    (b'1', b'id: 2')
+    (b'1', bytearray(b'id: 2'))
     """
 
     __slots__ = ('has_events', 'last', 'rest')
 
     def __init__(self):
         self.last = b''
-        self.rest = b''
+        self.rest = bytearray()
         self.has_events = False
 
     def feed(self, data):
@@ -55,10 +56,10 @@
         # An event end may have begun in the bytes that were received before.
         start = max(0, len(self.rest) - _MAX_END_BYTES + 1)
         self.rest += data
-        end = 0
-        for match in _EVENT_END.finditer(self.rest, start):
-            end = match.end()
-        events = self.rest[:end]
+        end = _last_end(self.rest, start)
+        if not end:
+            return b''
+        events = bytes(self.rest[:end])
         self.rest = self.rest[end:]
         self._note_events(events)
         return events
@@ -90,3 +91,11 @@
             if line.startswith(_ID):
                 self.last = line[len(_ID) :].strip()
                 return
+
+
+def _last_end(received, start):
+    """Return the end of the last event end after a position; 0 without any."""
+    end = 0
+    for match in _EVENT_END.finditer(received, start):
+        end = match.end()
+    return end
