forward: bodies that are no answer and have no end are given up

What callers saw: an event, a failure or a whole answer without an end was read until the deadline (504); events of nobody and whole answers without a length were passed on and cut off there, after megabytes that were no answer.

Cause: bytes were read for as long as they came. Nothing bounded an event, what waits for one, a failure's body, or a whole answer without a length, which began at the caller after 64 KiB.

A host holds back 32 MiB of all answers; beyond that they begin after 64 KiB as before. Answers of a stated length begin there as before.

An event brings its stream on if its id is higher than all before. What brings nothing on begins no answer, so comments wait for the first event; in a begun one they are passed on as they come, and events out of turn wait until the stream goes on or ends. The first event takes the place of the first bytes for what is learned of an upstream, since a head and some bytes show nothing.

Ruled out: bounding only the time. A sound answer may come slowly.

Evidence: the scenario, and four for the opposite (events of 200 kB, comments, 3 MB without a length, the bound for all answers together).

--- a/features/builders/endless.py
+++ b/features/builders/endless.py
@@ -152,3 +152,15 @@
         tracemalloc.stop()
         self.mean_bytes = total / parts
         self.returned = splitter.feed(b'\n\n')
+
+
+def long_event_parts(count, size):
+    """Return events of a size in kB, each after a comment, in parts of 1 kB."""
+    events = [
+        b': on\n\nid: %d\ndata: %s\n\n' % (number, b'x' * size * 1000)
+        for number in range(1, count + 1)
+    ]
+    stream = b''.join(events)
+    return [
+        stream[start : start + 1000] for start in range(0, len(stream), 1000)
+    ]
--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -50,3 +50,34 @@
     When a stream is split that brings 2 MB of an event in parts of 1 kB
     Then each part of it takes less than 10 kB of new memory on average
     And the event is returned as it was sent
+
+  Scenario: Long events are answers
+    The opposite case: events of 200 kB, in parts, and comments between them.
+    Given a forwarded "resumable" request
+    When its upstream sends 5 events of 200 kB in parts of 1 kB, and comments
+    Then the caller has got all of it as it was sent
+    And 1 forwarded sends were made
+
+  Scenario: Comments keep a begun answer alive, but begin none
+    Guards against an answer that is begun, and cut off, without an event of it.
+    Given a forwarded "resumable" request
+    When its upstream sends a comment
+    Then the caller's answer has not begun
+    When its upstream sends an event and a comment
+    Then the caller has got all of it as it was sent
+
+  Scenario: A large answer without a length is passed on once it is complete
+    The opposite case: 3 MB in parts of 1 kB.
+    Given a forwarded "idempotent" request
+    When its upstream sends 3000 parts of an answer without a length
+    Then the caller's answer has not begun
+    When its upstream ends the answer
+    Then the caller has got all of it as it was sent
+    And no bytes of answers are held back
+
+  Scenario: A host holds back no more than its share of all answers together
+    Guards against a host that many large answers without a length fill.
+    Given a forwarded "idempotent" request
+    And 33 MB of other answers are held back
+    When its upstream sends 65 parts of an answer without a length
+    Then the caller has got all of it as it was sent
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -6,8 +6,10 @@
     HEADS,
     EndlessScenario,
     Splitting,
+    long_event_parts,
     long_head,
 )
+from features.builders.forward import event_bytes
 from features.builders.forwardhost import ForwardHost, request
 
 
@@ -104,3 +106,62 @@
 @then('the event is returned as it was sent')
 def then_same(context):
     assert context.splitting.returned == context.splitting.sent
+
+
+def _receive(context, data):
+    context.sent = getattr(context, 'sent', b'') + data
+    call = context.story.calls[0]
+    if not call.head.called:
+        call.answer()
+    call.on_data(data)
+
+
+@when(
+    'its upstream sends {count:d} events of {size:d} kB in parts of 1 kB,'
+    ' and comments'
+)
+def when_long_events(context, count, size):
+    for part in long_event_parts(count, size):
+        _receive(context, part)
+
+
+@when('its upstream sends a comment')
+def when_comment(context):
+    _receive(context, b': soon\n\n')
+
+
+@when('its upstream sends an event and a comment')
+def when_event_and_comment(context):
+    _receive(context, event_bytes(1))
+    _receive(context, b': on\n\n')
+
+
+@when('its upstream sends {count:d} parts of an answer without a length')
+def when_unstated(context, count):
+    for _ in range(count):
+        _receive(context, b'x' * 1024)
+
+
+@when('its upstream ends the answer')
+def when_ends(context):
+    context.story.calls[0].body()
+
+
+@given('{size:d} MB of other answers are held back')
+def given_held(context, size):
+    context.story.core.held.total = size * 1024 * 1024
+
+
+@then("the caller's answer has not begun")
+def then_not_begun(context):
+    assert not context.story.answer.begun
+
+
+@then('the caller has got all of it as it was sent')
+def then_as_sent(context):
+    assert context.story.answer.content == context.sent
+
+
+@then('no bytes of answers are held back')
+def then_none_held(context):
+    assert context.story.core.held.total == 0, context.story.core.held
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -2,37 +2,21 @@
 
 from functools import partial
 
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError
 
-from pollenstile.forward._attempt_learning import (
-    learn_first_bytes,
-    learn_outcome,
-    note_going_on,
-    note_heard,
-)
+from pollenstile.forward._attempt_learning import learn_outcome, note_heard
+from pollenstile.forward._bodies import relay_body
+from pollenstile.forward._bounds import MAX_BUFFERED_BYTES, HeldAnswer
 from pollenstile.forward._learning import learn_failure, learn_silence
-from pollenstile.forward._outcomes import Delivered, UpstreamFailure
 from pollenstile.forward._rejection import rejection
 from pollenstile.forward._request_headers import request_headers
-from pollenstile.forward._request_log import (
-    log_heard,
-    log_silence,
-    log_stream_end,
-)
-from pollenstile.forward._silence import Backpressure, SilenceWatch
-from pollenstile.forward._software import note_event, send_refusal
+from pollenstile.forward._request_log import log_heard, log_silence
+from pollenstile.forward._silence import SilenceWatch
+from pollenstile.forward._software import send_refusal
 from pollenstile.forward._sse import EventSplitter
-from pollenstile.forward._types import BodyEnd, Lost, NotRun
+from pollenstile.forward._types import Lost, NotRun
 from pollenstile.routes import Kind
 
-_SUCCESS_STATUSES = range(200, 300)
-# Answers up to this size are buffered until they are complete, so that the
-# request can be retried after an incomplete one. Larger ones are streamed.
-_MAX_BUFFERED_BYTES = 65536
-
-# Ends of a body after which its upstream may have sent all of it.
-_ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
-
 
 class Attempt:
     """Sends a request to an upstream and passes the answer to the caller.
@@ -63,29 +47,46 @@
         Keeps the last complete event that was passed on.
     arrived : bool
         Whether the request may have reached the upstream.
+    is_resumed : bool
+        Whether it continues a stream.
     head_at : float
         Time on the clock at which the head of an answer arrived.
     first_at : float
-        Time on the clock at which the first bytes of a stream arrived.
+        Time on the clock at which the first event of a stream arrived.
+    held : HeldAnswer
+        What is held back of a whole answer.
+    pending : bytearray
+        Complete events that wait for one that brings the stream on.
+    barren_bytes : int
+        Bytes received since the last event that brought the stream on, or of
+        the whole body.
+    end_body : function or None
+        Ends the reading of the body with a :class:`BodyEnd`; None before it.
+    endless : str
+        Why the attempt was given up for its bytes; empty if it was not.
     silence : SilenceWatch
         Watches for silence of the upstream, which does not end the attempt.
     has_gone_on : bool
-        Whether more followed some time after the first bytes.
+        Whether more followed some time after the first event.
     """
 
     __slots__ = (
         'answer',
         'arrived',
-        'buffered',
+        'barren_bytes',
         'call',
         'contest',
         'core',
+        'end_body',
+        'endless',
         'exchange',
         'first_at',
-        'has_first_bytes',
+        'has_first_event',
         'has_gone_on',
         'head_at',
+        'held',
         'input_release',
+        'is_resumed',
         'limits',
         'on_heard',
         'on_silent',
@@ -109,14 +110,18 @@
         )
         self.on_silent = _ignore
         self.on_heard = _ignore
-        self.splitter = EventSplitter()
-        self.pending = b''
-        self.buffered = []
-        self.has_first_bytes = False
+        self.splitter = EventSplitter(needs_idents=exchange.route.resumable)
+        self.held = HeldAnswer(core.held, MAX_BUFFERED_BYTES)
+        self.pending = bytearray()
+        self.barren_bytes = 0
+        self.end_body = None
+        self.endless = ''
+        self.has_first_event = False
         self.has_gone_on = False
         self.head_at = 0.0
         self.first_at = 0.0
         self.arrived = False
+        self.is_resumed = False
         self.call = None
         self.started = core.clock.seconds()
 
@@ -154,6 +159,7 @@
 
         Delivered, UpstreamFailure, NotRun or Lost
         """
+        self.is_resumed = bool(last_event)
         tokens = sum(size for _, size in self.exchange.prompt)
         self.view.in_flight += 1
         self.view.in_flight_tokens += tokens
@@ -173,6 +179,7 @@
     def _release_counts(self, tokens):
         self.silence.stop()
         self.input_release.stop()
+        self.held.release()
         self.view.in_flight -= 1
         self.view.in_flight_tokens -= tokens
         if self.core.brittle.is_brittle(self.exchange.service):
@@ -202,11 +209,7 @@
         note_heard(self)
         self.silence.note_head()
         self.core.quarantine.note_answer(self.view.incarnation, self.started)
-        if head.code not in _SUCCESS_STATUSES:
-            return await self._read_failure(head)
-        if self.streaming:
-            return await self._relay_stream(head)
-        return await self._relay_answer(head)
+        return await relay_body(self, head)
 
     def _handle_silence(self):
         """Record that the upstream is silent; the attempt goes on."""
@@ -227,125 +230,6 @@
         log_heard(self, seconds)
         self.on_heard(self)
 
-    async def _read_failure(self, head):
-        parts = []
-        end = await self._relay_body(head, parts.append)
-        if end not in _ENDED:
-            return _incomplete(self, 'torn failure', end)
-        return UpstreamFailure(
-            head.code,
-            head.phrase,
-            _header_pairs(head),
-            b''.join(parts),
-        )
-
-    async def _relay_answer(self, head):
-        def pass_on(data):
-            if self.contest.holder is self:
-                self.answer.write(data)
-                return
-            self.buffered.append(data)
-            if sum(map(len, self.buffered)) > _MAX_BUFFERED_BYTES:
-                self._begin_answer(head)
-                self._write_buffered()
-
-        end = await self._relay_body(head, pass_on)
-        if end not in _ENDED:
-            return _incomplete(self, 'torn answer', end)
-        if not self.answer.begun:
-            self._begin_answer(head)
-            self._write_buffered()
-        return self._finish_answer()
-
-    async def _relay_stream(self, head):
-        end = await self._relay_body(head, partial(self._pass_on_events, head))
-        log_stream_end(self, end)
-        if end not in _ENDED:
-            return _incomplete(self, 'torn stream', end)
-        if self.splitter.is_broken_off(is_framed=end is BodyEnd.COMPLETE):
-            return _incomplete(self, 'torn stream', BodyEnd.BROKEN)
-        self._begin_answer(head)
-        rest = self.pending + self.splitter.rest
-        if rest:
-            self.answer.write(rest)
-        return self._finish_answer()
-
-    def _pass_on_events(self, head, data):
-        """Write the complete events of a stream to the caller."""
-        if not self.has_first_bytes:
-            self.has_first_bytes = True
-            self.first_at = self.core.clock.seconds()
-            learn_first_bytes(self)
-        elif not self.has_gone_on:
-            note_going_on(self)
-        had_events = self.splitter.has_events
-        received = self.splitter.feed(data)
-        if not received:
-            return
-        self.pending += received
-        if self.contest.is_contested(self) and not self.splitter.has_events:
-            return
-        self._begin_answer(head)
-        if self.splitter.has_events and not had_events:
-            note_event(self.core, self.exchange, self.view)
-        self.answer.write(self.pending)
-        self.pending = b''
-
-    def _begin_answer(self, head):
-        """Claim the answer, and begin it if no attempt has."""
-        self.contest.claim(self)
-        if not self.answer.begun:
-            self.answer.begin(head.code, head.phrase, _header_pairs(head))
-
-    def _finish_answer(self):
-        self.contest.end_production()
-        self.answer.finish()
-        return Delivered()
-
-    def _write_buffered(self):
-        for data in self.buffered:
-            self.answer.write(data)
-        self.buffered = []
-
-    async def _relay_body(self, head, pass_on):
-        """Pass a body's data to a function; return its :class:`BodyEnd`.
-
-        Parameters
-        ==========
-
-        head : Response
-            Head of the answer.
-        pass_on : function
-            Called with each part of the body.
-        """
-        ended = Deferred(lambda _: self.call.cancel())
-
-        def end(body_end):
-            if not ended.called:
-                ended.callback(body_end)
-
-        def on_data(data):
-            note_heard(self)
-            self.silence.note_data(self.limits.between)
-            pass_on(data)
-
-        producer = self.call.deliver(head, on_data, end)
-        self.silence.backpressure = Backpressure(producer)
-        return await ended
-
 
 def _ignore(attempt):
     """Do nothing when an upstream falls silent or goes on."""
-
-
-def _incomplete(attempt, reason, end):
-    broken = end is BodyEnd.BROKEN
-    return Lost(reason, attempt.view.ident, broken=broken)
-
-
-def _header_pairs(head):
-    return [
-        (name, value)
-        for name, values in head.headers.getAllRawHeaders()
-        for value in values
-    ]
--- a/pollenstile/forward/_attempt_learning.py
+++ b/pollenstile/forward/_attempt_learning.py
@@ -9,9 +9,9 @@
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._types import Lost, NotRun
 
-# Seconds after its first bytes at which an answer shows that its upstream bears
+# Seconds after its first event at which an answer shows that its upstream bears
 # the parts of the prompt: one that crashes on a part does so as it begins, and
-# the first bytes may have left it by then.
+# the first event may have left it by then.
 _PROOF_SECONDS = 0.1
 
 
@@ -21,14 +21,14 @@
     attempt.view.silent_since = None
 
 
-def learn_first_bytes(attempt):
-    """Record the time of the first bytes of a stream."""
+def learn_first_event(attempt):
+    """Record the time of the first event that an attempt brings its stream."""
     attempt.input_release.release()
     attempt.core.copies.note_begun(attempt.exchange.fingerprint)
     first_seconds = attempt.first_at - attempt.started
     learn_success(attempt.view, first_seconds)
     exchange = attempt.exchange
-    if exchange.prompt and not attempt.splitter.last:
+    if exchange.prompt and not attempt.is_resumed:
         tokens = own_tokens(exchange.prompt)
         attempt.core.first_tokens.learn(exchange.service, tokens, first_seconds)
     if exchange.handles:
--- /dev/null
+++ b/pollenstile/forward/_bodies.py
@@ -0,0 +1,239 @@
+"""Relay of an upstream's answer from its body to the caller."""
+
+from functools import partial
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.forward._attempt_learning import (
+    learn_first_event,
+    note_going_on,
+    note_heard,
+)
+from pollenstile.forward._bounds import (
+    BARREN_EVENTS,
+    ENDLESS_ANSWER,
+    ENDLESS_EVENT,
+    ENDLESS_FAILURE,
+    MAX_EVENT_BYTES,
+    MAX_FAILURE_BYTES,
+    MAX_UNSTATED_BYTES,
+    has_length,
+)
+from pollenstile.forward._outcomes import Delivered, UpstreamFailure
+from pollenstile.forward._request_log import log_stream_end
+from pollenstile.forward._silence import Backpressure
+from pollenstile.forward._software import note_event
+from pollenstile.forward._types import BodyEnd, Lost
+
+_SUCCESS_STATUSES = range(200, 300)
+# Ends of a body after which its upstream may have sent all of it.
+_ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
+
+
+async def relay_body(attempt, head):
+    """Read the body of an attempt's answer; return how the attempt ended.
+
+    Parameters
+    ==========
+
+    attempt : Attempt
+        Has received the head.
+    head : Response
+        Head of the answer.
+
+    Returns
+    =======
+
+    Delivered, UpstreamFailure or Lost
+    """
+    if head.code not in _SUCCESS_STATUSES:
+        return await _read_failure(attempt, head)
+    if attempt.streaming:
+        return await _relay_stream(attempt, head)
+    return await _relay_answer(attempt, head)
+
+
+async def _read_failure(attempt, head):
+    parts = []
+
+    def keep(data):
+        parts.append(data)
+        _count_barren(attempt, data, MAX_FAILURE_BYTES, ENDLESS_FAILURE)
+
+    end = await _read_body(attempt, head, keep)
+    if end not in _ENDED:
+        return _incomplete(attempt, 'torn failure', end)
+    return UpstreamFailure(
+        head.code,
+        head.phrase,
+        _header_pairs(head),
+        b''.join(parts),
+    )
+
+
+async def _relay_answer(attempt, head):
+    is_bounded = not has_length(head)
+    if is_bounded:
+        attempt.held.limit = MAX_UNSTATED_BYTES
+
+    def pass_on(data):
+        if is_bounded:
+            _count_barren(attempt, data, MAX_UNSTATED_BYTES, ENDLESS_ANSWER)
+        if not attempt.endless:
+            _pass_on_part(attempt, head, data)
+
+    end = await _read_body(attempt, head, pass_on)
+    if end not in _ENDED:
+        return _incomplete(attempt, 'torn answer', end)
+    if not attempt.answer.begun:
+        _begin_answer(attempt, head)
+        _write_held(attempt)
+    return _finish_answer(attempt)
+
+
+def _pass_on_part(attempt, head, data):
+    """Write a part of a whole answer to the caller, or hold it back."""
+    if attempt.contest.holder is attempt:
+        attempt.answer.write(data)
+        return
+    attempt.held.append(data)
+    if attempt.held.is_over():
+        _begin_answer(attempt, head)
+        _write_held(attempt)
+
+
+def _write_held(attempt):
+    for data in attempt.held.release():
+        attempt.answer.write(data)
+
+
+async def _relay_stream(attempt, head):
+    pass_on = partial(_pass_on_events, attempt, head)
+    end = await _read_body(attempt, head, pass_on)
+    log_stream_end(attempt, end)
+    if end not in _ENDED:
+        return _incomplete(attempt, 'torn stream', end)
+    if attempt.splitter.is_broken_off(is_framed=end is BodyEnd.COMPLETE):
+        return _incomplete(attempt, 'torn stream', BodyEnd.BROKEN)
+    _begin_answer(attempt, head)
+    attempt.pending += attempt.splitter.rest
+    if attempt.pending:
+        _write_pending(attempt)
+    return _finish_answer(attempt)
+
+
+def _pass_on_events(attempt, head, data):
+    """Write the complete events of a stream to the caller.
+
+    Explanation
+    ===========
+
+    What doesn't bring the stream on begins no answer and closes no other
+    attempt. Comments keep an answer alive that has begun; events out of turn
+    wait until it goes on.
+    """
+    if attempt.has_first_event and not attempt.has_gone_on:
+        note_going_on(attempt)
+    splitter = attempt.splitter
+    attempt.pending += splitter.feed(data)
+    if splitter.brings_on:
+        _note_event(attempt, head)
+    else:
+        reason = _barren_reason(splitter)
+        _count_barren(attempt, data, MAX_EVENT_BYTES, reason)
+    may_write = splitter.brings_on or _keeps_alive(attempt)
+    if attempt.pending and may_write:
+        _write_pending(attempt)
+
+
+def _note_event(attempt, head):
+    """Begin the answer with an event that brings the stream on."""
+    attempt.barren_bytes = len(attempt.splitter.rest)
+    if not attempt.has_first_event:
+        attempt.has_first_event = True
+        attempt.first_at = attempt.core.clock.seconds()
+        learn_first_event(attempt)
+        note_event(attempt.core, attempt.exchange, attempt.view)
+    _begin_answer(attempt, head)
+
+
+def _keeps_alive(attempt):
+    """Return whether what is pending may be written without a new event."""
+    contest = attempt.contest
+    if contest.holder is not attempt or contest.is_contested(attempt):
+        return False
+    return not attempt.splitter.is_out_of_turn
+
+
+def _write_pending(attempt):
+    attempt.answer.write(bytes(attempt.pending))
+    attempt.pending = bytearray()
+
+
+def _barren_reason(splitter):
+    is_one_event = len(splitter.rest) > MAX_EVENT_BYTES // 2
+    return ENDLESS_EVENT if is_one_event else BARREN_EVENTS
+
+
+def _count_barren(attempt, data, limit, reason):
+    """Count bytes that bring nothing yet; over the limit, give up."""
+    attempt.barren_bytes += len(data)
+    if attempt.barren_bytes <= limit or attempt.endless:
+        return
+    attempt.endless = reason
+    attempt.call.cancel()
+    attempt.end_body(BodyEnd.ENDLESS)
+
+
+def _begin_answer(attempt, head):
+    """Claim the answer, and begin it if no attempt has."""
+    attempt.contest.claim(attempt)
+    if not attempt.answer.begun:
+        attempt.answer.begin(head.code, head.phrase, _header_pairs(head))
+
+
+def _finish_answer(attempt):
+    attempt.contest.end_production()
+    attempt.answer.finish()
+    return Delivered()
+
+
+async def _read_body(attempt, head, pass_on):
+    """Pass a body's data to a function; return its :class:`BodyEnd`.
+
+    Parameters
+    ==========
+
+    pass_on : function
+        Called with each part of the body.
+    """
+    ended = Deferred(lambda _: attempt.call.cancel())
+
+    def end(body_end):
+        if not ended.called:
+            ended.callback(body_end)
+
+    def on_data(data):
+        note_heard(attempt)
+        attempt.silence.note_data(attempt.limits.between)
+        pass_on(data)
+
+    attempt.end_body = end
+    producer = attempt.call.deliver(head, on_data, end)
+    attempt.silence.backpressure = Backpressure(producer)
+    return await ended
+
+
+def _incomplete(attempt, reason, end):
+    if attempt.endless:
+        return Lost(attempt.endless, attempt.view.ident, endless=True)
+    broken = end is BodyEnd.BROKEN
+    return Lost(reason, attempt.view.ident, broken=broken)
+
+
+def _header_pairs(head):
+    return [
+        (name, value)
+        for name, values in head.headers.getAllRawHeaders()
+        for value in values
+    ]
--- a/pollenstile/forward/_bounds.py
+++ b/pollenstile/forward/_bounds.py
@@ -1,8 +1,100 @@
-"""Bounds of what is read of an upstream's answer."""
+"""Bounds of what is read of an upstream's answer.
+
+Explanation
+===========
+
+An upstream may send bytes that are no answer and never end. Over a bound they
+are given up, and another upstream may be asked. What callers may send is the
+only size that the configuration states, so the bounds follow its limits.
+"""
+
+from dataclasses import dataclass
 
 # Bytes of a head, with all interim heads before it: four times the head that
 # callers may send by default, of which an upstream repeats some.
 MAX_HEAD_BYTES = 65536
+# Bytes of an event, and of all that a stream brings without an event that goes
+# on after the last one: the largest body that callers may send by default.
+MAX_EVENT_BYTES = 262144
+# Bytes of the body of a failure, which is read before it is passed on.
+MAX_FAILURE_BYTES = 262144
+# Bytes of a whole answer without a stated length: the largest body that the
+# platform's callers may send, and the largest reply of the JSON interface.
+MAX_UNSTATED_BYTES = 4194304
+# Bytes of an answer of a stated length that are held back before it begins, so
+# that the request can be sent again after an incomplete answer.
+MAX_BUFFERED_BYTES = 65536
+# Bytes that a host holds back of all answers together: an eighth of the least
+# memory that a host has.
+MAX_HELD_BYTES = 33554432
 
 # Reasons for which an attempt is lost.
 ENDLESS_HEAD = 'endless head'
+ENDLESS_EVENT = 'endless event'
+BARREN_EVENTS = 'events that bring nothing'
+ENDLESS_FAILURE = 'endless failure'
+ENDLESS_ANSWER = 'endless answer'
+
+
+@dataclass(slots=True)
+class HeldBytes:
+    """Bytes that a host holds back of all answers together.
+
+    Attributes
+    ==========
+
+    total : int
+        Number of bytes.
+    """
+
+    total: int = 0
+
+    def is_full(self):
+        """Return whether further answers had better begin."""
+        return self.total >= MAX_HELD_BYTES
+
+
+class HeldAnswer:
+    """The part of one answer that is held back until it begins.
+
+    Parameters
+    ==========
+
+    held : HeldBytes
+        Counts the bytes of all answers.
+    limit : int
+        Bytes to hold back of this answer.
+    """
+
+    __slots__ = ('held', 'limit', 'parts', 'size')
+
+    def __init__(self, held, limit):
+        self.held = held
+        self.limit = limit
+        self.parts = []
+        self.size = 0
+
+    def append(self, data):
+        """Hold back a part of the answer."""
+        self.parts.append(data)
+        self.size += len(data)
+        self.held.total += len(data)
+
+    def is_over(self):
+        """Return whether the answer had better begin."""
+        if self.size <= MAX_BUFFERED_BYTES:
+            return False
+        return self.size > self.limit or self.held.is_full()
+
+    def release(self):
+        """Return all that was held back, and hold nothing."""
+        parts = self.parts
+        self.held.total -= self.size
+        self.parts = []
+        self.size = 0
+        return parts
+
+
+def has_length(head):
+    """Return whether a head states the length of its body."""
+    return isinstance(head.length, int)
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from pollenstile.estimates import Fetching, FirstTokens
+from pollenstile.forward._bounds import HeldBytes
 from pollenstile.forward._brittle import BrittleShares
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._copies import Copies
@@ -77,6 +78,8 @@
         Limits sends to brittle upstreams.
     silences : SilenceCounts
         What became of the attempts of silent upstreams.
+    held : HeldBytes
+        Bytes of answers that are held back.
     """
 
     clock: object
@@ -100,6 +103,7 @@
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
     silences: SilenceCounts = field(default_factory=SilenceCounts)
+    held: HeldBytes = field(default_factory=HeldBytes)
 
     def __post_init__(self):
         if self.quarantine is None:
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -8,6 +8,8 @@
 _MAX_END_BYTES = 4
 _ID = b'id:'
 _COMMENT = b':'
+# Digits of a number that is compared; longer identifiers are texts.
+_MAX_DIGITS = 18
 
 
 class EventSplitter:
@@ -20,11 +22,30 @@
     forwarded, so that another upstream can resume after the last one without
     leaving a partial line in the stream.
 
+    An event brings its stream on if its identifier is higher than all before.
+    Where events have none, one with a line that the part before it did not have
+    does so too, unless the stream can be resumed, for which it needs them.
+
+    Parameters
+    ==========
+
+    needs_idents : bool
+        Whether only events with identifiers bring the stream on.
+
     Attributes
     ==========
 
     last : bytes
         Identifier of the last complete event.
+    highest : int
+        Highest number that was an identifier; -1 before the first.
+    lines : frozenset of bytes
+        Lines of the last events without identifiers.
+    brings_on : bool
+        Whether an event that was fed last brings the stream on.
+    is_out_of_turn : bool
+        Whether an event came since that has no identifier where others have, or
+        none that is higher.
     rest : bytearray
         Received bytes of an incomplete event. Each part of it is appended and
         searched once, however many parts it has.
@@ -44,10 +65,24 @@
     (b'1', bytearray(b'id: 2'))
     """
 
-    __slots__ = ('has_events', 'last', 'rest')
-
-    def __init__(self):
+    __slots__ = (
+        'brings_on',
+        'has_events',
+        'highest',
+        'is_out_of_turn',
+        'last',
+        'lines',
+        'needs_idents',
+        'rest',
+    )
+
+    def __init__(self, *, needs_idents=False):
+        self.needs_idents = needs_idents
         self.last = b''
+        self.highest = -1
+        self.lines = frozenset()
+        self.brings_on = False
+        self.is_out_of_turn = False
         self.rest = bytearray()
         self.has_events = False
 
@@ -57,6 +92,7 @@
         start = max(0, len(self.rest) - _MAX_END_BYTES + 1)
         self.rest += data
         end = _last_end(self.rest, start)
+        self.brings_on = False
         if not end:
             return b''
         events = bytes(self.rest[:end])
@@ -84,13 +120,35 @@
         return is_inside_event or not (is_framed or self.has_events)
 
     def _note_events(self, events):
+        lines = []
         for line in reversed(events.splitlines()):
             if not line or line.startswith(_COMMENT):
                 continue
             self.has_events = True
             if line.startswith(_ID):
-                self.last = line[len(_ID) :].strip()
+                self._note_ident(line[len(_ID) :].strip())
                 return
+            lines.append(line)
+        if self.last or self.needs_idents:
+            self.is_out_of_turn = self.is_out_of_turn or bool(lines)
+            return
+        self.brings_on = not self.lines.issuperset(lines)
+        self.lines = frozenset(lines)
+
+    def _note_ident(self, ident):
+        number = _number(ident)
+        highest = max(self.highest, _number(self.last))
+        self.brings_on = ident != self.last if number < 0 else number > highest
+        self.is_out_of_turn = not self.brings_on
+        self.highest = max(highest, number)
+        self.last = ident
+
+
+def _number(ident):
+    """Return the number that an identifier is; -1 if it is none."""
+    if len(ident) > _MAX_DIGITS or not ident.isdigit():
+        return -1
+    return int(ident)
 
 
 def _last_end(received, start):
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -270,3 +270,5 @@
     CLOSED = 'closed'
     BROKEN = 'broken'
     SILENT = 'silent'
+    # It was given up, as it has more bytes than any answer.
+    ENDLESS = 'endless'
--- a/pollenstile/standin/exchanges.py
+++ b/pollenstile/standin/exchanges.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import UNKNOWN_LENGTH
 
 
 class Head:
@@ -14,10 +15,13 @@
         Status code.
     headers : dict
         Lists of values by header name.
+    length : int or str
+        Stated length of the body; a text, as in Twisted, without any.
     """
 
-    def __init__(self, code, headers):
+    def __init__(self, code, headers, length=UNKNOWN_LENGTH):
         self.code = code
+        self.length = length
         self.phrase = b'phrase'
         self.headers = Headers(headers)
 
