forward: bytes that bring the caller nothing are no sign of life

What callers saw: an upstream that drips bytes which are no answer, at 20 kB/s or 1 kB/s, was awaited alone until the deadline (504), or cut off there.

Cause: the watch for silence took any byte for a sign of life. Nothing was sent beside such an attempt, and its upstream counted as heard.

Now only what brings the caller something counts: the final head, an event that brings the stream on, a part of a body of a stated length, a body's proper end. So an upstream that drips is treated like a silent one: it stays open, another attempt is sent beside it after the limit, and the first with something for the caller wins. 1249 has the bytes that came meanwhile (barren). pause_ms of 1206 is the longest pause between events now, not between their parts, as inter_token_ms means it.

What may be sound is not given up for it: a request whose attempt still gets bytes that may become an answer is not handed back at half of its time, and a caller that did not read makes no upstream silent when it reads again (parts of an event, which restarted the watch before, no longer do).

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -81,3 +81,33 @@
     And 33 MB of other answers are held back
     When its upstream sends 65 parts of an answer without a length
     Then the caller has got all of it as it was sent
+
+  Scenario: A slow answer without a length is awaited, not handed back
+    The opposite case: nothing is sent beside it, and other upstreams are heard.
+    Given a forwarded "idempotent" request
+    And no forwarded retries are left
+    When its upstream sends 18 parts of an answer without a length, 0.1 s apart
+    And another upstream is heard
+    And its upstream sends 8 parts of an answer without a length, 0.1 s apart
+    Then forwarded send 0 is open
+    When its upstream ends the answer
+    Then the caller has got all of it as it was sent
+
+  Scenario: A slow event is awaited beside another upstream
+    The opposite case: the upstream takes longer for it than the limit.
+    Given a forwarded "resumable" request
+    When its upstream sends an event in parts for 2 seconds
+    Then forwarded send 1 is made beside send 0
+    When its upstream ends the event and the stream
+    Then the caller has got all of it as it was sent
+    And forwarded send 1 was closed
+
+  Scenario: What a caller did not read counts as no silence
+    Guards against an upstream that is silent as nobody has read what it sent.
+    Given a forwarded "resumable" request
+    When its upstream sends an event and a comment
+    And the caller of the forwarded request stops reading
+    And 1.4 seconds of forwarding pass
+    And the caller of the forwarded request reads again
+    And 0.5 seconds of forwarding pass
+    Then 1 forwarded sends were made
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -165,3 +165,25 @@
 @then('no bytes of answers are held back')
 def then_none_held(context):
     assert context.story.core.held.total == 0, context.story.core.held
+
+
+@when(
+    'its upstream sends {count:d} parts of an answer without a length,'
+    ' {seconds:g} s apart'
+)
+def when_slow(context, count, seconds):
+    for _ in range(count):
+        _receive(context, b'x' * 1024)
+        context.story.clock.advance(seconds)
+
+
+@when('its upstream sends an event in parts for {seconds:g} seconds')
+def when_slow_event(context, seconds):
+    _receive(context, b'id: 1\ndata: ')
+    when_slow(context, int(seconds * 10), 0.1)
+
+
+@when('its upstream ends the event and the stream')
+def when_event_ends(context):
+    _receive(context, b'\n\n')
+    context.story.calls[0].body()
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -58,6 +58,7 @@
 
     def keep(data):
         parts.append(data)
+        _note_part(attempt, head, data, may_be_answer=False)
         _count_barren(attempt, data, MAX_FAILURE_BYTES, ENDLESS_FAILURE)
 
     end = await _read_body(attempt, head, keep)
@@ -77,6 +78,7 @@
         attempt.held.limit = MAX_UNSTATED_BYTES
 
     def pass_on(data):
+        _note_part(attempt, head, data, may_be_answer=True)
         if is_bounded:
             _count_barren(attempt, data, MAX_UNSTATED_BYTES, ENDLESS_ANSWER)
         if not attempt.endless:
@@ -91,6 +93,20 @@
     return _finish_answer(attempt)
 
 
+def _note_part(attempt, head, data, *, may_be_answer):
+    """Note a part of a body, a sign of life if it has a stated length."""
+    if has_length(head):
+        _note_life(attempt)
+    else:
+        attempt.silence.note_barren(len(data), may_be_answer=may_be_answer)
+
+
+def _note_life(attempt):
+    """Record that the upstream has brought its caller something."""
+    note_heard(attempt)
+    attempt.silence.note_data(attempt.limits.between)
+
+
 def _pass_on_part(attempt, head, data):
     """Write a part of a whole answer to the caller, or hold it back."""
     if attempt.contest.holder is attempt:
@@ -139,6 +155,9 @@
     if splitter.brings_on:
         _note_event(attempt, head)
     else:
+        attempt.silence.note_barren(
+            len(data), may_be_answer=not splitter.is_out_of_turn
+        )
         reason = _barren_reason(splitter)
         _count_barren(attempt, data, MAX_EVENT_BYTES, reason)
     may_write = splitter.brings_on or _keeps_alive(attempt)
@@ -148,6 +167,7 @@
 
 def _note_event(attempt, head):
     """Begin the answer with an event that brings the stream on."""
+    _note_life(attempt)
     attempt.barren_bytes = len(attempt.splitter.rest)
     if not attempt.has_first_event:
         attempt.has_first_event = True
@@ -213,15 +233,15 @@
         if not ended.called:
             ended.callback(body_end)
 
-    def on_data(data):
-        note_heard(attempt)
-        attempt.silence.note_data(attempt.limits.between)
-        pass_on(data)
-
     attempt.end_body = end
-    producer = attempt.call.deliver(head, on_data, end)
-    attempt.silence.backpressure = Backpressure(producer)
-    return await ended
+    producer = attempt.call.deliver(head, pass_on, end)
+    attempt.silence.backpressure = Backpressure(
+        producer, attempt.silence.note_resumed
+    )
+    body_end = await ended
+    if body_end in _ENDED:
+        _note_life(attempt)
+    return body_end
 
 
 def _incomplete(attempt, reason, end):
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -101,6 +101,7 @@
         limit_ms=int(silence.limit * _MS),
         late_ms=int(silence.lateness * _MS),
         heard_ms=int(heard * _MS) if heard_at else -1,
+        barren=silence.barren_bytes,
         flying=attempt.view.in_flight,
     )
 
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -6,12 +6,15 @@
 
 
 class SilenceWatch:
-    """Reports an upstream that sends nothing for too long, and its return.
+    """Reports an upstream that is silent for too long, and its return.
 
     Explanation
     ===========
 
-    The attempt itself is not ended: the upstream may go on at any time.
+    Silent is an upstream that sends nothing which brings its caller anything: a
+    head, an event that goes on, or a part of an answer of a stated length.
+    Other bytes may become an answer, but need not. The attempt itself is not
+    ended: the upstream may go on at any time.
 
     Parameters
     ==========
@@ -32,7 +35,11 @@
     backpressure : Backpressure or None
         Tells whether this host reads at all; None before the body.
     heard_at : float
-        Time at which something was last received, or the start.
+        Time at which something for the caller was last received, or the start.
+    barren_bytes : int
+        Other bytes received since then.
+    barren_at : float
+        Time of the last of these that may become an answer; 0 before any.
     is_silent : bool
         Whether the limit has passed since then.
     lateness : float
@@ -43,6 +50,8 @@
 
     __slots__ = (
         'backpressure',
+        'barren_at',
+        'barren_bytes',
         'clock',
         'due',
         'has_data',
@@ -66,6 +75,8 @@
         self.due = 0.0
         self.lateness = 0.0
         self.heard_at = clock.seconds()
+        self.barren_bytes = 0
+        self.barren_at = 0.0
         self.has_data = False
         self.is_silent = False
         self.longest_silence = 0.0
@@ -80,15 +91,40 @@
         self._restart(self.limit)
 
     def note_data(self, limit):
-        """Restart the timer with a new limit, as data was received."""
+        """Restart the timer with a new limit, as the answer goes on."""
         if self.has_data:
             silence = self.clock.seconds() - self.heard_at
             self.longest_silence = max(self.longest_silence, silence)
         self.has_data = True
         self._restart(limit)
 
+    def note_barren(self, size, *, may_be_answer):
+        """Count received bytes that bring the caller nothing yet.
+
+        Parameters
+        ==========
+
+        may_be_answer : bool
+            Whether they may be a part of an answer.
+        """
+        self.barren_bytes += size
+        if may_be_answer:
+            self.barren_at = self.clock.seconds()
+
+    def note_resumed(self):
+        """Restart the timer, as nothing was read while the caller did not."""
+        if not self.is_silent:
+            self.stop()
+            self.start()
+
+    def is_flowing(self):
+        """Return whether bytes that may become an answer still arrive."""
+        if not self.barren_at:
+            return False
+        return self.clock.seconds() - self.barren_at < self.limit
+
     def silent_seconds(self):
-        """Return the seconds since something was received."""
+        """Return the seconds since something for the caller was received."""
         return self.clock.seconds() - self.heard_at
 
     def stop(self):
@@ -101,6 +137,8 @@
         was_silent = self.is_silent
         self.limit = limit
         self.heard_at = self.clock.seconds()
+        self.barren_bytes = 0
+        self.barren_at = 0.0
         self.is_silent = False
         self.lateness = 0.0
         self.stop()
@@ -161,6 +199,8 @@
 
     producer : IPushProducer
         The upstream's connection.
+    on_resumed : function
+        Called when the host reads again.
 
     Attributes
     ==========
@@ -169,10 +209,11 @@
         Whether nothing is read from the upstream for now.
     """
 
-    __slots__ = ('paused', 'producer')
+    __slots__ = ('on_resumed', 'paused', 'producer')
 
-    def __init__(self, producer):
+    def __init__(self, producer, on_resumed):
         self.producer = producer
+        self.on_resumed = on_resumed
         self.paused = False
 
     def pauseProducing(self):
@@ -182,6 +223,8 @@
 
     def resumeProducing(self):
         """Read from the upstream again; called by Twisted."""
+        if self.paused:
+            self.on_resumed()
         self.paused = False
         self.producer.resumeProducing()
 
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -184,7 +184,16 @@
 
 
 def _is_hopeless(run, state, obstacle):
-    """Return whether the caller had better try the request again."""
+    """Return whether the caller had better try the request again.
+
+    Explanation
+    ===========
+
+    Bytes that may become an answer are awaited to the deadline: a large one may
+    come slowly, and without a length nothing tells how far it is.
+    """
+    if any(attempt.silence.is_flowing() for attempt in run.contest.running):
+        return False
     exchange = run.exchange
     now = run.core.clock.seconds()
     spent = (now - exchange.arrived) / (exchange.ends - exchange.arrived)
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -103,9 +103,11 @@
 ATTEMPT_SILENT = define(
     1249,
     'attempt-silent',
-    'An upstream has sent nothing for the limit on silence of an attempt.',
+    'An upstream has sent nothing for the caller for the limit on silence of an'
+    ' attempt.',
     'Compare `heard_ms`, the time since the upstream sent anything to this host,'
-    ' and `late_ms`, by which the loop of this host ran late.',
+    ' and `late_ms`, by which the loop of this host ran late. `barren` counts'
+    ' bytes that came meanwhile and brought nothing.',
 )
 ATTEMPT_HEARD = define(
     1250,
