forward: requests pass by an upstream whose bytes are no answer

What callers saw: an upstream that answered without an end went on getting requests. Nothing was learned of it: no line named it, and it seemed to be heard.

Cause: a lost attempt counts a little as a failure, and silence counts only where nothing was heard on any connection, which each new head denies.

An attempt over a bound, and a silent one whose upstream sent bytes that brought nothing, now have requests pass by that upstream for five seconds while there are others, as for a silent one. It may be few of its answers, or one that is large and slow, so its next good answer ends this. 1256 (upstream-barren) names it with the reason; two counts of attempts tell this from silence.

Evidence: the scenarios, of which both rows fail without the mark.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -111,3 +111,26 @@
     And the caller of the forwarded request reads again
     And 0.5 seconds of forwarding pass
     Then 1 forwarded sends were made
+
+  Scenario Outline: New requests pass by an upstream whose bytes <do>
+    Guards against an upstream that gets requests it does not answer.
+    Given a request whose first upstream sends bytes that <do>
+    Then new requests don't go to the upstream of forwarded send 0
+    And event 1256 names that upstream
+    When 5.1 seconds of forwarding pass
+    Then new requests may go to the upstream of forwarded send 0
+
+    Examples:
+      | do                 |
+      | have no end        |
+      | drip without end   |
+
+  Scenario: A good answer of an upstream ends that requests pass by it
+    Given a request whose first upstream sends bytes that have no end
+    When that upstream answers another request
+    Then new requests may go to the upstream of forwarded send 0
+
+  Scenario: Upstreams whose bytes are no answer are used while there are no others
+    Given a request whose first upstream sends bytes that have no end
+    When the bytes of all other upstreams are no answers
+    Then new requests may go to the upstream of forwarded send 0
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -9,8 +9,9 @@
     long_event_parts,
     long_head,
 )
-from features.builders.forward import event_bytes
+from features.builders.forward import SERVICE, event_bytes
 from features.builders.forwardhost import ForwardHost, request
+from pollenstile.forward._learning import learn_barren, learn_success
 
 
 def _scenarios(context):
@@ -187,3 +188,40 @@
 def when_event_ends(context):
     _receive(context, b'\n\n')
     context.story.calls[0].body()
+
+
+@given('a request whose first upstream sends bytes that have no end')
+def given_endless(context):
+    scenario = EndlessScenario('resumable', 'one event')
+    scenario.flood()
+    context.story = scenario.story
+
+
+@given('a request whose first upstream sends bytes that drip without end')
+def given_dripping(context):
+    scenario = EndlessScenario('resumable', 'one event')
+    scenario.drip(1.6)
+    context.story = scenario.story
+
+
+@when('that upstream answers another request')
+def when_answers_well(context):
+    learn_success(_first_view(context), 0.1)
+
+
+@when('the bytes of all other upstreams are no answers')
+def when_all_barren(context):
+    for view in context.story.registry.usable(SERVICE):
+        learn_barren(view, context.story.clock.seconds())
+
+
+@then('event {number:d} names that upstream')
+def then_named(context, number):
+    lines = context.story.lines('upstream-barren')
+    assert [line['peer'] for line in lines] == [_first_view(context).ident]
+
+
+def _first_view(context):
+    address = context.story.calls[0].address
+    views = context.story.registry.usable(SERVICE)
+    return next(view for view in views if view.address == address)
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -4,7 +4,11 @@
 
 from twisted.internet.defer import CancelledError
 
-from pollenstile.forward._attempt_learning import learn_outcome, note_heard
+from pollenstile.forward._attempt_learning import (
+    learn_outcome,
+    note_barren,
+    note_heard,
+)
 from pollenstile.forward._bodies import relay_body
 from pollenstile.forward._bounds import MAX_BUFFERED_BYTES, HeldAnswer
 from pollenstile.forward._learning import learn_failure, learn_silence
@@ -220,6 +224,9 @@
             self.call.head.callback(reason)
             return
         self.core.silences.silent += 1
+        if self.silence.barren_bytes:
+            self.core.silences.barren += 1
+            note_barren(self, 'no answer in time')
         learn_silence(
             self.view, self.silence.heard_at, self.core.clock.seconds()
         )
--- a/pollenstile/forward/_attempt_learning.py
+++ b/pollenstile/forward/_attempt_learning.py
@@ -1,11 +1,13 @@
 """What a host learns from an attempt while it runs and when it ends."""
 
 from pollenstile.forward._learning import (
+    learn_barren,
     learn_failure,
     learn_success,
     learn_unavailable,
 )
 from pollenstile.forward._outcomes import RESULTS_GONE, UpstreamFailure
+from pollenstile.forward._request_log import log_barren
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._types import Lost, NotRun
 
@@ -21,6 +23,12 @@
     attempt.view.silent_since = None
 
 
+def note_barren(attempt, reason):
+    """Record that an attempt's upstream sends bytes which are no answer."""
+    learn_barren(attempt.view, attempt.core.clock.seconds())
+    log_barren(attempt, reason)
+
+
 def learn_first_event(attempt):
     """Record the time of the first event that an attempt brings its stream."""
     attempt.input_release.release()
@@ -48,6 +56,9 @@
             learn_unavailable(attempt.view, now, arrived=outcome.arrived)
     elif isinstance(outcome, (Lost, UpstreamFailure)):
         learn_failure(attempt.view)
+        if getattr(outcome, 'endless', False):
+            attempt.core.silences.endless += 1
+            note_barren(attempt, outcome.reason)
     elif not attempt.streaming:
         learn_success(attempt.view, now - attempt.started)
 
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -106,6 +106,29 @@
     )
 
 
+def log_barren(attempt, reason):
+    """Log that an upstream is passed by, as its bytes are no answer.
+
+    Parameters
+    ==========
+
+    reason : str
+        What it sent, or that nothing for the caller came in time.
+    """
+    core = attempt.core
+    now = core.clock.seconds()
+    core.log(
+        events.UPSTREAM_BARREN,
+        request=attempt.exchange.ident,
+        peer=attempt.view.ident,
+        reason=reason,
+        last=attempt.splitter.last.decode('latin-1'),
+        barren=max(attempt.barren_bytes, attempt.silence.barren_bytes),
+        took_ms=int((now - attempt.started) * _MS),
+        passed_by_ms=int((attempt.view.barren_until - now) * _MS),
+    )
+
+
 def log_heard(attempt, seconds):
     """Log that an upstream goes on after a silence over the limit.
 
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -76,6 +76,9 @@
         it have met the limit on silence.
     silent_until : float
         Time until which it is passed by for that.
+    barren_until : float
+        Time until which it is passed by as its bytes were no answer; 0 after a
+        good answer.
     cold_until : float
         Time until which it is cold and accepts few requests a second; 0 when
         it last reported that it is warm.
@@ -103,6 +106,7 @@
     heard_at: float = 0.0
     silent_since: float | None = None
     silent_until: float = 0.0
+    barren_until: float = 0.0
     cold_until: float = 0.0
     cold_sends: deque = field(default_factory=deque)
 
@@ -171,6 +175,8 @@
     heard_at = max((view.heard_at for view in untried), default=0.0)
 
     def is_passed_by(view):
+        if now < view.barren_until:
+            return True
         return is_silent(view, now) and heard_at > view.silent_since
 
     median_share = shares[len(shares) // 2] if shares else 0
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -180,6 +180,11 @@
         Answers that another attempt has brought or went on with.
     handed_back : int
         Requests that were given up so that their callers could try again.
+    barren : int
+        Silent attempts whose upstream sent bytes that brought nothing.
+    endless : int
+        Attempts that were given up, as their upstream sent more bytes than an
+        answer has.
     broken_off : int
         Begun answers that ended before they were complete, for any reason.
     """
@@ -188,6 +193,8 @@
     went_on: int = 0
     taken_over: int = 0
     handed_back: int = 0
+    barren: int = 0
+    endless: int = 0
     broken_off: int = 0
 
 
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -127,6 +127,14 @@
     'An attempt has something for the caller before the silent ones, which were'
     ' closed after `silent_ms`; it was sent `took_ms` ago.',
 )
+UPSTREAM_BARREN = define(
+    1256,
+    'upstream-barren',
+    'An upstream sends bytes that are no answer. New requests pass by it for'
+    ' `passed_by_ms`, or until it answers, while there are others.',
+    'Check that upstream. `reason` is the bound that it met, with which the'
+    ' attempt ended, or that nothing came in time.',
+)
 UPSTREAM_CRASHED = define(
     1240,
     'upstream-crashed',
