--- a/pollenstile/forward/_attempt_learning.py
+++ b/pollenstile/forward/_attempt_learning.py
@@ -1,17 +1,19 @@
 """What a host learns from an attempt while it runs and when it ends."""
 
 from pollenstile.forward._learning import (
+    learn_barren,
     learn_failure,
     learn_success,
     learn_unavailable,
 )
 from pollenstile.forward._outcomes import RESULTS_GONE, UpstreamFailure
+from pollenstile.forward._request_log import log_barren
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._types import Lost, NotRun
 
-# Seconds after its first bytes at which an answer shows that its upstream bears
+# Seconds after its first event at which an answer shows that its upstream bears
 # the parts of the prompt: one that crashes on a part does so as it begins, and
-# the first bytes may have left it by then.
+# the first event may have left it by then.
 _PROOF_SECONDS = 0.1
 
 
@@ -21,14 +23,20 @@
     attempt.view.silent_since = None
 
 
-def learn_first_bytes(attempt):
-    """Record the time of the first bytes of a stream."""
+def note_barren(attempt, reason):
+    """Record that an attempt's upstream sends bytes which are no answer."""
+    learn_barren(attempt.view, attempt.core.clock.seconds())
+    log_barren(attempt, reason)
+
+
+def learn_first_event(attempt):
+    """Record the time of the first event that an attempt brings its stream."""
     attempt.input_release.release()
     attempt.core.copies.note_begun(attempt.exchange.fingerprint)
     first_seconds = attempt.first_at - attempt.started
     learn_success(attempt.view, first_seconds)
     exchange = attempt.exchange
-    if exchange.prompt and not attempt.splitter.last:
+    if exchange.prompt and not attempt.is_resumed:
         tokens = own_tokens(exchange.prompt)
         attempt.core.first_tokens.learn(exchange.service, tokens, first_seconds)
     if exchange.handles:
@@ -48,6 +56,9 @@
             learn_unavailable(attempt.view, now, arrived=outcome.arrived)
     elif isinstance(outcome, (Lost, UpstreamFailure)):
         learn_failure(attempt.view)
+        if getattr(outcome, 'endless', False):
+            attempt.core.silences.endless += 1
+            note_barren(attempt, outcome.reason)
     elif not attempt.streaming:
         learn_success(attempt.view, now - attempt.started)
 
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from pollenstile.estimates import Fetching, FirstTokens
+from pollenstile.forward._bounds import HeldBytes
 from pollenstile.forward._brittle import BrittleShares
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._copies import Copies
@@ -82,6 +83,8 @@
         The requests that have not ended, in the order of their arrival.
     departure : Departure or None
         When this host ends; None before it was asked to stop.
+    held : HeldBytes
+        Bytes of answers that are held back.
     """
 
     clock: object
@@ -107,6 +110,7 @@
     silences: SilenceCounts = field(default_factory=SilenceCounts)
     runs: dict = field(default_factory=dict)
     departure: Departure | None = None
+    held: HeldBytes = field(default_factory=HeldBytes)
 
     def __post_init__(self):
         if self.quarantine is None:
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -248,11 +248,14 @@
         Identifier of the upstream.
     broken : bool
         Whether the upstream closed or reset the connection.
+    endless : bool
+        Whether the upstream sent more bytes than any answer has.
     """
 
     reason: str
     peer: str = ''
     broken: bool = False
+    endless: bool = False
 
 
 class BodyEnd(enum.Enum):
@@ -264,3 +267,5 @@
     CLOSED = 'closed'
     BROKEN = 'broken'
     SILENT = 'silent'
+    # It was given up, as it has more bytes than any answer.
+    ENDLESS = 'endless'
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -111,9 +111,11 @@
 ATTEMPT_SILENT = define(
     1249,
     'attempt-silent',
-    'An upstream has sent nothing for the limit on silence of an attempt.',
+    'An upstream has sent nothing for the caller for the limit on silence of an'
+    ' attempt.',
     'Compare `heard_ms`, the time since the upstream sent anything to this host,'
-    ' and `late_ms`, by which the loop of this host ran late.',
+    ' and `late_ms`, by which the loop of this host ran late. `barren` counts'
+    ' bytes that came meanwhile and brought nothing.',
 )
 ATTEMPT_HEARD = define(
     1250,
@@ -133,6 +135,14 @@
     'An attempt has something for the caller before the silent ones, which were'
     ' closed after `silent_ms`; it was sent `took_ms` ago.',
 )
+UPSTREAM_BARREN = define(
+    1256,
+    'upstream-barren',
+    'An upstream sends bytes that are no answer. New requests pass by it for'
+    ' `passed_by_ms`, or until it answers, while there are others.',
+    'Check that upstream. `reason` is the bound that it met, with which the'
+    ' attempt ended, or that nothing came in time.',
+)
 UPSTREAM_CRASHED = define(
     1240,
     'upstream-crashed',
