--- a/features/builders/bodyends.py
+++ b/features/builders/bodyends.py
@@ -1,5 +1,7 @@
 """Builders of answers that an upstream ends or breaks off at any byte."""
 
+from random import Random
+
 from twisted.internet import reactor
 
 from features.builders.forwardhost import ForwardHost, request
@@ -8,6 +10,7 @@
 from pollenstile.fleet import http_load_reader
 from pollenstile.forward import HeaderNames, HttpClient, PlainCodec, Upstream
 from pollenstile.forward._stagecalls import StageCalls
+from pollenstile.permission import build_permissions
 from pollenstile.stagework import Worker
 
 LINE_ENDS = {'LF': b'\n', 'CRLF': b'\r\n', 'CR': b'\r'}
@@ -64,19 +67,24 @@
 def stage_call_through(host, upstream_answer):
     """Return the outcome of a stage call of two pieces to a host's upstream."""
     host.reply = upstream_answer
-    calls = StageCalls(
-        reactor,
-        HttpClient(reactor),
-        PlainCodec(),
-        HeaderNames(),
-        host.factory.core.permissions,
-    )
+    calls = stage_calls(reactor, host.factory.core.permissions)
     worker = Worker('i1', host.upstream_address, 'd')
     return result_of(
         calls.call(worker, pieces_of(group('a', 2)), _CALL_SECONDS)
     )
 
 
+def stage_calls(clock, permissions=None):
+    """Return what sends stage calls, without an owner of the pieces."""
+    return StageCalls(
+        clock,
+        HttpClient(reactor),
+        PlainCodec(),
+        HeaderNames(),
+        permissions or build_permissions(clock, Random(1)),
+    )
+
+
 def load_poll(address):
     """Return a Deferred of the load that an upstream reports."""
     upstream = Upstream('i1', 'desk', address, 'd')
