stage calls, load polls: an answer has a longest size

What callers saw: with one stage worker of several whose answers have no end, their requests got 503 after 5 s, and the owner's host grew from 69 to 289 MB.

Cause: read_document waited for the end of the body and kept all of it. Calls to stage workers, releases of results and load polls share it.

Now each reader says how much an answer can hold: 16 kB and 1 kB for each piece of a batch (a handle or a reason), 64 kB for a load report. Over it the connection is closed at once. A stage call is then lost as "answer too long": it arrived, and it is not broken, so no crash is looked for.

Ruled out: that what is learned of a worker must change.

Eight handles of 1,000 bytes each are still read.

--- a/features/builders/bodyends.py
+++ b/features/builders/bodyends.py
@@ -64,13 +64,13 @@
     return _read_body(connection.received)
 
 
-def stage_call_through(host, upstream_answer):
-    """Return the outcome of a stage call of two pieces to a host's upstream."""
+def stage_call_through(host, upstream_answer, count=2):
+    """Return the outcome of a stage call of pieces to a host's upstream."""
     host.reply = upstream_answer
     calls = stage_calls(reactor, host.factory.core.permissions)
     worker = Worker('i1', host.upstream_address, 'd')
     return result_of(
-        calls.call(worker, pieces_of(group('a', 2)), _CALL_SECONDS)
+        calls.call(worker, pieces_of(group('a', count)), _CALL_SECONDS)
     )
 
 
--- a/features/builders/endless.py
+++ b/features/builders/endless.py
@@ -1,17 +1,24 @@
 """Builders of servers whose answers have no end, and of what reads them."""
 
+from collections import Counter
+
 from twisted.internet import reactor
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Factory, Protocol
 from zope.interface import implementer
 
 from features.builders.loop import collect_result, run_reactor_until
+from features.builders.stagework import CALL, PIECE, group
+from pollenstile.stagework import CallLost, GroupDone, Result
 
 LOOPBACK = '127.0.0.1'
 # Bytes after which a server that is still read stops, so that a reader without
 # a bound fails the scenario soon. Buffers of the sockets hold a part of them.
 ENOUGH_BYTES = 16_000_000
 _PART_BYTES = 65536
+# Steps of a run in virtual time, and how many of them between two groups.
+_TICK_SECONDS = 0.01
+_TICKS_PER_GROUP = 25
 _OK = b'HTTP/1.1 200 OK\r\n'
 _PLAIN = b'%sContent-Type: application/json\r\n\r\n' % _OK
 _FAILED = b'HTTP/1.1 500 Internal Server Error\r\n\r\n'
@@ -52,7 +59,7 @@
             return
         server = self.factory.server
         server.requests += 1
-        self.transport.write(server.first)
+        self.transport.write(server.form[0])
         self.transport.registerProducer(self, False)
 
     def resumeProducing(self):
@@ -61,8 +68,9 @@
         if server.sent_bytes >= ENOUGH_BYTES:
             self.transport.unregisterProducer()
             return
-        server.sent_bytes += len(server.part)
-        self.transport.write(server.part)
+        part = server.form[1]
+        server.sent_bytes += len(part)
+        self.transport.write(part)
 
     def stopProducing(self):
         """Do nothing, as the connection is closed; called by Twisted."""
@@ -93,7 +101,7 @@
     """
 
     def __init__(self, form):
-        self.first, self.part = FORMS[form]
+        self.form = FORMS[form]
         self.sent_bytes = 0
         self.requests = 0
         self.open = 0
@@ -122,3 +130,68 @@
     def wait_until_closed(self):
         """Wait until no connection is open."""
         run_reactor_until(lambda: not self.open)
+
+
+class WorkerRun:
+    """Stage groups that come to a queue while one worker fails each call.
+
+    Parameters
+    ==========
+
+    queue : Queue
+        Queue in virtual time.
+    faulty : str
+        Identifier of the worker whose answers have no end; may be empty.
+
+    Attributes
+    ==========
+
+    calls : Counter
+        Calls by identifier of the worker.
+    sent, made : int
+        Groups that came, and those that were made.
+    longest : float
+        Seconds of the longest wait for a group.
+    """
+
+    def __init__(self, queue, faulty):
+        self.queue = queue
+        self.faulty = faulty
+        self.calls = Counter()
+        self.sent = 0
+        self.made = 0
+        self.longest = 0.0
+        self.first_call = len(queue.calls)
+
+    def play(self, seconds):
+        """Let groups come for some seconds, and wait for the last ones."""
+        clock = self.queue.clock
+        for tick in range(round((seconds + 2) / _TICK_SECONDS)):
+            if tick % _TICKS_PER_GROUP == 0 and tick * _TICK_SECONDS < seconds:
+                self._send_group(clock.seconds())
+            self._answer_calls(clock)
+            clock.advance(_TICK_SECONDS)
+
+    def _send_group(self, now):
+        name = f'{self.faulty}{self.sent}'
+        self.sent += 1
+        work = self.queue.owner.submit(
+            group(name, 3, 1, due=now + 2, deadline=now + 5)
+        )
+        work.addCallback(self._note, now)
+
+    def _note(self, outcome, sent_at):
+        self.made += isinstance(outcome, GroupDone)
+        waited = self.queue.clock.seconds() - sent_at
+        self.longest = max(self.longest, waited)
+
+    def _answer_calls(self, clock):
+        for worker, pieces, done in self.queue.calls[self.first_call :]:
+            self.calls[worker.ident] += 1
+            if worker.ident == self.faulty:
+                lost = CallLost('answer too long', worker.ident, arrived=True)
+                clock.callLater(_TICK_SECONDS, done.callback, lost)
+                continue
+            made = [Result(f'{worker.address}/{piece}') for piece in pieces]
+            clock.callLater(CALL + PIECE * len(pieces), done.callback, made)
+        self.first_call = len(self.queue.calls)
--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -20,3 +20,31 @@
     When a host reads a store there
     Then the store counts as unavailable for "TooLongError"
     And the endless server is not read any more
+
+  Scenario Outline: Other answers to a host's own calls are given up at once
+    Guards against a bound on one kind of answer only.
+    Given a server that sends "<form>" without end
+    When <reader> is sent to it
+    Then it has failed
+    And the endless server is not read any more
+
+    Examples:
+      | reader                 | form                |
+      | a stage call           | a body of a failure |
+      | a release of results   | a body              |
+      | a load poll            | a body              |
+
+  Scenario: The longest stage answer is read
+    The opposite case: handles may be much longer than they are.
+    Given a host whose upstream closes each connection after its answer
+    When a stage call of 8 pieces is answered with handles of 1000 bytes
+    Then the stage call has the results of 8 pieces
+
+  Scenario: A stage worker whose answers have no end gets few calls meanwhile
+    Guards against pieces that go to such a worker again and again while another
+    one answers, and against a worker that is never asked again.
+    Given a stage queue over workers in "a,a"
+    When the answers of its first worker have no end for 8 seconds
+    Then it got at most 6 calls and no request was refused or waited over 1 second
+    When its first worker answers again for 8 seconds
+    Then it gets as many calls as the other one, within a third
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -1,12 +1,18 @@
 """Steps for answers without end."""
 
+import msgspec
 from behave import given, then, when
 from twisted.internet import reactor
 from twisted.internet.task import Clock
 
 from features.builders import requests_http
-from features.builders.bodyends import stage_calls
-from features.builders.endless import ENOUGH_BYTES, EndlessServer
+from features.builders.bodyends import (
+    framed,
+    load_poll,
+    stage_call_through,
+    stage_calls,
+)
+from features.builders.endless import ENOUGH_BYTES, EndlessServer, WorkerRun
 from features.builders.loop import result_of
 from features.builders.platform import http_store
 from features.builders.stagework import group, pieces_of
@@ -18,6 +24,12 @@
 _CALL_SECONDS = 30.0
 
 
+def _stage_call(address, count=2):
+    worker = Worker('i1', address, 'd')
+    pieces = pieces_of(group('a', count))
+    return stage_calls(reactor).call(worker, pieces, _CALL_SECONDS)
+
+
 @given('a server that sends "{form}" without end')
 def given_endless(context, form):
     context.server = EndlessServer(form)
@@ -28,11 +40,8 @@
 
 @when('a stage call of {count:d} pieces is sent to it')
 def when_stage_call(context, count):
-    worker = Worker('i1', context.server.address, 'd')
     context.outcome = context.server.outcome_of(
-        stage_calls(reactor).call(
-            worker, pieces_of(group('a', count)), _CALL_SECONDS
-        )
+        _stage_call(context.server.address, count)
     )
 
 
@@ -72,3 +81,73 @@
 def then_not_read(context):
     context.server.wait_until_closed()
     assert context.server.sent_bytes < ENOUGH_BYTES, context.server.sent_bytes
+
+
+def _release(address):
+    return stage_calls(reactor).release(address, ['a/1'])
+
+
+_READERS = {
+    'a stage call': _stage_call,
+    'a release of results': _release,
+    'a load poll': load_poll,
+}
+
+
+@when('{reader} is sent to it')
+def when_reader(context, reader):
+    work = _READERS[reader](context.server.address)
+    context.ended = []
+    work.addBoth(context.ended.append)
+    context.server.wait_for(lambda: context.ended)
+
+
+@then('it has failed')
+def then_failed(context):
+    assert context.ended
+    outcome = context.ended[0]
+    assert not isinstance(outcome, list), outcome
+    assert not outcome or isinstance(outcome, CallLost), outcome
+
+
+@when(
+    'a stage call of {count:d} pieces is answered with handles of {size:d} bytes'
+)
+def when_long_handles(context, count, size):
+    handles = [f'{number}/'.ljust(size, 'x') for number in range(count)]
+    answer = framed(msgspec.json.encode(handles), 'chunks')
+    context.outcome = stage_call_through(context.host, answer, count)
+
+
+@then('the stage call has the results of {count:d} pieces')
+def then_results(context, count):
+    assert len(context.outcome) == count, context.outcome
+
+
+@when('the answers of its first worker have no end for {seconds:d} seconds')
+def when_first_endless(context, seconds):
+    context.run = WorkerRun(context.queue, 'w0')
+    context.run.play(seconds)
+
+
+@when('its first worker answers again for {seconds:d} seconds')
+def when_first_answers(context, seconds):
+    context.run = WorkerRun(context.queue, '')
+    context.run.play(seconds)
+
+
+@then(
+    'it got at most {most:d} calls and no request was refused or waited over'
+    ' {limit:d} second'
+)
+def then_few_calls(context, most, limit):
+    run = context.run
+    assert 1 < run.calls['w0'] <= most, run.calls
+    assert run.made and run.made == run.sent, (run.made, run.sent)
+    assert run.longest <= limit, run.longest
+
+
+@then('it gets as many calls as the other one, within a third')
+def then_shared(context):
+    calls = context.run.calls
+    assert abs(calls['w0'] - calls['w1']) * 3 <= calls['w1'], calls
--- a/pollenstile/fleet/_loads.py
+++ b/pollenstile/fleet/_loads.py
@@ -11,6 +11,8 @@
 _TIMEOUT_SECONDS = 1.0
 # Seconds for which an idle connection is kept.
 _IDLE_SECONDS = 30.0
+# Size of the longest report, which has four short values.
+_MAX_BYTES = 65536
 _OK = 200
 
 
@@ -33,7 +35,7 @@
     async def read(upstream):
         uri = f'http://{upstream.address}/v1/load'.encode()
         response = await agent.request(b'GET', uri)
-        body = await read_document(response)
+        body = await read_document(response, _MAX_BYTES)
         if response.code != _OK:
             return None
         return msgspec.json.decode(body, type=Load)
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -7,7 +7,7 @@
 from pollenstile.forward._crashes import incarnation_of
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.forward._withdrawn import withdrawal_check
-from pollenstile.ops.documents import read_document
+from pollenstile.ops.documents import TooLongError, read_document
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import Suspect
 from pollenstile.stagework import CallLost
@@ -18,6 +18,11 @@
 _MISDIRECTED_STATUS = 421
 # Timeout of a release; results that are not released expire by themselves.
 _RELEASE_TIMEOUT_SECONDS = 1.0
+# Bytes of the longest answer to a call: of its envelope, or of a failure, and
+# of each piece's handle or reason. A handle is an address and a short name.
+_ENVELOPE_BYTES = 16384
+_PIECE_BYTES = 1024
+_TOO_LONG = 'answer too long'
 
 
 class StageCalls:
@@ -171,6 +176,7 @@
             target,
             headers,
             body,
+            len(pieces),
             withdrawal_check(self.permissions, worker),
         )
         if isinstance(response, NotRun):
@@ -211,6 +217,7 @@
             target,
             headers,
             body,
+            pieces=0,
         )
         if status != _OK_STATUS:
             self.log(
@@ -220,19 +227,25 @@
             )
         return status == _OK_STATUS
 
-    async def _exchange(self, address, target, headers, body, check=None):
+    async def _exchange(
+        self, address, target, headers, body, pieces, check=None
+    ):
         call = self.client.send(address, b'POST', target, headers, body)
         if check is not None:
             call.check = check
         try:
-            return await _read_response(call)
-        except CancelledError:
+            return await _read_response(
+                call, _ENVELOPE_BYTES + pieces * _PIECE_BYTES
+            )
+        except (CancelledError, TooLongError):
             call.cancel()
             raise
 
     def _call_failed(self, failure, worker):
         if failure.check(TimeoutError):
             return CallLost('timeout', worker.ident, arrived=True)
+        if failure.check(TooLongError):
+            return CallLost(_TOO_LONG, worker.ident, arrived=True)
         return CallLost('torn answer', worker.ident, arrived=True, broken=True)
 
     def _release_failed(self, failure, address):
@@ -244,11 +257,11 @@
         return False
 
 
-async def _read_response(call):
+async def _read_response(call, max_bytes):
     """Return status, head and body of a call; status 0 without an answer."""
     response = await call.head
     if isinstance(response, (NotRun, Lost)):
         return 0, response, b''
-    content = await read_document(response)
+    content = await read_document(response, max_bytes)
     call.close()
     return response.code, response, content
