agents: the head of an answer has a longest size

What callers saw: an upstream of a pipeline that sends header lines, or "100 Continue" again and again, held its calls until another attempt was sent beside, and was read all the while.

Cause: the library bounds a line of a head, and neither their number nor interim heads. The agents of pipelines, load polls and the callers' client share it.

Now a connection counts what arrives before the end of a head, and closes over 64 kB. A call of a pipeline is then lost as "head too long", and the pipeline decides on another attempt as for each loss. The proxy that the library gives to readers of bodies can't abort a connection; these connections let it, so that an answer is also closed while a request is not written yet.

That a sound head is refused: one of 60 kB after an interim head is read.

--- a/features/builders/endless.py
+++ b/features/builders/endless.py
@@ -38,6 +38,16 @@
     ),
     'interim heads': (b'', _filled(b'HTTP/1.1 100 Continue\r\n\r\n')),
     'comments': (_PLAIN, _filled(b': fill\n\n')),
+    'events of nobody': (
+        _PLAIN,
+        _filled(b'data: {"id":"r1/encode/1","choices":[],"offset":0}\n\n'),
+    ),
+    'repeated tokens': (
+        _PLAIN,
+        _filled(
+            b'data: {"id":"r1/encode/1","choices":[{"text":"a"}],"offset":0}\n\n'
+        ),
+    ),
     'an event': (_PLAIN, _filled(b'a')),
 }
 
@@ -132,6 +142,17 @@
         run_reactor_until(lambda: not self.open)
 
 
+class SoundServer:
+    """A listening port whose answers end, to use like an endless server."""
+
+    def __init__(self, port):
+        self.port = port
+
+    def wait_for(self, condition):
+        """Wait until a condition holds."""
+        run_reactor_until(condition)
+
+
 class WorkerRun:
     """Stage groups that come to a queue while one worker fails each call.
 
--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -33,6 +33,7 @@
       | a stage call           | a body of a failure |
       | a release of results   | a body              |
       | a load poll            | a body              |
+      | a load poll            | header lines        |
 
   Scenario: The longest stage answer is read
     The opposite case: handles may be much longer than they are.
@@ -48,3 +49,23 @@
     Then it got at most 6 calls and no request was refused or waited over 1 second
     When its first worker answers again for 8 seconds
     Then it gets as many calls as the other one, within a third
+
+  Scenario Outline: An answer to a call of a pipeline is given up when it is too long
+    Guards against a bound on one part of an answer only.
+    Given a server that sends "<form>" without end
+    When a call of a pipeline to a "<kind>" is sent to it
+    Then the call of the pipeline is lost for "<reason>"
+    And the endless server is not read any more
+
+    Examples:
+      | kind   | form                | reason          |
+      | engine | interim heads       | head too long   |
+      | stage  | a body              | reply too large |
+      | stage  | a body of a failure | status 500      |
+      | engine | an event            | event too long  |
+
+  Scenario: The longest head of an answer is read
+    The opposite case: sixty header lines of a kilobyte, after interim heads.
+    Given a server that answers with a head of 60000 bytes
+    When a call of a pipeline to a "stage" is sent to it
+    Then the call of the pipeline is answered
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -12,13 +12,18 @@
     stage_call_through,
     stage_calls,
 )
-from features.builders.endless import ENOUGH_BYTES, EndlessServer, WorkerRun
+from features.builders.endless import (
+    ENOUGH_BYTES,
+    EndlessServer,
+    SoundServer,
+    WorkerRun,
+)
 from features.builders.loop import result_of
 from features.builders.platform import http_store
 from features.builders.stagework import group, pieces_of
 from pollenstile.platform import Unavailable
 from pollenstile.stagework import CallLost, Worker
-from pollenstile.upstream import Lost
+from pollenstile.upstream import Lost, Reply, wire
 
 # Far above the duration of a call on loopback.
 _CALL_SECONDS = 30.0
@@ -151,3 +156,26 @@
 def then_shared(context):
     calls = context.run.calls
     assert abs(calls['w0'] - calls['w1']) * 3 <= calls['w1'], calls
+
+
+@given('a server that answers with a head of {size:d} bytes')
+def given_long_head(context, size):
+    def reply(protocol, head, received):
+        attempt = requests_http.find_header(head, wire.ATTEMPT_HEADER)
+        filling = (f'X-Fill: {"x" * 990}' for _ in range(size // 1000))
+        protocol.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        requests_http.answer(
+            protocol,
+            200,
+            requests_http.plain_body(attempt),
+            filling,
+        )
+
+    port = requests_http.listening(requests_http.raw_factory(reply))
+    context.server = SoundServer(port)
+    context.add_cleanup(lambda: result_of(port.stopListening()))
+
+
+@then('the call of the pipeline is answered')
+def then_answered(context):
+    assert isinstance(context.outcome, Reply), context.outcome
--- a/pollenstile/fleet/_loads.py
+++ b/pollenstile/fleet/_loads.py
@@ -2,9 +2,8 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.web.client import HTTPConnectionPool
 
-from pollenstile.ops.agents import agent_for
+from pollenstile.ops.agents import agent_for, connection_pool
 from pollenstile.ops.documents import read_document
 from pollenstile.upstream import Load
 
@@ -26,8 +25,7 @@
     closed, because a middlebox may have dropped their state. The next poll then
     uses a new connection, before the upstream counts as unreachable.
     """
-    pool = HTTPConnectionPool(reactor, persistent=True)
-    pool.retryAutomatically = False
+    pool = connection_pool(reactor, persistent=True)
     pool.maxPersistentPerHost = 1
     pool.cachedConnectionTimeout = _IDLE_SECONDS
     agent = agent_for(reactor, pool, _TIMEOUT_SECONDS)
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -5,10 +5,10 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
-from twisted.web.client import HTTPConnectionPool, ResponseDone
+from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
 
-from pollenstile.ops.agents import agent_for
+from pollenstile.ops.agents import agent_for, connection_pool
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.numbers import whole_number
 
@@ -78,8 +78,7 @@
     ``stream``, ``idempotency_key``, ``deadline_ms`` and ``on_bytes``, and
     returns a coroutine of an :class:`Answer`.
     """
-    pool = HTTPConnectionPool(reactor, persistent=persistent)
-    pool.retryAutomatically = False
+    pool = connection_pool(reactor, persistent=persistent)
     agent = agent_for(reactor, pool, connect_timeout)
 
     async def call(
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import CancelledError
 from twisted.web.http_headers import Headers
 
-from pollenstile.ops.agents import agent_for
+from pollenstile.ops.agents import agent_for, is_too_long
 from pollenstile.ops.body import BytesProducer
 from pollenstile.statements import parse_rest, read_statements
 from pollenstile.upstream import wire
@@ -84,6 +84,9 @@
         if failure.check(*_NEVER_CONNECTED):
             self.emit(NotRun('no connection'))
             return
+        if is_too_long(failure):
+            self.emit(Lost('head too long'))
+            return
         self.emit(Lost(failure.type.__name__))
 
     def _discard(self, response):
--- a/pollenstile/upstream/_pools.py
+++ b/pollenstile/upstream/_pools.py
@@ -1,8 +1,6 @@
 """Pooled connections to upstreams, closed when one of them falls silent."""
 
-from twisted.web.client import HTTPConnectionPool
-
-from pollenstile.ops.agents import agent_for
+from pollenstile.ops.agents import agent_for, connection_pool
 
 
 def _ignore_result(result):
@@ -48,8 +46,7 @@
         """Return the agent whose connections to an upstream are pooled."""
         entry = self.pools.get(upstream.address)
         if entry is None:
-            pool = HTTPConnectionPool(self.reactor, persistent=True)
-            pool.retryAutomatically = False
+            pool = connection_pool(self.reactor, persistent=True)
             pool.maxPersistentPerHost = self.per_host
             agent = agent_for(self.reactor, pool, self.connect_timeout)
             entry = (pool, agent)
