platform: a store's answer has a longest head, and a late body closes its connection

A store, or whatever answers at its address, that sends header lines or interim heads was read until the call's timeout: 2 s for most calls, 11 s for each watch, of which a host has several.

The client bounds the body (4 MB) and not the head. And the library gives readers of bodies a proxy of the connection without abortConnection, so the canceller of a body raised an AttributeError: a call whose body stopped or dripped until its limit did end with TimeoutError, but its connection stayed open and was read on, and it counted as a body in progress for ever. A host with such a count never takes the store for silent, sends no read beside one in flight, and counts an older last answer as contact (these three by reading).

Now the store's client, which the adapter, commands and the admin pages share, uses the bounded connections and the bounded reader of stage calls. The reason of such a call is TooLongError; reads and watches are Unavailable and writes InDoubt, as after other broken answers. A body without framing still counts as broken off here.

Ruled out: endless bodies and failures were aborted at 4 MB before and are now.

--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -69,3 +69,27 @@
     Given a server that answers with a head of 60000 bytes
     When a call of a pipeline to a "stage" is sent to it
     Then the call of the pipeline is answered
+
+  Scenario Outline: Other calls to a store are given up when the answer is too long
+    Guards against a bound on some of a host's calls to its store only.
+    Given a server that sends "<form>" without end
+    When a host sends a <call> to a store there
+    Then the call to the store ends as "<outcome>" for "TooLongError"
+    And the endless server is not read any more
+
+    Examples:
+      | call  | form                | outcome     |
+      | read  | a body              | Unavailable |
+      | list  | a body of a failure | Unavailable |
+      | write | header lines        | InDoubt     |
+      | watch | interim heads       | Unavailable |
+
+  Scenario: A store's answer that stops half-way holds nothing after its timeout
+    Guards against a store that counts as answering for ever, so that its silence
+    goes unnoticed, and against connections that stay open.
+    Given a platform server that answers in parts
+    When a raw platform call over HTTP with 1 second begins to be answered
+    And no further part arrives for 1.1 seconds
+    Then the raw platform call over HTTP timed out
+    And no response body is being received
+    And its connection to the platform server is closed
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -18,7 +18,7 @@
     SoundServer,
     WorkerRun,
 )
-from features.builders.loop import result_of
+from features.builders.loop import result_of, run_reactor_until
 from features.builders.platform import http_store
 from features.builders.stagework import group, pieces_of
 from pollenstile.platform import Unavailable
@@ -179,3 +179,29 @@
 @then('the call of the pipeline is answered')
 def then_answered(context):
     assert isinstance(context.outcome, Reply), context.outcome
+
+
+_STORE_CALLS = {
+    'read': lambda store: store.get('config', 'm'),
+    'list': lambda store: store.listed('config'),
+    'write': lambda store: store.put('config', 'm', [1]),
+    'watch': lambda store: store.watched('config', 1),
+}
+
+
+@when('a host sends a {call} to a store there')
+def when_store_call(context, call):
+    store = http_store(context.server.port, Clock())
+    context.outcome = context.server.outcome_of(_STORE_CALLS[call](store))
+
+
+@then('the call to the store ends as "{name}" for "{reason}"')
+def then_store_call(context, name, reason):
+    assert type(context.outcome).__name__ == name, context.outcome
+    assert context.outcome.reason == reason, context.outcome
+
+
+@then('its connection to the platform server is closed')
+def then_platform_closed(context):
+    request = context.partwise.requests[0]
+    run_reactor_until(lambda: request.channel is None)
--- a/pollenstile/ops/documents.py
+++ b/pollenstile/ops/documents.py
@@ -5,6 +5,9 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
 
+# Reasons for which the client ends a body that may be complete.
+_ALL_ENDS = (ResponseDone, PotentialDataLoss)
+
 
 class TooLongError(Exception):
     """The head or the body of an answer is longer than its reader allows."""
@@ -13,8 +16,9 @@
 class _BoundedBody(Protocol):
     """Collects a body; ``done`` fires with its bytes or the failure."""
 
-    def __init__(self, max_bytes, on_part):
+    def __init__(self, max_bytes, on_part, ends):
         self.max_bytes = max_bytes
+        self.ends = ends
         self.on_part = on_part
         self.parts = []
         self.size = 0
@@ -35,7 +39,7 @@
         """Deliver a body that has reached its end; called by Twisted."""
         if self.done.called:
             return
-        if reason.check(ResponseDone, PotentialDataLoss):
+        if reason.check(*self.ends):
             self.done.callback(b''.join(self.parts))
             return
         self.done.errback(reason)
@@ -56,7 +60,9 @@
     """Ignore a part of a body."""
 
 
-def read_document(response, max_bytes, on_part=_ignore_part):
+def read_document(
+    response, max_bytes, on_part=_ignore_part, *, needs_framing=False
+):
     """Return a Deferred of the bytes of an answer's body.
 
     Explanation
@@ -77,7 +83,10 @@
         :class:`TooLongError`.
     on_part : function
         Called without arguments for each part that arrives.
+    needs_framing : bool
+        Whether a body that ends with its connection counts as broken off.
     """
-    body = _BoundedBody(max_bytes, on_part)
+    ends = (ResponseDone,) if needs_framing else _ALL_ENDS
+    body = _BoundedBody(max_bytes, on_part, ends)
     response.deliverBody(body)
     return body.done
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -13,15 +13,19 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
-from twisted.internet.protocol import Protocol
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.python.failure import Failure
+from twisted.web.client import Agent
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from pollenstile.ops.agents import connection_pool, is_too_long
 from pollenstile.ops.body import BytesProducer
+from pollenstile.ops.documents import TooLongError, read_document
 from pollenstile.platform._eras import parse_era
 
+# Bytes of the largest body: a page of a list has about a megabyte, and an
+# object of the largest value some more.
 BODY_LIMIT = 4_000_000
 # Header of the object API with the number of its returns from older copies.
 ERA_HEADER = 'object-api-era'
@@ -121,8 +125,7 @@
         self.timeout = timeout
         self.era_header = era_header
         self.bodies_in_progress = 0
-        self.pool = HTTPConnectionPool(reactor, persistent=True)
-        self.pool.retryAutomatically = False
+        self.pool = connection_pool(reactor, persistent=True)
         self.pool.cachedConnectionTimeout = _IDLE_SECONDS
 
     @property
@@ -166,7 +169,7 @@
                 raise
             return self._failure(TimeoutError, endpoints.connected or not fresh)
         except Exception as error:
-            kind = TimeoutError if limit.expired else type(error)
+            kind = _kind_of(error, is_late=limit.expired)
             return self._failure(kind, endpoints.connected or not fresh)
         finally:
             limit.stop()
@@ -178,8 +181,7 @@
     async def _exchange(self, endpoints, method, path, body, fresh, limit):
         pool = self.pool
         if fresh:
-            pool = HTTPConnectionPool(self.reactor, persistent=False)
-            pool.retryAutomatically = False
+            pool = connection_pool(self.reactor, persistent=False)
         agent = Agent.usingEndpointFactory(self.reactor, endpoints, pool)
         response = await agent.request(
             method.encode(),
@@ -189,7 +191,10 @@
         )
         self.bodies_in_progress += 1
         try:
-            body_bytes = await _read_body(response, limit)
+            limit.extend()
+            body_bytes = await read_document(
+                response, BODY_LIMIT, limit.extend, needs_framing=True
+            )
         finally:
             self.bodies_in_progress -= 1
         era = parse_era(_header(response, self.era_header))
@@ -257,38 +262,11 @@
         return protocol
 
 
-class _BodyReader(Protocol):
-    def __init__(self, done, limit):
-        self.done = done
-        self.limit = limit
-        self.parts = []
-        self.size = 0
-
-    def dataReceived(self, data):
-        self.limit.extend()
-        self.size += len(data)
-        self.parts.append(data)
-        if self.size > BODY_LIMIT:
-            self.abort()
-
-    def connectionLost(self, reason):
-        if self.done.called:
-            return
-        if reason.check(ResponseDone):
-            self.done.callback(b''.join(self.parts))
-        else:
-            self.done.errback(reason)
-
-    def abort(self):
-        self.transport.abortConnection()
-
-
-def _read_body(response, limit):
-    done = Deferred(lambda _: body.abort())
-    body = _BodyReader(done, limit)
-    limit.extend()
-    response.deliverBody(body)
-    return done
+def _kind_of(error, *, is_late):
+    """Return the type that names why a call has failed."""
+    if is_late:
+        return TimeoutError
+    return TooLongError if is_too_long(Failure(error)) else type(error)
 
 
 def _header(response, name):
