upstream, pipeline: bytes that bring no token end a stream, and are no sign of life

What callers saw: an engine that sends comments, events without a token or tokens that it has sent before held a stream of a pipeline. Repeated tokens held it to its deadline, as each counted as a sign of life and no attempt was sent beside.

Cause: a line is bounded (64 kB), the bytes between two tokens are not, and any chunk counted as heard. The text of a stream had no bound either: repeats were kept.

Now a stream that sends over 128 kB without a token that is new in this answer is lost as "stream without tokens", and one whose text is over 4 MB as "reply too large", the bound of other replies. Repeats are not kept. In the pipeline a token that the caller has is not heard: the attempt becomes silent, goes on, and another one is sent beside it, as for every silence.

Ruled out: that comments or empty events count as heard; they make no chunk.

A stream that repeats its first token after 3 in virtual time, before: fails at its deadline ("timeout"); now it is answered by the other engine.

--- a/features/builders/endless.py
+++ b/features/builders/endless.py
@@ -10,6 +10,7 @@
 from features.builders.loop import collect_result, run_reactor_until
 from features.builders.stagework import CALL, PIECE, group
 from pollenstile.stagework import CallLost, GroupDone, Result
+from pollenstile.upstream import Chunk
 
 LOOPBACK = '127.0.0.1'
 # Bytes after which a server that is still read stops, so that a reader without
@@ -19,6 +20,9 @@
 # Steps of a run in virtual time, and how many of them between two groups.
 _TICK_SECONDS = 0.01
 _TICKS_PER_GROUP = 25
+# Steps in which an upstream repeats a token, and how often it does.
+_REPEAT_SECONDS = 0.05
+_REPEATS = 100
 _OK = b'HTTP/1.1 200 OK\r\n'
 _PLAIN = b'%sContent-Type: application/json\r\n\r\n' % _OK
 _FAILED = b'HTTP/1.1 500 Internal Server Error\r\n\r\n'
@@ -216,3 +220,36 @@
             made = [Result(f'{worker.address}/{piece}') for piece in pieces]
             clock.callLater(CALL + PIECE * len(pieces), done.callback, made)
         self.first_call = len(self.queue.calls)
+
+
+def repeats_token(world, count):
+    """Let the first call's upstream repeat one token after some tokens.
+
+    Parameters
+    ==========
+
+    world : features.builders.requests.World
+        A host with virtual upstreams.
+    count : int
+        Tokens that arrive before.
+    """
+
+    def hook(call, sink):
+        if len(world.calls) > 1:
+            return sink
+
+        def repeat(event, times):
+            sink(event)
+            if times:
+                world.clock.callLater(_REPEAT_SECONDS, repeat, event, times - 1)
+
+        def pass_on(event):
+            offset = getattr(event, 'offset', count + 1)
+            if offset < count:
+                sink(event)
+            elif offset == count:
+                repeat(Chunk(event.attempt, 0, event.text), _REPEATS)
+
+        return pass_on
+
+    world.hook = hook
--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -93,3 +93,19 @@
     Then the raw platform call over HTTP timed out
     And no response body is being received
     And its connection to the platform server is closed
+
+  Scenario: A stream that brings no token is lost after some bytes
+    Guards against comments and events of nobody that are read without end.
+    Given a server that sends "events of nobody" without end
+    When a call of a pipeline to a "engine" is sent to it
+    Then the call of the pipeline is lost for "stream without tokens"
+    And the endless server is not read any more
+
+  Scenario: A stream that repeats its tokens counts as silent
+    Guards against an upstream whose bytes bring nothing and hold the caller.
+    Given a requests host
+    When the first requests call repeats its first token after 3 tokens
+    And a "draft" request is sent
+    And 2 request seconds pass
+    Then the request ends as "answered"
+    And the request's stream is complete
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -17,6 +17,7 @@
     EndlessServer,
     SoundServer,
     WorkerRun,
+    repeats_token,
 )
 from features.builders.loop import result_of, run_reactor_until
 from features.builders.platform import http_store
@@ -205,3 +206,8 @@
 def then_platform_closed(context):
     request = context.partwise.requests[0]
     run_reactor_until(lambda: request.channel is None)
+
+
+@when('the first requests call repeats its first token after {count:d} tokens')
+def when_repeats(context, count):
+    repeats_token(context.world, count)
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -218,7 +218,7 @@
         if attempt.number not in self.attempts.in_flight:
             self.core.count('reply.late')
             return
-        if _is_heard(event):
+        if _is_heard(event) and not _is_repeat(self, event):
             note_heard(self.attempts, attempt)
         if isinstance(event, Chunk):
             self._on_chunk(attempt, event)
@@ -382,6 +382,13 @@
     return getattr(event, 'attempt', None) is not None
 
 
+def _is_repeat(run, event):
+    # A token that the caller has brings nothing, and is no sign of life.
+    if not isinstance(event, Chunk):
+        return False
+    return event.offset < run.assembly.length()
+
+
 def _has_enough_time(run):
     return has_enough_time(run.stage, remaining_seconds(run), run.expected)
 
--- a/pollenstile/upstream/_bodies.py
+++ b/pollenstile/upstream/_bodies.py
@@ -8,8 +8,13 @@
 from pollenstile.upstream._sse import EventSplitter
 from pollenstile.upstream._types import Chunk, Load, Lost, Reply
 
+# Bytes of the longest reply, or text of a stream.
 _MAX_REPLY_BYTES = 4194304
 _MAX_EVENT_BYTES = 65536
+# Bytes that a stream may send before its next token: comments, events without
+# a token and tokens that it has sent before.
+_MAX_IDLE_BYTES = 131072
+_TOO_LARGE = 'reply too large'
 
 
 def load_from_wire(report):
@@ -57,7 +62,7 @@
         """Append a part of the reply; called by Twisted."""
         self.size += len(data)
         if self.size > _MAX_REPLY_BYTES:
-            self.end(Lost('reply too large'))
+            self.end(Lost(_TOO_LARGE))
             self.abort()
             return
         self.received.append(data)
@@ -98,10 +103,14 @@
         super().__init__(sink)
         self.splitter = EventSplitter(_MAX_EVENT_BYTES)
         self.texts = [text]
+        self.size = 0
+        self.idle_bytes = 0
+        self.newest = -1
         self.last_event = None
 
     def dataReceived(self, data):
         """Pass each received token to the sink; called by Twisted."""
+        self.idle_bytes += len(data)
         try:
             events = self.splitter.events(data)
         except ValueError:
@@ -111,6 +120,8 @@
             if self.ended:
                 return
             self._handle_event(event)
+        if self.idle_bytes > _MAX_IDLE_BYTES:
+            self._fail('stream without tokens')
 
     def connectionLost(self, reason):
         """Report a lost stream unless it was complete; called by Twisted."""
@@ -129,8 +140,19 @@
         for choice in decoded.choices:
             if not choice.text:
                 continue
-            self.texts.append(choice.text)
+            self._note_token(decoded.offset, choice.text)
             self.sink(Chunk(decoded.id, decoded.offset, choice.text))
+        if self.size > _MAX_REPLY_BYTES:
+            self._fail(_TOO_LARGE)
+
+    def _note_token(self, offset, text):
+        """Keep a token that the stream has not sent before."""
+        if offset <= self.newest:
+            return
+        self.newest = offset
+        self.idle_bytes = 0
+        self.size += len(text)
+        self.texts.append(text)
 
     def _complete(self):
         # A stream is complete only if the engine ended it: the end marker must
@@ -150,5 +172,7 @@
         )
 
     def _fail(self, reason):
+        if self.ended:
+            return
         self.end(Lost(reason))
         self.abort()
