peer, tunnel: a drip is no step of a handshake, and nothing is kept after an end

What was seen: nothing by callers; both by reading, then by a scenario each.

A stranger that sends its first frame, of 1 kB at most, a byte a second counts as heard with each byte and holds a handshake for 17 minutes; at 2,000 of them a host takes no peer. Now only a complete frame is a step of the handshake, and a connection without one for 3 s is dropped, as a silent one is. Open links still count bytes: a frame of 1.2 MB may take longer than the limit on a slow link, and its sender has proven that it knows the key.

The decoder of a tunnel's frames kept what a peer sends after the upstream's close, without a bound (2.9 of 3 MB in the scenario); now it drops these bytes.

Ruled out: frames without end. A length over 1 kB before the handshake and over 1.2 MB after it closes the link at once (peer.feature), a tunnel passes bytes on as they come and reads no faster than they are taken, and a pick-up has 1 s for its 16 bytes.

--- a/features/builders/endless.py
+++ b/features/builders/endless.py
@@ -253,3 +253,17 @@
         return pass_on
 
     world.hook = hook
+
+
+class StrangerWire:
+    """A connection to a peer of one that never ends its first frame."""
+
+    def __init__(self):
+        self.closed = False
+
+    def write(self, content):
+        """Drop what the peer sends."""
+
+    def close(self):
+        """Note that the peer has closed the connection."""
+        self.closed = True
--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -109,3 +109,14 @@
     And 2 request seconds pass
     Then the request ends as "answered"
     And the request's stream is complete
+
+  Scenario: A stranger that drips into the handshake of a peer is dropped
+    Guards against strangers that hold all handshakes of a host, a byte at a time.
+    Given peer hosts "a"
+    When a stranger sends a byte a second to peer "a" for 6 seconds
+    Then the stranger's connection to the peer was closed
+
+  Scenario: Bytes after the end of a peer's frames are not kept
+    Guards against a peer that sends on after an upstream's close.
+    When a tunnel gets 3000000 bytes after the end of its upstream's connection
+    Then the tunnel holds none of them
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -16,18 +16,24 @@
     ENOUGH_BYTES,
     EndlessServer,
     SoundServer,
+    StrangerWire,
     WorkerRun,
     repeats_token,
 )
 from features.builders.loop import result_of, run_reactor_until
 from features.builders.platform import http_store
 from features.builders.stagework import group, pieces_of
+from pollenstile.peer import encode_frame
+from pollenstile.peer._frames import HANDSHAKE_FRAME_LIMIT
 from pollenstile.platform import Unavailable
 from pollenstile.stagework import CallLost, Worker
+from pollenstile.tunnel import EndedFrames, encode_data, encode_end
 from pollenstile.upstream import Lost, Reply, wire
 
 # Far above the duration of a call on loopback.
 _CALL_SECONDS = 30.0
+# Bytes of one read of a socket.
+_READ_BYTES = 65536
 
 
 def _stage_call(address, count=2):
@@ -211,3 +217,34 @@
 @when('the first requests call repeats its first token after {count:d} tokens')
 def when_repeats(context, count):
     repeats_token(context.world, count)
+
+
+@when(
+    'a stranger sends a byte a second to peer "{name}" for {seconds:d} seconds'
+)
+def when_drips(context, name, seconds):
+    context.wire = StrangerWire()
+    receiver = context.peers.hubs[name].accept(context.wire, '10.0.0.9')
+    frame = encode_frame(bytes(HANDSHAKE_FRAME_LIMIT))
+    for number in range(seconds):
+        receiver.received(frame[number : number + 1])
+        context.peers.run(1)
+
+
+@then("the stranger's connection to the peer was closed")
+def then_stranger_closed(context):
+    assert context.wire.closed
+
+
+@when("a tunnel gets {size:d} bytes after the end of its upstream's connection")
+def when_after_end(context, size):
+    context.frames = EndedFrames()
+    context.frames.feed(encode_data(b'a') + encode_end())
+    for _ in range(size // _READ_BYTES):
+        context.frames.feed(bytes(_READ_BYTES))
+
+
+@then('the tunnel holds none of them')
+def then_none_held(context):
+    assert context.frames.ended
+    assert not context.frames.pending, len(context.frames.pending)
--- a/pollenstile/peer/_link.py
+++ b/pollenstile/peer/_link.py
@@ -9,8 +9,8 @@
 # within a second or two sets shorter values.
 BEAT_PERIOD = 2.0
 SILENCE_LIMIT = 5.0
-# Seconds without received bytes after which a connection in its handshake
-# counts as silent, which limits connections held open by strangers.
+# Seconds without a step of the handshake after which a connection counts as
+# silent, which limits connections held open by strangers.
 HANDSHAKE_SECONDS = 3.0
 
 
@@ -33,8 +33,8 @@
     ==========
 
     last_received, last_beat_sent : float
-        Times when the last bytes were received and the last heartbeat was
-        sent.
+        Times when the last bytes were received, or the last frame of the
+        handshake, and when the last heartbeat was sent.
     last_used : float
         Time of the last request in either direction.
     beat : Beat
@@ -107,12 +107,14 @@
             When the connection must be closed.
         """
         self.received += len(received)
+        state = self.session.state
         reply, messages = self.session.receive(received)
         self.write(reply)
-        self.last_received = now
+        if self.is_open or self.session.state is not state:
+            self.last_received = now
         return messages
 
     def is_silent(self, now, silence_limit=SILENCE_LIMIT):
-        """Return whether no bytes were received within the limit."""
+        """Return whether nothing was received within the limit."""
         limit = silence_limit if self.is_open else HANDSHAKE_SECONDS
         return now - self.last_received > limit
--- a/pollenstile/tunnel/_frames.py
+++ b/pollenstile/tunnel/_frames.py
@@ -50,6 +50,8 @@
 
     def feed(self, received):
         """Return the upstream's bytes in received frames."""
+        if self.ended:
+            return b''
         parts = []
         self.pending += received
         while self.pending and not self.ended:
@@ -59,6 +61,8 @@
             self.pending = self.pending[len(part) :]
             self.missing -= len(part)
             parts.append(part)
+        if self.ended:
+            self.pending = b''
         return b''.join(parts)
 
     def _read_length(self):
