forward: the ready and metrics pages take no body without end

What was seen: nothing by callers; by reading, then by a scenario. Whoever reaches these two ports can send a body without end, which the library keeps in a file in the temporary folder; hosts have no disks.

Cause: both pages were plain sites of the library; callers' frontends and the pages of the JSON path use site_for, which bounds bodies (256 kB, in memory).

Now they use site_for too. A body of 300 kB in chunks: before 200, now 413.

--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -120,3 +120,9 @@
     Guards against a peer that sends on after an upstream's close.
     When a tunnel gets 3000000 bytes after the end of its upstream's connection
     Then the tunnel holds none of them
+
+  Scenario: The ready page of a host takes no body without end
+    Guards against a body that is kept in a file, of which hosts have none.
+    Given a forwarding fleet of the hosts "a"
+    When the ready page of host "a" gets a body of 300000 bytes in chunks
+    Then the ready page answers 413
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -20,6 +20,7 @@
     WorkerRun,
     repeats_token,
 )
+from features.builders.forwardhost import CallerConnection, open_connection
 from features.builders.loop import result_of, run_reactor_until
 from features.builders.platform import http_store
 from features.builders.stagework import group, pieces_of
@@ -248,3 +249,19 @@
 def then_none_held(context):
     assert context.frames.ended
     assert not context.frames.pending, len(context.frames.pending)
+
+
+@when('the ready page of host "{name}" gets a body of {size:d} bytes in chunks')
+def when_ready_body(context, name, size):
+    head = b'POST /v1/ready HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked'
+    body = b'%x\r\n%s\r\n0\r\n' % (size, bytes(size))
+    context.page = CallerConnection(b'%s\r\n\r\n%s\r\n' % (head, body))
+    port = context.fleet.daemons[name].ports[1]
+    open_connection(port.getHost().port, context.page)
+
+
+@then('the ready page answers {status:d}')
+def then_ready_answer(context, status):
+    run_reactor_until(lambda: b'\r\n' in context.page.received)
+    line = context.page.received.partition(b'\r\n')[0]
+    assert b' %d ' % status in line, line
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -6,7 +6,6 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
@@ -15,7 +14,7 @@
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._settings import update_seconds
 from pollenstile.forward._storewatches import StoreWatches
-from pollenstile.ops.http import disable_access_log
+from pollenstile.ops.http import site_for
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.measures import Measures, MetricsResource
 from pollenstile.ops.settings import format_address
@@ -155,15 +154,12 @@
         self.parts.members.listeners.append(self._hosts_changed)
         callers = self._listen(settings.callers, self.factory)
         ready = self._listen(
-            settings.ready,
-            disable_access_log(
-                Site(_ReadyResource(self), reactor=self.reactor)
-            ),
+            settings.ready, site_for(_ReadyResource(self), self.reactor)
         )
         if settings.metrics is not None:
             add_gauges(self.measures, self.parts, self.factory)
-            site = Site(MetricsResource(self.measures), reactor=self.reactor)
-            self._listen(settings.metrics, disable_access_log(site))
+            site = site_for(MetricsResource(self.measures), self.reactor)
+            self._listen(settings.metrics, site)
         self.log(
             events.FORWARD_STARTED,
             callers=format_address(_bound_address(callers)),
