ops: a request of the JSON path has 32 s to arrive

What was seen: nothing by callers; by reading, then by a scenario. A caller that sends a byte of its body each 20 s holds its connection for as long as it likes: the only limit was the idle time of 60 s, and each byte starts it again. The callers' frontend of the forwarding host has such limits; the site that the JSON path, the admin, ready and metrics pages share had none.

Now a request that is not complete 32 s after its first byte is answered 408 and its connection closed (aborted if it was refused before and the caller doesn't read).

Ruled out, on loopback with up to 60 MB each, forwarding host and JSON path: header lines, one line, empty lines, continuation lines, chunk extensions, chunk sizes and trailers without end are refused after 0.3 MB sent; bodies in chunks at their limit (4.8 and 0.5 MB sent); requests sent ahead of an answer stop at 3.0 MB, which the sockets hold; peaks grow by 4 MB at most. Chunks of one byte with 900 bytes of extension were read for 60 MB without growth; this time limit ends them too.

The scenario: before, answered 200 after 1,000 s; now 408 after 40 s. Two requests over 30 s each on one connection are answered.

--- a/features/builders/endless.py
+++ b/features/builders/endlessreads.py
@@ -5,10 +5,14 @@
 from twisted.internet import reactor
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.web.resource import Resource
 from zope.interface import implementer
 
 from features.builders.loop import collect_result, run_reactor_until
 from features.builders.stagework import CALL, PIECE, group
+from pollenstile.ops.http import site_for
 from pollenstile.stagework import CallLost, GroupDone, Result
 from pollenstile.upstream import Chunk
 
@@ -267,3 +271,36 @@
     def close(self):
         """Note that the peer has closed the connection."""
         self.closed = True
+
+
+class _Page(Resource):
+    isLeaf = True
+
+    def render(self, request):
+        """Return an empty answer; called by Twisted."""
+        return b''
+
+
+class JsonSite:
+    """A connection of a caller to a site of the JSON path, in virtual time."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.transport = StringTransport()
+        self.channel = site_for(_Page(), self.clock).buildProtocol(None)
+        self.channel.makeConnection(self.transport)
+
+    def send_slowly(self, parts, seconds):
+        """Send some parts, the first at once and some seconds after each."""
+        for part in parts:
+            if self.transport.disconnecting:
+                return
+            self.channel.dataReceived(part)
+            self.clock.advance(seconds)
+
+    def statuses(self):
+        """Return the statuses of the answers so far."""
+        lines = self.transport.value().split(b'\r\n')
+        return [
+            int(line.split()[1]) for line in lines if line.startswith(b'HTTP/')
+        ]
--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -126,3 +126,15 @@
     Given a forwarding fleet of the hosts "a"
     When the ready page of host "a" gets a body of 300000 bytes in chunks
     Then the ready page answers 413
+
+  Scenario: A caller of the JSON path that drips its request is refused
+    Guards against callers that hold connections for hours, a byte at a time.
+    Given a site of the JSON path
+    When a caller sends the head of a request and a byte of its body each 20 seconds
+    Then the caller is answered 408 within 40 seconds, and its connection is closed
+
+  Scenario: A request that arrives in time is answered on a connection that stays
+    The opposite case: a slow link, and another request after an idle time.
+    Given a site of the JSON path
+    When a caller sends two requests, each in parts over 30 seconds
+    Then both are answered with 200
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -12,9 +12,10 @@
     stage_call_through,
     stage_calls,
 )
-from features.builders.endless import (
+from features.builders.endlessreads import (
     ENOUGH_BYTES,
     EndlessServer,
+    JsonSite,
     SoundServer,
     StrangerWire,
     WorkerRun,
@@ -35,6 +36,7 @@
 _CALL_SECONDS = 30.0
 # Bytes of one read of a socket.
 _READ_BYTES = 65536
+_HEAD = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n'
 
 
 def _stage_call(address, count=2):
@@ -265,3 +267,38 @@
     run_reactor_until(lambda: b'\r\n' in context.page.received)
     line = context.page.received.partition(b'\r\n')[0]
     assert b' %d ' % status in line, line
+
+
+@given('a site of the JSON path')
+def given_site(context):
+    context.site = JsonSite()
+
+
+@when(
+    'a caller sends the head of a request and a byte of its body each'
+    ' {seconds:d} seconds'
+)
+def when_caller_drips(context, seconds):
+    context.site.send_slowly([_HEAD, *(b'a' for _ in range(50))], seconds)
+
+
+@then(
+    'the caller is answered {status:d} within {limit:d} seconds, and its'
+    ' connection is closed'
+)
+def then_slow_refused(context, status, limit):
+    assert context.site.statuses() == [status], context.site.statuses()
+    assert context.site.transport.disconnecting
+    assert context.site.clock.seconds() <= limit
+
+
+@when('a caller sends two requests, each in parts over {seconds:d} seconds')
+def when_two_slow(context, seconds):
+    body = bytes(50)
+    for _ in range(2):
+        context.site.send_slowly([_HEAD, body], seconds)
+
+
+@then('both are answered with {status:d}')
+def then_both(context, status):
+    assert context.site.statuses() == [status, status], context.site.statuses()
--- a/pollenstile/ops/channels.py
+++ b/pollenstile/ops/channels.py
@@ -3,6 +3,14 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.web.http import HTTPChannel
 
+# Seconds in which a request has to arrive, head and body: 256 kB at 64 kbit/s.
+_ARRIVAL_SECONDS = 32.0
+_TOO_SLOW = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
+
 
 class Channels:
     """Tracks the open connections of one site.
@@ -75,10 +83,25 @@
     def connectionMade(self):
         """Register the new connection; called by twisted."""
         self.factory.channels.open.add(self)
+        self.arrival_timer = None
         super().connectionMade()
 
+    def dataReceived(self, data):
+        """Parse bytes, in the time of a request; called by twisted."""
+        if self.arrival_timer is None and not self._handlingRequest:
+            self.arrival_timer = self.callLater(
+                _ARRIVAL_SECONDS, self._on_too_slow
+            )
+        super().dataReceived(data)
+
+    def allContentReceived(self):
+        """Handle a complete request; called by twisted."""
+        self._stop_arrival_timer()
+        super().allContentReceived()
+
     def connectionLost(self, reason):
         """Remove the closed connection; called by twisted."""
+        self._stop_arrival_timer()
         super().connectionLost(reason)
         self.factory.channels.connection_closed(self)
 
@@ -96,3 +119,18 @@
             request.responseHeaders.setRawHeaders(b'connection', [b'close'])
             return False
         return super().checkPersistence(request, version)
+
+    def _stop_arrival_timer(self):
+        if self.arrival_timer is not None and self.arrival_timer.active():
+            self.arrival_timer.cancel()
+        self.arrival_timer = None
+
+    def _on_too_slow(self):
+        # Bytes alone keep a connection from being idle.
+        self.arrival_timer = None
+        if self.transport.disconnecting:
+            # The request was refused, and the caller doesn't read that.
+            self.forceAbortClient()
+            return
+        self.transport.write(_TOO_SLOW)
+        self.loseConnection()
