ops: the callers' client gives up an answer of over 32 MB

What was seen: by a scenario. The client of commands and of load runs kept an answer until its end, whatever its size: 48 MB of an endless body were read, no end.

Now it closes the connection over 32 MB (the replies of all stages of a pipeline are 4 MB each), and the outcome is unknown, as after other incomplete answers. Heads are bounded since its connections are those of the other agents.

Beside it a scenario that passes on the code before: a stage answer that drips a byte a second is lost as "timeout" when a silent one is, and its connection is closed.

--- a/features/builders/endlessreads.py
+++ b/features/builders/endlessreads.py
@@ -19,7 +19,7 @@
 LOOPBACK = '127.0.0.1'
 # Bytes after which a server that is still read stops, so that a reader without
 # a bound fails the scenario soon. Buffers of the sockets hold a part of them.
-ENOUGH_BYTES = 16_000_000
+ENOUGH_BYTES = 48_000_000
 _PART_BYTES = 65536
 # Steps of a run in virtual time, and how many of them between two groups.
 _TICK_SECONDS = 0.01
@@ -56,6 +56,7 @@
             b'data: {"id":"r1/encode/1","choices":[{"text":"a"}],"offset":0}\n\n'
         ),
     ),
+    'a byte': (_PLAIN, b' '),
     'an event': (_PLAIN, _filled(b'a')),
 }
 
@@ -89,6 +90,11 @@
         part = server.form[1]
         server.sent_bytes += len(part)
         self.transport.write(part)
+        if server.clock is not None:
+            self.transport.unregisterProducer()
+            server.clock.callLater(
+                1, self.transport.registerProducer, self, False
+            )
 
     def stopProducing(self):
         """Do nothing, as the connection is closed; called by Twisted."""
@@ -106,6 +112,8 @@
 
     form : str
         Name of one of :data:`FORMS`.
+    clock : IReactorTime or None
+        On which it waits for a second after each part; None for no waits.
 
     Attributes
     ==========
@@ -118,7 +126,8 @@
         Open connections.
     """
 
-    def __init__(self, form):
+    def __init__(self, form, clock=None):
+        self.clock = clock
         self.form = FORMS[form]
         self.sent_bytes = 0
         self.requests = 0
--- a/features/endless_reads.feature
+++ b/features/endless_reads.feature
@@ -24,7 +24,7 @@
   Scenario Outline: Other answers to a host's own calls are given up at once
     Guards against a bound on one kind of answer only.
     Given a server that sends "<form>" without end
-    When <reader> is sent to it
+    When a host sends it <reader>
     Then it has failed
     And the endless server is not read any more
 
@@ -34,6 +34,8 @@
       | a release of results   | a body              |
       | a load poll            | a body              |
       | a load poll            | header lines        |
+      | a request of a caller  | a body              |
+      | a request of a caller  | header lines        |
 
   Scenario: The longest stage answer is read
     The opposite case: handles may be much longer than they are.
@@ -138,3 +140,10 @@
     Given a site of the JSON path
     When a caller sends two requests, each in parts over 30 seconds
     Then both are answered with 200
+
+  Scenario: A stage answer that drips holds its pieces as long as a silent one
+    Guards against bytes that keep a call from its timeout.
+    Given a server that sends a byte of its answer a second
+    When a stage call of 2.5 seconds at most is made to it
+    Then the stage call is lost for "timeout", though it arrived
+    And the endless server is not read any more
--- a/features/steps/endless_reads_steps.py
+++ b/features/steps/endless_reads_steps.py
@@ -3,6 +3,7 @@
 import msgspec
 from behave import given, then, when
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from features.builders import requests_http
@@ -22,9 +23,10 @@
     repeats_token,
 )
 from features.builders.forwardhost import CallerConnection, open_connection
-from features.builders.loop import result_of, run_reactor_until
+from features.builders.loop import collect_result, result_of, run_reactor_until
 from features.builders.platform import http_store
 from features.builders.stagework import group, pieces_of
+from pollenstile.ops.client import pipeline_client
 from pollenstile.peer import encode_frame
 from pollenstile.peer._frames import HANDSHAKE_FRAME_LIMIT
 from pollenstile.platform import Unavailable
@@ -102,14 +104,25 @@
     return stage_calls(reactor).release(address, ['a/1'])
 
 
+def _caller_request(address):
+    call = pipeline_client(reactor)
+    work = call(f'http://{address}', 'find', 'key', 'leak')
+    return Deferred.fromCoroutine(work).addCallback(_none_without_status)
+
+
+def _none_without_status(answer):
+    return answer if answer.status else None
+
+
 _READERS = {
+    'a request of a caller': _caller_request,
     'a stage call': _stage_call,
     'a release of results': _release,
     'a load poll': load_poll,
 }
 
 
-@when('{reader} is sent to it')
+@when('a host sends it {reader}')
 def when_reader(context, reader):
     work = _READERS[reader](context.server.address)
     context.ended = []
@@ -302,3 +315,26 @@
 @then('both are answered with {status:d}')
 def then_both(context, status):
     assert context.site.statuses() == [status, status], context.site.statuses()
+
+
+@given('a server that sends a byte of its answer a second')
+def given_drips(context):
+    context.clock = Clock()
+    context.server = EndlessServer('a byte', context.clock)
+    context.add_cleanup(
+        lambda: result_of(context.server.port.stopListening()),
+    )
+
+
+@when('a stage call of {seconds:g} seconds at most is made to it')
+def when_timed_call(context, seconds):
+    calls = stage_calls(context.clock)
+    worker = Worker('i1', context.server.address, 'd')
+    work = calls.call(worker, pieces_of(group('a', 2)), seconds)
+    ended = collect_result(work)
+    run_reactor_until(lambda: context.server.sent_bytes)
+    for _ in range(8):
+        context.clock.advance(0.5)
+        reactor.iterate(0)
+    run_reactor_until(lambda: ended)
+    context.outcome = ended[0]
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -12,6 +12,8 @@
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.numbers import whole_number
 
+# Bytes of the longest answer: the replies of all stages, or their tokens.
+_MAX_ANSWER_BYTES = 33554432
 _OK = 200
 _DATA = b'data: '
 _DONE = b'event: done'
@@ -52,9 +54,15 @@
         self.done = done
         self.on_bytes = on_bytes
         self.parts = []
+        self.size = 0
 
     def dataReceived(self, data):
         """Append received data; called by twisted."""
+        self.size += len(data)
+        if self.size > _MAX_ANSWER_BYTES:
+            self.parts = []
+            self.transport.abortConnection()
+            return
         self.parts.append(data)
         self.on_bytes(data)
 
