--- a/pollenstile/fleet/_loads.py
+++ b/pollenstile/fleet/_loads.py
@@ -2,15 +2,16 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.web.client import HTTPConnectionPool
 
-from pollenstile.ops.agents import agent_for
+from pollenstile.ops.agents import agent_for, connection_pool
 from pollenstile.ops.documents import read_document
 from pollenstile.upstream import Load
 
 _TIMEOUT_SECONDS = 1.0
 # Seconds for which an idle connection is kept.
 _IDLE_SECONDS = 30.0
+# Size of the longest report, which has four short values.
+_MAX_BYTES = 65536
 _OK = 200
 
 
@@ -24,8 +25,7 @@
     closed, because a middlebox may have dropped their state. The next poll then
     uses a new connection, before the upstream counts as unreachable.
     """
-    pool = HTTPConnectionPool(reactor, persistent=True)
-    pool.retryAutomatically = False
+    pool = connection_pool(reactor, persistent=True)
     pool.maxPersistentPerHost = 1
     pool.cachedConnectionTimeout = _IDLE_SECONDS
     agent = agent_for(reactor, pool, _TIMEOUT_SECONDS)
@@ -33,7 +33,7 @@
     async def read(upstream):
         uri = f'http://{upstream.address}/v1/load'.encode()
         response = await agent.request(b'GET', uri)
-        body = await read_document(response)
+        body = await read_document(response, _MAX_BYTES)
         if response.code != _OK:
             return None
         return msgspec.json.decode(body, type=Load)
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -5,13 +5,15 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
-from twisted.web.client import HTTPConnectionPool, ResponseDone
+from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
 
-from pollenstile.ops.agents import agent_for
+from pollenstile.ops.agents import agent_for, connection_pool
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.numbers import whole_number
 
+# Bytes of the longest answer: the replies of all stages, or their tokens.
+_MAX_ANSWER_BYTES = 33554432
 _OK = 200
 _DATA = b'data: '
 _DONE = b'event: done'
@@ -52,9 +54,15 @@
         self.done = done
         self.on_bytes = on_bytes
         self.parts = []
+        self.size = 0
 
     def dataReceived(self, data):
         """Append received data; called by twisted."""
+        self.size += len(data)
+        if self.size > _MAX_ANSWER_BYTES:
+            self.parts = []
+            self.transport.abortConnection()
+            return
         self.parts.append(data)
         self.on_bytes(data)
 
@@ -78,8 +86,7 @@
     ``stream``, ``idempotency_key``, ``deadline_ms`` and ``on_bytes``, and
     returns a coroutine of an :class:`Answer`.
     """
-    pool = HTTPConnectionPool(reactor, persistent=persistent)
-    pool.retryAutomatically = False
+    pool = connection_pool(reactor, persistent=persistent)
     agent = agent_for(reactor, pool, connect_timeout)
 
     async def call(
