entry: the log tells a caller that left from a connection that the host closed

What operators saw: of a stream that the host reset in the middle, and of a caller that closed its connection, no line of its own; of answers cut off at the end of a shutdown (8007) only their number. `explain` knew no event of the pipelines' own interface, so its timelines had no meanings.

Cause: notifyFinish fails alike for both sides, and what followed was not logged.

Change: 8008 answer-reset for what the host resets, 8009 caller-closed for what a caller closes, never both for one request; 8007 names the last request of each connection, 50 at most. `explain` loads the events of entry, pipelines, claims and limits.

Ruled out: that an end of the host's own cancels the request a second time; the exchange is finished by then, which is now asked first.

--- /dev/null
+++ b/features/builders/entrygrace.py
@@ -0,0 +1,289 @@
+"""Builders of a whole entry host, its callers and upstreams in virtual time."""
+
+import hashlib
+import math
+from random import Random
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.defer import succeed
+from twisted.internet.error import ConnectionDone
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from features.builders.loop import collect_result
+from pollenstile.entry import Daemon, build_node
+from pollenstile.manifest import (
+    Domain,
+    Manifest,
+    Model,
+    Pipeline,
+    Policy,
+    Pool,
+    Stage,
+    Team,
+    Upstream,
+    text_from_manifest,
+)
+from pollenstile.ops.settings import ENTRY, settings_from
+from pollenstile.standin.objectapi import MemoryStore
+from pollenstile.standin.virtual import (
+    Times,
+    VirtualUpstream,
+    healthy_network,
+)
+
+KEY = b'grace-key'
+_TOKENS = 6
+_STEP_SECONDS = 0.01
+_KINDS = {'e1': 'engine', 'r1': 'service', 'b1': 'service'}
+
+
+def _manifest():
+    digest = hashlib.sha256(KEY).hexdigest()
+    chat = Stage('generate', 'engines', model='demo', max_tokens=_TOKENS)
+    rank = Stage('rank', 'ranking')
+    book = Stage('book', 'booking', idempotent=False, attempts=1)
+    return Manifest(
+        name='grace',
+        domains={'here': Domain('here')},
+        models={'demo': Model('1')},
+        pools={
+            'engines': Pool(
+                'engine',
+                {'e1': Upstream('here', '127.0.0.1:1')},
+                models=['demo'],
+            ),
+            'ranking': Pool('service', {'r1': Upstream('here', '127.0.0.1:2')}),
+            'booking': Pool('service', {'b1': Upstream('here', '127.0.0.1:3')}),
+        },
+        pipelines={
+            'chat': Pipeline(60000, ['salons'], [chat]),
+            'rank': Pipeline(60000, ['salons'], [rank]),
+            'book': Pipeline(60000, ['salons'], [book], idempotent=False),
+            'rank-book': Pipeline(
+                60000, ['salons'], [rank, book], idempotent=False
+            ),
+        },
+        teams={'salons': Team([digest])},
+        policy=Policy(lame_duck_ms=2000, silence_ms=30000),
+    )
+
+
+class ListeningPort:
+    """A port of a virtual clock, at which callers are connected by hand."""
+
+    def __init__(self, number, factory):
+        self.number = number
+        self.factory = factory
+        self.is_open = True
+
+    def getHost(self):
+        """Return the address; called by the daemon."""
+        return IPv4Address('TCP', '127.0.0.1', self.number)
+
+    def stopListening(self):
+        """Take no further connections; called by the daemon."""
+        self.is_open = False
+        return succeed(None)
+
+
+class PortClock(Clock):
+    """A virtual clock that listens without sockets."""
+
+    def listenTCP(self, number, factory, interface=''):
+        """Return a port."""
+        return ListeningPort(number, factory)
+
+
+class CallerTransport(StringTransport):
+    """A caller's connection, which ends once all that was written is read.
+
+    Attributes
+    ==========
+
+    closed_at : float or None
+        Time at which it ended, on the clock.
+    was_reset : bool
+        Whether the host has ended it without sending what was written.
+    """
+
+    def __init__(self, clock, *, reads):
+        super().__init__()
+        self.clock = clock
+        self.reads = reads
+        self.closed_at = None
+        self.was_reset = False
+        self.protocol = None
+
+    def setTcpNoDelay(self, enabled):
+        """Do nothing; called by the channel."""
+
+    def loseConnection(self):
+        """End it after the last byte; called by the host."""
+        super().loseConnection()
+        if self.reads:
+            self.clock.callLater(0, self.end)
+
+    def abortConnection(self):
+        """End it at once; called by the host."""
+        self.was_reset = True
+        self.clock.callLater(0, self.end)
+
+    def end(self):
+        """Tell the host that the connection has ended."""
+        if self.closed_at is None:
+            self.closed_at = self.clock.seconds()
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+
+class GraceCaller:
+    """A caller with one connection."""
+
+    def __init__(self, clock, factory, *, reads=True):
+        self.clock = clock
+        self.transport = CallerTransport(clock, reads=reads)
+        self.channel = factory.buildProtocol(None)
+        self.transport.protocol = self.channel
+        self.channel.makeConnection(self.transport)
+
+    def send(self, content):
+        """Send bytes to the host."""
+        if self.transport.closed_at is None:
+            self.channel.dataReceived(content)
+
+    def leave(self):
+        """Close the connection."""
+        self.transport.end()
+
+    def received(self):
+        """Return all received bytes."""
+        return self.transport.value()
+
+    def statuses(self):
+        """Return the statuses of all answers that have begun."""
+        lines = self.received().split(b'HTTP/1.1 ')[1:]
+        return [int(line[:3]) for line in lines]
+
+    def outcome(self):
+        """Return how its last request has ended, in a word or two."""
+        received = self.received()
+        if not received:
+            return 'nothing' if self.transport.closed_at else 'open'
+        if b'x-outcome: ' in received.lower():
+            tail = received.lower().rpartition(b'x-outcome: ')[2]
+            return f'{self.statuses()[-1]} {tail.split()[0].decode()}'
+        is_whole = b'event: done' in received or b'"output"' in received
+        if is_whole:
+            return 'answered'
+        return 'reset' if self.transport.was_reset else 'begun'
+
+
+def request_bytes(pipeline, key='', *, stream=False, path=''):
+    """Return the bytes of a caller's HTTP request."""
+    body = b'{"input": "hi"}'
+    lines = [
+        b'POST %s HTTP/1.1' % (path or f'/v1/pipelines/{pipeline}').encode(),
+        b'Host: here',
+        b'Authorization: Bearer %s' % KEY,
+        b'Content-Length: %d' % len(body),
+    ]
+    if stream:
+        lines.append(b'Accept: text/event-stream')
+    if key:
+        lines.append(b'Idempotency-Key: %s' % key.encode())
+    return b'\r\n'.join([*lines, b'', body])
+
+
+class GraceHost:
+    """One entry host with virtual callers, store and upstreams.
+
+    Parameters
+    ==========
+
+    grace : float
+        Seconds from the stop signal until the host is killed.
+    work : float
+        Seconds that each upstream works on a call.
+    seed : int
+        Seed of the host's random numbers.
+
+    Attributes
+    ==========
+
+    lines : list of tuple
+        Name and fields of each log line.
+    stopped_at : float or None
+        Time at which the host had stopped.
+    """
+
+    def __init__(self, grace=8, work=0.05, seed=1, store=None, host='h1'):
+        self.clock = PortClock()
+        self.clock.advance(1000.0)
+        self.store = store or MemoryStore(self.clock)
+        self.store.latency = 0.005
+        self.lines = []
+        self.callers = []
+        self.stopping = []
+        self.stopped_at = None
+        times = Times(lambda: work, lambda: 0.01)
+        self.upstreams = {
+            name: VirtualUpstream(self.clock, name, kind, 8, times)
+            for name, kind in _KINDS.items()
+        }
+        settings = settings_from(
+            None,
+            ENTRY,
+            {
+                'POLLENSTILE_HOST': host,
+                'POLLENSTILE_DOMAIN': 'here',
+                'POLLENSTILE_GRACE_SECONDS': str(grace),
+            },
+        )
+        network = healthy_network(self.clock, self.upstreams)
+        self.node = build_node(
+            self.clock,
+            Random(seed),
+            settings,
+            network.transport_from(host),
+            store=self.store,
+            log=self._log,
+        )
+        self.node.in_force.offer(1, text_from_manifest(_manifest()), 'test')
+        self.daemon = Daemon(self.clock, self.node, settings)
+        self.daemon.start()
+
+    def connect(self, *, reads=True):
+        """Return a caller with an open connection."""
+        factory = self.daemon.caller_port.factory
+        caller = GraceCaller(self.clock, factory, reads=reads)
+        self.callers.append(caller)
+        return caller
+
+    def call(self, pipeline, key='', *, reads=True, stream=False):
+        """Return a caller that has sent a whole request."""
+        caller = self.connect(reads=reads)
+        caller.send(request_bytes(pipeline, key, stream=stream))
+        return caller
+
+    def stop(self):
+        """Give the stop signal."""
+        self.stopping = collect_result(self.daemon.stop())
+
+    def hold(self, name, seconds=math.inf):
+        """Let an upstream stand still for some seconds, or for good."""
+        self.upstreams[name].timers.pause(seconds)
+
+    def advance(self, seconds, step=_STEP_SECONDS):
+        """Advance the virtual clock in small steps."""
+        for _ in range(round(seconds / step)):
+            self.clock.advance(step)
+            if self.stopping and self.stopped_at is None:
+                self.stopped_at = self.clock.seconds()
+
+    def logged(self, name):
+        """Return the fields of all lines of an event."""
+        return [fields for event, fields in self.lines if event == name]
+
+    def _log(self, event, level='info', **fields):
+        self.lines.append((event.name, fields))
--- /dev/null
+++ b/features/steps/entry_grace_steps.py
@@ -0,0 +1,103 @@
+"""Steps for the end of a grace on the pipelines' own interface."""
+
+from behave import given, then, when
+
+from features.builders.entrygrace import GraceHost
+from pollenstile.ops import _explaincmd as explaincmd
+from pollenstile.ops.events import catalogue
+
+
+@given('a grace host')
+def given_host(context):
+    context.host = GraceHost()
+
+
+@given('a grace host with {grace:g} seconds')
+def given_graced(context, grace):
+    context.host = GraceHost(grace)
+
+
+@when('a grace caller asks for the stream of "{pipeline}"')
+def when_stream(context, pipeline):
+    context.caller = context.host.call(pipeline, stream=True)
+
+
+@when('a grace caller asks for "{pipeline}"')
+def when_asks(context, pipeline):
+    context.caller = context.host.call(pipeline)
+
+
+@when('a second grace caller asks for "{pipeline}"')
+def when_second(context, pipeline):
+    context.second = context.host.call(pipeline)
+
+
+@when('a grace caller that does not read asks for "{pipeline}"')
+def when_deaf(context, pipeline):
+    context.caller = context.host.call(pipeline, reads=False)
+
+
+@when('the grace upstream "{name}" cuts its streams after {tokens:d} tokens')
+def when_cuts(context, name, tokens):
+    context.host.upstreams[name].faults.cut_after = tokens
+
+
+@when('{seconds:g} seconds of grace pass')
+def when_passes(context, seconds):
+    context.host.advance(seconds)
+
+
+@when('the second grace caller leaves')
+def when_leaves(context):
+    context.second.leave()
+
+
+@when('the grace host gets the stop signal')
+def when_stops(context):
+    context.host.stop()
+
+
+@then('the grace caller\'s outcome is "{outcome}"')
+def then_outcome(context, outcome):
+    assert context.caller.outcome() == outcome, context.caller.received()
+
+
+@then('the grace log has "{name}" for the grace caller alone')
+def then_logged(context, name):
+    _check_named(context, name, context.caller)
+
+
+@then('the grace log has "{name}" for the second grace caller alone')
+def then_logged_second(context, name):
+    _check_named(context, name, context.second)
+
+
+@then('the timeline of that request explains each line')
+def then_explained(context):
+    lines = _lines_of(context, context.caller.channel.request)
+    timeline = explaincmd.timeline_lines(lines)
+    assert lines[-1]['event'] == 'callers-cut-off', lines
+    assert len(timeline) == 2 * len(lines), timeline
+
+
+def _check_named(context, name, caller):
+    named = []
+    for fields in context.host.logged(name):
+        requests = fields['request']
+        named.extend([requests] if isinstance(requests, str) else requests)
+    assert named == [caller.channel.request], context.host.lines
+
+
+def _lines_of(context, request):
+    numbers = {event.name: event.number for event in catalogue()}
+    lines = []
+    for name, fields in context.host.lines:
+        line = {'event': name, 'number': numbers[name], **fields}
+        if request in _requests(line):
+            lines.append(line)
+    return lines
+
+
+def _requests(line):
+    named = line.get('request', '')
+    return named if isinstance(named, list) else [named]
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -18,6 +18,8 @@
 _CLAIMS_FLUSH_SECONDS = 2.0
 # A lease that is not released within this time expires by itself.
 _HANDOVER_SECONDS = 10.0
+# Requests that a log line names at most.
+_MAX_NAMED_REQUESTS = 50
 # At shutdown, callers have this long to read the rest of their answers.
 _DRAIN_SECONDS = 30.0
 
@@ -176,8 +178,16 @@
 
     def _abort_connections(self, *_):
         # A caller that no longer reads must not block the shutdown forever.
-        number = self.caller_port.factory.channels.abort()
-        self.node.core.log(events.CUT_OFF, level='warning', callers=number)
+        channels = self.caller_port.factory.channels
+        requests = sorted(
+            channel.request for channel in channels.open if channel.request
+        )
+        self.node.core.log(
+            events.CUT_OFF,
+            level='warning',
+            callers=channels.abort(),
+            request=requests[-_MAX_NAMED_REQUESTS:],
+        )
 
 
 def address_of(port):
--- a/pollenstile/entry/_frontend.py
+++ b/pollenstile/entry/_frontend.py
@@ -14,6 +14,7 @@
     parse_idempotency_key,
 )
 from pollenstile.ops.http import abort, answer_json, answer_problem
+from pollenstile.ops.logs import silent_log
 from pollenstile.outcomes import Answered, Refused
 from pollenstile.pipeline import Request, run_request
 
@@ -30,10 +31,11 @@
 class _Exchange:
     """HTTP exchange with one caller: its request and the response."""
 
-    __slots__ = ('finished', 'http', 'running', 'streaming', 'written')
+    __slots__ = ('finished', 'http', 'log', 'running', 'streaming', 'written')
 
-    def __init__(self, http, *, streaming):
+    def __init__(self, http, log=silent_log, *, streaming):
         self.http = http
+        self.log = log
         self.streaming = streaming
         self.written = False
         self.finished = False
@@ -48,7 +50,16 @@
         A non-idempotent request continues: its caller may retry with the same
         idempotency key and then gets the answer of this run.
         """
+        if self.finished:
+            # The host itself has closed the connection, or its answer.
+            return
         self.finished = True
+        self.log(
+            events.CALLER_LEFT,
+            request=request.ident,
+            begun=self.written,
+            goes_on=not request.pipeline.idempotent,
+        )
         if request.pipeline.idempotent:
             self.running.cancel()
 
@@ -72,10 +83,20 @@
         if self.written:
             # The streamed tokens look like an answer. Only an aborted
             # connection shows the caller that the answer is incomplete.
-            abort(self.http)
+            self._reset(outcome, request)
             return
         _refuse(self.http, outcome, request.ident)
 
+    def _reset(self, outcome, request):
+        self.log(
+            events.ANSWER_RESET,
+            level='warning',
+            request=request.ident,
+            outcome=outcome.tag,
+            reason=outcome.reason,
+        )
+        abort(self.http)
+
     def _write_answer(self, outcome, request):
         document = {
             'request': request.ident,
@@ -152,7 +173,8 @@
             )
             return _refuse(request, parsed)
         streaming = _STREAM in (_header(request, b'accept'))
-        exchange = _Exchange(request, streaming=streaming)
+        exchange = _Exchange(request, self.node.core.log, streaming=streaming)
+        request.channel.request = parsed.ident
         self._run(exchange, parsed)
         return NOT_DONE_YET
 
--- a/pollenstile/entry/events.py
+++ b/pollenstile/entry/events.py
@@ -30,6 +30,18 @@
     8007,
     'callers-cut-off',
     'Connections of callers that did not read their answers were aborted at'
-    ' shutdown.',
+    ' shutdown; the line has the last request of each.',
     'None; such callers have stopped or are unreachable.',
 )
+ANSWER_RESET = define(
+    8008,
+    'answer-reset',
+    'The host reset the connection of a caller: the answer had begun and has no'
+    ' end.',
+    'The line of its end (1004) has the cause.',
+)
+CALLER_LEFT = define(
+    8009,
+    'caller-closed',
+    'A caller closed its connection before its answer was complete.',
+)
--- a/pollenstile/ops/_explaincmd.py
+++ b/pollenstile/ops/_explaincmd.py
@@ -8,7 +8,7 @@
 from pollenstile.ops.events import catalogue
 from pollenstile.ops.exits import BAD_INPUT, BAD_RESULT, GOOD
 
-# Modules that define the events logged by a forwarding entry host.
+# Modules that define the events that entry hosts log about requests.
 _EVENT_MODULES = (
     'pollenstile.forward.events',
     'pollenstile.stagework.events',
@@ -17,6 +17,10 @@
     'pollenstile.ratelimits.events',
     'pollenstile.permission.events',
     'pollenstile.origins.events',
+    'pollenstile.entry.events',
+    'pollenstile.pipeline.events',
+    'pollenstile.claims.events',
+    'pollenstile.limits.events',
 )
 # Fields that the timeline shows elsewhere or that add no information.
 _OMITTED_FIELDS = ('event', 'host', 'number', 'request', 'timestamp')
--- a/pollenstile/ops/channels.py
+++ b/pollenstile/ops/channels.py
@@ -62,7 +62,13 @@
         return waiter
 
     def abort(self):
-        """Close all connections at once and return their number."""
+        """Close all connections at once and return their number.
+
+        Explanation
+        ===========
+
+        Their :attr:`CountedChannel.request` tells what they were about.
+        """
         channels = list(self.open)
         for channel in channels:
             channel.forceAbortClient()
@@ -70,7 +76,16 @@
 
 
 class CountedChannel(HTTPChannel):
-    """An HTTP connection registered with its site's :class:`Channels`."""
+    """An HTTP connection registered with its site's :class:`Channels`.
+
+    Attributes
+    ==========
+
+    request : str
+        Identifier of its last request; empty if that has none.
+    """
+
+    request = ''
 
     def connectionMade(self):
         """Register the new connection; called by twisted."""
