entry: requests that outlast the grace are told how they ended

What callers saw: a connection that closed with no status, or a stream with no end, although the host had read the whole request. The host waited for its last request without bound, and whoever had stopped it killed it meanwhile.

Cause: `Daemon.stop` knew no grace. Nothing asked the requests that remain, and the lame-duck time and the 30 s for slow readers were longer than short graces.

The end is what the ledger shows: nothing sent that may have run: not-run (503, Retry-After); a non-idempotent stage handed over: unknown (502); else failed (502), as everywhere else. A begun answer is reset, never closed as whole. 8011 grace-ended counts them; the lines 1004 have the step grace. A host that was itself paused reads what has arrived first, and one that wakes past its grace still tells its callers.

Ruled out: telling all at the end of the lame-duck time, which refuses what the upstream still answers; the opposite scenarios let upstreams go on 0.2 to 0.3 s before the moment of telling, for each grace, and all four requests are answered.

--- a/features/builders/entrygrace.py
+++ b/features/builders/entrygrace.py
@@ -215,9 +215,12 @@
         Name and fields of each log line.
     stopped_at : float or None
         Time at which the host had stopped.
+    killed_at : float or None
+        Time at which its grace ends.
     """
 
     def __init__(self, grace=8, work=0.05, seed=1, store=None, host='h1'):
+        self.grace = grace
         self.clock = PortClock()
         self.clock.advance(1000.0)
         self.store = store or MemoryStore(self.clock)
@@ -226,6 +229,7 @@
         self.callers = []
         self.stopping = []
         self.stopped_at = None
+        self.killed_at = None
         times = Times(lambda: work, lambda: 0.01)
         self.upstreams = {
             name: VirtualUpstream(self.clock, name, kind, 8, times)
@@ -268,6 +272,7 @@
 
     def stop(self):
         """Give the stop signal."""
+        self.killed_at = self.clock.seconds() + self.grace
         self.stopping = collect_result(self.daemon.stop())
 
     def hold(self, name, seconds=math.inf):
--- a/features/entry_grace.feature
+++ b/features/entry_grace.feature
@@ -22,3 +22,65 @@
     And 40 seconds of grace pass
     Then the grace log has "callers-cut-off" for the grace caller alone
     And the timeline of that request explains each line
+
+  Scenario Outline: Each request is told its end before the host is killed: <grace> s of grace
+    Guards against requests that are cut off without a status, since nothing ends them before the kill.
+    Given a grace host with <grace> seconds
+    And its upstreams stand still
+    When grace callers ask for "rank", "book", "rank-book" and the stream of "chat"
+    And the grace host gets the stop signal
+    And <grace> seconds of grace pass
+    Then the grace callers' outcomes are "502 failed", "502 unknown", "502 failed" and "502 failed"
+    And the grace host had stopped before it was killed
+    And no grace invariant was broken
+
+    Examples:
+      | grace |
+      | 1     |
+      | 2     |
+      | 4     |
+      | 8     |
+      | 30    |
+
+  Scenario: An answer goes on to the last moment, and is never closed as whole
+    Guards against a stream that ends like a complete one when its host ends it.
+    Given a grace host with 8 seconds
+    When a grace caller asks for the stream of "chat"
+    And 0.08 seconds of grace pass
+    And its upstreams stand still
+    And the grace host gets the stop signal
+    And 7.2 seconds of grace pass
+    Then the grace caller's outcome is "begun"
+    When 0.8 seconds of grace pass
+    Then the grace caller's outcome is "reset"
+    And the grace log has "answer-reset" for the grace caller alone
+    And the grace host had stopped before it was killed
+
+  Scenario Outline: An upstream that goes on in the last second is waited for: <grace> s of grace
+    Guards against requests that are ended too early, though their answers come in time.
+    Given a grace host with <grace> seconds
+    When grace callers ask for "rank", "book", "rank-book" and the stream of "chat"
+    And its upstreams stand still for <still> seconds
+    And the grace host gets the stop signal
+    And <grace> seconds of grace pass
+    Then the grace callers' outcomes are "answered", "answered", "answered" and "answered"
+    And the grace host had stopped before it was killed
+
+    Examples:
+      | grace | still |
+      | 1     | 0.6   |
+      | 2     | 1.4   |
+      | 4     | 3.1   |
+      | 8     | 6.4   |
+      | 30    | 27.7  |
+
+  Scenario: A host that was paused past its grace still tells its callers
+    Guards against a host that wakes after its grace and closes everything at once.
+    Given a grace host with 8 seconds
+    And its upstreams stand still
+    When grace callers ask for "rank", "book", "rank-book" and the stream of "chat"
+    And the grace host gets the stop signal
+    And the grace host is paused for 20 seconds
+    And 1 seconds of grace pass
+    Then the grace callers' outcomes are "502 failed", "502 unknown", "502 failed" and "502 failed"
+    And the grace host has ended
--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -101,3 +101,58 @@
 def _requests(line):
     named = line.get('request', '')
     return named if isinstance(named, list) else [named]
+
+
+@given('its upstreams stand still')
+@when('its upstreams stand still')
+def given_still(context):
+    for name in context.host.upstreams:
+        context.host.hold(name)
+
+
+@when('its upstreams stand still for {seconds:g} seconds')
+def when_still(context, seconds):
+    for name in context.host.upstreams:
+        context.host.hold(name, seconds)
+
+
+@when(
+    'grace callers ask for "{first}", "{second}", "{third}" and the stream of'
+    ' "{last}"'
+)
+def when_ask(context, first, second, third, last):
+    host = context.host
+    context.callers = [host.call(name) for name in (first, second, third)]
+    context.callers.append(host.call(last, stream=True))
+    host.advance(0.02)
+
+
+@when('the grace host is paused for {seconds:g} seconds')
+def when_paused(context, seconds):
+    context.host.clock.advance(seconds)
+
+
+@then(
+    'the grace callers\' outcomes are "{first}", "{second}", "{third}" and'
+    ' "{last}"'
+)
+def then_outcomes(context, first, second, third, last):
+    outcomes = [caller.outcome() for caller in context.callers]
+    assert outcomes == [first, second, third, last], outcomes
+
+
+@then('the grace host had stopped before it was killed')
+def then_stopped(context):
+    host = context.host
+    assert host.stopping == [None], host.stopping
+    assert host.stopped_at < host.killed_at, host.stopped_at
+
+
+@then('the grace host has ended')
+def then_ended(context):
+    assert context.host.stopping == [None], context.host.stopping
+
+
+@then('no grace invariant was broken')
+def then_sound(context):
+    assert not context.host.node.core.ledger.broken
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -8,7 +8,9 @@
 from pollenstile.entry import events
 from pollenstile.entry._admin import AdminResource
 from pollenstile.entry._frontend import CallerResource
+from pollenstile.entry._grace import plan_grace
 from pollenstile.ops.http import site_for
+from pollenstile.ops.lateness import reading_time
 from pollenstile.peer import tcp_listen
 from pollenstile.peer.events import PEERS_OFF
 
@@ -20,8 +22,6 @@
 _HANDOVER_SECONDS = 10.0
 # Requests that a log line names at most.
 _MAX_NAMED_REQUESTS = 50
-# At shutdown, callers have this long to read the rest of their answers.
-_DRAIN_SECONDS = 30.0
 
 
 class Daemon:
@@ -116,34 +116,69 @@
         The host reports at once that it is not ready, keeps listening for the
         declared lame-duck time, refuses new requests, and finishes the work in
         flight: requests, claims, and answers that callers have not read yet.
+        What can't be finished in the grace is ended before it is over, see
+        :func:`~pollenstile.entry._grace.plan_grace`.
         """
+        now = self.reactor.seconds()
+        plan = plan_grace(now, self.settings.grace_seconds, self._lame_duck())
+        self.node.core.departure.ends_at = plan.tells_at
         self.node.leaving = True
         self.node.core.rates.leave()
         self.caller_port.factory.channels.closing = True
         self.node.core.log(events.LEAVING, in_flight=self.node.in_flight)
         if self.fleet is not None:
             self.fleet.leave()
-        return Deferred.fromCoroutine(self._shut_down())
+        return Deferred.fromCoroutine(self._shut_down(plan))
 
-    async def _shut_down(self):
+    def _lame_duck(self):
         snapshot = self.node.in_force.snapshot
-        wait = snapshot.manifest.policy.lame_duck_ms / _MS if snapshot else 0
-        handover = self._hand_over_leases()
-        await deferLater(self.reactor, wait)
+        return snapshot.manifest.policy.lame_duck_ms / _MS if snapshot else 0
+
+    async def _shut_down(self, plan):
+        handover = self._hand_over_leases(plan)
+        await deferLater(self.reactor, self._seconds_until(plan.listens_until))
         await self.caller_port.stopListening()
-        await self.node.when_idle()
+        await self._finish_requests(plan.tells_at, begun=False)
+        await self._finish_requests(plan.resets_at, begun=True)
         await gatherResults(
-            [self._flush_claims(), self._drain_connections(), handover]
+            [self._flush_claims(plan), self._drain_connections(plan), handover]
         )
         await self._close()
         self.node.core.log(events.STOPPED)
 
-    def _hand_over_leases(self):
+    def _seconds_until(self, moment):
+        return max(0, moment - self.reactor.seconds())
+
+    async def _finish_requests(self, until, *, begun):
+        """Wait for the requests in flight, and end those that remain."""
+        await self._idle_or_after(self._seconds_until(until))
+        # Answers that arrived while the host itself stood still are read first.
+        pause = reading_time(self.reactor.seconds(), until)
+        if pause:
+            await self._idle_or_after(pause)
+        in_flight = self.node.in_flight
+        if not in_flight:
+            return
+        self.node.core.log(
+            events.GRACE_ENDED,
+            level='warning',
+            in_flight=in_flight,
+            ended=self.node.end_requests(begun=begun),
+        )
+
+    def _idle_or_after(self, seconds):
+        return self.node.when_idle().addTimeout(
+            seconds,
+            self.reactor,
+            onTimeoutCancel=lambda *_: None,
+        )
+
+    def _hand_over_leases(self, plan):
         if self.node.placement is None:
             return succeed(None)
         leaving = Deferred.fromCoroutine(self.node.placement.leave())
         return leaving.addTimeout(
-            _HANDOVER_SECONDS,
+            min(_HANDOVER_SECONDS, self._seconds_until(plan.closes_at)),
             self.reactor,
             onTimeoutCancel=lambda *_: None,
         )
@@ -160,18 +195,18 @@
         await self.admin_port.stopListening()
         self.node.metrics.flush(self.statsd)
 
-    def _flush_claims(self):
+    def _flush_claims(self, plan):
         if self.node.claims is None:
             return succeed(None)
         return self.node.claims.flush_records().addTimeout(
-            _CLAIMS_FLUSH_SECONDS,
+            min(_CLAIMS_FLUSH_SECONDS, self._seconds_until(plan.closes_at)),
             self.reactor,
             onTimeoutCancel=lambda *_: None,
         )
 
-    def _drain_connections(self):
+    def _drain_connections(self, plan):
         return self.caller_port.factory.channels.close_gracefully().addTimeout(
-            _DRAIN_SECONDS,
+            self._seconds_until(plan.closes_at),
             self.reactor,
             onTimeoutCancel=self._abort_connections,
         )
--- a/pollenstile/entry/_frontend.py
+++ b/pollenstile/entry/_frontend.py
@@ -63,6 +63,10 @@
         if request.pipeline.idempotent:
             self.running.cancel()
 
+    def has_begun(self):
+        """Return whether a part of the answer was sent."""
+        return self.written
+
     def write_token(self, text):
         """Write a token to the event stream."""
         if self.finished or not self.streaming:
@@ -188,7 +192,7 @@
         exchange.running.addErrback(self._on_crash, exchange)
         # Tracked after the answer's callbacks, so that a leaving host waits
         # until the answer is written.
-        self.node.track(exchange.running)
+        self.node.track(exchange.running, exchange.has_begun)
 
     def _on_crash(self, failure, exchange):
         if failure.check(CancelledError):
--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -10,6 +10,11 @@
 _UNAVAILABLE = 503
 
 
+def _never_begins():
+    """Return False: the answer is sent as a whole."""
+    return False
+
+
 class Node:
     """State that the HTTP resources of a host share.
 
@@ -32,8 +37,9 @@
         Runs requests with an idempotency key at most once.
     placement : Placement or None
         Sends orders to engines, and tracks which model each one serves.
-    in_flight : int
-        Number of running requests.
+    running : dict
+        Maps the Deferred of each running request to a function that returns
+        whether its answer has begun, in the order of their arrival.
     leaving : bool
         Whether the host is shutting down.
     """
@@ -43,12 +49,12 @@
         'claims',
         'core',
         'idle_waiters',
-        'in_flight',
         'in_force',
         'leaving',
         'metrics',
         'numbers',
         'placement',
+        'running',
     )
 
     def __init__(self, core, in_force, metrics, boot):
@@ -60,7 +66,7 @@
         self.placement = None
         self.numbers = itertools.count(1)
         self.leaving = False
-        self.in_flight = 0
+        self.running = {}
         self.idle_waiters = []
 
     def next_ident(self):
@@ -83,10 +89,48 @@
             )
         return None
 
-    def track(self, running):
-        """Count a request as in flight until it ends."""
-        self.in_flight += 1
-        running.addBoth(self._on_request_end)
+    @property
+    def in_flight(self):
+        """Number of running requests."""
+        return len(self.running)
+
+    def track(self, running, has_begun=_never_begins):
+        """Count a request as in flight until it ends.
+
+        Parameters
+        ==========
+
+        running : Deferred
+            Fires with its outcome; ends the request when it is cancelled.
+        has_begun : function
+            Returns whether its answer has begun.
+        """
+        self.running[running] = has_begun
+        running.addBoth(self._on_request_end, running)
+
+    def end_requests(self, *, begun):
+        """End requests in flight, each with its truthful outcome.
+
+        Parameters
+        ==========
+
+        begun : bool
+            Whether those whose answers have begun are ended as well.
+
+        Returns
+        =======
+
+        int
+            The number of requests that were ended.
+        """
+        self.core.departure.is_over = True
+        ended = 0
+        # A request that waits for another one's outcome arrived after it.
+        for running, has_begun in list(self.running.items()):
+            if running in self.running and (begun or not has_begun()):
+                ended += 1
+                running.cancel()
+        return ended
 
     def when_idle(self):
         """Return a Deferred that fires when no request is in flight."""
@@ -113,8 +157,8 @@
             'usage': process_usage(),
         }
 
-    def _on_request_end(self, result):
-        self.in_flight -= 1
+    def _on_request_end(self, result, running):
+        self.running.pop(running, None)
         if not self.in_flight:
             waiters = self.idle_waiters
             self.idle_waiters = []
--- a/pollenstile/entry/events.py
+++ b/pollenstile/entry/events.py
@@ -26,6 +26,14 @@
     'An unexpected exception ended a request.',
     'Report it with the complete line.',
 )
+GRACE_ENDED = define(
+    8011,
+    'grace-ended',
+    'Requests were still running near the end of the grace. Each was told how it'
+    ' ended, and begun answers were reset; the lines of their ends (1004) have'
+    ' the step grace.',
+    'Many: give a longer grace, or shorter deadlines.',
+)
 CUT_OFF = define(
     8007,
     'callers-cut-off',
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -197,6 +197,12 @@
         '2000',
         'requests that run concurrently',
     ),
+    Setting(
+        'grace_seconds',
+        number_in_range(1, 600, float),
+        '30',
+        'seconds from SIGTERM until the host is killed',
+    ),
     Setting(
         'seed',
         number_in_range(0, 2**63),
--- a/pollenstile/pipeline/_core.py
+++ b/pollenstile/pipeline/_core.py
@@ -5,6 +5,7 @@
 from pollenstile.limits import CostAccount
 from pollenstile.ops.logs import silent_log
 from pollenstile.permission import Permissions, build_permissions
+from pollenstile.pipeline._departure import Departure
 from pollenstile.routing import choose_upstream
 
 
@@ -67,6 +68,8 @@
         Selects an upstream; see :func:`pollenstile.routing.choose_upstream`.
     close_idle : function
         Closes the idle connections to an upstream.
+    departure : Departure
+        When the host, once it leaves, ends its requests.
     permissions : Permissions or None
         Whether the host may call an upstream, by what the upstream states; None
         creates those of a host that is alone.
@@ -94,6 +97,7 @@
     demand: object = _ignore_demand
     choose: object = choose_upstream
     close_idle: object = _keep_open
+    departure: Departure = field(default_factory=Departure)
     permissions: Permissions | None = None
     log: object = silent_log
     count: object = _ignore_count
--- a/pollenstile/pipeline/_ledger.py
+++ b/pollenstile/pipeline/_ledger.py
@@ -114,6 +114,22 @@
         if record is not None:
             record.abandoned.add(attempt)
 
+    def sent(self, request):
+        """Return what was sent for an open request and may have run.
+
+        Returns
+        =======
+
+        str
+            ``'nothing'``, ``'idempotent'`` if only idempotent stages, or
+            ``'once'``.
+        """
+        record = self.open[request.ident]
+        if record.handed_over:
+            return 'once'
+        may_have_run = record.dispatched - record.returned
+        return 'idempotent' if may_have_run else 'nothing'
+
     def consume(self, request, step, attempt):
         """Record that an attempt's result is used as the stage's result."""
         record = self._find_record(request, 'consumed-after-outcome')
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -8,6 +8,7 @@
 from pollenstile.outcomes import Answered, Failed, Refused, Unknown
 from pollenstile.pipeline import events
 from pollenstile.pipeline._decisions import stage_budget
+from pollenstile.pipeline._departure import ended_outcome
 from pollenstile.pipeline._stage import StageFailed, StageRun
 
 _UNPROCESSABLE = 422
@@ -42,7 +43,7 @@
     try:
         outcome = await _run_admitted(core, request, on_token)
     except CancelledError:
-        outcome = _cancelled_outcome(request)
+        outcome = _cancelled_outcome(core, request)
     except Exception:
         # Without this the request would be counted as running forever.
         core.ledger.crash(request)
@@ -50,7 +51,9 @@
     return _record_outcome(core, request, outcome)
 
 
-def _cancelled_outcome(request):
+def _cancelled_outcome(core, request):
+    if core.departure.is_over:
+        return ended_outcome(core.host, core.ledger.sent(request))
     # A non-idempotent request may be cancelled while its call runs. With
     # `Failed` the caller would assume that it is safe to retry.
     kind = Failed if request.pipeline.idempotent else Unknown
@@ -70,10 +73,19 @@
 async def _run_claimed(core, request, on_token):
     if core.claims is None or request.pipeline.idempotent or not request.key:
         return await _run_stages(core, request, on_token)
-    run = partial(_run_stages, core, request, on_token)
+    run = partial(_run_to_outcome, core, request, on_token)
     return await core.claims(request, run)
 
 
+async def _run_to_outcome(core, request, on_token):
+    # What becomes of the key depends on the outcome, also of a request that
+    # was ended.
+    try:
+        return await _run_stages(core, request, on_token)
+    except CancelledError:
+        return _cancelled_outcome(core, request)
+
+
 def _record_outcome(core, request, outcome):
     core.ledger.finish(request, outcome)
     core.count(f'outcome.{outcome.tag}')
