entry: what a leaving host can't do in its grace is refused before it runs

What callers saw: a request that waited for room at a leaving host heard at the end of the grace what was known at its begin, and its caller had used up the time for another host. A stage that may run only once was begun in the last moment, or by a host that woke past its grace, and ended as unknown.

Cause: queue, first stage, later stages, hedges and repeats asked the request's deadline only.

Change: pipeline/_departure.py (no I/O) decides by expected times: a request of which nothing has run begins only if all its stages fit (503 not-run, Retry-After 1 s); a call of a later stage needs what it needs before a deadline, half of its expected time if it may be repeated, all of it if not. The queue refuses each waiting request when its latest start is past, at once if it is now.

Evidence, on the code before: a waiting request of 6 s has no answer 3 s after the signal with 8 s of grace; the booking of `rank-book`, begun 0.09 s before the end (0.1 s expected), ends as unknown; likewise at a host paused for 20 s. After: 503 not-run, 502 failed with no run of the booking. The opposite: a waiting request whose turn comes after 6 s is answered, before and after.

--- a/features/builders/entrygrace.py
+++ b/features/builders/entrygrace.py
@@ -43,6 +43,7 @@
     digest = hashlib.sha256(KEY).hexdigest()
     chat = Stage('generate', 'engines', model='demo', max_tokens=_TOKENS)
     rank = Stage('rank', 'ranking')
+    long = Stage('rank', 'ranking', expect_ms=6000)
     book = Stage('book', 'booking', idempotent=False, attempts=1)
     return Manifest(
         name='grace',
@@ -61,6 +62,7 @@
             'chat': Pipeline(60000, ['salons'], [chat]),
             'rank': Pipeline(60000, ['salons'], [rank]),
             'book': Pipeline(60000, ['salons'], [book], idempotent=False),
+            'long': Pipeline(60000, ['salons'], [long]),
             'rank-book': Pipeline(
                 60000, ['salons'], [rank, book], idempotent=False
             ),
@@ -207,6 +209,8 @@
         Seconds that each upstream works on a call.
     seed : int
         Seed of the host's random numbers.
+    most : int
+        Requests that run at once.
 
     Attributes
     ==========
@@ -219,11 +223,11 @@
         Time at which its grace ends.
     """
 
-    def __init__(self, grace=8, work=0.05, seed=1, store=None, host='h1'):
+    def __init__(self, grace=8, work=0.05, seed=1, most=100):
         self.grace = grace
         self.clock = PortClock()
         self.clock.advance(1000.0)
-        self.store = store or MemoryStore(self.clock)
+        self.store = MemoryStore(self.clock)
         self.store.latency = 0.005
         self.lines = []
         self.callers = []
@@ -239,9 +243,10 @@
             None,
             ENTRY,
             {
-                'POLLENSTILE_HOST': host,
+                'POLLENSTILE_HOST': 'h1',
                 'POLLENSTILE_DOMAIN': 'here',
                 'POLLENSTILE_GRACE_SECONDS': str(grace),
+                'POLLENSTILE_MAX_RUNNING': str(most),
             },
         )
         network = healthy_network(self.clock, self.upstreams)
@@ -249,7 +254,7 @@
             self.clock,
             Random(seed),
             settings,
-            network.transport_from(host),
+            network.transport_from('h1'),
             store=self.store,
             log=self._log,
         )
--- a/features/entry_grace.feature
+++ b/features/entry_grace.feature
@@ -84,3 +84,48 @@
     And 1 seconds of grace pass
     Then the grace callers' outcomes are "502 failed", "502 unknown", "502 failed" and "502 failed"
     And the grace host has ended
+
+  Scenario: A host that was paused reads what has arrived before it ends requests
+    Guards against answers that are there already and are refused, or work that begins past the end.
+    Given a grace host with 8 seconds
+    When grace callers ask for "rank", "book", "rank-book" and the stream of "chat"
+    And the grace host gets the stop signal
+    And the grace host is paused for 20 seconds
+    And 1 seconds of grace pass
+    Then the grace callers' outcomes are "answered", "answered", "502 failed" and "answered"
+
+  Scenario: What waits for room and can't be done in the grace is refused at once
+    Guards against callers that wait for the end of the grace to hear that nothing has run.
+    Given a grace host with 8 seconds that runs 1 request at once
+    And its upstreams stand still
+    When a grace caller asks for "rank"
+    And a second grace caller asks for "long"
+    And 2 seconds of grace pass
+    And the grace host gets the stop signal
+    And 0.02 seconds of grace pass
+    Then the second grace caller's outcome is "open"
+    When 1 seconds of grace pass
+    Then the second grace caller's outcome is "503 not-run"
+    And the second grace caller may try again in 1 second
+    And the grace caller's outcome is "open"
+
+  Scenario: What waits for room and can be done in the grace is served
+    Guards against requests that are refused early, though their turn comes in time.
+    Given a grace host with 8 seconds that runs 1 request at once
+    When a grace caller asks for "rank"
+    And a second grace caller asks for "rank"
+    And its upstreams stand still for 6 seconds
+    And the grace host gets the stop signal
+    And 8 seconds of grace pass
+    Then the grace caller's outcome is "answered"
+    And the second grace caller's outcome is "answered"
+
+  Scenario: A stage that may run only once is not begun in the last moment
+    Guards against an unknown outcome of a stage that had no chance to be done.
+    Given a grace host with 8 seconds
+    When a grace caller asks for "rank-book"
+    And its upstreams stand still for 6.58 seconds
+    And the grace host gets the stop signal
+    And 8 seconds of grace pass
+    Then the grace caller's outcome is "502 failed"
+    And the grace upstream "b1" has run 0 calls
--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -156,3 +156,25 @@
 @then('no grace invariant was broken')
 def then_sound(context):
     assert not context.host.node.core.ledger.broken
+
+
+@given('a grace host with {grace:g} seconds that runs {most:d} request at once')
+def given_narrow(context, grace, most):
+    context.host = GraceHost(grace, most=most)
+
+
+@then('the second grace caller\'s outcome is "{outcome}"')
+def then_second(context, outcome):
+    assert context.second.outcome() == outcome, context.second.received()
+
+
+@then('the second grace caller may try again in 1 second')
+def then_retry(context):
+    received = context.second.received().lower()
+    assert b'retry-after: 1\r\n' in received, received
+
+
+@then('the grace upstream "{name}" has run {number:d} calls')
+def then_runs(context, name, number):
+    runs = context.host.upstreams[name].runs
+    assert len(runs) == number, runs
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -122,6 +122,7 @@
         now = self.reactor.seconds()
         plan = plan_grace(now, self.settings.grace_seconds, self._lame_duck())
         self.node.core.departure.ends_at = plan.tells_at
+        self.node.core.admission.leave(plan.tells_at)
         self.node.leaving = True
         self.node.core.rates.leave()
         self.caller_port.factory.channels.closing = True
--- a/pollenstile/limits/_admission.py
+++ b/pollenstile/limits/_admission.py
@@ -181,6 +181,30 @@
             return self._refusal(waiting, wait, 'too many requests wait')
         return await self._enqueue(waiting)
 
+    def leave(self, ends_at):
+        """Refuse waiting requests that can't be done before a time.
+
+        Explanation
+        ===========
+
+        Each is refused when its latest start is past, at once if it is now.
+
+        Parameters
+        ==========
+
+        ends_at : float
+            Time at which the leaving host ends its requests.
+        """
+        for flow in list(self.queue.flows.values()):
+            for waiting in list(flow.items):
+                latest = min(waiting.latest, ends_at - waiting.needed)
+                waiting.timer.cancel()
+                waiting.timer = self.clock.callLater(
+                    max(0, latest - self.clock.seconds()),
+                    self._refuse_leaving,
+                    waiting,
+                )
+
     def request_ended(self, request):
         """Release the capacity of an admitted request that has ended."""
         self.running -= 1
@@ -300,6 +324,11 @@
             self._refusal(waiting, self._wait(waiting), 'waited too long'),
         )
 
+    def _refuse_leaving(self, waiting):
+        self.queue.remove(waiting.key, waiting)
+        refusal = self._refusal(waiting, 0, 'this host is leaving')
+        waiting.started.callback(refusal)
+
     def _start_waiting(self):
         while self.queue.size:
             key = self._next_key()
--- a/pollenstile/pipeline/_departure.py
+++ b/pollenstile/pipeline/_departure.py
@@ -3,9 +3,10 @@
 import math
 
 from pollenstile.outcomes import Failed, Refused, Unknown
+from pollenstile.pipeline._decisions import has_enough_time
 
+LEAVING = 'this host is leaving'
 _UNAVAILABLE = 503
-_REASON = 'this host is leaving'
 _STEP = 'grace'
 # Other hosts can take the request at once.
 _RETRY_SECONDS = 1.0
@@ -30,6 +31,57 @@
         self.ends_at = math.inf
         self.is_over = False
 
+    @property
+    def is_set(self):
+        """Whether the host leaves."""
+        return self.ends_at < math.inf
+
+
+def may_begin(departure, now, needed):
+    """Return whether a request may begin of which nothing has run.
+
+    Explanation
+    ===========
+
+    One that is likely not done at the end is refused while that is true.
+
+    Parameters
+    ==========
+
+    departure : Departure
+        That of the host.
+    now : float
+        Present time on the clock.
+    needed : float
+        Expected seconds of all its stages.
+
+    Examples
+    ========
+
+    >>> from pollenstile.pipeline._departure import Departure, may_begin
+    >>> departure = Departure()
+    >>> may_begin(departure, 5.0, 3.0)
+    True
+    >>> departure.ends_at = 7.0
+    >>> may_begin(departure, 5.0, 3.0), may_begin(departure, 5.0, 2.0)
+    (False, True)
+    """
+    return not departure.is_over and now + needed <= departure.ends_at
+
+
+def may_send(departure, stage, now, expected):
+    """Return whether a call may be sent; see :func:`has_enough_time`.
+
+    Parameters
+    ==========
+
+    expected : float
+        Expected seconds of the stage.
+    """
+    if departure.is_over:
+        return False
+    return has_enough_time(stage, departure.ends_at - now, expected)
+
 
 def ended_outcome(host, sent):
     """Return the outcome of a request that its leaving host ends.
@@ -52,6 +104,6 @@
     'failed'
     """
     if sent == 'nothing':
-        return Refused(_UNAVAILABLE, _REASON, _STEP, host, _RETRY_SECONDS)
+        return Refused(_UNAVAILABLE, LEAVING, _STEP, host, _RETRY_SECONDS)
     kind = Unknown if sent == 'once' else Failed
-    return kind(_REASON, _STEP, host)
+    return kind(LEAVING, _STEP, host)
--- a/pollenstile/pipeline/_run.py
+++ b/pollenstile/pipeline/_run.py
@@ -4,11 +4,11 @@
 
 from twisted.internet.defer import CancelledError
 
-from pollenstile.limits import expected_time
+from pollenstile.limits import expected_time, expected_times
 from pollenstile.outcomes import Answered, Failed, Refused, Unknown
 from pollenstile.pipeline import events
 from pollenstile.pipeline._decisions import stage_budget
-from pollenstile.pipeline._departure import ended_outcome
+from pollenstile.pipeline._departure import ended_outcome, may_begin
 from pollenstile.pipeline._stage import StageFailed, StageRun
 
 _UNPROCESSABLE = 422
@@ -104,7 +104,16 @@
     return outcome
 
 
+def _may_begin(core, request):
+    if not core.departure.is_set:
+        return True
+    needed = sum(expected_times(request, core.tracker))
+    return may_begin(core.departure, core.clock.seconds(), needed)
+
+
 async def _run_stages(core, request, on_token):
+    if not _may_begin(core, request):
+        return ended_outcome(core.host, core.ledger.sent(request))
     outputs = {}
     cost = {}
     stages = request.pipeline.stages
--- a/pollenstile/pipeline/_silence.py
+++ b/pollenstile/pipeline/_silence.py
@@ -12,6 +12,7 @@
 from pollenstile.ops.lateness import reading_time
 from pollenstile.pipeline import events
 from pollenstile.pipeline._decisions import may_retry
+from pollenstile.pipeline._departure import may_send
 from pollenstile.pipeline._learning import record_slow_attempt
 from pollenstile.upstream import Lost
 
@@ -30,6 +31,7 @@
 _NOT_ALLOWED = 'not allowed'
 _NO_UPSTREAM = 'no upstream'
 _NO_BUDGET = 'no budget'
+_LEAVING = 'the host leaves'
 
 
 def remaining_seconds(run):
@@ -116,6 +118,8 @@
         return _OTHERS_IN_FLIGHT
     if not may_retry_now(run, run.attempts.number, may_have_run=True):
         return _NOT_ALLOWED
+    if not may_send_now(run):
+        return _LEAVING
     choice = _select_beside(run.attempts)
     if choice is None:
         return _NO_UPSTREAM
@@ -146,6 +150,13 @@
     )
 
 
+def may_send_now(run):
+    """Return whether the host, if it leaves, still sends calls of a stage."""
+    return may_send(
+        run.core.departure, run.stage, run.core.clock.seconds(), run.expected
+    )
+
+
 def _select_beside(attempts):
     """Return the upstream for an attempt beside silent ones, or None.
 
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -21,6 +21,7 @@
     has_enough_time,
     hedge_avoids_queue,
 )
+from pollenstile.pipeline._departure import LEAVING
 from pollenstile.pipeline._learning import (
     record_first_token,
     record_reply,
@@ -28,6 +29,7 @@
 )
 from pollenstile.pipeline._silence import (
     may_retry_now,
+    may_send_now,
     note_heard,
     remaining_seconds,
     start_beside,
@@ -144,6 +146,10 @@
             self.last_failure = NotRun('deadline')
             self._fail()
             return
+        if not may_send_now(self):
+            self.last_failure = NotRun(LEAVING)
+            self._fail()
+            return
         choice = self.attempts.select_upstream()
         if choice is None:
             self.core.log(
@@ -197,6 +203,7 @@
             len(in_flight) != 1
             or in_flight[0].has_output
             or not _has_enough_time(self)
+            or not may_send_now(self)
         ):
             return
         choice = self.attempts.select_upstream()
