claims: a request that its host ends leaves its key as its outcome says

What callers saw: at the end of a grace, a repeat that waited for the request with its key was told not-run while that one's answer had begun; a request that was told not-run while its claim was on its way left the key held for its window, so that no repeat could run.

Cause: whatever waits in the claims was cancelled like a call: the wait for another request's outcome ended as one of which nothing was sent, and a claim that had been handed to the store was neither withdrawn nor released.

Change: a cancelled wait ends as the request with the key still running (409, unknown), a cancelled question to the holder's host like one without an answer (unknown), a cancelled claim is withdrawn: dropped if it wasn't sent, else released by a record after it, which the shutdown writes before it ends.

Evidence, on the code before: "502 failed" and later "503 not-run" for the repeat beside a begun stream (409 unknown now); the log of keys has the claim alone (claim, release now). Already so before, now scenarios: an unknown end keeps the claim and a repeat at the next host isn't run; a failed and a not-run end release it, and the repeat is answered.

Not shown by a run: the cancelled question to another host, and a cancelled claim that another host appends.

--- a/features/builders/entrygrace.py
+++ b/features/builders/entrygrace.py
@@ -62,6 +62,10 @@
             'chat': Pipeline(60000, ['salons'], [chat]),
             'rank': Pipeline(60000, ['salons'], [rank]),
             'book': Pipeline(60000, ['salons'], [book], idempotent=False),
+            'once-chat': Pipeline(60000, ['salons'], [chat], idempotent=False),
+            'long-book': Pipeline(
+                60000, ['salons'], [long, book], idempotent=False
+            ),
             'long': Pipeline(60000, ['salons'], [long]),
             'rank-book': Pipeline(
                 60000, ['salons'], [rank, book], idempotent=False
@@ -197,6 +201,12 @@
     return b'\r\n'.join([*lines, b'', body])
 
 
+def _started_clock():
+    clock = PortClock()
+    clock.advance(1000.0)
+    return clock
+
+
 class GraceHost:
     """One entry host with virtual callers, store and upstreams.
 
@@ -211,6 +221,8 @@
         Seed of the host's random numbers.
     most : int
         Requests that run at once.
+    before : GraceHost or None
+        Another host with the same store.
 
     Attributes
     ==========
@@ -223,11 +235,10 @@
         Time at which its grace ends.
     """
 
-    def __init__(self, grace=8, work=0.05, seed=1, most=100):
+    def __init__(self, grace=8, work=0.05, seed=1, most=100, before=None):
         self.grace = grace
-        self.clock = PortClock()
-        self.clock.advance(1000.0)
-        self.store = MemoryStore(self.clock)
+        self.clock = before.clock if before else _started_clock()
+        self.store = before.store if before else MemoryStore(self.clock)
         self.store.latency = 0.005
         self.lines = []
         self.callers = []
@@ -239,11 +250,12 @@
             name: VirtualUpstream(self.clock, name, kind, 8, times)
             for name, kind in _KINDS.items()
         }
+        name = 'h2' if before else 'h1'
         settings = settings_from(
             None,
             ENTRY,
             {
-                'POLLENSTILE_HOST': 'h1',
+                'POLLENSTILE_HOST': name,
                 'POLLENSTILE_DOMAIN': 'here',
                 'POLLENSTILE_GRACE_SECONDS': str(grace),
                 'POLLENSTILE_MAX_RUNNING': str(most),
@@ -254,7 +266,7 @@
             self.clock,
             Random(seed),
             settings,
-            network.transport_from('h1'),
+            network.transport_from(name),
             store=self.store,
             log=self._log,
         )
@@ -291,6 +303,15 @@
             if self.stopping and self.stopped_at is None:
                 self.stopped_at = self.clock.seconds()
 
+    def key_records(self):
+        """Return the steps of all records of keys in the store, in order."""
+        objects = self.store.objects
+        steps = []
+        for name in sorted(objects.names.get('claims', ())):
+            segment = objects.found('claims', name).value
+            steps.extend(record[0] for record in segment[2])
+        return steps
+
     def logged(self, name):
         """Return the fields of all lines of an event."""
         return [fields for event, fields in self.lines if event == name]
--- a/features/entry_grace.feature
+++ b/features/entry_grace.feature
@@ -129,3 +129,53 @@
     And 8 seconds of grace pass
     Then the grace caller's outcome is "502 failed"
     And the grace upstream "b1" has run 0 calls
+
+  Scenario Outline: The end of a grace leaves a key as its outcome says: <pipeline>
+    Guards against a repeat that runs a second time, or that is never run though nothing has.
+    Given a grace host with 2 seconds
+    And its upstreams stand still
+    When a grace caller sends the key "k" to "<pipeline>"
+    And 0.005 seconds of grace pass
+    And the grace host gets the stop signal
+    And 2 seconds of grace pass
+    Then the grace caller's outcome is "<outcome>"
+    And the grace keys have the records "<records>"
+    When a grace caller sends the key "k" to "<pipeline>" at the next host
+    And 1 seconds of grace pass
+    Then the grace caller's outcome is "<repeat>"
+    And the grace host had stopped before it was killed
+
+    Examples:
+      | pipeline  | outcome     | records        | repeat      |
+      | book      | 502 unknown | claim          | 502 unknown |
+      | rank-book | 502 failed  | claim, release | answered    |
+      | long-book | 503 not-run | claim, release | answered    |
+
+  Scenario: A claim that is on its way at the end of a grace is released
+    Guards against a key that stays held by a request which was told as not run.
+    Given a grace host with 2 seconds
+    When a grace caller sends the key "k" to "book"
+    And 0.006 seconds of grace pass
+    And the grace store takes 1.75 seconds
+    And 0.01 seconds of grace pass
+    And the grace host gets the stop signal
+    And 1.7 seconds of grace pass
+    Then the grace caller's outcome is "503 not-run"
+    When the grace store takes 0.005 seconds
+    And 0.3 seconds of grace pass
+    Then the grace keys have the records "claim, release"
+    And the grace upstream "b1" has run 0 calls
+    And the grace host had stopped before it was killed
+
+  Scenario: Whoever waits for the request that holds the key isn't told as not run
+    Guards against a repeat that is told as not run while its first request has begun to answer.
+    Given a grace host with 2 seconds
+    When a grace caller sends the key "k" to "once-chat"
+    And 0.12 seconds of grace pass
+    And its upstreams stand still
+    And a second grace caller sends the key "k" to "once-chat"
+    And the grace host gets the stop signal
+    And 2 seconds of grace pass
+    Then the grace caller's outcome is "reset"
+    And the second grace caller's outcome is "409 unknown"
+    And the grace host had stopped before it was killed
--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -44,7 +44,7 @@
 
 @when('{seconds:g} seconds of grace pass')
 def when_passes(context, seconds):
-    context.host.advance(seconds)
+    context.host.advance(seconds, min(0.01, seconds))
 
 
 @when('the second grace caller leaves')
@@ -178,3 +178,30 @@
 def then_runs(context, name, number):
     runs = context.host.upstreams[name].runs
     assert len(runs) == number, runs
+
+
+@when('a grace caller sends the key "{key}" to "{pipeline}"')
+def when_keyed(context, key, pipeline):
+    context.caller = context.host.call(pipeline, key, stream=True)
+
+
+@when('a second grace caller sends the key "{key}" to "{pipeline}"')
+def when_second_keyed(context, key, pipeline):
+    context.second = context.host.call(pipeline, key, stream=True)
+
+
+@when('a grace caller sends the key "{key}" to "{pipeline}" at the next host')
+def when_next(context, key, pipeline):
+    following = GraceHost(before=context.host)
+    context.caller = following.call(pipeline, key, stream=True)
+
+
+@when('the grace store takes {seconds:g} seconds')
+def when_store(context, seconds):
+    context.host.store.latency = seconds
+
+
+@then('the grace keys have the records "{records}"')
+def then_keys(context, records):
+    steps = context.host.key_records()
+    assert ', '.join(steps) == records, steps
--- a/pollenstile/claims/_claims.py
+++ b/pollenstile/claims/_claims.py
@@ -1,6 +1,6 @@
 """Claims idempotency keys for an entry host: at most one run of each key."""
 
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import CancelledError, Deferred, DeferredList
 
 from pollenstile.claims import events
 from pollenstile.claims._digests import (
@@ -47,9 +47,16 @@
         self.record = record
         self.waiters = []
 
-    def add_waiter(self):
-        """Return a Deferred that fires with the outcome."""
-        waiter = Deferred()
+    def add_waiter(self, running):
+        """Return a Deferred that fires with the outcome.
+
+        Parameters
+        ==========
+
+        running : Unknown
+            What it fires with if it is cancelled.
+        """
+        waiter = Deferred(lambda cancelled: cancelled.callback(running))
         self.waiters.append(waiter)
         return waiter
 
@@ -245,7 +252,7 @@
             return self._refuse_mismatch(request, running.record)
         self._log_repeat(request, running.record)
         remaining = max(0, request.deadline - self.clock.seconds())
-        waiter = running.add_waiter().addTimeout(
+        waiter = running.add_waiter(_still_running(self.host)).addTimeout(
             remaining,
             self.clock,
             onTimeoutCancel=lambda *_: _still_running(self.host),
@@ -271,6 +278,7 @@
     async def _query_holder(self, request, holder):
         remaining = max(0, request.deadline - self.clock.seconds())
         asking = Deferred.fromCoroutine(self.query_holder(holder))
+        asking.addErrback(_none_if_cancelled)
         return await asking.addTimeout(
             remaining,
             self.clock,
@@ -299,7 +307,12 @@
         if self.forward is None:
             return await self._append_claim(record, patience)
         shard = shard_for_key(record.key, self.shards)
-        result = await self.forward(shard, record)
+        result = None
+        try:
+            result = await self.forward(shard, record)
+        except CancelledError:
+            self._release(record)
+            raise
         if isinstance(result, Held):
             return result
         # The other host may have appended the claim, or may do so later. This
@@ -314,7 +327,10 @@
         log = self.shard_log(record.key)
         pending = log.submit(record, own=own)
         timer = self.clock.callLater(patience, log.withdraw, pending)
-        result = await pending.done
+        # A claim whose request is cancelled must not stay in the log.
+        waiting = Deferred(lambda _: log.withdraw(pending, 'cancelled'))
+        pending.done.chainDeferred(waiting)
+        result = await waiting
         if timer.active():
             timer.cancel()
         return result
@@ -371,6 +387,10 @@
         )
 
 
+def _none_if_cancelled(failure):
+    failure.trap(CancelledError)
+
+
 def _cut_off(host):
     return Unknown('the run was cut off', _STEP, host)
 
