entry: a request still being received at the end of a grace is refused

What callers saw: a caller that sends slowly had its connection cut when its host ended, with no word on what ran.

Cause: the end asked requests that run, and closed the connections of the rest.

Evidence: on the code before, half a head and half a body end with nothing received; now 503 not-run. Scenarios besides, true before this commit: of two pipelined requests the first gets 502 and the second 503 of its own, and a caller that doesn't read holds its host no longer than the grace (1, 8, 30 s).

--- a/features/builders/entrygrace.py
+++ b/features/builders/entrygrace.py
@@ -125,6 +125,10 @@
     def setTcpNoDelay(self, enabled):
         """Do nothing; called by the channel."""
 
+    def unregisterProducer(self):
+        """Forget the producer, if there is one, as real transports do."""
+        self.producer = None
+
     def loseConnection(self):
         """End it after the last byte; called by the host."""
         super().loseConnection()
--- a/features/entry_grace.feature
+++ b/features/entry_grace.feature
@@ -179,3 +179,45 @@
     Then the grace caller's outcome is "reset"
     And the second grace caller's outcome is "409 unknown"
     And the grace host had stopped before it was killed
+
+  Scenario Outline: A request that has not arrived whole by the end is refused: <part>
+    Guards against a caller that still sends and sees its connection cut, with no word on what ran.
+    Given a grace host with 2 seconds
+    When a grace caller sends <part> of a request
+    And the grace host gets the stop signal
+    And 1.8 seconds of grace pass
+    Then the grace caller's outcome is "open"
+    When 0.2 seconds of grace pass
+    Then the grace caller's outcome is "503 not-run"
+    And the grace host had stopped before it was killed
+
+    Examples:
+      | part              |
+      | half of the head  |
+      | half of the body  |
+
+  Scenario: A request that was sent behind another one is refused by itself
+    Guards against a request in a connection's buffer that ends with the one before it.
+    Given a grace host with 2 seconds
+    And its upstreams stand still
+    When a grace caller sends two requests for "rank" at once
+    And the grace host gets the stop signal
+    And 2 seconds of grace pass
+    Then the grace caller has the statuses "502, 503"
+    And the grace host had stopped before it was killed
+
+  Scenario Outline: A caller that doesn't read holds no host past its grace: <grace> s of grace
+    Guards against a wait for readers that is longer than the grace.
+    Given a grace host with <grace> seconds
+    When a grace caller that does not read asks for "rank"
+    And 0.5 seconds of grace pass
+    And the grace host gets the stop signal
+    And <grace> seconds of grace pass
+    Then the grace host had stopped before it was killed
+    And the grace log has "callers-cut-off" for the grace caller alone
+
+    Examples:
+      | grace |
+      | 1     |
+      | 8     |
+      | 30    |
--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from features.builders.entrygrace import GraceHost
+from features.builders.entrygrace import GraceHost, request_bytes
 from pollenstile.ops import _explaincmd as explaincmd
 from pollenstile.ops.events import catalogue
 
@@ -205,3 +205,24 @@
 def then_keys(context, records):
     steps = context.host.key_records()
     assert ', '.join(steps) == records, steps
+
+
+@when('a grace caller sends {part} of a request')
+def when_part(context, part):
+    request = request_bytes('rank')
+    head = request.index(b'\r\n\r\n')
+    ends = {'half of the head': head // 2, 'half of the body': head + 9}
+    context.caller = context.host.connect()
+    context.caller.send(request[: ends[part]])
+
+
+@when('a grace caller sends two requests for "{pipeline}" at once')
+def when_two(context, pipeline):
+    context.caller = context.host.connect()
+    context.caller.send(request_bytes(pipeline) * 2)
+
+
+@then('the grace caller has the statuses "{statuses}"')
+def then_statuses(context, statuses):
+    seen = ', '.join(str(number) for number in context.caller.statuses())
+    assert seen == statuses, context.caller.received()
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -9,6 +9,7 @@
 from pollenstile.entry._admin import AdminResource
 from pollenstile.entry._frontend import CallerResource
 from pollenstile.entry._grace import plan_grace
+from pollenstile.entry._unread import refuse_unread
 from pollenstile.ops.http import site_for
 from pollenstile.ops.lateness import reading_time
 from pollenstile.peer import tcp_listen
@@ -206,11 +207,19 @@
         )
 
     def _drain_connections(self, plan):
-        return self.caller_port.factory.channels.close_gracefully().addTimeout(
+        channels = self.caller_port.factory.channels
+        refusing = self.reactor.callLater(
+            self._seconds_until(plan.resets_at),
+            refuse_unread,
+            channels,
+            self.node.core.log,
+        )
+        drained = channels.close_gracefully().addTimeout(
             self._seconds_until(plan.closes_at),
             self.reactor,
             onTimeoutCancel=self._abort_connections,
         )
+        return drained.addBoth(_stop_timer, refusing)
 
     def _abort_connections(self, *_):
         # A caller that no longer reads must not block the shutdown forever.
@@ -226,6 +235,12 @@
         )
 
 
+def _stop_timer(result, timer):
+    if timer.active():
+        timer.cancel()
+    return result
+
+
 def address_of(port):
     """Return the address of a listening port as ``IP:PORT``."""
     host = port.getHost()
