--- a/pollenstile/entry/events.py
+++ b/pollenstile/entry/events.py
@@ -26,10 +26,30 @@
     'An unexpected exception ended a request.',
     'Report it with the complete line.',
 )
+GRACE_ENDED = define(
+    8011,
+    'grace-ended',
+    'Requests were still running near the end of the grace. Each was told how it'
+    ' ended, and begun answers were reset; the lines of their ends (1004) have'
+    ' the step grace.',
+    'Many: give a longer grace, or shorter deadlines.',
+)
 CUT_OFF = define(
     8007,
     'callers-cut-off',
     'Connections of callers that did not read their answers were aborted at'
-    ' shutdown.',
+    ' shutdown; the line has the last request of each.',
     'None; such callers have stopped or are unreachable.',
 )
+ANSWER_RESET = define(
+    8008,
+    'answer-reset',
+    'The host reset the connection of a caller: the answer had begun and has no'
+    ' end.',
+    'The line of its end (1004) has the cause.',
+)
+CALLER_LEFT = define(
+    8009,
+    'caller-closed',
+    'A caller closed its connection before its answer was complete.',
+)
