live soak: requests that outlast a grace, and bytes without end

No request of the live soak ever outlived the grace of a host, and no upstream sent bytes that never end, so neither the end of a grace nor a bound on what hosts read was ever played.

The proxies read no faster than the hosts do, so the soak's memory holds.

--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -23,6 +23,22 @@
 }
 
 
+# Grace of the hosts of a live run whose requests may outlast it.
+_GRACE_SECONDS = 4.0
+_HUSHES = ('nobody', 'engines', 'stages', 'both', 'forgetful')
+_ALL_FORMS = 'all'
+_FORMS = (
+    'head',
+    'continue',
+    'event',
+    'nobody',
+    'failure',
+    'lookup',
+    'stage',
+    _ALL_FORMS,
+)
+
+
 def add_parser(commands):
     """Add the subcommand."""
     parser = commands.add_parser(
@@ -81,6 +97,8 @@
         help='with --live: number of entry hosts [4]',
     )
     _add_silence_flags(parser)
+    _add_grace_flags(parser)
+    _add_endless_flags(parser)
     parser.set_defaults(run=run)
 
 
@@ -110,6 +128,51 @@
     )
 
 
+def _add_grace_flags(parser):
+    parser.add_argument(
+        '--graces',
+        nargs='?',
+        choices=_HUSHES,
+        const=_HUSHES[1],
+        metavar='SILENT',
+        help='stop hosts gracefully while requests may outlast their grace; '
+        'with --live: two hosts in turn, as the only faults, while the '
+        'upstreams of SILENT stand still from shortly before each SIGTERM on: '
+        f'{", ".join(_HUSHES)} (engines whose stage results are gone when '
+        f'they go on) [{_HUSHES[1]}]',
+    )
+    parser.add_argument(
+        '--grace-seconds',
+        type=_positive_seconds,
+        default=_GRACE_SECONDS,
+        help=f'with --live --graces: grace of the hosts [{_GRACE_SECONDS:g}]',
+    )
+
+
+def _add_endless_flags(parser):
+    parser.add_argument(
+        '--endless',
+        nargs='?',
+        choices=_FORMS,
+        const=_ALL_FORMS,
+        metavar='FORM',
+        help='let upstreams send without end what brings nothing; with --live: '
+        'as the only fault, for --seconds, one upstream of each service that '
+        f'FORM is for: {", ".join(_FORMS)} [{_ALL_FORMS}]',
+    )
+    parser.add_argument(
+        '--endless-rate',
+        choices=('fast', 'slow', 'drip'),
+        default='fast',
+        help='with --live --endless: 4 MB/s, 20 kB/s or 1 kB/s [fast]',
+    )
+    parser.add_argument(
+        '--endless-whole',
+        action='store_true',
+        help='with --live --endless: all upstreams of a service do so',
+    )
+
+
 def _positive_seconds(text):
     seconds = float(text)
     if not 0 < seconds <= _MAX_SILENCE_SECONDS:
@@ -198,7 +261,7 @@
                 arguments.seconds,
                 arguments.hosts,
                 logs=logs,
-                silences=_silence_plan(arguments),
+                plan=_plan(arguments),
             )
         print(_live_line(result), flush=True)
         if result.broken:
@@ -208,9 +271,14 @@
     return BAD_RESULT if broken else GOOD
 
 
-def _silence_plan(arguments):
-    from pollenstile.soak.live import SilencePlan  # noqa: WPS433
+def _plan(arguments):
+    """Return what the only faults of a live run are, or None for all."""
+    from pollenstile.soak.live import GracePlan, SilencePlan  # noqa: WPS433
 
+    if arguments.graces:
+        return GracePlan(arguments.graces, arguments.grace_seconds)
+    if arguments.endless:
+        return _endless_plan(arguments)
     if not arguments.silences:
         return None
     return SilencePlan(
@@ -221,6 +289,24 @@
     )
 
 
+def _endless_plan(arguments):
+    from pollenstile.soak.live import (  # noqa: WPS433
+        FORMS,
+        RATES,
+        EndlessPlan,
+    )
+
+    names = (arguments.endless,)
+    if arguments.endless == _ALL_FORMS:
+        names = tuple(FORMS)
+    return EndlessPlan(
+        names,
+        RATES[arguments.endless_rate],
+        arguments.endless_whole,
+        arguments.seconds,
+    )
+
+
 def _log_file(folder, seed):
     if folder is None:
         return nullcontext()
@@ -239,6 +325,25 @@
         f'lost: {_counts_text(result.sound.lost)}; '
         f'refused: {_counts_text(result.sound.refused)}; '
         f'runs: {_counts_text(result.sound.runs)}'
+        f'{_graces_text(result.graces)}{_endless_text(result.endless)}\n'
+        f'  peak memory: {max(result.peaks.values(), default=0.0):.0f} MB'
+    )
+
+
+def _graces_text(graces):
+    if not graces.ends:
+        return ''
+    return f'\n  read before a stop: {_counts_text(graces.ends)}'
+
+
+def _endless_text(endless):
+    if not endless.answers:
+        return ''
+    return (
+        f'\n  endless: {endless.answers} answers, longest '
+        f'{endless.longest:.2f} s, largest {endless.largest_mb:.1f} MB; '
+        f'{_counts_text(endless.ends)}; '
+        f'sent elsewhere: {_counts_text(endless.elsewhere)}'
     )
 
 
--- a/pollenstile/soak/live/__init__.py
+++ b/pollenstile/soak/live/__init__.py
@@ -1,4 +1,7 @@
 """Fault tests of real entry hosts with processes, proxies and signals."""
 
+from pollenstile.soak.live._endless import FORMS, RATES
+from pollenstile.soak.live._endlessruns import EndlessPlan
+from pollenstile.soak.live._outlast import HUSHES, GracePlan
 from pollenstile.soak.live._run import LiveResult, run_live
 from pollenstile.soak.live._silences import SilencePlan
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -22,8 +22,8 @@
     events_in,
 )
 
-# Deadline that callers send with each request, by route.
-DEADLINE_SECONDS = {'find': 5.0, 'book': 5.0, 'draft': 5.0, 'digest': 5.0}
+# Names of the routes.
+_KINDS = ('find', 'book', 'draft', 'digest')
 # Seconds beyond the deadline after which a caller closes its connection.
 _GIVE_UP_MARGIN_SECONDS = 4.0
 # Routes for which requests that crash their upstream are sent, and seconds
@@ -133,7 +133,7 @@
             await deferLater(world.reactor, pause)
             count += 1
             ident = f'c{self.number}-{count}'
-            kind = self.rng.choice(tuple(DEADLINE_SECONDS))
+            kind = self.rng.choice(_KINDS)
             record = await self._send(ident, kind, ident, self._key())
             if record is not None and kind == RESUMABLE_KIND:
                 await self._take_up(record)
@@ -198,7 +198,7 @@
             self.host.name,
             key,
             now,
-            DEADLINE_SECONDS[kind],
+            world.lengths.deadline,
             content,
             resumes,
             after,
@@ -232,7 +232,8 @@
         )
         try:
             await work
-        except _CONNECTION_ERRORS:
+        except _CONNECTION_ERRORS as error:
+            record.gave_up = isinstance(error, TimeoutError)
             connection.transport.abortConnection()
             self.connection = None
 
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -53,10 +53,11 @@
 def find_violations(records):
     """Return a line for each violated invariant."""
     runs = records.runs_by_ident()
+    endless = {answer.ident for answer in records.endless_answers}
     lines = list(records.broken)
     for record in records.requests:
         own_runs = runs.get(record.ident, [])
-        lines.extend(_answer_violations(record))
+        lines.extend(_answer_violations(record, record.ident in endless))
         lines.extend(_run_violations(record, own_runs, records.revoked_at))
         lines.extend(_time_violations(record, records))
         lines.extend(_version_violations(record))
@@ -93,19 +94,22 @@
         yield f'joined versions {sorted(versions)}: {record.ident}'
 
 
-def _answer_violations(record):
+def _answer_violations(record, is_endless):
     """Check that a success is the request's answer or begins it, and no 404."""
     if record.status == _OK:
-        if not _is_own_answer(record):
+        if not _is_own_answer(record, is_endless):
             yield f'wrong answer: {record.ident}: {_summary_of(record.body)}'
     elif record.status == 404:
         yield f'unexpected status: {record.ident}: 404'
 
 
-def _is_own_answer(record):
+def _is_own_answer(record, is_endless):
     expected = _expected_body(record)
     if record.complete:
         return record.body == expected
+    if is_endless and record.kind in {'find', 'book'}:
+        # What its upstream sent without end begins like its answer.
+        return record.body in expected * (len(record.body) // len(expected) + 1)
     if record.kind in {'find', 'book'} or events_in(record.body):
         return expected.startswith(record.body)
     return True
--- /dev/null
+++ b/pollenstile/soak/live/_endlessruns.py
@@ -0,0 +1,241 @@
+"""Upstreams that send bytes without end, and what hosts make of them."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from pollenstile.soak.live._endless import FORMS, RATES, EndlessSource
+from pollenstile.soak.live._records import Endless, Fault
+from pollenstile.soak.live._servers import STAGES
+from pollenstile.soak.live._world import ATTEMPTS
+
+_OK = 200
+_NEVER = float('inf')
+_FAILED_STATUSES = frozenset((502, 504))
+# Seconds of requests before each time, and after the last one.
+_PAUSE_SECONDS = 3.0
+_AFTER_SECONDS = 3.0
+# Mean seconds between two times among other faults, and their length.
+_MEAN_WAIT_SECONDS = 3.0
+_LENGTHS_SECONDS = (0.5, 3.0)
+# Share of these in which all upstreams of a service send so.
+_WHOLE_SHARE = 0.3
+# Seconds for which a host may go on reading such an answer, beyond the deadline
+# of the requests: the machine is shared by a dozen processes.
+_READ_MARGIN_SECONDS = 3.0
+# Requests from which on the share that was sent elsewhere counts.
+_MIN_REQUESTS = 4
+_MIN_ELSEWHERE_SHARE = 0.25
+# Memory that a host may use at most.
+MAX_MEMORY_MB = 300.0
+
+
+@dataclass(slots=True, frozen=True)
+class EndlessPlan:
+    """Bytes without end that are the only faults of a run.
+
+    Parameters
+    ==========
+
+    names : tuple of str
+        Forms in ``FORMS``, one after the other.
+    rate : float
+        Bytes that each answer has in a second.
+    is_whole : bool
+        Whether all upstreams of a service send so, or one.
+    seconds : float
+        Duration of each form, shared by its services.
+    """
+
+    names: tuple
+    rate: float
+    is_whole: bool
+    seconds: float
+
+
+@dataclass(slots=True)
+class EndlessCounts:
+    """What became of requests whose upstreams sent bytes without end.
+
+    Attributes
+    ==========
+
+    ends : Counter
+        Requests by form and end.
+    elsewhere : Counter
+        Requests that one of several upstreams answered so, by whether another
+        one got them: ``'yes'`` or ``'no'``.
+    answers, longest, largest_mb : int, float, float
+        Such answers, the seconds of the longest and the size of the largest.
+    lines : list of str
+        A line for each violation.
+    """
+
+    ends: Counter = field(default_factory=Counter)
+    elsewhere: Counter = field(default_factory=Counter)
+    answers: int = 0
+    longest: float = 0.0
+    largest_mb: float = 0.0
+    lines: list = field(default_factory=list)
+
+
+async def send_endless(world, servers, name, rate, seconds):
+    """Let upstreams answer with bytes that never end for some seconds."""
+    reactor = world.reactor
+    now = reactor.seconds()
+    is_alone = len(servers) == 1
+    times = []
+    for server in servers:
+        text = f'endless {name} at {rate} B/s'
+        world.records.faults.append(Fault(now, server.ident, text))
+        times.append(Endless(server.ident, name, is_alone, now))
+        server.endless = EndlessSource(name, rate)
+    world.records.endless.extend(times)
+    await deferLater(reactor, seconds)
+    now = reactor.seconds()
+    for server, time in zip(servers, times, strict=True):
+        world.records.faults.append(Fault(now, server.ident, 'ended'))
+        time.ended = now
+        server.endless = None
+
+
+async def play_endless(world, plan):
+    """Let upstreams send the bytes of each form of a plan."""
+    for name in plan.names:
+        services = FORMS[name].services
+        for service in services:
+            await deferLater(world.reactor, _PAUSE_SECONDS)
+            servers = _draw(world, world.rng, service, is_whole=plan.is_whole)
+            await send_endless(
+                world, servers, name, plan.rate, plan.seconds / len(services)
+            )
+    await deferLater(world.reactor, _AFTER_SECONDS)
+
+
+async def send_endless_at_random(world, seconds):
+    """Let upstreams send bytes without end now and then.
+
+    Explanation
+    ===========
+
+    The times have a generator of their own, so that a seed's other faults are
+    those of a run without them.
+    """
+    rng = Random(f'{world.seed}/endless')
+    reactor = world.reactor
+    end = reactor.seconds() + seconds
+    running = []
+    while True:
+        await deferLater(reactor, rng.expovariate(1 / _MEAN_WAIT_SECONDS))
+        if reactor.seconds() > end:
+            break
+        running.append(Deferred.fromCoroutine(_send_random(world, rng)))
+    for sending in running:
+        await sending
+
+
+async def _send_random(world, rng):
+    name = rng.choice(tuple(FORMS))
+    service = rng.choice(FORMS[name].services)
+    is_whole = rng.random() < _WHOLE_SHARE
+    rate = rng.choice(tuple(RATES.values()))
+    seconds = rng.uniform(*_LENGTHS_SECONDS)
+    servers = _draw(world, rng, service, is_whole=is_whole)
+    await send_endless(world, servers, name, rate, seconds)
+
+
+def _draw(world, rng, service, *, is_whole):
+    servers = world.servers_of(service)
+    return servers if is_whole else [rng.choice(servers)]
+
+
+def count_endless(records, deadline):
+    """Return the :class:`EndlessCounts` of a run.
+
+    Parameters
+    ==========
+
+    deadline : float
+        Deadline of the requests, in seconds.
+    """
+    counts = EndlessCounts(answers=len(records.endless_answers))
+    for answer in records.endless_answers:
+        _count_answer(answer, deadline, counts)
+    upstreams = records.upstreams_by_ident()
+    for time in records.endless:
+        met = _met_by(time, records)
+        for record in records.requests:
+            if record.ident in met:
+                _count_request(record, time, upstreams[record.ident], counts)
+    _check_elsewhere(counts)
+    for host, peak in sorted(records.peaks.items()):
+        if peak > MAX_MEMORY_MB:
+            counts.lines.append(f'{host} used {peak:.0f} MB')
+    return counts
+
+
+def _count_answer(answer, deadline, counts):
+    counts.largest_mb = max(counts.largest_mb, answer.sent_bytes / 1_000_000)
+    if answer.ended == _NEVER:
+        return
+    took = answer.ended - answer.began
+    counts.longest = max(counts.longest, took)
+    if took > deadline + _READ_MARGIN_SECONDS:
+        counts.lines.append(
+            f'read endless {answer.form} for {took:.2f} s: {answer.ident} at '
+            f'{answer.upstream}'
+        )
+
+
+def _met_by(time, records):
+    """Return the identifiers of what an upstream got meanwhile."""
+    return {
+        sent.ident
+        for sent in records.sent
+        if sent.upstream == time.upstream and time.began < sent.at < time.ended
+    }
+
+
+def _count_request(record, time, upstreams, counts):
+    end = f'{time.form} {_end_of(record)}'
+    counts.ends[end] += 1
+    service = time.upstream.rpartition('-')[0]
+    if not time.is_alone or not _may_go_elsewhere(record, service):
+        return
+    others = {
+        name
+        for name in upstreams
+        if name != time.upstream and name.rpartition('-')[0] == service
+    }
+    counts.elsewhere['yes' if others else 'no'] += 1
+
+
+def _may_go_elsewhere(record, service):
+    """Return whether a request, not begun, might have been sent elsewhere.
+
+    Explanation
+    ===========
+
+    Stage work is made again for each kind of request.
+    """
+    if ATTEMPTS[record.kind] < 2 and service not in STAGES:
+        return False
+    return record.complete or record.status in _FAILED_STATUSES
+
+
+def _end_of(record):
+    if record.status == _OK:
+        return 'whole' if record.complete else 'cut off'
+    return str(record.status) if record.status else 'unanswered'
+
+
+def _check_elsewhere(counts):
+    total = counts.elsewhere.total()
+    if total < _MIN_REQUESTS:
+        return
+    sent = counts.elsewhere['yes']
+    if sent < _MIN_ELSEWHERE_SHARE * total:
+        counts.lines.append(f'{sent} of {total} requests were sent elsewhere')
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -12,9 +12,6 @@
 from pollenstile.soak.live._proxy import LOOPBACK, Proxy
 
 COMMAND = (sys.executable, '-m', 'pollenstile.ops')
-# Seconds that a host has to shut down after SIGTERM before it is killed: those
-# for which it still accepts requests, and the longest deadline.
-GRACE_SECONDS = 8.0
 REVOKE_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
 _KILL_MARGIN_SECONDS = 1.0
@@ -80,7 +77,7 @@
             'peers-seen': format_address(self.peers.address),
             'revoke-seconds': str(REVOKE_SECONDS),
             'drain-seconds': str(DRAIN_SECONDS),
-            'grace-seconds': str(GRACE_SECONDS),
+            'grace-seconds': str(self.world.lengths.grace),
         }
         arguments = [*self.command, 'forward']
         for name, content in flags.items():
@@ -116,7 +113,9 @@
         self.transport.signalProcess(signal.SIGTERM)
         pid = self.transport.pid
         self.world.reactor.callLater(
-            GRACE_SECONDS + _KILL_MARGIN_SECONDS, self._kill_if_running, pid
+            self.world.lengths.grace + _KILL_MARGIN_SECONDS,
+            self._kill_if_running,
+            pid,
         )
 
     def is_running(self):
@@ -191,3 +190,13 @@
             self.peers.target = address(document['peers'])
         elif event in {'forward-crashed', 'peer-handler-failed'}:
             self.world.records.broken.append(f'crashed: {document}')
+        elif _says_left(document):
+            self.world.records.left.add(document['request'])
+
+
+def _says_left(document):
+    """Return whether a line says that a caller has closed its connection."""
+    return (
+        document.get('event') == 'caller-left'
+        or document.get('outcome') == 'caller left'
+    )
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -27,6 +27,31 @@
         self.connection.ended(self)
 
 
+class _Flow:
+    """Lets the server's end read no faster than the caller reads.
+
+    Parameters
+    ==========
+
+    end : _ProxyEnd
+        The server's end.
+    """
+
+    def __init__(self, end):
+        self.end = end
+
+    def pauseProducing(self):
+        """Read nothing until it is resumed; called by twisted."""
+        self.end.transport.pauseProducing()
+
+    def resumeProducing(self):
+        """Read on; called by twisted."""
+        self.end.transport.resumeProducing()
+
+    def stopProducing(self):
+        """Leave the end as it is: the faults decide when it closes."""
+
+
 class _ProxiedConnection:
     """One proxied connection.
 
@@ -65,6 +90,7 @@
         if side is self.caller:
             self.proxy.connect(self)
             return
+        self.caller.transport.registerProducer(_Flow(side), streaming=True)
         unsent = self.unsent
         self.unsent = []
         for data in unsent:
@@ -116,6 +142,7 @@
             return
         self.is_closed = True
         self.proxy.connections.discard(self)
+        self.caller.transport.unregisterProducer()
         for side in (self.caller, self.server):
             if side is None or side.transport is None:
                 continue
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -39,6 +39,8 @@
         Received part of the body.
     complete : bool
         Whether the answer was properly terminated.
+    gave_up : bool
+        Whether its caller closed the connection, for lack of an answer.
     ended_at : float
         Clock time at which the request ended; 0 while it is in progress.
     """
@@ -55,6 +57,7 @@
     status: int = 0
     body: bytes = b''
     complete: bool = False
+    gave_up: bool = False
     ended_at: float = 0.0
 
 
@@ -108,6 +111,53 @@
     text: str
 
 
+@dataclass(slots=True, frozen=True)
+class HostStop:
+    """SIGTERM of a host that requests may outlast, and its grace in seconds."""
+
+    host: str
+    at: float
+    grace: float
+
+
+@dataclass(slots=True)
+class Endless:
+    """Time for which an upstream answered with bytes that never end.
+
+    Parameters
+    ==========
+
+    form : str
+        What the bytes are.
+    is_alone : bool
+        Whether no other upstream of its service did.
+    """
+
+    upstream: str
+    form: str
+    is_alone: bool
+    began: float
+    ended: float = float('inf')
+
+
+@dataclass(slots=True)
+class EndlessAnswer:
+    """One answer with bytes that never end.
+
+    Explanation
+    ===========
+
+    ``ended`` is infinite until the host closes the connection.
+    """
+
+    ident: str
+    upstream: str
+    form: str
+    began: float
+    ended: float = float('inf')
+    sent_bytes: int = 0
+
+
 @dataclass(slots=True)
 class Drain:
     """Drain of a failure domain: times of its start and its end.
@@ -192,6 +242,16 @@
         Identifiers of those whose bytes a connection dropped.
     silences : list of Silence
         Times for which upstreams stood still, in order.
+    stops : list of HostStop
+        Stops of hosts that requests may outlast, in order.
+    left : set of str
+        Identifiers of the requests whose callers left, by the hosts' logs.
+    endless : list of Endless
+        Times for which upstreams sent bytes without end, in order.
+    endless_answers : list of EndlessAnswer
+        Answers with such bytes, in order.
+    peaks : dict
+        Peak resident memory of the processes of each host, in MB.
     upstreams : dict
         Failure domain of each upstream, and end of its cold period.
     faults : list of Fault
@@ -218,6 +278,11 @@
     sent: list = field(default_factory=list)
     lost: set = field(default_factory=set)
     silences: list = field(default_factory=list)
+    stops: list = field(default_factory=list)
+    left: set = field(default_factory=set)
+    endless: list = field(default_factory=list)
+    endless_answers: list = field(default_factory=list)
+    peaks: dict = field(default_factory=dict)
     upstreams: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
     crashes: list = field(default_factory=list)
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -13,8 +13,24 @@
     Caller,
 )
 from pollenstile.soak.live._checks import find_violations
+from pollenstile.soak.live._endlessruns import (
+    EndlessCounts,
+    EndlessPlan,
+    count_endless,
+    play_endless,
+    send_endless_at_random,
+)
 from pollenstile.soak.live._faults import FAULTS
 from pollenstile.soak.live._hosts import COMMAND
+from pollenstile.soak.live._lengths import USUAL
+from pollenstile.soak.live._memory import watch_memory
+from pollenstile.soak.live._outlast import (
+    GRACE_CALLERS,
+    GraceCounts,
+    GracePlan,
+    count_graces,
+    play_graces,
+)
 from pollenstile.soak.live._records import Fault, RateLimit
 from pollenstile.soak.live._servers import (
     COLD_SECONDS,
@@ -22,7 +38,11 @@
     LIMITED_RATE,
     PLAIN,
 )
-from pollenstile.soak.live._silences import play_silences, stand_together
+from pollenstile.soak.live._silences import (
+    SilencePlan,
+    play_silences,
+    stand_together,
+)
 from pollenstile.soak.live._sound import SoundCounts, count_sound
 from pollenstile.soak.live._world import DOMAINS, World, run_in
 
@@ -55,6 +75,12 @@
 # Seconds from then on for what they have not read meanwhile.
 _AFTER_SILENCE_SECONDS = 1.2
 _CALLER_COUNT = 14
+# What plays the only faults of a run, by the class of its plan.
+_PLAYS = {
+    SilencePlan: play_silences,
+    GracePlan: play_graces,
+    EndlessPlan: play_endless,
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,6 +100,12 @@
         Violated invariants.
     sound : SoundCounts
         What became of requests whose upstreams stood still.
+    graces : GraceCounts
+        What became of requests that hosts had read before they stopped.
+    endless : EndlessCounts
+        What became of requests whose upstreams sent bytes without end.
+    peaks : dict
+        Peak memory of the processes of each host, in MB.
     """
 
     seed: int
@@ -81,6 +113,9 @@
     faults: tuple
     broken: tuple
     sound: SoundCounts
+    graces: GraceCounts
+    endless: EndlessCounts
+    peaks: dict
 
 
 async def run_live(
@@ -90,7 +125,7 @@
     hosts=4,
     command=COMMAND,
     logs=None,
-    silences=None,
+    plan=None,
 ):
     """Run hosts as processes under random faults; return a LiveResult.
 
@@ -109,36 +144,45 @@
         Command that runs the program ``pollenstile``.
     logs : file or None
         Binary file that the hosts' log lines are written to.
-    silences : SilencePlan or None
+    plan : SilencePlan, GracePlan, EndlessPlan or None
         The only faults of the run.
     """
-    world = World(reactor, seed, hosts, command, logs)
-    await run_in(world, _run_phases(world, seconds, silences))
+    lengths = plan.lengths if isinstance(plan, GracePlan) else USUAL
+    world = World(reactor, seed, hosts, command, logs, lengths)
+    await run_in(world, _run_phases(world, seconds, plan))
     records = world.records
     sound = count_sound(records)
+    graces = count_graces(records)
+    endless = count_endless(records, lengths.deadline)
+    lines = (*sound.lines, *graces.lines, *endless.lines)
     return LiveResult(
         seed,
         dict(Counter(record.status for record in records.requests)),
         tuple(records.faults),
-        (*find_violations(records), *sound.lines),
+        (*find_violations(records), *lines),
         sound,
+        graces,
+        endless,
+        records.peaks,
     )
 
 
-async def _run_phases(world, seconds, silences):
+async def _run_phases(world, seconds, plan):
     await world.begin()
     if not await await_ready(world):
         world.records.broken.append('not ready in time')
         return
+    Deferred.fromCoroutine(watch_memory(world))
+    count = GRACE_CALLERS if isinstance(plan, GracePlan) else _CALLER_COUNT
     callers = [
         Deferred.fromCoroutine(Caller(world, number).run())
-        for number in range(_CALLER_COUNT)
+        for number in range(count)
     ]
-    if silences is None:
+    if plan is None:
         await _inject_faults(world, seconds)
         await _harm_upstreams(world)
     else:
-        await play_silences(world, silences)
+        await _PLAYS[type(plan)](world, plan)
     world.is_sending = False
     for caller in callers:
         await caller
@@ -147,7 +191,8 @@
 async def _inject_faults(world, seconds):
     reactor = world.reactor
     end = reactor.seconds() + seconds
-    running_faults = []
+    endless = Deferred.fromCoroutine(send_endless_at_random(world, seconds))
+    running_faults = [endless]
     while reactor.seconds() < end:
         fault = world.rng.choice(FAULTS)
         running_faults.append(Deferred.fromCoroutine(fault(world)))
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -2,7 +2,6 @@
 
 import re
 from functools import partial
-from zlib import crc32
 
 import msgspec
 from twisted.internet.defer import Deferred, gatherResults, maybeDeferred
@@ -23,10 +22,8 @@
 PLAIN = 'lookup'
 ENGINES = 'engines'
 STAGES = ('encode', 'rerank')
-# Number of events of a stream, and seconds between them: streams take half a
-# second or over one and a half.
+# Number of events of a stream.
 EVENTS = 12
-_EVENT_GAPS_SECONDS = (0.04, 0.14)
 # Seconds for which an upstream is cold, counted by a host from when it reads
 # the entry, and the requests a second that it may get meanwhile.
 COLD_SECONDS = 1.0
@@ -44,7 +41,7 @@
 # rest that it asks for.
 _SHED_SHARE = 0.4
 REST_SECONDS = 2.0
-# Seconds that a lookup and a stage call take.
+# Seconds that a stage call takes.
 _WORK_SECONDS = 0.08
 _SLOW_WORK_SECONDS = 0.6
 # An event as ``stream_event`` writes it.
@@ -75,11 +72,6 @@
     ]
 
 
-def _event_gap(ident):
-    """Return the seconds between the events of a stream."""
-    return _EVENT_GAPS_SECONDS[crc32(ident.encode()) % 2]
-
-
 class Server:
     """One incarnation of an upstream.
 
@@ -105,6 +97,8 @@
         Whether its answers state that it leaves.
     shedding : bool
         Whether it turns requests away and asks for rest.
+    endless : EndlessSource or None
+        Answers all requests with bytes that never end.
     silences : list of Silence
         The current reasons why it stands still: it neither reads nor writes.
     waiting : list of function
@@ -121,6 +115,7 @@
         self.rate = 0.0
         self.leaving = False
         self.shedding = False
+        self.endless = None
         self.silences = []
         self.waiting = []
         self.proxy = Proxy(world.reactor)
@@ -181,9 +176,9 @@
             call()
         self.proxy.go_on()
 
-    def work_seconds(self):
+    def work_seconds(self, usual=_WORK_SECONDS):
         """Return the duration of a call in seconds."""
-        return _SLOW_WORK_SECONDS if self.fault == 'slow' else _WORK_SECONDS
+        return _SLOW_WORK_SECONDS if self.fault == 'slow' else usual
 
     def crash(self):
         """Reset all connections and stop listening; return a Deferred."""
@@ -245,9 +240,18 @@
         if self.server.leaving:
             request.setHeader(NAMES.leaving, b'1')
             self._note_withdrawal(attempt.decode(), float('inf'))
+        return self._answer_or_turn_away(request, attempt.decode())
+
+    def _answer_or_turn_away(self, request, ident):
+        endless = self.server.endless
+        if endless is not None:
+            if ident:
+                self.note(request, ident)
+            endless.answer(self.server, request, ident)
+            return NOT_DONE_YET
         if self._is_shed():
-            return self._turn_away(request, attempt.decode())
-        return self.serve(request, attempt.decode())
+            return self._turn_away(request, ident)
+        return self.serve(request, ident)
 
     def _is_shed(self):
         rng = self.server.world.rng
@@ -301,8 +305,9 @@
         if self.server.fault == 'fail':
             request.setResponseCode(_FAILED)
             return b'failed'
+        usual = self.server.world.lengths.lookup_seconds(ident)
         self.server.later(
-            self.server.work_seconds(), self._answer, request, run
+            self.server.work_seconds(usual), self._answer, request, run
         )
         return NOT_DONE_YET
 
@@ -359,9 +364,8 @@
         if number >= EVENTS:
             request.finish()
             return
-        self.server.later(
-            _event_gap(run.ident), self._write_event, request, run, number + 1
-        )
+        gap = self.server.world.lengths.event_gap(run.ident)
+        self.server.later(gap, self._write_event, request, run, number + 1)
 
 
 class _StageResource(_FaultyResource):
--- a/pollenstile/soak/live/_silences.py
+++ b/pollenstile/soak/live/_silences.py
@@ -51,13 +51,22 @@
     changes: bool = False
 
 
-async def stand_together(world, servers, seconds):
-    """Let upstreams stand still for some seconds, then go on."""
+async def stand_together(world, servers, seconds, before_end=None):
+    """Let upstreams stand still for some seconds, then go on.
+
+    Parameters
+    ==========
+
+    before_end : function or None
+        Called just before they go on.
+    """
     silences = []
     for server in servers:
         _record_fault(world, server, 'stand still')
         silences.append(server.stand_still())
     await deferLater(world.reactor, seconds)
+    if before_end is not None:
+        before_end()
     for server, silence in zip(servers, silences, strict=True):
         _record_fault(world, server, 'go on')
         server.go_on(silence)
--- a/pollenstile/soak/live/_sound.py
+++ b/pollenstile/soak/live/_sound.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pollenstile.soak.live._outlast import was_read
 from pollenstile.soak.live._servers import (
     CRASHING_PREFIX,
     ENGINES,
@@ -20,6 +21,8 @@
 _FAILED_STATUSES = frozenset((502, 504))
 # Seconds after a fault until its host or its upstream counts as recovered.
 _RECOVERY_SECONDS = 3.0
+# Share of its grace from which on a stopping host may break off answers.
+_LAST_SHARE = 1 / 6
 # Seconds before its deadline from which on a request has no time left.
 _TIME_MARGIN_SECONDS = 0.3
 # Seconds for which a run may go on beside the one that answers, from when the
@@ -117,6 +120,8 @@
     if not _has_time(record):
         return
     loss = _loss_of(record)
+    if loss and _outlasts(record, loss, records):
+        return
     if loss and _are_sound(reached, record, records):
         counts.lost[loss] += 1
         counts.lines.append(f'{loss} though {_situation(record, reached)}')
@@ -137,6 +142,23 @@
     return took < record.deadline - _TIME_MARGIN_SECONDS
 
 
+def _outlasts(record, loss, records):
+    """Return whether a host may lose a request at the end of its grace.
+
+    Explanation
+    ===========
+
+    It may hand back what has no answer yet, and may break off what has begun
+    only when little of its grace is left.
+    """
+    for stop in records.stops:
+        if not was_read(record, stop):
+            continue
+        left = stop.at + stop.grace - record.ended_at
+        return loss != 'cut off' or left < _LAST_SHARE * stop.grace
+    return False
+
+
 def _loss_of(record):
     if record.status == _OK and not record.complete:
         return 'cut off'
@@ -162,7 +184,7 @@
 
 def _are_sound(upstreams, record, records):
     """Return whether upstreams, at most, stood still and went on."""
-    if record.ident in records.lost:
+    if record.ident in records.lost or _met_endless(upstreams, record, records):
         return False
     if any(
         silence.upstream in upstreams and silence.ended == _NEVER
@@ -175,6 +197,16 @@
     )
 
 
+def _met_endless(upstreams, record, records):
+    """Return whether an upstream sent bytes without end to the host."""
+    return any(
+        time.upstream in upstreams
+        and time.began < record.ended_at
+        and time.ended > record.sent_at - _RECOVERY_SECONDS
+        for time in records.endless
+    )
+
+
 def _upstream_faults(record, records):
     since = record.sent_at - _RECOVERY_SECONDS
     return [
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -10,6 +10,7 @@
 from pollenstile.ops.http import disable_access_log
 from pollenstile.platform import Written
 from pollenstile.soak.live._hosts import COMMAND, LiveHost
+from pollenstile.soak.live._lengths import USUAL
 from pollenstile.soak.live._proxy import LOOPBACK
 from pollenstile.soak.live._records import Drain, Records
 from pollenstile.soak.live._servers import (
@@ -62,6 +63,8 @@
         Command that runs the program.
     logs : file or None
         Binary file that the hosts' log lines are written to.
+    lengths : Lengths
+        How long requests, their work and the grace of hosts last.
 
     Attributes
     ==========
@@ -82,10 +85,19 @@
         All keys, including revoked ones.
     """
 
-    def __init__(self, reactor, seed, hosts, command=COMMAND, logs=None):
+    def __init__(
+        self,
+        reactor,
+        seed,
+        hosts,
+        command=COMMAND,
+        logs=None,
+        lengths=USUAL,
+    ):
         self.reactor = reactor
         self.seed = seed
         self.logs = logs
+        self.lengths = lengths
         self.rng = Random(seed)
         self.records = Records()
         self.results = {}
@@ -243,6 +255,8 @@
             _route('draft', 'stream', ENGINES, _STAGE_STEPS, resumable=True),
             _route('digest', 'stream', ENGINES, _STAGE_STEPS),
         ]
+        for route in routes:
+            route['timeout'] = self.lengths.deadline
         return {
             'version': self.version,
             'routes': routes,
@@ -285,7 +299,6 @@
         'host': 'shop',
         'prefix': f'/{name}/',
         'kind': kind,
-        'timeout': 5.0,
         'aim': 1.0,
         'targets': [{'service': service}],
         'attempts': ATTEMPTS[name],
