--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,19 @@
     When soak seeds 1 to 3 of 200 steps are run with silences of upstreams
     Then no answer of these soaks is cut off, and no other invariant is broken
 
+  Scenario: Each request that a host has read has an answer when its grace ends
+    Guards against hosts that are killed with requests that they could refuse.
+    When soak seeds 1 to 3 of 200 steps are run with stops that requests outlast
+    Then these soaks broke no invariant and answered 50 requests or more
+
+  Scenario: Requests leave an engine that repeats a token without end
+    Guards against hosts that take bytes which bring nothing for signs of life.
+    When soak seeds 1 to 2 of 400 steps are run with endless engines
+    Then these soaks broke no invariant and answered 50 requests or more
+
+  Scenario: Soaks of graces and of endless engines are repeatable
+    Then soaks of seed 1 with graces and with endless engines repeat
+
   Scenario Outline: A soak catches a missing guard
     Without the guard that ensures an invariant, some seed must violate this
     invariant. Otherwise the soak could not detect a fault of the guard.
--- a/features/soak_live.feature
+++ b/features/soak_live.feature
@@ -15,3 +15,16 @@
     revoked keeps working on every host. The soak must report this.
     When live soaks run without the guard "configuration"
     Then a live soak reported: "ran with a key"
+
+  Scenario: Each request that a host has read is answered before its grace ends
+    Two hosts stop in turn while engines and lookups stand still for longer than
+    the grace. No connection may close without a status.
+    When a live soak plays "--graces engines" with seed 1
+    Then the live soak found no violation
+    And the live hosts had read 8 requests or more before they stopped
+
+  Scenario: Requests leave an engine whose event never ends
+    Guards against hosts that take bytes which bring nothing for signs of life.
+    When a live soak plays "--endless event --seconds 12" with seed 1
+    Then the live soak found no violation
+    And the live hosts got 4 endless answers or more
--- a/features/steps/soak_live_steps.py
+++ b/features/steps/soak_live_steps.py
@@ -30,6 +30,12 @@
     context.ran = _run_module('pollenstile.ops', *words)
 
 
+@when('a live soak plays "{flags}" with seed {seed:d}')
+def when_play(context, flags, seed):
+    words = ('soak', '--live', '--seed', str(seed), *flags.split())
+    context.ran = _run_module('pollenstile.ops', *words)
+
+
 @when('live soaks run without the guard "{guard}"')
 def when_run_without(context, guard):
     context.ran = _run_module('features.builders.livemutant', guard)
@@ -53,6 +59,19 @@
     assert int(found[2]) >= served, context.ran.stdout
 
 
+@then('the live hosts got {count:d} endless answers or more')
+def then_endless(context, count):
+    found = re.search(r'endless: (\d+) answers', context.ran.stdout)
+    assert int(found[1]) >= count, context.ran.stdout
+
+
+@then('the live hosts had read {count:d} requests or more before they stopped')
+def then_read(context, count):
+    found = re.search(r'read before a stop: (.*)', context.ran.stdout)
+    read = sum(int(number) for number in re.findall(r' (\d+)\b', found[1]))
+    assert read >= count, context.ran.stdout
+
+
 @then('a live soak reported: "{text}"')
 def then_reported(context, text):
     assert context.ran.returncode == 0, context.ran.stdout[-3000:]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -48,6 +48,41 @@
     ]
 
 
+@when(
+    'soak seeds {first:d} to {last:d} of {steps:d} steps are run with stops'
+    ' that requests outlast'
+)
+def step_run_graces(context, first, last, steps):
+    context.results = [
+        run_soak(seed, steps, graces=True) for seed in range(first, last + 1)
+    ]
+
+
+@when(
+    'soak seeds {first:d} to {last:d} of {steps:d} steps are run with endless'
+    ' engines'
+)
+def step_run_endless(context, first, last, steps):
+    context.results = [
+        run_soak(seed, steps, endless=True) for seed in range(first, last + 1)
+    ]
+
+
+@then('these soaks broke no invariant and answered {least:d} requests or more')
+def step_none_broken(context, least):
+    for result in context.results:
+        assert not result.violations, (result.seed, result.violations)
+        # A run with few answers would test too little.
+        assert result.outcomes['answered'] >= least, result.outcomes
+
+
+@then('soaks of seed {seed:d} with graces and with endless engines repeat')
+def step_repeat(context, seed):
+    for plays in ({'graces': True}, {'endless': True}):
+        digests = {run_soak(seed, 100, **plays).digest for _ in range(2)}
+        assert len(digests) == 1, digests
+
+
 @then('no answer of these soaks is cut off, and no other invariant is broken')
 def step_none_cut_off(context):
     violations = {
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -220,6 +220,8 @@
             event_log(seed=seed),
             returns=arguments.returns,
             silences=arguments.silences,
+            graces=bool(arguments.graces),
+            endless=bool(arguments.endless),
         )
         print(_result_line(result))
         if result.violations:
--- a/pollenstile/soak/_checks.py
+++ b/pollenstile/soak/_checks.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 
+from pollenstile.soak._endless import check_sent_elsewhere
 from pollenstile.soak._manifest import DOMAINS, NON_IDEMPOTENT, TOKENS
 from pollenstile.standin.engine import token
 from pollenstile.upstream import wire
@@ -27,6 +28,7 @@
         _check_exchange(world, exchange, runs)
     _check_single_runs(world, runs)
     _check_hosts(world)
+    check_sent_elsewhere(world)
 
 
 def _runs_by_request(world):
--- a/pollenstile/soak/_faults.py
+++ b/pollenstile/soak/_faults.py
@@ -58,6 +58,11 @@
     host = _random_host(world)
     if host.node.leaving or host.process.frozen or not host.process.alive:
         return
+    leave_host(world, host)
+
+
+def leave_host(world, host):
+    """Let a host leave; its process ends when it is idle."""
     world.trace.note('drain', host=host.name)
     host.node.leaving = True
     host.fleet.leave()
--- a/pollenstile/soak/_run.py
+++ b/pollenstile/soak/_run.py
@@ -10,12 +10,14 @@
 from pollenstile.soak._callers import CallerRequest, send
 from pollenstile.soak._checks import check_all
 from pollenstile.soak._clock import advance_exactly
+from pollenstile.soak._endless import schedule_endless
 from pollenstile.soak._faults import (
     FAULTS,
     heal_all,
     leave_upstream,
     schedule_returns,
 )
+from pollenstile.soak._graces import schedule_graces
 from pollenstile.soak._manifest import DRAFT_ATTEMPTS
 from pollenstile.soak._records import LEAVING_GRACE_SECONDS
 from pollenstile.soak._silences import SOUND_FAULTS, schedule_silences
@@ -61,7 +63,16 @@
     tail: tuple
 
 
-def run_soak(seed, steps, log=silent_log, *, returns=False, silences=False):
+def run_soak(
+    seed,
+    steps,
+    log=silent_log,
+    *,
+    returns=False,
+    silences=False,
+    graces=False,
+    endless=False,
+):
     """Run hosts, upstreams and callers under random faults.
 
     Parameters
@@ -78,6 +89,10 @@
     silences : bool
         Whether upstreams stand still and go on where they were. Then nothing
         else befalls them, so that no answer may be cut off.
+    graces : bool
+        Whether hosts stop while requests may outlast their grace.
+    endless : bool
+        Whether engines send without end what brings nothing.
 
     Returns
     =======
@@ -92,10 +107,15 @@
     if silences:
         world.records.sound = True
         schedule_silences(world, random.Random(seed), seconds)
+    if graces:
+        schedule_graces(world, random.Random(seed), seconds)
+    if endless:
+        schedule_endless(world, random.Random(seed), seconds)
+    faults = SOUND_FAULTS if silences or graces or endless else FAULTS
     Deferred.fromCoroutine(world.apply_configuration())
     advance_exactly(world.clock, _SETTLE_SECONDS)
     for _ in range(steps):
-        _step(world, SOUND_FAULTS if silences else FAULTS)
+        _step(world, faults)
         advance_exactly(world.clock, world.rng.uniform(0, _MAX_STEP_SECONDS))
         if world.records.violations:
             break
--- a/pollenstile/soak/live/_endlessruns.py
+++ b/pollenstile/soak/live/_endlessruns.py
@@ -27,7 +27,7 @@
 # of the requests: the machine is shared by a dozen processes.
 _READ_MARGIN_SECONDS = 3.0
 # Requests from which on the share that was sent elsewhere counts.
-_MIN_REQUESTS = 4
+_MIN_REQUESTS = 3
 _MIN_ELSEWHERE_SHARE = 0.25
 # Memory that a host may use at most.
 MAX_MEMORY_MB = 300.0
--- a/pollenstile/standin/faults.py
+++ b/pollenstile/standin/faults.py
@@ -19,6 +19,8 @@
         Whether it refuses calls as not run.
     foreign : bool
         Whether answers name the attempt of another call.
+    endless : bool
+        Whether an engine sends its last token again and again.
     cut_after : int
         Number of tokens after which a stream breaks off, or -1 for never.
     leaving : bool
@@ -27,6 +29,7 @@
 
     __slots__ = (
         'cut_after',
+        'endless',
         'foreign',
         'frozen',
         'leaving',
@@ -39,6 +42,7 @@
         self.frozen = False
         self.refusing = False
         self.foreign = False
+        self.endless = False
         self.cut_after = -1
         self.leaving = False
 
--- a/pollenstile/standin/virtual.py
+++ b/pollenstile/standin/virtual.py
@@ -24,6 +24,8 @@
 REFUSED = 'refused'
 
 _MS_PER_SECOND = 1000
+# Repeats of a token after which a run that goes on with nothing else stops.
+_MAX_REPEATS = 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,6 +65,8 @@
 
     runs : list of str
         Attempts that started to run, in order.
+    repeated : set of str
+        Attempts that sent a token again.
     keys : list of tuple
         Idempotency key and step of each run that has a key.
     timers : PausableTimers
@@ -78,6 +82,7 @@
         'keys',
         'kind',
         'name',
+        'repeated',
         'runs',
         'slots',
         'timers',
@@ -93,6 +98,7 @@
         self.timers = PausableTimers(clock)
         self.faults = Faults()
         self.runs = []
+        self.repeated = set()
         self.keys = []
         self.busy = 0
 
@@ -114,6 +120,7 @@
         'call',
         'ended',
         'offset',
+        'repeats',
         'send',
         'started',
         'timer',
@@ -125,6 +132,7 @@
         self.call = call
         self.send = send
         self.offset = call.offset
+        self.repeats = 0
         self.timer = None
         self.started = None
         self.ended = False
@@ -170,6 +178,9 @@
             self.end()
             self.send(Lost('stream cut off'))
             return
+        if self.upstream.faults.endless and self.offset > self.call.offset:
+            self.repeat()
+            return
         if self.offset >= self.call.max_tokens:
             self.answer(self.text(), self.offset)
             return
@@ -179,6 +190,15 @@
         self.offset += 1
         self.schedule(self.upstream.times.gap())
 
+    def repeat(self):
+        """Send the last token again, which brings nothing."""
+        self.upstream.repeated.add(self.call.attempt)
+        self.repeats += 1
+        last = self.offset - 1
+        self.send(Chunk(self.attempt_to_name(), last, self.token(last)))
+        if self.repeats < _MAX_REPEATS:
+            self.schedule(self.upstream.times.gap())
+
     def answer(self, output, tokens):
         """Send the complete answer."""
         self.end()
