soak: hosts of the virtual soak end their grace as the daemon does

The daemon's first step of leaving is a function of the node now, and the soak calls it and the ends of the daemon's plan.

--- a/pollenstile/entry/__init__.py
+++ b/pollenstile/entry/__init__.py
@@ -7,4 +7,5 @@
 )
 from pollenstile.entry._daemon import Daemon, address_of
 from pollenstile.entry._frontend import CallerResource
+from pollenstile.entry._grace import plan_grace
 from pollenstile.entry._node import Node
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -122,10 +122,7 @@
         """
         now = self.reactor.seconds()
         plan = plan_grace(now, self.settings.grace_seconds, self._lame_duck())
-        self.node.core.departure.ends_at = plan.tells_at
-        self.node.core.admission.leave(plan.tells_at)
-        self.node.leaving = True
-        self.node.core.rates.leave()
+        self.node.leave(plan.tells_at)
         self.caller_port.factory.channels.closing = True
         self.node.core.log(events.LEAVING, in_flight=self.node.in_flight)
         if self.fleet is not None:
--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -108,6 +108,20 @@
         self.running[running] = has_begun
         running.addBoth(self._on_request_end, running)
 
+    def leave(self, ends_at):
+        """Refuse new requests, and those that can't be done in time.
+
+        Parameters
+        ==========
+
+        ends_at : float
+            Time on the clock at which the remaining requests are ended.
+        """
+        self.leaving = True
+        self.core.departure.ends_at = ends_at
+        self.core.admission.leave(ends_at)
+        self.core.rates.leave()
+
     def end_requests(self, *, begun):
         """End requests in flight, each with its truthful outcome.
 
--- a/pollenstile/soak/_callers.py
+++ b/pollenstile/soak/_callers.py
@@ -1,5 +1,7 @@
 """Simulated callers: they send requests, time out and retry at other hosts."""
 
+from functools import partial
+
 from twisted.internet.defer import Deferred
 
 from pollenstile import pipeline
@@ -158,7 +160,7 @@
         ),
     )
     exchange.running = running
-    node.track(running)
+    node.track(running, partial(bool, exchange.tokens))
     running.addCallback(_respond, world, exchange)
     running.addErrback(_record_crash, world, exchange)
 
--- a/pollenstile/soak/_graces.py
+++ b/pollenstile/soak/_graces.py
@@ -1,5 +1,8 @@
 """Hosts of a run that stop while requests may outlast their grace."""
 
+from functools import partial
+
+from pollenstile.entry import plan_grace
 from pollenstile.soak._callers import connection_lost
 from pollenstile.soak._faults import leave_host, restart
 
@@ -46,9 +49,21 @@
     if host.node.leaving or not host.process.alive:
         return
     leave_host(world, host)
+    _plan_end(host, grace)
     world.clock.callLater(grace, _end_grace, world, host)
 
 
+def _plan_end(host, grace):
+    """Let a host end its requests as the daemon does."""
+    plan = plan_grace(host.process.seconds(), grace, lame_duck=0)
+    host.node.leave(plan.tells_at)
+    for moment, begun in ((plan.tells_at, False), (plan.resets_at, True)):
+        wait = moment - host.process.seconds()
+        host.process.callLater(
+            wait, partial(host.node.end_requests, begun=begun)
+        )
+
+
 def _end_grace(world, host):
     """Kill a host that has not ended by itself."""
     if not host.process.alive:
