--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -120,6 +120,13 @@
     When the host is stopped, its grace ends and its process exits
     Then that caller is told 503, and its connection is closed
 
+  Scenario: A request that was rejected before the end is not answered twice
+    Guards against a second head on a connection whose caller doesn't read.
+    Given a stopping host with a "once" route
+    And a caller that doesn't read and announces a body that is too large
+    When the host is stopped, its grace ends and its process exits
+    Then that caller is told 413 and nothing else
+
   Scenario: A host that wakes after its grace reads before it tells
     Guards against a host that refuses requests whose answers lie unread.
     Given a stopping host with a "idempotent" route
--- a/features/steps/grace_ends_steps.py
+++ b/features/steps/grace_ends_steps.py
@@ -454,6 +454,22 @@
     context.transport.channel.dataReceived(part)
 
 
+@given("a caller that doesn't read and announces a body that is too large")
+def given_large(context):
+    host = context.host
+    context.transport = host.open(reads=False)
+    head = host.request('l1', b'1.1', b'')
+    large = head.replace(b'Content-Length: 4', b'Content-Length: 999999999')
+    context.transport.channel.dataReceived(large)
+
+
+@then('that caller is told {status:d} and nothing else')
+def then_once(context, status):
+    received = context.transport.value()
+    assert received.startswith(b'HTTP/1.1 %d ' % status), received
+    assert received.count(b'HTTP/1.1') == 1, received
+
+
 @then('that caller is told {status:d}, and its connection is closed')
 def then_told_partial(context, status):
     received = context.transport.value()
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -244,7 +244,9 @@
 
     def refuse_incomplete(self):
         """Refuse a request that isn't completely received, as not run."""
-        if not self.requests or self.requests[-1].work is not None:
+        if self.rejected or not self.requests:
+            return
+        if self.requests[-1].work is not None:
             return
         self.factory.log_refused(self.requests[-1], LEAVING_REFUSAL)
         self._close_with(LEAVING_REFUSAL.status)
