forward: a failure in ending requests doesn't end a shutdown early

The steps that end the requests of a stopping host run like its periodic ones: an unexpected exception is logged (forward-crashed, step "departure"), and the host still resets what is unread and stops its parts. Read, not seen.

--- a/pollenstile/forward/_shutdown.py
+++ b/pollenstile/forward/_shutdown.py
@@ -37,11 +37,11 @@
     factory.refusing = True
     factory.close_idle()
     await _look_until(daemon, departure.latest, partial(_is_idle, daemon))
-    end_unbegun(parts.core)
+    daemon.guard('departure', partial(end_unbegun, parts.core))
     factory.refuse_incomplete()
     factory.close_idle()
     await deferLater(daemon.reactor, departure.stops_at - departure.latest)
-    end_all(parts.core)
+    daemon.guard('departure', partial(end_all, parts.core))
     factory.cut_off_unread()
     await _stop_parts(daemon)
     daemon.log(events.FORWARD_STOPPED, in_flight=factory.in_flight)
