entry: an exception ends a request with a status

What callers saw: a connection that was cut without a status, though nothing of an answer had been written; operators of /fleet waited without end.

Cause: the handler of exceptions always aborted the connection, and passed over a cancelled one altogether; the answer on the fleet had no handler.

Change: 502 failed for an idempotent pipeline, 502 unknown for another one, as nobody knows any more what was sent; only a begun answer is reset (8008). The line 8006 names the request. /fleet answers 500.

Evidence: three scenarios of entry_grace.feature end with nothing received on the code before; now "502 failed", "502 unknown" and 500.

--- a/features/entry_grace.feature
+++ b/features/entry_grace.feature
@@ -221,3 +221,23 @@
       | 1     |
       | 8     |
       | 30    |
+
+  Scenario Outline: An exception ends a request with a status: <pipeline>
+    Guards against a connection that is cut without a status though no answer has begun.
+    Given a grace host
+    And its transport raises an exception
+    When a grace caller asks for "<pipeline>"
+    And 0.1 seconds of grace pass
+    Then the grace caller's outcome is "<outcome>"
+    And the grace log has "request-crashed" for the grace caller alone
+
+    Examples:
+      | pipeline | outcome     |
+      | rank     | 502 failed  |
+      | book     | 502 unknown |
+
+  Scenario: An exception in the answer on the fleet ends with a status
+    Guards against an operator's request that is never answered.
+    Given a grace host
+    When a grace operator asks for the fleet, and its collection fails
+    Then the grace operator has the status 500
--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -1,8 +1,11 @@
 """Steps for the end of a grace on the pipelines' own interface."""
 
+from unittest.mock import Mock
+
 from behave import given, then, when
+from twisted.internet.defer import fail
 
-from features.builders.entrygrace import GraceHost, request_bytes
+from features.builders.entrygrace import GraceCaller, GraceHost, request_bytes
 from pollenstile.ops import _explaincmd as explaincmd
 from pollenstile.ops.events import catalogue
 
@@ -226,3 +229,29 @@
 def then_statuses(context, statuses):
     seen = ', '.join(str(number) for number in context.caller.statuses())
     assert seen == statuses, context.caller.received()
+
+
+def _raise(*arguments):
+    raise ZeroDivisionError
+
+
+@given('its transport raises an exception')
+def given_raises(context):
+    context.host.node.core.transport = _raise
+
+
+@when('a grace operator asks for the fleet, and its collection fails')
+def when_fleet(context):
+    fleet = Mock()
+    fleet.document.return_value = fail(ZeroDivisionError())
+    site = context.host.daemon.admin_port.factory
+    site.resource.fleet = fleet
+    operator = GraceCaller(context.host.clock, site)
+    operator.send(b'GET /fleet HTTP/1.1\r\nHost: here\r\n\r\n')
+    context.operator = operator
+
+
+@then('the grace operator has the status {status:d}')
+def then_operator(context, status):
+    statuses = context.operator.statuses()
+    assert statuses == [status], context.operator.received()
--- a/pollenstile/entry/_admin.py
+++ b/pollenstile/entry/_admin.py
@@ -3,6 +3,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from pollenstile.entry.events import CRASHED
 from pollenstile.ops.http import answer_json, answer_problem
 
 _VERSION_QUERY_SECONDS = 2.0
@@ -45,7 +46,12 @@
             return answer_json(request, self.node.status())
         if request.path == b'/fleet' and self.fleet is not None:
             pending = self.fleet.document(_VERSION_QUERY_SECONDS)
-            pending.addCallback(_answer_if_connected, request)
+            pending.addCallbacks(
+                _answer_if_connected,
+                _answer_failure,
+                callbackArgs=(request,),
+                errbackArgs=(request, self.node.core.log),
+            )
             return NOT_DONE_YET
         return answer_problem(request, 404, 'no such path', 'not-run')
 
@@ -56,6 +62,12 @@
         return answer_problem(request, 503, refusal.reason, 'not-run')
 
 
+def _answer_failure(failure, request, log):
+    log(CRASHED, level='error', error=failure.getTraceback())
+    if request.channel is not None:
+        answer_problem(request, 500, 'internal error', 'failed')
+
+
 def _answer_if_connected(document, request):
     if request.channel is not None:
         answer_json(request, document)
--- a/pollenstile/entry/_frontend.py
+++ b/pollenstile/entry/_frontend.py
@@ -1,7 +1,7 @@
 """HTTP resource for callers of pipelines."""
 
 import msgspec
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
@@ -15,7 +15,7 @@
 )
 from pollenstile.ops.http import abort, answer_json, answer_problem
 from pollenstile.ops.logs import silent_log
-from pollenstile.outcomes import Answered, Refused
+from pollenstile.outcomes import Answered, Failed, Refused, Unknown
 from pollenstile.pipeline import Request, run_request
 
 _STREAM = 'text/event-stream'
@@ -189,23 +189,24 @@
         disconnect = exchange.http.notifyFinish()
         disconnect.addErrback(exchange.on_disconnect, request)
         exchange.running.addCallback(exchange.answer, request)
-        exchange.running.addErrback(self._on_crash, exchange)
+        exchange.running.addErrback(self._on_crash, exchange, request)
         # Tracked after the answer's callbacks, so that a leaving host waits
         # until the answer is written.
         self.node.track(exchange.running, exchange.has_begun)
 
-    def _on_crash(self, failure, exchange):
-        if failure.check(CancelledError):
-            return
+    def _on_crash(self, failure, exchange, request):
         self.node.core.count('request.crashed')
         self.node.core.log(
             events.CRASHED,
             level='error',
+            request=request.ident,
             error=failure.getTraceback(),
         )
-        if not exchange.finished:
-            exchange.finished = True
-            abort(exchange.http)
+        # What was sent before the exception isn't known any more.
+        kind = Failed if request.pipeline.idempotent else Unknown
+        exchange.answer(
+            kind('internal error', 'host', self.node.core.host), request
+        )
 
     def _parse_request(self, http):
         if http.method != b'POST':
