ops: no signal ends a host before its requests are done

What callers saw: a SIGHUP (a closed terminal, a reload by a service manager) ended `pollenstile entry` and `pollenstile forward` at once, in the grace too: every request that had been read was closed with no status. A second SIGTERM or SIGINT in the grace ended nothing, but wrote a traceback to stderr.

Cause: no handler of SIGHUP; the reactor's own handlers stop it a second time.

--- a/features/entry_grace.feature
+++ b/features/entry_grace.feature
@@ -241,3 +241,15 @@
     Given a grace host
     When a grace operator asks for the fleet, and its collection fails
     Then the grace operator has the status 500
+
+  Scenario Outline: A signal in the grace doesn't end the host: <signal>
+    Guards against requests that are cut off by a hangup, or by a second signal to stop.
+    Given the grace signals of a command are set up
+    When its shutdown begins and it gets <signal>
+    Then its log has "signal-ignored" for <signal>
+
+    Examples:
+      | signal  |
+      | SIGHUP  |
+      | SIGTERM |
+      | SIGINT  |
--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -1,5 +1,6 @@
 """Steps for the end of a grace on the pipelines' own interface."""
 
+import signal
 from unittest.mock import Mock
 
 from behave import given, then, when
@@ -7,6 +8,7 @@
 
 from features.builders.entrygrace import GraceCaller, GraceHost, request_bytes
 from pollenstile.ops import _explaincmd as explaincmd
+from pollenstile.ops import signals
 from pollenstile.ops.events import catalogue
 
 
@@ -255,3 +257,30 @@
 def then_operator(context, status):
     statuses = context.operator.statuses()
     assert statuses == [status], context.operator.received()
+
+
+@given('the grace signals of a command are set up')
+def given_signals(context):
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        context.add_cleanup(signal.signal, number, signal.getsignal(number))
+    context.reactor = Mock()
+    context.log = Mock()
+    signals.ignore_hangup(context.reactor, context.log)
+    signals.keep_grace(context.reactor, context.log)
+
+
+@when('its shutdown begins and it gets {name}')
+def when_signal(context, name):
+    _, _, begin, *arguments = (
+        context.reactor.addSystemEventTrigger.call_args.args
+    )
+    begin(*arguments)
+    signal.raise_signal(signal.Signals[name])
+
+
+@then('its log has "{event}" for {name}')
+def then_ignored(context, event, name):
+    log, ignored = context.reactor.callFromThread.call_args.args
+    assert log is context.log
+    assert ignored.name == event
+    assert context.reactor.callFromThread.call_args.kwargs == {'signal': name}
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -17,6 +17,7 @@
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.logs import configure_logs, event_log
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
+from pollenstile.ops.signals import ignore_hangup, keep_grace
 from pollenstile.peer import tcp_connect
 from pollenstile.permission import build_permissions
 from pollenstile.placement import http_orders
@@ -44,6 +45,8 @@
     configure_garbage_collector()
     reactor.callWhenRunning(daemon.start)
     reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
+    ignore_hangup(reactor, daemon.node.core.log)
+    keep_grace(reactor, daemon.node.core.log)
     reactor.run()
     return GOOD
 
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -23,6 +23,7 @@
     add_flags,
     settings_from,
 )
+from pollenstile.ops.signals import ignore_hangup, keep_grace
 from pollenstile.routes import table_of
 
 
@@ -75,6 +76,8 @@
     )
     reactor.callWhenRunning(daemon.start)
     reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
+    ignore_hangup(reactor, daemon.log)
+    keep_grace(reactor, daemon.log)
     reactor.run()
     return GOOD
 
