--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -1,9 +1,14 @@
 """Steps for the end of a grace on the pipelines' own interface."""
 
+import signal
+from unittest.mock import Mock
+
 from behave import given, then, when
+from twisted.internet.defer import fail
 
-from features.builders.entrygrace import GraceHost, request_bytes
+from features.builders.entrygrace import GraceCaller, GraceHost, request_bytes
 from pollenstile.ops import _explaincmd as explaincmd
+from pollenstile.ops import signals
 from pollenstile.ops.events import catalogue
 
 
@@ -226,3 +231,56 @@
 def then_statuses(context, statuses):
     seen = ', '.join(str(number) for number in context.caller.statuses())
     assert seen == statuses, context.caller.received()
+
+
+def _raise(*arguments):
+    raise ZeroDivisionError
+
+
+@given('its transport raises an exception')
+def given_raises(context):
+    context.host.node.core.transport = _raise
+
+
+@when('a grace operator asks for the fleet, and its collection fails')
+def when_fleet(context):
+    fleet = Mock()
+    fleet.document.return_value = fail(ZeroDivisionError())
+    site = context.host.daemon.admin_port.factory
+    site.resource.fleet = fleet
+    operator = GraceCaller(context.host.clock, site)
+    operator.send(b'GET /fleet HTTP/1.1\r\nHost: here\r\n\r\n')
+    context.operator = operator
+
+
+@then('the grace operator has the status {status:d}')
+def then_operator(context, status):
+    statuses = context.operator.statuses()
+    assert statuses == [status], context.operator.received()
+
+
+@given('the grace signals of a command are set up')
+def given_signals(context):
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        context.add_cleanup(signal.signal, number, signal.getsignal(number))
+    context.reactor = Mock()
+    context.log = Mock()
+    signals.ignore_hangup(context.reactor, context.log)
+    signals.keep_grace(context.reactor, context.log)
+
+
+@when('its shutdown begins and it gets {name}')
+def when_signal(context, name):
+    _, _, begin, *arguments = (
+        context.reactor.addSystemEventTrigger.call_args.args
+    )
+    begin(*arguments)
+    signal.raise_signal(signal.Signals[name])
+
+
+@then('its log has "{event}" for {name}')
+def then_ignored(context, event, name):
+    log, ignored = context.reactor.callFromThread.call_args.args
+    assert log is context.log
+    assert ignored.name == event
+    assert context.reactor.callFromThread.call_args.kwargs == {'signal': name}
