forward: a large answer beside another attempt is held back until it is complete

What callers saw: a whole answer was cut off after 64 KiB, though the request had another attempt in flight that could have answered.

Cause: the attempt beside a silent one began the answer at 64 KiB, which closed the silent one, and then broke. The beginning can't be taken back.

Beside another attempt an answer of a stated length is now held back like one without (4 MiB, and the bound for all answers of the host). Alone it begins after 64 KiB as before.

--- a/features/builders/forward.py
+++ b/features/builders/forward.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
+from twisted.web.iweb import UNKNOWN_LENGTH
 
 from pollenstile.forward import (
     BodyEnd,
@@ -69,7 +70,14 @@
         super().__init__(address, headers)
         self.sent = True
 
-    def answer(self, code=200, ident=IDENT, stamp='proof', **extra):
+    def answer(
+        self,
+        code=200,
+        ident=IDENT,
+        stamp='proof',
+        length=UNKNOWN_LENGTH,
+        **extra,
+    ):
         """Answer with a head; ``extra`` maps fields of ``HeaderNames``."""
         headers = {}
         if ident:
@@ -78,7 +86,7 @@
             headers[NAMES.stamp] = [stamp]
         for name, value in extra.items():
             headers[getattr(NAMES, name)] = [value]
-        self.head.callback(Head(code, headers))
+        self.head.callback(Head(code, headers, length))
 
     def body(self, data=b'', *, whole=True):
         """Send bytes and end the body."""
--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -228,3 +228,18 @@
     When forwarded send 0 streams events 1 to 2 and half of the next
     And 1.6 seconds of forwarding pass
     Then new requests may go to the upstream of forwarded send 0
+
+  Scenario: A large answer of the send beside a silent one may still break
+    Guards against a silent attempt that is closed for an answer which then breaks.
+    Given a forwarded "idempotent" request
+    When 1.2 seconds of forwarding pass
+    Then forwarded send 1 is made beside send 0
+    When forwarded send 1 brings 100 of 200 kB and breaks
+    And forwarded send 0 brings 200 of 200 kB and ends
+    Then the caller of the forwarded request has all 200 kB
+
+  Scenario: A large answer of a stated length begins early if nothing is beside it
+    The opposite case: it is not held back until it is complete.
+    Given a forwarded "idempotent" request
+    When forwarded send 0 brings 100 of 200 kB
+    Then the caller of the forwarded request has 100 kB
--- a/features/steps/silent_attempts_steps.py
+++ b/features/steps/silent_attempts_steps.py
@@ -119,3 +119,38 @@
     now = context.story.clock.seconds()
     assert len(groups) == 2, groups
     assert now < groups[1].due <= groups[1].deadline, groups[1]
+
+
+def _bring(context, place, size, stated):
+    call = context.story.calls[place]
+    assert not call.cancelled, f'send {place} was closed'
+    call.answer(length=stated * 1000)
+    for _ in range(size):
+        call.on_data(b'x' * 1000)
+    return call
+
+
+@when('forwarded send {place:d} brings {size:d} of {stated:d} kB')
+def when_brings(context, place, size, stated):
+    _bring(context, place, size, stated)
+
+
+@when('forwarded send {place:d} brings {size:d} of {stated:d} kB and breaks')
+def when_brings_and_breaks(context, place, size, stated):
+    _bring(context, place, size, stated).body(whole=False)
+
+
+@when('forwarded send {place:d} brings {size:d} of {stated:d} kB and ends')
+def when_brings_and_ends(context, place, size, stated):
+    _bring(context, place, size, stated).body()
+
+
+@then('the caller of the forwarded request has all {size:d} kB')
+def then_has_all(context, size):
+    assert context.story.answer.end == 'whole', context.story.answer.end
+    then_has_size(context, size)
+
+
+@then('the caller of the forwarded request has {size:d} kB')
+def then_has_size(context, size):
+    assert len(context.story.answer.content) == size * 1000
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -10,7 +10,7 @@
     note_heard,
 )
 from pollenstile.forward._bodies import relay_body
-from pollenstile.forward._bounds import MAX_BUFFERED_BYTES, HeldAnswer
+from pollenstile.forward._bounds import HeldAnswer
 from pollenstile.forward._learning import learn_failure, learn_silence
 from pollenstile.forward._rejection import rejection
 from pollenstile.forward._request_headers import request_headers
@@ -115,7 +115,7 @@
         self.on_silent = _ignore
         self.on_heard = _ignore
         self.splitter = EventSplitter(needs_idents=exchange.route.resumable)
-        self.held = HeldAnswer(core.held, MAX_BUFFERED_BYTES)
+        self.held = HeldAnswer(core.held)
         self.pending = bytearray()
         self.barren_bytes = 0
         self.end_body = None
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -14,6 +14,7 @@
     ENDLESS_ANSWER,
     ENDLESS_EVENT,
     ENDLESS_FAILURE,
+    MAX_BUFFERED_BYTES,
     MAX_EVENT_BYTES,
     MAX_FAILURE_BYTES,
     MAX_UNSTATED_BYTES,
@@ -74,8 +75,6 @@
 
 async def _relay_answer(attempt, head):
     is_bounded = not has_length(head)
-    if is_bounded:
-        attempt.held.limit = MAX_UNSTATED_BYTES
 
     def pass_on(data):
         _note_part(attempt, head, data, may_be_answer=True)
@@ -113,7 +112,9 @@
         attempt.answer.write(data)
         return
     attempt.held.append(data)
-    if attempt.held.is_over():
+    is_held_long = attempt.contest.is_contested(attempt) or not has_length(head)
+    limit = MAX_UNSTATED_BYTES if is_held_long else MAX_BUFFERED_BYTES
+    if attempt.held.is_over(limit):
         _begin_answer(attempt, head)
         _write_held(attempt)
 
--- a/pollenstile/forward/_bounds.py
+++ b/pollenstile/forward/_bounds.py
@@ -22,7 +22,8 @@
 # platform's callers may send, and the largest reply of the JSON interface.
 MAX_UNSTATED_BYTES = 4194304
 # Bytes of an answer of a stated length that are held back before it begins, so
-# that the request can be sent again after an incomplete answer.
+# that the request can be sent again after an incomplete answer. Beside another
+# attempt, which its beginning closes, it is held back like one without.
 MAX_BUFFERED_BYTES = 65536
 # Bytes that a host holds back of all answers together: an eighth of the least
 # memory that a host has.
@@ -62,15 +63,12 @@
 
     held : HeldBytes
         Counts the bytes of all answers.
-    limit : int
-        Bytes to hold back of this answer.
     """
 
-    __slots__ = ('held', 'limit', 'parts', 'size')
+    __slots__ = ('held', 'parts', 'size')
 
-    def __init__(self, held, limit):
+    def __init__(self, held):
         self.held = held
-        self.limit = limit
         self.parts = []
         self.size = 0
 
@@ -80,11 +78,18 @@
         self.size += len(data)
         self.held.total += len(data)
 
-    def is_over(self):
-        """Return whether the answer had better begin."""
+    def is_over(self, limit):
+        """Return whether the answer had better begin.
+
+        Parameters
+        ==========
+
+        limit : int
+            Bytes to hold back of this answer, while the host may hold more.
+        """
         if self.size <= MAX_BUFFERED_BYTES:
             return False
-        return self.size > self.limit or self.held.is_full()
+        return self.size > limit or self.held.is_full()
 
     def release(self):
         """Return all that was held back, and hold nothing."""
