live soak: requests that stay with an endless upstream count by service

The check of requests that are sent elsewhere took all services of a form together, so stage work, which does go to another worker, hid engines and lookups that nobody leaves. The soak also kept the whole of what callers got, 14 MB for each lookup whose body has no end; it keeps 200 kB now, and the result says how much was passed on at most.

--- a/features/soak_endless.feature
+++ b/features/soak_endless.feature
@@ -16,10 +16,10 @@
     Then the checks of endless bytes report "<text>"
 
     Examples:
-      | idents      | elsewhere | text                                |
-      | c1 c2       | 0         | nothing                             |
-      | c1 c2 c3 c4 | 0         | 0 of 4 requests were sent elsewhere |
-      | c1 c2 c3 c4 | 1         | nothing                             |
+      | idents      | elsewhere | text                                                       |
+      | c1 c2       | 0         | nothing                                                    |
+      | c1 c2 c3 c4 | 0         | 0 of 4 requests at one of the engines were sent elsewhere |
+      | c1 c2 c3 c4 | 1         | nothing                                                    |
 
   Scenario Outline: Requests that can go nowhere else prove nothing
     Given requests "c1 c2 c3 c4" that ended "<end>" with an endless "event" answer
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -343,9 +343,11 @@
         return ''
     return (
         f'\n  endless: {endless.answers} answers, longest '
-        f'{endless.longest:.2f} s, largest {endless.largest_mb:.1f} MB; '
+        f'{endless.longest:.2f} s, largest {endless.largest_mb:.1f} MB, '
+        f'passed on at most {endless.passed_mb:.1f} MB; '
         f'{_counts_text(endless.ends)}; '
-        f'sent elsewhere: {_counts_text(endless.elsewhere)}'
+        f'sent elsewhere: {_counts_text(endless.elsewhere)}, '
+        f'kept: {_counts_text(endless.kept)}'
     )
 
 
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -42,6 +42,8 @@
 _OLD_KEY_SHARE = 0.2
 _MS_PER_SECOND = 1000
 _BODY_BYTES = 3000
+# Bytes of an answer that are kept; no answer of an upstream is as long.
+_MAX_KEPT_BYTES = 200_000
 # Errors of a request whose connection ended without an answer.
 _CONNECTION_ERRORS = (
     TimeoutError,
@@ -94,7 +96,9 @@
 
     def dataReceived(self, data):
         """Append received bytes; called by twisted."""
-        self.record.body += data
+        record = self.record
+        record.received_bytes += len(data)
+        record.body += data[: max(0, _MAX_KEPT_BYTES - len(record.body))]
 
     def connectionLost(self, reason):
         """Record whether the body is complete; called by twisted."""
--- a/pollenstile/soak/live/_endlessruns.py
+++ b/pollenstile/soak/live/_endlessruns.py
@@ -31,6 +31,7 @@
 _MIN_ELSEWHERE_SHARE = 0.25
 # Memory that a host may use at most.
 MAX_MEMORY_MB = 300.0
+_MB = 1_000_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,20 +66,24 @@
 
     ends : Counter
         Requests by form and end.
-    elsewhere : Counter
-        Requests that one of several upstreams answered so, by whether another
-        one got them: ``'yes'`` or ``'no'``.
+    kept, elsewhere : Counter
+        Requests that one of several upstreams answered so, by service: those
+        that no other one got, and those that another one got.
     answers, longest, largest_mb : int, float, float
         Such answers, the seconds of the longest and the size of the largest.
+    passed_mb : float
+        The most that the caller of such a request got.
     lines : list of str
         A line for each violation.
     """
 
     ends: Counter = field(default_factory=Counter)
+    kept: Counter = field(default_factory=Counter)
     elsewhere: Counter = field(default_factory=Counter)
     answers: int = 0
     longest: float = 0.0
     largest_mb: float = 0.0
+    passed_mb: float = 0.0
     lines: list = field(default_factory=list)
 
 
@@ -178,7 +183,7 @@
 
 
 def _count_answer(answer, deadline, counts):
-    counts.largest_mb = max(counts.largest_mb, answer.sent_bytes / 1_000_000)
+    counts.largest_mb = max(counts.largest_mb, answer.sent_bytes / _MB)
     if answer.ended == _NEVER:
         return
     took = answer.ended - answer.began
@@ -202,6 +207,7 @@
 def _count_request(record, time, upstreams, counts):
     end = f'{time.form} {_end_of(record)}'
     counts.ends[end] += 1
+    counts.passed_mb = max(counts.passed_mb, record.received_bytes / _MB)
     service = time.upstream.rpartition('-')[0]
     if not time.is_alone or not _may_go_elsewhere(record, service):
         return
@@ -210,7 +216,8 @@
         for name in upstreams
         if name != time.upstream and name.rpartition('-')[0] == service
     }
-    counts.elsewhere['yes' if others else 'no'] += 1
+    by_service = counts.elsewhere if others else counts.kept
+    by_service[service] += 1
 
 
 def _may_go_elsewhere(record, service):
@@ -233,9 +240,11 @@
 
 
 def _check_elsewhere(counts):
-    total = counts.elsewhere.total()
-    if total < _MIN_REQUESTS:
-        return
-    sent = counts.elsewhere['yes']
-    if sent < _MIN_ELSEWHERE_SHARE * total:
-        counts.lines.append(f'{sent} of {total} requests were sent elsewhere')
+    for service, kept in sorted(counts.kept.items()):
+        sent = counts.elsewhere[service]
+        total = kept + sent
+        if total >= _MIN_REQUESTS and sent < _MIN_ELSEWHERE_SHARE * total:
+            counts.lines.append(
+                f'{sent} of {total} requests at one of the {service} were sent '
+                'elsewhere'
+            )
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -36,7 +36,9 @@
     status : int
         Status of the final answer; 0 when the connection ended without one.
     body : bytes
-        Received part of the body.
+        Received part of the body; only the first bytes of a very long one.
+    received_bytes : int
+        Length of all that was received of it.
     complete : bool
         Whether the answer was properly terminated.
     gave_up : bool
@@ -56,6 +58,7 @@
     after: int = 0
     status: int = 0
     body: bytes = b''
+    received_bytes: int = 0
     complete: bool = False
     gave_up: bool = False
     ended_at: float = 0.0
