entry: random requests at leaving hosts, and what the grace promises

It asks that each request has an answer, a refusal or a reset, that the host has stopped before the kill, that nothing told as not-run has run, that no invariant broke, and that no key is booked twice when all are sent again at the next host. It makes no claim for graces or silences beyond these.

--- a/features/entry_grace.feature
+++ b/features/entry_grace.feature
@@ -23,7 +23,7 @@
     Then the grace log has "callers-cut-off" for the grace caller alone
     And the timeline of that request explains each line
 
-  Scenario Outline: Each request is told its end before the host is killed: <grace> s of grace
+  Scenario Outline: Each request is told its end before the host is killed
     Guards against requests that are cut off without a status, since nothing ends them before the kill.
     Given a grace host with <grace> seconds
     And its upstreams stand still
@@ -56,7 +56,7 @@
     And the grace log has "answer-reset" for the grace caller alone
     And the grace host had stopped before it was killed
 
-  Scenario Outline: An upstream that goes on in the last second is waited for: <grace> s of grace
+  Scenario Outline: An upstream that goes on in the last second is waited for
     Guards against requests that are ended too early, though their answers come in time.
     Given a grace host with <grace> seconds
     When grace callers ask for "rank", "book", "rank-book" and the stream of "chat"
@@ -130,7 +130,7 @@
     Then the grace caller's outcome is "502 failed"
     And the grace upstream "b1" has run 0 calls
 
-  Scenario Outline: The end of a grace leaves a key as its outcome says: <pipeline>
+  Scenario Outline: The end of a grace leaves a key as its outcome says
     Guards against a repeat that runs a second time, or that is never run though nothing has.
     Given a grace host with 2 seconds
     And its upstreams stand still
@@ -180,7 +180,7 @@
     And the second grace caller's outcome is "409 unknown"
     And the grace host had stopped before it was killed
 
-  Scenario Outline: A request that has not arrived whole by the end is refused: <part>
+  Scenario Outline: A request that has not arrived whole by the end is refused
     Guards against a caller that still sends and sees its connection cut, with no word on what ran.
     Given a grace host with 2 seconds
     When a grace caller sends <part> of a request
@@ -206,7 +206,7 @@
     Then the grace caller has the statuses "502, 503"
     And the grace host had stopped before it was killed
 
-  Scenario Outline: A caller that doesn't read holds no host past its grace: <grace> s of grace
+  Scenario Outline: A caller that doesn't read holds no host past its grace
     Guards against a wait for readers that is longer than the grace.
     Given a grace host with <grace> seconds
     When a grace caller that does not read asks for "rank"
@@ -222,7 +222,7 @@
       | 8     |
       | 30    |
 
-  Scenario Outline: An exception ends a request with a status: <pipeline>
+  Scenario Outline: An exception ends a request with a status
     Guards against a connection that is cut without a status though no answer has begun.
     Given a grace host
     And its transport raises an exception
@@ -242,7 +242,7 @@
     When a grace operator asks for the fleet, and its collection fails
     Then the grace operator has the status 500
 
-  Scenario Outline: A signal in the grace doesn't end the host: <signal>
+  Scenario Outline: A signal in the grace doesn't end the host
     Guards against requests that are cut off by a hangup, or by a second signal to stop.
     Given the grace signals of a command are set up
     When its shutdown begins and it gets <signal>
@@ -253,3 +253,17 @@
       | SIGHUP  |
       | SIGTERM |
       | SIGINT  |
+
+  Scenario Outline: Random requests at a leaving host all end before the kill
+    Guards against a request that was read and has neither an answer nor a refusal at the kill.
+    Given grace sweeps of <grace> seconds with the seeds 1 to 4
+    When the grace sweeps are played
+    Then no grace sweep has a fault
+
+    Examples:
+      | grace |
+      | 1     |
+      | 2     |
+      | 4     |
+      | 8     |
+      | 30    |
--- a/features/steps/entry_grace_steps.py
+++ b/features/steps/entry_grace_steps.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import fail
 
 from features.builders.entrygrace import GraceCaller, GraceHost, request_bytes
+from features.builders.gracesweep import GraceSweep
 from pollenstile.ops import _explaincmd as explaincmd
 from pollenstile.ops import signals
 from pollenstile.ops.events import catalogue
@@ -284,3 +285,21 @@
     assert log is context.log
     assert ignored.name == event
     assert context.reactor.callFromThread.call_args.kwargs == {'signal': name}
+
+
+@given('grace sweeps of {grace:g} seconds with the seeds {first:d} to {last:d}')
+def given_sweeps(context, grace, first, last):
+    seeds = range(first, last + 1)
+    context.sweeps = [GraceSweep(grace, seed) for seed in seeds]
+
+
+@when('the grace sweeps are played')
+def when_played(context):
+    for sweep in context.sweeps:
+        sweep.run()
+
+
+@then('no grace sweep has a fault')
+def then_no_fault(context):
+    faults = [sweep.faults() for sweep in context.sweeps]
+    assert not any(faults), faults
