standby: a request is not handed back as its silent upstream goes on with the others

Cause: one event of one other upstream counted as "others are served", so the first that went on handed back the requests of those that went on at the same moment.

Now others must have been heard at two looks in a row, 0.2 s apart; an upstream that goes on with them is heard by then. Ruled out: handing back never (a caller with time left is better served elsewhere if others are).

Evidence: the scenario fails before (502), passes now; requests whose upstream stays silent while others are heard are handed back 0.2 s later at most, as the scenarios beside it show, unchanged.

--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -181,6 +181,16 @@
     Then the caller of the forwarded request gets 502
     And forwarded send 0 was closed
 
+  Scenario: A request is not handed back as its upstream goes on with the others
+    Guards against callers that are sent away when all silent upstreams return.
+    Given a forwarded "idempotent" request
+    And no forwarded retries are left
+    When 2.3 seconds of forwarding pass
+    And another upstream is heard
+    And 0.2 seconds of forwarding pass
+    And forwarded send 0 is answered 200 completely
+    Then the caller of the forwarded request gets a complete 200
+
   Scenario: A request is not handed back while nothing else is heard
     Given a forwarded "idempotent" request
     And no forwarded retries are left
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -19,6 +19,9 @@
 _LOOK_SECONDS = 0.2
 # The same after what it needs was refused.
 _REFUSED_SECONDS = 1.0
+# Looks in a row at which others of the service have been heard before a request
+# is handed back: upstreams that stood still together go on together.
+_HEARD_LOOKS = 2
 # Part of the limit on silence in which the last events of other upstreams that
 # fell silent too may still have come.
 _UNTOLD_SHARE = 0.5
@@ -54,15 +57,25 @@
         Ends when an attempt was sent, or could not be.
     reason : str
         Why none was sent when it was looked last.
+    heard_looks : int
+        Looks in a row at which other upstreams had been heard.
     """
 
-    __slots__ = ('next_view', 'preparing', 'reason', 'run', 'timer')
+    __slots__ = (
+        'heard_looks',
+        'next_view',
+        'preparing',
+        'reason',
+        'run',
+        'timer',
+    )
 
     def __init__(self, run, next_view):
         self.run = run
         self.next_view = next_view
         self.preparing = None
         self.reason = ''
+        self.heard_looks = 0
         self.timer = None
 
     def is_preparing(self):
@@ -101,7 +114,9 @@
             return
         state = _state(run)
         obstacle = _obstacle(run, state)
-        if _is_hopeless(run, state, obstacle):
+        self.heard_looks = self.heard_looks + 1 if _heard_views(run) else 0
+        is_heard = self.heard_looks >= _HEARD_LOOKS
+        if _is_hopeless(run, state, obstacle, is_heard=is_heard):
             run.core.silences.handed_back += 1
             run.contest.give_up()
             return
@@ -188,7 +203,7 @@
     return LEAVING
 
 
-def _is_hopeless(run, state, obstacle):
+def _is_hopeless(run, state, obstacle, *, is_heard):
     """Return whether the caller had better try the request again.
 
     Explanation
@@ -207,7 +222,7 @@
         state,
         spent,
         begun=run.answer.begun,
-        is_heard=bool(_heard_views(run)),
+        is_heard=is_heard,
     )
 
 
