sse: events of streams that can't be resumed are passed on whatever their identifiers

Cause: the rule that identifiers rise was applied to all streams; only those that can be resumed need it. Others are judged by their lines: an event that repeats the lines before it brings nothing on, anything else does.

Evidence: the five rows fail before and pass now; endless events of all forms are still given up, as the scenarios beside it show.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -22,6 +22,20 @@
       | idempotent | a whole answer                    |
     Then each of them is answered whole by another upstream
 
+  Scenario Outline: A stream that can't be resumed is passed on whatever its identifiers: <idents>
+    Guards against events that are held back for an identifier that nothing needs.
+    Given a forwarded "stream" request
+    When forwarded send 0 streams events with the identifiers "<idents>"
+    Then the caller of the forwarded request has each event at once
+
+    Examples:
+      | idents      |
+      | a,,,        |
+      | 0,,,        |
+      | 7,7,7,7     |
+      | 9,8,7,6     |
+      | empty,empty |
+
   Scenario: An upstream that drips bytes of no answer counts as a silent one
     Guards against bytes that keep an upstream from being silent.
     When the first upstreams of some requests drip for 2 seconds
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -35,6 +35,27 @@
         context.received[form] = connection.received
 
 
+@when('forwarded send {place:d} streams events with the identifiers "{idents}"')
+def when_idents(context, place, idents):
+    context.late_events = []
+    call = context.story.calls[place]
+    call.answer()
+    for number, ident in enumerate(idents.split(',')):
+        call.on_data(_event(ident, number))
+        if b'piece %d' % number not in context.story.answer.content:
+            context.late_events.append(number)
+
+
+def _event(ident, number):
+    field = {'': '', 'empty': 'id:\n'}.get(ident, f'id: {ident}\n')
+    return f'{field}data: piece {number}\n\n'.encode()
+
+
+@then('the caller of the forwarded request has each event at once')
+def then_at_once(context):
+    assert not context.late_events, context.late_events
+
+
 @when('the first upstreams of some requests send megabytes of')
 def when_flood(context):
     context.scenarios = _scenarios(context)
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -22,15 +22,15 @@
     forwarded, so that another upstream can resume after the last one without
     leaving a partial line in the stream.
 
-    An event brings its stream on if its identifier is higher than all before.
-    Where events have none, one with a line that the part before it did not have
-    does so too, unless the stream can be resumed, for which it needs them.
+    In a stream that can be resumed, an event brings the stream on if its
+    identifier is higher than all before. In others, whose identifiers may be
+    anything, it does so with a line that the part before it did not have.
 
     Parameters
     ==========
 
     needs_idents : bool
-        Whether only events with identifiers bring the stream on.
+        Whether only events with rising identifiers bring the stream on.
 
     Attributes
     ==========
@@ -40,12 +40,12 @@
     highest : int
         Highest number that was an identifier; -1 before the first.
     lines : frozenset of bytes
-        Lines of the last events without identifiers.
+        Lines of the events that were fed last, where identifiers don't count.
     brings_on : bool
         Whether an event that was fed last brings the stream on.
     is_out_of_turn : bool
-        Whether an event came since that has no identifier where others have, or
-        none that is higher.
+        Whether an event came since that has no identifier where it needs one,
+        or none that is higher.
     rest : bytearray
         Received bytes of an incomplete event. Each part of it is appended and
         searched once, however many parts it has.
@@ -120,22 +120,22 @@
         return is_inside_event or not (is_framed or self.has_events)
 
     def _note_events(self, events):
-        lines = []
-        for line in reversed(events.splitlines()):
-            if not line or line.startswith(_COMMENT):
-                continue
-            self.has_events = True
-            if line.startswith(_ID):
-                self._note_ident(line[len(_ID) :].strip())
-                return
-            lines.append(line)
-        if self.last or self.needs_idents:
-            self.is_out_of_turn = self.is_out_of_turn or bool(lines)
+        lines = _content_lines(events)
+        if not lines:
+            return
+        self.has_events = True
+        ident = _last_ident(lines)
+        if self.needs_idents:
+            self._note_ident(ident)
             return
         self.brings_on = not self.lines.issuperset(lines)
         self.lines = frozenset(lines)
+        self.last = self.last if ident is None else ident
 
     def _note_ident(self, ident):
+        if ident is None:
+            self.is_out_of_turn = True
+            return
         number = _number(ident)
         highest = max(self.highest, _number(self.last))
         self.brings_on = ident != self.last if number < 0 else number > highest
@@ -144,6 +144,23 @@
         self.last = ident
 
 
+def _content_lines(events):
+    """Return the lines of events that are neither empty nor comments."""
+    return [
+        line
+        for line in events.splitlines()
+        if line and not line.startswith(_COMMENT)
+    ]
+
+
+def _last_ident(lines):
+    """Return the last identifier in lines of events; None without any."""
+    for line in reversed(lines):
+        if line.startswith(_ID):
+            return line[len(_ID) :].strip()
+    return None
+
+
 def _number(ident):
     """Return the number that an identifier is; -1 if it is none."""
     if len(ident) > _MAX_DIGITS or not ident.isdigit():
