forward: results whose upstream is silent are released for want of memory

Cause: any other request in flight counted as one that should be heard, also one whose answer had not begun, and nothing ended the wait. The head of a whole answer releases the results.

Evidence: the scenario fails before (nothing is released) and passes now; those that hold results pass as before.

--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -249,6 +249,15 @@
     When the upstream of forwarded send 0 is heard for 0.2 seconds
     Then its forwarded stage results are released
 
+  Scenario: Results of a silent engine are released for want of memory
+    Guards against memory that is held for engines of which nothing is heard.
+    Given a forwarded "resumable" request with stage work
+    And the host awaits answers of all upstreams
+    And the memory for stage results is short
+    When its stage work is done
+    And 0.8 seconds of forwarding pass
+    Then its forwarded stage results are released
+
   Scenario: Results are held for a silent engine that has not read them when another has
     Given a forwarded "resumable" request with stage work
     And the host awaits answers of all upstreams
--- a/features/steps/silent_attempts_steps.py
+++ b/features/steps/silent_attempts_steps.py
@@ -27,6 +27,7 @@
     for view in context.story.registry.usable(SERVICE):
         view.slots = _SLOTS
         view.in_flight += 1
+        view.streams += 1
 
 
 @when(
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -185,6 +185,7 @@
         self.input_release.stop()
         self.held.release()
         self.view.in_flight -= 1
+        self.view.streams -= self.has_first_event
         self.view.in_flight_tokens -= tokens
         if self.core.brittle.is_brittle(self.exchange.service):
             self.core.tokens.wake(self.exchange.service)
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -74,6 +74,7 @@
 
 
 async def _relay_answer(attempt, head):
+    attempt.input_release.release()
     is_bounded = not has_length(head)
 
     def pass_on(data):
@@ -172,6 +173,7 @@
     attempt.barren_bytes = len(attempt.splitter.rest)
     if not attempt.has_first_event:
         attempt.has_first_event = True
+        attempt.view.streams += 1
         attempt.first_at = attempt.core.clock.seconds()
         learn_first_event(attempt)
         note_event(attempt.core, attempt.exchange, attempt.view)
--- a/pollenstile/forward/_input_release.py
+++ b/pollenstile/forward/_input_release.py
@@ -3,6 +3,9 @@
 # Parts of the expected fetch time in each of which an upstream must be heard.
 # One that stands still after the request has reached it fetches nothing.
 _PARTS = 2
+# Parts after which results are released for want of memory, though nothing
+# shows that the upstream lives.
+_MAX_PARTS = 8
 
 
 class ResultReaders:
@@ -56,9 +59,10 @@
 
     Before the first event, an upstream counts as having read them after the
     expected fetch time if it was heard in all of that time: one that stands
-    still reads nothing, and would find the results gone when it goes on. If it
-    owes this host no other answer, nothing can be heard; the results are then
-    kept until the first event, unless their memory is short.
+    still reads nothing, and would find the results gone when it goes on.
+    Without other streams of it in flight nothing can be heard; the results are
+    then kept until the first event. While their memory is short, they are kept for
+    the fetch time without such streams, and else for some times as long.
 
     Parameters
     ==========
@@ -80,6 +84,7 @@
         'due',
         'fetch_seconds',
         'heard_parts',
+        'parts',
         'is_memory_short',
         'readers',
         'timer',
@@ -95,6 +100,7 @@
         self.timer = None
         self.due = 0.0
         self.heard_parts = 0
+        self.parts = 0
 
     def start(self, clock):
         """Start the timer; called when the request is sent."""
@@ -121,19 +127,18 @@
         self.timer = self.clock.callLater(wait, self._look, part_began)
 
     def _look(self, part_began):
-        is_alive = self._is_taken_for_alive(part_began)
-        self.heard_parts = self.heard_parts + 1 if is_alive else 0
-        if self.heard_parts >= _PARTS:
+        self.parts += 1
+        is_heard = self.view.heard_at >= part_began
+        self.heard_parts = self.heard_parts + 1 if is_heard else 0
+        if self.heard_parts >= _PARTS or self._is_memory_needed():
             self.release()
             return
         self._schedule()
 
-    def _is_taken_for_alive(self, since):
-        """Return whether the upstream was heard, or is to be trusted."""
-        if self.view.heard_at >= since:
-            return True
-        awaits_others = self.view.in_flight > 1
-        return not awaits_others and self.is_memory_short()
+    def _is_memory_needed(self):
+        """Return whether the results are released by time."""
+        limit = _MAX_PARTS if self.view.streams else _PARTS
+        return self.parts >= limit and self.is_memory_short()
 
     def _stop_timer(self):
         if self.timer is not None and self.timer.active():
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -71,6 +71,8 @@
         0 if none did.
     heard_at : float
         Time at which any answer of it last brought bytes; 0 before the first.
+    streams : int
+        Streams of it in flight whose first event has come.
     silent_since : float or None
         Time since which it has sent nothing on any connection, if requests to
         it have met the limit on silence.
@@ -104,6 +106,7 @@
     backoff_count: int = 0
     unreached_since: float = 0.0
     heard_at: float = 0.0
+    streams: int = 0
     silent_since: float | None = None
     silent_until: float = 0.0
     barren_until: float = 0.0
