standby: results that were renewed for a send that isn't needed are released

Cause: the cancelled wait skipped the release. It stands where every way out of the preparation passes now.

Evidence: the scenario fails before (2 of 4 results released) and passes now.

--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -258,6 +258,13 @@
     And 0.8 seconds of forwarding pass
     Then its forwarded stage results are released
 
+  Scenario: Results that were renewed in vain are released
+    Guards against room that is held for a send which isn't needed any more.
+    Given a forwarded "resumable" request with stage work
+    When its stage work is done, and renewed for a send beside a silent one
+    And forwarded send 0 streams events 1 to 2 and half of the next
+    Then all its forwarded stage results are released
+
   Scenario: Results are held for a silent engine that has not read them when another has
     Given a forwarded "resumable" request with stage work
     And the host awaits answers of all upstreams
--- a/features/steps/silent_attempts_steps.py
+++ b/features/steps/silent_attempts_steps.py
@@ -1,6 +1,9 @@
 """Steps for upstreams that fall silent while an answer is awaited."""
 
+from dataclasses import replace
+
 from behave import given, then, when
+from twisted.internet.defer import Deferred
 
 from features.builders.forward import (
     NAMES,
@@ -12,6 +15,13 @@
 
 # Seconds between two events of an answer that goes on.
 _PAUSE_SECONDS = 0.01
+# Seconds in which an upstream reads results, and steps of a wait after that.
+_READ_SECONDS = 0.3
+_PART_SECONDS = 0.05
+_MAX_PARTS = 100
+# Seconds for which the caller of a request waits that is sent a second time
+# with its stage work made again.
+_LONG_SECONDS = 60.0
 # Requests that an upstream with free slots runs at once.
 _SLOTS = 8
 
@@ -49,6 +59,32 @@
     assert len(context.story.stages.released) == expected
 
 
+@when('its stage work is done, and renewed for a send beside a silent one')
+def when_renewed(context):
+    """Let the upstream read the results, and then be silent for long."""
+    story = context.story
+    story.route = replace(story.route, timeout=_LONG_SECONDS)
+    story.start(deadline=_LONG_SECONDS)
+    when_heard_for(context, 0, _READ_SECONDS)
+    run = next(iter(story.core.runs))
+    run.standby.next_view = _wait_without_end
+    for _ in range(_MAX_PARTS):
+        story.clock.advance(_PART_SECONDS)
+        if run.standby.is_preparing():
+            break
+    assert story.stages.made == 2
+
+
+async def _wait_without_end(run, inputs, avoided):
+    await Deferred()
+
+
+@then('all its forwarded stage results are released')
+def then_all_released(context):
+    stages = context.story.stages
+    assert len(stages.released) == 2 * stages.made, stages.released
+
+
 @when('its stage work is done')
 def when_stages_done(context):
     context.story.start()
--- a/pollenstile/forward/_input_release.py
+++ b/pollenstile/forward/_input_release.py
@@ -61,8 +61,8 @@
     expected fetch time if it was heard in all of that time: one that stands
     still reads nothing, and would find the results gone when it goes on.
     Without other streams of it in flight nothing can be heard; the results are
-    then kept until the first event. While their memory is short, they are kept for
-    the fetch time without such streams, and else for some times as long.
+    then kept until the first event. While their memory is short, they are kept
+    for the fetch time without such streams, and else for some times as long.
 
     Parameters
     ==========
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -137,11 +137,13 @@
         """Send an attempt; return why it was not sent, or an empty text."""
         run = self.run
         is_renewed = not run.results.are_held()
-        if await run.results.renew() is not None:
-            return _NOTHING_HELD
-        reason = await self._send_with_results()
-        if reason and is_renewed:
-            run.results.release()
+        reason = _NOTHING_HELD
+        try:
+            if await run.results.renew() is None:
+                reason = await self._send_with_results()
+        finally:
+            if reason and is_renewed:
+                run.results.release()
         return reason
 
     async def _send_with_results(self):
