forward: a host that is asked to stop before it has joined doesn't join

What operators saw (found by a review, by a script; the same on the code as landed): a host that got SIGTERM before it knew the configuration or the upstreams joined afterwards, and its entry stayed in the store after its end, as one of a dead host.

No scenario of its own: the script's run (log `leaving, joined, stopped` before) was repeated with `leaving, stopped`.

--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -238,6 +238,9 @@
         # would queue pieces that it can't run.
         while not self._has_initial_state():
             await deferLater(self.reactor, _JOIN_CHECK_SECONDS)
+        if self.leaving:
+            # Its entry would stay in the store after its end.
+            return
         peer_key = self.parts.peer_key
         peer_key.on_change = partial(_set_key, self.parts)
         peer_key.on_change(await peer_key.read())
