forward, entry: a failure with one request keeps no other from its end

What callers would have seen (found by a review with injected failures; none is known to occur by itself): an exception in the end of one request left all behind it without a status, on both interfaces.

Cause: the guard stood around the whole loop, or nowhere. Now it stands around each request; one whose state can't be told gets 502, which is true whatever has become of it. In the JSON interface an answer counts as begun if that can't be told, and is ended with those.

--- a/features/grace_ends.feature
+++ b/features/grace_ends.feature
@@ -127,6 +127,14 @@
     When the host is stopped, its grace ends and its process exits
     Then that caller is told 413 and nothing else
 
+  Scenario: A failure with one request keeps no other from its end
+    Guards against requests without a status behind one whose end can't be told.
+    Given a stopping host with a "once" route
+    And callers "f1", "f2" and "f3" at silent upstreams
+    And the host's count of runs of "f1" fails
+    When the host is stopped, its grace ends and its process exits
+    Then "f1", "f2" and "f3" are told 502
+
   Scenario: A host that wakes after its grace reads before it tells
     Guards against a host that refuses requests whose answers lie unread.
     Given a stopping host with a "idempotent" route
--- a/features/steps/grace_ends_steps.py
+++ b/features/steps/grace_ends_steps.py
@@ -45,6 +45,42 @@
     call.on_data(event_bytes(1))
 
 
+@given('callers "{first}", "{second}" and "{third}" at silent upstreams')
+def given_three(context, first, second, third):
+    for ident in (first, second, third):
+        context.callers[ident] = context.host.ask(ident)
+        context.host.advance(_AT_ONCE_SECONDS)
+
+
+class _FailingCount:
+    """Attempts of a request that can't be counted."""
+
+    def __init__(self, contest):
+        self.contest = contest
+
+    def __getattr__(self, name):
+        if name == 'runs_in_flight':
+            raise RuntimeError(name)
+        return getattr(self.contest, name)
+
+
+@given('the host\'s count of runs of "{ident}" fails')
+def given_failing_count(context, ident):
+    run = _run_of(context, ident)
+    run.contest = _FailingCount(run.contest)
+
+
+def _run_of(context, ident):
+    runs = context.host.core.runs
+    return next(run for run in runs if run.exchange.ident == ident)
+
+
+@then('"{first}", "{second}" and "{third}" are told {status:d}')
+def then_all_told(context, first, second, third, status):
+    for ident in (first, second, third):
+        assert context.callers[ident].status() == status, ident
+
+
 def _stop_and_end(context):
     host = context.host
     host.stop()
--- a/pollenstile/entry/_node.py
+++ b/pollenstile/entry/_node.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
+from pollenstile.entry import events
 from pollenstile.ops.usage import process_usage
 from pollenstile.outcomes import Refused
 
@@ -141,11 +142,25 @@
         ended = 0
         # A request that waits for another one's outcome arrived after it.
         for running, has_begun in list(self.running.items()):
-            if running in self.running and (begun or not has_begun()):
+            if running not in self.running:
+                continue
+            if begun or not self._has_begun(has_begun):
                 ended += 1
                 running.cancel()
         return ended
 
+    def _has_begun(self, has_begun):
+        """Return whether an answer has begun; True if that is unclear."""
+        try:
+            return has_begun()
+        except Exception as error:
+            # A failure here must not leave the requests behind it without a
+            # status.
+            self.core.log(
+                events.CRASHED, level='error', error=repr(error), step='grace'
+            )
+            return True
+
     def when_idle(self):
         """Return a Deferred that fires when no request is in flight."""
         if not self.in_flight:
--- a/pollenstile/forward/_departure.py
+++ b/pollenstile/forward/_departure.py
@@ -23,6 +23,8 @@
 # Refusal by a leaving host. The last value is the retry delay in seconds, after
 # which another host accepts the connections.
 LEAVING_REFUSAL = Refusal(_UNAVAILABLE, LEAVING, 'entry', '', 0.1)
+# The same of a request that may have run.
+UNKNOWN_REFUSAL = Refusal(_BAD_GATEWAY, LEAVING, 'send')
 
 
 @dataclass(slots=True, frozen=True)
@@ -176,5 +178,5 @@
     caller for whom it may run only once.
     """
     if standing.runs or standing.runs_in_flight:
-        return Refusal(_BAD_GATEWAY, LEAVING, 'send')
+        return UNKNOWN_REFUSAL
     return LEAVING_REFUSAL
--- a/pollenstile/forward/_leaving.py
+++ b/pollenstile/forward/_leaving.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 from pollenstile.forward._departure import (
+    UNKNOWN_REFUSAL,
     Standing,
     early_refusal,
     final_refusal,
@@ -10,6 +11,9 @@
 )
 from pollenstile.forward._dispatch import expected_first_event_seconds
 
+# Step of the log lines of what fails here.
+_STEP = 'departure'
+
 
 def departure_refusal(run):
     """Return the refusal of a run that can't end before its host, or None."""
@@ -30,13 +34,27 @@
     return has_time(core.departure, core.clock.seconds(), seconds)
 
 
-def refuse_late(core):
-    """Refuse the requests that this host can't serve before its end."""
+def refuse_late(core, guard):
+    """Refuse the requests that this host can't serve before its end.
+
+    Parameters
+    ==========
+
+    core : ForwardCore
+        Components of the host.
+    guard : function
+        Takes the name of a step and a function; calls it, and logs its failure.
+        That of one request keeps none of the others from its end.
+    """
     first_seconds = _remembered_estimate(core)
     for run in list(core.runs):
-        refusal = _refusal(run, first_seconds)
-        if refusal is not None:
-            run.dismiss(refusal)
+        guard(_STEP, partial(_refuse_if_late, run, first_seconds))
+
+
+def _refuse_if_late(run, first_seconds):
+    refusal = _refusal(run, first_seconds)
+    if refusal is not None:
+        run.dismiss(refusal)
 
 
 def _refusal(run, first_seconds):
@@ -81,30 +99,46 @@
     return first_seconds
 
 
-def end_unbegun(core):
+def end_unbegun(core, guard):
     """End the requests without an answer, as the grace is almost over.
 
     Explanation
     ===========
 
     Each caller is told what has become of its request before the attempts are
-    closed, and still has to read that. Begun answers go on.
+    closed, and still has to read that. Begun answers go on. The parameters are
+    those of :func:`refuse_late`.
     """
     for run in list(core.runs):
         if not run.answer.begun:
-            run.dismiss(final_refusal(_standing(run)))
+            _end(run, guard)
 
 
-def end_all(core):
+def end_all(core, guard):
     """End all requests, as this host ends.
 
     Explanation
     ===========
 
     A begun answer is aborted, as its end might be taken for that of the whole.
+    The parameters are those of :func:`refuse_late`.
     """
     for run in list(core.runs):
-        run.dismiss(final_refusal(_standing(run)))
+        _end(run, guard)
+
+
+def _end(run, guard):
+    """Dismiss a run with what is certain of it.
+
+    Explanation
+    ===========
+
+    If that can't be told for a failure of this program, it may have run.
+    """
+    refusals = []
+    guard(_STEP, lambda: refusals.append(final_refusal(_standing(run))))
+    refusal = refusals[0] if refusals else UNKNOWN_REFUSAL
+    guard(_STEP, partial(run.dismiss, refusal))
 
 
 def _standing(run):
--- a/pollenstile/forward/_shutdown.py
+++ b/pollenstile/forward/_shutdown.py
@@ -10,6 +10,8 @@
 from pollenstile.forward._leaving import end_all, end_unbegun, refuse_late
 from pollenstile.ops.lateness import reading_time
 
+_STEP = 'shutdown'
+
 
 def _never():
     """Return False: there is always something to wait for."""
@@ -37,12 +39,12 @@
     factory.refusing = True
     factory.close_idle()
     await _look_until(daemon, departure.latest, partial(_is_idle, daemon))
-    daemon.guard('departure', partial(end_unbegun, parts.core))
-    factory.refuse_incomplete()
-    factory.close_idle()
+    end_unbegun(parts.core, daemon.guard)
+    daemon.guard(_STEP, factory.refuse_incomplete)
+    daemon.guard(_STEP, factory.close_idle)
     await deferLater(daemon.reactor, departure.stops_at - departure.latest)
-    daemon.guard('departure', partial(end_all, parts.core))
-    factory.cut_off_unread()
+    end_all(parts.core, daemon.guard)
+    daemon.guard(_STEP, factory.cut_off_unread)
     await _stop_parts(daemon)
     daemon.log(events.FORWARD_STOPPED, in_flight=factory.in_flight)
 
@@ -64,7 +66,7 @@
         reading = reading_time(clock.seconds(), due)
         if reading:
             await deferLater(clock, reading)
-        daemon.guard('departure', partial(refuse_late, daemon.parts.core))
+        refuse_late(daemon.parts.core, daemon.guard)
 
 
 def _is_idle(daemon):
