forward: failures of a stated length, and answers as large as callers' bodies, are no endless ones

Cause: one bound for all failures, and constants where the configuration has a limit. A failure that states its length is read up to 4 MiB; a whole answer without one up to the larger of 4 MiB and the largest body of callers. Events keep 256 KiB.

Evidence: the scenario fails before and passes now; endless failures and answers are given up as before.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -36,6 +36,13 @@
       | 9,8,7,6     |
       | empty,empty |
 
+  Scenario: A large failure of a stated length is passed on
+    The opposite case: its end is known.
+    Given a forwarded "idempotent" request
+    When forwarded send 0 fails with 404 and 300 kB of a stated length
+    Then the caller of the forwarded request has that failure
+    And 1 forwarded sends were made
+
   Scenario: An upstream that drips bytes of no answer counts as a silent one
     Guards against bytes that keep an upstream from being silent.
     When the first upstreams of some requests drip for 2 seconds
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -13,6 +13,8 @@
 from features.builders.forwardhost import ForwardHost, request
 from pollenstile.forward._learning import learn_barren, learn_success
 
+_KILOBYTE = 1000
+
 
 def _scenarios(context):
     return [
@@ -46,6 +48,24 @@
             context.late_events.append(number)
 
 
+@when(
+    'forwarded send {place:d} fails with {code:d} and {size:d} kB of a stated '
+    'length'
+)
+def when_fails(context, place, code, size):
+    call = context.story.calls[place]
+    body = bytes(size * _KILOBYTE)
+    call.answer(code, length=len(body))
+    call.body(body)
+    context.failure = (code, body)
+
+
+@then('the caller of the forwarded request has that failure')
+def then_failure(context):
+    answer = context.story.answer
+    assert (answer.status, answer.content) == context.failure, answer.status
+
+
 def _event(ident, number):
     field = {'': '', 'empty': 'id:\n'}.get(ident, f'id: {ident}\n')
     return f'{field}data: piece {number}\n\n'.encode()
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -16,9 +16,9 @@
     ENDLESS_FAILURE,
     MAX_BUFFERED_BYTES,
     MAX_EVENT_BYTES,
-    MAX_FAILURE_BYTES,
-    MAX_UNSTATED_BYTES,
+    failure_bound,
     has_length,
+    unstated_bound,
 )
 from pollenstile.forward._outcomes import Delivered, UpstreamFailure
 from pollenstile.forward._request_log import log_stream_end
@@ -56,11 +56,12 @@
 
 async def _read_failure(attempt, head):
     parts = []
+    bound = failure_bound(head)
 
     def keep(data):
         parts.append(data)
         _note_part(attempt, head, data, may_be_answer=False)
-        _count_barren(attempt, data, MAX_FAILURE_BYTES, ENDLESS_FAILURE)
+        _count_barren(attempt, data, bound, ENDLESS_FAILURE)
 
     end = await _read_body(attempt, head, keep)
     if end not in _ENDED:
@@ -76,11 +77,12 @@
 async def _relay_answer(attempt, head):
     attempt.input_release.release()
     is_bounded = not has_length(head)
+    bound = unstated_bound(attempt.exchange)
 
     def pass_on(data):
         _note_part(attempt, head, data, may_be_answer=True)
         if is_bounded:
-            _count_barren(attempt, data, MAX_UNSTATED_BYTES, ENDLESS_ANSWER)
+            _count_barren(attempt, data, bound, ENDLESS_ANSWER)
         if not attempt.endless:
             _pass_on_part(attempt, head, data)
 
@@ -114,7 +116,9 @@
         return
     attempt.held.append(data)
     is_held_long = attempt.contest.is_contested(attempt) or not has_length(head)
-    limit = MAX_UNSTATED_BYTES if is_held_long else MAX_BUFFERED_BYTES
+    limit = MAX_BUFFERED_BYTES
+    if is_held_long:
+        limit = unstated_bound(attempt.exchange)
     if attempt.held.is_over(limit):
         _begin_answer(attempt, head)
         _write_held(attempt)
--- a/pollenstile/forward/_bounds.py
+++ b/pollenstile/forward/_bounds.py
@@ -4,8 +4,7 @@
 ===========
 
 An upstream may send bytes that are no answer and never end. Over a bound they
-are given up, and another upstream may be asked. What callers may send is the
-only size that the configuration states, so the bounds follow its limits.
+are given up, and another upstream may be asked.
 """
 
 from dataclasses import dataclass
@@ -14,12 +13,13 @@
 # callers may send by default, of which an upstream repeats some.
 MAX_HEAD_BYTES = 65536
 # Bytes of an event, and of all that a stream brings without an event that goes
-# on after the last one: the largest body that callers may send by default.
+# on after the last one: thousands of times an event of some tokens.
 MAX_EVENT_BYTES = 262144
-# Bytes of the body of a failure, which is read before it is passed on.
+# Bytes of the body of a failure without a stated length, which is read before
+# it is passed on.
 MAX_FAILURE_BYTES = 262144
-# Bytes of a whole answer without a stated length: the largest body that the
-# platform's callers may send, and the largest reply of the JSON interface.
+# Bytes of a failure of a stated length, and of a whole answer without one if
+# the configuration doesn't let callers send larger bodies themselves.
 MAX_UNSTATED_BYTES = 4194304
 # Bytes of an answer of a stated length that are held back before it begins, so
 # that the request can be sent again after an incomplete answer. Beside another
@@ -103,3 +103,13 @@
 def has_length(head):
     """Return whether a head states the length of its body."""
     return isinstance(head.length, int)
+
+
+def failure_bound(head):
+    """Return the bytes up to which the body of a failure is read."""
+    return MAX_UNSTATED_BYTES if has_length(head) else MAX_FAILURE_BYTES
+
+
+def unstated_bound(exchange):
+    """Return the bytes up to which a whole answer without a length is held."""
+    return max(MAX_UNSTATED_BYTES, exchange.table.limits.body_bytes)
