--- a/tools/check.py
+++ b/tools/check.py
@@ -26,13 +26,12 @@
 SOURCES = ('pollenstile', 'platform', 'features', 'tools', 'spec')
 MODULES = re.compile(r'(\d+) modules passed, (\d+) failed')
 # Features of many whole hosts in virtual time, which take the most processor
-# time, in three groups of about the same time.
+# time, in four groups of about the same time.
 _FLEET_FEATURES = (
     'features/lag.feature',
     'features/ratelimits.feature',
     'features/stagework.feature',
     'features/stagework_heavy.feature',
-    'features/withdrawals.feature',
 )
 _CRASH_FEATURES = (
     'features/brittle.feature',
@@ -43,6 +42,10 @@
     'features/deadly_parts.feature',
     'features/versions.feature',
 )
+_SOAK_FEATURES = (
+    'features/soak.feature',
+    'features/withdrawals.feature',
+)
 # Features of daemons on loopback, which mostly wait.
 _LIVE_FEATURES = (
     'features/cut_hosts.feature',
@@ -58,6 +61,7 @@
                 *_FLEET_FEATURES,
                 *_CRASH_FEATURES,
                 *_PART_FEATURES,
+                *_SOAK_FEATURES,
                 *_LIVE_FEATURES,
             )
         ),
@@ -66,6 +70,7 @@
     _FLEET_FEATURES,
     _CRASH_FEATURES,
     _PART_FEATURES,
+    _SOAK_FEATURES,
     _LIVE_FEATURES,
 )
 SUMMARY = re.compile(r'(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?')
