forward, soak: names for bytes without progress and for sets of silent upstreams

Barren bytes and hushes said what a newcomer would have to ask for: bytes that bring no answer are bytes without progress, and the upstreams that stand still beside a stop are a set of silent ones. 1256 is upstream-without-progress, its counts and fields follow; the form of the soak whose stage results are gone is results-gone. No behaviour changes.

--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -11,7 +11,7 @@
 )
 from features.builders.forward import SERVICE, event_bytes
 from features.builders.forwardhost import ForwardHost, request
-from pollenstile.forward._learning import learn_barren, learn_success
+from pollenstile.forward._learning import learn_no_progress, learn_success
 
 _KILOBYTE = 1000
 
@@ -251,14 +251,14 @@
 
 
 @when('the bytes of all other upstreams are no answers')
-def when_all_barren(context):
+def when_all_no_progress(context):
     for view in context.story.registry.usable(SERVICE):
-        learn_barren(view, context.story.clock.seconds())
+        learn_no_progress(view, context.story.clock.seconds())
 
 
 @then('event {number:d} names that upstream')
 def then_named(context, number):
-    lines = context.story.lines('upstream-barren')
+    lines = context.story.lines('upstream-without-progress')
     assert [line['peer'] for line in lines] == [_first_view(context).ident]
 
 
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -6,7 +6,7 @@
 
 from pollenstile.forward._attempt_learning import (
     learn_outcome,
-    note_barren,
+    note_no_progress,
     note_heard,
 )
 from pollenstile.forward._bodies import relay_body
@@ -61,7 +61,7 @@
         What is held back of a whole answer.
     pending : bytearray
         Complete events that wait for one that brings the stream on.
-    barren_bytes : int
+    no_progress_bytes : int
         Bytes received since the last event that brought the stream on, or of
         the whole body.
     end_body : function or None
@@ -77,7 +77,7 @@
     __slots__ = (
         'answer',
         'arrived',
-        'barren_bytes',
+        'no_progress_bytes',
         'call',
         'contest',
         'core',
@@ -117,7 +117,7 @@
         self.splitter = EventSplitter(needs_idents=exchange.route.resumable)
         self.held = HeldAnswer(core.held)
         self.pending = bytearray()
-        self.barren_bytes = 0
+        self.no_progress_bytes = 0
         self.end_body = None
         self.endless = ''
         self.has_first_event = False
@@ -225,9 +225,9 @@
             self.call.head.callback(reason)
             return
         self.core.silences.silent += 1
-        if self.silence.barren_bytes:
-            self.core.silences.barren += 1
-            note_barren(self, 'no answer in time')
+        if self.silence.no_progress_bytes:
+            self.core.silences.without_progress += 1
+            note_no_progress(self, 'no answer in time')
         learn_silence(
             self.view, self.silence.heard_at, self.core.clock.seconds()
         )
--- a/pollenstile/forward/_attempt_learning.py
+++ b/pollenstile/forward/_attempt_learning.py
@@ -1,13 +1,13 @@
 """What a host learns from an attempt while it runs and when it ends."""
 
 from pollenstile.forward._learning import (
-    learn_barren,
+    learn_no_progress,
     learn_failure,
     learn_success,
     learn_unavailable,
 )
 from pollenstile.forward._outcomes import RESULTS_GONE, UpstreamFailure
-from pollenstile.forward._request_log import log_barren
+from pollenstile.forward._request_log import log_no_progress
 from pollenstile.forward._selection import own_tokens
 from pollenstile.forward._types import Lost, NotRun
 
@@ -23,10 +23,10 @@
     attempt.view.silent_since = None
 
 
-def note_barren(attempt, reason):
+def note_no_progress(attempt, reason):
     """Record that an attempt's upstream sends bytes which are no answer."""
-    learn_barren(attempt.view, attempt.core.clock.seconds())
-    log_barren(attempt, reason)
+    learn_no_progress(attempt.view, attempt.core.clock.seconds())
+    log_no_progress(attempt, reason)
 
 
 def learn_first_event(attempt):
@@ -58,7 +58,7 @@
         learn_failure(attempt.view)
         if getattr(outcome, 'endless', False):
             attempt.core.silences.endless += 1
-            note_barren(attempt, outcome.reason)
+            note_no_progress(attempt, outcome.reason)
     elif not attempt.streaming:
         learn_success(attempt.view, now - attempt.started)
 
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -10,7 +10,7 @@
     note_heard,
 )
 from pollenstile.forward._bounds import (
-    BARREN_EVENTS,
+    NO_PROGRESS,
     ENDLESS_ANSWER,
     ENDLESS_EVENT,
     ENDLESS_FAILURE,
@@ -61,7 +61,7 @@
     def keep(data):
         parts.append(data)
         _note_part(attempt, head, data, may_be_answer=False)
-        _count_barren(attempt, data, bound, ENDLESS_FAILURE)
+        _count_toward_bound(attempt, data, bound, ENDLESS_FAILURE)
 
     end = await _read_body(attempt, head, keep)
     if end not in _ENDED:
@@ -82,7 +82,7 @@
     def pass_on(data):
         _note_part(attempt, head, data, may_be_answer=True)
         if is_bounded:
-            _count_barren(attempt, data, bound, ENDLESS_ANSWER)
+            _count_toward_bound(attempt, data, bound, ENDLESS_ANSWER)
         if not attempt.endless:
             _pass_on_part(attempt, head, data)
 
@@ -100,7 +100,7 @@
     if has_length(head):
         _note_life(attempt)
     else:
-        attempt.silence.note_barren(len(data), may_be_answer=may_be_answer)
+        attempt.silence.note_no_progress(len(data), may_be_answer=may_be_answer)
 
 
 def _note_life(attempt):
@@ -161,11 +161,11 @@
     if splitter.brings_on:
         _note_event(attempt, head)
     else:
-        attempt.silence.note_barren(
+        attempt.silence.note_no_progress(
             len(data), may_be_answer=not splitter.is_out_of_turn
         )
-        reason = _barren_reason(splitter)
-        _count_barren(attempt, data, MAX_EVENT_BYTES, reason)
+        reason = _bound_reason(splitter)
+        _count_toward_bound(attempt, data, MAX_EVENT_BYTES, reason)
     may_write = splitter.brings_on or _keeps_alive(attempt)
     if attempt.pending and may_write:
         _write_pending(attempt)
@@ -174,7 +174,7 @@
 def _note_event(attempt, head):
     """Begin the answer with an event that brings the stream on."""
     _note_life(attempt)
-    attempt.barren_bytes = len(attempt.splitter.rest)
+    attempt.no_progress_bytes = len(attempt.splitter.rest)
     if not attempt.has_first_event:
         attempt.has_first_event = True
         attempt.view.streams += 1
@@ -197,15 +197,15 @@
     attempt.pending = bytearray()
 
 
-def _barren_reason(splitter):
+def _bound_reason(splitter):
     is_one_event = len(splitter.rest) > MAX_EVENT_BYTES // 2
-    return ENDLESS_EVENT if is_one_event else BARREN_EVENTS
+    return ENDLESS_EVENT if is_one_event else NO_PROGRESS
 
 
-def _count_barren(attempt, data, limit, reason):
+def _count_toward_bound(attempt, data, limit, reason):
     """Count bytes that bring nothing yet; over the limit, give up."""
-    attempt.barren_bytes += len(data)
-    if attempt.barren_bytes <= limit or attempt.endless:
+    attempt.no_progress_bytes += len(data)
+    if attempt.no_progress_bytes <= limit or attempt.endless:
         return
     attempt.endless = reason
     attempt.call.cancel()
--- a/pollenstile/forward/_bounds.py
+++ b/pollenstile/forward/_bounds.py
@@ -32,7 +32,7 @@
 # Reasons for which an attempt is lost.
 ENDLESS_HEAD = 'endless head'
 ENDLESS_EVENT = 'endless event'
-BARREN_EVENTS = 'events that bring nothing'
+NO_PROGRESS = 'events that bring nothing'
 ENDLESS_FAILURE = 'endless failure'
 ENDLESS_ANSWER = 'endless answer'
 
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -114,7 +114,7 @@
         'went_on': 'Silent attempts whose upstream went on.',
         'taken_over': 'Answers that went on at another upstream.',
         'handed_back': 'Requests given up for a silence before any answer.',
-        'barren': 'Silent attempts whose upstream sent bytes of no answer.',
+        'without_progress': 'Silent attempts whose upstream sent bytes of no answer.',
         'endless': 'Attempts given up, as their bytes were over a bound.',
         'broken_off': 'Begun answers that ended incomplete, for any reason.',
     }
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -8,7 +8,7 @@
 # Seconds for which a silent upstream gets no new requests while others answer.
 _SILENT_SECONDS = 5.0
 # The same for an upstream whose bytes were no answer.
-_BARREN_SECONDS = 5.0
+_NO_PROGRESS_SECONDS = 5.0
 
 
 def learn_success(view, seconds):
@@ -16,7 +16,7 @@
     view.failures -= _SMOOTHING_FACTOR * view.failures
     view.backoff_count = 0
     view.unreached_since = 0.0
-    view.barren_until = 0.0
+    view.no_progress_until = 0.0
     if view.seconds:
         view.seconds += _SMOOTHING_FACTOR * (seconds - view.seconds)
     else:
@@ -42,7 +42,7 @@
         view.silent_until = now + _SILENT_SECONDS
 
 
-def learn_barren(view, now):
+def learn_no_progress(view, now):
     """Record an upstream that sent bytes which are no answer.
 
     Explanation
@@ -51,7 +51,7 @@
     It may do so with all its answers, or with few of them, so its next good
     answer ends this.
     """
-    view.barren_until = now + _BARREN_SECONDS
+    view.no_progress_until = now + _NO_PROGRESS_SECONDS
 
 
 def learn_unavailable(view, now, *, arrived=True):
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -101,12 +101,12 @@
         limit_ms=int(silence.limit * _MS),
         late_ms=int(silence.lateness * _MS),
         heard_ms=int(heard * _MS) if heard_at else -1,
-        barren=silence.barren_bytes,
+        no_progress=silence.no_progress_bytes,
         flying=attempt.view.in_flight,
     )
 
 
-def log_barren(attempt, reason):
+def log_no_progress(attempt, reason):
     """Log that an upstream is passed by, as its bytes are no answer.
 
     Parameters
@@ -118,14 +118,16 @@
     core = attempt.core
     now = core.clock.seconds()
     core.log(
-        events.UPSTREAM_BARREN,
+        events.UPSTREAM_WITHOUT_PROGRESS,
         request=attempt.exchange.ident,
         peer=attempt.view.ident,
         reason=reason,
         last=attempt.splitter.last.decode('latin-1'),
-        barren=max(attempt.barren_bytes, attempt.silence.barren_bytes),
+        no_progress=max(
+            attempt.no_progress_bytes, attempt.silence.no_progress_bytes
+        ),
         took_ms=int((now - attempt.started) * _MS),
-        passed_by_ms=int((attempt.view.barren_until - now) * _MS),
+        passed_by_ms=int((attempt.view.no_progress_until - now) * _MS),
     )
 
 
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -78,7 +78,7 @@
         it have met the limit on silence.
     silent_until : float
         Time until which it is passed by for that.
-    barren_until : float
+    no_progress_until : float
         Time until which it is passed by as its bytes were no answer; 0 after a
         good answer.
     cold_until : float
@@ -109,7 +109,7 @@
     streams: int = 0
     silent_since: float | None = None
     silent_until: float = 0.0
-    barren_until: float = 0.0
+    no_progress_until: float = 0.0
     cold_until: float = 0.0
     cold_sends: deque = field(default_factory=deque)
 
@@ -178,7 +178,7 @@
     heard_at = max((view.heard_at for view in untried), default=0.0)
 
     def is_passed_by(view):
-        if now < view.barren_until:
+        if now < view.no_progress_until:
             return True
         return is_silent(view, now) and heard_at > view.silent_since
 
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -36,9 +36,9 @@
         Tells whether this host reads at all; None before the body.
     heard_at : float
         Time at which something for the caller was last received, or the start.
-    barren_bytes : int
+    no_progress_bytes : int
         Other bytes received since then.
-    barren_at : float
+    partial_at : float
         Time of the last of these that may become an answer; 0 before any.
     is_silent : bool
         Whether the limit has passed since then.
@@ -50,8 +50,8 @@
 
     __slots__ = (
         'backpressure',
-        'barren_at',
-        'barren_bytes',
+        'partial_at',
+        'no_progress_bytes',
         'clock',
         'due',
         'has_data',
@@ -75,8 +75,8 @@
         self.due = 0.0
         self.lateness = 0.0
         self.heard_at = clock.seconds()
-        self.barren_bytes = 0
-        self.barren_at = 0.0
+        self.no_progress_bytes = 0
+        self.partial_at = 0.0
         self.has_data = False
         self.is_silent = False
         self.longest_silence = 0.0
@@ -98,7 +98,7 @@
         self.has_data = True
         self._restart(limit)
 
-    def note_barren(self, size, *, may_be_answer):
+    def note_no_progress(self, size, *, may_be_answer):
         """Count received bytes that bring the caller nothing yet.
 
         Parameters
@@ -107,9 +107,9 @@
         may_be_answer : bool
             Whether they may be a part of an answer.
         """
-        self.barren_bytes += size
+        self.no_progress_bytes += size
         if may_be_answer:
-            self.barren_at = self.clock.seconds()
+            self.partial_at = self.clock.seconds()
 
     def note_resumed(self):
         """Restart the timer, as nothing was read while the caller did not."""
@@ -119,9 +119,9 @@
 
     def is_flowing(self):
         """Return whether bytes that may become an answer still arrive."""
-        if not self.barren_at:
+        if not self.partial_at:
             return False
-        return self.clock.seconds() - self.barren_at < self.limit
+        return self.clock.seconds() - self.partial_at < self.limit
 
     def silent_seconds(self):
         """Return the seconds since something for the caller was received."""
@@ -137,8 +137,8 @@
         was_silent = self.is_silent
         self.limit = limit
         self.heard_at = self.clock.seconds()
-        self.barren_bytes = 0
-        self.barren_at = 0.0
+        self.no_progress_bytes = 0
+        self.partial_at = 0.0
         self.is_silent = False
         self.lateness = 0.0
         self.stop()
@@ -180,7 +180,7 @@
         Answers that another attempt has brought or went on with.
     handed_back : int
         Requests that were given up so that their callers could try again.
-    barren : int
+    without_progress : int
         Silent attempts whose upstream sent bytes that brought nothing.
     endless : int
         Attempts that were given up, as their upstream sent more bytes than an
@@ -193,7 +193,7 @@
     went_on: int = 0
     taken_over: int = 0
     handed_back: int = 0
-    barren: int = 0
+    without_progress: int = 0
     endless: int = 0
     broken_off: int = 0
 
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -114,7 +114,7 @@
     'An upstream has sent nothing for the caller for the limit on silence of an'
     ' attempt.',
     'Compare `heard_ms`, the time since the upstream sent anything to this host,'
-    ' and `late_ms`, by which the loop of this host ran late. `barren` counts'
+    ' and `late_ms`, by which the loop of this host ran late. `no_progress` counts'
     ' bytes that came meanwhile and brought nothing.',
 )
 ATTEMPT_HEARD = define(
@@ -135,9 +135,9 @@
     'An attempt has something for the caller before the silent ones, which were'
     ' closed after `silent_ms`; it was sent `took_ms` ago.',
 )
-UPSTREAM_BARREN = define(
+UPSTREAM_WITHOUT_PROGRESS = define(
     1256,
-    'upstream-barren',
+    'upstream-without-progress',
     'An upstream sends bytes that are no answer. New requests pass by it for'
     ' `passed_by_ms`, or until it answers, while there are others.',
     'Check that upstream. `reason` is the bound that it met, with which the'
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -25,7 +25,7 @@
 
 # Grace of the hosts of a live run whose requests may outlast it.
 _GRACE_SECONDS = 4.0
-_HUSHES = ('nobody', 'engines', 'stages', 'both', 'forgetful')
+_SILENT_SETS = ('nobody', 'engines', 'stages', 'both', 'results-gone')
 _ALL_FORMS = 'all'
 _FORMS = (
     'head',
@@ -132,14 +132,14 @@
     parser.add_argument(
         '--graces',
         nargs='?',
-        choices=_HUSHES,
-        const=_HUSHES[1],
+        choices=_SILENT_SETS,
+        const=_SILENT_SETS[1],
         metavar='SILENT',
         help='stop hosts gracefully while requests may outlast their grace; '
         'with --live: two hosts in turn, as the only faults, while the '
         'upstreams of SILENT stand still from shortly before each SIGTERM on: '
-        f'{", ".join(_HUSHES)} (engines whose stage results are gone when '
-        f'they go on) [{_HUSHES[1]}]',
+        f'{", ".join(_SILENT_SETS)} (engines whose stage results are gone when '
+        f'they go on) [{_SILENT_SETS[1]}]',
     )
     parser.add_argument(
         '--grace-seconds',
--- a/pollenstile/soak/live/_outlast.py
+++ b/pollenstile/soak/live/_outlast.py
@@ -31,27 +31,29 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Hush:
+class _SilentSet:
     """Upstreams that stand still beside a stop.
 
     Parameters
     ==========
 
-    is_forgetful : bool
+    drops_results : bool
         Whether all stage results are gone when they go on.
     """
 
     services: tuple
     seconds: float = _SILENCE_SECONDS
-    is_forgetful: bool = False
+    drops_results: bool = False
 
 
-HUSHES = {
-    'nobody': _Hush(()),
-    'engines': _Hush((ENGINES, PLAIN)),
-    'stages': _Hush(STAGES),
-    'both': _Hush((ENGINES, PLAIN, *STAGES)),
-    'forgetful': _Hush((ENGINES,), _SHORT_SILENCE_SECONDS, is_forgetful=True),
+SILENT_SETS = {
+    'nobody': _SilentSet(()),
+    'engines': _SilentSet((ENGINES, PLAIN)),
+    'stages': _SilentSet(STAGES),
+    'both': _SilentSet((ENGINES, PLAIN, *STAGES)),
+    'results-gone': _SilentSet(
+        (ENGINES,), _SHORT_SILENCE_SECONDS, drops_results=True
+    ),
 }
 
 
@@ -62,13 +64,13 @@
     Parameters
     ==========
 
-    hush : str
-        Name of the upstreams that stand still, in ``HUSHES``.
+    silent_set : str
+        Name of the upstreams that stand still, in ``SILENT_SETS``.
     grace : float
         Grace of the hosts, in seconds.
     """
 
-    hush: str
+    silent_set: str
     grace: float
 
     @property
@@ -102,7 +104,9 @@
     reactor = world.reactor
     await deferLater(reactor, _BEFORE_SECONDS)
     for host in world.rng.sample(world.hosts, min(_STOPS, len(world.hosts))):
-        standing = Deferred.fromCoroutine(_stand(world, HUSHES[plan.hush]))
+        standing = Deferred.fromCoroutine(
+            _stand(world, SILENT_SETS[plan.silent_set])
+        )
         await deferLater(reactor, _SILENT_BEFORE_SECONDS)
         await _stop(world, host)
         await standing
@@ -146,14 +150,14 @@
     return 'given up' if record.gave_up else 'unanswered'
 
 
-async def _stand(world, hush):
+async def _stand(world, silent_set):
     servers = [
         server
-        for service in hush.services
+        for service in silent_set.services
         for server in world.servers_of(service)
     ]
-    forget = world.results.clear if hush.is_forgetful else None
-    await stand_together(world, servers, hush.seconds, forget)
+    drop = world.results.clear if silent_set.drops_results else None
+    await stand_together(world, servers, silent_set.seconds, drop)
 
 
 async def _stop(world, host):
