bench, soak: tries of streams, silences and runs with faults of their own stand once

Cause: the worlds of silences and of versions each built the request of a stream's try and chose its host by the same lines; the soak of graces let upstreams stand still by a copy of that of silences, and noted the grace in the trace as the length of the silence (it notes the true length now); three steps differed by one argument; BodyEnd.SILENT had no use left.

Change: _streamtries.py for both worlds, one fall_silent, one step with a table.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,6 +13,12 @@
 from pollenstile.soak._process import Process
 
 _MAX_SEEDS = 12
+# Arguments of the runs that have faults of their own.
+_PLAYS = {
+    'silences of upstreams': {'silences': True},
+    'stops that requests outlast': {'graces': True},
+    'endless engines': {'endless': True},
+}
 
 
 @then('soak seed {seed:d} of {steps:d} steps gives the same digest twice')
@@ -38,33 +44,11 @@
     context.result = run_soak(seed, steps, returns=True)
 
 
-@when(
-    'soak seeds {first:d} to {last:d} of {steps:d} steps are run with silences'
-    ' of upstreams'
-)
-def step_run_silences(context, first, last, steps):
-    context.results = [
-        run_soak(seed, steps, silences=True) for seed in range(first, last + 1)
-    ]
-
-
-@when(
-    'soak seeds {first:d} to {last:d} of {steps:d} steps are run with stops'
-    ' that requests outlast'
-)
-def step_run_graces(context, first, last, steps):
-    context.results = [
-        run_soak(seed, steps, graces=True) for seed in range(first, last + 1)
-    ]
-
-
-@when(
-    'soak seeds {first:d} to {last:d} of {steps:d} steps are run with endless'
-    ' engines'
-)
-def step_run_endless(context, first, last, steps):
+@when('soak seeds {first:d} to {last:d} of {steps:d} steps are run with {what}')
+def step_run_with(context, first, last, steps, what):
+    plays = _PLAYS[what]
     context.results = [
-        run_soak(seed, steps, endless=True) for seed in range(first, last + 1)
+        run_soak(seed, steps, **plays) for seed in range(first, last + 1)
     ]
 
 
--- a/pollenstile/bench/_silenceworld.py
+++ b/pollenstile/bench/_silenceworld.py
@@ -11,15 +11,15 @@
     StreamCaller,
     TryAnswer,
 )
-from pollenstile.forward import Exchange, RouteQuery, serve
-from pollenstile.quarantine import fingerprint
+from pollenstile.bench._streamtries import (
+    AIM_SECONDS,
+    SERVICE,
+    serve_try,
+    serving_hosts,
+)
 from pollenstile.routes import Kind, Route, Target
 from pollenstile.standin.crashing import EVENT_GAP_SECONDS, NAMES
 
-_SERVICE = 's'
-_TARGET = b'/a/x'
-_QUERY = RouteQuery('host', '/a/x')
-_AIM_SECONDS = 2.0
 # Run time of a stream of 20 events, and of a whole answer.
 _STREAM_SECONDS = 2.0
 _ANSWER_SECONDS = 0.5
@@ -39,7 +39,7 @@
 _IDLE_STEP_SECONDS = 0.25
 _LEAVE_SECONDS = max(
     _MIN_LEAVE_SECONDS,
-    _LEAVE_AIMS * _AIM_SECONDS,
+    _LEAVE_AIMS * AIM_SECONDS,
     _LEAVE_PAUSES * _PAUSE_SECONDS,
 )
 
@@ -52,8 +52,8 @@
         '/a/',
         kind,
         DEADLINE_SECONDS,
-        _AIM_SECONDS,
-        targets=(Target(_SERVICE),),
+        AIM_SECONDS,
+        targets=(Target(SERVICE),),
         attempts=attempts,
         resumable=resumable,
         pause=_PAUSE_SECONDS if kind is Kind.STREAM else 0.0,
@@ -261,7 +261,7 @@
 
     def serving_hosts(self):
         """Return the running hosts that know their upstreams."""
-        return [host for host in self.fleet.running() if _is_serving(host)]
+        return serving_hosts(self.fleet)
 
     def start_caller(self):
         """Let a new caller send its first try."""
@@ -274,28 +274,8 @@
     def send_try(self, caller, ident, answer):
         """Send one try of a caller to a random host."""
         host = self.rng.choice(self.serving_hosts())
-        core = host.core
-        now = self.now()
-        self.calls_at[ident] = now
-        exchange = Exchange(
-            ident,
-            b'POST',
-            _TARGET,
-            [(NAMES.attempt, ident.encode())],
-            caller.body,
-            self.route,
-            core.configuration.table,
-            _QUERY,
-            caller.team,
-            arrived=now,
-            aim=now + _AIM_SECONDS,
-            ends=caller.ends,
-            last_event=str(caller.last) if caller.last else '',
-            resumes=caller.origin,
-            service=_SERVICE,
-            fingerprint=fingerprint(core.quarantine.key, _TARGET, caller.body),
-        )
-        answer.work = serve(core, exchange, answer)
+        self.calls_at[ident] = self.now()
+        serve_try(self, host, caller, ident, answer)
 
     def fall_silent(self, share, seconds):
         """Let a random part of the upstreams stand still for some seconds."""
@@ -397,7 +377,3 @@
 
 def _moment(arrival):
     return arrival.at, arrival.upstream
-
-
-def _is_serving(host):
-    return host.configuration.table is not None and host.core.registry.known
--- a/pollenstile/bench/_versionworld.py
+++ b/pollenstile/bench/_versionworld.py
@@ -4,14 +4,8 @@
 
 from pollenstile.bench._seededworld import SeededWorld
 from pollenstile.bench._streamcallers import StreamCaller
-from pollenstile.forward import Exchange, RouteQuery, serve
-from pollenstile.quarantine import fingerprint
-from pollenstile.standin.crashing import NAMES
-
-_SERVICE = 's'
-_TARGET = b'/a/x'
-_PATH = RouteQuery('host', '/a/x')
-_AIM_SECONDS = 2.0
+from pollenstile.bench._streamtries import serve_try, serving_hosts
+
 # Run time of a stream.
 _STREAM_SECONDS = 2.0
 # Seconds until a host that was killed starts again.
@@ -97,34 +91,13 @@
 
     def serving_hosts(self):
         """Return the running hosts that know their upstreams."""
-        return [host for host in self.fleet.running() if _is_serving(host)]
+        return serving_hosts(self.fleet)
 
     def send_try(self, caller, ident, answer):
         """Send one try of a caller to a random host."""
         host = self.rng.choice(self.serving_hosts())
-        core = host.core
-        now = self.now()
-        last_event = str(caller.last) if caller.last else ''
-        exchange = Exchange(
-            ident,
-            b'POST',
-            _TARGET,
-            [(NAMES.attempt, ident.encode())],
-            caller.body,
-            self.route,
-            core.configuration.table,
-            _PATH,
-            caller.team,
-            arrived=now,
-            aim=now + _AIM_SECONDS,
-            ends=caller.ends,
-            last_event=last_event,
-            resumes=caller.origin,
-            service=_SERVICE,
-            fingerprint=fingerprint(core.quarantine.key, _TARGET, caller.body),
-        )
         self.live.setdefault(host.name, []).append(answer)
-        answer.work = serve(core, exchange, answer)
+        serve_try(self, host, caller, ident, answer)
 
     def mixed(self):
         """Return the callers whose streams have events of two versions."""
@@ -183,7 +156,3 @@
         self.upstreams.start(f'{address}0', process.domain, software)
         self.upstreams.leave(address)
         self.later(_LEAVE_SECONDS, self.upstreams.end, address)
-
-
-def _is_serving(host):
-    return host.configuration.table is not None and host.core.registry.known
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -266,6 +266,5 @@
     # The body had neither, and its connection was closed without a reset.
     CLOSED = 'closed'
     BROKEN = 'broken'
-    SILENT = 'silent'
     # It was given up, as it has more bytes than any answer.
     ENDLESS = 'endless'
--- a/pollenstile/soak/_graces.py
+++ b/pollenstile/soak/_graces.py
@@ -5,6 +5,7 @@
 from pollenstile.entry import plan_grace
 from pollenstile.soak._callers import connection_lost
 from pollenstile.soak._faults import leave_host, restart
+from pollenstile.soak._silences import fall_silent
 
 _STOP_EVERY_SECONDS = 2.5
 # Seconds from SIGTERM to SIGKILL; requests last up to two and a half.
@@ -35,13 +36,8 @@
 
 
 def _fall_silent(world, rng, grace):
-    names = sorted(world.upstreams)
-    silent = rng.sample(names, round(rng.choice(_SILENT_SHARES) * len(names)))
-    world.trace.note('silent', upstreams=','.join(silent), seconds=grace)
-    for name in silent:
-        world.upstreams[name].timers.pause(
-            _SILENT_BEFORE_SECONDS + grace + _SILENT_AFTER_SECONDS
-        )
+    seconds = _SILENT_BEFORE_SECONDS + grace + _SILENT_AFTER_SECONDS
+    fall_silent(world, rng, rng.choice(_SILENT_SHARES), seconds)
 
 
 def _stop(world, rng, grace):
--- a/pollenstile/soak/_silences.py
+++ b/pollenstile/soak/_silences.py
@@ -25,11 +25,12 @@
     while moment < seconds:
         share = rng.choice(_SILENT_SHARES)
         length = rng.uniform(0.1, _MAX_SILENCE_SECONDS)
-        world.clock.callLater(moment, _fall_silent, world, rng, share, length)
+        world.clock.callLater(moment, fall_silent, world, rng, share, length)
         moment += length + rng.uniform(0.5, _SILENCE_EVERY_SECONDS)
 
 
-def _fall_silent(world, rng, share, seconds):
+def fall_silent(world, rng, share, seconds):
+    """Let a random share of the upstreams stand still for some seconds."""
     names = sorted(world.upstreams)
     silent = rng.sample(names, round(share * len(names)))
     world.trace.note('silent', upstreams=','.join(silent), seconds=seconds)
