reachability: a failure domain to which connections time out is passed by

Cause: a host of 75 to 89 sends to one of dozens of engines less than once in 40 s, so it finds an unreachable domain out anew with nearly every request; in a cut each waited for one to three connection timeouts of 0.35 s, and those whose sends were used up were refused. The parts of paths move to a module of their own.

--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from functools import partial
 
-from twisted.internet.defer import Deferred
 
 from pollenstile.forward._budget import SharedRetryBudget
 from pollenstile.forward._client import HttpClient
@@ -12,9 +11,9 @@
 from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._drained import DRAINED, DrainedDomains
-from pollenstile.forward._learning import end_backoff
 from pollenstile.forward._members import HOSTS, Members, PeerHost
 from pollenstile.forward._owners import StageOwners
+from pollenstile.forward._pathassembly import add_paths, build_tunnel_server
 from pollenstile.forward._peerkey import PeerKey
 from pollenstile.forward._registry import UPSTREAMS, Registry
 from pollenstile.forward._settings import update_seconds
@@ -44,12 +43,7 @@
     Source,
 )
 from pollenstile.stagework import StageClient, StageService
-from pollenstile.tunnel import (
-    TUNNEL_SUBJECT,
-    Paths,
-    Tunnels,
-    TunnelServer,
-)
+from pollenstile.tunnel import Paths, TunnelServer
 
 _MS = 1000
 # Hosts that share the retry budget of a stage service: its current owner and
@@ -183,7 +177,7 @@
         PeerHost(hub.hello.address, settings.domain, settings.capacity),
         log,
     )
-    client.paths = _build_paths(reactor, rng, settings, hub, core, members, log)
+    add_paths(reactor, rng, settings, hub, core, members, log)
     return _follow_returns(
         HostParts(
             core,
@@ -204,7 +198,7 @@
                 log,
             ),
             client.paths,
-            _build_tunnel_server(reactor, hub, registry, client.paths, log),
+            build_tunnel_server(reactor, hub, registry, client.paths, log),
             OriginSharing(hub, core.origins, members.hosts, log),
             _build_software_record(store, settings, core, members),
             PeerKey(store, reactor, settings.host, members.hosts, log),
@@ -256,38 +250,6 @@
     )
 
 
-def _build_paths(reactor, rng, settings, hub, core, members, log):
-    tunnels = Tunnels(
-        settings.host,
-        reactor,
-        rng,
-        hub.ask,
-        members.hosts,
-        hub.links.__contains__,
-        log,
-    )
-
-    def try_direct(address):
-        Deferred.fromCoroutine(core.client.probe_directly(address))
-
-    def use_again(address):
-        end_backoff(core.registry.views.values(), address)
-
-    return Paths(reactor, tunnels, try_direct, use_again, log)
-
-
-def _build_tunnel_server(reactor, hub, registry, paths, log):
-    def is_upstream(address):
-        return any(
-            upstream.address == address
-            for upstream in registry.upstreams.values()
-        )
-
-    server = TunnelServer(reactor, is_upstream, paths.lost.__contains__, log)
-    hub.requests.subjects[TUNNEL_SUBJECT] = server.answer
-    return server
-
-
 def _build_software_record(store, settings, core, members):
     record = SoftwareRecorder(
         store,
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -21,6 +21,7 @@
     ConnectionLost,
     ConnectionRefusedError,
 )
+from twisted.internet.error import TimeoutError as ConnectTimeout
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol, Request, ResponseDone
@@ -31,6 +32,7 @@
 from pollenstile.forward._bounds import ENDLESS_HEAD, MAX_HEAD_BYTES
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
 from pollenstile.ops.body import BytesProducer
+from pollenstile.reachability import ALL_REACHABLE
 from pollenstile.tunnel import DIRECT_PATHS, EndedFrames, OpenResult
 
 # Timeout of the TCP handshake, which normally takes under 10 ms. An unreachable
@@ -130,19 +132,25 @@
 class _DirectConnector(_Connector):
     """Opens the connection to the upstream itself, and notes whether it did."""
 
-    def __init__(self, call, paths):
+    def __init__(self, call, paths, domains):
         super().__init__(call, _Connection())
         self.paths = paths
+        self.domains = domains
 
     def buildProtocol(self, address):
         """Return the protocol of the connection; called by Twisted."""
         self.paths.note_opened(self.call.address)
+        self.domains.note_reached(self.call.address)
         return super().buildProtocol(address)
 
     def clientConnectionFailed(self, connector, reason):
         """Report that no connection was made; called by Twisted."""
         if not self.call.cancelled:
             self.paths.note_failed(self.call.address)
+        if reason.check(ConnectTimeout):
+            self.domains.note_timed_out(self.call.address)
+        elif reason.check(ConnectionRefusedError):
+            self.domains.note_reached(self.call.address)
         super().clientConnectionFailed(connector, reason)
 
 
@@ -350,13 +358,16 @@
 
     paths : Paths
         Knows which upstreams are reached through peers only.
+    domains : DomainReachability
+        Knows which failure domains are unreachable.
     """
 
-    __slots__ = ('paths', 'reactor')
+    __slots__ = ('domains', 'paths', 'reactor')
 
     def __init__(self, reactor):
         self.reactor = reactor
         self.paths = DIRECT_PATHS
+        self.domains = ALL_REACHABLE
 
     def probe(self, address):
         """Open and close a connection; return a Deferred of ``ProbeResult``.
@@ -376,6 +387,8 @@
         result = await factory.done
         if result is ProbeResult.ACCEPTED:
             self.paths.note_opened(address)
+        if result is not ProbeResult.UNKNOWN:
+            self.domains.note_reached(address)
         return result
 
     def send(self, address, method, target, headers, body):
@@ -405,7 +418,7 @@
             Deferred.fromCoroutine(self._connect_through_peer(call))
             return call
         call.connector = self._connect(
-            address, _DirectConnector(call, self.paths)
+            address, _DirectConnector(call, self.paths, self.domains)
         )
         return call
 
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -16,6 +16,7 @@
 from pollenstile.origins import Origins, build_origins
 from pollenstile.permission import Permissions, build_permissions
 from pollenstile.quarantine import Quarantine
+from pollenstile.reachability import ALL_REACHABLE
 
 
 def _empty_shares():
@@ -67,6 +68,8 @@
     origins : Origins or None
         Software versions at which streams began; None creates those of a host
         that is alone.
+    domains : DomainReachability
+        Failure domains that this host can't reach.
 
     Attributes
     ==========
@@ -104,6 +107,7 @@
     crashes: CrashDetector | None = None
     permissions: Permissions | None = None
     origins: Origins | None = None
+    domains: object = ALL_REACHABLE
     copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -97,7 +97,7 @@
     no subject or the service no usable upstream.
     """
     subject = subject_of(exchange.prompt)
-    views = _upstreams_of(core, exchange)
+    views = core.domains.reachable(_upstreams_of(core, exchange))
     if not subject or not views:
         return ''
     return home_engine(views, subject).domain
@@ -247,7 +247,8 @@
     """Return the upstreams that want requests and are not unhealthy."""
     now = core.clock.seconds()
     views = without_withdrawn(core, _upstreams_of(core, exchange))
-    return usable(views, now, tried)
+    untried = [view for view in views if view.ident not in tried]
+    return usable(core.domains.reachable(untried), now)
 
 
 def _ready_views(core, exchange, views):
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -55,6 +55,12 @@
         'domain',
         partial(_under_way, core.registry, parts.owners.calls),
     )
+    measures.gauges(
+        'domain_unreachable_seconds',
+        'Seconds since connections to a failure domain time out.',
+        'domain',
+        core.domains.ages,
+    )
     measures.gauge(
         'connections_closed',
         'New connections that were closed unread, as this host was overloaded.',
--- /dev/null
+++ b/pollenstile/forward/_pathassembly.py
@@ -0,0 +1,60 @@
+"""Builds what a host knows of its paths to the upstreams."""
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.forward._learning import end_backoff
+from pollenstile.reachability import DomainReachability
+from pollenstile.tunnel import TUNNEL_SUBJECT, Paths, Tunnels, TunnelServer
+
+
+def _prober(client):
+    def probe(address):
+        Deferred.fromCoroutine(client.probe_directly(address))
+
+    return probe
+
+
+def add_paths(reactor, rng, settings, hub, core, members, log):
+    """Let a host's client learn which upstreams and domains it reaches.
+
+    Parameters
+    ==========
+
+    core : ForwardCore
+        Its client and its choice of upstreams get what is learned.
+    members : Members
+        The peers that open connections for this host.
+    """
+    client = core.client
+    tunnels = Tunnels(
+        settings.host,
+        reactor,
+        rng,
+        hub.ask,
+        members.hosts,
+        hub.links.__contains__,
+        log,
+    )
+
+    def use_again(address):
+        end_backoff(core.registry.views.values(), address)
+
+    client.paths = Paths(reactor, tunnels, _prober(client), use_again, log)
+    client.domains = DomainReachability(
+        reactor, settings.domain, core.registry, _prober(client), rng, log
+    )
+    core.domains = client.domains
+
+
+def build_tunnel_server(reactor, hub, registry, paths, log):
+    """Return the server that opens connections to upstreams for peers."""
+
+    def is_upstream(address):
+        return any(
+            upstream.address == address
+            for upstream in registry.upstreams.values()
+        )
+
+    server = TunnelServer(reactor, is_upstream, paths.lost.__contains__, log)
+    hub.requests.subjects[TUNNEL_SUBJECT] = server.answer
+    return server
