stagework: a graded stage queue admits by shares of urgencies and teams

Cause: a queue admits by expected wait against due time. Where less urgent routes have longer target latencies, they are admitted while more urgent ones are refused, and a large team's burst displaces small teams.

Owner.configure(graded=True) uses it: refusals are logged with the reason 'less urgent' or 'team share' and answered as busy. A queue that is short refuses nobody for the shares of others. In graded queues, groups of later steps that can't be made before the deadline are refused at once as late. Groups already carry the team of their request.

--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -1,6 +1,7 @@
 """This host's queues of the stage services that it owns."""
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.shares import GradedServices
 from pollenstile.stagework import Owner
 
 
@@ -30,6 +31,8 @@
 
     by_service : dict
         The :class:`~pollenstile.stagework.Owner` of each service.
+    graded : GradedServices
+        Tells which services admit by shares.
     """
 
     __slots__ = (
@@ -37,6 +40,7 @@
         'calls',
         'clock',
         'configuration',
+        'graded',
         'log',
         'permissions',
         'quarantine',
@@ -64,6 +68,7 @@
         self.permissions = permissions
         self.log = log
         self.by_service = {}
+        self.graded = GradedServices()
         quarantine.on_held = self.withdraw
         permissions.rates.listeners.append(self.update_limits)
         permissions.rates.stated.listeners.append(self._rate_changed)
@@ -124,4 +129,5 @@
         owner.configure(
             service.stage,
             self.registry.stage_upstreams(owner.service),
+            graded=self.graded.is_graded(table, owner.service),
         )
--- a/pollenstile/stagework/_admission.py
+++ b/pollenstile/stagework/_admission.py
@@ -3,10 +3,18 @@
 from pollenstile.stagework import events
 from pollenstile.stagework._batching import is_tight
 from pollenstile.stagework._calltimes import full_seconds
-from pollenstile.stagework._ranking import count_ahead
-from pollenstile.stagework._waiting import expected_wait, may_join_queue
+from pollenstile.stagework._ranking import count_ahead, count_before
+from pollenstile.stagework._waiting import (
+    expected_wait,
+    is_short,
+    may_join_queue,
+)
 
 _MS = 1000
+# Refusal reasons of groups that can't be in time, and of groups of later steps
+# that can't be made before their request's deadline.
+BUSY = 'busy'
+LATE = 'late'
 
 
 class Admission:
@@ -45,22 +53,51 @@
         wait = self._wait_behind(ahead + group.count)
         share = owner.stats.admitted_share(group.urgency)
         accepted = may_join_queue(group, wait, now, full, share)
+        reason = '' if accepted else BUSY
+        if owner.shares is not None:
+            reason = self._graded_refusal(group, reason, wait, now)
         if group.is_first:
-            owner.stats.record_admission(group.urgency, accepted=accepted)
-        if not accepted:
+            owner.stats.record_admission(group.urgency, accepted=not reason)
+        if reason:
             owner.log(
                 events.STAGE_REFUSED,
                 request=group.request,
                 service=owner.service,
                 step=group.step,
-                reason='busy',
+                reason=reason,
                 waiting=len(owner.waiting),
                 ahead=ahead,
                 wait_ms=int(wait * _MS),
                 due_ms=int((group.due - now) * _MS),
                 share=round(share, 2),
             )
-        return accepted
+        return not reason
+
+    def _graded_refusal(self, group, reason, wait, now):
+        """Return why a graded queue refuses a group; empty if it does not.
+
+        Explanation
+        ===========
+
+        A queue that is short refuses nobody for the shares of others, as its
+        workers would be idle. A refusal that even an empty queue would make
+        says nothing about shares and is not recorded.
+        """
+        owner = self.owner
+        full = full_seconds(owner.limits)
+        if not group.is_first:
+            return LATE if self._ends_late(group, now, full) else reason
+        short = is_short(group, wait, full)
+        if not reason and not short:
+            reason = owner.shares.refuses(group, now)
+        if not reason or not short:
+            owner.shares.record(group, now, accepted=not reason)
+        return reason
+
+    def _ends_late(self, group, now, full):
+        before = count_before(group, self.owner.waiting, now, full)
+        wait = self._wait_behind(before + group.count)
+        return now + wait > group.deadline
 
     def _wait_behind(self, ahead):
         owner = self.owner
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -6,8 +6,9 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import HELD_REASON, Quarantine
+from pollenstile.shares import AdmissionShares
 from pollenstile.stagework import events
-from pollenstile.stagework._admission import Admission
+from pollenstile.stagework._admission import BUSY, LATE, Admission
 from pollenstile.stagework._arrivals import Arrivals
 from pollenstile.stagework._calllimits import CallLimits
 from pollenstile.stagework._dispatcher import Dispatcher
@@ -75,6 +76,8 @@
         Recent rates of the queue.
     admission : Admission
         Decides which groups may join the queue.
+    shares : AdmissionShares or None
+        Shares by urgency and team; None unless the service is graded.
     dispatcher : Dispatcher
         Makes the calls.
     workers : dict
@@ -94,6 +97,7 @@
         'quarantine',
         'releases',
         'service',
+        'shares',
         'spend',
         'started',
         'stats',
@@ -125,6 +129,7 @@
             clock, '', _unknown_count, log
         )
         self.limits = None
+        self.shares = None
         self.jobs = {}
         self.waiting = []
         self.started = set()
@@ -134,7 +139,7 @@
         self.admission = Admission(self)
         self.dispatcher = Dispatcher(self)
 
-    def configure(self, limits, upstreams):
+    def configure(self, limits, upstreams, *, graded=False):
         """Apply the current configuration and registry.
 
         Parameters
@@ -145,8 +150,15 @@
         upstreams : list
             Upstreams that accept work, with ``ident``, ``address``, ``domain``
             and ``born``.
+        graded : bool
+            Whether the queue admits by shares; see
+            :func:`~pollenstile.shares.is_graded`.
         """
         self.limits = limits
+        if not graded:
+            self.shares = None
+        elif self.shares is None:
+            self.shares = AdmissionShares()
         known = {(upstream.ident, upstream.born) for upstream in upstreams}
         gone = [
             worker
@@ -197,7 +209,8 @@
         group.due -= waited
         if not self.admission.admits(group):
             wait = self.wait(group.count)
-            waiter.callback(GroupRefused('busy', wait, wait, waited))
+            reason = BUSY if group.is_first else LATE
+            waiter.callback(GroupRefused(reason, wait, wait, waited))
             return waiter
         job = Job(group, self.clock.seconds(), waited)
         job.waiters.append(waiter)
@@ -205,7 +218,7 @@
             job.on_read.append(on_read)
         self.jobs[group.ident] = job
         remaining = max(0, group.deadline - self.clock.seconds())
-        job.timer = self.clock.callLater(remaining, self._refuse, job, 'late')
+        job.timer = self.clock.callLater(remaining, self._refuse, job, LATE)
         self.waiting.extend(job.pieces)
         self.dispatcher.schedule()
         return waiter
--- a/pollenstile/stagework/_ranking.py
+++ b/pollenstile/stagework/_ranking.py
@@ -52,6 +52,19 @@
     )
 
 
+def count_before(group, pieces, now, work):
+    """Return how many waiting pieces are certain to be made before a group's.
+
+    Explanation
+    ===========
+
+    Unlike :func:`count_ahead`, which allows for later arrivals, this is a lower
+    bound: groups of later steps are refused only where they can't be made.
+    """
+    rank = _rank(group, now, work)
+    return sum(_rank(piece.group, now, work) < rank for piece in pieces)
+
+
 def _rank(group, now, work):
     if now + work > group.due:
         return _LATE, group.urgency, group.due, group.ident
--- a/pollenstile/stagework/_waiting.py
+++ b/pollenstile/stagework/_waiting.py
@@ -100,8 +100,18 @@
     if now + wait * (1 + overtaken) <= group.due + LATE_CALLS * full:
         return True
     # A group that is late in any case is admitted only where it delays no
-    # others. An idle first step says nothing about later steps: in a burst that
-    # crowded the second step, all groups that were late for it were admitted
-    # here.
-    idle = wait <= _IDLE_CALLS * full and not group.later_crowded
-    return idle and now + wait <= group.deadline
+    # others.
+    return is_short(group, wait, full) and now + wait <= group.deadline
+
+
+def is_short(group, wait, full):
+    """Return whether a group that joins a queue delays no others.
+
+    Explanation
+    ===========
+
+    An idle first step says nothing about later steps: in a burst that crowded
+    the second step, all groups that were late for it were admitted at the first
+    one.
+    """
+    return wait <= _IDLE_CALLS * full and not group.later_crowded
