--- a/pollenstile/routes/__init__.py
+++ b/pollenstile/routes/__init__.py
@@ -17,6 +17,7 @@
 from pollenstile.routes._model import (
     Kind,
     Limits,
+    PartTransfer,
     Route,
     RouteTable,
     Service,
@@ -24,4 +25,5 @@
     StageStep,
     Target,
     Team,
+    part_transfer,
 )
--- a/pollenstile/routes/_model.py
+++ b/pollenstile/routes/_model.py
@@ -70,6 +70,40 @@
     link_rate: float = 1.25e9
 
 
+@dataclass(slots=True, frozen=True)
+class PartTransfer:
+    """How model engines fetch shared prompt parts from each other.
+
+    Parameters
+    ==========
+
+    token_bytes : int
+        Bytes that an engine keeps of each prompt token.
+    link_rate : float
+        Bytes per second of the link of one engine.
+    """
+
+    token_bytes: int
+    link_rate: float
+
+
+def part_transfer(token_bytes, link_rate):
+    """Return a :class:`PartTransfer`; None unless both figures are positive.
+
+    Examples
+    ========
+
+    >>> from pollenstile.routes import part_transfer
+    >>> part_transfer(1000, 1e9)
+    PartTransfer(token_bytes=1000, link_rate=1000000000.0)
+    >>> part_transfer(0, 1e9) is None
+    True
+    """
+    if token_bytes <= 0 or link_rate <= 0:
+        return None
+    return PartTransfer(token_bytes, link_rate)
+
+
 @dataclass(slots=True, frozen=True)
 class Service:
     """A group of interchangeable upstreams.
@@ -82,11 +116,15 @@
     cold_rate : float
         Requests per second that a cold upstream can handle from all hosts
         together; 0 for no bound.
+    part_transfer : PartTransfer or None
+        Set for services of model engines that fetch shared prompt parts from
+        each other.
     """
 
     name: str
     stage: StageLimits | None = None
     cold_rate: float = 0.0
+    part_transfer: PartTransfer | None = None
 
 
 @dataclass(slots=True, frozen=True)
