--- /dev/null
+++ b/pollenstile/promptparts/_source.py
@@ -0,0 +1,160 @@
+"""The engine that most likely keeps a shared prompt part."""
+
+from dataclasses import dataclass
+
+from pollenstile.ops.rendezvous import rendezvous_weight
+from pollenstile.promptparts._transfer import has_transferable_parts
+
+# Number of unreachable engines from which on a failure domain counts as cut off
+# if none of its engines has answered since the first failure. A single one has
+# probably crashed.
+_MIN_LOST_ENGINES = 2
+
+
+@dataclass(slots=True, frozen=True)
+class PartSource:
+    """An engine to fetch shared prompt parts from.
+
+    Parameters
+    ==========
+
+    view : UpstreamView
+        The engine.
+    reason : str
+        ``home`` if it is the home engine of the last shared part, ``former
+        home`` if it was that until engines joined or left.
+    """
+
+    view: object
+    reason: str
+
+
+def home_of(engines, subject):
+    """Return the home engine of a subject; None if there are no engines."""
+
+    def weight(view):
+        return rendezvous_weight(subject, view.ident)
+
+    return max(engines, key=weight, default=None)
+
+
+def part_source(chosen, prompt, current, former):
+    """Return the engine that most likely keeps what a prompt shares, or None.
+
+    Explanation
+    ===========
+
+    The home engine, if the request goes to another one. If the chosen engine
+    has become the home engine within the last 30 seconds, the engine that was
+    it before.
+
+    Parameters
+    ==========
+
+    chosen : UpstreamView
+        The engine that the request is sent to, which is never returned.
+    prompt : tuple
+        Identifier and token count of each part; the last is never shared.
+    current : list of UpstreamView
+        Engines that accept new work and can be reached.
+    former : list of UpstreamView
+        Engines that accepted new work 30 seconds ago and can be reached.
+
+    Returns
+    =======
+
+    PartSource or None
+
+    Examples
+    ========
+
+    >>> from pollenstile.forward import UpstreamView
+    >>> from pollenstile.promptparts import home_of, part_source
+    >>> one, two = (UpstreamView(name, 'a:1', 'd') for name in 'xy')
+    >>> prompt = (('head', 4000), ('own', 60))
+    >>> home = home_of([one, two], 'head')
+    >>> other = two if home is one else one
+    >>> part_source(other, prompt, [one, two], [one, two]).view is home
+    True
+    >>> part_source(home, prompt, [one, two], [one, two]) is None
+    True
+    >>> part_source(home, prompt, [one, two], [other]).reason
+    'former home'
+    """
+    if not has_transferable_parts(prompt):
+        return None
+    subject = prompt[-2][0]
+    home = home_of(current, subject)
+    if home is not None and home is not chosen:
+        return PartSource(home, 'home')
+    former_home = home_of(former, subject)
+    if former_home is None or former_home.ident == chosen.ident:
+        return None
+    return PartSource(former_home, 'former home')
+
+
+def reachable_engines(views, now, has_lost_path):
+    """Return the engines that this host has no reason to think unreachable.
+
+    Explanation
+    ===========
+
+    An engine waits for a source that does not answer, and its request with it.
+    Whether one engine reaches another is not known here, so failures of this
+    host's own connections stand for it.
+
+    Parameters
+    ==========
+
+    views : list of UpstreamView
+        All engines of the service that are registered, also leaving ones.
+    now : float
+        Seconds on the clock.
+    has_lost_path : function
+        Takes an address; returns whether only peers of this host reach it.
+    """
+    lost = [
+        view
+        for view in views
+        if view.unreached_since or has_lost_path(view.address)
+    ]
+    lost_idents = {view.ident for view in lost}
+    cut_off = _cut_off_domains(views, lost, lost_idents, now)
+    return [
+        view
+        for view in views
+        if view.ident not in lost_idents
+        and view.domain not in cut_off
+        and _is_answering(view, now)
+    ]
+
+
+def _is_answering(view, now):
+    if view.backoff_until > now or view.no_progress_until > now:
+        return False
+    return view.silent_since is None or view.silent_until <= now
+
+
+def _cut_off_domains(views, lost, lost_idents, now):
+    """Return the failure domains from which this host has lost all engines.
+
+    Explanation
+    ===========
+
+    Those without an answer since the first of several failed connections; the
+    remaining engines of the domain may not have been tried since.
+    """
+    since = {}
+    for view in lost:
+        times = since.setdefault(view.domain, [])
+        times.append(view.unreached_since or now)
+    return {
+        domain
+        for domain, times in since.items()
+        if len(times) >= _MIN_LOST_ENGINES
+        and not any(
+            view.heard_at > min(times)
+            for view in views
+            if view.domain == domain and view.ident not in lost_idents
+        )
+    }
