forward: requests name the engine that keeps their shared parts

Cause: a host knows the likely holder of a shared prompt part, but neither told the receiving engine nor counted the transfer when it chose an engine.

Change: attempts carry the header HeaderNames.part_source where the service configures transfers and moving a token takes less than a tenth of reading it. A request names a source once; later attempts read the part themselves. select_engine counts the smaller of reading and moving the part. The send event has the field part_source.

--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -184,6 +184,7 @@
         log,
     )
     client.paths = _build_paths(reactor, rng, settings, hub, core, members, log)
+    core.part_sources.has_lost_path = client.paths.lost.__contains__
     return _follow_returns(
         HostParts(
             core,
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -70,6 +70,8 @@
         Why the attempt was given up for its bytes; empty if it was not.
     silence : SilenceWatch
         Watches for silence of the upstream, which does not end the attempt.
+    part_source : PartSource or None
+        Engine from which the upstream fetches the shared prompt parts.
     has_gone_on : bool
         Whether more followed some time after the first event.
     """
@@ -94,6 +96,7 @@
         'limits',
         'on_heard',
         'on_silent',
+        'part_source',
         'pending',
         'silence',
         'splitter',
@@ -114,6 +117,7 @@
         )
         self.on_silent = _ignore
         self.on_heard = _ignore
+        self.part_source = None
         self.splitter = EventSplitter(needs_idents=exchange.route.resumable)
         self.held = HeldAnswer(core.held)
         self.pending = bytearray()
@@ -196,7 +200,13 @@
             self.view.address,
             exchange.method,
             exchange.target,
-            request_headers(self.core, self.exchange, self.view, last_event),
+            request_headers(
+                self.core,
+                self.exchange,
+                self.view,
+                last_event,
+                self.part_source,
+            ),
             exchange.body,
         )
         self.call.check = partial(send_refusal, self.core, exchange, self.view)
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -9,6 +9,7 @@
 from pollenstile.forward._copies import Copies
 from pollenstile.forward._crashes import CrashDetector
 from pollenstile.forward._departure import Departure
+from pollenstile.forward._partsources import PartSources
 from pollenstile.forward._silence import SilenceCounts
 from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.forward._types import HeaderNames
@@ -77,6 +78,8 @@
         Requests that wait until they may be sent to such an upstream.
     brittle : BrittleShares
         Limits sends to brittle upstreams.
+    part_sources : PartSources
+        Engines that keep shared prompt parts.
     silences : SilenceCounts
         What became of the attempts of silent upstreams.
     runs : dict
@@ -107,6 +110,7 @@
     copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
+    part_sources: PartSources = field(init=False)
     silences: SilenceCounts = field(default_factory=SilenceCounts)
     runs: dict = field(default_factory=dict)
     departure: Departure | None = None
@@ -132,6 +136,9 @@
         self.registry.listeners.append(self._note_software)
         self.registry.follow_leaving(self.permissions.leaving)
         self.permissions.leaving.listeners.append(self._wake_all)
+        self.part_sources = PartSources(
+            self.clock, self.registry, self.first_tokens
+        )
         self.tokens = TokenQueue(self.clock)
         self.brittle = BrittleShares(
             self.clock,
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -301,6 +301,7 @@
         core.first_tokens.token_seconds(exchange.service),
         inputs,
         spread_cost,
+        transfer_seconds=core.part_sources.transfer_seconds(exchange),
     )
 
 
--- a/pollenstile/forward/_parse.py
+++ b/pollenstile/forward/_parse.py
@@ -153,6 +153,7 @@
         names.team,
         names.results,
         names.urgency,
+        names.part_source,
         names.last_event,
         b'authorization',
     }
--- a/pollenstile/forward/_request_headers.py
+++ b/pollenstile/forward/_request_headers.py
@@ -6,7 +6,7 @@
 _LOWEST_ENGINE_URGENCY = 9
 
 
-def request_headers(core, exchange, view, last_event):
+def request_headers(core, exchange, view, last_event, source=None):
     """Return names and values of the headers of a request to an upstream.
 
     Parameters
@@ -20,6 +20,8 @@
         The upstream.
     last_event : str
         Event after which a stream continues; empty at its beginning.
+    source : PartSource or None
+        Engine that keeps the shared parts of the prompt.
     """
     names = core.names
     remaining = exchange.ends - core.clock.seconds()
@@ -39,4 +41,6 @@
             _LOWEST_ENGINE_URGENCY, _TOP_ENGINE_URGENCY + exchange.urgency
         )
         headers.append((names.urgency, b'%d' % engine_urgency))
+    if source is not None:
+        headers.append((names.part_source, source.view.address.encode()))
     return headers
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -7,17 +7,20 @@
 _MS = 1000
 
 
-def log_send(run, view, last_event):
+def log_send(run, attempt, last_event):
     """Log a send of a request, and the state on which it was decided.
 
     Parameters
     ==========
 
+    attempt : Attempt
+        What is sent.
     last_event : str
         Event after which a stream continues; empty at its beginning.
     """
     exchange = run.exchange
     core = run.core
+    view = attempt.view
     now = core.clock.seconds()
     core.log(
         events.FORWARDED,
@@ -41,6 +44,7 @@
         rate=core.rates.stated.rate(view.incarnation),
         blocked=_block_reason(core, view),
         drained=','.join(sorted(core.registry.drained)),
+        part_source=_source_text(attempt.part_source),
     )
 
 
@@ -270,6 +274,11 @@
     return run.core.quarantine.verdicts.first_held(run.exchange.fingerprints)
 
 
+def _source_text(source):
+    """Return which engine is named as a source and why; empty if none is."""
+    return f'{source.view.ident} ({source.reason})' if source else ''
+
+
 def _block_reason(core, view):
     """Return why nothing may be sent to an upstream; empty if it may."""
     block = core.permissions.withdrawn(view.incarnation)
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -172,7 +172,7 @@
         self.core.brittle.note_sent(self.exchange.service, view)
         last_event = _last_event(self)
         attempt = _new_attempt(self, view, inputs, last_event)
-        log_send(self, view, last_event)
+        log_send(self, attempt, last_event)
         self.contest.start(
             attempt,
             self._run_attempt(attempt, last_event, self.results.chain),
@@ -402,6 +402,7 @@
     )
     attempt.on_silent = run.standby.note_silent
     attempt.on_heard = run.standby.note_heard
+    attempt.part_source = run.core.part_sources.take(run.exchange, view)
     if last_event:
         attempt.splitter.last = last_event.encode('latin-1')
     return attempt
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -251,6 +251,10 @@
     return 0.0
 
 
+def no_transfer(view, tokens):
+    """Return None; the default of ``transfer_seconds``."""
+
+
 def select_plain_upstream(
     views, now, domain, rng, fingerprint='', spread_cost=no_cost
 ):
@@ -319,7 +323,8 @@
     return max(views, key=weight)
 
 
-def select_engine(
+# A decision takes its whole state as arguments.
+def select_engine(  # noqa: WPS211
     views,
     now,
     domain,
@@ -328,6 +333,8 @@
     token_seconds,
     inputs=None,
     spread_cost=no_cost,
+    *,
+    transfer_seconds=no_transfer,
 ):
     """Return the model engine with the earliest expected first token, or None.
 
@@ -358,6 +365,9 @@
         the engine's domain cross between domains, which is billed.
     spread_cost : function
         Returns seconds to add to the expected time of a view.
+    transfer_seconds : function
+        Takes a view and a number of shared tokens; returns the cost in seconds
+        of moving them there, or None where they must be read.
     """
     if not views:
         return None
@@ -371,7 +381,9 @@
     def cost(view):
         seconds = (own + view.in_flight_tokens) * token_seconds
         if subject and view is not home:
-            seconds += _REREAD_FACTOR * shared * token_seconds
+            moving = transfer_seconds(view, shared)
+            reading = _REREAD_FACTOR * shared * token_seconds
+            seconds += reading if moving is None else min(reading, moving)
         seconds += _load_delay_seconds(view, now) + view.failures
         if view.domain != domain:
             seconds += _CROSS_DOMAIN_SECONDS
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -52,6 +52,9 @@
         takes up again.
     urgency : bytes
         Urgency for model engines, 0 to 9.
+    part_source : bytes
+        Address, ``IP:PORT``, of the engine from which a model engine fetches
+        the shared parts of the prompt that it does not keep itself.
     reserved : frozenset of bytes
         Headers that callers must not set, in lower case.
     """
@@ -74,6 +77,7 @@
     last_event: bytes = b'last-event-id'
     resumes: bytes = b'x-resumes'
     urgency: bytes = b'x-urgency'
+    part_source: bytes = b'x-part-source'
     reserved: frozenset = frozenset()
 
 
@@ -150,6 +154,9 @@
     parts : tuple of str
         Keyed digests of its prompt parts without the last one, which no other
         request shares; empty while the fleet's key is unknown.
+    may_fetch : bool
+        Whether its next attempt may name a source of its shared prompt parts;
+        False once an attempt has named one.
     """
 
     ident: str
@@ -176,6 +183,7 @@
     proof_ms: int = 0
     fingerprint: str = ''
     parts: tuple = ()
+    may_fetch: bool = True
 
     @property
     def fingerprints(self):
