--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -83,6 +83,12 @@
         'upstream',
         core.rates.client.held_back,
     )
+    measures.gauges(
+        'part_sources_named',
+        'Attempts that named an engine to fetch shared prompt parts from.',
+        'reason',
+        lambda: core.part_sources.named,
+    )
     _add_permission_gauges(measures, core.permissions)
     _add_silence_gauges(measures, core.silences)
     _add_load_gauges(measures, parts, factory)
