returns: refused callers are promised a slot, and are admitted first when they return in it

Cause: callers that a full stage queue refused were all told the current wait plus up to 0.3 s, came back together, and had no precedence over new ones.

The answer between hosts says that the time is promised (a new field, false by default), and the asking host adds no jitter to it. All of this only with Owner.configure(graded=True), which nothing passes yet.

No scenario of the promises themselves yet.

--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -377,7 +377,9 @@
     """Return the refusal of a request whose stage work has failed."""
     if run.count_runs() or failed.reason == HELD_REASON:
         return Refusal(502, failed.reason, failed.step)
-    wait = retry_after(failed.retry_after, run.core.rng)
+    wait = failed.retry_after
+    if not failed.promised:
+        wait = retry_after(wait, run.core.rng)
     return Refusal(_UNAVAILABLE, failed.reason, failed.step, '', wait)
 
 
--- a/pollenstile/stagework/_chain.py
+++ b/pollenstile/stagework/_chain.py
@@ -24,11 +24,23 @@
 
 @dataclass(slots=True, frozen=True)
 class ChainFailed:
-    """A step has no results, so the request itself was not run."""
+    """A step has no results, so the request itself was not run.
+
+    Parameters
+    ==========
+
+    reason, step : str
+        Why, and the service of the step.
+    retry_after : float
+        Seconds until a retry is useful.
+    promised : bool
+        Whether ``retry_after`` is a promised return time.
+    """
 
     reason: str
     step: str
     retry_after: float
+    promised: bool = False
 
 
 class Chain:
@@ -254,6 +266,7 @@
                 outcome.reason,
                 step,
                 outcome.retry_after,
+                outcome.promised,
             )
             _fire(finished)
             return
--- a/pollenstile/stagework/_codec.py
+++ b/pollenstile/stagework/_codec.py
@@ -72,6 +72,7 @@
         retryMs=int(outcome.retry_after * _MS),
         waitMs=wait,
         waitedMs=int(outcome.waited * _MS),
+        promised=outcome.promised,
     ).to_bytes()
 
 
@@ -83,7 +84,9 @@
         waited = reader.waitedMs / _MS
         if reader.reason:
             retry_after = reader.retryMs / _MS
-            return GroupRefused(reader.reason, retry_after, wait, waited)
+            return GroupRefused(
+                reader.reason, retry_after, wait, waited, reader.promised
+            )
         return GroupDone(tuple(reader.handles), wait, reader.tight, waited)
 
     return decode_struct(_schema.GroupAnswer, encoded, build)
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -6,6 +6,7 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import HELD_REASON, Quarantine
+from pollenstile.returns import ReturnTimes
 from pollenstile.stagework import events
 from pollenstile.stagework._admission import Admission
 from pollenstile.stagework._arrivals import Arrivals
@@ -14,6 +15,11 @@
 from pollenstile.stagework._jobs import Job
 from pollenstile.stagework._queuestats import QueueStats
 from pollenstile.stagework._releases import Releases
+from pollenstile.stagework._returning import (
+    admits_due,
+    busy_refusal,
+    forget_promise,
+)
 from pollenstile.stagework._types import GroupDone, GroupRefused, Worker
 
 _MS = 1000
@@ -77,6 +83,8 @@
         Decides which groups may join the queue.
     dispatcher : Dispatcher
         Makes the calls.
+    returns : ReturnTimes or None
+        Return times of refused callers; None where none are promised.
     workers : dict
         Workers by identifier.
     """
@@ -93,6 +101,7 @@
         'log',
         'quarantine',
         'releases',
+        'returns',
         'service',
         'spend',
         'started',
@@ -133,8 +142,9 @@
         self.workers = {}
         self.admission = Admission(self)
         self.dispatcher = Dispatcher(self)
+        self.returns = None
 
-    def configure(self, limits, upstreams):
+    def configure(self, limits, upstreams, *, graded=False):
         """Apply the current configuration and registry.
 
         Parameters
@@ -145,8 +155,14 @@
         upstreams : list
             Upstreams that accept work, with ``ident``, ``address``, ``domain``
             and ``born``.
+        graded : bool
+            Whether refused callers are promised times to return.
         """
         self.limits = limits
+        if not graded:
+            self.returns = None
+        elif self.returns is None:
+            self.returns = ReturnTimes(self.service, self.log)
         known = {(upstream.ident, upstream.born) for upstream in upstreams}
         gone = [
             worker
@@ -195,11 +211,13 @@
             return waiter
         waited = self.arrivals.seconds_since_first(group, self.clock.seconds())
         group.due -= waited
-        if not self.admission.admits(group):
-            wait = self.wait(group.count)
-            waiter.callback(GroupRefused('busy', wait, wait, waited))
+        returned = admits_due(self, group)
+        if not returned and not self.admission.admits(group):
+            waiter.callback(busy_refusal(self, group, waited))
             return waiter
-        job = Job(group, self.clock.seconds(), waited)
+        if not returned:
+            forget_promise(self, group)
+        job = Job(group, self.clock.seconds(), waited, returned=returned)
         job.waiters.append(waiter)
         if on_read is not None and group.inputs:
             job.on_read.append(on_read)
@@ -332,6 +350,7 @@
             waited_ms=int((job.started_at - job.arrived_at) * _MS),
             took_ms=int((now - job.arrived_at) * _MS),
             due_ms=int((job.group.due - now) * _MS),
+            returned=job.returned,
         )
         self._end(
             job,
--- /dev/null
+++ b/pollenstile/stagework/_returning.py
@@ -0,0 +1,90 @@
+"""Promised return times at an owner's queue: refusals and admissions."""
+
+from pollenstile.stagework._calltimes import (
+    LATE_CALLS,
+    full_seconds,
+    long_wait,
+)
+from pollenstile.stagework._types import GroupRefused
+from pollenstile.stagework._waiting import answering_workers
+from pollenstile.stagework._workers import effective_workers
+
+
+def admits_due(owner, group):
+    """Return whether a group is admitted because its caller is due.
+
+    Explanation
+    ===========
+
+    Such a group that would be late for its target latency is due when its
+    expected wait ends. It would be ranked behind all groups in time otherwise,
+    also behind those of new callers, and wait until the queue is empty.
+    """
+    now = owner.clock.seconds()
+    if owner.returns is None or not owner.returns.is_due(group, now):
+        return False
+    wait = owner.admission.wait_of(group)
+    if now + wait + _later_seconds(owner, group) > group.deadline:
+        return False
+    margin = LATE_CALLS * full_seconds(owner.limits)
+    group.due = max(group.due, now + wait + margin)
+    owner.returns.record_return(group)
+    if group.is_first:
+        owner.stats.record_admission(group.urgency, accepted=True)
+    return True
+
+
+def forget_promise(owner, group):
+    """Drop the promise to a caller that was admitted as a new one."""
+    if owner.returns is not None:
+        owner.returns.forget(group)
+
+
+def busy_refusal(owner, group, waited):
+    """Return the refusal of a group that may not join the queue.
+
+    Parameters
+    ==========
+
+    waited : float
+        Seconds from the caller's first arrival to this attempt's.
+    """
+    wait = owner.wait(group.count)
+    seconds = None
+    if owner.returns is not None:
+        now = owner.clock.seconds()
+        seconds = owner.returns.promise(group, now, wait, queue_rate(owner))
+    if seconds is None:
+        return GroupRefused('busy', wait, wait, waited)
+    return GroupRefused('busy', seconds, wait, waited, promised=True)
+
+
+def queue_rate(owner):
+    """Return the pieces per second that a queue makes.
+
+    Explanation
+    ===========
+
+    The measured rate counts where it is known, and otherwise full calls of the
+    workers that answer.
+    """
+    now = owner.clock.seconds()
+    measured = owner.stats.rate(now, queued=bool(owner.waiting))
+    if measured:
+        return measured
+    full = full_seconds(owner.limits)
+    workers = answering_workers(list(owner.workers.values()), full, now)
+    return effective_workers(workers, full) * owner.limits.batch / full
+
+
+def _later_seconds(owner, group):
+    """Return the seconds to leave for later steps.
+
+    Explanation
+    ===========
+
+    Of the later steps, a group only knows that one of their queues is long. It
+    is taken to be as long, in this stage's calls, as a queue that counts as
+    long.
+    """
+    return long_wait(owner.limits) if group.later_crowded else 0.0
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -175,12 +175,16 @@
         Seconds of the owner's backlog.
     waited : float
         Seconds from the caller's first arrival to this attempt's.
+    promised : bool
+        Whether ``retry_after`` is a promised return time, which gets no further
+        jitter.
     """
 
     reason: str
     retry_after: float = 0.0
     wait: float = 0.0
     waited: float = 0.0
+    promised: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/pollenstile/stagework/_waiting.py
+++ b/pollenstile/stagework/_waiting.py
@@ -51,11 +51,7 @@
         results does not limit it.
     """
     full = full_seconds(limits)
-    answering = [
-        worker
-        for worker in workers
-        if not is_missed(worker, workers, full, now)
-    ] or workers
+    answering = answering_workers(workers, full, now)
     if not answering:
         return limits.call_seconds * 4
     rounds = ahead / (limits.batch * effective_workers(answering, full))
@@ -71,6 +67,22 @@
     return max(lower_bound, (pieces_in_flight + ahead) / rate)
 
 
+def answering_workers(workers, full, now):
+    """Return the workers that are not missed, or all if all are missed.
+
+    Parameters
+    ==========
+
+    full : float
+        Seconds of a full call.
+    """
+    return [
+        worker
+        for worker in workers
+        if not is_missed(worker, workers, full, now)
+    ] or workers
+
+
 def may_join_queue(group, wait, now, full, share=1.0):
     """Return whether a group's pieces may join the queue.
 
--- a/pollenstile/stagework/messages.capnp
+++ b/pollenstile/stagework/messages.capnp
@@ -38,6 +38,8 @@
   # Time since the caller's first arrival, as recorded by the owner of a first
   # step.
   waitedMs @5 :UInt32;
+  # Whether retryMs is a promised return time, which gets no further jitter.
+  promised @6 :Bool;
 }
 
 struct Release {
