--- a/pollenstile/bench/_stagehosts.py
+++ b/pollenstile/bench/_stagehosts.py
@@ -88,7 +88,11 @@
                 self.fleet.log,
             )
             members = stage_workers(service, self.fleet.count)
-            owner.configure(self.fleet.services[service], members)
+            owner.configure(
+                self.fleet.services[service],
+                members,
+                graded=self.fleet.graded,
+            )
             self.owners[service] = owner
         return owner
 
@@ -160,6 +164,8 @@
 
     dark : set of str
         Names of the hosts that have lost power.
+    graded : bool
+        Whether the queues promise return times to refused callers.
     parted : set of frozenset
         Pairs of hosts that are partitioned from each other.
     callers : Counter
@@ -175,6 +181,7 @@
         'count',
         'dark',
         'domains',
+        'graded',
         'hosts',
         'log',
         'names',
@@ -190,6 +197,7 @@
         self.services = services
         self.count = count
         self.budget = 0
+        self.graded = False
         self.dark = set()
         self.parted = set()
         self.callers = Counter()
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -117,12 +117,22 @@
     owners : int
         The number of queues of each service: 1 for a queue that the whole
         fleet shares, or the number of hosts where each host batches alone.
+    graded : bool
+        Whether the queues promise return times to refused callers.
     """
 
-    __slots__ = ('budget', 'clock', 'queues', 'services', 'upstreams')
+    __slots__ = (
+        'budget',
+        'clock',
+        'graded',
+        'queues',
+        'services',
+        'upstreams',
+    )
 
-    def __init__(self, services, count=4, owners=1):
+    def __init__(self, services, count=4, owners=1, *, graded=False):
         self.clock = Clock()
+        self.graded = graded
         self.services = services
         self.budget = 0
         self.upstreams = {}
@@ -154,7 +164,7 @@
 
     def _queue(self, name, limits, members):
         owner = Owner(self.clock, name, self._call, self._free, self._spend)
-        owner.configure(limits, members)
+        owner.configure(limits, members, graded=self.graded)
         return owner
 
     def _call(self, worker, pieces, seconds):
@@ -275,15 +285,21 @@
         Reason of the refusal; empty if the request was not refused.
     refused_after : float
         Seconds from the arrival to the refusal.
+    retry_after : float
+        Seconds until a retry is useful, by the refusal.
+    promised : bool
+        Whether ``retry_after`` is a promised return time.
     """
 
     __slots__ = (
         'aim',
         'arrived_at',
         'kind',
+        'promised',
         'read',
         'refused',
         'refused_after',
+        'retry_after',
         'stage_seconds',
     )
 
@@ -295,6 +311,8 @@
         self.stage_seconds = None
         self.refused = ''
         self.refused_after = 0.0
+        self.retry_after = 0.0
+        self.promised = False
 
 
 class Arrival:
@@ -322,7 +340,9 @@
         self.urgency = route.urgency
 
 
-def start_request(fleet, client, route, counts, ident, deadline, read_after):
+def start_request(
+    fleet, client, route, counts, ident, deadline, read_after, key=''
+):
     """Start the stage work of a request; return a :class:`SimulatedRequest`.
 
     Parameters
@@ -332,10 +352,13 @@
         Seconds until the deadline.
     read_after : float
         Seconds after which the model engine has read the results.
+    key : str
+        Key of the stage work; by default ``ident``.
     """
     now = fleet.clock.seconds()
     served = SimulatedRequest(route.name, now, route.aim, read_after)
     arrival = Arrival(ident, route, counts, now + deadline)
+    arrival.stage_key = key or ident
     work = Deferred.fromCoroutine(_run_stages(client, arrival, served))
     work.addTimeout(deadline, fleet.clock)
     work.addCallback(_record_outcome, served, fleet.clock, read_after)
@@ -400,6 +423,8 @@
     if isinstance(outcome, ChainFailed):
         served.refused = outcome.reason
         served.refused_after = took
+        served.retry_after = outcome.retry_after
+        served.promised = outcome.promised
         return
     served.stage_seconds = took
     clock.callLater(read_after, chain.release)
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -100,6 +100,16 @@
         'Pieces waiting in the queues of this host.',
         parts.owners.waiting,
     )
+    measures.gauge(
+        'return_promises',
+        'Refused callers whose promised return times are open.',
+        parts.owners.open_promises,
+    )
+    measures.gauge(
+        'return_promises_kept',
+        'Callers that were admitted as they returned at their promised times.',
+        parts.owners.kept_promises,
+    )
     measures.gauge(
         'in_flight',
         'Requests without a final answer.',
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -108,10 +108,26 @@
         """Return the number of pieces that wait in all queues."""
         return sum(len(owner.waiting) for owner in self.by_service.values())
 
+    def open_promises(self):
+        """Return the number of promised return times that lie ahead."""
+        now = self.clock.seconds()
+        return sum(returns.count_open(now) for returns in self._all_returns())
+
+    def kept_promises(self):
+        """Return the callers that were admitted at their promised times."""
+        return sum(returns.kept for returns in self._all_returns())
+
     def is_busy(self):
         """Return whether any group is unfinished."""
         return any(owner.jobs for owner in self.by_service.values())
 
+    def _all_returns(self):
+        return [
+            owner.returns
+            for owner in self.by_service.values()
+            if owner.returns is not None
+        ]
+
     def _rate_changed(self, name, before):
         for service in self.by_service:
             self.update_limits(service)
--- a/pollenstile/returns/_times.py
+++ b/pollenstile/returns/_times.py
@@ -204,8 +204,9 @@
             return
         self._drop(group.key)
 
-    def count_open(self):
-        """Return the number of promises whose callers have not returned."""
+    def count_open(self, now):
+        """Return the number of promises whose callers may still return."""
+        self._sweep(now)
         return sum(not known.returned for known in self.promises.values())
 
     def _shares(self, group, now, wait, rate):
--- a/pollenstile/stagework/_jobs.py
+++ b/pollenstile/stagework/_jobs.py
@@ -15,9 +15,6 @@
         Current time on the clock, in seconds.
     waited : float
         Seconds from the caller's first arrival to this attempt's.
-    returned : bool
-        Whether it was admitted because its caller returned at its promised
-        time.
 
     Attributes
     ==========
@@ -37,19 +34,17 @@
         'group',
         'on_read',
         'pieces',
-        'returned',
         'started_at',
         'timer',
         'waited',
         'waiters',
     )
 
-    def __init__(self, group, now, waited=0.0, *, returned=False):
+    def __init__(self, group, now, waited=0.0):
         self.group = group
         self.arrived_at = now
         self.started_at = 0.0
         self.waited = waited
-        self.returned = returned
         self.pieces = [Piece(group, number) for number in range(group.count)]
         self.timer = None
         self.waiters = []
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -211,13 +211,12 @@
             return waiter
         waited = self.arrivals.seconds_since_first(group, self.clock.seconds())
         group.due -= waited
-        returned = admits_due(self, group)
-        if not returned and not self.admission.admits(group):
-            waiter.callback(busy_refusal(self, group, waited))
-            return waiter
-        if not returned:
+        if not admits_due(self, group):
+            if not self.admission.admits(group):
+                waiter.callback(busy_refusal(self, group, waited))
+                return waiter
             forget_promise(self, group)
-        job = Job(group, self.clock.seconds(), waited, returned=returned)
+        job = Job(group, self.clock.seconds(), waited)
         job.waiters.append(waiter)
         if on_read is not None and group.inputs:
             job.on_read.append(on_read)
@@ -350,7 +349,7 @@
             waited_ms=int((job.started_at - job.arrived_at) * _MS),
             took_ms=int((now - job.arrived_at) * _MS),
             due_ms=int((job.group.due - now) * _MS),
-            returned=job.returned,
+            returned=job.group.is_returning,
         )
         self._end(
             job,
--- a/pollenstile/stagework/_returning.py
+++ b/pollenstile/stagework/_returning.py
@@ -1,10 +1,6 @@
 """Promised return times at an owner's queue: refusals and admissions."""
 
-from pollenstile.stagework._calltimes import (
-    LATE_CALLS,
-    full_seconds,
-    long_wait,
-)
+from pollenstile.stagework._calltimes import full_seconds, long_wait
 from pollenstile.stagework._types import GroupRefused
 from pollenstile.stagework._waiting import answering_workers
 from pollenstile.stagework._workers import effective_workers
@@ -16,18 +12,17 @@
     Explanation
     ===========
 
-    Such a group that would be late for its target latency is due when its
-    expected wait ends. It would be ranked behind all groups in time otherwise,
-    also behind those of new callers, and wait until the queue is empty.
+    The group is then made before those of new callers. If its wait is too long
+    for its deadline even so, the usual rule decides.
     """
     now = owner.clock.seconds()
     if owner.returns is None or not owner.returns.is_due(group, now):
         return False
+    group.is_returning = True
     wait = owner.admission.wait_of(group)
     if now + wait + _later_seconds(owner, group) > group.deadline:
+        group.is_returning = False
         return False
-    margin = LATE_CALLS * full_seconds(owner.limits)
-    group.due = max(group.due, now + wait + margin)
     owner.returns.record_return(group)
     if group.is_first:
         owner.stats.record_admission(group.urgency, accepted=True)
--- a/pollenstile/stagework/_types.py
+++ b/pollenstile/stagework/_types.py
@@ -50,6 +50,9 @@
         Whether a host that does not own the queue has forwarded the group.
     fingerprint, team : str
         Fingerprint of the request, and the team that sent it.
+    is_returning : bool
+        Whether the owner has admitted it because its caller returned at its
+        promised time.
     """
 
     request: str
@@ -68,6 +71,7 @@
     is_forwarded: bool = False
     fingerprint: str = ''
     team: str = ''
+    is_returning: bool = False
 
     @property
     def ident(self):
