--- a/pollenstile/shares/__init__.py
+++ b/pollenstile/shares/__init__.py
@@ -7,3 +7,4 @@
     TEAM_SHARE,
     AdmissionShares,
 )
+from pollenstile.shares._window import WINDOW_SECONDS
--- a/pollenstile/shares/_shares.py
+++ b/pollenstile/shares/_shares.py
@@ -150,18 +150,20 @@
         """
         if self.seen < _MIN_GROUPS or group.urgency not in self.teams:
             return ''
-        self.by_urgency.advance(now)
         if self.sizes[group.urgency].is_neglected(group.count, now):
             return ''
-        if self._yields(group.urgency):
+        if self.yields(group.urgency, now):
             return LESS_URGENT
         total = self.by_urgency.totals.get(group.urgency, Count())
         if self.teams[group.urgency].exceeds(group.team, total, now):
             return TEAM_SHARE
         return ''
 
-    def _yields(self, urgency):
-        """Return whether an urgency yields to more urgent ones."""
+    def yields(self, urgency, now):
+        """Return whether an urgency yields to more urgent ones that are refused."""
+        if self.seen < _MIN_GROUPS:
+            return False
+        self.by_urgency.advance(now)
         own = Count()
         more = Count()
         for other, count in self.by_urgency.totals.items():
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -6,15 +6,21 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import HELD_REASON, Quarantine
+from pollenstile.returns import ReturnTimes
 from pollenstile.shares import AdmissionShares
 from pollenstile.stagework import events
-from pollenstile.stagework._admission import BUSY, LATE, Admission
+from pollenstile.stagework._admission import LATE, Admission
 from pollenstile.stagework._arrivals import Arrivals
 from pollenstile.stagework._calllimits import CallLimits
 from pollenstile.stagework._dispatcher import Dispatcher
 from pollenstile.stagework._jobs import Job
 from pollenstile.stagework._queuestats import QueueStats
 from pollenstile.stagework._releases import Releases
+from pollenstile.stagework._returning import (
+    admits_due,
+    refusal,
+    forget_promise,
+)
 from pollenstile.stagework._types import GroupDone, GroupRefused, Worker
 
 _MS = 1000
@@ -80,6 +86,8 @@
         Shares by urgency and team; None unless the service is graded.
     dispatcher : Dispatcher
         Makes the calls.
+    returns : ReturnTimes or None
+        Return times of refused callers; None where none are promised.
     workers : dict
         Workers by identifier.
     """
@@ -96,6 +104,7 @@
         'log',
         'quarantine',
         'releases',
+        'returns',
         'service',
         'shares',
         'spend',
@@ -138,6 +147,7 @@
         self.workers = {}
         self.admission = Admission(self)
         self.dispatcher = Dispatcher(self)
+        self.returns = None
 
     def configure(self, limits, upstreams, *, graded=False):
         """Apply the current configuration and registry.
@@ -151,14 +161,16 @@
             Upstreams that accept work, with ``ident``, ``address``, ``domain``
             and ``born``.
         graded : bool
-            Whether the queue admits by shares; see
-            :func:`~pollenstile.shares.is_graded`.
+            Whether the queue admits by shares and promises refused callers
+            times to return; see :func:`~pollenstile.shares.is_graded`.
         """
         self.limits = limits
         if not graded:
             self.shares = None
+            self.returns = None
         elif self.shares is None:
             self.shares = AdmissionShares()
+            self.returns = ReturnTimes(self.service, self.log)
         known = {(upstream.ident, upstream.born) for upstream in upstreams}
         gone = [
             worker
@@ -207,11 +219,11 @@
             return waiter
         waited = self.arrivals.seconds_since_first(group, self.clock.seconds())
         group.due -= waited
-        if not self.admission.admits(group):
-            wait = self.wait(group.count)
-            reason = BUSY if group.is_first else LATE
-            waiter.callback(GroupRefused(reason, wait, wait, waited))
-            return waiter
+        if not admits_due(self, group):
+            if not self.admission.admits(group):
+                waiter.callback(refusal(self, group, waited))
+                return waiter
+            forget_promise(self, group)
         job = Job(group, self.clock.seconds(), waited)
         job.waiters.append(waiter)
         if on_read is not None and group.inputs:
@@ -345,6 +357,7 @@
             waited_ms=int((job.started_at - job.arrived_at) * _MS),
             took_ms=int((now - job.arrived_at) * _MS),
             due_ms=int((job.group.due - now) * _MS),
+            returned=job.group.is_returning,
         )
         self._end(
             job,
--- a/pollenstile/stagework/_ranking.py
+++ b/pollenstile/stagework/_ranking.py
@@ -66,7 +66,11 @@
 
 
 def _rank(group, now, work):
+    bias = _URGENCY_CALLS * work * group.urgency
+    if group.is_returning:
+        # As due as a group in time can be: it goes before new groups of its
+        # urgency, which then count it as ahead of them.
+        return _IN_TIME, 0, now + work + bias, group.ident
     if now + work > group.due:
         return _LATE, group.urgency, group.due, group.ident
-    bias = _URGENCY_CALLS * work * group.urgency
     return _IN_TIME, 0, group.due + bias, group.ident
--- /dev/null
+++ b/pollenstile/stagework/_returning.py
@@ -0,0 +1,105 @@
+"""Promised return times at an owner's queue: refusals and admissions."""
+
+from pollenstile.returns import HONOURED_SHARE
+from pollenstile.shares import WINDOW_SECONDS
+from pollenstile.stagework._admission import BUSY, LATE
+from pollenstile.stagework._calltimes import full_seconds, long_wait
+from pollenstile.stagework._types import GroupRefused
+from pollenstile.stagework._waiting import answering_workers
+from pollenstile.stagework._workers import effective_workers
+
+
+def admits_due(owner, group):
+    """Return whether a group is admitted because its caller is due.
+
+    Explanation
+    ===========
+
+    The group is then made before those of new callers of its urgency. If its
+    wait is too long for its deadline even so, or more urgent groups are
+    refused, the usual rule decides.
+    """
+    now = owner.clock.seconds()
+    if owner.returns is None or not owner.returns.is_due(group, now):
+        return False
+    if owner.shares.yields(group.urgency, now):
+        return False
+    group.is_returning = True
+    wait = owner.admission.wait_of(group)
+    if now + wait + _later_seconds(owner, group) > group.deadline:
+        group.is_returning = False
+        return False
+    owner.returns.record_return(group)
+    if group.is_first:
+        owner.stats.record_admission(group.urgency, accepted=True)
+        owner.shares.record(group, now, accepted=True)
+    return True
+
+
+def forget_promise(owner, group):
+    """Drop the promise to a caller that was admitted as a new one."""
+    if owner.returns is not None:
+        owner.returns.forget(group)
+
+
+def refusal(owner, group, waited):
+    """Return the refusal of a group that may not join the queue.
+
+    Explanation
+    ===========
+
+    A caller whose urgency yields to more urgent ones is told to return when the
+    shares may have changed, and is promised nothing.
+
+    Parameters
+    ==========
+
+    waited : float
+        Seconds from the caller's first arrival to this attempt's.
+    """
+    wait = owner.wait(group.count)
+    if not group.is_first:
+        reason = BUSY if owner.shares is None else LATE
+        return GroupRefused(reason, wait, wait, waited)
+    if owner.returns is None:
+        return GroupRefused(BUSY, wait, wait, waited)
+    now = owner.clock.seconds()
+    if owner.shares.yields(group.urgency, now):
+        honoured = HONOURED_SHARE * (group.deadline - now)
+        seconds = max(wait, min(WINDOW_SECONDS, honoured))
+        return GroupRefused(BUSY, seconds, wait, waited)
+    seconds = owner.returns.promise(group, now, wait, queue_rate(owner))
+    if seconds is None:
+        return GroupRefused(BUSY, wait, wait, waited)
+    return GroupRefused(BUSY, seconds, wait, waited, promised=True)
+
+
+def queue_rate(owner):
+    """Return the pieces per second that a queue makes.
+
+    Explanation
+    ===========
+
+    The measured rate counts where it is known, and otherwise full calls of the
+    workers that answer.
+    """
+    now = owner.clock.seconds()
+    measured = owner.stats.rate(now, queued=bool(owner.waiting))
+    if measured:
+        return measured
+    full = full_seconds(owner.limits)
+    workers = answering_workers(list(owner.workers.values()), full, now)
+    return effective_workers(workers, full) * owner.limits.batch / full
+
+
+def _later_seconds(owner, group):
+    """Return the seconds to leave for later steps.
+
+    Explanation
+    ===========
+
+    Of the later steps, a group only knows that one of their queues is long. It
+    is taken to be as long, in this stage's calls, as a queue that counts as
+    long.
+    """
+    return long_wait(owner.limits) if group.later_crowded else 0.0
