conditions: load reports with a slowdown, measured engine speeds, and their exchange

Cause: a load report with a fourth figure was dropped whole, and the choice of an engine ignored how long work takes there.

Change: parse_load reads three or four figures; an unreadable report gets one rate-limited line (4101).

--- a/pollenstile/forward/_attempt_learning.py
+++ b/pollenstile/forward/_attempt_learning.py
@@ -8,7 +8,11 @@
 )
 from pollenstile.forward._outcomes import RESULTS_GONE, UpstreamFailure
 from pollenstile.forward._request_log import log_no_progress
-from pollenstile.forward._selection import own_tokens
+from pollenstile.forward._selection import (
+    home_engine,
+    own_tokens,
+    subject_of,
+)
 from pollenstile.forward._types import Lost, NotRun
 
 # Seconds after its first event at which an answer shows that its upstream bears
@@ -38,11 +42,32 @@
     exchange = attempt.exchange
     if exchange.prompt and not attempt.is_resumed:
         tokens = own_tokens(exchange.prompt)
+        _learn_speed(attempt, tokens, first_seconds)
         attempt.core.first_tokens.learn(exchange.service, tokens, first_seconds)
     if exchange.handles:
         attempt.core.fetching.note_fetched(exchange.service)
 
 
+def _learn_speed(attempt, tokens, first_seconds):
+    """Record how fast an engine was, unless it had to read a shared part."""
+    core = attempt.core
+    exchange = attempt.exchange
+    if not core.conditions.applies_to(exchange.service):
+        return
+    subject = subject_of(exchange.prompt)
+    views = core.registry.usable(exchange.service, exchange.software)
+    if subject and (
+        not views or home_engine(views, subject) is not attempt.view
+    ):
+        return
+    core.conditions.learn(
+        exchange.service,
+        attempt.view,
+        first_seconds,
+        core.first_tokens.seconds(exchange.service, tokens),
+    )
+
+
 def learn_outcome(attempt, outcome):
     """Record how an attempt has ended."""
     now = attempt.core.clock.seconds()
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from pollenstile.conditions import EngineConditions
 from pollenstile.estimates import Fetching, FirstTokens
 from pollenstile.forward._bounds import HeldBytes
 from pollenstile.forward._brittle import BrittleShares
@@ -71,6 +72,8 @@
     Attributes
     ==========
 
+    conditions : EngineConditions
+        Slowdowns that engines report, and how fast they were measured to be.
     copies : Copies
         Turns of identical requests.
     tokens : TokenQueue
@@ -104,6 +107,7 @@
     crashes: CrashDetector | None = None
     permissions: Permissions | None = None
     origins: Origins | None = None
+    conditions: EngineConditions = field(init=False)
     copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
@@ -117,6 +121,7 @@
             self.quarantine = Quarantine(
                 self.clock, '', self.registry.count, self.log
             )
+        self.conditions = EngineConditions(self.clock, self.log)
         self.copies = Copies(self.clock, self.quarantine)
         if self.crashes is None:
             self.crashes = CrashDetector(
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -10,6 +10,7 @@
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
 from pollenstile.forward._departure import departure_of
+from pollenstile.forward._enginespeeds import build_condition_sharing
 from pollenstile.forward._frontend import CallerFactory
 from pollenstile.forward._overload import ConnectionGate
 from pollenstile.forward._gauges import TIMES, add_gauges
@@ -77,6 +78,7 @@
 
     __slots__ = (
         'adapter',
+        'condition_sharing',
         'factory',
         'leaving',
         'log',
@@ -123,6 +125,7 @@
             self.log,
         )
         self.parts.hub.beat = self._beat
+        self.condition_sharing = build_condition_sharing(self.parts, self.log)
         self.watches = StoreWatches(
             self.parts,
             adapter.decode_upstream,
@@ -289,6 +292,7 @@
         self.parts.record.expire()
         self.parts.core.origins.review()
         self.parts.software_record.review()
+        self.condition_sharing.review()
         upstreams = self.parts.core.registry.upstreams.values()
         self.parts.paths.forget({upstream.address for upstream in upstreams})
         self._forget_statements()
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -300,7 +300,8 @@
         exchange.prompt,
         core.first_tokens.token_seconds(exchange.service),
         inputs,
-        spread_cost,
+        spread_cost=spread_cost,
+        time_factor=core.conditions.time_factor(exchange.service),
     )
 
 
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from pollenstile.forward import events
+from pollenstile.forward._enginespeeds import add_speed_gauges
 from pollenstile.stagework.events import STAGE_MADE
 
 # Gauges by failure domain, read by the command that drains a domain.
@@ -83,6 +84,7 @@
         'upstream',
         core.rates.client.held_back,
     )
+    add_speed_gauges(measures, core)
     _add_permission_gauges(measures, core.permissions)
     _add_silence_gauges(measures, core.silences)
     _add_load_gauges(measures, parts, factory)
--- a/pollenstile/forward/_learning.py
+++ b/pollenstile/forward/_learning.py
@@ -1,5 +1,7 @@
 """Updates of an upstream's statistics from the outcomes of attempts."""
 
+from pollenstile.conditions import parse_load
+
 # Weight of the newest attempt in the smoothed figures.
 _SMOOTHING_FACTOR = 0.15
 # Back-off of an upstream after a failed handshake, doubled up to the maximum.
@@ -91,8 +93,19 @@
         view.unreached_since = 0.0
 
 
-def learn_load(view, text, now):
-    """Record the load in an answer's header: running, waiting, slots.
+def _ignore_report(text, report):
+    """Ignore a report; the default of ``on_report``."""
+
+
+def learn_load(view, text, now, on_report=_ignore_report):
+    """Record the load in an answer's header: running, waiting, slots, slowdown.
+
+    Parameters
+    ==========
+
+    on_report : function
+        Called with the text and its :class:`LoadReport`, or None if the text
+        is not readable.
 
     Examples
     ========
@@ -106,12 +119,15 @@
     >>> view.load_at
     5.0
     """
-    parts = text.split(',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    report = parse_load(text)
+    on_report(text, report)
+    if report is None:
         return
-    running, queued, slots = (int(part) for part in parts)
-    view.running = running
-    view.queued = queued
-    view.slots = max(1, slots)
+    view.running = report.running
+    view.queued = report.queued
+    view.slots = max(1, report.slots)
     view.load_at = now
     view.in_flight_at_report = view.in_flight
+    if report.slowdown is not None:
+        view.slowdown = report.slowdown
+        view.slowdown_at = now
--- a/pollenstile/forward/_rejection.py
+++ b/pollenstile/forward/_rejection.py
@@ -1,5 +1,7 @@
 """Checks of the head of an upstream's answer."""
 
+from functools import partial
+
 from pollenstile.forward._learning import learn_load
 from pollenstile.forward._outcomes import RESULTS_GONE
 from pollenstile.forward._types import Lost, NotRun
@@ -28,7 +30,16 @@
     ident = attempt.view.ident
     load = _text(head, names.load)
     if load:
-        learn_load(attempt.view, load, core.clock.seconds())
+        learn_load(
+            attempt.view,
+            load,
+            core.clock.seconds(),
+            partial(
+                core.conditions.note_report,
+                attempt.exchange.service,
+                attempt.view.incarnation,
+            ),
+        )
     echoed = _text(head, names.attempt)
     if echoed and echoed != attempt.exchange.ident:
         # This is a late duplicate answer to another request. If it were
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -1,8 +1,11 @@
 """Selection of an upstream for a request, without I/O."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from operator import itemgetter
 
+from pollenstile.conditions import usual_time
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.rendezvous import rendezvous_weight
 
@@ -25,6 +28,8 @@
 # results and share little of their prompts; without this cost 100 of 115 were
 # sent to an engine of another domain.
 _CROSS_DOMAIN_BYTE_SECONDS = 1e-8
+# Relative difference up to which costs of engines count as equal.
+_NEAR_SHARE = 0.1
 # Age above which a load report is ignored; only own requests count then.
 _LOAD_REPORT_TTL_SECONDS = 2.0
 # An upstream is unhealthy when its failure rate exceeds the median of the
@@ -58,6 +63,11 @@
         Time of that report on the clock.
     in_flight_at_report : int
         This host's requests in flight at that time.
+    slowdown : float
+        How long work took on its machine by its last report that stated it, as
+        a multiple of the usual time.
+    slowdown_at : float
+        Time of that report on the clock.
     failures : float
         Smoothed share of requests that failed there.
     seconds : float
@@ -100,6 +110,8 @@
     queued: int = 0
     load_at: float = -1000.0
     in_flight_at_report: int = 0
+    slowdown: float = 1.0
+    slowdown_at: float = -1000.0
     failures: float = 0.0
     seconds: float = 0.0
     backoff_until: float = 0.0
@@ -319,6 +331,23 @@
     return max(views, key=weight)
 
 
+@dataclass(slots=True, frozen=True)
+class EngineCosts:
+    """Functions of a view that adjust its expected time.
+
+    Parameters
+    ==========
+
+    spread_cost : function
+        Returns seconds to add.
+    time_factor : function
+        Returns how long work takes there, as a multiple of the usual time.
+    """
+
+    spread_cost: Callable = no_cost
+    time_factor: Callable = usual_time
+
+
 def select_engine(
     views,
     now,
@@ -327,7 +356,7 @@
     prompt,
     token_seconds,
     inputs=None,
-    spread_cost=no_cost,
+    **costs,
 ):
     """Return the model engine with the earliest expected first token, or None.
 
@@ -338,6 +367,10 @@
     part is read once. Another engine is chosen when the load of the home engine
     costs more than reading that part again.
 
+    Hosts choose independently from the same reports. Where time factors are
+    known, the choice among engines of nearly equal cost is random, so that not
+    all hosts choose the same one.
+
     Parameters
     ==========
 
@@ -356,11 +389,12 @@
     inputs : dict or None
         Bytes of the request's stage results by failure domain. Bytes outside
         the engine's domain cross between domains, which is billed.
-    spread_cost : function
-        Returns seconds to add to the expected time of a view.
+    costs : dict
+        Fields of :class:`EngineCosts`.
     """
     if not views:
         return None
+    terms = EngineCosts(**costs)
     subject = subject_of(prompt)
     home = home_engine(views, subject)
     shared = prompt[-2][1] if subject else 0
@@ -372,14 +406,41 @@
         seconds = (own + view.in_flight_tokens) * token_seconds
         if subject and view is not home:
             seconds += _REREAD_FACTOR * shared * token_seconds
-        seconds += _load_delay_seconds(view, now) + view.failures
+        seconds += _load_delay_seconds(view, now)
+        seconds = seconds * terms.time_factor(view) + view.failures
         if view.domain != domain:
             seconds += _CROSS_DOMAIN_SECONDS
         crossing_bytes = total - inputs.get(view.domain, 0)
         seconds += _CROSS_DOMAIN_BYTE_SECONDS * crossing_bytes
-        return seconds + spread_cost(view), rng.random()
+        return seconds + terms.spread_cost(view)
 
-    return min(views, key=cost)
+    if terms.time_factor is usual_time:
+        return min(views, key=lambda view: (cost(view), rng.random()))
+    weighed = [(cost(view), view) for view in views]
+    return _select_near_lowest(weighed, home if subject else None, rng)
+
+
+def _select_near_lowest(weighed, home, rng):
+    """Return a random one of the engines whose cost is nearly the lowest.
+
+    Explanation
+    ===========
+
+    The home engine is returned if it is among them.
+
+    Parameters
+    ==========
+
+    weighed : list of tuple
+        Cost and view of each engine.
+    home : UpstreamView or None
+        Home engine of the request's subject.
+    """
+    limit = (1 + _NEAR_SHARE) * min(weighed, key=itemgetter(0))[0]
+    near = [view for cost, view in weighed if cost <= limit]
+    if any(view is home for view in near):
+        return home
+    return rng.choice(near)
 
 
 def _load_delay_seconds(view, now):
