--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -301,7 +301,8 @@
         exchange.prompt,
         core.first_tokens.token_seconds(exchange.service),
         inputs,
-        spread_cost,
+        spread_cost=spread_cost,
+        time_factor=core.conditions.time_factor(exchange.service),
         transfer_seconds=core.part_sources.transfer_seconds(exchange),
     )
 
