ops: one function each to cancel a timer and to bound a dictionary

Cause: 21 modules tested a delayed call for None and activity before they cancelled it, two had the same callback that did so after a Deferred, and 7 dropped the oldest entries of a dictionary in a loop or a test of their own.

Change: cancel_timer and cancel_timer_after in ops.timers, drop_oldest in ops.bounded; all these modules use them. Behaviour is the same.

--- a/pollenstile/claims/_claims.py
+++ b/pollenstile/claims/_claims.py
@@ -12,6 +12,7 @@
 from pollenstile.claims._outcomecache import OutcomeCache
 from pollenstile.claims._pending import Held, NotClaimed
 from pollenstile.claims._records import Record, build_release
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.outcomes import Answered, Refused, Unknown
 
 SHARD_COUNT = 32
@@ -331,8 +332,7 @@
         waiting = Deferred(lambda _: log.withdraw(pending, 'cancelled'))
         pending.done.chainDeferred(waiting)
         result = await waiting
-        if timer.active():
-            timer.cancel()
+        cancel_timer(timer)
         return result
 
     async def _run_claimed(self, record, run):
--- a/pollenstile/claims/_log.py
+++ b/pollenstile/claims/_log.py
@@ -32,6 +32,7 @@
 from pollenstile.claims._restore import RESTORE_SECONDS, return_failure
 from pollenstile.claims._state import find_holder, is_end_current
 from pollenstile.claims._truncate import TruncationState, truncate_log
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.platform import (
     InDoubt,
     NotApplied,
@@ -176,8 +177,7 @@
 
     def start_writing(self):
         """Write the queued records, unless this is under way."""
-        if self.retry_timer is not None and self.retry_timer.active():
-            self.retry_timer.cancel()
+        cancel_timer(self.retry_timer)
         if not self.is_writing and self.queue:
             self.is_writing = True
             Deferred.fromCoroutine(self._write_queue()).addBoth(
--- a/pollenstile/entry/_daemon.py
+++ b/pollenstile/entry/_daemon.py
@@ -12,6 +12,7 @@
 from pollenstile.entry._unread import refuse_unread
 from pollenstile.ops.http import site_for
 from pollenstile.ops.lateness import reading_time
+from pollenstile.ops.timers import cancel_timer_after
 from pollenstile.peer import tcp_listen
 from pollenstile.peer.events import PEERS_OFF
 
@@ -216,7 +217,7 @@
             self.reactor,
             onTimeoutCancel=self._abort_connections,
         )
-        return drained.addBoth(_stop_timer, refusing)
+        return cancel_timer_after(drained, refusing)
 
     def _abort_connections(self, *_):
         # A caller that no longer reads must not block the shutdown forever.
@@ -232,12 +233,6 @@
         )
 
 
-def _stop_timer(result, timer):
-    if timer.active():
-        timer.cancel()
-    return result
-
-
 def address_of(port):
     """Return the address of a listening port as ``IP:PORT``."""
     host = port.getHost()
--- a/pollenstile/fleet/_census.py
+++ b/pollenstile/fleet/_census.py
@@ -20,6 +20,7 @@
 
 from twisted.internet.defer import gatherResults
 
+from pollenstile.ops.bounded import drop_oldest
 from pollenstile.peer import BadMessageError, Unanswered, decode_struct, schema
 
 SUBJECT = 'status'
@@ -88,8 +89,7 @@
 
     def _remember(self, query):
         self.queries[query] = True
-        while len(self.queries) > _MAX_QUERIES:
-            self.queries.popitem(last=False)
+        drop_oldest(self.queries, _MAX_QUERIES)
 
     def _collect_from_peers(self, query, seconds, excluded):
         body = schema.StatusAsk.new_message(
--- a/pollenstile/fleet/_fleet.py
+++ b/pollenstile/fleet/_fleet.py
@@ -9,6 +9,7 @@
 from pollenstile.fleet._table import Table
 from pollenstile.fleet._upstreams import Upstreams
 from pollenstile.fleet._watchers import Watchers
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import Beat, neighbours
 
 _TICK_SECONDS = 0.5
@@ -116,8 +117,7 @@
 
     def stop(self):
         """End all loops and close all links."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
         self.platform_reader.stop()
         self.watchers.stop()
         self.sharing.stop()
--- a/pollenstile/fleet/_sharing.py
+++ b/pollenstile/fleet/_sharing.py
@@ -2,6 +2,7 @@
 
 from pollenstile.fleet._record import HOST, UPSTREAM, Record
 from pollenstile.fleet._table import BUCKETS
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import News, Sums
 
 # Seconds within which changes are collected into one message.
@@ -98,8 +99,7 @@
 
     def stop(self):
         """Cancel the pending send."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
 
     def on_beat(self, link, beat):
         """Compare tables if the sum of a peer differs from this host's."""
--- a/pollenstile/fleet/_watchers.py
+++ b/pollenstile/fleet/_watchers.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import Deferred
 
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import rank_candidates
 
 # Hosts that poll one upstream, and seconds between polls of each of them.
@@ -73,8 +74,7 @@
     def stop(self):
         """Stop the polls."""
         self.stopped = True
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
 
     def assign(self):
         """Recompute this host's share."""
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -10,6 +10,7 @@
     read_full_config,
 )
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.platform import Changes, Unavailable, fork_deferred, paused
 
 # Time between reads. A change must be in force within 2 s of its write; this
@@ -317,8 +318,7 @@
             outcome = await read_full_config(self.store)
         else:
             outcome = await read_config_changes(self.store, since, hold)
-        if overdue_check.active():
-            overdue_check.cancel()
+        cancel_timer(overdue_check)
         self.reads_in_flight -= 1
         self.full_reads_in_flight -= is_full
         if is_full:
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -7,6 +7,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._client import ProbeResult
+from pollenstile.ops.bounded import drop_oldest
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
 
@@ -171,8 +172,7 @@
 
     def _note_ended(self, upstream):
         self.ended[upstream] = True
-        if len(self.ended) > _MAX_ENDED:
-            self.ended.pop(next(iter(self.ended)))
+        drop_oldest(self.ended, _MAX_ENDED)
 
     def _report(self, upstream, suspects):
         identified = tuple(
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -10,6 +10,7 @@
 from pollenstile.forward._request_log import log_unread
 from pollenstile.forward._run import is_cancelled_on_disconnect, serve
 from pollenstile.forward._types import Refusal
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.routes import Limits
 
 _HEADERS_TOO_LARGE = 431
@@ -299,8 +300,7 @@
         self.slow_timer = self.callLater(seconds, self._on_timeout)
 
     def _stop_slow_timer(self):
-        if self.slow_timer is not None and self.slow_timer.active():
-            self.slow_timer.cancel()
+        cancel_timer(self.slow_timer)
         self.slow_timer = None
 
     def _on_timeout(self):
--- a/pollenstile/forward/_input_release.py
+++ b/pollenstile/forward/_input_release.py
@@ -1,5 +1,7 @@
 """Release of a request's stage results once its upstreams have read them."""
 
+from pollenstile.ops.timers import cancel_timer
+
 # Parts of the expected fetch time in each of which an upstream must be heard.
 # One that stands still after the request has reached it fetches nothing.
 _PARTS = 2
@@ -112,12 +114,12 @@
 
     def release(self):
         """Record that the upstream has read the results."""
-        self._stop_timer()
+        cancel_timer(self.timer)
         self.readers.note_read(self)
 
     def stop(self):
         """Cancel the timer because the attempt is over."""
-        self._stop_timer()
+        cancel_timer(self.timer)
         self.readers.note_over(self)
 
     def _schedule(self):
@@ -139,7 +141,3 @@
         """Return whether the results are released by time."""
         limit = _MAX_PARTS if self.view.streams else _PARTS
         return self.parts >= limit and self.is_memory_short()
-
-    def _stop_timer(self):
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
--- a/pollenstile/forward/_returned.py
+++ b/pollenstile/forward/_returned.py
@@ -2,6 +2,7 @@
 
 from pollenstile.forward import events
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.timers import cancel_timer
 
 # Seconds for which a removed incarnation is remembered. Copies are some seconds
 # old, and a store may return several times.
@@ -94,8 +95,7 @@
     def end_doubt(self, ident):
         """Follow an entry, which was written or removed since the return."""
         timer = self.doubts.pop(ident, None)
-        if timer is not None and timer.active():
-            timer.cancel()
+        cancel_timer(timer)
 
     def _trust(self, ident):
         self.end_doubt(ident)
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pollenstile.ops.lateness import reading_time
+from pollenstile.ops.timers import cancel_timer
 
 
 class SilenceWatch:
@@ -129,8 +130,7 @@
 
     def stop(self):
         """Cancel the timer."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
 
     def _restart(self, limit):
         silence = self.silent_seconds()
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -13,6 +13,7 @@
 from pollenstile.forward._request_log import log_standby
 from pollenstile.forward._selection import is_silent
 from pollenstile.forward._types import NotRun, Refusal
+from pollenstile.ops.timers import cancel_timer
 
 # Time between two looks whether another attempt can be sent beside a silent
 # one.
@@ -103,8 +104,7 @@
             self.preparing.cancel()
 
     def _stop_timer(self):
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
         self.timer = None
 
     def _look(self):
--- a/pollenstile/forward/_tokenqueue.py
+++ b/pollenstile/forward/_tokenqueue.py
@@ -6,6 +6,8 @@
 
 from twisted.internet.defer import Deferred
 
+from pollenstile.ops.timers import cancel_timer_after
+
 
 @dataclass(slots=True, order=True)
 class _Waiting:
@@ -66,7 +68,7 @@
         waiting = _Waiting(_turn(exchange), next(self.numbers), woken)
         insort(self.waiting.setdefault(service, []), waiting)
         timer = self.clock.callLater(seconds, self._time_out, service, waiting)
-        woken.addBoth(_stop_timer, timer)
+        cancel_timer_after(woken, timer)
         return woken
 
     def wake_behind(self, exchange):
@@ -97,9 +99,3 @@
 def _turn(exchange):
     """Return the key by which requests wait: urgency, then deadline."""
     return exchange.urgency, exchange.ends
-
-
-def _stop_timer(result, timer):
-    if timer.active():
-        timer.cancel()
-    return result
--- a/pollenstile/limits/_admission.py
+++ b/pollenstile/limits/_admission.py
@@ -17,6 +17,7 @@
 from pollenstile.limits._fairqueue import RANKS, FairQueue
 from pollenstile.limits._reservations import PoolReservations, stage_shares
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.outcomes import Refused
 
 _TOO_BUSY = 503
@@ -307,8 +308,7 @@
         return waiting.started
 
     def _remove(self, waiting):
-        if waiting.timer.active():
-            waiting.timer.cancel()
+        cancel_timer(waiting.timer)
         self.queue.remove(waiting.key, waiting)
 
     def _expire(self, waiting):
--- a/pollenstile/ops/channels.py
+++ b/pollenstile/ops/channels.py
@@ -3,6 +3,8 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.web.http import HTTPChannel
 
+from pollenstile.ops.timers import cancel_timer
+
 # Seconds in which a request has to arrive, head and body: 256 kB at 64 kbit/s.
 _ARRIVAL_SECONDS = 32.0
 _TOO_SLOW = (
@@ -136,8 +138,7 @@
         return super().checkPersistence(request, version)
 
     def _stop_arrival_timer(self):
-        if self.arrival_timer is not None and self.arrival_timer.active():
-            self.arrival_timer.cancel()
+        cancel_timer(self.arrival_timer)
         self.arrival_timer = None
 
     def _on_too_slow(self):
--- a/pollenstile/peer/_hub.py
+++ b/pollenstile/peer/_hub.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import events
 from pollenstile.peer._dialer import Dialer
 from pollenstile.peer._link import BEAT_PERIOD, SILENCE_LIMIT
@@ -121,8 +122,7 @@
     def stop(self):
         """Close all connections and stop the timer."""
         self.stopped = True
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
         for link in self.all_links():
             self.drop(link, 'stopped')
 
--- a/pollenstile/peer/_patch.py
+++ b/pollenstile/peer/_patch.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from pollenstile.ops.bounded import drop_oldest
+
 _DIGEST_BYTES = 16
 # Number of recent texts from which a host can send patches.
 _MAX_TEXTS = 6
@@ -115,8 +117,7 @@
         self.patches.clear()
         self.texts[name] = text
         self.texts.move_to_end(name)
-        while len(self.texts) > _MAX_TEXTS:
-            self.texts.popitem(last=False)
+        drop_oldest(self.texts, _MAX_TEXTS)
 
     def patch_from(self, name):
         """Return the patch to the newest text from a named or empty text."""
--- a/pollenstile/pipeline/_attempts.py
+++ b/pollenstile/pipeline/_attempts.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 from pollenstile.limits import CANCELLED
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.pipeline import events
 from pollenstile.pipeline._learning import record_slow_attempt
 from pollenstile.pipeline._stagepermissions import StagePermissions
@@ -253,8 +254,7 @@
             Processing time that the upstream reports; 0 if it reports none.
         """
         self.in_flight.pop(attempt.number, None)
-        if attempt.timer.active():
-            attempt.timer.cancel()
+        cancel_timer(attempt.timer)
         if attempt.is_silent:
             self.core.tracker.ended_silent(attempt.choice.name)
         else:
--- a/pollenstile/pipeline/_stage.py
+++ b/pollenstile/pipeline/_stage.py
@@ -13,6 +13,7 @@
 
 from pollenstile.limits import FAILED, USEFUL, expected_time
 from pollenstile.ops.lateness import reading_time
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.pipeline import events
 from pollenstile.pipeline._assembly import Assembly
 from pollenstile.pipeline._attempts import Attempts
@@ -272,7 +273,7 @@
             attempt.limit = (
                 self.request.snapshot.manifest.policy.silence_ms / _MS
             )
-            _stop_timer(attempt.timer)
+            cancel_timer(attempt.timer)
             watch_later(self, attempt, attempt.limit)
         if self.assembly.append_if_next(chunk.offset, chunk.text):
             self.attempts.drop_all(kept=attempt)
@@ -368,22 +369,17 @@
         )
 
     def _finish(self, result):
-        _stop_timer(self.hedge_timer)
+        cancel_timer(self.hedge_timer)
         if not self.result.called:
             self.result.callback(result)
 
     def _on_cancel(self, deferred):
         # The caller has disconnected and cannot use the result, so the calls
         # to upstreams are cancelled.
-        _stop_timer(self.hedge_timer)
+        cancel_timer(self.hedge_timer)
         self.attempts.drop_all()
 
 
-def _stop_timer(timer):
-    if timer is not None and timer.active():
-        timer.cancel()
-
-
 def _is_heard(event):
     # A loss or a refusal without an attempt id can arise on this host.
     return getattr(event, 'attempt', None) is not None
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -22,6 +22,7 @@
 from pollenstile.ops.agents import connection_pool, is_too_long
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.documents import TooLongError, read_document
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.platform._eras import parse_era
 
 # Bytes of the largest body: a page of a list has about a megabyte, and an
@@ -232,8 +233,7 @@
 
     def stop(self):
         """Cancel the timer after the end of the call."""
-        if self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
 
     def _expire(self):
         self.expired = True
--- a/pollenstile/quarantine/_completedruns.py
+++ b/pollenstile/quarantine/_completedruns.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+from pollenstile.ops.bounded import drop_oldest
+
 # Seconds for which a completed run is evidence that a request does not crash
 # upstreams, and the number of requests that are remembered by default.
 _EVIDENCE_SECONDS = 30.0
@@ -31,8 +33,7 @@
         """Record that a request has run to completion now."""
         self.completed_at[fingerprint] = self.clock.seconds()
         self.completed_at.move_to_end(fingerprint)
-        if len(self.completed_at) > self.most:
-            self.completed_at.popitem(last=False)
+        drop_oldest(self.completed_at, self.most)
 
     def has_recent(self, fingerprint):
         """Return whether a request recently ran to completion."""
--- a/pollenstile/quarantine/_evidence.py
+++ b/pollenstile/quarantine/_evidence.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from pollenstile.ops.bounded import drop_oldest
 from pollenstile.quarantine._types import Report, Suspect
 
 # Seconds for which a report counts as evidence against a request.
@@ -121,8 +122,7 @@
         """Retract an incarnation's reports; return its suspects."""
         crash = self.crashes.get(incarnation)
         self.retracted[incarnation] = True
-        if len(self.retracted) > _MAX_RETRACTED:
-            self.retracted.pop(next(iter(self.retracted)))
+        drop_oldest(self.retracted, _MAX_RETRACTED)
         if crash is None:
             return ()
         self._drop(crash)
--- a/pollenstile/quarantine/_verdicts.py
+++ b/pollenstile/quarantine/_verdicts.py
@@ -2,6 +2,8 @@
 
 import xxhash
 
+from pollenstile.ops.bounded import drop_oldest
+
 # Seconds for which a verdict is kept: long enough for the caller to give up, or
 # for an operator to notice it.
 HOLD_SECONDS = 600.0
@@ -47,8 +49,7 @@
         # Removed first, so that the new verdict becomes the newest entry.
         self.by_fingerprint.pop(verdict.fingerprint, None)
         self.by_fingerprint[verdict.fingerprint] = verdict
-        if len(self.by_fingerprint) > _MAX_VERDICTS:
-            self.by_fingerprint.pop(next(iter(self.by_fingerprint)))
+        drop_oldest(self.by_fingerprint, _MAX_VERDICTS)
         return True
 
     def held_verdict(self, fingerprint):
@@ -98,8 +99,7 @@
 
     def _note_lapsed(self, fingerprint, now):
         self.lapsed[fingerprint] = now + _LAPSED_SECONDS
-        if len(self.lapsed) > _MAX_VERDICTS:
-            self.lapsed.pop(next(iter(self.lapsed)))
+        drop_oldest(self.lapsed, _MAX_VERDICTS)
 
     def digest(self):
         """Return a checksum that differs when two hosts' verdicts differ."""
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import BadMessageError, Unanswered, apply_patch
 from pollenstile.platform import era_of, paused
 from pollenstile.relay import events
@@ -184,8 +185,7 @@
     def stop(self):
         """Send no more requests."""
         self.running = False
-        if self.expiry_timer is not None and self.expiry_timer.active():
-            self.expiry_timer.cancel()
+        cancel_timer(self.expiry_timer)
 
     def is_following(self):
         """Return whether updates of another host replace own reads."""
@@ -326,8 +326,7 @@
         by readers that are skipped one by one, by requests that hang, or by the
         long delay of a high rank in a large domain.
         """
-        if self.expiry_timer is not None and self.expiry_timer.active():
-            self.expiry_timer.cancel()
+        cancel_timer(self.expiry_timer)
         self.expires_at = expires_at
         remaining = max(0, expires_at - self.suspend_clock())
         self.expiry_timer = self.clock.callLater(
--- a/pollenstile/statements/_unreadable.py
+++ b/pollenstile/statements/_unreadable.py
@@ -1,5 +1,7 @@
 """Log lines of values that can't be read, at most one in a while each."""
 
+from pollenstile.ops.bounded import drop_oldest
+
 _LOG_PERIOD_SECONDS = 5.0
 _MAX_LOGGED_CHARACTERS = 40
 # Maximum number of incarnations whose last line is remembered.
@@ -34,8 +36,7 @@
         last = self.logged_at.pop(name, -_LOG_PERIOD_SECONDS)
         is_due = now - last >= _LOG_PERIOD_SECONDS
         self.logged_at[name] = now if is_due else last
-        if len(self.logged_at) > _MAX_REMEMBERED:
-            self.logged_at.pop(next(iter(self.logged_at)))
+        drop_oldest(self.logged_at, _MAX_REMEMBERED)
         if is_due:
             text = ','.join(values)[:_MAX_LOGGED_CHARACTERS]
             self.log(self.event, level='warning', peer=name, value=text)
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.tunnel import events
 from pollenstile.tunnel._frames import encode_data, encode_end
 from pollenstile.tunnel._messages import (
@@ -261,8 +262,7 @@
 
     def _stop_waiting(self):
         self.server.strangers.discard(self)
-        if self.timer.active():
-            self.timer.cancel()
+        cancel_timer(self.timer)
 
 
 class _HostEndFactory(Factory):
