forward: the HTTP client in four modules, by subject

Change: _probe.py has probe connections, _connection.py the connections to upstreams, _call.py a request in flight and the body of its response, and _client.py the client that uses them. Only whole classes moved; those that another module now uses lose the underscore.

--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -1,7 +1,7 @@
 """Forwards HTTP exchanges to upstreams without changing their content."""
 
 from pollenstile.forward._budget import SharedRetryBudget
-from pollenstile.forward._client import HttpClient, ProbeResult
+from pollenstile.forward._client import HttpClient
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._configuration import Configuration
 from pollenstile.forward._copies import Copies
@@ -19,6 +19,7 @@
     RUN_TARGET,
     PlainCodec,
 )
+from pollenstile.forward._probe import ProbeResult
 from pollenstile.forward._registry import Registry, Upstream
 from pollenstile.forward._run import serve
 from pollenstile.forward._selection import (
--- /dev/null
+++ b/pollenstile/forward/_call.py
@@ -0,0 +1,176 @@
+"""One request in flight at an upstream, and the body of its response."""
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.protocol import Protocol
+from twisted.web._newclient import ResponseDone
+from twisted.web.client import ResponseFailed
+from twisted.web.http import PotentialDataLoss
+
+from pollenstile.forward._bounds import ENDLESS_HEAD
+from pollenstile.forward._types import BodyEnd, Lost, NotRun
+
+
+class _Body(Protocol):
+    """Passes on the bytes of a response body and how the body ended."""
+
+    def __init__(self, call, on_data, on_end):
+        self.call = call
+        self.on_data = on_data
+        self.on_end = on_end
+
+    def dataReceived(self, data):
+        """Pass on received bytes; called by Twisted."""
+        if not self.call.cancelled:
+            self.on_data(data)
+
+    def connectionLost(self, reason):
+        """Report the end of the body; called by Twisted."""
+        if self.call.cancelled:
+            return
+        body_end = self._body_end(reason)
+        self.call.close()
+        self.on_end(body_end)
+
+    def _body_end(self, reason):
+        if reason.check(ResponseDone):
+            return BodyEnd.COMPLETE
+        # The parser gives the same reason for an unframed body whose connection
+        # was reset.
+        if (
+            reason.check(PotentialDataLoss)
+            and self.call.protocol.closed_cleanly
+        ):
+            return BodyEnd.CLOSED
+        return BodyEnd.BROKEN
+
+
+class Call:
+    """One request in flight.
+
+    Attributes
+    ==========
+
+    head : Deferred
+        Fires with Twisted's response once the headers are received, or with
+        :class:`NotRun` or :class:`Lost`.
+    check : function
+        Asked when the connection is open. Returns a :class:`NotRun` if the
+        request must not be sent any more, or None.
+    on_unreached : function
+        Called with the address if it is given up before it was sent.
+    """
+
+    __slots__ = (
+        'address',
+        'cancelled',
+        'check',
+        'connector',
+        'head',
+        'on_unreached',
+        'protocol',
+        'request',
+        'sent',
+    )
+
+    def __init__(self, request, address, on_unreached):
+        self.request = request
+        self.on_unreached = on_unreached
+        self.address = address
+        self.head = Deferred(lambda _: self.cancel())
+        self.protocol = None
+        self.connector = None
+        self.cancelled = False
+        self.check = _permit
+        self.sent = False
+
+    def attach(self, protocol):
+        """Send the request once the protocol is connected."""
+        self.protocol = protocol
+        protocol.on_endless_head = self._on_endless_head
+        connection_made = protocol.connectionMade
+
+        def connected():
+            connection_made()
+            protocol.transport.setTcpNoDelay(True)
+            if self.cancelled:
+                protocol.transport.abortConnection()
+                return
+            refusal = self.check()
+            if refusal is not None:
+                protocol.transport.abortConnection()
+                self.head.callback(refusal)
+                return
+            self.sent = True
+            response = protocol.request(self.request)
+            response.addCallbacks(self._on_response, self._on_failure)
+
+        protocol.connectionMade = connected
+
+    def fail_connection(self, reason):
+        """Report that no connection was made and nothing was sent."""
+        if not self.head.called and not self.cancelled:
+            self.head.callback(NotRun(reason, self.address, arrived=False))
+
+    def deliver(self, response, on_data, on_end):
+        """Deliver the response body; return its producer.
+
+        Parameters
+        ==========
+
+        on_data : function
+            Called with each received part of the body.
+        on_end : function
+            Called last, with a :class:`BodyEnd`.
+        """
+        body = _Body(self, on_data, on_end)
+        response.deliverBody(body)
+        return body.transport
+
+    def cancel(self):
+        """Close the connection at once and deliver nothing more."""
+        self.cancelled = True
+        self.close()
+
+    def give_up(self):
+        """Cancel the call, as the upstream has not answered in time."""
+        if not self.sent:
+            self.on_unreached(self.address)
+        self.cancel()
+
+    def close(self):
+        """Close the connection, which is never reused."""
+        transport = self.protocol.transport if self.protocol else None
+        if transport is not None:
+            transport.abortConnection()
+        elif self.connector and self.connector.state == 'connecting':
+            self.connector.stopConnecting()
+
+    def _on_endless_head(self):
+        self.protocol.on_endless_head = None
+        self.close()
+        if not self.cancelled and not self.head.called:
+            self.head.callback(Lost(ENDLESS_HEAD, self.address, endless=True))
+
+    def _on_response(self, response):
+        self.protocol.on_endless_head = None
+        if not self.cancelled and not self.head.called:
+            self.head.callback(response)
+
+    def _on_failure(self, failure):
+        self.close()
+        if self.cancelled or self.head.called:
+            return
+        self.head.callback(Lost(_reason(failure), self.address, broken=True))
+
+
+def _permit():
+    """Return None: nothing keeps a request from being sent."""
+
+
+def _reason(failure):
+    if failure.check(ResponseFailed):
+        reasons = failure.value.reasons
+        return reasons[0].type.__name__ if reasons else 'no answer'
+    if failure.check(CancelledError):
+        return 'cancelled'
+    return failure.type.__name__
--- /dev/null
+++ b/pollenstile/forward/_connection.py
@@ -0,0 +1,107 @@
+"""Connections to upstreams, directly or through a peer."""
+
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol
+
+from pollenstile.forward._bounds import MAX_HEAD_BYTES
+from pollenstile.tunnel import EndedFrames
+
+
+class Connection(HTTP11ClientProtocol):
+    """Bounds the head of the answer and records how the connection ended.
+
+    Attributes
+    ==========
+
+    on_endless_head : function or None
+        Called when the head is over its bound; None once it was received.
+    head_bytes : int
+        Bytes received so far, while the head is awaited.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.on_endless_head = None
+        self.head_bytes = 0
+
+    def dataReceived(self, received):
+        """Parse received bytes; called by Twisted."""
+        super().dataReceived(received)
+        if self.on_endless_head is None:
+            return
+        # The parser bounds one line, but neither their number nor that of the
+        # interim heads.
+        self.head_bytes += len(received)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.on_endless_head()
+
+    def connectionLost(self, reason):
+        """Record how the connection ended; called by Twisted."""
+        self.closed_cleanly = reason.check(ConnectionDone) is not None
+        super().connectionLost(reason)
+
+
+class TunnelConnection(Connection):
+    """Connection through a peer, which passes on the upstream's bytes."""
+
+    def __init__(self, token):
+        super().__init__()
+        self.token = token
+        self.frames = EndedFrames()
+
+    def connectionMade(self):
+        """Pick up the connection to the upstream; called by Twisted."""
+        self.transport.write(self.token)
+        super().connectionMade()
+
+    def dataReceived(self, received):
+        """Pass on the upstream's bytes; called by Twisted."""
+        content = self.frames.feed(received)
+        if content:
+            super().dataReceived(content)
+
+    def connectionLost(self, reason):
+        """End as the upstream's connection has ended; called by Twisted."""
+        kind = ConnectionDone if self.frames.ended else ConnectionLost
+        super().connectionLost(Failure(kind()))
+
+
+class Connector(ClientFactory):
+    """Gives a call the protocol of its connection, or reports the failure."""
+
+    noisy = False
+
+    def __init__(self, call, protocol):
+        self.call = call
+        self.call_protocol = protocol
+
+    def buildProtocol(self, address):
+        """Return the protocol of the connection; called by Twisted."""
+        self.call_protocol.closed_cleanly = False
+        self.call.attach(self.call_protocol)
+        return self.call_protocol
+
+    def clientConnectionFailed(self, connector, reason):
+        """Report that no connection was made; called by Twisted."""
+        self.call.fail_connection(reason.type.__name__)
+
+
+class DirectConnector(Connector):
+    """Opens the connection to the upstream itself, and notes whether it did."""
+
+    def __init__(self, call, paths):
+        super().__init__(call, Connection())
+        self.paths = paths
+
+    def buildProtocol(self, address):
+        """Return the protocol of the connection; called by Twisted."""
+        self.paths.note_opened(self.call.address)
+        return super().buildProtocol(address)
+
+    def clientConnectionFailed(self, connector, reason):
+        """Report that no connection was made; called by Twisted."""
+        if not self.call.cancelled:
+            self.paths.note_failed(self.call.address)
+        super().clientConnectionFailed(connector, reason)
