--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -4,6 +4,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._configloop import ConfigurationLoop
+from pollenstile.forward._relayedconfig import apply_relayed_update
 from pollenstile.forward._settling import Settling
 from pollenstile.ops.logs import silent_log
 from pollenstile.platform import era_of
@@ -277,38 +278,12 @@
     def apply_update(self, update, began):
         """Apply an update from a reader; return whether reads can be skipped.
 
-        Explanation
-        ===========
+        See Also
+        ========
 
-        The update verifies the table in force here only when both have the
-        same version. The reader has verified it with regard to returns of the
-        store.
-
-        Parameters
-        ==========
-
-        update : RelayUpdate
-            Contains the configuration if it is newer than the one here.
-        began : float
-            Time on the suspend clock before the reader was asked.
+        pollenstile.forward._relayedconfig.apply_relayed_update
         """
-        verified_at = began - update.aged
-        if update.config is not None:
-            _apply_relayed(self, update.config)
-        lead = _lead_of(update, self)
-        if lead < 0:
-            # A reader that lags behind can't verify what this host has read.
-            return self.is_fresh()
-        if lead > 0:
-            return False
-        self.verified_at = max(self.verified_at, verified_at)
-        if update.seen:
-            # If the reader fails, this host asks for changes after this
-            # revision. Full reads by all followers at once would saturate
-            # links that are already slow.
-            self.known_revision = max(update.seen, self.known_revision or 0)
-            self.known_at = max(verified_at, self.known_at)
-        return True
+        return apply_relayed_update(self, update, began)
 
     def resumable_revision(self):
         """Return the store's revision from which other hosts may resume reads.
@@ -327,6 +302,14 @@
         )
 
     def replace_table(self, found):
+        """Put a stored configuration in force; return whether it is a proof.
+
+        Explanation
+        ===========
+
+        A configuration that can't be decoded, or is older than the one in
+        force, is logged and not put in force.
+        """
         try:
             table = self.decode(found.value)
         except ValueError as error:
@@ -382,33 +365,3 @@
         returned=returned,
     )
     return returned
-
-
-def _apply_relayed(configuration, found):
-    """Apply a reader's configuration.
-
-    Explanation
-    ===========
-
-    The reader may have kept a version against an older one that the store shows
-    since its return. Its revision is then of an earlier era.
-    """
-    if era_of(found.version) < era_of(configuration.newest_revision):
-        configuration.replace_table(found)
-    else:
-        configuration.apply_found(found)
-
-
-def _lead_of(update, configuration):
-    """Return how far a reader's version is ahead of the one in force here.
-
-    Explanation
-    ===========
-
-    Versions of the operator never fall, while one version has several revisions
-    if it is written again after a return of the store. Readers of an earlier
-    software version tell only the revision.
-    """
-    if update.config_version:
-        return update.config_version - configuration.version
-    return update.config_revision - configuration.revision
