forward: one class for waits at brittle and at withdrawn upstreams

Cause: BrittleWait and WithdrawnWait refused, logged and built the outcome of a request with the same code; they differed in two values and one log line.

Change: SendWait holds these as data and a function. TokenWait, which also counts a missed token, stays. Lines, outcomes and counts are the same.

--- a/pollenstile/forward/_brittle.py
+++ b/pollenstile/forward/_brittle.py
@@ -14,7 +14,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from pollenstile.forward._types import NotRun
+from pollenstile.forward._sendwait import SendWait
 from pollenstile.ops.rendezvous import rendezvous_weight
 from pollenstile.permission import events
 
@@ -184,60 +184,20 @@
         return [self.ranking.host, *(self.ranking.peers or ())]
 
 
-class BrittleWait:
-    """A request has no place at any upstream that it could go to.
-
-    Parameters
-    ==========
-
-    view : UpstreamView
-        The upstream that it would go to.
-    wait : float
-        Expected seconds until there is a place.
-    """
-
-    __slots__ = ('view', 'wait')
-
-    # Each place lets one request go on.
-    takes_turns = True
-    recheck_seconds = _RECHECK_SECONDS
-
-    def __init__(self, view, wait):
-        self.view = view
-        self.wait = wait
-
-    def log_wait(self, core, exchange):
-        """Log that a request waits."""
-        self._log(core, exchange, 'wait')
-
-    def refuse(self, core, exchange):
-        """Return the outcome of a request that can't wait, and log it."""
-        self._log(core, exchange, 'refuse')
-        return self.refusal(exchange)
-
-    def refusal(self, exchange):
-        """Return the outcome of a request that can't wait."""
-        return NotRun(
-            BRITTLE_REASON,
-            exchange.service,
-            arrived=False,
-            retry_after=self.wait,
-        )
-
-    def _log(self, core, exchange, choice):
-        core.log(
-            events.BRITTLE_HELD_BACK,
-            request=exchange.ident,
-            service=exchange.service,
-            peer=self.view.ident,
-            flying=self.view.in_flight,
-            choice=choice,
-            wait_ms=int(self.wait * _MS),
-        )
+def _log_held_back(core, exchange, held_back, choice):
+    core.log(
+        events.BRITTLE_HELD_BACK,
+        request=exchange.ident,
+        service=exchange.service,
+        peer=held_back.view.ident,
+        flying=held_back.view.in_flight,
+        choice=choice,
+        wait_ms=int(held_back.wait * _MS),
+    )
 
 
 def brittle_wait(core, exchange, views):
-    """Return the :class:`BrittleWait` of a request that no view has room for.
+    """Return the :class:`SendWait` of a request that no view has room for.
 
     Parameters
     ==========
@@ -249,4 +209,13 @@
     ahead = core.tokens.ahead(exchange)
     view = min(views, key=lambda candidate: candidate.in_flight)
     seconds = view.seconds or _DEFAULT_ANSWER_SECONDS
-    return BrittleWait(view, seconds * (ahead + 1) / max(1, places))
+    wait = seconds * (ahead + 1) / max(1, places)
+    return SendWait(
+        view,
+        BRITTLE_REASON,
+        wait,
+        _log_held_back,
+        # Each place lets one request go on.
+        takes_turns=True,
+        recheck_seconds=_RECHECK_SECONDS,
+    )
--- a/pollenstile/forward/_withdrawn.py
+++ b/pollenstile/forward/_withdrawn.py
@@ -2,69 +2,13 @@
 
 from functools import partial
 
+from pollenstile.forward._sendwait import SendWait
 from pollenstile.forward._types import NotRun
 from pollenstile.permission import events
 
 _MS = 1000
 
 
-class WithdrawnWait:
-    """A request can only go to upstreams that want none until some time.
-
-    Parameters
-    ==========
-
-    view : UpstreamView
-        The one of them that wants requests again first.
-    reason : str
-        What it has stated; see :class:`~pollenstile.permission.Block`.
-    wait : float
-        Seconds until then.
-    """
-
-    __slots__ = ('reason', 'view', 'wait')
-
-    # The end of the time is known, and lets all requests go on together. So
-    # they may wait until their deadline: a late answer is worth more than a
-    # refusal, as the hosts that callers come back to may have been asked too.
-    takes_turns = False
-    recheck_seconds = float('inf')
-
-    def __init__(self, view, reason, wait):
-        self.view = view
-        self.reason = reason
-        self.wait = wait
-
-    def log_wait(self, core, exchange):
-        """Log that a request waits."""
-        self._log(core, exchange, 'wait')
-
-    def refuse(self, core, exchange):
-        """Return the outcome of a request that can't wait, and log it."""
-        self._log(core, exchange, 'refuse')
-        return self.refusal(exchange)
-
-    def refusal(self, exchange):
-        """Return the outcome of a request that can't wait."""
-        return NotRun(
-            self.reason,
-            exchange.service,
-            arrived=False,
-            retry_after=self.wait,
-        )
-
-    def _log(self, core, exchange, choice):
-        core.permissions.rests.note_held_back(self.view.incarnation)
-        core.log(
-            events.REST_HELD_BACK,
-            request=exchange.ident,
-            service=exchange.service,
-            peer=self.view.ident,
-            choice=choice,
-            wait_ms=int(self.wait * _MS),
-        )
-
-
 def without_withdrawn(core, views):
     """Return those of some upstreams that want requests."""
     permissions = core.permissions
@@ -77,8 +21,26 @@
     ]
 
 
+def _log_held_back(core, exchange, held_back, choice):
+    core.permissions.rests.note_held_back(held_back.view.incarnation)
+    core.log(
+        events.REST_HELD_BACK,
+        request=exchange.ident,
+        service=exchange.service,
+        peer=held_back.view.ident,
+        choice=choice,
+        wait_ms=int(held_back.wait * _MS),
+    )
+
+
 def withdrawn_wait(core, exchange, tried=()):
-    """Return a request's :class:`WithdrawnWait`, or None.
+    """Return a request's :class:`SendWait`, or None.
+
+    Explanation
+    ===========
+
+    Its view is the upstream that wants requests again first, and its reason is
+    what that upstream has stated; see :class:`~pollenstile.permission.Block`.
 
     Parameters
     ==========
@@ -91,7 +53,7 @@
     Returns
     =======
 
-    WithdrawnWait or None
+    SendWait or None
         None if any upstream wants requests, or none is known to want them again
         at some time.
     """
@@ -110,7 +72,17 @@
         return None
     view, block = min(blocked, key=lambda pair: pair[1].until)
     wait = max(0.0, block.until - core.clock.seconds())
-    return WithdrawnWait(view, block.reason, wait)
+    return SendWait(
+        view,
+        block.reason,
+        wait,
+        _log_held_back,
+        # The end of the time is known, and lets all requests go on together. So
+        # they may wait until their deadline: a late answer is worth more than a
+        # refusal, as the hosts that callers come back to may have been asked
+        # too.
+        takes_turns=False,
+    )
 
 
 def withdrawal_check(permissions, view):
