statements: one function finds the statements that are too old

Cause: three records of upstreams' statements (leaving, rates, brittle) each looked for entries before a time with a loop of their own, over fields of two names.

Change: stale_names in pollenstile.statements serves all three. What else ends an entry differs by record and stays there.

--- a/pollenstile/permission/_brittle.py
+++ b/pollenstile/permission/_brittle.py
@@ -4,7 +4,7 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.permission import events
-from pollenstile.statements import UnreadableLog, parse_count
+from pollenstile.statements import UnreadableLog, parse_count, stale_names
 
 # Time for which a statement holds that no later answer repeats or takes back:
 # upstreams that have fallen over answer nothing for some seconds.
@@ -22,13 +22,13 @@
         Service of the upstream.
     limit : int
         Requests that it may turn away in a second before it falls over.
-    at : float
+    stated_at : float
         Time on the clock of the answer.
     """
 
     service: str
     limit: int
-    at: float
+    stated_at: float
 
 
 class BrittleServices:
@@ -119,6 +119,5 @@
 
     def _forget_old(self):
         oldest = self.clock.seconds() - _HOLD_SECONDS
-        for name, stated in list(self.by_name.items()):
-            if stated.at < oldest:
-                self._end(name)
+        for name in stale_names(self.by_name, oldest):
+            self._end(name)
--- a/pollenstile/permission/_leaving.py
+++ b/pollenstile/permission/_leaving.py
@@ -5,7 +5,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.permission import events
 from pollenstile.permission._block import Block
-from pollenstile.statements import UnreadableLog, parse_leaving
+from pollenstile.statements import UnreadableLog, parse_leaving, stale_names
 
 LEAVING_REASON = 'leaving'
 # Seconds after which a leaving incarnation is forgotten that is not in the
@@ -144,6 +144,6 @@
             Names of the incarnations in the registry.
         """
         oldest = self.clock.seconds() - _FORGET_SECONDS
-        for name, departure in list(self.by_name.items()):
-            if name not in registered and departure.stated_at < oldest:
+        for name in stale_names(self.by_name, oldest):
+            if name not in registered:
                 self.by_name.pop(name)
--- a/pollenstile/ratelimits/_stated.py
+++ b/pollenstile/ratelimits/_stated.py
@@ -5,7 +5,7 @@
 from pollenstile.ops.logs import silent_log
 from pollenstile.ratelimits import events
 from pollenstile.ratelimits._values import UNLIMITED, parse_rate
-from pollenstile.statements import UnreadableLog
+from pollenstile.statements import UnreadableLog, stale_names
 
 # Minimum seconds between two log lines about one upstream's rate, as a rate
 # may differ in each answer.
@@ -127,9 +127,8 @@
             Names of the incarnations in the registry.
         """
         oldest = self.clock.seconds() - _FORGET_SECONDS
-        for name, stated in list(self.by_name.items()):
-            is_over = not stated.rate or name not in registered
-            if is_over and stated.stated_at < oldest:
+        for name in stale_names(self.by_name, oldest):
+            if name not in registered or not self.by_name[name].rate:
                 self.by_name.pop(name)
 
     def _log_change(self, name, stated, before):
--- a/pollenstile/statements/__init__.py
+++ b/pollenstile/statements/__init__.py
@@ -1,5 +1,6 @@
 """What upstreams state in the headers of answers about further requests."""
 
+from pollenstile.statements._stale import stale_names
 from pollenstile.statements._statements import (
     StatementHeaders,
     Statements,
