features: the builders of entry hosts share what is the same

Cause: shutdown.py and entrygrace.py each had the manifest, the virtual upstreams, the settings, the node with its daemon and the bytes of a request. requests.py shares only imports with them: it has no daemon and a transport of its own.

Change: entrynode.py has these. Hosts, manifests and seeds are the same; in requests of shutdown.py the header Accept now follows Content-Length.

--- a/features/builders/entrygrace.py
+++ b/features/builders/entrygrace.py
@@ -1,8 +1,6 @@
 """Builders of a whole entry host, its callers and upstreams in virtual time."""
 
-import hashlib
 import math
-from random import Random
 
 from twisted.internet.address import IPv4Address
 from twisted.internet.defer import succeed
@@ -11,69 +9,49 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from features.builders.loop import collect_result
-from pollenstile.entry import Daemon, build_node
-from pollenstile.manifest import (
-    Domain,
-    Manifest,
-    Model,
-    Pipeline,
-    Policy,
-    Pool,
-    Stage,
-    Team,
-    Upstream,
-    text_from_manifest,
+from features.builders.entrynode import (
+    BOOK_STAGE,
+    CHAT_STAGE,
+    TEAM,
+    EntryHost,
+    caller_request,
+    entry_manifest,
+    key_headers,
+    one_upstream_pool,
+    started_daemon,
+    virtual_upstreams,
 )
-from pollenstile.ops.settings import ENTRY, settings_from
+from features.builders.loop import collect_result
+from pollenstile.manifest import Pipeline, Stage
 from pollenstile.standin.objectapi import MemoryStore
-from pollenstile.standin.virtual import (
-    Times,
-    VirtualUpstream,
-    healthy_network,
-)
 
 KEY = b'grace-key'
-_TOKENS = 6
 _STEP_SECONDS = 0.01
 _KINDS = {'e1': 'engine', 'r1': 'service', 'b1': 'service'}
 
 
+def _pipeline(*stages, idempotent=True):
+    return Pipeline(60000, [TEAM], list(stages), idempotent=idempotent)
+
+
 def _manifest():
-    digest = hashlib.sha256(KEY).hexdigest()
-    chat = Stage('generate', 'engines', model='demo', max_tokens=_TOKENS)
     rank = Stage('rank', 'ranking')
     long = Stage('rank', 'ranking', expect_ms=6000)
-    book = Stage('book', 'booking', idempotent=False, attempts=1)
-    return Manifest(
-        name='grace',
-        domains={'here': Domain('here')},
-        models={'demo': Model('1')},
-        pools={
-            'engines': Pool(
-                'engine',
-                {'e1': Upstream('here', '127.0.0.1:1')},
-                models=['demo'],
-            ),
-            'ranking': Pool('service', {'r1': Upstream('here', '127.0.0.1:2')}),
-            'booking': Pool('service', {'b1': Upstream('here', '127.0.0.1:3')}),
-        },
-        pipelines={
-            'chat': Pipeline(60000, ['salons'], [chat]),
-            'rank': Pipeline(60000, ['salons'], [rank]),
-            'book': Pipeline(60000, ['salons'], [book], idempotent=False),
-            'once-chat': Pipeline(60000, ['salons'], [chat], idempotent=False),
-            'long-book': Pipeline(
-                60000, ['salons'], [long, book], idempotent=False
-            ),
-            'long': Pipeline(60000, ['salons'], [long]),
-            'rank-book': Pipeline(
-                60000, ['salons'], [rank, book], idempotent=False
-            ),
-        },
-        teams={'salons': Team([digest])},
-        policy=Policy(lame_duck_ms=2000, silence_ms=30000),
-    )
+    pools = {
+        'engines': one_upstream_pool('engine', 'e1', 1, models=['demo']),
+        'ranking': one_upstream_pool('service', 'r1', 2),
+        'booking': one_upstream_pool('service', 'b1', 3),
+    }
+    pipelines = {
+        'chat': _pipeline(CHAT_STAGE),
+        'rank': _pipeline(rank),
+        'book': _pipeline(BOOK_STAGE, idempotent=False),
+        'once-chat': _pipeline(CHAT_STAGE, idempotent=False),
+        'long-book': _pipeline(long, BOOK_STAGE, idempotent=False),
+        'long': _pipeline(long),
+        'rank-book': _pipeline(rank, BOOK_STAGE, idempotent=False),
+    }
+    return entry_manifest('grace', KEY, pools, pipelines)
 
 
 class ListeningPort:
@@ -191,18 +169,14 @@
 
 def request_bytes(pipeline, key='', *, stream=False, path=''):
     """Return the bytes of a caller's HTTP request."""
-    body = b'{"input": "hi"}'
-    lines = [
-        b'POST %s HTTP/1.1' % (path or f'/v1/pipelines/{pipeline}').encode(),
-        b'Host: here',
-        b'Authorization: Bearer %s' % KEY,
-        b'Content-Length: %d' % len(body),
-    ]
-    if stream:
-        lines.append(b'Accept: text/event-stream')
-    if key:
-        lines.append(b'Idempotency-Key: %s' % key.encode())
-    return b'\r\n'.join([*lines, b'', body])
+    accept = (b'Accept: text/event-stream',) if stream else ()
+    return caller_request(
+        path or f'/v1/pipelines/{pipeline}',
+        KEY,
+        b'{"input": "hi"}',
+        *accept,
+        *key_headers(key),
+    )
 
 
 def _started_clock():
@@ -249,34 +223,19 @@
         self.stopping = []
         self.stopped_at = None
         self.killed_at = None
-        times = Times(lambda: work, lambda: 0.01)
-        self.upstreams = {
-            name: VirtualUpstream(self.clock, name, kind, 8, times)
-            for name, kind in _KINDS.items()
-        }
-        name = 'h2' if before else 'h1'
-        settings = settings_from(
-            None,
-            ENTRY,
+        self.upstreams = virtual_upstreams(self.clock, _KINDS, work)
+        host = EntryHost(
+            'h2' if before else 'h1',
+            _manifest(),
+            self.upstreams,
             {
-                'POLLENSTILE_HOST': name,
-                'POLLENSTILE_DOMAIN': 'here',
                 'POLLENSTILE_GRACE_SECONDS': str(grace),
                 'POLLENSTILE_MAX_RUNNING': str(most),
             },
+            seed,
         )
-        network = healthy_network(self.clock, self.upstreams)
-        self.node = build_node(
-            self.clock,
-            Random(seed),
-            settings,
-            network.transport_from(name),
-            store=self.store,
-            log=self._log,
-        )
-        self.node.in_force.offer(1, text_from_manifest(_manifest()), 'test')
-        self.daemon = Daemon(self.clock, self.node, settings)
-        self.daemon.start()
+        self.daemon = started_daemon(self.clock, host, self.store, self._log)
+        self.node = self.daemon.node
 
     def connect(self, *, reads=True):
         """Return a caller with an open connection."""
--- a/features/builders/shutdown.py
+++ b/features/builders/shutdown.py
@@ -1,70 +1,39 @@
 """Builders of an entry host with a virtual clock and real sockets."""
 
-import hashlib
-from random import Random
-
 from twisted.internet import reactor
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.internet.task import Clock
 
-from features.builders.loop import run_reactor_until
-from pollenstile.entry import Daemon, build_node
-from pollenstile.manifest import (
-    Domain,
-    Manifest,
-    Model,
-    Pipeline,
-    Policy,
-    Pool,
-    Stage,
-    Team,
-    Upstream,
-    text_from_manifest,
+from features.builders.entrynode import (
+    BOOK_STAGE,
+    CHAT_STAGE,
+    TEAM,
+    EntryHost,
+    caller_request,
+    entry_manifest,
+    key_headers,
+    one_upstream_pool,
+    started_daemon,
+    virtual_upstreams,
 )
-from pollenstile.ops.settings import ENTRY, settings_from
+from features.builders.loop import run_reactor_until
+from pollenstile.manifest import Pipeline
 from pollenstile.standin.objectapi import MemoryStore
-from pollenstile.standin.virtual import (
-    Times,
-    VirtualUpstream,
-    healthy_network,
-)
 
-LAME_DUCK_SECONDS = 2.0
 _KEY = b'shutdown-key'
-_TOKENS = 6
 _REACTOR_TURNS = 25
 
 
 def _manifest():
-    digest = hashlib.sha256(_KEY).hexdigest()
-    chat = Stage('generate', 'engines', model='demo', max_tokens=_TOKENS)
-    book = Stage('book', 'booking', idempotent=False, attempts=1)
-    return Manifest(
-        name='shutdown',
-        domains={'here': Domain('here')},
-        models={'demo': Model('1')},
-        pools={
-            'engines': Pool(
-                'engine',
-                {'e1': Upstream('here', '127.0.0.1:1')},
-                models=['demo'],
-            ),
-            'booking': Pool('service', {'b1': Upstream('here', '127.0.0.1:2')}),
-        },
-        pipelines={
-            'chat': Pipeline(60000, ['salons'], [chat]),
-            'log-minutes': Pipeline(
-                60000,
-                ['salons'],
-                [book],
-                idempotent=False,
-            ),
-        },
-        teams={'salons': Team([digest])},
-        policy=Policy(
-            lame_duck_ms=int(LAME_DUCK_SECONDS * 1000), silence_ms=30000
-        ),
-    )
+    pools = {
+        'engines': one_upstream_pool('engine', 'e1', 1, models=['demo']),
+        'booking': one_upstream_pool('service', 'b1', 2),
+    }
+    pipelines = {
+        'chat': Pipeline(60000, [TEAM], [CHAT_STAGE]),
+        'log-minutes': Pipeline(60000, [TEAM], [BOOK_STAGE], idempotent=False),
+    }
+    return entry_manifest('shutdown', _KEY, pools, pipelines)
 
 
 class SocketClock(Clock):
@@ -125,17 +94,13 @@
 
 def request_bytes(pipeline, key='', content=b'"hi"'):
     """Return the bytes of a caller's HTTP request."""
-    body = b'{"input": %s}' % content
-    lines = [
-        b'POST /v1/pipelines/%s HTTP/1.1' % pipeline.encode(),
-        b'Host: here',
-        b'Authorization: Bearer %s' % _KEY,
+    return caller_request(
+        f'/v1/pipelines/{pipeline}',
+        _KEY,
+        b'{"input": %s}' % content,
         b'Accept: text/event-stream',
-        b'Content-Length: %d' % len(body),
-    ]
-    if key:
-        lines.append(b'Idempotency-Key: %s' % key.encode())
-    return b'\r\n'.join([*lines, b'', body])
+        *key_headers(key),
+    )
 
 
 class ListeningHost:
@@ -147,34 +112,15 @@
         self.store = MemoryStore(self.clock)
         self.store.latency = 0.005
         self.events = []
-        times = Times(lambda: 0.05, lambda: 0.01)
-        self.upstreams = {
-            'e1': VirtualUpstream(self.clock, 'e1', 'engine', 8, times),
-            'b1': VirtualUpstream(self.clock, 'b1', 'service', 8, times),
+        kinds = {'e1': 'engine', 'b1': 'service'}
+        self.upstreams = virtual_upstreams(self.clock, kinds)
+        addresses = {
+            'POLLENSTILE_LISTEN': '127.0.0.1:0',
+            'POLLENSTILE_ADMIN': '127.0.0.1:0',
         }
-        network = healthy_network(self.clock, self.upstreams)
-        settings = settings_from(
-            None,
-            ENTRY,
-            {
-                'POLLENSTILE_HOST': 'h1',
-                'POLLENSTILE_DOMAIN': 'here',
-                'POLLENSTILE_LISTEN': '127.0.0.1:0',
-                'POLLENSTILE_ADMIN': '127.0.0.1:0',
-            },
-        )
-        node = build_node(
-            self.clock,
-            Random(1),
-            settings,
-            network.transport_from('h1'),
-            store=self.store,
-            log=self._log,
-        )
-        node.in_force.offer(1, text_from_manifest(_manifest()), 'test')
-        self.node = node
-        self.daemon = Daemon(self.clock, node, settings)
-        self.daemon.start()
+        host = EntryHost('h1', _manifest(), self.upstreams, addresses)
+        self.daemon = started_daemon(self.clock, host, self.store, self._log)
+        self.node = self.daemon.node
         self.port = self.daemon.caller_port.getHost().port
         self.callers = []
 
