forward: whole functions move out of the module of runs

Change: _runattempt.py builds attempts and closes others, _runend.py has what the caller is told at the end.

--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -6,7 +6,8 @@
 from pollenstile.forward._callerchannel import CallerChannel
 from pollenstile.forward._departure import LEAVING_REFUSAL
 from pollenstile.forward._parse import parse_exchange
-from pollenstile.forward._run import is_cancelled_on_disconnect, serve
+from pollenstile.forward._run import serve
+from pollenstile.forward._runend import is_cancelled_on_disconnect
 from pollenstile.forward._types import Refusal
 from pollenstile.routes import Limits
 
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -6,7 +6,6 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._admission import recheck_admission
-from pollenstile.forward._attempt import Attempt
 from pollenstile.forward._crash_evidence import (
     await_reports,
     quarantine_refusal,
@@ -18,16 +17,12 @@
     decide_retry,
     expired_refusal,
     final_refusal,
-    retry_after,
-    silence_limits_of,
 )
 from pollenstile.forward._dispatch import (
     await_permission,
     await_turn,
     cold_rate,
     early_refusal,
-    expected_answer_seconds,
-    input_release_for,
     select_view,
 )
 from pollenstile.forward._leaving import departure_refusal
@@ -39,21 +34,26 @@
 from pollenstile.forward._ratelimited import note_sent
 from pollenstile.forward._request_log import (
     has_arrived,
-    log_cut_off,
     log_end,
     log_failed,
     log_send,
-    log_taken_over,
+)
+from pollenstile.forward._runattempt import (
+    handle_closed,
+    last_event_of,
+    new_attempt,
+)
+from pollenstile.forward._runend import (
+    end_dismissed,
+    failure_of,
+    pass_on,
+    stage_refusal,
 )
 from pollenstile.forward._software import restart_wait, version_refusal
 from pollenstile.forward._stageresults import StageResults
 from pollenstile.forward._standby import Standby
-from pollenstile.forward._types import Lost, NotRun, Refusal
+from pollenstile.forward._types import NotRun, Refusal
 from pollenstile.forward._withdrawn import withdrawn_wait
-from pollenstile.quarantine import HELD_REASON
-from pollenstile.routes import Kind
-
-_UNAVAILABLE = 503
 
 
 def serve(core, exchange, answer):
@@ -170,8 +170,8 @@
         self.core.cold.note_sent(view, cold_rate(self.exchange), now)
         note_sent(self.core, self.exchange, view)
         self.core.brittle.note_sent(self.exchange.service, view)
-        last_event = _last_event(self)
-        attempt = _new_attempt(self, view, inputs, last_event)
+        last_event = last_event_of(self)
+        attempt = new_attempt(self, view, inputs, last_event)
         log_send(self, view, last_event)
         self.contest.start(
             attempt,
@@ -212,7 +212,7 @@
             self.outcome = 'caller left'
             return
         if self.dismissal is not None:
-            _dismiss(self)
+            end_dismissed(self)
             return
         runs = self.count_runs() + self.contest.runs_in_flight()
         self.refuse(expired_refusal(runs))
@@ -240,7 +240,7 @@
         refusal = departure_refusal(self)
         if refusal is None:
             failed = await make()
-            refusal = _stage_refusal(self, failed) if failed else None
+            refusal = stage_refusal(self, failed) if failed else None
         if refusal is not None:
             self.refuse(refusal)
         return refusal is None
@@ -279,17 +279,17 @@
 
     def _open_contest(self):
         """Begin a new round of attempts, which goes on after the last one."""
-        self.last_event = _last_event(self)
+        self.last_event = last_event_of(self)
         self.runs += self.contest.runs
         self.contest = Contest(self.answer)
         self.contest.on_failed = self._handle_failed
-        self.contest.on_closed = partial(_handle_closed, self)
+        self.contest.on_closed = partial(handle_closed, self)
         self.contest.is_preparing = self.standby.is_preparing
 
     def _handle_failed(self, attempt):
         """Log an attempt that failed beside others; look for another one."""
         if self.contest.running:
-            failed = _failure_of(self.contest.outcome, attempt.view.ident)
+            failed = failure_of(self.contest.outcome, attempt.view.ident)
             log_failed(self, attempt, failed, resend=False)
         self.standby.note_failed(attempt)
 
@@ -307,7 +307,7 @@
         """Return whether the request is sent again; log the failed attempt."""
         if isinstance(outcome, UpstreamFailure) and not outcome.is_retryable:
             return False
-        failed = _failure_of(outcome, self.contest.failed.view.ident)
+        failed = failure_of(outcome, self.contest.failed.view.ident)
         decision = decide_retry(
             self.exchange.route,
             failed,
@@ -328,7 +328,7 @@
 
     def _give_up(self, outcome):
         if isinstance(outcome, UpstreamFailure):
-            _pass_on(self, outcome)
+            pass_on(self, outcome)
             return
         if isinstance(outcome, Refusal):
             self.refuse(outcome)
@@ -354,77 +354,6 @@
         self.answer.refuse(refusal)
 
 
-def _handle_closed(run, attempt, closed):
-    """Release the results, which the attempt that goes on has read."""
-    run.results.release()
-    if any(other.silence.is_silent for other in closed):
-        run.core.silences.taken_over += 1
-        log_taken_over(run, attempt, closed)
-
-
-def _dismiss(run):
-    """Tell the caller of a request that this host, which leaves, gives up."""
-    if not run.answer.begun:
-        run.refuse(run.dismissal)
-        return
-    run.outcome = 'cut off'
-    run.core.silences.broken_off += 1
-    log_cut_off(run, 'grace over')
-    run.answer.abort()
-
-
-def _stage_refusal(run, failed):
-    """Return the refusal of a request whose stage work has failed."""
-    if run.count_runs() or failed.reason == HELD_REASON:
-        return Refusal(502, failed.reason, failed.step)
-    wait = retry_after(failed.retry_after, run.core.rng)
-    return Refusal(_UNAVAILABLE, failed.reason, failed.step, '', wait)
-
-
-def _last_event(run):
-    """Return the last event that was passed on, or that the caller has."""
-    leader = run.contest.leader
-    if leader is not None and leader.splitter.last:
-        return leader.splitter.last.decode('latin-1')
-    return run.last_event
-
-
-def _new_attempt(run, view, inputs, last_event):
-    """Return an attempt that isn't started."""
-    expected = expected_answer_seconds(run.core, run.exchange, view)
-    attempt = Attempt(
-        run.core,
-        run.exchange,
-        view,
-        run.contest,
-        silence_limits_of(run.exchange.route, expected),
-        input_release_for(run.core, run.exchange, run.results, inputs, view),
-    )
-    attempt.on_silent = run.standby.note_silent
-    attempt.on_heard = run.standby.note_heard
-    if last_event:
-        attempt.splitter.last = last_event.encode('latin-1')
-    return attempt
-
-
-def _failure_of(outcome, peer):
-    """Return a failed attempt's outcome as ``NotRun`` or ``Lost``."""
-    if isinstance(outcome, UpstreamFailure):
-        return Lost(f'status {outcome.status}', peer)
-    return outcome
-
-
-def _pass_on(run, failure):
-    """Pass on a complete answer that reports a failure."""
-    if run.answer.begun:
-        run.answer.abort()
-        return
-    run.outcome = f'upstream {failure.status}'
-    run.answer.begin(failure.status, failure.phrase, failure.headers)
-    run.answer.write(failure.body)
-    run.answer.finish()
-
-
 async def _next_view(run, inputs, avoided):
     """Return the next upstream of a request, or why it is not sent.
 
@@ -468,15 +397,3 @@
     # The versions of the new service are others.
     exchange.software = None
     return await version_refusal(core, exchange)
-
-
-def is_cancelled_on_disconnect(exchange):
-    """Return whether a request is cancelled when its caller disconnects.
-
-    Explanation
-    ===========
-
-    A request that may run only once is completed: if it were cancelled, it
-    would be unknown whether it has run.
-    """
-    return exchange.route.kind is not Kind.ONCE
