peer: one function turns seconds into a field of milliseconds

Cause: three codecs bounded ages and remaining times to 32 bits with the same expression.

Change: uint32_ms in pollenstile.peer serves origins, permission and ratelimits; the encoded bytes are the same.

--- a/pollenstile/origins/_codec.py
+++ b/pollenstile/origins/_codec.py
@@ -11,11 +11,15 @@
 
 from pollenstile.origins._conclusion import Witness
 from pollenstile.origins._table import Origin
-from pollenstile.peer import BadMessageError, decode_struct, load_schema
+from pollenstile.peer import (
+    BadMessageError,
+    decode_struct,
+    load_schema,
+    uint32_ms,
+)
 
 _MS = 1000
 _KEY_BYTES = 8
-_MAX_UINT32 = 2**32 - 1
 _schema = load_schema(pathlib.Path(__file__).with_name('messages.capnp'))
 
 
@@ -45,7 +49,9 @@
         {
             'software': software,
             'keys': b''.join(key for key, _ in members),
-            'leftMs': [_left_ms(origin, now) for _, origin in members],
+            'leftMs': [
+                uint32_ms(origin.expires_at - now) for _, origin in members
+            ],
         }
         for software, members in groups.items()
     ]
@@ -110,11 +116,6 @@
     return decode_struct(_schema.Answer, encoded, build)
 
 
-def _left_ms(origin, now):
-    left = int((origin.expires_at - now) * _MS)
-    return min(_MAX_UINT32, max(0, left))
-
-
 def _origins_of(group, now):
     left = list(group.leftMs)
     keys = group.keys
--- a/pollenstile/peer/__init__.py
+++ b/pollenstile/peer/__init__.py
@@ -1,5 +1,6 @@
 """Protocol between entry hosts: links, heartbeats and requests."""
 
+from pollenstile.peer._fields import uint32_ms
 from pollenstile.peer._flood import Flood
 from pollenstile.peer._frames import (
     FRAME_LIMIT,
--- a/pollenstile/permission/_codec.py
+++ b/pollenstile/permission/_codec.py
@@ -8,10 +8,9 @@
 
 import pathlib
 
-from pollenstile.peer import decode_struct, load_schema
+from pollenstile.peer import decode_struct, load_schema, uint32_ms
 
 _MS = 1000
-_MAX_UINT32 = 2**32 - 1
 _schema = load_schema(pathlib.Path(__file__).with_name('messages.capnp'))
 
 
@@ -27,10 +26,7 @@
         Seconds on the clock.
     """
     rows = [
-        {
-            'name': name,
-            'ageMs': min(_MAX_UINT32, max(0, int((now - moment) * _MS))),
-        }
+        {'name': name, 'ageMs': uint32_ms(now - moment)}
         for name, moment in stated_at.items()
     ]
     return _schema.Departures.new_message(rows=rows).to_bytes()
--- a/pollenstile/ratelimits/_codec.py
+++ b/pollenstile/ratelimits/_codec.py
@@ -9,7 +9,7 @@
 import pathlib
 from dataclasses import dataclass
 
-from pollenstile.peer import decode_struct, load_schema
+from pollenstile.peer import decode_struct, load_schema, uint32_ms
 from pollenstile.ratelimits._types import TokenGrant, TokenRequest
 from pollenstile.ratelimits._values import MAX_RATE
 
@@ -134,9 +134,8 @@
 
 def _stated_fields(message, now):
     """Return the fields of the rate that a message states."""
-    age = max(0, int((now - message.stated_at) * _MS))
     return {
         'name': message.name,
         'rate': message.rate,
-        'ageMs': min(_MAX_UINT32, age),
+        'ageMs': uint32_ms(now - message.stated_at),
     }
