quarantine: CompletedRuns is RecentEvidence; attributes of forward documented

Cause: the class was named for one of its three uses; it also keeps prompt parts that were answered on and requests whose answer began. Several attributes of answers, callers' connections, calls and the configuration had no description.

Change: the name, its module and its inner names; docstrings. Nothing that leaves the process is concerned.

--- a/pollenstile/forward/_answer.py
+++ b/pollenstile/forward/_answer.py
@@ -29,6 +29,17 @@
         Whether the head of an answer was set.
     gone : bool
         Whether the caller has closed its connection.
+    ended : bool
+        Whether nothing more can be written: the answer is complete, or the
+        connection is over.
+    refused : bool
+        Whether the request was rejected before it was completely received.
+    received_bytes : int
+        Number of received bytes of the body.
+    work : Deferred or None
+        Serves the request; None until it was accepted.
+    exchange : Exchange or None
+        The accepted request.
     """
 
     def __init__(self, channel, queued=None):
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -58,6 +58,14 @@
         request must not be sent any more, or None.
     on_unreached : function
         Called with the address if it is given up before it was sent.
+    cancelled : bool
+        Whether nothing more is to be delivered.
+    sent : bool
+        Whether the request was sent on its connection.
+    protocol : Connection or None
+        The connection, once there is one.
+    connector : IConnector or None
+        Opens the connection; None while a peer opens a path.
     """
 
     __slots__ = (
--- a/pollenstile/forward/_callerchannel.py
+++ b/pollenstile/forward/_callerchannel.py
@@ -21,6 +21,12 @@
     Attributes
     ==========
 
+    limits : Limits
+        Limits that were in force when the connection was opened.
+    slow_timer : IDelayedCall or None
+        Rejects a request that isn't completely received in time.
+    rejected : bool
+        Whether a request was rejected, so that the connection closes.
     last : Exchange or None
         The request that was answered last.
     """
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -75,6 +75,8 @@
         Stored object from which the table was decoded.
     text : str
         Encoded value of this object, from which patches are computed.
+    revision : int
+        Revision of the table in force.
     newest_revision : int
         Revision of the newest known configuration, including one that can't be
         decoded.
--- a/pollenstile/forward/_copies.py
+++ b/pollenstile/forward/_copies.py
@@ -12,7 +12,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from pollenstile.quarantine import CompletedRuns
+from pollenstile.quarantine import RecentEvidence
 
 
 class Copies:
@@ -29,7 +29,7 @@
     Attributes
     ==========
 
-    begun : CompletedRuns
+    begun : RecentEvidence
         Requests that an upstream has begun to answer.
     running : dict
         Number of copies that have their turn, by fingerprint.
@@ -42,7 +42,7 @@
     def __init__(self, clock, quarantine):
         self.clock = clock
         self.quarantine = quarantine
-        self.begun = CompletedRuns(clock)
+        self.begun = RecentEvidence(clock)
         self.running = {}
         self.waiting = {}
 
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -24,6 +24,20 @@
         Serves the requests.
     gate : ConnectionGate or None
         Decides which new connections are accepted; None accepts all.
+
+    Attributes
+    ==========
+
+    leaving : bool
+        Whether each connection closes after its next answer.
+    refusing : bool
+        Whether all new requests are refused.
+    channels : set of CallerChannel
+        Open connections.
+    in_flight : int
+        Number of requests that are being served.
+    on_idle : function or None
+        Called when the last of them has ended.
     """
 
     protocol = CallerChannel
--- a/pollenstile/quarantine/_partproofs.py
+++ b/pollenstile/quarantine/_partproofs.py
@@ -1,6 +1,6 @@
 """Prompt parts on which upstreams have recently answered."""
 
-from pollenstile.quarantine._completedruns import CompletedRuns
+from pollenstile.quarantine._recentevidence import RecentEvidence
 
 # Parts that are remembered: several hundred requests a second, each with some
 # parts that no other request had before.
@@ -26,7 +26,7 @@
     Attributes
     ==========
 
-    answered : CompletedRuns
+    answered : RecentEvidence
         Part and service of answers.
     answered_at : dict
         Time of this host's last such answer, by service.
@@ -36,7 +36,7 @@
 
     def __init__(self, clock):
         self.clock = clock
-        self.answered = CompletedRuns(clock, _MAX_PARTS)
+        self.answered = RecentEvidence(clock, _MAX_PARTS)
         self.answered_at = {}
 
     def add(self, part, service):
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -5,10 +5,10 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import events
-from pollenstile.quarantine._completedruns import CompletedRuns
 from pollenstile.quarantine._evidence import Evidence
 from pollenstile.quarantine._judgement import explained_by, judge
 from pollenstile.quarantine._partproofs import PartProofs
+from pollenstile.quarantine._recentevidence import RecentEvidence
 from pollenstile.quarantine._types import (
     PartProof,
     QuarantineUpdate,
@@ -61,6 +61,8 @@
         Called with each verdict that this host reaches, and with each release.
     on_held : function
         Called with each newly quarantined fingerprint.
+    completed_runs : RecentEvidence
+        Requests that recently ran to completion on some upstream.
     proofs : PartProofs
         Prompt parts on which upstreams have recently answered.
     """
@@ -90,7 +92,7 @@
         self.key = b''
         self.evidence = Evidence(clock)
         self.verdicts = Verdicts(clock)
-        self.completed_runs = CompletedRuns(clock)
+        self.completed_runs = RecentEvidence(clock)
         self.proofs = PartProofs(clock)
         self.on_update = _ignore
         self.on_verdict = _ignore
