--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -56,12 +56,6 @@
         'domain',
         partial(_under_way, core.registry, parts.owners.calls),
     )
-    measures.gauges(
-        'domain_unreachable_seconds',
-        'Seconds since connections to a failure domain time out.',
-        'domain',
-        core.domains.ages,
-    )
     measures.gauge(
         'connections_closed',
         'New connections that were closed unread, as this host was overloaded.',
@@ -90,6 +84,20 @@
         'upstream',
         core.rates.client.held_back,
     )
+    _add_engine_gauges(measures, core)
+    _add_permission_gauges(measures, core.permissions)
+    _add_silence_gauges(measures, core.silences)
+    _add_load_gauges(measures, parts, factory)
+
+
+def _add_engine_gauges(measures, core):
+    """Add gauges of what decides which engine a request goes to."""
+    measures.gauges(
+        'domain_unreachable_seconds',
+        'Seconds since connections to a failure domain time out.',
+        'domain',
+        core.domains.ages,
+    )
     measures.gauges(
         'part_sources_named',
         'Attempts that named an engine to fetch shared prompt parts from.',
@@ -97,9 +105,6 @@
         lambda: core.part_sources.named,
     )
     add_speed_gauges(measures, core)
-    _add_permission_gauges(measures, core.permissions)
-    _add_silence_gauges(measures, core.silences)
-    _add_load_gauges(measures, parts, factory)
 
 
 def _add_load_gauges(measures, parts, factory):
--- a/pollenstile/shares/_shares.py
+++ b/pollenstile/shares/_shares.py
@@ -160,7 +160,7 @@
         return ''
 
     def yields(self, urgency, now):
-        """Return whether an urgency yields to more urgent ones that are refused."""
+        """Return whether an urgency yields to more urgent ones."""
         if self.seen < _MIN_GROUPS:
             return False
         self.by_urgency.advance(now)
