--- a/features/steps/promptparts_steps.py
+++ b/features/steps/promptparts_steps.py
@@ -18,7 +18,7 @@
 from pollenstile.routes import PartTransfer
 
 _FULL = 200
-_SLOW = PartTransfer(1000, 1e8)
+_SLOW = PartTransfer(1000, 5e7)
 _PROMPTS = {
     '255 tokens are shared': (('head', 5), (SUBJECT, 250), ('own', 9000)),
     'the prompt has a single part': ((SUBJECT, 4000),),
--- a/pollenstile/promptparts/_transfer.py
+++ b/pollenstile/promptparts/_transfer.py
@@ -2,7 +2,8 @@
 
 # Number of shared tokens below which a transfer isn't worth its setup.
 _MIN_TOKENS = 256
-# A transfer of a token must take less than this share of the time to read it.
+# A transfer of a token must take less than this share of the time to read it, as
+# it also occupies the links of both engines.
 _MAX_TIME_SHARE = 0.5
 # Connection of the engine to the source, and the source's answer.
 _SETUP_SECONDS = 0.01
@@ -50,7 +51,7 @@
     >>> from pollenstile.routes import PartTransfer
     >>> is_worthwhile(PartTransfer(1000, 1e9), 2e-5)
     True
-    >>> is_worthwhile(PartTransfer(1000, 1e9), 9e-6)
+    >>> is_worthwhile(PartTransfer(1000, 1e9), 1.9e-6)
     False
     >>> is_worthwhile(None, 1.0)
     False
