--- a/pollenstile/conditions/_conditions.py
+++ b/pollenstile/conditions/_conditions.py
@@ -88,7 +88,7 @@
         """
         if not self.applies_to(service) or expected <= 0:
             return
-        if view.queued:
+        if view.queued or view.running >= view.slots:
             return
         ratio = seconds / expected / self.slowdown(view)
         self.estimates.learn(view.incarnation, ratio)
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -1,5 +1,6 @@
 """Selection of an upstream for a request, without I/O."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +31,12 @@
 _CROSS_DOMAIN_BYTE_SECONDS = 1e-8
 # Relative difference up to which costs of engines count as equal.
 _NEAR_SHARE = 0.1
+# Uncertainty of an engine's load, as a share of the square root of its slots:
+# numbers of requests that arrive independently vary by the root.
+_LOAD_SPREAD = 0.5
+# Distance from the limit, in units of the uncertainty, from which it is certain
+# that requests wait.
+_CERTAIN_DISTANCE = 30.0
 # Age above which a load report is ignored; only own requests count then.
 _LOAD_REPORT_TTL_SECONDS = 2.0
 # An upstream is unhealthy when its failure rate exceeds the median of the
@@ -401,12 +408,14 @@
     own = own_tokens(prompt)
     inputs = inputs or {}
     total = sum(inputs.values())
+    is_usual = terms.time_factor is usual_time
+    excess_requests = _excess if is_usual else _expected_excess
 
     def cost(view):
         seconds = (own + view.in_flight_tokens) * token_seconds
         if subject and view is not home:
             seconds += _REREAD_FACTOR * shared * token_seconds
-        seconds += _load_delay_seconds(view, now)
+        seconds += _load_delay_seconds(view, now, excess_requests)
         seconds = seconds * terms.time_factor(view) + view.failures
         if view.domain != domain:
             seconds += _CROSS_DOMAIN_SECONDS
@@ -414,7 +423,7 @@
         seconds += _CROSS_DOMAIN_BYTE_SECONDS * crossing_bytes
         return seconds + terms.spread_cost(view)
 
-    if terms.time_factor is usual_time:
+    if is_usual:
         return min(views, key=lambda view: (cost(view), rng.random()))
     weighed = [(cost(view), view) for view in views]
     return _select_near_lowest(weighed, home if subject else None, rng)
@@ -443,13 +452,35 @@
     return rng.choice(near)
 
 
-def _load_delay_seconds(view, now):
+def _excess(load, slots):
+    """Return the number of requests that one more would make wait."""
+    return max(0, load - slots + 1)
+
+
+def _expected_excess(load, slots):
+    """Return the same as expected if the load is uncertain.
+
+    Explanation
+    ===========
+
+    Other hosts send requests after an engine's last report. Where they all
+    prefer its fast engines, these would otherwise be filled up to the last slot
+    and beyond before any other one is chosen.
+    """
+    spread = _LOAD_SPREAD * math.sqrt(slots)
+    distance = (load - slots + 1) / spread
+    if distance > _CERTAIN_DISTANCE:
+        return distance * spread
+    return spread * math.log1p(math.exp(distance))
+
+
+def _load_delay_seconds(view, now, excess_requests):
     """Return the delay of a new request by the other ones at an engine."""
     load = current_load(view, now)
     waiting = (
         view.queued if now - view.load_at < _LOAD_REPORT_TTL_SECONDS else 0
     )
-    excess = max(0, load - view.slots + 1)
+    excess = excess_requests(load, view.slots)
     return _LOAD_DELAY_SECONDS * load + _QUEUE_DELAY_SECONDS * (
         waiting + excess
     )
