--- a/features/conditions.feature
+++ b/features/conditions.feature
@@ -64,6 +64,7 @@
     When "s" measures the ratio 2.0 at "i/1" 9 times
     And 3.0 seconds of exchange pass
     Then "t" has the ratio 1.0 for "i/1"
+    And no host has told another anything
 
   Scenario: The reader dies
     The hosts go on with what they have; it loses weight, and the next reader
@@ -93,7 +94,7 @@
     Given the hosts "r,s" of a domain with engines that report a slowdown
     When "s" sends "r" a <kind> message of speeds
     Then "r" has the ratio 1.0 for "i/1"
-    And the message was not accepted
+    And the message was answered empty, and logged once
 
     Examples:
       | kind      |
--- a/pollenstile/conditions/_sharing.py
+++ b/pollenstile/conditions/_sharing.py
@@ -14,6 +14,7 @@
 )
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import BadMessageError, Unanswered
+from pollenstile.statements import UnreadableLog
 
 CONDITIONS_SUBJECT = 'engine-conditions'
 # Minimum seconds between two questions of a host.
@@ -73,6 +74,8 @@
         Whether a question has no answer yet.
     is_shared : bool
         Whether the last question was answered.
+    unreadable : UnreadableLog
+        Logs messages of other hosts that are not readable.
     """
 
     __slots__ = (
@@ -87,6 +90,7 @@
         'known',
         'log',
         'reader',
+        'unreadable',
     )
 
     def __init__(self, hub, conditions, reader, hosts, log=silent_log):
@@ -101,6 +105,9 @@
         self.forgot_at = 0.0
         self.is_asking = False
         self.is_shared = True
+        self.unreadable = UnreadableLog(
+            hub.clock, log, events.SPEEDS_UNREADABLE
+        )
         hub.requests.subjects[CONDITIONS_SUBJECT] = self._on_asked
 
     def review(self):
@@ -162,7 +169,11 @@
         return ''
 
     def _on_asked(self, host, body):
-        asked = decode_ask(body)
+        try:
+            asked = decode_ask(body)
+        except BadMessageError as error:
+            self.unreadable.write(host, [str(error)])
+            return b''
         self.conditions.estimates.add_measured(host, asked.rows)
         boot = self.hub.hello.boot
         since = asked.number if asked.boot == boot else 0
--- a/pollenstile/conditions/events.py
+++ b/pollenstile/conditions/events.py
@@ -15,3 +15,10 @@
     ' engines; the host goes on with those that it has.',
     'Many: compare the releases of the hosts, and look for event 1232.',
 )
+SPEEDS_UNREADABLE = define(
+    4103,
+    'speeds-unreadable',
+    'A host sent measured speeds that are not readable; they are ignored and'
+    ' answered empty.',
+    'Compare the releases of the hosts.',
+)
