--- a/pollenstile/conditions/_sharing.py
+++ b/pollenstile/conditions/_sharing.py
@@ -14,6 +14,7 @@
 )
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import BadMessageError, Unanswered
+from pollenstile.statements import UnreadableLog
 
 CONDITIONS_SUBJECT = 'engine-conditions'
 # Minimum seconds between two questions of a host.
@@ -21,6 +22,9 @@
 # Questions a second that a reader gets from all hosts of its domain, which
 # bounds its traffic in domains of any size.
 _QUESTIONS_PER_SECOND = 4.0
+# Estimates a second that a reader tells all hosts of its domain, for the same
+# reason.
+_ROWS_PER_SECOND = 64
 # Maximum number of measurements in a question.
 _MAX_MEASURED_ROWS = 12
 # Seconds for a reader to answer.
@@ -70,6 +74,8 @@
         Whether a question has no answer yet.
     is_shared : bool
         Whether the last question was answered.
+    unreadable : UnreadableLog
+        Logs messages of other hosts that are not readable.
     """
 
     __slots__ = (
@@ -84,6 +90,7 @@
         'known',
         'log',
         'reader',
+        'unreadable',
     )
 
     def __init__(self, hub, conditions, reader, hosts, log=silent_log):
@@ -98,6 +105,9 @@
         self.forgot_at = 0.0
         self.is_asking = False
         self.is_shared = True
+        self.unreadable = UnreadableLog(
+            hub.clock, log, events.SPEEDS_UNREADABLE
+        )
         hub.requests.subjects[CONDITIONS_SUBJECT] = self._on_asked
 
     def review(self):
@@ -121,6 +131,11 @@
         jitter = self.hub.random.uniform(1.0, 1.2)
         return max(_MIN_INTERVAL_SECONDS, shared) * jitter
 
+    def _row_limit(self):
+        """Return the maximum number of estimates in an answer."""
+        questions = min(self.hosts(), _QUESTIONS_PER_SECOND)
+        return min(MAX_ROWS, int(_ROWS_PER_SECOND / max(1, questions)))
+
     async def _ask(self, reader):
         host, boot, number = self.known
         if host != reader:
@@ -154,9 +169,13 @@
         return ''
 
     def _on_asked(self, host, body):
-        asked = decode_ask(body)
+        try:
+            asked = decode_ask(body)
+        except BadMessageError as error:
+            self.unreadable.write(host, [str(error)])
+            return b''
         self.conditions.estimates.add_measured(host, asked.rows)
         boot = self.hub.hello.boot
         since = asked.number if asked.boot == boot else 0
-        newest, rows = self.changes.since(since, MAX_ROWS)
+        newest, rows = self.changes.since(since, self._row_limit())
         return encode_answer(SpeedMessage(boot, newest, rows))
