--- a/pollenstile/bench/_stagereturns.py
+++ b/pollenstile/bench/_stagereturns.py
@@ -83,13 +83,20 @@
     ===========
 
     All callers use the other hosts, so that none loses its own host.
+
+    Returns
+    =======
+
+    tuple
+        The callers, and the time on the clock at which the owner is lost.
     """
     fleet = HostFleet({_SERVICE: _LIMITS}, hosts, _HOP_SECONDS, _WORKERS)
     fleet.graded = True
+    lost_at = fleet.clock.seconds() + seconds / 2
     fleet.lose_owner(_SERVICE, seconds / 2)
     lost = fleet.owner_of(_SERVICE)
     clients = [host.client for host in fleet.hosts if host is not lost]
-    return _simulate(fleet, clients, load, seconds, seed)
+    return _simulate(fleet, clients, load, seconds, seed), lost_at
 
 
 def simulate_returns(load, seconds=40.0, seed=1, *, graded=True):
--- a/pollenstile/stagework/_admission.py
+++ b/pollenstile/stagework/_admission.py
@@ -28,14 +28,6 @@
         """Return expected seconds of wait for pieces that join the queue."""
         return self._wait_behind(len(self.owner.waiting) + count)
 
-    def wait_of(self, group):
-        """Return expected seconds of wait of a group, in its rank."""
-        owner = self.owner
-        now = owner.clock.seconds()
-        full = full_seconds(owner.limits)
-        ahead = count_ahead(group, owner.waiting, now, full)
-        return self._wait_behind(ahead + group.count)
-
     def is_tight(self):
         """Return whether the stage is short of memory for results."""
         owner = self.owner
--- a/pollenstile/stagework/_ranking.py
+++ b/pollenstile/stagework/_ranking.py
@@ -4,10 +4,6 @@
 # target latency is worth five to ten times as much as a late one.
 _LATE = 1
 _IN_TIME = 0
-# Groups of callers that return at their promised time are ranked first. If they
-# were ranked by their due times, urgent new groups would not count them as
-# ahead, and would be admitted beyond the queue's rate.
-_RETURNING = -1
 # Calls by which each step of urgency shifts the due time of groups in time. The
 # shift only reorders groups that are due at about the same time, so that the
 # least urgent ones still make progress when calls are scarce.
@@ -47,19 +43,21 @@
 
     If all waiting pieces counted, an urgent request with small pieces would be
     refused because of a queue of large ones that it would overtake.
+
+    Pieces of returning callers always count: their callers go before new ones,
+    however urgent, and are never late.
     """
     rank = _rank(group, now, work)
     return sum(
-        piece.group.urgency <= group.urgency
+        piece.group.is_returning
+        or piece.group.urgency <= group.urgency
         or _rank(piece.group, now, work) < rank
         for piece in pieces
     )
 
 
 def _rank(group, now, work):
-    if group.is_returning:
-        return _RETURNING, 0, group.due, group.ident
-    if now + work > group.due:
+    if now + work > group.due and not group.is_returning:
         return _LATE, group.urgency, group.due, group.ident
     bias = _URGENCY_CALLS * work * group.urgency
     return _IN_TIME, 0, group.due + bias, group.ident
--- a/pollenstile/stagework/_returning.py
+++ b/pollenstile/stagework/_returning.py
@@ -12,17 +12,20 @@
     Explanation
     ===========
 
-    The group is then made before those of new callers. If its wait is too long
-    for its deadline even so, the usual rule decides.
+    The group is then due when its wait behind all waiting pieces ends, and is
+    not ranked as late after that. Its own due time counts from the caller's
+    first arrival and has often passed. Ranked first, it would make those late
+    that were admitted before it. If its wait is too long for its deadline, the
+    usual rule decides.
     """
     now = owner.clock.seconds()
     if owner.returns is None or not owner.returns.is_due(group, now):
         return False
-    group.is_returning = True
-    wait = owner.admission.wait_of(group)
+    wait = owner.wait(group.count)
     if now + wait + _later_seconds(owner, group) > group.deadline:
-        group.is_returning = False
         return False
+    group.is_returning = True
+    group.due = max(group.due, now + wait)
     owner.returns.record_return(group)
     if group.is_first:
         owner.stats.record_admission(group.urgency, accepted=True)
