features: returns: rank, early admission and deadline of promises

Not noticed: urgent new groups that don't count returning ones, returning groups ranked late, promises kept past the deadline, and promises kept by callers that were admitted early.

Change: a scenario for each; the one of the deadline has a deadline before the end of the second after the slot.

--- a/features/returns.feature
+++ b/features/returns.feature
@@ -16,6 +16,16 @@
     Then "new" is refused
     And "second" is made, and its log line tells that it returned
 
+  Scenario: Urgent new groups are admitted as if behind returning ones
+    Otherwise more is admitted than the queue makes.
+    Given a returning group of urgency 2 that is due in 5 seconds
+    Then a new group of urgency 0 that is due sooner has it ahead
+
+  Scenario: A returning group is never ranked late
+    It would wait until no group in time is left.
+    Given a returning group of urgency 2 that is due in -1 seconds
+    Then it is made before a new group of urgency 2
+
   Scenario: One that returns up to a second late is due, a later one is new
     Given a full queue with promised return times
     When caller "k" is refused as "first"
@@ -37,6 +47,14 @@
     And caller "k" sends "early" 0.5 seconds later
     Then "early" is refused with the same return time
 
+  Scenario: One that is admitted early frees its slot
+    Given a full queue with promised return times
+    When caller "k" is refused as "first"
+    And the queue empties
+    And caller "k" sends "early"
+    Then "early" waits
+    And no promise is kept in memory
+
   Scenario: A caller that is due too late for its deadline gets no place
     Its stage work would be made in vain.
     Given a full queue with promised return times
@@ -56,8 +74,8 @@
 
   Scenario: Promises are dropped at the deadline
     Given return times of a queue that makes 40 pieces a second
-    When 3 callers with 3 seconds left are refused at a wait of 0.5 seconds
-    Then 3 promises are open after 0.5 seconds, and 0 after 3.1
+    When 3 callers with 1.2 seconds left are refused at a wait of 0.2 seconds
+    Then 3 promises are open after 0.5 seconds, and 0 after 1.35
 
   Scenario: The number of promises is limited
     Given return times of a queue that makes 900000 pieces a second
--- a/features/steps/returns_steps.py
+++ b/features/steps/returns_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from twisted.internet.defer import Deferred
 
-from features.builders.stagework import LIMITS, Queue, group
+from features.builders.stagework import LIMITS, Queue, group, pieces_of
 from pollenstile.bench._stagereturns import (
     simulate_lost_owner,
     simulate_returns,
@@ -13,7 +13,14 @@
 )
 from pollenstile.peer import load_schema
 from pollenstile.returns import ReturnTimes
-from pollenstile.stagework import GroupRefused, answer_bytes, answer_from
+from pollenstile.stagework import (
+    GroupRefused,
+    answer_bytes,
+    answer_from,
+    count_ahead,
+    full_seconds,
+    ranked,
+)
 
 _BEFORE = load_schema(
     pathlib.Path(__file__).parents[1] / 'builders/stage_answer_before.capnp'
@@ -164,13 +171,53 @@
     assert context.queue.outcomes[request].reason == 'busy'
 
 
-@then('"{request}" is made, and its log line tells that it returned')
-def then_made(context, request):
+@given(
+    'a returning group of urgency {urgency:d} that is due in {due:g} seconds'
+)
+def given_returning(context, urgency, due):
+    context.returning = group(
+        'returning', 3, due=due, urgency=urgency, is_returning=True
+    )
+
+
+@then('a new group of urgency {urgency:d} that is due sooner has it ahead')
+def then_ahead(context, urgency):
+    new = group('new', 1, due=0.5, urgency=urgency)
+    waiting = pieces_of(context.returning)
+    assert count_ahead(new, waiting, 0, full_seconds(LIMITS)) == 3
+
+
+@then('it is made before a new group of urgency {urgency:d}')
+def then_before(context, urgency):
+    new = group('new', 1, due=9.0, urgency=urgency)
+    waiting = pieces_of(new, context.returning)
+    order = ranked(waiting, 0, full_seconds(LIMITS))
+    assert order[-1].group is new, order
+
+
+@when('the queue empties')
+def when_empties(context):
+    _answer_calls(context.queue)
+
+
+@then('no promise is kept in memory')
+def then_forgotten(context):
+    returns = context.queue.owner.returns
+    assert not returns.promises
+    assert max(returns.pieces.values()) < _ROUNDING
+
+
+def _answer_calls(queue):
     place = 0
-    while place < len(context.queue.calls):
-        if not context.queue.calls[place][2].called:
-            context.queue.answer(place)
+    while place < len(queue.calls):
+        if not queue.calls[place][2].called:
+            queue.answer(place)
         place += 1
+
+
+@then('"{request}" is made, and its log line tells that it returned')
+def then_made(context, request):
+    _answer_calls(context.queue)
     assert context.queue.outcomes[request].handles
     returned = [
         fields['request']
