--- a/pollenstile/bench/_stagehosts.py
+++ b/pollenstile/bench/_stagehosts.py
@@ -91,7 +91,7 @@
             owner.configure(
                 self.fleet.services[service],
                 members,
-                graded=self.fleet.graded,
+                promises=self.fleet.promises,
             )
             self.owners[service] = owner
         return owner
@@ -164,7 +164,7 @@
 
     dark : set of str
         Names of the hosts that have lost power.
-    graded : bool
+    promises : bool
         Whether the queues promise return times to refused callers.
     parted : set of frozenset
         Pairs of hosts that are partitioned from each other.
@@ -181,7 +181,7 @@
         'count',
         'dark',
         'domains',
-        'graded',
+        'promises',
         'hosts',
         'log',
         'names',
@@ -197,7 +197,7 @@
         self.services = services
         self.count = count
         self.budget = 0
-        self.graded = False
+        self.promises = False
         self.dark = set()
         self.parted = set()
         self.callers = Counter()
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -117,22 +117,22 @@
     owners : int
         The number of queues of each service: 1 for a queue that the whole
         fleet shares, or the number of hosts where each host batches alone.
-    graded : bool
+    promises : bool
         Whether the queues promise return times to refused callers.
     """
 
     __slots__ = (
         'budget',
         'clock',
-        'graded',
+        'promises',
         'queues',
         'services',
         'upstreams',
     )
 
-    def __init__(self, services, count=4, owners=1, *, graded=False):
+    def __init__(self, services, count=4, owners=1, *, promises=False):
         self.clock = Clock()
-        self.graded = graded
+        self.promises = promises
         self.services = services
         self.budget = 0
         self.upstreams = {}
@@ -164,7 +164,7 @@
 
     def _queue(self, name, limits, members):
         owner = Owner(self.clock, name, self._call, self._free, self._spend)
-        owner.configure(limits, members, graded=self.graded)
+        owner.configure(limits, members, promises=self.promises)
         return owner
 
     def _call(self, worker, pieces, seconds):
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -151,6 +151,7 @@
         permissions,
         log,
     )
+    owners.return_times = settings.return_times
     core = ForwardCore(
         reactor,
         rng,
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -33,6 +33,8 @@
         The :class:`~pollenstile.stagework.Owner` of each service.
     graded : GradedServices
         Tells which services admit by shares.
+    return_times : bool
+        Whether these services promise refused callers a time to return.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         'permissions',
         'quarantine',
         'registry',
+        'return_times',
         'spend',
     )
 
@@ -69,6 +72,7 @@
         self.log = log
         self.by_service = {}
         self.graded = GradedServices()
+        self.return_times = False
         quarantine.on_held = self.withdraw
         permissions.rates.listeners.append(self.update_limits)
         permissions.rates.stated.listeners.append(self._rate_changed)
@@ -142,8 +146,10 @@
         service = table.services.get(owner.service) if table else None
         if service is None or service.stage is None:
             return
+        graded = self.graded.is_graded(table, owner.service)
         owner.configure(
             service.stage,
             self.registry.stage_upstreams(owner.service),
-            graded=self.graded.is_graded(table, owner.service),
+            graded=graded,
+            promises=graded and self.return_times,
         )
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -38,6 +38,8 @@
         that the host opens for them; None opens none.
     descriptors : int
         Descriptors that the process may open; 0 if unknown.
+    return_times : bool
+        Whether graded stage queues promise refused callers a time to return.
     """
 
     host: str
@@ -58,6 +60,7 @@
     peers_seen: tuple | None = None
     tunnels: tuple | None = None
     descriptors: int = 0
+    return_times: bool = False
 
 
 # Share of the tightest bound on applying changes after which a host reads the
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -99,4 +99,5 @@
         grace_seconds=settings.grace_seconds,
         capacity=settings.capacity,
         descriptors=settings.descriptors,
+        return_times=bool(settings.return_times),
     )
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -283,6 +283,13 @@
         'descriptors that the process may open, 0 if unknown; a third of them'
         ' bounds the connections of callers',
     ),
+    Setting(
+        'return_times',
+        number_in_range(0, 1, int),
+        '0',
+        'whether refused callers of graded stage queues are promised a time to'
+        ' return: 0 or 1; more are answered, fewer within their target latency',
+    ),
 )
 
 
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -149,7 +149,7 @@
         self.dispatcher = Dispatcher(self)
         self.returns = None
 
-    def configure(self, limits, upstreams, *, graded=False):
+    def configure(self, limits, upstreams, *, graded=False, promises=False):
         """Apply the current configuration and registry.
 
         Parameters
@@ -161,15 +161,19 @@
             Upstreams that accept work, with ``ident``, ``address``, ``domain``
             and ``born``.
         graded : bool
-            Whether the queue admits by shares and promises refused callers
-            times to return; see :func:`~pollenstile.shares.is_graded`.
+            Whether the queue admits by shares; see
+            :func:`~pollenstile.shares.is_graded`.
+        promises : bool
+            Whether refused callers are promised times to return.
         """
         self.limits = limits
         if not graded:
             self.shares = None
-            self.returns = None
         elif self.shares is None:
             self.shares = AdmissionShares()
+        if not promises:
+            self.returns = None
+        elif self.returns is None:
             self.returns = ReturnTimes(self.service, self.log)
         known = {(upstream.ident, upstream.born) for upstream in upstreams}
         gone = [
--- a/pollenstile/stagework/_ranking.py
+++ b/pollenstile/stagework/_ranking.py
@@ -43,10 +43,14 @@
 
     If all waiting pieces counted, an urgent request with small pieces would be
     refused because of a queue of large ones that it would overtake.
+
+    Pieces of returning callers always count: their callers go before new ones,
+    however urgent, and are never late.
     """
     rank = _rank(group, now, work)
     return sum(
-        piece.group.urgency <= group.urgency
+        piece.group.is_returning
+        or piece.group.urgency <= group.urgency
         or _rank(piece.group, now, work) < rank
         for piece in pieces
     )
@@ -66,11 +70,7 @@
 
 
 def _rank(group, now, work):
-    bias = _URGENCY_CALLS * work * group.urgency
-    if group.is_returning:
-        # As due as a group in time can be: it goes before new groups of its
-        # urgency, which then count it as ahead of them.
-        return _IN_TIME, 0, now + work + bias, group.ident
-    if now + work > group.due:
+    if now + work > group.due and not group.is_returning:
         return _LATE, group.urgency, group.due, group.ident
+    bias = _URGENCY_CALLS * work * group.urgency
     return _IN_TIME, 0, group.due + bias, group.ident
--- a/pollenstile/stagework/_returning.py
+++ b/pollenstile/stagework/_returning.py
@@ -15,23 +15,26 @@
     Explanation
     ===========
 
-    The group is then made before those of new callers of its urgency. If its
-    wait is too long for its deadline even so, or more urgent groups are
-    refused, the usual rule decides.
+    The group is then due when its wait behind all waiting pieces ends, and is
+    not ranked as late after that. Its own due time counts from the caller's
+    first arrival and has often passed. Ranked first, it would make those late
+    that were admitted before it. If its wait is too long for its deadline, or
+    more urgent groups are refused, the usual rule decides.
     """
     now = owner.clock.seconds()
     if owner.returns is None or not owner.returns.is_due(group, now):
         return False
-    if owner.shares.yields(group.urgency, now):
+    if yields(owner, group, now):
         return False
-    group.is_returning = True
-    wait = owner.admission.wait_of(group)
+    wait = owner.wait(group.count)
     if now + wait + _later_seconds(owner, group) > group.deadline:
-        group.is_returning = False
         return False
+    group.is_returning = True
+    group.due = max(group.due, now + wait)
     owner.returns.record_return(group)
     if group.is_first:
         owner.stats.record_admission(group.urgency, accepted=True)
+    if owner.shares is not None and group.is_first:
         owner.shares.record(group, now, accepted=True)
     return True
 
@@ -61,19 +64,24 @@
     if not group.is_first:
         reason = BUSY if owner.shares is None else LATE
         return GroupRefused(reason, wait, wait, waited)
-    if owner.returns is None:
-        return GroupRefused(BUSY, wait, wait, waited)
     now = owner.clock.seconds()
-    if owner.shares.yields(group.urgency, now):
+    if yields(owner, group, now):
         honoured = HONOURED_SHARE * (group.deadline - now)
         seconds = max(wait, min(WINDOW_SECONDS, honoured))
         return GroupRefused(BUSY, seconds, wait, waited)
+    if owner.returns is None:
+        return GroupRefused(BUSY, wait, wait, waited)
     seconds = owner.returns.promise(group, now, wait, queue_rate(owner))
     if seconds is None:
         return GroupRefused(BUSY, wait, wait, waited)
     return GroupRefused(BUSY, seconds, wait, waited, promised=True)
 
 
+def yields(owner, group, now):
+    """Return whether a group's urgency yields to more urgent ones."""
+    return owner.shares is not None and owner.shares.yields(group.urgency, now)
+
+
 def queue_rate(owner):
     """Return the pieces per second that a queue makes.
 
