--- a/pollenstile/bench/crashes.py
+++ b/pollenstile/bench/crashes.py
@@ -7,9 +7,13 @@
 request is sent to all hosts in rotation while the store or the readers fail.
 """
 
-import json
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
+from pollenstile.bench._commandline import (
+    add_sizes,
+    fleet_sizes,
+    print_measured,
+)
 from pollenstile.bench._costs import measure_costs
 from pollenstile.bench._crashworld import DEADLY, CrashWorld
 from pollenstile.bench.lag import end_readers, inject_nothing, slow_store
@@ -131,15 +135,14 @@
         'crashes',
         help='time until hosts refuse requests that crash upstreams, simulated',
     )
-    parser.add_argument('--sizes', default=_SIZES, help='hosts/domains')
+    add_sizes(parser, _SIZES)
     parser.set_defaults(run=run)
 
 
 def run(arguments):
     """Print a JSON line for each fleet size and fault."""
-    for size in arguments.sizes.split(','):
-        hosts, domains = map(int, size.split('/'))
+    for hosts, domains in fleet_sizes(arguments.sizes):
         for fault in FAULTS:
             spread = measure_spread(hosts, domains, fault)
-            print(json.dumps(asdict(spread)), flush=True)
+            print_measured(spread)
     return 0
--- a/pollenstile/bench/ratelimits.py
+++ b/pollenstile/bench/ratelimits.py
@@ -9,9 +9,13 @@
 """
 
 import itertools
-import json
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
+from pollenstile.bench._commandline import (
+    add_sizes,
+    fleet_sizes,
+    print_measured,
+)
 from pollenstile.bench._costs import measure_costs
 from pollenstile.bench._ratefaults import (
     FAULT_NAMES,
@@ -188,7 +192,7 @@
         'ratelimits',
         help='arrivals at an upstream that limits its rate, simulated',
     )
-    parser.add_argument('--sizes', default=_SIZES, help='hosts/domains')
+    add_sizes(parser, _SIZES)
     parser.add_argument('--rates', default=_RATES, help='requests a second')
     parser.add_argument('--loads', default=_LOADS, help='multiples of a rate')
     parser.add_argument('--faults', default='none', help=', '.join(FAULT_NAMES))
@@ -198,14 +202,13 @@
 def run(arguments):
     """Print a JSON line for each fleet size, rate, load, demand and fault."""
     cases = itertools.product(
-        arguments.sizes.split(','),
+        fleet_sizes(arguments.sizes),
         map(float, arguments.rates.split(',')),
         map(float, arguments.loads.split(',')),
         ('all', 'one'),
         arguments.faults.split(','),
     )
-    for size, rate, load, demand, fault in cases:
-        hosts, domains = map(int, size.split('/'))
+    for (hosts, domains), rate, load, demand, fault in cases:
         sharing = measure_sharing(hosts, domains, rate, load, demand, fault)
-        print(json.dumps(asdict(sharing)), flush=True)
+        print_measured(sharing)
     return 0
--- a/pollenstile/bench/returns.py
+++ b/pollenstile/bench/returns.py
@@ -8,9 +8,13 @@
 time before, or, to compare, as it was. Changes go on after it.
 """
 
-import json
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
+from pollenstile.bench._commandline import (
+    add_sizes,
+    fleet_sizes,
+    print_measured,
+)
 from pollenstile.bench._costs import measure_costs
 from pollenstile.bench._returnworld import (
     ReturnWorld,
@@ -160,7 +164,7 @@
         'returns',
         help='a store that comes back from an older copy, simulated',
     )
-    parser.add_argument('--sizes', default=_SIZES, help='hosts/domains')
+    add_sizes(parser, _SIZES)
     parser.add_argument('--kinds', default=','.join(_KINDS))
     parser.add_argument('--seeds', default='1-3', metavar='A-B')
     parser.add_argument(
@@ -172,8 +176,7 @@
 def run(arguments):
     """Print a JSON line for each size, kind, seed and number of changes."""
     first, last = map(int, arguments.seeds.split('-'))
-    for size in arguments.sizes.split(','):
-        hosts, domains = map(int, size.split('/'))
+    for hosts, domains in fleet_sizes(arguments.sizes):
         for kind in arguments.kinds.split(','):
             for seed in range(first, last + 1):
                 _print_runs(hosts, domains, seed, kind, arguments.changes)
@@ -184,4 +187,4 @@
     for change in changes.split(','):
         lost, after = map(int, change.split(':'))
         measured = measure_return(hosts, domains, seed, kind, lost, after)
-        print(json.dumps(asdict(measured)), flush=True)
+        print_measured(measured)
--- a/pollenstile/bench/silences.py
+++ b/pollenstile/bench/silences.py
@@ -9,10 +9,14 @@
 configuration changes.
 """
 
-import json
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from itertools import pairwise, product
 
+from pollenstile.bench._commandline import (
+    add_sizes,
+    fleet_sizes,
+    print_measured,
+)
 from pollenstile.bench._silenceworld import ROUTES, Silence, SilenceWorld
 
 # Times at which upstreams fall silent, in seconds from the first request.
@@ -231,7 +235,7 @@
         'silences',
         help='upstreams that fall silent and go on, simulated',
     )
-    parser.add_argument('--sizes', default=_SIZES, help='hosts/domains')
+    add_sizes(parser, _SIZES)
     parser.add_argument('--seeds', default='1,2')
     parser.add_argument(
         '--rate',
@@ -252,9 +256,7 @@
 
 def run(arguments):
     """Print a JSON line for each fleet size, route, silence and seed."""
-    sizes = [
-        tuple(map(int, size.split('/'))) for size in arguments.sizes.split(',')
-    ]
+    sizes = fleet_sizes(arguments.sizes)
     seeds = list(map(int, arguments.seeds.split(',')))
     changes = [text == '1' for text in arguments.changes.split(',')]
     for case in product(
@@ -264,5 +266,5 @@
         counts = count_requests(
             *played, seed, changes=has_changes, rate=arguments.rate
         )
-        print(json.dumps(asdict(counts)), flush=True)
+        print_measured(counts)
     return 0
--- a/pollenstile/bench/versions.py
+++ b/pollenstile/bench/versions.py
@@ -9,9 +9,13 @@
 host drawn at random. The same is played with one version.
 """
 
-import json
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
+from pollenstile.bench._commandline import (
+    add_sizes,
+    fleet_sizes,
+    print_measured,
+)
 from pollenstile.bench._costs import measure_costs
 from pollenstile.bench._versionworld import Versions, VersionWorld
 
@@ -213,7 +217,7 @@
         'versions',
         help='streams over upstreams of two software versions, simulated',
     )
-    parser.add_argument('--sizes', default=_SIZES, help='hosts/domains')
+    add_sizes(parser, _SIZES)
     parser.add_argument('--seeds', default='1,2')
     parser.add_argument(
         '--rate',
@@ -227,17 +231,16 @@
 
 def run(arguments):
     """Print a JSON line for each fleet size, number of versions and fault."""
-    for size in arguments.sizes.split(','):
-        hosts, domains = map(int, size.split('/'))
+    for size in fleet_sizes(arguments.sizes):
         for fault in arguments.faults.split(','):
             for versions in (Versions(), Versions('v1', 'v1')):
                 for seed in map(int, arguments.seeds.split(',')):
                     counts = count_streams(
-                        (hosts, domains),
+                        size,
                         versions,
                         fault,
                         seed,
                         arguments.rate,
                     )
-                    print(json.dumps(asdict(counts)), flush=True)
+                    print_measured(counts)
     return 0
--- a/pollenstile/bench/withdrawals.py
+++ b/pollenstile/bench/withdrawals.py
@@ -9,9 +9,13 @@
 the upstream.
 """
 
-import json
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
+from pollenstile.bench._commandline import (
+    add_sizes,
+    fleet_sizes,
+    print_measured,
+)
 from pollenstile.bench._costs import measure_costs
 from pollenstile.bench._ratefaults import (
     FAULT_NAMES,
@@ -205,7 +209,7 @@
         'withdrawals',
         help='arrivals at upstreams that leave or ask for rest, simulated',
     )
-    parser.add_argument('--sizes', default=_SIZES, help='hosts/domains')
+    add_sizes(parser, _SIZES)
     parser.add_argument('--faults', default='none', help=', '.join(FAULT_NAMES))
     parser.add_argument(
         '--shedding',
@@ -217,17 +221,12 @@
 
 def run(arguments):
     """Print a JSON line for each fleet size, fault and kind of statement."""
-    for size in arguments.sizes.split(','):
-        hosts, domains = map(int, size.split('/'))
+    for hosts, domains in fleet_sizes(arguments.sizes):
         for fault in arguments.faults.split(','):
-            _print(measure_departure(hosts, domains, fault))
+            print_measured(measure_departure(hosts, domains, fault))
             for shedding in arguments.shedding.split(','):
                 share, rest, count = map(float, shedding.split(':'))
-                _print(
+                print_measured(
                     measure_rest(hosts, domains, fault, share, rest, int(count))
                 )
     return 0
-
-
-def _print(measured):
-    print(json.dumps(asdict(measured)), flush=True)
