--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -228,7 +228,7 @@
     Returns
     =======
 
-    TokenWait, BrittleWait, WithdrawnWait or None
+    TokenWait, SendWait or None
     """
     views = _usable_views(core, exchange, tried)
     if not views:
