--- a/features/steps/stagework_steps.py
+++ b/features/steps/stagework_steps.py
@@ -12,7 +12,8 @@
     pieces_of,
     workers,
 )
-from pollenstile.bench.stages import LESSON, simulate_load, summarize
+from pollenstile.bench._stagedesks import LESSON
+from pollenstile.bench.stages import simulate_load, summarize
 from pollenstile.routes import StageStep
 from pollenstile.stagework import (
     CallLost,
--- a/pollenstile/bench/_stagehosts.py
+++ b/pollenstile/bench/_stagehosts.py
@@ -88,7 +88,11 @@
                 self.fleet.log,
             )
             members = stage_workers(service, self.fleet.count)
-            owner.configure(self.fleet.services[service], members)
+            owner.configure(
+                self.fleet.services[service],
+                members,
+                graded=self.fleet.graded,
+            )
             self.owners[service] = owner
         return owner
 
@@ -166,6 +170,8 @@
         The number of upstream calls, by service and calling host.
     log : function
         Writes the events of all hosts.
+    graded : bool
+        Whether the queues admit by shares.
     """
 
     __slots__ = (
@@ -175,6 +181,7 @@
         'count',
         'dark',
         'domains',
+        'graded',
         'hosts',
         'log',
         'names',
@@ -184,8 +191,18 @@
         'wires',
     )
 
-    def __init__(self, services, hosts, latency, count=4, log=silent_log):
+    def __init__(
+        self,
+        services,
+        hosts,
+        latency,
+        count=4,
+        log=silent_log,
+        *,
+        graded=False,
+    ):
         self.clock = VirtualClock()
+        self.graded = graded
         self.log = log
         self.services = services
         self.count = count
--- a/pollenstile/bench/_stageworld.py
+++ b/pollenstile/bench/_stageworld.py
@@ -46,9 +46,19 @@
         Time on the clock at which the last accepted call ends.
     worked : float
         Total seconds of all calls.
+    spent : dict
+        Seconds of calls by request, divided equally among a call's pieces.
     """
 
-    __slots__ = ('clock', 'ident', 'limits', 'ready_at', 'results', 'worked')
+    __slots__ = (
+        'clock',
+        'ident',
+        'limits',
+        'ready_at',
+        'results',
+        'spent',
+        'worked',
+    )
 
     def __init__(self, clock, ident, limits):
         self.clock = clock
@@ -57,6 +67,7 @@
         self.results = {}
         self.ready_at = 0.0
         self.worked = 0.0
+        self.spent = {}
 
     def call(self, pieces, exists):
         """Run a call after all earlier calls; return a Deferred of results.
@@ -73,6 +84,10 @@
         work += self.limits.piece_seconds * len(pieces)
         self.ready_at = start + work
         self.worked += work
+        for piece in pieces:
+            request = piece.group.request
+            seconds = self.spent.get(request, 0) + work / len(pieces)
+            self.spent[request] = seconds
         made = []
         now = self.clock.seconds()
         self.clock.callLater(start - now, self._begin, pieces, exists, made)
@@ -117,12 +132,15 @@
     owners : int
         The number of queues of each service: 1 for a queue that the whole
         fleet shares, or the number of hosts where each host batches alone.
+    graded : bool
+        Whether the queues admit by shares.
     """
 
-    __slots__ = ('budget', 'clock', 'queues', 'services', 'upstreams')
+    __slots__ = ('budget', 'clock', 'graded', 'queues', 'services', 'upstreams')
 
-    def __init__(self, services, count=4, owners=1):
+    def __init__(self, services, count=4, owners=1, *, graded=False):
         self.clock = Clock()
+        self.graded = graded
         self.services = services
         self.budget = 0
         self.upstreams = {}
@@ -154,7 +172,7 @@
 
     def _queue(self, name, limits, members):
         owner = Owner(self.clock, name, self._call, self._free, self._spend)
-        owner.configure(limits, members)
+        owner.configure(limits, members, graded=self.graded)
         return owner
 
     def _call(self, worker, pieces, seconds):
@@ -256,18 +274,20 @@
     Parameters
     ==========
 
-    kind : str
-        The name of the route.
+    arrival : Arrival
+        The request.
     arrived_at : float
         Time on the clock at which the request arrived.
-    aim : float
-        Target latency in seconds.
     read : float
         Seconds until the model engine has read the results.
 
     Attributes
     ==========
 
+    kind : str
+        The name of the route.
+    aim : float
+        Target latency in seconds.
     stage_seconds : float or None
         Seconds from the arrival to the last stage result; None if the stages
         have not completed.
@@ -275,23 +295,33 @@
         Reason of the refusal; empty if the request was not refused.
     refused_after : float
         Seconds from the arrival to the refusal.
+    ident, team : str
+        Identifier of the request, and the team that sent it.
+    pieces : int
+        Pieces of its first step.
     """
 
     __slots__ = (
         'aim',
         'arrived_at',
+        'ident',
         'kind',
+        'pieces',
         'read',
         'refused',
         'refused_after',
         'stage_seconds',
+        'team',
     )
 
-    def __init__(self, kind, arrived_at, aim, read):
-        self.kind = kind
+    def __init__(self, arrival, arrived_at, read):
+        self.kind = arrival.route.name
         self.arrived_at = arrived_at
-        self.aim = aim
+        self.aim = arrival.route.aim
         self.read = read
+        self.ident = arrival.ident
+        self.team = arrival.team
+        self.pieces = arrival.counts[0]
         self.stage_seconds = None
         self.refused = ''
         self.refused_after = 0.0
@@ -311,31 +341,31 @@
         'urgency',
     )
 
-    def __init__(self, ident, route, counts, ends):
+    def __init__(self, ident, route, counts, ends, team=''):
         self.ident = ident
         self.route = route
         self.counts = counts
         self.ends = ends
         self.fingerprint = ''
-        self.team = ''
+        self.team = team
         self.stage_key = ident
         self.urgency = route.urgency
 
 
-def start_request(fleet, client, route, counts, ident, deadline, read_after):
+def start_request(fleet, client, arrival, read_after):
     """Start the stage work of a request; return a :class:`SimulatedRequest`.
 
     Parameters
     ==========
 
-    deadline : float
-        Seconds until the deadline.
+    arrival : Arrival
+        The request, which arrives now.
     read_after : float
         Seconds after which the model engine has read the results.
     """
     now = fleet.clock.seconds()
-    served = SimulatedRequest(route.name, now, route.aim, read_after)
-    arrival = Arrival(ident, route, counts, now + deadline)
+    deadline = arrival.ends - now
+    served = SimulatedRequest(arrival, now, read_after)
     work = Deferred.fromCoroutine(_run_stages(client, arrival, served))
     work.addTimeout(deadline, fleet.clock)
     work.addCallback(_record_outcome, served, fleet.clock, read_after)
--- a/pollenstile/bench/stages.py
+++ b/pollenstile/bench/stages.py
@@ -10,112 +10,32 @@
 """
 
 import json
-from dataclasses import dataclass
+from dataclasses import replace
 from operator import itemgetter
 
+from pollenstile.bench._gradedload import (
+    GradedLoad,
+    UsageSampler,
+    summarize_graded,
+)
 from pollenstile.bench._silenthosts import SilentFleet
+from pollenstile.bench._stagedesks import (
+    BILLS,
+    DESKS,
+    GRADED,
+    INTAKE,
+    PLAN,
+    REPAIR,
+    SUMMARY,
+)
 from pollenstile.bench._stagehosts import HostFleet
 from pollenstile.bench._stageworld import (
+    Arrival,
     StageFleet,
     make_random,
-    stage_limits,
-    stage_route,
     start_request,
 )
 
-# Service names of the three stages.
-_INTAKE = 'intake'
-_PORTAL = 'portal'
-_BILLS = 'bills'
-
-
-def _chain(records, bytes_per_record, bytes_per_rank):
-    """Return the steps of a request that runs all three stages in sequence."""
-    return (
-        (_INTAKE, (), records),
-        (_PORTAL, (0,), bytes_per_record),
-        (_BILLS, (1,), bytes_per_rank),
-    )
-
-
-@dataclass(slots=True, frozen=True)
-class Desk:
-    """A workload: stage services and the requests that use them.
-
-    Parameters
-    ==========
-
-    services : dict
-        :class:`~pollenstile.routes.StageLimits` by service name.
-    upstreams : int
-        The number of upstreams of each service.
-    rates : tuple of tuple
-        Route, requests per second, deadline in seconds, and functions that
-        draw the pieces of each step and the seconds until the results are read.
-    """
-
-    services: dict
-    upstreams: int
-    rates: tuple
-
-
-def _few_pieces(rng):
-    return (rng.choice((1, 2, 2, 3, 3, 4)),)
-
-
-def _repair_pieces(rng):
-    return (1, 4, rng.choice((4, 5, 6, 7, 8)))
-
-
-def _lesson_pieces(rng):
-    return (1, 8, rng.randrange(8, 25))
-
-
-def _usual_read_seconds(rng):
-    """Return seconds until the model engine has read the results."""
-    return 0.2
-
-
-def _plan_read_seconds(rng):
-    # One prompt in four is large, which leaves half the time for the stage.
-    return rng.choice((0.15, 0.2, 0.25, 0.55))
-
-
-SUMMARY = stage_route('summary', 1.7, 1, [(_INTAKE, (), 800_000)])
-_REPAIR_CHAIN = _chain(8000, 60_000, 6000)
-DRAFT = stage_route('draft', 2.3, 0, _REPAIR_CHAIN)
-TAG = stage_route('tag', 2.3, 2, _REPAIR_CHAIN)
-REPAIR = Desk(
-    {
-        _INTAKE: stage_limits(8, 240, 25.5, 9.33),
-        _PORTAL: stage_limits(18, 240, 11.36, 1.93),
-        _BILLS: stage_limits(25, 240, 8.16, 0.28),
-    },
-    4,
-    (
-        (SUMMARY, 4.4, 12.0, _few_pieces, _usual_read_seconds),
-        (DRAFT, 10.3, 15.0, _repair_pieces, _usual_read_seconds),
-        (TAG, 9.1, 6.0, _repair_pieces, _usual_read_seconds),
-    ),
-)
-# Shorter calls and target latencies, fewer upstreams, results of 3 MB.
-PLAN = stage_route('plan', 1.0, 0, [(_INTAKE, (), 3_000_000)])
-ADVICE = stage_route('advice', 2.2, 1, _REPAIR_CHAIN)
-CHAT = stage_route('chat', 2.4, 2, _REPAIR_CHAIN)
-LESSON = Desk(
-    {
-        _INTAKE: stage_limits(7, 150, 18.3, 35),
-        _PORTAL: stage_limits(32, 150, 4.04, 5.73),
-        _BILLS: stage_limits(63, 150, 2.05, 1.16),
-    },
-    3,
-    (
-        (PLAN, 5.8, 6.0, _few_pieces, _plan_read_seconds),
-        (ADVICE, 11.8, 6.0, _lesson_pieces, _usual_read_seconds),
-        (CHAT, 10.2, 15.0, _lesson_pieces, _usual_read_seconds),
-    ),
-)
-DESKS = {'repair': REPAIR, 'lesson': LESSON}
 # Seconds within which drafts and tags should complete their stages.
 IN_TIME = 1.6
 # Seconds after the last arrival within which all requests end.
@@ -134,6 +54,41 @@
 _ONE_WAY_SECONDS = 0.0015
 
 
+def simulate_graded(load, seconds=30.0, seed=1, *, graded=True, surge=None):
+    """Run the workload of three graded urgencies over shared queues.
+
+    Parameters
+    ==========
+
+    load : float
+        Multiplier of the request rates of the workload.
+    graded : bool
+        Whether the queues admit by shares.
+    surge : dict or None
+        Further multipliers by route name.
+
+    Returns
+    =======
+
+    GradedLoad
+    """
+    fleet = StageFleet(GRADED.services, GRADED.upstreams, graded=graded)
+    usage = UsageSampler(fleet)
+    rates = tuple(
+        (route, rate * (surge or {}).get(route.name, 1), *request)
+        for route, rate, *request in GRADED.rates
+    )
+    requests = _simulate(
+        fleet, load, seconds, seed, replace(GRADED, rates=rates)
+    )
+    return GradedLoad(requests, fleet, usage)
+
+
+def simulate_graded_hosts(fleet, load, seconds, seed=1):
+    """Run the workload of three graded urgencies over hosts with real hubs."""
+    return _simulate(fleet, load, seconds, seed, GRADED)
+
+
 def simulate_load(load, seconds=30.0, seed=1, owners=1, desk=REPAIR):
     """Run a workload over shared or separate queues; return its requests.
 
@@ -154,14 +109,8 @@
 
     list of Served
     """
-    rng = make_random(seed)
     fleet = StageFleet(desk.services, desk.upstreams, owners)
-    requests = [
-        _start_at(fleet, rng, number, *arrival)
-        for number, arrival in enumerate(_arrivals(rng, desk, load, seconds))
-    ]
-    fleet.advance(_TAIL_SECONDS)
-    return requests
+    return _simulate(fleet, load, seconds, seed, desk)
 
 
 def simulate_hosts(load, hosts, seconds=20.0, seed=1, *, owners_die=False):
@@ -176,8 +125,8 @@
     """
     fleet = HostFleet(REPAIR.services, hosts, _ONE_WAY_SECONDS)
     if owners_die:
-        fleet.lose_owner(_INTAKE, seconds / 4)
-        fleet.lose_owner(_BILLS, seconds / 2)
+        fleet.lose_owner(INTAKE, seconds / 4)
+        fleet.lose_owner(BILLS, seconds / 2)
     return _simulate(fleet, load, seconds, seed)
 
 
@@ -225,15 +174,14 @@
     return _simulate(fleet, load, _SILENCE_SECONDS, seed)
 
 
-def _simulate(fleet, load, seconds, seed):
+def _simulate(fleet, load, seconds, seed, desk=REPAIR):
     rng = make_random(seed)
     start = fleet.clock.seconds()
-    requests = [
-        _start_at(fleet, rng, number, start + arrival_time, *request)
-        for number, (arrival_time, *request) in enumerate(
-            _arrivals(rng, REPAIR, load, seconds)
-        )
-    ]
+    requests = []
+    for arrival_time, *request in _arrivals(rng, desk, load, seconds):
+        fleet.advance(start + arrival_time - fleet.clock.seconds())
+        served = _start(fleet, rng, f'r{len(requests)}', desk, *request)
+        requests.append(served)
     fleet.advance(_TAIL_SECONDS)
     return requests
 
@@ -248,18 +196,14 @@
     return sorted(arrivals, key=itemgetter(0))
 
 
-def _start_at(fleet, rng, number, arrival_time, route, *request):
+def _start(fleet, rng, ident, desk, route, *request):
     deadline, pieces, read = request
-    fleet.advance(arrival_time - fleet.clock.seconds())
-    return start_request(
-        fleet,
-        fleet.client(rng.randrange(_HOST_NUMBERS)),
-        route,
-        pieces(rng),
-        f'r{number}',
-        deadline,
-        read(rng),
-    )
+    client = fleet.client(rng.randrange(_HOST_NUMBERS))
+    ends = fleet.clock.seconds() + deadline
+    arrival = Arrival(ident, route, pieces(rng), ends)
+    read_after = read(rng)
+    arrival.team = desk.teams(rng)
+    return start_request(fleet, client, arrival, read_after)
 
 
 def summarize(requests):
@@ -313,6 +257,8 @@
     """Print statistics by load, for a shared queue and for separate queues."""
     if arguments.hosts:
         return _run_hosts(arguments)
+    if arguments.desk == 'graded':
+        return _run_graded(arguments)
     rows = {}
     for load in arguments.loads.split(','):
         args = (float(load), arguments.seconds, arguments.seed)
@@ -325,6 +271,18 @@
     return 0
 
 
+def _run_graded(arguments):
+    rows = {}
+    for load in arguments.loads.split(','):
+        args = (float(load), arguments.seconds, arguments.seed)
+        rows[load] = {
+            'shares': summarize_graded(simulate_graded(*args)),
+            'no_shares': summarize_graded(simulate_graded(*args, graded=False)),
+        }
+    print(json.dumps(rows, indent=2))
+    return 0
+
+
 def _run_hosts(arguments):
     rows = {}
     for load in arguments.loads.split(','):
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -100,6 +100,18 @@
         'Pieces waiting in the queues of this host.',
         parts.owners.waiting,
     )
+    measures.gauges(
+        'stage_offered_pieces',
+        'Pieces of first steps offered to the graded queues of this host.',
+        'urgency',
+        parts.owners.offered,
+    )
+    measures.gauges(
+        'stage_admitted_pieces',
+        'Pieces of first steps admitted to the graded queues of this host.',
+        'urgency',
+        parts.owners.admitted,
+    )
     measures.gauge(
         'in_flight',
         'Requests without a final answer.',
--- a/pollenstile/forward/_owners.py
+++ b/pollenstile/forward/_owners.py
@@ -1,5 +1,7 @@
 """This host's queues of the stage services that it owns."""
 
+from collections import Counter
+
 from pollenstile.ops.logs import silent_log
 from pollenstile.shares import GradedServices
 from pollenstile.stagework import Owner
@@ -113,10 +115,25 @@
         """Return the number of pieces that wait in all queues."""
         return sum(len(owner.waiting) for owner in self.by_service.values())
 
+    def offered(self):
+        """Return the pieces offered to graded queues, by urgency."""
+        return self._totals('offered')
+
+    def admitted(self):
+        """Return the pieces admitted to graded queues, by urgency."""
+        return self._totals('admitted')
+
     def is_busy(self):
         """Return whether any group is unfinished."""
         return any(owner.jobs for owner in self.by_service.values())
 
+    def _totals(self, name):
+        totals = Counter()
+        for owner in self.by_service.values():
+            if owner.shares is not None:
+                totals.update(getattr(owner.shares, name))
+        return totals
+
     def _rate_changed(self, name, before):
         for service in self.by_service:
             self.update_limits(service)
--- a/pollenstile/ops/_losses.py
+++ b/pollenstile/ops/_losses.py
@@ -18,6 +18,8 @@
 USED_EVENTS = frozenset(
     (_FORWARD_ENDED, _STAGE_MADE, _STAGE_CALLED, _STAGE_REFUSED, _STAGE_ROOM)
 )
+# Reason that callers are told for all refusals of a queue with many groups.
+_BUSY = 'busy'
 # Least share of an answer's time that its longest queue wait must take for
 # the answer to be attributed to that queue.
 _QUEUED_SHARE = 0.25
@@ -151,9 +153,7 @@
     def _cause(self, line):
         outcome = line.get('outcome', '')
         if outcome == 'refused':
-            return (
-                f'refused: {line.get("reason", "")} at {line.get("step", "")}'
-            )
+            return f'refused: {self._reason(line)} at {line.get("step", "")}'
         if outcome != 'answered':
             return f'failed: {outcome} {line.get("reason", "")}'.strip()
         if 'aim_ms' not in line:
@@ -164,6 +164,21 @@
         limit = line.get('pause_limit_ms', 0)
         return LATE_PAUSED if 0 < limit < line.get('pause_ms', 0) else ON_TARGET
 
+    def _reason(self, line):
+        """Return why a request was refused.
+
+        Explanation
+        ===========
+
+        Callers are told ``busy`` for each refusal of a queue that has too many
+        groups. The line of the queue's owner says for whose sake.
+        """
+        reason = line.get('reason', '')
+        refusal = self.refused.get(line.get('request'))
+        if reason != _BUSY or refusal is None:
+            return reason
+        return refusal.get('reason', reason)
+
     def _late_cause(self, line, took):
         if line.get('came_ms', 0) > 0:
             return LATE_REFUSED_FIRST
--- a/pollenstile/shares/_sizes.py
+++ b/pollenstile/shares/_sizes.py
@@ -71,7 +71,9 @@
     least = float('inf')
     for size in sorted(counts, reverse=True):
         count = counts[size]
-        if largest.offered < _LARGEST_SHARE * total:
+        together = largest.offered + count.offered
+        fits = together <= _LARGEST_SHARE * total and not others.offered
+        if fits or not largest.offered:
             least = size
             largest.add(count.offered, count.admitted)
         else:
--- a/pollenstile/stagework/_waiting.py
+++ b/pollenstile/stagework/_waiting.py
@@ -71,7 +71,7 @@
     return max(lower_bound, (pieces_in_flight + ahead) / rate)
 
 
-def may_join_queue(group, wait, now, full, share=1.0):
+def may_join_queue(group, wait, now, full, share=1.0, late=LATE_CALLS):
     """Return whether a group's pieces may join the queue.
 
     Explanation
@@ -91,13 +91,15 @@
         Seconds of a full call.
     share : float
         Share of recent groups of the same urgency that were admitted.
+    late : float
+        Lateness in full calls up to which a group is admitted.
     """
     if not group.is_first:
         return True
     overtaken = (
         _OVERTAKEN_SHARE * group.urgency if share > _MIN_ADMITTED_SHARE else 0
     )
-    if now + wait * (1 + overtaken) <= group.due + LATE_CALLS * full:
+    if now + wait * (1 + overtaken) <= group.due + late * full:
         return True
     # A group that is late in any case is admitted only where it delays no
     # others.
