--- a/pollenstile/bench/_stagehosts.py
+++ b/pollenstile/bench/_stagehosts.py
@@ -91,6 +91,7 @@
             owner.configure(
                 self.fleet.services[service],
                 members,
+                graded=self.fleet.graded,
                 promises=self.fleet.promises,
             )
             self.owners[service] = owner
@@ -172,6 +173,8 @@
         The number of upstream calls, by service and calling host.
     log : function
         Writes the events of all hosts.
+    graded : bool
+        Whether the queues admit by shares.
     """
 
     __slots__ = (
@@ -181,18 +184,29 @@
         'count',
         'dark',
         'domains',
-        'promises',
+        'graded',
         'hosts',
         'log',
         'names',
         'parted',
+        'promises',
         'services',
         'upstreams',
         'wires',
     )
 
-    def __init__(self, services, hosts, latency, count=4, log=silent_log):
+    def __init__(
+        self,
+        services,
+        hosts,
+        latency,
+        count=4,
+        log=silent_log,
+        *,
+        graded=False,
+    ):
         self.clock = VirtualClock()
+        self.graded = graded
         self.log = log
         self.services = services
         self.count = count
--- a/pollenstile/bench/_stagereturns.py
+++ b/pollenstile/bench/_stagereturns.py
@@ -13,6 +13,7 @@
 
 from pollenstile.bench._stagehosts import HostFleet
 from pollenstile.bench._stageworld import (
+    Arrival,
     StageFleet,
     make_random,
     stage_limits,
@@ -211,13 +212,7 @@
 
 
 def _start(fleet, client, caller, ident, deadline):
-    return start_request(
-        fleet,
-        client,
-        caller.route,
-        (caller.count,),
-        ident,
-        deadline,
-        _READ_SECONDS,
-        caller.ident,
-    )
+    ends = fleet.clock.seconds() + deadline
+    arrival = Arrival(ident, caller.route, (caller.count,), ends)
+    arrival.stage_key = caller.ident
+    return start_request(fleet, client, arrival, _READ_SECONDS)
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -119,6 +119,18 @@
         'Pieces waiting in the queues of this host.',
         parts.owners.waiting,
     )
+    measures.gauges(
+        'stage_offered_pieces',
+        'Pieces of first steps offered to the graded queues of this host.',
+        'urgency',
+        parts.owners.offered,
+    )
+    measures.gauges(
+        'stage_admitted_pieces',
+        'Pieces of first steps admitted to the graded queues of this host.',
+        'urgency',
+        parts.owners.admitted,
+    )
     measures.gauge(
         'return_promises',
         'Refused callers whose promised return times are open.',
