stagework: a request cancelled during a query of backlogs ends as cancelled

Cause: gatherResults turns the CancelledError of a cancelled query into a FirstError, which the request took for a fault of the program: it logged forward-crashed and refused with status 502. Change: the queries, which are all sent at once, are awaited one by one. Result: the new scenario of features/askers.feature fails without the change and passes with it; the 11 scenarios of the feature pass.

--- a/features/askers.feature
+++ b/features/askers.feature
@@ -48,6 +48,13 @@
     When it starts a chain that needs "portal"
     Then no owner was queried for its backlog
 
+  Scenario: A request that is cancelled during a query ends as cancelled
+    Guards against a request that ends with an internal error, and status 502,
+    if its caller leaves or its deadline passes while an owner is queried.
+    Given a host that got a backlog of 3 seconds for "portal" 0.5 seconds ago
+    When a query of the owner of "portal" is cancelled
+    Then the query failed with "CancelledError"
+
   Scenario: A host whose link to the owner is cut uses another host
     The host is alive, and sends its work to another host, which forwards it. If
     its work were cancelled after the first request fails, its caller would be
--- a/features/steps/askers_steps.py
+++ b/features/steps/askers_steps.py
@@ -208,6 +208,21 @@
     context.fleet.advance(0.3)
 
 
+@when('a query of the owner of "{service}" is cancelled')
+def when_cancelled(context, service):
+    context.results = []
+    client = context.host.client
+    work = Deferred.fromCoroutine(client.refresh_backlogs((service,)))
+    work.addBoth(context.results.append)
+    assert not context.results
+    work.cancel()
+
+
+@then('the query failed with "{name}"')
+def then_failed(context, name):
+    assert [failure.type.__name__ for failure in context.results] == [name]
+
+
 @then('it expects less than a second for "{service}"')
 def then_short_wait(context, service):
     _, seconds = context.results[0]
--- a/pollenstile/stagework/_backlogqueries.py
+++ b/pollenstile/stagework/_backlogqueries.py
@@ -1,6 +1,6 @@
 """Queries for the current backlogs of owners, to replace stale ones."""
 
-from twisted.internet.defer import gatherResults, succeed
+from twisted.internet.defer import succeed
 
 from pollenstile.peer import Unanswered
 from pollenstile.stagework._codec import answer_from, backlog_bytes
@@ -39,8 +39,9 @@
         for service in set(services)
         if _needs_refresh(client, service)
     ]
-    if queries:
-        await gatherResults(queries, consumeErrors=True)
+    # ``gatherResults`` would end a cancelled request with a ``FirstError``.
+    for query in queries:
+        await query
 
 
 def _needs_refresh(client, service):
