soak: hard-load runs of uneven engines and scarce stage capacity

Cause: the soak in virtual time runs the pipeline hosts only, so conditions, prompt parts, shares, returns and reachability had no run in which their faults come together. DomainWorld takes services and keys; CrashingUpstreams takes functions for the time to the first event and for the data of an event.

--- a/features/builders/mutations.py
+++ b/features/builders/mutations.py
@@ -7,6 +7,9 @@
 from pollenstile import pipeline
 from pollenstile.claims import Claims
 from pollenstile.entry import Node
+from pollenstile.forward import _parse as forward_parse
+from pollenstile.forward import _run as forward_run
+from pollenstile.forward import _standby as forward_standby
 from pollenstile.fleet import InForce, Watchers
 from pollenstile.limits import RetryBudget
 from pollenstile.outcomes import Refused
@@ -14,6 +17,7 @@
 from pollenstile.pipeline._assembly import Assembly
 from pollenstile.pipeline._attempts import Attempt, Attempts
 from pollenstile.pipeline._stage import StageRun
+from pollenstile.returns import PieceShare, _times
 from pollenstile.routing import UpstreamState
 from pollenstile.upstream import Lost
 
@@ -132,6 +136,30 @@
     poll.due_at = now + 1e6
 
 
+def _retry_always(*arguments, **keywords):
+    return forward_run.RetryDecision.RETRY
+
+
+def _no_obstacle(route, state, **known):
+    return ''
+
+
+def _refuse_any_as_not_run(runs):
+    return forward_run.Refusal(503, 'timeout', 'send')
+
+
+def _forward_all_headers(answer, names):
+    return [
+        (name, value)
+        for name, values in answer.requestHeaders.getAllRawHeaders()
+        for value in values
+    ]
+
+
+def _fill_first_slot(promised, first, last, count, rate):
+    return [PieceShare(first, count)]
+
+
 # Replaces an attribute so that it always reads as false.
 _NEVER_SET = property(_return_false, _do_nothing)
 
@@ -181,6 +209,17 @@
     'sound refusals': [(Attempts, 'give_back', _raise_error)],
     'cancelled losers': [(Attempts, 'drop_all', _do_nothing)],
     'retry budget': [(RetryBudget, 'spent', _return_true)],
+    'attempts of the route': [
+        (forward_run, 'decide_retry', _retry_always),
+        (forward_standby, 'standby_obstacle', _no_obstacle),
+    ],
+    'truthful timeouts': [
+        (forward_run, 'expired_refusal', _refuse_any_as_not_run)
+    ],
+    'reserved headers': [
+        (forward_parse, '_forwarded_headers', _forward_all_headers)
+    ],
+    'room for new callers': [(_times, 'allocated_pieces', _fill_first_slot)],
     'rising versions': [(InForce, 'offer', _offer_any_version)],
 }
 
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -77,17 +77,17 @@
         return succeed(None)
 
 
-def _table(by_host, value):
+def _table(world, value):
     if not isinstance(value, int):
         raise ValueError('no version')
-    return RouteTable(value, by_host)
+    return RouteTable(value, world.by_host, world.services, world.keys)
 
 
 def _upstream(name, value):
     if isinstance(value, dict):
         return Upstream(
             name,
-            's',
+            value.get('service', 's'),
             value['address'],
             value['domain'],
             slots=value.get('slots', 1),
@@ -173,7 +173,7 @@
                 **world.bounds,
             ),
             self.path,
-            _Adapter(partial(_table, world.by_host)),
+            _Adapter(partial(_table, world)),
             Random(name),
             world.clock.seconds,
             log,
@@ -243,6 +243,10 @@
         The era that the store states at first.
     by_host : dict or None
         Routes of each configuration by host name; None for no routes.
+    services : dict or None
+        Services of each configuration by name; None for none.
+    keys : dict or None
+        Teams by key; None when callers need no keys.
     bounds : dict
         Settings of the hosts, by name.
 
@@ -257,6 +261,8 @@
         Side of a partition of single hosts, by name.
     logged : list of tuple
         Log lines: time in seconds, host, event name and fields.
+    on_event : function
+        Called with host name, event and fields of each log line.
     """
 
     __slots__ = (
@@ -265,7 +271,10 @@
         'clock',
         'cut',
         'hosts',
+        'keys',
         'logged',
+        'on_event',
+        'services',
         'sides',
         'store',
         'wires',
@@ -279,10 +288,15 @@
         has_upstream=True,
         era=None,
         by_host=None,
+        services=None,
+        keys=None,
         **bounds,
     ):
         self.bounds = bounds
         self.by_host = by_host or {}
+        self.services = services or {}
+        self.keys = keys
+        self.on_event = _ignore
         self.cut = set()
         self.sides = {}
         self.clock = VirtualReactor()
@@ -391,10 +405,15 @@
         def log(event, level='info', **fields):
             now = self.clock.seconds()
             self.logged.append((now, name, event.name, fields))
+            self.on_event(name, event, fields)
 
         return log
 
 
+def _ignore(name, event, fields):
+    """Do nothing for a log line."""
+
+
 def _one_way_latency(near, far):
     return _ONE_WAY_SECONDS
 
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -10,7 +10,7 @@
 from pollenstile.ops.exits import BAD_RESULT, GOOD
 from pollenstile.ops.logs import configure_logs, event_log
 from pollenstile.ops.running import result_of
-from pollenstile.soak import run_soak
+from pollenstile.soak import run_hard_load, run_soak
 
 # Seconds of a silence of a live run of only these, and the most.
 _SILENT_SECONDS = 1.8
@@ -74,6 +74,20 @@
         help='let upstreams stand still and go on, without other faults of them;'
         ' with --live: four times, as the only faults',
     )
+    parser.add_argument(
+        '--hard-load',
+        action='store_true',
+        help='run forwarding hosts over uneven engines and a full stage, with '
+        'all their faults, for --seconds of virtual time',
+    )
+    _add_live_flags(parser)
+    _add_silence_flags(parser)
+    _add_grace_flags(parser)
+    _add_endless_flags(parser)
+    parser.set_defaults(run=run)
+
+
+def _add_live_flags(parser):
     parser.add_argument(
         '--live',
         action='store_true',
@@ -83,7 +97,7 @@
         '--seconds',
         type=float,
         default=8.0,
-        help='with --live: duration of the faults [8]',
+        help='with --live or --hard-load: duration of the faults [8]',
     )
     parser.add_argument(
         '--logs',
@@ -96,10 +110,6 @@
         default=4,
         help='with --live: number of entry hosts [4]',
     )
-    _add_silence_flags(parser)
-    _add_grace_flags(parser)
-    _add_endless_flags(parser)
-    parser.set_defaults(run=run)
 
 
 def _add_silence_flags(parser):
@@ -214,15 +224,7 @@
     broken = []
     started = time.perf_counter()
     for seed in seeds:
-        result = run_soak(
-            seed,
-            arguments.steps,
-            event_log(seed=seed),
-            returns=arguments.returns,
-            silences=arguments.silences,
-            graces=bool(arguments.graces),
-            endless=bool(arguments.endless),
-        )
+        result = _run_seed(seed, arguments)
         print(_result_line(result))
         if result.violations:
             broken.append(seed)
@@ -241,6 +243,22 @@
     return BAD_RESULT
 
 
+def _run_seed(seed, arguments):
+    """Return the result of one run in virtual time."""
+    log = event_log(seed=seed)
+    if arguments.hard_load:
+        return run_hard_load(seed, arguments.seconds, log)
+    return run_soak(
+        seed,
+        arguments.steps,
+        log,
+        returns=arguments.returns,
+        silences=arguments.silences,
+        graces=bool(arguments.graces),
+        endless=bool(arguments.endless),
+    )
+
+
 def _run_live(seeds, arguments):
     # The only use of the global reactor; importing the module installs it.
     from twisted.internet import reactor  # noqa: WPS433
--- a/pollenstile/standin/crashing.py
+++ b/pollenstile/standin/crashing.py
@@ -10,6 +10,7 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 
 from pollenstile.forward import BodyEnd, HeaderNames, NotRun
 from pollenstile.standin._pausing import PausableTimers
@@ -101,12 +102,19 @@
         clock.callLater(LATENCY_SECONDS, call.break_connection)
 
 
-def _pass_on_event(process, call, number):
+def _pass_on_event(call, number, data):
     if call.is_open_to_host():
-        data = process.software.encode() or b'x'
         call.on_data(b'id: %d\ndata: %s\n\n' % (number, data))
 
 
+def _usual_seconds(upstreams, process, call):
+    return upstreams.work if upstreams.answers_whole else _FIRST_EVENT_SECONDS
+
+
+def _software_data(process, call):
+    return process.software.encode() or b'x'
+
+
 class CrashingUpstreams:
     """Upstreams of one service, spread over failure domains.
 
@@ -141,6 +149,11 @@
         Whether an answer is sent at the end of its run instead of in parts.
     crashes : list of Crash
         Crashes, in order.
+    first_seconds : function
+        Takes a process and a call; returns the seconds from the call's start to
+        the head of its answer.
+    event_data : function
+        Takes the same; returns the data of an event, without white space.
     """
 
     def __init__(self, clock, write, is_crashing, work=1.0, slots=0):
@@ -156,6 +169,8 @@
         self.answers_whole = False
         self.crashes = []
         self.started = 0
+        self.first_seconds = partial(_usual_seconds, self)
+        self.event_data = _software_data
 
     def start(self, address, domain, software=''):
         """Start an upstream of a software version at an address."""
@@ -280,7 +295,7 @@
             process.timers.later(_CRASH_SECONDS, self.crash, process, call.body)
             return
         process.timers.later(
-            self.work if self.answers_whole else _FIRST_EVENT_SECONDS,
+            self.first_seconds(process, call),
             self._send_head,
             process,
             call,
@@ -322,7 +337,7 @@
         # A stream may be taken up after its last event.
         if (number - 1) * EVENT_GAP_SECONDS < self.work:
             self.events_made += 1
-            _pass_on_event(process, call, number)
+            _pass_on_event(call, number, self.event_data(process, call))
         if number * EVENT_GAP_SECONDS < self.work:
             process.timers.later(
                 0 if self.answers_whole else EVENT_GAP_SECONDS,
--- a/tools/check.py
+++ b/tools/check.py
@@ -44,6 +44,7 @@
 )
 _SOAK_FEATURES = (
     'features/soak.feature',
+    'features/soak_hardload.feature',
     'features/withdrawals.feature',
 )
 # Features of daemons on loopback, which mostly wait.
