--- a/pollenstile/promptparts/_transfer.py
+++ b/pollenstile/promptparts/_transfer.py
@@ -2,8 +2,8 @@
 
 # Number of shared tokens below which a transfer isn't worth its setup.
 _MIN_TOKENS = 256
-# A transfer of a token must take less than this share of the time to read it, as
-# it also occupies the links of both engines.
+# A transfer of a token must take less than this share of the time to read it,
+# as it also occupies the links of both engines.
 _MAX_TIME_SHARE = 0.5
 # Connection of the engine to the source, and the source's answer.
 _SETUP_SECONDS = 0.01
