--- a/features/builders/promptparts.py
+++ b/features/builders/promptparts.py
@@ -6,7 +6,7 @@
 
 SUBJECT = 'unit'
 TRANSFER = PartTransfer(1000, 1e9)
-_ENGINES = 6
+_ENGINES = 24
 _TOKENS = 4000
 
 
--- a/pollenstile/forward/_attempt_learning.py
+++ b/pollenstile/forward/_attempt_learning.py
@@ -54,8 +54,8 @@
     exchange = attempt.exchange
     if not core.conditions.applies_to(exchange.service):
         return
-    subject = subject_of(exchange.prompt)
     views = core.registry.usable(exchange.service, exchange.software)
+    subject = subject_of(exchange.prompt, len(views))
     if subject and (
         not views or home_engine(views, subject) is not attempt.view
     ):
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -96,8 +96,8 @@
     This is the domain of the subject's home engine; empty when the request has
     no subject or the service no usable upstream.
     """
-    subject = subject_of(exchange.prompt)
     views = core.domains.reachable(_upstreams_of(core, exchange))
+    subject = subject_of(exchange.prompt, len(views))
     if not subject or not views:
         return ''
     return home_engine(views, subject).domain
@@ -372,7 +372,8 @@
 
 
 def _candidates(exchange, views, content):
-    return candidates_of_unproven(views, content, subject_of(exchange.prompt))
+    subject = subject_of(exchange.prompt, len(views))
+    return candidates_of_unproven(views, content, subject)
 
 
 def _idents(views):
--- a/pollenstile/forward/_partsources.py
+++ b/pollenstile/forward/_partsources.py
@@ -2,7 +2,11 @@
 
 from collections import Counter
 
-from pollenstile.forward._selection import no_transfer, subject_of
+from pollenstile.forward._selection import (
+    LARGE_SERVICE_ENGINES,
+    no_transfer,
+    subject_of,
+)
 from pollenstile.promptparts import (
     EngineHistory,
     has_transferable_parts,
@@ -80,7 +84,7 @@
         if self._transfer(exchange) is None:
             return None
         current, former = self._reachable(exchange.service, view.software)
-        subject = subject_of(exchange.prompt)
+        subject = subject_of(exchange.prompt, self._engines(exchange))
         source = part_source(view, subject, current, former)
         if source is not None:
             exchange.may_fetch = False
@@ -92,7 +96,7 @@
         transfer = self._transfer(exchange)
         if transfer is None:
             return no_transfer
-        subject = subject_of(exchange.prompt)
+        subject = subject_of(exchange.prompt, self._engines(exchange))
         homes = {}
 
         def seconds(view, tokens):
@@ -112,6 +116,8 @@
             return None
         if not has_transferable_parts(exchange.prompt):
             return None
+        if self._engines(exchange) < LARGE_SERVICE_ENGINES:
+            return None
         service = exchange.table.services.get(exchange.service)
         if service is None or service.part_transfer is None:
             return None
@@ -120,6 +126,9 @@
             return None
         return service.part_transfer
 
+    def _engines(self, exchange):
+        return len(self.registry.usable(exchange.service))
+
     def _reachable(self, service, software):
         """Return the reachable engines of a version, now and formerly.
 
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -44,6 +44,10 @@
 # requests fail on every upstream (14% of one kind of lookups).
 _UNHEALTHY_MARGIN = 0.25
 
+# Number of engines from which a service is large: its engines don't all keep
+# the prompt parts in common use.
+LARGE_SERVICE_ENGINES = 24
+
 # Upstreams that a request may go to before it is proven. It takes three crashes
 # to quarantine a request, so fewer candidates would spare none.
 UNPROVEN_CANDIDATES = 3
@@ -216,16 +220,25 @@
     return heard or not_backing_off or untried
 
 
-def subject_of(prompt):
+def subject_of(prompt, engines):
     """Return the identifier of the shared prompt part that decides the home.
 
     Explanation
     ===========
 
-    It is the largest shared part, and the last of equal ones. Parts after it
-    then go to the same engine as it does, and of parts before it less has to
-    be read at several engines. With the last part, short prompts of one head
-    went to all engines of a large service, each of which read the head.
+    In a large service it is the largest shared part, and the last of equal
+    ones. Parts after it then go to the same engine as it does, and of parts
+    before it less has to be read at several engines. With the last part, short
+    prompts of one head went to all engines, each of which read the head. A few
+    engines soon keep all heads, so there it is the last shared part.
+
+    Parameters
+    ==========
+
+    prompt : tuple
+        Identifier and token count of each part; the last is never shared.
+    engines : int
+        Number of engines of the service.
 
     Returns
     =======
@@ -236,13 +249,17 @@
     Examples
     ========
 
-    >>> subject_of((('head', 500), ('unit', 4000), ('own', 60)))
+    >>> subject_of((('head', 500), ('unit', 4000), ('own', 60)), 70)
     'unit'
-    >>> subject_of((('head', 120), ('user', 80), ('own', 600)))
+    >>> subject_of((('head', 120), ('user', 80), ('own', 600)), 70)
     'head'
-    >>> subject_of((('own', 60),))
+    >>> subject_of((('head', 120), ('user', 80), ('own', 600)), 9)
+    'user'
+    >>> subject_of((('own', 60),), 70)
     ''
     """
+    if engines < LARGE_SERVICE_ENGINES:
+        return prompt[-2][0] if len(prompt) > 1 else ''
     largest = -1
     subject = ''
     for ident, size in prompt[:-1]:
@@ -253,7 +270,7 @@
     return subject
 
 
-def home_tokens(prompt):
+def home_tokens(prompt, subject):
     """Return the tokens that a prompt's home engine keeps for its subject.
 
     Explanation
@@ -264,12 +281,11 @@
     Examples
     ========
 
-    >>> home_tokens((('head', 500), ('unit', 4000), ('own', 60)))
+    >>> home_tokens((('head', 500), ('unit', 4000), ('own', 60)), 'unit')
     4000
-    >>> home_tokens((('head', 120), ('user', 80), ('own', 600)))
+    >>> home_tokens((('head', 120), ('user', 80), ('own', 600)), 'head')
     200
     """
-    subject = subject_of(prompt)
     tokens = 0
     for ident, size in reversed(prompt[:-1]):
         tokens += size
@@ -458,9 +474,9 @@
     if not views:
         return None
     terms = EngineCosts(**costs)
-    subject = subject_of(prompt)
+    subject = subject_of(prompt, len(views))
     home = home_engine(views, subject)
-    shared = home_tokens(prompt)
+    shared = home_tokens(prompt, subject)
     own = own_tokens(prompt)
     inputs = inputs or {}
     total = sum(inputs.values())
