forward: an engine without a recent report has the mean load of those with one

Cause: in a fleet of 89 hosts and 70 engines a host has recent reports of few engines. Change: in services of 24 engines or more, engines without a report of the last 2 s count with the mean load of the reported ones. Measured: 200 prompts of 40 heads go to their home engines while a quarter of 70 engines report 12 requests; without the change the scenario fails.

--- a/features/deciding.feature
+++ b/features/deciding.feature
@@ -113,3 +113,10 @@
     the users' parts each of 70 engines read each head.
     Given 70 idle model engines in one domain
     Then prompts of 40 heads and 200 users are read at 40 engines at most
+
+  Scenario: An engine without a report isn't preferred as an idle one
+    A host has reports of few of 70 engines. Requests left each home engine that
+    had reported its load, for an engine that nothing was known of.
+    Given 70 idle model engines in one domain
+    And a quarter of them have reported 12 running requests
+    Then prompts of 40 heads and 200 users go to their home engines
--- a/features/steps/deciding_steps.py
+++ b/features/steps/deciding_steps.py
@@ -301,14 +301,33 @@
     ]
 
 
+@given('a quarter of them have reported {count:d} running requests')
+def given_reports(context, count):
+    for view in context.views[::4]:
+        view.running = count
+        view.load_at = 0
+
+
+def _short_prompts(heads, users):
+    for user in range(users):
+        head = f'head{user % heads}'
+        yield ((head, 120), (f'user{user}', 80), ('own', 600))
+
+
 @then(
     'prompts of {heads:d} heads and {users:d} users are read at'
     ' {most:d} engines at most'
 )
 def then_few_engines(context, heads, users, most):
-    chosen = set()
-    for user in range(users):
-        head = f'head{user % heads}'
-        prompt = ((head, 120), (f'user{user}', 80), ('own', 600))
-        chosen.add(_engine_for(context, prompt, None).ident)
+    chosen = {
+        _engine_for(context, prompt, None).ident
+        for prompt in _short_prompts(heads, users)
+    }
     assert len(chosen) <= most, len(chosen)
+
+
+@then('prompts of {heads:d} heads and {users:d} users go to their home engines')
+def then_at_home(context, heads, users):
+    for prompt in _short_prompts(heads, users):
+        chosen = _engine_for(context, prompt, None)
+        assert chosen is home_engine(context.views, prompt[0][0]), prompt
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -481,7 +481,7 @@
     inputs = inputs or {}
     total = sum(inputs.values())
     is_usual = terms.time_factor is usual_time
-    excess_requests = _excess if is_usual else _expected_excess
+    load_delay = _load_delay(views, now, is_usual=is_usual)
 
     def cost(view):
         seconds = (own + view.in_flight_tokens) * token_seconds
@@ -489,7 +489,7 @@
             reading = _REREAD_FACTOR * shared * token_seconds
             moving = terms.transfer_seconds(view, shared)
             seconds += reading if moving is None else min(reading, moving)
-        seconds += _load_delay_seconds(view, now, excess_requests)
+        seconds += load_delay(view)
         seconds = seconds * terms.time_factor(view) + view.failures
         if view.domain != domain:
             seconds += _CROSS_DOMAIN_SECONDS
@@ -548,12 +548,66 @@
     return spread * math.log1p(math.exp(distance))
 
 
-def _load_delay_seconds(view, now, excess_requests):
-    """Return the delay of a new request by the other ones at an engine."""
+def _is_reported(view, now):
+    """Return whether the load that an engine reported last counts."""
+    return now - view.load_at <= _LOAD_REPORT_TTL_SECONDS
+
+
+def _unreported_load(views, now):
+    """Return the load that is assumed of engines without a recent report.
+
+    Explanation
+    ===========
+
+    In a large service a host has recent reports of few engines only. It is the
+    mean of theirs: taken for idle, the engines that nothing is known of would
+    be preferred to each home engine that has reported any load.
+    """
+    if len(views) < LARGE_SERVICE_ENGINES:
+        return 0
+    loads = [
+        current_load(view, now) for view in views if _is_reported(view, now)
+    ]
+    return sum(loads) / len(loads) if loads else 0
+
+
+def _load_delay(views, now, *, is_usual):
+    """Return the function that returns an engine's delay by its requests.
+
+    Parameters
+    ==========
+
+    is_usual : bool
+        Whether nothing is known of the engines' speeds.
+    """
+    unreported = _unreported_load(views, now)
+    excess_requests = _excess if is_usual else _expected_excess
+
+    def seconds(view):
+        load = _assumed_load(view, now, unreported)
+        return _load_delay_seconds(view, now, load, excess_requests)
+
+    return seconds
+
+
+def _assumed_load(view, now, unreported):
+    """Return the load of an engine, or what is assumed without a report."""
     load = current_load(view, now)
-    waiting = (
-        view.queued if now - view.load_at < _LOAD_REPORT_TTL_SECONDS else 0
-    )
+    return load if _is_reported(view, now) else max(load, unreported)
+
+
+def _load_delay_seconds(view, now, load, excess_requests):
+    """Return the delay of a new request by the other ones at an engine.
+
+    Parameters
+    ==========
+
+    load : float
+        Requests that run or wait there.
+    excess_requests : function
+        Takes load and slots; returns the requests that wait.
+    """
+    waiting = view.queued if _is_reported(view, now) else 0
     excess = excess_requests(load, view.slots)
     return _LOAD_DELAY_SECONDS * load + _QUEUE_DELAY_SECONDS * (
         waiting + excess
