--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -23,6 +23,7 @@
 _WATCHER = 'configuration watcher (three a domain)'
 _HOLDER = 'placement holder (one a domain)'
 _READER = 'store reader (one a domain)'
+_CONDITIONS_READER = 'engine conditions at the reader'
 
 _HEAD = """# Capacity at the design size
 
@@ -175,6 +176,26 @@
     )
 
 
+def _conditions(size, measured):
+    return Row(
+        f'speed ratios of {size["engines"]} engines',
+        'a question in 10 s to the reader; processor time not measured',
+        'measured speeds are merged by the reader of the domain',
+        0,
+        _value(measured, 'speed_host_bytes_s'),
+    )
+
+
+def _conditions_reader(size, measured):
+    return Row(
+        'measurements of all hosts of the domain',
+        '4 answers a second; processor time not measured',
+        'questions a second are bounded for domains of any size',
+        0,
+        _value(measured, 'speed_reader_bytes_s'),
+    )
+
+
 def _process(size, measured):
     return Row(
         'interpreter, libraries, connections',
@@ -196,6 +217,8 @@
     (_HOLDER, _placer),
     ('store follower', _follower),
     (_READER, _reader),
+    ('engine conditions', _conditions),
+    (_CONDITIONS_READER, _conditions_reader),
     ('process', _process),
 )
 
@@ -341,12 +364,13 @@
 def _control(size, measured, budget):
     rows = [(name, row(size, measured)) for name, row in ROLES]
     lines = [_row_line(name, row) for name, row in rows]
-    special = (_HOLDER, _WATCHER, _READER)
+    special = (_HOLDER, _WATCHER, _READER, _CONDITIONS_READER)
+    readers = (_READER, _CONDITIONS_READER)
     rest = [row for name, row in rows if name not in special]
     holder = rest + [row for name, row in rows if name == _HOLDER]
     watcher = rest + [row for name, row in rows if name == _WATCHER]
     lines.extend(_totals('Most nodes:', rest, budget))
-    reader = rest + [row for name, row in rows if name == _READER]
+    reader = rest + [row for name, row in rows if name in readers]
     lines.extend(_totals('A watcher of the configuration:', watcher, budget))
     lines.extend(_totals('A reader of the store:', reader, budget))
     lines.extend(_totals('The holder of a lease:', holder, budget))
