The added parts as a newcomer reads them

A host that tells measured speeds compares all of them again in turn; sixteen that had settled used to block the others. One home_engine for transfers and the choice of engines; drop_oldest for bounded dictionaries; docstrings that the merges left behind.

--- a/pollenstile/conditions/_changes.py
+++ b/pollenstile/conditions/_changes.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 
 from pollenstile.conditions._estimates import SpeedRow, shrunk_ratio
+from pollenstile.ops.bounded import drop_oldest
 
 # Relative change of an estimate from which hosts are told of it.
 _MIN_CHANGE = 0.1
-# Number of estimates without new measurements that each question has compared
-# with what was told: they change as measurements lose weight.
+# Number of told estimates that each question compares again, in turn, though
+# nothing new was measured: they change as measurements lose weight.
 _REVIEWED = 16
 # Maximum number of estimates that are remembered as told or changed.
 _MAX_TOLD = 4096
@@ -50,17 +51,20 @@
 
     told : dict
         :class:`Told` by key, the newest change last.
+    review_order : dict
+        Keys of ``told`` as an ordered set, the longest unreviewed first.
     touched : dict
         Keys whose measurements may have changed since, as an ordered set.
     number : int
         Number of the newest change.
     """
 
-    __slots__ = ('estimates', 'number', 'told', 'touched')
+    __slots__ = ('estimates', 'number', 'review_order', 'told', 'touched')
 
     def __init__(self, estimates):
         self.estimates = estimates
         self.told = {}
+        self.review_order = {}
         self.touched = {}
         self.number = 0
         estimates.on_change = self.touch
@@ -68,8 +72,7 @@
     def touch(self, key):
         """Record that measurements of an incarnation may have changed."""
         self.touched[key] = True
-        if len(self.touched) > _MAX_TOLD:
-            self.touched.pop(next(iter(self.touched)))
+        drop_oldest(self.touched, _MAX_TOLD)
 
     def since(self, number, limit):
         """Return the changes since a number, the oldest ones first.
@@ -102,8 +105,11 @@
 
     def _update(self):
         """Number the estimates that differ from what was told."""
-        for key in list(self.told)[:_REVIEWED]:
-            self.touched[key] = True
+        for key in list(self.review_order)[:_REVIEWED]:
+            self.review_order.pop(key)
+            if key in self.told:
+                self.review_order[key] = True
+                self.touched[key] = True
         keys = list(self.touched)
         self.touched = {}
         for key in keys:
@@ -119,5 +125,5 @@
         self.told.pop(key, None)
         self.number += 1
         self.told[key] = Told(self.number, row)
-        if len(self.told) > _MAX_TOLD:
-            self.told.pop(next(iter(self.told)))
+        self.review_order[key] = True
+        drop_oldest(self.told, _MAX_TOLD)
--- a/pollenstile/conditions/_estimates.py
+++ b/pollenstile/conditions/_estimates.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from pollenstile.conditions._mean import DecayingMean, bounded
+from pollenstile.ops.bounded import drop_oldest
 
 # Weight of the assumption that an engine takes the usual time, in measurements.
 _PRIOR_WEIGHT = 1.0
@@ -253,8 +254,7 @@
 def _kept(entries, key, limit, default):
     """Return an entry, adding the default; forget the oldest over a limit."""
     entry = entries.setdefault(key, default)
-    if len(entries) > limit:
-        entries.pop(next(iter(entries)))
+    drop_oldest(entries, limit)
     return entry
 
 
--- a/pollenstile/forward/_partsources.py
+++ b/pollenstile/forward/_partsources.py
@@ -10,7 +10,7 @@
 from pollenstile.promptparts import (
     EngineHistory,
     has_transferable_parts,
-    home_of,
+    home_engine,
     is_worthwhile,
     part_source,
     reachable_engines,
@@ -103,7 +103,7 @@
             software = view.software
             if software not in homes:
                 current, _ = self._reachable(exchange.service, software)
-                homes[software] = home_of(current, subject)
+                homes[software] = home_engine(current, subject)
             if homes[software] is None or homes[software] is view:
                 return None
             return transfer_cost_seconds(transfer, tokens)
--- a/pollenstile/forward/_selection.py
+++ b/pollenstile/forward/_selection.py
@@ -9,6 +9,7 @@
 from pollenstile.conditions import usual_time
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.rendezvous import rendezvous_weight
+from pollenstile.promptparts import home_engine
 
 # Delay that each request in an engine's batch adds for the others. With 20 ms,
 # requests of one subject moved to less loaded engines, which read the shared
@@ -390,22 +391,6 @@
     return prompt[-1][1] if prompt else 0
 
 
-def home_engine(views, subject):
-    """Return the home engine of a subject.
-
-    Explanation
-    ===========
-
-    Rendezvous hashing yields the same engine at every host. An engine that
-    joins or leaves moves only its own subjects.
-    """
-
-    def weight(view):
-        return rendezvous_weight(subject, view.ident)
-
-    return max(views, key=weight)
-
-
 @dataclass(slots=True, frozen=True)
 class EngineCosts:
     """Functions of a view that adjust its expected time.
@@ -527,12 +512,12 @@
 
 
 def _excess(load, slots):
-    """Return the number of requests that one more would make wait."""
+    """Return how many requests would wait if one more were sent."""
     return max(0, load - slots + 1)
 
 
 def _expected_excess(load, slots):
-    """Return the same as expected if the load is uncertain.
+    """Return how many would wait on average, as the load is uncertain.
 
     Explanation
     ===========
--- a/pollenstile/promptparts/__init__.py
+++ b/pollenstile/promptparts/__init__.py
@@ -11,7 +11,7 @@
 from pollenstile.promptparts._history import EngineHistory
 from pollenstile.promptparts._source import (
     PartSource,
-    home_of,
+    home_engine,
     part_source,
     reachable_engines,
 )
--- a/pollenstile/promptparts/_source.py
+++ b/pollenstile/promptparts/_source.py
@@ -28,8 +28,15 @@
     reason: str
 
 
-def home_of(engines, subject):
-    """Return the home engine of a subject; None if there are no engines."""
+def home_engine(engines, subject):
+    """Return the home engine of a subject; None if there are no engines.
+
+    Explanation
+    ===========
+
+    Rendezvous hashing yields the same engine at every host. An engine that
+    joins or leaves moves only its own subjects.
+    """
 
     def weight(view):
         return rendezvous_weight(subject, view.ident)
@@ -68,9 +75,9 @@
     ========
 
     >>> from pollenstile.forward import UpstreamView
-    >>> from pollenstile.promptparts import home_of, part_source
+    >>> from pollenstile.promptparts import home_engine, part_source
     >>> one, two = (UpstreamView(name, 'a:1', 'd') for name in 'xy')
-    >>> home = home_of([one, two], 'head')
+    >>> home = home_engine([one, two], 'head')
     >>> other = two if home is one else one
     >>> part_source(other, 'head', [one, two], [one, two]).view is home
     True
@@ -81,10 +88,10 @@
     """
     if not subject:
         return None
-    home = home_of(current, subject)
+    home = home_engine(current, subject)
     if home is not None and home is not chosen:
         return PartSource(home, 'home')
-    former_home = home_of(former, subject)
+    former_home = home_engine(former, subject)
     if former_home is None or former_home.ident == chosen.ident:
         return None
     return PartSource(former_home, 'former home')
@@ -139,7 +146,8 @@
     ===========
 
     Those without an answer since the first of several failed connections; the
-    remaining engines of the domain may not have been tried since.
+    remaining engines of the domain may not have been tried since. The host's
+    own domain and small ones count too, unlike for the choice of upstreams.
     """
     since = {}
     for view in lost:
--- a/pollenstile/promptparts/_transfer.py
+++ b/pollenstile/promptparts/_transfer.py
@@ -57,7 +57,7 @@
     >>> is_worthwhile(None, 1.0)
     False
     """
-    if transfer is None or transfer.token_bytes <= 0 or transfer.link_rate <= 0:
+    if transfer is None:
         return False
     return _moving_seconds(transfer, 1) < _MAX_TIME_SHARE * token_seconds
 
--- a/pollenstile/reachability/_domains.py
+++ b/pollenstile/reachability/_domains.py
@@ -9,7 +9,7 @@
 _MS = 1000
 # Upstreams of a failure domain from which it is judged as a whole. A host sends
 # to each of a few upstreams often enough to find every one unreachable itself.
-MIN_UPSTREAMS = 16
+_MIN_UPSTREAMS = 16
 # Upstreams of a domain whose connections must time out in a row, with none
 # opened in between. One upstream may have crashed.
 _MIN_TIMEOUTS = 2
@@ -100,7 +100,7 @@
         if len(recent) < _MIN_TIMEOUTS:
             return
         addresses = self._addresses(domain)
-        if len(addresses) < MIN_UPSTREAMS:
+        if len(addresses) < _MIN_UPSTREAMS:
             return
         self.unreachable[domain] = now
         self.log(
--- a/pollenstile/returns/_slots.py
+++ b/pollenstile/returns/_slots.py
@@ -80,7 +80,8 @@
     =======
 
     list of PieceShare
-        Empty if no slot has room.
+        Empty if no slot has room. They hold fewer pieces than the group if it
+        does not fit into the slots that one group may take up.
 
     Examples
     ========
--- a/pollenstile/shares/_shares.py
+++ b/pollenstile/shares/_shares.py
@@ -11,9 +11,11 @@
 _MIN_GROUPS = 20
 # Admitted share of the more urgent pieces below which less urgent ones yield.
 _SERVED_SHARE = 0.95
-# Admitted share of an urgency's pieces below which it yields to no other, and
-# of a team's pieces relative to all teams'.
-_MIN_SHARE = 0.25
+# Admitted share of an urgency's pieces below which it yields to no other.
+_MIN_URGENCY_SHARE = 0.25
+# Ratio of a team's admitted share to that of all teams below which it yields to
+# no team.
+_MIN_TEAM_RATIO = 0.25
 
 
 class TeamShares:
@@ -42,6 +44,12 @@
     def exceeds(self, team, total, now):
         """Return whether a team has more than its share while others lack.
 
+        Explanation
+        ===========
+
+        A team whose pieces are admitted far more seldom than those of all
+        teams never has.
+
         Parameters
         ==========
 
@@ -52,7 +60,7 @@
         count = self.counts.totals.get(team)
         if count is None or count.admitted <= self.level:
             return False
-        return count.share() >= _MIN_SHARE * total.share()
+        return count.share() >= _MIN_TEAM_RATIO * total.share()
 
     def _update_level(self, total, now):
         bucket = bucket_number(now)
@@ -82,6 +90,10 @@
         Groups recorded, up to the number from which the shares count.
     offered, admitted : dict
         Pieces since the start, by urgency.
+    by_urgency : SlidingCounts
+        Recent pieces by urgency.
+    teams, sizes : dict
+        :class:`TeamShares` and :class:`SizeShares` of each urgency.
 
     Examples
     ========
@@ -140,6 +152,11 @@
     def refuses(self, group, now):
         """Return why a group is refused; empty if it is not.
 
+        Explanation
+        ===========
+
+        Groups of a size that is admitted too seldom are never refused here.
+
         Parameters
         ==========
 
@@ -171,4 +188,6 @@
                 more.add(count.offered, count.admitted)
             elif other == urgency:
                 own = count
-        return more.share() < _SERVED_SHARE and own.share() >= _MIN_SHARE
+        return (
+            more.share() < _SERVED_SHARE and own.share() >= _MIN_URGENCY_SHARE
+        )
--- a/pollenstile/stagework/_admission.py
+++ b/pollenstile/stagework/_admission.py
@@ -86,7 +86,7 @@
         owner = self.owner
         full = full_seconds(owner.limits)
         if not group.is_first:
-            return LATE if self._ends_late(group, now, full) else reason
+            return LATE if self._ends_late(group, now, full) else ''
         short = is_short(group, wait, full)
         if not reason and not short:
             reason = owner.shares.refuses(group, now)
--- a/pollenstile/stagework/_ranking.py
+++ b/pollenstile/stagework/_ranking.py
@@ -44,8 +44,8 @@
     If all waiting pieces counted, an urgent request with small pieces would be
     refused because of a queue of large ones that it would overtake.
 
-    Pieces of returning callers always count: their callers go before new ones,
-    however urgent, and are never late.
+    Pieces of returning callers always count, whatever their urgency: they are
+    never ranked as late, so a new group can't rely on overtaking them.
     """
     rank = _rank(group, now, work)
     return sum(
--- a/pollenstile/stagework/_returning.py
+++ b/pollenstile/stagework/_returning.py
@@ -34,8 +34,8 @@
     owner.returns.record_return(group)
     if group.is_first:
         owner.stats.record_admission(group.urgency, accepted=True)
-    if owner.shares is not None and group.is_first:
-        owner.shares.record(group, now, accepted=True)
+        if owner.shares is not None:
+            owner.shares.record(group, now, accepted=True)
     return True
 
 
@@ -62,8 +62,7 @@
     """
     wait = owner.wait(group.count)
     if not group.is_first:
-        reason = BUSY if owner.shares is None else LATE
-        return GroupRefused(reason, wait, wait, waited)
+        return GroupRefused(LATE, wait, wait, waited)
     now = owner.clock.seconds()
     if yields(owner, group, now):
         honoured = HONOURED_SHARE * (group.deadline - now)
--- a/pollenstile/stagework/_waiting.py
+++ b/pollenstile/stagework/_waiting.py
@@ -91,8 +91,9 @@
 
     Pieces that are made too late delay others that would have been in time, and
     take up memory that the others need. After an immediate refusal, the caller
-    can retry when the queue is shorter. A group with inputs is always admitted
-    because the work of earlier steps is done.
+    can retry when the queue is shorter. A group of a later step may always
+    join here, because the work of earlier steps is done; a graded queue still
+    refuses it if it can't be made before its deadline.
 
     Parameters
     ==========
