--- a/pollenstile/returns/_times.py
+++ b/pollenstile/returns/_times.py
@@ -15,7 +15,7 @@
 # Seconds after its slot for which a returning caller is due.
 _LATE_SECONDS = 1.0
 # Share of its remaining time up to which a caller honours a return time.
-HONOURED_SHARE = 1 / 3
+_HONOURED_SHARE = 1 / 3
 # Maximum number of promises that are kept in memory.
 _MAX_PROMISES = 20_000
 
@@ -210,7 +210,7 @@
         return sum(not known.returned for known in self.promises.values())
 
     def _shares(self, group, now, wait, rate):
-        honoured = now + HONOURED_SHARE * (group.deadline - now)
+        honoured = now + _HONOURED_SHARE * (group.deadline - now)
         last = slot_of(honoured - SLOT_SECONDS / 2)
         return allocated_pieces(
             self.pieces, slot_of(now + wait) + 1, last, group.count, rate
--- a/pollenstile/shares/__init__.py
+++ b/pollenstile/shares/__init__.py
@@ -7,4 +7,3 @@
     TEAM_SHARE,
     AdmissionShares,
 )
-from pollenstile.shares._window import WINDOW_SECONDS
--- a/pollenstile/stagework/_returning.py
+++ b/pollenstile/stagework/_returning.py
@@ -1,7 +1,5 @@
 """Promised return times at an owner's queue: refusals and admissions."""
 
-from pollenstile.returns import HONOURED_SHARE
-from pollenstile.shares import WINDOW_SECONDS
 from pollenstile.stagework._admission import BUSY, LATE
 from pollenstile.stagework._calltimes import full_seconds, long_wait
 from pollenstile.stagework._types import GroupRefused
@@ -51,8 +49,9 @@
     Explanation
     ===========
 
-    A caller whose urgency yields to more urgent ones is told to return when the
-    shares may have changed, and is promised nothing.
+    A caller whose urgency yields to more urgent ones is promised nothing. It is
+    told the wait, like others: told the length of the shares' window, callers
+    came back too late for their target latency.
 
     Parameters
     ==========
@@ -64,11 +63,7 @@
     if not group.is_first:
         return GroupRefused(LATE, wait, wait, waited)
     now = owner.clock.seconds()
-    if yields(owner, group, now):
-        honoured = HONOURED_SHARE * (group.deadline - now)
-        seconds = max(wait, min(WINDOW_SECONDS, honoured))
-        return GroupRefused(BUSY, seconds, wait, waited)
-    if owner.returns is None:
+    if owner.returns is None or yields(owner, group, now):
         return GroupRefused(BUSY, wait, wait, waited)
     seconds = owner.returns.promise(group, now, wait, queue_rate(owner))
     if seconds is None:
