conditions: measured speeds decide on engines only where a setting says so

What of it does the harm is not traced. Change: the setting engine_speeds, off by default. Load reports with a fourth figure are still read. Measured: features of conditions, hard-load soak and docs give the same results.

--- a/pollenstile/conditions/_conditions.py
+++ b/pollenstile/conditions/_conditions.py
@@ -35,6 +35,8 @@
     Attributes
     ==========
 
+    is_enabled : bool
+        Whether speeds are measured, exchanged and used.
     estimates : SpeedEstimates
         Measured speed ratios.
     ratios : dict
@@ -50,6 +52,7 @@
     __slots__ = (
         'clock',
         'estimates',
+        'is_enabled',
         'ratios',
         'ratios_until',
         'reported_at',
@@ -58,6 +61,7 @@
 
     def __init__(self, clock, log=silent_log):
         self.clock = clock
+        self.is_enabled = True
         self.estimates = SpeedEstimates(clock)
         self.ratios = {}
         self.ratios_until = 0.0
@@ -68,7 +72,7 @@
         """Record a load report, None if unreadable, of an incarnation."""
         if report is None:
             self.unreadable.write(name, [text])
-        elif report.slowdown is not None:
+        elif report.slowdown is not None and self.is_enabled:
             self.reported_at[service] = self.clock.seconds()
 
     def applies_to(self, service):
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -170,6 +170,7 @@
             reactor, SoftwareHistory(reactor, configuration.is_fresh), log
         ),
     )
+    core.conditions.is_enabled = settings.engine_speeds
     owners.calls.attach_crash_detector(core.crashes, quarantine)
     members = Members(
         store,
--- a/pollenstile/forward/_settings.py
+++ b/pollenstile/forward/_settings.py
@@ -40,6 +40,8 @@
         Descriptors that the process may open; 0 if unknown.
     return_times : bool
         Whether graded stage queues promise refused callers a time to return.
+    engine_speeds : bool
+        Whether measured speeds and reported slowdowns decide on engines.
     """
 
     host: str
@@ -61,6 +63,7 @@
     tunnels: tuple | None = None
     descriptors: int = 0
     return_times: bool = False
+    engine_speeds: bool = False
 
 
 # Share of the tightest bound on applying changes after which a host reads the
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -100,4 +100,5 @@
         capacity=settings.capacity,
         descriptors=settings.descriptors,
         return_times=bool(settings.return_times),
+        engine_speeds=bool(settings.engine_speeds),
     )
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -290,6 +290,13 @@
         'whether refused callers of graded stage queues are promised a time to'
         ' return: 0 or 1; more are answered, fewer within their target latency',
     ),
+    Setting(
+        'engine_speeds',
+        number_in_range(0, 1, int),
+        '0',
+        'whether measured speeds and reported slowdowns decide on engines: 0 or'
+        ' 1; hosts exchange what they measure',
+    ),
 )
 
 
--- a/pollenstile/soak/hardload/_world.py
+++ b/pollenstile/soak/hardload/_world.py
@@ -113,6 +113,7 @@
             repeat_slack=RETRY_SLACK,
             grace_seconds=_GRACE_SECONDS,
             return_times=True,
+            engine_speeds=True,
         )
         self.trace = Trace(fleet.clock)
         self.records = Records(self.trace, self.log)
