Show streams that end, or are joined, when all hosts end at once

Callers saw: streams that broke off with all hosts were refused for good, and in a second report were answered 200 and joined of two versions.

No logic is changed.

--- a/features/versions.feature
+++ b/features/versions.feature
@@ -53,6 +53,27 @@
       | two   |
       | no    |
 
+  Scenario: Streams go on after all hosts have ended
+    Guards against streams whose version only hosts knew, all of which ended at once.
+    Given 9 hosts in 4 domains, and as many upstreams of two versions
+    When all hosts restart while streams run, with seeds 1 and 2
+    Then at most 2 streams of each run have events of two versions
+    And the streams that callers take up go on at least half as often as new ones begin
+
+  Scenario Outline: A missing record shows nothing: <fault>, <count> versions
+    Guards against a version that served and was never recorded, taken for one that never was.
+    Given 9 hosts in 4 domains, and as many upstreams of <count> versions
+    When <fault> while streams run, with seeds 1 and 2
+    Then at most 0 streams of each run have events of two versions
+
+    Examples:
+      | count | fault                                            |
+      | no    | records are refused and all hosts restart        |
+      | no    | records are refused and all hosts restart later  |
+      | no    | the first writers are away and all hosts restart |
+      | no    | the store is away and all hosts restart          |
+      | two   | the store is away and all hosts restart          |
+
   Scenario Outline: Hosts of one version serve as before: <fault>
     The opposite case: nothing is refused for its version where there is only one.
     Given 9 hosts in 4 domains, and as many upstreams of no versions
--- a/pollenstile/bench/_versionworld.py
+++ b/pollenstile/bench/_versionworld.py
@@ -75,13 +75,19 @@
         if not running:
             return
         host = self.fleet.hosts[name] if name else self.rng.choice(running)
-        host.end()
-        for answer in self.live.pop(host.name, ()):
-            answer.cut_off()
+        if host.gone:
+            return
+        self.end_host(host.name)
         self.later(
             _HOST_RESTART_SECONDS, self.start_all, {host.name: host.domain}
         )
 
+    def end_host(self, name):
+        """End a host for good."""
+        self.fleet.hosts[name].end()
+        for answer in self.live.pop(name, ()):
+            answer.cut_off()
+
     def schedule_replacement(self, software, seconds):
         """Replace each upstream in turn by one of another version."""
         addresses = list(self.upstreams.processes)
--- a/pollenstile/bench/versions.py
+++ b/pollenstile/bench/versions.py
@@ -17,7 +17,10 @@
     print_measured,
 )
 from pollenstile.bench._costs import measure_costs
+from pollenstile.bench._streamtries import SERVICE
 from pollenstile.bench._versionworld import Versions, VersionWorld
+from pollenstile.origins import SOFTWARE_KIND
+from pollenstile.peer import rank_candidates
 
 # Seconds in which streams begin, and in which the last ones end.
 SECONDS = 20.0
@@ -34,6 +37,14 @@
 # Seconds in which all upstreams are replaced, and at which hosts are killed.
 _REPLACE_SECONDS = 3.0
 _RESTART_AT = 3.6
+# Seconds at which the store takes records of versions again, and at which all
+# hosts are killed soon after, or later.
+_RECORDED_AT = 4.0
+_SOON_AT = 4.2
+_LATER_AT = 7.0
+# Hosts that stay away: those that write a record first.
+_LOST_WRITERS = 3
+_LOST_AT = 1.0
 # Hosts and failure domains.
 _SIZES = '9/4,30/3,60/4,195/6'
 
@@ -95,11 +106,45 @@
     _kill_and_replace(world)
 
 
-def _replace_and_restart_all(world):
+def _replace_and_restart_all(world, restart_at=_RESTART_AT):
     """Kill all hosts just after the last upstreams of the old versions left."""
     world.schedule_replacement('v2', _REPLACE_SECONDS)
     for name in world.fleet.hosts:
-        world.later(_RESTART_AT, world.kill_host, name)
+        world.later(restart_at, world.kill_host, name)
+
+
+def _refuse_records(world, restart_at):
+    """Let the store refuse records while upstreams are replaced."""
+    world.fleet.store.refused_kinds.add(SOFTWARE_KIND)
+    world.later(_RECORDED_AT, world.fleet.store.refused_kinds.clear)
+    _replace_and_restart_all(world, restart_at)
+
+
+def _refuse_records_and_restart(world):
+    _refuse_records(world, _SOON_AT)
+
+
+def _refuse_records_and_restart_later(world):
+    _refuse_records(world, _LATER_AT)
+
+
+def _lose_store_and_restart_all(world):
+    """Let the store be away when all hosts come back."""
+    _replace_and_restart_all(world)
+    world.later(_RESTART_AT, _set_away, world, True)
+    world.later(_BACK_AT, _set_away, world, False)
+
+
+def _lose_writers_and_restart_all(world):
+    """Replace upstreams while the hosts that record versions first are away."""
+    names = rank_candidates(
+        f'software/{SERVICE}', world.fleet.hosts, _LOST_WRITERS
+    )
+    for name in names:
+        world.later(_LOST_AT, world.end_host, name)
+    world.later(_LOST_AT, world.schedule_replacement, 'v2', _REPLACE_SECONDS)
+    for name in world.fleet.hosts:
+        world.later(_LATER_AT, world.kill_host, name)
 
 
 FAULTS = {
@@ -112,6 +157,14 @@
     'upstreams are replaced and all hosts restart': _replace_and_restart_all,
     'the store is away and hosts are killed': _lose_store,
     'a domain is cut off': _cut_domain,
+    'records are refused and all hosts restart': _refuse_records_and_restart,
+    'records are refused and all hosts restart later': (
+        _refuse_records_and_restart_later
+    ),
+    'the store is away and all hosts restart': _lose_store_and_restart_all,
+    'the first writers are away and all hosts restart': (
+        _lose_writers_and_restart_all
+    ),
 }
 
 
--- a/pollenstile/standin/_memory.py
+++ b/pollenstile/standin/_memory.py
@@ -54,6 +54,8 @@
         Number of following watches that are answered with the full history.
     calls : collections.Counter
         Number of calls to the store, by step.
+    refused_kinds : set of str
+        Kinds whose writes are refused.
     waiting : dict
         Arguments of each waiting watch, by the Deferred that wakes it.
 
@@ -86,6 +88,7 @@
         'lose_requests',
         'objects',
         'peer',
+        'refused_kinds',
         'silent_watches',
         'stale_watches',
         'timeout',
@@ -105,6 +108,7 @@
         self.empty_watches = False
         self.stale_watches = 0
         self.calls = Counter()
+        self.refused_kinds = set()
         self.waiting = {}
 
     def write_at_once(self, kind, name, value):
@@ -149,6 +153,8 @@
             return NotApplied('put', self.peer, 'status 400')
         if len(encoded) > VALUE_LIMIT:
             return NotApplied('put', self.peer, 'status 413')
+        if kind in self.refused_kinds:
+            return _refused('put', self.peer)
 
         def operation():
             outcome = self.objects.put(kind, name, encoded, if_version)
@@ -159,6 +165,8 @@
 
     async def delete(self, kind, name, if_version=None):
         """Return ``Written``, ``Conflict``, ``NotApplied`` or ``InDoubt``."""
+        if kind in self.refused_kinds:
+            return _refused('delete', self.peer)
 
         def operation():
             outcome = self.objects.delete(kind, name, if_version)
