origins: streams go on after all hosts ended, and a missing record proves nothing

Callers saw: streams that broke off when all hosts ended were refused for good ("unknown version"), or, where the store had refused the record of versions or the hosts that write it were away, were answered 200 and joined of two versions.

Cause: what ties a stream to its version was known to hosts only. A record of versions existed only while several were seen, so a missing one was taken for proof that one served; its writers gave up after five tries, and only three hosts by rank wrote at all. Keepers whose address refuses connections counted as witnesses although hosts that ended can't tell what they knew.

Change: keepers write the streams of their domain to the store while several versions are seen, at most twice a second, and hosts that have started read them there. Each service of streams always has a record of its versions; one that is created where nobody can know what served before counts only after a minute. It is tried until it is written, by the first three hosts in turn and by each host that reads the store itself. Without a complete witness nobody concludes.

The scenario that a single version writes nothing is replaced by one as strict: one record of that version, written once, and no streams. That hosts forget is now that the record has the second version only.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -12,7 +12,13 @@
 from features.builders.permission import open_connection
 from pollenstile.bench._versionworld import Versions, VersionWorld
 from pollenstile.bench.versions import play
-from pollenstile.origins import SOFTWARE_KIND, Origin, Witness, origin_key
+from pollenstile.origins import (
+    SOFTWARE_KIND,
+    STREAMS_KIND,
+    Origin,
+    Witness,
+    origin_key,
+)
 from pollenstile.origins._codec import (
     OriginAnswer,
     decode_answer,
@@ -30,8 +36,7 @@
 _BEGIN_SECONDS = 0.8
 # Seconds in which a try is answered.
 _TRY_SECONDS = 1.0
-# Events of what is told while there are several versions.
-_MIXED_EVENTS = frozenset(('software-mixed', 'software-recorded'))
+_RECORDED_EVENT = 'software-recorded'
 _OTHER_TEAM = 'other'
 # Changed messages of each kind.
 _MUTATIONS = 300
@@ -91,11 +96,24 @@
             assert not world.count_refusals(reason), reason
 
 
-@then('no host tells another one of streams, or the store of versions')
+@then('no host tells another one, or the store, of streams')
 def then_not_told(context):
     for world in context.worlds:
         logged = {name for _, _, name, _ in world.fleet.logged}
-        assert not logged & _MIXED_EVENTS, logged
+        assert 'software-mixed' not in logged, logged
+        kinds = world.fleet.store.objects.names
+        assert not any(kind.startswith(STREAMS_KIND) for kind in kinds), kinds
+
+
+@then('the store was told of one version, once')
+def then_told_once(context):
+    for world in context.worlds:
+        told = [
+            fields['versions']
+            for _, _, name, fields in world.fleet.logged
+            if name == _RECORDED_EVENT
+        ]
+        assert told == [[context.versions.first]], told
 
 
 def _world(context):
@@ -205,12 +223,17 @@
 @then('the store has a record of both versions')
 def then_recorded(context):
     versions = sorted({context.versions.first, context.versions.second})
-    assert _records(context.world) == [{'versions': versions}]
+    assert _records(context.world) == [_proven(versions)]
+
+
+@then('the store has a record of the second version')
+def then_second_recorded(context):
+    versions = [context.versions.second]
+    assert _records(context.world) == [_proven(versions)]
 
 
-@then('the store has no record of versions')
-def then_not_recorded(context):
-    assert not _records(context.world)
+def _proven(versions):
+    return {'versions': versions, 'proven': True}
 
 
 @given('two hosts with a route that is split between two services')
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -80,7 +80,8 @@
     When <fault> while streams run, with seeds 1 and 2
     Then no try is refused for its version
     And the streams that callers take up go on at least half as often as new ones begin
-    And no host tells another one of streams, or the store of versions
+    And no host tells another one, or the store, of streams
+    And the store was told of one version, once
 
     Examples:
       | fault                                  |
@@ -129,7 +130,7 @@
     When streams begin, and the upstreams of the first version leave
     Then the store has a record of both versions
     When 75 seconds have passed
-    Then the store has no record of versions
+    Then the store has a record of the second version
 
   Scenario: A stream that is taken up stays at its service on a split route
     Guards against a stream of one service that goes on at another one.
--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -263,6 +263,8 @@
         Log lines: time in seconds, host, event name and fields.
     on_event : function
         Called with host name, event and fields of each log line.
+    ended_calls : int
+        Store calls of processes that other ones of their name have replaced.
     """
 
     __slots__ = (
@@ -270,6 +272,7 @@
         'by_host',
         'clock',
         'cut',
+        'ended_calls',
         'hosts',
         'keys',
         'logged',
@@ -298,6 +301,7 @@
         self.keys = keys
         self.on_event = _ignore
         self.cut = set()
+        self.ended_calls = 0
         self.sides = {}
         self.clock = VirtualReactor()
         self.store = MemoryStore(self.clock)
@@ -323,6 +327,8 @@
     def add_host(self, name, domain):
         """Start a host and return it."""
         log = self._log_of(name)
+        replaced = self.hosts.get(name)
+        self.ended_calls += replaced.path.calls if replaced else 0
         self.hosts[name] = DomainHost(self, name, domain, log)
         return self.hosts[name]
 
@@ -383,7 +389,8 @@
 
     def calls(self):
         """Return the number of store calls that all hosts have made."""
-        return sum(host.path.calls for host in self.hosts.values())
+        running = sum(host.path.calls for host in self.hosts.values())
+        return self.ended_calls + running
 
     def _write(self, kind, name, value):
         done = Deferred.fromCoroutine(self.store.put(kind, name, value))
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -12,6 +12,7 @@
 from pollenstile.forward._core import ForwardCore
 from pollenstile.forward._drained import DRAINED, DrainedDomains
 from pollenstile.forward._members import HOSTS, Members, PeerHost
+from pollenstile.forward._originassembly import build_origin_parts
 from pollenstile.forward._owners import StageOwners
 from pollenstile.forward._pathassembly import add_paths, build_tunnel_server
 from pollenstile.forward._peerkey import PeerKey
@@ -25,6 +26,7 @@
     OriginSharing,
     SoftwareHistory,
     SoftwareRecorder,
+    StreamRecorder,
 )
 from pollenstile.peer import MIN_VERSION, VERSION, Hello, Hub, tcp_connect
 from pollenstile.permission import LeavingSharing, build_permissions
@@ -80,6 +82,7 @@
     tunnels: TunnelServer
     origin_sharing: OriginSharing
     software_record: SoftwareRecorder
+    stream_record: StreamRecorder
     peer_key: PeerKey
 
 
@@ -181,7 +184,7 @@
     )
     add_paths(reactor, rng, settings, hub, core, members, log)
     core.part_sources.has_lost_path = client.paths.lost.__contains__
-    return _follow_returns(
+    return _connect_parts(
         HostParts(
             core,
             hub,
@@ -202,8 +205,7 @@
             ),
             client.paths,
             build_tunnel_server(reactor, hub, registry, client.paths, log),
-            OriginSharing(hub, core.origins, members.hosts, log),
-            _build_software_record(store, settings, core, members),
+            *build_origin_parts(store, settings, core, hub, members),
             PeerKey(store, reactor, settings.host, members.hosts, log),
         ),
         store.eras,
@@ -211,8 +213,9 @@
     )
 
 
-def _follow_returns(parts, eras, rng):
-    """Let the parts know when the store has returned from an older copy."""
+def _connect_parts(parts, eras, rng):
+    """Let the parts know who reads the store, and when it has returned."""
+    parts.software_record.is_following = parts.relay.follower.is_following
     configuration = parts.core.configuration
     eras.on_first = configuration.note_return
     parts.software_record.is_settled = configuration.settling.is_over
@@ -253,19 +256,6 @@
     )
 
 
-def _build_software_record(store, settings, core, members):
-    record = SoftwareRecorder(
-        store,
-        core.clock,
-        settings.host,
-        members.hosts,
-        core.origins.history,
-        core.log,
-    )
-    core.origins.confirm = record.confirm
-    return record
-
-
 def _build_calls(reactor, client, adapter, registry, permissions, log):
     calls = StageCalls(
         reactor, client, adapter.codec, adapter.names, permissions, log
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -164,7 +164,9 @@
         return self.permissions.rates
 
     def _note_software(self):
-        self.origins.history.update(self.registry.upstreams.values())
+        self.origins.history.update(
+            self.registry.upstreams.values(), is_listed=self.registry.known
+        )
 
     def _wake_all(self, name):
         """Let all waiting requests choose again: their upstream may leave."""
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -292,6 +292,7 @@
         self.parts.record.expire()
         self.parts.core.origins.review()
         self.parts.software_record.review()
+        self.parts.stream_record.review()
         self.condition_sharing.review()
         upstreams = self.parts.core.registry.upstreams.values()
         self.parts.paths.forget({upstream.address for upstream in upstreams})
--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -69,7 +69,9 @@
     """
     exchange.software = view.software
     if exchange.route.resumable:
-        core.origins.note_began(_key(exchange), exchange.service, view.software)
+        core.origins.note_began(
+            _key(exchange), exchange.service, view.software, exchange.ends
+        )
 
 
 def send_refusal(core, exchange, view):
--- a/pollenstile/origins/__init__.py
+++ b/pollenstile/origins/__init__.py
@@ -12,4 +12,5 @@
 )
 from pollenstile.origins._record import SOFTWARE_KIND, SoftwareRecorder
 from pollenstile.origins._sharing import OriginSharing
+from pollenstile.origins._streamrecord import STREAMS_KIND, StreamRecorder
 from pollenstile.origins._table import Origin, OriginTable
--- a/pollenstile/origins/_conclusion.py
+++ b/pollenstile/origins/_conclusion.py
@@ -33,7 +33,8 @@
     No host can have begun a stream at a version that it did not read from the
     store. A witness in contact with the store would have seen it too. If no
     witness is in contact, the store is most likely away for all hosts; but a
-    host that was not heard may still reach it.
+    host that was not heard may still reach it. Hosts that have all just started
+    can't know what served before.
 
     Parameters
     ==========
@@ -53,6 +54,9 @@
     >>> in_contact = Witness(frozenset(('v1',)), True, True)
     >>> concluded_version([cut_off, in_contact], is_everyone_heard=False)
     'v1'
+    >>> started = Witness(frozenset(('v1',)), True, False)
+    >>> concluded_version([started], is_everyone_heard=True) is None
+    True
     >>> newer = Witness(frozenset(('v1', 'v2')), True, True)
     >>> concluded_version([in_contact, newer], is_everyone_heard=True) is None
     True
@@ -60,7 +64,8 @@
     versions = frozenset().union(*(witness.versions for witness in witnesses))
     if len(versions) != 1:
         return None
-    is_sure = any(
-        witness.is_fresh and witness.is_complete for witness in witnesses
-    )
-    return next(iter(versions)) if is_sure or is_everyone_heard else None
+    complete = [witness for witness in witnesses if witness.is_complete]
+    is_sure = any(witness.is_fresh for witness in complete)
+    if is_sure or complete and is_everyone_heard:
+        return next(iter(versions))
+    return None
--- a/pollenstile/origins/_history.py
+++ b/pollenstile/origins/_history.py
@@ -14,7 +14,7 @@
     One version in the list now does not prove that a stream began at it: the
     one that began it may just have been replaced. So the history is complete
     only if the host has followed the registry for long enough, or has read
-    since then that no other version was seen by any host.
+    since then which versions any host has seen.
 
     Parameters
     ==========
@@ -34,7 +34,11 @@
     followed_since : float
         Time since which the host has followed the registry without a gap.
     confirmed_at : dict
-        Time at which the record of other versions was last read, by service.
+        Time at which a proven record of versions was last read, by service.
+    new_services : set of str
+        Services whose first upstream appeared while the registry was followed.
+    was_listed : bool
+        Whether a full list of the registry was received.
     listeners : list of function
         Called with a service of which another version was seen.
     """
@@ -47,6 +51,8 @@
         'in_gap',
         'is_fresh',
         'listeners',
+        'new_services',
+        'was_listed',
     )
 
     def __init__(self, clock, is_fresh):
@@ -56,15 +62,27 @@
         self.followed_since = clock.seconds()
         self.in_gap = True
         self.confirmed_at = {}
+        self.new_services = set()
+        self.was_listed = False
         self.listeners = []
 
-    def update(self, upstreams):
-        """Note the versions of all registered upstreams."""
+    def update(self, upstreams, *, is_listed=True):
+        """Note the versions of all registered upstreams.
+
+        Parameters
+        ==========
+
+        is_listed : bool
+            Whether a full list of the registry was received.
+        """
         now = self.clock.seconds()
         listed = {}
         for upstream in upstreams:
             versions = listed.setdefault(upstream.service, set())
             versions.add(upstream.software)
+        if self.was_listed:
+            self.new_services.update(listed.keys() - self.gone_at.keys())
+        self.was_listed = is_listed
         for service, seen in self.gone_at.items():
             for software, gone_at in seen.items():
                 if gone_at is None and software not in listed.get(service, ()):
@@ -72,17 +90,23 @@
         for service, versions in listed.items():
             self._note_listed(service, versions)
 
-    def confirm(self, service, versions):
+    def note_recorded(self, service, versions, *, is_proof):
         """Note the versions that any host has recorded of a service.
 
         Parameters
         ==========
 
         versions : iterable of str
-            The recorded versions; empty if there is no record.
+            The recorded versions.
+        is_proof : bool
+            Whether no host has seen another version that is not recorded.
         """
         now = self.clock.seconds()
-        self.confirmed_at[service] = now
+        if is_proof:
+            self.confirmed_at[service] = now
+        if self.has_followed() and not self.in_gap:
+            # The host has seen all versions itself, and the record may be old.
+            return
         seen = self.gone_at.setdefault(service, {})
         added = [software for software in versions if software not in seen]
         for software in added:
@@ -96,6 +120,8 @@
         is_fresh = self.is_fresh()
         if is_fresh and self.in_gap:
             self.followed_since = now
+        if not is_fresh and not self.in_gap:
+            self.new_services.clear()
         self.in_gap = not is_fresh
         oldest = now - HISTORY_SECONDS
         for seen in self.gone_at.values():
@@ -120,6 +146,10 @@
         """Return whether no other version can have been seen by any host."""
         if self.confirmed_at.get(service, -1.0) >= self.followed_since:
             return True
+        return self.has_followed()
+
+    def has_followed(self):
+        """Return whether the registry was followed for long enough."""
         return self.clock.seconds() - self.followed_since >= HISTORY_SECONDS
 
     def seconds_since_gone(self, service, software):
--- a/pollenstile/origins/_origins.py
+++ b/pollenstile/origins/_origins.py
@@ -1,6 +1,6 @@
 """The version at which a stream began: what a host knows and finds out."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from twisted.internet.defer import succeed
 
@@ -12,6 +12,10 @@
 # Seconds after which a caller should try again when a host that may know its
 # stream did not answer: another host may reach it.
 _RETRY_SECONDS = 0.3
+# Seconds for which a stream is remembered after its caller's deadline.
+_SLACK_SECONDS = 2.0
+# How the version of a stream is known that was read from the store.
+_STORE = 'store'
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,7 +28,8 @@
     software : str or None
         The version; None if the service has no upstream at all.
     source : str
-        How it is known: ``'own'``, ``'only version'`` or a peer's name.
+        How it is known: ``'own'``, ``'only version'``, ``'store'`` or a peer's
+        name.
     """
 
     software: str | None
@@ -104,6 +109,13 @@
     confirm : function
         Takes a service and reads which versions any host has recorded of it;
         returns a Deferred that fires when they are in the history.
+    look_up : function
+        Takes a key; returns a coroutine of the version of a stream that any
+        host has recorded in the store, or None.
+    is_looked_up : function
+        Returns whether what hosts have recorded was read lately.
+    started_at : float
+        Time on the clock at which this host has started.
     """
 
     __slots__ = (
@@ -111,7 +123,10 @@
         'clock',
         'confirm',
         'history',
+        'is_looked_up',
+        'look_up',
         'on_began',
+        'started_at',
         'table',
     )
 
@@ -122,12 +137,22 @@
         self.on_began = _ignore_key
         self.ask_peers = _no_peers
         self.confirm = _no_record
+        self.look_up = _no_stream
+        self.is_looked_up = _always
+        self.started_at = clock.seconds()
 
-    def note_began(self, key, service, software):
-        """Remember the version at which a stream of this host began."""
+    def note_began(self, key, service, software, ends=None):
+        """Remember the version at which a stream of this host began.
+
+        Parameters
+        ==========
+
+        ends : float or None
+            Time on the clock until which its caller waits; None if unknown.
+        """
         if self.table.software(key) is None:
             self._confirm_if_incomplete(service)
-        if self._remember(key, software, service):
+        if self._remember(key, software, service, ends):
             self.on_began(key)
 
     async def find(self, key, service):
@@ -143,11 +168,36 @@
         alone = concluded_version([own], is_everyone_heard=False)
         if alone is not None:
             return OriginFound(alone, 'only version')
+        return await self._find_elsewhere(key, service, own)
+
+    async def _find_elsewhere(self, key, service, own):
+        """Look for a stream in the store and ask peers for it.
+
+        Explanation
+        ===========
+
+        The store is read first if this host has just started, as the hosts that
+        knew the stream may all have ended with it.
+        """
+        is_young = self._is_young()
+        found = await self._look_up(key) if is_young else None
+        if found is not None:
+            return found
         answers = await self.ask_peers(key, service)
         if answers.software is not None:
             self._remember(key, answers.software)
             return OriginFound(answers.software, answers.source)
-        return _conclude([own, *answers.witnesses], answers)
+        concluded = _conclude([own, *answers.witnesses], answers)
+        if isinstance(concluded, OriginUnknown) and not is_young:
+            found = await self._look_up(key)
+        if isinstance(concluded, OriginUnknown) and not self.is_looked_up():
+            concluded = replace(concluded, retry_after=_RETRY_SECONDS)
+        return found or concluded
+
+    async def _look_up(self, key):
+        """Return the :class:`OriginFound` of the store's record, or None."""
+        software = await self.look_up(key)
+        return None if software is None else OriginFound(software, _STORE)
 
     def witness(self, service):
         """Return what this host can say of the versions of a service."""
@@ -163,9 +213,15 @@
         self.history.review()
         self.table.forget_old()
 
-    def _remember(self, key, software, service=''):
+    def _is_young(self):
+        """Return whether this host has started lately."""
+        return self.clock.seconds() - self.started_at < HISTORY_SECONDS
+
+    def _remember(self, key, software, service='', ends=None):
         """Add a stream to the table; return whether this is news."""
         expires_at = self.clock.seconds() + HISTORY_SECONDS
+        if ends is not None:
+            expires_at = min(expires_at, ends + _SLACK_SECONDS)
         return self.table.add(key, Origin(software, service, expires_at))
 
     def _confirm_if_incomplete(self, service):
@@ -210,6 +266,10 @@
     return PeerAnswers()
 
 
+async def _no_stream(key):
+    """Return None: no other host can have recorded a stream."""
+
+
 def _no_record(service):
     """Read nothing: no other host can have recorded a version."""
     return succeed(None)
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -1,10 +1,11 @@
-"""Record, in the store, of services that several versions serve."""
+"""Record, in the store, of the versions of services that hosts have seen."""
+
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred, succeed
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.origins import events
-from pollenstile.origins._history import HISTORY_SECONDS
 from pollenstile.peer import place_of
 from pollenstile.platform import (
     Conflict,
@@ -12,25 +13,40 @@
     Unavailable,
     Written,
     fork_deferred,
-    paused,
 )
 
-# Kind of the store's entries: one for each service of which several versions
-# were seen lately, named after it.
+# Kind of the store's entries, one for each service of streams, named after it.
 SOFTWARE_KIND = 'pollenstile-software'
-# Number of hosts that write a record, and seconds for which each waits for the
-# ones that rank before it.
+# Number of hosts that write a record by rank, and seconds for which each waits
+# for the ones before it. Hosts that read the store themselves come after them.
 _WRITERS = 3
 _TURN_SECONDS = 0.5
-# Attempts to write a record, and seconds between them.
-_MAX_ATTEMPTS = 5
-_RETRY_SECONDS = 0.5
+# Seconds between two attempts to write a record, which double up to a limit.
+_RETRY_SECONDS = 0.25
+_MAX_RETRY_SECONDS = 2.0
 # Seconds for which a request waits until the record is read, and minimum
 # seconds between two reads of it while they fail.
 _READ_SECONDS = 0.5
 _READ_PERIOD_SECONDS = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class SoftwareRecord:
+    """Versions of a service that hosts have seen lately.
+
+    Parameters
+    ==========
+
+    versions : frozenset of str
+        The versions.
+    is_proven : bool
+        Whether no other version was seen before the record was created.
+    """
+
+    versions: frozenset
+    is_proven: bool
+
+
 class SoftwareRecorder:
     """Writes and reads which versions of a service hosts have seen lately.
 
@@ -38,8 +54,13 @@
     ===========
 
     A host that has just started, or was cut off from the store, can't know
-    which versions served before. While there is one version only, there is no
-    entry, and nothing is written.
+    which versions served before. Each service of streams has a record, which is
+    written again when a version appears, and a minute after one has gone.
+
+    A record that is missing shows nothing: another version may have served
+    while the store took no writes. So a record that is created by a host which
+    can't know what served before is not proven until hosts have followed the
+    registry for a minute.
 
     Parameters
     ==========
@@ -61,28 +82,44 @@
     ==========
 
     recorded : dict
-        The last known entry of a service: :class:`Found`, or None without one.
+        The last answer to a read or write of a service's entry: :class:`Found`
+        or :class:`Absent`.
     reads : dict
         Reads in progress, by service.
     read_at : dict
         Time of the last read on the clock, by service.
     writing : set of str
-        Services whose record this host is about to write.
+        Services whose record this host is writing.
+    lacking_since : dict
+        Time at which a record was found not to fit, by service.
+    retries : dict
+        Number of failed attempts to write a record, by service.
     is_settled : function
         Returns whether a store that came back from an older copy has had the
-        time to be written again, so that a missing record shows something.
+        time to be written again, so that what it shows is complete.
+    has_streams : function
+        Takes a service; returns whether streams may begin at it.
+    is_joined : function
+        Returns whether this host knows the other hosts.
+    is_following : function
+        Returns whether another host reads the store for this one.
     """
 
     __slots__ = (
         'clock',
+        'has_streams',
         'history',
         'host',
         'hosts',
+        'is_following',
+        'is_joined',
         'is_settled',
+        'lacking_since',
         'log',
         'read_at',
         'reads',
         'recorded',
+        'retries',
         'store',
         'writing',
     )
@@ -98,8 +135,12 @@
         self.reads = {}
         self.read_at = {}
         self.writing = set()
+        self.lacking_since = {}
+        self.retries = {}
         self.is_settled = _always
-        history.listeners.append(self._version_seen)
+        self.has_streams = _has_streams
+        self.is_joined = _always
+        self.is_following = _never
 
     def confirm(self, service):
         """Return a Deferred that fires when the record was read, or late."""
@@ -117,11 +158,17 @@
         )
 
     def review(self):
-        """Delete the records of services that have one version again."""
-        for service, entry in list(self.recorded.items()):
-            if entry is not None and self._is_outdated(service):
-                self.recorded.pop(service)
-                Deferred.fromCoroutine(self._delete(service, entry.version))
+        """Write the records that don't fit, if it is the turn of this host."""
+        if not self.is_joined() or self.history.in_gap:
+            return
+        for service in list(self.history.gone_at):
+            if self.has_streams(service) and self._is_due(service):
+                self.writing.add(service)
+                Deferred.fromCoroutine(self._write_in_turn(service))
+
+    def note_return(self):
+        """Read the records again; the store is back from an older copy."""
+        self.recorded.clear()
 
     def _start_read(self, service):
         self.read_at[service] = self.clock.seconds()
@@ -130,87 +177,117 @@
             self.reads[service] = read
             read.addBoth(self._end_read, service)
 
-    def note_return(self):
-        """Write the records again; the store is back from an older copy."""
-        self.recorded.clear()
-        for service in list(self.history.gone_at):
-            self._version_seen(service)
-
     async def _read(self, service):
+        """Read a record; return whether the store has answered."""
         was_settled = self.is_settled()
         entry = await self.store.get(SOFTWARE_KIND, service)
         if isinstance(entry, Unavailable):
             self._log_failure(service, 'read', entry)
-            return
-        is_found = isinstance(entry, Found)
-        self.recorded[service] = entry if is_found else None
-        versions = _versions_of(entry) if is_found else ()
-        if was_settled or versions:
-            self.history.confirm(service, versions)
+            return False
+        self.recorded[service] = entry
+        record = _record_of(entry)
+        is_proven = service in self.history.new_services
+        if record is not None:
+            is_proven = record.is_proven
+        self.history.note_recorded(
+            service,
+            record.versions if record else (),
+            is_proof=was_settled and is_proven,
+        )
+        return True
 
     def _end_read(self, outcome, service):
         self.reads.pop(service, None)
         return outcome
 
-    def _is_outdated(self, service):
-        history = self.history
-        if history.in_gap or history.is_mixed(service):
+    def _is_due(self, service):
+        """Return whether this host has to write a record now."""
+        if service in self.writing:
+            return False
+        if not self._is_lacking(service):
+            self.lacking_since.pop(service, None)
             return False
-        followed = self.clock.seconds() - history.followed_since
-        return followed >= HISTORY_SECONDS
+        now = self.clock.seconds()
+        lacking_since = self.lacking_since.setdefault(service, now)
+        return now - lacking_since >= self._turn_seconds(service)
 
-    def _version_seen(self, service):
-        if service in self.writing or not self.history.is_mixed(service):
-            return
+    def _turn_seconds(self, service):
+        """Return the seconds for which this host leaves a record to others."""
         hosts = {self.host, *self.hosts}
         place = place_of(self.host, f'software/{service}', hosts)
-        if place < _WRITERS:
-            Deferred.fromCoroutine(self._write_in_turn(service, place))
-
-    async def _write_in_turn(self, service, place):
-        self.writing.add(service)
-        if place:
-            await paused(self.clock, place * _TURN_SECONDS)
-            await self._read(service)
-        for _ in range(_MAX_ATTEMPTS):
-            if await self._write(service):
-                break
-            await paused(self.clock, _RETRY_SECONDS)
+        if place >= _WRITERS:
+            # The first ones may be away. Then each reader of the store acts.
+            if self.is_following():
+                return float('inf')
+            place = _WRITERS
+        retries = self.retries.get(service, 0)
+        pause = _RETRY_SECONDS * 2 ** min(retries, _WRITERS + 1)
+        wait = min(pause, _MAX_RETRY_SECONDS) if retries else 0.0
+        return place * _TURN_SECONDS + wait
+
+    def _is_lacking(self, service):
+        """Return whether the record may differ from what it should be."""
+        known = self.recorded.get(service)
+        if known is None:
+            return True
+        return self._wanted_record(service) != _record_of(known)
+
+    def _wanted_record(self, service):
+        """Return the record that a service should have; None for no record."""
+        history = self.history
+        seen = history.versions(service)
+        if history.has_followed():
+            return SoftwareRecord(seen, is_proven=True) if seen else None
+        known = self.recorded.get(service)
+        before = None if known is None else _record_of(known)
+        is_proven = history.is_complete(service)
+        if before is None:
+            return SoftwareRecord(seen, is_proven) if seen else None
+        return SoftwareRecord(
+            before.versions | seen, before.is_proven or is_proven
+        )
+
+    async def _write_in_turn(self, service):
+        """Read a record, which another host may have written, and write it."""
+        is_done = await self._read(service)
+        if is_done and self._is_lacking(service):
+            is_done = await self._write(service)
         self.writing.discard(service)
+        if is_done:
+            self.retries.pop(service, None)
+            return
+        self.retries[service] = self.retries.get(service, 0) + 1
+        self.lacking_since[service] = self.clock.seconds()
 
     async def _write(self, service):
-        """Write the record of a service; return whether it is complete."""
+        """Write the record of a service; return whether it was written."""
         known = self.recorded.get(service)
-        versions = set(_versions_of(known)) if known else set()
-        missing = self.history.versions(service) - versions
-        if not missing:
-            return True
-        entry = {'versions': sorted(versions | missing)}
-        expected = known.version if known else 0
-        outcome = await self.store.put(SOFTWARE_KIND, service, entry, expected)
-        if isinstance(outcome, Written):
+        record = self._wanted_record(service)
+        if record is None:
+            outcome = await self.store.delete(
+                SOFTWARE_KIND, service, known.version
+            )
+        else:
+            entry = _entry_of(record)
+            outcome = await self.store.put(
+                SOFTWARE_KIND, service, entry, known.version
+            )
+        if not isinstance(outcome, Written):
+            if not isinstance(outcome, Conflict):
+                self._log_failure(service, 'write', outcome)
+            return False
+        self.recorded.pop(service)
+        if record is not None:
             self.recorded[service] = Found(
                 SOFTWARE_KIND, service, outcome.version, entry
             )
-            self.log(events.SOFTWARE_RECORDED, service=service, **entry)
-            # Another version may have been seen meanwhile.
-            return self.history.versions(service).issubset(entry['versions'])
-        if not isinstance(outcome, Conflict):
-            self._log_failure(service, 'write', outcome)
-            return False
-        await self._read(service)
-        return False
-
-    async def _delete(self, service, version):
-        # If the call fails, the record stays until a host reads it that has
-        # followed the registry for long enough. Another host may be faster.
-        outcome = await self.store.delete(SOFTWARE_KIND, service, version)
         self.log(
             events.SOFTWARE_RECORDED,
             service=service,
-            versions=[],
-            outcome=type(outcome).__name__,
+            versions=sorted(record.versions) if record else [],
+            proven=record is not None and record.is_proven,
         )
+        return True
 
     def _log_failure(self, service, step, outcome):
         self.log(
@@ -219,24 +296,48 @@
             service=service,
             step=step,
             reason=outcome.reason,
+            attempts=self.retries.get(service, 0),
         )
 
 
-def _versions_of(entry):
-    """Return the versions of an entry; none if another writer spoiled it."""
-    versions = entry.value.get('versions') if _is_map(entry.value) else None
-    if not isinstance(versions, list):
-        return ()
-    return tuple(software for software in versions if isinstance(software, str))
+def _entry_of(record):
+    return {'versions': sorted(record.versions), 'proven': record.is_proven}
 
 
-def _is_map(value):
-    return isinstance(value, dict)
+def _record_of(entry):
+    """Return the record of an entry; None if there is none.
+
+    Explanation
+    ===========
+
+    A record that another writer spoiled is empty.
+
+    Hosts of an earlier software version write a record only when they have seen
+    several versions, and don't state whether it is proven.
+    """
+    if not isinstance(entry, Found):
+        return None
+    value = entry.value if isinstance(entry.value, dict) else {}
+    versions = value.get('versions')
+    if not isinstance(versions, list):
+        return SoftwareRecord(frozenset(), is_proven=False)
+    return SoftwareRecord(
+        frozenset(name for name in versions if isinstance(name, str)),
+        value.get('proven', True) is True,
+    )
 
 
 def _always():
     return True
 
 
+def _never():
+    return False
+
+
+def _has_streams(service):
+    return True
+
+
 def _ignore_timeout(*_):
     """Go on without the record; it is read in the background."""
--- a/pollenstile/origins/_sharing.py
+++ b/pollenstile/origins/_sharing.py
@@ -86,6 +86,9 @@
         Where this host's streams are kept.
     pending : dict
         Streams that keepers have not been told of, by key.
+    record : function
+        Called with streams, by key, that this host records in the store for its
+        domain.
     """
 
     __slots__ = (
@@ -96,6 +99,7 @@
         'log',
         'origins',
         'pending',
+        'record',
         'sent_at',
         'timer',
     )
@@ -108,6 +112,7 @@
         self.keepers = {}
         self.copies = []
         self.pending = {}
+        self.record = _ignore_streams
         self.timer = None
         self.sent_at = -_COLLECT_SECONDS
         origins.on_began = self._began
@@ -232,6 +237,8 @@
         self._tell(self._told_streams())
 
     def _tell(self, streams):
+        if _records_own(self):
+            self.record(streams)
         self.pending.update(streams)
         if self.timer is None and self.pending:
             clock = self.hub.clock
@@ -266,6 +273,8 @@
             return
         copy.keeper = ''
         copy.is_resting = True
+        if copy is self.copies[0]:
+            self.record(self._told_streams())
         self.log(
             events.ORIGINS_UNSENT,
             peer=copy.candidates[0],
@@ -291,6 +300,10 @@
         streams = decode_origins(body, self.hub.clock.seconds())
         for key, origin in streams.items():
             self.origins.table.add(key, origin)
+        entry = self.hosts.get(host)
+        is_near = entry is not None and entry.domain == self.hub.hello.domain
+        if is_near and not _is_keeper(self, host):
+            self.record(streams)
         return b''
 
     def _on_asked(self, host, body):
@@ -300,6 +313,23 @@
         return encode_answer(OriginAnswer(software, witness))
 
 
+def _is_keeper(sharing, host):
+    """Return whether a host is a keeper of the own failure domain."""
+    return host in sharing.keepers.get(sharing.hub.hello.domain, ())
+
+
+def _records_own(sharing):
+    """Return whether no keeper records the streams of this host."""
+    if _is_keeper(sharing, sharing.hub.hello.host) or not sharing.copies:
+        return True
+    near = sharing.copies[0]
+    return near.is_resting or not near.candidates
+
+
+def _ignore_streams(streams):
+    """Record nothing; the default of a host without a store."""
+
+
 def _decode_reply(reply, peer):
     if isinstance(reply, Unanswered):
         return reply
--- a/pollenstile/origins/events.py
+++ b/pollenstile/origins/events.py
@@ -45,3 +45,14 @@
     'software-unrecorded',
     'The versions of a service could not be read or written; it is tried again.',
 )
+STREAMS_READ = define(
+    1809,
+    'streams-read',
+    'The versions of streams of a failure domain were read from the store.',
+)
+STREAMS_UNRECORDED = define(
+    1810,
+    'streams-unrecorded',
+    'The versions of streams could not be read or written; it is tried again.',
+    'While these lines last, streams are refused if all hosts end.',
+)
