forward: log lines tell what a start costs and what a starting host lacks

Change: `forward-started` and `forward-ready` have the processor time that the process has used, `forward-ready` and `forward-joined` the time since it listens, and `forward-lacking` (1244) names each second what is missing. Nothing is decided by them.

--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -16,6 +16,7 @@
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._settings import update_seconds
 from pollenstile.forward._shutdown import shut_down
+from pollenstile.forward._start import StartProgress
 from pollenstile.forward._storewatches import StoreWatches
 from pollenstile.ops.http import site_for
 from pollenstile.ops.logs import silent_log
@@ -89,8 +90,8 @@
         'review',
         'rng',
         'settings',
+        'start_progress',
         'store',
-        'was_ready',
         'watches',
     )
 
@@ -112,9 +113,9 @@
         self.measures = Measures(log, TIMES)
         self.log = self.measures.write
         self.leaving = False
-        self.was_ready = False
         self.ports = []
         self.review = LoopingCall(self._review)
+        self.start_progress = StartProgress(reactor, self.log)
         self.parts = build_parts(
             reactor,
             settings,
@@ -161,6 +162,7 @@
             ready=format_address(_bound_address(ready)),
             peers=format_address(settings.peers),
             domain=settings.domain,
+            used_ms=self.start_progress.used_ms(),
         )
         self.review.clock = self.reactor
         self.review.start(_REVIEW_PERIOD_SECONDS, now=False)
@@ -177,13 +179,8 @@
             and self._has_initial_state()
             and core.configuration.is_fresh()
         )
-        if ready and not self.was_ready:
-            self.was_ready = True
-            self.log(
-                events.FORWARD_READY,
-                version=core.configuration.table.version,
-                upstreams=len(core.registry.upstreams),
-            )
+        if ready and self.start_progress.ready_at is None:
+            self.start_progress.note_ready(core.configuration, core.registry)
         return ready
 
     def reload(self, settings):
@@ -262,9 +259,7 @@
         hub.start()
         self._hosts_changed()
         self.parts.relay.follower.start()
-        self.log(
-            events.FORWARD_JOINED, peers=format_address(bound), seen=address
-        )
+        self.start_progress.note_joined(format_address(bound), address)
         await members.register()
 
     def _listen_for_tunnels(self, peers_address):
@@ -294,6 +289,7 @@
         self.parts.software_record.review()
         self.parts.stream_record.review()
         self.condition_sharing.review()
+        self.start_progress.review(self.parts)
         upstreams = self.parts.core.registry.upstreams.values()
         self.parts.paths.forget({upstream.address for upstream in upstreams})
         self._forget_statements()
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -216,6 +216,12 @@
     'hosts-changed',
     'The entry of another host was added, changed or removed.',
 )
+FORWARD_LACKING = define(
+    1244,
+    'forward-lacking',
+    'The host has started and can not serve yet, or not with its peers.',
+    '`lacks` names what it waits for; see `store-lost` and `store-silent`.',
+)
 FORWARD_JOINED = define(
     1221,
     'forward-joined',
