forward: a list of entries is applied as one change

Callers saw: service that comes back late after all hosts ended; the larger the fleet, the later.

Cause: work of a start that grows with the square of the fleet, paid by all hosts at once. Each entry of the first list of upstreams built the views by service again and told all parts of the host, and each entry of a host ranked all hosts again. Ruled out for this cost: reading and decoding, which grow with the number.

Change: watches report the changes of one answer inside a batch; the registry and the members then act once (`ops.batch`). The place of a host among the writers of a record is worked out when their number changes, no longer at each review.

--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -7,6 +7,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._absent import AbsentEntries
+from pollenstile.ops.batch import Batch
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import place_of
 from pollenstile.platform import Conflict, Written, paused
@@ -77,6 +78,8 @@
         Peers whose entries the store lacks since its return from an older copy.
     left_at : dict
         Time at which the entry of a peer was deleted, by name.
+    notifying : Batch
+        Calls the listeners.
     """
 
     __slots__ = (
@@ -89,6 +92,7 @@
         'left_at',
         'listeners',
         'log',
+        'notifying',
         'should_register',
         'store',
         'stored_entry',
@@ -107,6 +111,7 @@
         self.stored_entry = None
         self.absent = AbsentEntries(clock)
         self.left_at = {}
+        self.notifying = Batch(self._notify_listeners)
 
     def apply(self, change):
         """Apply a change of an entry."""
@@ -169,12 +174,12 @@
             address=peer.address if peer else '',
             hosts=len(self.hosts) + 1,
         )
-        self._notify_listeners()
+        self.notifying.request()
 
     def note_listed(self):
         """Record that a full list was received."""
         self.known = True
-        self._notify_listeners()
+        self.notifying.request()
 
     async def register(self):
         """Write the entry of this host, repeatedly until the store has it.
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -7,6 +7,7 @@
 from pollenstile.forward._absent import AbsentEntries
 from pollenstile.forward._returned import ReturnedEntries
 from pollenstile.forward._selection import UpstreamView
+from pollenstile.ops.batch import Batch
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
 from pollenstile.permission import LeavingUpstreams
@@ -94,6 +95,8 @@
         state.
     returned : ReturnedEntries
         Entries that the store shows only since its return from an older copy.
+    indexing : Batch
+        Builds the views by service and calls the listeners.
     """
 
     __slots__ = (
@@ -101,6 +104,7 @@
         'by_service',
         'clock',
         'drained',
+        'indexing',
         'known',
         'listeners',
         'log',
@@ -121,9 +125,10 @@
         self.listeners = []
         self.store_failed_at = -1000.0
         self.known = False
+        self.indexing = Batch(self._index)
         self.drained = frozenset()
         self.stated_leaving = LeavingUpstreams(clock)
-        self.returned = ReturnedEntries(clock, self._index, log)
+        self.returned = ReturnedEntries(clock, self.indexing.request, log)
 
     def follow_leaving(self, leaving):
         """Leave out the upstreams whose answers state that they leave.
@@ -136,7 +141,7 @@
         """
         self.stated_leaving = leaving
         leaving.listeners.append(self._leaving_stated)
-        self._index()
+        self.indexing.request()
 
     def drain(self, domains):
         """Set the failure domains whose upstreams get no new work.
@@ -150,7 +155,7 @@
         if domains == self.drained:
             return
         self.drained = domains
-        self._index()
+        self.indexing.request()
 
     def apply(self, ident, upstream, *, after_return=False):
         """Apply an entry; None for a missing one.
@@ -219,7 +224,7 @@
             service=upstream.service,
             state='gone',
         )
-        self._index()
+        self.indexing.request()
 
     def usable(self, service, software=None):
         """Return views of the upstreams of a service that accept new work.
@@ -297,7 +302,7 @@
             software=upstream.software,
             state='leaving' if upstream.leaving else 'ready',
         )
-        self._index()
+        self.indexing.request()
 
     def _record_cold(self, upstream):
         """Record for how long an upstream reports that it stays cold.
@@ -338,7 +343,7 @@
 
     def _leaving_stated(self, name):
         if any(view.incarnation == name for view in self.views.values()):
-            self._index()
+            self.indexing.request()
 
     def _notify_listeners(self):
         for listener in self.listeners:
--- a/pollenstile/forward/_storewatches.py
+++ b/pollenstile/forward/_storewatches.py
@@ -85,14 +85,18 @@
             Time after which a drained domain must get no new work.
         """
         registry = self.parts.core.registry
-        self._watch(
+        upstreams = self._watch(
             UPSTREAMS,
             self._upstream_changed,
             registry.note_listed,
             _REGISTRY_TIMING,
         )
+        upstreams.batched = registry.indexing.opened
         members = self.parts.members
-        self._watch(HOSTS, members.apply, members.note_listed, _HOSTS_TIMING)
+        hosts = self._watch(
+            HOSTS, members.apply, members.note_listed, _HOSTS_TIMING
+        )
+        hosts.batched = members.notifying.opened
         drained = self.parts.drained
         self._watch(
             DRAINED,
@@ -135,6 +139,7 @@
         source.add(kind, running)
         self.running.append(running)
         running.ready.addCallback(handle_listed)
+        return running
 
     def _upstream_changed(self, change):
         upstream = None
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -92,6 +92,9 @@
         Services whose record this host is writing.
     lacking_since : dict
         Time at which a record was found not to fit, by service.
+    places : dict
+        Place of this host among the writers, and the number of hosts for which
+        it was worked out, by service.
     retries : dict
         Number of failed attempts to write a record, by service.
     is_settled : function
@@ -116,6 +119,7 @@
         'is_settled',
         'lacking_since',
         'log',
+        'places',
         'read_at',
         'reads',
         'recorded',
@@ -136,6 +140,7 @@
         self.read_at = {}
         self.writing = set()
         self.lacking_since = {}
+        self.places = {}
         self.retries = {}
         self.is_settled = _always
         self.has_streams = _has_streams
@@ -213,8 +218,7 @@
 
     def _turn_seconds(self, service):
         """Return the seconds for which this host leaves a record to others."""
-        hosts = {self.host, *self.hosts}
-        place = place_of(self.host, f'software/{service}', hosts)
+        place = self._place(service)
         if place >= _WRITERS:
             # The first ones may be away. Then each reader of the store acts.
             if self.is_following():
@@ -225,6 +229,15 @@
         wait = min(pause, _MAX_RETRY_SECONDS) if retries else 0.0
         return place * _TURN_SECONDS + wait
 
+    def _place(self, service):
+        """Return the turn of this host among those that write a record."""
+        place, count = self.places.get(service, (0, 0))
+        if count != len(self.hosts) + 1:
+            hosts = {self.host, *self.hosts}
+            place = place_of(self.host, f'software/{service}', hosts)
+            self.places[service] = place, len(hosts)
+        return place
+
     def _is_lacking(self, service):
         """Return whether the record may differ from what it should be."""
         known = self.recorded.get(service)
--- a/pollenstile/platform/_watch.py
+++ b/pollenstile/platform/_watch.py
@@ -1,5 +1,6 @@
 """Watch loop that recovers from gaps, outages and lost responses."""
 
+from contextlib import nullcontext
 from dataclasses import dataclass
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -66,9 +67,13 @@
         Versions that have been reported.
     revision : int
         Revision from which the next call watches.
+    batched : function
+        Returns a context manager, inside which the changes of one answer are
+        reported. May be set at any time.
     """
 
     __slots__ = (
+        'batched',
         'callback',
         'clock',
         'delivering',
@@ -92,6 +97,7 @@
         self.kind = kind
         self.prefix = prefix
         self.callback = callback
+        self.batched = nullcontext
         self.seen = SeenVersions()
         self.revision = None
         self.list_at = 0.0
@@ -255,9 +261,10 @@
 
 def _deliver(state, changes):
     state.delivering = True
-    for change in changes:
-        if state.running:
-            _invoke_callback(state, change)
+    with state.batched():
+        for change in changes:
+            if state.running:
+                _invoke_callback(state, change)
     if not state.ready.called:
         state.ready.callback(state)
     state.delivering = False
