stagework: a host that has just started leaves pieces to owners it links to

Callers saw: 503 (`busy`) for four seconds after all hosts had come back, although the servers of the stages were idle before.

Cause: a host without links queues its pieces itself. As all hosts come back, the queue of one service stands at dozens of hosts; its servers run one call at a time and refuse most of them. Links come late too: a dial that finds a peer not started yet pauses for up to 8 s.

Ruled out: the configuration and the registry, which all hosts had by then.

Change: for 2 s from when it can serve, and 1 s from when it links to peers, a host keeps a piece until the owner is linked or counts as dead. In its first 8 s a hub pauses for 1 s at most between dials.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -12,3 +12,27 @@
       | upstreams | hosts |
       | 20        | 5     |
       | 950       | 340   |
+
+  Scenario Outline: A host that has just started leaves a queue to its owner: <link>
+    Guards against many hosts that call the servers of a stage for themselves while they link.
+    Given a host that has started before it is linked to the owner of a stage queue
+    When it gets a piece, and its <link>
+    Then the piece is queued <place>
+
+    Examples:
+      | link                              | place                     |
+      | link opens after 0.4 seconds      | at the owner              |
+      | link never opens                  | there after 1.0 seconds   |
+      | dials are refused                 | there within 0.9 seconds  |
+      | peers are known after 0.6 seconds | at the owner              |
+
+  Scenario: A host alone has a queue of its own at once
+    The opposite case: nobody waits for an owner where there is none.
+    Given a host that has started alone
+    When it gets a piece
+    Then the piece is queued there at once
+
+  Scenario: Hosts that come back at the same time find each other soon
+    Guards against dials whose pauses grow while the others have not started.
+    Given 30 hosts that all end, and come back spread over 6 seconds
+    Then each is linked to the owner of each queue 2 seconds after the last is back
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -216,6 +216,8 @@
 def _connect_parts(parts, eras, rng):
     """Let the parts know who reads the store, and when it has returned."""
     parts.software_record.is_following = parts.relay.follower.is_following
+    members = parts.members
+    parts.stages.owner_wait.is_known = lambda: members.known
     configuration = parts.core.configuration
     eras.on_first = configuration.note_return
     parts.software_record.is_settled = configuration.settling.is_over
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -144,6 +144,7 @@
         """Listen for callers, start reading the store and join the fleet."""
         settings = self.settings
         core = self.parts.core
+        self.parts.stages.owner_wait.expect()
         core.registry.listeners.append(self._registry_changed)
         core.configuration.listeners.append(self._table_changed)
         core.configuration.loop.on_read = core.registry.note_read
@@ -238,6 +239,7 @@
         # would queue pieces that it can't run.
         while not self._has_initial_state():
             await deferLater(self.reactor, _JOIN_CHECK_SECONDS)
+        self.parts.stages.owner_wait.note_state()
         if self.leaving:
             # Its entry would stay in the store after its end.
             return
@@ -258,6 +260,7 @@
         self._listen_for_tunnels(address)
         hub.start()
         self._hosts_changed()
+        self.parts.stages.owner_wait.note_joined()
         self.parts.relay.follower.start()
         self.start_progress.note_joined(format_address(bound), address)
         await members.register()
--- a/pollenstile/peer/_dialer.py
+++ b/pollenstile/peer/_dialer.py
@@ -4,6 +4,10 @@
 
 _INITIAL_BACKOFF_SECONDS = 0.5
 _MAX_BACKOFF_SECONDS = 8.0
+# The limit while the hub has just started: all hosts may start at the same
+# time, and a peer that has not started yet will soon.
+_START_BACKOFF_SECONDS = 1.0
+_START_SECONDS = 8.0
 
 
 class DialState:
@@ -46,9 +50,11 @@
         Addresses of the hosts to keep a link to, by host name.
     seeds : tuple of str
         Addresses to dial while the hub has no link.
+    began_at : float or None
+        Time on the clock of the first dial; None before it.
     """
 
-    __slots__ = ('connect', 'dials', 'hub', 'seeds', 'wanted')
+    __slots__ = ('began_at', 'connect', 'dials', 'hub', 'seeds', 'wanted')
 
     def __init__(self, hub, connect):
         self.hub = hub
@@ -56,6 +62,7 @@
         self.dials = {}
         self.wanted = {}
         self.seeds = ()
+        self.began_at = None
 
     def dial_due(self, now):
         """Dial the wanted hosts that have no link and whose backoff is over."""
@@ -82,16 +89,22 @@
         # Full jitter prevents all peers of a host that has returned from
         # dialing it at the same instant. The exponential bound limits how
         # often a host that is gone is dialed.
+        now = self.hub.clock.seconds()
         bound = min(
-            _MAX_BACKOFF_SECONDS, _INITIAL_BACKOFF_SECONDS * 2**dial.failures
+            self._max_backoff(now), _INITIAL_BACKOFF_SECONDS * 2**dial.failures
         )
         dial.failures = min(dial.failures + 1, 10)
-        dial.next_attempt_at = (
-            self.hub.clock.seconds() + self.hub.random.uniform(0, bound)
-        )
+        dial.next_attempt_at = now + self.hub.random.uniform(0, bound)
         dial.receiver = Receiver(self.hub, address, dialing=True)
         self.connect(address, dial.receiver)
 
+    def _max_backoff(self, now):
+        """Return the limit of pauses between dials, in seconds."""
+        if self.began_at is None:
+            self.began_at = now
+        is_starting = now - self.began_at < _START_SECONDS
+        return _START_BACKOFF_SECONDS if is_starting else _MAX_BACKOFF_SECONDS
+
     def failures(self, address):
         """Return how often an address was dialed since it last answered."""
         return self.dials.get(address, DialState()).failures
--- a/pollenstile/stagework/_client.py
+++ b/pollenstile/stagework/_client.py
@@ -17,6 +17,7 @@
     group_bytes,
     release_bytes,
 )
+from pollenstile.stagework._ownerwait import OwnerWait
 from pollenstile.stagework._ownership import Ownership
 from pollenstile.stagework._plan import crowded_seconds, usual_seconds
 from pollenstile.stagework._subjects import (
@@ -63,6 +64,8 @@
         Failure domains of upstreams, by address.
     leaving : bool
         Whether this host accepts no new work.
+    owner_wait : OwnerWait
+        Whether pieces wait for the links of a host that has just started.
     read_callbacks : dict
         Functions to call when a group's inputs were fetched, by group.
     """
@@ -77,6 +80,7 @@
         'limits',
         'log',
         'owner',
+        'owner_wait',
         'ownership',
         'read_callbacks',
     )
@@ -88,6 +92,7 @@
         self.owner = owner
         self.log = log
         self.ownership = Ownership(host, hub)
+        self.owner_wait = OwnerWait(clock, self.ownership)
         self.limits = {}
         self.domains = {}
         self.backlogs = Backlogs(clock)
@@ -219,6 +224,7 @@
 
     async def _outcome(self, group):
         tried = set()
+        await self.owner_wait.pass_by(group.service, group.deadline)
         while True:
             untried = [
                 candidate
--- a/pollenstile/stagework/_ownership.py
+++ b/pollenstile/stagework/_ownership.py
@@ -88,6 +88,18 @@
                 return host
         return self.host
 
+    def awaits_link(self, service):
+        """Return whether the owner of a service may be linked soon."""
+        for host in self.order(service):
+            if host == self.host:
+                return False
+            if host in self.hub.links:
+                if self._is_available(host):
+                    return False
+            elif not self._is_dead(host):
+                return True
+        return False
+
     def wanted_links(self, services):
         """Return addresses of the owners of services and their successors."""
         wanted = {}
