--- a/features/soak_live.feature
+++ b/features/soak_live.feature
@@ -28,3 +28,8 @@
     When a live soak plays "--endless event --seconds 12" with seed 1
     Then the live soak found no violation
     And the live hosts got 4 endless answers or more
+
+  Scenario: All hosts end at the same moment and come back to a slow store
+    Guards against hosts that serve late, or join streams, when none was left to ask.
+    When a live soak plays "--all-end slow --hosts 6" with seed 1
+    Then the live soak found no violation
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -26,6 +26,7 @@
 # Grace of the hosts of a live run whose requests may outlast it.
 _GRACE_SECONDS = 4.0
 _SILENT_SETS = ('nobody', 'engines', 'stages', 'both', 'results-gone')
+_STORE_STATES = ('well', 'slow', 'away')
 _ALL_FORMS = 'all'
 _FORMS = (
     'head',
@@ -84,6 +85,12 @@
     _add_silence_flags(parser)
     _add_grace_flags(parser)
     _add_endless_flags(parser)
+    parser.add_argument(
+        '--all-end',
+        choices=_STORE_STATES,
+        help='with --live: all hosts end at once, twice, as the only faults, '
+        'while the store is well, slow or away',
+    )
     parser.set_defaults(run=run)
 
 
@@ -293,8 +300,14 @@
 
 def _plan(arguments):
     """Return what the only faults of a live run are, or None for all."""
-    from pollenstile.soak.live import GracePlan, SilencePlan  # noqa: WPS433
+    from pollenstile.soak.live import (  # noqa: WPS433
+        GracePlan,
+        ReturnPlan,
+        SilencePlan,
+    )
 
+    if arguments.all_end:
+        return ReturnPlan(arguments.all_end)
     if arguments.graces:
         return GracePlan(arguments.graces, arguments.grace_seconds)
     if arguments.endless:
--- /dev/null
+++ b/pollenstile/soak/live/_returns.py
@@ -0,0 +1,72 @@
+"""All hosts of a live run end at the same moment, and come back."""
+
+from dataclasses import dataclass
+
+from twisted.internet.task import deferLater
+
+from pollenstile.soak.live._records import Fault
+
+# Times that all hosts end, and seconds of requests before each and at the end.
+_ENDS = 2
+_BEFORE_SECONDS = 3.0
+_CALM_SECONDS = 4.0
+# Seconds for which the store is slow or away around an end of all hosts.
+_STORE_BEFORE_SECONDS = 0.5
+_STORE_AFTER_SECONDS = 3.0
+_SLOW_SECONDS = 0.2
+
+
+def _leave_well(store, is_on):
+    """Leave the store as it is."""
+
+
+def _slow_down(store, is_on):
+    store.latency = _SLOW_SECONDS if is_on else 0.0
+
+
+def _take_away(store, is_on):
+    store.down = is_on
+
+
+STORE_STATES = {'well': _leave_well, 'slow': _slow_down, 'away': _take_away}
+
+
+@dataclass(slots=True, frozen=True)
+class ReturnPlan:
+    """Ends of all hosts at once that are the only faults of a run.
+
+    Parameters
+    ==========
+
+    store : str
+        State of the store meanwhile, in ``STORE_STATES``.
+    recovery : float
+        Seconds from an end until callers must be served as before.
+    """
+
+    store: str
+    recovery: float = 12.0
+
+
+async def play_returns(world, plan):
+    """End all hosts together, several times; they start again."""
+    reactor = world.reactor
+    for _ in range(_ENDS):
+        await deferLater(reactor, _BEFORE_SECONDS)
+        await _end_all(world, STORE_STATES[plan.store])
+        await deferLater(
+            reactor, max(0.0, plan.recovery - _STORE_AFTER_SECONDS)
+        )
+    world.records.calm_from = reactor.seconds()
+    await deferLater(reactor, _CALM_SECONDS)
+
+
+async def _end_all(world, set_state):
+    set_state(world.store, True)
+    await deferLater(world.reactor, _STORE_BEFORE_SECONDS)
+    now = world.reactor.seconds()
+    for host in world.hosts:
+        world.records.faults.append(Fault(now, host.name, 'kill'))
+        host.kill()
+    await deferLater(world.reactor, _STORE_AFTER_SECONDS)
+    set_state(world.store, False)
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -32,6 +32,7 @@
     play_graces,
 )
 from pollenstile.soak.live._records import Fault, RateLimit
+from pollenstile.soak.live._returns import ReturnPlan, play_returns
 from pollenstile.soak.live._servers import (
     COLD_SECONDS,
     ENGINES,
@@ -80,6 +81,7 @@
     SilencePlan: play_silences,
     GracePlan: play_graces,
     EndlessPlan: play_endless,
+    ReturnPlan: play_returns,
 }
 
 
@@ -144,7 +146,7 @@
         Command that runs the program ``pollenstile``.
     logs : file or None
         Binary file that the hosts' log lines are written to.
-    plan : SilencePlan, GracePlan, EndlessPlan or None
+    plan : SilencePlan, GracePlan, EndlessPlan, ReturnPlan or None
         The only faults of the run.
     """
     lengths = plan.lengths if isinstance(plan, GracePlan) else USUAL
