forward: a request that may run once is given up if its caller has left unsent

Callers saw: a booking that was made although they had left before anything was sent for it, and were told nothing (GONE).

Cause: every request that may run once was kept when its caller left, on the ground that it would be unknown whether it has run. Before an upstream has got it, that is known. Neither the stage work nor the choice of an upstream looked again.

Change: it is given up like any other request as long as no attempt may have run, when its caller leaves and again before each send, so also while a connection opens and after an upstream has turned it away. Once an upstream may have got it, it is completed as before.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -157,6 +157,25 @@
     When the caller of the forwarded request leaves
     Then forwarded send 0 was closed
 
+  Scenario Outline: A request that may run once is not sent for a caller who has left: <when>
+    Guards against bookings for callers who have withdrawn them and were told nothing.
+    Given a forwarded "once" request that waits for <what>
+    When its caller leaves <when>
+    Then nothing more is sent for it
+    And it ends as "caller left"
+
+    Examples:
+      | what                     | when                           |
+      | its stage work           | at once                        |
+      | a connection             | before the connection is open  |
+      | an upstream that is full | before the upstream turns away |
+
+  Scenario: A request that may run once is completed for a caller who has left
+    The opposite case: a request that an upstream has got may have run.
+    Given a forwarded "once" request that waits for its answer
+    When its caller leaves at once
+    Then forwarded send 0 is still open
+
   Scenario: Retries are counted over a sliding window and shared
     Nine hosts share the slack of a service. Each may use only its part.
     Given a retry budget of 9 hosts with a slack of 58 in 10 seconds
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -16,12 +16,14 @@
 )
 from pollenstile.forward import (
     Lost,
+    NotRun,
     SharedRetryBudget,
     Upstream,
     UpstreamView,
     select_engine,
     usable,
 )
+from pollenstile.forward._runend import end_left
 from pollenstile.routes import Target, Team
 
 _BODY = b'an answer'
@@ -358,3 +360,49 @@
     for view in context.views:
         view.failures = 0.4
     assert usable(context.views, 0) == context.views
+
+
+@given('a forwarded "once" request that waits for {what}')
+def given_waiting_once(context, what):
+    story = ForwardScenario('once', staged=what == 'its stage work')
+    story.stages.refusal = 'never'
+    context.story = story
+    story.start()
+    if what == 'a connection':
+        story.calls[0].sent = False
+
+
+def _leave_once(story):
+    """Let the caller of the request leave, as its connection reports it."""
+    story.answer.gone = True
+    end_left(story.core, story.answer)
+
+
+@when('its caller leaves {moment}')
+def when_caller_leaves(context, moment):
+    story = context.story
+    _leave_once(story)
+    if moment == 'before the upstream turns away':
+        story.calls[0].head.callback(NotRun('full', 'i0', arrived=True))
+
+
+@then('nothing more is sent for it')
+def then_nothing_sent(context):
+    story = context.story
+    if story.route.steps:
+        story.stages.finish()
+    story.clock.advance(1.0)
+    sent = 0 if story.route.steps else 1
+    assert len(story.calls) == sent, story.calls
+
+
+@then('it ends as "{outcome}"')
+def then_ends_as(context, outcome):
+    lines = context.story.lines('forward-ended')
+    assert [line['outcome'] for line in lines] == [outcome], lines
+
+
+@then('forwarded send {place:d} is still open')
+def then_open(context, place):
+    assert not context.story.calls[place].cancelled
+    assert not context.story.lines('forward-ended')
--- a/pollenstile/forward/_frontend.py
+++ b/pollenstile/forward/_frontend.py
@@ -7,7 +7,7 @@
 from pollenstile.forward._departure import LEAVING_REFUSAL
 from pollenstile.forward._parse import parse_exchange
 from pollenstile.forward._run import serve
-from pollenstile.forward._runend import is_cancelled_on_disconnect
+from pollenstile.forward._runend import end_left
 from pollenstile.forward._types import Refusal
 from pollenstile.routes import Limits
 
@@ -105,8 +105,7 @@
             request=answer.exchange.ident,
             route=answer.exchange.route.name,
         )
-        if is_cancelled_on_disconnect(answer.exchange):
-            answer.work.cancel()
+        end_left(self.core, answer)
 
     def leave(self):
         """Close each connection after its next answer."""
--- a/pollenstile/forward/_run.py
+++ b/pollenstile/forward/_run.py
@@ -45,6 +45,7 @@
 )
 from pollenstile.forward._runend import (
     end_dismissed,
+    end_if_given_up,
     failure_of,
     pass_on,
     stage_refusal,
@@ -385,6 +386,7 @@
         refusal = await _recheck(run.core, run.exchange)
         if refusal is not None:
             return refusal
+    end_if_given_up(run)
     return select_view(run.core, run.exchange, avoided, inputs)
 
 
--- a/pollenstile/forward/_runend.py
+++ b/pollenstile/forward/_runend.py
@@ -1,5 +1,7 @@
 """Ends of a run: what the caller of a request is told."""
 
+from twisted.internet.defer import CancelledError
+
 from pollenstile.forward._decisions import retry_after
 from pollenstile.forward._outcomes import UpstreamFailure
 from pollenstile.forward._request_log import log_cut_off
@@ -49,13 +51,39 @@
     run.answer.finish()
 
 
-def is_cancelled_on_disconnect(exchange):
-    """Return whether a request is cancelled when its caller disconnects.
+def is_given_up(run):
+    """Return whether a request whose caller has left is given up.
 
     Explanation
     ===========
 
-    A request that may run only once is completed: if it were cancelled, it
-    would be unknown whether it has run.
+    A request that may run only once is completed once an upstream may have got
+    it: if it were cancelled, it would be unknown whether it has run.
+    """
+    if not run.answer.gone:
+        return False
+    if run.exchange.route.kind is not Kind.ONCE:
+        return True
+    return not (run.count_runs() or run.contest.runs_in_flight())
+
+
+def end_if_given_up(run):
+    """End a request before it is sent, if its caller has left.
+
+    Raises
+    ======
+
+    CancelledError
+        As if the request had been cancelled when its caller left.
     """
-    return exchange.route.kind is not Kind.ONCE
+    if is_given_up(run):
+        raise CancelledError
+
+
+def end_left(core, answer):
+    """Cancel the request of a caller who has left, if it may be given up."""
+    for run in core.runs:
+        if run.answer is answer:
+            if is_given_up(run):
+                run.work.cancel()
+            return
