origins: an upstream that has ended may be of another version when it is back

Cause: the version of an upstream is that of its entry, however old. That hosts have found its process to have ended did not make the entry doubtful.

Change: from when any host reports that a process has ended, its version counts as not known until its new entry is read or the host has been in contact with the store for 3 s. A stream goes on only where the version is known; one that begins while the store is away prefers such upstreams, and one that begins elsewhere can't be taken up. The gossip of crash reports brings this to hosts that had no connection there.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from features.builders.forward import ForwardScenario
 from features.builders.forwardhost import ForwardHost, request
@@ -16,6 +17,8 @@
     SOFTWARE_KIND,
     STREAMS_KIND,
     Origin,
+    SoftwareHistory,
+    VersionDoubts,
     Witness,
     origin_key,
 )
@@ -355,3 +358,44 @@
 
 def _decode_at_zero(encoded):
     return decode_origins(encoded, 0.0)
+
+
+class _Ended:
+    """A host's doubts of one upstream that has ended, in virtual time."""
+
+    def __init__(self, contact):
+        self.clock = Clock()
+        self.is_fresh = True
+        history = SoftwareHistory(self.clock, lambda: self.is_fresh)
+        self.doubts = VersionDoubts(self.clock, history)
+        self.history = history
+        self.advance(5.0)
+        self.is_fresh = contact != 'is away'
+        self.doubts.note_ended('u')
+        if contact == 'answers with its new entry':
+            self.advance(0.5)
+            self.doubts.note_listed('u')
+
+    def advance(self, seconds):
+        """Advance the clock while the host follows the registry."""
+        for _ in range(round(seconds * 10)):
+            self.clock.advance(0.1)
+            self.history.review()
+
+
+@given(
+    'a host whose store {contact} when an upstream ends and starts again under'
+    ' its identifier'
+)
+def given_ended(context, contact):
+    context.ended = _Ended(contact)
+    context.ended_at = context.ended.clock.seconds()
+
+
+@then('its version is {state} after {seconds:d} second')
+@then('its version is {state} after {seconds:d} seconds')
+def then_known(context, state, seconds):
+    ended = context.ended
+    ended.advance(context.ended_at + seconds - ended.clock.seconds())
+    assert ended.doubts.is_doubtful('u') is (state == 'not known')
+    assert not ended.doubts.is_doubtful('another')
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -124,6 +124,18 @@
     When the upstream of forwarded send 0 starts again in another version before its connection is open
     Then nothing is sent to it, and the request is sent to another upstream
 
+  Scenario Outline: An upstream that has ended may be of another version when it is back: <contact>
+    Guards against streams that go on at a successor under the same identifier.
+    Given a host whose store <contact> when an upstream ends and starts again under its identifier
+    Then its version is <first> after 1 second
+    And its version is <later> after 4 seconds
+
+    Examples:
+      | contact                      | first     | later     |
+      | is away                      | not known | not known |
+      | answers                      | not known | known     |
+      | answers with its new entry   | known     | known     |
+
   Scenario: Hosts forget that there were several versions
     Guards against refusals after a later restart of all hosts that need none.
     Given 9 hosts in 4 domains, and as many upstreams of two versions
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -15,7 +15,7 @@
 from pollenstile.forward._tokenqueue import TokenQueue
 from pollenstile.forward._types import HeaderNames
 from pollenstile.ops.logs import silent_log
-from pollenstile.origins import Origins, build_origins
+from pollenstile.origins import Origins, VersionDoubts, build_origins
 from pollenstile.permission import Permissions, build_permissions
 from pollenstile.quarantine import Quarantine
 from pollenstile.reachability import ALL_REACHABLE
@@ -115,6 +115,7 @@
     origins: Origins | None = None
     domains: object = ALL_REACHABLE
     conditions: EngineConditions = field(init=False)
+    doubts: VersionDoubts = field(init=False)
     copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
@@ -142,6 +143,9 @@
             )
         if self.origins is None:
             self.origins = build_origins(self.clock)
+        self.doubts = VersionDoubts(self.clock, self.origins.history)
+        self.quarantine.on_ended = self.doubts.note_ended
+        self.registry.on_process = self.doubts.note_listed
         self.registry.listeners.append(self._note_software)
         self.registry.follow_leaving(self.permissions.leaving)
         self.permissions.leaving.listeners.append(self._wake_all)
--- a/pollenstile/forward/_dispatch.py
+++ b/pollenstile/forward/_dispatch.py
@@ -20,7 +20,7 @@
     subject_of,
     usable,
 )
-from pollenstile.forward._software import NO_UPSTREAM_REASON
+from pollenstile.forward._software import NO_UPSTREAM_REASON, usable_for
 from pollenstile.forward._types import NotRun
 from pollenstile.forward._withdrawn import withdrawn_wait, without_withdrawn
 from pollenstile.permission import LEAVING_REASON
@@ -84,7 +84,7 @@
     Software versions write streams that don't fit together, and upstreams don't
     check with which one a stream began.
     """
-    return core.registry.usable(exchange.service, exchange.software)
+    return usable_for(core, exchange)
 
 
 def home_domain(core, exchange):
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -95,6 +95,8 @@
         state.
     returned : ReturnedEntries
         Entries that the store shows only since its return from an older copy.
+    on_process : function
+        Called with the incarnation of each process whose entry is new.
     indexing : Batch
         Builds the views by service and calls the listeners.
     """
@@ -108,6 +110,7 @@
         'known',
         'listeners',
         'log',
+        'on_process',
         'returned',
         'stated_leaving',
         'store_failed_at',
@@ -126,6 +129,7 @@
         self.store_failed_at = -1000.0
         self.known = False
         self.indexing = Batch(self._index)
+        self.on_process = _ignore_process
         self.drained = frozenset()
         self.stated_leaving = LeavingUpstreams(clock)
         self.returned = ReturnedEntries(clock, self.indexing.request, log)
@@ -292,6 +296,7 @@
                 upstream.born,
                 upstream.software,
             )
+            self.on_process(upstream.incarnation)
         self._record_cold(upstream)
         self.log(
             events.UPSTREAM_CHANGED,
@@ -350,6 +355,10 @@
             listener()
 
 
+def _ignore_process(incarnation):
+    """Do nothing; the default of ``on_process``."""
+
+
 def _is_same_process(before, upstream):
     """Return whether two entries of an identifier are of one process.
 
--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -9,6 +9,9 @@
 UNKNOWN_REASON = 'unknown version'
 NO_UPSTREAM_REASON = 'no upstream of its version'
 _STEP = 'version'
+# Version of a stream that began at an upstream whose version is not known: no
+# upstream has it.
+_UNKNOWN_SOFTWARE = 'unknown/'
 _UNAVAILABLE = 503
 # Seconds after which an upstream that crashed has mostly started again, and for
 # which a version without any may still come back.
@@ -58,6 +61,26 @@
     return _absent_refusal(core, exchange)
 
 
+def usable_for(core, exchange):
+    """Return the views of the upstreams that a request may go to.
+
+    Explanation
+    ===========
+
+    A stream that goes on needs an upstream whose version is known. One that
+    begins prefers such upstreams while the store is away: nobody could tell
+    where it goes on.
+    """
+    views = core.registry.usable(exchange.service, exchange.software)
+    is_new = exchange.software is None
+    if not exchange.route.resumable or is_new and core.doubts.is_in_contact():
+        return views
+    known = [
+        view for view in views if not core.doubts.is_doubtful(view.incarnation)
+    ]
+    return views if is_new and not known else known
+
+
 def note_event(core, exchange, view):
     """Record that an upstream made an event which is passed on to the caller.
 
@@ -67,10 +90,12 @@
     view : UpstreamView
         The upstream.
     """
-    exchange.software = view.software
+    if exchange.software is None:
+        is_doubtful = core.doubts.is_doubtful(view.incarnation)
+        exchange.software = _UNKNOWN_SOFTWARE if is_doubtful else view.software
     if exchange.route.resumable:
         core.origins.note_began(
-            _key(exchange), exchange.service, view.software, exchange.ends
+            _key(exchange), exchange.service, exchange.software, exchange.ends
         )
 
 
@@ -85,7 +110,11 @@
     would accept the request.
     """
     current = core.registry.views.get(view.ident, view)
-    if exchange.software not in {None, current.software}:
+    is_bound = exchange.software is not None
+    if is_bound and (
+        exchange.software != current.software
+        or core.doubts.is_doubtful(view.incarnation)
+    ):
         return NotRun('another version', view.ident, arrived=False)
     return withdrawn_outcome(core.permissions, view)
 
@@ -103,7 +132,7 @@
     software = exchange.software
     if software is None:
         return 0.0
-    views = core.registry.usable(exchange.service, software)
+    views = usable_for(core, exchange)
     if any(not view.unreached_since for view in views):
         return 0.0
     history = core.origins.history
@@ -126,7 +155,7 @@
     """Return the refusal of a stream whose version has no upstream, or None."""
     service = exchange.service
     software = exchange.software
-    if software is None or core.registry.usable(service, software):
+    if software is None or usable_for(core, exchange):
         return None
     wait = restart_wait(core, exchange)
     return Refusal(_UNAVAILABLE, NO_UPSTREAM_REASON, _STEP, service, wait)
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -12,6 +12,7 @@
 from pollenstile.forward._leaving import may_answer_in_time
 from pollenstile.forward._request_log import log_standby
 from pollenstile.forward._selection import is_silent
+from pollenstile.forward._software import usable_for
 from pollenstile.forward._types import NotRun, Refusal
 from pollenstile.ops.timers import cancel_timer
 
@@ -275,7 +276,7 @@
     """Return the other upstreams that have been heard in the silence."""
     exchange = run.exchange
     since = _heard_from(run)
-    views = run.core.registry.usable(exchange.service, exchange.software)
+    views = usable_for(run.core, exchange)
     return [
         view
         for view in views
--- a/pollenstile/origins/__init__.py
+++ b/pollenstile/origins/__init__.py
@@ -1,6 +1,7 @@
 """Software versions at which streams began, as far as hosts know them."""
 
 from pollenstile.origins._conclusion import Witness, concluded_version
+from pollenstile.origins._doubts import VersionDoubts
 from pollenstile.origins._history import HISTORY_SECONDS, SoftwareHistory
 from pollenstile.origins._keepers import copy_candidates, keepers_by_domain
 from pollenstile.origins._key import origin_key
--- a/pollenstile/quarantine/_quarantine.py
+++ b/pollenstile/quarantine/_quarantine.py
@@ -61,6 +61,9 @@
         Called with each verdict that this host reaches, and with each release.
     on_held : function
         Called with each newly quarantined fingerprint.
+    on_ended : function
+        Called with the incarnation of each process that a host reports as
+        crashed, for the first time.
     completed_runs : RecentEvidence
         Requests that recently ran to completion on some upstream.
     proofs : PartProofs
@@ -76,6 +79,7 @@
         'key',
         'log',
         'now_ms',
+        'on_ended',
         'on_held',
         'on_update',
         'on_verdict',
@@ -97,6 +101,7 @@
         self.on_update = _ignore
         self.on_verdict = _ignore
         self.on_held = _ignore
+        self.on_ended = _ignore
 
     def is_held(self, fingerprint):
         """Return whether a request or a prompt part is in quarantine."""
@@ -114,6 +119,8 @@
         """Report a crashed process and the requests in flight there."""
         report = Report(incarnation, service, self.host, tuple(suspects))
         self._announce(self.apply(QuarantineUpdate(reports=(report,))))
+        # The report is not news if this incarnation was reported before.
+        self.on_ended(incarnation)
 
     def note_completed(self, fingerprint):
         """Record that a request ran to completion on some upstream."""
@@ -170,6 +177,7 @@
             tuple(proof for proof in update.proofs if self._prove(proof)),
         )
         for report in reports:
+            self.on_ended(report.incarnation)
             for attribution in judge(self, report):
                 self._hold(report.service, attribution)
         return fresh
