check: the list of known failures takes cases of the review, as strictly

Cause: the cases of the review stood behind the last line of KNOWN-RED.txt, where nothing read them: one that had been mended, or moved, stayed listed unnoticed.

Change: a case has a line of its own, by its folder and the rule of its claim. Listed cases run beside the features; a line whose case is not seen to fail, could not run, or names another rule fails the run, and the line is printed.

--- a/features/knownred.feature
+++ b/features/knownred.feature
@@ -33,3 +33,17 @@
   Scenario: A row of an outline is known by its own line
     Given the summary of a failed row of an outline, at line 41
     Then the failed scenario at line 41 is named as in its feature
+
+  Scenario Outline: A case of the review is a known failure only as listed: <entry>
+    A case that has been mended, or another one, must not stay listed unnoticed.
+    Given a case of the review in "review/2" with the rule "LOST"
+    And an entry for the case "<entry>"
+    When the case "review/2" with the rule "LOST" <result>
+    Then the faults of the list are "<faults>"
+
+    Examples:
+      | entry           | result | faults                         |
+      | review/2 "LOST" | fails  |                                |
+      | review/2 "LOST" | passes | review/2 passes, but is listed |
+      | review/2 "GONE" | fails  | review/2 is not "GONE"         |
+      | review/3 "LOST" | fails  | review/3 is not "LOST"         |
--- a/features/steps/knownred_steps.py
+++ b/features/steps/knownred_steps.py
@@ -5,7 +5,13 @@
 
 from behave import given, then, when
 
-from tools.knownred import failed_scenarios, read_entries, stale_entries
+from tools.knownred import (
+    Scenario,
+    failed_scenarios,
+    listed_cases,
+    read_entries,
+    stale_entries,
+)
 
 _PATH = 'features/a.feature'
 
@@ -86,3 +92,35 @@
 def then_named(context, line):
     entries, _ = read_entries(_entry('Two: seed 1', line))
     assert context.seen == entries, context.seen
+
+
+@given('a case of the review in "{folder}" with the rule "{rule}"')
+def given_case(context, folder, rule):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.root = pathlib.Path(directory.name)
+    path = context.root / folder
+    path.mkdir(parents=True)
+    (path / 'claim.txt').write_text(f'rule: {rule}\nsite: one\n')
+
+
+@given('an entry for the case "{entry}"')
+def given_case_entry(context, entry):
+    entries, unreadable = read_entries(f'{entry}: `run.sh`, as seen')
+    context.entries = entries
+    assert not unreadable
+    assert len(listed_cases(context.entries)) == 1
+
+
+@when('the case "{folder}" with the rule "{rule}" {result}')
+def when_case(context, folder, rule, result):
+    seen = {Scenario(folder, rule)}
+    context.seen = seen if result == 'fails' else set()
+
+
+@then('the faults of the list are "{faults}"')
+@then('the faults of the list are ""')
+def then_faults(context, faults=''):
+    reported = stale_entries(context.entries, context.seen, context.root)
+    expected = [faults] if faults else []
+    assert reported == expected, reported
--- a/tools/check.py
+++ b/tools/check.py
@@ -8,7 +8,8 @@
 prints its own output; the last line is ``N passed, N failed``. A failed
 scenario that a line of ``KNOWN-RED.txt`` names does not count as failed, and
 these lines are printed. A line whose scenario passes or has moved counts as
-failed.
+failed. So does a line of a case of ``review/`` that does not fail when it is
+run.
 """
 
 import os
@@ -19,7 +20,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-from knownred import failed_scenarios, read_entries, stale_entries
+from knownred import (
+    failed_scenarios,
+    listed_cases,
+    read_entries,
+    stale_entries,
+)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(sys.executable).parent
@@ -140,14 +146,15 @@
     Known failures are not counted as failed; entries of the list that name
     none, or can't be read, are. The features of daemons mostly wait for
     them, and the features of whole hosts take most of the time, so both
-    run beside the other features.
+    run beside the other features. So do the listed cases of the review.
     """
+    entries, unreadable = read_entries(_known_red())
     with ThreadPoolExecutor() as pool:
-        runs = list(pool.map(_run_features, _FEATURE_GROUPS))
+        cases = pool.submit(_run_cases, listed_cases(entries))
+        runs = [*pool.map(_run_features, _FEATURE_GROUPS), cases.result()]
     passed = sum(run.passed for run in runs)
     failed = sum(run.failed for run in runs)
     scenarios = set().union(*(run.scenarios for run in runs))
-    entries, unreadable = read_entries(_known_red())
     faults = stale_entries(entries, scenarios, ROOT)
     faults.extend(f'unreadable: {line}' for line in unreadable)
     for fault in faults:
@@ -176,6 +183,32 @@
     return _Run(passed, failed + errors, scenarios)
 
 
+def _run_cases(cases):
+    """Run cases of the review, one after the other.
+
+    Explanation
+    ===========
+
+    They exit with 0 if their fault is not seen, with 1 if it is, and with
+    another code if they could not run, which counts as failed.
+    """
+    environment = dict(os.environ, PATH=f'{BIN}:{os.environ["PATH"]}')
+    failed = set()
+    for case in cases:
+        completed = subprocess.run(
+            ['sh', str(ROOT / case.location / 'run.sh')],
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            check=False,
+        )
+        print(f'{case.location}: {completed.stdout}', end='')
+        if completed.returncode == 1:
+            failed.add(case)
+    return _Run(0, len(failed), frozenset(failed))
+
+
 def check_spec():
     """Check the specification; return its counts of passed and failed."""
     script = ROOT / 'spec' / 'run.py'
--- a/tools/knownred.py
+++ b/tools/knownred.py
@@ -8,8 +8,12 @@
 
     features/a.feature:12 "Two hosts: seed 1": command, what was seen; issue 2
 
-A failed scenario counts as known only if an entry names it by both. An entry
-whose scenario passes, or is no longer at its location, is stale.
+or with the folder of one case of ``review/`` and the rule of its claim::
+
+    review/2 "LOST": command, what was seen; issue 2
+
+A failed scenario or case counts as known only if an entry names it by both. An
+entry whose scenario passes, or is no longer at its location, is stale.
 """
 
 import re
@@ -17,7 +21,9 @@
 
 from behave.parser import parse_file
 
-_ENTRY = re.compile(r'(features/\S+\.feature:\d+) "([^"]+)": \S')
+_ENTRY = re.compile(r'(features/\S+\.feature:\d+|review/\d+) "([^"]+)": \S')
+_CASE = re.compile(r'review/\d+$')
+_RULE = re.compile(r'^rule: (\S+)$', re.MULTILINE)
 _FAILED = re.compile(r'^  (features/\S+\.feature:\d+)  (.+)$', re.MULTILINE)
 # Suffix that names the row of a scenario outline, such as `` -- @1.2 ``.
 _ROW = re.compile(r'(?<=\S) -- @\S+ ?.*$')
@@ -25,15 +31,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Scenario:
-    """A scenario by its location and its name.
+    """A scenario, or a case of the review, by its location and its name.
 
     Parameters
     ==========
 
     location : str
-        Path of the feature from the root, and the line number.
+        Path of the feature from the root, and the line number; the folder of
+        a case.
     name : str
-        The name without the suffix of an outline's row.
+        The name without the suffix of an outline's row; the rule of a case.
     """
 
     location: str
@@ -59,6 +66,8 @@
     location : str
         Location of any line of the feature.
     """
+    if _CASE.match(location):
+        return _existing_cases(root, location)
     path = location.rpartition(':')[0]
     if not (root / path).exists():
         return set()
@@ -112,6 +121,22 @@
     return messages
 
 
+def listed_cases(entries):
+    """Return the entries that name a case of the review, in order."""
+    cases = [entry for entry in entries if _CASE.match(entry.location)]
+    return sorted(cases, key=_location)
+
+
+def _existing_cases(root, location):
+    """Return the case of a folder by the rule that its claim names."""
+    claim = root / location / 'claim.txt'
+    if not claim.exists():
+        return set()
+    return {
+        Scenario(location, rule) for rule in _RULE.findall(claim.read_text())
+    }
+
+
 def _location(scenario):
     return scenario.location
 
