--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -18,6 +18,10 @@
 PAGE = ROOT / 'docs' / 'CAPACITY.md'
 
 _DAY = 86400
+# Hosts of a domain for each keeper of streams, and seconds for which a caller
+# waits for its stream.
+_HOSTS_PER_KEEPER = 8
+_STREAM_SECONDS = 14
 _KB = 1000
 _MB = 1000000
 _WATCHER = 'configuration watcher (three a domain)'
@@ -271,6 +275,33 @@
     ]
 
 
+def _stream_records(size, measured):
+    """Return the lines on what keepers record while versions are mixed."""
+    nodes = _nodes(size)
+    domains = size['domains']
+    keepers = domains * -(-(nodes // domains) // _HOSTS_PER_KEEPER)
+    per_keeper = measured['stream_record_writes_s']['per_keeper']
+    per_host = measured['stream_record_lists']['per_host']
+    kept = size['requests_s'] / keepers * _STREAM_SECONDS
+    size_kb = kept * _value(measured, 'stream_record_bytes') / _KB
+    return [
+        '',
+        '## Versions of streams, while several serve a service',
+        '',
+        f'- {keepers} keepers write {keepers * per_keeper:.0f} times a second '
+        'in all, by the slope of 9 to 300 hosts; none while one version serves.',
+        f'- An entry has {size_kb:.1f} kB if every request is a stream whose '
+        f'caller waits {_STREAM_SECONDS} s (worked out): '
+        f'{size_kb * per_keeper:.0f} kB a second at a keeper, '
+        f'{size_kb * per_keeper * keepers / nodes:.1f} on the average of all '
+        'nodes, over the budget for as long as that lasts.',
+        f'- After all hosts have ended, they make {per_host * nodes:.0f} lists '
+        'within some seconds, one domain each.',
+        '- A record of versions, one for each service without stage work, is '
+        'written when a version appears and a minute after one has gone.',
+    ]
+
+
 def _request_load(size, measured):
     requests = size['requests_s'] / _nodes(size)
     tokens = size['tokens_s'] / _nodes(size)
@@ -384,7 +415,12 @@
     measured = document['measured']
     budget = document['budget']
     lines = _control(size, measured, budget)
-    for part in (_platform_load, _request_load, _limitations):
+    for part in (
+        _platform_load,
+        _stream_records,
+        _request_load,
+        _limitations,
+    ):
         lines.extend(part(size, measured))
     lines.extend(_growth_table(document['sweep']))
     lines.extend(_sources(measured))
