forward: kept connections are held to the limits that are in force

Cause: a connection read the limits once, when it was opened.

Change: it reads them when a request begins, and before it parses one that waits behind an answer; the time for which it may stay idle follows too.

--- a/features/forward_http.feature
+++ b/features/forward_http.feature
@@ -46,6 +46,25 @@
       | a body that is too large   | 413    |
       | a head that never ends     | 408    |
 
+  Scenario Outline: A kept connection is held to the limits that are in force: <size>
+    Guards against proper requests that are refused on connections from before a change.
+    Given a forwarding host whose upstream answers "well"
+    And a caller who has had an answer on a connection that it keeps
+    When the limits are raised, and it sends a request with <size> there
+    Then it gets 200 and its connection stays open
+
+    Examples:
+      | size                      |
+      | headers of 3000 bytes     |
+      | a body of 3000 bytes      |
+
+  Scenario: A kept connection is held to limits that were lowered
+    The opposite case: what a newer version does not allow is refused there too.
+    Given a forwarding host whose upstream answers "well"
+    And a caller who has had an answer on a connection that it keeps
+    When the limits are lowered, and it sends a request with a body of 900 bytes there
+    Then it gets 413 and its connection is closed
+
   Scenario Outline: Requests that are not allowed by a route or key
     Given a forwarding host whose upstream answers "well"
     When a caller sends a request with <fault>
--- a/features/steps/forward_http_steps.py
+++ b/features/steps/forward_http_steps.py
@@ -1,5 +1,7 @@
 """Steps for callers' connections to a forwarding host."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from features.builders.forwardhost import ForwardHost, request
@@ -171,3 +173,44 @@
 @then('the upstream received nothing')
 def then_received_nothing(context):
     assert not context.host.seen, context.host.seen
+
+
+@given('a caller who has had an answer on a connection that it keeps')
+def given_kept(context):
+    context.connection = context.host.exchange(request(), until=b'well')
+
+
+def _change_limits(context, factor):
+    configuration = context.host.configuration
+    before = configuration.table.limits
+    limits = replace(
+        before,
+        header_bytes=before.header_bytes * factor,
+        body_bytes=int(before.body_bytes * factor),
+    )
+    configuration.table = replace(configuration.table, limits=limits)
+
+
+def _send_kept(context, sent):
+    connection = context.connection
+    connection.received = b''
+    connection.transport.write(sent)
+    run_reactor_until(lambda: b'\r\n\r\n' in connection.received)
+
+
+@when(
+    'the limits are raised, and it sends a request with headers of {size:d} bytes'
+    ' there'
+)
+def when_raised_headers(context, size):
+    _change_limits(context, 4)
+    _send_kept(context, request(extra=b'X-Long: %s\r\n' % (b'x' * size)))
+
+
+@when(
+    'the limits are {change}, and it sends a request with a body of {size:d} bytes'
+    ' there'
+)
+def when_changed_body(context, change, size):
+    _change_limits(context, 4 if change == 'raised' else 0.5)
+    _send_kept(context, request(body=b'x' * size))
--- a/pollenstile/forward/_callerchannel.py
+++ b/pollenstile/forward/_callerchannel.py
@@ -22,7 +22,7 @@
     ==========
 
     limits : Limits
-        Limits that were in force when the connection was opened.
+        Limits that were in force when the latest request began.
     slow_timer : IDelayedCall or None
         Rejects a request that isn't completely received in time.
     rejected : bool
@@ -35,9 +35,7 @@
 
     def connectionMade(self):
         """Set the limits of the connection; called by Twisted."""
-        self.limits = self.factory.limits()
-        self.totalHeadersSize = self.limits.header_bytes
-        self.timeOut = self.limits.idle_seconds
+        self._renew_limits()
         self.slow_timer = None
         self.rejected = False
         self.last = None
@@ -55,6 +53,7 @@
         if self.rejected:
             return
         if self.slow_timer is None and not self._handlingRequest:
+            self._renew_limits()
             self._start_slow_timer(self.limits.header_seconds)
         super().dataReceived(data)
 
@@ -84,6 +83,9 @@
         if self.factory.leaving:
             waits = bool(self._dataBuffer) and not request.announces_close()
             self.persistent = self.persistent and waits
+        # A request that waits behind the answer is parsed now.
+        self._renew_limits()
+        self._savedTimeOut = self.timeOut
         super().requestDone(request)
 
     def is_closing(self):
@@ -129,6 +131,12 @@
         )
         self._close_with(status)
 
+    def _renew_limits(self):
+        """Hold the next request to the limits that are in force now."""
+        self.limits = self.factory.limits()
+        self.totalHeadersSize = self.limits.header_bytes
+        self.timeOut = self.limits.idle_seconds
+
     def _close_with(self, status):
         self.rejected = True
         self._stop_slow_timer()
