origins: records are not written while the store is away

Change: neither record is read or written while neither this host nor its reader has the store; both are tried again when it is back.

--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -215,7 +215,10 @@
 
 def _connect_parts(parts, eras, rng):
     """Let the parts know who reads the store, and when it has returned."""
+    is_away = partial(_is_store_away, parts.relay)
     parts.software_record.is_following = parts.relay.follower.is_following
+    parts.software_record.is_away = is_away
+    parts.stream_record.is_away = is_away
     members = parts.members
     parts.stages.owner_wait.is_known = lambda: members.known
     configuration = parts.core.configuration
@@ -234,6 +237,11 @@
     return parts
 
 
+def _is_store_away(relay):
+    """Return whether neither this host nor its reader has the store."""
+    return not relay.follower.is_following() and relay.store.is_away()
+
+
 def link_peers(parts):
     """Request links to stage owners and to readers of the store."""
     ownership = parts.stages.ownership
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -104,6 +104,8 @@
         Takes a service; returns whether streams may begin at it.
     is_joined : function
         Returns whether this host knows the other hosts.
+    is_away : function
+        Returns whether the store answers neither this host nor its reader.
     is_following : function
         Returns whether another host reads the store for this one.
     """
@@ -114,6 +116,7 @@
         'history',
         'host',
         'hosts',
+        'is_away',
         'is_following',
         'is_joined',
         'is_settled',
@@ -145,6 +148,7 @@
         self.is_settled = _always
         self.has_streams = _has_streams
         self.is_joined = _always
+        self.is_away = _never
         self.is_following = _never
 
     def confirm(self, service):
@@ -164,7 +168,7 @@
 
     def review(self):
         """Write the records that don't fit, if it is the turn of this host."""
-        if not self.is_joined() or self.history.in_gap:
+        if not self.is_joined() or self.history.in_gap or self.is_away():
             return
         for service in list(self.history.gone_at):
             if self.has_streams(service) and self._is_due(service):
--- a/pollenstile/origins/_streamrecord.py
+++ b/pollenstile/origins/_streamrecord.py
@@ -65,6 +65,8 @@
         Streams that this host records, by key.
     domains : function
         Returns the names of the other failure domains.
+    is_away : function
+        Returns whether the store answers neither this host nor its reader.
     version : int or None
         Version of this host's entry; 0 if there is none, None if unknown.
     is_changed : bool
@@ -85,6 +87,7 @@
         'domains',
         'failures',
         'host',
+        'is_away',
         'is_changed',
         'is_writing',
         'log',
@@ -106,6 +109,7 @@
         self.log = log
         self.origins = {}
         self.domains = tuple
+        self.is_away = _never
         self.version = None
         self.is_changed = False
         self.is_writing = False
@@ -236,6 +240,8 @@
 
     async def _write(self):
         """Write or delete this host's entry; return whether that is done."""
+        if self.is_away():
+            return False
         # Written blindly, the entry of an earlier process would be lost.
         if self.version is None and not await self._read(self.domain):
             return False
@@ -308,5 +314,9 @@
     return [keys[start : start + _KEY_BYTES] for start in starts]
 
 
+def _never():
+    return False
+
+
 def _ignore_timeout(*_):
     """Go on without the streams; they are read in the background."""
