forward: a large answer that can't be had elsewhere is passed on whole

Callers saw: 502, or a connection that was reset within an answer, for sound answers of over 4 MiB without a stated length, to requests that must not be repeated (LOST).

Cause: any answer without a length counted as endless over that bound. For a request that may run once no other upstream may be asked, so giving up brings nothing; and the bound went on counting after the answer had begun, as it does when a host holds 32 MiB of all answers, when only a reset can enforce it.

Change: the bound is one of what is held, for requests that may run once and for answers that have begun. Requests that may be repeated are sent elsewhere as before, so a sound answer over 4 MiB without a length to such a request is still given up: left over.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -103,6 +103,20 @@
     When its upstream sends 3 parts of an answer without a length
     Then the caller has got all of it as it was sent
 
+  Scenario Outline: A large answer that can't be had elsewhere is passed on whole: <case>
+    Guards against work of sound upstreams that is thrown away, and callers that are cut off.
+    Given a forwarded "<kind>" request
+    And <held> MB of other answers are held back
+    When its upstream sends 200 parts of an answer without a length
+    Then forwarded send 0 is open
+    When its upstream ends the answer
+    Then the caller has got all of it as it was sent
+
+    Examples:
+      | case           | kind       | held |
+      | may run once   | once       | 0    |
+      | it has begun   | idempotent | 33   |
+
   Scenario: A slow answer without a length is awaited, not handed back
     The opposite case: nothing is sent beside it, and other upstreams are heard.
     Given a forwarded "idempotent" request
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -25,6 +25,7 @@
 from pollenstile.forward._silence import Backpressure
 from pollenstile.forward._software import note_event
 from pollenstile.forward._types import BodyEnd, Lost
+from pollenstile.routes import Kind
 
 _SUCCESS_STATUSES = range(200, 300)
 # Ends of a body after which its upstream may have sent all of it.
@@ -76,12 +77,16 @@
 
 async def _relay_answer(attempt, head):
     attempt.input_release.release()
-    is_bounded = not has_length(head)
+    # Without its answer, a request that may run once is lost: no other upstream
+    # may be asked.
+    is_bounded = (
+        not has_length(head) and attempt.exchange.route.kind is not Kind.ONCE
+    )
     bound = unstated_bound(attempt.exchange)
 
     def pass_on(data):
         _note_part(attempt, head, data, may_be_answer=True)
-        if is_bounded:
+        if is_bounded and attempt.contest.holder is not attempt:
             _count_toward_bound(attempt, data, bound, ENDLESS_ANSWER)
         if not attempt.endless:
             _pass_on_part(attempt, head, data)
