origins: failing reads of recorded streams are paced as well

Cause: each stream that was taken up read the store again while it refused reads; only answered reads counted for the pause.

Change: the pause counts from the start of a read. Entries that another writer spoiled have a scenario.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -4,12 +4,14 @@
 from dataclasses import replace
 from random import Random
 
+import msgspec
 from behave import given, then, when
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from features.builders.forward import ForwardScenario
 from features.builders.forwardhost import ForwardHost, request
+from features.builders.loop import result_of
 from features.builders.permission import open_connection
 from pollenstile.bench._versionworld import Versions, VersionWorld
 from pollenstile.bench.versions import play
@@ -17,7 +19,9 @@
     SOFTWARE_KIND,
     STREAMS_KIND,
     Origin,
+    OriginTable,
     SoftwareHistory,
+    StreamRecorder,
     VersionDoubts,
     Witness,
     origin_key,
@@ -32,6 +36,7 @@
     encode_origins,
 )
 from pollenstile.peer import BadMessageError
+from pollenstile.standin.objectapi import MemoryStore
 
 # Reasons of refusals for a version.
 _REASONS = ('unknown version', 'no upstream of its version')
@@ -399,3 +404,32 @@
     ended.advance(context.ended_at + seconds - ended.clock.seconds())
     assert ended.doubts.is_doubtful('u') is (state == 'not known')
     assert not ended.doubts.is_doubtful('another')
+
+
+@given('a store whose entry of streams is {value}')
+def given_spoiled(context, value):
+    context.clock = Clock()
+    context.store = MemoryStore(context.clock)
+    context.store.write_at_once(
+        f'{STREAMS_KIND}-d', 'h', msgspec.json.decode(value) or 0
+    )
+
+
+@when('a host looks a stream up there')
+def when_looked_up(context):
+    table = OriginTable(context.clock)
+    context.recorder = StreamRecorder(
+        context.store, context.clock, 'h', 'd', table
+    )
+    context.key = origin_key('t', 's', 'a')
+    context.found = result_of(context.recorder.look_up(context.key))
+
+
+@then('it finds no version, and no other read follows within a second')
+def then_none_found(context):
+    assert context.found is None
+    assert result_of(context.recorder.look_up(context.key)) is None
+    assert context.store.calls['list'] == 1, context.store.calls
+    context.clock.advance(1.0)
+    assert result_of(context.recorder.look_up(context.key)) is None
+    assert context.store.calls['list'] == 2, context.store.calls
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -124,6 +124,21 @@
     When the upstream of forwarded send 0 starts again in another version before its connection is open
     Then nothing is sent to it, and the request is sent to another upstream
 
+  Scenario Outline: An entry of streams that another writer spoiled names none of them: <value>
+    Guards against a host that ends, or binds a stream, by bytes that no host has written.
+    Given a store whose entry of streams is <value>
+    When a host looks a stream up there
+    Then it finds no version, and no other read follows within a second
+
+    Examples:
+      | value                       |
+      | null                        |
+      | []                          |
+      | {"streams": 3}              |
+      | {"streams": {"v1": 3}}      |
+      | {"streams": {"v1": "%%"}}   |
+      | {"streams": {"v1": "AAAA"}} |
+
   Scenario Outline: An upstream that has ended may be of another version when it is back: <contact>
     Guards against streams that go on at a successor under the same identifier.
     Given a host whose store <contact> when an upstream ends and starts again under its identifier
--- a/pollenstile/origins/_streamrecord.py
+++ b/pollenstile/origins/_streamrecord.py
@@ -79,6 +79,8 @@
         Reads in progress, by domain.
     read_at : dict
         Time on the clock at which the last answered read began, by domain.
+    tried_at : dict
+        Time on the clock at which the last read began, by domain.
     """
 
     __slots__ = (
@@ -96,6 +98,7 @@
         'reads',
         'store',
         'table',
+        'tried_at',
         'version',
         'written_at',
     )
@@ -117,6 +120,7 @@
         self.failures = 0
         self.reads = {}
         self.read_at = {}
+        self.tried_at = {}
 
     def note(self, origins):
         """Record streams, given by key."""
@@ -172,9 +176,11 @@
         read = self.reads.get(domain)
         if read is not None:
             return read
-        last = self.read_at.get(domain, -_READ_PERIOD_SECONDS)
-        if self.clock.seconds() - last < _READ_PERIOD_SECONDS:
+        now = self.clock.seconds()
+        last = self.tried_at.get(domain, now - _READ_PERIOD_SECONDS)
+        if now - last < _READ_PERIOD_SECONDS:
             return succeed(None)
+        self.tried_at[domain] = now
         read = Deferred.fromCoroutine(self._read(domain))
         if not read.called:
             self.reads[domain] = read
