origins: a writer of a record goes on after a write that shows a return

Cause: found by reading the diff: the answer to a write may name a new era of the store. The record's cache was cleared by that before the write ended, which then failed on the missing key, and the service counted as being written for good.

Change: the cache may be empty then.

Measured: the scenario failed before (KeyError) and passes.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -15,12 +15,14 @@
 from features.builders.permission import open_connection
 from pollenstile.bench._versionworld import Versions, VersionWorld
 from pollenstile.bench.versions import play
+from pollenstile.forward import Upstream
 from pollenstile.origins import (
     SOFTWARE_KIND,
     STREAMS_KIND,
     Origin,
     OriginTable,
     SoftwareHistory,
+    SoftwareRecorder,
     StreamRecorder,
     VersionDoubts,
     Witness,
@@ -433,3 +435,46 @@
     context.clock.advance(1.0)
     assert result_of(context.recorder.look_up(context.key)) is None
     assert context.store.calls['list'] == 2, context.store.calls
+
+
+class _ReturningStore(MemoryStore):
+    """A store whose answers to writes show that it is back from a copy."""
+
+    __slots__ = ('on_return',)
+
+    async def put(self, *arguments):
+        """Write, and report a return of the store before the answer."""
+        outcome = await super().put(*arguments)
+        self.on_return()
+        return outcome
+
+
+@given('a host that records the version of a service')
+def given_recording(context):
+    context.clock = Clock()
+    context.store = _ReturningStore(context.clock)
+    history = SoftwareHistory(context.clock, lambda: True)
+    history.in_gap = False
+    context.history = history
+    context.recorder = SoftwareRecorder(
+        context.store, context.clock, 'h', {}, history
+    )
+    context.store.on_return = context.recorder.note_return
+
+
+def _record_version(context, software):
+    upstream = Upstream(software, 's', 'a:1', 'd', software=software)
+    context.history.update([upstream])
+    context.recorder.review()
+
+
+@when('the answer to its write shows that the store is back from an older copy')
+def when_write_returns(context):
+    _record_version(context, 'v1')
+
+
+@then('it writes the versions that it sees from then on')
+def then_writes_on(context):
+    _record_version(context, 'v2')
+    entry = result_of(context.store.get(SOFTWARE_KIND, 's'))
+    assert entry.value['versions'] == ['v1', 'v2'], entry
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -124,6 +124,12 @@
     When the upstream of forwarded send 0 starts again in another version before its connection is open
     Then nothing is sent to it, and the request is sent to another upstream
 
+  Scenario: A record is written again after a write that showed a return of the store
+    Guards against a writer that gives up for good when the answer to its write names a new era.
+    Given a host that records the version of a service
+    When the answer to its write shows that the store is back from an older copy
+    Then it writes the versions that it sees from then on
+
   Scenario Outline: An entry of streams that another writer spoiled names none of them: <value>
     Guards against a host that ends, or binds a stream, by bytes that no host has written.
     Given a store whose entry of streams is <value>
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -293,7 +293,7 @@
             if not isinstance(outcome, Conflict):
                 self._log_failure(service, 'write', outcome)
             return False
-        self.recorded.pop(service)
+        self.recorded.pop(service, None)
         if record is not None:
             self.recorded[service] = Found(
                 SOFTWARE_KIND, service, outcome.version, entry
