--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -178,6 +178,7 @@
             world.clock.seconds,
             log,
         )
+        self.daemon.start_progress.used_seconds = _no_seconds
         hub = self.daemon.parts.hub
         hub.dialer.connect = world.wires.connect_from(self.address)
         world.wires.hubs[self.address] = _ListeningHub(hub)
@@ -417,6 +418,10 @@
         return log
 
 
+def _no_seconds():
+    return 0.0
+
+
 def _ignore(name, event, fields):
     """Do nothing for a log line."""
 
--- a/pollenstile/forward/_start.py
+++ b/pollenstile/forward/_start.py
@@ -1,5 +1,7 @@
 """Progress of a host's start: what it waits for before it serves."""
 
+import time
+
 from pollenstile.forward import events
 
 # Seconds between two log lines of what a starting host lacks.
@@ -22,7 +24,8 @@
     ==========
 
     used_seconds : function
-        Returns the processor time that the process has used, in seconds.
+        Returns the processor time that the process has used, in seconds;
+        replaced in virtual time, where runs repeat.
     began_at : float
         Time on the clock at which the host began to listen.
     ready_at, joined_at : float or None
@@ -43,7 +46,7 @@
     def __init__(self, clock, log):
         self.clock = clock
         self.log = log
-        self.used_seconds = _unknown
+        self.used_seconds = time.process_time
         self.began_at = clock.seconds()
         self.logged_at = self.began_at
         self.ready_at = None
@@ -105,7 +108,3 @@
         ('hosts', parts.members.known),
         ('peers', progress.joined_at is not None),
     )
-
-
-def _unknown():
-    return 0.0
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -2,7 +2,6 @@
 
 import random
 import sys
-import time
 from dataclasses import dataclass, field
 
 import msgspec
@@ -75,7 +74,6 @@
         boot_clock,
         event_log(host=settings.host),
     )
-    daemon.start_progress.used_seconds = time.process_time
     reactor.callWhenRunning(daemon.start)
     reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
     ignore_hangup(reactor, daemon.log)
--- a/pollenstile/soak/live/_returns.py
+++ b/pollenstile/soak/live/_returns.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from pollenstile.soak.live._records import Fault
@@ -10,6 +11,8 @@
 _ENDS = 2
 _BEFORE_SECONDS = 3.0
 _CALM_SECONDS = 4.0
+# Seconds between two looks for hosts that are down.
+_LOOK_SECONDS = 0.5
 # Seconds for which the store is slow or away around an end of all hosts.
 _STORE_BEFORE_SECONDS = 0.5
 _STORE_AFTER_SECONDS = 3.0
@@ -51,6 +54,7 @@
 async def play_returns(world, plan):
     """End all hosts together, several times; they start again."""
     reactor = world.reactor
+    Deferred.fromCoroutine(_record_down(world))
     for _ in range(_ENDS):
         await deferLater(reactor, _BEFORE_SECONDS)
         await _end_all(world, STORE_STATES[plan.store])
@@ -61,6 +65,16 @@
     await deferLater(reactor, _CALM_SECONDS)
 
 
+async def _record_down(world):
+    """Record for how long hosts are down: they read no requests."""
+    while world.is_sending:
+        now = world.reactor.seconds()
+        for host in world.hosts:
+            if host.callers.target is None:
+                world.records.faults.append(Fault(now, host.name, 'down'))
+        await deferLater(world.reactor, _LOOK_SECONDS)
+
+
 async def _end_all(world, set_state):
     set_state(world.store, True)
     await deferLater(world.reactor, _STORE_BEFORE_SECONDS)
