origins: contact with the store and pauses are worked out in one place each

Cause: read again, the change asked twice in the same words whether a host is in contact with the store, once for witnesses and once for doubts; and both records bounded a doubling pause twice, by a number of doublings and by a limit that this number reaches, one of them with the number of writers.

Change: the history of versions says whether the host is in contact; the pauses are bounded by the number of doublings alone. No behaviour changes.

--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -73,7 +73,9 @@
     """
     views = core.registry.usable(exchange.service, exchange.software)
     is_new = exchange.software is None
-    if not exchange.route.resumable or is_new and core.doubts.is_in_contact():
+    if not exchange.route.resumable:
+        return views
+    if is_new and core.origins.history.is_in_contact():
         return views
     known = [
         view for view in views if not core.doubts.is_doubtful(view.incarnation)
--- a/pollenstile/origins/_doubts.py
+++ b/pollenstile/origins/_doubts.py
@@ -59,10 +59,6 @@
             self.listed_at[incarnation] = self.clock.seconds()
             drop_oldest(self.listed_at, _MAX_ENDED)
 
-    def is_in_contact(self):
-        """Return whether the host is in contact with the store."""
-        return self.history.is_fresh() and not self.history.in_gap
-
     def is_doubtful(self, incarnation):
         """Return whether an upstream may be of another version than listed."""
         ended_at = self.ended_at.get(incarnation)
@@ -70,7 +66,7 @@
             return False
         if self.listed_at.get(incarnation, _LONG_AGO) > ended_at:
             return False
-        if not self.is_in_contact():
+        if not self.history.is_in_contact():
             return True
         since = max(ended_at, self.history.followed_since)
         return self.clock.seconds() - since < _ENTRY_SECONDS
--- a/pollenstile/origins/_history.py
+++ b/pollenstile/origins/_history.py
@@ -148,6 +148,10 @@
             return True
         return self.has_followed()
 
+    def is_in_contact(self):
+        """Return whether the host is in contact with the store."""
+        return self.is_fresh() and not self.in_gap
+
     def has_followed(self):
         """Return whether the registry was followed for long enough."""
         return self.clock.seconds() - self.followed_since >= HISTORY_SECONDS
--- a/pollenstile/origins/_origins.py
+++ b/pollenstile/origins/_origins.py
@@ -204,7 +204,7 @@
         history = self.history
         return Witness(
             history.versions(service),
-            history.is_fresh() and not history.in_gap,
+            history.is_in_contact(),
             history.is_complete(service),
         )
 
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -21,9 +21,10 @@
 # for the ones before it. Hosts that read the store themselves come after them.
 _WRITERS = 3
 _TURN_SECONDS = 0.5
-# Seconds between two attempts to write a record, which double up to a limit.
+# Half the seconds until the second attempt to write a record. The pauses double
+# with each further attempt, up to 2 s.
 _RETRY_SECONDS = 0.25
-_MAX_RETRY_SECONDS = 2.0
+_MAX_DOUBLINGS = 3
 # Seconds for which a request waits until the record is read, and minimum
 # seconds between two reads of it while they fail.
 _READ_SECONDS = 0.5
@@ -228,10 +229,11 @@
             if self.is_following():
                 return float('inf')
             place = _WRITERS
+        turn = place * _TURN_SECONDS
         retries = self.retries.get(service, 0)
-        pause = _RETRY_SECONDS * 2 ** min(retries, _WRITERS + 1)
-        wait = min(pause, _MAX_RETRY_SECONDS) if retries else 0.0
-        return place * _TURN_SECONDS + wait
+        if not retries:
+            return turn
+        return turn + _RETRY_SECONDS * 2 ** min(retries, _MAX_DOUBLINGS)
 
     def _place(self, service):
         """Return the turn of this host among those that write a record."""
--- a/pollenstile/origins/_streamrecord.py
+++ b/pollenstile/origins/_streamrecord.py
@@ -31,8 +31,7 @@
 # Minimum seconds between two writes of a host. Streams that began in between
 # are not recorded when all hosts end.
 _WRITE_PERIOD_SECONDS = 0.5
-# Limit in seconds of the pause after failed writes, which doubles.
-_MAX_PAUSE_SECONDS = 4.0
+# Failed writes in a row after which the pause doubles no more; it is 4 s then.
 _MAX_DOUBLINGS = 3
 # Minimum seconds between two reads of a domain, and seconds for which a request
 # waits for them. A slow store answers within 0.3 s.
@@ -228,10 +227,7 @@
         self.clock.callLater(max(0, due), self._start_write)
 
     def _pause(self):
-        doubled = _WRITE_PERIOD_SECONDS * 2 ** min(
-            self.failures, _MAX_DOUBLINGS
-        )
-        return min(doubled, _MAX_PAUSE_SECONDS)
+        return _WRITE_PERIOD_SECONDS * 2 ** min(self.failures, _MAX_DOUBLINGS)
 
     def _start_write(self):
         Deferred.fromCoroutine(self._write_entry())
