--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -161,6 +161,7 @@
         self.frozen = False
         self.gone = False
         self.path = StorePath(world.store, world.clock)
+        self.path.watch_delay = world.watch_delay(name)
         place = (name, _PORT)
         self.daemon = ForwardDaemon(
             world.clock,
@@ -264,6 +265,9 @@
         Log lines: time in seconds, host, event name and fields.
     on_event : function
         Called with host name, event and fields of each log line.
+    watch_delay : function
+        Takes the name of a host that starts; returns the seconds by which its
+        answers to watches arrive late.
     ended_calls : int
         Store calls of processes that other ones of their name have replaced.
     """
@@ -281,6 +285,7 @@
         'services',
         'sides',
         'store',
+        'watch_delay',
         'wires',
     )
 
@@ -301,6 +306,7 @@
         self.services = services or {}
         self.keys = keys
         self.on_event = _ignore
+        self.watch_delay = _no_delay
         self.cut = set()
         self.ended_calls = 0
         self.sides = {}
@@ -345,6 +351,19 @@
         for _ in range(round(seconds / _COARSE_STEP)):
             self.clock.advance(_COARSE_STEP)
 
+    def delay_watches(self, delay_of):
+        """Let the answers to watches of all hosts arrive late from now on.
+
+        Parameters
+        ==========
+
+        delay_of : function
+            Takes the name of a host; returns the seconds.
+        """
+        self.watch_delay = delay_of
+        for name, host in self.hosts.items():
+            host.path.watch_delay = delay_of(name)
+
     def write_configuration(self, version):
         """Write a configuration and wait for the store to acknowledge it."""
         self._write('config', 'main', version)
@@ -422,6 +441,10 @@
     return 0.0
 
 
+def _no_delay(name):
+    return 0.0
+
+
 def _ignore(name, event, fields):
     """Do nothing for a log line."""
 
--- a/pollenstile/bench/_storepath.py
+++ b/pollenstile/bench/_storepath.py
@@ -38,6 +38,8 @@
         The number of calls by kind of object.
     lists : Counter
         The number of full lists by kind of object.
+    watch_delay : float
+        Seconds by which answers to watches arrive late.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         'refuses',
         'silent',
         'store',
+        'watch_delay',
     )
 
     def __init__(self, store, clock):
@@ -60,6 +63,7 @@
         self.calls = 0
         self.kinds = Counter()
         self.lists = Counter()
+        self.watch_delay = 0.0
 
     def end_faults(self):
         """End all faults."""
@@ -94,9 +98,14 @@
         self.lists[arguments[0]] += 1
         return self._called(self.store.listed, Unavailable, arguments)
 
-    def watched(self, *arguments):
+    async def watched(self, *arguments):
         """See :class:`~pollenstile.platform.Store`."""
-        return self._called(self.store.watched, Unavailable, arguments)
+        outcome = await self._called(
+            self.store.watched, Unavailable, arguments
+        )
+        if self.watch_delay:
+            await paused(self.clock, self.watch_delay)
+        return outcome
 
     async def _called(self, call, failed, arguments, options=None):
         self.calls += 1
--- a/pollenstile/bench/versions.py
+++ b/pollenstile/bench/versions.py
@@ -10,6 +10,8 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
+from random import Random
 
 from pollenstile.bench._commandline import (
     add_sizes,
@@ -45,6 +47,11 @@
 # Hosts that stay away: those that write a record first.
 _LOST_WRITERS = 3
 _LOST_AT = 1.0
+# Seconds by which watches are late at most, and kills of hosts a second, and
+# the seconds in which they happen, meanwhile.
+_WATCH_DELAYS = (0.8, 1.5, 2.5)
+_LATE_KILL_RATE = 4.0
+_LATE_SECONDS = 8.0
 # Hosts and failure domains.
 _SIZES = '9/4,30/3,60/4,195/6'
 
@@ -147,6 +154,21 @@
         world.later(_LATER_AT, world.kill_host, name)
 
 
+def _delay_watches(seconds, world):
+    """Let watches be late while hosts are killed and upstreams replaced."""
+    world.fleet.delay_watches(partial(_watch_delay, seconds))
+    world.schedule_replacement('v2', _REPLACE_SECONDS)
+    share = len(world.fleet.hosts) / _FLEET
+    world.schedule_randomly(
+        _LATE_KILL_RATE * share, _LATE_SECONDS, world.kill_host
+    )
+
+
+def _watch_delay(seconds, name):
+    """Return a host's delay: half of the seconds at least."""
+    return seconds * Random(name).uniform(0.5, 1)
+
+
 FAULTS = {
     'none': _do_nothing,
     'upstreams crash': _crash_upstreams,
@@ -165,6 +187,10 @@
     'the first writers are away and all hosts restart': (
         _lose_writers_and_restart_all
     ),
+    **{
+        f'watches are {seconds:g} s late': partial(_delay_watches, seconds)
+        for seconds in _WATCH_DELAYS
+    },
 }
 
 
