platform: a line and a gauge tell how late the answers to a watch are

A watch that is answered late looks like one without changes: no line showed that a host in contact with the store knew its upstreams 0.8 s later than others. The store has one revision for all kinds, so an answer that goes up to an older revision than a read that came before is at least as late as that read is old: event 7012, and the gauge watch_late_seconds by kind. Nothing is decided by it. Shown by the new scenario: 500 ms or more of 800 are told, and nothing once answers are in time.

--- /dev/null
+++ b/features/steps/late_watches_steps.py
@@ -0,0 +1,280 @@
+"""Steps for hosts that hear of upstreams late."""
+
+from random import Random
+
+from behave import given, then, when
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from features.builders.loop import result_of
+from pollenstile.bench._streamtries import serve_try
+from pollenstile.bench._versionworld import Versions, VersionWorld
+from pollenstile.forward import Upstream
+from pollenstile.origins import (
+    SOFTWARE_KIND,
+    SoftwareHistory,
+    SoftwareRecorder,
+)
+from pollenstile.platform import RevisionTimes, WatchTiming, paused, watch
+from pollenstile.standin.objectapi import MemoryStore
+
+_LATE_SECONDS = 2.5
+_SECOND = 'v2'
+# Upstreams of the second version that start: as many as of the first one.
+_STARTED = 9
+# Seconds in which a stream begins, or a try of it is answered.
+_BEGIN_SECONDS = 0.1
+_TRY_SECONDS = 1.5
+# Seconds in which keepers are told of a stream, and record it.
+_RECORD_SECONDS = 1.0
+_MAX_BEGUN = 40
+_FOLLOWED_SECONDS = 120
+_LATE_EVENT = 'watch-late'
+
+
+def _late_world(context, late):
+    """Play 9 hosts, of which some hear of upstreams late.
+
+    Parameters
+    ==========
+
+    late : function
+        Takes the names of all hosts; returns those that are late.
+    """
+    world = VersionWorld(9, 9, 4, Versions('v1', 'v1'))
+    names = list(world.fleet.hosts)
+    late_names = late(names)
+    world.fleet.delay_watches(
+        lambda name: _LATE_SECONDS if name in late_names else 0.0
+    )
+    context.world = world
+    context.late = world.fleet.hosts[late_names[0]]
+    context.early = world.fleet.hosts[
+        next(name for name in names if name not in late_names)
+    ]
+    # A watch that was sent before is answered in time.
+    world.advance(_LATE_SECONDS)
+
+
+@given('9 hosts in 4 domains, one of which hears of upstreams 2.5 s late')
+def given_one_late(context):
+    _late_world(context, lambda names: names[:1])
+
+
+@given(
+    '9 hosts in 4 domains, all but one of which hear of upstreams 2.5 s late'
+)
+def given_one_early(context):
+    _late_world(context, lambda names: names[:-1])
+
+
+def _start_second(world):
+    for number in range(_STARTED):
+        world.upstreams.start(f'second:{number}', 'd', _SECOND)
+    world.advance(_BEGIN_SECONDS)
+
+
+def _begin_at(context):
+    """Begin streams at the early host until one is of the second version."""
+    world = context.world
+    for _ in range(_MAX_BEGUN):
+        caller = world.new_caller()
+        caller.tries = 1
+        answer = caller.new_answer()
+        caller.answers.append(answer)
+        serve_try(world, context.early, caller, f'{caller.ident}-0', answer)
+        world.live.setdefault(context.early.name, []).append(answer)
+        while not answer.events():
+            world.advance(0.01)
+        if caller.versions() == {_SECOND}:
+            context.begun = caller
+            return
+    raise AssertionError('no stream began at the second version')
+
+
+@when(
+    'upstreams of a second version start, and a stream begins there at another'
+    ' host'
+)
+def when_begins(context):
+    _start_second(context.world)
+    _begin_at(context)
+    context.world.advance(_RECORD_SECONDS)
+
+
+@when('upstreams of a second version start, and the store is lost')
+def when_store_lost(context):
+    _start_second(context.world)
+    context.world.fleet.store.down = True
+    context.world.advance(_BEGIN_SECONDS)
+
+
+@when('a stream begins at the host that knows them, which ends at once')
+def when_begins_and_ends(context):
+    _begin_at(context)
+    context.world.end_host(context.early.name)
+
+
+@when(
+    'that host ends, and the stream is taken up at the late one while {others}'
+)
+def when_taken_up_while(context, others):
+    world = context.world
+    world.end_host(context.early.name)
+    if others == 'no other host is left':
+        for name in list(world.fleet.hosts):
+            if name != context.late.name and not world.fleet.hosts[name].gone:
+                world.end_host(name)
+    when_taken_up(context)
+
+
+@when('the stream is taken up at another host')
+def when_taken_up(context):
+    world = context.world
+    caller = world.new_caller()
+    caller.tries = 1
+    caller.origin = f'{context.begun.ident}-0'
+    caller.body = context.begun.body
+    caller.last = len(context.begun.answers[0].events())
+    answer = caller.new_answer()
+    caller.answers.append(answer)
+    serve_try(world, context.late, caller, f'{caller.ident}-0', answer)
+    world.advance(_TRY_SECONDS)
+    context.caller = caller
+
+
+@then('that caller gets further events of the second version')
+def then_second(context):
+    answer = context.caller.answers[0]
+    assert context.caller.versions() == {_SECOND}, (
+        answer.refusal,
+        answer.events(),
+    )
+
+
+@given('a host that has followed one version for two minutes')
+def given_followed(context):
+    context.clock = Clock()
+    context.store = MemoryStore(context.clock)
+    history = SoftwareHistory(context.clock, lambda: True)
+    history.update([Upstream('u', 's', 'a:1', 'd', software='v1')])
+    context.recorder = SoftwareRecorder(
+        context.store, context.clock, 'h', {}, history
+    )
+    _review(context, _FOLLOWED_SECONDS)
+    assert _recorded(context) == ['v1'], _recorded(context)
+
+
+def _review(context, seconds):
+    """Let the host review its record once a second."""
+    for _ in range(seconds):
+        context.clock.advance(1)
+        context.recorder.history.review()
+        context.recorder.review()
+
+
+def _recorded(context):
+    entry = result_of(context.store.get(SOFTWARE_KIND, 's'))
+    return entry.value['versions']
+
+
+@when('another host records a second version')
+def when_recorded(context):
+    context.store.write_at_once(
+        SOFTWARE_KIND, 's', {'versions': ['v1', _SECOND], 'proven': True}
+    )
+    # What this host knows of the record is as old as its last read of it.
+    context.recorder.note_return()
+
+
+@then('the record has both versions {seconds:d} seconds later')
+def then_both(context, seconds):
+    _review(context, seconds)
+    assert _recorded(context) == ['v1', _SECOND], _recorded(context)
+
+
+@then(
+    'it has the first version alone {seconds:d} seconds later, if no upstream'
+    ' of the second appears'
+)
+def then_first_alone(context, seconds):
+    _review(context, seconds)
+    assert _recorded(context) == ['v1'], _recorded(context)
+
+
+class _LateStore(MemoryStore):
+    """A store whose answers to watches arrive late."""
+
+    __slots__ = ('delay',)
+
+    async def watched(self, *arguments):
+        """Watch, and answer late."""
+        outcome = await super().watched(*arguments)
+        if self.delay:
+            await paused(self.clock, self.delay)
+        return outcome
+
+
+@given('a host that watches a kind and reads another one five times a second')
+def given_watching(context):
+    clock = Clock()
+    store = _LateStore(clock)
+    store.delay = 0.0
+    context.clock = clock
+    context.store = store
+    context.late_ms = []
+
+    def log(event, level='info', **fields):
+        if event.name == _LATE_EVENT:
+            context.late_ms.append(fields['late_ms'])
+
+    context.watch = watch(
+        store,
+        'upstreams',
+        list,
+        clock,
+        Random(1),
+        log,
+        timing=WatchTiming(poll=2.0, list_every=1000.0),
+    )
+    context.watch.revision_times = RevisionTimes(clock)
+    context.writes = 0
+
+
+def _play(context, seconds):
+    """Let the store change ten times a second, and read it five times."""
+    for tenth in range(seconds * 10):
+        context.writes += 1
+        context.store.write_at_once('upstreams', 'u', context.writes)
+        if tenth % 2 == 0:
+            reading = Deferred.fromCoroutine(context.store.listed('config'))
+            reading.addCallback(_note_revision, context.watch.revision_times)
+        context.clock.advance(0.1)
+
+
+def _note_revision(listing, times):
+    times.note(listing.revision)
+
+
+@when('its watch is answered 0.8 s late')
+def when_late(context):
+    context.store.delay = 0.8
+    _play(context, 5)
+
+
+@when('its watch is answered in time')
+def when_in_time(context):
+    context.store.delay = 0.0
+    _play(context, 2)
+    context.late_ms.clear()
+    _play(context, 5)
+
+
+@then('it logs a late watch of at least {least:d} ms')
+def then_logged(context, least):
+    assert max(context.late_ms) >= least, context.late_ms
+
+
+@then('it logs no more late watches')
+def then_not_logged(context):
+    assert not context.late_ms, context.late_ms
--- a/pollenstile/bench/_storepath.py
+++ b/pollenstile/bench/_storepath.py
@@ -100,9 +100,7 @@
 
     async def watched(self, *arguments):
         """See :class:`~pollenstile.platform.Store`."""
-        outcome = await self._called(
-            self.store.watched, Unavailable, arguments
-        )
+        outcome = await self._called(self.store.watched, Unavailable, arguments)
         if self.watch_delay:
             await paused(self.clock, self.watch_delay)
         return outcome
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -7,7 +7,7 @@
 from pollenstile.forward._relayedconfig import apply_relayed_update
 from pollenstile.forward._settling import Settling
 from pollenstile.ops.logs import silent_log
-from pollenstile.platform import era_of
+from pollenstile.platform import RevisionTimes, era_of
 
 # Share of the revocation bound for which a verification is valid. The rest
 # allows for the time between the sending of a request and its handling here.
@@ -87,6 +87,8 @@
         Time on the suspend clock as of which ``known_revision`` holds.
     settling : Settling
         Whether an answer of the store proves that nothing newer exists.
+    revision_times : RevisionTimes
+        Revisions of the store that own reads have shown.
     """
 
     __slots__ = (
@@ -101,6 +103,7 @@
         'loop',
         'newest_revision',
         'revision',
+        'revision_times',
         'revoke_seconds',
         'settling',
         'suspend_clock',
@@ -135,6 +138,7 @@
         self.verified_at = -1000.0
         self.settling = Settling(suspend_clock)
         self.listeners = []
+        self.revision_times = RevisionTimes(clock)
         self.loop = ConfigurationLoop(store, clock, random, self, log)
 
     def is_verified(self):
@@ -231,6 +235,7 @@
         """
         previous_revision = self.newest_revision
         self.settling.note_read(read.revision)
+        self.revision_times.note(read.revision)
         self.known_revision = max(read.revision, self.known_revision or 0)
         self.known_at = max(began, self.known_at)
         if read.found is not None:
--- a/pollenstile/forward/_gauges.py
+++ b/pollenstile/forward/_gauges.py
@@ -20,6 +20,20 @@
 )
 
 
+def _add_store_gauges(measures, configuration):
+    measures.gauge(
+        'proof_age_seconds',
+        'Seconds since the configuration was verified to be the newest.',
+        configuration.age,
+    )
+    measures.gauges(
+        'watch_late_seconds',
+        'Seconds by which the latest answer to a watch was late, at least.',
+        'kind',
+        configuration.revision_times.late_seconds.copy,
+    )
+
+
 def add_gauges(measures, parts, factory):
     """Add gauges of a host's state and load.
 
@@ -34,11 +48,7 @@
         Counts the requests in flight.
     """
     core = parts.core
-    measures.gauge(
-        'proof_age_seconds',
-        'Seconds since the configuration was verified to be the newest.',
-        core.configuration.age,
-    )
+    _add_store_gauges(measures, core.configuration)
     measures.gauge(
         'upstreams',
         'Upstreams in the registry.',
--- a/pollenstile/forward/_storewatches.py
+++ b/pollenstile/forward/_storewatches.py
@@ -136,6 +136,7 @@
             self.log,
             timing=timing,
         )
+        running.revision_times = self.parts.core.configuration.revision_times
         source.add(kind, running)
         self.running.append(running)
         running.ready.addCallback(handle_listed)
--- a/pollenstile/platform/__init__.py
+++ b/pollenstile/platform/__init__.py
@@ -27,6 +27,7 @@
     ServerClient,
 )
 from pollenstile.platform._httpstore import HttpStore
+from pollenstile.platform._lateness import RevisionTimes
 from pollenstile.platform._outcome import (
     Absent,
     Change,
--- a/pollenstile/platform/_watch.py
+++ b/pollenstile/platform/_watch.py
@@ -15,12 +15,17 @@
 )
 from pollenstile.platform.events import (
     WATCH_CALLBACK_FAILED,
+    WATCH_LATE,
     WATCH_LISTED_AGAIN,
     WATCH_MISSED,
     WATCH_SILENT,
     WATCH_STALE,
 )
 
+# Seconds by which an answer is late before a line tells.
+_LATE_SECONDS = 0.5
+_MS = 1000
+
 
 @dataclass(slots=True, frozen=True)
 class WatchTiming:
@@ -70,6 +75,8 @@
     batched : function
         Returns a context manager, inside which the changes of one answer are
         reported. May be set at any time.
+    revision_times : RevisionTimes or None
+        Revisions that other reads have shown. May be set at any time.
     """
 
     __slots__ = (
@@ -85,6 +92,7 @@
         'random',
         'ready',
         'revision',
+        'revision_times',
         'running',
         'seen',
         'store',
@@ -100,6 +108,7 @@
         self.batched = nullcontext
         self.seen = SeenVersions()
         self.revision = None
+        self.revision_times = None
         self.list_at = 0.0
         self.failures = 0
         self.delivering = False
@@ -229,6 +238,7 @@
         state.revision = None
         await _jitter(state)
         return True
+    _note_lateness(state, outcome.revision)
     if outcome.events:
         return await _apply_changes(state, outcome)
     state.revision = max(state.revision, outcome.revision)
@@ -237,6 +247,14 @@
     return state.clock.seconds() - started >= seconds / 2
 
 
+def _note_lateness(state, revision):
+    if state.revision_times is None:
+        return
+    late = state.revision_times.note_watched(state.kind, revision)
+    if late >= _LATE_SECONDS:
+        _log(state, WATCH_LATE, revision=revision, late_ms=int(late * _MS))
+
+
 async def _apply_changes(state, outcome):
     changes = filter_new_events(state.seen, outcome.events)
     if outcome.revision < state.revision or len(changes) < len(outcome.events):
--- a/pollenstile/platform/events.py
+++ b/pollenstile/platform/events.py
@@ -43,6 +43,12 @@
     'If it persists, the object API was rolled back without a new era; restart'
     ' the hosts.',
 )
+WATCH_LATE = define(
+    7012,
+    'watch-late',
+    'A watch was answered with a state that is older than an earlier read.',
+    'If it persists, changes are known late here: check the path to the store.',
+)
 STORE_RETURNED = define(
     7010,
     'store-returned',
