Show streams that a host joins because it hears of upstreams late

Callers get events of two versions in one stream. A host in contact with the store, whose watch is answered late, takes the only version that it knows for the only one there is and asks nobody: shown at 0.8 s by one host of a late domain, at 1.5 and 2.5 s by runs with kills and a release (one, one and two streams), and by a store that is lost after one host alone has heard of v2. A host that hears late also takes v2 out of the store's record.

--- a/features/steps/late_watches_steps.py
+++ b/features/steps/late_watches_steps.py
@@ -1,5 +1,6 @@
 """Steps for hosts that hear of upstreams late."""
 
+from functools import partial
 from random import Random
 
 from behave import given, then, when
@@ -18,34 +19,39 @@
 from pollenstile.platform import RevisionTimes, WatchTiming, paused, watch
 from pollenstile.standin.objectapi import MemoryStore
 
-_LATE_SECONDS = 2.5
 _SECOND = 'v2'
 # Upstreams of the second version that start: as many as of the first one.
 _STARTED = 9
+# Seconds after which hosts rely on what they have followed themselves.
+_FOLLOWING_SECONDS = 61.0
 # Seconds in which a stream begins, or a try of it is answered.
 _BEGIN_SECONDS = 0.1
 _TRY_SECONDS = 1.5
-# Seconds in which keepers are told of a stream, and record it.
-_RECORD_SECONDS = 1.0
+# Part of the delay in which keepers are told of a stream, and record it.
+_RECORD_SHARE = 0.4
 _MAX_BEGUN = 40
 _FOLLOWED_SECONDS = 120
 _LATE_EVENT = 'watch-late'
 
 
-def _late_world(context, late):
+def _late_world(context, seconds, late):
     """Play 9 hosts, of which some hear of upstreams late.
 
     Parameters
     ==========
 
+    seconds : float
+        Delay of what these hear.
     late : function
-        Takes the names of all hosts; returns those that are late.
+        Takes the world and the names of all hosts, keepers of streams last;
+        returns those that are late.
     """
     world = VersionWorld(9, 9, 4, Versions('v1', 'v1'))
-    names = list(world.fleet.hosts)
-    late_names = late(names)
+    world.fleet.advance_coarsely(_FOLLOWING_SECONDS)
+    names = sorted(world.fleet.hosts, key=partial(_is_keeper, world))
+    late_names = late(world, names)
     world.fleet.delay_watches(
-        lambda name: _LATE_SECONDS if name in late_names else 0.0
+        lambda name: seconds if name in late_names else 0.0
     )
     context.world = world
     context.late = world.fleet.hosts[late_names[0]]
@@ -53,19 +59,35 @@
         next(name for name in names if name not in late_names)
     ]
     # A watch that was sent before is answered in time.
-    world.advance(_LATE_SECONDS)
+    world.advance(seconds)
+    context.seconds = seconds
 
 
-@given('9 hosts in 4 domains, one of which hears of upstreams 2.5 s late')
-def given_one_late(context):
-    _late_world(context, lambda names: names[:1])
+def _domain_of_first(world, names):
+    hosts = world.fleet.hosts
+    domain = hosts[names[0]].domain
+    return [name for name in names if hosts[name].domain == domain]
+
+
+def _is_keeper(world, name):
+    sharing = world.fleet.hosts[name].daemon.parts.origin_sharing
+    return any(name in keepers for keepers in sharing.keepers.values())
+
+
+@given(
+    '9 hosts in 4 domains, and those of one domain hear of upstreams'
+    ' {seconds:g} s late'
+)
+def given_late_domain(context, seconds):
+    _late_world(context, seconds, _domain_of_first)
 
 
 @given(
-    '9 hosts in 4 domains, all but one of which hear of upstreams 2.5 s late'
+    '9 hosts in 4 domains, all but one of which hear of upstreams {seconds:g} s'
+    ' late'
 )
-def given_one_early(context):
-    _late_world(context, lambda names: names[:-1])
+def given_one_early(context, seconds):
+    _late_world(context, seconds, lambda _, names: names[:-1])
 
 
 def _start_second(world):
@@ -99,7 +121,7 @@
 def when_begins(context):
     _start_second(context.world)
     _begin_at(context)
-    context.world.advance(_RECORD_SECONDS)
+    context.world.advance(_RECORD_SHARE * context.seconds)
 
 
 @when('upstreams of a second version start, and the store is lost')
