origins: the only version is concluded from a read that began after the question

Callers got events of two versions in one stream: a host whose watch of the registry was answered late knew v1 alone, was in contact with the store, and took v1 for the version of a stream that another host had begun at v2. It asked nobody. Contact with the store says when it was last heard, not up to which moment its history is known here.

What orders the two is a read of the registry that begins after the caller has asked: whoever began the stream had read its upstream's entry before. A host that follows a reader asks it, and it reads before it answers; all that ask at the same time share one read, four a second and host at most. A host without a reader lists the registry itself. Peers that are asked do the same. If none can read, keepers are told of versions as soon as a host sees a second one, so that histories which stop at different moments don't agree by chance. A host that hears late takes no version out of the record that others have put there, and reads the registry before it refuses a stream of a version it has not listed.

The answer of a peer has a new field, as hosts of the earlier code state mere contact in the old one.

--- a/features/steps/late_watches_steps.py
+++ b/features/steps/late_watches_steps.py
@@ -70,8 +70,9 @@
 
 
 def _is_keeper(world, name):
-    sharing = world.fleet.hosts[name].daemon.parts.origin_sharing
-    return any(name in keepers for keepers in sharing.keepers.values())
+    parts = world.fleet.hosts[name].daemon.parts
+    by_domain = parts.origin_sharing.keepers
+    return any(name in keepers for keepers in by_domain.values())
 
 
 @given(
--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -30,6 +30,7 @@
 )
 from pollenstile.origins._codec import (
     OriginAnswer,
+    ToldOrigins,
     decode_answer,
     decode_ask,
     decode_origins,
@@ -318,9 +319,12 @@
 
 @then('a peer reads the same streams, with the time until they are forgotten')
 def then_same_streams(context):
-    encoded = encode_origins(context.streams, 10.0)
+    versions = frozenset((('s', 'v1'), ('s', 'v2'), ('s', 'v3')))
+    encoded = encode_origins(ToldOrigins(context.streams, versions), 10.0)
     # The clock of the peer is 100 s ahead.
-    read = decode_origins(encoded, 110.0)
+    told = decode_origins(encoded, 110.0)
+    assert told.versions == versions, told.versions
+    read = told.streams
     expected = {
         key: (origin.software, round(origin.expires_at + 100, 3))
         for key, origin in context.streams.items()
@@ -337,7 +341,7 @@
 def then_same_question(context):
     key = next(iter(context.streams))
     assert decode_ask(encode_ask(key, 's')) == (key, 's')
-    witness = Witness(frozenset(('v1', '')), is_fresh=True, is_complete=False)
+    witness = Witness(frozenset(('v1', '')), is_current=True, is_complete=False)
     for software in (None, '', 'v1'):
         answer = OriginAnswer(software, witness)
         assert decode_answer(encode_answer(answer)) == answer
@@ -348,10 +352,13 @@
     rng = Random(1)
     key = next(iter(context.streams))
     answer = OriginAnswer(
-        'v1', Witness(frozenset(('v1',)), is_fresh=True, is_complete=True)
+        'v1', Witness(frozenset(('v1',)), is_current=True, is_complete=True)
     )
     messages = (
-        (encode_origins(context.streams, 10.0), _decode_at_zero),
+        (
+            encode_origins(ToldOrigins(context.streams, frozenset()), 10.0),
+            _decode_at_zero,
+        ),
         (encode_ask(key, 's'), decode_ask),
         (encode_answer(answer), decode_answer),
     )
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -218,6 +218,7 @@
     is_away = partial(_is_store_away, parts.relay)
     parts.software_record.is_following = parts.relay.follower.is_following
     parts.software_record.is_away = is_away
+    parts.origin_sharing.asking.reader = partial(_reader, parts.relay.follower)
     parts.stream_record.is_away = is_away
     members = parts.members
     parts.stages.owner_wait.is_known = lambda: members.known
@@ -242,6 +243,11 @@
     return not relay.follower.is_following() and relay.store.is_away()
 
 
+def _reader(follower):
+    """Return the host that reads the store for this one, if there is one."""
+    return follower.following
+
+
 def link_peers(parts):
     """Request links to stage owners and to readers of the store."""
     ownership = parts.stages.ownership
--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -58,6 +58,7 @@
         software=origin.software or '',
         source=origin.source,
     )
+    await core.origins.read_unlisted(service, origin.software)
     return _absent_refusal(core, exchange)
 
 
--- a/pollenstile/forward/_storewatches.py
+++ b/pollenstile/forward/_storewatches.py
@@ -4,6 +4,7 @@
 from pollenstile.forward._drained import DRAINED
 from pollenstile.forward._members import HOSTS
 from pollenstile.forward._registry import UPSTREAMS
+from pollenstile.forward._registryreads import build_registry_reads
 from pollenstile.ops.logs import silent_log
 from pollenstile.platform import WatchTiming, watch
 from pollenstile.quarantine import QUARANTINE_KIND
@@ -92,6 +93,10 @@
             _REGISTRY_TIMING,
         )
         upstreams.batched = registry.indexing.opened
+        reads = build_registry_reads(
+            self.parts, self.clock, upstreams, self.log
+        )
+        self.parts.core.origins.read_registry = reads.begun_now
         members = self.parts.members
         hosts = self._watch(
             HOSTS, members.apply, members.note_listed, _HOSTS_TIMING
--- a/pollenstile/origins/_codec.py
+++ b/pollenstile/origins/_codec.py
@@ -40,26 +40,45 @@
     witness: Witness
 
 
-def encode_origins(origins, now):
-    """Return encoded streams, given by key."""
-    groups = {}
-    for key, origin in origins.items():
-        groups.setdefault(origin.software, []).append((key, origin))
+@dataclass(slots=True, frozen=True)
+class ToldOrigins:
+    """What a host tells a keeper.
+
+    Parameters
+    ==========
+
+    streams : dict
+        :class:`Origin` of streams, by key.
+    versions : frozenset of tuple
+        Service and version of each version that the host has seen lately.
+    """
+
+    streams: dict
+    versions: frozenset
+
+
+def encode_origins(told, now):
+    """Return encoded :class:`ToldOrigins`."""
+    groups = {version: [] for version in sorted(told.versions)}
+    for key, origin in told.streams.items():
+        version = (origin.service, origin.software)
+        groups.setdefault(version, []).append((key, origin))
     rows = [
         {
+            'service': service,
             'software': software,
             'keys': b''.join(key for key, _ in members),
             'leftMs': [
                 uint32_ms(origin.expires_at - now) for _, origin in members
             ],
         }
-        for software, members in groups.items()
+        for (service, software), members in groups.items()
     ]
     return _schema.Origins.new_message(groups=rows).to_bytes()
 
 
 def decode_origins(encoded, now):
-    """Return the streams of a message by key.
+    """Return the :class:`ToldOrigins` of a message.
 
     Raises
     ======
@@ -69,10 +88,13 @@
     """
 
     def build(reader):
-        origins = {}
+        streams = {}
+        versions = set()
         for group in reader.groups:
-            origins.update(_origins_of(group, now))
-        return origins
+            streams.update(_origins_of(group, now))
+            if group.service:
+                versions.add((group.service, group.software))
+        return ToldOrigins(streams, frozenset(versions))
 
     return decode_struct(_schema.Origins, encoded, build)
 
@@ -98,8 +120,9 @@
         isKnown=answer.software is not None,
         software=answer.software or '',
         versions=sorted(witness.versions),
-        isFresh=witness.is_fresh,
+        isFresh=witness.is_current,
         isComplete=witness.is_complete,
+        isCurrent=witness.is_current,
     ).to_bytes()
 
 
@@ -108,7 +131,7 @@
 
     def build(reader):
         witness = Witness(
-            frozenset(reader.versions), reader.isFresh, reader.isComplete
+            frozenset(reader.versions), reader.isCurrent, reader.isComplete
         )
         software = reader.software if reader.isKnown else None
         return OriginAnswer(software, witness)
--- a/pollenstile/origins/_conclusion.py
+++ b/pollenstile/origins/_conclusion.py
@@ -12,15 +12,14 @@
 
     versions : frozenset of str
         Versions that it has seen lately.
-    is_fresh : bool
-        Whether it is in contact with the store.
+    is_current : bool
+        Whether it has read the versions that are registered since it was asked.
     is_complete : bool
-        Whether, until its last contact with the store, it can't have missed a
-        version.
+        Whether it can't have missed a version that was there earlier.
     """
 
     versions: frozenset
-    is_fresh: bool
+    is_current: bool
     is_complete: bool
 
 
@@ -31,9 +30,10 @@
     ===========
 
     No host can have begun a stream at a version that it did not read from the
-    store. A witness in contact with the store would have seen it too. If no
-    witness is in contact, the store is most likely away for all hosts; but a
-    host that was not heard may still reach it. Hosts that have all just started
+    store. A witness that has read the store since the stream was taken up has
+    seen it too; one that is merely in contact may get the changes late. If no
+    witness can read the store, it is most likely away for all hosts; but a host
+    that was not heard may still reach it. Hosts that have all just started
     can't know what served before.
 
     Parameters
@@ -51,21 +51,21 @@
     >>> cut_off = Witness(frozenset(('v1',)), False, True)
     >>> concluded_version([cut_off], is_everyone_heard=False) is None
     True
-    >>> in_contact = Witness(frozenset(('v1',)), True, True)
-    >>> concluded_version([cut_off, in_contact], is_everyone_heard=False)
+    >>> current = Witness(frozenset(('v1',)), True, True)
+    >>> concluded_version([cut_off, current], is_everyone_heard=False)
     'v1'
     >>> started = Witness(frozenset(('v1',)), True, False)
     >>> concluded_version([started], is_everyone_heard=True) is None
     True
     >>> newer = Witness(frozenset(('v1', 'v2')), True, True)
-    >>> concluded_version([in_contact, newer], is_everyone_heard=True) is None
+    >>> concluded_version([current, newer], is_everyone_heard=True) is None
     True
     """
     versions = frozenset().union(*(witness.versions for witness in witnesses))
     if len(versions) != 1:
         return None
     complete = [witness for witness in witnesses if witness.is_complete]
-    is_sure = any(witness.is_fresh for witness in complete)
+    is_sure = any(witness.is_current for witness in complete)
     if is_sure or complete and is_everyone_heard:
         return next(iter(versions))
     return None
--- a/pollenstile/origins/_history.py
+++ b/pollenstile/origins/_history.py
@@ -33,6 +33,11 @@
         while there is one, by version, by service.
     followed_since : float
         Time since which the host has followed the registry without a gap.
+    told_at : dict
+        Time at which a peer last told of a version, by version, by service.
+    recorded_at : dict
+        Time at which the store's record was first seen to have a version that
+        it still has, by version, by service.
     confirmed_at : dict
         Time at which a proven record of versions was last read, by service.
     new_services : set of str
@@ -52,6 +57,8 @@
         'is_fresh',
         'listeners',
         'new_services',
+        'recorded_at',
+        'told_at',
         'was_listed',
     )
 
@@ -61,6 +68,8 @@
         self.gone_at = {}
         self.followed_since = clock.seconds()
         self.in_gap = True
+        self.told_at = {}
+        self.recorded_at = {}
         self.confirmed_at = {}
         self.new_services = set()
         self.was_listed = False
@@ -104,15 +113,19 @@
         now = self.clock.seconds()
         if is_proof:
             self.confirmed_at[service] = now
-        if self.has_followed() and not self.in_gap:
-            # The host has seen all versions itself, and the record may be old.
-            return
-        seen = self.gone_at.setdefault(service, {})
-        added = [software for software in versions if software not in seen]
-        for software in added:
-            seen[software] = now
-        if added:
-            self._notify(service)
+        before = self.versions(service)
+        noted = self.recorded_at.get(service, {})
+        self.recorded_at[service] = {
+            software: noted.get(software, now) for software in versions
+        }
+        self._notify_of_new(service, before)
+
+    def note_told(self, service, software):
+        """Note a version that a peer has seen."""
+        before = self.versions(service)
+        told = self.told_at.setdefault(service, {})
+        told[software] = self.clock.seconds()
+        self._notify_of_new(service, before)
 
     def review(self):
         """Note the begin or the end of a gap; forget versions that are gone."""
@@ -124,19 +137,23 @@
             self.new_services.clear()
         self.in_gap = not is_fresh
         oldest = now - HISTORY_SECONDS
-        for seen in self.gone_at.values():
-            for software, gone_at in list(seen.items()):
-                if gone_at is not None and gone_at < oldest:
+        for seen in (*self.gone_at.values(), *self.told_at.values()):
+            for software, seen_at in list(seen.items()):
+                if seen_at is not None and seen_at < oldest:
                     seen.pop(software)
 
     def versions(self, service):
-        """Return the versions of a service that were seen lately."""
-        oldest = self.clock.seconds() - HISTORY_SECONDS
-        return frozenset(
-            software
-            for software, gone_at in self.gone_at.get(service, {}).items()
-            if gone_at is None or gone_at >= oldest
-        )
+        """Return the versions of a service that any host has seen lately."""
+        return self.listed_versions(service) | self.heard_versions(service)
+
+    def listed_versions(self, service):
+        """Return the versions that the registry has listed lately."""
+        return self._recent(self.gone_at.get(service, {}))
+
+    def heard_versions(self, service):
+        """Return the versions that peers and the record have named lately."""
+        told = self._recent(self.told_at.get(service, {}))
+        return told | self._recent(self.recorded_at.get(service, {}))
 
     def is_mixed(self, service):
         """Return whether several versions of a service were seen lately."""
@@ -158,17 +175,29 @@
 
     def seconds_since_gone(self, service, software):
         """Return the seconds since a version had an upstream; 0 if it has."""
-        gone_at = self.gone_at.get(service, {}).get(software)
+        recorded_at = self.recorded_at.get(service, {}).get(software)
+        gone_at = self.gone_at.get(service, {}).get(software, recorded_at)
         return 0.0 if gone_at is None else self.clock.seconds() - gone_at
 
+    def _recent(self, seen):
+        """Return the versions whose time is None or lately."""
+        oldest = self.clock.seconds() - HISTORY_SECONDS
+        return frozenset(
+            software
+            for software, seen_at in seen.items()
+            if seen_at is None or seen_at >= oldest
+        )
+
     def _note_listed(self, service, versions):
+        before = self.versions(service)
         seen = self.gone_at.setdefault(service, {})
-        is_new = not versions.issubset(seen)
         for software in versions:
             seen[software] = None
-        if is_new:
-            self._notify(service)
+        self._notify_of_new(service, before)
 
-    def _notify(self, service):
+    def _notify_of_new(self, service, before):
+        """Call the listeners if a version is seen that was not before."""
+        if self.versions(service) <= before:
+            return
         for listener in self.listeners:
             listener(service)
--- a/pollenstile/origins/_origins.py
+++ b/pollenstile/origins/_origins.py
@@ -14,7 +14,12 @@
 _RETRY_SECONDS = 0.3
 # Seconds for which a stream is remembered after its caller's deadline.
 _SLACK_SECONDS = 2.0
+# Seconds for which a request waits until the registry is read. A slow store
+# answers within 0.3 s.
+_READ_SECONDS = 0.5
 # How the version of a stream is known that was read from the store.
+_OWN = 'own'
+_ONLY_VERSION = 'only version'
 _STORE = 'store'
 
 
@@ -25,8 +30,8 @@
     Parameters
     ==========
 
-    software : str or None
-        The version; None if the service has no upstream at all.
+    software : str
+        The version.
     source : str
         How it is known: ``'own'``, ``'only version'``, ``'store'`` or a peer's
         name.
@@ -85,7 +90,8 @@
     Only the upstream that makes a stream's first event decides on its version.
     The host that passes this event on remembers the version, and tells keepers
     while several versions of the service are seen. With one version, nothing is
-    sent, and a stream of another host can only have begun there.
+    told; that a stream of another host can only have begun there is concluded
+    from a read of the registry that begins after the stream was taken up.
 
     Parameters
     ==========
@@ -106,6 +112,12 @@
         Called with the key of a stream of this host that is new.
     ask_peers : function
         Takes key and service; returns a coroutine of :class:`PeerAnswers`.
+    ask_reader : function
+        The same, of the host that reads the store for this one; no answers if
+        this host reads it itself.
+    read_registry : function
+        Takes seconds; returns a Deferred of whether the registry was read
+        meanwhile, by a call that began after this one.
     confirm : function
         Takes a service and reads which versions any host has recorded of it;
         returns a Deferred that fires when they are in the history.
@@ -120,12 +132,14 @@
 
     __slots__ = (
         'ask_peers',
+        'ask_reader',
         'clock',
         'confirm',
         'history',
         'is_looked_up',
         'look_up',
         'on_began',
+        'read_registry',
         'started_at',
         'table',
     )
@@ -136,6 +150,8 @@
         self.table = OriginTable(clock, log)
         self.on_began = _ignore_key
         self.ask_peers = _no_peers
+        self.ask_reader = _no_peers
+        self.read_registry = _read_at_once
         self.confirm = _no_record
         self.look_up = _no_stream
         self.is_looked_up = _always
@@ -159,18 +175,73 @@
         """Return :class:`OriginFound` or :class:`OriginUnknown`."""
         software = self.table.software(key)
         if software is not None:
-            return OriginFound(software, 'own')
-        if not self.history.versions(service):
-            return OriginFound(None, 'no version')
+            return OriginFound(software, _OWN)
+        witnesses = ()
         if not self.history.is_mixed(service):
-            await self._confirm_if_incomplete(service)
-        own = self.witness(service)
-        alone = concluded_version([own], is_everyone_heard=False)
-        if alone is not None:
-            return OriginFound(alone, 'only version')
-        return await self._find_elsewhere(key, service, own)
+            answers = await self.ask_reader(key, service)
+            found = await self._find_alone(key, service, answers)
+            if found is not None:
+                return found
+            witnesses = answers.witnesses
+        return await self._find_elsewhere(key, service, witnesses)
+
+    async def _find_alone(self, key, service, answers):
+        """Return the :class:`OriginFound` of the only version, or None.
+
+        Explanation
+        ===========
+
+        This host may know another version late, so it, or the host that reads
+        the store for it, reads the registry now.
+
+        Parameters
+        ==========
+
+        answers : PeerAnswers
+            What that host says.
+        """
+        if answers.software is not None:
+            return self._found_at(key, answers)
+        await self._confirm_if_incomplete(service)
+        is_current = False
+        if not any(witness.is_current for witness in answers.witnesses):
+            is_current = await self.read_versions(service, _READ_SECONDS)
+        software = self.table.software(key)
+        if software is not None:
+            # A keeper was told meanwhile.
+            return OriginFound(software, _OWN)
+        own = self.witness(service, is_current=is_current)
+        alone = concluded_version(
+            [own, *answers.witnesses], is_everyone_heard=False
+        )
+        return None if alone is None else OriginFound(alone, _ONLY_VERSION)
+
+    async def read_versions(self, service, seconds):
+        """Read which versions of a service are registered, if that may tell.
+
+        Returns
+        =======
 
-    async def _find_elsewhere(self, key, service, own):
+        bool
+            Whether they are known as of a time after this call.
+        """
+        if self.history.is_mixed(service):
+            return False
+        return await self.read_registry(seconds)
+
+    async def read_unlisted(self, service, software):
+        """Read the registry if it has not listed a version of a stream here.
+
+        Explanation
+        ===========
+
+        A peer, or the store's record of streams, may have named a version
+        before this host hears of its upstreams.
+        """
+        if software not in self.history.listed_versions(service):
+            await self.read_registry(_READ_SECONDS)
+
+    async def _find_elsewhere(self, key, service, witnesses):
         """Look for a stream in the store and ask peers for it.
 
         Explanation
@@ -185,9 +256,9 @@
             return found
         answers = await self.ask_peers(key, service)
         if answers.software is not None:
-            self._remember(key, answers.software)
-            return OriginFound(answers.software, answers.source)
-        concluded = _conclude([own, *answers.witnesses], answers)
+            return self._found_at(key, answers)
+        own = self.witness(service)
+        concluded = _conclude([own, *witnesses, *answers.witnesses], answers)
         if isinstance(concluded, OriginUnknown) and not is_young:
             found = await self._look_up(key)
         if isinstance(concluded, OriginUnknown) and not self.is_looked_up():
@@ -199,12 +270,19 @@
         software = await self.look_up(key)
         return None if software is None else OriginFound(software, _STORE)
 
-    def witness(self, service):
-        """Return what this host can say of the versions of a service."""
+    def witness(self, service, *, is_current=False):
+        """Return what this host can say of the versions of a service.
+
+        Parameters
+        ==========
+
+        is_current : bool
+            Whether it has read them since it was asked.
+        """
         history = self.history
         return Witness(
             history.versions(service),
-            history.is_in_contact(),
+            is_current,
             history.is_complete(service),
         )
 
@@ -213,6 +291,11 @@
         self.history.review()
         self.table.forget_old()
 
+    def _found_at(self, key, answers):
+        """Return the :class:`OriginFound` of a peer that knows a stream."""
+        self._remember(key, answers.software)
+        return OriginFound(answers.software, answers.source)
+
     def _is_young(self):
         """Return whether this host has started lately."""
         return self.clock.seconds() - self.started_at < HISTORY_SECONDS
@@ -246,7 +329,7 @@
         witnesses, is_everyone_heard=answers.is_everyone_heard
     )
     if software is not None:
-        return OriginFound(software, 'only version')
+        return OriginFound(software, _ONLY_VERSION)
     versions = frozenset().union(*(witness.versions for witness in witnesses))
     is_final = answers.is_everyone_heard and len(versions) > 1
     return OriginUnknown(
@@ -262,6 +345,11 @@
     """Tell nobody; the default of a host that is alone."""
 
 
+def _read_at_once(seconds):
+    """Return a Deferred of True: this host sees all versions at once."""
+    return succeed(True)
+
+
 async def _no_peers(key, service):
     return PeerAnswers()
 
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -254,11 +254,15 @@
     def _wanted_record(self, service):
         """Return the record that a service should have; None for no record."""
         history = self.history
-        seen = history.versions(service)
-        if history.has_followed():
-            return SoftwareRecord(seen, is_proven=True) if seen else None
+        seen = history.listed_versions(service)
         known = self.recorded.get(service)
         before = None if known is None else _record_of(known)
+        if history.has_followed():
+            if before is not None:
+                # The registry may be known late here: what others have
+                # recorded stays until it is old.
+                seen |= before.versions & history.heard_versions(service)
+            return SoftwareRecord(seen, is_proven=True) if seen else None
         is_proven = history.is_complete(service)
         if before is None:
             return SoftwareRecord(seen, is_proven) if seen else None
--- a/pollenstile/origins/_sharing.py
+++ b/pollenstile/origins/_sharing.py
@@ -1,33 +1,24 @@
-"""Exchange of the versions of streams between hosts."""
-
-from functools import partial
+"""Keepers are told of the versions at which streams began."""
 
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.origins import events
+from pollenstile.origins._asking import OriginAsking, ask_peer
 from pollenstile.origins._codec import (
-    OriginAnswer,
-    decode_answer,
-    decode_ask,
+    ToldOrigins,
     decode_origins,
-    encode_answer,
-    encode_ask,
     encode_origins,
 )
 from pollenstile.origins._keepers import copy_candidates, keepers_by_domain
-from pollenstile.origins._origins import PeerAnswers
-from pollenstile.peer import LOST, REFUSED, BadMessageError, Unanswered
+from pollenstile.peer import Unanswered
 
 TELL_SUBJECT = 'stream-origins'
-ASK_SUBJECT = 'stream-origin'
 # Minimum seconds between two messages to one keeper. Streams that began in
 # between are unknown to it when their host ends.
 _COLLECT_SECONDS = 0.25
-# Seconds for a keeper to take a message, the connection included, and for a
-# peer to answer a question, for which a caller waits.
+# Seconds for a keeper to take a message, the connection included.
 _TELL_SECONDS = 0.8
-_ASK_SECONDS = 0.4
 # Seconds after which all streams are told again that no keeper took.
 _RETRY_SECONDS = 0.5
 
@@ -56,13 +47,14 @@
 
 
 class OriginSharing:
-    """Tells keepers of this host's streams, and asks them for those of others.
+    """Tells keepers of this host's streams.
 
     Explanation
     ===========
 
     Nothing is told while one version of a service is seen. When a second one
-    appears, and when a keeper starts again, all streams are told.
+    appears, and when a keeper starts again, all streams are told, and the
+    versions, which the keeper may not have read yet.
 
     Parameters
     ==========
@@ -89,9 +81,12 @@
     record : function
         Called with streams, by key, that this host records in the store for its
         domain.
+    asking : OriginAsking
+        Asks the same keepers for the streams of others.
     """
 
     __slots__ = (
+        'asking',
         'copies',
         'hosts',
         'hub',
@@ -113,13 +108,12 @@
         self.copies = []
         self.pending = {}
         self.record = _ignore_streams
+        self.asking = OriginAsking(hub, origins, hosts)
         self.timer = None
         self.sent_at = -_COLLECT_SECONDS
         origins.on_began = self._began
-        origins.ask_peers = self.ask
         origins.history.listeners.append(self._version_seen)
         hub.requests.subjects[TELL_SUBJECT] = self._on_told
-        hub.requests.subjects[ASK_SUBJECT] = self._on_asked
         hub.link_up_handlers.append(self._link_opened)
 
     def update_hosts(self):
@@ -128,95 +122,12 @@
         domains = {name: peer.domain for name, peer in self.hosts.items()}
         domains[hello.host] = hello.domain
         self.keepers = keepers_by_domain(domains)
+        self.asking.keepers = self.keepers
         chosen = copy_candidates(hello.host, hello.domain, self.keepers)
         if [copy.candidates for copy in self.copies] != list(chosen):
             self.copies = [_Copy(candidates) for candidates in chosen]
             self._tell_all()
 
-    async def ask(self, key, service):
-        """Return the :class:`PeerAnswers` on a stream.
-
-        Explanation
-        ===========
-
-        The keepers of this host's domain are asked first: callers that lose
-        their host mostly reach another one of its domain.
-        """
-        hello = self.hub.hello
-        replies = {}
-        for is_near in (True, False):
-            peers = [
-                peer
-                for domain, keepers in self.keepers.items()
-                for peer in keepers
-                if (domain == hello.domain) is is_near and peer != hello.host
-            ]
-            replies.update(await self._ask_all(peers, encode_ask(key, service)))
-            for peer, reply in replies.items():
-                if _is_known(reply):
-                    return PeerAnswers(reply.software, peer)
-        return PeerAnswers(
-            witnesses=tuple(
-                reply.witness
-                for reply in replies.values()
-                if isinstance(reply, OriginAnswer)
-            ),
-            is_everyone_heard=self._is_everyone_heard(service, replies),
-        )
-
-    def _is_everyone_heard(self, service, replies):
-        """Return whether a keeper of each domain is a witness, or has ended.
-
-        Explanation
-        ===========
-
-        A host whose address refuses connections is not cut off: it serves no
-        callers either.
-        """
-        if not self.keepers:
-            # This host does not know the others yet.
-            return False
-        heard = {peer for peer in replies if _is_heard(replies[peer])}
-        unheard = {
-            domain
-            for domain, keepers in self.keepers.items()
-            if heard.isdisjoint(keepers)
-        }
-        if self.origins.witness(service).is_complete:
-            unheard.discard(self.hub.hello.domain)
-        return not unheard
-
-    def _ask_all(self, peers, encoded):
-        """Return a Deferred of the replies by peer.
-
-        Explanation
-        ===========
-
-        It fires when all peers have replied or are late, or one of them knows
-        the stream. A reply is an ``OriginAnswer`` or ``Unanswered``.
-        """
-        done = Deferred()
-        replies = {}
-        for peer in peers:
-            reply = self._request(peer, ASK_SUBJECT, encoded, _ASK_SECONDS)
-            reply.addCallback(self._ask_again, peer, encoded)
-            reply.addCallback(_decode_reply, peer)
-            reply.addCallback(partial(_on_reply, done, replies, peer, peers))
-        if not peers:
-            done.callback(replies)
-        return done
-
-    def _ask_again(self, reply, peer, encoded):
-        """Ask a peer again whose link was lost: it may have ended."""
-        if isinstance(reply, Unanswered) and reply.reason == LOST:
-            return self._request(peer, ASK_SUBJECT, encoded, _ASK_SECONDS)
-        return reply
-
-    def _request(self, peer, subject, body, seconds):
-        entry = self.hosts.get(peer)
-        address = entry.address if entry else ''
-        return self.hub.ask(peer, subject, body, seconds, address)
-
     def _began(self, key):
         origin = self.origins.table.by_key[key]
         if self.origins.history.is_mixed(origin.service):
@@ -233,6 +144,23 @@
     def _told_streams(self):
         return self.origins.table.own(self.origins.history.is_mixed)
 
+    def _told_versions(self):
+        """Return service and version of each version that the registry lists.
+
+        Explanation
+        ===========
+
+        Those that only peers have named are left out: hosts that told each
+        other of a version that is gone would never forget it.
+        """
+        history = self.origins.history
+        return frozenset(
+            (service, software)
+            for service in history.gone_at
+            if history.is_mixed(service)
+            for software in history.listed_versions(service)
+        )
+
     def _tell_all(self):
         self._tell(self._told_streams())
 
@@ -240,7 +168,7 @@
         if _records_own(self):
             self.record(streams)
         self.pending.update(streams)
-        if self.timer is None and self.pending:
+        if self.timer is None and (self.pending or self._told_versions()):
             clock = self.hub.clock
             due = self.sent_at + _COLLECT_SECONDS - clock.seconds()
             self.timer = clock.callLater(max(0, due), self._send_pending)
@@ -261,9 +189,10 @@
                 return
             if keeper != copy.keeper:
                 streams = self._told_streams()
-            body = encode_origins(streams, self.hub.clock.seconds())
-            answer = await self._request(
-                keeper, TELL_SUBJECT, body, _TELL_SECONDS
+            told = ToldOrigins(streams, self._told_versions())
+            body = encode_origins(told, self.hub.clock.seconds())
+            answer = await ask_peer(
+                self.hub, self.hosts, keeper, TELL_SUBJECT, body, _TELL_SECONDS
             )
             if not isinstance(answer, Unanswered):
                 copy.keeper = keeper
@@ -286,18 +215,21 @@
     def _retry(self, copy):
         copy.is_resting = False
         streams = self._told_streams()
-        if streams and not self.hub.stopped:
+        if self._told_versions() and not self.hub.stopped:
             Deferred.fromCoroutine(self._send(copy, streams))
 
     def _link_opened(self, link):
         """Tell a keeper again whose link was lost: it may have started anew."""
         streams = self._told_streams()
         for copy in self.copies:
-            if copy.keeper == link.host and streams:
+            if copy.keeper == link.host and self._told_versions():
                 Deferred.fromCoroutine(self._send(copy, streams))
 
     def _on_told(self, host, body):
-        streams = decode_origins(body, self.hub.clock.seconds())
+        told = decode_origins(body, self.hub.clock.seconds())
+        streams = told.streams
+        for service, software in told.versions:
+            self.origins.history.note_told(service, software)
         for key, origin in streams.items():
             self.origins.table.add(key, origin)
         entry = self.hosts.get(host)
@@ -306,12 +238,6 @@
             self.record(streams)
         return b''
 
-    def _on_asked(self, host, body):
-        key, service = decode_ask(body)
-        software = self.origins.table.software(key)
-        witness = self.origins.witness(service)
-        return encode_answer(OriginAnswer(software, witness))
-
 
 def _is_keeper(sharing, host):
     """Return whether a host is a keeper of the own failure domain."""
@@ -328,30 +254,3 @@
 
 def _ignore_streams(streams):
     """Record nothing; the default of a host without a store."""
-
-
-def _decode_reply(reply, peer):
-    if isinstance(reply, Unanswered):
-        return reply
-    try:
-        return decode_answer(reply)
-    except BadMessageError as error:
-        return Unanswered('ask', peer, str(error))
-
-
-def _on_reply(done, replies, peer, peers, reply):
-    """Take a peer's reply; end the question if there is nothing to wait for."""
-    replies[peer] = reply
-    is_last = len(replies) == len(peers)
-    if not done.called and (is_last or _is_known(reply)):
-        done.callback(dict(replies))
-
-
-def _is_heard(reply):
-    if isinstance(reply, OriginAnswer):
-        return reply.witness.is_complete
-    return reply.reason == REFUSED
-
-
-def _is_known(reply):
-    return isinstance(reply, OriginAnswer) and reply.software is not None
--- a/pollenstile/origins/messages.capnp
+++ b/pollenstile/origins/messages.capnp
@@ -7,6 +7,8 @@
   keys @1 :Data;
   # Time until each of them is forgotten.
   leftMs @2 :List(UInt32);
+  # Service of the version, which is seen even if no stream is told.
+  service @3 :Text;
 }
 
 struct Origins {
@@ -23,6 +25,9 @@
   software @1 :Text;
   # Versions of the service that were seen lately.
   versions @2 :List(Text);
+  # Contact with the store, as hosts of earlier versions tell it; unused.
   isFresh @3 :Bool;
   isComplete @4 :Bool;
+  # Whether the versions were read from the store since the question came.
+  isCurrent @5 :Bool;
 }
--- /dev/null
+++ b/pollenstile/platform/_sharedreads.py
@@ -0,0 +1,116 @@
+"""Reads that begin after they were asked for, shared by all who wait."""
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from pollenstile.ops.logs import silent_log
+from pollenstile.platform.events import SHARED_READ_FAILED
+
+
+class SharedReads:
+    """Reads whose result must not be older than the question.
+
+    Explanation
+    ===========
+
+    A read in progress may have been answered before the question came. So who
+    asks meanwhile waits for the next one, with all others who do.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Provides the time.
+    read : function
+        Returns a coroutine of whether the read was answered.
+    period : function
+        Returns the minimum seconds between the starts of two reads.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    waiting : list of Deferred
+        Fire with the outcome of the next read.
+    is_busy : bool
+        Whether a read is in progress or scheduled.
+    began_at : float
+        Time on the clock at which the last read began.
+
+    Examples
+    ========
+
+    >>> from twisted.internet.task import Clock
+    >>> from pollenstile.platform import SharedReads
+    >>> async def read():
+    ...     return True
+    >>> reads = SharedReads(Clock(), read, lambda: 0.25)
+    >>> reads.begun_now(0.5).result
+    True
+    """
+
+    __slots__ = (
+        'began_at',
+        'clock',
+        'is_busy',
+        'log',
+        'period',
+        'read',
+        'waiting',
+    )
+
+    def __init__(self, clock, read, period, log=silent_log):
+        self.clock = clock
+        self.read = read
+        self.period = period
+        self.log = log
+        self.waiting = []
+        self.is_busy = False
+        self.began_at = float('-inf')
+
+    def begun_now(self, seconds):
+        """Return a Deferred of whether a read that begins from now on succeeds.
+
+        Parameters
+        ==========
+
+        seconds : float
+            Time after which it counts as failed.
+        """
+        outcome = Deferred()
+        self.waiting.append(outcome)
+        if not self.is_busy:
+            self._schedule()
+        return outcome.addTimeout(
+            seconds, self.clock, onTimeoutCancel=_count_as_failed
+        )
+
+    def _schedule(self):
+        self.is_busy = True
+        due = self.began_at + self.period() - self.clock.seconds()
+        if due > 0:
+            self.clock.callLater(due, self._start)
+            return
+        self._start()
+
+    def _start(self):
+        waiting = self.waiting
+        self.waiting = []
+        self.began_at = self.clock.seconds()
+        reading = Deferred.fromCoroutine(self.read())
+        reading.addBoth(self._end, waiting)
+
+    def _end(self, outcome, waiting):
+        self.is_busy = False
+        if isinstance(outcome, Failure):
+            error = repr(outcome.value)
+            self.log(SHARED_READ_FAILED, level='error', error=error)
+        for done in waiting:
+            done.callback(outcome is True)
+        if self.waiting and not self.is_busy:
+            self._schedule()
+
+
+def _count_as_failed(*_):
+    return False
--- a/pollenstile/platform/_watch.py
+++ b/pollenstile/platform/_watch.py
@@ -116,6 +116,32 @@
         self.running = True
         self.task = None
 
+    def read_now(self, store, seconds):
+        """List the objects beside the watch; return a coroutine of its success.
+
+        Explanation
+        ===========
+
+        What a watch has reported may be late, also while all other calls are
+        answered. Afterwards, all writes have been reported that were
+        acknowledged before this call.
+
+        Parameters
+        ==========
+
+        store : Store
+            Store to list; that of the watch may be another host's answers.
+        seconds : float
+            Time limit.
+
+        Returns
+        =======
+
+        Coroutine of bool
+            False if the store did not answer or has listed an older state.
+        """
+        return _list(self, store, seconds)
+
     def stop(self):
         """Stop the watch; the callback is not called any more."""
         self.running = False
@@ -181,7 +207,7 @@
     while state.running:
         now = state.clock.seconds()
         if state.revision is None or now >= state.list_at:
-            succeeded = await _list(state)
+            succeeded = await _list(state, state.store, timing.list_within)
         else:
             succeeded = await _poll(state)
         if succeeded:
@@ -191,12 +217,10 @@
         state.failures += 1
 
 
-async def _list(state):
+async def _list(state, store, seconds):
     timing = state.timing
-    call = Deferred.fromCoroutine(
-        list_all(state.store, state.kind, state.prefix),
-    )
-    listing = await _with_timeout(state, call, timing.list_within, 'list')
+    call = Deferred.fromCoroutine(list_all(store, state.kind, state.prefix))
+    listing = await _with_timeout(state, call, seconds, 'list')
     if isinstance(listing, Unavailable):
         return False
     now = state.clock.seconds()
--- a/pollenstile/platform/events.py
+++ b/pollenstile/platform/events.py
@@ -49,6 +49,12 @@
     'A watch was answered with a state that is older than an earlier read.',
     'If it persists, changes are known late here: check the path to the store.',
 )
+SHARED_READ_FAILED = define(
+    7013,
+    'shared-read-failed',
+    'A read that requests wait for ended with an error of the program.',
+    'Report it as a bug, with the line.',
+)
 STORE_RETURNED = define(
     7010,
     'store-returned',
