origins: a list is no history, and keepers are asked beside it

A recorded version expired 60 s after its first read, also if the host was without the store in between. Hosts told each other of versions that no registry lists, so that one mistaken stream kept a fleet counting two for good.

Keepers are asked beside the read for what they know. A read reports what it finds ahead of the watch, which goes on from where it was and skips only these changes. Recorded versions are noted anew after a gap. A message says which versions its sender's registry lists now; only those count. A read counts only if the store had settled when it began, and 2.3 s after a return from a copy. If no host can read, a version is concluded only where no witness may still reach the store. Readers read ten times a second at most, hosts with a reader twice.

--- a/features/late_watches.feature
+++ b/features/late_watches.feature
@@ -40,6 +40,46 @@
     Then the record has both versions 30 seconds later
     And it has the first version alone 70 seconds later, if no upstream of the second appears
 
+  Scenario: A second version has come and gone before its stream is taken up
+    Guards against a read that shows what is registered, taken for all that was.
+    Given 9 hosts in 4 domains, and those of one domain hear of upstreams 2.5 s late
+    When upstreams of a second version start, and a stream begins there at another host
+    And that host and these upstreams end, and the stream is taken up at the late one
+    Then that caller is refused for no upstream of its version
+
+  Scenario: The record still names a version after a host was without the store
+    Guards against a version that counts as old because the host had read of it before the gap.
+    Given a host that has read a record of two versions, and lists one
+    When the store does not answer it for 75 seconds, and it finds the record as it was
+    Then it can't tell at which version a stream began
+
+  Scenario: Hosts forget a version that one of them began a stream at by mistake
+    Guards against hosts that tell each other of a version that no registry lists.
+    Given 9 hosts in 4 domains, and as many upstreams of no versions
+    When upstreams of a second version come and go, and a stream of an unknown version begins
+    Then no host has seen several versions 75 seconds later
+
+  Scenario Outline: A read beside a watch hides no change: <change>
+    Guards against a change that a list has overtaken, and that the watch then drops.
+    Given a watch that is answered 0.8 s late
+    When an object <change>, and the kind is read at once
+    Then the callback was told of <told> by the read
+    And in the end it was told of <all>
+    And the watch has reported nothing stale
+
+    Examples:
+      | change              | told    | all               |
+      | appears             | written | written           |
+      | appears and is gone | nothing | written, deleted  |
+
+  Scenario: A question that comes during a read waits for the next one
+    Guards against a read that had been answered before the question came.
+    Given shared reads, one of which is in progress
+    When another question comes, and the read in progress ends
+    Then that question is open, and a second read has begun
+    When the second read ends
+    Then that question is answered
+
   Scenario: A watch that is late is told from one without changes
     Guards against a host that is behind, and of which no line or gauge shows it.
     Given a host that watches a kind and reads another one five times a second
--- a/features/steps/late_watches_steps.py
+++ b/features/steps/late_watches_steps.py
@@ -13,10 +13,20 @@
 from pollenstile.forward import Upstream
 from pollenstile.origins import (
     SOFTWARE_KIND,
+    Origin,
+    Origins,
+    OriginUnknown,
     SoftwareHistory,
     SoftwareRecorder,
 )
-from pollenstile.platform import RevisionTimes, WatchTiming, paused, watch
+from pollenstile.platform import (
+    ReadResult,
+    RevisionTimes,
+    SharedReads,
+    WatchTiming,
+    paused,
+    watch,
+)
 from pollenstile.standin.objectapi import MemoryStore
 
 _SECOND = 'v2'
@@ -301,3 +311,168 @@
 @then('it logs no more late watches')
 def then_not_logged(context):
     assert not context.late_ms, context.late_ms
+
+
+@when(
+    'that host and these upstreams end, and the stream is taken up at the late'
+    ' one'
+)
+def when_gone(context):
+    world = context.world
+    world.end_host(context.early.name)
+    _end_second(world)
+    world.advance(_BEGIN_SECONDS)
+    when_taken_up(context)
+
+
+def _end_second(world):
+    for number in range(_STARTED):
+        world.upstreams.end(f'second:{number}')
+
+
+@given('a host that has read a record of two versions, and lists one')
+def given_two_recorded(context):
+    context.clock = Clock()
+    context.store = MemoryStore(context.clock)
+    context.is_answering = True
+    context.store.write_at_once(
+        SOFTWARE_KIND, 's', {'versions': ['v1', _SECOND], 'proven': True}
+    )
+    history = SoftwareHistory(context.clock, lambda: context.is_answering)
+    context.recorder = SoftwareRecorder(
+        context.store, context.clock, 'h', {}, history
+    )
+    context.origins = Origins(context.clock, history)
+    context.origins.confirm = context.recorder.confirm
+    history.update([Upstream('u', 's', 'a:1', 'd', software='v1')])
+    history.review()
+    then_unknown(context)
+
+
+@when(
+    'the store does not answer it for {seconds:d} seconds, and it finds the'
+    ' record as it was'
+)
+def when_without_store(context, seconds):
+    _review(context, 5)
+    context.is_answering = False
+    _review(context, seconds)
+    context.is_answering = True
+    context.recorder.history.review()
+    context.clock.advance(1)
+
+
+@then("it can't tell at which version a stream began")
+def then_unknown(context):
+    found = result_of(context.origins.find(b'any stream', 's'))
+    assert isinstance(found, OriginUnknown), found
+
+
+@when(
+    'upstreams of a second version come and go, and a stream of an unknown'
+    ' version begins'
+)
+def when_mistaken(context):
+    world = VersionWorld(9, 9, 4, context.versions)
+    _start_second(world)
+    host = next(iter(world.fleet.hosts.values()))
+    origins = host.core.origins
+    expires_at = world.now() + _FOLLOWED_SECONDS
+    origins.table.add(b'mistaken', Origin('unknown/', 's', expires_at))
+    origins.on_began(b'mistaken')
+    _end_second(world)
+    context.world = world
+
+
+@then('no host has seen several versions {seconds:d} seconds later')
+def then_forgotten(context, seconds):
+    world = context.world
+    world.fleet.advance_coarsely(seconds)
+    mixed = [
+        host.name
+        for host in world.fleet.running()
+        if host.core.origins.history.is_mixed('s')
+    ]
+    assert not mixed, mixed
+
+
+@given('a watch that is answered 0.8 s late')
+def given_late_watch(context):
+    context.clock = Clock()
+    context.store = _LateStore(context.clock)
+    context.store.delay = 0.8
+    context.told = []
+    context.logged = []
+
+    def log(event, level='info', **fields):
+        context.logged.append(event.name)
+
+    def tell(change):
+        context.told.append('deleted' if change.value is None else 'written')
+
+    context.watch = watch(
+        context.store, 'upstreams', tell, context.clock, Random(1), log
+    )
+
+
+@when('an object {change}, and the kind is read at once')
+def when_read_beside(context, change):
+    context.store.write_at_once('upstreams', 'u', 'v2')
+    if change == 'appears and is gone':
+        Deferred.fromCoroutine(context.store.delete('upstreams', 'u'))
+    result = result_of(context.watch.read_now(context.store, 0.5))
+    assert result is ReadResult.CURRENT, result
+
+
+@then('the callback was told of {told} by the read')
+def then_told_by_read(context, told):
+    expected = [] if told == 'nothing' else [told]
+    assert context.told == expected, context.told
+
+
+@then('in the end it was told of {told}')
+def then_told(context, told):
+    for _ in range(40):
+        context.clock.advance(0.1)
+    assert ', '.join(context.told) == told, context.told
+
+
+@then('the watch has reported nothing stale')
+def then_not_stale(context):
+    assert 'watch-stale' not in context.logged, context.logged
+
+
+@given('shared reads, one of which is in progress')
+def given_shared(context):
+    context.answers = []
+    context.reading = []
+
+    async def read():
+        answer = Deferred()
+        context.reading.append(answer)
+        return await answer
+
+    context.reads = SharedReads(Clock(), read, float)
+    context.reads.begun_now(1.0)
+
+
+@when('another question comes, and the read in progress ends')
+def when_another(context):
+    context.reads.begun_now(1.0).addCallback(context.answers.append)
+    context.reading[0].callback(ReadResult.CURRENT)
+
+
+@then('that question is open, and a second read has begun')
+def then_open(context):
+    assert not context.answers, context.answers
+    assert len(context.reading) == 2, context.reading
+
+
+@when('the second read ends')
+def when_second_ends(context):
+    context.reading[1].callback(ReadResult.CURRENT)
+
+
+@then('that question is answered')
+def then_answered_current(context):
+    assert context.answers == [ReadResult.CURRENT], context.answers
--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -30,6 +30,7 @@
 )
 from pollenstile.origins._codec import (
     OriginAnswer,
+    OriginQuestion,
     ToldOrigins,
     decode_answer,
     decode_ask,
@@ -340,8 +341,15 @@
 @then('a peer reads the same question, and the same answer to it')
 def then_same_question(context):
     key = next(iter(context.streams))
-    assert decode_ask(encode_ask(key, 's')) == (key, 's')
-    witness = Witness(frozenset(('v1', '')), is_current=True, is_complete=False)
+    for must_read in (False, True):
+        question = OriginQuestion(key, 's', must_read)
+        assert decode_ask(encode_ask(question)) == question
+    witness = Witness(
+        frozenset(('v1', '')),
+        is_current=True,
+        is_complete=False,
+        is_unproven=True,
+    )
     for software in (None, '', 'v1'):
         answer = OriginAnswer(software, witness)
         assert decode_answer(encode_answer(answer)) == answer
@@ -356,10 +364,12 @@
     )
     messages = (
         (
-            encode_origins(ToldOrigins(context.streams, frozenset()), 10.0),
+            encode_origins(
+                ToldOrigins(context.streams, frozenset((('s', 'v3'),))), 10.0
+            ),
             _decode_at_zero,
         ),
-        (encode_ask(key, 's'), decode_ask),
+        (encode_ask(OriginQuestion(key, 's', must_read=True)), decode_ask),
         (encode_answer(answer), decode_answer),
     )
     for encoded, decode in messages:
--- a/pollenstile/forward/_registryreads.py
+++ b/pollenstile/forward/_registryreads.py
@@ -2,14 +2,17 @@
 
 from functools import partial
 
-from pollenstile.platform import SharedReads
+from pollenstile.platform import ReadResult, SharedReads
 
 # Time limit of a read. A slow store answers within 0.3 s.
 _READ_SECONDS = 0.5
-# Minimum seconds between two reads of a host, and reads a second of all hosts
-# together: a store answers about two thousand.
-_PERIOD_SECONDS = 0.25
-_FLEET_READS = 600
+# Minimum seconds between two reads of a host, and of one that has a reader: it
+# reads only where that one does not answer.
+_PERIOD_SECONDS = 0.1
+_FOLLOWER_PERIOD_SECONDS = 0.5
+# Seconds after a return of the store from an older copy until the entries of
+# upstreams that it lacks are there again.
+_RETURN_SECONDS = 2.3
 
 
 def build_registry_reads(parts, clock, upstreams, log):
@@ -28,18 +31,27 @@
     store = parts.relay.store.store
     follower = parts.relay.follower
     configuration = parts.core.configuration
-    settling = configuration.settling
 
     async def read():
         if configuration.loop.is_failing() and not follower.is_following():
-            return False
-        succeeded = await upstreams.read_now(store, _READ_SECONDS)
-        # A store that is back from an older copy proves nothing at first.
-        return succeeded and settling.is_over()
+            return ReadResult.REFUSED
+        began = configuration.suspend_clock()
+        result = await upstreams.read_now(store, _READ_SECONDS)
+        is_proof = _is_proof(configuration.settling, began)
+        if result is ReadResult.CURRENT and not is_proof:
+            return ReadResult.UNPROVEN
+        return result
 
-    period = partial(_period, parts.members.hosts)
-    return SharedReads(clock, read, period, log)
+    return SharedReads(clock, read, partial(_period, follower), log)
 
 
-def _period(hosts):
-    return max(_PERIOD_SECONDS, (len(hosts) + 1) / _FLEET_READS)
+def _is_proof(settling, began):
+    """Return whether a read shows all that was written before it."""
+    is_settled = settling.is_proof(began)
+    return is_settled and began - settling.returned_at >= _RETURN_SECONDS
+
+
+def _period(follower):
+    if follower.is_following():
+        return _FOLLOWER_PERIOD_SECONDS
+    return _PERIOD_SECONDS
--- a/pollenstile/forward/_settling.py
+++ b/pollenstile/forward/_settling.py
@@ -36,19 +36,29 @@
         Revision of the first read after the last return.
     unproven_at : float
         Time on the suspend clock of the last read that proved nothing.
+    returned_at : float
+        Time on the suspend clock of the last return of the store.
     """
 
-    __slots__ = ('first_revision', 'suspend_clock', 'unproven_at', 'until')
+    __slots__ = (
+        'first_revision',
+        'returned_at',
+        'suspend_clock',
+        'unproven_at',
+        'until',
+    )
 
     def __init__(self, suspend_clock):
         self.suspend_clock = suspend_clock
         self.until = _LONG_AGO
         self.first_revision = 0
         self.unproven_at = _LONG_AGO
+        self.returned_at = _LONG_AGO
 
     def begin(self):
         """Record that the store has returned from an older copy."""
-        self.until = self.suspend_clock() + _REWRITE_SECONDS
+        self.returned_at = self.suspend_clock()
+        self.until = self.returned_at + _REWRITE_SECONDS
         # What a reader tells of the new era is no own read, after which a write
         # could be seen.
         self.first_revision = 0
--- a/pollenstile/origins/_asking.py
+++ b/pollenstile/origins/_asking.py
@@ -7,6 +7,7 @@
 
 from pollenstile.origins._codec import (
     OriginAnswer,
+    OriginQuestion,
     decode_answer,
     decode_ask,
     encode_answer,
@@ -14,6 +15,7 @@
 )
 from pollenstile.origins._origins import PeerAnswers
 from pollenstile.peer import LOST, REFUSED, BadMessageError, Unanswered
+from pollenstile.platform import ReadResult
 
 ASK_SUBJECT = 'stream-origin'
 # Seconds for a peer to answer a question, for which a caller waits, and those
@@ -54,6 +56,7 @@
         self.keepers = {}
         self.reader = _no_reader
         origins.ask_peers = self.ask
+        origins.ask_keepers = self.ask_keepers
         origins.ask_reader = self.ask_reader
         hub.requests.subjects[ASK_SUBJECT] = self._on_asked
 
@@ -69,8 +72,21 @@
         peer = self.reader()
         if not peer:
             return PeerAnswers()
-        replies = await self._ask_all([peer], encode_ask(key, service))
-        return _peer_answers(replies)
+        question = OriginQuestion(key, service, must_read=True)
+        return _peer_answers(await self._ask_all([peer], question))
+
+    async def ask_keepers(self, key, service):
+        """Return the :class:`PeerAnswers` of all keepers, as they know it now.
+
+        Explanation
+        ===========
+
+        They know versions that have come and gone while this host heard
+        nothing.
+        """
+        near, far = self._keepers()
+        question = OriginQuestion(key, service, must_read=False)
+        return _peer_answers(await self._ask_all([*near, *far], question))
 
     async def ask(self, key, service):
         """Return the :class:`PeerAnswers` on a stream.
@@ -81,16 +97,10 @@
         The keepers of this host's domain are asked first: callers that lose
         their host mostly reach another one of its domain.
         """
-        hello = self.hub.hello
+        question = OriginQuestion(key, service, must_read=True)
         replies = {}
-        for is_near in (True, False):
-            peers = [
-                peer
-                for domain, keepers in self.keepers.items()
-                for peer in keepers
-                if (domain == hello.domain) is is_near and peer != hello.host
-            ]
-            replies.update(await self._ask_all(peers, encode_ask(key, service)))
+        for peers in self._keepers():
+            replies.update(await self._ask_all(peers, question))
             answers = _peer_answers(replies)
             if answers.software is not None:
                 return answers
@@ -99,6 +109,16 @@
             is_everyone_heard=self._is_everyone_heard(service, replies),
         )
 
+    def _keepers(self):
+        """Return the other keepers of the own domain, and of all others."""
+        hello = self.hub.hello
+        near = []
+        far = []
+        for domain, keepers in self.keepers.items():
+            chosen = near if domain == hello.domain else far
+            chosen.extend(peer for peer in keepers if peer != hello.host)
+        return near, far
+
     def _is_everyone_heard(self, service, replies):
         """Return whether a keeper of each domain is a witness, or has ended.
 
@@ -121,7 +141,7 @@
             unheard.discard(self.hub.hello.domain)
         return not unheard
 
-    def _ask_all(self, peers, encoded):
+    def _ask_all(self, peers, question):
         """Return a Deferred of the replies by peer.
 
         Explanation
@@ -130,6 +150,7 @@
         It fires when all peers have replied or are late, or one of them knows
         the stream. A reply is an ``OriginAnswer`` or ``Unanswered``.
         """
+        encoded = encode_ask(question)
         done = Deferred()
         replies = {}
         for peer in peers:
@@ -153,18 +174,19 @@
         )
 
     def _on_asked(self, host, body):
-        key, service = decode_ask(body)
-        return Deferred.fromCoroutine(self._answer(key, service))
-
-    async def _answer(self, key, service):
-        table = self.origins.table
-        is_current = False
-        if table.software(key) is None:
-            is_current = await self.origins.read_versions(
-                service, _READ_SECONDS
+        return Deferred.fromCoroutine(self._answer(decode_ask(body)))
+
+    async def _answer(self, question):
+        origins = self.origins
+        result = ReadResult.REFUSED
+        is_known = origins.table.software(question.key) is not None
+        if question.must_read and not is_known:
+            result = await origins.read_versions(
+                question.service, _READ_SECONDS
             )
-        witness = self.origins.witness(service, is_current=is_current)
-        return encode_answer(OriginAnswer(table.software(key), witness))
+        software = origins.table.software(question.key)
+        witness = origins.witness(question.service, result)
+        return encode_answer(OriginAnswer(software, witness))
 
 
 def ask_peer(hub, hosts, peer, subject, body, seconds):
--- a/pollenstile/origins/_codec.py
+++ b/pollenstile/origins/_codec.py
@@ -23,6 +23,26 @@
 _schema = load_schema(pathlib.Path(__file__).with_name('messages.capnp'))
 
 
+@dataclass(slots=True, frozen=True)
+class OriginQuestion:
+    """Question for the version of a stream.
+
+    Parameters
+    ==========
+
+    key : bytes
+        Key of the stream.
+    service : str
+        Its service.
+    must_read : bool
+        Whether the peer reads the registry before it answers.
+    """
+
+    key: bytes
+    service: str
+    must_read: bool
+
+
 @dataclass(slots=True, frozen=True)
 class OriginAnswer:
     """What a peer says of a stream.
@@ -50,7 +70,7 @@
     streams : dict
         :class:`Origin` of streams, by key.
     versions : frozenset of tuple
-        Service and version of each version that the host has seen lately.
+        Service and version of each version that its registry lists.
     """
 
     streams: dict
@@ -67,6 +87,7 @@
         {
             'service': service,
             'software': software,
+            'isListed': (service, software) in told.versions,
             'keys': b''.join(key for key, _ in members),
             'leftMs': [
                 uint32_ms(origin.expires_at - now) for _, origin in members
@@ -92,23 +113,27 @@
         versions = set()
         for group in reader.groups:
             streams.update(_origins_of(group, now))
-            if group.service:
+            if group.isListed:
                 versions.add((group.service, group.software))
         return ToldOrigins(streams, frozenset(versions))
 
     return decode_struct(_schema.Origins, encoded, build)
 
 
-def encode_ask(key, service):
-    """Return an encoded question for the version of a stream."""
-    return _schema.Ask.new_message(key=key, service=service).to_bytes()
+def encode_ask(question):
+    """Return an encoded :class:`OriginQuestion`."""
+    return _schema.Ask.new_message(
+        key=question.key,
+        service=question.service,
+        mustRead=question.must_read,
+    ).to_bytes()
 
 
 def decode_ask(encoded):
-    """Return key and service of a question; raise BadMessageError."""
+    """Return an :class:`OriginQuestion`; raise BadMessageError."""
 
     def build(reader):
-        return reader.key, reader.service
+        return OriginQuestion(reader.key, reader.service, reader.mustRead)
 
     return decode_struct(_schema.Ask, encoded, build)
 
@@ -123,6 +148,7 @@
         isFresh=witness.is_current,
         isComplete=witness.is_complete,
         isCurrent=witness.is_current,
+        isUnproven=witness.is_unproven,
     ).to_bytes()
 
 
@@ -131,7 +157,10 @@
 
     def build(reader):
         witness = Witness(
-            frozenset(reader.versions), reader.isCurrent, reader.isComplete
+            frozenset(reader.versions),
+            reader.isCurrent,
+            reader.isComplete,
+            reader.isUnproven,
         )
         software = reader.software if reader.isKnown else None
         return OriginAnswer(software, witness)
--- a/pollenstile/origins/_conclusion.py
+++ b/pollenstile/origins/_conclusion.py
@@ -16,11 +16,14 @@
         Whether it has read the versions that are registered since it was asked.
     is_complete : bool
         Whether it can't have missed a version that was there earlier.
+    is_unproven : bool
+        Whether the store may answer it, although no read has shown it in time.
     """
 
     versions: frozenset
     is_current: bool
     is_complete: bool
+    is_unproven: bool = False
 
 
 def concluded_version(witnesses, *, is_everyone_heard):
@@ -33,8 +36,8 @@
     store. A witness that has read the store since the stream was taken up has
     seen it too; one that is merely in contact may get the changes late. If no
     witness can read the store, it is most likely away for all hosts; but a host
-    that was not heard may still reach it. Hosts that have all just started
-    can't know what served before.
+    that was not heard may still reach it, and so may one whose read was merely
+    late. Hosts that have all just started can't know what served before.
 
     Parameters
     ==========
@@ -54,6 +57,9 @@
     >>> current = Witness(frozenset(('v1',)), True, True)
     >>> concluded_version([cut_off, current], is_everyone_heard=False)
     'v1'
+    >>> slow = Witness(frozenset(('v1',)), False, True, is_unproven=True)
+    >>> concluded_version([cut_off, slow], is_everyone_heard=True) is None
+    True
     >>> started = Witness(frozenset(('v1',)), True, False)
     >>> concluded_version([started], is_everyone_heard=True) is None
     True
@@ -66,6 +72,7 @@
         return None
     complete = [witness for witness in witnesses if witness.is_complete]
     is_sure = any(witness.is_current for witness in complete)
-    if is_sure or complete and is_everyone_heard:
+    is_away = not any(witness.is_unproven for witness in witnesses)
+    if is_sure or complete and is_everyone_heard and is_away:
         return next(iter(versions))
     return None
--- a/pollenstile/origins/_history.py
+++ b/pollenstile/origins/_history.py
@@ -37,7 +37,7 @@
         Time at which a peer last told of a version, by version, by service.
     recorded_at : dict
         Time at which the store's record was first seen to have a version that
-        it still has, by version, by service.
+        it still has, since the last gap, by version, by service.
     confirmed_at : dict
         Time at which a proven record of versions was last read, by service.
     new_services : set of str
@@ -116,7 +116,8 @@
         before = self.versions(service)
         noted = self.recorded_at.get(service, {})
         self.recorded_at[service] = {
-            software: noted.get(software, now) for software in versions
+            software: self._first_noted(noted.get(software, now))
+            for software in versions
         }
         self._notify_of_new(service, before)
 
@@ -150,6 +151,13 @@
         """Return the versions that the registry has listed lately."""
         return self._recent(self.gone_at.get(service, {}))
 
+    def present_versions(self, service):
+        """Return the versions that the registry lists now."""
+        seen = self.gone_at.get(service, {})
+        return frozenset(
+            software for software, gone_at in seen.items() if gone_at is None
+        )
+
     def heard_versions(self, service):
         """Return the versions that peers and the record have named lately."""
         told = self._recent(self.told_at.get(service, {}))
@@ -179,6 +187,12 @@
         gone_at = self.gone_at.get(service, {}).get(software, recorded_at)
         return 0.0 if gone_at is None else self.clock.seconds() - gone_at
 
+    def _first_noted(self, noted_at):
+        """Return when a version was noted, which is now after a gap."""
+        if noted_at < self.followed_since:
+            return self.clock.seconds()
+        return noted_at
+
     def _recent(self, seen):
         """Return the versions whose time is None or lately."""
         oldest = self.clock.seconds() - HISTORY_SECONDS
--- a/pollenstile/origins/_origins.py
+++ b/pollenstile/origins/_origins.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass, replace
 
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.origins._conclusion import Witness, concluded_version
 from pollenstile.origins._history import HISTORY_SECONDS, SoftwareHistory
 from pollenstile.origins._table import Origin, OriginTable
+from pollenstile.platform import ReadResult
 
 # Seconds after which a caller should try again when a host that may know its
 # stream did not answer: another host may reach it.
@@ -112,12 +113,14 @@
         Called with the key of a stream of this host that is new.
     ask_peers : function
         Takes key and service; returns a coroutine of :class:`PeerAnswers`.
+    ask_keepers : function
+        The same, of what all keepers know at once.
     ask_reader : function
         The same, of the host that reads the store for this one; no answers if
         this host reads it itself.
     read_registry : function
-        Takes seconds; returns a Deferred of whether the registry was read
-        meanwhile, by a call that began after this one.
+        Takes seconds; returns a Deferred of the :class:`ReadResult` of a read
+        of the registry that begins after this call.
     confirm : function
         Takes a service and reads which versions any host has recorded of it;
         returns a Deferred that fires when they are in the history.
@@ -131,6 +134,7 @@
     """
 
     __slots__ = (
+        'ask_keepers',
         'ask_peers',
         'ask_reader',
         'clock',
@@ -150,6 +154,7 @@
         self.table = OriginTable(clock, log)
         self.on_began = _ignore_key
         self.ask_peers = _no_peers
+        self.ask_keepers = _no_peers
         self.ask_reader = _no_peers
         self.read_registry = _read_at_once
         self.confirm = _no_record
@@ -178,43 +183,50 @@
             return OriginFound(software, _OWN)
         witnesses = ()
         if not self.history.is_mixed(service):
-            answers = await self.ask_reader(key, service)
-            found = await self._find_alone(key, service, answers)
-            if found is not None:
-                return found
+            answers = await self._ask_if_only(key, service)
+            if answers.software is not None:
+                return self._found_at(key, answers)
             witnesses = answers.witnesses
+            alone = concluded_version(witnesses, is_everyone_heard=False)
+            if alone is not None:
+                return OriginFound(alone, _ONLY_VERSION)
         return await self._find_elsewhere(key, service, witnesses)
 
-    async def _find_alone(self, key, service, answers):
-        """Return the :class:`OriginFound` of the only version, or None.
+    async def _ask_if_only(self, key, service):
+        """Return :class:`PeerAnswers` where one version alone may be there.
 
         Explanation
         ===========
 
         This host may know another version late, so it, or the host that reads
-        the store for it, reads the registry now.
-
-        Parameters
-        ==========
-
-        answers : PeerAnswers
-            What that host says.
+        the store for it, reads the registry now. Keepers are asked meanwhile:
+        the other version may be gone again.
         """
+        confirming = self._confirm_if_incomplete(service)
+        reading = Deferred.fromCoroutine(self._read_now(key, service))
+        answers = await self.ask_keepers(key, service)
+        read = await reading
+        await confirming
         if answers.software is not None:
-            return self._found_at(key, answers)
-        await self._confirm_if_incomplete(service)
-        is_current = False
-        if not any(witness.is_current for witness in answers.witnesses):
-            is_current = await self.read_versions(service, _READ_SECONDS)
-        software = self.table.software(key)
-        if software is not None:
-            # A keeper was told meanwhile.
-            return OriginFound(software, _OWN)
-        own = self.witness(service, is_current=is_current)
-        alone = concluded_version(
-            [own, *answers.witnesses], is_everyone_heard=False
-        )
-        return None if alone is None else OriginFound(alone, _ONLY_VERSION)
+            return answers
+        if read.software is not None:
+            return read
+        own = self.table.software(key)
+        if own is not None:
+            # This host was told meanwhile.
+            return PeerAnswers(own, _OWN)
+        witnesses = (self.witness(service), *read.witnesses, *answers.witnesses)
+        return replace(answers, witnesses=witnesses)
+
+    async def _read_now(self, key, service):
+        """Return :class:`PeerAnswers` after a read of the registry."""
+        answers = await self.ask_reader(key, service)
+        is_read = any(witness.is_current for witness in answers.witnesses)
+        if is_read or answers.software is not None:
+            return answers
+        result = await self.read_versions(service, _READ_SECONDS)
+        own = self.witness(service, result)
+        return replace(answers, witnesses=(*answers.witnesses, own))
 
     async def read_versions(self, service, seconds):
         """Read which versions of a service are registered, if that may tell.
@@ -222,11 +234,11 @@
         Returns
         =======
 
-        bool
-            Whether they are known as of a time after this call.
+        ReadResult
+            ``UNPROVEN`` without a read if several versions are known.
         """
         if self.history.is_mixed(service):
-            return False
+            return ReadResult.UNPROVEN
         return await self.read_registry(seconds)
 
     async def read_unlisted(self, service, software):
@@ -270,20 +282,22 @@
         software = await self.look_up(key)
         return None if software is None else OriginFound(software, _STORE)
 
-    def witness(self, service, *, is_current=False):
+    def witness(self, service, result=ReadResult.REFUSED):
         """Return what this host can say of the versions of a service.
 
         Parameters
         ==========
 
-        is_current : bool
-            Whether it has read them since it was asked.
+        result : ReadResult
+            What came of a read of them since it was asked.
         """
         history = self.history
+        is_late = result is ReadResult.UNPROVEN and history.is_in_contact()
         return Witness(
             history.versions(service),
-            is_current,
+            result is ReadResult.CURRENT,
             history.is_complete(service),
+            is_late,
         )
 
     def review(self):
@@ -346,8 +360,8 @@
 
 
 def _read_at_once(seconds):
-    """Return a Deferred of True: this host sees all versions at once."""
-    return succeed(True)
+    """Return a Deferred: this host sees all versions at once."""
+    return succeed(ReadResult.CURRENT)
 
 
 async def _no_peers(key, service):
--- a/pollenstile/origins/_sharing.py
+++ b/pollenstile/origins/_sharing.py
@@ -150,15 +150,15 @@
         Explanation
         ===========
 
-        Those that only peers have named are left out: hosts that told each
-        other of a version that is gone would never forget it.
+        Those that are gone, or that only peers have named, are left out: hosts
+        that told each other of one would never forget it.
         """
         history = self.origins.history
         return frozenset(
             (service, software)
             for service in history.gone_at
             if history.is_mixed(service)
-            for software in history.listed_versions(service)
+            for software in history.present_versions(service)
         )
 
     def _tell_all(self):
--- a/pollenstile/origins/messages.capnp
+++ b/pollenstile/origins/messages.capnp
@@ -7,8 +7,10 @@
   keys @1 :Data;
   # Time until each of them is forgotten.
   leftMs @2 :List(UInt32);
-  # Service of the version, which is seen even if no stream is told.
+  # Service of the version, which is told even if no stream is.
   service @3 :Text;
+  # Whether the teller's registry lists the version.
+  isListed @4 :Bool;
 }
 
 struct Origins {
@@ -18,6 +20,8 @@
 struct Ask {
   key @0 :Data;
   service @1 :Text;
+  # Whether the registry is to be read before the answer.
+  mustRead @2 :Bool;
 }
 
 struct Answer {
@@ -30,4 +34,6 @@
   isComplete @4 :Bool;
   # Whether the versions were read from the store since the question came.
   isCurrent @5 :Bool;
+  # Whether the store may answer the peer although no read has shown it.
+  isUnproven @6 :Bool;
 }
--- a/pollenstile/platform/__init__.py
+++ b/pollenstile/platform/__init__.py
@@ -58,7 +58,7 @@
     filter_new_events,
 )
 from pollenstile.platform._settle import field_mark, put_with_readback
-from pollenstile.platform._sharedreads import SharedReads
+from pollenstile.platform._sharedreads import ReadResult, SharedReads
 from pollenstile.platform._store import (
     PAGE_LIMIT,
     POLL_SECONDS,
--- a/pollenstile/platform/_seenversions.py
+++ b/pollenstile/platform/_seenversions.py
@@ -25,11 +25,15 @@
         The last :class:`Change` of each existing object, by name.
     deleted : dict
         Version of each deletion since the last full list, by name.
+    ahead : dict
+        Version of each change that a read beside the watch has shown, and the
+        watch has not yet, by name.
     """
 
-    __slots__ = ('deleted', 'listed_revision', 'live')
+    __slots__ = ('ahead', 'deleted', 'listed_revision', 'live')
 
     def __init__(self):
+        self.ahead = {}
         self.listed_revision = 0
         self.live = {}
         self.deleted = {}
@@ -56,6 +60,44 @@
     return changes
 
 
+def changes_ahead(seen, listing):
+    """Return the changes that a list shows before the watch; record them.
+
+    Explanation
+    ===========
+
+    Only objects that are there are taken from it. What has come and gone again
+    is left to the watch, which reports each change.
+
+    Returns
+    =======
+
+    list of Change or None
+        ``None`` if the list is of another era than what is known.
+    """
+    if era_of(listing.revision) != era_of(seen.listed_revision):
+        return None
+    events = [
+        _change_of(found, after_return=False) for found in listing.objects
+    ]
+    changes = filter_new_events(
+        seen, [event for event in events if not _is_known(seen, event)]
+    )
+    seen.ahead.update({change.name: change.version for change in changes})
+    return changes
+
+
+def without_ahead(seen, events):
+    """Return the events without those that a read has shown before."""
+    remaining = []
+    for event in events:
+        if seen.ahead.get(event.name) != event.version:
+            remaining.append(event)
+            continue
+        seen.ahead.pop(event.name)
+    return remaining
+
+
 def changes_from_listing(seen, listing):
     """Return the changes that a full list implies and record them.
 
@@ -90,6 +132,7 @@
             Change(known.kind, name, revision, None, revision, after_return)
         )
     seen.listed_revision = 0
+    seen.ahead.clear()
     events = [event for event in events if not _is_known(seen, event)]
     changes = filter_new_events(seen, events)
     seen.listed_revision = listing.revision
--- a/pollenstile/platform/_sharedreads.py
+++ b/pollenstile/platform/_sharedreads.py
@@ -1,5 +1,7 @@
 """Reads that begin after they were asked for, shared by all who wait."""
 
+import enum
+
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
@@ -7,6 +9,17 @@
 from pollenstile.platform.events import SHARED_READ_FAILED
 
 
+class ReadResult(enum.Enum):
+    """What came of a read."""
+
+    # What is known now includes all that was written before the read.
+    CURRENT = 'current'
+    # The store did not take it.
+    REFUSED = 'refused'
+    # It was not answered in time, or its answer proves nothing.
+    UNPROVEN = 'unproven'
+
+
 class SharedReads:
     """Reads whose result must not be older than the question.
 
@@ -22,7 +35,7 @@
     clock : IReactorTime
         Provides the time.
     read : function
-        Returns a coroutine of whether the read was answered.
+        Returns a coroutine of a :class:`ReadResult`.
     period : function
         Returns the minimum seconds between the starts of two reads.
     log : function
@@ -42,12 +55,12 @@
     ========
 
     >>> from twisted.internet.task import Clock
-    >>> from pollenstile.platform import SharedReads
+    >>> from pollenstile.platform import ReadResult, SharedReads
     >>> async def read():
-    ...     return True
+    ...     return ReadResult.CURRENT
     >>> reads = SharedReads(Clock(), read, lambda: 0.25)
-    >>> reads.begun_now(0.5).result
-    True
+    >>> reads.begun_now(0.5).result.value
+    'current'
     """
 
     __slots__ = (
@@ -70,20 +83,20 @@
         self.began_at = float('-inf')
 
     def begun_now(self, seconds):
-        """Return a Deferred of whether a read that begins from now on succeeds.
+        """Return a Deferred of the result of a read that begins from now on.
 
         Parameters
         ==========
 
         seconds : float
-            Time after which it counts as failed.
+            Time after which the result is ``UNPROVEN``.
         """
         outcome = Deferred()
         self.waiting.append(outcome)
         if not self.is_busy:
             self._schedule()
         return outcome.addTimeout(
-            seconds, self.clock, onTimeoutCancel=_count_as_failed
+            seconds, self.clock, onTimeoutCancel=_unproven
         )
 
     def _schedule(self):
@@ -106,11 +119,12 @@
         if isinstance(outcome, Failure):
             error = repr(outcome.value)
             self.log(SHARED_READ_FAILED, level='error', error=error)
+            outcome = ReadResult.UNPROVEN
         for done in waiting:
-            done.callback(outcome is True)
+            done.callback(outcome)
         if self.waiting and not self.is_busy:
             self._schedule()
 
 
-def _count_as_failed(*_):
-    return False
+def _unproven(*_):
+    return ReadResult.UNPROVEN
--- a/pollenstile/platform/_watch.py
+++ b/pollenstile/platform/_watch.py
@@ -10,9 +10,12 @@
 from pollenstile.platform._pause import make_pause, paused
 from pollenstile.platform._seenversions import (
     SeenVersions,
+    changes_ahead,
     changes_from_listing,
     filter_new_events,
+    without_ahead,
 )
+from pollenstile.platform._sharedreads import ReadResult
 from pollenstile.platform.events import (
     WATCH_CALLBACK_FAILED,
     WATCH_LATE,
@@ -117,14 +120,15 @@
         self.task = None
 
     def read_now(self, store, seconds):
-        """List the objects beside the watch; return a coroutine of its success.
+        """List the objects beside the watch; return a :class:`ReadResult`.
 
         Explanation
         ===========
 
         What a watch has reported may be late, also while all other calls are
-        answered. Afterwards, all writes have been reported that were
-        acknowledged before this call.
+        answered. Afterwards, all objects have been reported that were written
+        before this call, and are still there. The watch goes on from where it
+        was, so that it misses no change.
 
         Parameters
         ==========
@@ -134,13 +138,8 @@
         seconds : float
             Time limit.
 
-        Returns
-        =======
-
-        Coroutine of bool
-            False if the store did not answer or has listed an older state.
         """
-        return _list(self, store, seconds)
+        return _read_ahead(self, store, seconds)
 
     def stop(self):
         """Stop the watch; the callback is not called any more."""
@@ -207,7 +206,7 @@
     while state.running:
         now = state.clock.seconds()
         if state.revision is None or now >= state.list_at:
-            succeeded = await _list(state, state.store, timing.list_within)
+            succeeded = await _list(state)
         else:
             succeeded = await _poll(state)
         if succeeded:
@@ -217,10 +216,34 @@
         state.failures += 1
 
 
-async def _list(state, store, seconds):
-    timing = state.timing
+async def _read_ahead(state, store, seconds):
+    if state.revision is None:
+        return ReadResult.UNPROVEN
     call = Deferred.fromCoroutine(list_all(store, state.kind, state.prefix))
-    listing = await _with_timeout(state, call, seconds, 'list')
+    listing = await call.addTimeout(
+        seconds, state.clock, onTimeoutCancel=_no_listing
+    )
+    if listing is None:
+        return ReadResult.UNPROVEN
+    if isinstance(listing, Unavailable):
+        return ReadResult.REFUSED
+    changes = changes_ahead(state.seen, listing)
+    if changes is None:
+        return ReadResult.UNPROVEN
+    _deliver(state, changes)
+    return ReadResult.CURRENT
+
+
+def _no_listing(*_):
+    """Return what stands for a list that was not received in time."""
+
+
+async def _list(state):
+    timing = state.timing
+    call = Deferred.fromCoroutine(
+        list_all(state.store, state.kind, state.prefix),
+    )
+    listing = await _with_timeout(state, call, timing.list_within, 'list')
     if isinstance(listing, Unavailable):
         return False
     now = state.clock.seconds()
@@ -280,13 +303,14 @@
 
 
 async def _apply_changes(state, outcome):
-    changes = filter_new_events(state.seen, outcome.events)
-    if outcome.revision < state.revision or len(changes) < len(outcome.events):
+    events = without_ahead(state.seen, outcome.events)
+    changes = filter_new_events(state.seen, events)
+    if outcome.revision < state.revision or len(changes) < len(events):
         _log(state, WATCH_STALE, revision=outcome.revision)
     state.revision = max(state.revision, outcome.revision)
     _deliver(state, changes)
     await _jitter(state)
-    return bool(changes)
+    return bool(changes) or not events
 
 
 def _jitter(state):
