--- a/features/starts.feature
+++ b/features/starts.feature
@@ -36,3 +36,23 @@
     Guards against dials whose pauses grow while the others have not started.
     Given 30 hosts that all end, and come back spread over 6 seconds
     Then each is linked to the owner of each queue 2 seconds after the last is back
+
+  Scenario Outline: A program imports nothing that a host does not use: <program>
+    Guards against starts that spend processor time on other programs' modules.
+    When <program> is imported in a new process
+    Then it has imported at most <most> modules
+    And it has imported none of these packages
+      | package              |
+      | pollenstile.bench    |
+      | pollenstile.soak     |
+      | pollenstile.standin  |
+      | pollenstile.manifest |
+      | pollenstile.fleet    |
+      | pollenstile.placement |
+      | pydantic             |
+      | statsd               |
+
+    Examples:
+      | program               | most |
+      | the entry program     | 745  |
+      | the command of a host | 745  |
--- a/features/steps/starts_steps.py
+++ b/features/steps/starts_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from features.builders.imports import imported_by
 from features.builders.starts import SERVICE, StartedHost, fleet_of, lose_all
 from pollenstile.bench._domainworld import DomainWorld
 
@@ -173,3 +174,24 @@
         if host.name != owner and owner not in host.hub.links
     ]
     assert not unlinked, unlinked
+
+
+@when('{program} is imported in a new process')
+def when_imported(context, program):
+    context.imported = imported_by(program)
+
+
+@then('it has imported at most {most:d} modules')
+def then_few_modules(context, most):
+    assert len(context.imported) <= most, len(context.imported)
+
+
+@then('it has imported none of these packages')
+def then_none_of(context):
+    unused = {row['package'] for row in context.table}
+    found = [
+        name
+        for name in context.imported
+        if any(name == one or name.startswith(f'{one}.') for one in unused)
+    ]
+    assert not found, found
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -11,7 +11,7 @@
     build_node,
 )
 from pollenstile.fleet import http_load_reader
-from pollenstile.ops._stores import hosts_reader, paced_store, ticket_requester
+from pollenstile.ops._stores import hosts_reader, paced_store
 from pollenstile.ops.clock import boot_clock, use_boot_clock
 from pollenstile.ops.collector import configure_garbage_collector
 from pollenstile.ops.exits import GOOD
@@ -20,7 +20,8 @@
 from pollenstile.ops.signals import ignore_hangup, keep_grace
 from pollenstile.peer import tcp_connect
 from pollenstile.permission import build_permissions
-from pollenstile.placement import http_orders
+from pollenstile.placement import http_orders, http_tickets
+from pollenstile.platform import ServerClient
 from pollenstile.upstream import ConnectionPools, http_transport
 
 _PREFIX = 'pollenstile'
@@ -85,7 +86,7 @@
             node,
             store,
             http_orders(reactor),
-            ticket_requester(reactor, settings),
+            _ticket_requester(reactor, settings),
             boot_clock,
         )
     return Daemon(reactor, node, settings, fleet, _statsd(settings))
@@ -96,3 +97,9 @@
         return None
     host, port = settings.statsd
     return statsd.StatsClient(host, port, prefix=f'{_PREFIX}.{settings.host}')
+
+
+def _ticket_requester(reactor, settings):
+    """Return a function that requests tickets from the weight store."""
+    host, port = settings.platform
+    return http_tickets(ServerClient(reactor, reactor, host, port))
--- a/pollenstile/ops/_stores.py
+++ b/pollenstile/ops/_stores.py
@@ -2,7 +2,6 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.placement import http_tickets
 from pollenstile.platform import (
     Budget,
     EraStore,
@@ -64,12 +63,6 @@
     return EraStore(paced, StoreEra(log))
 
 
-def ticket_requester(reactor, settings):
-    """Return a function that requests tickets from the weight store."""
-    host, port = settings.platform
-    return http_tickets(ServerClient(reactor, reactor, host, port))
-
-
 def hosts_reader(reactor, settings):
     """Return a function that reads the host list, or None if not configured."""
     if settings.hosts is None:
--- a/pollenstile/ops/collector.py
+++ b/pollenstile/ops/collector.py
@@ -9,6 +9,7 @@
 the processor time of a streamed answer, and an equal variation between runs.
 """
 
+import contextlib
 import gc
 
 # Allocations minus deallocations that start a collection of the young
@@ -24,3 +25,13 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(_YOUNG_ALLOCATIONS, _MIDDLE_COLLECTIONS, _OLD_COLLECTIONS)
+
+
+@contextlib.contextmanager
+def collection_paused():
+    """Pause the collector; imports leave nothing to collect."""
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
