forward: readiness and metrics are pages without a server of resources

Both ports of a host answer every path with one page, and twisted.web.server was imported for them: 45 modules with templates, XML, remote objects and hyperlink. A small factory over twisted.web.http answers a page now; bodies of requests are bounded as before, a page that raises is a 500, and HEAD has no body.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -43,6 +43,8 @@
     Then it has imported at most <most> modules
     And it has imported none of these packages
       | package              |
+      | twisted.web.server   |
+      | hyperlink            |
       | pollenstile.bench    |
       | pollenstile.soak     |
       | pollenstile.standin  |
@@ -54,5 +56,5 @@
 
     Examples:
       | program               | most |
-      | the entry program     | 745  |
-      | the command of a host | 745  |
+      | the entry program     | 705  |
+      | the command of a host | 705  |
--- a/pollenstile/entry/_unread.py
+++ b/pollenstile/entry/_unread.py
@@ -1,7 +1,7 @@
 """Refuses requests that a leaving host has not read to their end."""
 
 from pollenstile.entry import events
-from pollenstile.ops.http import problem_body
+from pollenstile.ops.problems import problem_body
 
 _UNAVAILABLE = 503
 _REASON = 'this host leaves, and the request is not complete'
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -5,7 +5,6 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
-from twisted.web.resource import Resource
 
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
@@ -18,9 +17,9 @@
 from pollenstile.forward._shutdown import shut_down
 from pollenstile.forward._start import StartProgress
 from pollenstile.forward._storewatches import StoreWatches
-from pollenstile.ops.http import site_for
 from pollenstile.ops.logs import silent_log
-from pollenstile.ops.measures import Measures, MetricsResource
+from pollenstile.ops.measures import Measures, metrics_page
+from pollenstile.ops.pages import PageFactory
 from pollenstile.ops.settings import format_address
 from pollenstile.peer import Beat, parse_keys, tcp_listen
 from pollenstile.platform import EraStore, StoreEra
@@ -38,22 +37,6 @@
 _MAX_KEYS = 2
 
 
-class _ReadyResource(Resource):
-    """Readiness endpoint for the load balancer."""
-
-    isLeaf = True
-
-    def __init__(self, daemon):
-        super().__init__()
-        self.daemon = daemon
-
-    def render(self, request):
-        """Return an empty body with the status; called by Twisted."""
-        if not self.daemon.is_ready():
-            request.setResponseCode(_NOT_READY)
-        return b''
-
-
 class ForwardDaemon:
     """One entry host.
 
@@ -151,12 +134,12 @@
         self.parts.members.listeners.append(self._hosts_changed)
         callers = self._listen(settings.callers, self.factory)
         ready = self._listen(
-            settings.ready, site_for(_ReadyResource(self), self.reactor)
+            settings.ready, PageFactory(self._ready_page, self.reactor)
         )
         if settings.metrics is not None:
             add_gauges(self.measures, self.parts, self.factory)
-            site = site_for(MetricsResource(self.measures), self.reactor)
-            self._listen(settings.metrics, site)
+            page = metrics_page(self.measures)
+            self._listen(settings.metrics, PageFactory(page, self.reactor))
         self.log(
             events.FORWARD_STARTED,
             callers=format_address(_bound_address(callers)),
@@ -304,6 +287,12 @@
         views = core.registry.views.values()
         core.permissions.forget_old({view.incarnation for view in views})
 
+    def _ready_page(self, request):
+        """Return an empty body, and set the status for the load balancer."""
+        if not self.is_ready():
+            request.setResponseCode(_NOT_READY)
+        return b''
+
     def _beat(self):
         return Beat(
             version=self.parts.core.configuration.version,
--- a/pollenstile/ops/http.py
+++ b/pollenstile/ops/http.py
@@ -1,65 +1,18 @@
 """HTTP server utilities shared by all frontends and stand-ins."""
 
-from io import BytesIO
-
 import msgspec
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from pollenstile.ops.channels import Channels, CountedChannel
+from pollenstile.ops.problems import problem_body
+from pollenstile.ops.requestbody import BoundedBody
 
 _JSON = b'application/json'
 _PROBLEM = b'application/problem+json'
-_TOO_LARGE = 413
 
 
-class BoundedRequest(Request):
-    """A request whose body is held in memory and limited in size.
-
-    Explanation
-    ===========
-
-    The library stores large bodies in files, but hosts have no disks. A body
-    whose stated or received length exceeds ``site.max_body_bytes`` bytes is
-    rejected with 413 and its connection closed, before it is read
-    completely.
-    """
-
-    def gotLength(self, length):
-        """Prepare for a body with an optional length; called by twisted."""
-        self.too_large = False
-        self.received = 0
-        self.content = BytesIO()
-        if length is not None and length > self.channel.site.max_body_bytes:
-            self._refuse()
-
-    def handleContentChunk(self, data):
-        """Append a part of the body; called by twisted."""
-        self.received += len(data)
-        if self.received > self.channel.site.max_body_bytes:
-            self._refuse()
-            return
-        self.content.write(data)
-
-    def requestReceived(self, command, path, version):
-        """Handle a complete request; called by twisted."""
-        if self.too_large:
-            return
-        super().requestReceived(command, path, version)
-
-    def _refuse(self):
-        if self.too_large:
-            return
-        self.too_large = True
-        transport = self.channel.transport
-        body = problem_body(_TOO_LARGE, 'the body is too large', 'not-run')
-        head = (
-            b'HTTP/1.1 413 Request Entity Too Large\r\n'
-            b'Connection: close\r\n'
-            b'Content-Type: application/problem+json\r\n'
-            b'Content-Length: %d\r\n\r\n'
-        )
-        transport.write(head % len(body) + body)
-        transport.loseConnection()
+class BoundedRequest(BoundedBody, Request):
+    """A request whose body is held in memory and limited in size."""
 
 
 def site_for(resource, reactor, max_body_bytes=262144, timeout=60):
@@ -106,13 +59,6 @@
     """Write no access log; log events replace it."""
 
 
-def problem_body(status, title, outcome, **members):
-    """Return a problem document (RFC 9457)."""
-    document = {'status': status, 'title': title, 'outcome': outcome}
-    document.update(members)
-    return msgspec.json.encode(document)
-
-
 def answer_json(request, document, status=200):
     """Send a JSON document and finish the request."""
     body = msgspec.json.encode(document)
--- a/pollenstile/ops/measures.py
+++ b/pollenstile/ops/measures.py
@@ -16,7 +16,6 @@
     generate_latest,
 )
 from prometheus_client.core import GaugeMetricFamily
-from twisted.web.resource import Resource
 
 _MS_PER_SECOND = 1000
 # Seconds; the range covers a plain lookup up to the deadline of a long draft.
@@ -133,23 +132,23 @@
         return (family,)
 
 
-class MetricsResource(Resource):
-    """HTTP resource that serves metrics in the text format.
+def metrics_page(measures):
+    """Return a page that shows metrics in the text format.
 
     Parameters
     ==========
 
     measures : Measures
-        Metrics to serve.
-    """
+        Metrics to show.
 
-    isLeaf = True
+    See Also
+    ========
 
-    def __init__(self, measures):
-        super().__init__()
-        self.measures = measures
+    pollenstile.ops.pages.PageFactory
+    """
 
-    def render(self, request):
-        """Return the response body; called by twisted."""
+    def page(request):
         request.setHeader(b'content-type', b'text/plain; version=0.0.4')
-        return self.measures.text()
+        return measures.text()
+
+    return page
