forward: hosts look for their key until a returned store has it

Class: writers that give up. After a return of the store from an older copy, three hosts tried five times each to write the key that hosts share. Where these three had ended or were refused, the store stayed without it; a host that started later drew another key and linked to none of the others. A host that had drawn a key meanwhile read the shared one once; one failed read, and it stayed outside for good.

Now every host looks in its turn of half a second, and goes on with growing pauses until the store has the key or returns once more; a host whose own key may not be the shared one writes nothing before it has read. A return costs one read of each host, two a second, where the key is there.

Three scenarios failed before (two times no key in the store, two keys among the hosts) and pass now. The one in which all hosts are refused for 16 s passed before as well.

--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -19,6 +19,7 @@
 from pollenstile.forward import DRAINED, PEER_KEY, Configuration
 from pollenstile.forward._configreads import ConfigRead
 from pollenstile.origins import SOFTWARE_KIND
+from pollenstile.peer import place_of
 from pollenstile.platform import Found, position
 from pollenstile.quarantine import QUARANTINE_KIND, QuarantineUpdate, Verdict
 from pollenstile.relay._messages import RelayUpdate
@@ -368,6 +369,65 @@
     world.come_back('early')
 
 
+@when('{hosts} are refused for good once they know it')
+def when_refused(context, hosts):
+    _once_they_know(context.world, _chosen(context.world, hosts), _refuse)
+
+
+@when('{hosts} are refused for {seconds:g} seconds once they know it')
+def when_refused_for(context, hosts, seconds):
+    chosen = _chosen(context.world, hosts)
+    _once_they_know(context.world, chosen, _refuse)
+    context.world.advance(seconds)
+    for host in chosen:
+        host.path.refuses = False
+
+
+@when('{hosts} end once they know it')
+def when_ended(context, hosts):
+    chosen = _chosen(context.world, hosts)
+    _once_they_know(context.world, chosen, lambda host: host.end())
+
+
+@when('the new host is refused from {since:g} to {until:g} seconds after that')
+def when_new_refused(context, since, until):
+    host = context.world.hosts['h-new']
+    context.world.advance(since)
+    host.path.refuses = True
+    context.world.advance(until - since)
+    host.path.refuses = False
+
+
+def _chosen(world, hosts):
+    """Return the hosts that write the key first, or all."""
+    running = world.running()
+    if hosts == 'all hosts':
+        return running
+    names = {host.name for host in running}
+    return sorted(
+        running, key=lambda host: place_of(host.name, PEER_KEY[1], names)
+    )[:3]
+
+
+def _refuse(host):
+    host.path.refuses = True
+
+
+def _once_they_know(world, chosen, harm):
+    """Harm hosts, each in the step in which it knows of the return."""
+    waiting = list(chosen)
+
+    def look():
+        for host in list(waiting):
+            peer_key = host.daemon.parts.peer_key
+            if peer_key.store.eras.number:
+                harm(host)
+                waiting.remove(host)
+
+    while waiting:
+        world.advance(STEP, look)
+
+
 @when('an operator lifts it, and the store returns to before')
 def when_lifted(context):
     world = context.world
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -115,6 +115,30 @@
     And 12 seconds pass after the return
     Then the hosts share one key, and the new host is linked to others
 
+  Scenario Outline: The key is written again though <fault>
+    Guards against writers that give up: hosts that start later draw another key.
+    Given 9 hosts in 4 failure domains and a store that states its era
+    And hosts have written the key that they share
+    When the store returns to a copy that has nothing of hosts
+    And <fault> once they know it
+    And 16 seconds pass after the return
+    Then the store has the key that they share again
+
+    Examples:
+      | fault                                          |
+      | the first three writers are refused for good   |
+      | the first three writers end                    |
+      | all hosts are refused for 16 seconds           |
+
+  Scenario: A host with a key of its own joins the others though it is refused for a time
+    Guards against a host that stays outside after one failed read.
+    Given 9 hosts in 4 failure domains and a store that states its era
+    When the store returns to a copy that has nothing of hosts
+    And a host starts 0.0 seconds later
+    And the new host is refused from 1.5 to 6.5 seconds after that
+    And 8 seconds pass after the return
+    Then the hosts share one key, and the new host is linked to others
+
   Scenario: Hosts that start between two returns yield to the key of the others
     Given 9 hosts in 4 failure domains and a store that states its era
     When the store returns to a copy that has nothing of hosts
--- a/pollenstile/forward/_peerkey.py
+++ b/pollenstile/forward/_peerkey.py
@@ -14,15 +14,17 @@
 _KEY_BYTES = 32
 # Time between retries while the store does not answer.
 _RETRY_SECONDS = 0.5
-# Number of hosts that write the key again which a returned store lacks, and
-# the time that each waits for those before it.
-_WRITERS = 3
+# Longest time between retries of a write; each one takes twice as long as the
+# one before.
+_MAX_RETRY_SECONDS = 4.0
+# Number of hosts that look for the key early after a return of the store, and
+# the time that each host waits for those before it.
+_EARLY_WRITERS = 3
 _TURN_SECONDS = 0.5
 # Time after a return until the key is checked, and until the return is
 # recorded as over: operators and upstreams have then written again.
 _CHECK_SECONDS = 0.2
 _OVER_SECONDS = 2.5
-_ATTEMPTS = 5
 
 
 class PeerKey:
@@ -34,8 +36,11 @@
     Only processes with access to the store have the key. When two hosts create
     a key concurrently, both read the one that was stored first. A store that
     returns from an older copy may lack the key. Hosts that have it write it
-    again, over one that a host which has just started may have drawn
-    meanwhile; that host reads it once more when the return is over. The stored
+    again in turn, over one that a host which has just started may have drawn
+    meanwhile; that host reads it once more when the return is over. Each host
+    looks for it until it is stored: those before it may have ended, or may not
+    reach the store. A host that starts without it would draw another key and
+    link to none of the others. The stored
     key names the last era whose return is over, so that a host that starts
     later need not wait.
 
@@ -58,6 +63,9 @@
 
     key : str
         The key; empty before it was read.
+    is_provisional : bool
+        Whether the key was read in a return of the store, and may not be the
+        one that the others share.
     was_over : bool
         Whether, when the key was read, the last return of the store was over.
     on_change : function
@@ -68,6 +76,7 @@
         'clock',
         'host',
         'hosts',
+        'is_provisional',
         'key',
         'log',
         'on_change',
@@ -82,6 +91,7 @@
         self.hosts = hosts
         self.log = log
         self.key = ''
+        self.is_provisional = False
         self.was_over = False
         self.on_change = _ignore
 
@@ -93,6 +103,7 @@
                 self.key = _key_of(found)
                 self.was_over = self._is_over(found)
                 if not self.was_over:
+                    self.is_provisional = True
                     self.clock.callLater(_OVER_SECONDS, self._join_others)
                 return self.key.encode()
             if isinstance(found, Absent):
@@ -106,22 +117,25 @@
         if not self.key:
             return
         place = self._place()
-        if place >= _WRITERS:
-            return
         wait = place * _TURN_SECONDS
-        for seconds in (_CHECK_SECONDS, _OVER_SECONDS):
+        if place < _EARLY_WRITERS:
             self.clock.callLater(
-                wait + seconds, self._restore, seconds == _OVER_SECONDS
+                wait + _CHECK_SECONDS, self._restore, is_over=False
             )
+        self.clock.callLater(wait + _OVER_SECONDS, self._restore, is_over=True)
 
-    def _restore(self, is_over):
+    def _restore(self, *, is_over):
         Deferred.fromCoroutine(self._write_until_stored(is_over))
 
     async def _write_until_stored(self, is_over):
-        for _ in range(_ATTEMPTS):
+        """Write the key until the store has it, or has returned once more."""
+        era = self.store.eras.number
+        wait = _RETRY_SECONDS
+        while not self.is_provisional and self.store.eras.number == era:
             if await self._write_if_needed(is_over):
                 return
-            await paused(self.clock, _RETRY_SECONDS)
+            await paused(self.clock, wait)
+            wait = min(wait * 2, _MAX_RETRY_SECONDS)
 
     async def _write_if_needed(self, is_over):
         """Write the key if the store lacks it; return whether it has it."""
@@ -148,15 +162,24 @@
 
     async def _adopt(self):
         """Take the key that is stored now that the return is over."""
-        found = await self.store.get(*PEER_KEY)
+        found = await self._stored()
         if isinstance(found, Found) and _key_of(found) != self.key:
             self.key = _key_of(found)
             self.log(events.PEER_KEY_CHANGED, level='warning')
             self.on_change(self.key.encode())
-        place = self._place()
-        if place < _WRITERS:
-            await paused(self.clock, place * _TURN_SECONDS)
-            await self._write_until_stored(is_over=True)
+        self.is_provisional = False
+        await paused(self.clock, self._place() * _TURN_SECONDS)
+        await self._write_until_stored(is_over=True)
+
+    async def _stored(self):
+        """Return ``Found`` or ``Absent`` once the store answers."""
+        wait = _RETRY_SECONDS
+        while True:
+            found = await self.store.get(*PEER_KEY)
+            if isinstance(found, (Found, Absent)):
+                return found
+            await paused(self.clock, wait)
+            wait = min(wait * 2, _MAX_RETRY_SECONDS)
 
     def _place(self):
         """Return the turn of this host among those that write the key."""
