soak: live runs say when hosts and callers are back, and upstreams end too

Nothing said when hosts were ready or callers served after all hosts of a live run had ended, and their upstreams stayed.

--- a/features/soak_live.feature
+++ b/features/soak_live.feature
@@ -33,3 +33,8 @@
     Guards against hosts that serve late, or join streams, when none was left to ask.
     When a live soak plays "--all-end slow --hosts 6" with seed 1
     Then the live soak found no violation
+
+  Scenario: All hosts and all upstreams end at the same moment and come back
+    Guards against callers who come back at once and are not served in time.
+    When a live soak plays "--all-end well --ending all --hosts 4" with seed 2
+    Then the live soak found no violation
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -91,6 +91,12 @@
         help='with --live: all hosts end at once, twice, as the only faults, '
         'while the store is well, slow or away',
     )
+    parser.add_argument(
+        '--ending',
+        choices=('hosts', 'all'),
+        default='hosts',
+        help='with --live --all-end: what ends, the hosts or all upstreams too',
+    )
     parser.set_defaults(run=run)
 
 
@@ -307,7 +313,9 @@
     )
 
     if arguments.all_end:
-        return ReturnPlan(arguments.all_end)
+        return ReturnPlan(
+            arguments.all_end, with_upstreams=arguments.ending == 'all'
+        )
     if arguments.graces:
         return GracePlan(arguments.graces, arguments.grace_seconds)
     if arguments.endless:
@@ -358,7 +366,8 @@
         f'lost: {_counts_text(result.sound.lost)}; '
         f'refused: {_counts_text(result.sound.refused)}; '
         f'runs: {_counts_text(result.sound.runs)}'
-        f'{_graces_text(result.graces)}{_endless_text(result.endless)}\n'
+        f'{_graces_text(result.graces)}{_endless_text(result.endless)}'
+        f'{_recoveries_text(result.recoveries)}\n'
         f'  peak memory: {max(result.peaks.values(), default=0.0):.0f} MB'
     )
 
@@ -369,6 +378,16 @@
     return f'\n  read before a stop: {_counts_text(graces.ends)}'
 
 
+def _recoveries_text(recoveries):
+    return ''.join(
+        f'\n  all ended: ready after {each.first:.1f} s, half {each.half:.1f} s,'
+        f' all {each.last:.1f} s; a quarter served from {each.quarter:.2f} s on,'
+        f' nine in ten from {each.nearly_all:.2f} s on;'
+        f' served later {each.later_share:.2f}'
+        for each in recoveries
+    )
+
+
 def _endless_text(endless):
     if not endless.answers:
         return ''
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -15,6 +15,7 @@
 REVOKE_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
 _KILL_MARGIN_SECONDS = 1.0
+_START_EVENTS = ('forward-started', 'forward-ready', 'forward-joined')
 
 
 class LiveHost(ProcessProtocol):
@@ -183,16 +184,22 @@
             self.output_tail.append(line.decode(errors='replace'))
             return
         event = document.get('event')
-        if event == 'forward-started':
-            self.callers.target = address(document['callers'])
-            self.ready_address = address(document['ready'])
-        elif event == 'forward-joined':
-            self.peers.target = address(document['peers'])
+        if event in _START_EVENTS:
+            self._note_start(event, document)
         elif event in {'forward-crashed', 'peer-handler-failed'}:
             self.world.records.broken.append(f'crashed: {document}')
         elif _says_left(document):
             self.world.records.left.add(document['request'])
 
+    def _note_start(self, event, document):
+        if event == 'forward-started':
+            self.callers.target = address(document['callers'])
+            self.ready_address = address(document['ready'])
+        elif event == 'forward-ready':
+            self.world.records.ready_at.append(self.world.reactor.seconds())
+        else:
+            self.peers.target = address(document['peers'])
+
 
 def _says_left(document):
     """Return whether a line says that a caller has closed its connection."""
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -255,6 +255,10 @@
         Answers with such bytes, in order.
     peaks : dict
         Peak resident memory of the processes of each host, in MB.
+    all_ended_at : list of float
+        Times at which all hosts ended.
+    ready_at : list of float
+        Times at which hosts, after each of their starts, could serve.
     upstreams : dict
         Failure domain of each upstream, and end of its cold period.
     faults : list of Fault
@@ -285,6 +289,8 @@
     left: set = field(default_factory=set)
     endless: list = field(default_factory=list)
     endless_answers: list = field(default_factory=list)
+    all_ended_at: list = field(default_factory=list)
+    ready_at: list = field(default_factory=list)
     peaks: dict = field(default_factory=dict)
     upstreams: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
--- a/pollenstile/soak/live/_returns.py
+++ b/pollenstile/soak/live/_returns.py
@@ -45,10 +45,13 @@
         State of the store meanwhile, in ``STORE_STATES``.
     recovery : float
         Seconds from an end until callers must be served as before.
+    with_upstreams : bool
+        Whether all upstreams crash with the hosts; others replace them.
     """
 
     store: str
     recovery: float = 12.0
+    with_upstreams: bool = False
 
 
 async def play_returns(world, plan):
@@ -57,7 +60,7 @@
     Deferred.fromCoroutine(_record_down(world))
     for _ in range(_ENDS):
         await deferLater(reactor, _BEFORE_SECONDS)
-        await _end_all(world, STORE_STATES[plan.store])
+        await _end_all(world, plan)
         await deferLater(
             reactor, max(0.0, plan.recovery - _STORE_AFTER_SECONDS)
         )
@@ -75,12 +78,22 @@
         await deferLater(world.reactor, _LOOK_SECONDS)
 
 
-async def _end_all(world, set_state):
+async def _end_all(world, plan):
+    set_state = STORE_STATES[plan.store]
     set_state(world.store, True)
     await deferLater(world.reactor, _STORE_BEFORE_SECONDS)
     now = world.reactor.seconds()
+    world.records.all_ended_at.append(now)
     for host in world.hosts:
         world.records.faults.append(Fault(now, host.name, 'kill'))
         host.kill()
+    if plan.with_upstreams:
+        _replace_upstreams(world, now)
     await deferLater(world.reactor, _STORE_AFTER_SECONDS)
     set_state(world.store, False)
+
+
+def _replace_upstreams(world, now):
+    for server in tuple(world.servers.values()):
+        world.records.faults.append(Fault(now, server.ident, 'crash'))
+        Deferred.fromCoroutine(world.replace_server(server))
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -32,6 +32,7 @@
     play_graces,
 )
 from pollenstile.soak.live._records import Fault, RateLimit
+from pollenstile.soak.live._recovery import recoveries, recovery_violations
 from pollenstile.soak.live._returns import ReturnPlan, play_returns
 from pollenstile.soak.live._servers import (
     COLD_SECONDS,
@@ -76,6 +77,8 @@
 # Seconds from then on for what they have not read meanwhile.
 _AFTER_SILENCE_SECONDS = 1.2
 _CALLER_COUNT = 14
+# Callers for each host that ends with all others.
+_CALLERS_PER_HOST = 2
 # What plays the only faults of a run, by the class of its plan.
 _PLAYS = {
     SilencePlan: play_silences,
@@ -108,6 +111,8 @@
         What became of requests whose upstreams sent bytes without end.
     peaks : dict
         Peak memory of the processes of each host, in MB.
+    recoveries : tuple of Recovery
+        How service came back after each end of all hosts.
     """
 
     seed: int
@@ -118,6 +123,7 @@
     graces: GraceCounts
     endless: EndlessCounts
     peaks: dict
+    recoveries: tuple
 
 
 async def run_live(
@@ -158,7 +164,11 @@
     endless = count_endless(
         records, lengths.deadline, is_only=isinstance(plan, EndlessPlan)
     )
-    lines = (*sound.lines, *graces.lines, *endless.lines)
+    returned = ()
+    if isinstance(plan, ReturnPlan):
+        returned = recoveries(records, hosts, plan.recovery)
+    late = recovery_violations(returned)
+    lines = (*late, *sound.lines, *graces.lines, *endless.lines)
     return LiveResult(
         seed,
         dict(Counter(record.status for record in records.requests)),
@@ -168,6 +178,7 @@
         graces,
         endless,
         records.peaks,
+        returned,
     )
 
 
@@ -177,7 +188,7 @@
         world.records.broken.append('not ready in time')
         return
     Deferred.fromCoroutine(watch_memory(world))
-    count = GRACE_CALLERS if isinstance(plan, GracePlan) else _CALLER_COUNT
+    count = _caller_count(plan, len(world.hosts))
     callers = [
         Deferred.fromCoroutine(Caller(world, number).run())
         for number in range(count)
@@ -192,6 +203,14 @@
         await caller
 
 
+def _caller_count(plan, hosts):
+    if isinstance(plan, GracePlan):
+        return GRACE_CALLERS
+    if isinstance(plan, ReturnPlan):
+        return max(_CALLER_COUNT, _CALLERS_PER_HOST * hosts)
+    return _CALLER_COUNT
+
+
 async def _inject_faults(world, seconds):
     reactor = world.reactor
     end = reactor.seconds() + seconds
