soak, live: records of a run, and of connections that no process took

The records could not tell whether a host reads an answer without end after its request has ended, or whether the proxy keeps the upstream's end open; nor whether a request that got no answer had reached a process.

No check is changed.

--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -115,7 +115,8 @@
     parser.add_argument(
         '--logs',
         type=pathlib.Path,
-        help="with --live: folder for each seed's combined host log",
+        help="with --live: folder for each seed's combined host log and the "
+        'records of its callers and upstreams',
     )
     parser.add_argument(
         '--hosts',
@@ -297,6 +298,8 @@
                 plan=_plan(arguments),
             )
         print(_live_line(result), flush=True)
+        if arguments.logs:
+            _write_records(reactor, arguments.logs, result)
         if result.broken:
             broken.append(seed)
             _print_broken(result)
@@ -304,6 +307,14 @@
     return BAD_RESULT if broken else GOOD
 
 
+def _write_records(reactor, folder, result):
+    from pollenstile.soak.live import write_records  # noqa: WPS433
+
+    utc = time.time() - reactor.seconds()
+    with (folder / f'seed-{result.seed}.records').open('wb') as output:
+        write_records(result.records, output, utc)
+
+
 def _plan(arguments):
     """Return what the only faults of a live run are, or None for all."""
     from pollenstile.soak.live import (  # noqa: WPS433
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -126,6 +126,7 @@
         # gives the same faults.
         self.rng = Random(f'{world.seed}/{number}')
         self.connection = None
+        self.port = 0
         self.host = None
 
     async def run(self):
@@ -209,6 +210,7 @@
         )
         world.records.requests.append(record)
         await self._await_answer(record)
+        record.is_unread = self.port in self.host.callers.refused
         record.ended_at = world.reactor.seconds()
         return record
 
@@ -227,6 +229,8 @@
             *self.host.callers.address, connecting, timeout=1
         )
         self.connection = await connecting.done
+        if self.connection is not None:
+            self.port = self.connection.transport.getHost().port
 
     async def _await_answer(self, record):
         connection = self.connection
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -98,7 +98,10 @@
     """Check that a success is the request's answer or begins it, and no 404."""
     if record.status == _OK:
         if not _is_own_answer(record, is_endless):
-            yield f'wrong answer: {record.ident}: {_summary_of(record.body)}'
+            yield (
+                f'wrong answer: {record.ident}, {record.kind} at {record.host}: '
+                f'{_summary_of(record.body)}'
+            )
     elif record.status == 404:
         yield f'unexpected status: {record.ident}: 404'
 
--- a/pollenstile/soak/live/_endless.py
+++ b/pollenstile/soak/live/_endless.py
@@ -113,6 +113,10 @@
         head = self.form.head(headers)
         writer = _Writer(self, server, request.channel, record)
         request.notifyFinish().addErrback(writer.end)
+        port = request.getClientAddress().port
+        connection = server.proxy.connection_from(port)
+        if connection is not None:
+            connection.on_caller_ended = writer.note_closed
         request.registerProducer(writer, streaming=True)
         writer.begin(head)
 
@@ -134,8 +138,12 @@
         self.channel.write(head)
         self._write_part()
 
+    def note_closed(self):
+        """Record that the host has closed its end of the connection."""
+        self.record.closed = self.server.world.reactor.seconds()
+
     def end(self, reason):
-        """Record that the host closed the connection; called by twisted."""
+        """Record that the connection was closed; called by twisted."""
         self.record.ended = self.server.world.reactor.seconds()
 
     def pauseProducing(self):
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -72,6 +72,9 @@
     closing : bool
         Whether one end has closed; the other one closes when all held and
         delayed bytes are delivered.
+    on_caller_ended : function
+        Called when the caller's end is closed, also while the connection is
+        silent or bytes are held back.
     """
 
     def __init__(self, proxy):
@@ -84,6 +87,7 @@
         self.held = []
         self.delayed = {'server': deque(), 'caller': deque()}
         self.closing = False
+        self.on_caller_ended = _ignore
 
     def opened(self, side):
         """Connect to the target, or send the bytes received meanwhile."""
@@ -131,6 +135,8 @@
 
     def ended(self, side):
         """Close the other end too, once all bytes are delivered."""
+        if side is self.caller:
+            self.on_caller_ended()
         if self.is_closed or self.silent:
             return
         self.closing = True
@@ -166,6 +172,10 @@
         side.transport.write(data)
 
 
+def _ignore():
+    """Do nothing when the caller's end is closed."""
+
+
 class _Connector(ClientFactory):
     noisy = False
 
@@ -179,7 +189,7 @@
 
     def clientConnectionFailed(self, connector, reason):
         """Reset the caller's connection; called by twisted."""
-        self.connection.close(reset=True)
+        self.connection.proxy.refuse(self.connection)
 
 
 class Proxy(Factory):
@@ -204,6 +214,8 @@
         Whether the server stands still: it reads nothing until it goes on.
     on_sent : function or None
         Takes bytes for the server, and ``is_lost``: whether they are dropped.
+    refused : set of int
+        Ports of callers whose latest connection found no server.
     """
 
     noisy = False
@@ -216,6 +228,7 @@
         self.still = False
         self.on_sent = None
         self.connections = set()
+        self.refused = set()
         self.port = reactor.listenTCP(0, self, 512, LOOPBACK)
         self.address = (LOOPBACK, self.port.getHost().port)
 
@@ -227,11 +240,35 @@
 
     def connect(self, connection):
         """Connect a new connection to the target."""
+        self.refused.discard(connection.caller.transport.getPeer().port)
         if self.target is None:
-            connection.close(reset=True)
+            self.refuse(connection)
             return
         self.reactor.connectTCP(*self.target, _Connector(connection), timeout=2)
 
+    def refuse(self, connection):
+        """Reset a connection for which no server was found."""
+        if not connection.is_closed:
+            self.refused.add(connection.caller.transport.getPeer().port)
+        connection.close(reset=True)
+
+    def connection_from(self, port):
+        """Return the connection whose server's end has a port; None if closed.
+
+        Parameters
+        ==========
+
+        port : int
+            Port from which the server got the connection.
+        """
+        for connection in self.connections:
+            side = connection.server
+            if side is None or side.transport is None:
+                continue
+            if side.transport.getHost().port == port:
+                return connection
+        return None
+
     def reset(self):
         """Reset all connections."""
         for connection in list(self.connections):
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -43,6 +43,8 @@
         Whether the answer was properly terminated.
     gave_up : bool
         Whether its caller closed the connection, for lack of an answer.
+    is_unread : bool
+        Whether its connection found no process of the host.
     ended_at : float
         Clock time at which the request ended; 0 while it is in progress.
     """
@@ -61,6 +63,7 @@
     received_bytes: int = 0
     complete: bool = False
     gave_up: bool = False
+    is_unread: bool = False
     ended_at: float = 0.0
 
 
@@ -150,13 +153,15 @@
     Explanation
     ===========
 
-    ``ended`` is infinite until the host closes the connection.
+    ``closed`` is infinite until the host closes its end of the connection, and
+    ``ended`` until the upstream is told so, which no silent connection does.
     """
 
     ident: str
     upstream: str
     form: str
     began: float
+    closed: float = float('inf')
     ended: float = float('inf')
     sent_bytes: int = 0
 
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -31,7 +31,7 @@
     count_graces,
     play_graces,
 )
-from pollenstile.soak.live._records import Fault, RateLimit
+from pollenstile.soak.live._records import Fault, RateLimit, Records
 from pollenstile.soak.live._recovery import recoveries, recovery_violations
 from pollenstile.soak.live._returns import ReturnPlan, play_returns
 from pollenstile.soak.live._servers import (
@@ -113,6 +113,8 @@
         Peak memory of the processes of each host, in MB.
     recoveries : tuple of Recovery
         How service came back after each end of all hosts.
+    records : Records
+        What callers, upstreams and faults have left.
     """
 
     seed: int
@@ -124,6 +126,7 @@
     endless: EndlessCounts
     peaks: dict
     recoveries: tuple
+    records: Records
 
 
 async def run_live(
@@ -179,6 +182,7 @@
         endless,
         records.peaks,
         returned,
+        records,
     )
 
 
@@ -274,8 +278,7 @@
     """Let upstreams of each kind leave by their answers, and ask for rest.
 
     Explanation
-    ===========
-
+    ====
     Their entries in the store do not state that they leave.
     """
     reactor = world.reactor
