forward: a stream whose framing ends before its first event is broken off

A caller got a stream that ended as complete without one event. An engine that fails before its first event may still end its chunks, or state a length of 0; a host took the framing for proof that the empty stream was whole.

A stream that has no event is now broken off, as one that ends inside an event is: a resumable one goes to another engine, another one ends with 502. One that goes on after an event may have nothing more, if its end is framed.

features/body_ends.feature: 5 of the 7 examples without an event failed before this (chunks, a length, a comment only), none now; the opposite cases, a resumed stream with nothing more and one whose first engine broke off after its last event, passed before and pass now. The outline takes the place of the scenario for no framing, which is two of its examples.

forward*, endless*, tunnels, grace, crashes and quarantine features: 287 of 287 other scenarios passed.

--- a/features/body_ends.feature
+++ b/features/body_ends.feature
@@ -13,12 +13,34 @@
       | stream    | a length   |
       | resumable | no framing |
 
-  Scenario: A stream without framing and without an event is not complete
+  Scenario Outline: A stream that has no event is not complete
     Guards against a crash before the first event that passes as an empty answer.
     Given a host whose upstream closes each connection after its answer
-    When the upstream ends a stream without framing before its first byte
+    When the upstream ends a <route> answer of <body> with <framing>
     Then the caller gets no answer that is complete
 
+    Examples:
+      | route     | body        | framing    |
+      | stream    | no bytes    | no framing |
+      | stream    | no bytes    | chunks     |
+      | stream    | no bytes    | a length   |
+      | stream    | one comment | chunks     |
+      | resumable | no bytes    | no framing |
+      | resumable | no bytes    | chunks     |
+      | resumable | no bytes    | a length   |
+
+  Scenario: A resumed stream may have nothing more
+    The opposite case: its caller has all events, and only the end was missing.
+    Given a host whose upstream closes each connection after its answer
+    When the upstream ends the rest of a resumed stream without an event
+    Then the caller gets an empty answer that is complete
+
+  Scenario: A stream that breaks off after its last event is complete once resumed
+    The opposite case: the first upstream has sent all events.
+    Given a host with 2 upstreams that close each connection after their answer
+    When an upstream breaks off after all events, and another one adds none
+    Then the caller gets all of these events, and they are complete
+
   Scenario Outline: A stream that stops inside an event is resumed
     Guards against a resumable stream that is ended at the break of its upstream.
     Given a host with 2 upstreams that close each connection after their answer
--- a/features/builders/bodyends.py
+++ b/features/builders/bodyends.py
@@ -17,7 +17,7 @@
 _HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Proof: p\r\n'
 # Far above the duration of a call on loopback.
 _CALL_SECONDS = 30.0
-_LAST_CHUNK = b'0\r\n\r\n'
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 def stream_event(number, line_end):
@@ -31,7 +31,7 @@
     if framing == 'chunks':
         chunk = b'%x\r\n%s\r\n' % (len(body), body) if body else b''
         framing_header = b'Transfer-Encoding: chunked\r\n\r\n'
-        return b''.join((_HEAD, framing_header, chunk, _LAST_CHUNK))
+        return b''.join((_HEAD, framing_header, chunk, LAST_CHUNK))
     if framing == 'a length':
         return _HEAD + b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
     return b'%s\r\n%s' % (_HEAD, body)
@@ -44,7 +44,7 @@
     return host
 
 
-def answer_through(host, route, upstream_answer):
+def answer_through(host, route, upstream_answer, extra=b''):
     """Return the body that a caller gets, and whether it was ended as whole.
 
     Parameters
@@ -56,9 +56,12 @@
         Name of the request's route.
     upstream_answer : bytes
         Bytes that the upstream sends before it ends the connection.
+    extra : bytes
+        Further header lines of the request.
     """
     host.reply = upstream_answer
-    sent = request(b'/%s/x' % route.encode(), b'Connection: close\r\n')
+    lines = b'Connection: close\r\n%s' % extra
+    sent = request(b'/%s/x' % route.encode(), lines)
     connection = host.send(sent)
     run_reactor_until(lambda: connection.closed)
     return _read_body(connection.received)
--- a/features/steps/body_ends_steps.py
+++ b/features/steps/body_ends_steps.py
@@ -7,6 +7,7 @@
 from pollenstile.stagework import Result
 
 _LOOKUP_BODY = b'{"a": 1}'
+_BODIES_WITHOUT_EVENTS = {'no bytes': b'', 'one comment': b': wait\n\n'}
 
 
 def _add_host(context, host):
@@ -54,13 +55,45 @@
         assert body is None or stream.startswith(body), (stream, body)
 
 
-@when('the upstream ends a stream without framing before its first byte')
-def when_nothing(context):
+@when('the upstream ends a {route} answer of {body} with {framing}')
+def when_no_event(context, route, body, framing):
+    answer = bodyends.framed(_BODIES_WITHOUT_EVENTS[body], framing)
+    context.result = bodyends.answer_through(context.host, route, answer)
+
+
+@when('the upstream ends the rest of a resumed stream without an event')
+def when_no_rest(context):
+    context.result = bodyends.answer_through(
+        context.host,
+        'resumable',
+        bodyends.framed(b'', 'chunks'),
+        b'Last-Event-Id: 2\r\n',
+    )
+
+
+@when('an upstream breaks off after all events, and another one adds none')
+def when_none_added(context):
+    events = [bodyends.stream_event(number, b'\n') for number in (1, 2)]
+    context.events = b''.join(events)
+    whole = bodyends.framed(context.events, 'chunks')
+    context.host.first_replies = [whole.removesuffix(bodyends.LAST_CHUNK)]
     context.result = bodyends.answer_through(
-        context.host, 'stream', bodyends.framed(b'', 'no framing')
+        context.host, 'resumable', bodyends.framed(b'', 'chunks')
     )
 
 
+@then('the caller gets an empty answer that is complete')
+def then_empty(context):
+    assert context.result == (b'', True), context.result
+
+
+@then('the caller gets all of these events, and they are complete')
+def then_these(context):
+    assert context.result == (context.events, True), context.result
+    assert len(context.host.seen) == 2, context.host.seen
+    assert b'Last-Event-Id: 2\r\n' in context.host.seen[1], context.host.seen
+
+
 @when('the upstream resets a stream without framing between two events')
 def when_reset(context):
     stream = bodyends.stream_event(1, b'\n')
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -140,7 +140,8 @@
     log_stream_end(attempt, end)
     if end not in _ENDED:
         return _incomplete(attempt, 'torn stream', end)
-    if attempt.splitter.is_broken_off(is_framed=end is BodyEnd.COMPLETE):
+    may_be_empty = attempt.is_resumed and end is BodyEnd.COMPLETE
+    if attempt.splitter.is_broken_off(may_be_empty=may_be_empty):
         return _incomplete(attempt, 'torn stream', BodyEnd.BROKEN)
     _begin_answer(attempt, head)
     attempt.pending += attempt.splitter.rest
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -100,24 +100,24 @@
         self._note_events(events)
         return events
 
-    def is_broken_off(self, *, is_framed):
+    def is_broken_off(self, *, may_be_empty):
         """Return whether the stream that ended is incomplete.
 
         Explanation
         ===========
 
         An upstream that fails may still end its chunks, so framing proves
-        nothing inside an event. Without framing, a stream that has no event may
-        have failed before its first.
+        nothing inside an event, nor before the first one.
 
         Parameters
         ==========
 
-        is_framed : bool
-            Whether a length or a last chunk ended the body.
+        may_be_empty : bool
+            Whether the stream went on after an event, which may have been the
+            last one, and a length or a last chunk ended the body.
         """
         is_inside_event = any(self.rest.splitlines())
-        return is_inside_event or not (is_framed or self.has_events)
+        return is_inside_event or not (may_be_empty or self.has_events)
 
     def _note_events(self, events):
         lines = _content_lines(events)
