forward: an answer without framing whose connection closes before a byte is lost

An upstream that sends a head without a length and then closes has perhaps failed before its body. For streams a host excluded that, for other answers it passed on the empty body as whole.

Such an answer is now torn: another upstream is asked if the route allows, or the caller gets 502. An upstream that has no body states a length of 0.

features/body_ends.feature: the two new examples without a byte failed before, none does now. The scenario that each cut of a lookup without framing counts as complete now begins at the first byte: at the byte before it, the opposite is checked. Nothing tells later cuts from a whole answer, as before.

--- a/features/body_ends.feature
+++ b/features/body_ends.feature
@@ -41,6 +41,28 @@
     When an upstream breaks off after all events, and another one adds none
     Then the caller gets all of these events, and they are complete
 
+  Scenario Outline: An answer without framing and without a byte is not complete
+    Guards against a crash before the body that passes as an empty answer.
+    Given a host whose upstream closes each connection after its answer
+    When the upstream ends a <route> answer of no bytes with no framing
+    Then the caller gets no answer that is complete
+
+    Examples:
+      | route  |
+      | lookup |
+      | a      |
+
+  Scenario Outline: An empty answer with framing is complete
+    The opposite case: the upstream states that there is no body.
+    Given a host whose upstream closes each connection after its answer
+    When the upstream ends a lookup answer of no bytes with <framing>
+    Then the caller gets an empty answer that is complete
+
+    Examples:
+      | framing  |
+      | chunks   |
+      | a length |
+
   Scenario Outline: A stream that stops inside an event is resumed
     Guards against a resumable stream that is ended at the break of its upstream.
     Given a host with 2 upstreams that close each connection after their answer
@@ -74,7 +96,7 @@
   Scenario: Other answers without framing are complete when they are closed
     The opposite case: nothing tells such an answer from one that broke off.
     Given a host whose upstream closes each connection after its answer
-    When the upstream ends a lookup with no framing at each byte
+    When the upstream ends a lookup with no framing at each byte but the first
     Then each lookup is ended as complete
 
   Scenario: Stage results without framing are taken if the document is complete
--- a/features/steps/body_ends_steps.py
+++ b/features/steps/body_ends_steps.py
@@ -144,10 +144,10 @@
     assert content == context.event, content
 
 
-@when('the upstream ends a lookup with no framing at each byte')
+@when('the upstream ends a lookup with no framing at each byte but the first')
 def when_lookup(context):
     context.results = []
-    for size in range(len(_LOOKUP_BODY) + 1):
+    for size in range(1, len(_LOOKUP_BODY) + 1):
         sent = _LOOKUP_BODY[:size]
         answer = bodyends.framed(sent, 'no framing')
         context.results.append(
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -94,6 +94,10 @@
     end = await _read_body(attempt, head, pass_on)
     if end not in _ENDED:
         return _incomplete(attempt, 'torn answer', end)
+    is_empty = not (attempt.answer.begun or attempt.held.size)
+    if is_empty and end is BodyEnd.CLOSED:
+        # Its upstream may have failed before the body.
+        return _incomplete(attempt, 'torn answer', BodyEnd.BROKEN)
     if not attempt.answer.begun:
         _begin_answer(attempt, head)
         _write_held(attempt)
