soak, live: links pass on a reset as a reset, and answers are cut by a close

An upstream of the soak that lost or cut its answer reset its connection, and the proxy before it told the host that the connection was closed.

A link now ends its other side as the first one has ended.

features/soak_live_links.feature is new: the example of a reset failed before (the caller saw a close).

--- /dev/null
+++ b/features/soak_live_links.feature
@@ -0,0 +1,43 @@
+Feature: live soak: the links between callers, hosts and upstreams
+
+  Scenario Outline: A link passes on how its server ends a connection
+    Guards against a reset that hosts take for the end of a whole answer.
+    Given a link of the live soak to a server
+    When its caller has "half" of an answer and the server <ends> the connection
+    Then the caller sees its connection <seen>
+
+    Examples:
+      | ends   | seen   |
+      | closes | closed |
+      | resets | reset  |
+
+  Scenario Outline: The end of a caller's connection is known on a link that is <state>
+    Guards against a link's own open end that is taken for a host that reads on.
+    Given a link of the live soak to a server
+    When its caller has "half" of an answer and the link is <state>
+    And the caller closes its connection
+    Then the link knows that the caller's end is closed
+
+    Examples:
+      | state   |
+      | sound   |
+      | silent  |
+      | blocked |
+
+  Scenario: A caller that goes on reading a silent link is known
+    Guards against hosts that hold what their requests no longer need.
+    Given a link of the live soak to a server
+    When its caller has "half" of an answer and the link is silent
+    Then the link knows that the caller's end is open
+
+  Scenario Outline: A connection that found no process is known
+    Guards against a host that is charged for what no process of it has got.
+    Given a link of the live soak to a server
+    When the link has <target> and a caller connects
+    Then its connection counts as <state>
+
+    Examples:
+      | target          | state   |
+      | its server      | read    |
+      | no server       | refused |
+      | an ended server | refused |
--- /dev/null
+++ b/features/steps/soak_links_steps.py
@@ -0,0 +1,82 @@
+"""Steps for the links of the live soak, over the loopback."""
+
+from behave import given, then, when
+
+from features.builders.loop import run_reactor_until
+from features.builders.soaklinks import Link
+
+
+@given('a link of the live soak to a server')
+def given_link(context):
+    context.link = Link()
+    context.add_cleanup(context.link.stop)
+
+
+@when(
+    'its caller has "{text}" of an answer and the server {ends} the connection'
+)
+def when_server_ends(context, text, ends):
+    context.link.send(text.encode())
+    server = context.link.factory.ends[-1].transport
+    if ends == 'resets':
+        server.abortConnection()
+    else:
+        server.loseConnection()
+
+
+@when('its caller has "{text}" of an answer and the link is {state}')
+def when_link_is(context, text, state):
+    link = context.link
+    link.send(text.encode())
+    if state == 'silent':
+        link.proxy.silence()
+    elif state == 'blocked':
+        link.proxy.block('server', 'caller')
+        link.factory.ends[-1].transport.write(b'rest')
+        run_reactor_until(
+            lambda: any(each.held for each in link.proxy.connections)
+        )
+
+
+@when('the caller closes its connection')
+def when_closes(context):
+    context.link.caller.transport.loseConnection()
+    run_reactor_until(lambda: context.link.caller.ended)
+
+
+@when('the link has {target} and a caller connects')
+def when_connects(context, target):
+    link = context.link
+    if target == 'no server':
+        link.proxy.target = None
+    elif target == 'an ended server':
+        link.end_server()
+    link.connect()
+    context.port = link.caller.transport.getHost().port
+
+
+@then('the caller sees its connection {seen}')
+def then_sees(context, seen):
+    run_reactor_until(lambda: context.link.caller.ended)
+    assert context.link.caller.ended == seen, context.link.caller.ended
+
+
+@then("the link knows that the caller's end is closed")
+def then_known(context):
+    run_reactor_until(lambda: context.link.known_ends)
+
+
+@then("the link knows that the caller's end is open")
+def then_open(context):
+    assert not context.link.known_ends
+    assert not context.link.caller.ended
+
+
+@then('its connection counts as {state}')
+def then_counts(context, state):
+    link = context.link
+    if state == 'read':
+        run_reactor_until(lambda: link.factory.ends)
+    else:
+        run_reactor_until(lambda: link.caller.ended)
+    assert (context.port in link.proxy.refused) == (state == 'refused')
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 LOOPBACK = '127.0.0.1'
@@ -24,7 +25,8 @@
 
     def connectionLost(self, reason):
         """Report that this end is closed; called by twisted."""
-        self.connection.ended(self)
+        is_reset = reason.check(ConnectionDone) is None
+        self.connection.ended(self, is_reset=is_reset)
 
 
 class _Flow:
@@ -72,6 +74,8 @@
     closing : bool
         Whether one end has closed; the other one closes when all held and
         delayed bytes are delivered.
+    is_reset : bool
+        Whether that end was reset.
     on_caller_ended : function
         Called when the caller's end is closed, also while the connection is
         silent or bytes are held back.
@@ -87,6 +91,7 @@
         self.held = []
         self.delayed = {'server': deque(), 'caller': deque()}
         self.closing = False
+        self.is_reset = False
         self.on_caller_ended = _ignore
 
     def opened(self, side):
@@ -133,13 +138,14 @@
             self.forward(direction, data)
         self._close_if_delivered()
 
-    def ended(self, side):
-        """Close the other end too, once all bytes are delivered."""
+    def ended(self, side, *, is_reset):
+        """Close or reset the other end too, once all bytes are delivered."""
         if side is self.caller:
             self.on_caller_ended()
         if self.is_closed or self.silent:
             return
         self.closing = True
+        self.is_reset = is_reset
         self._close_if_delivered()
 
     def close(self, *, reset=False):
@@ -160,7 +166,7 @@
     def _close_if_delivered(self):
         is_waiting = self.held or any(self.delayed.values())
         if self.closing and not is_waiting:
-            self.close()
+            self.close(reset=self.is_reset)
 
     def _write(self, direction, data):
         if self.is_closed or self.silent:
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -89,8 +89,8 @@
     ==========
 
     fault : str
-        ``''``, ``'hang'``, ``'fail'``, ``'lose'`` (runs the request and loses
-        the answer), ``'cut'`` (aborts answers) or ``'slow'``.
+        ``''``, ``'hang'``, ``'fail'``, ``'lose'`` (runs the request and resets
+        the connection), ``'cut'`` (closes it within the answer) or ``'slow'``.
     rate : float
         Requests a second that its answers state; 0 if they state none.
     leaving : bool
@@ -319,7 +319,7 @@
         if self.server.fault == 'cut':
             request.setHeader(b'content-length', b'%d' % len(body))
             request.write(body[: len(body) // 2])
-            self.server.later(_WORK_SECONDS, _abort, request)
+            self.server.later(_WORK_SECONDS, _close, request)
             return
         request.write(body)
         request.finish()
@@ -357,7 +357,7 @@
         event = stream_event(run.ident, number, self.server.software)
         if self.server.fault == 'cut' and number > EVENTS // 2:
             request.write(event[:7])
-            self.server.later(_WORK_SECONDS, _abort, request)
+            self.server.later(_WORK_SECONDS, _close, request)
             return
         if number <= EVENTS:
             request.write(event)
@@ -425,3 +425,8 @@
 def _abort(request):
     if not _is_over(request):
         request.transport.abortConnection()
+
+
+def _close(request):
+    if not _is_over(request):
+        request.channel.loseConnection()
