soak, live: an answer without end is read until its host closes, not its upstream

The check took the time at which the upstream learnt of the close. A link that has been silenced tells its other end nothing, so an upstream behind it learnt it only when it crashed or the run ended.

The host does what it should.

The check takes the host's own close now. It is stricter besides: an answer that the host never closes was skipped, and counts until the run ends now. features/soak_endless.feature has both, and the silent link as the opposite case; the steps that set a time set the one that is checked.

--- a/features/soak_endless.feature
+++ b/features/soak_endless.feature
@@ -10,6 +10,24 @@
       | 5.2     | nothing                                             |
       | 8.2     | read endless head for 8.20 s: c1 at engines-1 |
 
+  Scenario Outline: A host that never ends to read such an answer is noticed
+    Guards against a host that goes unnoticed as it reads until the run ends.
+    Given requests "c1" that ended "504" with an endless "head" answer
+    When the host reads on when the run ends, after <seconds> s
+    Then the checks of endless bytes report "<text>"
+
+    Examples: a deadline of 5 s
+      | seconds | text                                          |
+      | 5.2     | nothing                                       |
+      | 30      | read endless head for 30.00 s: c1 at engines-1 |
+
+  Scenario: The end of a silent connection is not charged to its host
+    The opposite case: a silent link tells no upstream that the host has closed.
+    Given requests "c1" that ended "504" with an endless "head" answer
+    When the host has read the answer for 5 s
+    And the upstream is told of it only after 80 s
+    Then the checks of endless bytes report "nothing"
+
   Scenario Outline: Requests that stay with the only such upstream are noticed
     Given requests "<idents>" that ended "504" with an endless "event" answer
     When <elsewhere> of them were also sent to another upstream
--- a/features/steps/soak_ends_steps.py
+++ b/features/steps/soak_ends_steps.py
@@ -47,6 +47,18 @@
 
 @when('the host has read the answer for {seconds:g} s')
 def when_read(context, seconds):
+    answer = context.records.endless_answers[0]
+    answer.closed = answer.began + seconds
+
+
+@when('the host reads on when the run ends, after {seconds:g} s')
+def when_reads_on(context, seconds):
+    answer = context.records.endless_answers[0]
+    context.records.ended_at = answer.began + seconds
+
+
+@when('the upstream is told of it only after {seconds:g} s')
+def when_told(context, seconds):
     answer = context.records.endless_answers[0]
     answer.ended = answer.began + seconds
 
--- a/pollenstile/soak/live/_endless.py
+++ b/pollenstile/soak/live/_endless.py
@@ -115,7 +115,9 @@
         request.notifyFinish().addErrback(writer.end)
         port = request.getClientAddress().port
         connection = server.proxy.connection_from(port)
-        if connection is not None:
+        if connection is None:
+            writer.note_closed()
+        else:
             connection.on_caller_ended = writer.note_closed
         request.registerProducer(writer, streaming=True)
         writer.begin(head)
--- a/pollenstile/soak/live/_endlessruns.py
+++ b/pollenstile/soak/live/_endlessruns.py
@@ -170,7 +170,7 @@
     """
     counts = EndlessCounts(answers=len(records.endless_answers))
     for answer in records.endless_answers:
-        _count_answer(answer, deadline, counts)
+        _count_answer(answer, records.ended_at, deadline, counts)
     upstreams = records.upstreams_by_ident()
     for time in records.endless:
         met = _met_by(time, records)
@@ -185,11 +185,13 @@
     return counts
 
 
-def _count_answer(answer, deadline, counts):
+def _count_answer(answer, until, deadline, counts):
+    """Count an answer, which its host reads until it closes its connection."""
     counts.largest_mb = max(counts.largest_mb, answer.sent_bytes / _MB)
-    if answer.ended == _NEVER:
+    read_until = min(answer.closed, until)
+    if read_until == _NEVER:
         return
-    took = answer.ended - answer.began
+    took = read_until - answer.began
     counts.longest = max(counts.longest, took)
     if took > deadline + _READ_MARGIN_SECONDS:
         counts.lines.append(
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -275,6 +275,8 @@
         killed or suspended.
     calm_from : float
         Time from which on there are no more faults; 0 before.
+    ended_at : float
+        Time at which the run ended; infinite before.
     broken : list of str
         Violated invariants.
     """
@@ -304,6 +306,7 @@
     quiet_from: float = 0.0
     quiet_until: float = 0.0
     calm_from: float = 0.0
+    ended_at: float = float('inf')
 
     def upstreams_by_ident(self):
         """Return sets of the upstreams that each request was sent to."""
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -227,6 +227,7 @@
     async def close(self):
         """End all processes and close all ports that the run started."""
         self.is_sending = False
+        self.records.ended_at = self.reactor.seconds()
         for host in self.hosts:
             await host.end_permanently()
             for proxy in (host.callers, host.peers, host.store):
