soak, live: a connection that no process took is not one that its host cut off

Trace, from the hosts' log: h6 had stopped, with nothing in flight, at 46.33 s; its next process listened at 48.81 s. Meanwhile the store was away, so no host was ready, and callers drew among all. Two of them took their streams up at h6 at 47.16 s: the proxy accepted the connections, found no process and reset them. The stop was 3.4 s before, more than the 3 s for which it excuses a request. h6 has no line of either request.

The proxy notes the connections for which it found no process. One of these is no answer that the host owes, if its process was not up or was told to stop; a process that is up and refuses is still charged. Nothing else is excused: hosts that are down are not recorded as struck by a fault, which would excuse all their requests of 3 s.

features/soak_sound.feature: the check reported c1 for such a request before, and reports what the process of the host has taken as before.

--- a/features/soak_sound.feature
+++ b/features/soak_sound.feature
@@ -23,6 +23,21 @@
       | cut off  | 2.0     | silent connection | engines-1 | nothing |
       | cut off  | 2.0     | pause             | h1        | nothing |
 
+  Scenario Outline: A host that closes a connection without an answer is noticed
+    Guards against requests that are charged to a host whose process is not up.
+    Given a request that ended "<end>" after 2 s and reached no upstream
+    When its connection was <taken>
+    And "<fault>" struck "<subject>" meanwhile
+    Then the checks of the answers report "<text>"
+
+    Examples:
+      | end | taken                            | fault   | subject | text                                |
+      | 0   | taken by the process of its host | nothing | nobody  | cut off without an answer: c1 at h1 |
+      | 0   | taken by the process of its host | stop    | h1      | cut off without an answer: c1 at h1 |
+      | 0   | taken by the process of its host | reset   | h1      | nothing                             |
+      | 0   | taken by no process              | nothing | nobody  | nothing                             |
+      | 503 | taken by the process of its host | nothing | nobody  | nothing                             |
+
   Scenario: A request whose upstream hangs for good proves nothing
     Given a request that ended "cut off" after 2 s at an upstream that stood still
     When its upstream stands still again and never goes on
--- a/features/steps/soak_sound_steps.py
+++ b/features/steps/soak_sound_steps.py
@@ -8,6 +8,7 @@
     add_silence,
     records_of,
 )
+from pollenstile.soak.live._checks import find_violations
 from pollenstile.soak.live._sound import count_sound
 
 
@@ -44,6 +45,17 @@
     add_fault(context.records, subject, fault)
 
 
+@when('its connection was taken by {taker}')
+def when_taken(context, taker):
+    context.records.requests[0].is_unread = taker == 'no process'
+
+
+@then('the checks of the answers report "{text}"')
+def then_reported(context, text):
+    found = ' '.join(find_violations(context.records)) or 'nothing'
+    assert found == text, found
+
+
 @when('its upstream stands still again and never goes on')
 def when_hangs(context):
     add_silence(context.records, 0, 1.95)
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -210,7 +210,8 @@
         )
         world.records.requests.append(record)
         await self._await_answer(record)
-        record.is_unread = self.port in self.host.callers.refused
+        is_refused = self.port in self.host.callers.refused
+        record.is_unread = is_refused and self.host.is_away()
         record.ended_at = world.reactor.seconds()
         return record
 
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -169,6 +169,9 @@
     if record.status or any(fault.at < record.sent_at for fault in faults):
         # Answers that have begun are checked with their upstreams.
         return
+    if record.is_unread:
+        # No process of the host took the connection.
+        return
     yield f'cut off without an answer: {record.ident} at {record.host}'
 
 
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -123,6 +123,10 @@
         """Return whether the process is running."""
         return self.transport is not None and self.transport.pid is not None
 
+    def is_away(self):
+        """Return whether its process is not up, or ends as it was told."""
+        return self.leaving or self.callers.target is None
+
     def end_permanently(self):
         """Kill the process without a restart; return a Deferred of its end."""
         self.should_run = False
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -44,7 +44,8 @@
     gave_up : bool
         Whether its caller closed the connection, for lack of an answer.
     is_unread : bool
-        Whether its connection found no process of the host.
+        Whether its connection found no process of the host, which was not up
+        or had been told to stop.
     ended_at : float
         Clock time at which the request ended; 0 while it is in progress.
     """
