soak, live: a link delivers what it got before it passes on a reset

features/soak_live_links.feature: the caller of the new scenario got half of the answer before, and all of it now.

--- a/features/soak_live_links.feature
+++ b/features/soak_live_links.feature
@@ -11,6 +11,13 @@
       | closes | closed |
       | resets | reset  |
 
+  Scenario: A link delivers what it got before a reset
+    Guards against answers that a link loses, for which their hosts are charged.
+    Given a link of the live soak to a server
+    When its caller has "half" of an answer and the link is blocked
+    And the server resets the connection before the link is sound again
+    Then the caller has the "halfrest" of the answer and sees its connection reset
+
   Scenario Outline: The end of a caller's connection is known on a link that is <state>
     Guards against a link's own open end that is taken for a host that reads on.
     Given a link of the live soak to a server
--- a/features/steps/soak_links_steps.py
+++ b/features/steps/soak_links_steps.py
@@ -38,6 +38,26 @@
         )
 
 
+@when('the server resets the connection before the link is sound again')
+def when_reset_behind(context):
+    link = context.link
+    link.factory.ends[-1].transport.abortConnection()
+    run_reactor_until(
+        lambda: any(each.closing for each in link.proxy.connections)
+    )
+    link.proxy.heal()
+
+
+@then(
+    'the caller has the "{text}" of the answer and sees its connection {seen}'
+)
+def then_has_and_sees(context, text, seen):
+    caller = context.link.caller
+    run_reactor_until(lambda: caller.ended)
+    assert caller.received == text.encode(), caller.received
+    assert caller.ended == seen, caller.ended
+
+
 @when('the caller closes its connection')
 def when_closes(context):
     context.link.caller.transport.loseConnection()
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -6,6 +6,8 @@
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 LOOPBACK = '127.0.0.1'
+# Seconds for the bytes that were received before a reset.
+_SEND_SECONDS = 0.02
 
 
 class _ProxyEnd(Protocol):
@@ -165,8 +167,13 @@
 
     def _close_if_delivered(self):
         is_waiting = self.held or any(self.delayed.values())
-        if self.closing and not is_waiting:
-            self.close(reset=self.is_reset)
+        if is_waiting or not self.closing:
+            return
+        if self.is_reset:
+            # A reset drops what its transport has not sent yet.
+            self.proxy.reactor.callLater(_SEND_SECONDS, self.close, reset=True)
+        else:
+            self.close()
 
     def _write(self, direction, data):
         if self.is_closed or self.silent:
