soak, live: a link decides at once whether a connection found no process

The link decides as it resets the connection now.

features/soak_live_links.feature: a process that is up again, and one that was told to stop; a process that refuses otherwise is charged, as before.

--- a/features/builders/soaklinks.py
+++ b/features/builders/soaklinks.py
@@ -85,7 +85,9 @@
 
     def end_server(self):
         """Stop listening for connections of the proxy."""
-        result_of(self.server_port.stopListening())
+        stopped = self.server_port.stopListening()
+        if stopped is not None:
+            result_of(stopped)
 
     def stop(self):
         """Close all connections and ports."""
--- a/features/soak_live_links.feature
+++ b/features/soak_live_links.feature
@@ -44,7 +44,15 @@
     Then its connection counts as <state>
 
     Examples:
-      | target          | state   |
-      | its server      | read    |
-      | no server       | refused |
-      | an ended server | refused |
+      | target                               | state   |
+      | its server                           | read    |
+      | no server                            | refused |
+      | an ended server that was told to end | refused |
+      | an ended server                      | charged |
+
+  Scenario: A connection that found no process is known when one is up again
+    Guards against a host that is charged as it starts.
+    Given a link of the live soak to a server
+    When the link has no server and a caller connects
+    And its server is up again
+    Then its connection counts as refused
--- a/features/steps/soak_links_steps.py
+++ b/features/steps/soak_links_steps.py
@@ -4,6 +4,7 @@
 
 from features.builders.loop import run_reactor_until
 from features.builders.soaklinks import Link
+from pollenstile.soak.live._proxy import LOOPBACK
 
 
 @given('a link of the live soak to a server')
@@ -69,12 +70,20 @@
     link = context.link
     if target == 'no server':
         link.proxy.target = None
-    elif target == 'an ended server':
+    elif target.startswith('an ended server'):
+        link.proxy.may_refuse = target.endswith('told to end')
         link.end_server()
     link.connect()
     context.port = link.caller.transport.getHost().port
 
 
+@when('its server is up again')
+def when_up_again(context):
+    link = context.link
+    run_reactor_until(lambda: link.caller.ended)
+    link.proxy.target = (LOOPBACK, link.server_port.getHost().port)
+
+
 @then('the caller sees its connection {seen}')
 def then_sees(context, seen):
     run_reactor_until(lambda: context.link.caller.ended)
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -210,8 +210,7 @@
         )
         world.records.requests.append(record)
         await self._await_answer(record)
-        is_refused = self.port in self.host.callers.refused
-        record.is_unread = is_refused and self.host.is_away()
+        record.is_unread = self.port in self.host.callers.refused
         record.ended_at = world.reactor.seconds()
         return record
 
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -87,6 +87,7 @@
         self.ready = False
         self.paused = False
         self.leaving = False
+        self.callers.may_refuse = False
         self.partial_line = b''
         self.world.reactor.spawnProcess(
             self, arguments[0], arguments, env=dict(os.environ)
@@ -111,6 +112,7 @@
         if self.leaving or not self.is_running():
             return
         self.leaving = True
+        self.callers.may_refuse = True
         self.transport.signalProcess(signal.SIGTERM)
         pid = self.transport.pid
         self.world.reactor.callLater(
@@ -123,10 +125,6 @@
         """Return whether the process is running."""
         return self.transport is not None and self.transport.pid is not None
 
-    def is_away(self):
-        """Return whether its process is not up, or ends as it was told."""
-        return self.leaving or self.callers.target is None
-
     def end_permanently(self):
         """Kill the process without a restart; return a Deferred of its end."""
         self.should_run = False
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -227,8 +227,11 @@
         Whether the server stands still: it reads nothing until it goes on.
     on_sent : function or None
         Takes bytes for the server, and ``is_lost``: whether they are dropped.
+    may_refuse : bool
+        Whether the server was told to stop, and may refuse connections.
     refused : set of int
-        Ports of callers whose latest connection found no server.
+        Ports of callers whose latest connection found no server, as there was
+        none or it was told to stop.
     """
 
     noisy = False
@@ -241,6 +244,7 @@
         self.still = False
         self.on_sent = None
         self.connections = set()
+        self.may_refuse = False
         self.refused = set()
         self.port = reactor.listenTCP(0, self, 512, LOOPBACK)
         self.address = (LOOPBACK, self.port.getHost().port)
@@ -261,7 +265,9 @@
 
     def refuse(self, connection):
         """Reset a connection for which no server was found."""
-        if not connection.is_closed:
+        if not connection.is_closed and (
+            self.target is None or self.may_refuse
+        ):
             self.refused.add(connection.caller.transport.getPeer().port)
         connection.close(reset=True)
 
