soak, live: an upstream may read a request whose host has closed its end

All hosts were killed 0.2 s after encode-8 had gone on; it answered requests that had waited at its link, whose hosts' ends were closed by then, so that the close was not recorded: it was told of the end of the connections 0.02 s after it began to answer.

The end is taken as closed from the start. features/soak_live_links.feature: a caller that has closed behind a blocked link is known to have.

--- a/features/soak_live_links.feature
+++ b/features/soak_live_links.feature
@@ -31,6 +31,13 @@
       | silent  |
       | blocked |
 
+  Scenario: A caller that has closed behind a blocked link is known to have
+    Guards against a host that is charged for what its upstream reads too late.
+    Given a link of the live soak to a server
+    When its caller has "half" of an answer and the link is blocked
+    And the caller closes its connection
+    Then the link knows at any time that the caller's end is closed
+
   Scenario: A caller that goes on reading a silent link is known
     Guards against hosts that hold what their requests no longer need.
     Given a link of the live soak to a server
--- a/features/steps/soak_links_steps.py
+++ b/features/steps/soak_links_steps.py
@@ -95,6 +95,15 @@
     run_reactor_until(lambda: context.link.known_ends)
 
 
+@then("the link knows at any time that the caller's end is closed")
+def then_known_later(context):
+    run_reactor_until(lambda: context.link.known_ends)
+    server = context.link.factory.ends[-1]
+    port = server.transport.getPeer().port
+    connection = context.link.proxy.connection_from(port)
+    assert not connection.is_caller_open
+
+
 @then("the link knows that the caller's end is open")
 def then_open(context):
     assert not context.link.known_ends
--- a/pollenstile/soak/live/_endless.py
+++ b/pollenstile/soak/live/_endless.py
@@ -115,7 +115,8 @@
         request.notifyFinish().addErrback(writer.end)
         port = request.getClientAddress().port
         connection = server.proxy.connection_from(port)
-        if connection is None:
+        # What an upstream reads as it goes on may be of a host that has closed.
+        if connection is None or not connection.is_caller_open:
             writer.note_closed()
         else:
             connection.on_caller_ended = writer.note_closed
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -78,6 +78,8 @@
         delayed bytes are delivered.
     is_reset : bool
         Whether that end was reset.
+    is_caller_open : bool
+        Whether the caller's end is open.
     on_caller_ended : function
         Called when the caller's end is closed, also while the connection is
         silent or bytes are held back.
@@ -94,6 +96,7 @@
         self.delayed = {'server': deque(), 'caller': deque()}
         self.closing = False
         self.is_reset = False
+        self.is_caller_open = True
         self.on_caller_ended = _ignore
 
     def opened(self, side):
@@ -143,6 +146,7 @@
     def ended(self, side, *, is_reset):
         """Close or reset the other end too, once all bytes are delivered."""
         if side is self.caller:
+            self.is_caller_open = False
             self.on_caller_ended()
         if self.is_closed or self.silent:
             return
