relay: a request for all objects outlives the answer that is under way

Cause: a host that begins to follow a reader again has no list of the kinds, and asks for all objects by forgetting the number of the last change. A request to the reader is nearly always under way. Its answer says that nothing has changed, and sets the number again, so the request for all objects was never sent. The list waited for a change of the kind, timed out after 2.5 s, and met the same again. For kinds that change rarely (drained domains, verdicts, members) the host was in contact and knew nothing new: h7 logged watch-silent of drained-domains for 13.7 s.

The kinds of which all objects are needed are kept until an update has them; what is under way is ignored for these.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -78,6 +78,21 @@
     Then "s,t,u" know the upstreams "a,b,c"
     And "t,u" follow "r"
 
+  Scenario Outline: A follower's list is answered though a request is under way
+    Guards against drained domains that a host does not learn of for as long as
+    nothing changes: the answer under way undoes the request for all objects.
+    Given the hosts "r,s,t,u" of one domain that watch drained domains
+    When "t" loses its reader <seconds> s after it has asked it
+    And 1.0 seconds of relaying pass
+    Then "t" follow "r"
+    And "t" gets its list of drained domains within 1.5 seconds
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 0.3     |
+      | 0.5     |
+
   Scenario: A follower that missed many changes gets all objects
     Given the hosts "r,s,t,u" of one domain
     When "t" can not send requests while 600 upstreams are added or removed
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,8 +5,10 @@
 from behave import given, then, when
 from twisted.internet.defer import succeed
 
+from features.builders.loop import collect_result
 from features.builders.relay import KIND, RelayFleet, RelayHost
-from pollenstile.platform import Found
+from pollenstile.forward import DRAINED
+from pollenstile.platform import Found, Listing
 
 _STEP = 0.05
 
@@ -277,3 +279,35 @@
 def then_all_trusted(context):
     for host in context.fleet.hosts.values():
         assert host.configuration.is_verified(), host.name
+
+
+@given('the hosts "{names}" of one domain that watch drained domains')
+def given_watching(context, names):
+    context.fleet = RelayFleet(names.split(','), drains=True)
+
+
+@when('"{name}" loses its reader {seconds:g} s after it has asked it')
+def when_loses(context, name, seconds):
+    fleet = context.fleet
+    follower = fleet.hosts[name].follower
+    ask = follower.ask
+    asked = []
+
+    def noted(*request):
+        asked.append(request)
+        return ask(*request)
+
+    follower.ask = noted
+    while not asked:
+        fleet.advance(_STEP)
+    fleet.advance(seconds)
+    follower._read_directly('expired')  # noqa: WPS437
+
+
+@then('"{name}" gets its list of drained domains within {seconds:g} seconds')
+def then_list(context, name, seconds):
+    fleet = context.fleet
+    call = collect_result(fleet.hosts[name].relayed.listed(DRAINED))
+    fleet.advance(seconds)
+    assert call, 'no list'
+    assert isinstance(call[0], Listing), call
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -108,6 +108,8 @@
     numbers : dict
         Number of the newest applied change of each kind, as counted by the
         source.
+    awaits_full : set of str
+        Kinds of which all objects are needed.
     kind_handlers : dict
         Function that applies a :class:`KindUpdate`, by kind.
     note_era : function
@@ -119,6 +121,7 @@
 
     __slots__ = (
         'ask',
+        'awaits_full',
         'clock',
         'configuration',
         'direct_listeners',
@@ -163,6 +166,7 @@
         self.source = ''
         self.note_era = _ignore_era
         self.numbers = {}
+        self.awaits_full = set()
         self.kind_handlers = {}
         self.direct_listeners = []
         self.direct_since = -1000.0
@@ -192,8 +196,15 @@
         return bool(self.following)
 
     def request_full(self, kind):
-        """Request all objects of a kind with the next request."""
-        self.numbers.pop(kind, None)
+        """Request all objects of a kind until an update has them.
+
+        Explanation
+        ===========
+
+        The answer to a request that is under way has the changes after those of
+        which this host knew then.
+        """
+        self.awaits_full.add(kind)
 
     async def _run(self):
         while self.running:
@@ -234,9 +245,13 @@
     async def _ask_once(self, host):
         """Ask a reader; return whether it answered validly or is skipped."""
         began = self.suspend_clock()
+        numbers = {
+            kind: number
+            for kind, number in self.numbers.items()
+            if kind not in self.awaits_full
+        }
         cursors = tuple(
-            Cursor(kind, self.numbers.get(kind, 0))
-            for kind in self.kind_handlers
+            Cursor(kind, numbers.get(kind, 0)) for kind in self.kind_handlers
         )
         request = self._build_request(cursors)
         answer = await self.ask(
@@ -350,8 +365,12 @@
             self.source = update.source
             self.numbers = {}
         for kind_update in update.kind_updates:
-            self.numbers[kind_update.kind] = kind_update.number
-            self.kind_handlers[kind_update.kind](kind_update)
+            kind = kind_update.kind
+            if kind_update.is_full:
+                self.awaits_full.discard(kind)
+            if kind not in self.awaits_full:
+                self.numbers[kind] = kind_update.number
+                self.kind_handlers[kind](kind_update)
 
     def _expand_patch(self, update):
         """Return an update with its patch applied; None if that fails."""
