bench: a simulated host that has ended calls the store no more

`DomainHost.end` stopped its watches and links, but not the calls that its recorders had scheduled. An ended keeper still wrote its streams up to 4 s later, so the simulation hid what is lost when all hosts end at once.

--- a/pollenstile/bench/_domainworld.py
+++ b/pollenstile/bench/_domainworld.py
@@ -222,6 +222,7 @@
     def end(self):
         """End the process without notifying peers."""
         self.gone = True
+        self.path.ended = True
         self.daemon.parts.relay.follower.stop()
         self.configuration.loop.running = False
         self.daemon.watches.stop()
--- a/pollenstile/bench/_storepath.py
+++ b/pollenstile/bench/_storepath.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+from twisted.internet.defer import Deferred, succeed
+
 from pollenstile.platform import NotApplied, Unavailable, paused
 
 # Seconds after which an unanswered call fails.
@@ -30,6 +32,9 @@
         Whether calls fail at once.
     silent : bool
         Whether calls stay unanswered until they time out.
+    ended : bool
+        Whether the process of the host has ended: it calls the store no more,
+        and receives no answer. A write on its way is still applied.
     back_at : float
         Time on the clock at which the last fault ended.
     calls : int
@@ -46,6 +51,7 @@
         'back_at',
         'calls',
         'clock',
+        'ended',
         'kinds',
         'lists',
         'refuses',
@@ -59,6 +65,7 @@
         self.clock = clock
         self.refuses = False
         self.silent = False
+        self.ended = False
         self.back_at = -_CONTACT_SECONDS
         self.calls = 0
         self.kinds = Counter()
@@ -106,12 +113,18 @@
         return outcome
 
     async def _called(self, call, failed, arguments, options=None):
+        await self._unless_ended()
         self.calls += 1
         self.kinds[arguments[0]] += 1
         if not self.refuses and not self.silent:
             outcome = await call(*arguments, **(options or {}))
+            await self._unless_ended()
             if not self.refuses and not self.silent:
                 return outcome
         if self.silent:
             await paused(self.clock, _SILENT_SECONDS)
         return failed(_STEP, _PEER, 'refused')
+
+    def _unless_ended(self):
+        """Return a Deferred that never fires if the process has ended."""
+        return Deferred() if self.ended else succeed(None)
