--- a/pollenstile/bench/_versionworld.py
+++ b/pollenstile/bench/_versionworld.py
@@ -51,14 +51,17 @@
         The callers, in the order of their first tries.
     live : dict
         Answers in progress, by name of their host.
+    silent : frozenset of str
+        Hosts that the store does not answer, also after they start again.
     """
 
-    __slots__ = ('callers', 'live', 'versions')
+    __slots__ = ('callers', 'live', 'silent', 'versions')
 
     def __init__(self, hosts, upstreams, domains, versions=None, seed=1):
         self.versions = versions or Versions()
         self.callers = []
         self.live = {}
+        self.silent = frozenset()
         super().__init__(hosts, upstreams, domains, seed=seed)
         self.upstreams.work = _STREAM_SECONDS
 
@@ -69,6 +72,17 @@
         software = versions.first if is_first else versions.second
         self.upstreams.start(address, domain, software)
 
+    def silence_store(self, names):
+        """Let the store answer nothing to some hosts, and all to the others."""
+        self.silent = frozenset(names)
+        for name, host in self.fleet.hosts.items():
+            host.path.silent = name in self.silent
+
+    def join(self, host):
+        """Connect a host to the upstreams, and to the store as it is."""
+        super().join(host)
+        host.path.silent = host.name in self.silent
+
     def kill_host(self, name=''):
         """End a host, a random one by default; it starts again later."""
         running = self.fleet.running()
--- a/pollenstile/bench/versions.py
+++ b/pollenstile/bench/versions.py
@@ -44,6 +44,11 @@
 _RECORDED_AT = 4.0
 _SOON_AT = 4.2
 _LATER_AT = 7.0
+# Seconds at which all hosts are killed while the store is away for all or some
+# of them, the seconds after its return, and the part of the hosts that lose it.
+_OUTAGE_RESTARTS = (7.0, 11.0)
+_RETURN_RESTART_SECONDS = 1.0
+_LOST_SHARE = 0.7
 # Hosts that stay away: those that write a record first.
 _LOST_WRITERS = 3
 _LOST_AT = 1.0
@@ -81,8 +86,7 @@
 def _restart_all(world):
     """Kill all hosts at the same moment, twice."""
     for moment in (5.0, 12.0):
-        for name in world.fleet.hosts:
-            world.later(moment, world.kill_host, name)
+        _kill_all(world, moment)
 
 
 def _replace_upstreams(world):
@@ -97,8 +101,7 @@
 def _lose_store(world):
     """Let the store refuse all hosts for a time, while hosts are killed."""
     _kill_hosts(world)
-    world.later(_AWAY_AT, _set_away, world, True)
-    world.later(_BACK_AT, _set_away, world, False)
+    _lose_store_until(world, _BACK_AT)
 
 
 def _set_away(world, is_away):
@@ -116,8 +119,7 @@
 def _replace_and_restart_all(world, restart_at=_RESTART_AT):
     """Kill all hosts just after the last upstreams of the old versions left."""
     world.schedule_replacement('v2', _REPLACE_SECONDS)
-    for name in world.fleet.hosts:
-        world.later(restart_at, world.kill_host, name)
+    _kill_all(world, restart_at)
 
 
 def _refuse_records(world, restart_at):
@@ -150,8 +152,39 @@
     for name in names:
         world.later(_LOST_AT, world.end_host, name)
     world.later(_LOST_AT, world.schedule_replacement, 'v2', _REPLACE_SECONDS)
+    _kill_all(world, _LATER_AT)
+
+
+def _restart_all_in_outage(world):
+    """Kill all hosts while the store is away for all of them."""
+    _lose_store_until(world, _BACK_AT)
+    _kill_all(world, _OUTAGE_RESTARTS[0])
+
+
+def _restart_all_after_return(world):
+    """Kill all hosts soon after the store answers again."""
+    _lose_store_until(world, _OUTAGE_RESTARTS[0])
+    _kill_all(world, _OUTAGE_RESTARTS[0] + _RETURN_RESTART_SECONDS)
+
+
+def _silence_store_and_restart_all(world):
+    """Kill all hosts, twice, while the store answers some of them."""
+    names = list(world.fleet.hosts)
+    lost = world.rng.sample(names, round(_LOST_SHARE * len(names)))
+    world.later(_AWAY_AT, world.silence_store, lost)
+    world.later(_BACK_AT, world.silence_store, ())
+    for moment in _OUTAGE_RESTARTS:
+        _kill_all(world, moment)
+
+
+def _lose_store_until(world, back_at):
+    world.later(_AWAY_AT, _set_away, world, True)
+    world.later(back_at, _set_away, world, False)
+
+
+def _kill_all(world, moment):
     for name in world.fleet.hosts:
-        world.later(_LATER_AT, world.kill_host, name)
+        world.later(moment, world.kill_host, name)
 
 
 def _delay_watches(seconds, world):
@@ -191,6 +224,11 @@
         f'watches are {seconds:g} s late': partial(_delay_watches, seconds)
         for seconds in _WATCH_DELAYS
     },
+    'all hosts restart while the store is away': _restart_all_in_outage,
+    'all hosts restart after the store is back': _restart_all_after_return,
+    'some hosts lose the store and all hosts restart': (
+        _silence_store_and_restart_all
+    ),
 }
 
 
