--- a/features/versions.feature
+++ b/features/versions.feature
@@ -60,6 +60,18 @@
     Then at most 2 streams of each run have events of two versions
     And the streams that callers take up go on at least half as often as new ones begin
 
+  Scenario Outline: Streams of an outage go on if any host reaches the store: <fault>
+    Guards against keepers that alone know a stream and do not, or not yet, write it to the store.
+    Given 9 hosts in 4 domains, and as many upstreams of two versions
+    When <fault> while streams run, with seeds 1 and 2
+    Then at most 0 streams of each run have events of two versions
+    And the streams that callers take up go on at least half as often as new ones begin
+
+    Examples:
+      | fault                                           |
+      | all hosts restart after the store is back       |
+      | some hosts lose the store and all hosts restart |
+
   Scenario Outline: A missing record shows nothing: <fault>, <count> versions
     Guards against a version that served and was never recorded, taken for one that never was.
     Given 9 hosts in 4 domains, and as many upstreams of <count> versions
