origins: a keeper writes its streams as soon as the store answers again

Callers of streams that had begun in an outage of the store were refused `unknown version` when all hosts ended soon after its return.

Cause: each try of a keeper while the store counted as away doubled the pause up to 4 s, although it made no call. A write that the store had refused also made the keeper read its entry again first.

A try without a call no longer counts, so the first one after the return follows within 0.5 s. A write that was not applied leaves the known version of the entry as it is, and an entry that would be empty is not written.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -495,3 +495,52 @@
     _record_version(context, 'v2')
     entry = result_of(context.store.get(SOFTWARE_KIND, 's'))
     assert entry.value['versions'] == ['v1', 'v2'], entry
+
+
+class _Keeper:
+    """A host that records streams of its failure domain, in virtual time."""
+
+    def __init__(self, name='h'):
+        self.clock = Clock()
+        self.store = MemoryStore(self.clock)
+        self.recorder = StreamRecorder(
+            self.store, self.clock, name, 'd', OriginTable(self.clock)
+        )
+        self.recorder.is_away = lambda: self.store.down
+        self.streams = {origin_key('t', 's', 'a'): Origin('v1', 's', 60.0)}
+
+    def advance(self, seconds):
+        """Advance the clock while the host reviews its streams."""
+        for _ in range(round(seconds * 20)):
+            self.clock.advance(0.05)
+            self.recorder.review()
+
+    def written(self):
+        """Return the streams that are in the store, by version."""
+        listing = result_of(self.store.listed(f'{STREAMS_KIND}-d'))
+        return [entry.value['streams'] for entry in listing.objects]
+
+
+@given('a keeper of streams whose store has been away for {seconds:d} seconds')
+def given_keeper_away(context, seconds):
+    context.keeper = _Keeper()
+    context.keeper.store.down = True
+    context.keeper.recorder.note(context.keeper.streams)
+    context.keeper.advance(seconds)
+
+
+@when('the store answers again')
+def when_answers_again(context):
+    context.keeper.store.down = False
+
+
+@then('its streams are in the store within {seconds:g} seconds')
+def then_written_within(context, seconds):
+    context.keeper.advance(seconds)
+    assert list(context.keeper.written()[0]) == ['v1']
+
+
+@then('it has written them once')
+def then_written_once(context):
+    context.keeper.advance(2.0)
+    assert context.keeper.store.calls['put'] == 1, context.keeper.store.calls
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -142,6 +142,13 @@
     When the answer to its write shows that the store is back from an older copy
     Then it writes the versions that it sees from then on
 
+  Scenario: A keeper writes its streams as soon as the store answers again
+    Guards against streams that wait for the next try of their keeper and end with it.
+    Given a keeper of streams whose store has been away for 10 seconds
+    When the store answers again
+    Then its streams are in the store within 0.6 seconds
+    And it has written them once
+
   Scenario Outline: An entry of streams that another writer spoiled names none of them: <value>
     Guards against a host that ends, or binds a stream, by bytes that no host has written.
     Given a store whose entry of streams is <value>
--- a/pollenstile/origins/_streamrecord.py
+++ b/pollenstile/origins/_streamrecord.py
@@ -19,6 +19,7 @@
 from pollenstile.origins._table import Origin
 from pollenstile.platform import (
     Conflict,
+    NotApplied,
     Unavailable,
     Written,
     fork_deferred,
@@ -234,22 +235,27 @@
 
     async def _write_entry(self):
         self.written_at = self.clock.seconds()
-        is_done = await self._write()
+        is_done = False
+        if self.is_away():
+            # No call was made, so the next one needs no longer pause.
+            self.failures = 0
+        else:
+            is_done = await self._write()
+            self.failures = 0 if is_done else self.failures + 1
         self.is_writing = False
-        self.failures = 0 if is_done else self.failures + 1
-        if self.is_changed:
+        if self.is_changed or not is_done:
             self._schedule_write()
 
     async def _write(self):
         """Write or delete this host's entry; return whether that is done."""
-        if self.is_away():
-            return False
         # Written blindly, the entry of an earlier process would be lost.
         if self.version is None and not await self._read(self.domain):
             return False
         kind = _kind_of(self.domain)
         self.is_changed = False
         is_kept = bool(self.origins)
+        if not is_kept and not self.version:
+            return True
         if is_kept:
             entry = _encode_origins(self.origins)
             outcome = await self.store.put(kind, self.host, entry, self.version)
@@ -258,9 +264,10 @@
         if isinstance(outcome, Written):
             self.version = outcome.version if is_kept else None
             return True
-        # The write may still be applied, or another one was.
-        self.version = None
         self.is_changed = True
+        if not isinstance(outcome, NotApplied):
+            # The write may still be applied, or another one was.
+            self.version = None
         if not isinstance(outcome, Conflict):
             self._log_failure('write', outcome)
         return False
