origins: a keeper lets others write the streams that it can't write

Callers of streams that began while the store did not answer some hosts were refused `unknown version` once all hosts had ended, although the store answered others all the while.

Cause: a host tells a keeper of its own failure domain and one of another; only the first one writes to the store. If the store does not take its writes, the streams are in its memory alone, and its first write fails after 2.5 s only.

A keeper whose streams are not written within 1 s, or whose last write failed, now asks four peers at a time whether they can write, sends its streams to those that can, and keeps to the one that has written first. What is written never changes, so a stream that two hosts write does no harm. While the store answers nobody, only empty questions are sent, every 4 s in the end.

Reading of streams has a module of its own: the recorder had become too large.

Where the store takes writes nothing is handed over.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -441,16 +441,16 @@
         context.store, context.clock, 'h', 'd', table
     )
     context.key = origin_key('t', 's', 'a')
-    context.found = result_of(context.recorder.look_up(context.key))
+    context.found = result_of(context.recorder.reader.look_up(context.key))
 
 
 @then('it finds no version, and no other read follows within a second')
 def then_none_found(context):
     assert context.found is None
-    assert result_of(context.recorder.look_up(context.key)) is None
+    assert result_of(context.recorder.reader.look_up(context.key)) is None
     assert context.store.calls['list'] == 1, context.store.calls
     context.clock.advance(1.0)
-    assert result_of(context.recorder.look_up(context.key)) is None
+    assert result_of(context.recorder.reader.look_up(context.key)) is None
     assert context.store.calls['list'] == 2, context.store.calls
 
 
@@ -544,3 +544,58 @@
 def then_written_once(context):
     context.keeper.advance(2.0)
     assert context.keeper.store.calls['put'] == 1, context.keeper.store.calls
+
+
+_STORE_FAULTS = {
+    'takes 0.3 s for a call': ('latency', 0.3),
+    'refuses writes': ('refused_kinds', {f'{STREAMS_KIND}-d'}),
+    'answers no calls': ('latency', 60.0),
+    'is known to be away': ('down', True),
+}
+
+
+@given('a keeper of streams whose store {fault}')
+def given_keeper(context, fault):
+    context.keeper = _Keeper()
+    # The keeper has read its entries before the fault begins.
+    context.keeper.recorder.version = 0
+    setattr(context.keeper.store, *_STORE_FAULTS[fault])
+
+
+@when('a stream has waited there for {seconds:g} seconds')
+def when_waited(context, seconds):
+    context.keeper.recorder.note(context.keeper.streams)
+    context.keeper.advance(seconds)
+
+
+@then('others are asked to write {count:d} streams')
+def then_late(context, count):
+    assert len(context.keeper.recorder.late_streams()) == count
+
+
+@then('the keeper {offer} to write those of others')
+def then_offer(context, offer):
+    assert context.keeper.recorder.can_write() is (offer == 'offers')
+
+
+@when('a peer sends it a stream to write')
+def when_peer_sends(context):
+    keeper = context.keeper
+    context.answers = []
+    written = keeper.recorder.write_for_peer(keeper.streams)
+    written.addCallback(context.answers.append)
+
+
+@then('it answers that the stream is {outcome} within 1 second')
+def then_answered(context, outcome):
+    context.keeper.advance(1.0)
+    assert context.answers == [outcome == 'written']
+    context.keeper.store.latency = 0.0
+    assert len(context.keeper.written()) == int(outcome == 'written')
+
+
+@then('no host writes streams of others')
+def then_none_handed_over(context):
+    for world in context.worlds:
+        logged = {name for _, _, name, _ in world.fleet.logged}
+        assert 'streams-handed-over' not in logged
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -149,6 +149,38 @@
     Then its streams are in the store within 0.6 seconds
     And it has written them once
 
+  Scenario Outline: A keeper asks others to write what it could not write in time: the store <fault>
+    Guards against streams that end with a keeper whose writes the store does not take.
+    Given a keeper of streams whose store <fault>
+    When a stream has waited there for <seconds> seconds
+    Then others are asked to write <count> streams
+    And the keeper <offer> to write those of others
+
+    Examples:
+      | fault                    | seconds | count | offer        |
+      | takes 0.3 s for a call   | 0.9     | 0     | offers       |
+      | takes 0.3 s for a call   | 3.0     | 0     | offers       |
+      | refuses writes           | 0.9     | 1     | does not     |
+      | answers no calls         | 1.2     | 1     | does not     |
+      | is known to be away      | 1.2     | 1     | does not     |
+
+  Scenario Outline: A host says whether it has written the streams of a peer: the store <fault>
+    Guards against a peer that takes its streams for written, and ends with them.
+    Given a keeper of streams whose store <fault>
+    When a peer sends it a stream to write
+    Then it answers that the stream is <outcome> within 1 second
+
+    Examples:
+      | fault                  | outcome     |
+      | takes 0.3 s for a call | written     |
+      | refuses writes         | not written |
+
+  Scenario: No stream is handed over while the store takes writes
+    The opposite case of a store that some hosts do not reach.
+    Given 9 hosts in 4 domains, and as many upstreams of two versions
+    When hosts are killed while streams run, with seeds 1 and 2
+    Then no host writes streams of others
+
   Scenario Outline: An entry of streams that another writer spoiled names none of them: <value>
     Guards against a host that ends, or binds a stream, by bytes that no host has written.
     Given a store whose entry of streams is <value>
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -83,6 +83,7 @@
     origin_sharing: OriginSharing
     software_record: SoftwareRecorder
     stream_record: StreamRecorder
+    stream_handover: object
     peer_key: PeerKey
 
 
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -274,6 +274,7 @@
         self.parts.core.origins.review()
         self.parts.software_record.review()
         self.parts.stream_record.review()
+        self.parts.stream_handover.review()
         self.condition_sharing.review()
         self.start_progress.review(self.parts)
         upstreams = self.parts.core.registry.upstreams.values()
--- a/pollenstile/forward/_originassembly.py
+++ b/pollenstile/forward/_originassembly.py
@@ -5,6 +5,7 @@
 from pollenstile.origins import (
     OriginSharing,
     SoftwareRecorder,
+    StreamHandover,
     StreamRecorder,
 )
 
@@ -19,14 +20,16 @@
     =======
 
     tuple
-        :class:`OriginSharing`, :class:`SoftwareRecorder` and
-        :class:`StreamRecorder`.
+        :class:`OriginSharing`, :class:`SoftwareRecorder`,
+        :class:`StreamRecorder` and :class:`StreamHandover`.
     """
     sharing = OriginSharing(hub, core.origins, members.hosts, core.log)
+    stream_record = _build_stream_record(store, settings, core, sharing)
     return (
         sharing,
         _build_software_record(store, settings, core, members),
-        _build_stream_record(store, settings, core, sharing),
+        stream_record,
+        StreamHandover(hub, members.hosts, stream_record, core.log),
     )
 
 
@@ -55,10 +58,10 @@
         core.origins.table,
         core.log,
     )
-    record.domains = partial(_other_domains, sharing, settings.domain)
+    record.reader.domains = partial(_other_domains, sharing, settings.domain)
     sharing.record = record.note
-    core.origins.look_up = record.look_up
-    core.origins.is_looked_up = record.is_read
+    core.origins.look_up = record.reader.look_up
+    core.origins.is_looked_up = record.reader.is_read
     return record
 
 
--- a/pollenstile/origins/_streamrecord.py
+++ b/pollenstile/origins/_streamrecord.py
@@ -8,41 +8,26 @@
 versions are seen, and hosts that have started read them there.
 """
 
-import base64
-import binascii
-
-from twisted.internet.defer import Deferred, DeferredList, succeed
+from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.origins import events
-from pollenstile.origins._history import HISTORY_SECONDS
-from pollenstile.origins._table import Origin
-from pollenstile.platform import (
-    Conflict,
-    NotApplied,
-    Unavailable,
-    Written,
-    fork_deferred,
-    list_all,
-)
-
-# Kind of the store's entries, before the name of a failure domain. Each keeper
-# of that domain has one entry, named after it.
-STREAMS_KIND = 'pollenstile-streams'
+from pollenstile.origins._streamentry import encode_entry, streams_kind
+from pollenstile.origins._streamreader import StreamReader
+from pollenstile.platform import Conflict, NotApplied, Written
+
 # Minimum seconds between two writes of a host. Streams that began in between
 # are not recorded when all hosts end.
 _WRITE_PERIOD_SECONDS = 0.5
 # Failed writes in a row after which the pause doubles no more; it is 4 s then.
 _MAX_DOUBLINGS = 3
-# Minimum seconds between two reads of a domain, and seconds for which a request
-# waits for them. A slow store answers within 0.3 s.
-_READ_PERIOD_SECONDS = 1.0
-_LOOK_UP_SECONDS = 0.8
-_KEY_BYTES = 8
+# Seconds after which streams that are not written should be written elsewhere.
+# A slow store takes a write within 0.8 s.
+_LATE_SECONDS = 1.0
 
 
 class StreamRecorder:
-    """Writes and reads the versions of streams of failure domains.
+    """Writes the versions of streams of a failure domain.
 
     Parameters
     ==========
@@ -63,8 +48,16 @@
 
     origins : dict
         Streams that this host records, by key.
-    domains : function
-        Returns the names of the other failure domains.
+    unwritten : dict
+        Streams of its domain among them that no host has written, by key.
+    unwritten_since : float
+        Time on the clock at which the first of them was noted.
+    is_late : bool
+        Whether streams were not written in time since the last write.
+    waiting : list of Deferred
+        Fire with whether the next write has succeeded.
+    reader : StreamReader
+        Reads the streams of all failure domains.
     is_away : function
         Returns whether the store answers neither this host nor its reader.
     version : int or None
@@ -75,31 +68,26 @@
         Whether a write is in progress or scheduled.
     failures : int
         Consecutive failed writes.
-    reads : dict
-        Reads in progress, by domain.
-    read_at : dict
-        Time on the clock at which the last answered read began, by domain.
-    tried_at : dict
-        Time on the clock at which the last read began, by domain.
     """
 
     __slots__ = (
         'clock',
         'domain',
-        'domains',
         'failures',
         'host',
         'is_away',
         'is_changed',
+        'is_late',
         'is_writing',
         'log',
         'origins',
-        'read_at',
-        'reads',
+        'reader',
         'store',
         'table',
-        'tried_at',
+        'unwritten',
+        'unwritten_since',
         'version',
+        'waiting',
         'written_at',
     )
 
@@ -111,24 +99,59 @@
         self.table = table
         self.log = log
         self.origins = {}
-        self.domains = tuple
+        self.unwritten = {}
+        self.unwritten_since = 0.0
+        self.is_late = False
+        self.waiting = []
+        self.reader = StreamReader(store, clock, domain, table, log)
+        self.reader.on_own_entry = self._keep_entry
         self.is_away = _never
         self.version = None
         self.is_changed = False
         self.is_writing = False
         self.written_at = -_WRITE_PERIOD_SECONDS
         self.failures = 0
-        self.reads = {}
-        self.read_at = {}
-        self.tried_at = {}
 
     def note(self, origins):
         """Record streams, given by key."""
         if not origins:
             return
-        self.origins.update(origins)
-        self.is_changed = True
-        self._schedule_write()
+        if not self.unwritten:
+            self.unwritten_since = self.clock.seconds()
+        self.unwritten.update(origins)
+        self._add(origins)
+
+    def write_for_peer(self, origins):
+        """Write streams that a peer can't write.
+
+        Returns
+        =======
+
+        Deferred
+            Fires with whether they were written.
+        """
+        for key, origin in origins.items():
+            self.table.add(key, origin)
+        written = Deferred()
+        self.waiting.append(written)
+        self._add(origins)
+        return written
+
+    def can_write(self):
+        """Return whether the store takes the writes of this host in time."""
+        self._check_late()
+        return not (self.is_away() or self.failures or self.is_late)
+
+    def late_streams(self):
+        """Return the streams that should have been written by now, by key."""
+        self._check_late()
+        return dict(self.unwritten) if self.failures or self.is_late else {}
+
+    def note_written(self, keys):
+        """Record that streams are in the store, whoever has written them."""
+        for key in keys:
+            self.unwritten.pop(key, None)
+        self.unwritten_since = self.clock.seconds()
 
     def review(self):
         """Forget old streams, and delete the entry when none is left."""
@@ -136,82 +159,16 @@
         for key, origin in list(self.origins.items()):
             if origin.expires_at <= now:
                 self.origins.pop(key)
+                self.unwritten.pop(key, None)
         if self.version and not self.origins:
             self._schedule_write()
 
-    async def look_up(self, key):
-        """Return the version at which a stream began, or None.
-
-        Explanation
-        ===========
-
-        The own domain is read first: callers that lose their host mostly reach
-        another one of its domain.
-        """
-        for domains in ((self.domain,), self.domains()):
-            await self._read_all(domains)
-            software = self.table.software(key)
-            if software is not None:
-                return software
-        return None
-
-    def is_read(self):
-        """Return whether the streams of all domains were read lately."""
-        oldest = self.clock.seconds() - HISTORY_SECONDS
-        return all(
-            self.read_at.get(domain, oldest) > oldest
-            for domain in (self.domain, *self.domains())
-        )
-
-    def _read_all(self, domains):
-        """Return a Deferred that fires when domains were read, or late."""
-        reads = [fork_deferred(self._read_lately(domain)) for domain in domains]
-        done = DeferredList(reads, consumeErrors=True)
-        return done.addTimeout(
-            _LOOK_UP_SECONDS, self.clock, onTimeoutCancel=_ignore_timeout
-        )
-
-    def _read_lately(self, domain):
-        """Return a Deferred that fires after a read that is not long ago."""
-        read = self.reads.get(domain)
-        if read is not None:
-            return read
-        now = self.clock.seconds()
-        last = self.tried_at.get(domain, now - _READ_PERIOD_SECONDS)
-        if now - last < _READ_PERIOD_SECONDS:
-            return succeed(None)
-        self.tried_at[domain] = now
-        read = Deferred.fromCoroutine(self._read(domain))
-        if not read.called:
-            self.reads[domain] = read
-            read.addBoth(self._end_read, domain)
-        return read
-
-    def _end_read(self, outcome, domain):
-        self.reads.pop(domain, None)
-        return outcome
-
-    async def _read(self, domain):
-        """Read the streams of a domain; return whether the store answered."""
-        began = self.clock.seconds()
-        listing = await list_all(self.store, _kind_of(domain))
-        if isinstance(listing, Unavailable):
-            self._log_failure('read', listing)
+    async def _read_version(self):
+        """Read the version of this host's entry; return whether it is known."""
+        if not await self.reader.read(self.domain):
             return False
-        self.read_at[domain] = began
-        expires_at = self.clock.seconds() + HISTORY_SECONDS
-        count = 0
-        for entry in listing.objects:
-            origins = _decode_origins(entry.value, expires_at)
-            count += len(origins)
-            for key, origin in origins.items():
-                self.table.add(key, origin)
-            if domain == self.domain:
-                self._keep_entry(entry, origins)
-        if domain == self.domain and self.version is None:
+        if self.version is None:
             self.version = 0
-        if count:
-            self.log(events.STREAMS_READ, domain=domain, streams=count)
         return True
 
     def _keep_entry(self, entry, origins):
@@ -220,6 +177,16 @@
             self.version = entry.version
             self.origins = {**origins, **self.origins}
 
+    def _check_late(self):
+        age = self.clock.seconds() - self.unwritten_since
+        if self.unwritten and age >= _LATE_SECONDS:
+            self.is_late = True
+
+    def _add(self, origins):
+        self.origins.update(origins)
+        self.is_changed = True
+        self._schedule_write()
+
     def _schedule_write(self):
         if self.is_writing:
             return
@@ -236,12 +203,20 @@
     async def _write_entry(self):
         self.written_at = self.clock.seconds()
         is_done = False
+        waiting = self.waiting
+        self.waiting = []
+        noted = list(self.unwritten)
         if self.is_away():
             # No call was made, so the next one needs no longer pause.
             self.failures = 0
         else:
             is_done = await self._write()
             self.failures = 0 if is_done else self.failures + 1
+        if is_done:
+            self.is_late = False
+            self.note_written(noted)
+        for written in waiting:
+            written.callback(is_done)
         self.is_writing = False
         if self.is_changed or not is_done:
             self._schedule_write()
@@ -249,15 +224,15 @@
     async def _write(self):
         """Write or delete this host's entry; return whether that is done."""
         # Written blindly, the entry of an earlier process would be lost.
-        if self.version is None and not await self._read(self.domain):
+        if self.version is None and not await self._read_version():
             return False
-        kind = _kind_of(self.domain)
+        kind = streams_kind(self.domain)
         self.is_changed = False
         is_kept = bool(self.origins)
         if not is_kept and not self.version:
             return True
         if is_kept:
-            entry = _encode_origins(self.origins)
+            entry = encode_entry(self.origins)
             outcome = await self.store.put(kind, self.host, entry, self.version)
         else:
             outcome = await self.store.delete(kind, self.host, self.version)
@@ -269,63 +244,19 @@
             # The write may still be applied, or another one was.
             self.version = None
         if not isinstance(outcome, Conflict):
-            self._log_failure('write', outcome)
+            self._log_failure(outcome)
         return False
 
-    def _log_failure(self, step, outcome):
+    def _log_failure(self, outcome):
         self.log(
             events.STREAMS_UNRECORDED,
             level='warning',
-            step=step,
+            step='write',
             reason=outcome.reason,
             streams=len(self.origins),
             attempts=self.failures,
         )
 
 
-def _kind_of(domain):
-    return f'{STREAMS_KIND}-{domain}'
-
-
-def _encode_origins(origins):
-    """Return the entry of streams, given by key."""
-    groups = {}
-    for key, origin in origins.items():
-        groups.setdefault(origin.software, []).append(key)
-    return {
-        'streams': {
-            software: base64.b64encode(b''.join(keys)).decode()
-            for software, keys in groups.items()
-        }
-    }
-
-
-def _decode_origins(value, expires_at):
-    """Return the streams of an entry by key; none of another writer's."""
-    groups = value.get('streams') if isinstance(value, dict) else None
-    if not isinstance(groups, dict):
-        return {}
-    origins = {}
-    for software, text in groups.items():
-        keys = _decode_keys(text)
-        origins.update({key: Origin(software, '', expires_at) for key in keys})
-    return origins
-
-
-def _decode_keys(text):
-    try:
-        keys = base64.b64decode(text, validate=True)
-    except (binascii.Error, TypeError, ValueError):
-        return ()
-    if len(keys) % _KEY_BYTES:
-        return ()
-    starts = range(0, len(keys), _KEY_BYTES)
-    return [keys[start : start + _KEY_BYTES] for start in starts]
-
-
 def _never():
     return False
-
-
-def _ignore_timeout(*_):
-    """Go on without the streams; they are read in the background."""
--- a/pollenstile/origins/events.py
+++ b/pollenstile/origins/events.py
@@ -56,3 +56,9 @@
     'The versions of streams could not be read or written; it is tried again.',
     'While these lines last, streams are refused if all hosts end.',
 )
+STREAMS_HANDED_OVER = define(
+    1811,
+    'streams-handed-over',
+    'The store did not take the versions of streams here; a peer has written them.',
+    'Frequent lines: check the path of this host to the store.',
+)
