origins: a keeper that can't write asks all hosts in turn

In a large fleet in which the store answers few hosts, a keeper went on asking the same 24: the number of its failed attempts, by which it takes the next four hosts, was bounded together with the pause. Only the pause is bounded now. The new scenario, with 40 hosts, failed before. Builders of the test have a module.

--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -13,6 +13,7 @@
 from features.builders.forwardhost import ForwardHost, request
 from features.builders.loop import result_of
 from features.builders.permission import open_connection
+from features.builders.streamkeeper import DenyingHub, StreamKeeper
 from pollenstile.bench._versionworld import Versions, VersionWorld
 from pollenstile.bench.versions import play
 from pollenstile.forward import Upstream
@@ -23,6 +24,7 @@
     OriginTable,
     SoftwareHistory,
     SoftwareRecorder,
+    StreamHandover,
     StreamRecorder,
     VersionDoubts,
     Witness,
@@ -497,33 +499,9 @@
     assert entry.value['versions'] == ['v1', 'v2'], entry
 
 
-class _Keeper:
-    """A host that records streams of its failure domain, in virtual time."""
-
-    def __init__(self, name='h'):
-        self.clock = Clock()
-        self.store = MemoryStore(self.clock)
-        self.recorder = StreamRecorder(
-            self.store, self.clock, name, 'd', OriginTable(self.clock)
-        )
-        self.recorder.is_away = lambda: self.store.down
-        self.streams = {origin_key('t', 's', 'a'): Origin('v1', 's', 60.0)}
-
-    def advance(self, seconds):
-        """Advance the clock while the host reviews its streams."""
-        for _ in range(round(seconds * 20)):
-            self.clock.advance(0.05)
-            self.recorder.review()
-
-    def written(self):
-        """Return the streams that are in the store, by version."""
-        listing = result_of(self.store.listed(f'{STREAMS_KIND}-d'))
-        return [entry.value['streams'] for entry in listing.objects]
-
-
 @given('a keeper of streams whose store has been away for {seconds:d} seconds')
 def given_keeper_away(context, seconds):
-    context.keeper = _Keeper()
+    context.keeper = StreamKeeper()
     context.keeper.store.down = True
     context.keeper.recorder.note(context.keeper.streams)
     context.keeper.advance(seconds)
@@ -556,7 +534,7 @@
 
 @given('a keeper of streams whose store {fault}')
 def given_keeper(context, fault):
-    context.keeper = _Keeper()
+    context.keeper = StreamKeeper()
     # The keeper has read its entries before the fault begins.
     context.keeper.recorder.version = 0
     setattr(context.keeper.store, *_STORE_FAULTS[fault])
@@ -599,3 +577,28 @@
     for world in context.worlds:
         logged = {name for _, _, name, _ in world.fleet.logged}
         assert 'streams-handed-over' not in logged
+
+
+@given('a keeper of {count:d} hosts, none of which can write')
+def given_no_writer(context, count):
+    context.keeper = StreamKeeper()
+    context.keeper.store.refused_kinds = {f'{STREAMS_KIND}-d'}
+    context.keeper.recorder.note(context.keeper.streams)
+    context.hosts = {f'h{number}': None for number in range(count)}
+    context.hub = DenyingHub(context.keeper.clock)
+    context.handover = StreamHandover(
+        context.hub, context.hosts, context.keeper.recorder
+    )
+
+
+@when('its streams have been late for {seconds:d} seconds')
+def when_late_for(context, seconds):
+    for _ in range(seconds * 4):
+        context.keeper.advance(0.25)
+        context.handover.review()
+
+
+@then('each host has been asked without being sent the streams')
+def then_all_asked(context):
+    assert {peer for peer, _ in context.hub.asked} == set(context.hosts)
+    assert not any(body for _, body in context.hub.asked)
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -175,6 +175,12 @@
       | takes 0.3 s for a call | written     |
       | refuses writes         | not written |
 
+  Scenario: A keeper that finds no host that can write asks all of them in turn
+    Guards against a large fleet in which the few hosts that reach the store are never asked.
+    Given a keeper of 40 hosts, none of which can write
+    When its streams have been late for 60 seconds
+    Then each host has been asked without being sent the streams
+
   Scenario: No stream is handed over while the store takes writes
     The opposite case of a store that some hosts do not reach.
     Given 9 hosts in 4 domains, and as many upstreams of two versions
--- a/pollenstile/origins/_handover.py
+++ b/pollenstile/origins/_handover.py
@@ -111,8 +111,8 @@
                 streams=len(streams),
             )
             return
-        self.failures = min(self.failures + 1, _MAX_DOUBLINGS)
-        pause = _RETRY_SECONDS * 2**self.failures
+        self.failures += 1
+        pause = _RETRY_SECONDS * 2 ** min(self.failures, _MAX_DOUBLINGS)
         self.due_at = self.hub.clock.seconds() + pause
 
     def _find_writers(self):
