forward: a stream goes on only at the process that the registry lists

Callers got the rest of a stream from another software version: an upstream ended and started again one second later under its identifier and address, the store away, and all streams that were taken up went on at the successor.

Cause: the end of a process was noticed only where its address refused a connection while it was down, with a peer's second opinion. A host that is late dials when the successor listens already, and so does a host whose peer is late; nothing else told that the listed version was that of a past process. Every other host depended on this one's report.

Now a stream that goes on is sent only after the upstream's report, asked for once its connection is open, states the start that the entry states. Processes of an address listen one after the other, so a report that still states the listed start also tells of the connection. No host has to have noticed anything. The version of a new stream after a broken connection, or without contact with the store, counts only once a report shows the process; until then the stream goes on nowhere else. A process that a later one has followed stays out until its entry is read anew, whatever the contact. Reports without a start leave it to the refused connections, as before.

--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -28,6 +28,7 @@
 
     def connectionMade(self):
         self.received = b''
+        self.factory.host.accepted.append(self.transport)
 
     def dataReceived(self, data):
         self.received += data
@@ -102,6 +103,8 @@
         Whether the upstream closes or resets its connection after the answer.
     seen : list of bytes
         Requests received by the upstream.
+    accepted : list of ITransport
+        Connections that the upstream has accepted, in their order.
     """
 
     def __init__(self, limits=None, upstreams=1):
@@ -110,6 +113,7 @@
         self.closes = False
         self.resets = False
         self.seen = []
+        self.accepted = []
         upstream = Factory.forProtocol(_UpstreamProtocol)
         upstream.host = self
         self.upstream = reactor.listenTCP(0, upstream, interface='127.0.0.1')
--- a/pollenstile/bench/_crashworld.py
+++ b/pollenstile/bench/_crashworld.py
@@ -120,6 +120,7 @@
         core = host.core
         core.client = self.upstreams.client_of(host.name)
         core.crashes.client = core.client
+        core.processes.client = core.client
 
     def kill_all(self):
         """End all running hosts; return their failure domains by name."""
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -173,6 +173,7 @@
         origins=Origins(
             reactor, SoftwareHistory(reactor, configuration.is_fresh), log
         ),
+        codec=adapter.codec,
     )
     core.conditions.is_enabled = settings.engine_speeds
     owners.calls.attach_crash_detector(core.crashes, quarantine)
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -16,7 +16,7 @@
 from pollenstile.forward._request_headers import request_headers
 from pollenstile.forward._request_log import log_heard, log_silence
 from pollenstile.forward._silence import SilenceWatch
-from pollenstile.forward._software import send_refusal
+from pollenstile.forward._software import process_check, send_refusal
 from pollenstile.forward._sse import EventSplitter
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.routes import Kind
@@ -210,6 +210,7 @@
             exchange.body,
         )
         self.call.check = partial(send_refusal, self.core, exchange, self.view)
+        self.call.verify = process_check(self.core, exchange, self.view)
         self.input_release.start(self.core.clock)
         self.silence.start()
         head = await self.call.head
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -56,6 +56,9 @@
     check : function
         Asked when the connection is open. Returns a :class:`NotRun` if the
         request must not be sent any more, or None.
+    verify : function or None
+        Called when the connection is open, before ``check``. Returns a Deferred
+        of a :class:`NotRun` if the request must not be sent on it, or of None.
     on_unreached : function
         Called with the address if it is given up before it was sent.
     cancelled : bool
@@ -78,6 +81,7 @@
         'protocol',
         'request',
         'sent',
+        'verify',
     )
 
     def __init__(self, request, address, on_unreached):
@@ -89,6 +93,7 @@
         self.connector = None
         self.cancelled = False
         self.check = _permit
+        self.verify = None
         self.sent = False
 
     def attach(self, protocol):
@@ -103,14 +108,10 @@
             if self.cancelled:
                 protocol.transport.abortConnection()
                 return
-            refusal = self.check()
-            if refusal is not None:
-                protocol.transport.abortConnection()
-                self.head.callback(refusal)
+            if self.verify is None:
+                self._send(None)
                 return
-            self.sent = True
-            response = protocol.request(self.request)
-            response.addCallbacks(self._on_response, self._on_failure)
+            self.verify().addCallback(self._send)
 
         protocol.connectionMade = connected
 
@@ -153,6 +154,22 @@
         elif self.connector and self.connector.state == 'connecting':
             self.connector.stopConnecting()
 
+    def _send(self, refusal):
+        """Send the request unless it is refused or its connection is lost."""
+        if self.cancelled or self.head.called:
+            return
+        if self.protocol.is_lost:
+            self.fail_connection('connection lost')
+            return
+        refusal = refusal or self.check()
+        if refusal is not None:
+            self.protocol.transport.abortConnection()
+            self.head.callback(refusal)
+            return
+        self.sent = True
+        response = self.protocol.request(self.request)
+        response.addCallbacks(self._on_response, self._on_failure)
+
     def _on_endless_head(self):
         self.protocol.on_endless_head = None
         self.close()
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -24,12 +24,15 @@
         Called when the head is over its bound; None once it was received.
     head_bytes : int
         Bytes received so far, while the head is awaited.
+    is_lost : bool
+        Whether the connection has ended.
     """
 
     def __init__(self):
         super().__init__()
         self.on_endless_head = None
         self.head_bytes = 0
+        self.is_lost = False
 
     def dataReceived(self, received):
         """Parse received bytes; called by Twisted."""
@@ -44,6 +47,7 @@
 
     def connectionLost(self, reason):
         """Record how the connection ended; called by Twisted."""
+        self.is_lost = True
         self.closed_cleanly = reason.check(ConnectionDone) is not None
         super().connectionLost(reason)
 
--- a/pollenstile/forward/_core.py
+++ b/pollenstile/forward/_core.py
@@ -9,6 +9,8 @@
 from pollenstile.forward._cold import ColdShares
 from pollenstile.forward._copies import Copies
 from pollenstile.forward._crashes import CrashDetector
+from pollenstile.forward._plaincodec import PlainCodec
+from pollenstile.forward._processes import Processes
 from pollenstile.forward._departure import Departure
 from pollenstile.forward._partsources import PartSources
 from pollenstile.forward._silence import SilenceCounts
@@ -72,10 +74,14 @@
         that is alone.
     domains : DomainReachability
         Failure domains that this host can't reach.
+    codec : object
+        Encodes requests for reports of upstreams, and decodes the reports.
 
     Attributes
     ==========
 
+    processes : Processes
+        Asks upstreams which process listens at their address.
     conditions : EngineConditions
         Slowdowns that engines report, and how fast they were measured to be.
     copies : Copies
@@ -114,8 +120,10 @@
     permissions: Permissions | None = None
     origins: Origins | None = None
     domains: object = ALL_REACHABLE
+    codec: object = field(default_factory=PlainCodec)
     conditions: EngineConditions = field(init=False)
     doubts: VersionDoubts = field(init=False)
+    processes: Processes = field(init=False)
     copies: Copies = field(init=False)
     tokens: TokenQueue = field(init=False)
     brittle: BrittleShares = field(init=False)
@@ -144,6 +152,9 @@
         if self.origins is None:
             self.origins = build_origins(self.clock)
         self.doubts = VersionDoubts(self.clock, self.origins.history)
+        self.processes = Processes(
+            self.clock, self.client, self.codec, self.doubts, self.log
+        )
         self.quarantine.on_ended = self.doubts.note_ended
         self.registry.on_process = self.doubts.note_listed
         self.registry.listeners.append(self._note_software)
--- a/pollenstile/forward/_crash_evidence.py
+++ b/pollenstile/forward/_crash_evidence.py
@@ -50,6 +50,7 @@
         return succeed(None)
     if not isinstance(outcome, Lost) or not outcome.broken:
         return succeed(None)
+    core.doubts.note_broken(attempt.view.incarnation)
     was_suspect = quarantine.is_suspect(fingerprint)
     examined = core.crashes.note_broken(
         incarnation_of(exchange.service, attempt.view),
--- a/pollenstile/forward/_plaincodec.py
+++ b/pollenstile/forward/_plaincodec.py
@@ -1,4 +1,4 @@
-"""Codec for stage calls in the default format, JSON over HTTP."""
+"""Codec of calls to upstreams in the default format, JSON over HTTP."""
 
 import msgspec
 
@@ -7,10 +7,18 @@
 # Request targets of calls that run pieces and that release results.
 RUN_TARGET = b'/batch'
 FREE_TARGET = b'/free'
+# Request target of the report in which an upstream states its start.
+REPORT_TARGET = b'/report'
+
+
+class _Report(msgspec.Struct):
+    """Report of an upstream; it may state more."""
+
+    born: int = 0
 
 
 class PlainCodec:
-    """Encodes batches and releases, and decodes results, in JSON."""
+    """Encodes calls to upstreams, and decodes their answers, in JSON."""
 
     __slots__ = ()
 
@@ -49,6 +57,24 @@
             for handle in handles
         ]
 
+    def report(self, address):
+        """Return target and headers of a request for an upstream's report."""
+        return REPORT_TARGET, _host_header(address)
+
+    def report_born(self, body):
+        """Return the start in Unix milliseconds that a report states.
+
+        Returns
+        =======
+
+        int or None
+            0 if it states none, None if it can't be read.
+        """
+        try:
+            return msgspec.json.decode(body, type=_Report).born
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            return None
+
 
 def _host_header(address):
     return [(b'host', address.encode())]
--- /dev/null
+++ b/pollenstile/forward/_processes.py
@@ -0,0 +1,139 @@
+"""Which process listens at the address of an upstream."""
+
+import enum
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.forward import events
+from pollenstile.forward._response import read_response
+from pollenstile.ops.logs import silent_log
+
+_OK_STATUS = 200
+# Statuses of an upstream that has no reports.
+_WITHOUT_REPORT = frozenset((404, 405, 501))
+_MAX_REPORT_BYTES = 65536
+# Timeout of a report, which takes a few ms.
+_REPORT_SECONDS = 0.5
+# Time in which the streams that wait for a report of one upstream share it.
+# Keepers are told of streams as often.
+_GATHER_SECONDS = 0.25
+
+
+class Process(enum.Enum):
+    """Process that listens at the address of an upstream."""
+
+    # The one that the registry lists.
+    LISTED = 'listed'
+    # One that started later.
+    LATER = 'later'
+    # The upstream has no reports, or they state no start.
+    UNSTATED = 'unstated'
+    # There was no answer, or none that can be read.
+    UNKNOWN = 'unknown'
+
+
+class Processes:
+    """Asks upstreams for their reports, which state when they started.
+
+    Explanation
+    ===========
+
+    The processes of an upstream listen at its address one after the other. So
+    a connection that was open before a report was asked for leads to the
+    process that the registry lists if the report still states its start.
+
+    Parameters
+    ==========
+
+    clock : IReactorTime
+        Measures the timeout of a report.
+    client : HttpClient
+        Sends the requests.
+    codec : object
+        Encodes a request for a report, and decodes the start that it states.
+    doubts : VersionDoubts
+        Learns what the reports show.
+    log : function
+        Writes events.
+
+    Attributes
+    ==========
+
+    waiting : dict
+        Deferreds that wait for the next shared report, by incarnation.
+    """
+
+    __slots__ = ('client', 'clock', 'codec', 'doubts', 'log', 'waiting')
+
+    def __init__(self, clock, client, codec, doubts, log=silent_log):
+        self.clock = clock
+        self.client = client
+        self.codec = codec
+        self.doubts = doubts
+        self.log = log
+        self.waiting = {}
+
+    async def ask(self, view):
+        """Return the :class:`Process` that listens now, by its report."""
+        asked_at = self.clock.seconds()
+        process = await self._reported(view)
+        name = view.incarnation
+        if process is Process.LISTED:
+            self.doubts.note_same(name, asked_at)
+        elif process is Process.LATER:
+            self.doubts.note_followed(name)
+        self.log(
+            events.UPSTREAM_REPORTED,
+            peer=view.ident,
+            address=view.address,
+            born=view.born,
+            process=process.value,
+        )
+        return process
+
+    def ask_together(self, view):
+        """Return a Deferred of the result of the next shared report."""
+        name = view.incarnation
+        waiter = Deferred()
+        waiters = self.waiting.setdefault(name, [])
+        if not waiters:
+            self.clock.callLater(_GATHER_SECONDS, self._ask_for_all, view)
+        waiters.append(waiter)
+        return waiter
+
+    def _ask_for_all(self, view):
+        waiters = self.waiting.pop(view.incarnation)
+        Deferred.fromCoroutine(self._answer_all(view, waiters))
+
+    async def _answer_all(self, view, waiters):
+        process = await self.ask(view)
+        for waiter in waiters:
+            waiter.callback(process)
+
+    async def _reported(self, view):
+        target, headers = self.codec.report(view.address)
+        call = self.client.send(view.address, b'GET', target, headers, b'')
+        work = Deferred.fromCoroutine(read_response(call, _MAX_REPORT_BYTES))
+        work.addTimeout(_REPORT_SECONDS, self.clock)
+        work.addErrback(_unread)
+        status, _, content = await work
+        call.cancel()
+        if status in _WITHOUT_REPORT:
+            return Process.UNSTATED
+        if status != _OK_STATUS:
+            return Process.UNKNOWN
+        return _process_of(view, self.codec.report_born(content))
+
+
+def _process_of(view, born):
+    """Return the process by the start that a report states, if any."""
+    if born is None:
+        return Process.UNKNOWN
+    if not born:
+        return Process.UNSTATED
+    return Process.LISTED if born == view.born else Process.LATER
+
+
+def _unread(failure):
+    """Return what stands for an answer that was not received whole."""
+    return 0, failure.value, b''
--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -1,5 +1,10 @@
 """Keeps streams to the software version that began them."""
 
+from functools import partial
+
+from twisted.internet.defer import Deferred
+
+from pollenstile.forward._processes import Process
 from pollenstile.forward._types import NotRun, Refusal
 from pollenstile.forward._withdrawn import withdrawn_outcome
 from pollenstile.origins import OriginUnknown, origin_key
@@ -13,6 +18,9 @@
 # upstream has it.
 _UNKNOWN_SOFTWARE = 'unknown/'
 _UNAVAILABLE = 503
+# Processes at which a stream may go on. Where upstreams state no start, the
+# registry alone tells which of them have ended.
+_MAY_GO_ON = frozenset((Process.LISTED, Process.UNSTATED))
 # Seconds after which an upstream that crashed has mostly started again, and for
 # which a version without any may still come back.
 _RESTART_SECONDS = 2.0
@@ -94,12 +102,36 @@
         The upstream.
     """
     if exchange.software is None:
-        is_doubtful = core.doubts.is_doubtful(view.incarnation)
-        exchange.software = _UNKNOWN_SOFTWARE if is_doubtful else view.software
-    if exchange.route.resumable:
-        core.origins.note_began(
-            _key(exchange), exchange.service, exchange.software, exchange.ends
-        )
+        _note_begun(core, exchange, view)
+    elif exchange.software != _UNKNOWN_SOFTWARE:
+        _note_began(core, exchange)
+
+
+def process_check(core, exchange, view):
+    """Return the check of the process that a stream goes on at, or None.
+
+    Explanation
+    ===========
+
+    A successor under the same identifier would accept the request. No host need
+    have noticed its start: it may listen before a broken connection is looked
+    into. The report is asked for once the connection is open, so the process
+    that it names is the one that the connection leads to, or a later one.
+
+    Returns
+    =======
+
+    function or None
+        See :class:`~pollenstile.forward._call.Call`; None where the request may
+        go to any process, or the registry states no starts.
+    """
+    if exchange.software is None or not view.born:
+        return None
+
+    def check():
+        return Deferred.fromCoroutine(_process_refusal(core, view))
+
+    return check
 
 
 def send_refusal(core, exchange, view):
@@ -143,6 +175,58 @@
     return _RESTART_SECONDS if since < _RETURN_SECONDS else 0.0
 
 
+async def _process_refusal(core, view):
+    process = await core.processes.ask(view)
+    if process in _MAY_GO_ON:
+        return None
+    return NotRun(f'process {process.value}', view.ident, arrived=False)
+
+
+def _note_begun(core, exchange, view):
+    """Record the version of a new stream once its process is certain.
+
+    Explanation
+    ===========
+
+    A host that did not notice the restart of an upstream would take the version
+    from the entry of the process before. Until the version is known, the stream
+    goes on nowhere else.
+    """
+    if _is_certain(core, exchange, view):
+        exchange.software = view.software
+        _note_began(core, exchange)
+        return
+    exchange.software = _UNKNOWN_SOFTWARE
+    if not view.born or core.doubts.is_doubtful(view.incarnation):
+        _note_began(core, exchange)
+        return
+    asked = core.processes.ask_together(view)
+    asked.addCallback(partial(_note_process, core, exchange, view))
+
+
+def _is_certain(core, exchange, view):
+    """Return whether an upstream's version is that of its entry."""
+    if not exchange.route.resumable:
+        return True
+    if not view.born:
+        return not core.doubts.is_doubtful(view.incarnation)
+    return core.doubts.is_sure(view.incarnation)
+
+
+def _note_process(core, exchange, view, process):
+    """Record what an upstream's report shows of the version of a stream."""
+    if process in _MAY_GO_ON:
+        exchange.software = view.software
+    _note_began(core, exchange)
+
+
+def _note_began(core, exchange):
+    if exchange.route.resumable:
+        core.origins.note_began(
+            _key(exchange), exchange.service, exchange.software, exchange.ends
+        )
+
+
 def _is_taken_up(exchange):
     route = exchange.route
     if route.kind is not Kind.STREAM or not route.resumable:
--- a/pollenstile/forward/_stagecalls.py
+++ b/pollenstile/forward/_stagecalls.py
@@ -5,9 +5,10 @@
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from pollenstile.forward._crashes import incarnation_of
+from pollenstile.forward._response import read_response
 from pollenstile.forward._types import Lost, NotRun
 from pollenstile.forward._withdrawn import withdrawal_check
-from pollenstile.ops.documents import TooLongError, read_document
+from pollenstile.ops.documents import TooLongError
 from pollenstile.ops.logs import silent_log
 from pollenstile.quarantine import Suspect
 from pollenstile.stagework import CallLost
@@ -234,7 +235,7 @@
         if check is not None:
             call.check = check
         try:
-            return await _read_response(
+            return await read_response(
                 call, _ENVELOPE_BYTES + pieces * _PIECE_BYTES
             )
         except (CancelledError, TooLongError):
@@ -255,13 +256,3 @@
             reason=failure.type.__name__,
         )
         return False
-
-
-async def _read_response(call, max_bytes):
-    """Return status, head and body of a call; status 0 without an answer."""
-    response = await call.head
-    if isinstance(response, (NotRun, Lost)):
-        return 0, response, b''
-    content = await read_document(response, max_bytes)
-    call.close()
-    return response.code, response, content
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -150,6 +150,14 @@
     'Look for a fingerprint in `requests` or `parts` that recurs in other such'
     ' lines.',
 )
+UPSTREAM_REPORTED = define(
+    1255,
+    'upstream-reported',
+    'An upstream was asked which process it is, before a stream goes on there or'
+    ' for the version of one that began; `process` has the answer.',
+    'Many with `later`: entries of restarted upstreams are read late. Many with'
+    ' `unknown`: upstreams do not answer requests for their reports.',
+)
 OVERLOADED = define(
     1242,
     'overloaded',
