--- a/features/lag.feature
+++ b/features/lag.feature
@@ -46,6 +46,13 @@
       | refuses |
       | ignores |
 
+  Scenario: A full list that a host asks for while a request is on its way is not forgotten
+    Guards against a host that lost its reader for a moment, and from then on knows no list and hears of no change.
+    Given a domain of 10 hosts with a bound of 2 seconds
+    When 6 seconds pass there, and its upstream leaves
+    Then each host knows within 2.0 seconds that it leaves
+    And no list of a reader was without an answer
+
   Scenario Outline: Changes arrive in time in domains of any size: <fault>
     Revoked keys, leaving upstreams and drained domains stayed in use for longer
     the more hosts a domain had.
--- a/features/steps/lag_steps.py
+++ b/features/steps/lag_steps.py
@@ -58,6 +58,30 @@
     context.world.advance(seconds)
 
 
+@when('{seconds:g} seconds pass there, and its upstream leaves')
+def when_leaves(context, seconds):
+    context.world.advance(seconds)
+    context.world.mark_upstream_leaving()
+
+
+@then('each host knows within {seconds:g} seconds that it leaves')
+def then_knows_leaving(context, seconds):
+    context.world.advance(seconds)
+    hosts = context.world.hosts.values()
+    unaware = [host.name for host in hosts if not host.knows_leaving()]
+    assert not unaware, unaware
+
+
+@then('no list of a reader was without an answer')
+def then_listed(context):
+    silent = [
+        (at, host)
+        for at, host, event, fields in context.world.logged
+        if event == 'watch-silent' and fields['step'] == 'list'
+    ]
+    assert not silent, silent
+
+
 @when(
     'an invalid configuration is written, and {seconds:g} seconds pass',
 )
