--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -299,6 +299,10 @@
         'within some seconds, one domain each.',
         '- A record of versions, one for each service without stage work, is '
         'written when a version appears and a minute after one has gone.',
+        '- While one version serves, a stream that is taken up at a host that '
+        f'did not begin it costs {keepers} questions to keepers and one to the '
+        'reader of its domain, which lists the registry ten times a second at '
+        'most for all that ask.',
     ]
 
 
