--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -350,6 +350,7 @@
 def _limitations(size, measured):
     rate = size['requests_s'] * size['keyed_share'] * size['claim_window_s']
     shard_owner_mb = rate * _value(measured, 'claim_memory_bytes') / _MB / 32
+    start_cpu_ms = _value(measured, 'start_cpu_ms')
     return [
         '',
         '## Limits, and what was not measured',
@@ -374,6 +375,9 @@
         'at this size.',
         '- The manifest of 1,400 teams is decoded at each change; its memory '
         'was not measured.',
+        f'- A host needs {start_cpu_ms:.0f} ms of processor time until it serves, '
+        'nearly all for imports. Hosts that start at once on shared cores are '
+        'ready at about the same time: their number times that, over the cores.',
     ]
 
 
