forward: reports of upstreams are shared, and a stream is held until its version is known

A stream whose process is looked into is held: a caller who takes it up waits, or is told to come back. Streams that ask an upstream at the same time share a report that begins after them. An unread report is asked for again, three times. What can't be decoded is an unknown process. An upstream that does not fit one stream is not backed off from. Besides: an answer that has no body (204, 205, to HEAD) on a stream's route is whole, and runs once; the rule that a stream has an event had made it 502, and a second run.

--- a/features/body_ends.feature
+++ b/features/body_ends.feature
@@ -63,6 +63,19 @@
       | chunks   |
       | a length |
 
+  Scenario Outline: An answer that has no body is passed on from a stream's route: <status>
+    The opposite case of a stream that breaks off before its first event: nothing runs twice.
+    Given a forwarding host whose upstream answers <status> on a stream's route
+    When a caller sends "<path>" with its own team header
+    Then it gets <status>, and the upstream ran 1 request
+
+    Examples:
+      | status | path        |
+      | 204    | /stream/    |
+      | 204    | /resumable/ |
+      | 205    | /stream/    |
+      | 205    | /resumable/ |
+
   Scenario Outline: A stream that stops inside an event is resumed
     Guards against a resumable stream that is ended at the break of its upstream.
     Given a host with 2 upstreams that close each connection after their answer
--- a/features/builders/restarts.py
+++ b/features/builders/restarts.py
@@ -46,12 +46,12 @@
         self.write_entry(FIRST_BORN)
         self.core.registry.known = True
 
-    def write_entry(self, born):
-        """Let the host read the entry of a process of the upstream."""
+    def write_entry(self, born, ident=_IDENT):
+        """Let the host read the entry of a process of an upstream."""
         self.core.registry.apply(
-            _IDENT,
+            ident,
             Upstream(
-                _IDENT,
+                ident,
                 _SERVICE,
                 self.upstream_address,
                 'd',
--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -55,6 +55,27 @@
     And the other stream is taken up
     Then the stream goes on there
 
+  Scenario: Nothing is concluded of a stream while its process is looked into
+    Guards against a host that takes up a stream it has just begun as one that nobody began.
+    Given a host whose upstream tells its start time
+    When a stream breaks off there, and the upstream is another process before the host dials it
+    And an upstream of the listed version is added, and another stream breaks off there at once
+    And the other stream is taken up
+    Then the upstream gets no request of that stream, and its caller is refused
+
+  Scenario: Streams that ask an upstream for its report at once share it
+    Guards against an upstream that refuses streams for the connections of their reports.
+    Given an upstream that accepts connections and answers nothing
+    When 24 streams ask for its report, and 1.5 seconds pass
+    Then it was asked 2 times
+
+  Scenario: A report that can't be read as a document ends no request
+    Guards against a stream that waits until its deadline for a check that ended with an error.
+    Given a host whose upstream tells its start time
+    When a stream breaks off there, and its report is nested too deeply
+    And the stream is taken up
+    Then the stream does not go on
+
   Scenario Outline: The version of a stream that begins while the store does not answer: <start> start
     Guards against an upstream that restarted while this host had no connection to it.
     Given a host whose upstream tells its start time, and whose store does not answer
--- a/features/steps/forward_http_steps.py
+++ b/features/steps/forward_http_steps.py
@@ -53,6 +53,15 @@
     _host(context, b''.join(replies))
 
 
+@given(
+    "a forwarding host whose upstream answers {status:d} on a stream's route"
+)
+def given_bodiless(context, status):
+    framing = b'' if status == 204 else b'Content-Length: 0\r\n'
+    head = b'HTTP/1.1 %d X\r\n%s%s\r\n' % (status, _ECHOED_HEADERS, framing)
+    _host(context, head)
+
+
 @given('a forwarding host without a configuration')
 def given_none(context):
     _host(context, b'')
@@ -114,6 +123,12 @@
     return int(connection.received.split(b' ', 2)[1])
 
 
+@then('it gets {status:d}, and the upstream ran {count:d} request')
+def then_ran(context, status, count):
+    assert _status(context.connection) == status, context.connection.received
+    assert len(context.host.seen) == count, context.host.seen
+
+
 @then('it gets {status:d} with "{text}"')
 def then_gets(context, status, text):
     _then_body(context, status, text.encode())
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -18,6 +18,8 @@
 _FIRST = b'first'
 _OTHER = b'other'
 _NAME = 'u/1000'
+# More nested lists than a decoder follows.
+_NESTED_BYTES = 60_000
 
 
 @given('a host whose upstream tells its start time')
@@ -86,6 +88,23 @@
     _take_up(context, _OTHER)
 
 
+@when(
+    'an upstream of the listed version is added, and another stream breaks off'
+    ' there at once'
+)
+def when_another_at_once(context):
+    host = context.host
+    host.begin(_OTHER)
+    # It shares the address, so that its report states what its entry does.
+    host.write_entry(SECOND_BORN, 'i2')
+
+
+@when('a stream breaks off there, and its report is nested too deeply')
+def when_nested(context):
+    context.host.report = document(b'{"x":%s' % (b'[' * _NESTED_BYTES))
+    context.host.begin(_FIRST)
+
+
 @when('the other stream is taken up')
 def when_other_taken_up(context):
     _take_up(context, _OTHER)
@@ -198,9 +217,11 @@
 
     def __init__(self):
         self.call = None
+        self.calls = 0
 
     def send(self, address, method, target, headers, body):
         """Return a call without an answer."""
+        self.calls += 1
         self.call = StubCall(address, headers)
         return self.call
 
@@ -230,3 +251,17 @@
 def then_unknown(context):
     assert context.found == [Process.UNKNOWN], context.found
     assert context.client.call.cancelled
+
+
+@when('{count:d} streams ask for its report, and {seconds:g} seconds pass')
+def when_many_ask(context, count, seconds):
+    view = UpstreamView('u', 'a:1', 'd', born=FIRST_BORN)
+    asked = [context.processes.ask_now(view) for _ in range(count)]
+    for _ in range(round(seconds * 10)):
+        context.clock.advance(0.1)
+    assert {one.result for one in asked} == {Process.UNKNOWN}, asked
+
+
+@then('it was asked {count:d} times')
+def then_asked(context, count):
+    assert context.client.calls == count, context.client.calls
--- a/pollenstile/forward/_attempt_learning.py
+++ b/pollenstile/forward/_attempt_learning.py
@@ -74,6 +74,8 @@
     if outcome is RESULTS_GONE:
         attempt.core.fetching.note_failed_fetch(attempt.exchange.service)
         return
+    if isinstance(outcome, NotRun) and outcome.is_unfit:
+        return
     if isinstance(outcome, NotRun):
         # An upstream that states when it wants requests again is believed.
         # With a back-off besides, it would be idle after that time.
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -28,6 +28,8 @@
 from pollenstile.routes import Kind
 
 _SUCCESS_STATUSES = range(200, 300)
+# Successes without a body: No Content and Reset Content.
+_BODILESS = frozenset((204, 205))
 # Ends of a body after which its upstream may have sent all of it.
 _ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
 
@@ -138,13 +140,19 @@
         attempt.answer.write(data)
 
 
+def _may_lack_body(attempt, head):
+    """Return whether an answer on a stream's route may have no event."""
+    is_bodiless = head.code in _BODILESS or attempt.exchange.method == b'HEAD'
+    return is_bodiless or attempt.is_resumed
+
+
 async def _relay_stream(attempt, head):
     pass_on = partial(_pass_on_events, attempt, head)
     end = await _read_body(attempt, head, pass_on)
     log_stream_end(attempt, end)
     if end not in _ENDED:
         return _incomplete(attempt, 'torn stream', end)
-    may_be_empty = attempt.is_resumed and end is BodyEnd.COMPLETE
+    may_be_empty = end is BodyEnd.COMPLETE and _may_lack_body(attempt, head)
     if attempt.splitter.is_broken_off(may_be_empty=may_be_empty):
         return _incomplete(attempt, 'torn stream', BodyEnd.BROKEN)
     _begin_answer(attempt, head)
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -111,7 +111,7 @@
             if self.verify is None:
                 self._send(None)
                 return
-            self.verify().addCallback(self._send)
+            self.verify().addCallbacks(self._send, self._on_unverified)
 
         protocol.connectionMade = connected
 
@@ -154,6 +154,11 @@
         elif self.connector and self.connector.state == 'connecting':
             self.connector.stopConnecting()
 
+    def _on_unverified(self, failure):
+        """Send nothing on a connection whose check ended with an error."""
+        if not self.head.called:
+            self._send(NotRun(repr(failure.value), arrived=False))
+
     def _send(self, refusal):
         """Send the request unless it is refused or its connection is lost."""
         if self.cancelled or self.head.called:
--- a/pollenstile/forward/_plaincodec.py
+++ b/pollenstile/forward/_plaincodec.py
@@ -72,7 +72,7 @@
         """
         try:
             return msgspec.json.decode(body, type=_Report).born
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except (msgspec.DecodeError, RecursionError):
             return None
 
 
--- a/pollenstile/forward/_processes.py
+++ b/pollenstile/forward/_processes.py
@@ -1,12 +1,15 @@
 """Which process listens at the address of an upstream."""
 
 import enum
+from functools import partial
 
 from twisted.internet.defer import Deferred
 
 from pollenstile.forward import events
 from pollenstile.forward._response import read_response
+from pollenstile.ops.bounded import drop_oldest
 from pollenstile.ops.logs import silent_log
+from pollenstile.platform import SharedReads
 
 _OK_STATUS = 200
 # Statuses of an upstream that has no reports.
@@ -17,6 +20,8 @@
 # Time in which the streams that wait for a report of one upstream share it.
 # Keepers are told of streams as often.
 _GATHER_SECONDS = 0.25
+# Upstreams whose reports are shared.
+_MAX_REPORTS = 512
 
 
 class Process(enum.Enum):
@@ -61,9 +66,19 @@
 
     waiting : dict
         Deferreds that wait for the next shared report, by incarnation.
+    reports : dict
+        :class:`SharedReads` of reports, by incarnation, oldest first.
     """
 
-    __slots__ = ('client', 'clock', 'codec', 'doubts', 'log', 'waiting')
+    __slots__ = (
+        'client',
+        'clock',
+        'codec',
+        'doubts',
+        'log',
+        'reports',
+        'waiting',
+    )
 
     def __init__(self, clock, client, codec, doubts, log=silent_log):
         self.clock = clock
@@ -72,6 +87,28 @@
         self.doubts = doubts
         self.log = log
         self.waiting = {}
+        self.reports = {}
+
+    def ask_now(self, view):
+        """Return a Deferred of the :class:`Process` that listens from now on.
+
+        Explanation
+        ===========
+
+        Streams that ask at the same time share a report, so that an upstream
+        does not get a second connection for each of them.
+        """
+        name = view.incarnation
+        if name not in self.reports:
+            self.reports[name] = SharedReads(
+                self.clock,
+                partial(self.ask, view),
+                _no_pause,
+                self.log,
+                Process.UNKNOWN,
+            )
+            drop_oldest(self.reports, _MAX_REPORTS)
+        return self.reports[name].begun_now(2 * _REPORT_SECONDS)
 
     async def ask(self, view):
         """Return the :class:`Process` that listens now, by its report."""
@@ -106,7 +143,7 @@
         Deferred.fromCoroutine(self._answer_all(view, waiters))
 
     async def _answer_all(self, view, waiters):
-        process = await self.ask(view)
+        process = await self.ask_now(view)
         for waiter in waiters:
             waiter.callback(process)
 
@@ -134,6 +171,11 @@
     return Process.LISTED if born == view.born else Process.LATER
 
 
+def _no_pause():
+    """Return that a report may be asked for after any other one."""
+    return 0.0
+
+
 def _unread(failure):
     """Return what stands for an answer that was not received whole."""
     return 0, failure.value, b''
--- a/pollenstile/forward/_software.py
+++ b/pollenstile/forward/_software.py
@@ -1,7 +1,5 @@
 """Keeps streams to the software version that began them."""
 
-from functools import partial
-
 from twisted.internet.defer import Deferred
 
 from pollenstile.forward._processes import Process
@@ -21,6 +19,8 @@
 # Processes at which a stream may go on. Where upstreams state no start, the
 # registry alone tells which of them have ended.
 _MAY_GO_ON = frozenset((Process.LISTED, Process.UNSTATED))
+# Reports that are asked for until one shows the process of a new stream.
+_REPORT_TRIES = 3
 # Seconds after which an upstream that crashed has mostly started again, and for
 # which a version without any may still come back.
 _RESTART_SECONDS = 2.0
@@ -176,10 +176,15 @@
 
 
 async def _process_refusal(core, view):
-    process = await core.processes.ask(view)
+    process = await core.processes.ask_now(view)
     if process in _MAY_GO_ON:
         return None
-    return NotRun(f'process {process.value}', view.ident, arrived=False)
+    return NotRun(
+        f'process {process.value}',
+        view.ident,
+        arrived=False,
+        is_unfit=process is Process.LATER,
+    )
 
 
 def _note_begun(core, exchange, view):
@@ -200,8 +205,8 @@
     if not view.born or core.doubts.is_doubtful(view.incarnation):
         _note_began(core, exchange)
         return
-    asked = core.processes.ask_together(view)
-    asked.addCallback(partial(_note_process, core, exchange, view))
+    shown = Deferred.fromCoroutine(_note_shown(core, exchange, view))
+    core.origins.hold(_key(exchange), shown)
 
 
 def _is_certain(core, exchange, view):
@@ -213,8 +218,20 @@
     return core.doubts.is_sure(view.incarnation)
 
 
-def _note_process(core, exchange, view, process):
-    """Record what an upstream's report shows of the version of a stream."""
+async def _note_shown(core, exchange, view):
+    """Record what an upstream's reports show of the version of a stream.
+
+    Explanation
+    ===========
+
+    A report that states the listed start also tells of the time before it, so a
+    later one serves as well if there is no answer.
+    """
+    process = Process.UNKNOWN
+    for _ in range(_REPORT_TRIES):
+        process = await core.processes.ask_together(view)
+        if process is not Process.UNKNOWN:
+            break
     if process in _MAY_GO_ON:
         exchange.software = view.software
     _note_began(core, exchange)
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -235,12 +235,15 @@
         Whether it reached the upstream, and so counts as a send.
     retry_after : float
         Seconds until a retry may succeed; 0 if unknown.
+    is_unfit : bool
+        Whether the upstream is sound, and does not fit this request alone.
     """
 
     reason: str
     peer: str = ''
     arrived: bool = True
     retry_after: float = 0.0
+    is_unfit: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/pollenstile/origins/_doubts.py
+++ b/pollenstile/origins/_doubts.py
@@ -86,7 +86,6 @@
         for noted in (self.ended_at, self.broken_at):
             if noted.get(incarnation, asked_at) < asked_at:
                 noted.pop(incarnation)
-        self.followed.pop(incarnation, None)
 
     def note_followed(self, incarnation):
         """Record that a later process listens at the address of one."""
--- a/pollenstile/origins/_origins.py
+++ b/pollenstile/origins/_origins.py
@@ -8,7 +8,7 @@
 from pollenstile.origins._conclusion import Witness, concluded_version
 from pollenstile.origins._history import HISTORY_SECONDS, SoftwareHistory
 from pollenstile.origins._table import Origin, OriginTable
-from pollenstile.platform import ReadResult
+from pollenstile.platform import ReadResult, fork_deferred
 
 # Seconds after which a caller should try again when a host that may know its
 # stream did not answer: another host may reach it.
@@ -18,6 +18,8 @@
 # Seconds for which a request waits until the registry is read. A slow store
 # answers within 0.3 s.
 _READ_SECONDS = 0.5
+# Seconds for which a request waits for a stream that is looked into.
+_HOLD_SECONDS = 0.75
 # How the version of a stream is known that was read from the store.
 _OWN = 'own'
 _ONLY_VERSION = 'only version'
@@ -127,6 +129,9 @@
     look_up : function
         Takes a key; returns a coroutine of the version of a stream that any
         host has recorded in the store, or None.
+    held : dict
+        Deferreds that fire when the version of a stream of this host is known,
+        by key.
     is_looked_up : function
         Returns whether what hosts have recorded was read lately.
     started_at : float
@@ -139,6 +144,7 @@
         'ask_reader',
         'clock',
         'confirm',
+        'held',
         'history',
         'is_looked_up',
         'look_up',
@@ -152,6 +158,7 @@
         self.clock = clock
         self.history = history
         self.table = OriginTable(clock, log)
+        self.held = {}
         self.on_began = _ignore_key
         self.ask_peers = _no_peers
         self.ask_keepers = _no_peers
@@ -178,9 +185,13 @@
 
     async def find(self, key, service):
         """Return :class:`OriginFound` or :class:`OriginUnknown`."""
+        await self._await_held(key)
         software = self.table.software(key)
         if software is not None:
             return OriginFound(software, _OWN)
+        if key in self.held:
+            versions = tuple(sorted(self.history.versions(service)))
+            return OriginUnknown(versions, _RETRY_SECONDS)
         witnesses = ()
         if not self.history.is_mixed(service):
             answers = await self._ask_if_only(key, service)
@@ -192,6 +203,31 @@
                 return OriginFound(alone, _ONLY_VERSION)
         return await self._find_elsewhere(key, service, witnesses)
 
+    def hold(self, key, known):
+        """Let nobody conclude on a stream of this host that is looked into.
+
+        Parameters
+        ==========
+
+        known : Deferred
+            Fires when its version was noted, or can't be told.
+        """
+        self.held[key] = known
+        known.addBoth(self._end_hold, key)
+
+    def _end_hold(self, outcome, key):
+        self.held.pop(key, None)
+        return outcome
+
+    def _await_held(self, key):
+        """Return a Deferred that fires when a held stream is known, or late."""
+        known = self.held.get(key)
+        if known is None:
+            return succeed(None)
+        return fork_deferred(known).addTimeout(
+            _HOLD_SECONDS, self.clock, onTimeoutCancel=_ignore_timeout
+        )
+
     async def _ask_if_only(self, key, service):
         """Return :class:`PeerAnswers` where one version alone may be there.
 
@@ -355,6 +391,10 @@
     return True
 
 
+def _ignore_timeout(*_):
+    """Go on; the stream is still held."""
+
+
 def _ignore_key(key):
     """Tell nobody; the default of a host that is alone."""
 
--- a/pollenstile/platform/_sharedreads.py
+++ b/pollenstile/platform/_sharedreads.py
@@ -40,6 +40,8 @@
         Returns the minimum seconds between the starts of two reads.
     log : function
         Writes events.
+    failed : object
+        Result of a read that was not answered in time, or ended with an error.
 
     Attributes
     ==========
@@ -66,6 +68,7 @@
     __slots__ = (
         'began_at',
         'clock',
+        'failed',
         'is_busy',
         'log',
         'period',
@@ -73,11 +76,19 @@
         'waiting',
     )
 
-    def __init__(self, clock, read, period, log=silent_log):
+    def __init__(
+        self,
+        clock,
+        read,
+        period,
+        log=silent_log,
+        failed=ReadResult.UNPROVEN,
+    ):
         self.clock = clock
         self.read = read
         self.period = period
         self.log = log
+        self.failed = failed
         self.waiting = []
         self.is_busy = False
         self.began_at = float('-inf')
@@ -89,14 +100,14 @@
         ==========
 
         seconds : float
-            Time after which the result is ``UNPROVEN``.
+            Time after which it counts as failed.
         """
         outcome = Deferred()
         self.waiting.append(outcome)
         if not self.is_busy:
             self._schedule()
         return outcome.addTimeout(
-            seconds, self.clock, onTimeoutCancel=_unproven
+            seconds, self.clock, onTimeoutCancel=self._late_result
         )
 
     def _schedule(self):
@@ -114,17 +125,16 @@
         reading = Deferred.fromCoroutine(self.read())
         reading.addBoth(self._end, waiting)
 
+    def _late_result(self, *_):
+        return self.failed
+
     def _end(self, outcome, waiting):
         self.is_busy = False
         if isinstance(outcome, Failure):
             error = repr(outcome.value)
             self.log(SHARED_READ_FAILED, level='error', error=error)
-            outcome = ReadResult.UNPROVEN
+            outcome = self.failed
         for done in waiting:
             done.callback(outcome)
         if self.waiting and not self.is_busy:
             self._schedule()
-
-
-def _unproven(*_):
-    return ReadResult.UNPROVEN
