--- a/features/steps/soak_live_steps.py
+++ b/features/steps/soak_live_steps.py
@@ -59,6 +59,12 @@
     assert int(found[2]) >= served, context.ran.stdout
 
 
+@then('their callers took up {count:d} streams or more again')
+def then_taken_up(context, count):
+    found = re.search(r'taken up: (\d+), went on: (\d+)', context.ran.stdout)
+    assert int(found[1]) >= count, context.ran.stdout
+
+
 @then('the live hosts got {count:d} endless answers or more')
 def then_endless(context, count):
     found = re.search(r'endless: (\d+) answers', context.ran.stdout)
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -379,6 +379,7 @@
         f'runs: {_counts_text(result.sound.runs)}'
         f'{_graces_text(result.graces)}{_endless_text(result.endless)}'
         f'{_recoveries_text(result.recoveries)}\n'
+        f'  taken up: {result.taken_up[0]}, went on: {result.taken_up[1]}\n'
         f'  peak memory: {max(result.peaks.values(), default=0.0):.0f} MB'
     )
 
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -30,11 +30,11 @@
 # between their repeats.
 CRASHING_KINDS = ('find', 'draft')
 _CRASHING_PAUSE_SECONDS = 0.25
-# The route whose broken streams are taken up again, tries to do so, and seconds
-# before each.
+# The route whose broken streams are taken up again, seconds before each try,
+# for hosts that have ended to be back, and statuses after which to try again.
 RESUMABLE_KIND = 'draft'
-_MAX_TAKE_UPS = 2
-_TAKE_UP_SECONDS = 0.15
+_TAKE_UP_SECONDS = (0.15, 0.15, 0.3, 0.6, 1.0, 1.0, 1.0, 1.0)
+_TAKE_UP_STATUSES = frozenset((502, 503, 504))
 # Mean seconds between a caller's requests.
 _MEAN_PAUSE_SECONDS = 0.06
 # Share of the requests whose key is chosen from all keys, including revoked
@@ -173,21 +173,21 @@
     async def _take_up(self, first):
         """Take a broken stream up again, at a host drawn at random."""
         last = first
-        for number in range(_MAX_TAKE_UPS):
+        for number, pause in enumerate(_TAKE_UP_SECONDS):
             received = events_in(last.body)
             after = received[-1][0] if received else last.after
-            if last.complete or not after:
+            is_refused = last.status in _TAKE_UP_STATUSES
+            if not after or (last.complete and not is_refused):
                 return
             if self.connection is not None:
                 self.connection.transport.abortConnection()
                 self.connection = None
-            await deferLater(self.world.reactor, _TAKE_UP_SECONDS)
+            await deferLater(self.world.reactor, pause)
             ident = f'{first.ident}-{number}'
-            last = await self._send(
+            sent = await self._send(
                 ident, first.kind, ident, first.key, first, after
             )
-            if last is None:
-                return
+            last = sent or last
 
     async def _send(self, ident, kind, content, key, resumes=None, after=0):
         """Send a request; return its record, or None without a connection."""
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -8,8 +8,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ProcessProtocol
 
+from pollenstile.ops.http import disable_access_log
 from pollenstile.ops.settings import address, format_address
+from pollenstile.soak.live._latestore import LateStore
 from pollenstile.soak.live._proxy import LOOPBACK, Proxy
+from pollenstile.standin.objectapi import platform_site
 
 COMMAND = (sys.executable, '-m', 'pollenstile.ops')
 REVOKE_SECONDS = 3.0
@@ -36,6 +39,8 @@
 
     callers, peers, store : Proxy
         Proxies for connections from callers, from peers and to the store.
+    late_store : LateStore
+        The store as this host reaches it.
     ready : bool
         Whether the last readiness probe succeeded.
     ready_address : tuple or None
@@ -56,7 +61,12 @@
         self.callers = Proxy(world.reactor)
         self.peers = Proxy(world.reactor)
         self.store = Proxy(world.reactor)
-        self.store.target = world.store_address
+        self.late_store = LateStore(world.reactor, world.store)
+        store_port = world.reactor.listenTCP(
+            0, disable_access_log(platform_site(self.late_store)), 512, LOOPBACK
+        )
+        world.store_ports.append(store_port)
+        self.store.target = (LOOPBACK, store_port.getHost().port)
         self.ready = False
         self.ready_address = None
         self.paused = False
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -33,6 +33,7 @@
 )
 from pollenstile.soak.live._records import Fault, RateLimit, Records
 from pollenstile.soak.live._recovery import recoveries, recovery_violations
+from pollenstile.soak.live._releases import count_taken_up, release_at_random
 from pollenstile.soak.live._returns import ReturnPlan, play_returns
 from pollenstile.soak.live._servers import (
     COLD_SECONDS,
@@ -115,6 +116,8 @@
         How service came back after each end of all hosts.
     records : Records
         What callers, upstreams and faults have left.
+    taken_up : tuple of int
+        Streams that were taken up again, and those of them that went on.
     """
 
     seed: int
@@ -127,6 +130,7 @@
     peaks: dict
     recoveries: tuple
     records: Records
+    taken_up: tuple
 
 
 async def run_live(
@@ -183,6 +187,7 @@
         records.peaks,
         returned,
         records,
+        count_taken_up(records),
     )
 
 
@@ -219,7 +224,8 @@
     reactor = world.reactor
     end = reactor.seconds() + seconds
     endless = Deferred.fromCoroutine(send_endless_at_random(world, seconds))
-    running_faults = [endless]
+    releases = Deferred.fromCoroutine(release_at_random(world, seconds))
+    running_faults = [endless, releases]
     while reactor.seconds() < end:
         fault = world.rng.choice(FAULTS)
         running_faults.append(Deferred.fromCoroutine(fault(world)))
@@ -278,7 +284,8 @@
     """Let upstreams of each kind leave by their answers, and ask for rest.
 
     Explanation
-    ====
+    ===========
+
     Their entries in the store do not state that they leave.
     """
     reactor = world.reactor
--- a/pollenstile/soak/live/_world.py
+++ b/pollenstile/soak/live/_world.py
@@ -7,11 +7,9 @@
 from twisted.internet.task import deferLater
 
 from pollenstile.forward import DRAINED
-from pollenstile.ops.http import disable_access_log
 from pollenstile.platform import Written
 from pollenstile.soak.live._hosts import COMMAND, LiveHost
 from pollenstile.soak.live._lengths import USUAL
-from pollenstile.soak.live._proxy import LOOPBACK
 from pollenstile.soak.live._records import Drain, Records
 from pollenstile.soak.live._servers import (
     COLD_RATE,
@@ -21,13 +19,13 @@
     STAGES,
     Server,
 )
-from pollenstile.standin.objectapi import MemoryStore, platform_site
+from pollenstile.standin.objectapi import MemoryStore
 
 _UPSTREAM_COUNTS = ((PLAIN, 3), (ENGINES, 3), (STAGES[0], 2), (STAGES[1], 2))
 # Failure domains of upstreams; all hosts are in the first one.
 DOMAINS = ('here', 'there')
 # Software versions that upstreams have in turn.
-_VERSIONS = ('v1', 'v2')
+VERSIONS = ('v1', 'v2')
 # Upstreams at which a request may run, by route.
 ATTEMPTS = {'find': 2, 'book': 1, 'draft': 2, 'digest': 1}
 # Seconds until the entry of a crashed upstream lapses.
@@ -75,6 +73,10 @@
         Number of stage results so far.
     started : int
         Number of upstreams started so far.
+    releases : int
+        Number of versions of the engines that were released so far.
+    software : str
+        The last of them; empty before the first, when several serve.
     servers : dict
         Running upstreams by incarnation.
     is_sending : bool
@@ -103,6 +105,8 @@
         self.results = {}
         self.result_count = 0
         self.started = 0
+        self.releases = 0
+        self.software = ''
         self.is_sending = True
         self.version = 0
         self.keys = list(_KEYS)
@@ -110,11 +114,7 @@
         self.store = MemoryStore(reactor)
         self.store.objects.era = 0
         self.written = {}
-        self.store_port = reactor.listenTCP(
-            0, disable_access_log(platform_site(self.store)), 512, LOOPBACK
-        )
-        port = self.store_port.getHost().port
-        self.store_address = (LOOPBACK, port)
+        self.store_ports = []
         self.servers = {}
         self.hosts = [
             LiveHost(self, f'h{number}', command) for number in range(hosts)
@@ -149,7 +149,9 @@
         self.started += 1
         domain = domain or _least_used_domain(self.servers_of(service))
         ident = f'{service}-{self.started}'
-        software = _VERSIONS[self.started % len(_VERSIONS)]
+        software = VERSIONS[self.started % len(VERSIONS)]
+        if service == ENGINES:
+            software = self.software or software
         server = Server(self, service, ident, domain, software)
         self.servers[ident] = server
         cold_until = self.reactor.seconds() + COLD_SECONDS
@@ -234,7 +236,8 @@
                 await _settled(proxy.close())
         for server in list(self.servers.values()):
             await _settled(server.crash())
-        await _settled(self.store_port.stopListening())
+        for port in self.store_ports:
+            await _settled(port.stopListening())
 
     async def _write(self, kind, name, value):
         """Write an object, or delete it with None."""
