--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -18,6 +18,7 @@
     FREE_TARGET,
     RUN_TARGET,
     PlainCodec,
+    ReportCodec,
 )
 from pollenstile.forward._probe import ProbeResult
 from pollenstile.forward._registry import Registry, Upstream
--- a/pollenstile/forward/_plaincodec.py
+++ b/pollenstile/forward/_plaincodec.py
@@ -7,8 +7,6 @@
 # Request targets of calls that run pieces and that release results.
 RUN_TARGET = b'/batch'
 FREE_TARGET = b'/free'
-# Request target of the report in which an upstream states its start.
-REPORT_TARGET = b'/report'
 
 
 class _Report(msgspec.Struct):
@@ -17,7 +15,39 @@
     born: int = 0
 
 
-class PlainCodec:
+class ReportCodec:
+    """Encodes requests for reports of upstreams, and decodes the reports.
+
+    Attributes
+    ==========
+
+    report_target : bytes
+        Request target of a report.
+    """
+
+    __slots__ = ()
+    report_target = b'/report'
+
+    def report(self, address):
+        """Return target and headers of a request for an upstream's report."""
+        return self.report_target, _host_header(address)
+
+    def report_born(self, body):
+        """Return the start in Unix milliseconds that a report states.
+
+        Returns
+        =======
+
+        int or None
+            0 if it states none, None if it can't be read.
+        """
+        try:
+            return msgspec.json.decode(body, type=_Report).born
+        except (msgspec.DecodeError, RecursionError):
+            return None
+
+
+class PlainCodec(ReportCodec):
     """Encodes calls to upstreams, and decodes their answers, in JSON."""
 
     __slots__ = ()
@@ -57,24 +87,6 @@
             for handle in handles
         ]
 
-    def report(self, address):
-        """Return target and headers of a request for an upstream's report."""
-        return REPORT_TARGET, _host_header(address)
-
-    def report_born(self, body):
-        """Return the start in Unix milliseconds that a report states.
-
-        Returns
-        =======
-
-        int or None
-            0 if it states none, None if it can't be read.
-        """
-        try:
-            return msgspec.json.decode(body, type=_Report).born
-        except (msgspec.DecodeError, RecursionError):
-            return None
-
 
 def _host_header(address):
     return [(b'host', address.encode())]
