platform: take back the list that follows a watch without an answer

With one reader refused and one frozen, drained domains were known after 2,130 ms in place of 1,660 (drain_ms 2000): three scenarios of lag.feature failed (readers refused, readers silenced, one refused and one frozen), as a list at a host that loses its reader waits for longer than a watch. The four scenarios of the try go with it.

--- a/features/lag.feature
+++ b/features/lag.feature
@@ -53,20 +53,6 @@
     Then each host knows within 2.0 seconds that it leaves
     And no list of a reader was without an answer
 
-  Scenario Outline: Changes are known in time where answers to watches alone are late: <seconds> s after the start
-    Guards against watch calls that are given up one after the other before their changes arrive.
-    Given a domain of 10 hosts with a bound of 2 seconds
-    And each answer to a watch of it is late by 1.6 seconds
-    When <seconds> seconds pass there, and its upstream leaves
-    Then each host knows within 2.0 seconds that it leaves
-
-    Examples:
-      | seconds |
-      | 6.0     |
-      | 6.6     |
-      | 7.2     |
-      | 7.8     |
-
   Scenario Outline: Changes arrive in time in domains of any size: <fault>
     Revoked keys, leaving upstreams and drained domains stayed in use for longer
     the more hosts a domain had.
--- a/features/steps/lag_steps.py
+++ b/features/steps/lag_steps.py
@@ -58,11 +58,6 @@
     context.world.advance(seconds)
 
 
-@given('each answer to a watch of it is late by {seconds:g} seconds')
-def given_late(context, seconds):
-    context.world.delay_watches(lambda _: seconds)
-
-
 @when('{seconds:g} seconds pass there, and its upstream leaves')
 def when_leaves(context, seconds):
     context.world.advance(seconds)
--- a/pollenstile/platform/_watch.py
+++ b/pollenstile/platform/_watch.py
@@ -279,7 +279,6 @@
     # the next call opens a new one.
     outcome = await _with_timeout(state, call, seconds + timing.margin, 'watch')
     if isinstance(outcome, Unavailable):
-        _list_if_silent(state, started + seconds + timing.margin)
         return False
     if isinstance(outcome, Compacted):
         _log(state, WATCH_LISTED_AGAIN, revision=outcome.revision)
@@ -295,20 +294,6 @@
     return state.clock.seconds() - started >= seconds / 2
 
 
-def _list_if_silent(state, ends):
-    """List next after a call that had no answer in its time.
-
-    Explanation
-    ===========
-
-    Answers to watches alone may be late by more than the margin. Each call
-    would be given up before its changes arrive, and they would be known only
-    from the next periodic list.
-    """
-    if state.clock.seconds() >= ends:
-        state.list_at = ends
-
-
 def _note_lateness(state, revision):
     if state.revision_times is None:
         return
