origins: a keeper writes, hands over and keeps each stream once and for all

Streams that were in the store were handed over again and again, by a keeper that refused to write for others from then on; one error ended all handovers of a host; and a stream recorded at `unknown/` became one of `v1`.

Cause: a keeper that did not know its entry's version chose the streams to report as written before it read the version, and the ones to write after it. A stream noted in between was written, but stayed unwritten, with no further write due. A handover reset its mark of being in progress only where nothing raised. And what a peer or the host named last was recorded, whatever was recorded before.

Now the version is read first, and nothing can be added between the choice of streams and waiting peers and the call of the store. A handover that raises is logged (1812, handover-failed), counts as failed, and is tried again after the usual pause. The first version that is known of a stream stays, in the entry and in what is handed over; a later time to forget it is still taken at the same version, as before.

With store calls of 0.3 s, a second stream and one of a peer 0.1 s after the first are now written with it in one put, and the peer is told so.

--- a/features/builders/streamkeeper.py
+++ b/features/builders/streamkeeper.py
@@ -41,15 +41,25 @@
 
 
 class DenyingHub:
-    """A hub whose peers all answer no, and which notes what they are asked."""
+    """A hub whose peers all answer no, and which notes what they are asked.
+
+    Attributes
+    ==========
+
+    errors : list of Exception
+        Raised by the next questions, one by each.
+    """
 
     def __init__(self, clock):
         self.clock = clock
         self.requests = SimpleNamespace(subjects={})
         self.hello = SimpleNamespace(host='h')
         self.asked = []
+        self.errors = []
 
     def ask(self, peer, subject, body, seconds, address):
         """Return a Deferred of a negative answer."""
+        if self.errors:
+            raise self.errors.pop()
         self.asked.append((peer, body))
         return succeed(b'')
--- a/features/steps/versions_steps.py
+++ b/features/steps/versions_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from dataclasses import replace
+from functools import partial
 from random import Random
 
 import msgspec
@@ -41,6 +42,7 @@
     encode_ask,
     encode_origins,
 )
+from pollenstile.origins._streamentry import encode_entry
 from pollenstile.peer import BadMessageError
 from pollenstile.standin.objectapi import MemoryStore
 
@@ -579,6 +581,88 @@
         assert 'streams-handed-over' not in logged
 
 
+@given(
+    'a keeper of streams that has not read its entry, and calls that take'
+    ' {seconds:g} s'
+)
+def given_fresh_keeper(context, seconds):
+    context.keeper = StreamKeeper()
+    context.keeper.store.latency = seconds
+
+
+@when(
+    'it notes another stream, and gets one of a peer, {seconds:g} s after the'
+    ' first'
+)
+def when_noted_during_read(context, seconds):
+    keeper = context.keeper
+    keeper.recorder.note(keeper.streams)
+    keeper.advance(seconds)
+    keeper.recorder.note({origin_key('t', 's', 'b'): Origin('v1', 's', 60.0)})
+    context.answers = []
+    written = keeper.recorder.write_for_peer(
+        {origin_key('t', 's', 'c'): Origin('v1', '', 60.0)}
+    )
+    written.addCallback(context.answers.append)
+
+
+@then(
+    'all three are in its entry {seconds:g} seconds later, and it asks no host'
+    ' to write them'
+)
+def then_all_written(context, seconds):
+    keeper = context.keeper
+    keeper.advance(seconds)
+    assert not keeper.recorder.late_streams(), keeper.recorder.late_streams()
+    keeper.store.latency = 0.0
+    expected = encode_entry(keeper.recorder.origins)['streams']
+    assert keeper.written() == [expected], keeper.written()
+    assert len(keeper.recorder.origins) == 3
+    assert keeper.store.calls['put'] == 1, keeper.store.calls
+
+
+@then('the peer was told that its stream is written')
+def then_peer_told(context):
+    assert context.answers == [True], context.answers
+
+
+@given('a keeper that has recorded a stream at the version "{software}"')
+def given_recorded(context, software):
+    keeper = StreamKeeper()
+    context.keeper = keeper
+    context.key = next(iter(keeper.streams))
+    keeper.recorder.note({context.key: Origin(software, 's', 60.0)})
+    keeper.advance(1.0)
+    assert list(keeper.written()[0]) == [software]
+
+
+@when('{source} names the version "{software}" for it')
+def when_named(context, source, software):
+    keeper = context.keeper
+    origins = {context.key: Origin(software, 's', 60.0)}
+    if source == 'a peer':
+        keeper.recorder.write_for_peer(origins)
+    else:
+        keeper.recorder.note(origins)
+    context.noted = dict(keeper.recorder.unwritten)
+
+
+@then(
+    'its entry has the stream at "{software}" alone after {seconds:g} seconds'
+)
+def then_stays(context, software, seconds):
+    context.keeper.advance(seconds)
+    assert context.keeper.store.calls['put'] == 2, context.keeper.store.calls
+    written = context.keeper.written()
+    assert [list(streams) for streams in written] == [[software]], written
+
+
+@then('it would hand the stream over at "{software}" alone')
+def then_handed_over_at(context, software):
+    versions = {origin.software for origin in context.noted.values()}
+    assert versions <= {software}, versions
+
+
 @given('a keeper of {count:d} hosts, none of which can write')
 def given_no_writer(context, count):
     context.keeper = StreamKeeper()
@@ -589,6 +673,12 @@
     context.handover = StreamHandover(
         context.hub, context.hosts, context.keeper.recorder
     )
+    context.logged = []
+    context.handover.log = partial(_note_event, context.logged)
+
+
+def _note_event(logged, event, **fields):
+    logged.append(event.name)
 
 
 @when('its streams have been late for {seconds:d} seconds')
@@ -602,3 +692,18 @@
 def then_all_asked(context):
     assert {peer for peer, _ in context.hub.asked} == set(context.hosts)
     assert not any(body for _, body in context.hub.asked)
+
+
+@when(
+    'asking a peer raises an error once, and its streams have been late for'
+    ' {seconds:d} seconds'
+)
+def when_asking_fails(context, seconds):
+    context.hub.errors = [RuntimeError('no link')]
+    when_late_for(context, seconds)
+
+
+@then('the error is logged once, and peers are asked again')
+def then_tried_again(context):
+    assert context.logged == ['handover-failed'], context.logged
+    assert context.hub.asked
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -175,6 +175,32 @@
       | takes 0.3 s for a call | written     |
       | refuses writes         | not written |
 
+  Scenario: A stream that is noted while a keeper reads its entry's version is written once
+    Guards against a keeper that has written a stream and takes it for unwritten for good.
+    Given a keeper of streams that has not read its entry, and calls that take 0.3 s
+    When it notes another stream, and gets one of a peer, 0.1 s after the first
+    Then all three are in its entry 3 seconds later, and it asks no host to write them
+    And the keeper offers to write those of others
+    And the peer was told that its stream is written
+
+  Scenario Outline: What is recorded of a stream stays when <source> names another version
+    Guards against one stream of which two hosts take up the events of two versions.
+    Given a keeper that has recorded a stream at the version "unknown/"
+    When <source> names the version "v1" for it
+    Then its entry has the stream at "unknown/" alone after 2 seconds
+    And it would hand the stream over at "unknown/" alone
+
+    Examples:
+      | source   |
+      | a peer   |
+      | the host |
+
+  Scenario: A handover that fails with an error is tried again
+    Guards against a keeper that hands nothing over any more after one error.
+    Given a keeper of 3 hosts, none of which can write
+    When asking a peer raises an error once, and its streams have been late for 5 seconds
+    Then the error is logged once, and peers are asked again
+
   Scenario: A keeper that finds no host that can write asks all of them in turn
     Guards against a large fleet in which the few hosts that reach the store are never asked.
     Given a keeper of 40 hosts, none of which can write
--- a/pollenstile/origins/_handover.py
+++ b/pollenstile/origins/_handover.py
@@ -96,18 +96,21 @@
             Deferred.fromCoroutine(self._hand_over(streams))
 
     async def _hand_over(self, streams):
-        writers = [self.writer] if self.writer else await self._find_writers()
-        told = ToldOrigins(streams, frozenset())
-        body = encode_origins(told, self.hub.clock.seconds())
-        done = await self._ask_all(writers, body, _WRITE_SECONDS)
-        self.is_asking = False
-        self.writer = next(iter(done), '')
-        if done:
+        """Hand streams over; an error must not end all later attempts."""
+        writer = ''
+        try:
+            writer = await self._write_elsewhere(streams)
+        except Exception as error:
+            self.log(events.HANDOVER_FAILED, level='error', error=repr(error))
+        finally:
+            self.is_asking = False
+        self.writer = writer
+        if writer:
             self.failures = 0
             self.recorder.note_written(streams)
             self.log(
                 events.STREAMS_HANDED_OVER,
-                peer=self.writer,
+                peer=writer,
                 streams=len(streams),
             )
             return
@@ -115,6 +118,14 @@
         pause = _RETRY_SECONDS * 2 ** min(self.failures, _MAX_DOUBLINGS)
         self.due_at = self.hub.clock.seconds() + pause
 
+    async def _write_elsewhere(self, streams):
+        """Return the peer that has written streams; empty if none has."""
+        writers = [self.writer] if self.writer else await self._find_writers()
+        told = ToldOrigins(streams, frozenset())
+        body = encode_origins(told, self.hub.clock.seconds())
+        done = await self._ask_all(writers, body, _WRITE_SECONDS)
+        return next(iter(done), '')
+
     def _find_writers(self):
         """Return a Deferred of peers that can write."""
         return self._ask_all(self._candidates(), b'', _PROBE_SECONDS)
--- a/pollenstile/origins/_streamrecord.py
+++ b/pollenstile/origins/_streamrecord.py
@@ -118,8 +118,8 @@
             return
         if not self.unwritten:
             self.unwritten_since = self.clock.seconds()
-        self.unwritten.update(origins)
         self._add(origins)
+        self.unwritten.update({key: self.origins[key] for key in origins})
 
     def write_for_peer(self, origins):
         """Write streams that a peer can't write.
@@ -183,7 +183,11 @@
             self.is_late = True
 
     def _add(self, origins):
-        self.origins.update(origins)
+        """Record streams; the first version that is known of each stays."""
+        for key, origin in origins.items():
+            known = self.origins.get(key, origin)
+            if known.software == origin.software:
+                self.origins[key] = origin
         self.is_changed = True
         self._schedule_write()
 
@@ -202,16 +206,16 @@
 
     async def _write_entry(self):
         self.written_at = self.clock.seconds()
-        is_done = False
+        is_called = not self.is_away()
+        is_known = is_called and await self._knows_version()
+        # From here to the call of the store nothing may be added.
         waiting = self.waiting
         self.waiting = []
         noted = list(self.unwritten)
-        if self.is_away():
-            # No call was made, so the next one needs no longer pause.
-            self.failures = 0
-        else:
-            is_done = await self._write()
-            self.failures = 0 if is_done else self.failures + 1
+        is_done = is_known and await self._write()
+        # Where no call was made, the next one needs no longer pause.
+        is_failed = is_called and not is_done
+        self.failures = self.failures + 1 if is_failed else 0
         if is_done:
             self.is_late = False
             self.note_written(noted)
@@ -221,11 +225,18 @@
         if self.is_changed or not is_done:
             self._schedule_write()
 
+    async def _knows_version(self):
+        """Return whether this host's entry is known; read it if need be.
+
+        Explanation
+        ===========
+
+        Written blindly, the entry of an earlier process would be lost.
+        """
+        return self.version is not None or await self._read_version()
+
     async def _write(self):
         """Write or delete this host's entry; return whether that is done."""
-        # Written blindly, the entry of an earlier process would be lost.
-        if self.version is None and not await self._read_version():
-            return False
         kind = streams_kind(self.domain)
         self.is_changed = False
         is_kept = bool(self.origins)
--- a/pollenstile/origins/events.py
+++ b/pollenstile/origins/events.py
@@ -62,3 +62,9 @@
     'The store did not take the versions of streams here; a peer has written them.',
     'Frequent lines: check the path of this host to the store.',
 )
+HANDOVER_FAILED = define(
+    1812,
+    'handover-failed',
+    'An unexpected exception ended a handover of streams; it is tried again.',
+    'Report it with the complete line.',
+)
