--- a/pollenstile/ops/pages.py
+++ b/pollenstile/ops/pages.py
@@ -4,8 +4,8 @@
 ===========
 
 The library's server of resources imports templates, authentication, remote
-objects and XML, a tenth of the start of a host, and serves files and trees of
-resources. One page needs none of it.
+objects and XML, and serves files and trees of resources. One page needs none of
+it.
 """
 
 from twisted.logger import Logger
