forward: a host with a reader reads the registry as often as others

features/versions.feature:103 failed with the change before: a fleet of one version refused streams as of an unknown one while the store was away. A follower's second read within 0.5 s waited for its turn longer than its limit, so that it counted as late, and not as refused by the store: nobody could then conclude that the store was away for all. It reads ten times a second at most now, as a host without a reader; it does so only where its reader fails. The scenario passes.

--- a/pollenstile/forward/_registryreads.py
+++ b/pollenstile/forward/_registryreads.py
@@ -1,15 +1,11 @@
 """Reads of the registry whose result is not older than a question."""
 
-from functools import partial
-
 from pollenstile.platform import ReadResult, SharedReads
 
 # Time limit of a read. A slow store answers within 0.3 s.
 _READ_SECONDS = 0.5
-# Minimum seconds between two reads of a host, and of one that has a reader: it
-# reads only where that one does not answer.
+# Minimum seconds between two reads of a host.
 _PERIOD_SECONDS = 0.1
-_FOLLOWER_PERIOD_SECONDS = 0.5
 # Seconds after a return of the store from an older copy until the entries of
 # upstreams that it lacks are there again.
 _RETURN_SECONDS = 2.3
@@ -42,7 +38,7 @@
             return ReadResult.UNPROVEN
         return result
 
-    return SharedReads(clock, read, partial(_period, follower), log)
+    return SharedReads(clock, read, _period, log)
 
 
 def _is_proof(settling, began):
@@ -51,7 +47,5 @@
     return is_settled and began - settling.returned_at >= _RETURN_SECONDS
 
 
-def _period(follower):
-    if follower.is_following():
-        return _FOLLOWER_PERIOD_SECONDS
+def _period():
     return _PERIOD_SECONDS
