--- a/features/versions.feature
+++ b/features/versions.feature
@@ -72,6 +72,13 @@
       | all hosts restart after the store is back       |
       | some hosts lose the store and all hosts restart |
 
+  Scenario: Streams of an outage of the store in which all hosts end
+    Guards against streams that nobody can go on with, as their version was known to hosts alone.
+    Given 9 hosts in 4 domains, and as many upstreams of two versions
+    When all hosts restart while the store is away while streams run, with seeds 1 and 2
+    Then at most 0 streams of each run have events of two versions
+    And the streams that callers take up go on at least half as often as new ones begin
+
   Scenario Outline: A missing record shows nothing: <fault>, <count> versions
     Guards against a version that served and was never recorded, taken for one that never was.
     Given 9 hosts in 4 domains, and as many upstreams of <count> versions
