origins: services of several versions are worked out once for all streams told

The services are worked out once now, and the streams only for a keeper. Behaviour stays; no time was measured after. OriginFound says that it has a version.

Run on this commit: late_watches, restarts, versions (its known failure alone), forward, forward_fleet, starts, docs, format, lint, doctests.

--- a/pollenstile/origins/_origins.py
+++ b/pollenstile/origins/_origins.py
@@ -40,7 +40,7 @@
         name.
     """
 
-    software: str | None
+    software: str
     source: str
 
 
--- a/pollenstile/origins/_sharing.py
+++ b/pollenstile/origins/_sharing.py
@@ -142,7 +142,9 @@
         self._tell_all()
 
     def _told_streams(self):
-        return self.origins.table.own(self.origins.history.is_mixed)
+        history = self.origins.history
+        mixed = {name for name in history.gone_at if history.is_mixed(name)}
+        return self.origins.table.own(mixed.__contains__)
 
     def _told_versions(self):
         """Return service and version of each version that the registry lists.
@@ -220,10 +222,9 @@
 
     def _link_opened(self, link):
         """Tell a keeper again whose link was lost: it may have started anew."""
-        streams = self._told_streams()
         for copy in self.copies:
             if copy.keeper == link.host and self._told_versions():
-                Deferred.fromCoroutine(self._send(copy, streams))
+                Deferred.fromCoroutine(self._send(copy, self._told_streams()))
 
     def _on_told(self, host, body):
         told = decode_origins(body, self.hub.clock.seconds())
