ops, forward: one connection bounds the heads of answers for all who read them

Cause: heads were bounded twice, for upstreams in the forwarding path and for the clients of the JSON path, the store and load reports, each by its own code. What a strict reading of heads adds next would stand twice as well.

Change: AnswerConnection holds the bound; both paths build on it. The forwarding path gets TooLongError like the others and still reports "endless head". No behaviour changes.

--- a/pollenstile/forward/_bounds.py
+++ b/pollenstile/forward/_bounds.py
@@ -9,9 +9,6 @@
 
 from dataclasses import dataclass
 
-# Bytes of a head, with all interim heads before it: four times the head that
-# callers may send by default, of which an upstream repeats some.
-MAX_HEAD_BYTES = 65536
 # Bytes of an event, and of all that a stream brings without an event that goes
 # on after the last one: thousands of times an event of some tokens.
 MAX_EVENT_BYTES = 262144
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -8,6 +8,7 @@
 
 from pollenstile.forward._bounds import ENDLESS_HEAD
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
+from pollenstile.ops.answers import is_too_long
 
 
 class _Body(Protocol):
@@ -99,7 +100,6 @@
     def attach(self, protocol):
         """Send the request once the protocol is connected."""
         self.protocol = protocol
-        protocol.on_endless_head = self._on_endless_head
         connection_made = protocol.connectionMade
 
         def connected():
@@ -175,14 +175,7 @@
         response = self.protocol.request(self.request)
         response.addCallbacks(self._on_response, self._on_failure)
 
-    def _on_endless_head(self):
-        self.protocol.on_endless_head = None
-        self.close()
-        if not self.cancelled and not self.head.called:
-            self.head.callback(Lost(ENDLESS_HEAD, self.address, endless=True))
-
     def _on_response(self, response):
-        self.protocol.on_endless_head = None
         if not self.cancelled and not self.head.called:
             self.head.callback(response)
 
@@ -190,7 +183,10 @@
         self.close()
         if self.cancelled or self.head.called:
             return
-        self.head.callback(Lost(_reason(failure), self.address, broken=True))
+        lost = Lost(_reason(failure), self.address, broken=True)
+        if is_too_long(failure):
+            lost = Lost(ENDLESS_HEAD, self.address, endless=True)
+        self.head.callback(lost)
 
 
 def _permit():
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -8,43 +8,25 @@
 from twisted.internet.error import TimeoutError as ConnectTimeout
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol
 
-from pollenstile.forward._bounds import MAX_HEAD_BYTES
+from pollenstile.ops.answers import AnswerConnection
 from pollenstile.tunnel import EndedFrames
 
 
-class Connection(HTTP11ClientProtocol):
-    """Bounds the head of the answer and records how the connection ended.
+class Connection(AnswerConnection):
+    """Records how the connection ended.
 
     Attributes
     ==========
 
-    on_endless_head : function or None
-        Called when the head is over its bound; None once it was received.
-    head_bytes : int
-        Bytes received so far, while the head is awaited.
     is_lost : bool
         Whether the connection has ended.
     """
 
     def __init__(self):
         super().__init__()
-        self.on_endless_head = None
-        self.head_bytes = 0
         self.is_lost = False
 
-    def dataReceived(self, received):
-        """Parse received bytes; called by Twisted."""
-        super().dataReceived(received)
-        if self.on_endless_head is None:
-            return
-        # The parser bounds one line, but neither their number nor that of the
-        # interim heads.
-        self.head_bytes += len(received)
-        if self.head_bytes > MAX_HEAD_BYTES:
-            self.on_endless_head()
-
     def connectionLost(self, reason):
         """Record how the connection ended; called by Twisted."""
         self.is_lost = True
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -19,7 +19,8 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-from pollenstile.ops.agents import connection_pool, is_too_long
+from pollenstile.ops.agents import connection_pool
+from pollenstile.ops.answers import is_too_long
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.documents import TooLongError, read_document
 from pollenstile.ops.timers import cancel_timer
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -6,7 +6,8 @@
 from twisted.internet.defer import CancelledError
 from twisted.web.http_headers import Headers
 
-from pollenstile.ops.agents import agent_for, is_too_long
+from pollenstile.ops.agents import agent_for
+from pollenstile.ops.answers import is_too_long
 from pollenstile.ops.body import BytesProducer
 from pollenstile.statements import parse_rest, read_statements
 from pollenstile.upstream import wire
