ops: an answer whose status line is malformed is no answer

Callers saw: an engine in trouble sent status 000, and the caller got it as an answer, whole and with the engine's proof (MIXED). So it was with 001, 777, 2, 0404, +404, -1, 2_04, and with Http/1.1, RTSP/1.0, HTTP/2.0 or HTTP/1.01 in place of the version. Stage calls, reports, load polls, the JSON path, clients of the store, host list and weights took 0200 and 2_00 for a success.

Cause: all of them read answers with the library's parser, which splits the line at blanks and reads the numbers with int(). int() takes signs, underscores and blanks, and nothing checks the range or the name of the protocol.

Change: AnswerConnection, on which all who read answers stand, gives the library's protocol a parser that checks the status line by RFC 9112, section 4, before the library reads it. Statuses over 599 are none by RFC 9110, section 15, as 000 is, so they are refused alike: a caller's client may fail on them, and another upstream may have the answer. A request that may run once gets 502, as it may have run.

--- /dev/null
+++ b/features/builders/malformed.py
@@ -0,0 +1,233 @@
+"""Builders of answers that are malformed, and of unusual ones that are not."""
+
+from dataclasses import dataclass
+
+from features.builders.bodyends import stream_event
+from features.builders.forwardhost import ForwardHost, request
+from features.builders.loop import run_reactor_until
+
+# Routes of the host, by the kind of their requests.
+ROUTES = {
+    'idempotent': b'lookup',
+    'once': b'a',
+    'stream': b'stream',
+    'resumable': b'resumable',
+}
+# A body that is whole on each route.
+BODY = stream_event(1, b'\n') + stream_event(2, b'\n')
+OK_LINE = b'HTTP/1.1 200 OK'
+PROOF = (b'X-Attempt: a1', b'X-Proof: p')
+
+
+@dataclass(slots=True, frozen=True)
+class Form:
+    """An answer as an upstream sends it.
+
+    Parameters
+    ==========
+
+    line : bytes
+        Status line.
+    lines : tuple of bytes
+        Further lines of the head.
+    status : int
+        Status that its caller gets.
+    body : bytes
+        Body of the answer.
+    """
+
+    line: bytes = OK_LINE
+    lines: tuple = ()
+    status: int = 200
+    body: bytes = BODY
+
+    def sent(self):
+        """Return the bytes of the answer, with a length."""
+        length = b'Content-Length: %d' % len(self.body)
+        head = (self.line, *PROOF, *self.lines, length)
+        return b'%s\r\n\r\n%s' % (b'\r\n'.join(head), self.body)
+
+
+@dataclass(slots=True, frozen=True)
+class Received:
+    """What a caller got.
+
+    Parameters
+    ==========
+
+    status : int
+        Status of the answer; 0 without one.
+    head : bytes
+        All lines of its head.
+    body : bytes or None
+        Its body; None if it is not complete.
+    runs : int
+        Number of times that the upstream got the request.
+    """
+
+    status: int
+    head: bytes
+    body: object
+    runs: int
+
+
+def received_through(host, route, sent):
+    """Return what a caller gets of an upstream's answer.
+
+    Parameters
+    ==========
+
+    host : ForwardHost
+        Forwards the request.
+    route : bytes
+        Name of the request's route.
+    sent : bytes
+        What the upstream sends before it closes the connection.
+    """
+    host.reply = sent
+    host.seen.clear()
+    connection = host.send(request(b'/%s/x' % route, b'Connection: close\r\n'))
+    run_reactor_until(lambda: connection.closed)
+    head, found, rest = connection.received.partition(b'\r\n\r\n')
+    status = int(head.split(b' ', 2)[1]) if found else 0
+    return Received(status, head, _whole_body(head, rest), len(host.seen))
+
+
+def received_on_all(forms):
+    """Return tuples of form, kind of request and what its caller got."""
+    results = []
+    for kind, route in ROUTES.items():
+        host = ForwardHost(upstreams=2)
+        host.closes = True
+        results.extend(
+            (form, kind, received_through(host, route, form.sent()))
+            for form in forms
+        )
+        host.stop()
+    return results
+
+
+def _whole_body(head, rest):
+    """Return a body by the framing that the head states, None if it is cut."""
+    fields = head.lower()
+    if b'transfer-encoding: chunked' in fields:
+        return _unchunked(rest)
+    _, _, after = fields.partition(b'content-length: ')
+    length = int(after.partition(b'\r\n')[0] or 0)
+    return rest if len(rest) == length else None
+
+
+def _unchunked(rest):
+    body = b''
+    while rest:
+        size_line, _, rest = rest.partition(b'\r\n')
+        size = int(size_line, 16)
+        if not size:
+            return body
+        body += rest[:size]
+        rest = rest[size + 2 :]
+    return None
+
+
+_STATUS_LINES = (
+    # Statuses outside of the range.
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 000',
+    b'HTTP/1.1 001 OK',
+    b'HTTP/1.1 042 Nearly',
+    b'HTTP/1.1 600 Beyond',
+    b'HTTP/1.1 777 Beyond',
+    # Statuses of other lengths.
+    b'HTTP/1.1 2 OK',
+    b'HTTP/1.1 0404 Not Found',
+    b'HTTP/1.1 00500 Failed',
+    b'HTTP/1.1 20000 OK',
+    # What the language takes for numbers.
+    b'HTTP/1.1 +404 Not Found',
+    b'HTTP/1.1 -1 OK',
+    b'HTTP/1.1 2_04 OK',
+    b'HTTP/1.1 20_0 OK',
+    b'HTTP/1.1 200\x0b OK',
+    b'HTTP/1.1 \x0c200 OK',
+    b'HTTP/1.1 200\r OK',
+    b'HTTP/1.1 200\tOK',
+    # Versions.
+    b'Http/1.1 200 OK',
+    b'HTTPS/1.1 200 OK',
+    b'RTSP/1.0 200 OK',
+    b'SIP/2.0 200 OK',
+    b'/1.1 200 OK',
+    b'HTTP/0.1 200 OK',
+    b'HTTP/2.0 200 OK',
+    b'HTTP/3.1 200 OK',
+    b'HTTP/01.1 200 OK',
+    b'HTTP/1.01 200 OK',
+    b'HTTP/1.10 200 OK',
+    b'HTTP/+1.1 200 OK',
+    b'HTTP/1_0.1 200 OK',
+    b'HTTP/1.\t1 200 OK',
+    b'\tHTTP/1.1 200 OK',
+)
+_HANDLED_STATUS_LINES = (
+    b'',
+    b'200 OK',
+    b'HTTP/1.1',
+    b'HTTP/1.1  200 OK',
+    b'HTTP/1.1 OK 200',
+    b'HTTP/1.1 0x194 Not Found',
+    b'HTTP/1.1 4e2 OK',
+    b'HTTP/1.1 \xd9\xa2\xd9\xa0\xd9\xa0 OK',
+    b'HTTP/1 200 OK',
+    b'HTTP/1.1.1 200 OK',
+    b'HTTP/-1.1 200 OK',
+    b'OTTER',
+)
+_UNUSUAL = (
+    Form(b'HTTP/1.0 200 OK'),
+    Form(b'HTTP/1.9 200 OK'),
+    Form(b'HTTP/1.1 200'),
+    Form(b'HTTP/1.1 200 '),
+    Form(b'HTTP/1.1 200  two  blanks '),
+    Form(b'HTTP/1.1 200 a\ttab'),
+    Form(b'HTTP/1.1 200 200'),
+    Form('HTTP/1.1 200 Príma'.encode()),
+    Form(b'HTTP/1.1 203 Not Its Own', status=203),
+    Form(b'HTTP/1.1 226 Unheard Of', status=226),
+    Form(b'HTTP/1.1 298 Unheard Of', status=298),
+    Form(b'HTTP/1.1 302 Elsewhere', status=302),
+    Form(b'HTTP/1.1 404 Not Found', status=404),
+    Form(b'HTTP/1.1 418', status=418),
+    Form(b'HTTP/1.1 499 Left', status=499),
+    Form(b'HTTP/1.1 500 ', status=500),
+    Form(b'HTTP/1.1 599 Last', status=599),
+)
+
+FORMS = {
+    'status line': tuple(map(Form, _STATUS_LINES)),
+    'status line without a number': tuple(map(Form, _HANDLED_STATUS_LINES)),
+    'unusual': _UNUSUAL,
+}
+
+# A head of each kind, for those who read answers beside the forwarding path.
+# All of them would be a success for a reader that takes them.
+MALFORMED_HEADS = (
+    (b'HTTP/1.1 0200 OK', ()),
+    (b'HTTP/1.1 2_00 OK', ()),
+    (b'HTTP/1.1 200\t', ()),
+    (b'HTTP/1.+1 200 OK', ()),
+    (b'http/1.1 200 OK', ()),
+    (b'QRP/1.1 200 OK', ()),
+    (b'HTTP/1.1 000 OK', ()),
+    (b'HTTP/1.1 200 OK', (b'X Filler: a',)),
+    (b'HTTP/1.1 200 OK', (b'X-Filler : a',)),
+    (b'HTTP/1.1 200 OK', (b'X\x01Filler: a',)),
+    (b'HTTP/1.1 200 OK', (b': a',)),
+    (b'HTTP/1.1 200 OK', (b'X-Filler',)),
+)
+UNUSUAL_HEADS = (
+    (OK_LINE, ()),
+    (b'HTTP/1.1 200', ()),
+    (b'HTTP/1.0 200 ', (b'Connection: close',)),
+    (b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK', (b'X-Empty:',)),
+    (OK_LINE, (b"!#$%&'*+-.^_`|~09aZ: \xc3\xad\ta",)),
+)
--- /dev/null
+++ b/features/malformed.feature
@@ -0,0 +1,53 @@
+Feature: Answers whose heads are malformed, and answers that are only unusual
+
+  Scenario Outline: An answer with a malformed <part> reaches no caller
+    Guards against bytes that are no answer in HTTP/1.1 and pass for one.
+    When upstreams answer requests of each kind with a malformed <part>
+    Then each caller gets 502, and what may run once was sent once
+
+    Examples:
+      | part                         |
+      | status line                  |
+      | status line without a number |
+
+  Scenario: Unusual answers that are well-formed arrive
+    The opposite case: whatever the grammar allows.
+    When upstreams answer requests of each kind with what is unusual
+    Then each caller gets status, proof and body of its upstream
+
+  Scenario Outline: Whatever reads answers takes no malformed head: <reader>
+    Guards against a host that believes what is no answer, of whatever it reads.
+    When <reader> is answered with each malformed head
+    Then none of them is taken for an answer, and each connection is closed
+    And <reader> is answered by each unusual head
+
+    Examples:
+      | reader                      |
+      | a stage call                |
+      | a release of results        |
+      | a request for a report      |
+      | a load poll                 |
+      | a request through a peer    |
+      | a call of a pipeline        |
+      | a call on a used connection |
+      | a call that may run once    |
+      | a call of an engine         |
+      | a read of the store         |
+      | a list of the store         |
+      | a watch of the store        |
+      | a write to the store        |
+      | a read of the host list     |
+      | a request for weights       |
+      | a request of a caller       |
+
+  Scenario Outline: What gets a malformed answer may have run: <reader>
+    Guards against a second run, or a promise that there was none.
+    When <reader> is answered with each malformed head
+    Then it counts as one that may have run: <outcome>
+
+    Examples:
+      | reader                     | outcome  |
+      | a stage call               | CallLost |
+      | a request through a peer   | Lost     |
+      | a call that may run once   | Lost     |
+      | a write to the store       | InDoubt  |
--- /dev/null
+++ b/features/steps/malformed_steps.py
@@ -0,0 +1,88 @@
+"""Steps for answers that are malformed, or only unusual."""
+
+from behave import then, when
+
+from features.builders.answerreaders import READERS, AnsweringServer
+from features.builders.loop import run_reactor_until
+from features.builders.malformed import (
+    FORMS,
+    MALFORMED_HEADS,
+    UNUSUAL_HEADS,
+    received_on_all,
+)
+
+
+@when('upstreams answer requests of each kind with a malformed {part}')
+def when_malformed(context, part):
+    context.results = received_on_all(FORMS[part])
+
+
+@then('each caller gets 502, and what may run once was sent once')
+def then_refused(context):
+    wrong = [
+        (form, kind, got)
+        for form, kind, got in context.results
+        if got.status != 502 or b'x-proof' in got.head.lower()
+    ]
+    assert not wrong, f'{len(wrong)} of {len(context.results)}: {wrong[:40]}'
+    repeated = [
+        (form, got)
+        for form, kind, got in context.results
+        if kind == 'once' and got.runs != 1
+    ]
+    assert not repeated, repeated
+
+
+@when('upstreams answer requests of each kind with what is {name}')
+def when_unusual(context, name):
+    context.results = received_on_all(FORMS[name])
+
+
+@then('each caller gets status, proof and body of its upstream')
+def then_arrived(context):
+    wrong = [
+        (form, kind, got)
+        for form, kind, got in context.results
+        if (got.status, got.body) != (form.status, form.body)
+        or b'\r\nx-proof: p' not in got.head.lower()
+    ]
+    assert not wrong, f'{len(wrong)} of {len(context.results)}: {wrong[:40]}'
+
+
+def _read_all(context, name, heads):
+    """Keep outcomes of a reader that gets each head, and the taken heads."""
+    context.server = AnsweringServer()
+    context.add_cleanup(context.server.stop)
+    reader = READERS[name]
+    context.outcomes = [
+        reader.outcome_of(context.server, *head) for head in heads
+    ]
+    context.taken = [
+        head
+        for head, outcome in zip(heads, context.outcomes, strict=True)
+        if reader.is_taken(outcome)
+    ]
+
+
+@when('{name} is answered with each malformed head')
+def when_read(context, name):
+    _read_all(context, name, MALFORMED_HEADS)
+
+
+@then('none of them is taken for an answer, and each connection is closed')
+def then_none_taken(context):
+    assert not context.taken, context.taken
+    run_reactor_until(lambda: not context.server.open)
+
+
+@then('{name} is answered by each unusual head')
+def then_unusual_taken(context, name):
+    _read_all(context, name, UNUSUAL_HEADS)
+    assert context.taken == list(UNUSUAL_HEADS), context.outcomes
+
+
+@then('it counts as one that may have run: {outcome}')
+def then_unknown(context, outcome):
+    kinds = {type(ended).__name__ for ended in context.outcomes}
+    assert kinds == {outcome}, context.outcomes
+    assert all(getattr(ended, 'arrived', True) for ended in context.outcomes)
--- a/pollenstile/ops/agents.py
+++ b/pollenstile/ops/agents.py
@@ -8,6 +8,7 @@
 
 from pollenstile.ops.answers import AnswerConnection
 
+
 class _ConnectionFactory(Factory):
     noisy = False
 
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -1,7 +1,8 @@
-"""HTTP client connections on which the heads of answers are bounded."""
+"""HTTP client connections that take only well-formed heads for answers."""
 
+import re
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web._newclient import HTTP11ClientProtocol, HTTPClientParser
 from twisted.web.client import ResponseFailed
 
 from pollenstile.ops.documents import TooLongError
@@ -13,13 +14,57 @@
 # States of the library's parser before the end of a head.
 _HEAD_STATES = ('STATUS', 'HEADER')
 
+# Status line of an HTTP/1 answer, by RFC 9112, section 4. Its phrase may be
+# absent, with the blank before it. No status is under 100 or over 599, by RFC
+# 9110, section 15.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [1-5][0-9]{2}(?: .*)?', re.DOTALL)
+
+
+class MalformedAnswerError(Exception):
+    """Bytes that were received in place of an answer's head are none.
+
+    Parameters
+    ==========
+
+    part : str
+        The malformed part.
+    """
+
+    def __init__(self, part):
+        super().__init__(f'malformed {part}')
+        self.part = part
+
+
+class _AnswerParser(HTTPClientParser):
+    """Reads heads more strictly than the library's parser.
+
+    Explanation
+    ===========
+
+    The library reads numbers with ``int()``, which takes signs, underscores
+    and blanks, and any number of digits.
+    """
+
+    def statusReceived(self, status):
+        """Check the status line; called by Twisted."""
+        if not _STATUS_LINE.fullmatch(status):
+            raise MalformedAnswerError('status line')
+        super().statusReceived(status)
+
 
 def _ignore_idle(connection):
     """Ignore a connection on which an answer has ended."""
 
 
 class AnswerConnection(HTTP11ClientProtocol):
-    """Ends an answer whose head is too long with :class:`TooLongError`.
+    """Reads answers, of which each head is well-formed and bounded.
+
+    Explanation
+    ===========
+
+    A request fails with :class:`MalformedAnswerError` or, for a head that is
+    too long, with :class:`TooLongError`, in the reasons of the library's
+    ``ResponseFailed``.
 
     Parameters
     ==========
@@ -40,9 +85,12 @@
 
     def request(self, request):
         """Send a request; called by Twisted."""
-        self.head_bytes = 0
+        parser = self._parser
         answer = super().request(request)
-        if self._transportProxy is not None:
+        # A request on a connection in use fails and gets no parser.
+        if self._parser is not parser:
+            self.head_bytes = 0
+            self._use_strict_parser(request)
             # Readers of bodies get this proxy, which can't abort by itself.
             self._transportProxy.abortConnection = (
                 self.transport.abortConnection
@@ -63,6 +111,14 @@
                 Failure(TooLongError(f'a head over {MAX_HEAD_BYTES} bytes'))
             )
 
+    def _use_strict_parser(self, request):
+        """Replace the parser that the library has made for a request."""
+        parser = _AnswerParser(request, self._finishResponse)
+        # The request's own Deferred waits for this one.
+        parser._responseDeferred = self._responseDeferred
+        parser.makeConnection(self._transportProxy)
+        self._parser = parser
+
 
 def is_too_long(failure):
     """Return whether a request has failed since its answer is too long."""
