ops: an answer with a control byte in its head is no answer

Cause: the library checks the names of fields only. It joins folded lines and strips their ends, with bytes that language, not HTTP, counts as blanks, so "Content-Length:\x0b52" was a length too.

Change: the strict parser checks each line of a head, interim heads included, before the library strips it. RFC 9110, section 5.5, lets a recipient reject or replace NUL, CR and LF; rejected, since an upstream that sends such a byte is in trouble, and nobody can tell what the byte stands for. Other control bytes are invalid there as well and are treated alike; a tab is allowed.

--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -182,6 +182,50 @@
     b'HTTP/-1.1 200 OK',
     b'OTTER',
 )
+# Control bytes that a head must not hold; it ends its lines with two others.
+_CONTROLS = b'\x00\x01\x08\x0b\x0c\x0e\x1b\x1f\x7f'
+_CONTROL_FORMS = (
+    *(Form(b'HTTP/1.1 200 a%cb' % byte) for byte in _CONTROLS),
+    Form(b'HTTP/1.1 200 a\rb'),
+    Form(b'HTTP/1.1 200 a\r'),
+    Form(b'HTTP/1.1 200 \x00'),
+    Form(b'HTTP/1.1 404 a\x00b', status=404),
+    *(Form(lines=(b'X-Filler: a%cb' % byte,)) for byte in _CONTROLS),
+    Form(lines=(b'X-Filler: a\rb',)),
+    Form(lines=(b'X-Filler: a\rX-Proof: q',)),
+    # At either end of a value, where the library strips some of them.
+    Form(lines=(b'X-Filler: a\r',)),
+    Form(lines=(b'X-Filler:\x0ba',)),
+    Form(lines=(b'X-Filler: a\x0c ',)),
+    Form(lines=(b'X-Filler: a', b' b\x00c')),
+    Form(lines=(b'X-Filler:', b'\t\x01')),
+    Form(lines=(b'Content-Length:\x0b%d' % len(BODY),)),
+    Form(lines=(b'Connection: close\x00',)),
+    # Before the head of the answer.
+    Form(b'HTTP/1.1 103 Early\x00\r\n\r\n%s' % OK_LINE),
+    Form(b'HTTP/1.1 103 Early\r\nLink: \x01\r\n\r\n%s' % OK_LINE),
+)
+_NAME_FORMS = tuple(
+    Form(lines=(line,))
+    for line in (
+        b'X Filler: a',
+        b'X-Filler : a',
+        b'X-Filler\t: a',
+        b'Content-Length : 4',
+        b'Transfer-Encoding : chunked',
+        b'X\x00Filler: a',
+        b'X-Filler\x1f: a',
+        b'X-Filler\x7f: a',
+        b'X-\xc3\xad: a',
+        b'X(Filler): a',
+        b'X/Filler: a',
+        b'X[0]: a',
+        b'"X": a',
+        b': a',
+        b'X-Filler',
+        b'X-Filler a',
+    )
+)
 _UNUSUAL = (
     Form(b'HTTP/1.0 200 OK'),
     Form(b'HTTP/1.9 200 OK'),
@@ -200,11 +244,30 @@
     Form(b'HTTP/1.1 499 Left', status=499),
     Form(b'HTTP/1.1 500 ', status=500),
     Form(b'HTTP/1.1 599 Last', status=599),
+    Form(lines=(b'X-Empty:',)),
+    Form(lines=(b'X-Filler:a',)),
+    Form(lines=(b'X-Filler: \t  a\tb  ',)),
+    Form(lines=('X-Filler: í é 漢'.encode(),)),
+    Form(lines=(b'X-Filler: \x80\xa0\xff',)),
+    Form(lines=(b'X-Filler: a:b: "c;d" (e), {f}',)),
+    Form(lines=(b'X-Filler: %s' % (b'a' * 8000),)),
+    Form(lines=(b'X-Filler: a', b'  b', b'\tc')),
+    Form(lines=(b'X-Filler: a', b'x-filler: b', b'X-FILLER: c')),
+    Form(lines=(b"!#$%&'*+-.^_`|~09azAZ: a",)),
+    Form(lines=(b'content-LENGTH: %d' % len(BODY),)),
+    Form(lines=(b'Content-Length: 000%d' % len(BODY),)),
+    Form(lines=(b'Content-Length: %d, %d' % (len(BODY), len(BODY)),)),
+    Form(b'HTTP/1.1 100 Continue\r\n\r\n%s' % OK_LINE),
+    Form(b'HTTP/1.1 102\r\n\r\nHTTP/1.1 102\r\n\r\n%s' % OK_LINE),
+    Form(b'HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n%s' % OK_LINE),
+    Form(b'HTTP/1.1 199 Unheard Of\r\n\r\n%s' % OK_LINE),
 )
 
 FORMS = {
     'status line': tuple(map(Form, _STATUS_LINES)),
     'status line without a number': tuple(map(Form, _HANDLED_STATUS_LINES)),
+    'phrase or value with a control byte': _CONTROL_FORMS,
+    'name of a field': _NAME_FORMS,
     'unusual': _UNUSUAL,
 }
 
@@ -218,11 +281,15 @@
     (b'http/1.1 200 OK', ()),
     (b'QRP/1.1 200 OK', ()),
     (b'HTTP/1.1 000 OK', ()),
-    (b'HTTP/1.1 200 OK', (b'X Filler: a',)),
-    (b'HTTP/1.1 200 OK', (b'X-Filler : a',)),
-    (b'HTTP/1.1 200 OK', (b'X\x01Filler: a',)),
-    (b'HTTP/1.1 200 OK', (b': a',)),
-    (b'HTTP/1.1 200 OK', (b'X-Filler',)),
+    (b'HTTP/1.1 200 a\x00b', ()),
+    (OK_LINE, (b'X-Filler: a\x00b',)),
+    (OK_LINE, (b'X-Filler: a\rb',)),
+    (OK_LINE, (b'X-Filler: a', b' b\x0b')),
+    (OK_LINE, (b'X Filler: a',)),
+    (OK_LINE, (b'X-Filler : a',)),
+    (OK_LINE, (b'X\x01Filler: a',)),
+    (OK_LINE, (b': a',)),
+    (OK_LINE, (b'X-Filler',)),
 )
 UNUSUAL_HEADS = (
     (OK_LINE, ()),
--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -6,9 +6,11 @@
     Then each caller gets 502, and what may run once was sent once
 
     Examples:
-      | part                         |
-      | status line                  |
-      | status line without a number |
+      | part                                |
+      | status line                         |
+      | status line without a number        |
+      | phrase or value with a control byte |
+      | name of a field                     |
 
   Scenario: Unusual answers that are well-formed arrive
     The opposite case: whatever the grammar allows.
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -12,12 +12,18 @@
 # some.
 MAX_HEAD_BYTES = 65536
 # States of the library's parser before the end of a head.
-_HEAD_STATES = ('STATUS', 'HEADER')
+_STATUS_STATE = 'STATUS'
+_HEAD_STATES = (_STATUS_STATE, 'HEADER')
 
+# Bytes that neither a phrase nor a value may hold, by RFC 9110, section 5.5.
+_CONTROLS = rb'\x00-\x08\x0a-\x1f\x7f'
+_CONTROL_BYTE = re.compile(rb'[%s]' % _CONTROLS)
 # Status line of an HTTP/1 answer, by RFC 9112, section 4. Its phrase may be
 # absent, with the blank before it. No status is under 100 or over 599, by RFC
 # 9110, section 15.
-_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [1-5][0-9]{2}(?: .*)?', re.DOTALL)
+_STATUS_LINE = re.compile(
+    rb'HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^%s]*)?' % _CONTROLS
+)
 
 
 class MalformedAnswerError(Exception):
@@ -42,14 +48,26 @@
     ===========
 
     The library reads numbers with ``int()``, which takes signs, underscores
-    and blanks, and any number of digits.
+    and blanks, and any number of digits. It checks the names of fields, but
+    passes on whatever bytes their values hold.
     """
 
-    def statusReceived(self, status):
-        """Check the status line; called by Twisted."""
-        if not _STATUS_LINE.fullmatch(status):
+    def lineReceived(self, line):
+        """Check a line of the head; called by Twisted."""
+        content = line.removesuffix(b'\r')
+        if self.state != _STATUS_STATE:
+            _check_field_value(content)
+        elif not _STATUS_LINE.fullmatch(content):
             raise MalformedAnswerError('status line')
-        super().statusReceived(status)
+        super().lineReceived(line)
+
+
+def _check_field_value(line):
+    """Check the value on a line of a field, or on a folded line."""
+    is_folded = line.startswith((b' ', b'\t'))
+    value = line if is_folded else line.partition(b':')[2]
+    if _CONTROL_BYTE.search(value):
+        raise MalformedAnswerError('field value')
 
 
 def _ignore_idle(connection):
