ops: a body with a content coding is not the upstream's

Cause: nothing looked at the field.

Change: the strict parser refuses a head that names a content coding, unless no body follows: an interim head, 204, 304 and an answer to HEAD pass as before. "identity" and any other name count alike, as the protocol makes no difference. A 503 that states "not run" in such a head counts as lost too: what has changed its body may have changed its head.

--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -71,7 +71,7 @@
     runs: int
 
 
-def received_through(host, route, sent):
+def received_through(host, route, sent, method=b'POST'):
     """Return what a caller gets of an upstream's answer.
 
     Parameters
@@ -83,10 +83,13 @@
         Name of the request's route.
     sent : bytes
         What the upstream sends before it closes the connection.
+    method : bytes
+        Method of the request.
     """
     host.reply = sent
     host.seen.clear()
-    connection = host.send(request(b'/%s/x' % route, b'Connection: close\r\n'))
+    sent_by_caller = request(b'/%s/x' % route, b'Connection: close\r\n')
+    connection = host.send(sent_by_caller.replace(b'POST', method, 1))
     run_reactor_until(lambda: connection.closed)
     head, found, rest = connection.received.partition(b'\r\n\r\n')
     status = int(head.split(b' ', 2)[1]) if found else 0
@@ -226,6 +229,18 @@
         b'X-Filler a',
     )
 )
+_CODED_FORMS = (
+    Form(lines=(b'Content-Encoding: br',)),
+    Form(lines=(b'Content-Encoding: deflate',)),
+    Form(lines=(b'content-encoding:zstd',)),
+    Form(lines=(b'CONTENT-ENCODING: x-gzip, br',)),
+    Form(lines=(b'Content-Encoding: own', b'Content-Encoding: other')),
+    Form(lines=(b'Content-Encoding:', b' compress')),
+    Form(lines=(b'Content-Encoding: identity',)),
+    Form(b'HTTP/1.0 206 Part', lines=(b'Content-Encoding: br',), status=206),
+    Form(b'HTTP/1.1 404 Lost', lines=(b'Content-Encoding: br',), status=404),
+    Form(b'HTTP/1.1 500 Failed', lines=(b'Content-Encoding: br',), status=500),
+)
 _UNUSUAL = (
     Form(b'HTTP/1.0 200 OK'),
     Form(b'HTTP/1.9 200 OK'),
@@ -261,6 +276,9 @@
     Form(b'HTTP/1.1 102\r\n\r\nHTTP/1.1 102\r\n\r\n%s' % OK_LINE),
     Form(b'HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n%s' % OK_LINE),
     Form(b'HTTP/1.1 199 Unheard Of\r\n\r\n%s' % OK_LINE),
+    Form(lines=(b'Content-Type: a/b; charset=br', b'X-Content-Encoding: br')),
+    Form(b'HTTP/1.1 204', (b'Content-Encoding: br',), status=204, body=b''),
+    Form(b'HTTP/1.1 103 Early\r\nContent-Encoding: br\r\n\r\n%s' % OK_LINE),
 )
 
 FORMS = {
@@ -268,6 +286,7 @@
     'status line without a number': tuple(map(Form, _HANDLED_STATUS_LINES)),
     'phrase or value with a control byte': _CONTROL_FORMS,
     'name of a field': _NAME_FORMS,
+    'body, as it has a content coding,': _CODED_FORMS,
     'unusual': _UNUSUAL,
 }
 
@@ -285,6 +304,7 @@
     (OK_LINE, (b'X-Filler: a\x00b',)),
     (OK_LINE, (b'X-Filler: a\rb',)),
     (OK_LINE, (b'X-Filler: a', b' b\x0b')),
+    (OK_LINE, (b'Content-Encoding: br',)),
     (OK_LINE, (b'X Filler: a',)),
     (OK_LINE, (b'X-Filler : a',)),
     (OK_LINE, (b'X\x01Filler: a',)),
--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -11,12 +11,18 @@
       | status line without a number        |
       | phrase or value with a control byte |
       | name of a field                     |
+      | body, as it has a content coding,   |
 
   Scenario: Unusual answers that are well-formed arrive
     The opposite case: whatever the grammar allows.
     When upstreams answer requests of each kind with what is unusual
     Then each caller gets status, proof and body of its upstream
 
+  Scenario: An answer that has no body may name a content coding
+    The opposite case: it is the one of the answer to another request.
+    When an upstream answers HEAD with the coding that its body would have
+    Then each caller gets status, proof and body of its upstream
+
   Scenario Outline: Whatever reads answers takes no malformed head: <reader>
     Guards against a host that believes what is no answer, of whatever it reads.
     When <reader> is answered with each malformed head
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -3,12 +3,16 @@
 from behave import then, when
 
 from features.builders.answerreaders import READERS, AnsweringServer
+from features.builders.bodyends import closing_host
 from features.builders.loop import run_reactor_until
 from features.builders.malformed import (
     FORMS,
     MALFORMED_HEADS,
+    ROUTES,
     UNUSUAL_HEADS,
+    Form,
     received_on_all,
+    received_through,
 )
 
 
@@ -38,6 +42,17 @@
     context.results = received_on_all(FORMS[name])
 
 
+@when('an upstream answers HEAD with the coding that its body would have')
+def when_head(context):
+    host = closing_host()
+    context.add_cleanup(host.stop)
+    form = Form(lines=(b'Content-Encoding: br',), body=b'')
+    context.results = [
+        (form, kind, received_through(host, route, form.sent(), b'HEAD'))
+        for kind, route in ROUTES.items()
+    ]
+
+
 @then('each caller gets status, proof and body of its upstream')
 def then_arrived(context):
     wrong = [
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -25,9 +25,14 @@
     rb'HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^%s]*)?' % _CONTROLS
 )
 
+_FIRST_FINAL_STATUS = 200
+# Field of an answer whose body is encoded. No request asks for that, so the
+# body is not as its upstream made it.
+_CONTENT_CODING = b'content-encoding'
+
 
 class MalformedAnswerError(Exception):
-    """Bytes that were received in place of an answer's head are none.
+    """A head that is none in HTTP/1, or that no request can be answered with.
 
     Parameters
     ==========
@@ -61,6 +66,19 @@
             raise MalformedAnswerError('status line')
         super().lineReceived(line)
 
+    def allHeadersReceived(self):
+        """Check the complete head; called by Twisted."""
+        if self._has_body() and self.headers.hasHeader(_CONTENT_CODING):
+            raise MalformedAnswerError('content coding')
+        super().allHeadersReceived()
+
+    def _has_body(self):
+        """Return whether a body follows on the head."""
+        status = self.response.code
+        if status < _FIRST_FINAL_STATUS or status in self.NO_BODY_CODES:
+            return False
+        return self.request.method != b'HEAD'
+
 
 def _check_field_value(line):
     """Check the value on a line of a field, or on a folded line."""
