ops: an answer with several transfer codings is no answer

Callers saw: an answer whose head names "chunked" on one line and another transfer coding on a second one reached them as decoded from its chunks, though its body has the other coding as well (found while the framing was tried).

Cause: the library decodes by the first of these lines and ignores the others.

Change: the strict parser refuses a head with more than one such line; one that names several on one line was refused before. "chunked" on two lines counts like "chunked, chunked" on one: RFC 9112, section 6.1, allows it once. A length beside "chunked" arrives as before, as section 6.3 has a rule for it.

--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -1,8 +1,7 @@
-"""Builders of answers that are malformed, and of unusual ones that are not."""
+"""Builders of upstreams that send malformed answers, and of their callers."""
 
 from dataclasses import dataclass
 
-from features.builders.bodyends import stream_event
 from features.builders.forwardhost import ForwardHost, request
 from features.builders.loop import run_reactor_until
 
@@ -13,39 +12,6 @@
     'stream': b'stream',
     'resumable': b'resumable',
 }
-# A body that is whole on each route.
-BODY = stream_event(1, b'\n') + stream_event(2, b'\n')
-OK_LINE = b'HTTP/1.1 200 OK'
-PROOF = (b'X-Attempt: a1', b'X-Proof: p')
-
-
-@dataclass(slots=True, frozen=True)
-class Form:
-    """An answer as an upstream sends it.
-
-    Parameters
-    ==========
-
-    line : bytes
-        Status line.
-    lines : tuple of bytes
-        Further lines of the head.
-    status : int
-        Status that its caller gets.
-    body : bytes
-        Body of the answer.
-    """
-
-    line: bytes = OK_LINE
-    lines: tuple = ()
-    status: int = 200
-    body: bytes = BODY
-
-    def sent(self):
-        """Return the bytes of the answer, with a length."""
-        length = b'Content-Length: %d' % len(self.body)
-        head = (self.line, *PROOF, *self.lines, length)
-        return b'%s\r\n\r\n%s' % (b'\r\n'.join(head), self.body)
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,6 +78,8 @@
 
 def _whole_body(head, rest):
     """Return a body by the framing that the head states, None if it is cut."""
+    if not head:
+        return None
     fields = head.lower()
     if b'transfer-encoding: chunked' in fields:
         return _unchunked(rest)
@@ -130,191 +98,3 @@
         body += rest[:size]
         rest = rest[size + 2 :]
     return None
-
-
-_STATUS_LINES = (
-    # Statuses outside of the range.
-    b'HTTP/1.1 000 OK',
-    b'HTTP/1.1 000',
-    b'HTTP/1.1 001 OK',
-    b'HTTP/1.1 042 Nearly',
-    b'HTTP/1.1 600 Beyond',
-    b'HTTP/1.1 777 Beyond',
-    # Statuses of other lengths.
-    b'HTTP/1.1 2 OK',
-    b'HTTP/1.1 0404 Not Found',
-    b'HTTP/1.1 00500 Failed',
-    b'HTTP/1.1 20000 OK',
-    # What the language takes for numbers.
-    b'HTTP/1.1 +404 Not Found',
-    b'HTTP/1.1 -1 OK',
-    b'HTTP/1.1 2_04 OK',
-    b'HTTP/1.1 20_0 OK',
-    b'HTTP/1.1 200\x0b OK',
-    b'HTTP/1.1 \x0c200 OK',
-    b'HTTP/1.1 200\r OK',
-    b'HTTP/1.1 200\tOK',
-    # Versions.
-    b'Http/1.1 200 OK',
-    b'HTTPS/1.1 200 OK',
-    b'RTSP/1.0 200 OK',
-    b'SIP/2.0 200 OK',
-    b'/1.1 200 OK',
-    b'HTTP/0.1 200 OK',
-    b'HTTP/2.0 200 OK',
-    b'HTTP/3.1 200 OK',
-    b'HTTP/01.1 200 OK',
-    b'HTTP/1.01 200 OK',
-    b'HTTP/1.10 200 OK',
-    b'HTTP/+1.1 200 OK',
-    b'HTTP/1_0.1 200 OK',
-    b'HTTP/1.\t1 200 OK',
-    b'\tHTTP/1.1 200 OK',
-)
-_HANDLED_STATUS_LINES = (
-    b'',
-    b'200 OK',
-    b'HTTP/1.1',
-    b'HTTP/1.1  200 OK',
-    b'HTTP/1.1 OK 200',
-    b'HTTP/1.1 0x194 Not Found',
-    b'HTTP/1.1 4e2 OK',
-    b'HTTP/1.1 \xd9\xa2\xd9\xa0\xd9\xa0 OK',
-    b'HTTP/1 200 OK',
-    b'HTTP/1.1.1 200 OK',
-    b'HTTP/-1.1 200 OK',
-    b'OTTER',
-)
-# Control bytes that a head must not hold; it ends its lines with two others.
-_CONTROLS = b'\x00\x01\x08\x0b\x0c\x0e\x1b\x1f\x7f'
-_CONTROL_FORMS = (
-    *(Form(b'HTTP/1.1 200 a%cb' % byte) for byte in _CONTROLS),
-    Form(b'HTTP/1.1 200 a\rb'),
-    Form(b'HTTP/1.1 200 a\r'),
-    Form(b'HTTP/1.1 200 \x00'),
-    Form(b'HTTP/1.1 404 a\x00b', status=404),
-    *(Form(lines=(b'X-Filler: a%cb' % byte,)) for byte in _CONTROLS),
-    Form(lines=(b'X-Filler: a\rb',)),
-    Form(lines=(b'X-Filler: a\rX-Proof: q',)),
-    # At either end of a value, where the library strips some of them.
-    Form(lines=(b'X-Filler: a\r',)),
-    Form(lines=(b'X-Filler:\x0ba',)),
-    Form(lines=(b'X-Filler: a\x0c ',)),
-    Form(lines=(b'X-Filler: a', b' b\x00c')),
-    Form(lines=(b'X-Filler:', b'\t\x01')),
-    Form(lines=(b'Content-Length:\x0b%d' % len(BODY),)),
-    Form(lines=(b'Connection: close\x00',)),
-    # Before the head of the answer.
-    Form(b'HTTP/1.1 103 Early\x00\r\n\r\n%s' % OK_LINE),
-    Form(b'HTTP/1.1 103 Early\r\nLink: \x01\r\n\r\n%s' % OK_LINE),
-)
-_NAME_FORMS = tuple(
-    Form(lines=(line,))
-    for line in (
-        b'X Filler: a',
-        b'X-Filler : a',
-        b'X-Filler\t: a',
-        b'Content-Length : 4',
-        b'Transfer-Encoding : chunked',
-        b'X\x00Filler: a',
-        b'X-Filler\x1f: a',
-        b'X-Filler\x7f: a',
-        b'X-\xc3\xad: a',
-        b'X(Filler): a',
-        b'X/Filler: a',
-        b'X[0]: a',
-        b'"X": a',
-        b': a',
-        b'X-Filler',
-        b'X-Filler a',
-    )
-)
-_CODED_FORMS = (
-    Form(lines=(b'Content-Encoding: br',)),
-    Form(lines=(b'Content-Encoding: deflate',)),
-    Form(lines=(b'content-encoding:zstd',)),
-    Form(lines=(b'CONTENT-ENCODING: x-gzip, br',)),
-    Form(lines=(b'Content-Encoding: own', b'Content-Encoding: other')),
-    Form(lines=(b'Content-Encoding:', b' compress')),
-    Form(lines=(b'Content-Encoding: identity',)),
-    Form(b'HTTP/1.0 206 Part', lines=(b'Content-Encoding: br',), status=206),
-    Form(b'HTTP/1.1 404 Lost', lines=(b'Content-Encoding: br',), status=404),
-    Form(b'HTTP/1.1 500 Failed', lines=(b'Content-Encoding: br',), status=500),
-)
-_UNUSUAL = (
-    Form(b'HTTP/1.0 200 OK'),
-    Form(b'HTTP/1.9 200 OK'),
-    Form(b'HTTP/1.1 200'),
-    Form(b'HTTP/1.1 200 '),
-    Form(b'HTTP/1.1 200  two  blanks '),
-    Form(b'HTTP/1.1 200 a\ttab'),
-    Form(b'HTTP/1.1 200 200'),
-    Form('HTTP/1.1 200 Príma'.encode()),
-    Form(b'HTTP/1.1 203 Not Its Own', status=203),
-    Form(b'HTTP/1.1 226 Unheard Of', status=226),
-    Form(b'HTTP/1.1 298 Unheard Of', status=298),
-    Form(b'HTTP/1.1 302 Elsewhere', status=302),
-    Form(b'HTTP/1.1 404 Not Found', status=404),
-    Form(b'HTTP/1.1 418', status=418),
-    Form(b'HTTP/1.1 499 Left', status=499),
-    Form(b'HTTP/1.1 500 ', status=500),
-    Form(b'HTTP/1.1 599 Last', status=599),
-    Form(lines=(b'X-Empty:',)),
-    Form(lines=(b'X-Filler:a',)),
-    Form(lines=(b'X-Filler: \t  a\tb  ',)),
-    Form(lines=('X-Filler: í é 漢'.encode(),)),
-    Form(lines=(b'X-Filler: \x80\xa0\xff',)),
-    Form(lines=(b'X-Filler: a:b: "c;d" (e), {f}',)),
-    Form(lines=(b'X-Filler: %s' % (b'a' * 8000),)),
-    Form(lines=(b'X-Filler: a', b'  b', b'\tc')),
-    Form(lines=(b'X-Filler: a', b'x-filler: b', b'X-FILLER: c')),
-    Form(lines=(b"!#$%&'*+-.^_`|~09azAZ: a",)),
-    Form(lines=(b'content-LENGTH: %d' % len(BODY),)),
-    Form(lines=(b'Content-Length: 000%d' % len(BODY),)),
-    Form(lines=(b'Content-Length: %d, %d' % (len(BODY), len(BODY)),)),
-    Form(b'HTTP/1.1 100 Continue\r\n\r\n%s' % OK_LINE),
-    Form(b'HTTP/1.1 102\r\n\r\nHTTP/1.1 102\r\n\r\n%s' % OK_LINE),
-    Form(b'HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n%s' % OK_LINE),
-    Form(b'HTTP/1.1 199 Unheard Of\r\n\r\n%s' % OK_LINE),
-    Form(lines=(b'Content-Type: a/b; charset=br', b'X-Content-Encoding: br')),
-    Form(b'HTTP/1.1 204', (b'Content-Encoding: br',), status=204, body=b''),
-    Form(b'HTTP/1.1 103 Early\r\nContent-Encoding: br\r\n\r\n%s' % OK_LINE),
-)
-
-FORMS = {
-    'status line': tuple(map(Form, _STATUS_LINES)),
-    'status line without a number': tuple(map(Form, _HANDLED_STATUS_LINES)),
-    'phrase or value with a control byte': _CONTROL_FORMS,
-    'name of a field': _NAME_FORMS,
-    'body, as it has a content coding,': _CODED_FORMS,
-    'unusual': _UNUSUAL,
-}
-
-# A head of each kind, for those who read answers beside the forwarding path.
-# All of them would be a success for a reader that takes them.
-MALFORMED_HEADS = (
-    (b'HTTP/1.1 0200 OK', ()),
-    (b'HTTP/1.1 2_00 OK', ()),
-    (b'HTTP/1.1 200\t', ()),
-    (b'HTTP/1.+1 200 OK', ()),
-    (b'http/1.1 200 OK', ()),
-    (b'QRP/1.1 200 OK', ()),
-    (b'HTTP/1.1 000 OK', ()),
-    (b'HTTP/1.1 200 a\x00b', ()),
-    (OK_LINE, (b'X-Filler: a\x00b',)),
-    (OK_LINE, (b'X-Filler: a\rb',)),
-    (OK_LINE, (b'X-Filler: a', b' b\x0b')),
-    (OK_LINE, (b'Content-Encoding: br',)),
-    (OK_LINE, (b'X Filler: a',)),
-    (OK_LINE, (b'X-Filler : a',)),
-    (OK_LINE, (b'X\x01Filler: a',)),
-    (OK_LINE, (b': a',)),
-    (OK_LINE, (b'X-Filler',)),
-)
-UNUSUAL_HEADS = (
-    (OK_LINE, ()),
-    (b'HTTP/1.1 200', ()),
-    (b'HTTP/1.0 200 ', (b'Connection: close',)),
-    (b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK', (b'X-Empty:',)),
-    (OK_LINE, (b"!#$%&'*+-.^_`|~09aZ: \xc3\xad\ta",)),
-)
--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -12,6 +12,13 @@
       | phrase or value with a control byte |
       | name of a field                     |
       | body, as it has a content coding,   |
+      | transfer coding                     |
+      | framing                             |
+
+  Scenario: An answer with a malformed chunk is complete for no caller
+    Guards against a part of an answer that passes for all of it.
+    When upstreams answer requests of each kind with a malformed chunk
+    Then no caller gets an answer that is complete, and what may run once was sent once
 
   Scenario: Unusual answers that are well-formed arrive
     The opposite case: whatever the grammar allows.
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -6,13 +6,15 @@
 from features.builders.bodyends import closing_host
 from features.builders.loop import run_reactor_until
 from features.builders.malformed import (
+    ROUTES,
+    received_on_all,
+    received_through,
+)
+from features.builders.malformedforms import (
     FORMS,
     MALFORMED_HEADS,
-    ROUTES,
     UNUSUAL_HEADS,
     Form,
-    received_on_all,
-    received_through,
 )
 
 
@@ -29,9 +31,27 @@
         if got.status != 502 or b'x-proof' in got.head.lower()
     ]
     assert not wrong, f'{len(wrong)} of {len(context.results)}: {wrong[:40]}'
+    _check_sent_once(context.results)
+
+
+@then(
+    'no caller gets an answer that is complete, and what may run once was sent'
+    ' once'
+)
+def then_incomplete(context):
+    wrong = [
+        (form, kind, got)
+        for form, kind, got in context.results
+        if got.status != 502 and got.body is not None
+    ]
+    assert not wrong, f'{len(wrong)} of {len(context.results)}: {wrong[:40]}'
+    _check_sent_once(context.results)
+
+
+def _check_sent_once(results):
     repeated = [
         (form, got)
-        for form, kind, got in context.results
+        for form, kind, got in results
         if kind == 'once' and got.runs != 1
     ]
     assert not repeated, repeated
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -29,6 +29,7 @@
 # Field of an answer whose body is encoded. No request asks for that, so the
 # body is not as its upstream made it.
 _CONTENT_CODING = b'content-encoding'
+_TRANSFER_CODING = b'transfer-encoding'
 
 
 class MalformedAnswerError(Exception):
@@ -68,10 +69,17 @@
 
     def allHeadersReceived(self):
         """Check the complete head; called by Twisted."""
-        if self._has_body() and self.headers.hasHeader(_CONTENT_CODING):
-            raise MalformedAnswerError('content coding')
+        if self._has_body():
+            self._check_codings()
         super().allHeadersReceived()
 
+    def _check_codings(self):
+        if self.headers.hasHeader(_CONTENT_CODING):
+            raise MalformedAnswerError('content coding')
+        # The library reads the first of them.
+        if len(self.connHeaders.getRawHeaders(_TRANSFER_CODING, ())) > 1:
+            raise MalformedAnswerError('transfer coding')
+
     def _has_body(self):
         """Return whether a body follows on the head."""
         status = self.response.code
