ops: an upstream that switches protocols has not answered

Callers saw: after "101 Switching Protocols" the bytes that follow were taken for the head of an answer in HTTP/1.1, though they belong to another protocol. An upstream that sent 101 and kept its connection open held its caller until the deadline (504 after 5.0 s on a route of 5 s).

Cause: the library takes 101 for an interim head like 100 and 103, ignores it and reads on.

Change: the strict parser refuses the head of a 101. No request of ours asks for another protocol (RFC 9110, section 15.2.2), as fields that concern one connection are not forwarded. The caller gets 502 at once, or the answer of another upstream.

--- a/features/builders/malformedforms.py
+++ b/features/builders/malformedforms.py
@@ -219,6 +219,13 @@
     _sized(b'%d' % (_SIZE + 9)),
     _sized(b'0%d' % (_SIZE + 1)),
 )
+_SWITCH = b'HTTP/1.1 101 Switching Protocols\r\n'
+_SWITCHED_FORMS = (
+    Form(b'%s\r\n%s' % (_SWITCH, OK_LINE)),
+    Form(b'%sUpgrade: tern\r\n\r\n%s' % (_SWITCH, OK_LINE)),
+    Form(b'%sUpgrade: h2c\r\n\r\nHTTP/1.1 404 Lost' % _SWITCH, status=404),
+    Form(b'HTTP/1.1 103\r\n\r\n%s\r\n%s' % (_SWITCH, OK_LINE)),
+)
 _UNUSUAL = (
     Form(b'HTTP/1.0 200 OK'),
     Form(b'HTTP/1.9 200 OK'),
@@ -276,6 +283,7 @@
     'name of a field': _NAME_FORMS,
     'body, as it has a content coding,': _CODED_FORMS,
     'transfer coding': _CODING_FORMS,
+    'switch of protocols before it': _SWITCHED_FORMS,
     'framing': _FRAMING_FORMS,
     'chunk': _CHUNK_FORMS,
     'unusual': _UNUSUAL,
@@ -296,6 +304,7 @@
     (OK_LINE, (b'X-Filler: a\rb',)),
     (OK_LINE, (b'X-Filler: a', b' b\x0b')),
     (OK_LINE, (b'Content-Encoding: br',)),
+    (b'%s\r\n%s' % (_SWITCH, OK_LINE), ()),
     (OK_LINE, (b'X Filler: a',)),
     (OK_LINE, (b'X-Filler : a',)),
     (OK_LINE, (b'X\x01Filler: a',)),
--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -13,6 +13,7 @@
       | name of a field                     |
       | body, as it has a content coding,   |
       | transfer coding                     |
+      | switch of protocols before it       |
       | framing                             |
 
   Scenario: An answer with a malformed chunk is complete for no caller
@@ -55,6 +56,12 @@
       | a request for weights       |
       | a request of a caller       |
 
+  Scenario: An upstream that switches protocols and keeps its connection open
+    Guards against a request that waits until its deadline for an answer in HTTP.
+    Given a host whose upstream keeps each connection open
+    When the upstream answers a request with a switch of protocols
+    Then its caller gets 502 while the connection is open
+
   Scenario Outline: What gets a malformed answer may have run: <reader>
     Guards against a second run, or a promise that there was none.
     When <reader> is answered with each malformed head
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -4,6 +4,7 @@
 
 from features.builders.answerreaders import READERS, AnsweringServer
 from features.builders.bodyends import closing_host
+from features.builders.forwardhost import request
 from features.builders.loop import run_reactor_until
 from features.builders.malformed import (
     ROUTES,
@@ -121,3 +122,15 @@
     kinds = {type(ended).__name__ for ended in context.outcomes}
     assert kinds == {outcome}, context.outcomes
     assert all(getattr(ended, 'arrived', True) for ended in context.outcomes)
+
+
+@when('the upstream answers a request with a switch of protocols')
+def when_switches(context):
+    context.host.reply = b'HTTP/1.1 101 Switching Protocols\r\n\r\n'
+    context.connection = context.host.exchange(request())
+
+
+@then('its caller gets {status:d} while the connection is open')
+def then_at_once(context, status):
+    received = context.connection.received
+    assert received.startswith(b'HTTP/1.1 %d ' % status), received
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -4,6 +4,7 @@
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol, HTTPClientParser
 from twisted.web.client import ResponseFailed
+from twisted.web.http import SWITCHING
 
 from pollenstile.ops.documents import TooLongError
 
@@ -69,6 +70,9 @@
 
     def allHeadersReceived(self):
         """Check the complete head; called by Twisted."""
+        if self.response.code == SWITCHING:
+            # No request asks for it, and what follows is not HTTP.
+            raise MalformedAnswerError('switch of protocols')
         if self._has_body():
             self._check_codings()
         super().allHeadersReceived()
