ops, forward, platform: logs tell which part of an answer is malformed

Operators saw: "MalformedAnswerError" in the line of a failed attempt or stage call, "ResponseFailed" in those of the JSON path and the store, "unknown" without a reason for a report: not which part of which answer.

Cause: each reader names a failure by the type of its exception, and that of the library's parser is not the same for a name, a length or a folded line.

Change: what the library's parser raises in a head becomes a malformed head with the type of that error, and every reader gives the malformed part as its reason, with the upstream or the server: "malformed status line", "malformed field value". Event 1255 has a reason too. What callers get stays.

--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -37,8 +37,8 @@
     runs: int
 
 
-def received_through(host, route, sent, method=b'POST'):
-    """Return what a caller gets of an upstream's answer.
+def received_through(host, route, method=b'POST'):
+    """Return what a caller gets of the upstream's answer.
 
     Parameters
     ==========
@@ -47,12 +47,9 @@
         Forwards the request.
     route : bytes
         Name of the request's route.
-    sent : bytes
-        What the upstream sends before it closes the connection.
     method : bytes
         Method of the request.
     """
-    host.reply = sent
     host.seen.clear()
     sent_by_caller = request(b'/%s/x' % route, b'Connection: close\r\n')
     connection = host.send(sent_by_caller.replace(b'POST', method, 1))
@@ -68,10 +65,9 @@
     for kind, route in ROUTES.items():
         host = ForwardHost(upstreams=2)
         host.closes = True
-        results.extend(
-            (form, kind, received_through(host, route, form.sent()))
-            for form in forms
-        )
+        for form in forms:
+            host.reply = form.sent()
+            results.append((form, kind, received_through(host, route)))
         host.stop()
     return results
 
--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -73,3 +73,17 @@
       | a request through a peer   | Lost     |
       | a call that may run once   | Lost     |
       | a write to the store       | InDoubt  |
+
+  Scenario Outline: A log line tells the malformed part: <part>
+    Guards against an upstream in trouble that operators can't find.
+    When an upstream answers a request with a malformed <part>
+    Then event 1207 names that upstream, and "<reason>"
+
+    Examples:
+      | part                                | reason                             |
+      | status line                         | malformed status line              |
+      | phrase or value with a control byte | malformed status line              |
+      | body, as it has a content coding,   | malformed content coding           |
+      | transfer coding                     | malformed transfer coding          |
+      | switch of protocols before it       | malformed switch of protocols      |
+      | name of a field                     | malformed head (InvalidHeaderName) |
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -1,10 +1,12 @@
 """Steps for answers that are malformed, or only unusual."""
 
+from functools import partial
+
 from behave import then, when
 
 from features.builders.answerreaders import READERS, AnsweringServer
 from features.builders.bodyends import closing_host
-from features.builders.forwardhost import request
+from features.builders.forwardhost import ForwardHost, request
 from features.builders.loop import run_reactor_until
 from features.builders.malformed import (
     ROUTES,
@@ -68,8 +70,9 @@
     host = closing_host()
     context.add_cleanup(host.stop)
     form = Form(lines=(b'Content-Encoding: br',), body=b'')
+    host.reply = form.sent()
     context.results = [
-        (form, kind, received_through(host, route, form.sent(), b'HEAD'))
+        (form, kind, received_through(host, route, b'HEAD'))
         for kind, route in ROUTES.items()
     ]
 
@@ -122,6 +125,31 @@
     kinds = {type(ended).__name__ for ended in context.outcomes}
     assert kinds == {outcome}, context.outcomes
     assert all(getattr(ended, 'arrived', True) for ended in context.outcomes)
+    reasons = [ended.reason for ended in context.outcomes]
+    assert all(reason.startswith('malformed ') for reason in reasons), reasons
+
+
+@when('an upstream answers a request with a malformed {part}')
+def when_one_malformed(context, part):
+    context.host = ForwardHost(upstreams=2)
+    context.add_cleanup(context.host.stop)
+    context.lines = []
+    context.host.factory.core.log = partial(_keep_line, context.lines)
+    context.host.first_replies = [FORMS[part][0].sent()]
+    context.host.reply = Form().sent()
+    context.received = received_through(context.host, ROUTES['once'])
+
+
+def _keep_line(lines, event, **fields):
+    lines.append((event.number, fields))
+
+
+@then('event {number:d} names that upstream, and "{reason}"')
+def then_logged(context, number, reason):
+    logged = [fields for event, fields in context.lines if event == number]
+    assert [fields['reason'] for fields in logged] == [reason], logged
+    sends = [fields for event, fields in context.lines if event == 1205]
+    assert [fields['peer'] for fields in logged] == [sends[0]['peer']], sends
 
 
 @when('the upstream answers a request with a switch of protocols')
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -8,7 +8,7 @@
 
 from pollenstile.forward._bounds import ENDLESS_HEAD
 from pollenstile.forward._types import BodyEnd, Lost, NotRun
-from pollenstile.ops.answers import is_too_long
+from pollenstile.ops.answers import MalformedAnswerError, reading_error
 
 
 class _Body(Protocol):
@@ -183,16 +183,23 @@
         self.close()
         if self.cancelled or self.head.called:
             return
-        lost = Lost(_reason(failure), self.address, broken=True)
-        if is_too_long(failure):
-            lost = Lost(ENDLESS_HEAD, self.address, endless=True)
-        self.head.callback(lost)
+        self.head.callback(_lost(failure, self.address))
 
 
 def _permit():
     """Return None: nothing keeps a request from being sent."""
 
 
+def _lost(failure, address):
+    """Return the outcome of a call that has failed without a head."""
+    error = reading_error(failure)
+    if error is None:
+        return Lost(_reason(failure), address, broken=True)
+    if isinstance(error, MalformedAnswerError):
+        return Lost(str(error), address, broken=True)
+    return Lost(ENDLESS_HEAD, address, endless=True)
+
+
 def _reason(failure):
     if failure.check(ResponseFailed):
         reasons = failure.value.reasons
--- a/pollenstile/forward/_processes.py
+++ b/pollenstile/forward/_processes.py
@@ -7,6 +7,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._response import read_response
+from pollenstile.forward._types import Lost
 from pollenstile.ops.bounded import drop_oldest
 from pollenstile.ops.logs import silent_log
 from pollenstile.platform import SharedReads
@@ -113,7 +114,7 @@
     async def ask(self, view):
         """Return the :class:`Process` that listens now, by its report."""
         asked_at = self.clock.seconds()
-        process = await self._reported(view)
+        process, reason = await self._reported(view)
         name = view.incarnation
         if process is Process.LISTED:
             self.doubts.note_same(name, asked_at)
@@ -125,6 +126,7 @@
             address=view.address,
             born=view.born,
             process=process.value,
+            reason=reason,
         )
         return process
 
@@ -148,18 +150,19 @@
             waiter.callback(process)
 
     async def _reported(self, view):
+        """Return the process, and why its report was not received."""
         target, headers = self.codec.report(view.address)
         call = self.client.send(view.address, b'GET', target, headers, b'')
         work = Deferred.fromCoroutine(read_response(call, _MAX_REPORT_BYTES))
         work.addTimeout(_REPORT_SECONDS, self.clock)
         work.addErrback(_unread)
-        status, _, content = await work
+        status, head, content = await work
         call.cancel()
         if status in _WITHOUT_REPORT:
-            return Process.UNSTATED
+            return Process.UNSTATED, ''
         if status != _OK_STATUS:
-            return Process.UNKNOWN
-        return _process_of(view, self.codec.report_born(content))
+            return Process.UNKNOWN, getattr(head, 'reason', f'status {status}')
+        return _process_of(view, self.codec.report_born(content)), ''
 
 
 def _process_of(view, born):
@@ -178,4 +181,4 @@
 
 def _unread(failure):
     """Return what stands for an answer that was not received whole."""
-    return 0, failure.value, b''
+    return 0, Lost(failure.type.__name__), b''
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -154,7 +154,8 @@
     1255,
     'upstream-reported',
     'An upstream was asked which process it is, before a stream goes on there or'
-    ' for the version of one that began; `process` has the answer.',
+    ' for the version of one that began; `process` has the answer, and `reason`'
+    ' why there is none.',
     'Many with `later`: entries of restarted upstreams are read late. Many with'
     ' `unknown`: upstreams do not answer requests for their reports.',
 )
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -2,7 +2,11 @@
 
 import re
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol, HTTPClientParser
+from twisted.web._newclient import (
+    HTTP11ClientProtocol,
+    HTTPClientParser,
+    ParseError,
+)
 from twisted.web.client import ResponseFailed
 from twisted.web.http import SWITCHING
 
@@ -27,6 +31,9 @@
 )
 
 _FIRST_FINAL_STATUS = 200
+# Errors of the library's parser for a status, a name, a length, a transfer
+# coding that it doesn't know, and a folded line without a first one.
+_LIBRARY_ERRORS = (ParseError, ValueError, KeyError, AttributeError)
 # Field of an answer whose body is encoded. No request asks for that, so the
 # body is not as its upstream made it.
 _CONTENT_CODING = b'content-encoding'
@@ -66,7 +73,12 @@
             _check_field_value(content)
         elif not _STATUS_LINE.fullmatch(content):
             raise MalformedAnswerError('status line')
-        super().lineReceived(line)
+        try:
+            super().lineReceived(line)
+        except _LIBRARY_ERRORS as error:
+            raise MalformedAnswerError(
+                f'head ({type(error).__name__})'
+            ) from error
 
     def allHeadersReceived(self):
         """Check the complete head; called by Twisted."""
@@ -168,10 +180,19 @@
         self._parser = parser
 
 
-def is_too_long(failure):
-    """Return whether a request has failed since its answer is too long."""
+def reading_error(failure):
+    """Return why an answer could not be read.
+
+    Returns
+    =======
+
+    MalformedAnswerError, TooLongError or None
+        None if a request has failed otherwise.
+    """
+    reasons = (failure,)
     if failure.check(ResponseFailed):
-        return any(
-            reason.check(TooLongError) for reason in failure.value.reasons
-        )
-    return failure.check(TooLongError) is not None
+        reasons = failure.value.reasons
+    for reason in reasons:
+        if reason.check(MalformedAnswerError, TooLongError):
+            return reason.value
+    return None
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -20,9 +20,9 @@
 from zope.interface import implementer
 
 from pollenstile.ops.agents import connection_pool
-from pollenstile.ops.answers import is_too_long
+from pollenstile.ops.answers import MalformedAnswerError, reading_error
 from pollenstile.ops.body import BytesProducer
-from pollenstile.ops.documents import TooLongError, read_document
+from pollenstile.ops.documents import read_document
 from pollenstile.ops.timers import cancel_timer
 from pollenstile.platform._eras import parse_era
 
@@ -38,6 +38,8 @@
 # and the link stayed saturated.
 _PART_TIMEOUT_SECONDS = 1.0
 _BODY_TIMEOUT_SECONDS = 10.0
+# Reason of a call that took too long.
+_TIMED_OUT = TimeoutError.__name__
 
 
 @dataclass(slots=True, frozen=True)
@@ -73,7 +75,7 @@
     connected : bool
         Whether a byte of the call may have been sent.
     reason : str
-        Type name of the error.
+        Type name of the error, or the malformed part of the answer.
     """
 
     connected: bool
@@ -169,10 +171,10 @@
         except CancelledError:
             if not limit.expired:
                 raise
-            return self._failure(TimeoutError, endpoints.connected or not fresh)
+            return self._failure(_TIMED_OUT, endpoints.connected or not fresh)
         except Exception as error:
-            kind = _kind_of(error, is_late=limit.expired)
-            return self._failure(kind, endpoints.connected or not fresh)
+            reason = _reason_of(error, is_late=limit.expired)
+            return self._failure(reason, endpoints.connected or not fresh)
         finally:
             limit.stop()
 
@@ -202,12 +204,12 @@
         era = parse_era(_header(response, self.era_header))
         return Reply(response.code, body_bytes, _retry_after(response), era)
 
-    def _failure(self, kind, connected):
+    def _failure(self, reason, connected):
         # A middlebox can drop the state of idle connections while new ones
         # work. Each pooled connection would then cost one more timeout, so all
         # of them are closed after a failure.
         self.close()
-        return FailedCall(connected, kind.__name__)
+        return FailedCall(connected, reason)
 
 
 class _TimeLimit:
@@ -263,11 +265,14 @@
         return protocol
 
 
-def _kind_of(error, *, is_late):
-    """Return the type that names why a call has failed."""
+def _reason_of(error, *, is_late):
+    """Return why a call has failed."""
     if is_late:
-        return TimeoutError
-    return TooLongError if is_too_long(Failure(error)) else type(error)
+        return _TIMED_OUT
+    unread = reading_error(Failure(error)) or error
+    if isinstance(unread, MalformedAnswerError):
+        return str(unread)
+    return type(unread).__name__
 
 
 def _header(response, name):
--- a/pollenstile/upstream/_http.py
+++ b/pollenstile/upstream/_http.py
@@ -7,7 +7,7 @@
 from twisted.web.http_headers import Headers
 
 from pollenstile.ops.agents import agent_for
-from pollenstile.ops.answers import is_too_long
+from pollenstile.ops.answers import MalformedAnswerError, reading_error
 from pollenstile.ops.body import BytesProducer
 from pollenstile.statements import parse_rest, read_statements
 from pollenstile.upstream import wire
@@ -85,10 +85,7 @@
         if failure.check(*_NEVER_CONNECTED):
             self.emit(NotRun('no connection'))
             return
-        if is_too_long(failure):
-            self.emit(Lost('head too long'))
-            return
-        self.emit(Lost(failure.type.__name__))
+        self.emit(Lost(_reason(failure)))
 
     def _discard(self, response):
         self.body = ReplyBody(_drop_event)
@@ -96,6 +93,16 @@
         self.body.abort()
 
 
+def _reason(failure):
+    """Return why a call was lost that may have been sent."""
+    error = reading_error(failure)
+    if error is None:
+        return failure.type.__name__
+    if isinstance(error, MalformedAnswerError):
+        return str(error)
+    return 'head too long'
+
+
 def _drop_event(event):
     """Ignore the event of a discarded body."""
 
