--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -87,3 +87,9 @@
       | transfer coding                     | malformed transfer coding          |
       | switch of protocols before it       | malformed switch of protocols      |
       | name of a field                     | malformed head (InvalidHeaderName) |
+
+  Scenario: New requests pass by an upstream whose answer was malformed
+    Guards against an upstream in trouble that gets what others would answer.
+    When an upstream answers a request with a malformed status line
+    And 20 more requests are sent, which any upstream answers
+    Then they are all answered by other upstreams
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -19,6 +19,10 @@
     UNUSUAL_HEADS,
     Form,
 )
+from pollenstile.forward import events
+
+# Number of the event of a request that was sent to an upstream.
+_SENT = events.FORWARDED.number
 
 
 @when('upstreams answer requests of each kind with a malformed {part}')
@@ -148,8 +152,8 @@
 def then_logged(context, number, reason):
     logged = [fields for event, fields in context.lines if event == number]
     assert [fields['reason'] for fields in logged] == [reason], logged
-    sends = [fields for event, fields in context.lines if event == 1205]
-    assert [fields['peer'] for fields in logged] == [sends[0]['peer']], sends
+    peers = [fields['peer'] for fields in logged]
+    assert peers == _peers_of_sends(context), context.lines
 
 
 @when('the upstream answers a request with a switch of protocols')
@@ -162,3 +166,23 @@
 def then_at_once(context, status):
     received = context.connection.received
     assert received.startswith(b'HTTP/1.1 %d ' % status), received
+
+
+@when('{count:d} more requests are sent, which any upstream answers')
+def when_more(context, count):
+    context.later = [
+        received_through(context.host, ROUTES['once']) for _ in range(count)
+    ]
+
+
+@then('they are all answered by other upstreams')
+def then_others(context):
+    assert {got.status for got in context.later} == {200}, context.later
+    first, *later = _peers_of_sends(context)
+    assert len(later) == len(context.later), later
+    assert first not in later, (first, later)
+
+
+def _peers_of_sends(context):
+    """Return the upstreams of all requests that were sent, in order."""
+    return [fields['peer'] for event, fields in context.lines if event == _SENT]
