forward, tunnel: a success that ends before its request was read is not whole

Callers saw: an upstream that answered an upload of 900 kB at once with a 200 without a length, sent a part and closed its connection in order while the upload was still on its way: the part reached callers of idempotent requests and of those that may run once as a whole answer. The same through a peer.

Cause: without a length only the close tells the end. It was taken for one whenever it came in order, whatever the upstream had received by then.

Decision: RFC 9112 lets a server answer early and close, and section 9.6 asks it to read on before it does. The users' protocol says of sound engines that they keep the connection and read on. One that closes with bytes on their way has given up or died; a part that passes for the whole is worse for its caller than 502 "unknown" or another upstream's answer. So such a close ends a success like a reset. A failure is passed on as before, as its status counts; so are answers with a length or chunks, which tell their end themselves.

Change: as the other end closes, the host asks the system for the bytes of the socket that were not acknowledged. The acknowledgement comes with the close at the latest, so a request that the upstream received never counts as unread. A peer does the same for its connection to the upstream, passes on all it got and leaves out the frame that tells of a close in order. A system that can't tell counts as nothing unread.

Through a peer an early failure without a length is lost as well (502).

--- a/features/builders/answerreaders.py
+++ b/features/builders/answerreaders.py
@@ -204,9 +204,7 @@
 
 def _peers_call(server):
     """Return what a host gets through a peer, as far as its head."""
-    story = TunnelStory()
-    story.address = server.address
-    story.server.is_upstream = server.address.__eq__
+    story = TunnelStory(server.address)
     call = story.send()
     head = _outcome_of(call.head)
     call.cancel()
--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -37,7 +37,7 @@
     runs: int
 
 
-def received_through(host, route, method=b'POST'):
+def received_through(host, route, method=b'POST', body=b''):
     """Return what a caller gets of the upstream's answer.
 
     Parameters
@@ -47,12 +47,13 @@
         Forwards the request.
     route : bytes
         Name of the request's route.
-    method : bytes
-        Method of the request.
+    method, body : bytes
+        Method and body of the request.
     """
     host.seen.clear()
-    sent_by_caller = request(b'/%s/x' % route, b'Connection: close\r\n')
-    connection = host.send(sent_by_caller.replace(b'POST', method, 1))
+    lines = b'Connection: close\r\n'
+    sent = request(b'/%s/x' % route, lines, body=body)
+    connection = host.send(sent.replace(b'POST', method, 1))
     run_reactor_until(lambda: connection.closed)
     head, found, rest = connection.received.partition(b'\r\n\r\n')
     status = int(head.split(b' ', 2)[1]) if found else 0
--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -37,6 +37,12 @@
 class TunnelStory:
     """A host, the server of a peer and an upstream.
 
+    Parameters
+    ==========
+
+    address : str
+        ``IP:PORT`` of another upstream to use; empty for that of the story.
+
     Attributes
     ==========
 
@@ -54,7 +60,7 @@
         How the answer ended.
     """
 
-    def __init__(self):
+    def __init__(self, address=''):
         self.reply = b''
         self.after_reply = _keep_open
         self.received = b''
@@ -64,7 +70,8 @@
         factory = Factory.forProtocol(_UpstreamProtocol)
         factory.story = self
         self.upstream = reactor.listenTCP(0, factory, interface=_HOST)
-        self.address = f'{_HOST}:{self.upstream.getHost().port}'
+        own_address = f'{_HOST}:{self.upstream.getHost().port}'
+        self.address = address or own_address
         self.server = TunnelServer(
             reactor, {self.address}.__contains__, _has_path
         )
@@ -82,15 +89,16 @@
         self.client.paths = Paths(reactor, tunnels, _ignore, _ignore)
         self.client.paths.lost = _AllLost()
 
-    def send(self):
+    def send(self, body=b''):
         """Send a request; return its call."""
+        method = b'POST' if body else b'GET'
         return self.client.send(
-            self.address, b'GET', b'/', [(b'host', b'h')], b''
+            self.address, method, b'/', [(b'host', b'h')], body
         )
 
-    def fetch(self):
+    def fetch(self, body=b''):
         """Send a request and receive the answer's body until its end."""
-        call = self.send()
+        call = self.send(body)
         call.head.addCallback(call.deliver, self.body.append, self.ends.append)
         return call
 
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -32,6 +32,9 @@
 _BODILESS = frozenset((204, 205))
 # Ends of a body after which its upstream may have sent all of it.
 _ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
+# The same of a failure, which may be sent before the request was received.
+_FAILURE_ENDED = _ENDED | {BodyEnd.EARLY}
+_BROKEN = frozenset((BodyEnd.BROKEN, BodyEnd.EARLY))
 
 
 async def relay_body(attempt, head):
@@ -67,7 +70,7 @@
         _count_toward_bound(attempt, data, bound, ENDLESS_FAILURE)
 
     end = await _read_body(attempt, head, keep)
-    if end not in _ENDED:
+    if end not in _FAILURE_ENDED:
         return _incomplete(attempt, 'torn failure', end)
     return UpstreamFailure(
         head.code,
@@ -272,8 +275,7 @@
 def _incomplete(attempt, reason, end):
     if attempt.endless:
         return Lost(attempt.endless, attempt.view.ident, endless=True)
-    broken = end is BodyEnd.BROKEN
-    return Lost(reason, attempt.view.ident, broken=broken)
+    return Lost(reason, attempt.view.ident, broken=end in _BROKEN)
 
 
 def _header_pairs(head):
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -37,12 +37,10 @@
             return BodyEnd.COMPLETE
         # The parser gives the same reason for an unframed body whose connection
         # was reset.
-        if (
-            reason.check(PotentialDataLoss)
-            and self.call.protocol.closed_cleanly
-        ):
-            return BodyEnd.CLOSED
-        return BodyEnd.BROKEN
+        protocol = self.call.protocol
+        if not reason.check(PotentialDataLoss) or not protocol.closed_cleanly:
+            return BodyEnd.BROKEN
+        return BodyEnd.EARLY if protocol.is_closed_early else BodyEnd.CLOSED
 
 
 class Call:
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -10,10 +10,11 @@
 from twisted.python.failure import Failure
 
 from pollenstile.ops.answers import AnswerConnection
+from pollenstile.ops.unsent import EarlyCloseNoted
 from pollenstile.tunnel import EndedFrames
 
 
-class Connection(AnswerConnection):
+class Connection(EarlyCloseNoted, AnswerConnection):
     """Records how the connection ended.
 
     Attributes
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -276,6 +276,8 @@
     COMPLETE = 'whole'
     # The body had neither, and its connection was closed without a reset.
     CLOSED = 'closed'
+    # The same, but its upstream had not received all of the request.
+    EARLY = 'early'
     BROKEN = 'broken'
     # It was given up, as it has more bytes than any answer.
     ENDLESS = 'endless'
--- /dev/null
+++ b/pollenstile/ops/unsent.py
@@ -0,0 +1,73 @@
+"""Connections whose other end closes before it has received everything."""
+
+import fcntl
+import struct
+import termios
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+# Format of the number of bytes that the system returns.
+_COUNT = 'i'
+
+
+def unsent_bytes(transport):
+    """Return the number of bytes that the other end has not received.
+
+    Explanation
+    ===========
+
+    These are the bytes that wait in this process, and those in the queue of the
+    socket that the other end has not acknowledged.
+
+    Parameters
+    ==========
+
+    transport : twisted.internet.tcp.Connection
+        An open connection.
+    """
+    waiting = len(transport.dataBuffer) - transport.offset
+    return waiting + transport._tempDataLen + _queued_bytes(transport.socket)
+
+
+def _queued_bytes(sock):
+    """Return the bytes in a socket's queue, 0 if the system can't tell."""
+    try:
+        count = fcntl.ioctl(
+            sock, termios.TIOCOUTQ, bytes(struct.calcsize(_COUNT))
+        )
+    except OSError:
+        return 0
+    return struct.unpack(_COUNT, count)[0]
+
+
+@implementer(IHalfCloseableProtocol)
+class EarlyCloseNoted:
+    """Part of a protocol that notes a close by the other end which is early.
+
+    Explanation
+    ===========
+
+    The connection ends at such a close as it does without this part.
+
+    Attributes
+    ==========
+
+    is_closed_early : bool
+        Whether the other end closed before it had received all that was
+        written.
+    """
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.is_closed_early = False
+
+    def readConnectionLost(self):
+        """Note how the other end has closed; called by Twisted."""
+        self.is_closed_early = unsent_bytes(self.transport) > 0
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self):
+        """Do nothing, as this end closes both sides; called by Twisted."""
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -11,6 +11,7 @@
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.timers import cancel_timer
+from pollenstile.ops.unsent import EarlyCloseNoted
 from pollenstile.tunnel import events
 from pollenstile.tunnel._frames import encode_data, encode_end
 from pollenstile.tunnel._messages import (
@@ -149,10 +150,11 @@
             upstream_end.transport.abortConnection()
 
 
-class _UpstreamEnd(Protocol):
+class _UpstreamEnd(EarlyCloseNoted, Protocol):
     """The connection to an upstream."""
 
     def __init__(self, factory):
+        super().__init__()
         self.factory = factory
         self.host_end = None
 
@@ -175,7 +177,10 @@
         """Pass on how the connection ended; called by Twisted."""
         self.factory.server.open_ends.discard(self)
         if self.host_end is not None:
-            self.host_end.end(is_closed=bool(reason.check(ConnectionDone)))
+            self.host_end.end(
+                is_closed=bool(reason.check(ConnectionDone)),
+                is_early=self.is_closed_early,
+            )
 
 
 class _UpstreamEndFactory(ClientFactory):
@@ -233,15 +238,32 @@
             self.upstream_end.host_end = None
             self.upstream_end.transport.abortConnection()
 
-    def end(self, *, is_closed):
-        """End the connection as that of the upstream has ended."""
+    def end(self, *, is_closed, is_early):
+        """End the connection as that of the upstream has ended.
+
+        Explanation
+        ===========
+
+        After a close before the upstream had received the request, an answer
+        that states its length may be whole, and no other one is. So all is
+        passed on but the frame that tells of a close in order.
+
+        Parameters
+        ==========
+
+        is_closed : bool
+            Whether the upstream closed its connection, without a reset.
+        is_early : bool
+            Whether it did so before it had received the request.
+        """
         self.upstream_end = None
         self.transport.unregisterProducer()
-        if is_closed:
-            self.transport.write(encode_end())
-            self.transport.loseConnection()
+        if not is_closed:
+            self.transport.abortConnection()
             return
-        self.transport.abortConnection()
+        if not is_early:
+            self.transport.write(encode_end())
+        self.transport.loseConnection()
 
     def _join(self, token):
         self._stop_waiting()
