--- a/features/builders/answerreaders.py
+++ b/features/builders/answerreaders.py
@@ -34,6 +34,8 @@
 
 # Far above the duration of a call on loopback.
 _CALL_SECONDS = 30.0
+# Time in which a part of an answer is received.
+_RESET_SECONDS = 0.01
 _BORN = 7
 _FOUND = Found('config', 'm', 4, [1])
 
@@ -77,6 +79,9 @@
         Status lines of the first answers, which have no further lines.
     body_for : function
         Takes the head of a request; returns the body of the answer.
+    part : float
+        Share of the body that is sent without its length, before the
+        connection is reset; 0 to send all of it.
     open : int
         Open connections.
     """
@@ -86,6 +91,7 @@
         self.lines = ()
         self.first_lines = []
         self.body_for = None
+        self.part = 0.0
         self.open = 0
         factory = Factory.forProtocol(_AnsweringProtocol)
         factory.noisy = False
@@ -104,6 +110,11 @@
         lines = (self.line, *self.lines)
         if self.first_lines:
             lines = (self.first_lines.pop(0),)
+        if self.part:
+            sent = body[: int(len(body) * self.part)]
+            transport.write(b'%s\r\n\r\n%s' % (self.line, sent))
+            reactor.callLater(_RESET_SECONDS, transport.abortConnection)
+            return
         head = b'\r\n'.join((*lines, length))
         transport.write(b'%s\r\n\r\n%s' % (head, body))
 
--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -62,6 +62,28 @@
     When the upstream answers a request with a switch of protocols
     Then its caller gets 502 while the connection is open
 
+  Scenario Outline: No part of a document is taken for it: <reader>
+    Guards against half an answer whose connection was reset. A release of results
+    needs no document: its status says all.
+    When <reader> gets a part of an answer without a length, and a reset
+    Then none of them is taken for an answer, and each connection is closed
+
+    Examples:
+      | reader                      |
+      | a stage call                |
+      | a request for a report      |
+      | a load poll                 |
+      | a call of a pipeline        |
+      | a call that may run once    |
+      | a call of an engine         |
+      | a read of the store         |
+      | a list of the store         |
+      | a watch of the store        |
+      | a write to the store        |
+      | a read of the host list     |
+      | a request for weights       |
+      | a request of a caller       |
+
   Scenario Outline: What gets a malformed answer may have run: <reader>
     Guards against a second run, or a promise that there was none.
     When <reader> is answered with each malformed head
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -16,6 +16,7 @@
 from features.builders.malformedforms import (
     FORMS,
     MALFORMED_HEADS,
+    OK_LINE,
     UNUSUAL_HEADS,
     Form,
 )
@@ -23,6 +24,8 @@
 
 # Number of the event of a request that was sent to an upstream.
 _SENT = events.FORWARDED.number
+# Shares of a body that are sent of it, from nothing to nearly all.
+_PARTS = (0.001, 0.2, 0.5, 0.8, 0.95)
 
 
 @when('upstreams answer requests of each kind with a malformed {part}')
@@ -112,6 +115,19 @@
     _read_all(context, name, MALFORMED_HEADS)
 
 
+@when('{name} gets a part of an answer without a length, and a reset')
+def when_parts(context, name):
+    context.server = AnsweringServer()
+    context.add_cleanup(context.server.stop)
+    reader = READERS[name]
+    context.taken = []
+    for part in _PARTS:
+        context.server.part = part
+        outcome = reader.outcome_of(context.server, OK_LINE, ())
+        if reader.is_taken(outcome):
+            context.taken.append(part)
+
+
 @then('none of them is taken for an answer, and each connection is closed')
 def then_none_taken(context):
     assert not context.taken, context.taken
