soak, live: upstreams answer with malformed heads beside the other faults

Callers of the soak read answers by the strict parser too: what they can't read is a violation, and so is the stage result of nobody at an engine.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -16,6 +16,7 @@
 from pollenstile.forward._decisions import RetryDecision
 from pollenstile.forward._standby import Standby
 from pollenstile.forward._types import Lost, Refusal
+from pollenstile.ops.answers import AnswerConnection
 from pollenstile.ops.clock import use_boot_clock
 from pollenstile.ops.main import main
 from pollenstile.ops.running import result_of
@@ -124,7 +125,13 @@
     Contest.claim = lambda contest, attempt: None
 
 
+def without_strict_heads():
+    """Take whatever the library takes for the head of an answer."""
+    AnswerConnection._use_strict_parser = lambda connection, request: None
+
+
 GUARDS = {
+    'strict heads': without_strict_heads,
     'patience': without_patience,
     'closing': without_closing,
     'origins': without_origins,
--- a/features/soak_live.feature
+++ b/features/soak_live.feature
@@ -11,6 +11,7 @@
     Then the live soak found no violation
     And the live hosts served 50 requests or more under 8 faults or more
     And their callers took up 5 streams or more again
+    And they got 5 malformed answers or more
 
   Scenario: A guard that is taken out is noticed
     Hosts never replace their first configuration, so a key that the operator
--- a/features/steps/soak_live_steps.py
+++ b/features/steps/soak_live_steps.py
@@ -82,3 +82,9 @@
 def then_reported(context, text):
     assert context.ran.returncode == 0, context.ran.stdout[-3000:]
     assert text in context.ran.stdout, context.ran.stdout[-3000:]
+
+
+@then('they got {count:d} malformed answers or more')
+def then_malformed(context, count):
+    found = re.search(r'malformed: (\d+) answers', context.ran.stdout)
+    assert found and int(found[1]) >= count, context.ran.stdout
--- a/pollenstile/ops/_soakcmd.py
+++ b/pollenstile/ops/_soakcmd.py
@@ -4,6 +4,7 @@
 import pathlib
 import sys
 import time
+from collections import Counter
 from contextlib import nullcontext
 
 from pollenstile.ops.clock import use_boot_clock
@@ -378,6 +379,7 @@
         f'refused: {_counts_text(result.sound.refused)}; '
         f'runs: {_counts_text(result.sound.runs)}'
         f'{_graces_text(result.graces)}{_endless_text(result.endless)}'
+        f'{_malformed_text(result.records.malformed)}'
         f'{_recoveries_text(result.recoveries)}\n'
         f'  taken up: {result.taken_up[0]}, went on: {result.taken_up[1]}\n'
         f'  peak memory: {max(result.peaks.values(), default=0.0):.0f} MB'
@@ -413,6 +415,13 @@
     )
 
 
+def _malformed_text(answers):
+    if not answers:
+        return ''
+    forms = Counter(form for _, form in answers)
+    return f'\n  malformed: {len(answers)} answers; {_counts_text(forms)}'
+
+
 def _counts_text(counts):
     return ', '.join(f'{key} {counts[key]}' for key in sorted(counts)) or '0'
 
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -5,14 +5,12 @@
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.internet.task import deferLater
-from twisted.web._newclient import (  # noqa: WPS436
-    HTTP11ClientProtocol,
-    Request,
-    ResponseDone,
-)
+from twisted.python.failure import Failure
+from twisted.web._newclient import Request, ResponseDone  # noqa: WPS436
 from twisted.web.client import RequestNotSent, ResponseFailed
 from twisted.web.http_headers import Headers
 
+from pollenstile.ops.answers import AnswerConnection, reading_error
 from pollenstile.ops.body import BytesProducer
 from pollenstile.soak.live._records import RequestRecord
 from pollenstile.soak.live._servers import (
@@ -69,7 +67,7 @@
             self.done.callback(None)
 
 
-class _PersistentConnection(HTTP11ClientProtocol):
+class _PersistentConnection(AnswerConnection):
     """A connection that is reused for consecutive requests."""
 
     def __init__(self, done):
@@ -241,10 +239,19 @@
         try:
             await work
         except _CONNECTION_ERRORS as error:
+            self._check_reading(record, error)
             record.gave_up = isinstance(error, TimeoutError)
             connection.transport.abortConnection()
             self.connection = None
 
+    def _check_reading(self, record, error):
+        """Note an answer of a host that can't be read as a violation."""
+        unread = reading_error(Failure(error))
+        if unread is not None:
+            self.world.records.broken.append(
+                f'{unread}: answer to {record.ident} of {record.host}'
+            )
+
     async def _exchange(self, connection, record):
         response = await connection.request(_request(record))
         record.status = response.code
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -259,6 +259,8 @@
         Times for which upstreams sent bytes without end, in order.
     endless_answers : list of EndlessAnswer
         Answers with such bytes, in order.
+    malformed : list of tuple
+        Upstream and form of each answer with a malformed head, in order.
     peaks : dict
         Peak resident memory of the processes of each host, in MB.
     all_ended_at : list of float
@@ -297,6 +299,7 @@
     left: set = field(default_factory=set)
     endless: list = field(default_factory=list)
     endless_answers: list = field(default_factory=list)
+    malformed: list = field(default_factory=list)
     all_ended_at: list = field(default_factory=list)
     ready_at: list = field(default_factory=list)
     peaks: dict = field(default_factory=dict)
--- a/pollenstile/soak/live/_run.py
+++ b/pollenstile/soak/live/_run.py
@@ -23,6 +23,7 @@
 from pollenstile.soak.live._faults import FAULTS
 from pollenstile.soak.live._hosts import COMMAND
 from pollenstile.soak.live._lengths import USUAL
+from pollenstile.soak.live._malformed import spoil_at_random
 from pollenstile.soak.live._memory import watch_memory
 from pollenstile.soak.live._outlast import (
     GRACE_CALLERS,
@@ -224,8 +225,9 @@
     reactor = world.reactor
     end = reactor.seconds() + seconds
     endless = Deferred.fromCoroutine(send_endless_at_random(world, seconds))
+    spoiled = Deferred.fromCoroutine(spoil_at_random(world, seconds))
     releases = Deferred.fromCoroutine(release_at_random(world, seconds))
-    running_faults = [endless, releases]
+    running_faults = [endless, spoiled, releases]
     while reactor.seconds() < end:
         fault = world.rng.choice(FAULTS)
         running_faults.append(Deferred.fromCoroutine(fault(world)))
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -41,6 +41,8 @@
 # rest that it asks for.
 _SHED_SHARE = 0.4
 REST_SECONDS = 2.0
+# For whom malformed answers are: no request or stage result is called so.
+NOBODY = 'nobody'
 # Seconds that a stage call takes.
 _WORK_SECONDS = 0.08
 _SLOW_WORK_SECONDS = 0.6
@@ -99,6 +101,8 @@
         Whether it turns requests away and asks for rest.
     endless : EndlessSource or None
         Answers all requests with bytes that never end.
+    malformed : MalformedSource or None
+        Answers all requests with a malformed head.
     silences : list of Silence
         The current reasons why it stands still: it neither reads nor writes.
     waiting : list of function
@@ -116,6 +120,7 @@
         self.leaving = False
         self.shedding = False
         self.endless = None
+        self.malformed = None
         self.silences = []
         self.waiting = []
         self.proxy = Proxy(world.reactor)
@@ -243,11 +248,11 @@
         return self._answer_or_turn_away(request, attempt.decode())
 
     def _answer_or_turn_away(self, request, ident):
-        endless = self.server.endless
-        if endless is not None:
+        source = self.server.endless or self.server.malformed
+        if source is not None:
             if ident:
                 self.note(request, ident)
-            endless.answer(self.server, request, ident)
+            source.answer(self.server, request, ident)
             return NOT_DONE_YET
         if self._is_shed():
             return self._turn_away(request, ident)
@@ -333,6 +338,10 @@
         header = request.getHeader(NAMES.results) or b''
         handles = [item for item in header.decode().split(',') if item]
         results = self.server.world.results
+        if NOBODY in handles:
+            self.server.world.records.broken.append(
+                f'mixed: {ident} received the result of a malformed answer'
+            )
         if not handles or any(item not in results for item in handles):
             request.setHeader(NAMES.not_run, b'1')
             request.setResponseCode(_CONFLICT)
--- a/tools/check.py
+++ b/tools/check.py
@@ -51,6 +51,7 @@
 _SOAK_FEATURES = (
     'features/soak.feature',
     'features/soak_hardload.feature',
+    'features/soak_malformed.feature',
     'features/withdrawals.feature',
 )
 # Features of daemons on loopback, which mostly wait.
