stagework: a backlog of a peer that can't be read ends no request

Callers saw: a request whose host asked a stage's owner for its backlog got 502 "internal" if the answer was no message (read in the code before; shown now).

Cause: the answer was decoded without a guard, unlike all other answers of peers; the error ended the request that waited for the query.

Change: such an answer counts like none, the last backlog is used, and event 1109 names the owner.

Evidence: the scenario failed before with BadMessageError ("input length must be a multiple of eight bytes") out of the query. The other readers of peers' answers guard it: configuration updates, verdicts, speeds, origins, groups, tunnels, tokens, census; hellos and frames end their link.

--- a/features/askers.feature
+++ b/features/askers.feature
@@ -43,6 +43,14 @@
     And it starts a chain that needs "portal"
     Then the chain starts after 0.1 seconds with the last backlog
 
+  Scenario: The last backlog is used when the owner's answer can't be read
+    Guards against an answer of a peer that ends a request with an internal error.
+    Given a host that got a backlog of 3 seconds for "portal" 0.5 seconds ago
+    When the owner of "portal" answers such queries with bytes of no message
+    And it starts a chain that needs "portal"
+    Then the chain starts after 0.1 seconds with the last backlog
+    And event 1109 names the owner of "portal"
+
   Scenario: A recent backlog is not queried again
     Given a host that got a backlog of 3 seconds for "portal" 0.1 seconds ago
     When it starts a chain that needs "portal"
--- a/features/steps/askers_steps.py
+++ b/features/steps/askers_steps.py
@@ -193,6 +193,21 @@
     context.owner.lose_power()
 
 
+@when('the owner of "{service}" answers such queries with bytes of no message')
+def when_unreadable(context, service):
+    context.owner.hub.requests.subjects[BACKLOG] = lambda host, body: b'none'
+    context.lines = []
+    context.host.client.log = lambda event, **fields: context.lines.append(
+        (event.number, fields.get('peer'))
+    )
+
+
+@then('event {number:d} names the owner of "{service}"')
+def then_names_owner(context, number, service):
+    owner = context.host.client.owning_host(service)
+    assert (number, owner) in context.lines, context.lines
+
+
 @when('it starts a chain that needs "{service}"')
 def when_starts_chain(context, service):
     client = context.host.client
--- a/pollenstile/stagework/_backlogqueries.py
+++ b/pollenstile/stagework/_backlogqueries.py
@@ -2,11 +2,12 @@
 
 from twisted.internet.defer import succeed
 
-from pollenstile.peer import Unanswered
+from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.stagework._codec import answer_from, backlog_bytes
 from pollenstile.stagework._owner import NO_WORKERS
 from pollenstile.stagework._subjects import BACKLOG, is_final
 from pollenstile.stagework._types import GroupDone, GroupRefused
+from pollenstile.stagework.events import STAGE_BACKLOG_UNREAD
 
 # Seconds for which a reported backlog counts as current.
 _FRESH_SECONDS = 0.15
@@ -73,12 +74,22 @@
         return succeed(None)
     body = backlog_bytes(service)
     answer = client.hub.ask(owner, BACKLOG, body, _ANSWER_TIMEOUT_SECONDS)
-    return answer.addCallback(_record_answer, client, service)
+    return answer.addCallback(_record_answer, client, owner, service)
 
 
-def _record_answer(answer, client, service):
+def _record_answer(answer, client, owner, service):
     if isinstance(answer, Unanswered):
         return
-    outcome = answer_from(answer)
+    try:
+        outcome = answer_from(answer)
+    except BadMessageError as error:
+        client.log(
+            STAGE_BACKLOG_UNREAD,
+            level='warning',
+            peer=owner,
+            service=service,
+            reason=str(error),
+        )
+        return
     if is_final(outcome):
         client.backlogs.record(service, outcome)
--- a/pollenstile/stagework/events.py
+++ b/pollenstile/stagework/events.py
@@ -29,6 +29,13 @@
     'stage-owner-lost',
     'The host that owns a stage did not answer; another host is asked.',
 )
+STAGE_BACKLOG_UNREAD = define(
+    1109,
+    'stage-backlog-unread',
+    'The host that owns a stage told its backlog in bytes of no message; the'
+    ' last backlog is used.',
+    'Check that all hosts run versions that understand each other.',
+)
 STAGE_MADE = define(
     1108,
     'stage-made',
