ops: the connection of a malformed answer is closed at once

Found while early answers were tried: a server that answers a large write with a malformed head and reads nothing more held its connection, as the library closes it only once the request was written. The forwarding path closes its own connections; the store, the JSON path and load polls left them to the library.

Change: AnswerConnection aborts the connection as soon as an answer can't be read, for a malformed head as for one that is too long.

--- a/features/builders/answerreaders.py
+++ b/features/builders/answerreaders.py
@@ -123,6 +123,54 @@
         result_of(self.port.stopListening())
 
 
+class _StallingProtocol(Protocol):
+    """Answers at the first bytes of a request, and reads nothing more."""
+
+    def dataReceived(self, data):
+        """Answer the first bytes; called by Twisted."""
+        server = self.factory.server
+        if not server.received_bytes:
+            server.transport = self.transport
+            self.transport.write(server.reply)
+            self.transport.pauseProducing()
+        server.received_bytes += len(data)
+
+    def connectionLost(self, reason):
+        """Note the end of the connection; called by Twisted."""
+        self.factory.server.is_closed = True
+
+
+class StallingServer:
+    """A server on loopback that answers a request before it has read it.
+
+    Attributes
+    ==========
+
+    reply : bytes
+        Its answer.
+    received_bytes : int
+        Bytes of the request that it has read.
+    transport : ITransport or None
+        The connection, once there is one.
+    is_closed : bool
+        Whether the connection has ended.
+    """
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.received_bytes = 0
+        self.transport = None
+        self.is_closed = False
+        factory = Factory.forProtocol(_StallingProtocol)
+        factory.noisy = False
+        factory.server = self
+        self.port = listening(factory)
+
+    def stop(self):
+        """Stop listening."""
+        result_of(self.port.stopListening())
+
+
 @dataclass(slots=True, frozen=True)
 class Reader:
     """A part that sends requests and reads the answers.
--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -62,6 +62,12 @@
     When the upstream answers a request with a switch of protocols
     Then its caller gets 502 while the connection is open
 
+  Scenario: The connection of a malformed answer is closed at once
+    Guards against connections that stay open while a server reads nothing.
+    When a server answers a write of 8 MB at once with a malformed head
+    And it reads on after the write has failed
+    Then the server gets less than all of the write
+
   Scenario Outline: No part of a document is taken for it: <reader>
     Guards against half an answer whose connection was reset. A release of results
     needs no document: its status says all.
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -4,10 +4,14 @@
 
 from behave import then, when
 
-from features.builders.answerreaders import READERS, AnsweringServer
+from features.builders.answerreaders import (
+    READERS,
+    AnsweringServer,
+    StallingServer,
+)
 from features.builders.bodyends import closing_host
 from features.builders.forwardhost import ForwardHost, request
-from features.builders.loop import run_reactor_until
+from features.builders.loop import result_of, run_reactor_until
 from features.builders.malformed import (
     ROUTES,
     received_on_all,
@@ -20,6 +24,7 @@
     UNUSUAL_HEADS,
     Form,
 )
+from features.builders.platform import http_client
 from pollenstile.forward import events
 
 # Number of the event of a request that was sent to an upstream.
@@ -202,3 +207,25 @@
 def _peers_of_sends(context):
     """Return the upstreams of all requests that were sent, in order."""
     return [fields['peer'] for event, fields in context.lines if event == _SENT]
+
+
+@when('a server answers a write of {size:d} MB at once with a malformed head')
+def when_stalls(context, size):
+    context.server = StallingServer(b'HTTP/1.1 000 OK\r\n\r\n')
+    context.add_cleanup(context.server.stop)
+    context.size = size * 1_000_000
+    client = http_client(context.server.port)
+    body = bytes(context.size)
+    context.outcome = result_of(client.call('PUT', '/x', body, fresh=True))
+
+
+@when('it reads on after the write has failed')
+def when_reads_on(context):
+    assert context.outcome.reason == 'malformed status line', context.outcome
+    context.server.transport.resumeProducing()
+
+
+@then('the server gets less than all of the write')
+def then_less(context):
+    run_reactor_until(lambda: context.server.is_closed)
+    assert context.server.received_bytes < context.size
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -155,6 +155,7 @@
             self._transportProxy.abortConnection = (
                 self.transport.abortConnection
             )
+            answer.addErrback(self._close_at_once)
         return answer
 
     def dataReceived(self, data):
@@ -166,11 +167,22 @@
         # interim heads.
         self.head_bytes += len(data)
         if self.head_bytes > MAX_HEAD_BYTES:
-            self.transport.abortConnection()
             self._disconnectParser(
                 Failure(TooLongError(f'a head over {MAX_HEAD_BYTES} bytes'))
             )
 
+    def _close_at_once(self, failure):
+        """Close the connection of an answer that can't be read.
+
+        Explanation
+        ===========
+
+        The library closes it once the request was written, which may be never.
+        """
+        if reading_error(failure) is not None:
+            self.transport.abortConnection()
+        return failure
+
     def _use_strict_parser(self, request):
         """Replace the parser that the library has made for a request."""
         parser = _AnswerParser(request, self._finishResponse)
