forward: the reason of an answer that ended too early says so

Operators saw "torn answer" for a success that its upstream closed before it had received the request, as for a reset. Event 1207 and the 502 of a request that may run once now have "torn answer, closed before the request was received".

--- a/features/early_answers.feature
+++ b/features/early_answers.feature
@@ -19,6 +19,12 @@
       | no framing | read nothing more | closes             |
       | no framing | read nothing more | closes its side of |
 
+  Scenario: A caller is told why an early answer is not whole
+    Guards against an upstream in trouble that operators can't find.
+    When upstreams answer uploads early with a part of no framing
+    And these upstreams read nothing more, and each closes the connection
+    Then the caller of what may run once gets 502 "torn answer, closed before the request was received"
+
   Scenario Outline: An early answer that is whole arrives: <framing>, <end>
     The opposite case: an upstream may answer before it has read a request.
     When upstreams answer uploads early with all of <framing>
--- a/features/steps/early_answers_steps.py
+++ b/features/steps/early_answers_steps.py
@@ -78,3 +78,10 @@
     run_reactor_until(lambda: story.ends)
     assert [end.value for end in story.ends] == [how], story.ends
     assert BODY.startswith(b''.join(story.body)), story.body
+
+
+@then('the caller of what may run once gets {status:d} "{reason}"')
+def then_told(context, status, reason):
+    got = dict(context.results)['once']
+    assert got.status == status, got
+    assert got.body == f'{reason}\n'.encode(), got
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -275,6 +275,8 @@
 def _incomplete(attempt, reason, end):
     if attempt.endless:
         return Lost(attempt.endless, attempt.view.ident, endless=True)
+    if end is BodyEnd.EARLY:
+        reason = f'{reason}, closed before the request was received'
     return Lost(reason, attempt.view.ident, broken=end in _BROKEN)
 
 
