--- a/features/builders/malformedforms.py
+++ b/features/builders/malformedforms.py
@@ -271,6 +271,8 @@
     Form(b'HTTP/1.0 200 OK', lines=(b'Connection: keep-alive',), rest=BODY),
     _sized(b'%d \t ' % _SIZE),
     _sized(b'%d,%d , %d' % (_SIZE, _SIZE, _SIZE)),
+    Form(b'HTTP/1.1 200 OK\nX-Filler: a\nX-Other: b'),
+    Form(b'HTTP/1.0 200', (_CHUNKED,), rest=b''.join((_CHUNK, _LAST_CHUNK))),
     Form(lines=(b'Content-Type: a/b; charset=br', b'X-Content-Encoding: br')),
     Form(b'HTTP/1.1 204', (b'Content-Encoding: br',), status=204, body=b''),
     Form(b'HTTP/1.1 103 Early\r\nContent-Encoding: br\r\n\r\n%s' % OK_LINE),
