--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -1,6 +1,7 @@
 """HTTP client connections that take only well-formed heads for answers."""
 
 import re
+
 from twisted.python.failure import Failure
 from twisted.web._newclient import (
     HTTP11ClientProtocol,
