--- a/features/knownred.feature
+++ b/features/knownred.feature
@@ -47,3 +47,9 @@
       | review/2 "LOST" | passes | review/2 passes, but is listed |
       | review/2 "GONE" | fails  | review/2 is not "GONE"         |
       | review/3 "LOST" | fails  | review/3 is not "LOST"         |
+
+  Scenario: A scenario that fails is reported with its step and message
+    A failure that shows once can't be traced without them.
+    Given a feature with a step that fails with "the value was 7"
+    When behave runs it with the formatter of failures
+    Then its failure names the step and the message
--- a/features/steps/knownred_steps.py
+++ b/features/steps/knownred_steps.py
@@ -1,6 +1,8 @@
 """Steps for the list of known failures."""
 
 import pathlib
+import subprocess  # noqa: S404
+import sys
 import tempfile
 
 from behave import given, then, when
@@ -8,12 +10,20 @@
 from tools.knownred import (
     Scenario,
     failed_scenarios,
+    failure_messages,
     listed_cases,
     read_entries,
     stale_entries,
 )
 
 _PATH = 'features/a.feature'
+_FAILING_STEP = """
+from behave import then
+
+@then('it holds')
+def then_holds(context):
+    raise AssertionError({message!r})
+"""
 
 
 def _entry(name, line):
@@ -124,3 +134,36 @@
     reported = stale_entries(context.entries, context.seen, context.root)
     expected = [faults] if faults else []
     assert reported == expected, reported
+
+
+@given('a feature with a step that fails with "{message}"')
+def given_failing(context, message):
+    given_feature(context, 'One', 2, 'Two', 4)
+    feature = context.root / _PATH
+    feature.write_text(f'{feature.read_text()}\n    Then it holds\n')
+    steps = feature.parent / 'steps'
+    steps.mkdir()
+    (steps / 'a_steps.py').write_text(_FAILING_STEP.format(message=message))
+    context.message = message
+
+
+@when('behave runs it with the formatter of failures')
+def when_formatted(context):
+    report = context.root / 'failures.jsonl'
+    command = [sys.executable, '-m', 'behave', 'features']
+    formatter = ['--format', 'tools.failures:FailureFormatter']
+    subprocess.run(
+        [*command, *formatter, '--outfile', str(report)],
+        cwd=context.root,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        check=False,
+    )
+    context.messages = failure_messages(report.read_text())
+
+
+@then('its failure names the step and the message')
+def then_message(context):
+    message = context.messages[Scenario(f'{_PATH}:4', 'Two')]
+    assert message.startswith('it holds: '), message
+    assert context.message in message, message
--- a/tools/check.py
+++ b/tools/check.py
@@ -9,7 +9,8 @@
 scenario that a line of ``KNOWN-RED.txt`` names does not count as failed, and
 these lines are printed. A line whose scenario passes or has moved counts as
 failed. So does a line of a case of ``review/`` that does not fail when it is
-run.
+run. Failed scenarios that are not known are printed with their messages after
+those of behave.
 """
 
 import os
@@ -17,11 +18,13 @@
 import re
 import subprocess  # noqa: S404
 import sys
+import tempfile
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from knownred import (
     failed_scenarios,
+    failure_messages,
     listed_cases,
     read_entries,
     stale_entries,
@@ -160,6 +163,7 @@
     faults.extend(f'unreadable: {line}' for line in unreadable)
     for fault in faults:
         print(f'KNOWN-RED.txt: {fault}')
+    _print_failures(scenarios - entries, runs)
     return passed, failed - len(entries & scenarios) + len(faults)
 
 
@@ -170,18 +174,44 @@
     passed: int
     failed: int
     scenarios: frozenset = frozenset()
+    messages: dict = field(default_factory=dict)
+
+
+def _print_failures(scenarios, runs):
+    """Print failed scenarios with what the runs tell of them."""
+    messages = {}
+    for run in runs:
+        messages.update(run.messages)
+    for scenario in sorted(scenarios, key=lambda failed: failed.location):
+        print(f'failed: {scenario.location} "{scenario.name}"')
+        print(messages.get(scenario, 'no step failed'))
 
 
 def _run_features(group):
     """Run a group of features."""
-    command = [str(BIN / 'behave'), '--format', 'progress', '--no-capture']
-    code, text = _run_command([*command, *group])
+    with tempfile.NamedTemporaryFile('r+', suffix='.jsonl') as failures:
+        code, text = _run_command([*_behave_command(failures.name), *group])
+        messages = failure_messages(failures.read())
     found = SUMMARY.search(text)
     if not found:
-        return _Run(0, max(code, 1))
+        return _Run(0, max(code, 1), messages=messages)
     passed, failed, errors = (int(part or 0) for part in found.groups())
     scenarios = frozenset(failed_scenarios(text))
-    return _Run(passed, failed + errors, scenarios)
+    return _Run(passed, failed + errors, scenarios, messages)
+
+
+def _behave_command(failures):
+    """Return the command of behave that writes failures to a file."""
+    return [
+        str(BIN / 'behave'),
+        '--no-capture',
+        '--format',
+        'tools.failures:FailureFormatter',
+        '--outfile',
+        failures,
+        '--format',
+        'progress',
+    ]
 
 
 def _run_cases(cases):
@@ -222,8 +252,8 @@
     ('format', check_format),
     ('lint', check_lint),
     ('doctest', check_doctest),
-    ('behave', check_behave),
     ('spec', check_spec),
+    ('behave', check_behave),
 )
 
 
--- a/tools/knownred.py
+++ b/tools/knownred.py
@@ -16,6 +16,7 @@
 entry whose scenario passes, or is no longer at its location, is stale.
 """
 
+import json
 import re
 from dataclasses import dataclass
 
@@ -55,6 +56,28 @@
     }
 
 
+def failure_messages(text):
+    """Return the steps and messages of failed scenarios.
+
+    Parameters
+    ==========
+
+    text : str
+        What :class:`tools.failures.FailureFormatter` wrote.
+
+    Returns
+    =======
+
+    dict of Scenario to str
+    """
+    messages = {}
+    for line in text.splitlines():
+        failure = json.loads(line)
+        scenario = Scenario(failure['location'], _name_of(failure['name']))
+        messages[scenario] = f'{failure["step"]}: {failure["message"]}'
+    return messages
+
+
 def existing_scenarios(root, location):
     """Return the scenarios of the feature of a location; none if it is gone.
 
