tunnel: a peer that is refused is not believed while another one gets through

What callers saw: two of three hosts lost their paths to the upstreams, which refused.

Cause: a host whose connection is refused asks peers whether they reach the upstream, one after the other, and believed the first that was refused. Where paths are cut by refusals that peer may be cut off as well and can't tell; the peer with whole paths was not asked. Connections that hang had the next peer asked. The scenario meets it only if two hosts own the stage queues at the first draft: one does when links open at once, two did beside eight busy processes.

--- a/features/cut_hosts.feature
+++ b/features/cut_hosts.feature
@@ -26,3 +26,17 @@
       | how       |
       | then hang |
       | refuse    |
+
+  Scenario Outline: Two of three hosts can't reach any upstream
+    Guards against hosts that take each other's lost paths for upstreams that are down.
+    Given a forwarding fleet of the hosts "one,two,three"
+    When the hosts "<hosts>" lose their paths, which <how>
+    Then drafts at all hosts are served after at most 6 that are not
+    And no upstream counts as crashed
+
+    Examples:
+      | hosts     | how       |
+      | one,two   | refuse    |
+      | one,three | refuse    |
+      | two,three | refuse    |
+      | one,three | then hang |
--- a/features/steps/cut_hosts_steps.py
+++ b/features/steps/cut_hosts_steps.py
@@ -54,6 +54,13 @@
         context.fleet.cut(host, refuses=how == 'refuse')
 
 
+@when('the hosts "{hosts}" lose their paths, which {how}')
+def when_several(context, hosts, how):
+    assert is_served(context, 'one')
+    for host in hosts.split(','):
+        context.fleet.cut(host, refuses=how == 'refuse')
+
+
 @then('drafts at all hosts are served after at most {failures:d} that are not')
 def then_all_served(context, failures):
     for host in context.fleet.daemons:
--- a/features/steps/tunnels_steps.py
+++ b/features/steps/tunnels_steps.py
@@ -1,6 +1,7 @@
 """Steps for connections to upstreams through a peer."""
 
 import socket
+from functools import partial
 
 from behave import given, then, when
 from twisted.internet.defer import succeed
@@ -10,7 +11,10 @@
 from features.builders.tunnels import HEAD, TunnelStory
 from features.steps.cut_hosts_steps import is_served
 from pollenstile.peer import Unanswered
-from pollenstile.tunnel import OpenResult
+from pollenstile.tunnel import OpenAnswer, OpenResult
+from pollenstile.tunnel._messages import encode_answer
+
+_NEXT_CONNECTIONS = 8
 
 
 @given('a host that reaches its upstream through a peer')
@@ -69,6 +73,48 @@
     assert answer.result is OpenResult.UNREACHABLE, answer
 
 
+@when(
+    'the first peer that is asked answers {first}, and the other one {second}'
+)
+def when_differ(context, first, second):
+    tunnels = context.tunnel.client.paths.tunnels
+    tunnels.hosts['other'] = tunnels.hosts['peer']
+    context.answers = iter((first, second))
+    context.answer_of = {}
+    context.asked = []
+    tunnels.ask = partial(_answer_in_turn, context)
+
+
+def _answer_in_turn(context, peer, subject, body, timeout, address):
+    """Answer as the next of the peers that are asked for the first time."""
+    context.asked.append(peer)
+    if peer not in context.answer_of:
+        result = OpenResult(next(context.answers))
+        context.answer_of[peer] = encode_answer(OpenAnswer(result))
+    return succeed(context.answer_of[peer])
+
+
+@then('the host learns that the upstream is {expected}')
+def then_differ(context, expected):
+    story = context.tunnel
+    result = result_of(story.client.paths.tunnels.check(story.address))
+    assert result is OpenResult(expected), result
+
+
+@then('the next connection is opened by the other peer alone')
+def then_alone(context):
+    story = context.tunnel
+    tunnels = story.client.paths.tunnels
+    result_of(tunnels.open(story.address))
+    _, other = context.asked
+    # The order of the peers is drawn anew for each connection.
+    for _ in range(_NEXT_CONNECTIONS):
+        context.asked.clear()
+        answer = result_of(tunnels.open(story.address))
+        assert answer.result is OpenResult.OPENED, answer
+        assert context.asked == [other], context.asked
+
+
 @then('the peer opens no further connection')
 def then_no_further(context):
     story = context.tunnel
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -42,6 +42,28 @@
     When the first of two peers is asked, and the other one leaves meanwhile
     Then the host learns that no peer reaches the upstream
 
+  Scenario Outline: Peers that differ about an upstream: <first>, then <second>
+    Guards against a peer without a path that is believed as it was refused.
+    Given a host that reaches its upstream through a peer
+    When the first peer that is asked answers <first>, and the other one <second>
+    Then the host learns that the upstream is <result>
+
+    Examples:
+      | first       | second      | result      |
+      | refused     | opened      | opened      |
+      | refused     | refused     | refused     |
+      | refused     | unreachable | refused     |
+      | unreachable | refused     | refused     |
+      | cutOff      | refused     | refused     |
+      | refused     | cutOff      | refused     |
+      | unreachable | unreachable | unreachable |
+
+  Scenario: A peer that was refused where another one was not rests
+    Guards against connections that begin with a peer that has lost its path.
+    Given a host that reaches its upstream through a peer
+    When the first peer that is asked answers refused, and the other one opened
+    Then the next connection is opened by the other peer alone
+
   Scenario Outline: What a stranger sends to the port for peers
     Guards against requests of others that reach upstreams through a host.
     Given a host that reaches its upstream through a peer
--- a/pollenstile/tunnel/_client.py
+++ b/pollenstile/tunnel/_client.py
@@ -21,7 +21,9 @@
 _MAX_CANDIDATES = 8
 # Time for which a peer that could not help is not asked again.
 _REST_SECONDS = 2.0
-_CONCLUSIVE = (OpenResult.OPENED, OpenResult.REFUSED)
+# Results after which a peer is not asked again for some time. An upstream that
+# does not answer it may be down.
+_UNHELPFUL = (OpenResult.FULL, OpenResult.CUT_OFF)
 
 
 class Tunnels:
@@ -79,9 +81,9 @@
         Explanation
         ===========
 
-        The result is not ``OPENED`` if no peer opened one. A peer that reaches
-        the upstream's machine and was refused is believed; one that has no path
-        either is not asked again for some time.
+        The result is not ``OPENED`` if no peer opened one. A peer that has no
+        path either is not asked again for some time, nor is one that was
+        refused where another one opened the connection.
 
         Parameters
         ==========
@@ -90,7 +92,7 @@
             ``IP:PORT`` of the upstream.
         """
         peers = self._candidates()
-        answer = await self._first_conclusive(peers, address, keep=True)
+        answer = await self._ask_peers(peers, OpenAsk(address, keep=True))
         if answer.result is not OpenResult.OPENED:
             self.log(
                 events.TUNNEL_FAILED,
@@ -109,18 +111,31 @@
         and a peer that has ended would not give one.
         """
         peers = sorted(self._candidates(), key=self.is_linked, reverse=True)
-        answer = await self._first_conclusive(peers, address, keep=False)
+        answer = await self._ask_peers(peers, OpenAsk(address, keep=False))
         return answer.result
 
-    async def _first_conclusive(self, peers, address, *, keep):
+    async def _ask_peers(self, peers, ask):
+        """Return the answer of the first peer that opens a connection.
+
+        Explanation
+        ===========
+
+        A network that refuses connections may have cut off a peer too, and it
+        can't tell that from an upstream that is down. So its refusal only
+        counts if no other peer opens one.
+        """
+        refused = []
         answer = OpenAnswer(OpenResult.UNREACHABLE)
         for peer in peers[:_MAX_ASKED]:
-            answer = await self._ask_peer(peer, OpenAsk(address, keep))
-            if answer.result in _CONCLUSIVE:
-                break
-            if answer.result is not OpenResult.UNREACHABLE:
+            answer = await self._ask_peer(peer, ask)
+            if answer.result is OpenResult.OPENED:
+                self._rest(*refused)
+                return answer
+            if answer.result is OpenResult.REFUSED:
+                refused.append(peer)
+            elif answer.result in _UNHELPFUL:
                 self._rest(peer)
-        return answer
+        return OpenAnswer(OpenResult.REFUSED) if refused else answer
 
     async def _ask_peer(self, peer, ask):
         if peer not in self.hosts:
@@ -145,8 +160,9 @@
             self.log(events.TUNNEL_OPENED, peer=peer, address=ask.address)
         return answer
 
-    def _rest(self, peer):
-        self.rest_until[peer] = self.clock.seconds() + _REST_SECONDS
+    def _rest(self, *peers):
+        until = self.clock.seconds() + _REST_SECONDS
+        self.rest_until.update(dict.fromkeys(peers, until))
 
     def _candidates(self):
         """Return the peers to ask, in order."""
