--- a/features/builders/bodyends.py
+++ b/features/builders/bodyends.py
@@ -94,11 +94,8 @@
     return http_load_reader(reactor)('i1', upstream)
 
 
-def _read_body(received):
-    """Return the body of an answer in chunks, and whether it is complete."""
-    head, _, rest = received.partition(b'\r\n\r\n')
-    if not head.startswith(b'HTTP/1.1 200'):
-        return None, False
+def joined_chunks(rest):
+    """Return the joined chunks of a body, and whether the last one is there."""
     body = b''
     while rest:
         size_line, _, rest = rest.partition(b'\r\n')
@@ -108,3 +105,11 @@
         body += rest[:size]
         rest = rest[size + 2 :]
     return body, False
+
+
+def _read_body(received):
+    """Return the body of an answer in chunks, and whether it is complete."""
+    head, _, rest = received.partition(b'\r\n\r\n')
+    if not head.startswith(b'HTTP/1.1 200'):
+        return None, False
+    return joined_chunks(rest)
--- a/features/builders/earlyanswers.py
+++ b/features/builders/earlyanswers.py
@@ -38,24 +38,21 @@
     'closes': _close,
     'closes its side of': _close_one_side,
 }
-# Head lines and body of an answer of which a part is sent, by its framing.
-_PART = BODY[:-5]
-PARTS = {
-    'no framing': (b'X-Filler: a', _PART),
-    'a length': (b'Content-Length: %d' % len(BODY), _PART),
-    'chunks': (
-        b'Transfer-Encoding: chunked',
-        b'%x\r\n%s\r\n' % (len(_PART), _PART),
-    ),
-}
-WHOLE = {
-    'no framing': (b'X-Filler: a', BODY),
-    'a length': (b'Content-Length: %d' % len(BODY), BODY),
-    'chunks': (
-        b'Transfer-Encoding: chunked',
-        b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY),
-    ),
-}
+
+
+def _framings(body, last_chunk):
+    """Return the last head line and the body that is sent, by framing."""
+    chunk = b'%x\r\n%s\r\n' % (len(body), body)
+    return {
+        'no framing': (b'X-Filler: a', body),
+        'a length': (b'Content-Length: %d' % len(BODY), body),
+        'chunks': (b'Transfer-Encoding: chunked', chunk + last_chunk),
+    }
+
+
+# Answers of which a part is sent, and whole ones.
+PARTS = _framings(BODY[:-5], b'')
+WHOLE = _framings(BODY, b'0\r\n\r\n')
 
 
 @dataclass(slots=True, frozen=True)
--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from features.builders.bodyends import joined_chunks
 from features.builders.forwardhost import ForwardHost, request
 from features.builders.loop import run_reactor_until
 
@@ -79,19 +80,8 @@
         return None
     fields = head.lower()
     if b'transfer-encoding: chunked' in fields:
-        return _unchunked(rest)
+        body, is_complete = joined_chunks(rest)
+        return body if is_complete else None
     _, _, after = fields.partition(b'content-length: ')
     length = int(after.partition(b'\r\n')[0] or 0)
     return rest if len(rest) == length else None
-
-
-def _unchunked(rest):
-    body = b''
-    while rest:
-        size_line, _, rest = rest.partition(b'\r\n')
-        size = int(size_line, 16)
-        if not size:
-            return body
-        body += rest[:size]
-        rest = rest[size + 2 :]
-    return None
