soak: a live run listens at a loopback address of its own

Cause: all processes listened at 127.0.0.1. Hosts know a crashed upstream's port until its entry lapses; meanwhile the system gives the port to a server of another test, which answers requests of the run. No fault of the hosts: nothing tells them that another service has that address.

Change: a run listens at an address made of its process id, 127.x.y.z.

--- a/features/builders/soaklinks.py
+++ b/features/builders/soaklinks.py
@@ -1,11 +1,16 @@
 """Builders of a proxied link of the live soak, its caller and its server."""
 
 from twisted.internet import reactor
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import CannotListenError, ConnectionDone
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 from features.builders.loop import result_of, run_reactor_until
-from pollenstile.soak.live._proxy import LOOPBACK, Proxy
+from pollenstile.soak.live._loopback import LOOPBACK
+from pollenstile.soak.live._proxy import Proxy
+
+
+# Where tests of other processes listen.
+_OTHERS_LOOPBACK = '127.0.0.1'
 
 
 class _End(Protocol):
@@ -99,3 +104,20 @@
 
     def _note_end(self):
         self.known_ends += 1
+
+
+def listen_for_others(port):
+    """Return a port at which a run in another process would listen.
+
+    Returns
+    =======
+
+    IListeningPort or None
+        None if another process does listen there.
+    """
+    try:
+        return reactor.listenTCP(
+            port, _ServerFactory(), interface=_OTHERS_LOOPBACK
+        )
+    except CannotListenError:
+        return None
--- a/features/soak_live_links.feature
+++ b/features/soak_live_links.feature
@@ -63,3 +63,9 @@
     When the link has no server and a caller connects
     And its server is up again
     Then its connection counts as refused
+
+  Scenario: Another process takes the port of a link that has closed
+    Guards against answers of other processes that a run takes for its hosts' own.
+    Given a link of the live soak that has closed
+    When a server of another run listens at its port
+    Then nobody accepts a connection to the link
--- a/features/steps/soak_links_steps.py
+++ b/features/steps/soak_links_steps.py
@@ -1,10 +1,15 @@
 """Steps for the links of the live soak, over the loopback."""
 
 from behave import given, then, when
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.protocol import Factory, Protocol
 
-from features.builders.loop import run_reactor_until
-from features.builders.soaklinks import Link
-from pollenstile.soak.live._proxy import LOOPBACK
+from features.builders.loop import result_of, run_reactor_until
+from features.builders.soaklinks import Link, listen_for_others
+from pollenstile.soak.live._loopback import LOOPBACK
+from pollenstile.soak.live._proxy import Proxy
 
 
 @given('a link of the live soak to a server')
@@ -118,3 +123,29 @@
     else:
         run_reactor_until(lambda: link.caller.ended)
     assert (context.port in link.proxy.refused) == (state == 'refused')
+
+
+@given('a link of the live soak that has closed')
+def given_closed(context):
+    proxy = Proxy(reactor)
+    context.address = proxy.address
+    result_of(proxy.close())
+
+
+@when('a server of another run listens at its port')
+def when_port_taken(context):
+    port = listen_for_others(context.address[1])
+    if port is not None:
+        context.add_cleanup(port.stopListening)
+
+
+@then('nobody accepts a connection to the link')
+def then_nobody(context):
+    link = TCP4ClientEndpoint(reactor, *context.address)
+    accepted = link.connect(Factory.forProtocol(Protocol))
+    accepted.addCallback(lambda end: end.transport.abortConnection())
+    try:
+        result_of(accepted)
+    except ConnectionRefusedError:
+        return
+    raise AssertionError(context.address)
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -11,7 +11,8 @@
 from pollenstile.ops.http import disable_access_log
 from pollenstile.ops.settings import address, format_address
 from pollenstile.soak.live._latestore import LateStore
-from pollenstile.soak.live._proxy import LOOPBACK, Proxy
+from pollenstile.soak.live._loopback import LOOPBACK
+from pollenstile.soak.live._proxy import Proxy
 from pollenstile.standin.objectapi import platform_site
 
 COMMAND = (sys.executable, '-m', 'pollenstile.ops')
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -5,7 +5,8 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
-LOOPBACK = '127.0.0.1'
+from pollenstile.soak.live._loopback import LOOPBACK
+
 # Seconds for the bytes that were received before a reset.
 _SEND_SECONDS = 0.02
 
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -10,7 +10,8 @@
 
 from pollenstile.forward import FREE_TARGET, RUN_TARGET, HeaderNames
 from pollenstile.ops.http import disable_access_log
-from pollenstile.soak.live._proxy import LOOPBACK, Proxy
+from pollenstile.soak.live._loopback import LOOPBACK
+from pollenstile.soak.live._proxy import Proxy
 from pollenstile.soak.live._records import (
     Fault,
     RunRecord,
