soak: a link whose server's end has closed hides no other connection

Cause: the soak looks up the link of a request by the port of the server's end, and asked each link's socket for it. A link that holds back or drops bytes stays while its server's end is closed; its socket is gone, and the lookup raised. The endless answer had been recorded and never began. No fault of the hosts.

Change: a link keeps the port, and forgets it when the server's end closes.

--- a/features/soak_live_links.feature
+++ b/features/soak_live_links.feature
@@ -69,3 +69,10 @@
     Given a link of the live soak that has closed
     When a server of another run listens at its port
     Then nobody accepts a connection to the link
+
+  Scenario: A connection is found beside one whose server's end has closed
+    Guards against endless answers that seem to be read for good, as they never began.
+    Given a link of the live soak to a server
+    When its caller has "half" of an answer and the link is blocked
+    And the server resets the connection before its answer is delivered
+    Then the link finds the connection of the next caller
--- a/features/steps/soak_links_steps.py
+++ b/features/steps/soak_links_steps.py
@@ -44,14 +44,19 @@
         )
 
 
-@when('the server resets the connection before the link is sound again')
-def when_reset_behind(context):
+@when('the server resets the connection before its answer is delivered')
+def when_reset_before(context):
     link = context.link
     link.factory.ends[-1].transport.abortConnection()
     run_reactor_until(
         lambda: any(each.closing for each in link.proxy.connections)
     )
-    link.proxy.heal()
+
+
+@when('the server resets the connection before the link is sound again')
+def when_reset_behind(context):
+    when_reset_before(context)
+    context.link.proxy.heal()
 
 
 @then(
@@ -109,6 +114,17 @@
     assert not connection.is_caller_open
 
 
+@then('the link finds the connection of the next caller')
+def then_found(context):
+    link = context.link
+    link.connect()
+    run_reactor_until(lambda: len(link.factory.ends) == 2)
+    port = link.factory.ends[-1].transport.getPeer().port
+    connection = link.proxy.connection_from(port)
+    caller = link.caller.transport.getHost().port
+    assert connection.caller.transport.getPeer().port == caller
+
+
 @then("the link knows that the caller's end is open")
 def then_open(context):
     assert not context.link.known_ends
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -68,6 +68,8 @@
         state of a connection.
     is_closed : bool
         Whether both ends are closed.
+    server_port : int
+        Port from which the server got the connection; 0 while it has none.
     unsent : list of bytes
         Bytes that were received before the server's end was connected.
     held : list of tuple
@@ -90,6 +92,7 @@
         self.proxy = proxy
         self.caller = _ProxyEnd(self, 'server')
         self.server = None
+        self.server_port = 0
         self.silent = False
         self.is_closed = False
         self.unsent = []
@@ -105,6 +108,7 @@
         if side is self.caller:
             self.proxy.connect(self)
             return
+        self.server_port = side.transport.getHost().port
         self.caller.transport.registerProducer(_Flow(side), streaming=True)
         unsent = self.unsent
         self.unsent = []
@@ -149,6 +153,8 @@
         if side is self.caller:
             self.is_caller_open = False
             self.on_caller_ended()
+        else:
+            self.server_port = 0
         if self.is_closed or self.silent:
             return
         self.closing = True
@@ -286,10 +292,7 @@
             Port from which the server got the connection.
         """
         for connection in self.connections:
-            side = connection.server
-            if side is None or side.transport is None:
-                continue
-            if side.transport.getHost().port == port:
+            if connection.server_port == port:
                 return connection
         return None
 
