--- a/features/builders/soaklinks.py
+++ b/features/builders/soaklinks.py
@@ -8,7 +8,6 @@
 from pollenstile.soak.live._loopback import LOOPBACK
 from pollenstile.soak.live._proxy import Proxy
 
-
 # Where tests of other processes listen.
 _OTHERS_LOOPBACK = '127.0.0.1'
 
