--- a/features/builders/answerreaders.py
+++ b/features/builders/answerreaders.py
@@ -4,13 +4,13 @@
 
 import msgspec
 from twisted.internet import reactor
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.web._newclient import Response
 
 from features.builders.bodyends import load_poll, stage_calls
 from features.builders.loop import collect_result, result_of, run_reactor_until
 from features.builders.platform import http_client, http_store
-from features.builders.requests_http import Caller, find_header, listening
+from features.builders.requests_http import Caller, find_header, serving
 from features.builders.stagework import group, pieces_of
 from features.builders.tunnels import TunnelStory
 from pollenstile.forward import HttpClient, PlainCodec, UpstreamView
@@ -93,10 +93,7 @@
         self.body_for = None
         self.part = 0.0
         self.open = 0
-        factory = Factory.forProtocol(_AnsweringProtocol)
-        factory.noisy = False
-        factory.server = self
-        self.port = listening(factory)
+        self.port = serving(_AnsweringProtocol, self)
 
     @property
     def address(self):
@@ -161,10 +158,7 @@
         self.received_bytes = 0
         self.transport = None
         self.is_closed = False
-        factory = Factory.forProtocol(_StallingProtocol)
-        factory.noisy = False
-        factory.server = self
-        self.port = listening(factory)
+        self.port = serving(_StallingProtocol, self)
 
     def stop(self):
         """Stop listening."""
--- a/features/builders/earlyanswers.py
+++ b/features/builders/earlyanswers.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass
 
 from twisted.internet import reactor
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 
 from features.builders.forwardhost import ForwardHost
 from features.builders.loop import result_of
 from features.builders.malformed import received_through
 from features.builders.malformedforms import BODY, PROOF
+from features.builders.requests_http import serving
 from pollenstile.forward import Upstream
 
 # Longer than what buffers hold of a connection that nobody reads.
@@ -94,7 +95,7 @@
 
     def dataReceived(self, data):
         """Answer at once, and end the connection; called by Twisted."""
-        answer = self.factory.upstream.answer
+        answer = self.factory.server.answer
         is_first = not self.received_bytes
         was_read = self.received_bytes >= UPLOAD_BYTES
         self.received_bytes += len(data)
@@ -111,7 +112,7 @@
     def _end(self):
         """End the connection, unless the host has done so."""
         if self.transport.connected:
-            self.factory.upstream.answer.end(self.transport)
+            self.factory.server.answer.end(self.transport)
 
 
 class EarlyUpstream:
@@ -126,10 +127,7 @@
 
     def __init__(self):
         self.answer = None
-        factory = Factory.forProtocol(_EarlyProtocol)
-        factory.noisy = False
-        factory.upstream = self
-        self.port = reactor.listenTCP(0, factory, interface='127.0.0.1')
+        self.port = serving(_EarlyProtocol, self)
         self.host = ForwardHost(upstreams=0)
         self.host.factory.core.registry.apply(
             'early', Upstream('early', 'desk', self.address, 'd')
--- a/features/builders/endlessreads.py
+++ b/features/builders/endlessreads.py
@@ -2,21 +2,20 @@
 
 from collections import Counter
 
-from twisted.internet import reactor
 from twisted.internet.interfaces import IPullProducer
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from twisted.web.resource import Resource
 from zope.interface import implementer
 
 from features.builders.loop import collect_result, run_reactor_until
+from features.builders.requests_http import LOOPBACK, serving
 from features.builders.stagework import CALL, PIECE, group
 from pollenstile.ops.http import site_for
 from pollenstile.stagework import CallLost, GroupDone, Result
 from pollenstile.upstream import Chunk
 
-LOOPBACK = '127.0.0.1'
 # Bytes after which a server that is still read stops, so that a reader without
 # a bound fails the scenario soon. Buffers of the sockets hold a part of them.
 ENOUGH_BYTES = 48_000_000
@@ -132,10 +131,7 @@
         self.sent_bytes = 0
         self.requests = 0
         self.open = 0
-        factory = Factory.forProtocol(_Endless)
-        factory.noisy = False
-        factory.server = self
-        self.port = reactor.listenTCP(0, factory, interface=LOOPBACK)
+        self.port = serving(_Endless, self)
 
     @property
     def address(self):
--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from features.builders.bodyends import joined_chunks
-from features.builders.forwardhost import ForwardHost, request
+from features.builders.bodyends import closing_host, joined_chunks
+from features.builders.forwardhost import request
 from features.builders.loop import run_reactor_until
 
 # Routes of the host, by the kind of their requests.
@@ -65,8 +65,7 @@
     """Return tuples of form, kind of request and what its caller got."""
     results = []
     for kind, route in ROUTES.items():
-        host = ForwardHost(upstreams=2)
-        host.closes = True
+        host = closing_host(upstreams=2)
         for form in forms:
             host.reply = form.sent()
             results.append((form, kind, received_through(host, route)))
--- a/features/builders/requests_http.py
+++ b/features/builders/requests_http.py
@@ -113,6 +113,23 @@
     return reactor.listenTCP(0, factory, interface=LOOPBACK)
 
 
+def serving(protocol, server):
+    """Return a port whose connections find a server at their factory.
+
+    Parameters
+    ==========
+
+    protocol : type
+        Protocol of the connections.
+    server : object
+        What their factory has as its ``server``.
+    """
+    factory = Factory.forProtocol(protocol)
+    factory.noisy = False
+    factory.server = server
+    return listening(factory)
+
+
 def plain_server():
     """Return a stand-in for an upstream of a stage pool."""
     return PlainServer(reactor, 'encoder', 0.001, 8)
--- a/features/steps/cut_hosts_steps.py
+++ b/features/steps/cut_hosts_steps.py
@@ -35,11 +35,16 @@
         assert is_served(context, host), context.fleet.logged[-20:]
 
 
+def _cut(context, hosts, how):
+    for host in hosts:
+        context.fleet.cut(host, refuses=how == 'refuse')
+
+
 @when('host "{host}" loses its paths to all upstreams, which {how}')
 def when_cut(context, host, how):
     context.host = host
     assert is_served(context, host)
-    context.fleet.cut(host, refuses=how == 'refuse')
+    _cut(context, [host], how)
 
 
 @then('its drafts are served after at most {failures:d} that are not')
@@ -50,15 +55,13 @@
 @when('the hosts that send stage calls lose their paths, which {how}')
 def when_owners(context, how):
     assert is_served(context, 'one')
-    for host in context.fleet.owner_hosts():
-        context.fleet.cut(host, refuses=how == 'refuse')
+    _cut(context, context.fleet.owner_hosts(), how)
 
 
 @when('the hosts "{hosts}" lose their paths, which {how}')
 def when_several(context, hosts, how):
     assert is_served(context, 'one')
-    for host in hosts.split(','):
-        context.fleet.cut(host, refuses=how == 'refuse')
+    _cut(context, hosts.split(','), how)
 
 
 @then('drafts at all hosts are served after at most {failures:d} that are not')
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -33,9 +33,10 @@
 _PARTS = (0.001, 0.2, 0.5, 0.8, 0.95)
 
 
-@when('upstreams answer requests of each kind with a malformed {part}')
-def when_malformed(context, part):
-    context.results = received_on_all(FORMS[part])
+@when('upstreams answer requests of each kind with a malformed {name}')
+@when('upstreams answer requests of each kind with what is {name}')
+def when_answered(context, name):
+    context.results = received_on_all(FORMS[name])
 
 
 @then('each caller gets 502, and what may run once was sent once')
@@ -72,11 +73,6 @@
     assert not repeated, repeated
 
 
-@when('upstreams answer requests of each kind with what is {name}')
-def when_unusual(context, name):
-    context.results = received_on_all(FORMS[name])
-
-
 @when('an upstream answers HEAD with the coding that its body would have')
 def when_head(context):
     host = closing_host()
