--- a/pollenstile/soak/live/_endless.py
+++ b/pollenstile/soak/live/_endless.py
@@ -7,6 +7,7 @@
     ENGINES,
     PLAIN,
     STAGES,
+    header_lines,
     lookup_body,
 )
 
@@ -54,13 +55,8 @@
         """
         if not self.status:
             return b''
-        lines = [
-            b'%s: %s\r\n' % (name, content)
-            for name, values in headers
-            for content in values
-        ]
         end = b'\r\n' if self.has_body else b''
-        return b''.join((self.status, *lines, end))
+        return self.status + header_lines(headers) + end
 
     def piece_of(self, ident):
         """Return what an answer repeats."""
--- a/pollenstile/soak/live/_faults.py
+++ b/pollenstile/soak/live/_faults.py
@@ -2,7 +2,7 @@
 
 from twisted.internet.task import deferLater
 
-from pollenstile.soak.live._records import Fault
+from pollenstile.soak.live._records import record_fault
 from pollenstile.soak.live._servers import ENGINES, PLAIN, STAGES
 from pollenstile.soak.live._silences import (
     hang_server,
@@ -27,11 +27,6 @@
 _SERVER_FAULTS = ('hang', 'fail', 'lose', 'cut', 'slow')
 
 
-def _record_fault(world, subject, text):
-    now = world.reactor.seconds()
-    world.records.faults.append(Fault(now, subject, text))
-
-
 async def _wait_fault_time(world):
     seconds = world.rng.uniform(_MIN_FAULT_SECONDS, _MAX_FAULT_SECONDS)
     await deferLater(world.reactor, seconds)
@@ -40,7 +35,7 @@
 async def kill_host(world):
     """Kill a host's process; it restarts."""
     host = world.rng.choice(world.hosts)
-    _record_fault(world, host.name, 'kill')
+    record_fault(world, host.name, 'kill')
     host.kill()
 
 
@@ -55,7 +50,7 @@
     if any(host.leaving or not host.ready for host in world.hosts):
         return
     host = world.rng.choice(world.hosts)
-    _record_fault(world, host.name, 'stop')
+    record_fault(world, host.name, 'stop')
     host.stop()
 
 
@@ -64,11 +59,11 @@
     host = world.rng.choice(world.hosts)
     if host.paused:
         return
-    _record_fault(world, host.name, 'pause')
+    record_fault(world, host.name, 'pause')
     host.pause()
     await _wait_fault_time(world)
     host.resume()
-    _record_fault(world, host.name, 'go on')
+    record_fault(world, host.name, 'go on')
 
 
 def _random_link(world):
@@ -83,14 +78,14 @@
 async def reset_link(world):
     """Reset all connections of a link."""
     link, name = _random_link(world)
-    _record_fault(world, name, 'reset')
+    record_fault(world, name, 'reset')
     link.reset()
 
 
 async def silence_link(world):
     """Drop all further bytes on the current connections of a link."""
     link, name = _random_link(world)
-    _record_fault(world, name, 'silence')
+    record_fault(world, name, 'silence')
     link.silence()
 
 
@@ -100,21 +95,21 @@
     directions = world.rng.choice(
         (('server',), ('caller',), ('server', 'caller')),
     )
-    _record_fault(world, name, f'cut {directions}')
+    record_fault(world, name, f'cut {directions}')
     link.block(*directions)
     await _wait_fault_time(world)
     link.heal()
-    _record_fault(world, name, 'heal')
+    record_fault(world, name, 'heal')
 
 
 async def slow_link(world):
     """Delay the bytes on a link for a random time."""
     link, name = _random_link(world)
-    _record_fault(world, name, 'slow')
+    record_fault(world, name, 'slow')
     link.slow(world.rng.uniform(0.02, 0.3))
     await _wait_fault_time(world)
     link.heal()
-    _record_fault(world, name, 'heal')
+    record_fault(world, name, 'heal')
 
 
 async def inject_server_fault(world):
@@ -122,11 +117,11 @@
     service = world.rng.choice(_FAULTY_SERVICES)
     server = world.rng.choice(world.servers_of(service))
     fault = world.rng.choice(_SERVER_FAULTS)
-    _record_fault(world, server.ident, fault)
+    record_fault(world, server.ident, fault)
     server.fault = fault
     await _wait_fault_time(world)
     server.fault = ''
-    _record_fault(world, server.ident, 'well')
+    record_fault(world, server.ident, 'well')
 
 
 async def limit_server(world):
@@ -134,29 +129,29 @@
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
     rate = world.rng.choice(_RATES)
-    _record_fault(world, server.ident, f'rate {rate}')
+    record_fault(world, server.ident, f'rate {rate}')
     server.rate = rate
     await _wait_fault_time(world)
     server.rate = 0.0
-    _record_fault(world, server.ident, 'no rate')
+    record_fault(world, server.ident, 'no rate')
 
 
 async def shed_server(world):
     """Let an upstream turn requests away and ask for rest for a time."""
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
-    _record_fault(world, server.ident, 'shed')
+    record_fault(world, server.ident, 'shed')
     server.shedding = True
     await _wait_fault_time(world)
     server.shedding = False
-    _record_fault(world, server.ident, 'no shedding')
+    record_fault(world, server.ident, 'no shedding')
 
 
 async def crash_server(world):
     """Crash an upstream; another one replaces it."""
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
-    _record_fault(world, server.ident, 'crash')
+    record_fault(world, server.ident, 'crash')
     await world.replace_server(server)
 
 
@@ -164,14 +159,14 @@
     """Let an upstream announce that it leaves; it keeps running."""
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
-    _record_fault(world, server.ident, 'leave')
+    record_fault(world, server.ident, 'leave')
     await world.add_server(service, server.domain)
     await world.leave_server(server)
 
 
 async def change_configuration(world):
     """Write a new version of the configuration."""
-    _record_fault(world, 'configuration', 'configure')
+    record_fault(world, 'configuration', 'configure')
     await world.configure()
 
 
@@ -186,11 +181,11 @@
     if any(not drain.ended for drain in world.records.drains):
         return
     domain = world.rng.choice(DOMAINS)
-    _record_fault(world, 'configuration', f'drain {domain}')
+    record_fault(world, 'configuration', f'drain {domain}')
     drain = await world.drain(domain)
     await _wait_fault_time(world)
     await world.end_drain(drain)
-    _record_fault(world, 'configuration', f'end of drain {domain}')
+    record_fault(world, 'configuration', f'end of drain {domain}')
 
 
 async def revoke_key(world):
@@ -198,7 +193,7 @@
     if len(world.keys) < 2:
         return
     key = world.rng.choice(world.keys)
-    _record_fault(world, 'configuration', f'revoke {key}')
+    record_fault(world, 'configuration', f'revoke {key}')
     await world.revoke(key)
 
 
@@ -206,7 +201,7 @@
     """Make the store unavailable, slow or lose answers for a random time."""
     store = world.store
     fault = world.rng.choice(('down', 'slow', 'lost'))
-    _record_fault(world, 'store', fault)
+    record_fault(world, 'store', fault)
     if fault == 'down':
         store.down = True
     elif fault == 'slow':
@@ -217,12 +212,12 @@
     store.down = False
     store.latency = 0.0
     store.lose_answers = 0
-    _record_fault(world, 'store', 'store well')
+    record_fault(world, 'store', 'store well')
 
 
 async def compact_store(world):
     """Compact the store, which discards its history of changes."""
-    _record_fault(world, 'store', 'compact')
+    record_fault(world, 'store', 'compact')
     world.store.objects.compact()
 
 
@@ -240,7 +235,7 @@
     """Let the store come back from a copy of a random time before."""
     if world.store.down:
         return
-    _record_fault(world, 'store', 'copy')
+    record_fault(world, 'store', 'copy')
     copy = world.store.objects.copy()
     await _wait_fault_time(world)
     world.store.down = True
@@ -250,7 +245,7 @@
     if not is_late:
         _write_lost(world)
     world.store.down = False
-    _record_fault(world, 'store', f'return, written again late: {is_late}')
+    record_fault(world, 'store', f'return, written again late: {is_late}')
     if is_late:
         await _wait_fault_time(world)
         _write_lost(world)
--- a/pollenstile/soak/live/_malformed.py
+++ b/pollenstile/soak/live/_malformed.py
@@ -6,12 +6,13 @@
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import deferLater
 
-from pollenstile.soak.live._records import Fault
+from pollenstile.soak.live._records import record_fault
 from pollenstile.soak.live._servers import (
     ENGINES,
     NOBODY,
     PLAIN,
     STAGES,
+    header_lines,
     lookup_body,
     stream_event,
 )
@@ -49,14 +50,9 @@
         """Answer a request of a host; its connection stays open."""
         name = self.rng.choice(tuple(MALFORMED_HEADS))
         server.world.records.malformed.append((server.ident, name))
-        headers = request.responseHeaders.getAllRawHeaders()
-        lines = [
-            b'%s: %s\r\n' % (field, content)
-            for field, values in headers
-            for content in values
-        ]
+        lines = header_lines(request.responseHeaders.getAllRawHeaders())
         body = _body_for(server, request)
-        head = b''.join((MALFORMED_HEADS[name], *lines))
+        head = MALFORMED_HEADS[name] + lines
         length = b'Content-Length: %d' % len(body)
         request.channel.write(b'%s%s\r\n\r\n%s' % (head, length, body))
 
@@ -96,13 +92,8 @@
         if reactor.seconds() > end:
             return
         server = rng.choice(world.servers_of(service))
-        _record(world, server, 'malformed')
+        record_fault(world, server.ident, 'malformed')
         server.malformed = MalformedSource(rng)
         await deferLater(reactor, rng.uniform(*_LENGTHS_SECONDS))
         server.malformed = None
-        _record(world, server, 'well')
-
-
-def _record(world, server, text):
-    now = world.reactor.seconds()
-    world.records.faults.append(Fault(now, server.ident, text))
+        record_fault(world, server.ident, 'well')
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -325,3 +325,18 @@
         for run in self.runs:
             runs.setdefault(run.ident, []).append(run)
         return runs
+
+
+def record_fault(world, subject, text):
+    """Record a fault that strikes now.
+
+    Parameters
+    ==========
+
+    world : World
+        The run.
+    subject, text : str
+        What is struck, and what strikes it; see :class:`Fault`.
+    """
+    now = world.reactor.seconds()
+    world.records.faults.append(Fault(now, subject, text))
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -62,6 +62,22 @@
     return f'answer of {ident};'.encode() * 9
 
 
+def header_lines(headers):
+    """Return the lines of a head.
+
+    Parameters
+    ==========
+
+    headers : iterable of tuple
+        Names, and lists of their values.
+    """
+    return b''.join(
+        b'%s: %s\r\n' % (name, content)
+        for name, values in headers
+        for content in values
+    )
+
+
 def stream_event(ident, number, software):
     """Return one event of a stream, made by a software version."""
     return f'id: {number}\ndata: {ident}/{number}/{software}\n\n'.encode()
--- a/pollenstile/soak/live/_silences.py
+++ b/pollenstile/soak/live/_silences.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from pollenstile.soak.live._records import Fault
+from pollenstile.soak.live._records import record_fault
 from pollenstile.soak.live._servers import ENGINES, PLAIN, STAGES
 from pollenstile.soak.live._world import DOMAINS
 
@@ -62,13 +62,13 @@
     """
     silences = []
     for server in servers:
-        _record_fault(world, server, 'stand still')
+        record_fault(world, server.ident, 'stand still')
         silences.append(server.stand_still())
     await deferLater(world.reactor, seconds)
     if before_end is not None:
         before_end()
     for server, silence in zip(servers, silences, strict=True):
-        _record_fault(world, server, 'go on')
+        record_fault(world, server.ident, 'go on')
         server.go_on(silence)
 
 
@@ -116,7 +116,7 @@
     server = world.rng.choice(list(world.servers.values()))
     connections = sorted(server.proxy.connections, key=id)
     if connections:
-        _record_fault(world, server, 'silent connection')
+        record_fault(world, server.ident, 'silent connection')
         world.rng.choice(connections).silent = True
 
 
@@ -124,11 +124,11 @@
     """Let an upstream stand still for good; another one replaces it."""
     service = world.rng.choice(_SERVICES)
     server = world.rng.choice(world.servers_of(service))
-    _record_fault(world, server, 'hang for good')
+    record_fault(world, server.ident, 'hang for good')
     server.stand_still()
     await deferLater(world.reactor, _HUNG_SECONDS)
     if server.ident in world.servers:
-        _record_fault(world, server, 'crash')
+        record_fault(world, server.ident, 'crash')
         await world.replace_server(server)
 
 
@@ -137,8 +137,3 @@
     servers = world.servers_of(service)
     count = max(1, round(share * len(servers)))
     return world.rng.sample(servers, count)
-
-
-def _record_fault(world, server, text):
-    now = world.reactor.seconds()
-    world.records.faults.append(Fault(now, server.ident, text))
