--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -18,7 +18,7 @@
 from pollenstile.forward._silence import SilenceWatch
 from pollenstile.forward._software import process_check, send_refusal
 from pollenstile.forward._sse import EventSplitter
-from pollenstile.forward._types import Lost, NotRun
+from pollenstile.forward._types import Lost, NotRun, ReceivedBody
 from pollenstile.routes import Kind
 
 
@@ -62,6 +62,8 @@
     pending : bytearray
         Complete events that wait for one that brings the stream on.
     no_progress_bytes : int
+    received : ReceivedBody
+        What was received of the answer's body.
         Bytes received since the last event that brought the stream on, or of
         the whole body.
     end_body : function or None
@@ -99,6 +101,7 @@
         'part_source',
         'pending',
         'silence',
+        'received',
         'splitter',
         'started',
         'view',
@@ -122,6 +125,7 @@
         self.held = HeldAnswer(core.held)
         self.pending = bytearray()
         self.no_progress_bytes = 0
+        self.received = ReceivedBody()
         self.end_body = None
         self.endless = ''
         self.has_first_event = False
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -261,12 +261,18 @@
         if not ended.called:
             ended.callback(body_end)
 
+    def receive(data):
+        attempt.received.size += len(data)
+        pass_on(data)
+
     attempt.end_body = end
-    producer = attempt.call.deliver(head, pass_on, end)
+    attempt.received.framing = attempt.call.framing
+    producer = attempt.call.deliver(head, receive, end)
     attempt.silence.backpressure = Backpressure(
         producer, attempt.silence.note_resumed
     )
     body_end = await ended
+    attempt.received.end = body_end.value
     if body_end in _ENDED:
         _note_life(attempt)
     return body_end
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -95,6 +95,11 @@
         self.verify = None
         self.sent = False
 
+    @property
+    def framing(self):
+        """By what the end of the answer's body is known; see the connection."""
+        return self.protocol.framing()
+
     def attach(self, protocol):
         """Send the request once the protocol is connected."""
         self.protocol = protocol
--- a/pollenstile/forward/_request_log.py
+++ b/pollenstile/forward/_request_log.py
@@ -1,7 +1,7 @@
 """Log lines of forwarded requests."""
 
 from pollenstile.forward import events
-from pollenstile.forward._types import BodyEnd
+from pollenstile.forward._types import BodyEnd, ReceivedBody
 from pollenstile.quarantine import HELD_REASON
 
 _MS = 1000
@@ -81,6 +81,7 @@
         reason=failed.reason,
         arrived=has_arrived(failed),
         again=resend,
+        **_body_fields(attempt),
     )
 
 
@@ -264,9 +265,20 @@
         unused=run.results.unused,
         version=exchange.table.version,
         proof_ms=exchange.proof_ms,
+        **_body_fields(attempt),
     )
 
 
+def _body_fields(attempt):
+    """Return the fields that tell by what an answer's end was known."""
+    received = attempt.received if attempt else ReceivedBody()
+    return {
+        'framing': received.framing,
+        'bytes': received.size,
+        'end': received.end,
+    }
+
+
 def _held_content(run):
     """Return the fingerprint that a request was refused for, if it was."""
     if run.refusal is None or run.refusal.reason != HELD_REASON:
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -281,3 +281,24 @@
     BROKEN = 'broken'
     # It was given up, as it has more bytes than any answer.
     ENDLESS = 'endless'
+
+
+@dataclass(slots=True)
+class ReceivedBody:
+    """What was received of an answer's body, for the log.
+
+    Parameters
+    ==========
+
+    framing : str
+        By what its end is to be known: ``'length'``, ``'chunks'`` or
+        ``'close'``; empty before the head.
+    size : int
+        Bytes received, without their framing.
+    end : str
+        Value of the :class:`BodyEnd`; empty before the end.
+    """
+
+    framing: str = ''
+    size: int = 0
+    end: str = ''
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -9,7 +9,7 @@
     ParseError,
 )
 from twisted.web.client import ResponseFailed
-from twisted.web.http import SWITCHING
+from twisted.web.http import SWITCHING, _IdentityTransferDecoder
 
 from pollenstile.ops.documents import TooLongError
 
@@ -17,6 +17,8 @@
 # times the head that callers may send by default, of which an upstream repeats
 # some.
 MAX_HEAD_BYTES = 65536
+# Framing of a body that ends with its connection.
+CLOSE_FRAMED = 'close'
 # States of the library's parser before the end of a head.
 _STATUS_STATE = 'STATUS'
 _HEAD_STATES = (_STATUS_STATE, 'HEADER')
@@ -159,6 +161,23 @@
             answer.addErrback(self._close_at_once)
         return answer
 
+    def framing(self):
+        """Return by what the end of the current answer's body is known.
+
+        Returns
+        =======
+
+        str
+            ``'length'``, ``'chunks'`` or ``'close'``; empty while there is no
+            body.
+        """
+        decoder = getattr(self._parser, 'bodyDecoder', None)
+        if decoder is None:
+            return ''
+        if not isinstance(decoder, _IdentityTransferDecoder):
+            return 'chunks'
+        return CLOSE_FRAMED if decoder.contentLength is None else 'length'
+
     def dataReceived(self, data):
         """Parse received bytes; called by Twisted."""
         super().dataReceived(data)
--- a/pollenstile/standin/exchanges.py
+++ b/pollenstile/standin/exchanges.py
@@ -46,8 +46,12 @@
     check : function or None
         Set by the host; asked when the connection is open. Returns the outcome
         of a request that must not be sent any more, or None.
+    framing : str
+        Empty, as answers are not framed here.
     """
 
+    framing = ''
+
     def __init__(self, address, headers):
         self.address = address
         self.headers = dict(headers)
