forward: a close ends an answer only if its upstream lives on after it

Callers got a part of an answer as a whole one where their upstream was killed in the middle of it, as the system of a process that ends closes its connections in order; and where an upload lay unread in the upstream's system, which acknowledges it all the same and resets the connection just after the close. Both on routes of all four kinds, directly and through a peer.

An answer without a length or chunks now ends with the close only if the same process is heard of a round trip later. A witness, an idle connection that is opened beside such answers and shared by all of them at one upstream, ends with the process; a new connection alone may lead to a process that has just started. Closes at the same time share a round trip. A peer asks before it passes a close on. If nothing is heard, the attempt is lost like one that was reset: 502, another upstream, or the stream is taken up.

--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -123,6 +123,10 @@
         """Return a path that was just tried."""
         return _JustTried()
 
+    def pop(self, address, default):
+        """Return the default: no path is found again."""
+        return default
+
 
 class _JustTried:
     """A lost path that is not due."""
--- /dev/null
+++ b/pollenstile/closes/__init__.py
@@ -0,0 +1,4 @@
+"""Whether the process that has closed a connection lives on."""
+
+from pollenstile.closes._checks import CloseChecks
+from pollenstile.closes._probe import ProbeFactory, ProbeResult
--- a/pollenstile/forward/__init__.py
+++ b/pollenstile/forward/__init__.py
@@ -20,7 +20,7 @@
     PlainCodec,
     ReportCodec,
 )
-from pollenstile.forward._probe import ProbeResult
+from pollenstile.closes import ProbeResult
 from pollenstile.forward._registry import Registry, Upstream
 from pollenstile.forward._run import serve
 from pollenstile.forward._selection import (
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -11,6 +11,7 @@
 )
 from pollenstile.forward._bodies import relay_body
 from pollenstile.forward._bounds import HeldAnswer
+from pollenstile.forward._endcheck import end_check
 from pollenstile.forward._learning import learn_failure, learn_silence
 from pollenstile.forward._rejection import rejection
 from pollenstile.forward._request_headers import request_headers
@@ -61,9 +62,9 @@
         What is held back of a whole answer.
     pending : bytearray
         Complete events that wait for one that brings the stream on.
-    no_progress_bytes : int
     received : ReceivedBody
         What was received of the answer's body.
+    no_progress_bytes : int
         Bytes received since the last event that brought the stream on, or of
         the whole body.
     end_body : function or None
@@ -100,8 +101,8 @@
         'on_silent',
         'part_source',
         'pending',
-        'silence',
         'received',
+        'silence',
         'splitter',
         'started',
         'view',
@@ -124,8 +125,8 @@
         self.splitter = EventSplitter(needs_idents=exchange.route.resumable)
         self.held = HeldAnswer(core.held)
         self.pending = bytearray()
-        self.no_progress_bytes = 0
         self.received = ReceivedBody()
+        self.no_progress_bytes = 0
         self.end_body = None
         self.endless = ''
         self.has_first_event = False
@@ -215,6 +216,7 @@
         )
         self.call.check = partial(send_refusal, self.core, exchange, self.view)
         self.call.verify = process_check(self.core, exchange, self.view)
+        self.call.confirm = end_check(self.core, self.view)
         self.input_release.start(self.core.clock)
         self.silence.start()
         head = await self.call.head
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -34,7 +34,12 @@
 _ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
 # The same of a failure, which may be sent before the request was received.
 _FAILURE_ENDED = _ENDED | {BodyEnd.EARLY}
-_BROKEN = frozenset((BodyEnd.BROKEN, BodyEnd.EARLY))
+_BROKEN = frozenset((BodyEnd.BROKEN, BodyEnd.EARLY, BodyEnd.UNCONFIRMED))
+# What a refusal says of such an end.
+_CLOSES = {
+    BodyEnd.EARLY: ', closed before the request was received',
+    BodyEnd.UNCONFIRMED: ', closed as its upstream ended',
+}
 
 
 async def relay_body(attempt, head):
@@ -281,8 +286,7 @@
 def _incomplete(attempt, reason, end):
     if attempt.endless:
         return Lost(attempt.endless, attempt.view.ident, endless=True)
-    if end is BodyEnd.EARLY:
-        reason = f'{reason}, closed before the request was received'
+    reason += _CLOSES.get(end, '')
     return Lost(reason, attempt.view.ident, broken=end in _BROKEN)
 
 
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -40,6 +40,8 @@
         protocol = self.call.protocol
         if not reason.check(PotentialDataLoss) or not protocol.closed_cleanly:
             return BodyEnd.BROKEN
+        if protocol.is_unconfirmed:
+            return BodyEnd.UNCONFIRMED
         return BodyEnd.EARLY if protocol.is_closed_early else BodyEnd.CLOSED
 
 
@@ -58,6 +60,10 @@
     verify : function or None
         Called when the connection is open, before ``check``. Returns a Deferred
         of a :class:`NotRun` if the request must not be sent on it, or of None.
+    confirm : function or None
+        Asked when the upstream has closed the connection and nothing else shows
+        the end of its answer. Takes a coroutine function that returns whether
+        the process lives on; returns a coroutine of whether the answer ended.
     on_unreached : function
         Called with the address if it is given up before it was sent.
     cancelled : bool
@@ -74,6 +80,7 @@
         'address',
         'cancelled',
         'check',
+        'confirm',
         'connector',
         'head',
         'on_unreached',
@@ -93,6 +100,7 @@
         self.cancelled = False
         self.check = _permit
         self.verify = None
+        self.confirm = None
         self.sent = False
 
     @property
@@ -134,6 +142,8 @@
         on_end : function
             Called last, with a :class:`BodyEnd`.
         """
+        if self.confirm is not None:
+            self.protocol.confirm_end(self.confirm)
         body = _Body(self, on_data, on_end)
         response.deliverBody(body)
         return body.transport
--- a/pollenstile/forward/_client.py
+++ b/pollenstile/forward/_client.py
@@ -17,14 +17,14 @@
 from twisted.web._newclient import Request
 from twisted.web.http_headers import Headers
 
+from pollenstile.closes import CloseChecks, ProbeFactory, ProbeResult
 from pollenstile.forward._call import Call
-from pollenstile.forward._connecting import connect_in_time
+from pollenstile.ops.connecting import connect_in_time
 from pollenstile.forward._connection import (
     Connector,
     DirectConnector,
     TunnelConnection,
 )
-from pollenstile.forward._probe import ProbeFactory, ProbeResult
 from pollenstile.ops.body import BytesProducer
 from pollenstile.reachability import ALL_REACHABLE
 from pollenstile.tunnel import DIRECT_PATHS, OpenResult
@@ -51,14 +51,17 @@
         Knows which upstreams are reached through peers only.
     domains : DomainReachability
         Knows which failure domains are unreachable.
+    closes : CloseChecks
+        Tells whether upstreams live on after they have closed a connection.
     """
 
-    __slots__ = ('domains', 'paths', 'reactor')
+    __slots__ = ('closes', 'domains', 'paths', 'reactor')
 
     def __init__(self, reactor):
         self.reactor = reactor
         self.paths = DIRECT_PATHS
         self.domains = ALL_REACHABLE
+        self.closes = CloseChecks(reactor)
 
     def probe(self, address):
         """Open and close a connection; return a Deferred of ``ProbeResult``.
@@ -109,7 +112,8 @@
             Deferred.fromCoroutine(self._connect_through_peer(call))
             return call
         call.connector = self._connect(
-            address, DirectConnector(call, self.paths, self.domains)
+            address,
+            DirectConnector(call, self.paths, self.domains, self.closes),
         )
         return call
 
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -1,5 +1,6 @@
 """Connections to upstreams, directly or through a peer."""
 
+from twisted.internet.defer import Deferred
 from twisted.internet.error import (
     ConnectionDone,
     ConnectionLost,
@@ -9,8 +10,8 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from pollenstile.ops.answers import AnswerConnection
-from pollenstile.ops.unsent import EarlyCloseNoted
+from pollenstile.ops.answers import CLOSE_FRAMED, AnswerConnection
+from pollenstile.ops.unsent import EarlyCloseNoted, is_reset
 from pollenstile.tunnel import EndedFrames
 
 
@@ -22,11 +23,42 @@
 
     is_lost : bool
         Whether the connection has ended.
+    is_unconfirmed : bool
+        Whether nothing shows that the upstream lived on after it had closed the
+        connection, and so that it ended its answer by that.
+    confirm : function or None
+        See :class:`~pollenstile.forward._call.Call`; None while the end of the
+        answer needs no confirmation.
     """
 
     def __init__(self):
         super().__init__()
         self.is_lost = False
+        self.is_unconfirmed = False
+        self.confirm = None
+
+    def confirm_end(self, confirm):
+        """Have the end of the answer confirmed if only a close shows it.
+
+        Parameters
+        ==========
+
+        confirm : function
+            See :class:`~pollenstile.forward._call.Call`.
+        """
+        if self.framing() == CLOSE_FRAMED:
+            self.confirm = confirm
+            self.prepare()
+
+    def prepare(self):
+        """Prepare for the close of an answer whose end it shows."""
+
+    def closed(self):
+        """End the connection once its close is understood."""
+        if self.confirm is None or self.is_closed_early:
+            self.end_closed()
+            return
+        Deferred.fromCoroutine(self._end_confirmed())
 
     def connectionLost(self, reason):
         """Record how the connection ended; called by Twisted."""
@@ -34,6 +66,52 @@
         self.closed_cleanly = reason.check(ConnectionDone) is not None
         super().connectionLost(reason)
 
+    async def lives_on(self):
+        """Return whether the upstream's process lives on after its close."""
+        raise NotImplementedError
+
+    async def _end_confirmed(self):
+        is_confirmed = await self.confirm(self.lives_on)
+        if self.is_lost:
+            # The host has given the attempt up, or the connection was reset.
+            return
+        self.is_unconfirmed = not is_confirmed
+        self.is_closed_early = is_reset(self.transport)
+        self.end_closed()
+
+
+class DirectConnection(Connection):
+    """Connection to an upstream.
+
+    Parameters
+    ==========
+
+    closes : CloseChecks
+        Tells whether the upstream lives on after a close.
+    address : str
+        ``IP:PORT`` of the upstream.
+    """
+
+    def __init__(self, closes, address):
+        super().__init__()
+        self.closes = closes
+        self.address = address
+
+    def prepare(self):
+        """Keep another connection open until the answer has ended."""
+        self.closes.begin(self.address)
+
+    def connectionLost(self, reason):
+        """Record how the connection ended; called by Twisted."""
+        if self.confirm is not None:
+            self.closes.end(self.address)
+        super().connectionLost(reason)
+
+    async def lives_on(self):
+        """Return whether the upstream's process lives on after its close."""
+        had_upload = self._currentRequest.bodyProducer is not None
+        return await self.closes.lives_on(self.address, had_upload=had_upload)
+
 
 class TunnelConnection(Connection):
     """Connection through a peer, which passes on the upstream's bytes."""
@@ -59,6 +137,10 @@
         kind = ConnectionDone if self.frames.ended else ConnectionLost
         super().connectionLost(Failure(kind()))
 
+    async def lives_on(self):
+        """Return True: the peer tells of no close that was not confirmed."""
+        return True
+
 
 class Connector(ClientFactory):
     """Gives a call the protocol of its connection, or reports the failure."""
@@ -83,8 +165,8 @@
 class DirectConnector(Connector):
     """Opens the connection to the upstream itself, and notes whether it did."""
 
-    def __init__(self, call, paths, domains):
-        super().__init__(call, Connection())
+    def __init__(self, call, paths, domains, closes):
+        super().__init__(call, DirectConnection(closes, call.address))
         self.paths = paths
         self.domains = domains
 
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import deferLater
 
 from pollenstile.forward import events
-from pollenstile.forward._probe import ProbeResult
+from pollenstile.closes import ProbeResult
 from pollenstile.ops.bounded import drop_oldest
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -274,10 +274,13 @@
 
     # The length or the last chunk was received.
     COMPLETE = 'whole'
-    # The body had neither, and its connection was closed without a reset.
+    # The body had neither. Its connection was closed without a reset by a
+    # process that lived on.
     CLOSED = 'closed'
     # The same, but its upstream had not received all of the request.
     EARLY = 'early'
+    # The same, but its upstream was not heard of after that.
+    UNCONFIRMED = 'unconfirmed'
     BROKEN = 'broken'
     # It was given up, as it has more bytes than any answer.
     ENDLESS = 'endless'
--- a/pollenstile/ops/unsent.py
+++ b/pollenstile/ops/unsent.py
@@ -1,6 +1,7 @@
 """Connections whose other end closes before it has received everything."""
 
 import fcntl
+import socket
 import struct
 import termios
 
@@ -43,6 +44,25 @@
     return struct.unpack(_COUNT, count)[0]
 
 
+def is_reset(transport):
+    """Return whether a closed connection was reset after the close.
+
+    Explanation
+    ===========
+
+    The system resets a connection that is closed for good with bytes that the
+    process has not read.
+
+    Parameters
+    ==========
+
+    transport : twisted.internet.tcp.Connection
+        A connection that this end has not closed.
+    """
+    option = transport.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return option != 0
+
+
 @implementer(IHalfCloseableProtocol)
 class EarlyCloseNoted:
     """Part of a protocol that notes a close by the other end which is early.
@@ -50,7 +70,8 @@
     Explanation
     ===========
 
-    The connection ends at such a close as it does without this part.
+    The connection ends at a close in order as it does without this part, unless
+    the protocol defines :meth:`closed` otherwise.
 
     Attributes
     ==========
@@ -67,6 +88,14 @@
     def readConnectionLost(self):
         """Note how the other end has closed; called by Twisted."""
         self.is_closed_early = unsent_bytes(self.transport) > 0
+        self.closed()
+
+    def closed(self):
+        """End the connection, which the other end has closed in order."""
+        self.end_closed()
+
+    def end_closed(self):
+        """End the connection as closed in order."""
         self.transport.connectionLost(Failure(ConnectionDone()))
 
     def writeConnectionLost(self):
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -9,9 +9,10 @@
 )
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
+from pollenstile.closes import CloseChecks
 from pollenstile.ops.logs import silent_log
 from pollenstile.ops.timers import cancel_timer
-from pollenstile.ops.unsent import EarlyCloseNoted
+from pollenstile.ops.unsent import EarlyCloseNoted, is_reset
 from pollenstile.tunnel import events
 from pollenstile.tunnel._frames import encode_data, encode_end
 from pollenstile.tunnel._messages import (
@@ -60,12 +61,15 @@
         Upstream ends that were not picked up yet, by token.
     open_ends : set
         All upstream ends.
+    closes : CloseChecks
+        Tells whether upstreams live on after they have closed a connection.
     strangers : set
         Connections whose token has not arrived.
     """
 
     __slots__ = (
         'address',
+        'closes',
         'is_lost',
         'is_upstream',
         'log',
@@ -83,6 +87,7 @@
         self.address = ''
         self.waiting = {}
         self.open_ends = set()
+        self.closes = CloseChecks(reactor, log)
         self.strangers = set()
 
     def listen(self, host, port):
@@ -101,7 +106,7 @@
         result = self._refusal(ask)
         if result is not None:
             return encode_answer(OpenAnswer(result))
-        factory = _UpstreamEndFactory(self, ask.keep)
+        factory = _UpstreamEndFactory(self, ask)
         host, _, port = ask.address.rpartition(':')
         self.reactor.connectTCP(
             host, int(port), factory, timeout=_CONNECT_SECONDS
@@ -155,32 +160,59 @@
 
     def __init__(self, factory):
         super().__init__()
-        self.factory = factory
+        self.server = factory.server
+        self.ask = factory.ask
+        self.done = factory.done
         self.host_end = None
+        self.is_unconfirmed = False
 
     def connectionMade(self):
         """Report the open connection; called by Twisted."""
-        if not self.factory.keep:
+        if not self.ask.keep:
             self.transport.abortConnection()
-            self.factory.done.callback(OpenResult.OPENED)
+            self.done.callback(OpenResult.OPENED)
             return
         self.transport.setTcpNoDelay(True)
         self.transport.pauseProducing()
-        self.factory.server.open_ends.add(self)
-        self.factory.done.callback(self)
+        self.server.open_ends.add(self)
+        self.server.closes.begin(self.ask.address)
+        self.done.callback(self)
 
     def dataReceived(self, received):
         """Pass on what the upstream sent; called by Twisted."""
         self.host_end.transport.write(encode_data(received))
 
+    def closed(self):
+        """End the connection once its close is understood."""
+        Deferred.fromCoroutine(self._end_understood())
+
     def connectionLost(self, reason):
         """Pass on how the connection ended; called by Twisted."""
-        self.factory.server.open_ends.discard(self)
+        if self not in self.server.open_ends:
+            return
+        self.server.open_ends.discard(self)
+        self.server.closes.end(self.ask.address)
         if self.host_end is not None:
-            self.host_end.end(
-                is_closed=bool(reason.check(ConnectionDone)),
-                is_early=self.is_closed_early,
-            )
+            is_closed = bool(reason.check(ConnectionDone))
+            self.host_end.end(self._last_frame(), is_closed=is_closed)
+
+    def _last_frame(self):
+        """Return the frame that tells of a close in order."""
+        if self.is_unconfirmed or self.is_closed_early:
+            return b''
+        return encode_end()
+
+    async def _end_understood(self):
+        """Pass the close on if the upstream's process lives on after it."""
+        lives_on = await self.server.closes.lives_on(
+            self.ask.address, had_upload=True
+        )
+        if self not in self.server.open_ends:
+            # The host has closed its connection, or this one was reset.
+            return
+        self.is_unconfirmed = not lives_on
+        self.is_closed_early = self.is_closed_early or is_reset(self.transport)
+        self.end_closed()
 
 
 class _UpstreamEndFactory(ClientFactory):
@@ -188,9 +220,9 @@
 
     noisy = False
 
-    def __init__(self, server, keep):
+    def __init__(self, server, ask):
         self.server = server
-        self.keep = keep
+        self.ask = ask
         self.done = Deferred()
 
     def buildProtocol(self, address):
@@ -238,31 +270,29 @@
             self.upstream_end.host_end = None
             self.upstream_end.transport.abortConnection()
 
-    def end(self, *, is_closed, is_early):
+    def end(self, last_frame, *, is_closed):
         """End the connection as that of the upstream has ended.
 
         Explanation
         ===========
 
-        After a close before the upstream had received the request, an answer
-        that states its length may be whole, and no other one is. So all is
-        passed on but the frame that tells of a close in order.
+        What the upstream sent is passed on also where nothing shows that it
+        ended its answer: an answer that states its length may be whole.
 
         Parameters
         ==========
 
+        last_frame : bytes
+            Tells how the upstream has closed; empty if it may have ended.
         is_closed : bool
-            Whether the upstream closed its connection, without a reset.
-        is_early : bool
-            Whether it did so before it had received the request.
+            Whether it closed without a reset.
         """
         self.upstream_end = None
         self.transport.unregisterProducer()
         if not is_closed:
             self.transport.abortConnection()
             return
-        if not is_early:
-            self.transport.write(encode_end())
+        self.transport.write(last_frame)
         self.transport.loseConnection()
 
     def _join(self, token):
