tunnel: a peer tells of a close that came before the request was received

Callers of uploads lost an early failure without a length (413 and the like) to a 502 where it came through a peer: the peer passed no close on, as a success that is closed so early is not whole. The peer now passes on which close it was, and the host decides by the status as it does on a direct path.

Two rows of early_answers.feature expected 'broken' of a success through a peer; they expect 'early' now, which is no more complete, and a scenario on routes of all four kinds holds that no caller takes such a part for a whole answer.

--- a/features/early_answers.feature
+++ b/features/early_answers.feature
@@ -51,6 +51,28 @@
       | closes             |
       | closes its side of |
 
+  Scenario Outline: An early failure without framing is passed on through a peer: <end>
+    Guards against a failure that is lost as its upload was not read.
+    When upstreams refuse uploads early without framing
+    And these upstreams read nothing more, and each <end> its connection to a peer of a host
+    Then each caller of an upload gets that failure
+
+    Examples:
+      | end                |
+      | closes             |
+      | closes its side of |
+
+  Scenario Outline: A part of an early answer is complete for no caller through a peer: <end>
+    Guards against an early close that a peer passes on as the end of an answer.
+    When upstreams answer uploads early with a part of no framing
+    And these upstreams read nothing more, and each <end> its connection to a peer of a host
+    Then no caller of an upload gets an answer that is complete
+
+    Examples:
+      | end                |
+      | closes             |
+      | closes its side of |
+
   Scenario Outline: How an early answer ends through a peer: <answer>, <end>
     Guards against a peer that ends an answer in order which its upstream did not.
     When upstreams answer uploads early with <answer>
@@ -60,8 +82,8 @@
     Examples:
       | answer               | do                | end                | how    |
       | a part of no framing | read nothing more | resets             | broken |
-      | a part of no framing | read nothing more | closes             | broken |
-      | a part of no framing | read nothing more | closes its side of | broken |
+      | a part of no framing | read nothing more | closes             | early  |
+      | a part of no framing | read nothing more | closes its side of | early  |
       | a part of no framing | read the request  | resets             | broken |
       | a part of a length   | read nothing more | closes             | broken |
       | all of a length      | read nothing more | closes             | whole  |
--- a/features/steps/early_answers_steps.py
+++ b/features/steps/early_answers_steps.py
@@ -46,6 +46,19 @@
     ]
 
 
+@when(
+    'these upstreams {read}, and each {end} its connection to a peer of a host'
+)
+def when_end_through_peer(context, read, end):
+    upstream = _start_upstream(context, read, end)
+    tunnel = TunnelStory(upstream.address)
+    context.add_cleanup(tunnel.stop)
+    upstream.host.factory.core.client.paths = tunnel.client.paths
+    context.results = [
+        (kind, upstream.received(route)) for kind, route in ROUTES.items()
+    ]
+
+
 @then('no caller of an upload gets an answer that is complete')
 def then_incomplete(context):
     for kind, got in context.results:
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -12,7 +12,7 @@
 
 from pollenstile.ops.answers import CLOSE_FRAMED, AnswerConnection
 from pollenstile.ops.unsent import EarlyCloseNoted, is_reset
-from pollenstile.tunnel import EndedFrames
+from pollenstile.tunnel import EndedFrames, TunnelEnd
 
 
 class Connection(EarlyCloseNoted, AnswerConnection):
@@ -134,7 +134,9 @@
 
     def connectionLost(self, reason):
         """End as the upstream's connection has ended; called by Twisted."""
-        kind = ConnectionDone if self.frames.ended else ConnectionLost
+        end = self.frames.end
+        self.is_closed_early |= end is TunnelEnd.CLOSED_EARLY
+        kind = ConnectionLost if end is TunnelEnd.NONE else ConnectionDone
         super().connectionLost(Failure(kind()))
 
     async def lives_on(self):
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -198,9 +198,9 @@
 
     def _last_frame(self):
         """Return the frame that tells of a close in order."""
-        if self.is_unconfirmed or self.is_closed_early:
+        if self.is_unconfirmed:
             return b''
-        return encode_end()
+        return encode_end(is_early=self.is_closed_early)
 
     async def _end_understood(self):
         """Pass the close on if the upstream's process lives on after it."""
