closes: a close that is read late may be older than the witness beside it

A caller that reads slowly makes its host pause to read, so the close of a process that ended is read late. By then the witness that ended with it had been replaced by a connection to a successor, which counted as the same process, and the part of the answer would have been whole (found by reading; close_checks.feature: the row of a caller that does not read failed before).

A witness that a server closes as it is idle is replaced at once, and the new one counts as its continuation; after a refusal, or a pause, none does. What was closed while the host didn't read counts as ended. Errors of a check end the answer as unconfirmed instead of leaving it open. 15 scenarios in virtual time, among them 100 answers of one upstream that end at once and share 3 connections.

--- a/pollenstile/closes/_checks.py
+++ b/pollenstile/closes/_checks.py
@@ -5,7 +5,7 @@
 from twisted.internet.task import deferLater
 
 from pollenstile.closes._probe import ProbeFactory, ProbeResult
-from pollenstile.closes._witness import Witness
+from pollenstile.closes._witness import Closed, Witness
 from pollenstile.ops.bounded import drop_oldest
 from pollenstile.ops.connecting import connect_in_time
 from pollenstile.ops.logs import silent_log
@@ -58,13 +58,21 @@
         self.round_trips = {}
 
     def begin(self, address):
-        """Prepare for the close of a connection to an address."""
+        """Prepare for the close of a connection; return the time.
+
+        Parameters
+        ==========
+
+        address : str
+            ``IP:PORT`` of its other end.
+        """
         witness = self.witnesses.get(address)
         if witness is None:
             witness = Witness(self.reactor, address)
             self.witnesses[address] = witness
             witness.open()
         witness.users += 1
+        return self.reactor.seconds()
 
     def end(self, address):
         """Undo :meth:`begin`, once for each call."""
@@ -74,7 +82,7 @@
             self.witnesses.pop(address)
             witness.stop()
 
-    async def lives_on(self, address, *, had_upload):
+    async def lives_on(self, address, began_at, paused_at, *, had_upload):
         """Return whether the process that has just closed lives on.
 
         Explanation
@@ -88,20 +96,27 @@
         ==========
 
         address : str
-            ``IP:PORT``; :meth:`begin` was called for it.
+            ``IP:PORT``.
+        began_at : float
+            What :meth:`begin` has returned for it.
+        paused_at : float or None
+            When this end first paused to read from it, if it has: the close may
+            have come at any time since.
         had_upload : bool
             Whether the process was sent more than a head. Its system resets the
             connection soon if it was closed for good and not read.
         """
-        closed_at = self.reactor.seconds()
+        now = self.reactor.seconds()
+        open_at = now if paused_at is None else paused_at
+        closed = Closed(began_at, open_at, now)
         witness = self.witnesses[address]
         reached = await self._round_trip(address)
-        rest = closed_at + _RESET_SECONDS - self.reactor.seconds()
+        rest = closed.read_at + _RESET_SECONDS - self.reactor.seconds()
         if had_upload and rest > 0:
             await deferLater(self.reactor, rest)
         if reached is ProbeResult.UNKNOWN:
             return False
-        lives_on = witness.lives_on(closed_at)
+        lives_on = witness.lives_on(closed)
         if lives_on is None:
             return reached is ProbeResult.ACCEPTED
         return lives_on
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -216,7 +216,7 @@
         )
         self.call.check = partial(send_refusal, self.core, exchange, self.view)
         self.call.verify = process_check(self.core, exchange, self.view)
-        self.call.confirm = end_check(self.core, self.view)
+        self.call.confirm = end_check(self.core, self.view, self.silence)
         self.input_release.start(self.core.clock)
         self.silence.start()
         head = await self.call.head
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -274,7 +274,7 @@
     attempt.received.framing = attempt.call.framing
     producer = attempt.call.deliver(head, receive, end)
     attempt.silence.backpressure = Backpressure(
-        producer, attempt.silence.note_resumed
+        producer, attempt.silence.note_resumed, attempt.core.clock
     )
     body_end = await ended
     attempt.received.end = body_end.value
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -58,7 +58,8 @@
         if self.confirm is None or self.is_closed_early:
             self.end_closed()
             return
-        Deferred.fromCoroutine(self._end_confirmed())
+        confirmed = Deferred.fromCoroutine(self._end_confirmed())
+        confirmed.addErrback(self._end_unconfirmed)
 
     def connectionLost(self, reason):
         """Record how the connection ended; called by Twisted."""
@@ -66,10 +67,23 @@
         self.closed_cleanly = reason.check(ConnectionDone) is not None
         super().connectionLost(reason)
 
-    async def lives_on(self):
-        """Return whether the upstream's process lives on after its close."""
+    async def lives_on(self, paused_at):
+        """Return whether the upstream's process lives on after its close.
+
+        Parameters
+        ==========
+
+        paused_at : float or None
+            When the host first paused to read, if it has.
+        """
         raise NotImplementedError
 
+    def _end_unconfirmed(self, failure):
+        """End after an error of this host, which Twisted logs."""
+        self.is_unconfirmed = True
+        self.end_closed()
+        return failure
+
     async def _end_confirmed(self):
         is_confirmed = await self.confirm(self.lives_on)
         if self.is_lost:
@@ -96,10 +110,11 @@
         super().__init__()
         self.closes = closes
         self.address = address
+        self.began_at = 0.0
 
     def prepare(self):
         """Keep another connection open until the answer has ended."""
-        self.closes.begin(self.address)
+        self.began_at = self.closes.begin(self.address)
 
     def connectionLost(self, reason):
         """Record how the connection ended; called by Twisted."""
@@ -107,10 +122,12 @@
             self.closes.end(self.address)
         super().connectionLost(reason)
 
-    async def lives_on(self):
+    async def lives_on(self, paused_at):
         """Return whether the upstream's process lives on after its close."""
         had_upload = self._currentRequest.bodyProducer is not None
-        return await self.closes.lives_on(self.address, had_upload=had_upload)
+        return await self.closes.lives_on(
+            self.address, self.began_at, paused_at, had_upload=had_upload
+        )
 
 
 class TunnelConnection(Connection):
@@ -139,7 +156,7 @@
         kind = ConnectionLost if end is TunnelEnd.NONE else ConnectionDone
         super().connectionLost(Failure(kind()))
 
-    async def lives_on(self):
+    async def lives_on(self, paused_at):
         """Return True: the peer tells of no close that was not confirmed."""
         return True
 
--- a/pollenstile/forward/_endcheck.py
+++ b/pollenstile/forward/_endcheck.py
@@ -5,7 +5,7 @@
 _STATED = frozenset((Process.LISTED, Process.LATER))
 
 
-def end_check(core, view):
+def end_check(core, view, silence):
     """Return the check of an answer that ends with its connection.
 
     Explanation
@@ -21,6 +21,8 @@
         Components of the host.
     view : UpstreamView
         The upstream, before the request is sent.
+    silence : SilenceWatch
+        Knows when this host has paused to read.
 
     Returns
     =======
@@ -35,6 +37,6 @@
             process = await core.processes.ask_now(view)
         if process in _STATED:
             return process is Process.LISTED
-        return await lives_on()
+        return await lives_on(silence.backpressure.first_paused_at)
 
     return confirm
--- a/pollenstile/forward/_silence.py
+++ b/pollenstile/forward/_silence.py
@@ -208,24 +208,32 @@
         The upstream's connection.
     on_resumed : function
         Called when the host reads again.
+    clock : IReactorTime
+        Provides the time.
 
     Attributes
     ==========
 
     paused : bool
         Whether nothing is read from the upstream for now.
+    first_paused_at : float or None
+        When reading was paused first.
     """
 
-    __slots__ = ('on_resumed', 'paused', 'producer')
+    __slots__ = ('clock', 'first_paused_at', 'on_resumed', 'paused', 'producer')
 
-    def __init__(self, producer, on_resumed):
+    def __init__(self, producer, on_resumed, clock):
         self.producer = producer
         self.on_resumed = on_resumed
+        self.clock = clock
         self.paused = False
+        self.first_paused_at = None
 
     def pauseProducing(self):
         """Stop reading from the upstream; called by Twisted."""
         self.paused = True
+        if self.first_paused_at is None:
+            self.first_paused_at = self.clock.seconds()
         self.producer.pauseProducing()
 
     def resumeProducing(self):
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -165,6 +165,8 @@
         self.done = factory.done
         self.host_end = None
         self.is_unconfirmed = False
+        self.began_at = 0.0
+        self.paused_at = None
 
     def connectionMade(self):
         """Report the open connection; called by Twisted."""
@@ -175,16 +177,31 @@
         self.transport.setTcpNoDelay(True)
         self.transport.pauseProducing()
         self.server.open_ends.add(self)
-        self.server.closes.begin(self.ask.address)
+        self.began_at = self.server.closes.begin(self.ask.address)
         self.done.callback(self)
 
     def dataReceived(self, received):
         """Pass on what the upstream sent; called by Twisted."""
         self.host_end.transport.write(encode_data(received))
 
+    def pauseProducing(self):
+        """Stop reading, as the host does; called by Twisted."""
+        if self.paused_at is None:
+            self.paused_at = self.server.reactor.seconds()
+        self.transport.pauseProducing()
+
+    def resumeProducing(self):
+        """Read again; called by Twisted."""
+        self.transport.resumeProducing()
+
+    def stopProducing(self):
+        """Close the connection; called by Twisted."""
+        self.transport.stopProducing()
+
     def closed(self):
         """End the connection once its close is understood."""
-        Deferred.fromCoroutine(self._end_understood())
+        understood = Deferred.fromCoroutine(self._end_understood())
+        understood.addErrback(self._end_unconfirmed)
 
     def connectionLost(self, reason):
         """Pass on how the connection ended; called by Twisted."""
@@ -202,10 +219,16 @@
             return b''
         return encode_end(is_early=self.is_closed_early)
 
+    def _end_unconfirmed(self, failure):
+        """End after an error of this host, which Twisted logs."""
+        self.is_unconfirmed = True
+        self.end_closed()
+        return failure
+
     async def _end_understood(self):
         """Pass the close on if the upstream's process lives on after it."""
         lives_on = await self.server.closes.lives_on(
-            self.ask.address, had_upload=True
+            self.ask.address, self.began_at, self.paused_at, had_upload=True
         )
         if self not in self.server.open_ends:
             # The host has closed its connection, or this one was reset.
@@ -304,7 +327,7 @@
         self.upstream_end = upstream_end
         upstream_end.host_end = self
         # Each side is read only as fast as the other one takes it.
-        self.transport.registerProducer(upstream_end.transport, True)
+        self.transport.registerProducer(upstream_end, True)
         upstream_end.transport.registerProducer(self.transport, True)
         upstream_end.transport.resumeProducing()
         rest = self.received[_TOKEN_BYTES:]
