sse: a resumable stream that begins again within an answer is not passed on twice

What a caller sees: 1, 2, 3, 1, 2, 3, 4, complete. On a stream that resumes, an upstream sends events again whose identifiers the caller has: it stutters, begins anew after a silence, or ignores Last-Event-Id.

Cause, twice. Events that go back waited for the next one that brings the stream on, or for the end, and were passed on with it; of several events in one read only the last identifier was looked at. And the point from which another upstream goes on was the last identifier received, not the highest passed on: after 1, 2, 1 and a break the stream was resumed after 1, so event 2 came twice without any stutter of the second upstream.

Now each event counts by itself. One whose identifier is not higher than all before shows that the upstream repeats or has begun again: neither it nor what follows is passed on, the resume point stays, and the end of that answer is not the end of the stream ("events out of turn"). The attempt goes on as one that brings nothing, as before, so another one is sent beside it or after it.

Ruled out: to leave out the repeated events and go on with the next new one. It joins two runs where the upstream has begun anew.

--- /dev/null
+++ b/features/steps/stream_order_steps.py
@@ -0,0 +1,77 @@
+"""Steps for the order and the end of the pieces of streams."""
+
+from behave import then, when
+
+from features.builders import bodyends, streamorder
+
+_EVENTS = [bodyends.stream_event(number, b'\n') for number in (1, 2, 3)]
+_FIRST = b''.join(_EVENTS[:2])
+_WHOLE = b''.join(_EVENTS)
+
+
+def _without_end(body):
+    return bodyends.framed(body, 'chunks').removesuffix(bodyends.LAST_CHUNK)
+
+
+# What the first upstream sends before it closes the connection.
+_AGAIN = {
+    'sends its first events again': bodyends.framed(_FIRST * 2, 'chunks'),
+    'goes on from the first event': bodyends.framed(
+        _FIRST + _WHOLE, 'no framing'
+    ),
+    'breaks off after a repeated event': _without_end(_FIRST + _EVENTS[0]),
+}
+
+
+@when(
+    'resumable streams of {count:d} seeds are at upstreams of which some do "{way}"'
+)
+def when_seeds(context, count, way):
+    ways = (*streamorder.HARMLESS, 'killed', way)
+    context.orders = [
+        streamorder.OrderStory(seed, ways).play() for seed in range(count)
+    ]
+    done = {run.way for order in context.orders for run in order.upstreams}
+    assert done == set(ways), done
+
+
+@then(
+    'each caller gets the pieces of its stream in order, complete with the last one'
+)
+def then_in_order(context):
+    found = [
+        (seed, line)
+        for seed, order in enumerate(context.orders)
+        for line in order.violations()
+    ]
+    assert not found, found
+    whole = [order.story.answer.end == 'whole' for order in context.orders]
+    assert sum(whole) > len(whole) // 3, sum(whole)
+
+
+@when('an upstream of a resumable stream {again}')
+def when_again(context, again):
+    host = context.host
+    host.first_replies = [_AGAIN[again]]
+    context.result = bodyends.answer_through(
+        host, 'resumable', bodyends.framed(_EVENTS[2], 'chunks')
+    )
+
+
+@then('the caller gets each event once, and the stream is complete')
+def then_once(context):
+    assert context.result == (_WHOLE, True), context.result
+    assert b'Last-Event-Id: 2\r\n' in context.host.seen[1], context.host.seen
+
+
+@when('the upstreams of a resumed stream begin at its first event')
+def when_anew(context):
+    context.host.first_replies = [_without_end(_FIRST)]
+    context.result = bodyends.answer_through(
+        context.host, 'resumable', bodyends.framed(_WHOLE, 'chunks')
+    )
+
+
+@then('it has each event once')
+def then_each_once(context):
+    assert context.result[0] == _FIRST, context.result
--- /dev/null
+++ b/features/stream_order.feature
@@ -0,0 +1,37 @@
+Feature: Each piece of a stream comes once, in its order, and up to the last
+
+  Scenario Outline: A stream whose upstreams break off, stand still or stutter: <way>
+    Guards against pieces that are missing, come twice or are of two runs, and ends that come too soon.
+    When resumable streams of 40 seeds are at upstreams of which some do "<way>"
+    Then each caller gets the pieces of its stream in order, complete with the last one
+
+    Examples:
+      | way                    |
+      | silent                 |
+      | killed                 |
+      | ends inside an event   |
+      | starts again           |
+      | goes back              |
+      | ignores the last event |
+      | repeats an event       |
+      | refuses                |
+      | fails                  |
+
+  Scenario Outline: A stream in which an upstream begins again is taken up elsewhere: <again>
+    Guards against events that are passed on a second time, with the next new one or at the end.
+    Given a host with 2 upstreams that close each connection after their answer
+    When an upstream of a resumable stream <again>
+    Then the caller gets each event once, and the stream is complete
+
+    Examples:
+      | again                               |
+      | sends its first events again        |
+      | goes on from the first event        |
+      | breaks off after a repeated event   |
+
+  Scenario: A resumed stream that begins anew at each upstream is cut off
+    Guards against a run that is joined to another one from its first event on.
+    Given a host with 2 upstreams that close each connection after their answer
+    When the upstreams of a resumed stream begin at its first event
+    Then the caller gets no answer that is complete
+    And it has each event once
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -160,6 +160,8 @@
     log_stream_end(attempt, end)
     if end not in _ENDED:
         return _incomplete(attempt, 'torn stream', end)
+    if attempt.splitter.has_gone_back:
+        return _incomplete(attempt, 'events out of turn', end)
     may_be_empty = end is BodyEnd.COMPLETE and _may_lack_body(attempt, head)
     if attempt.splitter.is_broken_off(may_be_empty=may_be_empty):
         return _incomplete(attempt, 'torn stream', BodyEnd.BROKEN)
@@ -177,8 +179,8 @@
     ===========
 
     What doesn't bring the stream on begins no answer and closes no other
-    attempt. Comments keep an answer alive that has begun; events out of turn
-    wait until it goes on.
+    attempt. Comments keep an answer alive that has begun; events without an
+    identifier that they need wait until it goes on.
     """
     if attempt.has_first_event and not attempt.has_gone_on:
         note_going_on(attempt)
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -23,8 +23,11 @@
     leaving a partial line in the stream.
 
     In a stream that can be resumed, an event brings the stream on if its
-    identifier is higher than all before. In others, whose identifiers may be
-    anything, it does so with a line that the part before it did not have.
+    identifier is higher than all before. One that is not shows that its
+    upstream repeats events or has begun again, so neither it nor what follows
+    is returned: the caller would get events twice, or those of two runs. In
+    other streams, whose identifiers may be anything, an event brings the stream
+    on with a line that the part before it did not have.
 
     Parameters
     ==========
@@ -36,16 +39,18 @@
     ==========
 
     last : bytes
-        Identifier of the last complete event.
+        Identifier of the last event that was returned.
     highest : int
         Highest number that was an identifier; -1 before the first.
     lines : frozenset of bytes
         Lines of the events that were fed last, where identifiers don't count.
     brings_on : bool
         Whether an event that was fed last brings the stream on.
+    has_gone_back : bool
+        Whether an event came whose identifier is not higher than all before.
     is_out_of_turn : bool
-        Whether an event came since that has no identifier where it needs one,
-        or none that is higher.
+        Whether that is so, or an event came since that has no identifier where
+        it needs one.
     rest : bytearray
         Received bytes of an incomplete event. Each part of it is appended and
         searched once, however many parts it has.
@@ -68,6 +73,7 @@
     __slots__ = (
         'brings_on',
         'has_events',
+        'has_gone_back',
         'highest',
         'is_out_of_turn',
         'last',
@@ -85,18 +91,21 @@
         self.is_out_of_turn = False
         self.rest = bytearray()
         self.has_events = False
+        self.has_gone_back = False
 
     def feed(self, data):
         """Return the bytes up to the end of the last complete event."""
         # An event end may have begun in the bytes that were received before.
         start = max(0, len(self.rest) - _MAX_END_BYTES + 1)
         self.rest += data
-        end = _last_end(self.rest, start)
+        ends = [match.end() for match in _EVENT_END.finditer(self.rest, start)]
         self.brings_on = False
-        if not end:
+        if not ends:
             return b''
-        events = bytes(self.rest[:end])
-        self.rest = self.rest[end:]
+        events = bytes(self.rest[: ends[-1]])
+        self.rest = self.rest[ends[-1] :]
+        if self.needs_idents:
+            return events[: self._end_in_turn(events, ends)]
         self._note_events(events)
         return events
 
@@ -117,7 +126,20 @@
             last one, and a length or a last chunk ended the body.
         """
         is_inside_event = any(self.rest.splitlines())
-        return is_inside_event or not (may_be_empty or self.has_events)
+        is_empty = not (may_be_empty or self.has_events)
+        return is_inside_event or is_empty or self.has_gone_back
+
+    def _end_in_turn(self, events, ends):
+        """Return the end of the last event before the first that goes back."""
+        begin = 0
+        for end in ends:
+            lines = _content_lines(events[begin:end])
+            if lines and not self.has_gone_back:
+                self._note_ident(_last_ident(lines))
+            if self.has_gone_back:
+                break
+            begin = end
+        return begin
 
     def _note_events(self, events):
         lines = _content_lines(events)
@@ -125,21 +147,24 @@
             return
         self.has_events = True
         ident = _last_ident(lines)
-        if self.needs_idents:
-            self._note_ident(ident)
-            return
         self.brings_on = not self.lines.issuperset(lines)
         self.lines = frozenset(lines)
         self.last = self.last if ident is None else ident
 
     def _note_ident(self, ident):
+        self.has_events = True
         if ident is None:
             self.is_out_of_turn = True
             return
         number = _number(ident)
         highest = max(self.highest, _number(self.last))
-        self.brings_on = ident != self.last if number < 0 else number > highest
-        self.is_out_of_turn = not self.brings_on
+        is_next = ident != self.last if number < 0 else number > highest
+        if not is_next:
+            self.has_gone_back = True
+            self.is_out_of_turn = True
+            return
+        self.brings_on = True
+        self.is_out_of_turn = False
         self.highest = max(highest, number)
         self.last = ident
 
@@ -166,11 +191,3 @@
     if len(ident) > _MAX_DIGITS or not ident.isdigit():
         return -1
     return int(ident)
-
-
-def _last_end(received, start):
-    """Return the end of the last event end after a position; 0 without any."""
-    end = 0
-    for match in _EVENT_END.finditer(received, start):
-        end = match.end()
-    return end
