sse: an event without an identifier is passed on with the numbered one after it

What a caller sees on a stream that resumes: an event without an identifier twice, 1, 2, x, x, 3; and, where an upstream answers twice without framing, the second answer's head between the events.

Cause: such an event waits for the next one that brings the stream on, as another upstream, which goes on after the last identifier, sends it again. Where it came in one read with the event before it, it was passed on at once with that one.

Now the bytes that wait are counted from such an event on, however they were read. They are passed on with the next numbered event, or with the end of a stream that is complete.

features/stream_order.feature: "answers twice without framing" failed before (it went out with the events; the head has no identifier) and passes now.

--- a/features/builders/streamorder.py
+++ b/features/builders/streamorder.py
@@ -25,6 +25,7 @@
 _LATEST_HEAD_SECONDS = 0.4
 _LATEST_PART_SECONDS = 0.25
 _COMMENT_SHARE = 0.2
+_UNNUMBERED_SHARE = 0.15
 _LAST_EVENT = b'last-event-id'
 # Ends of a body of which its host knows that its upstream did not end it.
 _BREAKS = (BodyEnd.BROKEN, BodyEnd.EARLY, BodyEnd.UNCONFIRMED)
@@ -52,7 +53,8 @@
     ==========
 
     names : list of str
-        ``'3'`` for event 3.
+        ``'3'`` for event 3, and ``'3x'`` for an event without an identifier
+        after it.
     line_end : bytes
         Ends the lines.
     digits : int
@@ -84,6 +86,8 @@
     )
     for number in range(1, rng.randint(1, _MOST_EVENTS) + 1):
         stream.names.append(str(number))
+        if rng.random() < _UNNUMBERED_SHARE:
+            stream.names.append(f'{number}x')
     return stream
 
 
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -16,6 +16,7 @@
 # What the first upstream sends before it closes the connection.
 _AGAIN = {
     'sends its first events again': bodyends.framed(_FIRST * 2, 'chunks'),
+    'answers twice without framing': bodyends.framed(_FIRST, 'no framing') * 2,
     'goes on from the first event': bodyends.framed(
         _FIRST + _WHOLE, 'no framing'
     ),
--- a/features/stream_order.feature
+++ b/features/stream_order.feature
@@ -26,6 +26,7 @@
     Examples:
       | again                               |
       | sends its first events again        |
+      | answers twice without framing       |
       | goes on from the first event        |
       | breaks off after a repeated event   |
 
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -196,7 +196,7 @@
         _count_toward_bound(attempt, data, MAX_EVENT_BYTES, reason)
     may_write = splitter.brings_on or _keeps_alive(attempt)
     if attempt.pending and may_write:
-        _write_pending(attempt)
+        _write_pending(attempt, splitter.waiting)
 
 
 def _note_event(attempt, head):
@@ -220,9 +220,11 @@
     return not attempt.splitter.is_out_of_turn
 
 
-def _write_pending(attempt):
-    attempt.answer.write(bytes(attempt.pending))
-    attempt.pending = bytearray()
+def _write_pending(attempt, kept=0):
+    """Write what is pending, but for some bytes at its end."""
+    size = len(attempt.pending) - kept
+    attempt.answer.write(bytes(attempt.pending[:size]))
+    attempt.pending = attempt.pending[size:]
 
 
 def _bound_reason(splitter):
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -48,9 +48,10 @@
         Whether an event that was fed last brings the stream on.
     has_gone_back : bool
         Whether an event came whose identifier is not higher than all before.
-    is_out_of_turn : bool
-        Whether that is so, or an event came since that has no identifier where
-        it needs one.
+    waiting : int
+        Bytes at the end of all that was returned, from an event on that has no
+        identifier where it needs one. Another upstream would send that again,
+        so it belongs to the event after it.
     rest : bytearray
         Received bytes of an incomplete event. Each part of it is appended and
         searched once, however many parts it has.
@@ -75,11 +76,11 @@
         'has_events',
         'has_gone_back',
         'highest',
-        'is_out_of_turn',
         'last',
         'lines',
         'needs_idents',
         'rest',
+        'waiting',
     )
 
     def __init__(self, *, needs_idents=False):
@@ -88,10 +89,15 @@
         self.highest = -1
         self.lines = frozenset()
         self.brings_on = False
-        self.is_out_of_turn = False
         self.rest = bytearray()
         self.has_events = False
         self.has_gone_back = False
+        self.waiting = 0
+
+    @property
+    def is_out_of_turn(self):
+        """Whether what came last does not bring the stream on."""
+        return self.has_gone_back or self.waiting > 0
 
     def feed(self, data):
         """Return the bytes up to the end of the last complete event."""
@@ -135,9 +141,11 @@
         for end in ends:
             lines = _content_lines(events[begin:end])
             if lines and not self.has_gone_back:
-                self._note_ident(_last_ident(lines))
+                self._note_ident(_last_ident(lines), end - begin)
             if self.has_gone_back:
                 break
+            if self.waiting and not lines:
+                self.waiting += end - begin
             begin = end
         return begin
 
@@ -151,20 +159,19 @@
         self.lines = frozenset(lines)
         self.last = self.last if ident is None else ident
 
-    def _note_ident(self, ident):
+    def _note_ident(self, ident, size):
         self.has_events = True
         if ident is None:
-            self.is_out_of_turn = True
+            self.waiting += size
             return
         number = _number(ident)
         highest = max(self.highest, _number(self.last))
         is_next = ident != self.last if number < 0 else number > highest
         if not is_next:
             self.has_gone_back = True
-            self.is_out_of_turn = True
             return
         self.brings_on = True
-        self.is_out_of_turn = False
+        self.waiting = 0
         self.highest = max(highest, number)
         self.last = ident
 
