sse: an empty identifier is no point from which a stream goes on

What a caller sees on a stream that resumes: 1, 2, an event with an empty identifier, and then 1, 2 again, where the upstream breaks off after it.

Cause: an empty identifier counted as a new one and became the resume point. An empty resume point is the beginning of the stream, so the next upstream was asked for all of it.

An event with an empty identifier now waits as one without any.

features/stream_order.feature: "An event with an empty identifier is no point to go on from" failed before (the second upstream got no Last-Event-Id) and passes now. body_ends, endless_answers, silent_attempts, forward features: all pass.

--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -7,6 +7,7 @@
 _EVENTS = [bodyends.stream_event(number, b'\n') for number in (1, 2, 3)]
 _FIRST = b''.join(_EVENTS[:2])
 _WHOLE = b''.join(_EVENTS)
+_EMPTY_IDENT = b'id:\ndata: {}\n\n'
 
 
 def _without_end(body):
@@ -21,6 +22,7 @@
         _FIRST + _WHOLE, 'no framing'
     ),
     'breaks off after a repeated event': _without_end(_FIRST + _EVENTS[0]),
+    'breaks off after an empty identifier': _without_end(_FIRST + _EMPTY_IDENT),
 }
 
 
--- a/features/stream_order.feature
+++ b/features/stream_order.feature
@@ -30,6 +30,12 @@
       | goes on from the first event        |
       | breaks off after a repeated event   |
 
+  Scenario: An event with an empty identifier is no point to go on from
+    Guards against a stream that is begun anew after a part of it was passed on.
+    Given a host with 2 upstreams that close each connection after their answer
+    When an upstream of a resumable stream breaks off after an empty identifier
+    Then the caller gets each event once, and the stream is complete
+
   Scenario: A resumed stream that begins anew at each upstream is cut off
     Guards against a run that is joined to another one from its first event on.
     Given a host with 2 upstreams that close each connection after their answer
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -50,8 +50,8 @@
         Whether an event came whose identifier is not higher than all before.
     waiting : int
         Bytes at the end of all that was returned, from an event on that has no
-        identifier where it needs one. Another upstream would send that again,
-        so it belongs to the event after it.
+        identifier, or an empty one, where it needs one. Another upstream would
+        send that again, so it belongs to the event after it.
     rest : bytearray
         Received bytes of an incomplete event. Each part of it is appended and
         searched once, however many parts it has.
@@ -161,7 +161,7 @@
 
     def _note_ident(self, ident, size):
         self.has_events = True
-        if ident is None:
+        if not ident:
             self.waiting += size
             return
         number = _number(ident)
