forward: a resumed stream of which more was seen does not end without an event

What a caller sees: 1, 2, complete, of a stream whose upstream broke off within event 3.

Cause: a resumed stream may have nothing more, if its end is framed: the first upstream may have sent all events. But an upstream that fails before its first event may end its chunks or state a length of 0 as well, and that passed for the end even where the first upstream had sent a part of the next event.

Now a host remembers after which event an upstream of the request has begun another one (a part of it, or an event without an identifier that waits), also one that is silent beside the resumed attempt. An answer without an event that would go on after the same event is then lost as one that breaks off: another upstream is asked, or the caller is cut off and may take the stream up. Without such a part, an answer that is framed and empty is the upstream's word that nothing is left, and ends the stream as before; a killed, reset or unframed one never does.

--- a/features/builders/streamorder.py
+++ b/features/builders/streamorder.py
@@ -32,6 +32,8 @@
 _WHOLE_ENDS = (BodyEnd.COMPLETE, BodyEnd.CLOSED)
 # What an upstream does that can't be told from an upstream that is sound.
 HARMLESS = ('sound', 'silent')
+# Ways of upstreams that send no event out of its turn.
+_IN_ORDER = (*HARMLESS, 'killed', 'ends inside an event')
 WAYS = (
     *HARMLESS,
     'killed',
@@ -40,6 +42,7 @@
     'goes back',
     'ignores the last event',
     'repeats an event',
+    'has nothing more',
     'refuses',
     'fails',
 )
@@ -112,6 +115,7 @@
         self.way = self.rng.choice(order.ways)
         self.run = order.new_run(self.after)
         self.parts = []
+        self.sent = bytearray()
         self.end = self.rng.choice(_WHOLE_ENDS)
         order.story.clock.callLater(
             self.rng.uniform(0, _LATEST_HEAD_SECONDS), self._begin
@@ -212,6 +216,21 @@
         repeated = [*names[: place + 1], *names[place:]]
         return self._sound(repeated)
 
+    def _has_nothing_more(self, names):
+        if not any(run.shows_more(self.after) for run in self.order.upstreams):
+            # Nothing would tell its host that this is wrong.
+            return self._sound(names)
+        self.end = BodyEnd.COMPLETE
+        return b''
+
+    def shows_more(self, number):
+        """Return whether it has sent a part of a piece after an event."""
+        if self.way not in _IN_ORDER:
+            return False
+        *events, rest = bytes(self.sent).split(self.order.stream.line_end * 2)
+        numbers = [event.count(b'id: ') for event in events]
+        return self.after + sum(numbers) == number and _is_content(rest)
+
     def _send_next(self):
         if self.call.cancelled:
             return
@@ -225,6 +244,7 @@
     def _send(self, data):
         if self.call.cancelled:
             return
+        self.sent += data
         self.call.on_data(data)
         self._send_next()
 
@@ -299,6 +319,11 @@
         return found
 
 
+def _is_content(rest):
+    """Return whether the bytes of a piece are more than a comment."""
+    return any(line and not line.startswith(b':') for line in rest.splitlines())
+
+
 def _pieces_in(content):
     """Return run and name of each piece that a caller has received."""
     pieces = []
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -7,6 +7,8 @@
 _EVENTS = [bodyends.stream_event(number, b'\n') for number in (1, 2, 3)]
 _FIRST = b''.join(_EVENTS[:2])
 _WHOLE = b''.join(_EVENTS)
+# Bytes of an event with its comment and the first letter after it.
+_BEGINNING = len(b': 3\ni')
 _EMPTY_IDENT = b'id:\ndata: {}\n\n'
 
 
@@ -26,6 +28,18 @@
 }
 
 
+# The same, with the part of an event that no other upstream makes.
+_PARTS = {
+    'breaks off in the middle': _without_end(_FIRST + _EVENTS[2][:-4]),
+    'ends its chunks in the middle': bodyends.framed(
+        _FIRST + _EVENTS[2][:-4], 'chunks'
+    ),
+    'breaks off after the beginning': _without_end(
+        _FIRST + _EVENTS[2][:_BEGINNING]
+    ),
+}
+
+
 @when(
     'resumable streams of {count:d} seeds are at upstreams of which some do "{way}"'
 )
@@ -67,6 +81,14 @@
     assert b'Last-Event-Id: 2\r\n' in context.host.seen[1], context.host.seen
 
 
+@when('an upstream {breaks_off} of a further event, and others add none')
+def when_part(context, breaks_off):
+    context.host.first_replies = [_PARTS[breaks_off]]
+    context.result = bodyends.answer_through(
+        context.host, 'resumable', bodyends.framed(b'', 'chunks')
+    )
+
+
 @when('the upstreams of a resumed stream begin at its first event')
 def when_anew(context):
     context.host.first_replies = [_without_end(_FIRST)]
--- a/features/stream_order.feature
+++ b/features/stream_order.feature
@@ -14,6 +14,7 @@
       | goes back              |
       | ignores the last event |
       | repeats an event       |
+      | has nothing more       |
       | refuses                |
       | fails                  |
 
@@ -30,6 +31,19 @@
       | goes on from the first event        |
       | breaks off after a repeated event   |
 
+  Scenario Outline: A stream of which more was seen does not end without it: the first upstream <breaks off>
+    Guards against a failure before the first event that passes as the end of a stream.
+    Given a host with 2 upstreams that close each connection after their answer
+    When an upstream <breaks off> of a further event, and others add none
+    Then the caller gets no answer that is complete
+    And it has each event once
+
+    Examples:
+      | breaks off                       |
+      | breaks off in the middle         |
+      | ends its chunks in the middle    |
+      | breaks off after the beginning   |
+
   Scenario: An event with an empty identifier is no point to go on from
     Guards against a stream that is begun anew after a part of it was passed on.
     Given a host with 2 upstreams that close each connection after their answer
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -185,10 +185,16 @@
                 learn_failure(self.view)
             raise
         finally:
+            self._note_begun_event()
             self._release_counts(tokens)
         learn_outcome(self, outcome)
         return outcome
 
+    def _note_begun_event(self):
+        """Record that the stream has more than was passed on."""
+        if self.splitter.has_begun_event():
+            self.exchange.begun_after = self.splitter.last
+
     def _release_counts(self, tokens):
         self.silence.stop()
         self.input_release.stop()
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -150,8 +150,25 @@
 
 def _may_lack_body(attempt, head):
     """Return whether an answer on a stream's route may have no event."""
-    is_bodiless = head.code in _BODILESS or attempt.exchange.method == b'HEAD'
-    return is_bodiless or attempt.is_resumed
+    if attempt.is_resumed:
+        return not _is_more_begun(attempt)
+    return head.code in _BODILESS or attempt.exchange.method == b'HEAD'
+
+
+def _is_more_begun(attempt):
+    """Return whether another upstream has begun an event after the last one."""
+    last = attempt.splitter.last
+    if attempt.exchange.begun_after == last:
+        return True
+    splitters = [
+        other.splitter
+        for other in attempt.contest.running
+        if other is not attempt
+    ]
+    return any(
+        splitter.last == last and splitter.has_begun_event()
+        for splitter in splitters
+    )
 
 
 async def _relay_stream(attempt, head):
--- a/pollenstile/forward/_sse.py
+++ b/pollenstile/forward/_sse.py
@@ -135,6 +135,12 @@
         is_empty = not (may_be_empty or self.has_events)
         return is_inside_event or is_empty or self.has_gone_back
 
+    def has_begun_event(self):
+        """Return whether a part of an event after the last one was received."""
+        if self.has_gone_back:
+            return False
+        return self.waiting > 0 or bool(_content_lines(self.rest))
+
     def _end_in_turn(self, events, ends):
         """Return the end of the last event before the first that goes back."""
         begin = 0
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -154,6 +154,9 @@
     parts : tuple of str
         Keyed digests of its prompt parts without the last one, which no other
         request shares; empty while the fleet's key is unknown.
+    begun_after : bytes or None
+        Identifier of the event after which an upstream has begun another one
+        that was not passed on; None before any.
     may_fetch : bool
         Whether its next attempt may name a source of its shared prompt parts;
         False once an attempt has named one.
@@ -183,6 +186,7 @@
     proof_ms: int = 0
     fingerprint: str = ''
     parts: tuple = ()
+    begun_after: bytes | None = None
     may_fetch: bool = True
 
     @property
