tests: streams that go on at engines that are killed as well

An engine is a process of its own and is killed between two events of a stream without framing; the system closes its connections in order. Then the engine at which the stream goes on, at the host or as its caller takes it up, is killed too, after two further events or before its first one.

One taken up that got none was cut off already.

--- a/features/builders/streamorder.py
+++ b/features/builders/streamorder.py
@@ -7,11 +7,16 @@
 from. All is drawn from a seed, in virtual time.
 """
 
+import subprocess
+import sys
 from dataclasses import dataclass, field, replace
 from random import Random
 
+from features.builders import killedengine
+from features.builders.bodyends import answer_through
 from features.builders.forward import ForwardScenario
-from pollenstile.forward import BodyEnd
+from features.builders.forwardhost import ForwardHost
+from pollenstile.forward import BodyEnd, Upstream
 
 _LINE_ENDS = (b'\n', b'\r\n', b'\r')
 _ATTEMPTS = 3
@@ -319,6 +324,42 @@
         return found
 
 
+def killed_stream(after, more):
+    """Return what a caller gets of a stream, and whether it was ended as whole.
+
+    Explanation
+    ===========
+
+    It is at engines that are processes of their own, and killed one by one.
+
+    Parameters
+    ==========
+
+    after : int
+        Event after which the caller takes the stream up; 0 for a new one.
+    more : int
+        Events of each engine at which it goes on.
+    """
+    command = (sys.executable, killedengine.__file__, '2', f'{more}')
+    engines = [
+        subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        for _ in range(2)
+    ]
+    host = ForwardHost(upstreams=0)
+    for number, engine in enumerate(engines):
+        address = f'127.0.0.1:{int(engine.stdout.readline())}'
+        host.factory.core.registry.apply(
+            f'i{number}', Upstream(f'i{number}', 'desk', address, 'd')
+        )
+    extra = b'Last-Event-Id: %d\r\n' % after if after else b''
+    got = answer_through(host, 'resumable', b'', extra)
+    host.stop()
+    for engine in engines:
+        engine.kill()
+        engine.communicate()
+    return got
+
+
 def _is_content(rest):
     """Return whether the bytes of a piece are more than a comment."""
     return any(line and not line.startswith(b':') for line in rest.splitlines())
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from features.builders import bodyends, streamorder
+from features.builders import bodyends, killedengine, streamorder
 
 _EVENTS = [bodyends.stream_event(number, b'\n') for number in (1, 2, 3)]
 _FIRST = b''.join(_EVENTS[:2])
@@ -100,3 +100,21 @@
 @then('it has each event once')
 def then_each_once(context):
     assert context.result[0] == _FIRST, context.result
+
+
+@when(
+    'each engine of a stream that {begun} is killed after {count:d} further events'
+)
+def when_killed(context, begun, count):
+    context.after = 2 if begun == 'its caller takes up' else 0
+    context.sent = 2 * count if context.after else 2 + count
+    context.result = streamorder.killed_stream(context.after, count)
+
+
+@then('its caller gets the events in order, and no end')
+def then_no_end(context):
+    body, whole = context.result
+    assert not whole, body
+    numbers = range(context.after + 1, context.after + context.sent + 1)
+    expected = b''.join(map(killedengine.event, numbers))
+    assert (body or b'') == expected, (body, expected)
--- a/features/stream_order.feature
+++ b/features/stream_order.feature
@@ -44,6 +44,18 @@
       | ends its chunks in the middle    |
       | breaks off after the beginning   |
 
+  Scenario Outline: A stream whose engines are killed one after the other is cut off: <count> events more, <begun>
+    Guards against a close that is taken for the end of a stream that goes on.
+    When each engine of a stream that <begun> is killed after <count> further events
+    Then its caller gets the events in order, and no end
+
+    Examples:
+      | begun                  | count |
+      | goes on at the host    | 2     |
+      | goes on at the host    | 0     |
+      | its caller takes up    | 2     |
+      | its caller takes up    | 0     |
+
   Scenario: An event with an empty identifier is no point to go on from
     Guards against a stream that is begun anew after a part of it was passed on.
     Given a host with 2 upstreams that close each connection after their answer
