--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -150,8 +150,25 @@
 
 def _may_lack_body(attempt, head):
     """Return whether an answer on a stream's route may have no event."""
-    is_bodiless = head.code in _BODILESS or attempt.exchange.method == b'HEAD'
-    return is_bodiless or attempt.is_resumed
+    if attempt.is_resumed:
+        return not _is_more_begun(attempt)
+    return head.code in _BODILESS or attempt.exchange.method == b'HEAD'
+
+
+def _is_more_begun(attempt):
+    """Return whether another upstream has begun an event after the last one."""
+    last = attempt.splitter.last
+    if attempt.exchange.begun_after == last:
+        return True
+    splitters = [
+        other.splitter
+        for other in attempt.contest.running
+        if other is not attempt
+    ]
+    return any(
+        splitter.last == last and splitter.has_begun_event()
+        for splitter in splitters
+    )
 
 
 async def _relay_stream(attempt, head):
@@ -160,6 +177,8 @@
     log_stream_end(attempt, end)
     if end not in _ENDED:
         return _incomplete(attempt, 'torn stream', end)
+    if attempt.splitter.has_gone_back:
+        return _incomplete(attempt, 'events out of turn', end)
     may_be_empty = end is BodyEnd.COMPLETE and _may_lack_body(attempt, head)
     if attempt.splitter.is_broken_off(may_be_empty=may_be_empty):
         return _incomplete(attempt, 'torn stream', BodyEnd.BROKEN)
@@ -177,8 +196,8 @@
     ===========
 
     What doesn't bring the stream on begins no answer and closes no other
-    attempt. Comments keep an answer alive that has begun; events out of turn
-    wait until it goes on.
+    attempt. Comments keep an answer alive that has begun; events without an
+    identifier that they need wait until it goes on.
     """
     if attempt.has_first_event and not attempt.has_gone_on:
         note_going_on(attempt)
@@ -194,7 +213,7 @@
         _count_toward_bound(attempt, data, MAX_EVENT_BYTES, reason)
     may_write = splitter.brings_on or _keeps_alive(attempt)
     if attempt.pending and may_write:
-        _write_pending(attempt)
+        _write_pending(attempt, splitter.waiting)
 
 
 def _note_event(attempt, head):
@@ -218,9 +237,11 @@
     return not attempt.splitter.is_out_of_turn
 
 
-def _write_pending(attempt):
-    attempt.answer.write(bytes(attempt.pending))
-    attempt.pending = bytearray()
+def _write_pending(attempt, kept=0):
+    """Write what is pending, but for some bytes at its end."""
+    size = len(attempt.pending) - kept
+    attempt.answer.write(bytes(attempt.pending[:size]))
+    attempt.pending = attempt.pending[size:]
 
 
 def _bound_reason(splitter):
