answers: a length that contradicts the chunks ends no answer

An upstream stated Content-Length 500 (5, 0) beside chunks of 44 bytes, and callers of all four kinds of route got the chunks as a whole answer, directly and through a peer. The library reads the chunks and drops the length, so nothing noticed that the two framings contradict (RFC 9112, sections 6.1 and 6.3). Such an answer is whole by one of them and not by the other.

The strict parser, which all readers of answers use, now measures the chunks where a length stands beside them: more bytes than stated, or a last chunk before them, end the answer as malformed. A length that agrees still arrives (malformed.feature, unusual answers); one that is no number is refused with the head. Attempts are lost with "its length and chunks contradict", not as broken connections, since no process has ended. Streams may have passed on events by then; they are not ended as complete.

Before the change: 6 of 6 scenarios of second_copies.feature failed. With it: 6 passed, and malformed.feature and body_ends.feature (84 scenarios) pass.

--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -36,9 +36,10 @@
 _FAILURE_ENDED = _ENDED | {BodyEnd.EARLY}
 _BROKEN = frozenset((BodyEnd.BROKEN, BodyEnd.EARLY, BodyEnd.UNCONFIRMED))
 # What a refusal says of such an end.
-_CLOSES = {
+_END_REASONS = {
     BodyEnd.EARLY: ', closed before the request was received',
     BodyEnd.UNCONFIRMED: ', closed as its upstream ended',
+    BodyEnd.MISFRAMED: ', its length and chunks contradict',
 }
 
 
@@ -286,7 +287,7 @@
 def _incomplete(attempt, reason, end):
     if attempt.endless:
         return Lost(attempt.endless, attempt.view.ident, endless=True)
-    reason += _CLOSES.get(end, '')
+    reason += _END_REASONS.get(end, '')
     return Lost(reason, attempt.view.ident, broken=end in _BROKEN)
 
 
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -35,6 +35,8 @@
     def _body_end(self, reason):
         if reason.check(ResponseDone):
             return BodyEnd.COMPLETE
+        if isinstance(reading_error(reason), MalformedAnswerError):
+            return BodyEnd.MISFRAMED
         # The parser gives the same reason for an unframed body whose connection
         # was reset.
         protocol = self.call.protocol
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -282,6 +282,8 @@
     # The same, but its upstream was not heard of after that.
     UNCONFIRMED = 'unconfirmed'
     BROKEN = 'broken'
+    # Its length contradicts its chunks.
+    MISFRAMED = 'misframed'
     # It was given up, as it has more bytes than any answer.
     ENDLESS = 'endless'
 
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -7,9 +7,15 @@
     HTTP11ClientProtocol,
     HTTPClientParser,
     ParseError,
+    _contentLength,
 )
 from twisted.web.client import ResponseFailed
-from twisted.web.http import SWITCHING, _IdentityTransferDecoder
+from twisted.web.http import (
+    SWITCHING,
+    _ChunkedTransferDecoder,
+    _DataLoss,
+    _IdentityTransferDecoder,
+)
 
 from pollenstile.ops.documents import TooLongError
 
@@ -41,6 +47,7 @@
 # body is not as its upstream made it.
 _CONTENT_CODING = b'content-encoding'
 _TRANSFER_CODING = b'transfer-encoding'
+_CONTRADICTION = 'length, which is not that of the chunks'
 
 
 class MalformedAnswerError(Exception):
@@ -58,6 +65,47 @@
         self.part = part
 
 
+class _MeasuredChunks(_ChunkedTransferDecoder):
+    """Decodes chunks beside which their length is stated as well.
+
+    Explanation
+    ===========
+
+    A sender must not state both, and two framings that contradict each other
+    ought to be handled as an error, by RFC 9112, sections 6.1 and 6.3.
+
+    Parameters
+    ==========
+
+    decoder : _ChunkedTransferDecoder
+        The library's decoder, which has received nothing.
+    stated : int
+        Bytes that the chunks are to have.
+    """
+
+    def __init__(self, decoder, stated):
+        super().__init__(self._measure, decoder.finishCallback)
+        self.deliver = decoder.dataCallback
+        self.missing = stated
+
+    def noMoreData(self):
+        """Check that all of the body was received; called by Twisted."""
+        super().noMoreData()
+        if self.missing:
+            raise _DataLoss(_CONTRADICTION)
+
+    def _measure(self, data):
+        self.missing -= len(data)
+        if self.missing < 0:
+            raise MalformedAnswerError(_CONTRADICTION)
+        self.deliver(data)
+
+    def _dataReceived_TRAILER(self):
+        if self.missing:
+            raise MalformedAnswerError(_CONTRADICTION)
+        return super()._dataReceived_TRAILER()
+
+
 class _AnswerParser(HTTPClientParser):
     """Reads heads more strictly than the library's parser.
 
@@ -92,6 +140,19 @@
             self._check_codings()
         super().allHeadersReceived()
 
+    def switchToBodyMode(self, decoder):
+        """Read the body from now on; called by Twisted."""
+        stated = self._stated_length()
+        if isinstance(decoder, _ChunkedTransferDecoder) and stated is not None:
+            decoder = _MeasuredChunks(decoder, stated)
+        super().switchToBodyMode(decoder)
+
+    def _stated_length(self):
+        try:
+            return _contentLength(self.connHeaders)
+        except ValueError as error:
+            raise MalformedAnswerError('length') from error
+
     def _check_codings(self):
         if self.headers.hasHeader(_CONTENT_CODING):
             raise MalformedAnswerError('content coding')
