forward: a second answer to a request is no part of the first

An upstream that stutters sends its answer, or half of it, and then the answer again on the same connection. Where the first one had no length, or where the second one filled what its length left open, callers on all four kinds of route got the second head and body as a part of the answer: 200, whole, directly and through a peer. Nothing looked for a head inside a body.

A body can't guess the identifier of its request, and an upstream's head echoes it. So each part of an answer that is forwarded is searched for a status line, anywhere in a line, that is followed by lines of fields of which one echoes the identifier. A body may quote status lines, whole heads with other identifiers, or the request itself.

A length may cut the second head before the echo. Where a body of a stated length ends in what may be the beginning of a head, the bytes after it are searched too, up to 0.1 s for those that haven't come yet, or until the upstream closes. A second answer that begins after the end of the first is none of its business: the first one arrives.

The attempt is lost with "second answer in it", and no evidence of a crash. Requests that may be repeated go to another upstream; where a part was passed on, the caller's connection is broken off.

--- a/features/builders/secondcopies.py
+++ b/features/builders/secondcopies.py
@@ -16,6 +16,8 @@
 # A body that is whole on each route, and half of it, which ends between events.
 HALF = stream_event(1, b'\n')
 BODY = HALF + stream_event(2, b'\n')
+# More than a host holds back of an answer whose length it knows.
+_LONG_HALF = BODY * 2000
 _OK_LINE = b'HTTP/1.1 200 OK'
 _PROOF = (b'X-Attempt: a1', b'X-Proof: p')
 # Time between two parts, in which a host reads the one before.
@@ -61,6 +63,9 @@
     'half of an answer with a length': _sized(len(BODY), HALF),
     'an answer whose length is higher by 3': _sized(len(BODY) + 3),
     'an answer whose length is higher by 100': _sized(len(BODY) + 100),
+    'half of a long answer with a length': _sized(
+        2 * len(_LONG_HALF), _LONG_HALF
+    ),
     'half of an answer in chunks': _CHUNKED_HEAD + _chunk(HALF),
     'half of a chunk': _CHUNKED_HEAD + _chunk(BODY)[: len(HALF)],
 }
--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -1,5 +1,37 @@
 Feature: Upstreams that answer twice, or with two framings that contradict
 
+  Scenario Outline: A second answer is no part of the first: after <first>, <path>
+    Guards against bytes of a second head or body that pass for a part of the answer.
+    When <first> is sent and then a second one, both read <path>
+    Then no caller gets an answer that is complete of what was sent twice
+
+    Examples:
+      | first                                   | path           |
+      | an answer without a length              | directly       |
+      | an answer without a length              | through a peer |
+      | half of an answer without a length      | directly       |
+      | half of an answer without a length      | through a peer |
+      | half of an answer with a length         | directly       |
+      | half of an answer with a length         | through a peer |
+      | an answer whose length is higher by 3   | directly       |
+      | an answer whose length is higher by 100 | directly       |
+      | half of a long answer with a length     | directly       |
+      | half of an answer in chunks             | directly       |
+      | half of an answer in chunks             | through a peer |
+      | half of a chunk                         | directly       |
+
+  Scenario Outline: A whole answer before a second one arrives: <first>, <path>
+    The opposite case: its length or its last chunk tells where it ends.
+    When <first> is sent and then a second one, both read <path>
+    Then each caller gets the first answer alone
+
+    Examples:
+      | first                        | path           |
+      | a whole answer with a length | directly       |
+      | a whole answer with a length | through a peer |
+      | a whole answer in chunks     | directly       |
+      | a whole answer in chunks     | through a peer |
+
   Scenario Outline: A length that contradicts the chunks: <size>, <path>
     Guards against an answer that is whole by one framing and not by the other.
     When a length of <size> is sent beside chunks and read <path>
@@ -13,6 +45,21 @@
       | 5    | through a peer |
       | 0    | directly       |
 
+  Scenario: Bodies that look like a second answer in part arrive
+    The opposite case: a body may hold what it wants, status lines too.
+    When bodies are sent that look like a second answer in part
+    Then each caller gets all of the body
+
+  Scenario: A second head is found however it is received
+    Guards against a head that is split where a search for it doesn't look.
+    When a second head is received in three parts, cut at any two bytes
+    Then it is found with its last byte, and not in a body that it doesn't echo
+
+  Scenario: A request that may be repeated gets what another upstream answers
+    Guards against a caller who pays for an upstream that answers twice.
+    When the first of two upstreams answers an idempotent request twice
+    Then its caller gets the whole answer of the other one
+
   Scenario Outline: A log line tells what was wrong: <fault>
     Guards against an upstream in trouble that operators can't find.
     When <fault> is sent to a request that may run once
@@ -20,4 +67,5 @@
 
     Examples:
       | fault                       | reason                                        | end       |
+      | a second answer             | torn answer, second answer in it              | repeated  |
       | a length that contradicts   | torn answer, its length and chunks contradict | misframed |
--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -3,8 +3,14 @@
 from behave import then, when
 
 from features.builders import secondcopies
+from features.builders.bodyends import closing_host
+from features.builders.malformed import ROUTES, received_through
+from pollenstile.forward._secondanswer import SecondAnswerSearch
 
 _FAULTS = {
+    'a second answer': secondcopies.second_answers(
+        'half of an answer with a length'
+    ),
     'a length that contradicts': secondcopies.contradictions(500),
 }
 
@@ -15,6 +21,26 @@
     context.results = secondcopies.received_by_all(answers, path)
 
 
+@when('{first} is sent and then a second one, both read {path}')
+def when_twice(context, first, path):
+    answers = secondcopies.second_answers(first)
+    context.results = secondcopies.received_by_all(answers, path)
+
+
+@when('bodies are sent that look like a second answer in part')
+def when_sound(context):
+    host = secondcopies.TwiceHost('directly')
+    context.add_cleanup(host.stop)
+    context.results = []
+    for sent, body in secondcopies.sound_answers():
+        for kind in ROUTES:
+            # A stream ends between events.
+            if kind in {'stream', 'resumable'} and not body.endswith(b'\n\r\n'):
+                continue
+            got = host.received(sent, kind)
+            context.results.append((sent, kind, body, got))
+
+
 @then('no caller gets an answer that is complete of what was sent twice')
 def then_incomplete(context):
     wrong = [
@@ -25,6 +51,90 @@
     assert not wrong, f'{len(wrong)} of {len(context.results)}: {wrong}'
 
 
+@then('each caller gets the first answer alone')
+def then_first(context):
+    wrong = [
+        (sent.name, kind, got.status, got.body)
+        for sent, kind, got in context.results
+        if (got.status, got.body) != (200, secondcopies.BODY)
+    ]
+    assert not wrong, f'{len(wrong)} of {len(context.results)}: {wrong}'
+
+
+@then('each caller gets all of the body')
+def then_all(context):
+    wrong = [
+        (sent.parts, kind, got.status, got.body)
+        for sent, kind, body, got in context.results
+        if (got.status, got.body) != (200, body)
+    ]
+    assert not wrong, f'{len(wrong)} of {len(context.results)}: {wrong[:20]}'
+
+
+def _bytes_searched(ident, received):
+    """Return the bytes after which a second head was found; 0 if it wasn't."""
+    search = SecondAnswerSearch(b'x-attempt', ident)
+    for number, byte in enumerate(received, 1):
+        search.feed(bytes((byte,)))
+        if search.is_found:
+            return number
+    return 0
+
+
+def _is_found(ident, parts):
+    search = SecondAnswerSearch(b'x-attempt', ident)
+    for part in parts:
+        search.feed(part)
+    return search.is_found
+
+
+@when('a second head is received in three parts, cut at any two bytes')
+def when_cut(context):
+    head = b'HTTP/1.1 200 OK\r\nDate: now\r\nX-Attempt: a1\r\n'
+    whole = b'HTHTTP/1.%s' % head
+    context.whole = whole
+    context.missed = []
+    context.wrong = []
+    for first in range(len(whole) + 1):
+        for second in range(first, len(whole) + 1):
+            parts = whole[:first], whole[first:second], whole[second:]
+            if not _is_found(b'a1', parts):
+                context.missed.append(parts)
+            if _is_found(b'a', parts):
+                context.wrong.append(parts)
+
+
+@then("it is found with its last byte, and not in a body that it doesn't echo")
+def then_found(context):
+    assert not context.missed, context.missed
+    assert not context.wrong, context.wrong
+    found = _bytes_searched(b'a1', context.whole)
+    assert found == len(context.whole), found
+
+
+@when('the first of two upstreams answers an idempotent request twice')
+def when_other(context):
+    host = closing_host(upstreams=2)
+    context.add_cleanup(host.stop)
+    twice = secondcopies.second_answers('an answer without a length')
+    context.results = []
+    for sent in twice:
+        if len(sent.parts) > 1:
+            continue
+        host.first_replies = list(sent.parts)
+        host.reply = secondcopies.whole_answer()
+        got = received_through(host, ROUTES['idempotent'])
+        context.results.append((sent, got))
+
+
+@then('its caller gets the whole answer of the other one')
+def then_other(context):
+    assert context.results
+    for sent, got in context.results:
+        expected = (200, secondcopies.BODY, 2)
+        assert (got.status, got.body, got.runs) == expected, (sent, got)
+
+
 @when('{fault} is sent to a request that may run once')
 def when_logged(context, fault):
     host = secondcopies.TwiceHost('directly')
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -16,6 +16,7 @@
 from pollenstile.forward._rejection import rejection
 from pollenstile.forward._request_headers import request_headers
 from pollenstile.forward._request_log import log_heard, log_silence
+from pollenstile.forward._secondanswer import SecondAnswerSearch
 from pollenstile.forward._silence import SilenceWatch
 from pollenstile.forward._software import process_check, send_refusal
 from pollenstile.forward._sse import EventSplitter
@@ -217,6 +218,9 @@
         self.call.check = partial(send_refusal, self.core, exchange, self.view)
         self.call.verify = process_check(self.core, exchange, self.view)
         self.call.confirm = end_check(self.core, self.view)
+        self.call.search = SecondAnswerSearch(
+            self.core.names.attempt, exchange.ident.encode('latin-1')
+        )
         self.input_release.start(self.core.clock)
         self.silence.start()
         head = await self.call.head
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -40,6 +40,7 @@
     BodyEnd.EARLY: ', closed before the request was received',
     BodyEnd.UNCONFIRMED: ', closed as its upstream ended',
     BodyEnd.MISFRAMED: ', its length and chunks contradict',
+    BodyEnd.REPEATED: ', second answer in it',
 }
 
 
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -18,23 +18,38 @@
         self.call = call
         self.on_data = on_data
         self.on_end = on_end
+        self.is_ended = False
 
     def dataReceived(self, data):
         """Pass on received bytes; called by Twisted."""
-        if not self.call.cancelled:
-            self.on_data(data)
+        if self.call.cancelled or self.is_ended:
+            return
+        if self._has_second_answer(data):
+            self._end(BodyEnd.REPEATED)
+            return
+        self.on_data(data)
 
     def connectionLost(self, reason):
         """Report the end of the body; called by Twisted."""
-        if self.call.cancelled:
-            return
-        body_end = self._body_end(reason)
+        if not self.call.cancelled and not self.is_ended:
+            self._end(self._body_end(reason))
+
+    def _has_second_answer(self, data):
+        search = self.call.search
+        if search is None:
+            return False
+        search.feed(data)
+        return search.is_found
+
+    def _end(self, body_end):
+        self.is_ended = True
         self.call.close()
         self.on_end(body_end)
 
     def _body_end(self, reason):
         if reason.check(ResponseDone):
-            return BodyEnd.COMPLETE
+            is_repeated = self.call.protocol.is_answered_twice()
+            return BodyEnd.REPEATED if is_repeated else BodyEnd.COMPLETE
         if isinstance(reading_error(reason), MalformedAnswerError):
             return BodyEnd.MISFRAMED
         # The parser gives the same reason for an unframed body whose connection
@@ -66,6 +81,8 @@
         Asked when the upstream has closed the connection and nothing else shows
         the end of its answer. Takes a coroutine function that returns whether
         the process lives on; returns a coroutine of whether the answer ended.
+    search : SecondAnswerSearch or None
+        Searches the body for a second answer to the request.
     on_unreached : function
         Called with the address if it is given up before it was sent.
     cancelled : bool
@@ -88,6 +105,7 @@
         'on_unreached',
         'protocol',
         'request',
+        'search',
         'sent',
         'verify',
     )
@@ -103,6 +121,7 @@
         self.check = _permit
         self.verify = None
         self.confirm = None
+        self.search = None
         self.sent = False
 
     @property
@@ -144,6 +163,7 @@
         on_end : function
             Called last, with a :class:`BodyEnd`.
         """
+        self.protocol.search = self.search
         if self.confirm is not None:
             self.protocol.confirm_end(self.confirm)
         body = _Body(self, on_data, on_end)
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -10,10 +10,18 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from pollenstile.ops.answers import CLOSE_FRAMED, AnswerConnection
+from pollenstile.ops.answers import (
+    CLOSE_FRAMED,
+    LENGTH_FRAMED,
+    AnswerConnection,
+)
+from pollenstile.ops.timers import cancel_timer
 from pollenstile.ops.unsent import EarlyCloseNoted, is_reset
 from pollenstile.tunnel import EndedFrames, TunnelEnd
 
+# Time for the rest of a head whose beginning may be the end of an answer.
+_REST_SECONDS = 0.1
+
 
 class Connection(EarlyCloseNoted, AnswerConnection):
     """Records how the connection ended.
@@ -29,6 +37,12 @@
     confirm : function or None
         See :class:`~pollenstile.forward._call.Call`; None while the end of the
         answer needs no confirmation.
+    search : SecondAnswerSearch or None
+        Searches the body; None before it, or if nothing does.
+    rest : bytes
+        Bytes received after the answer, before they were searched.
+    rest_timer : IDelayedCall or None
+        Ends the wait for bytes after the answer; None while there is none.
     """
 
     def __init__(self):
@@ -36,6 +50,9 @@
         self.is_lost = False
         self.is_unconfirmed = False
         self.confirm = None
+        self.search = None
+        self.rest = b''
+        self.rest_timer = None
 
     def confirm_end(self, confirm):
         """Have the end of the answer confirmed if only a close shows it.
@@ -60,8 +77,45 @@
             return
         Deferred.fromCoroutine(self._end_confirmed())
 
+    def is_answered_twice(self):
+        """Return whether the answer that has ended holds a second one."""
+        if self.search is None:
+            return False
+        self.search.feed_rest(self.rest)
+        self.rest = b''
+        return self.search.is_found
+
+    def dataReceived(self, received):
+        """Parse received bytes; called by Twisted."""
+        if self.rest_timer is None:
+            super().dataReceived(received)
+            return
+        self.search.feed_rest(received)
+        if not self.search.may_follow():
+            self._end_wait()
+
+    def answer_ended(self, rest):
+        """End the answer once it is clear whether its end is another answer.
+
+        Explanation
+        ===========
+
+        A length may cut the head of a second answer before it shows.
+        """
+        if self.framing() != LENGTH_FRAMED:
+            self.end_answer(rest)
+            return
+        self.rest = rest
+        if self.is_answered_twice() or not self._may_follow():
+            self.end_answer(rest)
+            return
+        self.rest_timer = self.transport.reactor.callLater(
+            _REST_SECONDS, self._end_wait
+        )
+
     def connectionLost(self, reason):
         """Record how the connection ended; called by Twisted."""
+        cancel_timer(self.rest_timer)
         self.is_lost = True
         self.closed_cleanly = reason.check(ConnectionDone) is not None
         super().connectionLost(reason)
@@ -70,6 +124,14 @@
         """Return whether the upstream's process lives on after its close."""
         raise NotImplementedError
 
+    def _may_follow(self):
+        return self.search is not None and self.search.may_follow()
+
+    def _end_wait(self):
+        cancel_timer(self.rest_timer)
+        self.rest_timer = None
+        self.end_answer(b'')
+
     async def _end_confirmed(self):
         is_confirmed = await self.confirm(self.lives_on)
         if self.is_lost:
--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -284,6 +284,8 @@
     BROKEN = 'broken'
     # Its length contradicts its chunks.
     MISFRAMED = 'misframed'
+    # A second answer to the same request began in the body.
+    REPEATED = 'repeated'
     # It was given up, as it has more bytes than any answer.
     ENDLESS = 'endless'
 
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -25,6 +25,8 @@
 MAX_HEAD_BYTES = 65536
 # Framing of a body that ends with its connection.
 CLOSE_FRAMED = 'close'
+# Framing of a body whose length its head states.
+LENGTH_FRAMED = 'length'
 # States of the library's parser before the end of a head.
 _STATUS_STATE = 'STATUS'
 _HEAD_STATES = (_STATUS_STATE, 'HEADER')
@@ -237,7 +239,8 @@
             return ''
         if not isinstance(decoder, _IdentityTransferDecoder):
             return 'chunks'
-        return CLOSE_FRAMED if decoder.contentLength is None else 'length'
+        is_close_framed = decoder.contentLength is None
+        return CLOSE_FRAMED if is_close_framed else LENGTH_FRAMED
 
     def dataReceived(self, data):
         """Parse received bytes; called by Twisted."""
@@ -252,6 +255,21 @@
                 Failure(TooLongError(f'a head over {MAX_HEAD_BYTES} bytes'))
             )
 
+    def answer_ended(self, rest):
+        """End the current answer, of which all bytes are received.
+
+        Parameters
+        ==========
+
+        rest : bytes
+            Received bytes after it.
+        """
+        self.end_answer(rest)
+
+    def end_answer(self, rest):
+        """End the current answer; see :meth:`answer_ended`."""
+        self._finishResponse(rest)
+
     def _close_at_once(self, failure):
         """Close the connection of an answer that can't be read.
 
@@ -266,7 +284,7 @@
 
     def _use_strict_parser(self, request):
         """Replace the parser that the library has made for a request."""
-        parser = _AnswerParser(request, self._finishResponse)
+        parser = _AnswerParser(request, self.answer_ended)
         # The request's own Deferred waits for this one.
         parser._responseDeferred = self._responseDeferred
         parser.makeConnection(self._transportProxy)
