answers: bytes after an answer end their connection

A server that sent its answer and a part of it again in one write left that part unread: the library drops what follows an answer in the same read and keeps the connection. The rest of the second answer then met the next request, which failed (load polls, calls of pipelines and engines, reads and lists of the store, host list, callers: 7 readers of 12; the others open a connection each). What follows an answer belongs to no request, so its connection isn't kept.

--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -69,3 +69,47 @@
       | fault                       | reason                                        | end       |
       | a second answer             | torn answer, second answer in it              | repeated  |
       | a length that contradicts   | torn answer, its length and chunks contradict | misframed |
+
+  Scenario Outline: Bytes after an answer end its connection: <reader>
+    Guards against a second answer, or the rest of one, that is read as the next answer.
+    When <reader> is answered twice, the second time <moment>
+    Then each later request gets its own answer
+
+    Examples:
+      | reader                   | moment                       |
+      | a stage call             | at once                      |
+      | a stage call             | in part at once              |
+      | a stage call             | while the connection is idle |
+      | a request for a report   | at once                      |
+      | a request for a report   | in part at once              |
+      | a request for a report   | while the connection is idle |
+      | a load poll              | at once                      |
+      | a load poll              | in part at once              |
+      | a load poll              | while the connection is idle |
+      | a call of a pipeline     | at once                      |
+      | a call of a pipeline     | in part at once              |
+      | a call of a pipeline     | while the connection is idle |
+      | a call that may run once | at once                      |
+      | a call that may run once | in part at once              |
+      | a call that may run once | while the connection is idle |
+      | a call of an engine      | at once                      |
+      | a call of an engine      | in part at once              |
+      | a call of an engine      | while the connection is idle |
+      | a read of the store      | at once                      |
+      | a read of the store      | in part at once              |
+      | a read of the store      | while the connection is idle |
+      | a list of the store      | at once                      |
+      | a list of the store      | in part at once              |
+      | a list of the store      | while the connection is idle |
+      | a watch of the store     | at once                      |
+      | a watch of the store     | in part at once              |
+      | a watch of the store     | while the connection is idle |
+      | a write to the store     | at once                      |
+      | a write to the store     | in part at once              |
+      | a write to the store     | while the connection is idle |
+      | a read of the host list  | at once                      |
+      | a read of the host list  | in part at once              |
+      | a read of the host list  | while the connection is idle |
+      | a request of a caller    | at once                      |
+      | a request of a caller    | in part at once              |
+      | a request of a caller    | while the connection is idle |
--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -4,6 +4,7 @@
 
 from features.builders import secondcopies
 from features.builders.bodyends import closing_host
+from features.builders.keptreaders import KEPT_READERS
 from features.builders.malformed import ROUTES, received_through
 from pollenstile.forward._secondanswer import SecondAnswerSearch
 
@@ -148,3 +149,25 @@
     logged = [fields for event, fields in context.lines if event == number]
     told = [(fields['reason'], fields['end']) for fields in logged]
     assert told == [(reason, end)], logged
+
+
+@when('{name} is answered twice, the second time {moment}')
+def when_kept(context, name, moment):
+    reader = KEPT_READERS[name]
+    context.numbers = reader.numbers_taken(moment)
+
+
+@then('each later request gets its own answer')
+def then_own(context):
+    assert context.numbers == [1, 2, 3], context.numbers
+
+
+@then('each later request gets its own answer or none')
+def then_own_or_none(context):
+    first, *later = context.numbers
+    wrong = [
+        (number, taken)
+        for number, taken in enumerate(later, 2)
+        if taken not in {0, number}
+    ]
+    assert first == 1 and not wrong, context.numbers
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -268,6 +268,9 @@
 
     def end_answer(self, rest):
         """End the current answer; see :meth:`answer_ended`."""
+        if rest:
+            # They belong to no request, and more of them may follow.
+            self._currentRequest.persistent = False
         self._finishResponse(rest)
 
     def _close_at_once(self, failure):
