fleet, ops: a load poll and a caller's request open a connection each

A second answer that came late on a kept connection, between the next request and its answer, was taken for that answer: a load poll got the report of the one before, a request of a caller the answer to the request before (trial: answers 1, 1 to requests 1, 2). Neither answer names its request, so it can't be told from the right one; the forwarding path opens a connection for each request for this reason.

The client keeps no connections any more, so its switch for that is gone.

--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -113,3 +113,20 @@
       | a request of a caller    | at once                      |
       | a request of a caller    | in part at once              |
       | a request of a caller    | while the connection is idle |
+
+  Scenario Outline: A late second answer is not that to the next request: <reader>
+    Guards against what was asked for before, in place of what is asked for now.
+    When <reader> is answered twice, the second time before the next answer
+    Then each later request gets its own answer or none
+
+    Examples:
+      | reader                   |
+      | a stage call             |
+      | a request for a report   |
+      | a load poll              |
+      | a call of a pipeline     |
+      | a call that may run once |
+      | a call of an engine      |
+      | a watch of the store     |
+      | a write to the store     |
+      | a request of a caller    |
--- a/features/steps/badinput_steps.py
+++ b/features/steps/badinput_steps.py
@@ -104,7 +104,7 @@
 
 @then('a valid request after the bad one is answered')
 def valid_is_answered(context):
-    call_pipeline = pipeline_client(reactor, persistent=False)
+    call_pipeline = pipeline_client(reactor)
     answer = result_of(
         call_pipeline(context.host.base, 'draft-ticket', _KEY, 'a leak'),
     )
--- a/features/steps/thinpath_steps.py
+++ b/features/steps/thinpath_steps.py
@@ -23,7 +23,7 @@
 
 
 def _call(context, number, *, stream=False, on_bytes=None):
-    call = pipeline_client(reactor, persistent=False)
+    call = pipeline_client(reactor)
     options = {'stream': stream}
     if on_bytes:
         options['on_bytes'] = on_bytes
--- a/pollenstile/fleet/_loads.py
+++ b/pollenstile/fleet/_loads.py
@@ -3,13 +3,11 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from pollenstile.ops.agents import agent_for, connection_pool
+from pollenstile.ops.agents import agent_for
 from pollenstile.ops.documents import read_document
 from pollenstile.upstream import Load
 
 _TIMEOUT_SECONDS = 1.0
-# Seconds for which an idle connection is kept.
-_IDLE_SECONDS = 30.0
 # Size of the longest report, which has four short values.
 _MAX_BYTES = 65536
 _OK = 200
@@ -21,14 +19,10 @@
     Explanation
     ===========
 
-    Connections are kept between polls. After a failure, all idle ones are
-    closed, because a middlebox may have dropped their state. The next poll then
-    uses a new connection, before the upstream counts as unreachable.
+    Each poll opens a connection. Reports don't name their polls, so a late
+    second answer on a kept connection would pass for the next report.
     """
-    pool = connection_pool(reactor, persistent=True)
-    pool.maxPersistentPerHost = 1
-    pool.cachedConnectionTimeout = _IDLE_SECONDS
-    agent = agent_for(reactor, pool, _TIMEOUT_SECONDS)
+    agent = agent_for(reactor, connect_timeout=_TIMEOUT_SECONDS)
 
     async def read(upstream):
         uri = f'http://{upstream.address}/v1/load'.encode()
@@ -41,11 +35,11 @@
     def read_load(name, upstream):
         answer = Deferred.fromCoroutine(read(upstream))
         answer.addTimeout(_TIMEOUT_SECONDS, reactor)
-        answer.addErrback(_close_idle, pool)
+        answer.addErrback(_no_report)
         return answer
 
     return read_load
 
 
-def _close_idle(failure, pool):
-    pool.closeCachedConnections()
+def _no_report(failure):
+    """Return None: the upstream has sent no report that can be read."""
--- a/pollenstile/ops/_callcmd.py
+++ b/pollenstile/ops/_callcmd.py
@@ -46,7 +46,7 @@
     except msgspec.MsgspecError as error:
         sys.stderr.write(f'pollenstile call: input: {error}\n')
         return BAD_INPUT
-    call = pipeline_client(reactor, persistent=False)
+    call = pipeline_client(reactor)
     answer = result_of(
         reactor,
         lambda: call(
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -8,7 +8,7 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
 
-from pollenstile.ops.agents import agent_for, connection_pool
+from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.numbers import whole_number
 
@@ -76,7 +76,7 @@
     """Ignore received bytes."""
 
 
-def pipeline_client(reactor, persistent=True, connect_timeout=2.0):
+def pipeline_client(reactor, connect_timeout=2.0):
     """Return a function that sends requests to pipelines.
 
     Explanation
@@ -84,10 +84,11 @@
 
     The function takes ``(base, pipeline, key, content)`` and the options
     ``stream``, ``idempotency_key``, ``deadline_ms`` and ``on_bytes``, and
-    returns a coroutine of an :class:`Answer`.
+    returns a coroutine of an :class:`Answer`. Each request opens a connection:
+    answers don't name their requests, so a late second answer on a kept one
+    would pass for the next answer.
     """
-    pool = connection_pool(reactor, persistent=persistent)
-    agent = agent_for(reactor, pool, connect_timeout)
+    agent = agent_for(reactor, connect_timeout=connect_timeout)
 
     async def call(
         base,
