platform: a read of the store opens a connection too

Reads of the store and of the host list shared kept connections. A second answer that came between the next read and its answer was taken for that answer: of reads of the objects m1 and m2, the second one got m1; a list and the host list got the page before (answers 1, 1 to requests 1, 2). Neither names its call, and another kind's list has the same shape. Writes and watches had a connection each.

Reads have one now, and the pool of the client, the switch for it and the rule for its dead connections are gone. Ruled out: a check of kind and name in an answer, which can't tell an older state of the same object, a list or the host list.

The scenario on dead pooled connections asked that only the first read after a middlebox dropped their state waits for its timeout. There are none any more, so it is replaced by one that asks more: no read waits, none goes unanswered.

--- a/features/platform_http.feature
+++ b/features/platform_http.feature
@@ -29,13 +29,11 @@
     Then platform calls over HTTP time out as "InDoubt" and "Unavailable"
     And the connections of the silent platform server are closed
 
-  Scenario: Dead pooled platform connections cost only one timeout
+  Scenario: Dead platform connections cost a read no timeout
     A middlebox has dropped the state of all open connections, while new ones
-    work. If each pooled connection were tried in turn, the host would get no
-    response for as many timeouts as it has pooled connections.
-    Given a platform server that has lost two pooled connections
-    Then the first platform read over HTTP waits for its timeout
-    And the next platform read over HTTP is answered immediately
+    work. A read on one of those that were open would wait for its timeout.
+    Given a platform server that has lost two connections
+    Then the next platform read over HTTP is answered immediately
 
   Scenario: An error page of a load balancer is not a platform response
     A load balancer without a route answers 404 with an HTML page. If that were
--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -127,6 +127,9 @@
       | a call of a pipeline     |
       | a call that may run once |
       | a call of an engine      |
+      | a read of the store      |
+      | a list of the store      |
       | a watch of the store     |
       | a write to the store     |
+      | a read of the host list  |
       | a request of a caller    |
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -212,7 +212,7 @@
     context.size = size * 1_000_000
     client = http_client(context.server.port)
     body = bytes(context.size)
-    context.outcome = result_of(client.call('PUT', '/x', body, fresh=True))
+    context.outcome = result_of(client.call('PUT', '/x', body))
 
 
 @when('it reads on after the write has failed')
--- a/pollenstile/ops/_admin.py
+++ b/pollenstile/ops/_admin.py
@@ -39,7 +39,7 @@
 
 async def fetch_body(caller, path):
     """Return the body of a page, or None unless the status is 200."""
-    reply = await caller.call('GET', path, fresh=True)
+    reply = await caller.call('GET', path)
     if isinstance(reply, FailedCall) or reply.status != _OK:
         return None
     return reply.body
--- a/pollenstile/placement/_http.py
+++ b/pollenstile/placement/_http.py
@@ -72,7 +72,7 @@
             int(port),
             _TIMEOUT_SECONDS,
         )
-        return caller.call(method, ORDER_PATH, body, fresh=True)
+        return caller.call(method, ORDER_PATH, body)
 
 
 def http_orders(reactor):
--- a/pollenstile/platform/_http.py
+++ b/pollenstile/platform/_http.py
@@ -4,9 +4,10 @@
 ===========
 
 The library's automatic retry is disabled, so each call is sent at most once.
-Writes and watches use a new connection each. Its handshake shows that the
-network path works, and if the handshake fails, no byte of the call was sent.
-Reads share a pool of persistent connections.
+Each call uses a new connection. Its handshake shows that the network path
+works, and if the handshake fails, no byte of the call was sent. Answers don't
+name their calls, so a late second answer on a kept connection would pass for
+the answer to the next call.
 """
 
 from dataclasses import dataclass
@@ -31,7 +32,6 @@
 BODY_LIMIT = 4_000_000
 # Header of the object API with the number of its returns from older copies.
 ERA_HEADER = 'object-api-era'
-_IDLE_SECONDS = 15.0
 # Limits of a response whose headers have arrived: the time without a byte, and
 # the time in all. A large response takes seconds on a saturated link. With a
 # limit on its total time alone, clients cancelled it and requested it again,
@@ -113,7 +113,6 @@
         'clock',
         'era_header',
         'host',
-        'pool',
         'port',
         'reactor',
         'timeout',
@@ -129,8 +128,6 @@
         self.timeout = timeout
         self.era_header = era_header
         self.bodies_in_progress = 0
-        self.pool = connection_pool(reactor, persistent=True)
-        self.pool.cachedConnectionTimeout = _IDLE_SECONDS
 
     @property
     def peer(self):
@@ -139,7 +136,7 @@
             return f'[{self.host}]:{self.port}'
         return f'{self.host}:{self.port}'
 
-    async def call(self, method, path, body=None, timeout=None, fresh=False):
+    async def call(self, method, path, body=None, timeout=None):
         """Send a call, without retries.
 
         Parameters
@@ -152,8 +149,6 @@
         timeout : float or None
             Seconds until the response headers arrive; the client's default
             when ``None``.
-        fresh : bool
-            Whether to open a new connection for this call.
 
         Returns
         =======
@@ -163,7 +158,7 @@
         endpoints = _Endpoints(self)
         limit = _TimeLimit(self.clock)
         call = Deferred.fromCoroutine(
-            self._exchange(endpoints, method, path, body, fresh, limit),
+            self._exchange(endpoints, method, path, body, limit),
         )
         limit.start(call, self.timeout if timeout is None else timeout)
         try:
@@ -171,21 +166,15 @@
         except CancelledError:
             if not limit.expired:
                 raise
-            return self._failure(_TIMED_OUT, endpoints.connected or not fresh)
+            return FailedCall(endpoints.connected, _TIMED_OUT)
         except Exception as error:
             reason = _reason_of(error, is_late=limit.expired)
-            return self._failure(reason, endpoints.connected or not fresh)
+            return FailedCall(endpoints.connected, reason)
         finally:
             limit.stop()
 
-    def close(self):
-        """Close the idle connections; return a Deferred."""
-        return self.pool.closeCachedConnections()
-
-    async def _exchange(self, endpoints, method, path, body, fresh, limit):
-        pool = self.pool
-        if fresh:
-            pool = connection_pool(self.reactor, persistent=False)
+    async def _exchange(self, endpoints, method, path, body, limit):
+        pool = connection_pool(self.reactor, persistent=False)
         agent = Agent.usingEndpointFactory(self.reactor, endpoints, pool)
         response = await agent.request(
             method.encode(),
@@ -204,13 +193,6 @@
         era = parse_era(_header(response, self.era_header))
         return Reply(response.code, body_bytes, _retry_after(response), era)
 
-    def _failure(self, reason, connected):
-        # A middlebox can drop the state of idle connections while new ones
-        # work. Each pooled connection would then cost one more timeout, so all
-        # of them are closed after a failure.
-        self.close()
-        return FailedCall(connected, reason)
-
 
 class _TimeLimit:
     """Cancels a call whose response does not start or stops arriving."""
--- a/pollenstile/platform/_httpstore.py
+++ b/pollenstile/platform/_httpstore.py
@@ -61,13 +61,13 @@
         if len(body) > VALUE_LIMIT:
             return NotApplied('put', self.client.peer, 'status 413')
         path = _object_path(kind, name) + _version_query(if_version)
-        reply = await self.client.call('PUT', path, body, fresh=True)
+        reply = await self.client.call('PUT', path, body)
         return _stated(self._write_outcome('put', reply), reply)
 
     async def delete(self, kind, name, if_version=None):
         """Return ``Written``, ``Conflict``, ``NotApplied`` or ``InDoubt``."""
         path = _object_path(kind, name) + _version_query(if_version)
-        reply = await self.client.call('DELETE', path, fresh=True)
+        reply = await self.client.call('DELETE', path)
         return _stated(self._write_outcome('delete', reply), reply)
 
     async def listed(self, kind, prefix='', after='', limit=PAGE_LIMIT):
@@ -90,7 +90,6 @@
             'GET',
             f'/v1/watch/{quote(kind, safe="")}?{query}',
             timeout=timeout + self.watch_margin,
-            fresh=True,
         )
         return _stated(self._read_outcome('watch', reply, _WATCH), reply)
 
--- a/pollenstile/platform/_weights.py
+++ b/pollenstile/platform/_weights.py
@@ -31,7 +31,7 @@
     rate.
     """
     path = f'/v1/weights/{quote(model, safe="")}/{quote(version, safe="")}'
-    reply = await client.call('POST', f'{path}/tickets', b'', fresh=True)
+    reply = await client.call('POST', f'{path}/tickets', b'')
     if isinstance(reply, FailedCall):
         return Unavailable('ticket', client.peer, reply.reason)
     if reply.status == 200:
