ops: a caller's answer that is no JSON is not answered

The client of the callers' protocol took a 200 whose body is no JSON for an answer: half of a document and then the answer again, or a document with a head behind it inside a length that is too high, came back as answered with "the answer is not JSON" in place of the document; a stream failed with an error of the decoder. Both are unknown now, as answers that break off.

The other readers were checked with the same 4 faults (a part of the length and the answer again, a length that is too high, no length, a length beside other chunks): a document that a head follows or fills is none in JSON, so they take none of it. A release and a ticket are told by their status. An engine's stream tells its end itself, and is whole before what follows.

--- a/features/builders/answerreaders.py
+++ b/features/builders/answerreaders.py
@@ -291,9 +291,21 @@
     return lambda server: _outcome_of(call(http_client(server.port)))
 
 
-def _callers_request(server):
-    call = pipeline_client(reactor)
-    return _outcome_of(call(f'http://{server.address}', 'find', 'key', 'leak'))
+def _callers_request(**options):
+    def read(server):
+        call = pipeline_client(reactor)
+        base = f'http://{server.address}'
+        return _outcome_of(call(base, 'find', 'key', 'leak', **options))
+
+    return read
+
+
+def _callers_stream(head):
+    return b'data: {"text":"w"}\n\nevent: done\ndata: {"tokens":1}\n\n'
+
+
+def _is_answered(answer):
+    return answer.status == 200
 
 
 READERS = {
@@ -355,6 +367,9 @@
         _is_a(Ticket),
     ),
     'a request of a caller': Reader(
-        _callers_request, _always({}), lambda answer: answer.status == 200
+        _callers_request(), _always({}), _is_answered
+    ),
+    'a stream of a caller': Reader(
+        _callers_request(stream=True), _callers_stream, _is_answered
     ),
 }
--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -133,3 +133,73 @@
       | a write to the store     |
       | a read of the host list  |
       | a request of a caller    |
+
+  Scenario Outline: No document is read of what was sent or framed twice: <reader>, <fault>
+    Guards against a part of a document, or two of them, that pass for one. Of releases
+    of results and tickets for weights the status says all.
+    When <reader> gets <fault> of its answer
+    Then none of them is taken for an answer, and each connection is closed
+
+    Examples:
+      | reader                   | fault                                |
+      | a stage call             | a part of its length, and again      |
+      | a stage call             | a length that is too high, and again |
+      | a stage call             | no length, and again                 |
+      | a stage call             | a length beside other chunks         |
+      | a request for a report   | a part of its length, and again      |
+      | a request for a report   | a length that is too high, and again |
+      | a request for a report   | no length, and again                 |
+      | a request for a report   | a length beside other chunks         |
+      | a load poll              | a part of its length, and again      |
+      | a load poll              | a length that is too high, and again |
+      | a load poll              | no length, and again                 |
+      | a load poll              | a length beside other chunks         |
+      | a call of a pipeline     | a part of its length, and again      |
+      | a call of a pipeline     | a length that is too high, and again |
+      | a call of a pipeline     | no length, and again                 |
+      | a call of a pipeline     | a length beside other chunks         |
+      | a call that may run once | a part of its length, and again      |
+      | a call that may run once | a length that is too high, and again |
+      | a call that may run once | no length, and again                 |
+      | a call that may run once | a length beside other chunks         |
+      | a read of the store      | a part of its length, and again      |
+      | a read of the store      | a length that is too high, and again |
+      | a read of the store      | no length, and again                 |
+      | a read of the store      | a length beside other chunks         |
+      | a list of the store      | a part of its length, and again      |
+      | a list of the store      | a length that is too high, and again |
+      | a list of the store      | no length, and again                 |
+      | a list of the store      | a length beside other chunks         |
+      | a watch of the store     | a part of its length, and again      |
+      | a watch of the store     | a length that is too high, and again |
+      | a watch of the store     | no length, and again                 |
+      | a watch of the store     | a length beside other chunks         |
+      | a write to the store     | a part of its length, and again      |
+      | a write to the store     | a length that is too high, and again |
+      | a write to the store     | no length, and again                 |
+      | a write to the store     | a length beside other chunks         |
+      | a read of the host list  | a part of its length, and again      |
+      | a read of the host list  | a length that is too high, and again |
+      | a read of the host list  | no length, and again                 |
+      | a read of the host list  | a length beside other chunks         |
+      | a request of a caller    | a part of its length, and again      |
+      | a request of a caller    | a length that is too high, and again |
+      | a request of a caller    | no length, and again                 |
+      | a request of a caller    | a length beside other chunks         |
+      | a stream of a caller     | a part of its length, and again      |
+      | a stream of a caller     | a length that is too high, and again |
+      | a stream of a caller     | no length, and again                 |
+      | a stream of a caller     | a length beside other chunks         |
+      | a call of an engine      | a part of its length, and again      |
+      | a request for weights    | a length beside other chunks         |
+      | a release of results     | a length beside other chunks         |
+
+  Scenario Outline: A stream that has told its end needs no more: <fault>
+    The opposite case: an engine's last event holds the number of its tokens.
+    When a call of an engine gets <fault> of its answer
+    Then whatever is taken for an answer is the text before the second one
+
+    Examples:
+      | fault                                |
+      | a length that is too high, and again |
+      | no length, and again                 |
--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -4,6 +4,11 @@
 
 from features.builders import secondcopies
 from features.builders.bodyends import closing_host
+from features.builders.doubledanswers import (
+    DOUBLED,
+    DoublingServer,
+    outcomes_taken,
+)
 from features.builders.keptreaders import KEPT_READERS
 from features.builders.malformed import ROUTES, received_through
 from pollenstile.forward._secondanswer import SecondAnswerSearch
@@ -171,3 +176,16 @@
         if taken not in {0, number}
     ]
     assert first == 1 and not wrong, context.numbers
+
+
+@when('{name} gets {fault} of its answer')
+def when_doubled(context, name, fault):
+    context.server = DoublingServer(DOUBLED[fault])
+    context.add_cleanup(context.server.stop)
+    context.taken = outcomes_taken(context.server, name)
+
+
+@then('whatever is taken for an answer is the text before the second one')
+def then_text_before(context):
+    texts = {outcome.output for _, outcome in context.taken}
+    assert texts == {'w'}, context.taken
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -17,6 +17,7 @@
 _OK = 200
 _DATA = b'data: '
 _DONE = b'event: done'
+_NOT_JSON = 'the answer is not JSON'
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,7 +119,7 @@
         try:
             response = await agent.request(b'POST', uri, headers, body)
         except Exception as error:
-            return Answer(0, 'unknown', {'title': type(error).__name__})
+            return _unknown(type(error).__name__)
         done = Deferred()
         response.deliverBody(_Collector(done, on_bytes))
         received, is_complete = await done
@@ -127,15 +128,22 @@
     return call
 
 
+def _unknown(title):
+    """Return what a caller gets that can't know whether its request ran."""
+    return Answer(0, 'unknown', {'title': title})
+
+
 def _decode_answer(response, received, is_complete, *, stream):
     if not is_complete:
-        return Answer(0, 'unknown', {'title': 'the answer is incomplete'})
-    if response.code == _OK and stream:
-        return _decode_stream(received)
+        return _unknown('the answer is incomplete')
     try:
+        if response.code == _OK and stream:
+            return _decode_stream(received)
         document = msgspec.json.decode(received)
     except msgspec.MsgspecError:
-        document = {'title': 'the answer is not JSON'}
+        if response.code == _OK:
+            return _unknown(_NOT_JSON)
+        document = {'title': _NOT_JSON}
     if response.code == _OK:
         return Answer(_OK, 'answered', document)
     retry_after = response.headers.getRawHeaders('retry-after', ['0'])[0]
@@ -150,9 +158,7 @@
 def _decode_stream(received):
     head, found, tail = received.partition(_DONE)
     if not found:
-        return Answer(
-            0, 'unknown', {'title': 'the stream ended without its last event'}
-        )
+        return _unknown('the stream ended without its last event')
     document = msgspec.json.decode(tail.strip()[len(_DATA) :])
     parts = []
     for line in head.split(b'\n'):
