forward: a second head that ends with its echo counts; docs

An answer without a length that was followed by a second head, cut off right behind the identifier that it echoes, still arrived as whole: the search waited for the end of that line. The end of the body ends it as well now. Bodies that end in less of a head arrive, also where the upstream keeps its connection open, and the search keeps 64 kB at most.

--- a/features/builders/secondcopies.py
+++ b/features/builders/secondcopies.py
@@ -25,6 +25,13 @@
 # Longer than a host waits for bytes after an answer.
 _LATE_SECONDS = 0.12
 
+# How a head begins that has no end, and what repeats in it.
+ENDLESS_HEADS = {
+    'status line': (b'HTTP/1.1 200 ', b'x' * 100),
+    'field': (b'HTTP/1.1 200 OK\r\nA: ', b'x' * 100),
+    'list': (b'HTTP/1.1 200 OK\r\n', b'A: x\r\n' * 20),
+}
+
 
 def _head(*lines):
     return b'\r\n'.join((_OK_LINE, *lines, b'', b''))
@@ -130,6 +137,8 @@
     for cut in (1, 3, 7, 13, 17, 20, 24, 30, 40, len(second) - 5):
         parts = first + second[:cut], second[cut:]
         sent.append(Sent(f'the first {cut} bytes at once', parts))
+    cut_off = second[: second.index(_PROOF[0]) + len(_PROOF[0])]
+    sent.append(Sent('cut off in its head', (first + cut_off,)))
     cuts = first, second[:3], second[3:20], second[20:]
     sent.append(Sent('in small parts', cuts))
     return sent
@@ -191,6 +200,13 @@
     return sent
 
 
+def cut_heads():
+    """Return tuples of answer and body, which ends in a part of a head."""
+    head = b'HTTP/1.1 200 OK\r\nX-Attempt: a'
+    bodies = [BODY + head[:size] for size in (1, 7, 12, 15, 17, len(head))]
+    return [(Sent('cut', (_sized(len(body), body),)), body) for body in bodies]
+
+
 def _framed(body):
     """Return an answer with a body in each framing, and in two parts."""
     chunked = b'%s%s%s' % (_CHUNKED_HEAD, _chunk(body), LAST_CHUNK)
--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -55,6 +55,23 @@
     When a second head is received in three parts, cut at any two bytes
     Then it is found with its last byte, and not in a body that it doesn't echo
 
+  Scenario: An answer that may end in a second head arrives on an open connection
+    The opposite case: no more bytes come, and its upstream keeps the connection.
+    Given a host whose upstream keeps each connection open
+    When the upstream sends bodies of a length that end in a part of a head
+    Then each caller gets all of the body
+
+  Scenario Outline: A search for a second head keeps a head's length at most: <part>
+    Guards against a body that is kept in memory, as a line of it never ends.
+    When 1 MB is searched of a head whose <part> never ends
+    Then at most 64 kB of them are kept, and a second head after them is found
+
+    Examples:
+      | part        |
+      | status line |
+      | field       |
+      | list        |
+
   Scenario: A request that may be repeated gets what another upstream answers
     Guards against a caller who pays for an upstream that answers twice.
     When the first of two upstreams answers an idempotent request twice
--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -189,3 +189,33 @@
 def then_text_before(context):
     texts = {outcome.output for _, outcome in context.taken}
     assert texts == {'w'}, context.taken
+
+
+@when('the upstream sends bodies of a length that end in a part of a head')
+def when_open(context):
+    context.results = []
+    for sent, body in secondcopies.cut_heads():
+        context.host.reply = sent.parts[0]
+        got = received_through(context.host, ROUTES['once'])
+        context.results.append((sent, 'once', body, got))
+
+
+@when('{count:d} MB is searched of a head whose {part} never ends')
+def when_endless(context, count, part):
+    context.search = SecondAnswerSearch(b'x-attempt', b'a1')
+    first, repeated = secondcopies.ENDLESS_HEADS[part]
+    context.search.feed(first)
+    context.most = 0
+    for _ in range(count * 1_000_000 // len(repeated)):
+        context.search.feed(repeated)
+        context.most = max(context.most, len(context.search.line))
+
+
+@then(
+    'at most {count:d} kB of them are kept, and a second head after them is'
+    ' found'
+)
+def then_bounded(context, count):
+    assert context.most <= count * 1024, context.most
+    context.search.feed(b'\nHTTP/1.1 200 OK\nX-Attempt: a1\n')
+    assert context.search.is_found
--- a/pollenstile/forward/_call.py
+++ b/pollenstile/forward/_call.py
@@ -47,9 +47,10 @@
         self.on_end(body_end)
 
     def _body_end(self, reason):
+        if self.call.protocol.is_answered_twice():
+            return BodyEnd.REPEATED
         if reason.check(ResponseDone):
-            is_repeated = self.call.protocol.is_answered_twice()
-            return BodyEnd.REPEATED if is_repeated else BodyEnd.COMPLETE
+            return BodyEnd.COMPLETE
         if isinstance(reading_error(reason), MalformedAnswerError):
             return BodyEnd.MISFRAMED
         # The parser gives the same reason for an unframed body whose connection
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -83,7 +83,7 @@
             return False
         self.search.feed_rest(self.rest)
         self.rest = b''
-        return self.search.is_found
+        return self.search.is_found_by_end()
 
     def dataReceived(self, received):
         """Parse received bytes; called by Twisted."""
--- a/pollenstile/forward/_secondanswer.py
+++ b/pollenstile/forward/_secondanswer.py
@@ -110,6 +110,11 @@
         """Return whether bytes that follow may show a head that has begun."""
         return not self.is_found and bool(self.is_in_head or self.line)
 
+    def is_found_by_end(self):
+        """Return whether there is a second answer in what has ended."""
+        is_cut = self.is_in_head and self.echo.fullmatch(self.line)
+        return self.is_found or bool(is_cut)
+
     def _line_start(self, received, position):
         """Return where the next line begins that may belong to a head."""
         if self.is_in_head:
