--- a/pollenstile/forward/_types.py
+++ b/pollenstile/forward/_types.py
@@ -286,6 +286,10 @@
     # The same, but its upstream was not heard of after that.
     UNCONFIRMED = 'unconfirmed'
     BROKEN = 'broken'
+    # Its length contradicts its chunks.
+    MISFRAMED = 'misframed'
+    # A second answer to the same request began in the body.
+    REPEATED = 'repeated'
     # It was given up, as it has more bytes than any answer.
     ENDLESS = 'endless'
 
--- a/pollenstile/ops/answers.py
+++ b/pollenstile/ops/answers.py
@@ -7,9 +7,15 @@
     HTTP11ClientProtocol,
     HTTPClientParser,
     ParseError,
+    _contentLength,
 )
 from twisted.web.client import ResponseFailed
-from twisted.web.http import SWITCHING, _IdentityTransferDecoder
+from twisted.web.http import (
+    SWITCHING,
+    _ChunkedTransferDecoder,
+    _DataLoss,
+    _IdentityTransferDecoder,
+)
 
 from pollenstile.ops.documents import TooLongError
 
@@ -19,6 +25,8 @@
 MAX_HEAD_BYTES = 65536
 # Framing of a body that ends with its connection.
 CLOSE_FRAMED = 'close'
+# Framing of a body whose length its head states.
+LENGTH_FRAMED = 'length'
 # States of the library's parser before the end of a head.
 _STATUS_STATE = 'STATUS'
 _HEAD_STATES = (_STATUS_STATE, 'HEADER')
@@ -41,6 +49,7 @@
 # body is not as its upstream made it.
 _CONTENT_CODING = b'content-encoding'
 _TRANSFER_CODING = b'transfer-encoding'
+_CONTRADICTION = 'length, which is not that of the chunks'
 
 
 class MalformedAnswerError(Exception):
@@ -58,6 +67,47 @@
         self.part = part
 
 
+class _MeasuredChunks(_ChunkedTransferDecoder):
+    """Decodes chunks beside which their length is stated as well.
+
+    Explanation
+    ===========
+
+    A sender must not state both, and two framings that contradict each other
+    ought to be handled as an error, by RFC 9112, sections 6.1 and 6.3.
+
+    Parameters
+    ==========
+
+    decoder : _ChunkedTransferDecoder
+        The library's decoder, which has received nothing.
+    stated : int
+        Bytes that the chunks are to have.
+    """
+
+    def __init__(self, decoder, stated):
+        super().__init__(self._measure, decoder.finishCallback)
+        self.deliver = decoder.dataCallback
+        self.missing = stated
+
+    def noMoreData(self):
+        """Check that all of the body was received; called by Twisted."""
+        super().noMoreData()
+        if self.missing:
+            raise _DataLoss(_CONTRADICTION)
+
+    def _measure(self, data):
+        self.missing -= len(data)
+        if self.missing < 0:
+            raise MalformedAnswerError(_CONTRADICTION)
+        self.deliver(data)
+
+    def _dataReceived_TRAILER(self):
+        if self.missing:
+            raise MalformedAnswerError(_CONTRADICTION)
+        return super()._dataReceived_TRAILER()
+
+
 class _AnswerParser(HTTPClientParser):
     """Reads heads more strictly than the library's parser.
 
@@ -92,6 +142,19 @@
             self._check_codings()
         super().allHeadersReceived()
 
+    def switchToBodyMode(self, decoder):
+        """Read the body from now on; called by Twisted."""
+        stated = self._stated_length()
+        if isinstance(decoder, _ChunkedTransferDecoder) and stated is not None:
+            decoder = _MeasuredChunks(decoder, stated)
+        super().switchToBodyMode(decoder)
+
+    def _stated_length(self):
+        try:
+            return _contentLength(self.connHeaders)
+        except ValueError as error:
+            raise MalformedAnswerError('length') from error
+
     def _check_codings(self):
         if self.headers.hasHeader(_CONTENT_CODING):
             raise MalformedAnswerError('content coding')
@@ -176,7 +239,8 @@
             return ''
         if not isinstance(decoder, _IdentityTransferDecoder):
             return 'chunks'
-        return CLOSE_FRAMED if decoder.contentLength is None else 'length'
+        is_close_framed = decoder.contentLength is None
+        return CLOSE_FRAMED if is_close_framed else LENGTH_FRAMED
 
     def dataReceived(self, data):
         """Parse received bytes; called by Twisted."""
@@ -191,6 +255,24 @@
                 Failure(TooLongError(f'a head over {MAX_HEAD_BYTES} bytes'))
             )
 
+    def answer_ended(self, rest):
+        """End the current answer, of which all bytes are received.
+
+        Parameters
+        ==========
+
+        rest : bytes
+            Received bytes after it.
+        """
+        self.end_answer(rest)
+
+    def end_answer(self, rest):
+        """End the current answer; see :meth:`answer_ended`."""
+        if rest:
+            # They belong to no request, and more of them may follow.
+            self._currentRequest.persistent = False
+        self._finishResponse(rest)
+
     def _close_at_once(self, failure):
         """Close the connection of an answer that can't be read.
 
@@ -205,7 +287,7 @@
 
     def _use_strict_parser(self, request):
         """Replace the parser that the library has made for a request."""
-        parser = _AnswerParser(request, self._finishResponse)
+        parser = _AnswerParser(request, self.answer_ended)
         # The request's own Deferred waits for this one.
         parser._responseDeferred = self._responseDeferred
         parser.makeConnection(self._transportProxy)
--- a/pollenstile/ops/client.py
+++ b/pollenstile/ops/client.py
@@ -8,7 +8,7 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
 
-from pollenstile.ops.agents import agent_for, connection_pool
+from pollenstile.ops.agents import agent_for
 from pollenstile.ops.body import BytesProducer
 from pollenstile.ops.numbers import whole_number
 
@@ -17,6 +17,7 @@
 _OK = 200
 _DATA = b'data: '
 _DONE = b'event: done'
+_NOT_JSON = 'the answer is not JSON'
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,7 +77,7 @@
     """Ignore received bytes."""
 
 
-def pipeline_client(reactor, persistent=True, connect_timeout=2.0):
+def pipeline_client(reactor, connect_timeout=2.0):
     """Return a function that sends requests to pipelines.
 
     Explanation
@@ -84,10 +85,11 @@
 
     The function takes ``(base, pipeline, key, content)`` and the options
     ``stream``, ``idempotency_key``, ``deadline_ms`` and ``on_bytes``, and
-    returns a coroutine of an :class:`Answer`.
+    returns a coroutine of an :class:`Answer`. Each request opens a connection:
+    answers don't name their requests, so a late second answer on a kept one
+    would pass for the next answer.
     """
-    pool = connection_pool(reactor, persistent=persistent)
-    agent = agent_for(reactor, pool, connect_timeout)
+    agent = agent_for(reactor, connect_timeout=connect_timeout)
 
     async def call(
         base,
@@ -117,7 +119,7 @@
         try:
             response = await agent.request(b'POST', uri, headers, body)
         except Exception as error:
-            return Answer(0, 'unknown', {'title': type(error).__name__})
+            return _unknown(type(error).__name__)
         done = Deferred()
         response.deliverBody(_Collector(done, on_bytes))
         received, is_complete = await done
@@ -126,15 +128,22 @@
     return call
 
 
+def _unknown(title):
+    """Return what a caller gets that can't know whether its request ran."""
+    return Answer(0, 'unknown', {'title': title})
+
+
 def _decode_answer(response, received, is_complete, *, stream):
     if not is_complete:
-        return Answer(0, 'unknown', {'title': 'the answer is incomplete'})
-    if response.code == _OK and stream:
-        return _decode_stream(received)
+        return _unknown('the answer is incomplete')
     try:
+        if response.code == _OK and stream:
+            return _decode_stream(received)
         document = msgspec.json.decode(received)
     except msgspec.MsgspecError:
-        document = {'title': 'the answer is not JSON'}
+        if response.code == _OK:
+            return _unknown(_NOT_JSON)
+        document = {'title': _NOT_JSON}
     if response.code == _OK:
         return Answer(_OK, 'answered', document)
     retry_after = response.headers.getRawHeaders('retry-after', ['0'])[0]
@@ -149,9 +158,7 @@
 def _decode_stream(received):
     head, found, tail = received.partition(_DONE)
     if not found:
-        return Answer(
-            0, 'unknown', {'title': 'the stream ended without its last event'}
-        )
+        return _unknown('the stream ended without its last event')
     document = msgspec.json.decode(tail.strip()[len(_DATA) :])
     parts = []
     for line in head.split(b'\n'):
