closes: nothing is asked of an upstream whose answer can't be whole

A stream that ends inside an event, or whose events went back, and an answer that holds a second one, are lost whatever the close means; the host asked their upstream for a sign of life nevertheless. Upstreams on loopback that script their answers in order lost one to the question: they answer it like upstreams without reports now.

--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -11,6 +11,7 @@
     ForwardCore,
     HeaderNames,
     HttpClient,
+    PlainCodec,
     Registry,
     SharedRetryBudget,
     Upstream,
@@ -21,6 +22,9 @@
 KEY = 'secret'
 # Services of the split route; the second one has no upstream.
 _SPLIT = ('desk', 'empty')
+# A question to an upstream without reports, and its answer.
+_REPORT = b'GET %s HTTP/1.1\r\n' % PlainCodec.report_target
+_NO_REPORT = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 
 class _UpstreamProtocol(Protocol):
@@ -35,6 +39,11 @@
         host = self.factory.host
         if b'\r\n\r\n' not in self.received:
             return
+        if self.received.startswith(_REPORT):
+            # A host asks whether the process lives on.
+            self.transport.write(_NO_REPORT)
+            self.transport.loseConnection()
+            return
         host.seen.append(self.received)
         self.received = b''
         self.transport.write(host.next_reply())
--- a/features/builders/secondcopies.py
+++ b/features/builders/secondcopies.py
@@ -16,6 +16,8 @@
 # A body that is whole on each route, and half of it, which ends between events.
 HALF = stream_event(1, b'\n')
 BODY = HALF + stream_event(2, b'\n')
+# Events that go on after it.
+_MORE = stream_event(3, b'\n') + stream_event(4, b'\n')
 # More than a host holds back of an answer whose length it knows.
 _LONG_HALF = BODY * 2000
 _OK_LINE = b'HTTP/1.1 200 OK'
@@ -185,7 +187,7 @@
     )
     for text in texts:
         yield text
-        yield b'%s\n%s\n%s' % (BODY, text, BODY)
+        yield b'%s\n%s\n%s' % (BODY, text, _MORE)
         yield BODY + text
 
 
@@ -194,7 +196,7 @@
     sent = []
     for body in _bodies():
         # An event of a stream, whose last line is none of the text.
-        whole = b'id: 1\ndata: a\n\n%s\r\n\r\n' % body
+        whole = b'id: 0\ndata: a\n\n%s\r\n\r\n' % body
         for text in (body, whole):
             sent.extend(_framed(text))
     return sent
--- a/features/steps/close_checks_steps.py
+++ b/features/steps/close_checks_steps.py
@@ -151,6 +151,7 @@
         SimpleNamespace(processes=processes),
         SimpleNamespace(born=1),
         SimpleNamespace(backpressure=SimpleNamespace(pauses=pauses)),
+        lambda: True,
     )
 
 
@@ -163,6 +164,7 @@
 
 def _confirmed(context, answers):
     connection = SimpleNamespace(
+        is_answered_twice=bool,
         witnessed=lambda late_since: succeed(None),
         answers_anew=lambda: succeed(answers),
     )
--- a/features/steps/stream_order_steps.py
+++ b/features/steps/stream_order_steps.py
@@ -16,10 +16,11 @@
     return bodyends.framed(body, 'chunks').removesuffix(bodyends.LAST_CHUNK)
 
 
+_TWICE = 'answers twice without framing'
 # What the first upstream sends before it closes the connection.
 _AGAIN = {
     'sends its first events again': bodyends.framed(_FIRST * 2, 'chunks'),
-    'answers twice without framing': bodyends.framed(_FIRST, 'no framing') * 2,
+    _TWICE: bodyends.framed(_FIRST, 'no framing') * 2,
     'goes on from the first event': bodyends.framed(
         _FIRST + _WHOLE, 'no framing'
     ),
@@ -70,8 +71,10 @@
 def when_again(context, again):
     host = context.host
     host.first_replies = [_AGAIN[again]]
+    # Nothing is passed on of a read in which a second answer begins.
+    rest = _WHOLE if again == _TWICE else _EVENTS[2]
     context.result = bodyends.answer_through(
-        host, 'resumable', bodyends.framed(_EVENTS[2], 'chunks')
+        host, 'resumable', bodyends.framed(rest, 'chunks')
     )
 
 
--- a/pollenstile/forward/_attempt.py
+++ b/pollenstile/forward/_attempt.py
@@ -191,6 +191,12 @@
         learn_outcome(self, outcome)
         return outcome
 
+    def _may_be_whole(self):
+        """Return whether the answer may be whole if it ends now."""
+        return not (
+            self.streaming and self.splitter.is_broken_off(may_be_empty=False)
+        )
+
     def _note_begun_event(self):
         """Record that the stream has more than was passed on."""
         if self.splitter.has_begun_event():
@@ -223,7 +229,9 @@
         )
         self.call.check = partial(send_refusal, self.core, exchange, self.view)
         self.call.verify = process_check(self.core, exchange, self.view)
-        self.call.confirm = end_check(self.core, self.view, self.silence)
+        self.call.confirm = end_check(
+            self.core, self.view, self.silence, self._may_be_whole
+        )
         self.call.search = SecondAnswerSearch(
             self.core.names.attempt, exchange.ident.encode('latin-1')
         )
--- a/pollenstile/forward/_endcheck.py
+++ b/pollenstile/forward/_endcheck.py
@@ -6,7 +6,7 @@
 _STATED = frozenset((Process.LISTED, Process.LATER))
 
 
-def end_check(core, view, silence):
+def end_check(core, view, silence, may_be_whole):
     """Return the check of an answer that ends with its connection.
 
     Explanation
@@ -25,6 +25,9 @@
         The upstream, before the request is sent.
     silence : SilenceWatch
         Knows when this host has paused to read.
+    may_be_whole : function
+        Returns whether the answer may be whole as it ends; nothing is asked for
+        one that is not.
 
     Returns
     =======
@@ -34,6 +37,8 @@
     """
 
     async def confirm(connection):
+        if connection.is_answered_twice() or not may_be_whole():
+            return True
         pauses = silence.backpressure.pauses
         lives_on = await connection.witnessed(pauses.late_since())
         if lives_on is not None:
