tools: a list entry for scenarios that fail at times

An entry may say '(fails at times, 1 of 11)' after its name. What each entry showed is printed, and counted in a line of its own. One whose scenario is gone is stale, as before. Other scenarios and entries are handled as before.

The scenarios run tools/check.py on a repository of their own with real behave. Before the change they ended with an error, and the list took such an entry for an unreadable line.

--- a/tools/check.py
+++ b/tools/check.py
@@ -9,8 +9,10 @@
 scenario that a line of ``KNOWN-RED.txt`` names does not count as failed, and
 these lines are printed. A line whose scenario passes or has moved counts as
 failed. So does a line of a case of ``review/`` that does not fail when it is
-run. Failed scenarios that are not known are printed with their messages after
-those of behave.
+run. A scenario that a line names as failing at times is run again alone when it
+fails, and counts as failed only if each run fails; what these lines showed is
+printed and counted by itself. Failed scenarios are printed with their messages
+after those of behave, but for known ones.
 """
 
 import os
@@ -29,6 +31,7 @@
     read_entries,
     stale_entries,
 )
+from reruns import repeat_failed
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(sys.executable).parent
@@ -152,19 +155,37 @@
     them, and the features of whole hosts take most of the time, so both
     run beside the other features. So do the listed cases of the review.
     """
-    entries, unreadable = read_entries(_known_red())
+    listed = read_entries(_known_red())
     with ThreadPoolExecutor() as pool:
-        cases = pool.submit(_run_cases, listed_cases(entries))
+        cases = pool.submit(_run_cases, listed_cases(listed))
         runs = [*pool.map(_run_features, _FEATURE_GROUPS), cases.result()]
     passed = sum(run.passed for run in runs)
     failed = sum(run.failed for run in runs)
     scenarios = set().union(*(run.scenarios for run in runs))
-    faults = stale_entries(entries, scenarios, ROOT)
-    faults.extend(f'unreadable: {line}' for line in unreadable)
+    faults = stale_entries(listed, scenarios, ROOT)
+    faults.extend(f'unreadable: {line}' for line in listed.unreadable)
     for fault in faults:
         print(f'KNOWN-RED.txt: {fault}')
-    _print_failures(scenarios - entries, runs)
-    return passed, failed - len(entries & scenarios) + len(faults)
+    _print_failures(scenarios - listed.known, runs)
+    excused = (scenarios & listed.known) | _failed_at_times(listed, scenarios)
+    return passed, failed - len(excused) + len(faults)
+
+
+def _failed_at_times(listed, scenarios):
+    """Return which failed scenarios fail at times, and print what was seen."""
+    repeated = repeat_failed(listed.at_times, scenarios, _passes_alone)
+    for entry in repeated:
+        print(entry.describe())
+    seen = [entry for entry in repeated if entry.failed]
+    print(f'fails at times: {len(repeated)} listed, {len(seen)} failed')
+    return {entry.scenario for entry in seen if not entry.fails_always}
+
+
+def _passes_alone(scenario):
+    """Run one scenario by itself; return whether it has passed."""
+    run = _run_features((scenario.location,))
+    _print_failures(run.scenarios, [run])
+    return (run.passed, run.failed) == (1, 0)
 
 
 @dataclass(slots=True, frozen=True)
--- a/tools/knownred.py
+++ b/tools/knownred.py
@@ -14,15 +14,25 @@
 
 A failed scenario or case counts as known only if an entry names it by both. An
 entry whose scenario passes, or is no longer at its location, is stale.
+
+A scenario that fails in some runs only is listed with their number::
+
+    features/a.feature:12 "Two hosts" (fails at times, 1 of 11): command, ...
+
+Such an entry is stale only if its scenario is no longer at its location.
 """
 
 import json
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from behave.parser import parse_file
 
 _ENTRY = re.compile(r'(features/\S+\.feature:\d+|review/\d+) "([^"]+)": \S')
+_AT_TIMES = re.compile(
+    r'(features/\S+\.feature:\d+) "([^"]+)"'
+    r' \(fails at times, (\d+) of (\d+)\): \S'
+)
 _CASE = re.compile(r'review/\d+$')
 _RULE = re.compile(r'^rule: (\S+)$', re.MULTILINE)
 _FAILED = re.compile(r'^  (features/\S+\.feature:\d+)  (.+)$', re.MULTILINE)
@@ -48,6 +58,26 @@
     name: str
 
 
+@dataclass(slots=True)
+class Listed:
+    """Entries of a page.
+
+    Attributes
+    ==========
+
+    known : set of Scenario
+        Scenarios and cases that fail in each run.
+    at_times : set of Scenario
+        Scenarios that fail in some runs.
+    unreadable : list of str
+        Lines that are no entry.
+    """
+
+    known: set = field(default_factory=set)
+    at_times: set = field(default_factory=set)
+    unreadable: list = field(default_factory=list)
+
+
 def failed_scenarios(text):
     """Return the failed scenarios that a summary of behave lists."""
     return {
@@ -102,51 +132,52 @@
 
 
 def read_entries(page):
-    """Return the scenarios of a page's entries, and its unreadable lines.
-
-    Returns
-    =======
-
-    set of Scenario, list of str
-    """
-    entries = set()
-    unreadable = []
-    for line in page.splitlines():
-        if not line.strip():
-            continue
-        match = _ENTRY.match(line)
-        if match is None:
-            unreadable.append(line)
-            continue
-        entries.add(Scenario(match.group(1), match.group(2)))
-    return entries, unreadable
+    """Return the entries of a page, as :class:`Listed`."""
+    listed = Listed()
+    for line in filter(str.strip, page.splitlines()):
+        entry = _ENTRY.match(line)
+        at_times = _AT_TIMES.match(line)
+        if entry:
+            listed.known.add(Scenario(entry[1], entry[2]))
+        elif at_times and 0 < int(at_times[3]) < int(at_times[4]):
+            listed.at_times.add(Scenario(at_times[1], at_times[2]))
+        else:
+            listed.unreadable.append(line)
+    return listed
+
+
+def stale_entries(listed, failed, root):
+    """Return a message for each entry that names no failed scenario.
 
+    Explanation
+    ===========
 
-def stale_entries(entries, failed, root):
-    """Return a message for each entry that names no failed scenario.
+    One that fails at times names a scenario that may pass, but is there.
 
     Parameters
     ==========
 
-    entries : set of Scenario
-        The known failures.
+    listed : Listed
+        The entries.
     failed : set of Scenario
         Scenarios that failed in a run of all features.
     root : pathlib.Path
         Root of the repository.
     """
     messages = []
-    for entry in sorted(entries - failed, key=_location):
-        if entry in existing_scenarios(root, entry.location):
-            messages.append(f'{entry.location} passes, but is listed')
+    passed = (listed.known | listed.at_times) - failed
+    for entry in sorted(passed, key=_location):
+        if entry not in existing_scenarios(root, entry.location):
+            messages.append(f'{entry.location} is not "{entry.name}"')
             continue
-        messages.append(f'{entry.location} is not "{entry.name}"')
+        if entry in listed.known:
+            messages.append(f'{entry.location} passes, but is listed')
     return messages
 
 
-def listed_cases(entries):
+def listed_cases(listed):
     """Return the entries that name a case of the review, in order."""
-    cases = [entry for entry in entries if _CASE.match(entry.location)]
+    cases = [entry for entry in listed.known if _CASE.match(entry.location)]
     return sorted(cases, key=_location)
 
 
