forward: a request is handed back for what its upstreams leave unheard

Cause: a request beside which nothing can be sent was handed back at half of its time while others were served. The time in which all upstreams stood still counted, and so did others that were heard before all stood still again. An upstream that has answered other requests works on this one too.

Change: half of the time is counted from when any upstream that the request was sent to was heard last, by any request; others count as served only if they were heard in the second half of that time. One that is never heard is left as soon as before.

Ruled out: to count from when others are heard again. A request that is sent late in a silence would still be handed back before an answer that takes long.

No scenario of silences was changed.

--- a/features/silent_attempts.feature
+++ b/features/silent_attempts.feature
@@ -191,6 +191,36 @@
     And forwarded send 0 is answered 200 completely
     Then the caller of the forwarded request gets a complete 200
 
+  Scenario: A request is not handed back as its upstream has gone on with others
+    Guards against an answer that is lost while its upstream works on it again.
+    Given a forwarded "idempotent" request
+    And no forwarded retries are left
+    When 1.8 seconds of forwarding pass
+    And the upstream of forwarded send 0 is heard for 0.1 seconds
+    And another upstream is heard for 0.7 seconds
+    And forwarded send 0 is answered 200 completely
+    Then the caller of the forwarded request gets a complete 200
+
+  Scenario: A request is handed back half of its time after its upstream was heard
+    Guards against callers that are held by an upstream which goes on and hangs.
+    Given a forwarded "idempotent" request
+    And no forwarded retries are left
+    When the upstream of forwarded send 0 is heard for 0.9 seconds
+    And another upstream is heard for 1.9 seconds
+    Then the caller of the forwarded request gets 502
+    And forwarded send 0 was closed
+
+  Scenario: A request is not handed back when all upstreams stand still again
+    Guards against callers that are sent away though nobody else is served either.
+    Given a forwarded "idempotent" request
+    And no forwarded retries are left
+    When 0.6 seconds of forwarding pass
+    And the upstream of forwarded send 0 is heard for 0.1 seconds
+    And another upstream is heard for 0.1 seconds
+    And 1.9 seconds of forwarding pass
+    And forwarded send 0 is answered 200 completely
+    Then the caller of the forwarded request gets a complete 200
+
   Scenario: A request is not handed back while nothing else is heard
     Given a forwarded "idempotent" request
     And no forwarded retries are left
--- a/features/steps/silent_attempts_steps.py
+++ b/features/steps/silent_attempts_steps.py
@@ -47,7 +47,14 @@
     """Let another answer of the upstream go on."""
     address = context.story.calls[place].address
     views = context.story.registry.usable(SERVICE)
-    view = next(view for view in views if view.address == address)
+    _hear(
+        context,
+        next(view for view in views if view.address == address),
+        seconds,
+    )
+
+
+def _hear(context, view, seconds):
     for _ in range(round(seconds / _PAUSE_SECONDS)):
         view.heard_at = context.story.clock.seconds()
         context.story.clock.advance(_PAUSE_SECONDS)
@@ -119,13 +126,22 @@
     context.story.clock.advance(seconds)
 
 
+def _other_view(context):
+    views = context.story.registry.usable(SERVICE)
+    is_last_awaited = views[-1].address == context.story.calls[0].address
+    return views[0 if is_last_awaited else -1]
+
+
 @when('another upstream is heard')
 def when_heard(context):
-    view = context.story.registry.usable(SERVICE)[-1]
-    if view.address == context.story.calls[0].address:
-        view = context.story.registry.usable(SERVICE)[0]
-    context.heard = view
-    view.heard_at = context.story.clock.seconds()
+    context.heard = _other_view(context)
+    context.heard.heard_at = context.story.clock.seconds()
+
+
+@when('another upstream is heard for {seconds:g} seconds')
+def when_other_heard_for(context, seconds):
+    """Let an answer of another upstream go on."""
+    _hear(context, _other_view(context), seconds)
 
 
 @when('the caller of the forwarded request stops reading')
--- a/pollenstile/forward/_decisions.py
+++ b/pollenstile/forward/_decisions.py
@@ -31,8 +31,9 @@
 # its stage work has to be done again, or nothing shows that other upstreams of
 # the service answer.
 _PATIENCE_FACTOR = 2.0
-# Share of its time after which a request without a beginning of an answer is
-# handed back to its caller, who may try it again while others are answered.
+# Share of its time for which nothing was heard of its upstreams, after which a
+# request without a beginning of an answer is handed back to its caller, who may
+# try it again while others are answered.
 _HAND_BACK_SHARE = 0.5
 # Reasons for which nothing is sent beside a silent attempt for now.
 NOT_REPEATABLE = 'not repeatable'
@@ -170,7 +171,7 @@
     return '' if is_heard else ALL_SILENT
 
 
-def should_hand_back(obstacle, state, spent_share, *, begun, is_heard):
+def should_hand_back(obstacle, state, unheard_share, *, begun, is_heard):
     """Return whether a request whose attempts are silent is given up.
 
     Explanation
@@ -186,8 +187,9 @@
         Why no attempt is sent beside the silent ones.
     state : SilentState
         The attempts of the request and their silence.
-    spent_share : float
-        Part of the request's time that has passed.
+    unheard_share : float
+        Part of the request's time since when no upstream that it was sent to
+        has sent anything, to any request.
     begun : bool
         Whether a part of the answer was passed on.
     is_heard : bool
@@ -195,7 +197,7 @@
     """
     if begun or not is_heard or obstacle not in {ATTEMPTS_USED, NO_BUDGET}:
         return False
-    return state.is_long() and spent_share >= _HAND_BACK_SHARE
+    return state.is_long() and unheard_share >= _HAND_BACK_SHARE
 
 
 @dataclass(slots=True, frozen=True)
--- a/pollenstile/forward/_standby.py
+++ b/pollenstile/forward/_standby.py
@@ -60,7 +60,7 @@
     reason : str
         Why none was sent when it was looked last.
     heard_looks : int
-        Looks in a row at which other upstreams had been heard.
+        Looks in a row at which other upstreams had been heard lately.
     """
 
     __slots__ = (
@@ -115,7 +115,7 @@
             return
         state = _state(run)
         obstacle = _obstacle(run, state)
-        self.heard_looks = self.heard_looks + 1 if _heard_views(run) else 0
+        self.heard_looks = self.heard_looks + 1 if _are_others_heard(run) else 0
         is_heard = self.heard_looks >= _HEARD_LOOKS
         if _is_hopeless(run, state, obstacle, is_heard=is_heard):
             run.core.silences.handed_back += 1
@@ -217,18 +217,48 @@
     """
     if any(attempt.silence.is_flowing() for attempt in run.contest.running):
         return False
-    exchange = run.exchange
-    now = run.core.clock.seconds()
-    spent = (now - exchange.arrived) / (exchange.ends - exchange.arrived)
     return should_hand_back(
         obstacle,
         state,
-        spent,
+        _unheard_share(run),
         begun=run.answer.begun,
         is_heard=is_heard,
     )
 
 
+def _unheard_since(run):
+    """Return when an upstream of a request has sent anything to any request.
+
+    Explanation
+    ===========
+
+    One that has sent another request's answer goes on with this one too, even
+    if it stood still for most of the time so far.
+    """
+    heard = [attempt.view.heard_at for attempt in run.contest.running]
+    return max(run.exchange.arrived, *heard)
+
+
+def _unheard_share(run):
+    """Return the part of a request's time since its upstreams were heard."""
+    exchange = run.exchange
+    unheard = run.core.clock.seconds() - _unheard_since(run)
+    return unheard / (exchange.ends - exchange.arrived)
+
+
+def _are_others_heard(run):
+    """Return whether other upstreams are heard while a request's are not.
+
+    Explanation
+    ===========
+
+    What was heard of them in the first half of that time may be the last of
+    what came before all of them stood still.
+    """
+    since = (_unheard_since(run) + run.core.clock.seconds()) / 2
+    return any(view.heard_at > since for view in _heard_views(run))
+
+
 def _silent_seconds(silence):
     return silence.silent_seconds()
 
