forward: callers get the length that an upstream states

Callers got each answer in chunks, also where its upstream stated a length, as the library keeps that field from the head's others. So a part of an answer that the host took for all of it looked complete to its caller, whatever the fault.

Change: the length is passed on with a success of a route that is no stream, and with a failure, if the answer has a body: not for 204, 205 and 304. HEAD had it before. Streams stay in chunks, as another upstream may go on with them, and so does what came in chunks or ended with its connection.

Tests: 7 of the 15 scenarios of stated_lengths failed before (each answer of a stated length, and one that breaks off after it has begun). Steps of forward_http and endless_answers, which expected chunks byte by byte, read an answer by the framing of its head now, as malformed and body_ends did each by itself; one builder does for all, and takes an answer for whole only if nothing follows.

Measured: stated_lengths, forward_http, endless_answers, body_ends, malformed, early_answers, answer_ends, forward, tunnels, entry_grace, grace_ends, shutdown, forward_connecting, forward_fleet, passing, endless_reads, cut_hosts and thinpath pass.

--- a/features/builders/bodyends.py
+++ b/features/builders/bodyends.py
@@ -5,6 +5,7 @@
 from twisted.internet import reactor
 
 from features.builders.forwardhost import ForwardHost, request
+from features.builders.framing import LAST_CHUNK, split_answer
 from features.builders.loop import result_of, run_reactor_until
 from features.builders.stagework import group, pieces_of
 from pollenstile.fleet import http_load_reader
@@ -17,7 +18,6 @@
 _HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Proof: p\r\n'
 # Far above the duration of a call on loopback.
 _CALL_SECONDS = 30.0
-LAST_CHUNK = b'0\r\n\r\n'
 
 
 def stream_event(number, line_end):
@@ -94,22 +94,9 @@
     return http_load_reader(reactor)('i1', upstream)
 
 
-def joined_chunks(rest):
-    """Return the joined chunks of a body, and whether the last one is there."""
-    body = b''
-    while rest:
-        size_line, _, rest = rest.partition(b'\r\n')
-        size = int(size_line, 16)
-        if not size:
-            return body, True
-        body += rest[:size]
-        rest = rest[size + 2 :]
-    return body, False
-
-
 def _read_body(received):
-    """Return the body of an answer in chunks, and whether it is complete."""
-    head, _, rest = received.partition(b'\r\n\r\n')
+    """Return the body of a success, and whether it is complete."""
+    head, body, is_complete = split_answer(received)
     if not head.startswith(b'HTTP/1.1 200'):
         return None, False
-    return joined_chunks(rest)
+    return body, is_complete
--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
+from features.builders.framing import split_answer
 from features.builders.loop import run_reactor_until
 from pollenstile.forward import (
     ForwardCore,
@@ -164,6 +165,14 @@
         )
         return connection
 
+    def exchange_whole(self, request):
+        """Send bytes; wait for a whole answer or for the close."""
+        connection = self.send(request)
+        run_reactor_until(
+            lambda: split_answer(connection.received)[-1] or connection.closed
+        )
+        return connection
+
     def stop(self):
         """Close all ports and connections."""
         _stop_listening(self.callers_port)
--- a/features/builders/malformed.py
+++ b/features/builders/malformed.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 
-from features.builders.bodyends import closing_host, joined_chunks
+from features.builders.bodyends import closing_host
 from features.builders.forwardhost import request
+from features.builders.framing import split_answer
 from features.builders.loop import run_reactor_until
 
 # Routes of the host, by the kind of their requests.
@@ -56,9 +57,10 @@
     sent = request(b'/%s/x' % route, lines, body=body)
     connection = host.send(sent.replace(b'POST', method, 1))
     run_reactor_until(lambda: connection.closed)
-    head, found, rest = connection.received.partition(b'\r\n\r\n')
-    status = int(head.split(b' ', 2)[1]) if found else 0
-    return Received(status, head, _whole_body(head, rest), len(host.seen))
+    head, body, is_complete = split_answer(connection.received)
+    status = int(head.split(b' ', 2)[1]) if head else 0
+    whole = body if is_complete else None
+    return Received(status, head, whole, len(host.seen))
 
 
 def received_on_all(forms):
@@ -71,16 +73,3 @@
             results.append((form, kind, received_through(host, route)))
         host.stop()
     return results
-
-
-def _whole_body(head, rest):
-    """Return a body by the framing that the head states, None if it is cut."""
-    if not head:
-        return None
-    fields = head.lower()
-    if b'transfer-encoding: chunked' in fields:
-        body, is_complete = joined_chunks(rest)
-        return body if is_complete else None
-    _, _, after = fields.partition(b'content-length: ')
-    length = int(after.partition(b'\r\n')[0] or 0)
-    return rest if len(rest) == length else None
--- a/pollenstile/forward/_bodies.py
+++ b/pollenstile/forward/_bodies.py
@@ -30,6 +30,7 @@
 _SUCCESS_STATUSES = range(200, 300)
 # Successes without a body: No Content and Reset Content.
 _BODILESS = frozenset((204, 205))
+_NOT_MODIFIED = 304
 # Ends of a body after which its upstream may have sent all of it.
 _ENDED = frozenset((BodyEnd.COMPLETE, BodyEnd.CLOSED))
 # The same of a failure, which may be sent before the request was received.
@@ -80,7 +81,7 @@
     return UpstreamFailure(
         head.code,
         head.phrase,
-        _header_pairs(head),
+        _header_pairs(attempt, head),
         b''.join(parts),
     )
 
@@ -150,8 +151,7 @@
 
 def _may_lack_body(attempt, head):
     """Return whether an answer on a stream's route may have no event."""
-    is_bodiless = head.code in _BODILESS or attempt.exchange.method == b'HEAD'
-    return is_bodiless or attempt.is_resumed
+    return attempt.is_resumed or not _has_body(attempt, head)
 
 
 async def _relay_stream(attempt, head):
@@ -242,7 +242,9 @@
     """Claim the answer, and begin it if no attempt has."""
     attempt.contest.claim(attempt)
     if not attempt.answer.begun:
-        attempt.answer.begin(head.code, head.phrase, _header_pairs(head))
+        attempt.answer.begin(
+            head.code, head.phrase, _header_pairs(attempt, head)
+        )
 
 
 def _finish_answer(attempt):
@@ -290,9 +292,28 @@
     return Lost(reason, attempt.view.ident, broken=end in _BROKEN)
 
 
-def _header_pairs(head):
-    return [
+def _header_pairs(attempt, head):
+    """Return the fields of an answer that its caller gets.
+
+    Explanation
+    ===========
+
+    With the length, a caller notices by itself if a part is missing. That of a
+    stream isn't passed on, as another upstream may go on with it.
+    """
+    pairs = [
         (name, value)
         for name, values in head.headers.getAllRawHeaders()
         for value in values
     ]
+    is_stream = attempt.streaming and head.code in _SUCCESS_STATUSES
+    if has_length(head) and not is_stream and _has_body(attempt, head):
+        pairs.append((b'content-length', b'%d' % head.length))
+    return pairs
+
+
+def _has_body(attempt, head):
+    """Return whether an answer of its status and method has a body."""
+    if head.code in _BODILESS or head.code == _NOT_MODIFIED:
+        return False
+    return attempt.exchange.method != b'HEAD'
