soak: connections that an overloaded host closes unread are not cut off

An overloaded host closes a part of the new connections before it reads their requests, so that the callers try another host at once; they may, as nothing was read. The check took these for requests that a host had read.

Change: the soak reads the overloads of a host and the number of connections that it has closed from its log. Requests without an answer that were the first on their connection are excused in that time, if they are no more than the host has counted; else none is. Of an overload in which the process ended nothing is counted, so all of its first requests are excused. Requests on kept connections never are.

Tests: more requests than the host counted, kept connections, another time and an earlier overload's count are reported; as many as it counted are not, which the check before could not tell.

--- a/features/builders/soundrecords.py
+++ b/features/builders/soundrecords.py
@@ -1,5 +1,11 @@
 """Records of one request of a live soak, to test what its checks see."""
 
+from dataclasses import replace
+from types import SimpleNamespace
+
+from twisted.internet.task import Clock
+
+from pollenstile.soak.live._overloads import OverloadLog
 from pollenstile.soak.live._records import (
     Fault,
     Records,
@@ -79,3 +85,37 @@
         records.ready_at.append(at)
         return
     records.faults.append(Fault(at, *_EVENTS[event]))
+
+
+def cut_off_records(count, *, is_first):
+    """Return records of requests without an answer, each after 0.02 s."""
+    records = records_of(status=0)
+    first = records.requests.pop()
+    for number in range(count):
+        sent_at = _SENT_AT + number / 10
+        request = replace(first, ident=f'c{number}', sent_at=sent_at)
+        request.ended_at = sent_at + 0.02
+        request.is_first = is_first
+        records.requests.append(request)
+    return records
+
+
+def overload(records, began, closed, closed_before=0):
+    """Let a host write that it was overloaded for two seconds.
+
+    Parameters
+    ==========
+
+    began : float
+        Seconds from the first request on.
+    closed, closed_before : int
+        Connections that it closed in that time, and in one before it.
+    """
+    clock = Clock()
+    clock.advance(_SENT_AT + began - 10.0)
+    log = OverloadLog(SimpleNamespace(reactor=clock, records=records), 'h1')
+    for count, pause in ((closed_before, 8.0), (closed_before + closed, 0.0)):
+        log.note_line({'event': 'overloaded'})
+        clock.advance(2.0)
+        log.note_line({'event': 'overload-ended', 'closed': count})
+        clock.advance(pause)
--- a/features/soak_sound.feature
+++ b/features/soak_sound.feature
@@ -94,3 +94,22 @@
       | 15    | a host became ready 2.5 s              | 15 requests reached engines-1 while cold |
       | 14    | the store was cut off 2.5 s            | nothing                                  |
       | 15    | the store was cut off 2.5 s            | 15 requests reached engines-1 while cold |
+
+  Scenario Outline: A host that closes more than it says as it is overloaded is noticed: <count>, <closed> <when>
+    An overloaded host closes new connections before it reads their requests; their callers try others.
+    Given <count> requests without an answer on <connections> connections
+    When their host was overloaded <when>, and says that it closed <closed>
+    Then the checks of the answers report "<text>"
+
+    Examples:
+      | count | connections | closed | when      | text                                                                            |
+      | 2     | new         | 2      | meanwhile | nothing                                                                         |
+      | 2     | new         | 3      | meanwhile | nothing                                                                         |
+      | 2     | new         | 1      | meanwhile | cut off without an answer: c0 at h1 cut off without an answer: c1 at h1         |
+      | 1     | new         | 1      | later     | cut off without an answer: c0 at h1                                             |
+      | 1     | kept        | 1      | meanwhile | cut off without an answer: c0 at h1                                             |
+
+  Scenario: Connections that were closed in an earlier overload excuse none in a later one
+    Given 1 requests without an answer on new connections
+    When their host closed 2 in one overload and 0 meanwhile
+    Then the checks of the answers report "cut off without an answer: c0 at h1"
--- a/features/steps/soak_sound_steps.py
+++ b/features/steps/soak_sound_steps.py
@@ -8,6 +8,8 @@
     add_run,
     add_silence,
     cold_records,
+    cut_off_records,
+    overload,
     records_of,
 )
 from pollenstile.soak.live._checks import find_violations
@@ -108,3 +110,19 @@
 @when('nothing happened before that')
 def when_nothing(context):
     """Leave the records as they are."""
+
+
+@given('{count:d} requests without an answer on {connections} connections')
+def given_cut_off(context, count, connections):
+    is_first = connections == 'new'
+    context.records = cut_off_records(count, is_first=is_first)
+
+
+@when('their host was overloaded {when}, and says that it closed {count:d}')
+def when_overloaded(context, when, count):
+    overload(context.records, {'meanwhile': -1.0, 'later': 5.0}[when], count)
+
+
+@when('their host closed {before:d} in one overload and {count:d} meanwhile')
+def when_twice(context, before, count):
+    overload(context.records, -1.0, count, before)
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from pollenstile.soak.live._hosts import DRAIN_SECONDS, REVOKE_SECONDS
+from pollenstile.soak.live._overloads import closed_unread
 from pollenstile.soak.live._servers import (
     COLD_RATE,
     COLD_SECONDS,
@@ -69,6 +70,7 @@
         lines.extend(_run_violations(record, own_runs, records.revoked_at))
         lines.extend(_time_violations(record, records))
         lines.extend(_version_violations(record))
+    lines.extend(_cut_off_violations(records))
     lines.extend(_leaving_violations(records))
     lines.extend(_drain_violations(records))
     lines.extend(_part_violations(records))
@@ -165,22 +167,39 @@
 
 
 def _time_violations(record, records):
-    """Check that a host without faults answers in time and cuts nothing off."""
+    """Check that a host without faults answers in time."""
     if not record.ended_at:
         return
-    faults = host_faults(record, records)
-    if any(fault.text != 'stop' for fault in faults):
+    if any(fault.text != 'stop' for fault in host_faults(record, records)):
         return
     took = record.ended_at - record.sent_at
     if took > record.deadline + _LATE_TOLERANCE_SECONDS:
         yield f'no answer after {took:.2f} s: {record.ident} at {record.host}'
-    if record.status or any(fault.at < record.sent_at for fault in faults):
-        # Answers that have begun are checked with their upstreams.
-        return
-    if record.is_unread:
+
+
+def _cut_off_violations(records):
+    """Check that hosts without faults cut nothing off."""
+    cut_off = [
+        record
+        for record in records.requests
+        if record.ended_at
+        and not record.status
         # No process of the host took the connection.
-        return
-    yield f'cut off without an answer: {record.ident} at {record.host}'
+        and not record.is_unread
+        and _is_struck_by_stop(record, records)
+    ]
+    closed = closed_unread(cut_off, records)
+    for record in cut_off:
+        if record.ident not in closed:
+            yield f'cut off without an answer: {record.ident} at {record.host}'
+
+
+def _is_struck_by_stop(record, records):
+    """Return whether nothing but a stop meanwhile struck a request's host."""
+    return all(
+        fault.text == 'stop' and fault.at >= record.sent_at
+        for fault in host_faults(record, records)
+    )
 
 
 def _leaving_violations(records):
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -12,6 +12,7 @@
 from pollenstile.ops.settings import address, format_address
 from pollenstile.soak.live._latestore import LateStore
 from pollenstile.soak.live._loopback import LOOPBACK
+from pollenstile.soak.live._overloads import OverloadLog
 from pollenstile.soak.live._proxy import Proxy
 from pollenstile.standin.objectapi import platform_site
 
@@ -51,6 +52,8 @@
         when it ends.
     ended : Deferred
         Fires when the process has ended.
+    overloads : OverloadLog
+        Records when it is overloaded.
     output_tail : list of str
         Standard error, and lines of the log that are not JSON.
     """
@@ -68,6 +71,7 @@
         )
         world.store_ports.append(store_port)
         self.store.target = (LOOPBACK, store_port.getHost().port)
+        self.overloads = OverloadLog(world, name)
         self.ready = False
         self.ready_address = None
         self.paused = False
@@ -197,6 +201,7 @@
             self.output_tail.append(line.decode(errors='replace'))
             return
         event = document.get('event')
+        self.overloads.note_line(document)
         if event in _START_EVENTS:
             self._note_start(event, document)
         elif event in {'forward-crashed', 'peer-handler-failed'}:
@@ -206,6 +211,7 @@
 
     def _note_start(self, event, document):
         if event == 'forward-started':
+            self.overloads.note_process()
             self.callers.target = address(document['callers'])
             self.ready_address = address(document['ready'])
         elif event == 'forward-ready':
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass, field
 
 
+# A time or a count that the run has not shown yet.
+UNKNOWN = float('inf')
+
+
 @dataclass(slots=True)
 class RequestRecord:
     """One request of a caller.
@@ -43,6 +47,8 @@
         Whether the answer was properly terminated.
     gave_up : bool
         Whether its caller closed the connection, for lack of an answer.
+    is_first : bool
+        Whether it was the first on its connection.
     is_unread : bool
         Whether its connection found no process of the host, which was not up
         or had been told to stop.
@@ -64,6 +70,7 @@
     received_bytes: int = 0
     complete: bool = False
     gave_up: bool = False
+    is_first: bool = False
     is_unread: bool = False
     ended_at: float = 0.0
 
@@ -127,6 +134,24 @@
     grace: float
 
 
+@dataclass(slots=True)
+class Overload:
+    """Time for which a host accepted only a part of the new connections.
+
+    Parameters
+    ==========
+
+    closed : float
+        Connections that it closed before it had read their requests; infinite
+        while unknown.
+    """
+
+    host: str
+    began: float
+    ended: float = UNKNOWN
+    closed: float = UNKNOWN
+
+
 @dataclass(slots=True)
 class Endless:
     """Time for which an upstream answered with bytes that never end.
@@ -253,6 +278,8 @@
         Times for which upstreams stood still, in order.
     stops : list of HostStop
         Stops of hosts that requests may outlast, in order.
+    overloads : list of Overload
+        Times for which hosts were overloaded, by their logs, in order.
     left : set of str
         Identifiers of the requests whose callers left, by the hosts' logs.
     endless : list of Endless
@@ -296,6 +323,7 @@
     lost: set = field(default_factory=set)
     silences: list = field(default_factory=list)
     stops: list = field(default_factory=list)
+    overloads: list = field(default_factory=list)
     left: set = field(default_factory=set)
     endless: list = field(default_factory=list)
     endless_answers: list = field(default_factory=list)
