soak: an answer that its upstream broke off is no cut-off without one

Cause: engines-19 wrote the first event and ended 10 ms later. The host began the answer and reset its caller's connection 14 ms after it had sent the request; the reset overtook the head, so the caller saw no status, and the check of answers that had begun, which asks for sound upstreams, did not look at it.

Change: a request without a status is not reported if an upstream that was struck meanwhile had written a part of its answer. One that no upstream had begun to answer, or whose upstream was sound, is reported as before; a new row says so for an upstream that crashed without having written anything.

--- a/features/builders/soundrecords.py
+++ b/features/builders/soundrecords.py
@@ -18,6 +18,8 @@
 UPSTREAMS = ('engines-1', 'engines-2', 'engines-3')
 _SENT_AT = 100.0
 _DEADLINE_SECONDS = 5.0
+_KEY = 'key-a'
+_TEAM = f'team of {_KEY}'
 # Subjects and texts of faults, by their names in scenarios.
 _EVENTS = {
     'another upstream crashed': (UPSTREAMS[1], 'crash'),
@@ -29,7 +31,7 @@
 def records_of(status=200, seconds=2.0, *, complete=False, body=b''):
     """Return records with a request that took some seconds."""
     record = RequestRecord(
-        'c1', 'draft', 'h1', 'key-a', _SENT_AT, _DEADLINE_SECONDS
+        'c1', 'draft', 'h1', _KEY, _SENT_AT, _DEADLINE_SECONDS
     )
     record.status = status
     record.body = body
@@ -43,7 +45,7 @@
     """Add a run at an upstream, from one second of the request to another."""
     count = round((ended - began) / gap)
     work = [_SENT_AT + began + part * gap for part in range(count + 1)]
-    run = RunRecord('c1', UPSTREAMS[number], _SENT_AT + began, 'team', work)
+    run = RunRecord('c1', UPSTREAMS[number], _SENT_AT + began, _TEAM, work)
     records.runs.append(run)
 
 
--- a/features/soak_sound.feature
+++ b/features/soak_sound.feature
@@ -31,12 +31,25 @@
     Then the checks of the answers report "<text>"
 
     Examples:
-      | end | taken                            | fault   | subject | text                                |
-      | 0   | taken by the process of its host | nothing | nobody  | cut off without an answer: c1 at h1 |
-      | 0   | taken by the process of its host | stop    | h1      | cut off without an answer: c1 at h1 |
-      | 0   | taken by the process of its host | reset   | h1      | nothing                             |
-      | 0   | taken by no process              | nothing | nobody  | nothing                             |
-      | 503 | taken by the process of its host | nothing | nobody  | nothing                             |
+      | end | taken                            | fault   | subject   | text                                |
+      | 0   | taken by the process of its host | nothing | nobody    | cut off without an answer: c1 at h1 |
+      | 0   | taken by the process of its host | stop    | h1        | cut off without an answer: c1 at h1 |
+      | 0   | taken by the process of its host | reset   | h1        | nothing                             |
+      | 0   | taken by no process              | nothing | nobody    | nothing                             |
+      | 503 | taken by the process of its host | nothing | nobody    | nothing                             |
+      | 0   | taken by the process of its host | crash   | engines-1 | cut off without an answer: c1 at h1 |
+
+  Scenario Outline: A begun answer that its upstream breaks off may not reach its caller
+    The reset overtakes the head; the host owes an answer where no upstream has broken it off.
+    Given a request that ended "0" after 2 s at an upstream that stood still
+    When "<fault>" struck "<subject>" meanwhile
+    Then the checks of the answers report "<text>"
+
+    Examples: it had begun to answer at engines-1
+      | fault   | subject   | text                                |
+      | crash   | engines-1 | nothing                             |
+      | crash   | engines-2 | cut off without an answer: c1 at h1 |
+      | nothing | nobody    | cut off without an answer: c1 at h1 |
 
   Scenario: A request whose upstream hangs for good proves nothing
     Given a request that ended "cut off" after 2 s at an upstream that stood still
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -14,7 +14,7 @@
     lookup_body,
     stream_event,
 )
-from pollenstile.soak.live._sound import host_faults
+from pollenstile.soak.live._sound import are_sound, host_faults
 from pollenstile.standin.limited import (
     CONTACT_SECONDS,
     WINDOW_SECONDS,
@@ -188,10 +188,27 @@
         and not record.is_unread
         and _is_struck_by_stop(record, records)
     ]
-    closed = closed_unread(cut_off, records)
+    excused = closed_unread(cut_off, records)
+    runs = records.runs_by_ident()
     for record in cut_off:
-        if record.ident not in closed:
-            yield f'cut off without an answer: {record.ident} at {record.host}'
+        own_runs = runs.get(record.ident, [])
+        if record.ident in excused or _broke_off(record, own_runs, records):
+            continue
+        yield f'cut off without an answer: {record.ident} at {record.host}'
+
+
+def _broke_off(record, runs, records):
+    """Return whether an upstream has broken off an answer that it had begun.
+
+    Explanation
+    ===========
+
+    The reset that tells its caller may overtake the head of the answer.
+    """
+    return any(
+        run.work and not are_sound((run.upstream,), record, records)
+        for run in runs
+    )
 
 
 def _is_struck_by_stop(record, records):
--- a/pollenstile/soak/live/_sound.py
+++ b/pollenstile/soak/live/_sound.py
@@ -94,6 +94,30 @@
     ]
 
 
+def are_sound(upstreams, record, records):
+    """Return whether upstreams, at most, stood still and went on.
+
+    Parameters
+    ==========
+
+    upstreams : iterable of str
+        Names of upstreams.
+    record : RequestRecord
+        Request that they may have been sent.
+    """
+    if record.ident in records.lost or _met_endless(upstreams, record, records):
+        return False
+    if any(
+        silence.upstream in upstreams and silence.ended == _NEVER
+        for silence in records.silences
+    ):
+        return False
+    return not any(
+        fault.subject in upstreams
+        for fault in _upstream_faults(record, records)
+    )
+
+
 def _awaited(record, reached, records):
     """Return the upstreams that a request may have been sent to.
 
@@ -122,7 +146,7 @@
     loss = _loss_of(record)
     if loss and _outlasts(record, loss, records):
         return
-    if loss and _are_sound(reached, record, records):
+    if loss and are_sound(reached, record, records):
         counts.lost[loss] += 1
         counts.lines.append(f'{loss} though {_situation(record, reached)}')
     elif silences and _is_refused_while_still(record, records):
@@ -182,21 +206,6 @@
     return upstream.rpartition('-')[0]
 
 
-def _are_sound(upstreams, record, records):
-    """Return whether upstreams, at most, stood still and went on."""
-    if record.ident in records.lost or _met_endless(upstreams, record, records):
-        return False
-    if any(
-        silence.upstream in upstreams and silence.ended == _NEVER
-        for silence in records.silences
-    ):
-        return False
-    return not any(
-        fault.subject in upstreams
-        for fault in _upstream_faults(record, records)
-    )
-
-
 def _met_endless(upstreams, record, records):
     """Return whether an upstream sent bytes without end to the host."""
     return any(
@@ -255,7 +264,7 @@
     if not (
         record.ended_at
         and _is_host_sound(record, records)
-        and _are_sound(names, record, records)
+        and are_sound(names, record, records)
     ):
         return
     beside = max(
