--- a/features/soak_sound.feature
+++ b/features/soak_sound.feature
@@ -31,12 +31,25 @@
     Then the checks of the answers report "<text>"
 
     Examples:
-      | end | taken                            | fault   | subject | text                                |
-      | 0   | taken by the process of its host | nothing | nobody  | cut off without an answer: c1 at h1 |
-      | 0   | taken by the process of its host | stop    | h1      | cut off without an answer: c1 at h1 |
-      | 0   | taken by the process of its host | reset   | h1      | nothing                             |
-      | 0   | taken by no process              | nothing | nobody  | nothing                             |
-      | 503 | taken by the process of its host | nothing | nobody  | nothing                             |
+      | end | taken                            | fault   | subject   | text                                |
+      | 0   | taken by the process of its host | nothing | nobody    | cut off without an answer: c1 at h1 |
+      | 0   | taken by the process of its host | stop    | h1        | cut off without an answer: c1 at h1 |
+      | 0   | taken by the process of its host | reset   | h1        | nothing                             |
+      | 0   | taken by no process              | nothing | nobody    | nothing                             |
+      | 503 | taken by the process of its host | nothing | nobody    | nothing                             |
+      | 0   | taken by the process of its host | crash   | engines-1 | cut off without an answer: c1 at h1 |
+
+  Scenario Outline: A begun answer that its upstream breaks off may not reach its caller
+    The reset overtakes the head; the host owes an answer where no upstream has broken it off.
+    Given a request that ended "0" after 2 s at an upstream that stood still
+    When "<fault>" struck "<subject>" meanwhile
+    Then the checks of the answers report "<text>"
+
+    Examples: it had begun to answer at engines-1
+      | fault   | subject   | text                                |
+      | crash   | engines-1 | nothing                             |
+      | crash   | engines-2 | cut off without an answer: c1 at h1 |
+      | nothing | nobody    | cut off without an answer: c1 at h1 |
 
   Scenario: A request whose upstream hangs for good proves nothing
     Given a request that ended "cut off" after 2 s at an upstream that stood still
@@ -75,3 +88,41 @@
     Given runs of a request from 0 to 0.5 s and from 1 to 2.5 s
     When the request also runs at a third upstream
     Then the checks of the soak count "too many" runs
+
+  Scenario Outline: A cold engine that gets more than it may is noticed: <count> when <event>
+    Hosts with different lists of hosts may claim one share twice; what an engine bears holds even then.
+    Given <count> requests that reached a cold engine
+    When <event> before that
+    Then the checks of the answers report "<text>"
+
+    Examples: at 6 a second, and 14 borne
+      | count | event                                  | text                                     |
+      | 6     | nothing happened                       | nothing                                  |
+      | 7     | nothing happened                       | 7 requests reached engines-1 while cold  |
+      | 7     | another upstream crashed 0.5 s         | 7 requests reached engines-1 while cold  |
+      | 7     | a configuration was written 0.5 s      | 7 requests reached engines-1 while cold  |
+      | 7     | a host became ready 3.5 s              | 7 requests reached engines-1 while cold  |
+      | 7     | a host became ready 2.5 s              | nothing                                  |
+      | 14    | a host became ready 2.5 s              | nothing                                  |
+      | 15    | a host became ready 2.5 s              | 15 requests reached engines-1 while cold |
+      | 14    | the store was cut off 2.5 s            | nothing                                  |
+      | 15    | the store was cut off 2.5 s            | 15 requests reached engines-1 while cold |
+
+  Scenario Outline: A host that closes more than it says as it is overloaded is noticed: <count>, <closed> <when>
+    An overloaded host closes new connections before it reads their requests; their callers try others.
+    Given <count> requests without an answer on <connections> connections
+    When their host was overloaded <when>, and says that it closed <closed>
+    Then the checks of the answers report "<text>"
+
+    Examples:
+      | count | connections | closed | when      | text                                                                            |
+      | 2     | new         | 2      | meanwhile | nothing                                                                         |
+      | 2     | new         | 3      | meanwhile | nothing                                                                         |
+      | 2     | new         | 1      | meanwhile | cut off without an answer: c0 at h1 cut off without an answer: c1 at h1         |
+      | 1     | new         | 1      | later     | cut off without an answer: c0 at h1                                             |
+      | 1     | kept        | 1      | meanwhile | cut off without an answer: c0 at h1                                             |
+
+  Scenario: Connections that were closed in an earlier overload excuse none in a later one
+    Given 1 requests without an answer on new connections
+    When their host closed 2 in one overload and 0 meanwhile
+    Then the checks of the answers report "cut off without an answer: c0 at h1"
--- a/features/steps/soak_sound_steps.py
+++ b/features/steps/soak_sound_steps.py
@@ -3,9 +3,13 @@
 from behave import given, then, when
 
 from features.builders.soundrecords import (
+    add_earlier,
     add_fault,
     add_run,
     add_silence,
+    cold_records,
+    cut_off_records,
+    overload,
     records_of,
 )
 from pollenstile.soak.live._checks import find_violations
@@ -91,3 +95,34 @@
 @then('the checks of the soak count "{expected}" runs')
 def then_runs(context, expected):
     _assert_counted(count_sound(context.records).runs, expected)
+
+
+@given('{count:d} requests that reached a cold engine')
+def given_cold(context, count):
+    context.records = cold_records(count)
+
+
+@when('{event} {seconds:g} s before that')
+def when_earlier(context, event, seconds):
+    add_earlier(context.records, event, seconds)
+
+
+@when('nothing happened before that')
+def when_nothing(context):
+    """Leave the records as they are."""
+
+
+@given('{count:d} requests without an answer on {connections} connections')
+def given_cut_off(context, count, connections):
+    is_first = connections == 'new'
+    context.records = cut_off_records(count, is_first=is_first)
+
+
+@when('their host was overloaded {when}, and says that it closed {count:d}')
+def when_overloaded(context, when, count):
+    overload(context.records, {'meanwhile': -1.0, 'later': 5.0}[when], count)
+
+
+@when('their host closed {before:d} in one overload and {count:d} meanwhile')
+def when_twice(context, before, count):
+    overload(context.records, -1.0, count, before)
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from pollenstile.soak.live._hosts import DRAIN_SECONDS, REVOKE_SECONDS
+from pollenstile.soak.live._overloads import closed_unread
 from pollenstile.soak.live._servers import (
     COLD_RATE,
     COLD_SECONDS,
@@ -13,7 +14,7 @@
     lookup_body,
     stream_event,
 )
-from pollenstile.soak.live._sound import host_faults
+from pollenstile.soak.live._sound import are_sound, host_faults
 from pollenstile.standin.limited import (
     CONTACT_SECONDS,
     WINDOW_SECONDS,
@@ -46,6 +47,14 @@
 # a host that may reach it nevertheless.
 _REST_BEGINS_SECONDS = 0.5
 _ALLOWED_IN_REST = 2
+# Subject of the faults of what all hosts read.
+_CONFIGURATION = 'configuration'
+# What a cold engine bears, as a multiple of its cold rate and requests more.
+_COLD_FACTOR = 1.5
+_COLD_SLACK = 5
+# Seconds after which hosts have the same list of hosts, from when one of them
+# is ready or the last fault of a host or of the store on.
+_SAME_LIST_SECONDS = 3.0
 # Share of the requests after the last fault that must succeed.
 _MIN_SERVED_SHARE = 0.9
 
@@ -61,6 +70,7 @@
         lines.extend(_run_violations(record, own_runs, records.revoked_at))
         lines.extend(_time_violations(record, records))
         lines.extend(_version_violations(record))
+    lines.extend(_cut_off_violations(records))
     lines.extend(_leaving_violations(records))
     lines.extend(_drain_violations(records))
     lines.extend(_part_violations(records))
@@ -157,22 +167,56 @@
 
 
 def _time_violations(record, records):
-    """Check that a host without faults answers in time and cuts nothing off."""
+    """Check that a host without faults answers in time."""
     if not record.ended_at:
         return
-    faults = host_faults(record, records)
-    if any(fault.text != 'stop' for fault in faults):
+    if any(fault.text != 'stop' for fault in host_faults(record, records)):
         return
     took = record.ended_at - record.sent_at
     if took > record.deadline + _LATE_TOLERANCE_SECONDS:
         yield f'no answer after {took:.2f} s: {record.ident} at {record.host}'
-    if record.status or any(fault.at < record.sent_at for fault in faults):
-        # Answers that have begun are checked with their upstreams.
-        return
-    if record.is_unread:
+
+
+def _cut_off_violations(records):
+    """Check that hosts without faults cut nothing off."""
+    cut_off = [
+        record
+        for record in records.requests
+        if record.ended_at
+        and not record.status
         # No process of the host took the connection.
-        return
-    yield f'cut off without an answer: {record.ident} at {record.host}'
+        and not record.is_unread
+        and _is_struck_by_stop(record, records)
+    ]
+    excused = closed_unread(cut_off, records)
+    runs = records.runs_by_ident()
+    for record in cut_off:
+        own_runs = runs.get(record.ident, [])
+        if record.ident in excused or _broke_off(record, own_runs, records):
+            continue
+        yield f'cut off without an answer: {record.ident} at {record.host}'
+
+
+def _broke_off(record, runs, records):
+    """Return whether an upstream has broken off an answer that it had begun.
+
+    Explanation
+    ===========
+
+    The reset that tells its caller may overtake the head of the answer.
+    """
+    return any(
+        run.work and not are_sound((run.upstream,), record, records)
+        for run in runs
+    )
+
+
+def _is_struck_by_stop(record, records):
+    """Return whether nothing but a stop meanwhile struck a request's host."""
+    return all(
+        fault.text == 'stop' and fault.at >= record.sent_at
+        for fault in host_faults(record, records)
+    )
 
 
 def _leaving_violations(records):
@@ -263,17 +307,38 @@
 
 
 def _cold_violations(records):
-    """Check that a cold engine gets no more requests than its cold rate."""
+    """Check that a cold engine gets no more requests than its cold rate.
+
+    Explanation
+    ===========
+
+    Hosts with different lists of hosts may claim the same share of the rate.
+    While they may have such lists, no engine gets more than it bears.
+    """
     runs = {}
     for run in records.runs:
         _, cold_until = records.upstreams[run.upstream]
         if run.upstream.startswith(ENGINES) and run.at < cold_until:
             runs.setdefault(run.upstream, []).append(run.at)
     for upstream, moments in runs.items():
-        if len(moments) > COLD_RATE * COLD_SECONDS:
+        if len(moments) > _cold_limit(upstream, records):
             yield f'{len(moments)} requests reached {upstream} while cold'
 
 
+def _cold_limit(upstream, records):
+    """Return the most requests that an engine may get while it is cold."""
+    _, cold_until = records.upstreams[upstream]
+    since = cold_until - COLD_SECONDS - _SAME_LIST_SECONDS
+    others = (_CONFIGURATION, *records.upstreams)
+    faults = [
+        fault.at for fault in records.faults if fault.subject not in others
+    ]
+    rated = COLD_RATE * COLD_SECONDS
+    if any(since < at < cold_until for at in (*faults, *records.ready_at)):
+        return rated * _COLD_FACTOR + _COLD_SLACK
+    return rated
+
+
 def _rate_violations(records):
     """Check that a limited upstream gets no more than its rate allows."""
     for limit in records.rate_limits:
