soak: links of a live run pass on half-closes and what follows a close

A link closed the host's end for good where an upstream had closed only its sending side, and did not pass on the reset that follows where the upstream had unread bytes; and it closed at once what bytes on a slow link were still to come before. Hosts decide by these whether a close ended an answer, so a live run could neither show that they do so rightly nor that they don't.

How an end has ended now travels behind its bytes, subject to the same delays and blocks. Bytes for a process that was killed reset their connection, as a system does. A link can end as that of a killed process: all connections in order, and the port is free.

--- a/features/builders/soaklinks.py
+++ b/features/builders/soaklinks.py
@@ -1,8 +1,15 @@
 """Builders of a proxied link of the live soak, its caller and its server."""
 
+import fcntl
+import struct
+import termios
+
 from twisted.internet import reactor
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.error import CannotListenError, ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
+from zope.interface import implementer
 
 from features.builders.loop import result_of, run_reactor_until
 from pollenstile.soak.live._loopback import LOOPBACK
@@ -27,6 +34,17 @@
         self.ended = 'closed' if is_clean else 'reset'
 
 
+@implementer(IHalfCloseableProtocol)
+class _OpenEnd(_End):
+    """Stays open when the other end has closed its sending side."""
+
+    def readConnectionLost(self):
+        self.ended = 'half closed'
+
+    def writeConnectionLost(self):
+        """Stay open for reading; called by twisted."""
+
+
 class _ServerFactory(Factory):
     noisy = False
 
@@ -71,15 +89,22 @@
         self.caller = _End()
         self.known_ends = 0
 
-    def connect(self):
+    def connect(self, *, stays_open=False):
         """Connect a caller; return once it is connected."""
-        self.caller = _End()
+        self.caller = _OpenEnd() if stays_open else _End()
         reactor.connectTCP(*self.proxy.address, _CallerFactory(self.caller))
         run_reactor_until(lambda: self.caller.transport is not None)
 
-    def send(self, content):
-        """Send bytes from the server to a new caller, which has got them."""
-        self.connect()
+    def send(self, content, *, stays_open=False):
+        """Send bytes from the server to a new caller, which has got them.
+
+        Parameters
+        ==========
+
+        stays_open : bool
+            Whether the caller keeps its end open when the server has closed.
+        """
+        self.connect(stays_open=stays_open)
         run_reactor_until(lambda: self.factory.ends)
         server = self.factory.ends[-1]
         server.transport.write(content)
@@ -95,7 +120,7 @@
 
     def stop(self):
         """Close all connections and ports."""
-        result_of(self.proxy.close())
+        result_of(maybeDeferred(self.proxy.close))
         for end in (*self.factory.ends, self.caller):
             if end.transport is not None:
                 end.transport.abortConnection()
@@ -120,3 +145,9 @@
         )
     except CannotListenError:
         return None
+
+
+def unread_bytes(sock):
+    """Return the number of bytes that a process has not read from a socket."""
+    count = fcntl.ioctl(sock, termios.FIONREAD, bytes(struct.calcsize('i')))
+    return struct.unpack('i', count)[0]
--- a/features/soak_live_links.feature
+++ b/features/soak_live_links.feature
@@ -11,6 +11,30 @@
       | closes | closed |
       | resets | reset  |
 
+  Scenario: A link passes on that its server sends no more and reads on
+    Guards against half-closed connections that hosts never see.
+    Given a link of the live soak to a server
+    When its caller, which stays open, has "half" of an answer
+    And the server closes its sending side
+    Then the caller sees its connection half closed
+    And the server gets what the caller sends after that
+
+  Scenario: A link passes on a reset that follows a close
+    Guards against uploads that nobody has read and that seem to be received.
+    Given a link of the live soak to a server
+    When its caller, which stays open, has "half" of an answer
+    And the server closes the connection without reading what the caller sends
+    Then the caller sees its connection half closed
+    And the caller sees that it is reset after that
+
+  Scenario: A killed server closes all its connections in order
+    Guards against killed processes that hosts tell by resets.
+    Given a link of the live soak to a server
+    When its caller, which stays open, has "half" of an answer
+    And the server's process is killed
+    Then the caller sees its connection half closed
+    And nobody accepts a connection to the link
+
   Scenario: A link delivers what it got before a reset
     Guards against answers that a link loses, for which their hosts are charged.
     Given a link of the live soak to a server
--- a/features/steps/soak_links_steps.py
+++ b/features/steps/soak_links_steps.py
@@ -7,10 +7,17 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from features.builders.loop import result_of, run_reactor_until
-from features.builders.soaklinks import Link, listen_for_others
+from features.builders.soaklinks import (
+    Link,
+    listen_for_others,
+    unread_bytes,
+)
+from pollenstile.ops.unsent import is_reset
 from pollenstile.soak.live._loopback import LOOPBACK
 from pollenstile.soak.live._proxy import Proxy
 
+_UPLOAD = bytes(1000)
+
 
 @given('a link of the live soak to a server')
 def given_link(context):
@@ -30,6 +37,44 @@
         server.loseConnection()
 
 
+@when('its caller, which stays open, has "{text}" of an answer')
+def when_stays_open(context, text):
+    context.link.send(text.encode(), stays_open=True)
+
+
+@when('the server closes its sending side')
+def when_server_half_closes(context):
+    server = context.link.factory.ends[-1].transport
+    server.loseWriteConnection()
+
+
+@when('the server closes the connection without reading what the caller sends')
+def when_closes_unread(context):
+    server = context.link.factory.ends[-1].transport
+    server.pauseProducing()
+    context.link.caller.transport.write(_UPLOAD)
+    run_reactor_until(lambda: unread_bytes(server.socket) == len(_UPLOAD))
+    server.loseConnection()
+
+
+@when("the server's process is killed")
+def when_killed(context):
+    context.address = context.link.proxy.address
+    result_of(context.link.proxy.kill_server())
+
+
+@then('the server gets what the caller sends after that')
+def then_server_gets(context):
+    context.link.caller.transport.write(_UPLOAD)
+    server = context.link.factory.ends[-1]
+    run_reactor_until(lambda: server.received == _UPLOAD)
+
+
+@then('the caller sees that it is reset after that')
+def then_reset_after(context):
+    run_reactor_until(lambda: is_reset(context.link.caller.transport))
+
+
 @when('its caller has "{text}" of an answer and the link is {state}')
 def when_link_is(context, text, state):
     link = context.link
--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -1,16 +1,31 @@
 """Loopback TCP proxy that can delay, block, drop and reset connections."""
 
+import enum
 from collections import deque
 
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
+from zope.interface import implementer
 
+from pollenstile.ops.unsent import is_reset
 from pollenstile.soak.live._loopback import LOOPBACK
 
 # Seconds for the bytes that were received before a reset.
 _SEND_SECONDS = 0.02
+# Seconds between two looks for a reset that follows a close in order.
+_LOOK_SECONDS = 0.003
 
 
+class _Ending(enum.Enum):
+    """How one end has ended its connection; passed on behind its bytes."""
+
+    # The end sends no more; it may go on reading.
+    CLOSED = 'closed'
+    RESET = 'reset'
+
+
+@implementer(IHalfCloseableProtocol)
 class _ProxyEnd(Protocol):
     """One end of a proxied connection, which forwards bytes to the other."""
 
@@ -26,10 +41,33 @@
         """Forward received bytes; called by twisted."""
         self.connection.forward(self.direction, data)
 
+    def readConnectionLost(self):
+        """Report that the other end sends no more; called by twisted."""
+        self.connection.ended(self, _Ending.CLOSED)
+        self._look_later()
+
+    def writeConnectionLost(self):
+        """Read on when this end sends no more; called by twisted."""
+
     def connectionLost(self, reason):
-        """Report that this end is closed; called by twisted."""
-        is_reset = reason.check(ConnectionDone) is None
-        self.connection.ended(self, is_reset=is_reset)
+        """Report that this end has ended; called by twisted."""
+        is_closed = reason.check(ConnectionDone) is not None
+        ending = _Ending.CLOSED if is_closed else _Ending.RESET
+        self.connection.ended(self, ending)
+
+    def _look_for_reset(self):
+        """Report a reset of a closed end, which twisted does not watch."""
+        if self.connection.is_closed or not self.transport.connected:
+            return
+        if is_reset(self.transport):
+            self.connection.ended(self, _Ending.RESET)
+            return
+        self._look_later()
+
+    def _look_later(self):
+        self.connection.proxy.reactor.callLater(
+            _LOOK_SECONDS, self._look_for_reset
+        )
 
 
 class _Flow:
@@ -70,17 +108,19 @@
         Whether both ends are closed.
     server_port : int
         Port from which the server got the connection; 0 while it has none.
-    unsent : list of bytes
-        Bytes that were received before the server's end was connected.
+    unsent : list
+        Bytes, or how the caller's end has ended, that were received before the
+        server's end was connected.
     held : list of tuple
-        Direction and bytes that are held back while a direction is blocked.
+        Direction and what is held back while a direction is blocked.
     delayed : dict
-        Delayed bytes by direction.
-    closing : bool
-        Whether one end has closed; the other one closes when all held and
-        delayed bytes are delivered.
-    is_reset : bool
-        Whether that end was reset.
+        What is delayed, by direction.
+    closing : set of str
+        Directions in which no more will come.
+    closed : set of str
+        Directions in which a close in order was passed on.
+    is_killed : bool
+        Whether the server's process was killed.
     is_caller_open : bool
         Whether the caller's end is open.
     on_caller_ended : function
@@ -98,8 +138,9 @@
         self.unsent = []
         self.held = []
         self.delayed = {'server': deque(), 'caller': deque()}
-        self.closing = False
-        self.is_reset = False
+        self.closing = set()
+        self.closed = set()
+        self.is_killed = False
         self.is_caller_open = True
         self.on_caller_ended = _ignore
 
@@ -108,58 +149,71 @@
         if side is self.caller:
             self.proxy.connect(self)
             return
+        if self.is_killed:
+            side.transport.abortConnection()
+            return
         self.server_port = side.transport.getHost().port
         self.caller.transport.registerProducer(_Flow(side), streaming=True)
         unsent = self.unsent
         self.unsent = []
-        for data in unsent:
-            side.transport.write(data)
+        for part in unsent:
+            self._write('server', part)
 
-    def forward(self, direction, data):
-        """Forward bytes subject to the faults of the link."""
+    def forward(self, direction, part):
+        """Forward bytes, or how their end has ended, subject to the faults."""
         if self.is_closed:
             return
-        if direction == 'server' and self.proxy.on_sent is not None:
-            self.proxy.on_sent(data, is_lost=self.silent)
+        is_sent = direction == 'server' and isinstance(part, bytes)
+        if is_sent and self.is_killed:
+            self.close(reset=True)
+            return
+        if is_sent and self.proxy.on_sent is not None:
+            self.proxy.on_sent(part, is_lost=self.silent)
         if self.silent:
             return
         if self.proxy.is_blocked(direction):
-            self.held.append((direction, data))
+            self.held.append((direction, part))
             return
         if not (self.proxy.delay or self.delayed[direction]):
-            self._write(direction, data)
+            self._write(direction, part)
             return
         # One queue per direction keeps the order of bytes, also when the
         # delay ends.
-        self.delayed[direction].append(data)
+        self.delayed[direction].append(part)
         self.proxy.reactor.callLater(
             self.proxy.delay, self._write_delayed, direction
         )
 
-    def _write_delayed(self, direction):
-        self._write(direction, self.delayed[direction].popleft())
-        self._close_if_delivered()
-
     def heal(self):
-        """Forward the bytes that were held back."""
+        """Forward what was held back."""
         held = self.held
         self.held = []
-        for direction, data in held:
-            self.forward(direction, data)
-        self._close_if_delivered()
+        for direction, part in held:
+            self.forward(direction, part)
 
-    def ended(self, side, *, is_reset):
-        """Close or reset the other end too, once all bytes are delivered."""
-        if side is self.caller:
+    def ended(self, side, ending):
+        """Pass on how an end has ended, behind all of its bytes."""
+        direction = side.direction
+        if side is not self.caller:
+            self.server_port = 0
+        elif self.is_caller_open:
             self.is_caller_open = False
             self.on_caller_ended()
-        else:
-            self.server_port = 0
-        if self.is_closed or self.silent:
+        if ending is _Ending.CLOSED and direction in self.closing:
             return
-        self.closing = True
-        self.is_reset = is_reset
-        self._close_if_delivered()
+        self.closing.add(direction)
+        self.forward(direction, ending)
+
+    def kill_server(self):
+        """End the server's end as the system of a killed process does."""
+        if self.silent:
+            self.close(reset=True)
+            return
+        self.is_killed = True
+        self.closing.add('caller')
+        self.forward('caller', _Ending.CLOSED)
+        if self.server is not None and self.server.transport is not None:
+            self.server.transport.loseConnection()
 
     def close(self, *, reset=False):
         """Close or reset both ends."""
@@ -176,24 +230,34 @@
             else:
                 side.transport.loseConnection()
 
-    def _close_if_delivered(self):
-        is_waiting = self.held or any(self.delayed.values())
-        if is_waiting or not self.closing:
-            return
-        if self.is_reset:
-            # A reset drops what its transport has not sent yet.
-            self.proxy.reactor.callLater(_SEND_SECONDS, self.close, reset=True)
-        else:
-            self.close()
+    def _write_delayed(self, direction):
+        self._write(direction, self.delayed[direction].popleft())
 
-    def _write(self, direction, data):
+    def _write(self, direction, part):
         if self.is_closed or self.silent:
             return
         side = self.server if direction == 'server' else self.caller
-        if side is None or side.transport is None:
-            self.unsent.append(data)
+        if part is _Ending.RESET:
+            self._pass_reset_on(direction)
+        elif side is None or side.transport is None:
+            self.unsent.append(part)
+        elif part is _Ending.CLOSED:
+            self._pass_close_on(direction, side)
+        else:
+            side.transport.write(part)
+
+    def _pass_close_on(self, direction, side):
+        self.closed.add(direction)
+        side.transport.loseWriteConnection()
+        if len(self.closed) == len(self.delayed):
+            self.close()
+
+    def _pass_reset_on(self, direction):
+        if direction in self.closed:
+            self.close(reset=True)
             return
-        side.transport.write(data)
+        # A reset drops what its transport has not sent yet.
+        self.proxy.reactor.callLater(_SEND_SECONDS, self.close, reset=True)
 
 
 def _ignore():
@@ -224,6 +288,8 @@
 
     reactor : IReactorTCP and IReactorTime
         Reactor of the run.
+    port : int
+        Port to listen on; 0 for a free one.
 
     Attributes
     ==========
@@ -247,7 +313,7 @@
 
     noisy = False
 
-    def __init__(self, reactor):
+    def __init__(self, reactor, port=0):
         self.reactor = reactor
         self.target = None
         self.delay = 0.0
@@ -257,7 +323,7 @@
         self.connections = set()
         self.may_refuse = False
         self.refused = set()
-        self.port = reactor.listenTCP(0, self, 512, LOOPBACK)
+        self.port = reactor.listenTCP(port, self, 512, LOOPBACK)
         self.address = (LOOPBACK, self.port.getHost().port)
 
     def buildProtocol(self, address):
@@ -306,6 +372,20 @@
         for connection in list(self.connections):
             connection.silent = True
 
+    def kill_server(self):
+        """End all connections as the system does when the server is killed.
+
+        Returns
+        =======
+
+        Deferred
+            Fires when the port is free.
+        """
+        self.target = None
+        for connection in list(self.connections):
+            connection.kill_server()
+        return self.port.stopListening()
+
     def is_blocked(self, direction):
         """Return whether bytes in a direction are held back."""
         return direction in self.blocked or (
