soak: a link passes a close and the reset behind it on without a pause

An upstream that closes over unread bytes sends both within a system call, and hosts look for the reset for 20 ms. A link now looks when it reads the close, and if the reset is there, closes and resets the host's connection before anything else runs.

--- a/pollenstile/soak/live/_proxy.py
+++ b/pollenstile/soak/live/_proxy.py
@@ -1,11 +1,14 @@
 """Loopback TCP proxy that can delay, block, drop and reset connections."""
 
 import enum
+import socket
 from collections import deque
+from contextlib import suppress
 
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from pollenstile.ops.unsent import is_reset
@@ -22,9 +25,14 @@
 
     # The end sends no more; it may go on reading.
     CLOSED = 'closed'
+    # Closed before it has read all: its system resets the connection at once.
+    UNREAD = 'unread'
     RESET = 'reset'
 
 
+_RESETS = frozenset((_Ending.RESET, _Ending.UNREAD))
+
+
 @implementer(IHalfCloseableProtocol)
 class _ProxyEnd(Protocol):
     """One end of a proxied connection, which forwards bytes to the other."""
@@ -43,6 +51,9 @@
 
     def readConnectionLost(self):
         """Report that the other end sends no more; called by twisted."""
+        if is_reset(self.transport):
+            self.connection.ended(self, _Ending.UNREAD)
+            return
         self.connection.ended(self, _Ending.CLOSED)
         self._look_later()
 
@@ -233,12 +244,15 @@
     def _write_delayed(self, direction):
         self._write(direction, self.delayed[direction].popleft())
 
+    def _side(self, direction):
+        return self.server if direction == 'server' else self.caller
+
     def _write(self, direction, part):
         if self.is_closed or self.silent:
             return
-        side = self.server if direction == 'server' else self.caller
-        if part is _Ending.RESET:
-            self._pass_reset_on(direction)
+        side = self._side(direction)
+        if part in _RESETS:
+            self._pass_reset_on(direction, part)
         elif side is None or side.transport is None:
             self.unsent.append(part)
         elif part is _Ending.CLOSED:
@@ -253,12 +267,28 @@
         if len(self.closed) == len(self.delayed):
             self.close()
 
-    def _pass_reset_on(self, direction):
+    def _pass_reset_on(self, direction, ending):
         if direction in self.closed:
             self.close(reset=True)
             return
         # A reset drops what its transport has not sent yet.
-        self.proxy.reactor.callLater(_SEND_SECONDS, self.close, reset=True)
+        self.proxy.reactor.callLater(
+            _SEND_SECONDS, self._reset, direction, ending
+        )
+
+    def _reset(self, direction, ending):
+        side = self._side(direction)
+        if ending is _Ending.UNREAD and side and side.transport.connected:
+            _close_unread(side.transport)
+        self.close(reset=True)
+
+
+def _close_unread(transport):
+    """Close a connection, and reset it before anything else can be done."""
+    with suppress(OSError):
+        # The other end may have reset it meanwhile.
+        transport.socket.shutdown(socket.SHUT_WR)
+    transport.connectionLost(Failure(ConnectionAborted()))
 
 
 def _ignore():
