--- a/pollenstile/soak/live/_ends.py
+++ b/pollenstile/soak/live/_ends.py
@@ -254,7 +254,7 @@
 
     def _begin(self, server, request, run, parts, name):
         line = self.rng.choice(_CLOSE_LINES)
-        head = b'%s%s' % (raw_head(server, request), line)
+        head = b'%s%s' % (raw_head(request), line)
         script = SCRIPTS[name](self.rng, head, parts)
         record = EndedAnswer(
             run.ident, server.ident, name, self.world.reactor.seconds()
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -74,7 +74,7 @@
     return f'answer of {ident};'.encode() * (_MIN_REPEATS + repeats)
 
 
-def raw_head(server, request):
+def raw_head(request):
     """Return the first lines of a success of a request, without its framing."""
     headers = request.responseHeaders.getAllRawHeaders()
     return b'HTTP/1.1 200 OK\r\n%s' % header_lines(headers)
@@ -274,6 +274,7 @@
     """A resource with faults, which checks a request's expected incarnation."""
 
     isLeaf = True
+    content_type = b'text/plain'
 
     def __init__(self, server):
         super().__init__()
@@ -315,6 +316,7 @@
             return
         attempt = request.getHeader(NAMES.attempt)
         self._set_proof(request, attempt)
+        request.setHeader(b'content-type', self.content_type)
         run = self.note(request, attempt.decode())
         request.channel.transport.pauseProducing()
         endings.answer_unread(server, request, run, self.parts(request, run))
@@ -427,6 +429,8 @@
 class _StreamResource(_FaultyResource):
     """Resource of the engines, which stream events."""
 
+    content_type = b'text/event-stream'
+
     def serve(self, request, ident):
         """Run a request, or resume one after its last event."""
         header = request.getHeader(NAMES.results) or b''
@@ -448,7 +452,7 @@
         run = self.note(request, ident)
         if run is None:
             return NOT_DONE_YET
-        request.setHeader(b'content-type', b'text/event-stream')
+        request.setHeader(b'content-type', self.content_type)
         parts = self.parts(request, run)
         is_cut = self.server.fault == 'cut'
         endings = self.server.world.endings
