forward: a host that is killed resets callers who know an end by a close

A caller of HTTP/1.0 gets an answer without chunks, which ends with its connection. Until such an answer has ended, its connection has the option by which the system resets it if the process ends.

Two scenarios more: that option, and that a host believes no end that a peer of an older version passes on. The first one failed before; the second one fails where such a peer is believed.

--- a/features/answer_ends.feature
+++ b/features/answer_ends.feature
@@ -27,3 +27,14 @@
       | ends its answer and reads on                   | through a peer |
       | ends its answer after it has stopped to listen | directly       |
       | ends its answer after it has stopped to listen | through a peer |
+
+  Scenario: An end that an older peer passes on is not believed
+    Guards against hosts of two versions, of which one passes on any close in order.
+    When an upstream ends its answer, which is read through an older peer
+    Then no kind of caller gets an answer that is complete
+
+  Scenario: The connection of a caller that can't read chunks is reset if its host ends
+    Guards against a host that is killed, whose close such a caller takes for the end.
+    Given a host whose upstream keeps each connection open
+    When an HTTP/1.0 caller has got a part of a stream
+    Then its connection is reset if the host ends, until the answer has ended
--- a/features/builders/answerends.py
+++ b/features/builders/answerends.py
@@ -55,7 +55,7 @@
     how : str
         Key of ``endingupstream.WAYS``.
     path : str
-        ``'directly'``, or ``'through a peer'``.
+        ``'directly'``, ``'through a peer'`` or ``'through an older peer'``.
     upload : int
         Bytes of the caller's body.
 
@@ -77,7 +77,8 @@
     core = host.factory.core
     core.registry.apply('i', Upstream('i', 'desk', upstream.address, 'd'))
     tunnel = TunnelStory(upstream.address)
-    if path == 'through a peer':
+    tunnel.is_older = path == 'through an older peer'
+    if path != 'directly':
         core.client.paths = tunnel.client.paths
     got = received_through(host, route, body=bytes(upload))
     tunnel.stop()
--- a/features/builders/tunnels.py
+++ b/features/builders/tunnels.py
@@ -1,5 +1,6 @@
 """Builders of a host that reaches an upstream through a peer, on loopback."""
 
+from dataclasses import replace
 from random import Random
 
 from twisted.internet import reactor
@@ -10,6 +11,7 @@
 from pollenstile.forward import HttpClient
 from pollenstile.forward._members import PeerHost
 from pollenstile.tunnel import Paths, Tunnels, TunnelServer
+from pollenstile.tunnel._messages import decode_answer, encode_answer
 
 _HOST = '127.0.0.1'
 HEAD = b'HTTP/1.1 200 OK\r\n'
@@ -58,6 +60,8 @@
         Received parts of the answer.
     ends : list of BodyEnd
         How the answer ended.
+    is_older : bool
+        Whether the peer doesn't say that it confirms ends.
     """
 
     def __init__(self, address=''):
@@ -67,6 +71,7 @@
         self.upstream_connections = []
         self.body = []
         self.ends = []
+        self.is_older = False
         factory = Factory.forProtocol(_UpstreamProtocol)
         factory.story = self
         self.upstream = reactor.listenTCP(0, factory, interface=_HOST)
@@ -110,7 +115,14 @@
             result_of(maybeDeferred(port.stopListening))
 
     def _ask(self, peer, subject, body, timeout, address):
-        return maybeDeferred(self.server.answer, 'host', body)
+        answered = maybeDeferred(self.server.answer, 'host', body)
+        return answered.addCallback(_older) if self.is_older else answered
+
+
+def _older(encoded):
+    """Return an answer as peers sent it that confirmed no ends."""
+    answer = replace(decode_answer(encoded), confirms=False)
+    return encode_answer(answer)
 
 
 class _AllLost:
--- a/pollenstile/forward/_answer.py
+++ b/pollenstile/forward/_answer.py
@@ -4,6 +4,8 @@
 
 from twisted.web.http import Request
 
+from pollenstile.ops.unsent import set_reset_at_exit
+
 _BODY_TOO_LARGE = 413
 # Reason phrases of the statuses with which a host itself answers.
 PHRASES = {
@@ -108,6 +110,8 @@
         self.setResponseCode(status, phrase)
         for name, content in headers:
             self.responseHeaders.addRawHeader(name, content)
+        if self._ends_with_connection():
+            set_reset_at_exit(self.channel.transport, is_on=True)
 
     def write(self, data):
         """Write a chunk of the body."""
@@ -119,6 +123,8 @@
         """End a complete answer."""
         if self.ended:
             return
+        if self.begun and self._ends_with_connection():
+            set_reset_at_exit(self.channel.transport, is_on=False)
         super().finish()
         self.ended = True
 
@@ -161,6 +167,11 @@
         tokens = self.responseHeaders.getRawHeaders(b'connection', ())
         return b'close' in tokens
 
+    def _ends_with_connection(self):
+        """Return whether the caller knows the end of the answer by a close."""
+        has_length = self.responseHeaders.hasHeader(b'content-length')
+        return self.clientproto == b'HTTP/1.0' and not has_length
+
     def _announce_close(self):
         if self.channel.factory.leaving:
             self.responseHeaders.setRawHeaders(b'connection', [b'close'])
--- a/pollenstile/ops/unsent.py
+++ b/pollenstile/ops/unsent.py
@@ -12,6 +12,8 @@
 
 # Format of the number of bytes that the system returns.
 _COUNT = 'i'
+# Format of the option that has a connection reset as it is closed.
+_LINGER = 'ii'
 
 
 def unsent_bytes(transport):
@@ -44,6 +46,28 @@
     return struct.unpack(_COUNT, count)[0]
 
 
+def set_reset_at_exit(transport, *, is_on):
+    """Have the system reset a connection if this process ends, or close it.
+
+    Explanation
+    ===========
+
+    For a protocol in which a close in order would be the end of what is being
+    sent. It concerns closes by this process as well.
+
+    Parameters
+    ==========
+
+    transport : ITransport
+        An open connection; nothing is done for one without a socket.
+    is_on : bool
+        Whether to reset it.
+    """
+    option = struct.pack(_LINGER, is_on, 0)
+    if hasattr(transport, 'socket'):
+        transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
 def is_reset(transport):
     """Return whether a closed connection was reset after the close.
 
