closes: the process is asked for that has got the request

A question named the first of the upstreams that are listed at an address. The host names the upstream that it has sent to; a peer, which doesn't know it, names one only if a single one is listed.

--- a/features/close_checks.feature
+++ b/features/close_checks.feature
@@ -41,3 +41,16 @@
       | later    | no      | no        |
       | unstated | yes     | no        |
       | unknown  | yes     | no        |
+
+  Scenario Outline: The process is asked that has got the request: <ident> of <first> and <second>
+    Guards against a process that is asked for the one whose address it has now.
+    Given <first> and then <second> at one address
+    Then a host that has sent to "<ident>" asks for "<expected>"
+
+    Examples:
+      | first | second | ident          | expected |
+      | a     | nobody | a              | a        |
+      | a     | b      | a              | a        |
+      | a     | b      | b              | b        |
+      | a     | nobody | an unknown one | a        |
+      | a     | b      | an unknown one | any      |
--- a/features/steps/close_checks_steps.py
+++ b/features/steps/close_checks_steps.py
@@ -6,8 +6,9 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionLost
 
-from features.builders.closechecks import CloseStory
-from pollenstile.forward._endcheck import end_check
+from features.builders.closechecks import ADDRESS, CloseStory
+from pollenstile.forward import HeaderNames, PlainCodec
+from pollenstile.forward._endcheck import end_check, question_for
 from pollenstile.forward._processes import Process
 
 # Time in which all checks end.
@@ -139,7 +140,7 @@
 @then('no witness is left once {count:d} answers are over')
 def then_none_left(context, count):
     for _ in range(count):
-        context.story.closes.end('127.0.0.1:9')
+        context.story.closes.end(ADDRESS)
     assert not context.story.closes.witnesses, context.story.closes.witnesses
 
 
@@ -149,7 +150,7 @@
     pauses = SimpleNamespace(late_since=lambda: None)
     context.confirm = end_check(
         SimpleNamespace(processes=processes),
-        SimpleNamespace(born=1),
+        SimpleNamespace(born=1, ident='i'),
         SimpleNamespace(backpressure=SimpleNamespace(pauses=pauses)),
         lambda: True,
     )
@@ -165,7 +166,28 @@
 def _confirmed(context, answers):
     connection = SimpleNamespace(
         is_answered_twice=bool,
-        witnessed=lambda late_since: succeed(None),
-        answers_anew=lambda: succeed(answers),
+        witnessed=lambda late_since, ident: succeed(None),
+        answers_anew=lambda ident: succeed(answers),
     )
     return Deferred.fromCoroutine(context.confirm(connection)).result
+
+
+@given('{first} and then {second} at one address')
+def given_listed(context, first, second):
+    idents = [ident for ident in (first, second) if ident != 'nobody']
+    upstreams = {
+        ident: SimpleNamespace(ident=ident, address=ADDRESS) for ident in idents
+    }
+    context.core = SimpleNamespace(
+        codec=PlainCodec(),
+        names=HeaderNames(),
+        registry=SimpleNamespace(upstreams=upstreams),
+    )
+
+
+@then('a host that has sent to "{ident}" asks for "{expected}"')
+def then_asks(context, ident, expected):
+    known = '' if ident == 'an unknown one' else ident
+    headers = dict(question_for(context.core, ADDRESS, known).headers)
+    asked = headers.get(HeaderNames().expect, b'any').decode()
+    assert asked == expected, headers
--- a/pollenstile/closes/_checks.py
+++ b/pollenstile/closes/_checks.py
@@ -55,11 +55,13 @@
     ==========
 
     question : function
-        Takes an address; returns the :class:`Question` to its process.
+        Takes an address and the identifier of its process, empty if that is
+        not known; returns the :class:`Question` to it.
     witnesses : dict
         :class:`Witness` by address, while an answer needs it.
     asked : dict
-        :class:`SharedReads` of questions by address, oldest first.
+        :class:`SharedReads` of questions by address and identifier, oldest
+        first.
     """
 
     __slots__ = ('asked', 'log', 'question', 'reactor', 'witnesses')
@@ -113,7 +115,7 @@
         now = self.reactor.seconds()
         return Closed(now if late_since is None else late_since, now)
 
-    async def witnessed(self, address, closed):
+    async def witnessed(self, address, closed, ident=''):
         """Return whether the process that has closed lives on, by a witness.
 
         Parameters
@@ -123,6 +125,8 @@
             ``IP:PORT``; :meth:`begin` was called for it.
         closed : Closed
             The connection.
+        ident : str
+            Identifier of the process; empty if it is not known.
 
         Returns
         =======
@@ -139,21 +143,31 @@
         connection = witness.take(closed)
         if connection is None:
             return None
-        sign = await connection.ask(self.question(address))
+        sign = await connection.ask(self.question(address, ident))
         return None if sign is Sign.CLOSED else sign in _ALIVE
 
-    async def answers_anew(self, address):
-        """Return whether the process that listens now shows a sign of life."""
-        if address not in self.asked:
-            self.asked[address] = SharedReads(
+    async def answers_anew(self, address, ident=''):
+        """Return whether the process that listens now shows a sign of life.
+
+        Parameters
+        ==========
+
+        address : str
+            ``IP:PORT`` at which it listens.
+        ident : str
+            Identifier of the process that has closed; empty if it is not known.
+        """
+        key = address, ident
+        if key not in self.asked:
+            self.asked[key] = SharedReads(
                 self.reactor,
-                partial(self._ask_anew, address),
+                partial(self._ask_anew, *key),
                 _no_pause,
                 self.log,
                 Sign.UNREACHED,
             )
             drop_oldest(self.asked, _MAX_ADDRESSES)
-        sign = await self.asked[address].begun_now(_ASK_SECONDS)
+        sign = await self.asked[key].begun_now(_ASK_SECONDS)
         return sign in _ALIVE_ANEW
 
     async def await_reset(self, closed):
@@ -162,16 +176,16 @@
         if rest > 0:
             await deferLater(self.reactor, rest)
 
-    async def _ask_anew(self, address):
-        sign = await self._ask_once(address)
+    async def _ask_anew(self, address, ident):
+        sign = await self._ask_once(address, ident)
         for _ in range(_TRIES - 1):
             if sign is not Sign.RESET:
                 break
             await deferLater(self.reactor, _RETRY_SECONDS)
-            sign = await self._ask_once(address)
+            sign = await self._ask_once(address, ident)
         return sign
 
-    async def _ask_once(self, address):
+    async def _ask_once(self, address, ident):
         factory = AskingFactory(self.reactor, _ignore)
         connect_in_time(self.reactor, address, factory, CONNECT_SECONDS)
         try:
@@ -184,10 +198,10 @@
         await deferLater(self.reactor, 0)
         if connection.lost_at is not None:
             return Sign.RESET
-        return await connection.ask(self.question(address))
+        return await connection.ask(self.question(address, ident))
 
 
-def _default_question(address):
+def _default_question(address, ident):
     return Question(_DEFAULT_TARGET, [(b'Host', address.encode())])
 
 
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -121,7 +121,7 @@
         self.closed_cleanly = reason.check(ConnectionDone) is not None
         super().connectionLost(reason)
 
-    async def witnessed(self, late_since):
+    async def witnessed(self, late_since, ident):
         """Return whether the upstream's process lives on, as a witness shows.
 
         Parameters
@@ -130,6 +130,8 @@
         late_since : float or None
             From when on the close may have gone unread; None if it was read as
             it came.
+        ident : str
+            Identifier of the upstream.
 
         Returns
         =======
@@ -139,7 +141,7 @@
         """
         raise NotImplementedError
 
-    async def answers_anew(self):
+    async def answers_anew(self, ident):
         """Return whether a process answers on a new connection."""
         raise NotImplementedError
 
@@ -194,17 +196,17 @@
             self.closes.end(self.address)
         super().connectionLost(reason)
 
-    async def witnessed(self, late_since):
+    async def witnessed(self, late_since, ident):
         """Return whether the upstream lives on, as a witness shows."""
         closed = self.closes.closed(late_since)
-        lives_on = await self.closes.witnessed(self.address, closed)
+        lives_on = await self.closes.witnessed(self.address, closed, ident)
         if self._currentRequest.bodyProducer is not None:
             await self.closes.await_reset(closed)
         return lives_on
 
-    async def answers_anew(self):
+    async def answers_anew(self, ident):
         """Return whether a process answers on a new connection."""
-        return await self.closes.answers_anew(self.address)
+        return await self.closes.answers_anew(self.address, ident)
 
 
 class TunnelConnection(Connection):
@@ -241,7 +243,7 @@
         kind = ConnectionLost if end is TunnelEnd.NONE else ConnectionDone
         super().connectionLost(Failure(kind()))
 
-    async def witnessed(self, late_since):
+    async def witnessed(self, late_since, ident):
         """Return whether the peer tells only of confirmed ends."""
         return self.is_confirming
 
--- a/pollenstile/forward/_endcheck.py
+++ b/pollenstile/forward/_endcheck.py
@@ -40,7 +40,7 @@
         if connection.is_answered_twice() or not may_be_whole():
             return True
         pauses = silence.backpressure.pauses
-        lives_on = await connection.witnessed(pauses.late_since())
+        lives_on = await connection.witnessed(pauses.late_since(), view.ident)
         if lives_on is not None:
             return lives_on
         process = Process.UNSTATED
@@ -48,14 +48,20 @@
             process = await core.processes.ask_now(view)
         if process in _STATED:
             return process is Process.LISTED
-        return await connection.answers_anew()
+        return await connection.answers_anew(view.ident)
 
     return confirm
 
 
-def question_for(core, address):
+def question_for(core, address, ident):
     """Return the :class:`Question` to the process at an address.
 
+    Explanation
+    ===========
+
+    A process may have the address of one that has ended and is still listed. So
+    where a peer doesn't know which of them has closed, either may answer.
+
     Parameters
     ==========
 
@@ -63,12 +69,16 @@
         Components of the host.
     address : str
         ``IP:PORT`` of an upstream.
+    ident : str
+        Its identifier; empty if that is not known.
     """
     target, headers = core.codec.report(address)
-    idents = [
+    listed = [
         upstream.ident
         for upstream in core.registry.upstreams.values()
         if upstream.address == address
     ]
-    expected = [(core.names.expect, ident.encode()) for ident in idents[:1]]
+    if not ident and len(listed) == 1:
+        ident = listed[0]
+    expected = [(core.names.expect, ident.encode())] if ident else []
     return Question(target, [*headers, *expected])
