soak: a live run allows an overloaded host the connections that it counts as closed

The check now leaves out as many first requests on new connections as the host says that it closed in that time, and no more; all others are violations as before. soak_sound.feature has the five cases.

--- a/features/builders/soundrecords.py
+++ b/features/builders/soundrecords.py
@@ -2,6 +2,7 @@
 
 from pollenstile.soak.live._records import (
     Fault,
+    Overload,
     Records,
     RequestRecord,
     RunRecord,
@@ -42,6 +43,13 @@
     records.silences.append(silence)
 
 
+def add_overload(records, closed, began, ended):
+    """Let the host close new connections, as it is overloaded."""
+    records.overloads.append(
+        Overload('h1', _SENT_AT + began, _SENT_AT + ended, closed)
+    )
+
+
 def add_fault(records, subject, text):
     """Let a fault strike a second after the request was sent."""
     records.faults.append(Fault(_SENT_AT + 1.0, subject, text))
--- a/features/soak_sound.feature
+++ b/features/soak_sound.feature
@@ -38,6 +38,21 @@
       | 0   | taken by no process              | nothing | nobody  | nothing                             |
       | 503 | taken by the process of its host | nothing | nobody  | nothing                             |
 
+  Scenario Outline: A host may close as many new connections as it counts
+    Guards against requests that are charged to a host that says it is overloaded.
+    Given a request that ended "0" after 2 s and reached no upstream
+    When it was <place> on its connection
+    And its host closed <closed> new connections from <began> to <ended> s
+    Then the checks of the answers report "<text>"
+
+    Examples:
+      | place     | closed | began | ended | text                                |
+      | the first | 1      | 1.0   | 3.0   | nothing                             |
+      | the first | 0      | 1.0   | 3.0   | cut off without an answer: c1 at h1 |
+      | the first | 1      | 2.5   | 3.0   | cut off without an answer: c1 at h1 |
+      | the first | 1      | 0.5   | 1.5   | cut off without an answer: c1 at h1 |
+      | not first | 1      | 1.0   | 3.0   | cut off without an answer: c1 at h1 |
+
   Scenario: A request whose upstream hangs for good proves nothing
     Given a request that ended "cut off" after 2 s at an upstream that stood still
     When its upstream stands still again and never goes on
--- a/features/steps/soak_sound_steps.py
+++ b/features/steps/soak_sound_steps.py
@@ -4,6 +4,7 @@
 
 from features.builders.soundrecords import (
     add_fault,
+    add_overload,
     add_run,
     add_silence,
     records_of,
@@ -50,6 +51,16 @@
     context.records.requests[0].is_unread = taker == 'no process'
 
 
+@when('it was {place} on its connection')
+def when_placed(context, place):
+    context.records.requests[0].is_first = place == 'the first'
+
+
+@when('its host closed {count:d} new connections from {began:g} to {ended:g} s')
+def when_closed(context, count, began, ended):
+    add_overload(context.records, count, began, ended)
+
+
 @then('the checks of the answers report "{text}"')
 def then_reported(context, text):
     found = ' '.join(find_violations(context.records)) or 'nothing'
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -192,7 +192,8 @@
     async def _send(self, ident, kind, content, key, resumes=None, after=0):
         """Send a request; return its record, or None without a connection."""
         world = self.world
-        if self.connection is None or self.connection.is_lost:
+        is_first = self.connection is None or self.connection.is_lost
+        if is_first:
             await self._connect()
         if self.connection is None:
             return None
@@ -208,6 +209,7 @@
             resumes,
             after,
         )
+        record.is_first = is_first
         world.records.requests.append(record)
         await self._await_answer(record)
         record.is_unread = self.port in self.host.callers.refused
--- a/pollenstile/soak/live/_checks.py
+++ b/pollenstile/soak/live/_checks.py
@@ -55,11 +55,12 @@
     runs = records.runs_by_ident()
     endless = {answer.ident for answer in records.endless_answers}
     lines = list(records.broken)
+    closed = _closed_unread(records)
     for record in records.requests:
         own_runs = runs.get(record.ident, [])
         lines.extend(_answer_violations(record, record.ident in endless))
         lines.extend(_run_violations(record, own_runs, records.revoked_at))
-        lines.extend(_time_violations(record, records))
+        lines.extend(_time_violations(record, records, closed))
         lines.extend(_version_violations(record))
     lines.extend(_leaving_violations(records))
     lines.extend(_drain_violations(records))
@@ -156,7 +157,30 @@
         )
 
 
-def _time_violations(record, records):
+def _closed_unread(records):
+    """Return the identifiers of requests that overloaded hosts may have closed.
+
+    Explanation
+    ===========
+
+    A host that is overloaded closes a share of the new connections, and counts
+    them. No more than it counts are its own doing.
+    """
+    closed = set()
+    for overload in records.overloads:
+        found = [
+            record.ident
+            for record in records.requests
+            if record.host == overload.host
+            and record.is_first
+            and not (record.status or record.gave_up)
+            and overload.began <= record.ended_at <= overload.ended
+        ]
+        closed.update(found[: overload.closed])
+    return closed
+
+
+def _time_violations(record, records, closed):
     """Check that a host without faults answers in time and cuts nothing off."""
     if not record.ended_at:
         return
@@ -169,8 +193,8 @@
     if record.status or any(fault.at < record.sent_at for fault in faults):
         # Answers that have begun are checked with their upstreams.
         return
-    if record.is_unread:
-        # No process of the host took the connection.
+    if record.is_unread or record.ident in closed:
+        # No process of the host took the connection, or it closed it unread.
         return
     yield f'cut off without an answer: {record.ident} at {record.host}'
 
--- a/pollenstile/soak/live/_hosts.py
+++ b/pollenstile/soak/live/_hosts.py
@@ -13,12 +13,14 @@
 from pollenstile.soak.live._latestore import LateStore
 from pollenstile.soak.live._loopback import LOOPBACK
 from pollenstile.soak.live._proxy import Proxy
+from pollenstile.soak.live._records import Overload
 from pollenstile.standin.objectapi import platform_site
 
 COMMAND = (sys.executable, '-m', 'pollenstile.ops')
 REVOKE_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
 _KILL_MARGIN_SECONDS = 1.0
+_OVERLOAD_EVENTS = frozenset(('overloaded', 'overload-ended'))
 _START_EVENTS = ('forward-started', 'forward-ready', 'forward-joined')
 
 
@@ -49,6 +51,8 @@
     paused, leaving, should_run : bool
         Whether the process is suspended, is shutting down, and is restarted
         when it ends.
+    closed : int
+        New connections that the process has closed unread, by its log.
     ended : Deferred
         Fires when the process has ended.
     output_tail : list of str
@@ -74,6 +78,7 @@
         self.leaving = False
         self.should_run = True
         self.partial_line = b''
+        self.closed = 0
         self.ended = Deferred()
         self.output_tail = []
 
@@ -100,6 +105,7 @@
         self.leaving = False
         self.callers.may_refuse = False
         self.partial_line = b''
+        self.closed = 0
         self.world.reactor.spawnProcess(
             self, arguments[0], arguments, env=dict(os.environ)
         )
@@ -199,11 +205,24 @@
         event = document.get('event')
         if event in _START_EVENTS:
             self._note_start(event, document)
+        elif event in _OVERLOAD_EVENTS:
+            self._note_overload(document)
         elif event in {'forward-crashed', 'peer-handler-failed'}:
             self.world.records.broken.append(f'crashed: {document}')
         elif _says_left(document):
             self.world.records.left.add(document['request'])
 
+    def _note_overload(self, document):
+        records = self.world.records
+        now = self.world.reactor.seconds()
+        if document['event'] == 'overloaded':
+            records.overloads.append(Overload(self.name, now))
+            return
+        own = [each for each in records.overloads if each.host == self.name]
+        own[-1].ended = now
+        own[-1].closed = document['closed'] - self.closed
+        self.closed = document['closed']
+
     def _note_start(self, event, document):
         if event == 'forward-started':
             self.callers.target = address(document['callers'])
--- a/pollenstile/soak/live/_records.py
+++ b/pollenstile/soak/live/_records.py
@@ -43,6 +43,8 @@
         Whether the answer was properly terminated.
     gave_up : bool
         Whether its caller closed the connection, for lack of an answer.
+    is_first : bool
+        Whether it was the first one on its connection.
     is_unread : bool
         Whether its connection found no process of the host, which was not up
         or had been told to stop.
@@ -64,6 +66,7 @@
     received_bytes: int = 0
     complete: bool = False
     gave_up: bool = False
+    is_first: bool = False
     is_unread: bool = False
     ended_at: float = 0.0
 
@@ -127,6 +130,28 @@
     grace: float
 
 
+@dataclass(slots=True)
+class Overload:
+    """Time for which a host, by its log, closed a share of new connections.
+
+    Explanation
+    ===========
+
+    ``ended`` is infinite until it accepts all again.
+
+    Parameters
+    ==========
+
+    closed : int
+        Connections that it has closed before their requests were read.
+    """
+
+    host: str
+    began: float
+    ended: float = float('inf')
+    closed: int = 0
+
+
 @dataclass(slots=True)
 class Endless:
     """Time for which an upstream answered with bytes that never end.
@@ -279,6 +304,8 @@
         Times for which upstreams stood still, in order.
     stops : list of HostStop
         Stops of hosts that requests may outlast, in order.
+    overloads : list of Overload
+        Times for which hosts closed new connections, in order.
     left : set of str
         Identifiers of the requests whose callers left, by the hosts' logs.
     endless : list of Endless
@@ -326,6 +353,7 @@
     lost: set = field(default_factory=set)
     silences: list = field(default_factory=list)
     stops: list = field(default_factory=list)
+    overloads: list = field(default_factory=list)
     left: set = field(default_factory=set)
     endless: list = field(default_factory=list)
     endless_answers: list = field(default_factory=list)
