soak: an upstream of a live run has no reports, and the guard of ends is where they are checked

A request for a report ran as a lookup without an identifier, for the usual time and with the ends that are drawn for lookups. It gets 404 at once, as from an upstream without reports; faults that take all requests take it too.

--- a/features/builders/livemutant.py
+++ b/features/builders/livemutant.py
@@ -11,8 +11,13 @@
 
 import sys
 
-from pollenstile.closes import CloseChecks
-from pollenstile.forward import _configuration, _daemon, _registry, _run
+from pollenstile.forward import (
+    _attempt,
+    _configuration,
+    _daemon,
+    _registry,
+    _run,
+)
 from pollenstile.forward._contest import Contest
 from pollenstile.forward._decisions import RetryDecision
 from pollenstile.forward._standby import Standby
@@ -133,13 +138,16 @@
     AnswerConnection._use_strict_parser = lambda connection, request: None
 
 
-async def _lives_on(closes, *arguments, **options):
-    return True
+def _check_no_end(*components):
+    async def confirm(connection):
+        return True
+
+    return confirm
 
 
 def without_ends():
     """Take each close for the end that an upstream gave its answer."""
-    CloseChecks.lives_on = _lives_on
+    _attempt.end_check = _check_no_end
 
 
 GUARDS = {
--- a/pollenstile/soak/live/_servers.py
+++ b/pollenstile/soak/live/_servers.py
@@ -64,6 +64,7 @@
 _IDENT = re.compile(rb'(?i)(?:x-attempt: |"request":")([\w-]+)')
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+_NOT_FOUND = 404
 _CONFLICT = 409
 _FAILED = 500
 
@@ -341,6 +342,10 @@
                 self.note(request, ident)
             source.answer(self.server, request, ident)
             return NOT_DONE_YET
+        if request.method == b'GET':
+            # It has no reports.
+            request.setResponseCode(_NOT_FOUND)
+            return b''
         if self._is_shed():
             return self._turn_away(request, ident)
         return self.serve(request, ident)
