tests: upstreams with reports of their own answer questions as scripted

It does so only where there are none. One function reads requests for both upstream processes, and a check of a close that ends with an error ends no connection twice.

--- a/features/builders/endingupstream.py
+++ b/features/builders/endingupstream.py
@@ -23,7 +23,7 @@
 _ALIVE_SECONDS = 30
 
 
-def _read_all(connection):
+def read_request(connection):
     """Read a request; return whether there was one."""
     received = b''
     while _BLANK_LINE not in received:
@@ -76,17 +76,17 @@
 
 # How a request is read, whether its answer is whole, and what ends it.
 WAYS = {
-    'is killed': (_read_all, False, _kill),
-    'is killed and replaced': (_read_all, False, _kill),
+    'is killed': (read_request, False, _kill),
+    'is killed and replaced': (read_request, False, _kill),
     'closes an upload that it has not read': (
         _read_some,
         False,
         _close_unread,
     ),
-    'ends its answer': (_read_all, True, _close),
-    'ends its answer and reads on': (_read_all, True, _linger),
+    'ends its answer': (read_request, True, _close),
+    'ends its answer and reads on': (read_request, True, _linger),
     'ends its answer after it has stopped to listen': (
-        _read_all,
+        read_request,
         True,
         _close_deaf,
     ),
--- a/features/builders/endraces.py
+++ b/features/builders/endraces.py
@@ -15,6 +15,7 @@
 from features.builders.forwardhost import ForwardHost, request
 from features.builders.loop import result_of, run_reactor_until
 from features.builders.malformed import ROUTES, received_through
+from features.builders.processes import ROOT
 from pollenstile.forward import Upstream
 
 _HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Proof: p\r\n\r\n'
@@ -75,9 +76,11 @@
         self.process = subprocess.Popen(
             (
                 sys.executable,
-                limitedupstream.__file__,
+                '-m',
+                limitedupstream.__name__,
                 json.dumps(defaults | options),
             ),
+            cwd=ROOT,
             stdout=subprocess.PIPE,
             text=True,
             start_new_session=True,
--- a/features/builders/forwardhost.py
+++ b/features/builders/forwardhost.py
@@ -40,7 +40,8 @@
         host = self.factory.host
         if b'\r\n\r\n' not in self.received:
             return
-        if self.received.startswith(_REPORT):
+        is_question = self.received.startswith(_REPORT)
+        if is_question and not host.has_reports:
             # A host asks whether the process lives on.
             self.transport.write(_NO_REPORT)
             self.transport.loseConnection()
@@ -115,8 +116,13 @@
         Requests received by the upstream.
     accepted : list of ITransport
         Connections that the upstream has accepted, in their order.
+    has_reports : bool
+        Whether requests for a report are answered like others; without, such
+        a question gets 404 and is not recorded.
     """
 
+    has_reports = False
+
     def __init__(self, limits=None, upstreams=1):
         self.reply = b''
         self.first_replies = []
--- a/features/builders/limitedupstream.py
+++ b/features/builders/limitedupstream.py
@@ -3,8 +3,8 @@
 Explanation
 ===========
 
-``python limitedupstream.py OPTIONS`` prints its port. The options are in JSON;
-see :class:`~features.builders.endraces.LimitedUpstream`.
+``python -m features.builders.limitedupstream OPTIONS`` prints its port. The
+options are in JSON; see :class:`~features.builders.endraces.LimitedUpstream`.
 """
 
 import json
@@ -17,9 +17,9 @@
 import threading
 import time
 
+from features.builders.endingupstream import read_request
+
 _HOST = '127.0.0.1'
-_MOST_BYTES = 65536
-_BLANK_LINE = b'\r\n\r\n'
 # Longer than any scenario.
 _ALIVE_SECONDS = 30
 _FIRST_EVENT = 3
@@ -108,22 +108,6 @@
     )
 
 
-def read_request(connection):
-    """Read a request; return whether there was one."""
-    received = b''
-    while _BLANK_LINE not in received:
-        more = connection.recv(_MOST_BYTES)
-        if not more:
-            return False
-        received += more
-    head, _, body = received.partition(_BLANK_LINE)
-    stated = head.lower().partition(b'content-length: ')[2].split()[:1]
-    missing = sum(map(int, stated)) - len(body)
-    while missing > 0:
-        missing -= len(connection.recv(missing))
-    return True
-
-
 def refuse(connection, is_silent):
     """Answer nothing: reset a connection with a request, or keep it."""
     try:
--- a/features/builders/restarts.py
+++ b/features/builders/restarts.py
@@ -41,6 +41,7 @@
     def __init__(self):
         super().__init__(upstreams=0)
         self.reports = 0
+        self.has_reports = True
         self.state_born(FIRST_BORN)
         self.core = self.factory.core
         self.write_entry(FIRST_BORN)
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -147,8 +147,9 @@
 
     def _end_unconfirmed(self, failure):
         """End after an error of this host, which Twisted logs."""
-        self.is_unconfirmed = True
-        self.end_closed()
+        if not self.is_lost:
+            self.is_unconfirmed = True
+            self.end_closed()
         return failure
 
     def _may_follow(self):
@@ -199,8 +200,9 @@
     async def witnessed(self, late_since, ident):
         """Return whether the upstream lives on, as a witness shows."""
         closed = self.closes.closed(late_since)
+        had_upload = self._currentRequest.bodyProducer is not None
         lives_on = await self.closes.witnessed(self.address, closed, ident)
-        if self._currentRequest.bodyProducer is not None:
+        if had_upload:
             await self.closes.await_reset(closed)
         return lives_on
 
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -232,8 +232,9 @@
 
     def _end_unconfirmed(self, failure):
         """End after an error of this host, which Twisted logs."""
-        self.is_unconfirmed = True
-        self.end_closed()
+        if self in self.server.open_ends:
+            self.is_unconfirmed = True
+            self.end_closed()
         return failure
 
     async def _end_understood(self):
