--- a/tools/check.py
+++ b/tools/check.py
@@ -60,6 +60,17 @@
     'features/soak_malformed.feature',
     'features/withdrawals.feature',
 )
+# Features of answers on loopback and of processes that send them, which wait for
+# each other.
+_ANSWER_FEATURES = (
+    'features/answer_ends.feature',
+    'features/answer_ends_races.feature',
+    'features/early_answers.feature',
+    'features/knownred.feature',
+    'features/malformed.feature',
+    'features/second_copies.feature',
+    'features/thinpath.feature',
+)
 # Features of daemons on loopback, which mostly wait.
 _LIVE_FEATURES = (
     'features/cut_hosts.feature',
@@ -76,6 +87,7 @@
                 *_CRASH_FEATURES,
                 *_PART_FEATURES,
                 *_SOAK_FEATURES,
+                *_ANSWER_FEATURES,
                 *_LIVE_FEATURES,
             )
         ),
@@ -85,6 +97,7 @@
     _CRASH_FEATURES,
     _PART_FEATURES,
     _SOAK_FEATURES,
+    _ANSWER_FEATURES,
     _LIVE_FEATURES,
 )
 SUMMARY = re.compile(r'(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?')
