--- a/tools/check.py
+++ b/tools/check.py
@@ -60,8 +60,8 @@
     'features/soak_malformed.feature',
     'features/withdrawals.feature',
 )
-# Features of answers on loopback and of processes that send them, which wait for
-# each other.
+# Features of answers on loopback and of processes that send them, which mostly
+# wait.
 _ANSWER_FEATURES = (
     'features/answer_ends.feature',
     'features/answer_ends_races.feature',
