closes: an answer that begins while another one is confirmed has a witness

A witness that was asked on for an answer is not replaced if no other one needs it, so an answer that began before the first one was confirmed had none: a new connection alone would have decided on its close (found by reading). A witness is opened then. The new scenario fails without that.

--- a/features/close_checks.feature
+++ b/features/close_checks.feature
@@ -30,6 +30,13 @@
     Then 100 answers are confirmed by 4 connections or fewer
     And no witness is left once 100 answers are over
 
+  Scenario: An answer that begins while another one is confirmed has a witness too
+    Guards against an answer that a successor confirms, as the witness was in use.
+    Given an answer that ends with its connection
+    When its connection is closed, and another answer begins before it is confirmed
+    And that one is closed as nobody listens any more
+    Then both answers count as ended by their upstream
+
   Scenario Outline: A report tells whether the process lives on: <process>
     Guards against a process that has just started, which a new connection reaches.
     Given an upstream without a witness, whose report shows <process>
--- a/features/steps/close_checks_steps.py
+++ b/features/steps/close_checks_steps.py
@@ -16,6 +16,8 @@
 # Life of a witness that a server closes as it is idle.
 _IDLE_SECONDS = 5.0
 _SOON_SECONDS = 0.5
+_STEP_SECONDS = 0.05
+_ANSWER = b'HTTP/1.1 404 Not Found'
 
 
 def _keep(story):
@@ -123,6 +125,32 @@
     context.story.advance(_END_SECONDS)
 
 
+@when(
+    'its connection is closed, and another answer begins before it is confirmed'
+)
+def when_begins(context):
+    story = context.story
+    story.answer = b''
+    story.close()
+    story.advance(_STEP_SECONDS)
+    story.answer = _ANSWER
+    story.begin()
+    story.advance(_END_SECONDS)
+
+
+@when('that one is closed as nobody listens any more')
+def when_deaf(context):
+    context.story.is_listening = False
+    context.story.close()
+    context.story.advance(_END_SECONDS)
+
+
+@then('both answers count as ended by their upstream')
+def then_both(context):
+    assert len(context.story.results) == 2, context.story.results
+    assert all(context.story.results), context.story.results
+
+
 @then('its upstream counts as {state}')
 def then_state(context, state):
     expected = {'alive': True, 'ended': False}[state]
--- a/pollenstile/closes/_checks.py
+++ b/pollenstile/closes/_checks.py
@@ -86,7 +86,7 @@
         if witness is None:
             witness = Witness(self.reactor, address)
             self.witnesses[address] = witness
-            witness.open()
+        witness.reopen()
         witness.users += 1
 
     def end(self, address):
--- a/pollenstile/closes/_witness.py
+++ b/pollenstile/closes/_witness.py
@@ -92,6 +92,12 @@
             self.reactor, self.address, factory, CONNECT_SECONDS
         )
 
+    def reopen(self):
+        """Open a connection if there is none, and none is about to be."""
+        is_due = self.timer is not None and self.timer.active()
+        if self.connector is None and not is_due:
+            self.open()
+
     def stop(self):
         """Close the connection, and open no other."""
         self.is_stopped = True
