--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / 'standins-2'))
 
-from lab import call, main, now, plain, request  # noqa: E402
+from lab import NET, call, main, now, plain, request  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 DEPTH = 1100
@@ -65,7 +65,7 @@
     removal = None
     if TROUBLE:
         lab.store.raw[b'@slots'] = SLOTS
-        lab.store.put('servers', 'w-77', {'service': 'plain', 'address': '127.0.3.99:9', 'zone': 'z1', 'slots': '@slots', 'state': 'ready', 'seq': 1})
+        lab.store.put('servers', 'w-77', {'service': 'plain', 'address': f'{NET}.3.99:9', 'zone': 'z1', 'slots': '@slots', 'state': 'ready', 'seq': 1})
         lab.note('another writer has put servers/w-77')
         removal = asyncio.ensure_future(forget(lab))
     await asyncio.sleep(0.5)
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -1,6 +1,7 @@
 """Stand-ins for scripts: the platform's store, engines, hosts and callers.
 
-Everything is on loopback addresses. The store speaks the objects form of the
+Everything is on loopback addresses of this process's own, so that runs beside
+each other don't meet. The store speaks the objects form of the
 users' pages; engines take a handler per request; hosts are processes that are
 started with the run line of the deploy file.
 """
@@ -20,6 +21,7 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
+NET = f'127.{os.getpid() % 250 + 1}'
 
 
 def now():
@@ -111,7 +113,7 @@
         # Texts that stand for JSON in the values of other writers, by mark.
         self.raw = {}
 
-    async def start(self, host='127.0.2.1', port=0):
+    async def start(self, host=f'{NET}.2.1', port=0):
         self.server = await asyncio.start_server(self._serve, host, port, backlog=512)
         self.address = self.server.sockets[0].getsockname()
         return self.address
@@ -319,7 +321,7 @@
 
     def __init__(self, lab, number, zone='z1', **changed):
         self.lab = lab
-        self.ip = f'127.0.1.{number}'
+        self.ip = f'{NET}.1.{number}'
         self.name = f'front-{zone}-{number}'
         self.ports = [free_port(self.ip) for _ in range(4)]
         first = free_port(self.ip)
@@ -552,7 +554,7 @@
 
     async def engine(self, service, handler, zone='z1', slots=6, register=True):
         number = len(self.engines) + 1
-        engine = Engine(self, service, f'i-{number:04x}', handler, f'127.0.3.{number}', zone, slots)
+        engine = Engine(self, service, f'i-{number:04x}', handler, f'{NET}.3.{number}', zone, slots)
         await engine.start()
         self.engines.append(engine)
         if register:
