platform: a value that no decoder reads hides no other one

Cause: a page, an answer to a watch and an update of a peer were decoded as one piece. The lenient second try covered invalid UTF-8 and NaN alone: a number out of range is a ValidationError, which was taken for a page of another shape; a control character and a number of 5,000 digits failed in the lenient decoder too; and lists nested more than about 1,000 deep raise a RecursionError, which nothing caught.

Change: where a text can't be decoded as a whole, its parts are found by brackets and commas, without recursion, and each is decoded alone. A text stands for what can't be read, so the entry names itself in the line that tells of it and is no upstream. Values have 64 levels at most, so that encoders with less of the stack left read them as well; an update to a follower stands for a value that can't be encoded. Numbers that overflow later (slots, starts, cold times, ports) make no upstream; null is a value, not a deletion; any error of decoding a configuration leaves the one in force.

--- /dev/null
+++ b/features/odd_values.feature
@@ -0,0 +1,52 @@
+Feature: values of other writers that decoders reject
+
+  Scenario Outline: An odd value hides no sound entry: <form>
+    Guards against one value that makes hosts miss all entries beside it, or ends what reads them.
+    Given a page and a watch of the registry in which an entry holds <form>
+    Then both report the two sound upstreams
+    And each odd entry names itself, and is no upstream
+    And a follower is told of the sound upstreams as well
+
+    Examples:
+      | form                              |
+      | a number out of range             |
+      | a negative number out of range    |
+      | a number of 5,000 digits          |
+      | a number of 400 digits            |
+      | a control character               |
+      | a byte that is no UTF-8           |
+      | half a surrogate pair             |
+      | an escape that is none            |
+      | NaN                               |
+      | a number with a zero in front     |
+      | a word                            |
+      | nothing                           |
+      | brackets that do not match        |
+      | a map whose key is a number       |
+      | 50 lists in lists                 |
+      | 900 lists in lists                |
+      | 1,100 lists in lists              |
+      | 1,100 maps in maps                |
+      | 400,000 lists in lists            |
+      | a control character in deep lists |
+      | brackets in texts of deep lists   |
+      | a text of 900,000 bytes           |
+
+  Scenario: A configuration that can't be read leaves the one in force
+    Guards against odd configurations that end the reads of later ones.
+    Given a host whose configuration is in force
+    When each odd value is written as its configuration, and then a sound one
+    Then the sound one is in force within 2 seconds
+
+  Scenario Outline: A number that no upstream has makes no upstream: <number>
+    Guards against numbers that overflow in the requests of all callers.
+    Given a registry entry of another writer with <number>
+    Then it is no upstream
+
+    Examples:
+      | number                    |
+      | slots of 400 digits       |
+      | a start of 30 digits      |
+      | a cold time without end   |
+      | a port above 65535        |
+      | an address above 255      |
--- a/pollenstile/forward/_configuration.py
+++ b/pollenstile/forward/_configuration.py
@@ -318,8 +318,9 @@
         force, is logged and not put in force.
         """
         try:
-            table = self.decode(found.value)
-        except ValueError as error:
+            table, text = _read_table(self.decode, found.value)
+        except Exception as error:
+            # Another writer's text may break any rule that the decoder has.
             self.log(
                 events.CONFIGURATION_BAD,
                 level='error',
@@ -335,7 +336,7 @@
             return True
         self.table = table
         self.found = found
-        self.text = msgspec.json.encode(found.value).decode()
+        self.text = text
         self.log(
             events.CONFIGURATION_TAKEN,
             version=table.version,
@@ -360,6 +361,11 @@
             )
 
 
+def _read_table(decode, content):
+    """Return the table of a stored value, and its encoded text."""
+    return decode(content), msgspec.json.encode(content).decode()
+
+
 def _keep_newer_table(configuration, found, table):
     """Return whether an older stored version leaves the table verified."""
     returned = era_of(found.version) > era_of(configuration.revision)
--- a/pollenstile/ops/settings.py
+++ b/pollenstile/ops/settings.py
@@ -83,6 +83,25 @@
     return host.strip('[]'), number
 
 
+def is_address(text):
+    """Return whether a text is the ``IP:PORT`` of a server with IPv4.
+
+    Examples
+    ========
+
+    >>> from pollenstile.ops.settings import is_address
+    >>> is_address('10.0.0.1:80'), is_address('10.0.0.256:80')
+    (True, False)
+    >>> is_address('10.0.0.1:99999'), is_address('desk:80')
+    (False, False)
+    """
+    try:
+        host, port = address(text)
+    except ValueError:
+        return False
+    return port > 0 and text == f'{host}:{port}'
+
+
 def format_address(address):
     """Return ``'IP:PORT'`` of an address.
 
--- a/pollenstile/platform/__init__.py
+++ b/pollenstile/platform/__init__.py
@@ -51,7 +51,13 @@
     paused,
 )
 from pollenstile.platform._positions import era_of, position, revision_of
-from pollenstile.platform._rows import convert_rows, decode_json
+from pollenstile.platform._rows import (
+    UNREADABLE,
+    convert_rows,
+    decode_json,
+    decode_value,
+    present,
+)
 from pollenstile.platform._seenversions import (
     SeenVersions,
     changes_from_listing,
--- a/pollenstile/relay/_messages.py
+++ b/pollenstile/relay/_messages.py
@@ -14,8 +14,10 @@
     patch_from,
 )
 from pollenstile.platform import (
+    UNREADABLE,
     Change,
     Found,
+    decode_value,
     era_of,
     position,
     revision_of,
@@ -211,7 +213,7 @@
 
 def decode_config(revision, text):
     """Return a configuration; raise BadMessageError for malformed JSON."""
-    return Found('config', 'main', revision, _decode_value(text))
+    return Found('config', 'main', revision, _decode_config_text(text))
 
 
 def decode_update(encoded, era=0):
@@ -259,9 +261,7 @@
                 'version': revision_of(change.version),
                 'era': _era_field(change.version),
                 'afterReturn': change.after_return,
-                'value': b''
-                if change.value is None
-                else msgspec.json.encode(change.value),
+                'value': _encode_value(change.value),
             }
             for change in kind_update.changes
         ],
@@ -280,7 +280,7 @@
 
 def _build_change(kind, row, era):
     version = _place(row.version, row.era, era)
-    change = _decode_value(row.value) if row.value else None
+    change = decode_value(row.value) if row.value else None
     return Change(kind, row.name, version, change, version, row.afterReturn)
 
 
@@ -297,8 +297,18 @@
     return position(era_field - 1 if era_field else default_era, revision)
 
 
-def _decode_value(encoded):
+def _encode_value(content):
+    """Return the text of a value; one that has none hides no other one."""
+    if content is None:
+        return b''
+    try:
+        return msgspec.json.encode(content)
+    except (ValueError, TypeError, RecursionError):
+        return msgspec.json.encode(UNREADABLE)
+
+
+def _decode_config_text(encoded):
     try:
         return msgspec.json.decode(encoded)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise BadMessageError(str(error)[:100]) from None
