--- a/pollenstile/conditions/_sharing.py
+++ b/pollenstile/conditions/_sharing.py
@@ -1,7 +1,5 @@
 """Exchange of measured speeds between the hosts of a failure domain."""
 
-from twisted.internet.defer import Deferred
-
 from pollenstile.conditions import events
 from pollenstile.conditions._changes import SpeedChanges
 from pollenstile.conditions._codec import (
@@ -13,10 +11,12 @@
     encode_ask,
 )
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_step
 from pollenstile.peer import BadMessageError, Unanswered
 from pollenstile.statements import UnreadableLog
 
 CONDITIONS_SUBJECT = 'engine-conditions'
+_LOOP = 'questions for speeds'
 # Minimum seconds between two questions of a host.
 _MIN_INTERVAL_SECONDS = 1.0
 # Questions a second that a reader gets from all hosts of its domain, which
@@ -123,7 +123,7 @@
         self.due_at = now + self._interval()
         reader = self.reader()
         if reader is not None:
-            Deferred.fromCoroutine(self._ask(reader))
+            start_step(self.log, _LOOP, self._ask(reader))
 
     def _interval(self):
         """Return seconds until the next question."""
@@ -143,10 +143,12 @@
         rows = self.conditions.estimates.take_unsent(_MAX_MEASURED_ROWS)
         body = encode_ask(SpeedMessage(boot, number, rows))
         self.is_asking = True
-        answer = await self.hub.ask(
-            reader, CONDITIONS_SUBJECT, body, _ANSWER_SECONDS
-        )
-        self.is_asking = False
+        try:
+            answer = await self.hub.ask(
+                reader, CONDITIONS_SUBJECT, body, _ANSWER_SECONDS
+            )
+        finally:
+            self.is_asking = False
         reason = self._apply_answer(reader, answer)
         if not reason:
             self.is_shared = True
--- a/pollenstile/fleet/_fleet.py
+++ b/pollenstile/fleet/_fleet.py
@@ -9,9 +9,11 @@
 from pollenstile.fleet._table import Table
 from pollenstile.fleet._upstreams import Upstreams
 from pollenstile.fleet._watchers import Watchers
+from pollenstile.ops.loops import guarded
 from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import Beat, neighbours
 
+_LOOP = 'fleet'
 _TICK_SECONDS = 0.5
 # Seconds between two dials of hosts that are gone.
 _PROBE_SECONDS = 5.0
@@ -198,7 +200,11 @@
         )
 
     def _tick(self):
-        now = self.hub.clock.seconds()
+        guarded(self.hub.log, _LOOP, self._review)(self.hub.clock.seconds())
+        pause = _TICK_SECONDS * self.hub.random.uniform(0.8, 1.2)
+        self.timer = self.hub.clock.callLater(pause, self._tick)
+
+    def _review(self, now):
         self.hosts.witness_unreached()
         self.hosts.refresh()
         if self.hosts.live is not self.assigned_live:
@@ -212,8 +218,6 @@
             self.probe_at = now + _PROBE_SECONDS
             self.hosts.remove_gone(now)
             self._probe_absent()
-        pause = _TICK_SECONDS * self.hub.random.uniform(0.8, 1.2)
-        self.timer = self.hub.clock.callLater(pause, self._tick)
 
     def _assign_neighbours(self):
         hello = self.hub.hello
--- a/pollenstile/forward/_configloop.py
+++ b/pollenstile/forward/_configloop.py
@@ -1,5 +1,7 @@
 """Periodic reads of the configuration, which continue through outages."""
 
+from functools import partial
+
 from twisted.internet.defer import Deferred
 
 from pollenstile.forward import events
@@ -10,6 +12,7 @@
     read_full_config,
 )
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import log_failure, start_step
 from pollenstile.ops.timers import cancel_timer
 from pollenstile.platform import Changes, Unavailable, fork_deferred, paused
 
@@ -53,6 +56,8 @@
 # unresponsive store gets at most one call in half a second.
 _RETRY_PERIOD_SECONDS = 0.5
 _MAX_READS_IN_FLIGHT = 3
+_LOOP = 'configuration reads'
+_LOOP_ERROR = 'error of this host'
 
 
 class ConfigurationLoop:
@@ -224,7 +229,7 @@
 
     def _read_or_timeout(self, hold):
         """Return a Deferred that fires when a read ends or times out."""
-        reading = fork_deferred(Deferred.fromCoroutine(self._read(hold)))
+        reading = fork_deferred(start_step(self.log, _LOOP, self._read(hold)))
         limit = hold + _RETRY_PERIOD_SECONDS
         return reading.addTimeout(
             limit, self.clock, onTimeoutCancel=self._record_silence
@@ -311,13 +316,9 @@
         overdue_check = self.clock.callLater(
             hold + _ANSWER_SECONDS, self._check_overdue
         )
-        since = configuration.known_revision
-        if is_probe:
-            outcome = await probe_store(self.store, since)
-        elif is_full:
-            outcome = await read_full_config(self.store)
-        else:
-            outcome = await read_config_changes(self.store, since, hold)
+        outcome = await _call_store(
+            self, hold, is_full=is_full, is_probe=is_probe
+        )
         cancel_timer(overdue_check)
         self.reads_in_flight -= 1
         self.full_reads_in_flight -= is_full
@@ -361,6 +362,28 @@
             self.on_read(answered)
 
 
+async def _call_store(loop, hold, *, is_full, is_probe):
+    """Return the outcome of a read; Unavailable after an error.
+
+    Explanation
+    ===========
+
+    A read that ended with an error would count as in flight for ever, and no
+    other one would be sent after the third of them.
+    """
+    since = loop.configuration.known_revision
+    read = partial(read_config_changes, loop.store, since, hold)
+    if is_probe:
+        read = partial(probe_store, loop.store, since)
+    elif is_full:
+        read = partial(read_full_config, loop.store)
+    try:
+        return await read()
+    except Exception as error:
+        log_failure(loop.log, _LOOP, error)
+        return Unavailable('read', 'object API', _LOOP_ERROR)
+
+
 def _apply_answer(loop, outcome, began, is_full):
     """Apply the answer to a read or to a probe."""
     configuration = loop.configuration
--- a/pollenstile/forward/_crashes.py
+++ b/pollenstile/forward/_crashes.py
@@ -10,7 +10,9 @@
 from pollenstile.ops.bounded import drop_oldest
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import log_failure, start_step
 
+_LOOP = 'looks at crashes'
 # Delay before the second check of an upstream that refuses connections while a
 # request of this host is still in flight there. The reset that would end this
 # request may have been lost, and is then sent again.
@@ -145,11 +147,16 @@
             examination.waiters.append(waiter)
             return waiter
         self.examinations[upstream] = _Examination([suspect], [waiter])
-        Deferred.fromCoroutine(self._examine(upstream))
+        start_step(self.log, _LOOP, self._examine(upstream))
         return waiter
 
     async def _examine(self, upstream):
-        has_ended = await self._has_ended(upstream)
+        has_ended = False
+        try:
+            has_ended = await self._has_ended(upstream)
+        except Exception as error:
+            # Requests wait for what this shows.
+            log_failure(self.log, _LOOP, error)
         examination = self.examinations.pop(upstream)
         if has_ended:
             self._note_ended(upstream)
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -1,16 +1,16 @@
 """Daemon of a forwarding entry host: start, readiness and shutdown."""
 
-from dataclasses import replace
 from functools import partial
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import LoopingCall
 
 from pollenstile.forward import events
 from pollenstile.forward._assembly import build_parts, link_peers
 from pollenstile.forward._departure import departure_of
 from pollenstile.forward._enginespeeds import build_condition_sharing
 from pollenstile.forward._frontend import CallerFactory
+from pollenstile.forward._joining import Joining, bound_address
 from pollenstile.forward._overload import ConnectionGate
 from pollenstile.forward._gauges import TIMES, add_gauges
 from pollenstile.forward._settings import update_seconds
@@ -18,23 +18,20 @@
 from pollenstile.forward._start import StartProgress
 from pollenstile.forward._storewatches import StoreWatches
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_loop
 from pollenstile.ops.measures import Measures, metrics_page
 from pollenstile.ops.pages import PageFactory
 from pollenstile.ops.settings import format_address
-from pollenstile.peer import Beat, parse_keys, tcp_listen
+from pollenstile.peer import Beat
 from pollenstile.platform import EraStore, StoreEra
-from pollenstile.tunnel.events import TUNNEL_LISTENING
 
 # Time between checks whether another host now owns a queue of this one.
 _REVIEW_PERIOD_SECONDS = 0.25
-# Time between checks whether a starting host has the state it needs to join.
-_JOIN_CHECK_SECONDS = 0.05
 # Number of connections that may wait to be accepted; a burst of connections
 # must not exceed it.
 _BACKLOG = 512
 _NOT_READY = 503
-# The shared key, and one that hosts had drawn while the store lacked it.
-_MAX_KEYS = 2
+_REVIEW = 'review'
 
 
 class ForwardDaemon:
@@ -131,7 +128,7 @@
         core.registry.listeners.append(self._registry_changed)
         core.configuration.listeners.append(self._table_changed)
         core.configuration.loop.on_read = core.registry.note_read
-        self.parts.members.listeners.append(self._hosts_changed)
+        self.parts.members.listeners.append(self.hosts_changed)
         callers = self._listen(settings.callers, self.factory)
         ready = self._listen(
             settings.ready, PageFactory(self._ready_page, self.reactor)
@@ -142,16 +139,17 @@
             self._listen(settings.metrics, PageFactory(page, self.reactor))
         self.log(
             events.FORWARD_STARTED,
-            callers=format_address(_bound_address(callers)),
-            ready=format_address(_bound_address(ready)),
+            callers=format_address(bound_address(callers)),
+            ready=format_address(bound_address(ready)),
             peers=format_address(settings.peers),
             domain=settings.domain,
             used_ms=self.start_progress.used_ms(),
         )
         self.review.clock = self.reactor
         self.review.start(_REVIEW_PERIOD_SECONDS, now=False)
-        Deferred.fromCoroutine(core.configuration.loop.run())
-        Deferred.fromCoroutine(self._join())
+        read = core.configuration.loop.run
+        start_loop(self.reactor, self.log, 'configuration reads', read)
+        start_loop(self.reactor, self.log, 'join', Joining(self).join)
         self.watches.start(settings.drain_seconds)
         self.factory.gate.start()
 
@@ -160,7 +158,7 @@
         core = self.parts.core
         ready = (
             not self.leaving
-            and self._has_initial_state()
+            and self.has_initial_state()
             and core.configuration.is_fresh()
         )
         if ready and self.start_progress.ready_at is None:
@@ -217,69 +215,38 @@
                 error=repr(error),
             )
 
-    async def _join(self):
-        # A host without a registry has no workers. As the owner of a stage, it
-        # would queue pieces that it can't run.
-        while not self._has_initial_state():
-            await deferLater(self.reactor, _JOIN_CHECK_SECONDS)
-        self.parts.stages.owner_wait.note_state()
-        if self.leaving:
-            # Its entry would stay in the store after its end.
-            return
-        peer_key = self.parts.peer_key
-        peer_key.on_change = partial(_set_key, self.parts)
-        peer_key.on_change(await peer_key.read())
-        if peer_key.was_over:
-            self.parts.core.configuration.settle()
-        hub = self.parts.hub
-        port = tcp_listen(self.reactor, self.settings.peers, hub)
-        self.ports.append(port)
-        # With port 0 the system chooses a port, which is announced to peers.
-        bound = _bound_address(port)
-        address = format_address(self.settings.peers_seen or bound)
-        hub.hello = replace(hub.hello, address=address)
-        members = self.parts.members
-        members.entry = replace(members.entry, address=address)
-        self._listen_for_tunnels(address)
-        hub.start()
-        self._hosts_changed()
-        self.parts.stages.owner_wait.note_joined()
-        self.parts.relay.follower.start()
-        self.start_progress.note_joined(format_address(bound), address)
-        await members.register()
-
-    def _listen_for_tunnels(self, peers_address):
-        """Listen for peers; they reach this port like the one of the links."""
-        if self.settings.tunnels is None:
-            return
-        tunnels = self.parts.tunnels
-        port = tunnels.listen(*self.settings.tunnels)
-        self.ports.append(port)
-        host = peers_address.rpartition(':')[0]
-        tunnels.address = f'{host}:{_bound_address(port)[1]}'
-        self.log(TUNNEL_LISTENING, address=tunnels.address)
-
-    def _has_initial_state(self):
+    def has_initial_state(self):
+        """Return whether configuration and registry were read."""
         core = self.parts.core
         return core.configuration.table is not None and core.registry.known
 
     def _review(self):
-        self.guard('review', self._run_review)
+        self.guard(_REVIEW, self._run_review)
 
     def _run_review(self):
+        parts = self.parts
+        for review in (
+            self._review_stages,
+            partial(link_peers, parts),
+            parts.record.expire,
+            parts.core.origins.review,
+            parts.software_record.review,
+            parts.stream_record.review,
+            parts.stream_handover.review,
+            self.condition_sharing.review,
+            partial(self.start_progress.review, parts),
+            self._forget_addresses,
+            self._forget_statements,
+        ):
+            self.guard(_REVIEW, review)
+
+    def _review_stages(self):
         owners = self.parts.owners.by_service
         self.parts.stages.review(owners, leaving=self.leaving)
-        link_peers(self.parts)
-        self.parts.record.expire()
-        self.parts.core.origins.review()
-        self.parts.software_record.review()
-        self.parts.stream_record.review()
-        self.parts.stream_handover.review()
-        self.condition_sharing.review()
-        self.start_progress.review(self.parts)
+
+    def _forget_addresses(self):
         upstreams = self.parts.core.registry.upstreams.values()
         self.parts.paths.forget({upstream.address for upstream in upstreams})
-        self._forget_statements()
 
     def _forget_statements(self):
         core = self.parts.core
@@ -315,10 +282,11 @@
         self.parts.owners.configure()
 
     def _table_changed(self, table):
-        self._hosts_changed()
+        self.hosts_changed()
         self.parts.owners.configure()
 
-    def _hosts_changed(self):
+    def hosts_changed(self):
+        """Tell the parts which hosts there are."""
         parts = self.parts
         hosts = parts.members.hosts
         parts.core.budget.hosts = len(hosts) + 1
@@ -338,16 +306,3 @@
             if service.stage
         }
         link_peers(parts)
-
-
-def _set_key(parts, key):
-    """Set the key that hosts share; links with another one stay open."""
-    hub = parts.hub
-    hub.keys = (*parse_keys(key.decode()), *hub.keys)[:_MAX_KEYS]
-    parts.core.quarantine.key = key
-
-
-def _bound_address(port):
-    """Return the address of a listening port, with the number in use."""
-    bound = port.getHost()
-    return bound.host, bound.port
--- a/pollenstile/forward/_members.py
+++ b/pollenstile/forward/_members.py
@@ -3,15 +3,16 @@
 from dataclasses import dataclass
 from functools import partial
 
-from twisted.internet.defer import Deferred
-
 from pollenstile.forward import events
 from pollenstile.forward._absent import AbsentEntries
 from pollenstile.ops.batch import Batch
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import guarded, start_loop, start_step
+from pollenstile.ops.numbers import whole_number
 from pollenstile.peer import place_of
 from pollenstile.platform import Conflict, Written, paused
 
+_LOOP = 'registration'
 # Kind of the store's entries of hosts, one per host, named after it.
 HOSTS = 'pollenstile-hosts'
 # Time between retries while the store does not answer.
@@ -24,6 +25,9 @@
 _CHECK_SECONDS = (1.0, 2.0)
 # Time for which a host that has left is remembered.
 _REMEMBER_SECONDS = 60.0
+_MAX_PORT = 65535
+# Cores beyond which an entry is not believed.
+_MAX_CAPACITY = 1e6
 
 
 @dataclass(slots=True, frozen=True)
@@ -149,7 +153,7 @@
 
     def _check_own(self):
         if self.should_register:
-            Deferred.fromCoroutine(self.register())
+            start_loop(self.clock, self.log, _LOOP, self.register)
 
     def _has_left(self, name):
         left_at = self.left_at.get(name, -_REMEMBER_SECONDS)
@@ -159,7 +163,7 @@
         hosts = {self.host, *self.hosts}
         if place_of(self.host, change.name, hosts) == 0:
             call = self.store.delete(HOSTS, change.name, change.version)
-            Deferred.fromCoroutine(call)
+            start_step(self.log, _LOOP, call)
 
     def _replace(self, name, peer):
         if peer is None:
@@ -219,7 +223,12 @@
 
     def _notify_listeners(self):
         for listener in self.listeners:
-            listener()
+            guarded(self.log, _LOOP, listener)()
+
+
+def _has_port(address):
+    port = whole_number(address.rpartition(':')[-1])
+    return port is not None and 0 < port <= _MAX_PORT
 
 
 def _decode_peer_host(entry):
@@ -227,9 +236,10 @@
     if not isinstance(entry, dict):
         return None
     address = entry.get('address')
-    if not isinstance(address, str) or not address:
+    if not isinstance(address, str) or not _has_port(address):
         return None
     capacity = entry.get('capacity')
-    if not isinstance(capacity, (int, float)) or capacity <= 0:
+    is_number = isinstance(capacity, (int, float))
+    if not is_number or not 0 < capacity <= _MAX_CAPACITY:
         capacity = 1.0
     return PeerHost(address, str(entry.get('domain', '')), capacity)
--- a/pollenstile/forward/_peerkey.py
+++ b/pollenstile/forward/_peerkey.py
@@ -2,13 +2,15 @@
 
 import secrets
 
-from twisted.internet.defer import Deferred
+from functools import partial
 
 from pollenstile.forward import events
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_loop
 from pollenstile.peer import place_of
-from pollenstile.platform import Absent, Found, Written, paused
+from pollenstile.platform import Absent, Conflict, Found, Written, paused
 
+_LOOP = 'key of peers'
 # Kind and name of the stored key.
 PEER_KEY = ('pollenstile-keys', 'peers')
 _KEY_BYTES = 32
@@ -99,18 +101,30 @@
         """Return the key as bytes, creating it if necessary."""
         while True:
             found = await self.store.get(*PEER_KEY)
-            if isinstance(found, Found):
+            if isinstance(found, Found) and _key_of(found):
                 self.key = _key_of(found)
                 self.was_over = self._is_over(found)
                 if not self.was_over:
                     self.is_provisional = True
                     self.clock.callLater(_OVER_SECONDS, self._join_others)
                 return self.key.encode()
-            if isinstance(found, Absent):
-                key = {'key': secrets.token_hex(_KEY_BYTES)}
-                await self.store.put(*PEER_KEY, key, if_version=0)
-                continue
-            await paused(self.clock, _RETRY_SECONDS)
+            if not await self._create(found):
+                await paused(self.clock, _RETRY_SECONDS)
+
+    async def _create(self, found):
+        """Write a key where there is none; return whether to read again.
+
+        Explanation
+        ===========
+
+        Also in place of an entry that another writer has spoiled.
+        """
+        if not isinstance(found, (Found, Absent)):
+            return False
+        key = {'key': secrets.token_hex(_KEY_BYTES)}
+        outcome = await self.store.put(*PEER_KEY, key, found.version)
+        is_absent = isinstance(found, Absent)
+        return is_absent or isinstance(outcome, (Written, Conflict))
 
     def note_return(self):
         """Restore the key in turn, after a return of the store."""
@@ -125,7 +139,8 @@
         self.clock.callLater(wait + _OVER_SECONDS, self._restore, is_over=True)
 
     def _restore(self, *, is_over):
-        Deferred.fromCoroutine(self._write_until_stored(is_over))
+        write = partial(self._write_until_stored, is_over)
+        start_loop(self.clock, self.log, _LOOP, write)
 
     async def _write_until_stored(self, is_over):
         """Write the key until the store has it, or has returned once more."""
@@ -158,7 +173,7 @@
         return isinstance(outcome, Written)
 
     def _join_others(self):
-        Deferred.fromCoroutine(self._adopt())
+        start_loop(self.clock, self.log, _LOOP, self._adopt)
 
     async def _adopt(self):
         """Take the key that is stored now that the return is over."""
@@ -195,7 +210,10 @@
 
 
 def _key_of(found):
-    return str(found.value.get('key', ''))
+    """Return the key of an entry; empty if another writer has spoiled it."""
+    value = found.value if isinstance(found.value, dict) else {}
+    key = value.get('key')
+    return key if isinstance(key, str) else ''
 
 
 def _ignore(key):
--- a/pollenstile/forward/_processes.py
+++ b/pollenstile/forward/_processes.py
@@ -10,8 +10,10 @@
 from pollenstile.forward._types import Lost
 from pollenstile.ops.bounded import drop_oldest
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_step
 from pollenstile.platform import SharedReads
 
+_LOOP = 'reports of upstreams'
 _OK_STATUS = 200
 # Statuses of an upstream that has no reports.
 _WITHOUT_REPORT = frozenset((404, 405, 501))
@@ -142,7 +144,7 @@
 
     def _ask_for_all(self, view):
         waiters = self.waiting.pop(view.incarnation)
-        Deferred.fromCoroutine(self._answer_all(view, waiters))
+        start_step(self.log, _LOOP, self._answer_all(view, waiters))
 
     async def _answer_all(self, view, waiters):
         process = await self.ask_now(view)
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -10,8 +10,10 @@
 from pollenstile.ops.batch import Batch
 from pollenstile.ops.incarnations import incarnation_name
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import guarded
 from pollenstile.permission import LeavingUpstreams
 
+_LOOP = 'registry'
 # Kind of the objects with which upstreams register themselves in the store.
 UPSTREAMS = 'upstreams'
 # Entries that expire during an outage of the store are written again within two
@@ -352,7 +354,7 @@
 
     def _notify_listeners(self):
         for listener in self.listeners:
-            listener()
+            guarded(self.log, _LOOP, listener)()
 
 
 def _ignore_process(incarnation):
--- a/pollenstile/forward/_shutdown.py
+++ b/pollenstile/forward/_shutdown.py
@@ -2,13 +2,13 @@
 
 from functools import partial
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from pollenstile.forward import events
 from pollenstile.forward._departure import LOOK_SECONDS
 from pollenstile.forward._leaving import end_all, end_unbegun, refuse_late
 from pollenstile.ops.lateness import reading_time
+from pollenstile.ops.loops import start_step
 
 _STEP = 'shutdown'
 
@@ -32,7 +32,7 @@
     departure = parts.core.departure
     # The result is not awaited, as other hosts skip the entry of a host
     # that does not answer.
-    Deferred.fromCoroutine(parts.members.leave())
+    start_step(daemon.log, _STEP, parts.members.leave())
     await _look_until(daemon, departure.refuses_at)
     # Callers keep using open connections until they are closed. A request
     # accepted from now on could be cut off when the process is killed.
--- a/pollenstile/forward/_storewatches.py
+++ b/pollenstile/forward/_storewatches.py
@@ -6,6 +6,7 @@
 from pollenstile.forward._registry import UPSTREAMS
 from pollenstile.forward._registryreads import build_registry_reads
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import guarded
 from pollenstile.platform import WatchTiming, watch
 from pollenstile.quarantine import QUARANTINE_KIND
 
@@ -129,7 +130,7 @@
             callback(change)
 
         def handle_listed(running):
-            note_listed()
+            guarded(self.log, f'watch of {kind}', note_listed)()
             return running
 
         running = watch(
--- a/pollenstile/forward/_watched.py
+++ b/pollenstile/forward/_watched.py
@@ -1,6 +1,7 @@
 """Polling of settings that may change while a host runs."""
 
 from pollenstile.forward import events
+from pollenstile.ops.loops import guarded
 
 
 class WatchedSettings:
@@ -46,7 +47,8 @@
         """
         try:
             new_settings = self.read()
-        except ValueError as error:
+        except Exception as error:
+            # Any error would end the polls, and later settings would be missed.
             if str(error) != self.last_error:
                 self.last_error = str(error)
                 log(events.SETTINGS_BAD, level='error', reason=self.last_error)
@@ -54,4 +56,4 @@
         self.last_error = ''
         if new_settings != self.settings:
             self.settings = new_settings
-            apply(new_settings)
+            guarded(log, 'settings', apply)(new_settings)
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -16,8 +16,9 @@
 from pollenstile.ops.collector import configure_garbage_collector
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.logs import configure_logs, event_log
+from pollenstile.ops.running import prepare_daemon
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
-from pollenstile.ops.signals import ignore_hangup, keep_grace
+from pollenstile.ops.signals import ignore_hangup
 from pollenstile.peer import tcp_connect
 from pollenstile.permission import build_permissions
 from pollenstile.placement import http_orders, http_tickets
@@ -47,7 +48,7 @@
     reactor.callWhenRunning(daemon.start)
     reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
     ignore_hangup(reactor, daemon.node.core.log)
-    keep_grace(reactor, daemon.node.core.log)
+    prepare_daemon(reactor, daemon.node.core.log)
     reactor.run()
     return GOOD
 
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -18,12 +18,13 @@
 from pollenstile.ops.exits import GOOD
 from pollenstile.ops.linestream import LineStream
 from pollenstile.ops.logs import configure_logs, event_log
+from pollenstile.ops.running import prepare_daemon
 from pollenstile.ops.settings import (
     FORWARD,
     add_flags,
     settings_from,
 )
-from pollenstile.ops.signals import ignore_hangup, keep_grace
+from pollenstile.ops.signals import ignore_hangup
 from pollenstile.routes import table_of
 
 
@@ -77,7 +78,7 @@
     reactor.callWhenRunning(daemon.start)
     reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
     ignore_hangup(reactor, daemon.log)
-    keep_grace(reactor, daemon.log)
+    prepare_daemon(reactor, daemon.log)
     reactor.run()
     return GOOD
 
--- a/pollenstile/ops/running.py
+++ b/pollenstile/ops/running.py
@@ -1,7 +1,31 @@
-"""Runs one coroutine on the reactor, for commands that terminate."""
+"""Runs programs on the reactor: commands that terminate, and daemons."""
 
 from twisted.internet.defer import Deferred
 
+from pollenstile.ops.signals import keep_grace
+from pollenstile.ops.strays import report_strays
+
+
+def prepare_daemon(reactor, log):
+    """Let neither a second signal nor an error of a part go unnoticed.
+
+    Parameters
+    ==========
+
+    reactor : IReactorCore and IReactorFromThreads
+        A reactor that has not been started.
+    log : function
+        Takes an event and its fields.
+
+    See Also
+    ========
+
+    pollenstile.ops.signals.keep_grace
+    pollenstile.ops.strays.report_strays
+    """
+    keep_grace(reactor, log)
+    report_strays(log)
+
 
 def result_of(reactor, coroutine_function):
     """Run the reactor until a coroutine ends and return its result.
--- a/pollenstile/origins/_record.py
+++ b/pollenstile/origins/_record.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import succeed
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import log_failure, start_step
 from pollenstile.origins import events
 from pollenstile.peer import place_of
 from pollenstile.platform import (
@@ -15,6 +16,7 @@
     fork_deferred,
 )
 
+_LOOP = 'records of versions'
 # Kind of the store's entries, one for each service of streams, named after it.
 SOFTWARE_KIND = 'pollenstile-software'
 # Number of hosts that write a record by rank, and seconds for which each waits
@@ -174,7 +176,7 @@
         for service in list(self.history.gone_at):
             if self.has_streams(service) and self._is_due(service):
                 self.writing.add(service)
-                Deferred.fromCoroutine(self._write_in_turn(service))
+                start_step(self.log, _LOOP, self._write_in_turn(service))
 
     def note_return(self):
         """Read the records again; the store is back from an older copy."""
@@ -182,7 +184,7 @@
 
     def _start_read(self, service):
         self.read_at[service] = self.clock.seconds()
-        read = Deferred.fromCoroutine(self._read(service))
+        read = start_step(self.log, _LOOP, self._read(service))
         if not read.called:
             self.reads[service] = read
             read.addBoth(self._end_read, service)
@@ -270,11 +272,19 @@
             before.versions | seen, before.is_proven or is_proven
         )
 
+    async def _read_and_write(self, service):
+        is_read = await self._read(service)
+        if is_read and self._is_lacking(service):
+            return await self._write(service)
+        return is_read
+
     async def _write_in_turn(self, service):
         """Read a record, which another host may have written, and write it."""
-        is_done = await self._read(service)
-        if is_done and self._is_lacking(service):
-            is_done = await self._write(service)
+        is_done = False
+        try:
+            is_done = await self._read_and_write(service)
+        except Exception as error:
+            log_failure(self.log, _LOOP, error)
         self.writing.discard(service)
         if is_done:
             self.retries.pop(service, None)
--- a/pollenstile/origins/_sharing.py
+++ b/pollenstile/origins/_sharing.py
@@ -1,8 +1,7 @@
 """Keepers are told of the versions at which streams began."""
 
-from twisted.internet.defer import Deferred
-
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_step
 from pollenstile.origins import events
 from pollenstile.origins._asking import OriginAsking, ask_peer
 from pollenstile.origins._codec import (
@@ -14,6 +13,7 @@
 from pollenstile.peer import Unanswered
 
 TELL_SUBJECT = 'stream-origins'
+_LOOP = 'news of streams'
 # Minimum seconds between two messages to one keeper. Streams that began in
 # between are unknown to it when their host ends.
 _COLLECT_SECONDS = 0.25
@@ -182,13 +182,18 @@
         self.pending = {}
         for copy in self.copies:
             if not copy.is_resting:
-                Deferred.fromCoroutine(self._send(copy, streams))
+                self._start_send(copy, streams)
+
+    def _start_send(self, copy, streams):
+        step = start_step(self.log, _LOOP, self._send(copy, streams))
+        step.addCallback(self._note_result, copy, streams)
 
     async def _send(self, copy, streams):
+        """Tell a keeper; return why none has heard, empty if one has."""
         reason = 'no keeper'
         for keeper in copy.candidates:
             if self.hub.stopped:
-                return
+                return ''
             if keeper != copy.keeper:
                 streams = self._told_streams()
             told = ToldOrigins(streams, self._told_versions())
@@ -198,9 +203,13 @@
             )
             if not isinstance(answer, Unanswered):
                 copy.keeper = keeper
-                return
+                return ''
             reason = answer.reason
-        if copy.is_resting or not copy.candidates:
+        return reason
+
+    def _note_result(self, reason, copy, streams):
+        """Rest after a failure; a step that ended with an error has None."""
+        if reason == '' or copy.is_resting or not copy.candidates:
             return
         copy.keeper = ''
         copy.is_resting = True
@@ -209,7 +218,7 @@
         self.log(
             events.ORIGINS_UNSENT,
             peer=copy.candidates[0],
-            reason=reason,
+            reason=reason or 'error',
             streams=len(streams),
         )
         self.hub.clock.callLater(_RETRY_SECONDS, self._retry, copy)
@@ -218,13 +227,13 @@
         copy.is_resting = False
         streams = self._told_streams()
         if self._told_versions() and not self.hub.stopped:
-            Deferred.fromCoroutine(self._send(copy, streams))
+            self._start_send(copy, streams)
 
     def _link_opened(self, link):
         """Tell a keeper again whose link was lost: it may have started anew."""
         for copy in self.copies:
             if copy.keeper == link.host and self._told_versions():
-                Deferred.fromCoroutine(self._send(copy, self._told_streams()))
+                self._start_send(copy, self._told_streams())
 
     def _on_told(self, host, body):
         told = decode_origins(body, self.hub.clock.seconds())
--- a/pollenstile/origins/_streamreader.py
+++ b/pollenstile/origins/_streamreader.py
@@ -1,13 +1,15 @@
 """Read the recorded versions of streams from the store."""
 
-from twisted.internet.defer import Deferred, DeferredList, succeed
+from twisted.internet.defer import DeferredList, succeed
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_step
 from pollenstile.origins import events
 from pollenstile.origins._history import HISTORY_SECONDS
 from pollenstile.origins._streamentry import decode_entry, streams_kind
 from pollenstile.platform import Unavailable, fork_deferred, list_all
 
+_LOOP = 'reads of streams'
 # Minimum seconds between two reads of a domain, and seconds for which a request
 # waits for them. A slow store answers within 0.3 s.
 _READ_PERIOD_SECONDS = 1.0
@@ -141,7 +143,7 @@
         if now - last < _READ_PERIOD_SECONDS:
             return succeed(None)
         self.tried_at[domain] = now
-        read = Deferred.fromCoroutine(self.read(domain))
+        read = start_step(self.log, _LOOP, self.read(domain))
         if not read.called:
             self.reads[domain] = read
             read.addBoth(self._end_read, domain)
--- a/pollenstile/origins/_streamrecord.py
+++ b/pollenstile/origins/_streamrecord.py
@@ -11,11 +11,13 @@
 from twisted.internet.defer import Deferred
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import log_failure, start_step
 from pollenstile.origins import events
 from pollenstile.origins._streamentry import encode_entry, streams_kind
 from pollenstile.origins._streamreader import StreamReader
 from pollenstile.platform import Conflict, NotApplied, Written
 
+_LOOP = 'records of streams'
 # Minimum seconds between two writes of a host. Streams that began in between
 # are not recorded when all hosts end.
 _WRITE_PERIOD_SECONDS = 0.5
@@ -202,17 +204,17 @@
         return _WRITE_PERIOD_SECONDS * 2 ** min(self.failures, _MAX_DOUBLINGS)
 
     def _start_write(self):
-        Deferred.fromCoroutine(self._write_entry())
+        start_step(self.log, _LOOP, self._write_entry())
 
     async def _write_entry(self):
         self.written_at = self.clock.seconds()
         is_called = not self.is_away()
-        is_known = is_called and await self._knows_version()
+        is_known = is_called and await _attempt(self, self._knows_version)
         # From here to the call of the store nothing may be added.
         waiting = self.waiting
         self.waiting = []
         noted = list(self.unwritten)
-        is_done = is_known and await self._write()
+        is_done = is_known and await _attempt(self, self._write)
         # Where no call was made, the next one needs no longer pause.
         is_failed = is_called and not is_done
         self.failures = self.failures + 1 if is_failed else 0
@@ -269,5 +271,17 @@
         )
 
 
+async def _attempt(record, step):
+    """Return whether a step of a write succeeded; False after an error."""
+    try:
+        return await step()
+    except Exception as error:
+        # Whether a write was applied is not known.
+        record.version = None
+        record.is_changed = True
+        log_failure(record.log, _LOOP, error)
+        return False
+
+
 def _never():
     return False
--- a/pollenstile/peer/_dialer.py
+++ b/pollenstile/peer/_dialer.py
@@ -1,5 +1,6 @@
 """Outgoing connections to peers, with backoff after failures."""
 
+from pollenstile.ops.loops import guarded
 from pollenstile.peer._receiver import Receiver
 
 _INITIAL_BACKOFF_SECONDS = 0.5
@@ -8,6 +9,7 @@
 # time, and a peer that has not started yet will soon.
 _START_BACKOFF_SECONDS = 1.0
 _START_SECONDS = 8.0
+_LOOP = 'dials of peers'
 
 
 class DialState:
@@ -74,10 +76,11 @@
         ]
         if not links:
             addresses.extend(self.seeds)
+        dial = guarded(self.hub.log, _LOOP, self.dial)
         for address in addresses:
-            dial = self.dials.get(address)
-            if dial is None or now >= dial.next_attempt_at:
-                self.dial(address)
+            known = self.dials.get(address)
+            if known is None or now >= known.next_attempt_at:
+                dial(address)
 
     def dial(self, address):
         """Dial an address now, unless it has an attempt or connection."""
@@ -96,7 +99,13 @@
         dial.failures = min(dial.failures + 1, 10)
         dial.next_attempt_at = now + self.hub.random.uniform(0, bound)
         dial.receiver = Receiver(self.hub, address, dialing=True)
-        self.connect(address, dial.receiver)
+        try:
+            self.connect(address, dial.receiver)
+        except Exception:
+            # An address that can't be dialed is tried again like one that
+            # doesn't answer.
+            dial.receiver = None
+            raise
 
     def _max_backoff(self, now):
         """Return the limit of pauses between dials, in seconds."""
--- a/pollenstile/peer/_flood.py
+++ b/pollenstile/peer/_flood.py
@@ -2,9 +2,11 @@
 
 from functools import partial
 
+from pollenstile.ops.loops import guarded
 from pollenstile.peer._neighbours import neighbours_of
 from pollenstile.peer._requests import Unanswered
 
+_LOOP = 'news to neighbours'
 # Seconds over which news is collected before it is sent, and the minimum
 # seconds between two messages about one item, which may change with each
 # answer of an upstream.
@@ -124,9 +126,10 @@
         for name in due:
             self.pending.pop(name)
             self.sent_at[name] = now
+        send = guarded(self.hub.log, _LOOP, self._send)
         for host in sorted(neighbours_of(self.hub.hello, self.hosts)):
             names = [name for name, source in due.items() if source != host]
-            self._send(host, names)
+            send(host, names)
         self._schedule()
 
     def _send(self, host, names):
--- a/pollenstile/peer/_hub.py
+++ b/pollenstile/peer/_hub.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from pollenstile.ops.loops import guarded
 from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import events
 from pollenstile.peer._dialer import Dialer
@@ -18,6 +19,7 @@
 _LATE_SECONDS = 0.2
 _IDLE_SECONDS = 30.0
 _NONCE_BITS = NONCE_BYTES * 8
+_LOOP = 'links to peers'
 
 
 class Hub:
@@ -139,7 +141,7 @@
     def send_beats(self):
         """Send a heartbeat to all peers now, for an urgent change."""
         for link in list(self.links.values()):
-            self._send_beat(link)
+            self.send_beat(link)
 
     def ask(self, host, subject, body, timeout, address=''):
         """Send a request to a host.
@@ -225,15 +227,10 @@
     def _tick(self):
         now = self.clock.seconds()
         self._excuse_peers(now)
+        check = guarded(self.log, _LOOP, _check_link)
         for link in self.all_links():
-            if link.is_silent(now, self.silence_limit):
-                self.log(events.PEER_SILENT, peer=link.address)
-                self.drop(link, 'silent')
-            elif self._is_idle(link, now):
-                self.drop(link, 'idle')
-            elif link.is_open and now - link.last_beat_sent >= self.beat_period:
-                self._send_beat(link)
-        self.dialer.dial_due(now)
+            check(self, link, now)
+        guarded(self.log, _LOOP, self.dialer.dial_due)(now)
         pause = self.tick * self.random.uniform(0.8, 1.2)
         self.tick_due = now + pause
         self.timer = self.clock.callLater(pause, self._tick)
@@ -247,13 +244,8 @@
         for link in self.all_links():
             link.last_received += late
 
-    def _is_idle(self, link, now):
-        if not link.is_open or not link.session.dialing:
-            return False
-        unwanted = link.host not in self.dialer.wanted
-        return unwanted and now - link.last_used > _IDLE_SECONDS
-
-    def _send_beat(self, link):
+    def send_beat(self, link):
+        """Send a heartbeat on a link."""
         link.last_beat_sent = self.clock.seconds()
         link.send(self.beat())
 
@@ -268,7 +260,7 @@
             self.drop(existing, 'double')
         self.dialer.reset_failures(link.address)
         self.log(events.PEER_OPENED, peer=link.host, address=link.address)
-        self._send_beat(link)
+        self.send_beat(link)
         for up in list(self.link_up_handlers):
             up(link)
 
@@ -299,3 +291,21 @@
                 peer=link.host,
                 error=repr(error),
             )
+
+
+def _check_link(hub, link, now):
+    """Drop a link that is silent or idle; send a heartbeat if one is due."""
+    if link.is_silent(now, hub.silence_limit):
+        hub.log(events.PEER_SILENT, peer=link.address)
+        hub.drop(link, 'silent')
+    elif _is_idle(hub, link, now):
+        hub.drop(link, 'idle')
+    elif link.is_open and now - link.last_beat_sent >= hub.beat_period:
+        hub.send_beat(link)
+
+
+def _is_idle(hub, link, now):
+    if not link.is_open or not link.session.dialing:
+        return False
+    unwanted = link.host not in hub.dialer.wanted
+    return unwanted and now - link.last_used > _IDLE_SECONDS
--- a/pollenstile/platform/_watch.py
+++ b/pollenstile/platform/_watch.py
@@ -2,9 +2,11 @@
 
 from contextlib import nullcontext
 from dataclasses import dataclass
+from functools import partial
 
 from twisted.internet.defer import CancelledError, Deferred
 
+from pollenstile.ops.loops import log_failure, run_again
 from pollenstile.platform._outcome import Compacted, Unavailable
 from pollenstile.platform._pages import list_all
 from pollenstile.platform._pause import make_pause, paused
@@ -158,7 +160,8 @@
     revision, and runs until it is stopped. If that revision is compacted, it
     lists again. In an outage it retries with full jitter. A call without a
     response within its time and a margin is cancelled and sent again. Periodic
-    lists detect changes that the store's watch has silently missed.
+    lists detect changes that the store's watch has silently missed. After an
+    error of the program, which is logged, it lists again.
 
     Parameters
     ==========
@@ -190,7 +193,10 @@
     state.random = random
     state.log = log
     state.timing = timing or WatchTiming()
-    state.task = Deferred.fromCoroutine(_run(state))
+    loop = f'watch of {kind}'
+    state.task = Deferred.fromCoroutine(
+        run_again(clock, log, loop, partial(_run, state))
+    )
     state.task.addErrback(lambda failure: failure.trap(CancelledError))
     return state
 
@@ -203,6 +209,8 @@
         timing.backoff,
         timing.backoff_cap,
     )
+    # A watch that an error has ended may fail again on what it would be told.
+    state.list_at = 0.0
     while state.running:
         now = state.clock.seconds()
         if state.revision is None or now >= state.list_at:
@@ -327,13 +335,21 @@
 
 def _deliver(state, changes):
     state.delivering = True
+    try:
+        _report(state, changes)
+    except Exception as error:
+        # What follows a batch has failed; the changes are applied.
+        log_failure(state.log, f'watch of {state.kind}', error)
+    if not state.ready.called:
+        state.ready.callback(state)
+    state.delivering = False
+
+
+def _report(state, changes):
     with state.batched():
         for change in changes:
             if state.running:
                 _invoke_callback(state, change)
-    if not state.ready.called:
-        state.ready.callback(state)
-    state.delivering = False
 
 
 def _invoke_callback(state, change):
--- a/pollenstile/quarantine/_record.py
+++ b/pollenstile/quarantine/_record.py
@@ -1,14 +1,16 @@
 """Verdicts in the store, where they persist and operators see them."""
 
-from twisted.internet.defer import Deferred
+from functools import partial
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_loop, start_step
 from pollenstile.peer import place_of
 from pollenstile.platform import Conflict, Written, paused
 from pollenstile.quarantine import events
 from pollenstile.quarantine._types import QuarantineUpdate, Verdict
 from pollenstile.quarantine._verdicts import HOLD_SECONDS
 
+_LOOP = 'records of quarantine'
 # Kind of the store's entries: one for each quarantined request, named by its
 # fingerprint.
 QUARANTINE_KIND = 'pollenstile-quarantine'
@@ -97,7 +99,7 @@
             name = verdict.fingerprint
             place = place_of(self.quarantine.host, name, hosts)
             if place < _REWRITERS and name not in self.stored:
-                Deferred.fromCoroutine(self._write_in_turn(verdict, place))
+                self._start_write(verdict, place)
 
     def write(self, verdict):
         """Write an entry for a quarantine verdict; delete it for a release."""
@@ -109,7 +111,12 @@
             place = place_of(
                 self.quarantine.host, verdict.fingerprint, reporters
             )
-            Deferred.fromCoroutine(self._write_in_turn(verdict, place))
+            self._start_write(verdict, place)
+
+    def _start_write(self, verdict, place):
+        clock = self.quarantine.clock
+        write = partial(self._write_in_turn, verdict, place)
+        start_loop(clock, self.log, _LOOP, write)
 
     def expire(self):
         """Drop old evidence and verdicts, in the store as well."""
@@ -153,7 +160,8 @@
         is_first = place_of(self.quarantine.host, name, hosts) == 0
         if name in self.stored and is_first:
             self.stored.discard(name)
-            Deferred.fromCoroutine(self.store.delete(QUARANTINE_KIND, name))
+            deletion = self.store.delete(QUARANTINE_KIND, name)
+            start_step(self.log, _LOOP, deletion)
 
     def _verdict(self, change):
         """Return the verdict of an entry, or None if it is malformed."""
--- a/pollenstile/quarantine/_sharing.py
+++ b/pollenstile/quarantine/_sharing.py
@@ -2,9 +2,8 @@
 
 from functools import partial
 
-from twisted.internet.defer import Deferred
-
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_step
 from pollenstile.peer import BadMessageError, Beat, Unanswered, neighbours_of
 from pollenstile.platform import paused
 from pollenstile.quarantine import events
@@ -13,6 +12,7 @@
 
 UPDATE_SUBJECT = 'quarantine-news'
 COMPARE_SUBJECT = 'quarantine-held'
+_LOOP = 'news of quarantine'
 # Seconds over which updates are collected before they are sent. Each host with
 # requests at a crashed process reports it, within a few round trips.
 _COLLECT_SECONDS = 0.01
@@ -86,7 +86,8 @@
         for host in sorted(neighbours_of(self.hub.hello, self.hosts)):
             updates = [update for update, source in pending if source != host]
             if updates:
-                Deferred.fromCoroutine(self._send(host, merge_updates(updates)))
+                sending = self._send(host, merge_updates(updates))
+                start_step(self.log, _LOOP, sending)
 
     async def _send(self, host, update):
         clock = self.hub.clock
--- a/pollenstile/ratelimits/_limits.py
+++ b/pollenstile/ratelimits/_limits.py
@@ -81,7 +81,7 @@
         self.listeners = []
         self.stated = StatedRates(clock, log)
         self.ranking = AllocatorRanking(host, domain, peers)
-        self.reach = Reachability(clock, host, _ask_nobody)
+        self.reach = Reachability(clock, host, _ask_nobody, log)
         self.allocators = Allocators(
             clock, self.ranking, self.reach, self.stated, log
         )
@@ -92,7 +92,7 @@
         self.listed = dict(peers or {})
         self.list_listeners = []
         self.unlisted = UnlistedHosts(
-            clock, self.reach, self._is_any_limited, self._rank_hosts
+            clock, self.reach, self._is_any_limited, self._rank_hosts, log
         )
 
     def update_hosts(self, peers):
--- a/pollenstile/ratelimits/_reach.py
+++ b/pollenstile/ratelimits/_reach.py
@@ -1,9 +1,10 @@
 """Which of the hosts that rank first can be reached."""
 
-from twisted.internet.defer import Deferred
-
+from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_step
 from pollenstile.peer import REFUSED, Unanswered
 
+_LOOP = 'probes of allocators'
 # Minimum seconds between two probes of a host that did not answer.
 _PROBE_PERIOD_SECONDS = 1.0
 
@@ -45,12 +46,13 @@
         Time of the last probe, by host.
     """
 
-    __slots__ = ('ask', 'clock', 'down', 'ended', 'host', 'probed_at')
+    __slots__ = ('ask', 'clock', 'down', 'ended', 'host', 'log', 'probed_at')
 
-    def __init__(self, clock, host, ask):
+    def __init__(self, clock, host, ask, log=silent_log):
         self.clock = clock
         self.host = host
         self.ask = ask
+        self.log = log
         self.down = set()
         self.ended = set()
         self.probed_at = {}
@@ -101,7 +103,7 @@
         last = self.probed_at.get(host, now - _PROBE_PERIOD_SECONDS)
         if now - last >= _PROBE_PERIOD_SECONDS:
             self.probed_at[host] = now
-            Deferred.fromCoroutine(self._probe(host))
+            start_step(self.log, _LOOP, self._probe(host))
 
     def keep_only(self, hosts):
         """Forget the hosts that have left."""
--- a/pollenstile/ratelimits/_unlisted.py
+++ b/pollenstile/ratelimits/_unlisted.py
@@ -1,9 +1,10 @@
 """Hosts that are missing from the list of hosts and may still run."""
 
-from twisted.internet.defer import Deferred
-
+from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import guarded, start_step
 from pollenstile.ratelimits._reach import has_ended
 
+_LOOP = 'questions to unlisted hosts'
 # Seconds between two questions to a missing host.
 _PROBE_PERIOD_SECONDS = 1.0
 # Seconds for which a missing host that does not answer is remembered.
@@ -47,17 +48,19 @@
     __slots__ = (
         'clock',
         'is_needed',
+        'log',
         'missing',
         'on_change',
         'reach',
         'timer',
     )
 
-    def __init__(self, clock, reach, is_needed, on_change):
+    def __init__(self, clock, reach, is_needed, on_change, log=silent_log):
         self.clock = clock
         self.reach = reach
         self.is_needed = is_needed
         self.on_change = on_change
+        self.log = log
         self.missing = {}
         self.timer = None
 
@@ -90,11 +93,12 @@
     def _ask_all(self):
         self.timer = None
         oldest = self.clock.seconds() - _REMEMBERED_SECONDS
+        drop = guarded(self.log, _LOOP, self._drop)
         for host, (_, since) in list(self.missing.items()):
             if since < oldest:
-                self._drop(host)
+                drop(host)
             elif self.is_needed():
-                Deferred.fromCoroutine(self._ask(host))
+                start_step(self.log, _LOOP, self._ask(host))
         if self.missing:
             self.timer = self.clock.callLater(
                 _PROBE_PERIOD_SECONDS, self._ask_all
--- a/pollenstile/reachability/_domains.py
+++ b/pollenstile/reachability/_domains.py
@@ -4,8 +4,10 @@
 from functools import partial
 
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import guarded
 from pollenstile.reachability import events
 
+_LOOP = 'probes of domains'
 _MS = 1000
 # Upstreams of a failure domain from which it is judged as a whole. A host sends
 # to each of a few upstreams often enough to find every one unreachable itself.
@@ -159,7 +161,8 @@
             self.unreachable.pop(domain)
             self.timeouts.pop(domain, None)
             return
-        self.probe(self.random.choice(addresses))
+        probe = guarded(self.log, _LOOP, self.probe)
+        probe(self.random.choice(addresses))
         self._schedule_probe(domain)
 
     def _addresses(self, domain):
--- a/pollenstile/relay/_follower.py
+++ b/pollenstile/relay/_follower.py
@@ -2,9 +2,8 @@
 
 from dataclasses import replace
 
-from twisted.internet.defer import Deferred
-
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_loop
 from pollenstile.ops.timers import cancel_timer
 from pollenstile.peer import BadMessageError, Unanswered, apply_patch
 from pollenstile.platform import era_of, paused
@@ -20,6 +19,7 @@
 from pollenstile.relay._skipping import SkippedReaders
 from pollenstile.relay._source import RELAY_SUBJECT
 
+_LOOP = 'questions to the reader'
 # Seconds for which a reader holds a request while nothing has changed, and for
 # which its answer may be late. Their sum is the time to detect a frozen or
 # unreachable reader; this host then reads the store itself, well within the 2 s
@@ -184,7 +184,7 @@
 
     def start(self):
         """Start to follow a reader."""
-        return Deferred.fromCoroutine(self._run())
+        return start_loop(self.clock, self.log, _LOOP, self._run)
 
     def stop(self):
         """Send no more requests."""
--- a/pollenstile/relay/_source.py
+++ b/pollenstile/relay/_source.py
@@ -238,10 +238,21 @@
 
     def _answer_held(self, done, *, is_final=False):
         request, arrived_at, *_ = self.held[done]
-        update = self._build_update(request, arrived_at, is_final=is_final)
-        if update is not None:
+        try:
+            encoded = self._encoded_update(request, arrived_at, is_final)
+        except Exception:
+            # The follower has to read the store itself, and the others go on.
             self.held.pop(done)
-            done.callback(encode_update(update))
+            done.errback()
+            return
+        if encoded is not None:
+            self.held.pop(done)
+            done.callback(encoded)
+
+    def _encoded_update(self, request, arrived_at, is_final):
+        """Return the answer to a request, or None while nothing is new."""
+        update = self._build_update(request, arrived_at, is_final=is_final)
+        return None if update is None else encode_update(update)
 
     def _build_update(self, request, arrived_at, *, is_final=False):
         """Return the update for a request, or None while nothing is new."""
--- a/pollenstile/stagework/_dispatcher.py
+++ b/pollenstile/stagework/_dispatcher.py
@@ -1,5 +1,6 @@
 """Dispatch of waiting pieces to free workers in batches."""
 
+from pollenstile.ops.loops import RESTART_SECONDS, log_failure
 from pollenstile.stagework import events
 from pollenstile.stagework._batchcall import BatchCall
 from pollenstile.stagework._batching import (
@@ -12,6 +13,7 @@
 from pollenstile.stagework._ranking import ranked
 from pollenstile.stagework._workers import may_start
 
+_LOOP = 'dispatch of stages'
 # Seconds for which simultaneous pieces are gathered before calls are made.
 _GATHER_SECONDS = 0.002
 # Time in full calls for which a worker without free memory gets no new call:
@@ -40,11 +42,19 @@
         """Schedule a dispatch, together with other work of this instant."""
         if self.timer is None and self.owner.waiting:
             self.timer = self.owner.clock.callLater(
-                _GATHER_SECONDS, self._dispatch
+                _GATHER_SECONDS, self._dispatch_or_retry
             )
 
-    def _dispatch(self):
+    def _dispatch_or_retry(self):
         self.timer = None
+        try:
+            self._dispatch()
+        except Exception as error:
+            # The pieces would wait for a piece that comes later.
+            log_failure(self.owner.log, _LOOP, error)
+            self.owner.clock.callLater(RESTART_SECONDS, self.schedule)
+
+    def _dispatch(self):
         now = self.owner.clock.seconds()
         workers = sorted(
             self.owner.workers.values(),
--- a/pollenstile/stagework/_owner.py
+++ b/pollenstile/stagework/_owner.py
@@ -130,7 +130,7 @@
         self.call = call
         self.call_limits = CallLimits(service, permissions)
         self.releases = Releases(
-            clock, free, self._handle_freed, partial(_seconds_asked, self)
+            clock, free, self._handle_freed, partial(_seconds_asked, self), log
         )
         self.spend = spend
         self.log = log
--- a/pollenstile/stagework/_releases.py
+++ b/pollenstile/stagework/_releases.py
@@ -1,5 +1,9 @@
 """Batched releases of results at the upstreams that hold them."""
 
+from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import guarded
+
+_LOOP = 'releases of results'
 # Seconds for which releases are gathered into one call.
 _GATHER_SECONDS = 0.02
 
@@ -20,11 +24,19 @@
         Takes an address; returns the seconds for which it wants nothing sent.
     """
 
-    __slots__ = ('clock', 'free', 'on_freed', 'seconds_asked', 'waiting')
+    __slots__ = (
+        'clock',
+        'free',
+        'log',
+        'on_freed',
+        'seconds_asked',
+        'waiting',
+    )
 
-    def __init__(self, clock, free, on_freed, seconds_asked):
+    def __init__(self, clock, free, on_freed, seconds_asked, log=silent_log):
         self.clock = clock
         self.free = free
+        self.log = log
         self.on_freed = on_freed
         self.seconds_asked = seconds_asked
         self.waiting = {}
@@ -40,8 +52,9 @@
     def _flush(self):
         waiting = self.waiting
         self.waiting = {}
+        release = guarded(self.log, _LOOP, self._release)
         for address, handles in waiting.items():
-            self._release(address, handles)
+            release(address, handles)
 
     def _release(self, address, handles):
         seconds = self.seconds_asked(address)
--- a/pollenstile/tunnel/_paths.py
+++ b/pollenstile/tunnel/_paths.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred
-
 from pollenstile.ops.logs import silent_log
+from pollenstile.ops.loops import start_step
 from pollenstile.tunnel import events
 from pollenstile.tunnel._messages import OpenResult
 
+_LOOP = 'checks of paths'
 # Time between two attempts to reach a lost upstream without a peer.
 _RETRY_SECONDS = 1.0
 # Time between two checks of an upstream that peers don't reach either, doubled
@@ -128,7 +128,7 @@
             return
         check.next_at = now + check.pause
         check.pause = min(_MAX_CHECK_SECONDS, 2 * check.pause)
-        Deferred.fromCoroutine(self._check(address, check))
+        start_step(self.log, _LOOP, self._check(address, check))
 
     def has_peers(self):
         """Return whether there are peers to ask."""
