closes: the last answer of an upstream that leaves in order is whole

Cause: an answer without a length ends with its connection, and only a sign of life after that shows that the upstream, not its crash, has ended it. An upstream that exits with its last answer gives none. On the wire it looks like a crash: all connections close in order, at one moment.

Change: what tells them apart is stated elsewhere. "It is removed when the engine has left, or after three ping intervals of silence", and a crash sends nothing. So the removal of an entry that has said for long enough that its upstream leaves shows that it has left, if it comes within 1 s of the close: after a crash two whole heartbeats come first. Besides, the answer must be this host's last one there, no other one may have broken off within 1 s, and the store must not have failed for 6 s. Peers that pass an answer on do the same. Nothing else waits, and nothing is asked for it.

Ruled out as a proof: the order in which witness and answer close, and a reset that follows (the same in both cases); that the upstream is draining, and has been for drain_ms (it may crash as well).

--- a/features/builders/closechecks.py
+++ b/features/builders/closechecks.py
@@ -145,7 +145,7 @@
             checked.addCallback(self.results.append)
 
     async def _check(self):
-        closed = self.closes.closed(self.late_since)
+        closed = self.closes.closed(ADDRESS, self.late_since)
         lives_on = await self.closes.witnessed(ADDRESS, closed)
         if lives_on is None:
             lives_on = await self.closes.answers_anew(ADDRESS)
--- a/features/steps/close_checks_steps.py
+++ b/features/steps/close_checks_steps.py
@@ -196,6 +196,8 @@
         is_answered_twice=bool,
         witnessed=lambda late_since, ident: succeed(None),
         answers_anew=lambda ident: succeed(answers),
+        left_in_order=lambda ident: succeed(False),
+        note_proven=bool,
     )
     return Deferred.fromCoroutine(context.confirm(connection)).result
 
--- a/pollenstile/closes/_checks.py
+++ b/pollenstile/closes/_checks.py
@@ -57,6 +57,11 @@
     question : function
         Takes an address and the identifier of its process, empty if that is
         not known; returns the :class:`Question` to it.
+    is_last : function
+        Takes an address; returns whether this host has no other request there.
+    has_left : function
+        Takes an address, the time of a close and an identifier; returns a
+        coroutine of whether the process has stated that it has left by then.
     witnesses : dict
         :class:`Witness` by address, while an answer needs it.
     asked : dict
@@ -64,12 +69,22 @@
         first.
     """
 
-    __slots__ = ('asked', 'log', 'question', 'reactor', 'witnesses')
+    __slots__ = (
+        'asked',
+        'has_left',
+        'is_last',
+        'log',
+        'question',
+        'reactor',
+        'witnesses',
+    )
 
     def __init__(self, reactor, log=silent_log):
         self.reactor = reactor
         self.log = log
         self.question = _default_question
+        self.is_last = _always
+        self.has_left = _never
         self.witnesses = {}
         self.asked = {}
 
@@ -97,12 +112,14 @@
             self.witnesses.pop(address)
             witness.stop()
 
-    def closed(self, late_since):
+    def closed(self, address, late_since):
         """Return what is known of a connection whose close was just read.
 
         Parameters
         ==========
 
+        address : str
+            ``IP:PORT``; :meth:`begin` was called for it.
         late_since : float or None
             From when on the close may have gone unread; None if it was read as
             it came.
@@ -113,7 +130,39 @@
         Closed
         """
         now = self.reactor.seconds()
-        return Closed(now if late_since is None else late_since, now)
+        witness = self.witnesses[address]
+        closed = Closed(
+            now if late_since is None else late_since,
+            now,
+            is_last=witness.users == 1 and self.is_last(address),
+        )
+        witness.unproven.append(closed)
+        return closed
+
+    def note_proven(self, address, closed):
+        """Record that a process has shown that it lives on after a close."""
+        witness = self.witnesses.get(address)
+        if witness is not None and closed in witness.unproven:
+            witness.unproven.remove(closed)
+
+    async def left_in_order(self, address, closed, ident=''):
+        """Return whether the process that has closed has left as it did.
+
+        Parameters
+        ==========
+
+        address : str
+            ``IP:PORT``; :meth:`begin` was called for it.
+        closed : Closed
+            The connection.
+        ident : str
+            Identifier of the process; empty if it is not known.
+        """
+        witness = self.witnesses.get(address)
+        if witness is None or not closed.is_last:
+            return False
+        has_left = await self.has_left(address, closed.read_at, ident)
+        return has_left and witness.is_alone(closed)
 
     async def witnessed(self, address, closed, ident=''):
         """Return whether the process that has closed lives on, by a witness.
@@ -205,6 +254,14 @@
     return Question(_DEFAULT_TARGET, [(b'Host', address.encode())])
 
 
+def _always(address):
+    return True
+
+
+async def _never(address, closed_at, ident):
+    return False
+
+
 def _no_pause():
     """Return that a question may be asked right after any other one."""
     return 0.0
--- a/pollenstile/closes/_witness.py
+++ b/pollenstile/closes/_witness.py
@@ -14,6 +14,8 @@
 _PAUSE_SECONDS = 1.0
 # Time between the ends of two connections of a process that has ended.
 _SAME_END_SECONDS = 0.025
+# The same with other work between the looks at them.
+_ONE_END = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -28,10 +30,13 @@
         read, if it has.
     read_at : float
         When its close was read.
+    is_last : bool
+        Whether it was the only one with an answer that needs the witness.
     """
 
     open_at: float
     read_at: float
+    is_last: bool = False
 
 
 class Witness:
@@ -61,6 +66,8 @@
         The connection, once there is one.
     closed_at : float
         When the other end has closed one in order without a question.
+    unproven : list of Closed
+        Closes of answers after which no sign of life has been seen.
     """
 
     __slots__ = (
@@ -71,6 +78,7 @@
         'is_stopped',
         'reactor',
         'timer',
+        'unproven',
         'users',
     )
 
@@ -83,6 +91,7 @@
         self.closed_at = float('-inf')
         self.is_stopped = False
         self.timer = None
+        self.unproven = []
 
     def open(self):
         """Open a connection."""
@@ -123,6 +132,13 @@
         since = min(closed.open_at, closed.read_at - _SAME_END_SECONDS)
         return self.closed_at >= since
 
+    def is_alone(self, closed):
+        """Return whether no other answer has ended with this one, unproven."""
+        return all(
+            other is closed or abs(other.read_at - closed.read_at) > _ONE_END
+            for other in self.unproven
+        )
+
     def take(self, closed):
         """Return its connection to ask on, or None without a proper one.
 
--- a/pollenstile/forward/_assembly.py
+++ b/pollenstile/forward/_assembly.py
@@ -128,6 +128,7 @@
     HostParts
     """
     registry = Registry(reactor, log)
+    registry.exits.leave_seconds = settings.leave_seconds
     configuration = Configuration(
         store,
         reactor,
--- a/pollenstile/forward/_connection.py
+++ b/pollenstile/forward/_connection.py
@@ -145,6 +145,13 @@
         """Return whether a process answers on a new connection."""
         raise NotImplementedError
 
+    async def left_in_order(self, ident):
+        """Return whether the upstream has left, as it stated before."""
+        return False
+
+    def note_proven(self):
+        """Record that the upstream has lived on after the close."""
+
     def _end_unconfirmed(self, failure):
         """End after an error of this host, which Twisted logs."""
         if not self.is_lost:
@@ -180,12 +187,19 @@
         Tells whether the upstream lives on after a close.
     address : str
         ``IP:PORT`` of the upstream.
+
+    Attributes
+    ==========
+
+    closed_state : Closed or None
+        What is known of its close, once that is read.
     """
 
     def __init__(self, closes, address):
         super().__init__()
         self.closes = closes
         self.address = address
+        self.closed_state = None
 
     def prepare(self):
         """Keep another connection open until the answer has ended."""
@@ -199,7 +213,8 @@
 
     async def witnessed(self, late_since, ident):
         """Return whether the upstream lives on, as a witness shows."""
-        closed = self.closes.closed(late_since)
+        self.closed_state = self.closes.closed(self.address, late_since)
+        closed = self.closed_state
         had_upload = self._currentRequest.bodyProducer is not None
         lives_on = await self.closes.witnessed(self.address, closed, ident)
         if had_upload:
@@ -210,6 +225,16 @@
         """Return whether a process answers on a new connection."""
         return await self.closes.answers_anew(self.address, ident)
 
+    async def left_in_order(self, ident):
+        """Return whether the upstream has left, as it stated before."""
+        return await self.closes.left_in_order(
+            self.address, self.closed_state, ident
+        )
+
+    def note_proven(self):
+        """Record that the upstream has lived on after the close."""
+        self.closes.note_proven(self.address, self.closed_state)
+
 
 class TunnelConnection(Connection):
     """Connection through a peer, which passes on the upstream's bytes.
--- a/pollenstile/forward/_endcheck.py
+++ b/pollenstile/forward/_endcheck.py
@@ -14,7 +14,8 @@
 
     Where no witness shows whether its process lives on, one that listens now
     must do; if upstreams state when they started, their report tells whether
-    that is the same one.
+    that is the same one. A process that doesn't live on may have ended its
+    answer if it has left in order.
 
     Parameters
     ==========
@@ -41,18 +42,38 @@
             return True
         pauses = silence.backpressure.pauses
         lives_on = await connection.witnessed(pauses.late_since(), view.ident)
-        if lives_on is not None:
-            return lives_on
-        process = Process.UNSTATED
-        if view.born:
-            process = await core.processes.ask_now(view)
-        if process in _STATED:
-            return process is Process.LISTED
-        return await connection.answers_anew(view.ident)
+        if lives_on is None:
+            lives_on = await _lives_on(core, view, connection)
+        if lives_on:
+            connection.note_proven()
+            return True
+        return await connection.left_in_order(view.ident)
 
     return confirm
 
 
+async def _lives_on(core, view, connection):
+    """Return whether the process that listens now is the one that closed."""
+    process = Process.UNSTATED
+    if view.born:
+        process = await core.processes.ask_now(view)
+    if process in _STATED:
+        return process is Process.LISTED
+    return await connection.answers_anew(view.ident)
+
+
+def is_last_at(core, address):
+    """Return whether this host has one request or none at an address."""
+    return (
+        sum(
+            view.in_flight
+            for view in core.registry.views.values()
+            if view.address == address
+        )
+        <= 1
+    )
+
+
 def question_for(core, address, ident):
     """Return the :class:`Question` to the process at an address.
 
--- a/pollenstile/forward/_pathassembly.py
+++ b/pollenstile/forward/_pathassembly.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
-from pollenstile.forward._endcheck import question_for
+from pollenstile.forward._endcheck import is_last_at, question_for
 from pollenstile.forward._learning import end_backoff
 from pollenstile.reachability import DomainReachability
 from pollenstile.tunnel import TUNNEL_SUBJECT, Paths, Tunnels, TunnelServer
@@ -47,7 +47,16 @@
         reactor, settings.domain, core.registry, _prober(client), rng, log
     )
     core.domains = client.domains
-    client.closes.question = partial(question_for, core)
+    connect_closes(core)
+
+
+def connect_closes(core):
+    """Let the checks of closes use what a host knows of its upstreams."""
+    closes = core.client.closes
+    registry = core.registry
+    closes.question = partial(question_for, core)
+    closes.is_last = partial(is_last_at, core)
+    closes.has_left = partial(registry.exits.has_left, registry.upstreams)
 
 
 def build_tunnel_server(reactor, hub, core, log):
--- a/pollenstile/forward/_registry.py
+++ b/pollenstile/forward/_registry.py
@@ -5,6 +5,7 @@
 
 from pollenstile.forward import events
 from pollenstile.forward._absent import AbsentEntries
+from pollenstile.forward._plannedexits import PlannedExits
 from pollenstile.forward._returned import ReturnedEntries
 from pollenstile.forward._selection import UpstreamView
 from pollenstile.ops.batch import Batch
@@ -97,6 +98,8 @@
         state.
     returned : ReturnedEntries
         Entries that the store shows only since its return from an older copy.
+    exits : PlannedExits
+        Upstreams that leave, and the removals of their entries.
     on_process : function
         Called with the incarnation of each process whose entry is new.
     indexing : Batch
@@ -108,6 +111,7 @@
         'by_service',
         'clock',
         'drained',
+        'exits',
         'indexing',
         'known',
         'listeners',
@@ -134,6 +138,7 @@
         self.on_process = _ignore_process
         self.drained = frozenset()
         self.stated_leaving = LeavingUpstreams(clock)
+        self.exits = PlannedExits(clock, log)
         self.returned = ReturnedEntries(clock, self.indexing.request, log)
 
     def follow_leaving(self, leaving):
@@ -194,6 +199,7 @@
             wait = _RETURN_SECONDS - since_failure
             self.absent.keep(ident, wait, partial(self.drop, ident))
             return
+        self.exits.note_removed(self.upstreams[ident], since_failure)
         self.drop(ident)
 
     def note_listed(self):
@@ -286,6 +292,7 @@
             # has delayed it.
             return
         self.upstreams[upstream.ident] = upstream
+        self.exits.note_entry(upstream)
         if before is None or not _is_same_process(before, upstream):
             # A restarted upstream has no state of its previous incarnation.
             # When the load, failures and requests in flight of that
--- a/pollenstile/forward/events.py
+++ b/pollenstile/forward/events.py
@@ -5,7 +5,8 @@
 FORWARD_STARTED = define(
     1201,
     'forward-started',
-    'An entry host listens and starts to read its configuration.',
+    'An entry host listens and starts to read its configuration; the line has a'
+    ' digest of the code that it runs.',
 )
 FORWARD_READY = define(
     1202,
@@ -46,6 +47,13 @@
     'For the `why` of `grace over`, compare the grace with the time that answers'
     ' take; for `not read`, the caller reads slowly.',
 )
+EXIT_JUDGED = define(
+    1257,
+    'exit-judged',
+    'An answer without a length has ended as its upstream, which leaves, closed'
+    ' all connections; the line has whether the upstream had left by then.',
+    'For `not removed`, the upstream has crashed, or its entry was removed late.',
+)
 CONFIGURATION_TAKEN = define(
     1209,
     'configuration-taken',
--- a/pollenstile/tunnel/_server.py
+++ b/pollenstile/tunnel/_server.py
@@ -240,14 +240,21 @@
     async def _end_understood(self):
         """Pass the close on if the upstream's process lives on after it."""
         closes = self.server.closes
-        closed = closes.closed(self.pauses.late_since())
-        lives_on = await closes.witnessed(self.ask.address, closed)
+        address = self.ask.address
+        closed = closes.closed(address, self.pauses.late_since())
+        lives_on = await closes.witnessed(address, closed)
         if lives_on is None:
-            lives_on = await closes.answers_anew(self.ask.address)
+            lives_on = await closes.answers_anew(address)
         await closes.await_reset(closed)
         if self not in self.server.open_ends:
             # The host has closed its connection, or this one was reset.
             return
+        if lives_on:
+            closes.note_proven(address, closed)
+        else:
+            lives_on = await closes.left_in_order(address, closed)
+        if self not in self.server.open_ends:
+            return
         self.is_unconfirmed = not lives_on
         self.is_closed_early = self.is_closed_early or is_reset(self.transport)
         self.end_closed()
