--- a/features/builders/ratelimits.py
+++ b/features/builders/ratelimits.py
@@ -8,6 +8,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from pollenstile.ops.logs import silent_log
 from pollenstile.peer import VERSION, BadMessageError, Hello
 from pollenstile.permission import Permissions
 from pollenstile.ratelimits import RateLimits, valid_seconds
@@ -179,6 +180,7 @@
         self.requests = _Subjects()
         self.link_up_handlers = []
         self.stopped = False
+        self.log = silent_log
         self.asked = []
 
     def ask(self, host, subject, body, timeout, address=''):
--- a/features/loops.feature
+++ b/features/loops.feature
@@ -54,3 +54,8 @@
     Given a program that reports stray errors
     When a step that nobody awaits fails
     Then a line "stray-error" has its place
+
+  Scenario: A program that can't start ends
+    Guards against a process that stays, and is never ready, as another one has its port.
+    When a program is run whose start fails
+    Then it ends with an exit code and a line "start-failed"
--- a/features/steps/loops_steps.py
+++ b/features/steps/loops_steps.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, fail
 
 from features.builders.brokenloops import Injected, LoopHost
+from pollenstile.ops.running import run_daemon
 from pollenstile.ops.strays import report_strays
 from pollenstile.relay import Cursor, RelayRequest, Source
 from pollenstile.relay import _source as relay_source
@@ -158,3 +159,56 @@
     found = [fields for line, fields in context.lines if line == name]
     assert len(found) == 1, context.lines
     assert found[0]['reason'] == 'Injected'
+
+
+class _Reactor:
+    """A reactor that runs what it is given, until it crashes."""
+
+    def __init__(self):
+        self.calls = []
+        self.crashed = False
+
+    def callWhenRunning(self, function):
+        """Run a function later."""
+        self.calls.append(function)
+
+    def addSystemEventTrigger(self, *arguments):
+        """Ignore what is done at the end."""
+
+    def run(self):
+        """Run what was given."""
+        for function in self.calls:
+            function()
+
+    def crash(self):
+        """Record the end."""
+        self.crashed = True
+
+
+class _Unstartable:
+    """A daemon whose port is taken."""
+
+    def start(self):
+        """Fail."""
+        raise Injected('taken')
+
+    def stop(self):
+        """Do nothing."""
+
+
+@when('a program is run whose start fails')
+def when_unstartable(context):
+    context.lines = []
+
+    def log(event, level='info', **fields):
+        context.lines.append((event.name, fields))
+
+    context.reactor = _Reactor()
+    context.code = run_daemon(context.reactor, _Unstartable(), log)
+
+
+@then('it ends with an exit code and a line "{name}"')
+def then_ended(context, name):
+    assert context.code
+    assert context.reactor.crashed
+    assert [line for line, _ in context.lines] == [name], context.lines
--- a/pollenstile/forward/_daemon.py
+++ b/pollenstile/forward/_daemon.py
@@ -22,6 +22,7 @@
 from pollenstile.ops.measures import Measures, metrics_page
 from pollenstile.ops.pages import PageFactory
 from pollenstile.ops.settings import format_address
+from pollenstile.ops.sources import running_code
 from pollenstile.peer import Beat
 from pollenstile.platform import EraStore, StoreEra
 
@@ -144,6 +145,7 @@
             peers=format_address(settings.peers),
             domain=settings.domain,
             used_ms=self.start_progress.used_ms(),
+            **running_code(__name__, type(self.adapter).__module__),
         )
         self.review.clock = self.reactor
         self.review.start(_REVIEW_PERIOD_SECONDS, now=False)
--- a/pollenstile/forward/_joining.py
+++ b/pollenstile/forward/_joining.py
@@ -51,13 +51,13 @@
                 parts.stages.owner_wait.note_state,
                 self._read_key,
                 self._listen_for_peers,
-                self._listen_for_tunnels,
                 parts.hub.start,
                 daemon.hosts_changed,
                 parts.stages.owner_wait.note_joined,
                 self._start_to_follow,
                 self._note_joined,
                 parts.members.register,
+                self._listen_for_tunnels,
             )
         )
 
--- a/pollenstile/ops/_entrycmd.py
+++ b/pollenstile/ops/_entrycmd.py
@@ -14,9 +14,8 @@
 from pollenstile.ops._stores import hosts_reader, paced_store
 from pollenstile.ops.clock import boot_clock, use_boot_clock
 from pollenstile.ops.collector import configure_garbage_collector
-from pollenstile.ops.exits import GOOD
 from pollenstile.ops.logs import configure_logs, event_log
-from pollenstile.ops.running import prepare_daemon
+from pollenstile.ops.running import run_daemon
 from pollenstile.ops.settings import ENTRY, add_flags, settings_from
 from pollenstile.ops.signals import ignore_hangup
 from pollenstile.peer import tcp_connect
@@ -45,12 +44,8 @@
     use_boot_clock(reactor)
     daemon = build_daemon(reactor, settings)
     configure_garbage_collector()
-    reactor.callWhenRunning(daemon.start)
-    reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
     ignore_hangup(reactor, daemon.node.core.log)
-    prepare_daemon(reactor, daemon.node.core.log)
-    reactor.run()
-    return GOOD
+    return run_daemon(reactor, daemon, daemon.node.core.log)
 
 
 def build_daemon(reactor, settings):
--- a/pollenstile/ops/_forwardcmd.py
+++ b/pollenstile/ops/_forwardcmd.py
@@ -15,10 +15,9 @@
 )
 from pollenstile.ops._stores import store_at
 from pollenstile.ops.clock import boot_clock, use_boot_clock
-from pollenstile.ops.exits import GOOD
 from pollenstile.ops.linestream import LineStream
 from pollenstile.ops.logs import configure_logs, event_log
-from pollenstile.ops.running import prepare_daemon
+from pollenstile.ops.running import run_daemon
 from pollenstile.ops.settings import (
     FORWARD,
     add_flags,
@@ -75,12 +74,8 @@
         boot_clock,
         event_log(host=settings.host),
     )
-    reactor.callWhenRunning(daemon.start)
-    reactor.addSystemEventTrigger('before', 'shutdown', daemon.stop)
     ignore_hangup(reactor, daemon.log)
-    prepare_daemon(reactor, daemon.log)
-    reactor.run()
-    return GOOD
+    return run_daemon(reactor, daemon, daemon.log)
 
 
 def _host_settings(settings):
