forward: an earlier removal at an address says nothing of the next upstream

Found in reading: a peer that passes an answer on knows the address alone. There, the last removal at that address stood for how long the next upstream had said that it leaves, however old it was. Only a removal within the time of the close counts now, and what is remembered of leaving upstreams is bounded.

--- a/pollenstile/forward/_plannedexits.py
+++ b/pollenstile/forward/_plannedexits.py
@@ -19,6 +19,7 @@
 # Seconds without a failure of the store after which no entry can be missing for
 # a silence that has begun before the close.
 _UNDISTURBED_SECONDS = 6.0
+_MAX_LEAVING = 4096
 _MAX_REMOVED = 256
 _MS = 1000
 
@@ -93,6 +94,7 @@
             self.leaving_since.pop(name, None)
             return
         self.leaving_since.setdefault(name, self.clock.seconds())
+        drop_oldest(self.leaving_since, _MAX_LEAVING)
 
     def note_removed(self, upstream, undisturbed_seconds):
         """Record that an entry was removed.
@@ -147,9 +149,9 @@
 
     def _may_have_left(self, upstreams, address, closed_at, ident):
         """Return whether an entry has said for long enough that it leaves."""
-        removal = self.removed.get(address)
-        if removal is not None and ident in {'', removal.ident}:
-            return self._is_due(removal.known_since, closed_at)
+        if self._is_removed(address, closed_at, ident):
+            since = self.removed[address].known_since
+            return self._is_due(since, closed_at)
         names = [
             upstream.incarnation
             for upstream in upstreams.values()
