platform: answers that are nested too deeply are malformed to all readers

An answer of an upstream ended the step that read it by an error nobody foresaw; one value made a list of the object API unreadable.

Change: they are taken for malformed; the object API is read leniently, as the platform's.

--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -50,3 +50,21 @@
       | a cold time without end   |
       | a port above 65535        |
       | an address above 255      |
+
+  Scenario Outline: An answer that is nested too deeply is malformed: <reader>
+    Guards against answers that end what reads them by an error nobody foresaw.
+    When <reader> is nested 1,100 levels deep
+    Then it is read as one that is malformed
+
+    Examples:
+      | reader                       |
+      | a batch of results           |
+      | a plain batch of results     |
+      | a report                     |
+      | a list of hosts              |
+      | a reply of a service         |
+
+  Scenario: An odd value in the object API hides no sound one
+    Guards against one value of the project's own store that makes a list unreadable.
+    Given a list of the object API in which a value is nested 1,100 times
+    Then the other value is listed
--- a/features/steps/odd_values_steps.py
+++ b/features/steps/odd_values_steps.py
@@ -17,19 +17,27 @@
     page_of,
 )
 from features.builders.registry import SOUND, entry
-from pollenstile.forward import Configuration
-from pollenstile.platform import Reply
+from pollenstile.forward import Configuration, PlainCodec
+from pollenstile.platform import (
+    HttpStore,
+    Reply,
+    Unavailable,
+    read_host_list,
+)
 from pollenstile.relay import KindUpdate, RelayUpdate
 from pollenstile.relay._messages import decode_update, encode_update
+from pollenstile.upstream import wire
 
 _FOLDER = pathlib.Path(__file__).resolve().parent.parent.parent / 'platform'
 if str(_FOLDER) not in sys.path:
     sys.path.append(str(_FOLDER))
 
+from adapter.batches import BatchCodec  # noqa: E402
 from adapter.documents import decode_table, decode_upstream  # noqa: E402
 from adapter.objects import ObjectStore  # noqa: E402
 
 _KIND = 'upstreams'
+_DEEP = ODD['1,100 lists in lists']
 _REVOKE_SECONDS = 5.0
 _BETWEEN_SECONDS = 1.0
 _NUMBERS = {
@@ -152,3 +160,66 @@
 @then('it is no upstream')
 def then_no_upstream(context):
     assert decode_upstream(NAME, context.value) is None
+
+
+@when('{reader} is nested 1,100 levels deep')
+def when_nested(context, reader):
+    context.read = _READERS[reader]()
+
+
+@then('it is read as one that is malformed')
+def then_malformed(context):
+    assert context.read is None or isinstance(context.read, Unavailable)
+
+
+@given('a list of the object API in which a value is nested 1,100 times')
+def given_api_list(context):
+    rows = (
+        b'{"kind": "k", "name": "a", "version": 1, "value": %s}' % _DEEP,
+        b'{"kind": "k", "name": "b", "version": 2, "value": {}}',
+    )
+    body = b'{"objects": [%s], "revision": 2}' % b', '.join(rows)
+    context.listing = _outcome(HttpStore(_Answered(body)).listed('k'))
+
+
+@then('the other value is listed')
+def then_listed(context):
+    found = {one.name: one.value for one in context.listing.objects}
+    assert found['b'] == {}, found
+    assert set(found) == {'a', 'b'}
+
+
+def _hosts():
+    row = b'{"name": "h", "more": %s}' % _DEEP
+    return _outcome(read_host_list(_Answered(b'[%s]' % row)))
+
+
+def _reply():
+    try:
+        return wire.decode_plain_reply(
+            b'{"attempt": "a", "output": %s}' % _DEEP
+        )
+    except wire.DECODE_ERRORS:
+        return None
+
+
+def _results():
+    row = b'{"handle": "10.0.0.1:1/a", "more": %s}' % _DEEP
+    return BatchCodec().results(b'{"items": [%s]}' % row, 1)
+
+
+def _plain_results():
+    return PlainCodec().results(_DEEP, 1)
+
+
+def _report():
+    return PlainCodec().report_born(b'{"more": %s}' % _DEEP)
+
+
+_READERS = {
+    'a batch of results': _results,
+    'a plain batch of results': _plain_results,
+    'a report': _report,
+    'a list of hosts': _hosts,
+    'a reply of a service': _reply,
+}
--- a/pollenstile/forward/_plaincodec.py
+++ b/pollenstile/forward/_plaincodec.py
@@ -78,7 +78,7 @@
         """Return a list of ``Result``; None for an invalid answer."""
         try:
             handles = msgspec.json.decode(body, type=list[str])
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except (msgspec.DecodeError, RecursionError):
             return None
         if len(handles) != count:
             return None
--- a/pollenstile/placement/_http.py
+++ b/pollenstile/placement/_http.py
@@ -85,5 +85,5 @@
         return Lost(step, upstream.address, f'status {reply.status}')
     try:
         return decode(reply.body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return Lost(step, upstream.address, 'not understood')
--- a/pollenstile/platform/_hosts.py
+++ b/pollenstile/platform/_hosts.py
@@ -55,6 +55,6 @@
         return Unavailable('hosts', client.peer, reason, reply.retry_after)
     try:
         rows = msgspec.json.decode(reply.body, type=tuple[HostEntry, ...])
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    except (msgspec.DecodeError, RecursionError):
         return Unavailable('hosts', client.peer, 'bad answer')
     return HostList(rows)
--- a/pollenstile/platform/_httpstore.py
+++ b/pollenstile/platform/_httpstore.py
@@ -18,6 +18,7 @@
     Unavailable,
     Written,
 )
+from pollenstile.platform._rows import decode_json
 from pollenstile.platform._store import PAGE_LIMIT, POLL_SECONDS, VALUE_LIMIT
 
 _MILLISECONDS = 1000
@@ -127,10 +128,7 @@
 def _decode_reply(reply: Reply, types):
     # A 404 may come from a server other than the object API, such as a load
     # balancer without a route. Only a response that matches the schema counts.
-    try:
-        return msgspec.json.decode(reply.body, type=types[reply.status])
-    except (msgspec.DecodeError, msgspec.ValidationError):
-        return None
+    return decode_json(reply.body, types[reply.status])
 
 
 def _object_path(kind, name):
--- a/pollenstile/upstream/_bodies.py
+++ b/pollenstile/upstream/_bodies.py
@@ -76,7 +76,7 @@
             return
         try:
             reply = wire.decode_plain_reply(b''.join(self.received))
-        except wire.DecodeError:
+        except wire.DECODE_ERRORS:
             self.end(Lost('malformed reply'))
             return
         load = load_from_wire(reply.load)
@@ -133,7 +133,7 @@
             return
         try:
             decoded = wire.decode_completion_event(event)
-        except wire.DecodeError:
+        except wire.DECODE_ERRORS:
             self._fail('malformed event')
             return
         self.last_event = decoded
--- a/pollenstile/upstream/wire.py
+++ b/pollenstile/upstream/wire.py
@@ -104,4 +104,5 @@
 decode_completion_call = msgspec.json.Decoder(CompletionCall).decode
 decode_plain_call = msgspec.json.Decoder(PlainCall).decode
 decode_plain_reply = msgspec.json.Decoder(PlainReply).decode
-DecodeError = msgspec.MsgspecError
+# Raised for answers that are malformed, or nested more deeply than is decoded.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
