tests: the boot clock is looked for before run_daemon, in all three programs

The programs call run_daemon in place of reactor.run since it ends one that can't start, so the text that the check looks for is another one. As strict as before; the command of a forwarding host is checked too.

--- a/features/steps/clocks_steps.py
+++ b/features/steps/clocks_steps.py
@@ -8,7 +8,11 @@
 from pollenstile.ops.clock import use_boot_clock
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-_DAEMONS = ('platform/adapter/start.py', 'pollenstile/ops/_entrycmd.py')
+_DAEMONS = (
+    'platform/adapter/start.py',
+    'pollenstile/ops/_entrycmd.py',
+    'pollenstile/ops/_forwardcmd.py',
+)
 
 
 class _Clocks:
@@ -61,6 +65,6 @@
 def then_all_use_boot_clock(context):
     for name in _DAEMONS:
         text = (_ROOT / name).read_text(encoding='utf8')
-        before, run_call, _ = text.partition('reactor.run()')
+        before, run_call, _ = text.partition('run_daemon(reactor,')
         assert run_call, name
         assert 'use_boot_clock(reactor)' in before, name
