tests: a second answer on an idle connection comes before the next request

Trace: the server's second answer and the test's next request hang on two timers of one process, 5 and 20 ms after the first answer. In a process that stalls for longer both fire at one moment, and the request is sent before what came is read: the moment "before the next answer", in which losing that request is right. With a stall of 50 ms put in, the scenario fails as seen.

Change: the next request waits until the second answer is sent, and then as before. As strict: the moment that the scenario names is now the one that it plays.

--- a/features/builders/keptreaders.py
+++ b/features/builders/keptreaders.py
@@ -66,6 +66,8 @@
         What is still to be sent of a second answer.
     first_transport : ITransport or None
         Connection of the first request.
+    is_due : bool
+        Whether a second answer is still to come on the idle connection.
     """
 
     def __init__(self, moment, document_for):
@@ -75,6 +77,7 @@
         self.requests = 0
         self.repeated = b''
         self.first_transport = None
+        self.is_due = False
 
     def answer(self, transport, request_head):
         """Write an answer, and the second one when it is due."""
@@ -102,7 +105,12 @@
         self.repeated = answer[sent:]
         if self.moment == 'while the connection is idle':
             self.repeated = b''
-            reactor.callLater(_SETTLE_SECONDS / 4, write, answer)
+            self.is_due = True
+            reactor.callLater(_SETTLE_SECONDS / 4, self._repeat, answer)
+
+    def _repeat(self, answer):
+        self.first_transport.write(answer)
+        self.is_due = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -141,12 +149,15 @@
         numbers = []
         for number in range(1, count + 1):
             numbers.append(self.number_of(ask(number)))
-            _settle()
+            _settle(server)
         server.stop()
         return numbers
 
 
-def _settle():
+def _settle(server):
+    # A process that stalls would run the timers of both at the same moment, and
+    # send its next request before it has read what came while it was idle.
+    run_reactor_until(lambda: not server.is_due)
     settled = []
     reactor.callLater(_SETTLE_SECONDS, settled.append, True)
     run_reactor_until(lambda: settled)
