soak, live: a caller sends nothing on a connection that it is closing

Trace (one run with its logs): the host answered with `Connection: close` and knows nothing of the next request; that was sent 8.6 ms later and ended 1.2 ms after. The HTTP client keeps this field from whoever sends the request, so the line of the caller that looked for it never saw it. The client closes the connection itself, in its next turn; if the caller's pause ends before, which needs a busy loop, the request goes to a connection that is being closed.

Change: a caller takes a connection that closes for one that is lost, and the line that saw nothing is gone. Callers still use open connections until their host is gone. The first of two new scenarios fails before.

--- a/features/soak_sound.feature
+++ b/features/soak_sound.feature
@@ -126,3 +126,13 @@
     Given 1 requests without an answer on new connections
     When their host closed 2 in one overload and 0 meanwhile
     Then the checks of the answers report "cut off without an answer: c0 at h1"
+
+  Scenario Outline: A caller sends nothing on a connection that closes: <fields>
+    Guards against requests that count as cut off, as their caller's own connection was closing.
+    Given a caller of a live soak that has an answer with "<fields>"
+    Then the connection of the caller <state>
+
+    Examples:
+      | fields            | state              |
+      | Connection: close | is closing         |
+      | X-Proof: p        | can be used again  |
--- a/features/steps/soak_sound_steps.py
+++ b/features/steps/soak_sound_steps.py
@@ -1,6 +1,11 @@
 """Steps of the checks of a live soak, on records made by hand."""
 
 from behave import given, then, when
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
+from twisted.internet.testing import StringTransport
+from twisted.web._newclient import Request
+from twisted.web.http_headers import Headers
 
 from features.builders.soundrecords import (
     add_earlier,
@@ -12,6 +17,7 @@
     overload,
     records_of,
 )
+from pollenstile.soak.live._callers import PersistentConnection
 from pollenstile.soak.live._checks import find_violations
 from pollenstile.soak.live._sound import count_sound
 
@@ -126,3 +132,19 @@
 @when('their host closed {before:d} in one overload and {count:d} meanwhile')
 def when_twice(context, before, count):
     overload(context.records, -1.0, count, before)
+
+
+@given('a caller of a live soak that has an answer with "{fields}"')
+def given_answered(context, fields):
+    context.connection = PersistentConnection(Deferred())
+    context.connection.makeConnection(StringTransport())
+    sent = Request(b'GET', b'/', Headers({b'host': [b'h']}), None, True)
+    answered = context.connection.request(sent)
+    answered.addCallback(lambda response: response.deliverBody(Protocol()))
+    head = b'HTTP/1.1 502 Bad Gateway\r\nContent-Length: 2\r\n%s\r\n\r\nno'
+    context.connection.dataReceived(head % fields.encode())
+
+
+@then('the connection of the caller {state}')
+def then_connection(context, state):
+    assert context.connection.is_closing() == (state == 'is closing')
--- a/pollenstile/soak/live/_callers.py
+++ b/pollenstile/soak/live/_callers.py
@@ -61,7 +61,7 @@
 
     def buildProtocol(self, address):
         """Return the connection; called by twisted."""
-        return _PersistentConnection(self.done)
+        return PersistentConnection(self.done)
 
     def clientConnectionFailed(self, connector, reason):
         """Report that the connection was refused; called by twisted."""
@@ -69,7 +69,7 @@
             self.done.callback(None)
 
 
-class _PersistentConnection(AnswerConnection):
+class PersistentConnection(AnswerConnection):
     """A connection that is reused for consecutive requests."""
 
     def __init__(self, done):
@@ -88,6 +88,10 @@
         self.is_lost = True
         super().connectionLost(reason)
 
+    def is_closing(self):
+        """Return whether it is lost, or closes after an answer that says so."""
+        return self.is_lost or self.transport.disconnecting
+
 
 class _BodyCollector(Protocol):
     def __init__(self, record):
@@ -192,7 +196,7 @@
     async def _send(self, ident, kind, content, key, resumes=None, after=0):
         """Send a request; return its record, or None without a connection."""
         world = self.world
-        is_first = self.connection is None or self.connection.is_lost
+        is_first = self.connection is None or self.connection.is_closing()
         if is_first:
             await self._connect()
         if self.connection is None:
@@ -262,8 +266,6 @@
         body = _BodyCollector(record)
         response.deliverBody(body)
         await body.ended
-        if response.headers.getRawHeaders(b'connection') == [b'close']:
-            self.connection = None
 
 
 def _prompt(record):
