ratelimits: a grant of this host that meets an error leaves nobody waiting

Found in reading, for the list of loops: the requests for tokens that this host answers itself had no handler for an error. What asks again waited for an answer that nobody would give, and requests for tokens until their deadline. They are now treated like an answer that can't be read.

Evidence: "Tokens of a limited upstream are asked for again after an error" fails before.

--- a/features/loops.feature
+++ b/features/loops.feature
@@ -59,3 +59,9 @@
     Guards against a process that stays, and is never ready, as another one has its port.
     When a program is run whose start fails
     Then it ends with an exit code and a line "start-failed"
+
+  Scenario: Tokens of a limited upstream are asked for again after an error
+    Guards against requests that wait for tokens until their deadline, as a grant has met an error.
+    Given a stage queue whose upstream states 5 requests a second
+    When the first two grants meet errors, and 10 pieces wait for 10 seconds
+    Then each piece is called for
--- a/features/steps/loops_steps.py
+++ b/features/steps/loops_steps.py
@@ -6,9 +6,11 @@
 from behave import given, then, when
 from twisted.internet.defer import Deferred, fail
 
-from features.builders.brokenloops import Injected, LoopHost
+from features.builders.brokenloops import Injected, Injection, LoopHost
+from features.builders.ratelimits import LimitedQueue
 from pollenstile.ops.running import run_daemon
 from pollenstile.ops.strays import report_strays
+from pollenstile.ratelimits._allocators import Allocators
 from pollenstile.relay import Cursor, RelayRequest, Source
 from pollenstile.relay import _source as relay_source
 from pollenstile.relay._messages import encode_request
@@ -212,3 +214,28 @@
     assert context.code
     assert context.reactor.crashed
     assert [line for line, _ in context.lines] == [name], context.lines
+
+
+@given('a stage queue whose upstream states {rate:d} requests a second')
+def given_limited(context, rate):
+    context.queue = LimitedQueue(rate)
+
+
+@when(
+    'the first two grants meet errors, and {count:d} pieces wait for'
+    ' {seconds:d} seconds'
+)
+def when_grants_fail(context, count, seconds):
+    injection = Injection()
+    injection.is_on = True
+    answer = injection.around(Allocators.answer)
+    context.count = count
+    with patch.object(Allocators, 'answer', answer):
+        context.queue.run(count, seconds)
+    assert injection.raised == 2
+
+
+@then('each piece is called for')
+def then_called(context):
+    called = context.queue.called_at
+    assert len(called) == context.count, called
--- a/pollenstile/ratelimits/_tokenclient.py
+++ b/pollenstile/ratelimits/_tokenclient.py
@@ -1,6 +1,7 @@
 """Requests of this host for tokens of limited upstreams."""
 
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from pollenstile.ops.logs import silent_log
 from pollenstile.peer import Unanswered
@@ -74,15 +75,22 @@
         ]
         requests = [self._request(one) for one in asked]
         if allocator == self.allocators.ranking.host:
-            for one, request in zip(asked, requests, strict=True):
-                grant = self.allocators.answer(allocator, request)
-                self._apply(one, grant, self.clock.seconds())
+            try:
+                self._grant_own(allocator, asked, requests)
+            except Exception:
+                # Who waits for tokens would not ask again.
+                self._answer_failed(Failure(), allocator, asked)
             return
         asking = Deferred.fromCoroutine(
             self._ask_peer(allocator, asked, requests)
         )
         asking.addErrback(self._answer_failed, allocator, asked)
 
+    def _grant_own(self, allocator, asked, requests):
+        for one, request in zip(asked, requests, strict=True):
+            grant = self.allocators.answer(allocator, request)
+            self._apply(one, grant, self.clock.seconds())
+
     def sent(self):
         """Return the requests sent to limited upstreams, by incarnation."""
         return {name: one.sent for name, one in self.by_name.items()}
